--- /dev/null
+++ b/src/core/clock.cpp
@@ -0,0 +1,18 @@
+/// The daemons' clock, read from GLib.
+#include "core/clock.h"
+
+#include <glib.h>
+
+namespace crowstep {
+
+TimePoint LoopClock::now() const {
+  if (GSource *Current = g_main_current_source())
+    return TimePoint(Duration(g_source_get_time(Current)));
+  return fresh();
+}
+
+TimePoint LoopClock::fresh() const {
+  return TimePoint(Duration(g_get_monotonic_time()));
+}
+
+} // namespace crowstep
--- /dev/null
+++ b/src/core/metrics.cpp
@@ -0,0 +1,137 @@
+/// Metrics and their Prometheus text.
+#include "core/metrics.h"
+
+#include <boost/histogram.hpp>
+#include <sstream>
+
+namespace crowstep {
+
+namespace {
+
+namespace bh = boost::histogram;
+using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+
+constexpr int BucketCount = 56;        ///< 8 a decade.
+constexpr double LowestSeconds = 1e-4; ///< Lower edge of the first bucket.
+constexpr double HighestSeconds = 1e3; ///< Upper edge of the last bucket.
+
+std::string labelText(const Labels &With, const std::string &Extra = {}) {
+  std::string Result;
+  for (const auto &[Name, Value] : With) {
+    Result += Result.empty() ? "" : ",";
+    Result += Name;
+    Result += "=\"";
+    Result += Value;
+    Result += "\"";
+  }
+  if (!Extra.empty())
+    Result += (Result.empty() ? "" : ",") + Extra;
+  return Result.empty() ? Result : "{" + Result + "}";
+}
+
+std::string numberText(double Value) {
+  std::ostringstream Text;
+  Text << Value;
+  return Text.str();
+}
+
+/// Prints the type line once for each run of equal names.
+void printType(const std::string &Name, const char *Type, std::string &Last,
+               std::string &Out) {
+  if (Last == Name)
+    return;
+  Last = Name;
+  Out += "# TYPE " + Name + " " + Type + "\n";
+}
+
+} // namespace
+
+struct LatencyHistogram::Impl {
+  bh::histogram<std::tuple<LogAxis>> m_Buckets =
+      bh::make_histogram(LogAxis(BucketCount, LowestSeconds, HighestSeconds));
+  double m_Sum = 0;          ///< Seconds.
+  std::uint64_t m_Count = 0; ///< Latencies recorded.
+};
+
+LatencyHistogram::LatencyHistogram() : m_Impl(std::make_unique<Impl>()) {}
+LatencyHistogram::~LatencyHistogram() = default;
+LatencyHistogram::LatencyHistogram(LatencyHistogram &&) noexcept = default;
+LatencyHistogram &
+LatencyHistogram::operator=(LatencyHistogram &&) noexcept = default;
+
+void LatencyHistogram::record(Duration Latency) {
+  const double Seconds = std::chrono::duration<double>(Latency).count();
+  m_Impl->m_Buckets(Seconds);
+  m_Impl->m_Sum += Seconds;
+  ++m_Impl->m_Count;
+}
+
+std::uint64_t LatencyHistogram::count() const { return m_Impl->m_Count; }
+
+Duration LatencyHistogram::quantile(double Share) const {
+  if (m_Impl->m_Count == 0)
+    return Duration::zero();
+  const double Wanted = Share * static_cast<double>(m_Impl->m_Count);
+  double Seen = 0;
+  const auto &Axis = m_Impl->m_Buckets.axis();
+  for (int Index = -1; Index < BucketCount; ++Index) {
+    Seen += static_cast<double>(m_Impl->m_Buckets.at(Index));
+    if (Seen >= Wanted)
+      return std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(Axis.value(Index + 1)));
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(HighestSeconds));
+}
+
+void LatencyHistogram::print(const std::string &Name, const Labels &With,
+                             std::string &Out) const {
+  double Seen = static_cast<double>(m_Impl->m_Buckets.at(-1));
+  const auto &Axis = m_Impl->m_Buckets.axis();
+  for (int Index = 0; Index < BucketCount; ++Index) {
+    Seen += static_cast<double>(m_Impl->m_Buckets.at(Index));
+    const std::string Edge = "le=\"" + numberText(Axis.value(Index + 1)) + "\"";
+    Out += Name + "_bucket" + labelText(With, Edge) + " " +
+           std::to_string(static_cast<std::uint64_t>(Seen)) + "\n";
+  }
+  const std::string Count = std::to_string(m_Impl->m_Count);
+  Out += Name + "_bucket" + labelText(With, "le=\"+Inf\"") + " " + Count + "\n";
+  Out +=
+      Name + "_sum" + labelText(With) + " " + numberText(m_Impl->m_Sum) + "\n";
+  Out += Name + "_count" + labelText(With) + " " + Count + "\n";
+}
+
+Counter &Metrics::counter(const std::string &Name, const Labels &With) {
+  return m_Counters[{Name, With}];
+}
+
+Gauge &Metrics::gauge(const std::string &Name, const Labels &With) {
+  return m_Gauges[{Name, With}];
+}
+
+LatencyHistogram &Metrics::latency(const std::string &Name,
+                                   const Labels &With) {
+  return m_Latencies[{Name, With}];
+}
+
+std::string Metrics::text() const {
+  std::string Out;
+  std::string Last;
+  for (const auto &[Series, Value] : m_Counters) {
+    printType(Series.first, "counter", Last, Out);
+    Out += Series.first + labelText(Series.second) + " " +
+           std::to_string(Value.value()) + "\n";
+  }
+  for (const auto &[Series, Value] : m_Gauges) {
+    printType(Series.first, "gauge", Last, Out);
+    Out += Series.first + labelText(Series.second) + " " +
+           numberText(Value.value()) + "\n";
+  }
+  for (const auto &[Series, Value] : m_Latencies) {
+    printType(Series.first, "histogram", Last, Out);
+    Value.print(Series.first, Series.second, Out);
+  }
+  return Out;
+}
+
+} // namespace crowstep
--- /dev/null
+++ b/src/core/program.cpp
@@ -0,0 +1,131 @@
+/// The daemons' common main program.
+#include "core/program.h"
+
+#include "core/error.h"
+#include "core/log.h"
+
+#include <csignal>
+#include <glib-unix.h>
+#include <glib.h>
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+namespace crowstep {
+
+namespace {
+
+constexpr Duration DefaultStopLimit = std::chrono::seconds(600);
+
+struct Options {
+  std::string m_Config;     ///< Settings file.
+  bool m_CheckOnly = false; ///< Validate and stop.
+};
+
+Options parseCommandLine(int Argc, char **Argv, const std::string &Purpose) {
+  TCLAP::CmdLine Line(Purpose, ' ', versionText());
+  TCLAP::ValueArg<std::string> Config("c", "config", "settings file (INI)",
+                                      true, "", "file", Line);
+  TCLAP::SwitchArg Check("", "check", "validate the settings and stop", Line);
+  Line.parse(Argc, Argv);
+  return {Config.getValue(), Check.getValue()};
+}
+
+/// The loop of one daemon and what its signals do.
+class Runner {
+public:
+  Runner(Daemon &Served, Duration StopLimit)
+      : m_Daemon(Served), m_StopLimit(StopLimit),
+        m_Loop(g_main_loop_new(nullptr, 0)) {}
+  ~Runner() { g_main_loop_unref(m_Loop); }
+  Runner(const Runner &) = delete;
+  Runner &operator=(const Runner &) = delete;
+
+  ExitCode run() {
+    // A peer that closes must not end the process with SIGPIPE.
+    std::signal(SIGPIPE, SIG_IGN);
+    g_unix_signal_add(SIGTERM, onSignal, this);
+    g_unix_signal_add(SIGINT, onSignal, this);
+    m_Daemon.start();
+    g_main_loop_run(m_Loop);
+    return m_Code;
+  }
+
+private:
+  static int onSignal(void *Data) {
+    static_cast<Runner *>(Data)->signalled();
+    return G_SOURCE_CONTINUE;
+  }
+
+  static int onStopLimit(void *Data) {
+    static_cast<Runner *>(Data)->cut();
+    return G_SOURCE_REMOVE;
+  }
+
+  void signalled() {
+    if (m_Stopping) {
+      cut();
+      return;
+    }
+    m_Stopping = true;
+    logEvent(LogEvent::ProgramStopping);
+    const auto Limit =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_StopLimit);
+    g_timeout_add(static_cast<guint>(Limit.count()), onStopLimit, this);
+    m_Daemon.stop([this] { g_main_loop_quit(m_Loop); });
+  }
+
+  void cut() {
+    logEvent(LogEvent::ProgramCut);
+    m_Code = ExitCode::Cut;
+    g_main_loop_quit(m_Loop);
+  }
+
+  Daemon &m_Daemon;                    ///< Outlives the runner.
+  Duration m_StopLimit;                ///< From the first signal.
+  GMainLoop *m_Loop;                   ///< Owned.
+  bool m_Stopping = false;             ///< After the first signal.
+  ExitCode m_Code = ExitCode::Success; ///< What run() returns.
+};
+
+ExitCode runChecked(const Options &Chosen, const std::string &Name,
+                    const DaemonFactory &Make) {
+  Settings File = Settings::load(Chosen.m_Config);
+  startLogging(File.text("log", "level", "info"), Name);
+  const Duration StopLimit =
+      File.milliseconds("daemon", "stop_limit_ms", Duration::zero(),
+                        std::chrono::hours(24), DefaultStopLimit);
+  const std::unique_ptr<Daemon> Served = Make(File);
+  File.rejectUnknown();
+  if (Chosen.m_CheckOnly) {
+    std::cout << Chosen.m_Config << ": valid\n";
+    return ExitCode::Success;
+  }
+  Runner Loop(*Served, StopLimit);
+  logEvent(LogEvent::ProgramStarted, {{"version", versionText()}});
+  const ExitCode Code = Loop.run();
+  logEvent(LogEvent::ProgramStopped);
+  return Code;
+}
+
+} // namespace
+
+int runDaemon(int Argc, char **Argv, const std::string &Name,
+              const std::string &Purpose, const DaemonFactory &Make) {
+  try {
+    const Options Chosen = parseCommandLine(Argc, Argv, Purpose);
+    return static_cast<int>(runChecked(Chosen, Name, Make));
+  } catch (const SettingError &Failure) {
+    std::cerr << Failure.what() << "\n";
+    return static_cast<int>(ExitCode::BadInput);
+  } catch (const SettingsFileError &Failure) {
+    std::cerr << Failure.what() << "\n";
+    return static_cast<int>(ExitCode::BadInput);
+  } catch (const Error &Failure) {
+    logEvent(LogEvent::ProgramFailed, {{"why", Failure.what()}});
+    return static_cast<int>(ExitCode::Failure);
+  }
+}
+
+std::string versionText() { return "0.1.0"; }
+
+} // namespace crowstep
--- /dev/null
+++ b/src/core/settings.h
@@ -0,0 +1,77 @@
+/// Checked INI settings.
+///
+/// Every key is read through a typed getter that knows what is allowed; a key
+/// that no getter asked for is an error, so that a misspelt one is not ignored.
+#ifndef CROWSTEP_CORE_SETTINGS_H
+#define CROWSTEP_CORE_SETTINGS_H
+
+#include "core/clock.h"
+#include "instance_type.h"
+
+#include <cstdint>
+#include <glib.h>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crowstep {
+
+/// One settings file. All getters throw SettingError naming file, section,
+/// key, value and what is allowed.
+class Settings {
+public:
+  /// Reads the file at \p Path. \throws SettingsFileError when it can't.
+  static Settings load(const std::string &Path);
+
+  /// Reads \p Text as if it were the file \p Name.
+  static Settings parse(const std::string &Text, const std::string &Name);
+
+  /// Returns the value, or \p Default where the key is absent; without a
+  /// default an absent key is an error.
+  std::string text(const std::string &Section, const std::string &Key,
+                   std::optional<std::string> Default = std::nullopt);
+  std::int64_t integer(const std::string &Section, const std::string &Key,
+                       std::int64_t Min, std::int64_t Max,
+                       std::optional<std::int64_t> Default = std::nullopt);
+  double number(const std::string &Section, const std::string &Key, double Min,
+                double Max, std::optional<double> Default = std::nullopt);
+  bool boolean(const std::string &Section, const std::string &Key,
+               std::optional<bool> Default = std::nullopt);
+  Address address(const std::string &Section, const std::string &Key,
+                  std::optional<Address> Default = std::nullopt);
+
+  /// Returns a semicolon-separated list of addresses, empty where absent.
+  std::vector<Address> addresses(const std::string &Section,
+                                 const std::string &Key);
+
+  /// Returns a whole number of milliseconds between \p Min and \p Max.
+  Duration milliseconds(const std::string &Section, const std::string &Key,
+                        Duration Min, Duration Max,
+                        std::optional<Duration> Default = std::nullopt);
+
+  /// Returns the names of all sections that start with \p Prefix.
+  [[nodiscard]] std::vector<std::string>
+  sections(const std::string &Prefix) const;
+
+  /// \throws SettingError for the first key that no getter has asked for.
+  void rejectUnknown() const;
+
+private:
+  Settings() = default;
+  std::optional<std::string> find(const std::string &Section,
+                                  const std::string &Key);
+  [[noreturn]] void fail(const std::string &Section, const std::string &Key,
+                         const std::string &Value,
+                         const std::string &Allowed) const;
+
+  std::string m_Name;               ///< File name for errors.
+  std::shared_ptr<GKeyFile> m_File; ///< Never null after load or parse.
+  std::set<std::pair<std::string, std::string>> m_Asked; ///< Known keys.
+};
+
+} // namespace crowstep
+
+#endif // CROWSTEP_CORE_SETTINGS_H
--- /dev/null
+++ b/src/link/link_tcp.h
@@ -0,0 +1,52 @@
+/// Links over TCP with GLib sockets.
+#ifndef CROWSTEP_LINK_LINK_TCP_H
+#define CROWSTEP_LINK_LINK_TCP_H
+
+#include "core/metrics.h"
+#include "core/scheduler.h"
+#include "link/link_type.h"
+
+#include <memory>
+
+namespace crowstep::link {
+
+/// Who this process is and how its links behave.
+struct LinkConfig {
+  wire::Role m_Role = wire::Role::Entry; ///< Kind of this process.
+  std::string m_Name;                    ///< Name of this instance.
+  Incarnation m_Incarnation;             ///< This start.
+  AvailabilityZone m_Zone;               ///< Where this instance is.
+  Address m_Listen;                      ///< None: dials only.
+  std::string m_Key;                     ///< Shared secret of all processes.
+  std::uint32_t m_MaxFrame = 4U << 20;   ///< Bytes, on both ways.
+  std::size_t m_MaxQueued = 16U << 20;   ///< Bytes waiting for a slow peer.
+  Duration m_HandshakeLimit = std::chrono::seconds(2);    ///< > 0.
+  Duration m_MinBackoff = std::chrono::milliseconds(100); ///< First wait.
+  Duration m_MaxBackoff = std::chrono::seconds(2);        ///< Longest wait.
+};
+
+/// Links over TCP; one listener hears of all of them.
+class TcpLinks final : public Links {
+public:
+  TcpLinks(LinkConfig Config, Scheduler &Timers, Metrics &Stats,
+           LinkListener &Listener);
+  ~TcpLinks() override;
+  TcpLinks(const TcpLinks &) = delete;
+  TcpLinks &operator=(const TcpLinks &) = delete;
+
+  /// Begins to accept. \throws ListenError.
+  void start();
+
+  void dial(const Address &Where) override;
+  void hangUp(const Address &Where) override;
+  wire::FrameT &outbox(LinkId Link) override;
+  void close(LinkId Link) override;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> m_Impl; ///< Never null.
+};
+
+} // namespace crowstep::link
+
+#endif // CROWSTEP_LINK_LINK_TCP_H
--- /dev/null
+++ b/src/platform/platform_type.h
@@ -0,0 +1,114 @@
+/// The platform's services as crowstep sees them: plain types and interfaces.
+///
+/// The daemons use the HTTP client in platform_client.h; tests use fakes.
+#ifndef CROWSTEP_PLATFORM_PLATFORM_TYPE_H
+#define CROWSTEP_PLATFORM_PLATFORM_TYPE_H
+
+#include "instance_type.h"
+#include "upstream_type.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace crowstep::platform {
+
+/// Version of one row; a row that does not exist has version 0.
+using RowVersion = StrongId<struct RowVersionTag, std::uint64_t>;
+
+/// One row of a table in the table service. The value is JSON text.
+struct Row {
+  std::string m_Key;    ///< Unique within its table.
+  RowVersion m_Version; ///< Grows with each write.
+  std::string m_Value;  ///< JSON text.
+};
+
+/// A conditional write: takes effect only if the row's version is the expected
+/// one; version 0 expects that there is no row (an insert).
+struct RowWrite {
+  std::string m_Key;     ///< Row.
+  RowVersion m_Expected; ///< See above.
+  std::string m_Value;   ///< New JSON text; empty deletes the row.
+};
+
+/// What became of one conditional write.
+struct RowOutcome {
+  bool m_Written = false;       ///< False: the version was another.
+  std::optional<Row> m_Present; ///< The row after the call, where one exists.
+};
+
+/// Why a call to the platform gave no outcome.
+enum class PlatformFailure : std::uint8_t {
+  Refused,   ///< Nothing took effect.
+  Uncertain, ///< The write may have taken effect.
+};
+
+using WriteResult = std::variant<std::vector<RowOutcome>, PlatformFailure>;
+using ReadResult = std::variant<std::vector<Row>, PlatformFailure>;
+
+/// The transactional table service.
+class TableService {
+public:
+  virtual ~TableService() = default;
+
+  /// Carries out several conditional writes of one table in one call, which
+  /// counts as one write; each write stands or fails for itself.
+  virtual void write(const std::string &Table, std::vector<RowWrite> Writes,
+                     std::function<void(WriteResult)> Done) = 0;
+
+  /// Reads the row \p Key; an absent row is an empty result.
+  virtual void read(const std::string &Table, const std::string &Key,
+                    std::function<void(ReadResult)> Done) = 0;
+
+  /// Reads all rows whose key starts with \p Prefix.
+  virtual void list(const std::string &Table, const std::string &Prefix,
+                    std::function<void(ReadResult)> Done) = 0;
+};
+
+/// The object store; \p Done gets nothing where the object is absent.
+class ObjectStore {
+public:
+  using GetResult = std::variant<std::optional<std::string>, PlatformFailure>;
+  using PutResult = std::variant<std::monostate, PlatformFailure>;
+  virtual ~ObjectStore() = default;
+  virtual void put(const std::string &Name, const std::string &Content,
+                   std::function<void(PutResult)> Done) = 0;
+  virtual void get(const std::string &Name,
+                   std::function<void(GetResult)> Done) = 0;
+};
+
+/// An instance of crowstep as the platform's list shows it.
+struct ListedInstance {
+  std::string m_Name;      ///< Its hash is the InstanceId.
+  Address m_Link;          ///< Where its dispatcher takes links.
+  AvailabilityZone m_Zone; ///< Where it is.
+  bool m_Leaving = false;  ///< The platform is about to take it away.
+};
+
+/// The instance list; it lags.
+struct InstanceListing {
+  std::vector<ListedInstance> m_Instances; ///< crowstep's own.
+  std::vector<Upstream> m_Upstreams;       ///< Engines and plain services.
+};
+
+/// The platform's list of instances and upstreams.
+class InstanceList {
+public:
+  using Result = std::variant<InstanceListing, PlatformFailure>;
+  virtual ~InstanceList() = default;
+  virtual void fetch(std::function<void(Result)> Done) = 0;
+};
+
+/// Names of the tables that crowstep keeps in the table service.
+inline constexpr const char *ContractTableName = "contracts";
+inline constexpr const char *WorkspaceTableName = "workspaces";
+inline constexpr const char *ClaimTableName = "claims";
+inline constexpr const char *LeaseTableName = "leases";
+inline constexpr const char *DrainTableName = "drains";
+
+} // namespace crowstep::platform
+
+#endif // CROWSTEP_PLATFORM_PLATFORM_TYPE_H
