Feature: Let an entry's right to serve run from its own acknowledgement

An entry that wakes from a freeze finds old attachments in its socket. Measured from their receipt, its right to serve would be renewed by old news and it would serve a table that the others have left. Measured from the sending of its last acknowledgement that the dispatcher echoes, old news renews nothing.

--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -2018,6 +2018,8 @@
   std::vector<std::unique_ptr<crowstep::wire::MemberT>> members{};
   std::vector<std::unique_ptr<crowstep::wire::UpstreamInfoT>> upstreams{};
   std::vector<std::unique_ptr<crowstep::wire::WorkspaceInfoT>> workspaces{};
+  uint64_t acked = 0;
+  bool draining = false;
   AttachmentT() = default;
   AttachmentT(const AttachmentT &o);
   AttachmentT(AttachmentT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2033,7 +2035,9 @@
     VT_RIGHT_TO_SERVE = 6,
     VT_MEMBERS = 8,
     VT_UPSTREAMS = 10,
-    VT_WORKSPACES = 12
+    VT_WORKSPACES = 12,
+    VT_ACKED = 14,
+    VT_DRAINING = 16
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -2050,6 +2054,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>> *workspaces() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>> *>(VT_WORKSPACES);
   }
+  uint64_t acked() const {
+    return GetField<uint64_t>(VT_ACKED, 0);
+  }
+  bool draining() const {
+    return GetField<uint8_t>(VT_DRAINING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -2063,6 +2073,8 @@
            VerifyOffset(verifier, VT_WORKSPACES) &&
            verifier.VerifyVector(workspaces()) &&
            verifier.VerifyVectorOfTables(workspaces()) &&
+           VerifyField<uint64_t>(verifier, VT_ACKED, 8) &&
+           VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
            verifier.EndTable();
   }
   AttachmentT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2089,6 +2101,12 @@
   void add_workspaces(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>>> workspaces) {
     fbb_.AddOffset(Attachment::VT_WORKSPACES, workspaces);
   }
+  void add_acked(uint64_t acked) {
+    fbb_.AddElement<uint64_t>(Attachment::VT_ACKED, acked, 0);
+  }
+  void add_draining(bool draining) {
+    fbb_.AddElement<uint8_t>(Attachment::VT_DRAINING, static_cast<uint8_t>(draining), 0);
+  }
   explicit AttachmentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2106,12 +2124,16 @@
     bool right_to_serve = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>>> upstreams = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>>> workspaces = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>>> workspaces = 0,
+    uint64_t acked = 0,
+    bool draining = false) {
   AttachmentBuilder builder_(_fbb);
+  builder_.add_acked(acked);
   builder_.add_sequence(sequence);
   builder_.add_workspaces(workspaces);
   builder_.add_upstreams(upstreams);
   builder_.add_members(members);
+  builder_.add_draining(draining);
   builder_.add_right_to_serve(right_to_serve);
   return builder_.Finish();
 }
@@ -2127,7 +2149,9 @@
     bool right_to_serve = false,
     const std::vector<flatbuffers::Offset<crowstep::wire::Member>> *members = nullptr,
     const std::vector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>> *upstreams = nullptr,
-    const std::vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>> *workspaces = nullptr) {
+    const std::vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>> *workspaces = nullptr,
+    uint64_t acked = 0,
+    bool draining = false) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Member>>(*members) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>>(*upstreams) : 0;
   auto workspaces__ = workspaces ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>>(*workspaces) : 0;
@@ -2137,7 +2161,9 @@
       right_to_serve,
       members__,
       upstreams__,
-      workspaces__);
+      workspaces__,
+      acked,
+      draining);
 }
 
 flatbuffers::Offset<Attachment> CreateAttachment(flatbuffers::FlatBufferBuilder &_fbb, const AttachmentT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3355,7 +3381,9 @@
 
 inline AttachmentT::AttachmentT(const AttachmentT &o)
       : sequence(o.sequence),
-        right_to_serve(o.right_to_serve) {
+        right_to_serve(o.right_to_serve),
+        acked(o.acked),
+        draining(o.draining) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new crowstep::wire::MemberT(*members_) : nullptr); }
   upstreams.reserve(o.upstreams.size());
@@ -3370,6 +3398,8 @@
   std::swap(members, o.members);
   std::swap(upstreams, o.upstreams);
   std::swap(workspaces, o.workspaces);
+  std::swap(acked, o.acked);
+  std::swap(draining, o.draining);
   return *this;
 }
 
@@ -3387,6 +3417,8 @@
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<crowstep::wire::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = upstreams(); if (_e) { _o->upstreams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreams[_i] = std::unique_ptr<crowstep::wire::UpstreamInfoT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = workspaces(); if (_e) { _o->workspaces.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->workspaces[_i] = std::unique_ptr<crowstep::wire::WorkspaceInfoT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = acked(); _o->acked = _e; }
+  { auto _e = draining(); _o->draining = _e; }
 }
 
 inline flatbuffers::Offset<Attachment> Attachment::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AttachmentT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3402,13 +3434,17 @@
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _upstreams = _o->upstreams.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>> (_o->upstreams.size(), [](size_t i, _VectorArgs *__va) { return CreateUpstreamInfo(*__va->__fbb, __va->__o->upstreams[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _workspaces = _o->workspaces.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>> (_o->workspaces.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkspaceInfo(*__va->__fbb, __va->__o->workspaces[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _acked = _o->acked;
+  auto _draining = _o->draining;
   return crowstep::wire::CreateAttachment(
       _fbb,
       _sequence,
       _right_to_serve,
       _members,
       _upstreams,
-      _workspaces);
+      _workspaces,
+      _acked,
+      _draining);
 }
 
 inline AttachmentAckT *AttachmentAck::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
