Test: Add the stand-in for the platform

Table service, object store, instance list and weight store in one small program with fault switches, so that tests and the demo need no platform.

--- /dev/null
+++ b/tests/standin/fault.cpp
@@ -0,0 +1,48 @@
+/// Reading and counting of faults.
+#include "standin/fault.h"
+
+#include <map>
+
+namespace crowstep::standin {
+
+namespace {
+
+const std::map<std::string, FaultMode> &modes() {
+  static const std::map<std::string, FaultMode> Table = {
+      {"none", FaultMode::None},
+      {"refuse", FaultMode::Refuse},
+      {"delay", FaultMode::Delay},
+      {"drop_answer", FaultMode::DropAnswer},
+      {"hang", FaultMode::Hang},
+      {"slow", FaultMode::Slow},
+      {"crash_mid_stream", FaultMode::CrashMidStream},
+      {"crash", FaultMode::Crash},
+      {"freeze", FaultMode::Freeze},
+      {"close_before_byte", FaultMode::CloseBeforeByte}};
+  return Table;
+}
+
+} // namespace
+
+Fault Fault::parse(const nlohmann::json &Body) {
+  const std::string Mode = Body.value("mode", "none");
+  const auto Found = modes().find(Mode);
+  if (Found == modes().end())
+    throw FaultError(Mode);
+  Fault Result;
+  Result.m_Mode = Found->second;
+  Result.m_Delay = std::chrono::milliseconds(Body.value("delay_ms", 0));
+  Result.m_Factor = Body.value("factor", 10.0);
+  Result.m_AfterTokens = Body.value("after_tokens", 1U);
+  Result.m_Left = Body.value("count", 0U);
+  return Result;
+}
+
+Fault Fault::take() {
+  const Fault Present = *this;
+  if (m_Left > 0 && --m_Left == 0)
+    *this = Fault();
+  return Present;
+}
+
+} // namespace crowstep::standin
--- /dev/null
+++ b/tests/standin/platform_server.cpp
@@ -0,0 +1,181 @@
+/// Paths of the platform's services.
+#include "standin/platform_server.h"
+
+#include <fstream>
+
+using nlohmann::json;
+
+namespace crowstep::standin {
+
+namespace {
+
+constexpr std::int64_t DefaultWeightReads = 10;
+
+/// Returns the part after /v1/ up to the next slash: the service's name.
+std::string serviceOf(const std::string &Path) {
+  if (!Path.starts_with("/v1/"))
+    return "";
+  return Path.substr(4, Path.find('/', 4) - 4);
+}
+
+std::string queryValue(SoupServerMessage *Message, const char *Name) {
+  const char *Query = g_uri_get_query(soup_server_message_get_uri(Message));
+  if (Query == nullptr)
+    return "";
+  GHashTable *Form = soup_form_decode(Query);
+  const auto *Value =
+      static_cast<const char *>(g_hash_table_lookup(Form, Name));
+  std::string Result = Value == nullptr ? "" : Value;
+  g_hash_table_unref(Form);
+  return Result;
+}
+
+} // namespace
+
+PlatformServer::PlatformServer(Settings &File) {
+  m_Settings.m_Listen = File.address("platform", "listen");
+  m_Settings.m_Seed = File.text("platform", "seed", "");
+  m_Settings.m_WeightReads = File.integer("platform", "weight_reads_per_s", 1,
+                                          1000000, DefaultWeightReads);
+}
+
+void PlatformServer::start() {
+  if (!m_Settings.m_Seed.empty()) {
+    std::ifstream File(m_Settings.m_Seed);
+    if (!File)
+      throw SettingsFileError(m_Settings.m_Seed, "can't be read");
+    const json Seed = json::parse(File);
+    m_Store.seed(Seed.value("tables", json::object()));
+    if (Seed.contains("instances"))
+      m_Listing.set(Seed["instances"], m_Clock.now());
+  }
+  m_Server.listen(m_Settings.m_Listen,
+                  [this](SoupServerMessage *Message, const char *Path) {
+                    handle(Message, Path);
+                  });
+}
+
+void PlatformServer::stop(std::function<void()> Done) { Done(); }
+
+void PlatformServer::handle(SoupServerMessage *Message,
+                            const std::string &Path) {
+  const Call What{soup_server_message_get_method(Message), Path,
+                  queryValue(Message, "prefix"), requestBody(Message)};
+  const auto Answer = std::make_shared<Exchange>(Message);
+  const Fault Present = m_Faults[serviceOf(Path)].take();
+  switch (Present.m_Mode) {
+  case FaultMode::Hang:
+  case FaultMode::Freeze:
+    m_Hung.push_back(Answer);
+    return;
+  case FaultMode::Refuse:
+    Answer->answer(503, R"({"error":"refused"})");
+    return;
+  case FaultMode::CloseBeforeByte:
+    Answer->cut();
+    return;
+  case FaultMode::Delay:
+    m_Scheduler.after(Present.m_Delay, [this, What, Answer] {
+      finish(What, Answer, FaultMode::None);
+    });
+    return;
+  default:
+    finish(What, Answer, Present.m_Mode);
+  }
+}
+
+void PlatformServer::finish(const Call &What, const ExchangePtr &Answer,
+                            FaultMode Mode) {
+  Reply Result;
+  try {
+    Result = serve(What);
+  } catch (const std::exception &Failure) {
+    Result = {400, json{{"error", Failure.what()}}.dump()};
+  }
+  if (Mode == FaultMode::DropAnswer)
+    Answer->cut();
+  else
+    Answer->answer(Result.m_Status, Result.m_Body);
+}
+
+PlatformServer::Reply PlatformServer::serve(const Call &What) {
+  const std::string Service = serviceOf(What.m_Path);
+  if (Service == "tables")
+    return tables(What);
+  if (Service == "objects")
+    return objects(What);
+  if (Service == "instances")
+    return instances(What);
+  if (Service == "weights")
+    return weights();
+  return control(What);
+}
+
+PlatformServer::Reply PlatformServer::control(const Call &What) {
+  if (What.m_Path == "/stats")
+    return {200, m_Store.stats().dump()};
+  if (What.m_Path != "/faults")
+    return {404, R"({"error":"no such path"})"};
+  const json Body = json::parse(What.m_Body);
+  const auto Target = Body.at("target").get<std::string>();
+  m_Faults[Target] = Fault::parse(Body);
+  m_Hung.clear();
+  return {200, "{}"};
+}
+
+PlatformServer::Reply PlatformServer::tables(const Call &What) {
+  // /v1/tables/T/write, /v1/tables/T/rows and /v1/tables/T/rows/KEY
+  const std::size_t NameStart = std::string("/v1/tables/").size();
+  const std::size_t NameEnd = What.m_Path.find('/', NameStart);
+  if (NameEnd == std::string::npos)
+    return {404, R"({"error":"no such path"})"};
+  const std::string Table = What.m_Path.substr(NameStart, NameEnd - NameStart);
+  const std::string Rest = What.m_Path.substr(NameEnd);
+  const TimePoint Now = m_Clock.now();
+  if (Rest == "/write" && What.m_Method == "POST")
+    return {200, m_Store.write(Table, json::parse(What.m_Body), Now).dump()};
+  if (Rest == "/rows" && What.m_Method == "GET")
+    return {200, m_Store.list(Table, What.m_Prefix, Now).dump()};
+  if (Rest.starts_with("/rows/") && What.m_Method == "GET")
+    return {200, m_Store.read(Table, Rest.substr(6), Now).dump()};
+  return {404, R"({"error":"no such path"})"};
+}
+
+PlatformServer::Reply PlatformServer::objects(const Call &What) {
+  const std::string Name =
+      What.m_Path.substr(std::string("/v1/objects/").size());
+  if (What.m_Method == "PUT") {
+    m_Objects[Name] = What.m_Body;
+    return {200, "{}"};
+  }
+  const auto Found = m_Objects.find(Name);
+  if (Found == m_Objects.end())
+    return {404, R"({"error":"no such object"})"};
+  return {200, Found->second};
+}
+
+PlatformServer::Reply PlatformServer::instances(const Call &What) {
+  if (What.m_Method == "GET")
+    return {200, m_Listing.visible(m_Clock.now()).dump()};
+  const json Body = json::parse(What.m_Body);
+  if (What.m_Path == "/v1/instances/lag")
+    m_Listing.setLag(std::chrono::milliseconds(Body.at("ms").get<int>()));
+  else
+    m_Listing.set(Body, m_Clock.now());
+  return {200, "{}"};
+}
+
+PlatformServer::Reply PlatformServer::weights() {
+  const std::int64_t Second =
+      std::chrono::floor<std::chrono::seconds>(m_Clock.now().time_since_epoch())
+          .count();
+  if (Second != m_WeightSecond) {
+    m_WeightSecond = Second;
+    m_WeightCount = 0;
+  }
+  if (++m_WeightCount > m_Settings.m_WeightReads)
+    return {429, R"({"error":"rate limited"})"};
+  return {200, R"({"size":1024})"};
+}
+
+} // namespace crowstep::standin
--- /dev/null
+++ b/tests/standin/platform_server.h
@@ -0,0 +1,64 @@
+/// The platform's services over HTTP, with fault switches for each.
+#ifndef CROWSTEP_STANDIN_PLATFORM_SERVER_H
+#define CROWSTEP_STANDIN_PLATFORM_SERVER_H
+
+#include "core/http_server.h"
+#include "core/program.h"
+#include "core/scheduler.h"
+#include "standin/exchange.h"
+#include "standin/fault.h"
+#include "standin/platform_store.h"
+
+namespace crowstep::standin {
+
+/// Settings of the stand-in.
+struct PlatformSettings {
+  Address m_Listen;             ///< Of the one server.
+  std::string m_Seed;           ///< JSON file with first contents, or empty.
+  std::int64_t m_WeightReads{}; ///< Weight reads a second before a 429.
+};
+
+/// Table service, object store, instance list and weight store in one server.
+class PlatformServer final : public Daemon {
+public:
+  explicit PlatformServer(Settings &File);
+  void start() override;
+  void stop(std::function<void()> Done) override;
+
+private:
+  struct Reply {
+    unsigned m_Status = 200; ///< HTTP status.
+    std::string m_Body;      ///< JSON, or an object's content.
+  };
+  struct Call {
+    std::string m_Method; ///< HTTP method.
+    std::string m_Path;   ///< Decoded, without the query.
+    std::string m_Prefix; ///< Query parameter.
+    std::string m_Body;   ///< Whole.
+  };
+
+  void handle(SoupServerMessage *Message, const std::string &Path);
+  void finish(const Call &What, const ExchangePtr &Answer, FaultMode Mode);
+  Reply serve(const Call &What);
+  Reply control(const Call &What);
+  Reply tables(const Call &What);
+  Reply objects(const Call &What);
+  Reply instances(const Call &What);
+  Reply weights();
+
+  PlatformSettings m_Settings;                  ///< As read at the start.
+  LoopClock m_Clock;                            ///< Of the counts.
+  LoopScheduler m_Scheduler;                    ///< Of delayed answers.
+  HttpServer m_Server;                          ///< One for all services.
+  PlatformStore m_Store;                        ///< Tables.
+  std::map<std::string, std::string> m_Objects; ///< By name.
+  LaggingListing m_Listing;                     ///< Instance list.
+  std::map<std::string, Fault> m_Faults;        ///< By target.
+  std::int64_t m_WeightSecond = 0;              ///< Second being counted.
+  std::int64_t m_WeightCount = 0;               ///< Weight reads in it.
+  std::vector<ExchangePtr> m_Hung;              ///< Never answered.
+};
+
+} // namespace crowstep::standin
+
+#endif // CROWSTEP_STANDIN_PLATFORM_SERVER_H
