--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -20,6 +20,11 @@
 namespace crowstep::platform {
 
 /// All of the platform's services; counts reads, writes and failures.
+///
+/// The HTTP library may send a conditional write a second time on a stale
+/// connection. If the first one took effect, the second reports "not written"
+/// although the row is the caller's: who must know whether its own write took
+/// effect puts a unique id into the value and looks for it in m_Present.
 class PlatformClient final : public TableService,
                              public ObjectStore,
                              public InstanceList {
@@ -40,6 +45,8 @@
   void fetch(std::function<void(Result)> Done) override;
 
 private:
+  void readRows(const std::string &Path, std::function<void(ReadResult)> Done);
+
   HttpCaller &m_Http;  ///< Outlives the client.
   Address m_Where;     ///< The platform's server.
   Duration m_Timeout;  ///< Of each call.
--- /dev/null
+++ b/src/platform/platform_error.h
@@ -0,0 +1,18 @@
+/// Failures of the platform's answers.
+#ifndef CROWSTEP_PLATFORM_PLATFORM_ERROR_H
+#define CROWSTEP_PLATFORM_PLATFORM_ERROR_H
+
+#include "core/error.h"
+
+namespace crowstep::platform {
+
+/// An answer of the platform is not what its interface promises.
+class PlatformAnswerError : public Error {
+public:
+  explicit PlatformAnswerError(const std::string &Why)
+      : Error("unexpected answer of the platform: " + Why) {}
+};
+
+} // namespace crowstep::platform
+
+#endif // CROWSTEP_PLATFORM_PLATFORM_ERROR_H
