--- /dev/null
+++ b/src/contract/contract_csv.cpp
@@ -0,0 +1,131 @@
+/// The operators' table as CSV, by libcsv.
+#include "contract/contract_column.h"
+#include "contract/contract_error.h"
+#include "contract/contract_func.h"
+
+#include <csv.h>
+#include <memory>
+#include <set>
+
+namespace crowstep::contract {
+
+namespace {
+
+using Record = std::vector<std::string>;
+
+constexpr std::string_view ByteOrderMark = "\xEF\xBB\xBF";
+
+/// Collects the records that libcsv calls out.
+struct RecordCollector {
+  std::vector<Record> m_Records; ///< Whole records.
+  Record m_Current;              ///< The one under way.
+};
+
+void takeField(void *Text, size_t Size, void *Data) {
+  const char *Begin = Text == nullptr ? "" : static_cast<const char *>(Text);
+  static_cast<RecordCollector *>(Data)->m_Current.emplace_back(Begin, Size);
+}
+
+void takeRecord(int, void *Data) {
+  auto *Into = static_cast<RecordCollector *>(Data);
+  Into->m_Records.push_back(std::move(Into->m_Current));
+  Into->m_Current.clear();
+}
+
+/// Spreadsheet programs of some countries put semicolons between the cells.
+char delimiterOf(const std::string &Text) {
+  const std::string Header = Text.substr(0, Text.find('\n'));
+  return Header.find(',') == std::string::npos &&
+                 Header.find(';') != std::string::npos
+             ? ';'
+             : ',';
+}
+
+std::vector<Record> parseRecords(const std::string &Text) {
+  csv_parser Parser{};
+  if (csv_init(&Parser, CSV_STRICT | CSV_STRICT_FINI) != 0)
+    throw TableFormatError("no memory for the parser");
+  const std::unique_ptr<csv_parser, decltype(&csv_free)> Owner(&Parser,
+                                                               csv_free);
+  csv_set_delim(&Parser, static_cast<unsigned char>(delimiterOf(Text)));
+  RecordCollector Into;
+  if (csv_parse(&Parser, Text.data(), Text.size(), takeField, takeRecord,
+                &Into) != Text.size() ||
+      csv_fini(&Parser, takeField, takeRecord, &Into) != 0)
+    throw TableFormatError(csv_strerror(csv_error(&Parser)));
+  return std::move(Into.m_Records);
+}
+
+std::vector<const Column *> readHeader(const Record &Header) {
+  std::vector<const Column *> Result;
+  std::set<std::string> Seen;
+  for (const std::string &Name : Header) {
+    const Column *Found = findColumn(Name);
+    if (Found == nullptr)
+      throw TableCellError(0, Name, Name, "a column of the table");
+    if (!Seen.insert(Name).second)
+      throw TableCellError(0, Name, Name, "each column once");
+    Result.push_back(Found);
+  }
+  for (const Column &Each : columns())
+    if (!Each.m_Default && !Seen.contains(Each.m_Name))
+      throw TableCellError(0, Each.m_Name, "", "this column must be there");
+  return Result;
+}
+
+Contract readRecord(const std::vector<const Column *> &Header,
+                    const Record &Cells, std::size_t Number) {
+  if (Cells.size() != Header.size())
+    throw TableCellError(Number, Header.front()->m_Name, Cells.front(),
+                         std::to_string(Header.size()) + " cells, not " +
+                             std::to_string(Cells.size()));
+  Contract Result;
+  for (std::size_t Index = 0; Index < Cells.size(); ++Index) {
+    const Column &Where = *Header[Index];
+    const bool Absent = Cells[Index].empty() && Where.m_Default.has_value();
+    setCellText(Result, Where, Absent ? *Where.m_Default : Cells[Index],
+                Number);
+  }
+  return Result;
+}
+
+std::string quoted(const std::string &Cell) {
+  if (Cell.find_first_of(",;\"\r\n") == std::string::npos)
+    return Cell;
+  std::string Result(2 * Cell.size() + 2, '\0');
+  Result.resize(
+      csv_write(Result.data(), Result.size(), Cell.data(), Cell.size()));
+  return Result;
+}
+
+} // namespace
+
+std::string writeCsv(const ContractTable &Table) {
+  std::string Result;
+  for (const Column &Each : columns())
+    Result += (Result.empty() ? "" : ",") + Each.m_Name;
+  Result += '\n';
+  for (const Contract &Row : Table.m_Contracts) {
+    std::string Line;
+    for (const Column &Each : columns())
+      Line += (&Each == &columns().front() ? "" : ",") +
+              quoted(textOf(cellOf(Row, Each)));
+    Result += Line + '\n';
+  }
+  return Result;
+}
+
+ContractTable readCsv(const std::string &Text) {
+  const bool Marked = Text.starts_with(ByteOrderMark);
+  const std::vector<Record> Records =
+      parseRecords(Marked ? Text.substr(ByteOrderMark.size()) : Text);
+  if (Records.empty())
+    throw TableFormatError("no header row");
+  const std::vector<const Column *> Header = readHeader(Records.front());
+  ContractTable Result;
+  for (std::size_t Index = 1; Index < Records.size(); ++Index)
+    Result.m_Contracts.push_back(readRecord(Header, Records[Index], Index));
+  return Result;
+}
+
+} // namespace crowstep::contract
--- /dev/null
+++ b/src/contract/contract_json.cpp
@@ -0,0 +1,104 @@
+/// The operators' table as JSON.
+#include "contract/contract_json.h"
+
+#include "contract/contract_column.h"
+#include "contract/contract_error.h"
+#include "contract/contract_func.h"
+
+namespace crowstep::contract {
+
+namespace {
+
+using nlohmann::json;
+
+json cellToJson(const CellValue &Value) {
+  return std::visit([](const auto &Plain) { return json(Plain); }, Value);
+}
+
+CellValue cellFromJson(const json &Value, const Column &Where,
+                       std::size_t Number) {
+  if (Value.is_boolean())
+    return Value.get<bool>();
+  if (Value.is_string())
+    return Value.get<std::string>();
+  // Unsigned numbers over the signed range are over every column's range too.
+  if (Value.is_number_integer() &&
+      (!Value.is_number_unsigned() ||
+       Value.get<std::uint64_t>() <=
+           static_cast<std::uint64_t>(Where.m_Greatest)))
+    return Value.get<std::int64_t>();
+  throw TableCellError(Number, Where.m_Name, Value.dump(), allowedText(Where));
+}
+
+Contract rowFromJson(const json &Value, std::size_t Number) {
+  if (!Value.is_object())
+    throw TableFormatError("row " + std::to_string(Number) + " is no object");
+  for (const auto &Item : Value.items())
+    if (findColumn(Item.key()) == nullptr)
+      throw TableCellError(Number, Item.key(), Item.value().dump(),
+                           "a column of the table");
+  Contract Result;
+  for (const Column &Each : columns()) {
+    const auto Found = Value.find(Each.m_Name);
+    if (Found != Value.end())
+      setCell(Result, Each, cellFromJson(*Found, Each, Number), Number);
+    else if (Each.m_Default)
+      setCellText(Result, Each, *Each.m_Default, Number);
+    else
+      throw TableCellError(Number, Each.m_Name, "", allowedText(Each));
+  }
+  return Result;
+}
+
+/// Format 1, the first. A later format that renames or splits a column gets a
+/// reader of its own beside this one; a column that is only added needs none,
+/// as its default fills it.
+ContractTable tableFromFormat1(const json &Value) {
+  ContractTable Result;
+  Result.m_Version = TableVersion(Value.value("version", std::uint64_t{0}));
+  for (const json &Row : Value.at("contracts"))
+    Result.m_Contracts.push_back(
+        rowFromJson(Row, Result.m_Contracts.size() + 1));
+  return Result;
+}
+
+} // namespace
+
+json tableToJson(const ContractTable &Table) {
+  json Rows = json::array();
+  for (const Contract &Row : Table.m_Contracts) {
+    json Cells = json::object();
+    for (const Column &Each : columns())
+      Cells[Each.m_Name] = cellToJson(cellOf(Row, Each));
+    Rows.push_back(std::move(Cells));
+  }
+  return {{"format", TableFormat},
+          {"version", Table.m_Version.value()},
+          {"contracts", std::move(Rows)}};
+}
+
+ContractTable tableFromJson(const json &Value) {
+  try {
+    const auto Format = Value.at("format").get<std::int64_t>();
+    if (Format != TableFormat)
+      throw TableFormatError("format " + std::to_string(Format) +
+                             "; this build reads up to " +
+                             std::to_string(TableFormat));
+    return tableFromFormat1(Value);
+  } catch (const json::exception &Failure) {
+    throw TableFormatError(Failure.what());
+  }
+}
+
+std::string writeJson(const ContractTable &Table) {
+  return tableToJson(Table).dump();
+}
+
+ContractTable readJson(const std::string &Text) {
+  const json Value = json::parse(Text, nullptr, false);
+  if (Value.is_discarded())
+    throw TableFormatError("no JSON");
+  return tableFromJson(Value);
+}
+
+} // namespace crowstep::contract
--- /dev/null
+++ b/src/contract/contract_validate.cpp
@@ -0,0 +1,102 @@
+/// What makes the operators' table valid, and how two tables differ.
+#include "contract/contract_column.h"
+#include "contract/contract_error.h"
+#include "contract/contract_func.h"
+
+#include <algorithm>
+#include <set>
+
+namespace crowstep::contract {
+
+namespace {
+
+/// Frames carry the whole table; this many rows stay far below their limit.
+constexpr std::size_t MaxRows = 1000;
+
+void fail(const Contract &Row, const char *Name, std::size_t Number,
+          const std::string &Allowed) {
+  const Column *Where = findColumn(Name);
+  throw TableCellError(Number, Name, textOf(cellOf(Row, *Where)), Allowed);
+}
+
+/// Every cell again: a table may have been made by code, not by a reader.
+void checkCells(const Contract &Row, std::size_t Number) {
+  Contract Copy;
+  for (const Column &Each : columns())
+    setCell(Copy, Each, cellOf(Row, Each), Number);
+}
+
+void checkRow(const Contract &Row, std::size_t Number) {
+  checkCells(Row, Number);
+  if (Row.m_TotalLimit < Row.m_FirstTokenTarget)
+    fail(Row, "total_ms", Number, "no less than first_token_ms");
+  // Taking back a call that may not be repeated would leave it unknown.
+  if (Row.m_Preemptible && !Row.m_Repeatable)
+    fail(Row, "preemptible", Number, "no, where repeatable is no");
+}
+
+const Contract *findRow(const ContractTable &Table, ClassId Id) {
+  const auto Found = std::ranges::find(Table.m_Contracts, Id, &Contract::m_Id);
+  return Found == Table.m_Contracts.end() ? nullptr : &*Found;
+}
+
+void addRowDifference(const Contract &Before, const Contract &After,
+                      std::vector<std::string> &Into) {
+  for (const Column &Each : columns()) {
+    const std::string Old = textOf(cellOf(Before, Each));
+    const std::string New = textOf(cellOf(After, Each));
+    if (Old == New)
+      continue;
+    std::string Line = Before.m_Name + "." + Each.m_Name;
+    Line += ": " + Old;
+    Line += " -> " + New;
+    Into.push_back(std::move(Line));
+  }
+}
+
+std::vector<ClassId> commonOrder(const ContractTable &Of,
+                                 const ContractTable &Other) {
+  std::vector<ClassId> Result;
+  for (const Contract &Row : Of.m_Contracts)
+    if (findRow(Other, Row.m_Id) != nullptr)
+      Result.push_back(Row.m_Id);
+  return Result;
+}
+
+} // namespace
+
+void validate(const ContractTable &Table) {
+  std::set<ClassId> Ids;
+  std::set<std::string> Names;
+  for (std::size_t Index = 0; Index < Table.m_Contracts.size(); ++Index) {
+    const Contract &Row = Table.m_Contracts[Index];
+    const std::size_t Number = Index + 1;
+    checkRow(Row, Number);
+    if (!Ids.insert(Row.m_Id).second)
+      fail(Row, "id", Number, "each id once");
+    if (!Names.insert(Row.m_Name).second)
+      fail(Row, "class", Number, "each class once");
+    if (Number > MaxRows)
+      fail(Row, "id", Number, std::to_string(MaxRows) + " rows");
+  }
+}
+
+std::vector<std::string> difference(const ContractTable &Before,
+                                    const ContractTable &After) {
+  std::vector<std::string> Result;
+  for (const Contract &Row : Before.m_Contracts)
+    if (findRow(After, Row.m_Id) == nullptr)
+      Result.push_back(Row.m_Name + ": removed");
+  for (const Contract &Row : After.m_Contracts) {
+    const Contract *Old = findRow(Before, Row.m_Id);
+    if (Old == nullptr)
+      Result.push_back(Row.m_Name + ": added");
+    else
+      addRowDifference(*Old, Row, Result);
+  }
+  if (commonOrder(Before, After) != commonOrder(After, Before))
+    Result.emplace_back("order of the rows");
+  return Result;
+}
+
+} // namespace crowstep::contract
--- /dev/null
+++ b/tests/unit/contract_test.cpp
@@ -0,0 +1,168 @@
+/// The operators' table as CSV and JSON: round trips, and what an error names.
+#define BOOST_TEST_MODULE contract
+#include "contract/contract_column.h"
+#include "contract/contract_error.h"
+#include "contract/contract_func.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace crowstep;
+using namespace crowstep::contract;
+
+namespace {
+
+std::string fileText(const std::string &Name) {
+  std::ifstream File(std::string(CROWSTEP_SOURCE_DIR) + "/examples/" + Name);
+  BOOST_REQUIRE_MESSAGE(File, Name);
+  return {std::istreambuf_iterator<char>(File), {}};
+}
+
+/// A row whose every cell is drawn from the column's range.
+rc::Gen<Contract> anyContract(std::uint16_t Id) {
+  return rc::gen::exec([Id] {
+    Contract Row;
+    for (const Column &Each : columns()) {
+      const auto Number = *rc::gen::inRange<std::int64_t>(
+          Each.m_Least, std::min<std::int64_t>(Each.m_Greatest, 9999) + 1);
+      if (std::holds_alternative<std::string Contract::*>(Each.m_Field))
+        setCell(Row, Each,
+                *rc::gen::container<std::string>(
+                    static_cast<std::size_t>(Number % 20) + 1,
+                    rc::gen::elementOf(std::string("az09_.:"))),
+                1);
+      else
+        setCellText(Row, Each,
+                    std::holds_alternative<bool Contract::*>(Each.m_Field)
+                        ? (Number != 0 ? "yes" : "no")
+                        : std::to_string(Number),
+                    1);
+    }
+    Row.m_Id = ClassId(Id);
+    return Row;
+  });
+}
+
+ContractTable anyTable() {
+  ContractTable Table;
+  const auto Size = *rc::gen::inRange<std::uint16_t>(0, 6);
+  for (std::uint16_t Id = 1; Id <= Size; ++Id)
+    Table.m_Contracts.push_back(*anyContract(Id));
+  return Table;
+}
+
+/// Expects that \p Job throws a TableCellError for that place.
+template <typename Function>
+void expectCellError(const Function &Job, std::size_t Row,
+                     const std::string &Column) {
+  try {
+    Job();
+    BOOST_ERROR("accepted: row " << Row << ", " << Column);
+  } catch (const TableCellError &Failure) {
+    BOOST_TEST(Failure.row() == Row);
+    BOOST_TEST(Failure.column() == Column);
+  }
+}
+
+const std::string Head = "id,class,service,tier,first_token_ms,total_ms";
+
+} // namespace
+
+RC_BOOST_PROP(RoundTrips, ()) {
+  const ContractTable Table = anyTable();
+  RC_ASSERT(readCsv(writeCsv(Table)) == Table);
+  RC_ASSERT(readJson(writeJson(Table)) == Table);
+  RC_ASSERT(difference(Table, Table).empty());
+}
+
+RC_BOOST_PROP(ReadersNeverCrashOnDamagedText, ()) {
+  std::string Csv = fileText("kilimanjaro/table.csv");
+  std::string Json = writeJson(readCsv(Csv));
+  for (std::string *Text : {&Csv, &Json}) {
+    const auto Hits = *rc::gen::inRange(1, 8);
+    for (int Hit = 0; Hit < Hits; ++Hit)
+      (*Text)[*rc::gen::inRange<std::size_t>(0, Text->size())] =
+          *rc::gen::arbitrary<char>();
+  }
+  try {
+    validate(readCsv(Csv));
+  } catch (const Error &) { // typed, and nothing else
+  }
+  try {
+    validate(readJson(Json));
+  } catch (const Error &) {
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ExamplesAreValidAndSeedsHoldTheSameTable) {
+  for (const std::string Name : {"kilimanjaro", "fraser-commons"}) {
+    const ContractTable Table = readCsv(fileText(Name + "/table.csv"));
+    BOOST_CHECK_NO_THROW(validate(Table));
+    BOOST_TEST(Table.m_Contracts.size() == 4U);
+    const auto Seed = nlohmann::json::parse(fileText(Name + "/platform.json"));
+    const ContractTable Seeded =
+        readJson(Seed["tables"]["contracts"][0]["value"].get<std::string>());
+    BOOST_CHECK(Seeded.m_Contracts == Table.m_Contracts);
+    BOOST_TEST(Seed["tables"]["workspaces"].size() == 11U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SpreadsheetHabitsAreRead) {
+  const ContractTable Plain = readCsv(Head + "\n1,a,s,1,5,9\n");
+  BOOST_TEST(Plain.m_Contracts.at(0).m_RetryPercent == 10U);
+  BOOST_CHECK(readCsv("\xEF\xBB\xBF" + Head + "\r\n\"1\",a,s,1,5,9\r\n") ==
+              Plain);
+  BOOST_CHECK(readCsv("class;id;service;tier;first_token_ms;total_ms\n"
+                      "a;1;s;1;5;9") == Plain);
+  BOOST_TEST(!readCsv(Head + ",repeatable\n1,a,s,1,5,9,FALSE\n")
+                  .m_Contracts.at(0)
+                  .m_Repeatable);
+}
+
+BOOST_AUTO_TEST_CASE(CellErrorsNameRowAndColumn) {
+  const std::string Good = Head + "\n1,a,s,1,5,9\n";
+  const auto Read = [](const std::string &Text) {
+    return [Text] { validate(readCsv(Text)); };
+  };
+  expectCellError(Read(Good + "2,b,s,7,5,9\n"), 2, "tier");
+  expectCellError(Read(Good + "2,b,s,x,5,9\n"), 2, "tier");
+  expectCellError(Read(Good + "2,b,s,,5,9\n"), 2, "tier");
+  expectCellError(Read(Good + "2,=b,s,1,5,9\n"), 2, "class");
+  expectCellError(Read(Good + "2,b,s,1,5,99999999999999999999\n"), 2,
+                  "total_ms");
+  expectCellError(Read(Good + "1,b,s,1,5,9\n"), 2, "id");
+  expectCellError(Read(Good + "2,a,s,1,5,9\n"), 2, "class");
+  expectCellError(Read(Good + "2,b,s,1,5,4\n"), 2, "total_ms");
+  expectCellError(Read(Good + "2,b,s,1\n"), 2, "id");
+  expectCellError(Read(Head + ",colour\n"), 0, "colour");
+  expectCellError(Read(Head + ",tier\n"), 0, "tier");
+  expectCellError(Read("id,class\n"), 0, "service");
+  expectCellError(Read(Head + ",repeatable,preemptible\n1,a,s,1,5,9,no,yes\n"),
+                  1, "preemptible");
+  BOOST_CHECK_THROW(readCsv(""), TableFormatError);
+  BOOST_CHECK_THROW(readCsv("id,\"class\n"), TableFormatError);
+}
+
+BOOST_AUTO_TEST_CASE(JsonErrorsAreTyped) {
+  for (const char *Text :
+       {"", "[]", "{}", R"({"format":1})", R"({"format":2,"contracts":[]})",
+        R"({"format":1,"contracts":[3]})"})
+    BOOST_CHECK_THROW(readJson(Text), TableFormatError);
+  for (const char *Cell :
+       {R"({"id":70000})", R"({"id":1.5})", R"({"id":"1"})", R"({"colour":1})",
+        R"({"id":1})", R"({"id":18446744073709551615})"})
+    BOOST_CHECK_THROW(
+        readJson(std::string(R"({"format":1,"contracts":[)") + Cell + "]}"),
+        TableCellError);
+}
+
+BOOST_AUTO_TEST_CASE(DifferenceNamesCells) {
+  const ContractTable Before = readCsv(Head + "\n1,a,s,1,5,9\n2,b,s,1,5,9\n");
+  const ContractTable After = readCsv(Head + "\n3,c,s,1,5,9\n1,a,s,2,5,9\n");
+  const std::vector<std::string> Expected = {"b: removed", "c: added",
+                                             "a.tier: 1 -> 2"};
+  BOOST_TEST(difference(Before, After) == Expected,
+             boost::test_tools::per_element());
+}
