Test: Add stand-ins for model engines and plain services

Tokens name their prompt and their place, so that a caller can tell that its answer is whole and its own; /record says what ran. A caller's close is seen by a peek at the socket, because libsoup reads nothing while an answer is open and notices only at the second write. The engine's timer counts microseconds: a GLib timeout rounds a step of 2 ms up to 3.

--- /dev/null
+++ b/tests/standin/completion.cpp
@@ -0,0 +1,95 @@
+/// Reading and writing of completions.
+#include "standin/completion.h"
+
+#include "load/token_text.h"
+
+using nlohmann::json;
+
+namespace crowstep::standin {
+
+namespace {
+
+constexpr std::size_t CharactersPerToken = 4;
+
+/// Stands where a token's text goes while an event's frame is made once.
+constexpr const char *TextMark = "@TEXT@";
+
+} // namespace
+
+json Completion::frame(json Choice) const {
+  Choice["index"] = 0;
+  const char *Object = "text_completion";
+  if (m_Chat)
+    Object = m_Stream ? "chat.completion.chunk" : "chat.completion";
+  return {{"id", "cmpl-" + m_RequestId},
+          {"object", Object},
+          {"model", m_Model},
+          {"choices", json::array({std::move(Choice)})}};
+}
+
+Completion Completion::parse(const std::string &Path, const std::string &Text) {
+  const json Body = json::parse(Text);
+  Completion Result;
+  Result.m_Chat = Path == "/v1/chat/completions";
+  Result.m_Stream = Body.value("stream", false);
+  Result.m_RequestId = Body.value("request_id", "");
+  Result.m_Model = Body.value("model", "");
+  Result.m_Prompt = load::promptOf(Body);
+  Result.m_Hash = load::promptHashOf(Result.m_Prompt);
+  Result.m_Priority = Body.value("priority", 0);
+  Result.m_PromptTokens =
+      (Result.m_Prompt.size() + CharactersPerToken - 1) / CharactersPerToken;
+  Result.m_From = Body.value("resume_tokens", std::uint64_t{0});
+  Result.m_MaxTokens = Body.value("max_tokens", std::uint64_t{0});
+  const json Choice = Result.m_Chat ? json{{"delta", {{"content", TextMark}}}}
+                                    : json{{"text", TextMark}};
+  json Whole = Result.frame(Choice);
+  Whole["choices"][0]["finish_reason"] = nullptr;
+  const std::string Event = "data: " + Whole.dump() + "\n\n";
+  const std::size_t At = Event.rfind(TextMark);
+  Result.m_Before = Event.substr(0, At);
+  Result.m_After = Event.substr(At + std::string(TextMark).size());
+  return Result;
+}
+
+std::string Completion::tokenEvent(const std::string &Text) const {
+  std::string Result;
+  Result.reserve(m_Before.size() + Text.size() + m_After.size());
+  Result += m_Before;
+  Result += Text;
+  Result += m_After;
+  return Result;
+}
+
+json Completion::usage(std::uint64_t Tokens) const {
+  return {{"prompt_tokens", m_PromptTokens},
+          {"completion_tokens", Tokens},
+          {"total_tokens", m_PromptTokens + Tokens}};
+}
+
+std::string Completion::endEvents(const std::string &Reason,
+                                  std::uint64_t Tokens) const {
+  json Choice = {{"finish_reason", Reason}};
+  if (m_Chat)
+    Choice["delta"] = json::object();
+  else
+    Choice["text"] = "";
+  json Whole = frame(std::move(Choice));
+  Whole["usage"] = usage(Tokens);
+  return "data: " + Whole.dump() + "\n\ndata: [DONE]\n\n";
+}
+
+std::string Completion::plainBody(const std::string &Text,
+                                  const std::string &Reason,
+                                  std::uint64_t Tokens) const {
+  json Choice = {{"finish_reason", Reason}};
+  if (m_Chat)
+    Choice["message"] = {{"role", "assistant"}, {"content", Text}};
+  else
+    Choice["text"] = Text;
+  json Whole = frame(std::move(Choice));
+  Whole["usage"] = usage(Tokens);
+  return Whole.dump();
+}
+
+} // namespace crowstep::standin
--- /dev/null
+++ b/tests/standin/engine_batch.cpp
@@ -0,0 +1,117 @@
+/// Steps of a batch.
+#include "standin/engine_batch.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <random>
+#include <xxhash.h>
+
+namespace crowstep::standin {
+
+namespace {
+
+constexpr std::size_t CharactersPerToken = 4;
+
+Duration scaled(Duration Base, double Factor) {
+  return std::chrono::round<Duration>(Base * Factor);
+}
+
+} // namespace
+
+EngineBatch::EngineBatch(const EngineSettings &With,
+                         PrefixCache::Listener OnCacheChange)
+    : m_Settings(With), m_Cache(With.m_CacheBlocks, std::move(OnCacheChange)) {}
+
+SequenceId EngineBatch::add(Sequence Work) {
+  const SequenceId Id(++m_LastId);
+  const int Priority = Work.m_Priority;
+  m_Waiting.emplace(std::pair(Priority, Id), std::move(Work));
+  return Id;
+}
+
+void EngineBatch::remove(SequenceId Gone) {
+  m_Running.erase(Gone);
+  std::erase_if(m_Waiting,
+                [&](const auto &Item) { return Item.first.second == Gone; });
+}
+
+void EngineBatch::clear() {
+  m_Running.clear();
+  m_Waiting.clear();
+  m_StepEnd.reset();
+}
+
+void EngineBatch::admit(TimePoint Now) {
+  while (!m_Waiting.empty() && m_Running.size() < m_Settings.m_Slots) {
+    auto Next = m_Waiting.extract(m_Waiting.begin());
+    Sequence &Work = Next.mapped();
+    const std::uint64_t Cached =
+        m_Cache.use(Work.m_Prefixes) * PrefixCharacters / CharactersPerToken;
+    // A resumed sequence computes the tokens that the caller has, too.
+    const std::uint64_t Whole = Work.m_PromptTokens + Work.m_Next;
+    const std::uint64_t Fresh = Whole - std::min(Whole, Cached);
+    const double Cost = static_cast<double>(Fresh) * m_Factor;
+    Work.m_Decodes = Now + scaled(m_Settings.m_PrefillPerToken, Cost);
+    m_Running.emplace(Next.key().second, std::move(Work));
+  }
+}
+
+TimePoint EngineBatch::stepEnd(TimePoint Now) const {
+  TimePoint EarliestDecode = TimePoint::max();
+  for (const auto &[Id, Work] : m_Running)
+    EarliestDecode = std::min(EarliestDecode, Work.m_Decodes);
+  if (EarliestDecode > Now) // All prefill: the step ends with the first.
+    return EarliestDecode;
+  const auto Others = static_cast<double>(m_Running.size() - 1);
+  const double Share = 1 + m_Settings.m_BatchPenalty * Others;
+  return Now + scaled(m_Settings.m_TokenTime, Share * m_Factor);
+}
+
+std::optional<TimePoint> EngineBatch::begin(TimePoint Now) {
+  if (m_StepEnd)
+    return m_StepEnd;
+  admit(Now);
+  if (m_Running.empty())
+    return std::nullopt;
+  m_StepStart = Now;
+  m_StepEnd = stepEnd(Now);
+  return m_StepEnd;
+}
+
+std::vector<Generated> EngineBatch::finish() {
+  m_StepEnd.reset();
+  std::vector<Generated> Result;
+  for (auto Item = m_Running.begin(); Item != m_Running.end();) {
+    Sequence &Work = Item->second;
+    if (Work.m_Decodes > m_StepStart) {
+      ++Item;
+      continue;
+    }
+    const bool Last = Work.m_Next + 1 >= Work.m_Length;
+    Result.push_back({Item->first, Work.m_Next++, Last});
+    Item = Last ? m_Running.erase(Item) : std::next(Item);
+  }
+  return Result;
+}
+
+std::uint64_t naturalLength(const EngineSettings &With,
+                            const std::string &Prompt) {
+  static const std::string Mark = "[len=";
+  const std::size_t At = Prompt.find(Mark);
+  std::uint64_t Length = 0;
+  if (At != std::string::npos) {
+    std::from_chars(Prompt.data() + At + Mark.size(),
+                    Prompt.data() + Prompt.size(), Length);
+    return std::max<std::uint64_t>(Length, 1);
+  }
+  // Seeded by the prompt alone, so that every engine gives the same answer
+  // and a stream can be resumed on another one.
+  std::mt19937_64 Random(XXH3_64bits(Prompt.data(), Prompt.size()));
+  std::lognormal_distribution<double> Draw(std::log(With.m_MedianTokens),
+                                           With.m_Sigma);
+  Length = static_cast<std::uint64_t>(Draw(Random));
+  return std::clamp(Length, With.m_MinTokens, With.m_MaxTokens);
+}
+
+} // namespace crowstep::standin
--- /dev/null
+++ b/tests/standin/engine_server.cpp
@@ -0,0 +1,228 @@
+/// Calls, orders and faults of a stand-in engine.
+#include "standin/engine_server.h"
+
+#include "load/token_text.h"
+
+using nlohmann::json;
+
+namespace crowstep::standin {
+
+namespace {
+
+constexpr Duration FlushTime = std::chrono::milliseconds(5);
+
+/// How far behind its steps a busy process may be and still catch up.
+constexpr Duration LargestLateness = std::chrono::milliseconds(20);
+
+} // namespace
+
+EngineServer::EngineServer(EngineSettings With)
+    : m_Settings(std::move(With)),
+      m_Server(m_Settings,
+               {[this](const UpstreamCall &Call) { work(Call); },
+                [this](const UpstreamCall &Call) { return other(Call); },
+                [this](const Fault &Set) { faultSet(Set); },
+                [this] { return m_Batch.waiting(); }}),
+      m_Batch(m_Settings,
+              [this](std::uint64_t Prefix, bool Added) {
+                m_Server.reports().cacheChanged(Prefix, Added,
+                                                m_Server.clock().now());
+              }),
+      m_Timer([this] { stepDone(); }) {}
+
+void EngineServer::work(const UpstreamCall &Call) {
+  Live Opened{Completion::parse(Call.m_Path, Call.m_Body), Call.m_Answer,
+              Call.m_Fault};
+  const Completion &Asked = Opened.m_Call;
+  if (!m_Settings.m_Models.empty() && !Asked.m_Model.empty() &&
+      !m_Settings.m_Models.contains(Asked.m_Model)) {
+    Call.m_Answer->answer(
+        503, R"({"error":{"type":"not_run","code":"model_not_loaded"}})");
+    return;
+  }
+  if (Asked.m_From > 0 && !m_Settings.m_Resumes) {
+    Call.m_Answer->answer(
+        503, R"({"error":{"type":"not_run","code":"cannot_resume"}})");
+    return;
+  }
+  Sequence Work;
+  Work.m_Priority = Asked.m_Priority;
+  Work.m_PromptTokens = Asked.m_PromptTokens;
+  Work.m_Prefixes = prefixHashes(Asked.m_Prompt);
+  Work.m_Next = Asked.m_From;
+  Work.m_Length = naturalLength(m_Settings, Asked.m_Prompt);
+  if (Asked.m_MaxTokens > 0 && Asked.m_MaxTokens < Work.m_Length) {
+    Work.m_Length = Asked.m_MaxTokens;
+    Opened.m_Capped = true;
+  }
+  Opened.m_Total = Work.m_Length;
+  CallRecord Record;
+  Record.m_RequestId = Asked.m_RequestId;
+  Record.m_Key = Call.m_Key;
+  Record.m_Priority = Asked.m_Priority;
+  Record.m_From = Asked.m_From;
+  Opened.m_Record = m_Server.records().add(std::move(Record));
+  const SequenceId Id = m_Batch.add(std::move(Work));
+  if (Opened.m_Call.m_Stream && Opened.m_Fault.m_Mode != FaultMode::DropAnswer)
+    Opened.m_Answer->beginStream();
+  m_Live.emplace(Id, std::move(Opened));
+  Call.m_Answer->onClosed([this, Id] { cancelled(Id); });
+  proceed();
+}
+
+bool EngineServer::other(const UpstreamCall &Call) {
+  if (Call.m_Path == "/v1/cancel") {
+    cancelByName(json::parse(Call.m_Body).at("request_id").get<std::string>());
+    Call.m_Answer->answer(200, "{}");
+  } else if (Call.m_Path == "/v1/orders") {
+    order(Call);
+  } else if (Call.m_Path == "/orders") {
+    Call.m_Answer->answer(200, json{{"orders", m_Orders}}.dump());
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void EngineServer::order(const UpstreamCall &Call) {
+  const json Body = json::parse(Call.m_Body);
+  const auto Fencing = Body.at("fencing").get<std::uint64_t>();
+  const auto Order = Body.at("order").get<std::string>();
+  const auto Name = Body.value("name", std::string());
+  const bool Old = Fencing < m_HighestFencing;
+  const bool Accepted = !Old || !m_Settings.m_ChecksFencing;
+  m_HighestFencing = std::max(m_HighestFencing, Fencing);
+  m_Orders.push_back({{"fencing", Fencing},
+                      {"order", Order},
+                      {"name", Name},
+                      {"accepted", Accepted}});
+  if (!Accepted) {
+    Call.m_Answer->answer(409, json{{"fencing", m_HighestFencing}}.dump());
+    return;
+  }
+  if (Order == "load_model" || Order == "load_adapter")
+    m_Settings.m_Models.insert(Name);
+  else if (Order == "unload_model")
+    m_Settings.m_Models.erase(Name);
+  Call.m_Answer->answer(200, json{{"fencing", Fencing}}.dump());
+}
+
+void EngineServer::cancelByName(const std::string &RequestId) {
+  std::vector<SequenceId> Named;
+  for (const auto &[Id, Call] : m_Live)
+    if (Call.m_Call.m_RequestId == RequestId)
+      Named.push_back(Id);
+  for (const SequenceId Id : Named) {
+    Live &Call = m_Live.at(Id);
+    m_Batch.remove(Id);
+    m_Server.records().at(Call.m_Record).m_Cancelled = true;
+    complete(Id, Call, "cancelled");
+  }
+  noteLoad();
+}
+
+void EngineServer::faultSet(const Fault &Set) {
+  m_Batch.setFactor(Set.m_Mode == FaultMode::Slow ? Set.m_Factor : 1);
+  if (Set.m_Mode == FaultMode::Freeze) {
+    m_Timer.stop();
+    return;
+  }
+  if (Set.m_Mode == FaultMode::Crash) {
+    m_Timer.stop();
+    m_Batch.clear();
+    m_Live.clear(); // Open answers are cut when they go.
+    noteLoad();
+    return;
+  }
+  proceed();
+}
+
+void EngineServer::proceed() {
+  if (m_Server.frozen())
+    return;
+  // The next step begins where the last one ended, so that a late timer does
+  // not slow the engine down; an idle engine begins now.
+  const TimePoint Now = m_Server.clock().now();
+  const TimePoint Start = m_StepEnd > Now ? m_StepEnd : Now;
+  if (const std::optional<TimePoint> End = m_Batch.begin(Start)) {
+    m_StepEnd = *End;
+    m_Timer.wakeAt(*End);
+  }
+  noteLoad();
+}
+
+void EngineServer::stepDone() {
+  for (const Generated &Token : m_Batch.finish())
+    deliver(Token);
+  const TimePoint Now = m_Server.clock().now();
+  const TimePoint Start = std::max(m_StepEnd, Now - LargestLateness);
+  if (const std::optional<TimePoint> End = m_Batch.begin(Start)) {
+    m_StepEnd = *End;
+    m_Timer.wakeAt(*End);
+  }
+  noteLoad();
+}
+
+void EngineServer::deliver(const Generated &Token) {
+  const auto Found = m_Live.find(Token.m_Sequence);
+  if (Found == m_Live.end())
+    return;
+  Live &Call = Found->second;
+  CallRecord &Record = m_Server.records().at(Call.m_Record);
+  ++Record.m_Generated;
+  const std::string Text = load::tokenText(Token.m_Index, Call.m_Call.m_Hash);
+  if (Call.m_Call.m_Stream)
+    Call.m_Answer->append(Call.m_Call.tokenEvent(Text));
+  else
+    Call.m_Text += Text;
+  if (Call.m_Fault.m_Mode == FaultMode::CrashMidStream &&
+      Record.m_Generated >= Call.m_Fault.m_AfterTokens) {
+    // Cut a little later, so that the tokens so far have left the process.
+    m_Server.scheduler().after(FlushTime,
+                               [Answer = Call.m_Answer] { Answer->cut(); });
+    m_Batch.remove(Token.m_Sequence);
+    m_Live.erase(Found);
+    return;
+  }
+  if (!Token.m_Last)
+    return;
+  Record.m_Finished = true;
+  complete(Token.m_Sequence, Call, Call.m_Capped ? "length" : "stop");
+}
+
+void EngineServer::complete(SequenceId Id, Live &Call,
+                            const std::string &Reason) {
+  const CallRecord &Record = m_Server.records().at(Call.m_Record);
+  const std::uint64_t Tokens = Record.m_From + Record.m_Generated;
+  if (Call.m_Fault.m_Mode == FaultMode::DropAnswer) {
+    Call.m_Answer->cut();
+  } else if (Call.m_Call.m_Stream) {
+    Call.m_Answer->append(Call.m_Call.endEvents(Reason, Tokens));
+    Call.m_Answer->endStream();
+  } else {
+    Call.m_Answer->answer(200,
+                          Call.m_Call.plainBody(Call.m_Text, Reason, Tokens));
+  }
+  m_Live.erase(Id);
+}
+
+void EngineServer::cancelled(SequenceId Id) {
+  const auto Found = m_Live.find(Id);
+  if (Found == m_Live.end())
+    return;
+  m_Batch.remove(Id);
+  m_Server.records().at(Found->second.m_Record).m_Cancelled = true;
+  m_Live.erase(Found);
+  noteLoad();
+}
+
+void EngineServer::noteLoad() {
+  LoadSnapshot Present;
+  Present.m_When = m_Server.clock().now();
+  Present.m_Running = m_Batch.running();
+  Present.m_Waiting = m_Batch.waiting();
+  Present.m_FreeBlocks = m_Batch.freeBlocks();
+  m_Server.reports().note(Present);
+}
+
+} // namespace crowstep::standin
--- a/tests/standin/exchange.cpp
+++ b/tests/standin/exchange.cpp
@@ -22,6 +22,10 @@
 }
 
 void Exchange::onClosed(std::function<void()> Gone) {
+  if (!m_Open) {
+    Gone();
+    return;
+  }
   m_Gone = std::move(Gone);
   GSocket *Socket = soup_server_message_get_socket(m_Message);
   if (m_Watch != nullptr || Socket == nullptr)
@@ -36,9 +40,14 @@
   g_source_attach(m_Watch, nullptr);
 }
 
-void Exchange::answer(unsigned Status, const std::string &Body) {
+void Exchange::answer(unsigned Status, const std::string &Body,
+                      std::chrono::seconds RetryAfter) {
   if (!m_Open)
     return;
+  if (RetryAfter.count() > 0)
+    soup_message_headers_replace(
+        soup_server_message_get_response_headers(m_Message), "Retry-After",
+        std::to_string(RetryAfter.count()).c_str());
   m_Open = false;
   stopWatching();
   respond(m_Message, Status, "application/json", Body);
--- a/tests/standin/exchange.h
+++ b/tests/standin/exchange.h
@@ -2,6 +2,7 @@
 #ifndef CROWSTEP_STANDIN_EXCHANGE_H
 #define CROWSTEP_STANDIN_EXCHANGE_H
 
+#include <chrono>
 #include <functional>
 #include <libsoup/soup.h>
 #include <memory>
@@ -22,7 +23,9 @@
   /// Runs \p Gone once when the caller closes before the answer is complete.
   void onClosed(std::function<void()> Gone);
 
-  void answer(unsigned Status, const std::string &Body);
+  /// Answers with JSON, and with Retry-After where \p RetryAfter is not 0.
+  void answer(unsigned Status, const std::string &Body,
+              std::chrono::seconds RetryAfter = {});
 
   /// Sends the headers of an event stream.
   void beginStream();
--- a/tests/standin/platform_server.cpp
+++ b/tests/standin/platform_server.cpp
@@ -95,7 +95,7 @@
   if (Mode == FaultMode::DropAnswer)
     Answer->cut();
   else
-    Answer->answer(Result.m_Status, Result.m_Body);
+    Answer->answer(Result.m_Status, Result.m_Body, Result.m_RetryAfter);
 }
 
 PlatformServer::Reply PlatformServer::serve(const Call &What) {
@@ -174,7 +174,7 @@
     m_WeightCount = 0;
   }
   if (++m_WeightCount > m_Settings.m_WeightReads)
-    return {429, R"({"error":"rate limited"})"};
+    return {429, R"({"error":"rate limited"})", std::chrono::seconds(1)};
   return {200, R"({"size":1024})"};
 }
 
--- a/tests/standin/platform_server.h
+++ b/tests/standin/platform_server.h
@@ -27,8 +27,9 @@
 
 private:
   struct Reply {
-    unsigned m_Status = 200; ///< HTTP status.
-    std::string m_Body;      ///< JSON, or an object's content.
+    unsigned m_Status = 200;             ///< HTTP status.
+    std::string m_Body;                  ///< JSON, or an object's content.
+    std::chrono::seconds m_RetryAfter{}; ///< 0: no such header.
   };
   struct Call {
     std::string m_Method; ///< HTTP method.
--- /dev/null
+++ b/tests/standin/service_server.cpp
@@ -0,0 +1,68 @@
+/// Calls of a stand-in plain service.
+#include "standin/service_server.h"
+
+#include <xxhash.h>
+
+using nlohmann::json;
+
+namespace crowstep::standin {
+
+ServiceServer::ServiceServer(UpstreamSettings With)
+    : m_Settings(std::move(With)),
+      m_Server(m_Settings,
+               {[this](UpstreamCall Call) { work(std::move(Call)); },
+                [](const UpstreamCall &) { return false; },
+                [this](const Fault &Set) {
+                  m_Factor = Set.m_Mode == FaultMode::Slow ? Set.m_Factor : 1;
+                },
+                [this] { return m_Waiting.size(); }}) {}
+
+void ServiceServer::work(UpstreamCall Call) {
+  m_Waiting.push_back(std::move(Call));
+  proceed();
+}
+
+void ServiceServer::proceed() {
+  while (!m_Waiting.empty() && m_Running < m_Settings.m_Slots) {
+    run(m_Waiting.front());
+    m_Waiting.pop_front();
+  }
+  LoadSnapshot Present;
+  Present.m_When = m_Server.clock().now();
+  Present.m_Running = m_Running;
+  Present.m_Waiting = m_Waiting.size();
+  m_Server.reports().note(Present);
+}
+
+void ServiceServer::run(const UpstreamCall &Call) {
+  ++m_Running;
+  const json Body = json::parse(Call.m_Body, nullptr, false);
+  CallRecord Record;
+  Record.m_Key = Call.m_Key;
+  if (Body.is_object()) {
+    Record.m_RequestId = Body.value("request_id", "");
+    Record.m_Priority = Body.value("priority", 0);
+  }
+  const std::size_t Index = m_Server.records().add(std::move(Record));
+  const auto Time =
+      std::chrono::round<Duration>(m_Settings.m_ServiceTime * m_Factor);
+  m_Server.scheduler().after(Time,
+                             [this, Call, Index] { finished(Call, Index); });
+}
+
+void ServiceServer::finished(const UpstreamCall &Call, std::size_t Record) {
+  --m_Running;
+  m_Server.records().at(Record).m_Finished = true;
+  const json Answer = {
+      {"service", m_Settings.m_Service},
+      {"path", Call.m_Path},
+      {"call", ++m_Calls},
+      {"body_hash", XXH3_64bits(Call.m_Body.data(), Call.m_Body.size())}};
+  if (Call.m_Fault.m_Mode == FaultMode::DropAnswer)
+    Call.m_Answer->cut();
+  else
+    Call.m_Answer->answer(200, Answer.dump());
+  proceed();
+}
+
+} // namespace crowstep::standin
--- /dev/null
+++ b/tests/unit/standin_test.cpp
@@ -0,0 +1,139 @@
+/// The stand-ins' own promises, on which the tests of the router rely: tokens
+/// name their prompt, a resumed answer is the same answer, priorities go
+/// first, conditional writes hold, and reports are late.
+#define BOOST_TEST_MODULE standin
+#include "load/token_text.h"
+#include "standin/engine_batch.h"
+#include "standin/platform_store.h"
+#include "standin/upstream_state.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace crowstep;
+using namespace crowstep::standin;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+constexpr TimePoint Start{1h};
+
+/// An engine driven by hand.
+struct Bench {
+  EngineSettings m_Settings;            ///< Set before m_Batch is used.
+  std::vector<std::uint64_t> m_Evicted; ///< By the cache.
+  EngineBatch m_Batch{m_Settings, [this](std::uint64_t Prefix, bool Added) {
+                        if (!Added)
+                          m_Evicted.push_back(Prefix);
+                      }};
+  TimePoint m_Now = Start; ///< End of the last step.
+
+  SequenceId add(int Priority, std::uint64_t Length, std::uint64_t From = 0) {
+    Sequence Work;
+    Work.m_Priority = Priority;
+    Work.m_Length = Length;
+    Work.m_Next = From;
+    return m_Batch.add(std::move(Work));
+  }
+
+  std::vector<Generated> step() {
+    m_Now = m_Batch.begin(m_Now).value();
+    return m_Batch.finish();
+  }
+};
+
+json insertOf(const std::string &Key, std::uint64_t Expected) {
+  return {
+      {"writes", {{{"key", Key}, {"expected", Expected}, {"value", "{}"}}}}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(TokensNameTheirPromptAndPlace) {
+  const json Chat = {{"messages",
+                      {{{"role", "system"}, {"content", "a"}},
+                       {{"role", "user"}, {"content", "b"}}}}};
+  BOOST_TEST(load::promptOf(Chat) == "a\nb");
+  const std::uint32_t Hash = load::promptHashOf("a\nb");
+  BOOST_TEST(load::tokenText(7, Hash).starts_with("t7."));
+  BOOST_TEST(load::tokenText(7, Hash) !=
+             load::tokenText(7, load::promptHashOf("a\nc")));
+}
+
+BOOST_AUTO_TEST_CASE(LengthDependsOnThePromptAlone) {
+  const EngineSettings With;
+  BOOST_TEST(naturalLength(With, "x [len=17] y") == 17U);
+  BOOST_TEST(naturalLength(With, "same") == naturalLength(With, "same"));
+}
+
+BOOST_AUTO_TEST_CASE(ResumedSequenceGivesTheRestOnly) {
+  Bench Engine;
+  Engine.add(0, 5, 3);
+  BOOST_TEST(Engine.step().at(0).m_Index == 3U);
+  const Generated Last = Engine.step().at(0);
+  BOOST_TEST(Last.m_Index == 4U);
+  BOOST_TEST(Last.m_Last);
+}
+
+BOOST_AUTO_TEST_CASE(UrgentWorkIsAdmittedFirstAndStepsGrowWithTheBatch) {
+  Bench Engine;
+  Engine.m_Settings.m_Slots = 2;
+  Engine.m_Settings.m_TokenTime = 10ms;
+  Engine.m_Settings.m_BatchPenalty = 0.5;
+  const SequenceId Late = Engine.add(5, 1);
+  const SequenceId Early = Engine.add(1, 1);
+  const SequenceId Middle = Engine.add(3, 1);
+  const std::vector<Generated> First = Engine.step();
+  BOOST_TEST(First.size() == 2U);
+  for (const Generated &Token : First)
+    BOOST_TEST((Token.m_Sequence == Early || Token.m_Sequence == Middle));
+  BOOST_TEST((Engine.m_Now - Start == 15ms));
+  BOOST_TEST((Engine.step().at(0).m_Sequence == Late));
+}
+
+BOOST_AUTO_TEST_CASE(CachedPrefixIsNotPrefilledAgainUntilEvicted) {
+  PrefixCache Cache(2, [](std::uint64_t, bool) {});
+  const auto One = prefixHashes(std::string(600, 'a'));
+  const auto Two = prefixHashes(std::string(300, 'b'));
+  BOOST_TEST(One.size() == 2U);
+  BOOST_TEST(Cache.use(One) == 0U);
+  BOOST_TEST(Cache.use(One) == 2U);
+  BOOST_TEST(Cache.use(Two) == 0U); // Takes the place of One's second block.
+  BOOST_TEST(Cache.use(One) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(WritesStandOnlyAgainstTheExpectedVersion) {
+  PlatformStore Store;
+  const json First = Store.write("t", insertOf("k", 0), Start);
+  BOOST_TEST(First["outcomes"][0]["written"].get<bool>());
+  const json Second = Store.write("t", insertOf("k", 0), Start);
+  BOOST_TEST(!Second["outcomes"][0]["written"].get<bool>());
+  BOOST_TEST(Second["outcomes"][0]["row"] == First["outcomes"][0]["row"]);
+  // A deleted row's version does not come back with the next insert.
+  json Delete = insertOf("k", 1);
+  Delete["writes"][0]["value"] = nullptr;
+  BOOST_TEST(
+      Store.write("t", Delete, Start)["outcomes"][0]["written"].get<bool>());
+  const json Again = Store.write("t", insertOf("k", 0), Start);
+  BOOST_TEST(Again["outcomes"][0]["row"]["version"].get<int>() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ReportsAndListingAreLate) {
+  LoadReports Reports(100ms);
+  LoadSnapshot Busy;
+  Busy.m_When = Start;
+  Busy.m_Running = 3;
+  Reports.note(Busy);
+  Reports.cacheChanged(1, true, Start);
+  BOOST_TEST(Reports.visible(Start + 50ms, false)["running"] == 0);
+  BOOST_TEST(Reports.visible(Start + 50ms, false)["cache_events"].empty());
+  BOOST_TEST(Reports.visible(Start + 100ms, false)["running"] == 3);
+  BOOST_TEST(Reports.visible(Start + 100ms, false)["cache_events"].size() ==
+             1U);
+  LaggingListing Listing;
+  Listing.set({{"v", 1}}, Start);
+  Listing.setLag(1s);
+  Listing.set({{"v", 2}}, Start + 1s);
+  BOOST_TEST(Listing.visible(Start + 1s)["v"] == 1);
+  BOOST_TEST(Listing.visible(Start + 2s)["v"] == 2);
+}
