Feature: Decide by tiers, floors, fairness, limits and learned times

This one keeps the table's promises: strict tiers for refusal and preemption, floor shares from slots that can be taken back, fairness between workspaces by tokens, the earliest target first, limits by token buckets, retry budgets, refusal when a wait can't be met, learned lengths, placement by load and hints, ejection of stragglers, and baselines to be measured against.

A bid whose target has passed goes to a late lane that is served after the bids that can still meet theirs. Ruled out: one queue by target, which in overload serves every bid just too late.

Random schedules found that a drain was forgotten when an upstream flickered in the list; drains are now kept by id.

--- /dev/null
+++ b/src/decision/class.cpp
@@ -0,0 +1,41 @@
+/// What a class answers about itself.
+#include "decision/class_base.h"
+
+#include <algorithm>
+
+namespace crowstep::decision {
+
+std::size_t ClassState::demand() const {
+  const std::size_t Ready = m_OnTime.m_ReadyCount + m_Late.m_ReadyCount;
+  const std::uint32_t Limit = m_Contract.m_MaxConcurrent;
+  if (Limit == 0)
+    return Ready;
+  const std::size_t Room = Limit > m_Running ? Limit - m_Running : 0;
+  return std::min(Ready, Room);
+}
+
+WorkspaceUse &ClassState::useOf(WorkspaceId Workspace, TimePoint Now) {
+  const auto [At, IsNew] = m_Workspaces.try_emplace(Workspace);
+  if (IsNew) {
+    At->second.m_Rate.setRate(m_Contract.m_WorkspaceRate, Now);
+    At->second.m_Tokens.setRate(m_Contract.m_WorkspaceTokenRate, Now);
+  }
+  return At->second;
+}
+
+Duration ClassState::firstTokenAllowance() const {
+  if (m_FirstTokens.count() < tuning::MinSamples)
+    return Duration::zero();
+  constexpr double MillisecondsASecond = 1000.0;
+  const Duration Learned =
+      fromSeconds(m_FirstTokens.value() / MillisecondsASecond);
+  return std::min(Learned, m_Contract.m_FirstTokenTarget / 2);
+}
+
+std::size_t RequestIdHash::operator()(const RequestId &Id) const noexcept {
+  constexpr std::uint64_t Mix = 0x9E3779B97F4A7C15;
+  const std::uint64_t Joined = Id.m_Entry.value() ^ (Id.m_Number * Mix);
+  return static_cast<std::size_t>(Joined ^ (Joined >> 32));
+}
+
+} // namespace crowstep::decision
--- /dev/null
+++ b/src/decision/class_base.h
@@ -0,0 +1,88 @@
+/// A class of request in one pool: its contract, queues, limits and history.
+#ifndef CROWSTEP_DECISION_CLASS_BASE_H
+#define CROWSTEP_DECISION_CLASS_BASE_H
+
+#include "decision/flow_base.h"
+#include "decision/learned.h"
+#include "decision/token_bucket.h"
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace crowstep::decision {
+
+struct Tier;
+
+/// What one workspace uses of one class.
+struct WorkspaceUse {
+  std::uint32_t m_Running = 0;                ///< Granted and not ended.
+  TokenBucket m_Rate;                         ///< Column workspace_rate.
+  TokenBucket m_Tokens;                       ///< Column workspace_tokens.
+  Quantile m_Lengths{tuning::LengthQuantile}; ///< Of whole answers.
+};
+
+/// One row of the table at work.
+struct ClassState {
+  Contract m_Contract;         ///< The row in force.
+  bool m_Listed = true;        ///< False: the row is gone, its work runs out.
+  bool m_MayProbe = false;     ///< Its bids may try an ejected upstream.
+  Tier *m_Tier = nullptr;      ///< Null while the row is no part of the pool.
+  Lane m_OnTime;               ///< Bids that can still meet their targets.
+  Lane m_Late;                 ///< Bids that only wait for their limit.
+  std::uint32_t m_Running = 0; ///< Granted and not ended.
+  VictimQueue m_Victims; ///< Running work, the least wasteful to stop first.
+  std::unordered_map<WorkspaceId, WorkspaceUse> m_Workspaces; ///< By use.
+
+  TokenBucket m_Rate;    ///< Column rate.
+  TokenBucket m_Tokens;  ///< Column tokens.
+  RetryBudget m_Retries; ///< Column retry_percent.
+
+  Quantile m_Lengths{tuning::LengthQuantile};         ///< Of whole answers.
+  Quantile m_FirstTokens{tuning::FirstTokenQuantile}; ///< Milliseconds.
+  Mean m_FirstTokenMean; ///< Seconds from the grant.
+  Mean m_TokenMean;      ///< Seconds a generated token.
+  Mean m_Service;        ///< Seconds that a slot is held.
+  RateMeter m_Arrivals;  ///< Bids that were taken in.
+
+  std::vector<Serving *> m_Eligible; ///< Upstreams with its model.
+  double m_Slots = 0.0;              ///< Of the eligible ones that are in use.
+  double m_FloorSlots = 0.0;         ///< Its share of them.
+  double m_Debt = 0.0; ///< Slot-seconds of the floor not served, >= 0.
+
+  [[nodiscard]] std::size_t waiting() const {
+    return m_OnTime.m_ByDeadline.size() + m_Late.m_ByDeadline.size();
+  }
+
+  /// Returns how many waiting bids a free slot could serve just now.
+  [[nodiscard]] std::size_t demand() const;
+
+  /// Returns the account of \p Workspace; a new one starts with full buckets.
+  WorkspaceUse &useOf(WorkspaceId Workspace, TimePoint Now);
+
+  /// Tells whether running work of the class may be taken back.
+  [[nodiscard]] bool isPreemptible() const {
+    return m_Contract.m_Preemptible && m_Contract.m_Repeatable;
+  }
+
+  /// Returns the time from a grant to the first token that must be left before
+  /// a target; never more than half the target.
+  [[nodiscard]] Duration firstTokenAllowance() const;
+
+  /// Returns the seconds that a slot is held; 0 while unknown.
+  [[nodiscard]] double serviceSeconds() const { return m_Service.value(); }
+};
+
+/// Classes of equal urgency and the workspaces' accounts among them.
+struct Tier {
+  std::uint8_t m_Number = 1;           ///< 1 is the most urgent.
+  double m_Virtual = 0.0;              ///< Of the flow served last, at most.
+  std::vector<ClassState *> m_Classes; ///< In the order of the table.
+  std::unordered_map<WorkspaceId, WorkspaceShare> m_Shares; ///< By use.
+};
+
+using TierMap = std::map<std::uint8_t, Tier>;
+
+} // namespace crowstep::decision
+
+#endif // CROWSTEP_DECISION_CLASS_BASE_H
--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -26,6 +26,8 @@
   Duration m_GrantValidity = std::chrono::seconds(2); ///< > 0.
   double m_MaxEjectedShare = 0.25; ///< Of a pool's upstreams, 0 to 0.5.
   std::uint64_t m_Seed = 1;        ///< Breaks ties; same seed, same choices.
+  Duration m_RebuildWindow{}; ///< From the first event on a new owner grants
+                              ///< nothing, to hear first what runs already.
 };
 
 /// Counters and gauges of one Decider.
--- /dev/null
+++ b/src/decision/floor_func.h
@@ -0,0 +1,21 @@
+/// Floor shares: what each class is owed from its weight.
+#ifndef CROWSTEP_DECISION_FLOOR_FUNC_H
+#define CROWSTEP_DECISION_FLOOR_FUNC_H
+
+#include "decision/pool_base.h"
+
+namespace crowstep::decision {
+
+/// Recomputes each class's upstreams, slots and floor from the weights.
+void updateFloors(Pool &In);
+
+/// Adds what classes with waiting bids were owed and got since the last event.
+void accrueFloors(Pool &In, Duration Elapsed);
+
+/// Returns the class that is owed most and may have a free slot ahead of more
+/// urgent bids without making one of them miss its target; or null.
+ClassState *owedClass(const Pool &In);
+
+} // namespace crowstep::decision
+
+#endif // CROWSTEP_DECISION_FLOOR_FUNC_H
--- /dev/null
+++ b/src/decision/learned.cpp
@@ -0,0 +1,73 @@
+/// Learned means, quantiles and rates.
+#include "decision/learned.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace crowstep::decision {
+
+namespace {
+
+constexpr unsigned Bins = 54;           ///< Three a doubling.
+constexpr double LowestSample = 0.25;   ///< Lower ones count as this.
+constexpr double HighestSample = 65536; ///< Higher ones count as this.
+constexpr double Longest = 86400.0;     ///< Seconds of a day.
+
+} // namespace
+
+Duration fromSeconds(double Seconds) {
+  const double Bounded = std::clamp(Seconds, 0.0, Longest);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Bounded));
+}
+
+void Mean::add(double Sample) {
+  // The first samples weigh as in a plain mean, so that the start is quick.
+  const double Plain = 1.0 / (static_cast<double>(m_Count) + 1.0);
+  const double Gain = std::max(m_Gain, Plain);
+  m_Value = m_Count == 0 ? Sample : m_Value + Gain * (Sample - m_Value);
+  if (m_Count < std::numeric_limits<std::uint32_t>::max())
+    ++m_Count;
+}
+
+Quantile::Quantile(double Share)
+    : m_Share(Share), m_Histogram(Axis(Bins, LowestSample, HighestSample)) {}
+
+void Quantile::add(double Sample) {
+  const double Highest = std::nextafter(HighestSample, 0.0);
+  m_Histogram(std::clamp(Sample, LowestSample, Highest));
+  m_Weight += 1.0;
+  if (m_Count < std::numeric_limits<std::uint32_t>::max())
+    ++m_Count;
+  // Without this the estimate would stay where an hour of long answers put it.
+  // Halving the weights lets as many new samples outvote the old ones.
+  if (m_Weight > tuning::HistogramWindow) {
+    m_Histogram *= 0.5;
+    m_Weight *= 0.5;
+  }
+  m_Value = compute();
+}
+
+double Quantile::compute() const {
+  double Missing = m_Share * m_Weight;
+  const auto &Bounds = m_Histogram.axis(0);
+  for (int Bin = 0; Bin < Bounds.size(); ++Bin) {
+    const double Weight = m_Histogram.at(Bin);
+    if (Weight >= Missing && Weight > 0.0)
+      return Bounds.value(static_cast<double>(Bin) + Missing / Weight);
+    Missing -= Weight;
+  }
+  return HighestSample;
+}
+
+void RateMeter::add(TimePoint Now) {
+  m_Rate = perSecond(Now) + 1.0 / tuning::RateSeconds;
+  m_At = Now;
+}
+
+double RateMeter::perSecond(TimePoint Now) const {
+  return m_Rate * std::exp(-toSeconds(Now - m_At) / tuning::RateSeconds);
+}
+
+} // namespace crowstep::decision
--- /dev/null
+++ b/src/decision/preemption.cpp
@@ -0,0 +1,168 @@
+/// Which running work is stopped, and when.
+#include "decision/preemption_func.h"
+
+#include "decision/estimate_func.h"
+#include "decision/placement_func.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace crowstep::decision {
+
+namespace {
+
+Request *victimOf(const Pool &In, ClassState &From, const ClassState &For) {
+  unsigned Scanned = 0;
+  for (Request &One : From.m_Victims) {
+    if (wouldServe(In, For, *One.m_Serving))
+      return &One;
+    if (++Scanned == tuning::MaxVictimScan)
+      break;
+  }
+  return nullptr;
+}
+
+bool isAboveFloor(const ClassState &Class) {
+  return static_cast<double>(Class.m_Running) > Class.m_FloorSlots;
+}
+
+/// The least urgent tier gives first, and in it the classes above their floor.
+Request *findVictim(const Pool &In, const ClassState &For) {
+  const TierMap &Tiers = In.m_Queue.tiers();
+  for (auto At = Tiers.rbegin(); At != Tiers.rend(); ++At) {
+    if (At->first <= For.m_Tier->m_Number)
+      return nullptr;
+    for (const bool AboveFloor : {true, false})
+      for (ClassState *From : At->second.m_Classes)
+        if (From->isPreemptible() && isAboveFloor(*From) == AboveFloor)
+          if (Request *Found = victimOf(In, *From, For))
+            return Found;
+  }
+  return nullptr;
+}
+
+void stop(Pool &In, Request &Victim) {
+  VictimQueue &From = Victim.m_Class->m_Victims;
+  From.erase(From.iterator_to(Victim));
+  Victim.m_Stopping = true;
+  Victim.m_Since = In.m_Now;
+  if (Victim.m_Preemptions < std::numeric_limits<std::uint8_t>::max())
+    ++Victim.m_Preemptions;
+  ++In.m_Stops;
+  ++In.m_Stats.m_Preempted;
+  In.m_LastStop = In.m_Now;
+  In.m_Stopping.emplace_back(In.m_Now, Victim.m_Bid.m_Request);
+  In.m_Actions->push_back(
+      Preempt{Victim.m_Bid.m_Request, Victim.m_Serving->m_Upstream.m_Id});
+}
+
+/// Time left before a waiting bid must have a slot, less the time to get one.
+Duration slackOf(const Pool &In, const Request &Waiting) {
+  const Duration Allowance = isLate(Waiting)
+                                 ? Duration::zero()
+                                 : Waiting.m_Class->firstTokenAllowance();
+  const Duration Left = Waiting.m_Deadline - Allowance - In.m_Now;
+  return std::max(Duration::zero(), Left - stopLead(In));
+}
+
+/// Slots that \p Class needs beyond those expected to come free in time, when
+/// \p Bids stand before the last of its bids.
+double missing(const Pool &In, const ClassState &Class, const Lane &Of,
+               double Bids) {
+  const double Rate = tuning::FreeRateTrust * freeRate(Class);
+  const DeadlineQueue &Queue = Of.m_ByDeadline;
+  const double First = toSeconds(slackOf(In, *Queue.begin()));
+  const double Last = toSeconds(slackOf(In, *Queue.rbegin()));
+  return std::max(1.0 - Rate * First, Bids - Rate * Last);
+}
+
+double missingIn(const Pool &In, const ClassState &Class, double Bids) {
+  double Most = 0.0;
+  for (const Lane *Of : {&Class.m_OnTime, &Class.m_Late})
+    if (Of->m_ReadyCount > 0)
+      Most = std::max(Most, missing(In, Class, *Of, Bids));
+  return Most;
+}
+
+bool anyVictim(const Pool &In) {
+  return std::any_of(In.m_Queue.classes().begin(), In.m_Queue.classes().end(),
+                     [](const ClassState *Class) {
+                       return Class->isPreemptible() &&
+                              !Class->m_Victims.empty();
+                     });
+}
+
+} // namespace
+
+Duration stopLead(const Pool &In) {
+  const Duration Delay = In.m_StopDelay.count() == 0
+                             ? tuning::FirstPreemptDelay
+                             : fromSeconds(In.m_StopDelay.value());
+  return Delay + tuning::PreemptMargin;
+}
+
+bool hasVictim(const Pool &In, const ClassState &Class) {
+  return findVictim(In, Class) != nullptr;
+}
+
+void preemptWhereNeeded(Pool &In) {
+  if (In.isBaseline() || In.isRebuilding() || !anyVictim(In))
+    return;
+  double Bids = 0.0;
+  unsigned Stopped = 0;
+  for (auto &[Number, Tier] : In.m_Queue.tiers()) {
+    for (const ClassState *Class : Tier.m_Classes)
+      Bids += static_cast<double>(Class->demand());
+    for (const ClassState *Class : Tier.m_Classes) {
+      if (Class->demand() == 0)
+        continue;
+      const double Missing = missingIn(In, *Class, Bids);
+      while (static_cast<double>(In.m_Stops) < Missing &&
+             Stopped < tuning::MaxPreemptionsAtOnce) {
+        Request *Victim = findVictim(In, *Class);
+        if (Victim == nullptr)
+          break;
+        stop(In, *Victim);
+        ++Stopped;
+      }
+    }
+  }
+}
+
+void repeatStops(Pool &In) {
+  while (!In.m_Stopping.empty() &&
+         In.m_Stopping.front().first + tuning::PreemptPatience <= In.m_Now) {
+    const RequestId Id = In.m_Stopping.front().second;
+    const TimePoint Ordered = In.m_Stopping.front().first;
+    In.m_Stopping.pop_front();
+    const auto At = In.m_Requests.find(Id);
+    if (At == In.m_Requests.end() || !At->second.m_Stopping ||
+        At->second.m_Since != Ordered)
+      continue;
+    // The order was lost, or its entry is stuck. Waiting for this one slot
+    // would let urgent bids miss their targets beside others that can be had;
+    // it goes back among them, as the last to be asked.
+    constexpr std::uint8_t Last = 4;
+    Request &Stuck = At->second;
+    Stuck.m_Stopping = false;
+    Stuck.m_WasteRank = static_cast<std::uint8_t>(Stuck.m_WasteRank | Last);
+    --In.m_Stops;
+    Stuck.m_Class->m_Victims.insert(Stuck);
+  }
+}
+
+std::optional<TimePoint> nextPreemptionCheck(const Pool &In,
+                                             const ClassState &Class) {
+  std::optional<TimePoint> Next;
+  for (const Lane *Of : {&Class.m_OnTime, &Class.m_Late}) {
+    if (Of->m_ReadyCount == 0)
+      continue;
+    const Request &First = *Of->m_ByDeadline.begin();
+    const Duration Slack = slackOf(In, First);
+    if (Slack > Duration::zero() && (!Next || In.m_Now + Slack < *Next))
+      Next = In.m_Now + Slack;
+  }
+  return Next;
+}
+
+} // namespace crowstep::decision
--- /dev/null
+++ b/src/decision/preemption_func.h
@@ -0,0 +1,30 @@
+/// Taking slots back from lower tiers.
+#ifndef CROWSTEP_DECISION_PREEMPTION_FUNC_H
+#define CROWSTEP_DECISION_PREEMPTION_FUNC_H
+
+#include "decision/pool_base.h"
+
+#include <optional>
+
+namespace crowstep::decision {
+
+/// Stops running work of lower tiers where a waiting bid would otherwise miss
+/// its target, or its limit once it is late.
+void preemptWhereNeeded(Pool &In);
+
+/// Tells whether running work of a lower tier could be stopped for \p Class.
+bool hasVictim(const Pool &In, const ClassState &Class);
+
+/// Gives orders to stop again that were not followed for too long.
+void repeatStops(Pool &In);
+
+/// Returns the time from an order to stop until the slot can be granted.
+Duration stopLead(const Pool &In);
+
+/// Returns when a bid of \p Class next needs a look by the clock alone.
+std::optional<TimePoint> nextPreemptionCheck(const Pool &In,
+                                             const ClassState &Class);
+
+} // namespace crowstep::decision
+
+#endif // CROWSTEP_DECISION_PREEMPTION_FUNC_H
--- /dev/null
+++ b/src/decision/prefix_index.h
@@ -0,0 +1,32 @@
+/// Which upstreams may hold which prompt prefixes: hints, never promises.
+#ifndef CROWSTEP_DECISION_PREFIX_INDEX_H
+#define CROWSTEP_DECISION_PREFIX_INDEX_H
+
+#include "decision/decision_type.h"
+
+#include <array>
+#include <deque>
+#include <unordered_map>
+
+namespace crowstep::decision {
+
+/// Bounded map from a prefix to the tags of its latest holders. An upstream
+/// that takes a new tag has all its hints dropped without a walk.
+class PrefixIndex {
+public:
+  static constexpr std::size_t MaxHolders = 4;
+  using Holders = std::array<std::uint32_t, MaxHolders>; ///< 0: none.
+
+  void add(PrefixHash Prefix, std::uint32_t Tag);
+  void remove(PrefixHash Prefix, std::uint32_t Tag);
+  /// Returns the holders of \p Prefix, or null.
+  [[nodiscard]] const Holders *find(PrefixHash Prefix) const;
+
+private:
+  std::unordered_map<PrefixHash, Holders> m_Holders; ///< Bounded in size.
+  std::deque<PrefixHash> m_Age; ///< Keys of m_Holders, the oldest first.
+};
+
+} // namespace crowstep::decision
+
+#endif // CROWSTEP_DECISION_PREFIX_INDEX_H
--- /dev/null
+++ b/src/decision/straggler_func.h
@@ -0,0 +1,34 @@
+/// Upstreams that are slower than their peers.
+#ifndef CROWSTEP_DECISION_STRAGGLER_FUNC_H
+#define CROWSTEP_DECISION_STRAGGLER_FUNC_H
+
+#include "decision/pool_base.h"
+
+namespace crowstep::decision {
+
+/// A measured time against the mean of its class, both in seconds.
+struct SpeedSample {
+  double m_Seconds;   ///< Measured.
+  double m_Mean;      ///< Of the class; 0: unknown.
+  double m_MinExcess; ///< Below this above the mean nothing is slow.
+};
+
+/// Judges \p Where by one more sample: ejects a straggler, or counts a probe.
+void addSpeed(Pool &In, Serving &Where, const SpeedSample &Sample,
+              bool IsProbe);
+
+/// Ends a probe that brought no sample.
+void endProbe(Pool &In, Serving &Where);
+
+/// Takes ejected upstreams back when the pool has shrunk below the ceiling.
+void reviewEjections(Pool &In);
+
+/// Returns an upstream's slowness against its peers' median; 1 while unknown.
+double relativeSlowness(const Pool &In, const Serving &Where);
+
+/// Tells whether a bid of \p Class may try the ejected \p Where now.
+bool mayProbe(const Serving &Where, const ClassState &Class, TimePoint Now);
+
+} // namespace crowstep::decision
+
+#endif // CROWSTEP_DECISION_STRAGGLER_FUNC_H
--- /dev/null
+++ b/tests/unit/decision_property_test.cpp
@@ -0,0 +1,181 @@
+/// Random schedules of bids, ends, losses, faults and changes of the table.
+///
+/// What callers see: each bid is answered once, urgent ones are never given up
+/// for lower ones, and no limit is exceeded, whatever comes when. World checks
+/// each action as it is made; the properties check the end.
+#define BOOST_TEST_MODULE decision_property
+#include "decision_world.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace crowstep;
+using namespace crowstep::decision;
+using namespace crowstep::decision::test;
+
+namespace {
+
+using Schedule = std::vector<std::uint32_t>;
+
+rc::Gen<Schedule> schedules() {
+  constexpr int Length = 700;
+  return rc::gen::resize(
+      Length, rc::gen::container<Schedule>(rc::gen::inRange(0U, 1U << 24)));
+}
+
+std::vector<Contract> someTable(unsigned Variant) {
+  std::vector<Contract> Rows = {row(1, 1, 300ms, 2s), row(2, 2, 1s, 5s),
+                                row(3, 4, 5s, 40s, true),
+                                row(4, 6, 10s, 60s, true)};
+  Rows[0].m_Weight = 5;
+  Rows[2].m_Weight = 2;
+  if (Variant % 2 == 1)
+    Rows[2].m_Tier = 3;
+  if (Variant % 3 == 1) {
+    Rows[1].m_MaxConcurrent = 3;
+    Rows[3].m_WorkspaceConcurrent = 2;
+  }
+  if (Variant % 5 == 1)
+    Rows[2].m_MaxQueue = 6;
+  return Rows;
+}
+
+/// Plays one number of a schedule; each is one step of some kind.
+class Player {
+public:
+  explicit Player(World &On) : m_World(On) {
+    On.setTable(someTable(0));
+    list(4);
+  }
+
+  void play(std::uint32_t Code) {
+    const std::uint32_t Kind = Code % 32;
+    const std::uint32_t Value = Code / 32;
+    if (Kind < 16)
+      ask(Value);
+    else if (Kind < 24)
+      m_World.advance(Duration(Value % 300'000));
+    else
+      disturb(Kind, Value);
+  }
+
+private:
+  void ask(std::uint32_t Value) {
+    const auto Class = static_cast<std::uint16_t>(1 + Value % 4);
+    const Duration Service = Class < 3 ? 200ms : 4s;
+    m_World.ask(Class, 1 + Value / 4 % 5, Service + Duration(Value % 100'000));
+  }
+
+  void disturb(std::uint32_t Kind, std::uint32_t Value) {
+    const UpstreamId Where(1 + Value % 4);
+    switch (Kind) {
+    case 24:
+      return endOne(Value);
+    case 25:
+      return withdrawOne(Value);
+    case 26:
+      return m_World.loseEntry(InstanceId(1 + Value % 3));
+    case 27:
+      m_World.setTable(someTable(Value % 30));
+      return;
+    case 28:
+      return list(2 + Value % 3);
+    case 29:
+      return drain(Where, Value / 4 % 2 == 0);
+    case 30:
+      return m_World.send(
+          LoadReport{Where, Value % 50, Duration(Value % 3'000'000), 0, 0});
+    default:
+      return m_World.send(CacheEvent{Where, Value % 9, Value % 5, true});
+    }
+  }
+
+  void endOne(std::uint32_t Value) {
+    if (m_World.m_Running.empty())
+      return;
+    constexpr std::array<WorkEnd, 4> Ends = {WorkEnd::Cancelled,
+                                             WorkEnd::Failed, WorkEnd::Unused,
+                                             WorkEnd::ConnectFailed};
+    auto At = m_World.m_Running.begin();
+    std::advance(At, Value % m_World.m_Running.size());
+    const WorkEnd How = Ends[Value / 64 % Ends.size()];
+    if (How == WorkEnd::Failed || How == WorkEnd::ConnectFailed)
+      m_World.m_Failing.insert(At->second.m_Upstream);
+    m_World.end(At->first, How);
+  }
+
+  void withdrawOne(std::uint32_t Value) {
+    if (m_World.m_Waiting.empty())
+      return;
+    auto At = m_World.m_Waiting.begin();
+    std::advance(At, Value % m_World.m_Waiting.size());
+    m_World.withdraw(RequestId(At->first));
+  }
+
+  void list(std::uint32_t Count) {
+    std::vector<Upstream> All;
+    for (std::uint64_t Id = 1; Id <= Count; ++Id)
+      All.push_back(engine(Id, 2));
+    m_World.setUpstreams(All);
+  }
+
+  void drain(UpstreamId Where, bool Drained) {
+    if (!m_World.m_Upstreams.contains(Where))
+      return;
+    if (Drained)
+      m_World.m_Drained.insert(Where);
+    else
+      m_World.m_Drained.erase(Where);
+    m_World.send(UpstreamDrained{Where, Drained});
+  }
+
+  World &m_World; ///< Played on.
+};
+
+std::string toText(const Action &One) {
+  std::string Text = std::to_string(One.index());
+  const auto Add = [&Text](std::uint64_t Value) {
+    Text += ' ' + std::to_string(Value);
+  };
+  if (const auto *Given = std::get_if<Grant>(&One)) {
+    Add(Given->m_Request.m_Number);
+    Add(Given->m_Upstream.value());
+  } else if (const auto *Said = std::get_if<Refuse>(&One)) {
+    Add(Said->m_Request.m_Number);
+    Add(static_cast<std::uint64_t>(Said->m_RetryAfter.count()));
+  } else if (const auto *Stopped = std::get_if<Preempt>(&One)) {
+    Add(Stopped->m_Request.m_Number);
+  }
+  return Text;
+}
+
+} // namespace
+
+RC_BOOST_PROP(EveryBidIsAnsweredOnceByItsLimit, ()) {
+  World On;
+  Player Steps(On);
+  for (const std::uint32_t Code : *schedules())
+    Steps.play(Code);
+  // Bids that outlive their limit would be held only to delay their answer.
+  for (const auto &[Id, One] : On.m_Waiting)
+    RC_ASSERT(One.second > On.m_Clock.now());
+  On.advance(200s);
+  RC_ASSERT(On.m_Waiting.empty());
+  RC_ASSERT(On.m_Running.empty());
+}
+
+RC_BOOST_PROP(SameEventsAndSeedGiveSameActions, ()) {
+  const Schedule Codes = *schedules();
+  std::vector<std::string> Logs;
+  for (int Run = 0; Run < 2; ++Run) {
+    World On;
+    Player Steps(On);
+    for (const std::uint32_t Code : Codes)
+      Steps.play(Code);
+    std::string Log;
+    for (const Action &One : On.m_Log)
+      Log += toText(One) + '\n';
+    Logs.push_back(Log);
+  }
+  RC_ASSERT(Logs[0] == Logs[1]);
+}
