Feature: Add links over TCP between the system's own processes

Length-prefixed FlatBuffers frames after a preamble of magic and schema version; every frame is verified before use. Challenge and response over the link key open a link; the acceptor proves itself second, so that it answers no stranger. Closed links are counted by reason, bytes and messages by mechanism.

Ruled out: size-prefixed FlatBuffers (their body is misaligned once the length is cut off), reporting a local close from within close() (callers walk through their links while they close some).

--- /dev/null
+++ b/src/link/connection.cpp
@@ -0,0 +1,265 @@
+/// One TCP connection of a link.
+#include "link/connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace crowstep::link {
+
+namespace {
+
+/// Bytes taken from a socket at a time; others get their turn in between.
+constexpr std::size_t ReadSize = 64UL << 10U;
+
+GSocketAddress *socketAddress(const Address &Where) {
+  const std::string Text = toString(Where);
+  return g_inet_socket_address_new_from_string(
+      Text.substr(0, Text.rfind(':')).c_str(), Where.m_Port);
+}
+
+CloseReason connectReason(GError *Failure) {
+  const bool Refused =
+      g_error_matches(Failure, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) != 0;
+  g_error_free(Failure);
+  return Refused ? CloseReason::ConnectRefused : CloseReason::ConnectFailed;
+}
+
+bool wouldBlock(GError *Failure) {
+  const bool Blocks =
+      g_error_matches(Failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != 0;
+  g_error_free(Failure);
+  return Blocks;
+}
+
+} // namespace
+
+Connection::Connection(ConnectionShared &Shared, LinkId Id,
+                       const Address &Where)
+    : m_Shared(Shared), m_Id(Id), m_Where(Where), m_Limit(Shared.m_Timers),
+      m_Handshake(Shared.m_Config,
+                  Where == Address() ? Side::Acceptor : Side::Dialer),
+      m_Reader(MaxHandshakeFrame) {}
+
+Connection::~Connection() { close(); }
+
+void Connection::configure(GSocket *Socket) {
+  m_Socket = Socket;
+  g_socket_set_blocking(m_Socket, 0);
+  // Frames are joined already; Nagle's algorithm would only delay them.
+  g_socket_set_option(m_Socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  m_Limit.start(m_Shared.m_Config.m_HandshakeLimit, [this] {
+    fail(m_Connected ? CloseReason::HandshakeSlow : CloseReason::ConnectFailed);
+  });
+}
+
+void Connection::connect() {
+  GError *Failure = nullptr;
+  GSocket *Socket = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                 G_SOCKET_PROTOCOL_TCP, nullptr);
+  if (Socket == nullptr) { // Out of descriptors.
+    m_Limit.start(Duration::zero(),
+                  [this] { fail(CloseReason::ConnectFailed); });
+    return;
+  }
+  configure(Socket);
+  GSocketAddress *Target = socketAddress(m_Where);
+  g_socket_connect(m_Socket, Target, nullptr, &Failure);
+  g_object_unref(Target);
+  if (Failure != nullptr &&
+      g_error_matches(Failure, G_IO_ERROR, G_IO_ERROR_PENDING) == 0) {
+    const CloseReason Why = connectReason(Failure);
+    m_Limit.start(Duration::zero(), [this, Why] { fail(Why); });
+    return;
+  }
+  g_clear_error(&Failure);
+  watch(G_IO_OUT);
+}
+
+void Connection::adopt(GSocket *Socket) {
+  configure(Socket);
+  m_Connected = true;
+  startHandshake();
+}
+
+void Connection::connected() {
+  GError *Failure = nullptr;
+  if (g_socket_check_connect_result(m_Socket, &Failure) == 0) {
+    fail(connectReason(Failure));
+    return;
+  }
+  m_Connected = true;
+  unwatch(m_Writing);
+  startHandshake();
+}
+
+void Connection::startHandshake() {
+  const auto Opening = preamble();
+  m_Queue.insert(m_Queue.end(), Opening.begin(), Opening.end());
+  watch(G_IO_IN);
+  wire::FrameT First;
+  First.hello = std::make_unique<wire::HelloT>(m_Handshake.hello());
+  send(First);
+}
+
+int Connection::readable(GSocket *, GIOCondition, void *Self) {
+  // The owner may drop the connection while it handles a frame of it.
+  const auto Kept = static_cast<Connection *>(Self)->shared_from_this();
+  Kept->readSome();
+  return G_SOURCE_CONTINUE;
+}
+
+int Connection::writable(GSocket *, GIOCondition, void *Self) {
+  const auto Kept = static_cast<Connection *>(Self)->shared_from_this();
+  if (Kept->m_Connected)
+    Kept->writeQueued();
+  else
+    Kept->connected();
+  return G_SOURCE_CONTINUE;
+}
+
+void Connection::readSome() {
+  static std::vector<std::uint8_t> Buffer(ReadSize);
+  GError *Failure = nullptr;
+  const gssize Count =
+      g_socket_receive(m_Socket, reinterpret_cast<gchar *>(Buffer.data()),
+                       Buffer.size(), nullptr, &Failure);
+  if (Count > 0)
+    takeInput(Bytes(Buffer).first(static_cast<std::size_t>(Count)));
+  else if (Count == 0 || !wouldBlock(Failure))
+    fail(CloseReason::PeerClosed);
+}
+
+void Connection::takeInput(Bytes Input) {
+  while (m_Socket != nullptr) {
+    const ReadResult Result = m_Reader.read(Input);
+    if (const auto *Bad = std::get_if<Rejected>(&Result))
+      fail(Bad->m_Why);
+    const auto *Arrived = std::get_if<FrameArrived>(&Result);
+    if (Arrived == nullptr)
+      return;
+    takeFrame(*Arrived);
+  }
+}
+
+void Connection::takeFrame(const FrameArrived &Arrived) {
+  m_Shared.m_In.count(*Arrived.m_Frame, Arrived.m_Bytes);
+  if (m_Up)
+    m_Shared.m_Owner.connectionFrame(*this, *Arrived.m_Frame);
+  else
+    takeStep(m_Handshake.take(*Arrived.m_Frame));
+}
+
+void Connection::takeStep(const HandshakeStep &Step) {
+  if (const auto *Bad = std::get_if<Rejected>(&Step)) {
+    fail(Bad->m_Why);
+    return;
+  }
+  const auto *Done = std::get_if<HandshakeDone>(&Step);
+  const auto &Reply =
+      Done != nullptr ? Done->m_Reply : std::get<HandshakeGoesOn>(Step).m_Reply;
+  if (Reply) {
+    wire::FrameT Frame;
+    Frame.proof = std::make_unique<wire::ProofT>(*Reply);
+    send(Frame);
+  }
+  if (Done == nullptr || m_Socket == nullptr)
+    return;
+  m_Up = true;
+  m_Limit.stop();
+  m_Reader.setMaxFrame(m_Shared.m_Config.m_MaxFrame);
+  m_Peer = Done->m_Peer;
+  learnPeerAddress();
+  m_Shared.m_Owner.connectionUp(*this);
+}
+
+/// A peer that listens on every interface can't name its address in its Hello;
+/// the connection shows from where it is reached.
+void Connection::learnPeerAddress() {
+  if (m_Peer.m_Address.m_Port == 0 || m_Peer.m_Address.m_Ip != 0)
+    return;
+  GSocketAddress *Remote = g_socket_get_remote_address(m_Socket, nullptr);
+  if (Remote == nullptr)
+    return;
+  gchar *Text = g_inet_address_to_string(
+      g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(Remote)));
+  m_Peer.m_Address.m_Ip = parseAddress(std::string(Text) + ":1").m_Ip;
+  g_free(Text);
+  g_object_unref(Remote);
+}
+
+void Connection::flush() {
+  const wire::FrameT Frame = std::exchange(m_Outbox, wire::FrameT());
+  if (m_Socket != nullptr && m_Up)
+    send(Frame);
+}
+
+void Connection::send(const wire::FrameT &Frame) {
+  const Bytes Encoded = appendFrame(Frame, m_Queue);
+  m_Shared.m_Out.count(*wire::GetFrame(Encoded.data()), Encoded);
+  const std::size_t Waiting = m_Queue.size() - m_Written;
+  if (m_Up && Encoded.size() > m_Shared.m_Config.m_MaxFrame)
+    fail(CloseReason::FrameTooLarge); // The peer would reject it.
+  else if (Waiting > m_Shared.m_Config.m_MaxQueued)
+    fail(CloseReason::Backlog);
+  else if (m_Writing == nullptr)
+    writeQueued();
+}
+
+void Connection::writeQueued() {
+  while (m_Written < m_Queue.size()) {
+    GError *Failure = nullptr;
+    const gssize Count = g_socket_send(
+        m_Socket, reinterpret_cast<const gchar *>(m_Queue.data() + m_Written),
+        m_Queue.size() - m_Written, nullptr, &Failure);
+    if (Count < 0 && wouldBlock(Failure)) {
+      watch(G_IO_OUT);
+      return;
+    }
+    if (Count < 0) {
+      fail(CloseReason::PeerClosed);
+      return;
+    }
+    m_Written += static_cast<std::size_t>(Count);
+  }
+  m_Queue.clear();
+  m_Written = 0;
+  unwatch(m_Writing);
+}
+
+void Connection::watch(GIOCondition What) {
+  const bool Reads = What == G_IO_IN;
+  GSource *&Source = Reads ? m_Reading : m_Writing;
+  if (Source != nullptr)
+    return;
+  Source = g_socket_create_source(m_Socket, What, nullptr);
+  const GSocketSourceFunc Callback = Reads ? readable : writable;
+  g_source_set_callback(Source, G_SOURCE_FUNC(Callback), this, nullptr);
+  g_source_attach(Source, nullptr);
+}
+
+void Connection::unwatch(GSource *&Source) {
+  if (Source == nullptr)
+    return;
+  g_source_destroy(Source);
+  g_source_unref(Source);
+  Source = nullptr;
+}
+
+void Connection::close() {
+  m_Limit.stop();
+  unwatch(m_Reading);
+  unwatch(m_Writing);
+  if (m_Socket == nullptr)
+    return;
+  g_socket_close(m_Socket, nullptr);
+  g_object_unref(m_Socket);
+  m_Socket = nullptr;
+}
+
+void Connection::fail(CloseReason Why) {
+  const auto Kept = shared_from_this();
+  close();
+  m_Shared.m_Owner.connectionFailed(*this, Why);
+}
+
+} // namespace crowstep::link
--- /dev/null
+++ b/src/link/frame_account.cpp
@@ -0,0 +1,113 @@
+/// Accounts for the bytes of frames by mechanism.
+#include "link/frame_account.h"
+
+#include <algorithm>
+
+namespace crowstep::link {
+
+namespace {
+
+/// How one field of a frame is accounted for.
+struct FieldRow {
+  flatbuffers::voffset_t m_Field; ///< Its slot in the vtable.
+  Mechanism m_Mechanism;          ///< Who pays.
+  bool m_IsVector;                ///< Holds several messages.
+};
+
+using F = wire::Frame;
+using M = Mechanism;
+constexpr FieldRow Fields[] = {
+    {F::VT_HELLO, M::Framing, false},
+    {F::VT_PROOF, M::Framing, false},
+    {F::VT_BIDS, M::Serving, true},
+    {F::VT_GRANTS, M::Serving, true},
+    {F::VT_REFUSALS, M::Serving, true},
+    {F::VT_PREEMPTS, M::Serving, true},
+    {F::VT_WITHDRAWALS, M::Serving, true},
+    {F::VT_FIRST_TOKENS, M::Serving, true},
+    {F::VT_WORK_ENDS, M::Serving, true},
+    {F::VT_RUNNING, M::Serving, true},
+    {F::VT_NOT_OWNER, M::Serving, true},
+    {F::VT_MEMBERS, M::Membership, true},
+    {F::VT_HEARTBEAT, M::Membership, false},
+    {F::VT_HEARTBEAT_ACK, M::Membership, false},
+    {F::VT_PROBES, M::Membership, true},
+    {F::VT_TABLE_UPDATE, M::Table, false},
+    {F::VT_TABLE_REQUEST, M::Table, false},
+    {F::VT_TABLE_CONFIRM, M::Table, false},
+    {F::VT_ATTACHMENT, M::Attachment, false},
+    {F::VT_ATTACHMENT_ACK, M::Attachment, false},
+    {F::VT_CLAIM_REQUESTS, M::Claims, true},
+    {F::VT_CLAIM_REPLIES, M::Claims, true},
+};
+
+constexpr const char *MechanismNames[] = {"framing", "serving",    "membership",
+                                          "table",   "attachment", "claims"};
+
+/// The part of a frame that one field takes.
+struct Piece {
+  const std::uint8_t *m_Start; ///< Lowest address.
+  Mechanism m_Mechanism;       ///< Who pays.
+  std::uint32_t m_Messages;    ///< How many.
+};
+
+std::vector<Piece> piecesOf(const wire::Frame &Frame) {
+  // Frame hides its base; the accessors below are those of any table.
+  const auto *Root = reinterpret_cast<const flatbuffers::Table *>(&Frame);
+  std::vector<Piece> Result;
+  for (const FieldRow &Row : Fields) {
+    const auto *Start = Root->GetPointer<const std::uint8_t *>(Row.m_Field);
+    if (Start == nullptr)
+      continue;
+    const std::uint32_t Count =
+        Row.m_IsVector ? flatbuffers::ReadScalar<std::uint32_t>(Start) : 1;
+    Result.push_back({Start, Row.m_Mechanism, Count});
+  }
+  return Result;
+}
+
+} // namespace
+
+bool hasMessages(const wire::Frame &Frame) {
+  return std::ranges::any_of(piecesOf(Frame), [](const Piece &Each) {
+    return Each.m_Mechanism != Mechanism::Framing;
+  });
+}
+
+FrameAccount::FrameAccount(Metrics &Stats, const std::string &Direction)
+    : m_Bytes(&Stats.counter("crowstep_link_bytes_total",
+                             {{"direction", Direction}})),
+      m_Frames(&Stats.counter("crowstep_link_frames_total",
+                              {{"direction", Direction}})) {
+  for (std::size_t Index = 0; Index < MechanismCount; ++Index) {
+    const Labels With = {{"direction", Direction},
+                         {"mechanism", MechanismNames[Index]}};
+    m_MechanismBytes[Index] =
+        &Stats.counter("crowstep_link_mechanism_bytes_total", With);
+    m_MechanismMessages[Index] =
+        &Stats.counter("crowstep_link_messages_total", With);
+  }
+}
+
+void FrameAccount::count(const wire::Frame &Frame, Bytes Encoded) {
+  m_Bytes->add(Encoded.size() + LengthSize);
+  m_Frames->add();
+  // The encoder writes from the highest address downwards, a field after the
+  // other, so that a field reaches up to where the one before it began.
+  std::vector<Piece> Pieces = piecesOf(Frame);
+  std::ranges::sort(Pieces, [](const Piece &Left, const Piece &Right) {
+    return Left.m_Start > Right.m_Start;
+  });
+  const std::uint8_t *End = Encoded.data() + Encoded.size();
+  for (const Piece &Each : Pieces) {
+    const auto Payer = static_cast<std::size_t>(Each.m_Mechanism);
+    m_MechanismBytes[Payer]->add(
+        static_cast<std::uint64_t>(End - Each.m_Start));
+    m_MechanismMessages[Payer]->add(Each.m_Messages);
+    End = Each.m_Start;
+  }
+  m_MechanismBytes[0]->add(static_cast<std::uint64_t>(End - Encoded.data()) +
+                           LengthSize);
+}
+
+} // namespace crowstep::link
--- /dev/null
+++ b/src/link/frame_codec.cpp
@@ -0,0 +1,100 @@
+/// Framing of links.
+#include "link/frame_codec.h"
+
+#include <algorithm>
+
+namespace crowstep::link {
+
+namespace {
+
+constexpr std::array<std::uint8_t, 6> Magic = {'C', 'R', 'W', 'S', 'T', 'P'};
+
+// Bounds on what the verifier walks through: a small frame whose offsets point
+// at shared tables can otherwise keep it busy for long.
+constexpr std::uint32_t MaxDepth = 8;
+constexpr std::uint32_t MaxTables = 200'000;
+
+std::uint32_t readLittleEndian(const std::uint8_t *From, std::size_t Size) {
+  std::uint32_t Value = 0;
+  for (std::size_t Index = Size; Index-- > 0;)
+    Value = (Value << 8U) | From[Index];
+  return Value;
+}
+
+} // namespace
+
+std::array<std::uint8_t, PreambleSize> preamble() {
+  std::array<std::uint8_t, PreambleSize> Result{};
+  std::copy(Magic.begin(), Magic.end(), Result.begin());
+  Result[Magic.size()] = SchemaVersion & 0xFFU;
+  Result[Magic.size() + 1] = SchemaVersion >> 8U;
+  return Result;
+}
+
+Bytes appendFrame(const wire::FrameT &Frame, std::vector<std::uint8_t> &Out) {
+  flatbuffers::FlatBufferBuilder Builder(512);
+  Builder.Finish(wire::Frame::Pack(Builder, &Frame));
+  const std::uint32_t Size = Builder.GetSize();
+  for (std::size_t Index = 0; Index < LengthSize; ++Index)
+    Out.push_back(static_cast<std::uint8_t>(Size >> (8U * Index)));
+  const std::size_t Start = Out.size();
+  Out.insert(Out.end(), Builder.GetBufferPointer(),
+             Builder.GetBufferPointer() + Size);
+  return Bytes(Out).subspan(Start);
+}
+
+bool FrameReader::fill(Bytes &Input, std::size_t Wanted) {
+  const std::size_t Count = std::min(Wanted - m_Buffer.size(), Input.size());
+  m_Buffer.insert(m_Buffer.end(), Input.data(), Input.data() + Count);
+  Input = Input.subspan(Count);
+  return m_Buffer.size() == Wanted;
+}
+
+ReadResult FrameReader::read(Bytes &Input) {
+  while (true) {
+    const std::size_t Wanted = m_Part == Part::Preamble ? PreambleSize
+                               : m_Part == Part::Length ? LengthSize
+                                                        : m_Length;
+    if (!fill(Input, Wanted))
+      return NeedMore{};
+    ReadResult Result = m_Part == Part::Preamble ? takePreamble()
+                        : m_Part == Part::Length ? takeLength()
+                                                 : takeBody();
+    if (!std::holds_alternative<NeedMore>(Result))
+      return Result;
+  }
+}
+
+ReadResult FrameReader::takePreamble() {
+  if (!std::equal(Magic.begin(), Magic.end(), m_Buffer.begin()))
+    return Rejected{CloseReason::Foreign};
+  if (readLittleEndian(m_Buffer.data() + Magic.size(), 2) != SchemaVersion)
+    return Rejected{CloseReason::WrongSchema};
+  m_Buffer.clear();
+  m_Part = Part::Length;
+  return NeedMore{};
+}
+
+ReadResult FrameReader::takeLength() {
+  m_Length = readLittleEndian(m_Buffer.data(), LengthSize);
+  if (m_Length > m_MaxFrame)
+    return Rejected{CloseReason::FrameTooLarge};
+  m_Buffer.clear();
+  m_Part = Part::Body;
+  return NeedMore{};
+}
+
+ReadResult FrameReader::takeBody() {
+  // The body stands alone in its vector, so that it is aligned as FlatBuffers'
+  // accessors need it, wherever in a read from the socket it began.
+  m_Frame.swap(m_Buffer);
+  m_Buffer.clear();
+  m_Part = Part::Length;
+  flatbuffers::Verifier Check(m_Frame.data(), m_Frame.size(), MaxDepth,
+                              MaxTables);
+  if (!wire::VerifyFrameBuffer(Check))
+    return Rejected{CloseReason::BadFrame};
+  return FrameArrived{wire::GetFrame(m_Frame.data()), Bytes(m_Frame)};
+}
+
+} // namespace crowstep::link
--- /dev/null
+++ b/src/link/link_func.h
@@ -0,0 +1,14 @@
+/// Helpers on link types.
+#ifndef CROWSTEP_LINK_LINK_FUNC_H
+#define CROWSTEP_LINK_LINK_FUNC_H
+
+#include "link/link_type.h"
+
+namespace crowstep::link {
+
+/// Returns the reason's name as counters and logs print it.
+const char *closeReasonName(CloseReason Why);
+
+} // namespace crowstep::link
+
+#endif // CROWSTEP_LINK_LINK_FUNC_H
--- /dev/null
+++ b/tests/unit/link_tcp_test.cpp
@@ -0,0 +1,314 @@
+/// Two processes' links in one loop, over loopback: handshake, joined frames,
+/// limits, reconnect, and what a stranger gets to see.
+#define BOOST_TEST_MODULE link_tcp
+#include "core/http_server.h"
+#include "link/handshake.h"
+#include "link/link_func.h"
+#include "link/link_tcp.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <gio/gio.h>
+#include <optional>
+
+using namespace crowstep;
+using namespace crowstep::link;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Runs the loop until \p Done holds; fails the test after 10 s.
+void runUntil(const std::function<bool()> &Done) {
+  const LoopClock Time;
+  const TimePoint Limit = Time.fresh() + 10s;
+  bool Held = Done();
+  while (!Held && Time.fresh() < Limit) {
+    LoopScheduler Timers;
+    Timers.after(5ms, [] {});
+    g_main_context_iteration(nullptr, 1);
+    Held = Done();
+  }
+  BOOST_REQUIRE(Held);
+}
+
+Address freeAddress() {
+  GSocket *Socket = listeningSocket({0x7F000001, 0});
+  GSocketAddress *Bound = g_socket_get_local_address(Socket, nullptr);
+  const auto Port =
+      g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(Bound));
+  g_object_unref(Bound);
+  g_object_unref(Socket);
+  return {0x7F000001, Port};
+}
+
+LinkConfig configOf(const std::string &Name, const Address &Listen) {
+  LinkConfig Config;
+  Config.m_Role =
+      Listen.m_Port != 0 ? wire::Role::Dispatcher : wire::Role::Entry;
+  Config.m_Name = Name;
+  Config.m_Incarnation = Incarnation(7);
+  Config.m_Zone = {"njiro"};
+  Config.m_Listen = Listen;
+  Config.m_Key = "secret";
+  Config.m_HandshakeLimit = 200ms;
+  Config.m_MinBackoff = 10ms;
+  Config.m_MaxBackoff = 50ms;
+  return Config;
+}
+
+/// A process's end of its links, and what it was told.
+struct Node final : LinkListener {
+  explicit Node(const LinkConfig &Config)
+      : m_Links(Config, m_Timers, m_Stats, *this) {
+    m_Links.start();
+  }
+  void linkUp(LinkId Link, const Peer &Who) override {
+    m_Link = Link;
+    m_Peer = Who;
+    ++m_Ups;
+  }
+  void linkFrame(LinkId, const wire::Frame &Frame) override {
+    ++m_Frames;
+    if (Frame.refusals() != nullptr)
+      m_Messages += Frame.refusals()->size();
+    if (m_OnFrame)
+      m_OnFrame();
+  }
+  void linkDown(LinkId, const Peer &, CloseReason Why) override {
+    m_Link = LinkId();
+    m_Down = Why;
+  }
+  void dialFailed(const Address &, CloseReason Why) override {
+    m_DialFailed = Why;
+  }
+  std::uint64_t closed(CloseReason Why) {
+    return m_Stats
+        .counter("crowstep_link_closed_total",
+                 {{"reason", closeReasonName(Why)}})
+        .value();
+  }
+  void refuse(std::uint64_t Request) {
+    m_Links.outbox(m_Link).refusals.emplace_back(Request, 0, 0);
+  }
+
+  LoopScheduler m_Timers;
+  Metrics m_Stats;
+  TcpLinks m_Links;
+  LinkId m_Link;
+  Peer m_Peer;
+  int m_Ups = 0;
+  int m_Frames = 0;
+  std::size_t m_Messages = 0;
+  std::optional<CloseReason> m_Down;
+  std::optional<CloseReason> m_DialFailed;
+  std::function<void()> m_OnFrame;
+};
+
+/// A connection of somebody who does not follow the protocol.
+struct Stranger {
+  explicit Stranger(const Address &Where)
+      : m_Client(g_socket_client_new()),
+        m_Stream(g_socket_client_connect_to_host(
+            m_Client, toString(Where).c_str(), 0, nullptr, nullptr)) {}
+  ~Stranger() {
+    g_object_unref(m_Stream);
+    g_object_unref(m_Client);
+  }
+  void send(Bytes Data) {
+    g_output_stream_write_all(
+        g_io_stream_get_output_stream(G_IO_STREAM(m_Stream)), Data.data(),
+        Data.size(), nullptr, nullptr, nullptr);
+  }
+  void send(const wire::FrameT &Frame) {
+    std::vector<std::uint8_t> Encoded;
+    appendFrame(Frame, Encoded);
+    send(Encoded);
+  }
+
+  /// Plays the dialer's part with the right key.
+  void authenticate(const LinkConfig &Config) {
+    Handshake Own(Config, Side::Dialer);
+    wire::FrameT Frame;
+    Frame.hello = std::make_unique<wire::HelloT>(Own.hello());
+    send(preamble());
+    send(Frame);
+    GSocket *Socket = g_socket_connection_get_socket(m_Stream);
+    g_socket_set_blocking(Socket, 0);
+    FrameReader Reader(MaxHandshakeFrame);
+    runUntil([&] {
+      std::array<std::uint8_t, 1024> Buffer{};
+      const gssize Count =
+          g_socket_receive(Socket, reinterpret_cast<gchar *>(Buffer.data()),
+                           Buffer.size(), nullptr, nullptr);
+      Bytes Input = Bytes(Buffer).first(Count > 0 ? Count : 0);
+      const ReadResult Result = Reader.read(Input);
+      const auto *Arrived = std::get_if<FrameArrived>(&Result);
+      if (Arrived == nullptr)
+        return false;
+      const HandshakeStep Step = Own.take(*Arrived->m_Frame);
+      Frame = wire::FrameT();
+      Frame.proof = std::make_unique<wire::ProofT>(
+          std::get<HandshakeGoesOn>(Step).m_Reply.value());
+      send(Frame);
+      return true;
+    });
+  }
+
+  GSocketClient *m_Client;
+  GSocketConnection *m_Stream;
+};
+
+HandshakeStep takeEncoded(Handshake &Whose, const wire::FrameT &Frame) {
+  std::vector<std::uint8_t> Buffer;
+  return Whose.take(*wire::GetFrame(appendFrame(Frame, Buffer).data()));
+}
+
+struct Pair {
+  Address m_Where = freeAddress();
+  std::optional<Node> m_Server{configOf("server", m_Where)};
+  std::optional<Node> m_Client{configOf("client", {})};
+  void connect() {
+    m_Client->m_Links.dial(m_Where);
+    runUntil([this] {
+      return m_Client->m_Link != LinkId() && m_Server->m_Link != LinkId();
+    });
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(HandshakeTellsWhoIsThere, Pair) {
+  connect();
+  BOOST_TEST(m_Client->m_Peer.m_Name == "server");
+  BOOST_TEST((m_Client->m_Peer.m_Address == m_Where));
+  BOOST_TEST((m_Client->m_Peer.m_Role == wire::Role::Dispatcher));
+  BOOST_TEST(m_Server->m_Peer.m_Name == "client");
+  BOOST_TEST((m_Server->m_Peer.m_Incarnation == Incarnation(7)));
+  BOOST_TEST(m_Server->m_Peer.m_Address.m_Port == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(MessagesOfOneIterationJoinIntoOneFrame, Pair) {
+  connect();
+  for (int Request = 0; Request < 100; ++Request)
+    m_Client->refuse(Request);
+  runUntil([this] { return m_Server->m_Messages == 100; });
+  BOOST_TEST(m_Server->m_Frames == 1);
+  const Labels Serving = {{"direction", "in"}, {"mechanism", "serving"}};
+  BOOST_TEST(m_Server->m_Stats.counter("crowstep_link_messages_total", Serving)
+                 .value() == 100U);
+  // 16 bytes each and the vector's length, to the byte.
+  const auto Size =
+      m_Server->m_Stats.counter("crowstep_link_mechanism_bytes_total", Serving)
+          .value();
+  BOOST_TEST(Size >= 1604U);
+  BOOST_TEST(Size <= 1616U);
+}
+
+BOOST_FIXTURE_TEST_CASE(LinkComesBackAfterThePeerRestarts, Pair) {
+  connect();
+  m_Server.reset();
+  runUntil([this] { return m_Client->m_DialFailed.has_value(); });
+  BOOST_TEST((m_Client->m_Down == CloseReason::PeerClosed));
+  BOOST_TEST((m_Client->m_DialFailed == CloseReason::ConnectRefused));
+  m_Server.emplace(configOf("server", m_Where));
+  runUntil([this] { return m_Client->m_Ups == 2; });
+}
+
+BOOST_FIXTURE_TEST_CASE(ListenerMayCloseWithinItsCallbacks, Pair) {
+  connect();
+  m_Server->m_OnFrame = [this] { m_Server->m_Links.close(m_Server->m_Link); };
+  m_Client->refuse(1);
+  runUntil([this] { return m_Server->m_Down == CloseReason::Local; });
+  runUntil([this] { return m_Client->m_Ups == 2; });
+  m_Client->m_Links.hangUp(m_Where);
+  runUntil([this] { return m_Client->m_Down == CloseReason::Local; });
+  m_Client->refuse(2); // Of no link: thrown away.
+  BOOST_TEST(m_Client->m_Ups == 2);
+}
+
+/// A peer that knows the key connects and then reads nothing more. The server
+/// goes on sending: the kernel's buffers fill, then the send queue up to its
+/// limit. The link closes instead of eating the server's memory.
+BOOST_AUTO_TEST_CASE(PeerThatReadsNothingIsDropped) {
+  LinkConfig Config = configOf("server", freeAddress());
+  Config.m_MaxQueued = 1U << 20;
+  Node Server(Config);
+  Stranger Deaf(Config.m_Listen);
+  Deaf.authenticate(configOf("deaf", {}));
+  runUntil([&] { return Server.m_Link != LinkId(); });
+  runUntil([&] {
+    if (Server.m_Link != LinkId())
+      Server.m_Links.outbox(Server.m_Link).refusals.resize(20'000);
+    return Server.m_Down.has_value();
+  });
+  BOOST_TEST((Server.m_Down == CloseReason::Backlog));
+  BOOST_TEST(Server.closed(CloseReason::Backlog) == 1U);
+}
+
+/// A stranger that a process dials answers with that process's own nonce and
+/// then sends its proof back. Only the direction within the code tells the
+/// echo from a proof.
+BOOST_AUTO_TEST_CASE(ReflectedProofIsRejected) {
+  Handshake Victim(configOf("victim", {}), Side::Dialer);
+  wire::FrameT Echo;
+  Echo.hello = std::make_unique<wire::HelloT>(Victim.hello());
+  Echo.hello->instance = "stranger";
+  const HandshakeStep Replied = takeEncoded(Victim, Echo);
+  wire::FrameT Reflected;
+  Reflected.proof = std::make_unique<wire::ProofT>(
+      std::get<HandshakeGoesOn>(Replied).m_Reply.value());
+  const HandshakeStep Step = takeEncoded(Victim, Reflected);
+  BOOST_REQUIRE(std::holds_alternative<Rejected>(Step));
+  BOOST_TEST((std::get<Rejected>(Step).m_Why == CloseReason::BadProof));
+}
+
+BOOST_FIXTURE_TEST_CASE(WrongKeyIsRefusedByBothSides, Pair) {
+  LinkConfig Config = configOf("client", {});
+  Config.m_Key = "guess";
+  m_Client.emplace(Config);
+  m_Client->m_Links.dial(m_Where);
+  runUntil([this] { return m_Server->closed(CloseReason::BadProof) > 0; });
+  BOOST_TEST(m_Server->m_Ups + m_Client->m_Ups == 0);
+}
+
+/// A stranger opens connections and sends what a peer never would. Nothing of
+/// it reaches the listener, and each is closed with its own reason.
+BOOST_FIXTURE_TEST_CASE(StrangersAreClosedWithTheirReason, Pair) {
+  const auto Opening = preamble();
+  const auto Expect = [this](CloseReason Why) {
+    runUntil([this, Why] { return m_Server->closed(Why) == 1; });
+  };
+  Stranger Http(m_Where);
+  const std::string Get = "GET / HTTP/1.1\r\n\r\n";
+  Http.send({reinterpret_cast<const std::uint8_t *>(Get.data()), Get.size()});
+  Expect(CloseReason::Foreign);
+
+  Stranger Newer(m_Where);
+  auto Other = Opening;
+  Other[6] ^= 0x40;
+  Newer.send(Other);
+  Expect(CloseReason::WrongSchema);
+
+  Stranger Large(m_Where);
+  Large.send(Opening);
+  const std::array<std::uint8_t, 4> Megabyte = {0, 0, 16, 0};
+  Large.send(Megabyte);
+  Expect(CloseReason::FrameTooLarge);
+
+  Stranger Garbage(m_Where);
+  Garbage.send(Opening);
+  const std::array<std::uint8_t, 8> Noise = {4, 0, 0, 0, 255, 255, 255, 255};
+  Garbage.send(Noise);
+  Expect(CloseReason::BadFrame);
+
+  Stranger Eager(m_Where);
+  Eager.send(Opening);
+  wire::FrameT Early;
+  Early.refusals.emplace_back(1, 0, 0);
+  Eager.send(Early);
+  Expect(CloseReason::BadProof);
+
+  const Stranger Silent(m_Where);
+  Expect(CloseReason::HandshakeSlow);
+  BOOST_TEST(m_Server->m_Ups + m_Server->m_Frames == 0);
+}
