--- /dev/null
+++ b/src/entry/caller_request.cpp
@@ -0,0 +1,202 @@
+/// Reading and checking what a caller sent.
+#include "entry/caller_request.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <glib.h>
+#include <xxhash.h>
+
+namespace crowstep::entry {
+
+namespace {
+
+constexpr const char *ChatPath = "/v1/chat/completions";
+constexpr const char *CompletionPath = "/v1/completions";
+constexpr const char *ServicePrefix = "/v1/services/";
+constexpr std::size_t CharactersPerToken = 4;
+constexpr std::size_t MaxIdempotencyKey = 256;
+
+using Json = nlohmann::json;
+using Outcome = std::variant<CallerRequest, ReadRefusal>;
+
+std::string bearerKey(const std::string &Authorization) {
+  static const std::string Scheme = "Bearer ";
+  if (Authorization.compare(0, Scheme.size(), Scheme) != 0)
+    return {};
+  return Authorization.substr(Scheme.size());
+}
+
+bool isJsonType(const std::string &ContentType) {
+  const std::string Type = ContentType.substr(0, ContentType.find(';'));
+  return Type == "application/json" || Type == "application/json ";
+}
+
+bool isUtf8(const std::string &Text) {
+  return g_utf8_validate_len(Text.data(), Text.size(), nullptr) != 0;
+}
+
+/// Appends the text of one message's content, a string or typed parts.
+void appendContent(const Json &Content, std::string &Out) {
+  if (Content.is_string())
+    Out += Content.get_ref<const std::string &>();
+  else if (Content.is_array())
+    for (const Json &Part : Content)
+      if (Part.is_object() && Part.contains("text") && Part["text"].is_string())
+        Out += Part["text"].get_ref<const std::string &>();
+}
+
+/// Returns the prompt's text, or nothing where the body has none.
+std::optional<std::string> promptOf(const Json &Body, bool Chat) {
+  std::string Result;
+  if (!Chat) {
+    const auto Prompt = Body.find("prompt");
+    if (Prompt == Body.end() || !Prompt->is_string())
+      return std::nullopt;
+    return Prompt->get<std::string>();
+  }
+  const auto Messages = Body.find("messages");
+  if (Messages == Body.end() || !Messages->is_array() || Messages->empty())
+    return std::nullopt;
+  for (const Json &Message : *Messages) {
+    if (!Message.is_object() || !Message.contains("content"))
+      return std::nullopt;
+    appendContent(Message["content"], Result);
+  }
+  return Result;
+}
+
+/// Reads an optional whole number; nothing where it is of another kind.
+std::optional<std::uint32_t> maxTokensOf(const Json &Body, std::uint32_t Most) {
+  for (const char *Name : {"max_completion_tokens", "max_tokens"}) {
+    const auto Field = Body.find(Name);
+    if (Field == Body.end() || Field->is_null())
+      continue;
+    if (!Field->is_number_unsigned() || *Field == 0U)
+      return std::nullopt;
+    const auto Asked = Field->get<std::uint64_t>();
+    const std::uint64_t Limit = Most == 0 ? UINT32_MAX : Most;
+    return static_cast<std::uint32_t>(std::min(Asked, Limit));
+  }
+  return Most;
+}
+
+bool readEngineCall(const RawRequest &Raw, CallerRequest &Out) {
+  EngineCall Call;
+  Call.m_Chat = Raw.m_Path == ChatPath;
+  Call.m_Body = Json::parse(Raw.m_Body, nullptr, false);
+  if (!Call.m_Body.is_object())
+    return false;
+  const std::optional<std::string> Prompt = promptOf(Call.m_Body, Call.m_Chat);
+  const std::optional<std::uint32_t> MaxTokens =
+      maxTokensOf(Call.m_Body, Out.m_Contract.m_MaxTokens);
+  const auto Stream = Call.m_Body.find("stream");
+  if (!Prompt || !MaxTokens ||
+      (Stream != Call.m_Body.end() && !Stream->is_boolean()))
+    return false;
+  Call.m_Streamed = Stream != Call.m_Body.end() && Stream->get<bool>();
+  if (!Out.m_Contract.m_Model.empty())
+    Call.m_Body["model"] = Out.m_Contract.m_Model;
+  if (*MaxTokens > 0)
+    Call.m_Body["max_tokens"] = *MaxTokens;
+  Out.m_MaxTokens = *MaxTokens;
+  Out.m_PromptTokens =
+      static_cast<std::uint32_t>(Prompt->size() / CharactersPerToken);
+  Out.m_Prefixes = prefixHashes(*Prompt);
+  Out.m_Call = std::move(Call);
+  return true;
+}
+
+RefusalReason readServiceCall(const RawRequest &Raw, CallerRequest &Out) {
+  const std::size_t Begin = std::string_view(ServicePrefix).size();
+  const std::size_t Slash = Raw.m_Path.find('/', Begin);
+  const std::string Name = Raw.m_Path.substr(Begin, Slash - Begin);
+  if (Slash == std::string::npos || Name != Out.m_Contract.m_Service)
+    return RefusalReason::UnknownPath;
+  if (!Json::accept(Raw.m_Body))
+    return RefusalReason::MalformedBody;
+  Out.m_Call = ServiceCall{Raw.m_Path, Raw.m_Body, Raw.m_IdempotencyKey};
+  return RefusalReason::None;
+}
+
+/// Hashes workspace and key together: a workspace can't name another's claim.
+claim::ClaimKey claimKeyOf(WorkspaceId Workspace, const std::string &Key) {
+  const std::string Text = std::to_string(Workspace.value()) + "/" + Key;
+  const XXH128_hash_t Hash = XXH3_128bits(Text.data(), Text.size());
+  std::array<char, 33> Hex{};
+  std::snprintf(Hex.data(), Hex.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(Hash.high64),
+                static_cast<unsigned long long>(Hash.low64));
+  return Hex.data();
+}
+
+bool isEnginePath(const std::string &Path) {
+  return Path == ChatPath || Path == CompletionPath;
+}
+
+RefusalReason readEnvelope(const RawRequest &Raw, const Directory &Known,
+                           CallerRequest &Out) {
+  if (Raw.m_Method != "POST" ||
+      (!isEnginePath(Raw.m_Path) && Raw.m_Path.rfind(ServicePrefix, 0) != 0))
+    return RefusalReason::UnknownPath;
+  const std::string Key = bearerKey(Raw.m_Authorization);
+  if (Key.empty())
+    return RefusalReason::MissingKey;
+  const std::optional<WorkspaceId> Workspace = Known.workspaceOf(Key);
+  if (!Workspace)
+    return RefusalReason::UnknownKey;
+  Out.m_Workspace = *Workspace;
+  const Contract *Row = Known.contract(Raw.m_Class);
+  if (Row == nullptr)
+    return RefusalReason::UnknownClass;
+  Out.m_Contract = *Row;
+  if (!isJsonType(Raw.m_ContentType))
+    return RefusalReason::WrongContentType;
+  if (!isUtf8(Raw.m_Body))
+    return RefusalReason::MalformedBody;
+  return RefusalReason::None;
+}
+
+RefusalReason readClaim(const RawRequest &Raw, CallerRequest &Out) {
+  if (Out.m_Contract.m_Repeatable)
+    return RefusalReason::None;
+  if (Raw.m_IdempotencyKey.empty())
+    return RefusalReason::KeyRequired;
+  if (Raw.m_IdempotencyKey.size() > MaxIdempotencyKey)
+    return RefusalReason::HeaderTooLarge;
+  Out.m_ClaimKey = claimKeyOf(Out.m_Workspace, Raw.m_IdempotencyKey);
+  const std::string Text = Raw.m_Class + "\n" + Raw.m_Path + "\n" + Raw.m_Body;
+  Out.m_BodyHash = XXH3_64bits(Text.data(), Text.size());
+  return RefusalReason::None;
+}
+
+RefusalReason readCall(const RawRequest &Raw, CallerRequest &Out) {
+  if (!isEnginePath(Raw.m_Path))
+    return readServiceCall(Raw, Out);
+  return readEngineCall(Raw, Out) ? RefusalReason::None
+                                  : RefusalReason::MalformedBody;
+}
+
+} // namespace
+
+std::vector<std::uint64_t> prefixHashes(const std::string &Prompt) {
+  std::vector<std::uint64_t> Result;
+  for (std::size_t End = PrefixStep;
+       End <= Prompt.size() && Result.size() < MaxPrefixes; End += PrefixStep)
+    Result.push_back(XXH3_64bits(Prompt.data(), End));
+  return Result;
+}
+
+Outcome readCallerRequest(const RawRequest &Raw, const Directory &Known) {
+  CallerRequest Result;
+  RefusalReason Why = readEnvelope(Raw, Known, Result);
+  if (Why == RefusalReason::None)
+    Why = readClaim(Raw, Result);
+  if (Why == RefusalReason::None)
+    Why = readCall(Raw, Result);
+  if (Why != RefusalReason::None)
+    return ReadRefusal{Why, Result.m_Contract.m_Name};
+  return Result;
+}
+
+} // namespace crowstep::entry
--- /dev/null
+++ b/src/entry/directory.cpp
@@ -0,0 +1,50 @@
+/// Table, upstreams and workspaces in force.
+#include "entry/directory.h"
+
+#include <algorithm>
+#include <glib.h>
+
+namespace crowstep::entry {
+
+std::string sha256Hex(const std::string &Text) {
+  char *Hex = g_compute_checksum_for_string(G_CHECKSUM_SHA256, Text.data(),
+                                            static_cast<gssize>(Text.size()));
+  std::string Result(Hex);
+  g_free(Hex);
+  return Result;
+}
+
+bool Directory::setTable(ContractTable Table) {
+  if (Table.m_Version <= m_Table.m_Version)
+    return false;
+  m_Table = std::move(Table);
+  return true;
+}
+
+void Directory::setUpstreams(std::vector<Upstream> Upstreams) {
+  m_Upstreams = std::move(Upstreams);
+}
+
+void Directory::setWorkspaces(const std::vector<WorkspaceRow> &Workspaces) {
+  m_ByKeyHash.clear();
+  for (const WorkspaceRow &Each : Workspaces)
+    if (!Each.m_KeyHash.empty())
+      m_ByKeyHash.emplace(Each.m_KeyHash, Each.m_Id);
+}
+
+const Contract *Directory::contract(const std::string &Class) const {
+  const auto Found =
+      std::find_if(m_Table.m_Contracts.begin(), m_Table.m_Contracts.end(),
+                   [&](const Contract &Row) { return Row.m_Name == Class; });
+  return Found == m_Table.m_Contracts.end() ? nullptr : &*Found;
+}
+
+std::optional<WorkspaceId>
+Directory::workspaceOf(const std::string &Key) const {
+  const auto Found = m_ByKeyHash.find(sha256Hex(Key));
+  if (Found == m_ByKeyHash.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+} // namespace crowstep::entry
--- /dev/null
+++ b/src/entry/entry_stats.cpp
@@ -0,0 +1,54 @@
+/// Series of each class.
+#include "entry/entry_stats.h"
+
+namespace crowstep::entry {
+
+namespace {
+
+constexpr const char *NoClass = "none";
+
+template <typename Reason, std::size_t Count>
+void prepareReasons(Metrics &Stats, const std::string &Name,
+                    const std::string &Class,
+                    std::array<Counter *, Count> &Out) {
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Out[Index] = &Stats.counter(
+        Name, {{"class", Class},
+               {"reason", std::string(nameOf(static_cast<Reason>(Index)))}});
+}
+
+ClassStats make(Metrics &Stats, const std::string &Class) {
+  const Labels With = {{"class", Class}};
+  ClassStats Result{};
+  Result.m_Requests = &Stats.counter("crowstep_requests_total", With);
+  Result.m_Finished = &Stats.counter("crowstep_finished_total", With);
+  Result.m_Replayed = &Stats.counter("crowstep_replayed_total", With);
+  Result.m_Tokens = &Stats.counter("crowstep_relayed_tokens_total", With);
+  Result.m_Calls = &Stats.counter("crowstep_upstream_calls_total", With);
+  Result.m_FirstToken = &Stats.latency("crowstep_first_token_seconds", With);
+  Result.m_TokenGap = &Stats.latency("crowstep_token_gap_seconds", With);
+  Result.m_Total = &Stats.latency("crowstep_total_seconds", With);
+  prepareReasons<RefusalReason>(Stats, "crowstep_refusals_total", Class,
+                                Result.m_Refusals);
+  prepareReasons<RetryReason>(Stats, "crowstep_retries_total", Class,
+                              Result.m_Retries);
+  return Result;
+}
+
+} // namespace
+
+void EntryStats::prepare(const ContractTable &Table) {
+  of("");
+  for (const Contract &Row : Table.m_Contracts)
+    of(Row.m_Name);
+}
+
+ClassStats &EntryStats::of(const std::string &Class) {
+  const std::string Name = Class.empty() ? NoClass : Class;
+  const auto Found = m_Stats.find(Name);
+  if (Found != m_Stats.end())
+    return Found->second;
+  return m_Stats.emplace(Name, make(m_Metrics, Name)).first->second;
+}
+
+} // namespace crowstep::entry
--- /dev/null
+++ b/src/entry/front.cpp
@@ -0,0 +1,163 @@
+/// The HTTP side towards callers.
+#include "entry/front.h"
+
+#include "entry/caller.h"
+#include "entry/refusal_answer.h"
+
+#include <array>
+
+namespace crowstep::entry {
+
+namespace {
+
+/// A connection without a request is closed after this; callers' libraries
+/// open another one.
+constexpr Duration IdleLimit = std::chrono::seconds(60);
+
+constexpr std::array<const char *, 4> KnownHeaders = {
+    "Authorization", "Crowstep-Class", "Idempotency-Key", "Content-Type"};
+
+/// The path as it was sent, for forwarding, with its query.
+std::string pathOf(SoupServerMessage *Message) {
+  GUri *Uri = soup_server_message_get_uri(Message);
+  std::string Result = g_uri_get_path(Uri);
+  if (const char *Query = g_uri_get_query(Uri))
+    Result += std::string("?") + Query;
+  return Result;
+}
+
+RawRequest rawRequestOf(SoupServerMessage *Message) {
+  RawRequest Result;
+  Result.m_Method = soup_server_message_get_method(Message);
+  Result.m_Path = pathOf(Message);
+  Result.m_Authorization = requestHeader(Message, "Authorization");
+  Result.m_Class = requestHeader(Message, "Crowstep-Class");
+  Result.m_IdempotencyKey = requestHeader(Message, "Idempotency-Key");
+  Result.m_ContentType = requestHeader(Message, "Content-Type");
+  Result.m_Body = requestBody(Message);
+  return Result;
+}
+
+void closeConnection(SoupServerMessage *Message) {
+  if (GSocket *Socket = soup_server_message_get_socket(Message))
+    g_socket_shutdown(Socket, 1, 1, nullptr);
+}
+
+/// Writes a refusal past libsoup, which answers only what has arrived whole.
+void writeRefusal(SoupServerMessage *Message, RefusalReason Reason) {
+  GSocket *Socket = soup_server_message_get_socket(Message);
+  if (Socket == nullptr)
+    return;
+  const std::string Body = errorBody(Reason);
+  const std::string Text =
+      "HTTP/1.1 " + std::to_string(httpStatusOf(Reason)) +
+      " Refused\r\nContent-Type: application/json\r\nCrowstep-Run: not-run\r\n"
+      "Connection: close\r\nContent-Length: " +
+      std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  g_socket_send(Socket, Text.data(), Text.size(), nullptr, nullptr);
+}
+
+} // namespace
+
+Front::Front(const RequestLimits &Limits, EntryStats &Stats, Scheduler &Timers)
+    : m_Limits(Limits), m_Stats(Stats), m_Timers(Timers) {}
+
+Front::~Front() {
+  if (m_Server.native() != nullptr)
+    g_signal_handlers_disconnect_by_data(m_Server.native(), this);
+  for (const auto &[Message, Each] : m_Arrivals)
+    g_signal_handlers_disconnect_by_data(Message, this);
+}
+
+void Front::listen(const Address &Where, Handler OnRequest) {
+  m_Handler = std::move(OnRequest);
+  m_Server.listen(Where, [this](SoupServerMessage *Message, const char *) {
+    handle(Message);
+  });
+  g_signal_connect(m_Server.native(), "request-started", G_CALLBACK(onStarted),
+                   this);
+}
+
+void Front::onStarted(SoupServer *, SoupServerMessage *Message, void *Self) {
+  auto *Owner = static_cast<Front *>(Self);
+  g_signal_connect(Message, "got-headers", G_CALLBACK(onHeaders), Self);
+  g_signal_connect(Message, "got-chunk", G_CALLBACK(onChunk), Self);
+  g_signal_connect(Message, "got-body", G_CALLBACK(onArrived), Self);
+  g_signal_connect(Message, "finished", G_CALLBACK(onFinished), Self);
+  Arrival &Fresh = Owner->m_Arrivals[Message];
+  Fresh.m_Limit = std::make_unique<Timer>(Owner->m_Timers);
+  Fresh.m_Limit->start(IdleLimit, [Message] { closeConnection(Message); });
+}
+
+void Front::onHeaders(SoupServerMessage *Message, void *Self) {
+  auto *Owner = static_cast<Front *>(Self);
+  Arrival &Each = Owner->m_Arrivals[Message];
+
+  if (Each.m_Limit != nullptr)
+    Each.m_Limit->start(Owner->m_Limits.m_ReceiveLimit,
+                        [Owner, Message] { Owner->slow(Message); });
+  for (const char *Name : KnownHeaders)
+    if (requestHeader(Message, Name).size() > Owner->m_Limits.m_MaxHeader) {
+      Owner->refuse(Message, RefusalReason::HeaderTooLarge);
+      return;
+    }
+  const goffset Length = soup_message_headers_get_content_length(
+      soup_server_message_get_request_headers(Message));
+  if (Length > static_cast<goffset>(Owner->m_Limits.m_MaxBody))
+    Owner->refuse(Message, RefusalReason::BodyTooLarge);
+}
+
+void Front::onChunk(SoupServerMessage *Message, GBytes *Chunk, void *Self) {
+  auto *Owner = static_cast<Front *>(Self);
+  Arrival &Each = Owner->m_Arrivals[Message];
+  Each.m_Size += g_bytes_get_size(Chunk);
+  // A body without a length is found out while it comes; the rest is not kept.
+  if (Each.m_Size > Owner->m_Limits.m_MaxBody)
+    soup_message_body_set_accumulate(
+        soup_server_message_get_request_body(Message), 0);
+}
+
+void Front::onArrived(SoupServerMessage *Message, void *Self) {
+  auto *Owner = static_cast<Front *>(Self);
+  const auto Found = Owner->m_Arrivals.find(Message);
+  if (Found != Owner->m_Arrivals.end())
+    Found->second.m_Limit.reset();
+}
+
+void Front::onFinished(SoupServerMessage *Message, void *Self) {
+  static_cast<Front *>(Self)->m_Arrivals.erase(Message);
+}
+
+void Front::slow(SoupServerMessage *Message) {
+  m_Stats.of("")
+      .m_Refusals[static_cast<std::size_t>(RefusalReason::SlowCaller)]
+      ->add();
+  writeRefusal(Message, RefusalReason::SlowCaller);
+  closeConnection(Message);
+}
+
+void Front::refuse(SoupServerMessage *Message, RefusalReason Reason) {
+  m_Stats.of("").m_Refusals[static_cast<std::size_t>(Reason)]->add();
+  fillAnswer(Message, refusalAnswer(Reason, RunState::NotRun, {}));
+  // What is left of the body is not read.
+  soup_message_headers_replace(
+      soup_server_message_get_response_headers(Message), "Connection", "close");
+}
+
+void Front::handle(SoupServerMessage *Message) {
+  if (soup_server_message_get_status(Message) != 0)
+    return; // Refused by its headers.
+  if (m_Arrivals[Message].m_Size > m_Limits.m_MaxBody) {
+    refuse(Message, RefusalReason::BodyTooLarge);
+    return;
+  }
+  ++m_Unfinished;
+  g_signal_connect(Message, "finished",
+                   G_CALLBACK(+[](SoupServerMessage *, void *Self) {
+                     --static_cast<Front *>(Self)->m_Unfinished;
+                   }),
+                   this);
+  m_Handler(Message, rawRequestOf(Message));
+}
+
+} // namespace crowstep::entry
--- /dev/null
+++ b/src/entry/request.cpp
@@ -0,0 +1,437 @@
+/// One request between caller, placement and upstream.
+#include "entry/request.h"
+
+#include "core/log.h"
+#include "entry/refusal_answer.h"
+
+#include <glib.h>
+
+namespace crowstep::entry {
+
+namespace {
+
+constexpr const char *EventStreamType = "text/event-stream";
+constexpr std::size_t MaxWholeAnswer = 16U << 20;
+constexpr unsigned HttpOk = 200;
+constexpr unsigned HttpUnavailable = 503;
+constexpr unsigned FirstServerError = 500;
+constexpr Duration CancelTimeout = std::chrono::seconds(2);
+
+using Json = nlohmann::json;
+
+std::string randomId() {
+  char *Text = g_uuid_string_random();
+  std::string Result(Text);
+  g_free(Text);
+  return Result;
+}
+
+RequestTerms termsOf(const CallerRequest &What, const RequestLimits &Limits) {
+  RequestTerms Result;
+  Result.m_Repeatable = What.m_Contract.m_Repeatable;
+  Result.m_Streamed = What.streamed();
+  Result.m_FirstTokenTarget = What.m_Contract.m_FirstTokenTarget;
+  Result.m_TotalLimit = What.m_Contract.m_TotalLimit;
+  Result.m_MaxAttempts = Limits.m_MaxAttempts;
+  return Result;
+}
+
+bool isChat(const CallerRequest &What) {
+  const auto *Model = std::get_if<EngineCall>(&What.m_Call);
+  return Model != nullptr && Model->m_Chat;
+}
+
+/// Returns the code of an upstream's proof that it did not run the call, or
+/// nothing.
+std::optional<std::string> notRunCode(unsigned Status,
+                                      const std::string &Body) {
+  if (Status != HttpUnavailable)
+    return std::nullopt;
+  const Json Answer = Json::parse(Body, nullptr, false);
+  if (!Answer.is_object() || !Answer.contains("error") ||
+      !Answer["error"].is_object() ||
+      Answer["error"].value("type", Json()) != "not_run")
+    return std::nullopt;
+  const Json Code = Answer["error"].value("code", Json());
+  return Code.is_string() ? Code.get<std::string>() : std::string();
+}
+
+} // namespace
+
+Request::Request(RequestWorld &World, ClassStats &Stats, CallerRequest What,
+                 std::unique_ptr<Caller> Client, std::function<void()> Ended)
+    : m_World(World), m_Stats(Stats), m_What(std::move(What)),
+      m_Caller(std::move(Client)), m_Ended(std::move(Ended)),
+      m_Core(termsOf(m_What, World.m_Limits), World.m_Clock.fresh()),
+      m_Alive(std::make_shared<bool>(true)), m_Begin(World.m_Clock.now()),
+      m_Limit(World.m_Timers), m_Pause(World.m_Timers), m_RequestId(randomId()),
+      m_Assembler(isChat(m_What)) {
+  if (!m_What.m_ClaimKey.empty())
+    m_Attempt = randomId();
+}
+
+Request::~Request() { *m_Alive = false; }
+
+void Request::start() {
+  m_Stats.m_Requests->add();
+  m_Caller->onGone([this] { handle(CallerLeft{}); });
+  m_Caller->onDrained([this] {
+    if (m_Call != nullptr &&
+        m_Caller->backlog() < m_World.m_Limits.m_CallerBacklog / 2)
+      m_Call->continueReading();
+  });
+  m_Limit.start(m_What.m_Contract.m_TotalLimit,
+                [this] { handle(LimitReached{}); });
+  handle(Admitted{});
+}
+
+void Request::handle(const RequestEvent &What) {
+  m_Events.push_back(What);
+  if (m_Busy)
+    return;
+  m_Busy = true;
+  std::vector<RequestAction> Actions;
+  while (!m_Events.empty()) {
+    const RequestEvent Next = m_Events.front();
+    m_Events.pop_front();
+    Actions.clear();
+    m_Core.handle(Next, m_World.m_Clock.fresh(), Actions);
+    for (const RequestAction &Each : Actions)
+      std::visit([this](const auto &Action) { carryOut(Action); }, Each);
+  }
+  m_Busy = false;
+  if (!m_Core.ended() || m_Told)
+    return;
+  m_Told = true;
+  m_Limit.stop();
+  m_Pause.stop();
+  m_Ended();
+}
+
+// ---- Placement --------------------------------------------------------------
+
+void Request::slotGranted(const GrantedSlot &Slot) { handle(Granted{Slot}); }
+
+void Request::bidRefused(RefusalReason Reason, Duration RetryAfter) {
+  handle(BidRefused{Reason, RetryAfter});
+}
+
+void Request::slotPreempted(UpstreamId Upstream) {
+  handle(PreemptOrdered{Upstream});
+}
+
+void Request::grantSuspect() { handle(GrantSuspect{}); }
+
+void Request::bidMoved() {
+  m_Stats.m_Retries[static_cast<std::size_t>(RetryReason::DispatcherLost)]
+      ->add();
+}
+
+std::uint32_t Request::callTokens() const { return m_CallTokens; }
+
+void Request::carryOut(const PlaceBid &What) {
+  BidTerms Terms;
+  Terms.m_Service = m_What.m_Contract.m_Service;
+  Terms.m_Class = m_What.m_Contract.m_Id;
+  Terms.m_Workspace = m_What.m_Workspace;
+  Terms.m_PromptTokens = m_What.m_PromptTokens;
+  Terms.m_MaxTokens = m_What.m_MaxTokens;
+  Terms.m_Prefixes = m_What.m_Prefixes;
+  Terms.m_Ask = What;
+  m_Bid = m_World.m_Placement.bid(Terms, *this);
+}
+
+void Request::carryOut(const WithdrawBid &) {
+  m_World.m_Placement.withdraw(m_Bid);
+}
+
+void Request::carryOut(const ReportFirstToken &What) {
+  m_World.m_Placement.firstToken(m_Bid, What.m_Latency);
+}
+
+void Request::carryOut(const ReleaseSlot &What) {
+  m_World.m_Placement.release(m_Bid, What);
+}
+
+void Request::carryOut(const CountRetry &What) {
+  m_Stats.m_Retries[static_cast<std::size_t>(What.m_Reason)]->add();
+}
+
+void Request::carryOut(const WakeAfter &What) {
+  m_Pause.start(What.m_Pause, [this] { handle(PauseOver{}); });
+}
+
+// ---- Claims -----------------------------------------------------------------
+
+claim::Claims::Done Request::whenClaimed() {
+  return [this, Alive = m_Alive](const claim::ClaimOutcome &Outcome) {
+    if (*Alive)
+      handle(ClaimAnswered{Outcome});
+  };
+}
+
+claim::Claims::Done Request::whenRecorded() {
+  return [this, Alive = m_Alive](const claim::ClaimOutcome &Outcome) {
+    if (*Alive)
+      handle(EndRecorded{Outcome.m_Status == claim::ClaimStatus::Done});
+  };
+}
+
+void Request::carryOut(const AskClaim &What) {
+  m_World.m_Claims.claim(m_What.m_ClaimKey, m_What.m_BodyHash, m_Attempt,
+                         What.m_Limit, whenClaimed());
+}
+
+void Request::carryOut(const ReadClaim &) {
+  m_World.m_Claims.read(m_What.m_ClaimKey, m_What.m_BodyHash, whenClaimed());
+}
+
+void Request::carryOut(const RecordNotRun &) {
+  m_World.m_Claims.recordNotRun(m_What.m_ClaimKey, m_Attempt, whenRecorded());
+}
+
+void Request::carryOut(const RecordRan &What) {
+  claim::KeptAnswer Kept;
+  if (!What.m_OutcomeKnown) {
+    logEvent(LogEvent::EntryOutcomeUnknown,
+             {{"class", m_What.m_Contract.m_Name}});
+    Kept = {OutcomeUnknownStatus, "text/plain", "unknown"};
+  } else if (m_What.streamed() && m_Status == HttpOk) {
+    Kept = {HttpOk, EventStreamType, m_KeptEvents};
+  } else {
+    const CallerAnswer Whole = wholeAnswer();
+    Kept = {static_cast<std::uint16_t>(Whole.m_Status), Whole.m_ContentType,
+            Whole.m_Body};
+  }
+  m_World.m_Claims.recordRan(m_What.m_ClaimKey, m_Attempt, Kept,
+                             whenRecorded());
+}
+
+// ---- The upstream's call ----------------------------------------------------
+
+void Request::carryOut(const SendCall &What) {
+  m_Slot = What.m_Slot;
+  m_Status = 0;
+  m_Body.clear();
+  m_Splitter = EventSplitter();
+  m_Done = false;
+  m_CallTokens = 0;
+  if (What.m_ResumeTokens == 0) {
+    m_Tokens = 0;
+    m_Assembler.clear();
+    m_KeptEvents.clear();
+  }
+  UpstreamSend Send;
+  Send.m_Where = What.m_Slot.m_Address;
+  Send.m_Repeatable = m_What.m_Contract.m_Repeatable;
+  Send.m_SendBefore = What.m_SendBefore;
+  Send.m_SilenceLimit = m_World.m_Limits.m_UpstreamSilence;
+  if (const auto *Model = std::get_if<EngineCall>(&m_What.m_Call)) {
+    // A number of its own for each call: a late order to cancel the last one
+    // must not stop this one at the same engine.
+    m_CallId = m_RequestId + "-" + std::to_string(++m_Calls);
+    Json Body = Model->m_Body;
+    Body["stream"] = true;
+    Body["request_id"] = m_CallId;
+    Body["priority"] = What.m_Slot.m_Priority;
+    if (What.m_ResumeTokens > 0)
+      Body["resume_tokens"] = What.m_ResumeTokens;
+    Send.m_Path = Model->m_Chat ? "/v1/chat/completions" : "/v1/completions";
+    Send.m_Body = Body.dump();
+  } else {
+    const auto &Service = std::get<ServiceCall>(m_What.m_Call);
+    Send.m_Path = Service.m_Path;
+    Send.m_Body = Service.m_Body;
+    Send.m_Key = Service.m_Key;
+  }
+  m_Stats.m_Calls->add();
+  m_Call = m_World.m_Upstream.send(Send, *this);
+}
+
+void Request::carryOut(const CancelCall &) {
+  m_Call.reset();
+  if (!std::holds_alternative<EngineCall>(m_What.m_Call))
+    return;
+  HttpCall Order;
+  Order.m_Method = "POST";
+  Order.m_Where = m_Slot.m_Address;
+  Order.m_Path = "/v1/cancel";
+  Order.m_Body = Json{{"request_id", m_CallId}}.dump();
+  Order.m_Timeout = CancelTimeout;
+  // Closing the connection stops the engine as well; the order is for engines
+  // that notice a close only when they write.
+  m_World.m_Http.call(Order, [](const HttpResult &) {});
+}
+
+void Request::upstreamHeaders(unsigned Status, const std::string &ContentType) {
+  m_Status = Status;
+  m_ContentType = ContentType;
+}
+
+void Request::upstreamBytes(std::string_view Bytes) {
+  if (std::holds_alternative<EngineCall>(m_What.m_Call) && m_Status == HttpOk) {
+    takeEvents(Bytes);
+    return;
+  }
+  const bool First = m_Body.empty();
+  m_Body.append(Bytes);
+  if (m_Body.size() > MaxWholeAnswer)
+    endCall(CallEnd::ClosedMidStream);
+  else if (First && m_Status < FirstServerError)
+    handle(TokensArrived{0});
+}
+
+void Request::takeEvents(std::string_view Bytes) {
+  if (m_Done)
+    return;
+  const EventBatch Batch = m_Splitter.feed(Bytes);
+  m_Done = Batch.m_Done;
+  const bool Understood = m_What.streamed() || m_Assembler.feed(Batch.m_Events);
+  if (!Batch.m_Events.empty())
+    relay(Batch);
+  if (Batch.m_Failed || !Understood)
+    endCall(m_Tokens > 0 ? CallEnd::ClosedMidStream
+                         : CallEnd::ClosedBeforeByte);
+}
+
+void Request::relay(const EventBatch &Batch) {
+  countTokens(Batch.m_Tokens);
+  handle(TokensArrived{Batch.m_Tokens});
+  if (!m_What.streamed())
+    return;
+  CallerAnswer Head;
+  Head.m_ContentType = EventStreamType;
+  m_Caller->beginStream(Head);
+  m_Caller->append(Batch.m_Events);
+  if (!m_What.m_ClaimKey.empty())
+    m_KeptEvents += Batch.m_Events;
+  // A caller that reads slowly must not make this process hold its whole
+  // answer; the engine is held back by its own socket instead.
+  if (m_Call != nullptr &&
+      m_Caller->backlog() > m_World.m_Limits.m_CallerBacklog)
+    m_Call->pauseReading();
+}
+
+void Request::countTokens(std::uint32_t Count) {
+  if (Count == 0)
+    return;
+  const TimePoint Now = m_World.m_Clock.now();
+  if (m_LastToken == TimePoint())
+    m_Stats.m_FirstToken->record(Now - m_Begin);
+  else
+    m_Stats.m_TokenGap->record(Now - m_LastToken);
+  m_LastToken = Now;
+  m_Tokens += Count;
+  m_CallTokens += Count;
+  m_Stats.m_Tokens->add(Count);
+}
+
+void Request::upstreamEnded(TransportEnd How) {
+  const bool Begun = m_CallTokens > 0 || !m_Body.empty();
+  switch (How) {
+  case TransportEnd::NotSent:
+    endCall(CallEnd::ConnectFailed);
+    return;
+  case TransportEnd::TooOld:
+    endCall(CallEnd::TooOld);
+    return;
+  case TransportEnd::Complete:
+    endCall(wholeOrRefused());
+    return;
+  case TransportEnd::Broken:
+    // After its last event an engine's close says nothing more.
+    if (m_Done)
+      endCall(CallEnd::Whole);
+    else
+      endCall(Begun ? CallEnd::ClosedMidStream : CallEnd::ClosedBeforeByte);
+    return;
+  }
+}
+
+CallEnd Request::wholeOrRefused() const {
+  const bool Model = std::holds_alternative<EngineCall>(m_What.m_Call);
+  if (Model && m_Status == HttpOk) {
+    if (m_Done)
+      return CallEnd::Whole;
+    return m_CallTokens > 0 ? CallEnd::ClosedMidStream
+                            : CallEnd::ClosedBeforeByte;
+  }
+  if (const auto Code = notRunCode(m_Status, m_Body))
+    return *Code == "leaving" ? CallEnd::Leaving : CallEnd::Busy;
+  if (m_Tokens > 0)
+    return CallEnd::ClosedMidStream;
+  if (m_What.m_Contract.m_Repeatable && m_Status >= FirstServerError)
+    return CallEnd::ClosedBeforeByte;
+  return CallEnd::Whole;
+}
+
+void Request::endCall(CallEnd How) {
+  m_Call.reset();
+  if (How == CallEnd::ClosedBeforeByte || How == CallEnd::ClosedMidStream)
+    logEvent(LogEvent::EntryUpstreamFailed,
+             {{"class", m_What.m_Contract.m_Name},
+              {"upstream", toString(m_Slot.m_Address)},
+              {"tokens", std::to_string(m_CallTokens)}});
+  handle(CallEnded{How});
+}
+
+// ---- Final answers ----------------------------------------------------------
+
+CallerAnswer Request::wholeAnswer() const {
+  CallerAnswer Result;
+  if (std::holds_alternative<EngineCall>(m_What.m_Call) && m_Status == HttpOk) {
+    Result.m_Body = m_Assembler.answer(m_What.m_PromptTokens, m_Tokens);
+    return Result;
+  }
+  Result.m_Status =
+      m_Status == OutcomeUnknownStatus ? FirstServerError : m_Status;
+  Result.m_ContentType =
+      m_ContentType.empty() ? "application/octet-stream" : m_ContentType;
+  Result.m_Body = m_Body;
+  return Result;
+}
+
+void Request::count(RefusalReason Reason) {
+  m_Stats.m_Refusals[static_cast<std::size_t>(Reason)]->add();
+}
+
+void Request::carryOut(const Refuse &What) {
+  count(What.m_Reason);
+  m_Caller->answer(
+      refusalAnswer(What.m_Reason, What.m_State, What.m_RetryAfter));
+}
+
+void Request::carryOut(const ReplayAnswer &What) {
+  if (What.m_Answer.m_Status == OutcomeUnknownStatus) {
+    carryOut(Refuse{RefusalReason::OutcomeUnknown, RunState::Unknown, {}});
+    return;
+  }
+  m_Stats.m_Replayed->add();
+  CallerAnswer Answer;
+  Answer.m_Status = What.m_Answer.m_Status;
+  Answer.m_ContentType = What.m_Answer.m_ContentType;
+  Answer.m_Body = What.m_Answer.m_Body;
+  m_Caller->answer(Answer);
+}
+
+void Request::carryOut(const FinishAnswer &) {
+  m_Stats.m_Finished->add();
+  m_Stats.m_Total->record(m_World.m_Clock.now() - m_Begin);
+  if (m_What.streamed() && m_Status == HttpOk)
+    m_Caller->endStream();
+  else
+    m_Caller->answer(wholeAnswer());
+}
+
+void Request::carryOut(const CutAnswer &What) {
+  count(What.m_Reason);
+  m_Caller->append(errorEvent(What.m_Reason));
+  m_Caller->endStream();
+}
+
+void Request::carryOut(const DropAnswer &) {
+  count(RefusalReason::CallerGone);
+  m_Caller->drop();
+}
+
+} // namespace crowstep::entry
--- /dev/null
+++ b/src/entry/request_core.cpp
@@ -0,0 +1,482 @@
+/// The request's state machine.
+#include "entry/request_core.h"
+
+#include <algorithm>
+
+namespace crowstep::entry {
+
+namespace {
+
+using decision::WorkEnd;
+
+/// A call that may not be repeated and a refused claim leave the caller to
+/// come back after about this long.
+constexpr Duration ClaimRetryAfter = std::chrono::seconds(1);
+
+WorkEnd workEndOf(CallEnd How) {
+  switch (How) {
+  case CallEnd::Whole:
+    return WorkEnd::Finished;
+  case CallEnd::ConnectFailed:
+    return WorkEnd::ConnectFailed;
+  case CallEnd::TooOld:
+    return WorkEnd::Unused;
+  case CallEnd::Busy:
+    return WorkEnd::UpstreamRefused;
+  case CallEnd::Leaving:
+    return WorkEnd::UpstreamLeaving;
+  case CallEnd::ClosedBeforeByte:
+  case CallEnd::ClosedMidStream:
+    return WorkEnd::Failed;
+  }
+  return WorkEnd::Failed;
+}
+
+RetryReason retryReasonOf(CallEnd How) {
+  switch (How) {
+  case CallEnd::ConnectFailed:
+    return RetryReason::ConnectFailed;
+  case CallEnd::TooOld:
+    return RetryReason::GrantExpired;
+  case CallEnd::Busy:
+    return RetryReason::UpstreamRefused;
+  case CallEnd::Leaving:
+    return RetryReason::UpstreamLeaving;
+  case CallEnd::ClosedMidStream:
+    return RetryReason::ClosedMidStream;
+  case CallEnd::Whole:
+  case CallEnd::ClosedBeforeByte:
+    return RetryReason::ClosedBeforeByte;
+  }
+  return RetryReason::ClosedBeforeByte;
+}
+
+} // namespace
+
+RequestCore::RequestCore(const RequestTerms &Terms, TimePoint Now)
+    : m_Terms(Terms), m_Begin(Now), m_Now(Now) {}
+
+void RequestCore::handle(const RequestEvent &What, TimePoint Now,
+                         Actions &Out) {
+  m_Now = Now;
+  if (m_State == State::Ended)
+    return;
+  std::visit([&](const auto &Event) { on(Event, Out); }, What);
+}
+
+// ---- Placing ----------------------------------------------------------------
+
+void RequestCore::on(const Admitted &, Actions &Out) {
+  if (m_State == State::New)
+    bid(false, std::nullopt, Out);
+}
+
+void RequestCore::bid(bool IsRetry, std::optional<UpstreamId> Avoid,
+                      Actions &Out) {
+  m_State = State::Bidding;
+  const Duration Waited = m_Now - m_Begin;
+  const auto Left = [&](Duration Whole) {
+    return std::max(Whole - Waited, Duration::zero());
+  };
+  Out.emplace_back(PlaceBid{m_Tokens, IsRetry, Avoid,
+                            Left(m_Terms.m_FirstTokenTarget),
+                            Left(m_Terms.m_TotalLimit)});
+}
+
+void RequestCore::on(const Granted &What, Actions &Out) {
+  if (m_State != State::Bidding)
+    return;
+  m_Slot = What.m_Slot;
+  m_SlotHeld = true;
+  m_SlotSuspect = false;
+  m_GrantedAt = m_Now;
+  if (m_Tokens > 0 && !m_Slot.m_Resumes) {
+    if (m_StreamBegun) {
+      // Tokens that the caller has can't be taken back, and this engine would
+      // begin again: the caller would read the beginning twice.
+      release(WorkEnd::Unused, Out);
+      refuse(RefusalReason::UpstreamFailed, Duration::zero(), Out);
+      return;
+    }
+    m_Tokens = 0;
+  }
+  if (m_Terms.m_Repeatable || m_ClaimOwned) {
+    send(Out);
+    return;
+  }
+  m_State = State::Claiming;
+  if (!m_ClaimAsked)
+    m_ClaimedAt = m_Now;
+  m_ClaimAsked = true;
+  askClaim(Out);
+}
+
+void RequestCore::askClaim(Actions &Out) {
+  // An outage of the table service must not hold the slot for longer than the
+  // grant can be used, nor the caller for longer than its limit.
+  const Duration Left = m_Terms.m_TotalLimit - (m_Now - m_Begin);
+  const Duration Limit = m_SlotHeld ? std::min(m_Slot.m_ValidFor, Left) : Left;
+  Out.emplace_back(AskClaim{std::max(Limit, Duration::zero())});
+}
+
+void RequestCore::on(const GrantSuspect &, Actions &) {
+  // A frozen process reads an old grant from its socket as if it were new; it
+  // is checked again where it would be used.
+  m_SlotSuspect = true;
+}
+
+void RequestCore::on(const BidRefused &What, Actions &Out) {
+  if (m_State == State::Bidding)
+    refuse(What.m_Reason, What.m_RetryAfter, Out);
+}
+
+bool RequestCore::slotStale() const {
+  return m_SlotSuspect || m_Now - m_GrantedAt >= m_Slot.m_ValidFor;
+}
+
+void RequestCore::release(WorkEnd End, Actions &Out) {
+  if (!m_SlotHeld)
+    return;
+  m_SlotHeld = false;
+  Out.emplace_back(
+      ReleaseSlot{m_Slot.m_Upstream, End, m_CallTokens, m_Now - m_GrantedAt});
+  m_CallTokens = 0;
+}
+
+// ---- Claiming ---------------------------------------------------------------
+
+void RequestCore::on(const ClaimAnswered &What, Actions &Out) {
+  const bool Asked = m_State == State::Claiming;
+  if (!Asked && m_State != State::KeyRead)
+    return;
+  switch (What.m_Outcome.m_Status) {
+  case claim::ClaimStatus::Owned:
+    claimOwned(Out);
+    return;
+  case claim::ClaimStatus::Ran:
+    release(WorkEnd::Unused, Out);
+    m_ClaimAsked = false;
+    finish(ReplayAnswer{What.m_Outcome.m_Answer}, Out);
+    return;
+  case claim::ClaimStatus::InProgress:
+    keyHeldElsewhere(Out);
+    return;
+  case claim::ClaimStatus::OtherBody:
+    release(WorkEnd::Unused, Out);
+    m_ClaimAsked = false;
+    refuse(RefusalReason::KeyReused, Duration::zero(), Out);
+    return;
+  case claim::ClaimStatus::Done:
+    if (!Asked) // The other call provably never ran: the key is free.
+      bid(false, std::nullopt, Out);
+    return;
+  case claim::ClaimStatus::Unavailable:
+    if (!Asked) {
+      keyHeldElsewhere(Out);
+      return;
+    }
+    // Nothing was written now, but an earlier ask of this attempt whose
+    // outcome was uncertain may have been.
+    m_ClaimAsked = m_ClaimMayStand;
+    release(WorkEnd::Unused, Out);
+    refuse(RefusalReason::ClaimUnavailable, ClaimRetryAfter, Out);
+    return;
+  case claim::ClaimStatus::Uncertain:
+    // The row may name this attempt. Asking again with the same attempt finds
+    // out; nothing is sent before, and the slot is not held meanwhile.
+    release(WorkEnd::Unused, Out);
+    m_ClaimMayStand = m_ClaimMayStand || Asked;
+    m_State = Asked ? State::ClaimPause : State::KeyWait;
+    Out.emplace_back(WakeAfter{ClaimPoll});
+    return;
+  }
+}
+
+void RequestCore::claimOwned(Actions &Out) {
+  m_ClaimOwned = true;
+  m_OtherHolds = false; // It gave the key back before.
+  if (m_CallerGone) {
+    release(WorkEnd::Unused, Out);
+    refuse(RefusalReason::CallerGone, Duration::zero(), Out);
+    return;
+  }
+  if (!m_SlotHeld || slotStale()) {
+    release(WorkEnd::Unused, Out);
+    retry(RetryReason::GrantExpired, false, std::nullopt, Out);
+    return;
+  }
+  send(Out);
+}
+
+void RequestCore::keyHeldElsewhere(Actions &Out) {
+  // The slot is of no use while another call holds the key.
+  release(WorkEnd::Unused, Out);
+  m_OtherHolds = true;
+  m_ClaimAsked = false;
+  if (m_CallerGone) {
+    finish(DropAnswer{}, Out);
+    return;
+  }
+  m_State = State::KeyWait;
+  Out.emplace_back(WakeAfter{ClaimPoll});
+}
+
+void RequestCore::on(const PauseOver &, Actions &Out) {
+  if (m_State == State::KeyWait) {
+    m_State = State::KeyRead;
+    Out.emplace_back(ReadClaim{});
+  } else if (m_State == State::ClaimPause) {
+    m_State = State::Claiming;
+    askClaim(Out);
+  } else if (m_State == State::Keeping) {
+    answerRan(Out);
+  }
+}
+
+// ---- Calling ----------------------------------------------------------------
+
+void RequestCore::send(Actions &Out) {
+  m_State = State::Calling;
+  m_FirstToken = false;
+  m_CallTokens = 0;
+  ++m_Attempts;
+  TimePoint Before = m_GrantedAt + m_Slot.m_ValidFor;
+  if (!m_Terms.m_Repeatable)
+    Before = std::min(Before, m_ClaimedAt + MaxClaimAge);
+  Out.emplace_back(SendCall{m_Slot, Before, m_Tokens});
+}
+
+void RequestCore::on(const TokensArrived &What, Actions &Out) {
+  if (m_State != State::Calling)
+    return;
+  m_StreamBegun |= m_Terms.m_Streamed;
+  if (!m_FirstToken) {
+    m_FirstToken = true;
+    Out.emplace_back(ReportFirstToken{m_Now - m_GrantedAt});
+  }
+  m_Tokens += What.m_Count;
+  m_CallTokens += What.m_Count;
+}
+
+void RequestCore::on(const CallEnded &What, Actions &Out) {
+  if (m_State != State::Calling)
+    return;
+  release(workEndOf(What.m_End), Out);
+  switch (What.m_End) {
+  case CallEnd::Whole:
+    if (m_Terms.m_Repeatable) {
+      finish(FinishAnswer{}, Out);
+      return;
+    }
+    keep(true, Out);
+    return;
+  case CallEnd::ConnectFailed:
+  case CallEnd::TooOld:
+  case CallEnd::Busy:
+  case CallEnd::Leaving:
+    neverRan(What.m_End, Out);
+    return;
+  case CallEnd::ClosedBeforeByte:
+  case CallEnd::ClosedMidStream:
+    mayHaveRun(What.m_End, Out);
+    return;
+  }
+}
+
+void RequestCore::neverRan(CallEnd How, Actions &Out) {
+  if (m_CallerGone || m_Answered) {
+    refuse(RefusalReason::CallerGone, Duration::zero(), Out);
+    return;
+  }
+  const bool Fault = How != CallEnd::TooOld;
+  retry(retryReasonOf(How), Fault,
+        Fault ? std::optional(m_Slot.m_Upstream) : std::nullopt, Out);
+}
+
+void RequestCore::mayHaveRun(CallEnd How, Actions &Out) {
+  m_MayHaveRun = true;
+  if (m_Terms.m_Repeatable) {
+    retry(retryReasonOf(How), true, m_Slot.m_Upstream, Out);
+    return;
+  }
+  // Never sent again: a second call could seat the rider twice. The claim
+  // stays with this attempt, and the key's repetition is told "unknown".
+  keep(false, Out);
+}
+
+void RequestCore::keep(bool OutcomeKnown, Actions &Out) {
+  m_State = State::Keeping;
+  m_OutcomeKnown = OutcomeKnown;
+  Out.emplace_back(RecordRan{OutcomeKnown});
+  // The answer is there: an outage of the table service does not hold it for
+  // longer. Until the record is written a repetition is told "in progress".
+  Out.emplace_back(WakeAfter{KeepPatience});
+}
+
+void RequestCore::retry(RetryReason Why, bool IsRetry,
+                        std::optional<UpstreamId> Avoid, Actions &Out) {
+  const bool TimeLeft = m_Tokens > 0 || m_Now - m_Begin < m_Terms.m_TotalLimit;
+  if (m_Attempts >= m_Terms.m_MaxAttempts || !TimeLeft) {
+    refuse(RefusalReason::UpstreamFailed, Duration::zero(), Out);
+    return;
+  }
+  Out.emplace_back(CountRetry{Why});
+  bid(IsRetry, Avoid, Out);
+}
+
+void RequestCore::on(const PreemptOrdered &What, Actions &Out) {
+  if (!m_SlotHeld || m_Slot.m_Upstream != What.m_Upstream)
+    return;
+  if (m_State == State::Claiming || m_State == State::ClaimPause) {
+    m_SlotSuspect = true;
+    return;
+  }
+  // A call that may not be repeated is never stopped: whether it ran would no
+  // longer be known.
+  if (m_State != State::Calling || !m_Terms.m_Repeatable)
+    return;
+  m_MayHaveRun = true;
+  Out.emplace_back(CancelCall{});
+  release(WorkEnd::Preempted, Out);
+  Out.emplace_back(CountRetry{RetryReason::Preempted});
+  --m_Attempts; // Not the upstream's failure.
+  bid(false, std::nullopt, Out);
+}
+
+// ---- Ending -----------------------------------------------------------------
+
+void RequestCore::on(const CallerLeft &, Actions &Out) {
+  if (m_CallerGone)
+    return;
+  m_CallerGone = true;
+  switch (m_State) {
+  case State::New:
+  case State::KeyWait:
+  case State::KeyRead:
+    finish(DropAnswer{}, Out);
+    return;
+  case State::Bidding:
+    Out.emplace_back(WithdrawBid{});
+    refuse(RefusalReason::CallerGone, Duration::zero(), Out);
+    return;
+  case State::Calling:
+    // A call that may not be repeated runs to its end, and its answer is kept
+    // for the key's repetition; only repeatable work is cancelled.
+    if (!m_Terms.m_Repeatable)
+      return;
+    Out.emplace_back(CancelCall{});
+    release(WorkEnd::Cancelled, Out);
+    finish(DropAnswer{}, Out);
+    return;
+  case State::Claiming:
+  case State::ClaimPause:
+  case State::GivingBack:
+  case State::Keeping:
+  case State::Ended:
+    return; // The claim's fate must be settled first.
+  }
+}
+
+void RequestCore::on(const LimitReached &, Actions &Out) {
+  switch (m_State) {
+  case State::New:
+  case State::Bidding:
+    if (m_StreamBegun)
+      return; // Preempted or resumed: the rest is still worth waiting for.
+    Out.emplace_back(WithdrawBid{});
+    refuse(RefusalReason::TargetUnreachable, Duration::zero(), Out);
+    return;
+  case State::ClaimPause:
+    release(WorkEnd::Unused, Out);
+    refuse(RefusalReason::ClaimUnavailable, ClaimRetryAfter, Out);
+    giveUpRecord(Out);
+    return;
+  case State::GivingBack:
+    giveUpRecord(Out);
+    return;
+  case State::KeyWait:
+  case State::KeyRead:
+    refuse(RefusalReason::KeyInProgress, ClaimRetryAfter, Out);
+    return;
+  case State::Calling:
+    if (m_FirstToken || m_StreamBegun || m_Answered || m_CallerGone)
+      return; // The answer has begun and runs to its end.
+    if (!m_Terms.m_Repeatable) {
+      // The call goes on and its answer is kept; the caller must not wait.
+      m_Answered = true;
+      Out.emplace_back(Refuse{RefusalReason::OutcomeUnknown, RunState::Unknown,
+                              ClaimRetryAfter});
+      return;
+    }
+    m_MayHaveRun = true;
+    Out.emplace_back(CancelCall{});
+    release(WorkEnd::Cancelled, Out);
+    refuse(RefusalReason::TargetUnreachable, Duration::zero(), Out);
+    return;
+  case State::Claiming:
+  case State::Keeping:
+  case State::Ended:
+    return; // These end by themselves.
+  }
+}
+
+RunState RequestCore::runState() const {
+  return m_MayHaveRun || m_OtherHolds ? RunState::Unknown : RunState::NotRun;
+}
+
+void RequestCore::refuse(RefusalReason Why, Duration RetryAfter, Actions &Out) {
+  m_Final = Refuse{Why, runState(), RetryAfter};
+  if (m_ClaimAsked) {
+    // "Not run" is said only after the claim is given back: else the key's
+    // repetition would find it taken and be told that it may have run.
+    m_State = State::GivingBack;
+    Out.emplace_back(RecordNotRun{});
+    return;
+  }
+  sayFinal(Out);
+}
+
+void RequestCore::giveUpRecord(Actions &Out) {
+  // The caller must not wait for the table service any longer. The record
+  // itself stays with the claims' client, which goes on trying.
+  m_Final.m_State = RunState::Unknown;
+  sayFinal(Out);
+}
+
+void RequestCore::sayFinal(Actions &Out) {
+  if (m_CallerGone)
+    finish(DropAnswer{}, Out);
+  else if (m_StreamBegun)
+    finish(CutAnswer{m_Final.m_Reason}, Out);
+  else
+    finish(m_Final, Out);
+}
+
+void RequestCore::on(const EndRecorded &What, Actions &Out) {
+  if (m_State == State::Keeping) {
+    answerRan(Out);
+  } else if (m_State == State::GivingBack) {
+    if (!What.m_Certain)
+      m_Final.m_State = RunState::Unknown;
+    sayFinal(Out);
+  }
+}
+
+void RequestCore::answerRan(Actions &Out) {
+  if (m_OutcomeKnown)
+    finish(FinishAnswer{}, Out);
+  else if (m_StreamBegun)
+    finish(CutAnswer{RefusalReason::UpstreamFailed}, Out);
+  else
+    finish(Refuse{RefusalReason::UpstreamFailed, RunState::Unknown, {}}, Out);
+}
+
+void RequestCore::finish(const RequestAction &Final, Actions &Out) {
+  m_State = State::Ended;
+  if (m_Answered)
+    return;
+  m_Answered = true;
+  Out.push_back(m_CallerGone ? RequestAction(DropAnswer{}) : Final);
+}
+
+} // namespace crowstep::entry
--- /dev/null
+++ b/src/entry/upstream_call.cpp
@@ -0,0 +1,231 @@
+/// Upstream calls over libsoup.
+#include "entry/upstream_call.h"
+
+#include <array>
+#include <gio/gio.h>
+#include <libsoup/soup.h>
+
+namespace crowstep::entry {
+
+namespace {
+
+/// libsoup's defaults (10 and 2) would queue calls out of our sight; grants
+/// bound what is in flight.
+constexpr int MaxConnections = 16384;
+constexpr int MaxConnectionsPerHost = 4096;
+constexpr unsigned IdleConnectionSeconds = 15;
+constexpr std::size_t ReadSize = 8192;
+
+/// What outlives the handle until libsoup's last callback has run.
+struct Transfer {
+  const Clock &m_Clock;                  ///< Outlives it.
+  UpstreamListener *m_Listener;          ///< Null once the handle is gone.
+  TimePoint m_SendBefore;                ///< Last check.
+  SoupMessage *m_Message = nullptr;      ///< Owned.
+  GCancellable *m_Cancel = nullptr;      ///< Owned.
+  GInputStream *m_Stream = nullptr;      ///< Owned; null before the headers.
+  bool m_Started = false;                ///< A byte may have been sent.
+  bool m_TooOld = false;                 ///< The last check stopped it.
+  bool m_Reading = false;                ///< A read is under way.
+  bool m_Paused = false;                 ///< The caller reads slowly.
+  bool m_Waiting = true;                 ///< The headers' callback is not over.
+  bool m_HasHandle = true;               ///< The UpstreamCall lives.
+  TimePoint m_LastByte;                  ///< For the silence limit.
+  std::array<char, ReadSize> m_Buffer{}; ///< Of the read under way.
+
+  Transfer(const Clock &Time, UpstreamListener &Listener)
+      : m_Clock(Time), m_Listener(&Listener) {}
+  ~Transfer() {
+    if (m_Stream != nullptr)
+      g_object_unref(m_Stream);
+    g_signal_handlers_disconnect_by_data(m_Message, this);
+    g_object_unref(m_Message);
+    g_object_unref(m_Cancel);
+  }
+  Transfer(const Transfer &) = delete;
+  Transfer &operator=(const Transfer &) = delete;
+
+  void end(TransportEnd How) {
+    if (m_Listener == nullptr)
+      return;
+    UpstreamListener *Told = m_Listener;
+    m_Listener = nullptr;
+    Told->upstreamEnded(How);
+  }
+
+  void fail() {
+    if (m_TooOld)
+      end(TransportEnd::TooOld);
+    else
+      end(m_Started ? TransportEnd::Broken : TransportEnd::NotSent);
+  }
+
+  void read();
+};
+
+/// Frees \p Held when neither a callback nor a handle needs it any more.
+void drop(Transfer *Held) {
+  if (!Held->m_HasHandle && !Held->m_Waiting && !Held->m_Reading)
+    delete Held;
+}
+
+/// Runs after the connection is made and before the first byte is written: the
+/// last step at which a call can still be kept back. What remains is a freeze
+/// between this check and the write; the claim, which is never stolen, keeps
+/// such a call at most once.
+void onStarting(SoupMessage *, gpointer Data) {
+  auto *Held = static_cast<Transfer *>(Data);
+  if (Held->m_Clock.fresh() >= Held->m_SendBefore) {
+    Held->m_TooOld = true;
+    g_cancellable_cancel(Held->m_Cancel);
+    return;
+  }
+  Held->m_Started = true;
+}
+
+void onRead(GObject *Stream, GAsyncResult *Outcome, gpointer Data) {
+  auto *Held = static_cast<Transfer *>(Data);
+  const gssize Size =
+      g_input_stream_read_finish(G_INPUT_STREAM(Stream), Outcome, nullptr);
+  Held->m_LastByte = Held->m_Clock.now();
+  if (Size < 0)
+    Held->fail();
+  else if (Size == 0)
+    Held->end(TransportEnd::Complete);
+  else if (Held->m_Listener != nullptr)
+    Held->m_Listener->upstreamBytes(
+        {Held->m_Buffer.data(), static_cast<std::size_t>(Size)});
+  // Only now: the listener may have destroyed the handle.
+  Held->m_Reading = false;
+  Held->read();
+  drop(Held);
+}
+
+void Transfer::read() {
+  if (m_Reading || m_Paused || m_Stream == nullptr || m_Listener == nullptr)
+    return;
+  m_Reading = true;
+  g_input_stream_read_async(m_Stream, m_Buffer.data(), m_Buffer.size(),
+                            G_PRIORITY_DEFAULT, m_Cancel, onRead, this);
+}
+
+void onHeaders(GObject *Session, GAsyncResult *Outcome, gpointer Data) {
+  auto *Held = static_cast<Transfer *>(Data);
+  Held->m_Stream =
+      soup_session_send_finish(SOUP_SESSION(Session), Outcome, nullptr);
+  Held->m_LastByte = Held->m_Clock.now();
+  if (Held->m_Stream == nullptr) {
+    Held->fail();
+  } else if (Held->m_Listener != nullptr) {
+    const char *Type = soup_message_headers_get_one(
+        soup_message_get_response_headers(Held->m_Message), "Content-Type");
+    Held->m_Listener->upstreamHeaders(soup_message_get_status(Held->m_Message),
+                                      Type == nullptr ? "" : Type);
+  }
+  Held->m_Waiting = false;
+  Held->read();
+  drop(Held);
+}
+
+class HttpUpstreamCall final : public UpstreamCall {
+public:
+  HttpUpstreamCall(Transfer *Held, Scheduler &Timers, Duration SilenceLimit)
+      : m_Transfer(Held), m_Silence(Timers), m_SilenceLimit(SilenceLimit) {
+    watchSilence(SilenceLimit);
+  }
+  ~HttpUpstreamCall() override {
+    m_Transfer->m_Listener = nullptr;
+    m_Transfer->m_HasHandle = false;
+    if (m_Transfer->m_Waiting || m_Transfer->m_Reading)
+      g_cancellable_cancel(m_Transfer->m_Cancel);
+    else
+      drop(m_Transfer);
+  }
+  HttpUpstreamCall(const HttpUpstreamCall &) = delete;
+  HttpUpstreamCall &operator=(const HttpUpstreamCall &) = delete;
+
+  void pauseReading() override { m_Transfer->m_Paused = true; }
+  void continueReading() override {
+    m_Transfer->m_Paused = false;
+    m_Transfer->m_LastByte = m_Transfer->m_Clock.now();
+    m_Transfer->read();
+  }
+
+private:
+  /// A hung upstream closes nothing; without a limit its callers would wait
+  /// for ever and its slot would stay taken.
+  void watchSilence(Duration Wait) {
+    if (m_SilenceLimit <= Duration::zero())
+      return;
+    m_Silence.start(Wait, [this] {
+      const Duration Silent =
+          m_Transfer->m_Clock.now() - m_Transfer->m_LastByte;
+      if (m_Transfer->m_Paused || Silent < m_SilenceLimit)
+        watchSilence(m_Transfer->m_Paused ? m_SilenceLimit
+                                          : m_SilenceLimit - Silent);
+      else
+        g_cancellable_cancel(m_Transfer->m_Cancel);
+    });
+  }
+
+  Transfer *m_Transfer;    ///< Freed after its last callback.
+  Timer m_Silence;         ///< For the silence limit.
+  Duration m_SilenceLimit; ///< 0: none.
+};
+
+SoupMessage *messageOf(const UpstreamSend &What) {
+  const std::string Uri = "http://" + toString(What.m_Where) + What.m_Path;
+  SoupMessage *Message = soup_message_new(SOUP_METHOD_POST, Uri.c_str());
+  GBytes *Body = g_bytes_new(What.m_Body.data(), What.m_Body.size());
+  soup_message_set_request_body_from_bytes(Message, "application/json", Body);
+  g_bytes_unref(Body);
+  if (!What.m_Key.empty())
+    soup_message_headers_replace(soup_message_get_request_headers(Message),
+                                 "Idempotency-Key", What.m_Key.c_str());
+  if (What.m_Repeatable) {
+    // Without the flag libsoup opens a connection for every POST.
+    soup_message_add_flags(
+        Message, static_cast<SoupMessageFlags>(SOUP_MESSAGE_IDEMPOTENT |
+                                               SOUP_MESSAGE_NO_REDIRECT));
+    return Message;
+  }
+  // A kept-alive connection that the upstream closes just now would leave the
+  // outcome unknown; on a fresh one a failure to connect proves "not sent",
+  // and libsoup sends again only what was on a kept one.
+  soup_message_add_flags(
+      Message, static_cast<SoupMessageFlags>(SOUP_MESSAGE_NEW_CONNECTION |
+                                             SOUP_MESSAGE_NO_REDIRECT));
+  soup_message_headers_replace(soup_message_get_request_headers(Message),
+                               "Connection", "close");
+  return Message;
+}
+
+} // namespace
+
+HttpUpstreamCaller::HttpUpstreamCaller(const Clock &Time, Scheduler &Timers)
+    : m_Clock(Time), m_Timers(Timers),
+      m_Session(soup_session_new_with_options(
+          "max-conns", MaxConnections, "max-conns-per-host",
+          MaxConnectionsPerHost, "timeout", 0U, "idle-timeout",
+          IdleConnectionSeconds, nullptr)) {}
+
+HttpUpstreamCaller::~HttpUpstreamCaller() {
+  soup_session_abort(m_Session);
+  g_object_unref(m_Session);
+}
+
+std::unique_ptr<UpstreamCall>
+HttpUpstreamCaller::send(const UpstreamSend &What, UpstreamListener &Listener) {
+  auto *Held = new Transfer(m_Clock, Listener);
+  Held->m_SendBefore = What.m_SendBefore;
+  Held->m_LastByte = m_Clock.now();
+  Held->m_Cancel = g_cancellable_new();
+  Held->m_Message = messageOf(What);
+  g_signal_connect(Held->m_Message, "starting", G_CALLBACK(onStarting), Held);
+  soup_session_send_async(m_Session, Held->m_Message, G_PRIORITY_DEFAULT,
+                          Held->m_Cancel, onHeaders, Held);
+  return std::make_unique<HttpUpstreamCall>(Held, m_Timers,
+                                            What.m_SilenceLimit);
+}
+
+} // namespace crowstep::entry
