--- /dev/null
+++ b/src/load/experiment.cpp
@@ -0,0 +1,37 @@
+/// Rates over time.
+#include "load/experiment.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace crowstep::load {
+
+std::uint64_t SizeDistribution::draw(std::mt19937_64 &Random) const {
+  std::lognormal_distribution<double> Sizes(std::log(m_Median), m_Sigma);
+  // Rounded, not cut: with a sigma of 0 every size is the median itself.
+  const auto Size = static_cast<std::uint64_t>(std::lround(Sizes(Random)));
+  return std::clamp<std::uint64_t>(Size, 1, m_Max);
+}
+
+double Experiment::rateAt(std::size_t SourceIndex, Duration When) const {
+  double Rate = m_Sources[SourceIndex].m_Rate;
+  for (const Phase &Each : m_Phases)
+    if (Each.m_Source == SourceIndex && Each.m_From <= When &&
+        When < Each.m_Until)
+      Rate *= Each.m_Factor;
+  return Rate;
+}
+
+Duration Experiment::nextChange(std::size_t SourceIndex, Duration When) const {
+  Duration Next = m_WarmUp + m_Measured;
+  for (const Phase &Each : m_Phases) {
+    if (Each.m_Source != SourceIndex)
+      continue;
+    for (const Duration Edge : {Each.m_From, Each.m_Until})
+      if (Edge > When)
+        Next = std::min(Next, Edge);
+  }
+  return Next;
+}
+
+} // namespace crowstep::load
--- /dev/null
+++ b/src/load/experiment_settings.cpp
@@ -0,0 +1,153 @@
+/// Reading of an experiment's INI file.
+#include "contract/contract_func.h"
+#include "load/experiment.h"
+#include "load/load_error.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace crowstep::load {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::int64_t Large = 100000000;
+
+/// A caller gives up this long after the class's own limit, so that the
+/// router's typed answer comes first.
+constexpr Duration GraceBeforeGivingUp = 10s;
+
+std::vector<std::string> listOf(const std::string &Text) {
+  std::vector<std::string> Result;
+  std::istringstream Items(Text);
+  for (std::string Item; std::getline(Items, Item, ';');)
+    Result.push_back(Item);
+  return Result;
+}
+
+std::string readFile(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File)
+    throw LoadFileError(Path, "can't be read");
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+std::vector<LoadWorkspace> readWorkspaces(Settings &File) {
+  std::vector<LoadWorkspace> Result;
+  const auto Names = listOf(File.text("workspaces", "names"));
+  const auto Shares = listOf(File.text("workspaces", "shares", ""));
+  for (std::size_t Index = 0; Index < Names.size(); ++Index)
+    Result.push_back(
+        {Names[Index], Index < Shares.size()
+                           ? std::strtod(Shares[Index].c_str(), nullptr)
+                           : 1});
+  return Result;
+}
+
+SizeDistribution readSizes(Settings &File, const std::string &Section,
+                           const std::string &Prefix, double Median,
+                           std::int64_t Max) {
+  SizeDistribution Result;
+  Result.m_Median = File.number(Section, Prefix + "_median", 1, Large, Median);
+  Result.m_Sigma = File.number(Section, Prefix + "_sigma", 0, 5, 0);
+  Result.m_Max = static_cast<std::uint64_t>(
+      File.integer(Section, Prefix + "_max", 0, Large, Max));
+  return Result;
+}
+
+Source readSource(Settings &File, const std::string &Section,
+                  const ContractTable &Table) {
+  Source Result;
+  Result.m_Name = Section.substr(Section.find('-') + 1);
+  Result.m_Class = File.text(Section, "class", Result.m_Name);
+  Result.m_Path = File.text(Section, "path", "/v1/chat/completions");
+  Result.m_Workspace = File.text(Section, "workspace", "");
+  Result.m_Rate = File.number(Section, "rate", 0, 1000000);
+  Result.m_Stream = File.boolean(Section, "stream", true);
+  Result.m_Prompt = readSizes(File, Section, "prompt", 400, Large);
+  Result.m_Tokens = readSizes(File, Section, "tokens", 100, 0);
+  Result.m_Shared = static_cast<std::uint64_t>(
+      File.integer(Section, "shared_prefix", 0, Large, 0));
+  const auto Row = std::find_if(
+      Table.m_Contracts.begin(), Table.m_Contracts.end(),
+      [&](const Contract &Each) { return Each.m_Name == Result.m_Class; });
+  if (Row == Table.m_Contracts.end())
+    throw ExperimentError(Section, Result.m_Class, "a class of the table");
+  Result.m_Model = Row->m_Model;
+  Result.m_Keyed = !Row->m_Repeatable;
+  Result.m_FirstTokenTarget = Row->m_FirstTokenTarget;
+  Result.m_TokenTarget = Row->m_TokenTarget;
+  Result.m_Limit = Row->m_TotalLimit + GraceBeforeGivingUp;
+  return Result;
+}
+
+std::size_t sourceNamed(const Experiment &Plan, const std::string &Section,
+                        const std::string &Name) {
+  for (std::size_t Index = 0; Index < Plan.m_Sources.size(); ++Index)
+    if (Plan.m_Sources[Index].m_Name == Name)
+      return Index;
+  throw ExperimentError(Section, Name, "the name of a source");
+}
+
+Phase readPhase(Settings &File, const std::string &Section,
+                const Experiment &Plan) {
+  Phase Result;
+  Result.m_Source = sourceNamed(Plan, Section, File.text(Section, "source"));
+  Result.m_From = File.milliseconds(Section, "from_ms", 0s, 24h);
+  Result.m_Until = File.milliseconds(Section, "until_ms", 0s, 24h);
+  Result.m_Factor = File.number(Section, "factor", 0, 1000);
+  return Result;
+}
+
+Action readAction(Settings &File, const std::string &Section) {
+  Action Result;
+  Result.m_At = File.milliseconds(Section, "at_ms", 0s, 24h);
+  Result.m_Where = File.address(Section, "address");
+  Result.m_Path = File.text(Section, "path", "/faults");
+  Result.m_Body = File.text(Section, "body");
+  return Result;
+}
+
+} // namespace
+
+Settings joinedSettings(const std::vector<std::string> &Files) {
+  std::string Text;
+  std::string Names;
+  for (const std::string &Each : Files) {
+    Text += readFile(Each) + "\n";
+    Names += (Names.empty() ? "" : "+") + Each;
+  }
+  return Settings::parse(Text, Names);
+}
+
+Experiment readExperiment(Settings &File) {
+  Experiment Result;
+  Result.m_Name = File.text("experiment", "name");
+  Result.m_Seed = static_cast<std::uint64_t>(
+      File.integer("experiment", "seed", 0, INT64_MAX));
+  Result.m_WarmUp = File.milliseconds("experiment", "warm_up_ms", 0s, 1h);
+  Result.m_Measured = File.milliseconds("experiment", "measured_ms", 1ms, 24h);
+  Result.m_DrainLimit =
+      File.milliseconds("experiment", "drain_limit_ms", 0s, 1h, 30s);
+  Result.m_KeySuffix = File.text("experiment", "key_suffix", "-key");
+  const auto Table =
+      contract::readCsv(readFile(File.text("experiment", "table")));
+  Result.m_Workspaces = readWorkspaces(File);
+  Result.m_Engines = File.addresses("upstreams", "engines");
+  Result.m_Services = File.addresses("upstreams", "services");
+  for (const std::string &Section : File.sections("source-"))
+    Result.m_Sources.push_back(readSource(File, Section, Table));
+  for (const std::string &Section : File.sections("phase-"))
+    Result.m_Phases.push_back(readPhase(File, Section, Result));
+  for (const std::string &Section : File.sections("action-"))
+    Result.m_Actions.push_back(readAction(File, Section));
+  std::sort(Result.m_Actions.begin(), Result.m_Actions.end(),
+            [](const Action &A, const Action &B) { return A.m_At < B.m_At; });
+  return Result;
+}
+
+} // namespace crowstep::load
--- /dev/null
+++ b/src/load/recorder.cpp
@@ -0,0 +1,87 @@
+/// Sums of outcomes.
+#include "load/recorder.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace crowstep::load {
+
+Recorder::Recorder(const Experiment &Plan)
+    : m_Plan(Plan), m_Samples(Plan.m_Sources.size()) {
+  const auto Seconds = static_cast<std::size_t>(
+      std::chrono::ceil<std::chrono::seconds>(Plan.m_Measured).count());
+  for (const Source &Each : Plan.m_Sources) {
+    m_Sources.emplace_back();
+    m_Sources.back().m_Name = Each.m_Name;
+    m_Sources.back().m_Seconds.resize(Seconds);
+  }
+}
+
+void Recorder::add(const CallOutcome &Outcome) {
+  m_Delivered += Outcome.m_Tokens;
+  if (!Outcome.m_Key.empty())
+    m_ToldByKey[Outcome.m_Key] = Outcome.m_RunState;
+  if (Outcome.m_At < m_Plan.m_WarmUp)
+    return;
+  m_LargestLateness = std::max(m_LargestLateness, Outcome.m_Late);
+  SourceResult &Into = m_Sources[Outcome.m_Source];
+  const auto Index = static_cast<std::size_t>(
+      std::chrono::floor<std::chrono::seconds>(Outcome.m_At - m_Plan.m_WarmUp)
+          .count());
+  SecondSums &Second = Into.m_Seconds[Index];
+  ++Into.m_Sent;
+  ++Second.m_Sent;
+  ++Into.m_Ends[nameOf(Outcome.m_End)];
+  Into.m_Tokens += Outcome.m_Tokens;
+  if (!Outcome.m_Reason.empty())
+    ++Into.m_Reasons[Outcome.m_Reason];
+  if (Outcome.m_End == CallEnd::Refused)
+    ++Second.m_Refused;
+  else if (Outcome.m_End == CallEnd::Whole)
+    addWhole(Outcome, Into, Second);
+}
+
+void Recorder::addWhole(const CallOutcome &Outcome, SourceResult &Into,
+                        SecondSums &Second) {
+  const Source &Of = m_Plan.m_Sources[Outcome.m_Source];
+  Samples &Kept = m_Samples[Outcome.m_Source];
+  Kept.m_First.push_back(Outcome.m_First);
+  Kept.m_Total.push_back(Outcome.m_Total);
+  Kept.m_Gap.insert(Kept.m_Gap.end(), Outcome.m_Gaps.begin(),
+                    Outcome.m_Gaps.end());
+  // The mean, since an entry joins tokens that wait together: single gaps
+  // are then zero or twice as long, which no reader notices.
+  const Duration Sum =
+      std::accumulate(Outcome.m_Gaps.begin(), Outcome.m_Gaps.end(), Duration());
+  const auto Gaps = static_cast<std::int64_t>(Outcome.m_Gaps.size());
+  const bool First = Of.m_FirstTokenTarget == Duration() ||
+                     Outcome.m_First <= Of.m_FirstTokenTarget;
+  const bool Token =
+      Of.m_TokenTarget == Duration() || Sum <= Of.m_TokenTarget * Gaps;
+  Into.m_FirstInTarget += First ? 1 : 0;
+  Into.m_TokenInTarget += Token ? 1 : 0;
+  if (!First || !Token)
+    return;
+  ++Into.m_Good;
+  ++Second.m_Good;
+  Into.m_GoodTokens += Outcome.m_Tokens;
+  Second.m_Tokens += Outcome.m_Tokens;
+}
+
+RunResult Recorder::result(const std::string &Policy) const {
+  RunResult Result;
+  Result.m_Experiment = m_Plan.m_Name;
+  Result.m_Policy = Policy;
+  Result.m_Seed = m_Plan.m_Seed;
+  Result.m_Measured = m_Plan.m_Measured;
+  Result.m_LargestLateness = m_LargestLateness;
+  Result.m_Sources = m_Sources;
+  for (std::size_t Index = 0; Index < m_Sources.size(); ++Index) {
+    Result.m_Sources[Index].m_First = quantilesOf(m_Samples[Index].m_First);
+    Result.m_Sources[Index].m_Gap = quantilesOf(m_Samples[Index].m_Gap);
+    Result.m_Sources[Index].m_Total = quantilesOf(m_Samples[Index].m_Total);
+  }
+  return Result;
+}
+
+} // namespace crowstep::load
--- /dev/null
+++ b/src/load/report.cpp
@@ -0,0 +1,207 @@
+/// Tables of the report.
+#include "load/report.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <functional>
+
+namespace crowstep::load {
+
+namespace {
+
+std::string fixed(double Value, int Digits) {
+  std::array<char, 64> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.*f", Digits, Value);
+  return Text.data();
+}
+
+std::string milliseconds(Duration Value) {
+  return fixed(std::chrono::duration<double, std::milli>(Value).count(), 1);
+}
+
+std::string share(std::uint64_t Part, std::uint64_t Whole) {
+  if (Whole == 0)
+    return "-";
+  return fixed(static_cast<double>(Part) / static_cast<double>(Whole), 3);
+}
+
+std::string perSecond(std::uint64_t Count, Duration Time) {
+  return fixed(static_cast<double>(Count) /
+                   std::chrono::duration<double>(Time).count(),
+               1);
+}
+
+std::string reasonsOf(const SourceResult &Of) {
+  std::string Result;
+  for (const auto &[Reason, Count] : Of.m_Reasons)
+    Result +=
+        (Result.empty() ? "" : ", ") + Reason + " " + std::to_string(Count);
+  return Result.empty() ? "-" : Result;
+}
+
+/// A column of the tables by source.
+struct SourceColumn {
+  const char *m_Title; ///< In Markdown and CSV.
+  std::function<std::string(const RunResult &, const SourceResult &)>
+      m_Cell; ///< Returns the text of a cell.
+};
+
+std::string countOf(const SourceResult &Of, CallEnd End) {
+  return std::to_string(Of.count(End));
+}
+
+using R = const RunResult &;
+using S = const SourceResult &;
+
+const std::vector<SourceColumn> &sourceColumns() {
+  static const std::vector<SourceColumn> Columns = {
+      {"source", [](R, S Of) { return Of.m_Name; }},
+      {"policy", [](R Run, S) { return Run.m_Policy; }},
+      {"sent", [](R, S Of) { return std::to_string(Of.m_Sent); }},
+      {"answered", [](R, S Of) { return countOf(Of, CallEnd::Whole); }},
+      {"refused", [](R, S Of) { return countOf(Of, CallEnd::Refused); }},
+      {"cut", [](R, S Of) { return countOf(Of, CallEnd::Cut); }},
+      {"wrong", [](R, S Of) { return countOf(Of, CallEnd::Wrong); }},
+      {"no answer", [](R, S Of) { return countOf(Of, CallEnd::NoAnswer); }},
+      {"timed out", [](R, S Of) { return countOf(Of, CallEnd::TimedOut); }},
+      {"attainment", [](R, S Of) { return share(Of.m_Good, Of.m_Sent); }},
+      {"first in target",
+       [](R, S Of) { return share(Of.m_FirstInTarget, Of.m_Sent); }},
+      {"tokens in target",
+       [](R, S Of) {
+         return share(Of.m_TokenInTarget, Of.count(CallEnd::Whole));
+       }},
+      {"first p50 ms", [](R, S Of) { return milliseconds(Of.m_First.m_P50); }},
+      {"first p99 ms", [](R, S Of) { return milliseconds(Of.m_First.m_P99); }},
+      {"gap p95 ms", [](R, S Of) { return milliseconds(Of.m_Gap.m_P95); }},
+      {"good/s",
+       [](R Run, S Of) { return perSecond(Of.m_Good, Run.m_Measured); }},
+      {"good tokens/s",
+       [](R Run, S Of) { return perSecond(Of.m_GoodTokens, Run.m_Measured); }},
+      {"reasons", [](R, S Of) { return reasonsOf(Of); }}};
+  return Columns;
+}
+
+/// A column of the tables by run.
+struct RunColumn {
+  const char *m_Title; ///< In Markdown.
+  std::function<std::string(const RunResult &)>
+      m_Cell; ///< Returns the text of a cell.
+};
+
+std::uint64_t sumOf(R Run, std::uint64_t SourceResult::*Member) {
+  std::uint64_t Sum = 0;
+  for (const SourceResult &Each : Run.m_Sources)
+    Sum += Each.*Member;
+  return Sum;
+}
+
+const std::vector<RunColumn> &runColumns() {
+  static const std::vector<RunColumn> Columns = {
+      {"policy", [](R Run) { return Run.m_Policy; }},
+      {"goodput answers/s",
+       [](R Run) {
+         return perSecond(sumOf(Run, &SourceResult::m_Good), Run.m_Measured);
+       }},
+      {"goodput tokens/s",
+       [](R Run) {
+         return perSecond(sumOf(Run, &SourceResult::m_GoodTokens),
+                          Run.m_Measured);
+       }},
+      {"generated",
+       [](R Run) { return std::to_string(Run.m_Audit.m_Generated); }},
+      {"delivered",
+       [](R Run) { return std::to_string(Run.m_Audit.m_Delivered); }},
+      {"wasted", [](R Run) { return fixed(Run.m_Audit.wastedShare(), 4); }},
+      {"keys run twice",
+       [](R Run) { return std::to_string(Run.m_Audit.m_KeysRunTwice); }},
+      {"ran though \"not run\"",
+       [](R Run) { return std::to_string(Run.m_Audit.m_FalseNotRun); }},
+      {"answered, never run",
+       [](R Run) { return std::to_string(Run.m_Audit.m_FalseAnswered); }},
+      {"sent late ms",
+       [](R Run) { return milliseconds(Run.m_LargestLateness); }}};
+  return Columns;
+}
+
+template <typename Column> std::string header(const std::vector<Column> &All) {
+  std::string Titles = "|";
+  std::string Rule = "|";
+  for (const Column &Each : All) {
+    Titles += std::string(" ") + Each.m_Title + " |";
+    Rule += " --- |";
+  }
+  return Titles + "\n" + Rule + "\n";
+}
+
+std::vector<std::string> experimentsOf(const std::vector<RunResult> &Runs) {
+  std::vector<std::string> Names;
+  for (const RunResult &Run : Runs)
+    if (std::find(Names.begin(), Names.end(), Run.m_Experiment) == Names.end())
+      Names.push_back(Run.m_Experiment);
+  return Names;
+}
+
+std::string sourceRow(R Run, S Of) {
+  std::string Row = "|";
+  for (const SourceColumn &Each : sourceColumns())
+    Row += " " + Each.m_Cell(Run, Of) + " |";
+  return Row + "\n";
+}
+
+/// Rows of one source stand together, a policy each.
+std::string sourceTable(const std::vector<RunResult> &Runs) {
+  std::string Result = header(sourceColumns());
+  for (std::size_t Index = 0; Index < Runs.front().m_Sources.size(); ++Index)
+    for (const RunResult &Run : Runs)
+      if (Index < Run.m_Sources.size())
+        Result += sourceRow(Run, Run.m_Sources[Index]);
+  return Result;
+}
+
+std::string runTable(const std::vector<RunResult> &Runs) {
+  std::string Result = header(runColumns());
+  for (const RunResult &Run : Runs) {
+    Result += "|";
+    for (const RunColumn &Each : runColumns())
+      Result += " " + Each.m_Cell(Run) + " |";
+    Result += "\n";
+  }
+  return Result;
+}
+
+std::string quoted(const std::string &Text) { return "\"" + Text + "\""; }
+
+} // namespace
+
+std::string markdownReport(const std::vector<RunResult> &Runs) {
+  std::string Result;
+  for (const std::string &Name : experimentsOf(Runs)) {
+    std::vector<RunResult> Same;
+    std::copy_if(Runs.begin(), Runs.end(), std::back_inserter(Same),
+                 [&](R Run) { return Run.m_Experiment == Name; });
+    Result += "## " + Name + "\n\nSeed " + std::to_string(Same.front().m_Seed) +
+              ", " + milliseconds(Same.front().m_Measured) +
+              " ms measured.\n\n";
+    Result += runTable(Same) + "\n" + sourceTable(Same) + "\n";
+  }
+  return Result;
+}
+
+std::string csvReport(const std::vector<RunResult> &Runs) {
+  std::string Result = "experiment";
+  for (const SourceColumn &Each : sourceColumns())
+    Result += std::string(",") + Each.m_Title;
+  Result += "\n";
+  for (const RunResult &Run : Runs)
+    for (const SourceResult &Of : Run.m_Sources) {
+      Result += quoted(Run.m_Experiment);
+      for (const SourceColumn &Each : sourceColumns())
+        Result += "," + quoted(Each.m_Cell(Run, Of));
+      Result += "\n";
+    }
+  return Result;
+}
+
+} // namespace crowstep::load
--- /dev/null
+++ b/src/load/result.cpp
@@ -0,0 +1,141 @@
+/// Result files.
+#include "load/result.h"
+
+#include <algorithm>
+#include <cmath>
+
+using nlohmann::json;
+
+namespace crowstep::load {
+
+namespace {
+
+std::int64_t microseconds(Duration Value) { return Value.count(); }
+
+json toJson(const Quantiles &Value) {
+  return {{"p50_us", microseconds(Value.m_P50)},
+          {"p95_us", microseconds(Value.m_P95)},
+          {"p99_us", microseconds(Value.m_P99)}};
+}
+
+Quantiles quantilesFromJson(const json &Value) {
+  return {Duration(Value.at("p50_us").get<std::int64_t>()),
+          Duration(Value.at("p95_us").get<std::int64_t>()),
+          Duration(Value.at("p99_us").get<std::int64_t>())};
+}
+
+json toJson(const SourceResult &Of) {
+  json Seconds = json::array();
+  for (const SecondSums &Each : Of.m_Seconds)
+    Seconds.push_back(
+        {Each.m_Sent, Each.m_Good, Each.m_Refused, Each.m_Tokens});
+  return {{"name", Of.m_Name},
+          {"sent", Of.m_Sent},
+          {"ends", Of.m_Ends},
+          {"reasons", Of.m_Reasons},
+          {"first_in_target", Of.m_FirstInTarget},
+          {"token_in_target", Of.m_TokenInTarget},
+          {"good", Of.m_Good},
+          {"tokens", Of.m_Tokens},
+          {"good_tokens", Of.m_GoodTokens},
+          {"first", toJson(Of.m_First)},
+          {"gap", toJson(Of.m_Gap)},
+          {"total", toJson(Of.m_Total)},
+          {"seconds", std::move(Seconds)}};
+}
+
+SourceResult sourceFromJson(const json &Value) {
+  SourceResult Of;
+  Value.at("name").get_to(Of.m_Name);
+  Value.at("sent").get_to(Of.m_Sent);
+  Value.at("ends").get_to(Of.m_Ends);
+  Value.at("reasons").get_to(Of.m_Reasons);
+  Value.at("first_in_target").get_to(Of.m_FirstInTarget);
+  Value.at("token_in_target").get_to(Of.m_TokenInTarget);
+  Value.at("good").get_to(Of.m_Good);
+  Value.at("tokens").get_to(Of.m_Tokens);
+  Value.at("good_tokens").get_to(Of.m_GoodTokens);
+  Of.m_First = quantilesFromJson(Value.at("first"));
+  Of.m_Gap = quantilesFromJson(Value.at("gap"));
+  Of.m_Total = quantilesFromJson(Value.at("total"));
+  for (const json &Each : Value.at("seconds"))
+    Of.m_Seconds.push_back(
+        {Each.at(0).get<std::uint64_t>(), Each.at(1).get<std::uint64_t>(),
+         Each.at(2).get<std::uint64_t>(), Each.at(3).get<std::uint64_t>()});
+  return Of;
+}
+
+json toJson(const AuditResult &Audit) {
+  return {{"generated", Audit.m_Generated},
+          {"delivered", Audit.m_Delivered},
+          {"keys_run_twice", Audit.m_KeysRunTwice},
+          {"false_not_run", Audit.m_FalseNotRun},
+          {"false_answered", Audit.m_FalseAnswered}};
+}
+
+AuditResult auditFromJson(const json &Value) {
+  AuditResult Audit;
+  Value.at("generated").get_to(Audit.m_Generated);
+  Value.at("delivered").get_to(Audit.m_Delivered);
+  Value.at("keys_run_twice").get_to(Audit.m_KeysRunTwice);
+  Value.at("false_not_run").get_to(Audit.m_FalseNotRun);
+  Value.at("false_answered").get_to(Audit.m_FalseAnswered);
+  return Audit;
+}
+
+Duration quantileOf(std::vector<Duration> &Samples, double Share) {
+  const auto Last = static_cast<double>(Samples.size() - 1);
+  const std::ptrdiff_t At = std::lround(Last * Share);
+  std::nth_element(Samples.begin(), Samples.begin() + At, Samples.end());
+  return Samples[static_cast<std::size_t>(At)];
+}
+
+} // namespace
+
+Quantiles quantilesOf(std::vector<Duration> Samples) {
+  if (Samples.empty())
+    return {};
+  return {quantileOf(Samples, 0.5), quantileOf(Samples, 0.95),
+          quantileOf(Samples, 0.99)};
+}
+
+std::uint64_t SourceResult::count(CallEnd End) const {
+  const auto Found = m_Ends.find(nameOf(End));
+  return Found == m_Ends.end() ? 0 : Found->second;
+}
+
+double AuditResult::wastedShare() const {
+  if (m_Generated <= m_Delivered)
+    return 0;
+  return static_cast<double>(m_Generated - m_Delivered) /
+         static_cast<double>(m_Generated);
+}
+
+json toJson(const RunResult &Run) {
+  json Sources = json::array();
+  for (const SourceResult &Each : Run.m_Sources)
+    Sources.push_back(toJson(Each));
+  return {{"experiment", Run.m_Experiment},
+          {"policy", Run.m_Policy},
+          {"seed", Run.m_Seed},
+          {"measured_us", microseconds(Run.m_Measured)},
+          {"largest_lateness_us", microseconds(Run.m_LargestLateness)},
+          {"sources", std::move(Sources)},
+          {"audit", toJson(Run.m_Audit)}};
+}
+
+RunResult resultFromJson(const json &Value) {
+  RunResult Run;
+  Value.at("experiment").get_to(Run.m_Experiment);
+  Value.at("policy").get_to(Run.m_Policy);
+  Value.at("seed").get_to(Run.m_Seed);
+  Run.m_Measured = Duration(Value.at("measured_us").get<std::int64_t>());
+  Run.m_LargestLateness =
+      Duration(Value.at("largest_lateness_us").get<std::int64_t>());
+  for (const json &Each : Value.at("sources"))
+    Run.m_Sources.push_back(sourceFromJson(Each));
+  Run.m_Audit = auditFromJson(Value.at("audit"));
+  return Run;
+}
+
+} // namespace crowstep::load
--- /dev/null
+++ b/src/load/runner.cpp
@@ -0,0 +1,77 @@
+/// The course of an experiment.
+#include "load/runner.h"
+
+#include "core/log.h"
+
+namespace crowstep::load {
+
+namespace {
+
+constexpr Duration DrainPoll = std::chrono::milliseconds(20);
+
+} // namespace
+
+Runner::Runner(const Experiment &Plan, std::vector<Address> Targets,
+               std::string Policy)
+    : m_Plan(Plan), m_Policy(std::move(Policy)), m_Arrivals(Plan),
+      m_Recorder(Plan), m_Audit(Plan, m_Http),
+      m_Callers(
+          Plan, std::move(Targets), m_Clock, m_Timers,
+          [this](const CallOutcome &Outcome) { m_Recorder.add(Outcome); }) {}
+
+void Runner::start(Done OnDone) {
+  m_Done = std::move(OnDone);
+  m_Audit.begin([this] { begin(); });
+}
+
+void Runner::begin() {
+  m_Start = m_Clock.fresh();
+  for (const Action &Each : m_Plan.m_Actions)
+    m_Timers.after(Each.m_At, [this, &Each] {
+      logEvent(LogEvent::LoadAction,
+               {{"where", toString(Each.m_Where)}, {"path", Each.m_Path}});
+      m_Http.call({"POST", Each.m_Where, Each.m_Path, Each.m_Body},
+                  [](const HttpResult &Result) {
+                    if (std::holds_alternative<HttpFailure>(Result))
+                      logEvent(LogEvent::LoadActionFailed);
+                  });
+    });
+  sendDue();
+}
+
+void Runner::sendDue() {
+  std::optional<Duration> Next = m_Arrivals.nextTime();
+  for (; Next && *Next <= elapsed(); Next = m_Arrivals.nextTime()) {
+    const PlannedCall Call = m_Arrivals.take();
+    m_Callers.send(Call, elapsed() - Call.m_At);
+  }
+  if (Next)
+    m_Timers.after(*Next - elapsed(), [this] { sendDue(); });
+  else
+    drain();
+}
+
+void Runner::drain() {
+  const Duration End = m_Plan.m_WarmUp + m_Plan.m_Measured;
+  if (m_Callers.open() > 0 && elapsed() < End + m_Plan.m_DrainLimit) {
+    m_Timers.after(DrainPoll, [this] { drain(); });
+    return;
+  }
+  m_Callers.giveUp();
+  // Calls given up end in later iterations of the loop.
+  if (m_Callers.open() > 0)
+    m_Timers.after(DrainPoll, [this] { drain(); });
+  else
+    finish();
+}
+
+void Runner::finish() {
+  m_Audit.finish(m_Recorder.delivered(), m_Recorder.toldByKey(),
+                 [this](const AuditResult &Found) {
+                   RunResult Result = m_Recorder.result(m_Policy);
+                   Result.m_Audit = Found;
+                   m_Done(std::move(Result));
+                 });
+}
+
+} // namespace crowstep::load
--- /dev/null
+++ b/tests/unit/load_test.cpp
@@ -0,0 +1,166 @@
+/// The load tool's own promises: the same seed gives the same requests,
+/// arrivals follow the rates, an answer that is not whole and the caller's own
+/// is seen, and sums are right.
+#define BOOST_TEST_MODULE load
+#include "load/answer_check.h"
+#include "load/arrivals.h"
+#include "load/load_error.h"
+#include "load/recorder.h"
+#include "load/report.h"
+#include "load/token_text.h"
+
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <unistd.h>
+
+using namespace crowstep;
+using namespace crowstep::load;
+using namespace std::chrono_literals;
+
+namespace {
+
+Experiment planOf(double Rate) {
+  Experiment Plan;
+  Plan.m_Name = "plan";
+  Plan.m_Measured = 100s;
+  Plan.m_Workspaces = {{"large", 9}, {"small", 1}};
+  Source Guide;
+  Guide.m_Name = "guide";
+  Guide.m_Rate = Rate;
+  Guide.m_Prompt = {100, 0.5, 1000};
+  Guide.m_Tokens = {10, 0.5, 100};
+  Guide.m_FirstTokenTarget = 100ms;
+  Guide.m_TokenTarget = 20ms;
+  Plan.m_Sources = {Guide};
+  return Plan;
+}
+
+std::vector<PlannedCall> all(const Experiment &Plan) {
+  std::vector<PlannedCall> Result;
+  Arrivals From(Plan);
+  while (From.nextTime())
+    Result.push_back(From.take());
+  return Result;
+}
+
+std::string event(std::uint64_t Index, const std::string &Prompt) {
+  return R"(data: {"choices":[{"delta":{"content":")" +
+         tokenText(Index, promptHashOf(Prompt)) + "\"}}]}\n\n";
+}
+
+std::string endEvents(int Tokens) {
+  return R"(data: {"choices":[{"delta":{}}],"usage":{"completion_tokens":)" +
+         std::to_string(Tokens) + "}}\n\ndata: [DONE]\n\n";
+}
+
+CallOutcome outcome(CallEnd End, Duration First, Duration Gap) {
+  CallOutcome Result;
+  Result.m_End = End;
+  Result.m_First = First;
+  Result.m_Tokens = 2;
+  Result.m_Gaps = {Gap};
+  return Result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(SameSeedGivesTheSameRequests) {
+  const Experiment Plan = planOf(20);
+  const auto First = all(Plan);
+  const auto Second = all(Plan);
+  BOOST_TEST(First.size() == Second.size());
+  for (std::size_t Index = 0; Index < First.size(); ++Index) {
+    BOOST_TEST((First[Index].m_At == Second[Index].m_At));
+    BOOST_TEST(First[Index].m_Body == Second[Index].m_Body);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ArrivalsFollowRatesPhasesAndShares) {
+  Experiment Plan = planOf(20);
+  Plan.m_Phases = {{0, 50s, 100s, 3}};
+  double Before = 0;
+  double During = 0;
+  double Large = 0;
+  for (const PlannedCall &Call : all(Plan)) {
+    (Call.m_At < 50s ? Before : During) += 1;
+    Large += Call.m_Workspace == 0 ? 1 : 0;
+  }
+  // 1,000 and 3,000 are expected; five standard deviations are allowed.
+  BOOST_TEST(std::abs(Before - 1000) < 160);
+  BOOST_TEST(std::abs(During - 3000) < 275);
+  BOOST_TEST(std::abs(Large / (Before + During) - 0.9) < 0.03);
+}
+
+BOOST_AUTO_TEST_CASE(WholeAnswerMayComeInAnyPieces) {
+  const std::string Text = event(0, "mine") + event(1, "mine") + endEvents(2);
+  for (const std::size_t Piece : {1U, 7U, 1000U}) {
+    AnswerCheck Check("mine", true);
+    for (std::size_t At = 0; At < Text.size(); At += Piece)
+      Check.feed(std::string_view(Text).substr(At, Piece));
+    BOOST_TEST(Check.whole());
+    BOOST_TEST(!Check.wrong());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ForeignDoubledMissingAndCutAnswersAreSeen) {
+  AnswerCheck Foreign("mine", true);
+  Foreign.feed(event(0, "other"));
+  BOOST_TEST(Foreign.wrong());
+  AnswerCheck Doubled("mine", true);
+  Doubled.feed(event(0, "mine") + event(0, "mine"));
+  BOOST_TEST(Doubled.wrong());
+  AnswerCheck Missing("mine", true);
+  Missing.feed(event(0, "mine") + event(2, "mine"));
+  BOOST_TEST(Missing.wrong());
+  AnswerCheck Cut("mine", true);
+  Cut.feed(event(0, "mine"));
+  BOOST_TEST(!Cut.whole());
+  AnswerCheck Short("mine", true);
+  Short.feed(event(0, "mine") + endEvents(2));
+  BOOST_TEST(!Short.whole());
+  AnswerCheck Typed("mine", true);
+  Typed.feed("data: {\"error\":{\"code\":\"upstream_failed\"}}\n\n");
+  BOOST_TEST(Typed.errorCode() == "upstream_failed");
+  BOOST_TEST(!Typed.whole());
+}
+
+BOOST_AUTO_TEST_CASE(AttainmentNeedsBothTargetsAndAWholeAnswer) {
+  const Experiment Plan = planOf(1);
+  Recorder Sums(Plan);
+  Sums.add(outcome(CallEnd::Whole, 100ms, 20ms));
+  Sums.add(outcome(CallEnd::Whole, 101ms, 20ms));
+  Sums.add(outcome(CallEnd::Whole, 100ms, 21ms));
+  Sums.add(outcome(CallEnd::Cut, 1ms, 1ms));
+  const RunResult Result = Sums.result("policy");
+  const SourceResult &Of = Result.m_Sources.at(0);
+  BOOST_TEST(Of.m_Sent == 4U);
+  BOOST_TEST(Of.m_FirstInTarget == 2U);
+  BOOST_TEST(Of.m_TokenInTarget == 2U);
+  BOOST_TEST(Of.m_Good == 1U);
+  BOOST_TEST(Sums.delivered() == 8U);
+  BOOST_TEST(toJson(resultFromJson(toJson(Result))) == toJson(Result));
+  BOOST_TEST(markdownReport({Result}).find("| guide | policy | 4 |") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ExamplesOfBothDeploymentsAreValid) {
+  BOOST_CHECK_EQUAL(chdir(CROWSTEP_SOURCE_DIR), 0);
+  int Count = 0;
+  for (const auto &Each :
+       std::filesystem::recursive_directory_iterator("examples/experiments")) {
+    const std::filesystem::path Base = Each.path().parent_path() / "base.ini";
+    if (Each.path().extension() != ".ini" || Each.path() == Base)
+      continue;
+    Settings File = joinedSettings({Base.string(), Each.path().string()});
+    BOOST_TEST(!readExperiment(File).m_Sources.empty());
+    BOOST_CHECK_NO_THROW(File.rejectUnknown());
+    ++Count;
+  }
+  BOOST_TEST(Count > 0);
+  Settings Unknown = Settings::parse(
+      "[experiment]\nname=x\nseed=1\nwarm_up_ms=0\nmeasured_ms=1\n"
+      "table=examples/kilimanjaro/table.csv\n[workspaces]\nnames=a\n"
+      "[source-nothing]\nrate=1\n",
+      "x.ini");
+  BOOST_CHECK_THROW(readExperiment(Unknown), ExperimentError);
+}
