Change: Serve floors in overload only, and take back the rest earlier

In trials on the manual clock (4 engines of 4 slots, guides flooding at a floor of 1.6 slots) the first floor rule starved guides whenever urgent tiers asked for more than the pool has, since the head of a queue ordered by target never has slack in overload.

Now a floor stands against more urgent bids only while their tiers ask for 1.1 times the slots or more. Bids are then refused on arrival unless twice the estimated wait fits the target, so what is admitted keeps its target and leaves slack; below overload lower work is stopped before any urgent bid is refused.

--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -105,17 +105,20 @@
   return {};
 }
 
-/// Refuses a bid that would be late beyond its limit, unless a slot can be
-/// taken back for it from a lower tier.
-Verdict checkWait(const Pool &In, const Arrival &New) {
+/// Refuses a bid that would be late beyond its limit. The estimates count the
+/// slots that can be taken back from lower tiers, so what is refused could not
+/// be served by any of them: bids ahead of it would take them all. What lower
+/// tiers hold beyond their floors is taken back first.
+Verdict checkWait(Pool &In, const Arrival &New) {
   if (In.isBaseline() || In.isRebuilding() || New.m_Bid.m_DoneTokens > 0)
     return {};
   const ClassState &Class = New.m_Class;
   const Duration OnTime = waitOnTime(In, Class, New.m_Bid.m_Workspace);
-  if (OnTime + Class.firstTokenAllowance() <= New.m_Bid.m_UntilTarget)
+  const Duration Safe = fromSeconds(tuning::WaitSafety * toSeconds(OnTime));
+  if (Safe + Class.firstTokenAllowance() <= New.m_Bid.m_UntilTarget)
     return {};
   const Duration Late = waitLate(In, Class);
-  if (Late <= New.m_Bid.m_UntilLimit || hasVictim(In, Class))
+  if (Late <= New.m_Bid.m_UntilLimit || stopAboveFloor(In, Class))
     return {};
   return {RefusalReason::TargetUnreachable, Late - New.m_Bid.m_UntilLimit};
 }
@@ -132,6 +135,7 @@
              Found.m_Reason != RefusalReason::None) {
     return Found;
   }
+  New.m_Class.m_Offered.add(In.m_Now);
   if (const Verdict Found = checkWait(In, New);
       Found.m_Reason != RefusalReason::None)
     return Found;
@@ -147,7 +151,6 @@
   }
   New.m_Class.m_Tokens.take(New.m_Tokens, In.m_Now);
   New.m_Use.m_Tokens.take(New.m_Tokens, In.m_Now);
-  New.m_Class.m_Arrivals.add(In.m_Now);
 }
 
 void enqueue(Pool &In, const Arrival &New) {
--- a/src/decision/class.cpp
+++ b/src/decision/class.cpp
@@ -14,6 +14,13 @@
   return std::min(Ready, Room);
 }
 
+double ClassState::floorNow() const {
+  if (m_FloorSlots <= 0.0)
+    return 0.0;
+  const double Behind = m_Debt / m_FloorSlots / tuning::FloorCatchUpSeconds;
+  return m_FloorSlots * (1.0 + tuning::FloorCatchUp * std::min(1.0, Behind));
+}
+
 WorkspaceUse &ClassState::useOf(WorkspaceId Workspace, TimePoint Now) {
   const auto [At, IsNew] = m_Workspaces.try_emplace(Workspace);
   if (IsNew) {
--- a/src/decision/class_base.h
+++ b/src/decision/class_base.h
@@ -40,10 +40,10 @@
 
   Quantile m_Lengths{tuning::LengthQuantile};         ///< Of whole answers.
   Quantile m_FirstTokens{tuning::FirstTokenQuantile}; ///< Milliseconds.
-  Mean m_FirstTokenMean; ///< Seconds from the grant.
-  Mean m_TokenMean;      ///< Seconds a generated token.
-  Mean m_Service;        ///< Seconds that a slot is held.
-  RateMeter m_Arrivals;  ///< Bids that were taken in.
+  Mean m_FirstTokenMean;                       ///< Seconds from the grant.
+  Mean m_TokenMean;                            ///< Seconds a generated token.
+  Mean m_Service{tuning::ServiceGain};         ///< Seconds that a slot is held.
+  RateMeter m_Offered{tuning::OfferedSeconds}; ///< Bids within limits.
 
   std::vector<Serving *> m_Eligible; ///< Upstreams with its model.
   double m_Slots = 0.0;              ///< Of the eligible ones that are in use.
@@ -57,6 +57,10 @@
   /// Returns how many waiting bids a free slot could serve just now.
   [[nodiscard]] std::size_t demand() const;
 
+  /// Returns the slots that it may keep ahead of more urgent bids: its floor,
+  /// and up to half as much again while it is owed for long.
+  [[nodiscard]] double floorNow() const;
+
   /// Returns the account of \p Workspace; a new one starts with full buckets.
   WorkspaceUse &useOf(WorkspaceId Workspace, TimePoint Now);
 
--- a/src/decision/estimate.cpp
+++ b/src/decision/estimate.cpp
@@ -11,9 +11,10 @@
 
 /// What stands before a bid.
 struct Ahead {
-  double m_Bids = 0.0;    ///< Waiting bids.
-  double m_Seconds = 0.0; ///< Slot-seconds that they will take.
-  double m_Inflow = 0.0;  ///< Slots that further arrivals take, on average.
+  double m_Bids = 0.0;        ///< Waiting bids.
+  double m_Seconds = 0.0;     ///< Slot-seconds that they will take.
+  double m_AboveInflow = 0.0; ///< Slots that more urgent arrivals ask for.
+  double m_SameInflow = 0.0;  ///< The same of its own tier, if they overtake.
 };
 
 void addBids(Ahead &To, const ClassState &Class, std::size_t Bids) {
@@ -22,8 +23,8 @@
   To.m_Seconds += Count * Class.serviceSeconds();
 }
 
-void addInflow(Ahead &To, const ClassState &Class, TimePoint Now) {
-  To.m_Inflow += Class.m_Arrivals.perSecond(Now) * Class.serviceSeconds();
+double inflowOf(const ClassState &Class, TimePoint Now) {
+  return Class.m_Offered.perSecond(Now) * Class.serviceSeconds();
 }
 
 Ahead aboveTier(const Pool &In, std::uint8_t Number) {
@@ -33,7 +34,7 @@
       break;
     for (const ClassState *Class : Tier.m_Classes) {
       addBids(Found, *Class, Class->waiting());
-      addInflow(Found, *Class, In.m_Now);
+      Found.m_AboveInflow += inflowOf(*Class, In.m_Now);
     }
   }
   return Found;
@@ -50,6 +51,18 @@
   return Found;
 }
 
+/// The share of the slots that is left to the queue by what arrives meanwhile
+/// and goes before it. More urgent tiers leave at least the floor.
+double drainShare(const ClassState &Class, const Ahead &Before) {
+  const double Floor = Class.m_FloorSlots / Class.m_Slots;
+  const double Above = Before.m_AboveInflow / Class.m_Slots;
+  const double Same = Before.m_SameInflow / Class.m_Slots;
+  const double Least = Above + Same < tuning::Overload
+                           ? tuning::BusyDrainShare
+                           : tuning::OverloadDrainShare;
+  return std::max(std::max(1.0 - Above, Floor) - Same, Least);
+}
+
 Duration waitBehind(const Pool &In, const ClassState &Class,
                     const Ahead &Before) {
   if (Before.m_Bids == 0.0 && hasPlace(In, Class))
@@ -62,9 +75,7 @@
   const double Left = Before.m_Bids - Takeable;
   const double Seconds =
       Before.m_Bids > 0.0 ? Before.m_Seconds * Left / Before.m_Bids : 0.0;
-  const double Floor = Class.m_FloorSlots / Class.m_Slots;
-  const double Drain = std::max(
-      {1.0 - Before.m_Inflow / Class.m_Slots, Floor, tuning::MinDrainShare});
+  const double Drain = drainShare(Class, Before);
   const double Free = freeRate(Class);
   const double FirstSlot = Free > 0.0 ? 1.0 / Free : 0.0;
   return fromSeconds(FirstSlot + Seconds / (Class.m_Slots * Drain));
@@ -107,7 +118,7 @@
   Ahead Before = aboveTier(In, Class.m_Tier->m_Number);
   for (const ClassState *Other : Class.m_Tier->m_Classes) {
     addBids(Before, *Other, Other->waiting());
-    addInflow(Before, *Other, In.m_Now);
+    Before.m_SameInflow += inflowOf(*Other, In.m_Now);
   }
   return waitBehind(In, Class, Before);
 }
--- a/src/decision/expiry.cpp
+++ b/src/decision/expiry.cpp
@@ -43,11 +43,11 @@
 }
 
 /// Tells whether a bid that is late now can still be served before its limit.
-bool isWorthWaiting(const Pool &In, const Request &Late) {
+bool isWorthWaiting(Pool &In, const Request &Late) {
   if (Late.m_IsKept || In.isRebuilding())
     return true;
   return In.m_Now + waitLate(In, *Late.m_Class) <= Late.m_Limit ||
-         hasVictim(In, *Late.m_Class);
+         stopAboveFloor(In, *Late.m_Class);
 }
 
 void moveLate(Pool &In, ClassState &Class) {
@@ -71,14 +71,18 @@
   explicit Earliest(TimePoint Now) : m_Now(Now) {}
 
   void add(TimePoint When) {
-    if (When > m_Now && (!m_Found || When < *m_Found))
-      m_Found = When;
+    if (When > m_Now)
+      m_Found = std::min(m_Found, When);
+  }
+  [[nodiscard]] std::optional<TimePoint> found() const {
+    if (m_Found == TimePoint::max())
+      return std::nullopt;
+    return m_Found;
   }
-  [[nodiscard]] std::optional<TimePoint> found() const { return m_Found; }
 
 private:
-  TimePoint m_Now;                  ///< Only later times count.
-  std::optional<TimePoint> m_Found; ///< The earliest so far.
+  TimePoint m_Now;                      ///< Only later times count.
+  TimePoint m_Found = TimePoint::max(); ///< The earliest; max(): none.
 };
 
 void addClass(Earliest &Next, const Pool &In, const ClassState &Class) {
--- a/src/decision/floor.cpp
+++ b/src/decision/floor.cpp
@@ -11,29 +11,35 @@
 
 namespace {
 
-Duration slackOf(const Pool &In, const ClassState &Class) {
-  Duration Least = Duration::max();
-  if (!Class.m_OnTime.m_ByDeadline.empty())
-    Least = Class.m_OnTime.m_ByDeadline.begin()->m_Deadline -
-            Class.firstTokenAllowance() - In.m_Now;
-  if (!Class.m_Late.m_ByDeadline.empty())
-    Least = std::min(Least,
-                     Class.m_Late.m_ByDeadline.begin()->m_Deadline - In.m_Now);
-  return Least;
+Duration slackOf(const Pool &In, const Request &Waiting) {
+  const Duration Allowance = isLate(Waiting)
+                                 ? Duration::zero()
+                                 : Waiting.m_Class->firstTokenAllowance();
+  return Waiting.m_Deadline - Allowance - In.m_Now;
 }
 
-/// Tells whether all waiting bids of \p Class can still be served in time when
-/// the free slot goes to a lower tier: by slots that come free without taking
-/// any back, and with time left to take one back if that fails.
-bool canSpareSlot(const Pool &In, const ClassState &Class, double Bids) {
-  const double Rate = tuning::FreeRateTrust * freeRate(Class);
+/// Tells whether the first and the last of \p Queue still get slots in time
+/// from those that come free without taking any back, when \p Bids stand
+/// before the last; and with time left to take one back if that fails.
+bool canSpareSlot(const Pool &In, const ClassState &Class,
+                  const DeadlineQueue &Queue, double Bids) {
+  if (Queue.empty())
+    return true;
+  const double Rate = tuning::FloorTrust * freeRate(Class);
   if (Rate <= 0.0)
     return false;
-  const Duration Needed =
-      fromSeconds(Bids / Rate) + stopLead(In) + tuning::FloorMargin;
-  return slackOf(In, Class) >= Needed;
+  const Duration Reserve = stopLead(In) + tuning::FloorMargin;
+  return slackOf(In, *Queue.begin()) >= fromSeconds(1.0 / Rate) + Reserve &&
+         slackOf(In, *Queue.rbegin()) >= fromSeconds(Bids / Rate) + Reserve;
 }
 
+bool canSpareSlot(const Pool &In, const ClassState &Class, double Bids) {
+  return canSpareSlot(In, Class, Class.m_OnTime.m_ByDeadline, Bids) &&
+         canSpareSlot(In, Class, Class.m_Late.m_ByDeadline, Bids);
+}
+
+/// A slot may be given ahead of a tier's bids when the tier is overloaded and
+/// what it was admitted still keeps its targets.
 bool isHarmless(const Pool &In, const ClassState &Owed) {
   double Bids = 0.0;
   for (const auto &[Number, Tier] : In.m_Queue.tiers()) {
@@ -43,7 +49,7 @@
       Bids += static_cast<double>(Class->demand());
     for (const ClassState *Class : Tier.m_Classes)
       if (Class->demand() > 0 && hasPlace(In, *Class) &&
-          !canSpareSlot(In, *Class, Bids))
+          !(isOverloaded(In, *Class) && canSpareSlot(In, *Class, Bids)))
         return false;
   }
   return true;
@@ -51,6 +57,17 @@
 
 } // namespace
 
+bool isOverloaded(const Pool &In, const ClassState &Class) {
+  double Offered = 0.0;
+  for (const auto &[Number, Tier] : In.m_Queue.tiers()) {
+    if (Number > Class.m_Tier->m_Number)
+      break;
+    for (const ClassState *Other : Tier.m_Classes)
+      Offered += Other->m_Offered.perSecond(In.m_Now) * Other->serviceSeconds();
+  }
+  return Offered >= tuning::Overload * Class.m_Slots;
+}
+
 void updateFloors(Pool &In) {
   double Weights = 0.0;
   for (const ClassState *Class : In.m_Queue.classes())
@@ -89,7 +106,9 @@
   ClassState *Best = nullptr;
   double Longest = 0.0;
   for (ClassState *Class : In.m_Queue.classes()) {
-    if (Class->m_Debt <= 0.0 || Class->demand() == 0)
+    const auto Running = static_cast<double>(Class->m_Running);
+    if (Class->m_Debt <= 0.0 || Class->demand() == 0 ||
+        Running >= Class->floorNow())
       continue;
     const double Behind = Class->m_Debt / Class->m_FloorSlots;
     if (Behind <= Longest || !hasPlace(In, *Class) || !isHarmless(In, *Class))
--- a/src/decision/floor_func.h
+++ b/src/decision/floor_func.h
@@ -12,6 +12,11 @@
 /// Adds what classes with waiting bids were owed and got since the last event.
 void accrueFloors(Pool &In, Duration Elapsed);
 
+/// Tells whether the tier of \p Class and more urgent ones ask for clearly more
+/// slots than there are, so that some of their bids are refused whatever is
+/// done. Only then do floors of lower tiers stand against their bids.
+bool isOverloaded(const Pool &In, const ClassState &Class);
+
 /// Returns the class that is owed most and may have a free slot ahead of more
 /// urgent bids without making one of them miss its target; or null.
 ClassState *owedClass(const Pool &In);
--- a/src/decision/learned.cpp
+++ b/src/decision/learned.cpp
@@ -13,6 +13,7 @@
 constexpr double LowestSample = 0.25;   ///< Lower ones count as this.
 constexpr double HighestSample = 65536; ///< Higher ones count as this.
 constexpr double Longest = 86400.0;     ///< Seconds of a day.
+constexpr double YoungestMeter = 2.0;   ///< Seconds; no rate is told of less.
 
 } // namespace
 
@@ -62,12 +63,22 @@
 }
 
 void RateMeter::add(TimePoint Now) {
-  m_Rate = perSecond(Now) + 1.0 / tuning::RateSeconds;
+  m_First = m_First.value_or(Now);
+  m_Rate = decayed(Now) + 1.0 / m_Seconds;
   m_At = Now;
 }
 
+double RateMeter::decayed(TimePoint Now) const {
+  return m_Rate * std::exp(-toSeconds(Now - m_At) / m_Seconds);
+}
+
 double RateMeter::perSecond(TimePoint Now) const {
-  return m_Rate * std::exp(-toSeconds(Now - m_At) / tuning::RateSeconds);
+  if (!m_First)
+    return 0.0;
+  // Of a meter that is younger than its time constant, only part of the weight
+  // is there yet; a burst right after the start would go unseen.
+  const double Age = toSeconds(Now - *m_First) + YoungestMeter;
+  return decayed(Now) / (1.0 - std::exp(-Age / m_Seconds));
 }
 
 } // namespace crowstep::decision
--- a/src/decision/learned.h
+++ b/src/decision/learned.h
@@ -13,6 +13,7 @@
 #include <boost/histogram/storage_adaptor.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <tuple>
 #include <vector>
 
@@ -69,15 +70,20 @@
   std::uint32_t m_Count = 0; ///< Samples ever, saturating.
 };
 
-/// Events a second, averaged over tuning::RateSeconds.
+/// Events a second, averaged over the last \p Seconds or so.
 class RateMeter {
 public:
+  explicit RateMeter(double Seconds) : m_Seconds(Seconds) {}
   void add(TimePoint Now);
   [[nodiscard]] double perSecond(TimePoint Now) const;
 
 private:
-  double m_Rate = 0.0; ///< As of m_At.
-  TimePoint m_At;      ///< Time of the last event.
+  [[nodiscard]] double decayed(TimePoint Now) const;
+
+  double m_Seconds;                 ///< Time constant, > 0.
+  double m_Rate = 0.0;              ///< As of m_At.
+  TimePoint m_At;                   ///< Time of the last event.
+  std::optional<TimePoint> m_First; ///< Time of the first event.
 };
 
 } // namespace crowstep::decision
--- a/src/decision/preemption.cpp
+++ b/src/decision/preemption.cpp
@@ -2,6 +2,7 @@
 #include "decision/preemption_func.h"
 
 #include "decision/estimate_func.h"
+#include "decision/floor_func.h"
 #include "decision/placement_func.h"
 
 #include <algorithm>
@@ -22,8 +23,10 @@
   return nullptr;
 }
 
+/// Tells whether the class keeps its floor when it loses one slot. Work that
+/// was ordered to stop no longer counts.
 bool isAboveFloor(const ClassState &Class) {
-  return static_cast<double>(Class.m_Running) > Class.m_FloorSlots;
+  return static_cast<double>(Class.m_Victims.size()) >= Class.floorNow() + 1.0;
 }
 
 /// The least urgent tier gives first, and in it the classes above their floor.
@@ -67,23 +70,35 @@
 
 /// Slots that \p Class needs beyond those expected to come free in time, when
 /// \p Bids stand before the last of its bids.
-double missing(const Pool &In, const ClassState &Class, const Lane &Of,
-               double Bids) {
-  const double Rate = tuning::FreeRateTrust * freeRate(Class);
-  const DeadlineQueue &Queue = Of.m_ByDeadline;
-  const double First = toSeconds(slackOf(In, *Queue.begin()));
-  const double Last = toSeconds(slackOf(In, *Queue.rbegin()));
-  return std::max(1.0 - Rate * First, Bids - Rate * Last);
-}
-
-double missingIn(const Pool &In, const ClassState &Class, double Bids) {
+double missing(const Pool &In, const ClassState &Class, double Bids,
+               double Trust) {
+  const double Rate = Trust * freeRate(Class);
   double Most = 0.0;
-  for (const Lane *Of : {&Class.m_OnTime, &Class.m_Late})
-    if (Of->m_ReadyCount > 0)
-      Most = std::max(Most, missing(In, Class, *Of, Bids));
+  for (const Lane *Of : {&Class.m_OnTime, &Class.m_Late}) {
+    if (Of->m_ReadyCount == 0)
+      continue;
+    const DeadlineQueue &Queue = Of->m_ByDeadline;
+    const double First = toSeconds(slackOf(In, *Queue.begin()));
+    const double Last = toSeconds(slackOf(In, *Queue.rbegin()));
+    Most = std::max({Most, 1.0 - Rate * First, Bids - Rate * Last});
+  }
   return Most;
 }
 
+bool stopAny(Pool &In, const ClassState &Class) {
+  Request *Victim = findVictim(In, Class);
+  if (Victim != nullptr)
+    stop(In, *Victim);
+  return Victim != nullptr;
+}
+
+void stopUntil(Pool &In, const ClassState &Class, std::size_t Most,
+               double Needed, bool (&StopOne)(Pool &, const ClassState &)) {
+  while (static_cast<double>(In.m_Stops) < Needed && In.m_Stops < Most)
+    if (!StopOne(In, Class))
+      return;
+}
+
 bool anyVictim(const Pool &In) {
   return std::any_of(In.m_Queue.classes().begin(), In.m_Queue.classes().end(),
                      [](const ClassState *Class) {
@@ -101,30 +116,30 @@
   return Delay + tuning::PreemptMargin;
 }
 
-bool hasVictim(const Pool &In, const ClassState &Class) {
-  return findVictim(In, Class) != nullptr;
+bool stopAboveFloor(Pool &In, const ClassState &Class) {
+  bool HasMore = !isOverloaded(In, Class);
+  for (const ClassState *Other : In.m_Queue.classes())
+    HasMore = HasMore || (Other->m_Tier->m_Number > Class.m_Tier->m_Number &&
+                          Other->isPreemptible() && isAboveFloor(*Other));
+  return HasMore && stopAny(In, Class);
 }
 
 void preemptWhereNeeded(Pool &In) {
   if (In.isBaseline() || In.isRebuilding() || !anyVictim(In))
     return;
   double Bids = 0.0;
-  unsigned Stopped = 0;
+  const std::size_t Most = In.m_Stops + tuning::MaxPreemptionsAtOnce;
   for (auto &[Number, Tier] : In.m_Queue.tiers()) {
     for (const ClassState *Class : Tier.m_Classes)
       Bids += static_cast<double>(Class->demand());
     for (const ClassState *Class : Tier.m_Classes) {
       if (Class->demand() == 0)
         continue;
-      const double Missing = missingIn(In, *Class, Bids);
-      while (static_cast<double>(In.m_Stops) < Missing &&
-             Stopped < tuning::MaxPreemptionsAtOnce) {
-        Request *Victim = findVictim(In, *Class);
-        if (Victim == nullptr)
-          break;
-        stop(In, *Victim);
-        ++Stopped;
-      }
+      stopUntil(In, *Class, Most,
+                missing(In, *Class, Bids, tuning::PreemptTrust),
+                stopAboveFloor);
+      stopUntil(In, *Class, Most, missing(In, *Class, Bids, tuning::FloorTrust),
+                stopAny);
     }
   }
 }
--- a/src/decision/preemption_func.h
+++ b/src/decision/preemption_func.h
@@ -12,8 +12,10 @@
 /// its target, or its limit once it is late.
 void preemptWhereNeeded(Pool &In);
 
-/// Tells whether running work of a lower tier could be stopped for \p Class.
-bool hasVictim(const Pool &In, const ClassState &Class);
+/// Stops one piece of lower work for a bid of \p Class that would be refused
+/// else, unless its tier is overloaded and lower tiers hold no more than their
+/// floors. Returns whether it did.
+bool stopAboveFloor(Pool &In, const ClassState &Class);
 
 /// Gives orders to stop again that were not followed for too long.
 void repeatStops(Pool &In);
--- a/src/decision/tuning.h
+++ b/src/decision/tuning.h
@@ -41,8 +41,11 @@
 inline constexpr std::uint32_t UnknownLength = 128;
 /// Share of a new sample in a learned mean.
 inline constexpr double MeanGain = 0.1;
+/// The same for the time that a slot is held, which varies widely; a higher one
+/// makes estimated waits jump with every long answer.
+inline constexpr double ServiceGain = 0.01;
 /// Time over which arrival rates are averaged.
-inline constexpr double RateSeconds = 10.0;
+inline constexpr double OfferedSeconds = 30.0;
 /// Cost of a prompt token against a generated one; prompts are read at once.
 inline constexpr double PromptTokenCost = 0.1;
 
@@ -53,21 +56,39 @@
 inline constexpr Duration MaxRetryAfter = 60s;
 /// Named when nothing is known of when an upstream comes back.
 inline constexpr Duration NoUpstreamRetryAfter = 1s;
-/// Share of a pool that a tier is credited with at least while more urgent
-/// tiers arrive faster than they are served; keeps estimates finite.
-inline constexpr double MinDrainShare = 0.02;
+/// Times an estimated wait that must fit before a target, where the wait can't
+/// go on beyond it: what is admitted in overload is then served in time, and
+/// with slack for a floor slot.
+inline constexpr double WaitSafety = 2.0;
+/// Slots that arrivals ask for, against those there are, from which a pool is
+/// overloaded: some bids are refused whatever is done. Lower takes chance for
+/// overload, and refuses or gives away slots that bids could have used.
+inline constexpr double Overload = 1.1;
+/// Share of a pool that is left to a queue while more arrives than is served:
+/// short of overload, and in it, where waiting is hopeless.
+inline constexpr double BusyDrainShare = 0.1;
+inline constexpr double OverloadDrainShare = 0.02;
 
 // ---- Floor and preemption ---------------------------------------------------
 
 /// Longest time for which an unserved floor share is owed.
 inline constexpr double FloorSeconds = 60.0;
+/// Share above the floor that a class may have ahead of more urgent bids while
+/// it is this far behind: without it what preemption took would stay unserved.
+inline constexpr double FloorCatchUp = 1.0;
+inline constexpr double FloorCatchUpSeconds = 10.0;
 /// Slack that a more urgent bid must keep when a floor slot is given.
-inline constexpr Duration FloorMargin = 100ms;
+inline constexpr Duration FloorMargin = 50ms;
 /// No floor slot is given for this long after a preemption; else one slot
 /// would be given and taken back in turns, and each turn reads the prompt.
-inline constexpr Duration FloorPause = 500ms;
-/// Share of the slots expected to come free that preemption relies on.
-inline constexpr double FreeRateTrust = 0.5;
+inline constexpr Duration FloorPause = 200ms;
+/// Share of the slots expected to come free that is relied on before work
+/// beyond its class's floor is stopped. Lower stops work that needn't be;
+/// higher lets queues of urgent bids grow that can't be caught up with.
+inline constexpr double PreemptTrust = 0.4;
+/// The same before work within a floor is stopped, or a floor slot is given
+/// ahead of more urgent bids. Equal, so that what is given isn't taken back.
+inline constexpr double FloorTrust = 0.8;
 /// Time from an order to stop until the slot is free, before it is learned.
 inline constexpr Duration FirstPreemptDelay = 50ms;
 /// Added to the learned delay: the two messages and the loop's jitter.
