Feature: Add probes of the table's freshness to the wire schema

Dispatchers tell each other how long ago each voter and the table service were known to hold which version; the right to serve is derived from it.

--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -70,6 +70,16 @@
 struct TableRequestBuilder;
 struct TableRequestT;
 
+struct TableVouch;
+
+struct TableProbe;
+struct TableProbeBuilder;
+struct TableProbeT;
+
+struct TableProbeAck;
+struct TableProbeAckBuilder;
+struct TableProbeAckT;
+
 struct TableConfirm;
 struct TableConfirmBuilder;
 struct TableConfirmT;
@@ -543,6 +553,51 @@
   using type = NotOwner;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) TableVouch FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t instance_;
+  uint64_t start_;
+  uint64_t version_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  TableVouch()
+      : instance_(0),
+        start_(0),
+        version_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  TableVouch(uint64_t _instance, uint64_t _start, uint64_t _version, uint32_t _age_ms)
+      : instance_(flatbuffers::EndianScalar(_instance)),
+        start_(flatbuffers::EndianScalar(_start)),
+        version_(flatbuffers::EndianScalar(_version)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t instance() const {
+    return flatbuffers::EndianScalar(instance_);
+  }
+  uint64_t start() const {
+    return flatbuffers::EndianScalar(start_);
+  }
+  uint64_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(TableVouch, 32);
+
+struct TableVouch::Traits {
+  using type = TableVouch;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint16_t schema = 0;
@@ -1643,6 +1698,208 @@
 
 flatbuffers::Offset<TableRequest> CreateTableRequest(flatbuffers::FlatBufferBuilder &_fbb, const TableRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct TableProbeT : public flatbuffers::NativeTable {
+  typedef TableProbe TableType;
+  uint64_t sequence = 0;
+  uint64_t version = 0;
+};
+
+struct TableProbe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TableProbeT NativeTableType;
+  typedef TableProbeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_VERSION = 6
+  };
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           verifier.EndTable();
+  }
+  TableProbeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TableProbeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TableProbe> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TableProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TableProbeBuilder {
+  typedef TableProbe Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(TableProbe::VT_SEQUENCE, sequence, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(TableProbe::VT_VERSION, version, 0);
+  }
+  explicit TableProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TableProbe> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TableProbe>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TableProbe> CreateTableProbe(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    uint64_t version = 0) {
+  TableProbeBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_sequence(sequence);
+  return builder_.Finish();
+}
+
+struct TableProbe::Traits {
+  using type = TableProbe;
+  static auto constexpr Create = CreateTableProbe;
+};
+
+flatbuffers::Offset<TableProbe> CreateTableProbe(flatbuffers::FlatBufferBuilder &_fbb, const TableProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct TableProbeAckT : public flatbuffers::NativeTable {
+  typedef TableProbeAck TableType;
+  uint64_t sequence = 0;
+  uint64_t version = 0;
+  bool store_known = false;
+  uint64_t store_version = 0;
+  uint32_t store_age_ms = 0;
+  std::vector<crowstep::wire::TableVouch> vouches{};
+};
+
+struct TableProbeAck FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TableProbeAckT NativeTableType;
+  typedef TableProbeAckBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_VERSION = 6,
+    VT_STORE_KNOWN = 8,
+    VT_STORE_VERSION = 10,
+    VT_STORE_AGE_MS = 12,
+    VT_VOUCHES = 14
+  };
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool store_known() const {
+    return GetField<uint8_t>(VT_STORE_KNOWN, 0) != 0;
+  }
+  uint64_t store_version() const {
+    return GetField<uint64_t>(VT_STORE_VERSION, 0);
+  }
+  uint32_t store_age_ms() const {
+    return GetField<uint32_t>(VT_STORE_AGE_MS, 0);
+  }
+  const flatbuffers::Vector<const crowstep::wire::TableVouch *> *vouches() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::TableVouch *> *>(VT_VOUCHES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_KNOWN, 1) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_VERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_STORE_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_VOUCHES) &&
+           verifier.VerifyVector(vouches()) &&
+           verifier.EndTable();
+  }
+  TableProbeAckT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TableProbeAckT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TableProbeAck> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TableProbeAckT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TableProbeAckBuilder {
+  typedef TableProbeAck Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(TableProbeAck::VT_SEQUENCE, sequence, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(TableProbeAck::VT_VERSION, version, 0);
+  }
+  void add_store_known(bool store_known) {
+    fbb_.AddElement<uint8_t>(TableProbeAck::VT_STORE_KNOWN, static_cast<uint8_t>(store_known), 0);
+  }
+  void add_store_version(uint64_t store_version) {
+    fbb_.AddElement<uint64_t>(TableProbeAck::VT_STORE_VERSION, store_version, 0);
+  }
+  void add_store_age_ms(uint32_t store_age_ms) {
+    fbb_.AddElement<uint32_t>(TableProbeAck::VT_STORE_AGE_MS, store_age_ms, 0);
+  }
+  void add_vouches(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::TableVouch *>> vouches) {
+    fbb_.AddOffset(TableProbeAck::VT_VOUCHES, vouches);
+  }
+  explicit TableProbeAckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TableProbeAck> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TableProbeAck>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TableProbeAck> CreateTableProbeAck(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    uint64_t version = 0,
+    bool store_known = false,
+    uint64_t store_version = 0,
+    uint32_t store_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::TableVouch *>> vouches = 0) {
+  TableProbeAckBuilder builder_(_fbb);
+  builder_.add_store_version(store_version);
+  builder_.add_version(version);
+  builder_.add_sequence(sequence);
+  builder_.add_vouches(vouches);
+  builder_.add_store_age_ms(store_age_ms);
+  builder_.add_store_known(store_known);
+  return builder_.Finish();
+}
+
+struct TableProbeAck::Traits {
+  using type = TableProbeAck;
+  static auto constexpr Create = CreateTableProbeAck;
+};
+
+inline flatbuffers::Offset<TableProbeAck> CreateTableProbeAckDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    uint64_t version = 0,
+    bool store_known = false,
+    uint64_t store_version = 0,
+    uint32_t store_age_ms = 0,
+    const std::vector<crowstep::wire::TableVouch> *vouches = nullptr) {
+  auto vouches__ = vouches ? _fbb.CreateVectorOfStructs<crowstep::wire::TableVouch>(*vouches) : 0;
+  return crowstep::wire::CreateTableProbeAck(
+      _fbb,
+      sequence,
+      version,
+      store_known,
+      store_version,
+      store_age_ms,
+      vouches__);
+}
+
+flatbuffers::Offset<TableProbeAck> CreateTableProbeAck(flatbuffers::FlatBufferBuilder &_fbb, const TableProbeAckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct TableConfirmT : public flatbuffers::NativeTable {
   typedef TableConfirm TableType;
   uint64_t version = 0;
@@ -2518,6 +2775,8 @@
   std::unique_ptr<crowstep::wire::AttachmentAckT> attachment_ack{};
   std::vector<std::unique_ptr<crowstep::wire::ClaimRequestT>> claim_requests{};
   std::vector<std::unique_ptr<crowstep::wire::ClaimReplyT>> claim_replies{};
+  std::unique_ptr<crowstep::wire::TableProbeT> table_probe{};
+  std::unique_ptr<crowstep::wire::TableProbeAckT> table_probe_ack{};
   FrameT() = default;
   FrameT(const FrameT &o);
   FrameT(FrameT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2550,7 +2809,9 @@
     VT_ATTACHMENT = 40,
     VT_ATTACHMENT_ACK = 42,
     VT_CLAIM_REQUESTS = 44,
-    VT_CLAIM_REPLIES = 46
+    VT_CLAIM_REPLIES = 46,
+    VT_TABLE_PROBE = 48,
+    VT_TABLE_PROBE_ACK = 50
   };
   const crowstep::wire::Hello *hello() const {
     return GetPointer<const crowstep::wire::Hello *>(VT_HELLO);
@@ -2618,6 +2879,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *claim_replies() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *>(VT_CLAIM_REPLIES);
   }
+  const crowstep::wire::TableProbe *table_probe() const {
+    return GetPointer<const crowstep::wire::TableProbe *>(VT_TABLE_PROBE);
+  }
+  const crowstep::wire::TableProbeAck *table_probe_ack() const {
+    return GetPointer<const crowstep::wire::TableProbeAck *>(VT_TABLE_PROBE_ACK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HELLO) &&
@@ -2670,6 +2937,10 @@
            VerifyOffset(verifier, VT_CLAIM_REPLIES) &&
            verifier.VerifyVector(claim_replies()) &&
            verifier.VerifyVectorOfTables(claim_replies()) &&
+           VerifyOffset(verifier, VT_TABLE_PROBE) &&
+           verifier.VerifyTable(table_probe()) &&
+           VerifyOffset(verifier, VT_TABLE_PROBE_ACK) &&
+           verifier.VerifyTable(table_probe_ack()) &&
            verifier.EndTable();
   }
   FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2747,6 +3018,12 @@
   void add_claim_replies(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>>> claim_replies) {
     fbb_.AddOffset(Frame::VT_CLAIM_REPLIES, claim_replies);
   }
+  void add_table_probe(flatbuffers::Offset<crowstep::wire::TableProbe> table_probe) {
+    fbb_.AddOffset(Frame::VT_TABLE_PROBE, table_probe);
+  }
+  void add_table_probe_ack(flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack) {
+    fbb_.AddOffset(Frame::VT_TABLE_PROBE_ACK, table_probe_ack);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2781,8 +3058,12 @@
     flatbuffers::Offset<crowstep::wire::Attachment> attachment = 0,
     flatbuffers::Offset<crowstep::wire::AttachmentAck> attachment_ack = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>>> claim_requests = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>>> claim_replies = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>>> claim_replies = 0,
+    flatbuffers::Offset<crowstep::wire::TableProbe> table_probe = 0,
+    flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_table_probe_ack(table_probe_ack);
+  builder_.add_table_probe(table_probe);
   builder_.add_claim_replies(claim_replies);
   builder_.add_claim_requests(claim_requests);
   builder_.add_attachment_ack(attachment_ack);
@@ -2836,7 +3117,9 @@
     flatbuffers::Offset<crowstep::wire::Attachment> attachment = 0,
     flatbuffers::Offset<crowstep::wire::AttachmentAck> attachment_ack = 0,
     const std::vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *claim_requests = nullptr,
-    const std::vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *claim_replies = nullptr) {
+    const std::vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *claim_replies = nullptr,
+    flatbuffers::Offset<crowstep::wire::TableProbe> table_probe = 0,
+    flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0) {
   auto bids__ = bids ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Bid>>(*bids) : 0;
   auto grants__ = grants ? _fbb.CreateVectorOfStructs<crowstep::wire::Grant>(*grants) : 0;
   auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<crowstep::wire::Refusal>(*refusals) : 0;
@@ -2873,7 +3156,9 @@
       attachment,
       attachment_ack,
       claim_requests__,
-      claim_replies__);
+      claim_replies__,
+      table_probe,
+      table_probe_ack);
 }
 
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3262,6 +3547,76 @@
       _version);
 }
 
+inline TableProbeT *TableProbe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TableProbeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TableProbe::UnPackTo(TableProbeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = version(); _o->version = _e; }
+}
+
+inline flatbuffers::Offset<TableProbe> TableProbe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TableProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTableProbe(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TableProbe> CreateTableProbe(flatbuffers::FlatBufferBuilder &_fbb, const TableProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TableProbeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sequence = _o->sequence;
+  auto _version = _o->version;
+  return crowstep::wire::CreateTableProbe(
+      _fbb,
+      _sequence,
+      _version);
+}
+
+inline TableProbeAckT *TableProbeAck::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TableProbeAckT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TableProbeAck::UnPackTo(TableProbeAckT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = store_known(); _o->store_known = _e; }
+  { auto _e = store_version(); _o->store_version = _e; }
+  { auto _e = store_age_ms(); _o->store_age_ms = _e; }
+  { auto _e = vouches(); if (_e) { _o->vouches.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->vouches[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<TableProbeAck> TableProbeAck::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TableProbeAckT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTableProbeAck(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TableProbeAck> CreateTableProbeAck(flatbuffers::FlatBufferBuilder &_fbb, const TableProbeAckT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TableProbeAckT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sequence = _o->sequence;
+  auto _version = _o->version;
+  auto _store_known = _o->store_known;
+  auto _store_version = _o->store_version;
+  auto _store_age_ms = _o->store_age_ms;
+  auto _vouches = _o->vouches.size() ? _fbb.CreateVectorOfStructs(_o->vouches) : 0;
+  return crowstep::wire::CreateTableProbeAck(
+      _fbb,
+      _sequence,
+      _version,
+      _store_known,
+      _store_version,
+      _store_age_ms,
+      _vouches);
+}
+
 inline TableConfirmT *TableConfirm::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<TableConfirmT>();
   UnPackTo(_o.get(), _resolver);
@@ -3571,7 +3926,9 @@
         table_request((o.table_request) ? new crowstep::wire::TableRequestT(*o.table_request) : nullptr),
         table_confirm((o.table_confirm) ? new crowstep::wire::TableConfirmT(*o.table_confirm) : nullptr),
         attachment((o.attachment) ? new crowstep::wire::AttachmentT(*o.attachment) : nullptr),
-        attachment_ack((o.attachment_ack) ? new crowstep::wire::AttachmentAckT(*o.attachment_ack) : nullptr) {
+        attachment_ack((o.attachment_ack) ? new crowstep::wire::AttachmentAckT(*o.attachment_ack) : nullptr),
+        table_probe((o.table_probe) ? new crowstep::wire::TableProbeT(*o.table_probe) : nullptr),
+        table_probe_ack((o.table_probe_ack) ? new crowstep::wire::TableProbeAckT(*o.table_probe_ack) : nullptr) {
   bids.reserve(o.bids.size());
   for (const auto &bids_ : o.bids) { bids.emplace_back((bids_) ? new crowstep::wire::BidT(*bids_) : nullptr); }
   running.reserve(o.running.size());
@@ -3609,6 +3966,8 @@
   std::swap(attachment_ack, o.attachment_ack);
   std::swap(claim_requests, o.claim_requests);
   std::swap(claim_replies, o.claim_replies);
+  std::swap(table_probe, o.table_probe);
+  std::swap(table_probe_ack, o.table_probe_ack);
   return *this;
 }
 
@@ -3643,6 +4002,8 @@
   { auto _e = attachment_ack(); if (_e) _o->attachment_ack = std::unique_ptr<crowstep::wire::AttachmentAckT>(_e->UnPack(_resolver)); }
   { auto _e = claim_requests(); if (_e) { _o->claim_requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claim_requests[_i] = std::unique_ptr<crowstep::wire::ClaimRequestT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = claim_replies(); if (_e) { _o->claim_replies.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claim_replies[_i] = std::unique_ptr<crowstep::wire::ClaimReplyT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = table_probe(); if (_e) _o->table_probe = std::unique_ptr<crowstep::wire::TableProbeT>(_e->UnPack(_resolver)); }
+  { auto _e = table_probe_ack(); if (_e) _o->table_probe_ack = std::unique_ptr<crowstep::wire::TableProbeAckT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Frame> Frame::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3675,6 +4036,8 @@
   auto _attachment_ack = _o->attachment_ack ? CreateAttachmentAck(_fbb, _o->attachment_ack.get(), _rehasher) : 0;
   auto _claim_requests = _o->claim_requests.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> (_o->claim_requests.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimRequest(*__va->__fbb, __va->__o->claim_requests[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _claim_replies = _o->claim_replies.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimReply>> (_o->claim_replies.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimReply(*__va->__fbb, __va->__o->claim_replies[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _table_probe = _o->table_probe ? CreateTableProbe(_fbb, _o->table_probe.get(), _rehasher) : 0;
+  auto _table_probe_ack = _o->table_probe_ack ? CreateTableProbeAck(_fbb, _o->table_probe_ack.get(), _rehasher) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
       _hello,
@@ -3698,7 +4061,9 @@
       _attachment,
       _attachment_ack,
       _claim_requests,
-      _claim_replies);
+      _claim_replies,
+      _table_probe,
+      _table_probe_ack);
 }
 
 inline const crowstep::wire::Frame *GetFrame(const void *buf) {
