--- a/src/entry/caller.cpp
+++ b/src/entry/caller.cpp
@@ -104,6 +104,8 @@
     return;
   m_Open = false;
   stopWatching();
+  if (m_Finished) // libsoup has let go of the connection.
+    return;
   if (GSocket *Socket = soup_server_message_get_socket(m_Message))
     g_socket_shutdown(Socket, 1, 1, nullptr);
   // The next write fails, and libsoup then frees the connection.
@@ -146,7 +148,9 @@
 }
 
 void HttpServerCaller::onFinished(SoupServerMessage *, void *Self) {
-  static_cast<HttpServerCaller *>(Self)->gone();
+  auto *Owner = static_cast<HttpServerCaller *>(Self);
+  Owner->m_Finished = true;
+  Owner->gone();
 }
 
 void HttpServerCaller::onWrote(SoupServerMessage *, unsigned Size, void *Self) {
--- a/src/entry/caller.h
+++ b/src/entry/caller.h
@@ -84,6 +84,7 @@
   std::function<void()> m_Drained; ///< May be empty.
   std::size_t m_Backlog = 0;       ///< Appended and not yet written.
   bool m_Open = true;              ///< Until answered, dropped or gone.
+  bool m_Finished = false;         ///< libsoup is done with the message.
   bool m_Streaming = false;        ///< The head of a stream is given.
 };
 
--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <glib.h>
 #include <xxhash.h>
 
 namespace crowstep::entry {
@@ -16,6 +15,7 @@
 constexpr const char *ServicePrefix = "/v1/services/";
 constexpr std::size_t CharactersPerToken = 4;
 constexpr std::size_t MaxIdempotencyKey = 256;
+constexpr std::size_t MaxNesting = 64;
 
 using Json = nlohmann::json;
 using Outcome = std::variant<CallerRequest, ReadRefusal>;
@@ -32,8 +32,25 @@
   return Type == "application/json" || Type == "application/json ";
 }
 
-bool isUtf8(const std::string &Text) {
-  return g_utf8_validate_len(Text.data(), Text.size(), nullptr) != 0;
+/// Tells whether brackets nest deeper than MaxNesting outside of strings. The
+/// JSON library writes a document by recursion: a body of brackets would end
+/// the process by its stack. A scan before the parse is enough, as nothing
+/// that passes it can nest deeper.
+bool nestsTooDeep(const std::string &Text) {
+  std::size_t Depth = 0;
+  bool InString = false;
+  for (std::size_t Index = 0; Index < Text.size(); ++Index) {
+    const char Ch = Text[Index];
+    if (InString && Ch == '\\')
+      ++Index;
+    else if (Ch == '"')
+      InString = !InString;
+    else if (!InString && (Ch == '[' || Ch == '{') && ++Depth > MaxNesting)
+      return true;
+    else if (!InString && (Ch == ']' || Ch == '}') && Depth > 0)
+      --Depth;
+  }
+  return false;
 }
 
 /// Appends the text of one message's content, a string or typed parts.
@@ -152,7 +169,7 @@
   Out.m_Contract = *Row;
   if (!isJsonType(Raw.m_ContentType))
     return RefusalReason::WrongContentType;
-  if (!isUtf8(Raw.m_Body))
+  if (nestsTooDeep(Raw.m_Body))
     return RefusalReason::MalformedBody;
   return RefusalReason::None;
 }
--- a/src/entry/dispatcher_placement.cpp
+++ b/src/entry/dispatcher_placement.cpp
@@ -12,17 +12,20 @@
 /// about this long; spread, so that all entries' bids don't come at once.
 constexpr Duration MinReroute = std::chrono::milliseconds(50);
 constexpr Duration MaxReroute = std::chrono::milliseconds(150);
-constexpr Duration NoOwnerRetryAfter = std::chrono::seconds(1);
 
 Duration jitter() {
   return Duration(g_random_int_range(static_cast<int>(MinReroute.count()),
                                      static_cast<int>(MaxReroute.count())));
 }
 
-std::uint32_t millisecondsLeft(Duration Left, Duration Waited) {
-  const Duration Rest = std::max(Left - Waited, Duration::zero());
+Duration left(Duration Whole, Duration Waited) {
+  return std::max(Whole - Waited, Duration::zero());
+}
+
+std::uint32_t millisecondsLeft(Duration Whole, Duration Waited) {
   return static_cast<std::uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Rest).count());
+      std::chrono::duration_cast<std::chrono::milliseconds>(left(Whole, Waited))
+          .count());
 }
 
 std::uint32_t microseconds(Duration Value) {
@@ -32,11 +35,13 @@
 
 } // namespace
 
-DispatcherPlacement::DispatcherPlacement(Fleet &Dispatchers, PauseGuard &Guard,
-                                         const Clock &Time, Scheduler &Timers,
+DispatcherPlacement::DispatcherPlacement(Fleet &Dispatchers,
+                                         LocalPlacement &Alone,
+                                         PauseGuard &Guard, const Clock &Time,
+                                         Scheduler &Timers,
                                          std::uint64_t FirstNumber)
-    : m_Fleet(Dispatchers), m_Guard(Guard), m_Clock(Time), m_Reroute(Timers),
-      m_LastNumber(FirstNumber) {
+    : m_Alone(Alone), m_Fleet(Dispatchers), m_Guard(Guard), m_Clock(Time),
+      m_Reroute(Timers), m_LastNumber(FirstNumber) {
   m_Fleet.onRoutes([this] { reroute(); });
   m_Guard.onPause([this] { woke(); });
 }
@@ -44,7 +49,8 @@
 BidNumber DispatcherPlacement::bid(const BidTerms &Terms,
                                    PlacementListener &Listener) {
   const BidNumber Number(++m_LastNumber);
-  Held Fresh{Terms, poolIdOf(Terms.m_Service, 0), &Listener, {}, {}, {}, {}};
+  Held Fresh{Terms, poolIdOf(Terms.m_Service, 0), &Listener, {}, {}, {}, {},
+             {}};
   Fresh.m_BidAt = Fresh.m_Homeless = m_Clock.now();
   Held &Each = m_Held.emplace(Number.value(), std::move(Fresh)).first->second;
   route(Number.value(), Each);
@@ -65,7 +71,11 @@
 
 void DispatcherPlacement::firstToken(BidNumber Bid, Duration Latency) {
   const auto Found = m_Held.find(Bid.value());
-  if (Found != m_Held.end() && Found->second.m_Link != link::LinkId())
+  if (Found == m_Held.end())
+    return;
+  if (Found->second.m_Alone)
+    m_Alone.firstToken(*Found->second.m_Alone, Latency);
+  else if (Found->second.m_Link != link::LinkId())
     m_Fleet.links()
         .outbox(Found->second.m_Link)
         .first_tokens.emplace_back(Bid.value(), Found->second.m_Pool.value(),
@@ -100,6 +110,8 @@
     return;
   }
   const link::LinkId Owner = m_Fleet.linkToOwner(Each.m_Pool);
+  if (Each.m_Alone && (Owner == link::LinkId() || !backToOwner(Each)))
+    return;
   if (Owner == Each.m_Link && Owner != link::LinkId())
     return;
   if (Each.m_Link != link::LinkId()) {
@@ -122,23 +134,32 @@
     return;
   m_Reroute.start(Wait, [this] {
     reroute();
-    expireHomeless();
+    decideAlone();
   });
 }
 
-void DispatcherPlacement::expireHomeless() {
-  std::vector<std::uint64_t> Late;
-  for (const auto &[Number, Each] : m_Held)
-    if (Each.m_Link == link::LinkId() && !Each.m_Slot &&
-        m_Clock.now() - Each.m_Homeless >= OwnerPatience)
-      Late.push_back(Number);
-  for (const std::uint64_t Number : Late) {
-    const auto Gone = m_Held.extract(Number);
-    Gone.mapped().m_Listener->bidRefused(RefusalReason::NoDispatcher,
-                                         NoOwnerRetryAfter);
+void DispatcherPlacement::decideAlone() {
+  for (auto &[Number, Each] : m_Held) {
+    if (Each.m_Link != link::LinkId() || Each.m_Slot || Each.m_Alone ||
+        m_Clock.now() - Each.m_Homeless < OwnerPatience)
+      continue;
+    BidTerms Terms = Each.m_Terms;
+    const Duration Waited = m_Clock.now() - Each.m_BidAt;
+    Terms.m_Ask.m_UntilTarget = left(Terms.m_Ask.m_UntilTarget, Waited);
+    Terms.m_Ask.m_UntilLimit = left(Terms.m_Ask.m_UntilLimit, Waited);
+    Each.m_Alone = m_Alone.bid(Terms, *Each.m_Listener);
   }
 }
 
+bool DispatcherPlacement::backToOwner(Held &Each) {
+  // What runs on a slot of our own share ends there; the share bounds it.
+  if (!m_Alone.waits(*Each.m_Alone))
+    return false;
+  m_Alone.withdraw(*Each.m_Alone);
+  Each.m_Alone.reset();
+  return true;
+}
+
 std::unique_ptr<wire::BidT>
 DispatcherPlacement::wireBid(std::uint64_t Number, const Held &Each) const {
   const Duration Waited = m_Clock.now() - Each.m_BidAt;
--- a/src/entry/dispatcher_placement.h
+++ b/src/entry/dispatcher_placement.h
@@ -3,6 +3,7 @@
 #define CROWSTEP_ENTRY_DISPATCHER_PLACEMENT_H
 
 #include "entry/fleet.h"
+#include "entry/local_placement.h"
 #include "entry/pause_guard.h"
 #include "entry/placement.h"
 
@@ -10,15 +11,16 @@
 
 namespace crowstep::entry {
 
-/// Longest wait for an owner that is linked; then the bid is refused, or
-/// decided here.
+/// Longest wait for an owner that is linked; then the bid is decided here.
 inline constexpr Duration OwnerPatience = std::chrono::seconds(1);
 
 class DispatcherPlacement final : public Placement {
 public:
   /// \p FirstNumber must differ between two starts of the same entry.
-  DispatcherPlacement(Fleet &Dispatchers, PauseGuard &Guard, const Clock &Time,
-                      Scheduler &Timers, std::uint64_t FirstNumber);
+  /// Bids that no dispatcher takes within OwnerPatience go to \p Alone.
+  DispatcherPlacement(Fleet &Dispatchers, LocalPlacement &Alone,
+                      PauseGuard &Guard, const Clock &Time, Scheduler &Timers,
+                      std::uint64_t FirstNumber);
 
   BidNumber bid(const BidTerms &Terms, PlacementListener &Listener) override;
   void withdraw(BidNumber Bid) override;
@@ -37,6 +39,7 @@
     TimePoint m_BidAt;                ///< For what is left of its times.
     TimePoint m_Homeless;             ///< Since when no owner is linked.
     std::optional<UpstreamId> m_Slot; ///< Once granted.
+    std::optional<BidNumber> m_Alone; ///< While it is decided here.
   };
   using HeldMap = std::unordered_map<std::uint64_t, Held>;
 
@@ -49,9 +52,11 @@
   void refused(link::LinkId Link, const wire::Refusal &What);
   void unused(link::LinkId Link, const wire::Grant &What, PoolId Pool);
   void rerouteSoon(Duration Wait);
-  void expireHomeless();
+  void decideAlone();
+  bool backToOwner(Held &Each);
   void woke();
 
+  LocalPlacement &m_Alone;    ///< Outlives this object.
   Fleet &m_Fleet;             ///< Outlives this object.
   PauseGuard &m_Guard;        ///< Outlives this object.
   const Clock &m_Clock;       ///< Outlives this object.
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -171,6 +171,8 @@
   m_Members = Home->m_Members;
   m_Directory.setUpstreams(Home->m_Upstreams);
   m_Directory.setWorkspaces(Home->m_Workspaces);
+  if (m_Upstreams)
+    m_Upstreams();
   redial();
   if (m_Routes)
     m_Routes();
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -56,6 +56,7 @@
 
   /// Sets what runs when owners or links have changed, and for each frame.
   void onRoutes(std::function<void()> Job) { m_Routes = std::move(Job); }
+  void onUpstreams(std::function<void()> Job) { m_Upstreams = std::move(Job); }
   void onTable(std::function<void()> Job) { m_Table = std::move(Job); }
   void onFrame(std::function<void(link::LinkId, const wire::Frame &)> Job) {
     m_Frame = std::move(Job);
@@ -100,6 +101,7 @@
   std::vector<membership::Member> m_Members; ///< Of the home.
   bool m_Draining = false;                   ///< Of the home.
   std::function<void()> m_Routes;            ///< May be empty.
+  std::function<void()> m_Upstreams;         ///< May be empty.
   std::function<void()> m_Table;             ///< May be empty.
   std::function<void(link::LinkId, const wire::Frame &)> m_Frame; ///< As set.
 };
--- a/src/entry/front.cpp
+++ b/src/entry/front.cpp
@@ -111,10 +111,10 @@
   auto *Owner = static_cast<Front *>(Self);
   Arrival &Each = Owner->m_Arrivals[Message];
   Each.m_Size += g_bytes_get_size(Chunk);
-  // A body without a length is found out while it comes; the rest is not kept.
-  if (Each.m_Size > Owner->m_Limits.m_MaxBody)
-    soup_message_body_set_accumulate(
-        soup_server_message_get_request_body(Message), 0);
+  // A body without a length is found out while it comes.
+  if (Each.m_Size > Owner->m_Limits.m_MaxBody &&
+      soup_server_message_get_status(Message) == 0)
+    Owner->refuse(Message, RefusalReason::BodyTooLarge);
 }
 
 void Front::onArrived(SoupServerMessage *Message, void *Self) {
@@ -138,19 +138,24 @@
 
 void Front::refuse(SoupServerMessage *Message, RefusalReason Reason) {
   m_Stats.of("").m_Refusals[static_cast<std::size_t>(Reason)]->add();
-  fillAnswer(Message, refusalAnswer(Reason, RunState::NotRun, {}));
-  // What is left of the body is not read.
-  soup_message_headers_replace(
-      soup_server_message_get_response_headers(Message), "Connection", "close");
+  // libsoup answers only once the body has arrived, so a caller with a large
+  // body would send all of it first. The rest is read and thrown away: closing
+  // at once would reset the connection before the caller reads the refusal.
+  writeRefusal(Message, Reason);
+  if (GSocket *Socket = soup_server_message_get_socket(Message))
+    g_socket_shutdown(Socket, 0, 1, nullptr);
+  soup_message_body_set_accumulate(
+      soup_server_message_get_request_body(Message), 0);
+  soup_server_message_set_status(Message, httpStatusOf(Reason), nullptr);
+  Arrival &Each = m_Arrivals[Message];
+  if (Each.m_Limit != nullptr)
+    Each.m_Limit->start(m_Limits.m_ReceiveLimit,
+                        [Message] { closeConnection(Message); });
 }
 
 void Front::handle(SoupServerMessage *Message) {
   if (soup_server_message_get_status(Message) != 0)
-    return; // Refused by its headers.
-  if (m_Arrivals[Message].m_Size > m_Limits.m_MaxBody) {
-    refuse(Message, RefusalReason::BodyTooLarge);
-    return;
-  }
+    return; // Refused before it arrived whole.
   ++m_Unfinished;
   g_signal_connect(Message, "finished",
                    G_CALLBACK(+[](SoupServerMessage *, void *Self) {
--- /dev/null
+++ b/src/entry/request_service.cpp
@@ -0,0 +1,131 @@
+/// Open requests, own resources and the shutdown of an entry.
+#include "entry/request_service.h"
+
+#include "core/log.h"
+
+namespace crowstep::entry {
+
+namespace {
+
+constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
+constexpr Duration ElsewhereRetryAfter = std::chrono::seconds(1);
+constexpr unsigned HttpOk = 200;
+constexpr unsigned HttpUnavailable = 503;
+
+} // namespace
+
+RequestService::RequestService(RequestWorld World, const Directory &Known,
+                               ServiceRights Rights, Metrics &Stats)
+    : m_World(World), m_Directory(Known), m_Rights(std::move(Rights)),
+      m_Metrics(Stats), m_Stats(Stats),
+      m_Front(World.m_Limits, m_Stats, World.m_Timers), m_Sweep(World.m_Timers),
+      m_StopCheck(World.m_Timers) {
+  tableChanged();
+}
+
+void RequestService::listen(const Address &Where) {
+  m_Front.listen(Where,
+                 [this](SoupServerMessage *Message, const RawRequest &Raw) {
+                   handle(Message, Raw);
+                 });
+}
+
+bool RequestService::ready() const {
+  return !m_Stopping && !m_Rights.m_Draining() && m_Rights.m_RightToServe();
+}
+
+// ---- Requests ---------------------------------------------------------------
+
+void RequestService::handle(SoupServerMessage *Message, const RawRequest &Raw) {
+  if (!handleOwn(Message, Raw))
+    handleCall(Message, Raw);
+}
+
+bool RequestService::handleOwn(SoupServerMessage *Message,
+                               const RawRequest &Raw) {
+  if (Raw.m_Method != "GET")
+    return false;
+  if (Raw.m_Path == "/healthz" || Raw.m_Path == "/readyz") {
+    const bool Good = ready();
+    respond(Message, Good ? HttpOk : HttpUnavailable, "text/plain",
+            Good ? "ok\n" : "unavailable\n");
+    return true;
+  }
+  if (Raw.m_Path == "/metrics") {
+    m_Metrics.gauge("crowstep_requests_open")
+        .set(static_cast<double>(m_Requests.size()));
+    m_Metrics.gauge("crowstep_table_version")
+        .set(static_cast<double>(m_Directory.table().m_Version.value()));
+    respond(Message, HttpOk, "text/plain; version=0.0.4", m_Metrics.text());
+    return true;
+  }
+  return false;
+}
+
+void RequestService::refuse(SoupServerMessage *Message,
+                            const std::string &Class, RefusalReason Reason,
+                            Duration RetryAfter) {
+  m_Stats.of(Class).m_Refusals[static_cast<std::size_t>(Reason)]->add();
+  fillAnswer(Message, refusalAnswer(Reason, RunState::NotRun, RetryAfter));
+}
+
+void RequestService::handleCall(SoupServerMessage *Message,
+                                const RawRequest &Raw) {
+  if (m_Stopping) {
+    refuse(Message, "", RefusalReason::ShuttingDown, ElsewhereRetryAfter);
+    return;
+  }
+  // Without the right the table here may be an old one, and an operator was
+  // told that the new one holds everywhere.
+  if (!m_Rights.m_RightToServe()) {
+    refuse(Message, "", RefusalReason::NotInForce, ElsewhereRetryAfter);
+    return;
+  }
+  auto Outcome = readCallerRequest(Raw, m_Directory);
+  if (const auto *Why = std::get_if<ReadRefusal>(&Outcome)) {
+    refuse(Message, Why->m_Class, Why->m_Reason, Duration::zero());
+    return;
+  }
+  auto &What = std::get<CallerRequest>(Outcome);
+  ClassStats &Stats = m_Stats.of(What.m_Contract.m_Name);
+  const std::uint64_t Number = ++m_LastRequest;
+  auto Fresh =
+      std::make_unique<Request>(m_World, Stats, std::move(What),
+                                std::make_unique<HttpServerCaller>(Message),
+                                [this, Number] { ended(Number); });
+  Request &Begun = *Fresh;
+  m_Requests.emplace(Number, std::move(Fresh));
+  Begun.start();
+}
+
+void RequestService::ended(std::uint64_t Number) {
+  auto Node = m_Requests.extract(Number);
+  m_Ended.push_back(std::move(Node.mapped()));
+  if (!m_Sweep.running())
+    m_Sweep.start(Duration::zero(), [this] { sweep(); });
+}
+
+void RequestService::sweep() {
+  // Not while the request itself is on the stack.
+  const std::vector<std::unique_ptr<Request>> Gone = std::move(m_Ended);
+  m_Ended.clear();
+}
+
+// ---- Shutdown ---------------------------------------------------------------
+
+void RequestService::stop(std::function<void()> Done) {
+  m_Stopping = true;
+  m_StopDone = std::move(Done);
+  checkStopped();
+}
+
+void RequestService::checkStopped() {
+  if (m_Requests.empty() && m_Front.unfinished() == 0) {
+    logEvent(LogEvent::EntryDrained);
+    m_StopDone();
+    return;
+  }
+  m_StopCheck.start(StopCheckInterval, [this] { checkStopped(); });
+}
+
+} // namespace crowstep::entry
--- a/src/entry/upstream_call.cpp
+++ b/src/entry/upstream_call.cpp
@@ -45,6 +45,12 @@
   Transfer(const Transfer &) = delete;
   Transfer &operator=(const Transfer &) = delete;
 
+  /// Without the handle the clock may be gone as well.
+  void byteCame() {
+    if (m_HasHandle)
+      m_LastByte = m_Clock.now();
+  }
+
   void end(TransportEnd How) {
     if (m_Listener == nullptr)
       return;
@@ -75,7 +81,7 @@
 /// such a call at most once.
 void onStarting(SoupMessage *, gpointer Data) {
   auto *Held = static_cast<Transfer *>(Data);
-  if (Held->m_Clock.fresh() >= Held->m_SendBefore) {
+  if (!Held->m_HasHandle || Held->m_Clock.fresh() >= Held->m_SendBefore) {
     Held->m_TooOld = true;
     g_cancellable_cancel(Held->m_Cancel);
     return;
@@ -87,7 +93,7 @@
   auto *Held = static_cast<Transfer *>(Data);
   const gssize Size =
       g_input_stream_read_finish(G_INPUT_STREAM(Stream), Outcome, nullptr);
-  Held->m_LastByte = Held->m_Clock.now();
+  Held->byteCame();
   if (Size < 0)
     Held->fail();
   else if (Size == 0)
@@ -113,7 +119,7 @@
   auto *Held = static_cast<Transfer *>(Data);
   Held->m_Stream =
       soup_session_send_finish(SOUP_SESSION(Session), Outcome, nullptr);
-  Held->m_LastByte = Held->m_Clock.now();
+  Held->byteCame();
   if (Held->m_Stream == nullptr) {
     Held->fail();
   } else if (Held->m_Listener != nullptr) {
--- /dev/null
+++ b/tests/unit/entry_call_test.cpp
@@ -0,0 +1,367 @@
+/// Calls through the entry's HTTP sides, with failures of upstreams and
+/// callers.
+#define BOOST_TEST_MODULE entry_call
+#include "unit/entry_harness.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace crowstep;
+using namespace crowstep::entry;
+using namespace crowstep::entry::test;
+
+BOOST_AUTO_TEST_CASE(StreamIsRelayedAsItComes) {
+  Bench It;
+  FakeUpstream Engine;
+  It.m_Placement.grantAt(Engine.m_Address);
+  const auto Caller = It.guide(true);
+  Peer *Call = Engine.next();
+  BOOST_REQUIRE(Call != nullptr);
+  BOOST_TEST(Call->has(R"("stream":true)"));
+  BOOST_TEST(Call->has(R"("priority":3)"));
+  BOOST_TEST(Call->has(R"("request_id":")"));
+  BOOST_TEST(Call->has(R"("model":"guide-7b")"));
+  Call->send(streamHead() + chunk(tokenEvent("one")));
+  BOOST_TEST(pumpUntil([&] { return Caller->has("one"); }));
+  BOOST_TEST(Caller->has("Crowstep-Run: run"));
+  BOOST_TEST(!Caller->has("two"));
+  Call->send(chunk(tokenEvent("two")) + streamEnd());
+  BOOST_TEST(pumpUntil([&] { return Caller->has("[DONE]"); }));
+  BOOST_TEST(pumpUntil([&] { return !It.m_Placement.m_Released.empty(); }));
+  BOOST_TEST(
+      (It.m_Placement.m_Released[0].m_End == decision::WorkEnd::Finished));
+  BOOST_TEST(It.m_Placement.m_Released[0].m_Tokens == 2U);
+  BOOST_TEST(It.m_Placement.m_FirstTokens == 1);
+}
+
+BOOST_AUTO_TEST_CASE(PlainAnswerIsAssembled) {
+  Bench It;
+  FakeUpstream Engine;
+  It.m_Placement.grantAt(Engine.m_Address);
+  const auto Caller = It.guide(false);
+  Peer *Call = Engine.next();
+  BOOST_REQUIRE(Call != nullptr);
+  Call->send(streamHead() + chunk(tokenEvent("one ") + tokenEvent("two")) +
+             streamEnd());
+  BOOST_TEST(pumpUntil([&] { return Caller->has("completion_tokens"); }));
+  BOOST_TEST(Caller->has(R"("content":"one two")"));
+  BOOST_TEST(Caller->has(R"("completion_tokens":2)"));
+}
+
+// An engine closes in the middle of a stream. The caller sees one answer
+// without gap or repetition: the next engine is given the number of tokens
+// that the caller has, and half an event of the first is never passed on.
+BOOST_AUTO_TEST_CASE(StreamIsResumedElsewhere) {
+  Bench It;
+  FakeUpstream First, Second;
+  It.m_Placement.grantAt(First.m_Address);
+  It.m_Placement.grantAt(Second.m_Address);
+  const auto Caller = It.guide(true);
+  Peer *Call = First.next();
+  BOOST_REQUIRE(Call != nullptr);
+  Call->send(streamHead() + chunk(tokenEvent("one") + R"(data: {"choi)"));
+  BOOST_TEST(pumpUntil([&] { return Caller->has("one"); }));
+  Call->close();
+  Peer *Again = Second.next();
+  BOOST_REQUIRE(Again != nullptr);
+  BOOST_TEST(Again->has(R"("resume_tokens":1)"));
+  BOOST_TEST(It.m_Placement.m_Bids[1].m_Ask.m_IsRetry);
+  BOOST_TEST(It.m_Placement.m_Bids[1].m_Ask.m_DoneTokens == 1U);
+  Again->send(streamHead() + chunk(tokenEvent("two")) + streamEnd());
+  BOOST_TEST(pumpUntil([&] { return Caller->has("[DONE]"); }));
+  BOOST_TEST(!Caller->has("data: {\"choi\r\n"));
+  BOOST_TEST(Caller->received().find("one") == Caller->received().rfind("one"));
+}
+
+// As above, but no engine resumes: the caller sees a typed end without [DONE],
+// because a second beginning would repeat what it has.
+BOOST_AUTO_TEST_CASE(StreamThatCannotResumeIsCut) {
+  Bench It;
+  FakeUpstream First, Second;
+  It.m_Placement.grantAt(First.m_Address);
+  It.m_Placement.grantAt(Second.m_Address, 2s, false);
+  const auto Caller = It.guide(true);
+  Peer *Call = First.next();
+  BOOST_REQUIRE(Call != nullptr);
+  Call->send(streamHead() + chunk(tokenEvent("one")));
+  BOOST_TEST(pumpUntil([&] { return Caller->has("one"); }));
+  Call->close();
+  BOOST_TEST(pumpUntil([&] { return Caller->has("upstream_failed"); }));
+  BOOST_TEST(!Caller->has("[DONE]"));
+  BOOST_TEST(Second.accept() == 0U);
+}
+
+// The first upstream refuses the connection, the second says that it is
+// leaving, the third is busy. The caller sees only the fourth's answer.
+BOOST_AUTO_TEST_CASE(ProvableFailuresAreRetriedElsewhere) {
+  Bench It;
+  FakeUpstream Gone, Leaving, Busy, Good;
+  Gone.stopListening();
+  for (const FakeUpstream *Each : {&Gone, &Leaving, &Busy, &Good})
+    It.m_Placement.grantAt(Each->m_Address);
+  const auto Caller = It.hold();
+  Peer *Call = Leaving.next();
+  BOOST_REQUIRE(Call != nullptr);
+  Call->send(notRun("leaving"));
+  Call = Busy.next();
+  BOOST_REQUIRE(Call != nullptr);
+  Call->send(notRun("busy"));
+  Call = Good.next();
+  BOOST_REQUIRE(Call != nullptr);
+  Call->send(plain(200, R"({"seat":"held"})"));
+  BOOST_TEST(pumpUntil([&] { return Caller->has("held"); }));
+  const auto &Ends = It.m_Placement.m_Released;
+  BOOST_REQUIRE(Ends.size() == 4U);
+  BOOST_TEST((Ends[0].m_End == decision::WorkEnd::ConnectFailed));
+  BOOST_TEST((Ends[1].m_End == decision::WorkEnd::UpstreamLeaving));
+  BOOST_TEST((Ends[2].m_End == decision::WorkEnd::UpstreamRefused));
+  BOOST_TEST(It.m_Claims.m_Claims == 1); // One claim for all four.
+  BOOST_TEST(
+      It.m_Metrics.text().find(
+          R"(crowstep_retries_total{class="hold",reason="upstream_leaving"} 1)") !=
+      std::string::npos);
+}
+
+// The service reads a hold and closes. The call may have run: it is not sent
+// again, the caller is told "unknown", and so is the key's repetition.
+BOOST_AUTO_TEST_CASE(HoldIsNeverSentTwice) {
+  Bench It;
+  FakeUpstream Desk;
+  It.m_Placement.grantAt(Desk.m_Address);
+  It.m_Placement.grantAt(Desk.m_Address);
+  const auto Caller = It.hold();
+  Peer *Call = Desk.next();
+  BOOST_REQUIRE(Call != nullptr);
+  BOOST_TEST(Call->has("Connection: close"));
+  Call->close();
+  BOOST_TEST(pumpUntil([&] { return Caller->has("upstream_failed"); }));
+  BOOST_TEST(Caller->has("502"));
+  BOOST_TEST(Caller->has("Crowstep-Run: unknown"));
+  const auto Again = It.hold();
+  BOOST_TEST(pumpUntil([&] { return Again->has("outcome_unknown"); }));
+  BOOST_TEST(Again->has("Crowstep-Run: unknown"));
+  BOOST_TEST(Desk.accept() == 1U);
+}
+
+// The caller of a hold goes away while it runs. The hold runs to its end and
+// the key's repetition gets the kept answer, without a second call. The same
+// key with another body, or from another workspace, doesn't.
+BOOST_AUTO_TEST_CASE(KeptAnswerIsReplayed) {
+  Bench It;
+  FakeUpstream Desk;
+  It.m_Placement.grantAt(Desk.m_Address);
+  auto Caller = It.hold();
+  Peer *Call = Desk.next();
+  BOOST_REQUIRE(Call != nullptr);
+  BOOST_TEST(Call->has("Idempotency-Key: k1"));
+  Caller.reset();
+  Call->send(plain(201, R"({"seat":"held"})"));
+  BOOST_TEST(pumpUntil([&] { return !It.m_Placement.m_Released.empty(); }));
+  for (int Times = 0; Times < 3; ++Times)
+    It.m_Placement.grantAt(Desk.m_Address);
+  const auto Again = It.hold();
+  BOOST_TEST(pumpUntil([&] { return Again->has("held"); }));
+  BOOST_TEST(Again->has("HTTP/1.1 201"));
+  BOOST_TEST(Again->has("Crowstep-Run: run"));
+  const auto Other = It.hold("k1", R"({"seat":5})");
+  BOOST_TEST(pumpUntil([&] { return Other->has("key_reused"); }));
+  BOOST_TEST(Other->has("HTTP/1.1 422"));
+  BOOST_TEST(Desk.accept() == 1U);
+  const auto Foreign =
+      It.send(Bench::text("/v1/services/pass-desk/hold", "hold",
+                          R"({"seat":4})", "Idempotency-Key: k1\r\n", "beta"));
+  BOOST_TEST(pumpUntil([&] { return Desk.accept() == 2U; }));
+  BOOST_TEST(!Foreign->has("held"));
+}
+
+// A second caller sends the key while the first call runs: it waits, and is
+// told "unknown" at its limit; the first one's answer is its own.
+BOOST_AUTO_TEST_CASE(KeyInProgressIsToldUnknown) {
+  Bench It;
+  FakeUpstream Desk;
+  It.m_Placement.grantAt(Desk.m_Address);
+  It.m_Placement.grantAt(Desk.m_Address);
+  const auto First = It.hold();
+  BOOST_REQUIRE(Desk.next() != nullptr);
+  const auto Second = It.hold();
+  BOOST_TEST(pumpUntil([&] { return Second->has("key_in_progress"); }));
+  BOOST_TEST(Second->has("HTTP/1.1 409"));
+  BOOST_TEST(Second->has("Crowstep-Run: unknown"));
+  BOOST_TEST(Desk.accept() == 1U);
+}
+
+// The table service is down: nothing is sent and the caller may come back.
+BOOST_AUTO_TEST_CASE(HoldWithoutClaimIsNotSent) {
+  Bench It;
+  FakeUpstream Desk;
+  It.m_Placement.grantAt(Desk.m_Address);
+  It.m_Claims.m_Next = claim::ClaimStatus::Unavailable;
+  const auto Caller = It.hold();
+  BOOST_TEST(pumpUntil([&] { return Caller->has("claim_unavailable"); }));
+  BOOST_TEST(Caller->has("Crowstep-Run: not-run"));
+  BOOST_TEST(Caller->has("Retry-After: 1"));
+  BOOST_TEST(Desk.accept() == 0U);
+}
+
+// The grant lapses between its receipt and the connection. The last check
+// stops the call before a byte is written, and the request bids again.
+BOOST_AUTO_TEST_CASE(LapsedGrantSendsNoByte) {
+  Bench It;
+  FakeUpstream Late, Good;
+  It.m_Placement.grantAt(Late.m_Address, 0s);
+  It.m_Placement.grantAt(Good.m_Address);
+  const auto Caller = It.guide(true);
+  Peer *Call = Good.next();
+  BOOST_REQUIRE(Call != nullptr);
+  BOOST_REQUIRE(Late.accept() == 1U);
+  BOOST_TEST(pumpUntil([&] { return Late.peer(0).closed(); }));
+  BOOST_TEST(Late.peer(0).received().empty());
+  BOOST_TEST(
+      (It.m_Placement.m_Released.at(0).m_End == decision::WorkEnd::Unused));
+}
+
+// The caller goes while its guide streams: the engine's connection is closed,
+// it is ordered to stop, and the slot is free.
+BOOST_AUTO_TEST_CASE(CallerGoneCancelsRepeatableWork) {
+  Bench It;
+  FakeUpstream Engine;
+  It.m_Placement.grantAt(Engine.m_Address);
+  auto Caller = It.guide(true);
+  Peer *Call = Engine.next();
+  BOOST_REQUIRE(Call != nullptr);
+  Call->send(streamHead() + chunk(tokenEvent("one")));
+  BOOST_TEST(pumpUntil([&] { return Caller->has("one"); }));
+  Caller.reset();
+  Peer *Order = Engine.next();
+  BOOST_REQUIRE(Order != nullptr);
+  BOOST_TEST(Order->has("POST /v1/cancel"));
+  BOOST_TEST(pumpUntil([&] { return Call->closed(); }));
+  BOOST_TEST(
+      (It.m_Placement.m_Released.at(0).m_End == decision::WorkEnd::Cancelled));
+}
+
+// A caller that leaves while its bid waits must not keep its queue place.
+BOOST_AUTO_TEST_CASE(CallerGoneWithdrawsBid) {
+  Bench It;
+  auto Caller = It.guide(true);
+  BOOST_TEST(pumpUntil([&] { return !It.m_Placement.m_Waiting.empty(); }));
+  Caller.reset();
+  BOOST_TEST(pumpUntil([&] { return It.m_Placement.m_Waiting.empty(); }));
+}
+
+// Urgent work needs the slot. The engine is stopped, the bid goes out again
+// with the tokens that the caller has, and the answer goes on elsewhere.
+BOOST_AUTO_TEST_CASE(PreemptedStreamGoesOn) {
+  Bench It;
+  FakeUpstream First, Second;
+  It.m_Placement.grantAt(First.m_Address);
+  const auto Caller = It.guide(true);
+  Peer *Call = First.next();
+  BOOST_REQUIRE(Call != nullptr);
+  Call->send(streamHead() + chunk(tokenEvent("one")));
+  BOOST_TEST(pumpUntil([&] { return Caller->has("one"); }));
+  It.m_Placement.m_Holder->slotPreempted(UpstreamId(First.m_Address.m_Port));
+  BOOST_TEST(pumpUntil([&] { return Call->closed(); }));
+  BOOST_TEST(
+      (It.m_Placement.m_Released.at(0).m_End == decision::WorkEnd::Preempted));
+  It.m_Placement.grantAt(Second.m_Address);
+  Peer *Again = Second.next();
+  BOOST_REQUIRE(Again != nullptr);
+  BOOST_TEST(Again->has(R"("resume_tokens":1)"));
+  Again->send(streamHead() + chunk(tokenEvent("two")) + streamEnd());
+  BOOST_TEST(pumpUntil([&] { return Caller->has("[DONE]"); }));
+}
+
+// An upstream that closes a kept-alive connection, or redirects, gets no
+// second copy of the call from libsoup: our own retry decides where it goes.
+BOOST_AUTO_TEST_CASE(LibraryNeitherResendsNorRedirects) {
+  Bench It;
+  FakeUpstream Desk, Other;
+  It.m_Placement.grantAt(Desk.m_Address);
+  const auto First = It.send(
+      Bench::text("/v1/services/pass-desk/check", "check", R"({"pass":1})"));
+  Peer *Call = Desk.next();
+  BOOST_REQUIRE(Call != nullptr);
+  Call->send("HTTP/1.1 307 X\r\nLocation: http://" + toString(Other.m_Address) +
+             "/elsewhere\r\nContent-Length: 0\r\n\r\n");
+  BOOST_TEST(pumpUntil([&] { return First->has("HTTP/1.1 307"); }));
+  BOOST_TEST(Other.accept() == 0U);
+  It.m_Placement.grantAt(Desk.m_Address);
+  It.m_Placement.grantAt(Other.m_Address);
+  const auto Second = It.send(
+      Bench::text("/v1/services/pass-desk/check", "check", R"({"pass":2})"));
+  BOOST_TEST(pumpUntil([&] { return Call->has(R"({"pass":2})"); }));
+  Call->close();
+  Peer *Retry = Other.next();
+  BOOST_REQUIRE(Retry != nullptr);
+  Retry->send(plain(200, "{}"));
+  BOOST_TEST(pumpUntil([&] { return Second->has("HTTP/1.1 200"); }));
+  BOOST_TEST(Desk.accept() == 1U);
+}
+
+// A caller stops reading a long answer. The entry stops reading from the
+// engine, so that what waits in this process stays bounded; when the caller
+// reads on, it gets everything.
+BOOST_AUTO_TEST_CASE(SlowCallerHoldsBackTheEngine) {
+  Bench It;
+  FakeUpstream Engine;
+  It.m_Placement.grantAt(Engine.m_Address);
+  const auto Caller = It.guide(true);
+  Peer *Call = Engine.next();
+  BOOST_REQUIRE(Call != nullptr);
+  const std::string Event = chunk(tokenEvent(std::string(8000, 'x')));
+  Call->send(streamHead());
+  std::size_t Written = 0;
+  const int Fd = Call->fd();
+  gint64 LastProgress = g_get_monotonic_time();
+  while (g_get_monotonic_time() - LastProgress < G_USEC_PER_SEC / 2) {
+    const ssize_t Size = ::send(Fd, Event.data() + Written % Event.size(),
+                                Event.size() - Written % Event.size(),
+                                MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (Size > 0) {
+      Written += static_cast<std::size_t>(Size);
+      LastProgress = g_get_monotonic_time();
+    }
+    g_main_context_iteration(nullptr, 0);
+    BOOST_REQUIRE(Written < (64U << 20));
+  }
+  BOOST_TEST_MESSAGE("held back after " << Written << " bytes");
+  BOOST_TEST(pumpUntil(
+      [&] { return Caller->received().size() + Event.size() >= Written; }));
+  Call->send(Event.substr(Written % Event.size()) + streamEnd());
+  BOOST_TEST(pumpUntil([&] { return Caller->has("[DONE]"); }));
+  BOOST_TEST(Caller->received().size() > Written);
+}
+
+// The entry is told to stop while an answer streams. Health turns negative and
+// new calls are refused at once, but the answer in progress is not cut.
+BOOST_AUTO_TEST_CASE(ShutdownCutsNothing) {
+  Bench It;
+  FakeUpstream Engine;
+  It.m_Placement.grantAt(Engine.m_Address);
+  const auto Caller = It.guide(true);
+  Peer *Call = Engine.next();
+  BOOST_REQUIRE(Call != nullptr);
+  Call->send(streamHead() + chunk(tokenEvent("one")));
+  BOOST_TEST(pumpUntil([&] { return Caller->has("one"); }));
+  bool Stopped = false;
+  It.m_Service.stop([&] { Stopped = true; });
+  const auto Late = It.guide(true);
+  BOOST_TEST(pumpUntil([&] { return Late->has("shutting_down"); }));
+  BOOST_TEST(Late->has("Retry-After: 1"));
+  const auto Health = It.send("GET /healthz HTTP/1.1\r\nHost: e\r\n\r\n");
+  BOOST_TEST(pumpUntil([&] { return Health->has("HTTP/1.1 503"); }));
+  BOOST_TEST(!Stopped);
+  Call->send(chunk(tokenEvent("two")) + streamEnd());
+  BOOST_TEST(pumpUntil([&] { return Stopped; }));
+  BOOST_TEST(Caller->has("[DONE]"));
+}
+
+BOOST_AUTO_TEST_CASE(RefusalIsFinalAtOnce) {
+  Bench It;
+  It.m_Placement.refuseNext(RefusalReason::QueueFull, 1500ms);
+  const auto Caller = It.guide(false);
+  BOOST_TEST(pumpUntil([&] { return Caller->has("queue_full"); }));
+  BOOST_TEST(Caller->has("HTTP/1.1 429"));
+  BOOST_TEST(Caller->has("Retry-After: 2"));
+  BOOST_TEST(Caller->has("Crowstep-Run: not-run"));
+}
--- /dev/null
+++ b/tests/unit/entry_harness.h
@@ -0,0 +1,399 @@
+/// An entry's caller side in one process: real HTTP on loopback, with fakes of
+/// placement, claims and upstream, so that each test says what fails and when.
+#ifndef CROWSTEP_TESTS_UNIT_ENTRY_HARNESS_H
+#define CROWSTEP_TESTS_UNIT_ENTRY_HARNESS_H
+
+#include "entry/request_service.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <deque>
+#include <fcntl.h>
+#include <map>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace crowstep::entry::test {
+
+using namespace std::chrono_literals;
+
+/// Runs the main loop until \p Holds, for at most a few seconds.
+template <typename Condition> bool pumpUntil(Condition Holds) {
+  const gint64 End = g_get_monotonic_time() + 10 * G_USEC_PER_SEC;
+  while (!Holds()) {
+    if (g_get_monotonic_time() > End)
+      return false;
+    if (g_main_context_iteration(nullptr, 0) == 0)
+      g_usleep(200);
+  }
+  return true;
+}
+
+/// One end of a TCP connection that is read without blocking.
+class Peer {
+public:
+  explicit Peer(int Fd) : m_Fd(Fd) { fcntl(m_Fd, F_SETFL, O_NONBLOCK); }
+  ~Peer() { close(); }
+  Peer(const Peer &) = delete;
+  Peer &operator=(const Peer &) = delete;
+
+  static std::unique_ptr<Peer> connect(const Address &Where) {
+    const int Fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in To{};
+    To.sin_family = AF_INET;
+    To.sin_port = htons(Where.m_Port);
+    To.sin_addr.s_addr = htonl(Where.m_Ip);
+    ::connect(Fd, reinterpret_cast<sockaddr *>(&To), sizeof(To));
+    return std::make_unique<Peer>(Fd);
+  }
+
+  /// Reads what is there; returns everything that ever came.
+  const std::string &received() {
+    char Buffer[65536];
+    while (m_Fd >= 0) {
+      const ssize_t Size = recv(m_Fd, Buffer, sizeof(Buffer), 0);
+      if (Size > 0)
+        m_Received.append(Buffer, static_cast<std::size_t>(Size));
+      else if (Size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        break;
+      else
+        m_Closed = true;
+      if (m_Closed)
+        break;
+    }
+    return m_Received;
+  }
+  bool closed() {
+    received();
+    return m_Closed;
+  }
+  void send(const std::string &Text) {
+    for (std::size_t Sent = 0; Sent < Text.size();) {
+      const ssize_t Size =
+          ::send(m_Fd, Text.data() + Sent, Text.size() - Sent, MSG_NOSIGNAL);
+      if (Size < 0 && errno != EAGAIN)
+        return;
+      if (Size < 0)
+        g_main_context_iteration(nullptr, 0);
+      else
+        Sent += static_cast<std::size_t>(Size);
+    }
+  }
+  void close() {
+    if (m_Fd >= 0)
+      ::close(m_Fd);
+    m_Fd = -1;
+  }
+  [[nodiscard]] int fd() const { return m_Fd; }
+  [[nodiscard]] bool has(const std::string &Text) {
+    return received().find(Text) != std::string::npos;
+  }
+
+private:
+  int m_Fd;
+  bool m_Closed = false;
+  std::string m_Received;
+};
+
+/// An upstream's socket; the test plays the upstream.
+class FakeUpstream {
+public:
+  FakeUpstream() {
+    m_Fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Own{};
+    Own.sin_family = AF_INET;
+    Own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(m_Fd, reinterpret_cast<sockaddr *>(&Own), sizeof(Own));
+    listen(m_Fd, 64);
+    socklen_t Size = sizeof(Own);
+    getsockname(m_Fd, reinterpret_cast<sockaddr *>(&Own), &Size);
+    m_Address = {INADDR_LOOPBACK, ntohs(Own.sin_port)};
+    fcntl(m_Fd, F_SETFL, O_NONBLOCK);
+  }
+  ~FakeUpstream() { stopListening(); }
+  FakeUpstream(const FakeUpstream &) = delete;
+  FakeUpstream &operator=(const FakeUpstream &) = delete;
+
+  /// Waits for the next connection and a whole request on it, or null.
+  Peer *next() {
+    const std::size_t Before = m_Peers.size();
+    pumpUntil([&] { return accept() > Before; });
+    if (m_Peers.size() == Before)
+      return nullptr;
+    Peer *Fresh = m_Peers[Before].get();
+    pumpUntil([&] { return whole(Fresh->received()) || Fresh->closed(); });
+    return Fresh;
+  }
+  /// Returns the number of connections so far.
+  std::size_t accept() {
+    const int Fd = ::accept(m_Fd, nullptr, nullptr);
+    if (Fd >= 0)
+      m_Peers.push_back(std::make_unique<Peer>(Fd));
+    return m_Peers.size();
+  }
+  Peer &peer(std::size_t Index) { return *m_Peers.at(Index); }
+  void stopListening() {
+    if (m_Fd >= 0)
+      ::close(m_Fd);
+    m_Fd = -1;
+  }
+  static bool whole(const std::string &Text) {
+    const std::size_t Head = Text.find("\r\n\r\n");
+    const std::size_t Length = Text.find("Content-Length: ");
+    return Head != std::string::npos && Length != std::string::npos &&
+           Text.size() >= Head + 4 + std::stoul(Text.substr(Length + 16));
+  }
+
+  Address m_Address;
+
+private:
+  int m_Fd;
+  std::vector<std::unique_ptr<Peer>> m_Peers;
+};
+
+/// Grants at the addresses given, in turn; then leaves bids waiting.
+class FakePlacement final : public Placement {
+public:
+  explicit FakePlacement(Scheduler &Timers) : m_Timers(Timers) {}
+
+  BidNumber bid(const BidTerms &Terms, PlacementListener &Listener) override {
+    const BidNumber Number(++m_Last);
+    m_Bids.push_back(Terms);
+    m_Waiting[Number.value()] = &Listener;
+    m_Timers.after(Duration::zero(), [this] { serve(); });
+    return Number;
+  }
+  void withdraw(BidNumber Bid) override { m_Waiting.erase(Bid.value()); }
+  void firstToken(BidNumber, Duration) override { ++m_FirstTokens; }
+  void release(BidNumber, const ReleaseSlot &How) override {
+    m_Released.push_back(How);
+  }
+  /// Lets the next bid be granted at \p Where.
+  void grantAt(const Address &Where, Duration ValidFor = 2s,
+               bool Resumes = true) {
+    GrantedSlot Slot;
+    Slot.m_Upstream = UpstreamId(Where.m_Port);
+    Slot.m_Address = Where;
+    Slot.m_Priority = 3;
+    Slot.m_Resumes = Resumes;
+    Slot.m_ValidFor = ValidFor;
+    m_Grants.push_back(Slot);
+    m_Timers.after(Duration::zero(), [this] { serve(); });
+  }
+  void refuseNext(RefusalReason Reason, Duration RetryAfter) {
+    m_Refusal = {Reason, RetryAfter};
+  }
+
+  std::vector<BidTerms> m_Bids;
+  std::vector<ReleaseSlot> m_Released;
+  int m_FirstTokens = 0;
+  std::map<std::uint64_t, PlacementListener *> m_Waiting;
+  PlacementListener *m_Holder = nullptr; ///< Of the last grant.
+
+private:
+  void serve() {
+    if (m_Waiting.empty() || (m_Grants.empty() && !m_Refusal))
+      return;
+    PlacementListener *To = m_Waiting.begin()->second;
+    m_Waiting.erase(m_Waiting.begin());
+    if (m_Refusal) {
+      const auto Told = *m_Refusal;
+      m_Refusal.reset();
+      To->bidRefused(Told.first, Told.second);
+      return;
+    }
+    const GrantedSlot Slot = m_Grants.front();
+    m_Grants.pop_front();
+    m_Holder = To;
+    To->slotGranted(Slot);
+  }
+
+  Scheduler &m_Timers;
+  std::uint64_t m_Last = 0;
+  std::deque<GrantedSlot> m_Grants;
+  std::optional<std::pair<RefusalReason, Duration>> m_Refusal;
+};
+
+/// Rows in memory, with a switch for the next outcome.
+class FakeClaims final : public claim::Claims {
+public:
+  explicit FakeClaims(Scheduler &Timers) : m_Timers(Timers) {}
+
+  void claim(const claim::ClaimKey &Key, std::uint64_t BodyHash,
+             const claim::AttemptId &Attempt, Duration, Done OnDone) override {
+    ++m_Claims;
+    if (m_Next) {
+      const claim::ClaimStatus Told = *m_Next;
+      m_Next.reset();
+      later(std::move(OnDone), {Told, {}});
+      return;
+    }
+    Row &Present =
+        m_Rows.try_emplace(Key, Row{BodyHash, Attempt}).first->second;
+    later(std::move(OnDone), seen(Present, BodyHash, Attempt));
+  }
+  void recordNotRun(const claim::ClaimKey &Key, const claim::AttemptId &,
+                    Done OnDone) override {
+    m_Rows.erase(Key);
+    ++m_NotRun;
+    later(std::move(OnDone), {claim::ClaimStatus::Done, {}});
+  }
+  void recordRan(const claim::ClaimKey &Key, const claim::AttemptId &,
+                 const claim::KeptAnswer &Answer, Done OnDone) override {
+    m_Rows[Key].m_Answer = Answer;
+    later(std::move(OnDone), {claim::ClaimStatus::Done, {}});
+  }
+  void read(const claim::ClaimKey &Key, std::uint64_t BodyHash,
+            Done OnDone) override {
+    const auto Found = m_Rows.find(Key);
+    if (Found == m_Rows.end())
+      later(std::move(OnDone), {claim::ClaimStatus::Done, {}});
+    else
+      later(std::move(OnDone), seen(Found->second, BodyHash, ""));
+  }
+
+  std::optional<claim::ClaimStatus> m_Next; ///< Of the next claim.
+  int m_Claims = 0;
+  int m_NotRun = 0;
+
+private:
+  struct Row {
+    std::uint64_t m_BodyHash = 0;
+    claim::AttemptId m_Owner;
+    std::optional<claim::KeptAnswer> m_Answer;
+  };
+  static claim::ClaimOutcome seen(const Row &Present, std::uint64_t BodyHash,
+                                  const claim::AttemptId &Attempt) {
+    if (Present.m_BodyHash != BodyHash)
+      return {claim::ClaimStatus::OtherBody, {}};
+    if (Present.m_Answer)
+      return {claim::ClaimStatus::Ran, *Present.m_Answer};
+    return {Present.m_Owner == Attempt ? claim::ClaimStatus::Owned
+                                       : claim::ClaimStatus::InProgress,
+            {}};
+  }
+  void later(Done OnDone, claim::ClaimOutcome Outcome) {
+    m_Timers.after(Duration::zero(),
+                   [OnDone = std::move(OnDone), Outcome = std::move(Outcome)] {
+                     OnDone(Outcome);
+                   });
+  }
+  Scheduler &m_Timers;
+  std::map<claim::ClaimKey, Row> m_Rows;
+};
+
+/// The entry under test: classes guide (engine, repeatable), hold (service, at
+/// most once) and check (service, repeatable); workspaces with the keys alpha
+/// and beta.
+struct Bench {
+  Bench() {
+    Contract Guide;
+    Guide.m_Id = ClassId(1);
+    Guide.m_Name = "guide";
+    Guide.m_Service = "guide-writer";
+    Guide.m_Model = "guide-7b";
+    Guide.m_FirstTokenTarget = 1s;
+    Guide.m_TotalLimit = 5s;
+    Guide.m_MaxTokens = 64;
+    Contract Hold = Guide;
+    Hold.m_Id = ClassId(2);
+    Hold.m_Name = "hold";
+    Hold.m_Service = "pass-desk";
+    Hold.m_Model.clear();
+    Hold.m_Repeatable = false;
+    Hold.m_TotalLimit = 2s;
+    Contract Check = Hold;
+    Check.m_Id = ClassId(3);
+    Check.m_Name = "check";
+    Check.m_Repeatable = true;
+    m_Known.setTable({TableVersion(1), {Guide, Hold, Check}});
+    m_Known.setWorkspaces({{WorkspaceId(1), sha256Hex("alpha")},
+                           {WorkspaceId(2), sha256Hex("beta")}});
+    m_Service.tableChanged();
+    m_Service.listen(m_Address);
+  }
+
+  static RequestLimits limits() {
+    RequestLimits Result;
+    Result.m_MaxBody = 64 << 10;
+    Result.m_MaxHeader = 512;
+    Result.m_ReceiveLimit = 300ms;
+    Result.m_UpstreamSilence = 5s;
+    Result.m_CallerBacklog = 64 << 10;
+    Result.m_MaxAttempts = 4;
+    return Result;
+  }
+
+  /// Returns a free port: the fake upstream's bind finds one.
+  static Address freeAddress() { return FakeUpstream().m_Address; }
+
+  static std::string text(const std::string &Path, const std::string &Class,
+                          const std::string &Body, const std::string &More = "",
+                          const std::string &Key = "alpha") {
+    return "POST " + Path + " HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer " +
+           Key + "\r\nCrowstep-Class: " + Class +
+           "\r\nContent-Type: application/json\r\n" + More +
+           "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  }
+  std::unique_ptr<Peer> send(const std::string &Text) const {
+    auto Caller = Peer::connect(m_Address);
+    Caller->send(Text);
+    return Caller;
+  }
+  std::unique_ptr<Peer> guide(bool Streamed) const {
+    return send(text("/v1/chat/completions", "guide",
+                     std::string(R"({"messages":[{"role":"user",)") +
+                         R"("content":"pass"}],"stream":)" +
+                         (Streamed ? "true}" : "false}")));
+  }
+  std::unique_ptr<Peer> hold(const std::string &Key = "k1",
+                             const std::string &Body = R"({"seat":4})") const {
+    return send(text("/v1/services/pass-desk/hold", "hold", Body,
+                     "Idempotency-Key: " + Key + "\r\n"));
+  }
+
+  LoopClock m_Clock;
+  LoopScheduler m_Timers;
+  Metrics m_Metrics;
+  Directory m_Known;
+  FakePlacement m_Placement{m_Timers};
+  FakeClaims m_Claims{m_Timers};
+  HttpUpstreamCaller m_Upstream{m_Clock, m_Timers};
+  HttpClient m_Http;
+  bool m_Right = true;
+  Address m_Address = freeAddress();
+  RequestService m_Service{
+      {m_Clock, m_Timers, m_Placement, m_Claims, m_Upstream, m_Http, limits()},
+      m_Known,
+      {[this] { return m_Right; }, [] { return false; }},
+      m_Metrics};
+};
+
+inline std::string streamHead() {
+  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+inline std::string chunk(const std::string &Text) {
+  char Size[16];
+  std::snprintf(Size, sizeof(Size), "%zx\r\n", Text.size());
+  return Size + Text + "\r\n";
+}
+inline std::string tokenEvent(const std::string &Text) {
+  return R"(data: {"choices":[{"delta":{"content":")" + Text + "\"}}]}\n\n";
+}
+inline std::string streamEnd() {
+  return chunk("data: [DONE]\n\n") + "0\r\n\r\n";
+}
+inline std::string plain(unsigned Status, const std::string &Body) {
+  return "HTTP/1.1 " + std::to_string(Status) +
+         " X\r\nContent-Type: application/json\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+inline std::string notRun(const std::string &Code) {
+  return plain(503, R"({"error":{"type":"not_run","code":")" + Code + "\"}}");
+}
+
+} // namespace crowstep::entry::test
+
+#endif // CROWSTEP_TESTS_UNIT_ENTRY_HARNESS_H
