--- /dev/null
+++ b/tests/unit/table_safety_test.cpp
@@ -0,0 +1,260 @@
+/// The safeguards of the table in force, one by one: what goes wrong without
+/// each of them is too rare for random schedules.
+#define BOOST_TEST_MODULE table_safety
+#include "contract/table_commit.h"
+#include "table_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace crowstep;
+using namespace crowstep::contract;
+
+namespace {
+
+const Voters Three = {"x", "y", "z"};
+
+TableDocument documentOf(std::uint64_t Version) {
+  TableDocument Result = decodeDocument(SimFleet::firstTable());
+  Result.m_Table.m_Version = Result.m_Edited = TableVersion(Version);
+  Result.m_Voters = Three;
+  return Result;
+}
+
+/// One core called x, driven by hand.
+struct Lone {
+  Lone() {
+    TableKeeperConfig Config;
+    Config.m_Name = "x";
+    Config.m_Incarnation = Incarnation(7);
+    m_Core = std::make_unique<TableCore>(Config, "c", m_Now);
+    send(PeerUp{link::LinkId(1), instanceIdOf("y"), false});
+    send(DocumentArrived{link::LinkId(1), documentOf(3)});
+  }
+  TableActions send(const TableEvent &Event) {
+    const TableActions Out = m_Core->handle(m_Now, Event);
+    for (const TableAction &Action : Out)
+      if (const auto *Probe = std::get_if<SendProbe>(&Action))
+        m_Probe = Probe->m_Sequence;
+    return Out;
+  }
+  /// Answers the last probe with vouches for \p Names, all \p Age old.
+  void answer(const Voters &Names, Duration Age, std::uint64_t Version = 3) {
+    ProbeAnswer Answer{m_Probe, TableVersion(Version), {}, {}};
+    for (const std::string &Name : Names)
+      Answer.m_Vouches.push_back(
+          {instanceIdOf(Name), Incarnation(1), TableVersion(Version), Age});
+    send(ProbeAnswered{link::LinkId(1), Answer});
+  }
+  void pass(Duration Span) {
+    m_Now += Span;
+    send(Tick());
+  }
+  [[nodiscard]] bool serves() const { return m_Core->rightToServe(m_Now); }
+
+  TimePoint m_Now{seconds(100)};     ///< Moved on by pass().
+  std::unique_ptr<TableCore> m_Core; ///< Under test.
+  std::uint64_t m_Probe = 0;         ///< Last one sent.
+};
+
+bool accepted(const SimFleet &Fleet, std::size_t Id) {
+  const auto &Outcome = Fleet.m_Changes[Id].m_Outcome;
+  return Outcome && std::holds_alternative<ChangeAccepted>(*Outcome);
+}
+
+} // namespace
+
+/// A rider's request reaches an instance that was cut off from everyone a
+/// moment before a change; the others remove it from their view at once and
+/// accept. If they did not wait until its right to serve has lapsed, it would
+/// go on with the old table after the operator was told "accepted".
+BOOST_AUTO_TEST_CASE(AcceptanceWaitsForRightsToLapse) {
+  SimFleet Fleet(4, 5);
+  Fleet.run(seconds(12));
+  Fleet.m_DeadAfter = Duration::zero();
+  Fleet.moveTo(0, 1);
+  Fleet.m_Processes[0].m_Store = false;
+  BOOST_TEST(Fleet.serves(0));
+  const std::size_t Id = Fleet.change(1, std::nullopt);
+  Fleet.run(seconds(6));
+  BOOST_TEST(accepted(Fleet, Id));
+  BOOST_TEST(Fleet.m_Faults.empty());
+  BOOST_TEST(!Fleet.serves(0));
+}
+
+/// The same with the half of the fleet that has no table service being the
+/// larger one: it goes on serving, so that the change can only be pending.
+BOOST_AUTO_TEST_CASE(NoAcceptanceAgainstAMajorityThatServes) {
+  SimFleet Fleet(5, 6);
+  Fleet.run(seconds(12));
+  for (const std::size_t Index : {0U, 1U, 2U}) {
+    Fleet.moveTo(Index, 1);
+    Fleet.m_Processes[Index].m_Store = false;
+  }
+  const std::size_t Id = Fleet.change(4, std::nullopt);
+  Fleet.run(seconds(15));
+  BOOST_TEST(
+      std::holds_alternative<ChangePending>(*Fleet.m_Changes[Id].m_Outcome));
+  BOOST_TEST(Fleet.serves(0));
+  BOOST_TEST(Fleet.m_Faults.empty());
+}
+
+/// y is seen with version 4, restarts, comes back with 3 and lends its voice
+/// to an instance that serves 3; then z is seen with 4. Counted over time, two
+/// of three held 4; but at no moment did they, and 3 is still in use.
+BOOST_AUTO_TEST_CASE(AMajorityMustHoldAtOneMoment) {
+  const TimePoint Start{seconds(10)};
+  const auto At = [&](int Second) { return Start + seconds(Second); };
+  SettleWatch Watch(TableVersion(4), {Three}, Start, seconds(2));
+  VouchTable Known;
+  const auto Hear = [&](const char *Who, std::uint64_t Incarnate,
+                        std::uint64_t Version, int Second) {
+    Known.add(instanceIdOf(Who),
+              {Incarnation(Incarnate), TableVersion(Version), At(Second)});
+    Watch.update(Known, {}, At(Second));
+  };
+  Hear("y", 1, 4, 1);
+  Hear("y", 2, 3, 2);
+  Hear("z", 1, 4, 3);
+  Hear("z", 1, 4, 9);
+  BOOST_TEST(!Watch.settled());
+  Hear("x", 1, 4, 10);
+  Hear("z", 1, 4, 11);
+  BOOST_TEST(!Watch.settled()); // The lapse since the moment.
+  Hear("x", 1, 4, 13);
+  BOOST_TEST(Watch.settled());
+}
+
+/// A fleet replaced under new names would wait for its old voters for ever.
+BOOST_AUTO_TEST_CASE(VotersTakenAwayByThePlatformDoNotCount) {
+  SettleWatch Watch(TableVersion(4), {Three}, TimePoint(), seconds(2));
+  Watch.update({}, {"x", "y"}, TimePoint(seconds(9)));
+  BOOST_TEST(!Watch.settled());
+  Watch.update({}, {"x", "y", "z"}, TimePoint(seconds(10)));
+  Watch.update({}, {"x", "y", "z"}, TimePoint(seconds(13)));
+  BOOST_TEST(Watch.settled());
+}
+
+/// Version 5 is committed while it is not known whether 3 is still in use.
+/// Who uses 3 relies on the voters of 3: without them in the list of quorums,
+/// 5 could settle on the word of others.
+BOOST_AUTO_TEST_CASE(VotersOfUnsettledVersionsAreKept) {
+  const TableDocument Third = documentOf(3);
+  const ChangeAsked Asked{ChangeId(), SimFleet::rows(9), TableVersion(3), "",
+                          ""};
+  const TableDocument Fourth =
+      changedDocument(Third, Asked, {"a", true, {"p", "q"}});
+  BOOST_CHECK(Fourth.m_Quorums == std::vector<Voters>{Three});
+  BOOST_CHECK(Fourth.m_Voters == (Voters{"p", "q"}));
+  const TableDocument Fifth =
+      changedDocument(Fourth, Asked, {"b", false, {"r"}});
+  BOOST_CHECK(Fifth.m_Quorums == (std::vector<Voters>{Three, {"p", "q"}}));
+  BOOST_CHECK(Fifth.m_Voters == (Voters{"p", "q"}));
+  const TableDocument Sixth = revotedDocument(Fifth, {"c", true, {"r"}});
+  BOOST_CHECK(Sixth.m_Quorums == (std::vector<Voters>{{"p", "q"}}));
+  BOOST_TEST(Sixth.m_Edited.value() == Fifth.version().value());
+}
+
+/// A process that was frozen finds old answers in its socket. Taken as new,
+/// they would renew a right to serve that lapsed during the freeze.
+BOOST_AUTO_TEST_CASE(OldAnswersRenewNothing) {
+  Lone Of;
+  Of.answer({"y", "z"}, Duration::zero());
+  BOOST_TEST(Of.serves());
+  Of.pass(seconds(1));
+  const std::uint64_t Old = Of.m_Probe;
+  Of.m_Now += seconds(5);
+  BOOST_TEST(!Of.serves());
+  Of.m_Probe = Old;
+  Of.answer({"y", "z"}, Duration::zero());
+  BOOST_TEST(!Of.serves());
+  Of.pass(seconds(1));
+  Of.answer({"y"}, milliseconds(1400)); // x and y are two of three.
+  BOOST_TEST(Of.serves());
+  Of.m_Now += milliseconds(101);
+  BOOST_TEST(!Of.serves());
+}
+
+/// A voter with a higher version says nothing for the lower one.
+BOOST_AUTO_TEST_CASE(VoicesForAHigherVersionDoNotCount) {
+  Lone Of;
+  Of.answer({"y", "z"}, Duration::zero());
+  Of.pass(seconds(2));
+  Of.answer({"y", "z"}, Duration::zero(), 4);
+  BOOST_TEST(!Of.serves());
+}
+
+/// An instance that restarts during an outage gets the table from one peer,
+/// which may itself be cut off with an old one. Only with the word of more
+/// than half of the voters does it know that nothing newer was accepted.
+BOOST_AUTO_TEST_CASE(ARestartedInstanceCatchesUpFirst) {
+  Lone Of;
+  BOOST_TEST(!Of.m_Core->caughtUp());
+  Of.answer({"y"}, Duration::zero());
+  BOOST_TEST(!Of.m_Core->caughtUp());
+  BOOST_TEST(!Of.serves());
+  Of.pass(seconds(1));
+  Of.answer({"y", "z"}, seconds(2)); // From before the start.
+  BOOST_TEST(!Of.m_Core->caughtUp());
+  Of.pass(seconds(1));
+  Of.answer({"y", "z"}, Duration::zero());
+  BOOST_TEST(Of.m_Core->caughtUp());
+  BOOST_TEST(Of.serves());
+}
+
+/// The table service is away for a minute. All go on serving; one that is
+/// killed learns the table from the others and serves again.
+BOOST_AUTO_TEST_CASE(AnOutageStopsNeitherServiceNorRestarts) {
+  SimFleet Fleet(5, 8);
+  Fleet.m_SlowPercent = 0; // Links that stall for seconds may cost the right.
+  Fleet.run(seconds(12));
+  Fleet.m_Store.m_Up = false;
+  const std::size_t Before = Fleet.m_Reads;
+  for (int Second = 0; Second < 60; ++Second) {
+    Fleet.run(seconds(1));
+    if (Second == 20)
+      Fleet.kill(2);
+    if (Second == 25)
+      Fleet.start(2);
+    for (const std::size_t Index : {0U, 1U, 3U, 4U})
+      BOOST_TEST(Fleet.serves(Index));
+  }
+  BOOST_TEST(Fleet.serves(2));
+  // Reads that fail back off to one in four seconds an instance.
+  BOOST_TEST(Fleet.m_Reads - Before < 5U * 60U / 3U);
+}
+
+/// The platform restores its table service to an older state. The version in
+/// force stays; the row gets it back, and changes are possible again.
+BOOST_AUTO_TEST_CASE(ARestoredTableServiceRevertsNothing) {
+  SimFleet Fleet(3, 9);
+  Fleet.run(seconds(12));
+  const std::size_t First = Fleet.change(0, std::nullopt);
+  Fleet.run(seconds(6));
+  BOOST_TEST(accepted(Fleet, First));
+  const TableVersion Held = Fleet.core(0).document().version();
+  Fleet.m_Store.m_Row = {"current", platform::RowVersion(1),
+                         SimFleet::firstTable()};
+  const std::size_t Refused = Fleet.change(1, std::nullopt);
+  Fleet.run(milliseconds(700));
+  BOOST_CHECK(std::holds_alternative<ChangeUnavailable>(
+      *Fleet.m_Changes[Refused].m_Outcome));
+  Fleet.run(seconds(5));
+  BOOST_CHECK(Fleet.core(0).document().version() >= Held);
+  BOOST_CHECK(decodeDocument(Fleet.m_Store.m_Row->m_Value).version() >= Held);
+  const std::size_t Second = Fleet.change(1, std::nullopt);
+  Fleet.run(seconds(6));
+  BOOST_TEST(accepted(Fleet, Second));
+  BOOST_TEST(Fleet.m_Faults.empty());
+}
+
+/// All instances start, or see the table service return, at the same moment.
+BOOST_AUTO_TEST_CASE(ReadsAreSpreadAndBounded) {
+  SimFleet Fleet(9, 10);
+  Fleet.run(seconds(1));
+  BOOST_TEST(Fleet.m_Reads <= 18U);
+  const std::size_t Before = Fleet.m_Reads;
+  Fleet.run(seconds(20));
+  BOOST_TEST_MESSAGE("reads in 20 s by 9 instances: " << Fleet.m_Reads -
+                                                             Before);
+  BOOST_TEST(Fleet.m_Reads - Before <= 9U * 20U);
+}
