--- a/src/link/frame_account.cpp
+++ b/src/link/frame_account.cpp
@@ -39,6 +39,9 @@
     {F::VT_ATTACHMENT_ACK, M::Attachment, false},
     {F::VT_CLAIM_REQUESTS, M::Claims, true},
     {F::VT_CLAIM_REPLIES, M::Claims, true},
+    {F::VT_MEMBER_NEWS, M::Membership, true},
+    {F::VT_TABLE_PROBE, M::Table, false},
+    {F::VT_TABLE_PROBE_ACK, M::Table, false},
 };
 
 constexpr const char *MechanismNames[] = {"framing", "serving",    "membership",
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -58,6 +58,8 @@
 struct HeartbeatAckBuilder;
 struct HeartbeatAckT;
 
+struct MemberNews;
+
 struct IndirectProbe;
 struct IndirectProbeBuilder;
 struct IndirectProbeT;
@@ -553,6 +555,59 @@
   using type = NotOwner;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) MemberNews FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t instance_;
+  uint64_t incarnation_;
+  uint64_t table_version_;
+  uint8_t state_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  MemberNews()
+      : instance_(0),
+        incarnation_(0),
+        table_version_(0),
+        state_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  MemberNews(uint64_t _instance, uint64_t _incarnation, uint64_t _table_version, crowstep::wire::MemberState _state)
+      : instance_(flatbuffers::EndianScalar(_instance)),
+        incarnation_(flatbuffers::EndianScalar(_incarnation)),
+        table_version_(flatbuffers::EndianScalar(_table_version)),
+        state_(flatbuffers::EndianScalar(static_cast<uint8_t>(_state))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t instance() const {
+    return flatbuffers::EndianScalar(instance_);
+  }
+  uint64_t incarnation() const {
+    return flatbuffers::EndianScalar(incarnation_);
+  }
+  uint64_t table_version() const {
+    return flatbuffers::EndianScalar(table_version_);
+  }
+  crowstep::wire::MemberState state() const {
+    return static_cast<crowstep::wire::MemberState>(flatbuffers::EndianScalar(state_));
+  }
+};
+FLATBUFFERS_STRUCT_END(MemberNews, 32);
+
+struct MemberNews::Traits {
+  using type = MemberNews;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) TableVouch FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t instance_;
@@ -2777,6 +2832,7 @@
   std::vector<std::unique_ptr<crowstep::wire::ClaimReplyT>> claim_replies{};
   std::unique_ptr<crowstep::wire::TableProbeT> table_probe{};
   std::unique_ptr<crowstep::wire::TableProbeAckT> table_probe_ack{};
+  std::vector<crowstep::wire::MemberNews> member_news{};
   FrameT() = default;
   FrameT(const FrameT &o);
   FrameT(FrameT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2811,7 +2867,8 @@
     VT_CLAIM_REQUESTS = 44,
     VT_CLAIM_REPLIES = 46,
     VT_TABLE_PROBE = 48,
-    VT_TABLE_PROBE_ACK = 50
+    VT_TABLE_PROBE_ACK = 50,
+    VT_MEMBER_NEWS = 52
   };
   const crowstep::wire::Hello *hello() const {
     return GetPointer<const crowstep::wire::Hello *>(VT_HELLO);
@@ -2885,6 +2942,9 @@
   const crowstep::wire::TableProbeAck *table_probe_ack() const {
     return GetPointer<const crowstep::wire::TableProbeAck *>(VT_TABLE_PROBE_ACK);
   }
+  const flatbuffers::Vector<const crowstep::wire::MemberNews *> *member_news() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::MemberNews *> *>(VT_MEMBER_NEWS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HELLO) &&
@@ -2941,6 +3001,8 @@
            verifier.VerifyTable(table_probe()) &&
            VerifyOffset(verifier, VT_TABLE_PROBE_ACK) &&
            verifier.VerifyTable(table_probe_ack()) &&
+           VerifyOffset(verifier, VT_MEMBER_NEWS) &&
+           verifier.VerifyVector(member_news()) &&
            verifier.EndTable();
   }
   FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3024,6 +3086,9 @@
   void add_table_probe_ack(flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack) {
     fbb_.AddOffset(Frame::VT_TABLE_PROBE_ACK, table_probe_ack);
   }
+  void add_member_news(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::MemberNews *>> member_news) {
+    fbb_.AddOffset(Frame::VT_MEMBER_NEWS, member_news);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3060,8 +3125,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>>> claim_requests = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>>> claim_replies = 0,
     flatbuffers::Offset<crowstep::wire::TableProbe> table_probe = 0,
-    flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0) {
+    flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::MemberNews *>> member_news = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_member_news(member_news);
   builder_.add_table_probe_ack(table_probe_ack);
   builder_.add_table_probe(table_probe);
   builder_.add_claim_replies(claim_replies);
@@ -3119,7 +3186,8 @@
     const std::vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *claim_requests = nullptr,
     const std::vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *claim_replies = nullptr,
     flatbuffers::Offset<crowstep::wire::TableProbe> table_probe = 0,
-    flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0) {
+    flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0,
+    const std::vector<crowstep::wire::MemberNews> *member_news = nullptr) {
   auto bids__ = bids ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Bid>>(*bids) : 0;
   auto grants__ = grants ? _fbb.CreateVectorOfStructs<crowstep::wire::Grant>(*grants) : 0;
   auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<crowstep::wire::Refusal>(*refusals) : 0;
@@ -3133,6 +3201,7 @@
   auto probes__ = probes ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::IndirectProbe>>(*probes) : 0;
   auto claim_requests__ = claim_requests ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimRequest>>(*claim_requests) : 0;
   auto claim_replies__ = claim_replies ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimReply>>(*claim_replies) : 0;
+  auto member_news__ = member_news ? _fbb.CreateVectorOfStructs<crowstep::wire::MemberNews>(*member_news) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
       hello,
@@ -3158,7 +3227,8 @@
       claim_requests__,
       claim_replies__,
       table_probe,
-      table_probe_ack);
+      table_probe_ack,
+      member_news__);
 }
 
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3928,7 +3998,8 @@
         attachment((o.attachment) ? new crowstep::wire::AttachmentT(*o.attachment) : nullptr),
         attachment_ack((o.attachment_ack) ? new crowstep::wire::AttachmentAckT(*o.attachment_ack) : nullptr),
         table_probe((o.table_probe) ? new crowstep::wire::TableProbeT(*o.table_probe) : nullptr),
-        table_probe_ack((o.table_probe_ack) ? new crowstep::wire::TableProbeAckT(*o.table_probe_ack) : nullptr) {
+        table_probe_ack((o.table_probe_ack) ? new crowstep::wire::TableProbeAckT(*o.table_probe_ack) : nullptr),
+        member_news(o.member_news) {
   bids.reserve(o.bids.size());
   for (const auto &bids_ : o.bids) { bids.emplace_back((bids_) ? new crowstep::wire::BidT(*bids_) : nullptr); }
   running.reserve(o.running.size());
@@ -3968,6 +4039,7 @@
   std::swap(claim_replies, o.claim_replies);
   std::swap(table_probe, o.table_probe);
   std::swap(table_probe_ack, o.table_probe_ack);
+  std::swap(member_news, o.member_news);
   return *this;
 }
 
@@ -4004,6 +4076,7 @@
   { auto _e = claim_replies(); if (_e) { _o->claim_replies.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claim_replies[_i] = std::unique_ptr<crowstep::wire::ClaimReplyT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = table_probe(); if (_e) _o->table_probe = std::unique_ptr<crowstep::wire::TableProbeT>(_e->UnPack(_resolver)); }
   { auto _e = table_probe_ack(); if (_e) _o->table_probe_ack = std::unique_ptr<crowstep::wire::TableProbeAckT>(_e->UnPack(_resolver)); }
+  { auto _e = member_news(); if (_e) { _o->member_news.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->member_news[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Frame> Frame::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4038,6 +4111,7 @@
   auto _claim_replies = _o->claim_replies.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimReply>> (_o->claim_replies.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimReply(*__va->__fbb, __va->__o->claim_replies[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _table_probe = _o->table_probe ? CreateTableProbe(_fbb, _o->table_probe.get(), _rehasher) : 0;
   auto _table_probe_ack = _o->table_probe_ack ? CreateTableProbeAck(_fbb, _o->table_probe_ack.get(), _rehasher) : 0;
+  auto _member_news = _o->member_news.size() ? _fbb.CreateVectorOfStructs(_o->member_news) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
       _hello,
@@ -4063,7 +4137,8 @@
       _claim_requests,
       _claim_replies,
       _table_probe,
-      _table_probe_ack);
+      _table_probe_ack,
+      _member_news);
 }
 
 inline const crowstep::wire::Frame *GetFrame(const void *buf) {
