Feature: Add membership of the fleet's dispatchers

A state machine without I/O (membership_core) and its shell. Members dial two ring successors and two rendezvous-random peers, watch both ends of these links only, flood changes and compare hashes of views.

--- /dev/null
+++ b/src/membership/member_view.cpp
@@ -0,0 +1,87 @@
+/// What one process believes of all members.
+#include "membership/member_view.h"
+
+#include "membership/member_func.h"
+
+namespace crowstep::membership {
+
+namespace {
+
+std::uint64_t hashOf(const Member &Which) {
+  if (!isLive(Which.m_State))
+    return 0;
+  const std::uint64_t Start =
+      pairHash(Which.m_Id.value(), Which.m_Incarnation.value());
+  return pairHash(pairHash(Start, static_cast<std::uint64_t>(Which.m_State)),
+                  Which.m_TableVersion.value());
+}
+
+} // namespace
+
+MemberView::MemberView(const Member &Self) { store(Self, TimePoint()); }
+
+MergeResult MemberView::merge(const Member &News, TimePoint Now) {
+  const auto Found = m_Known.find(News.m_Id);
+  if (Found == m_Known.end() && !isLive(News.m_State))
+    return MergeResult::Nothing;
+  if (Found == m_Known.end() ||
+      News.m_Incarnation > Found->second.m_Member.m_Incarnation) {
+    store(News, Now);
+    return MergeResult::Joined;
+  }
+  const Member &Old = Found->second.m_Member;
+  if (News.m_Incarnation < Old.m_Incarnation)
+    return MergeResult::Nothing;
+  Member Merged = Old;
+  Merged.m_State = std::max(Old.m_State, News.m_State);
+  Merged.m_TableVersion = std::max(Old.m_TableVersion, News.m_TableVersion);
+  if (Merged == Old)
+    return MergeResult::Nothing;
+  const bool SameState = Merged.m_State == Old.m_State;
+  store(Merged, SameState ? Found->second.m_Since : Now);
+  return SameState ? MergeResult::VersionOnly : MergeResult::StateOnly;
+}
+
+void MemberView::store(const Member &News, TimePoint Now) {
+  Known &Entry = m_Known[News.m_Id];
+  if (!Entry.m_Member.m_Name.empty())
+    m_Hash ^= hashOf(Entry.m_Member);
+  Entry = {News, Now};
+  m_Hash ^= hashOf(News);
+  m_AllIsCurrent = false;
+}
+
+bool MemberView::forgetBefore(TimePoint Limit) {
+  const std::size_t Forgotten =
+      std::erase_if(m_Known, [Limit](const auto &Each) {
+        return !isLive(Each.second.m_Member.m_State) &&
+               Each.second.m_Since < Limit;
+      });
+  m_AllIsCurrent = m_AllIsCurrent && Forgotten == 0;
+  return Forgotten > 0;
+}
+
+const Member *MemberView::find(InstanceId Id) const {
+  const auto Found = m_Known.find(Id);
+  return Found == m_Known.end() ? nullptr : &Found->second.m_Member;
+}
+
+std::vector<InstanceId> MemberView::suspectsBefore(TimePoint Limit) const {
+  std::vector<InstanceId> Result;
+  for (const auto &[Id, Entry] : m_Known)
+    if (Entry.m_Member.m_State == MemberState::Suspect && Entry.m_Since < Limit)
+      Result.push_back(Id);
+  return Result;
+}
+
+const std::vector<Member> &MemberView::all() const {
+  if (!m_AllIsCurrent) {
+    m_All.clear();
+    for (const auto &[Id, Entry] : m_Known)
+      m_All.push_back(Entry.m_Member);
+    m_AllIsCurrent = true;
+  }
+  return m_All;
+}
+
+} // namespace crowstep::membership
--- /dev/null
+++ b/src/membership/membership_core.cpp
@@ -0,0 +1,354 @@
+/// Membership as a state machine without I/O.
+#include "membership/membership_core.h"
+
+#include "membership/member_func.h"
+#include "membership/overlay.h"
+
+#include <algorithm>
+
+namespace crowstep::membership {
+
+namespace {
+
+/// A tick that comes later than this was held up by this process itself, or
+/// by its machine: the time beyond is not held against others.
+constexpr Duration MaxTickGap = 2 * TickInterval;
+
+constexpr std::size_t ProbesWhenAlone = 3;
+constexpr Duration ProbeIntervalAlone = std::chrono::milliseconds(500);
+constexpr Duration ProbeInterval = std::chrono::seconds(5);
+
+MemberNews newsOf(const Member &Which) {
+  return {Which.m_Id, Which.m_Incarnation, Which.m_State, Which.m_TableVersion};
+}
+
+} // namespace
+
+MembershipCore::MembershipCore(const MembershipConfig &Config,
+                               const Member &Self, TimePoint Now)
+    : m_Config(Config), m_Self(Self.m_Id), m_View(Self),
+      m_Watches(Config.m_SuspectAfter),
+      m_Random(pairHash(Config.m_Seed, Self.m_Id.value())), m_Now(Now),
+      m_LastTick(Now), m_Running(Now), m_NextHeartbeat(Now),
+      m_NextProbe(Now), m_Reference{Self.m_Id} {}
+
+const std::vector<Member> &MembershipCore::members() const {
+  return m_View.all();
+}
+
+LinkId MembershipCore::linkTo(InstanceId Id) const {
+  return m_Watches.linkTo(Id);
+}
+
+const Member &MembershipCore::self() const { return *m_View.find(m_Self); }
+
+std::vector<Action> MembershipCore::handle(TimePoint Now, const Event &What) {
+  m_Now = Now;
+  m_Out.clear();
+  m_Source = LinkId();
+  std::visit([this](const auto &Each) { on(Each); }, What);
+  settle();
+  return std::move(m_Out);
+}
+
+/// Floods what the event changed, and follows the change with the links.
+void MembershipCore::settle() {
+  for (const auto &[Link, Peer] : m_Watches.links()) {
+    if (Link == m_Source)
+      continue;
+    if (!m_Whole.empty())
+      m_Out.emplace_back(SendMembers{Link, m_Whole});
+    if (!m_News.empty())
+      m_Out.emplace_back(SendNews{Link, m_News});
+  }
+  m_Whole.clear();
+  m_News.clear();
+  if (std::exchange(m_LiveChanged, false))
+    retarget();
+  if (std::exchange(m_ViewChanged, false))
+    m_Out.emplace_back(ViewChanged{});
+}
+
+void MembershipCore::retarget() {
+  const std::vector<Member> &All = m_View.all();
+  std::set<InstanceId> Watched;
+  std::map<Address, InstanceId> Dialled;
+  for (const Member *Target :
+       targetsOf(m_Self, m_Config.m_Degree, m_Config.m_Seed, All)) {
+    Watched.insert(Target->m_Id);
+    Dialled[Target->m_Address] = Target->m_Id;
+  }
+  m_Watches.setTargets(Watched, m_Running);
+  m_Dials.setTargets(Dialled, m_Now, m_Out);
+}
+
+// ---- Time ----
+
+void MembershipCore::on(const Tick &) {
+  advanceRunningTime();
+  for (const InstanceId Id :
+       m_View.suspectsBefore(m_Running - m_Config.m_DeadAfter))
+    accuse(Id, MemberState::Dead);
+  for (const InstanceId Id : m_Watches.silent(m_Running))
+    accuse(Id, MemberState::Suspect);
+  if (m_View.forgetBefore(m_Running - RememberDead))
+    m_ViewChanged = true;
+  if (m_Now >= m_NextHeartbeat)
+    sendHeartbeats();
+  sendHeldVersions();
+  probe();
+  if (!hearsMajority(m_Now))
+    return;
+  m_Reference.clear();
+  for (const Member &Each : m_View.all())
+    if (isLive(Each.m_State))
+      m_Reference.push_back(Each.m_Id);
+}
+
+void MembershipCore::advanceRunningTime() {
+  const Duration Gap = m_Now - m_LastTick;
+  m_LastTick = m_Now;
+  m_Running += std::min(Gap, MaxTickGap);
+  if (Gap > m_Config.m_HeartbeatInterval)
+    notice(NoticeKind::Slow, self());
+}
+
+void MembershipCore::sendHeartbeat(LinkId Link) {
+  m_Out.emplace_back(
+      SendHeartbeat{Link, m_Sequence, self().m_TableVersion, m_View.hash()});
+}
+
+void MembershipCore::sendHeartbeats() {
+  m_NextHeartbeat = m_Now + m_Config.m_HeartbeatInterval;
+  ++m_Sequence;
+  for (const auto &[Link, Peer] : m_Watches.links())
+    sendHeartbeat(Link);
+}
+
+/// Versions that others confirmed go out joined, a tick at a time: after each
+/// change of the table every member confirms, and a frame for each would cost
+/// more than the news in it.
+void MembershipCore::sendHeldVersions() {
+  for (const auto &[Link, Peer] : m_Watches.links()) {
+    std::vector<MemberNews> News;
+    for (const auto &[Id, Source] : m_Held)
+      if (const Member *Which = m_View.find(Id);
+          Source != Link && Which != nullptr)
+        News.push_back(newsOf(*Which));
+    if (!News.empty())
+      m_Out.emplace_back(SendNews{Link, std::move(News)});
+  }
+  m_Held.clear();
+}
+
+void MembershipCore::probe() {
+  m_Dials.expire(m_Now, m_Out);
+  if (m_Now < m_NextProbe || m_Leaving)
+    return;
+  const auto Live = std::ranges::count_if(
+      m_View.all(), [](const Member &Each) { return isLive(Each.m_State); });
+  const bool Alone = Live == 1;
+  std::vector<Address> Candidates = probeCandidates();
+  std::ranges::shuffle(Candidates, m_Random);
+  Candidates.resize(
+      std::min(Candidates.size(), Alone ? ProbesWhenAlone : std::size_t{1}));
+  for (const Address &Where : Candidates)
+    m_Dials.probe(Where, m_Now, m_Out);
+  const Duration Base = Alone ? ProbeIntervalAlone : ProbeInterval;
+  std::uniform_int_distribution<Duration::rep> Spread(Base.count() / 2,
+                                                      Base.count());
+  m_NextProbe = m_Now + Duration(Spread(m_Random));
+}
+
+/// Hints and the dead are tried now and then for as long as they are known:
+/// after a cut between regions each side holds the other for dead, and nobody
+/// else would ever dial across again.
+std::vector<Address> MembershipCore::probeCandidates() const {
+  std::set<Address> Live;
+  std::set<Address> Result(m_Hints.begin(), m_Hints.end());
+  for (const Member &Each : m_View.all()) {
+    if (isLive(Each.m_State))
+      Live.insert(Each.m_Address);
+    else if (Each.m_State == MemberState::Dead)
+      Result.insert(Each.m_Address);
+  }
+  std::erase_if(Result, [&](const Address &Where) {
+    return Live.contains(Where) || Where.m_Port == 0;
+  });
+  return {Result.begin(), Result.end()};
+}
+
+// ---- Links ----
+
+void MembershipCore::on(const PeerUp &What) {
+  m_Watches.linkUp(What.m_Peer.m_Id, What.m_Link, m_Running, m_Now);
+  accept(What.m_Peer);
+  sendHeartbeat(What.m_Link);
+}
+
+void MembershipCore::on(const PeerDown &What) {
+  m_Watches.linkDown(What.m_Link, What.m_Why);
+  m_Exchange.drop(What.m_Link);
+}
+
+/// A process that closed its links and whose address refuses new ones is gone:
+/// its kernel answers in its place, which neither a frozen process nor a cut
+/// link can bring about. A refusal alone may be a stale address.
+void MembershipCore::on(const DialFailed &What) {
+  const std::optional<InstanceId> Target = m_Dials.failed(What.m_Where, m_Out);
+  if (!Target || What.m_Why != CloseReason::ConnectRefused)
+    return;
+  accuse(*Target, m_Watches.closedByPeer(*Target) ? MemberState::Dead
+                                                  : MemberState::Suspect);
+}
+
+void MembershipCore::on(const PeerHeard &What) {
+  m_Watches.heard(What.m_Link, m_Running, m_Now);
+}
+
+void MembershipCore::on(const HeartbeatHeard &What) {
+  m_Watches.heard(What.m_Link, m_Running, m_Now);
+  const Member *Sender = m_View.find(m_Watches.peerOf(What.m_Link));
+  if (Sender == nullptr)
+    return;
+  // A member that was frozen does not know that it was given up. It is told at
+  // once, so that it comes back with a higher incarnation.
+  if (!isLive(Sender->m_State)) {
+    m_Out.emplace_back(SendNews{What.m_Link, {newsOf(*Sender)}});
+    return;
+  }
+  if (!m_Exchange.differs(What.m_Link, m_View.hash(), What.m_ViewHash))
+    return;
+  m_Out.emplace_back(SendMembers{What.m_Link, m_View.all()});
+  notice(NoticeKind::Exchanged, *Sender);
+}
+
+// ---- News ----
+
+void MembershipCore::on(const MembersHeard &What) {
+  m_Source = What.m_Link;
+  for (const Member &Each : What.m_Members)
+    accept(Each);
+}
+
+/// News lacks name and address. Of a member that is not known at this
+/// incarnation it is left aside; the difference of hashes brings it whole.
+void MembershipCore::on(const NewsHeard &What) {
+  m_Source = What.m_Link;
+  for (const MemberNews &Each : What.m_News) {
+    const Member *Known = m_View.find(Each.m_Id);
+    if (Known == nullptr ||
+        (Known->m_Incarnation != Each.m_Incarnation && Each.m_Id != m_Self))
+      continue;
+    Member News = *Known;
+    News.m_Incarnation = Each.m_Incarnation;
+    News.m_State = Each.m_State;
+    News.m_TableVersion = Each.m_TableVersion;
+    accept(News);
+  }
+}
+
+void MembershipCore::accept(const Member &News) {
+  if (News.m_Id == m_Self) {
+    acceptAboutSelf(News);
+    return;
+  }
+  const MergeResult Result = m_View.merge(News, m_Running);
+  if (Result == MergeResult::Nothing)
+    return;
+  m_ViewChanged = true;
+  if (Result == MergeResult::VersionOnly) {
+    m_Held[News.m_Id] = m_Source;
+    return;
+  }
+  m_LiveChanged = true;
+  const Member &Merged = *m_View.find(News.m_Id);
+  if (Result == MergeResult::Joined)
+    m_Whole.push_back(Merged);
+  else
+    m_News.push_back(newsOf(Merged));
+  constexpr NoticeKind Kinds[] = {NoticeKind::Joined, NoticeKind::Suspected,
+                                  NoticeKind::Died, NoticeKind::Left};
+  notice(Kinds[static_cast<std::size_t>(Merged.m_State)], Merged);
+  if (Merged.m_State == MemberState::Alive)
+    for (const LinkId Link : m_Watches.vouched(News.m_Id, m_Running))
+      m_Out.emplace_back(Drop{Link});
+}
+
+/// Raises the own incarnation past whatever others hold against this process,
+/// or remember of an earlier start of the instance.
+void MembershipCore::acceptAboutSelf(const Member &News) {
+  Member Own = self();
+  const bool Newer = News.m_Incarnation > Own.m_Incarnation;
+  const bool Accused = News.m_Incarnation == Own.m_Incarnation &&
+                       News.m_State != MemberState::Alive;
+  if (m_Leaving || !(Newer || Accused))
+    return;
+  Own.m_Incarnation = Incarnation(News.m_Incarnation.value() + 1);
+  Own.m_State = MemberState::Alive;
+  m_View.merge(Own, m_Running);
+  m_Whole.push_back(Own);
+  m_Source = LinkId(); // Whoever sent it must hear this, too.
+  m_ViewChanged = true;
+  notice(NoticeKind::Refuted, Own);
+}
+
+void MembershipCore::accuse(InstanceId Id, MemberState State) {
+  const Member *Known = m_View.find(Id);
+  if (Known == nullptr || Known->m_State >= State || m_Leaving)
+    return;
+  Member News = *Known;
+  News.m_State = State;
+  m_Watches.accused(Id);
+  accept(News);
+}
+
+void MembershipCore::on(const HintsGiven &What) {
+  m_Hints = What.m_Hints;
+  std::erase(m_Hints, self().m_Address);
+}
+
+void MembershipCore::on(const VersionConfirmed &What) {
+  Member Own = self();
+  Own.m_TableVersion = std::max(Own.m_TableVersion, What.m_Version);
+  if (m_View.merge(Own, m_Running) == MergeResult::Nothing)
+    return;
+  m_News.push_back(newsOf(Own));
+  m_ViewChanged = true;
+}
+
+void MembershipCore::on(const Leave &) {
+  m_Leaving = true;
+  Member Own = self();
+  Own.m_State = MemberState::Left;
+  m_View.merge(Own, m_Running);
+  m_News.push_back(newsOf(Own));
+  m_ViewChanged = true;
+}
+
+// ---- Majority ----
+
+/// Two conditions, as the overlay shows a member few others directly. The view
+/// alone lags: in a small group that is cut off from a large fleet most others
+/// are watched by nobody and stay alive in it for several rounds of suspicion.
+/// The direct peers alone are a sample: a few of the fleet, chosen at random.
+bool MembershipCore::hearsMajority(TimePoint Now) const {
+  const auto IsAlive = [this](InstanceId Id) {
+    const Member *Known = m_View.find(Id);
+    return Known != nullptr && Known->m_State == MemberState::Alive;
+  };
+  const auto IsKnownLive = [this](InstanceId Id) {
+    const Member *Known = m_View.find(Id);
+    return Known != nullptr && isLive(Known->m_State);
+  };
+  const auto Alive =
+      static_cast<std::size_t>(std::ranges::count_if(m_Reference, IsAlive));
+  return Alive * 2 > m_Reference.size() &&
+         m_Watches.hearsMost(Now, IsKnownLive);
+}
+
+void MembershipCore::notice(NoticeKind Kind, const Member &Whom) {
+  m_Out.emplace_back(Notice{Kind, Whom});
+}
+
+} // namespace crowstep::membership
--- /dev/null
+++ b/src/membership/view_exchange.cpp
@@ -0,0 +1,30 @@
+/// Decides when two neighbours must exchange their whole views.
+#include "membership/view_exchange.h"
+
+namespace crowstep::membership {
+
+namespace {
+
+/// Under news without a pause the hashes never stand still; after so many
+/// differing heartbeats the view goes out all the same.
+constexpr std::uint32_t MaxDiffering = 10;
+
+} // namespace
+
+bool ViewExchange::differs(LinkId Link, std::uint64_t Own,
+                           std::uint64_t Theirs) {
+  const auto [Found, IsNew] = m_Last.try_emplace(Link);
+  Seen &Last = Found->second;
+  const bool Same = Own == Theirs;
+  const bool StoodStill =
+      Last.m_Count > 0 && Last.m_Own == Own && Last.m_Theirs == Theirs;
+  Last.m_Own = Own;
+  Last.m_Theirs = Theirs;
+  Last.m_Count = Same ? 0 : Last.m_Count + 1;
+  if (Same || !(IsNew || StoodStill || Last.m_Count >= MaxDiffering))
+    return false;
+  Last.m_Count = 0;
+  return true;
+}
+
+} // namespace crowstep::membership
--- /dev/null
+++ b/tests/unit/membership_core_test.cpp
@@ -0,0 +1,297 @@
+/// Properties of the membership over a fake network: what every member must
+/// come to believe after faults, within which time, and at what cost.
+#define BOOST_TEST_MODULE membership_core
+#include "unit/membership_sim.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace crowstep;
+using namespace crowstep::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::size_t pick(std::size_t Below) {
+  return *rc::gen::inRange<std::size_t>(0, Below);
+}
+
+/// A fleet of between \p Min and \p Max members that know each other.
+struct StartedFleet : FleetSim {
+  StartedFleet(std::size_t Min, std::size_t Max)
+      : FleetSim(*rc::gen::arbitrary<std::uint64_t>()) {
+    addMany(Min + pick(Max - Min + 1));
+    RC_ASSERT(runUntil(20s, [this] { return converged(); }) < 20s);
+    run(1s);
+  }
+  std::size_t anyone() { return pick(m_Nodes.size()); }
+};
+
+/// A random fault or repair, and some time for it.
+void disturb(StartedFleet &Fleet) {
+  const std::size_t Victim = Fleet.anyone();
+  const std::size_t Other = Fleet.anyone();
+  switch (pick(7)) {
+  case 0:
+    Fleet.kill(Victim);
+    break;
+  case 1:
+    if (!Fleet.isUp(Victim))
+      Fleet.start(Victim, 1'000'000 + Fleet.m_Random() % 1000, {Other});
+    break;
+  case 2:
+    Fleet.freeze(Victim);
+    break;
+  case 3:
+    Fleet.thaw(Victim);
+    break;
+  case 4:
+    Fleet.loseLink(Victim);
+    break;
+  case 5:
+    if (Victim != Other)
+      Fleet.cut(Victim, Other);
+    break;
+  default:
+    Fleet.healAll();
+  }
+  Fleet.run(std::chrono::milliseconds(pick(3000)));
+}
+
+/// Checks that all members name the same live owner for each of many pools.
+void assertOneOwner(const FleetSim &Fleet) {
+  for (std::uint64_t Pool = 0; Pool < 40; ++Pool) {
+    std::set<InstanceId> Owners;
+    for (const FleetSim::Node &Each : Fleet.m_Nodes)
+      if (Each.m_Core)
+        Owners.insert(ownerOf(PoolId(Pool), Each.m_Core->members())->m_Id);
+    RC_ASSERT(Owners.size() == 1U);
+  }
+}
+
+} // namespace
+
+/// Anything may fail for a while, several things at once. When the faults end,
+/// all that run hold just each other for alive and agree on every owner.
+RC_BOOST_PROP(ViewsConvergeOnceFaultsStop, ()) {
+  StartedFleet Fleet(2, 10);
+  const std::size_t Steps = 1 + pick(15);
+  for (std::size_t Step = 0; Step < Steps; ++Step)
+    disturb(Fleet);
+  Fleet.healAll();
+  for (std::size_t Index = 0; Index < Fleet.m_Nodes.size(); ++Index)
+    if (!Fleet.isUp(Index))
+      Fleet.start(Index, 2'000'000, {(Index + 1) % Fleet.m_Nodes.size()});
+  const Duration Took = Fleet.runUntil(60s, [&] { return Fleet.converged(); });
+  RC_ASSERT(Took < 60s);
+  assertOneOwner(Fleet);
+}
+
+/// The process is killed: its kernel closes its connections and refuses new
+/// ones. Those who dialled it see both, give it up at once, and the news
+/// floods. The bound is far below the 2 s within which a pool must move.
+RC_BOOST_PROP(KillIsSeenByAllWithinHalfASecond, ()) {
+  StartedFleet Fleet(2, 24);
+  const std::size_t Victim = Fleet.anyone();
+  Fleet.kill(Victim);
+  RC_ASSERT(Fleet.runUntil(2s, [&] { return Fleet.goneForAll(Victim); }) <
+            500ms);
+}
+
+/// A frozen process's kernel keeps its connections open, so only silence shows
+/// it: 1.2 s to suspect and 1.5 s to give up, and up to a heartbeat and some
+/// ticks more. When it wakes it must accuse nobody for the time it missed, and
+/// come back by refuting its own end.
+RC_BOOST_PROP(FrozenMemberIsGivenUpAndComesBackHarmless, ()) {
+  StartedFleet Fleet(4, 16);
+  const std::size_t Victim = Fleet.anyone();
+  Fleet.freeze(Victim);
+  RC_ASSERT(Fleet.runUntil(10s, [&] { return Fleet.goneForAll(Victim); }) <
+            3500ms);
+  Fleet.run(std::chrono::milliseconds(pick(20'000)));
+  const int Deaths = Fleet.notices(NoticeKind::Died);
+  const int Suspicions = Fleet.m_Nodes[Victim].m_Notices[NoticeKind::Suspected];
+  Fleet.thaw(Victim);
+  RC_ASSERT(Fleet.runUntil(10s, [&] { return Fleet.converged(); }) < 5s);
+  RC_ASSERT(Fleet.notices(NoticeKind::Died) == Deaths);
+  RC_ASSERT(Fleet.m_Nodes[Victim].m_Notices[NoticeKind::Suspected] ==
+            Suspicions);
+}
+
+/// Two members fail while the rest are slow, some so much that they are
+/// suspected. Their refutations come in time: nobody who runs is given up.
+RC_BOOST_PROP(SlowMembersAreNeverGivenUp, ()) {
+  FleetSim Fleet(*rc::gen::arbitrary<std::uint64_t>());
+  Fleet.m_MaxDelay = 250ms;
+  Fleet.m_TickJitter = 900ms;
+  const std::size_t Count = 5 + pick(10);
+  Fleet.addMany(Count);
+  RC_ASSERT(Fleet.runUntil(30s, [&] { return Fleet.converged(); }) < 30s);
+  const std::size_t First = pick(Count);
+  const std::size_t Second = pick(Count);
+  Fleet.kill(First);
+  Fleet.freeze(Second);
+  for (int Step = 0; Step < 200; ++Step) {
+    Fleet.run(50ms);
+    for (std::size_t By = 0; By < Count; ++By)
+      for (std::size_t Whom = 0; Whom < Count; ++Whom)
+        if (Whom != First && Whom != Second && By != Second && Fleet.isUp(By))
+          RC_ASSERT(Fleet.isLiveFor(By, Whom));
+  }
+}
+
+/// A member sleeps through the death of another, its connections are reset
+/// meanwhile, and it wakes with the old news. Nobody takes the dead one back.
+RC_BOOST_PROP(OldNewsBringsNobodyBack, ()) {
+  StartedFleet Fleet(4, 12);
+  const std::size_t Sleeper = Fleet.anyone();
+  const std::size_t Victim = (Sleeper + 1) % Fleet.m_Nodes.size();
+  Fleet.freeze(Sleeper);
+  Fleet.kill(Victim);
+  Fleet.runUntil(10s, [&] { return Fleet.goneForAll(Victim); });
+  Fleet.run(std::chrono::seconds(pick(60)));
+  Fleet.resetWhileFrozen(Sleeper);
+  Fleet.thaw(Sleeper);
+  for (int Step = 0; Step < 200; ++Step) {
+    Fleet.run(50ms);
+    for (std::size_t By = 0; By < Fleet.m_Nodes.size(); ++By) {
+      const bool Taken =
+          By != Sleeper && Fleet.isUp(By) && Fleet.isLiveFor(By, Victim);
+      RC_ASSERT(!Taken);
+    }
+  }
+  RC_ASSERT(Fleet.converged());
+}
+
+/// Only the path between two members is cut. Each accuses the other, is proved
+/// wrong by the rest, and must not go on accusing every second: each false
+/// accusation floods the whole fleet.
+RC_BOOST_PROP(CutBetweenTwoIsNoDeath, ()) {
+  StartedFleet Fleet(4, 10);
+  const std::size_t First = Fleet.anyone();
+  const std::size_t Second = (First + 1) % Fleet.m_Nodes.size();
+  Fleet.cut(First, Second);
+  Fleet.run(60s);
+  RC_ASSERT(Fleet.notices(NoticeKind::Died) == 0);
+  RC_ASSERT(Fleet.m_Nodes[First].m_Notices[NoticeKind::Refuted] < 8);
+  RC_ASSERT(Fleet.m_Nodes[Second].m_Notices[NoticeKind::Refuted] < 8);
+  Fleet.healAll();
+  RC_ASSERT(Fleet.runUntil(10s, [&] { return Fleet.converged(); }) < 10s);
+}
+
+/// The fleet is cut in two. The smaller part must know it within the suspicion
+/// time and some ticks, which is before the larger part gives it up; the
+/// larger part goes on, and both are one again soon after the cut heals.
+RC_BOOST_PROP(OnlyTheLargerPartHearsAMajority, ()) {
+  StartedFleet Fleet(5, 15);
+  const std::size_t Count = Fleet.m_Nodes.size();
+  const std::size_t Small = 1 + pick((Count - 1) / 2);
+  for (std::size_t Left = 0; Left < Small; ++Left)
+    for (std::size_t Right = Small; Right < Count; ++Right)
+      Fleet.cut(Left, Right);
+  const auto Hears = [&](std::size_t Index) {
+    return Fleet.m_Nodes[Index].m_Core->hearsMajority(Fleet.m_Time.now());
+  };
+  Fleet.run(2500ms);
+  for (int Step = 0; Step < 300; ++Step) {
+    for (std::size_t Index = 0; Index < Small; ++Index)
+      RC_ASSERT(!Hears(Index));
+    Fleet.run(50ms);
+  }
+  for (std::size_t Index = Small; Index < Count; ++Index)
+    RC_ASSERT(Hears(Index));
+  Fleet.healAll();
+  RC_ASSERT(Fleet.runUntil(30s, [&] { return Fleet.converged(); }) < 30s);
+  Fleet.run(2s);
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    RC_ASSERT(Hears(Index));
+}
+
+/// The instance's clock went back between two starts, so that the second start
+/// has the lower incarnation. It must not be taken for old news.
+RC_BOOST_PROP(RestartWithAnOlderClockIsTakenBack, ()) {
+  StartedFleet Fleet(3, 10);
+  const std::size_t Victim = Fleet.anyone();
+  Fleet.kill(Victim);
+  Fleet.run(std::chrono::milliseconds(pick(4000)));
+  Fleet.start(Victim, 1, {(Victim + 1) % Fleet.m_Nodes.size()});
+  RC_ASSERT(Fleet.runUntil(10s, [&] { return Fleet.converged(); }) < 5s);
+}
+
+/// A goodbye moves pools at once, without suspicion or death.
+RC_BOOST_PROP(GoodbyeIsNoDeath, ()) {
+  StartedFleet Fleet(2, 16);
+  const std::size_t Leaver = Fleet.anyone();
+  Fleet.give(Leaver, Leave{});
+  RC_ASSERT(Fleet.runUntil(1s, [&] { return Fleet.goneForAll(Leaver); }) <
+            100ms);
+  Fleet.kill(Leaver);
+  Fleet.run(5s);
+  RC_ASSERT(Fleet.converged());
+  RC_ASSERT(Fleet.notices(NoticeKind::Died) == 0);
+  RC_ASSERT(Fleet.notices(NoticeKind::Suspected) == 0);
+}
+
+/// Every member confirms a table version; all must see all of them soon.
+RC_BOOST_PROP(ConfirmedVersionsReachAll, ()) {
+  StartedFleet Fleet(2, 16);
+  for (std::size_t Index = 0; Index < Fleet.m_Nodes.size(); ++Index)
+    Fleet.give(Index, VersionConfirmed{TableVersion(7)});
+  const auto Seen = [&] {
+    for (const FleetSim::Node &Each : Fleet.m_Nodes)
+      for (const Member &Known : Each.m_Core->members())
+        if (Known.m_TableVersion != TableVersion(7))
+          return false;
+    return true;
+  };
+  RC_ASSERT(Fleet.runUntil(2s, Seen) < 600ms);
+}
+
+/// When one member goes or comes, only its own pools and keys move.
+RC_BOOST_PROP(OnlyPoolsOfTheChangedMemberMove, ()) {
+  std::vector<Member> Members(2 + pick(40));
+  for (std::size_t Index = 0; Index < Members.size(); ++Index) {
+    Members[Index].m_Name = *rc::gen::arbitrary<std::string>();
+    Members[Index].m_Id =
+        instanceIdOf(Members[Index].m_Name + std::to_string(Index));
+  }
+  std::vector<Member> After = Members;
+  Member &Changed = After[pick(After.size())];
+  Changed.m_State = *rc::gen::element(MemberState::Dead, MemberState::Left);
+  for (std::uint64_t Pool = 0; Pool < 100; ++Pool) {
+    const InstanceId Before = ownerOf(PoolId(Pool), Members)->m_Id;
+    const InstanceId Now = ownerOf(PoolId(Pool), After)->m_Id;
+    RC_ASSERT(Now != Changed.m_Id);
+    RC_ASSERT(Before == Changed.m_Id || Before == Now);
+    const auto Homes = homesOf(Pool, 3, Members);
+    RC_ASSERT(Homes.size() == std::min<std::size_t>(3, Members.size()));
+    RC_ASSERT(Homes[0]->m_Id == Before);
+  }
+}
+
+/// What a member sends in a quiet fleet does not grow with the fleet.
+BOOST_AUTO_TEST_CASE(CostOfAMemberIsConstantFrom8To360) {
+  std::map<std::size_t, double> Bytes;
+  for (const std::size_t Count : {8U, 64U, 360U}) {
+    FleetSim Fleet(Count);
+    Fleet.addMany(Count);
+    BOOST_REQUIRE(
+        (Fleet.runUntil(60s, [&] { return Fleet.converged(); }) < 60s));
+    Fleet.run(8s); // The exchanges of views after the start end.
+    Fleet.m_CountBytes = true;
+    Fleet.run(5s);
+    double Frames = 0;
+    for (const FleetSim::Node &Each : Fleet.m_Nodes) {
+      Frames += static_cast<double>(Each.m_Frames);
+      Bytes[Count] += static_cast<double>(Each.m_Bytes);
+    }
+    Bytes[Count] /= 5.0 * static_cast<double>(Count);
+    BOOST_TEST_MESSAGE(Count << " members: each sends "
+                             << Frames / 5 / static_cast<double>(Count)
+                             << " frames/s, " << Bytes[Count] << " bytes/s");
+  }
+  for (const auto &[Count, Each] : Bytes) {
+    BOOST_TEST(Each < 1.2 * Bytes[8]);
+    BOOST_TEST(Each < 1500.0);
+  }
+}
--- /dev/null
+++ b/tests/unit/membership_sim.h
@@ -0,0 +1,370 @@
+/// Many membership cores over a fake network with a manual clock: delays, lost
+/// connections, cuts, kills and freezes.
+///
+/// As over TCP, what is sent on one connection arrives in order or, when the
+/// connection breaks, not at all. A frozen process's kernel goes on taking
+/// bytes; a killed one's refuses connections; a cut swallows what is dialled
+/// and stalls what is connected.
+#ifndef CROWSTEP_TESTS_UNIT_MEMBERSHIP_SIM_H
+#define CROWSTEP_TESTS_UNIT_MEMBERSHIP_SIM_H
+
+#include "core/scheduler.h"
+#include "link/frame_codec.h"
+#include "membership/member_func.h"
+#include "membership/membership_core.h"
+#include "membership/membership_wire.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace crowstep::membership {
+
+using namespace std::chrono_literals;
+
+class FleetSim {
+public:
+  explicit FleetSim(std::uint64_t Seed) : m_Random(Seed) {}
+  FleetSim(const FleetSim &) = delete;
+  FleetSim &operator=(const FleetSim &) = delete;
+
+  // ---- What a test sets ----
+  Duration m_MinDelay = 500us; ///< One way.
+  Duration m_MaxDelay = 3ms;   ///< One way; a message takes any between.
+  Duration m_TickJitter = 0us; ///< Ticks come so much late at most.
+  MembershipConfig m_Config;   ///< Of all members.
+  bool m_CountBytes = false;   ///< Encodes frames to count their bytes.
+
+  struct Node {
+    Member m_Self;
+    std::unique_ptr<MembershipCore> m_Core; ///< Null while killed.
+    bool m_Frozen = false;
+    std::vector<Event> m_Waiting;        ///< Arrived while frozen.
+    std::map<Address, Duration> m_Dials; ///< And the next back-off.
+    std::map<NoticeKind, int> m_Notices;
+    std::uint64_t m_Life = 0;   ///< Grows with each start.
+    std::uint64_t m_Frames = 0; ///< Sent.
+    std::uint64_t m_Bytes = 0;  ///< Sent.
+  };
+
+  // ---- Faults ----
+  std::size_t add(std::vector<std::size_t> Hints) {
+    const std::size_t Index = m_Nodes.size();
+    Node &Made = m_Nodes.emplace_back();
+    Made.m_Self.m_Name = "i" + std::to_string(Index);
+    Made.m_Self.m_Id = instanceIdOf(Made.m_Self.m_Name);
+    Made.m_Self.m_Address = addressOf(Index);
+    Made.m_Self.m_Zone = {"zone"};
+    start(Index, 1000 * (Index + 1), Hints);
+    return Index;
+  }
+  void addMany(std::size_t Count) {
+    m_Nodes.reserve(Count);
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      add({Index / 2});
+  }
+  void start(std::size_t Index, std::uint64_t Start,
+             const std::vector<std::size_t> &Hints) {
+    Node &Which = m_Nodes[Index];
+    Which.m_Self.m_Incarnation = Incarnation(Start);
+    Which.m_Frozen = false;
+    ++Which.m_Life;
+    Which.m_Core =
+        std::make_unique<MembershipCore>(m_Config, Which.m_Self, m_Time.now());
+    HintsGiven Given;
+    for (const std::size_t Hint : Hints)
+      Given.m_Hints.push_back(addressOf(Hint));
+    give(Index, Given);
+    tick(Index, Which.m_Life);
+  }
+  void kill(std::size_t Index) {
+    Node &Which = m_Nodes[Index];
+    Which.m_Core.reset();
+    Which.m_Waiting.clear();
+    Which.m_Dials.clear();
+    ++Which.m_Life;
+    for (const std::size_t Link : linksOf(Index))
+      breakLink(Link);
+  }
+  void freeze(std::size_t Index) { m_Nodes[Index].m_Frozen = true; }
+  void thaw(std::size_t Index) {
+    Node &Which = m_Nodes[Index];
+    if (!std::exchange(Which.m_Frozen, false) || !Which.m_Core)
+      return;
+    for (const Event &Each : std::exchange(Which.m_Waiting, {}))
+      give(Index, Each);
+  }
+  /// Breaks the connections of a frozen node; what waited in them is lost.
+  void resetWhileFrozen(std::size_t Index) {
+    m_Nodes[Index].m_Waiting.clear();
+    for (const std::size_t Link : linksOf(Index))
+      breakLink(Link);
+  }
+  /// Cuts or heals the path between two nodes.
+  void cut(std::size_t First, std::size_t Second, bool IsCut = true) {
+    const auto Pair = std::minmax(First, Second);
+    if (IsCut) {
+      m_Cuts.insert(Pair);
+      return;
+    }
+    m_Cuts.erase(Pair);
+    for (std::size_t Index = 0; Index < m_Links.size(); ++Index)
+      for (auto &Job : std::exchange(m_Links[Index].m_Stalled, {}))
+        send(Index, Job.first, Job.second);
+  }
+  void healAll() {
+    for (const auto &[First, Second] : std::set(m_Cuts))
+      cut(First, Second, false);
+    for (std::size_t Index = 0; Index < m_Nodes.size(); ++Index)
+      thaw(Index);
+  }
+  /// Breaks a connection of \p Index, with what is under way on it.
+  void loseLink(std::size_t Index) {
+    const std::vector<std::size_t> Links = linksOf(Index);
+    if (!Links.empty())
+      breakLink(Links[m_Random() % Links.size()]);
+  }
+  void run(Duration Step) { m_Timers.advance(Step); }
+  /// Runs until \p Done holds; returns after how long, or \p Limit.
+  Duration runUntil(Duration Limit, const std::function<bool()> &Done) {
+    const TimePoint Begin = m_Time.now();
+    while (!Done() && m_Time.now() - Begin < Limit)
+      run(5ms);
+    return m_Time.now() - Begin;
+  }
+  void give(std::size_t Index, const Event &What) {
+    Node &Which = m_Nodes[Index];
+    if (!Which.m_Core)
+      return;
+    if (Which.m_Frozen) {
+      Which.m_Waiting.push_back(What);
+      return;
+    }
+    perform(Index, Which.m_Core->handle(m_Time.now(), What));
+  }
+
+  // ---- What a test looks at ----
+  [[nodiscard]] bool isUp(std::size_t Index) const {
+    return m_Nodes[Index].m_Core != nullptr;
+  }
+  [[nodiscard]] const Member *seen(std::size_t By, std::size_t Whom) const {
+    const auto &All = m_Nodes[By].m_Core->members();
+    const auto Found =
+        std::ranges::find(All, m_Nodes[Whom].m_Self.m_Id, &Member::m_Id);
+    return Found == All.end() ? nullptr : &*Found;
+  }
+  [[nodiscard]] bool isLiveFor(std::size_t By, std::size_t Whom) const {
+    const Member *Known = seen(By, Whom);
+    return Known != nullptr && isLive(Known->m_State);
+  }
+  /// Whether all that run agree that just those that run are alive.
+  [[nodiscard]] bool converged() const {
+    for (std::size_t By = 0; By < m_Nodes.size(); ++By)
+      for (std::size_t Whom = 0; isUp(By) && Whom < m_Nodes.size(); ++Whom) {
+        const Member *Known = seen(By, Whom);
+        const bool Alive =
+            Known != nullptr && Known->m_State == MemberState::Alive;
+        if (Alive != isUp(Whom) || (!Alive && isLiveFor(By, Whom)))
+          return false;
+      }
+    return true;
+  }
+  /// Whether no other running node holds \p Whom for live.
+  [[nodiscard]] bool goneForAll(std::size_t Whom) const {
+    for (std::size_t By = 0; By < m_Nodes.size(); ++By)
+      if (By != Whom && isUp(By) && !m_Nodes[By].m_Frozen &&
+          isLiveFor(By, Whom))
+        return false;
+    return true;
+  }
+  [[nodiscard]] int notices(NoticeKind Kind) const {
+    int Sum = 0;
+    for (const Node &Each : m_Nodes)
+      if (const auto Found = Each.m_Notices.find(Kind);
+          Found != Each.m_Notices.end())
+        Sum += Found->second;
+    return Sum;
+  }
+
+  std::vector<Node> m_Nodes; ///< By index.
+  std::mt19937_64 m_Random;  ///< All chance of a run.
+  ManualClock m_Time;        ///< Advanced by run().
+
+private:
+  struct Connection {
+    std::size_t m_Ends[2]; ///< The dialer is first.
+    bool m_Open = true;
+    TimePoint m_Last[2] = {}; ///< Last arrival at each end: order is kept.
+    std::vector<std::pair<std::size_t, Event>> m_Stalled; ///< By a cut.
+  };
+
+  static Address addressOf(std::size_t Index) {
+    return {0x0A000000U + static_cast<std::uint32_t>(Index), 7000};
+  }
+  static std::size_t indexOf(const Address &Where) {
+    return Where.m_Ip - 0x0A000000U;
+  }
+  static LinkId idOf(std::size_t Link) { return LinkId(Link + 1); }
+  Duration delay() {
+    std::uniform_int_distribution<Duration::rep> Spread(m_MinDelay.count(),
+                                                        m_MaxDelay.count());
+    return Duration(Spread(m_Random));
+  }
+  bool isCut(std::size_t First, std::size_t Second) const {
+    return m_Cuts.contains(std::minmax(First, Second));
+  }
+  std::vector<std::size_t> linksOf(std::size_t Index) const {
+    std::vector<std::size_t> Result;
+    for (std::size_t Link = 0; Link < m_Links.size(); ++Link)
+      if (m_Links[Link].m_Open && (m_Links[Link].m_Ends[0] == Index ||
+                                   m_Links[Link].m_Ends[1] == Index))
+        Result.push_back(Link);
+    return Result;
+  }
+
+  void tick(std::size_t Index, std::uint64_t Life) {
+    const auto Late =
+        m_TickJitter.count() == 0 ? 0 : m_Random() % m_TickJitter.count();
+    m_Timers.after(TickInterval + Duration(Late), [=, this] {
+      if (m_Nodes[Index].m_Life != Life)
+        return;
+      tick(Index, Life);
+      if (!m_Nodes[Index].m_Frozen)
+        give(Index, Tick{});
+    });
+  }
+
+  /// Sends an event to the end \p To of a connection.
+  void send(std::size_t Link, std::size_t To, const Event &What) {
+    Connection &Which = m_Links[Link];
+    if (isCut(Which.m_Ends[0], Which.m_Ends[1])) {
+      Which.m_Stalled.emplace_back(To, What);
+      return;
+    }
+    TimePoint &Last = Which.m_Last[To];
+    Last = std::max(Last, m_Time.now() + delay());
+    m_Timers.after(Last - m_Time.now(), [=, this] {
+      const Connection &Now = m_Links[Link];
+      const bool IsEnd = std::holds_alternative<PeerDown>(What);
+      if (Now.m_Open || IsEnd)
+        give(Now.m_Ends[To], What);
+    });
+  }
+
+  void breakLink(std::size_t Link) {
+    if (!std::exchange(m_Links[Link].m_Open, false))
+      return;
+    m_Links[Link].m_Stalled.clear();
+    for (std::size_t End : {0, 1})
+      send(Link, End, PeerDown{idOf(Link), CloseReason::PeerClosed});
+    redial(Link);
+  }
+  void redial(std::size_t Link) {
+    const std::size_t From = m_Links[Link].m_Ends[0];
+    const Address Where = addressOf(m_Links[Link].m_Ends[1]);
+    if (m_Nodes[From].m_Dials.contains(Where))
+      retry(From, Where);
+  }
+
+  void closeLink(std::size_t Link, std::size_t By) {
+    if (!std::exchange(m_Links[Link].m_Open, false))
+      return;
+    const std::size_t End = m_Links[Link].m_Ends[0] == By ? 0 : 1;
+    m_Timers.after(0us, [=, this] {
+      give(By, PeerDown{idOf(Link), CloseReason::Local});
+    });
+    send(Link, 1 - End, PeerDown{idOf(Link), CloseReason::PeerClosed});
+    redial(Link);
+  }
+
+  void attempt(std::size_t From, const Address &Where) {
+    const std::size_t To = indexOf(Where);
+    const std::uint64_t Life = m_Nodes[From].m_Life;
+    const bool Reaches = To < m_Nodes.size() && !isCut(From, To);
+    const bool Refused = Reaches && !isUp(To);
+    const bool Answers = Reaches && isUp(To) && !m_Nodes[To].m_Frozen;
+    m_Timers.after(Answers || Refused ? 2 * delay() : 2s, [=, this] {
+      if (m_Nodes[From].m_Life != Life ||
+          !m_Nodes[From].m_Dials.contains(Where))
+        return;
+      if (Answers && isUp(To)) {
+        m_Nodes[From].m_Dials[Where] = 0us;
+        m_Links.push_back({{From, To}});
+        const std::size_t Link = m_Links.size() - 1;
+        send(Link, 0, PeerUp{idOf(Link), m_Nodes[To].m_Self});
+        send(Link, 1, PeerUp{idOf(Link), m_Nodes[From].m_Self});
+        return;
+      }
+      retry(From, Where);
+      give(From, DialFailed{Where, Refused ? CloseReason::ConnectRefused
+                                           : CloseReason::ConnectFailed});
+    });
+  }
+  void retry(std::size_t From, const Address &Where) {
+    Duration &Backoff = m_Nodes[From].m_Dials[Where];
+    const Duration Wait = std::max<Duration>(Backoff, 100ms);
+    Backoff = std::min<Duration>(Wait * 2, 2s);
+    const std::uint64_t Life = m_Nodes[From].m_Life;
+    m_Timers.after(Wait, [=, this] {
+      if (m_Nodes[From].m_Life == Life && m_Nodes[From].m_Dials.contains(Where))
+        attempt(From, Where);
+    });
+  }
+
+  void perform(std::size_t Index, const std::vector<Action> &Actions) {
+    std::map<LinkId, wire::FrameT> Frames;
+    for (const Action &Each : Actions)
+      std::visit([&](const auto &Known) { run(Index, Known, Frames); }, Each);
+    for (const auto &[Link, Frame] : Frames) {
+      std::vector<std::uint8_t> Encoded;
+      link::appendFrame(Frame, Encoded);
+      ++m_Nodes[Index].m_Frames;
+      m_Nodes[Index].m_Bytes += Encoded.size();
+    }
+  }
+  void run(std::size_t Index, const Dial &What, auto &) {
+    if (m_Nodes[Index].m_Dials.try_emplace(What.m_Where).second)
+      attempt(Index, What.m_Where);
+  }
+  void run(std::size_t Index, const HangUp &What, auto &) {
+    m_Nodes[Index].m_Dials.erase(What.m_Where);
+    for (const std::size_t Link : linksOf(Index))
+      if (m_Links[Link].m_Ends[0] == Index &&
+          addressOf(m_Links[Link].m_Ends[1]) == What.m_Where)
+        closeLink(Link, Index);
+  }
+  void run(std::size_t Index, const Drop &What, auto &) {
+    closeLink(What.m_Link.value() - 1, Index);
+  }
+  template <typename Message>
+  void forward(std::size_t Index, const Message &What, const Event &Arrives,
+               auto &Frames) {
+    const std::size_t Link = What.m_Link.value() - 1;
+    if (m_Links[Link].m_Open)
+      send(Link, m_Links[Link].m_Ends[0] == Index ? 1 : 0, Arrives);
+    if (m_CountBytes)
+      put(What, Frames[What.m_Link]);
+  }
+  void run(std::size_t Index, const SendHeartbeat &What, auto &Frames) {
+    forward(Index, What, HeartbeatHeard{What.m_Link, What.m_ViewHash}, Frames);
+  }
+  void run(std::size_t Index, const SendMembers &What, auto &Frames) {
+    forward(Index, What, MembersHeard{What.m_Link, What.m_Members}, Frames);
+  }
+  void run(std::size_t Index, const SendNews &What, auto &Frames) {
+    forward(Index, What, NewsHeard{What.m_Link, What.m_News}, Frames);
+  }
+  void run(std::size_t Index, const Notice &What, auto &) {
+    ++m_Nodes[Index].m_Notices[What.m_Kind];
+  }
+  void run(std::size_t, const ViewChanged &, auto &) {}
+
+  ManualScheduler m_Timers{m_Time};
+  std::vector<Connection> m_Links; ///< By link id less one.
+  std::set<std::pair<std::size_t, std::size_t>> m_Cuts; ///< Ordered pairs.
+};
+
+} // namespace crowstep::membership
+
+#endif // CROWSTEP_TESTS_UNIT_MEMBERSHIP_SIM_H
