Feature: Give orders to engines under leases with fencing numbers

The holder counts its validity from before it sent a renewal, the next one from after it saw the row, so that the old holder is silent first whatever the delays. Loads take tokens from a bucket and pause for Retry-After.

--- /dev/null
+++ b/src/lease/engine_orders.cpp
@@ -0,0 +1,245 @@
+/// Orders to engines, given under a lease.
+#include "lease/engine_orders.h"
+
+#include "core/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace crowstep::lease {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds TickInterval{100};
+constexpr std::chrono::seconds DefaultRetryAfter{1};
+constexpr unsigned Ok = 200;
+constexpr unsigned Conflict = 409;
+constexpr unsigned TooManyRequests = 429;
+constexpr unsigned ServerErrors = 500; ///< This status and above.
+
+const char *nameOf(OrderKind Kind) {
+  switch (Kind) {
+  case OrderKind::LoadModel:
+    return "load_model";
+  case OrderKind::LoadAdapter:
+    return "load_adapter";
+  case OrderKind::UnloadModel:
+    return "unload_model";
+  case OrderKind::SetRole:
+    return "set_role";
+  }
+  return "";
+}
+
+/// Loads read the weight store, which limits their rate.
+bool readsWeights(OrderKind Kind) {
+  return Kind == OrderKind::LoadModel || Kind == OrderKind::LoadAdapter;
+}
+
+FencingNumber highestSeen(const HttpAnswer &Answer) {
+  const json Body = json::parse(Answer.m_Body, nullptr, false);
+  if (!Body.is_object() || !Body.contains("fencing") ||
+      !Body["fencing"].is_number_unsigned())
+    return {};
+  return FencingNumber(Body["fencing"].get<std::uint64_t>());
+}
+
+} // namespace
+
+/// Callbacks of calls still under way when it goes hold a weak reference to
+/// m_Alive and do nothing.
+class EngineOrders::Impl {
+public:
+  Impl(OrderConfig Config, const Clock &Time, Scheduler &Timers,
+       platform::TableService &Store, HttpCaller &Http, Metrics &Stats)
+      : m_Config(std::move(Config)), m_Clock(Time), m_Store(Store),
+        m_Http(Http), m_Core(m_Config.m_Lease),
+        m_Loads(m_Config.m_LoadInterval, m_Config.m_LoadBurst, Time.now()),
+        m_Timer(Timers),
+        m_Sent(Stats.counter("crowstep_orders_total", {{"event", "sent"}})),
+        m_Fenced(Stats.counter("crowstep_orders_total", {{"event", "fenced"}})),
+        m_Limited(
+            Stats.counter("crowstep_orders_total", {{"event", "limited"}})) {
+    tick();
+  }
+
+  void order(const EngineOrder &What, Done OnDone) {
+    m_Waiting.push_back({What, std::move(OnDone)});
+    pump();
+  }
+
+  [[nodiscard]] std::size_t pending() const {
+    return m_Waiting.size() + m_UnderWay;
+  }
+
+private:
+  struct Pending {
+    EngineOrder m_What; ///< The order.
+    Done m_Done;        ///< Runs once.
+  };
+
+  void tick() {
+    handle(LeaseTick());
+    pump();
+    m_Timer.start(TickInterval, [this] { tick(); });
+  }
+
+  void handle(const LeaseEvent &Event) {
+    const LeaseActions Actions = m_Core.handle(m_Clock.fresh(), Event);
+    for (const LeaseAction &Action : Actions)
+      std::visit([this](const auto &Each) { run(Each); }, Action);
+  }
+
+  template <typename Result, typename Function>
+  std::function<void(Result)> guarded(Function Job) {
+    return [Alive = std::weak_ptr<bool>(m_Alive), Job](Result Value) {
+      if (!Alive.expired())
+        Job(Value);
+    };
+  }
+
+  void run(const ReadLease &) {
+    m_Store.read(platform::LeaseTableName, m_Config.m_Lease.m_Key,
+                 guarded<platform::ReadResult>(
+                     [this](const platform::ReadResult &Result) {
+                       const auto *Rows = std::get_if<0>(&Result);
+                       if (Rows == nullptr)
+                         handle(LeaseCallFailed());
+                       else if (Rows->empty())
+                         handle(LeaseRead());
+                       else
+                         handle(LeaseRead{Rows->front()});
+                       pump();
+                     }));
+  }
+
+  void run(const WriteLease &Action) {
+    const TimePoint SentAt = m_Clock.fresh();
+    m_Store.write(platform::LeaseTableName, {Action.m_Write},
+                  guarded<platform::WriteResult>(
+                      [this, SentAt](const platform::WriteResult &Result) {
+                        const auto *Outcomes = std::get_if<0>(&Result);
+                        if (Outcomes == nullptr)
+                          handle(LeaseCallFailed());
+                        else
+                          handle(LeaseWritten{SentAt, Outcomes->at(0)});
+                        pump();
+                      }));
+  }
+
+  void pump() {
+    const bool Wanted = pending() > 0;
+    if (Wanted != m_Wanted) {
+      m_Wanted = Wanted;
+      handle(LeaseWanted{Wanted});
+    }
+    while (!m_Waiting.empty() && sendFirst()) {
+    }
+  }
+
+  /// Sends the first order if the lease and the weight store allow it.
+  bool sendFirst() {
+    const TimePoint Now = m_Clock.fresh();
+    if (!m_Core.mayOrder(Now, m_Config.m_OrderLimit))
+      return false;
+    const bool Load = readsWeights(m_Waiting.front().m_What.m_Kind);
+    if (Load && !m_Loads.take(Now))
+      return false;
+    Pending Next = std::move(m_Waiting.front());
+    m_Waiting.pop_front();
+    // Read anew at the last step: a process that was frozen since the check
+    // above must not send under a lease that has lapsed meanwhile.
+    const auto Fencing =
+        m_Core.mayOrder(m_Clock.fresh(), m_Config.m_OrderLimit);
+    if (!Fencing) {
+      m_Waiting.push_front(std::move(Next));
+      return false;
+    }
+    send(std::move(Next), *Fencing);
+    return true;
+  }
+
+  void send(Pending Next, FencingNumber Fencing) {
+    HttpCall Call;
+    Call.m_Method = "POST";
+    Call.m_Where = Next.m_What.m_Engine;
+    Call.m_Path = "/v1/orders";
+    Call.m_Body = json{{"order", nameOf(Next.m_What.m_Kind)},
+                       {"name", Next.m_What.m_Name},
+                       {"fencing", Fencing.value()}}
+                      .dump();
+    Call.m_Timeout = m_Config.m_OrderLimit;
+    m_Sent.add();
+    ++m_UnderWay;
+    handle(OrderStarted());
+    logEvent(LogEvent::OrderSent,
+             {{"order", nameOf(Next.m_What.m_Kind)},
+              {"engine", toString(Next.m_What.m_Engine)},
+              {"fencing", std::to_string(Fencing.value())}});
+    m_Http.call(Call, guarded<HttpResult>([this, Next = std::move(Next)](
+                                              const HttpResult &Result) {
+                  --m_UnderWay;
+                  handle(OrderEnded());
+                  ended(Next, Result);
+                  pump();
+                }));
+  }
+
+  void ended(const Pending &Order, const HttpResult &Result) {
+    const auto *Answer = std::get_if<HttpAnswer>(&Result);
+    if (Answer == nullptr) {
+      const bool NotSent =
+          std::get<HttpFailure>(Result) == HttpFailure::NotSent;
+      Order.m_Done(NotSent ? OrderOutcome::Refused : OrderOutcome::Unknown);
+    } else if (Answer->m_Status == Conflict) {
+      m_Fenced.add();
+      logEvent(LogEvent::OrderFenced,
+               {{"engine", toString(Order.m_What.m_Engine)}});
+      m_Waiting.push_front(Order);
+      handle(LeaseFenced{highestSeen(*Answer)});
+    } else if (Answer->m_Status == TooManyRequests) {
+      m_Limited.add();
+      const bool Told = Answer->m_RetryAfter > Duration::zero();
+      m_Loads.pause(m_Clock.now() +
+                    (Told ? Answer->m_RetryAfter : DefaultRetryAfter));
+      m_Waiting.push_front(Order);
+    } else if (Answer->m_Status == Ok) {
+      Order.m_Done(OrderOutcome::Done);
+    } else {
+      Order.m_Done(Answer->m_Status >= ServerErrors ? OrderOutcome::Unknown
+                                                    : OrderOutcome::Refused);
+    }
+  }
+
+  OrderConfig m_Config;            ///< As given.
+  const Clock &m_Clock;            ///< Read anew before each order.
+  platform::TableService &m_Store; ///< Holds the lease.
+  HttpCaller &m_Http;              ///< Carries orders.
+  LeaseCore m_Core;                ///< Decides who may order.
+  TokenBucket m_Loads;             ///< Spares the weight store.
+  Timer m_Timer;                   ///< Of ticks.
+  Counter &m_Sent;                 ///< Orders sent.
+  Counter &m_Fenced;               ///< Orders refused for an old number.
+  Counter &m_Limited;            ///< Orders that met the weight store's limit.
+  std::deque<Pending> m_Waiting; ///< In the order of asking.
+  std::size_t m_UnderWay = 0;    ///< Sent and not answered.
+  bool m_Wanted = false;         ///< As last told to m_Core.
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true); ///< See above.
+};
+
+EngineOrders::EngineOrders(OrderConfig Config, const Clock &Time,
+                           Scheduler &Timers, platform::TableService &Store,
+                           HttpCaller &Http, Metrics &Stats)
+    : m_Impl(std::make_unique<Impl>(std::move(Config), Time, Timers, Store,
+                                    Http, Stats)) {}
+
+EngineOrders::~EngineOrders() = default;
+
+void EngineOrders::order(const EngineOrder &What, Done OnDone) {
+  m_Impl->order(What, std::move(OnDone));
+}
+
+std::size_t EngineOrders::pending() const { return m_Impl->pending(); }
+
+} // namespace crowstep::lease
--- /dev/null
+++ b/src/lease/token_bucket.h
@@ -0,0 +1,40 @@
+/// A token bucket: spreads what a rate-limited service must not get at once.
+#ifndef CROWSTEP_LEASE_TOKEN_BUCKET_H
+#define CROWSTEP_LEASE_TOKEN_BUCKET_H
+
+#include "core/clock.h"
+
+#include <algorithm>
+
+namespace crowstep::lease {
+
+/// Hands out one token each interval and keeps up to a burst of them.
+class TokenBucket {
+public:
+  TokenBucket(Duration Interval, unsigned Burst, TimePoint Now)
+      : m_Interval(Interval), m_Burst(Burst), m_FullAt(Now) {}
+
+  /// Takes a token if there is one.
+  bool take(TimePoint Now) {
+    const TimePoint Start = std::max(m_FullAt, Now);
+    if (Now < m_PausedUntil || Start + m_Interval > Now + m_Interval * m_Burst)
+      return false;
+    m_FullAt = Start + m_Interval;
+    return true;
+  }
+
+  /// Hands out nothing before \p Until: the service said so.
+  void pause(TimePoint Until) {
+    m_PausedUntil = std::max(m_PausedUntil, Until);
+  }
+
+private:
+  Duration m_Interval;     ///< Between tokens, > 0.
+  unsigned m_Burst;        ///< Tokens kept, >= 1.
+  TimePoint m_FullAt;      ///< When the bucket will be full again.
+  TimePoint m_PausedUntil; ///< Set by pause().
+};
+
+} // namespace crowstep::lease
+
+#endif // CROWSTEP_LEASE_TOKEN_BUCKET_H
--- /dev/null
+++ b/tests/unit/lease_test.cpp
@@ -0,0 +1,322 @@
+/// Leases with fencing numbers: holders that pause, and answers that are lost.
+#define BOOST_TEST_MODULE lease
+#include "core/scheduler.h"
+#include "lease/engine_orders.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <rapidcheck/boost_test.h>
+
+using namespace crowstep;
+using namespace crowstep::lease;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr milliseconds OrderLimit{500};
+
+/// An order as an engine sees it.
+struct SeenOrder {
+  FencingNumber m_Fencing; ///< Its number.
+  TimePoint m_Begin;       ///< Sent.
+  TimePoint m_End;         ///< Reached the engine.
+};
+
+/// Holders that compete for one lease over a table service that loses answers
+/// and delays writes; orders go to engines that check and that ignore numbers.
+class Contest {
+public:
+  Contest(std::size_t Holders, std::uint64_t Seed) : m_Random(Seed) {
+    for (std::size_t Index = 0; Index < Holders; ++Index) {
+      LeaseConfig Config;
+      Config.m_Key = "k";
+      Config.m_Holder = "holder-" + std::to_string(Index);
+      m_Cores.push_back(std::make_unique<LeaseCore>(Config));
+      m_Paused.push_back(false);
+      m_Late.emplace_back();
+      tick(Index);
+    }
+  }
+
+  void run(Duration Span) { m_Timers.advance(Span); }
+  int draw(int Below) {
+    return std::uniform_int_distribution<int>(0, Below - 1)(m_Random);
+  }
+  void pause(std::size_t Index) { m_Paused[Index] = true; }
+  void resume(std::size_t Index) {
+    m_Paused[Index] = false;
+    for (const LeaseEvent &Event : std::exchange(m_Late[Index], {}))
+      deliver(Index, Event);
+  }
+  void want(std::size_t Index, bool Wanted) {
+    deliver(Index, LeaseWanted{Wanted});
+  }
+
+  std::vector<SeenOrder> m_Ignoring;     ///< On an engine that checks nothing.
+  std::vector<FencingNumber> m_Checking; ///< Carried out where they check.
+  std::map<FencingNumber, std::set<std::size_t>> m_Users; ///< Of each number.
+  int m_LossPercent = 0; ///< Of answers to calls.
+
+private:
+  void deliver(std::size_t Index, const LeaseEvent &Event) {
+    if (m_Paused[Index]) {
+      m_Late[Index].push_back(Event);
+      return;
+    }
+    for (const LeaseAction &Action :
+         m_Cores[Index]->handle(m_Clock.now(), Event))
+      std::visit([&](const auto &Each) { act(Index, Each); }, Action);
+  }
+  void tick(std::size_t Index) {
+    m_Timers.after(milliseconds(100), [this, Index] {
+      if (!m_Paused[Index]) {
+        deliver(Index, LeaseTick());
+        order(Index);
+      }
+      tick(Index);
+    });
+  }
+  void order(std::size_t Index) {
+    const TimePoint Now = m_Clock.now();
+    const auto Fencing = m_Cores[Index]->mayOrder(Now, OrderLimit);
+    if (!Fencing || draw(3) != 0)
+      return;
+    m_Users[*Fencing].insert(Index);
+    deliver(Index, OrderStarted());
+    const auto Delay = milliseconds(draw(500));
+    m_Timers.after(Delay, [this, Index, Now, Fencing] {
+      m_Ignoring.push_back({*Fencing, Now, m_Clock.now()});
+      deliver(Index, OrderEnded());
+    });
+    // To engines that check, orders may come as late as they like.
+    m_Timers.after(milliseconds(draw(20000)), [this, Fencing] {
+      if (m_Checking.empty() || *Fencing >= m_Checking.back())
+        m_Checking.push_back(*Fencing);
+    });
+  }
+  void act(std::size_t Index, const ReadLease &) {
+    const bool Lost = draw(100) < m_LossPercent;
+    m_Timers.after(milliseconds(draw(300)), [this, Index, Lost] {
+      const LeaseEvent Result =
+          Lost ? LeaseEvent(LeaseCallFailed()) : LeaseEvent(LeaseRead{m_Row});
+      m_Timers.after(milliseconds(draw(700)),
+                     [this, Index, Result] { deliver(Index, Result); });
+    });
+  }
+  void act(std::size_t Index, const WriteLease &Action) {
+    const bool Lost = draw(100) < m_LossPercent;
+    const TimePoint SentAt = m_Clock.now();
+    m_Timers.after(milliseconds(Lost ? draw(4000) : draw(300)),
+                   [this, Index, Action, Lost, SentAt] {
+                     const LeaseWritten Result{SentAt, write(Action.m_Write)};
+                     if (!Lost)
+                       m_Timers.after(
+                           milliseconds(draw(700)),
+                           [this, Index, Result] { deliver(Index, Result); });
+                   });
+    if (Lost)
+      m_Timers.after(seconds(1),
+                     [this, Index] { deliver(Index, LeaseCallFailed()); });
+  }
+  platform::RowOutcome write(const platform::RowWrite &Write) {
+    const auto Present = m_Row ? m_Row->m_Version : platform::RowVersion();
+    if (Present != Write.m_Expected)
+      return {false, m_Row};
+    m_Row = {Write.m_Key, platform::RowVersion(Present.value() + 1),
+             Write.m_Value};
+    return {true, m_Row};
+  }
+
+  ManualClock m_Clock;                             ///< Of all.
+  ManualScheduler m_Timers{m_Clock};               ///< Everything delayed.
+  std::mt19937_64 m_Random;                        ///< From the seed.
+  std::optional<platform::Row> m_Row;              ///< The lease.
+  std::vector<std::unique_ptr<LeaseCore>> m_Cores; ///< The holders.
+  std::vector<bool> m_Paused;                      ///< Frozen.
+  std::vector<std::vector<LeaseEvent>> m_Late;     ///< While frozen.
+};
+
+/// Holders freeze while they hold the lease, and wake up; answers get lost
+/// after the effect. An engine that ignores numbers must never get an order of
+/// an old holder once one of a newer holder was sent; one that checks must
+/// never carry out an old one after a new one; no number has two users.
+void contend(std::uint64_t Seed) {
+  Contest Of(3, Seed);
+  for (int Step = 0; Step < 60; ++Step) {
+    const auto Index = static_cast<std::size_t>(Of.draw(3));
+    switch (Of.draw(6)) {
+    case 0:
+      Of.pause(Index);
+      break;
+    case 1:
+      Of.want(Index, Of.draw(4) == 0);
+      break;
+    case 2:
+      Of.m_LossPercent = Of.draw(2) * 40;
+      break;
+    default:
+      Of.resume(Index);
+      Of.want(Index, true);
+    }
+    Of.run(milliseconds(Of.draw(5000)));
+  }
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    Of.resume(Index);
+  Of.m_LossPercent = 0;
+  Of.want(0, true);
+  const std::size_t Before = Of.m_Ignoring.size();
+  Of.run(seconds(30));
+  RC_ASSERT(Of.m_Ignoring.size() > Before); // The lease is never stuck.
+  std::map<FencingNumber, TimePoint> Begins;
+  for (const SeenOrder &Each : Of.m_Ignoring)
+    if (!Begins.contains(Each.m_Fencing) ||
+        Each.m_Begin < Begins[Each.m_Fencing])
+      Begins[Each.m_Fencing] = Each.m_Begin;
+  for (const SeenOrder &Each : Of.m_Ignoring) {
+    const auto Newer = Begins.upper_bound(Each.m_Fencing);
+    RC_ASSERT(Newer == Begins.end() || Each.m_End <= Newer->second);
+  }
+  RC_ASSERT(std::is_sorted(Of.m_Checking.begin(), Of.m_Checking.end()));
+  for (const auto &Each : Of.m_Users)
+    RC_ASSERT(Each.second.size() == 1U);
+}
+
+} // namespace
+
+RC_BOOST_PROP(AnOldHolderIsSilentBeforeANewOneStarts, (std::uint64_t Seed)) {
+  contend(Seed);
+}
+
+/// A holder that released the lease wanted it again before the release was
+/// answered, and went on under its old validity beside the next holder.
+BOOST_AUTO_TEST_CASE(AReleaseUnderWayEndsTheValidity) {
+  BOOST_CHECK_NO_THROW(contend(523098097885));
+}
+
+/// The order under way may still reach the engine: a release before its end
+/// would let the next holder start beside it.
+BOOST_AUTO_TEST_CASE(NoReleaseWhileAnOrderIsUnderWay) {
+  LeaseConfig Config;
+  Config.m_Key = "k";
+  Config.m_Holder = "me";
+  LeaseCore Core(Config);
+  const TimePoint Now{seconds(1)};
+  Core.handle(Now, LeaseWanted{true});
+  const LeaseActions Take = Core.handle(Now, LeaseRead());
+  const auto &Write = std::get<WriteLease>(Take.at(0)).m_Write;
+  const platform::Row Row{"k", platform::RowVersion(1), Write.m_Value};
+  Core.handle(Now, LeaseWritten{Now, {true, Row}});
+  BOOST_TEST(Core.mayOrder(Now, OrderLimit).has_value());
+  Core.handle(Now, OrderStarted());
+  const TimePoint Later = Now + seconds(3);
+  BOOST_TEST(Core.handle(Later, LeaseWanted{false}).empty());
+  BOOST_TEST(Core.handle(Later, OrderEnded()).size() == 1U);
+}
+
+namespace {
+
+/// A table service that answers in the next step of the scheduler.
+class InstantStore final : public platform::TableService {
+public:
+  explicit InstantStore(Scheduler &Timers) : m_Timers(Timers) {}
+  void write(const std::string &, std::vector<platform::RowWrite> Writes,
+             std::function<void(platform::WriteResult)> Done) override {
+    const auto Version = platform::RowVersion(++m_Version);
+    m_Row = {Writes[0].m_Key, Version, Writes[0].m_Value};
+    const std::vector<platform::RowOutcome> Outcomes = {{true, m_Row}};
+    m_Timers.after(milliseconds(1), [=] { Done(Outcomes); });
+  }
+  void read(const std::string &, const std::string &,
+            std::function<void(platform::ReadResult)> Done) override {
+    std::vector<platform::Row> Rows;
+    if (m_Row)
+      Rows.push_back(*m_Row);
+    m_Timers.after(milliseconds(1), [=] { Done(Rows); });
+  }
+  void list(const std::string &, const std::string &,
+            std::function<void(platform::ReadResult)>) override {}
+
+private:
+  Scheduler &m_Timers;                ///< Of the test.
+  std::optional<platform::Row> m_Row; ///< The lease.
+  std::uint64_t m_Version = 0;        ///< Of the row.
+};
+
+/// An engine that answers with what the test prepared, else with 200.
+class FakeEngine final : public HttpCaller {
+public:
+  explicit FakeEngine(Scheduler &Timers) : m_Timers(Timers) {}
+  void call(const HttpCall &What, Done OnDone) override {
+    m_Bodies.push_back(What.m_Body);
+    HttpResult Result = HttpAnswer{200, "{}", {}};
+    if (!m_Answers.empty()) {
+      Result = m_Answers.front();
+      m_Answers.pop_front();
+    }
+    m_Timers.after(milliseconds(1), [=] { OnDone(Result); });
+  }
+  std::deque<HttpResult> m_Answers;  ///< For the next calls.
+  std::vector<std::string> m_Bodies; ///< Of all calls.
+
+private:
+  Scheduler &m_Timers; ///< Of the test.
+};
+
+struct OrdersFixture {
+  OrdersFixture() {
+    OrderConfig Config;
+    Config.m_Lease.m_Key = "k";
+    Config.m_Lease.m_Holder = "me";
+    m_Orders = std::make_unique<EngineOrders>(Config, m_Clock, m_Timers,
+                                              m_Store, m_Engine, m_Stats);
+  }
+  void load() {
+    m_Orders->order({{1, 2}, OrderKind::LoadModel, "guide-1"},
+                    [this](OrderOutcome) { ++m_Done; });
+  }
+  ManualClock m_Clock;                    ///< Of the test.
+  ManualScheduler m_Timers{m_Clock};      ///< Of the test.
+  InstantStore m_Store{m_Timers};         ///< Of the lease.
+  FakeEngine m_Engine{m_Timers};          ///< Gets the orders.
+  Metrics m_Stats;                        ///< Of the orders.
+  std::unique_ptr<EngineOrders> m_Orders; ///< Under test.
+  int m_Done = 0;                         ///< Orders with an outcome.
+};
+
+} // namespace
+
+/// Twenty engines are to load a model at once: the weight store would answer
+/// 429 to most. Loads go out two at once and then five in a second.
+BOOST_FIXTURE_TEST_CASE(LoadsAreSpread, OrdersFixture) {
+  for (int Count = 0; Count < 20; ++Count)
+    load();
+  m_Timers.advance(milliseconds(900));
+  BOOST_TEST(m_Engine.m_Bodies.size() <= 7U);
+  BOOST_TEST(m_Engine.m_Bodies.size() >= 5U);
+  m_Timers.advance(seconds(5));
+  BOOST_TEST(m_Done == 20);
+  BOOST_TEST(m_Orders->pending() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(RetryAfterOfTheWeightStoreIsRespected, OrdersFixture) {
+  m_Engine.m_Answers.emplace_back(HttpAnswer{429, "", seconds(3)});
+  load();
+  m_Timers.advance(milliseconds(2900));
+  BOOST_TEST(m_Engine.m_Bodies.size() == 1U);
+  m_Timers.advance(seconds(1));
+  BOOST_TEST(m_Engine.m_Bodies.size() == 2U);
+  BOOST_TEST(m_Done == 1);
+}
+
+/// The table service was restored and hands out number 1 again; the engine has
+/// seen 41. The next number must be above it, or no order would ever pass.
+BOOST_FIXTURE_TEST_CASE(AFencedHolderGoesAboveTheNumberSeen, OrdersFixture) {
+  m_Engine.m_Answers.emplace_back(HttpAnswer{409, R"({"fencing":41})", {}});
+  load();
+  m_Timers.advance(seconds(2));
+  BOOST_TEST(m_Done == 1);
+  BOOST_TEST(m_Engine.m_Bodies.back().find("\"fencing\":42") !=
+             std::string::npos);
+}
--- a/tests/unit/table_safety_test.cpp
+++ b/tests/unit/table_safety_test.cpp
@@ -31,7 +31,7 @@
     send(DocumentArrived{link::LinkId(1), documentOf(3)});
   }
   TableActions send(const TableEvent &Event) {
-    const TableActions Out = m_Core->handle(m_Now, Event);
+    TableActions Out = m_Core->handle(m_Now, Event);
     for (const TableAction &Action : Out)
       if (const auto *Probe = std::get_if<SendProbe>(&Action))
         m_Probe = Probe->m_Sequence;
