--- /dev/null
+++ b/tests/unit/entry_placement_test.cpp
@@ -0,0 +1,298 @@
+/// Bids, grants and the right to serve between an entry and dispatchers.
+#define BOOST_TEST_MODULE entry_placement
+#include "contract/contract_func.h"
+#include "entry/dispatcher_placement.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+
+using namespace crowstep;
+using namespace crowstep::entry;
+using namespace std::chrono_literals;
+using link::LinkId;
+
+namespace {
+
+/// Links that keep what is put into them.
+class FakeLinks final : public link::Links {
+public:
+  void dial(const Address &Where) override { m_Dialled.insert(Where); }
+  void hangUp(const Address &Where) override { m_Dialled.erase(Where); }
+  wire::FrameT &outbox(LinkId Link) override { return m_Out[Link.value()]; }
+  void close(LinkId) override {}
+
+  std::set<Address> m_Dialled;
+  std::map<std::uint64_t, wire::FrameT> m_Out;
+};
+
+/// Keeps what it is told.
+class FakeListener final : public PlacementListener {
+public:
+  void slotGranted(const GrantedSlot &Slot) override {
+    m_Slots.push_back(Slot);
+  }
+  void bidRefused(RefusalReason Reason, Duration) override {
+    m_Refused = Reason;
+  }
+  void slotPreempted(UpstreamId) override { ++m_Preempted; }
+  void grantSuspect() override { ++m_Suspect; }
+  void bidMoved() override { ++m_Moved; }
+  [[nodiscard]] std::uint32_t callTokens() const override { return 7; }
+
+  std::vector<GrantedSlot> m_Slots;
+  std::optional<RefusalReason> m_Refused;
+  int m_Preempted = 0, m_Suspect = 0, m_Moved = 0;
+};
+
+struct Bench {
+  Bench() {
+    m_Fleet.onFrame([this](LinkId Link, const wire::Frame &Frame) {
+      m_Placement.frame(Link, Frame);
+    });
+    m_Fleet.start(m_Links);
+    up(1, "a");
+    up(2, "b");
+    attach(1);
+  }
+
+  static link::Peer peer(const std::string &Name) {
+    link::Peer Result;
+    Result.m_Role = wire::Role::Dispatcher;
+    Result.m_Name = Name;
+    Result.m_Instance = instanceIdOf(Name);
+    Result.m_Address = {0x7f000001, static_cast<std::uint16_t>(Name[0])};
+    return Result;
+  }
+  void up(std::uint64_t Link, const std::string &Name) {
+    m_Fleet.linkUp(LinkId(Link), peer(Name));
+  }
+  void down(std::uint64_t Link, const std::string &Name) {
+    m_Fleet.linkDown(LinkId(Link), peer(Name), link::CloseReason::PeerClosed);
+  }
+  void frame(std::uint64_t Link, const wire::FrameT &What) {
+    flatbuffers::FlatBufferBuilder Builder;
+    Builder.Finish(wire::Frame::Pack(Builder, &What));
+    m_Fleet.linkFrame(LinkId(Link),
+                      *wire::GetFrame(Builder.GetBufferPointer()));
+  }
+  /// Tells members, table and right, as a home does when an entry attaches.
+  void attach(std::uint64_t Link, const std::string &Members = "ab",
+              std::uint64_t Acked = 0, std::uint64_t Version = 5) {
+    wire::FrameT Out;
+    Out.attachment = std::make_unique<wire::AttachmentT>();
+    Out.attachment->sequence = ++m_Sequence;
+    Out.attachment->acked = Acked;
+    Out.attachment->right_to_serve = true;
+    for (const char Name : Members) {
+      auto Row = std::make_unique<wire::MemberT>();
+      Row->instance = std::string(1, Name);
+      Row->ip = 0x7f000001;
+      Row->port = static_cast<std::uint16_t>(Name);
+      Out.attachment->members.push_back(std::move(Row));
+    }
+    auto Row = std::make_unique<wire::UpstreamInfoT>();
+    Row->name = "engine-1";
+    Row->service = "guide-writer";
+    Row->slots = 8;
+    Row->engine = true;
+    Out.attachment->upstreams.push_back(std::move(Row));
+    ContractTable Table;
+    Contract Guide;
+    Guide.m_Id = ClassId(1);
+    Guide.m_Name = "guide";
+    Guide.m_Service = "guide-writer";
+    Guide.m_FirstTokenTarget = 30s;
+    Guide.m_TotalLimit = 60s;
+    Table.m_Version = TableVersion(Version);
+    Table.m_Contracts = {Guide};
+    Out.table_update = std::make_unique<wire::TableUpdateT>();
+    Out.table_update->version = Version;
+    Out.table_update->json = contract::writeJson(Table);
+    frame(Link, Out);
+  }
+  /// Echoes the last acknowledgement, without anything new.
+  void echo(std::uint64_t Link, std::uint64_t Acked) {
+    wire::FrameT Out;
+    Out.attachment = std::make_unique<wire::AttachmentT>();
+    Out.attachment->sequence = ++m_Sequence;
+    Out.attachment->acked = Acked;
+    Out.attachment->right_to_serve = true;
+    frame(Link, Out);
+  }
+  void grant(std::uint64_t Link, BidNumber Bid) {
+    wire::FrameT Out;
+    Out.grants.emplace_back(Bid.value(), 99, 0x7f000001, 4000, 3, true, 2000);
+    frame(Link, Out);
+  }
+  BidNumber bid() {
+    BidTerms Terms;
+    Terms.m_Service = "guide-writer";
+    Terms.m_Class = ClassId(1);
+    Terms.m_Ask.m_UntilTarget = 30s;
+    Terms.m_Ask.m_UntilLimit = 60s;
+    return m_Placement.bid(Terms, m_Listener);
+  }
+  /// Returns the link of the pool's owner, and of the other dispatcher.
+  std::uint64_t owner() const {
+    return m_Fleet.linkToOwner(poolIdOf("guide-writer", 0)).value();
+  }
+  std::uint64_t other() const { return 3 - owner(); }
+  /// Lets the process be frozen: time goes on, but no timer runs.
+  void freeze(Duration Length) { m_Clock.advance(Length); }
+
+  ManualClock m_Clock;
+  ManualScheduler m_Timers{m_Clock};
+  Directory m_Known;
+  FakeLinks m_Links;
+  FakeListener m_Listener;
+  std::uint64_t m_Sequence = 0;
+  PauseGuard m_Guard{m_Clock, m_Timers};
+  Fleet m_Fleet{
+      {peer("a").m_Address, peer("b").m_Address}, m_Clock, m_Timers, m_Known};
+  LocalPlacement m_Alone{
+      {{}, InstanceId(1), {}, [] { return 2U; }}, m_Known, m_Clock, m_Timers};
+  DispatcherPlacement m_Placement{m_Fleet, m_Alone,  m_Guard,
+                                  m_Clock, m_Timers, 1000};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(BidGoesToTheOwnerAndIsGranted) {
+  Bench It;
+  const BidNumber Bid = It.bid();
+  BOOST_REQUIRE(It.m_Links.m_Out[It.owner()].bids.size() == 1U);
+  It.grant(It.owner(), Bid);
+  BOOST_REQUIRE(It.m_Listener.m_Slots.size() == 1U);
+  BOOST_TEST(toString(It.m_Listener.m_Slots[0].m_Address) == "127.0.0.1:4000");
+  It.m_Placement.release(Bid,
+                         {UpstreamId(99), decision::WorkEnd::Finished, 5, 1ms});
+  BOOST_TEST(It.m_Links.m_Out[It.owner()].work_ends.size() == 1U);
+}
+
+// Two dispatchers think that they own the pool. Only a grant from the one that
+// holds the bid is used; the other's, and a second one, are not.
+BOOST_AUTO_TEST_CASE(GrantFromElsewhereIsIgnored) {
+  Bench It;
+  const BidNumber Bid = It.bid();
+  It.grant(It.other(), Bid);
+  BOOST_TEST(It.m_Listener.m_Slots.empty());
+  It.grant(It.owner(), Bid);
+  It.grant(It.owner(), Bid);
+  BOOST_TEST(It.m_Listener.m_Slots.size() == 1U);
+}
+
+// The owner dies with a bid waiting and a call running. Both are told to the
+// next owner: the bid as a bid, the call as running with its tokens.
+BOOST_AUTO_TEST_CASE(NewOwnerHearsOfEverything) {
+  Bench It;
+  It.attach(1, "b");
+  const BidNumber Running = It.bid();
+  It.grant(2, Running);
+  It.bid();
+  It.down(2, "b");
+  It.attach(1, "a");
+  BOOST_REQUIRE(It.m_Links.m_Out[1].running.size() == 1U);
+  BOOST_TEST(It.m_Links.m_Out[1].running[0]->tokens == 7U);
+  BOOST_TEST(It.m_Links.m_Out[1].running[0]->upstream == 99U);
+  BOOST_TEST(It.m_Links.m_Out[1].bids.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NotOwnerIsBidAgainSoon) {
+  Bench It;
+  const BidNumber Bid = It.bid();
+  wire::FrameT Out;
+  Out.not_owner.emplace_back(Bid.value(), 0);
+  It.frame(It.owner(), Out);
+  BOOST_TEST(It.m_Links.m_Out[It.owner()].bids.size() == 1U);
+  It.m_Timers.advance(200ms);
+  BOOST_TEST(It.m_Links.m_Out[It.owner()].bids.size() == 2U);
+}
+
+// No owner can be reached for a second: the entry decides alone, over its
+// share of the slots (8 among 2 members), and goes back to the owner later.
+BOOST_AUTO_TEST_CASE(WithoutOwnerTheEntryDecidesAlone) {
+  Bench It;
+  It.down(1, "a");
+  It.down(2, "b");
+  std::vector<BidNumber> Bids;
+  for (int Count = 0; Count < 6; ++Count)
+    Bids.push_back(It.bid());
+  It.m_Timers.advance(900ms);
+  BOOST_TEST(It.m_Listener.m_Slots.empty());
+  It.m_Timers.advance(400ms);
+  BOOST_TEST(It.m_Listener.m_Slots.size() == 4U);
+  It.up(3, "a");
+  It.up(4, "b");
+  It.m_Timers.advance(200ms);
+  BOOST_TEST(
+      It.m_Links.m_Out[3].bids.size() + It.m_Links.m_Out[4].bids.size() == 2U);
+}
+
+// The process is frozen for longer than a grant is valid. When it wakes, the
+// grant is in its socket and looks new; its upstream may have left. It is
+// given back unused, and the bid goes out again when the sockets are read.
+BOOST_AUTO_TEST_CASE(GrantReadAfterAFreezeIsGivenBack) {
+  Bench It;
+  const BidNumber Bid = It.bid();
+  It.freeze(5s);
+  It.grant(It.owner(), Bid);
+  BOOST_TEST(It.m_Listener.m_Slots.empty());
+  BOOST_TEST(It.m_Links.m_Out[It.owner()].bids.size() == 1U);
+  It.m_Timers.advance(300ms);
+  BOOST_TEST(It.m_Links.m_Out[It.owner()].bids.size() == 2U);
+  It.grant(It.owner(), Bid);
+  BOOST_TEST(It.m_Listener.m_Slots.size() == 1U);
+}
+
+// A grant that is held but not yet used when the freeze begins is told as
+// suspect, so that the request checks it again before it sends.
+BOOST_AUTO_TEST_CASE(HeldGrantIsSuspectAfterAFreeze) {
+  Bench It;
+  It.grant(It.owner(), It.bid());
+  It.freeze(5s);
+  It.m_Timers.advance(100ms);
+  BOOST_TEST(It.m_Listener.m_Suspect == 1);
+}
+
+// The right to serve lasts three seconds from the sending of the
+// acknowledgement that comes back. Attachments that waited in the socket of a
+// frozen process bring old echoes and prolong nothing.
+BOOST_AUTO_TEST_CASE(RightRunsFromTheOwnAcknowledgement) {
+  Bench It;
+  BOOST_TEST(!It.m_Fleet.rightToServe()); // Nothing is echoed yet.
+  const std::uint64_t Acked = It.m_Sequence;
+  It.m_Timers.advance(500ms);
+  It.echo(1, Acked);
+  BOOST_TEST(It.m_Fleet.rightToServe());
+  It.freeze(2400ms);
+  BOOST_TEST(It.m_Fleet.rightToServe());
+  It.freeze(5s);
+  BOOST_TEST(!It.m_Fleet.rightToServe());
+  It.echo(1, Acked); // Old news from the socket.
+  BOOST_TEST(!It.m_Fleet.rightToServe());
+  const std::uint64_t Fresh = It.m_Sequence;
+  It.m_Timers.advance(10ms);
+  It.echo(1, Fresh);
+  BOOST_TEST(It.m_Fleet.rightToServe());
+}
+
+BOOST_AUTO_TEST_CASE(TableNeverGoesBack) {
+  Bench It;
+  It.attach(2, "ab", 0, 4);
+  BOOST_TEST(It.m_Known.table().m_Version.value() == 5U);
+  BOOST_TEST(It.m_Links.m_Out[2].attachment_ack->table_version == 5U);
+  It.attach(2, "ab", 0, 6);
+  BOOST_TEST(It.m_Known.table().m_Version.value() == 6U);
+}
+
+// The home's link is down for longer than a second: the next one is dialled.
+BOOST_AUTO_TEST_CASE(LostHomeIsReplaced) {
+  Bench It;
+  It.attach(1, "a"); // Owner of all pools: only it is dialled.
+  BOOST_TEST(!It.m_Links.m_Dialled.contains(Bench::peer("b").m_Address));
+  It.down(1, "a");
+  It.down(2, "b");
+  It.m_Timers.advance(1100ms);
+  BOOST_TEST(It.m_Links.m_Dialled.contains(Bench::peer("b").m_Address));
+}
