--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -115,7 +115,7 @@
   const ClassState &Class = New.m_Class;
   const Duration OnTime = waitOnTime(In, Class, New.m_Bid.m_Workspace);
   const Duration Safe = fromSeconds(tuning::WaitSafety * toSeconds(OnTime));
-  if (Safe + Class.firstTokenAllowance() <= New.m_Bid.m_UntilTarget)
+  if (Safe + Class.m_Allowance <= New.m_Bid.m_UntilTarget)
     return {};
   const Duration Late = waitLate(In, Class);
   if (Late <= New.m_Bid.m_UntilLimit || stopAboveFloor(In, Class))
--- a/src/decision/class.cpp
+++ b/src/decision/class.cpp
@@ -5,6 +5,12 @@
 
 namespace crowstep::decision {
 
+namespace {
+
+constexpr double MillisecondsASecond = 1000.0;
+
+} // namespace
+
 std::size_t ClassState::demand() const {
   const std::size_t Ready = m_OnTime.m_ReadyCount + m_Late.m_ReadyCount;
   const std::uint32_t Limit = m_Contract.m_MaxConcurrent;
@@ -30,13 +36,19 @@
   return At->second;
 }
 
-Duration ClassState::firstTokenAllowance() const {
+void ClassState::learnFirstToken(Duration Latency) {
+  const double Seconds = toSeconds(Latency);
+  m_FirstTokens.add(Seconds * MillisecondsASecond);
+  m_FirstTokenMean.add(Seconds);
+  updateAllowance();
+}
+
+void ClassState::updateAllowance() {
   if (m_FirstTokens.count() < tuning::MinSamples)
-    return Duration::zero();
-  constexpr double MillisecondsASecond = 1000.0;
+    return;
   const Duration Learned =
       fromSeconds(m_FirstTokens.value() / MillisecondsASecond);
-  return std::min(Learned, m_Contract.m_FirstTokenTarget / 2);
+  m_Allowance = std::min(Learned, m_Contract.m_FirstTokenTarget / 2);
 }
 
 std::size_t RequestIdHash::operator()(const RequestId &Id) const noexcept {
--- a/src/decision/class_base.h
+++ b/src/decision/class_base.h
@@ -40,8 +40,10 @@
 
   Quantile m_Lengths{tuning::LengthQuantile};         ///< Of whole answers.
   Quantile m_FirstTokens{tuning::FirstTokenQuantile}; ///< Milliseconds.
-  Mean m_FirstTokenMean;                       ///< Seconds from the grant.
-  Mean m_TokenMean;                            ///< Seconds a generated token.
+  Duration m_Allowance{}; ///< To be left before a target for the first token;
+                          ///< never more than half the target.
+  Mean m_FirstTokenMean;  ///< Seconds from the grant.
+  Mean m_TokenMean;       ///< Seconds a generated token.
   Mean m_Service{tuning::ServiceGain};         ///< Seconds that a slot is held.
   RateMeter m_Offered{tuning::OfferedSeconds}; ///< Bids within limits.
 
@@ -69,9 +71,11 @@
     return m_Contract.m_Preemptible && m_Contract.m_Repeatable;
   }
 
-  /// Returns the time from a grant to the first token that must be left before
-  /// a target; never more than half the target.
-  [[nodiscard]] Duration firstTokenAllowance() const;
+  /// Takes in the time from a grant to a first token.
+  void learnFirstToken(Duration Latency);
+
+  /// Works out m_Allowance from what is learned and the row.
+  void updateAllowance();
 
   /// Returns the seconds that a slot is held; 0 while unknown.
   [[nodiscard]] double serviceSeconds() const { return m_Service.value(); }
@@ -81,6 +85,8 @@
 struct Tier {
   std::uint8_t m_Number = 1;           ///< 1 is the most urgent.
   double m_Virtual = 0.0;              ///< Of the flow served last, at most.
+  double m_Offered = 0.0;              ///< Slots that its arrivals ask for.
+  double m_OfferedTo = 0.0;            ///< The same with all more urgent tiers.
   std::vector<ClassState *> m_Classes; ///< In the order of the table.
   std::unordered_map<WorkspaceId, WorkspaceShare> m_Shares; ///< By use.
 };
--- a/src/decision/decider.cpp
+++ b/src/decision/decider.cpp
@@ -46,6 +46,7 @@
       throw TimeWentBackError();
     accrueFloors(m_Pool, Now - m_Pool.m_Now);
     m_Pool.m_Now = Now;
+    updateOffered(m_Pool);
   }
 
   Request *find(const RequestId &Id, RequestState State) {
@@ -170,6 +171,7 @@
                                            : RefusalReason::UnknownClass,
                     {});
     updateFloors(m_Pool);
+    m_Pool.m_OfferedUntil = m_Pool.m_Now;
   }
 
   void afterFleetChange() {
--- a/src/decision/estimate.cpp
+++ b/src/decision/estimate.cpp
@@ -23,19 +23,14 @@
   To.m_Seconds += Count * Class.serviceSeconds();
 }
 
-double inflowOf(const ClassState &Class, TimePoint Now) {
-  return Class.m_Offered.perSecond(Now) * Class.serviceSeconds();
-}
-
 Ahead aboveTier(const Pool &In, std::uint8_t Number) {
   Ahead Found;
   for (const auto &[Other, Tier] : In.m_Queue.tiers()) {
     if (Other >= Number)
       break;
-    for (const ClassState *Class : Tier.m_Classes) {
+    for (const ClassState *Class : Tier.m_Classes)
       addBids(Found, *Class, Class->waiting());
-      Found.m_AboveInflow += inflowOf(*Class, In.m_Now);
-    }
+    Found.m_AboveInflow = Tier.m_OfferedTo;
   }
   return Found;
 }
@@ -116,10 +111,9 @@
 
 Duration waitLate(const Pool &In, const ClassState &Class) {
   Ahead Before = aboveTier(In, Class.m_Tier->m_Number);
-  for (const ClassState *Other : Class.m_Tier->m_Classes) {
+  Before.m_SameInflow = Class.m_Tier->m_Offered;
+  for (const ClassState *Other : Class.m_Tier->m_Classes)
     addBids(Before, *Other, Other->waiting());
-    Before.m_SameInflow += inflowOf(*Other, In.m_Now);
-  }
   return waitBehind(In, Class, Before);
 }
 
--- a/src/decision/expiry.cpp
+++ b/src/decision/expiry.cpp
@@ -52,7 +52,7 @@
 
 void moveLate(Pool &In, ClassState &Class) {
   DeadlineQueue &Queue = Class.m_OnTime.m_ByDeadline;
-  const Duration Allowance = Class.firstTokenAllowance();
+  const Duration Allowance = Class.m_Allowance;
   while (!Queue.empty() && Queue.begin()->m_Deadline - Allowance <= In.m_Now) {
     Request &Late = *Queue.begin();
     if (!isWorthWaiting(In, Late)) {
@@ -89,7 +89,7 @@
   if (!Class.m_OnTime.m_ByDeadline.empty()) {
     const Request &First = *Class.m_OnTime.m_ByDeadline.begin();
     Next.add(First.m_Limit);
-    Next.add(First.m_Deadline - Class.firstTokenAllowance());
+    Next.add(First.m_Deadline - Class.m_Allowance);
   }
   if (!Class.m_Late.m_ByDeadline.empty())
     Next.add(Class.m_Late.m_ByDeadline.begin()->m_Limit);
--- a/src/decision/floor.cpp
+++ b/src/decision/floor.cpp
@@ -12,9 +12,8 @@
 namespace {
 
 Duration slackOf(const Pool &In, const Request &Waiting) {
-  const Duration Allowance = isLate(Waiting)
-                                 ? Duration::zero()
-                                 : Waiting.m_Class->firstTokenAllowance();
+  const Duration Allowance =
+      isLate(Waiting) ? Duration::zero() : Waiting.m_Class->m_Allowance;
   return Waiting.m_Deadline - Allowance - In.m_Now;
 }
 
@@ -28,7 +27,7 @@
   const double Rate = tuning::FloorTrust * freeRate(Class);
   if (Rate <= 0.0)
     return false;
-  const Duration Reserve = stopLead(In) + tuning::FloorMargin;
+  const Duration Reserve = In.m_StopLead + tuning::FloorMargin;
   return slackOf(In, *Queue.begin()) >= fromSeconds(1.0 / Rate) + Reserve &&
          slackOf(In, *Queue.rbegin()) >= fromSeconds(Bids / Rate) + Reserve;
 }
@@ -49,7 +48,7 @@
       Bids += static_cast<double>(Class->demand());
     for (const ClassState *Class : Tier.m_Classes)
       if (Class->demand() > 0 && hasPlace(In, *Class) &&
-          !(isOverloaded(In, *Class) && canSpareSlot(In, *Class, Bids)))
+          !(isOverloaded(*Class) && canSpareSlot(In, *Class, Bids)))
         return false;
   }
   return true;
@@ -57,15 +56,25 @@
 
 } // namespace
 
-bool isOverloaded(const Pool &In, const ClassState &Class) {
-  double Offered = 0.0;
-  for (const auto &[Number, Tier] : In.m_Queue.tiers()) {
-    if (Number > Class.m_Tier->m_Number)
-      break;
-    for (const ClassState *Other : Tier.m_Classes)
-      Offered += Other->m_Offered.perSecond(In.m_Now) * Other->serviceSeconds();
+void updateOffered(Pool &In) {
+  // Rates change over tens of seconds; working them out for each event would
+  // cost more than the rest of the decision.
+  if (In.m_Now < In.m_OfferedUntil)
+    return;
+  In.m_OfferedUntil = In.m_Now + tuning::OfferedLifetime;
+  double Sum = 0.0;
+  for (auto &[Number, Tier] : In.m_Queue.tiers()) {
+    Tier.m_Offered = 0.0;
+    for (const ClassState *Class : Tier.m_Classes)
+      Tier.m_Offered +=
+          Class->m_Offered.perSecond(In.m_Now) * Class->serviceSeconds();
+    Sum += Tier.m_Offered;
+    Tier.m_OfferedTo = Sum;
   }
-  return Offered >= tuning::Overload * Class.m_Slots;
+}
+
+bool isOverloaded(const ClassState &Class) {
+  return Class.m_Tier->m_OfferedTo >= tuning::Overload * Class.m_Slots;
 }
 
 void updateFloors(Pool &In) {
--- a/src/decision/floor_func.h
+++ b/src/decision/floor_func.h
@@ -15,7 +15,10 @@
 /// Tells whether the tier of \p Class and more urgent ones ask for clearly more
 /// slots than there are, so that some of their bids are refused whatever is
 /// done. Only then do floors of lower tiers stand against their bids.
-bool isOverloaded(const Pool &In, const ClassState &Class);
+bool isOverloaded(const ClassState &Class);
+
+/// Renews what the tiers' arrivals ask for, when it is no longer fresh.
+void updateOffered(Pool &In);
 
 /// Returns the class that is owed most and may have a free slot ahead of more
 /// urgent bids without making one of them miss its target; or null.
--- a/src/decision/learned.cpp
+++ b/src/decision/learned.cpp
@@ -54,7 +54,7 @@
   double Missing = m_Share * m_Weight;
   const auto &Bounds = m_Histogram.axis(0);
   for (int Bin = 0; Bin < Bounds.size(); ++Bin) {
-    const double Weight = m_Histogram.at(Bin);
+    const double Weight = m_Histogram[Bin];
     if (Weight >= Missing && Weight > 0.0)
       return Bounds.value(static_cast<double>(Bin) + Missing / Weight);
     Missing -= Weight;
--- a/src/decision/pool_base.h
+++ b/src/decision/pool_base.h
@@ -41,10 +41,13 @@
   std::set<std::pair<TimePoint, RequestId>> m_Lapses;      ///< Silent grants.
   std::deque<std::pair<TimePoint, RequestId>> m_Returning; ///< By time.
   std::deque<std::pair<TimePoint, RequestId>> m_Stopping;  ///< By time.
-  std::size_t m_Stops = 0; ///< Ordered preemptions not yet followed.
-  TimePoint m_LastStop;    ///< Time of the last such order.
-  Mean m_StopDelay;        ///< Seconds from the order to the free slot.
-  DeciderStats m_Stats;    ///< Counters; gauges are filled on demand.
+  TimePoint m_OfferedUntil; ///< The tiers' offered load is fresh so long.
+  std::size_t m_Stops = 0;  ///< Ordered preemptions not yet followed.
+  TimePoint m_LastStop;     ///< Time of the last such order.
+  Mean m_StopDelay;         ///< Seconds from the order to the free slot.
+  Duration m_StopLead = tuning::FirstPreemptDelay + tuning::PreemptMargin;
+  ///< Time to be left for a slot to be taken back.
+  DeciderStats m_Stats; ///< Counters; gauges are filled on demand.
 };
 
 } // namespace crowstep::decision
--- a/src/decision/preemption.cpp
+++ b/src/decision/preemption.cpp
@@ -61,28 +61,27 @@
 
 /// Time left before a waiting bid must have a slot, less the time to get one.
 Duration slackOf(const Pool &In, const Request &Waiting) {
-  const Duration Allowance = isLate(Waiting)
-                                 ? Duration::zero()
-                                 : Waiting.m_Class->firstTokenAllowance();
+  const Duration Allowance =
+      isLate(Waiting) ? Duration::zero() : Waiting.m_Class->m_Allowance;
   const Duration Left = Waiting.m_Deadline - Allowance - In.m_Now;
-  return std::max(Duration::zero(), Left - stopLead(In));
+  return std::max(Duration::zero(), Left - In.m_StopLead);
 }
 
-/// Slots that \p Class needs beyond those expected to come free in time, when
-/// \p Bids stand before the last of its bids.
-double missing(const Pool &In, const ClassState &Class, double Bids,
-               double Trust) {
-  const double Rate = Trust * freeRate(Class);
-  double Most = 0.0;
-  for (const Lane *Of : {&Class.m_OnTime, &Class.m_Late}) {
-    if (Of->m_ReadyCount == 0)
-      continue;
-    const DeadlineQueue &Queue = Of->m_ByDeadline;
-    const double First = toSeconds(slackOf(In, *Queue.begin()));
-    const double Last = toSeconds(slackOf(In, *Queue.rbegin()));
-    Most = std::max({Most, 1.0 - Rate * First, Bids - Rate * Last});
-  }
-  return Most;
+/// How pressing the bids of one lane are, in seconds of slack.
+struct Pressure {
+  double m_First = 0.0; ///< Of the bid with the earliest deadline.
+  double m_Last = 0.0;  ///< Of the bid with the latest.
+};
+
+Pressure pressureOf(const Pool &In, const DeadlineQueue &Queue) {
+  return {toSeconds(slackOf(In, *Queue.begin())),
+          toSeconds(slackOf(In, *Queue.rbegin()))};
+}
+
+/// Slots that are needed beyond those that come free in time at \p Rate, when
+/// \p Bids stand before the last bid.
+double missing(const Pressure &Of, double Bids, double Rate) {
+  return std::max(1.0 - Rate * Of.m_First, Bids - Rate * Of.m_Last);
 }
 
 bool stopAny(Pool &In, const ClassState &Class) {
@@ -99,25 +98,31 @@
       return;
 }
 
-bool anyVictim(const Pool &In) {
-  return std::any_of(In.m_Queue.classes().begin(), In.m_Queue.classes().end(),
-                     [](const ClassState *Class) {
-                       return Class->isPreemptible() &&
-                              !Class->m_Victims.empty();
-                     });
+void stopForLane(Pool &In, const ClassState &Class, const Lane &Of, double Bids,
+                 std::size_t Most) {
+  if (Of.m_ReadyCount == 0)
+    return;
+  const Pressure Now = pressureOf(In, Of.m_ByDeadline);
+  const double Rate = freeRate(Class);
+  stopUntil(In, Class, Most, missing(Now, Bids, tuning::PreemptTrust * Rate),
+            stopAboveFloor);
+  stopUntil(In, Class, Most, missing(Now, Bids, tuning::FloorTrust * Rate),
+            stopAny);
 }
 
-} // namespace
-
-Duration stopLead(const Pool &In) {
-  const Duration Delay = In.m_StopDelay.count() == 0
-                             ? tuning::FirstPreemptDelay
-                             : fromSeconds(In.m_StopDelay.value());
-  return Delay + tuning::PreemptMargin;
+/// Returns the least urgent tier with work that could be stopped; 0: none.
+std::uint8_t lastWithVictims(const Pool &In) {
+  std::uint8_t Last = 0;
+  for (const ClassState *Class : In.m_Queue.classes())
+    if (Class->isPreemptible() && !Class->m_Victims.empty())
+      Last = std::max(Last, Class->m_Tier->m_Number);
+  return Last;
 }
 
+} // namespace
+
 bool stopAboveFloor(Pool &In, const ClassState &Class) {
-  bool HasMore = !isOverloaded(In, Class);
+  bool HasMore = !isOverloaded(Class);
   for (const ClassState *Other : In.m_Queue.classes())
     HasMore = HasMore || (Other->m_Tier->m_Number > Class.m_Tier->m_Number &&
                           Other->isPreemptible() && isAboveFloor(*Other));
@@ -125,21 +130,21 @@
 }
 
 void preemptWhereNeeded(Pool &In) {
-  if (In.isBaseline() || In.isRebuilding() || !anyVictim(In))
+  if (In.isBaseline() || In.isRebuilding() || In.m_Queue.size() == 0)
     return;
-  double Bids = 0.0;
+  const std::uint8_t Last = lastWithVictims(In);
   const std::size_t Most = In.m_Stops + tuning::MaxPreemptionsAtOnce;
+  double Bids = 0.0;
   for (auto &[Number, Tier] : In.m_Queue.tiers()) {
+    if (Number >= Last)
+      return;
     for (const ClassState *Class : Tier.m_Classes)
       Bids += static_cast<double>(Class->demand());
     for (const ClassState *Class : Tier.m_Classes) {
       if (Class->demand() == 0)
         continue;
-      stopUntil(In, *Class, Most,
-                missing(In, *Class, Bids, tuning::PreemptTrust),
-                stopAboveFloor);
-      stopUntil(In, *Class, Most, missing(In, *Class, Bids, tuning::FloorTrust),
-                stopAny);
+      stopForLane(In, *Class, Class->m_OnTime, Bids, Most);
+      stopForLane(In, *Class, Class->m_Late, Bids, Most);
     }
   }
 }
--- a/src/decision/preemption_func.h
+++ b/src/decision/preemption_func.h
@@ -20,9 +20,6 @@
 /// Gives orders to stop again that were not followed for too long.
 void repeatStops(Pool &In);
 
-/// Returns the time from an order to stop until the slot can be granted.
-Duration stopLead(const Pool &In);
-
 /// Returns when a bid of \p Class next needs a look by the clock alone.
 std::optional<TimePoint> nextPreemptionCheck(const Pool &In,
                                              const ClassState &Class);
--- a/src/decision/queue.cpp
+++ b/src/decision/queue.cpp
@@ -49,6 +49,7 @@
 void applyRow(ClassState &Class, const Contract &Row, TimePoint Now) {
   Class.m_Contract = Row;
   Class.m_Listed = true;
+  Class.updateAllowance();
   Class.m_Rate.setRate(Row.m_MaxRate, Now);
   Class.m_Tokens.setRate(Row.m_MaxTokenRate, Now);
   for (auto &[Workspace, Use] : Class.m_Workspaces) {
--- a/src/decision/tuning.h
+++ b/src/decision/tuning.h
@@ -46,6 +46,7 @@
 inline constexpr double ServiceGain = 0.01;
 /// Time over which arrival rates are averaged.
 inline constexpr double OfferedSeconds = 30.0;
+inline constexpr Duration OfferedLifetime = 20ms;
 /// Cost of a prompt token against a generated one; prompts are read at once.
 inline constexpr double PromptTokenCost = 0.1;
 
--- a/src/decision/work.cpp
+++ b/src/decision/work.cpp
@@ -76,6 +76,7 @@
   if (Work.m_Stopping) {
     --In.m_Stops;
     In.m_StopDelay.add(toSeconds(In.m_Now - Work.m_Since));
+    In.m_StopLead = fromSeconds(In.m_StopDelay.value()) + tuning::PreemptMargin;
     Work.m_Stopping = false;
   }
   if (Work.m_IsProbe)
@@ -228,12 +229,11 @@
   In.m_Lapses.erase({Granted.m_Lapses, Granted.m_Bid.m_Request});
   ClassState &Class = *Granted.m_Class;
   const double Seconds = toSeconds(Latency);
-  Class.m_FirstTokens.add(Seconds * MillisecondsASecond);
   addSpeed(In, *Granted.m_Serving,
            {Seconds, Class.m_FirstTokenMean.value(),
             tuning::StragglerMinFirstTokenSeconds},
            Granted.m_IsProbe);
-  Class.m_FirstTokenMean.add(Seconds);
+  Class.learnFirstToken(Latency);
 }
 
 void finish(Pool &In, Request &Granted, const WorkEnded &How) {
