Codechange: Walk over tiers once for floors, and keep the rate of free slots

Callgrind put a quarter of a grant's instructions into asking each owed class again about all tiers above it. One walk in order of urgency finds the same class.

--- a/src/decision/class_base.h
+++ b/src/decision/class_base.h
@@ -52,6 +52,9 @@
   double m_FloorSlots = 0.0;         ///< Its share of them.
   double m_Debt = 0.0; ///< Slot-seconds of the floor not served, >= 0.
 
+  mutable double m_FreeRate = 0.0; ///< See freeRate(); as of the stamp.
+  mutable std::uint64_t m_FreeRateStamp = 0; ///< Fleet::changes() then.
+
   [[nodiscard]] std::size_t waiting() const {
     return m_OnTime.m_ByDeadline.size() + m_Late.m_ByDeadline.size();
   }
@@ -74,6 +77,12 @@
   /// Takes in the time from a grant to a first token.
   void learnFirstToken(Duration Latency);
 
+  /// Returns what must be left before the deadlines of a lane: late bids have
+  /// no target left to meet.
+  [[nodiscard]] Duration allowanceOf(const Lane &Of) const {
+    return &Of == &m_OnTime ? m_Allowance : Duration::zero();
+  }
+
   /// Works out m_Allowance from what is learned and the row.
   void updateAllowance();
 
--- a/src/decision/estimate.cpp
+++ b/src/decision/estimate.cpp
@@ -71,17 +71,21 @@
   const double Seconds =
       Before.m_Bids > 0.0 ? Before.m_Seconds * Left / Before.m_Bids : 0.0;
   const double Drain = drainShare(Class, Before);
-  const double Free = freeRate(Class);
+  const double Free = freeRate(In, Class);
   const double FirstSlot = Free > 0.0 ? 1.0 / Free : 0.0;
   return fromSeconds(FirstSlot + Seconds / (Class.m_Slots * Drain));
 }
 
 } // namespace
 
-double freeRate(const ClassState &Class) {
+double freeRate(const Pool &In, const ClassState &Class) {
+  if (Class.m_FreeRateStamp == In.m_Fleet.changes())
+    return Class.m_FreeRate;
   double Rate = 0.0;
   for (const Serving *One : Class.m_Eligible)
     Rate += One->m_FreeRate;
+  Class.m_FreeRate = Rate;
+  Class.m_FreeRateStamp = In.m_Fleet.changes();
   return Rate;
 }
 
--- a/src/decision/estimate_func.h
+++ b/src/decision/estimate_func.h
@@ -16,7 +16,7 @@
 Duration waitLate(const Pool &In, const ClassState &Class);
 
 /// Returns the slots that the upstreams of \p Class free a second.
-double freeRate(const ClassState &Class);
+double freeRate(const Pool &In, const ClassState &Class);
 
 } // namespace crowstep::decision
 
--- a/src/decision/fleet.cpp
+++ b/src/decision/fleet.cpp
@@ -35,6 +35,10 @@
     const Serving &One = Entry.second;
     return !One.m_Listed && One.m_Used == 0 && !remembersLeaving(One, Now);
   });
+  m_Listed.clear();
+  for (auto &[Id, One] : m_Servings)
+    if (One.m_Listed)
+      m_Listed.push_back(&One);
 }
 
 Serving *Fleet::find(UpstreamId Id) {
@@ -125,6 +129,7 @@
 }
 
 void Fleet::addWork(Serving &Where, const Request &Work, TimePoint Now) {
+  ++m_Changes;
   ++Where.m_Used;
   Where.m_Outstanding += static_cast<double>(Work.m_Expected);
   Where.m_FreeRate += Work.m_FreeRate;
@@ -134,6 +139,7 @@
 }
 
 void Fleet::endWork(Serving &Where, const Request &Work, TimePoint Now) {
+  ++m_Changes;
   --Where.m_Used;
   const auto Expected = static_cast<double>(Work.m_Expected);
   Where.m_Outstanding = std::max(0.0, Where.m_Outstanding - Expected);
@@ -142,6 +148,7 @@
 }
 
 void Fleet::updateClass(ClassState &Class) {
+  ++m_Changes;
   Class.m_Eligible.clear();
   double InUse = 0.0;
   double Usable = 0.0;
@@ -157,10 +164,10 @@
 }
 
 bool Fleet::hasFreeSlot(TimePoint Now) const {
-  return std::any_of(
-      m_Servings.begin(), m_Servings.end(), [Now](const auto &Entry) {
-        return Entry.second.isUsable() && Entry.second.hasFreeSlot(Now);
-      });
+  return std::any_of(m_Listed.begin(), m_Listed.end(),
+                     [Now](const Serving *One) {
+                       return One->isUsable() && One->hasFreeSlot(Now);
+                     });
 }
 
 std::string Fleet::service() const {
--- a/src/decision/fleet.h
+++ b/src/decision/fleet.h
@@ -50,6 +50,9 @@
   [[nodiscard]] const std::map<UpstreamId, Serving> &all() const {
     return m_Servings;
   }
+  /// Grows with every change of an upstream's work or of a class's upstreams.
+  [[nodiscard]] std::uint64_t changes() const { return m_Changes; }
+
   [[nodiscard]] PrefixIndex &prefixes() { return m_Prefixes; }
   [[nodiscard]] const PrefixIndex &prefixes() const { return m_Prefixes; }
 
@@ -58,10 +61,12 @@
 
 private:
   std::map<UpstreamId, Serving> m_Servings; ///< Listed, or still running work.
-  std::set<UpstreamId> m_Drained; ///< Also unlisted ones: an upstream that
-                                  ///< flickers in the list stays drained.
-  PrefixIndex m_Prefixes;         ///< By Serving::m_HintTag.
-  std::uint32_t m_NextTag = 1;    ///< 0 is no tag.
+  std::vector<Serving *> m_Listed; ///< Of m_Servings; quicker to walk over.
+  std::set<UpstreamId> m_Drained;  ///< Also unlisted ones: an upstream that
+                                   ///< flickers in the list stays drained.
+  PrefixIndex m_Prefixes;          ///< By Serving::m_HintTag.
+  std::uint64_t m_Changes = 1;     ///< See changes().
+  std::uint32_t m_NextTag = 1;     ///< 0 is no tag.
 };
 
 } // namespace crowstep::decision
--- a/src/decision/floor.cpp
+++ b/src/decision/floor.cpp
@@ -11,47 +11,55 @@
 
 namespace {
 
-Duration slackOf(const Pool &In, const Request &Waiting) {
-  const Duration Allowance =
-      isLate(Waiting) ? Duration::zero() : Waiting.m_Class->m_Allowance;
-  return Waiting.m_Deadline - Allowance - In.m_Now;
-}
-
-/// Tells whether the first and the last of \p Queue still get slots in time
+/// Tells whether the first and the last bid of a lane still get slots in time
 /// from those that come free without taking any back, when \p Bids stand
 /// before the last; and with time left to take one back if that fails.
-bool canSpareSlot(const Pool &In, const ClassState &Class,
-                  const DeadlineQueue &Queue, double Bids) {
-  if (Queue.empty())
+bool canSpareSlot(const Pool &In, const ClassState &Class, const Lane &Of,
+                  double Bids) {
+  if (Of.m_ByDeadline.empty())
     return true;
-  const double Rate = tuning::FloorTrust * freeRate(Class);
+  const double Rate = tuning::FloorTrust * freeRate(In, Class);
   if (Rate <= 0.0)
     return false;
-  const Duration Reserve = In.m_StopLead + tuning::FloorMargin;
-  return slackOf(In, *Queue.begin()) >= fromSeconds(1.0 / Rate) + Reserve &&
-         slackOf(In, *Queue.rbegin()) >= fromSeconds(Bids / Rate) + Reserve;
+  const Duration Reserve =
+      In.m_StopLead + tuning::FloorMargin + Class.allowanceOf(Of);
+  const TimePoint First = Of.m_ByDeadline.begin()->m_Deadline;
+  const TimePoint Last = Of.m_ByDeadline.rbegin()->m_Deadline;
+  return First - In.m_Now >= fromSeconds(1.0 / Rate) + Reserve &&
+         Last - In.m_Now >= fromSeconds(Bids / Rate) + Reserve;
 }
 
 bool canSpareSlot(const Pool &In, const ClassState &Class, double Bids) {
-  return canSpareSlot(In, Class, Class.m_OnTime.m_ByDeadline, Bids) &&
-         canSpareSlot(In, Class, Class.m_Late.m_ByDeadline, Bids);
+  return canSpareSlot(In, Class, Class.m_OnTime, Bids) &&
+         canSpareSlot(In, Class, Class.m_Late, Bids);
 }
 
-/// A slot may be given ahead of a tier's bids when the tier is overloaded and
-/// what it was admitted still keeps its targets.
-bool isHarmless(const Pool &In, const ClassState &Owed) {
-  double Bids = 0.0;
-  for (const auto &[Number, Tier] : In.m_Queue.tiers()) {
-    if (Number >= Owed.m_Tier->m_Number)
-      break;
-    for (const ClassState *Class : Tier.m_Classes)
-      Bids += static_cast<double>(Class->demand());
-    for (const ClassState *Class : Tier.m_Classes)
-      if (Class->demand() > 0 && hasPlace(In, *Class) &&
-          !(isOverloaded(*Class) && canSpareSlot(In, *Class, Bids)))
-        return false;
-  }
-  return true;
+/// Tells whether a free slot may go to lower tiers ahead of this one's bids:
+/// it is overloaded, and what it was admitted still keeps its targets.
+bool letsPass(const Pool &In, const Tier &Of, double Bids) {
+  return std::all_of(
+      Of.m_Classes.begin(), Of.m_Classes.end(), [&](const ClassState *Class) {
+        if (Class->demand() == 0 || !hasPlace(In, *Class))
+          return true;
+        return isOverloaded(*Class) && canSpareSlot(In, *Class, Bids);
+      });
+}
+
+/// Seconds of its floor that a class is behind, or 0 when nothing is owed.
+double secondsBehind(const ClassState &Class) {
+  const auto Running = static_cast<double>(Class.m_Running);
+  if (Class.m_Debt <= 0.0 || Class.demand() == 0 || Running >= Class.floorNow())
+    return 0.0;
+  return Class.m_Debt / Class.m_FloorSlots;
+}
+
+/// Returns the least urgent tier that is owed; 0: none.
+std::uint8_t lastOwedTier(const Pool &In) {
+  std::uint8_t Last = 0;
+  for (const ClassState *Class : In.m_Queue.classes())
+    if (Class->m_Tier->m_Number > Last && secondsBehind(*Class) > 0.0)
+      Last = Class->m_Tier->m_Number;
+  return Last;
 }
 
 } // namespace
@@ -106,24 +114,29 @@
 }
 
 ClassState *owedClass(const Pool &In) {
-  if (In.isBaseline())
-    return nullptr;
   const bool IsPaused = In.m_Stats.m_Preempted > 0 &&
                         In.m_Now < In.m_LastStop + tuning::FloorPause;
-  if (IsPaused)
+  const std::uint8_t Last = lastOwedTier(In);
+  if (In.isBaseline() || IsPaused)
     return nullptr;
   ClassState *Best = nullptr;
   double Longest = 0.0;
-  for (ClassState *Class : In.m_Queue.classes()) {
-    const auto Running = static_cast<double>(Class->m_Running);
-    if (Class->m_Debt <= 0.0 || Class->demand() == 0 ||
-        Running >= Class->floorNow())
-      continue;
-    const double Behind = Class->m_Debt / Class->m_FloorSlots;
-    if (Behind <= Longest || !hasPlace(In, *Class) || !isHarmless(In, *Class))
-      continue;
-    Best = Class;
-    Longest = Behind;
+  double Bids = 0.0;
+  for (const auto &[Number, Tier] : In.m_Queue.tiers()) {
+    if (Number > Last)
+      break;
+    // Without bids before it a tier needs no floor: it is the next to serve.
+    for (ClassState *Class : Tier.m_Classes) {
+      const double Behind = Bids > 0.0 ? secondsBehind(*Class) : 0.0;
+      if (Behind <= Longest || !hasPlace(In, *Class))
+        continue;
+      Best = Class;
+      Longest = Behind;
+    }
+    for (const ClassState *Class : Tier.m_Classes)
+      Bids += static_cast<double>(Class->demand());
+    if (Number == Last || !letsPass(In, Tier, Bids))
+      break;
   }
   return Best;
 }
--- a/src/decision/placement.cpp
+++ b/src/decision/placement.cpp
@@ -147,12 +147,20 @@
 } // namespace
 
 bool hasPlace(const Pool &In, const ClassState &Class) {
-  const bool AnyHealthy = hasHealthy(Class, In.m_Now);
-  return std::any_of(Class.m_Eligible.begin(), Class.m_Eligible.end(),
-                     [&](const Serving *One) {
-                       return One->hasFreeSlot(In.m_Now) &&
-                              mayServe(Class, *One, AnyHealthy, In.m_Now);
-                     });
+  bool AnyHealthy = false;
+  bool AnyFree = false;
+  for (const Serving *One : Class.m_Eligible) {
+    if (!One->isUsable())
+      continue;
+    const bool IsHealthy = One->isHealthy(In.m_Now);
+    AnyHealthy = AnyHealthy || IsHealthy;
+    if (!One->hasFreeSlot(In.m_Now))
+      continue;
+    if (IsHealthy || mayProbe(*One, Class, In.m_Now))
+      return true;
+    AnyFree = true;
+  }
+  return AnyFree && !AnyHealthy;
 }
 
 bool wouldServe(const Pool &In, const ClassState &Class, const Serving &Where) {
--- a/src/decision/preemption.cpp
+++ b/src/decision/preemption.cpp
@@ -59,29 +59,12 @@
       Preempt{Victim.m_Bid.m_Request, Victim.m_Serving->m_Upstream.m_Id});
 }
 
-/// Time left before a waiting bid must have a slot, less the time to get one.
-Duration slackOf(const Pool &In, const Request &Waiting) {
-  const Duration Allowance =
-      isLate(Waiting) ? Duration::zero() : Waiting.m_Class->m_Allowance;
-  const Duration Left = Waiting.m_Deadline - Allowance - In.m_Now;
-  return std::max(Duration::zero(), Left - In.m_StopLead);
-}
-
-/// How pressing the bids of one lane are, in seconds of slack.
-struct Pressure {
-  double m_First = 0.0; ///< Of the bid with the earliest deadline.
-  double m_Last = 0.0;  ///< Of the bid with the latest.
-};
-
-Pressure pressureOf(const Pool &In, const DeadlineQueue &Queue) {
-  return {toSeconds(slackOf(In, *Queue.begin())),
-          toSeconds(slackOf(In, *Queue.rbegin()))};
-}
-
-/// Slots that are needed beyond those that come free in time at \p Rate, when
-/// \p Bids stand before the last bid.
-double missing(const Pressure &Of, double Bids, double Rate) {
-  return std::max(1.0 - Rate * Of.m_First, Bids - Rate * Of.m_Last);
+/// Time left before a bid of the lane must have a slot, less the time to take
+/// one back, in seconds.
+double slackOf(const Pool &In, const ClassState &Class, const Lane &Of,
+               const Request &Waiting) {
+  const Duration Left = Waiting.m_Deadline - Class.allowanceOf(Of) - In.m_Now;
+  return toSeconds(std::max(Duration::zero(), Left - In.m_StopLead));
 }
 
 bool stopAny(Pool &In, const ClassState &Class) {
@@ -98,16 +81,25 @@
       return;
 }
 
+/// Stops as much as is missing beyond the slots that come free in time, for the
+/// first bid and for the last with \p Bids before it.
 void stopForLane(Pool &In, const ClassState &Class, const Lane &Of, double Bids,
                  std::size_t Most) {
   if (Of.m_ReadyCount == 0)
     return;
-  const Pressure Now = pressureOf(In, Of.m_ByDeadline);
-  const double Rate = freeRate(Class);
-  stopUntil(In, Class, Most, missing(Now, Bids, tuning::PreemptTrust * Rate),
-            stopAboveFloor);
-  stopUntil(In, Class, Most, missing(Now, Bids, tuning::FloorTrust * Rate),
-            stopAny);
+  const double Rate = freeRate(In, Class);
+  const DeadlineQueue &Queue = Of.m_ByDeadline;
+  const double First = slackOf(In, Class, Of, *Queue.begin());
+  // The last bid has more slack than the first: if all fit into that, none is
+  // missing. It spares a look at one more request, which is cold memory.
+  if (tuning::PreemptTrust * Rate * First >= std::max(1.0, Bids))
+    return;
+  const double Last = slackOf(In, Class, Of, *Queue.rbegin());
+  const auto Missing = [&](double Trust) {
+    return std::max(1.0 - Trust * Rate * First, Bids - Trust * Rate * Last);
+  };
+  stopUntil(In, Class, Most, Missing(tuning::PreemptTrust), stopAboveFloor);
+  stopUntil(In, Class, Most, Missing(tuning::FloorTrust), stopAny);
 }
 
 /// Returns the least urgent tier with work that could be stopped; 0: none.
@@ -177,8 +169,8 @@
   for (const Lane *Of : {&Class.m_OnTime, &Class.m_Late}) {
     if (Of->m_ReadyCount == 0)
       continue;
-    const Request &First = *Of->m_ByDeadline.begin();
-    const Duration Slack = slackOf(In, First);
+    const Duration Slack =
+        fromSeconds(slackOf(In, Class, *Of, *Of->m_ByDeadline.begin()));
     if (Slack > Duration::zero() && (!Next || In.m_Now + Slack < *Next))
       Next = In.m_Now + Slack;
   }
--- a/src/decision/queue.cpp
+++ b/src/decision/queue.cpp
@@ -60,10 +60,6 @@
 
 } // namespace
 
-bool isLate(const Request &Bid) {
-  return Bid.m_Flow != nullptr && Bid.m_Flow->m_Lane == &Bid.m_Class->m_Late;
-}
-
 ClassState *Queue::find(ClassId Id) {
   const auto At = m_Classes.find(Id);
   return At == m_Classes.end() || !At->second.m_Listed ? nullptr : &At->second;
--- a/src/decision/queue.h
+++ b/src/decision/queue.h
@@ -61,9 +61,6 @@
   std::size_t m_Size = 0;                  ///< Waiting bids.
 };
 
-/// Returns whether \p Bid stands in its class's late lane.
-bool isLate(const Request &Bid);
-
 } // namespace crowstep::decision
 
 #endif // CROWSTEP_DECISION_QUEUE_H
--- a/src/decision/straggler.cpp
+++ b/src/decision/straggler.cpp
@@ -3,6 +3,8 @@
 
 #include "decision/floor_func.h"
 
+#include <boost/container/small_vector.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -17,7 +19,7 @@
 
 /// Median slowness of the other judged upstreams; 0 when they are too few.
 double medianOfPeers(const Fleet &Of, const Serving &But) {
-  std::vector<double> Peers;
+  boost::container::small_vector<double, 32> Peers;
   std::size_t Usable = 0;
   for (const auto &[Id, One] : Of.all()) {
     Usable += One.isUsable() ? 1 : 0;
