Fix: Don't trust a list that takes back a leave, nor one not heard yet

Random schedules with upstreams that flicker between leaving and not in the list found that a leave once listed was never forgotten.

A Decider that was never told its upstreams refused bids with NoUpstream; a new owner's first bids died so. It now waits for the list, and a bid that reaches its limit without any upstream is refused with that reason.

--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -124,7 +124,7 @@
 }
 
 Verdict judge(Pool &In, const Arrival &New) {
-  if (!In.isRebuilding() && !hasUpstream(New.m_Class))
+  if (In.m_KnowsUpstreams && !In.isRebuilding() && !hasUpstream(New.m_Class))
     return {RefusalReason::NoUpstream, tuning::NoUpstreamRetryAfter};
   if (New.m_IsFree)
     return {};
@@ -203,6 +203,8 @@
 
 RefusalReason lateReason(const Request &Waiting) {
   const ClassState &Class = *Waiting.m_Class;
+  if (!hasUpstream(Class))
+    return RefusalReason::NoUpstream;
   const std::uint32_t Limit = Class.m_Contract.m_MaxConcurrent;
   if (Limit != 0 && Class.m_Running >= Limit)
     return RefusalReason::ClassConcurrency;
--- a/src/decision/decider.cpp
+++ b/src/decision/decider.cpp
@@ -65,6 +65,7 @@
   }
 
   void on(const UpstreamsChanged &What) {
+    m_Pool.m_KnowsUpstreams = true;
     m_Pool.m_Fleet.setUpstreams(What.m_Upstreams, m_Pool.m_Now);
     const std::string Service = m_Pool.m_Fleet.service();
     if (!Service.empty() && Service != m_Pool.m_Service) {
--- a/src/decision/expiry.cpp
+++ b/src/decision/expiry.cpp
@@ -3,6 +3,7 @@
 
 #include "decision/admission_func.h"
 #include "decision/estimate_func.h"
+#include "decision/floor_func.h"
 #include "decision/placement_func.h"
 #include "decision/preemption_func.h"
 #include "decision/work_func.h"
@@ -103,6 +104,8 @@
 /// come back without any event.
 void addUpstreams(Earliest &Next, const Pool &In) {
   for (const auto &[Id, One] : In.m_Fleet.all()) {
+    if (One.m_SaysLeaving)
+      Next.add(One.m_LeavingSince + tuning::LeavingMemory);
     if (!One.isUsable())
       continue;
     Next.add(One.m_BackoffUntil);
@@ -120,6 +123,8 @@
   freeLapsed(In);
   forgetReturning(In);
   repeatStops(In);
+  if (In.m_Fleet.forgetLeaving(In.m_Now))
+    updateFloors(In);
   for (ClassState *Class : In.m_Queue.classes()) {
     refuseAtLimit(In, Class->m_Late);
     if (In.isBaseline())
--- a/src/decision/fleet.cpp
+++ b/src/decision/fleet.cpp
@@ -23,12 +23,14 @@
     // One that was gone for a while is a new start. One that flickers in a
     // list that lags is not, and stays without new work.
     if (!WasListed[Row.m_Id] && !remembersLeaving(One, Now))
-      One.m_SaysLeaving = false;
+      One.m_SaysLeaving = One.m_IsOwnWord = false;
     One.m_Upstream = Row;
     One.m_Slots = slotsOf(Row);
     One.m_Listed = true;
-    if (Row.m_Leaving)
-      noteLeaving(One, Now);
+    if (Row.m_Leaving) {
+      One.m_SaysLeaving = true;
+      One.m_LeavingSince = Now;
+    }
   }
   // What still runs on one that left keeps its account until it has ended.
   std::erase_if(m_Servings, [Now](const auto &Entry) {
@@ -58,9 +60,22 @@
 
 void Fleet::noteLeaving(Serving &Where, TimePoint Now) {
   Where.m_SaysLeaving = true;
+  Where.m_IsOwnWord = true;
   Where.m_LeavingSince = Now;
 }
 
+bool Fleet::forgetLeaving(TimePoint Now) {
+  bool HasChanged = false;
+  for (Serving *One : m_Listed) {
+    if (!One->m_SaysLeaving || One->m_IsOwnWord || One->m_Upstream.m_Leaving ||
+        remembersLeaving(*One, Now))
+      continue;
+    One->m_SaysLeaving = false;
+    HasChanged = true;
+  }
+  return HasChanged;
+}
+
 void Fleet::take(const LoadReport &Report, TimePoint Now) {
   Serving *Where = find(Report.m_Upstream);
   if (Where == nullptr)
@@ -77,7 +92,7 @@
     noteLeaving(*Where, Now);
   else if (Where->m_SaysLeaving && !Where->m_Upstream.m_Leaving &&
            Now - Report.m_Age > Where->m_LeavingSince + tuning::LeavingMemory)
-    Where->m_SaysLeaving = false;
+    Where->m_SaysLeaving = Where->m_IsOwnWord = false;
   if (Report.m_Age >= tuning::ReportLifetime)
     return;
   // Only load beyond all that we may have had running then is someone else's:
--- a/src/decision/fleet.h
+++ b/src/decision/fleet.h
@@ -25,6 +25,10 @@
   /// Notes that \p Where said itself that it takes no new work.
   static void noteLeaving(Serving &Where, TimePoint Now);
 
+  /// Believes the list again about upstreams that it alone named as leaving,
+  /// and for long no more. Returns whether that changed any.
+  bool forgetLeaving(TimePoint Now);
+
   /// Notes a call that \p Where did not answer, and pauses it: a crashed
   /// upstream looks idle, and would get every bid until the list drops it.
   static void noteFailure(Serving &Where, bool IsConnect, TimePoint Now);
--- a/src/decision/placement.cpp
+++ b/src/decision/placement.cpp
@@ -42,23 +42,30 @@
   return Value ^ (Value >> 31);
 }
 
-double highestOutstanding(const Candidates &Among) {
-  double Highest = 1.0;
-  for (const Candidate &One : Among)
-    Highest = std::max(Highest, One.m_Serving->m_Outstanding);
-  return Highest;
+/// Expected output of an average grant among the candidates; 1 while idle.
+double meanOutstanding(const Candidates &Among) {
+  double Tokens = 0.0;
+  double Grants = 0.0;
+  for (const Candidate &One : Among) {
+    Tokens += One.m_Serving->m_Outstanding;
+    Grants += static_cast<double>(One.m_Serving->m_Used);
+  }
+  return Tokens > 0.0 && Grants > 0.0 ? Tokens / Grants : 1.0;
 }
 
-/// Load as half slots, half expected tokens, and dearer on slow upstreams.
+/// Load as half slots, half expected tokens in units of average grants, and
+/// dearer on slow upstreams.
 void rateLoads(const Pool &In, Candidates &Among) {
   constexpr double Half = 0.5;
   constexpr double Idle = 0.05; // Even an idle slow upstream costs something.
   constexpr double Noise = 1.5; // Slowness below this is chance.
-  const double Highest = highestOutstanding(Among);
+  const double Average = meanOutstanding(Among);
   for (Candidate &One : Among) {
-    const double Tokens = One.m_Serving->m_Outstanding / Highest;
-    One.m_Load = Half * One.m_Serving->load(In.m_Now) + Half * Tokens;
-    const double Slow = relativeSlowness(In, *One.m_Serving);
+    const Serving &Where = *One.m_Serving;
+    const double Tokens = Where.m_Outstanding / Average /
+                          static_cast<double>(std::max(1U, Where.m_Slots));
+    One.m_Load = Half * Where.load(In.m_Now) + Half * Tokens;
+    const double Slow = relativeSlowness(In, Where);
     if (Slow > Noise)
       One.m_Load = (One.m_Load + Idle) * Slow;
   }
--- a/src/decision/pool_base.h
+++ b/src/decision/pool_base.h
@@ -23,10 +23,11 @@
   /// Tells whether a new owner still waits to hear what runs already.
   [[nodiscard]] bool isRebuilding() const { return m_Now < m_RebuildUntil; }
 
-  DeciderConfig m_Config;    ///< As given.
-  TimePoint m_Now;           ///< Time of the event; never goes back.
-  TimePoint m_RebuildUntil;  ///< Nothing is granted before.
-  bool m_HasStarted = false; ///< An event was handled.
+  DeciderConfig m_Config;        ///< As given.
+  TimePoint m_Now;               ///< Time of the event; never goes back.
+  TimePoint m_RebuildUntil;      ///< Nothing is granted before.
+  bool m_KnowsUpstreams = false; ///< Before, nobody is refused for want of one.
+  bool m_HasStarted = false;     ///< An event was handled.
   std::vector<Action> *m_Actions = nullptr; ///< Answer to the event.
   ContractTable m_Table;         ///< In force; the version never goes back.
   std::string m_Service;         ///< Of the upstreams; empty until known.
--- a/src/decision/serving_base.h
+++ b/src/decision/serving_base.h
@@ -25,11 +25,12 @@
 
 /// One upstream. Lives on after it left the list until its work has ended.
 struct Serving {
-  Upstream m_Upstream;         ///< As listed last.
-  std::uint32_t m_Slots = 0;   ///< From its kind.
-  bool m_Listed = false;       ///< In the list just now.
-  bool m_Drained = false;      ///< By operators.
-  bool m_SaysLeaving = false;  ///< By its own refusals or reports.
+  Upstream m_Upstream;       ///< As listed last.
+  std::uint32_t m_Slots = 0; ///< From its kind.
+  bool m_Listed = false;     ///< In the list just now.
+  bool m_Drained = false;    ///< By operators.
+  bool m_IsOwnWord = false;  ///< m_SaysLeaving is its own word, not the list's.
+  bool m_SaysLeaving = false;  ///< By the list, its refusals or reports.
   TimePoint m_LeavingSince;    ///< When it said so last.
   std::uint32_t m_HintTag = 0; ///< Names its prefix hints; a new one drops all.
 
