Feature: Add the dispatcher daemon and the administration API

The daemon ties membership, table, pools and attachments to links; the deciding code stays in its library. The pools' ownership follows from the membership and a new owner rebuilds from what entries send again.

--- /dev/null
+++ b/src/dispatcher/admin_api.cpp
@@ -0,0 +1,292 @@
+/// Handlers of the administration API.
+#include "dispatcher/admin_api.h"
+
+#include "contract/contract_error.h"
+#include "contract/contract_func.h"
+#include "core/log.h"
+
+#include <charconv>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace crowstep::dispatcher {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *JsonType = "application/json";
+constexpr const char *VersionHeader = "Crowstep-Table-Version";
+constexpr const char *DrainsPath = "/v1/drains/";
+constexpr const char *BearerPrefix = "Bearer ";
+
+void respondJson(SoupServerMessage *Message, unsigned Status,
+                 const json &Body) {
+  respond(Message, Status, JsonType, Body.dump(2) + "\n");
+}
+
+void respondError(SoupServerMessage *Message, unsigned Status,
+                  const std::string &Code, const std::string &Text) {
+  respondJson(
+      Message, Status,
+      {{"error", {{"type", "admin"}, {"code", Code}, {"message", Text}}}});
+}
+
+/// Keeps a message paused until its answer is known, which is after the
+/// handler has returned.
+class LaterAnswer {
+public:
+  explicit LaterAnswer(SoupServerMessage *Message)
+      : m_Message(SOUP_SERVER_MESSAGE(g_object_ref(Message))) {
+    soup_server_message_pause(m_Message);
+  }
+  ~LaterAnswer() {
+    soup_server_message_unpause(m_Message);
+    g_object_unref(m_Message);
+  }
+  LaterAnswer(const LaterAnswer &) = delete;
+  LaterAnswer &operator=(const LaterAnswer &) = delete;
+
+  [[nodiscard]] SoupServerMessage *message() const { return m_Message; }
+
+private:
+  SoupServerMessage *m_Message; ///< A reference of its own.
+};
+
+/// Answers an operator with what became of a change.
+class OutcomeAnswer {
+public:
+  explicit OutcomeAnswer(SoupServerMessage *Message) : m_Message(Message) {}
+
+  void operator()(const contract::ChangeAccepted &What) const {
+    respondJson(m_Message, 200,
+                {{"outcome", "accepted"}, {"version", What.m_Version.value()}});
+  }
+  void operator()(const contract::ChangePending &What) const {
+    respondJson(m_Message, 202,
+                {{"outcome", "pending"},
+                 {"version", What.m_Version.value()},
+                 {"unconfirmed", What.m_Unconfirmed}});
+  }
+  void operator()(const contract::ChangeConflict &What) const {
+    respondJson(m_Message, 409,
+                {{"outcome", "conflict"},
+                 {"version", What.m_Present.value()},
+                 {"difference", What.m_Difference}});
+  }
+  void operator()(const contract::ChangeUnavailable &What) const {
+    respondJson(m_Message, 503,
+                {{"outcome", "unavailable"},
+                 {"may_have_committed", What.m_MayHaveCommitted}});
+  }
+
+private:
+  SoupServerMessage *m_Message; ///< To answer.
+};
+
+const char *nameOf(membership::MemberState State) {
+  switch (State) {
+  case membership::MemberState::Alive:
+    return "alive";
+  case membership::MemberState::Suspect:
+    return "suspect";
+  case membership::MemberState::Dead:
+    return "dead";
+  case membership::MemberState::Left:
+    return "left";
+  }
+  return "unknown";
+}
+
+json memberRow(const membership::Member &Each) {
+  return {{"name", Each.m_Name},
+          {"zone", Each.m_Zone.m_Name},
+          {"link", toString(Each.m_Address)},
+          {"state", nameOf(Each.m_State)},
+          {"table_version", Each.m_TableVersion.value()}};
+}
+
+json poolRow(const PoolRunner &Each) {
+  const decision::DeciderStats Stats = Each.stats();
+  json Ejected = json::array();
+  for (const auto &[Id, Name] : Each.ejected())
+    Ejected.push_back(Name);
+  return {{"service", Each.service()},      {"waiting", Stats.m_Waiting},
+          {"running", Stats.m_Running},     {"granted", Stats.m_Granted},
+          {"preempted", Stats.m_Preempted}, {"ejected", Ejected}};
+}
+
+json upstreamRow(const Upstream &Each) {
+  return {{"name", Each.m_Name},
+          {"service", Each.m_Service},
+          {"address", toString(Each.m_Address)},
+          {"zone", Each.m_Zone.m_Name},
+          {"leaving", Each.m_Leaving}};
+}
+
+std::string keyOf(SoupServerMessage *Message) {
+  const std::string Header = requestHeader(Message, "Authorization");
+  if (!Header.starts_with(BearerPrefix))
+    return {};
+  return Header.substr(std::string(BearerPrefix).size());
+}
+
+/// Returns the version in If-Match, with or without quotes, or nothing.
+std::optional<TableVersion> versionRead(SoupServerMessage *Message) {
+  std::string Text = requestHeader(Message, "If-Match");
+  std::erase(Text, '"');
+  std::uint64_t Number = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Number);
+  if (Text.empty() || Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return TableVersion(Number);
+}
+
+} // namespace
+
+AdminApi::AdminApi(const AdminParts &Parts)
+    : m_Parts(Parts),
+      m_Refused(Parts.m_Stats.counter("crowstep_admin_refused_total")) {}
+
+void AdminApi::listen(const Address &Where) {
+  m_Server.listen(Where, [this](SoupServerMessage *Message, const char *Path) {
+    handle(Message, Path);
+  });
+}
+
+void AdminApi::handle(SoupServerMessage *Message, const std::string &Path) {
+  if (Path == "/healthz") {
+    const bool Serves = m_Parts.m_Table.rightToServe();
+    respond(Message, Serves ? 200 : 503, "text/plain",
+            Serves ? "ok\n" : "no\n");
+    return;
+  }
+  if (Path == "/metrics") {
+    respond(Message, 200, "text/plain; version=0.0.4", m_Parts.m_Stats.text());
+    return;
+  }
+  const Workspace *Operator = m_Parts.m_Workspaces.operatorWith(keyOf(Message));
+  if (Operator == nullptr) {
+    m_Refused.add();
+    logEvent(LogEvent::AdminRefused, {{"path", Path}});
+    respondError(Message, 401, "unknown_key", "an operator's key is needed");
+    return;
+  }
+  try {
+    handleOperator(Message, Path, *Operator);
+  } catch (const contract::TableCellError &Failure) {
+    respondError(Message, 422, "table_cell", Failure.what());
+  } catch (const contract::TableFormatError &Failure) {
+    respondError(Message, 422, "table_format", Failure.what());
+  }
+}
+
+void AdminApi::handleOperator(SoupServerMessage *Message,
+                              const std::string &Path,
+                              const Workspace &Operator) {
+  const std::string Method = soup_server_message_get_method(Message);
+  if (Path == "/v1/table" && Method == "GET")
+    return getTable(Message);
+  if (Path == "/v1/table" && Method == "PUT")
+    return putTable(Message, Operator);
+  if (Path == "/v1/table/check" && Method == "POST")
+    return checkTable(Message);
+  if (Path == "/v1/table/history" && Method == "GET")
+    return getHistory(Message);
+  if (Path == "/v1/status" && Method == "GET")
+    return getStatus(Message);
+  if (Path.starts_with(DrainsPath) && (Method == "PUT" || Method == "DELETE"))
+    return changeDrain(Message, Path.substr(std::string(DrainsPath).size()),
+                       Operator);
+  respondError(Message, 404, "unknown_path", Method + " " + Path);
+}
+
+void AdminApi::getTable(SoupServerMessage *Message) const {
+  const ContractTable &Table = m_Parts.m_Table.table();
+  soup_message_headers_replace(
+      soup_server_message_get_response_headers(Message), VersionHeader,
+      std::to_string(Table.m_Version.value()).c_str());
+  respond(Message, 200, "text/csv", contract::writeCsv(Table));
+}
+
+void AdminApi::checkTable(SoupServerMessage *Message) const {
+  const ContractTable Changed = contract::readCsv(requestBody(Message));
+  respondJson(Message, 200,
+              {{"version", m_Parts.m_Table.table().m_Version.value()},
+               {"difference", m_Parts.m_Table.tryChange(Changed)}});
+}
+
+void AdminApi::putTable(SoupServerMessage *Message, const Workspace &Operator) {
+  const std::optional<TableVersion> Read = versionRead(Message);
+  if (!Read)
+    return respondError(Message, 428, "version_needed",
+                        "If-Match must give the version that was read");
+  const ContractTable Changed = contract::readCsv(requestBody(Message));
+  const auto Answer = std::make_shared<LaterAnswer>(Message);
+  m_Parts.m_Table.change(
+      Changed, *Read, Operator.m_Name,
+      [Answer, Name = Operator.m_Name](const contract::ChangeOutcome &Outcome) {
+        logEvent(LogEvent::AdminChanged,
+                 {{"operator", Name},
+                  {"what", "table"},
+                  {"outcome", std::to_string(Outcome.index())}});
+        std::visit(OutcomeAnswer(Answer->message()), Outcome);
+      });
+}
+
+void AdminApi::getHistory(SoupServerMessage *Message) {
+  const auto Answer = std::make_shared<LaterAnswer>(Message);
+  m_Parts.m_Table.history(
+      [Answer](const std::vector<contract::HistoryEntry> &Entries) {
+        json Rows = json::array();
+        for (const contract::HistoryEntry &Each : Entries)
+          Rows.push_back({{"version", Each.m_Version.value()},
+                          {"operator", Each.m_Operator},
+                          {"time", Each.m_Time}});
+        respondJson(Answer->message(), 200, {{"history", Rows}});
+      });
+}
+
+void AdminApi::getStatus(SoupServerMessage *Message) const {
+  json Members = json::array();
+  for (const membership::Member &Each : m_Parts.m_Fleet.members())
+    Members.push_back(memberRow(Each));
+  json Pools = json::array();
+  for (const auto &[Id, Runner] : m_Parts.m_Pools.pools())
+    Pools.push_back(poolRow(*Runner));
+  json Upstreams = json::array();
+  for (const Upstream &Each : m_Parts.m_Upstreams.upstreams())
+    Upstreams.push_back(upstreamRow(Each));
+  respondJson(Message, 200,
+              {{"table_version", m_Parts.m_Table.table().m_Version.value()},
+               {"right_to_serve", m_Parts.m_Table.rightToServe()},
+               {"instances", Members},
+               {"pools", Pools},
+               {"upstreams", Upstreams}});
+}
+
+void AdminApi::changeDrain(SoupServerMessage *Message, const std::string &What,
+                           const Workspace &Operator) {
+  if (!What.starts_with("upstream/") && !What.starts_with("instance/"))
+    return respondError(Message, 404, "unknown_path",
+                        "drains/upstream/NAME or drains/instance/NAME");
+  const bool Drained =
+      std::string(soup_server_message_get_method(Message)) == "PUT";
+  const auto Answer = std::make_shared<LaterAnswer>(Message);
+  m_Parts.m_Upstreams.setDrained(
+      What, Drained,
+      [Answer, What, Drained, Name = Operator.m_Name](bool Written) {
+        logEvent(LogEvent::AdminChanged,
+                 {{"operator", Name},
+                  {"what", What},
+                  {"outcome", Written ? "written" : "unknown"}});
+        if (Written)
+          return respondJson(Answer->message(), 200,
+                             {{"what", What}, {"drained", Drained}});
+        respondError(Answer->message(), 503, "table_service",
+                     "not known to be written; read the status and try again");
+      });
+}
+
+} // namespace crowstep::dispatcher
--- /dev/null
+++ b/src/dispatcher/dispatcher.cpp
@@ -0,0 +1,149 @@
+/// The dispatcher daemon's parts tied together.
+#include "dispatcher/dispatcher.h"
+
+#include "core/log.h"
+
+namespace crowstep::dispatcher {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration WorkspaceInterval = 5s;
+constexpr Duration RightInterval = 100ms;
+/// Long enough for goodbyes to leave the send queues.
+constexpr Duration GoodbyeTime = 300ms;
+
+membership::Member selfOf(const link::LinkConfig &Link) {
+  membership::Member Self;
+  Self.m_Name = Link.m_Name;
+  Self.m_Id = instanceIdOf(Link.m_Name);
+  Self.m_Incarnation = Link.m_Incarnation;
+  Self.m_Address = Link.m_Listen;
+  Self.m_Zone = Link.m_Zone;
+  return Self;
+}
+
+/// Returns a share from 0 to 1 that differs between instances.
+double spreadOf(const std::string &Name) {
+  return static_cast<double>(instanceIdOf(Name).value() % 1000) / 1000.0;
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(DispatcherSettings Chosen)
+    : m_Settings(std::move(Chosen)),
+      m_Platform(m_Http, m_Settings.m_Platform, m_Settings.m_PlatformTimeout,
+                 m_Stats),
+      m_Links(m_Settings.m_Link, m_Timers, m_Stats, *this),
+      m_Fleet(m_Settings.m_Membership, selfOf(m_Settings.m_Link), m_Clock,
+              m_Timers, m_Links, m_Stats),
+      m_Table(m_Settings.m_Table, m_Clock, m_Timers, m_Platform, m_Fleet,
+              m_Links, m_Stats),
+      m_Upstreams(m_Timers, m_Platform, m_Platform, m_Settings.m_ListInterval,
+                  spreadOf(m_Settings.m_Link.m_Name)),
+      m_Workspaces(m_Timers, m_Platform, WorkspaceInterval),
+      m_Pools(instanceIdOf(m_Settings.m_Link.m_Name), m_Settings.m_Policy,
+              m_Clock, m_Timers, m_Links, m_Http, m_Settings.m_LoadInterval,
+              m_Upstreams),
+      m_Entries(m_Clock, m_Timers, m_Links, attachmentSource()),
+      m_Admin({m_Table, m_Fleet, m_Upstreams, m_Workspaces, m_Pools, m_Stats}),
+      m_RightTimer(m_Timers), m_StopTimer(m_Timers) {
+  connectParts();
+}
+
+AttachmentSource Dispatcher::attachmentSource() {
+  AttachmentSource Source;
+  Source.m_RightToServe = [this] { return m_Table.rightToServe(); };
+  Source.m_Draining = [this] {
+    return m_Stopping || m_Upstreams.instanceDrained(m_Settings.m_Link.m_Name);
+  };
+  Source.m_Members = [this]() -> const auto & { return m_Fleet.members(); };
+  Source.m_Upstreams = [this]() -> const auto & {
+    return m_Upstreams.upstreams();
+  };
+  Source.m_Workspaces = [this]() -> const auto & {
+    return m_Workspaces.workspaces();
+  };
+  return Source;
+}
+
+void Dispatcher::connectParts() {
+  m_Fleet.onChange([this] {
+    m_Pools.membersChanged(m_Fleet.members());
+    m_Entries.membersChanged();
+  });
+  m_Upstreams.onChange([this] {
+    logEvent(LogEvent::UpstreamsRead,
+             {{"count", std::to_string(m_Upstreams.upstreams().size())}});
+    m_Fleet.seed(m_Upstreams.dispatcherHints());
+    m_Pools.upstreamsChanged();
+    m_Entries.upstreamsChanged();
+  });
+  m_Workspaces.onChange([this] { m_Entries.workspacesChanged(); });
+  m_Table.onChange([this] {
+    m_Pools.tableChanged(m_Table.table());
+    // With no entry attached nobody will acknowledge: say so at once.
+    m_Table.entriesHold(m_Entries.heldByAll(m_Table.table().m_Version));
+  });
+  m_Entries.onHeld([this](TableVersion Held) {
+    m_Table.entriesHold(std::min(Held, m_Table.table().m_Version));
+  });
+}
+
+void Dispatcher::start() {
+  m_Links.start();
+  m_Admin.listen(m_Settings.m_Admin);
+  m_Fleet.seed(m_Settings.m_Seeds);
+  m_Fleet.start();
+  m_Table.start();
+  m_Upstreams.start();
+  m_Workspaces.start();
+  m_Pools.membersChanged(m_Fleet.members());
+  watchRight();
+}
+
+void Dispatcher::watchRight() {
+  const bool Serves = m_Table.rightToServe();
+  if (Serves != m_Serves)
+    logEvent(Serves ? LogEvent::RightToServeHeld : LogEvent::RightToServeLost);
+  m_Serves = Serves;
+  m_RightTimer.start(RightInterval, [this] { watchRight(); });
+}
+
+void Dispatcher::stop(std::function<void()> Done) {
+  m_Stopping = true;
+  // Pools move while this process still listens, so that entries are told who
+  // owns them now instead of finding a closed link.
+  m_Fleet.leave();
+  m_Pools.release();
+  m_StopTimer.start(GoodbyeTime, std::move(Done));
+}
+
+void Dispatcher::linkUp(link::LinkId Link, const link::Peer &Who) {
+  m_Fleet.linkUp(Link, Who);
+  m_Table.linkUp(Link, Who);
+  m_Pools.linkUp(Link, Who);
+  m_Entries.linkUp(Link, Who);
+}
+
+void Dispatcher::linkFrame(link::LinkId Link, const wire::Frame &Frame) {
+  m_Fleet.linkFrame(Link, Frame);
+  m_Table.linkFrame(Link, Frame);
+  m_Entries.linkFrame(Link, Frame);
+  m_Pools.linkFrame(Link, Frame);
+}
+
+void Dispatcher::linkDown(link::LinkId Link, const link::Peer &Who,
+                          link::CloseReason Why) {
+  m_Fleet.linkDown(Link, Who, Why);
+  m_Table.linkDown(Link, Who, Why);
+  m_Entries.linkDown(Link);
+  m_Pools.linkDown(Link, Who);
+}
+
+void Dispatcher::dialFailed(const Address &Where, link::CloseReason Why) {
+  m_Fleet.dialFailed(Where, Why);
+}
+
+} // namespace crowstep::dispatcher
--- /dev/null
+++ b/src/dispatcher/dispatcher_settings.h
@@ -0,0 +1,33 @@
+/// The dispatcher's settings, read and checked once at start.
+#ifndef CROWSTEP_DISPATCHER_DISPATCHER_SETTINGS_H
+#define CROWSTEP_DISPATCHER_DISPATCHER_SETTINGS_H
+
+#include "contract/table_keeper.h"
+#include "core/settings.h"
+#include "decision/decider.h"
+#include "link/link_tcp.h"
+#include "membership/membership.h"
+
+#include <vector>
+
+namespace crowstep::dispatcher {
+
+struct DispatcherSettings {
+  link::LinkConfig m_Link;                   ///< Own name, zone, address.
+  Address m_Admin;                           ///< Administration API.
+  std::vector<Address> m_Seeds;              ///< Other dispatchers, hints.
+  Address m_Platform;                        ///< The platform's server.
+  Duration m_PlatformTimeout{};              ///< Of each call, > 0.
+  Duration m_ListInterval{};                 ///< Between reads of the list.
+  Duration m_LoadInterval{};                 ///< Between load reports.
+  membership::MembershipConfig m_Membership; ///< How silence is noticed.
+  contract::TableKeeperConfig m_Table;       ///< How the table spreads.
+  decision::DeciderConfig m_Policy;          ///< For every pool owned.
+};
+
+/// Reads the settings of a dispatcher. \throws SettingError.
+DispatcherSettings readDispatcherSettings(Settings &File);
+
+} // namespace crowstep::dispatcher
+
+#endif // CROWSTEP_DISPATCHER_DISPATCHER_SETTINGS_H
--- /dev/null
+++ b/src/dispatcher/entry_attachments.cpp
@@ -0,0 +1,177 @@
+/// Attachments to entries and their acknowledgements.
+#include "dispatcher/entry_attachments.h"
+
+#include "core/log.h"
+
+#include <algorithm>
+
+namespace crowstep::dispatcher {
+
+namespace {
+
+wire::MemberState wireStateOf(membership::MemberState State) {
+  return static_cast<wire::MemberState>(State);
+}
+
+} // namespace
+
+EntryAttachments::EntryAttachments(const Clock &Time, Scheduler &Timers,
+                                   link::Links &Wire, AttachmentSource Source)
+    : m_Clock(Time), m_Links(Wire), m_Source(std::move(Source)),
+      m_Timer(Timers) {
+  m_Timer.start(AttachmentInterval, [this] { tick(); });
+}
+
+void EntryAttachments::linkUp(link::LinkId Link, const link::Peer &Who) {
+  if (Who.m_Role != wire::Role::Entry)
+    return;
+  Entry Fresh;
+  Fresh.m_AckedAt = m_Clock.now();
+  send(Link, m_Entries.emplace(Link, Fresh).first->second);
+  logEvent(LogEvent::EntryAttached, {{"instance", Who.m_Name}});
+}
+
+void EntryAttachments::linkFrame(link::LinkId Link, const wire::Frame &Frame) {
+  const wire::AttachmentAck *Ack = Frame.attachment_ack();
+  const auto Found = m_Entries.find(Link);
+  if (Ack == nullptr || Found == m_Entries.end())
+    return;
+  Entry &From = Found->second;
+  From.m_Acked = std::max(From.m_Acked, Ack->sequence());
+  From.m_AckedAt = m_Clock.now();
+  From.m_Version = std::max(From.m_Version, TableVersion(Ack->table_version()));
+  if (m_Held)
+    m_Held(heldByAll(TableVersion(UINT64_MAX)));
+}
+
+void EntryAttachments::linkDown(link::LinkId Link) {
+  const auto Found = m_Entries.find(Link);
+  if (Found == m_Entries.end())
+    return;
+  const Entry &Gone = Found->second;
+  m_Detached.push_back({Gone.m_AckedAt + EntryRightToServe, Gone.m_Version});
+  m_Entries.erase(Found);
+  logEvent(LogEvent::EntryDetached);
+}
+
+TableVersion EntryAttachments::heldByAll(TableVersion Highest) const {
+  const TimePoint Now = m_Clock.now();
+  TableVersion Result = Highest;
+  for (const auto &[Link, Each] : m_Entries)
+    // The acknowledgement was sent before it came, so an entry that counts the
+    // same span from the sending has lost its right by now.
+    if (Each.m_AckedAt + EntryRightToServe >= Now)
+      Result = std::min(Result, Each.m_Version);
+  for (const Detached &Each : m_Detached)
+    if (Each.m_ServesUntil >= Now)
+      Result = std::min(Result, Each.m_Version);
+  return Result;
+}
+
+void EntryAttachments::membersChanged() {
+  for (auto &[Link, Each] : m_Entries)
+    Each.m_SendMembers = true;
+  sendAll();
+}
+
+void EntryAttachments::upstreamsChanged() {
+  for (auto &[Link, Each] : m_Entries)
+    Each.m_SendUpstreams = true;
+  sendAll();
+}
+
+void EntryAttachments::workspacesChanged() {
+  for (auto &[Link, Each] : m_Entries)
+    Each.m_SendWorkspaces = true;
+  sendAll();
+}
+
+void EntryAttachments::tick() {
+  const TimePoint Now = m_Clock.now();
+  std::erase_if(m_Detached,
+                [&](const Detached &Each) { return Each.m_ServesUntil < Now; });
+  sendAll();
+  // An entry that fell silent may have been the last one to wait for.
+  if (m_Held)
+    m_Held(heldByAll(TableVersion(UINT64_MAX)));
+  m_Timer.start(AttachmentInterval, [this] { tick(); });
+}
+
+void EntryAttachments::sendAll() {
+  for (auto &[Link, Each] : m_Entries)
+    send(Link, Each);
+}
+
+void EntryAttachments::send(link::LinkId Link, Entry &To) {
+  auto Out = std::make_unique<wire::AttachmentT>();
+  Out->sequence = ++m_Sequence;
+  Out->acked = To.m_Acked;
+  Out->right_to_serve = m_Source.m_RightToServe();
+  Out->draining = m_Source.m_Draining();
+  if (To.m_SendMembers)
+    addMembers(*Out);
+  if (To.m_SendUpstreams)
+    addUpstreams(*Out);
+  if (To.m_SendWorkspaces)
+    addWorkspaces(*Out);
+  std::unique_ptr<wire::AttachmentT> &Slot = m_Links.outbox(Link).attachment;
+  // Two attachments of one loop iteration share a frame, which has room for
+  // one: what the first one carried whole must not be lost.
+  if (Slot != nullptr) {
+    if (Out->members.empty())
+      Out->members = std::move(Slot->members);
+    if (Out->upstreams.empty())
+      Out->upstreams = std::move(Slot->upstreams);
+    if (Out->workspaces.empty())
+      Out->workspaces = std::move(Slot->workspaces);
+  }
+  Slot = std::move(Out);
+  To.m_SendMembers = To.m_SendUpstreams = To.m_SendWorkspaces = false;
+}
+
+void EntryAttachments::addMembers(wire::AttachmentT &Out) const {
+  for (const membership::Member &Each : m_Source.m_Members()) {
+    auto Row = std::make_unique<wire::MemberT>();
+    Row->instance = Each.m_Name;
+    Row->incarnation = Each.m_Incarnation.value();
+    Row->state = wireStateOf(Each.m_State);
+    Row->ip = Each.m_Address.m_Ip;
+    Row->port = Each.m_Address.m_Port;
+    Row->zone = Each.m_Zone.m_Name;
+    Row->table_version = Each.m_TableVersion.value();
+    Out.members.push_back(std::move(Row));
+  }
+}
+
+void EntryAttachments::addUpstreams(wire::AttachmentT &Out) const {
+  for (const Upstream &Each : m_Source.m_Upstreams()) {
+    auto Row = std::make_unique<wire::UpstreamInfoT>();
+    Row->name = Each.m_Name;
+    Row->service = Each.m_Service;
+    Row->ip = Each.m_Address.m_Ip;
+    Row->port = Each.m_Address.m_Port;
+    Row->zone = Each.m_Zone.m_Name;
+    Row->leaving = Each.m_Leaving;
+    if (const auto *AsEngine = std::get_if<Engine>(&Each.m_Kind)) {
+      Row->engine = true;
+      Row->slots = AsEngine->m_Slots;
+      Row->resumes = AsEngine->m_CanResume;
+      Row->models = AsEngine->m_Models;
+    } else {
+      Row->slots = std::get<PlainService>(Each.m_Kind).m_Slots;
+    }
+    Out.upstreams.push_back(std::move(Row));
+  }
+}
+
+void EntryAttachments::addWorkspaces(wire::AttachmentT &Out) const {
+  for (const Workspace &Each : m_Source.m_Workspaces()) {
+    auto Row = std::make_unique<wire::WorkspaceInfoT>();
+    Row->id = Each.m_Id.value();
+    Row->name = Each.m_Name;
+    Row->key_hash = Each.m_KeyHash;
+    Out.workspaces.push_back(std::move(Row));
+  }
+}
+
+} // namespace crowstep::dispatcher
--- /dev/null
+++ b/src/dispatcher/load_monitor.cpp
@@ -0,0 +1,106 @@
+/// Load reports and cache events over HTTP.
+#include "dispatcher/load_monitor.h"
+
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace crowstep::dispatcher {
+
+using nlohmann::json;
+
+/// One upstream that is asked again and again. A question on its way keeps it
+/// alive after the monitor has dropped it; m_Active is then false.
+struct LoadMonitor::Watched {
+  Watched(Scheduler &Timers, Upstream Of)
+      : m_Upstream(std::move(Of)), m_Timer(Timers) {}
+
+  Upstream m_Upstream;  ///< Whom.
+  Timer m_Timer;        ///< For the next question.
+  bool m_Active = true; ///< False once it is dropped.
+};
+
+namespace {
+
+constexpr Duration AskLimit = std::chrono::seconds(1);
+
+decision::LoadReport reportOf(UpstreamId From, const json &Body) {
+  decision::LoadReport Result;
+  Result.m_Upstream = From;
+  Result.m_Sequence = Body.at("sequence").get<std::uint64_t>();
+  Result.m_Age = std::chrono::milliseconds(Body.value("age_ms", 0));
+  Result.m_Running = Body.at("running").get<std::uint32_t>();
+  Result.m_Waiting = Body.at("waiting").get<std::uint32_t>();
+  Result.m_FreeCacheBlocks = Body.value("free_cache_blocks", 0U);
+  Result.m_Leaving = Body.value("leaving", false);
+  return Result;
+}
+
+decision::CacheEvent cacheEventOf(UpstreamId From, const json &Body) {
+  decision::CacheEvent Result;
+  Result.m_Upstream = From;
+  Result.m_Sequence = Body.at("sequence").get<std::uint64_t>();
+  Result.m_Prefix =
+      std::stoull(Body.at("prefix").get<std::string>(), nullptr, 16);
+  Result.m_Added = Body.at("added").get<bool>();
+  return Result;
+}
+
+} // namespace
+
+LoadMonitor::LoadMonitor(HttpCaller &Http, Scheduler &Timers, Duration Interval,
+                         Report OnReport)
+    : m_Http(Http), m_Timers(Timers), m_Interval(Interval),
+      m_Report(std::move(OnReport)) {}
+
+void LoadMonitor::watch(const std::vector<Upstream> &Upstreams) {
+  std::set<UpstreamId> Wanted;
+  for (const Upstream &Each : Upstreams) {
+    Wanted.insert(Each.m_Id);
+    std::shared_ptr<Watched> &Slot = m_Watched[Each.m_Id];
+    if (Slot != nullptr && Slot->m_Upstream.m_Address == Each.m_Address)
+      continue;
+    if (Slot != nullptr)
+      Slot->m_Active = false;
+    Slot = std::make_shared<Watched>(m_Timers, Each);
+    ask(Slot);
+  }
+  std::erase_if(m_Watched, [&](const auto &Each) {
+    const bool Dropped = !Wanted.contains(Each.first);
+    if (Dropped)
+      Each.second->m_Active = false;
+    return Dropped;
+  });
+}
+
+void LoadMonitor::ask(const std::shared_ptr<Watched> &Target) {
+  HttpCall Call;
+  Call.m_Where = Target->m_Upstream.m_Address;
+  Call.m_Path = "/v1/load";
+  Call.m_Timeout = AskLimit;
+  m_Http.call(Call, [this, Target](HttpResult Result) {
+    if (Target->m_Active)
+      answered(Target, std::move(Result));
+  });
+}
+
+void LoadMonitor::answered(const std::shared_ptr<Watched> &Target,
+                           HttpResult Result) {
+  const auto *Answer = std::get_if<HttpAnswer>(&Result);
+  if (Answer != nullptr && Answer->m_Status == 200) {
+    try {
+      const json Body = json::parse(Answer->m_Body);
+      m_Report(reportOf(Target->m_Upstream.m_Id, Body));
+      for (const json &Each : Body.value("cache_events", json::array()))
+        m_Report(cacheEventOf(Target->m_Upstream.m_Id, Each));
+    } catch (const std::exception &) {
+      // A report is a hint: one that can't be read is as good as a late one.
+    }
+  }
+  const std::weak_ptr<Watched> Weak = Target;
+  Target->m_Timer.start(m_Interval, [this, Weak] {
+    if (const std::shared_ptr<Watched> Again = Weak.lock())
+      ask(Again);
+  });
+}
+
+} // namespace crowstep::dispatcher
--- /dev/null
+++ b/src/dispatcher/pool_runner.h
@@ -0,0 +1,82 @@
+/// One pool that this dispatcher owns: the deciding library between links.
+#ifndef CROWSTEP_DISPATCHER_POOL_RUNNER_H
+#define CROWSTEP_DISPATCHER_POOL_RUNNER_H
+
+#include "core/scheduler.h"
+#include "decision/decider.h"
+#include "link/link_type.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace crowstep::dispatcher {
+
+/// An entry that holds requests of the pool.
+struct EntrySession {
+  InstanceId m_Id;         ///< Of this start of the entry; see sessionOf().
+  AvailabilityZone m_Zone; ///< Where it is.
+};
+
+/// Returns the id of one start of an entry. Request numbers begin anew with
+/// each start, so the instance's own id would let a restarted entry's requests
+/// be taken for those of its last start.
+InstanceId sessionOf(const link::Peer &Entry);
+
+/// Drives one Decider: frames in, frames out, ticks when they are due.
+class PoolRunner {
+public:
+  PoolRunner(PoolId Pool, std::string Service,
+             const decision::DeciderConfig &Config, const Clock &Time,
+             Scheduler &Timers, link::Links &Wire);
+
+  /// Hands in an event that does not come from an entry.
+  void handle(const decision::Event &What);
+
+  /// Hands in what \p Frame says of this pool; \p Link is where answers go.
+  void frame(link::LinkId Link, const EntrySession &From,
+             const wire::Frame &Frame);
+
+  /// Drops the requests of an entry that has gone.
+  void entryLost(InstanceId Session);
+
+  [[nodiscard]] PoolId pool() const { return m_Pool; }
+  [[nodiscard]] const std::string &service() const { return m_Service; }
+  [[nodiscard]] decision::DeciderStats stats() const {
+    return m_Decider.stats();
+  }
+
+  /// Returns the upstreams that the Decider has ejected.
+  [[nodiscard]] const std::map<UpstreamId, std::string> &ejected() const {
+    return m_Ejected;
+  }
+
+  /// Replaces the pool's upstreams.
+  void setUpstreams(std::vector<Upstream> Upstreams);
+
+private:
+  decision::Bid bidOf(const wire::Bid &In, const EntrySession &From) const;
+  void carryOut();
+  void carryOut(const decision::Grant &What);
+  void carryOut(const decision::Refuse &What);
+  void carryOut(const decision::Preempt &What);
+  void carryOut(const decision::EjectionChanged &What);
+  wire::FrameT *outboxOf(const decision::RequestId &Request);
+  void armTimer();
+
+  PoolId m_Pool;                                ///< Which pool.
+  std::string m_Service;                        ///< Its service's name.
+  const Clock &m_Clock;                         ///< Outlives this object.
+  link::Links &m_Links;                         ///< Outlives this object.
+  Timer m_Timer;                                ///< For the next Tick.
+  decision::Decider m_Decider;                  ///< Decides.
+  std::vector<decision::Action> m_Actions;      ///< Of the event at hand.
+  std::map<InstanceId, link::LinkId> m_Entries; ///< Present link of each.
+  std::map<UpstreamId, Upstream> m_Upstreams;   ///< For addresses in grants.
+  std::map<UpstreamId, std::string> m_Ejected;  ///< Names of the ejected.
+};
+
+} // namespace crowstep::dispatcher
+
+#endif // CROWSTEP_DISPATCHER_POOL_RUNNER_H
--- /dev/null
+++ b/src/dispatcher/pool_set.cpp
@@ -0,0 +1,139 @@
+/// Which pools are owned here, and what their entries send.
+#include "dispatcher/pool_set.h"
+
+#include "core/log.h"
+
+namespace crowstep::dispatcher {
+
+namespace {
+
+/// A cut link comes back within this, and the entry sends everything again;
+/// after it the entry is taken for dead and its slots are free. Its upstream
+/// connections die with it, so the engines have stopped by then.
+constexpr Duration EntryGrace = std::chrono::seconds(1);
+
+} // namespace
+
+PoolSet::PoolSet(InstanceId Self, decision::DeciderConfig Config,
+                 const Clock &Time, Scheduler &Timers, link::Links &Wire,
+                 HttpCaller &Http, Duration LoadInterval,
+                 const UpstreamDirectory &Directory)
+    : m_Self(Self), m_Config(Config), m_Clock(Time), m_Timers(Timers),
+      m_Links(Wire), m_Directory(Directory),
+      m_Loads(Http, Timers, LoadInterval, [this](const decision::Event &What) {
+        for (auto &[Pool, Runner] : m_Pools)
+          Runner->handle(What);
+      }) {}
+
+void PoolSet::linkUp(link::LinkId Link, const link::Peer &Who) {
+  if (Who.m_Role != wire::Role::Entry)
+    return;
+  const InstanceId Id = sessionOf(Who);
+  Session &Entry = m_Sessions[Id];
+  Entry.m_Entry = {Id, Who.m_Zone};
+  Entry.m_Link = Link;
+  Entry.m_Gone.reset();
+  m_SessionOfLink[Link] = Id;
+}
+
+void PoolSet::linkDown(link::LinkId Link, const link::Peer &Who) {
+  m_SessionOfLink.erase(Link);
+  const InstanceId Id = sessionOf(Who);
+  const auto Found = m_Sessions.find(Id);
+  if (Found == m_Sessions.end() || Found->second.m_Link != Link)
+    return;
+  Found->second.m_Gone = std::make_unique<Timer>(m_Timers);
+  Found->second.m_Gone->start(EntryGrace, [this, Id] { lost(Id); });
+}
+
+void PoolSet::lost(InstanceId Session) {
+  // The timer that runs this is part of the session: erased last.
+  const auto Held = m_Sessions.extract(Session);
+  for (auto &[Pool, Runner] : m_Pools)
+    Runner->entryLost(Session);
+}
+
+void PoolSet::linkFrame(link::LinkId Link, const wire::Frame &Frame) {
+  const auto Found = m_SessionOfLink.find(Link);
+  if (Found == m_SessionOfLink.end())
+    return;
+  const EntrySession &From = m_Sessions.at(Found->second).m_Entry;
+  for (auto &[Pool, Runner] : m_Pools)
+    Runner->frame(Link, From, Frame);
+  refuseForeignBids(Link, Frame);
+}
+
+void PoolSet::refuseForeignBids(link::LinkId Link, const wire::Frame &Frame) {
+  if (Frame.bids() == nullptr)
+    return;
+  for (const wire::Bid *Each : *Frame.bids())
+    if (!m_Pools.contains(PoolId(Each->pool())))
+      m_Links.outbox(Link).not_owner.emplace_back(Each->request(),
+                                                  Each->pool());
+}
+
+void PoolSet::membersChanged(const std::vector<membership::Member> &Members) {
+  m_Members = Members;
+  settle();
+}
+
+void PoolSet::upstreamsChanged() {
+  settle();
+  for (auto &[Pool, Runner] : m_Pools)
+    Runner->setUpstreams(m_Directory.ofService(Runner->service()));
+  watchLoad();
+}
+
+void PoolSet::tableChanged(const ContractTable &Table) {
+  m_Table = Table;
+  for (auto &[Pool, Runner] : m_Pools)
+    Runner->handle(decision::TableChanged{Table});
+}
+
+void PoolSet::release() {
+  m_Released = true;
+  settle();
+}
+
+void PoolSet::settle() {
+  const std::size_t Before = m_Pools.size();
+  std::erase_if(m_Pools, [&](const auto &Each) {
+    const membership::Member *Owner =
+        membership::ownerOf(Each.first, m_Members);
+    const bool Kept = !m_Released && Owner != nullptr && Owner->m_Id == m_Self;
+    if (!Kept)
+      logEvent(LogEvent::PoolReleased, {{"service", Each.second->service()}});
+    return !Kept;
+  });
+  bool Changed = m_Pools.size() != Before;
+  for (const PoolId Pool : m_Directory.pools()) {
+    const membership::Member *Owner = membership::ownerOf(Pool, m_Members);
+    if (m_Released || Owner == nullptr || Owner->m_Id != m_Self ||
+        m_Pools.contains(Pool))
+      continue;
+    acquire(Pool, m_Directory.serviceOf(Pool).value_or(""));
+    Changed = true;
+  }
+  if (Changed)
+    watchLoad();
+}
+
+void PoolSet::acquire(PoolId Pool, const std::string &Service) {
+  auto Runner = std::make_unique<PoolRunner>(Pool, Service, m_Config, m_Clock,
+                                             m_Timers, m_Links);
+  if (m_Table.m_Version != TableVersion())
+    Runner->handle(decision::TableChanged{m_Table});
+  Runner->setUpstreams(m_Directory.ofService(Service));
+  m_Pools.emplace(Pool, std::move(Runner));
+  logEvent(LogEvent::PoolAcquired, {{"service", Service}});
+}
+
+void PoolSet::watchLoad() {
+  std::vector<Upstream> Mine;
+  for (const auto &[Pool, Runner] : m_Pools)
+    for (const Upstream &Each : m_Directory.ofService(Runner->service()))
+      Mine.push_back(Each);
+  m_Loads.watch(Mine);
+}
+
+} // namespace crowstep::dispatcher
--- /dev/null
+++ b/src/dispatcher/pool_set.h
@@ -0,0 +1,76 @@
+/// The pools that this dispatcher owns, and the entries that hold requests.
+///
+/// Ownership follows from the membership: soft state that a new owner rebuilds
+/// from what entries send again.
+#ifndef CROWSTEP_DISPATCHER_POOL_SET_H
+#define CROWSTEP_DISPATCHER_POOL_SET_H
+
+#include "contract_type.h"
+#include "dispatcher/load_monitor.h"
+#include "dispatcher/pool_runner.h"
+#include "dispatcher/upstream_directory.h"
+#include "membership/membership_type.h"
+
+#include <map>
+#include <memory>
+
+namespace crowstep::dispatcher {
+
+class PoolSet {
+public:
+  PoolSet(InstanceId Self, decision::DeciderConfig Config, const Clock &Time,
+          Scheduler &Timers, link::Links &Wire, HttpCaller &Http,
+          Duration LoadInterval, const UpstreamDirectory &Directory);
+
+  void linkUp(link::LinkId Link, const link::Peer &Who);
+  void linkFrame(link::LinkId Link, const wire::Frame &Frame);
+  void linkDown(link::LinkId Link, const link::Peer &Who);
+
+  /// Takes over and gives up pools as the membership says.
+  void membersChanged(const std::vector<membership::Member> &Members);
+
+  /// Gives the pools their present upstreams.
+  void upstreamsChanged();
+
+  /// Gives the pools the table in force.
+  void tableChanged(const ContractTable &Table);
+
+  /// Gives up all pools; entries bid elsewhere.
+  void release();
+
+  [[nodiscard]] const std::map<PoolId, std::unique_ptr<PoolRunner>> &
+  pools() const {
+    return m_Pools;
+  }
+
+private:
+  struct Session {
+    EntrySession m_Entry;          ///< Who.
+    link::LinkId m_Link;           ///< Its newest link.
+    std::unique_ptr<Timer> m_Gone; ///< Runs while it has no link.
+  };
+
+  void settle();
+  void acquire(PoolId Pool, const std::string &Service);
+  void refuseForeignBids(link::LinkId Link, const wire::Frame &Frame);
+  void lost(InstanceId Session);
+  void watchLoad();
+
+  InstanceId m_Self;                         ///< This dispatcher.
+  decision::DeciderConfig m_Config;          ///< For each new pool.
+  const Clock &m_Clock;                      ///< Outlives this object.
+  Scheduler &m_Timers;                       ///< Outlives this object.
+  link::Links &m_Links;                      ///< Outlives this object.
+  const UpstreamDirectory &m_Directory;      ///< Outlives this object.
+  LoadMonitor m_Loads;                       ///< Of the owned pools' upstreams.
+  bool m_Released = false;                   ///< Owns nothing any more.
+  ContractTable m_Table;                     ///< In force.
+  std::vector<membership::Member> m_Members; ///< As last told.
+  std::map<PoolId, std::unique_ptr<PoolRunner>> m_Pools; ///< Owned now.
+  std::map<InstanceId, Session> m_Sessions; ///< Entries with requests here.
+  std::map<link::LinkId, InstanceId> m_SessionOfLink; ///< Entries' links.
+};
+
+} // namespace crowstep::dispatcher
+
+#endif // CROWSTEP_DISPATCHER_POOL_SET_H
--- /dev/null
+++ b/src/dispatcher/upstream_directory.cpp
@@ -0,0 +1,146 @@
+/// Readings of the platform's instance list and of the drains.
+#include "dispatcher/upstream_directory.h"
+
+#include <algorithm>
+
+namespace crowstep::dispatcher {
+
+using platform::PlatformFailure;
+using platform::Row;
+using platform::RowWrite;
+
+namespace {
+
+constexpr const char *UpstreamPrefix = "upstream/";
+constexpr const char *InstancePrefix = "instance/";
+constexpr const char *DrainedValue = "{\"drained\":true}";
+
+bool sameUpstream(const Upstream &Left, const Upstream &Right) {
+  return Left.m_Id == Right.m_Id && Left.m_Service == Right.m_Service &&
+         Left.m_Address == Right.m_Address && Left.m_Zone == Right.m_Zone &&
+         Left.m_Leaving == Right.m_Leaving &&
+         Left.m_Kind.index() == Right.m_Kind.index();
+}
+
+bool sameUpstreams(const std::vector<Upstream> &Left,
+                   const std::vector<Upstream> &Right) {
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    sameUpstream);
+}
+
+} // namespace
+
+UpstreamDirectory::UpstreamDirectory(Scheduler &Timers,
+                                     platform::InstanceList &List,
+                                     platform::TableService &Store,
+                                     Duration Interval, double Spread)
+    : m_List(List), m_Store(Store), m_Interval(Interval),
+      m_FirstDelay(std::chrono::duration_cast<Duration>(Interval * Spread)),
+      m_ListTimer(Timers), m_DrainTimer(Timers) {}
+
+void UpstreamDirectory::start() {
+  readList();
+  m_DrainTimer.start(m_FirstDelay, [this] { readDrains(); });
+}
+
+void UpstreamDirectory::readList() {
+  m_List.fetch([this](platform::InstanceList::Result Outcome) {
+    if (auto *Listing = std::get_if<platform::InstanceListing>(&Outcome)) {
+      m_Listing = std::move(*Listing);
+      rebuild();
+    }
+    m_ListTimer.start(m_Interval, [this] { readList(); });
+  });
+}
+
+void UpstreamDirectory::readDrains() {
+  m_Store.list(platform::DrainTableName, "", [this](platform::ReadResult Read) {
+    if (const auto *Rows = std::get_if<std::vector<Row>>(&Read)) {
+      m_Drains.clear();
+      for (const Row &Drain : *Rows)
+        m_Drains[Drain.m_Key] = Drain.m_Version;
+      rebuild();
+    }
+    m_DrainTimer.start(m_Interval, [this] { readDrains(); });
+  });
+}
+
+void UpstreamDirectory::rebuild() {
+  std::vector<Upstream> Fresh = m_Listing.m_Upstreams;
+  for (Upstream &Each : Fresh)
+    if (m_Drains.contains(UpstreamPrefix + Each.m_Name))
+      Each.m_Leaving = true;
+  const bool Changed = !sameUpstreams(Fresh, m_Upstreams);
+  m_Upstreams = std::move(Fresh);
+  if (Changed && m_Changed)
+    m_Changed();
+}
+
+std::vector<Upstream>
+UpstreamDirectory::ofService(const std::string &Service) const {
+  std::vector<Upstream> Result;
+  std::copy_if(m_Upstreams.begin(), m_Upstreams.end(),
+               std::back_inserter(Result),
+               [&](const Upstream &Each) { return Each.m_Service == Service; });
+  return Result;
+}
+
+std::optional<std::string> UpstreamDirectory::serviceOf(PoolId Pool) const {
+  for (const Upstream &Each : m_Upstreams)
+    if (poolIdOf(Each.m_Service, 0) == Pool)
+      return Each.m_Service;
+  return std::nullopt;
+}
+
+std::vector<PoolId> UpstreamDirectory::pools() const {
+  std::set<PoolId> Result;
+  for (const Upstream &Each : m_Upstreams)
+    Result.insert(poolIdOf(Each.m_Service, 0));
+  return {Result.begin(), Result.end()};
+}
+
+const Upstream *UpstreamDirectory::find(UpstreamId Id) const {
+  const auto Found =
+      std::find_if(m_Upstreams.begin(), m_Upstreams.end(),
+                   [&](const Upstream &Each) { return Each.m_Id == Id; });
+  return Found == m_Upstreams.end() ? nullptr : &*Found;
+}
+
+std::vector<Address> UpstreamDirectory::dispatcherHints() const {
+  std::vector<Address> Result;
+  for (const platform::ListedInstance &Each : m_Listing.m_Instances)
+    Result.push_back(Each.m_Link);
+  return Result;
+}
+
+bool UpstreamDirectory::instanceDrained(const std::string &Name) const {
+  if (m_Drains.contains(InstancePrefix + Name))
+    return true;
+  return std::any_of(m_Listing.m_Instances.begin(), m_Listing.m_Instances.end(),
+                     [&](const platform::ListedInstance &Each) {
+                       return Each.m_Name == Name && Each.m_Leaving;
+                     });
+}
+
+void UpstreamDirectory::setDrained(const std::string &What, bool Drained,
+                                   std::function<void(bool)> Done) {
+  const auto Present = m_Drains.find(What);
+  const bool IsDrained = Present != m_Drains.end();
+  if (IsDrained == Drained) {
+    Done(true);
+    return;
+  }
+  RowWrite Write{What, {}, DrainedValue};
+  if (!Drained)
+    Write = {What, Present->second, ""};
+  m_Store.write(platform::DrainTableName, {Write},
+                [this, Done = std::move(Done)](platform::WriteResult Result) {
+                  const auto *Rows =
+                      std::get_if<std::vector<platform::RowOutcome>>(&Result);
+                  Done(Rows != nullptr && !Rows->empty() &&
+                       Rows->front().m_Written);
+                  readDrains();
+                });
+}
+
+} // namespace crowstep::dispatcher
--- /dev/null
+++ b/src/dispatcher/workspace_directory.cpp
@@ -0,0 +1,65 @@
+/// Readings of the workspaces' rows.
+#include "dispatcher/workspace_directory.h"
+
+#include "core/digest.h"
+#include "core/log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace crowstep::dispatcher {
+
+namespace {
+
+/// Returns the workspace of a row; a row that can't be read is left out and
+/// logged, so that one bad row does not lock out all the others.
+std::optional<Workspace> workspaceOf(const platform::Row &Row) {
+  try {
+    const nlohmann::json Value = nlohmann::json::parse(Row.m_Value);
+    Workspace Result;
+    Result.m_Id = WorkspaceId(Value.at("id").get<std::uint32_t>());
+    Result.m_Name = Value.at("name").get<std::string>();
+    Result.m_KeyHash = Value.at("key_hash").get<std::string>();
+    Result.m_Operator = Value.value("operator", false);
+    return Result;
+  } catch (const nlohmann::json::exception &) {
+    logEvent(LogEvent::WorkspaceRowBad, {{"row", Row.m_Key}});
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+WorkspaceDirectory::WorkspaceDirectory(Scheduler &Timers,
+                                       platform::TableService &Store,
+                                       Duration Interval)
+    : m_Store(Store), m_Interval(Interval), m_Timer(Timers) {}
+
+void WorkspaceDirectory::read() {
+  m_Store.list(
+      platform::WorkspaceTableName, "", [this](platform::ReadResult Read) {
+        if (const auto *Rows = std::get_if<std::vector<platform::Row>>(&Read)) {
+          std::vector<Workspace> Fresh;
+          for (const platform::Row &Row : *Rows)
+            if (std::optional<Workspace> Each = workspaceOf(Row))
+              Fresh.push_back(std::move(*Each));
+          const bool Changed = Fresh != m_Workspaces;
+          m_Workspaces = std::move(Fresh);
+          if (Changed && m_Changed)
+            m_Changed();
+        }
+        m_Timer.start(m_Interval, [this] { read(); });
+      });
+}
+
+const Workspace *
+WorkspaceDirectory::operatorWith(const std::string &Key) const {
+  const std::string Hash = sha256Hex(Key);
+  const auto Found = std::find_if(
+      m_Workspaces.begin(), m_Workspaces.end(), [&](const Workspace &Each) {
+        return Each.m_Operator && Each.m_KeyHash == Hash;
+      });
+  return Found == m_Workspaces.end() ? nullptr : &*Found;
+}
+
+} // namespace crowstep::dispatcher
