Feature: Add claims that make a keyed call run at most once

An entry asks the claim home of a key; four homes share all keys and join the requests of 20 ms into one conditional write, so the writes a second to the table service stay under 200 however many entries there are.

The rule is one function, judge(): a row in state Claimed is changed only by the attempt that wrote it. Weighed: rows written by each entry alone (9 entries x 50 windows = 450 writes a second, 360 entries far over the table service), a lease on key ranges (a frozen holder needs a second check at every upstream).

--- /dev/null
+++ b/src/claim/claim_client.cpp
@@ -0,0 +1,183 @@
+/// Requests to claim homes, asked again until a final reply or a limit.
+#include "claim/claim_client.h"
+
+#include <xxhash.h>
+
+namespace crowstep::claim {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration TickInterval = 50ms;
+/// A home answers within a window and a write to the table service; later than
+/// this the reply is taken for lost.
+constexpr Duration ReplyLimit = 1s;
+/// Between two requests while the table service is down: a claim has a target
+/// to meet; a record may wait, and thousands of them must not crowd the table
+/// service when it comes back.
+constexpr Duration ClaimRetryInterval = 200ms;
+constexpr Duration RecordRetryInterval = 2s;
+/// A record is tried until the claim itself is forgotten; the caller has had
+/// its answer, and only a repetition of the key waits for it.
+constexpr Duration RecordLimit = ClaimLifetime;
+constexpr Duration ReadLimit = 1s;
+
+} // namespace
+
+std::uint64_t homeIndexOf(const ClaimKey &Key) {
+  return XXH3_64bits(Key.data(), Key.size()) % ClaimHomeCount;
+}
+
+ClaimClient::ClaimClient(const Clock &Time, Scheduler &Timers,
+                         link::Links &Wire, FindHome Find)
+    : m_Clock(Time), m_Links(Wire), m_FindHome(std::move(Find)),
+      m_Timer(Timers) {}
+
+void ClaimClient::claim(const ClaimKey &Key, std::uint64_t BodyHash,
+                        const AttemptId &Attempt, Duration Limit, Done OnDone) {
+  wire::ClaimRequestT Request;
+  Request.op = wire::ClaimOp::Claim;
+  Request.key = Key;
+  Request.body_hash = BodyHash;
+  Request.attempt = Attempt;
+  add(std::move(Request), Limit, std::move(OnDone));
+}
+
+void ClaimClient::recordNotRun(const ClaimKey &Key, const AttemptId &Attempt,
+                               Done OnDone) {
+  wire::ClaimRequestT Request;
+  Request.op = wire::ClaimOp::NotRun;
+  Request.key = Key;
+  Request.attempt = Attempt;
+  add(std::move(Request), RecordLimit, std::move(OnDone));
+}
+
+void ClaimClient::recordRan(const ClaimKey &Key, const AttemptId &Attempt,
+                            const KeptAnswer &Answer, Done OnDone) {
+  wire::ClaimRequestT Request;
+  Request.op = wire::ClaimOp::Ran;
+  Request.key = Key;
+  Request.attempt = Attempt;
+  Request.answer = Answer.m_Body;
+  Request.answer_status = Answer.m_Status;
+  Request.answer_type = Answer.m_ContentType;
+  add(std::move(Request), RecordLimit, std::move(OnDone));
+}
+
+void ClaimClient::read(const ClaimKey &Key, std::uint64_t BodyHash,
+                       Done OnDone) {
+  wire::ClaimRequestT Request;
+  Request.op = wire::ClaimOp::Read;
+  Request.key = Key;
+  Request.body_hash = BodyHash;
+  add(std::move(Request), ReadLimit, std::move(OnDone));
+}
+
+void ClaimClient::add(wire::ClaimRequestT Request, Duration Limit,
+                      Done OnDone) {
+  Request.id = ++m_LastId;
+  const auto Own = m_Held.find(Request.attempt);
+  const bool IsRecord =
+      Request.op == wire::ClaimOp::NotRun || Request.op == wire::ClaimOp::Ran;
+  if (IsRecord && Own != m_Held.end()) {
+    Request.version = Own->second.m_Version;
+    Request.body_hash = Own->second.m_BodyHash;
+    m_Held.erase(Own);
+  }
+  const TimePoint Now = m_Clock.now();
+  Pending Fresh{std::move(Request), Now + Limit, Now, false, false,
+                std::move(OnDone)};
+  const auto Place = m_Pending.emplace(m_LastId, std::move(Fresh)).first;
+  send(Place->second);
+  if (!m_Timer.running())
+    m_Timer.start(TickInterval, [this] { tick(); });
+}
+
+void ClaimClient::send(Pending &Each) {
+  const std::optional<link::LinkId> Home =
+      m_FindHome(homeIndexOf(Each.m_Request.key));
+  Each.m_SendAgain = m_Clock.now() + (Home ? ReplyLimit : TickInterval);
+  if (!Home)
+    return;
+  Each.m_Sent = true;
+  m_Links.outbox(*Home).claim_requests.push_back(
+      std::make_unique<wire::ClaimRequestT>(Each.m_Request));
+}
+
+void ClaimClient::tick() {
+  const TimePoint Now = m_Clock.now();
+  for (auto Next = m_Pending.begin(); Next != m_Pending.end();) {
+    const auto Found = Next++;
+    Pending &Each = Found->second;
+    if (Now >= Each.m_Limit) {
+      // Sent and never answered: the home may still write it.
+      const bool MayBeWritten =
+          Each.m_Uncertain || (Each.m_Sent && Now < Each.m_SendAgain);
+      finish(Found,
+             {MayBeWritten ? ClaimStatus::Uncertain : ClaimStatus::Unavailable,
+              {}});
+    } else if (Now >= Each.m_SendAgain) {
+      Each.m_Uncertain = Each.m_Uncertain || Each.m_Sent;
+      send(Each);
+    }
+  }
+  if (!m_Pending.empty())
+    m_Timer.start(TickInterval, [this] { tick(); });
+}
+
+void ClaimClient::linkFrame(const wire::Frame &Frame) {
+  if (Frame.claim_replies() == nullptr)
+    return;
+  for (const wire::ClaimReply *Each : *Frame.claim_replies())
+    replied(*Each);
+}
+
+void ClaimClient::replied(const wire::ClaimReply &Reply) {
+  const auto Found = m_Pending.find(Reply.id());
+  if (Found == m_Pending.end())
+    return;
+  Pending &Each = Found->second;
+  ClaimOutcome Outcome;
+  Outcome.m_Status = static_cast<ClaimStatus>(Reply.status());
+  const bool Retried = Outcome.m_Status == ClaimStatus::Unavailable ||
+                       Outcome.m_Status == ClaimStatus::Uncertain;
+  const bool IsRead = Each.m_Request.op == wire::ClaimOp::Read;
+  if (Retried && !IsRead) {
+    // The table service is down: the request waits while its target allows.
+    Each.m_Uncertain =
+        Each.m_Uncertain || Outcome.m_Status == ClaimStatus::Uncertain;
+    Each.m_Sent = false;
+    const bool IsClaim = Each.m_Request.op == wire::ClaimOp::Claim;
+    Each.m_SendAgain =
+        m_Clock.now() + (IsClaim ? ClaimRetryInterval : RecordRetryInterval);
+    return;
+  }
+  if (Outcome.m_Status == ClaimStatus::Ran && Reply.answer() != nullptr)
+    Outcome.m_Answer = {
+        Reply.answer_status(),
+        Reply.answer_type() == nullptr ? "" : Reply.answer_type()->str(),
+        Reply.answer()->str()};
+  if (Outcome.m_Status == ClaimStatus::Owned)
+    m_Held[Each.m_Request.attempt] = {Reply.version(),
+                                      Each.m_Request.body_hash};
+  finish(Found, Outcome);
+}
+
+void ClaimClient::finish(std::map<std::uint64_t, Pending>::iterator Found,
+                         const ClaimOutcome &Outcome) {
+  const Pending Ended = std::move(Found->second);
+  m_Pending.erase(Found);
+  // Asked more than once, a later copy may still claim the key for an attempt
+  // that has ended: repetitions of the key would be told "in progress" until
+  // the claim is forgotten. Giving it back at once prevents that.
+  const bool MayClaimLater = Ended.m_Request.op == wire::ClaimOp::Claim &&
+                             Outcome.m_Status != ClaimStatus::Owned &&
+                             Ended.m_Uncertain;
+  if (MayClaimLater)
+    recordNotRun(Ended.m_Request.key, Ended.m_Request.attempt,
+                 [](const ClaimOutcome &) {});
+  Ended.m_Done(Outcome);
+}
+
+} // namespace crowstep::claim
--- a/src/claim/claim_type.h
+++ b/src/claim/claim_type.h
@@ -67,12 +67,13 @@
   virtual void recordNotRun(const ClaimKey &Key, const AttemptId &Attempt,
                             Done OnDone) = 0;
 
-  /// Keeps the answer for the key's repetition. Done or Uncertain.
+  /// Keeps the answer for the key's repetition. Done, InProgress (the row is
+  /// not this attempt's any more) or Uncertain.
   virtual void recordRan(const ClaimKey &Key, const AttemptId &Attempt,
                          const KeptAnswer &Answer, Done OnDone) = 0;
 
-  /// Reads the state of another attempt's claim; statuses as claim(), where
-  /// Owned can't come and Unavailable means that nothing is known.
+  /// Reads the state of another attempt's claim: InProgress, Ran, OtherBody,
+  /// Done (no attempt holds it: it may be claimed) or Unavailable.
   virtual void read(const ClaimKey &Key, std::uint64_t BodyHash,
                     Done OnDone) = 0;
 };
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -47,6 +47,7 @@
               m_Clock, m_Timers, m_Links, m_Http, m_Settings.m_LoadInterval,
               m_Upstreams),
       m_Entries(m_Clock, m_Timers, m_Links, attachmentSource()),
+      m_Claims({}, m_Clock, m_Timers, m_Platform, m_Links, m_Stats),
       m_Admin({m_Table, m_Fleet, m_Upstreams, m_Workspaces, m_Pools, m_Stats}),
       m_RightTimer(m_Timers), m_StopTimer(m_Timers) {
   connectParts();
@@ -132,6 +133,7 @@
   m_Table.linkFrame(Link, Frame);
   m_Entries.linkFrame(Link, Frame);
   m_Pools.linkFrame(Link, Frame);
+  m_Claims.linkFrame(Link, Frame);
 }
 
 void Dispatcher::linkDown(link::LinkId Link, const link::Peer &Who,
--- a/src/dispatcher/dispatcher.h
+++ b/src/dispatcher/dispatcher.h
@@ -6,6 +6,7 @@
 #ifndef CROWSTEP_DISPATCHER_DISPATCHER_H
 #define CROWSTEP_DISPATCHER_DISPATCHER_H
 
+#include "claim/claim_home.h"
 #include "core/http_client.h"
 #include "core/program.h"
 #include "dispatcher/admin_api.h"
@@ -46,6 +47,7 @@
   WorkspaceDirectory m_Workspaces;     ///< Customers.
   PoolSet m_Pools;                     ///< Owned here.
   EntryAttachments m_Entries;          ///< Attached here.
+  claim::ClaimHome m_Claims;           ///< Of the keys whose home this is.
   AdminApi m_Admin;                    ///< For operators.
   Timer m_RightTimer;                  ///< For the next look at the right.
   Timer m_StopTimer;                   ///< For the goodbyes to go out.
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -2558,6 +2558,8 @@
   std::string attempt{};
   std::string answer{};
   uint16_t answer_status = 0;
+  std::string answer_type{};
+  uint64_t version = 0;
 };
 
 struct ClaimRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2571,7 +2573,9 @@
     VT_BODY_HASH = 10,
     VT_ATTEMPT = 12,
     VT_ANSWER = 14,
-    VT_ANSWER_STATUS = 16
+    VT_ANSWER_STATUS = 16,
+    VT_ANSWER_TYPE = 18,
+    VT_VERSION = 20
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2594,6 +2598,12 @@
   uint16_t answer_status() const {
     return GetField<uint16_t>(VT_ANSWER_STATUS, 0);
   }
+  const flatbuffers::String *answer_type() const {
+    return GetPointer<const flatbuffers::String *>(VT_ANSWER_TYPE);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2606,6 +2616,9 @@
            VerifyOffset(verifier, VT_ANSWER) &&
            verifier.VerifyString(answer()) &&
            VerifyField<uint16_t>(verifier, VT_ANSWER_STATUS, 2) &&
+           VerifyOffset(verifier, VT_ANSWER_TYPE) &&
+           verifier.VerifyString(answer_type()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            verifier.EndTable();
   }
   ClaimRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2638,6 +2651,12 @@
   void add_answer_status(uint16_t answer_status) {
     fbb_.AddElement<uint16_t>(ClaimRequest::VT_ANSWER_STATUS, answer_status, 0);
   }
+  void add_answer_type(flatbuffers::Offset<flatbuffers::String> answer_type) {
+    fbb_.AddOffset(ClaimRequest::VT_ANSWER_TYPE, answer_type);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(ClaimRequest::VT_VERSION, version, 0);
+  }
   explicit ClaimRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2657,10 +2676,14 @@
     uint64_t body_hash = 0,
     flatbuffers::Offset<flatbuffers::String> attempt = 0,
     flatbuffers::Offset<flatbuffers::String> answer = 0,
-    uint16_t answer_status = 0) {
+    uint16_t answer_status = 0,
+    flatbuffers::Offset<flatbuffers::String> answer_type = 0,
+    uint64_t version = 0) {
   ClaimRequestBuilder builder_(_fbb);
+  builder_.add_version(version);
   builder_.add_body_hash(body_hash);
   builder_.add_id(id);
+  builder_.add_answer_type(answer_type);
   builder_.add_answer(answer);
   builder_.add_attempt(attempt);
   builder_.add_key(key);
@@ -2682,10 +2705,13 @@
     uint64_t body_hash = 0,
     const char *attempt = nullptr,
     const char *answer = nullptr,
-    uint16_t answer_status = 0) {
+    uint16_t answer_status = 0,
+    const char *answer_type = nullptr,
+    uint64_t version = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto attempt__ = attempt ? _fbb.CreateString(attempt) : 0;
   auto answer__ = answer ? _fbb.CreateString(answer) : 0;
+  auto answer_type__ = answer_type ? _fbb.CreateString(answer_type) : 0;
   return crowstep::wire::CreateClaimRequest(
       _fbb,
       id,
@@ -2694,7 +2720,9 @@
       body_hash,
       attempt__,
       answer__,
-      answer_status);
+      answer_status,
+      answer_type__,
+      version);
 }
 
 flatbuffers::Offset<ClaimRequest> CreateClaimRequest(flatbuffers::FlatBufferBuilder &_fbb, const ClaimRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2705,6 +2733,8 @@
   crowstep::wire::ClaimStatus status = crowstep::wire::ClaimStatus::Owned;
   std::string answer{};
   uint16_t answer_status = 0;
+  std::string answer_type{};
+  uint64_t version = 0;
 };
 
 struct ClaimReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2715,7 +2745,9 @@
     VT_ID = 4,
     VT_STATUS = 6,
     VT_ANSWER = 8,
-    VT_ANSWER_STATUS = 10
+    VT_ANSWER_STATUS = 10,
+    VT_ANSWER_TYPE = 12,
+    VT_VERSION = 14
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2729,6 +2761,12 @@
   uint16_t answer_status() const {
     return GetField<uint16_t>(VT_ANSWER_STATUS, 0);
   }
+  const flatbuffers::String *answer_type() const {
+    return GetPointer<const flatbuffers::String *>(VT_ANSWER_TYPE);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2736,6 +2774,9 @@
            VerifyOffset(verifier, VT_ANSWER) &&
            verifier.VerifyString(answer()) &&
            VerifyField<uint16_t>(verifier, VT_ANSWER_STATUS, 2) &&
+           VerifyOffset(verifier, VT_ANSWER_TYPE) &&
+           verifier.VerifyString(answer_type()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            verifier.EndTable();
   }
   ClaimReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2759,6 +2800,12 @@
   void add_answer_status(uint16_t answer_status) {
     fbb_.AddElement<uint16_t>(ClaimReply::VT_ANSWER_STATUS, answer_status, 0);
   }
+  void add_answer_type(flatbuffers::Offset<flatbuffers::String> answer_type) {
+    fbb_.AddOffset(ClaimReply::VT_ANSWER_TYPE, answer_type);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(ClaimReply::VT_VERSION, version, 0);
+  }
   explicit ClaimReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2775,9 +2822,13 @@
     uint64_t id = 0,
     crowstep::wire::ClaimStatus status = crowstep::wire::ClaimStatus::Owned,
     flatbuffers::Offset<flatbuffers::String> answer = 0,
-    uint16_t answer_status = 0) {
+    uint16_t answer_status = 0,
+    flatbuffers::Offset<flatbuffers::String> answer_type = 0,
+    uint64_t version = 0) {
   ClaimReplyBuilder builder_(_fbb);
+  builder_.add_version(version);
   builder_.add_id(id);
+  builder_.add_answer_type(answer_type);
   builder_.add_answer(answer);
   builder_.add_answer_status(answer_status);
   builder_.add_status(status);
@@ -2794,14 +2845,19 @@
     uint64_t id = 0,
     crowstep::wire::ClaimStatus status = crowstep::wire::ClaimStatus::Owned,
     const char *answer = nullptr,
-    uint16_t answer_status = 0) {
+    uint16_t answer_status = 0,
+    const char *answer_type = nullptr,
+    uint64_t version = 0) {
   auto answer__ = answer ? _fbb.CreateString(answer) : 0;
+  auto answer_type__ = answer_type ? _fbb.CreateString(answer_type) : 0;
   return crowstep::wire::CreateClaimReply(
       _fbb,
       id,
       status,
       answer__,
-      answer_status);
+      answer_status,
+      answer_type__,
+      version);
 }
 
 flatbuffers::Offset<ClaimReply> CreateClaimReply(flatbuffers::FlatBufferBuilder &_fbb, const ClaimReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3917,6 +3973,8 @@
   { auto _e = attempt(); if (_e) _o->attempt = _e->str(); }
   { auto _e = answer(); if (_e) _o->answer = _e->str(); }
   { auto _e = answer_status(); _o->answer_status = _e; }
+  { auto _e = answer_type(); if (_e) _o->answer_type = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
 }
 
 inline flatbuffers::Offset<ClaimRequest> ClaimRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3934,6 +3992,8 @@
   auto _attempt = _o->attempt.empty() ? 0 : _fbb.CreateString(_o->attempt);
   auto _answer = _o->answer.empty() ? 0 : _fbb.CreateString(_o->answer);
   auto _answer_status = _o->answer_status;
+  auto _answer_type = _o->answer_type.empty() ? 0 : _fbb.CreateString(_o->answer_type);
+  auto _version = _o->version;
   return crowstep::wire::CreateClaimRequest(
       _fbb,
       _id,
@@ -3942,7 +4002,9 @@
       _body_hash,
       _attempt,
       _answer,
-      _answer_status);
+      _answer_status,
+      _answer_type,
+      _version);
 }
 
 inline ClaimReplyT *ClaimReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3958,6 +4020,8 @@
   { auto _e = status(); _o->status = _e; }
   { auto _e = answer(); if (_e) _o->answer = _e->str(); }
   { auto _e = answer_status(); _o->answer_status = _e; }
+  { auto _e = answer_type(); if (_e) _o->answer_type = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
 }
 
 inline flatbuffers::Offset<ClaimReply> ClaimReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3972,12 +4036,16 @@
   auto _status = _o->status;
   auto _answer = _o->answer.empty() ? 0 : _fbb.CreateString(_o->answer);
   auto _answer_status = _o->answer_status;
+  auto _answer_type = _o->answer_type.empty() ? 0 : _fbb.CreateString(_o->answer_type);
+  auto _version = _o->version;
   return crowstep::wire::CreateClaimReply(
       _fbb,
       _id,
       _status,
       _answer,
-      _answer_status);
+      _answer_status,
+      _answer_type,
+      _version);
 }
 
 inline FrameT::FrameT(const FrameT &o)
