--- /dev/null
+++ b/src/ctl/admin_client.h
@@ -0,0 +1,55 @@
+/// Calls of the operators' command to the administration API.
+#ifndef CROWSTEP_CTL_ADMIN_CLIENT_H
+#define CROWSTEP_CTL_ADMIN_CLIENT_H
+
+#include "core/error.h"
+#include "instance_type.h"
+
+#include <string>
+
+typedef struct _SoupSession SoupSession;
+
+namespace crowstep::ctl {
+
+/// The administration API can't be reached.
+class AdminUnreachable : public Error {
+public:
+  AdminUnreachable(const Address &Where, const std::string &Why)
+      : Error(toString(Where) + ": " + Why) {}
+};
+
+/// An answer of the administration API.
+struct AdminAnswer {
+  unsigned m_Status = 0;      ///< HTTP status.
+  std::string m_Body;         ///< JSON, or CSV of the table.
+  std::string m_TableVersion; ///< Of the table, where it is one.
+};
+
+/// One call.
+struct AdminCall {
+  std::string m_Method;  ///< HTTP method.
+  std::string m_Path;    ///< Path of the API.
+  std::string m_Body;    ///< CSV, or empty.
+  std::string m_Version; ///< For If-Match, or empty.
+};
+
+/// Makes calls with an operator's key, one after the other.
+class AdminClient {
+public:
+  AdminClient(const Address &Where, std::string Key);
+  ~AdminClient();
+  AdminClient(const AdminClient &) = delete;
+  AdminClient &operator=(const AdminClient &) = delete;
+
+  /// \throws AdminUnreachable.
+  AdminAnswer call(const AdminCall &What);
+
+private:
+  Address m_Where;        ///< A dispatcher's administration API.
+  std::string m_Key;      ///< The operator's key.
+  SoupSession *m_Session; ///< Owned.
+};
+
+} // namespace crowstep::ctl
+
+#endif // CROWSTEP_CTL_ADMIN_CLIENT_H
--- /dev/null
+++ b/src/ctl/ctl_command.h
@@ -0,0 +1,38 @@
+/// The operators' commands as calls to the administration API.
+#ifndef CROWSTEP_CTL_CTL_COMMAND_H
+#define CROWSTEP_CTL_CTL_COMMAND_H
+
+#include "ctl/admin_client.h"
+
+#include <string>
+#include <vector>
+
+namespace crowstep::ctl {
+
+/// The words of a command make no sense.
+class CommandError : public Error {
+public:
+  using Error::Error;
+};
+
+/// A file can't be read.
+class FileError : public Error {
+public:
+  explicit FileError(const std::string &Path) : Error("can't read " + Path) {}
+};
+
+/// Returns the text of a file. \throws FileError.
+std::string readFile(const std::string &Path);
+
+/// Returns the call for the words of a command, such as {"table", "check",
+/// "new.csv"}; \p ReadVersion is the version that a change is made against.
+/// \throws CommandError, FileError.
+AdminCall callOf(const std::vector<std::string> &Words,
+                 const std::string &ReadVersion);
+
+/// The commands, for the help text.
+extern const char *const CommandHelp;
+
+} // namespace crowstep::ctl
+
+#endif // CROWSTEP_CTL_CTL_COMMAND_H
