--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 format:
 	sh scripts/check_format.sh
+	sh scripts/check_events.sh
 
 lint: build
 	sh scripts/check_lint.sh $(BUILD)
--- /dev/null
+++ b/scripts/check_events.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Fails when docs/EVENTS.md is not what the event tables say.
+set -eu
+sh scripts/print_events.sh | diff - docs/EVENTS.md >/dev/null || {
+  echo "docs/EVENTS.md differs from src/table: sh scripts/print_events.sh >docs/EVENTS.md"
+  exit 1
+}
+echo "events: catalogue matches"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash
 # Functions that run a fleet of real processes on loopback; sourced by other
 # scripts. Ports are those of the examples' platform.json: platform 7000, links
 # 7101.., administration 7201.., callers 7301.., engines 7401.., services 7501..
