--- /dev/null
+++ b/tests/process/path_test.cpp
@@ -0,0 +1,135 @@
+/// The whole path with real processes: each kind of call, each kind of answer.
+#define BOOST_TEST_MODULE path
+#include "process/fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace crowstep;
+using namespace crowstep::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One fleet serves all cases of this file.
+Fleet &fleet() {
+  static Fleet Shared({});
+  static const bool Started = (Shared.start(), true);
+  (void)Started;
+  return Shared;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(PlainAndStreamedAnswersAreWhole) {
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    for (const bool Streamed : {false, true}) {
+      const Told Answer =
+          fleet().caller().call(fleet().chat(Index, "guide", 25, Streamed));
+      BOOST_TEST(Answer.m_Status == 200U);
+      BOOST_TEST(Answer.m_Run == "run");
+      BOOST_TEST(isWholeAnswer(Answer.text(), 25), Answer.m_Body);
+      BOOST_TEST(Answer.streamEnded() == Streamed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(PlainServiceAnswersThroughEveryEntry) {
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    const Told Answer =
+        fleet().caller().call(fleet().desk(Index, "check", "", "{\"pass\":1}"));
+    BOOST_TEST(Answer.m_Status == 200U, Answer.m_Body);
+    BOOST_TEST(Answer.m_Run == "run");
+  }
+}
+
+// A rider's app sends a hold again, through another entry: it gets the first
+// answer, and the desk has held one seat.
+BOOST_AUTO_TEST_CASE(RepeatedKeyGetsTheFirstAnswer) {
+  const Told First =
+      fleet().caller().call(fleet().desk(0, "hold", "path-1", "{\"seat\":1}"));
+  BOOST_TEST(First.m_Status == 200U, First.m_Body);
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    const Told Again = fleet().caller().call(
+        fleet().desk(Index, "hold", "path-1", "{\"seat\":1}"));
+    BOOST_TEST(Again.m_Status == 200U);
+    BOOST_TEST(Again.m_Run == "run");
+    BOOST_TEST(Again.m_Body == First.m_Body);
+  }
+  std::size_t Ran = 0;
+  for (const RanCall &Each : fleet().ran("desk"))
+    Ran += Each.m_Key.find("path-1") != std::string::npos ? 1 : 0;
+  BOOST_TEST(Ran == 1U);
+}
+
+// A key used again with another body is the caller's mistake: it must not get
+// the first call's answer, and nothing runs.
+BOOST_AUTO_TEST_CASE(KeyWithAnotherBodyIsRefused) {
+  fleet().caller().call(fleet().desk(0, "hold", "path-2", "{\"seat\":1}"));
+  const Told Other =
+      fleet().caller().call(fleet().desk(1, "hold", "path-2", "{\"seat\":2}"));
+  BOOST_TEST(Other.m_Status == 422U);
+  BOOST_TEST(Other.code() == "key_reused");
+  BOOST_TEST(Other.m_Run == "not-run");
+}
+
+// Another workspace that guesses the key must not read the answer: to it the
+// key is new, and its own call runs.
+BOOST_AUTO_TEST_CASE(WorkspacesDoNotShareKeys) {
+  const Told Mine =
+      fleet().caller().call(fleet().desk(0, "hold", "path-3", "{\"seat\":1}"));
+  Call Theirs = fleet().desk(1, "hold", "path-3", "{\"seat\":1}");
+  Theirs.m_Headers["Authorization"] = "Bearer other-workspace-key";
+  const Told Other = fleet().caller().call(Theirs);
+  BOOST_TEST(Other.m_Status == 200U);
+  BOOST_TEST(Other.m_Body != Mine.m_Body);
+}
+
+BOOST_AUTO_TEST_CASE(BadInputIsATypedRefusalAndNothingRuns) {
+  const std::size_t RanBefore =
+      fleet().ran("writer").size() + fleet().ran("desk").size();
+  struct Row {
+    const char *m_Code;                  ///< Expected.
+    unsigned m_Status;                   ///< Expected.
+    std::function<void(Call &)> m_Spoil; ///< Makes a good call bad.
+  };
+  const Row Rows[] = {
+      {"malformed_body", 400, [](Call &C) { C.m_Body = "{\"messages\":"; }},
+      {"malformed_body", 400, [](Call &C) { C.m_Body = "{\"a\":\"\xff\"}"; }},
+      {"wrong_content_type", 415,
+       [](Call &C) { C.m_Headers["Content-Type"] = "text/plain"; }},
+      {"body_too_large", 413, [](Call &C) { C.m_Body.append(9U << 20U, ' '); }},
+      {"unknown_class", 404,
+       [](Call &C) { C.m_Headers["Crowstep-Class"] = "none"; }},
+      {"missing_key", 401, [](Call &C) { C.m_Headers.erase("Authorization"); }},
+      {"unknown_key", 401,
+       [](Call &C) { C.m_Headers["Authorization"] = "Bearer wrong"; }},
+      {"unknown_path", 404, [](Call &C) { C.m_Path = "/v1/nothing"; }},
+      {"header_too_large", 431,
+       [](Call &C) { C.m_Headers["X-Long"] = std::string(20000, 'x'); }},
+  };
+  for (const Row &Each : Rows) {
+    Call Bad = fleet().chat(0, "guide", 5, false);
+    Each.m_Spoil(Bad);
+    const Told Answer = fleet().caller().call(Bad);
+    BOOST_TEST(Answer.m_Status == Each.m_Status, Each.m_Code);
+    BOOST_TEST(Answer.code() == Each.m_Code);
+    BOOST_TEST(Answer.m_Run == "not-run", Each.m_Code);
+  }
+  const Told NoKey =
+      fleet().caller().call(fleet().desk(0, "hold", "", "{\"seat\":1}"));
+  BOOST_TEST(NoKey.code() == "key_required");
+  BOOST_TEST(fleet().ran("writer").size() + fleet().ran("desk").size() ==
+             RanBefore);
+  const Told Good = fleet().caller().call(fleet().chat(0, "guide", 5, false));
+  BOOST_TEST(Good.m_Status == 200U);
+}
+
+// Logs are read by people who may not see what callers write: neither keys nor
+// prompts nor answers may stand in them.
+BOOST_AUTO_TEST_CASE(NoSecretPromptOrAnswerInAnyLog) {
+  fleet().caller().call(
+      fleet().chat(0, "guide", 5, true, "a-very-private-prompt"));
+  const std::string Logs = fleet().logs();
+  for (const char *Secret : {"workspace-key", "a-very-private-prompt",
+                             "link-key-of-tests", "operator-key", "t0."})
+    BOOST_TEST(Logs.find(Secret) == std::string::npos, Secret);
+}
--- /dev/null
+++ b/tests/process/process.cpp
@@ -0,0 +1,135 @@
+/// Starting and ending of real processes.
+#include "process/process.h"
+
+#include "core/error.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <glib.h>
+#include <set>
+#include <sstream>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace crowstep::test {
+
+using namespace std::chrono_literals;
+
+TemporaryFolder::TemporaryFolder() {
+  std::string Pattern =
+      (std::filesystem::temp_directory_path() / "crowstep-XXXXXX").string();
+  if (mkdtemp(Pattern.data()) == nullptr)
+    throw Error("no temporary folder");
+  m_Path = Pattern;
+}
+
+TemporaryFolder::~TemporaryFolder() {
+  std::error_code Ignored;
+  std::filesystem::remove_all(m_Path, Ignored);
+}
+
+std::string TemporaryFolder::write(const std::string &Name,
+                                   const std::string &Text) const {
+  const std::string Path = m_Path + "/" + Name;
+  std::ofstream(Path) << Text;
+  return Path;
+}
+
+Process::Process(const TemporaryFolder &Folder, const std::string &Program,
+                 const std::string &Name, const std::string &Settings)
+    : m_LogPath(Folder.path() + "/" + Name + ".log") {
+  const std::string Config = Folder.write(Name + ".ini", Settings);
+  const std::string Path = std::string(CROWSTEP_BINARY_DIR) + "/" + Program;
+  const pid_t Parent = getpid();
+  m_Id = fork();
+  if (m_Id != 0)
+    return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (getppid() != Parent)
+    _exit(126);
+  const int Log =
+      open(m_LogPath.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
+  dup2(Log, STDOUT_FILENO);
+  dup2(Log, STDERR_FILENO);
+  execl(Path.c_str(), Path.c_str(), "--config", Config.c_str(), nullptr);
+  _exit(127);
+}
+
+Process::~Process() { kill(); }
+
+void Process::signal(int Number) const {
+  if (m_Id != 0)
+    ::kill(m_Id, Number);
+}
+
+bool Process::reap() {
+  int Status = 0;
+  if (m_Id == 0 || waitpid(m_Id, &Status, WNOHANG) != m_Id)
+    return m_Id == 0;
+  m_ExitCode = WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
+  m_Id = 0;
+  return true;
+}
+
+std::optional<int> Process::wait(Duration Limit) {
+  runUntil([this] { return reap(); }, Limit);
+  return m_ExitCode;
+}
+
+void Process::kill() {
+  signal(SIGKILL);
+  wait(10s);
+}
+
+bool Process::running() { return !reap(); }
+
+std::string Process::log() const {
+  std::ifstream File(m_LogPath);
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+std::uint16_t freePort() {
+  static std::set<std::uint16_t> Given;
+  for (;;) {
+    const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Where{};
+    Where.sin_family = AF_INET;
+    Where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Size = sizeof(Where);
+    bind(Socket, reinterpret_cast<sockaddr *>(&Where), sizeof(Where));
+    getsockname(Socket, reinterpret_cast<sockaddr *>(&Where), &Size);
+    close(Socket);
+    const std::uint16_t Port = ntohs(Where.sin_port);
+    if (Given.insert(Port).second)
+      return Port;
+  }
+}
+
+bool runUntil(const std::function<bool()> &Done, Duration Limit) {
+  constexpr int LookMilliseconds = 5;
+  const gint64 End = g_get_monotonic_time() + Limit.count();
+  // A timer wakes the loop, so that conditions outside it are seen too.
+  const guint Wake = g_timeout_add(
+      LookMilliseconds, [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; },
+      nullptr);
+  bool Met = Done();
+  while (!Met && g_get_monotonic_time() < End) {
+    g_main_context_iteration(nullptr, 1);
+    Met = Done();
+  }
+  g_source_remove(Wake);
+  return Met;
+}
+
+void runFor(Duration Span) {
+  runUntil([] { return false; }, Span);
+}
+
+} // namespace crowstep::test
