--- a/tests/process/owner_test.cpp
+++ b/tests/process/owner_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <glib.h>
 
 using namespace crowstep;
 using namespace crowstep::test;
