--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -21,7 +21,11 @@
       // Bids of an earlier start of this entry have lower numbers.
       m_Dispatched(m_Fleet, m_Alone, m_Guard, m_Clock, m_Timers,
                    static_cast<std::uint64_t>(g_get_real_time())),
-      m_Claims(m_Timers), m_Upstream(m_Clock, m_Timers),
+      m_Claims(m_Clock, m_Timers, m_Links,
+               [this](std::uint64_t Index) {
+                 return m_Fleet.linkToClaimHome(Index);
+               }),
+      m_Upstream(m_Clock, m_Timers),
       m_Service({m_Clock, m_Timers, chosenPlacement(), m_Claims, m_Upstream,
                  m_Http, m_Settings.m_Limits},
                 m_Directory,
@@ -36,6 +40,7 @@
   m_Fleet.onUpstreams([this] { m_Alone.refresh(); });
   m_Fleet.onFrame([this](link::LinkId Link, const wire::Frame &Frame) {
     m_Dispatched.frame(Link, Frame);
+    m_Claims.linkFrame(Frame);
   });
 }
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -2,10 +2,10 @@
 #ifndef CROWSTEP_ENTRY_ENTRY_H
 #define CROWSTEP_ENTRY_ENTRY_H
 
+#include "claim/claim_client.h"
 #include "core/program.h"
 #include "entry/dispatcher_placement.h"
 #include "entry/request_service.h"
-#include "entry/unavailable_claims.h"
 
 namespace crowstep::entry {
 
@@ -31,7 +31,7 @@
   link::TcpLinks m_Links;           ///< Under m_Fleet.
   LocalPlacement m_Alone;           ///< Baselines; no dispatcher reachable.
   DispatcherPlacement m_Dispatched; ///< Bids to the pools' owners.
-  UnavailableClaims m_Claims;       ///< Until claim homes can be asked.
+  claim::ClaimClient m_Claims;      ///< Through the claim homes.
   HttpUpstreamCaller m_Upstream;    ///< Streamed calls.
   HttpClient m_Http;                ///< Orders to engines.
   RequestService m_Service;         ///< Callers.
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -1,6 +1,7 @@
 /// The entry's links to the fleet's dispatchers.
 #include "entry/fleet.h"
 
+#include "claim/claim_client.h"
 #include "contract/contract_error.h"
 #include "contract/contract_func.h"
 #include "core/log.h"
@@ -95,6 +96,15 @@
   return {};
 }
 
+std::optional<link::LinkId> Fleet::linkToClaimHome(std::uint64_t Index) const {
+  for (const Member *Home : membership::homesOf(Index, 1, m_Members)) {
+    const link::LinkId Link = linkTo(Home->m_Id);
+    if (Link != link::LinkId())
+      return Link;
+  }
+  return std::nullopt;
+}
+
 link::LinkId Fleet::linkToOwner(PoolId Pool) const {
   const Member *Owner = membership::ownerOf(Pool, m_Members);
   return Owner == nullptr ? link::LinkId() : linkTo(Owner->m_Id);
@@ -155,6 +165,9 @@
     if (const Member *Owner =
             membership::ownerOf(poolIdOf(Service, 0), m_Members))
       Wanted.insert(Owner->m_Address);
+  for (std::uint64_t Index = 0; Index < claim::ClaimHomeCount; ++Index)
+    for (const Member *Home : membership::homesOf(Index, 1, m_Members))
+      Wanted.insert(Home->m_Address);
   for (const Address &Each : m_Dialled)
     if (!Wanted.contains(Each))
       m_Links->hangUp(Each);
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -44,6 +45,10 @@
   /// Returns the link to the owner of \p Pool, or none.
   [[nodiscard]] link::LinkId linkToOwner(PoolId Pool) const;
 
+  /// Returns the link to the claim home \p Index, if it is up.
+  [[nodiscard]] std::optional<link::LinkId>
+  linkToClaimHome(std::uint64_t Index) const;
+
   /// Returns the members as the home sees them.
   [[nodiscard]] const std::vector<membership::Member> &members() const {
     return m_Members;
