--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -9,6 +9,8 @@
 # fleet_wait URL                              waits until URL answers 200
 
 FLEET_PIDS=()
+FLEET_DISPATCHER_PIDS=() # By instance number.
+FLEET_ENTRY_PIDS=()      # By instance number.
 
 fleet_zones() {
   case $1 in
@@ -112,11 +114,17 @@
   fleet_wait http://127.0.0.1:7501/v1/load
 }
 
+fleet_start_dispatcher() {
+  fleet_start crowstep-dispatcher "dispatcher-$1"
+  FLEET_DISPATCHER_PIDS[$1]=${FLEET_PIDS[-1]}
+}
+
 fleet_start_instances() {
   local i
   for ((i = 1; i <= FLEET_COUNT; i++)); do
-    fleet_start crowstep-dispatcher "dispatcher-$i"
+    fleet_start_dispatcher "$i"
     fleet_start crowstep-entry "entry-$i"
+    FLEET_ENTRY_PIDS[i]=${FLEET_PIDS[-1]}
   done
   for ((i = 1; i <= FLEET_COUNT; i++)); do
     fleet_wait "http://127.0.0.1:$((7300 + i))/readyz"
