--- /dev/null
+++ b/tests/unit/attachment_test.cpp
@@ -0,0 +1,140 @@
+/// Entries attached to a dispatcher: which table version they all hold.
+#define BOOST_TEST_MODULE attachment
+#include "dispatcher/entry_attachments.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace crowstep;
+using namespace crowstep::dispatcher;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Links that keep what would be sent.
+class FakeLinks final : public link::Links {
+public:
+  void dial(const Address &) override {}
+  void hangUp(const Address &) override {}
+  wire::FrameT &outbox(link::LinkId Link) override { return m_Out[Link]; }
+  void close(link::LinkId) override {}
+
+  std::map<link::LinkId, wire::FrameT> m_Out; ///< By link.
+};
+
+struct Bench {
+  ManualClock m_Clock;                       ///< Advanced with the timers.
+  ManualScheduler m_Timers{m_Clock};         ///< Advanced by the test.
+  FakeLinks m_Links;                         ///< Keeps frames.
+  std::vector<membership::Member> m_Members; ///< Told to entries.
+  std::vector<Upstream> m_Upstreams;         ///< Told to entries.
+  std::vector<Workspace> m_Workspaces;       ///< Told to entries.
+  EntryAttachments m_Attached{
+      m_Clock, m_Timers, m_Links,
+      AttachmentSource{
+          [] { return true; },
+          [] { return false; }, [this]() -> const auto &{return m_Members;
+}, [this]() -> const auto & {
+  return m_Upstreams;
+}
+, [this]() -> const auto & { return m_Workspaces; }
+} // namespace
+}
+;
+
+void attach(std::uint64_t Link) {
+  link::Peer Who;
+  Who.m_Role = wire::Role::Entry;
+  Who.m_Name = "crowstep-" + std::to_string(Link);
+  m_Attached.linkUp(link::LinkId(Link), Who);
+}
+
+/// Lets the entry acknowledge \p Sequence, holding \p Version.
+void acknowledge(std::uint64_t Link, std::uint64_t Sequence,
+                 std::uint64_t Version) {
+  wire::FrameT Frame;
+  Frame.attachment_ack = std::make_unique<wire::AttachmentAckT>();
+  Frame.attachment_ack->sequence = Sequence;
+  Frame.attachment_ack->table_version = Version;
+  flatbuffers::FlatBufferBuilder Builder;
+  Builder.Finish(wire::Frame::Pack(Builder, &Frame));
+  m_Attached.linkFrame(link::LinkId(Link),
+                       *wire::GetFrame(Builder.GetBufferPointer()));
+}
+
+std::uint64_t held() const {
+  return m_Attached.heldByAll(TableVersion(99)).value();
+}
+}
+;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(TheSlowestEntryCounts) {
+  Bench Test;
+  BOOST_TEST(Test.held() == 99U);
+  Test.attach(1);
+  Test.attach(2);
+  Test.acknowledge(1, 1, 5);
+  Test.acknowledge(2, 2, 4);
+  BOOST_TEST(Test.held() == 4U);
+  Test.acknowledge(2, 3, 5);
+  BOOST_TEST(Test.held() == 5U);
+}
+
+// An entry is frozen while the operator changes the table. The change may be
+// called accepted only once the entry can no longer serve the old one, which is
+// 3 s after the last acknowledgement that it sent; then it must not hold the
+// operator up any longer.
+BOOST_AUTO_TEST_CASE(SilentEntryCountsUntilItsRightHasLapsed) {
+  Bench Test;
+  Test.attach(1);
+  Test.acknowledge(1, 1, 4);
+  Test.m_Timers.advance(2900ms);
+  BOOST_TEST(Test.held() == 4U);
+  Test.m_Timers.advance(200ms);
+  BOOST_TEST(Test.held() == 99U);
+}
+
+// A cut link does not end an entry's right to serve at once: until its 3 s are
+// over it may still serve what it last held.
+BOOST_AUTO_TEST_CASE(DetachedEntryCountsUntilItsRightHasLapsed) {
+  Bench Test;
+  Test.attach(1);
+  Test.acknowledge(1, 1, 4);
+  Test.m_Timers.advance(1s);
+  Test.m_Attached.linkDown(link::LinkId(1));
+  Test.m_Timers.advance(1900ms);
+  BOOST_TEST(Test.held() == 4U);
+  Test.m_Timers.advance(200ms);
+  BOOST_TEST(Test.held() == 99U);
+}
+
+// The entry's right runs from the sending of the acknowledgement that comes
+// back, so every attachment must carry the last one received.
+BOOST_AUTO_TEST_CASE(AttachmentsEchoTheLastAcknowledgement) {
+  Bench Test;
+  Test.attach(1);
+  Test.acknowledge(1, 7, 4);
+  Test.m_Timers.advance(600ms);
+  const auto &Sent = Test.m_Links.m_Out[link::LinkId(1)].attachment;
+  BOOST_REQUIRE(Sent != nullptr);
+  BOOST_TEST(Sent->acked == 7U);
+}
+
+// Two attachments in one loop iteration share a frame; the members of the
+// first must not be lost with it, or the entry never learns who owns its pool.
+BOOST_AUTO_TEST_CASE(WholeListsSurviveAJoinedFrame) {
+  Bench Test;
+  Test.m_Members.push_back({InstanceId(1),
+                            "crowstep-1",
+                            Incarnation(1),
+                            membership::MemberState::Alive,
+                            {},
+                            {},
+                            {}});
+  Test.attach(1);
+  Test.m_Attached.upstreamsChanged();
+  const auto &Sent = Test.m_Links.m_Out[link::LinkId(1)].attachment;
+  BOOST_REQUIRE(Sent != nullptr);
+  BOOST_TEST(Sent->members.size() == 1U);
+}
