Fix: Let an instance that starts during an outage know callers and upstreams

Cause: workspaces and upstreams were read from the platform only. An instance that started while the table service was down learned the table from its peers but no workspace, and its entry refused every caller for good as unknown; one that started just before the platform waited 5 s for its second reading. Seen by AcceptedIsInForceAtEveryEntryAndStays and LostAnswerToACommitIsResolved as 401 answers. Dispatchers now tell a new peer what they have read, the first reading is tried every 500 ms, and an entry that knows no workspace has no right to serve. Ruled out: refusing with 503 at the lookup alone, which leaves the instance useless for as long as the outage lasts.

--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -2,6 +2,7 @@
 #include "dispatcher/dispatcher.h"
 
 #include "core/log.h"
+#include "knowledge_wire.h"
 
 namespace crowstep::dispatcher {
 
@@ -126,6 +127,30 @@
   m_Table.linkUp(Link, Who);
   m_Pools.linkUp(Link, Who);
   m_Entries.linkUp(Link, Who);
+  if (Who.m_Role == wire::Role::Dispatcher)
+    tellKnowledge(Link);
+}
+
+void Dispatcher::tellKnowledge(link::LinkId Link) {
+  auto Out = std::make_unique<wire::KnowledgeT>();
+  for (const Upstream &Each : m_Upstreams.upstreams())
+    Out->upstreams.push_back(toWire(Each));
+  for (const Workspace &Each : m_Workspaces.workspaces())
+    Out->workspaces.push_back(toWire(Each));
+  m_Links.outbox(Link).knowledge = std::move(Out);
+}
+
+void Dispatcher::learn(const wire::Knowledge &From) {
+  std::vector<Upstream> Upstreams;
+  if (From.upstreams() != nullptr)
+    for (const wire::UpstreamInfo *Each : *From.upstreams())
+      Upstreams.push_back(fromWire(*Each));
+  std::vector<Workspace> Workspaces;
+  if (From.workspaces() != nullptr)
+    for (const wire::WorkspaceInfo *Each : *From.workspaces())
+      Workspaces.push_back(fromWire(*Each));
+  m_Upstreams.learn(std::move(Upstreams));
+  m_Workspaces.learn(std::move(Workspaces));
 }
 
 void Dispatcher::linkFrame(link::LinkId Link, const wire::Frame &Frame) {
@@ -134,6 +159,8 @@
   m_Entries.linkFrame(Link, Frame);
   m_Pools.linkFrame(Link, Frame);
   m_Claims.linkFrame(Link, Frame);
+  if (Frame.knowledge() != nullptr)
+    learn(*Frame.knowledge());
 }
 
 void Dispatcher::linkDown(link::LinkId Link, const link::Peer &Who,
--- a/src/dispatcher/dispatcher.h
+++ b/src/dispatcher/dispatcher.h
@@ -32,6 +32,8 @@
 
   AttachmentSource attachmentSource();
   void connectParts();
+  void tellKnowledge(link::LinkId Link);
+  void learn(const wire::Knowledge &From);
   void watchRight();
 
   DispatcherSettings m_Settings;       ///< As read.
--- a/src/dispatcher/entry_attachments.cpp
+++ b/src/dispatcher/entry_attachments.cpp
@@ -2,6 +2,7 @@
 #include "dispatcher/entry_attachments.h"
 
 #include "core/log.h"
+#include "knowledge_wire.h"
 
 #include <algorithm>
 
@@ -144,34 +145,13 @@
 }
 
 void EntryAttachments::addUpstreams(wire::AttachmentT &Out) const {
-  for (const Upstream &Each : m_Source.m_Upstreams()) {
-    auto Row = std::make_unique<wire::UpstreamInfoT>();
-    Row->name = Each.m_Name;
-    Row->service = Each.m_Service;
-    Row->ip = Each.m_Address.m_Ip;
-    Row->port = Each.m_Address.m_Port;
-    Row->zone = Each.m_Zone.m_Name;
-    Row->leaving = Each.m_Leaving;
-    if (const auto *AsEngine = std::get_if<Engine>(&Each.m_Kind)) {
-      Row->engine = true;
-      Row->slots = AsEngine->m_Slots;
-      Row->resumes = AsEngine->m_CanResume;
-      Row->models = AsEngine->m_Models;
-    } else {
-      Row->slots = std::get<PlainService>(Each.m_Kind).m_Slots;
-    }
-    Out.upstreams.push_back(std::move(Row));
-  }
+  for (const Upstream &Each : m_Source.m_Upstreams())
+    Out.upstreams.push_back(toWire(Each));
 }
 
 void EntryAttachments::addWorkspaces(wire::AttachmentT &Out) const {
-  for (const Workspace &Each : m_Source.m_Workspaces()) {
-    auto Row = std::make_unique<wire::WorkspaceInfoT>();
-    Row->id = Each.m_Id.value();
-    Row->name = Each.m_Name;
-    Row->key_hash = Each.m_KeyHash;
-    Out.workspaces.push_back(std::move(Row));
-  }
+  for (const Workspace &Each : m_Source.m_Workspaces())
+    Out.workspaces.push_back(toWire(Each));
 }
 
 } // namespace crowstep::dispatcher
--- a/src/dispatcher/upstream_directory.cpp
+++ b/src/dispatcher/upstream_directory.cpp
@@ -43,9 +43,17 @@
   m_DrainTimer.start(m_FirstDelay, [this] { readDrains(); });
 }
 
+void UpstreamDirectory::learn(std::vector<Upstream> FromPeer) {
+  if (m_HasRead || FromPeer.empty())
+    return;
+  m_Listing.m_Upstreams = std::move(FromPeer);
+  rebuild();
+}
+
 void UpstreamDirectory::readList() {
   m_List.fetch([this](platform::InstanceList::Result Outcome) {
     if (auto *Listing = std::get_if<platform::InstanceListing>(&Outcome)) {
+      m_HasRead = true;
       m_Listing = std::move(*Listing);
       rebuild();
     }
--- a/src/dispatcher/upstream_directory.h
+++ b/src/dispatcher/upstream_directory.h
@@ -28,6 +28,9 @@
 
   void start();
 
+  /// Takes what a peer has read, while nothing was read here yet.
+  void learn(std::vector<Upstream> FromPeer);
+
   /// Calls \p Job after each reading that changed anything.
   void onChange(std::function<void()> Job) { m_Changed = std::move(Job); }
 
@@ -71,7 +74,8 @@
   Duration m_FirstDelay;               ///< Before the first drains are read.
   Timer m_ListTimer;                   ///< For the next reading of the list.
   Timer m_DrainTimer;                  ///< For the next reading of drains.
-  platform::InstanceListing m_Listing; ///< As last read.
+  bool m_HasRead = false;              ///< From the list itself.
+  platform::InstanceListing m_Listing; ///< As last read or learned.
   std::map<std::string, platform::RowVersion> m_Drains; ///< Rows present.
   std::vector<Upstream> m_Upstreams; ///< Listing and drains together.
   std::function<void()> m_Changed;   ///< May be empty.
--- a/src/dispatcher/workspace_directory.cpp
+++ b/src/dispatcher/workspace_directory.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Between readings until the first one succeeds: callers are refused as
+/// unknown until then.
+constexpr Duration FirstReadInterval = std::chrono::milliseconds(500);
+
 /// Returns the workspace of a row; a row that can't be read is left out and
 /// logged, so that one bad row does not lock out all the others.
 std::optional<Workspace> workspaceOf(const platform::Row &Row) {
@@ -43,15 +47,26 @@
           for (const platform::Row &Row : *Rows)
             if (std::optional<Workspace> Each = workspaceOf(Row))
               Fresh.push_back(std::move(*Each));
-          const bool Changed = Fresh != m_Workspaces;
-          m_Workspaces = std::move(Fresh);
-          if (Changed && m_Changed)
-            m_Changed();
+          m_HasRead = true;
+          replace(std::move(Fresh));
         }
-        m_Timer.start(m_Interval, [this] { read(); });
+        m_Timer.start(m_HasRead ? m_Interval : FirstReadInterval,
+                      [this] { read(); });
       });
 }
 
+void WorkspaceDirectory::learn(std::vector<Workspace> FromPeer) {
+  if (!m_HasRead && !FromPeer.empty())
+    replace(std::move(FromPeer));
+}
+
+void WorkspaceDirectory::replace(std::vector<Workspace> Fresh) {
+  const bool Changed = Fresh != m_Workspaces;
+  m_Workspaces = std::move(Fresh);
+  if (Changed && m_Changed)
+    m_Changed();
+}
+
 const Workspace *
 WorkspaceDirectory::operatorWith(const std::string &Key) const {
   const std::string Hash = sha256Hex(Key);
--- a/src/dispatcher/workspace_directory.h
+++ b/src/dispatcher/workspace_directory.h
@@ -12,16 +12,6 @@
 
 namespace crowstep::dispatcher {
 
-/// A customer, or an operator.
-struct Workspace {
-  WorkspaceId m_Id;        ///< Stable number.
-  std::string m_Name;      ///< For operators and logs.
-  std::string m_KeyHash;   ///< SHA-256 of its key, in hex.
-  bool m_Operator = false; ///< May use the administration API.
-
-  bool operator==(const Workspace &) const = default;
-};
-
 /// Reads the workspaces again and again; the last reading stays in use while
 /// the table service is down.
 class WorkspaceDirectory {
@@ -31,6 +21,10 @@
 
   void start() { read(); }
 
+  /// Takes what a peer has read, while nothing was read here yet: an instance
+  /// that starts while the table service is down must know its callers' keys.
+  void learn(std::vector<Workspace> FromPeer);
+
   /// Calls \p Job after each reading that changed anything.
   void onChange(std::function<void()> Job) { m_Changed = std::move(Job); }
 
@@ -43,11 +37,13 @@
 
 private:
   void read();
+  void replace(std::vector<Workspace> Fresh);
 
   platform::TableService &m_Store;     ///< Outlives this object.
   Duration m_Interval;                 ///< Between readings, > 0.
   Timer m_Timer;                       ///< For the next reading.
-  std::vector<Workspace> m_Workspaces; ///< As last read.
+  bool m_HasRead = false;              ///< From the table service itself.
+  std::vector<Workspace> m_Workspaces; ///< As last read or learned.
   std::function<void()> m_Changed;     ///< May be empty.
 };
 
--- a/src/entry/directory.cpp
+++ b/src/entry/directory.cpp
@@ -1,19 +1,12 @@
 /// Table, upstreams and workspaces in force.
 #include "entry/directory.h"
 
+#include "core/digest.h"
+
 #include <algorithm>
-#include <glib.h>
 
 namespace crowstep::entry {
 
-std::string sha256Hex(const std::string &Text) {
-  char *Hex = g_compute_checksum_for_string(G_CHECKSUM_SHA256, Text.data(),
-                                            static_cast<gssize>(Text.size()));
-  std::string Result(Hex);
-  g_free(Hex);
-  return Result;
-}
-
 bool Directory::setTable(ContractTable Table) {
   if (Table.m_Version <= m_Table.m_Version)
     return false;
--- a/src/entry/directory.h
+++ b/src/entry/directory.h
@@ -36,6 +36,10 @@
   /// Returns the row of the class, or null.
   [[nodiscard]] const Contract *contract(const std::string &Class) const;
 
+  /// Returns whether any workspace is known. Before that no caller's key can be
+  /// told from a wrong one.
+  [[nodiscard]] bool knowsWorkspaces() const { return !m_ByKeyHash.empty(); }
+
   /// Returns the workspace whose key is \p Key. Keys are looked up by their
   /// hash: the entry keeps none, and the time taken tells nothing of one.
   [[nodiscard]] std::optional<WorkspaceId>
@@ -47,9 +51,6 @@
   std::unordered_map<std::string, WorkspaceId> m_ByKeyHash; ///< Workspaces.
 };
 
-/// Returns the SHA-256 of \p Text in lower-case hex.
-std::string sha256Hex(const std::string &Text);
-
 } // namespace crowstep::entry
 
 #endif // CROWSTEP_ENTRY_DIRECTORY_H
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -5,6 +5,7 @@
 #include "contract/contract_error.h"
 #include "contract/contract_func.h"
 #include "core/log.h"
+#include "knowledge_wire.h"
 
 #include <algorithm>
 
@@ -30,28 +31,6 @@
   return Out;
 }
 
-Upstream upstreamOf(const wire::UpstreamInfo &In) {
-  Upstream Out;
-  Out.m_Name = In.name() == nullptr ? "" : In.name()->str();
-  Out.m_Id = UpstreamId(instanceIdOf(Out.m_Name).value());
-  Out.m_Service = In.service() == nullptr ? "" : In.service()->str();
-  Out.m_Address = {In.ip(), In.port()};
-  Out.m_Zone.m_Name = In.zone() == nullptr ? "" : In.zone()->str();
-  Out.m_Leaving = In.leaving();
-  if (!In.engine()) {
-    Out.m_Kind = PlainService{In.slots()};
-    return Out;
-  }
-  Engine Kind;
-  Kind.m_Slots = In.slots();
-  Kind.m_CanResume = In.resumes();
-  if (In.models() != nullptr)
-    for (const auto *Model : *In.models())
-      Kind.m_Models.push_back(Model->str());
-  Out.m_Kind = std::move(Kind);
-  return Out;
-}
-
 WorkspaceRow workspaceOf(const wire::WorkspaceInfo &In) {
   return {WorkspaceId(In.id()),
           In.key_hash() == nullptr ? "" : In.key_hash()->str()};
@@ -83,7 +62,9 @@
 
 bool Fleet::rightToServe() const {
   const TimePoint Now = m_Clock.fresh();
+  // Without workspaces every caller would be refused for good as unknown.
   return m_Directory.table().m_Version != TableVersion() &&
+         m_Directory.knowsWorkspaces() &&
          std::any_of(m_Up.begin(), m_Up.end(), [&](const auto &Each) {
            return Each.second.m_Right && Now < Each.second.m_ServesUntil;
          });
@@ -245,7 +226,8 @@
   }
   const bool Members = replaceRows(What.members(), From.m_Members, memberOf);
   const bool Upstreams =
-      replaceRows(What.upstreams(), From.m_Upstreams, upstreamOf);
+      replaceRows(What.upstreams(), From.m_Upstreams,
+                  [](const wire::UpstreamInfo &Row) { return fromWire(Row); });
   const bool Workspaces =
       replaceRows(What.workspaces(), From.m_Workspaces, workspaceOf);
   if (&From == home()) {
--- /dev/null
+++ b/src/knowledge_wire.h
@@ -0,0 +1,22 @@
+/// Upstreams and workspaces as they stand in frames.
+#ifndef CROWSTEP_KNOWLEDGE_WIRE_H
+#define CROWSTEP_KNOWLEDGE_WIRE_H
+
+#include "upstream_type.h"
+#include "wire/crowstep_generated.h"
+#include "workspace_type.h"
+
+#include <memory>
+
+namespace crowstep {
+
+std::unique_ptr<wire::UpstreamInfoT> toWire(const Upstream &What);
+std::unique_ptr<wire::WorkspaceInfoT> toWire(const Workspace &What);
+
+/// Returns what a peer sent; absent texts are empty.
+Upstream fromWire(const wire::UpstreamInfo &What);
+Workspace fromWire(const wire::WorkspaceInfo &What);
+
+} // namespace crowstep
+
+#endif // CROWSTEP_KNOWLEDGE_WIRE_H
--- a/src/platform/platform_codec.cpp
+++ b/src/platform/platform_codec.cpp
@@ -6,7 +6,6 @@
 #include "platform/platform_error.h"
 
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 namespace crowstep::platform {
 
@@ -65,8 +64,7 @@
 Upstream upstreamOf(const json &Value) {
   Upstream Result;
   Result.m_Name = Value.at("name").get<std::string>();
-  Result.m_Id =
-      UpstreamId(XXH3_64bits(Result.m_Name.data(), Result.m_Name.size()));
+  Result.m_Id = upstreamIdOf(Result.m_Name);
   Result.m_Service = Value.at("service").get<std::string>();
   Result.m_Address = parseAddress(Value.at("address").get<std::string>());
   Result.m_Zone.m_Name = Value.at("zone").get<std::string>();
--- a/src/upstream_type.h
+++ b/src/upstream_type.h
@@ -17,6 +17,9 @@
 /// a shard of one; a hash of "service/shard".
 using PoolId = StrongId<struct PoolTag, std::uint64_t>;
 
+/// Returns the id of the upstream called \p Name.
+UpstreamId upstreamIdOf(const std::string &Name);
+
 /// Returns the id of the pool of \p Service and \p Shard.
 PoolId poolIdOf(const std::string &Service, std::uint32_t Shard);
 
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -94,6 +94,10 @@
 struct WorkspaceInfoBuilder;
 struct WorkspaceInfoT;
 
+struct Knowledge;
+struct KnowledgeBuilder;
+struct KnowledgeT;
+
 struct Attachment;
 struct AttachmentBuilder;
 struct AttachmentT;
@@ -2047,6 +2051,7 @@
   bool resumes = false;
   bool leaving = false;
   std::vector<std::string> models{};
+  bool checks_fencing = false;
 };
 
 struct UpstreamInfo FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2063,7 +2068,8 @@
     VT_SLOTS = 16,
     VT_RESUMES = 18,
     VT_LEAVING = 20,
-    VT_MODELS = 22
+    VT_MODELS = 22,
+    VT_CHECKS_FENCING = 24
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -2095,6 +2101,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *models() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_MODELS);
   }
+  bool checks_fencing() const {
+    return GetField<uint8_t>(VT_CHECKS_FENCING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -2112,6 +2121,7 @@
            VerifyOffset(verifier, VT_MODELS) &&
            verifier.VerifyVector(models()) &&
            verifier.VerifyVectorOfStrings(models()) &&
+           VerifyField<uint8_t>(verifier, VT_CHECKS_FENCING, 1) &&
            verifier.EndTable();
   }
   UpstreamInfoT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2153,6 +2163,9 @@
   void add_models(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> models) {
     fbb_.AddOffset(UpstreamInfo::VT_MODELS, models);
   }
+  void add_checks_fencing(bool checks_fencing) {
+    fbb_.AddElement<uint8_t>(UpstreamInfo::VT_CHECKS_FENCING, static_cast<uint8_t>(checks_fencing), 0);
+  }
   explicit UpstreamInfoBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2175,7 +2188,8 @@
     uint32_t slots = 0,
     bool resumes = false,
     bool leaving = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> models = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> models = 0,
+    bool checks_fencing = false) {
   UpstreamInfoBuilder builder_(_fbb);
   builder_.add_models(models);
   builder_.add_slots(slots);
@@ -2184,6 +2198,7 @@
   builder_.add_service(service);
   builder_.add_name(name);
   builder_.add_port(port);
+  builder_.add_checks_fencing(checks_fencing);
   builder_.add_leaving(leaving);
   builder_.add_resumes(resumes);
   builder_.add_engine(engine);
@@ -2206,7 +2221,8 @@
     uint32_t slots = 0,
     bool resumes = false,
     bool leaving = false,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *models = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *models = nullptr,
+    bool checks_fencing = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -2222,7 +2238,8 @@
       slots,
       resumes,
       leaving,
-      models__);
+      models__,
+      checks_fencing);
 }
 
 flatbuffers::Offset<UpstreamInfo> CreateUpstreamInfo(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamInfoT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2232,6 +2249,7 @@
   uint32_t id = 0;
   std::string name{};
   std::string key_hash{};
+  bool is_operator = false;
 };
 
 struct WorkspaceInfo FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2241,7 +2259,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_NAME = 6,
-    VT_KEY_HASH = 8
+    VT_KEY_HASH = 8,
+    VT_IS_OPERATOR = 10
   };
   uint32_t id() const {
     return GetField<uint32_t>(VT_ID, 0);
@@ -2252,6 +2271,9 @@
   const flatbuffers::String *key_hash() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY_HASH);
   }
+  bool is_operator() const {
+    return GetField<uint8_t>(VT_IS_OPERATOR, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_ID, 4) &&
@@ -2259,6 +2281,7 @@
            verifier.VerifyString(name()) &&
            VerifyOffset(verifier, VT_KEY_HASH) &&
            verifier.VerifyString(key_hash()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_OPERATOR, 1) &&
            verifier.EndTable();
   }
   WorkspaceInfoT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2279,6 +2302,9 @@
   void add_key_hash(flatbuffers::Offset<flatbuffers::String> key_hash) {
     fbb_.AddOffset(WorkspaceInfo::VT_KEY_HASH, key_hash);
   }
+  void add_is_operator(bool is_operator) {
+    fbb_.AddElement<uint8_t>(WorkspaceInfo::VT_IS_OPERATOR, static_cast<uint8_t>(is_operator), 0);
+  }
   explicit WorkspaceInfoBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2294,11 +2320,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t id = 0,
     flatbuffers::Offset<flatbuffers::String> name = 0,
-    flatbuffers::Offset<flatbuffers::String> key_hash = 0) {
+    flatbuffers::Offset<flatbuffers::String> key_hash = 0,
+    bool is_operator = false) {
   WorkspaceInfoBuilder builder_(_fbb);
   builder_.add_key_hash(key_hash);
   builder_.add_name(name);
   builder_.add_id(id);
+  builder_.add_is_operator(is_operator);
   return builder_.Finish();
 }
 
@@ -2311,18 +2339,109 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t id = 0,
     const char *name = nullptr,
-    const char *key_hash = nullptr) {
+    const char *key_hash = nullptr,
+    bool is_operator = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto key_hash__ = key_hash ? _fbb.CreateString(key_hash) : 0;
   return crowstep::wire::CreateWorkspaceInfo(
       _fbb,
       id,
       name__,
-      key_hash__);
+      key_hash__,
+      is_operator);
 }
 
 flatbuffers::Offset<WorkspaceInfo> CreateWorkspaceInfo(flatbuffers::FlatBufferBuilder &_fbb, const WorkspaceInfoT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct KnowledgeT : public flatbuffers::NativeTable {
+  typedef Knowledge TableType;
+  std::vector<std::unique_ptr<crowstep::wire::UpstreamInfoT>> upstreams{};
+  std::vector<std::unique_ptr<crowstep::wire::WorkspaceInfoT>> workspaces{};
+  KnowledgeT() = default;
+  KnowledgeT(const KnowledgeT &o);
+  KnowledgeT(KnowledgeT&&) FLATBUFFERS_NOEXCEPT = default;
+  KnowledgeT &operator=(KnowledgeT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct Knowledge FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef KnowledgeT NativeTableType;
+  typedef KnowledgeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAMS = 4,
+    VT_WORKSPACES = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>> *upstreams() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>> *>(VT_UPSTREAMS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>> *workspaces() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>> *>(VT_WORKSPACES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_UPSTREAMS) &&
+           verifier.VerifyVector(upstreams()) &&
+           verifier.VerifyVectorOfTables(upstreams()) &&
+           VerifyOffset(verifier, VT_WORKSPACES) &&
+           verifier.VerifyVector(workspaces()) &&
+           verifier.VerifyVectorOfTables(workspaces()) &&
+           verifier.EndTable();
+  }
+  KnowledgeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(KnowledgeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Knowledge> Pack(flatbuffers::FlatBufferBuilder &_fbb, const KnowledgeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct KnowledgeBuilder {
+  typedef Knowledge Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstreams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>>> upstreams) {
+    fbb_.AddOffset(Knowledge::VT_UPSTREAMS, upstreams);
+  }
+  void add_workspaces(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>>> workspaces) {
+    fbb_.AddOffset(Knowledge::VT_WORKSPACES, workspaces);
+  }
+  explicit KnowledgeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Knowledge> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Knowledge>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Knowledge> CreateKnowledge(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>>> upstreams = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>>> workspaces = 0) {
+  KnowledgeBuilder builder_(_fbb);
+  builder_.add_workspaces(workspaces);
+  builder_.add_upstreams(upstreams);
+  return builder_.Finish();
+}
+
+struct Knowledge::Traits {
+  using type = Knowledge;
+  static auto constexpr Create = CreateKnowledge;
+};
+
+inline flatbuffers::Offset<Knowledge> CreateKnowledgeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>> *upstreams = nullptr,
+    const std::vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>> *workspaces = nullptr) {
+  auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>>(*upstreams) : 0;
+  auto workspaces__ = workspaces ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>>(*workspaces) : 0;
+  return crowstep::wire::CreateKnowledge(
+      _fbb,
+      upstreams__,
+      workspaces__);
+}
+
+flatbuffers::Offset<Knowledge> CreateKnowledge(flatbuffers::FlatBufferBuilder &_fbb, const KnowledgeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct AttachmentT : public flatbuffers::NativeTable {
   typedef Attachment TableType;
   uint64_t sequence = 0;
@@ -2889,6 +3008,7 @@
   std::unique_ptr<crowstep::wire::TableProbeT> table_probe{};
   std::unique_ptr<crowstep::wire::TableProbeAckT> table_probe_ack{};
   std::vector<crowstep::wire::MemberNews> member_news{};
+  std::unique_ptr<crowstep::wire::KnowledgeT> knowledge{};
   FrameT() = default;
   FrameT(const FrameT &o);
   FrameT(FrameT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2924,7 +3044,8 @@
     VT_CLAIM_REPLIES = 46,
     VT_TABLE_PROBE = 48,
     VT_TABLE_PROBE_ACK = 50,
-    VT_MEMBER_NEWS = 52
+    VT_MEMBER_NEWS = 52,
+    VT_KNOWLEDGE = 54
   };
   const crowstep::wire::Hello *hello() const {
     return GetPointer<const crowstep::wire::Hello *>(VT_HELLO);
@@ -3001,6 +3122,9 @@
   const flatbuffers::Vector<const crowstep::wire::MemberNews *> *member_news() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::MemberNews *> *>(VT_MEMBER_NEWS);
   }
+  const crowstep::wire::Knowledge *knowledge() const {
+    return GetPointer<const crowstep::wire::Knowledge *>(VT_KNOWLEDGE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HELLO) &&
@@ -3059,6 +3183,8 @@
            verifier.VerifyTable(table_probe_ack()) &&
            VerifyOffset(verifier, VT_MEMBER_NEWS) &&
            verifier.VerifyVector(member_news()) &&
+           VerifyOffset(verifier, VT_KNOWLEDGE) &&
+           verifier.VerifyTable(knowledge()) &&
            verifier.EndTable();
   }
   FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3145,6 +3271,9 @@
   void add_member_news(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::MemberNews *>> member_news) {
     fbb_.AddOffset(Frame::VT_MEMBER_NEWS, member_news);
   }
+  void add_knowledge(flatbuffers::Offset<crowstep::wire::Knowledge> knowledge) {
+    fbb_.AddOffset(Frame::VT_KNOWLEDGE, knowledge);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3182,8 +3311,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>>> claim_replies = 0,
     flatbuffers::Offset<crowstep::wire::TableProbe> table_probe = 0,
     flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::MemberNews *>> member_news = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::MemberNews *>> member_news = 0,
+    flatbuffers::Offset<crowstep::wire::Knowledge> knowledge = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_knowledge(knowledge);
   builder_.add_member_news(member_news);
   builder_.add_table_probe_ack(table_probe_ack);
   builder_.add_table_probe(table_probe);
@@ -3243,7 +3374,8 @@
     const std::vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *claim_replies = nullptr,
     flatbuffers::Offset<crowstep::wire::TableProbe> table_probe = 0,
     flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0,
-    const std::vector<crowstep::wire::MemberNews> *member_news = nullptr) {
+    const std::vector<crowstep::wire::MemberNews> *member_news = nullptr,
+    flatbuffers::Offset<crowstep::wire::Knowledge> knowledge = 0) {
   auto bids__ = bids ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Bid>>(*bids) : 0;
   auto grants__ = grants ? _fbb.CreateVectorOfStructs<crowstep::wire::Grant>(*grants) : 0;
   auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<crowstep::wire::Refusal>(*refusals) : 0;
@@ -3284,7 +3416,8 @@
       claim_replies__,
       table_probe,
       table_probe_ack,
-      member_news__);
+      member_news__,
+      knowledge);
 }
 
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3794,6 +3927,7 @@
   { auto _e = resumes(); _o->resumes = _e; }
   { auto _e = leaving(); _o->leaving = _e; }
   { auto _e = models(); if (_e) { _o->models.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->models[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = checks_fencing(); _o->checks_fencing = _e; }
 }
 
 inline flatbuffers::Offset<UpstreamInfo> UpstreamInfo::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamInfoT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3814,6 +3948,7 @@
   auto _resumes = _o->resumes;
   auto _leaving = _o->leaving;
   auto _models = _o->models.size() ? _fbb.CreateVectorOfStrings(_o->models) : 0;
+  auto _checks_fencing = _o->checks_fencing;
   return crowstep::wire::CreateUpstreamInfo(
       _fbb,
       _name,
@@ -3825,7 +3960,8 @@
       _slots,
       _resumes,
       _leaving,
-      _models);
+      _models,
+      _checks_fencing);
 }
 
 inline WorkspaceInfoT *WorkspaceInfo::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3840,6 +3976,7 @@
   { auto _e = id(); _o->id = _e; }
   { auto _e = name(); if (_e) _o->name = _e->str(); }
   { auto _e = key_hash(); if (_e) _o->key_hash = _e->str(); }
+  { auto _e = is_operator(); _o->is_operator = _e; }
 }
 
 inline flatbuffers::Offset<WorkspaceInfo> WorkspaceInfo::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkspaceInfoT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3853,11 +3990,55 @@
   auto _id = _o->id;
   auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
   auto _key_hash = _o->key_hash.empty() ? 0 : _fbb.CreateString(_o->key_hash);
+  auto _is_operator = _o->is_operator;
   return crowstep::wire::CreateWorkspaceInfo(
       _fbb,
       _id,
       _name,
-      _key_hash);
+      _key_hash,
+      _is_operator);
+}
+
+inline KnowledgeT::KnowledgeT(const KnowledgeT &o) {
+  upstreams.reserve(o.upstreams.size());
+  for (const auto &upstreams_ : o.upstreams) { upstreams.emplace_back((upstreams_) ? new crowstep::wire::UpstreamInfoT(*upstreams_) : nullptr); }
+  workspaces.reserve(o.workspaces.size());
+  for (const auto &workspaces_ : o.workspaces) { workspaces.emplace_back((workspaces_) ? new crowstep::wire::WorkspaceInfoT(*workspaces_) : nullptr); }
+}
+
+inline KnowledgeT &KnowledgeT::operator=(KnowledgeT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(upstreams, o.upstreams);
+  std::swap(workspaces, o.workspaces);
+  return *this;
+}
+
+inline KnowledgeT *Knowledge::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<KnowledgeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Knowledge::UnPackTo(KnowledgeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = upstreams(); if (_e) { _o->upstreams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreams[_i] = std::unique_ptr<crowstep::wire::UpstreamInfoT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = workspaces(); if (_e) { _o->workspaces.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->workspaces[_i] = std::unique_ptr<crowstep::wire::WorkspaceInfoT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<Knowledge> Knowledge::Pack(flatbuffers::FlatBufferBuilder &_fbb, const KnowledgeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateKnowledge(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Knowledge> CreateKnowledge(flatbuffers::FlatBufferBuilder &_fbb, const KnowledgeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const KnowledgeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _upstreams = _o->upstreams.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>> (_o->upstreams.size(), [](size_t i, _VectorArgs *__va) { return CreateUpstreamInfo(*__va->__fbb, __va->__o->upstreams[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _workspaces = _o->workspaces.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>> (_o->workspaces.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkspaceInfo(*__va->__fbb, __va->__o->workspaces[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return crowstep::wire::CreateKnowledge(
+      _fbb,
+      _upstreams,
+      _workspaces);
 }
 
 inline AttachmentT::AttachmentT(const AttachmentT &o)
@@ -4067,7 +4248,8 @@
         attachment_ack((o.attachment_ack) ? new crowstep::wire::AttachmentAckT(*o.attachment_ack) : nullptr),
         table_probe((o.table_probe) ? new crowstep::wire::TableProbeT(*o.table_probe) : nullptr),
         table_probe_ack((o.table_probe_ack) ? new crowstep::wire::TableProbeAckT(*o.table_probe_ack) : nullptr),
-        member_news(o.member_news) {
+        member_news(o.member_news),
+        knowledge((o.knowledge) ? new crowstep::wire::KnowledgeT(*o.knowledge) : nullptr) {
   bids.reserve(o.bids.size());
   for (const auto &bids_ : o.bids) { bids.emplace_back((bids_) ? new crowstep::wire::BidT(*bids_) : nullptr); }
   running.reserve(o.running.size());
@@ -4108,6 +4290,7 @@
   std::swap(table_probe, o.table_probe);
   std::swap(table_probe_ack, o.table_probe_ack);
   std::swap(member_news, o.member_news);
+  std::swap(knowledge, o.knowledge);
   return *this;
 }
 
@@ -4145,6 +4328,7 @@
   { auto _e = table_probe(); if (_e) _o->table_probe = std::unique_ptr<crowstep::wire::TableProbeT>(_e->UnPack(_resolver)); }
   { auto _e = table_probe_ack(); if (_e) _o->table_probe_ack = std::unique_ptr<crowstep::wire::TableProbeAckT>(_e->UnPack(_resolver)); }
   { auto _e = member_news(); if (_e) { _o->member_news.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->member_news[_i] = *_e->Get(_i); } } }
+  { auto _e = knowledge(); if (_e) _o->knowledge = std::unique_ptr<crowstep::wire::KnowledgeT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Frame> Frame::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4180,6 +4364,7 @@
   auto _table_probe = _o->table_probe ? CreateTableProbe(_fbb, _o->table_probe.get(), _rehasher) : 0;
   auto _table_probe_ack = _o->table_probe_ack ? CreateTableProbeAck(_fbb, _o->table_probe_ack.get(), _rehasher) : 0;
   auto _member_news = _o->member_news.size() ? _fbb.CreateVectorOfStructs(_o->member_news) : 0;
+  auto _knowledge = _o->knowledge ? CreateKnowledge(_fbb, _o->knowledge.get(), _rehasher) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
       _hello,
@@ -4206,7 +4391,8 @@
       _claim_replies,
       _table_probe,
       _table_probe_ack,
-      _member_news);
+      _member_news,
+      _knowledge);
 }
 
 inline const crowstep::wire::Frame *GetFrame(const void *buf) {
--- a/tests/unit/entry_harness.h
+++ b/tests/unit/entry_harness.h
@@ -3,6 +3,7 @@
 #ifndef CROWSTEP_TESTS_UNIT_ENTRY_HARNESS_H
 #define CROWSTEP_TESTS_UNIT_ENTRY_HARNESS_H
 
+#include "core/digest.h"
 #include "entry/request_service.h"
 
 #include <arpa/inet.h>
