Fix: Hold every header to its limit

Only the four headers that the entry reads were measured, so a call with 20 KB in another header was served. Seen by BadInputIsATypedRefusalAndNothingRuns.

--- a/src/entry/front.cpp
+++ b/src/entry/front.cpp
@@ -4,7 +4,8 @@
 #include "entry/caller.h"
 #include "entry/refusal_answer.h"
 
-#include <array>
+#include <algorithm>
+#include <string_view>
 
 namespace crowstep::entry {
 
@@ -14,8 +15,18 @@
 /// open another one.
 constexpr Duration IdleLimit = std::chrono::seconds(60);
 
-constexpr std::array<const char *, 4> KnownHeaders = {
-    "Authorization", "Crowstep-Class", "Idempotency-Key", "Content-Type"};
+/// Returns the length of the longest value among all headers.
+std::size_t longestHeader(SoupServerMessage *Message) {
+  SoupMessageHeadersIter Next;
+  soup_message_headers_iter_init(
+      &Next, soup_server_message_get_request_headers(Message));
+  const char *Name = nullptr;
+  const char *Value = nullptr;
+  std::size_t Longest = 0;
+  while (soup_message_headers_iter_next(&Next, &Name, &Value) != 0)
+    Longest = std::max(Longest, std::string_view(Value).size());
+  return Longest;
+}
 
 /// The path as it was sent, for forwarding, with its query.
 std::string pathOf(SoupServerMessage *Message) {
@@ -96,11 +107,10 @@
   if (Each.m_Limit != nullptr)
     Each.m_Limit->start(Owner->m_Limits.m_ReceiveLimit,
                         [Owner, Message] { Owner->slow(Message); });
-  for (const char *Name : KnownHeaders)
-    if (requestHeader(Message, Name).size() > Owner->m_Limits.m_MaxHeader) {
-      Owner->refuse(Message, RefusalReason::HeaderTooLarge);
-      return;
-    }
+  if (longestHeader(Message) > Owner->m_Limits.m_MaxHeader) {
+    Owner->refuse(Message, RefusalReason::HeaderTooLarge);
+    return;
+  }
   const goffset Length = soup_message_headers_get_content_length(
       soup_server_message_get_request_headers(Message));
   if (Length > static_cast<goffset>(Owner->m_Limits.m_MaxBody))
