Change: Keep the cost of a membership tick independent of the fleet

The bytes are flat, so the growth is the tick: it counted the majority and looked for suspects and long dead ones among all members, ten times a second. Suspects are now a set of their own, the majority is counted when the view changes and the dead are looked for every 10 s.

--- a/src/membership/member_view.cpp
+++ b/src/membership/member_view.cpp
@@ -48,6 +48,10 @@
     m_Hash ^= hashOf(Entry.m_Member);
   Entry = {News, Now};
   m_Hash ^= hashOf(News);
+  if (News.m_State == MemberState::Suspect)
+    m_Suspects.insert(News.m_Id);
+  else
+    m_Suspects.erase(News.m_Id);
   m_AllIsCurrent = false;
 }
 
@@ -68,8 +72,8 @@
 
 std::vector<InstanceId> MemberView::suspectsBefore(TimePoint Limit) const {
   std::vector<InstanceId> Result;
-  for (const auto &[Id, Entry] : m_Known)
-    if (Entry.m_Member.m_State == MemberState::Suspect && Entry.m_Since < Limit)
+  for (const InstanceId Id : m_Suspects)
+    if (m_Known.at(Id).m_Since < Limit)
       Result.push_back(Id);
   return Result;
 }
--- a/src/membership/member_view.h
+++ b/src/membership/member_view.h
@@ -10,6 +10,7 @@
 #include "membership/membership_type.h"
 
 #include <map>
+#include <set>
 
 namespace crowstep::membership {
 
@@ -55,6 +56,7 @@
   void store(const Member &News, TimePoint Now);
 
   std::map<InstanceId, Known> m_Known; ///< By id; the process itself is in.
+  std::set<InstanceId> m_Suspects;     ///< Those of m_Known in state Suspect.
   std::uint64_t m_Hash = 0;            ///< XOR over the live members.
   mutable std::vector<Member> m_All;   ///< Copy of m_Known, made on demand.
   mutable bool m_AllIsCurrent = false; ///< m_All equals m_Known.
--- a/src/membership/membership_core.cpp
+++ b/src/membership/membership_core.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t ProbesWhenAlone = 3;
 constexpr Duration ProbeIntervalAlone = std::chrono::milliseconds(500);
+constexpr Duration ForgetInterval = std::chrono::seconds(10);
 constexpr Duration ProbeInterval = std::chrono::seconds(5);
 
 MemberNews newsOf(const Member &Which) {
@@ -63,8 +64,11 @@
   }
   m_Whole.clear();
   m_News.clear();
-  if (std::exchange(m_LiveChanged, false))
+  if (std::exchange(m_LiveChanged, false)) {
+    m_ReferenceIsOld = true;
+    countMajority();
     retarget();
+  }
   if (std::exchange(m_ViewChanged, false))
     m_Out.emplace_back(ViewChanged{});
 }
@@ -91,18 +95,38 @@
     accuse(Id, MemberState::Dead);
   for (const InstanceId Id : m_Watches.silent(m_Running))
     accuse(Id, MemberState::Suspect);
-  if (m_View.forgetBefore(m_Running - RememberDead))
-    m_ViewChanged = true;
+  if (m_Running >= m_NextForget) {
+    m_NextForget = m_Running + ForgetInterval;
+    if (m_View.forgetBefore(m_Running - RememberDead))
+      m_ViewChanged = true;
+  }
   if (m_Now >= m_NextHeartbeat)
     sendHeartbeats();
   sendHeldVersions();
   probe();
-  if (!hearsMajority(m_Now))
-    return;
+  if (m_ReferenceIsOld && hearsMajority(m_Now))
+    rebaseReference();
+}
+
+void MembershipCore::rebaseReference() {
+  m_ReferenceIsOld = false;
   m_Reference.clear();
   for (const Member &Each : m_View.all())
     if (isLive(Each.m_State))
       m_Reference.push_back(Each.m_Id);
+  countMajority();
+}
+
+/// Counted when the view changes and not at each tick: what a tick costs must
+/// not grow with the fleet.
+void MembershipCore::countMajority() {
+  const auto IsAlive = [this](InstanceId Id) {
+    const Member *Known = m_View.find(Id);
+    return Known != nullptr && Known->m_State == MemberState::Alive;
+  };
+  const auto Alive =
+      static_cast<std::size_t>(std::ranges::count_if(m_Reference, IsAlive));
+  m_ViewHasMajority = Alive * 2 > m_Reference.size();
 }
 
 void MembershipCore::advanceRunningTime() {
@@ -333,18 +357,11 @@
 /// are watched by nobody and stay alive in it for several rounds of suspicion.
 /// The direct peers alone are a sample: a few of the fleet, chosen at random.
 bool MembershipCore::hearsMajority(TimePoint Now) const {
-  const auto IsAlive = [this](InstanceId Id) {
-    const Member *Known = m_View.find(Id);
-    return Known != nullptr && Known->m_State == MemberState::Alive;
-  };
   const auto IsKnownLive = [this](InstanceId Id) {
     const Member *Known = m_View.find(Id);
     return Known != nullptr && isLive(Known->m_State);
   };
-  const auto Alive =
-      static_cast<std::size_t>(std::ranges::count_if(m_Reference, IsAlive));
-  return Alive * 2 > m_Reference.size() &&
-         m_Watches.hearsMost(Now, IsKnownLive);
+  return m_ViewHasMajority && m_Watches.hearsMost(Now, IsKnownLive);
 }
 
 void MembershipCore::notice(NoticeKind Kind, const Member &Whom) {
--- a/src/membership/membership_core.h
+++ b/src/membership/membership_core.h
@@ -58,6 +58,8 @@
   void probe();
   [[nodiscard]] std::vector<Address> probeCandidates() const;
   void retarget();
+  void rebaseReference();
+  void countMajority();
   void settle();
   void notice(NoticeKind Kind, const Member &Whom);
   [[nodiscard]] const Member &self() const;
@@ -74,12 +76,16 @@
   TimePoint m_LastTick;                ///< On the clock of m_Now.
   TimePoint m_Running;                 ///< Stands still while the process does.
   TimePoint m_NextHeartbeat;           ///< When to send the next round.
+  TimePoint m_NextForget;              ///< When to look for the long dead.
   TimePoint m_NextProbe;               ///< When to try a hint or a dead member.
   std::uint64_t m_Sequence = 0;        ///< Of the last round of heartbeats.
   std::map<InstanceId, LinkId> m_Held; ///< Versions to pass on, and from
                                        ///< where they came.
   std::vector<InstanceId> m_Reference; ///< Live members when a majority was
                                        ///< last heard.
+  bool m_ReferenceIsOld = false;       ///< Who is live has changed since.
+  bool m_ViewHasMajority = true;       ///< More than half of m_Reference are
+                                       ///< alive in m_View.
   bool m_Leaving = false;              ///< After Leave.
 
   // Of the present event:
