--- a/src/contract/table_core.cpp
+++ b/src/contract/table_core.cpp
@@ -156,6 +156,7 @@
     return;
   m_Document = Fresh;
   m_AdoptedAt = m_Now;
+  m_NextProbe = m_Now;
   m_Watch.emplace(Fresh.version(), Fresh.m_Quorums, m_Now, lapse());
   m_Out.push_back(TableChanged());
   // Entries get the whole at once. Peers get a probe that names the version
--- a/src/contract/table_core_tick.cpp
+++ b/src/contract/table_core_tick.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::minutes VouchLifetime{1};
+constexpr std::chrono::seconds FreshVersion{1};
 constexpr std::size_t MaxUnanswered = 16; ///< Probes of one link.
 
 } // namespace
@@ -39,7 +40,10 @@
 void TableCore::probeSome() {
   if (m_Now < m_NextProbe)
     return;
-  m_NextProbe = m_Now + jittered(m_Config.m_ProbeInterval);
+  // A new version is looked for more often, as an operator waits for it.
+  const bool Fresh = m_Now < m_AdoptedAt + FreshVersion;
+  m_NextProbe = m_Now + jittered(Fresh ? m_Config.m_ProbeInterval / 5
+                                       : m_Config.m_ProbeInterval);
   std::vector<link::LinkId> Links;
   for (const auto &[Link, Peer] : m_Peers)
     if (!Peer.m_IsEntry)
