--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -4,14 +4,14 @@
 #
 # Usage: scripts/experiment.sh DEPLOYMENT SCENARIO...
 #   as in: scripts/experiment.sh kilimanjaro steady burst
-# Environment: BUILD (build), OUT (out/experiments), ENTRIES (8),
+# Environment: BUILD (build), OUT (out/experiments), ENTRIES (as listed),
 #   POLICIES ("crowstep round_robin least_in_flight"),
 #   PORTS (7: first digits of all ports, so that two runs can stand side by
 #   side), WARM_UP_MS and MEASURED_MS in place of what the experiment says.
 set -eu
 cd "$(dirname "$0")/.."
 build=${BUILD:-build}
-entries=${ENTRIES:-8}
+entries=${ENTRIES:-$(grep -c "\"link\"" "examples/$1/platform.json")}
 policies=${POLICIES:-crowstep round_robin least_in_flight}
 ports=${PORTS:-7}
 deployment=$1
