--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,13 +1,15 @@
 # shellcheck shell=bash
 # Functions that run a fleet of real processes on loopback; sourced by other
 # scripts. Ports are those of the examples' platform.json: platform 7000, links
-# 7101.., administration 7201.., callers 7301.., engines 7401.., services 7501..
+# 7101.., administration 7201.., callers 7301.., engines 7401.., services 7501..;
+# FLEET_BASE moves them all.
 #
 # fleet_settings DIR BUILD DEPLOYMENT COUNT   writes the settings files
 # fleet_start_platform, fleet_start_upstreams, fleet_start_instances
 # fleet_stop                                  ends everything that was started
 # fleet_wait URL                              waits until URL answers 200
 
+FLEET_BASE=${FLEET_BASE:-7000} # Port of the platform; a multiple of 1000.
 FLEET_PIDS=()
 FLEET_DISPATCHER_PIDS=() # By instance number.
 FLEET_ENTRY_PIDS=()      # By instance number.
@@ -29,10 +31,12 @@
   fraser-commons) engine_service=crowstep-pool engines=12 plain_service=intake-desk ;;
   esac
   mkdir -p "$FLEET_DIR"
+  sed "s/127\.0\.0\.1:7\([0-9][0-9][0-9]\)/127.0.0.1:$((FLEET_BASE / 1000))\1/g" \
+    "$root/examples/$FLEET_DEPLOYMENT/platform.json" >"$FLEET_DIR/platform.json"
   cat >"$FLEET_DIR/platform.ini" <<EOF
 [platform]
-listen = 127.0.0.1:7000
-seed = $root/examples/$FLEET_DEPLOYMENT/platform.json
+listen = 127.0.0.1:$FLEET_BASE
+seed = $FLEET_DIR/platform.json
 EOF
   {
     echo "[defaults]"
@@ -40,14 +44,14 @@
     echo "token_ms = 20"
     for ((i = 1; i <= engines; i++)); do
       printf '[engine-%d]\nname = %s-%d\nlisten = 127.0.0.1:%d\nservice = %s\nzone = %s\n' \
-        "$i" "$engine_service" "$i" $((7400 + i)) "$engine_service" \
+        "$i" "$engine_service" "$i" $((FLEET_BASE + 400 + i)) "$engine_service" \
         "${zones[$(((i - 1) % 4))]}"
     done
   } >"$FLEET_DIR/engines.ini"
   {
     for ((i = 1; i <= 4; i++)); do
       printf '[service-%d]\nname = %s-%d\nlisten = 127.0.0.1:%d\nservice = %s\nservice_ms = 20\nzone = %s\n' \
-        "$i" "$plain_service" "$i" $((7500 + i)) "$plain_service" \
+        "$i" "$plain_service" "$i" $((FLEET_BASE + 500 + i)) "$plain_service" \
         "${zones[$(((i - 1) % 4))]}"
     done
   } >"$FLEET_DIR/services.ini"
@@ -57,13 +61,13 @@
 name = crowstep-$i
 zone = ${zones[$(((i - 1) % 4))]}
 [dispatcher]
-link_listen = 127.0.0.1:$((7100 + i))
-admin_listen = 127.0.0.1:$((7200 + i))
+link_listen = 127.0.0.1:$((FLEET_BASE + 100 + i))
+admin_listen = 127.0.0.1:$((FLEET_BASE + 200 + i))
 [link]
 key = example-link-key
-seeds = 127.0.0.1:7101;127.0.0.1:7102
+seeds = 127.0.0.1:$((FLEET_BASE + 101));127.0.0.1:$((FLEET_BASE + 102))
 [platform]
-address = 127.0.0.1:7000
+address = 127.0.0.1:$FLEET_BASE
 [log]
 level = ${FLEET_LOG_LEVEL:-info}
 EOF
@@ -72,8 +76,8 @@
 name = crowstep-$i
 zone = ${zones[$(((i - 1) % 4))]}
 [entry]
-listen = 127.0.0.1:$((7300 + i))
-home = 127.0.0.1:$((7100 + i));127.0.0.1:$((7100 + i % FLEET_COUNT + 1))
+listen = 127.0.0.1:$((FLEET_BASE + 300 + i))
+home = 127.0.0.1:$((FLEET_BASE + 100 + i));127.0.0.1:$((FLEET_BASE + 100 + i % FLEET_COUNT + 1))
 placement = ${FLEET_PLACEMENT:-dispatcher}
 [link]
 key = example-link-key
@@ -104,14 +108,14 @@
 
 fleet_start_platform() {
   fleet_start tests/standin-platform platform
-  fleet_wait http://127.0.0.1:7000/stats
+  fleet_wait "http://127.0.0.1:$FLEET_BASE/stats"
 }
 
 fleet_start_upstreams() {
   fleet_start tests/standin-engine engines
   fleet_start tests/standin-service services
-  fleet_wait http://127.0.0.1:7401/v1/load
-  fleet_wait http://127.0.0.1:7501/v1/load
+  fleet_wait "http://127.0.0.1:$((FLEET_BASE + 401))/v1/load"
+  fleet_wait "http://127.0.0.1:$((FLEET_BASE + 501))/v1/load"
 }
 
 fleet_start_dispatcher() {
@@ -127,7 +131,7 @@
     FLEET_ENTRY_PIDS[i]=${FLEET_PIDS[-1]}
   done
   for ((i = 1; i <= FLEET_COUNT; i++)); do
-    fleet_wait "http://127.0.0.1:$((7300 + i))/readyz"
+    fleet_wait "http://127.0.0.1:$((FLEET_BASE + 300 + i))/readyz"
   done
 }
 
--- a/scripts/measure_fleet.sh
+++ b/scripts/measure_fleet.sh
@@ -39,9 +39,9 @@
       "$(ticks "${FLEET_ENTRY_PIDS[i]}")" \
       "$(memory "${FLEET_DISPATCHER_PIDS[i]}")" \
       "$(memory "${FLEET_ENTRY_PIDS[i]}")" \
-      "$(series "127.0.0.1:$((7200 + i))" 'crowstep_link_bytes_total{direction="out"')" \
-      "$(series "127.0.0.1:$((7300 + i))" 'crowstep_link_bytes_total{direction="out"')" \
-      "$(series "127.0.0.1:$((7200 + i))" 'crowstep_link_frames_total{direction="out"')"
+      "$(series "127.0.0.1:$((FLEET_BASE + 200 + i))" 'crowstep_link_bytes_total{direction="out"')" \
+      "$(series "127.0.0.1:$((FLEET_BASE + 300 + i))" 'crowstep_link_bytes_total{direction="out"')" \
+      "$(series "127.0.0.1:$((FLEET_BASE + 200 + i))" 'crowstep_link_frames_total{direction="out"')"
   done >"$1"
 }
 
@@ -61,7 +61,7 @@
 
 statistics() { sort -n | awk '{a[NR] = $1} END {printf "median %.3f s, maximum %.3f s, of %d\n", a[int((NR + 1) / 2)], a[NR], NR}'; }
 
-store_stats() { curl -s http://127.0.0.1:7000/stats | tr -d '\n '; echo; }
+store_stats() { curl -s "http://127.0.0.1:$FLEET_BASE/stats" | tr -d '\n '; echo; }
 
 measure_idle() {
   header
@@ -97,12 +97,12 @@
   sleep 3
   local change version
   for ((change = 1; change <= $1; change++)); do
-    curl -s -D "$dir/headers" -H "$auth" http://127.0.0.1:7201/v1/table >"$dir/table.csv"
+    curl -s -D "$dir/headers" -H "$auth" "http://127.0.0.1:$((FLEET_BASE + 201))/v1/table" >"$dir/table.csv"
     version=$(tr -d '\r' <"$dir/headers" | awk 'tolower($1) == "crowstep-table-version:" {print $2}')
     sed -E "s/^(4,route-guide.*),[0-9]+$/\1,$((10 + change % 50))/" "$dir/table.csv" >"$dir/new.csv"
     curl -s -o "$dir/answer" -w '%{time_total} %{http_code}\n' -X PUT -H "$auth" \
       -H "If-Match: $version" --data-binary @"$dir/new.csv" \
-      "http://127.0.0.1:$((7201 + change % 8))/v1/table" | tee -a "$dir/changes"  >/dev/null
+      "http://127.0.0.1:$((FLEET_BASE + 201 + change % 8))/v1/table" | tee -a "$dir/changes"  >/dev/null
   done
   awk '$2 == 200 {print $1}' "$dir/changes" | statistics
   awk '$2 != 200 {print "not accepted:", $2}' "$dir/changes" | sort | uniq -c
@@ -112,7 +112,7 @@
 owner() { # prints the number of the instance that owns pass-desk
   local i
   for ((i = 1; i <= 8; i++)); do
-    if curl -s --max-time 1 -H "$auth" "http://127.0.0.1:$((7200 + i))/v1/status" |
+    if curl -s --max-time 1 -H "$auth" "http://127.0.0.1:$((FLEET_BASE + 200 + i))/v1/status" |
       tr -d ' \n' | grep -q '"pools":\[.*"service":"pass-desk"'; then
       echo $i
       return
@@ -124,7 +124,7 @@
   curl -s -o /dev/null -w '%{http_code}' --max-time 5 \
     -H 'Authorization: Bearer meru-loops-key' -H 'Crowstep-Class: pass-check' \
     -H 'Content-Type: application/json' -d '{"id":1}' \
-    "http://127.0.0.1:$((7300 + $1))/v1/services/pass-desk/check"
+    "http://127.0.0.1:$((FLEET_BASE + 300 + $1))/v1/services/pass-desk/check"
 }
 
 measure_kills() {
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -2983,30 +2983,30 @@
 
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
-  std::unique_ptr<crowstep::wire::HelloT> hello{};
-  std::unique_ptr<crowstep::wire::ProofT> proof{};
+  std::unique_ptr<crowstep::wire::HeartbeatT> heartbeat{};
+  std::unique_ptr<crowstep::wire::HeartbeatAckT> heartbeat_ack{};
+  std::unique_ptr<crowstep::wire::TableProbeT> table_probe{};
+  std::unique_ptr<crowstep::wire::TableProbeAckT> table_probe_ack{};
+  std::unique_ptr<crowstep::wire::AttachmentAckT> attachment_ack{};
+  std::unique_ptr<crowstep::wire::AttachmentT> attachment{};
   std::vector<std::unique_ptr<crowstep::wire::BidT>> bids{};
   std::vector<crowstep::wire::Grant> grants{};
+  std::vector<crowstep::wire::WorkEnd> work_ends{};
+  std::vector<crowstep::wire::FirstToken> first_tokens{};
+  std::unique_ptr<crowstep::wire::HelloT> hello{};
+  std::unique_ptr<crowstep::wire::ProofT> proof{};
   std::vector<crowstep::wire::Refusal> refusals{};
   std::vector<crowstep::wire::Preempt> preempts{};
   std::vector<crowstep::wire::Withdrawal> withdrawals{};
-  std::vector<crowstep::wire::FirstToken> first_tokens{};
-  std::vector<crowstep::wire::WorkEnd> work_ends{};
   std::vector<std::unique_ptr<crowstep::wire::RunningT>> running{};
   std::vector<crowstep::wire::NotOwner> not_owner{};
   std::vector<std::unique_ptr<crowstep::wire::MemberT>> members{};
-  std::unique_ptr<crowstep::wire::HeartbeatT> heartbeat{};
-  std::unique_ptr<crowstep::wire::HeartbeatAckT> heartbeat_ack{};
   std::vector<std::unique_ptr<crowstep::wire::IndirectProbeT>> probes{};
   std::unique_ptr<crowstep::wire::TableUpdateT> table_update{};
   std::unique_ptr<crowstep::wire::TableRequestT> table_request{};
   std::unique_ptr<crowstep::wire::TableConfirmT> table_confirm{};
-  std::unique_ptr<crowstep::wire::AttachmentT> attachment{};
-  std::unique_ptr<crowstep::wire::AttachmentAckT> attachment_ack{};
   std::vector<std::unique_ptr<crowstep::wire::ClaimRequestT>> claim_requests{};
   std::vector<std::unique_ptr<crowstep::wire::ClaimReplyT>> claim_replies{};
-  std::unique_ptr<crowstep::wire::TableProbeT> table_probe{};
-  std::unique_ptr<crowstep::wire::TableProbeAckT> table_probe_ack{};
   std::vector<crowstep::wire::MemberNews> member_news{};
   std::unique_ptr<crowstep::wire::KnowledgeT> knowledge{};
   FrameT() = default;
@@ -3020,38 +3020,50 @@
   typedef FrameBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_HELLO = 4,
-    VT_PROOF = 6,
-    VT_BIDS = 8,
-    VT_GRANTS = 10,
-    VT_REFUSALS = 12,
-    VT_PREEMPTS = 14,
-    VT_WITHDRAWALS = 16,
-    VT_FIRST_TOKENS = 18,
+    VT_HEARTBEAT = 4,
+    VT_HEARTBEAT_ACK = 6,
+    VT_TABLE_PROBE = 8,
+    VT_TABLE_PROBE_ACK = 10,
+    VT_ATTACHMENT_ACK = 12,
+    VT_ATTACHMENT = 14,
+    VT_BIDS = 16,
+    VT_GRANTS = 18,
     VT_WORK_ENDS = 20,
-    VT_RUNNING = 22,
-    VT_NOT_OWNER = 24,
-    VT_MEMBERS = 26,
-    VT_HEARTBEAT = 28,
-    VT_HEARTBEAT_ACK = 30,
-    VT_PROBES = 32,
-    VT_TABLE_UPDATE = 34,
-    VT_TABLE_REQUEST = 36,
-    VT_TABLE_CONFIRM = 38,
-    VT_ATTACHMENT = 40,
-    VT_ATTACHMENT_ACK = 42,
-    VT_CLAIM_REQUESTS = 44,
-    VT_CLAIM_REPLIES = 46,
-    VT_TABLE_PROBE = 48,
-    VT_TABLE_PROBE_ACK = 50,
+    VT_FIRST_TOKENS = 22,
+    VT_HELLO = 24,
+    VT_PROOF = 26,
+    VT_REFUSALS = 28,
+    VT_PREEMPTS = 30,
+    VT_WITHDRAWALS = 32,
+    VT_RUNNING = 34,
+    VT_NOT_OWNER = 36,
+    VT_MEMBERS = 38,
+    VT_PROBES = 40,
+    VT_TABLE_UPDATE = 42,
+    VT_TABLE_REQUEST = 44,
+    VT_TABLE_CONFIRM = 46,
+    VT_CLAIM_REQUESTS = 48,
+    VT_CLAIM_REPLIES = 50,
     VT_MEMBER_NEWS = 52,
     VT_KNOWLEDGE = 54
   };
-  const crowstep::wire::Hello *hello() const {
-    return GetPointer<const crowstep::wire::Hello *>(VT_HELLO);
+  const crowstep::wire::Heartbeat *heartbeat() const {
+    return GetPointer<const crowstep::wire::Heartbeat *>(VT_HEARTBEAT);
   }
-  const crowstep::wire::Proof *proof() const {
-    return GetPointer<const crowstep::wire::Proof *>(VT_PROOF);
+  const crowstep::wire::HeartbeatAck *heartbeat_ack() const {
+    return GetPointer<const crowstep::wire::HeartbeatAck *>(VT_HEARTBEAT_ACK);
+  }
+  const crowstep::wire::TableProbe *table_probe() const {
+    return GetPointer<const crowstep::wire::TableProbe *>(VT_TABLE_PROBE);
+  }
+  const crowstep::wire::TableProbeAck *table_probe_ack() const {
+    return GetPointer<const crowstep::wire::TableProbeAck *>(VT_TABLE_PROBE_ACK);
+  }
+  const crowstep::wire::AttachmentAck *attachment_ack() const {
+    return GetPointer<const crowstep::wire::AttachmentAck *>(VT_ATTACHMENT_ACK);
+  }
+  const crowstep::wire::Attachment *attachment() const {
+    return GetPointer<const crowstep::wire::Attachment *>(VT_ATTACHMENT);
   }
   const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Bid>> *bids() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Bid>> *>(VT_BIDS);
@@ -3059,6 +3071,18 @@
   const flatbuffers::Vector<const crowstep::wire::Grant *> *grants() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::Grant *> *>(VT_GRANTS);
   }
+  const flatbuffers::Vector<const crowstep::wire::WorkEnd *> *work_ends() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::WorkEnd *> *>(VT_WORK_ENDS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::FirstToken *> *first_tokens() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::FirstToken *> *>(VT_FIRST_TOKENS);
+  }
+  const crowstep::wire::Hello *hello() const {
+    return GetPointer<const crowstep::wire::Hello *>(VT_HELLO);
+  }
+  const crowstep::wire::Proof *proof() const {
+    return GetPointer<const crowstep::wire::Proof *>(VT_PROOF);
+  }
   const flatbuffers::Vector<const crowstep::wire::Refusal *> *refusals() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::Refusal *> *>(VT_REFUSALS);
   }
@@ -3068,12 +3092,6 @@
   const flatbuffers::Vector<const crowstep::wire::Withdrawal *> *withdrawals() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::Withdrawal *> *>(VT_WITHDRAWALS);
   }
-  const flatbuffers::Vector<const crowstep::wire::FirstToken *> *first_tokens() const {
-    return GetPointer<const flatbuffers::Vector<const crowstep::wire::FirstToken *> *>(VT_FIRST_TOKENS);
-  }
-  const flatbuffers::Vector<const crowstep::wire::WorkEnd *> *work_ends() const {
-    return GetPointer<const flatbuffers::Vector<const crowstep::wire::WorkEnd *> *>(VT_WORK_ENDS);
-  }
   const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Running>> *running() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Running>> *>(VT_RUNNING);
   }
@@ -3083,12 +3101,6 @@
   const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>> *>(VT_MEMBERS);
   }
-  const crowstep::wire::Heartbeat *heartbeat() const {
-    return GetPointer<const crowstep::wire::Heartbeat *>(VT_HEARTBEAT);
-  }
-  const crowstep::wire::HeartbeatAck *heartbeat_ack() const {
-    return GetPointer<const crowstep::wire::HeartbeatAck *>(VT_HEARTBEAT_ACK);
-  }
   const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::IndirectProbe>> *probes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::IndirectProbe>> *>(VT_PROBES);
   }
@@ -3101,24 +3113,12 @@
   const crowstep::wire::TableConfirm *table_confirm() const {
     return GetPointer<const crowstep::wire::TableConfirm *>(VT_TABLE_CONFIRM);
   }
-  const crowstep::wire::Attachment *attachment() const {
-    return GetPointer<const crowstep::wire::Attachment *>(VT_ATTACHMENT);
-  }
-  const crowstep::wire::AttachmentAck *attachment_ack() const {
-    return GetPointer<const crowstep::wire::AttachmentAck *>(VT_ATTACHMENT_ACK);
-  }
   const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *claim_requests() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *>(VT_CLAIM_REQUESTS);
   }
   const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *claim_replies() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *>(VT_CLAIM_REPLIES);
   }
-  const crowstep::wire::TableProbe *table_probe() const {
-    return GetPointer<const crowstep::wire::TableProbe *>(VT_TABLE_PROBE);
-  }
-  const crowstep::wire::TableProbeAck *table_probe_ack() const {
-    return GetPointer<const crowstep::wire::TableProbeAck *>(VT_TABLE_PROBE_ACK);
-  }
   const flatbuffers::Vector<const crowstep::wire::MemberNews *> *member_news() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::MemberNews *> *>(VT_MEMBER_NEWS);
   }
@@ -3127,25 +3127,37 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_HELLO) &&
-           verifier.VerifyTable(hello()) &&
-           VerifyOffset(verifier, VT_PROOF) &&
-           verifier.VerifyTable(proof()) &&
+           VerifyOffset(verifier, VT_HEARTBEAT) &&
+           verifier.VerifyTable(heartbeat()) &&
+           VerifyOffset(verifier, VT_HEARTBEAT_ACK) &&
+           verifier.VerifyTable(heartbeat_ack()) &&
+           VerifyOffset(verifier, VT_TABLE_PROBE) &&
+           verifier.VerifyTable(table_probe()) &&
+           VerifyOffset(verifier, VT_TABLE_PROBE_ACK) &&
+           verifier.VerifyTable(table_probe_ack()) &&
+           VerifyOffset(verifier, VT_ATTACHMENT_ACK) &&
+           verifier.VerifyTable(attachment_ack()) &&
+           VerifyOffset(verifier, VT_ATTACHMENT) &&
+           verifier.VerifyTable(attachment()) &&
            VerifyOffset(verifier, VT_BIDS) &&
            verifier.VerifyVector(bids()) &&
            verifier.VerifyVectorOfTables(bids()) &&
            VerifyOffset(verifier, VT_GRANTS) &&
            verifier.VerifyVector(grants()) &&
+           VerifyOffset(verifier, VT_WORK_ENDS) &&
+           verifier.VerifyVector(work_ends()) &&
+           VerifyOffset(verifier, VT_FIRST_TOKENS) &&
+           verifier.VerifyVector(first_tokens()) &&
+           VerifyOffset(verifier, VT_HELLO) &&
+           verifier.VerifyTable(hello()) &&
+           VerifyOffset(verifier, VT_PROOF) &&
+           verifier.VerifyTable(proof()) &&
            VerifyOffset(verifier, VT_REFUSALS) &&
            verifier.VerifyVector(refusals()) &&
            VerifyOffset(verifier, VT_PREEMPTS) &&
            verifier.VerifyVector(preempts()) &&
            VerifyOffset(verifier, VT_WITHDRAWALS) &&
            verifier.VerifyVector(withdrawals()) &&
-           VerifyOffset(verifier, VT_FIRST_TOKENS) &&
-           verifier.VerifyVector(first_tokens()) &&
-           VerifyOffset(verifier, VT_WORK_ENDS) &&
-           verifier.VerifyVector(work_ends()) &&
            VerifyOffset(verifier, VT_RUNNING) &&
            verifier.VerifyVector(running()) &&
            verifier.VerifyVectorOfTables(running()) &&
@@ -3154,10 +3166,6 @@
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
-           VerifyOffset(verifier, VT_HEARTBEAT) &&
-           verifier.VerifyTable(heartbeat()) &&
-           VerifyOffset(verifier, VT_HEARTBEAT_ACK) &&
-           verifier.VerifyTable(heartbeat_ack()) &&
            VerifyOffset(verifier, VT_PROBES) &&
            verifier.VerifyVector(probes()) &&
            verifier.VerifyVectorOfTables(probes()) &&
@@ -3167,20 +3175,12 @@
            verifier.VerifyTable(table_request()) &&
            VerifyOffset(verifier, VT_TABLE_CONFIRM) &&
            verifier.VerifyTable(table_confirm()) &&
-           VerifyOffset(verifier, VT_ATTACHMENT) &&
-           verifier.VerifyTable(attachment()) &&
-           VerifyOffset(verifier, VT_ATTACHMENT_ACK) &&
-           verifier.VerifyTable(attachment_ack()) &&
            VerifyOffset(verifier, VT_CLAIM_REQUESTS) &&
            verifier.VerifyVector(claim_requests()) &&
            verifier.VerifyVectorOfTables(claim_requests()) &&
            VerifyOffset(verifier, VT_CLAIM_REPLIES) &&
            verifier.VerifyVector(claim_replies()) &&
            verifier.VerifyVectorOfTables(claim_replies()) &&
-           VerifyOffset(verifier, VT_TABLE_PROBE) &&
-           verifier.VerifyTable(table_probe()) &&
-           VerifyOffset(verifier, VT_TABLE_PROBE_ACK) &&
-           verifier.VerifyTable(table_probe_ack()) &&
            VerifyOffset(verifier, VT_MEMBER_NEWS) &&
            verifier.VerifyVector(member_news()) &&
            VerifyOffset(verifier, VT_KNOWLEDGE) &&
@@ -3196,11 +3196,23 @@
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_hello(flatbuffers::Offset<crowstep::wire::Hello> hello) {
-    fbb_.AddOffset(Frame::VT_HELLO, hello);
+  void add_heartbeat(flatbuffers::Offset<crowstep::wire::Heartbeat> heartbeat) {
+    fbb_.AddOffset(Frame::VT_HEARTBEAT, heartbeat);
   }
-  void add_proof(flatbuffers::Offset<crowstep::wire::Proof> proof) {
-    fbb_.AddOffset(Frame::VT_PROOF, proof);
+  void add_heartbeat_ack(flatbuffers::Offset<crowstep::wire::HeartbeatAck> heartbeat_ack) {
+    fbb_.AddOffset(Frame::VT_HEARTBEAT_ACK, heartbeat_ack);
+  }
+  void add_table_probe(flatbuffers::Offset<crowstep::wire::TableProbe> table_probe) {
+    fbb_.AddOffset(Frame::VT_TABLE_PROBE, table_probe);
+  }
+  void add_table_probe_ack(flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack) {
+    fbb_.AddOffset(Frame::VT_TABLE_PROBE_ACK, table_probe_ack);
+  }
+  void add_attachment_ack(flatbuffers::Offset<crowstep::wire::AttachmentAck> attachment_ack) {
+    fbb_.AddOffset(Frame::VT_ATTACHMENT_ACK, attachment_ack);
+  }
+  void add_attachment(flatbuffers::Offset<crowstep::wire::Attachment> attachment) {
+    fbb_.AddOffset(Frame::VT_ATTACHMENT, attachment);
   }
   void add_bids(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Bid>>> bids) {
     fbb_.AddOffset(Frame::VT_BIDS, bids);
@@ -3208,6 +3220,18 @@
   void add_grants(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::Grant *>> grants) {
     fbb_.AddOffset(Frame::VT_GRANTS, grants);
   }
+  void add_work_ends(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WorkEnd *>> work_ends) {
+    fbb_.AddOffset(Frame::VT_WORK_ENDS, work_ends);
+  }
+  void add_first_tokens(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::FirstToken *>> first_tokens) {
+    fbb_.AddOffset(Frame::VT_FIRST_TOKENS, first_tokens);
+  }
+  void add_hello(flatbuffers::Offset<crowstep::wire::Hello> hello) {
+    fbb_.AddOffset(Frame::VT_HELLO, hello);
+  }
+  void add_proof(flatbuffers::Offset<crowstep::wire::Proof> proof) {
+    fbb_.AddOffset(Frame::VT_PROOF, proof);
+  }
   void add_refusals(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::Refusal *>> refusals) {
     fbb_.AddOffset(Frame::VT_REFUSALS, refusals);
   }
@@ -3217,12 +3241,6 @@
   void add_withdrawals(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::Withdrawal *>> withdrawals) {
     fbb_.AddOffset(Frame::VT_WITHDRAWALS, withdrawals);
   }
-  void add_first_tokens(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::FirstToken *>> first_tokens) {
-    fbb_.AddOffset(Frame::VT_FIRST_TOKENS, first_tokens);
-  }
-  void add_work_ends(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WorkEnd *>> work_ends) {
-    fbb_.AddOffset(Frame::VT_WORK_ENDS, work_ends);
-  }
   void add_running(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Running>>> running) {
     fbb_.AddOffset(Frame::VT_RUNNING, running);
   }
@@ -3232,12 +3250,6 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>>> members) {
     fbb_.AddOffset(Frame::VT_MEMBERS, members);
   }
-  void add_heartbeat(flatbuffers::Offset<crowstep::wire::Heartbeat> heartbeat) {
-    fbb_.AddOffset(Frame::VT_HEARTBEAT, heartbeat);
-  }
-  void add_heartbeat_ack(flatbuffers::Offset<crowstep::wire::HeartbeatAck> heartbeat_ack) {
-    fbb_.AddOffset(Frame::VT_HEARTBEAT_ACK, heartbeat_ack);
-  }
   void add_probes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::IndirectProbe>>> probes) {
     fbb_.AddOffset(Frame::VT_PROBES, probes);
   }
@@ -3250,24 +3262,12 @@
   void add_table_confirm(flatbuffers::Offset<crowstep::wire::TableConfirm> table_confirm) {
     fbb_.AddOffset(Frame::VT_TABLE_CONFIRM, table_confirm);
   }
-  void add_attachment(flatbuffers::Offset<crowstep::wire::Attachment> attachment) {
-    fbb_.AddOffset(Frame::VT_ATTACHMENT, attachment);
-  }
-  void add_attachment_ack(flatbuffers::Offset<crowstep::wire::AttachmentAck> attachment_ack) {
-    fbb_.AddOffset(Frame::VT_ATTACHMENT_ACK, attachment_ack);
-  }
   void add_claim_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>>> claim_requests) {
     fbb_.AddOffset(Frame::VT_CLAIM_REQUESTS, claim_requests);
   }
   void add_claim_replies(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>>> claim_replies) {
     fbb_.AddOffset(Frame::VT_CLAIM_REPLIES, claim_replies);
   }
-  void add_table_probe(flatbuffers::Offset<crowstep::wire::TableProbe> table_probe) {
-    fbb_.AddOffset(Frame::VT_TABLE_PROBE, table_probe);
-  }
-  void add_table_probe_ack(flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack) {
-    fbb_.AddOffset(Frame::VT_TABLE_PROBE_ACK, table_probe_ack);
-  }
   void add_member_news(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::MemberNews *>> member_news) {
     fbb_.AddOffset(Frame::VT_MEMBER_NEWS, member_news);
   }
@@ -3287,59 +3287,59 @@
 
 inline flatbuffers::Offset<Frame> CreateFrame(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<crowstep::wire::Hello> hello = 0,
-    flatbuffers::Offset<crowstep::wire::Proof> proof = 0,
+    flatbuffers::Offset<crowstep::wire::Heartbeat> heartbeat = 0,
+    flatbuffers::Offset<crowstep::wire::HeartbeatAck> heartbeat_ack = 0,
+    flatbuffers::Offset<crowstep::wire::TableProbe> table_probe = 0,
+    flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0,
+    flatbuffers::Offset<crowstep::wire::AttachmentAck> attachment_ack = 0,
+    flatbuffers::Offset<crowstep::wire::Attachment> attachment = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Bid>>> bids = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::Grant *>> grants = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WorkEnd *>> work_ends = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::FirstToken *>> first_tokens = 0,
+    flatbuffers::Offset<crowstep::wire::Hello> hello = 0,
+    flatbuffers::Offset<crowstep::wire::Proof> proof = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::Refusal *>> refusals = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::Preempt *>> preempts = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::Withdrawal *>> withdrawals = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::FirstToken *>> first_tokens = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WorkEnd *>> work_ends = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Running>>> running = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::NotOwner *>> not_owner = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>>> members = 0,
-    flatbuffers::Offset<crowstep::wire::Heartbeat> heartbeat = 0,
-    flatbuffers::Offset<crowstep::wire::HeartbeatAck> heartbeat_ack = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::IndirectProbe>>> probes = 0,
     flatbuffers::Offset<crowstep::wire::TableUpdate> table_update = 0,
     flatbuffers::Offset<crowstep::wire::TableRequest> table_request = 0,
     flatbuffers::Offset<crowstep::wire::TableConfirm> table_confirm = 0,
-    flatbuffers::Offset<crowstep::wire::Attachment> attachment = 0,
-    flatbuffers::Offset<crowstep::wire::AttachmentAck> attachment_ack = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>>> claim_requests = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>>> claim_replies = 0,
-    flatbuffers::Offset<crowstep::wire::TableProbe> table_probe = 0,
-    flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::MemberNews *>> member_news = 0,
     flatbuffers::Offset<crowstep::wire::Knowledge> knowledge = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_knowledge(knowledge);
   builder_.add_member_news(member_news);
-  builder_.add_table_probe_ack(table_probe_ack);
-  builder_.add_table_probe(table_probe);
   builder_.add_claim_replies(claim_replies);
   builder_.add_claim_requests(claim_requests);
-  builder_.add_attachment_ack(attachment_ack);
-  builder_.add_attachment(attachment);
   builder_.add_table_confirm(table_confirm);
   builder_.add_table_request(table_request);
   builder_.add_table_update(table_update);
   builder_.add_probes(probes);
-  builder_.add_heartbeat_ack(heartbeat_ack);
-  builder_.add_heartbeat(heartbeat);
   builder_.add_members(members);
   builder_.add_not_owner(not_owner);
   builder_.add_running(running);
-  builder_.add_work_ends(work_ends);
-  builder_.add_first_tokens(first_tokens);
   builder_.add_withdrawals(withdrawals);
   builder_.add_preempts(preempts);
   builder_.add_refusals(refusals);
-  builder_.add_grants(grants);
-  builder_.add_bids(bids);
   builder_.add_proof(proof);
   builder_.add_hello(hello);
+  builder_.add_first_tokens(first_tokens);
+  builder_.add_work_ends(work_ends);
+  builder_.add_grants(grants);
+  builder_.add_bids(bids);
+  builder_.add_attachment(attachment);
+  builder_.add_attachment_ack(attachment_ack);
+  builder_.add_table_probe_ack(table_probe_ack);
+  builder_.add_table_probe(table_probe);
+  builder_.add_heartbeat_ack(heartbeat_ack);
+  builder_.add_heartbeat(heartbeat);
   return builder_.Finish();
 }
 
@@ -3350,39 +3350,39 @@
 
 inline flatbuffers::Offset<Frame> CreateFrameDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<crowstep::wire::Hello> hello = 0,
-    flatbuffers::Offset<crowstep::wire::Proof> proof = 0,
+    flatbuffers::Offset<crowstep::wire::Heartbeat> heartbeat = 0,
+    flatbuffers::Offset<crowstep::wire::HeartbeatAck> heartbeat_ack = 0,
+    flatbuffers::Offset<crowstep::wire::TableProbe> table_probe = 0,
+    flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0,
+    flatbuffers::Offset<crowstep::wire::AttachmentAck> attachment_ack = 0,
+    flatbuffers::Offset<crowstep::wire::Attachment> attachment = 0,
     const std::vector<flatbuffers::Offset<crowstep::wire::Bid>> *bids = nullptr,
     const std::vector<crowstep::wire::Grant> *grants = nullptr,
+    const std::vector<crowstep::wire::WorkEnd> *work_ends = nullptr,
+    const std::vector<crowstep::wire::FirstToken> *first_tokens = nullptr,
+    flatbuffers::Offset<crowstep::wire::Hello> hello = 0,
+    flatbuffers::Offset<crowstep::wire::Proof> proof = 0,
     const std::vector<crowstep::wire::Refusal> *refusals = nullptr,
     const std::vector<crowstep::wire::Preempt> *preempts = nullptr,
     const std::vector<crowstep::wire::Withdrawal> *withdrawals = nullptr,
-    const std::vector<crowstep::wire::FirstToken> *first_tokens = nullptr,
-    const std::vector<crowstep::wire::WorkEnd> *work_ends = nullptr,
     const std::vector<flatbuffers::Offset<crowstep::wire::Running>> *running = nullptr,
     const std::vector<crowstep::wire::NotOwner> *not_owner = nullptr,
     const std::vector<flatbuffers::Offset<crowstep::wire::Member>> *members = nullptr,
-    flatbuffers::Offset<crowstep::wire::Heartbeat> heartbeat = 0,
-    flatbuffers::Offset<crowstep::wire::HeartbeatAck> heartbeat_ack = 0,
     const std::vector<flatbuffers::Offset<crowstep::wire::IndirectProbe>> *probes = nullptr,
     flatbuffers::Offset<crowstep::wire::TableUpdate> table_update = 0,
     flatbuffers::Offset<crowstep::wire::TableRequest> table_request = 0,
     flatbuffers::Offset<crowstep::wire::TableConfirm> table_confirm = 0,
-    flatbuffers::Offset<crowstep::wire::Attachment> attachment = 0,
-    flatbuffers::Offset<crowstep::wire::AttachmentAck> attachment_ack = 0,
     const std::vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *claim_requests = nullptr,
     const std::vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *claim_replies = nullptr,
-    flatbuffers::Offset<crowstep::wire::TableProbe> table_probe = 0,
-    flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0,
     const std::vector<crowstep::wire::MemberNews> *member_news = nullptr,
     flatbuffers::Offset<crowstep::wire::Knowledge> knowledge = 0) {
   auto bids__ = bids ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Bid>>(*bids) : 0;
   auto grants__ = grants ? _fbb.CreateVectorOfStructs<crowstep::wire::Grant>(*grants) : 0;
+  auto work_ends__ = work_ends ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkEnd>(*work_ends) : 0;
+  auto first_tokens__ = first_tokens ? _fbb.CreateVectorOfStructs<crowstep::wire::FirstToken>(*first_tokens) : 0;
   auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<crowstep::wire::Refusal>(*refusals) : 0;
   auto preempts__ = preempts ? _fbb.CreateVectorOfStructs<crowstep::wire::Preempt>(*preempts) : 0;
   auto withdrawals__ = withdrawals ? _fbb.CreateVectorOfStructs<crowstep::wire::Withdrawal>(*withdrawals) : 0;
-  auto first_tokens__ = first_tokens ? _fbb.CreateVectorOfStructs<crowstep::wire::FirstToken>(*first_tokens) : 0;
-  auto work_ends__ = work_ends ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkEnd>(*work_ends) : 0;
   auto running__ = running ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Running>>(*running) : 0;
   auto not_owner__ = not_owner ? _fbb.CreateVectorOfStructs<crowstep::wire::NotOwner>(*not_owner) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Member>>(*members) : 0;
@@ -3392,30 +3392,30 @@
   auto member_news__ = member_news ? _fbb.CreateVectorOfStructs<crowstep::wire::MemberNews>(*member_news) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
-      hello,
-      proof,
+      heartbeat,
+      heartbeat_ack,
+      table_probe,
+      table_probe_ack,
+      attachment_ack,
+      attachment,
       bids__,
       grants__,
+      work_ends__,
+      first_tokens__,
+      hello,
+      proof,
       refusals__,
       preempts__,
       withdrawals__,
-      first_tokens__,
-      work_ends__,
       running__,
       not_owner__,
       members__,
-      heartbeat,
-      heartbeat_ack,
       probes__,
       table_update,
       table_request,
       table_confirm,
-      attachment,
-      attachment_ack,
       claim_requests__,
       claim_replies__,
-      table_probe,
-      table_probe_ack,
       member_news__,
       knowledge);
 }
@@ -4230,24 +4230,24 @@
 }
 
 inline FrameT::FrameT(const FrameT &o)
-      : hello((o.hello) ? new crowstep::wire::HelloT(*o.hello) : nullptr),
-        proof((o.proof) ? new crowstep::wire::ProofT(*o.proof) : nullptr),
+      : heartbeat((o.heartbeat) ? new crowstep::wire::HeartbeatT(*o.heartbeat) : nullptr),
+        heartbeat_ack((o.heartbeat_ack) ? new crowstep::wire::HeartbeatAckT(*o.heartbeat_ack) : nullptr),
+        table_probe((o.table_probe) ? new crowstep::wire::TableProbeT(*o.table_probe) : nullptr),
+        table_probe_ack((o.table_probe_ack) ? new crowstep::wire::TableProbeAckT(*o.table_probe_ack) : nullptr),
+        attachment_ack((o.attachment_ack) ? new crowstep::wire::AttachmentAckT(*o.attachment_ack) : nullptr),
+        attachment((o.attachment) ? new crowstep::wire::AttachmentT(*o.attachment) : nullptr),
         grants(o.grants),
+        work_ends(o.work_ends),
+        first_tokens(o.first_tokens),
+        hello((o.hello) ? new crowstep::wire::HelloT(*o.hello) : nullptr),
+        proof((o.proof) ? new crowstep::wire::ProofT(*o.proof) : nullptr),
         refusals(o.refusals),
         preempts(o.preempts),
         withdrawals(o.withdrawals),
-        first_tokens(o.first_tokens),
-        work_ends(o.work_ends),
         not_owner(o.not_owner),
-        heartbeat((o.heartbeat) ? new crowstep::wire::HeartbeatT(*o.heartbeat) : nullptr),
-        heartbeat_ack((o.heartbeat_ack) ? new crowstep::wire::HeartbeatAckT(*o.heartbeat_ack) : nullptr),
         table_update((o.table_update) ? new crowstep::wire::TableUpdateT(*o.table_update) : nullptr),
         table_request((o.table_request) ? new crowstep::wire::TableRequestT(*o.table_request) : nullptr),
         table_confirm((o.table_confirm) ? new crowstep::wire::TableConfirmT(*o.table_confirm) : nullptr),
-        attachment((o.attachment) ? new crowstep::wire::AttachmentT(*o.attachment) : nullptr),
-        attachment_ack((o.attachment_ack) ? new crowstep::wire::AttachmentAckT(*o.attachment_ack) : nullptr),
-        table_probe((o.table_probe) ? new crowstep::wire::TableProbeT(*o.table_probe) : nullptr),
-        table_probe_ack((o.table_probe_ack) ? new crowstep::wire::TableProbeAckT(*o.table_probe_ack) : nullptr),
         member_news(o.member_news),
         knowledge((o.knowledge) ? new crowstep::wire::KnowledgeT(*o.knowledge) : nullptr) {
   bids.reserve(o.bids.size());
@@ -4265,30 +4265,30 @@
 }
 
 inline FrameT &FrameT::operator=(FrameT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(hello, o.hello);
-  std::swap(proof, o.proof);
+  std::swap(heartbeat, o.heartbeat);
+  std::swap(heartbeat_ack, o.heartbeat_ack);
+  std::swap(table_probe, o.table_probe);
+  std::swap(table_probe_ack, o.table_probe_ack);
+  std::swap(attachment_ack, o.attachment_ack);
+  std::swap(attachment, o.attachment);
   std::swap(bids, o.bids);
   std::swap(grants, o.grants);
+  std::swap(work_ends, o.work_ends);
+  std::swap(first_tokens, o.first_tokens);
+  std::swap(hello, o.hello);
+  std::swap(proof, o.proof);
   std::swap(refusals, o.refusals);
   std::swap(preempts, o.preempts);
   std::swap(withdrawals, o.withdrawals);
-  std::swap(first_tokens, o.first_tokens);
-  std::swap(work_ends, o.work_ends);
   std::swap(running, o.running);
   std::swap(not_owner, o.not_owner);
   std::swap(members, o.members);
-  std::swap(heartbeat, o.heartbeat);
-  std::swap(heartbeat_ack, o.heartbeat_ack);
   std::swap(probes, o.probes);
   std::swap(table_update, o.table_update);
   std::swap(table_request, o.table_request);
   std::swap(table_confirm, o.table_confirm);
-  std::swap(attachment, o.attachment);
-  std::swap(attachment_ack, o.attachment_ack);
   std::swap(claim_requests, o.claim_requests);
   std::swap(claim_replies, o.claim_replies);
-  std::swap(table_probe, o.table_probe);
-  std::swap(table_probe_ack, o.table_probe_ack);
   std::swap(member_news, o.member_news);
   std::swap(knowledge, o.knowledge);
   return *this;
@@ -4303,30 +4303,30 @@
 inline void Frame::UnPackTo(FrameT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = hello(); if (_e) _o->hello = std::unique_ptr<crowstep::wire::HelloT>(_e->UnPack(_resolver)); }
-  { auto _e = proof(); if (_e) _o->proof = std::unique_ptr<crowstep::wire::ProofT>(_e->UnPack(_resolver)); }
+  { auto _e = heartbeat(); if (_e) _o->heartbeat = std::unique_ptr<crowstep::wire::HeartbeatT>(_e->UnPack(_resolver)); }
+  { auto _e = heartbeat_ack(); if (_e) _o->heartbeat_ack = std::unique_ptr<crowstep::wire::HeartbeatAckT>(_e->UnPack(_resolver)); }
+  { auto _e = table_probe(); if (_e) _o->table_probe = std::unique_ptr<crowstep::wire::TableProbeT>(_e->UnPack(_resolver)); }
+  { auto _e = table_probe_ack(); if (_e) _o->table_probe_ack = std::unique_ptr<crowstep::wire::TableProbeAckT>(_e->UnPack(_resolver)); }
+  { auto _e = attachment_ack(); if (_e) _o->attachment_ack = std::unique_ptr<crowstep::wire::AttachmentAckT>(_e->UnPack(_resolver)); }
+  { auto _e = attachment(); if (_e) _o->attachment = std::unique_ptr<crowstep::wire::AttachmentT>(_e->UnPack(_resolver)); }
   { auto _e = bids(); if (_e) { _o->bids.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->bids[_i] = std::unique_ptr<crowstep::wire::BidT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = grants(); if (_e) { _o->grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->grants[_i] = *_e->Get(_i); } } }
+  { auto _e = work_ends(); if (_e) { _o->work_ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->work_ends[_i] = *_e->Get(_i); } } }
+  { auto _e = first_tokens(); if (_e) { _o->first_tokens.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->first_tokens[_i] = *_e->Get(_i); } } }
+  { auto _e = hello(); if (_e) _o->hello = std::unique_ptr<crowstep::wire::HelloT>(_e->UnPack(_resolver)); }
+  { auto _e = proof(); if (_e) _o->proof = std::unique_ptr<crowstep::wire::ProofT>(_e->UnPack(_resolver)); }
   { auto _e = refusals(); if (_e) { _o->refusals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->refusals[_i] = *_e->Get(_i); } } }
   { auto _e = preempts(); if (_e) { _o->preempts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->preempts[_i] = *_e->Get(_i); } } }
   { auto _e = withdrawals(); if (_e) { _o->withdrawals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->withdrawals[_i] = *_e->Get(_i); } } }
-  { auto _e = first_tokens(); if (_e) { _o->first_tokens.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->first_tokens[_i] = *_e->Get(_i); } } }
-  { auto _e = work_ends(); if (_e) { _o->work_ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->work_ends[_i] = *_e->Get(_i); } } }
   { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = std::unique_ptr<crowstep::wire::RunningT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = not_owner(); if (_e) { _o->not_owner.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->not_owner[_i] = *_e->Get(_i); } } }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<crowstep::wire::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = heartbeat(); if (_e) _o->heartbeat = std::unique_ptr<crowstep::wire::HeartbeatT>(_e->UnPack(_resolver)); }
-  { auto _e = heartbeat_ack(); if (_e) _o->heartbeat_ack = std::unique_ptr<crowstep::wire::HeartbeatAckT>(_e->UnPack(_resolver)); }
   { auto _e = probes(); if (_e) { _o->probes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->probes[_i] = std::unique_ptr<crowstep::wire::IndirectProbeT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = table_update(); if (_e) _o->table_update = std::unique_ptr<crowstep::wire::TableUpdateT>(_e->UnPack(_resolver)); }
   { auto _e = table_request(); if (_e) _o->table_request = std::unique_ptr<crowstep::wire::TableRequestT>(_e->UnPack(_resolver)); }
   { auto _e = table_confirm(); if (_e) _o->table_confirm = std::unique_ptr<crowstep::wire::TableConfirmT>(_e->UnPack(_resolver)); }
-  { auto _e = attachment(); if (_e) _o->attachment = std::unique_ptr<crowstep::wire::AttachmentT>(_e->UnPack(_resolver)); }
-  { auto _e = attachment_ack(); if (_e) _o->attachment_ack = std::unique_ptr<crowstep::wire::AttachmentAckT>(_e->UnPack(_resolver)); }
   { auto _e = claim_requests(); if (_e) { _o->claim_requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claim_requests[_i] = std::unique_ptr<crowstep::wire::ClaimRequestT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = claim_replies(); if (_e) { _o->claim_replies.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claim_replies[_i] = std::unique_ptr<crowstep::wire::ClaimReplyT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = table_probe(); if (_e) _o->table_probe = std::unique_ptr<crowstep::wire::TableProbeT>(_e->UnPack(_resolver)); }
-  { auto _e = table_probe_ack(); if (_e) _o->table_probe_ack = std::unique_ptr<crowstep::wire::TableProbeAckT>(_e->UnPack(_resolver)); }
   { auto _e = member_news(); if (_e) { _o->member_news.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->member_news[_i] = *_e->Get(_i); } } }
   { auto _e = knowledge(); if (_e) _o->knowledge = std::unique_ptr<crowstep::wire::KnowledgeT>(_e->UnPack(_resolver)); }
 }
@@ -4339,58 +4339,58 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FrameT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _hello = _o->hello ? CreateHello(_fbb, _o->hello.get(), _rehasher) : 0;
-  auto _proof = _o->proof ? CreateProof(_fbb, _o->proof.get(), _rehasher) : 0;
+  auto _heartbeat = _o->heartbeat ? CreateHeartbeat(_fbb, _o->heartbeat.get(), _rehasher) : 0;
+  auto _heartbeat_ack = _o->heartbeat_ack ? CreateHeartbeatAck(_fbb, _o->heartbeat_ack.get(), _rehasher) : 0;
+  auto _table_probe = _o->table_probe ? CreateTableProbe(_fbb, _o->table_probe.get(), _rehasher) : 0;
+  auto _table_probe_ack = _o->table_probe_ack ? CreateTableProbeAck(_fbb, _o->table_probe_ack.get(), _rehasher) : 0;
+  auto _attachment_ack = _o->attachment_ack ? CreateAttachmentAck(_fbb, _o->attachment_ack.get(), _rehasher) : 0;
+  auto _attachment = _o->attachment ? CreateAttachment(_fbb, _o->attachment.get(), _rehasher) : 0;
   auto _bids = _o->bids.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Bid>> (_o->bids.size(), [](size_t i, _VectorArgs *__va) { return CreateBid(*__va->__fbb, __va->__o->bids[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _grants = _o->grants.size() ? _fbb.CreateVectorOfStructs(_o->grants) : 0;
+  auto _work_ends = _o->work_ends.size() ? _fbb.CreateVectorOfStructs(_o->work_ends) : 0;
+  auto _first_tokens = _o->first_tokens.size() ? _fbb.CreateVectorOfStructs(_o->first_tokens) : 0;
+  auto _hello = _o->hello ? CreateHello(_fbb, _o->hello.get(), _rehasher) : 0;
+  auto _proof = _o->proof ? CreateProof(_fbb, _o->proof.get(), _rehasher) : 0;
   auto _refusals = _o->refusals.size() ? _fbb.CreateVectorOfStructs(_o->refusals) : 0;
   auto _preempts = _o->preempts.size() ? _fbb.CreateVectorOfStructs(_o->preempts) : 0;
   auto _withdrawals = _o->withdrawals.size() ? _fbb.CreateVectorOfStructs(_o->withdrawals) : 0;
-  auto _first_tokens = _o->first_tokens.size() ? _fbb.CreateVectorOfStructs(_o->first_tokens) : 0;
-  auto _work_ends = _o->work_ends.size() ? _fbb.CreateVectorOfStructs(_o->work_ends) : 0;
   auto _running = _o->running.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Running>> (_o->running.size(), [](size_t i, _VectorArgs *__va) { return CreateRunning(*__va->__fbb, __va->__o->running[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _not_owner = _o->not_owner.size() ? _fbb.CreateVectorOfStructs(_o->not_owner) : 0;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _heartbeat = _o->heartbeat ? CreateHeartbeat(_fbb, _o->heartbeat.get(), _rehasher) : 0;
-  auto _heartbeat_ack = _o->heartbeat_ack ? CreateHeartbeatAck(_fbb, _o->heartbeat_ack.get(), _rehasher) : 0;
   auto _probes = _o->probes.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::IndirectProbe>> (_o->probes.size(), [](size_t i, _VectorArgs *__va) { return CreateIndirectProbe(*__va->__fbb, __va->__o->probes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _table_update = _o->table_update ? CreateTableUpdate(_fbb, _o->table_update.get(), _rehasher) : 0;
   auto _table_request = _o->table_request ? CreateTableRequest(_fbb, _o->table_request.get(), _rehasher) : 0;
   auto _table_confirm = _o->table_confirm ? CreateTableConfirm(_fbb, _o->table_confirm.get(), _rehasher) : 0;
-  auto _attachment = _o->attachment ? CreateAttachment(_fbb, _o->attachment.get(), _rehasher) : 0;
-  auto _attachment_ack = _o->attachment_ack ? CreateAttachmentAck(_fbb, _o->attachment_ack.get(), _rehasher) : 0;
   auto _claim_requests = _o->claim_requests.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> (_o->claim_requests.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimRequest(*__va->__fbb, __va->__o->claim_requests[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _claim_replies = _o->claim_replies.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimReply>> (_o->claim_replies.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimReply(*__va->__fbb, __va->__o->claim_replies[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _table_probe = _o->table_probe ? CreateTableProbe(_fbb, _o->table_probe.get(), _rehasher) : 0;
-  auto _table_probe_ack = _o->table_probe_ack ? CreateTableProbeAck(_fbb, _o->table_probe_ack.get(), _rehasher) : 0;
   auto _member_news = _o->member_news.size() ? _fbb.CreateVectorOfStructs(_o->member_news) : 0;
   auto _knowledge = _o->knowledge ? CreateKnowledge(_fbb, _o->knowledge.get(), _rehasher) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
-      _hello,
-      _proof,
+      _heartbeat,
+      _heartbeat_ack,
+      _table_probe,
+      _table_probe_ack,
+      _attachment_ack,
+      _attachment,
       _bids,
       _grants,
+      _work_ends,
+      _first_tokens,
+      _hello,
+      _proof,
       _refusals,
       _preempts,
       _withdrawals,
-      _first_tokens,
-      _work_ends,
       _running,
       _not_owner,
       _members,
-      _heartbeat,
-      _heartbeat_ack,
       _probes,
       _table_update,
       _table_request,
       _table_confirm,
-      _attachment,
-      _attachment_ack,
       _claim_requests,
       _claim_replies,
-      _table_probe,
-      _table_probe_ack,
       _member_news,
       _knowledge);
 }
