Change: Probe less while the table service answers

Cause: half of what the table cost were vouches of up to nine voters in every answer to a probe, needed only while the table service is silent or a change is under way. Measured on one of 8 idle dispatchers over 10 s: table 2,305 B/s before, 876 after; all links 5,158 to 3,627 B/s sent.

--- a/src/contract/table_core.h
+++ b/src/contract/table_core.h
@@ -84,6 +84,7 @@
   [[nodiscard]] TableVersion confirmed() const;
   ChangeContext context() const;
   [[nodiscard]] Duration lapse() const;
+  [[nodiscard]] bool calm() const;
   Duration jittered(Duration Around);
   CommitId nextCommit();
 
--- a/src/contract/table_core_tick.cpp
+++ b/src/contract/table_core_tick.cpp
@@ -37,6 +37,16 @@
 
 /// Probes a few peers, voters first. The number is fixed, so that the cost of
 /// a node does not grow with the fleet; what the others know comes along.
+/// While the table service answers and no change is under way, rights rest on
+/// its reads alone: others' vouches are then not passed on and fewer peers are
+/// probed, which halves what the table costs. The first read that does not
+/// come ends that within a poll interval, while rights still last.
+bool TableCore::calm() const {
+  const std::optional<StoreVouch> &Store = m_Known.store();
+  return Store && m_Now < Store->m_Time + m_Config.m_PollInterval &&
+         settledVersion() == m_Document.version();
+}
+
 void TableCore::probeSome() {
   if (m_Now < m_NextProbe)
     return;
@@ -52,8 +62,10 @@
   std::stable_partition(Links.begin(), Links.end(), [&](link::LinkId Link) {
     return isVoter(m_Document.m_Voters, m_Peers[Link].m_Who);
   });
-  if (Links.size() > m_Config.m_ProbeLinks)
-    Links.resize(m_Config.m_ProbeLinks);
+  const std::size_t Most =
+      calm() ? m_Config.m_CalmProbeLinks : m_Config.m_ProbeLinks;
+  if (Links.size() > Most)
+    Links.resize(Most);
   for (const link::LinkId Link : Links)
     probe(Link, m_Peers[Link]);
 }
@@ -78,6 +90,8 @@
     const InstanceId Id = Known.first;
     const Vouch &Each = Known.second;
     const bool Own = Id == m_Self;
+    if (calm() && !Own)
+      continue;
     const bool Counts =
         isVoter(m_Document.m_Voters, Id) ||
         std::ranges::any_of(m_Document.m_Quorums, [&](const Voters &Quorum) {
--- a/src/contract/table_type.h
+++ b/src/contract/table_type.h
@@ -18,11 +18,12 @@
   Incarnation m_Incarnation; ///< Of this start; must differ from all earlier.
   Duration m_PollInterval = std::chrono::seconds(1); ///< Of the table service.
   Duration m_ProbeInterval = std::chrono::milliseconds(500); ///< Of peers.
-  std::size_t m_ProbeLinks = 4; ///< Peers probed each time, at most.
-  std::size_t m_MaxVoters = 9;  ///< Instances that vouch for a version.
+  std::size_t m_ProbeLinks = 4;     ///< Peers probed each time, at most.
+  std::size_t m_CalmProbeLinks = 2; ///< The same while all is calm.
+  std::size_t m_MaxVoters = 9;      ///< Instances that vouch for a version.
   Duration m_VotersDelay = std::chrono::seconds(3); ///< Before voters are
                                                     ///< replaced.
-  Duration m_RightToServe = std::chrono::milliseconds(1500); ///< Without news.
+  Duration m_RightToServe = std::chrono::milliseconds(2000); ///< Without news.
   Duration m_EntryRight = std::chrono::seconds(1); ///< How long an entry
                                                    ///< serves after this
                                                    ///< instance lost its right.
