Test: Prove order, floors, limits and health of the decisions

A small world of entries and upstreams obeys the Decider and checks every action; random schedules, loads with a fixed seed and single failures drive it.

Taken out for good, as nothing failed without it: a bound on the load at which a prefix hint counts (its weight already is one), and a second flag for a listed leave.

--- a/src/decision/placement.cpp
+++ b/src/decision/placement.cpp
@@ -6,7 +6,6 @@
 #include <boost/container/small_vector.hpp>
 
 #include <algorithm>
-#include <limits>
 
 namespace crowstep::decision {
 
@@ -86,12 +85,10 @@
   }
 }
 
-double costOf(const Candidate &One, const Bid &For, double LeastLoad) {
-  double Cost = One.m_Load;
-  // A hint may be wrong and must never build up a queue: it counts only on
-  // upstreams that are about as free as the freest one.
-  if (One.m_Load <= LeastLoad + tuning::AffinityMaxExtraLoad)
-    Cost -= tuning::AffinityWeight * One.m_Match;
+/// A hint may be wrong and must never build up a queue: a whole match is worth
+/// a fixed part of a batch, so beyond that much more load it is passed by.
+double costOf(const Candidate &One, const Bid &For) {
+  double Cost = One.m_Load - tuning::AffinityWeight * One.m_Match;
   if (One.m_Serving->m_Upstream.m_Zone != For.m_Zone)
     Cost += tuning::OtherZoneCost;
   return Cost;
@@ -100,15 +97,12 @@
 Serving *cheapest(Pool &In, const Bid &For, Candidates &Among) {
   rateLoads(In, Among);
   rateMatches(In, For, Among);
-  double Least = std::numeric_limits<double>::max();
-  for (const Candidate &One : Among)
-    Least = std::min(Least, One.m_Load);
   const std::uint64_t Salt = mix(In.m_Config.m_Seed + ++In.m_Choices);
   Serving *Best = nullptr;
   double BestCost = 0.0;
   std::uint64_t BestTie = 0;
   for (const Candidate &One : Among) {
-    const double Cost = costOf(One, For, Least);
+    const double Cost = costOf(One, For);
     const std::uint64_t Tie =
         mix(Salt ^ One.m_Serving->m_Upstream.m_Id.value());
     if (Best != nullptr && std::tie(BestCost, BestTie) <= std::tie(Cost, Tie))
--- a/src/decision/serving_base.h
+++ b/src/decision/serving_base.h
@@ -58,7 +58,7 @@
 
   /// Tells whether it may get any work at all.
   [[nodiscard]] bool isUsable() const {
-    return m_Listed && !m_Drained && !m_SaysLeaving && !m_Upstream.m_Leaving;
+    return m_Listed && !m_Drained && !m_SaysLeaving;
   }
   [[nodiscard]] bool isHealthy(TimePoint Now) const {
     return isUsable() && !m_Ejected && Now >= m_BackoffUntil;
--- a/src/decision/tuning.h
+++ b/src/decision/tuning.h
@@ -113,10 +113,9 @@
 
 // ---- Placement --------------------------------------------------------------
 
-/// Weight of a whole prefix match against a whole batch of load.
+/// What a whole prefix match is worth, as a share of a batch: an upstream that
+/// is busier by more than this doesn't get the bid for it.
 inline constexpr double AffinityWeight = 0.3;
-/// Load above the least loaded at which a prefix match no longer counts.
-inline constexpr double AffinityMaxExtraLoad = 0.25;
 /// Weight of being in another zone: breaks ties between equal loads only.
 inline constexpr double OtherZoneCost = 0.02;
 /// Prefix hints that a pool holds, and upstreams remembered for each.
--- /dev/null
+++ b/tests/unit/decision_limits_test.cpp
@@ -0,0 +1,133 @@
+/// Limits of the table, retry budgets and learned lengths.
+#define BOOST_TEST_MODULE decision_limits
+#include "decision/learned.h"
+#include "decision_world.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace crowstep;
+using namespace crowstep::decision;
+using namespace crowstep::decision::test;
+
+namespace {
+
+/// One class on one large engine.
+struct OneClass : World {
+  explicit OneClass(const std::function<void(Contract &)> &Change,
+                    std::uint32_t Slots = 1000) {
+    Contract Row = row(1, 1, 1s, 10s);
+    Change(Row);
+    setTable({Row});
+    setUpstreams({engine(1, Slots), engine(2, 1)});
+  }
+
+  [[nodiscard]] std::optional<RefusalReason> refused(const RequestId &Id) {
+    return m_Outcomes[Id].m_Refused;
+  }
+};
+
+} // namespace
+
+RC_BOOST_PROP(NoWindowAdmitsMoreThanItsRateAndBurst, ()) {
+  const auto Rate = *rc::gen::inRange(1U, 20U);
+  const auto Gaps = *rc::gen::container<std::vector<unsigned>>(
+      200, rc::gen::inRange(0U, 200U));
+  OneClass On([&](Contract &Row) { Row.m_WorkspaceRate = Rate; });
+  std::vector<TimePoint> Admitted;
+  for (const unsigned Gap : Gaps) {
+    On.advance(std::chrono::milliseconds(Gap));
+    const RequestId Id = On.ask(1, 1, 1ms);
+    if (!On.refused(Id)) {
+      Admitted.push_back(On.m_Clock.now());
+      continue;
+    }
+    RC_ASSERT(On.refused(Id) == RefusalReason::WorkspaceRate);
+    // Another workspace is not concerned, and coming back when told helps.
+    RC_ASSERT(!On.refused(On.ask(1, 2 + Admitted.size(), 1ms)));
+    On.advance(On.m_Outcomes[Id].m_RetryAfter);
+    RC_ASSERT(!On.refused(On.ask(1, 1, 1ms)));
+    Admitted.push_back(On.m_Clock.now());
+  }
+  for (std::size_t From = 0; From < Admitted.size(); ++From)
+    for (std::size_t To = From; To < Admitted.size(); ++To)
+      RC_ASSERT(static_cast<double>(To - From + 1) <=
+                Rate * toSeconds(Admitted[To] - Admitted[From]) + Rate + 1.01);
+}
+
+// Answers turn out ten times as long as learned. What they took beyond the
+// estimate is paid for by later bids, so the rate holds in the end.
+BOOST_AUTO_TEST_CASE(TokensAreChargedAsGenerated) {
+  OneClass On([](Contract &Row) { Row.m_MaxTokenRate = 500; });
+  for (int I = 0; I < 1200; ++I) {
+    On.ask(1, 1, I < 100 ? 300ms : 3s);
+    On.advance(100ms);
+  }
+  const double Seconds = 120;
+  const auto Generated = static_cast<double>(On.m_Tokens[ClassId(1)]);
+  BOOST_TEST(Generated <= 1.15 * 500 * Seconds);
+  BOOST_TEST(Generated >= 0.7 * 500 * Seconds);
+}
+
+BOOST_AUTO_TEST_CASE(RunOfLongAnswersIsForgotten) {
+  Quantile Length(0.7);
+  for (int I = 0; I < 500; ++I)
+    Length.add(100);
+  const double Usual = Length.value();
+  for (int I = 0; I < 2000; ++I)
+    Length.add(8000);
+  BOOST_TEST(Length.value() > 6000);
+  for (int I = 0; I < 500; ++I)
+    Length.add(100);
+  BOOST_TEST(Length.value() < 1.5 * Usual);
+}
+
+// A flood fills the class's queue. A neighbour's bid must not be refused at its
+// door: the flood's last bid gives up its place.
+BOOST_AUTO_TEST_CASE(FullQueueTakesFromTheLargestWorkspace) {
+  OneClass On([](Contract &Row) { Row.m_MaxQueue = 10; }, 1);
+  std::vector<RequestId> Flood;
+  Flood.reserve(12);
+  for (int I = 0; I < 12; ++I)
+    Flood.push_back(On.ask(1, 1, 5s));
+  BOOST_TEST(!On.refused(Flood.back()));
+  BOOST_TEST((On.refused(On.ask(1, 1, 5s)) == RefusalReason::QueueFull));
+  BOOST_TEST(!On.refused(On.ask(1, 2, 5s)));
+  BOOST_TEST((On.refused(Flood.back()) == RefusalReason::QueueFull));
+  BOOST_TEST(On.m_Waiting.size() == 10U);
+}
+
+// Every attempt fails. Beyond the budget the upstreams must not be asked again
+// and again: retries end when the class's share is used up.
+BOOST_AUTO_TEST_CASE(RetriesEndWithTheBudget) {
+  OneClass On([](Contract &Row) { Row.m_RetryPercent = 10; });
+  On.m_OnGrant = [&On](const RequestId &Id) { On.end(Id, WorkEnd::Failed); };
+  unsigned Grants = 0;
+  for (int I = 0; I < 500; ++I) {
+    On.ask(1, 1, 1s);
+    On.advance(50ms);
+  }
+  for (const auto &[Id, One] : On.m_Outcomes)
+    Grants += One.m_Grants;
+  BOOST_TEST(Grants > 500U + 50U);
+  BOOST_TEST(Grants <= 500U + 50U + 20U);
+}
+
+// Preempted guides bid again, dozens of times. That is our doing, not theirs:
+// neither a retry budget of nothing nor a rate limit may refuse them.
+BOOST_AUTO_TEST_CASE(PreemptedWorkIsChargedForNoRetry) {
+  World On;
+  Contract Guide = row(3, 5, 20s, 90s, true);
+  Guide.m_RetryPercent = 0;
+  Guide.m_MaxRate = 1;
+  On.setTable({row(1, 1, 200ms, 2s), Guide});
+  On.setUpstreams({engine(1, 1)});
+  const RequestId Long = On.ask(3, 1, 30s);
+  for (int I = 0; I < 40; ++I) {
+    On.ask(1, 1, 100ms);
+    On.advance(1s);
+  }
+  BOOST_TEST(On.m_Decider.stats().m_Preempted >= 20U);
+  On.advance(60s);
+  BOOST_TEST(On.m_Outcomes[Long].m_Finished);
+}
--- /dev/null
+++ b/tests/unit/decision_order_test.cpp
@@ -0,0 +1,191 @@
+/// Order of service under load: tiers, floors, workspaces, late bids.
+///
+/// What callers see: pass checks are in time whatever else is asked for; long
+/// work goes on at its floor; a neighbour's flood changes nothing for a small
+/// workspace. Arrivals are random with a fixed seed; World checks each action.
+#define BOOST_TEST_MODULE decision_order
+#include "decision_world.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+
+using namespace crowstep;
+using namespace crowstep::decision;
+using namespace crowstep::decision::test;
+
+namespace {
+
+constexpr std::uint16_t Urgent = 1;
+constexpr std::uint16_t Guide = 3;
+constexpr int Engines = 4;
+constexpr std::uint32_t Slots = 4;
+constexpr double Prefill = 0.02;
+
+/// One stream of arrivals.
+struct Stream {
+  std::uint16_t m_Class;     ///< Asked for.
+  std::uint32_t m_Workspace; ///< By whom.
+  double m_Rate;             ///< A second.
+  double m_Service;          ///< Mean seconds of service.
+};
+
+/// 16 slots; urgent work, intakes, and guides with a floor of 1.6 slots.
+struct Loaded : World {
+  explicit Loaded(PolicyKind Policy = PolicyKind::Crowstep) : World({Policy}) {
+    std::vector<Contract> Rows = {row(Urgent, 1, 500ms, 2s), row(2, 2, 2s, 10s),
+                                  row(Guide, 5, 10s, 120s, true)};
+    Rows[0].m_Weight = 6;
+    Rows[1].m_Weight = 3;
+    setTable(Rows);
+    std::vector<Upstream> All;
+    for (std::uint64_t Id = 1; Id <= Engines; ++Id)
+      All.push_back(engine(Id, Slots));
+    setUpstreams(All);
+  }
+
+  void run(const std::vector<Stream> &Streams, double Seconds) {
+    std::mt19937 Random(7);
+    std::multimap<double, Stream> Arrivals;
+    for (const Stream &One : Streams) {
+      std::exponential_distribution<double> Gap(One.m_Rate);
+      for (double T = Gap(Random); T < Seconds; T += Gap(Random))
+        Arrivals.emplace(T, One);
+    }
+    const TimePoint Start = m_Clock.now();
+    for (const auto &[T, One] : Arrivals) {
+      reach(Start + fromS(T));
+      std::exponential_distribution<double> Service(1.0 / One.m_Service);
+      ask(One.m_Class, One.m_Workspace, fromS(Service(Random)));
+    }
+    reach(Start + fromS(Seconds));
+  }
+
+  void reach(TimePoint When) {
+    while (m_NextSample < When) {
+      advance(std::max(Duration::zero(), m_NextSample - m_Clock.now()));
+      m_GuideSlots.push_back(running(ClassId(Guide)));
+      m_NextSample += 250ms;
+    }
+    advance(When - m_Clock.now());
+  }
+
+  /// Share of targets met by \p Class, of one workspace or (0) of all.
+  [[nodiscard]] double met(std::uint16_t Class, std::uint32_t Workspace = 0) {
+    double Asked = 0;
+    double Met = 0;
+    for (const auto &[Id, One] : m_Outcomes) {
+      if (One.m_Class != ClassId(Class) ||
+          (Workspace != 0 && One.m_Workspace != WorkspaceId(Workspace)))
+        continue;
+      Asked += 1;
+      Met += One.m_First && *One.m_First <= One.m_Target ? 1 : 0;
+    }
+    return Met / Asked;
+  }
+
+  /// Least mean of guides' slots over any 60 s.
+  [[nodiscard]] double leastGuideSlots() const {
+    constexpr std::ptrdiff_t Window = 240;
+    double Least = Engines * Slots;
+    for (auto At = m_GuideSlots.begin(); m_GuideSlots.end() - At >= Window;
+         ++At)
+      Least = std::min(Least, std::accumulate(At, At + Window, 0.0) / Window);
+    return Least;
+  }
+
+  TimePoint m_NextSample = m_Clock.now();  ///< Of m_GuideSlots.
+  std::vector<std::uint32_t> m_GuideSlots; ///< Every 250 ms.
+};
+
+} // namespace
+
+// A guide flood fills the pool; then pass checks arrive at two thirds of its
+// slots. Each must find a slot in time, taken back from a guide if need be, and
+// guides must still get their floor, as both together fit.
+BOOST_AUTO_TEST_CASE(UrgentWorkIsInTimeUnderAFloodOfGuides) {
+  Loaded On;
+  On.run({{Urgent, 1, 40, 0.25}, {Guide, 1, 2, 8}}, 150);
+  BOOST_TEST(On.met(Urgent) >= 0.999);
+  BOOST_TEST(On.leastGuideSlots() >= 1.6);
+}
+
+// Pass checks come at one and a half times what the pool serves, for minutes.
+// What is admitted keeps its target; the rest is refused; and guides go on at
+// their floor instead of being refused one and all at their limit.
+BOOST_AUTO_TEST_CASE(FloorHoldsWhileUrgentWorkOverloadsThePool) {
+  Loaded On;
+  On.run({{Urgent, 1, 90, 0.25}, {Guide, 1, 2, 8}}, 180);
+  const double Fits = Engines * Slots / (0.25 + Prefill) / 90;
+  BOOST_TEST(On.met(Urgent) >= 0.85 * Fits);
+  BOOST_TEST(On.leastGuideSlots() >= 0.9 * 1.6);
+  unsigned Late = 0;
+  for (const auto &[Id, One] : On.m_Outcomes)
+    Late += One.m_Class == ClassId(Urgent) && One.m_First &&
+                    *One.m_First > One.m_Target
+                ? 1
+                : 0;
+  BOOST_TEST(Late <= 30U);
+}
+
+// Pass checks and intakes fill nine tenths of the pool, and guides wait in
+// numbers. Near saturation a slot given away is hardly caught up with, so the
+// floor must not stand against bids that all fit, and guides are stopped early.
+BOOST_AUTO_TEST_CASE(GuidesCostIntakesLittleNearSaturation) {
+  const std::vector<Stream> Both = {{Urgent, 1, 30, 0.25}, {2, 2, 5, 1.25}};
+  std::vector<Stream> WithGuides = Both;
+  WithGuides.push_back({Guide, 1, 2, 8});
+  Loaded On;
+  Loaded Alone;
+  On.run(WithGuides, 180);
+  Alone.run(Both, 180);
+  BOOST_TEST(On.met(Urgent) >= 0.995);
+  BOOST_TEST(On.met(2) >= Alone.met(2) - 0.05);
+}
+
+// One workspace asks for twice the pool; another for a quarter. The small one
+// must not wait behind the large one's queue.
+BOOST_AUTO_TEST_CASE(LargeWorkspaceHoldsUpNoSmallOne) {
+  Loaded On;
+  On.run({{2, 1, 30, 1}, {2, 2, 4, 1}}, 120);
+  BOOST_TEST(On.met(2, 2) >= 0.98);
+}
+
+// A bus arrives: three times what the pool serves, for 30 s. Served by target
+// alone, each answer would come just too late.
+BOOST_AUTO_TEST_CASE(BurstIsServedInTimeUpToCapacityAndBeatsFirstComeFirst) {
+  Loaded On;
+  Loaded Baseline(PolicyKind::LeastInFlight);
+  const std::vector<Stream> Burst = {{Urgent, 1, 180, 0.25}};
+  On.run(Burst, 30);
+  Baseline.run(Burst, 30);
+  const double Fits = Engines * Slots / (0.25 + Prefill) / 180;
+  BOOST_TEST(On.met(Urgent) >= 0.9 * Fits);
+  BOOST_TEST(On.met(Urgent) >= 1.3 * Baseline.met(Urgent));
+}
+
+// Of two guides the younger has generated less, and only one engine can resume
+// its work: the stopped one must be that which wastes least.
+BOOST_AUTO_TEST_CASE(PreemptionStopsWhatWastesLeast) {
+  World On;
+  On.setTable({row(Urgent, 1, 200ms, 2s), row(Guide, 5, 10s, 90s, true)});
+  Upstream Fixed = engine(1, 1);
+  std::get<Engine>(Fixed.m_Kind).m_CanResume = false;
+  On.setUpstreams({Fixed, engine(2, 1), engine(3, 1)});
+  for (int I = 0; I < 3; ++I) {
+    On.ask(Guide, 1, 60s);
+    On.advance(1s);
+  }
+  TimePoint Youngest{};
+  for (const auto &[Id, One] : On.m_Running)
+    if (One.m_Upstream != UpstreamId(1))
+      Youngest = std::max(Youngest, One.m_Since);
+  On.ask(Urgent, 1, 1s);
+  On.advance(150ms);
+  BOOST_TEST(On.m_Decider.stats().m_Preempted == 1U);
+  for (const auto &[Id, One] : On.m_Running)
+    BOOST_TEST(
+        (One.m_Bid.m_Class == ClassId(Urgent) || One.m_Since != Youngest));
+}
--- a/tests/unit/decision_property_test.cpp
+++ b/tests/unit/decision_property_test.cpp
@@ -79,7 +79,7 @@
       m_World.setTable(someTable(Value % 30));
       return;
     case 28:
-      return list(2 + Value % 3);
+      return list(2 + Value % 3, Value / 4 % 4 == 0);
     case 29:
       return drain(Where, Value / 4 % 2 == 0);
     case 30:
@@ -112,10 +112,11 @@
     m_World.withdraw(RequestId(At->first));
   }
 
-  void list(std::uint32_t Count) {
+  void list(std::uint32_t Count, bool LastLeaves = false) {
     std::vector<Upstream> All;
     for (std::uint64_t Id = 1; Id <= Count; ++Id)
       All.push_back(engine(Id, 2));
+    All.back().m_Leaving = LastLeaves;
     m_World.setUpstreams(All);
   }
 
--- a/tests/unit/decision_world.h
+++ b/tests/unit/decision_world.h
@@ -87,8 +87,11 @@
 
   void setUpstreams(const std::vector<Upstream> &All) {
     m_Upstreams.clear();
-    for (const Upstream &One : All)
+    for (const Upstream &One : All) {
       m_Upstreams[One.m_Id] = One;
+      if (One.m_Leaving)
+        m_ListedLeaving[One.m_Id] = m_Clock.now();
+    }
     send(UpstreamsChanged{All});
   }
 
@@ -143,8 +146,9 @@
     const Work Done = At->second;
     m_Running.erase(At);
     const Duration Took = m_Clock.now() - Done.m_Since;
+    const Duration PerToken = scaled(m_TokenTime, Done.m_Upstream);
     const auto Tokens = static_cast<std::uint32_t>(
-        How == WorkEnd::ConnectFailed ? 0 : Took / m_TokenTime);
+        How == WorkEnd::ConnectFailed ? 0 : Took / PerToken);
     if (How == WorkEnd::Finished)
       m_Outcomes[Id].m_Finished = true;
     m_Tokens[Done.m_Bid.m_Class] += Tokens;
@@ -215,16 +219,17 @@
     return m_Rows.at(Class).m_Tier;
   }
 
-  ManualClock m_Clock;                        ///< The only time there is.
-  Decider m_Decider;                          ///< Under test.
-  bool m_IsBaseline;                          ///< Keeps no order of tiers.
-  std::map<ClassId, Contract> m_Rows;         ///< In force.
-  std::map<UpstreamId, Upstream> m_Upstreams; ///< Listed.
-  std::set<UpstreamId> m_Drained;             ///< By operators.
-  std::set<UpstreamId> m_SaidLeaving;         ///< By their own refusals.
-  std::map<UpstreamId, double> m_Slow;        ///< Times the usual; absent: 1.
-  std::set<UpstreamId> m_Ejected;             ///< As told by the Decider.
-  std::set<UpstreamId> m_Failing; ///< Left out of the check for victims.
+  ManualClock m_Clock;                             ///< The only time there is.
+  Decider m_Decider;                               ///< Under test.
+  bool m_IsBaseline;                               ///< Keeps no order of tiers.
+  std::map<ClassId, Contract> m_Rows;              ///< In force.
+  std::map<UpstreamId, Upstream> m_Upstreams;      ///< Listed.
+  std::map<UpstreamId, TimePoint> m_ListedLeaving; ///< Last time.
+  std::set<UpstreamId> m_Drained;                  ///< By operators.
+  std::set<UpstreamId> m_SaidLeaving;              ///< By their own refusals.
+  std::map<UpstreamId, double> m_Slow; ///< Times the usual; absent: 1.
+  std::set<UpstreamId> m_Ejected;      ///< As told by the Decider.
+  std::set<UpstreamId> m_Failing;      ///< Left out of the check for victims.
   std::map<RequestId, std::pair<Bid, TimePoint>> m_Waiting; ///< And limits.
   std::map<RequestId, Work> m_Running;              ///< Granted, not ended.
   std::map<RequestId, Outcome> m_Outcomes;          ///< Of all bids.
@@ -258,7 +263,8 @@
   void checkUpstream(UpstreamId Id) const {
     const auto At = m_Upstreams.find(Id);
     promise(At != m_Upstreams.end(), "grant to an upstream that has gone");
-    promise(!At->second.m_Leaving && !m_SaidLeaving.contains(Id),
+    promise(!At->second.m_Leaving && !m_SaidLeaving.contains(Id) &&
+                !wasLeaving(Id),
             "grant to a leaving upstream");
     promise(!m_Drained.contains(Id), "grant to a drained upstream");
   }
@@ -295,24 +301,26 @@
           m_OnGrant(Id);
       });
     }
-    const double Slow = m_Slow.contains(Where) ? m_Slow[Where] : 1.0;
-    const auto Scaled = [Slow](Duration Time) {
-      return std::chrono::duration_cast<Duration>(Time * Slow);
-    };
     const std::uint64_t Attempt = m_Attempts;
-    at(Scaled(m_FirstTokenTime), [this, Id, Attempt] {
+    at(scaled(m_FirstTokenTime, Where), [this, Id, Attempt] {
       if (!isCurrent(Id, Attempt))
         return;
       Outcome &Of = m_Outcomes[Id];
       Of.m_First = Of.m_First.value_or(m_Clock.now());
       send(FirstToken{Id, m_Clock.now() - m_Running[Id].m_Since});
     });
-    at(Scaled(m_FirstTokenTime + m_Service[Id]), [this, Id, Attempt] {
+    at(scaled(m_FirstTokenTime + m_Service[Id], Where), [this, Id, Attempt] {
       if (isCurrent(Id, Attempt))
         end(Id, WorkEnd::Finished);
     });
   }
 
+  [[nodiscard]] Duration scaled(Duration Usual, UpstreamId Where) const {
+    const auto Slow = m_Slow.find(Where);
+    const double Factor = Slow == m_Slow.end() ? 1.0 : Slow->second;
+    return std::chrono::duration_cast<Duration>(Usual * Factor);
+  }
+
   [[nodiscard]] bool isCurrent(const RequestId &Id,
                                std::uint64_t Attempt) const {
     const auto At = m_Running.find(Id);
@@ -352,6 +360,25 @@
       Takeable += isTakeable(One, Tier) ? 1 : 0;
     promise(Takeable == 0 || Takeable <= Before,
             "refused while lower work runs");
+    checkFloors(Tier);
+  }
+
+  /// Lower tiers may keep their floors, and while they are behind as much
+  /// again; what they hold beyond is stopped before an urgent bid is refused.
+  void checkFloors(std::uint8_t Tier) const {
+    double Weights = 0;
+    for (const auto &[Id, Row] : m_Rows)
+      Weights += Row.m_Weight;
+    double Slots = 0;
+    for (const auto &[Id, One] : m_Upstreams)
+      Slots += mayGetWork(Id) ? std::get<Engine>(One.m_Kind).m_Slots : 0;
+    for (const auto &[Id, Row] : m_Rows) {
+      double Kept = 0;
+      for (const auto &[Request, One] : m_Running)
+        Kept += One.m_Bid.m_Class == Id && isTakeable(One, Tier) ? 1 : 0;
+      promise(Kept < 2 * Slots * Row.m_Weight / Weights + 2,
+              "refused while lower work runs beyond its floor");
+    }
   }
 
   [[nodiscard]] bool isTakeable(const Work &One, std::uint8_t Above) const {
@@ -366,11 +393,19 @@
       promise(!isTakeable(One, Tier), What);
   }
 
+  /// A list that lags may name an upstream as leaving and then not; that is
+  /// not believed for 10 s.
+  [[nodiscard]] bool wasLeaving(UpstreamId Id) const {
+    const auto At = m_ListedLeaving.find(Id);
+    return At != m_ListedLeaving.end() && m_Clock.now() < At->second + 10s;
+  }
+
   [[nodiscard]] bool mayGetWork(UpstreamId Id) const {
     const auto At = m_Upstreams.find(Id);
     return At != m_Upstreams.end() && !At->second.m_Leaving &&
-           !m_SaidLeaving.contains(Id) && !m_Drained.contains(Id) &&
-           !m_Ejected.contains(Id) && !m_Failing.contains(Id);
+           !m_SaidLeaving.contains(Id) && !wasLeaving(Id) &&
+           !m_Drained.contains(Id) && !m_Ejected.contains(Id) &&
+           !m_Failing.contains(Id);
   }
 
   void obey(const Preempt &What) {
