--- a/src/ctl/ctl_command.cpp
+++ b/src/ctl/ctl_command.cpp
@@ -2,6 +2,7 @@
 #include "ctl/ctl_command.h"
 
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <sstream>
 
 namespace crowstep::ctl {
@@ -9,7 +10,8 @@
 const char *const CommandHelp =
     "table show | table check FILE | table apply FILE (with --read-version) | "
     "table history | status | drain upstream|instance NAME | "
-    "undrain upstream|instance NAME";
+    "undrain upstream|instance NAME | "
+    "order ENGINE load_model|load_adapter|unload_model|set_role NAME";
 
 namespace {
 
@@ -60,6 +62,9 @@
     return drainCall(Given, "PUT");
   if (Command == "undrain")
     return drainCall(Given, "DELETE");
+  if (Command == "order" && Given.size() == 4)
+    return {"POST", "/v1/orders/" + Given[1],
+            nlohmann::json{{"order", Given[2]}, {"name", Given[3]}}.dump(), ""};
   throw CommandError(CommandHelp);
 }
 
--- a/src/ctl/ctl_main.cpp
+++ b/src/ctl/ctl_main.cpp
@@ -61,7 +61,7 @@
   const ctl::AdminCall Call = ctl::callOf(Chosen.m_Words, Chosen.m_ReadVersion);
   // A table file is checked here as well, so that a bad cell is told even
   // while no instance can be reached.
-  if (!Call.m_Body.empty())
+  if (Call.m_Path.starts_with("/v1/table") && !Call.m_Body.empty())
     contract::validate(contract::readCsv(Call.m_Body));
   if (Chosen.m_CheckOnly)
     return ExitCode::Success;
--- a/src/dispatcher/admin_api.cpp
+++ b/src/dispatcher/admin_api.cpp
@@ -18,6 +18,7 @@
 constexpr const char *JsonType = "application/json";
 constexpr const char *VersionHeader = "Crowstep-Table-Version";
 constexpr const char *DrainsPath = "/v1/drains/";
+constexpr const char *OrdersPath = "/v1/orders/";
 constexpr const char *BearerPrefix = "Bearer ";
 
 void respondJson(SoupServerMessage *Message, unsigned Status,
@@ -98,6 +99,30 @@
   return "unknown";
 }
 
+const char *nameOf(lease::OrderOutcome Outcome) {
+  switch (Outcome) {
+  case lease::OrderOutcome::Done:
+    return "done";
+  case lease::OrderOutcome::Refused:
+    return "refused";
+  case lease::OrderOutcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+unsigned statusOf(lease::OrderOutcome Outcome) {
+  switch (Outcome) {
+  case lease::OrderOutcome::Done:
+    return 200;
+  case lease::OrderOutcome::Refused:
+    return 409;
+  case lease::OrderOutcome::Unknown:
+    return 503;
+  }
+  return 503;
+}
+
 json memberRow(const membership::Member &Each) {
   return {{"name", Each.m_Name},
           {"zone", Each.m_Zone.m_Name},
@@ -199,6 +224,9 @@
   if (Path.starts_with(DrainsPath) && (Method == "PUT" || Method == "DELETE"))
     return changeDrain(Message, Path.substr(std::string(DrainsPath).size()),
                        Operator);
+  if (Path.starts_with(OrdersPath) && Method == "POST")
+    return giveOrder(Message, Path.substr(std::string(OrdersPath).size()),
+                     Operator);
   respondError(Message, 404, "unknown_path", Method + " " + Path);
 }
 
@@ -289,4 +317,31 @@
       });
 }
 
+void AdminApi::giveOrder(SoupServerMessage *Message,
+                         const std::string &Upstream,
+                         const Workspace &Operator) {
+  const json Body = json::parse(requestBody(Message), nullptr, false);
+  const bool Readable = Body.is_object() && Body.contains("order") &&
+                        Body.contains("name") && Body["order"].is_string() &&
+                        Body["name"].is_string();
+  const auto Kind =
+      Readable ? orderKindOf(Body["order"].get<std::string>()) : std::nullopt;
+  if (!Kind)
+    return respondError(Message, 422, "bad_order",
+                        "order: load_model, load_adapter, unload_model or "
+                        "set_role; name: a text");
+  const auto Answer = std::make_shared<LaterAnswer>(Message);
+  const bool Known = m_Parts.m_Orders.order(
+      Upstream, *Kind, Body["name"].get<std::string>(),
+      [Answer, Upstream, Name = Operator.m_Name](lease::OrderOutcome Outcome) {
+        logEvent(LogEvent::AdminChanged, {{"operator", Name},
+                                          {"what", "order " + Upstream},
+                                          {"outcome", nameOf(Outcome)}});
+        respondJson(Answer->message(), statusOf(Outcome),
+                    {{"outcome", nameOf(Outcome)}});
+      });
+  if (!Known)
+    respondError(Message, 404, "unknown_engine", Upstream);
+}
+
 } // namespace crowstep::dispatcher
--- a/src/dispatcher/admin_api.h
+++ b/src/dispatcher/admin_api.h
@@ -7,6 +7,8 @@
 /// GET  /v1/table/history       the last changes, newest first
 /// GET  /v1/status              instances, pools, upstreams
 /// PUT, DELETE /v1/drains/upstream/NAME, /v1/drains/instance/NAME
+/// POST /v1/orders/NAME         {"order", "name"} for an engine, given under a
+///                              lease with a fencing number
 /// GET  /healthz, /metrics      without a key
 /// All others need Authorization: Bearer with an operator's key.
 #ifndef CROWSTEP_DISPATCHER_ADMIN_API_H
@@ -17,6 +19,7 @@
 #include "core/metrics.h"
 #include "dispatcher/pool_set.h"
 #include "dispatcher/upstream_directory.h"
+#include "dispatcher/upstream_orders.h"
 #include "dispatcher/workspace_directory.h"
 #include "membership/membership.h"
 
@@ -31,6 +34,7 @@
   UpstreamDirectory &m_Upstreams;
   const WorkspaceDirectory &m_Workspaces;
   const PoolSet &m_Pools;
+  UpstreamOrders &m_Orders;
   Metrics &m_Stats;
 };
 
@@ -52,6 +56,8 @@
   void getStatus(SoupServerMessage *Message) const;
   void changeDrain(SoupServerMessage *Message, const std::string &What,
                    const Workspace &Operator);
+  void giveOrder(SoupServerMessage *Message, const std::string &Upstream,
+                 const Workspace &Operator);
 
   AdminParts m_Parts;  ///< See above.
   Counter &m_Refused;  ///< Calls without a valid operator's key.
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -25,6 +25,11 @@
   return Self;
 }
 
+/// Returns a name that no other start of any process has.
+std::string holderOf(const link::LinkConfig &Link) {
+  return Link.m_Name + "#" + std::to_string(Link.m_Incarnation.value());
+}
+
 /// Returns a share from 0 to 1 that differs between instances.
 double spreadOf(const std::string &Name) {
   return static_cast<double>(instanceIdOf(Name).value() % 1000) / 1000.0;
@@ -49,7 +54,10 @@
               m_Upstreams),
       m_Entries(m_Clock, m_Timers, m_Links, attachmentSource()),
       m_Claims({}, m_Clock, m_Timers, m_Platform, m_Links, m_Stats),
-      m_Admin({m_Table, m_Fleet, m_Upstreams, m_Workspaces, m_Pools, m_Stats}),
+      m_Orders(holderOf(m_Settings.m_Link), m_Clock, m_Timers, m_Platform,
+               m_Http, m_Stats, m_Upstreams),
+      m_Admin({m_Table, m_Fleet, m_Upstreams, m_Workspaces, m_Pools, m_Orders,
+               m_Stats}),
       m_RightTimer(m_Timers), m_StopTimer(m_Timers) {
   connectParts();
 }
--- a/src/dispatcher/dispatcher.h
+++ b/src/dispatcher/dispatcher.h
@@ -50,6 +50,7 @@
   PoolSet m_Pools;                     ///< Owned here.
   EntryAttachments m_Entries;          ///< Attached here.
   claim::ClaimHome m_Claims;           ///< Of the keys whose home this is.
+  UpstreamOrders m_Orders;             ///< Of operators.
   AdminApi m_Admin;                    ///< For operators.
   Timer m_RightTimer;                  ///< For the next look at the right.
   Timer m_StopTimer;                   ///< For the goodbyes to go out.
