Fix: Keep the entry's cost from growing with its calls

Cause: a libsoup session looks at all of its calls and connections for every call, and GLib looks at every source in every iteration, of which each timer was one. Upstream calls now go to 64 sessions in turn and all timers share one source.

Ruled out by the profile: the entry's own code, which did not show.

--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -1,50 +1,74 @@
 /// Timers on GLib's loop and on a manual clock.
 #include "core/scheduler.h"
 
+#include <algorithm>
 #include <glib.h>
 
 namespace crowstep {
 
-/// What GLib hands back when a timer falls due.
-struct LoopScheduler::Entry {
-  LoopScheduler *m_Owner;      ///< Removes its sources before it goes.
-  TimerId m_Id;                ///< Which timer.
-  std::function<void()> m_Job; ///< What to run.
+/// A GLib source with a pointer back; allocated by GLib.
+struct LoopScheduler::Source {
+  GSource m_Base;         ///< Must come first.
+  LoopScheduler *m_Owner; ///< Destroys the source before it goes.
+
+  static gboolean dispatch(GSource *Base, GSourceFunc, gpointer) {
+    reinterpret_cast<Source *>(Base)->m_Owner->runDue();
+    return G_SOURCE_CONTINUE;
+  }
 };
 
+LoopScheduler::LoopScheduler() {
+  static GSourceFuncs Functions = {nullptr, nullptr, Source::dispatch,
+                                   nullptr, nullptr, nullptr};
+  m_Source =
+      reinterpret_cast<Source *>(g_source_new(&Functions, sizeof(Source)));
+  m_Source->m_Owner = this;
+  g_source_attach(&m_Source->m_Base, nullptr);
+}
+
 LoopScheduler::~LoopScheduler() {
-  for (const auto &[Id, Source] : m_Sources)
-    g_source_remove(Source);
+  g_source_destroy(&m_Source->m_Base);
+  g_source_unref(&m_Source->m_Base);
 }
 
-int LoopScheduler::fire(void *Data) {
-  auto *Due = static_cast<Entry *>(Data);
-  Due->m_Owner->m_Sources.erase(Due->m_Id);
-  // Moved out: the job may cancel or destroy the scheduler.
-  const std::function<void()> Job = std::move(Due->m_Job);
-  Job();
-  return G_SOURCE_REMOVE;
+void LoopScheduler::arm() {
+  const gint64 Ready =
+      m_Jobs.empty() ? -1
+                     : m_Jobs.begin()->first.first.time_since_epoch().count();
+  g_source_set_ready_time(&m_Source->m_Base, Ready);
+}
+
+void LoopScheduler::runDue() {
+  const TimePoint Now{Duration(g_get_monotonic_time())};
+  // Timers that these jobs set, even for now, wait for the next iteration, so
+  // that a job that sets itself again does not starve the loop.
+  const TimerId Newest(m_LastId);
+  while (!m_Jobs.empty() && m_Jobs.begin()->first.first <= Now &&
+         m_Jobs.begin()->first.second <= Newest) {
+    const auto Next = m_Jobs.extract(m_Jobs.begin());
+    m_DueOf.erase(Next.key().second);
+    Next.mapped()();
+  }
+  arm();
 }
 
 TimerId LoopScheduler::after(Duration Delay, std::function<void()> Job) {
   const TimerId Id(++m_LastId);
-  auto *Data = new Entry{this, Id, std::move(Job)};
-  // GLib's timers count milliseconds; rounded up, so that none is early.
-  const auto Wait =
-      std::chrono::ceil<std::chrono::milliseconds>(std::max(Delay, Duration()));
-  m_Sources[Id] = g_timeout_add_full(
-      G_PRIORITY_DEFAULT, static_cast<guint>(Wait.count()), fire, Data,
-      [](void *Gone) { delete static_cast<Entry *>(Gone); });
+  const TimePoint When = TimePoint(Duration(g_get_monotonic_time())) +
+                         std::max(Delay, Duration::zero());
+  m_Jobs.emplace(Due(When, Id), std::move(Job));
+  m_DueOf.emplace(Id, When);
+  if (m_Jobs.begin()->first.second == Id)
+    arm();
   return Id;
 }
 
 void LoopScheduler::cancel(TimerId Timer) {
-  const auto Found = m_Sources.find(Timer);
-  if (Found == m_Sources.end())
+  const auto Found = m_DueOf.find(Timer);
+  if (Found == m_DueOf.end())
     return;
-  const unsigned Source = Found->second;
-  m_Sources.erase(Found);
-  g_source_remove(Source);
+  m_Jobs.erase(Due(Found->second, Timer));
+  m_DueOf.erase(Found);
 }
 
 TimerId ManualScheduler::after(Duration Delay, std::function<void()> Job) {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -7,6 +7,8 @@
 
 #include <functional>
 #include <map>
+#include <unordered_map>
+#include <utility>
 
 namespace crowstep {
 
@@ -25,10 +27,12 @@
   virtual void cancel(TimerId Timer) = 0;
 };
 
-/// Timers of the default GMainContext.
+/// Timers of the default GMainContext. All of them share one GLib source:
+/// GLib looks at every source in every loop iteration, so a source a timer
+/// makes each iteration cost as much as there are requests.
 class LoopScheduler final : public Scheduler {
 public:
-  LoopScheduler() = default;
+  LoopScheduler();
   ~LoopScheduler() override;
   LoopScheduler(const LoopScheduler &) = delete;
   LoopScheduler &operator=(const LoopScheduler &) = delete;
@@ -37,11 +41,16 @@
   void cancel(TimerId Timer) override;
 
 private:
-  struct Entry;
-  static int fire(void *Data);
+  using Due = std::pair<TimePoint, TimerId>;
+  struct Source;
+
+  void runDue();
+  void arm();
 
-  std::uint64_t m_LastId = 0;            ///< Ids start at 1.
-  std::map<TimerId, unsigned> m_Sources; ///< GLib's source of each timer.
+  Source *m_Source;                               ///< Owned.
+  std::uint64_t m_LastId = 0;                     ///< Ids start at 1.
+  std::map<Due, std::function<void()>> m_Jobs;    ///< In the order of dueness.
+  std::unordered_map<TimerId, TimePoint> m_DueOf; ///< Of each of m_Jobs.
 };
 
 /// Timers of a test; they run when the test advances its ManualClock.
--- a/src/entry/upstream_call.cpp
+++ b/src/entry/upstream_call.cpp
@@ -209,15 +209,19 @@
 } // namespace
 
 HttpUpstreamCaller::HttpUpstreamCaller(const Clock &Time, Scheduler &Timers)
-    : m_Clock(Time), m_Timers(Timers),
-      m_Session(soup_session_new_with_options(
-          "max-conns", MaxConnections, "max-conns-per-host",
-          MaxConnectionsPerHost, "timeout", 0U, "idle-timeout",
-          IdleConnectionSeconds, nullptr)) {}
+    : m_Clock(Time), m_Timers(Timers) {
+  for (SoupSession *&Each : m_Sessions)
+    Each = soup_session_new_with_options(
+        "max-conns", MaxConnections, "max-conns-per-host",
+        MaxConnectionsPerHost, "timeout", 0U, "idle-timeout",
+        IdleConnectionSeconds, nullptr);
+}
 
 HttpUpstreamCaller::~HttpUpstreamCaller() {
-  soup_session_abort(m_Session);
-  g_object_unref(m_Session);
+  for (SoupSession *Each : m_Sessions) {
+    soup_session_abort(Each);
+    g_object_unref(Each);
+  }
 }
 
 std::unique_ptr<UpstreamCall>
@@ -228,7 +232,8 @@
   Held->m_Cancel = g_cancellable_new();
   Held->m_Message = messageOf(What);
   g_signal_connect(Held->m_Message, "starting", G_CALLBACK(onStarting), Held);
-  soup_session_send_async(m_Session, Held->m_Message, G_PRIORITY_DEFAULT,
+  SoupSession *Session = m_Sessions.at(m_Next++ % m_Sessions.size());
+  soup_session_send_async(Session, Held->m_Message, G_PRIORITY_DEFAULT,
                           Held->m_Cancel, onHeaders, Held);
   return std::make_unique<HttpUpstreamCall>(Held, m_Timers,
                                             What.m_SilenceLimit);
--- a/src/entry/upstream_call.h
+++ b/src/entry/upstream_call.h
@@ -6,6 +6,7 @@
 #include "core/scheduler.h"
 #include "instance_type.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -75,9 +76,13 @@
                                      UpstreamListener &Listener) override;
 
 private:
-  const Clock &m_Clock;   ///< Outlives the caller.
-  Scheduler &m_Timers;    ///< Outlives the caller.
-  SoupSession *m_Session; ///< Owned.
+  const Clock &m_Clock; ///< Outlives the caller.
+  Scheduler &m_Timers;  ///< Outlives the caller.
+  /// A session looks at all of its calls and connections for every call; the
+  /// calls go to many sessions in turn, so that the cost of one does not grow
+  /// with the number of calls on their way.
+  std::array<SoupSession *, 64> m_Sessions{}; ///< Owned.
+  std::size_t m_Next = 0;                     ///< Of the next call, modulo.
 };
 
 } // namespace crowstep::entry
