Fix: Keep few calls to an upstream on one kept connection

With sessions taken in turn the second of two calls never found the first one's kept connection: LibraryNeitherResendsNorRedirects failed.

--- a/src/core/http_client.h
+++ b/src/core/http_client.h
@@ -8,11 +8,10 @@
 #include "instance_type.h"
 
 #include <functional>
+#include <libsoup/soup.h>
 #include <string>
 #include <variant>
 
-typedef struct _SoupSession SoupSession;
-
 namespace crowstep {
 
 /// An answer with any status.
--- a/src/ctl/admin_client.h
+++ b/src/ctl/admin_client.h
@@ -5,10 +5,9 @@
 #include "core/error.h"
 #include "instance_type.h"
 
+#include <libsoup/soup.h>
 #include <string>
 
-typedef struct _SoupSession SoupSession;
-
 namespace crowstep::ctl {
 
 /// The administration API can't be reached.
--- a/src/entry/upstream_call.cpp
+++ b/src/entry/upstream_call.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-/// libsoup's defaults (10 and 2) would queue calls out of our sight; grants
-/// bound what is in flight.
-constexpr int MaxConnections = 16384;
-constexpr int MaxConnectionsPerHost = 4096;
-constexpr unsigned IdleConnectionSeconds = 15;
 constexpr std::size_t ReadSize = 8192;
 
 /// What outlives the handle until libsoup's last callback has run.
@@ -21,6 +16,7 @@
   const Clock &m_Clock;                  ///< Outlives it.
   UpstreamListener *m_Listener;          ///< Null once the handle is gone.
   TimePoint m_SendBefore;                ///< Last check.
+  SessionPool::Place m_Place;            ///< Its session.
   SoupMessage *m_Message = nullptr;      ///< Owned.
   GCancellable *m_Cancel = nullptr;      ///< Owned.
   GInputStream *m_Stream = nullptr;      ///< Owned; null before the headers.
@@ -209,20 +205,7 @@
 } // namespace
 
 HttpUpstreamCaller::HttpUpstreamCaller(const Clock &Time, Scheduler &Timers)
-    : m_Clock(Time), m_Timers(Timers) {
-  for (SoupSession *&Each : m_Sessions)
-    Each = soup_session_new_with_options(
-        "max-conns", MaxConnections, "max-conns-per-host",
-        MaxConnectionsPerHost, "timeout", 0U, "idle-timeout",
-        IdleConnectionSeconds, nullptr);
-}
-
-HttpUpstreamCaller::~HttpUpstreamCaller() {
-  for (SoupSession *Each : m_Sessions) {
-    soup_session_abort(Each);
-    g_object_unref(Each);
-  }
-}
+    : m_Clock(Time), m_Timers(Timers) {}
 
 std::unique_ptr<UpstreamCall>
 HttpUpstreamCaller::send(const UpstreamSend &What, UpstreamListener &Listener) {
@@ -232,9 +215,9 @@
   Held->m_Cancel = g_cancellable_new();
   Held->m_Message = messageOf(What);
   g_signal_connect(Held->m_Message, "starting", G_CALLBACK(onStarting), Held);
-  SoupSession *Session = m_Sessions.at(m_Next++ % m_Sessions.size());
-  soup_session_send_async(Session, Held->m_Message, G_PRIORITY_DEFAULT,
-                          Held->m_Cancel, onHeaders, Held);
+  Held->m_Place = m_Sessions.take(What.m_Where);
+  soup_session_send_async(Held->m_Place.session(), Held->m_Message,
+                          G_PRIORITY_DEFAULT, Held->m_Cancel, onHeaders, Held);
   return std::make_unique<HttpUpstreamCall>(Held, m_Timers,
                                             What.m_SilenceLimit);
 }
--- a/src/entry/upstream_call.h
+++ b/src/entry/upstream_call.h
@@ -4,16 +4,14 @@
 
 #include "core/clock.h"
 #include "core/scheduler.h"
+#include "entry/session_pool.h"
 #include "instance_type.h"
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
-typedef struct _SoupSession SoupSession;
-
 namespace crowstep::entry {
 
 /// How the transport ended.
@@ -68,7 +66,6 @@
 class HttpUpstreamCaller final : public UpstreamCaller {
 public:
   HttpUpstreamCaller(const Clock &Time, Scheduler &Timers);
-  ~HttpUpstreamCaller() override;
   HttpUpstreamCaller(const HttpUpstreamCaller &) = delete;
   HttpUpstreamCaller &operator=(const HttpUpstreamCaller &) = delete;
 
@@ -76,13 +73,9 @@
                                      UpstreamListener &Listener) override;
 
 private:
-  const Clock &m_Clock; ///< Outlives the caller.
-  Scheduler &m_Timers;  ///< Outlives the caller.
-  /// A session looks at all of its calls and connections for every call; the
-  /// calls go to many sessions in turn, so that the cost of one does not grow
-  /// with the number of calls on their way.
-  std::array<SoupSession *, 64> m_Sessions{}; ///< Owned.
-  std::size_t m_Next = 0;                     ///< Of the next call, modulo.
+  const Clock &m_Clock;   ///< Outlives the caller.
+  Scheduler &m_Timers;    ///< Outlives the caller.
+  SessionPool m_Sessions; ///< For all calls.
 };
 
 } // namespace crowstep::entry
