--- a/src/contract/table_core.h
+++ b/src/contract/table_core.h
@@ -69,6 +69,7 @@
   std::optional<RowImage> imageOf(const std::optional<platform::Row> &Row);
   void probe(link::LinkId Link, PeerState &Peer);
   void probeSome();
+  [[nodiscard]] TimePoint lastWordOf(InstanceId Who) const;
   void pollIfDue();
   void replaceVotersIfDue();
   void writeVoters(const Voters &Wanted);
--- a/src/contract/table_core_tick.cpp
+++ b/src/contract/table_core_tick.cpp
@@ -35,8 +35,9 @@
   m_Out.push_back(SendProbe{Link, m_LastSequence, m_Document.version()});
 }
 
-/// Probes a few peers, voters first. The number is fixed, so that the cost of
-/// a node does not grow with the fleet; what the others know comes along.
+/// Probes a few peers, voters whose word is the oldest first. The number is
+/// fixed, so that the cost of a node does not grow with the fleet; what the
+/// others know comes along.
 /// While the table service answers and no change is under way, rights rest on
 /// its reads alone: others' vouches are then not passed on and fewer peers are
 /// probed, which halves what the table costs. The first read that does not
@@ -59,8 +60,8 @@
     if (!Peer.m_IsEntry)
       Links.push_back(Link);
   std::ranges::shuffle(Links, m_Random);
-  std::stable_partition(Links.begin(), Links.end(), [&](link::LinkId Link) {
-    return isVoter(m_Document.m_Voters, m_Peers[Link].m_Who);
+  std::ranges::stable_sort(Links, {}, [this](link::LinkId Link) {
+    return lastWordOf(m_Peers[Link].m_Who);
   });
   const std::size_t Most =
       calm() ? m_Config.m_CalmProbeLinks : m_Config.m_ProbeLinks;
@@ -70,6 +71,13 @@
     probe(Link, m_Peers[Link]);
 }
 
+TimePoint TableCore::lastWordOf(InstanceId Who) const {
+  if (!isVoter(m_Document.m_Voters, Who))
+    return TimePoint::max();
+  const auto Found = m_Known.voters().find(Who);
+  return Found == m_Known.voters().end() ? TimePoint() : Found->second.m_Time;
+}
+
 void TableCore::on(const ProbeArrived &Event) {
   const auto Found = m_Peers.find(Event.m_Link);
   if (Found == m_Peers.end())
