Fix: Keep the status of an answer without a body

An empty text is absent in a FlatBuffers frame, and the reply was then taken for one without an answer: the repetition of a key would have got status 0. Found by reading; the claim's row itself was right.

--- a/src/claim/claim_client.cpp
+++ b/src/claim/claim_client.cpp
@@ -23,6 +23,10 @@
 constexpr Duration RecordLimit = ClaimLifetime;
 constexpr Duration ReadLimit = 1s;
 
+std::string textOf(const flatbuffers::String *Text) {
+  return Text == nullptr ? std::string() : Text->str();
+}
+
 } // namespace
 
 std::uint64_t homeIndexOf(const ClaimKey &Key) {
@@ -153,11 +157,11 @@
         m_Clock.now() + (IsClaim ? ClaimRetryInterval : RecordRetryInterval);
     return;
   }
-  if (Outcome.m_Status == ClaimStatus::Ran && Reply.answer() != nullptr)
-    Outcome.m_Answer = {
-        Reply.answer_status(),
-        Reply.answer_type() == nullptr ? "" : Reply.answer_type()->str(),
-        Reply.answer()->str()};
+  // An empty text is absent in a frame: an answer without a body keeps its
+  // status all the same.
+  if (Outcome.m_Status == ClaimStatus::Ran)
+    Outcome.m_Answer = {Reply.answer_status(), textOf(Reply.answer_type()),
+                        textOf(Reply.answer())};
   if (Outcome.m_Status == ClaimStatus::Owned)
     m_Held[Each.m_Request.attempt] = {Reply.version(),
                                       Each.m_Request.body_hash};
