--- a/tests/process/caller.h
+++ b/tests/process/caller.h
@@ -5,14 +5,13 @@
 #include "core/clock.h"
 #include "instance_type.h"
 
+#include <libsoup/soup.h>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
-typedef struct _SoupSession SoupSession;
-
 namespace crowstep::test {
 
 /// One call.
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -62,9 +62,13 @@
 
 void Fleet::planUpstreams() {
   const auto Add = [this](const std::string &Service, std::size_t Count) {
-    for (std::size_t Index = 1; Index <= Count; ++Index)
+    for (std::size_t Index = 1; Index <= Count; ++Index) {
+      const Address Where = freshAddress();
       m_UpstreamList.push_back(
-          {Service + "-" + std::to_string(Index), Service, freshAddress()});
+          {Service + "-" + std::to_string(Index), Service, Where,
+           m_Plan.m_CanCutUpstreams ? std::make_unique<Relay>(Where)
+                                    : nullptr});
+    }
   };
   Add("writer", m_Plan.m_Engines);
   Add("desk", m_Plan.m_Services);
@@ -85,7 +89,8 @@
     const bool IsEngine = Each.m_Service == "writer";
     json Row = {{"name", Each.m_Name},
                 {"service", Each.m_Service},
-                {"address", toString(Each.m_Address)},
+                {"address", toString(Each.m_Relay ? Each.m_Relay->address()
+                                                  : Each.m_Address)},
                 {"zone", "njiro"},
                 {"leaving", false},
                 {"kind", IsEngine ? "engine" : "service"},
@@ -235,6 +240,14 @@
                  {"count", Count}});
 }
 
+void Fleet::cutUpstream(const std::string &Name, bool Cut) {
+  for (const TestUpstream &Each : m_UpstreamList)
+    if (Each.m_Name == Name && Cut)
+      Each.m_Relay->cut();
+    else if (Each.m_Name == Name)
+      Each.m_Relay->mend();
+}
+
 void Fleet::upstreamFault(const std::string &Name, const json &Fault) {
   m_Caller.json("POST", upstreamAddress(Name), "/faults", Fault);
 }
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -16,13 +16,14 @@
 
 /// What a fleet consists of.
 struct FleetPlan {
-  std::size_t m_Instances = 3;   ///< Each one entry and one dispatcher.
-  std::size_t m_Engines = 2;     ///< Of the service "writer".
-  std::size_t m_Services = 2;    ///< Of the service "desk".
-  std::size_t m_Slots = 4;       ///< Of each engine.
-  std::string m_EngineSettings;  ///< Further lines for each engine.
-  std::string m_ServiceSettings; ///< Further lines for each plain service.
-  std::string m_Table;           ///< CSV; empty: the default classes.
+  std::size_t m_Instances = 3;    ///< Each one entry and one dispatcher.
+  std::size_t m_Engines = 2;      ///< Of the service "writer".
+  std::size_t m_Services = 2;     ///< Of the service "desk".
+  std::size_t m_Slots = 4;        ///< Of each engine.
+  std::string m_EngineSettings;   ///< Further lines for each engine.
+  std::string m_ServiceSettings;  ///< Further lines for each plain service.
+  std::string m_Table;            ///< CSV; empty: the default classes.
+  bool m_CanCutUpstreams = false; ///< Upstreams are reached through relays.
 };
 
 /// One instance of crowstep.
@@ -84,6 +85,9 @@
   /// Sets a fault of the platform or of an upstream.
   void platformFault(const std::string &Target, const std::string &Mode,
                      int DelayMs = 0, int Count = 0);
+  /// Closes all connections to an upstream and refuses new ones, or ends that.
+  /// Needs m_CanCutUpstreams.
+  void cutUpstream(const std::string &Name, bool Cut);
   void upstreamFault(const std::string &Name, const nlohmann::json &Fault);
 
   /// The oracle: returns every call that the upstreams of \p Service ran.
@@ -101,9 +105,10 @@
 
 private:
   struct TestUpstream {
-    std::string m_Name;    ///< writer-1, desk-1 ...
-    std::string m_Service; ///< writer or desk.
-    Address m_Address;     ///< Of its HTTP server.
+    std::string m_Name;             ///< writer-1, desk-1 ...
+    std::string m_Service;          ///< writer or desk.
+    Address m_Address;              ///< Of its HTTP server.
+    std::unique_ptr<Relay> m_Relay; ///< Null unless links can be cut.
   };
   void planUpstreams();
   void startPlatform();
--- a/tests/process/relay.cpp
+++ b/tests/process/relay.cpp
@@ -1,4 +1,4 @@
-/// Passing bytes on, or not.
+/// Passing bytes on until the link is cut.
 #include "process/relay.h"
 
 #include "process/process.h"
@@ -53,6 +53,7 @@
 Relay::~Relay() {
   cut();
   g_signal_handlers_disconnect_by_data(m_Service, this);
+  g_socket_service_stop(m_Service);
   g_socket_listener_close(G_SOCKET_LISTENER(m_Service));
   g_object_unref(m_Service);
   // Reads on their way end with an error now that the sockets are closed.
@@ -103,33 +104,15 @@
       return;
     }
     Each.m_Size = static_cast<std::size_t>(Size);
-    Each.m_Owner->passOn(*Mine);
-  };
-  g_input_stream_read_async(Way->m_From, Way->m_Piece.data(),
-                            Way->m_Piece.size(), G_PRIORITY_DEFAULT, nullptr,
-                            Done, new Held(Way));
-}
-
-void Relay::passOn(const std::shared_ptr<Pipe> &Way) {
-  using Held = std::shared_ptr<Pipe>;
-  const auto Due = +[](gpointer Data) -> gboolean {
-    Pipe &Each = **static_cast<Held *>(Data);
-    if (!Each.m_Ends->m_Open)
-      return G_SOURCE_REMOVE;
-    if (Each.m_Owner->m_Frozen)
-      return G_SOURCE_CONTINUE;
     if (g_output_stream_write_all(Each.m_To, Each.m_Piece.data(), Each.m_Size,
                                   nullptr, nullptr, nullptr) == 0)
       Each.m_Ends->close();
     else
-      Each.m_Owner->pump(*static_cast<Held *>(Data));
-    return G_SOURCE_REMOVE;
+      Each.m_Owner->pump(*Mine);
   };
-  const auto Wait =
-      std::chrono::duration_cast<std::chrono::milliseconds>(m_Delay);
-  const guint First = static_cast<guint>(Wait.count());
-  g_timeout_add_full(G_PRIORITY_DEFAULT, First, Due, new Held(Way),
-                     [](gpointer Gone) { delete static_cast<Held *>(Gone); });
+  g_input_stream_read_async(Way->m_From, Way->m_Piece.data(),
+                            Way->m_Piece.size(), G_PRIORITY_DEFAULT, nullptr,
+                            Done, new Held(Way));
 }
 
 void Relay::cut() {
@@ -139,11 +122,6 @@
   m_Connections.clear();
 }
 
-void Relay::freeze() { m_Frozen = true; }
-
-void Relay::mend() {
-  m_Cut = false;
-  m_Frozen = false;
-}
+void Relay::mend() { m_Cut = false; }
 
 } // namespace crowstep::test
--- a/tests/process/relay.h
+++ b/tests/process/relay.h
@@ -1,15 +1,13 @@
-/// A TCP relay between two processes that can be cut, frozen and slowed.
+/// A TCP relay between two processes that can be cut.
 #ifndef CROWSTEP_TESTS_PROCESS_RELAY_H
 #define CROWSTEP_TESTS_PROCESS_RELAY_H
 
-#include "core/clock.h"
 #include "instance_type.h"
 
+#include <gio/gio.h>
 #include <list>
 #include <memory>
 
-typedef struct _GSocketService GSocketService;
-
 namespace crowstep::test {
 
 /// Listens on a port of its own and passes bytes on to a target.
@@ -25,13 +23,6 @@
   /// Closes all connections and refuses new ones until mend().
   void cut();
 
-  /// Passes nothing on, keeps connections open, until mend(): what a switch
-  /// that drops packets looks like.
-  void freeze();
-
-  /// Holds each piece back for \p Delay.
-  void slow(Duration Delay) { m_Delay = Delay; }
-
   void mend();
 
 private:
@@ -39,14 +30,11 @@
   struct Connection;
   void accept(void *Incoming);
   void pump(const std::shared_ptr<Pipe> &Way);
-  void passOn(const std::shared_ptr<Pipe> &Way);
 
   Address m_Target;          ///< Where the bytes go.
   Address m_Listen;          ///< Where the relay is.
   GSocketService *m_Service; ///< Owned.
   bool m_Cut = false;        ///< Refuses connections.
-  bool m_Frozen = false;     ///< Passes nothing on.
-  Duration m_Delay{};        ///< Of each piece.
   std::list<std::shared_ptr<Connection>> m_Connections; ///< Open ones.
 };
 
--- a/tests/process/upstream_test.cpp
+++ b/tests/process/upstream_test.cpp
@@ -53,6 +53,31 @@
   BOOST_TEST(ranAt(Under, "writer-1") > 0U);
 }
 
+// The link to an engine is cut in the middle of all its streams, and stays cut.
+// Readers see whole answers: the rest comes from the engines that are left.
+BOOST_AUTO_TEST_CASE(CutLinkToAnEngineIsResumedElsewhere) {
+  FleetPlan Plan = threeEngines();
+  Plan.m_CanCutUpstreams = true;
+  Fleet Under(Plan);
+  Under.start();
+  std::vector<std::shared_ptr<const Told>> All;
+  for (std::size_t Each = 0; Each < 9; ++Each)
+    All.push_back(Under.caller().start(Under.chat(
+        Each % 3, "guide", 100, true, "cut " + std::to_string(Each))));
+  BOOST_TEST(runUntil(
+      [&] {
+        return std::all_of(All.begin(), All.end(), [](const auto &Each) {
+          return !Each->m_Body.empty();
+        });
+      },
+      10s));
+  Under.cutUpstream("writer-1", true);
+  BOOST_TEST(runUntil([&] { return allEnded(All); }, 30s));
+  for (const auto &Each : All)
+    BOOST_TEST(isWholeAnswer(Each->text(), 100), Each->m_Body);
+  BOOST_TEST(ranAt(Under, "writer-1") > 0U);
+}
+
 // Keyed calls reach a desk that closes before it answers. Nobody can know
 // whether it ran: the caller is told "unknown", and it runs nowhere else.
 BOOST_AUTO_TEST_CASE(ClosedKeyedCallIsUnknownAndNotRepeated) {
