--- a/scripts/measure_fleet.sh
+++ b/scripts/measure_fleet.sh
@@ -3,7 +3,8 @@
 #
 #   measure_fleet.sh idle COUNT...     each dispatcher's and entry's processor
 #                                      time, memory and link bytes while idle
-#   measure_fleet.sh load COUNT RATE   the same at RATE requests a second
+#   measure_fleet.sh load COUNT RATE   the same at RATE requests a second, a third
+#                                      of them keyed
 #   measure_fleet.sh changes N         time from a change to "accepted",
 #                                      8 instances, N changes
 #   measure_fleet.sh kills N           time without service of a pool after its
@@ -78,17 +79,27 @@
   done
 }
 
-measure_load() {
+measure_load() { # COUNT RATE; two thirds plain checks, one third keyed holds
   header
   start "$1"
   sleep 3
-  cp /dev/null "$dir/empty"
-  printf '{"id":1}' >"$dir/body"
+  local targets="" i
+  for ((i = 1; i <= FLEET_COUNT; i++)); do
+    targets="$targets${targets:+;}127.0.0.1:$((FLEET_BASE + 300 + i))"
+  done
   snapshot "$dir/before"
-  "$build/crowstep-load" run --config "$2" >"$dir/load.txt" 2>&1 || cat "$dir/load.txt" >&2
+  "$build/crowstep-load" run -t "$targets" -s "$span" -r $(($2 * 2 / 3)) \
+    -w meru-loops -c pass-check -p /v1/services/pass-desk/check --tokens 0 \
+    -o "$dir/plain.json" >"$dir/plain.md" 2>&1 &
+  local plain=$!
+  "$build/crowstep-load" run -t "$targets" -s "$span" -r $(($2 / 3)) --keyed \
+    -w meru-loops -c seat-hold -p /v1/services/pass-desk/hold --tokens 0 \
+    -o "$dir/keyed.json" >"$dir/keyed.md" 2>&1 || true
+  wait $plain || true
   snapshot "$dir/after"
-  report "$1 under load"
-  cat "$dir/load.txt"
+  report "$1, $2 requests/s"
+  grep -h '^|' "$dir/plain.md" "$dir/keyed.md" | head -n 8
+  echo "table service: $(store_stats)"
   fleet_stop
 }
 
@@ -150,5 +161,5 @@
 load) measure_load "$2" "$3" ;;
 changes) measure_changes "$2" ;;
 kills) measure_kills "$2" ;;
-*) sed -n '2,13p' "$0" && exit 2 ;;
+*) sed -n '2,14p' "$0" && exit 2 ;;
 esac
