Fix: Tell the table which instances are listed, and survive a bad table

A fleet replaced under new names kept its old voters, and changes stayed pending for ever: the dispatcher never passed on what the instance list holds. An entry caught only one of the two errors that reading a table may throw. Both found by reading.

--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -90,6 +90,9 @@
     m_Pools.upstreamsChanged();
     m_Entries.upstreamsChanged();
   });
+  m_Upstreams.onInstances([this](const std::vector<std::string> &Names) {
+    m_Table.instancesListed(Names);
+  });
   m_Workspaces.onChange([this] { m_Entries.workspacesChanged(); });
   m_Table.onChange([this] {
     m_Pools.tableChanged(m_Table.table());
--- a/src/dispatcher/upstream_directory.cpp
+++ b/src/dispatcher/upstream_directory.cpp
@@ -56,11 +56,20 @@
       m_HasRead = true;
       m_Listing = std::move(*Listing);
       rebuild();
+      tellInstances();
     }
     m_ListTimer.start(m_Interval, [this] { readList(); });
   });
 }
 
+void UpstreamDirectory::tellInstances() const {
+  std::vector<std::string> Names;
+  for (const platform::ListedInstance &Each : m_Listing.m_Instances)
+    Names.push_back(Each.m_Name);
+  if (m_Instances)
+    m_Instances(Names);
+}
+
 void UpstreamDirectory::readDrains() {
   m_Store.list(platform::DrainTableName, "", [this](platform::ReadResult Read) {
     if (const auto *Rows = std::get_if<std::vector<Row>>(&Read)) {
--- a/src/dispatcher/upstream_directory.h
+++ b/src/dispatcher/upstream_directory.h
@@ -34,6 +34,11 @@
   /// Calls \p Job after each reading that changed anything.
   void onChange(std::function<void()> Job) { m_Changed = std::move(Job); }
 
+  /// Calls \p Job with the names of the listed instances after each reading.
+  void onInstances(std::function<void(const std::vector<std::string> &)> Job) {
+    m_Instances = std::move(Job);
+  }
+
   /// Returns all upstreams; the drained and leaving ones are marked leaving.
   [[nodiscard]] const std::vector<Upstream> &upstreams() const {
     return m_Upstreams;
@@ -65,6 +70,7 @@
 
 private:
   void readList();
+  void tellInstances() const;
   void readDrains();
   void rebuild();
 
@@ -78,7 +84,9 @@
   platform::InstanceListing m_Listing; ///< As last read or learned.
   std::map<std::string, platform::RowVersion> m_Drains; ///< Rows present.
   std::vector<Upstream> m_Upstreams; ///< Listing and drains together.
-  std::function<void()> m_Changed;   ///< May be empty.
+  std::function<void(const std::vector<std::string> &)>
+      m_Instances;                 ///< May be empty.
+  std::function<void()> m_Changed; ///< May be empty.
 };
 
 } // namespace crowstep::dispatcher
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -200,7 +200,7 @@
     Table.m_Version = TableVersion(What.version());
     if (!m_Directory.setTable(std::move(Table)))
       return;
-  } catch (const contract::TableFormatError &Failure) {
+  } catch (const Error &Failure) {
     logEvent(LogEvent::EntryTableUnreadable, {{"why", Failure.what()}});
     return;
   }
