--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -61,6 +61,9 @@
 
 private:
   Settings() = default;
+  template <typename Number>
+  Number numberBetween(const std::string &Section, const std::string &Key,
+                       Number Min, Number Max, std::optional<Number> Default);
   std::optional<std::string> find(const std::string &Section,
                                   const std::string &Key);
   [[noreturn]] void fail(const std::string &Section, const std::string &Key,
--- a/src/dispatcher/dispatcher_settings.cpp
+++ b/src/dispatcher/dispatcher_settings.cpp
@@ -3,8 +3,7 @@
 
 #include "attachment_type.h"
 #include "core/error.h"
-
-#include <glib.h>
+#include "membership/member_func.h"
 
 namespace crowstep::dispatcher {
 
@@ -23,18 +22,11 @@
                      "crowstep, round_robin, least_in_flight");
 }
 
-/// A later start must have a higher number than every earlier one of the same
-/// instance. The wall clock gives that without a disk; it is compared with
-/// earlier values of this one machine only.
-Incarnation newIncarnation() {
-  return Incarnation(static_cast<std::uint64_t>(g_get_real_time()) / 1000);
-}
-
 void readLink(Settings &File, link::LinkConfig &Link) {
   Link.m_Role = wire::Role::Dispatcher;
   Link.m_Name = File.text("instance", "name");
   Link.m_Zone.m_Name = File.text("instance", "zone");
-  Link.m_Incarnation = newIncarnation();
+  Link.m_Incarnation = membership::freshIncarnation();
   Link.m_Listen = File.address("dispatcher", "link_listen");
   Link.m_Key = File.text("link", "key");
   if (Link.m_Key.size() < 8)
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -2,8 +2,7 @@
 #include "entry/entry_settings.h"
 
 #include "core/error.h"
-
-#include <glib.h>
+#include "membership/member_func.h"
 
 namespace crowstep::entry {
 
@@ -53,9 +52,7 @@
   Result.m_Link.m_Role = wire::Role::Entry;
   Result.m_Link.m_Name = File.text("instance", "name");
   Result.m_Link.m_Zone.m_Name = File.text("instance", "zone");
-  // The wall clock gives a later start a higher number without a disk.
-  Result.m_Link.m_Incarnation =
-      Incarnation(static_cast<std::uint64_t>(g_get_real_time()) / 1000);
+  Result.m_Link.m_Incarnation = membership::freshIncarnation();
   Result.m_Link.m_Key = File.text("link", "key");
   if (Result.m_Link.m_Key.size() < MinLinkKey)
     throw SettingError("settings", "link", "key", "(hidden)",
