--- a/src/dispatcher/upstream_directory.cpp
+++ b/src/dispatcher/upstream_directory.cpp
@@ -5,7 +5,6 @@
 
 namespace crowstep::dispatcher {
 
-using platform::PlatformFailure;
 using platform::Row;
 using platform::RowWrite;
 
--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -35,7 +35,7 @@
 
 std::string TemporaryFolder::write(const std::string &Name,
                                    const std::string &Text) const {
-  const std::string Path = m_Path + "/" + Name;
+  std::string Path = m_Path + "/" + Name;
   std::ofstream(Path) << Text;
   return Path;
 }
@@ -103,7 +103,7 @@
     Where.sin_family = AF_INET;
     Where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t Size = sizeof(Where);
-    bind(Socket, reinterpret_cast<sockaddr *>(&Where), sizeof(Where));
+    (void)bind(Socket, reinterpret_cast<sockaddr *>(&Where), sizeof(Where));
     getsockname(Socket, reinterpret_cast<sockaddr *>(&Where), &Size);
     close(Socket);
     const std::uint16_t Port = ntohs(Where.sin_port);
--- a/tests/process/shutdown_test.cpp
+++ b/tests/process/shutdown_test.cpp
@@ -33,6 +33,7 @@
   Fleet Under(longAnswers());
   Under.start();
   std::vector<std::shared_ptr<const Told>> Streams;
+  Streams.reserve(12);
   for (int Each = 0; Each < 12; ++Each)
     Streams.push_back(
         Under.caller().start(Under.chat(0, "guide", Tokens, true)));
--- a/tests/unit/entry_harness.h
+++ b/tests/unit/entry_harness.h
@@ -21,7 +21,7 @@
 
 /// Runs the main loop until \p Holds, for at most a few seconds.
 template <typename Condition> bool pumpUntil(Condition Holds) {
-  const gint64 End = g_get_monotonic_time() + 10 * G_USEC_PER_SEC;
+  const gint64 End = g_get_monotonic_time() + gint64(10) * G_USEC_PER_SEC;
   while (!Holds()) {
     if (g_get_monotonic_time() > End)
       return false;
@@ -45,7 +45,7 @@
     To.sin_family = AF_INET;
     To.sin_port = htons(Where.m_Port);
     To.sin_addr.s_addr = htonl(Where.m_Ip);
-    ::connect(Fd, reinterpret_cast<sockaddr *>(&To), sizeof(To));
+    (void)::connect(Fd, reinterpret_cast<sockaddr *>(&To), sizeof(To));
     return std::make_unique<Peer>(Fd);
   }
 
@@ -105,7 +105,7 @@
     sockaddr_in Own{};
     Own.sin_family = AF_INET;
     Own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(m_Fd, reinterpret_cast<sockaddr *>(&Own), sizeof(Own));
+    (void)bind(m_Fd, reinterpret_cast<sockaddr *>(&Own), sizeof(Own));
     listen(m_Fd, 64);
     socklen_t Size = sizeof(Own);
     getsockname(m_Fd, reinterpret_cast<sockaddr *>(&Own), &Size);
--- a/tests/unit/entry_placement_test.cpp
+++ b/tests/unit/entry_placement_test.cpp
@@ -89,7 +89,7 @@
       auto Row = std::make_unique<wire::MemberT>();
       Row->instance = std::string(1, Name);
       Row->ip = 0x7f000001;
-      Row->port = static_cast<std::uint16_t>(Name);
+      Row->port = static_cast<std::uint8_t>(Name);
       Out.attachment->members.push_back(std::move(Row));
     }
     auto Row = std::make_unique<wire::UpstreamInfoT>();
@@ -224,6 +224,7 @@
   It.down(1, "a");
   It.down(2, "b");
   std::vector<BidNumber> Bids;
+  Bids.reserve(6);
   for (int Count = 0; Count < 6; ++Count)
     Bids.push_back(It.bid());
   It.m_Timers.advance(900ms);
