Codechange: Take claims out of the request core's file, and unused messages out of the schema

No process sent IndirectProbe, TableConfirm or HeartbeatAck: a link's two ends watch each other, and confirmations travel with the members' news. The schema has not been released, so no reader is lost.

--- a/src/entry/request_core.h
+++ b/src/entry/request_core.h
@@ -24,6 +24,10 @@
 /// Longest wait for the record of a call that ran, with its answer at hand.
 inline constexpr Duration KeepPatience = std::chrono::seconds(1);
 
+/// After this long a caller whose claim could not be made, or whose key's
+/// first call goes on, may come back.
+inline constexpr Duration ClaimRetryAfter = std::chrono::seconds(1);
+
 /// One request from admission to its final answer.
 class RequestCore {
 public:
--- /dev/null
+++ b/src/entry/request_core_claim.cpp
@@ -0,0 +1,110 @@
+/// The request's state machine: the claim of a call that may not be repeated.
+#include "entry/request_core.h"
+
+#include <algorithm>
+
+namespace crowstep::entry {
+
+namespace {
+
+using decision::WorkEnd;
+
+} // namespace
+
+void RequestCore::askClaim(Actions &Out) {
+  // An outage of the table service must not hold the slot for longer than the
+  // grant can be used, nor the caller for longer than its limit.
+  const Duration Left = m_Terms.m_TotalLimit - (m_Now - m_Begin);
+  const Duration Limit = m_SlotHeld ? std::min(m_Slot.m_ValidFor, Left) : Left;
+  Out.emplace_back(AskClaim{std::max(Limit, Duration::zero())});
+}
+
+void RequestCore::on(const ClaimAnswered &What, Actions &Out) {
+  const bool Asked = m_State == State::Claiming;
+  if (!Asked && m_State != State::KeyRead)
+    return;
+  switch (What.m_Outcome.m_Status) {
+  case claim::ClaimStatus::Owned:
+    claimOwned(Out);
+    return;
+  case claim::ClaimStatus::Ran:
+    release(WorkEnd::Unused, Out);
+    m_ClaimAsked = false;
+    finish(ReplayAnswer{What.m_Outcome.m_Answer}, Out);
+    return;
+  case claim::ClaimStatus::InProgress:
+    keyHeldElsewhere(Out);
+    return;
+  case claim::ClaimStatus::OtherBody:
+    release(WorkEnd::Unused, Out);
+    m_ClaimAsked = false;
+    refuse(RefusalReason::KeyReused, Duration::zero(), Out);
+    return;
+  case claim::ClaimStatus::Done:
+    if (!Asked) // The other call provably never ran: the key is free.
+      bid(false, std::nullopt, Out);
+    return;
+  case claim::ClaimStatus::Unavailable:
+    if (!Asked) {
+      keyHeldElsewhere(Out);
+      return;
+    }
+    // Nothing was written now, but an earlier ask of this attempt whose
+    // outcome was uncertain may have been.
+    m_ClaimAsked = m_ClaimMayStand;
+    release(WorkEnd::Unused, Out);
+    refuse(RefusalReason::ClaimUnavailable, ClaimRetryAfter, Out);
+    return;
+  case claim::ClaimStatus::Uncertain:
+    // The row may name this attempt. Asking again with the same attempt finds
+    // out; nothing is sent before, and the slot is not held meanwhile.
+    release(WorkEnd::Unused, Out);
+    m_ClaimMayStand = m_ClaimMayStand || Asked;
+    m_State = Asked ? State::ClaimPause : State::KeyWait;
+    Out.emplace_back(WakeAfter{ClaimPoll});
+    return;
+  }
+}
+
+void RequestCore::claimOwned(Actions &Out) {
+  m_ClaimOwned = true;
+  m_OtherHolds = false; // It gave the key back before.
+  if (m_CallerGone) {
+    release(WorkEnd::Unused, Out);
+    refuse(RefusalReason::CallerGone, Duration::zero(), Out);
+    return;
+  }
+  if (!m_SlotHeld || slotStale()) {
+    release(WorkEnd::Unused, Out);
+    retry(RetryReason::GrantExpired, false, std::nullopt, Out);
+    return;
+  }
+  send(Out);
+}
+
+void RequestCore::keyHeldElsewhere(Actions &Out) {
+  // The slot is of no use while another call holds the key.
+  release(WorkEnd::Unused, Out);
+  m_OtherHolds = true;
+  m_ClaimAsked = false;
+  if (m_CallerGone) {
+    finish(DropAnswer{}, Out);
+    return;
+  }
+  m_State = State::KeyWait;
+  Out.emplace_back(WakeAfter{ClaimPoll});
+}
+
+void RequestCore::on(const PauseOver &, Actions &Out) {
+  if (m_State == State::KeyWait) {
+    m_State = State::KeyRead;
+    Out.emplace_back(ReadClaim{});
+  } else if (m_State == State::ClaimPause) {
+    m_State = State::Claiming;
+    askClaim(Out);
+  } else if (m_State == State::Keeping) {
+    answerRan(Out);
+  }
+}
+
+} // namespace crowstep::entry
--- a/src/link/frame_account.cpp
+++ b/src/link/frame_account.cpp
@@ -30,11 +30,8 @@
     {F::VT_NOT_OWNER, M::Serving, true},
     {F::VT_MEMBERS, M::Membership, true},
     {F::VT_HEARTBEAT, M::Membership, false},
-    {F::VT_HEARTBEAT_ACK, M::Membership, false},
-    {F::VT_PROBES, M::Membership, true},
     {F::VT_TABLE_UPDATE, M::Table, false},
     {F::VT_TABLE_REQUEST, M::Table, false},
-    {F::VT_TABLE_CONFIRM, M::Table, false},
     {F::VT_ATTACHMENT, M::Attachment, false},
     {F::VT_ATTACHMENT_ACK, M::Attachment, false},
     {F::VT_CLAIM_REQUESTS, M::Claims, true},
@@ -42,6 +39,7 @@
     {F::VT_MEMBER_NEWS, M::Membership, true},
     {F::VT_TABLE_PROBE, M::Table, false},
     {F::VT_TABLE_PROBE_ACK, M::Table, false},
+    {F::VT_KNOWLEDGE, M::Attachment, false},
 };
 
 constexpr const char *MechanismNames[] = {"framing", "serving",    "membership",
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -54,16 +54,8 @@
 struct HeartbeatBuilder;
 struct HeartbeatT;
 
-struct HeartbeatAck;
-struct HeartbeatAckBuilder;
-struct HeartbeatAckT;
-
 struct MemberNews;
 
-struct IndirectProbe;
-struct IndirectProbeBuilder;
-struct IndirectProbeT;
-
 struct TableUpdate;
 struct TableUpdateBuilder;
 struct TableUpdateT;
@@ -82,10 +74,6 @@
 struct TableProbeAckBuilder;
 struct TableProbeAckT;
 
-struct TableConfirm;
-struct TableConfirmBuilder;
-struct TableConfirmT;
-
 struct UpstreamInfo;
 struct UpstreamInfoBuilder;
 struct UpstreamInfoT;
@@ -1423,188 +1411,6 @@
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct HeartbeatAckT : public flatbuffers::NativeTable {
-  typedef HeartbeatAck TableType;
-  uint64_t sequence = 0;
-  uint64_t table_version = 0;
-  uint64_t view_hash = 0;
-  uint32_t table_read_age_ms = 0;
-};
-
-struct HeartbeatAck FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef HeartbeatAckT NativeTableType;
-  typedef HeartbeatAckBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SEQUENCE = 4,
-    VT_TABLE_VERSION = 6,
-    VT_VIEW_HASH = 8,
-    VT_TABLE_READ_AGE_MS = 10
-  };
-  uint64_t sequence() const {
-    return GetField<uint64_t>(VT_SEQUENCE, 0);
-  }
-  uint64_t table_version() const {
-    return GetField<uint64_t>(VT_TABLE_VERSION, 0);
-  }
-  uint64_t view_hash() const {
-    return GetField<uint64_t>(VT_VIEW_HASH, 0);
-  }
-  uint32_t table_read_age_ms() const {
-    return GetField<uint32_t>(VT_TABLE_READ_AGE_MS, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
-           VerifyField<uint64_t>(verifier, VT_TABLE_VERSION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_VIEW_HASH, 8) &&
-           VerifyField<uint32_t>(verifier, VT_TABLE_READ_AGE_MS, 4) &&
-           verifier.EndTable();
-  }
-  HeartbeatAckT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(HeartbeatAckT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<HeartbeatAck> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatAckT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct HeartbeatAckBuilder {
-  typedef HeartbeatAck Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_sequence(uint64_t sequence) {
-    fbb_.AddElement<uint64_t>(HeartbeatAck::VT_SEQUENCE, sequence, 0);
-  }
-  void add_table_version(uint64_t table_version) {
-    fbb_.AddElement<uint64_t>(HeartbeatAck::VT_TABLE_VERSION, table_version, 0);
-  }
-  void add_view_hash(uint64_t view_hash) {
-    fbb_.AddElement<uint64_t>(HeartbeatAck::VT_VIEW_HASH, view_hash, 0);
-  }
-  void add_table_read_age_ms(uint32_t table_read_age_ms) {
-    fbb_.AddElement<uint32_t>(HeartbeatAck::VT_TABLE_READ_AGE_MS, table_read_age_ms, 0);
-  }
-  explicit HeartbeatAckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<HeartbeatAck> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<HeartbeatAck>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<HeartbeatAck> CreateHeartbeatAck(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t sequence = 0,
-    uint64_t table_version = 0,
-    uint64_t view_hash = 0,
-    uint32_t table_read_age_ms = 0) {
-  HeartbeatAckBuilder builder_(_fbb);
-  builder_.add_view_hash(view_hash);
-  builder_.add_table_version(table_version);
-  builder_.add_sequence(sequence);
-  builder_.add_table_read_age_ms(table_read_age_ms);
-  return builder_.Finish();
-}
-
-struct HeartbeatAck::Traits {
-  using type = HeartbeatAck;
-  static auto constexpr Create = CreateHeartbeatAck;
-};
-
-flatbuffers::Offset<HeartbeatAck> CreateHeartbeatAck(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatAckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-struct IndirectProbeT : public flatbuffers::NativeTable {
-  typedef IndirectProbe TableType;
-  uint64_t target = 0;
-  uint64_t origin = 0;
-  uint64_t sequence = 0;
-  bool answered = false;
-};
-
-struct IndirectProbe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef IndirectProbeT NativeTableType;
-  typedef IndirectProbeBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TARGET = 4,
-    VT_ORIGIN = 6,
-    VT_SEQUENCE = 8,
-    VT_ANSWERED = 10
-  };
-  uint64_t target() const {
-    return GetField<uint64_t>(VT_TARGET, 0);
-  }
-  uint64_t origin() const {
-    return GetField<uint64_t>(VT_ORIGIN, 0);
-  }
-  uint64_t sequence() const {
-    return GetField<uint64_t>(VT_SEQUENCE, 0);
-  }
-  bool answered() const {
-    return GetField<uint8_t>(VT_ANSWERED, 0) != 0;
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_TARGET, 8) &&
-           VerifyField<uint64_t>(verifier, VT_ORIGIN, 8) &&
-           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
-           VerifyField<uint8_t>(verifier, VT_ANSWERED, 1) &&
-           verifier.EndTable();
-  }
-  IndirectProbeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(IndirectProbeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<IndirectProbe> Pack(flatbuffers::FlatBufferBuilder &_fbb, const IndirectProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct IndirectProbeBuilder {
-  typedef IndirectProbe Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_target(uint64_t target) {
-    fbb_.AddElement<uint64_t>(IndirectProbe::VT_TARGET, target, 0);
-  }
-  void add_origin(uint64_t origin) {
-    fbb_.AddElement<uint64_t>(IndirectProbe::VT_ORIGIN, origin, 0);
-  }
-  void add_sequence(uint64_t sequence) {
-    fbb_.AddElement<uint64_t>(IndirectProbe::VT_SEQUENCE, sequence, 0);
-  }
-  void add_answered(bool answered) {
-    fbb_.AddElement<uint8_t>(IndirectProbe::VT_ANSWERED, static_cast<uint8_t>(answered), 0);
-  }
-  explicit IndirectProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<IndirectProbe> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<IndirectProbe>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<IndirectProbe> CreateIndirectProbe(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t target = 0,
-    uint64_t origin = 0,
-    uint64_t sequence = 0,
-    bool answered = false) {
-  IndirectProbeBuilder builder_(_fbb);
-  builder_.add_sequence(sequence);
-  builder_.add_origin(origin);
-  builder_.add_target(target);
-  builder_.add_answered(answered);
-  return builder_.Finish();
-}
-
-struct IndirectProbe::Traits {
-  using type = IndirectProbe;
-  static auto constexpr Create = CreateIndirectProbe;
-};
-
-flatbuffers::Offset<IndirectProbe> CreateIndirectProbe(flatbuffers::FlatBufferBuilder &_fbb, const IndirectProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct TableUpdateT : public flatbuffers::NativeTable {
   typedef TableUpdate TableType;
   uint64_t version = 0;
@@ -1959,86 +1765,6 @@
 
 flatbuffers::Offset<TableProbeAck> CreateTableProbeAck(flatbuffers::FlatBufferBuilder &_fbb, const TableProbeAckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct TableConfirmT : public flatbuffers::NativeTable {
-  typedef TableConfirm TableType;
-  uint64_t version = 0;
-  uint64_t instance = 0;
-  uint64_t incarnation = 0;
-};
-
-struct TableConfirm FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef TableConfirmT NativeTableType;
-  typedef TableConfirmBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_VERSION = 4,
-    VT_INSTANCE = 6,
-    VT_INCARNATION = 8
-  };
-  uint64_t version() const {
-    return GetField<uint64_t>(VT_VERSION, 0);
-  }
-  uint64_t instance() const {
-    return GetField<uint64_t>(VT_INSTANCE, 0);
-  }
-  uint64_t incarnation() const {
-    return GetField<uint64_t>(VT_INCARNATION, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_INSTANCE, 8) &&
-           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
-           verifier.EndTable();
-  }
-  TableConfirmT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(TableConfirmT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<TableConfirm> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TableConfirmT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct TableConfirmBuilder {
-  typedef TableConfirm Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_version(uint64_t version) {
-    fbb_.AddElement<uint64_t>(TableConfirm::VT_VERSION, version, 0);
-  }
-  void add_instance(uint64_t instance) {
-    fbb_.AddElement<uint64_t>(TableConfirm::VT_INSTANCE, instance, 0);
-  }
-  void add_incarnation(uint64_t incarnation) {
-    fbb_.AddElement<uint64_t>(TableConfirm::VT_INCARNATION, incarnation, 0);
-  }
-  explicit TableConfirmBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<TableConfirm> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<TableConfirm>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<TableConfirm> CreateTableConfirm(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t version = 0,
-    uint64_t instance = 0,
-    uint64_t incarnation = 0) {
-  TableConfirmBuilder builder_(_fbb);
-  builder_.add_incarnation(incarnation);
-  builder_.add_instance(instance);
-  builder_.add_version(version);
-  return builder_.Finish();
-}
-
-struct TableConfirm::Traits {
-  using type = TableConfirm;
-  static auto constexpr Create = CreateTableConfirm;
-};
-
-flatbuffers::Offset<TableConfirm> CreateTableConfirm(flatbuffers::FlatBufferBuilder &_fbb, const TableConfirmT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct UpstreamInfoT : public flatbuffers::NativeTable {
   typedef UpstreamInfo TableType;
   std::string name{};
@@ -2984,7 +2710,6 @@
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   std::unique_ptr<crowstep::wire::HeartbeatT> heartbeat{};
-  std::unique_ptr<crowstep::wire::HeartbeatAckT> heartbeat_ack{};
   std::unique_ptr<crowstep::wire::TableProbeT> table_probe{};
   std::unique_ptr<crowstep::wire::TableProbeAckT> table_probe_ack{};
   std::unique_ptr<crowstep::wire::AttachmentAckT> attachment_ack{};
@@ -3001,10 +2726,8 @@
   std::vector<std::unique_ptr<crowstep::wire::RunningT>> running{};
   std::vector<crowstep::wire::NotOwner> not_owner{};
   std::vector<std::unique_ptr<crowstep::wire::MemberT>> members{};
-  std::vector<std::unique_ptr<crowstep::wire::IndirectProbeT>> probes{};
   std::unique_ptr<crowstep::wire::TableUpdateT> table_update{};
   std::unique_ptr<crowstep::wire::TableRequestT> table_request{};
-  std::unique_ptr<crowstep::wire::TableConfirmT> table_confirm{};
   std::vector<std::unique_ptr<crowstep::wire::ClaimRequestT>> claim_requests{};
   std::vector<std::unique_ptr<crowstep::wire::ClaimReplyT>> claim_replies{};
   std::vector<crowstep::wire::MemberNews> member_news{};
@@ -3021,38 +2744,32 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_HEARTBEAT = 4,
-    VT_HEARTBEAT_ACK = 6,
-    VT_TABLE_PROBE = 8,
-    VT_TABLE_PROBE_ACK = 10,
-    VT_ATTACHMENT_ACK = 12,
-    VT_ATTACHMENT = 14,
-    VT_BIDS = 16,
-    VT_GRANTS = 18,
-    VT_WORK_ENDS = 20,
-    VT_FIRST_TOKENS = 22,
-    VT_HELLO = 24,
-    VT_PROOF = 26,
-    VT_REFUSALS = 28,
-    VT_PREEMPTS = 30,
-    VT_WITHDRAWALS = 32,
-    VT_RUNNING = 34,
-    VT_NOT_OWNER = 36,
-    VT_MEMBERS = 38,
-    VT_PROBES = 40,
-    VT_TABLE_UPDATE = 42,
-    VT_TABLE_REQUEST = 44,
-    VT_TABLE_CONFIRM = 46,
-    VT_CLAIM_REQUESTS = 48,
-    VT_CLAIM_REPLIES = 50,
-    VT_MEMBER_NEWS = 52,
-    VT_KNOWLEDGE = 54
+    VT_TABLE_PROBE = 6,
+    VT_TABLE_PROBE_ACK = 8,
+    VT_ATTACHMENT_ACK = 10,
+    VT_ATTACHMENT = 12,
+    VT_BIDS = 14,
+    VT_GRANTS = 16,
+    VT_WORK_ENDS = 18,
+    VT_FIRST_TOKENS = 20,
+    VT_HELLO = 22,
+    VT_PROOF = 24,
+    VT_REFUSALS = 26,
+    VT_PREEMPTS = 28,
+    VT_WITHDRAWALS = 30,
+    VT_RUNNING = 32,
+    VT_NOT_OWNER = 34,
+    VT_MEMBERS = 36,
+    VT_TABLE_UPDATE = 38,
+    VT_TABLE_REQUEST = 40,
+    VT_CLAIM_REQUESTS = 42,
+    VT_CLAIM_REPLIES = 44,
+    VT_MEMBER_NEWS = 46,
+    VT_KNOWLEDGE = 48
   };
   const crowstep::wire::Heartbeat *heartbeat() const {
     return GetPointer<const crowstep::wire::Heartbeat *>(VT_HEARTBEAT);
   }
-  const crowstep::wire::HeartbeatAck *heartbeat_ack() const {
-    return GetPointer<const crowstep::wire::HeartbeatAck *>(VT_HEARTBEAT_ACK);
-  }
   const crowstep::wire::TableProbe *table_probe() const {
     return GetPointer<const crowstep::wire::TableProbe *>(VT_TABLE_PROBE);
   }
@@ -3101,18 +2818,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>> *>(VT_MEMBERS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::IndirectProbe>> *probes() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::IndirectProbe>> *>(VT_PROBES);
-  }
   const crowstep::wire::TableUpdate *table_update() const {
     return GetPointer<const crowstep::wire::TableUpdate *>(VT_TABLE_UPDATE);
   }
   const crowstep::wire::TableRequest *table_request() const {
     return GetPointer<const crowstep::wire::TableRequest *>(VT_TABLE_REQUEST);
   }
-  const crowstep::wire::TableConfirm *table_confirm() const {
-    return GetPointer<const crowstep::wire::TableConfirm *>(VT_TABLE_CONFIRM);
-  }
   const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *claim_requests() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *>(VT_CLAIM_REQUESTS);
   }
@@ -3129,8 +2840,6 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HEARTBEAT) &&
            verifier.VerifyTable(heartbeat()) &&
-           VerifyOffset(verifier, VT_HEARTBEAT_ACK) &&
-           verifier.VerifyTable(heartbeat_ack()) &&
            VerifyOffset(verifier, VT_TABLE_PROBE) &&
            verifier.VerifyTable(table_probe()) &&
            VerifyOffset(verifier, VT_TABLE_PROBE_ACK) &&
@@ -3166,15 +2875,10 @@
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
-           VerifyOffset(verifier, VT_PROBES) &&
-           verifier.VerifyVector(probes()) &&
-           verifier.VerifyVectorOfTables(probes()) &&
            VerifyOffset(verifier, VT_TABLE_UPDATE) &&
            verifier.VerifyTable(table_update()) &&
            VerifyOffset(verifier, VT_TABLE_REQUEST) &&
            verifier.VerifyTable(table_request()) &&
-           VerifyOffset(verifier, VT_TABLE_CONFIRM) &&
-           verifier.VerifyTable(table_confirm()) &&
            VerifyOffset(verifier, VT_CLAIM_REQUESTS) &&
            verifier.VerifyVector(claim_requests()) &&
            verifier.VerifyVectorOfTables(claim_requests()) &&
@@ -3199,9 +2903,6 @@
   void add_heartbeat(flatbuffers::Offset<crowstep::wire::Heartbeat> heartbeat) {
     fbb_.AddOffset(Frame::VT_HEARTBEAT, heartbeat);
   }
-  void add_heartbeat_ack(flatbuffers::Offset<crowstep::wire::HeartbeatAck> heartbeat_ack) {
-    fbb_.AddOffset(Frame::VT_HEARTBEAT_ACK, heartbeat_ack);
-  }
   void add_table_probe(flatbuffers::Offset<crowstep::wire::TableProbe> table_probe) {
     fbb_.AddOffset(Frame::VT_TABLE_PROBE, table_probe);
   }
@@ -3250,18 +2951,12 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>>> members) {
     fbb_.AddOffset(Frame::VT_MEMBERS, members);
   }
-  void add_probes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::IndirectProbe>>> probes) {
-    fbb_.AddOffset(Frame::VT_PROBES, probes);
-  }
   void add_table_update(flatbuffers::Offset<crowstep::wire::TableUpdate> table_update) {
     fbb_.AddOffset(Frame::VT_TABLE_UPDATE, table_update);
   }
   void add_table_request(flatbuffers::Offset<crowstep::wire::TableRequest> table_request) {
     fbb_.AddOffset(Frame::VT_TABLE_REQUEST, table_request);
   }
-  void add_table_confirm(flatbuffers::Offset<crowstep::wire::TableConfirm> table_confirm) {
-    fbb_.AddOffset(Frame::VT_TABLE_CONFIRM, table_confirm);
-  }
   void add_claim_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>>> claim_requests) {
     fbb_.AddOffset(Frame::VT_CLAIM_REQUESTS, claim_requests);
   }
@@ -3288,7 +2983,6 @@
 inline flatbuffers::Offset<Frame> CreateFrame(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<crowstep::wire::Heartbeat> heartbeat = 0,
-    flatbuffers::Offset<crowstep::wire::HeartbeatAck> heartbeat_ack = 0,
     flatbuffers::Offset<crowstep::wire::TableProbe> table_probe = 0,
     flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0,
     flatbuffers::Offset<crowstep::wire::AttachmentAck> attachment_ack = 0,
@@ -3305,10 +2999,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Running>>> running = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::NotOwner *>> not_owner = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>>> members = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::IndirectProbe>>> probes = 0,
     flatbuffers::Offset<crowstep::wire::TableUpdate> table_update = 0,
     flatbuffers::Offset<crowstep::wire::TableRequest> table_request = 0,
-    flatbuffers::Offset<crowstep::wire::TableConfirm> table_confirm = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>>> claim_requests = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>>> claim_replies = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::MemberNews *>> member_news = 0,
@@ -3318,10 +3010,8 @@
   builder_.add_member_news(member_news);
   builder_.add_claim_replies(claim_replies);
   builder_.add_claim_requests(claim_requests);
-  builder_.add_table_confirm(table_confirm);
   builder_.add_table_request(table_request);
   builder_.add_table_update(table_update);
-  builder_.add_probes(probes);
   builder_.add_members(members);
   builder_.add_not_owner(not_owner);
   builder_.add_running(running);
@@ -3338,7 +3028,6 @@
   builder_.add_attachment_ack(attachment_ack);
   builder_.add_table_probe_ack(table_probe_ack);
   builder_.add_table_probe(table_probe);
-  builder_.add_heartbeat_ack(heartbeat_ack);
   builder_.add_heartbeat(heartbeat);
   return builder_.Finish();
 }
@@ -3351,7 +3040,6 @@
 inline flatbuffers::Offset<Frame> CreateFrameDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<crowstep::wire::Heartbeat> heartbeat = 0,
-    flatbuffers::Offset<crowstep::wire::HeartbeatAck> heartbeat_ack = 0,
     flatbuffers::Offset<crowstep::wire::TableProbe> table_probe = 0,
     flatbuffers::Offset<crowstep::wire::TableProbeAck> table_probe_ack = 0,
     flatbuffers::Offset<crowstep::wire::AttachmentAck> attachment_ack = 0,
@@ -3368,10 +3056,8 @@
     const std::vector<flatbuffers::Offset<crowstep::wire::Running>> *running = nullptr,
     const std::vector<crowstep::wire::NotOwner> *not_owner = nullptr,
     const std::vector<flatbuffers::Offset<crowstep::wire::Member>> *members = nullptr,
-    const std::vector<flatbuffers::Offset<crowstep::wire::IndirectProbe>> *probes = nullptr,
     flatbuffers::Offset<crowstep::wire::TableUpdate> table_update = 0,
     flatbuffers::Offset<crowstep::wire::TableRequest> table_request = 0,
-    flatbuffers::Offset<crowstep::wire::TableConfirm> table_confirm = 0,
     const std::vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *claim_requests = nullptr,
     const std::vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *claim_replies = nullptr,
     const std::vector<crowstep::wire::MemberNews> *member_news = nullptr,
@@ -3386,14 +3072,12 @@
   auto running__ = running ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Running>>(*running) : 0;
   auto not_owner__ = not_owner ? _fbb.CreateVectorOfStructs<crowstep::wire::NotOwner>(*not_owner) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Member>>(*members) : 0;
-  auto probes__ = probes ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::IndirectProbe>>(*probes) : 0;
   auto claim_requests__ = claim_requests ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimRequest>>(*claim_requests) : 0;
   auto claim_replies__ = claim_replies ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimReply>>(*claim_replies) : 0;
   auto member_news__ = member_news ? _fbb.CreateVectorOfStructs<crowstep::wire::MemberNews>(*member_news) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
       heartbeat,
-      heartbeat_ack,
       table_probe,
       table_probe_ack,
       attachment_ack,
@@ -3410,10 +3094,8 @@
       running__,
       not_owner__,
       members__,
-      probes__,
       table_update,
       table_request,
-      table_confirm,
       claim_requests__,
       claim_replies__,
       member_news__,
@@ -3678,76 +3360,6 @@
       _table_read_age_ms);
 }
 
-inline HeartbeatAckT *HeartbeatAck::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<HeartbeatAckT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void HeartbeatAck::UnPackTo(HeartbeatAckT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = sequence(); _o->sequence = _e; }
-  { auto _e = table_version(); _o->table_version = _e; }
-  { auto _e = view_hash(); _o->view_hash = _e; }
-  { auto _e = table_read_age_ms(); _o->table_read_age_ms = _e; }
-}
-
-inline flatbuffers::Offset<HeartbeatAck> HeartbeatAck::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatAckT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateHeartbeatAck(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<HeartbeatAck> CreateHeartbeatAck(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatAckT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeartbeatAckT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _sequence = _o->sequence;
-  auto _table_version = _o->table_version;
-  auto _view_hash = _o->view_hash;
-  auto _table_read_age_ms = _o->table_read_age_ms;
-  return crowstep::wire::CreateHeartbeatAck(
-      _fbb,
-      _sequence,
-      _table_version,
-      _view_hash,
-      _table_read_age_ms);
-}
-
-inline IndirectProbeT *IndirectProbe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<IndirectProbeT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void IndirectProbe::UnPackTo(IndirectProbeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = target(); _o->target = _e; }
-  { auto _e = origin(); _o->origin = _e; }
-  { auto _e = sequence(); _o->sequence = _e; }
-  { auto _e = answered(); _o->answered = _e; }
-}
-
-inline flatbuffers::Offset<IndirectProbe> IndirectProbe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const IndirectProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateIndirectProbe(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<IndirectProbe> CreateIndirectProbe(flatbuffers::FlatBufferBuilder &_fbb, const IndirectProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const IndirectProbeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _target = _o->target;
-  auto _origin = _o->origin;
-  auto _sequence = _o->sequence;
-  auto _answered = _o->answered;
-  return crowstep::wire::CreateIndirectProbe(
-      _fbb,
-      _target,
-      _origin,
-      _sequence,
-      _answered);
-}
-
 inline TableUpdateT *TableUpdate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<TableUpdateT>();
   UnPackTo(_o.get(), _resolver);
@@ -3876,38 +3488,6 @@
       _vouches);
 }
 
-inline TableConfirmT *TableConfirm::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<TableConfirmT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void TableConfirm::UnPackTo(TableConfirmT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = version(); _o->version = _e; }
-  { auto _e = instance(); _o->instance = _e; }
-  { auto _e = incarnation(); _o->incarnation = _e; }
-}
-
-inline flatbuffers::Offset<TableConfirm> TableConfirm::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TableConfirmT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateTableConfirm(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<TableConfirm> CreateTableConfirm(flatbuffers::FlatBufferBuilder &_fbb, const TableConfirmT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TableConfirmT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _version = _o->version;
-  auto _instance = _o->instance;
-  auto _incarnation = _o->incarnation;
-  return crowstep::wire::CreateTableConfirm(
-      _fbb,
-      _version,
-      _instance,
-      _incarnation);
-}
-
 inline UpstreamInfoT *UpstreamInfo::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<UpstreamInfoT>();
   UnPackTo(_o.get(), _resolver);
@@ -4231,7 +3811,6 @@
 
 inline FrameT::FrameT(const FrameT &o)
       : heartbeat((o.heartbeat) ? new crowstep::wire::HeartbeatT(*o.heartbeat) : nullptr),
-        heartbeat_ack((o.heartbeat_ack) ? new crowstep::wire::HeartbeatAckT(*o.heartbeat_ack) : nullptr),
         table_probe((o.table_probe) ? new crowstep::wire::TableProbeT(*o.table_probe) : nullptr),
         table_probe_ack((o.table_probe_ack) ? new crowstep::wire::TableProbeAckT(*o.table_probe_ack) : nullptr),
         attachment_ack((o.attachment_ack) ? new crowstep::wire::AttachmentAckT(*o.attachment_ack) : nullptr),
@@ -4247,7 +3826,6 @@
         not_owner(o.not_owner),
         table_update((o.table_update) ? new crowstep::wire::TableUpdateT(*o.table_update) : nullptr),
         table_request((o.table_request) ? new crowstep::wire::TableRequestT(*o.table_request) : nullptr),
-        table_confirm((o.table_confirm) ? new crowstep::wire::TableConfirmT(*o.table_confirm) : nullptr),
         member_news(o.member_news),
         knowledge((o.knowledge) ? new crowstep::wire::KnowledgeT(*o.knowledge) : nullptr) {
   bids.reserve(o.bids.size());
@@ -4256,8 +3834,6 @@
   for (const auto &running_ : o.running) { running.emplace_back((running_) ? new crowstep::wire::RunningT(*running_) : nullptr); }
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new crowstep::wire::MemberT(*members_) : nullptr); }
-  probes.reserve(o.probes.size());
-  for (const auto &probes_ : o.probes) { probes.emplace_back((probes_) ? new crowstep::wire::IndirectProbeT(*probes_) : nullptr); }
   claim_requests.reserve(o.claim_requests.size());
   for (const auto &claim_requests_ : o.claim_requests) { claim_requests.emplace_back((claim_requests_) ? new crowstep::wire::ClaimRequestT(*claim_requests_) : nullptr); }
   claim_replies.reserve(o.claim_replies.size());
@@ -4266,7 +3842,6 @@
 
 inline FrameT &FrameT::operator=(FrameT o) FLATBUFFERS_NOEXCEPT {
   std::swap(heartbeat, o.heartbeat);
-  std::swap(heartbeat_ack, o.heartbeat_ack);
   std::swap(table_probe, o.table_probe);
   std::swap(table_probe_ack, o.table_probe_ack);
   std::swap(attachment_ack, o.attachment_ack);
@@ -4283,10 +3858,8 @@
   std::swap(running, o.running);
   std::swap(not_owner, o.not_owner);
   std::swap(members, o.members);
-  std::swap(probes, o.probes);
   std::swap(table_update, o.table_update);
   std::swap(table_request, o.table_request);
-  std::swap(table_confirm, o.table_confirm);
   std::swap(claim_requests, o.claim_requests);
   std::swap(claim_replies, o.claim_replies);
   std::swap(member_news, o.member_news);
@@ -4304,7 +3877,6 @@
   (void)_o;
   (void)_resolver;
   { auto _e = heartbeat(); if (_e) _o->heartbeat = std::unique_ptr<crowstep::wire::HeartbeatT>(_e->UnPack(_resolver)); }
-  { auto _e = heartbeat_ack(); if (_e) _o->heartbeat_ack = std::unique_ptr<crowstep::wire::HeartbeatAckT>(_e->UnPack(_resolver)); }
   { auto _e = table_probe(); if (_e) _o->table_probe = std::unique_ptr<crowstep::wire::TableProbeT>(_e->UnPack(_resolver)); }
   { auto _e = table_probe_ack(); if (_e) _o->table_probe_ack = std::unique_ptr<crowstep::wire::TableProbeAckT>(_e->UnPack(_resolver)); }
   { auto _e = attachment_ack(); if (_e) _o->attachment_ack = std::unique_ptr<crowstep::wire::AttachmentAckT>(_e->UnPack(_resolver)); }
@@ -4321,10 +3893,8 @@
   { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = std::unique_ptr<crowstep::wire::RunningT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = not_owner(); if (_e) { _o->not_owner.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->not_owner[_i] = *_e->Get(_i); } } }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<crowstep::wire::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = probes(); if (_e) { _o->probes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->probes[_i] = std::unique_ptr<crowstep::wire::IndirectProbeT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = table_update(); if (_e) _o->table_update = std::unique_ptr<crowstep::wire::TableUpdateT>(_e->UnPack(_resolver)); }
   { auto _e = table_request(); if (_e) _o->table_request = std::unique_ptr<crowstep::wire::TableRequestT>(_e->UnPack(_resolver)); }
-  { auto _e = table_confirm(); if (_e) _o->table_confirm = std::unique_ptr<crowstep::wire::TableConfirmT>(_e->UnPack(_resolver)); }
   { auto _e = claim_requests(); if (_e) { _o->claim_requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claim_requests[_i] = std::unique_ptr<crowstep::wire::ClaimRequestT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = claim_replies(); if (_e) { _o->claim_replies.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claim_replies[_i] = std::unique_ptr<crowstep::wire::ClaimReplyT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = member_news(); if (_e) { _o->member_news.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->member_news[_i] = *_e->Get(_i); } } }
@@ -4340,7 +3910,6 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FrameT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _heartbeat = _o->heartbeat ? CreateHeartbeat(_fbb, _o->heartbeat.get(), _rehasher) : 0;
-  auto _heartbeat_ack = _o->heartbeat_ack ? CreateHeartbeatAck(_fbb, _o->heartbeat_ack.get(), _rehasher) : 0;
   auto _table_probe = _o->table_probe ? CreateTableProbe(_fbb, _o->table_probe.get(), _rehasher) : 0;
   auto _table_probe_ack = _o->table_probe_ack ? CreateTableProbeAck(_fbb, _o->table_probe_ack.get(), _rehasher) : 0;
   auto _attachment_ack = _o->attachment_ack ? CreateAttachmentAck(_fbb, _o->attachment_ack.get(), _rehasher) : 0;
@@ -4357,10 +3926,8 @@
   auto _running = _o->running.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Running>> (_o->running.size(), [](size_t i, _VectorArgs *__va) { return CreateRunning(*__va->__fbb, __va->__o->running[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _not_owner = _o->not_owner.size() ? _fbb.CreateVectorOfStructs(_o->not_owner) : 0;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _probes = _o->probes.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::IndirectProbe>> (_o->probes.size(), [](size_t i, _VectorArgs *__va) { return CreateIndirectProbe(*__va->__fbb, __va->__o->probes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _table_update = _o->table_update ? CreateTableUpdate(_fbb, _o->table_update.get(), _rehasher) : 0;
   auto _table_request = _o->table_request ? CreateTableRequest(_fbb, _o->table_request.get(), _rehasher) : 0;
-  auto _table_confirm = _o->table_confirm ? CreateTableConfirm(_fbb, _o->table_confirm.get(), _rehasher) : 0;
   auto _claim_requests = _o->claim_requests.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> (_o->claim_requests.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimRequest(*__va->__fbb, __va->__o->claim_requests[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _claim_replies = _o->claim_replies.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimReply>> (_o->claim_replies.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimReply(*__va->__fbb, __va->__o->claim_replies[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _member_news = _o->member_news.size() ? _fbb.CreateVectorOfStructs(_o->member_news) : 0;
@@ -4368,7 +3935,6 @@
   return crowstep::wire::CreateFrame(
       _fbb,
       _heartbeat,
-      _heartbeat_ack,
       _table_probe,
       _table_probe_ack,
       _attachment_ack,
@@ -4385,10 +3951,8 @@
       _running,
       _not_owner,
       _members,
-      _probes,
       _table_update,
       _table_request,
-      _table_confirm,
       _claim_requests,
       _claim_replies,
       _member_news,
