Codechange: Read members and texts of frames in one place

A member was read from a frame in the membership and in the entry, and written in the membership and in the dispatcher; the reading of a text that may be absent stood four times. membership_wire.h and wire/wire_text.h now serve all.

--- a/src/claim/claim_client.cpp
+++ b/src/claim/claim_client.cpp
@@ -1,6 +1,8 @@
 /// Requests to claim homes, asked again until a final reply or a limit.
 #include "claim/claim_client.h"
 
+#include "wire/wire_text.h"
+
 #include <xxhash.h>
 
 namespace crowstep::claim {
@@ -23,9 +25,7 @@
 constexpr Duration RecordLimit = ClaimLifetime;
 constexpr Duration ReadLimit = 1s;
 
-std::string textOf(const flatbuffers::String *Text) {
-  return Text == nullptr ? std::string() : Text->str();
-}
+using wire::textOf;
 
 } // namespace
 
--- a/src/claim/claim_home.cpp
+++ b/src/claim/claim_home.cpp
@@ -1,6 +1,8 @@
 /// The claim home between links and the table service.
 #include "claim/claim_home.h"
 
+#include "wire/wire_text.h"
+
 #include <array>
 
 namespace crowstep::claim {
@@ -11,9 +13,7 @@
     "owned",       "in_progress", "ran",      "other_body",
     "unavailable", "done",        "uncertain"};
 
-std::string textOf(const flatbuffers::String *Text) {
-  return Text == nullptr ? std::string() : Text->str();
-}
+using wire::textOf;
 
 Wanted wantedOf(const wire::ClaimRequest &Request) {
   const AttemptId Attempt = textOf(Request.attempt());
--- a/src/dispatcher/entry_attachments.cpp
+++ b/src/dispatcher/entry_attachments.cpp
@@ -3,19 +3,12 @@
 
 #include "core/log.h"
 #include "knowledge_wire.h"
+#include "membership/membership_wire.h"
 
 #include <algorithm>
 
 namespace crowstep::dispatcher {
 
-namespace {
-
-wire::MemberState wireStateOf(membership::MemberState State) {
-  return static_cast<wire::MemberState>(State);
-}
-
-} // namespace
-
 EntryAttachments::EntryAttachments(const Clock &Time, Scheduler &Timers,
                                    link::Links &Wire, AttachmentSource Source)
     : m_Clock(Time), m_Links(Wire), m_Source(std::move(Source)),
@@ -141,17 +134,8 @@
 }
 
 void EntryAttachments::addMembers(wire::AttachmentT &Out) const {
-  for (const membership::Member &Each : m_Source.m_Members()) {
-    auto Row = std::make_unique<wire::MemberT>();
-    Row->instance = Each.m_Name;
-    Row->incarnation = Each.m_Incarnation.value();
-    Row->state = wireStateOf(Each.m_State);
-    Row->ip = Each.m_Address.m_Ip;
-    Row->port = Each.m_Address.m_Port;
-    Row->zone = Each.m_Zone.m_Name;
-    Row->table_version = Each.m_TableVersion.value();
-    Out.members.push_back(std::move(Row));
-  }
+  for (const membership::Member &Each : m_Source.m_Members())
+    Out.members.push_back(membership::wireOf(Each));
 }
 
 void EntryAttachments::addUpstreams(wire::AttachmentT &Out) const {
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -6,6 +6,8 @@
 #include "contract/contract_func.h"
 #include "core/log.h"
 #include "knowledge_wire.h"
+#include "membership/membership_wire.h"
+#include "wire/wire_text.h"
 
 #include <algorithm>
 
@@ -19,21 +21,8 @@
 /// that the right lasts.
 constexpr std::size_t MaxUnechoed = 64;
 
-Member memberOf(const wire::Member &In) {
-  Member Out;
-  Out.m_Name = In.instance() == nullptr ? "" : In.instance()->str();
-  Out.m_Id = instanceIdOf(Out.m_Name);
-  Out.m_Incarnation = Incarnation(In.incarnation());
-  Out.m_State = static_cast<membership::MemberState>(In.state());
-  Out.m_Address = {In.ip(), In.port()};
-  Out.m_Zone.m_Name = In.zone() == nullptr ? "" : In.zone()->str();
-  Out.m_TableVersion = TableVersion(In.table_version());
-  return Out;
-}
-
 WorkspaceRow workspaceOf(const wire::WorkspaceInfo &In) {
-  return {WorkspaceId(In.id()),
-          In.key_hash() == nullptr ? "" : In.key_hash()->str()};
+  return {WorkspaceId(In.id()), wire::textOf(In.key_hash())};
 }
 
 /// Replaces \p To by the rows of \p From unless there are none.
@@ -226,7 +215,10 @@
         std::max(From.m_ServesUntil, Echoed->second + EntryRightToServe);
     From.m_Sent.erase(From.m_Sent.begin(), Echoed);
   }
-  const bool Members = replaceRows(What.members(), From.m_Members, memberOf);
+  const bool Members =
+      replaceRows(What.members(), From.m_Members, [](const wire::Member &Row) {
+        return membership::memberOf(Row);
+      });
   const bool Upstreams =
       replaceRows(What.upstreams(), From.m_Upstreams,
                   [](const wire::UpstreamInfo &Row) { return fromWire(Row); });
--- a/src/knowledge_wire.cpp
+++ b/src/knowledge_wire.cpp
@@ -1,15 +1,11 @@
 /// Upstreams and workspaces in frames.
 #include "knowledge_wire.h"
 
-namespace crowstep {
-
-namespace {
+#include "wire/wire_text.h"
 
-std::string textOf(const flatbuffers::String *Text) {
-  return Text == nullptr ? std::string() : Text->str();
-}
+namespace crowstep {
 
-} // namespace
+using wire::textOf;
 
 std::unique_ptr<wire::UpstreamInfoT> toWire(const Upstream &What) {
   auto Row = std::make_unique<wire::UpstreamInfoT>();
--- a/src/membership/membership_wire.cpp
+++ b/src/membership/membership_wire.cpp
@@ -1,42 +1,18 @@
 /// Members and heartbeats between the state machine and the wire.
 #include "membership/membership_wire.h"
 
+#include "wire/wire_text.h"
+
 namespace crowstep::membership {
 
 namespace {
 
-std::string textOf(const flatbuffers::String *Text) {
-  return Text == nullptr ? std::string() : Text->str();
-}
-
-Member memberOf(const wire::Member &From) {
-  Member Result;
-  Result.m_Name = textOf(From.instance());
-  Result.m_Id = instanceIdOf(Result.m_Name);
-  Result.m_Incarnation = Incarnation(From.incarnation());
-  Result.m_State = static_cast<MemberState>(From.state());
-  Result.m_Address = {From.ip(), From.port()};
-  Result.m_Zone = {textOf(From.zone())};
-  Result.m_TableVersion = TableVersion(From.table_version());
-  return Result;
-}
+using wire::textOf;
 
 bool isValid(wire::MemberState State) {
   return State <= wire::MemberState::MAX;
 }
 
-std::unique_ptr<wire::MemberT> wireOf(const Member &From) {
-  auto Result = std::make_unique<wire::MemberT>();
-  Result->instance = From.m_Name;
-  Result->incarnation = From.m_Incarnation.value();
-  Result->state = static_cast<wire::MemberState>(From.m_State);
-  Result->ip = From.m_Address.m_Ip;
-  Result->port = From.m_Address.m_Port;
-  Result->zone = From.m_Zone.m_Name;
-  Result->table_version = From.m_TableVersion.value();
-  return Result;
-}
-
 MembersHeard membersIn(LinkId Link, const wire::Frame &Frame) {
   MembersHeard Result{Link, {}};
   for (const wire::Member *Each : *Frame.members()) {
@@ -61,6 +37,30 @@
 
 } // namespace
 
+Member memberOf(const wire::Member &From) {
+  Member Result;
+  Result.m_Name = textOf(From.instance());
+  Result.m_Id = instanceIdOf(Result.m_Name);
+  Result.m_Incarnation = Incarnation(From.incarnation());
+  Result.m_State = static_cast<MemberState>(From.state());
+  Result.m_Address = {From.ip(), From.port()};
+  Result.m_Zone = {textOf(From.zone())};
+  Result.m_TableVersion = TableVersion(From.table_version());
+  return Result;
+}
+
+std::unique_ptr<wire::MemberT> wireOf(const Member &From) {
+  auto Result = std::make_unique<wire::MemberT>();
+  Result->instance = From.m_Name;
+  Result->incarnation = From.m_Incarnation.value();
+  Result->state = static_cast<wire::MemberState>(From.m_State);
+  Result->ip = From.m_Address.m_Ip;
+  Result->port = From.m_Address.m_Port;
+  Result->zone = From.m_Zone.m_Name;
+  Result->table_version = From.m_TableVersion.value();
+  return Result;
+}
+
 Member memberOf(const link::Peer &Who) {
   Member Result;
   Result.m_Id = Who.m_Instance;
