--- a/src/core/http_client.cpp
+++ b/src/core/http_client.cpp
@@ -84,7 +84,8 @@
 HttpClient::HttpClient()
     : m_Session(soup_session_new_with_options(
           "max-conns", MaxConnections, "max-conns-per-host",
-          MaxConnectionsPerHost, "timeout", 0U, nullptr)) {}
+          MaxConnectionsPerHost, "timeout", 0U, "proxy-resolver", nullptr,
+          nullptr)) {}
 
 HttpClient::~HttpClient() {
   soup_session_abort(m_Session);
--- a/src/core/program.cpp
+++ b/src/core/program.cpp
@@ -5,6 +5,7 @@
 #include "core/log.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <glib-unix.h>
 #include <glib.h>
 #include <iostream>
@@ -16,6 +17,21 @@
 
 constexpr Duration DefaultStopLimit = std::chrono::seconds(600);
 
+/// Some platforms change the settings file without a signal; a look at it each
+/// second costs four system calls.
+constexpr unsigned FileCheckSeconds = 1;
+
+/// Returns a mark that changes with the file, or an empty text.
+std::string markOf(const std::string &File) {
+  char *Text = nullptr;
+  gsize Size = 0;
+  if (g_file_get_contents(File.c_str(), &Text, &Size, nullptr) == 0)
+    return {};
+  std::string Result(Text, Size);
+  g_free(Text);
+  return Result;
+}
+
 struct Options {
   std::string m_Config;     ///< Settings file.
   bool m_CheckOnly = false; ///< Validate and stop.
@@ -23,8 +39,10 @@
 
 Options parseCommandLine(int Argc, char **Argv, const std::string &Purpose) {
   TCLAP::CmdLine Line(Purpose, ' ', versionText());
-  TCLAP::ValueArg<std::string> Config("c", "config", "settings file (INI)",
-                                      true, "", "file", Line);
+  const char *Named = std::getenv("CROWSTEP_CONFIG");
+  TCLAP::ValueArg<std::string> Config(
+      "c", "config", "settings file (INI); default: $CROWSTEP_CONFIG",
+      Named == nullptr, Named == nullptr ? "" : Named, "file", Line);
   TCLAP::SwitchArg Check("", "check", "validate the settings and stop", Line);
   Line.parse(Argc, Argv);
   return {Config.getValue(), Check.getValue()};
@@ -33,9 +51,9 @@
 /// The loop of one daemon and what its signals do.
 class Runner {
 public:
-  Runner(Daemon &Served, Duration StopLimit)
-      : m_Daemon(Served), m_StopLimit(StopLimit),
-        m_Loop(g_main_loop_new(nullptr, 0)) {}
+  Runner(Daemon &Served, std::string File, Duration StopLimit)
+      : m_Daemon(Served), m_File(std::move(File)), m_FileMark(markOf(m_File)),
+        m_StopLimit(StopLimit), m_Loop(g_main_loop_new(nullptr, 0)) {}
   ~Runner() { g_main_loop_unref(m_Loop); }
   Runner(const Runner &) = delete;
   Runner &operator=(const Runner &) = delete;
@@ -45,6 +63,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     g_unix_signal_add(SIGTERM, onSignal, this);
     g_unix_signal_add(SIGINT, onSignal, this);
+    g_unix_signal_add(SIGHUP, onHangUp, this);
+    g_timeout_add_seconds(FileCheckSeconds, onFileCheck, this);
     m_Daemon.start();
     g_main_loop_run(m_Loop);
     return m_Code;
@@ -56,6 +76,31 @@
     return G_SOURCE_CONTINUE;
   }
 
+  static int onHangUp(void *Data) {
+    static_cast<Runner *>(Data)->reload();
+    return G_SOURCE_CONTINUE;
+  }
+
+  static int onFileCheck(void *Data) {
+    auto *Owner = static_cast<Runner *>(Data);
+    if (markOf(Owner->m_File) != Owner->m_FileMark)
+      Owner->reload();
+    return G_SOURCE_CONTINUE;
+  }
+
+  /// A file that can't be read leaves the old settings in force: a half-written
+  /// one must not end a process that serves.
+  void reload() {
+    m_FileMark = markOf(m_File);
+    try {
+      Settings File = Settings::load(m_File);
+      m_Daemon.reload(File);
+      logEvent(LogEvent::ProgramReloaded);
+    } catch (const Error &Failure) {
+      logEvent(LogEvent::ProgramReloadFailed, {{"why", Failure.what()}});
+    }
+  }
+
   static int onStopLimit(void *Data) {
     static_cast<Runner *>(Data)->cut();
     return G_SOURCE_REMOVE;
@@ -81,6 +126,8 @@
   }
 
   Daemon &m_Daemon;                    ///< Outlives the runner.
+  std::string m_File;                  ///< Its settings.
+  std::string m_FileMark;              ///< The file's content when it was read.
   Duration m_StopLimit;                ///< From the first signal.
   GMainLoop *m_Loop;                   ///< Owned.
   bool m_Stopping = false;             ///< After the first signal.
@@ -100,7 +147,7 @@
     std::cout << Chosen.m_Config << ": valid\n";
     return ExitCode::Success;
   }
-  Runner Loop(*Served, StopLimit);
+  Runner Loop(*Served, Chosen.m_Config, StopLimit);
   logEvent(LogEvent::ProgramStarted, {{"version", versionText()}});
   const ExitCode Code = Loop.run();
   logEvent(LogEvent::ProgramStopped);
--- a/src/core/program.h
+++ b/src/core/program.h
@@ -27,6 +27,10 @@
 
   /// Takes no more work and calls \p Done when the last has ended.
   virtual void stop(std::function<void()> Done) = 0;
+
+  /// Takes changed settings into force. \throws Error and changes nothing when
+  /// it can't. What can't change while it runs is read and left as it is.
+  virtual void reload(Settings & /*File*/) {}
 };
 
 /// Makes a daemon from its settings; reads every setting it knows.
@@ -35,6 +39,8 @@
 /// Runs the program \p Name: parses the command line (--config FILE, --check,
 /// --help, --version), checks the settings, serves until SIGTERM or SIGINT and
 /// then stops gracefully; [daemon] stop_limit_ms or a second signal ends that.
+/// SIGHUP, and a change of the file that no signal tells of, reload the
+/// settings. Without --config the variable CROWSTEP_CONFIG names the file.
 /// Returns the exit code.
 int runDaemon(int Argc, char **Argv, const std::string &Name,
               const std::string &Purpose, const DaemonFactory &Make);
--- a/src/entry/request.cpp
+++ b/src/entry/request.cpp
@@ -2,7 +2,7 @@
 #include "entry/request.h"
 
 #include "core/log.h"
-#include "entry/refusal_answer.h"
+#include "http/refusal_answer.h"
 
 #include <glib.h>
 
@@ -242,8 +242,10 @@
     const auto &Service = std::get<ServiceCall>(m_What.m_Call);
     Send.m_Path = Service.m_Path;
     Send.m_Body = Service.m_Body;
-    Send.m_Key = Service.m_Key;
+    if (!Service.m_Key.empty())
+      Send.m_Headers.push_back({"Idempotency-Key", Service.m_Key});
   }
+  Send.m_Headers.push_back({"Content-Type", "application/json"});
   m_Stats.m_Calls->add();
   m_Call = m_World.m_Upstream.send(Send, *this);
 }
@@ -263,9 +265,10 @@
   m_World.m_Http.call(Order, [](const HttpResult &) {});
 }
 
-void Request::upstreamHeaders(unsigned Status, const std::string &ContentType) {
+void Request::upstreamHeaders(unsigned Status, const HeaderList &Headers) {
   m_Status = Status;
-  m_ContentType = ContentType;
+  const std::string *Type = findHeader(Headers, "Content-Type");
+  m_ContentType = Type == nullptr ? std::string() : *Type;
 }
 
 void Request::upstreamBytes(std::string_view Bytes) {
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -3,14 +3,14 @@
 #define CROWSTEP_ENTRY_REQUEST_H
 
 #include "core/http_client.h"
-#include "entry/caller.h"
 #include "entry/caller_request.h"
 #include "entry/entry_settings.h"
 #include "entry/entry_stats.h"
 #include "entry/event_stream.h"
 #include "entry/placement.h"
 #include "entry/request_core.h"
-#include "entry/upstream_call.h"
+#include "http/caller.h"
+#include "http/upstream_call.h"
 
 #include <deque>
 #include <memory>
@@ -54,8 +54,7 @@
   void bidMoved() override;
   [[nodiscard]] std::uint32_t callTokens() const override;
 
-  void upstreamHeaders(unsigned Status,
-                       const std::string &ContentType) override;
+  void upstreamHeaders(unsigned Status, const HeaderList &Headers) override;
   void upstreamBytes(std::string_view Bytes) override;
   void upstreamEnded(TransportEnd How) override;
 
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -12,22 +12,56 @@
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpUnavailable = 503;
 
+/// A connection without a request is closed after this; callers' libraries
+/// open another one.
+constexpr Duration IdleLimit = std::chrono::seconds(60);
+
+ArrivalLimits arrivalLimits(const RequestLimits &Limits) {
+  return {Limits.m_MaxBody, Limits.m_MaxHeader, Limits.m_ReceiveLimit,
+          IdleLimit};
+}
+
+/// The path as it was sent, for forwarding, with its query.
+std::string pathOf(SoupServerMessage *Message) {
+  GUri *Uri = soup_server_message_get_uri(Message);
+  std::string Result = g_uri_get_path(Uri);
+  if (const char *Query = g_uri_get_query(Uri))
+    Result += std::string("?") + Query;
+  return Result;
+}
+
+RawRequest rawRequestOf(SoupServerMessage *Message) {
+  RawRequest Result;
+  Result.m_Method = soup_server_message_get_method(Message);
+  Result.m_Path = pathOf(Message);
+  Result.m_Authorization = requestHeader(Message, "Authorization");
+  Result.m_Class = requestHeader(Message, "Crowstep-Class");
+  Result.m_IdempotencyKey = requestHeader(Message, "Idempotency-Key");
+  Result.m_ContentType = requestHeader(Message, "Content-Type");
+  Result.m_Body = requestBody(Message);
+  return Result;
+}
+
 } // namespace
 
 RequestService::RequestService(RequestWorld World, const Directory &Known,
                                ServiceRights Rights, Metrics &Stats)
     : m_World(World), m_Directory(Known), m_Rights(std::move(Rights)),
       m_Metrics(Stats), m_Stats(Stats),
-      m_Front(World.m_Limits, m_Stats, World.m_Timers), m_Sweep(World.m_Timers),
-      m_StopCheck(World.m_Timers) {
+      m_Front(
+          arrivalLimits(World.m_Limits),
+          [this](RefusalReason Reason) {
+            m_Stats.of("").m_Refusals[static_cast<std::size_t>(Reason)]->add();
+          },
+          World.m_Timers),
+      m_Sweep(World.m_Timers), m_StopCheck(World.m_Timers) {
   tableChanged();
 }
 
 void RequestService::listen(const Address &Where) {
-  m_Front.listen(Where,
-                 [this](SoupServerMessage *Message, const RawRequest &Raw) {
-                   handle(Message, Raw);
-                 });
+  m_Front.listen(Where, [this](SoupServerMessage *Message) {
+    handle(Message, rawRequestOf(Message));
+  });
 }
 
 bool RequestService::ready() const {
--- a/src/entry/request_service.h
+++ b/src/entry/request_service.h
@@ -2,8 +2,8 @@
 #ifndef CROWSTEP_ENTRY_REQUEST_SERVICE_H
 #define CROWSTEP_ENTRY_REQUEST_SERVICE_H
 
-#include "entry/front.h"
 #include "entry/request.h"
+#include "http/front.h"
 
 #include <functional>
 #include <memory>
--- /dev/null
+++ b/src/gateway/forwarded_request.cpp
@@ -0,0 +1,465 @@
+/// Calls to upstreams and what follows from their ends.
+#include "gateway/forwarded_request.h"
+
+#include "core/log.h"
+#include "http/refusal_answer.h"
+
+#include <algorithm>
+
+namespace crowstep::gateway {
+
+namespace {
+
+constexpr unsigned HttpOk = 200;
+constexpr unsigned FirstRedirect = 300;
+constexpr unsigned FirstServerError = 500;
+
+/// A connection within a region stands in a few milliseconds; one that takes
+/// this long meets a machine that is dark or has no room for connections.
+constexpr Duration ConnectLimit = std::chrono::milliseconds(350);
+
+/// Upstreams that are looked for after connections that failed; nothing was
+/// sent, so neither the route's attempts nor the retry budget are drawn on.
+constexpr unsigned MaxMisses = 3;
+
+/// With less time left than this, another upstream could not answer.
+constexpr Duration LeastTimeToRetry = std::chrono::milliseconds(30);
+
+/// A caller whose call found no room comes back after this: about the time in
+/// which an engine ends one of its calls.
+constexpr Duration BusyRetryAfter = std::chrono::milliseconds(250);
+
+/// Statuses by which an upstream says that it did not run a call. Without its
+/// proof they can't be passed on: they would promise that to the caller.
+bool promisesNotRun(unsigned Status) {
+  constexpr unsigned RequestTimeout = 408;
+  constexpr unsigned Misdirected = 421;
+  constexpr unsigned TooManyRequests = 429;
+  constexpr unsigned Unavailable = 503;
+  return Status == RequestTimeout || Status == Misdirected ||
+         Status == TooManyRequests || Status == Unavailable;
+}
+
+} // namespace
+
+ForwardedRequest::ForwardedRequest(ForwardWorld &World, IncomingRequest Request,
+                                   Admitted What, std::unique_ptr<Caller> From,
+                                   std::function<void()> OnEnded)
+    : m_World(World), m_Request(std::move(Request)), m_What(std::move(What)),
+      m_Caller(std::move(From)), m_OnEnded(std::move(OnEnded)),
+      m_Stats(World.m_Stats.route(m_What.m_Route->m_Name)),
+      m_Begin(World.m_Clock.now()), m_Limit(World.m_Timers),
+      m_Silence(World.m_Timers) {
+  Duration Time = m_What.m_Route->m_Timeout;
+  if (m_What.m_Facts.m_Deadline)
+    Time = std::min(Time, *m_What.m_Facts.m_Deadline);
+  m_EndBy = m_Begin + Time;
+}
+
+ForwardedRequest::~ForwardedRequest() {
+  if (m_Call != nullptr)
+    m_World.m_Balancer.ended(m_Ticket, balance::CallOutcome::Dropped,
+                             m_World.m_Clock.now());
+}
+
+void ForwardedRequest::start() {
+  m_Stats.m_Requests->add();
+  m_Service = chooseService();
+  m_LastId = m_What.m_Facts.m_LastEvent;
+  m_World.m_Budget.call(m_Service, m_Begin);
+  m_Caller->onGone([this] { callerGone(); });
+  m_Caller->onDrained([this] {
+    if (m_Call != nullptr)
+      m_Call->continueReading();
+  });
+  m_Limit.start(timeLeft(), [this] { timeIsOver(); });
+  attempt();
+}
+
+std::string ForwardedRequest::chooseService() const {
+  const std::vector<ServiceShare> &Shares = m_What.m_Route->m_Services;
+  double Sum = 0;
+  for (const ServiceShare &Each : Shares)
+    Sum += Each.m_Weight;
+  double Left = m_World.m_Random() * Sum;
+  for (const ServiceShare &Each : Shares) {
+    Left -= Each.m_Weight;
+    if (Left < 0)
+      return Each.m_Service;
+  }
+  return Shares.back().m_Service;
+}
+
+Duration ForwardedRequest::timeLeft() const {
+  return m_EndBy - m_World.m_Clock.fresh();
+}
+
+// ---- Calls ------------------------------------------------------------------
+
+void ForwardedRequest::attempt() {
+  balance::PlacementQuery Query;
+  Query.m_Service = m_Service;
+  Query.m_Prompt = m_What.m_Facts.m_Prompt;
+  Query.m_Target = m_What.m_Route->m_Target;
+  if (const EventStream *Stream = stream())
+    Query.m_LongestPause = Stream->m_LongestPause;
+  Query.m_Avoid = m_Tried;
+  const auto Result = m_World.m_Balancer.place(Query, m_World.m_Clock.now());
+  if (const auto *None = std::get_if<balance::NotPlaced>(&Result)) {
+    giveUp(None->m_Reason, None->m_RetryAfter);
+    return;
+  }
+  send(std::get<balance::Placed>(Result));
+}
+
+void ForwardedRequest::send(const balance::Placed &Where) {
+  m_Ticket = Where.m_Ticket;
+  m_Upstream = Where.m_Name;
+  m_Tried.push_back(Where.m_Upstream);
+  m_Status = 0;
+  m_Body.clear();
+  m_Splitter = SseSplitter();
+  SendFacts Own;
+  Own.m_TimeLeft = timeLeft();
+  Own.m_Upstream = Where.m_Name;
+  Own.m_Workspace = m_What.m_Workspace;
+  Own.m_Priority = m_What.m_Priority;
+  Own.m_LastEvent = m_LastId;
+  UpstreamSend What;
+  What.m_Where = Where.m_Address;
+  What.m_Method = m_Request.m_Method;
+  What.m_Path = m_Request.m_Target;
+  What.m_Headers =
+      m_World.m_Codec.writeRequest(endToEndHeaders(m_Request.m_Headers), Own);
+  What.m_Body = m_Request.m_Body;
+  What.m_Repeatable = repeatable();
+  What.m_SendBefore = m_EndBy;
+  What.m_ConnectLimit = ConnectLimit;
+  What.m_Wanted = [this] {
+    return !m_Caller->hasLeft() &&
+           m_World.m_Balancer.mayBegin(m_Ticket, m_World.m_Clock.now());
+  };
+  ++m_Sends;
+  m_Call = m_World.m_Upstream.send(What, *this);
+  watchSilence(firstByteLimit());
+}
+
+/// How long the first byte of a repeatable call's answer may take before
+/// another upstream is asked. Twice the target leaves room for a loaded engine;
+/// under the least, a pause of the network would look like a dead upstream.
+Duration ForwardedRequest::firstByteLimit() const {
+  constexpr int TargetsToWait = 2;
+  constexpr Duration LeastForPlain = std::chrono::milliseconds(250);
+  constexpr Duration LeastForStream = std::chrono::milliseconds(1200);
+  if (!repeatable())
+    return Duration::zero();
+  return std::max(m_What.m_Route->m_Target * TargetsToWait,
+                  stream() == nullptr ? LeastForPlain : LeastForStream);
+}
+
+void ForwardedRequest::watchSilence(Duration Limit) {
+  if (Limit > Duration::zero())
+    m_Silence.start(Limit, [this] { silent(); });
+}
+
+void ForwardedRequest::silent() {
+  if (m_Call == nullptr || !mayTryAgain())
+    return;
+  if (!m_World.m_Budget.take(m_Service, m_World.m_Clock.now()))
+    return;
+  m_MayHaveRun = true;
+  endCall(balance::CallOutcome::Silent);
+  m_World.m_Stats.retried(m_Streaming ? RetryReason::ClosedMidStream
+                                      : RetryReason::ClosedBeforeByte);
+  attempt();
+}
+
+void ForwardedRequest::endCall(balance::CallOutcome Outcome) {
+  m_Silence.stop();
+  m_Call.reset();
+  m_World.m_Balancer.ended(m_Ticket, Outcome, m_World.m_Clock.now());
+}
+
+bool ForwardedRequest::mayTryAgain() const {
+  return m_Sends < m_What.m_Route->m_MaxAttempts &&
+         timeLeft() > LeastTimeToRetry && (!m_MayHaveRun || repeatable());
+}
+
+/// The call arrived somewhere and did not end well.
+void ForwardedRequest::tryAgain(RetryReason Why) {
+  if (m_Caller->hasLeft()) {
+    callerGone();
+    return;
+  }
+  const bool HasRun = m_MayHaveRun;
+  if (!mayTryAgain()) {
+    giveUp(HasRun ? RefusalReason::UpstreamFailed
+                  : RefusalReason::UpstreamRefused,
+           BusyRetryAfter);
+    return;
+  }
+  if (!m_World.m_Budget.take(m_Service, m_World.m_Clock.now())) {
+    giveUp(HasRun ? RefusalReason::UpstreamFailed : RefusalReason::RetryBudget,
+           BusyRetryAfter);
+    return;
+  }
+  m_World.m_Stats.retried(Why);
+  attempt();
+}
+
+// ---- Answers ----------------------------------------------------------------
+
+void ForwardedRequest::upstreamHeaders(unsigned Status,
+                                       const HeaderList &Headers) {
+  takeHead(Status, Headers);
+}
+
+void ForwardedRequest::takeHead(unsigned Status, const HeaderList &Headers) {
+  const AnswerFacts Facts = m_World.m_Codec.readAnswer(Status, Headers);
+  // The answer to an earlier call, sent late on a kept connection, or bytes
+  // that are no answer of an upstream at all.
+  if (Facts.m_RequestId != m_What.m_Facts.m_Id && !Facts.m_NotRun) {
+    m_MayHaveRun = true;
+    upstreamFailed(balance::CallOutcome::Failed, RetryReason::ClosedBeforeByte);
+    return;
+  }
+  if (Facts.m_Load)
+    m_World.m_Balancer.reported(m_Ticket, *Facts.m_Load, m_World.m_Clock.now());
+  if (Facts.m_NotRun) {
+    upstreamRefused(Facts.m_OtherUpstream || Facts.m_Leaving
+                        ? balance::CallOutcome::Leaving
+                        : balance::CallOutcome::Refused);
+    return;
+  }
+  m_MayHaveRun = true;
+  const bool Good = Status >= HttpOk && Status < FirstRedirect;
+  if ((Good && !Facts.m_Signed) || Facts.m_Encoded) {
+    upstreamFailed(balance::CallOutcome::Failed, RetryReason::ClosedBeforeByte);
+    return;
+  }
+  m_Status = Status;
+  if (!m_Streaming)
+    m_AnswerHeaders = Headers;
+  if (m_Streaming && !Good) {
+    upstreamFailed(balance::CallOutcome::Failed, RetryReason::ClosedMidStream);
+    return;
+  }
+  if (Good && stream() != nullptr)
+    m_Silence.stop();
+}
+
+void ForwardedRequest::upstreamRefused(balance::CallOutcome Outcome) {
+  endCall(Outcome);
+  tryAgain(Outcome == balance::CallOutcome::Leaving
+               ? RetryReason::UpstreamLeaving
+               : RetryReason::UpstreamRefused);
+}
+
+void ForwardedRequest::upstreamFailed(balance::CallOutcome Outcome,
+                                      RetryReason Why) {
+  endCall(Outcome);
+  if (repeatable()) {
+    tryAgain(Why);
+    return;
+  }
+  giveUp(RefusalReason::UpstreamFailed, Duration::zero());
+}
+
+void ForwardedRequest::upstreamBytes(std::string_view Bytes) {
+  const bool Good = m_Status >= HttpOk && m_Status < FirstRedirect;
+  if (Good && stream() != nullptr)
+    takeEvents(Bytes);
+  else
+    m_Body.append(Bytes);
+}
+
+void ForwardedRequest::takeEvents(std::string_view Bytes) {
+  for (const SseEvent &Event : m_Splitter.feed(Bytes))
+    relay(Event);
+  constexpr int PausesToWait = 4;
+  constexpr Duration LeastPause = std::chrono::milliseconds(1000);
+  if (m_Call != nullptr && repeatable())
+    watchSilence(std::max(stream()->m_LongestPause * PausesToWait, LeastPause));
+}
+
+void ForwardedRequest::relay(const SseEvent &Event) {
+  // A resumed stream may begin with what the caller has already.
+  if (Event.m_Id && m_LastId && *Event.m_Id <= *m_LastId)
+    return;
+  if (!m_Streaming)
+    beginStream();
+  m_Caller->append(Event.m_Bytes);
+  ++m_Events;
+  if (Event.m_Id)
+    m_LastId = Event.m_Id;
+  // A caller that reads slowly must not make this process hold its whole
+  // answer; the engine is held back by its own socket instead.
+  constexpr std::size_t CallerBacklog = 64 << 10;
+  if (m_Call != nullptr && m_Caller->backlog() > CallerBacklog)
+    m_Call->pauseReading();
+}
+
+HeaderList ForwardedRequest::answerHeaders() const {
+  HeaderList Result = endToEndHeaders(m_AnswerHeaders);
+  std::erase_if(Result, [](const HeaderField &Field) {
+    return sameHeader(Field.m_Name, "Content-Type");
+  });
+  if (m_World.m_Leaving())
+    Result.push_back({"Connection", "close"});
+  return Result;
+}
+
+void ForwardedRequest::beginStream() {
+  m_Streaming = true;
+  m_World.m_Balancer.answered(m_Ticket);
+  m_Stats.m_FirstEvent->record(m_World.m_Clock.now() - m_Begin);
+  CallerAnswer Head;
+  Head.m_Status = m_Status;
+  Head.m_ContentType = "text/event-stream";
+  Head.m_Headers = answerHeaders();
+  m_Caller->beginStream(Head);
+}
+
+void ForwardedRequest::upstreamEnded(TransportEnd How) {
+  switch (How) {
+  case TransportEnd::NotSent:
+    --m_Sends;
+    endCall(balance::CallOutcome::NoAnswer);
+    if (++m_Misses > MaxMisses) {
+      giveUp(m_MayHaveRun ? RefusalReason::UpstreamFailed
+                          : RefusalReason::NoUpstream,
+             BusyRetryAfter);
+      return;
+    }
+    m_World.m_Stats.retried(RetryReason::ConnectFailed);
+    attempt();
+    return;
+  case TransportEnd::TooOld:
+    --m_Sends;
+    endCall(balance::CallOutcome::Dropped);
+    if (m_Caller->hasLeft())
+      callerGone();
+    else if (timeLeft() <= Duration::zero())
+      timeIsOver();
+    else
+      attempt();
+    return;
+  case TransportEnd::Broken:
+    m_MayHaveRun = true;
+    upstreamFailed(balance::CallOutcome::Failed,
+                   m_Streaming ? RetryReason::ClosedMidStream
+                               : RetryReason::ClosedBeforeByte);
+    return;
+  case TransportEnd::Complete:
+    break;
+  }
+  const bool Good = m_Status >= HttpOk && m_Status < FirstRedirect;
+  if (Good && stream() != nullptr)
+    streamEnded();
+  else
+    plainEnded();
+}
+
+void ForwardedRequest::streamEnded() {
+  if (m_Splitter.midEvent() || !m_Streaming) {
+    upstreamFailed(balance::CallOutcome::Failed,
+                   m_Streaming ? RetryReason::ClosedMidStream
+                               : RetryReason::ClosedBeforeByte);
+    return;
+  }
+  endCall(balance::CallOutcome::Served);
+  m_Caller->endStream();
+  m_Stats.m_Finished->add();
+  ended("served");
+}
+
+void ForwardedRequest::plainEnded() {
+  const bool Good = m_Status < FirstServerError;
+  endCall(Good ? balance::CallOutcome::Served : balance::CallOutcome::Failed);
+  if (!Good && repeatable() && mayTryAgain() &&
+      m_World.m_Budget.take(m_Service, m_World.m_Clock.now())) {
+    m_World.m_Stats.retried(RetryReason::ClosedBeforeByte);
+    attempt();
+    return;
+  }
+  if (promisesNotRun(m_Status)) {
+    giveUp(RefusalReason::UpstreamFailed, Duration::zero());
+    return;
+  }
+  answerPlain();
+}
+
+void ForwardedRequest::answerPlain() {
+  CallerAnswer Whole;
+  Whole.m_Status = m_Status;
+  const std::string *Type = findHeader(m_AnswerHeaders, "Content-Type");
+  Whole.m_ContentType = Type == nullptr ? "application/octet-stream" : *Type;
+  Whole.m_Headers = answerHeaders();
+  Whole.m_Body = m_Body;
+  m_Caller->answer(Whole);
+  if (m_Status < FirstServerError)
+    m_Stats.m_Finished->add();
+  ended(m_Status < FirstServerError ? "served" : "upstream_error");
+}
+
+// ---- Ends -------------------------------------------------------------------
+
+void ForwardedRequest::giveUp(RefusalReason Reason, Duration RetryAfter) {
+  m_World.m_Stats.refused(Reason);
+  if (m_Streaming) {
+    // The caller must see that the stream is not whole.
+    m_Caller->drop();
+    ended(nameOf(Reason));
+    return;
+  }
+  if (m_MayHaveRun && promisesNotRun(httpStatusOf(Reason)))
+    Reason = RefusalReason::UpstreamFailed;
+  CallerAnswer Answer =
+      refusalAnswer(Reason, m_MayHaveRun ? RunState::Unknown : RunState::NotRun,
+                    Duration::zero());
+  Answer.m_Headers = m_World.m_Codec.writeRefusal(
+      m_What.m_Facts.m_Id, m_MayHaveRun ? Duration::zero() : RetryAfter);
+  if (m_World.m_Leaving())
+    Answer.m_Headers.push_back({"Connection", "close"});
+  m_Caller->answer(Answer);
+  ended(nameOf(Reason));
+}
+
+void ForwardedRequest::timeIsOver() {
+  if (m_Call != nullptr) {
+    // Bytes may be on their way: whether it runs is not known.
+    m_MayHaveRun = true;
+    endCall(balance::CallOutcome::Dropped);
+  }
+  giveUp(RefusalReason::TimedOut, Duration::zero());
+}
+
+void ForwardedRequest::callerGone() {
+  if (m_Call != nullptr)
+    endCall(balance::CallOutcome::Dropped);
+  m_World.m_Stats.refused(RefusalReason::CallerGone);
+  m_Caller->drop();
+  ended(nameOf(RefusalReason::CallerGone));
+}
+
+void ForwardedRequest::ended(std::string_view Outcome) {
+  m_Limit.stop();
+  m_Silence.stop();
+  const Duration Took = m_World.m_Clock.now() - m_Begin;
+  m_Stats.m_Total->record(Took);
+  logEvent(LogEvent::GatewayRequestEnded,
+           {{"request", m_What.m_Facts.m_Id},
+            {"route", m_What.m_Route->m_Name},
+            {"outcome", std::string(Outcome)},
+            {"status", std::to_string(m_Status)},
+            {"upstream", m_Upstream},
+            {"sends", std::to_string(m_Sends)},
+            {"events", std::to_string(m_Events)},
+            {"took_us", std::to_string(Took.count())}});
+  const std::function<void()> Job = std::move(m_OnEnded);
+  m_OnEnded = nullptr;
+  if (Job)
+    Job();
+}
+
+} // namespace crowstep::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,197 @@
+/// The gateway daemon.
+#include "gateway/gateway.h"
+
+#include "core/log.h"
+#include "http/refusal_answer.h"
+
+#include <string_view>
+
+namespace crowstep::gateway {
+
+namespace {
+
+constexpr unsigned HttpOk = 200;
+constexpr unsigned HttpUnavailable = 503;
+constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
+
+/// A caller that meets an instance without a table comes back after this, to
+/// whatever instance it is given then.
+constexpr Duration NoTableRetryAfter = std::chrono::milliseconds(500);
+
+/// After SIGTERM new connections go on coming until the platform has asked for
+/// readiness twice, a second apart; connections that wait for a request are
+/// closed only then, as their callers would come back here.
+constexpr Duration OutOfRotation = std::chrono::milliseconds(2600);
+
+/// Headers and bodies may take this long where the table doesn't say.
+constexpr Duration DefaultReceiveLimit = std::chrono::seconds(10);
+constexpr Duration DefaultIdleLimit = std::chrono::seconds(60);
+
+ArrivalLimits arrivalLimits(const CallerLimits &Limits) {
+  const auto Or = [](Duration Value, Duration Default) {
+    return Value > Duration::zero() ? Value : Default;
+  };
+  return {Limits.m_MaxBody, Limits.m_MaxHeader,
+          Or(Limits.m_HeaderTimeout, DefaultReceiveLimit),
+          Or(Limits.m_IdleTimeout, DefaultIdleLimit)};
+}
+
+/// The target as it was sent, with its query.
+std::string targetOf(SoupServerMessage *Message) {
+  GUri *Uri = soup_server_message_get_uri(Message);
+  std::string Result = g_uri_get_path(Uri);
+  if (const char *Query = g_uri_get_query(Uri))
+    Result += std::string("?") + Query;
+  return Result;
+}
+
+IncomingRequest incoming(SoupServerMessage *Message) {
+  return {soup_server_message_get_method(Message), targetOf(Message),
+          copyHeaders(soup_server_message_get_request_headers(Message)),
+          requestBody(Message)};
+}
+
+} // namespace
+
+Gateway::Gateway(GatewaySettings Chosen, const PartsFactory &Make)
+    : m_Settings(std::move(Chosen)), m_Stats(m_Metrics),
+      m_Random(std::random_device{}()), m_Balancer(m_Settings.m_Zone),
+      m_Budget(m_Settings.m_RetryBudget), m_Upstream(m_Clock, m_Timers),
+      m_Parts(Make(m_Clock, m_Timers, m_Metrics)),
+      m_World{m_Clock,
+              m_Timers,
+              m_Balancer,
+              m_Budget,
+              m_Upstream,
+              *m_Parts.m_Codec,
+              m_Stats,
+              [this] { return std::uniform_real_distribution<>()(m_Random); },
+              [this] { return m_Closing; }},
+      m_Front(
+          arrivalLimits({}),
+          [this](RefusalReason Reason) { m_Stats.refused(Reason); }, m_Timers),
+      m_Sweep(m_Timers), m_StopCheck(m_Timers) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::start() {
+  m_Parts.m_Directory->start(*this);
+  m_Probes.listen(m_Settings.m_Probes,
+                  [this](SoupServerMessage *Message, const char *Path) {
+                    handleProbe(Message, Path);
+                  });
+  m_Front.listen(m_Settings.m_Listen,
+                 [this](SoupServerMessage *Message) { handle(Message); });
+}
+
+void Gateway::reload(Settings &File) {
+  m_Settings = readGatewaySettings(File);
+  m_Budget.setBound(m_Settings.m_RetryBudget);
+}
+
+// ---- What is known ----------------------------------------------------------
+
+void Gateway::tableChanged(RouteTablePtr Table) {
+  m_Table = std::move(Table);
+  m_Front.setLimits(arrivalLimits(m_Table->data().m_Limits));
+  m_Metrics.gauge("crowstep_table_version")
+      .set(static_cast<double>(m_Table->version().value()));
+}
+
+void Gateway::upstreamsChanged(const std::vector<Upstream> &List) {
+  m_KnowsUpstreams = true;
+  m_Balancer.setUpstreams(List);
+}
+
+bool Gateway::ready() const {
+  return !m_Stopping && m_Table != nullptr && m_KnowsUpstreams;
+}
+
+void Gateway::handleProbe(SoupServerMessage *Message, const char *Path) {
+  if (Path == m_Settings.m_ReadinessPath) {
+    const bool Good = ready();
+    respond(Message, Good ? HttpOk : HttpUnavailable, "text/plain",
+            Good ? "ok\n" : "unavailable\n");
+    return;
+  }
+  if (std::string_view(Path) == "/metrics") {
+    m_Metrics.gauge("crowstep_requests_open")
+        .set(static_cast<double>(m_Requests.size()));
+    respond(Message, HttpOk, "text/plain; version=0.0.4", m_Metrics.text());
+    return;
+  }
+  fillAnswer(Message, refusalAnswer(RefusalReason::UnknownPath,
+                                    RunState::NotRun, Duration::zero()));
+}
+
+// ---- Requests ---------------------------------------------------------------
+
+void Gateway::handle(SoupServerMessage *Message) {
+  IncomingRequest Request = incoming(Message);
+  auto Outcome = admit(Request, m_Table, *m_Parts.m_Codec);
+  if (const auto *Why = std::get_if<NotAdmitted>(&Outcome)) {
+    refuse(Message, *Why);
+    return;
+  }
+  const std::uint64_t Number = ++m_LastRequest;
+  auto Fresh = std::make_unique<ForwardedRequest>(
+      m_World, std::move(Request), std::move(std::get<Admitted>(Outcome)),
+      std::make_unique<HttpServerCaller>(Message),
+      [this, Number] { ended(Number); });
+  ForwardedRequest &Begun = *Fresh;
+  m_Requests.emplace(Number, std::move(Fresh));
+  Begun.start();
+}
+
+void Gateway::refuse(SoupServerMessage *Message, const NotAdmitted &Why) {
+  m_Stats.refused(Why.m_Reason);
+  logEvent(
+      LogEvent::GatewayNotAdmitted,
+      {{"request", Why.m_Id}, {"reason", std::string(nameOf(Why.m_Reason))}});
+  CallerAnswer Answer =
+      refusalAnswer(Why.m_Reason, RunState::NotRun, Duration::zero());
+  Answer.m_Headers = m_Parts.m_Codec->writeRefusal(
+      Why.m_Id, httpStatusOf(Why.m_Reason) == HttpUnavailable
+                    ? NoTableRetryAfter
+                    : Duration::zero());
+  if (m_Closing)
+    Answer.m_Headers.push_back({"Connection", "close"});
+  fillAnswer(Message, Answer);
+}
+
+void Gateway::ended(std::uint64_t Number) {
+  auto Node = m_Requests.extract(Number);
+  m_Ended.push_back(std::move(Node.mapped()));
+  if (!m_Sweep.running())
+    // Not while the request itself is on the stack.
+    m_Sweep.start(Duration::zero(), [this] {
+      const auto Gone = std::move(m_Ended);
+      m_Ended.clear();
+    });
+}
+
+// ---- Shutdown ---------------------------------------------------------------
+
+void Gateway::stop(std::function<void()> Done) {
+  m_Stopping = true;
+  m_Closing = true;
+  m_StopBegin = m_Clock.now();
+  m_StopDone = std::move(Done);
+  checkStopped();
+}
+
+void Gateway::checkStopped() {
+  const Duration Since = m_Clock.now() - m_StopBegin;
+  if (Since >= OutOfRotation) {
+    m_Front.closeIdle();
+    if (m_Requests.empty() && m_Front.unfinished() == 0 &&
+        m_Front.arriving() == 0) {
+      logEvent(LogEvent::GatewayDrained);
+      m_StopDone();
+      return;
+    }
+  }
+  m_StopCheck.start(StopCheckInterval, [this] { checkStopped(); });
+}
+
+} // namespace crowstep::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,81 @@
+/// The gateway daemon: one process that forwards by a route table.
+///
+/// It decides alone, from the directory and from what its own calls show; see
+/// docs/PLATFORM.md for what that leaves to the platform.
+#ifndef CROWSTEP_GATEWAY_GATEWAY_H
+#define CROWSTEP_GATEWAY_GATEWAY_H
+
+#include "core/program.h"
+#include "gateway/directory.h"
+#include "gateway/forwarded_request.h"
+#include "gateway/gateway_settings.h"
+#include "http/front.h"
+
+#include <random>
+#include <unordered_map>
+
+namespace crowstep::gateway {
+
+class Gateway final : public Daemon, private DirectoryListener {
+public:
+  /// What belongs to a platform: where the table and the upstreams come from,
+  /// and how headers are spelled.
+  struct Parts {
+    std::unique_ptr<Directory> m_Directory; ///< Never null.
+    std::unique_ptr<HeaderCodec> m_Codec;   ///< Never null.
+  };
+
+  /// Makes the parts; the clock, timers and metrics outlive them.
+  using PartsFactory =
+      std::function<Parts(const Clock &, Scheduler &, Metrics &)>;
+
+  Gateway(GatewaySettings Chosen, const PartsFactory &Make);
+  ~Gateway() override;
+  Gateway(const Gateway &) = delete;
+  Gateway &operator=(const Gateway &) = delete;
+
+  void start() override;
+  void stop(std::function<void()> Done) override;
+  void reload(Settings &File) override;
+
+private:
+  void tableChanged(RouteTablePtr Table) override;
+  void upstreamsChanged(const std::vector<Upstream> &List) override;
+
+  void handle(SoupServerMessage *Message);
+  void refuse(SoupServerMessage *Message, const NotAdmitted &Why);
+  void handleProbe(SoupServerMessage *Message, const char *Path);
+  void ended(std::uint64_t Number);
+  void checkStopped();
+  [[nodiscard]] bool ready() const;
+
+  GatewaySettings m_Settings;    ///< In force.
+  LoopClock m_Clock;             ///< Of the loop.
+  LoopScheduler m_Timers;        ///< Of the loop.
+  Metrics m_Metrics;             ///< All series.
+  GatewayStats m_Stats;          ///< Their handles.
+  std::mt19937_64 m_Random;      ///< For shares of services.
+  balance::Balancer m_Balancer;  ///< Chooses upstreams.
+  balance::RetryBudget m_Budget; ///< Bounds repeats.
+  HttpUpstreamCaller m_Upstream; ///< Sends.
+  Parts m_Parts;                 ///< See Parts.
+  ForwardWorld m_World;          ///< For requests.
+  Front m_Front;                 ///< Towards callers.
+  HttpServer m_Probes;           ///< Readiness and metrics.
+  RouteTablePtr m_Table;         ///< In force; null: none is known.
+  bool m_KnowsUpstreams = false; ///< A list has come.
+  std::unordered_map<std::uint64_t, std::unique_ptr<ForwardedRequest>>
+      m_Requests;                                         ///< Not ended.
+  std::vector<std::unique_ptr<ForwardedRequest>> m_Ended; ///< To be destroyed.
+  std::uint64_t m_LastRequest = 0;  ///< Key in m_Requests.
+  Timer m_Sweep;                    ///< Destroys what has ended.
+  Timer m_StopCheck;                ///< Runs while stopping.
+  bool m_Stopping = false;          ///< After stop().
+  bool m_Closing = false;           ///< Answers close their connections.
+  TimePoint m_StopBegin;            ///< When stop() was called.
+  std::function<void()> m_StopDone; ///< Set by stop().
+};
+
+} // namespace crowstep::gateway
+
+#endif // CROWSTEP_GATEWAY_GATEWAY_H
--- /dev/null
+++ b/src/gateway/gateway_settings.cpp
@@ -0,0 +1,36 @@
+/// Reading the gateway's settings.
+#include "gateway/gateway_settings.h"
+
+namespace crowstep::gateway {
+
+namespace {
+
+constexpr std::int64_t MaxSeconds = 3600;
+constexpr double MaxRatio = 10;
+constexpr double MaxSlack = 1e6;
+
+Duration seconds(Settings &File, const std::string &Section,
+                 const std::string &Key) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      File.number(Section, Key, 0, static_cast<double>(MaxSeconds))));
+}
+
+} // namespace
+
+GatewaySettings readGatewaySettings(Settings &File) {
+  GatewaySettings Result;
+  Result.m_Name = File.text("instance", "name");
+  Result.m_Zone.m_Name = File.text("instance", "zone");
+  Result.m_Listen = File.address("gateway", "listen");
+  Result.m_Probes = File.address("gateway", "probes");
+  Result.m_ReadinessPath = File.text("gateway", "readiness_path", "/readyz");
+  Result.m_Grace = seconds(File, "gateway", "grace_s");
+  Result.m_RetryBudget.m_Ratio =
+      File.number("retry_budget", "ratio", 0, MaxRatio);
+  Result.m_RetryBudget.m_Slack =
+      File.number("retry_budget", "slack", 0, MaxSlack);
+  Result.m_RetryBudget.m_Window = seconds(File, "retry_budget", "window_s");
+  return Result;
+}
+
+} // namespace crowstep::gateway
--- /dev/null
+++ b/src/gateway/gateway_stats.cpp
@@ -0,0 +1,43 @@
+/// The gateway's counters and latencies.
+#include "gateway/gateway_stats.h"
+
+namespace crowstep::gateway {
+
+GatewayStats::GatewayStats(Metrics &Stats) : m_Metrics(Stats) {
+  for (std::size_t I = 0; I < m_Refusals.size(); ++I)
+    m_Refusals.at(I) = &Stats.counter(
+        "crowstep_refusals_total",
+        {{"reason", std::string(nameOf(static_cast<RefusalReason>(I)))}});
+  for (std::size_t I = 0; I < m_Retries.size(); ++I)
+    m_Retries.at(I) = &Stats.counter(
+        "crowstep_retries_total",
+        {{"reason", std::string(nameOf(static_cast<RetryReason>(I)))}});
+  m_Other = make("other");
+}
+
+void GatewayStats::refused(RefusalReason Reason) {
+  m_Refusals.at(static_cast<std::size_t>(Reason))->add();
+}
+
+void GatewayStats::retried(RetryReason Reason) {
+  m_Retries.at(static_cast<std::size_t>(Reason))->add();
+}
+
+RouteStats &GatewayStats::route(const std::string &Name) {
+  const auto Found = m_Routes.find(Name);
+  if (Found != m_Routes.end())
+    return Found->second;
+  if (m_Routes.size() >= MaxRoutes)
+    return m_Other;
+  return m_Routes.emplace(Name, make(Name)).first->second;
+}
+
+RouteStats GatewayStats::make(const std::string &Label) {
+  const Labels With = {{"route", Label}};
+  return {&m_Metrics.counter("crowstep_requests_total", With),
+          &m_Metrics.counter("crowstep_finished_total", With),
+          &m_Metrics.latency("crowstep_first_event_seconds", With),
+          &m_Metrics.latency("crowstep_total_seconds", With)};
+}
+
+} // namespace crowstep::gateway
--- /dev/null
+++ b/src/gateway/gateway_stats.h
@@ -0,0 +1,50 @@
+/// The gateway's counters and latencies.
+#ifndef CROWSTEP_GATEWAY_GATEWAY_STATS_H
+#define CROWSTEP_GATEWAY_GATEWAY_STATS_H
+
+#include "core/metrics.h"
+#include "refusal_type.h"
+
+#include <array>
+#include <map>
+#include <string>
+
+namespace crowstep::gateway {
+
+/// Latencies of one route.
+struct RouteStats {
+  Counter *m_Requests;            ///< Admitted.
+  Counter *m_Finished;            ///< Answered whole by an upstream.
+  LatencyHistogram *m_FirstEvent; ///< From the request to the first event.
+  LatencyHistogram *m_Total;      ///< From the request to the answer's end.
+};
+
+class GatewayStats {
+public:
+  /// Routes with series of their own; a table may have thousands of routes,
+  /// and the rest share the series "other".
+  static constexpr std::size_t MaxRoutes = 32;
+
+  explicit GatewayStats(Metrics &Stats);
+
+  void refused(RefusalReason Reason);
+  void retried(RetryReason Reason);
+
+  /// Returns the handles of a route.
+  RouteStats &route(const std::string &Name);
+
+private:
+  RouteStats make(const std::string &Label);
+
+  Metrics &m_Metrics; ///< Outlives this object.
+  std::array<Counter *, static_cast<std::size_t>(RefusalReason::Count)>
+      m_Refusals; ///< By reason.
+  std::array<Counter *, static_cast<std::size_t>(RetryReason::Count)>
+      m_Retries;                              ///< By reason.
+  std::map<std::string, RouteStats> m_Routes; ///< By name.
+  RouteStats m_Other;                         ///< Of all further routes.
+};
+
+} // namespace crowstep::gateway
+
+#endif // CROWSTEP_GATEWAY_GATEWAY_STATS_H
--- /dev/null
+++ b/src/gateway/route_table.cpp
@@ -0,0 +1,63 @@
+/// Lookups in the route table.
+#include "gateway/route_table.h"
+
+#include <cctype>
+
+namespace crowstep::gateway {
+
+namespace {
+
+std::string plainHost(std::string_view Host) {
+  std::string Result(Host.substr(0, Host.rfind(':')));
+  for (char &Ch : Result)
+    Ch = static_cast<char>(std::tolower(static_cast<unsigned char>(Ch)));
+  return Result;
+}
+
+} // namespace
+
+bool mayRunAgain(const RouteKind &Kind) {
+  struct Visitor {
+    bool operator()(const PlainCall &Call) const { return Call.m_Idempotent; }
+    bool operator()(const EventStream &Stream) const {
+      return Stream.m_Resumable;
+    }
+  };
+  return std::visit(Visitor{}, Kind);
+}
+
+RouteTable::RouteTable(RouteTableData Data) : m_Data(std::move(Data)) {
+  for (const Route &Each : m_Data.m_Routes)
+    m_ByPlace.emplace(plainHost(Each.m_Host) + Each.m_Prefix, &Each);
+  for (const KeyHolder &Each : m_Data.m_Workspaces)
+    for (const std::string &Key : Each.m_Keys)
+      m_ByKey.emplace(Key, &Each);
+  for (const Service &Each : m_Data.m_Services)
+    m_ByService.emplace(Each.m_Name, &Each);
+}
+
+const Route *RouteTable::find(std::string_view Host,
+                              std::string_view Path) const {
+  const std::string Plain = plainHost(Host);
+  // Prefixes end with a slash, so only cuts after a slash can match.
+  for (std::size_t Cut = Path.rfind('/'); Cut != std::string_view::npos;
+       Cut = Cut == 0 ? std::string_view::npos : Path.rfind('/', Cut - 1)) {
+    const auto Found =
+        m_ByPlace.find(Plain + std::string(Path.substr(0, Cut + 1)));
+    if (Found != m_ByPlace.end())
+      return Found->second;
+  }
+  return nullptr;
+}
+
+const KeyHolder *RouteTable::holderOf(const std::string &Key) const {
+  const auto Found = m_ByKey.find(Key);
+  return Found == m_ByKey.end() ? nullptr : Found->second;
+}
+
+const Service *RouteTable::service(const std::string &Name) const {
+  const auto Found = m_ByService.find(Name);
+  return Found == m_ByService.end() ? nullptr : Found->second;
+}
+
+} // namespace crowstep::gateway
--- /dev/null
+++ b/src/gateway/route_table.h
@@ -0,0 +1,48 @@
+/// The route table in force, made fast to look up.
+#ifndef CROWSTEP_GATEWAY_ROUTE_TABLE_H
+#define CROWSTEP_GATEWAY_ROUTE_TABLE_H
+
+#include "gateway/route_type.h"
+
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+namespace crowstep::gateway {
+
+/// A table that never changes; requests hold the one they began under.
+class RouteTable {
+public:
+  explicit RouteTable(RouteTableData Data);
+  RouteTable(const RouteTable &) = delete;
+  RouteTable &operator=(const RouteTable &) = delete;
+
+  [[nodiscard]] RouteTableVersion version() const { return m_Data.m_Version; }
+  [[nodiscard]] const RouteTableData &data() const { return m_Data; }
+
+  /// Returns the route of \p Host whose prefix is the longest that begins
+  /// \p Path, or null. \p Host may be in any case and have a port.
+  [[nodiscard]] const Route *find(std::string_view Host,
+                                  std::string_view Path) const;
+
+  /// Returns whose key this is, or null.
+  [[nodiscard]] const KeyHolder *holderOf(const std::string &Key) const;
+
+  /// Returns whether callers bear keys at all.
+  [[nodiscard]] bool hasKeys() const { return !m_Data.m_Workspaces.empty(); }
+
+  /// Returns what is known of a service, or null.
+  [[nodiscard]] const Service *service(const std::string &Name) const;
+
+private:
+  RouteTableData m_Data; ///< The pointers below point into it.
+  std::unordered_map<std::string, const Route *> m_ByPlace; ///< Host + prefix.
+  std::unordered_map<std::string, const KeyHolder *> m_ByKey; ///< See holderOf.
+  std::unordered_map<std::string, const Service *> m_ByService; ///< By name.
+};
+
+using RouteTablePtr = std::shared_ptr<const RouteTable>;
+
+} // namespace crowstep::gateway
+
+#endif // CROWSTEP_GATEWAY_ROUTE_TABLE_H
--- a/src/entry/caller.cpp
+++ b/src/http/caller.cpp
@@ -1,13 +1,15 @@
 /// Callers behind libsoup's server.
-#include "entry/caller.h"
+#include "http/caller.h"
 
 #include "core/http_server.h"
-#include "entry/refusal_answer.h"
+#include "http/refusal_answer.h"
 
 #include <algorithm>
+#include <glib-unix.h>
+#include <poll.h>
 #include <sys/socket.h>
 
-namespace crowstep::entry {
+namespace crowstep {
 
 CallerAnswer refusalAnswer(RefusalReason Reason, RunState State,
                            Duration RetryAfter) {
@@ -21,6 +23,13 @@
 
 namespace {
 
+/// The peer has closed its sending side. Seen also while bytes of a further
+/// request lie unread before the close, which a read would not get past.
+constexpr auto PeerClosed =
+    static_cast<GIOCondition>(POLLRDHUP | G_IO_HUP | G_IO_ERR);
+constexpr auto ReadableOrClosed =
+    static_cast<GIOCondition>(PeerClosed | G_IO_IN);
+
 void fillHead(SoupServerMessage *Message, const CallerAnswer &What) {
   soup_server_message_set_status(Message, What.m_Status, nullptr);
   SoupMessageHeaders *Headers =
@@ -31,6 +40,9 @@
     soup_message_headers_replace(
         Headers, "Retry-After",
         std::to_string(retryAfterSeconds(What.m_RetryAfter)).c_str());
+  for (const HeaderField &Field : What.m_Headers)
+    soup_message_headers_append(Headers, Field.m_Name.c_str(),
+                                Field.m_Value.c_str());
 }
 
 } // namespace
@@ -45,7 +57,7 @@
   soup_server_message_pause(m_Message);
   g_signal_connect(m_Message, "finished", G_CALLBACK(onFinished), this);
   g_signal_connect(m_Message, "wrote-body-data", G_CALLBACK(onWrote), this);
-  watch();
+  watch(ReadableOrClosed);
 }
 
 HttpServerCaller::~HttpServerCaller() {
@@ -125,20 +137,29 @@
   m_Drained = std::move(Job);
 }
 
-void HttpServerCaller::watch() {
+void HttpServerCaller::watch(GIOCondition What) {
   GSocket *Socket = soup_server_message_get_socket(m_Message);
   if (Socket == nullptr)
     return;
   // libsoup reads nothing while an answer is awaited: without this a caller
   // that went would keep its place in the queue and its slot to the end.
-  m_Watch = g_socket_create_source(Socket, G_IO_IN, nullptr);
+  m_Watch = g_unix_fd_source_new(g_socket_get_fd(Socket), What);
   g_source_set_callback(
       m_Watch,
-      reinterpret_cast<GSourceFunc>(reinterpret_cast<void (*)()>(onReadable)),
+      reinterpret_cast<GSourceFunc>(reinterpret_cast<void (*)()>(onSocket)),
       this, nullptr);
   g_source_attach(m_Watch, nullptr);
 }
 
+bool HttpServerCaller::hasLeft() const {
+  GSocket *Socket =
+      m_Finished ? nullptr : soup_server_message_get_socket(m_Message);
+  if (Socket == nullptr)
+    return true;
+  pollfd Asked = {g_socket_get_fd(Socket), POLLRDHUP, 0};
+  return poll(&Asked, 1, 0) > 0;
+}
+
 void HttpServerCaller::stopWatching() {
   if (m_Watch == nullptr)
     return;
@@ -160,15 +181,19 @@
     Owner->m_Drained();
 }
 
-int HttpServerCaller::onReadable(GSocket *Socket, GIOCondition, void *Self) {
-  char Byte = 0;
-  const auto Seen =
-      recv(g_socket_get_fd(Socket), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+int HttpServerCaller::onSocket(int Socket, GIOCondition What, void *Self) {
   auto *Owner = static_cast<HttpServerCaller *>(Self);
+  if ((What & PeerClosed) != 0) {
+    Owner->gone();
+    return G_SOURCE_REMOVE;
+  }
+  char Byte = 0;
+  const auto Seen = recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
   if (Seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
     return G_SOURCE_CONTINUE;
   if (Seen > 0) { // The next request of a connection that is kept alive.
     Owner->stopWatching();
+    Owner->watch(PeerClosed);
     return G_SOURCE_REMOVE;
   }
   Owner->gone();
@@ -186,4 +211,4 @@
     Job();
 }
 
-} // namespace crowstep::entry
+} // namespace crowstep
--- a/src/entry/caller.h
+++ b/src/http/caller.h
@@ -1,8 +1,9 @@
 /// The caller's side of one request.
-#ifndef CROWSTEP_ENTRY_CALLER_H
-#define CROWSTEP_ENTRY_CALLER_H
+#ifndef CROWSTEP_HTTP_CALLER_H
+#define CROWSTEP_HTTP_CALLER_H
 
 #include "core/clock.h"
+#include "http/header_list.h"
 #include "refusal_type.h"
 
 #include <cstddef>
@@ -10,7 +11,7 @@
 #include <libsoup/soup.h>
 #include <string>
 
-namespace crowstep::entry {
+namespace crowstep {
 
 /// Status, headers and, unless it is streamed, body of an answer.
 struct CallerAnswer {
@@ -19,6 +20,7 @@
   std::string m_ContentType = "application/json"; ///< Header.
   std::string m_Body;                             ///< Whole, or empty.
   Duration m_RetryAfter{};                        ///< 0: no header.
+  HeaderList m_Headers;                           ///< Further headers.
 };
 
 /// Returns the answer that refuses a request.
@@ -37,9 +39,15 @@
   virtual void append(const std::string &Bytes) = 0;
   virtual void endStream() = 0;
 
-  /// Closes the connection without an answer.
+  /// Closes the connection without an answer, or amid a stream, so that the
+  /// caller sees that it is not whole.
   virtual void drop() = 0;
 
+  /// Returns whether the caller has closed its connection, asked just now. A
+  /// process that wakes from a freeze learns of the close only when its loop
+  /// gets to the socket; what is sent before that would run for nobody.
+  [[nodiscard]] virtual bool hasLeft() const = 0;
+
   /// Returns the bytes that the caller has not yet taken.
   [[nodiscard]] virtual std::size_t backlog() const = 0;
 
@@ -66,6 +74,7 @@
   void append(const std::string &Bytes) override;
   void endStream() override;
   void drop() override;
+  [[nodiscard]] bool hasLeft() const override;
   [[nodiscard]] std::size_t backlog() const override { return m_Backlog; }
   void onGone(std::function<void()> Job) override;
   void onDrained(std::function<void()> Job) override;
@@ -73,8 +82,8 @@
 private:
   static void onFinished(SoupServerMessage *Message, void *Self);
   static void onWrote(SoupServerMessage *Message, unsigned Size, void *Self);
-  static int onReadable(GSocket *Socket, GIOCondition What, void *Self);
-  void watch();
+  static int onSocket(int Socket, GIOCondition What, void *Self);
+  void watch(GIOCondition What);
   void stopWatching();
   void gone();
 
@@ -88,6 +97,6 @@
   bool m_Streaming = false;        ///< The head of a stream is given.
 };
 
-} // namespace crowstep::entry
+} // namespace crowstep
 
-#endif // CROWSTEP_ENTRY_CALLER_H
+#endif // CROWSTEP_HTTP_CALLER_H
--- a/src/entry/front.cpp
+++ b/src/http/front.cpp
@@ -1,20 +1,17 @@
 /// The HTTP side towards callers.
-#include "entry/front.h"
+#include "http/front.h"
 
-#include "entry/caller.h"
-#include "entry/refusal_answer.h"
+#include "http/caller.h"
+#include "http/header_list.h"
+#include "http/refusal_answer.h"
 
 #include <algorithm>
 #include <string_view>
 
-namespace crowstep::entry {
+namespace crowstep {
 
 namespace {
 
-/// A connection without a request is closed after this; callers' libraries
-/// open another one.
-constexpr Duration IdleLimit = std::chrono::seconds(60);
-
 /// Returns the length of the longest value among all headers.
 std::size_t longestHeader(SoupServerMessage *Message) {
   SoupMessageHeadersIter Next;
@@ -28,25 +25,21 @@
   return Longest;
 }
 
-/// The path as it was sent, for forwarding, with its query.
-std::string pathOf(SoupServerMessage *Message) {
-  GUri *Uri = soup_server_message_get_uri(Message);
-  std::string Result = g_uri_get_path(Uri);
-  if (const char *Query = g_uri_get_query(Uri))
-    Result += std::string("?") + Query;
-  return Result;
-}
-
-RawRequest rawRequestOf(SoupServerMessage *Message) {
-  RawRequest Result;
-  Result.m_Method = soup_server_message_get_method(Message);
-  Result.m_Path = pathOf(Message);
-  Result.m_Authorization = requestHeader(Message, "Authorization");
-  Result.m_Class = requestHeader(Message, "Crowstep-Class");
-  Result.m_IdempotencyKey = requestHeader(Message, "Idempotency-Key");
-  Result.m_ContentType = requestHeader(Message, "Content-Type");
-  Result.m_Body = requestBody(Message);
-  return Result;
+/// Returns whether two readers could disagree about where the body ends. What
+/// one takes for the body's rest the other takes for a further request, and a
+/// caller could hide a request of another workspace there.
+bool framingIsAmbiguous(SoupServerMessage *Message) {
+  const HeaderList Headers =
+      copyHeaders(soup_server_message_get_request_headers(Message));
+  const std::string *Length = findHeader(Headers, "Content-Length");
+  const std::string *Coding = findHeader(Headers, "Transfer-Encoding");
+  if (Coding != nullptr)
+    return Length != nullptr || !sameHeader(*Coding, "chunked") ||
+           countHeaders(Headers, "Transfer-Encoding") > 1;
+  if (Length == nullptr)
+    return false;
+  return countHeaders(Headers, "Content-Length") > 1 || Length->empty() ||
+         Length->find_first_not_of("0123456789") != std::string::npos;
 }
 
 void closeConnection(SoupServerMessage *Message) {
@@ -70,8 +63,9 @@
 
 } // namespace
 
-Front::Front(const RequestLimits &Limits, EntryStats &Stats, Scheduler &Timers)
-    : m_Limits(Limits), m_Stats(Stats), m_Timers(Timers) {}
+Front::Front(const ArrivalLimits &Limits, RefusedHandler OnRefused,
+             Scheduler &Timers)
+    : m_Limits(Limits), m_OnRefused(std::move(OnRefused)), m_Timers(Timers) {}
 
 Front::~Front() {
   if (m_Server.native() != nullptr)
@@ -97,16 +91,22 @@
   g_signal_connect(Message, "finished", G_CALLBACK(onFinished), Self);
   Arrival &Fresh = Owner->m_Arrivals[Message];
   Fresh.m_Limit = std::make_unique<Timer>(Owner->m_Timers);
-  Fresh.m_Limit->start(IdleLimit, [Message] { closeConnection(Message); });
+  Fresh.m_Limit->start(Owner->m_Limits.m_IdleLimit,
+                       [Message] { closeConnection(Message); });
 }
 
 void Front::onHeaders(SoupServerMessage *Message, void *Self) {
   auto *Owner = static_cast<Front *>(Self);
   Arrival &Each = Owner->m_Arrivals[Message];
+  Each.m_HasHeaders = true;
 
   if (Each.m_Limit != nullptr)
     Each.m_Limit->start(Owner->m_Limits.m_ReceiveLimit,
                         [Owner, Message] { Owner->slow(Message); });
+  if (framingIsAmbiguous(Message)) {
+    Owner->refuse(Message, RefusalReason::AmbiguousFraming);
+    return;
+  }
   if (longestHeader(Message) > Owner->m_Limits.m_MaxHeader) {
     Owner->refuse(Message, RefusalReason::HeaderTooLarge);
     return;
@@ -139,15 +139,13 @@
 }
 
 void Front::slow(SoupServerMessage *Message) {
-  m_Stats.of("")
-      .m_Refusals[static_cast<std::size_t>(RefusalReason::SlowCaller)]
-      ->add();
+  m_OnRefused(RefusalReason::SlowCaller);
   writeRefusal(Message, RefusalReason::SlowCaller);
   closeConnection(Message);
 }
 
 void Front::refuse(SoupServerMessage *Message, RefusalReason Reason) {
-  m_Stats.of("").m_Refusals[static_cast<std::size_t>(Reason)]->add();
+  m_OnRefused(Reason);
   // libsoup answers only once the body has arrived, so a caller with a large
   // body would send all of it first. The rest is read and thrown away: closing
   // at once would reset the connection before the caller reads the refusal.
@@ -172,7 +170,13 @@
                      --static_cast<Front *>(Self)->m_Unfinished;
                    }),
                    this);
-  m_Handler(Message, rawRequestOf(Message));
+  m_Handler(Message);
+}
+
+void Front::closeIdle() {
+  for (const auto &[Message, Each] : m_Arrivals)
+    if (!Each.m_HasHeaders)
+      closeConnection(Message);
 }
 
-} // namespace crowstep::entry
+} // namespace crowstep
--- a/src/entry/front.h
+++ b/src/http/front.h
@@ -1,26 +1,36 @@
 /// The HTTP side towards callers: what a request must look like to be read.
-#ifndef CROWSTEP_ENTRY_FRONT_H
-#define CROWSTEP_ENTRY_FRONT_H
+#ifndef CROWSTEP_HTTP_FRONT_H
+#define CROWSTEP_HTTP_FRONT_H
 
 #include "core/http_server.h"
 #include "core/scheduler.h"
-#include "entry/caller_request.h"
-#include "entry/entry_settings.h"
-#include "entry/entry_stats.h"
+#include "refusal_type.h"
 
 #include <functional>
 #include <map>
 #include <memory>
 
-namespace crowstep::entry {
+namespace crowstep {
+
+/// What a request must keep to while it arrives.
+struct ArrivalLimits {
+  std::size_t m_MaxBody = 0;   ///< Bytes.
+  std::size_t m_MaxHeader = 0; ///< Bytes of one header's value.
+  Duration m_ReceiveLimit{};   ///< From the end of the headers to the body's.
+  Duration m_IdleLimit{};      ///< From an answer to the next headers' end.
+};
 
 /// Listens for callers and enforces the limits on headers, bodies and time.
 class Front {
 public:
   /// Gets requests that arrived whole and within the limits.
-  using Handler = std::function<void(SoupServerMessage *, const RawRequest &)>;
+  using Handler = std::function<void(SoupServerMessage *)>;
+
+  /// Hears of each request that was refused while it arrived.
+  using RefusedHandler = std::function<void(RefusalReason)>;
 
-  Front(const RequestLimits &Limits, EntryStats &Stats, Scheduler &Timers);
+  Front(const ArrivalLimits &Limits, RefusedHandler OnRefused,
+        Scheduler &Timers);
   ~Front();
   Front(const Front &) = delete;
   Front &operator=(const Front &) = delete;
@@ -28,14 +38,25 @@
   /// Begins to serve. \throws ListenError.
   void listen(const Address &Where, Handler OnRequest);
 
-  /// Returns how many requests have arrived whose answers are not yet written.
+  /// Replaces the limits for requests that arrive from now on.
+  void setLimits(const ArrivalLimits &Limits) { m_Limits = Limits; }
+
+  /// Closes the connections on which no request has begun to arrive. A request
+  /// that crosses the close was not read, and its caller sees a reset.
+  void closeIdle();
+
+  /// Returns how many requests have arrived whole and are not yet answered.
   [[nodiscard]] std::size_t unfinished() const { return m_Unfinished; }
 
+  /// Returns how many connections wait for a request or for its rest.
+  [[nodiscard]] std::size_t arriving() const { return m_Arrivals.size(); }
+
 private:
   /// A request whose body has not arrived whole.
   struct Arrival {
     std::unique_ptr<Timer> m_Limit; ///< Runs until it has.
     std::size_t m_Size = 0;         ///< Of the body so far.
+    bool m_HasHeaders = false;      ///< They have arrived.
   };
 
   static void onStarted(SoupServer *, SoupServerMessage *Message, void *Self);
@@ -47,8 +68,8 @@
   void handle(SoupServerMessage *Message);
   void refuse(SoupServerMessage *Message, RefusalReason Reason);
 
-  RequestLimits m_Limits;       ///< From the settings.
-  EntryStats &m_Stats;          ///< Outlives this object.
+  ArrivalLimits m_Limits;       ///< In force for new arrivals.
+  RefusedHandler m_OnRefused;   ///< Never empty.
   Scheduler &m_Timers;          ///< Outlives this object.
   HttpServer m_Server;          ///< Towards callers.
   Handler m_Handler;            ///< See listen().
@@ -56,6 +77,6 @@
   std::map<SoupServerMessage *, Arrival> m_Arrivals; ///< Not yet whole.
 };
 
-} // namespace crowstep::entry
+} // namespace crowstep
 
-#endif // CROWSTEP_ENTRY_FRONT_H
+#endif // CROWSTEP_HTTP_FRONT_H
--- /dev/null
+++ b/src/http/header_list.cpp
@@ -0,0 +1,91 @@
+/// HTTP headers as plain values.
+#include "http/header_list.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace crowstep {
+
+namespace {
+
+constexpr std::array<std::string_view, 10> ConnectionHeaders = {
+    "Connection",        "Keep-Alive", "Proxy-Connection",
+    "Transfer-Encoding", "TE",         "Trailer",
+    "Upgrade",           "Expect",     "Proxy-Authorization",
+    "Proxy-Authenticate"};
+
+char lower(char Ch) {
+  return static_cast<char>(std::tolower(static_cast<unsigned char>(Ch)));
+}
+
+/// Returns whether a Connection header's list names \p Name.
+bool listNames(std::string_view List, std::string_view Name) {
+  while (!List.empty()) {
+    const std::size_t Comma = std::min(List.find(','), List.size());
+    std::string_view Item = List.substr(0, Comma);
+    while (!Item.empty() && Item.front() == ' ')
+      Item.remove_prefix(1);
+    while (!Item.empty() && Item.back() == ' ')
+      Item.remove_suffix(1);
+    if (sameHeader(Item, Name))
+      return true;
+    List.remove_prefix(std::min(Comma + 1, List.size()));
+  }
+  return false;
+}
+
+bool isEndToEnd(const HeaderList &All, const HeaderField &Field) {
+  if (sameHeader(Field.m_Name, "Content-Length"))
+    return false;
+  for (const std::string_view Name : ConnectionHeaders)
+    if (sameHeader(Field.m_Name, Name))
+      return false;
+  return std::none_of(All.begin(), All.end(), [&](const HeaderField &Other) {
+    return sameHeader(Other.m_Name, "Connection") &&
+           listNames(Other.m_Value, Field.m_Name);
+  });
+}
+
+} // namespace
+
+bool sameHeader(std::string_view Left, std::string_view Right) {
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    [](char A, char B) { return lower(A) == lower(B); });
+}
+
+const std::string *findHeader(const HeaderList &Headers,
+                              std::string_view Name) {
+  for (const HeaderField &Field : Headers)
+    if (sameHeader(Field.m_Name, Name))
+      return &Field.m_Value;
+  return nullptr;
+}
+
+std::size_t countHeaders(const HeaderList &Headers, std::string_view Name) {
+  return static_cast<std::size_t>(std::count_if(
+      Headers.begin(), Headers.end(), [&](const HeaderField &Field) {
+        return sameHeader(Field.m_Name, Name);
+      }));
+}
+
+HeaderList copyHeaders(SoupMessageHeaders *Headers) {
+  HeaderList Result;
+  SoupMessageHeadersIter Next;
+  soup_message_headers_iter_init(&Next, Headers);
+  const char *Name = nullptr;
+  const char *Value = nullptr;
+  while (soup_message_headers_iter_next(&Next, &Name, &Value) != 0)
+    Result.push_back({Name, Value});
+  return Result;
+}
+
+HeaderList endToEndHeaders(const HeaderList &Headers) {
+  HeaderList Result;
+  std::copy_if(
+      Headers.begin(), Headers.end(), std::back_inserter(Result),
+      [&](const HeaderField &Field) { return isEndToEnd(Headers, Field); });
+  return Result;
+}
+
+} // namespace crowstep
--- /dev/null
+++ b/src/http/header_list.h
@@ -0,0 +1,41 @@
+/// HTTP headers as plain values.
+#ifndef CROWSTEP_HTTP_HEADER_LIST_H
+#define CROWSTEP_HTTP_HEADER_LIST_H
+
+#include <libsoup/soup.h>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crowstep {
+
+/// One header line.
+struct HeaderField {
+  std::string m_Name;  ///< As it was sent; compared without regard to case.
+  std::string m_Value; ///< Without surrounding white space.
+
+  bool operator==(const HeaderField &) const = default;
+};
+
+/// Headers in the order in which they were sent; a name may come twice.
+using HeaderList = std::vector<HeaderField>;
+
+/// Returns whether two header names are the same.
+bool sameHeader(std::string_view Left, std::string_view Right);
+
+/// Returns the first header called \p Name, or null.
+const std::string *findHeader(const HeaderList &Headers, std::string_view Name);
+
+/// Returns how many headers are called \p Name.
+std::size_t countHeaders(const HeaderList &Headers, std::string_view Name);
+
+/// Returns a copy of libsoup's headers.
+HeaderList copyHeaders(SoupMessageHeaders *Headers);
+
+/// Returns the headers that an intermediary passes on: all but those that
+/// concern one connection (RFC 9110, 7.6.1) and those that frame the body.
+HeaderList endToEndHeaders(const HeaderList &Headers);
+
+} // namespace crowstep
+
+#endif // CROWSTEP_HTTP_HEADER_LIST_H
--- /dev/null
+++ b/src/http/http_error.h
@@ -0,0 +1,18 @@
+/// Failures of the HTTP parts.
+#ifndef CROWSTEP_HTTP_HTTP_ERROR_H
+#define CROWSTEP_HTTP_HTTP_ERROR_H
+
+#include "core/error.h"
+
+namespace crowstep {
+
+/// A path that can't be sent to an upstream.
+class UpstreamUriError : public Error {
+public:
+  explicit UpstreamUriError(const std::string &Path)
+      : Error("no path that can be sent: " + Path) {}
+};
+
+} // namespace crowstep
+
+#endif // CROWSTEP_HTTP_HTTP_ERROR_H
--- a/src/entry/refusal_answer.cpp
+++ b/src/http/refusal_answer.cpp
@@ -1,9 +1,9 @@
 /// JSON of refusals.
-#include "entry/refusal_answer.h"
+#include "http/refusal_answer.h"
 
 #include <nlohmann/json.hpp>
 
-namespace crowstep::entry {
+namespace crowstep {
 
 namespace {
 
@@ -46,6 +46,12 @@
     return "The first call with this Idempotency-Key has not ended.";
   case RefusalReason::OutcomeUnknown:
     return "The call may have run; its outcome is not known.";
+  case RefusalReason::AmbiguousFraming:
+    return "The length of the body is not stated in one way.";
+  case RefusalReason::MalformedHeader:
+    return "A header that the router needs is missing or can't be read.";
+  case RefusalReason::TimedOut:
+    return "The time for this call is over.";
   case RefusalReason::UpstreamFailed:
     return "The upstream failed.";
   case RefusalReason::ShuttingDown:
@@ -76,4 +82,4 @@
       std::chrono::ceil<std::chrono::seconds>(RetryAfter).count());
 }
 
-} // namespace crowstep::entry
+} // namespace crowstep
--- a/src/entry/refusal_answer.h
+++ b/src/http/refusal_answer.h
@@ -1,6 +1,6 @@
 /// What a refusal looks like to a caller.
-#ifndef CROWSTEP_ENTRY_REFUSAL_ANSWER_H
-#define CROWSTEP_ENTRY_REFUSAL_ANSWER_H
+#ifndef CROWSTEP_HTTP_REFUSAL_ANSWER_H
+#define CROWSTEP_HTTP_REFUSAL_ANSWER_H
 
 #include "core/clock.h"
 #include "refusal_type.h"
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <string>
 
-namespace crowstep::entry {
+namespace crowstep {
 
 /// Returns {"error":{"type","code","message"}}.
 std::string errorBody(RefusalReason Reason);
@@ -19,6 +19,6 @@
 /// Returns whole seconds for Retry-After, rounded up; 0: no header.
 std::uint64_t retryAfterSeconds(Duration RetryAfter);
 
-} // namespace crowstep::entry
+} // namespace crowstep
 
-#endif // CROWSTEP_ENTRY_REFUSAL_ANSWER_H
+#endif // CROWSTEP_HTTP_REFUSAL_ANSWER_H
--- a/src/entry/session_pool.cpp
+++ b/src/http/session_pool.cpp
@@ -1,10 +1,10 @@
 /// Sessions by upstream.
-#include "entry/session_pool.h"
+#include "http/session_pool.h"
 
 #include <algorithm>
 #include <libsoup/soup.h>
 
-namespace crowstep::entry {
+namespace crowstep {
 
 namespace {
 
@@ -13,9 +13,15 @@
 constexpr unsigned IdleConnectionSeconds = 30;
 
 SoupSession *newSession() {
-  return soup_session_new_with_options(
+  // Upstreams are reached by address; the default proxy resolver would load
+  // the desktop's settings service.
+  SoupSession *Session = soup_session_new_with_options(
       "max-conns", MaxConnections, "max-conns-per-host", MaxConnections,
-      "timeout", 0U, "idle-timeout", IdleConnectionSeconds, nullptr);
+      "timeout", 0U, "idle-timeout", IdleConnectionSeconds, "proxy-resolver",
+      nullptr, nullptr);
+  // Bodies are passed on as they come, never decoded.
+  soup_session_remove_feature_by_type(Session, SOUP_TYPE_CONTENT_DECODER);
+  return Session;
 }
 
 } // namespace
@@ -46,4 +52,4 @@
   return Result;
 }
 
-} // namespace crowstep::entry
+} // namespace crowstep
--- a/src/entry/session_pool.h
+++ b/src/http/session_pool.h
@@ -4,8 +4,8 @@
 /// cost grows with their square. Each session therefore carries a bounded
 /// number of calls to one upstream at a time; few calls share a session and its
 /// kept connections, many are spread.
-#ifndef CROWSTEP_ENTRY_SESSION_POOL_H
-#define CROWSTEP_ENTRY_SESSION_POOL_H
+#ifndef CROWSTEP_HTTP_SESSION_POOL_H
+#define CROWSTEP_HTTP_SESSION_POOL_H
 
 #include "instance_type.h"
 
@@ -15,7 +15,7 @@
 #include <memory>
 #include <vector>
 
-namespace crowstep::entry {
+namespace crowstep {
 
 /// Calls of one session at once.
 inline constexpr std::size_t CallsPerSession = 16;
@@ -52,6 +52,6 @@
   std::map<Address, std::vector<Slot>> m_Slots; ///< Grow as they are needed.
 };
 
-} // namespace crowstep::entry
+} // namespace crowstep
 
-#endif // CROWSTEP_ENTRY_SESSION_POOL_H
+#endif // CROWSTEP_HTTP_SESSION_POOL_H
--- a/src/entry/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -1,11 +1,13 @@
 /// Upstream calls over libsoup.
-#include "entry/upstream_call.h"
+#include "http/upstream_call.h"
+
+#include "http/http_error.h"
 
 #include <array>
 #include <gio/gio.h>
 #include <libsoup/soup.h>
 
-namespace crowstep::entry {
+namespace crowstep {
 
 namespace {
 
@@ -16,6 +18,7 @@
   const Clock &m_Clock;                  ///< Outlives it.
   UpstreamListener *m_Listener;          ///< Null once the handle is gone.
   TimePoint m_SendBefore;                ///< Last check.
+  std::function<bool()> m_Wanted;        ///< Last check as well.
   SessionPool::Place m_Place;            ///< Its session.
   SoupMessage *m_Message = nullptr;      ///< Owned.
   GCancellable *m_Cancel = nullptr;      ///< Owned.
@@ -77,7 +80,15 @@
 /// such a call at most once.
 void onStarting(SoupMessage *, gpointer Data) {
   auto *Held = static_cast<Transfer *>(Data);
-  if (!Held->m_HasHandle || Held->m_Clock.fresh() >= Held->m_SendBefore) {
+  if (Held->m_Started) {
+    // libsoup sends a call again by itself where a kept connection broke
+    // before an answer. Unseen by the caller of this class, that would draw on
+    // no retry budget and could reach an upstream that has begun to leave.
+    g_cancellable_cancel(Held->m_Cancel);
+    return;
+  }
+  if (!Held->m_HasHandle || Held->m_Clock.fresh() >= Held->m_SendBefore ||
+      (Held->m_Wanted && !Held->m_Wanted())) {
     Held->m_TooOld = true;
     g_cancellable_cancel(Held->m_Cancel);
     return;
@@ -119,10 +130,9 @@
   if (Held->m_Stream == nullptr) {
     Held->fail();
   } else if (Held->m_Listener != nullptr) {
-    const char *Type = soup_message_headers_get_one(
-        soup_message_get_response_headers(Held->m_Message), "Content-Type");
-    Held->m_Listener->upstreamHeaders(soup_message_get_status(Held->m_Message),
-                                      Type == nullptr ? "" : Type);
+    Held->m_Listener->upstreamHeaders(
+        soup_message_get_status(Held->m_Message),
+        copyHeaders(soup_message_get_response_headers(Held->m_Message)));
   }
   Held->m_Waiting = false;
   Held->read();
@@ -131,9 +141,11 @@
 
 class HttpUpstreamCall final : public UpstreamCall {
 public:
-  HttpUpstreamCall(Transfer *Held, Scheduler &Timers, Duration SilenceLimit)
-      : m_Transfer(Held), m_Silence(Timers), m_SilenceLimit(SilenceLimit) {
-    watchSilence(SilenceLimit);
+  HttpUpstreamCall(Transfer *Held, Scheduler &Timers, const UpstreamSend &What)
+      : m_Transfer(Held), m_Silence(Timers), m_Connect(Timers),
+        m_SilenceLimit(What.m_SilenceLimit) {
+    watchSilence(What.m_SilenceLimit);
+    watchConnecting(What.m_ConnectLimit);
   }
   ~HttpUpstreamCall() override {
     m_Transfer->m_Listener = nullptr;
@@ -154,6 +166,17 @@
   }
 
 private:
+  /// A dark machine answers no opening packet; the kernel's own limit is over a
+  /// minute, and until then the caller would wait for nothing.
+  void watchConnecting(Duration Limit) {
+    if (Limit <= Duration::zero())
+      return;
+    m_Connect.start(Limit, [this] {
+      if (!m_Transfer->m_Started)
+        g_cancellable_cancel(m_Transfer->m_Cancel);
+    });
+  }
+
   /// A hung upstream closes nothing; without a limit its callers would wait
   /// for ever and its slot would stay taken.
   void watchSilence(Duration Wait) {
@@ -172,18 +195,24 @@
 
   Transfer *m_Transfer;    ///< Freed after its last callback.
   Timer m_Silence;         ///< For the silence limit.
+  Timer m_Connect;         ///< For the connect limit.
   Duration m_SilenceLimit; ///< 0: none.
 };
 
 SoupMessage *messageOf(const UpstreamSend &What) {
   const std::string Uri = "http://" + toString(What.m_Where) + What.m_Path;
-  SoupMessage *Message = soup_message_new(SOUP_METHOD_POST, Uri.c_str());
-  GBytes *Body = g_bytes_new(What.m_Body.data(), What.m_Body.size());
-  soup_message_set_request_body_from_bytes(Message, "application/json", Body);
-  g_bytes_unref(Body);
-  if (!What.m_Key.empty())
-    soup_message_headers_replace(soup_message_get_request_headers(Message),
-                                 "Idempotency-Key", What.m_Key.c_str());
+  SoupMessage *Message = soup_message_new(What.m_Method.c_str(), Uri.c_str());
+  if (Message == nullptr)
+    throw UpstreamUriError(What.m_Path);
+  SoupMessageHeaders *Headers = soup_message_get_request_headers(Message);
+  for (const HeaderField &Field : What.m_Headers)
+    soup_message_headers_append(Headers, Field.m_Name.c_str(),
+                                Field.m_Value.c_str());
+  if (!What.m_Body.empty() || What.m_Method != "GET") {
+    GBytes *Body = g_bytes_new(What.m_Body.data(), What.m_Body.size());
+    soup_message_set_request_body_from_bytes(Message, nullptr, Body);
+    g_bytes_unref(Body);
+  }
   if (What.m_Repeatable) {
     // Without the flag libsoup opens a connection for every POST.
     soup_message_add_flags(
@@ -211,6 +240,7 @@
 HttpUpstreamCaller::send(const UpstreamSend &What, UpstreamListener &Listener) {
   auto *Held = new Transfer(m_Clock, Listener);
   Held->m_SendBefore = What.m_SendBefore;
+  Held->m_Wanted = What.m_Wanted;
   Held->m_LastByte = m_Clock.now();
   Held->m_Cancel = g_cancellable_new();
   Held->m_Message = messageOf(What);
@@ -218,8 +248,7 @@
   Held->m_Place = m_Sessions.take(What.m_Where);
   soup_session_send_async(Held->m_Place.session(), Held->m_Message,
                           G_PRIORITY_DEFAULT, Held->m_Cancel, onHeaders, Held);
-  return std::make_unique<HttpUpstreamCall>(Held, m_Timers,
-                                            What.m_SilenceLimit);
+  return std::make_unique<HttpUpstreamCall>(Held, m_Timers, What);
 }
 
-} // namespace crowstep::entry
+} // namespace crowstep
--- a/src/entry/upstream_call.h
+++ b/src/http/upstream_call.h
@@ -1,10 +1,11 @@
 /// One HTTP call to an upstream, read as it comes.
-#ifndef CROWSTEP_ENTRY_UPSTREAM_CALL_H
-#define CROWSTEP_ENTRY_UPSTREAM_CALL_H
+#ifndef CROWSTEP_HTTP_UPSTREAM_CALL_H
+#define CROWSTEP_HTTP_UPSTREAM_CALL_H
 
 #include "core/clock.h"
 #include "core/scheduler.h"
-#include "entry/session_pool.h"
+#include "http/header_list.h"
+#include "http/session_pool.h"
 #include "instance_type.h"
 
 #include <functional>
@@ -12,7 +13,7 @@
 #include <string>
 #include <string_view>
 
-namespace crowstep::entry {
+namespace crowstep {
 
 /// How the transport ended.
 enum class TransportEnd : std::uint8_t {
@@ -24,13 +25,16 @@
 
 /// What to send.
 struct UpstreamSend {
-  Address m_Where;         ///< Of the upstream's server.
-  std::string m_Path;      ///< Path, escaped.
-  std::string m_Body;      ///< JSON.
-  std::string m_Key;       ///< Header Idempotency-Key; empty: none.
-  bool m_Repeatable;       ///< False: fresh connection, Connection: close.
-  TimePoint m_SendBefore;  ///< Last check, by Clock::fresh().
-  Duration m_SilenceLimit; ///< Longest wait for the next byte; 0: none.
+  Address m_Where;                ///< Of the upstream's server.
+  std::string m_Method = "POST";  ///< HTTP method.
+  std::string m_Path;             ///< Path and query, escaped.
+  HeaderList m_Headers;           ///< All but those that frame the body.
+  std::string m_Body;             ///< Whole.
+  bool m_Repeatable = false;      ///< False: fresh connection, then closed.
+  TimePoint m_SendBefore;         ///< Last check, by Clock::fresh().
+  std::function<bool()> m_Wanted; ///< Last check as well; may be empty.
+  Duration m_SilenceLimit{};      ///< Longest wait for a byte; 0: none.
+  Duration m_ConnectLimit{};      ///< Longest wait for a connection; 0: none.
 };
 
 /// Who hears of one call; nothing more comes after upstreamEnded() or once
@@ -38,8 +42,7 @@
 class UpstreamListener {
 public:
   virtual ~UpstreamListener() = default;
-  virtual void upstreamHeaders(unsigned Status,
-                               const std::string &ContentType) = 0;
+  virtual void upstreamHeaders(unsigned Status, const HeaderList &Headers) = 0;
   virtual void upstreamBytes(std::string_view Bytes) = 0;
   virtual void upstreamEnded(TransportEnd How) = 0;
 };
@@ -78,6 +81,6 @@
   SessionPool m_Sessions; ///< For all calls.
 };
 
-} // namespace crowstep::entry
+} // namespace crowstep
 
-#endif // CROWSTEP_ENTRY_UPSTREAM_CALL_H
+#endif // CROWSTEP_HTTP_UPSTREAM_CALL_H
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -3,16 +3,9 @@
 
 #include <array>
 #include <glib.h>
-#include <xxhash.h>
 
 namespace crowstep::membership {
 
-std::uint64_t pairHash(std::uint64_t First, std::uint64_t Second) {
-  const std::array<std::uint64_t, 2> Both = {GUINT64_TO_LE(First),
-                                             GUINT64_TO_LE(Second)};
-  return XXH3_64bits(Both.data(), sizeof(Both));
-}
-
 const char *stateName(MemberState State) {
   static constexpr std::array<const char *, 4> Names = {"alive", "suspect",
                                                         "dead", "left"};
--- a/src/membership/member_func.h
+++ b/src/membership/member_func.h
@@ -2,6 +2,7 @@
 #ifndef CROWSTEP_MEMBERSHIP_MEMBER_FUNC_H
 #define CROWSTEP_MEMBERSHIP_MEMBER_FUNC_H
 
+#include "core/pair_hash.h"
 #include "membership/membership_type.h"
 
 namespace crowstep::membership {
@@ -11,9 +12,6 @@
   return State == MemberState::Alive || State == MemberState::Suspect;
 }
 
-/// Returns a hash of two numbers, the same on every machine.
-std::uint64_t pairHash(std::uint64_t First, std::uint64_t Second);
-
 /// Returns the state's name as counters and logs print it.
 const char *stateName(MemberState State);
 
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -47,6 +47,11 @@
         {"shutting_down", 503},
         {"not_in_force", 503},
         {"caller_gone", 499},
+        {"ambiguous_framing", 400},
+        {"malformed_header", 400},
+        {"timed_out", 504},
+        {"upstream_refused", 503},
+        {"too_many_attempts", 503},
     }};
 
 constexpr std::array<std::string_view,
--- a/src/refusal_type.h
+++ b/src/refusal_type.h
@@ -44,6 +44,11 @@
   ShuttingDown,         ///< The instance is leaving.
   NotInForce,           ///< The instance has lost its right to serve.
   CallerGone,           ///< The caller closed its connection.
+  AmbiguousFraming,     ///< Two readers could disagree about the body's end.
+  MalformedHeader,      ///< A header that the router needs can't be read.
+  TimedOut,             ///< The row's or the caller's time is over.
+  UpstreamRefused,      ///< The upstream said that it did not run the call.
+  TooManyAttempts,      ///< The row allows no further upstream.
   Count,                ///< Number of reasons; not a reason.
 };
 
