--- a/src/core/http_client.cpp
+++ b/src/core/http_client.cpp
@@ -1,6 +1,8 @@
 /// Short HTTP calls over libsoup.
 #include "core/http_client.h"
 
+#include "http/keep_alive.h"
+
 #include <cstdlib>
 #include <glib.h>
 #include <libsoup/soup.h>
@@ -109,6 +111,7 @@
                                              "application/json", Body);
     g_bytes_unref(Body);
   }
+  probeConnectionOf(Call->m_Message);
   g_signal_connect(Call->m_Message, "starting", G_CALLBACK(starting), Call);
   const auto Wait =
       std::chrono::ceil<std::chrono::milliseconds>(What.m_Timeout);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,14 +13,18 @@
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpUnavailable = 503;
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
+constexpr Duration DrainLogInterval = std::chrono::seconds(1);
 
 /// A caller that meets an instance without a table comes back after this, to
 /// whatever instance it is given then.
 constexpr Duration NoTableRetryAfter = std::chrono::milliseconds(500);
 
 /// After SIGTERM new connections go on coming until the platform has asked for
-/// readiness twice, a second apart; connections that wait for a request are
-/// closed only then, as their callers would come back here.
+/// readiness twice, a second apart, and longer where too few instances of the
+/// zone are ready. Until then they are served as usual. Then this instance
+/// listens no more: a caller that is refused a connection tries another
+/// instance at once, while a request taken now could be cut by the end of the
+/// grace.
 constexpr Duration OutOfRotation = std::chrono::milliseconds(2600);
 
 /// Headers and bodies may take this long where the table doesn't say.
@@ -181,16 +185,24 @@
 }
 
 void Gateway::checkStopped() {
-  const Duration Since = m_Clock.now() - m_StopBegin;
-  if (Since >= OutOfRotation) {
+  if (m_Clock.now() - m_StopBegin >= OutOfRotation) {
+    if (m_Listening)
+      m_Front.stopListening();
+    m_Listening = false;
     m_Front.closeIdle();
-    if (m_Requests.empty() && m_Front.unfinished() == 0 &&
-        m_Front.arriving() == 0) {
+    if (m_Requests.empty() && m_Front.open() == 0) {
       logEvent(LogEvent::GatewayDrained);
       m_StopDone();
       return;
     }
   }
+  if (m_Clock.now() - m_DrainLogged >= DrainLogInterval) {
+    m_DrainLogged = m_Clock.now();
+    logEvent(LogEvent::GatewayDraining,
+             {{"requests", std::to_string(m_Requests.size())},
+              {"unfinished", std::to_string(m_Front.unfinished())},
+              {"open", std::to_string(m_Front.open())}});
+  }
   m_StopCheck.start(StopCheckInterval, [this] { checkStopped(); });
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -71,8 +71,10 @@
   Timer m_Sweep;                    ///< Destroys what has ended.
   Timer m_StopCheck;                ///< Runs while stopping.
   bool m_Stopping = false;          ///< After stop().
+  bool m_Listening = true;          ///< For new connections.
   bool m_Closing = false;           ///< Answers close their connections.
   TimePoint m_StopBegin;            ///< When stop() was called.
+  TimePoint m_DrainLogged{};        ///< When it last told what it waits for.
   std::function<void()> m_StopDone; ///< Set by stop().
 };
 
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -89,7 +89,13 @@
   g_signal_connect(Message, "got-chunk", G_CALLBACK(onChunk), Self);
   g_signal_connect(Message, "got-body", G_CALLBACK(onArrived), Self);
   g_signal_connect(Message, "finished", G_CALLBACK(onFinished), Self);
+  // A connection that closes before a request has no "finished".
+  g_signal_connect(Message, "disconnected", G_CALLBACK(onFinished), Self);
   Arrival &Fresh = Owner->m_Arrivals[Message];
+  if (GSocket *Socket = soup_server_message_get_socket(Message)) {
+    Owner->m_Idle.erase(Socket);
+    Fresh.m_Socket.reset(G_SOCKET(g_object_ref(Socket)));
+  }
   Fresh.m_Limit = std::make_unique<Timer>(Owner->m_Timers);
   Fresh.m_Limit->start(Owner->m_Limits.m_IdleLimit,
                        [Message] { closeConnection(Message); });
@@ -98,8 +104,6 @@
 void Front::onHeaders(SoupServerMessage *Message, void *Self) {
   auto *Owner = static_cast<Front *>(Self);
   Arrival &Each = Owner->m_Arrivals[Message];
-  Each.m_HasHeaders = true;
-
   if (Each.m_Limit != nullptr)
     Each.m_Limit->start(Owner->m_Limits.m_ReceiveLimit,
                         [Owner, Message] { Owner->slow(Message); });
@@ -135,7 +139,26 @@
 }
 
 void Front::onFinished(SoupServerMessage *Message, void *Self) {
-  static_cast<Front *>(Self)->m_Arrivals.erase(Message);
+  auto *Owner = static_cast<Front *>(Self);
+  const auto Found = Owner->m_Arrivals.find(Message);
+  if (Found == Owner->m_Arrivals.end())
+    return;
+  SocketPtr Socket = std::move(Found->second.m_Socket);
+  Owner->m_Arrivals.erase(Found);
+  if (Socket != nullptr && g_socket_is_closed(Socket.get()) == 0)
+    Owner->becameIdle(std::move(Socket));
+}
+
+void Front::becameIdle(SocketPtr Socket) {
+  std::erase_if(m_Idle, [](const auto &Each) {
+    return g_socket_is_closed(Each.first) != 0;
+  });
+  GSocket *Key = Socket.get();
+  IdleConnection &Fresh = m_Idle[Key];
+  Fresh.m_Socket = std::move(Socket);
+  Fresh.m_Limit = std::make_unique<Timer>(m_Timers);
+  Fresh.m_Limit->start(m_Limits.m_IdleLimit,
+                       [Key] { g_socket_shutdown(Key, 1, 1, nullptr); });
 }
 
 void Front::slow(SoupServerMessage *Message) {
@@ -174,9 +197,10 @@
 }
 
 void Front::closeIdle() {
-  for (const auto &[Message, Each] : m_Arrivals)
-    if (!Each.m_HasHeaders)
-      closeConnection(Message);
+  for (const auto &[Socket, Each] : m_Idle)
+    if (g_socket_is_closed(Socket) == 0)
+      g_socket_shutdown(Socket, 1, 1, nullptr);
+  m_Idle.clear();
 }
 
 } // namespace crowstep
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -41,22 +41,38 @@
   /// Replaces the limits for requests that arrive from now on.
   void setLimits(const ArrivalLimits &Limits) { m_Limits = Limits; }
 
-  /// Closes the connections on which no request has begun to arrive. A request
-  /// that crosses the close was not read, and its caller sees a reset.
+  /// Takes no new connections.
+  void stopListening() { m_Server.stopListening(); }
+
+  /// Closes the connections that wait for their next request. One that crosses
+  /// the close was not read, and its caller sees a reset.
   void closeIdle();
 
   /// Returns how many requests have arrived whole and are not yet answered.
   [[nodiscard]] std::size_t unfinished() const { return m_Unfinished; }
 
-  /// Returns how many connections wait for a request or for its rest.
-  [[nodiscard]] std::size_t arriving() const { return m_Arrivals.size(); }
+  /// Returns how many requests have not arrived whole or are not answered.
+  [[nodiscard]] std::size_t open() const { return m_Arrivals.size(); }
 
 private:
-  /// A request whose body has not arrived whole.
+  /// Gives back the reference to a socket.
+  struct SocketRelease {
+    void operator()(GSocket *Socket) const { g_object_unref(Socket); }
+  };
+  using SocketPtr = std::unique_ptr<GSocket, SocketRelease>;
+
+  /// A request that is not answered.
   struct Arrival {
-    std::unique_ptr<Timer> m_Limit; ///< Runs until it has.
+    std::unique_ptr<Timer> m_Limit; ///< Runs until its body is whole.
     std::size_t m_Size = 0;         ///< Of the body so far.
-    bool m_HasHeaders = false;      ///< They have arrived.
+    SocketPtr m_Socket;             ///< Of its connection; may be null.
+  };
+
+  /// A connection between an answer and the next request. libsoup tells of a
+  /// request when its first byte is read, so it closes none that lie idle.
+  struct IdleConnection {
+    SocketPtr m_Socket;             ///< Never null; may be closed by its peer.
+    std::unique_ptr<Timer> m_Limit; ///< Closes it.
   };
 
   static void onStarted(SoupServer *, SoupServerMessage *Message, void *Self);
@@ -64,6 +80,7 @@
   static void onChunk(SoupServerMessage *Message, GBytes *Chunk, void *Self);
   static void onArrived(SoupServerMessage *Message, void *Self);
   static void onFinished(SoupServerMessage *Message, void *Self);
+  void becameIdle(SocketPtr Socket);
   void slow(SoupServerMessage *Message);
   void handle(SoupServerMessage *Message);
   void refuse(SoupServerMessage *Message, RefusalReason Reason);
@@ -74,7 +91,8 @@
   HttpServer m_Server;          ///< Towards callers.
   Handler m_Handler;            ///< See listen().
   std::size_t m_Unfinished = 0; ///< Handed on and not yet answered.
-  std::map<SoupServerMessage *, Arrival> m_Arrivals; ///< Not yet whole.
+  std::map<SoupServerMessage *, Arrival> m_Arrivals; ///< Not answered.
+  std::map<GSocket *, IdleConnection> m_Idle;        ///< See IdleConnection.
 };
 
 } // namespace crowstep
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -2,6 +2,7 @@
 #include "http/upstream_call.h"
 
 #include "http/http_error.h"
+#include "http/keep_alive.h"
 
 #include <array>
 #include <gio/gio.h>
@@ -244,6 +245,7 @@
   Held->m_LastByte = m_Clock.now();
   Held->m_Cancel = g_cancellable_new();
   Held->m_Message = messageOf(What);
+  probeConnectionOf(Held->m_Message);
   g_signal_connect(Held->m_Message, "starting", G_CALLBACK(onStarting), Held);
   Held->m_Place = m_Sessions.take(What.m_Where);
   soup_session_send_async(Held->m_Place.session(), Held->m_Message,
