--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -25,21 +25,38 @@
 /// Names a call from its placement to its end.
 using TicketId = StrongId<struct TicketTag, std::uint64_t>;
 
+/// How urgent a call is, as engines know it: 0 goes first.
+using Urgency = std::uint8_t;
+
+/// Engines know this many.
+inline constexpr std::size_t UrgencyCount = 10;
+
 /// A call that wants an upstream.
 struct PlacementQuery {
   std::string m_Service;           ///< Its service.
+  Urgency m_Urgency = 0;           ///< Below UrgencyCount.
   PromptSize m_Prompt;             ///< Empty for plain calls.
   Duration m_Target{};             ///< Latency for a good answer.
   Duration m_LongestPause{};       ///< Between events; 0: any.
   std::vector<UpstreamId> m_Avoid; ///< Tried before.
 };
 
+/// What an upstream was chosen by, for the logs.
+struct PlacementInputs {
+  std::size_t m_Options = 0;         ///< Upstreams that could take the call.
+  double m_Calls = 0;                ///< At the chosen one, by all instances.
+  std::uint64_t m_UnreadTokens = 0;  ///< Waiting there to be read before it.
+  std::uint32_t m_MissingTokens = 0; ///< Of this prompt, to be read there.
+  std::size_t m_Peers = 0;           ///< Instances whose digests count.
+};
+
 /// An upstream was chosen and the call counts there.
 struct Placed {
   TicketId m_Ticket;     ///< To be ended.
   UpstreamId m_Upstream; ///< Which one.
   std::string m_Name;    ///< As the upstream calls itself.
   Address m_Address;     ///< Where it listens.
+  PlacementInputs m_Why; ///< What decided.
 };
 
 /// No upstream can take the call now.
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -1,8 +1,6 @@
 /// Choice among the upstreams of a service.
 #include "balance/balancer.h"
 
-#include "balance/engine_choice.h"
-
 #include <algorithm>
 
 namespace crowstep::balance {
@@ -25,6 +23,9 @@
 /// Another zone's upstream must have this many calls fewer to be worth the way.
 constexpr double ZoneAdvantage = 2;
 
+/// A report older than this says nothing about now.
+constexpr Duration ReportLife = std::chrono::milliseconds(1500);
+
 /// At most this share of a service is kept out for its answers: when all fail
 /// alike the fault is elsewhere, and the rest could not take the load.
 constexpr double MaxEjected = 0.5;
@@ -42,6 +43,7 @@
     Next.emplace(Each.m_Id, std::move(State));
   }
   m_States = std::move(Next);
+  m_Cache.keepOnly(List);
 }
 
 Balancer::States Balancer::candidates(const PlacementQuery &Query,
@@ -70,30 +72,90 @@
 }
 
 PlacementResult Balancer::place(const PlacementQuery &Query, TimePoint Now) {
+  m_Peers.expire(Now);
   const States From = candidates(Query, Now);
   if (From.empty())
     return NotPlaced{RefusalReason::NoUpstream, NoUpstreamRetryAfter};
-  UpstreamState *Chosen = choose(Query, From, Now);
-  ++Chosen->m_Running;
-  Chosen->m_UnreadTokens += Query.m_Prompt.m_PromptTokens;
+  if (Query.m_Prompt.m_PromptTokens > 0)
+    return placeAtEngine(Query, From, Now);
+  UpstreamState &Chosen = *chooseForPlain(From, Now);
+  const PlacementInputs Why = {From.size(), callsAt(Chosen, Now), 0, 0,
+                               m_Peers.size()};
+  return begin(Chosen, Query.m_Urgency, 0, Why, Now);
+}
+
+PlacementResult Balancer::placeAtEngine(const PlacementQuery &Query,
+                                        const States &From, TimePoint Now) {
+  const PromptSize &Prompt = Query.m_Prompt;
+  std::vector<EngineOption> Options;
+  for (UpstreamState *State : From) {
+    const UpstreamId Id = State->m_Upstream.m_Id;
+    const std::uint32_t Kept = m_Cache.kept(Id, Prompt.m_Parts);
+    Options.push_back(
+        {State, callsAt(*State, Now),
+         State->m_Own.unreadBefore(Query.m_Urgency) +
+             m_Peers.at(Id).unreadBefore(Query.m_Urgency),
+         Prompt.m_PromptTokens - std::min(Prompt.m_PromptTokens, Kept)});
+  }
+  const EngineOption &Chosen = chooseEngine(Query, Options);
+  UpstreamState &State = *Chosen.m_State;
+  // The last part is the call's own; nobody will ask for it again.
+  for (std::size_t I = 0; I + 1 < Prompt.m_Parts.size(); ++I) {
+    m_Cache.placed(State.m_Upstream.m_Id, Prompt.m_Parts[I],
+                   m_CacheTokens[Query.m_Service]);
+    m_NewParts.push_back({State.m_Upstream.m_Id, Prompt.m_Parts[I]});
+  }
+  const PlacementInputs Why = {Options.size(), Chosen.m_Calls,
+                               Chosen.m_UnreadTokens, Chosen.m_MissingTokens,
+                               m_Peers.size()};
+  return begin(State, Query.m_Urgency, Chosen.m_MissingTokens, Why, Now);
+}
+
+Placed Balancer::begin(UpstreamState &Chosen, Urgency How,
+                       std::uint32_t UnreadTokens, const PlacementInputs &Why,
+                       TimePoint Now) {
+  Chosen.m_Own.begin(How, UnreadTokens);
   const TicketId Id(++m_LastTicket);
-  m_Tickets[Id] = {Chosen->m_Upstream.m_Id, Query.m_Prompt.m_PromptTokens};
-  return Placed{Id, Chosen->m_Upstream.m_Id, Chosen->m_Upstream.m_Name,
-                Chosen->m_Upstream.m_Address};
+  m_Tickets[Id] = {Chosen.m_Upstream.m_Id, How, UnreadTokens, Now};
+  return Placed{Id, Chosen.m_Upstream.m_Id, Chosen.m_Upstream.m_Name,
+                Chosen.m_Upstream.m_Address, Why};
 }
 
-UpstreamState *Balancer::choose(const PlacementQuery &Query, const States &From,
-                                TimePoint Now) const {
-  if (Query.m_Prompt.m_PromptTokens > 0)
-    return chooseEngine(Query, From, Now);
-  return chooseForPlain(From, Now);
+double Balancer::callsAt(const UpstreamState &State, TimePoint Now) const {
+  const auto Own = static_cast<double>(State.m_Own.running());
+  if (m_Peers.size() > 0)
+    return Own + m_Peers.at(State.m_Upstream.m_Id).running();
+  if (!State.m_Load || Now - State.m_LoadAt > ReportLife)
+    return Own;
+  const double Reported = State.m_Load->m_Running + State.m_Load->m_Waiting;
+  return std::max(Own, Reported + Own - State.m_RunningAtLoad);
+}
+
+void Balancer::peerSaid(InstanceId Peer, const LoadDigest &Digest,
+                        TimePoint Now) {
+  m_Peers.take(Peer, Digest.m_Loads, Now);
+  for (const PartPlaced &Each : Digest.m_Parts) {
+    const auto Found = m_States.find(Each.m_Upstream);
+    if (Found != m_States.end())
+      m_Cache.placed(Each.m_Upstream, Each.m_Part,
+                     m_CacheTokens[Found->second.m_Upstream.m_Service]);
+  }
+}
+
+LoadDigest Balancer::takeDigest() {
+  LoadDigest Result;
+  for (const auto &[Id, State] : m_States)
+    State.m_Own.tell(Id, Result.m_Loads);
+  Result.m_Parts = std::move(m_NewParts);
+  m_NewParts.clear();
+  return Result;
 }
 
 UpstreamState *Balancer::chooseForPlain(const States &From,
                                         TimePoint Now) const {
   const auto Cost = [&](const UpstreamState &State) {
     const bool Near = State.m_Upstream.m_Zone == m_Zone;
-    return estimatedCalls(State, Now) + (Near ? 0 : ZoneAdvantage) +
+    return callsAt(State, Now) + (Near ? 0 : ZoneAdvantage) +
            // A sick upstream that isn't kept out is the last choice.
            State.m_Health.failureShare();
   };
@@ -114,9 +176,25 @@
   UpstreamState *State = stateOf(Ticket);
   if (State == nullptr)
     return;
-  std::uint64_t &Unread = m_Tickets[Ticket].m_Unread;
-  State->m_UnreadTokens -= std::min(Unread, State->m_UnreadTokens);
-  Unread = 0;
+  struct Ticket &Found = m_Tickets[Ticket];
+  State->m_Own.read(Found.m_Urgency, Found.m_Unread);
+  Found.m_Unread = 0;
+}
+
+void Balancer::heard(TicketId Ticket, TimePoint Now) {
+  if (UpstreamState *State = stateOf(Ticket))
+    State->m_HeardAt = Now;
+}
+
+Duration Balancer::unheardOf(TicketId Ticket, TimePoint Now) const {
+  const auto Found = m_Tickets.find(Ticket);
+  if (Found == m_Tickets.end())
+    return Duration::zero();
+  TimePoint Since = Found->second.m_Begin;
+  const auto State = m_States.find(Found->second.m_Upstream);
+  if (State != m_States.end())
+    Since = std::max(Since, State->second.m_HeardAt);
+  return Now - Since;
 }
 
 void Balancer::reported(TicketId Ticket, const LoadReport &Load,
@@ -125,16 +203,14 @@
   if (State == nullptr)
     return;
   State->m_Load = Load;
-  State->m_RunningAtLoad = State->m_Running;
+  State->m_RunningAtLoad = State->m_Own.running();
   State->m_LoadAt = Now;
 }
 
 void Balancer::ended(TicketId Ticket, CallOutcome Outcome, TimePoint Now) {
   answered(Ticket);
   if (UpstreamState *State = stateOf(Ticket)) {
-    // A call from before the upstream left the list and came back counts no
-    // more.
-    State->m_Running -= std::min(State->m_Running, 1U);
+    State->m_Own.end(m_Tickets[Ticket].m_Urgency);
     State->m_Health.ended(Outcome, Now);
     if (Outcome == CallOutcome::Refused)
       State->m_FullUntil = Now + FullSpan;
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -1,11 +1,14 @@
 /// Chooses an upstream for each call, from what one instance knows.
 ///
-/// Every instance decides alone. What they must agree on follows from hashes
-/// of ids that all of them know: which engines take long prompts, and where a
-/// prompt's beginning is kept.
+/// Every instance decides alone, by its own calls and by the digests of the
+/// others; without digests it goes by the upstreams' reports. What instances
+/// must agree on at once follows from hashes of ids that all of them know.
 #ifndef CROWSTEP_BALANCE_BALANCER_H
 #define CROWSTEP_BALANCE_BALANCER_H
 
+#include "balance/cache_model.h"
+#include "balance/engine_choice.h"
+#include "balance/peer_loads.h"
 #include "balance/upstream_state.h"
 
 #include <unordered_map>
@@ -30,12 +33,33 @@
   /// The upstream told its load.
   void reported(TicketId Ticket, const LoadReport &Load, TimePoint Now);
 
+  /// Bytes came from the call's upstream.
+  void heard(TicketId Ticket, TimePoint Now);
+
+  /// Returns how long nothing has come from the upstream of a call, on any
+  /// call; at most since the call began.
+  [[nodiscard]] Duration unheardOf(TicketId Ticket, TimePoint Now) const;
+
   /// The call is over at the upstream. Unknown tickets are ignored.
   void ended(TicketId Ticket, CallOutcome Outcome, TimePoint Now);
 
   /// Returns whether the upstream of a call is still listed and not leaving.
   [[nodiscard]] bool mayBegin(TicketId Ticket, TimePoint Now) const;
 
+  /// Sets the memory of the engines of a service, in tokens.
+  void setCacheTokens(const std::string &Service, std::uint64_t Tokens) {
+    m_CacheTokens[Service] = Tokens;
+  }
+
+  /// Takes another instance's digest.
+  void peerSaid(InstanceId Peer, const LoadDigest &Digest, TimePoint Now);
+
+  /// Another instance is gone.
+  void peerGone(InstanceId Peer) { m_Peers.drop(Peer); }
+
+  /// Returns what the other instances should know, and forgets the parts.
+  LoadDigest takeDigest();
+
   /// Returns how many upstreams are listed.
   [[nodiscard]] std::size_t size() const { return m_States.size(); }
 
@@ -45,16 +69,25 @@
   /// A call that counts at an upstream.
   struct Ticket {
     UpstreamId m_Upstream;      ///< May have gone from the list.
+    Urgency m_Urgency = 0;      ///< Of the call.
     std::uint64_t m_Unread = 0; ///< Prompt tokens, until answered().
+    TimePoint m_Begin;          ///< When it was placed.
   };
 
   States candidates(const PlacementQuery &Query, TimePoint Now);
-  UpstreamState *choose(const PlacementQuery &Query, const States &From,
-                        TimePoint Now) const;
+  PlacementResult placeAtEngine(const PlacementQuery &Query, const States &From,
+                                TimePoint Now);
+  Placed begin(UpstreamState &Chosen, Urgency How, std::uint32_t UnreadTokens,
+               const PlacementInputs &Why, TimePoint Now);
   UpstreamState *chooseForPlain(const States &From, TimePoint Now) const;
+  [[nodiscard]] double callsAt(const UpstreamState &State, TimePoint Now) const;
   UpstreamState *stateOf(TicketId Ticket);
 
-  AvailabilityZone m_Zone;                                ///< Own.
+  AvailabilityZone m_Zone;            ///< Own.
+  PeerLoads m_Peers;                  ///< By digests.
+  CacheModel m_Cache;                 ///< Of engines.
+  std::vector<PartPlaced> m_NewParts; ///< Since takeDigest().
+  std::unordered_map<std::string, std::uint64_t> m_CacheTokens; ///< By service.
   std::unordered_map<UpstreamId, UpstreamState> m_States; ///< Listed ones.
   std::unordered_map<TicketId, Ticket> m_Tickets;         ///< Not ended.
   std::uint64_t m_LastTicket = 0;                         ///< Ids start at 1.
--- /dev/null
+++ b/src/balance/cache_model.cpp
@@ -0,0 +1,51 @@
+/// What engines are believed to keep of prompts.
+#include "balance/cache_model.h"
+
+#include <algorithm>
+
+namespace crowstep::balance {
+
+void CacheModel::placed(UpstreamId Engine, const PromptPart &Part,
+                        std::uint64_t Capacity) {
+  EngineCache &Cache = m_Engines[Engine];
+  const auto Found = Cache.m_Where.find(Part.m_Id);
+  if (Found != Cache.m_Where.end()) {
+    Cache.m_Order.splice(Cache.m_Order.begin(), Cache.m_Order, Found->second);
+    return;
+  }
+  Cache.m_Order.push_front(Part);
+  Cache.m_Where[Part.m_Id] = Cache.m_Order.begin();
+  Cache.m_Tokens += Part.m_Tokens;
+  const auto Limit = static_cast<std::uint64_t>(
+      KeptShare *
+      static_cast<double>(Capacity == 0 ? DefaultCapacity : Capacity));
+  while (Cache.m_Tokens > Limit && Cache.m_Order.size() > 1) {
+    Cache.m_Tokens -= Cache.m_Order.back().m_Tokens;
+    Cache.m_Where.erase(Cache.m_Order.back().m_Id);
+    Cache.m_Order.pop_back();
+  }
+}
+
+std::uint32_t CacheModel::kept(UpstreamId Engine,
+                               const std::vector<PromptPart> &Parts) const {
+  const auto Found = m_Engines.find(Engine);
+  if (Found == m_Engines.end())
+    return 0;
+  std::uint32_t Result = 0;
+  for (const PromptPart &Part : Parts) {
+    if (!Found->second.m_Where.contains(Part.m_Id))
+      break;
+    Result += Part.m_Tokens;
+  }
+  return Result;
+}
+
+void CacheModel::keepOnly(const std::vector<Upstream> &Listed) {
+  std::erase_if(m_Engines, [&](const auto &Each) {
+    return std::none_of(
+        Listed.begin(), Listed.end(),
+        [&](const Upstream &Known) { return Known.m_Id == Each.first; });
+  });
+}
+
+} // namespace crowstep::balance
--- a/src/balance/engine_choice.cpp
+++ b/src/balance/engine_choice.cpp
@@ -2,8 +2,9 @@
 ///
 /// Reading a long prompt delays the next token of every call in the engine's
 /// batch, so calls with short prompts, whose callers notice each pause, get
-/// engines of their own. Calls whose prompts begin alike go to the same one or
-/// two engines, where the beginning has been read before.
+/// engines of their own. A call with a long prompt goes where its first event
+/// comes soonest: after the prompts that wait there, and after what must be
+/// read of its own.
 #include "balance/engine_choice.h"
 
 #include "core/pair_hash.h"
@@ -21,68 +22,73 @@
 /// Share of a service's engines that take short prompts only.
 constexpr double ShortShare = 1.0 / 3;
 
-/// Engines that keep a prompt's beginning: two can share a burst, and one is
-/// left when the other goes.
-constexpr std::size_t HomesOfAPrefix = 2;
+/// What a running call costs the next one, in tokens that could be read in the
+/// time: a step of the batch takes longer by about a half percent for each.
+constexpr double TokensPerCall = 50;
 
-/// A report older than this says nothing about now.
-constexpr Duration ReportLife = std::chrono::milliseconds(1500);
+/// What must be read of a call's own prompt counts this many times: it delays
+/// this call once, and in a burst every call behind it as well, wherever they
+/// go, since what one engine has read another must not read again.
+constexpr double MissingWeight = 3;
+
+/// The engine that comes first by hash is preferred by this share of what must
+/// be read. Instances that place calls with one beginning within the same
+/// tenth of a second don't know of one another, and so read it once.
+constexpr double HomeAdvantage = 0.3;
 
 /// Any number; sets this hash apart from that of prompts.
 constexpr std::uint64_t RoleSeed = 1;
 
-using States = std::vector<UpstreamState *>;
+std::uint64_t rankOf(const EngineOption &Option, std::uint64_t Key) {
+  return pairHash(Key, Option.m_State->m_Upstream.m_Id.value());
+}
 
 bool isShort(const PlacementQuery &Query) {
   return Query.m_Prompt.m_PromptTokens < ShortPrompt;
 }
 
-/// Sorts by a hash, so that every instance has the same order.
-void sortByRank(States &List, std::uint64_t Key) {
-  std::sort(List.begin(), List.end(), [&](const auto *Left, const auto *Right) {
-    return pairHash(Key, Left->m_Upstream.m_Id.value()) >
-           pairHash(Key, Right->m_Upstream.m_Id.value());
-  });
-}
-
-/// Returns the engines of \p From whose role takes the call.
-States ofRole(const PlacementQuery &Query, States From) {
-  if (From.size() < 2)
-    return From;
-  sortByRank(From, RoleSeed);
+/// Returns the options whose role takes the call.
+std::vector<EngineOption> ofRole(const PlacementQuery &Query,
+                                 std::vector<EngineOption> Options) {
+  if (Options.size() < 2)
+    return Options;
+  std::sort(Options.begin(), Options.end(),
+            [](const auto &Left, const auto &Right) {
+              return rankOf(Left, RoleSeed) > rankOf(Right, RoleSeed);
+            });
   const auto Count = static_cast<std::ptrdiff_t>(
-      std::max<double>(1, ShortShare * static_cast<double>(From.size())));
+      std::max<double>(1, ShortShare * static_cast<double>(Options.size())));
   if (isShort(Query))
-    return {From.begin(), From.begin() + Count};
-  return {From.begin() + Count, From.end()};
+    return {Options.begin(), Options.begin() + Count};
+  return {Options.begin() + Count, Options.end()};
 }
 
-UpstreamState *leastLoaded(const States &From, TimePoint Now) {
-  return *std::min_element(
-      From.begin(), From.end(), [&](const auto *Left, const auto *Right) {
-        return estimatedCalls(*Left, Now) < estimatedCalls(*Right, Now);
-      });
+double costOf(const EngineOption &Option, bool Home) {
+  const double Missing =
+      Option.m_MissingTokens * (Home ? 1 - HomeAdvantage : 1);
+  return static_cast<double>(Option.m_UnreadTokens) + Missing +
+         TokensPerCall * Option.m_Calls;
 }
 
 } // namespace
 
-double estimatedCalls(const UpstreamState &State, TimePoint Now) {
-  const auto Own = static_cast<double>(State.m_Running);
-  if (!State.m_Load || Now - State.m_LoadAt > ReportLife)
-    return Own;
-  const double Reported = State.m_Load->m_Running + State.m_Load->m_Waiting;
-  return std::max(Own, Reported + Own - State.m_RunningAtLoad);
-}
-
-UpstreamState *chooseEngine(const PlacementQuery &Query,
-                            const std::vector<UpstreamState *> &From,
-                            TimePoint Now) {
-  States List = ofRole(Query, From);
-  if (isShort(Query) || Query.m_Prompt.m_Parts.empty())
-    return leastLoaded(List, Now);
-  sortByRank(List, Query.m_Prompt.m_Parts.front().m_Id);
-  List.resize(std::min(List.size(), HomesOfAPrefix));
-  return leastLoaded(List, Now);
+const EngineOption &chooseEngine(const PlacementQuery &Query,
+                                 const std::vector<EngineOption> &Options) {
+  const std::vector<EngineOption> Fit = ofRole(Query, Options);
+  const std::uint64_t Key = Query.m_Prompt.m_Parts.empty()
+                                ? RoleSeed
+                                : Query.m_Prompt.m_Parts.front().m_Id;
+  const auto Home = std::max_element(
+      Fit.begin(), Fit.end(), [&](const auto &Left, const auto &Right) {
+        return rankOf(Left, Key) < rankOf(Right, Key);
+      });
+  const EngineOption *Best = &*Home;
+  for (const EngineOption &Each : Fit)
+    if (costOf(Each, &Each == &*Home) < costOf(*Best, Best == &*Home))
+      Best = &Each;
+  return *std::find_if(Options.begin(), Options.end(), [&](const auto &Each) {
+    return Each.m_State == Best->m_State;
+  });
 }
 
 } // namespace crowstep::balance
--- a/src/balance/engine_choice.h
+++ b/src/balance/engine_choice.h
@@ -6,15 +6,17 @@
 
 namespace crowstep::balance {
 
-/// Returns the best of \p From for a model call; \p From is not empty.
-UpstreamState *chooseEngine(const PlacementQuery &Query,
-                            const std::vector<UpstreamState *> &From,
-                            TimePoint Now);
+/// An engine that could take a call, and what it would cost there.
+struct EngineOption {
+  UpstreamState *m_State = nullptr;  ///< Never null.
+  double m_Calls = 0;                ///< That all instances have there.
+  std::uint64_t m_UnreadTokens = 0;  ///< Of prompts waiting there to be read.
+  std::uint32_t m_MissingTokens = 0; ///< Of this prompt, not kept there.
+};
 
-/// Returns an estimate of the calls that \p State works on or has waiting:
-/// the last report, moved on by what began and ended here since, or our own
-/// calls where the report is too old.
-double estimatedCalls(const UpstreamState &State, TimePoint Now);
+/// Returns the best of \p Options, which are not empty.
+const EngineOption &chooseEngine(const PlacementQuery &Query,
+                                 const std::vector<EngineOption> &Options);
 
 } // namespace crowstep::balance
 
--- /dev/null
+++ b/src/balance/peer_loads.h
@@ -0,0 +1,99 @@
+/// What other instances have at the upstreams, from their digests.
+#ifndef CROWSTEP_BALANCE_PEER_LOADS_H
+#define CROWSTEP_BALANCE_PEER_LOADS_H
+
+#include "balance/balance_type.h"
+#include "core/clock.h"
+#include "upstream_type.h"
+
+#include <array>
+#include <unordered_map>
+#include <vector>
+
+namespace crowstep::balance {
+
+/// One instance's own calls of one urgency at an upstream.
+struct UpstreamLoad {
+  UpstreamId m_Upstream;            ///< Where.
+  Urgency m_Urgency = 0;            ///< Below UrgencyCount.
+  std::uint32_t m_Running = 0;      ///< Calls that have not ended.
+  std::uint32_t m_UnreadTokens = 0; ///< Of prompts without a first event.
+};
+
+/// Calls at one upstream, by urgency.
+class CallLoad {
+public:
+  void begin(Urgency How, std::uint64_t UnreadTokens);
+  void read(Urgency How, std::uint64_t UnreadTokens);
+  void end(Urgency How);
+
+  /// Adds what an instance said, or takes it away.
+  void add(const UpstreamLoad &Said);
+  void remove(const UpstreamLoad &Said);
+
+  [[nodiscard]] std::uint32_t running() const;
+
+  /// Returns the tokens that are read before those of a call of urgency
+  /// \p How that comes now.
+  [[nodiscard]] std::uint64_t unreadBefore(Urgency How) const;
+
+  /// Appends what there is to tell of \p Upstream.
+  void tell(UpstreamId Upstream, std::vector<UpstreamLoad> &Out) const;
+
+private:
+  struct Part {
+    std::uint32_t m_Running = 0; ///< Calls that have not ended.
+    std::uint64_t m_Unread = 0;  ///< Tokens of prompts without a first event.
+  };
+  std::array<Part, UrgencyCount> m_Parts{}; ///< By urgency.
+};
+
+/// A part of a prompt that went to an engine.
+struct PartPlaced {
+  UpstreamId m_Upstream; ///< The engine.
+  PromptPart m_Part;     ///< The part.
+};
+
+/// What one instance tells the others several times a second.
+struct LoadDigest {
+  std::vector<UpstreamLoad> m_Loads; ///< All upstreams where it has calls.
+  std::vector<PartPlaced> m_Parts;   ///< Since its last digest.
+};
+
+/// Sums of the loads of all instances that were heard of lately.
+class PeerLoads {
+public:
+  /// A digest older than this counts no more: its sender is gone, frozen or cut
+  /// off, and its calls end without word. Five digests may be lost before.
+  static constexpr Duration DigestLife = std::chrono::milliseconds(1000);
+
+  /// Replaces what \p Peer said before.
+  void take(InstanceId Peer, const std::vector<UpstreamLoad> &Loads,
+            TimePoint Now);
+
+  /// Forgets an instance.
+  void drop(InstanceId Peer);
+
+  /// Forgets the instances whose digests are too old.
+  void expire(TimePoint Now);
+
+  /// Returns the sum of the peers' loads at \p Upstream.
+  [[nodiscard]] const CallLoad &at(UpstreamId Upstream) const;
+
+  /// Returns how many instances count.
+  [[nodiscard]] std::size_t size() const { return m_Peers.size(); }
+
+private:
+  /// What one instance said last.
+  struct Said {
+    std::vector<UpstreamLoad> m_Loads; ///< See LoadDigest.
+    TimePoint m_At;                    ///< When it arrived.
+  };
+
+  std::unordered_map<InstanceId, Said> m_Peers;   ///< By instance.
+  std::unordered_map<UpstreamId, CallLoad> m_Sum; ///< Of all of them.
+};
+
+} // namespace crowstep::balance
+
+#endif // CROWSTEP_BALANCE_PEER_LOADS_H
--- a/src/balance/upstream_state.h
+++ b/src/balance/upstream_state.h
@@ -2,7 +2,7 @@
 #ifndef CROWSTEP_BALANCE_UPSTREAM_STATE_H
 #define CROWSTEP_BALANCE_UPSTREAM_STATE_H
 
-#include "balance/balance_type.h"
+#include "balance/peer_loads.h"
 
 #include <optional>
 
@@ -33,11 +33,11 @@
 /// One upstream, its load and its health.
 struct UpstreamState {
   Upstream m_Upstream;               ///< As the directory describes it.
-  std::uint32_t m_Running = 0;       ///< Our calls there.
-  std::uint64_t m_UnreadTokens = 0;  ///< Of our calls without a first event.
+  CallLoad m_Own;                    ///< Our calls there.
   std::optional<LoadReport> m_Load;  ///< The last report.
-  std::uint32_t m_RunningAtLoad = 0; ///< m_Running when it came.
+  std::uint32_t m_RunningAtLoad = 0; ///< Our calls when it came.
   TimePoint m_LoadAt{};              ///< When it came.
+  TimePoint m_HeardAt{};             ///< Its last byte, on any of our calls.
   UpstreamHealth m_Health;           ///< By its answers.
   TimePoint m_FullUntil{};           ///< It said that it had no room.
   TimePoint m_LeavingUntil{};        ///< It said that it closes.
--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -35,16 +35,16 @@
   Admitted Result;
   Result.m_Table = Table;
   Result.m_Route = Found;
-  Result.m_Priority = Found->m_Priority;
+  const KeyHolder *Holder = nullptr;
   if (Table->hasKeys() && Found->m_NeedsKey) {
     if (Facts.m_Key.empty())
       return NotAdmitted{RefusalReason::MissingKey, Facts.m_Id};
-    const KeyHolder *Holder = Table->holderOf(Facts.m_Key);
+    Holder = Table->holderOf(Facts.m_Key);
     if (Holder == nullptr)
       return NotAdmitted{RefusalReason::UnknownKey, Facts.m_Id};
     Result.m_Workspace = Holder->m_Name;
-    Result.m_Priority = Holder->m_Priority.value_or(Found->m_Priority);
   }
+  Result.m_Urgency = Table->urgency(*Found, Holder);
   Result.m_Facts = std::move(Facts);
   return Result;
 }
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -21,7 +21,7 @@
   RouteTablePtr m_Table;   ///< Keeps m_Route alive.
   const Route *m_Route;    ///< Never null.
   std::string m_Workspace; ///< Whose key it bears; empty: none.
-  unsigned m_Priority = 0; ///< The workspace's, or the route's.
+  unsigned m_Urgency = 0;  ///< See RouteTable::urgency().
   RequestFacts m_Facts;    ///< What its headers say.
 };
 
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -9,6 +9,18 @@
 
 namespace crowstep::gateway {
 
+/// Another instance, or this one.
+struct PeerInstance {
+  std::string m_Name; ///< Of the instance.
+  Address m_Address;  ///< Where it takes links.
+};
+
+/// The instances that exist and what their links are authenticated by.
+struct PeerList {
+  std::string m_Key;                     ///< Shared secret of all instances.
+  std::vector<PeerInstance> m_Instances; ///< In no order.
+};
+
 /// Hears what has changed.
 class DirectoryListener {
 public:
@@ -19,6 +31,9 @@
 
   /// The whole list of upstreams.
   virtual void upstreamsChanged(const std::vector<Upstream> &List) = 0;
+
+  /// The whole list of instances.
+  virtual void peersChanged(const PeerList &List) = 0;
 };
 
 /// Follows the place where operators and upstreams write.
@@ -26,8 +41,12 @@
 public:
   virtual ~Directory() = default;
 
-  /// Begins to follow; \p Listener outlives the directory.
-  virtual void start(DirectoryListener &Listener) = 0;
+  /// Begins to follow and lists this instance as \p Self; \p Listener
+  /// outlives the directory.
+  virtual void start(DirectoryListener &Listener, const PeerInstance &Self) = 0;
+
+  /// Takes this instance off the list; nothing waits for it.
+  virtual void leave() = 0;
 };
 
 } // namespace crowstep::gateway
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -99,6 +99,7 @@
 void ForwardedRequest::attempt() {
   balance::PlacementQuery Query;
   Query.m_Service = m_Service;
+  Query.m_Urgency = static_cast<balance::Urgency>(m_What.m_Urgency);
   Query.m_Prompt = m_What.m_Facts.m_Prompt;
   Query.m_Target = m_What.m_Route->m_Target;
   if (const EventStream *Stream = stream())
@@ -115,6 +116,7 @@
 void ForwardedRequest::send(const balance::Placed &Where) {
   m_Ticket = Where.m_Ticket;
   m_Upstream = Where.m_Name;
+  m_Why = Where.m_Why;
   m_Tried.push_back(Where.m_Upstream);
   m_Status = 0;
   m_Body.clear();
@@ -123,7 +125,7 @@
   Own.m_TimeLeft = timeLeft();
   Own.m_Upstream = Where.m_Name;
   Own.m_Workspace = m_What.m_Workspace;
-  Own.m_Priority = m_What.m_Priority;
+  Own.m_Priority = m_What.m_Urgency;
   Own.m_LastEvent = m_LastId;
   UpstreamSend What;
   What.m_Where = Where.m_Address;
@@ -165,6 +167,16 @@
 void ForwardedRequest::silent() {
   if (m_Call == nullptr || !mayTryAgain())
     return;
+  // A loaded upstream keeps many waiting at once; asking another one as well
+  // would add to what makes them wait. One that is dark tells nobody anything.
+  constexpr Duration SignOfLife = std::chrono::milliseconds(900);
+  const Duration Unheard =
+      m_World.m_Balancer.unheardOf(m_Ticket, m_World.m_Clock.now());
+  if (Unheard < SignOfLife) {
+    m_Silence.start(SignOfLife - Unheard + LeastTimeToRetry,
+                    [this] { silent(); });
+    return;
+  }
   if (!m_World.m_Budget.take(m_Service, m_World.m_Clock.now()))
     return;
   m_MayHaveRun = true;
@@ -216,6 +228,7 @@
 
 void ForwardedRequest::takeHead(unsigned Status, const HeaderList &Headers) {
   const AnswerFacts Facts = m_World.m_Codec.readAnswer(Status, Headers);
+  m_World.m_Balancer.heard(m_Ticket, m_World.m_Clock.now());
   // The answer to an earlier call, sent late on a kept connection, or bytes
   // that are no answer of an upstream at all.
   if (Facts.m_RequestId != m_What.m_Facts.m_Id && !Facts.m_NotRun) {
@@ -274,6 +287,7 @@
 }
 
 void ForwardedRequest::takeEvents(std::string_view Bytes) {
+  m_World.m_Balancer.heard(m_Ticket, m_World.m_Clock.now());
   for (const SseEvent &Event : m_Splitter.feed(Bytes))
     relay(Event);
   constexpr int PausesToWait = 4;
@@ -312,7 +326,8 @@
 void ForwardedRequest::beginStream() {
   m_Streaming = true;
   m_World.m_Balancer.answered(m_Ticket);
-  m_Stats.m_FirstEvent->record(m_World.m_Clock.now() - m_Begin);
+  m_FirstEvent = m_World.m_Clock.now();
+  m_Stats.m_FirstEvent->record(m_FirstEvent - m_Begin);
   CallerAnswer Head;
   Head.m_Status = m_Status;
   Head.m_ContentType = "text/event-stream";
@@ -447,15 +462,25 @@
   m_Silence.stop();
   const Duration Took = m_World.m_Clock.now() - m_Begin;
   m_Stats.m_Total->record(Took);
-  logEvent(LogEvent::GatewayRequestEnded,
-           {{"request", m_What.m_Facts.m_Id},
-            {"route", m_What.m_Route->m_Name},
-            {"outcome", std::string(Outcome)},
-            {"status", std::to_string(m_Status)},
-            {"upstream", m_Upstream},
-            {"sends", std::to_string(m_Sends)},
-            {"events", std::to_string(m_Events)},
-            {"took_us", std::to_string(Took.count())}});
+  logEvent(
+      LogEvent::GatewayRequestEnded,
+      {{"request", m_What.m_Facts.m_Id},
+       {"route", m_What.m_Route->m_Name},
+       {"outcome", std::string(Outcome)},
+       {"status", std::to_string(m_Status)},
+       {"upstream", m_Upstream},
+       {"sends", std::to_string(m_Sends)},
+       {"events", std::to_string(m_Events)},
+       {"urgency", std::to_string(m_What.m_Urgency)},
+       {"options", std::to_string(m_Why.m_Options)},
+       {"calls", std::to_string(static_cast<int>(m_Why.m_Calls))},
+       {"unread", std::to_string(m_Why.m_UnreadTokens)},
+       {"missing", std::to_string(m_Why.m_MissingTokens)},
+       {"peers", std::to_string(m_Why.m_Peers)},
+       {"prompt", std::to_string(m_What.m_Facts.m_Prompt.m_PromptTokens)},
+       {"first_us",
+        std::to_string(m_Streaming ? (m_FirstEvent - m_Begin).count() : 0)},
+       {"took_us", std::to_string(Took.count())}});
   const std::function<void()> Job = std::move(m_OnEnded);
   m_OnEnded = nullptr;
   if (Job)
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -101,6 +101,8 @@
   std::unique_ptr<UpstreamCall> m_Call; ///< Null between calls.
   balance::TicketId m_Ticket;           ///< Of m_Call.
   std::string m_Upstream;               ///< Name, of the last call.
+  balance::PlacementInputs m_Why;       ///< Of the last placement.
+  TimePoint m_FirstEvent{};             ///< When the caller got it.
   std::vector<UpstreamId> m_Tried;      ///< Upstreams of earlier calls.
   unsigned m_Sends = 0;                 ///< Calls that may have arrived.
   unsigned m_Misses = 0;                ///< Calls that were never sent.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -62,6 +62,8 @@
       m_Random(std::random_device{}()), m_Balancer(m_Settings.m_Zone),
       m_Budget(m_Settings.m_RetryBudget), m_Upstream(m_Clock, m_Timers),
       m_Parts(Make(m_Clock, m_Timers, m_Metrics)),
+      m_Exchange(m_Settings.m_Name, m_Settings.m_Zone, m_Settings.m_Links,
+                 m_Clock, m_Timers, m_Metrics, m_Balancer),
       m_World{m_Clock,
               m_Timers,
               m_Balancer,
@@ -79,7 +81,7 @@
 Gateway::~Gateway() = default;
 
 void Gateway::start() {
-  m_Parts.m_Directory->start(*this);
+  m_Parts.m_Directory->start(*this, {m_Settings.m_Name, m_Settings.m_Links});
   m_Probes.listen(m_Settings.m_Probes,
                   [this](SoupServerMessage *Message, const char *Path) {
                     handleProbe(Message, Path);
@@ -98,6 +100,8 @@
 void Gateway::tableChanged(RouteTablePtr Table) {
   m_Table = std::move(Table);
   m_Front.setLimits(arrivalLimits(m_Table->data().m_Limits));
+  for (const Service &Each : m_Table->data().m_Services)
+    m_Balancer.setCacheTokens(Each.m_Name, Each.m_CacheTokens);
   m_Metrics.gauge("crowstep_table_version")
       .set(static_cast<double>(m_Table->version().value()));
 }
@@ -107,6 +111,8 @@
   m_Balancer.setUpstreams(List);
 }
 
+void Gateway::peersChanged(const PeerList &List) { m_Exchange.setPeers(List); }
+
 bool Gateway::ready() const {
   return !m_Stopping && m_Table != nullptr && m_KnowsUpstreams;
 }
@@ -181,6 +187,7 @@
   m_Closing = true;
   m_StopBegin = m_Clock.now();
   m_StopDone = std::move(Done);
+  m_Parts.m_Directory->leave();
   checkStopped();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #define CROWSTEP_GATEWAY_GATEWAY_H
 
 #include "core/program.h"
+#include "gateway/digest_exchange.h"
 #include "gateway/directory.h"
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
@@ -41,6 +42,7 @@
 private:
   void tableChanged(RouteTablePtr Table) override;
   void upstreamsChanged(const std::vector<Upstream> &List) override;
+  void peersChanged(const PeerList &List) override;
 
   void handle(SoupServerMessage *Message);
   void refuse(SoupServerMessage *Message, const NotAdmitted &Why);
@@ -59,6 +61,7 @@
   balance::RetryBudget m_Budget; ///< Bounds repeats.
   HttpUpstreamCaller m_Upstream; ///< Sends.
   Parts m_Parts;                 ///< See Parts.
+  DigestExchange m_Exchange;     ///< With the other instances.
   ForwardWorld m_World;          ///< For requests.
   Front m_Front;                 ///< Towards callers.
   HttpServer m_Probes;           ///< Readiness and metrics.
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -22,6 +22,7 @@
   Result.m_Name = File.text("instance", "name");
   Result.m_Zone.m_Name = File.text("instance", "zone");
   Result.m_Listen = File.address("gateway", "listen");
+  Result.m_Links = File.address("gateway", "links");
   Result.m_Probes = File.address("gateway", "probes");
   Result.m_ReadinessPath = File.text("gateway", "readiness_path", "/readyz");
   Result.m_Grace = seconds(File, "gateway", "grace_s");
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -11,6 +11,7 @@
   std::string m_Name;          ///< Of the instance.
   AvailabilityZone m_Zone;     ///< Of the instance.
   Address m_Listen;            ///< For callers.
+  Address m_Links;             ///< For the other instances.
   Address m_Probes;            ///< For readiness and metrics.
   std::string m_ReadinessPath; ///< Answers 200 while it takes callers.
   Duration m_Grace{};          ///< From SIGTERM to SIGKILL.
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -1,6 +1,8 @@
 /// Lookups in the route table.
 #include "gateway/route_table.h"
 
+#include "balance/balance_type.h"
+
 #include <cctype>
 
 namespace crowstep::gateway {
@@ -14,6 +16,14 @@
   return Result;
 }
 
+std::pair<unsigned, unsigned> prioritiesOf(const Route &Which,
+                                           const KeyHolder *Holder) {
+  const unsigned First = Holder == nullptr
+                             ? Which.m_Priority
+                             : Holder->m_Priority.value_or(Which.m_Priority);
+  return {First, Which.m_Priority};
+}
+
 } // namespace
 
 bool mayRunAgain(const RouteKind &Kind) {
@@ -32,6 +42,11 @@
   for (const KeyHolder &Each : m_Data.m_Workspaces)
     for (const std::string &Key : Each.m_Keys)
       m_ByKey.emplace(Key, &Each);
+  for (const Route &Which : m_Data.m_Routes) {
+    m_Priorities.insert(prioritiesOf(Which, nullptr));
+    for (const KeyHolder &Holder : m_Data.m_Workspaces)
+      m_Priorities.insert(prioritiesOf(Which, &Holder));
+  }
   for (const Service &Each : m_Data.m_Services)
     m_ByService.emplace(Each.m_Name, &Each);
 }
@@ -50,6 +65,16 @@
   return nullptr;
 }
 
+unsigned RouteTable::urgency(const Route &Which,
+                             const KeyHolder *Holder) const {
+  const auto Found = m_Priorities.find(prioritiesOf(Which, Holder));
+  const auto Place =
+      static_cast<unsigned>(std::distance(m_Priorities.begin(), Found));
+  const auto Pairs = static_cast<unsigned>(m_Priorities.size());
+  constexpr auto Ranks = static_cast<unsigned>(balance::UrgencyCount);
+  return Pairs <= Ranks ? Place : Place * Ranks / Pairs;
+}
+
 const KeyHolder *RouteTable::holderOf(const std::string &Key) const {
   const auto Found = m_ByKey.find(Key);
   return Found == m_ByKey.end() ? nullptr : Found->second;
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -5,6 +5,7 @@
 #include "gateway/route_type.h"
 
 #include <memory>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -28,6 +29,13 @@
   /// Returns whose key this is, or null.
   [[nodiscard]] const KeyHolder *holderOf(const std::string &Key) const;
 
+  /// Returns how urgent a call is among all that the table allows: first by
+  /// the workspace's priority, or the route's where it has none, and among
+  /// equals by the route's. Engines know ten ranks; with more pairs of
+  /// priorities, neighbours share one.
+  [[nodiscard]] unsigned urgency(const Route &Which,
+                                 const KeyHolder *Holder) const;
+
   /// Returns whether callers bear keys at all.
   [[nodiscard]] bool hasKeys() const { return !m_Data.m_Workspaces.empty(); }
 
@@ -39,6 +47,7 @@
   std::unordered_map<std::string, const Route *> m_ByPlace; ///< Host + prefix.
   std::unordered_map<std::string, const KeyHolder *> m_ByKey; ///< See holderOf.
   std::unordered_map<std::string, const Service *> m_ByService; ///< By name.
+  std::set<std::pair<unsigned, unsigned>> m_Priorities; ///< All that occur.
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -102,6 +102,14 @@
 struct ClaimReplyBuilder;
 struct ClaimReplyT;
 
+struct UpstreamLoad;
+
+struct PartPlaced;
+
+struct GatewayDigest;
+struct GatewayDigestBuilder;
+struct GatewayDigestT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -109,29 +117,32 @@
 enum class Role : uint8_t {
   Entry = 0,
   Dispatcher = 1,
+  Gateway = 2,
   MIN = Entry,
-  MAX = Dispatcher
+  MAX = Gateway
 };
 
-inline const Role (&EnumValuesRole())[2] {
+inline const Role (&EnumValuesRole())[3] {
   static const Role values[] = {
     Role::Entry,
-    Role::Dispatcher
+    Role::Dispatcher,
+    Role::Gateway
   };
   return values;
 }
 
 inline const char * const *EnumNamesRole() {
-  static const char * const names[3] = {
+  static const char * const names[4] = {
     "Entry",
     "Dispatcher",
+    "Gateway",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameRole(Role e) {
-  if (flatbuffers::IsOutRange(e, Role::Entry, Role::Dispatcher)) return "";
+  if (flatbuffers::IsOutRange(e, Role::Entry, Role::Gateway)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesRole()[index];
 }
@@ -645,6 +656,90 @@
   using type = TableVouch;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamLoad FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint32_t unread_tokens_;
+  uint16_t running_;
+  uint8_t urgency_;
+  int8_t padding0__;
+
+ public:
+  struct Traits;
+  UpstreamLoad()
+      : upstream_(0),
+        unread_tokens_(0),
+        running_(0),
+        urgency_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  UpstreamLoad(uint64_t _upstream, uint32_t _unread_tokens, uint16_t _running, uint8_t _urgency)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        unread_tokens_(flatbuffers::EndianScalar(_unread_tokens)),
+        running_(flatbuffers::EndianScalar(_running)),
+        urgency_(flatbuffers::EndianScalar(_urgency)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t unread_tokens() const {
+    return flatbuffers::EndianScalar(unread_tokens_);
+  }
+  uint16_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+  uint8_t urgency() const {
+    return flatbuffers::EndianScalar(urgency_);
+  }
+};
+FLATBUFFERS_STRUCT_END(UpstreamLoad, 16);
+
+struct UpstreamLoad::Traits {
+  using type = UpstreamLoad;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartPlaced FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint64_t part_;
+  uint32_t tokens_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  PartPlaced()
+      : upstream_(0),
+        part_(0),
+        tokens_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PartPlaced(uint64_t _upstream, uint64_t _part, uint32_t _tokens)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        part_(flatbuffers::EndianScalar(_part)),
+        tokens_(flatbuffers::EndianScalar(_tokens)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t tokens() const {
+    return flatbuffers::EndianScalar(tokens_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PartPlaced, 24);
+
+struct PartPlaced::Traits {
+  using type = PartPlaced;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint16_t schema = 0;
@@ -2707,6 +2802,89 @@
 
 flatbuffers::Offset<ClaimReply> CreateClaimReply(flatbuffers::FlatBufferBuilder &_fbb, const ClaimReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct GatewayDigestT : public flatbuffers::NativeTable {
+  typedef GatewayDigest TableType;
+  std::vector<crowstep::wire::UpstreamLoad> loads{};
+  std::vector<crowstep::wire::PartPlaced> parts{};
+};
+
+struct GatewayDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GatewayDigestT NativeTableType;
+  typedef GatewayDigestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOADS = 4,
+    VT_PARTS = 6
+  };
+  const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *loads() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *>(VT_LOADS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::PartPlaced *> *parts() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::PartPlaced *> *>(VT_PARTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LOADS) &&
+           verifier.VerifyVector(loads()) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.EndTable();
+  }
+  GatewayDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(GatewayDigestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<GatewayDigest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct GatewayDigestBuilder {
+  typedef GatewayDigest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_loads(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::UpstreamLoad *>> loads) {
+    fbb_.AddOffset(GatewayDigest::VT_LOADS, loads);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::PartPlaced *>> parts) {
+    fbb_.AddOffset(GatewayDigest::VT_PARTS, parts);
+  }
+  explicit GatewayDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<GatewayDigest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<GatewayDigest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::UpstreamLoad *>> loads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::PartPlaced *>> parts = 0) {
+  GatewayDigestBuilder builder_(_fbb);
+  builder_.add_parts(parts);
+  builder_.add_loads(loads);
+  return builder_.Finish();
+}
+
+struct GatewayDigest::Traits {
+  using type = GatewayDigest;
+  static auto constexpr Create = CreateGatewayDigest;
+};
+
+inline flatbuffers::Offset<GatewayDigest> CreateGatewayDigestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<crowstep::wire::UpstreamLoad> *loads = nullptr,
+    const std::vector<crowstep::wire::PartPlaced> *parts = nullptr) {
+  auto loads__ = loads ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamLoad>(*loads) : 0;
+  auto parts__ = parts ? _fbb.CreateVectorOfStructs<crowstep::wire::PartPlaced>(*parts) : 0;
+  return crowstep::wire::CreateGatewayDigest(
+      _fbb,
+      loads__,
+      parts__);
+}
+
+flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   std::unique_ptr<crowstep::wire::HeartbeatT> heartbeat{};
@@ -2732,6 +2910,7 @@
   std::vector<std::unique_ptr<crowstep::wire::ClaimReplyT>> claim_replies{};
   std::vector<crowstep::wire::MemberNews> member_news{};
   std::unique_ptr<crowstep::wire::KnowledgeT> knowledge{};
+  std::unique_ptr<crowstep::wire::GatewayDigestT> digest{};
   FrameT() = default;
   FrameT(const FrameT &o);
   FrameT(FrameT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2765,7 +2944,8 @@
     VT_CLAIM_REQUESTS = 42,
     VT_CLAIM_REPLIES = 44,
     VT_MEMBER_NEWS = 46,
-    VT_KNOWLEDGE = 48
+    VT_KNOWLEDGE = 48,
+    VT_DIGEST = 50
   };
   const crowstep::wire::Heartbeat *heartbeat() const {
     return GetPointer<const crowstep::wire::Heartbeat *>(VT_HEARTBEAT);
@@ -2836,6 +3016,9 @@
   const crowstep::wire::Knowledge *knowledge() const {
     return GetPointer<const crowstep::wire::Knowledge *>(VT_KNOWLEDGE);
   }
+  const crowstep::wire::GatewayDigest *digest() const {
+    return GetPointer<const crowstep::wire::GatewayDigest *>(VT_DIGEST);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HEARTBEAT) &&
@@ -2889,6 +3072,8 @@
            verifier.VerifyVector(member_news()) &&
            VerifyOffset(verifier, VT_KNOWLEDGE) &&
            verifier.VerifyTable(knowledge()) &&
+           VerifyOffset(verifier, VT_DIGEST) &&
+           verifier.VerifyTable(digest()) &&
            verifier.EndTable();
   }
   FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2969,6 +3154,9 @@
   void add_knowledge(flatbuffers::Offset<crowstep::wire::Knowledge> knowledge) {
     fbb_.AddOffset(Frame::VT_KNOWLEDGE, knowledge);
   }
+  void add_digest(flatbuffers::Offset<crowstep::wire::GatewayDigest> digest) {
+    fbb_.AddOffset(Frame::VT_DIGEST, digest);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3004,8 +3192,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>>> claim_requests = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>>> claim_replies = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::MemberNews *>> member_news = 0,
-    flatbuffers::Offset<crowstep::wire::Knowledge> knowledge = 0) {
+    flatbuffers::Offset<crowstep::wire::Knowledge> knowledge = 0,
+    flatbuffers::Offset<crowstep::wire::GatewayDigest> digest = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_digest(digest);
   builder_.add_knowledge(knowledge);
   builder_.add_member_news(member_news);
   builder_.add_claim_replies(claim_replies);
@@ -3061,7 +3251,8 @@
     const std::vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *claim_requests = nullptr,
     const std::vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *claim_replies = nullptr,
     const std::vector<crowstep::wire::MemberNews> *member_news = nullptr,
-    flatbuffers::Offset<crowstep::wire::Knowledge> knowledge = 0) {
+    flatbuffers::Offset<crowstep::wire::Knowledge> knowledge = 0,
+    flatbuffers::Offset<crowstep::wire::GatewayDigest> digest = 0) {
   auto bids__ = bids ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Bid>>(*bids) : 0;
   auto grants__ = grants ? _fbb.CreateVectorOfStructs<crowstep::wire::Grant>(*grants) : 0;
   auto work_ends__ = work_ends ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkEnd>(*work_ends) : 0;
@@ -3099,7 +3290,8 @@
       claim_requests__,
       claim_replies__,
       member_news__,
-      knowledge);
+      knowledge,
+      digest);
 }
 
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3809,6 +4001,35 @@
       _version);
 }
 
+inline GatewayDigestT *GatewayDigest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<GatewayDigestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void GatewayDigest::UnPackTo(GatewayDigestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<GatewayDigest> GatewayDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateGatewayDigest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GatewayDigestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
+  auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStructs(_o->parts) : 0;
+  return crowstep::wire::CreateGatewayDigest(
+      _fbb,
+      _loads,
+      _parts);
+}
+
 inline FrameT::FrameT(const FrameT &o)
       : heartbeat((o.heartbeat) ? new crowstep::wire::HeartbeatT(*o.heartbeat) : nullptr),
         table_probe((o.table_probe) ? new crowstep::wire::TableProbeT(*o.table_probe) : nullptr),
@@ -3827,7 +4048,8 @@
         table_update((o.table_update) ? new crowstep::wire::TableUpdateT(*o.table_update) : nullptr),
         table_request((o.table_request) ? new crowstep::wire::TableRequestT(*o.table_request) : nullptr),
         member_news(o.member_news),
-        knowledge((o.knowledge) ? new crowstep::wire::KnowledgeT(*o.knowledge) : nullptr) {
+        knowledge((o.knowledge) ? new crowstep::wire::KnowledgeT(*o.knowledge) : nullptr),
+        digest((o.digest) ? new crowstep::wire::GatewayDigestT(*o.digest) : nullptr) {
   bids.reserve(o.bids.size());
   for (const auto &bids_ : o.bids) { bids.emplace_back((bids_) ? new crowstep::wire::BidT(*bids_) : nullptr); }
   running.reserve(o.running.size());
@@ -3864,6 +4086,7 @@
   std::swap(claim_replies, o.claim_replies);
   std::swap(member_news, o.member_news);
   std::swap(knowledge, o.knowledge);
+  std::swap(digest, o.digest);
   return *this;
 }
 
@@ -3899,6 +4122,7 @@
   { auto _e = claim_replies(); if (_e) { _o->claim_replies.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claim_replies[_i] = std::unique_ptr<crowstep::wire::ClaimReplyT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = member_news(); if (_e) { _o->member_news.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->member_news[_i] = *_e->Get(_i); } } }
   { auto _e = knowledge(); if (_e) _o->knowledge = std::unique_ptr<crowstep::wire::KnowledgeT>(_e->UnPack(_resolver)); }
+  { auto _e = digest(); if (_e) _o->digest = std::unique_ptr<crowstep::wire::GatewayDigestT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Frame> Frame::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3932,6 +4156,7 @@
   auto _claim_replies = _o->claim_replies.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimReply>> (_o->claim_replies.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimReply(*__va->__fbb, __va->__o->claim_replies[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _member_news = _o->member_news.size() ? _fbb.CreateVectorOfStructs(_o->member_news) : 0;
   auto _knowledge = _o->knowledge ? CreateKnowledge(_fbb, _o->knowledge.get(), _rehasher) : 0;
+  auto _digest = _o->digest ? CreateGatewayDigest(_fbb, _o->digest.get(), _rehasher) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
       _heartbeat,
@@ -3956,7 +4181,8 @@
       _claim_requests,
       _claim_replies,
       _member_news,
-      _knowledge);
+      _knowledge,
+      _digest);
 }
 
 inline const crowstep::wire::Frame *GetFrame(const void *buf) {
