Change: Refuse at once what would wait too long, and keep prompts at home

Cause: in a burst of route guides engines read prompts all the time, a running call's tokens then take ten times as long, and guides that began at 1 s were cut by their 12 s limit: 137 failed, 193 late of 741. Now: a call whose first event would come later than 0.6 targets (at least 1.2 s) is refused with the time to come back; the wait is what all gateways have there, at a reading speed learned from undisturbed first events.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -26,6 +26,23 @@
 /// A report older than this says nothing about now.
 constexpr Duration ReportLife = std::chrono::milliseconds(1500);
 
+/// A call whose first event would come later than this many targets is refused
+/// at once. It would be late, and what is read for it would make calls late
+/// that can still be in time.
+constexpr double WaitInTargets = 0.6;
+
+/// Callers with short targets wait longer than these before they give up, and a
+/// late answer is worth something to them.
+constexpr Duration LeastWait = std::chrono::milliseconds(1200);
+
+/// Of a call's own prompt at most this many tokens count for the wait, so that
+/// long prompts are not refused where shorter ones are taken.
+constexpr std::uint32_t OwnTokensCounted = 8000;
+
+/// A caller that is refused for load comes back after the time by which the
+/// wait is too long, and not sooner than this.
+constexpr Duration LeastRetryAfter = std::chrono::milliseconds(300);
+
 /// At most this share of a service is kept out for its answers: when all fail
 /// alike the fault is elsewhere, and the rest could not take the load.
 constexpr double MaxEjected = 0.5;
@@ -98,6 +115,14 @@
          Prompt.m_PromptTokens - std::min(Prompt.m_PromptTokens, Kept)});
   }
   const EngineOption &Chosen = chooseEngine(Query, Options);
+  const Duration Wait = m_Speed.timeFor(Query.m_Service, Chosen.m_UnreadTokens);
+  const auto Limit = std::max(
+      LeastWait, std::chrono::duration_cast<Duration>(
+                     std::chrono::duration<double, std::micro>(Query.m_Target) *
+                     WaitInTargets));
+  if (Wait > Limit)
+    return NotPlaced{RefusalReason::TargetUnreachable,
+                     std::max(Wait - Query.m_Target, LeastRetryAfter)};
   UpstreamState &State = *Chosen.m_State;
   // The last part is the call's own; nobody will ask for it again.
   for (std::size_t I = 0; I + 1 < Prompt.m_Parts.size(); ++I) {
@@ -105,10 +130,14 @@
                    m_CacheTokens[Query.m_Service]);
     m_NewParts.push_back({State.m_Upstream.m_Id, Prompt.m_Parts[I]});
   }
+  const bool Undisturbed = Chosen.m_UnreadTokens == 0;
   const PlacementInputs Why = {Options.size(), Chosen.m_Calls,
                                Chosen.m_UnreadTokens, Chosen.m_MissingTokens,
                                m_Peers.size()};
-  return begin(State, Query.m_Urgency, Chosen.m_MissingTokens, Why, Now);
+  const Placed Result =
+      begin(State, Query.m_Urgency, Chosen.m_MissingTokens, Why, Now);
+  m_Tickets[Result.m_Ticket].m_Undisturbed = Undisturbed;
+  return Result;
 }
 
 Placed Balancer::begin(UpstreamState &Chosen, Urgency How,
@@ -172,11 +201,14 @@
   return State == m_States.end() ? nullptr : &State->second;
 }
 
-void Balancer::answered(TicketId Ticket) {
+void Balancer::answered(TicketId Ticket, TimePoint Now) {
   UpstreamState *State = stateOf(Ticket);
   if (State == nullptr)
     return;
   struct Ticket &Found = m_Tickets[Ticket];
+  if (Found.m_Undisturbed)
+    m_Speed.seen(State->m_Upstream.m_Service, Found.m_Unread,
+                 Now - Found.m_Begin);
   State->m_Own.read(Found.m_Urgency, Found.m_Unread);
   Found.m_Unread = 0;
 }
@@ -208,9 +240,10 @@
 }
 
 void Balancer::ended(TicketId Ticket, CallOutcome Outcome, TimePoint Now) {
-  answered(Ticket);
   if (UpstreamState *State = stateOf(Ticket)) {
-    State->m_Own.end(m_Tickets[Ticket].m_Urgency);
+    const struct Ticket &Over = m_Tickets[Ticket];
+    State->m_Own.read(Over.m_Urgency, Over.m_Unread);
+    State->m_Own.end(Over.m_Urgency);
     State->m_Health.ended(Outcome, Now);
     if (Outcome == CallOutcome::Refused)
       State->m_FullUntil = Now + FullSpan;
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -9,6 +9,7 @@
 #include "balance/cache_model.h"
 #include "balance/engine_choice.h"
 #include "balance/peer_loads.h"
+#include "balance/reading_speed.h"
 #include "balance/upstream_state.h"
 
 #include <unordered_map>
@@ -28,7 +29,7 @@
   PlacementResult place(const PlacementQuery &Query, TimePoint Now);
 
   /// The first event or the whole answer came: the prompt has been read.
-  void answered(TicketId Ticket);
+  void answered(TicketId Ticket, TimePoint Now);
 
   /// The upstream told its load.
   void reported(TicketId Ticket, const LoadReport &Load, TimePoint Now);
@@ -72,6 +73,7 @@
     Urgency m_Urgency = 0;      ///< Of the call.
     std::uint64_t m_Unread = 0; ///< Prompt tokens, until answered().
     TimePoint m_Begin;          ///< When it was placed.
+    bool m_Undisturbed = false; ///< Nothing was to be read before it.
   };
 
   States candidates(const PlacementQuery &Query, TimePoint Now);
@@ -84,6 +86,7 @@
   UpstreamState *stateOf(TicketId Ticket);
 
   AvailabilityZone m_Zone;            ///< Own.
+  ReadingSpeed m_Speed;               ///< Of engines.
   PeerLoads m_Peers;                  ///< By digests.
   CacheModel m_Cache;                 ///< Of engines.
   std::vector<PartPlaced> m_NewParts; ///< Since takeDigest().
--- a/src/balance/engine_choice.cpp
+++ b/src/balance/engine_choice.cpp
@@ -34,7 +34,7 @@
 /// The engine that comes first by hash is preferred by this share of what must
 /// be read. Instances that place calls with one beginning within the same
 /// tenth of a second don't know of one another, and so read it once.
-constexpr double HomeAdvantage = 0.3;
+constexpr double HomeAdvantage = 0.7;
 
 /// Any number; sets this hash apart from that of prompts.
 constexpr std::uint64_t RoleSeed = 1;
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -325,7 +325,7 @@
 
 void ForwardedRequest::beginStream() {
   m_Streaming = true;
-  m_World.m_Balancer.answered(m_Ticket);
+  m_World.m_Balancer.answered(m_Ticket, m_World.m_Clock.now());
   m_FirstEvent = m_World.m_Clock.now();
   m_Stats.m_FirstEvent->record(m_FirstEvent - m_Begin);
   CallerAnswer Head;
