--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -104,6 +104,7 @@
 PlacementResult Balancer::placeAtEngine(const PlacementQuery &Query,
                                         const States &From, TimePoint Now) {
   const PromptSize &Prompt = Query.m_Prompt;
+  const PoolId Pool = poolIdOf(Query.m_Service, 0);
   std::vector<EngineOption> Options;
   for (UpstreamState *State : From) {
     const UpstreamId Id = State->m_Upstream.m_Id;
@@ -114,7 +115,8 @@
              m_Peers.at(Id).unreadBefore(Query.m_Urgency),
          Prompt.m_PromptTokens - std::min(Prompt.m_PromptTokens, Kept)});
   }
-  const EngineOption &Chosen = chooseEngine(Query, Options);
+  const EngineOption &Chosen =
+      chooseEngine(Query, Options, m_Splits[Pool].shortEngines(Options.size()));
   const Duration Wait = m_Speed.timeFor(Query.m_Service, Chosen.m_UnreadTokens);
   const auto Limit = std::max(
       LeastWait, std::chrono::duration_cast<Duration>(
@@ -130,6 +132,7 @@
                    m_CacheTokens[Query.m_Service]);
     m_NewParts.push_back({State.m_Upstream.m_Id, Prompt.m_Parts[I]});
   }
+  noteWork(Pool, Prompt, Chosen.m_MissingTokens, Now);
   const bool Undisturbed = Chosen.m_UnreadTokens == 0;
   const PlacementInputs Why = {Options.size(), Chosen.m_Calls,
                                Chosen.m_UnreadTokens, Chosen.m_MissingTokens,
@@ -140,6 +143,15 @@
   return Result;
 }
 
+void Balancer::noteWork(PoolId Pool, const PromptSize &Prompt,
+                        std::uint32_t Tokens, TimePoint Now) {
+  WorkTokens Work;
+  (isShort(Prompt) ? Work.m_Short : Work.m_Long) = Tokens;
+  m_Splits[Pool].add(Work, Now);
+  m_NewWork[Pool].m_Short += Work.m_Short;
+  m_NewWork[Pool].m_Long += Work.m_Long;
+}
+
 Placed Balancer::begin(UpstreamState &Chosen, Urgency How,
                        std::uint32_t UnreadTokens, const PlacementInputs &Why,
                        TimePoint Now) {
@@ -163,6 +175,8 @@
 void Balancer::peerSaid(InstanceId Peer, const LoadDigest &Digest,
                         TimePoint Now) {
   m_Peers.take(Peer, Digest.m_Loads, Now);
+  for (const auto &[Pool, Work] : Digest.m_Work)
+    m_Splits[Pool].add(Work, Now);
   for (const PartPlaced &Each : Digest.m_Parts) {
     const auto Found = m_States.find(Each.m_Upstream);
     if (Found != m_States.end())
@@ -177,6 +191,8 @@
     State.m_Own.tell(Id, Result.m_Loads);
   Result.m_Parts = std::move(m_NewParts);
   m_NewParts.clear();
+  Result.m_Work = std::move(m_NewWork);
+  m_NewWork.clear();
   return Result;
 }
 
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -79,17 +79,21 @@
   States candidates(const PlacementQuery &Query, TimePoint Now);
   PlacementResult placeAtEngine(const PlacementQuery &Query, const States &From,
                                 TimePoint Now);
+  void noteWork(PoolId Pool, const PromptSize &Prompt, std::uint32_t Tokens,
+                TimePoint Now);
   Placed begin(UpstreamState &Chosen, Urgency How, std::uint32_t UnreadTokens,
                const PlacementInputs &Why, TimePoint Now);
   UpstreamState *chooseForPlain(const States &From, TimePoint Now) const;
   [[nodiscard]] double callsAt(const UpstreamState &State, TimePoint Now) const;
   UpstreamState *stateOf(TicketId Ticket);
 
-  AvailabilityZone m_Zone;            ///< Own.
-  ReadingSpeed m_Speed;               ///< Of engines.
-  PeerLoads m_Peers;                  ///< By digests.
-  CacheModel m_Cache;                 ///< Of engines.
-  std::vector<PartPlaced> m_NewParts; ///< Since takeDigest().
+  AvailabilityZone m_Zone;                          ///< Own.
+  ReadingSpeed m_Speed;                             ///< Of engines.
+  PeerLoads m_Peers;                                ///< By digests.
+  CacheModel m_Cache;                               ///< Of engines.
+  std::unordered_map<PoolId, RoleSplit> m_Splits;   ///< By service.
+  std::unordered_map<PoolId, WorkTokens> m_NewWork; ///< Since takeDigest().
+  std::vector<PartPlaced> m_NewParts;               ///< Since takeDigest().
   std::unordered_map<std::string, std::uint64_t> m_CacheTokens; ///< By service.
   std::unordered_map<UpstreamId, UpstreamState> m_States; ///< Listed ones.
   std::unordered_map<TicketId, Ticket> m_Tickets;         ///< Not ended.
--- a/src/balance/engine_choice.cpp
+++ b/src/balance/engine_choice.cpp
@@ -19,9 +19,6 @@
 /// than the shortest pause that a caller notices.
 constexpr std::uint32_t ShortPrompt = 4000;
 
-/// Share of a service's engines that take short prompts only.
-constexpr double ShortShare = 1.0 / 3;
-
 /// What a running call costs the next one, in tokens that could be read in the
 /// time: a step of the batch takes longer by about a half percent for each.
 constexpr double TokensPerCall = 50;
@@ -43,22 +40,18 @@
   return pairHash(Key, Option.m_State->m_Upstream.m_Id.value());
 }
 
-bool isShort(const PlacementQuery &Query) {
-  return Query.m_Prompt.m_PromptTokens < ShortPrompt;
-}
-
 /// Returns the options whose role takes the call.
 std::vector<EngineOption> ofRole(const PlacementQuery &Query,
-                                 std::vector<EngineOption> Options) {
+                                 std::vector<EngineOption> Options,
+                                 std::size_t ShortEngines) {
   if (Options.size() < 2)
     return Options;
   std::sort(Options.begin(), Options.end(),
             [](const auto &Left, const auto &Right) {
               return rankOf(Left, RoleSeed) > rankOf(Right, RoleSeed);
             });
-  const auto Count = static_cast<std::ptrdiff_t>(
-      std::max<double>(1, ShortShare * static_cast<double>(Options.size())));
-  if (isShort(Query))
+  const auto Count = static_cast<std::ptrdiff_t>(ShortEngines);
+  if (isShort(Query.m_Prompt))
     return {Options.begin(), Options.begin() + Count};
   return {Options.begin() + Count, Options.end()};
 }
@@ -72,9 +65,14 @@
 
 } // namespace
 
+bool isShort(const PromptSize &Prompt) {
+  return Prompt.m_PromptTokens < ShortPrompt;
+}
+
 const EngineOption &chooseEngine(const PlacementQuery &Query,
-                                 const std::vector<EngineOption> &Options) {
-  const std::vector<EngineOption> Fit = ofRole(Query, Options);
+                                 const std::vector<EngineOption> &Options,
+                                 std::size_t ShortEngines) {
+  const std::vector<EngineOption> Fit = ofRole(Query, Options, ShortEngines);
   const std::uint64_t Key = Query.m_Prompt.m_Parts.empty()
                                 ? RoleSeed
                                 : Query.m_Prompt.m_Parts.front().m_Id;
--- a/src/balance/engine_choice.h
+++ b/src/balance/engine_choice.h
@@ -14,9 +14,14 @@
   std::uint32_t m_MissingTokens = 0; ///< Of this prompt, not kept there.
 };
 
-/// Returns the best of \p Options, which are not empty.
+/// Returns whether a call's prompt counts as short.
+bool isShort(const PromptSize &Prompt);
+
+/// Returns the best of \p Options, which are not empty; \p ShortEngines of them
+/// take short prompts only.
 const EngineOption &chooseEngine(const PlacementQuery &Query,
-                                 const std::vector<EngineOption> &Options);
+                                 const std::vector<EngineOption> &Options,
+                                 std::size_t ShortEngines);
 
 } // namespace crowstep::balance
 
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -3,6 +3,7 @@
 #define CROWSTEP_BALANCE_PEER_LOADS_H
 
 #include "balance/balance_type.h"
+#include "balance/role_split.h"
 #include "core/clock.h"
 #include "upstream_type.h"
 
@@ -58,6 +59,7 @@
 struct LoadDigest {
   std::vector<UpstreamLoad> m_Loads; ///< All upstreams where it has calls.
   std::vector<PartPlaced> m_Parts;   ///< Since its last digest.
+  std::unordered_map<PoolId, WorkTokens> m_Work; ///< Since its last digest.
 };
 
 /// Sums of the loads of all instances that were heard of lately.
--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -18,6 +18,10 @@
   for (const balance::PartPlaced &Each : From.m_Parts)
     Result->parts.emplace_back(Each.m_Upstream.value(), Each.m_Part.m_Id,
                                Each.m_Part.m_Tokens);
+  for (const auto &[Pool, Work] : From.m_Work)
+    Result->work.emplace_back(Pool.value(),
+                              static_cast<std::uint32_t>(Work.m_Short),
+                              static_cast<std::uint32_t>(Work.m_Long));
   return Result;
 }
 
@@ -32,6 +36,11 @@
     for (const wire::PartPlaced *Each : *From.parts())
       Result.m_Parts.push_back(
           {UpstreamId(Each->upstream()), {Each->part(), Each->tokens()}});
+  if (From.work() != nullptr)
+    for (const wire::WorkPlaced *Each : *From.work())
+      Result.m_Work[PoolId(Each->pool())] = {
+          static_cast<double>(Each->short_tokens()),
+          static_cast<double>(Each->long_tokens())};
   return Result;
 }
 
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -106,6 +106,8 @@
 
 struct PartPlaced;
 
+struct WorkPlaced;
+
 struct GatewayDigest;
 struct GatewayDigestBuilder;
 struct GatewayDigestT;
@@ -740,6 +742,40 @@
   using type = PartPlaced;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) WorkPlaced FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t pool_;
+  uint32_t short_tokens_;
+  uint32_t long_tokens_;
+
+ public:
+  struct Traits;
+  WorkPlaced()
+      : pool_(0),
+        short_tokens_(0),
+        long_tokens_(0) {
+  }
+  WorkPlaced(uint64_t _pool, uint32_t _short_tokens, uint32_t _long_tokens)
+      : pool_(flatbuffers::EndianScalar(_pool)),
+        short_tokens_(flatbuffers::EndianScalar(_short_tokens)),
+        long_tokens_(flatbuffers::EndianScalar(_long_tokens)) {
+  }
+  uint64_t pool() const {
+    return flatbuffers::EndianScalar(pool_);
+  }
+  uint32_t short_tokens() const {
+    return flatbuffers::EndianScalar(short_tokens_);
+  }
+  uint32_t long_tokens() const {
+    return flatbuffers::EndianScalar(long_tokens_);
+  }
+};
+FLATBUFFERS_STRUCT_END(WorkPlaced, 16);
+
+struct WorkPlaced::Traits {
+  using type = WorkPlaced;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint16_t schema = 0;
@@ -2806,6 +2842,7 @@
   typedef GatewayDigest TableType;
   std::vector<crowstep::wire::UpstreamLoad> loads{};
   std::vector<crowstep::wire::PartPlaced> parts{};
+  std::vector<crowstep::wire::WorkPlaced> work{};
 };
 
 struct GatewayDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2814,7 +2851,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LOADS = 4,
-    VT_PARTS = 6
+    VT_PARTS = 6,
+    VT_WORK = 8
   };
   const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *>(VT_LOADS);
@@ -2822,12 +2860,17 @@
   const flatbuffers::Vector<const crowstep::wire::PartPlaced *> *parts() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::PartPlaced *> *>(VT_PARTS);
   }
+  const flatbuffers::Vector<const crowstep::wire::WorkPlaced *> *work() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::WorkPlaced *> *>(VT_WORK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_LOADS) &&
            verifier.VerifyVector(loads()) &&
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
+           VerifyOffset(verifier, VT_WORK) &&
+           verifier.VerifyVector(work()) &&
            verifier.EndTable();
   }
   GatewayDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2845,6 +2888,9 @@
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::PartPlaced *>> parts) {
     fbb_.AddOffset(GatewayDigest::VT_PARTS, parts);
   }
+  void add_work(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WorkPlaced *>> work) {
+    fbb_.AddOffset(GatewayDigest::VT_WORK, work);
+  }
   explicit GatewayDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2859,8 +2905,10 @@
 inline flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::UpstreamLoad *>> loads = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::PartPlaced *>> parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::PartPlaced *>> parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WorkPlaced *>> work = 0) {
   GatewayDigestBuilder builder_(_fbb);
+  builder_.add_work(work);
   builder_.add_parts(parts);
   builder_.add_loads(loads);
   return builder_.Finish();
@@ -2874,13 +2922,16 @@
 inline flatbuffers::Offset<GatewayDigest> CreateGatewayDigestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<crowstep::wire::UpstreamLoad> *loads = nullptr,
-    const std::vector<crowstep::wire::PartPlaced> *parts = nullptr) {
+    const std::vector<crowstep::wire::PartPlaced> *parts = nullptr,
+    const std::vector<crowstep::wire::WorkPlaced> *work = nullptr) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamLoad>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<crowstep::wire::PartPlaced>(*parts) : 0;
+  auto work__ = work ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkPlaced>(*work) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       loads__,
-      parts__);
+      parts__,
+      work__);
 }
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4012,6 +4063,7 @@
   (void)_resolver;
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = *_e->Get(_i); } } }
+  { auto _e = work(); if (_e) { _o->work.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->work[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<GatewayDigest> GatewayDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4024,10 +4076,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GatewayDigestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
   auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStructs(_o->parts) : 0;
+  auto _work = _o->work.size() ? _fbb.CreateVectorOfStructs(_o->work) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       _loads,
-      _parts);
+      _parts,
+      _work);
 }
 
 inline FrameT::FrameT(const FrameT &o)
