Feature: Keep room in engines' memory, and divide engines by the work

Now: gateways count the memory that calls need and fill at most 0.55 of an engine's; engines are divided as the tokens to be read are, short ones twice.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -39,6 +39,10 @@
 /// long prompts are not refused where shorter ones are taken.
 constexpr std::uint32_t OwnTokensCounted = 8000;
 
+/// Share of an engine's memory that calls may need beside the parts that it
+/// keeps, which are as much again.
+constexpr double HeldShare = 0.55;
+
 /// A caller that is refused for load comes back after the time by which the
 /// wait is too long, and not sooner than this.
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(300);
@@ -47,6 +51,13 @@
 /// alike the fault is elsewhere, and the rest could not take the load.
 constexpr double MaxEjected = 0.5;
 
+/// Returns the tokens that a call is expected to make.
+std::uint32_t outputOf(const PromptSize &Prompt) {
+  if (Prompt.m_ExpectedOutput > 0 && Prompt.m_MaxOutput > 0)
+    return std::min(Prompt.m_ExpectedOutput, Prompt.m_MaxOutput);
+  return std::max(Prompt.m_ExpectedOutput, Prompt.m_MaxOutput);
+}
+
 } // namespace
 
 void Balancer::setUpstreams(const std::vector<Upstream> &List) {
@@ -98,7 +109,7 @@
   UpstreamState &Chosen = *chooseForPlain(From, Now);
   const PlacementInputs Why = {From.size(), callsAt(Chosen, Now), 0, 0,
                                m_Peers.size()};
-  return begin(Chosen, Query.m_Urgency, 0, Why, Now);
+  return begin(Chosen, Query.m_Urgency, {}, Why, Now);
 }
 
 PlacementResult Balancer::placeAtEngine(const PlacementQuery &Query,
@@ -115,6 +126,9 @@
              m_Peers.at(Id).unreadBefore(Query.m_Urgency),
          Prompt.m_PromptTokens - std::min(Prompt.m_PromptTokens, Kept)});
   }
+  keepRoom(Query, Options);
+  if (Options.empty())
+    return NotPlaced{RefusalReason::TargetUnreachable, LeastRetryAfter};
   const EngineOption &Chosen =
       chooseEngine(Query, Options, m_Splits[Pool].shortEngines(Options.size()));
   const Duration Wait = m_Speed.timeFor(Query.m_Service, Chosen.m_UnreadTokens);
@@ -138,11 +152,30 @@
                                Chosen.m_UnreadTokens, Chosen.m_MissingTokens,
                                m_Peers.size()};
   const Placed Result =
-      begin(State, Query.m_Urgency, Chosen.m_MissingTokens, Why, Now);
+      begin(State, Query.m_Urgency,
+            {Chosen.m_MissingTokens, Chosen.m_MissingTokens + outputOf(Prompt)},
+            Why, Now);
   m_Tickets[Result.m_Ticket].m_Undisturbed = Undisturbed;
   return Result;
 }
 
+/// Takes out the engines whose memory the call could fill. One that runs out
+/// stops a call amid its stream to read it again later, and drops what it keeps
+/// of prompts.
+void Balancer::keepRoom(const PlacementQuery &Query,
+                        std::vector<EngineOption> &Options) const {
+  const auto Capacity = m_CacheTokens.find(Query.m_Service);
+  if (Capacity == m_CacheTokens.end() || Capacity->second == 0)
+    return;
+  const double Limit = HeldShare * static_cast<double>(Capacity->second);
+  std::erase_if(Options, [&](const EngineOption &Each) {
+    const std::uint64_t Held = Each.m_State->m_Own.held() +
+                               m_Peers.at(Each.m_State->m_Upstream.m_Id).held();
+    return Held > 0 && static_cast<double>(Held + Each.m_MissingTokens +
+                                           outputOf(Query.m_Prompt)) > Limit;
+  });
+}
+
 void Balancer::noteWork(PoolId Pool, const PromptSize &Prompt,
                         std::uint32_t Tokens, TimePoint Now) {
   WorkTokens Work;
@@ -153,11 +186,11 @@
 }
 
 Placed Balancer::begin(UpstreamState &Chosen, Urgency How,
-                       std::uint32_t UnreadTokens, const PlacementInputs &Why,
+                       const CallTokens &Tokens, const PlacementInputs &Why,
                        TimePoint Now) {
-  Chosen.m_Own.begin(How, UnreadTokens);
+  Chosen.m_Own.begin(How, Tokens);
   const TicketId Id(++m_LastTicket);
-  m_Tickets[Id] = {Chosen.m_Upstream.m_Id, How, UnreadTokens, Now};
+  m_Tickets[Id] = {Chosen.m_Upstream.m_Id, How, Tokens, Now};
   return Placed{Id, Chosen.m_Upstream.m_Id, Chosen.m_Upstream.m_Name,
                 Chosen.m_Upstream.m_Address, Why};
 }
@@ -223,10 +256,10 @@
     return;
   struct Ticket &Found = m_Tickets[Ticket];
   if (Found.m_Undisturbed)
-    m_Speed.seen(State->m_Upstream.m_Service, Found.m_Unread,
+    m_Speed.seen(State->m_Upstream.m_Service, Found.m_Tokens.m_Unread,
                  Now - Found.m_Begin);
-  State->m_Own.read(Found.m_Urgency, Found.m_Unread);
-  Found.m_Unread = 0;
+  State->m_Own.read(Found.m_Urgency, Found.m_Tokens.m_Unread);
+  Found.m_Tokens.m_Unread = 0;
 }
 
 void Balancer::heard(TicketId Ticket, TimePoint Now) {
@@ -258,8 +291,8 @@
 void Balancer::ended(TicketId Ticket, CallOutcome Outcome, TimePoint Now) {
   if (UpstreamState *State = stateOf(Ticket)) {
     const struct Ticket &Over = m_Tickets[Ticket];
-    State->m_Own.read(Over.m_Urgency, Over.m_Unread);
-    State->m_Own.end(Over.m_Urgency);
+    State->m_Own.read(Over.m_Urgency, Over.m_Tokens.m_Unread);
+    State->m_Own.end(Over.m_Urgency, Over.m_Tokens.m_Held);
     State->m_Health.ended(Outcome, Now);
     if (Outcome == CallOutcome::Refused)
       State->m_FullUntil = Now + FullSpan;
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -71,7 +71,7 @@
   struct Ticket {
     UpstreamId m_Upstream;      ///< May have gone from the list.
     Urgency m_Urgency = 0;      ///< Of the call.
-    std::uint64_t m_Unread = 0; ///< Prompt tokens, until answered().
+    CallTokens m_Tokens;        ///< What it adds there.
     TimePoint m_Begin;          ///< When it was placed.
     bool m_Undisturbed = false; ///< Nothing was to be read before it.
   };
@@ -79,9 +79,11 @@
   States candidates(const PlacementQuery &Query, TimePoint Now);
   PlacementResult placeAtEngine(const PlacementQuery &Query, const States &From,
                                 TimePoint Now);
+  void keepRoom(const PlacementQuery &Query,
+                std::vector<EngineOption> &Options) const;
   void noteWork(PoolId Pool, const PromptSize &Prompt, std::uint32_t Tokens,
                 TimePoint Now);
-  Placed begin(UpstreamState &Chosen, Urgency How, std::uint32_t UnreadTokens,
+  Placed begin(UpstreamState &Chosen, Urgency How, const CallTokens &Tokens,
                const PlacementInputs &Why, TimePoint Now);
   UpstreamState *chooseForPlain(const States &From, TimePoint Now) const;
   [[nodiscard]] double callsAt(const UpstreamState &State, TimePoint Now) const;
--- a/src/balance/peer_loads.cpp
+++ b/src/balance/peer_loads.cpp
@@ -5,10 +5,11 @@
 
 namespace crowstep::balance {
 
-void CallLoad::begin(Urgency How, std::uint64_t UnreadTokens) {
+void CallLoad::begin(Urgency How, const CallTokens &Tokens) {
   Part &Changed = m_Parts.at(How);
   ++Changed.m_Running;
-  Changed.m_Unread += UnreadTokens;
+  Changed.m_Unread += Tokens.m_Unread;
+  Changed.m_Held += Tokens.m_Held;
 }
 
 void CallLoad::read(Urgency How, std::uint64_t UnreadTokens) {
@@ -16,22 +17,25 @@
   Changed.m_Unread -= std::min(UnreadTokens, Changed.m_Unread);
 }
 
-void CallLoad::end(Urgency How) {
+void CallLoad::end(Urgency How, std::uint64_t HeldTokens) {
   // A call from before the upstream left the list and came back counts no more.
   Part &Changed = m_Parts.at(How);
   Changed.m_Running -= std::min(Changed.m_Running, 1U);
+  Changed.m_Held -= std::min(HeldTokens, Changed.m_Held);
 }
 
 void CallLoad::add(const UpstreamLoad &Said) {
   Part &Changed = m_Parts.at(Said.m_Urgency);
   Changed.m_Running += Said.m_Running;
   Changed.m_Unread += Said.m_UnreadTokens;
+  Changed.m_Held += Said.m_HeldTokens;
 }
 
 void CallLoad::remove(const UpstreamLoad &Said) {
   Part &Changed = m_Parts.at(Said.m_Urgency);
   Changed.m_Running -= Said.m_Running;
   Changed.m_Unread -= Said.m_UnreadTokens;
+  Changed.m_Held -= Said.m_HeldTokens;
 }
 
 std::uint32_t CallLoad::running() const {
@@ -41,6 +45,13 @@
   return Result;
 }
 
+std::uint64_t CallLoad::held() const {
+  std::uint64_t Result = 0;
+  for (const Part &Each : m_Parts)
+    Result += Each.m_Held;
+  return Result;
+}
+
 std::uint64_t CallLoad::unreadBefore(Urgency How) const {
   std::uint64_t Result = 0;
   for (std::size_t I = 0; I <= How; ++I)
@@ -52,7 +63,8 @@
   for (std::size_t I = 0; I < m_Parts.size(); ++I)
     if (m_Parts.at(I).m_Running > 0)
       Out.push_back({Upstream, static_cast<Urgency>(I), m_Parts.at(I).m_Running,
-                     static_cast<std::uint32_t>(m_Parts.at(I).m_Unread)});
+                     static_cast<std::uint32_t>(m_Parts.at(I).m_Unread),
+                     static_cast<std::uint32_t>(m_Parts.at(I).m_Held)});
 }
 
 void PeerLoads::take(InstanceId Peer, const std::vector<UpstreamLoad> &Loads,
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -19,14 +19,21 @@
   Urgency m_Urgency = 0;            ///< Below UrgencyCount.
   std::uint32_t m_Running = 0;      ///< Calls that have not ended.
   std::uint32_t m_UnreadTokens = 0; ///< Of prompts without a first event.
+  std::uint32_t m_HeldTokens = 0;   ///< Memory needed beside kept parts.
+};
+
+/// What one call adds to an upstream's load.
+struct CallTokens {
+  std::uint64_t m_Unread = 0; ///< To be read before the first event.
+  std::uint64_t m_Held = 0;   ///< In memory until the end.
 };
 
 /// Calls at one upstream, by urgency.
 class CallLoad {
 public:
-  void begin(Urgency How, std::uint64_t UnreadTokens);
+  void begin(Urgency How, const CallTokens &Tokens);
   void read(Urgency How, std::uint64_t UnreadTokens);
-  void end(Urgency How);
+  void end(Urgency How, std::uint64_t HeldTokens);
 
   /// Adds what an instance said, or takes it away.
   void add(const UpstreamLoad &Said);
@@ -34,6 +41,9 @@
 
   [[nodiscard]] std::uint32_t running() const;
 
+  /// Returns the memory that all calls need.
+  [[nodiscard]] std::uint64_t held() const;
+
   /// Returns the tokens that are read before those of a call of urgency
   /// \p How that comes now.
   [[nodiscard]] std::uint64_t unreadBefore(Urgency How) const;
@@ -45,6 +55,7 @@
   struct Part {
     std::uint32_t m_Running = 0; ///< Calls that have not ended.
     std::uint64_t m_Unread = 0;  ///< Tokens of prompts without a first event.
+    std::uint64_t m_Held = 0;    ///< Tokens in memory until the end.
   };
   std::array<Part, UrgencyCount> m_Parts{}; ///< By urgency.
 };
--- a/src/balance/role_split.cpp
+++ b/src/balance/role_split.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// A token of a short prompt counts this many times: its callers notice pauses
+/// that others don't, so their engines must be less busy.
+constexpr double ShortWeight = 2;
+
 /// Before any work was seen a fifth is taken for short prompts, and as if this
 /// much work had shown it.
 constexpr WorkTokens Prior = {20000, 80000};
@@ -26,7 +30,7 @@
 std::size_t RoleSplit::shortEngines(std::size_t Engines) const {
   if (Engines < 2)
     return 0;
-  const double Short = m_Recent.m_Short + Prior.m_Short;
+  const double Short = ShortWeight * (m_Recent.m_Short + Prior.m_Short);
   const double All = Short + m_Recent.m_Long + Prior.m_Long;
   const auto Count = static_cast<std::size_t>(
       std::lround(static_cast<double>(Engines) * Short / All));
--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -12,9 +12,9 @@
 std::unique_ptr<wire::GatewayDigestT> packed(const balance::LoadDigest &From) {
   auto Result = std::make_unique<wire::GatewayDigestT>();
   for (const balance::UpstreamLoad &Each : From.m_Loads)
-    Result->loads.emplace_back(Each.m_Upstream.value(), Each.m_UnreadTokens,
-                               static_cast<std::uint16_t>(Each.m_Running),
-                               Each.m_Urgency);
+    Result->loads.emplace_back(
+        Each.m_Upstream.value(), Each.m_UnreadTokens, Each.m_HeldTokens,
+        static_cast<std::uint16_t>(Each.m_Running), Each.m_Urgency);
   for (const balance::PartPlaced &Each : From.m_Parts)
     Result->parts.emplace_back(Each.m_Upstream.value(), Each.m_Part.m_Id,
                                Each.m_Part.m_Tokens);
@@ -31,7 +31,8 @@
     for (const wire::UpstreamLoad *Each : *From.loads())
       if (Each->urgency() < balance::UrgencyCount)
         Result.m_Loads.push_back({UpstreamId(Each->upstream()), Each->urgency(),
-                                  Each->running(), Each->unread_tokens()});
+                                  Each->running(), Each->unread_tokens(),
+                                  Each->held_tokens()});
   if (From.parts() != nullptr)
     for (const wire::PartPlaced *Each : *From.parts())
       Result.m_Parts.push_back(
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -662,27 +662,34 @@
  private:
   uint64_t upstream_;
   uint32_t unread_tokens_;
+  uint32_t held_tokens_;
   uint16_t running_;
   uint8_t urgency_;
-  int8_t padding0__;
+  int8_t padding0__;  int32_t padding1__;
 
  public:
   struct Traits;
   UpstreamLoad()
       : upstream_(0),
         unread_tokens_(0),
+        held_tokens_(0),
         running_(0),
         urgency_(0),
-        padding0__(0) {
+        padding0__(0),
+        padding1__(0) {
     (void)padding0__;
+    (void)padding1__;
   }
-  UpstreamLoad(uint64_t _upstream, uint32_t _unread_tokens, uint16_t _running, uint8_t _urgency)
+  UpstreamLoad(uint64_t _upstream, uint32_t _unread_tokens, uint32_t _held_tokens, uint16_t _running, uint8_t _urgency)
       : upstream_(flatbuffers::EndianScalar(_upstream)),
         unread_tokens_(flatbuffers::EndianScalar(_unread_tokens)),
+        held_tokens_(flatbuffers::EndianScalar(_held_tokens)),
         running_(flatbuffers::EndianScalar(_running)),
         urgency_(flatbuffers::EndianScalar(_urgency)),
-        padding0__(0) {
+        padding0__(0),
+        padding1__(0) {
     (void)padding0__;
+    (void)padding1__;
   }
   uint64_t upstream() const {
     return flatbuffers::EndianScalar(upstream_);
@@ -690,6 +697,9 @@
   uint32_t unread_tokens() const {
     return flatbuffers::EndianScalar(unread_tokens_);
   }
+  uint32_t held_tokens() const {
+    return flatbuffers::EndianScalar(held_tokens_);
+  }
   uint16_t running() const {
     return flatbuffers::EndianScalar(running_);
   }
@@ -697,7 +707,7 @@
     return flatbuffers::EndianScalar(urgency_);
   }
 };
-FLATBUFFERS_STRUCT_END(UpstreamLoad, 16);
+FLATBUFFERS_STRUCT_END(UpstreamLoad, 24);
 
 struct UpstreamLoad::Traits {
   using type = UpstreamLoad;
