--- a/scripts/check_lint.sh
+++ b/scripts/check_lint.sh
@@ -4,7 +4,7 @@
 set -eu
 log=$(mktemp)
 trap 'rm -f "$log"' EXIT
-if ! git ls-files 'src/*.cpp' 'tests/*.cpp' |
+if ! git ls-files 'src/*.cpp' 'platform/*.cpp' 'tests/*.cpp' |
   xargs -P "$(nproc)" -n 1 clang-tidy -p "$1" --quiet >"$log" 2>&1; then
   grep -v 'warnings generated\.$' "$log"
   echo "lint: failed"
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -2,6 +2,7 @@
 #include "balance/balancer.h"
 
 #include <algorithm>
+#include <set>
 
 namespace crowstep::balance {
 
@@ -116,6 +117,7 @@
                                         const States &From, TimePoint Now) {
   const PromptSize &Prompt = Query.m_Prompt;
   const PoolId Pool = poolIdOf(Query.m_Service, 0);
+  const std::set<UpstreamId> ShortOnly = shortEngines(Query.m_Service, Pool);
   std::vector<EngineOption> Options;
   for (UpstreamState *State : From) {
     const UpstreamId Id = State->m_Upstream.m_Id;
@@ -124,13 +126,13 @@
         {State, callsAt(*State, Now),
          State->m_Own.unreadBefore(Query.m_Urgency) +
              m_Peers.at(Id).unreadBefore(Query.m_Urgency),
-         Prompt.m_PromptTokens - std::min(Prompt.m_PromptTokens, Kept)});
+         Prompt.m_PromptTokens - std::min(Prompt.m_PromptTokens, Kept),
+         ShortOnly.contains(Id)});
   }
   keepRoom(Query, Options);
   if (Options.empty())
     return NotPlaced{RefusalReason::TargetUnreachable, LeastRetryAfter};
-  const EngineOption &Chosen =
-      chooseEngine(Query, Options, m_Splits[Pool].shortEngines(Options.size()));
+  const EngineOption &Chosen = chooseEngine(Query, Options);
   const Duration Wait = m_Speed.timeFor(Query.m_Service, Chosen.m_UnreadTokens);
   const auto Limit = std::max(
       LeastWait, std::chrono::duration_cast<Duration>(
@@ -159,6 +161,20 @@
   return Result;
 }
 
+/// Returns the engines that take short prompts only. They are chosen among all
+/// that are listed, so that one that is kept out for a while moves no role.
+std::set<UpstreamId> Balancer::shortEngines(const std::string &Service,
+                                            PoolId Pool) {
+  std::vector<UpstreamId> Engines;
+  for (const auto &[Id, State] : m_States)
+    if (State.m_Upstream.m_Service == Service && !State.m_Upstream.m_Leaving)
+      Engines.push_back(Id);
+  Engines = shortOrder(std::move(Engines));
+  const std::size_t Count = m_Splits[Pool].shortEngines(Engines.size());
+  return {Engines.begin(),
+          Engines.begin() + static_cast<std::ptrdiff_t>(Count)};
+}
+
 /// Takes out the engines whose memory the call could fill. One that runs out
 /// stops a call amid its stream to read it again later, and drops what it keeps
 /// of prompts.
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -12,6 +12,7 @@
 #include "balance/reading_speed.h"
 #include "balance/upstream_state.h"
 
+#include <set>
 #include <unordered_map>
 
 namespace crowstep::balance {
@@ -79,6 +80,7 @@
   States candidates(const PlacementQuery &Query, TimePoint Now);
   PlacementResult placeAtEngine(const PlacementQuery &Query, const States &From,
                                 TimePoint Now);
+  std::set<UpstreamId> shortEngines(const std::string &Service, PoolId Pool);
   void keepRoom(const PlacementQuery &Query,
                 std::vector<EngineOption> &Options) const;
   void noteWork(PoolId Pool, const PromptSize &Prompt, std::uint32_t Tokens,
--- a/src/balance/engine_choice.cpp
+++ b/src/balance/engine_choice.cpp
@@ -40,20 +40,15 @@
   return pairHash(Key, Option.m_State->m_Upstream.m_Id.value());
 }
 
-/// Returns the options whose role takes the call.
+/// Returns the options whose role takes the call, or all where none does.
 std::vector<EngineOption> ofRole(const PlacementQuery &Query,
-                                 std::vector<EngineOption> Options,
-                                 std::size_t ShortEngines) {
-  if (Options.size() < 2)
-    return Options;
-  std::sort(Options.begin(), Options.end(),
-            [](const auto &Left, const auto &Right) {
-              return rankOf(Left, RoleSeed) > rankOf(Right, RoleSeed);
-            });
-  const auto Count = static_cast<std::ptrdiff_t>(ShortEngines);
-  if (isShort(Query.m_Prompt))
-    return {Options.begin(), Options.begin() + Count};
-  return {Options.begin() + Count, Options.end()};
+                                 const std::vector<EngineOption> &Options) {
+  const bool Short = isShort(Query.m_Prompt);
+  std::vector<EngineOption> Result;
+  for (const EngineOption &Each : Options)
+    if (Each.m_ShortOnly == Short)
+      Result.push_back(Each);
+  return Result.empty() ? Options : Result;
 }
 
 double costOf(const EngineOption &Option, bool Home) {
@@ -69,10 +64,18 @@
   return Prompt.m_PromptTokens < ShortPrompt;
 }
 
+std::vector<UpstreamId> shortOrder(std::vector<UpstreamId> Engines) {
+  std::sort(Engines.begin(), Engines.end(),
+            [](UpstreamId Left, UpstreamId Right) {
+              return pairHash(RoleSeed, Left.value()) >
+                     pairHash(RoleSeed, Right.value());
+            });
+  return Engines;
+}
+
 const EngineOption &chooseEngine(const PlacementQuery &Query,
-                                 const std::vector<EngineOption> &Options,
-                                 std::size_t ShortEngines) {
-  const std::vector<EngineOption> Fit = ofRole(Query, Options, ShortEngines);
+                                 const std::vector<EngineOption> &Options) {
+  const std::vector<EngineOption> Fit = ofRole(Query, Options);
   const std::uint64_t Key = Query.m_Prompt.m_Parts.empty()
                                 ? RoleSeed
                                 : Query.m_Prompt.m_Parts.front().m_Id;
--- a/src/balance/engine_choice.h
+++ b/src/balance/engine_choice.h
@@ -12,16 +12,20 @@
   double m_Calls = 0;                ///< That all instances have there.
   std::uint64_t m_UnreadTokens = 0;  ///< Of prompts waiting there to be read.
   std::uint32_t m_MissingTokens = 0; ///< Of this prompt, not kept there.
+  bool m_ShortOnly = false;          ///< It takes short prompts only.
 };
 
+/// Returns the ids of \p Engines in the order in which they become engines for
+/// short prompts; the same on every instance.
+std::vector<UpstreamId> shortOrder(std::vector<UpstreamId> Engines);
+
 /// Returns whether a call's prompt counts as short.
 bool isShort(const PromptSize &Prompt);
 
-/// Returns the best of \p Options, which are not empty; \p ShortEngines of them
-/// take short prompts only.
+/// Returns the best of \p Options, which are not empty. A call gets an engine
+/// of its kind if there is one.
 const EngineOption &chooseEngine(const PlacementQuery &Query,
-                                 const std::vector<EngineOption> &Options,
-                                 std::size_t ShortEngines);
+                                 const std::vector<EngineOption> &Options);
 
 } // namespace crowstep::balance
 
--- a/src/entry/request.cpp
+++ b/src/entry/request.cpp
@@ -224,6 +224,7 @@
   UpstreamSend Send;
   Send.m_Where = What.m_Slot.m_Address;
   Send.m_Repeatable = m_What.m_Contract.m_Repeatable;
+  Send.m_CloseAfter = !Send.m_Repeatable;
   Send.m_SendBefore = What.m_SendBefore;
   Send.m_SilenceLimit = m_World.m_Limits.m_UpstreamSilence;
   if (const auto *Model = std::get_if<EngineCall>(&m_What.m_Call)) {
--- /dev/null
+++ b/src/http/connection_sockets.cpp
@@ -0,0 +1,20 @@
+/// The sockets of libsoup's connections.
+#include "http/connection_sockets.h"
+
+namespace crowstep {
+
+void ConnectionSockets::add(const Key &Connection, GSocket *Socket) {
+  std::erase_if(m_Sockets, [](const auto &Each) {
+    return g_socket_is_closed(Each.second.get()) != 0;
+  });
+  m_Sockets[Connection].reset(G_SOCKET(g_object_ref(Socket)));
+}
+
+SocketPtr ConnectionSockets::find(const Key &Connection) const {
+  const auto Found = m_Sockets.find(Connection);
+  if (Found == m_Sockets.end())
+    return nullptr;
+  return SocketPtr(G_SOCKET(g_object_ref(Found->second.get())));
+}
+
+} // namespace crowstep
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -4,6 +4,7 @@
 
 #include "core/http_server.h"
 #include "core/scheduler.h"
+#include "http/connection_sockets.h"
 #include "refusal_type.h"
 
 #include <functional>
@@ -55,12 +56,6 @@
   [[nodiscard]] std::size_t open() const { return m_Arrivals.size(); }
 
 private:
-  /// Gives back the reference to a socket.
-  struct SocketRelease {
-    void operator()(GSocket *Socket) const { g_object_unref(Socket); }
-  };
-  using SocketPtr = std::unique_ptr<GSocket, SocketRelease>;
-
   /// A request that is not answered.
   struct Arrival {
     std::unique_ptr<Timer> m_Limit; ///< Runs until its body is whole.
--- a/src/http/session_pool.cpp
+++ b/src/http/session_pool.cpp
@@ -10,7 +10,10 @@
 
 /// libsoup's defaults (10 and 2) would queue calls out of our sight.
 constexpr int MaxConnections = 1024;
-constexpr unsigned IdleConnectionSeconds = 30;
+
+/// Upstreams close an idle connection after about ten seconds; one that is
+/// given up before is never found closed by a call.
+constexpr unsigned IdleConnectionSeconds = 8;
 
 SoupSession *newSession() {
   // Upstreams are reached by address; the default proxy resolver would load
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <gio/gio.h>
 #include <libsoup/soup.h>
+#include <poll.h>
 
 namespace crowstep {
 
@@ -14,20 +15,29 @@
 
 constexpr std::size_t ReadSize = 8192;
 
+/// Whether the peer has closed its sending side.
+bool closedByPeer(GSocket *Socket) {
+  pollfd Asked = {g_socket_get_fd(Socket), POLLRDHUP, 0};
+  return poll(&Asked, 1, 0) > 0;
+}
+
 /// What outlives the handle until libsoup's last callback has run.
 struct Transfer {
-  const Clock &m_Clock;                  ///< Outlives it.
-  UpstreamListener *m_Listener;          ///< Null once the handle is gone.
-  TimePoint m_SendBefore;                ///< Last check.
-  std::function<bool()> m_Wanted;        ///< Last check as well.
-  SessionPool::Place m_Place;            ///< Its session.
-  SoupMessage *m_Message = nullptr;      ///< Owned.
-  GCancellable *m_Cancel = nullptr;      ///< Owned.
-  GInputStream *m_Stream = nullptr;      ///< Owned; null before the headers.
-  bool m_Started = false;                ///< A byte may have been sent.
-  bool m_TooOld = false;                 ///< The last check stopped it.
-  bool m_Reading = false;                ///< A read is under way.
-  bool m_Paused = false;                 ///< The caller reads slowly.
+  const Clock &m_Clock;                   ///< Outlives it.
+  UpstreamListener *m_Listener;           ///< Null once the handle is gone.
+  TimePoint m_SendBefore;                 ///< Last check.
+  std::function<bool()> m_Wanted;         ///< Last check as well.
+  SessionPool::Place m_Place;             ///< Its session.
+  SoupMessage *m_Message = nullptr;       ///< Owned.
+  ConnectionSockets *m_Sockets = nullptr; ///< Of the caller; see end().
+  SocketPtr m_Socket;                     ///< Of its connection; may be null.
+  goffset m_Received = 0;                 ///< Bytes of the body so far.
+  GCancellable *m_Cancel = nullptr;       ///< Owned.
+  GInputStream *m_Stream = nullptr;       ///< Owned; null before the headers.
+  bool m_Started = false;                 ///< A byte may have been sent.
+  bool m_TooOld = false;                  ///< The last check stopped it.
+  bool m_Reading = false;                 ///< A read is under way.
+  bool m_Paused = false;                  ///< The caller reads slowly.
   bool m_Waiting = true;                 ///< The headers' callback is not over.
   bool m_HasHandle = true;               ///< The UpstreamCall lives.
   TimePoint m_LastByte;                  ///< For the silence limit.
@@ -67,6 +77,8 @@
   }
 
   void read();
+  void noteSocket();
+  [[nodiscard]] bool whole() const;
 };
 
 /// Frees \p Held when neither a callback nor a handle needs it any more.
@@ -95,6 +107,47 @@
     return;
   }
   Held->m_Started = true;
+  Held->noteSocket();
+}
+
+/// Whether the body that just ended came whole. libsoup takes the close of a
+/// connection for the end of the body, also short of the length that the
+/// headers state or between two chunks: a caller would get half an answer as a
+/// whole one. The length is counted here; of chunks only the connection tells,
+/// which an upstream that has sent the last one leaves open unless it said that
+/// it closes.
+bool Transfer::whole() const {
+  SoupMessageHeaders *Headers = soup_message_get_response_headers(m_Message);
+  switch (soup_message_headers_get_encoding(Headers)) {
+  case SOUP_ENCODING_CONTENT_LENGTH:
+    return m_Received == soup_message_headers_get_content_length(Headers);
+  case SOUP_ENCODING_CHUNKED:
+    return m_Socket == nullptr || !closedByPeer(m_Socket.get()) ||
+           soup_message_headers_header_contains(Headers, "Connection",
+                                                "close") != 0;
+  default:
+    return true;
+  }
+}
+
+void onNetworkEvent(SoupMessage *, GSocketClientEvent Event, GIOStream *Stream,
+                    gpointer Data) {
+  auto *Held = static_cast<Transfer *>(Data);
+  if (Event == G_SOCKET_CLIENT_CONNECTED && G_IS_SOCKET_CONNECTION(Stream))
+    Held->m_Socket.reset(G_SOCKET(g_object_ref(
+        g_socket_connection_get_socket(G_SOCKET_CONNECTION(Stream)))));
+}
+
+/// Finds the socket of a kept connection, or remembers that of a fresh one.
+void Transfer::noteSocket() {
+  if (!m_HasHandle)
+    return;
+  const ConnectionSockets::Key Key = {
+      m_Place.session(), soup_message_get_connection_id(m_Message)};
+  if (m_Socket != nullptr)
+    m_Sockets->add(Key, m_Socket.get());
+  else
+    m_Socket = m_Sockets->find(Key);
 }
 
 void onRead(GObject *Stream, GAsyncResult *Outcome, gpointer Data) {
@@ -105,10 +158,12 @@
   if (Size < 0)
     Held->fail();
   else if (Size == 0)
-    Held->end(TransportEnd::Complete);
-  else if (Held->m_Listener != nullptr)
+    Held->end(Held->whole() ? TransportEnd::Complete : TransportEnd::Broken);
+  else if (Held->m_Listener != nullptr) {
+    Held->m_Received += Size;
     Held->m_Listener->upstreamBytes(
         {Held->m_Buffer.data(), static_cast<std::size_t>(Size)});
+  }
   // Only now: the listener may have destroyed the handle.
   Held->m_Reading = false;
   Held->read();
@@ -223,12 +278,13 @@
   }
   // A kept-alive connection that the upstream closes just now would leave the
   // outcome unknown; on a fresh one a failure to connect proves "not sent",
-  // and libsoup sends again only what was on a kept one.
+  // and libsoup sends again only what was on a kept one. It is kept afterwards
+  // for calls that may be repeated.
   soup_message_add_flags(
       Message, static_cast<SoupMessageFlags>(SOUP_MESSAGE_NEW_CONNECTION |
                                              SOUP_MESSAGE_NO_REDIRECT));
-  soup_message_headers_replace(soup_message_get_request_headers(Message),
-                               "Connection", "close");
+  if (What.m_CloseAfter)
+    soup_message_headers_replace(Headers, "Connection", "close");
   return Message;
 }
 
@@ -246,8 +302,11 @@
   Held->m_Cancel = g_cancellable_new();
   Held->m_Message = messageOf(What);
   probeConnectionOf(Held->m_Message);
+  g_signal_connect(Held->m_Message, "network-event", G_CALLBACK(onNetworkEvent),
+                   Held);
   g_signal_connect(Held->m_Message, "starting", G_CALLBACK(onStarting), Held);
   Held->m_Place = m_Sessions.take(What.m_Where);
+  Held->m_Sockets = &m_Sockets;
   soup_session_send_async(Held->m_Place.session(), Held->m_Message,
                           G_PRIORITY_DEFAULT, Held->m_Cancel, onHeaders, Held);
   return std::make_unique<HttpUpstreamCall>(Held, m_Timers, What);
--- a/src/http/upstream_call.h
+++ b/src/http/upstream_call.h
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "core/scheduler.h"
+#include "http/connection_sockets.h"
 #include "http/header_list.h"
 #include "http/session_pool.h"
 #include "instance_type.h"
@@ -31,6 +32,7 @@
   HeaderList m_Headers;           ///< All but those that frame the body.
   std::string m_Body;             ///< Whole.
   bool m_Repeatable = false;      ///< False: fresh connection, then closed.
+  bool m_CloseAfter = false;      ///< Ask the upstream to close afterwards.
   TimePoint m_SendBefore;         ///< Last check, by Clock::fresh().
   std::function<bool()> m_Wanted; ///< Last check as well; may be empty.
   Duration m_SilenceLimit{};      ///< Longest wait for a byte; 0: none.
@@ -76,9 +78,10 @@
                                      UpstreamListener &Listener) override;
 
 private:
-  const Clock &m_Clock;   ///< Outlives the caller.
-  Scheduler &m_Timers;    ///< Outlives the caller.
-  SessionPool m_Sessions; ///< For all calls.
+  const Clock &m_Clock;        ///< Outlives the caller.
+  Scheduler &m_Timers;         ///< Outlives the caller.
+  SessionPool m_Sessions;      ///< For all calls.
+  ConnectionSockets m_Sockets; ///< Of the sessions' connections.
 };
 
 } // namespace crowstep
--- /dev/null
+++ b/tests/unit/balance_test.cpp
@@ -0,0 +1,331 @@
+/// Decisions of an instance that decides alone: no network, a clock by hand.
+#define BOOST_TEST_MODULE balance
+#include "balance/balancer.h"
+#include "balance/retry_budget.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace crowstep;
+using namespace crowstep::balance;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t Shared = 12000;
+constexpr std::uint32_t Own = 3000;
+
+Upstream engine(int Number, const std::string &Name = "") {
+  const std::string Called =
+      Name.empty() ? "engine-" + std::to_string(Number) : Name;
+  return {upstreamIdOf(Called),
+          Called,
+          "writer",
+          {0x7f000001, static_cast<std::uint16_t>(9000 + Number)},
+          {"a"},
+          Engine{64, {}, true, true},
+          false};
+}
+
+Upstream desk(int Number, const std::string &Zone) {
+  Upstream Result = engine(Number, "desk-" + std::to_string(Number));
+  Result.m_Service = "desk";
+  Result.m_Zone = {Zone};
+  Result.m_Kind = PlainService{6};
+  return Result;
+}
+
+PlacementQuery longCall(std::uint64_t Prefix, std::uint64_t Unique) {
+  PlacementQuery Result;
+  Result.m_Service = "writer";
+  Result.m_Prompt = {{{Prefix, Shared}, {Unique, Own}}, Shared + Own, 200, 100};
+  Result.m_Target = 2s;
+  return Result;
+}
+
+PlacementQuery plainCall() {
+  PlacementQuery Result;
+  Result.m_Service = "desk";
+  Result.m_Target = 100ms;
+  return Result;
+}
+
+struct World {
+  TimePoint m_Now{100s};
+  Balancer m_Balancer{{"a"}};
+
+  explicit World(int Engines) {
+    std::vector<Upstream> List;
+    for (int I = 0; I < Engines; ++I)
+      List.push_back(engine(I));
+    m_Balancer.setUpstreams(List);
+    m_Balancer.setCacheTokens("writer", 1000000);
+  }
+  Placed placed(const PlacementQuery &Query) {
+    const PlacementResult Result = m_Balancer.place(Query, m_Now);
+    BOOST_REQUIRE(std::holds_alternative<Placed>(Result));
+    return std::get<Placed>(Result);
+  }
+  /// Places and serves a call at once.
+  Placed served(const PlacementQuery &Query) {
+    const Placed Result = placed(Query);
+    m_Balancer.answered(Result.m_Ticket, m_Now);
+    m_Balancer.ended(Result.m_Ticket, CallOutcome::Served, m_Now);
+    return Result;
+  }
+};
+
+} // namespace
+
+/// Long prompts that begin alike read their beginning once: all go to the
+/// engine that keeps it, on every instance that hears the others' digests.
+BOOST_AUTO_TEST_CASE(PromptsThatBeginAlikeMeet) {
+  World Here(9);
+  World There(9);
+  for (std::uint64_t Prefix = 1; Prefix <= 20; ++Prefix) {
+    const Placed First = Here.served(longCall(Prefix, 1000 + Prefix));
+    for (std::uint64_t I = 0; I < 5; ++I)
+      BOOST_TEST((Here.served(longCall(Prefix, 2000 + I)).m_Upstream ==
+                  First.m_Upstream));
+    There.m_Balancer.peerSaid(InstanceId(1), Here.m_Balancer.takeDigest(),
+                              There.m_Now);
+    BOOST_TEST(
+        (There.served(longCall(Prefix, 3000)).m_Upstream == First.m_Upstream));
+    Here.m_Balancer.peerSaid(InstanceId(2), There.m_Balancer.takeDigest(),
+                             Here.m_Now);
+  }
+}
+
+/// A burst of calls with one beginning must not pile up at its engine while
+/// others idle: beyond some seconds of reading the next engine takes part.
+BOOST_AUTO_TEST_CASE(ABurstOfOnePrefixIsShared) {
+  World It(9);
+  std::set<UpstreamId> Used;
+  for (std::uint64_t I = 0; I < 40; ++I) {
+    const auto Result = It.m_Balancer.place(longCall(1, 100 + I), It.m_Now);
+    if (const auto *Where = std::get_if<Placed>(&Result))
+      Used.insert(Where->m_Upstream);
+  }
+  BOOST_TEST(Used.size() > 1U);
+}
+
+/// Short prompts, whose callers notice each pause, never stand beside long
+/// ones while there are engines for both.
+BOOST_AUTO_TEST_CASE(ShortAndLongPromptsAreApart) {
+  World It(9);
+  std::set<UpstreamId> Long;
+  std::set<UpstreamId> Short;
+  for (std::uint64_t I = 0; I < 400; ++I) {
+    if (I == 200) { // The line between the roles has found its place.
+      Long.clear();
+      Short.clear();
+    }
+    Long.insert(It.served(longCall(I % 30, 1000 + I)).m_Upstream);
+    PlacementQuery Query = longCall(500 + I % 10, 5000 + I);
+    Query.m_Prompt = {{{500 + I % 10, 300}, {5000 + I, 900}}, 1200, 200, 100};
+    Short.insert(It.served(Query).m_Upstream);
+  }
+  for (const UpstreamId Each : Short)
+    BOOST_TEST(!Long.contains(Each));
+  BOOST_TEST(Short.size() >= 1U);
+}
+
+/// What others have at an engine counts as our own does: without it nine
+/// instances that each see a ninth of a burst send it all to one engine.
+BOOST_AUTO_TEST_CASE(DigestsOfOthersMoveTheChoice) {
+  World It(2);
+  const Placed Alone = It.served(longCall(1, 2));
+  LoadDigest Digest;
+  Digest.m_Loads.push_back({Alone.m_Upstream, 0, 30, 400000, 0});
+  It.m_Balancer.peerSaid(InstanceId(7), Digest, It.m_Now);
+  // Two engines have two roles, so the long prompts' engine can't change; the
+  // call is refused for the wait instead.
+  BOOST_TEST(std::holds_alternative<NotPlaced>(
+      It.m_Balancer.place(longCall(1, 3), It.m_Now)));
+  // The other instance is gone; what it said lapses.
+  It.m_Now += PeerLoads::DigestLife + 1ms;
+  BOOST_TEST(std::holds_alternative<Placed>(
+      It.m_Balancer.place(longCall(1, 3), It.m_Now)));
+}
+
+/// Load: more long prompts than the engines can read. The caller is told at
+/// once that the call has not run, and when to come back; calls that are more
+/// urgent are still taken, since what waits is read after them.
+BOOST_AUTO_TEST_CASE(WhatWouldWaitTooLongIsRefusedAtOnce) {
+  World It(4);
+  PlacementQuery Query = longCall(1, 1);
+  Query.m_Urgency = 5;
+  std::optional<NotPlaced> Refused;
+  for (std::uint64_t I = 0; I < 200 && !Refused; ++I) {
+    Query.m_Prompt.m_Parts = {{I, Shared}, {1000 + I, Own}};
+    const auto Result = It.m_Balancer.place(Query, It.m_Now);
+    if (const auto *Why = std::get_if<NotPlaced>(&Result))
+      Refused = *Why;
+  }
+  BOOST_REQUIRE(Refused.has_value());
+  BOOST_TEST((Refused->m_Reason == RefusalReason::TargetUnreachable));
+  BOOST_TEST((Refused->m_RetryAfter >= 300ms));
+  Query.m_Urgency = 0;
+  BOOST_TEST(
+      std::holds_alternative<Placed>(It.m_Balancer.place(Query, It.m_Now)));
+}
+
+/// An engine that runs out of memory stops a call amid its stream. The calls
+/// of all instances together stay under the share that is kept for calls.
+BOOST_AUTO_TEST_CASE(CallsFitIntoAnEnginesMemory) {
+  World It(2);
+  It.m_Balancer.setCacheTokens("writer", 100000);
+  std::map<UpstreamId, std::uint64_t> Held;
+  for (std::uint64_t I = 0; I < 50; ++I) {
+    const auto Result = It.m_Balancer.place(longCall(I, 1000 + I), It.m_Now);
+    if (const auto *Where = std::get_if<Placed>(&Result)) {
+      It.m_Balancer.answered(Where->m_Ticket, It.m_Now); // Read, still runs.
+      Held[Where->m_Upstream] += Shared + Own + 100;
+    }
+  }
+  BOOST_TEST(!Held.empty());
+  for (const auto &[Engine, Tokens] : Held)
+    BOOST_TEST(Tokens <= 55000U);
+}
+
+/// An upstream that is leaving, by the list or by its own word, gets nothing
+/// new, and a call that was placed there before is not begun.
+BOOST_AUTO_TEST_CASE(LeavingUpstreamsGetNothing) {
+  World It(0);
+  std::vector<Upstream> List = {desk(1, "a"), desk(2, "a")};
+  It.m_Balancer.setUpstreams(List);
+  const Placed Waiting = It.placed(plainCall());
+  for (Upstream &Each : List)
+    Each.m_Leaving = Each.m_Id == Waiting.m_Upstream;
+  It.m_Balancer.setUpstreams(List);
+  BOOST_TEST(!It.m_Balancer.mayBegin(Waiting.m_Ticket, It.m_Now));
+  for (int I = 0; I < 20; ++I)
+    BOOST_TEST((It.placed(plainCall()).m_Upstream != Waiting.m_Upstream));
+  // The other one says that it is not what the list says.
+  const Placed Last = It.placed(plainCall());
+  It.m_Balancer.ended(Last.m_Ticket, CallOutcome::Leaving, It.m_Now);
+  BOOST_TEST(std::holds_alternative<NotPlaced>(
+      It.m_Balancer.place(plainCall(), It.m_Now)));
+}
+
+/// An upstream that answers with errors while its probe is good is kept out for
+/// a while and then tried again; when all fail alike none is.
+BOOST_AUTO_TEST_CASE(SickUpstreamsAreKeptOutUpToACeiling) {
+  World It(0);
+  It.m_Balancer.setUpstreams(
+      {desk(1, "a"), desk(2, "a"), desk(3, "a"), desk(4, "a")});
+  const UpstreamId Sick = upstreamIdOf("desk-1");
+  const auto Round = [&](auto Fails) {
+    std::map<UpstreamId, int> Count;
+    std::vector<Placed> Open;
+    for (int I = 0; I < 4; ++I)
+      Open.push_back(It.placed(plainCall()));
+    for (const Placed &Each : Open) {
+      ++Count[Each.m_Upstream];
+      It.m_Balancer.ended(Each.m_Ticket,
+                          Fails(Each.m_Upstream) ? CallOutcome::Failed
+                                                 : CallOutcome::Served,
+                          It.m_Now);
+    }
+    return Count;
+  };
+  for (int I = 0; I < 5; ++I)
+    Round([&](UpstreamId Id) { return Id == Sick; });
+  BOOST_TEST(Round([](UpstreamId) { return false; })[Sick] == 0);
+  It.m_Now += 2s;
+  BOOST_TEST(Round([](UpstreamId) { return false; })[Sick] > 0);
+  for (int I = 0; I < 10; ++I)
+    Round([](UpstreamId) { return true; });
+  BOOST_TEST(Round([](UpstreamId) { return true; }).size() == 4U);
+}
+
+/// A restart under the same name is another upstream: nothing of the earlier
+/// one's load or memory counts for it, and a late end does no harm.
+BOOST_AUTO_TEST_CASE(ARestartStartsAnew) {
+  World It(2);
+  const Placed Before = It.placed(longCall(1, 2));
+  Upstream Reborn = engine(0, Before.m_Name);
+  Reborn.m_Id = upstreamIdOf(Before.m_Name + "@2");
+  It.m_Balancer.setUpstreams({Reborn});
+  const Placed After = It.placed(longCall(1, 3));
+  BOOST_TEST(After.m_Why.m_Calls == 0);
+  BOOST_TEST(After.m_Why.m_MissingTokens == Shared + Own);
+  It.m_Balancer.ended(Before.m_Ticket, CallOutcome::Failed, It.m_Now);
+  It.m_Balancer.ended(After.m_Ticket, CallOutcome::Served, It.m_Now);
+  BOOST_TEST(It.placed(longCall(1, 4)).m_Why.m_Calls == 0);
+}
+
+/// Plain calls stay in their zone unless another one is clearly less loaded.
+BOOST_AUTO_TEST_CASE(PlainCallsPreferTheirZone) {
+  World It(0);
+  It.m_Balancer.setUpstreams({desk(1, "a"), desk(2, "b")});
+  BOOST_TEST(It.placed(plainCall()).m_Name == "desk-1");
+  BOOST_TEST(It.placed(plainCall()).m_Name == "desk-1");
+  bool SawOther = false;
+  for (int I = 0; I < 4; ++I)
+    SawOther = SawOther || It.placed(plainCall()).m_Name == "desk-2";
+  BOOST_TEST(SawOther);
+}
+
+/// The sum over all instances keeps the bound in every window, whatever the
+/// number of instances up to the largest planned for and whatever their load.
+BOOST_AUTO_TEST_CASE(RetriesOfAllInstancesKeepTheBound) {
+  rc::check("bound on retries", [] {
+    const int Instances = *rc::gen::inRange(1, 28);
+    const RetryBudgetSettings Bound{0.2, 58, 10s};
+    std::vector<RetryBudget> Budgets(static_cast<std::size_t>(Instances),
+                                     RetryBudget(Bound));
+    std::vector<TimePoint> Calls;
+    std::vector<TimePoint> Repeats;
+    TimePoint Now{100s};
+    for (int Step = 0; Step < 400; ++Step) {
+      Now += std::chrono::milliseconds(*rc::gen::inRange(0, 100));
+      RetryBudget &One =
+          Budgets[*rc::gen::inRange<std::size_t>(0, Budgets.size())];
+      One.call("s", Now);
+      Calls.push_back(Now);
+      if (One.take("s", Now))
+        Repeats.push_back(Now);
+    }
+    const auto Within = [&](const std::vector<TimePoint> &All, TimePoint End) {
+      return std::count_if(All.begin(), All.end(), [&](TimePoint At) {
+        return At > End - 10s && At <= End;
+      });
+    };
+    for (const TimePoint End : Repeats)
+      RC_ASSERT(static_cast<double>(Within(Repeats, End)) <=
+                0.2 * static_cast<double>(Within(Calls, End)) + 58);
+  });
+}
+
+/// Engines are divided as the work is, and both kinds keep some.
+BOOST_AUTO_TEST_CASE(TheSplitFollowsTheWork) {
+  RoleSplit Split;
+  TimePoint Now{100s};
+  BOOST_TEST(Split.shortEngines(1) == 0U);
+  for (int I = 0; I < 100; ++I) {
+    Now += 100ms;
+    Split.add({0, 100000}, Now);
+  }
+  BOOST_TEST(Split.shortEngines(9) == 1U);
+  for (int I = 0; I < 100; ++I) {
+    Now += 100ms;
+    Split.add({100000, 0}, Now);
+  }
+  BOOST_TEST(Split.shortEngines(9) == 4U);
+}
+
+/// The memory model forgets what was used longest ago, and a part counts only
+/// with all that come before it.
+BOOST_AUTO_TEST_CASE(TheCacheModelForgetsOldParts) {
+  CacheModel Model;
+  const UpstreamId Engine = upstreamIdOf("e");
+  for (std::uint64_t I = 0; I < 10; ++I)
+    Model.placed(Engine, {I, 1000}, 10000); // Keeps six.
+  BOOST_TEST(Model.kept(Engine, {{9, 1000}}) == 1000U);
+  BOOST_TEST(Model.kept(Engine, {{0, 1000}}) == 0U);
+  BOOST_TEST(Model.kept(Engine, {{0, 1000}, {9, 1000}}) == 0U);
+  BOOST_TEST(Model.kept(Engine, {{9, 1000}, {8, 1000}, {77, 5}}) == 2000U);
+  Model.keepOnly({});
+  BOOST_TEST(Model.kept(Engine, {{9, 1000}}) == 0U);
+}
--- a/tests/unit/entry_harness.h
+++ b/tests/unit/entry_harness.h
@@ -5,153 +5,17 @@
 
 #include "core/digest.h"
 #include "entry/request_service.h"
+#include "unit/loopback_peer.h"
 
-#include <arpa/inet.h>
-#include <cerrno>
 #include <deque>
-#include <fcntl.h>
 #include <map>
 #include <optional>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace crowstep::entry::test {
 
 using namespace std::chrono_literals;
 
-/// Runs the main loop until \p Holds, for at most a few seconds.
-template <typename Condition> bool pumpUntil(Condition Holds) {
-  const gint64 End = g_get_monotonic_time() + gint64(10) * G_USEC_PER_SEC;
-  while (!Holds()) {
-    if (g_get_monotonic_time() > End)
-      return false;
-    if (g_main_context_iteration(nullptr, 0) == 0)
-      g_usleep(200);
-  }
-  return true;
-}
-
-/// One end of a TCP connection that is read without blocking.
-class Peer {
-public:
-  explicit Peer(int Fd) : m_Fd(Fd) { fcntl(m_Fd, F_SETFL, O_NONBLOCK); }
-  ~Peer() { close(); }
-  Peer(const Peer &) = delete;
-  Peer &operator=(const Peer &) = delete;
-
-  static std::unique_ptr<Peer> connect(const Address &Where) {
-    const int Fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in To{};
-    To.sin_family = AF_INET;
-    To.sin_port = htons(Where.m_Port);
-    To.sin_addr.s_addr = htonl(Where.m_Ip);
-    (void)::connect(Fd, reinterpret_cast<sockaddr *>(&To), sizeof(To));
-    return std::make_unique<Peer>(Fd);
-  }
-
-  /// Reads what is there; returns everything that ever came.
-  const std::string &received() {
-    char Buffer[65536];
-    while (m_Fd >= 0) {
-      const ssize_t Size = recv(m_Fd, Buffer, sizeof(Buffer), 0);
-      if (Size > 0)
-        m_Received.append(Buffer, static_cast<std::size_t>(Size));
-      else if (Size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-        break;
-      else
-        m_Closed = true;
-      if (m_Closed)
-        break;
-    }
-    return m_Received;
-  }
-  bool closed() {
-    received();
-    return m_Closed;
-  }
-  void send(const std::string &Text) {
-    for (std::size_t Sent = 0; Sent < Text.size();) {
-      const ssize_t Size =
-          ::send(m_Fd, Text.data() + Sent, Text.size() - Sent, MSG_NOSIGNAL);
-      if (Size < 0 && errno != EAGAIN)
-        return;
-      if (Size < 0)
-        g_main_context_iteration(nullptr, 0);
-      else
-        Sent += static_cast<std::size_t>(Size);
-    }
-  }
-  void close() {
-    if (m_Fd >= 0)
-      ::close(m_Fd);
-    m_Fd = -1;
-  }
-  [[nodiscard]] int fd() const { return m_Fd; }
-  [[nodiscard]] bool has(const std::string &Text) {
-    return received().find(Text) != std::string::npos;
-  }
-
-private:
-  int m_Fd;
-  bool m_Closed = false;
-  std::string m_Received;
-};
-
-/// An upstream's socket; the test plays the upstream.
-class FakeUpstream {
-public:
-  FakeUpstream() {
-    m_Fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in Own{};
-    Own.sin_family = AF_INET;
-    Own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    (void)bind(m_Fd, reinterpret_cast<sockaddr *>(&Own), sizeof(Own));
-    listen(m_Fd, 64);
-    socklen_t Size = sizeof(Own);
-    getsockname(m_Fd, reinterpret_cast<sockaddr *>(&Own), &Size);
-    m_Address = {INADDR_LOOPBACK, ntohs(Own.sin_port)};
-    fcntl(m_Fd, F_SETFL, O_NONBLOCK);
-  }
-  ~FakeUpstream() { stopListening(); }
-  FakeUpstream(const FakeUpstream &) = delete;
-  FakeUpstream &operator=(const FakeUpstream &) = delete;
-
-  /// Waits for the next connection and a whole request on it, or null.
-  Peer *next() {
-    const std::size_t Before = m_Peers.size();
-    pumpUntil([&] { return accept() > Before; });
-    if (m_Peers.size() == Before)
-      return nullptr;
-    Peer *Fresh = m_Peers[Before].get();
-    pumpUntil([&] { return whole(Fresh->received()) || Fresh->closed(); });
-    return Fresh;
-  }
-  /// Returns the number of connections so far.
-  std::size_t accept() {
-    const int Fd = ::accept(m_Fd, nullptr, nullptr);
-    if (Fd >= 0)
-      m_Peers.push_back(std::make_unique<Peer>(Fd));
-    return m_Peers.size();
-  }
-  Peer &peer(std::size_t Index) { return *m_Peers.at(Index); }
-  void stopListening() {
-    if (m_Fd >= 0)
-      ::close(m_Fd);
-    m_Fd = -1;
-  }
-  static bool whole(const std::string &Text) {
-    const std::size_t Head = Text.find("\r\n\r\n");
-    const std::size_t Length = Text.find("Content-Length: ");
-    return Head != std::string::npos && Length != std::string::npos &&
-           Text.size() >= Head + 4 + std::stoul(Text.substr(Length + 16));
-  }
-
-  Address m_Address;
-
-private:
-  int m_Fd;
-  std::vector<std::unique_ptr<Peer>> m_Peers;
-};
+using namespace crowstep::test;
 
 /// Grants at the addresses given, in turn; then leaves bids waiting.
 class FakePlacement final : public Placement {
--- /dev/null
+++ b/tests/unit/forwarded_request_test.cpp
@@ -0,0 +1,405 @@
+/// One request through the gateway, with fakes of caller and upstreams: what a
+/// caller is told after each way in which a call can end.
+#define BOOST_TEST_MODULE forwarded_request
+#include "gateway/forwarded_request.h"
+#include "platform_headers.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+using namespace crowstep;
+using namespace crowstep::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What the caller saw.
+struct Seen {
+  std::vector<CallerAnswer> m_Answers; ///< Whole ones.
+  std::string m_Stream;                ///< Of a streamed one.
+  bool m_Ended = false;                ///< The stream is whole.
+  bool m_Dropped = false;              ///< Cut without an end.
+  bool m_Left = false;                 ///< The caller closes.
+  std::function<void()> m_Gone;        ///< To be told of that.
+};
+
+class FakeCaller final : public Caller {
+public:
+  explicit FakeCaller(Seen &Into) : m_Seen(Into) {}
+  void answer(const CallerAnswer &What) override {
+    m_Seen.m_Answers.push_back(What);
+  }
+  void beginStream(const CallerAnswer &) override {}
+  void append(const std::string &Bytes) override { m_Seen.m_Stream += Bytes; }
+  void endStream() override { m_Seen.m_Ended = true; }
+  void drop() override { m_Seen.m_Dropped = true; }
+  [[nodiscard]] bool hasLeft() const override { return m_Seen.m_Left; }
+  [[nodiscard]] std::size_t backlog() const override { return 0; }
+  void onGone(std::function<void()> Job) override {
+    m_Seen.m_Gone = std::move(Job);
+  }
+  void onDrained(std::function<void()>) override {}
+
+private:
+  Seen &m_Seen; ///< Outlives the caller.
+};
+
+/// A call that a test plays; marks itself stopped when it is destroyed.
+struct PlayedCall {
+  UpstreamSend m_What;          ///< As it was sent.
+  UpstreamListener *m_Listener; ///< To be told.
+  bool m_Stopped = false;       ///< The gateway closed it.
+};
+
+class FakeUpstreams final : public UpstreamCaller {
+public:
+  std::unique_ptr<UpstreamCall> send(const UpstreamSend &What,
+                                     UpstreamListener &Listener) override {
+    m_Calls.push_back({What, &Listener});
+    return std::make_unique<Handle>(m_Calls.back());
+  }
+  std::deque<PlayedCall> m_Calls; ///< All, in order.
+
+private:
+  class Handle final : public UpstreamCall {
+  public:
+    explicit Handle(PlayedCall &Call) : m_Call(Call) {}
+    ~Handle() override { m_Call.m_Stopped = true; }
+    Handle(const Handle &) = delete;
+    Handle &operator=(const Handle &) = delete;
+    void pauseReading() override {}
+    void continueReading() override {}
+
+  private:
+    PlayedCall &m_Call; ///< Outlives the handle.
+  };
+};
+
+constexpr const char *Id = "attempt-1";
+
+std::string event(int Number) {
+  return "id: " + std::to_string(Number) + "\ndata: x\n\n";
+}
+
+struct World {
+  ManualClock m_Clock;
+  ManualScheduler m_Timers{m_Clock};
+  balance::Balancer m_Balancer{{"a"}};
+  balance::RetryBudget m_Budget{{0.2, 56, 10s}};
+  FakeUpstreams m_Upstreams;
+  adapter::PlatformHeaders m_Codec;
+  Metrics m_Metrics;
+  GatewayStats m_Stats{m_Metrics};
+  ForwardWorld m_World{m_Clock,  m_Timers,           m_Balancer,
+                       m_Budget, m_Upstreams,        m_Codec,
+                       m_Stats,  [] { return 0.5; }, [] { return false; }};
+  Seen m_Seen;
+  int m_Finished = 0;
+  std::unique_ptr<ForwardedRequest> m_Request;
+
+  explicit World(RouteKind Kind, unsigned MaxAttempts = 2,
+                 HeaderList More = {}) {
+    std::vector<Upstream> List;
+    for (int I = 0; I < 3; ++I) {
+      const std::string Name = "u" + std::to_string(I);
+      List.push_back({upstreamIdOf(Name),
+                      Name,
+                      "s",
+                      {1, 1},
+                      {"a"},
+                      PlainService{4},
+                      false});
+    }
+    m_Balancer.setUpstreams(List);
+    RouteTableData Data;
+    Route Only;
+    Only.m_Name = "r";
+    Only.m_Host = "h";
+    Only.m_Prefix = "/p/";
+    Only.m_Kind = Kind;
+    Only.m_Timeout = 6s;
+    Only.m_Target = 600ms;
+    Only.m_Services = {{"s", 1}};
+    Only.m_MaxAttempts = MaxAttempts;
+    Data.m_Routes = {Only};
+    IncomingRequest Incoming{
+        "POST", "/p/x?y=1", {{"Host", "h"}, {"X-Attempt-Id", Id}}, "body"};
+    Incoming.m_Headers.insert(Incoming.m_Headers.end(), More.begin(),
+                              More.end());
+    auto What =
+        admit(Incoming, std::make_shared<RouteTable>(std::move(Data)), m_Codec);
+    m_Request = std::make_unique<ForwardedRequest>(
+        m_World, Incoming, std::get<Admitted>(What),
+        std::make_unique<FakeCaller>(m_Seen), [this] { ++m_Finished; });
+    m_Request->start();
+  }
+
+  PlayedCall &call(std::size_t Index) { return m_Upstreams.m_Calls.at(Index); }
+  std::size_t calls() const { return m_Upstreams.m_Calls.size(); }
+
+  void head(std::size_t Index, unsigned Status, HeaderList Headers = {}) {
+    Headers.push_back({"X-Attempt-Id", Id});
+    call(Index).m_Listener->upstreamHeaders(Status, Headers);
+  }
+  void good(std::size_t Index) {
+    head(Index, 200, {{"X-Server-Signature", "s"}});
+  }
+  void bytes(std::size_t Index, const std::string &Text) {
+    call(Index).m_Listener->upstreamBytes(Text);
+  }
+  void end(std::size_t Index, TransportEnd How) {
+    call(Index).m_Listener->upstreamEnded(How);
+  }
+  void refusedBy(std::size_t Index) {
+    head(Index, 503, {{"X-Not-Executed", "1"}});
+  }
+
+  /// The only answer, which must be there.
+  const CallerAnswer &answer() {
+    BOOST_REQUIRE(m_Seen.m_Answers.size() == 1U);
+    BOOST_TEST(m_Finished == 1);
+    return m_Seen.m_Answers[0];
+  }
+  bool answerHas(const char *Name) {
+    return findHeader(answer().m_Headers, Name) != nullptr;
+  }
+};
+
+const RouteKind AtMostOnce = PlainCall{false};
+const RouteKind Idempotent = PlainCall{true};
+const RouteKind Resumable = EventStream{true, 250ms};
+const RouteKind NotResumable = EventStream{false, 250ms};
+
+} // namespace
+
+/// Method, target and body go out unchanged; what the gateway must set is set,
+/// whatever the caller sent; and the answer comes back as the upstream made it.
+BOOST_AUTO_TEST_CASE(ARequestAndItsAnswerPassUnchanged) {
+  World It(AtMostOnce, 1,
+           {{"X-Other", "kept"},
+            {"X-Tenant", "forged"},
+            {"X-Key", "secret"},
+            {"Connection", "keep-alive, X-Hop"},
+            {"X-Hop", "1"},
+            {"X-Deadline-Ms", "1500"},
+            {"X-Retention", "forged"}});
+  const UpstreamSend &Sent = It.call(0).m_What;
+  BOOST_TEST(Sent.m_Method == "POST");
+  BOOST_TEST(Sent.m_Path == "/p/x?y=1");
+  BOOST_TEST(Sent.m_Body == "body");
+  BOOST_TEST(!Sent.m_Repeatable);
+  BOOST_TEST(*findHeader(Sent.m_Headers, "X-Other") == "kept");
+  BOOST_TEST(*findHeader(Sent.m_Headers, "X-Deadline-Ms") == "1500");
+  BOOST_TEST(findHeader(Sent.m_Headers, "X-Expect-Instance") != nullptr);
+  for (const char *Name : {"X-Tenant", "X-Key", "X-Hop", "X-Retention"})
+    BOOST_TEST(findHeader(Sent.m_Headers, Name) == nullptr);
+  It.good(0);
+  It.bytes(0, "half ");
+  BOOST_TEST(It.m_Seen.m_Answers.empty());
+  It.bytes(0, "whole");
+  It.end(0, TransportEnd::Complete);
+  BOOST_TEST(It.answer().m_Status == 200U);
+  BOOST_TEST(It.answer().m_Body == "half whole");
+  BOOST_TEST(It.answerHas("X-Server-Signature"));
+}
+
+/// A seat hold is sent, and its connection breaks. It may have run: it must not
+/// be sent again, and the caller must not be told that it has not run.
+BOOST_AUTO_TEST_CASE(ABrokenCallThatMayHaveRunIsNotRepeated) {
+  World It(AtMostOnce);
+  It.end(0, TransportEnd::Broken);
+  BOOST_TEST(It.calls() == 1U);
+  BOOST_TEST(It.answer().m_Status == 502U);
+  BOOST_TEST((It.answer().m_State == RunState::Unknown));
+  BOOST_TEST(!It.answerHas("Retry-After"));
+}
+
+/// The upstream says that it did not run the call: another one gets it, and
+/// when the route allows no more the caller is told "not run" and when to come.
+BOOST_AUTO_TEST_CASE(OnlyTheUpstreamsWordProvesNotRun) {
+  World It(AtMostOnce, 2);
+  It.refusedBy(0);
+  BOOST_TEST(It.calls() == 2U);
+  BOOST_TEST(It.call(0).m_Stopped);
+  It.refusedBy(1);
+  BOOST_TEST(It.calls() == 2U);
+  BOOST_TEST(It.answer().m_Status == 503U);
+  BOOST_TEST((It.answer().m_State == RunState::NotRun));
+  BOOST_TEST(It.answerHas("Retry-After"));
+}
+
+/// The call was refused once with proof and broke the second time: one unknown
+/// outcome is enough to forbid "not run".
+BOOST_AUTO_TEST_CASE(ProofOfOneCallIsNoProofOfAnother) {
+  World It(AtMostOnce, 2);
+  It.refusedBy(0);
+  It.end(1, TransportEnd::Broken);
+  BOOST_TEST(It.answer().m_Status == 502U);
+}
+
+/// A sick upstream answers 503 without saying that it did not run the call.
+/// Passed on, the status would promise just that.
+BOOST_AUTO_TEST_CASE(A503WithoutProofIsNotPassedOn) {
+  for (const unsigned Status : {408U, 429U, 503U}) {
+    World It(AtMostOnce, 1);
+    It.head(0, Status, {{"X-Server-Signature", "s"}});
+    It.end(0, TransportEnd::Complete);
+    BOOST_TEST(It.answer().m_Status == 502U);
+    BOOST_TEST(!It.answerHas("X-Server-Signature"));
+  }
+}
+
+/// An error of the upstream's own counts as run: passed on with its signature
+/// and status where the call may not run again, tried elsewhere where it may.
+BOOST_AUTO_TEST_CASE(UpstreamErrorsArePassedOnOrRepeated) {
+  World Once(AtMostOnce, 2);
+  Once.head(0, 500, {{"X-Server-Signature", "s"}});
+  Once.bytes(0, "why");
+  Once.end(0, TransportEnd::Complete);
+  BOOST_TEST(Once.calls() == 1U);
+  BOOST_TEST(Once.answer().m_Status == 500U);
+  BOOST_TEST(Once.answerHas("X-Server-Signature"));
+  World Again(Idempotent, 2);
+  Again.head(0, 500, {{"X-Server-Signature", "s"}});
+  Again.end(0, TransportEnd::Complete);
+  BOOST_TEST(Again.calls() == 2U);
+  Again.good(1);
+  Again.end(1, TransportEnd::Complete);
+  BOOST_TEST(Again.answer().m_Status == 200U);
+}
+
+/// The answer to an earlier call comes late on a kept connection, or bytes come
+/// that no upstream signed. Neither may reach this caller.
+BOOST_AUTO_TEST_CASE(ForeignAndUnsignedAnswersReachNobody) {
+  World Foreign(Idempotent, 2);
+  Foreign.call(0).m_Listener->upstreamHeaders(
+      200, {{"X-Attempt-Id", "other"}, {"X-Server-Signature", "s"}});
+  BOOST_TEST(Foreign.call(0).m_Stopped);
+  BOOST_TEST(Foreign.calls() == 2U);
+  World Unsigned(AtMostOnce, 2);
+  Unsigned.head(0, 200);
+  BOOST_TEST(Unsigned.answer().m_Status == 502U);
+  World Encoded(AtMostOnce, 2);
+  Encoded.head(0, 200,
+               {{"X-Server-Signature", "s"}, {"Content-Encoding", "gzip"}});
+  BOOST_TEST(Encoded.answer().m_Status == 502U);
+}
+
+/// No connection could be made: nothing was sent, so even a call that may run
+/// once goes to another upstream; after the last the caller is told "not run".
+BOOST_AUTO_TEST_CASE(CallsThatWereNeverSentGoElsewhere) {
+  World It(AtMostOnce, 1);
+  It.end(0, TransportEnd::NotSent);
+  BOOST_TEST(It.calls() == 2U);
+  It.end(1, TransportEnd::NotSent);
+  It.end(2, TransportEnd::NotSent);
+  BOOST_TEST(It.answer().m_Status == 503U);
+  BOOST_TEST((It.answer().m_State == RunState::NotRun));
+}
+
+/// The route's time is over. A call that is on its way may have run: 504.
+BOOST_AUTO_TEST_CASE(TheRoutesTimeEndsARequestAtOnce) {
+  World It(AtMostOnce, 1, {{"X-Deadline-Ms", "900"}});
+  It.m_Timers.advance(899ms);
+  BOOST_TEST(It.m_Seen.m_Answers.empty());
+  It.m_Timers.advance(2ms);
+  BOOST_TEST(It.call(0).m_Stopped);
+  BOOST_TEST(It.answer().m_Status == 504U);
+  BOOST_TEST((It.answer().m_State == RunState::Unknown));
+}
+
+/// The caller closes its connection: the upstream's work stops at once, and
+/// nothing more is sent for it.
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesStopsTheWork) {
+  World It(Resumable, 2);
+  It.m_Seen.m_Left = true;
+  It.m_Seen.m_Gone();
+  BOOST_TEST(It.call(0).m_Stopped);
+  BOOST_TEST(It.calls() == 1U);
+  BOOST_TEST(It.m_Finished == 1);
+}
+
+/// The caller left while the process was frozen: the last check before the
+/// first byte finds it out, and so it does for an upstream that is leaving.
+BOOST_AUTO_TEST_CASE(TheLastCheckBeforeTheFirstByte) {
+  World It(AtMostOnce, 1);
+  BOOST_TEST(It.call(0).m_What.m_Wanted());
+  It.m_Balancer.setUpstreams({});
+  BOOST_TEST(!It.call(0).m_What.m_Wanted());
+  World Left(AtMostOnce, 1);
+  Left.m_Seen.m_Left = true;
+  BOOST_TEST(!Left.call(0).m_What.m_Wanted());
+  Left.end(0, TransportEnd::TooOld);
+  BOOST_TEST(Left.calls() == 1U);
+  BOOST_TEST(Left.m_Finished == 1);
+}
+
+/// A stream breaks in the middle of an event. The caller has events 1 and 2
+/// whole; the next upstream goes on after 2 and repeats it; the caller sees
+/// each event once, in order, and a whole stream.
+BOOST_AUTO_TEST_CASE(AResumableStreamGoesOnElsewhere) {
+  World It(Resumable, 2);
+  It.good(0);
+  It.bytes(0, event(1) + event(2) + "id: 3\nda");
+  It.end(0, TransportEnd::Broken);
+  BOOST_REQUIRE(It.calls() == 2U);
+  BOOST_TEST(*findHeader(It.call(1).m_What.m_Headers, "Last-Event-Id") == "2");
+  BOOST_TEST((It.call(1).m_What.m_Headers != It.call(0).m_What.m_Headers));
+  It.good(1);
+  It.bytes(1, event(2) + event(3) + event(4));
+  It.end(1, TransportEnd::Complete);
+  BOOST_TEST(It.m_Seen.m_Stream == event(1) + event(2) + event(3) + event(4));
+  BOOST_TEST(It.m_Seen.m_Ended);
+  BOOST_TEST(!It.m_Seen.m_Dropped);
+}
+
+/// A stream that may not go on elsewhere breaks, or ends within an event: the
+/// caller must see that it is not whole.
+BOOST_AUTO_TEST_CASE(ABrokenStreamIsVisiblyBroken) {
+  for (const TransportEnd How :
+       {TransportEnd::Broken, TransportEnd::Complete}) {
+    World It(NotResumable, 2);
+    It.good(0);
+    It.bytes(0, event(1) + "id: 2\nda");
+    It.end(0, How);
+    BOOST_TEST(It.calls() == 1U);
+    BOOST_TEST(It.m_Seen.m_Dropped);
+    BOOST_TEST(!It.m_Seen.m_Ended);
+    BOOST_TEST(It.m_Seen.m_Stream == event(1));
+  }
+}
+
+/// A caller resumes by itself: the upstream is told where, and no event that
+/// the caller has comes again.
+BOOST_AUTO_TEST_CASE(ACallersOwnResumptionIsPassedOn) {
+  World It(Resumable, 2, {{"Last-Event-Id", "7"}});
+  BOOST_TEST(*findHeader(It.call(0).m_What.m_Headers, "Last-Event-Id") == "7");
+  It.good(0);
+  It.bytes(0, event(7) + event(8));
+  It.end(0, TransportEnd::Complete);
+  BOOST_TEST(It.m_Seen.m_Stream == event(8));
+}
+
+/// The upstream falls silent and nothing comes from it on any call: a call that
+/// may run again goes elsewhere. One that may not waits for the end.
+BOOST_AUTO_TEST_CASE(ASilentUpstreamIsLeftByRepeatableCalls) {
+  World Again(Idempotent, 2);
+  Again.m_Timers.advance(2s);
+  BOOST_TEST(Again.calls() == 2U);
+  BOOST_TEST(Again.call(0).m_Stopped);
+  World Once(AtMostOnce, 2);
+  Once.m_Timers.advance(2s);
+  BOOST_TEST(Once.calls() == 1U);
+}
+
+/// An upstream that is only loaded gives signs of life on other calls; a second
+/// copy of the call would add to the load that makes it wait.
+BOOST_AUTO_TEST_CASE(ALoadedUpstreamIsNotAskedTwice) {
+  World It(Idempotent, 2);
+  for (int I = 0; I < 20; ++I) {
+    // The ticket of the only call is 1.
+    It.m_Balancer.heard(balance::TicketId(1), It.m_Clock.now());
+    It.m_Timers.advance(100ms);
+  }
+  BOOST_TEST(It.calls() == 1U);
+}
--- /dev/null
+++ b/tests/unit/platform_adapter_test.cpp
@@ -0,0 +1,267 @@
+/// The adapter to the users' platform: headers, manifests, entries and the
+/// store, each with what another writer or a sick store could make of it.
+#define BOOST_TEST_MODULE platform_adapter
+#include "manifest.h"
+#include "peer_registry.h"
+#include "platform_headers.h"
+#include "table_follower.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+using namespace crowstep;
+using namespace crowstep::adapter;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string GoodManifest = R"({"version":7,"routes":[
+ {"name":"r1","host":"h","prefix":"/a/","routeKind":"streaming",
+  "timeoutMs":6000,"targetLatencyMs":600,"priority":1,"service":"s1",
+  "maxAttempts":1,"anonymous":false,"resumable":false,"gapAimMs":250},
+ {"name":"r2","host":"h","prefix":"/b/","routeKind":"non_idempotent",
+  "timeoutMs":800,"targetLatencyMs":100,"priority":2,
+  "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+  "maxAttempts":2,"anonymous":true}],
+ "services":[{"name":"s1","maxConnections":370,
+  "engine":{"slots":64,"kvCapacityTokens":581322}},{"name":"s2"}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+  "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t","apiKeys":["k"],"priority":1},{"name":"u"}],
+ "laterField":{"x":1}})";
+
+const std::string GoodEntry =
+    R"({"service":"s1","address":"10.0.0.9:8080","zone":"a","version":"v1",)"
+    R"("slots":64,"state":"ready","models":[{"name":"m"}],"born":1700})";
+
+/// A store whose calls the test answers.
+class FakeStore final : public Store {
+public:
+  struct Call {
+    std::string m_Kind;   ///< "read" or "follow".
+    StoreVersion m_After; ///< Of a follow.
+    Duration m_Wait{};    ///< Of a follow.
+    Done m_Done;          ///< To be answered.
+  };
+  void read(const std::string &, const std::string &, Done OnDone) override {
+    m_Calls.push_back({"read", {}, {}, std::move(OnDone)});
+  }
+  void follow(const std::string &, StoreVersion After, Duration Wait,
+              Done OnDone) override {
+    m_Calls.push_back({"follow", After, Wait, std::move(OnDone)});
+  }
+  void write(const StoreWrite &What,
+             std::function<void(StoreWriteResult)> OnDone) override {
+    m_Writes.push_back({What, std::move(OnDone)});
+  }
+  void answer(StoreResult Result) {
+    const Call Last = std::move(m_Calls.back());
+    m_Calls.pop_back();
+    Last.m_Done(std::move(Result));
+  }
+  std::deque<Call> m_Calls; ///< Not yet answered.
+  std::vector<std::pair<StoreWrite, std::function<void(StoreWriteResult)>>>
+      m_Writes; ///< All.
+};
+
+StoreRow row(const std::string &Key, std::uint64_t Version, bool Gone = false) {
+  return {Key, "v" + std::to_string(Version), StoreVersion(Version), Gone};
+}
+
+struct Following {
+  ManualClock m_Clock;
+  ManualScheduler m_Timers{m_Clock};
+  FakeStore m_Store;
+  std::vector<std::string> m_Told;
+  TableFollower m_Table{m_Store,
+                        m_Clock,
+                        m_Timers,
+                        "t",
+                        [] { return 0.5; },
+                        {[this](const StoreRow &Row) {
+                           m_Told.push_back(
+                               (Row.m_Gone ? "-" : "+") + Row.m_Key +
+                               std::to_string(Row.m_Version.value()));
+                         },
+                         [] {}}};
+
+  Following() { m_Table.start(); }
+  std::string told() {
+    std::string Result;
+    for (const std::string &Each : m_Told)
+      Result += Each + " ";
+    m_Told.clear();
+    return Result;
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AManifestIsRead) {
+  const gateway::RouteTableData Data = readManifest(GoodManifest);
+  BOOST_TEST(Data.m_Version.value() == 7U);
+  BOOST_REQUIRE(Data.m_Routes.size() == 2U);
+  const auto &Stream = std::get<gateway::EventStream>(Data.m_Routes[0].m_Kind);
+  BOOST_TEST(!Stream.m_Resumable);
+  BOOST_TEST((Stream.m_LongestPause == 250ms));
+  BOOST_TEST((Data.m_Routes[0].m_Timeout == 6s));
+  BOOST_TEST(Data.m_Routes[1].m_Services.size() == 2U);
+  BOOST_TEST(!Data.m_Routes[1].m_NeedsKey);
+  BOOST_TEST(Data.m_Services[0].m_CacheTokens == 581322U);
+  BOOST_TEST((Data.m_Limits.m_IdleTimeout == 15s));
+  BOOST_TEST(Data.m_Workspaces[0].m_Priority.value() == 1U);
+  BOOST_TEST(!Data.m_Workspaces[1].m_Priority.has_value());
+}
+
+/// A manifest that can't be read must not take the last good one away, so it
+/// is an error as a whole and never half a table.
+BOOST_AUTO_TEST_CASE(AnUnreadableManifestIsAnError) {
+  for (const char *Text :
+       {"", "{", "[]", "7", R"({"version":"x","routes":[],"services":[]})",
+        R"({"routes":[],"services":[]})",
+        R"({"version":1,"routes":[{"host":"h"}],"services":[]})",
+        R"({"version":1,"routes":[{"host":"h","prefix":"/","service":"s",)"
+        R"("routeKind":"other"}],"services":[]})"})
+    BOOST_CHECK_THROW(readManifest(Text), StoreValueError);
+}
+
+/// Entries of another writer: fields missing or of another type, unknown
+/// states, bytes that are no text. Each names no upstream and ends nothing.
+BOOST_AUTO_TEST_CASE(AnUnreadableEntryIsAnError) {
+  const auto Without = [](const std::string &Name) {
+    std::string Text = GoodEntry;
+    Text.replace(Text.find("\"" + Name + "\""), Name.size() + 2, "\"x\"");
+    return Text;
+  };
+  for (const char *Name : {"service", "address", "zone", "state", "slots"})
+    BOOST_CHECK_THROW(readUpstreamEntry("e", Without(Name)), StoreValueError);
+  for (const std::string &Text :
+       {std::string("\xff\x00\x01", 3), std::string("null"),
+        std::string(R"({"service":1,"address":"10.0.0.9:1","zone":"a",)"
+                    R"("slots":1,"state":"ready"})"),
+        std::string(R"({"service":"s","address":"here","zone":"a",)"
+                    R"("slots":1,"state":"ready"})"),
+        std::string(R"({"service":"s","address":"10.0.0.9:1","zone":"a",)"
+                    R"("slots":"many","state":"ready"})"),
+        std::string(R"({"service":"s","address":"10.0.0.9:1","zone":"a",)"
+                    R"("slots":1,"state":"asleep"})")})
+    BOOST_CHECK_THROW(readUpstreamEntry("e", Text), StoreValueError);
+}
+
+/// An engine that starts again under its name holds nothing of before: its
+/// time of start makes it another upstream under the same name on the wire.
+BOOST_AUTO_TEST_CASE(ARestartIsAnotherUpstream) {
+  const Upstream First = readUpstreamEntry("e", GoodEntry);
+  std::string Later = GoodEntry;
+  Later.replace(Later.find("1700"), 4, "1800");
+  const Upstream Second = readUpstreamEntry("e", Later);
+  BOOST_TEST((First.m_Id != Second.m_Id));
+  BOOST_TEST(First.m_Name == Second.m_Name);
+  BOOST_TEST(!First.m_Leaving);
+}
+
+BOOST_AUTO_TEST_CASE(HeadersOfRequestsAreRead) {
+  const PlatformHeaders Codec;
+  const auto Read = Codec.readRequest({{"x-attempt-id", "a"},
+                                       {"X-Deadline-Ms", "1500"},
+                                       {"X-Token-Usage", "1460,80"},
+                                       {"X-Length-Hint", "70"},
+                                       {"X-Prefix-Hash", "5c:800,zz:1,e4:250"},
+                                       {"Last-Event-Id", "12"}});
+  const auto &Facts = std::get<gateway::RequestFacts>(Read);
+  BOOST_TEST((*Facts.m_Deadline == 1500ms));
+  BOOST_TEST(Facts.m_Prompt.m_PromptTokens == 1460U);
+  BOOST_TEST(Facts.m_Prompt.m_MaxOutput == 80U);
+  BOOST_TEST(Facts.m_Prompt.m_ExpectedOutput == 70U);
+  const std::vector<PromptPart> Parts = {{0x5c, 800}, {0xe4, 250}};
+  BOOST_TEST((Facts.m_Prompt.m_Parts == Parts));
+  BOOST_TEST(*Facts.m_LastEvent == 12U);
+}
+
+/// Only the upstream's own word says "not run"; a bare 503 does not.
+BOOST_AUTO_TEST_CASE(HeadersOfAnswersAreRead) {
+  const PlatformHeaders Codec;
+  BOOST_TEST(!Codec.readAnswer(503, {}).m_NotRun);
+  BOOST_TEST(Codec.readAnswer(503, {{"X-Not-Executed", "1"}}).m_NotRun);
+  BOOST_TEST(Codec.readAnswer(421, {}).m_NotRun);
+  const auto Load = Codec.readAnswer(200, {{"X-Server-Load", "3,1,8"}}).m_Load;
+  BOOST_REQUIRE(Load.has_value());
+  BOOST_TEST(Load->m_Running == 3U);
+  BOOST_TEST(Load->m_Slots == 8U);
+  BOOST_TEST(!Codec.readAnswer(200, {{"X-Server-Load", "3,x,8"}}).m_Load);
+}
+
+BOOST_AUTO_TEST_CASE(ATableIsReadAndFollowed) {
+  Following It;
+  It.m_Store.answer(
+      StoreRows{{row("a", 3), row("b", 5)}, StoreVersion(9), false});
+  BOOST_TEST(It.told() == "+a3 +b5 ");
+  BOOST_TEST(It.m_Store.m_Calls.back().m_Kind == "follow");
+  BOOST_TEST(It.m_Store.m_Calls.back().m_After.value() == 9U);
+  It.m_Store.answer(
+      StoreRows{{row("a", 10), row("b", 11, true)}, StoreVersion(11), false});
+  BOOST_TEST(It.told() == "+a10 -b11 ");
+  BOOST_TEST(It.m_Store.m_Calls.back().m_After.value() == 11U);
+}
+
+/// The store dropped its history: the table is read anew. A copy that is
+/// seconds old answers first; taken, it would bring back rows that are gone.
+BOOST_AUTO_TEST_CASE(AStaleCopyTakesNothingBack) {
+  Following It;
+  It.m_Store.answer(StoreRows{{row("a", 3)}, StoreVersion(9), false});
+  It.m_Store.answer(StoreRows{{row("a", 12)}, StoreVersion(12), false});
+  It.told();
+  It.m_Store.answer(StoreFailure::HistoryGone);
+  It.m_Timers.advance(1s);
+  BOOST_TEST(It.m_Store.m_Calls.back().m_Kind == "read");
+  It.m_Store.answer(
+      StoreRows{{row("a", 3), row("old", 2)}, StoreVersion(9), false});
+  BOOST_TEST(It.told().empty());
+  It.m_Timers.advance(1s);
+  It.m_Store.answer(StoreRows{{row("b", 14)}, StoreVersion(15), false});
+  BOOST_TEST(It.told() == "+b14 -a15 ");
+}
+
+/// The store is away: calls come back with growing waits that differ between
+/// instances, and the first one that gets through does not wait for changes.
+BOOST_AUTO_TEST_CASE(AnOutageEndsWithAShortCall) {
+  Following It;
+  It.m_Store.answer(StoreRows{{row("a", 3)}, StoreVersion(9), false});
+  BOOST_TEST((It.m_Store.m_Calls.back().m_Wait > 5s));
+  for (int I = 0; I < 6; ++I) {
+    It.m_Store.answer(StoreFailure::Unreachable);
+    BOOST_TEST(It.m_Store.m_Calls.empty());
+    It.m_Timers.advance(600ms);
+    BOOST_REQUIRE(It.m_Store.m_Calls.size() == 1U);
+    BOOST_TEST((It.m_Store.m_Calls.back().m_Wait == 0ms));
+  }
+  It.m_Store.answer(StoreRows{{}, StoreVersion(9), false});
+  BOOST_TEST((It.m_Store.m_Calls.back().m_Wait > 5s));
+  BOOST_TEST(It.told() == "+a3 ");
+}
+
+/// Many instances start at once; only the first makes the shared secret, under
+/// the condition that there is none, and all take the one that stands.
+BOOST_AUTO_TEST_CASE(TheFirstInstanceMakesTheLinkKey) {
+  ManualClock Clock;
+  ManualScheduler Timers(Clock);
+  FakeStore Rows;
+  std::vector<gateway::PeerList> Told;
+  PeerRegistry Registry(
+      Rows, Clock, Timers, [] { return 0.5; },
+      [&](const gateway::PeerList &List) { Told.push_back(List); });
+  Registry.start({"edge-1", {0x0a000001, 7340}});
+  BOOST_TEST(*Rows.m_Writes.at(0).first.m_Value == "10.0.0.1:7340");
+  Rows.answer(StoreRows{{}, StoreVersion(1), false});
+  BOOST_REQUIRE(Rows.m_Writes.size() == 2U);
+  BOOST_TEST(Rows.m_Writes[1].first.m_Expected->value() == 0U);
+  BOOST_TEST(Told.empty());
+  Rows.answer(StoreRows{{{"#link-key", "secret", StoreVersion(2), false},
+                         {"edge-1", "10.0.0.1:7340", StoreVersion(3), false},
+                         {"bad", "no address", StoreVersion(4), false}},
+                        StoreVersion(4),
+                        false});
+  BOOST_REQUIRE(Told.size() == 1U);
+  BOOST_TEST(Told[0].m_Key == "secret");
+  BOOST_TEST(Told[0].m_Instances.size() == 1U);
+}
--- /dev/null
+++ b/tests/unit/route_table_test.cpp
@@ -0,0 +1,94 @@
+/// Lookups in the route table and the checks before a request is placed.
+#define BOOST_TEST_MODULE route_table
+#include "gateway/admission.h"
+#include "platform_headers.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace crowstep;
+using namespace crowstep::gateway;
+
+namespace {
+
+Route route(const std::string &Prefix, unsigned Priority,
+            const std::string &Host = "api.example") {
+  Route Result;
+  Result.m_Name = Host + Prefix;
+  Result.m_Host = Host;
+  Result.m_Prefix = Prefix;
+  Result.m_Kind = PlainCall{true};
+  Result.m_Priority = Priority;
+  Result.m_Services = {{"s", 1}};
+  return Result;
+}
+
+RouteTablePtr table() {
+  RouteTableData Data;
+  Data.m_Version = RouteTableVersion(3);
+  Data.m_Routes = {route("/a/", 0), route("/a/b/", 2),
+                   route("/a/", 1, "other.example")};
+  Route Open = route("/open/", 1);
+  Open.m_NeedsKey = false;
+  Data.m_Routes.push_back(Open);
+  Data.m_Workspaces = {{"first", {"k1", "k2"}, 0}, {"plain", {"k3"}, {}}};
+  return std::make_shared<const RouteTable>(std::move(Data));
+}
+
+IncomingRequest request(const std::string &Target, HeaderList More = {}) {
+  IncomingRequest Result{"GET", Target, {{"Host", "API.example:80"}}, ""};
+  Result.m_Headers.push_back({"X-Attempt-Id", "id-1"});
+  Result.m_Headers.insert(Result.m_Headers.end(), More.begin(), More.end());
+  return Result;
+}
+
+RefusalReason refusal(const IncomingRequest &What, const RouteTablePtr &Under) {
+  const auto Result = admit(What, Under, adapter::PlatformHeaders());
+  const auto *Why = std::get_if<NotAdmitted>(&Result);
+  return Why == nullptr ? RefusalReason::None : Why->m_Reason;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(TheLongestPrefixOfTheHostWins) {
+  const RouteTablePtr Table = table();
+  BOOST_TEST(Table->find("api.example", "/a/x")->m_Name == "api.example/a/");
+  BOOST_TEST(Table->find("API.Example:8080", "/a/b/x/y")->m_Name ==
+             "api.example/a/b/");
+  BOOST_TEST(Table->find("other.example", "/a/b/x")->m_Name ==
+             "other.example/a/");
+  BOOST_TEST(Table->find("api.example", "/a") == nullptr);
+  BOOST_TEST(Table->find("api.example", "/b/a/") == nullptr);
+  BOOST_TEST(Table->find("none.example", "/a/") == nullptr);
+}
+
+/// The workspace's priority goes before the route's, and the route's decides
+/// among equals: two kinds of call of one workspace are never one rank.
+BOOST_AUTO_TEST_CASE(UrgencyIsByWorkspaceThenRoute) {
+  const RouteTablePtr Table = table();
+  const Route &Urgent = *Table->find("api.example", "/a/x");
+  const Route &Slow = *Table->find("api.example", "/a/b/x");
+  const KeyHolder *First = Table->holderOf("k2");
+  const KeyHolder *Plain = Table->holderOf("k3");
+  BOOST_TEST(Table->urgency(Urgent, First) < Table->urgency(Slow, First));
+  BOOST_TEST(Table->urgency(Slow, First) < Table->urgency(Slow, Plain));
+  BOOST_TEST(Table->urgency(Urgent, Plain) == Table->urgency(Urgent, First));
+}
+
+BOOST_AUTO_TEST_CASE(EveryRefusalHasItsReason) {
+  const RouteTablePtr Table = table();
+  // Nothing is known yet, so nothing can be said not to be there.
+  BOOST_TEST((refusal(request("/none"), nullptr) == RefusalReason::NotInForce));
+  BOOST_TEST((refusal(request("/none"), Table) == RefusalReason::UnknownPath));
+  BOOST_TEST((refusal(request("/a/x"), Table) == RefusalReason::MissingKey));
+  BOOST_TEST((refusal(request("/a/x", {{"X-Key", "k9"}}), Table) ==
+              RefusalReason::UnknownKey));
+  BOOST_TEST((refusal(request("/open/x"), Table) == RefusalReason::None));
+  BOOST_TEST((refusal(request("/a/x?q", {{"X-Key", "k1"}}), Table) ==
+              RefusalReason::None));
+  for (const HeaderField &Bad :
+       {HeaderField{"X-Deadline-Ms", "soon"},
+        HeaderField{"X-Deadline-Ms", "-1"}, HeaderField{"X-Attempt-Id", "id-2"},
+        HeaderField{"Last-Event-Id", "x"}})
+    BOOST_TEST((refusal(request("/open/x", {Bad}), Table) ==
+                RefusalReason::MalformedHeader));
+}
--- /dev/null
+++ b/tests/unit/upstream_call_test.cpp
@@ -0,0 +1,135 @@
+/// Calls to upstreams over real sockets: which ends count as whole.
+#define BOOST_TEST_MODULE upstream_call
+#include "http/upstream_call.h"
+#include "unit/loopback_peer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+using namespace crowstep;
+using namespace crowstep::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Listener final : UpstreamListener {
+  void upstreamHeaders(unsigned Status, const HeaderList &) override {
+    m_Status = Status;
+  }
+  void upstreamBytes(std::string_view Bytes) override { m_Body += Bytes; }
+  void upstreamEnded(TransportEnd How) override { m_End = How; }
+
+  unsigned m_Status = 0;
+  std::string m_Body;
+  std::optional<TransportEnd> m_End;
+};
+
+struct World {
+  LoopClock m_Clock;
+  LoopScheduler m_Timers;
+  HttpUpstreamCaller m_Caller{m_Clock, m_Timers};
+  FakeUpstream m_Upstream;
+  Listener m_Listener;
+  std::unique_ptr<UpstreamCall> m_Call;
+
+  void send(bool Repeatable = false) {
+    UpstreamSend What;
+    What.m_Where = m_Upstream.m_Address;
+    What.m_Path = "/x";
+    What.m_Body = "b";
+    What.m_Repeatable = Repeatable;
+    What.m_SendBefore = m_Clock.fresh() + 10s;
+    m_Call = m_Caller.send(What, m_Listener);
+  }
+  bool ended() {
+    return pumpUntil([&] { return m_Listener.m_End.has_value(); });
+  }
+};
+
+/// Closes \p Of with a reset.
+void reset(Peer &Of) {
+  const linger Now = {1, 0};
+  setsockopt(Of.fd(), SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
+  Of.close();
+}
+
+} // namespace
+
+/// The upstream crashes in the middle of its answer. By its length, its chunks
+/// or the reset the call must end as broken: a caller that got the rest as a
+/// whole answer would act on half a receipt.
+BOOST_AUTO_TEST_CASE(ACutAnswerIsBroken) {
+  for (const char *Text :
+       {"Content-Length: 10\r\n\r\nhalf", "Content-Length: 10\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n8\r\nhalf",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n"})
+    for (const bool Reset : {false, true})
+      BOOST_TEST_CONTEXT(Text << (Reset ? " reset" : " closed")) {
+        World It;
+        It.send();
+        Peer *Upstream = It.m_Upstream.next();
+        BOOST_REQUIRE(Upstream != nullptr);
+        Upstream->send("HTTP/1.1 200 OK\r\n" + std::string(Text));
+        BOOST_TEST(pumpUntil([&] { return It.m_Listener.m_Status == 200; }));
+        if (Reset)
+          reset(*Upstream);
+        else
+          Upstream->close();
+        BOOST_TEST(It.ended());
+        BOOST_TEST((It.m_Listener.m_End == TransportEnd::Broken));
+      }
+}
+
+/// An answer without a length ends with its connection; a reset is no end.
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutLengthEndsWithItsConnection) {
+  for (const bool Reset : {false, true}) {
+    World It;
+    It.send();
+    Peer *Upstream = It.m_Upstream.next();
+    Upstream->send("HTTP/1.1 200 OK\r\n\r\nwhole");
+    BOOST_TEST(pumpUntil([&] { return It.m_Listener.m_Body == "whole"; }));
+    if (Reset)
+      reset(*Upstream);
+    else
+      Upstream->close();
+    BOOST_TEST(It.ended());
+    BOOST_TEST((It.m_Listener.m_End ==
+                (Reset ? TransportEnd::Broken : TransportEnd::Complete)));
+  }
+}
+
+/// libsoup sends a call again by itself where a kept connection closes before
+/// an answer. The repeat would draw on no budget, so the call ends instead.
+BOOST_AUTO_TEST_CASE(AStaleKeptConnectionIsNoSecondCall) {
+  World It;
+  It.send(true);
+  Peer *Upstream = It.m_Upstream.next();
+  Upstream->send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  BOOST_TEST(It.ended());
+  It.m_Listener = Listener();
+  It.send(true);
+  BOOST_TEST(pumpUntil([&] {
+    return Upstream->received().find("POST", 10) != std::string::npos;
+  }));
+  Upstream->close();
+  BOOST_TEST(It.ended());
+  BOOST_TEST((It.m_Listener.m_End == TransportEnd::Broken));
+  BOOST_TEST(It.m_Upstream.accept() == 1U);
+}
+
+/// The last check says no: not a byte may leave.
+BOOST_AUTO_TEST_CASE(TheLastCheckKeepsACallBack) {
+  World It;
+  UpstreamSend What;
+  What.m_Where = It.m_Upstream.m_Address;
+  What.m_Path = "/x";
+  What.m_SendBefore = It.m_Clock.fresh() + 10s;
+  What.m_Wanted = [] { return false; };
+  It.m_Call = It.m_Caller.send(What, It.m_Listener);
+  BOOST_TEST(It.ended());
+  BOOST_TEST((It.m_Listener.m_End == TransportEnd::TooOld));
+  It.m_Upstream.accept();
+  BOOST_TEST((It.m_Upstream.accept() == 0U ||
+              It.m_Upstream.peer(0).received().empty()));
+}
