Feature: Explain a request from logs, and tell a restarted gateway who keeps what

A request that failed, and each call that ended without its answer, has a line of its own; `crowstepctl explain` puts one request's lines of several logs in order. gateway_test breaks a request in each of three ways and finds the cause from the log alone. Commands log to standard error, as their output is what they print.

A gateway tells a new peer what it believes of the engines' memory and of the recent work.

Process tests of the gateway against a stand-in of the store: a start without it, tables that change, leaving upstreams, a stop amid streams, bad settings.

--- a/scripts/print_events.sh
+++ b/scripts/print_events.sh
@@ -4,8 +4,9 @@
 cat <<'EOF'
 # Log events
 
-Every log line is one numbered event: time, level, program, `E` and the number,
-name, then fields as `key=value`. Numbers and names are stable. No prompt,
+Every log line is one JSON object on standard output: `at_ms` (the instance's
+time of day), `level`, `process`, `event` (the number below), `name`, then the
+event's fields as texts. Numbers and names are stable. No prompt,
 answer or key ever stands in a field. This page is printed by
 `scripts/print_events.sh`; `make check` fails where it differs from the code.
 
--- a/scripts/process_lib.sh
+++ b/scripts/process_lib.sh
@@ -14,7 +14,7 @@
 trap 'exit 1' INT TERM
 
 start() { # NAME PROGRAM: settings in $work/NAME.ini, log in $work/NAME.log
-  "$2" --config "$work/$1.ini" 2>"$work/$1.log" &
+  "$2" --config "$work/$1.ini" >"$work/$1.log" 2>&1 &
   last_pid=$!
   pids="$pids $last_pid"
 }
--- /dev/null
+++ b/src/balance/balance_type.cpp
@@ -0,0 +1,15 @@
+/// Names of outcomes.
+#include "balance/balance_type.h"
+
+#include <array>
+
+namespace crowstep::balance {
+
+std::string_view nameOf(CallOutcome Outcome) {
+  static constexpr std::array<std::string_view, 7> Names = {
+      "served",  "failed",    "silent", "refused",
+      "leaving", "no_answer", "dropped"};
+  return Names.at(static_cast<std::size_t>(Outcome));
+}
+
+} // namespace crowstep::balance
--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -78,6 +78,9 @@
   Dropped,  ///< Ended from our side; says nothing.
 };
 
+/// Returns the stable name in logs, such as "no_answer".
+std::string_view nameOf(CallOutcome Outcome);
+
 } // namespace balance
 
 } // namespace crowstep
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -234,6 +234,21 @@
   }
 }
 
+LoadDigest Balancer::wholeDigest() const {
+  LoadDigest Result;
+  for (const auto &[Id, State] : m_States) {
+    State.m_Own.tell(Id, Result.m_Loads);
+    std::vector<PromptPart> Parts;
+    m_Cache.tell(Id, Parts);
+    for (const PromptPart &Each : Parts)
+      Result.m_Parts.push_back({Id, Each});
+  }
+  // Only the proportion matters, so it does no harm to hear it from several.
+  for (const auto &[Pool, Split] : m_Splits)
+    Result.m_Work[Pool] = Split.recent();
+  return Result;
+}
+
 LoadDigest Balancer::takeDigest() {
   LoadDigest Result;
   for (const auto &[Id, State] : m_States)
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -62,6 +62,11 @@
   /// Returns what the other instances should know, and forgets the parts.
   LoadDigest takeDigest();
 
+  /// Returns all that an instance should know that has just started: what is
+  /// believed of the engines' memory. Without it a restarted instance sends
+  /// prompts to engines that have not read their beginnings.
+  [[nodiscard]] LoadDigest wholeDigest() const;
+
   /// Returns how many upstreams are listed.
   [[nodiscard]] std::size_t size() const { return m_States.size(); }
 
--- a/src/balance/cache_model.cpp
+++ b/src/balance/cache_model.cpp
@@ -40,6 +40,13 @@
   return Result;
 }
 
+void CacheModel::tell(UpstreamId Engine, std::vector<PromptPart> &Out) const {
+  const auto Found = m_Engines.find(Engine);
+  if (Found != m_Engines.end())
+    Out.insert(Out.end(), Found->second.m_Order.rbegin(),
+               Found->second.m_Order.rend());
+}
+
 void CacheModel::keepOnly(const std::vector<Upstream> &Listed) {
   std::erase_if(m_Engines, [&](const auto &Each) {
     return std::none_of(
--- a/src/balance/cache_model.h
+++ b/src/balance/cache_model.h
@@ -33,6 +33,9 @@
   [[nodiscard]] std::uint32_t kept(UpstreamId Engine,
                                    const std::vector<PromptPart> &Parts) const;
 
+  /// Appends all parts that \p Engine keeps, those used longest ago first.
+  void tell(UpstreamId Engine, std::vector<PromptPart> &Out) const;
+
   /// Forgets all engines but \p Listed.
   void keepOnly(const std::vector<Upstream> &Listed);
 
--- a/src/balance/role_split.h
+++ b/src/balance/role_split.h
@@ -29,6 +29,9 @@
   /// Adds work that was placed now, here or by another instance.
   void add(const WorkTokens &Work, TimePoint Now);
 
+  /// Returns the recent work, for an instance that has just started.
+  [[nodiscard]] const WorkTokens &recent() const { return m_Recent; }
+
   /// Returns how many of \p Engines take short prompts only: at least one, at
   /// most half; none of a single one.
   [[nodiscard]] std::size_t shortEngines(std::size_t Engines) const;
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -3,12 +3,17 @@
 
 #include "core/log_error.h"
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/layout.h>
+#include <climits>
+#include <glib.h>
+#include <log4cplus/appender.h>
+#include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loglevel.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <map>
-#include <memory>
+#include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace crowstep {
 
@@ -47,34 +52,102 @@
   return Found->second;
 }
 
-/// Quotes a value that would otherwise break the line's key=value form.
-std::string quoted(const std::string &Value) {
-  if (!Value.empty() && Value.find_first_of(" \"=\n\r\t") == std::string::npos)
-    return Value;
-  std::string Result = "\"";
-  for (const char Ch : Value) {
-    if (Ch == '"' || Ch == '\\')
-      Result += '\\';
-    Result += (Ch == '\n' || Ch == '\r') ? ' ' : Ch;
-  }
-  return Result + "\"";
-}
-
 log4cplus::Logger &logger() {
   static log4cplus::Logger Instance =
       log4cplus::Logger::getInstance("crowstep");
   return Instance;
 }
 
+/// Writes lines without ever waiting for their reader.
+///
+/// Failure: the reader of a pipe stops, the pipe fills, and a write blocks the
+/// one thread that serves callers. A line is written only when the pipe has
+/// room for it, which the kernel promises for lines up to PIPE_BUF; others are
+/// dropped and counted, so no memory grows.
+class UnblockedAppender final : public log4cplus::Appender {
+public:
+  explicit UnblockedAppender(LogTarget Target)
+      : m_Fd(Target == LogTarget::StandardOutput ? STDOUT_FILENO
+                                                 : STDERR_FILENO) {}
+  ~UnblockedAppender() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &Event) override {
+    pollfd Asked = {m_Fd, POLLOUT, 0};
+    const std::string Line = Event.getMessage() + "\n";
+    if (poll(&Asked, 1, 0) <= 0 || (Asked.revents & POLLOUT) == 0 ||
+        Line.size() > PIPE_BUF || write(m_Fd, Line.data(), Line.size()) < 0) {
+      ++m_Dropped;
+      return;
+    }
+    if (m_Dropped > 0)
+      logEvent(LogEvent::LogLinesDropped,
+               {{"count", std::to_string(std::exchange(m_Dropped, 0))}});
+  }
+
+private:
+  int m_Fd;                    ///< Never closed here.
+  std::uint64_t m_Dropped = 0; ///< Since the last line that was written.
+};
+
+/// How many lines of one event may be written in a second. A heavy day has ten
+/// requests a second at one process; the rest is for storms, in which the first
+/// lines and the count of the others tell as much as all of them.
+constexpr unsigned LinesPerSecond = 100;
+
+/// What one event has used of its second.
+struct Budget {
+  std::int64_t m_Second = 0;   ///< Of the monotonic clock.
+  unsigned m_Written = 0;      ///< Lines in that second.
+  std::uint64_t m_LeftOut = 0; ///< Lines over the limit.
+};
+
+std::string processName; // NOLINT(readability-identifier-naming)
+
+void writeLine(LogEvent What, const EventRow &Row,
+               std::initializer_list<LogField> Fields) {
+  nlohmann::ordered_json Line;
+  Line["at_ms"] = g_get_real_time() / 1000;
+  Line["level"] = log4cplus::getLogLevelManager().toString(Row.m_Level);
+  Line["process"] = processName;
+  Line["event"] = static_cast<unsigned>(What);
+  Line["name"] = Row.m_Name;
+  for (const LogField &Field : Fields)
+    Line[std::string(Field.first)] = Field.second;
+  // Bytes of callers that are no UTF-8 must not end the process.
+  logger().log(
+      Row.m_Level,
+      Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+/// Counts a line; returns whether it is within the event's budget.
+bool withinBudget(LogEvent What) {
+  static std::map<LogEvent, Budget> Budgets;
+  Budget &Used = Budgets[What];
+  const std::int64_t Second = g_get_monotonic_time() / G_USEC_PER_SEC;
+  if (Second != Used.m_Second) {
+    const std::uint64_t LeftOut = std::exchange(Used.m_LeftOut, 0);
+    Used = {Second, 0, 0};
+    if (LeftOut > 0)
+      logEvent(LogEvent::LogLinesLeftOut,
+               {{"of_event", std::to_string(static_cast<unsigned>(What))},
+                {"count", std::to_string(LeftOut)}});
+  }
+  if (++Used.m_Written <= LinesPerSecond)
+    return true;
+  ++Used.m_LeftOut;
+  return false;
+}
+
 } // namespace
 
-void startLogging(const std::string &Level, const std::string &Process) {
+void startLogging(const std::string &Level, const std::string &Process,
+                  LogTarget Target) {
   const log4cplus::LogLevel Threshold = levelOf(Level);
+  processName = Process;
   log4cplus::initialize();
-  log4cplus::SharedAppenderPtr Appender(
-      new log4cplus::ConsoleAppender(true, true));
-  Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-      "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p " + Process + " %m%n"));
+  log4cplus::SharedAppenderPtr Appender(new UnblockedAppender(Target));
   logger().removeAllAppenders();
   logger().addAppender(Appender);
   logger().setAdditivity(false);
@@ -83,17 +156,8 @@
 
 void logEvent(LogEvent What, std::initializer_list<LogField> Fields) {
   const EventRow &Row = eventRows().at(What);
-  if (!logger().isEnabledFor(Row.m_Level))
-    return;
-  std::string Line = "E" + std::to_string(static_cast<unsigned>(What)) + " ";
-  Line += Row.m_Name;
-  for (const LogField &Field : Fields) {
-    Line += ' ';
-    Line += Field.first;
-    Line += '=';
-    Line += quoted(Field.second);
-  }
-  logger().log(Row.m_Level, Line);
+  if (logger().isEnabledFor(Row.m_Level) && withinBudget(What))
+    writeLine(What, Row, Fields);
 }
 
 } // namespace crowstep
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -24,9 +24,16 @@
 /// A field of a structured log line.
 using LogField = std::pair<std::string_view, std::string>;
 
-/// Sets up logging to the standard error stream. \p Level is one of "debug",
+/// Where log lines go.
+enum class LogTarget : std::uint8_t {
+  StandardOutput, ///< Daemons.
+  StandardError,  ///< Commands, whose output is what they print.
+};
+
+/// Sets up logging, one JSON object a line. \p Level is one of "debug",
 /// "info", "warn", "error" and "off". \throws LogLevelError for another.
-void startLogging(const std::string &Level, const std::string &Process);
+void startLogging(const std::string &Level, const std::string &Process,
+                  LogTarget Target = LogTarget::StandardOutput);
 
 /// Writes one event; cheap when its level is switched off.
 void logEvent(LogEvent What, std::initializer_list<LogField> Fields = {});
--- a/src/ctl/ctl_command.cpp
+++ b/src/ctl/ctl_command.cpp
@@ -11,6 +11,7 @@
     "table show | table check FILE | table apply FILE (with --read-version) | "
     "table history | status | drain upstream|instance NAME | "
     "undrain upstream|instance NAME | "
+    "explain REQUEST LOGFILE... | "
     "order ENGINE load_model|load_adapter|unload_model|set_role NAME";
 
 namespace {
--- a/src/ctl/ctl_main.cpp
+++ b/src/ctl/ctl_main.cpp
@@ -3,6 +3,7 @@
 #include "contract/contract_func.h"
 #include "core/program.h"
 #include "ctl/ctl_command.h"
+#include "ctl/explain.h"
 #include "instance_error.h"
 
 #include <iostream>
@@ -57,7 +58,21 @@
   return Status / 100 == 2 ? ExitCode::Success : ExitCode::Failure;
 }
 
+/// explain REQUEST FILE...: works on saved logs and asks no instance.
+ExitCode explainRequest(const std::vector<std::string> &Words) {
+  if (Words.size() < 3)
+    throw ctl::CommandError(ctl::CommandHelp);
+  std::vector<std::string> Logs;
+  for (std::size_t I = 2; I < Words.size(); ++I)
+    Logs.push_back(ctl::readFile(Words[I]));
+  const std::string Story = ctl::explain(Words[1], Logs);
+  std::cout << Story;
+  return Story.empty() ? ExitCode::Failure : ExitCode::Success;
+}
+
 ExitCode run(const Options &Chosen) {
+  if (Chosen.m_Words.front() == "explain")
+    return explainRequest(Chosen.m_Words);
   const ctl::AdminCall Call = ctl::callOf(Chosen.m_Words, Chosen.m_ReadVersion);
   // A table file is checked here as well, so that a bad cell is told even
   // while no instance can be reached.
--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -87,6 +87,7 @@
 
 void DigestExchange::linkUp(link::LinkId Link, const link::Peer &Who) {
   m_Up[Link] = Who.m_Instance;
+  send(Link, m_Balancer.wholeDigest());
 }
 
 void DigestExchange::linkFrame(link::LinkId Link, const wire::Frame &Frame) {
@@ -106,6 +107,20 @@
   // Counted and logged by the links, which also try again.
 }
 
+/// Two digests of one loop iteration go out as one frame: the loads are those
+/// of the later, parts and work add up.
+void DigestExchange::send(link::LinkId Link, const balance::LoadDigest &What) {
+  std::unique_ptr<wire::GatewayDigestT> &Waiting = m_Links->outbox(Link).digest;
+  std::unique_ptr<wire::GatewayDigestT> Fresh = packed(What);
+  if (Waiting != nullptr) {
+    Fresh->parts.insert(Fresh->parts.begin(), Waiting->parts.begin(),
+                        Waiting->parts.end());
+    Fresh->work.insert(Fresh->work.begin(), Waiting->work.begin(),
+                       Waiting->work.end());
+  }
+  Waiting = std::move(Fresh);
+}
+
 void DigestExchange::tick() {
   m_Tick.start(Interval, [this] { tick(); });
   const balance::LoadDigest Digest = m_Balancer.takeDigest();
@@ -115,7 +130,7 @@
     return;
   m_ToldNothing = Nothing;
   for (const auto &[Link, Peer] : m_Up)
-    m_Links->outbox(Link).digest = packed(Digest);
+    send(Link, Digest);
 }
 
 } // namespace crowstep::gateway
--- a/src/gateway/digest_exchange.h
+++ b/src/gateway/digest_exchange.h
@@ -35,6 +35,7 @@
   void linkDown(link::LinkId Link, const link::Peer &Who,
                 link::CloseReason Why) override;
   void dialFailed(const Address &Where, link::CloseReason Why) override;
+  void send(link::LinkId Link, const balance::LoadDigest &What);
   void tick();
 
   std::string m_Name;                      ///< Own.
--- /dev/null
+++ b/src/gateway/forwarded_answer.cpp
@@ -0,0 +1,299 @@
+/// What becomes of an upstream's answer, and how a request ends.
+#include "core/log.h"
+#include "gateway/forward_limits.h"
+#include "gateway/forwarded_request.h"
+#include "http/refusal_answer.h"
+
+#include <algorithm>
+
+namespace crowstep::gateway {
+
+namespace {
+
+constexpr unsigned HttpOk = 200;
+constexpr unsigned FirstRedirect = 300;
+constexpr unsigned FirstServerError = 500;
+
+/// Statuses by which an upstream says that it did not run a call. Without its
+/// proof they can't be passed on: they would promise that to the caller.
+bool promisesNotRun(unsigned Status) {
+  constexpr unsigned RequestTimeout = 408;
+  constexpr unsigned Misdirected = 421;
+  constexpr unsigned TooManyRequests = 429;
+  constexpr unsigned Unavailable = 503;
+  return Status == RequestTimeout || Status == Misdirected ||
+         Status == TooManyRequests || Status == Unavailable;
+}
+
+} // namespace
+
+// ---- Answers ----------------------------------------------------------------
+
+void ForwardedRequest::upstreamHeaders(unsigned Status,
+                                       const HeaderList &Headers) {
+  takeHead(Status, Headers);
+}
+
+void ForwardedRequest::takeHead(unsigned Status, const HeaderList &Headers) {
+  const AnswerFacts Facts = m_World.m_Codec.readAnswer(Status, Headers);
+  m_World.m_Balancer.heard(m_Ticket, m_World.m_Clock.now());
+  // The answer to an earlier call, sent late on a kept connection, or bytes
+  // that are no answer of an upstream at all.
+  if (Facts.m_RequestId != m_What.m_Facts.m_Id && !Facts.m_NotRun) {
+    m_MayHaveRun = true;
+    upstreamFailed(balance::CallOutcome::Failed, RetryReason::ClosedBeforeByte);
+    return;
+  }
+  if (Facts.m_Load)
+    m_World.m_Balancer.reported(m_Ticket, *Facts.m_Load, m_World.m_Clock.now());
+  if (Facts.m_NotRun) {
+    upstreamRefused(Facts.m_OtherUpstream || Facts.m_Leaving
+                        ? balance::CallOutcome::Leaving
+                        : balance::CallOutcome::Refused);
+    return;
+  }
+  m_MayHaveRun = true;
+  const bool Good = Status >= HttpOk && Status < FirstRedirect;
+  if ((Good && !Facts.m_Signed) || Facts.m_Encoded) {
+    upstreamFailed(balance::CallOutcome::Failed, RetryReason::ClosedBeforeByte);
+    return;
+  }
+  m_Status = Status;
+  if (!m_Streaming)
+    m_AnswerHeaders = Headers;
+  if (m_Streaming && !Good) {
+    upstreamFailed(balance::CallOutcome::Failed, RetryReason::ClosedMidStream);
+    return;
+  }
+  if (Good && stream() != nullptr)
+    m_Silence.stop();
+}
+
+void ForwardedRequest::upstreamRefused(balance::CallOutcome Outcome) {
+  endCall(Outcome);
+  tryAgain(Outcome == balance::CallOutcome::Leaving
+               ? RetryReason::UpstreamLeaving
+               : RetryReason::UpstreamRefused);
+}
+
+void ForwardedRequest::upstreamFailed(balance::CallOutcome Outcome,
+                                      RetryReason Why) {
+  endCall(Outcome);
+  if (repeatable()) {
+    tryAgain(Why);
+    return;
+  }
+  giveUp(RefusalReason::UpstreamFailed, Duration::zero());
+}
+
+void ForwardedRequest::upstreamBytes(std::string_view Bytes) {
+  const bool Good = m_Status >= HttpOk && m_Status < FirstRedirect;
+  if (Good && stream() != nullptr)
+    takeEvents(Bytes);
+  else
+    m_Body.append(Bytes);
+}
+
+void ForwardedRequest::takeEvents(std::string_view Bytes) {
+  m_World.m_Balancer.heard(m_Ticket, m_World.m_Clock.now());
+  for (const SseEvent &Event : m_Splitter.feed(Bytes))
+    relay(Event);
+  constexpr int PausesToWait = 4;
+  constexpr Duration LeastPause = std::chrono::milliseconds(1000);
+  if (m_Call != nullptr && repeatable())
+    watchSilence(std::max(stream()->m_LongestPause * PausesToWait, LeastPause));
+}
+
+void ForwardedRequest::relay(const SseEvent &Event) {
+  // A resumed stream may begin with what the caller has already.
+  if (Event.m_Id && m_LastId && *Event.m_Id <= *m_LastId)
+    return;
+  if (!m_Streaming)
+    beginStream();
+  m_Caller->append(Event.m_Bytes);
+  ++m_Events;
+  if (Event.m_Id)
+    m_LastId = Event.m_Id;
+  // A caller that reads slowly must not make this process hold its whole
+  // answer; the engine is held back by its own socket instead.
+  constexpr std::size_t CallerBacklog = 64 << 10;
+  if (m_Call != nullptr && m_Caller->backlog() > CallerBacklog)
+    m_Call->pauseReading();
+}
+
+HeaderList ForwardedRequest::answerHeaders() const {
+  HeaderList Result = endToEndHeaders(m_AnswerHeaders);
+  std::erase_if(Result, [](const HeaderField &Field) {
+    return sameHeader(Field.m_Name, "Content-Type");
+  });
+  if (m_World.m_Leaving())
+    Result.push_back({"Connection", "close"});
+  return Result;
+}
+
+void ForwardedRequest::beginStream() {
+  m_Streaming = true;
+  m_World.m_Balancer.answered(m_Ticket, m_World.m_Clock.now());
+  m_FirstEvent = m_World.m_Clock.now();
+  m_Stats.m_FirstEvent->record(m_FirstEvent - m_Begin);
+  CallerAnswer Head;
+  Head.m_Status = m_Status;
+  Head.m_ContentType = "text/event-stream";
+  Head.m_Headers = answerHeaders();
+  m_Caller->beginStream(Head);
+}
+
+void ForwardedRequest::upstreamEnded(TransportEnd How) {
+  switch (How) {
+  case TransportEnd::NotSent:
+    --m_Sends;
+    endCall(balance::CallOutcome::NoAnswer);
+    if (++m_Misses > MaxMisses) {
+      giveUp(m_MayHaveRun ? RefusalReason::UpstreamFailed
+                          : RefusalReason::NoUpstream,
+             BusyRetryAfter);
+      return;
+    }
+    m_World.m_Stats.retried(RetryReason::ConnectFailed);
+    attempt();
+    return;
+  case TransportEnd::TooOld:
+    --m_Sends;
+    endCall(balance::CallOutcome::Dropped);
+    if (m_Caller->hasLeft())
+      callerGone();
+    else if (timeLeft() <= Duration::zero())
+      timeIsOver();
+    else
+      attempt();
+    return;
+  case TransportEnd::Broken:
+    m_MayHaveRun = true;
+    upstreamFailed(balance::CallOutcome::Failed,
+                   m_Streaming ? RetryReason::ClosedMidStream
+                               : RetryReason::ClosedBeforeByte);
+    return;
+  case TransportEnd::Complete:
+    break;
+  }
+  const bool Good = m_Status >= HttpOk && m_Status < FirstRedirect;
+  if (Good && stream() != nullptr)
+    streamEnded();
+  else
+    plainEnded();
+}
+
+void ForwardedRequest::streamEnded() {
+  if (m_Splitter.midEvent() || !m_Streaming) {
+    upstreamFailed(balance::CallOutcome::Failed,
+                   m_Streaming ? RetryReason::ClosedMidStream
+                               : RetryReason::ClosedBeforeByte);
+    return;
+  }
+  endCall(balance::CallOutcome::Served);
+  m_Caller->endStream();
+  m_Stats.m_Finished->add();
+  ended("served");
+}
+
+void ForwardedRequest::plainEnded() {
+  const bool Good = m_Status < FirstServerError;
+  endCall(Good ? balance::CallOutcome::Served : balance::CallOutcome::Failed);
+  if (!Good && repeatable() && mayTryAgain() &&
+      m_World.m_Budget.take(m_Service, m_World.m_Clock.now())) {
+    m_World.m_Stats.retried(RetryReason::ClosedBeforeByte);
+    attempt();
+    return;
+  }
+  if (promisesNotRun(m_Status)) {
+    giveUp(RefusalReason::UpstreamFailed, Duration::zero());
+    return;
+  }
+  answerPlain();
+}
+
+void ForwardedRequest::answerPlain() {
+  CallerAnswer Whole;
+  Whole.m_Status = m_Status;
+  const std::string *Type = findHeader(m_AnswerHeaders, "Content-Type");
+  Whole.m_ContentType = Type == nullptr ? "application/octet-stream" : *Type;
+  Whole.m_Headers = answerHeaders();
+  Whole.m_Body = m_Body;
+  m_Caller->answer(Whole);
+  if (m_Status < FirstServerError)
+    m_Stats.m_Finished->add();
+  ended(m_Status < FirstServerError ? "served" : "upstream_error");
+}
+
+// ---- Ends -------------------------------------------------------------------
+
+void ForwardedRequest::giveUp(RefusalReason Reason, Duration RetryAfter) {
+  m_World.m_Stats.refused(Reason);
+  if (m_Streaming) {
+    // The caller must see that the stream is not whole.
+    m_Caller->drop();
+    ended(nameOf(Reason));
+    return;
+  }
+  if (m_MayHaveRun && promisesNotRun(httpStatusOf(Reason)))
+    Reason = RefusalReason::UpstreamFailed;
+  CallerAnswer Answer =
+      refusalAnswer(Reason, m_MayHaveRun ? RunState::Unknown : RunState::NotRun,
+                    Duration::zero());
+  Answer.m_Headers = m_World.m_Codec.writeRefusal(
+      m_What.m_Facts.m_Id, m_MayHaveRun ? Duration::zero() : RetryAfter);
+  if (m_World.m_Leaving())
+    Answer.m_Headers.push_back({"Connection", "close"});
+  m_Caller->answer(Answer);
+  ended(nameOf(Reason));
+}
+
+void ForwardedRequest::timeIsOver() {
+  if (m_Call != nullptr) {
+    // Bytes may be on their way: whether it runs is not known.
+    m_MayHaveRun = true;
+    endCall(balance::CallOutcome::Dropped);
+  }
+  giveUp(RefusalReason::TimedOut, Duration::zero());
+}
+
+void ForwardedRequest::callerGone() {
+  if (m_Call != nullptr)
+    endCall(balance::CallOutcome::Dropped);
+  m_World.m_Stats.refused(RefusalReason::CallerGone);
+  m_Caller->drop();
+  ended(nameOf(RefusalReason::CallerGone));
+}
+
+void ForwardedRequest::ended(std::string_view Outcome) {
+  m_Limit.stop();
+  m_Silence.stop();
+  const Duration Took = m_World.m_Clock.now() - m_Begin;
+  m_Stats.m_Total->record(Took);
+  const bool Served = Outcome == "served";
+  logEvent(
+      Served ? LogEvent::GatewayRequestServed : LogEvent::GatewayRequestFailed,
+      {{"request", m_What.m_Facts.m_Id},
+       {"route", m_What.m_Route->m_Name},
+       {"outcome", std::string(Outcome)},
+       {"status", std::to_string(m_Status)},
+       {"upstream", m_Upstream},
+       {"sends", std::to_string(m_Sends)},
+       {"events", std::to_string(m_Events)},
+       {"urgency", std::to_string(m_What.m_Urgency)},
+       {"options", std::to_string(m_Why.m_Options)},
+       {"calls", std::to_string(static_cast<int>(m_Why.m_Calls))},
+       {"unread", std::to_string(m_Why.m_UnreadTokens)},
+       {"missing", std::to_string(m_Why.m_MissingTokens)},
+       {"peers", std::to_string(m_Why.m_Peers)},
+       {"prompt", std::to_string(m_What.m_Facts.m_Prompt.m_PromptTokens)},
+       {"first_us",
+        std::to_string(m_Streaming ? (m_FirstEvent - m_Begin).count() : 0)},
+       {"took_us", std::to_string(Took.count())}});
+  const std::function<void()> Job = std::move(m_OnEnded);
+  m_OnEnded = nullptr;
+  if (Job)
+    Job();
+}
+
+} // namespace crowstep::gateway
--- a/src/load/load_main.cpp
+++ b/src/load/load_main.cpp
@@ -14,7 +14,7 @@
 ExitCode runLoad(int Argc, char **Argv) {
   // A peer that closes must not end the process with SIGPIPE.
   std::signal(SIGPIPE, SIG_IGN);
-  startLogging("info", "crowstep-load");
+  startLogging("info", "crowstep-load", LogTarget::StandardError);
   try {
     return load::execute(load::parseCommand(Argc, Argv));
   } catch (const load::LoadFileError &Failure) {
--- a/src/refusal_type.h
+++ b/src/refusal_type.h
@@ -1,7 +1,7 @@
 /// Why a request was refused or an attempt repeated, and what became of it.
 ///
 /// Each reason is stable: it stands in answers, in counters of the same name
-/// and in docs/OPERATING.md. New reasons are added at the end.
+/// and in docs/OPERATIONS.md. New reasons are added at the end.
 #ifndef CROWSTEP_REFUSAL_TYPE_H
 #define CROWSTEP_REFUSAL_TYPE_H
 
--- /dev/null
+++ b/tests/process/gateway_test.cpp
@@ -0,0 +1,344 @@
+/// The gateway as a real process, between stand-ins of the platform's store and
+/// of upstreams that live in the test's own loop.
+#define BOOST_TEST_MODULE gateway
+#include "ctl/explain.h"
+#include "process/caller.h"
+#include "process/process.h"
+#include "standin/store_server.h"
+#include "unit/loopback_peer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace crowstep;
+using namespace crowstep::test;
+using namespace std::chrono_literals;
+using standin::StoreServer;
+
+namespace {
+
+using Json = nlohmann::json;
+
+Address local(std::uint16_t Port) { return {INADDR_LOOPBACK, Port}; }
+
+/// An upstream that signs its answers. Paths below /stream/ get an event each
+/// 100 ms until there are ten; others are answered at once.
+class SigningUpstream {
+public:
+  explicit SigningUpstream(std::string Name) : m_Name(std::move(Name)) {
+    m_Where = local(freePort());
+    m_Server.listen(m_Where,
+                    [this](SoupServerMessage *Message, const char *Path) {
+                      handle(Message, Path);
+                    });
+  }
+
+  std::string m_Name;      ///< As the store lists it.
+  Address m_Where;         ///< Where it listens.
+  int m_Calls = 0;         ///< So far.
+  std::string m_Workspace; ///< Header of the last call.
+
+private:
+  struct Stream {
+    SoupServerMessage *m_Message; ///< A reference is held.
+    int m_Sent;                   ///< Events so far.
+  };
+
+  void handle(SoupServerMessage *Message, const std::string &Path) {
+    ++m_Calls;
+    m_Workspace = requestHeader(Message, "X-Tenant");
+    SoupMessageHeaders *Headers =
+        soup_server_message_get_response_headers(Message);
+    for (const char *Name : {"X-Attempt-Id", "X-Tenant"})
+      soup_message_headers_replace(Headers, Name,
+                                   requestHeader(Message, Name).c_str());
+    soup_message_headers_replace(Headers, "X-Server-Signature", "s");
+    if (Path.find("crash") != std::string::npos) {
+      g_socket_shutdown(soup_server_message_get_socket(Message), 1, 1, nullptr);
+      return;
+    }
+    if (Path.find("/stream/") == std::string::npos) {
+      respond(Message, 200, "text/plain", "from " + m_Name);
+      return;
+    }
+    soup_server_message_set_status(Message, 200, nullptr);
+    soup_message_headers_set_encoding(Headers, SOUP_ENCODING_CHUNKED);
+    soup_message_headers_replace(Headers, "Content-Type", "text/event-stream");
+    g_timeout_add(100, onTick,
+                  new Stream{SOUP_SERVER_MESSAGE(g_object_ref(Message)), 0});
+    soup_server_message_pause(Message);
+  }
+
+  static int onTick(void *Data) {
+    auto *Each = static_cast<Stream *>(Data);
+    const std::string Text =
+        "id: " + std::to_string(++Each->m_Sent) + "\ndata: x\n\n";
+    SoupMessageBody *Body =
+        soup_server_message_get_response_body(Each->m_Message);
+    soup_message_body_append(Body, SOUP_MEMORY_COPY, Text.data(), Text.size());
+    const char *Path =
+        g_uri_get_path(soup_server_message_get_uri(Each->m_Message));
+    const bool Breaks = Each->m_Sent == 4 &&
+                        std::string(Path).find("break") != std::string::npos;
+    const bool Last = Each->m_Sent == 10 || Breaks;
+    if (Breaks)
+      g_socket_shutdown(soup_server_message_get_socket(Each->m_Message), 1, 1,
+                        nullptr);
+    else if (Last)
+      soup_message_body_complete(Body);
+    soup_server_message_unpause(Each->m_Message);
+    if (!Last)
+      return G_SOURCE_CONTINUE;
+    g_object_unref(Each->m_Message);
+    delete Each;
+    return G_SOURCE_REMOVE;
+  }
+
+  HttpServer m_Server; ///< Towards gateways.
+};
+
+struct World {
+  TemporaryFolder m_Folder;
+  StoreServer m_Store;
+  Address m_StoreAt = local(freePort());
+  Address m_Front = local(freePort());
+  Address m_Probes = local(freePort());
+  SigningUpstream m_First{"u-1"};
+  SigningUpstream m_Second{"u-2"};
+  Caller m_Caller;
+  std::unique_ptr<Process> m_Gateway;
+
+  World() { m_Store.listen(m_StoreAt); }
+
+  std::string settings() const {
+    return "[instance]\nname=edge-1\nzone=a\n[gateway]\nlisten=" +
+           toString(m_Front) + "\nlinks=" + toString(local(freePort())) +
+           "\nprobes=" + toString(m_Probes) +
+           "\nreadiness_path=/readiness\ngrace_s=8\n[retry_budget]\n"
+           "ratio=0.2\nslack=50\nwindow_s=10\n[store]\naddress=" +
+           toString(m_StoreAt) + "\n";
+  }
+  void start() {
+    m_Gateway = std::make_unique<Process>(m_Folder, "crowstep-gateway",
+                                          "gateway", settings());
+  }
+  void putManifest(int Version, const std::string &Key = "key-1") {
+    const Json Manifest = {{"version", Version},
+                           {"routes",
+                            {{{"name", "plain"},
+                              {"host", "h.example"},
+                              {"prefix", "/plain/"},
+                              {"routeKind", "non_idempotent"},
+                              {"timeoutMs", 2000},
+                              {"targetLatencyMs", 100},
+                              {"priority", 0},
+                              {"service", "s"},
+                              {"maxAttempts", 1}},
+                             {{"name", "stream"},
+                              {"host", "h.example"},
+                              {"prefix", "/stream/"},
+                              {"routeKind", "streaming"},
+                              {"timeoutMs", 9000},
+                              {"targetLatencyMs", 1000},
+                              {"priority", 1},
+                              {"service", "s"},
+                              {"maxAttempts", 1},
+                              {"gapAimMs", 500}}}},
+                           {"services", {{{"name", "s"}}}},
+                           {"tenants", {{{"name", "w"}, {"apiKeys", {Key}}}}}};
+    m_Store.put("op", "config", Manifest.dump());
+  }
+  void putUpstream(const SigningUpstream &Which, const std::string &State) {
+    m_Store.put("servers", Which.m_Name,
+                Json{{"service", "s"},
+                     {"address", toString(Which.m_Where)},
+                     {"zone", "a"},
+                     {"slots", 4},
+                     {"state", State}}
+                    .dump());
+  }
+  Call request(const std::string &Path, const std::string &Key = "key-1") {
+    static int Number = 0;
+    Call Result;
+    Result.m_Where = m_Front;
+    Result.m_Path = Path;
+    Result.m_Body = "b";
+    Result.m_Headers = {{"Host", "h.example"},
+                        {"X-Attempt-Id", "a" + std::to_string(++Number)},
+                        {"X-Key", Key}};
+    return Result;
+  }
+  unsigned readiness() {
+    Call Asked;
+    Asked.m_Method = "GET";
+    Asked.m_Where = m_Probes;
+    Asked.m_Path = "/readiness";
+    return m_Caller.call(Asked).m_Status;
+  }
+  bool becomesReady() {
+    return runUntil([&] { return readiness() == 200; }, 10s);
+  }
+  void serve() {
+    putManifest(1);
+    putUpstream(m_First, "ready");
+    start();
+    BOOST_TEST(becomesReady());
+  }
+};
+
+} // namespace
+
+// A caller asks a gateway that has just started while the store is away. It is
+// told "not run" and to come back, never that its route is not there; as soon
+// as the store answers, the gateway serves.
+BOOST_AUTO_TEST_CASE(AStartWithoutTheStoreRefusesUntilItKnows) {
+  World It;
+  It.m_Store.setMode(StoreServer::Mode::Busy);
+  It.putManifest(1);
+  It.putUpstream(It.m_First, "ready");
+  It.start();
+  BOOST_TEST(runUntil([&] { return It.readiness() == 503; }, 10s));
+  const Told Early = It.m_Caller.call(It.request("/plain/x"));
+  BOOST_TEST(Early.m_Status == 503U);
+  BOOST_TEST(Early.m_Run == "not-run");
+  BOOST_TEST(!Early.m_RetryAfter.empty());
+  It.m_Store.setMode(StoreServer::Mode::Up);
+  BOOST_TEST(It.becomesReady());
+  const Told Served = It.m_Caller.call(It.request("/plain/x"));
+  BOOST_TEST(Served.m_Status == 200U);
+  BOOST_TEST(Served.m_Body == "from u-1");
+  BOOST_TEST(It.m_First.m_Workspace == "w");
+}
+
+// Requests that no table allows are refused with their reason; a key that a new
+// version takes away is refused at once, and a version that can't be read
+// changes nothing.
+BOOST_AUTO_TEST_CASE(TheTableInForceDecides) {
+  World It;
+  It.serve();
+  BOOST_TEST(It.m_Caller.call(It.request("/none/x")).m_Status == 404U);
+  BOOST_TEST(It.m_Caller.call(It.request("/plain/x", "other")).m_Status ==
+             401U);
+  It.m_Store.put("op", "config", "{no manifest");
+  BOOST_TEST(It.m_Caller.call(It.request("/plain/x")).m_Status == 200U);
+  It.putManifest(2, "key-2");
+  BOOST_TEST(runUntil(
+      [&] { return It.m_Caller.call(It.request("/plain/x")).m_Status == 401; },
+      5s));
+  BOOST_TEST(It.m_Caller.call(It.request("/plain/x", "key-2")).m_Status ==
+             200U);
+  It.putManifest(1); // An older version never comes back.
+  runFor(300ms);
+  BOOST_TEST(It.m_Caller.call(It.request("/plain/x")).m_Status == 401U);
+}
+
+// An upstream says that it is leaving, by way of the store: it gets nothing
+// new. Its history is then dropped, and an entry of another writer appears.
+BOOST_AUTO_TEST_CASE(ALeavingUpstreamGetsNothingNew) {
+  World It;
+  It.serve();
+  It.putUpstream(It.m_Second, "ready");
+  It.putUpstream(It.m_First, "draining");
+  runFor(500ms);
+  const int Before = It.m_First.m_Calls;
+  for (int I = 0; I < 5; ++I)
+    BOOST_TEST(It.m_Caller.call(It.request("/plain/x")).m_Body == "from u-2");
+  It.m_Store.put("servers", "u-3", "\xff\xfe");
+  It.m_Store.dropHistory();
+  runFor(1500ms);
+  BOOST_TEST(It.m_Caller.call(It.request("/plain/x")).m_Body == "from u-2");
+  BOOST_TEST(It.m_First.m_Calls == Before);
+}
+
+// SIGTERM comes in the middle of streams. Each runs to its end; a request that
+// arrives soon after is still served and its connection then closed; later the
+// gateway takes no connection and ends by itself, within its grace.
+BOOST_AUTO_TEST_CASE(AStopCutsNothing) {
+  World It;
+  It.serve();
+  std::vector<std::shared_ptr<const Told>> Streams;
+  for (int I = 0; I < 5; ++I)
+    Streams.push_back(It.m_Caller.start(It.request("/stream/x")));
+  BOOST_TEST(runUntil(
+      [&] {
+        return std::all_of(Streams.begin(), Streams.end(),
+                           [](const auto &S) { return !S->m_Body.empty(); });
+      },
+      10s));
+  It.m_Gateway->signal(SIGTERM);
+  BOOST_TEST(runUntil([&] { return It.readiness() == 503; }, 2s));
+  BOOST_TEST(It.m_Caller.call(It.request("/plain/x")).m_Status == 200U);
+  BOOST_TEST(runUntil(
+      [&] {
+        return std::all_of(Streams.begin(), Streams.end(),
+                           [](const auto &S) { return S->m_Ended; });
+      },
+      10s));
+  for (const auto &Each : Streams) {
+    BOOST_TEST(!Each->m_Broken);
+    BOOST_TEST(Each->m_Body.find("id: 10\n") != std::string::npos);
+  }
+  BOOST_TEST((It.m_Gateway->wait(8s) == 0));
+}
+
+// Three callers complain, with nothing but their requests' ids: one was refused
+// for want of an upstream, one's stream broke and could not go on elsewhere,
+// one got no outcome after the upstream's crash. The log alone tells each
+// cause, and no key or body stands in it.
+BOOST_AUTO_TEST_CASE(TheLogTellsWhyARequestFailed) {
+  World It;
+  It.putManifest(1);
+  It.start();
+  BOOST_TEST(runUntil([&] { return It.readiness() == 200; }, 10s));
+  const auto Told = [&](const std::string &Path) {
+    const Call What = It.request(Path);
+    It.m_Caller.call(What);
+    return ctl::explain(What.m_Headers.at("X-Attempt-Id"),
+                        {It.m_Gateway->log()});
+  };
+  const auto Has = [](const std::string &Story, const std::string &Text) {
+    return Story.find(Text) != std::string::npos;
+  };
+  const std::string Refused = Told("/plain/x");
+  BOOST_TEST(Has(Refused, "outcome=no_upstream"));
+  BOOST_TEST(Has(Refused, "sends=0"));
+  It.putUpstream(It.m_First, "ready");
+  runFor(300ms);
+  const std::string Broken = Told("/stream/break");
+  BOOST_TEST(Has(Broken, "GatewayCallEnded"));
+  BOOST_TEST(Has(Broken, "events=3"));
+  BOOST_TEST(Has(Broken, "outcome=upstream_failed"));
+  BOOST_TEST(Has(Broken, "GatewayUpstreamListed"));
+  const std::string Unknown = Told("/plain/crash");
+  BOOST_TEST(Has(Unknown, "may_have_run=1"));
+  BOOST_TEST(Has(Unknown, "upstream=u-1"));
+  BOOST_TEST(!Has(It.m_Gateway->log(), "key-1"));
+}
+
+// Settings without a field end the program with 2 and its name; a file that
+// breaks while the gateway runs changes nothing, and one that is mended does.
+BOOST_AUTO_TEST_CASE(BadSettingsAreNamed) {
+  World It;
+  std::string Broken = It.settings();
+  Broken.erase(Broken.find("grace_s=8\n"), 10);
+  Process Fails(It.m_Folder, "crowstep-gateway", "broken", Broken);
+  BOOST_TEST((Fails.wait(10s) == 2));
+  BOOST_TEST(Fails.log().find("grace_s") != std::string::npos);
+  It.serve();
+  It.m_Folder.write("gateway.ini", "no settings");
+  BOOST_TEST(runUntil(
+      [&] {
+        return It.m_Gateway->log().find("ProgramReloadFailed") !=
+               std::string::npos;
+      },
+      10s));
+  BOOST_TEST(It.m_Caller.call(It.request("/plain/x")).m_Status == 200U);
+  It.m_Folder.write("gateway.ini", It.settings());
+  It.m_Gateway->signal(SIGHUP);
+  BOOST_TEST(runUntil(
+      [&] {
+        return It.m_Gateway->log().find("\"ProgramReloaded\"") !=
+               std::string::npos;
+      },
+      10s));
+}
--- /dev/null
+++ b/tests/standin/store_server.cpp
@@ -0,0 +1,180 @@
+/// A stand-in for the platform's store.
+#include "standin/store_server.h"
+
+#include <cstdlib>
+#include <glib.h>
+
+namespace crowstep::standin {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr unsigned HttpOk = 200;
+constexpr unsigned HttpGone = 410;
+constexpr unsigned HttpPreconditionFailed = 412;
+constexpr unsigned HttpUnavailable = 503;
+
+std::string encoded(const std::string &Bytes) {
+  char *Text = g_base64_encode(reinterpret_cast<const guchar *>(Bytes.data()),
+                               Bytes.size());
+  std::string Result(Text);
+  g_free(Text);
+  return Result;
+}
+
+std::string decoded(const std::string &Text) {
+  gsize Size = 0;
+  guchar *Bytes = g_base64_decode(Text.c_str(), &Size);
+  std::string Result(reinterpret_cast<const char *>(Bytes), Size);
+  g_free(Bytes);
+  return Result;
+}
+
+std::string queryValue(SoupServerMessage *Message, const char *Name) {
+  const char *Query = g_uri_get_query(soup_server_message_get_uri(Message));
+  if (Query == nullptr)
+    return {};
+  GHashTable *Values = soup_form_decode(Query);
+  const auto *Found =
+      static_cast<const char *>(g_hash_table_lookup(Values, Name));
+  std::string Result = Found == nullptr ? "" : Found;
+  g_hash_table_unref(Values);
+  return Result;
+}
+
+} // namespace
+
+void StoreServer::listen(const Address &Where) {
+  m_Server.listen(Where, [this](SoupServerMessage *Message, const char *Path) {
+    handle(Message, Path);
+  });
+}
+
+void StoreServer::put(const std::string &Table, const std::string &Key,
+                      const std::string &Value) {
+  m_Tables[Table][Key] = {Value, ++m_Version};
+  answerWaiting();
+}
+
+void StoreServer::dropHistory() {
+  m_Oldest = m_Version;
+  answerWaiting();
+}
+
+void StoreServer::handle(SoupServerMessage *Message, const std::string &Path) {
+  if (m_Mode == Mode::Busy) {
+    respond(Message, HttpUnavailable, "text/plain", "");
+    return;
+  }
+  if (m_Mode == Mode::Silent) {
+    g_object_ref(Message); // Never answered; freed with the process.
+    soup_server_message_pause(Message);
+    return;
+  }
+  const std::string Name = queryValue(Message, "table");
+  if (Path == "/rows-get")
+    read(Message, Name);
+  else if (Path == "/rows-feed")
+    follow(Message, Name,
+           std::strtoull(queryValue(Message, "after").c_str(), nullptr, 10),
+           queryValue(Message, "waitMs") != "0");
+  else
+    transact(Message);
+}
+
+void StoreServer::answer(SoupServerMessage *Message, Json Body) const {
+  Body["schemaVersion"] = m_Version;
+  Body["nowMs"] = g_get_monotonic_time() / 1000;
+  respond(Message, HttpOk, "application/json", Body.dump());
+}
+
+void StoreServer::read(SoupServerMessage *Message, const std::string &Name) {
+  Json Rows = Json::array();
+  for (const auto &[Key, Row] : m_Tables[Name])
+    if (!Row.m_Value.empty())
+      Rows.push_back({{"table", Name},
+                      {"part", ""},
+                      {"key", Key},
+                      {"value", encoded(Row.m_Value)},
+                      {"schemaVersion", Row.m_Version}});
+  answer(Message, {{"rows", Rows}, {"hasMore", false}});
+}
+
+Json StoreServer::changes(const std::string &Name, std::uint64_t After) {
+  std::map<std::uint64_t, Json> Ordered;
+  for (const auto &[Key, Row] : m_Tables[Name]) {
+    if (Row.m_Version <= After)
+      continue;
+    Json &Told = Ordered[Row.m_Version];
+    Told = {{"table", Name},
+            {"part", ""},
+            {"key", Key},
+            {"schemaVersion", Row.m_Version}};
+    if (Row.m_Value.empty())
+      Told["deleted"] = true;
+    else
+      Told["value"] = encoded(Row.m_Value);
+  }
+  Json Rows = Json::array();
+  for (const auto &[Version, Told] : Ordered)
+    Rows.push_back(Told);
+  return Rows;
+}
+
+void StoreServer::follow(SoupServerMessage *Message, const std::string &Name,
+                         std::uint64_t After, bool Waits) {
+  if (After < m_Oldest) {
+    respond(Message, HttpGone, "text/plain", "");
+    return;
+  }
+  const Json Rows = changes(Name, After);
+  if (!Rows.empty() || !Waits) {
+    answer(Message, {{"rows", Rows}});
+    return;
+  }
+  soup_server_message_pause(Message);
+  m_Waiting.push_back(
+      {SOUP_SERVER_MESSAGE(g_object_ref(Message)), Name, After});
+}
+
+void StoreServer::answerWaiting() {
+  std::vector<Waiting> Still;
+  for (const Waiting &Each : m_Waiting) {
+    const Json Rows = changes(Each.m_Table, Each.m_After);
+    if (Rows.empty() && Each.m_After >= m_Oldest) {
+      Still.push_back(Each);
+      continue;
+    }
+    if (soup_server_message_get_socket(Each.m_Message) != nullptr) {
+      if (Each.m_After < m_Oldest)
+        respond(Each.m_Message, HttpGone, "text/plain", "");
+      else
+        answer(Each.m_Message, {{"rows", Rows}});
+      soup_server_message_unpause(Each.m_Message);
+    }
+    g_object_unref(Each.m_Message);
+  }
+  m_Waiting = std::move(Still);
+}
+
+void StoreServer::transact(SoupServerMessage *Message) {
+  const Json Body = Json::parse(requestBody(Message));
+  for (const Json &Expected : Body.at("expectedRevision")) {
+    const Row &Present = m_Tables[Expected.at("table")][Expected.at("key")];
+    const std::uint64_t Version =
+        Present.m_Value.empty() ? 0 : Present.m_Version;
+    if (Version != Expected.at("schemaVersion").get<std::uint64_t>()) {
+      respond(Message, HttpPreconditionFailed, "application/json",
+              R"({"rows":[]})");
+      return;
+    }
+  }
+  for (const Json &Put : Body.at("puts"))
+    put(Put.at("table"), Put.at("key"), decoded(Put.at("value")));
+  for (const Json &Removed : Body.at("remove"))
+    put(Removed.at("table"), Removed.at("key"), "");
+  answer(Message, Json::object());
+}
+
+} // namespace crowstep::standin
--- a/tests/unit/balance_test.cpp
+++ b/tests/unit/balance_test.cpp
@@ -96,6 +96,20 @@
   }
 }
 
+/// An instance starts again. From the first digest of another one it knows
+/// which engine keeps what, and reads nothing twice.
+BOOST_AUTO_TEST_CASE(ARestartedInstanceLearnsWhoKeepsWhat) {
+  World Here(9);
+  World Restarted(9);
+  for (std::uint64_t Prefix = 1; Prefix <= 30; ++Prefix)
+    Here.served(longCall(Prefix, 1000 + Prefix));
+  Restarted.m_Balancer.peerSaid(InstanceId(1), Here.m_Balancer.wholeDigest(),
+                                Restarted.m_Now);
+  for (std::uint64_t Prefix = 1; Prefix <= 30; ++Prefix)
+    BOOST_TEST(Restarted.served(longCall(Prefix, 2000)).m_Why.m_MissingTokens ==
+               Own);
+}
+
 /// A burst of calls with one beginning must not pile up at its engine while
 /// others idle: beyond some seconds of reading the next engine takes part.
 BOOST_AUTO_TEST_CASE(ABurstOfOnePrefixIsShared) {
