Fix: Let the weight of missing tokens take effect, and tell why a call was refused

The other constant is gone; the wait ahead alone decides about a refusal, so that long prompts are not refused where shorter ones are taken.

A refusal's line in the log now says by which load it was decided; before, it said 0 for all.

--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -63,6 +63,7 @@
 struct NotPlaced {
   RefusalReason m_Reason = RefusalReason::NoUpstream; ///< Why.
   Duration m_RetryAfter{}; ///< When there may be one.
+  PlacementInputs m_Why;   ///< What decided.
 };
 
 using PlacementResult = std::variant<Placed, NotPlaced>;
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -27,19 +27,16 @@
 /// A report older than this says nothing about now.
 constexpr Duration ReportLife = std::chrono::milliseconds(1500);
 
-/// A call whose first event would come later than this many targets is refused
-/// at once. It would be late, and what is read for it would make calls late
-/// that can still be in time.
+/// A call is refused at once if what is read before it takes longer than this
+/// many targets. Its own prompt does not count, so that long prompts are not
+/// refused where shorter ones are taken. It would be late, and what is read for
+/// it would make calls late that can still be in time.
 constexpr double WaitInTargets = 0.6;
 
 /// Callers with short targets wait longer than these before they give up, and a
 /// late answer is worth something to them.
 constexpr Duration LeastWait = std::chrono::milliseconds(1200);
 
-/// Of a call's own prompt at most this many tokens count for the wait, so that
-/// long prompts are not refused where shorter ones are taken.
-constexpr std::uint32_t OwnTokensCounted = 8000;
-
 /// Share of an engine's memory that calls may need beside the parts that it
 /// keeps, which are as much again.
 constexpr double HeldShare = 0.55;
@@ -104,7 +101,9 @@
   m_Peers.expire(Now);
   const States From = candidates(Query, Now);
   if (From.empty())
-    return NotPlaced{RefusalReason::NoUpstream, NoUpstreamRetryAfter};
+    return NotPlaced{RefusalReason::NoUpstream,
+                     NoUpstreamRetryAfter,
+                     {0, 0, 0, 0, m_Peers.size()}};
   if (Query.m_Prompt.m_PromptTokens > 0)
     return placeAtEngine(Query, From, Now);
   UpstreamState &Chosen = *chooseForPlain(From, Now);
@@ -131,8 +130,13 @@
   }
   keepRoom(Query, Options);
   if (Options.empty())
-    return NotPlaced{RefusalReason::TargetUnreachable, LeastRetryAfter};
+    return NotPlaced{RefusalReason::TargetUnreachable,
+                     LeastRetryAfter,
+                     {0, 0, 0, 0, m_Peers.size()}};
   const EngineOption &Chosen = chooseEngine(Query, Options);
+  const PlacementInputs Why = {Options.size(), Chosen.m_Calls,
+                               Chosen.m_UnreadTokens, Chosen.m_MissingTokens,
+                               m_Peers.size()};
   const Duration Wait = m_Speed.timeFor(Query.m_Service, Chosen.m_UnreadTokens);
   const auto Limit = std::max(
       LeastWait, std::chrono::duration_cast<Duration>(
@@ -140,7 +144,7 @@
                      WaitInTargets));
   if (Wait > Limit)
     return NotPlaced{RefusalReason::TargetUnreachable,
-                     std::max(Wait - Query.m_Target, LeastRetryAfter)};
+                     std::max(Wait - Query.m_Target, LeastRetryAfter), Why};
   UpstreamState &State = *Chosen.m_State;
   // The last part is the call's own; nobody will ask for it again.
   for (std::size_t I = 0; I + 1 < Prompt.m_Parts.size(); ++I) {
@@ -150,9 +154,6 @@
   }
   noteWork(Pool, Prompt, Chosen.m_MissingTokens, Now);
   const bool Undisturbed = Chosen.m_UnreadTokens == 0;
-  const PlacementInputs Why = {Options.size(), Chosen.m_Calls,
-                               Chosen.m_UnreadTokens, Chosen.m_MissingTokens,
-                               m_Peers.size()};
   const Placed Result =
       begin(State, Query.m_Urgency,
             {Chosen.m_MissingTokens, Chosen.m_MissingTokens + outputOf(Prompt)},
--- a/src/balance/engine_choice.cpp
+++ b/src/balance/engine_choice.cpp
@@ -53,7 +53,7 @@
 
 double costOf(const EngineOption &Option, bool Home) {
   const double Missing =
-      Option.m_MissingTokens * (Home ? 1 - HomeAdvantage : 1);
+      MissingWeight * Option.m_MissingTokens * (Home ? 1 - HomeAdvantage : 1);
   return static_cast<double>(Option.m_UnreadTokens) + Missing +
          TokensPerCall * Option.m_Calls;
 }
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -73,6 +73,7 @@
   Query.m_Avoid = m_Tried;
   const auto Result = m_World.m_Balancer.place(Query, m_World.m_Clock.now());
   if (const auto *None = std::get_if<balance::NotPlaced>(&Result)) {
+    m_Why = None->m_Why;
     giveUp(None->m_Reason, None->m_RetryAfter);
     return;
   }
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -257,6 +257,7 @@
   World It;
   It.serve();
   std::vector<std::shared_ptr<const Told>> Streams;
+  Streams.reserve(5);
   for (int I = 0; I < 5; ++I)
     Streams.push_back(It.m_Caller.start(It.request("/stream/x")));
   BOOST_TEST(runUntil(
--- a/tests/unit/balance_test.cpp
+++ b/tests/unit/balance_test.cpp
@@ -56,6 +56,7 @@
 
   explicit World(int Engines) {
     std::vector<Upstream> List;
+    List.reserve(static_cast<std::size_t>(Engines));
     for (int I = 0; I < Engines; ++I)
       List.push_back(engine(I));
     m_Balancer.setUpstreams(List);
@@ -68,7 +69,7 @@
   }
   /// Places and serves a call at once.
   Placed served(const PlacementQuery &Query) {
-    const Placed Result = placed(Query);
+    Placed Result = placed(Query);
     m_Balancer.answered(Result.m_Ticket, m_Now);
     m_Balancer.ended(Result.m_Ticket, CallOutcome::Served, m_Now);
     return Result;
@@ -232,6 +233,7 @@
   const auto Round = [&](auto Fails) {
     std::map<UpstreamId, int> Count;
     std::vector<Placed> Open;
+    Open.reserve(4);
     for (int I = 0; I < 4; ++I)
       Open.push_back(It.placed(plainCall()));
     for (const Placed &Each : Open) {
--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -116,12 +116,12 @@
 /// A manifest that can't be read must not take the last good one away, so it
 /// is an error as a whole and never half a table.
 BOOST_AUTO_TEST_CASE(AnUnreadableManifestIsAnError) {
-  for (const char *Text :
-       {"", "{", "[]", "7", R"({"version":"x","routes":[],"services":[]})",
-        R"({"routes":[],"services":[]})",
-        R"({"version":1,"routes":[{"host":"h"}],"services":[]})",
-        R"({"version":1,"routes":[{"host":"h","prefix":"/","service":"s",)"
-        R"("routeKind":"other"}],"services":[]})"})
+  for (
+      const char *Text :
+      {"", "{", "[]", "7", R"({"version":"x","routes":[],"services":[]})",
+       R"({"routes":[],"services":[]})",
+       R"({"version":1,"routes":[{"host":"h"}],"services":[]})",
+       R"({"version":1,"routes":[{"host":"h","prefix":"/","service":"s","routeKind":"other"}],"services":[]})"})
     BOOST_CHECK_THROW(readManifest(Text), StoreValueError);
 }
 
