Fix: Ask for changes of engines together

Ruled out: the table of instances, which already joins changes for a second. Test: platform_adapter/ManyChangesComeWithOneCall.

--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -242,6 +242,21 @@
   BOOST_TEST(It.m_Store.m_Calls.back().m_After.value() == 11U);
 }
 
+/// Ninety engines start within a second and each instance is told of each. The
+/// first change comes at once; those that follow it come together, with one
+/// call, so that the calls to the store stay few.
+BOOST_AUTO_TEST_CASE(ManyChangesComeWithOneCall) {
+  Following It;
+  It.m_Table.setPause(400ms);
+  It.m_Store.answer(StoreRows{{row("a", 3)}, StoreVersion(9), false});
+  It.m_Store.answer(StoreRows{{row("b", 10)}, StoreVersion(10), false});
+  BOOST_TEST(It.told() == "+a3 +b10 ");
+  BOOST_TEST(It.m_Store.m_Calls.empty());
+  It.m_Timers.advance(400ms);
+  BOOST_REQUIRE(It.m_Store.m_Calls.size() == 1U);
+  BOOST_TEST(It.m_Store.m_Calls.back().m_After.value() == 10U);
+}
+
 /// The store dropped its history: the table is read anew. A copy that is
 /// seconds old answers first; taken, it would bring back rows that are gone.
 BOOST_AUTO_TEST_CASE(AStaleCopyTakesNothingBack) {
