Refactor: One request target, one look for a peer's close; a stop ends at its limit

What the last reading left: the caller's target and the poll for a peer's close stood twice; Service::m_MaxConnections, m_Slots, RouteTable::service(), PlacementQuery::m_LongestPause, Balancer::size() and RefusalReason::TooManyAttempts were read by nothing. grace_s bounded nothing: a stop waited for its last answer until it was killed. It now ends 200 ms before, and the log tells how many requests were cut. Test: gateway/AStopEndsAtItsLimit.

--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -37,7 +37,6 @@
   Urgency m_Urgency = 0;           ///< Below UrgencyCount.
   PromptSize m_Prompt;             ///< Empty for plain calls.
   Duration m_Target{};             ///< Latency for a good answer.
-  Duration m_LongestPause{};       ///< Between events; 0: any.
   std::vector<UpstreamId> m_Avoid; ///< Tried before.
 };
 
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -67,9 +67,6 @@
   /// prompts to engines that have not read their beginnings.
   [[nodiscard]] LoadDigest wholeDigest() const;
 
-  /// Returns how many upstreams are listed.
-  [[nodiscard]] std::size_t size() const { return m_States.size(); }
-
 private:
   using States = std::vector<UpstreamState *>;
 
--- a/src/core/http_server.cpp
+++ b/src/core/http_server.cpp
@@ -100,6 +100,14 @@
   return Value == nullptr ? std::string() : std::string(Value);
 }
 
+std::string requestTarget(SoupServerMessage *Message) {
+  GUri *Uri = soup_server_message_get_uri(Message);
+  std::string Result = g_uri_get_path(Uri);
+  if (const char *Query = g_uri_get_query(Uri))
+    Result += std::string("?") + Query;
+  return Result;
+}
+
 std::string requestBody(SoupServerMessage *Message) {
   SoupMessageBody *Body = soup_server_message_get_request_body(Message);
   GBytes *Flat = soup_message_body_flatten(Body);
--- a/src/core/http_server.h
+++ b/src/core/http_server.h
@@ -54,6 +54,9 @@
 /// Returns a request header, or an empty text.
 std::string requestHeader(SoupServerMessage *Message, const char *Name);
 
+/// Returns the path as it was sent, with its query, for forwarding.
+std::string requestTarget(SoupServerMessage *Message);
+
 /// Returns the request's body, which must have arrived whole.
 std::string requestBody(SoupServerMessage *Message);
 
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -21,19 +21,10 @@
           IdleLimit};
 }
 
-/// The path as it was sent, for forwarding, with its query.
-std::string pathOf(SoupServerMessage *Message) {
-  GUri *Uri = soup_server_message_get_uri(Message);
-  std::string Result = g_uri_get_path(Uri);
-  if (const char *Query = g_uri_get_query(Uri))
-    Result += std::string("?") + Query;
-  return Result;
-}
-
 RawRequest rawRequestOf(SoupServerMessage *Message) {
   RawRequest Result;
   Result.m_Method = soup_server_message_get_method(Message);
-  Result.m_Path = pathOf(Message);
+  Result.m_Path = requestTarget(Message);
   Result.m_Authorization = requestHeader(Message, "Authorization");
   Result.m_Class = requestHeader(Message, "Crowstep-Class");
   Result.m_IdempotencyKey = requestHeader(Message, "Idempotency-Key");
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -31,10 +31,6 @@
 
 void ForwardedRequest::upstreamHeaders(unsigned Status,
                                        const HeaderList &Headers) {
-  takeHead(Status, Headers);
-}
-
-void ForwardedRequest::takeHead(unsigned Status, const HeaderList &Headers) {
   const AnswerFacts Facts = m_World.m_Codec.readAnswer(Status, Headers);
   m_World.m_Balancer.heard(m_Ticket, m_World.m_Clock.now());
   // The answer to an earlier call, sent late on a kept connection, or bytes
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -68,8 +68,6 @@
   Query.m_Urgency = static_cast<balance::Urgency>(m_What.m_Urgency);
   Query.m_Prompt = m_What.m_Facts.m_Prompt;
   Query.m_Target = m_What.m_Route->m_Target;
-  if (const EventStream *Stream = stream())
-    Query.m_LongestPause = Stream->m_LongestPause;
   Query.m_Avoid = m_Tried;
   const auto Result = m_World.m_Balancer.place(Query, m_World.m_Clock.now());
   if (const auto *None = std::get_if<balance::NotPlaced>(&Result)) {
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -59,7 +59,6 @@
   [[nodiscard]] bool mayTryAgain() const;
   void giveUp(RefusalReason Reason, Duration RetryAfter);
 
-  void takeHead(unsigned Status, const HeaderList &Headers);
   void upstreamFailed(balance::CallOutcome Outcome, RetryReason Why);
   void upstreamRefused(balance::CallOutcome Outcome);
   void takeEvents(std::string_view Bytes);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,6 +27,10 @@
 /// grace.
 constexpr Duration OutOfRotation = std::chrono::milliseconds(2600);
 
+/// The stop ends by itself this long before the process is killed: what is cut
+/// then is at least told in the log.
+constexpr Duration KillMargin = std::chrono::milliseconds(200);
+
 /// Headers and bodies may take this long where the table doesn't say.
 constexpr Duration DefaultReceiveLimit = std::chrono::seconds(10);
 constexpr Duration DefaultIdleLimit = std::chrono::seconds(60);
@@ -40,17 +44,8 @@
           Or(Limits.m_IdleTimeout, DefaultIdleLimit)};
 }
 
-/// The target as it was sent, with its query.
-std::string targetOf(SoupServerMessage *Message) {
-  GUri *Uri = soup_server_message_get_uri(Message);
-  std::string Result = g_uri_get_path(Uri);
-  if (const char *Query = g_uri_get_query(Uri))
-    Result += std::string("?") + Query;
-  return Result;
-}
-
 IncomingRequest incoming(SoupServerMessage *Message) {
-  return {soup_server_message_get_method(Message), targetOf(Message),
+  return {soup_server_message_get_method(Message), requestTarget(Message),
           copyHeaders(soup_server_message_get_request_headers(Message)),
           requestBody(Message)};
 }
@@ -203,6 +198,14 @@
       return;
     }
   }
+  if (m_Settings.m_Grace > KillMargin &&
+      m_Clock.now() - m_StopBegin >= m_Settings.m_Grace - KillMargin) {
+    logEvent(LogEvent::GatewayCut,
+             {{"requests", std::to_string(m_Requests.size())},
+              {"open", std::to_string(m_Front.open())}});
+    m_StopDone();
+    return;
+  }
   if (m_Clock.now() - m_DrainLogged >= DrainLogInterval) {
     m_DrainLogged = m_Clock.now();
     logEvent(LogEvent::GatewayDraining,
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -47,8 +47,6 @@
     for (const KeyHolder &Holder : m_Data.m_Workspaces)
       m_Priorities.insert(prioritiesOf(Which, &Holder));
   }
-  for (const Service &Each : m_Data.m_Services)
-    m_ByService.emplace(Each.m_Name, &Each);
 }
 
 const Route *RouteTable::find(std::string_view Host,
@@ -80,9 +78,4 @@
   return Found == m_ByKey.end() ? nullptr : Found->second;
 }
 
-const Service *RouteTable::service(const std::string &Name) const {
-  const auto Found = m_ByService.find(Name);
-  return Found == m_ByService.end() ? nullptr : Found->second;
-}
-
 } // namespace crowstep::gateway
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -39,14 +39,10 @@
   /// Returns whether callers bear keys at all.
   [[nodiscard]] bool hasKeys() const { return !m_Data.m_Workspaces.empty(); }
 
-  /// Returns what is known of a service, or null.
-  [[nodiscard]] const Service *service(const std::string &Name) const;
-
 private:
   RouteTableData m_Data; ///< The pointers below point into it.
   std::unordered_map<std::string, const Route *> m_ByPlace; ///< Host + prefix.
   std::unordered_map<std::string, const KeyHolder *> m_ByKey; ///< See holderOf.
-  std::unordered_map<std::string, const Service *> m_ByService; ///< By name.
   std::set<std::pair<unsigned, unsigned>> m_Priorities; ///< All that occur.
 };
 
--- a/src/gateway/route_type.h
+++ b/src/gateway/route_type.h
@@ -55,10 +55,8 @@
 
 /// What is known of a service beside its upstreams.
 struct Service {
-  std::string m_Name;                 ///< As routes and upstreams name it.
-  std::uint32_t m_MaxConnections = 0; ///< To one upstream, by all; 0: unknown.
-  std::uint32_t m_Slots = 0;          ///< Of an engine; 0: a plain service.
-  std::uint64_t m_CacheTokens = 0;    ///< Memory of an engine; 0: unknown.
+  std::string m_Name;              ///< As routes and upstreams name it.
+  std::uint64_t m_CacheTokens = 0; ///< Memory of an engine; 0: unknown.
 };
 
 /// A customer as the table names it.
--- a/src/http/caller.cpp
+++ b/src/http/caller.cpp
@@ -2,6 +2,7 @@
 #include "http/caller.h"
 
 #include "core/http_server.h"
+#include "http/connection_sockets.h"
 #include "http/refusal_answer.h"
 
 #include <algorithm>
@@ -154,10 +155,7 @@
 bool HttpServerCaller::hasLeft() const {
   GSocket *Socket =
       m_Finished ? nullptr : soup_server_message_get_socket(m_Message);
-  if (Socket == nullptr)
-    return true;
-  pollfd Asked = {g_socket_get_fd(Socket), POLLRDHUP, 0};
-  return poll(&Asked, 1, 0) > 0;
+  return Socket == nullptr || closedByPeer(Socket);
 }
 
 void HttpServerCaller::stopWatching() {
--- a/src/http/connection_sockets.cpp
+++ b/src/http/connection_sockets.cpp
@@ -1,8 +1,15 @@
 /// The sockets of libsoup's connections.
 #include "http/connection_sockets.h"
 
+#include <poll.h>
+
 namespace crowstep {
 
+bool closedByPeer(GSocket *Socket) {
+  pollfd Asked = {g_socket_get_fd(Socket), POLLRDHUP, 0};
+  return poll(&Asked, 1, 0) > 0;
+}
+
 void ConnectionSockets::add(const Key &Connection, GSocket *Socket) {
   std::erase_if(m_Sockets, [](const auto &Each) {
     return g_socket_is_closed(Each.second.get()) != 0;
--- a/src/http/connection_sockets.h
+++ b/src/http/connection_sockets.h
@@ -16,6 +16,9 @@
 };
 using SocketPtr = std::unique_ptr<GSocket, SocketRelease>;
 
+/// Returns whether the peer has closed its sending side.
+bool closedByPeer(GSocket *Socket);
+
 class ConnectionSockets {
 public:
   /// A connection: its session and its number there.
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -7,7 +7,6 @@
 #include <array>
 #include <gio/gio.h>
 #include <libsoup/soup.h>
-#include <poll.h>
 
 namespace crowstep {
 
@@ -15,12 +14,6 @@
 
 constexpr std::size_t ReadSize = 8192;
 
-/// Whether the peer has closed its sending side.
-bool closedByPeer(GSocket *Socket) {
-  pollfd Asked = {g_socket_get_fd(Socket), POLLRDHUP, 0};
-  return poll(&Asked, 1, 0) > 0;
-}
-
 /// What outlives the handle until libsoup's last callback has run.
 struct Transfer {
   const Clock &m_Clock;                   ///< Outlives it.
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -51,7 +51,6 @@
         {"malformed_header", 400},
         {"timed_out", 504},
         {"upstream_refused", 503},
-        {"too_many_attempts", 503},
     }};
 
 constexpr std::array<std::string_view,
--- a/src/refusal_type.h
+++ b/src/refusal_type.h
@@ -48,7 +48,6 @@
   MalformedHeader,      ///< A header that the router needs can't be read.
   TimedOut,             ///< The row's or the caller's time is over.
   UpstreamRefused,      ///< The upstream said that it did not run the call.
-  TooManyAttempts,      ///< The row allows no further upstream.
   Count,                ///< Number of reasons; not a reason.
 };
 
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -22,7 +22,8 @@
 Address local(std::uint16_t Port) { return {INADDR_LOOPBACK, Port}; }
 
 /// An upstream that signs its answers. Paths below /stream/ get an event each
-/// 100 ms until there are ten; others are answered at once.
+/// 100 ms until there are ten, or without end if they say so; others are
+/// answered at once.
 class SigningUpstream {
 public:
   explicit SigningUpstream(std::string Name) : m_Name(std::move(Name)) {
@@ -80,7 +81,8 @@
         g_uri_get_path(soup_server_message_get_uri(Each->m_Message));
     const bool Breaks = Each->m_Sent == 4 &&
                         std::string(Path).find("break") != std::string::npos;
-    const bool Last = Each->m_Sent == 10 || Breaks;
+    const bool Endless = std::string(Path).find("endless") != std::string::npos;
+    const bool Last = (Each->m_Sent == 10 && !Endless) || Breaks;
     if (Breaks)
       g_socket_shutdown(soup_server_message_get_socket(Each->m_Message), 1, 1,
                         nullptr);
@@ -106,6 +108,7 @@
   SigningUpstream m_First{"u-1"};
   SigningUpstream m_Second{"u-2"};
   Caller m_Caller;
+  int m_GraceS = 8; ///< From SIGTERM to a kill.
   std::unique_ptr<Process> m_Gateway;
 
   World() { m_Store.listen(m_StoreAt); }
@@ -114,7 +117,8 @@
     return "[instance]\nname=edge-1\nzone=a\n[gateway]\nlisten=" +
            toString(m_Front) + "\nlinks=" + toString(local(freePort())) +
            "\nprobes=" + toString(m_Probes) +
-           "\nreadiness_path=/readiness\ngrace_s=8\n[retry_budget]\n"
+           "\nreadiness_path=/readiness\ngrace_s=" + std::to_string(m_GraceS) +
+           "\n[retry_budget]\n"
            "ratio=0.2\nslack=50\nwindow_s=10\n[store]\naddress=" +
            toString(m_StoreAt) + "\n";
   }
@@ -282,6 +286,22 @@
   BOOST_TEST((It.m_Gateway->wait(8s) == 0));
 }
 
+// A caller's stream does not end. The gateway waits for it as long as its grace
+// allows, then ends by itself and tells in its log how many were cut, which a
+// kill would not.
+BOOST_AUTO_TEST_CASE(AStopEndsAtItsLimit) {
+  World It;
+  It.m_GraceS = 4;
+  It.serve();
+  const auto Stream = It.m_Caller.start(It.request("/stream/endless"));
+  BOOST_TEST(runUntil([&] { return !Stream->m_Body.empty(); }, 5s));
+  It.m_Gateway->signal(SIGTERM);
+  runFor(3s);
+  BOOST_TEST(!Stream->m_Ended);
+  BOOST_TEST((It.m_Gateway->wait(2s) == 0));
+  BOOST_TEST(It.m_Gateway->log().find("GatewayCut") != std::string::npos);
+}
+
 // Three callers complain, with nothing but their requests' ids: one was refused
 // for want of an upstream, one's stream broke and could not go on elsewhere,
 // one got no outcome after the upstream's crash. The log alone tells each
