--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
-# Runs the tests again and again with fresh seeds: soak.sh BUILD SECONDS.
-# RapidCheck prints how to reproduce a failure; such a seed is kept as a test.
+# Fresh seeds: soak.sh BUILD SECONDS. Half of the time real gateways meet faults;
+# then the tests run again and again. What fails is printed with its seed, which
+# goes into tests/soak/seeds.txt or into a test.
 set -uo pipefail
 build=$1 end=$((SECONDS + $2))
+"$build/tests/crowstep-soak" --seconds $(($2 / 2)) --keep "$build/soak" || exit 1
 round=0
 while [ $SECONDS -lt $end ]; do
   round=$((round + 1))
@@ -16,4 +18,4 @@
     fi
   done
 done
-echo "soak: $round rounds, no failure"
+echo "soak: $round rounds of tests, no failure"
--- a/tests/process/caller.h
+++ b/tests/process/caller.h
@@ -22,6 +22,7 @@
   std::string m_Body;            ///< JSON, or empty.
   std::map<std::string, std::string> m_Headers; ///< Further headers.
   Duration m_Limit = std::chrono::seconds(30);  ///< For the whole call.
+  bool m_KeepsOpen = false; ///< Its connection may serve further calls.
 };
 
 /// What a caller was told; m_Ended is false while the call goes on.
--- a/tests/process/relay.cpp
+++ b/tests/process/relay.cpp
@@ -15,6 +15,7 @@
   GOutputStream *m_To = nullptr;      ///< Of m_Ends.
   std::array<char, 16384> m_Piece{};  ///< On its way.
   std::size_t m_Size = 0;             ///< Of the piece.
+  bool m_Outward = true;              ///< Towards the target.
   std::shared_ptr<Connection> m_Ends; ///< Keeps the streams alive.
 };
 
@@ -84,6 +85,7 @@
     auto Way = std::make_shared<Pipe>();
     Way->m_Owner = this;
     Way->m_Ends = Ends;
+    Way->m_Outward = Outward;
     GSocketConnection *From = Outward ? Near : Far;
     GSocketConnection *To = Outward ? Far : Near;
     Way->m_From = g_io_stream_get_input_stream(G_IO_STREAM(From));
@@ -104,22 +106,63 @@
       return;
     }
     Each.m_Size = static_cast<std::size_t>(Size);
-    if (g_output_stream_write_all(Each.m_To, Each.m_Piece.data(), Each.m_Size,
-                                  nullptr, nullptr, nullptr) == 0)
-      Each.m_Ends->close();
-    else
-      Each.m_Owner->pump(*Mine);
+    Each.m_Owner->arrived(*Mine);
   };
   g_input_stream_read_async(Way->m_From, Way->m_Piece.data(),
                             Way->m_Piece.size(), G_PRIORITY_DEFAULT, nullptr,
                             Done, new Held(Way));
 }
 
-void Relay::cut() {
-  m_Cut = true;
+void Relay::arrived(const std::shared_ptr<Pipe> &Way) {
+  if (m_Delay == Duration::zero()) {
+    passOn(Way);
+    return;
+  }
+  using Held = std::shared_ptr<Pipe>;
+  const auto Due = +[](gpointer Data) -> gboolean {
+    const std::unique_ptr<Held> Mine(static_cast<Held *>(Data));
+    // An open connection's relay is there still.
+    if ((*Mine)->m_Ends->m_Open)
+      (*Mine)->m_Owner->passOn(*Mine);
+    return G_SOURCE_REMOVE;
+  };
+  const auto Milliseconds =
+      std::chrono::ceil<std::chrono::milliseconds>(m_Delay).count();
+  g_timeout_add(static_cast<guint>(Milliseconds), Due, new Held(Way));
+}
+
+void Relay::passOn(const std::shared_ptr<Pipe> &Way) {
+  if (m_Silence == Silence::Both ||
+      (m_Silence == Silence::Outward && Way->m_Outward)) {
+    m_Held.push_back(Way);
+    return;
+  }
+  if (g_output_stream_write_all(Way->m_To, Way->m_Piece.data(), Way->m_Size,
+                                nullptr, nullptr, nullptr) == 0)
+    Way->m_Ends->close();
+  else
+    pump(Way);
+}
+
+void Relay::setSilence(Silence Which) {
+  m_Silence = Which;
+  std::list<std::shared_ptr<Pipe>> Held;
+  Held.swap(m_Held);
+  for (const std::shared_ptr<Pipe> &Each : Held)
+    if (Each->m_Ends->m_Open)
+      passOn(Each);
+}
+
+void Relay::reset() {
   for (const std::shared_ptr<Connection> &Each : m_Connections)
     Each->close();
   m_Connections.clear();
+  m_Held.clear();
+}
+
+void Relay::cut() {
+  m_Cut = true;
+  reset();
 }
 
 void Relay::mend() { m_Cut = false; }
--- a/tests/process/relay.h
+++ b/tests/process/relay.h
@@ -1,7 +1,8 @@
-/// A TCP relay between two processes that can be cut.
+/// A TCP relay between two processes that can be cut, slow or silent.
 #ifndef CROWSTEP_TESTS_PROCESS_RELAY_H
 #define CROWSTEP_TESTS_PROCESS_RELAY_H
 
+#include "core/clock.h"
 #include "instance_type.h"
 
 #include <gio/gio.h>
@@ -10,6 +11,13 @@
 
 namespace crowstep::test {
 
+/// Which bytes a relay holds back without closing a connection.
+enum class Silence : std::uint8_t {
+  None,    ///< None.
+  Outward, ///< Those to the target.
+  Both,    ///< All.
+};
+
 /// Listens on a port of its own and passes bytes on to a target.
 class Relay {
 public:
@@ -25,16 +33,30 @@
 
   void mend();
 
+  /// Closes all connections; new ones are taken as before.
+  void reset();
+
+  /// Holds bytes back; None passes on what was held.
+  void setSilence(Silence Which);
+
+  /// Bytes stay this long on their way from now on.
+  void setDelay(Duration Delay) { m_Delay = Delay; }
+
 private:
   struct Pipe;
   struct Connection;
   void accept(void *Incoming);
   void pump(const std::shared_ptr<Pipe> &Way);
+  void arrived(const std::shared_ptr<Pipe> &Way);
+  void passOn(const std::shared_ptr<Pipe> &Way);
 
-  Address m_Target;          ///< Where the bytes go.
-  Address m_Listen;          ///< Where the relay is.
-  GSocketService *m_Service; ///< Owned.
-  bool m_Cut = false;        ///< Refuses connections.
+  Address m_Target;                        ///< Where the bytes go.
+  Address m_Listen;                        ///< Where the relay is.
+  GSocketService *m_Service;               ///< Owned.
+  bool m_Cut = false;                      ///< Refuses connections.
+  Duration m_Delay{};                      ///< Of each piece.
+  Silence m_Silence = Silence::None;       ///< See setSilence().
+  std::list<std::shared_ptr<Pipe>> m_Held; ///< Pieces held back.
   std::list<std::shared_ptr<Connection>> m_Connections; ///< Open ones.
 };
 
--- /dev/null
+++ b/tests/soak/soak_fleet.cpp
@@ -0,0 +1,282 @@
+/// The fleet and its load.
+#include "soak/soak_fleet.h"
+
+#include "core/error.h"
+
+#include <arpa/inet.h>
+#include <filesystem>
+
+namespace crowstep::soak {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int GraceSeconds = 8;
+
+/// The bound within which service is back after the last trouble, and the share
+/// that must then be served.
+constexpr Duration RecoveryLimit = 12s;
+constexpr double RecoveredShare = 0.95;
+constexpr Duration RecoveryWindow = 1500ms;
+
+constexpr Duration LoadStep = 20ms;
+
+/// Routes, besides those that come and go with tables.
+struct RouteRow {
+  Kind m_Kind;        ///< What callers expect.
+  const char *m_Path; ///< Its prefix.
+  const char *m_Name; ///< As the platform calls the kind.
+  int m_TimeoutMs;    ///< Its time.
+  bool m_Resumable;   ///< Streams only.
+};
+constexpr std::array Routes = {
+    RouteRow{Kind::Once, "/once/", "non_idempotent", 2000, false},
+    RouteRow{Kind::Again, "/again/", "idempotent", 2000, false},
+    RouteRow{Kind::Stream, "/stream/", "streaming", 4000, false},
+    RouteRow{Kind::Resumable, "/restream/", "streaming", 4000, true},
+};
+
+Json routeOf(const std::string &Path, const std::string &Name, int TimeoutMs,
+             bool Resumable) {
+  Json Result = {{"name", Path},           {"host", "h.example"},
+                 {"prefix", Path},         {"routeKind", Name},
+                 {"timeoutMs", TimeoutMs}, {"targetLatencyMs", 200},
+                 {"priority", 0},          {"service", "s"},
+                 {"maxAttempts", 3},       {"anonymous", true}};
+  if (Name == "streaming") {
+    Result["gapAimMs"] = 300;
+    Result["resumable"] = Resumable;
+  }
+  return Result;
+}
+
+std::string tablePath(unsigned Version) {
+  return "/table-" + std::to_string(Version) + "/";
+}
+
+Address local(std::uint16_t Port) { return {INADDR_LOOPBACK, Port}; }
+
+} // namespace
+
+SoakFleet::SoakFleet(const FleetPlan &Plan)
+    : m_Plan(Plan), m_Random(Plan.m_Seed), m_StoreAt(local(test::freePort())),
+      m_Calm(isCalm(Plan.m_Seed)) {
+  m_Store.listen(m_StoreAt);
+  putTable();
+  for (int I = 0; I < Plan.m_Upstreams; ++I) {
+    Seat Fresh;
+    Fresh.m_Number = I;
+    Fresh.m_Real = local(test::freePort());
+    Fresh.m_Way = std::make_unique<test::Relay>(Fresh.m_Real);
+    m_Seats.push_back(std::move(Fresh));
+    startUpstream(m_Seats.back());
+  }
+  for (int I = 0; I < Plan.m_Gateways; ++I) {
+    Place Fresh;
+    Fresh.m_Number = I;
+    Fresh.m_Listen = local(test::freePort());
+    Fresh.m_Links = local(test::freePort());
+    Fresh.m_Probes = local(test::freePort());
+    Fresh.m_ToStore = std::make_unique<test::Relay>(m_StoreAt);
+    m_Places.push_back(std::move(Fresh));
+  }
+}
+
+SoakFleet::~SoakFleet() = default;
+
+std::string SoakFleet::settings(const Place &Which) const {
+  return "[instance]\nname=gateway-" + std::to_string(Which.m_Number) +
+         "\nzone=a\nweight=1\n[gateway]\nlisten=" + toString(Which.m_Listen) +
+         "\nlinks=" + toString(Which.m_Links) +
+         "\nprobes=" + toString(Which.m_Probes) +
+         "\nreadiness_path=/readiness\ngrace_s=" +
+         std::to_string(GraceSeconds) +
+         "\n[retry_budget]\nratio=" + std::to_string(RetryRatio) +
+         "\nslack=" + std::to_string(RetrySlack) + "\nwindow_s=" +
+         std::to_string(
+             std::chrono::duration_cast<std::chrono::seconds>(RetryWindow)
+                 .count()) +
+         "\n[store]\naddress=" + toString(Which.m_ToStore->address()) + "\n";
+}
+
+void SoakFleet::startGateway(Place &Which) {
+  ++Which.m_Lifetime;
+  Which.m_Stopping = false;
+  Which.m_Frozen = false;
+  Which.m_Process = std::make_unique<test::Process>(
+      m_Folder, "crowstep-gateway", "gateway-" + std::to_string(Which.m_Number),
+      settings(Which));
+}
+
+bool SoakFleet::start() {
+  for (Place &Each : m_Places)
+    startGateway(Each);
+  return test::runUntil(
+      [this] {
+        return std::all_of(m_Places.begin(), m_Places.end(),
+                           [this](Place &Each) { return poll(Each); });
+      },
+      15s);
+}
+
+/// Asks for readiness once; the answer counts from the next time on.
+bool SoakFleet::poll(Place &Which) {
+  test::Call Asked;
+  Asked.m_Method = "GET";
+  Asked.m_Where = Which.m_Probes;
+  Asked.m_Path = "/readiness";
+  Asked.m_Limit = 500ms;
+  Which.m_TakesCalls = m_Probe.call(Asked).m_Status == 200;
+  return Which.m_TakesCalls;
+}
+
+void SoakFleet::startUpstream(Seat &Which) {
+  const std::string Name = "u-" + std::to_string(Which.m_Number) + "-" +
+                           std::to_string(++Which.m_Lifetime);
+  Which.m_Upstream = std::make_unique<SoakUpstream>(
+      Name, Which.m_Real, m_Ledger, m_Clock, m_Random());
+  list(Which, "ready");
+}
+
+void SoakFleet::list(const Seat &Which, const std::string &State) {
+  m_Store.put("servers", Which.m_Upstream->name(),
+              State.empty()
+                  ? ""
+                  : Json{{"service", "s"},
+                         {"address", toString(Which.m_Way->address())},
+                         {"zone", "a"},
+                         {"slots", 64},
+                         {"state", State}}
+                        .dump());
+}
+
+void SoakFleet::putTable() {
+  ++m_TableVersion;
+  Json Table = {{"version", m_TableVersion},
+                {"routes", Json::array()},
+                {"services", {{{"name", "s"}}}}};
+  for (const RouteRow &Each : Routes)
+    Table["routes"].push_back(
+        routeOf(Each.m_Path, Each.m_Name, Each.m_TimeoutMs, Each.m_Resumable));
+  Table["routes"].push_back(
+      routeOf(tablePath(m_TableVersion), "idempotent", 2000, false));
+  m_Store.put("op", "config", Table.dump());
+  m_Ledger.tableChanged(m_TableVersion, m_Clock.fresh());
+}
+
+// ---- Load -------------------------------------------------------------------
+
+void SoakFleet::callOnce() {
+  std::vector<Place *> Open;
+  for (Place &Each : m_Places)
+    if (Each.m_TakesCalls)
+      Open.push_back(&Each);
+  if (Open.empty())
+    return;
+  Place &Where = *Open.at(m_Random() % Open.size());
+  const std::string Id = "call-" + std::to_string(++m_LastCall);
+  constexpr std::uint64_t TableProbeEvery = 8;
+  const RouteRow &Route = Routes.at(m_Random() % Routes.size());
+  Asked Call;
+  Call.m_Kind = Route.m_Kind;
+  Call.m_Gateway = Where.m_Number;
+  Call.m_Lifetime = Where.m_Lifetime;
+  Call.m_At = m_Clock.now();
+  test::Call What;
+  What.m_Path = Route.m_Path + Id;
+  if (m_Random() % TableProbeEvery == 0) {
+    // The newest table's route, or the one before that it took away.
+    Call.m_TableVersion =
+        std::max(1U, m_TableVersion - static_cast<unsigned>(m_Random() % 2));
+    Call.m_Kind = Kind::Again;
+    What.m_Path = tablePath(Call.m_TableVersion) + Id;
+  }
+  What.m_Where = Where.m_Listen;
+  What.m_Body = "{}";
+  What.m_KeepsOpen = m_Random() % 2 == 0;
+  What.m_Limit = 6s;
+  What.m_Headers = {
+      {"Host", "h.example"}, {"X-Attempt-Id", Id}, {"X-Deadline-Ms", "5000"}};
+  Call.m_Told = m_Callers.start(What);
+  m_Ledger.asked(Id, std::move(Call));
+}
+
+void SoakFleet::reapAll() {
+  for (Place &Each : m_Places) {
+    if (Each.m_Process == nullptr || Each.m_Process->running())
+      continue;
+    Each.m_TakesCalls = false;
+    Each.m_Process = nullptr;
+    later(200ms, [this, &Each] { startGateway(Each); });
+  }
+}
+
+void SoakFleet::later(Duration After, std::function<void()> Job) {
+  m_Timers.after(After, std::move(Job));
+}
+
+void SoakFleet::play(const std::vector<Fault> &Faults, Duration Span) {
+  Duration Last = Span;
+  for (const Fault &Each : Faults) {
+    later(Each.m_At, [this, Each] { apply(Each); });
+    Last = std::max(Last, Each.m_At + Each.m_Span);
+  }
+  Timer Load(m_Timers);
+  Timer Probes(m_Timers);
+  std::function<void()> LoadOn = [&] {
+    Load.start(LoadStep, LoadOn);
+    const double Expected = m_Plan.m_CallsPerSecond *
+                            std::chrono::duration<double>(LoadStep).count();
+    for (int I = 0; I < static_cast<int>(Expected); ++I)
+      callOnce();
+    m_Ledger.judge();
+    reapAll();
+  };
+  // As the platform does: two misses take a gateway out, one answer brings it
+  // back. Here a miss is enough.
+  std::function<void()> ProbeOn = [&] {
+    Probes.start(500ms, ProbeOn);
+    for (Place &Each : m_Places) {
+      test::Call Asked;
+      Asked.m_Method = "GET";
+      Asked.m_Where = Each.m_Probes;
+      Asked.m_Path = "/readiness";
+      Asked.m_Limit = 400ms;
+      const auto Told = m_Probe.start(Asked);
+      later(450ms,
+            [&Each, Told] { Each.m_TakesCalls = Told->m_Status == 200; });
+    }
+  };
+  LoadOn();
+  ProbeOn();
+  test::runFor(Last);
+  const TimePoint Over = m_Clock.fresh();
+  const bool Recovered = test::runUntil(
+      [&] {
+        // A call has a second and a half to end.
+        const TimePoint To = m_Clock.fresh() - 1500ms;
+        return To - RecoveryWindow > Over &&
+               m_Ledger.servedShare(To - RecoveryWindow, To) > RecoveredShare;
+      },
+      RecoveryLimit + RecoveryWindow + 1500ms);
+  m_Ledger.judgeRecovery(Recovered);
+  Load.stop();
+  test::runFor(6s - std::min<Duration>(4s, m_Clock.fresh() - Over));
+  Probes.stop();
+  test::runFor(500ms);
+}
+
+void SoakFleet::keepLogs() const {
+  if (m_Plan.m_Keep.empty())
+    return;
+  std::filesystem::create_directories(m_Plan.m_Keep);
+  for (const auto &Each : std::filesystem::directory_iterator(m_Folder.path()))
+    std::filesystem::copy(Each.path(),
+                          std::filesystem::path(m_Plan.m_Keep) /
+                              Each.path().filename(),
+                          std::filesystem::copy_options::overwrite_existing);
+}
+
+} // namespace crowstep::soak
--- /dev/null
+++ b/tests/soak/soak_main.cpp
@@ -0,0 +1,101 @@
+/// Real gateways under randomized faults: soak --seed N --seconds S.
+#include "core/error.h"
+#include "core/program.h"
+#include "soak/soak_fleet.h"
+
+#include <iostream>
+#include <random>
+#include <tclap/CmdLine.h>
+
+using namespace crowstep;
+using namespace crowstep::soak;
+
+namespace {
+
+struct Options {
+  std::uint64_t m_Seed = 0; ///< Of the first round.
+  Duration m_Total{};       ///< Rounds are begun for this long.
+  Duration m_Round{};       ///< Faults of a round.
+  FleetPlan m_Fleet;        ///< Its size.
+};
+
+Options parse(int Argc, char **Argv) {
+  TCLAP::CmdLine Line("Plays faults on real gateways and checks the promises");
+  TCLAP::ValueArg<std::uint64_t> Seed("", "seed", "first seed; 0: a fresh one",
+                                      false, 0, "number", Line);
+  TCLAP::ValueArg<unsigned> Total(
+      "", "seconds", "rounds with further seeds begin for this long; 0: one",
+      false, 0, "seconds", Line);
+  TCLAP::ValueArg<unsigned> Round("", "round", "faults of a round come for",
+                                  false, 8, "seconds", Line);
+  TCLAP::ValueArg<int> Gateways("", "gateways", "processes", false, 4, "number",
+                                Line);
+  TCLAP::ValueArg<int> Upstreams("", "upstreams", "stand-ins", false, 5,
+                                 "number", Line);
+  TCLAP::ValueArg<int> Calls("", "calls", "a second", false, 150, "number",
+                             Line);
+  TCLAP::ValueArg<std::string> Keep("", "keep",
+                                    "where logs go when a promise was broken",
+                                    false, "", "folder", Line);
+  Line.parse(Argc, Argv);
+  Options Result;
+  Result.m_Seed = Seed.getValue();
+  if (Result.m_Seed == 0)
+    Result.m_Seed = std::random_device{}();
+  Result.m_Total = std::chrono::seconds(Total.getValue());
+  Result.m_Round = std::chrono::seconds(Round.getValue());
+  Result.m_Fleet.m_Gateways = Gateways.getValue();
+  Result.m_Fleet.m_Upstreams = Upstreams.getValue();
+  Result.m_Fleet.m_CallsPerSecond = Calls.getValue();
+  Result.m_Fleet.m_Keep = Keep.getValue();
+  return Result;
+}
+
+/// Plays one seed; returns whether every promise was kept.
+bool playRound(const Options &Chosen, std::uint64_t Seed) {
+  FleetPlan Plan = Chosen.m_Fleet;
+  Plan.m_Seed = Seed;
+  if (!Plan.m_Keep.empty())
+    Plan.m_Keep += "/" + std::to_string(Seed);
+  const std::vector<Fault> Faults = makeSchedule(Seed, Chosen.m_Round);
+  std::cout << "seed " << Seed << (isCalm(Seed) ? " (planned work)" : "")
+            << "\nfaults:";
+  for (const Fault &Each : Faults)
+    std::cout << "  " << std::chrono::duration<double>(Each.m_At).count()
+              << " s " << nameOf(Each.m_Kind);
+  std::cout << std::endl;
+  SoakFleet Fleet(Plan);
+  if (!Fleet.start()) {
+    std::cout << "VIOLATION start: not all gateways became ready\n";
+    Fleet.keepLogs();
+    return false;
+  }
+  Fleet.play(Faults, Chosen.m_Round);
+  Fleet.ledger().judgeAll();
+  Fleet.ledger().report();
+  const bool Good = Fleet.ledger().violations().empty();
+  if (!Good)
+    Fleet.keepLogs();
+  return Good;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  const Options Chosen = parse(Argc, Argv);
+  const LoopClock Time;
+  const TimePoint Begin = Time.fresh();
+  int Rounds = 0;
+  int Broken = 0;
+  for (std::uint64_t Seed = Chosen.m_Seed;; ++Seed) {
+    ++Rounds;
+    if (!playRound(Chosen, Seed)) {
+      ++Broken;
+      std::cout << "soak: seed " << Seed << " broke a promise\n";
+    }
+    if (Time.fresh() - Begin >= Chosen.m_Total)
+      break;
+  }
+  std::cout << "soak: " << Rounds << " rounds, " << Broken << " broken\n";
+  return static_cast<int>(Broken == 0 ? ExitCode::Success : ExitCode::Failure);
+}
--- a/tests/standin/store_server.cpp
+++ b/tests/standin/store_server.cpp
@@ -48,6 +48,11 @@
   answerWaiting();
 }
 
+void StoreServer::serveOldCopy(bool Old) {
+  m_Copy = Old ? m_Tables : std::map<std::string, Table>();
+  m_CopyVersion = Old ? m_Version : 0;
+}
+
 void StoreServer::handle(SoupServerMessage *Message, const std::string &Path) {
   if (m_Mode == Mode::Busy) {
     respond(Message, HttpUnavailable, "text/plain", "");
@@ -69,22 +74,25 @@
     transact(Message);
 }
 
-void StoreServer::answer(SoupServerMessage *Message, Json Body) const {
-  Body["schemaVersion"] = m_Version;
+void StoreServer::answer(SoupServerMessage *Message, Json Body,
+                         std::uint64_t Version) const {
+  Body["schemaVersion"] = Version;
   Body["nowMs"] = g_get_monotonic_time() / 1000;
   respond(Message, HttpOk, "application/json", Body.dump());
 }
 
 void StoreServer::read(SoupServerMessage *Message, const std::string &Name) {
+  const bool Old = m_CopyVersion != 0;
   Json Rows = Json::array();
-  for (const auto &[Key, Row] : m_Tables[Name])
+  for (const auto &[Key, Row] : Old ? m_Copy[Name] : m_Tables[Name])
     if (!Row.m_Value.empty())
       Rows.push_back({{"table", Name},
                       {"part", ""},
                       {"key", Key},
                       {"value", base64Encoded(Row.m_Value)},
                       {"schemaVersion", Row.m_Version}});
-  answer(Message, {{"rows", Rows}, {"hasMore", false}});
+  answer(Message, {{"rows", Rows}, {"hasMore", false}},
+         Old ? m_CopyVersion : m_Version);
 }
 
 Json StoreServer::changes(const std::string &Name, std::uint64_t After) {
@@ -116,7 +124,7 @@
   }
   const Json Rows = changes(Name, After);
   if (!Rows.empty() || !Waits) {
-    answer(Message, {{"rows", Rows}});
+    answer(Message, {{"rows", Rows}}, m_Version);
     return;
   }
   soup_server_message_pause(Message);
@@ -136,7 +144,7 @@
       if (Each.m_After < m_Oldest)
         respond(Each.m_Message, HttpGone, "text/plain", "");
       else
-        answer(Each.m_Message, {{"rows", Rows}});
+        answer(Each.m_Message, {{"rows", Rows}}, m_Version);
       soup_server_message_unpause(Each.m_Message);
     }
     g_object_unref(Each.m_Message);
@@ -160,7 +168,7 @@
     put(Put.at("table"), Put.at("key"), base64Decoded(Put.at("value")));
   for (const Json &Removed : Body.at("remove"))
     put(Removed.at("table"), Removed.at("key"), "");
-  answer(Message, Json::object());
+  answer(Message, Json::object(), m_Version);
 }
 
 } // namespace crowstep::standin
--- a/tests/standin/store_server.h
+++ b/tests/standin/store_server.h
@@ -30,6 +30,9 @@
 
   void setMode(Mode Next) { m_Mode = Next; }
 
+  /// Answers reads from a copy of now until it is called with false.
+  void serveOldCopy(bool Old);
+
   /// Forgets the changes so far: who waits for them gets 410.
   void dropHistory();
 
@@ -54,11 +57,14 @@
   void transact(SoupServerMessage *Message);
   void answerWaiting();
   nlohmann::json changes(const std::string &Name, std::uint64_t After);
-  void answer(SoupServerMessage *Message, nlohmann::json Body) const;
+  void answer(SoupServerMessage *Message, nlohmann::json Body,
+              std::uint64_t Version) const;
 
   HttpServer m_Server;                   ///< Towards the gateways.
   std::map<std::string, Table> m_Tables; ///< By name.
   std::vector<Waiting> m_Waiting;        ///< Paused calls.
+  std::map<std::string, Table> m_Copy;   ///< See serveOldCopy().
+  std::uint64_t m_CopyVersion = 0;       ///< Its version; 0: none is served.
   std::uint64_t m_Version = 0;           ///< Of the newest change.
   std::uint64_t m_Oldest = 0;            ///< History before it is gone.
   Mode m_Mode = Mode::Up;                ///< See Mode.
