Feature: Compare some engines by chance, and keep calls from disturbing others

Each now compares the home engine, three of those that need to read least and three others, by chance. A short call also counts what is read after it at an engine, and a long one the more urgent calls that it would disturb, for the time in which the line between the roles moves.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -125,6 +125,10 @@
         {State, callsAt(*State, Now),
          State->m_Own.unreadBefore(Query.m_Urgency) +
              m_Peers.at(Id).unreadBefore(Query.m_Urgency),
+         State->m_Own.unreadAfter(Query.m_Urgency) +
+             m_Peers.at(Id).unreadAfter(Query.m_Urgency),
+         State->m_Own.moreUrgent(Query.m_Urgency) +
+             m_Peers.at(Id).moreUrgent(Query.m_Urgency),
          Prompt.m_PromptTokens - std::min(Prompt.m_PromptTokens, Kept),
          ShortOnly.contains(Id)});
   }
@@ -133,7 +137,7 @@
     return NotPlaced{RefusalReason::TargetUnreachable,
                      LeastRetryAfter,
                      {0, 0, 0, 0, m_Peers.size()}};
-  const EngineOption &Chosen = chooseEngine(Query, Options);
+  const EngineOption &Chosen = chooseEngine(Query, Options, m_Random);
   const PlacementInputs Why = {Options.size(), Chosen.m_Calls,
                                Chosen.m_UnreadTokens, Chosen.m_MissingTokens,
                                m_Peers.size()};
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -20,7 +20,9 @@
 class Balancer {
 public:
   /// \p Zone is the instance's own.
-  explicit Balancer(AvailabilityZone Zone) : m_Zone(std::move(Zone)) {}
+  /// \p Seed differs between instances.
+  explicit Balancer(AvailabilityZone Zone, std::uint64_t Seed = 1)
+      : m_Zone(std::move(Zone)), m_Random(Seed) {}
 
   /// Replaces the list; what is known of those that stay is kept. Calls at
   /// upstreams that went count on until they end.
@@ -94,6 +96,7 @@
   UpstreamState *stateOf(TicketId Ticket);
 
   AvailabilityZone m_Zone;                          ///< Own.
+  std::mt19937_64 m_Random;                         ///< For choices.
   ReadingSpeed m_Speed;                             ///< Of engines.
   PeerLoads m_Peers;                                ///< By digests.
   CacheModel m_Cache;                               ///< Of engines.
--- a/src/balance/engine_choice.cpp
+++ b/src/balance/engine_choice.cpp
@@ -33,6 +33,25 @@
 /// tenth of a second don't know of one another, and so read it once.
 constexpr double HomeAdvantage = 0.7;
 
+/// Engines that are compared, of those that keep the prompt's beginning and of
+/// those that don't. Instances learn of one another's calls late, and all that
+/// compared all engines would send their calls to the same one, the best by
+/// what they know; the best of three by chance is nearly as good, and another
+/// one for each call.
+constexpr std::size_t Compared = 3;
+
+/// Prompts that differ by less in what must be read are alike: an engine reads
+/// this much in the time of a few steps of its batch.
+constexpr std::uint32_t AlikeTokens = 1000;
+
+/// Less urgent prompts are read between the tokens of a more urgent call and
+/// make its pauses longer: they count by this part.
+constexpr double UnreadAfterWeight = 0.3;
+
+/// A call whose prompt is read between the tokens of a more urgent one makes
+/// that one's pauses longer: it counts as this many tokens.
+constexpr double TokensPerDisturbed = 300;
+
 /// Any number; sets this hash apart from that of prompts.
 constexpr std::uint64_t RoleSeed = 1;
 
@@ -51,10 +70,35 @@
   return Result.empty() ? Options : Result;
 }
 
+/// Returns the engines to compare: the home, some that need to read least, and
+/// some others.
+std::vector<EngineOption> someOf(const std::vector<EngineOption> &Fit,
+                                 const EngineOption &Home,
+                                 std::mt19937_64 &Random) {
+  const auto Least = std::min_element(
+      Fit.begin(), Fit.end(), [](const auto &Left, const auto &Right) {
+        return Left.m_MissingTokens < Right.m_MissingTokens;
+      });
+  std::vector<EngineOption> Keepers;
+  std::vector<EngineOption> Others;
+  for (const EngineOption &Each : Fit)
+    if (Each.m_State != Home.m_State)
+      (Each.m_MissingTokens <= Least->m_MissingTokens + AlikeTokens ? Keepers
+                                                                    : Others)
+          .push_back(Each);
+  std::vector<EngineOption> Result = {Home};
+  for (const auto *From : {&Keepers, &Others})
+    std::sample(From->begin(), From->end(), std::back_inserter(Result),
+                Compared, Random);
+  return Result;
+}
+
 double costOf(const EngineOption &Option, bool Home) {
   const double Missing =
       MissingWeight * Option.m_MissingTokens * (Home ? 1 - HomeAdvantage : 1);
   return static_cast<double>(Option.m_UnreadTokens) + Missing +
+         UnreadAfterWeight * static_cast<double>(Option.m_UnreadAfter) +
+         TokensPerDisturbed * Option.m_MoreUrgent +
          TokensPerCall * Option.m_Calls;
 }
 
@@ -74,7 +118,8 @@
 }
 
 const EngineOption &chooseEngine(const PlacementQuery &Query,
-                                 const std::vector<EngineOption> &Options) {
+                                 const std::vector<EngineOption> &Options,
+                                 std::mt19937_64 &Random) {
   const std::vector<EngineOption> Fit = ofRole(Query, Options);
   const std::uint64_t Key = Query.m_Prompt.m_Parts.empty()
                                 ? RoleSeed
@@ -83,9 +128,11 @@
       Fit.begin(), Fit.end(), [&](const auto &Left, const auto &Right) {
         return rankOf(Left, Key) < rankOf(Right, Key);
       });
-  const EngineOption *Best = &*Home;
-  for (const EngineOption &Each : Fit)
-    if (costOf(Each, &Each == &*Home) < costOf(*Best, Best == &*Home))
+  const std::vector<EngineOption> Some = someOf(Fit, *Home, Random);
+  const EngineOption *Best = &Some.front();
+  for (const EngineOption &Each : Some)
+    if (costOf(Each, &Each == &Some.front()) <
+        costOf(*Best, Best == &Some.front()))
       Best = &Each;
   return *std::find_if(Options.begin(), Options.end(), [&](const auto &Each) {
     return Each.m_State == Best->m_State;
--- a/src/balance/engine_choice.h
+++ b/src/balance/engine_choice.h
@@ -4,6 +4,8 @@
 
 #include "balance/upstream_state.h"
 
+#include <random>
+
 namespace crowstep::balance {
 
 /// An engine that could take a call, and what it would cost there.
@@ -11,6 +13,8 @@
   UpstreamState *m_State = nullptr;  ///< Never null.
   double m_Calls = 0;                ///< That all instances have there.
   std::uint64_t m_UnreadTokens = 0;  ///< Of prompts waiting there to be read.
+  std::uint64_t m_UnreadAfter = 0;   ///< Of prompts that are read later.
+  std::uint32_t m_MoreUrgent = 0;    ///< Calls there that this one disturbs.
   std::uint32_t m_MissingTokens = 0; ///< Of this prompt, not kept there.
   bool m_ShortOnly = false;          ///< It takes short prompts only.
 };
@@ -22,10 +26,11 @@
 /// Returns whether a call's prompt counts as short.
 bool isShort(const PromptSize &Prompt);
 
-/// Returns the best of \p Options, which are not empty. A call gets an engine
-/// of its kind if there is one.
+/// Returns the best of \p Options, which are not empty, or of some of them. A
+/// call gets an engine of its kind if there is one.
 const EngineOption &chooseEngine(const PlacementQuery &Query,
-                                 const std::vector<EngineOption> &Options);
+                                 const std::vector<EngineOption> &Options,
+                                 std::mt19937_64 &Random);
 
 } // namespace crowstep::balance
 
--- a/src/balance/peer_loads.cpp
+++ b/src/balance/peer_loads.cpp
@@ -59,6 +59,20 @@
   return Result;
 }
 
+std::uint64_t CallLoad::unreadAfter(Urgency How) const {
+  std::uint64_t Result = 0;
+  for (std::size_t I = How + 1U; I < m_Parts.size(); ++I)
+    Result += m_Parts.at(I).m_Unread;
+  return Result;
+}
+
+std::uint32_t CallLoad::moreUrgent(Urgency How) const {
+  std::uint32_t Result = 0;
+  for (std::size_t I = 0; I < How; ++I)
+    Result += m_Parts.at(I).m_Running;
+  return Result;
+}
+
 void CallLoad::tell(UpstreamId Upstream, std::vector<UpstreamLoad> &Out) const {
   for (std::size_t I = 0; I < m_Parts.size(); ++I)
     if (m_Parts.at(I).m_Running > 0)
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -48,6 +48,12 @@
   /// \p How that comes now.
   [[nodiscard]] std::uint64_t unreadBefore(Urgency How) const;
 
+  /// Returns the tokens that are read after those of such a call.
+  [[nodiscard]] std::uint64_t unreadAfter(Urgency How) const;
+
+  /// Returns how many calls are more urgent than \p How.
+  [[nodiscard]] std::uint32_t moreUrgent(Urgency How) const;
+
   /// Appends what there is to tell of \p Upstream.
   void tell(UpstreamId Upstream, std::vector<UpstreamLoad> &Out) const;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -59,7 +59,8 @@
 
 Gateway::Gateway(GatewaySettings Chosen, const PartsFactory &Make)
     : m_Settings(std::move(Chosen)), m_Stats(m_Metrics),
-      m_Random(std::random_device{}()), m_Balancer(m_Settings.m_Zone),
+      m_Random(std::random_device{}()),
+      m_Balancer(m_Settings.m_Zone, m_Random()),
       m_Budget(m_Settings.m_RetryBudget), m_Upstream(m_Clock, m_Timers),
       m_Parts(Make(m_Clock, m_Timers, m_Metrics)),
       m_Exchange(
--- a/tests/unit/balance_test.cpp
+++ b/tests/unit/balance_test.cpp
@@ -4,6 +4,7 @@
 #include "balance/retry_budget.h"
 
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <rapidcheck.h>
 
 using namespace crowstep;
@@ -145,6 +146,60 @@
   BOOST_TEST(Short.size() >= 1U);
 }
 
+/// Many instances know the same of forty engines and place a call each before
+/// they hear of one another. Choosing the same best engine they would make all
+/// those calls wait in one queue while the others idle.
+BOOST_AUTO_TEST_CASE(InstancesThatKnowTheSameChooseDifferently) {
+  constexpr int Engines = 40;
+  constexpr int Instances = 60;
+  std::vector<Upstream> List;
+  for (int I = 0; I < Engines; ++I)
+    List.push_back(engine(I));
+  // All but an eighth of the engines have much to read.
+  LoadDigest Known;
+  for (int I = 0; I < Engines; ++I)
+    if (I % 8 != 0)
+      Known.m_Loads.push_back(
+          {List[static_cast<std::size_t>(I)].m_Id, 0, 2, 40000, 500});
+  std::map<UpstreamId, int> Chosen;
+  for (int I = 0; I < Instances; ++I) {
+    Balancer Each({"a"}, static_cast<std::uint64_t>(I));
+    Each.setUpstreams(List);
+    Each.peerSaid(InstanceId(1), Known, TimePoint(1s));
+    PlacementQuery Query = longCall(static_cast<std::uint64_t>(I) + 1, 5000);
+    const auto Result = Each.place(Query, TimePoint(1s));
+    ++Chosen[std::get<Placed>(Result).m_Upstream];
+  }
+  for (const auto &[Id, Calls] : Chosen)
+    BOOST_TEST(Calls <= Instances / 6);
+}
+
+/// The line between the roles moves, and an engine that takes short prompts now
+/// still reads a long one. A short call goes to one that doesn't: between the
+/// chunks of a long prompt its tokens would come in jerks. A long call likewise
+/// keeps away from short ones that run on.
+BOOST_AUTO_TEST_CASE(CallsKeepAwayFromThoseTheyWouldDisturb) {
+  std::vector<UpstreamState> States(2);
+  for (int I = 0; I < 2; ++I)
+    States[static_cast<std::size_t>(I)].m_Upstream = engine(I);
+  std::mt19937_64 Random(1);
+  const auto Chosen = [&](const PlacementQuery &Query,
+                          const EngineOption &First,
+                          const EngineOption &Second) {
+    return chooseEngine(Query, {First, Second}, Random).m_State;
+  };
+  PlacementQuery Short = longCall(500, 5000);
+  Short.m_Prompt = {{{500, 300}, {5000, 900}}, 1200, 200, 100};
+  for (const bool Swapped : {false, true}) {
+    UpstreamState *Reads = &States[Swapped ? 1 : 0];
+    UpstreamState *Idles = &States[Swapped ? 0 : 1];
+    BOOST_TEST((Chosen(Short, {Reads, 1, 0, 20000, 0, 1200, true},
+                       {Idles, 8, 0, 0, 0, 1200, true}) == Idles));
+    BOOST_TEST((Chosen(longCall(1, 2), {Reads, 30, 0, 0, 30, 3000, false},
+                       {Idles, 30, 0, 0, 0, 3000, false}) == Idles));
+  }
+}
+
 /// What others have at an engine counts as our own does: without it nine
 /// instances that each see a ninth of a burst send it all to one engine.
 BOOST_AUTO_TEST_CASE(DigestsOfOthersMoveTheChoice) {
