--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -119,7 +119,8 @@
            "\nprobes=" + toString(m_Probes) +
            "\nreadiness_path=/readiness\ngrace_s=" + std::to_string(m_GraceS) +
            "\n[retry_budget]\n"
-           "ratio=0.2\nslack=50\nwindow_s=10\n[store]\naddress=" +
+           "ratio=0.2\nslack=50\nwindow_s=10\n[upstreams]\ndrain_ms=1200\n["
+           "store]\naddress=" +
            toString(m_StoreAt) + "\n";
   }
   void start() {
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -98,7 +98,8 @@
          std::to_string(
              std::chrono::duration_cast<std::chrono::seconds>(RetryWindow)
                  .count()) +
-         "\n[store]\naddress=" + toString(Which.m_ToStore->address()) + "\n";
+         "\n[upstreams]\ndrain_ms=2000\n[store]\naddress=" +
+         toString(Which.m_ToStore->address()) + "\n";
 }
 
 void SoakFleet::startGateway(Place &Which) {
