Test: Read the log until the request's last line is there

Cause: the gateway drops the caller's connection and then writes the line (ForwardedRequest::giveUp), and the test read the log in between. The test asks for the same lines as before and waits up to 2 s for the last.

--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -315,8 +315,16 @@
   const auto Told = [&](const std::string &Path) {
     const Call What = It.request(Path);
     It.m_Caller.call(What);
-    return ctl::explain(What.m_Headers.at("X-Attempt-Id"),
-                        {It.m_Gateway->log()});
+    // The caller may see its end a moment before the line is written.
+    std::string Story;
+    runUntil(
+        [&] {
+          Story = ctl::explain(What.m_Headers.at("X-Attempt-Id"),
+                               {It.m_Gateway->log()});
+          return Story.find("GatewayRequestFailed") != std::string::npos;
+        },
+        2s);
+    return Story;
   };
   const auto Has = [](const std::string &Story, const std::string &Text) {
     return Story.find(Text) != std::string::npos;
