--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -117,18 +117,27 @@
         soup_server_message_get_response_headers(What.m_Message),
         SOUP_ENCODING_CHUNKED);
   }
+  return sendNext(What);
+}
+
+/// Sends an event or a body, or cuts; returns whether that was the last.
+bool SoakUpstream::sendNext(Answer &What) {
+  // What was sent must have left before the cut.
+  constexpr int PiecesBeforeCut = 2;
   const bool Cuts = What.m_Trouble == Trouble::Cuts;
-  if (!What.m_Stream) {
-    sendPiece(What, What.m_Id + (Cuts ? " wh" : " whole"));
-  } else if (What.m_Next <= EventsOfStream) {
+  if (Cuts && What.m_Steps > PiecesBeforeCut) {
+    cut(What);
+    return true;
+  }
+  if (What.m_Stream && What.m_Next <= EventsOfStream) {
     const std::string Id = std::to_string(What.m_Next++);
     sendPiece(What,
               "id: " + Id + "\ndata: " + What.m_Id + " " + m_Name + "\n\n");
+  } else if (!What.m_Stream && What.m_Steps == 1) {
+    sendPiece(What, What.m_Id + (Cuts ? " wh" : " whole"));
   }
-  if (Cuts && (!What.m_Stream || What.m_Steps == 3)) {
-    cut(What);
-    return true;
-  }
+  if (Cuts)
+    return false;
   if (What.m_Stream && What.m_Next <= EventsOfStream)
     return false;
   soup_message_body_complete(
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -43,6 +43,7 @@
   void begin(Answer *What);
   static int onTick(void *Data);
   bool step(Answer &What);
+  bool sendNext(Answer &What);
   void sendHead(Answer &What) const;
   void sendPiece(Answer &What, const std::string &Piece) const;
   static void cut(const Answer &What);
