--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -61,7 +61,15 @@
 
 bool isCalm(std::uint64_t Seed) { return Seed % CalmEvery == 0; }
 
-std::vector<Fault> makeSchedule(std::uint64_t Seed, Duration Span) {
+std::optional<FaultKind> faultKindOf(const std::string &Name) {
+  const auto Found = std::find(Names.begin(), Names.end(), Name);
+  if (Found == Names.end())
+    return std::nullopt;
+  return static_cast<FaultKind>(Found - Names.begin());
+}
+
+std::vector<Fault> makeSchedule(std::uint64_t Seed, Duration Span,
+                                std::optional<FaultKind> Only) {
   std::mt19937_64 Random(Seed);
   // Standard distributions differ between libraries; a remainder doesn't.
   const auto Below = [&](std::uint64_t Limit) {
@@ -71,11 +79,13 @@
   std::chrono::milliseconds At(500);
   while (At < Span) {
     const auto Series = 1 + Below(3);
-    const auto Kind =
-        isCalm(Seed)
-            ? Planned.at(Random() % Planned.size())
+    const std::uint64_t Draw = Random();
+    const FaultKind Kind =
+        Only ? *Only
+        : isCalm(Seed)
+            ? Planned.at(Draw % Planned.size())
             : static_cast<FaultKind>(
-                  Random() % static_cast<std::uint64_t>(FaultKind::Count));
+                  Draw % static_cast<std::uint64_t>(FaultKind::Count));
     for (std::int64_t I = 0; I < Series && At < Span; ++I) {
       const std::chrono::milliseconds Lasts(ShortestMs +
                                             Below(LongestMs - ShortestMs));
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -5,6 +5,8 @@
 #include "core/clock.h"
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -52,8 +54,12 @@
 
 /// Returns the troubles of \p Seed within \p Span, in order. They come in
 /// series and overlap; every fourth seed plays only planned work, in which
-/// nothing may be cut.
-std::vector<Fault> makeSchedule(std::uint64_t Seed, Duration Span);
+/// nothing may be cut. With \p Only all are of that kind.
+std::vector<Fault> makeSchedule(std::uint64_t Seed, Duration Span,
+                                std::optional<FaultKind> Only = {});
+
+/// Returns the kind of that name, or nothing.
+std::optional<FaultKind> faultKindOf(const std::string &Name);
 
 /// Returns whether \p Seed plays only planned work.
 bool isCalm(std::uint64_t Seed);
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -13,10 +13,11 @@
 namespace {
 
 struct Options {
-  std::uint64_t m_Seed = 0; ///< Of the first round.
-  Duration m_Total{};       ///< Rounds are begun for this long.
-  Duration m_Round{};       ///< Faults of a round.
-  FleetPlan m_Fleet;        ///< Its size.
+  std::uint64_t m_Seed = 0;        ///< Of the first round.
+  Duration m_Total{};              ///< Rounds are begun for this long.
+  std::optional<FaultKind> m_Only; ///< One kind of faults.
+  Duration m_Round{};              ///< Faults of a round.
+  FleetPlan m_Fleet;               ///< Its size.
 };
 
 Options parse(int Argc, char **Argv) {
@@ -37,8 +38,13 @@
   TCLAP::ValueArg<std::string> Keep("", "keep",
                                     "where logs go when a promise was broken",
                                     false, "", "folder", Line);
+  TCLAP::ValueArg<std::string> Only("", "only", "one kind of faults", false, "",
+                                    "name", Line);
   Line.parse(Argc, Argv);
   Options Result;
+  Result.m_Only = faultKindOf(Only.getValue());
+  if (!Only.getValue().empty() && !Result.m_Only)
+    throw Error("no kind of faults is called " + Only.getValue());
   Result.m_Seed = Seed.getValue();
   if (Result.m_Seed == 0)
     Result.m_Seed = std::random_device{}();
@@ -57,7 +63,8 @@
   Plan.m_Seed = Seed;
   if (!Plan.m_Keep.empty())
     Plan.m_Keep += "/" + std::to_string(Seed);
-  const std::vector<Fault> Faults = makeSchedule(Seed, Chosen.m_Round);
+  const std::vector<Fault> Faults =
+      makeSchedule(Seed, Chosen.m_Round, Chosen.m_Only);
   std::cout << "seed " << Seed << (isCalm(Seed) ? " (planned work)" : "")
             << "\nfaults:";
   for (const Fault &Each : Faults)
@@ -81,7 +88,7 @@
 
 } // namespace
 
-int main(int Argc, char **Argv) {
+int main(int Argc, char **Argv) try {
   const Options Chosen = parse(Argc, Argv);
   const LoopClock Time;
   const TimePoint Begin = Time.fresh();
@@ -98,4 +105,7 @@
   }
   std::cout << "soak: " << Rounds << " rounds, " << Broken << " broken\n";
   return static_cast<int>(Broken == 0 ? ExitCode::Success : ExitCode::Failure);
+} catch (const Error &Why) {
+  std::cerr << "crowstep-soak: " << Why.what() << '\n';
+  return static_cast<int>(ExitCode::BadInput);
 }
--- a/tests/unit/balance_test.cpp
+++ b/tests/unit/balance_test.cpp
@@ -153,6 +153,7 @@
   constexpr int Engines = 40;
   constexpr int Instances = 600;
   std::vector<Upstream> List;
+  List.reserve(Engines);
   for (int I = 0; I < Engines; ++I)
     List.push_back(engine(I));
   // All but an eighth of the engines have much to read.
