Test: Lost history reaches those who wait for changes

The stand-in of the store answered 410 only to followers that were behind, and none were: a gateway with every check of versions taken out never read an old copy. A change elsewhere now comes with the loss.

--- a/tests/standin/store_server.cpp
+++ b/tests/standin/store_server.cpp
@@ -44,7 +44,8 @@
 }
 
 void StoreServer::dropHistory() {
-  m_Oldest = m_Version;
+  // A change elsewhere comes with it, so that all who wait are behind.
+  m_Oldest = ++m_Version;
   answerWaiting();
 }
 
