Refactor: Sum digests by the sums that exist, and order engines once a list

DigestSum kept and added up loads that PeerLoads keeps and adds up already, and built the sum anew for each digest; it is now a PeerLoads with parts and work. Each placement sorted the upstreams by id and all engines of the service by hash; the order changes only with the list, so it is made there. The sum of a peer's work and the look for an empty digest stood in three and two places. Behaviour is the same: the order of choices is by id, as before.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -2,7 +2,7 @@
 #include "balance/balancer.h"
 
 #include <algorithm>
-#include <set>
+#include <utility>
 
 namespace crowstep::balance {
 
@@ -69,7 +69,7 @@
 } // namespace
 
 void Balancer::setUpstreams(const std::vector<Upstream> &List) {
-  std::unordered_map<UpstreamId, UpstreamState> Next;
+  std::map<UpstreamId, UpstreamState> Next;
   for (const Upstream &Each : List) {
     const auto Found = m_States.find(Each.m_Id);
     UpstreamState State;
@@ -80,6 +80,23 @@
   }
   m_States = std::move(Next);
   m_Cache.keepOnly(List);
+  rankEngines();
+}
+
+/// Roles go by the engines' order among all that are listed, so that one that
+/// is kept out for a while moves no role.
+void Balancer::rankEngines() {
+  std::map<std::string, std::vector<UpstreamId>> Engines;
+  for (const auto &[Id, State] : m_States)
+    if (!State.m_Upstream.m_Leaving)
+      Engines[State.m_Upstream.m_Service].push_back(Id);
+  m_Staying.clear();
+  for (auto &[Service, Ids] : Engines) {
+    m_Staying[Service] = Ids.size();
+    std::size_t Rank = 0;
+    for (const UpstreamId Id : shortOrder(std::move(Ids)))
+      m_States.at(Id).m_ShortRank = Rank++;
+  }
 }
 
 Balancer::States Balancer::candidates(const PlacementQuery &Query,
@@ -92,10 +109,6 @@
             Query.m_Avoid.end() &&
         Now >= State.m_LeavingUntil)
       Listed.push_back(&State);
-  // A stable order: the same calls give the same choices in every run.
-  std::sort(Listed.begin(), Listed.end(), [](auto *Left, auto *Right) {
-    return Left->m_Upstream.m_Id < Right->m_Upstream.m_Id;
-  });
   States Fit;
   std::copy_if(Listed.begin(), Listed.end(), std::back_inserter(Fit),
                [&](const UpstreamState *State) {
@@ -126,21 +139,21 @@
                                         const States &From, TimePoint Now) {
   const PromptSize &Prompt = Query.m_Prompt;
   const PoolId Pool = poolIdOf(Query.m_Service, 0);
-  const std::set<UpstreamId> ShortOnly = shortEngines(Query.m_Service, Pool);
+  const std::size_t ShortOnly = shortEngines(Query.m_Service);
   std::vector<EngineOption> Options;
   for (UpstreamState *State : From) {
     const UpstreamId Id = State->m_Upstream.m_Id;
     const std::uint32_t Kept = m_Cache.kept(Id, Prompt.m_Parts);
+    const CallLoad &Own = State->m_Own;
+    const CallLoad &Peers = m_Peers.at(Id);
+    const Urgency How = Query.m_Urgency;
     Options.push_back(
         {State, callsAt(*State, Now),
-         State->m_Own.unreadBefore(Query.m_Urgency) +
-             m_Peers.at(Id).unreadBefore(Query.m_Urgency),
-         State->m_Own.unreadAfter(Query.m_Urgency) +
-             m_Peers.at(Id).unreadAfter(Query.m_Urgency),
-         State->m_Own.moreUrgent(Query.m_Urgency) +
-             m_Peers.at(Id).moreUrgent(Query.m_Urgency),
+         Own.unreadBefore(How) + Peers.unreadBefore(How),
+         Own.unreadAfter(How) + Peers.unreadAfter(How),
+         Own.moreUrgent(How) + Peers.moreUrgent(How),
          Prompt.m_PromptTokens - std::min(Prompt.m_PromptTokens, Kept),
-         ShortOnly.contains(Id)});
+         State->m_ShortRank < ShortOnly});
   }
   keepRoom(Query, Options);
   if (Options.empty())
@@ -177,18 +190,14 @@
   return Result;
 }
 
-/// Returns the engines that take short prompts only. They are chosen among all
-/// that are listed, so that one that is kept out for a while moves no role.
-std::set<UpstreamId> Balancer::shortEngines(const std::string &Service,
-                                            PoolId Pool) {
-  std::vector<UpstreamId> Engines;
-  for (const auto &[Id, State] : m_States)
-    if (State.m_Upstream.m_Service == Service && !State.m_Upstream.m_Leaving)
-      Engines.push_back(Id);
-  Engines = shortOrder(std::move(Engines));
-  const std::size_t Count = m_Splits[Pool].shortEngines(Engines.size());
-  return {Engines.begin(),
-          Engines.begin() + static_cast<std::ptrdiff_t>(Count)};
+/// Returns how many engines take short prompts only: the first by rank.
+std::size_t Balancer::shortEngines(const std::string &Service) const {
+  const auto Engines = m_Staying.find(Service);
+  const auto Split = m_Splits.find(poolIdOf(Service, 0));
+  if (Engines == m_Staying.end())
+    return 0;
+  return (Split == m_Splits.end() ? RoleSplit() : Split->second)
+      .shortEngines(Engines->second);
 }
 
 /// Takes out the engines whose slots are taken or whose memory the call could
@@ -217,8 +226,7 @@
   WorkTokens Work;
   (isShort(Prompt) ? Work.m_Short : Work.m_Long) = Tokens;
   m_Splits[Pool].add(Work, Now);
-  m_NewWork[Pool].m_Short += Work.m_Short;
-  m_NewWork[Pool].m_Long += Work.m_Long;
+  m_NewWork[Pool] += Work;
 }
 
 Placed Balancer::begin(UpstreamState &Chosen, Urgency How,
@@ -273,10 +281,8 @@
   LoadDigest Result;
   for (const auto &[Id, State] : m_States)
     State.m_Own.tell(Id, Result.m_Loads);
-  Result.m_Parts = std::move(m_NewParts);
-  m_NewParts.clear();
-  Result.m_Work = std::move(m_NewWork);
-  m_NewWork.clear();
+  Result.m_Parts = std::exchange(m_NewParts, {});
+  Result.m_Work = std::exchange(m_NewWork, {});
   return Result;
 }
 
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -12,7 +12,7 @@
 #include "balance/reading_speed.h"
 #include "balance/upstream_state.h"
 
-#include <set>
+#include <map>
 #include <unordered_map>
 
 namespace crowstep::balance {
@@ -84,7 +84,8 @@
   States candidates(const PlacementQuery &Query, TimePoint Now);
   PlacementResult placeAtEngine(const PlacementQuery &Query, const States &From,
                                 TimePoint Now);
-  std::set<UpstreamId> shortEngines(const std::string &Service, PoolId Pool);
+  void rankEngines();
+  [[nodiscard]] std::size_t shortEngines(const std::string &Service) const;
   void keepRoom(const PlacementQuery &Query,
                 std::vector<EngineOption> &Options) const;
   void noteWork(PoolId Pool, const PromptSize &Prompt, std::uint32_t Tokens,
@@ -104,9 +105,10 @@
   std::unordered_map<PoolId, WorkTokens> m_NewWork; ///< Since takeDigest().
   std::vector<PartPlaced> m_NewParts;               ///< Since takeDigest().
   std::unordered_map<std::string, std::uint64_t> m_CacheTokens; ///< By service.
-  std::unordered_map<UpstreamId, UpstreamState> m_States; ///< Listed ones.
-  std::unordered_map<TicketId, Ticket> m_Tickets;         ///< Not ended.
-  std::uint64_t m_LastTicket = 0;                         ///< Ids start at 1.
+  std::map<std::string, std::size_t> m_Staying;   ///< Not leaving, by service.
+  std::map<UpstreamId, UpstreamState> m_States;   ///< Listed ones.
+  std::unordered_map<TicketId, Ticket> m_Tickets; ///< Not ended.
+  std::uint64_t m_LastTicket = 0;                 ///< Ids start at 1.
 };
 
 } // namespace crowstep::balance
--- a/src/balance/digest_sum.h
+++ b/src/balance/digest_sum.h
@@ -13,7 +13,7 @@
   void take(InstanceId From, const LoadDigest &Digest, TimePoint Now);
 
   /// Forgets an instance's loads.
-  void drop(InstanceId From) { m_Said.erase(From); }
+  void drop(InstanceId From) { m_Loads.drop(From); }
 
   /// Forgets everything.
   void clear();
@@ -23,13 +23,7 @@
   LoadDigest takeSum(TimePoint Now);
 
 private:
-  /// What one instance said last.
-  struct Said {
-    std::vector<UpstreamLoad> m_Loads; ///< See LoadDigest.
-    TimePoint m_At;                    ///< When it arrived.
-  };
-
-  std::unordered_map<InstanceId, Said> m_Said;   ///< By instance.
+  PeerLoads m_Loads;                             ///< What was said last.
   std::vector<PartPlaced> m_Parts;               ///< Not yet taken.
   std::unordered_map<PoolId, WorkTokens> m_Work; ///< Not yet taken.
 };
--- a/src/balance/peer_loads.cpp
+++ b/src/balance/peer_loads.cpp
@@ -111,6 +111,16 @@
     drop(Peer);
 }
 
+void PeerLoads::tell(std::vector<UpstreamLoad> &Out) const {
+  for (const auto &[Upstream, Sum] : m_Sum)
+    Sum.tell(Upstream, Out);
+}
+
+void PeerLoads::clear() {
+  m_Peers.clear();
+  m_Sum.clear();
+}
+
 const CallLoad &PeerLoads::at(UpstreamId Upstream) const {
   static const CallLoad None;
   const auto Found = m_Sum.find(Upstream);
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -77,6 +77,11 @@
   std::vector<UpstreamLoad> m_Loads; ///< All upstreams where it has calls.
   std::vector<PartPlaced> m_Parts;   ///< Since its last digest.
   std::unordered_map<PoolId, WorkTokens> m_Work; ///< Since its last digest.
+
+  /// Returns whether there is nothing to tell.
+  [[nodiscard]] bool empty() const {
+    return m_Loads.empty() && m_Parts.empty();
+  }
 };
 
 /// Sums of the loads of all instances that were heard of lately.
@@ -99,6 +104,12 @@
   /// Returns the sum of the peers' loads at \p Upstream.
   [[nodiscard]] const CallLoad &at(UpstreamId Upstream) const;
 
+  /// Appends the sums at all upstreams.
+  void tell(std::vector<UpstreamLoad> &Out) const;
+
+  /// Forgets all instances.
+  void clear();
+
   /// Returns how many instances count.
   [[nodiscard]] std::size_t size() const { return m_Peers.size(); }
 
--- a/src/balance/role_split.h
+++ b/src/balance/role_split.h
@@ -17,6 +17,12 @@
 struct WorkTokens {
   double m_Short = 0; ///< Of short prompts.
   double m_Long = 0;  ///< Of long prompts.
+
+  WorkTokens &operator+=(const WorkTokens &Other) {
+    m_Short += Other.m_Short;
+    m_Long += Other.m_Long;
+    return *this;
+  }
 };
 
 /// The work of one service, by all instances, with recent work weighing most.
--- a/src/balance/upstream_state.h
+++ b/src/balance/upstream_state.h
@@ -33,6 +33,7 @@
 /// One upstream, its load and its health.
 struct UpstreamState {
   Upstream m_Upstream;               ///< As the directory describes it.
+  std::size_t m_ShortRank = 0;       ///< See shortOrder(); of engines.
   CallLoad m_Own;                    ///< Our calls there.
   std::optional<LoadReport> m_Load;  ///< The last report.
   std::uint32_t m_RunningAtLoad = 0; ///< Our calls when it came.
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -34,11 +34,10 @@
       Result.m_Parts.push_back(
           {UpstreamId(Each->upstream()), {Each->part(), Each->tokens()}});
   if (From.work() != nullptr)
-    for (const wire::WorkPlaced *Each : *From.work()) {
-      balance::WorkTokens &Work = Result.m_Work[PoolId(Each->pool())];
-      Work.m_Short += Each->short_tokens();
-      Work.m_Long += Each->long_tokens();
-    }
+    for (const wire::WorkPlaced *Each : *From.work())
+      Result.m_Work[PoolId(Each->pool())] +=
+          {static_cast<double>(Each->short_tokens()),
+           static_cast<double>(Each->long_tokens())};
   return Result;
 }
 
--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -126,11 +126,10 @@
 }
 
 void DigestExchange::tellNear(const balance::LoadDigest &Own) {
-  const bool Nothing = Own.m_Loads.empty() && Own.m_Parts.empty();
   // One empty digest ends what the last one said; more would say nothing.
-  if (Nothing && m_ToldNothing)
+  if (Own.empty() && m_ToldNothing)
     return;
-  m_ToldNothing = Nothing;
+  m_ToldNothing = Own.empty();
   for (const auto &[Link, Peer] : m_Up)
     if (isNear(Peer))
       pack(Own, m_Links->outbox(Link).digest);
@@ -169,14 +168,11 @@
   const bool TellOthers = m_Ticks % TicksPerRelay == 0;
   const balance::LoadDigest Others =
       TellOthers ? m_OtherZones.takeSum(Now) : balance::LoadDigest();
-  const auto Empty = [](const balance::LoadDigest &Digest) {
-    return Digest.m_Loads.empty() && Digest.m_Parts.empty();
-  };
   // What was said before counts no more after a short time.
   for (const auto &[Link, Peer] : m_Up) {
-    if (!isNear(Peer) && !Empty(Zone))
+    if (!isNear(Peer) && !Zone.empty())
       pack(Zone, m_Links->outbox(Link).zone_sum);
-    else if (isNear(Peer) && !Empty(Others))
+    else if (isNear(Peer) && !Others.empty())
       pack(Others, m_Links->outbox(Link).elsewhere);
   }
 }
