Test: Keep a port that was given

Cause, by its log: the port that freePort() had found free and let go was taken meanwhile, by another test's connection or process. The socket now stays bound while the test lives.

--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -9,7 +9,6 @@
 #include <filesystem>
 #include <fstream>
 #include <glib.h>
-#include <set>
 #include <sstream>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -96,20 +95,19 @@
 }
 
 std::uint16_t freePort() {
-  static std::set<std::uint16_t> Given;
-  for (;;) {
-    const int Socket = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in Where{};
-    Where.sin_family = AF_INET;
-    Where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t Size = sizeof(Where);
-    (void)bind(Socket, reinterpret_cast<sockaddr *>(&Where), sizeof(Where));
-    getsockname(Socket, reinterpret_cast<sockaddr *>(&Where), &Size);
-    close(Socket);
-    const std::uint16_t Port = ntohs(Where.sin_port);
-    if (Given.insert(Port).second)
-      return Port;
-  }
+  // The socket stays bound until this process ends, so that nobody else's
+  // connection gets the port. With the same option listeners can bind it too.
+  const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int Shared = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Shared, sizeof(Shared));
+  sockaddr_in Where{};
+  Where.sin_family = AF_INET;
+  Where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Size = sizeof(Where);
+  if (bind(Socket, reinterpret_cast<sockaddr *>(&Where), sizeof(Where)) != 0 ||
+      getsockname(Socket, reinterpret_cast<sockaddr *>(&Where), &Size) != 0)
+    throw Error("no free port");
+  return ntohs(Where.sin_port);
 }
 
 bool runUntil(const std::function<bool()> &Done, Duration Limit) {
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -63,8 +63,8 @@
   std::optional<int> m_ExitCode; ///< Once it has ended.
 };
 
-/// Returns a loopback port that was free a moment ago. Ports of one test
-/// process are never given twice.
+/// Returns a loopback port that nobody else gets while this process lives.
+/// Those who listen there may share it. \throws Error when there is none.
 std::uint16_t freePort();
 
 /// Runs the loop until \p Done is true; returns whether that came within
