Refactor: One open answer at libsoup's server, one place for a gateway under test

HttpServerCaller, the stand-ins' Exchange, the soak's upstream and that of the gateway's tests each paused a message, watched its caller, streamed and cut by code of their own; HeldAnswer serves all four. The status was set twice. The settings of a gateway under test, its upstreams' rows and the question for its readiness stood in its test and in the soak; a new setting had to be put into both. Both now use tests/process/gateway_place. The bound on leaving upstreams that the soak checks is also what it tells its gateways, once. Assertions and checks are unchanged.

--- a/src/http/caller.h
+++ b/src/http/caller.h
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "http/header_list.h"
+#include "http/held_answer.h"
 #include "refusal_type.h"
 
 #include <cstddef>
@@ -64,37 +65,26 @@
 class HttpServerCaller final : public Caller {
 public:
   /// Takes over \p Message, which stays paused until it is answered.
-  explicit HttpServerCaller(SoupServerMessage *Message);
-  ~HttpServerCaller() override;
-  HttpServerCaller(const HttpServerCaller &) = delete;
-  HttpServerCaller &operator=(const HttpServerCaller &) = delete;
+  explicit HttpServerCaller(SoupServerMessage *Message) : m_Held(Message) {}
 
   void answer(const CallerAnswer &What) override;
   void beginStream(const CallerAnswer &Head) override;
-  void append(const std::string &Bytes) override;
-  void endStream() override;
-  void drop() override;
-  [[nodiscard]] bool hasLeft() const override;
-  [[nodiscard]] std::size_t backlog() const override { return m_Backlog; }
-  void onGone(std::function<void()> Job) override;
-  void onDrained(std::function<void()> Job) override;
+  void append(const std::string &Bytes) override { m_Held.append(Bytes); }
+  void endStream() override { m_Held.endStream(); }
+  void drop() override { m_Held.cut(); }
+  [[nodiscard]] bool hasLeft() const override { return m_Held.hasLeft(); }
+  [[nodiscard]] std::size_t backlog() const override {
+    return m_Held.backlog();
+  }
+  void onGone(std::function<void()> Job) override {
+    m_Held.onGone(std::move(Job));
+  }
+  void onDrained(std::function<void()> Job) override {
+    m_Held.onDrained(std::move(Job));
+  }
 
 private:
-  static void onFinished(SoupServerMessage *Message, void *Self);
-  static void onWrote(SoupServerMessage *Message, unsigned Size, void *Self);
-  static int onSocket(int Socket, GIOCondition What, void *Self);
-  void watch(GIOCondition What);
-  void stopWatching();
-  void gone();
-
-  SoupServerMessage *m_Message;    ///< Owned reference.
-  GSource *m_Watch = nullptr;      ///< Sees the caller's close; may be null.
-  std::function<void()> m_Gone;    ///< Empty once it has run.
-  std::function<void()> m_Drained; ///< May be empty.
-  std::size_t m_Backlog = 0;       ///< Appended and not yet written.
-  bool m_Open = true;              ///< Until answered, dropped or gone.
-  bool m_Finished = false;         ///< libsoup is done with the message.
-  bool m_Streaming = false;        ///< The head of a stream is given.
+  HeldAnswer m_Held; ///< The message.
 };
 
 } // namespace crowstep
--- /dev/null
+++ b/src/http/held_answer.cpp
@@ -0,0 +1,172 @@
+/// Paused libsoup messages, and the watch for a caller that closes.
+#include "http/held_answer.h"
+
+#include "core/http_server.h"
+#include "http/connection_sockets.h"
+
+#include <algorithm>
+#include <glib-unix.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace crowstep {
+
+namespace {
+
+/// The peer has closed its sending side. Seen also while bytes of a further
+/// request lie unread before the close, which a read would not get past.
+constexpr auto PeerClosed =
+    static_cast<GIOCondition>(POLLRDHUP | G_IO_HUP | G_IO_ERR);
+constexpr auto ReadableOrClosed =
+    static_cast<GIOCondition>(PeerClosed | G_IO_IN);
+
+} // namespace
+
+HeldAnswer::HeldAnswer(SoupServerMessage *Message)
+    : m_Message(SOUP_SERVER_MESSAGE(g_object_ref(Message))) {
+  soup_server_message_pause(m_Message);
+  g_signal_connect(m_Message, "finished", G_CALLBACK(onFinished), this);
+  g_signal_connect(m_Message, "wrote-body-data", G_CALLBACK(onWrote), this);
+  watch(ReadableOrClosed);
+}
+
+HeldAnswer::~HeldAnswer() {
+  cut();
+  stopWatching();
+  g_signal_handlers_disconnect_by_data(m_Message, this);
+  g_object_unref(m_Message);
+}
+
+void HeldAnswer::answer(unsigned Status, const std::string &ContentType,
+                        const std::string &Body) {
+  if (!m_Open)
+    return;
+  m_Open = false;
+  stopWatching();
+  respond(m_Message, Status, ContentType, Body);
+  soup_server_message_unpause(m_Message);
+}
+
+void HeldAnswer::beginStream(unsigned Status, const std::string &ContentType) {
+  if (!m_Open || m_Streaming)
+    return;
+  m_Streaming = true;
+  soup_server_message_set_status(m_Message, Status, nullptr);
+  SoupMessageHeaders *Headers =
+      soup_server_message_get_response_headers(m_Message);
+  soup_message_headers_set_encoding(Headers, SOUP_ENCODING_CHUNKED);
+  soup_message_headers_replace(Headers, "Content-Type", ContentType.c_str());
+  // Chunks that are written are thrown away; libsoup would keep them all.
+  soup_message_body_set_accumulate(
+      soup_server_message_get_response_body(m_Message), 0);
+  soup_server_message_unpause(m_Message);
+}
+
+void HeldAnswer::append(const std::string &Bytes) {
+  if (!m_Open || !m_Streaming || Bytes.empty())
+    return;
+  m_Backlog += Bytes.size();
+  soup_message_body_append(soup_server_message_get_response_body(m_Message),
+                           SOUP_MEMORY_COPY, Bytes.data(), Bytes.size());
+  soup_server_message_unpause(m_Message);
+}
+
+void HeldAnswer::endStream() {
+  if (!m_Open || !m_Streaming)
+    return;
+  m_Open = false;
+  stopWatching();
+  soup_message_body_complete(soup_server_message_get_response_body(m_Message));
+  soup_server_message_unpause(m_Message);
+}
+
+void HeldAnswer::cut() {
+  if (!m_Open)
+    return;
+  m_Open = false;
+  stopWatching();
+  if (m_Finished) // libsoup has let go of the connection.
+    return;
+  if (GSocket *Socket = soup_server_message_get_socket(m_Message))
+    g_socket_shutdown(Socket, 1, 1, nullptr);
+  // The next write fails, and libsoup then frees the connection.
+  if (m_Streaming)
+    soup_message_body_complete(
+        soup_server_message_get_response_body(m_Message));
+  else
+    soup_server_message_set_status(m_Message, SOUP_STATUS_OK, nullptr);
+  soup_server_message_unpause(m_Message);
+}
+
+void HeldAnswer::watch(GIOCondition What) {
+  GSocket *Socket = soup_server_message_get_socket(m_Message);
+  if (Socket == nullptr)
+    return;
+  // libsoup reads nothing while an answer is awaited: without this a caller
+  // that went would keep its place in the queue and its slot to the end.
+  m_Watch = g_unix_fd_source_new(g_socket_get_fd(Socket), What);
+  g_source_set_callback(
+      m_Watch,
+      reinterpret_cast<GSourceFunc>(reinterpret_cast<void (*)()>(onSocket)),
+      this, nullptr);
+  g_source_attach(m_Watch, nullptr);
+}
+
+bool HeldAnswer::hasLeft() const {
+  GSocket *Socket =
+      m_Finished ? nullptr : soup_server_message_get_socket(m_Message);
+  return Socket == nullptr || closedByPeer(Socket);
+}
+
+void HeldAnswer::stopWatching() {
+  if (m_Watch == nullptr)
+    return;
+  g_source_destroy(m_Watch);
+  g_source_unref(m_Watch);
+  m_Watch = nullptr;
+}
+
+void HeldAnswer::onFinished(SoupServerMessage *, void *Self) {
+  auto *Owner = static_cast<HeldAnswer *>(Self);
+  Owner->m_Finished = true;
+  Owner->gone();
+}
+
+void HeldAnswer::onWrote(SoupServerMessage *, unsigned Size, void *Self) {
+  auto *Owner = static_cast<HeldAnswer *>(Self);
+  Owner->m_Backlog -= std::min<std::size_t>(Size, Owner->m_Backlog);
+  if (Owner->m_Drained)
+    Owner->m_Drained();
+}
+
+int HeldAnswer::onSocket(int Socket, GIOCondition What, void *Self) {
+  auto *Owner = static_cast<HeldAnswer *>(Self);
+  if ((What & PeerClosed) != 0) {
+    Owner->gone();
+    return G_SOURCE_REMOVE;
+  }
+  char Byte = 0;
+  const auto Seen = recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+    return G_SOURCE_CONTINUE;
+  if (Seen > 0) { // The next request of a connection that is kept alive.
+    Owner->stopWatching();
+    Owner->watch(PeerClosed);
+    return G_SOURCE_REMOVE;
+  }
+  Owner->gone();
+  return G_SOURCE_REMOVE;
+}
+
+void HeldAnswer::gone() {
+  stopWatching();
+  if (!m_Open)
+    return;
+  cut();
+  const std::function<void()> Job = std::move(m_Gone);
+  m_Gone = nullptr;
+  if (Job)
+    Job();
+}
+
+} // namespace crowstep
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -2,7 +2,8 @@
 /// of upstreams that live in the test's own loop.
 #define BOOST_TEST_MODULE gateway
 #include "ctl/explain.h"
-#include "process/caller.h"
+#include "http/held_answer.h"
+#include "process/gateway_place.h"
 #include "process/process.h"
 #include "standin/store_server.h"
 #include "unit/loopback_peer.h"
@@ -41,8 +42,9 @@
 
 private:
   struct Stream {
-    SoupServerMessage *m_Message; ///< A reference is held.
-    int m_Sent;                   ///< Events so far.
+    HeldAnswer m_Held;  ///< Towards the gateway.
+    std::string m_Path; ///< Tells how it goes on.
+    int m_Sent = 0;     ///< Events so far.
   };
 
   void handle(SoupServerMessage *Message, const std::string &Path) {
@@ -55,43 +57,33 @@
                                    requestHeader(Message, Name).c_str());
     soup_message_headers_replace(Headers, "X-Server-Signature", "s");
     if (Path.find("crash") != std::string::npos) {
-      g_socket_shutdown(soup_server_message_get_socket(Message), 1, 1, nullptr);
+      HeldAnswer(Message).cut();
       return;
     }
     if (Path.find("/stream/") == std::string::npos) {
       respond(Message, 200, "text/plain", "from " + m_Name);
       return;
     }
-    soup_server_message_set_status(Message, 200, nullptr);
-    soup_message_headers_set_encoding(Headers, SOUP_ENCODING_CHUNKED);
-    soup_message_headers_replace(Headers, "Content-Type", "text/event-stream");
-    g_timeout_add(100, onTick,
-                  new Stream{SOUP_SERVER_MESSAGE(g_object_ref(Message)), 0});
-    soup_server_message_pause(Message);
+    auto *Fresh = new Stream{HeldAnswer(Message), Path};
+    Fresh->m_Held.beginStream(200, "text/event-stream");
+    g_timeout_add(100, onTick, Fresh);
   }
 
   static int onTick(void *Data) {
     auto *Each = static_cast<Stream *>(Data);
-    const std::string Text =
-        "id: " + std::to_string(++Each->m_Sent) + "\ndata: x\n\n";
-    SoupMessageBody *Body =
-        soup_server_message_get_response_body(Each->m_Message);
-    soup_message_body_append(Body, SOUP_MEMORY_COPY, Text.data(), Text.size());
-    const char *Path =
-        g_uri_get_path(soup_server_message_get_uri(Each->m_Message));
-    const bool Breaks = Each->m_Sent == 4 &&
-                        std::string(Path).find("break") != std::string::npos;
-    const bool Endless = std::string(Path).find("endless") != std::string::npos;
-    const bool Last = (Each->m_Sent == 10 && !Endless) || Breaks;
+    Each->m_Held.append("id: " + std::to_string(++Each->m_Sent) +
+                        "\ndata: x\n\n");
+    const auto Says = [&](const char *Word) {
+      return Each->m_Path.find(Word) != std::string::npos;
+    };
+    const bool Breaks = Each->m_Sent == 4 && Says("break");
+    const bool Last = (Each->m_Sent == 10 && !Says("endless")) || Breaks;
     if (Breaks)
-      g_socket_shutdown(soup_server_message_get_socket(Each->m_Message), 1, 1,
-                        nullptr);
+      Each->m_Held.cut();
     else if (Last)
-      soup_message_body_complete(Body);
-    soup_server_message_unpause(Each->m_Message);
-    if (!Last)
+      Each->m_Held.endStream();
+    if (Each->m_Held.open())
       return G_SOURCE_CONTINUE;
-    g_object_unref(Each->m_Message);
     delete Each;
     return G_SOURCE_REMOVE;
   }
@@ -103,29 +95,20 @@
   TemporaryFolder m_Folder;
   StoreServer m_Store;
   Address m_StoreAt = local(freePort());
-  Address m_Front = local(freePort());
-  Address m_Probes = local(freePort());
+  GatewayPlace m_Place = gatewayPlace("edge-1", m_StoreAt);
   SigningUpstream m_First{"u-1"};
   SigningUpstream m_Second{"u-2"};
   Caller m_Caller;
-  int m_GraceS = 8; ///< From SIGTERM to a kill.
   std::unique_ptr<Process> m_Gateway;
 
-  World() { m_Store.listen(m_StoreAt); }
-
-  std::string settings() const {
-    return "[instance]\nname=edge-1\nzone=a\nweight=1\n[gateway]\nlisten=" +
-           toString(m_Front) + "\nlinks=" + toString(local(freePort())) +
-           "\nprobes=" + toString(m_Probes) +
-           "\nreadiness_path=/readiness\ngrace_s=" + std::to_string(m_GraceS) +
-           "\n[retry_budget]\n"
-           "ratio=0.2\nslack=50\nwindow_s=10\n[upstreams]\ndrain_ms=1200\n["
-           "store]\naddress=" +
-           toString(m_StoreAt) + "\n";
+  World() {
+    m_Store.listen(m_StoreAt);
+    m_Place.m_Drain = 1200ms;
   }
+
   void start() {
     m_Gateway = std::make_unique<Process>(m_Folder, "crowstep-gateway",
-                                          "gateway", settings());
+                                          "gateway", settingsOf(m_Place));
   }
   void putManifest(int Version, const std::string &Key = "key-1") {
     const Json Manifest = {{"version", Version},
@@ -154,18 +137,12 @@
     m_Store.put("op", "config", Manifest.dump());
   }
   void putUpstream(const SigningUpstream &Which, const std::string &State) {
-    m_Store.put("servers", Which.m_Name,
-                Json{{"service", "s"},
-                     {"address", toString(Which.m_Where)},
-                     {"zone", "a"},
-                     {"slots", 4},
-                     {"state", State}}
-                    .dump());
+    m_Store.put("servers", Which.m_Name, upstreamRow(Which.m_Where, 4, State));
   }
   Call request(const std::string &Path, const std::string &Key = "key-1") {
     static int Number = 0;
     Call Result;
-    Result.m_Where = m_Front;
+    Result.m_Where = m_Place.m_Listen;
     Result.m_Path = Path;
     Result.m_Body = "b";
     Result.m_Headers = {{"Host", "h.example"},
@@ -174,11 +151,7 @@
     return Result;
   }
   unsigned readiness() {
-    Call Asked;
-    Asked.m_Method = "GET";
-    Asked.m_Where = m_Probes;
-    Asked.m_Path = "/readiness";
-    return m_Caller.call(Asked).m_Status;
+    return m_Caller.call(readinessCall(m_Place)).m_Status;
   }
   bool becomesReady() {
     return runUntil([&] { return readiness() == 200; }, 10s);
@@ -292,7 +265,7 @@
 // kill would not.
 BOOST_AUTO_TEST_CASE(AStopEndsAtItsLimit) {
   World It;
-  It.m_GraceS = 4;
+  It.m_Place.m_Grace = 4s;
   It.serve();
   const auto Stream = It.m_Caller.start(It.request("/stream/endless"));
   BOOST_TEST(runUntil([&] { return !Stream->m_Body.empty(); }, 5s));
@@ -349,7 +322,7 @@
 // breaks while the gateway runs changes nothing, and one that is mended does.
 BOOST_AUTO_TEST_CASE(BadSettingsAreNamed) {
   World It;
-  std::string Broken = It.settings();
+  std::string Broken = settingsOf(It.m_Place);
   Broken.erase(Broken.find("grace_s=8\n"), 10);
   Process Fails(It.m_Folder, "crowstep-gateway", "broken", Broken);
   BOOST_TEST((Fails.wait(10s) == 2));
@@ -363,7 +336,7 @@
       },
       10s));
   BOOST_TEST(It.m_Caller.call(It.request("/plain/x")).m_Status == 200U);
-  It.m_Folder.write("gateway.ini", It.settings());
+  It.m_Folder.write("gateway.ini", settingsOf(It.m_Place));
   It.m_Gateway->signal(SIGHUP);
   BOOST_TEST(runUntil(
       [&] {
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// A leaving upstream serves this long after the store has acknowledged it.
-constexpr Duration DrainSpan = 2s;
-
 /// Within this time of a first answer by a newer table an older one may speak.
 constexpr Duration DowngradeSlack = 250ms;
 
@@ -186,7 +183,7 @@
     if (Since == m_Leaving.end() || Each.m_At < Since->second)
       continue;
     ++m_Checked["nothing_new_to_leaving"];
-    if (Each.m_At > Since->second + DrainSpan &&
+    if (Each.m_At > Since->second + DrainBound &&
         !blindIn(Since->second, Each.m_At))
       violated("nothing_new_to_leaving", describe(Id, Call));
   }
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -138,6 +138,10 @@
 inline constexpr double RetrySlack = 20;
 inline constexpr Duration RetryWindow = std::chrono::seconds(10);
 
+/// Nothing may begin at a leaving upstream this long after the store has
+/// acknowledged its leave.
+inline constexpr std::chrono::milliseconds DrainBound{2000};
+
 /// Events of a stream.
 inline constexpr int EventsOfStream = 8;
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -74,8 +74,8 @@
   } else if (What.m_Kind == FaultKind::GatewayKill) {
     Which.m_Process->signal(SIGKILL);
   } else if (What.m_Kind == FaultKind::GatewayHangUp) {
-    m_Folder.write("gateway-" + std::to_string(Which.m_Number) + ".ini",
-                   settings(Which) + "# written anew\n");
+    m_Folder.write(Which.m_At.m_Name + ".ini",
+                   settingsOf(Which.m_At) + "# written anew\n");
     Which.m_Process->signal(SIGHUP);
   } else if (!Which.m_Frozen) {
     Which.m_Frozen = true;
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr int GraceSeconds = 8;
-
 /// The bound within which service is back after the last trouble, and the share
 /// that must then be served.
 constexpr Duration RecoveryLimit = 12s;
@@ -76,39 +74,23 @@
   for (int I = 0; I < Plan.m_Gateways; ++I) {
     Place Fresh;
     Fresh.m_Number = I;
-    Fresh.m_Listen = local(test::freePort());
-    Fresh.m_Links = local(test::freePort());
-    Fresh.m_Probes = local(test::freePort());
     Fresh.m_ToStore = std::make_unique<test::Relay>(m_StoreAt);
+    Fresh.m_At = test::gatewayPlace("gateway-" + std::to_string(I),
+                                    Fresh.m_ToStore->address());
+    Fresh.m_At.m_Drain = DrainBound;
+    Fresh.m_At.m_Retry = {RetryRatio, RetrySlack, RetryWindow};
     m_Places.push_back(std::move(Fresh));
   }
 }
 
 SoakFleet::~SoakFleet() = default;
 
-std::string SoakFleet::settings(const Place &Which) const {
-  return "[instance]\nname=gateway-" + std::to_string(Which.m_Number) +
-         "\nzone=a\nweight=1\n[gateway]\nlisten=" + toString(Which.m_Listen) +
-         "\nlinks=" + toString(Which.m_Links) +
-         "\nprobes=" + toString(Which.m_Probes) +
-         "\nreadiness_path=/readiness\ngrace_s=" +
-         std::to_string(GraceSeconds) +
-         "\n[retry_budget]\nratio=" + std::to_string(RetryRatio) +
-         "\nslack=" + std::to_string(RetrySlack) + "\nwindow_s=" +
-         std::to_string(
-             std::chrono::duration_cast<std::chrono::seconds>(RetryWindow)
-                 .count()) +
-         "\n[upstreams]\ndrain_ms=2000\n[store]\naddress=" +
-         toString(Which.m_ToStore->address()) + "\n";
-}
-
 void SoakFleet::startGateway(Place &Which) {
   ++Which.m_Lifetime;
   Which.m_Stopping = false;
   Which.m_Frozen = false;
   Which.m_Process = std::make_unique<test::Process>(
-      m_Folder, "crowstep-gateway", "gateway-" + std::to_string(Which.m_Number),
-      settings(Which));
+      m_Folder, "crowstep-gateway", Which.m_At.m_Name, settingsOf(Which.m_At));
 }
 
 bool SoakFleet::start() {
@@ -124,10 +106,7 @@
 
 /// Asks for readiness once; the answer counts from the next time on.
 bool SoakFleet::poll(Place &Which) {
-  test::Call Asked;
-  Asked.m_Method = "GET";
-  Asked.m_Where = Which.m_Probes;
-  Asked.m_Path = "/readiness";
+  test::Call Asked = readinessCall(Which.m_At);
   Asked.m_Limit = 500ms;
   Which.m_TakesCalls = m_Probe.call(Asked).m_Status == 200;
   return Which.m_TakesCalls;
@@ -145,12 +124,7 @@
   m_Store.put("servers", Which.m_Upstream->name(),
               State.empty()
                   ? ""
-                  : Json{{"service", "s"},
-                         {"address", toString(Which.m_Way->address())},
-                         {"zone", "a"},
-                         {"slots", 64},
-                         {"state", State}}
-                        .dump());
+                  : test::upstreamRow(Which.m_Way->address(), 64, State));
 }
 
 void SoakFleet::putTable() {
@@ -194,7 +168,7 @@
     Call.m_Kind = Kind::Again;
     What.m_Path = tablePath(Call.m_TableVersion) + Id;
   }
-  What.m_Where = Where.m_Listen;
+  What.m_Where = Where.m_At.m_Listen;
   What.m_Body = "{}";
   What.m_KeepsOpen = m_Random() % 2 == 0;
   What.m_Limit = 6s;
@@ -240,10 +214,7 @@
   std::function<void()> ProbeOn = [&] {
     Probes.start(500ms, ProbeOn);
     for (Place &Each : m_Places) {
-      test::Call Asked;
-      Asked.m_Method = "GET";
-      Asked.m_Where = Each.m_Probes;
-      Asked.m_Path = "/readiness";
+      test::Call Asked = readinessCall(Each.m_At);
       Asked.m_Limit = 400ms;
       const auto Told = m_Probe.start(Asked);
       later(450ms,
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -3,6 +3,7 @@
 #define CROWSTEP_TESTS_SOAK_SOAK_FLEET_H
 
 #include "core/scheduler.h"
+#include "process/gateway_place.h"
 #include "process/process.h"
 #include "process/relay.h"
 #include "soak/raw_caller.h"
@@ -43,9 +44,7 @@
   /// One gateway's place; processes come and go there.
   struct Place {
     int m_Number = 0;                         ///< From 0.
-    Address m_Listen;                         ///< For callers.
-    Address m_Links;                          ///< For other gateways.
-    Address m_Probes;                         ///< For readiness.
+    test::GatewayPlace m_At;                  ///< Addresses and bounds.
     std::unique_ptr<test::Relay> m_ToStore;   ///< Its way to the store.
     std::unique_ptr<test::Process> m_Process; ///< Null between starts.
     unsigned m_Lifetime = 0;                  ///< Starts so far.
@@ -64,7 +63,6 @@
   };
 
   void startGateway(Place &Which);
-  [[nodiscard]] std::string settings(const Place &Which) const;
   void startUpstream(Seat &Which);
   void list(const Seat &Which, const std::string &State);
   void putTable();
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -22,13 +22,15 @@
 
 /// One answer under way.
 struct SoakUpstream::Answer {
-  SoakUpstream *m_Owner = nullptr;        ///< Outlives it.
-  SoupServerMessage *m_Message = nullptr; ///< A reference is held.
-  std::string m_Id;                       ///< The call's.
-  bool m_Stream = false;                  ///< Events, or one body.
-  int m_Next = 1;                         ///< The next event.
-  int m_Steps = 0;                        ///< So far.
-  Trouble m_Trouble = Trouble::None;      ///< That takes it.
+  explicit Answer(SoupServerMessage *Message) : m_Held(Message) {}
+
+  SoakUpstream *m_Owner = nullptr;   ///< Outlives it.
+  HeldAnswer m_Held;                 ///< Towards the gateway.
+  std::string m_Id;                  ///< The call's.
+  bool m_Stream = false;             ///< Events, or one body.
+  int m_Next = 1;                    ///< The next event.
+  int m_Steps = 0;                   ///< So far.
+  Trouble m_Trouble = Trouble::None; ///< That takes it.
 };
 
 SoakUpstream::SoakUpstream(std::string Name, Address Where, Ledger &Runs,
@@ -42,8 +44,6 @@
 SoakUpstream::~SoakUpstream() {
   for (const auto &[Each, Timer] : m_Open) {
     g_source_remove(Timer);
-    cut(*Each);
-    g_object_unref(Each->m_Message);
     delete Each;
   }
 }
@@ -63,15 +63,13 @@
   }
   const std::string Last = requestHeader(Message, "Last-Event-Id");
   m_Ledger.ran(Id, {m_Name, m_Clock.now(), !Last.empty()});
-  auto *What = new Answer;
+  auto *What = new Answer(Message);
   What->m_Owner = this;
-  What->m_Message = SOUP_SERVER_MESSAGE(g_object_ref(Message));
   What->m_Id = Id;
   What->m_Stream = Path.find("stream") != std::string::npos;
   What->m_Next = std::atoi(Last.c_str()) + 1;
   if (m_Trouble != Trouble::None && m_Trouble != Trouble::Busy && happens())
     What->m_Trouble = m_Trouble;
-  soup_server_message_pause(Message);
   m_Open[What] = g_timeout_add(StepMilliseconds, onTick, What);
 }
 
@@ -87,11 +85,9 @@
 int SoakUpstream::onTick(void *Data) {
   auto *What = static_cast<Answer *>(Data);
   SoakUpstream &Owner = *What->m_Owner;
-  if (soup_server_message_get_socket(What->m_Message) != nullptr &&
-      !Owner.step(*What))
+  if (What->m_Held.open() && !Owner.step(*What))
     return G_SOURCE_CONTINUE;
   Owner.m_Open.erase(What);
-  g_object_unref(What->m_Message);
   delete What;
   return G_SOURCE_REMOVE;
 }
@@ -101,21 +97,17 @@
   if (What.m_Trouble == Trouble::Mute)
     return false; // Until the caller has had enough.
   if (What.m_Trouble == Trouble::AnswerLost) {
-    cut(What);
-    return true;
-  }
-  if (What.m_Trouble == Trouble::Errors && What.m_Steps == 0) {
-    sendHead(What);
-    respond(What.m_Message, HttpError, "text/plain", "error");
-    soup_server_message_unpause(What.m_Message);
+    What.m_Held.cut();
     return true;
   }
   if (What.m_Steps++ == 0) {
-    sendHead(What);
-    soup_server_message_set_status(What.m_Message, HttpOk, nullptr);
-    soup_message_headers_set_encoding(
-        soup_server_message_get_response_headers(What.m_Message),
-        SOUP_ENCODING_CHUNKED);
+    fillHeaders(What);
+    if (What.m_Trouble == Trouble::Errors) {
+      What.m_Held.answer(HttpError, "text/plain", "error");
+      return true;
+    }
+    What.m_Held.beginStream(HttpOk,
+                            What.m_Stream ? "text/event-stream" : "text/plain");
   }
   return sendNext(What);
 }
@@ -126,48 +118,29 @@
   constexpr int PiecesBeforeCut = 2;
   const bool Cuts = What.m_Trouble == Trouble::Cuts;
   if (Cuts && What.m_Steps > PiecesBeforeCut) {
-    cut(What);
+    What.m_Held.cut();
     return true;
   }
   if (What.m_Stream && What.m_Next <= EventsOfStream) {
     const std::string Id = std::to_string(What.m_Next++);
-    sendPiece(What,
-              "id: " + Id + "\ndata: " + What.m_Id + " " + m_Name + "\n\n");
+    What.m_Held.append("id: " + Id + "\ndata: " + What.m_Id + " " + m_Name +
+                       "\n\n");
   } else if (!What.m_Stream && What.m_Steps == 1) {
-    sendPiece(What, What.m_Id + (Cuts ? " wh" : " whole"));
+    What.m_Held.append(What.m_Id + (Cuts ? " wh" : " whole"));
   }
-  if (Cuts)
+  if (Cuts || (What.m_Stream && What.m_Next <= EventsOfStream))
     return false;
-  if (What.m_Stream && What.m_Next <= EventsOfStream)
-    return false;
-  soup_message_body_complete(
-      soup_server_message_get_response_body(What.m_Message));
-  soup_server_message_unpause(What.m_Message);
+  What.m_Held.endStream();
   return true;
 }
 
-void SoakUpstream::sendHead(Answer &What) const {
+void SoakUpstream::fillHeaders(const Answer &What) const {
   SoupMessageHeaders *Headers =
-      soup_server_message_get_response_headers(What.m_Message);
+      soup_server_message_get_response_headers(What.m_Held.message());
   soup_message_headers_replace(Headers, "X-Attempt-Id", What.m_Id.c_str());
   soup_message_headers_replace(Headers, "X-Server-Signature", m_Name.c_str());
-  soup_message_headers_replace(Headers, "Content-Type",
-                               What.m_Stream ? "text/event-stream"
-                                             : "text/plain");
   if (m_Leaving)
     soup_message_headers_replace(Headers, "Connection", "close");
 }
 
-void SoakUpstream::sendPiece(Answer &What, const std::string &Piece) const {
-  soup_message_body_append(
-      soup_server_message_get_response_body(What.m_Message), SOUP_MEMORY_COPY,
-      Piece.data(), Piece.size());
-  soup_server_message_unpause(What.m_Message);
-}
-
-void SoakUpstream::cut(const Answer &What) {
-  if (GSocket *Socket = soup_server_message_get_socket(What.m_Message))
-    g_socket_shutdown(Socket, 1, 1, nullptr);
-}
-
 } // namespace crowstep::soak
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -4,6 +4,7 @@
 #define CROWSTEP_TESTS_SOAK_SOAK_UPSTREAM_H
 
 #include "core/http_server.h"
+#include "http/held_answer.h"
 #include "soak/ledger.h"
 
 #include <random>
@@ -40,13 +41,10 @@
 
   void handle(SoupServerMessage *Message, const std::string &Path);
   void refuse(SoupServerMessage *Message, unsigned Status) const;
-  void begin(Answer *What);
   static int onTick(void *Data);
   bool step(Answer &What);
   bool sendNext(Answer &What);
-  void sendHead(Answer &What) const;
-  void sendPiece(Answer &What, const std::string &Piece) const;
-  static void cut(const Answer &What);
+  void fillHeaders(const Answer &What) const;
   bool happens();
 
   std::string m_Name;                  ///< Of this start.
--- a/tests/standin/exchange.h
+++ b/tests/standin/exchange.h
@@ -2,9 +2,9 @@
 #ifndef CROWSTEP_STANDIN_EXCHANGE_H
 #define CROWSTEP_STANDIN_EXCHANGE_H
 
+#include "http/held_answer.h"
+
 #include <chrono>
-#include <functional>
-#include <libsoup/soup.h>
 #include <memory>
 #include <string>
 
@@ -15,10 +15,7 @@
 class Exchange {
 public:
   /// Takes over \p Message, which stays paused until it is answered.
-  explicit Exchange(SoupServerMessage *Message);
-  ~Exchange();
-  Exchange(const Exchange &) = delete;
-  Exchange &operator=(const Exchange &) = delete;
+  explicit Exchange(SoupServerMessage *Message) : m_Held(Message) {}
 
   /// Runs \p Gone once when the caller closes before the answer is complete.
   void onClosed(std::function<void()> Gone);
@@ -29,25 +26,16 @@
 
   /// Sends the headers of an event stream.
   void beginStream();
-  void append(const std::string &Events);
-  void endStream();
+  void append(const std::string &Events) { m_Held.append(Events); }
+  void endStream() { m_Held.endStream(); }
 
   /// Closes the connection at once, with nothing more sent.
-  void cut();
+  void cut() { m_Held.cut(); }
 
-  [[nodiscard]] bool open() const { return m_Open; }
+  [[nodiscard]] bool open() const { return m_Held.open(); }
 
 private:
-  static void onFinished(SoupServerMessage *Message, void *Self);
-  static int onReadable(GSocket *Socket, GIOCondition Condition, void *Self);
-  void stopWatching();
-  void closed();
-
-  SoupServerMessage *m_Message; ///< Owned reference.
-  GSource *m_Watch = nullptr;   ///< Sees the caller's close; may be null.
-  std::function<void()> m_Gone; ///< Empty once it has run.
-  bool m_Open = true;           ///< False once answered, cut or closed.
-  bool m_Streaming = false;     ///< Headers of a stream were sent.
+  HeldAnswer m_Held; ///< The message.
 };
 
 using ExchangePtr = std::shared_ptr<Exchange>;
