--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -25,6 +25,10 @@
          Status == TooManyRequests || Status == Unavailable;
 }
 
+bool isGood(unsigned Status) {
+  return Status >= HttpOk && Status < FirstRedirect;
+}
+
 } // namespace
 
 // ---- Answers ----------------------------------------------------------------
@@ -49,7 +53,7 @@
     return;
   }
   m_MayHaveRun = true;
-  const bool Good = Status >= HttpOk && Status < FirstRedirect;
+  const bool Good = isGood(Status);
   if ((Good && !Facts.m_Signed) || Facts.m_Encoded) {
     upstreamFailed(balance::CallOutcome::Failed, RetryReason::ClosedBeforeByte);
     return;
@@ -61,7 +65,7 @@
     upstreamFailed(balance::CallOutcome::Failed, RetryReason::ClosedMidStream);
     return;
   }
-  if (Good && stream() != nullptr)
+  if (relaysEvents())
     m_Silence.stop();
 }
 
@@ -82,9 +86,17 @@
   giveUp(RefusalReason::UpstreamFailed, Duration::zero());
 }
 
+bool ForwardedRequest::relaysEvents() const {
+  return isGood(m_Status) && stream() != nullptr;
+}
+
+RetryReason ForwardedRequest::closedWhen() const {
+  return m_Streaming ? RetryReason::ClosedMidStream
+                     : RetryReason::ClosedBeforeByte;
+}
+
 void ForwardedRequest::upstreamBytes(std::string_view Bytes) {
-  const bool Good = m_Status >= HttpOk && m_Status < FirstRedirect;
-  if (Good && stream() != nullptr)
+  if (relaysEvents())
     takeEvents(Bytes);
   else
     m_Body.append(Bytes);
@@ -165,15 +177,12 @@
     return;
   case TransportEnd::Broken:
     m_MayHaveRun = true;
-    upstreamFailed(balance::CallOutcome::Failed,
-                   m_Streaming ? RetryReason::ClosedMidStream
-                               : RetryReason::ClosedBeforeByte);
+    upstreamFailed(balance::CallOutcome::Failed, closedWhen());
     return;
   case TransportEnd::Complete:
     break;
   }
-  const bool Good = m_Status >= HttpOk && m_Status < FirstRedirect;
-  if (Good && stream() != nullptr)
+  if (relaysEvents())
     streamEnded();
   else
     plainEnded();
@@ -181,9 +190,7 @@
 
 void ForwardedRequest::streamEnded() {
   if (m_Splitter.midEvent() || !m_Streaming) {
-    upstreamFailed(balance::CallOutcome::Failed,
-                   m_Streaming ? RetryReason::ClosedMidStream
-                               : RetryReason::ClosedBeforeByte);
+    upstreamFailed(balance::CallOutcome::Failed, closedWhen());
     return;
   }
   endCall(balance::CallOutcome::Served);
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -145,8 +145,7 @@
     return;
   m_MayHaveRun = true;
   endCall(balance::CallOutcome::Silent);
-  m_World.m_Stats.retried(m_Streaming ? RetryReason::ClosedMidStream
-                                      : RetryReason::ClosedBeforeByte);
+  m_World.m_Stats.retried(closedWhen());
   attempt();
 }
 
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -80,6 +80,8 @@
   [[nodiscard]] bool repeatable() const {
     return mayRunAgain(m_What.m_Route->m_Kind);
   }
+  [[nodiscard]] bool relaysEvents() const;
+  [[nodiscard]] RetryReason closedWhen() const;
   [[nodiscard]] Duration timeLeft() const;
   [[nodiscard]] Duration firstByteLimit() const;
   [[nodiscard]] HeaderList answerHeaders() const;
