Feature: A request's log line tells its longest pause and its output

A late stream could not be told from one whose first event was late: the line of an ended request had the time to the first event only. It now has pause_us, the longest pause between two events, and output, the most tokens that the caller asked for.

--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -118,6 +118,9 @@
     return;
   if (!m_Streaming)
     beginStream();
+  const TimePoint Now = m_World.m_Clock.now();
+  m_LongestPause = std::max(m_LongestPause, Now - m_LastEvent);
+  m_LastEvent = Now;
   m_Caller->append(Event.m_Bytes);
   ++m_Events;
   if (Event.m_Id)
@@ -143,6 +146,7 @@
   m_Streaming = true;
   m_World.m_Balancer.answered(m_Ticket, m_World.m_Clock.now());
   m_FirstEvent = m_World.m_Clock.now();
+  m_LastEvent = m_FirstEvent;
   m_Stats.m_FirstEvent->record(m_FirstEvent - m_Begin);
   CallerAnswer Head;
   Head.m_Status = m_Status;
@@ -290,6 +294,8 @@
        {"missing", std::to_string(m_Why.m_MissingTokens)},
        {"peers", std::to_string(m_Why.m_Peers)},
        {"prompt", std::to_string(m_What.m_Facts.m_Prompt.m_PromptTokens)},
+       {"output", std::to_string(m_What.m_Facts.m_Prompt.m_MaxOutput)},
+       {"pause_us", std::to_string(m_LongestPause.count())},
        {"first_us",
         std::to_string(m_Streaming ? (m_FirstEvent - m_Begin).count() : 0)},
        {"took_us", std::to_string(Took.count())}});
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -104,6 +104,8 @@
   std::string m_Upstream;               ///< Name, of the last call.
   balance::PlacementInputs m_Why;       ///< Of the last placement.
   TimePoint m_FirstEvent{};             ///< When the caller got it.
+  TimePoint m_LastEvent{};              ///< When the caller got the last one.
+  Duration m_LongestPause{};            ///< Between two events, so far.
   std::vector<UpstreamId> m_Tried;      ///< Upstreams of earlier calls.
   unsigned m_Sends = 0;                 ///< Calls that may have arrived.
   unsigned m_Misses = 0;                ///< Calls that were never sent.
