Refactor: Place among the engines of one role, and sum a load once

Placing looked at all engines of a service, asked three times for the others' calls at each and summed ten urgencies six times. It now looks at the engines of the call's role first, and sums are kept.

Waiting calls are asked each 50 ms instead of 20: on instances with an eighth of a core, others' calls are known after 150 ms anyway.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -149,23 +149,16 @@
   const bool Tight = tight(Query);
   const PoolId Pool = poolIdOf(Query.m_Service, 0);
   const std::size_t ShortOnly = shortEngines(Query.m_Service);
+  // Engines of the other role only where none of the call's own has room.
   std::vector<EngineOption> Options;
-  for (UpstreamState *State : From) {
-    const UpstreamId Id = State->m_Upstream.m_Id;
-    const std::uint32_t Kept = m_Cache.kept(Id, Prompt.m_Parts);
-    const CallLoad &Own = State->m_Own;
-    const CallLoad &Peers = m_Peers.at(Id);
-    const Urgency How = Query.m_Urgency;
-    Options.push_back(
-        {State, callsAt(*State, Now),
-         Own.unreadBefore(How) + Peers.unreadBefore(How),
-         Own.unreadAfter(How) + Peers.unreadAfter(How),
-         Own.moreUrgent(How) + Peers.moreUrgent(How),
-         Own.tight() + Peers.tight(),
-         Prompt.m_PromptTokens - std::min(Prompt.m_PromptTokens, Kept),
-         State->m_ShortRank < ShortOnly});
+  for (const bool OwnRole : {true, false}) {
+    if (!Options.empty())
+      break;
+    for (UpstreamState *State : From)
+      if (((State->m_ShortRank < ShortOnly) == Tight) == OwnRole)
+        Options.push_back(optionAt(*State, Query, Now));
+    markFull(Query, Options);
   }
-  markFull(Query, Options);
   if (Options.empty())
     return NotPlaced{RefusalReason::TargetUnreachable,
                      LeastRetryAfter,
@@ -211,6 +204,27 @@
                                                         : Found->second);
 }
 
+EngineOption Balancer::optionAt(UpstreamState &State,
+                                const PlacementQuery &Query,
+                                TimePoint Now) const {
+  const UpstreamId Id = State.m_Upstream.m_Id;
+  const Urgency How = Query.m_Urgency;
+  const std::uint32_t Tokens = Query.m_Prompt.m_PromptTokens;
+  const std::uint32_t Kept = m_Cache.kept(Id, Query.m_Prompt.m_Parts);
+  const CallLoad &Own = State.m_Own;
+  const CallLoad &Peers = m_Peers.at(Id);
+  EngineOption Result;
+  Result.m_State = &State;
+  Result.m_Calls = callsAt(State, Peers, Now);
+  Result.m_UnreadTokens = Own.unreadBefore(How) + Peers.unreadBefore(How);
+  Result.m_UnreadAfter = Own.unreadAfter(How) + Peers.unreadAfter(How);
+  Result.m_MoreUrgent = Own.moreUrgent(How) + Peers.moreUrgent(How);
+  Result.m_Tight = Own.tight() + Peers.tight();
+  Result.m_MissingTokens = Tokens - std::min(Tokens, Kept);
+  Result.m_HeldTokens = Own.held() + Peers.held();
+  return Result;
+}
+
 /// Returns how many engines take short prompts only: the first by rank.
 std::size_t Balancer::shortEngines(const std::string &Service) const {
   const auto Engines = m_Staying.find(Service);
@@ -232,12 +246,11 @@
                            : HeldShare * static_cast<double>(Capacity->second);
   for (EngineOption &Each : Options) {
     const double Slots = slotsOf(Each.m_State->m_Upstream);
-    const std::uint64_t Held = Each.m_State->m_Own.held() +
-                               m_Peers.at(Each.m_State->m_Upstream.m_Id).held();
     Each.m_Full =
         Each.m_Calls >= SlotShare * Slots ||
-        (Held > 0 && static_cast<double>(Held + Each.m_MissingTokens +
-                                         outputOf(Query.m_Prompt)) > Limit);
+        (Each.m_HeldTokens > 0 &&
+         static_cast<double>(Each.m_HeldTokens + Each.m_MissingTokens +
+                             outputOf(Query.m_Prompt)) > Limit);
     Each.m_FullTokens = SlotTurnTokens / Slots;
   }
   if (!Query.m_MayWait)
@@ -263,9 +276,14 @@
 }
 
 double Balancer::callsAt(const UpstreamState &State, TimePoint Now) const {
+  return callsAt(State, m_Peers.at(State.m_Upstream.m_Id), Now);
+}
+
+double Balancer::callsAt(const UpstreamState &State, const CallLoad &Peers,
+                         TimePoint Now) const {
   const auto Own = static_cast<double>(State.m_Own.running());
   if (m_Peers.size() > 0)
-    return Own + m_Peers.at(State.m_Upstream.m_Id).running();
+    return Own + Peers.running();
   if (!State.m_Load || Now - State.m_LoadAt > ReportLife)
     return Own;
   const double Reported = State.m_Load->m_Running + State.m_Load->m_Waiting;
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -93,6 +93,9 @@
   void rankEngines();
   [[nodiscard]] bool tight(const PlacementQuery &Query) const;
   [[nodiscard]] std::size_t shortEngines(const std::string &Service) const;
+  [[nodiscard]] EngineOption optionAt(UpstreamState &State,
+                                      const PlacementQuery &Query,
+                                      TimePoint Now) const;
   void markFull(const PlacementQuery &Query,
                 std::vector<EngineOption> &Options) const;
   void noteWork(PoolId Pool, bool Tight, double Tokens, TimePoint Now);
@@ -100,6 +103,8 @@
                const PlacementInputs &Why, TimePoint Now);
   UpstreamState *chooseForPlain(const States &From, TimePoint Now) const;
   [[nodiscard]] double callsAt(const UpstreamState &State, TimePoint Now) const;
+  [[nodiscard]] double callsAt(const UpstreamState &State,
+                               const CallLoad &Peers, TimePoint Now) const;
   UpstreamState *stateOf(TicketId Ticket);
 
   AvailabilityZone m_Zone;                          ///< Own.
--- a/src/balance/engine_choice.cpp
+++ b/src/balance/engine_choice.cpp
@@ -19,10 +19,6 @@
 /// than the shortest pause that a caller notices.
 constexpr std::uint32_t ShortPrompt = 4000;
 
-/// What a running call costs the next one, in tokens that could be read in the
-/// time: a step of the batch takes longer by about a half percent for each.
-constexpr double TokensPerCall = 50;
-
 /// What must be read of a call's own prompt counts this many times while the
 /// engines have little to do: it delays this call once, and every call behind
 /// it as well.
@@ -69,10 +65,6 @@
 /// Any number; sets this hash apart from that of prompts.
 constexpr std::uint64_t RoleSeed = 1;
 
-std::uint64_t rankOf(const EngineOption &Option, std::uint64_t Key) {
-  return pairHash(Key, Option.m_State->m_Upstream.m_Id.value());
-}
-
 /// Returns what a call's home goes by: the last part of its prompt that other
 /// calls share. The first part alone is common to most calls of a class: homes
 /// by it send a class to a few engines, and what spills from these is read
@@ -86,34 +78,42 @@
   return Parts[Parts.size() < 2 ? 0 : Parts.size() - 2].m_Id;
 }
 
-/// Returns the options whose role takes the call, or all where none does.
-std::vector<EngineOption> ofRole(bool Tight,
-                                 const std::vector<EngineOption> &Options) {
-  std::vector<EngineOption> Result;
-  for (const EngineOption &Each : Options)
-    if (Each.m_ShortOnly == Tight)
-      Result.push_back(Each);
-  return Result.empty() ? Options : Result;
+using OptionList = std::vector<const EngineOption *>;
+
+/// Returns the engine that comes first by hash for this beginning.
+const EngineOption *homeOf(const PlacementQuery &Query,
+                           const std::vector<EngineOption> &Options) {
+  const std::uint64_t Key = homeKey(Query.m_Prompt);
+  const EngineOption *Result = nullptr;
+  std::uint64_t Highest = 0;
+  for (const EngineOption &Each : Options) {
+    const std::uint64_t Rank =
+        pairHash(Key, Each.m_State->m_Upstream.m_Id.value());
+    if (Result == nullptr || Rank > Highest) {
+      Result = &Each;
+      Highest = Rank;
+    }
+  }
+  return Result;
 }
 
 /// Returns the engines to compare: the home, some that need to read least, and
 /// some others.
-std::vector<EngineOption> someOf(const std::vector<EngineOption> &Fit,
-                                 const EngineOption &Home,
-                                 std::mt19937_64 &Random) {
+OptionList someOf(const std::vector<EngineOption> &Options,
+                  const EngineOption *Home, std::mt19937_64 &Random) {
   const auto Least = std::min_element(
-      Fit.begin(), Fit.end(), [](const auto &Left, const auto &Right) {
+      Options.begin(), Options.end(), [](const auto &Left, const auto &Right) {
         return Left.m_MissingTokens < Right.m_MissingTokens;
       });
-  std::vector<EngineOption> Keepers;
-  std::vector<EngineOption> Others;
-  for (const EngineOption &Each : Fit)
-    if (Each.m_State != Home.m_State)
+  OptionList Keepers;
+  OptionList Others;
+  for (const EngineOption &Each : Options)
+    if (&Each != Home)
       (Each.m_MissingTokens <= Least->m_MissingTokens + AlikeTokens ? Keepers
                                                                     : Others)
-          .push_back(Each);
-  std::vector<EngineOption> Result = {Home};
-  for (const auto *From : {&Keepers, &Others})
+          .push_back(&Each);
+  OptionList Result = {Home};
+  for (const OptionList *From : {&Keepers, &Others})
     std::sample(From->begin(), From->end(), std::back_inserter(Result),
                 Compared, Random);
   return Result;
@@ -138,7 +138,6 @@
          UnreadAfterWeight * static_cast<double>(Option.m_UnreadAfter) +
          TokensPerDisturbed * Option.m_MoreUrgent +
          (Tight ? 0 : TokensPerTight * Option.m_Tight) +
-         TokensPerCall * Option.m_Calls +
          (Option.m_Full ? Option.m_FullTokens : 0);
 }
 
@@ -165,22 +164,14 @@
 const EngineOption &chooseEngine(const PlacementQuery &Query, bool Tight,
                                  const std::vector<EngineOption> &Options,
                                  std::mt19937_64 &Random) {
-  const std::vector<EngineOption> Fit = ofRole(Tight, Options);
-  const std::uint64_t Key = homeKey(Query.m_Prompt);
-  const auto Home = std::max_element(
-      Fit.begin(), Fit.end(), [&](const auto &Left, const auto &Right) {
-        return rankOf(Left, Key) < rankOf(Right, Key);
+  const EngineOption *Home = homeOf(Query, Options);
+  const double Weight = missingWeight(Options);
+  const OptionList Some = someOf(Options, Home, Random);
+  return **std::min_element(
+      Some.begin(), Some.end(), [&](const auto *Left, const auto *Right) {
+        return costOf(*Left, Weight, Tight, Left == Home) <
+               costOf(*Right, Weight, Tight, Right == Home);
       });
-  const std::vector<EngineOption> Some = someOf(Fit, *Home, Random);
-  const double Weight = missingWeight(Fit);
-  const EngineOption *Best = &Some.front();
-  for (const EngineOption &Each : Some)
-    if (costOf(Each, Weight, Tight, &Each == &Some.front()) <
-        costOf(*Best, Weight, Tight, Best == &Some.front()))
-      Best = &Each;
-  return *std::find_if(Options.begin(), Options.end(), [&](const auto &Each) {
-    return Each.m_State == Best->m_State;
-  });
 }
 
 } // namespace crowstep::balance
--- a/src/balance/engine_choice.h
+++ b/src/balance/engine_choice.h
@@ -17,7 +17,7 @@
   std::uint32_t m_MoreUrgent = 0;    ///< Calls there that this one disturbs.
   std::uint32_t m_Tight = 0;         ///< Calls there, see isTight().
   std::uint32_t m_MissingTokens = 0; ///< Of this prompt, not kept there.
-  bool m_ShortOnly = false;          ///< It takes short prompts only.
+  std::uint64_t m_HeldTokens = 0;    ///< Memory that calls there need.
   bool m_Full = false;               ///< It has no room for this call now.
   double m_FullTokens = 0;           ///< Could be read until it has.
 };
@@ -31,8 +31,7 @@
 /// the shortest that any class of the service allows; zero: none is known.
 bool isTight(const PlacementQuery &Query, Duration TightestPause);
 
-/// Returns the best of \p Options, which are not empty, or of some of them. A
-/// call gets an engine of its kind if there is one.
+/// Returns the best of \p Options, which are not empty, or of some of them.
 const EngineOption &chooseEngine(const PlacementQuery &Query, bool Tight,
                                  const std::vector<EngineOption> &Options,
                                  std::mt19937_64 &Random);
--- a/src/balance/peer_loads.cpp
+++ b/src/balance/peer_loads.cpp
@@ -5,74 +5,66 @@
 
 namespace crowstep::balance {
 
-void CallLoad::begin(Urgency How, const CallTokens &Tokens) {
-  Part &Changed = m_Parts.at(How);
-  ++Changed.m_Running;
-  Changed.m_Unread += Tokens.m_Unread;
-  Changed.m_Held += Tokens.m_Held;
-  Changed.m_Tight += Tokens.m_Tight ? 1 : 0;
+void CallLoad::Part::begin(const CallTokens &Tokens) {
+  ++m_Running;
+  m_Unread += Tokens.m_Unread;
+  m_Held += Tokens.m_Held;
+  m_Tight += Tokens.m_Tight ? 1 : 0;
 }
 
-void CallLoad::read(Urgency How, std::uint64_t UnreadTokens) {
-  Part &Changed = m_Parts.at(How);
-  Changed.m_Unread -= std::min(UnreadTokens, Changed.m_Unread);
+void CallLoad::Part::read(std::uint64_t UnreadTokens) {
+  m_Unread -= std::min(UnreadTokens, m_Unread);
 }
 
-void CallLoad::end(Urgency How, const CallTokens &Tokens) {
+void CallLoad::Part::end(const CallTokens &Tokens) {
   // A call from before the upstream left the list and came back counts no more.
-  Part &Changed = m_Parts.at(How);
-  Changed.m_Running -= std::min(Changed.m_Running, 1U);
-  Changed.m_Held -= std::min(Tokens.m_Held, Changed.m_Held);
-  Changed.m_Tight -= std::min(Changed.m_Tight, Tokens.m_Tight ? 1U : 0U);
+  m_Running -= std::min(m_Running, 1U);
+  m_Held -= std::min(Tokens.m_Held, m_Held);
+  m_Tight -= std::min(m_Tight, Tokens.m_Tight ? 1U : 0U);
 }
 
-void CallLoad::add(const UpstreamLoad &Said) {
-  Part &Changed = m_Parts.at(Said.m_Urgency);
-  Changed.m_Running += Said.m_Running;
-  Changed.m_Unread += Said.m_UnreadTokens;
-  Changed.m_Held += Said.m_HeldTokens;
-  Changed.m_Tight += Said.m_Tight;
+void CallLoad::Part::add(const UpstreamLoad &Said) {
+  m_Running += Said.m_Running;
+  m_Unread += Said.m_UnreadTokens;
+  m_Held += Said.m_HeldTokens;
+  m_Tight += Said.m_Tight;
 }
 
-void CallLoad::remove(const UpstreamLoad &Said) {
-  Part &Changed = m_Parts.at(Said.m_Urgency);
-  Changed.m_Running -= Said.m_Running;
-  Changed.m_Unread -= Said.m_UnreadTokens;
-  Changed.m_Held -= Said.m_HeldTokens;
-  Changed.m_Tight -= Said.m_Tight;
+void CallLoad::Part::remove(const UpstreamLoad &Said) {
+  m_Running -= Said.m_Running;
+  m_Unread -= Said.m_UnreadTokens;
+  m_Held -= Said.m_HeldTokens;
+  m_Tight -= Said.m_Tight;
 }
 
-std::uint32_t CallLoad::running() const {
-  std::uint32_t Result = 0;
-  for (const Part &Each : m_Parts)
-    Result += Each.m_Running;
-  return Result;
+void CallLoad::begin(Urgency How, const CallTokens &Tokens) {
+  m_Parts.at(How).begin(Tokens);
+  m_All.begin(Tokens);
 }
 
-std::uint32_t CallLoad::tight() const {
-  std::uint32_t Result = 0;
-  for (const Part &Each : m_Parts)
-    Result += Each.m_Tight;
-  return Result;
+void CallLoad::read(Urgency How, std::uint64_t UnreadTokens) {
+  m_Parts.at(How).read(UnreadTokens);
+  m_All.read(UnreadTokens);
 }
 
-std::uint64_t CallLoad::held() const {
-  std::uint64_t Result = 0;
-  for (const Part &Each : m_Parts)
-    Result += Each.m_Held;
-  return Result;
+void CallLoad::end(Urgency How, const CallTokens &Tokens) {
+  m_Parts.at(How).end(Tokens);
+  m_All.end(Tokens);
 }
 
-std::uint64_t CallLoad::unreadBefore(Urgency How) const {
-  std::uint64_t Result = 0;
-  for (std::size_t I = 0; I <= How; ++I)
-    Result += m_Parts.at(I).m_Unread;
-  return Result;
+void CallLoad::add(const UpstreamLoad &Said) {
+  m_Parts.at(Said.m_Urgency).add(Said);
+  m_All.add(Said);
+}
+
+void CallLoad::remove(const UpstreamLoad &Said) {
+  m_Parts.at(Said.m_Urgency).remove(Said);
+  m_All.remove(Said);
 }
 
-std::uint64_t CallLoad::unreadAfter(Urgency How) const {
+std::uint64_t CallLoad::unreadBefore(Urgency How) const {
   std::uint64_t Result = 0;
-  for (std::size_t I = How + 1U; I < m_Parts.size(); ++I)
+  for (std::size_t I = 0; I <= How; ++I)
     Result += m_Parts.at(I).m_Unread;
   return Result;
 }
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -41,21 +41,23 @@
   void add(const UpstreamLoad &Said);
   void remove(const UpstreamLoad &Said);
 
-  [[nodiscard]] std::uint32_t running() const;
+  [[nodiscard]] std::uint32_t running() const { return m_All.m_Running; }
 
   /// Returns how many calls would be late by the pauses that a long prompt
   /// makes.
-  [[nodiscard]] std::uint32_t tight() const;
+  [[nodiscard]] std::uint32_t tight() const { return m_All.m_Tight; }
 
   /// Returns the memory that all calls need.
-  [[nodiscard]] std::uint64_t held() const;
+  [[nodiscard]] std::uint64_t held() const { return m_All.m_Held; }
 
   /// Returns the tokens that are read before those of a call of urgency
   /// \p How that comes now.
   [[nodiscard]] std::uint64_t unreadBefore(Urgency How) const;
 
   /// Returns the tokens that are read after those of such a call.
-  [[nodiscard]] std::uint64_t unreadAfter(Urgency How) const;
+  [[nodiscard]] std::uint64_t unreadAfter(Urgency How) const {
+    return m_All.m_Unread - unreadBefore(How);
+  }
 
   /// Returns how many calls are more urgent than \p How.
   [[nodiscard]] std::uint32_t moreUrgent(Urgency How) const;
@@ -69,8 +71,15 @@
     std::uint64_t m_Unread = 0;  ///< Tokens of prompts without a first event.
     std::uint64_t m_Held = 0;    ///< Tokens in memory until the end.
     std::uint32_t m_Tight = 0;   ///< Of m_Running; see isTight().
+
+    void begin(const CallTokens &Tokens);
+    void read(std::uint64_t UnreadTokens);
+    void end(const CallTokens &Tokens);
+    void add(const UpstreamLoad &Said);
+    void remove(const UpstreamLoad &Said);
   };
   std::array<Part, UrgencyCount> m_Parts{}; ///< By urgency.
+  Part m_All; ///< Their sum: each placement asks for it at all engines.
 };
 
 /// A part of a prompt that went to an engine.
--- a/src/gateway/waiting_room.h
+++ b/src/gateway/waiting_room.h
@@ -35,9 +35,9 @@
   /// seventh of the smallest instance's memory.
   static constexpr std::size_t MaxCalls = 128;
 
-  /// How often all are asked again: a fifth of the time between two digests,
-  /// and well under the shortest part of a target that a call may wait.
-  static constexpr Duration AskInterval = std::chrono::milliseconds(20);
+  /// How often all are asked again: half of the time between two digests, and
+  /// well under the part of a target that a call may wait.
+  static constexpr Duration AskInterval = std::chrono::milliseconds(50);
 
   /// A place in the room; the call has left it once this is destroyed.
   class Place {
