--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	sh scripts/check_lint.sh $(BUILD)
 
 test: build
-	ctest --test-dir $(BUILD) --output-on-failure -j 4
+	sh scripts/run_tests.sh $(BUILD)
 
 check: build format lint test
 
--- a/tests/benchmark/placing_benchmark.cpp
+++ b/tests/benchmark/placing_benchmark.cpp
@@ -33,8 +33,13 @@
   LoadDigest Others;
   for (int I = 0; I < State.range(0); ++I) {
     const std::string Name = "engine-" + std::to_string(I);
-    List.push_back({upstreamIdOf(Name), Name, "model", Address{}, {"a"},
-                    Engine{64, {}, true, true}, false});
+    List.push_back({upstreamIdOf(Name),
+                    Name,
+                    "model",
+                    Address{},
+                    {"a"},
+                    Engine{64, {}, true, true},
+                    false});
     for (Urgency How = 0; How < 4; ++How)
       Others.m_Loads.push_back(
           {List.back().m_Id, How, CallsOfOthers / 4, 500, 3000, 0});
--- a/tests/unit/balance_test.cpp
+++ b/tests/unit/balance_test.cpp
@@ -127,6 +127,7 @@
   std::map<UpstreamId, int> ByEngine;
   std::map<std::uint64_t, std::set<UpstreamId>> Readers;
   std::vector<World> All;
+  All.reserve(Instances);
   for (int I = 0; I < Instances; ++I)
     All.emplace_back(8);
   for (std::uint64_t I = 0; I < Beginnings * CallsEach; ++I) {
