Fix: A stream is whole if its last chunk came, also from an engine that closes at once

Change: what waits on the connection is looked at before libsoup takes it; an answer whose bytes ended with the last chunk is whole, closed or not. Bytes that come between the look and the read are not seen; the answer then counts as cut, as before.

The test that was known to fail passes, with the last chunk sent together with the last event and apart from it; a cut answer is still cut.

--- a/src/http/connection_sockets.h
+++ b/src/http/connection_sockets.h
@@ -6,6 +6,7 @@
 #include <libsoup/soup.h>
 #include <map>
 #include <memory>
+#include <string>
 #include <utility>
 
 namespace crowstep {
@@ -19,6 +20,10 @@
 /// Returns whether the peer has closed its sending side.
 bool closedByPeer(GSocket *Socket);
 
+/// Returns the bytes that wait to be read on a connection, and leaves them
+/// there; empty if there are none, or more than \p Most.
+std::string waitingBytes(GSocket *Socket, std::size_t Most);
+
 class ConnectionSockets {
 public:
   /// A connection: its session and its number there.
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -14,6 +14,17 @@
 
 constexpr std::size_t ReadSize = 8192;
 
+/// What ends a chunked body, alone or after the end of a chunk.
+constexpr std::string_view LastChunk = "0\r\n\r\n";
+constexpr std::string_view ChunkEnd = "\r\n";
+
+bool endsWithLastChunk(std::string_view Bytes) {
+  if (!Bytes.ends_with(LastChunk))
+    return false;
+  Bytes.remove_suffix(LastChunk.size());
+  return Bytes.empty() || Bytes.ends_with(ChunkEnd);
+}
+
 /// What outlives the handle until libsoup's last callback has run.
 struct Transfer {
   const Clock &m_Clock;                   ///< Outlives it.
@@ -25,6 +36,8 @@
   ConnectionSockets *m_Sockets = nullptr; ///< Of the caller; see end().
   SocketPtr m_Socket;                     ///< Of its connection; may be null.
   goffset m_Received = 0;                 ///< Bytes of the body so far.
+  bool m_SawLastChunk = false;            ///< See look().
+  GSource *m_Look = nullptr;              ///< Owned; null while not attached.
   GCancellable *m_Cancel = nullptr;       ///< Owned.
   GInputStream *m_Stream = nullptr;       ///< Owned; null before the headers.
   bool m_Started = false;                 ///< A byte may have been sent.
@@ -39,6 +52,7 @@
   Transfer(const Clock &Time, UpstreamListener &Listener)
       : m_Clock(Time), m_Listener(&Listener) {}
   ~Transfer() {
+    stopLooking();
     if (m_Stream != nullptr)
       g_object_unref(m_Stream);
     g_signal_handlers_disconnect_by_data(m_Message, this);
@@ -71,6 +85,9 @@
 
   void read();
   void noteSocket();
+  void look();
+  void lookWhenReadable();
+  void stopLooking();
   [[nodiscard]] bool whole() const;
 };
 
@@ -106,9 +123,10 @@
 /// Whether the body that just ended came whole. libsoup takes the close of a
 /// connection for the end of the body, also short of the length that the
 /// headers state or between two chunks: a caller would get half an answer as a
-/// whole one. The length is counted here; of chunks only the connection tells,
-/// which an upstream that has sent the last one leaves open unless it said that
-/// it closes.
+/// whole one. The length is counted here. Of chunks the connection tells: an
+/// upstream that has sent the last one leaves it open, unless it said that it
+/// closes, or closes in the same moment as it goes away; then the last chunk
+/// was seen on the connection before libsoup took it.
 bool Transfer::whole() const {
   SoupMessageHeaders *Headers = soup_message_get_response_headers(m_Message);
   switch (soup_message_headers_get_encoding(Headers)) {
@@ -116,6 +134,7 @@
     return m_Received == soup_message_headers_get_content_length(Headers);
   case SOUP_ENCODING_CHUNKED:
     return m_Socket == nullptr || !closedByPeer(m_Socket.get()) ||
+           m_SawLastChunk ||
            soup_message_headers_header_contains(Headers, "Connection",
                                                 "close") != 0;
   default:
@@ -143,6 +162,36 @@
     m_Socket = m_Sockets->find(Key);
 }
 
+/// Looks whether the last chunk stands at the end of what waits to be read.
+void Transfer::look() {
+  const std::string Waiting = waitingBytes(m_Socket.get(), ReadSize);
+  if (!Waiting.empty())
+    m_SawLastChunk = endsWithLastChunk(Waiting);
+}
+
+gboolean onReadable(GSocket *, GIOCondition, gpointer Data) {
+  auto *Held = static_cast<Transfer *>(Data);
+  Held->look();
+  Held->stopLooking();
+  return G_SOURCE_REMOVE;
+}
+
+/// Attached before libsoup's own source of the same priority, this one runs
+/// first in the iteration in which bytes have come.
+void Transfer::lookWhenReadable() {
+  m_Look = g_socket_create_source(m_Socket.get(), G_IO_IN, nullptr);
+  g_source_set_callback(m_Look, G_SOURCE_FUNC(onReadable), this, nullptr);
+  g_source_attach(m_Look, nullptr);
+}
+
+void Transfer::stopLooking() {
+  if (m_Look == nullptr)
+    return;
+  g_source_destroy(m_Look);
+  g_source_unref(m_Look);
+  m_Look = nullptr;
+}
+
 void onRead(GObject *Stream, GAsyncResult *Outcome, gpointer Data) {
   auto *Held = static_cast<Transfer *>(Data);
   const gssize Size =
@@ -167,6 +216,13 @@
   if (m_Reading || m_Paused || m_Stream == nullptr || m_Listener == nullptr)
     return;
   m_Reading = true;
+  stopLooking();
+  if (m_Socket != nullptr &&
+      soup_message_headers_get_encoding(soup_message_get_response_headers(
+          m_Message)) == SOUP_ENCODING_CHUNKED) {
+    look();
+    lookWhenReadable();
+  }
   g_input_stream_read_async(m_Stream, m_Buffer.data(), m_Buffer.size(),
                             G_PRIORITY_DEFAULT, m_Cancel, onRead, this);
 }
