Fix: The sum of an engine's calls keeps to what its parts really lost

An end of a call from before its engine left the list takes nothing from the calls of its urgency, which have begun anew, but one call and its tokens from the sum over all urgencies; what is read after a call could then wrap to a huge number and the engine get nothing more. The sum now follows what the part lost.

--- a/src/balance/peer_loads.cpp
+++ b/src/balance/peer_loads.cpp
@@ -37,29 +37,36 @@
   m_Tight -= Said.m_Tight;
 }
 
+/// Adds to the sum what really changed: a part that has nothing left to take
+/// away from takes nothing away from the others.
+template <typename Job> void CallLoad::change(Urgency How, Job Change) {
+  Part &Changed = m_Parts.at(How);
+  const Part Before = Changed;
+  Change(Changed);
+  m_All.m_Running += Changed.m_Running - Before.m_Running;
+  m_All.m_Unread += Changed.m_Unread - Before.m_Unread;
+  m_All.m_Held += Changed.m_Held - Before.m_Held;
+  m_All.m_Tight += Changed.m_Tight - Before.m_Tight;
+}
+
 void CallLoad::begin(Urgency How, const CallTokens &Tokens) {
-  m_Parts.at(How).begin(Tokens);
-  m_All.begin(Tokens);
+  change(How, [&](Part &Which) { Which.begin(Tokens); });
 }
 
 void CallLoad::read(Urgency How, std::uint64_t UnreadTokens) {
-  m_Parts.at(How).read(UnreadTokens);
-  m_All.read(UnreadTokens);
+  change(How, [&](Part &Which) { Which.read(UnreadTokens); });
 }
 
 void CallLoad::end(Urgency How, const CallTokens &Tokens) {
-  m_Parts.at(How).end(Tokens);
-  m_All.end(Tokens);
+  change(How, [&](Part &Which) { Which.end(Tokens); });
 }
 
 void CallLoad::add(const UpstreamLoad &Said) {
-  m_Parts.at(Said.m_Urgency).add(Said);
-  m_All.add(Said);
+  change(Said.m_Urgency, [&](Part &Which) { Which.add(Said); });
 }
 
 void CallLoad::remove(const UpstreamLoad &Said) {
-  m_Parts.at(Said.m_Urgency).remove(Said);
-  m_All.remove(Said);
+  change(Said.m_Urgency, [&](Part &Which) { Which.remove(Said); });
 }
 
 std::uint64_t CallLoad::unreadBefore(Urgency How) const {
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -78,6 +78,9 @@
     void add(const UpstreamLoad &Said);
     void remove(const UpstreamLoad &Said);
   };
+
+  template <typename Job> void change(Urgency How, Job Change);
+
   std::array<Part, UrgencyCount> m_Parts{}; ///< By urgency.
   Part m_All; ///< Their sum: each placement asks for it at all engines.
 };
--- a/tests/unit/balance_test.cpp
+++ b/tests/unit/balance_test.cpp
@@ -260,6 +260,21 @@
   BOOST_TEST(Refused > 0);
 }
 
+/// A call runs at an engine that leaves the list and comes back; what is known
+/// of it begins anew there. When the call ends at last, the calls of other
+/// urgencies that have begun since must all still count.
+BOOST_AUTO_TEST_CASE(AnEndFromBeforeTakesNothingFromOthers) {
+  CallLoad Load;
+  Load.begin(1, {100, 200, true});
+  Load.read(0, 500);
+  Load.end(0, {500, 700, true});
+  BOOST_TEST(Load.running() == 1U);
+  BOOST_TEST(Load.tight() == 1U);
+  BOOST_TEST(Load.held() == 200U);
+  BOOST_TEST(Load.unreadAfter(0) == 100U);
+  BOOST_TEST(Load.unreadBefore(1) == 100U);
+}
+
 /// What others have at an engine counts as our own does: without it nine
 /// instances that each see a ninth of a burst send it all to one engine.
 BOOST_AUTO_TEST_CASE(DigestsOfOthersMoveTheChoice) {
