--- a/tests/unit/load_play_test.cpp
+++ b/tests/unit/load_play_test.cpp
@@ -121,7 +121,7 @@
 }
 
 /// One and a half times the reports can be served. Without waiting 0.84 of the
-/// chats were in time, and 5.6 million tokens read again; now 0.995, and 1.4.
+/// chats were in time, and 5.6 million tokens read again; now 0.99, and 1.4.
 BOOST_AUTO_TEST_CASE(FewSlotsInABurst) {
   const FleetResult Result = play(fewSlots(1.5));
   checkAim(Result);
@@ -132,8 +132,8 @@
 /// for the first time. What can't be served is refused, and four fifths of each
 /// class are in time. Without waiting these were 0.87 of the advice, 0.61 of
 /// the chats and 0.71 of the reports; with the same weight of what must be read
-/// however scarce slots are, 0.78, 0.99 and 0.79; now 0.99 of the
-/// advice and the chats, and 0.88 of the reports.
+/// however scarce slots are, 0.78, 0.99 and 0.79; now 0.995 of
+/// the advice and the chats, and 0.90 of the reports.
 BOOST_AUTO_TEST_CASE(FewSlotsBeyondWhatCanBeServed) {
   constexpr double MostOfThem = 0.8;
   const FleetResult Result = play(fewSlots(2.1));
--- a/tests/unit/upstream_call_test.cpp
+++ b/tests/unit/upstream_call_test.cpp
@@ -81,6 +81,45 @@
       }
 }
 
+/// An engine begins to leave while it streams. It ends its last streams, each
+/// with the last chunk, and closes its connections in the same moment. Callers
+/// must get the end: taken for a crash between two chunks, which libsoup does
+/// not tell apart, a stream that is whole would be cut after its last event.
+BOOST_AUTO_TEST_CASE(AWholeAnswerOfALeavingUpstreamIsWhole) {
+  for (const bool Together : {true, false})
+    for (int Play = 0; Play < 20; ++Play) {
+      World It;
+      It.send();
+      Peer *Upstream = It.m_Upstream.next();
+      BOOST_REQUIRE(Upstream != nullptr);
+      Upstream->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      BOOST_TEST(pumpUntil([&] { return It.m_Listener.m_Status == 200; }));
+      Upstream->send("5\r\nwhole\r\n");
+      if (!Together)
+        BOOST_TEST(pumpUntil([&] { return It.m_Listener.m_Body == "whole"; }));
+      Upstream->send("0\r\n\r\n");
+      Upstream->close();
+      BOOST_TEST(It.ended());
+      BOOST_TEST(It.m_Listener.m_Body == "whole");
+      BOOST_TEST((It.m_Listener.m_End == TransportEnd::Complete));
+    }
+}
+
+/// The upstream crashes after an event that ends as a last chunk would. The
+/// chunk around it has an end of its own, so the answer is still cut.
+BOOST_AUTO_TEST_CASE(AnEventLikeALastChunkIsNoEnd) {
+  World It;
+  It.send();
+  Peer *Upstream = It.m_Upstream.next();
+  BOOST_REQUIRE(Upstream != nullptr);
+  Upstream->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  BOOST_TEST(pumpUntil([&] { return It.m_Listener.m_Status == 200; }));
+  Upstream->send("7\r\n\r\n0\r\n\r\n\r\n");
+  Upstream->close();
+  BOOST_TEST(It.ended());
+  BOOST_TEST((It.m_Listener.m_End == TransportEnd::Broken));
+}
+
 /// An answer without a length ends with its connection; a reset is no end.
 BOOST_AUTO_TEST_CASE(AnAnswerWithoutLengthEndsWithItsConnection) {
   for (const bool Reset : {false, true}) {
