Test: An upstream that left behind a cut from the store is dropped in time; known to fail

Callers get answers of an upstream that left seconds ago: its instance was cut off from the store meanwhile.

--- /dev/null
+++ b/tests/unit/simulated_store.h
@@ -0,0 +1,178 @@
+/// A store in virtual time, as one instance meets it: its rows, and a way to it
+/// that can be cut, turned away or left without history.
+#ifndef CROWSTEP_TESTS_UNIT_SIMULATED_STORE_H
+#define CROWSTEP_TESTS_UNIT_SIMULATED_STORE_H
+
+#include "core/scheduler.h"
+#include "store_client.h"
+
+#include <list>
+#include <map>
+#include <memory>
+
+namespace crowstep::test {
+
+class SimulatedStore {
+public:
+  /// What becomes of calls.
+  enum class Mode : std::uint8_t {
+    Up,        ///< Answered.
+    Cut,       ///< Nothing comes back.
+    Refusing,  ///< Refused at once.
+    Throttling ///< Told at once that there are too many calls.
+  };
+
+  explicit SimulatedStore(ManualScheduler &Timers) : m_Timers(Timers) {}
+
+  /// Returns the instance's client; the store outlives it.
+  std::unique_ptr<adapter::Store> client() {
+    return std::make_unique<Client>(*this);
+  }
+
+  void put(const std::string &Table, const std::string &Key,
+           const std::string &Value) {
+    m_Tables[Table][Key] = {Key, Value, adapter::StoreVersion(++m_Version)};
+    wakeWaiting();
+  }
+
+  void remove(const std::string &Table, const std::string &Key) {
+    m_Tables[Table][Key] = {Key, "", adapter::StoreVersion(++m_Version), true};
+    wakeWaiting();
+  }
+
+  /// Calls that wait end as the mode says: refused ones at once, cut ones when
+  /// the probes of their connection have found nothing.
+  void setMode(Mode To) {
+    m_Mode = To;
+    if (To == Mode::Cut)
+      m_Timers.after(ProbesGiveUp, [this] {
+        if (m_Mode == Mode::Cut)
+          endWaiting(adapter::StoreFailure::Unreachable);
+      });
+    else if (To != Mode::Up)
+      endWaiting(adapter::StoreFailure::Unreachable);
+    else
+      wakeWaiting();
+  }
+
+  /// Resets the connections of the calls that wait.
+  void reset() { endWaiting(adapter::StoreFailure::Unreachable); }
+
+  /// Forgets all changes so far and tells those who wait.
+  void dropHistory() {
+    m_Oldest = m_Version;
+    endWaiting(adapter::StoreFailure::HistoryGone);
+  }
+
+private:
+  using Done = adapter::Store::Done;
+  static constexpr Duration AnswerTime = std::chrono::milliseconds(4);
+  static constexpr Duration ProbesGiveUp = std::chrono::seconds(3);
+
+  /// A call that waits for changes.
+  struct Waiting {
+    std::string m_Table;   ///< Whose changes.
+    std::uint64_t m_After; ///< Version.
+    Done m_Done;           ///< To be answered.
+  };
+
+  class Client final : public adapter::Store {
+  public:
+    explicit Client(SimulatedStore &Of) : m_Of(Of) {}
+    void read(const std::string &Table, const std::string &,
+              Done OnDone) override {
+      m_Of.call(Table, 0, Duration::zero(), std::move(OnDone));
+    }
+    void follow(const std::string &Table, adapter::StoreVersion After,
+                Duration Wait, Done OnDone) override {
+      m_Of.call(Table, After.value(), Wait, std::move(OnDone));
+    }
+    void write(const adapter::StoreWrite &What,
+               std::function<void(adapter::StoreWriteResult)> OnDone) override {
+      const bool Up = m_Of.m_Mode == Mode::Up;
+      if (Up && What.m_Value)
+        m_Of.put(What.m_Table, What.m_Key, *What.m_Value);
+      m_Of.m_Timers.after(AnswerTime, [Up, OnDone = std::move(OnDone)] {
+        OnDone(Up ? adapter::StoreWriteResult::Written
+                  : adapter::StoreWriteResult::Unknown);
+      });
+    }
+
+  private:
+    SimulatedStore &m_Of; ///< Outlives the client.
+  };
+
+  void call(const std::string &Table, std::uint64_t After, Duration Wait,
+            Done OnDone) {
+    if (m_Mode == Mode::Cut) {
+      fail(adapter::StoreFailure::Unreachable, adapter::StoreClient::Timeout,
+           std::move(OnDone));
+    } else if (m_Mode != Mode::Up) {
+      fail(m_Mode == Mode::Refusing ? adapter::StoreFailure::Refused
+                                    : adapter::StoreFailure::Throttled,
+           AnswerTime, std::move(OnDone));
+    } else if (After > 0 && After < m_Oldest) {
+      fail(adapter::StoreFailure::HistoryGone, AnswerTime, std::move(OnDone));
+    } else if (Wait == Duration::zero() || changedAfter(Table, After)) {
+      answer({Table, After, std::move(OnDone)});
+    } else {
+      m_Waiting.push_back({Table, After, std::move(OnDone)});
+    }
+  }
+
+  void fail(adapter::StoreFailure Why, Duration After, Done OnDone) {
+    m_Timers.after(After, [Why, OnDone = std::move(OnDone)] { OnDone(Why); });
+  }
+
+  bool changedAfter(const std::string &Table, std::uint64_t After) {
+    for (const auto &[Key, Row] : m_Tables[Table])
+      if (Row.m_Version.value() > After)
+        return true;
+    return false;
+  }
+
+  void answer(const Waiting &To) {
+    m_Timers.after(AnswerTime, [this, To] {
+      adapter::StoreRows Result;
+      Result.m_Version = adapter::StoreVersion(m_Version);
+      for (const auto &[Key, Row] : m_Tables[To.m_Table])
+        // A table read whole has no rows that are gone.
+        if (Row.m_Version.value() > To.m_After &&
+            !(To.m_After == 0 && Row.m_Gone))
+          Result.m_Rows.push_back(Row);
+      To.m_Done(Result);
+    });
+  }
+
+  void wakeWaiting() {
+    if (m_Mode != Mode::Up)
+      return;
+    for (auto Next = m_Waiting.begin(); Next != m_Waiting.end();) {
+      if (!changedAfter(Next->m_Table, Next->m_After)) {
+        ++Next;
+        continue;
+      }
+      answer(*Next);
+      Next = m_Waiting.erase(Next);
+    }
+  }
+
+  void endWaiting(adapter::StoreFailure Why) {
+    const std::list<Waiting> Ended = std::move(m_Waiting);
+    m_Waiting.clear();
+    for (const Waiting &Each : Ended)
+      fail(Why, Duration::zero(), Each.m_Done);
+  }
+
+  ManualScheduler &m_Timers;   ///< Advanced by the test.
+  Mode m_Mode = Mode::Up;      ///< See setMode().
+  std::uint64_t m_Version = 0; ///< Of the last change.
+  std::uint64_t m_Oldest = 0;  ///< Changes up to it are forgotten.
+  std::map<std::string, std::map<std::string, adapter::StoreRow>>
+      m_Tables;                 ///< With rows that are gone.
+  std::list<Waiting> m_Waiting; ///< For changes.
+};
+
+} // namespace crowstep::test
+
+#endif // CROWSTEP_TESTS_UNIT_SIMULATED_STORE_H
--- /dev/null
+++ b/tests/unit/store_directory_test.cpp
@@ -0,0 +1,222 @@
+/// Which upstreams an instance uses while it and the store lose each other.
+///
+/// Times are played in steps: a trouble ends at any moment between two calls of
+/// the instance, and its back-off is drawn short, middling and long.
+#define BOOST_TEST_MODULE store_directory
+#include "store_directory.h"
+#include "unit/simulated_store.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace crowstep;
+using namespace crowstep::adapter;
+using namespace crowstep::test;
+using namespace std::chrono_literals;
+using Mode = SimulatedStore::Mode;
+
+namespace {
+
+/// An upstream that leaves gets nothing new this long after the store took its
+/// word.
+constexpr Duration Drain = 2s;
+
+/// An instance that has its way to the store back keeps all promises this much
+/// later.
+constexpr Duration Contact = 3s;
+
+/// An entry that lapsed while the store was away is back this long after it.
+constexpr Duration RenewedAfter = 2s;
+
+/// Between two looks at the list.
+constexpr Duration Look = 5ms;
+
+constexpr Duration AnySpan = 2s; ///< Longer than any pause between calls.
+constexpr Duration AnyStep = 23ms;
+constexpr double Draws[] = {0, 0.5, 0.999};
+
+class Listener final : public gateway::DirectoryListener {
+public:
+  void tableChanged(gateway::RouteTablePtr) override {}
+  void peersChanged(const gateway::PeerList &) override {}
+  void upstreamsChanged(const std::vector<Upstream> &List) override {
+    m_Names.clear();
+    for (const Upstream &Each : List)
+      m_Names.push_back(Each.m_Name);
+  }
+  [[nodiscard]] bool has(const std::string &Name) const {
+    return std::find(m_Names.begin(), m_Names.end(), Name) != m_Names.end();
+  }
+
+  std::vector<std::string> m_Names; ///< Listed now.
+};
+
+/// An instance that knows three upstreams.
+struct World {
+  ManualClock m_Clock;
+  ManualScheduler m_Timers{m_Clock};
+  SimulatedStore m_Store{m_Timers};
+  Metrics m_Stats;
+  Listener m_Listener;
+  StoreDirectory m_Directory;
+
+  explicit World(double Draw)
+      : m_Directory(m_Store.client(), Drain, m_Clock, m_Timers, m_Stats,
+                    [Draw] { return Draw; }) {
+    for (const char *Name : {"a", "b", "c"})
+      list(Name);
+    m_Directory.start(m_Listener, {"edge-1", {0x0a000001, 7340}, {"z"}, 1});
+    m_Timers.advance(10s);
+    BOOST_TEST(m_Listener.m_Names.size() == 3U);
+  }
+  void list(const std::string &Name) {
+    m_Store.put("servers", Name,
+                R"({"service":"s","address":"10.0.0.9:8080","zone":"z",)"
+                R"("slots":4,"state":"ready"})");
+  }
+  void unlist(const std::string &Name) { m_Store.remove("servers", Name); }
+  void during(Mode What, Duration Span) {
+    m_Store.setMode(What);
+    m_Timers.advance(Span);
+    m_Store.setMode(Mode::Up);
+  }
+  /// Returns how long \p Name is listed from now on, at most \p Limit.
+  Duration listedFor(const std::string &Name, Duration Limit) {
+    Duration Result{};
+    for (; m_Listener.has(Name) && Result < Limit; Result += Look)
+      m_Timers.advance(Look);
+    return Result;
+  }
+};
+
+template <typename Job> void atAnyMoment(Job Play) {
+  for (const double Draw : Draws)
+    for (Duration Moment{}; Moment < AnySpan; Moment += AnyStep)
+      BOOST_TEST_CONTEXT("back-off drawn " << Draw << ", moment "
+                                           << Moment.count() << " us") {
+        Play(Draw, Moment);
+      }
+}
+
+} // namespace
+
+// Callers get answers of an upstream that said twelve seconds ago that it
+// leaves, or lose them with its end. The instance is cut off from the store;
+// meanwhile an upstream leaves: its entry goes without another word. The way is
+// back, and the instance hears it with its next call.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeftBehindACutIsDroppedInTime) {
+  atAnyMoment([](double Draw, Duration Moment) {
+    World It(Draw);
+    It.m_Store.setMode(Mode::Cut);
+    It.m_Timers.advance(1s);
+    It.unlist("a");
+    It.m_Timers.advance(9s + Moment);
+    It.m_Store.setMode(Mode::Up);
+    BOOST_TEST((It.listedFor("a", 10s) < Contact));
+    BOOST_TEST(It.m_Listener.has("b"));
+  });
+}
+
+// The same where the store turns the instance away instead of being silent.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeftWhileRefusedIsDroppedInTime) {
+  atAnyMoment([](double Draw, Duration Moment) {
+    World It(Draw);
+    It.m_Store.setMode(Mode::Refusing);
+    It.m_Timers.advance(1s);
+    It.unlist("a");
+    It.m_Timers.advance(9s + Moment);
+    It.m_Store.setMode(Mode::Up);
+    BOOST_TEST((It.listedFor("a", 10s) < Contact));
+  });
+}
+
+// All callers are refused for want of an upstream although all upstreams live.
+// The store is away for so long that their entries lapse, and they renew them
+// two seconds after its return.
+BOOST_AUTO_TEST_CASE(UpstreamsWhoseEntriesLapsedAreKeptUntilRenewed) {
+  for (const Mode How : {Mode::Cut, Mode::Refusing})
+    atAnyMoment([How](double Draw, Duration Moment) {
+      World It(Draw);
+      It.m_Store.setMode(How);
+      It.m_Timers.advance(4s);
+      for (const char *Name : {"a", "b", "c"})
+        It.unlist(Name);
+      It.m_Timers.advance(2s + Moment);
+      It.m_Store.setMode(Mode::Up);
+      BOOST_TEST((It.listedFor("a", RenewedAfter) == RenewedAfter));
+      for (const char *Name : {"a", "b", "c"})
+        It.list(Name);
+      BOOST_TEST((It.listedFor("a", 3s) == 3s));
+    });
+}
+
+// The same with a store that is back for a second and away again before any
+// upstream could renew its entry.
+BOOST_AUTO_TEST_CASE(UpstreamsAreKeptThroughASecondOutage) {
+  World It(0.5);
+  It.m_Store.setMode(Mode::Refusing);
+  It.m_Timers.advance(4s);
+  for (const char *Name : {"a", "b", "c"})
+    It.unlist(Name);
+  It.during(Mode::Refusing, 2s);
+  It.m_Timers.advance(1s);
+  It.m_Store.setMode(Mode::Refusing);
+  BOOST_TEST((It.listedFor("a", 5s) == 5s));
+  It.m_Store.setMode(Mode::Up);
+  BOOST_TEST((It.listedFor("a", RenewedAfter) == RenewedAfter));
+  for (const char *Name : {"a", "b", "c"})
+    It.list(Name);
+  BOOST_TEST((It.listedFor("a", 3s) == 3s));
+}
+
+// Upstreams that never come back are dropped at one time, whatever their names
+// and the order in which their entries went.
+BOOST_AUTO_TEST_CASE(UpstreamsThatStayMissingAreDropped) {
+  World It(0.5);
+  It.m_Store.setMode(Mode::Refusing);
+  It.m_Timers.advance(4s);
+  It.unlist("c");
+  It.m_Store.setMode(Mode::Up);
+  It.m_Timers.advance(1500ms);
+  It.unlist("a");
+  BOOST_TEST((It.listedFor("c", 10s) < Contact - 1500ms));
+  BOOST_TEST((It.listedFor("a", 10s) < Contact - 1500ms));
+  BOOST_TEST(It.m_Listener.has("b"));
+}
+
+// An upstream leaves while its instance reads the table anew, as the store has
+// dropped its history. The store was there all the while, so the entry can't
+// have lapsed.
+BOOST_AUTO_TEST_CASE(LostHistoryKeepsNoUpstream) {
+  for (const double Draw : Draws) {
+    World It(Draw);
+    It.m_Store.dropHistory();
+    It.unlist("a");
+    BOOST_TEST((It.listedFor("a", 10s) < Drain));
+  }
+}
+
+// An upstream leaves just after the instance's connections to the store were
+// reset. The next call goes through at once: the store was there all the while.
+BOOST_AUTO_TEST_CASE(AResetConnectionKeepsNoUpstream) {
+  for (const double Draw : Draws) {
+    World It(Draw);
+    It.m_Store.reset();
+    It.m_Timers.advance(1s);
+    It.unlist("a");
+    BOOST_TEST((It.listedFor("a", 10s) < Drain));
+  }
+}
+
+// The instances call the store too often and some calls are turned away for
+// this. Upstreams have no part in it: an entry that goes meanwhile is no entry
+// that could not be renewed.
+BOOST_AUTO_TEST_CASE(ThrottledCallsKeepNoUpstream) {
+  for (const double Draw : Draws) {
+    World It(Draw);
+    It.during(Mode::Throttling, 500ms);
+    It.m_Timers.advance(500ms);
+    It.unlist("a");
+    BOOST_TEST((It.listedFor("a", 10s) < Drain));
+  }
+}
