--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -73,11 +73,12 @@
   ManualScheduler m_Timers{m_Clock};
   FakeStore m_Store;
   std::vector<std::string> m_Told;
+  double m_Draw = 0.5; ///< What the back-off is drawn by.
   TableFollower m_Table{m_Store,
                         m_Clock,
                         m_Timers,
                         "t",
-                        [] { return 0.5; },
+                        [this] { return m_Draw; },
                         {[this](const StoreRow &Row) {
                            m_Told.push_back(
                                (Row.m_Gone ? "-" : "+") + Row.m_Key +
@@ -293,6 +294,30 @@
   BOOST_TEST(It.told() == "+a3 ");
 }
 
+/// The store is silent or turns all calls away. What an instance knows of its
+/// upstreams gets old meanwhile, so it must notice the store's return soon: the
+/// next call begins less than 0.9 s after the one before, whatever it waited
+/// for and however the back-off was drawn.
+BOOST_AUTO_TEST_CASE(CallsGoOnThroughAnOutage) {
+  for (const double Draw : {0.0, 0.5, 0.999})
+    for (const Duration Hangs : {Duration(4ms), StoreClient::Timeout}) {
+      Following It;
+      It.m_Draw = Draw;
+      It.m_Store.answer(StoreRows{{row("a", 3)}, StoreVersion(9), false});
+      It.m_Store.answer(StoreFailure::Unreachable);
+      It.m_Timers.advance(120ms);
+      for (int I = 0; I < 8; ++I) {
+        BOOST_REQUIRE(It.m_Store.m_Calls.size() == 1U);
+        const TimePoint Begin = It.m_Clock.now();
+        It.m_Timers.advance(Hangs);
+        It.m_Store.answer(StoreFailure::Unreachable);
+        while (It.m_Store.m_Calls.empty())
+          It.m_Timers.advance(1ms);
+        BOOST_TEST((It.m_Clock.now() - Begin < 900ms));
+      }
+    }
+}
+
 /// Many instances start at once; only the first makes the shared secret, under
 /// the condition that there is none, and all take the one that stands.
 BOOST_AUTO_TEST_CASE(TheFirstInstanceMakesTheLinkKey) {
