Fix: An upstream without an entry is used for a time counted from the store's absence

Callers saw: answers of an upstream 12 s after it had left, at instances that had been cut off from the store meanwhile, for as long as the upstream went on; calls that may run once would have been lost with its end.

Cause: an instance took its own trouble with the store for the store's, and its own moment of hearing for the moment of return. An upstream whose entry goes within 2.5 s of any failed call was kept for two seconds from the news, as one that could not renew its entry while the store was away. Lost history, a reset connection and throttled calls counted as trouble too, and kept an upstream over two seconds though the store was there all the while; and amid a second outage all upstreams were dropped.

Change: the time is counted from the beginning of the last call to the store that asked for an answer at once and got none, the last moment at which the store is known to have been out of reach. That is never after its return, so what is kept until settle_ms less 0.1 s after it is dropped before the instance must be up to date, whenever the news came; calls begin less than 0.9 s apart, so it is two seconds or more after the return too, in which upstreams renew their entries. A waiting call that breaks, lost history and throttled calls show no such moment. The decision moves from the adapter to gateway/upstream_list.

--- /dev/null
+++ b/src/gateway/upstream_list.cpp
@@ -0,0 +1,64 @@
+/// Entries that come and go.
+#include "gateway/upstream_list.h"
+
+#include <algorithm>
+
+namespace crowstep::gateway {
+
+namespace {
+
+/// A call that is placed at the last moment still has its way to go.
+constexpr Duration SendMargin = std::chrono::milliseconds(100);
+
+} // namespace
+
+void UpstreamList::listed(const Upstream &Each) {
+  m_Missing.erase(Each.m_Name);
+  m_ByName[Each.m_Name] = Each;
+}
+
+void UpstreamList::unreadable(const std::string &Name) {
+  m_Missing.erase(Name);
+  m_ByName.erase(Name);
+}
+
+bool UpstreamList::gone(const std::string &Name, TimePoint OutOfReach,
+                        TimePoint Now) {
+  const auto Found = m_ByName.find(Name);
+  if (Found == m_ByName.end())
+    return false;
+  // One that said that it leaves has not lapsed.
+  if (Found->second.m_Leaving || Now >= keptUntil(OutOfReach)) {
+    unreadable(Name);
+    return false;
+  }
+  m_Missing.insert(Name);
+  return true;
+}
+
+std::vector<std::string> UpstreamList::dropMissing(TimePoint OutOfReach,
+                                                   TimePoint Now) {
+  // Upstreams can't renew their entries in a directory that is away once more.
+  if (Now < keptUntil(OutOfReach))
+    return {};
+  std::vector<std::string> Result(m_Missing.begin(), m_Missing.end());
+  m_Missing.clear();
+  for (const std::string &Name : Result)
+    m_ByName.erase(Name);
+  return Result;
+}
+
+TimePoint UpstreamList::keptUntil(TimePoint OutOfReach) const {
+  if (OutOfReach == TimePoint())
+    return {};
+  return OutOfReach + std::max(m_Settle - SendMargin, Duration::zero());
+}
+
+std::vector<Upstream> UpstreamList::all() const {
+  std::vector<Upstream> Result;
+  for (const auto &[Name, Each] : m_ByName)
+    Result.push_back(Each);
+  return Result;
+}
+
+} // namespace crowstep::gateway
--- a/tests/process/gateway_place.cpp
+++ b/tests/process/gateway_place.cpp
@@ -31,7 +31,8 @@
          "\nslack=" + std::to_string(Where.m_Retry.m_Slack) +
          "\nwindow_s=" + std::to_string(Window.count()) +
          "\n[upstreams]\ndrain_ms=" + std::to_string(Where.m_Drain.count()) +
-         "\n[store]\naddress=" + toString(Where.m_Store) + "\n";
+         "\n[store]\naddress=" + toString(Where.m_Store) +
+         "\nsettle_ms=" + std::to_string(Where.m_Settle.count()) + "\n";
 }
 
 Call readinessCall(const GatewayPlace &Where) {
--- a/tests/unit/store_directory_test.cpp
+++ b/tests/unit/store_directory_test.cpp
@@ -61,18 +61,19 @@
   StoreDirectory m_Directory;
 
   explicit World(double Draw)
-      : m_Directory(m_Store.client(), Drain, m_Clock, m_Timers, m_Stats,
-                    [Draw] { return Draw; }) {
+      : m_Directory(m_Store.client(), {Drain, Contact}, m_Clock, m_Timers,
+                    m_Stats, [Draw] { return Draw; }) {
     for (const char *Name : {"a", "b", "c"})
       list(Name);
     m_Directory.start(m_Listener, {"edge-1", {0x0a000001, 7340}, {"z"}, 1});
     m_Timers.advance(10s);
     BOOST_TEST(m_Listener.m_Names.size() == 3U);
   }
-  void list(const std::string &Name) {
+  void list(const std::string &Name, const std::string &State = "ready") {
     m_Store.put("servers", Name,
                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z",)"
-                R"("slots":4,"state":"ready"})");
+                R"("slots":4,"state":")" +
+                    State + R"("})");
   }
   void unlist(const std::string &Name) { m_Store.remove("servers", Name); }
   void during(Mode What, Duration Span) {
@@ -103,7 +104,10 @@
 // Callers get answers of an upstream that said twelve seconds ago that it
 // leaves, or lose them with its end. The instance is cut off from the store;
 // meanwhile an upstream leaves: its entry goes without another word. The way is
-// back, and the instance hears it with its next call.
+// back, and the instance hears it with its next call. Cause: it took its own
+// trouble for the store's and kept the upstream for two seconds from the news,
+// as one that could not renew its entry; the log had the news in time and calls
+// to the upstream after it.
 BOOST_AUTO_TEST_CASE(AnUpstreamThatLeftBehindACutIsDroppedInTime) {
   atAnyMoment([](double Draw, Duration Moment) {
     World It(Draw);
@@ -150,8 +154,21 @@
     });
 }
 
-// The same with a store that is back for a second and away again before any
-// upstream could renew its entry.
+// The same with an upstream that had said that it leaves: its entry has not
+// lapsed, so nothing more may begin there.
+BOOST_AUTO_TEST_CASE(ALeavingUpstreamWhoseEntryGoesIsNotKept) {
+  World It(0.5);
+  It.list("a", "draining");
+  It.m_Timers.advance(1s);
+  It.m_Store.setMode(Mode::Refusing);
+  It.m_Timers.advance(4s);
+  It.unlist("a");
+  It.m_Store.setMode(Mode::Up);
+  BOOST_TEST((It.listedFor("a", 10s) < 1s));
+}
+
+// All callers are refused for a while as above, with a store that is back for a
+// second and away again before any upstream could renew its entry.
 BOOST_AUTO_TEST_CASE(UpstreamsAreKeptThroughASecondOutage) {
   World It(0.5);
   It.m_Store.setMode(Mode::Refusing);
