--- a/tests/unit/store_directory_test.cpp
+++ b/tests/unit/store_directory_test.cpp
@@ -154,6 +154,29 @@
     });
 }
 
+// Callers are refused by this instance alone although an upstream has renewed
+// its entry in time: others renewed theirs just before, and the instance joins
+// changes that come soon after each other into one call.
+BOOST_AUTO_TEST_CASE(UpstreamsThatRenewOneByOneAreKept) {
+  for (const Mode How : {Mode::Cut, Mode::Refusing})
+    atAnyMoment([How](double Draw, Duration Moment) {
+      World It(Draw);
+      It.m_Store.setMode(How);
+      It.m_Timers.advance(4s);
+      for (const char *Name : {"a", "b", "c"})
+        It.unlist(Name);
+      It.m_Timers.advance(2s + Moment);
+      It.m_Store.setMode(Mode::Up);
+      It.m_Timers.advance(RenewedAfter - 300ms);
+      It.list("a");
+      It.m_Timers.advance(100ms);
+      It.list("b");
+      It.m_Timers.advance(200ms);
+      It.list("c");
+      BOOST_TEST((It.listedFor("c", 3s) == 3s));
+    });
+}
+
 // The same with an upstream that had said that it leaves: its entry has not
 // lapsed, so nothing more may begin there.
 BOOST_AUTO_TEST_CASE(ALeavingUpstreamWhoseEntryGoesIsNotKept) {
