Fix: A call that is sent again has the limit for its new connection as well

Callers could see: answers of an upstream that had left, as before the limit for connecting, where a kept connection to the store is reset just as the way is cut.

Cause: the limit ended with the first connection of a call; libsoup sends a call again by itself, on a new connection, where a kept one broke before an answer.

Change: the limit begins anew when a call is sent again. What is told of a call that failed stays: a byte may have been sent once the first connection stood.

--- a/src/core/http_client.cpp
+++ b/src/core/http_client.cpp
@@ -25,6 +25,8 @@
   guint m_ConnectTimer = 0;         ///< 0 once it has run, or without a limit.
   bool m_TimedOut = false;          ///< Set by the timer.
   bool m_Connected = false;         ///< A byte may have been sent.
+  bool m_Connecting = true;         ///< No connection stands at present.
+  Duration m_ConnectLimit{};        ///< 0: none.
 
   ~Pending() {
     if (m_Timer != 0)
@@ -86,7 +88,7 @@
 int connectLimitOver(void *Data) {
   auto *Call = static_cast<Pending *>(Data);
   Call->m_ConnectTimer = 0;
-  if (!Call->m_Connected)
+  if (Call->m_Connecting)
     g_cancellable_cancel(Call->m_Cancel);
   return G_SOURCE_REMOVE;
 }
@@ -96,8 +98,27 @@
   return g_timeout_add(static_cast<guint>(Wait.count()), Job, Call);
 }
 
+void watchConnecting(Pending *Call) {
+  if (Call->m_ConnectTimer != 0)
+    g_source_remove(Call->m_ConnectTimer);
+  Call->m_ConnectTimer = 0;
+  if (Call->m_ConnectLimit > Duration::zero())
+    Call->m_ConnectTimer =
+        startTimer(Call->m_ConnectLimit, connectLimitOver, Call);
+}
+
 void starting(SoupMessage *, gpointer Data) {
-  static_cast<Pending *>(Data)->m_Connected = true;
+  auto *Call = static_cast<Pending *>(Data);
+  Call->m_Connected = true;
+  Call->m_Connecting = false;
+}
+
+/// libsoup sends a call again by itself, on a new connection, where a kept one
+/// broke before an answer.
+void restarted(SoupMessage *, gpointer Data) {
+  auto *Call = static_cast<Pending *>(Data);
+  Call->m_Connecting = true;
+  watchConnecting(Call);
 }
 
 } // namespace
@@ -132,10 +153,10 @@
   }
   probeConnectionOf(Call->m_Message);
   g_signal_connect(Call->m_Message, "starting", G_CALLBACK(starting), Call);
+  g_signal_connect(Call->m_Message, "restarted", G_CALLBACK(restarted), Call);
   Call->m_Timer = startTimer(What.m_Timeout, timedOut, Call);
-  if (What.m_ConnectLimit > Duration::zero())
-    Call->m_ConnectTimer =
-        startTimer(What.m_ConnectLimit, connectLimitOver, Call);
+  Call->m_ConnectLimit = What.m_ConnectLimit;
+  watchConnecting(Call);
   soup_session_send_and_read_async(m_Session, Call->m_Message,
                                    G_PRIORITY_DEFAULT, Call->m_Cancel, finished,
                                    Call);
