--- a/tests/unit/simulated_store.h
+++ b/tests/unit/simulated_store.h
@@ -18,6 +18,7 @@
   enum class Mode : std::uint8_t {
     Up,        ///< Answered.
     Cut,       ///< Nothing comes back.
+    Silent,    ///< Calls are taken and never answered; earlier ones still are.
     Refusing,  ///< Refused at once.
     Throttling ///< Told at once that there are too many calls.
   };
@@ -49,9 +50,9 @@
         if (m_Mode == Mode::Cut)
           endWaiting(adapter::StoreFailure::Unreachable);
       });
-    else if (To != Mode::Up)
+    else if (To == Mode::Refusing || To == Mode::Throttling)
       endWaiting(adapter::StoreFailure::Unreachable);
-    else
+    else if (To == Mode::Up)
       wakeWaiting();
   }
 
@@ -104,9 +105,10 @@
 
   void call(const std::string &Table, std::uint64_t After, Duration Wait,
             Done OnDone) {
-    if (m_Mode == Mode::Cut) {
-      fail(adapter::StoreFailure::Unreachable, adapter::StoreClient::Timeout,
-           std::move(OnDone));
+    if (m_Mode == Mode::Cut || m_Mode == Mode::Silent) {
+      const Duration Asked = m_Mode == Mode::Silent ? Wait : Duration::zero();
+      fail(adapter::StoreFailure::Unreachable,
+           Asked + adapter::StoreClient::Timeout, std::move(OnDone));
     } else if (m_Mode != Mode::Up) {
       fail(m_Mode == Mode::Refusing ? adapter::StoreFailure::Refused
                                     : adapter::StoreFailure::Throttled,
--- a/tests/unit/store_directory_test.cpp
+++ b/tests/unit/store_directory_test.cpp
@@ -134,6 +134,25 @@
   });
 }
 
+// Callers are sent to upstreams that left or crashed, by an instance that has
+// seen no trouble. A change comes, and amid the pause after it the store falls
+// silent for three seconds: it takes calls and forgets them. The instance's
+// next call is such a call. Seconds after the store's return an upstream
+// leaves.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeavesAfterASilenceIsDropped) {
+  atAnyMoment([](double Draw, Duration Moment) {
+    World It(Draw);
+    It.list("d");
+    It.m_Timers.advance(Moment / 3);
+    It.m_Store.setMode(Mode::Silent);
+    It.m_Timers.advance(3s);
+    It.m_Store.setMode(Mode::Up);
+    It.m_Timers.advance(Contact);
+    It.unlist("a");
+    BOOST_TEST((It.listedFor("a", 10s) < Drain));
+  });
+}
+
 // All callers are refused for want of an upstream although all upstreams live.
 // The store is away for so long that their entries lapse, and they renew them
 // two seconds after its return.
