--- a/tests/unit/store_directory_test.cpp
+++ b/tests/unit/store_directory_test.cpp
@@ -138,7 +138,9 @@
 // seen no trouble. A change comes, and amid the pause after it the store falls
 // silent for three seconds: it takes calls and forgets them. The instance's
 // next call is such a call. Seconds after the store's return an upstream
-// leaves.
+// leaves. Cause: the forgotten call was to wait for 30 s, and its connection
+// stood; the log of such an instance had a change, and no word on the store
+// after it.
 BOOST_AUTO_TEST_CASE(AnUpstreamThatLeavesAfterASilenceIsDropped) {
   atAnyMoment([](double Draw, Duration Moment) {
     World It(Draw);
