--- a/tests/unit/store_directory_test.cpp
+++ b/tests/unit/store_directory_test.cpp
@@ -63,8 +63,7 @@
   explicit World(double Draw)
       : m_Directory(m_Store.client(), {Drain, Contact}, m_Clock, m_Timers,
                     m_Stats, [Draw] { return Draw; }) {
-    for (const char *Name : {"a", "b", "c"})
-      list(Name);
+    listAll();
     m_Directory.start(m_Listener, {"edge-1", {0x0a000001, 7340}, {"z"}, 1});
     m_Timers.advance(10s);
     BOOST_TEST(m_Listener.m_Names.size() == 3U);
@@ -76,6 +75,20 @@
                     State + R"("})");
   }
   void unlist(const std::string &Name) { m_Store.remove("servers", Name); }
+  void listAll() {
+    for (const char *Name : {"a", "b", "c"})
+      list(Name);
+  }
+  /// The store is away for four seconds and \p Span more, and all entries
+  /// lapse.
+  void lapse(Mode How, Duration Span) {
+    m_Store.setMode(How);
+    m_Timers.advance(4s);
+    for (const char *Name : {"a", "b", "c"})
+      unlist(Name);
+    m_Timers.advance(Span);
+    m_Store.setMode(Mode::Up);
+  }
   void during(Mode What, Duration Span) {
     m_Store.setMode(What);
     m_Timers.advance(Span);
@@ -162,15 +175,9 @@
   for (const Mode How : {Mode::Cut, Mode::Refusing})
     atAnyMoment([How](double Draw, Duration Moment) {
       World It(Draw);
-      It.m_Store.setMode(How);
-      It.m_Timers.advance(4s);
-      for (const char *Name : {"a", "b", "c"})
-        It.unlist(Name);
-      It.m_Timers.advance(2s + Moment);
-      It.m_Store.setMode(Mode::Up);
+      It.lapse(How, 2s + Moment);
       BOOST_TEST((It.listedFor("a", RenewedAfter) == RenewedAfter));
-      for (const char *Name : {"a", "b", "c"})
-        It.list(Name);
+      It.listAll();
       BOOST_TEST((It.listedFor("a", 3s) == 3s));
     });
 }
@@ -182,12 +189,7 @@
   for (const Mode How : {Mode::Cut, Mode::Refusing})
     atAnyMoment([How](double Draw, Duration Moment) {
       World It(Draw);
-      It.m_Store.setMode(How);
-      It.m_Timers.advance(4s);
-      for (const char *Name : {"a", "b", "c"})
-        It.unlist(Name);
-      It.m_Timers.advance(2s + Moment);
-      It.m_Store.setMode(Mode::Up);
+      It.lapse(How, 2s + Moment);
       It.m_Timers.advance(RenewedAfter - 300ms);
       It.list("a");
       It.m_Timers.advance(100ms);
@@ -215,18 +217,13 @@
 // second and away again before any upstream could renew its entry.
 BOOST_AUTO_TEST_CASE(UpstreamsAreKeptThroughASecondOutage) {
   World It(0.5);
-  It.m_Store.setMode(Mode::Refusing);
-  It.m_Timers.advance(4s);
-  for (const char *Name : {"a", "b", "c"})
-    It.unlist(Name);
-  It.during(Mode::Refusing, 2s);
+  It.lapse(Mode::Refusing, 2s);
   It.m_Timers.advance(1s);
   It.m_Store.setMode(Mode::Refusing);
   BOOST_TEST((It.listedFor("a", 5s) == 5s));
   It.m_Store.setMode(Mode::Up);
   BOOST_TEST((It.listedFor("a", RenewedAfter) == RenewedAfter));
-  for (const char *Name : {"a", "b", "c"})
-    It.list(Name);
+  It.listAll();
   BOOST_TEST((It.listedFor("a", 3s) == 3s));
 }
 
