--- a/src/balance/engine_choice.cpp
+++ b/src/balance/engine_choice.cpp
@@ -27,9 +27,7 @@
 /// It counts this much more where all slots of the engines are taken, and less
 /// by the square of the share that is. Load: a burst that takes most slots.
 /// Calls then went wherever a slot was free, their beginnings were read once
-/// more there, calls lasted longer and took more slots: of 1,030 long calls a
-/// second at 140 engines 54 in 100 were in time in the model, and 34 million
-/// tokens read again in 20 s. With this weight 95 in 100, and 8 million.
+/// more there, calls lasted longer and took more slots.
 constexpr double ScarceWeight = 8;
 
 /// The engine that comes first by hash is preferred by this share of what must
--- a/src/gateway/forward_limits.h
+++ b/src/gateway/forward_limits.h
@@ -1,4 +1,4 @@
-/// Limits of one forwarded request, each with where its figure comes from.
+/// Limits of one forwarded request.
 #ifndef CROWSTEP_GATEWAY_FORWARD_LIMITS_H
 #define CROWSTEP_GATEWAY_FORWARD_LIMITS_H
 
@@ -22,8 +22,7 @@
 inline constexpr Duration BusyRetryAfter = std::chrono::milliseconds(250);
 
 /// A call waits for room at an engine for two fifths of its target; reading
-/// takes the rest. In the model at three fifths a tenth more were taken, and
-/// nearly as many more were late.
+/// takes the rest, and calls that wait longer are late.
 inline constexpr int MostWaitParts = 2;
 inline constexpr int MostWaitDivisor = 5;
 
