Fix: Recognise the last chunk of answers that say that the connection closes

Cause: libsoup takes the close for the end of the body, and the check beside it left out answers that announce the close, as the last chunk was looked for on the connection only once the body was read: what libsoup had read together with the head had never been seen.

The connection is now looked at from the moment at which the request is written, each time before libsoup reads, and a last chunk in pieces is put together from the bytes looked at before. So the exception can go. Ruled out: an own decoder of chunks behind libsoup (it hands out decoded bytes only), and counting bytes received in the kernel (framing isn't known).

--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -18,6 +18,10 @@
 constexpr std::string_view LastChunk = "0\r\n\r\n";
 constexpr std::string_view ChunkEnd = "\r\n";
 
+/// Bytes that are remembered of what was looked at before, so that a last chunk
+/// that arrives in pieces is recognised.
+constexpr std::size_t TailSize = ChunkEnd.size() + LastChunk.size();
+
 bool endsWithLastChunk(std::string_view Bytes) {
   if (!Bytes.ends_with(LastChunk))
     return false;
@@ -37,6 +41,7 @@
   SocketPtr m_Socket;                     ///< Of its connection; may be null.
   goffset m_Received = 0;                 ///< Bytes of the body so far.
   bool m_SawLastChunk = false;            ///< See look().
+  std::string m_Tail;                     ///< Last bytes looked at.
   GSource *m_Look = nullptr;              ///< Owned; null while not attached.
   GCancellable *m_Cancel = nullptr;       ///< Owned.
   GInputStream *m_Stream = nullptr;       ///< Owned; null before the headers.
@@ -124,9 +129,9 @@
 /// connection for the end of the body, also short of the length that the
 /// headers state or between two chunks: a caller would get half an answer as a
 /// whole one. The length is counted here. Of chunks the connection tells: an
-/// upstream that has sent the last one leaves it open, unless it said that it
-/// closes, or closes in the same moment as it goes away; then the last chunk
-/// was seen on the connection before libsoup took it.
+/// upstream that has sent the last one leaves it open, unless it closes its
+/// connections; then the last chunk was seen on the connection before libsoup
+/// took it.
 bool Transfer::whole() const {
   SoupMessageHeaders *Headers = soup_message_get_response_headers(m_Message);
   switch (soup_message_headers_get_encoding(Headers)) {
@@ -134,9 +139,7 @@
     return m_Received == soup_message_headers_get_content_length(Headers);
   case SOUP_ENCODING_CHUNKED:
     return m_Socket == nullptr || !closedByPeer(m_Socket.get()) ||
-           m_SawLastChunk ||
-           soup_message_headers_header_contains(Headers, "Connection",
-                                                "close") != 0;
+           m_SawLastChunk;
   default:
     return true;
   }
@@ -165,14 +168,21 @@
 /// Looks whether the last chunk stands at the end of what waits to be read.
 void Transfer::look() {
   const std::string Waiting = waitingBytes(m_Socket.get(), ReadSize);
-  if (!Waiting.empty())
-    m_SawLastChunk = endsWithLastChunk(Waiting);
+  if (Waiting.empty())
+    return;
+  m_Tail += Waiting;
+  m_SawLastChunk = endsWithLastChunk(Waiting) || endsWithLastChunk(m_Tail);
+  if (m_Tail.size() > TailSize)
+    m_Tail.erase(0, m_Tail.size() - TailSize);
 }
 
 gboolean onReadable(GSocket *, GIOCondition, gpointer Data) {
   auto *Held = static_cast<Transfer *>(Data);
   Held->look();
   Held->stopLooking();
+  // libsoup reads until it has the whole head; the body's reads look anew.
+  if (soup_message_get_status(Held->m_Message) == SOUP_STATUS_NONE)
+    Held->lookWhenReadable();
   return G_SOURCE_REMOVE;
 }
 
@@ -192,6 +202,16 @@
   m_Look = nullptr;
 }
 
+/// libsoup takes what follows the head with it, to the end of a short body.
+void onRequestWritten(SoupMessage *, gpointer Data) {
+  auto *Held = static_cast<Transfer *>(Data);
+  if (Held->m_Socket == nullptr)
+    return;
+  Held->look();
+  Held->stopLooking();
+  Held->lookWhenReadable();
+}
+
 void onRead(GObject *Stream, GAsyncResult *Outcome, gpointer Data) {
   auto *Held = static_cast<Transfer *>(Data);
   const gssize Size =
@@ -354,6 +374,8 @@
   g_signal_connect(Held->m_Message, "network-event", G_CALLBACK(onNetworkEvent),
                    Held);
   g_signal_connect(Held->m_Message, "starting", G_CALLBACK(onStarting), Held);
+  g_signal_connect(Held->m_Message, "wrote-body", G_CALLBACK(onRequestWritten),
+                   Held);
   Held->m_Place = m_Sessions.take(What.m_Where);
   Held->m_Sockets = &m_Sockets;
   soup_session_send_async(Held->m_Place.session(), Held->m_Message,
--- a/tests/unit/loopback_peer.h
+++ b/tests/unit/loopback_peer.h
@@ -29,6 +29,14 @@
   return true;
 }
 
+/// Runs the main loop for \p Span.
+inline void pumpFor(std::chrono::milliseconds Span) {
+  const gint64 End = g_get_monotonic_time() + Span.count() * 1000;
+  while (g_get_monotonic_time() < End)
+    if (g_main_context_iteration(nullptr, 0) == 0)
+      g_usleep(200);
+}
+
 /// One end of a TCP connection that is read without blocking.
 class Peer {
 public:
--- a/tests/unit/upstream_call_test.cpp
+++ b/tests/unit/upstream_call_test.cpp
@@ -105,6 +105,36 @@
     }
 }
 
+/// Guards against a whole answer taken for a cut one where the upstream says
+/// that it closes, however the bytes of its end are spread over packets.
+BOOST_AUTO_TEST_CASE(AWholeAnswerThatAnnouncesItsCloseIsWhole) {
+  using Pieces = std::vector<std::string>;
+  const std::string Head = "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<Pieces> Ways = {
+      {Head + "5\r\nwhole\r\n0\r\n\r\n"},
+      {Head + "5\r\nwhole\r\n", "0\r\n\r\n"},
+      {Head, "5\r\nwhole\r\n0\r\n\r\n"},
+      {Head, "5\r\nwhole\r\n0\r\n", "\r\n"},
+      {Head, "5\r\nwhole", "\r\n0", "\r\n\r\n"},
+      {Head.substr(0, 30), Head.substr(30), "5\r\nwhole\r\n0\r\n\r\n"}};
+  for (const Pieces &Way : Ways)
+    for (int Play = 0; Play < 10; ++Play) {
+      World It;
+      It.send();
+      Peer *Upstream = It.m_Upstream.next();
+      BOOST_REQUIRE(Upstream != nullptr);
+      for (const std::string &Piece : Way) {
+        Upstream->send(Piece);
+        pumpFor(2ms);
+      }
+      Upstream->close();
+      BOOST_TEST(It.ended());
+      BOOST_TEST(It.m_Listener.m_Body == "whole");
+      BOOST_TEST((It.m_Listener.m_End == TransportEnd::Complete));
+    }
+}
+
 /// The upstream crashes after an event that ends as a last chunk would. The
 /// chunk around it has an end of its own, so the answer is still cut.
 BOOST_AUTO_TEST_CASE(AnEventLikeALastChunkIsNoEnd) {
