Fix: Divide the slack of the retry budget among the instances that are known

Cause: the slack was divided by a fixed 28. Summed over 295 instances that is over ten times the bound. It is now divided by the most instances that were known within the last window, as those that left may have used theirs; a quarter is kept back for instances that not all know yet, and after growth by more than an eighth (a start of all, machines added in tens) there is none for four seconds, longer than lists lag. What an instance's own calls earn is as before.

Ruled out: asking for shares of the slack (a call for each repeat), and dividing by links that are up (falls in a cut zone, where the sum then breaks the bound).

--- a/src/balance/retry_budget.cpp
+++ b/src/balance/retry_budget.cpp
@@ -24,11 +24,37 @@
   recent(Service, Now).m_Calls.push_back(Now);
 }
 
+void RetryBudget::setInstances(std::size_t Count, TimePoint Now) {
+  const auto Most = static_cast<double>(mostInstances(Now));
+  if (static_cast<double>(Count) > Most * (1 + SmallGrowth))
+    m_GrewAt = Now;
+  if (Count < m_Instances)
+    m_Earlier.push_back({m_Instances, Now});
+  while (!m_Earlier.empty() && m_Earlier.back().m_Count <= Count)
+    m_Earlier.pop_back();
+  m_Instances = Count;
+}
+
+/// Instances that have left may have repeated calls within the window.
+std::size_t RetryBudget::mostInstances(TimePoint Now) {
+  while (!m_Earlier.empty() &&
+         m_Earlier.front().m_Until < Now - m_Bound.m_Window)
+    m_Earlier.pop_front();
+  return m_Earlier.empty() ? m_Instances : m_Earlier.front().m_Count;
+}
+
+double RetryBudget::ownSlack(TimePoint Now) {
+  const std::size_t Instances = mostInstances(Now);
+  if (Instances == 0 || Now - m_GrewAt < GrowthSpan)
+    return 0;
+  return SlackUsed * m_Bound.m_Slack / static_cast<double>(Instances);
+}
+
 bool RetryBudget::take(const std::string &Service, TimePoint Now) {
   Usage &Found = recent(Service, Now);
   const double Earned =
       m_Bound.m_Ratio * RatioUsed * static_cast<double>(Found.m_Calls.size());
-  const double Allowed = Earned + m_Bound.m_Slack / MaxInstances;
+  const double Allowed = Earned + ownSlack(Now);
   if (static_cast<double>(Found.m_Repeats.size()) + 1 > Allowed)
     return false;
   Found.m_Repeats.push_back(Now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -135,7 +135,10 @@
   return Result;
 }
 
-void Gateway::peersChanged(const PeerList &List) { m_Exchange.setPeers(List); }
+void Gateway::peersChanged(const PeerList &List) {
+  m_Budget.setInstances(List.m_Instances.size(), m_Clock.now());
+  m_Exchange.setPeers(List);
+}
 
 bool Gateway::ready() const {
   return !m_Stopping && m_Table != nullptr && m_KnowsUpstreams;
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -101,6 +101,8 @@
 
   explicit World(RouteKind Kind, unsigned MaxAttempts = 2, HeaderList More = {},
                  const UpstreamKind &Upstreams = PlainService{4}) {
+    // Two repeats without any earned by calls.
+    m_Budget.setInstances(21, m_Clock.now() - 10s);
     std::vector<Upstream> List;
     for (int I = 0; I < 3; ++I) {
       const std::string Name = "u" + std::to_string(I);
