Test: Zones, late digests and lost engines in the model of the fleet

The model had all gateways tell one another each 0.1 s and engines that never fail; on the large deployment digests of other zones are half a second old and a fifth of the engines is lost amid a burst.

--- a/tests/process/gateway_place.cpp
+++ b/tests/process/gateway_place.cpp
@@ -32,6 +32,7 @@
          "\nwindow_s=" + std::to_string(Window.count()) +
          "\n[upstreams]\ndrain_ms=" + std::to_string(Where.m_Drain.count()) +
          "\n[store]\naddress=" + toString(Where.m_Store) +
+         "\napply_ms=" + std::to_string(Where.m_Apply.count()) +
          "\nsettle_ms=" + std::to_string(Where.m_Settle.count()) + "\n";
 }
 
--- a/tests/process/gateway_place.h
+++ b/tests/process/gateway_place.h
@@ -9,13 +9,14 @@
 
 /// One gateway's addresses and bounds.
 struct GatewayPlace {
-  std::string m_Name;                  ///< Of the instance.
-  Address m_Listen;                    ///< For callers.
-  Address m_Links;                     ///< For other gateways.
-  Address m_Probes;                    ///< For readiness.
-  Address m_Store;                     ///< Its way to the store.
-  std::chrono::seconds m_Grace{8};     ///< From SIGTERM to a kill.
-  std::chrono::milliseconds m_Drain{}; ///< Leaving upstreams serve as long.
+  std::string m_Name;                      ///< Of the instance.
+  Address m_Listen;                        ///< For callers.
+  Address m_Links;                         ///< For other gateways.
+  Address m_Probes;                        ///< For readiness.
+  Address m_Store;                         ///< Its way to the store.
+  std::chrono::seconds m_Grace{8};         ///< From SIGTERM to a kill.
+  std::chrono::milliseconds m_Drain{};     ///< Leaving upstreams serve as long.
+  std::chrono::milliseconds m_Apply{2000}; ///< See StoreBounds.
   std::chrono::milliseconds m_Settle{3000}; ///< See StoreBounds.
   balance::RetryBudgetSettings m_Retry;     ///< For all gateways together.
 };
--- a/tests/standin/fleet_model.cpp
+++ b/tests/standin/fleet_model.cpp
@@ -2,6 +2,7 @@
 #include "standin/fleet_model.h"
 
 #include "balance/balancer.h"
+#include "balance/digest_sum.h"
 
 #include <algorithm>
 #include <functional>
@@ -17,7 +18,6 @@
 using namespace balance;
 
 constexpr const char *ServiceName = "model";
-constexpr Duration DigestInterval = std::chrono::milliseconds(100);
 constexpr Duration AskAgain = std::chrono::milliseconds(20);
 
 Duration microseconds(double Count) {
@@ -53,6 +53,16 @@
   }
   [[nodiscard]] bool idle() const { return !m_Stepping; }
 
+  /// Ends all calls here; returns them.
+  std::vector<CallPtr> crash() {
+    std::vector<CallPtr> Result = std::move(m_Running);
+    Result.insert(Result.end(), m_Waiting.begin(), m_Waiting.end());
+    m_Running.clear();
+    m_Waiting.clear();
+    m_Decoding.clear();
+    return Result;
+  }
+
   /// Begins a step; returns its length, nothing if there is no work.
   std::optional<Duration> begin() {
     admit();
@@ -141,19 +151,8 @@
 public:
   explicit Play(const FleetModel &What) : m_Model(What), m_Random(What.m_Seed) {
     ModelEngine::forgetParts();
-    std::vector<Upstream> List;
-    for (std::size_t I = 0; I < What.m_Engines; ++I) {
-      const std::string Name = "engine-" + std::to_string(I);
-      List.push_back({upstreamIdOf(Name),
-                      Name,
-                      ServiceName,
-                      Address{},
-                      {"a"},
-                      Engine{What.m_Slots, {}, true, true},
-                      false});
-      m_Engines.emplace(List.back().m_Id,
-                        ModelEngine(m_Model, List.back().m_Id));
-    }
+    for (std::size_t I = 0; I < What.m_Engines; ++I)
+      addEngine("engine-" + std::to_string(I));
     Duration Tightest{};
     for (const ModelClass &Each : What.m_Classes)
       if (Each.m_LongestPause > Duration::zero() &&
@@ -161,7 +160,7 @@
         Tightest = Each.m_LongestPause;
     for (std::size_t I = 0; I < What.m_Gateways; ++I) {
       m_Gateways.emplace_back(AvailabilityZone{"a"}, What.m_Seed * 1000 + I);
-      m_Gateways.back().setUpstreams(List);
+      m_Gateways.back().setUpstreams(m_List);
       m_Gateways.back().setCacheTokens(ServiceName, What.m_CacheTokens);
       m_Gateways.back().setTightestPauses({{ServiceName, Tightest}});
     }
@@ -170,7 +169,9 @@
   FleetResult run() {
     for (std::size_t I = 0; I < m_Model.m_Classes.size(); ++I)
       planArrival(I);
-    at(DigestInterval, [this] { digests(); });
+    at(m_Model.m_DigestInterval, [this] { digests(); });
+    for (const ModelCrash &Each : m_Model.m_Crashes)
+      at(Each.m_At, [this, &Each] { crash(Each); });
     while (!m_Events.empty()) {
       const Event Next = m_Events.top();
       m_Events.pop();
@@ -210,6 +211,42 @@
     return Result;
   }
 
+  void addEngine(const std::string &Name) {
+    m_List.push_back({upstreamIdOf(Name),
+                      Name,
+                      ServiceName,
+                      Address{},
+                      {"a"},
+                      Engine{m_Model.m_Slots, {}, true, true},
+                      false});
+    m_Engines.emplace(m_List.back().m_Id,
+                      ModelEngine(m_Model, m_List.back().m_Id));
+  }
+
+  void tellGateways() {
+    for (Balancer &Each : m_Gateways)
+      Each.setUpstreams(m_List);
+  }
+
+  void crash(const ModelCrash &Which) {
+    const auto Count = static_cast<std::size_t>(
+        Which.m_Share * static_cast<double>(m_List.size()));
+    std::shuffle(m_List.begin(), m_List.end(), m_Random);
+    for (std::size_t I = 0; I < Count; ++I) {
+      for (const CallPtr &Each : m_Engines.at(m_List.back().m_Id).crash()) {
+        ++m_Result.m_Classes[Each->m_Class->m_Name].m_Lost;
+        end(Each, CallOutcome::Failed);
+      }
+      m_List.pop_back();
+    }
+    tellGateways();
+    at(Which.m_For, [this, Count] {
+      for (std::size_t I = 0; I < Count; ++I)
+        addEngine("later-" + std::to_string(m_Engines.size()));
+      tellGateways();
+    });
+  }
+
   void planArrival(std::size_t Class) {
     constexpr double UsPerSecond = 1e6;
     std::exponential_distribution<double> Gap(rateOf(Class));
@@ -339,15 +376,33 @@
     end(Which, CallOutcome::Served);
   }
 
+  [[nodiscard]] std::size_t zoneOf(std::size_t Gateway) const {
+    return Gateway % m_Model.m_Zones;
+  }
+
   void digests() {
+    m_Sums.resize(m_Model.m_Zones);
     for (std::size_t From = 0; From < m_Gateways.size(); ++From) {
       const LoadDigest Said = m_Gateways[From].takeDigest();
+      m_Sums[zoneOf(From)].take(InstanceId(From + 1), Said, m_Now);
       for (std::size_t To = 0; To < m_Gateways.size(); ++To)
-        if (To != From)
+        if (To != From && zoneOf(To) == zoneOf(From))
           m_Gateways[To].peerSaid(InstanceId(From + 1), Said, m_Now);
     }
+    if (m_Model.m_Zones > 1 && ++m_Ticks % 2 == 0)
+      zoneSums();
     if (!over())
-      at(DigestInterval, [this] { digests(); });
+      at(m_Model.m_DigestInterval, [this] { digests(); });
+  }
+
+  void zoneSums() {
+    for (std::size_t From = 0; From < m_Model.m_Zones; ++From) {
+      const LoadDigest Sum = m_Sums[From].takeSum(m_Now);
+      for (std::size_t To = 0; To < m_Gateways.size(); ++To)
+        if (zoneOf(To) != From)
+          m_Gateways[To].peerSaid(InstanceId(m_Gateways.size() + 1 + From), Sum,
+                                  m_Now);
+    }
   }
 
   static constexpr TimePoint Start{std::chrono::seconds(1000)};
@@ -359,6 +414,9 @@
   std::uint64_t m_Order = 0;                   ///< Among equal times.
   std::uint64_t m_LastOwn = 1;                 ///< Last parts' ids.
   std::vector<Balancer> m_Gateways;            ///< By index.
+  std::vector<DigestSum> m_Sums;               ///< By zone.
+  unsigned m_Ticks = 0;                        ///< Digests so far.
+  std::vector<Upstream> m_List;                ///< Engines that are there.
   std::map<UpstreamId, ModelEngine> m_Engines; ///< All of them.
   FleetResult m_Result;                        ///< So far.
 };
--- a/tests/standin/fleet_model.h
+++ b/tests/standin/fleet_model.h
@@ -3,8 +3,8 @@
 ///
 /// It plays a load in a fraction of its time and gives the same result for the
 /// same seed, so that a decision can be tested by what callers get. It has no
-/// crashes, no network delays and no preemption, and engines' memory holds what
-/// they keep of prompts only.
+/// network delays and no preemption, engines' memory holds what they keep of
+/// prompts only, and a crash is known to all gateways at once.
 #ifndef CROWSTEP_STANDIN_FLEET_MODEL_H
 #define CROWSTEP_STANDIN_FLEET_MODEL_H
 
@@ -41,9 +41,22 @@
   double m_Factor = 1;     ///< Times its usual rate.
 };
 
+/// Engines are lost with their calls and memory, and others take their places.
+struct ModelCrash {
+  Duration m_At{};    ///< Since the start.
+  Duration m_For{};   ///< Until the others are there.
+  double m_Share = 0; ///< Of the engines.
+};
+
 /// A fleet and its load. The engine's figures are those of a large dense model.
 struct FleetModel {
   std::size_t m_Gateways = 9;
+
+  /// With one zone all gateways tell one another; of more zones, each zone
+  /// tells the others its sum with every second digest.
+  std::size_t m_Zones = 1;
+  Duration m_DigestInterval = std::chrono::milliseconds(100);
+
   std::size_t m_Engines = 12;
   std::uint32_t m_Slots = 64;
   std::uint64_t m_CacheTokens = 290000;
@@ -57,6 +70,7 @@
   std::uint64_t m_Seed = 1;
   std::vector<ModelClass> m_Classes;
   std::vector<ModelBurst> m_Bursts;
+  std::vector<ModelCrash> m_Crashes;
 };
 
 /// What the callers of a class got.
@@ -66,6 +80,7 @@
   int m_Late = 0;   ///< Complete, but not in time.
   int m_Refused = 0;
   int m_Unfinished = 0; ///< Their deadline came first.
+  int m_Lost = 0;       ///< Their engine crashed.
 
   /// Returns the share that was answered in time.
   [[nodiscard]] double inTime() const {
--- a/tests/unit/digest_exchange_test.cpp
+++ b/tests/unit/digest_exchange_test.cpp
@@ -140,7 +140,10 @@
               Net.m_All.push_back(m_Links);
               return Made;
             },
-            Time, Timers, m_Balancer) {
+            Time, Timers, m_Balancer, m_Stats,
+            [this](const DirectoryUpdate &Update) {
+              m_Updates.push_back(Update);
+            }) {
     m_Balancer.setUpstreams({{upstreamIdOf("u"),
                               "u",
                               "desk",
@@ -165,6 +168,8 @@
 
   PeerInstance m_Self;
   balance::Balancer m_Balancer;
+  Metrics m_Stats;
+  std::vector<DirectoryUpdate> m_Updates; ///< Taken.
   FakeLinks *m_Links = nullptr;
   DigestExchange m_Exchange;
 };
@@ -270,3 +275,96 @@
   };
   BOOST_TEST(Between(40) < 1.5 * Between(10));
 }
+
+namespace {
+
+DirectoryUpdate someUpdate() {
+  return {"t",
+          DirectoryVersion(3),
+          DirectoryVersion(7),
+          5000ms,
+          {{"k", std::string("\0v", 2), DirectoryVersion(7), false},
+           {"gone", "", DirectoryVersion(5), true}}};
+}
+
+/// Returns the first instance of a zone that has a role.
+Instance &withRole(Fleet &It, const std::string &Zone, ReadingRole Role) {
+  for (const auto &Each : It.m_Instances)
+    if (Each->m_Self.m_Zone.m_Name == Zone &&
+        Each->m_Exchange.readingRole() == Role)
+      return *Each;
+  throw std::out_of_range(Zone);
+}
+
+std::uint64_t dropped(Instance &At) {
+  return At.m_Stats.counter("crowstep_directory_updates_dropped_total").value();
+}
+
+} // namespace
+
+// Guards against a zone that has no reader, or two that call the store all the
+// time.
+BOOST_AUTO_TEST_CASE(EachZoneHasOneReaderAndOneDeputy) {
+  Fleet It(3, 10);
+  std::map<std::pair<std::string, ReadingRole>, int> Roles;
+  for (const auto &Each : It.m_Instances)
+    ++Roles[{Each->m_Self.m_Zone.m_Name, Each->m_Exchange.readingRole()}];
+  for (const char *Zone : {"z0", "z1", "z2"}) {
+    BOOST_TEST((Roles[{Zone, ReadingRole::Reader}] == 1));
+    BOOST_TEST((Roles[{Zone, ReadingRole::Deputy}] == 1));
+    BOOST_TEST((Roles[{Zone, ReadingRole::Follower}] == 8));
+  }
+  Fleet Few(3, 3);
+  BOOST_TEST((Few.m_Instances.front()->m_Exchange.readingRole() ==
+              ReadingRole::Alone));
+}
+
+// Guards against updates that reach other zones, lose their bytes or are missed
+// by an instance of the own zone.
+BOOST_AUTO_TEST_CASE(UpdatesGoToTheOwnZone) {
+  Fleet It(2, 20);
+  withRole(It, "z0", ReadingRole::Reader).m_Exchange.passOn(someUpdate());
+  It.run(20ms);
+  for (const auto &Each : It.m_Instances) {
+    const bool Gets = Each->m_Self.m_Zone.m_Name == "z0" &&
+                      Each->m_Exchange.readingRole() != ReadingRole::Reader;
+    BOOST_REQUIRE(Each->m_Updates.size() == (Gets ? 1U : 0U));
+    if (!Gets)
+      continue;
+    const DirectoryUpdate &Got = Each->m_Updates.front();
+    BOOST_TEST(Got.m_Table == "t");
+    BOOST_TEST(Got.m_After.value() == 3U);
+    BOOST_TEST(Got.m_Version.value() == 7U);
+    BOOST_TEST((Got.m_ReadAt == 5000ms));
+    BOOST_REQUIRE(Got.m_Rows.size() == 2U);
+    BOOST_TEST(Got.m_Rows[0].m_Value == std::string("\0v", 2));
+    BOOST_TEST(Got.m_Rows[1].m_Gone);
+  }
+}
+
+// Guards against an update of an instance that isn't a reader of the zone, or
+// one that contradicts itself: nothing of it is taken, and it is counted.
+BOOST_AUTO_TEST_CASE(OnlyReadersOfTheZoneAreBelieved) {
+  Fleet It(2, 20);
+  Instance &Other = withRole(It, "z0", ReadingRole::Follower);
+  Other.m_Exchange.passOn(someUpdate());
+  It.run(20ms);
+  for (const auto &Each : It.m_Instances) {
+    const bool Near =
+        Each->m_Self.m_Zone.m_Name == "z0" && Each.get() != &Other;
+    BOOST_TEST(Each->m_Updates.empty());
+    BOOST_TEST(dropped(*Each) == (Near ? 1U : 0U));
+  }
+  Instance &Reader = withRole(It, "z1", ReadingRole::Reader);
+  DirectoryUpdate Backwards = someUpdate();
+  Backwards.m_Version = DirectoryVersion(2);
+  DirectoryUpdate Ahead = someUpdate();
+  Ahead.m_Rows[0].m_Version = DirectoryVersion(8);
+  for (const DirectoryUpdate &Bad : {Backwards, Ahead}) {
+    Reader.m_Exchange.passOn(Bad);
+    It.run(20ms);
+  }
+  Instance &Taker = withRole(It, "z1", ReadingRole::Follower);
+  BOOST_TEST(Taker.m_Updates.empty());
+  BOOST_TEST(dropped(Taker) == 2U);
+}
--- a/tests/unit/load_play_test.cpp
+++ b/tests/unit/load_play_test.cpp
@@ -145,3 +145,26 @@
   for (const char *Urgent : {"advice", "chat"})
     BOOST_TEST(Result.m_Classes.at(Urgent).m_Refused <= 8, Urgent);
 }
+
+// Guards against prompts that are read over and over where gateways of several
+// zones learn late of one another's calls, and a fifth of the engines is lost
+// amid a burst with what they keep.
+BOOST_AUTO_TEST_CASE(ALossAmidABurstIsServedByManyZones) {
+  for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+    FleetModel Load = mixedLoad(Seed);
+    Load.m_Gateways = 72;
+    Load.m_Zones = 3;
+    Load.m_DigestInterval = 120ms;
+    Load.m_Engines = 48;
+    for (ModelClass &Each : Load.m_Classes)
+      Each.m_PerSecond *= 4.2;
+    Load.m_Classes[0].m_Shared[1].m_Count *= 12;
+    Load.m_Crashes = {{5s, 4s, 0.2}};
+    for (const auto &[Name, Each] : play(Load).m_Classes) {
+      // What a crash broke off can't be helped by placing.
+      const double Share =
+          static_cast<double>(Each.m_InTime) / (Each.m_Asked - Each.m_Lost);
+      BOOST_TEST(Share >= Aim, Name << ": " << Share);
+    }
+  }
+}
--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -73,6 +73,7 @@
   ManualScheduler m_Timers{m_Clock};
   FakeStore m_Store;
   std::vector<std::string> m_Told;
+  std::vector<gateway::DirectoryUpdate> m_Read; ///< To be passed on.
   double m_Draw = 0.5; ///< What the back-off is drawn by.
   TableFollower m_Table{m_Store,
                         m_Clock,
@@ -84,7 +85,10 @@
                                (Row.m_Gone ? "-" : "+") + Row.m_Key +
                                std::to_string(Row.m_Version.value()));
                          },
-                         [] {}}};
+                         [] {},
+                         [this](const gateway::DirectoryUpdate &Update) {
+                           m_Read.push_back(Update);
+                         }}};
 
   Following() { m_Table.start(); }
   std::string told() {
@@ -244,12 +248,16 @@
 }
 
 /// Ninety engines start within a second and each instance is told of each. The
-/// first change comes at once; those that follow it come together, with one
-/// call, so that the calls to the store stay few.
+/// first change comes at once; those that follow it, or the rows that an
+/// instance finds when it starts, come together, with one call, so that the
+/// calls to the store stay few.
 BOOST_AUTO_TEST_CASE(ManyChangesComeWithOneCall) {
   Following It;
   It.m_Table.setPause(400ms);
   It.m_Store.answer(StoreRows{{row("a", 3)}, StoreVersion(9), false});
+  BOOST_TEST(It.m_Store.m_Calls.empty());
+  It.m_Timers.advance(400ms);
+  It.m_Store.answer(StoreRows{{}, StoreVersion(9), false});
   It.m_Store.answer(StoreRows{{row("b", 10)}, StoreVersion(10), false});
   BOOST_TEST(It.told() == "+a3 +b10 ");
   BOOST_TEST(It.m_Store.m_Calls.empty());
@@ -327,7 +335,8 @@
   std::vector<gateway::PeerList> Told;
   PeerRegistry Registry(
       Rows, Clock, Timers, [] { return 0.5; },
-      [&](const gateway::PeerList &List) { Told.push_back(List); });
+      [&](const gateway::PeerList &List) { Told.push_back(List); },
+      [](const gateway::DirectoryUpdate &) {});
   Registry.start({"edge-1", {0x0a000001, 7340}, {"a"}, 0.5});
   Rows.answer(StoreRows{{}, StoreVersion(1), false});
   BOOST_REQUIRE(Rows.m_Writes.size() == 2U);
@@ -356,8 +365,8 @@
   ManualScheduler Timers(Clock);
   FakeStore Rows;
   PeerRegistry Registry(
-      Rows, Clock, Timers, [] { return 0.5; },
-      [](const gateway::PeerList &) {});
+      Rows, Clock, Timers, [] { return 0.5; }, [](const gateway::PeerList &) {},
+      [](const gateway::DirectoryUpdate &) {});
   Registry.start({"edge-1", {0x0a000001, 7340}, {"a"}, 0.5});
   const std::string Own =
       R"({"address":"10.0.0.1:7340","weight":0.5,"zone":"a"})";
@@ -366,6 +375,7 @@
                         StoreVersion(4),
                         false});
   BOOST_TEST(Rows.m_Writes.empty());
+  Timers.advance(3s);
   Rows.answer(StoreRows{
       {{"edge-1", "", StoreVersion(5), true}}, StoreVersion(5), false});
   BOOST_REQUIRE(Rows.m_Writes.size() == 1U);
--- a/tests/unit/simulated_store.h
+++ b/tests/unit/simulated_store.h
@@ -6,6 +6,7 @@
 #include "core/scheduler.h"
 #include "store_client.h"
 
+#include <algorithm>
 #include <list>
 #include <map>
 #include <memory>
@@ -23,7 +24,9 @@
     Throttling ///< Told at once that there are too many calls.
   };
 
-  explicit SimulatedStore(ManualScheduler &Timers) : m_Timers(Timers) {}
+  /// \p Time advances with \p Timers; the store's own clock shows another hour.
+  SimulatedStore(const Clock &Time, ManualScheduler &Timers)
+      : m_Clock(Time), m_Timers(Timers) {}
 
   /// Returns the instance's client; the store outlives it.
   std::unique_ptr<adapter::Store> client() {
@@ -65,6 +68,9 @@
     endWaiting(adapter::StoreFailure::HistoryGone);
   }
 
+  /// Returns how many calls were made.
+  [[nodiscard]] std::uint64_t calls() const { return m_Calls; }
+
 private:
   using Done = adapter::Store::Done;
   static constexpr Duration AnswerTime = std::chrono::milliseconds(4);
@@ -72,9 +78,10 @@
 
   /// A call that waits for changes.
   struct Waiting {
-    std::string m_Table;   ///< Whose changes.
-    std::uint64_t m_After; ///< Version.
-    Done m_Done;           ///< To be answered.
+    std::string m_Table;        ///< Whose changes.
+    std::uint64_t m_After;      ///< Version.
+    Done m_Done;                ///< To be answered.
+    std::uint64_t m_Number = 0; ///< Of the call.
   };
 
   class Client final : public adapter::Store {
@@ -93,6 +100,7 @@
       const bool Up = m_Of.m_Mode == Mode::Up;
       if (Up && What.m_Value)
         m_Of.put(What.m_Table, What.m_Key, *What.m_Value);
+      ++m_Of.m_Calls;
       m_Of.m_Timers.after(AnswerTime, [Up, OnDone = std::move(OnDone)] {
         OnDone(Up ? adapter::StoreWriteResult::Written
                   : adapter::StoreWriteResult::Unknown);
@@ -105,6 +113,7 @@
 
   void call(const std::string &Table, std::uint64_t After, Duration Wait,
             Done OnDone) {
+    ++m_Calls;
     if (m_Mode == Mode::Cut || m_Mode == Mode::Silent) {
       const Duration Asked = m_Mode == Mode::Silent ? Wait : Duration::zero();
       fail(adapter::StoreFailure::Unreachable,
@@ -118,10 +127,30 @@
     } else if (Wait == Duration::zero() || changedAfter(Table, After)) {
       answer({Table, After, std::move(OnDone)});
     } else {
-      m_Waiting.push_back({Table, After, std::move(OnDone)});
+      m_Waiting.push_back({Table, After, std::move(OnDone), ++m_LastCall});
+      m_Timers.after(Wait, [this, Number = m_LastCall] { endWait(Number); });
     }
   }
 
+  /// A call has waited as long as it asked for.
+  void endWait(std::uint64_t Number) {
+    const auto Found = std::find_if(
+        m_Waiting.begin(), m_Waiting.end(),
+        [&](const Waiting &Each) { return Each.m_Number == Number; });
+    if (Found == m_Waiting.end())
+      return;
+    const Waiting Ended = *Found;
+    m_Waiting.erase(Found);
+    answer(Ended);
+  }
+
+  /// The store's steady clock.
+  [[nodiscard]] std::chrono::milliseconds time() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               m_Clock.now().time_since_epoch()) +
+           std::chrono::hours(1);
+  }
+
   void fail(adapter::StoreFailure Why, Duration After, Done OnDone) {
     m_Timers.after(After, [Why, OnDone = std::move(OnDone)] { OnDone(Why); });
   }
@@ -137,6 +166,7 @@
     m_Timers.after(AnswerTime, [this, To] {
       adapter::StoreRows Result;
       Result.m_Version = adapter::StoreVersion(m_Version);
+      Result.m_AnsweredAt = time();
       for (const auto &[Key, Row] : m_Tables[To.m_Table])
         // A table read whole has no rows that are gone.
         if (Row.m_Version.value() > To.m_After &&
@@ -166,13 +196,16 @@
       fail(Why, Duration::zero(), Each.m_Done);
   }
 
-  ManualScheduler &m_Timers;   ///< Advanced by the test.
+  const Clock &m_Clock;        ///< Advanced by the test.
+  ManualScheduler &m_Timers;   ///< Advanced with it.
   Mode m_Mode = Mode::Up;      ///< See setMode().
+  std::uint64_t m_Calls = 0;   ///< Of all clients.
   std::uint64_t m_Version = 0; ///< Of the last change.
   std::uint64_t m_Oldest = 0;  ///< Changes up to it are forgotten.
   std::map<std::string, std::map<std::string, adapter::StoreRow>>
       m_Tables;                 ///< With rows that are gone.
   std::list<Waiting> m_Waiting; ///< For changes.
+  std::uint64_t m_LastCall = 0; ///< That waited.
 };
 
 } // namespace crowstep::test
--- a/tests/unit/store_directory_test.cpp
+++ b/tests/unit/store_directory_test.cpp
@@ -39,6 +39,7 @@
 public:
   void tableChanged(gateway::RouteTablePtr) override {}
   void peersChanged(const gateway::PeerList &) override {}
+  void directoryRead(const gateway::DirectoryUpdate &) override {}
   void upstreamsChanged(const std::vector<Upstream> &List) override {
     m_Names.clear();
     for (const Upstream &Each : List)
@@ -55,14 +56,14 @@
 struct World {
   ManualClock m_Clock;
   ManualScheduler m_Timers{m_Clock};
-  SimulatedStore m_Store{m_Timers};
+  SimulatedStore m_Store{m_Clock, m_Timers};
   Metrics m_Stats;
   Listener m_Listener;
   StoreDirectory m_Directory;
 
   explicit World(double Draw)
-      : m_Directory(m_Store.client(), {Drain, Contact}, m_Clock, m_Timers,
-                    m_Stats, [Draw] { return Draw; }) {
+      : m_Directory(m_Store.client(), {Drain, Drain, Contact}, m_Clock,
+                    m_Timers, m_Stats, [Draw] { return Draw; }) {
     listAll();
     m_Directory.start(m_Listener, {"edge-1", {0x0a000001, 7340}, {"z"}, 1});
     m_Timers.advance(10s);
