Change: A reader for each zone passes the store's changes on to the others

Where instances have hubs, the zone's first hub now reads for its zone, the second takes its place while its updates stay away, and the others call the store only while both do. An update carries the versions between which it holds all changes and the store's own time, by which its age is known however late it comes; rows up to the version that an instance has are left out, so that neither an old update nor an own answer under way takes anything back.

Ruled out: adopting the reader's own outages (a follower in touch would use an upstream that left while only the reader was turned away); freshness by arrival (a held-up link makes it look new); longer pauses for all (each change is then late for all).

--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -1,9 +1,12 @@
 /// Digests among instances.
 #include "gateway/digest_exchange.h"
 
+#include "core/log.h"
 #include "gateway/digest_codec.h"
+#include "gateway/directory_codec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crowstep::gateway {
 
@@ -25,9 +28,14 @@
 
 DigestExchange::DigestExchange(PeerInstance Self, OpenLinks Open,
                                const Clock &Time, Scheduler &Timers,
-                               balance::Balancer &Loads)
+                               balance::Balancer &Loads, Metrics &Stats,
+                               TakeUpdate OnUpdate)
     : m_Self(std::move(Self)), m_Open(std::move(Open)), m_Clock(Time),
-      m_Balancer(Loads), m_Tick(Timers) {}
+      m_Balancer(Loads), m_OnUpdate(std::move(OnUpdate)),
+      m_Updates(Stats.counter("crowstep_directory_updates_total")),
+      m_DroppedUpdates(
+          Stats.counter("crowstep_directory_updates_dropped_total")),
+      m_Tick(Timers) {}
 
 DigestExchange::~DigestExchange() = default;
 
@@ -66,7 +74,7 @@
 }
 
 void DigestExchange::linkUp(link::LinkId Link, const link::Peer &Who) {
-  const Linked Fresh = {Who.m_Instance, Who.m_Zone};
+  const Linked Fresh = {Who.m_Instance, Who.m_Zone, false};
   m_Up[Link] = Fresh;
   if (!isNear(Fresh))
     return;
@@ -80,7 +88,7 @@
   const auto Found = m_Up.find(Link);
   if (Found == m_Up.end())
     return;
-  const Linked &From = Found->second;
+  Linked &From = Found->second;
   const TimePoint Now = m_Clock.now();
   if (Frame.digest() != nullptr) {
     const balance::LoadDigest Digest = unpacked(*Frame.digest());
@@ -95,6 +103,8 @@
   }
   if (Frame.elsewhere() != nullptr && !m_Hub)
     m_Balancer.peerSaid(elsewhere(), unpacked(*Frame.elsewhere()), Now);
+  if (Frame.directory_updates() != nullptr)
+    takeUpdates(From, Frame);
 }
 
 void DigestExchange::linkDown(link::LinkId Link, const link::Peer &Who,
@@ -108,6 +118,52 @@
   // Counted and logged by the links, which also try again.
 }
 
+// ---- The directory ----------------------------------------------------------
+
+ReadingRole DigestExchange::readingRole() const {
+  const std::vector<InstanceId> &Hubs = m_Plan.m_Hubs;
+  if (Hubs.empty())
+    return ReadingRole::Alone;
+  const auto Own =
+      std::find(Hubs.begin(), Hubs.end(), instanceIdOf(m_Self.m_Name));
+  if (Own == Hubs.end())
+    return ReadingRole::Follower;
+  return Own == Hubs.begin() ? ReadingRole::Reader : ReadingRole::Deputy;
+}
+
+void DigestExchange::passOn(const DirectoryUpdate &Update) {
+  for (const auto &[Link, Peer] : m_Up)
+    if (isNear(Peer))
+      m_Links->outbox(Link).directory_updates.push_back(packed(Update));
+}
+
+void DigestExchange::takeUpdates(Linked &From, const wire::Frame &Frame) {
+  const std::vector<InstanceId> &Hubs = m_Plan.m_Hubs;
+  const bool Reads =
+      From.m_Zone == m_Self.m_Zone &&
+      std::find(Hubs.begin(), Hubs.end(), From.m_Instance) != Hubs.end();
+  for (const wire::DirectoryUpdate *Each : *Frame.directory_updates()) {
+    const auto Update = Reads ? unpacked(*Each) : std::nullopt;
+    if (!Update) {
+      dropUpdate(From);
+      continue;
+    }
+    m_Updates.add();
+    m_OnUpdate(*Update);
+  }
+}
+
+/// Instances that have just started may know other readers than this one does;
+/// this one calls the directory itself then.
+void DigestExchange::dropUpdate(Linked &From) {
+  m_DroppedUpdates.add();
+  if (std::exchange(From.m_Reported, true))
+    return;
+  logEvent(LogEvent::GatewayUpdateDropped,
+           {{"peer", std::to_string(From.m_Instance.value())},
+            {"zone", From.m_Zone.m_Name}});
+}
+
 // ---- Telling ----------------------------------------------------------------
 
 Duration DigestExchange::interval() const {
--- a/src/gateway/digest_exchange.h
+++ b/src/gateway/digest_exchange.h
@@ -7,7 +7,9 @@
 
 #include "balance/balancer.h"
 #include "balance/digest_sum.h"
+#include "core/metrics.h"
 #include "core/scheduler.h"
+#include "gateway/directory.h"
 #include "gateway/exchange_plan.h"
 #include "link/link_type.h"
 
@@ -18,6 +20,9 @@
 
 namespace crowstep::gateway {
 
+/// Takes what a reader of the own zone has read of the directory.
+using TakeUpdate = std::function<void(const DirectoryUpdate &)>;
+
 /// Opens an instance's links once their \p Key is known.
 using OpenLinks = std::function<std::unique_ptr<link::Links>(
     const std::string &Key, link::LinkListener &Listener)>;
@@ -39,7 +44,8 @@
 
   /// \p Self is where others reach this instance.
   DigestExchange(PeerInstance Self, OpenLinks Open, const Clock &Time,
-                 Scheduler &Timers, balance::Balancer &Loads);
+                 Scheduler &Timers, balance::Balancer &Loads, Metrics &Stats,
+                 TakeUpdate OnUpdate);
   ~DigestExchange() override;
   DigestExchange(const DigestExchange &) = delete;
   DigestExchange &operator=(const DigestExchange &) = delete;
@@ -47,11 +53,19 @@
   /// Links up with \p Peers, which may hold this instance itself.
   void setPeers(const PeerList &Peers);
 
+  /// Returns what this instance does for its zone in reading the directory:
+  /// the zone's hubs read for the others.
+  [[nodiscard]] ReadingRole readingRole() const;
+
+  /// Passes on to the own zone what this instance has read.
+  void passOn(const DirectoryUpdate &Update);
+
 private:
   /// A link that is up.
   struct Linked {
     InstanceId m_Instance;   ///< Whose.
     AvailabilityZone m_Zone; ///< Where that is.
+    bool m_Reported = false; ///< Its dropped updates are in the log.
   };
 
   void linkUp(link::LinkId Link, const link::Peer &Who) override;
@@ -65,6 +79,8 @@
   void tellNear(const balance::LoadDigest &Own);
   void relay(const balance::LoadDigest &Own);
   void becomeHub(bool Hub);
+  void takeUpdates(Linked &From, const wire::Frame &Frame);
+  void dropUpdate(Linked &From);
   [[nodiscard]] bool isNear(const Linked &Which) const;
   [[nodiscard]] bool shouldBeHub() const;
   [[nodiscard]] Duration interval() const;
@@ -73,6 +89,9 @@
   OpenLinks m_Open;                     ///< Never empty.
   const Clock &m_Clock;                 ///< Outlives this object.
   balance::Balancer &m_Balancer;        ///< Outlives this object.
+  TakeUpdate m_OnUpdate;                ///< Never empty.
+  Counter &m_Updates;                   ///< Taken from readers.
+  Counter &m_DroppedUpdates;            ///< Of others, or unreadable.
   std::unique_ptr<link::Links> m_Links; ///< Null until the key is known.
   ExchangePlan m_Plan;                  ///< By the last list.
   std::set<Address> m_Dialled;          ///< Peers whose links we open.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,7 +69,10 @@
           [this](const std::string &Key, link::LinkListener &Listener) {
             return openLinks(Key, Listener);
           },
-          m_Clock, m_Timers, m_Balancer),
+          m_Clock, m_Timers, m_Balancer, m_Metrics,
+          [this](const DirectoryUpdate &Update) {
+            m_Parts.m_Directory->passedOn(Update);
+          }),
       m_World{m_Clock,
               m_Timers,
               m_Balancer,
@@ -138,6 +141,18 @@
 void Gateway::peersChanged(const PeerList &List) {
   m_Budget.setInstances(List.m_Instances.size(), m_Clock.now());
   m_Exchange.setPeers(List);
+  const ReadingRole Role = m_Exchange.readingRole();
+  if (Role == m_ReadingRole)
+    return;
+  m_ReadingRole = Role;
+  logEvent(LogEvent::GatewayReadingRole,
+           {{"role", std::string(nameOf(Role))},
+            {"instances", std::to_string(List.m_Instances.size())}});
+  m_Parts.m_Directory->setReadingRole(Role);
+}
+
+void Gateway::directoryRead(const DirectoryUpdate &Update) {
+  m_Exchange.passOn(Update);
 }
 
 bool Gateway::ready() const {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -45,6 +45,7 @@
   std::unique_ptr<link::Links> openLinks(const std::string &Key,
                                          link::LinkListener &Listener);
   void peersChanged(const PeerList &List) override;
+  void directoryRead(const DirectoryUpdate &Update) override;
 
   void handle(SoupServerMessage *Message);
   void refuse(SoupServerMessage *Message, const NotAdmitted &Why);
@@ -70,6 +71,7 @@
   HttpServer m_Probes;           ///< Readiness and metrics.
   RouteTablePtr m_Table;         ///< In force; null: none is known.
   bool m_KnowsUpstreams = false; ///< A list has come.
+  ReadingRole m_ReadingRole = ReadingRole::Alone; ///< As the directory has it.
   std::unordered_map<std::uint64_t, std::unique_ptr<ForwardedRequest>>
       m_Requests;                                         ///< Not ended.
   std::vector<std::unique_ptr<ForwardedRequest>> m_Ended; ///< To be destroyed.
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -112,6 +112,14 @@
 struct GatewayDigestBuilder;
 struct GatewayDigestT;
 
+struct DirectoryRow;
+struct DirectoryRowBuilder;
+struct DirectoryRowT;
+
+struct DirectoryUpdate;
+struct DirectoryUpdateBuilder;
+struct DirectoryUpdateT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -2953,6 +2961,242 @@
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct DirectoryRowT : public flatbuffers::NativeTable {
+  typedef DirectoryRow TableType;
+  std::string key{};
+  std::vector<uint8_t> value{};
+  uint64_t version = 0;
+  bool gone = false;
+};
+
+struct DirectoryRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DirectoryRowT NativeTableType;
+  typedef DirectoryRowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_VALUE = 6,
+    VT_VERSION = 8,
+    VT_GONE = 10
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool gone() const {
+    return GetField<uint8_t>(VT_GONE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_GONE, 1) &&
+           verifier.EndTable();
+  }
+  DirectoryRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DirectoryRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DirectoryRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DirectoryRowBuilder {
+  typedef DirectoryRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(DirectoryRow::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(DirectoryRow::VT_VALUE, value);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(DirectoryRow::VT_VERSION, version, 0);
+  }
+  void add_gone(bool gone) {
+    fbb_.AddElement<uint8_t>(DirectoryRow::VT_GONE, static_cast<uint8_t>(gone), 0);
+  }
+  explicit DirectoryRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DirectoryRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DirectoryRow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DirectoryRow> CreateDirectoryRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    uint64_t version = 0,
+    bool gone = false) {
+  DirectoryRowBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  builder_.add_gone(gone);
+  return builder_.Finish();
+}
+
+struct DirectoryRow::Traits {
+  using type = DirectoryRow;
+  static auto constexpr Create = CreateDirectoryRow;
+};
+
+inline flatbuffers::Offset<DirectoryRow> CreateDirectoryRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *value = nullptr,
+    uint64_t version = 0,
+    bool gone = false) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return crowstep::wire::CreateDirectoryRow(
+      _fbb,
+      key__,
+      value__,
+      version,
+      gone);
+}
+
+flatbuffers::Offset<DirectoryRow> CreateDirectoryRow(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DirectoryUpdateT : public flatbuffers::NativeTable {
+  typedef DirectoryUpdate TableType;
+  std::string table{};
+  uint64_t after = 0;
+  uint64_t version = 0;
+  int64_t read_at_ms = -1LL;
+  std::vector<std::unique_ptr<crowstep::wire::DirectoryRowT>> rows{};
+  DirectoryUpdateT() = default;
+  DirectoryUpdateT(const DirectoryUpdateT &o);
+  DirectoryUpdateT(DirectoryUpdateT&&) FLATBUFFERS_NOEXCEPT = default;
+  DirectoryUpdateT &operator=(DirectoryUpdateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct DirectoryUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DirectoryUpdateT NativeTableType;
+  typedef DirectoryUpdateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TABLE = 4,
+    VT_AFTER = 6,
+    VT_VERSION = 8,
+    VT_READ_AT_MS = 10,
+    VT_ROWS = 12
+  };
+  const flatbuffers::String *table() const {
+    return GetPointer<const flatbuffers::String *>(VT_TABLE);
+  }
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  int64_t read_at_ms() const {
+    return GetField<int64_t>(VT_READ_AT_MS, -1LL);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryRow>> *rows() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryRow>> *>(VT_ROWS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TABLE) &&
+           verifier.VerifyString(table()) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<int64_t>(verifier, VT_READ_AT_MS, 8) &&
+           VerifyOffset(verifier, VT_ROWS) &&
+           verifier.VerifyVector(rows()) &&
+           verifier.VerifyVectorOfTables(rows()) &&
+           verifier.EndTable();
+  }
+  DirectoryUpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DirectoryUpdateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DirectoryUpdate> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DirectoryUpdateBuilder {
+  typedef DirectoryUpdate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_table(flatbuffers::Offset<flatbuffers::String> table) {
+    fbb_.AddOffset(DirectoryUpdate::VT_TABLE, table);
+  }
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(DirectoryUpdate::VT_AFTER, after, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(DirectoryUpdate::VT_VERSION, version, 0);
+  }
+  void add_read_at_ms(int64_t read_at_ms) {
+    fbb_.AddElement<int64_t>(DirectoryUpdate::VT_READ_AT_MS, read_at_ms, -1LL);
+  }
+  void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryRow>>> rows) {
+    fbb_.AddOffset(DirectoryUpdate::VT_ROWS, rows);
+  }
+  explicit DirectoryUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DirectoryUpdate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DirectoryUpdate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DirectoryUpdate> CreateDirectoryUpdate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> table = 0,
+    uint64_t after = 0,
+    uint64_t version = 0,
+    int64_t read_at_ms = -1LL,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryRow>>> rows = 0) {
+  DirectoryUpdateBuilder builder_(_fbb);
+  builder_.add_read_at_ms(read_at_ms);
+  builder_.add_version(version);
+  builder_.add_after(after);
+  builder_.add_rows(rows);
+  builder_.add_table(table);
+  return builder_.Finish();
+}
+
+struct DirectoryUpdate::Traits {
+  using type = DirectoryUpdate;
+  static auto constexpr Create = CreateDirectoryUpdate;
+};
+
+inline flatbuffers::Offset<DirectoryUpdate> CreateDirectoryUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *table = nullptr,
+    uint64_t after = 0,
+    uint64_t version = 0,
+    int64_t read_at_ms = -1LL,
+    const std::vector<flatbuffers::Offset<crowstep::wire::DirectoryRow>> *rows = nullptr) {
+  auto table__ = table ? _fbb.CreateString(table) : 0;
+  auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::DirectoryRow>>(*rows) : 0;
+  return crowstep::wire::CreateDirectoryUpdate(
+      _fbb,
+      table__,
+      after,
+      version,
+      read_at_ms,
+      rows__);
+}
+
+flatbuffers::Offset<DirectoryUpdate> CreateDirectoryUpdate(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   std::unique_ptr<crowstep::wire::HeartbeatT> heartbeat{};
@@ -2981,6 +3225,7 @@
   std::unique_ptr<crowstep::wire::GatewayDigestT> digest{};
   std::unique_ptr<crowstep::wire::GatewayDigestT> zone_sum{};
   std::unique_ptr<crowstep::wire::GatewayDigestT> elsewhere{};
+  std::vector<std::unique_ptr<crowstep::wire::DirectoryUpdateT>> directory_updates{};
   FrameT() = default;
   FrameT(const FrameT &o);
   FrameT(FrameT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3017,7 +3262,8 @@
     VT_KNOWLEDGE = 48,
     VT_DIGEST = 50,
     VT_ZONE_SUM = 52,
-    VT_ELSEWHERE = 54
+    VT_ELSEWHERE = 54,
+    VT_DIRECTORY_UPDATES = 56
   };
   const crowstep::wire::Heartbeat *heartbeat() const {
     return GetPointer<const crowstep::wire::Heartbeat *>(VT_HEARTBEAT);
@@ -3097,6 +3343,9 @@
   const crowstep::wire::GatewayDigest *elsewhere() const {
     return GetPointer<const crowstep::wire::GatewayDigest *>(VT_ELSEWHERE);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryUpdate>> *directory_updates() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryUpdate>> *>(VT_DIRECTORY_UPDATES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HEARTBEAT) &&
@@ -3156,6 +3405,9 @@
            verifier.VerifyTable(zone_sum()) &&
            VerifyOffset(verifier, VT_ELSEWHERE) &&
            verifier.VerifyTable(elsewhere()) &&
+           VerifyOffset(verifier, VT_DIRECTORY_UPDATES) &&
+           verifier.VerifyVector(directory_updates()) &&
+           verifier.VerifyVectorOfTables(directory_updates()) &&
            verifier.EndTable();
   }
   FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3245,6 +3497,9 @@
   void add_elsewhere(flatbuffers::Offset<crowstep::wire::GatewayDigest> elsewhere) {
     fbb_.AddOffset(Frame::VT_ELSEWHERE, elsewhere);
   }
+  void add_directory_updates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryUpdate>>> directory_updates) {
+    fbb_.AddOffset(Frame::VT_DIRECTORY_UPDATES, directory_updates);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3283,8 +3538,10 @@
     flatbuffers::Offset<crowstep::wire::Knowledge> knowledge = 0,
     flatbuffers::Offset<crowstep::wire::GatewayDigest> digest = 0,
     flatbuffers::Offset<crowstep::wire::GatewayDigest> zone_sum = 0,
-    flatbuffers::Offset<crowstep::wire::GatewayDigest> elsewhere = 0) {
+    flatbuffers::Offset<crowstep::wire::GatewayDigest> elsewhere = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryUpdate>>> directory_updates = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_directory_updates(directory_updates);
   builder_.add_elsewhere(elsewhere);
   builder_.add_zone_sum(zone_sum);
   builder_.add_digest(digest);
@@ -3346,7 +3603,8 @@
     flatbuffers::Offset<crowstep::wire::Knowledge> knowledge = 0,
     flatbuffers::Offset<crowstep::wire::GatewayDigest> digest = 0,
     flatbuffers::Offset<crowstep::wire::GatewayDigest> zone_sum = 0,
-    flatbuffers::Offset<crowstep::wire::GatewayDigest> elsewhere = 0) {
+    flatbuffers::Offset<crowstep::wire::GatewayDigest> elsewhere = 0,
+    const std::vector<flatbuffers::Offset<crowstep::wire::DirectoryUpdate>> *directory_updates = nullptr) {
   auto bids__ = bids ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Bid>>(*bids) : 0;
   auto grants__ = grants ? _fbb.CreateVectorOfStructs<crowstep::wire::Grant>(*grants) : 0;
   auto work_ends__ = work_ends ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkEnd>(*work_ends) : 0;
@@ -3360,6 +3618,7 @@
   auto claim_requests__ = claim_requests ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimRequest>>(*claim_requests) : 0;
   auto claim_replies__ = claim_replies ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::ClaimReply>>(*claim_replies) : 0;
   auto member_news__ = member_news ? _fbb.CreateVectorOfStructs<crowstep::wire::MemberNews>(*member_news) : 0;
+  auto directory_updates__ = directory_updates ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::DirectoryUpdate>>(*directory_updates) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
       heartbeat,
@@ -3387,7 +3646,8 @@
       knowledge,
       digest,
       zone_sum,
-      elsewhere);
+      elsewhere,
+      directory_updates__);
 }
 
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4129,6 +4389,97 @@
       _work);
 }
 
+inline DirectoryRowT *DirectoryRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DirectoryRowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DirectoryRow::UnPackTo(DirectoryRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = gone(); _o->gone = _e; }
+}
+
+inline flatbuffers::Offset<DirectoryRow> DirectoryRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDirectoryRow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DirectoryRow> CreateDirectoryRow(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DirectoryRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
+  auto _version = _o->version;
+  auto _gone = _o->gone;
+  return crowstep::wire::CreateDirectoryRow(
+      _fbb,
+      _key,
+      _value,
+      _version,
+      _gone);
+}
+
+inline DirectoryUpdateT::DirectoryUpdateT(const DirectoryUpdateT &o)
+      : table(o.table),
+        after(o.after),
+        version(o.version),
+        read_at_ms(o.read_at_ms) {
+  rows.reserve(o.rows.size());
+  for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new crowstep::wire::DirectoryRowT(*rows_) : nullptr); }
+}
+
+inline DirectoryUpdateT &DirectoryUpdateT::operator=(DirectoryUpdateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(table, o.table);
+  std::swap(after, o.after);
+  std::swap(version, o.version);
+  std::swap(read_at_ms, o.read_at_ms);
+  std::swap(rows, o.rows);
+  return *this;
+}
+
+inline DirectoryUpdateT *DirectoryUpdate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DirectoryUpdateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DirectoryUpdate::UnPackTo(DirectoryUpdateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = table(); if (_e) _o->table = _e->str(); }
+  { auto _e = after(); _o->after = _e; }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = read_at_ms(); _o->read_at_ms = _e; }
+  { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<crowstep::wire::DirectoryRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<DirectoryUpdate> DirectoryUpdate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDirectoryUpdate(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DirectoryUpdate> CreateDirectoryUpdate(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DirectoryUpdateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _table = _o->table.empty() ? 0 : _fbb.CreateString(_o->table);
+  auto _after = _o->after;
+  auto _version = _o->version;
+  auto _read_at_ms = _o->read_at_ms;
+  auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::DirectoryRow>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return CreateDirectoryRow(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return crowstep::wire::CreateDirectoryUpdate(
+      _fbb,
+      _table,
+      _after,
+      _version,
+      _read_at_ms,
+      _rows);
+}
+
 inline FrameT::FrameT(const FrameT &o)
       : heartbeat((o.heartbeat) ? new crowstep::wire::HeartbeatT(*o.heartbeat) : nullptr),
         table_probe((o.table_probe) ? new crowstep::wire::TableProbeT(*o.table_probe) : nullptr),
@@ -4161,6 +4512,8 @@
   for (const auto &claim_requests_ : o.claim_requests) { claim_requests.emplace_back((claim_requests_) ? new crowstep::wire::ClaimRequestT(*claim_requests_) : nullptr); }
   claim_replies.reserve(o.claim_replies.size());
   for (const auto &claim_replies_ : o.claim_replies) { claim_replies.emplace_back((claim_replies_) ? new crowstep::wire::ClaimReplyT(*claim_replies_) : nullptr); }
+  directory_updates.reserve(o.directory_updates.size());
+  for (const auto &directory_updates_ : o.directory_updates) { directory_updates.emplace_back((directory_updates_) ? new crowstep::wire::DirectoryUpdateT(*directory_updates_) : nullptr); }
 }
 
 inline FrameT &FrameT::operator=(FrameT o) FLATBUFFERS_NOEXCEPT {
@@ -4190,6 +4543,7 @@
   std::swap(digest, o.digest);
   std::swap(zone_sum, o.zone_sum);
   std::swap(elsewhere, o.elsewhere);
+  std::swap(directory_updates, o.directory_updates);
   return *this;
 }
 
@@ -4228,6 +4582,7 @@
   { auto _e = digest(); if (_e) _o->digest = std::unique_ptr<crowstep::wire::GatewayDigestT>(_e->UnPack(_resolver)); }
   { auto _e = zone_sum(); if (_e) _o->zone_sum = std::unique_ptr<crowstep::wire::GatewayDigestT>(_e->UnPack(_resolver)); }
   { auto _e = elsewhere(); if (_e) _o->elsewhere = std::unique_ptr<crowstep::wire::GatewayDigestT>(_e->UnPack(_resolver)); }
+  { auto _e = directory_updates(); if (_e) { _o->directory_updates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->directory_updates[_i] = std::unique_ptr<crowstep::wire::DirectoryUpdateT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Frame> Frame::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4264,6 +4619,7 @@
   auto _digest = _o->digest ? CreateGatewayDigest(_fbb, _o->digest.get(), _rehasher) : 0;
   auto _zone_sum = _o->zone_sum ? CreateGatewayDigest(_fbb, _o->zone_sum.get(), _rehasher) : 0;
   auto _elsewhere = _o->elsewhere ? CreateGatewayDigest(_fbb, _o->elsewhere.get(), _rehasher) : 0;
+  auto _directory_updates = _o->directory_updates.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::DirectoryUpdate>> (_o->directory_updates.size(), [](size_t i, _VectorArgs *__va) { return CreateDirectoryUpdate(*__va->__fbb, __va->__o->directory_updates[i].get(), __va->__rehasher); }, &_va ) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
       _heartbeat,
@@ -4291,7 +4647,8 @@
       _knowledge,
       _digest,
       _zone_sum,
-      _elsewhere);
+      _elsewhere,
+      _directory_updates);
 }
 
 inline const crowstep::wire::Frame *GetFrame(const void *buf) {
--- /dev/null
+++ b/tests/unit/store_clock_test.cpp
@@ -0,0 +1,36 @@
+/// The store's clock on an instance's own.
+#define BOOST_TEST_MODULE store_clock
+#include "store_clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace crowstep;
+using namespace crowstep::adapter;
+using namespace std::chrono_literals;
+
+// Guards against old knowledge that looks fresh because the answer to an
+// instance's own call was slow.
+BOOST_AUTO_TEST_CASE(SlowAnswersMakeNothingFresher) {
+  StoreClock Clock;
+  const TimePoint Begin{100s};
+  BOOST_TEST(!Clock.notAfter(7000ms, Begin).has_value());
+  Clock.answered(Begin, 7900ms);
+  BOOST_TEST((*Clock.notAfter(7900ms, Begin + 1s) == Begin));
+  Clock.answered(Begin + 2s, 9002ms);
+  BOOST_TEST((*Clock.notAfter(10002ms, Begin + 4s) == Begin + 3s));
+  // A slow answer after a quick one.
+  Clock.answered(Begin + 5s, 14000ms);
+  BOOST_TEST((*Clock.notAfter(14002ms, Begin + 8s) == Begin + 7s));
+}
+
+// Guards against old knowledge that looks fresh after the machine was suspended
+// and its clock stood still.
+BOOST_AUTO_TEST_CASE(ASuspendedMachineKnowsNoTimes) {
+  StoreClock Clock;
+  const TimePoint Begin{100s};
+  Clock.answered(Begin, 7000ms);
+  BOOST_TEST(!Clock.notAfter(12000ms, Begin + 1s).has_value());
+  BOOST_TEST(!Clock.notAfter(7000ms, Begin + 1s).has_value());
+  Clock.answered(Begin + 1s, 12001ms);
+  BOOST_TEST((*Clock.notAfter(12001ms, Begin + 2s) == Begin + 1s));
+}
