--- /dev/null
+++ b/src/gateway/reading_duty.cpp
@@ -0,0 +1,64 @@
+/// When an instance reads the directory itself.
+#include "gateway/reading_duty.h"
+
+#include <algorithm>
+
+namespace crowstep::gateway {
+
+namespace {
+
+/// Most failures are one lost answer.
+constexpr Duration FirstBackoff = std::chrono::milliseconds(80);
+constexpr Duration LongestBackoff = std::chrono::milliseconds(550);
+
+/// The first back-off of a follower is this part of its longest. It calls only
+/// after its zone's readers have stayed away, which are likely to have failed
+/// before it.
+constexpr int FirstInLongest = 4;
+
+/// A reader's answers come this often in the time for which an update does, so
+/// that one of them may be lost.
+constexpr int CallsInFreshness = 2;
+
+/// Share of the freshness after which the deputy calls, as a fraction.
+constexpr int DeputyShare = 3;
+constexpr int DeputyShareOf = 4;
+
+} // namespace
+
+bool ReadingDuty::readsForOthers() const {
+  return m_Role == ReadingRole::Reader || m_Role == ReadingRole::Deputy;
+}
+
+void ReadingDuty::updated(TimePoint ReadAt) {
+  m_UpdatedAt = std::max(m_UpdatedAt, ReadAt);
+}
+
+Duration ReadingDuty::freshFor(TimePoint Now) const {
+  Duration Limit{};
+  if (m_Role == ReadingRole::Follower)
+    Limit = m_Freshness;
+  else if (m_Role == ReadingRole::Deputy)
+    Limit = m_Freshness * DeputyShare / DeputyShareOf;
+  return std::max(Limit - age(Now), Duration::zero());
+}
+
+Duration ReadingDuty::waitOfCall() const {
+  return readsForOthers()
+             ? std::min(LongestWait, m_Freshness / CallsInFreshness)
+             : LongestWait;
+}
+
+Duration ReadingDuty::firstBackoff() const {
+  return m_Role == ReadingRole::Follower
+             ? std::max(FirstBackoff, m_FollowerBackoff / FirstInLongest)
+             : FirstBackoff;
+}
+
+Duration ReadingDuty::longestBackoff() const {
+  return m_Role == ReadingRole::Follower
+             ? std::max(LongestBackoff, m_FollowerBackoff)
+             : LongestBackoff;
+}
+
+} // namespace crowstep::gateway
--- /dev/null
+++ b/tests/unit/reading_duty_test.cpp
@@ -0,0 +1,57 @@
+/// Who calls the directory for a zone.
+#define BOOST_TEST_MODULE reading_duty
+#include "gateway/reading_duty.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace crowstep;
+using namespace crowstep::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Now{100s};
+
+ReadingDuty duty(ReadingRole Role) {
+  ReadingDuty Result;
+  Result.setFreshness(2s, 1800ms);
+  Result.setRole(Role);
+  Result.updated(Now);
+  return Result;
+}
+
+} // namespace
+
+// Guards against a zone in which all call the directory when its reader is
+// gone: the deputy is before the others.
+BOOST_AUTO_TEST_CASE(TheDeputyCallsBeforeFollowers) {
+  BOOST_TEST((duty(ReadingRole::Alone).freshFor(Now) == 0s));
+  BOOST_TEST((duty(ReadingRole::Reader).freshFor(Now) == 0s));
+  BOOST_TEST((duty(ReadingRole::Deputy).freshFor(Now) == 1500ms));
+  BOOST_TEST((duty(ReadingRole::Follower).freshFor(Now) == 2s));
+  BOOST_TEST((duty(ReadingRole::Follower).freshFor(Now + 3s) == 0s));
+}
+
+// Guards against updates that arrive out of order and make newer ones look old.
+BOOST_AUTO_TEST_CASE(TheNewestUpdateCounts) {
+  ReadingDuty Duty = duty(ReadingRole::Follower);
+  Duty.updated(Now - 1s);
+  BOOST_TEST((Duty.freshFor(Now) == 2s));
+  BOOST_TEST((Duty.age(Now + 500ms) == 500ms));
+}
+
+// Guards against a reader whose answers are too rare to lose one of them, and
+// against followers that storm a directory which is away.
+BOOST_AUTO_TEST_CASE(ReadersCallOftenAndFollowersPatiently) {
+  for (const ReadingRole Role : {ReadingRole::Reader, ReadingRole::Deputy})
+    BOOST_TEST((duty(Role).waitOfCall() == 1s));
+  for (const ReadingRole Role : {ReadingRole::Alone, ReadingRole::Follower})
+    BOOST_TEST((duty(Role).waitOfCall() == ReadingDuty::LongestWait));
+  const ReadingDuty Follower = duty(ReadingRole::Follower);
+  for (const ReadingRole Role :
+       {ReadingRole::Alone, ReadingRole::Reader, ReadingRole::Deputy}) {
+    BOOST_TEST((duty(Role).firstBackoff() < Follower.firstBackoff()));
+    BOOST_TEST((duty(Role).longestBackoff() < Follower.longestBackoff()));
+  }
+  BOOST_TEST((Follower.longestBackoff() == 1800ms));
+}
