Fix: Take all updates of a frame before any of them is acted on

The link's entry is then usually dropped later, from the loop, but at once where the last flush fails; an unreadable update behind it in the same frame would then be counted against an entry that is gone. Nothing else changes.

--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -142,14 +142,17 @@
   const bool Reads =
       From.m_Zone == m_Self.m_Zone &&
       std::find(Hubs.begin(), Hubs.end(), From.m_Instance) != Hubs.end();
+  std::vector<DirectoryUpdate> Taken;
   for (const wire::DirectoryUpdate *Each : *Frame.directory_updates()) {
-    const auto Update = Reads ? unpacked(*Each) : std::nullopt;
-    if (!Update) {
+    if (auto Update = Reads ? unpacked(*Each) : std::nullopt)
+      Taken.push_back(std::move(*Update));
+    else
       dropUpdate(From);
-      continue;
-    }
+  }
+  // A new list of instances can end this very link, and with it From.
+  for (const DirectoryUpdate &Each : Taken) {
     m_Updates.add();
-    m_OnUpdate(*Update);
+    m_OnUpdate(Each);
   }
 }
 
