Fix: Take the end of an answer from what decodes its chunks

What callers saw: half an answer as a whole one, and a whole answer as a failed one; the latter with "outcome unknown" where the call may not be repeated, or with the work done a second time where it may.

Cause: libsoup takes the close of a connection for the end of a chunked body.

Evidence: answer_end_test, an upstream on a thread of its own that cuts its answer into pieces with gaps of microseconds and closes at once.

Ways weighed: peeking more cleverly (the same race), libcurl's multi interface (tells a cut body, but brings TLS, LDAP and Kerberos libraries into a process that is priced by memory and by its start), a decoder of our own in front of libsoup (the body decoded twice), http-parser on GIO's sockets. Taken: the last. The parser that decodes the chunks says whether the last one came, so there is nothing left to infer. Nothing of libsoup remains on the way to upstreams: connecting, the last check before the first byte, reuse of idle connections and silence limits are a few hundred lines here.

A connection is used again only if its answer was whole, nothing followed it and the request was sent whole; otherwise the rest of a body or a late answer would meet the next request.

Sockets are watched by one epoll instance behind one GLib source. With a source a socket GLib visits all of them in each iteration of its loop.

--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that build, checks and tests need, where missing.
 set -eu
 packages="g++ cmake ninja-build make pkg-config clang-format clang-tidy
-libglib2.0-dev libsoup-3.0-dev libflatbuffers-dev libtclap-dev
+libglib2.0-dev libsoup-3.0-dev libhttp-parser-dev libflatbuffers-dev libtclap-dev
 liblog4cplus-dev libboost-dev libboost-test-dev librapidcheck-dev
 nlohmann-json3-dev libxxhash-dev libcsv-dev libbenchmark-dev gnuplot-nox curl"
 missing=""
--- /dev/null
+++ b/src/core/socket_watch.cpp
@@ -0,0 +1,139 @@
+/// The poller behind all watched sockets.
+#include "core/socket_watch.h"
+
+#include <array>
+#include <glib-unix.h>
+#include <glib.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+#include <unordered_map>
+
+namespace crowstep {
+
+namespace {
+
+/// Sockets that are reported in one iteration; others get their turn next.
+constexpr std::size_t MaxReady = 64;
+
+std::uint32_t maskOf(SocketEvents What) {
+  std::uint32_t Result = 0;
+  if (What.m_Read)
+    Result |= EPOLLIN;
+  if (What.m_Write)
+    Result |= EPOLLOUT;
+  if (What.m_HungUp)
+    Result |= EPOLLRDHUP;
+  return Result;
+}
+
+SocketEvents eventsOf(std::uint32_t Mask) {
+  const bool Failed = (Mask & (EPOLLHUP | EPOLLERR)) != 0;
+  return {Failed || (Mask & EPOLLIN) != 0, Failed || (Mask & EPOLLOUT) != 0,
+          Failed || (Mask & EPOLLRDHUP) != 0};
+}
+
+} // namespace
+
+/// One epoll instance as one GLib source; lives as long as the process.
+class SocketPoller {
+public:
+  static SocketPoller &instance() {
+    static SocketPoller Only;
+    return Only;
+  }
+  SocketPoller(const SocketPoller &) = delete;
+  SocketPoller &operator=(const SocketPoller &) = delete;
+
+  void add(SocketWatch &Which, SocketEvents What) {
+    Which.m_Id = ++m_LastId;
+    epoll_event Event = eventFor(Which, What);
+    m_Watches[Which.m_Id] = &Which;
+    m_IdOf[Which.m_Socket] = Which.m_Id;
+    // Left behind by a watch whose socket was closed and its number used anew.
+    if (epoll_ctl(m_Epoll, EPOLL_CTL_ADD, Which.m_Socket, &Event) != 0)
+      epoll_ctl(m_Epoll, EPOLL_CTL_MOD, Which.m_Socket, &Event);
+  }
+
+  void change(const SocketWatch &Which, SocketEvents What) {
+    epoll_event Event = eventFor(Which, What);
+    if (owns(Which))
+      epoll_ctl(m_Epoll, EPOLL_CTL_MOD, Which.m_Socket, &Event);
+  }
+
+  void remove(SocketWatch &Which) {
+    if (owns(Which)) {
+      epoll_ctl(m_Epoll, EPOLL_CTL_DEL, Which.m_Socket, nullptr);
+      m_IdOf.erase(Which.m_Socket);
+    }
+    m_Watches.erase(Which.m_Id);
+    Which.m_Id = 0;
+  }
+
+private:
+  SocketPoller() : m_Epoll(epoll_create1(EPOLL_CLOEXEC)) {
+    static GSourceFuncs Functions = {nullptr, nullptr, dispatch,
+                                     nullptr, nullptr, nullptr};
+    m_Source = g_source_new(&Functions, sizeof(GSource));
+    g_source_add_unix_fd(m_Source, m_Epoll, G_IO_IN);
+    g_source_attach(m_Source, nullptr);
+  }
+  ~SocketPoller() {
+    g_source_destroy(m_Source);
+    g_source_unref(m_Source);
+    close(m_Epoll);
+  }
+
+  static gboolean dispatch(GSource *, GSourceFunc, gpointer) {
+    instance().report();
+    return G_SOURCE_CONTINUE;
+  }
+
+  static epoll_event eventFor(const SocketWatch &Which, SocketEvents What) {
+    epoll_event Result{};
+    Result.events = maskOf(What);
+    Result.data.u64 = Which.m_Id;
+    return Result;
+  }
+
+  /// A closed socket's number may belong to another watch by now.
+  [[nodiscard]] bool owns(const SocketWatch &Which) const {
+    const auto Found = m_IdOf.find(Which.m_Socket);
+    return Found != m_IdOf.end() && Found->second == Which.m_Id;
+  }
+
+  void report() {
+    std::array<epoll_event, MaxReady> Ready{};
+    const int Count = epoll_wait(m_Epoll, Ready.data(), MaxReady, 0);
+    for (int Index = 0; Index < Count; ++Index) {
+      // A listener that ran before may have destroyed this watch.
+      const auto Found = m_Watches.find(Ready[Index].data.u64);
+      if (Found != m_Watches.end())
+        Found->second->m_Listener->socketReady(eventsOf(Ready[Index].events));
+    }
+  }
+
+  int m_Epoll;                ///< Owned.
+  GSource *m_Source;          ///< Owned.
+  std::uint64_t m_LastId = 0; ///< Ids start at 1.
+  std::unordered_map<std::uint64_t, SocketWatch *> m_Watches; ///< Registered.
+  std::unordered_map<int, std::uint64_t> m_IdOf; ///< Of each socket, the last.
+};
+
+SocketWatch::SocketWatch(int Socket, SocketListener &Listener)
+    : m_Socket(Socket), m_Listener(&Listener) {}
+
+SocketWatch::~SocketWatch() { watchFor({}); }
+
+void SocketWatch::watchFor(SocketEvents What) {
+  if (What == m_Events)
+    return;
+  if (m_Id == 0)
+    SocketPoller::instance().add(*this, What);
+  else if (What == SocketEvents())
+    SocketPoller::instance().remove(*this);
+  else
+    SocketPoller::instance().change(*this, What);
+  m_Events = What;
+}
+
+} // namespace crowstep
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -4,7 +4,7 @@
 
 #include "core/http_server.h"
 #include "core/scheduler.h"
-#include "http/connection_sockets.h"
+#include "http/socket_state.h"
 #include "refusal_type.h"
 
 #include <functional>
--- a/src/http/held_answer.cpp
+++ b/src/http/held_answer.cpp
@@ -2,7 +2,7 @@
 #include "http/held_answer.h"
 
 #include "core/http_server.h"
-#include "http/connection_sockets.h"
+#include "http/socket_state.h"
 
 #include <algorithm>
 #include <glib-unix.h>
--- a/src/http/keep_alive.cpp
+++ b/src/http/keep_alive.cpp
@@ -15,9 +15,14 @@
 
 void onNetworkEvent(SoupMessage *, GSocketClientEvent Event, GIOStream *Stream,
                     gpointer) {
-  if (Event != G_SOCKET_CLIENT_CONNECTED || !G_IS_SOCKET_CONNECTION(Stream))
-    return;
-  GSocket *Socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(Stream));
+  if (Event == G_SOCKET_CLIENT_CONNECTED && G_IS_SOCKET_CONNECTION(Stream))
+    probeConnection(
+        g_socket_connection_get_socket(G_SOCKET_CONNECTION(Stream)));
+}
+
+} // namespace
+
+void probeConnection(GSocket *Socket) {
   g_socket_set_keepalive(Socket, 1);
   // A refused option leaves the kernel's default, which only takes longer.
   g_socket_set_option(Socket, IPPROTO_TCP, TCP_KEEPIDLE, ProbeAfterSeconds,
@@ -29,8 +34,6 @@
                       UnacknowledgedMilliseconds, nullptr);
 }
 
-} // namespace
-
 void probeConnectionOf(SoupMessage *Message) {
   g_signal_connect(Message, "network-event", G_CALLBACK(onNetworkEvent),
                    nullptr);
--- a/src/http/keep_alive.h
+++ b/src/http/keep_alive.h
@@ -2,17 +2,21 @@
 #ifndef CROWSTEP_HTTP_KEEP_ALIVE_H
 #define CROWSTEP_HTTP_KEEP_ALIVE_H
 
+#include <gio/gio.h>
 #include <libsoup/soup.h>
 
 namespace crowstep {
 
-/// Lets the kernel probe the connection that carries \p Message.
+/// Lets the kernel probe a connection.
 ///
 /// Failure: behind a partition, or on a connection that a middlebox forgot,
 /// nothing comes back and nothing is closed; a call that waits for news of the
 /// store would wait for the rest of its limit and miss all changes until then.
 /// Probes after a second of silence, two of them a second apart, end it within
 /// three seconds, which is less than any bound on how late changes may be.
+void probeConnection(GSocket *Socket);
+
+/// Does so for the connection that will carry \p Message.
 void probeConnectionOf(SoupMessage *Message);
 
 } // namespace crowstep
--- a/src/http/upstream_call.h
+++ b/src/http/upstream_call.h
@@ -4,9 +4,8 @@
 
 #include "core/clock.h"
 #include "core/scheduler.h"
-#include "http/connection_sockets.h"
 #include "http/header_list.h"
-#include "http/session_pool.h"
+#include "http/upstream_connection.h"
 #include "instance_type.h"
 
 #include <functional>
@@ -18,7 +17,7 @@
 
 /// How the transport ended.
 enum class TransportEnd : std::uint8_t {
-  Complete, ///< The body arrived whole, as far as HTTP can tell.
+  Complete, ///< The body arrived whole, to its length or last chunk.
   NotSent,  ///< No connection: not a byte was sent.
   TooOld,   ///< The last check stopped it: not a byte was sent.
   Broken,   ///< Sent perhaps; closed, reset or silent for too long.
@@ -67,21 +66,22 @@
                                              UpstreamListener &Listener) = 0;
 };
 
-/// Calls over libsoup.
+/// Calls over HTTP/1.1; outlives them.
 class HttpUpstreamCaller final : public UpstreamCaller {
 public:
-  HttpUpstreamCaller(const Clock &Time, Scheduler &Timers);
+  HttpUpstreamCaller(const Clock &Time, Scheduler &Timers)
+      : m_Clock(Time), m_Timers(Timers), m_Idle(Time, Timers) {}
   HttpUpstreamCaller(const HttpUpstreamCaller &) = delete;
   HttpUpstreamCaller &operator=(const HttpUpstreamCaller &) = delete;
 
+  /// \throws UpstreamUriError for a path that can't be sent.
   std::unique_ptr<UpstreamCall> send(const UpstreamSend &What,
                                      UpstreamListener &Listener) override;
 
 private:
-  const Clock &m_Clock;        ///< Outlives the caller.
-  Scheduler &m_Timers;         ///< Outlives the caller.
-  SessionPool m_Sessions;      ///< For all calls.
-  ConnectionSockets m_Sockets; ///< Of the sessions' connections.
+  const Clock &m_Clock;   ///< Outlives the caller.
+  Scheduler &m_Timers;    ///< Outlives the caller.
+  IdleConnections m_Idle; ///< For calls that may be repeated.
 };
 
 } // namespace crowstep
--- /dev/null
+++ b/tests/unit/answer_end_test.cpp
@@ -0,0 +1,239 @@
+/// Which ends of an answer count as whole, however its bytes arrive.
+#define BOOST_TEST_MODULE answer_end
+#include "http/upstream_call.h"
+#include "unit/loopback_peer.h"
+
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace crowstep;
+using namespace crowstep::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t Seed = 34;
+constexpr int Plays = 300;
+
+const std::string Chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string ChunkedAndCloses = "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                                     "Transfer-Encoding: chunked\r\n\r\n";
+
+/// An upstream on a thread of its own: answers each connection with the same
+/// bytes, cut into random pieces with pauses between them, and closes at once.
+class BrokenUpstream {
+public:
+  BrokenUpstream(std::string Answer, unsigned Pieces,
+                 std::chrono::microseconds LongestGap)
+      : m_Answer(std::move(Answer)), m_Pieces(Pieces),
+        m_LongestGap(LongestGap) {
+    m_Fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Own{};
+    Own.sin_family = AF_INET;
+    Own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    (void)bind(m_Fd, reinterpret_cast<sockaddr *>(&Own), sizeof(Own));
+    listen(m_Fd, 64);
+    socklen_t Size = sizeof(Own);
+    getsockname(m_Fd, reinterpret_cast<sockaddr *>(&Own), &Size);
+    m_Address = {INADDR_LOOPBACK, ntohs(Own.sin_port)};
+    m_Thread = std::thread([this] { serve(); });
+  }
+  ~BrokenUpstream() {
+    m_Over = true;
+    shutdown(m_Fd, SHUT_RDWR);
+    m_Thread.join();
+    ::close(m_Fd);
+  }
+  BrokenUpstream(const BrokenUpstream &) = delete;
+  BrokenUpstream &operator=(const BrokenUpstream &) = delete;
+
+  Address m_Address;
+
+private:
+  void serve() {
+    while (!m_Over) {
+      const int Fd = ::accept(m_Fd, nullptr, nullptr);
+      if (Fd < 0)
+        continue;
+      std::string Request;
+      char Buffer[4096];
+      while (!FakeUpstream::whole(Request)) {
+        const ssize_t Size = recv(Fd, Buffer, sizeof(Buffer), 0);
+        if (Size <= 0)
+          break;
+        Request.append(Buffer, static_cast<std::size_t>(Size));
+      }
+      sendInPieces(Fd);
+      ::close(Fd);
+    }
+  }
+
+  void sendInPieces(int Fd) {
+    std::vector<std::size_t> Cuts = {0, m_Answer.size()};
+    for (unsigned Piece = 1; Piece < m_Pieces; ++Piece)
+      Cuts.push_back(m_Random() % m_Answer.size());
+    std::ranges::sort(Cuts);
+    for (std::size_t Cut = 1; Cut < Cuts.size(); ++Cut) {
+      send(Fd, m_Answer.data() + Cuts[Cut - 1], Cuts[Cut] - Cuts[Cut - 1],
+           MSG_NOSIGNAL);
+      pause();
+    }
+  }
+
+  void pause() {
+    if (m_LongestGap.count() == 0)
+      return;
+    const auto End =
+        std::chrono::steady_clock::now() +
+        std::chrono::microseconds(m_Random() % m_LongestGap.count());
+    while (std::chrono::steady_clock::now() < End)
+      ;
+  }
+
+  std::string m_Answer;
+  unsigned m_Pieces;
+  std::chrono::microseconds m_LongestGap;
+  std::mt19937 m_Random{Seed};
+  std::atomic<bool> m_Over = false;
+  int m_Fd;
+  std::thread m_Thread;
+};
+
+struct Listener final : UpstreamListener {
+  void upstreamHeaders(unsigned, const HeaderList &) override {}
+  void upstreamBytes(std::string_view Bytes) override { m_Body += Bytes; }
+  void upstreamEnded(TransportEnd How) override { m_End = How; }
+
+  std::string m_Body;
+  std::optional<TransportEnd> m_End;
+};
+
+/// How the plays of one answer ended.
+struct Ends {
+  int m_Whole = 0;
+  int m_Broken = 0;
+  int m_Other = 0;       ///< Other ends, and plays without one.
+  int m_WrongBodies = 0; ///< Whole, but not the body given.
+};
+
+Ends play(const std::string &Answer, const std::string &Body, unsigned Pieces,
+          std::chrono::microseconds LongestGap, int Times = Plays) {
+  BrokenUpstream Upstream(Answer, Pieces, LongestGap);
+  LoopClock Clock;
+  LoopScheduler Timers;
+  HttpUpstreamCaller Caller(Clock, Timers);
+  Ends Result;
+  for (int Play = 0; Play < Times; ++Play) {
+    Listener Heard;
+    UpstreamSend What;
+    What.m_Where = Upstream.m_Address;
+    What.m_Path = "/x";
+    What.m_Body = "b";
+    What.m_SendBefore = Clock.fresh() + 10s;
+    const auto Call = Caller.send(What, Heard);
+    pumpUntil([&] { return Heard.m_End.has_value(); });
+    if (Heard.m_End == TransportEnd::Complete) {
+      ++Result.m_Whole;
+      if (Heard.m_Body != Body)
+        ++Result.m_WrongBodies;
+    } else if (Heard.m_End == TransportEnd::Broken) {
+      ++Result.m_Broken;
+    } else {
+      ++Result.m_Other;
+    }
+  }
+  return Result;
+}
+
+void checkWhole(const std::string &Answer, const std::string &Body,
+                unsigned Pieces, std::chrono::microseconds LongestGap,
+                int Times = Plays) {
+  const Ends Result = play(Answer, Body, Pieces, LongestGap, Times);
+  BOOST_TEST(Result.m_Whole == Times);
+  BOOST_TEST(Result.m_Broken == 0);
+  BOOST_TEST(Result.m_WrongBodies == 0);
+}
+
+void checkBroken(const std::string &Answer, unsigned Pieces,
+                 std::chrono::microseconds LongestGap, int Times = Plays) {
+  const Ends Result = play(Answer, "", Pieces, LongestGap, Times);
+  BOOST_TEST(Result.m_Broken == Times);
+  BOOST_TEST(Result.m_Whole == 0);
+}
+
+} // namespace
+
+/// Guards against a whole answer that is taken for a cut one: its caller is
+/// told that the outcome is unknown, or the work is done again.
+BOOST_AUTO_TEST_CASE(AWholeAnswerIsWholeHoweverItsBytesArrive) {
+  const std::string Body = "5\r\nwhole\r\n0\r\n\r\n";
+  checkWhole(ChunkedAndCloses + Body, "whole", 1, 0us);
+  checkWhole(ChunkedAndCloses + Body, "whole", 4, 60us, 2 * Plays);
+  checkWhole(ChunkedAndCloses + Body, "whole", 4, 300us);
+  checkWhole(Chunked + Body, "whole", 4, 60us, 2 * Plays);
+}
+
+/// Guards against the same for last chunks that are spelled in other ways.
+BOOST_AUTO_TEST_CASE(EverySpellingOfALastChunkIsAnEnd) {
+  for (const char *Last :
+       {"000\r\n\r\n", "0;ext=1\r\n\r\n", "0\r\nX-Trailer: a\r\n\r\n"})
+    for (const std::string &Head : {Chunked, ChunkedAndCloses}) {
+      BOOST_TEST_CONTEXT(Last) {
+        checkWhole(Head + "5\r\nwhole\r\n" + Last, "whole", 2, 60us, Plays / 3);
+      }
+    }
+}
+
+/// Guards against a cut answer that counts as whole.
+BOOST_AUTO_TEST_CASE(ACutAnswerIsBrokenHoweverItsBytesArrive) {
+  for (const std::string &Head : {Chunked, ChunkedAndCloses}) {
+    checkBroken(Head + "4\r\nhalf\r\n0\r\n", 4, 60us);
+    checkBroken(Head + "4\r\nhalf\r\n0", 4, 60us);
+    checkBroken(Head + "4\r\nhalf\r\n", 4, 60us);
+    // Data that ends as a last chunk does, before the end of its own chunk.
+    checkBroken(Head + "7\r\n\r\n0\r\n\r\n", 1, 0us, Plays / 3);
+    checkBroken(Head + "7\r\n\r\n0\r\n\r\n", 4, 60us, Plays / 3);
+  }
+}
+
+/// Guards against ends that depend on the number or size of chunks.
+BOOST_AUTO_TEST_CASE(ManyAndLargeChunksEndAsFewDo) {
+  std::string Many;
+  std::string Body;
+  for (int Chunk = 0; Chunk < 200; ++Chunk) {
+    Many += "a\r\n0123456789\r\n";
+    Body += "0123456789";
+  }
+  const std::string Data(40000, 'x');
+  const std::string Large = "9c40\r\n" + Data + "\r\n";
+  for (const std::string &Head : {Chunked, ChunkedAndCloses}) {
+    checkWhole(Head + Many + "0\r\n\r\n", Body, 8, 60us, Plays / 3);
+    checkBroken(Head + Many, 8, 60us, Plays / 3);
+    checkWhole(Head + Large + "0\r\n\r\n", Data, 8, 60us, Plays / 3);
+    checkBroken(Head + Large, 8, 60us, Plays / 3);
+  }
+}
+
+/// Guards against the wrong end of answers that have no chunks.
+BOOST_AUTO_TEST_CASE(AnswersWithoutChunksEndByLengthOrClose) {
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  checkWhole(Ok + "Content-Length: 5\r\n\r\nwhole", "whole", 3, 60us);
+  checkWhole(Ok + "Connection: close\r\nContent-Length: 5\r\n\r\nwhole",
+             "whole", 3, 60us);
+  checkWhole(Ok + "Content-Length: 0\r\n\r\n", "", 3, 60us);
+  checkWhole(Ok + "Connection: close\r\n\r\nwhole", "whole", 3, 60us);
+  checkWhole("HTTP/1.1 204 No Content\r\n\r\n", "", 3, 60us);
+  checkWhole("HTTP/1.1 100 Continue\r\n\r\n" + Chunked +
+                 "5\r\nwhole\r\n0\r\n\r\n",
+             "whole", 3, 60us);
+  checkBroken(Ok + "Content-Length: 5\r\n\r\nhalf", 3, 60us);
+  checkBroken(Ok + "Content-Le", 3, 60us);
+  checkBroken("HTTP/1.1 100 Continue\r\n\r\n", 3, 60us);
+  checkBroken("no answer\r\n\r\n", 3, 60us);
+}
