Change: Watch links by the poller of all sockets

Cause: a link had a GLib source of its own, and one more while it could not write. GLib prepares, queries and checks every source in every iteration, so each event of one connection cost as much as there were links.

A link is now one entry of the epoll instance that upstreams' and callers' connections use. What a link does is unchanged.

--- a/src/link/connection.cpp
+++ b/src/link/connection.cpp
@@ -44,6 +44,7 @@
 
 void Connection::configure(GSocket *Socket) {
   m_Socket = Socket;
+  m_Watch.emplace(g_socket_get_fd(m_Socket), *this);
   g_socket_set_blocking(m_Socket, 0);
   // Frames are joined already; Nagle's algorithm would only delay them.
   g_socket_set_option(m_Socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
@@ -72,7 +73,7 @@
     return;
   }
   g_clear_error(&Failure);
-  watch(G_IO_OUT);
+  watchForWriting(true);
 }
 
 void Connection::adopt(GSocket *Socket) {
@@ -88,33 +89,30 @@
     return;
   }
   m_Connected = true;
-  unwatch(m_Writing);
+  watchForWriting(false);
   startHandshake();
 }
 
 void Connection::startHandshake() {
   const auto Opening = preamble();
   m_Queue.insert(m_Queue.end(), Opening.begin(), Opening.end());
-  watch(G_IO_IN);
+  watchForWriting(m_Blocked);
   wire::FrameT First;
   First.hello = std::make_unique<wire::HelloT>(m_Handshake.hello());
   send(First);
 }
 
-int Connection::readable(GSocket *, GIOCondition, void *Self) {
+void Connection::socketReady(SocketEvents What) {
   // The owner may drop the connection while it handles a frame of it.
-  const auto Kept = static_cast<Connection *>(Self)->shared_from_this();
-  Kept->readSome();
-  return G_SOURCE_CONTINUE;
-}
-
-int Connection::writable(GSocket *, GIOCondition, void *Self) {
-  const auto Kept = static_cast<Connection *>(Self)->shared_from_this();
-  if (Kept->m_Connected)
-    Kept->writeQueued();
-  else
-    Kept->connected();
-  return G_SOURCE_CONTINUE;
+  const auto Kept = shared_from_this();
+  if (!m_Connected) {
+    connected();
+    return;
+  }
+  if (What.m_Write && m_Blocked)
+    writeQueued();
+  if (What.m_Read && m_Socket != nullptr)
+    readSome();
 }
 
 void Connection::readSome() {
@@ -201,7 +199,7 @@
     fail(CloseReason::FrameTooLarge); // The peer would reject it.
   else if (Waiting > m_Shared.m_Config.m_MaxQueued)
     fail(CloseReason::Backlog);
-  else if (m_Writing == nullptr)
+  else if (!m_Blocked)
     writeQueued();
 }
 
@@ -212,7 +210,7 @@
         m_Socket, reinterpret_cast<const gchar *>(m_Queue.data() + m_Written),
         m_Queue.size() - m_Written, nullptr, &Failure);
     if (Count < 0 && wouldBlock(Failure)) {
-      watch(G_IO_OUT);
+      watchForWriting(true);
       return;
     }
     if (Count < 0) {
@@ -223,32 +221,17 @@
   }
   m_Queue.clear();
   m_Written = 0;
-  unwatch(m_Writing);
+  watchForWriting(false);
 }
 
-void Connection::watch(GIOCondition What) {
-  const bool Reads = What == G_IO_IN;
-  GSource *&Source = Reads ? m_Reading : m_Writing;
-  if (Source != nullptr)
-    return;
-  Source = g_socket_create_source(m_Socket, What, nullptr);
-  const GSocketSourceFunc Callback = Reads ? readable : writable;
-  g_source_set_callback(Source, G_SOURCE_FUNC(Callback), this, nullptr);
-  g_source_attach(Source, nullptr);
-}
-
-void Connection::unwatch(GSource *&Source) {
-  if (Source == nullptr)
-    return;
-  g_source_destroy(Source);
-  g_source_unref(Source);
-  Source = nullptr;
+void Connection::watchForWriting(bool Wanted) {
+  m_Blocked = Wanted;
+  m_Watch->watchFor({.m_Read = m_Connected, .m_Write = m_Blocked});
 }
 
 void Connection::close() {
   m_Limit.stop();
-  unwatch(m_Reading);
-  unwatch(m_Writing);
+  m_Watch.reset();
   if (m_Socket == nullptr)
     return;
   g_socket_close(m_Socket, nullptr);
--- a/src/link/connection.h
+++ b/src/link/connection.h
@@ -2,11 +2,13 @@
 #ifndef CROWSTEP_LINK_CONNECTION_H
 #define CROWSTEP_LINK_CONNECTION_H
 
+#include "core/socket_watch.h"
 #include "link/frame_account.h"
 #include "link/handshake.h"
 
 #include <gio/gio.h>
 #include <memory>
+#include <optional>
 
 namespace crowstep::link {
 
@@ -32,11 +34,12 @@
 };
 
 /// One connection; closed for good after its first failure.
-class Connection : public std::enable_shared_from_this<Connection> {
+class Connection final : public std::enable_shared_from_this<Connection>,
+                         public SocketListener {
 public:
   /// \p Where is the address dialled, or none for an accepted connection.
   Connection(ConnectionShared &Shared, LinkId Id, const Address &Where);
-  ~Connection();
+  ~Connection() override;
   Connection(const Connection &) = delete;
   Connection &operator=(const Connection &) = delete;
 
@@ -62,8 +65,7 @@
   [[nodiscard]] const Peer &peer() const { return m_Peer; }
 
 private:
-  static int readable(GSocket *Socket, GIOCondition Why, void *Self);
-  static int writable(GSocket *Socket, GIOCondition Why, void *Self);
+  void socketReady(SocketEvents What) override;
 
   void configure(GSocket *Socket);
   void connected();
@@ -74,26 +76,25 @@
   void takeStep(const HandshakeStep &Step);
   void send(const wire::FrameT &Frame);
   void writeQueued();
-  void watch(GIOCondition What);
-  void unwatch(GSource *&Source);
+  void watchForWriting(bool Wanted);
   void learnPeerAddress();
   void fail(CloseReason Why);
 
-  ConnectionShared &m_Shared;        ///< Config, timers, owner, counters.
-  LinkId m_Id;                       ///< Of the link that this may become.
-  Address m_Where;                   ///< Dialled; none: accepted.
-  GSocket *m_Socket = nullptr;       ///< Owned; null once closed.
-  GSource *m_Reading = nullptr;      ///< Owned; set while connected.
-  GSource *m_Writing = nullptr;      ///< Owned; set while blocked.
-  bool m_Connected = false;          ///< TCP is established.
-  bool m_Up = false;                 ///< The peer has proved itself.
-  Timer m_Limit;                     ///< Runs until m_Up.
-  Handshake m_Handshake;             ///< In use until m_Up.
-  FrameReader m_Reader;              ///< Cuts frames.
-  Peer m_Peer;                       ///< Valid once m_Up.
-  wire::FrameT m_Outbox;             ///< Under assembly.
-  std::vector<std::uint8_t> m_Queue; ///< Encoded, not yet written.
-  std::size_t m_Written = 0;         ///< Of m_Queue, already written.
+  ConnectionShared &m_Shared;         ///< Config, timers, owner, counters.
+  LinkId m_Id;                        ///< Of the link that this may become.
+  Address m_Where;                    ///< Dialled; none: accepted.
+  GSocket *m_Socket = nullptr;        ///< Owned; null once closed.
+  std::optional<SocketWatch> m_Watch; ///< Set with m_Socket.
+  bool m_Blocked = false;             ///< Waits until it can write.
+  bool m_Connected = false;           ///< TCP is established.
+  bool m_Up = false;                  ///< The peer has proved itself.
+  Timer m_Limit;                      ///< Runs until m_Up.
+  Handshake m_Handshake;              ///< In use until m_Up.
+  FrameReader m_Reader;               ///< Cuts frames.
+  Peer m_Peer;                        ///< Valid once m_Up.
+  wire::FrameT m_Outbox;              ///< Under assembly.
+  std::vector<std::uint8_t> m_Queue;  ///< Encoded, not yet written.
+  std::size_t m_Written = 0;          ///< Of m_Queue, already written.
 };
 
 } // namespace crowstep::link
