Fix: Count a short call's answer as none if it breaks off

The same fault as that of the ends of upstreams' answers, looked for elsewhere: the client of the store, of the platform and of orders to engines read by libsoup, which takes the close of a connection for the end of a body, also short of its stated length. Half of a table's rows would pass for all of them; what saved us so far is that half a JSON text can't be parsed. An answer of which only the status counts, as that to a write, was taken for whole.

These calls now go out as upstream calls do, on the same connections and poller. A call whose kept connection breaks before a byte of the answer is sent again once on a fresh one, as libsoup did, and its new connection has the limit of a first one (AWaitingCallThatIsSentAgainEndsSoon, unchanged).

--- a/src/dispatcher/dispatcher.h
+++ b/src/dispatcher/dispatcher.h
@@ -7,11 +7,11 @@
 #define CROWSTEP_DISPATCHER_DISPATCHER_H
 
 #include "claim/claim_home.h"
-#include "core/http_client.h"
 #include "core/program.h"
 #include "dispatcher/admin_api.h"
 #include "dispatcher/dispatcher_settings.h"
 #include "dispatcher/entry_attachments.h"
+#include "http/http_client.h"
 #include "platform/platform_client.h"
 
 namespace crowstep::dispatcher {
--- a/src/dispatcher/load_monitor.h
+++ b/src/dispatcher/load_monitor.h
@@ -5,9 +5,9 @@
 #ifndef CROWSTEP_DISPATCHER_LOAD_MONITOR_H
 #define CROWSTEP_DISPATCHER_LOAD_MONITOR_H
 
-#include "core/http_client.h"
 #include "core/scheduler.h"
 #include "decision/decision_type.h"
+#include "http/http_client.h"
 
 #include <functional>
 #include <map>
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -2,7 +2,6 @@
 #ifndef CROWSTEP_ENTRY_REQUEST_H
 #define CROWSTEP_ENTRY_REQUEST_H
 
-#include "core/http_client.h"
 #include "entry/caller_request.h"
 #include "entry/entry_settings.h"
 #include "entry/entry_stats.h"
@@ -10,6 +9,7 @@
 #include "entry/placement.h"
 #include "entry/request_core.h"
 #include "http/caller.h"
+#include "http/http_client.h"
 #include "http/upstream_call.h"
 
 #include <deque>
--- a/src/core/http_client.h
+++ b/src/http/http_client.h
@@ -1,15 +1,16 @@
-/// Short HTTP calls (platform, load reports, orders) over libsoup.
-///
-/// The entry's streamed calls to upstreams do not go through here.
-#ifndef CROWSTEP_CORE_HTTP_CLIENT_H
-#define CROWSTEP_CORE_HTTP_CLIENT_H
+/// Short HTTP calls: platform, load reports, orders.
+#ifndef CROWSTEP_HTTP_HTTP_CLIENT_H
+#define CROWSTEP_HTTP_HTTP_CLIENT_H
 
 #include "core/clock.h"
+#include "core/scheduler.h"
+#include "http/upstream_call.h"
 #include "instance_type.h"
 
 #include <functional>
-#include <libsoup/soup.h>
+#include <memory>
 #include <string>
+#include <unordered_map>
 #include <variant>
 
 namespace crowstep {
@@ -50,7 +51,8 @@
   virtual void call(const HttpCall &What, Done OnDone) = 0;
 };
 
-/// HttpCaller over a libsoup session.
+/// HttpCaller over upstream calls. Calls that are open when it goes are
+/// dropped.
 class HttpClient final : public HttpCaller {
 public:
   HttpClient();
@@ -61,9 +63,14 @@
   void call(const HttpCall &What, Done OnDone) override;
 
 private:
-  SoupSession *m_Session; ///< Owned.
+  class Exchange;
+
+  LoopClock m_Clock;           ///< Of the loop.
+  LoopScheduler m_Timers;      ///< Of the loop.
+  HttpUpstreamCaller m_Caller; ///< Sends.
+  std::unordered_map<Exchange *, std::unique_ptr<Exchange>> m_Open; ///< Calls.
 };
 
 } // namespace crowstep
 
-#endif // CROWSTEP_CORE_HTTP_CLIENT_H
+#endif // CROWSTEP_HTTP_HTTP_CLIENT_H
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -60,7 +60,8 @@
 private:
   void socketReady(SocketEvents What) override;
 
-  void open(const UpstreamSend &What);
+  void open();
+  [[nodiscard]] bool maySendAgain() const;
   void connected();
   [[nodiscard]] bool mayStart() const;
   void start();
@@ -69,7 +70,7 @@
   void deliver(bool Failed);
   void keepConnection();
   void updateWatch();
-  void watchConnecting(Duration Limit);
+  void watchConnecting();
   void watchSilence(Duration Wait);
   void fail();
   void endSoon(TransportEnd How);
@@ -86,16 +87,21 @@
   std::size_t m_Written = 0;      ///< Of m_Out.
   AnswerParser m_Parser;          ///< Of the answer.
   std::unique_ptr<UpstreamConnection> m_Connection; ///< Null once ended.
+  bool m_SendAgain;             ///< See UpstreamSend; false once it was done.
+  bool m_Kept = false;          ///< The connection served a call before.
   bool m_Connecting = false;    ///< The connection doesn't stand yet.
   bool m_Started = false;       ///< A byte may have been sent.
   bool m_WriteFailed = false;   ///< The request was not sent whole.
   bool m_Paused = false;        ///< The caller reads slowly.
+  bool m_Answering = false;     ///< Some of the answer, or its end, was read.
   bool m_HeadDelivered = false; ///< The listener knows the head.
   bool *m_Destroyed = nullptr;  ///< Set while the listener is called.
   TimePoint m_LastByte;         ///< For the silence limit.
   Timer m_Silence;              ///< For the silence limit.
   Timer m_Connect;              ///< For the connect limit, and endSoon().
   Duration m_SilenceLimit;      ///< 0: none.
+  Duration m_ConnectLimit;      ///< 0: none.
+  Timer m_Answer;               ///< For the limit on the whole answer.
 };
 
 HttpUpstreamCall::HttpUpstreamCall(const Clock &Time, Scheduler &Timers,
@@ -106,30 +112,39 @@
       m_SendBefore(What.m_SendBefore), m_Wanted(What.m_Wanted),
       m_CloseAfter(What.m_CloseAfter && !What.m_Repeatable),
       m_Out(requestText(What)), m_Parser(What.m_Method == "HEAD"),
-      m_LastByte(Time.now()), m_Silence(Timers), m_Connect(Timers),
-      m_SilenceLimit(What.m_SilenceLimit) {
+      m_SendAgain(What.m_SendAgain), m_LastByte(Time.now()), m_Silence(Timers),
+      m_Connect(Timers), m_SilenceLimit(What.m_SilenceLimit),
+      m_ConnectLimit(What.m_ConnectLimit), m_Answer(Timers) {
   watchSilence(m_SilenceLimit);
+  if (What.m_AnswerLimit > Duration::zero())
+    m_Answer.start(What.m_AnswerLimit, [this] { fail(); });
   // A kept connection that the upstream closes just now would leave the outcome
   // of a call unknown; on a fresh one a failure to connect proves "not sent".
   if (What.m_Repeatable)
     m_Connection = m_Idle.take(m_Where, *this);
-  if (m_Connection == nullptr)
-    open(What);
+  m_Kept = m_Connection != nullptr;
+  if (!m_Kept)
+    open();
   else if (mayStart())
     start();
   else
     endSoon(TransportEnd::TooOld);
 }
 
-void HttpUpstreamCall::open(const UpstreamSend &What) {
+void HttpUpstreamCall::open() {
   m_Connection = UpstreamConnection::open(m_Where, *this);
   if (m_Connection == nullptr) {
-    endSoon(TransportEnd::NotSent);
+    endSoon(m_Started ? TransportEnd::Broken : TransportEnd::NotSent);
     return;
   }
   m_Connecting = true;
   updateWatch();
-  watchConnecting(What.m_ConnectLimit);
+  watchConnecting();
+}
+
+/// A kept connection that the upstream has closed says nothing of the upstream.
+bool HttpUpstreamCall::maySendAgain() const {
+  return m_SendAgain && m_Kept && !m_Answering;
 }
 
 void HttpUpstreamCall::pauseReading() {
@@ -147,7 +162,7 @@
   if (m_Connection == nullptr)
     return;
   m_Connection->watch().watchFor(
-      {.m_Read = m_Started && !m_Paused,
+      {.m_Read = m_Started && !m_Connecting && !m_Paused,
        .m_Write = m_Connecting || (m_Started && m_Written < m_Out.size())});
 }
 
@@ -204,7 +219,14 @@
   const ReadOutcome Outcome = m_Connection->read(Bytes);
   if (Outcome == ReadOutcome::Nothing)
     return;
+  if (Outcome != ReadOutcome::Bytes && maySendAgain()) {
+    m_SendAgain = false;
+    m_Written = 0;
+    open();
+    return;
+  }
   m_LastByte = m_Clock.now();
+  m_Answering = true;
   if (Outcome == ReadOutcome::Bytes)
     m_Parser.feed(Bytes);
   else if (Outcome == ReadOutcome::Closed)
@@ -246,9 +268,9 @@
 
 /// A dark machine answers no opening packet; the kernel's own limit is over a
 /// minute, and until then the caller would wait for nothing.
-void HttpUpstreamCall::watchConnecting(Duration Limit) {
-  if (Limit > Duration::zero())
-    m_Connect.start(Limit, [this] { fail(); });
+void HttpUpstreamCall::watchConnecting() {
+  if (m_ConnectLimit > Duration::zero())
+    m_Connect.start(m_ConnectLimit, [this] { fail(); });
 }
 
 /// A hung upstream closes nothing; without a limit its callers would wait for
@@ -279,6 +301,7 @@
 void HttpUpstreamCall::end(TransportEnd How) {
   m_Silence.stop();
   m_Connect.stop();
+  m_Answer.stop();
   m_Connection.reset();
   m_Listener.upstreamEnded(How);
 }
--- a/src/http/upstream_call.h
+++ b/src/http/upstream_call.h
@@ -36,6 +36,9 @@
   std::function<bool()> m_Wanted; ///< Last check as well; may be empty.
   Duration m_SilenceLimit{};      ///< Longest wait for a byte; 0: none.
   Duration m_ConnectLimit{};      ///< Longest wait for a connection; 0: none.
+  Duration m_AnswerLimit{};       ///< Longest wait for the whole; 0: none.
+  bool m_SendAgain = false;       ///< Once, where a kept connection breaks
+                                  ///< before a byte of the answer.
 };
 
 /// Who hears of one call; nothing more comes after upstreamEnded() or once
--- a/src/lease/engine_orders.h
+++ b/src/lease/engine_orders.h
@@ -6,9 +6,9 @@
 #ifndef CROWSTEP_LEASE_ENGINE_ORDERS_H
 #define CROWSTEP_LEASE_ENGINE_ORDERS_H
 
-#include "core/http_client.h"
 #include "core/metrics.h"
 #include "core/scheduler.h"
+#include "http/http_client.h"
 #include "lease/lease_core.h"
 #include "lease/token_bucket.h"
 
--- a/src/load/audit.h
+++ b/src/load/audit.h
@@ -2,7 +2,7 @@
 #ifndef CROWSTEP_LOAD_AUDIT_H
 #define CROWSTEP_LOAD_AUDIT_H
 
-#include "core/http_client.h"
+#include "http/http_client.h"
 #include "load/result.h"
 
 namespace crowstep::load {
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -13,8 +13,8 @@
 #ifndef CROWSTEP_PLATFORM_PLATFORM_CLIENT_H
 #define CROWSTEP_PLATFORM_PLATFORM_CLIENT_H
 
-#include "core/http_client.h"
 #include "core/metrics.h"
+#include "http/http_client.h"
 #include "platform/platform_type.h"
 
 namespace crowstep::platform {
--- a/tests/unit/store_client_test.cpp
+++ b/tests/unit/store_client_test.cpp
@@ -72,3 +72,47 @@
   BOOST_TEST(
       (std::get<StoreFailure>(*It.m_Result) == StoreFailure::Unreachable));
 }
+
+/// Guards against a short call whose answer breaks off and counts as whole:
+/// half of a table of rows would pass for all of it.
+BOOST_AUTO_TEST_CASE(AShortAnswerIsNoAnswer) {
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  for (const std::string &Text :
+       {Ok + "Content-Length: 10\r\n\r\nhalf",
+        Ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        Ok + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "4\r\nhalf\r\n0\r\n"}) {
+    FakeUpstream Server;
+    HttpClient Client;
+    std::optional<HttpResult> Result;
+    HttpCall Call;
+    Call.m_Method = "POST";
+    Call.m_Body = "{}";
+    Call.m_Where = Server.m_Address;
+    Call.m_Path = "/x";
+    Client.call(Call, [&](HttpResult Told) { Result = std::move(Told); });
+    Peer *Way = Server.next();
+    BOOST_REQUIRE(Way != nullptr);
+    Way->send(Text);
+    Way->close();
+    BOOST_TEST(pumpUntil([&] { return Result.has_value(); }));
+    const auto *Why = std::get_if<HttpFailure>(&*Result);
+    BOOST_REQUIRE(Why != nullptr);
+    BOOST_TEST((*Why == HttpFailure::NoAnswer));
+  }
+}
+
+/// Guards against a call that outlasts its limit, and one that is taken for
+/// unsent though its bytes have left.
+BOOST_AUTO_TEST_CASE(ACallEndsAtItsLimit) {
+  FakeUpstream Server;
+  HttpClient Client;
+  std::optional<HttpResult> Result;
+  HttpCall Call;
+  Call.m_Where = Server.m_Address;
+  Call.m_Path = "/x";
+  Call.m_Timeout = 50ms;
+  Client.call(Call, [&](HttpResult Told) { Result = std::move(Told); });
+  BOOST_TEST(pumpUntil([&] { return Result.has_value(); }));
+  BOOST_TEST((std::get<HttpFailure>(*Result) == HttpFailure::TimedOut));
+}
