Fix: Rank calls at engines by route before workspace

Cause: the rank that engines get was by the workspace's priority first. An engine stops its last rank for a more urgent call.

An engine now gets the rank by route first, and by workspace among equals: a call of an urgent class is never stopped for a lesser one's sake.

Test: route_table/AtAnEngineNoRouteYieldsToALesserOne; with the rank as before one check of its seven failed.

--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -44,7 +44,8 @@
       return NotAdmitted{RefusalReason::UnknownKey, Facts.m_Id};
     Result.m_Workspace = Holder->m_Name;
   }
-  Result.m_Urgency = Table->urgency(*Found, Holder);
+  Result.m_Turn = Table->urgency(*Found, Holder);
+  Result.m_Urgency = Table->engineRank(*Found, Holder);
   Result.m_Facts = std::move(Facts);
   return Result;
 }
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -14,7 +14,8 @@
   RouteTablePtr m_Table;   ///< Keeps m_Route alive.
   const Route *m_Route;    ///< Never null.
   std::string m_Workspace; ///< Whose key it bears; empty: none.
-  unsigned m_Urgency = 0;  ///< See RouteTable::urgency().
+  unsigned m_Turn = 0;     ///< See RouteTable::urgency().
+  unsigned m_Urgency = 0;  ///< See RouteTable::engineRank().
   RequestFacts m_Facts;    ///< What its headers say.
 };
 
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -109,7 +109,7 @@
   }
   if (m_Place == nullptr)
     m_Place = m_World.m_Waiting.enter(
-        {static_cast<balance::Urgency>(m_What.m_Urgency), m_What.m_Workspace},
+        {static_cast<balance::Urgency>(m_What.m_Turn), m_What.m_Workspace},
         [this] { attempt(); });
 }
 
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -17,12 +17,18 @@
   return Result;
 }
 
-std::pair<unsigned, unsigned> prioritiesOf(const Route &Which,
-                                           const KeyHolder *Holder) {
-  const unsigned First = Holder == nullptr
-                             ? Which.m_Priority
-                             : Holder->m_Priority.value_or(Which.m_Priority);
-  return {First, Which.m_Priority};
+unsigned workspacePriority(const Route &Which, const KeyHolder *Holder) {
+  return Holder == nullptr ? Which.m_Priority
+                           : Holder->m_Priority.value_or(Which.m_Priority);
+}
+
+PriorityRanks::Priorities turnOf(const Route &Which, const KeyHolder *Holder) {
+  return {workspacePriority(Which, Holder), Which.m_Priority};
+}
+
+PriorityRanks::Priorities atEngine(const Route &Which,
+                                   const KeyHolder *Holder) {
+  return {Which.m_Priority, workspacePriority(Which, Holder)};
 }
 
 } // namespace
@@ -58,10 +64,14 @@
   for (const KeyHolder &Each : m_Data.m_Workspaces)
     for (const std::string &Key : Each.m_Keys)
       m_ByKey.emplace(Key, &Each);
+  const auto Add = [this](const Route &Which, const KeyHolder *Holder) {
+    m_Turns.add(turnOf(Which, Holder));
+    m_EngineRanks.add(atEngine(Which, Holder));
+  };
   for (const Route &Which : m_Data.m_Routes) {
-    m_Priorities.insert(prioritiesOf(Which, nullptr));
+    Add(Which, nullptr);
     for (const KeyHolder &Holder : m_Data.m_Workspaces)
-      m_Priorities.insert(prioritiesOf(Which, &Holder));
+      Add(Which, &Holder);
   }
 }
 
@@ -79,16 +89,25 @@
   return nullptr;
 }
 
-unsigned RouteTable::urgency(const Route &Which,
-                             const KeyHolder *Holder) const {
-  const auto Found = m_Priorities.find(prioritiesOf(Which, Holder));
+unsigned PriorityRanks::rankOf(Priorities Which) const {
+  const auto Found = m_Known.find(Which);
   const auto Place =
-      static_cast<unsigned>(std::distance(m_Priorities.begin(), Found));
-  const auto Pairs = static_cast<unsigned>(m_Priorities.size());
+      static_cast<unsigned>(std::distance(m_Known.begin(), Found));
+  const auto Pairs = static_cast<unsigned>(m_Known.size());
   constexpr auto Ranks = static_cast<unsigned>(balance::UrgencyCount);
   return Pairs <= Ranks ? Place : Place * Ranks / Pairs;
 }
 
+unsigned RouteTable::urgency(const Route &Which,
+                             const KeyHolder *Holder) const {
+  return m_Turns.rankOf(turnOf(Which, Holder));
+}
+
+unsigned RouteTable::engineRank(const Route &Which,
+                                const KeyHolder *Holder) const {
+  return m_EngineRanks.rankOf(atEngine(Which, Holder));
+}
+
 const KeyHolder *RouteTable::holderOf(const std::string &Key) const {
   const auto Found = m_ByKey.find(Key);
   return Found == m_ByKey.end() ? nullptr : Found->second;
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -11,6 +11,22 @@
 
 namespace crowstep::gateway {
 
+/// Ranks of all priorities that occur, each a pair of which the first decides
+/// and the second among equals.
+class PriorityRanks {
+public:
+  using Priorities = std::pair<unsigned, unsigned>;
+
+  void add(Priorities Which) { m_Known.insert(Which); }
+
+  /// Returns the rank of a pair that was added; 0 goes first. Engines know ten
+  /// ranks; with more pairs, neighbours share one.
+  [[nodiscard]] unsigned rankOf(Priorities Which) const;
+
+private:
+  std::set<Priorities> m_Known; ///< Grows only.
+};
+
 /// A table that never changes; requests hold the one they began under.
 class RouteTable {
 public:
@@ -29,13 +45,19 @@
   /// Returns whose key this is, or null.
   [[nodiscard]] const KeyHolder *holderOf(const std::string &Key) const;
 
-  /// Returns how urgent a call is among all that the table allows: first by
-  /// the workspace's priority, or the route's where it has none, and among
-  /// equals by the route's. Engines know ten ranks; with more pairs of
-  /// priorities, neighbours share one.
+  /// Returns in which turn a call that waits here goes, among all that the
+  /// table allows: first by the workspace's priority, or the route's where it
+  /// has none, and among equals by the route's.
   [[nodiscard]] unsigned urgency(const Route &Which,
                                  const KeyHolder *Holder) const;
 
+  /// Returns the rank of a call at an engine: first by the route's priority and
+  /// among equals by the workspace's. An engine stops its last rank for a more
+  /// urgent call; by the workspace first, a call of an urgent route would be
+  /// stopped while one of a lesser route runs on.
+  [[nodiscard]] unsigned engineRank(const Route &Which,
+                                    const KeyHolder *Holder) const;
+
   /// Returns whether callers bear keys at all.
   [[nodiscard]] bool hasKeys() const { return !m_Data.m_Workspaces.empty(); }
 
@@ -43,7 +65,8 @@
   RouteTableData m_Data; ///< The pointers below point into it.
   std::unordered_map<std::string, const Route *> m_ByPlace; ///< Host + prefix.
   std::unordered_map<std::string, const KeyHolder *> m_ByKey; ///< See holderOf.
-  std::set<std::pair<unsigned, unsigned>> m_Priorities; ///< All that occur.
+  PriorityRanks m_Turns;       ///< See urgency().
+  PriorityRanks m_EngineRanks; ///< See engineRank().
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/tests/unit/route_table_test.cpp
+++ b/tests/unit/route_table_test.cpp
@@ -74,6 +74,27 @@
   BOOST_TEST(Table->urgency(Urgent, Plain) == Table->urgency(Urgent, First));
 }
 
+/// Guards against an engine that stops a call of an urgent route while one of a
+/// lesser route runs on, as that one's workspace goes first.
+BOOST_AUTO_TEST_CASE(AtAnEngineNoRouteYieldsToALesserOne) {
+  RouteTableData Data;
+  Data.m_Routes = {route("/urgent/", 0), route("/slow/", 2)};
+  Data.m_Workspaces = {{"first", {"k1"}, 0}, {"later", {"k2"}, 1}};
+  const RouteTable Table(std::move(Data));
+  const Route &Urgent = *Table.find("api.example", "/urgent/x");
+  const Route &Slow = *Table.find("api.example", "/slow/x");
+  const KeyHolder *First = Table.holderOf("k1");
+  const KeyHolder *Later = Table.holderOf("k2");
+  for (const KeyHolder *Some : {First, Later})
+    for (const KeyHolder *Other : {First, Later})
+      BOOST_TEST(Table.engineRank(Urgent, Some) <
+                 Table.engineRank(Slow, Other));
+  BOOST_TEST(Table.engineRank(Urgent, First) < Table.engineRank(Urgent, Later));
+  BOOST_TEST(Table.engineRank(Slow, First) < Table.engineRank(Slow, Later));
+  // Calls that wait here go by the workspace first.
+  BOOST_TEST(Table.urgency(Slow, First) < Table.urgency(Urgent, Later));
+}
+
 BOOST_AUTO_TEST_CASE(EveryRefusalHasItsReason) {
   const RouteTablePtr Table = table();
   // Nothing is known yet, so nothing can be said not to be there.
