--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -56,12 +56,12 @@
     return 0;
   const std::size_t Used =
       http_parser_execute(&m_Parser, &callbacks(), Bytes.data(), Bytes.size());
-  if (HTTP_PARSER_ERRNO(&m_Parser) == HPE_PAUSED)
+  const http_errno Outcome = HTTP_PARSER_ERRNO(&m_Parser);
+  if (Outcome == HPE_PAUSED)
     http_parser_pause(&m_Parser, 0);
-  else if (HTTP_PARSER_ERRNO(&m_Parser) != HPE_OK)
+  else if (Outcome != HPE_OK || Used < Bytes.size())
+    // What it leaves without an error it takes for another protocol's.
     m_State = ArrivalState::Invalid;
-  else if (Used < Bytes.size())
-    m_State = ArrivalState::Invalid; // It took the rest for another protocol.
   return Used;
 }
 
