Fix: Keep the part of the next request that came with the last

A caller that sends ahead could lose a request: the part of it that had been parsed was forgotten if more bytes came in the iteration in which the last request was answered.

Test: front/APartOfTheNextRequestIsKept, which failed before. Beside it, room to write is used also while a request is held, as "100 Continue" may wait then: the loop would spin until the answer.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -187,7 +187,7 @@
     }
     if (What.m_Read && !m_MoreWaits)
       checkStillThere();
-    if (What.m_Write && m_Phase == Phase::Streaming) {
+    if (What.m_Write && m_Phase != Phase::Closed) {
       write();
       if (m_Handle != nullptr)
         m_Handle->drained();
@@ -226,10 +226,14 @@
   m_Phase = Phase::Arriving;
   m_Parser.emplace();
   m_MoreWaits = false;
-  m_Limit.start(m_Owner.limits().m_IdleLimit, [this] { idleTooLong(); });
+  watchIdle();
   updateWatch();
 }
 
+void CallerConnection::watchIdle() {
+  m_Limit.start(m_Owner.limits().m_IdleLimit, [this] { idleTooLong(); });
+}
+
 /// A process that was held up has not read yet what came in time.
 void CallerConnection::idleTooLong() {
   if (m_Parser->state() != ArrivalState::Nothing) {
@@ -459,7 +463,7 @@
   // Not from here, which may be amid the handling of the last request.
   if (!m_In.empty() && !m_Parsing)
     m_Limit.start(Duration::zero(), [this] {
-      waitForRequest();
+      watchIdle();
       takeInput();
     });
 }
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -90,6 +90,7 @@
   void refuse(RefusalReason Reason);
   void idleTooLong();
   void waitForRequest();
+  void watchIdle();
 
   void answer(const CallerAnswer &What);
   void beginStream(const CallerAnswer &Head);
--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -165,6 +165,20 @@
   BOOST_TEST(It.m_Gone == 0);
 }
 
+/// Guards against a part of the next request that is forgotten as the last one
+/// is answered.
+BOOST_AUTO_TEST_CASE(APartOfTheNextRequestIsKept) {
+  World It;
+  const auto Caller = It.sent(Get + Get.substr(0, 9));
+  BOOST_TEST(pumpUntil([&] { return It.m_Callers.size() == 1; }));
+  Caller->send(Get.substr(9, 9));
+  g_usleep(2000);
+  It.answerLast();
+  pumpFor(5ms);
+  Caller->send(Get.substr(18));
+  BOOST_TEST(pumpUntil([&] { return It.m_Callers.size() == 2; }));
+}
+
 /// Guards against a stream that is cut and looks complete.
 BOOST_AUTO_TEST_CASE(ACutStreamHasNoEnd) {
   for (const char *Version : {"1.1", "1.0"}) {
