Fix: Report a backlog as drained also if an event finds room for it

A stream to a caller that reads slowly could stop for good: its upstream was held back for the backlog, a further event of the same read found room in the socket and wrote the backlog along, and nobody was told to read on.

Seen once: entry_call_test/SlowCallerHoldsBackTheEngine failed in one of three runs beside other plays, with 1,690 bytes too few for the events sent and no end; traced to append(), which writes at once.

A backlog now goes out only when the socket reports room, which tells who waits. Test: front/ABacklogIsAlwaysReportedAsDrained, which failed before in three of three runs; SlowCallerHoldsBackTheEngine is unchanged.

What is written is forgotten while a caller reads slowly and not only at the end of its backlog.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::size_t ReadSize = 16384;
 
+/// Written bytes that may stay in memory while a caller reads slowly.
+constexpr std::size_t WrittenToForget = 64 << 10;
+
 /// How long a caller has to read its last answer and to close. Closing with
 /// unread bytes resets the connection, and the answer could be lost with it.
 constexpr Duration LingerLimit = std::chrono::seconds(1);
@@ -394,11 +397,15 @@
 void CallerConnection::append(const std::string &Bytes) {
   if (m_Phase != Phase::Streaming || Bytes.empty() || m_HeadOnly)
     return;
+  const bool Waits = m_Sent < m_Out.size();
   if (m_Chunked)
     m_Out += hex(Bytes.size()) + "\r\n" + Bytes + "\r\n";
   else
     m_Out += Bytes;
-  write();
+  // A backlog goes out when the socket reports room, which tells who waits for
+  // that.
+  if (!Waits)
+    write();
 }
 
 void CallerConnection::endStream() {
@@ -450,6 +457,9 @@
     m_Sent = 0;
     if (m_Phase == Phase::Flushing)
       flushed();
+  } else if (m_Sent >= WrittenToForget) {
+    m_Out.erase(0, m_Sent);
+    m_Sent = 0;
   }
   updateWatch();
 }
--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -223,6 +223,27 @@
   BOOST_TEST(Caller->received().size() > Given);
 }
 
+/// Guards against a stream that stops for good: its upstream is held back for
+/// the backlog, and a later event finds room and writes the backlog along.
+BOOST_AUTO_TEST_CASE(ABacklogIsAlwaysReportedAsDrained) {
+  World It;
+  const auto Caller = It.sent(Get);
+  BOOST_TEST(pumpUntil([&] { return It.m_Callers.size() == 1; }));
+  int Drained = 0;
+  It.m_Callers[0]->onDrained([&] { ++Drained; });
+  It.m_Callers[0]->beginStream(CallerAnswer());
+  const std::string Event(1 << 16, 'x');
+  while (It.m_Callers[0]->backlog() == 0)
+    It.m_Callers[0]->append(Event);
+  Caller->received();
+  It.m_Callers[0]->append("x");
+  BOOST_TEST(pumpUntil([&] {
+    Caller->received();
+    return It.m_Callers[0]->backlog() == 0;
+  }));
+  BOOST_TEST(Drained > 0);
+}
+
 /// Guards against bodies where HTTP has none, which the caller would take for
 /// the next answer.
 BOOST_AUTO_TEST_CASE(AnswersWithoutABodyHaveNone) {
