Fix: Ask in the entry whether the caller has left before a call is sent

A call began at an engine for a caller that had left, if the entry's loop got to the upstream's connection before it got to the caller's close, as after a freeze. The gateway asks at the last check; the entry did not. Suspected from reading, shown by entry_call_test/NothingIsSentForACallerThatHasLeft, which failed before in three of three runs: the whole request had been sent.

--- a/src/entry/request.cpp
+++ b/src/entry/request.cpp
@@ -226,6 +226,7 @@
   Send.m_Repeatable = m_What.m_Contract.m_Repeatable;
   Send.m_CloseAfter = !Send.m_Repeatable;
   Send.m_SendBefore = What.m_SendBefore;
+  Send.m_Wanted = [this] { return !m_Caller->hasLeft(); };
   Send.m_SilenceLimit = m_World.m_Limits.m_UpstreamSilence;
   if (const auto *Model = std::get_if<EngineCall>(&m_What.m_Call)) {
     // A number of its own for each call: a late order to cancel the last one
--- a/tests/unit/entry_call_test.cpp
+++ b/tests/unit/entry_call_test.cpp
@@ -47,6 +47,19 @@
   BOOST_TEST(Caller->has(R"("completion_tokens":2)"));
 }
 
+/// Guards against a call that begins for a caller that has left: the process
+/// gets to the upstream's socket before it gets to the caller's.
+BOOST_AUTO_TEST_CASE(NothingIsSentForACallerThatHasLeft) {
+  Bench It;
+  FakeUpstream Engine;
+  It.m_Placement.grantAt(Engine.m_Address);
+  const auto Caller = It.guide(true);
+  BOOST_REQUIRE(pumpUntil([&] { return Engine.accept() == 1; }));
+  Caller->close();
+  pumpFor(50ms);
+  BOOST_TEST(Engine.peer(0).received().empty());
+}
+
 // An engine closes in the middle of a stream. The caller sees one answer
 // without gap or repetition: the next engine is given the number of tokens
 // that the caller has, and half an event of the first is never passed on.
