--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -281,7 +281,7 @@
   It.answerLast();
   BOOST_TEST(pumpUntil([&] { return Caller->has("ok"); }));
   Caller->send(Get);
-  g_usleep(1200 * 1000);
+  g_usleep(1200000);
   BOOST_TEST(pumpUntil([&] { return It.m_Callers.size() == 2; }));
   BOOST_TEST(!Caller->closed());
 }
