Fix: Reject a table that breaks off on its way to the operators' command

Half of a table, changed and put back, would take the missing rows away.

Evidence: admin_client_test/AnAnswerThatBreaksOffIsNone; on the code before, the chunked one of its two cut answers was taken. The API states the length of each answer, so the command now asks for it and for as many bytes.

--- a/src/ctl/admin_client.cpp
+++ b/src/ctl/admin_client.cpp
@@ -16,6 +16,16 @@
   return Value == nullptr ? std::string() : std::string(Value);
 }
 
+/// libsoup takes the close of a connection for the end of a body. The API
+/// states the length of each.
+bool cameWhole(SoupMessage *Message, gsize Size) {
+  SoupMessageHeaders *Headers = soup_message_get_response_headers(Message);
+  return soup_message_headers_get_encoding(Headers) ==
+             SOUP_ENCODING_CONTENT_LENGTH &&
+         soup_message_headers_get_content_length(Headers) ==
+             static_cast<goffset>(Size);
+}
+
 } // namespace
 
 AdminClient::AdminClient(const Address &Where, std::string Key)
@@ -55,8 +65,11 @@
   const void *Data = g_bytes_get_data(Body, &Size);
   Answer.m_Body.assign(static_cast<const char *>(Data), Size);
   Answer.m_TableVersion = responseHeader(Message, "Crowstep-Table-Version");
+  const bool Whole = cameWhole(Message, Size);
   g_bytes_unref(Body);
   g_object_unref(Message);
+  if (!Whole)
+    throw AdminUnreachable(m_Where, "the answer broke off");
   return Answer;
 }
 
--- /dev/null
+++ b/tests/unit/admin_client_test.cpp
@@ -0,0 +1,32 @@
+/// The operators' command and answers that break off.
+#define BOOST_TEST_MODULE admin_client
+#include "ctl/admin_client.h"
+#include "unit/broken_upstream.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace crowstep;
+using namespace crowstep::ctl;
+using namespace crowstep::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+AdminAnswer answerTo(const std::string &Text) {
+  const BrokenUpstream Api(Text, 1, 0us);
+  AdminClient Client(Api.m_Address, "key");
+  return Client.call({"PUT", "/table", "body", ""});
+}
+
+} // namespace
+
+/// Guards against half of a table that is taken for all of it: put back after a
+/// change, it would take the missing rows away.
+BOOST_AUTO_TEST_CASE(AnAnswerThatBreaksOffIsNone) {
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  BOOST_TEST(answerTo(Ok + "Content-Length: 4\r\n\r\nrows").m_Body == "rows");
+  BOOST_TEST(answerTo(Ok + "Content-Length: 0\r\n\r\n").m_Body.empty());
+  for (const char *Cut : {"Content-Length: 9\r\n\r\nrows",
+                          "Transfer-Encoding: chunked\r\n\r\n4\r\nrows\r\n"})
+    BOOST_CHECK_THROW(answerTo(Ok + Cut), AdminUnreachable);
+}
