Test: Start instances once the platform's stand-in listens

owner_test/KilledOwnerIsReplaced failed once in a run of all tests, and in 4 of 56 provoked runs, six or four at a time: no dispatcher owned a pool right after the start. The log of a failed run: all three dispatchers began before the stand-in of the platform listened ("PlatformCallFailed instances, no connection"), took the table from it or from peers a quarter of a second later, were ready, and would have asked for the upstreams again at their next interval.

The harness waits for the stand-in's first answer. The check is as it was: 30 of 30 runs passed, six at a time.

--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -167,8 +167,28 @@
           setting("home", Homes) + Key);
 }
 
+/// Instances that start before the platform listens ask it again only after
+/// their interval, and know no upstream until then.
+void Fleet::waitForPlatform() {
+  Call Ask;
+  Ask.m_Method = "GET";
+  Ask.m_Where = m_PlatformAddress;
+  Ask.m_Path = "/";
+  std::shared_ptr<const Told> Answer;
+  const bool Listens = runUntil(
+      [&] {
+        if (Answer == nullptr || (Answer->m_Ended && Answer->m_Status == 0))
+          Answer = m_Caller.start(Ask);
+        return Answer->m_Ended && Answer->m_Status != 0;
+      },
+      20s);
+  if (!Listens)
+    throw FleetNotReady("the platform does not listen:\n" + logs());
+}
+
 void Fleet::start() {
   startPlatform();
+  waitForPlatform();
   startUpstreams();
   for (std::size_t Index = 0; Index < m_Instances.size(); ++Index)
     startInstance(Index);
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -112,6 +112,7 @@
   };
   void planUpstreams();
   void startPlatform();
+  void waitForPlatform();
   void startUpstreams();
   [[nodiscard]] std::string platformSeed() const;
 
