--- a/src/http/answer_parser.cpp
+++ b/src/http/answer_parser.cpp
@@ -70,31 +70,23 @@
 }
 
 int AnswerParser::onMessageBegin(http_parser *Parser) {
-  AnswerParser &Self = ownerOf(Parser);
-  Self.m_Headers.clear();
-  Self.m_InValue = false;
+  ownerOf(Parser).m_Pieces.clear();
   return 0;
 }
 
 int AnswerParser::onHeaderField(http_parser *Parser, const char *At,
                                 size_t Size) {
   AnswerParser &Self = ownerOf(Parser);
-  if (Self.m_HeadKnown) // Trailers are not passed on.
-    return 0;
-  if (Self.m_InValue || Self.m_Headers.empty())
-    Self.m_Headers.emplace_back();
-  Self.m_InValue = false;
-  Self.m_Headers.back().m_Name.append(At, Size);
+  if (!Self.m_HeadKnown) // Trailers are not passed on.
+    Self.m_Pieces.appendName({At, Size});
   return 0;
 }
 
 int AnswerParser::onHeaderValue(http_parser *Parser, const char *At,
                                 size_t Size) {
   AnswerParser &Self = ownerOf(Parser);
-  if (Self.m_HeadKnown)
-    return 0;
-  Self.m_InValue = true;
-  Self.m_Headers.back().m_Value.append(At, Size);
+  if (!Self.m_HeadKnown)
+    Self.m_Pieces.appendValue({At, Size});
   return 0;
 }
 
@@ -105,10 +97,9 @@
   // No call asks for another protocol.
   if (Self.status() == HttpSwitchingProtocols)
     return Fail;
-  for (HeaderField &Each : Self.m_Headers) {
+  Self.m_Headers = Self.m_Pieces.take();
+  for (HeaderField &Each : Self.m_Headers)
     Each.m_Name.resize(Each.m_Name.find_last_not_of(" \t") + 1);
-    Each.m_Value.resize(Each.m_Value.find_last_not_of(" \t") + 1);
-  }
   Self.m_HeadKnown = !Self.informational();
   return Self.withoutBody() ? SkipBody : 0;
 }
--- a/src/http/answer_parser.h
+++ b/src/http/answer_parser.h
@@ -5,7 +5,7 @@
 #ifndef CROWSTEP_HTTP_ANSWER_PARSER_H
 #define CROWSTEP_HTTP_ANSWER_PARSER_H
 
-#include "http/header_list.h"
+#include "http/header_collector.h"
 
 #include <cstdint>
 #include <http_parser.h>
@@ -59,13 +59,13 @@
   [[nodiscard]] bool informational() const;
   [[nodiscard]] bool withoutBody() const;
 
-  http_parser m_Parser{};                     ///< Points back to this object.
-  bool m_HeadOnly;                            ///< See the constructor.
-  HeaderList m_Headers;                       ///< Of the present head.
-  bool m_InValue = false;                     ///< The last piece was a value.
-  bool m_HeadKnown = false;                   ///< Of the final answer.
-  bool m_MayKeep = false;                     ///< See mayKeepConnection().
-  std::string m_Body;                         ///< Not yet taken.
+  http_parser m_Parser{};   ///< Points back to this object.
+  bool m_HeadOnly;          ///< See the constructor.
+  HeaderCollector m_Pieces; ///< Of the present head.
+  HeaderList m_Headers;     ///< Of the final answer; see headKnown().
+  bool m_HeadKnown = false; ///< Of the final answer.
+  bool m_MayKeep = false;   ///< See mayKeepConnection().
+  std::string m_Body;       ///< Not yet taken.
   AnswerState m_State = AnswerState::Reading; ///< Leaves Reading once.
 };
 
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -28,10 +28,6 @@
 constexpr unsigned HttpNoContent = 204;
 constexpr unsigned HttpNotModified = 304;
 
-bool wouldBlock(int Error) {
-  return Error == EAGAIN || Error == EWOULDBLOCK || Error == EINTR;
-}
-
 bool hasNoBody(unsigned Status) {
   return Status < HttpOk || Status == HttpNoContent ||
          Status == HttpNotModified;
--- /dev/null
+++ b/src/http/header_collector.cpp
@@ -0,0 +1,31 @@
+/// Pieces of headers.
+#include "http/header_collector.h"
+
+#include <utility>
+
+namespace crowstep {
+
+void HeaderCollector::clear() {
+  m_Headers.clear();
+  m_InValue = false;
+}
+
+void HeaderCollector::appendName(std::string_view Piece) {
+  if (m_InValue || m_Headers.empty())
+    m_Headers.emplace_back();
+  m_InValue = false;
+  m_Headers.back().m_Name.append(Piece);
+}
+
+void HeaderCollector::appendValue(std::string_view Piece) {
+  m_InValue = true;
+  m_Headers.back().m_Value.append(Piece);
+}
+
+HeaderList HeaderCollector::take() {
+  for (HeaderField &Each : m_Headers)
+    Each.m_Value.resize(Each.m_Value.find_last_not_of(" \t") + 1);
+  return std::exchange(m_Headers, {});
+}
+
+} // namespace crowstep
--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -12,8 +12,8 @@
   return *static_cast<RequestParser *>(Parser->data);
 }
 
-/// Returns whether the name ends in a blank. The library reads on as if it did
-/// not, and the next reader may not.
+/// Returns whether the name has a blank. The library reads on as if it had
+/// none, and the next reader may not.
 bool hasBlank(const HeaderField &Field) {
   return Field.m_Name.find_first_of(" \t") != std::string::npos;
 }
@@ -99,34 +99,26 @@
 int RequestParser::onHeaderField(http_parser *Parser, const char *At,
                                  size_t Size) {
   RequestParser &Self = ownerOf(Parser);
-  if (Self.m_State != ArrivalState::Head) // Trailers are not passed on.
-    return 0;
-  HeaderList &Headers = Self.m_Request.m_Headers;
-  if (Self.m_InValue || Headers.empty())
-    Headers.emplace_back();
-  Self.m_InValue = false;
-  Headers.back().m_Name.append(At, Size);
+  if (Self.m_State == ArrivalState::Head) // Trailers are not passed on.
+    Self.m_Pieces.appendName({At, Size});
   return 0;
 }
 
 int RequestParser::onHeaderValue(http_parser *Parser, const char *At,
                                  size_t Size) {
   RequestParser &Self = ownerOf(Parser);
-  if (Self.m_State != ArrivalState::Head)
-    return 0;
-  Self.m_InValue = true;
-  Self.m_Request.m_Headers.back().m_Value.append(At, Size);
+  if (Self.m_State == ArrivalState::Head)
+    Self.m_Pieces.appendValue({At, Size});
   return 0;
 }
 
 bool RequestParser::takeHead() {
+  m_Request.m_Headers = m_Pieces.take();
   if (std::ranges::any_of(m_Request.m_Headers, hasBlank))
     return false;
   m_Request.m_Method =
       http_method_str(static_cast<http_method>(m_Parser.method));
   m_Request.m_Target = pathAndQuery(m_Request.m_Target);
-  for (HeaderField &Each : m_Request.m_Headers)
-    Each.m_Value.resize(Each.m_Value.find_last_not_of(" \t") + 1);
   if (m_Parser.content_length != std::numeric_limits<std::uint64_t>::max())
     m_StatedLength = m_Parser.content_length;
   m_KeepAlive = http_should_keep_alive(&m_Parser) != 0;
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -2,7 +2,7 @@
 #ifndef CROWSTEP_HTTP_REQUEST_PARSER_H
 #define CROWSTEP_HTTP_REQUEST_PARSER_H
 
-#include "http/header_list.h"
+#include "http/header_collector.h"
 
 #include <cstdint>
 #include <http_parser.h>
@@ -73,7 +73,7 @@
 
   http_parser m_Parser{};           ///< Points back to this object.
   IncomingRequest m_Request;        ///< So far.
-  bool m_InValue = false;           ///< The last piece was a header's value.
+  HeaderCollector m_Pieces;         ///< Of the head.
   bool m_KeepAlive = false;         ///< See wantsToKeepConnection().
   std::uint64_t m_StatedLength = 0; ///< See statedLength().
   ArrivalState m_State = ArrivalState::Nothing; ///< Only goes on.
--- a/src/http/socket_state.cpp
+++ b/src/http/socket_state.cpp
@@ -1,10 +1,15 @@
 /// What can be asked of a connected socket.
 #include "http/socket_state.h"
 
+#include <cerrno>
 #include <poll.h>
 
 namespace crowstep {
 
+bool wouldBlock(int Error) {
+  return Error == EAGAIN || Error == EWOULDBLOCK || Error == EINTR;
+}
+
 bool closedByPeer(GSocket *Socket) {
   pollfd Asked = {g_socket_get_fd(Socket), POLLRDHUP, 0};
   return poll(&Asked, 1, 0) > 0;
--- a/src/http/socket_state.h
+++ b/src/http/socket_state.h
@@ -1,4 +1,4 @@
-/// What can be asked of a connected socket.
+/// What can be asked of a connected socket and of the failure of a call to it.
 #ifndef CROWSTEP_HTTP_SOCKET_STATE_H
 #define CROWSTEP_HTTP_SOCKET_STATE_H
 
@@ -13,6 +13,10 @@
 };
 using SocketPtr = std::unique_ptr<GSocket, SocketRelease>;
 
+/// Returns whether a call failed with \p Error only because it would have to
+/// wait.
+bool wouldBlock(int Error);
+
 /// Returns whether the peer has closed its sending side.
 bool closedByPeer(GSocket *Socket);
 
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -20,10 +20,6 @@
 /// given up before is never found closed by a call.
 constexpr Duration IdleLimit = std::chrono::seconds(8);
 
-bool wouldBlock(int Error) {
-  return Error == EAGAIN || Error == EWOULDBLOCK || Error == EINTR;
-}
-
 GSocketAddress *socketAddress(const Address &Where) {
   sockaddr_in Native{};
   Native.sin_family = AF_INET;
--- a/tests/benchmark/connections_benchmark.cpp
+++ b/tests/benchmark/connections_benchmark.cpp
@@ -45,15 +45,7 @@
 class BusyUpstream {
 public:
   BusyUpstream() {
-    m_Fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in Own{};
-    Own.sin_family = AF_INET;
-    Own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    (void)bind(m_Fd, reinterpret_cast<sockaddr *>(&Own), sizeof(Own));
-    listen(m_Fd, 64);
-    socklen_t Size = sizeof(Own);
-    getsockname(m_Fd, reinterpret_cast<sockaddr *>(&Own), &Size);
-    m_Address = {INADDR_LOOPBACK, ntohs(Own.sin_port)};
+    std::tie(m_Fd, m_Address) = listenOnLoopback();
     m_Thread = std::thread([this] { serve(); });
   }
   ~BusyUpstream() {
--- a/tests/unit/loopback_peer.h
+++ b/tests/unit/loopback_peer.h
@@ -12,7 +12,9 @@
 #include <memory>
 #include <string>
 #include <sys/socket.h>
+#include <tuple>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace crowstep::test {
@@ -110,19 +112,24 @@
   std::string m_Received;
 };
 
+/// Returns a socket that listens on a free port of loopback, and its address.
+inline std::pair<int, Address> listenOnLoopback() {
+  const int Fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Own{};
+  Own.sin_family = AF_INET;
+  Own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  (void)bind(Fd, reinterpret_cast<sockaddr *>(&Own), sizeof(Own));
+  listen(Fd, 64);
+  socklen_t Size = sizeof(Own);
+  getsockname(Fd, reinterpret_cast<sockaddr *>(&Own), &Size);
+  return {Fd, {INADDR_LOOPBACK, ntohs(Own.sin_port)}};
+}
+
 /// An upstream's socket; the test plays the upstream.
 class FakeUpstream {
 public:
   FakeUpstream() {
-    m_Fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in Own{};
-    Own.sin_family = AF_INET;
-    Own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    (void)bind(m_Fd, reinterpret_cast<sockaddr *>(&Own), sizeof(Own));
-    listen(m_Fd, 64);
-    socklen_t Size = sizeof(Own);
-    getsockname(m_Fd, reinterpret_cast<sockaddr *>(&Own), &Size);
-    m_Address = {INADDR_LOOPBACK, ntohs(Own.sin_port)};
+    std::tie(m_Fd, m_Address) = listenOnLoopback();
     fcntl(m_Fd, F_SETFL, O_NONBLOCK);
   }
   ~FakeUpstream() { stopListening(); }
