Fix: Read a refused body to its limit on a connection that has served before

The rest of a body that is refused was read for a second only if the connection had served a request before, and then closed with a reset, with which the refusal can be lost. How long a connection is read on after its last answer now follows from that answer.

Test: front/ARefusedBodyIsReadToItsLimit, which failed before.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -339,6 +339,7 @@
              {{"Content-Length", std::to_string(Answer.m_Body.size())}});
   m_Out += Answer.m_Body;
   m_CloseAfter = true;
+  m_Linger = m_Owner.limits().m_ReceiveLimit;
   m_Phase = Phase::Flushing;
   write();
 }
@@ -415,6 +416,7 @@
 void CallerConnection::answered() {
   m_Phase = Phase::Flushing;
   m_Served = true;
+  m_Linger = LingerLimit;
   if (Handle *Open = release())
     Open->detach();
   write();
@@ -462,7 +464,7 @@
 
 void CallerConnection::flushed() {
   if (m_CloseAfter || m_Broken) {
-    discard(m_Served ? LingerLimit : m_Owner.limits().m_ReceiveLimit);
+    discard();
     return;
   }
   waitForRequest();
@@ -474,12 +476,12 @@
     });
 }
 
-void CallerConnection::discard(Duration Limit) {
+void CallerConnection::discard() {
   m_Phase = Phase::Discarding;
   m_In.clear();
   m_MoreWaits = false;
   g_socket_shutdown(m_Socket.get(), 0, 1, nullptr);
-  m_Limit.start(Limit, [this] { close(); });
+  m_Limit.start(m_Linger, [this] { close(); });
 }
 
 } // namespace crowstep
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -104,7 +104,7 @@
   void write();
   void flushed();
   void answered();
-  void discard(Duration Limit);
+  void discard();
   void checkStillThere();
   void updateWatch();
   Handle *release();
@@ -119,6 +119,7 @@
   std::string m_In;           ///< Read and not yet parsed.
   std::string m_Out;          ///< To be written.
   std::size_t m_Sent = 0;     ///< Of m_Out, already written.
+  Duration m_Linger{};        ///< How long it is read on after its last answer.
   bool m_Parsing = false;     ///< Within takeInput().
   bool m_Served = false;      ///< A request was answered.
   bool m_Broken = false;      ///< Nothing can be written any more.
--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -179,6 +179,23 @@
   BOOST_TEST(pumpUntil([&] { return It.m_Callers.size() == 2; }));
 }
 
+/// Guards against a refusal that is lost by a reset while the caller still
+/// sends the body that was refused, on a connection that has served before.
+BOOST_AUTO_TEST_CASE(ARefusedBodyIsReadToItsLimit) {
+  World It;
+  const auto Caller = It.sent(Get);
+  BOOST_TEST(pumpUntil([&] { return It.m_Callers.size() == 1; }));
+  It.answerLast();
+  BOOST_TEST(pumpUntil([&] { return Caller->has("ok"); }));
+  Caller->send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9999\r\n\r\n");
+  for (int Piece = 0; Piece < 8; ++Piece) {
+    pumpFor(200ms);
+    BOOST_TEST(::send(Caller->fd(), "part", 4, MSG_NOSIGNAL) == 4);
+  }
+  BOOST_TEST(Caller->has("HTTP/1.1 413 "));
+  BOOST_TEST((It.m_Refused == std::vector{RefusalReason::BodyTooLarge}));
+}
+
 /// Guards against a stream that is cut and looks complete.
 BOOST_AUTO_TEST_CASE(ACutStreamHasNoEnd) {
   for (const char *Version : {"1.1", "1.0"}) {
