Change: Tell the same request's attempts apart in the log

An ended call now logs a hash of method, host, target, workspace and body, and the body's size; a connection that ended before the answer did is 'broken' rather than 'failed', which is left for answers that are spoiled or errors. Health takes both alike, as before.

--- a/src/balance/balance_type.cpp
+++ b/src/balance/balance_type.cpp
@@ -6,9 +6,9 @@
 namespace crowstep::balance {
 
 std::string_view nameOf(CallOutcome Outcome) {
-  static constexpr std::array<std::string_view, 7> Names = {
-      "served",  "failed",    "silent", "refused",
-      "leaving", "no_answer", "dropped"};
+  static constexpr std::array<std::string_view, 8> Names = {
+      "served",  "failed",    "silent",  "refused",
+      "leaving", "no_answer", "dropped", "broken"};
   return Names.at(static_cast<std::size_t>(Outcome));
 }
 
--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -79,12 +79,13 @@
 /// How a call at an upstream ended, as far as it tells of the upstream.
 enum class CallOutcome : std::uint8_t {
   Served,   ///< A whole answer.
-  Failed,   ///< An error of its own, a broken or a false answer.
+  Failed,   ///< An error of its own, or a false answer.
   Silent,   ///< Nothing came within the limit.
   Refused,  ///< It had no room.
   Leaving,  ///< It said that it is not this upstream, or is going.
   NoAnswer, ///< No connection could be made.
   Dropped,  ///< Ended from our side; says nothing.
+  Broken,   ///< Its connection ended before the answer did.
 };
 
 /// Returns the stable name in logs, such as "no_answer".
--- a/src/balance/upstream_state.cpp
+++ b/src/balance/upstream_state.cpp
@@ -35,6 +35,7 @@
     m_FailureShare *= 1 - NewestWeight;
     return;
   case CallOutcome::Failed:
+  case CallOutcome::Broken:
   case CallOutcome::Silent:
   case CallOutcome::NoAnswer:
     break;
@@ -45,7 +46,7 @@
   }
   ++m_InARow;
   m_FailureShare += NewestWeight * (1 - m_FailureShare);
-  if (Outcome != CallOutcome::Failed)
+  if (Outcome == CallOutcome::Silent || Outcome == CallOutcome::NoAnswer)
     eject(UnreachableSpan * m_InARow, Now);
   else if (m_FailureShare > SickShare || m_InARow >= GoneAfter)
     eject(SickSpan, Now);
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -181,7 +181,7 @@
     return;
   case TransportEnd::Broken:
     m_MayHaveRun = true;
-    upstreamFailed(balance::CallOutcome::Failed, closedWhen());
+    upstreamFailed(balance::CallOutcome::Broken, closedWhen());
     return;
   case TransportEnd::Complete:
     break;
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -8,11 +8,23 @@
 
 namespace crowstep::gateway {
 
+namespace {
+
+ContentHash hashOf(const IncomingRequest &Request, const Admitted &What) {
+  const std::string *Host = findHeader(Request.m_Headers, "Host");
+  return contentHashOf({Request.m_Method,
+                        Host == nullptr ? std::string_view() : *Host,
+                        Request.m_Target, What.m_Workspace, Request.m_Body});
+}
+
+} // namespace
+
 ForwardedRequest::ForwardedRequest(ForwardWorld &World, IncomingRequest Request,
                                    Admitted What, std::unique_ptr<Caller> From,
                                    std::function<void()> OnEnded)
     : m_World(World), m_Request(std::move(Request)), m_What(std::move(What)),
-      m_Caller(std::move(From)), m_OnEnded(std::move(OnEnded)),
+      m_Content(hashOf(m_Request, m_What)), m_Caller(std::move(From)),
+      m_OnEnded(std::move(OnEnded)),
       m_Stats(World.m_Stats.route(m_What.m_Route->m_Name)),
       m_Begin(World.m_Clock.now()), m_Limit(World.m_Timers),
       m_Silence(World.m_Timers) {
@@ -188,6 +200,8 @@
   if (Outcome != balance::CallOutcome::Served)
     logEvent(LogEvent::GatewayCallEnded,
              {{"request", m_What.m_Facts.m_Id},
+              {"content", toString(m_Content)},
+              {"body", std::to_string(m_Request.m_Body.size())},
               {"upstream", m_Upstream},
               {"outcome", std::string(balance::nameOf(Outcome))},
               {"status", std::to_string(m_Status)},
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -9,6 +9,7 @@
 
 #include "balance/balancer.h"
 #include "balance/retry_budget.h"
+#include "content_hash.h"
 #include "core/scheduler.h"
 #include "gateway/admission.h"
 #include "gateway/gateway_stats.h"
@@ -94,6 +95,7 @@
   ForwardWorld &m_World;            ///< Outlives the request.
   IncomingRequest m_Request;        ///< As it arrived.
   Admitted m_What;                  ///< Its route and facts.
+  ContentHash m_Content;            ///< The same in each of its attempts.
   std::unique_ptr<Caller> m_Caller; ///< Who is answered.
   std::function<void()> m_OnEnded;  ///< Empty once it has run.
   RouteStats &m_Stats;              ///< Of its route.
