--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -2,11 +2,13 @@
 #ifndef CROWSTEP_BALANCE_BALANCE_TYPE_H
 #define CROWSTEP_BALANCE_BALANCE_TYPE_H
 
+#include "content_hash.h"
 #include "core/clock.h"
 #include "prompt_type.h"
 #include "refusal_type.h"
 #include "upstream_type.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -33,14 +35,15 @@
 
 /// A call that wants an upstream.
 struct PlacementQuery {
-  std::string m_Service;           ///< Its service.
-  Urgency m_Urgency = 0;           ///< Below UrgencyCount.
-  PromptSize m_Prompt;             ///< Empty for plain calls.
-  Duration m_Target{};             ///< Latency for a good answer.
-  Duration m_LongestPause{};       ///< Between events, in time; 0: any.
-  std::vector<UpstreamId> m_Avoid; ///< Tried before.
-  bool m_MayWait = false;          ///< For room at the best upstream.
-  bool m_WaitedInVain = false;     ///< And may not wait any more.
+  std::string m_Service;                ///< Its service.
+  Urgency m_Urgency = 0;                ///< Below UrgencyCount.
+  PromptSize m_Prompt;                  ///< Empty for plain calls.
+  Duration m_Target{};                  ///< Latency for a good answer.
+  Duration m_LongestPause{};            ///< Between events, in time; 0: any.
+  std::vector<UpstreamId> m_Avoid;      ///< Tried before.
+  std::optional<ContentHash> m_Content; ///< Of the request, where known.
+  bool m_MayWait = false;               ///< For room at the best upstream.
+  bool m_WaitedInVain = false;          ///< And may not wait any more.
 };
 
 /// What an upstream was chosen by, for the logs.
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -130,6 +130,11 @@
 
 PlacementResult Balancer::place(const PlacementQuery &Query, TimePoint Now) {
   m_Peers.expire(Now);
+  if (Query.m_Content)
+    if (const Duration Left = m_Quarantine.heldFor(*Query.m_Content, Now);
+        Left > Duration::zero())
+      return NotPlaced{
+          RefusalReason::Quarantined, Left, {0, 0, 0, 0, m_Peers.size()}};
   const States From = candidates(Query, Now);
   if (From.empty())
     return NotPlaced{RefusalReason::NoUpstream,
@@ -140,7 +145,7 @@
   UpstreamState &Chosen = *chooseForPlain(From, Now);
   const PlacementInputs Why = {From.size(), callsAt(Chosen, Now), 0, 0,
                                m_Peers.size()};
-  return begin(Chosen, Query.m_Urgency, {}, Why, Now);
+  return begin(Chosen, Query, {}, Why, Now);
 }
 
 PlacementResult Balancer::placeAtEngine(const PlacementQuery &Query,
@@ -192,7 +197,7 @@
            Now);
   const bool Undisturbed = Chosen.m_UnreadTokens == 0;
   const Placed Result =
-      begin(State, Query.m_Urgency,
+      begin(State, Query,
             {Chosen.m_MissingTokens, Chosen.m_MissingTokens + outputOf(Prompt),
              Tight},
             Why, Now);
@@ -276,12 +281,13 @@
   m_NewWork[Pool] += Work;
 }
 
-Placed Balancer::begin(UpstreamState &Chosen, Urgency How,
+Placed Balancer::begin(UpstreamState &Chosen, const PlacementQuery &Query,
                        const CallTokens &Tokens, const PlacementInputs &Why,
                        TimePoint Now) {
-  Chosen.m_Own.begin(How, Tokens);
+  Chosen.m_Own.begin(Query.m_Urgency, Tokens);
   const TicketId Id(++m_LastTicket);
-  m_Tickets[Id] = {Chosen.m_Upstream.m_Id, How, Tokens, Now};
+  m_Tickets[Id] = {Chosen.m_Upstream.m_Id, Query.m_Urgency, Tokens, Now, false,
+                   Query.m_Content};
   return Placed{Id, Chosen.m_Upstream.m_Id, Chosen.m_Upstream.m_Name,
                 Chosen.m_Upstream.m_Address, Why};
 }
@@ -304,6 +310,7 @@
 void Balancer::peerSaid(InstanceId Peer, const LoadDigest &Digest,
                         TimePoint Now) {
   m_Peers.take(Peer, Digest.m_Loads, Now);
+  m_Quarantine.take(Digest.m_Crashes, Now);
   for (const auto &[Pool, Work] : Digest.m_Work)
     m_Splits[Pool].add(Work, Now);
   for (const PartPlaced &Each : Digest.m_Parts) {
@@ -326,6 +333,7 @@
   // Only the proportion matters, so it does no harm to hear it from several.
   for (const auto &[Pool, Split] : m_Splits)
     Result.m_Work[Pool] = Split.recent();
+  Result.m_Crashes = m_Quarantine.all();
   return Result;
 }
 
@@ -335,6 +343,7 @@
     State.m_Own.tell(Id, Result.m_Loads);
   Result.m_Parts = std::exchange(m_NewParts, {});
   Result.m_Work = std::exchange(m_NewWork, {});
+  Result.m_Crashes = m_Quarantine.takeNews();
   return Result;
 }
 
@@ -403,6 +412,7 @@
     State->m_Own.read(Over.m_Urgency, Over.m_Tokens.m_Unread);
     State->m_Own.end(Over.m_Urgency, Over.m_Tokens);
     State->m_Health.ended(Outcome, Now);
+    judge(Over, *State, Outcome, Now);
     if (Outcome == CallOutcome::Refused)
       State->m_FullUntil = Now + FullSpan;
     if (Outcome == CallOutcome::Leaving)
@@ -411,10 +421,25 @@
   m_Tickets.erase(Ticket);
 }
 
+/// An upstream that leaves ends its last calls without a crash.
+void Balancer::judge(const Ticket &Over, const UpstreamState &Where,
+                     CallOutcome Outcome, TimePoint Now) {
+  if (!Over.m_Content)
+    return;
+  if (Outcome == CallOutcome::Served)
+    m_Quarantine.served(*Over.m_Content);
+  else if (Outcome == CallOutcome::Broken && !Where.m_Upstream.m_Leaving &&
+           Now >= Where.m_LeavingUntil)
+    m_Quarantine.callBroken(*Over.m_Content, Over.m_Upstream, Now);
+}
+
 bool Balancer::mayBegin(TicketId Ticket, TimePoint Now) const {
   const auto Found = m_Tickets.find(Ticket);
   if (Found == m_Tickets.end())
     return false;
+  if (const auto &Content = Found->second.m_Content;
+      Content && m_Quarantine.heldFor(*Content, Now) > Duration::zero())
+    return false;
   const auto State = m_States.find(Found->second.m_Upstream);
   return State != m_States.end() && !State->second.m_Upstream.m_Leaving &&
          Now >= State->second.m_LeavingUntil;
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -9,6 +9,7 @@
 #include "balance/cache_model.h"
 #include "balance/engine_choice.h"
 #include "balance/peer_loads.h"
+#include "balance/quarantine.h"
 #include "balance/reading_speed.h"
 #include "balance/upstream_state.h"
 
@@ -22,7 +23,7 @@
   /// \p Zone is the instance's own.
   /// \p Seed differs between instances.
   explicit Balancer(AvailabilityZone Zone, std::uint64_t Seed = 1)
-      : m_Zone(std::move(Zone)), m_Random(Seed) {}
+      : m_Zone(std::move(Zone)), m_Random(Seed), m_Quarantine(Seed) {}
 
   /// Replaces the list; what is known of those that stay is kept. Calls at
   /// upstreams that went count on until they end.
@@ -47,7 +48,8 @@
   /// The call is over at the upstream. Unknown tickets are ignored.
   void ended(TicketId Ticket, CallOutcome Outcome, TimePoint Now);
 
-  /// Returns whether the upstream of a call is still listed and not leaving.
+  /// Returns whether the upstream of a call is still listed and not leaving,
+  /// and the call's request is not quarantined.
   [[nodiscard]] bool mayBegin(TicketId Ticket, TimePoint Now) const;
 
   /// Sets the memory of the engines of a service, in tokens.
@@ -61,6 +63,9 @@
     m_TightestPauses = std::move(Pauses);
   }
 
+  /// Returns the requests that may not run.
+  [[nodiscard]] Quarantine &quarantine() { return m_Quarantine; }
+
   /// Takes another instance's digest.
   void peerSaid(InstanceId Peer, const LoadDigest &Digest, TimePoint Now);
 
@@ -80,11 +85,12 @@
 
   /// A call that counts at an upstream.
   struct Ticket {
-    UpstreamId m_Upstream;      ///< May have gone from the list.
-    Urgency m_Urgency = 0;      ///< Of the call.
-    CallTokens m_Tokens;        ///< What it adds there.
-    TimePoint m_Begin;          ///< When it was placed.
-    bool m_Undisturbed = false; ///< Nothing was to be read before it.
+    UpstreamId m_Upstream;                ///< May have gone from the list.
+    Urgency m_Urgency = 0;                ///< Of the call.
+    CallTokens m_Tokens;                  ///< What it adds there.
+    TimePoint m_Begin;                    ///< When it was placed.
+    bool m_Undisturbed = false;           ///< Nothing was to be read before it.
+    std::optional<ContentHash> m_Content; ///< Of the request, where known.
   };
 
   States candidates(const PlacementQuery &Query, TimePoint Now);
@@ -99,8 +105,11 @@
   void markFull(const PlacementQuery &Query,
                 std::vector<EngineOption> &Options) const;
   void noteWork(PoolId Pool, bool Tight, double Tokens, TimePoint Now);
-  Placed begin(UpstreamState &Chosen, Urgency How, const CallTokens &Tokens,
-               const PlacementInputs &Why, TimePoint Now);
+  Placed begin(UpstreamState &Chosen, const PlacementQuery &Query,
+               const CallTokens &Tokens, const PlacementInputs &Why,
+               TimePoint Now);
+  void judge(const Ticket &Over, const UpstreamState &Where,
+             CallOutcome Outcome, TimePoint Now);
   UpstreamState *chooseForPlain(const States &From, TimePoint Now) const;
   [[nodiscard]] double callsAt(const UpstreamState &State, TimePoint Now) const;
   [[nodiscard]] double callsAt(const UpstreamState &State,
@@ -109,6 +118,7 @@
 
   AvailabilityZone m_Zone;                          ///< Own.
   std::mt19937_64 m_Random;                         ///< For choices.
+  Quarantine m_Quarantine;                          ///< Of requests.
   ReadingSpeed m_Speed;                             ///< Of engines.
   PeerLoads m_Peers;                                ///< By digests.
   CacheModel m_Cache;                               ///< Of engines.
--- a/src/balance/digest_sum.cpp
+++ b/src/balance/digest_sum.cpp
@@ -10,12 +10,15 @@
   m_Parts.insert(m_Parts.end(), Digest.m_Parts.begin(), Digest.m_Parts.end());
   for (const auto &[Pool, Work] : Digest.m_Work)
     m_Work[Pool] += Work;
+  m_Crashes.insert(m_Crashes.end(), Digest.m_Crashes.begin(),
+                   Digest.m_Crashes.end());
 }
 
 void DigestSum::clear() {
   m_Loads.clear();
   m_Parts.clear();
   m_Work.clear();
+  m_Crashes.clear();
 }
 
 LoadDigest DigestSum::takeSum(TimePoint Now) {
@@ -24,6 +27,7 @@
   m_Loads.tell(Result.m_Loads);
   Result.m_Parts = std::exchange(m_Parts, {});
   Result.m_Work = std::exchange(m_Work, {});
+  Result.m_Crashes = std::exchange(m_Crashes, {});
   return Result;
 }
 
--- a/src/balance/digest_sum.h
+++ b/src/balance/digest_sum.h
@@ -8,8 +8,8 @@
 
 class DigestSum {
 public:
-  /// Replaces the loads that \p From said before; its parts and its work add up
-  /// until they are taken.
+  /// Replaces the loads that \p From said before; the rest adds up until it is
+  /// taken.
   void take(InstanceId From, const LoadDigest &Digest, TimePoint Now);
 
   /// Forgets an instance's loads.
@@ -18,14 +18,15 @@
   /// Forgets everything.
   void clear();
 
-  /// Returns the sum of the loads said lately, and the parts and the work since
-  /// the last time.
+  /// Returns the sum of the loads said lately, and the rest since the last
+  /// time.
   LoadDigest takeSum(TimePoint Now);
 
 private:
   PeerLoads m_Loads;                             ///< What was said last.
   std::vector<PartPlaced> m_Parts;               ///< Not yet taken.
   std::unordered_map<PoolId, WorkTokens> m_Work; ///< Not yet taken.
+  std::vector<CrashNews> m_Crashes;              ///< Not yet taken.
 };
 
 } // namespace crowstep::balance
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -3,6 +3,7 @@
 #define CROWSTEP_BALANCE_PEER_LOADS_H
 
 #include "balance/balance_type.h"
+#include "balance/quarantine.h"
 #include "balance/role_split.h"
 #include "core/clock.h"
 #include "upstream_type.h"
@@ -101,10 +102,11 @@
   std::vector<UpstreamLoad> m_Loads; ///< All upstreams where it has calls.
   std::vector<PartPlaced> m_Parts;   ///< Since its last digest.
   std::unordered_map<PoolId, WorkTokens> m_Work; ///< Since its last digest.
+  std::vector<CrashNews> m_Crashes;              ///< Since its last digest.
 
   /// Returns whether there is nothing to tell.
   [[nodiscard]] bool empty() const {
-    return m_Loads.empty() && m_Parts.empty();
+    return m_Loads.empty() && m_Parts.empty() && m_Crashes.empty();
   }
 };
 
--- /dev/null
+++ b/src/balance/quarantine.cpp
@@ -0,0 +1,185 @@
+/// Counting of crashes and what follows from them.
+#include "balance/quarantine.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace crowstep::balance {
+
+namespace {
+
+/// Lapses differ between instances by up to this part.
+constexpr double LapseSpread = 0.5;
+
+/// A crash in the last part of a quarantine is one of another instance where it
+/// has lapsed; before that, of a call that was on its way when it began.
+constexpr int LastPart = 2;
+
+} // namespace
+
+std::string_view nameOf(ClearReason Reason) {
+  static constexpr std::array<std::string_view, 4> Names = {
+      "served", "served_elsewhere", "unlisted", "forgotten"};
+  return Names.at(static_cast<std::size_t>(Reason));
+}
+
+Quarantine::Quarantine(std::uint64_t Seed) {
+  constexpr std::uint64_t Steps = 1024;
+  m_Spread = static_cast<double>(Seed % Steps) / Steps;
+}
+
+void Quarantine::callBroken(const ContentHash &Request, UpstreamId Upstream,
+                            TimePoint Now) {
+  while (!m_Broken.empty() && (Now - m_Broken.front().m_At > BrokenLife ||
+                               m_Broken.size() >= MostRequests))
+    m_Broken.pop_front();
+  m_Broken.push_back({Request, Upstream, Now});
+}
+
+std::size_t Quarantine::upstreamDown(UpstreamId Upstream, TimePoint Now) {
+  std::vector<ContentHash> Suspects;
+  std::erase_if(m_Broken, [&](const Broken &Each) {
+    if (Each.m_Upstream != Upstream)
+      return false;
+    if (Now - Each.m_At <= BrokenLife)
+      Suspects.push_back(Each.m_Request);
+    return true;
+  });
+  for (const ContentHash &Request : Suspects)
+    crashed(Request, Upstream, true, Now);
+  return Suspects.size();
+}
+
+void Quarantine::crashed(const ContentHash &Request, UpstreamId Upstream,
+                         bool Own, TimePoint Now) {
+  Record &What = m_Records[Request];
+  if (!What.quarantined() && Now - What.m_LastAt > SuspectLife)
+    What.m_Crashes.clear();
+  What.m_Own = What.m_Own || Own;
+  if (!What.m_Crashes.insert(Upstream).second)
+    return;
+  What.m_LastAt = Now;
+  if (Own)
+    tell({Request, Upstream});
+  if (What.m_Crashes.size() >= MostCrashes &&
+      What.m_HeldUntil - Now <= What.m_Lapse / LastPart)
+    hold(Request, What, Now);
+  makeRoom();
+}
+
+void Quarantine::hold(const ContentHash &Request, Record &What, TimePoint Now) {
+  if (!What.quarantined()) {
+    ++m_Size;
+    What.m_Lapse = std::chrono::duration_cast<Duration>(
+        FirstLapse * (1 + LapseSpread * m_Spread));
+  } else {
+    What.m_Lapse = std::min(What.m_Lapse * LapseGrowth, LongestLapse);
+  }
+  What.m_HeldUntil = Now + What.m_Lapse;
+  if (m_Listener != nullptr)
+    m_Listener->quarantined(Request, What.m_Crashes.size(), What.m_Lapse);
+}
+
+void Quarantine::served(const ContentHash &Request) {
+  if (!m_Records.contains(Request))
+    return;
+  tell({Request, std::nullopt});
+  if (m_Listed.contains(Request))
+    m_WronglyListed.insert(Request);
+  clear(Request, ClearReason::Served);
+}
+
+void Quarantine::clear(const ContentHash &Request, ClearReason Why) {
+  const auto Node = m_Records.extract(Request);
+  if (Node.empty() || !Node.mapped().quarantined())
+    return;
+  --m_Size;
+  if (m_Listener != nullptr)
+    m_Listener->cleared(Request, Why);
+}
+
+void Quarantine::tell(const CrashNews &News) {
+  if (m_News.size() < MostNews)
+    m_News.push_back(News);
+}
+
+void Quarantine::take(const std::vector<CrashNews> &News, TimePoint Now) {
+  for (const CrashNews &Each : News)
+    if (Each.m_Upstream)
+      crashed(Each.m_Request, *Each.m_Upstream, false, Now);
+    else
+      clear(Each.m_Request, ClearReason::ServedElsewhere);
+}
+
+std::vector<CrashNews> Quarantine::takeNews() {
+  return std::exchange(m_News, {});
+}
+
+std::vector<CrashNews> Quarantine::all() const {
+  std::vector<CrashNews> Result;
+  for (const bool Held : {true, false})
+    for (const auto &[Request, What] : m_Records) {
+      if (What.quarantined() != Held)
+        continue;
+      for (const UpstreamId Upstream : What.m_Crashes) {
+        if (Result.size() >= MostNews)
+          return Result;
+        Result.push_back({Request, Upstream});
+      }
+    }
+  return Result;
+}
+
+void Quarantine::setListed(const std::set<ContentHash> &Listed, TimePoint Now) {
+  const std::set<ContentHash> Before = std::exchange(m_Listed, Listed);
+  std::erase_if(m_WronglyListed, [&](const ContentHash &Each) {
+    return !Listed.contains(Each);
+  });
+  for (const ContentHash &Request : Before)
+    if (!Listed.contains(Request))
+      clear(Request, ClearReason::Unlisted);
+  for (const ContentHash &Request : Listed) {
+    if (Before.contains(Request))
+      continue;
+    Record &What = m_Records[Request];
+    What.m_LastAt = Now;
+    if (!What.quarantined())
+      hold(Request, What, Now);
+  }
+  makeRoom();
+}
+
+std::vector<ContentHash> Quarantine::unlisted() const {
+  std::vector<ContentHash> Result;
+  for (const auto &[Request, What] : m_Records)
+    if (What.quarantined() && What.m_Own && !m_Listed.contains(Request))
+      Result.push_back(Request);
+  return Result;
+}
+
+Duration Quarantine::heldFor(const ContentHash &Request, TimePoint Now) const {
+  const auto Found = m_Records.find(Request);
+  return Found == m_Records.end()
+             ? Duration::zero()
+             : std::max(Found->second.m_HeldUntil - Now, Duration::zero());
+}
+
+std::size_t Quarantine::crashesOf(const ContentHash &Request) const {
+  const auto Found = m_Records.find(Request);
+  return Found == m_Records.end() ? 0 : Found->second.m_Crashes.size();
+}
+
+void Quarantine::makeRoom() {
+  while (m_Records.size() > MostRequests) {
+    const auto Oldest = std::min_element(
+        m_Records.begin(), m_Records.end(),
+        [](const auto &Left, const auto &Right) {
+          return std::pair(Left.second.quarantined(), Left.second.m_LastAt) <
+                 std::pair(Right.second.quarantined(), Right.second.m_LastAt);
+        });
+    clear(ContentHash(Oldest->first), ClearReason::Forgotten);
+  }
+}
+
+} // namespace crowstep::balance
--- /dev/null
+++ b/src/gateway/crash_watch.cpp
@@ -0,0 +1,100 @@
+/// Probes of upstreams where calls broke, and the list of quarantined requests.
+#include "gateway/crash_watch.h"
+
+#include "core/log.h"
+
+#include <utility>
+
+namespace crowstep::gateway {
+
+CrashWatch::CrashWatch(const Clock &Time, Scheduler &Timers,
+                       balance::Balancer &Loads, UpstreamProber &Prober,
+                       Metrics &Stats)
+    : m_Clock(Time), m_Balancer(Loads), m_Prober(Prober),
+      m_Crashes(Stats.counter("crowstep_upstream_crashes_total")),
+      m_Quarantined(Stats.gauge("crowstep_requests_quarantined")),
+      m_KeepList(Timers), m_Sweep(Timers) {
+  m_Balancer.quarantine().setListener(this);
+}
+
+CrashWatch::~CrashWatch() { m_Balancer.quarantine().setListener(nullptr); }
+
+void CrashWatch::callBroken(UpstreamId Which, const Address &Where) {
+  if (m_Probes.contains(Which))
+    return;
+  m_Probes[Which] =
+      m_Prober.probe(Where, ProbeLimit, [this, Which](ConnectOutcome Result) {
+        probed(Which, Result);
+      });
+}
+
+void CrashWatch::probed(UpstreamId Which, ConnectOutcome Result) {
+  auto Node = m_Probes.extract(Which);
+  m_Ended.push_back(std::move(Node.mapped()));
+  // The probe itself is on the stack.
+  m_Sweep.start(Duration::zero(), [this] { m_Ended.clear(); });
+  if (Result == ConnectOutcome::Refused)
+    upstreamDown(Which, "refuses connections");
+}
+
+void CrashWatch::upstreamsChanged(const std::vector<Upstream> &All) {
+  std::map<UpstreamId, Listed> Present;
+  for (const Upstream &Each : All)
+    Present[Each.m_Id] = {Each.m_Name, Each.m_Leaving};
+  for (const auto &[Which, Known] : m_Upstreams)
+    if (!Known.m_Leaving && !Present.contains(Which))
+      upstreamDown(Which, "no longer listed");
+  m_Upstreams = std::move(Present);
+}
+
+void CrashWatch::upstreamDown(UpstreamId Which, std::string_view Why) {
+  const TimePoint Now = m_Clock.now();
+  const std::size_t Calls = m_Balancer.quarantine().upstreamDown(Which, Now);
+  if (Calls == 0)
+    return;
+  m_Crashes.add();
+  logEvent(LogEvent::GatewayUpstreamDown,
+           {{"upstream", m_Upstreams[Which].m_Name},
+            {"why", std::string(Why)},
+            {"calls", std::to_string(Calls)}});
+  m_LastCrash = Now;
+  if (!m_KeepList.running())
+    m_KeepList.start(ListAfter, [this] { keepList(); });
+}
+
+void CrashWatch::quarantineChanged(const std::set<ContentHash> &Listed) {
+  m_Balancer.quarantine().setListed(Listed, m_Clock.now());
+}
+
+void CrashWatch::quarantined(const ContentHash &Request, std::size_t Crashes,
+                             Duration Span) {
+  m_Quarantined.set(static_cast<double>(m_Balancer.quarantine().size()));
+  logEvent(LogEvent::GatewayQuarantined,
+           {{"content", toString(Request)},
+            {"crashes", std::to_string(Crashes)},
+            {"span_us", std::to_string(Span.count())}});
+}
+
+void CrashWatch::cleared(const ContentHash &Request, balance::ClearReason Why) {
+  m_Quarantined.set(static_cast<double>(m_Balancer.quarantine().size()));
+  logEvent(LogEvent::GatewayQuarantineEnded,
+           {{"content", toString(Request)}, {"why", std::string(nameOf(Why))}});
+  if (Why == balance::ClearReason::Served && !m_KeepList.running())
+    m_KeepList.start(Duration::zero(), [this] { keepList(); });
+}
+
+/// Writes may be lost; the list itself shows whether they took effect.
+void CrashWatch::keepList() {
+  const balance::Quarantine &Known = m_Balancer.quarantine();
+  const std::vector<ContentHash> Unlisted = Known.unlisted();
+  for (const ContentHash &Request : Unlisted)
+    m_List->listQuarantined(Request);
+  for (const ContentHash &Request : Known.wronglyListed())
+    m_List->unlistQuarantined(Request);
+  if (!Unlisted.empty() || !Known.wronglyListed().empty())
+    m_KeepList.start(ListAgainAfter, [this] { keepList(); });
+  else if (m_Clock.now() - m_LastCrash < KeepWatchFor)
+    m_KeepList.start(ListAfter, [this] { keepList(); });
+}
+
+} // namespace crowstep::gateway
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -20,6 +20,10 @@
     Into->work.emplace_back(Pool.value(),
                             static_cast<std::uint32_t>(Work.m_Short),
                             static_cast<std::uint32_t>(Work.m_Long));
+  for (const balance::CrashNews &Each : What.m_Crashes)
+    Into->crashes.emplace_back(Each.m_Request.m_High, Each.m_Request.m_Low,
+                               Each.m_Upstream.value_or(UpstreamId()).value(),
+                               !Each.m_Upstream);
 }
 
 balance::LoadDigest unpacked(const wire::GatewayDigest &From) {
@@ -39,6 +43,12 @@
       Result.m_Work[PoolId(Each->pool())] +=
           {static_cast<double>(Each->short_tokens()),
            static_cast<double>(Each->long_tokens())};
+  if (From.crashes() != nullptr)
+    for (const wire::RequestCrash *Each : *From.crashes())
+      Result.m_Crashes.push_back(
+          {{Each->request_high(), Each->request_low()},
+           Each->clears() ? std::nullopt
+                          : std::optional(UpstreamId(Each->upstream()))});
   return Result;
 }
 
--- a/src/gateway/digest_codec.h
+++ b/src/gateway/digest_codec.h
@@ -10,8 +10,8 @@
 namespace crowstep::gateway {
 
 /// Puts \p What where a frame's digest is assembled. Two digests of one loop
-/// iteration go out as one: the loads are those of the later, parts and work
-/// add up.
+/// iteration go out as one: the loads are those of the later, the rest
+/// adds up.
 void pack(const balance::LoadDigest &What,
           std::unique_ptr<wire::GatewayDigestT> &Into);
 
--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -76,8 +76,12 @@
 void DigestExchange::linkUp(link::LinkId Link, const link::Peer &Who) {
   const Linked Fresh = {Who.m_Instance, Who.m_Zone, false};
   m_Up[Link] = Fresh;
-  if (!isNear(Fresh))
+  if (!isNear(Fresh)) {
+    // What was told while the link was down is not told again.
+    if (m_Hub)
+      pack(crashesKnown(), m_Links->outbox(Link).zone_sum);
     return;
+  }
   // One that has just started learns what engines keep; from the hub alone
   // where there are many, since that is a long message.
   if (m_Plan.m_Hubs.empty() || m_Hub)
@@ -218,6 +222,18 @@
   m_Balancer.peerGone(elsewhere());
   for (const auto &[Link, Peer] : m_Up)
     m_Balancer.peerGone(idOf(Peer.m_Zone));
+  if (!Hub)
+    return;
+  // The hub before may have gone with news that it had not passed on.
+  const balance::LoadDigest Known = crashesKnown();
+  m_OwnZone.take(instanceIdOf(m_Self.m_Name), Known, m_Clock.now());
+  m_OtherZones.take(elsewhere(), Known, m_Clock.now());
+}
+
+balance::LoadDigest DigestExchange::crashesKnown() const {
+  balance::LoadDigest Result;
+  Result.m_Crashes = m_Balancer.quarantine().all();
+  return Result;
 }
 
 void DigestExchange::relay(const balance::LoadDigest &Own) {
--- a/src/gateway/digest_exchange.h
+++ b/src/gateway/digest_exchange.h
@@ -79,6 +79,7 @@
   void tellNear(const balance::LoadDigest &Own);
   void relay(const balance::LoadDigest &Own);
   void becomeHub(bool Hub);
+  [[nodiscard]] balance::LoadDigest crashesKnown() const;
   void takeUpdates(Linked &From, const wire::Frame &Frame);
   void dropUpdate(Linked &From);
   [[nodiscard]] bool isNear(const Linked &Which) const;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -2,12 +2,14 @@
 #ifndef CROWSTEP_GATEWAY_DIRECTORY_H
 #define CROWSTEP_GATEWAY_DIRECTORY_H
 
+#include "content_hash.h"
 #include "core/strong_id.h"
 #include "gateway/route_table.h"
 #include "upstream_type.h"
 
 #include <chrono>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -77,6 +79,9 @@
   /// The whole list of instances.
   virtual void peersChanged(const PeerList &List) = 0;
 
+  /// The whole list of requests that crash upstreams.
+  virtual void quarantineChanged(const std::set<ContentHash> &Listed) = 0;
+
   /// What was just read, for the instances of the own zone. Comes in the roles
   /// of reader and deputy only.
   virtual void directoryRead(const DirectoryUpdate &Update) = 0;
@@ -94,6 +99,12 @@
   /// Takes this instance off the list; nothing waits for it.
   virtual void leave() = 0;
 
+  /// Lists a request that crashes upstreams, for instances that start later,
+  /// or takes it off the list. Nothing tells whether that succeeded but the
+  /// list itself.
+  virtual void listQuarantined(const ContentHash &Request) = 0;
+  virtual void unlistQuarantined(const ContentHash &Request) = 0;
+
   /// Sets what this instance does for its zone; at first it reads alone.
   virtual void setReadingRole(ReadingRole Role) = 0;
 
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -181,6 +181,7 @@
     return;
   case TransportEnd::Broken:
     m_MayHaveRun = true;
+    m_World.m_Crashes.callBroken(m_Tried.back(), m_Address);
     upstreamFailed(balance::CallOutcome::Broken, closedWhen());
     return;
   case TransportEnd::Complete:
@@ -282,6 +283,7 @@
   logEvent(
       Served ? LogEvent::GatewayRequestServed : LogEvent::GatewayRequestFailed,
       {{"request", m_What.m_Facts.m_Id},
+       {"content", toString(m_Content)},
        {"route", m_What.m_Route->m_Name},
        {"outcome", std::string(Outcome)},
        {"status", std::to_string(m_Status)},
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -83,6 +83,7 @@
   if (const EventStream *Stream = stream())
     Query.m_LongestPause = Stream->m_LongestPause;
   Query.m_Avoid = m_Tried;
+  Query.m_Content = m_Content;
   Query.m_MayWait = mayWait();
   Query.m_WaitedInVain = m_WaitedInVain;
   const auto Result = m_World.m_Balancer.place(Query, m_World.m_Clock.now());
@@ -128,6 +129,7 @@
 void ForwardedRequest::send(const balance::Placed &Where) {
   m_Ticket = Where.m_Ticket;
   m_Upstream = Where.m_Name;
+  m_Address = Where.m_Address;
   m_Why = Where.m_Why;
   m_Tried.push_back(Where.m_Upstream);
   m_Status = 0;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -12,6 +12,7 @@
 #include "content_hash.h"
 #include "core/scheduler.h"
 #include "gateway/admission.h"
+#include "gateway/crash_watch.h"
 #include "gateway/gateway_stats.h"
 #include "gateway/waiting_room.h"
 #include "http/caller.h"
@@ -30,6 +31,7 @@
   balance::Balancer &m_Balancer;    ///< Chooses upstreams.
   balance::RetryBudget &m_Budget;   ///< Bounds repeats.
   UpstreamCaller &m_Upstream;       ///< Sends.
+  CrashWatch &m_Crashes;            ///< Hears of broken calls.
   const HeaderCodec &m_Codec;       ///< Reads and writes headers.
   GatewayStats &m_Stats;            ///< Counts.
   WaitingRoom &m_Waiting;           ///< For room at engines.
@@ -111,6 +113,7 @@
   std::unique_ptr<UpstreamCall> m_Call; ///< Null between calls.
   balance::TicketId m_Ticket;           ///< Of m_Call.
   std::string m_Upstream;               ///< Name, of the last call.
+  Address m_Address;                    ///< Of the last call.
   balance::PlacementInputs m_Why;       ///< Of the last placement.
   TimePoint m_FirstEvent{};             ///< When the caller got it.
   TimePoint m_LastEvent{};              ///< When the caller got the last one.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -57,6 +57,7 @@
       m_Balancer(m_Settings.m_Zone, m_Random()),
       m_Budget(m_Settings.m_RetryBudget), m_Waiting(m_Timers),
       m_Upstream(m_Clock, m_Timers),
+      m_Crashes(m_Clock, m_Timers, m_Balancer, m_Upstream, m_Metrics),
       m_Parts(Make(m_Clock, m_Timers, m_Metrics)),
       m_Exchange(
           selfOf(m_Settings),
@@ -72,6 +73,7 @@
               m_Balancer,
               m_Budget,
               m_Upstream,
+              m_Crashes,
               *m_Parts.m_Codec,
               m_Stats,
               m_Waiting,
@@ -85,6 +87,7 @@
 Gateway::~Gateway() = default;
 
 void Gateway::start() {
+  m_Crashes.start(*m_Parts.m_Directory);
   m_Parts.m_Directory->start(*this, selfOf(m_Settings));
   m_Probes.listen(m_Settings.m_Probes,
                   [this](SoupServerMessage *Message, const char *Path) {
@@ -115,9 +118,14 @@
 
 void Gateway::upstreamsChanged(const std::vector<Upstream> &List) {
   m_KnowsUpstreams = true;
+  m_Crashes.upstreamsChanged(List);
   m_Balancer.setUpstreams(List);
 }
 
+void Gateway::quarantineChanged(const std::set<ContentHash> &Listed) {
+  m_Crashes.quarantineChanged(Listed);
+}
+
 std::unique_ptr<link::Links> Gateway::openLinks(const std::string &Key,
                                                 link::LinkListener &Listener) {
   link::LinkConfig Config;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,7 @@
   std::unique_ptr<link::Links> openLinks(const std::string &Key,
                                          link::LinkListener &Listener);
   void peersChanged(const PeerList &List) override;
+  void quarantineChanged(const std::set<ContentHash> &Listed) override;
   void directoryRead(const DirectoryUpdate &Update) override;
 
   void handle(IncomingRequest Request, std::unique_ptr<Caller> From);
@@ -65,6 +66,7 @@
   balance::RetryBudget m_Budget; ///< Bounds repeats.
   WaitingRoom m_Waiting;         ///< For room at engines.
   HttpUpstreamCaller m_Upstream; ///< Sends.
+  CrashWatch m_Crashes;          ///< Of upstreams under calls.
   Parts m_Parts;                 ///< See Parts.
   DigestExchange m_Exchange;     ///< With the other instances.
   ForwardWorld m_World;          ///< For requests.
--- a/src/http/refusal_answer.cpp
+++ b/src/http/refusal_answer.cpp
@@ -54,6 +54,8 @@
     return "The time for this call is over.";
   case RefusalReason::UpstreamFailed:
     return "The upstream failed.";
+  case RefusalReason::Quarantined:
+    return "This request made upstreams crash and is not run for a while.";
   case RefusalReason::ShuttingDown:
     return "This instance is leaving; another one will serve.";
   case RefusalReason::NotInForce:
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -132,11 +132,13 @@
 }
 
 void HttpUpstreamCall::open() {
-  m_Connection = UpstreamConnection::open(m_Where, *this);
-  if (m_Connection == nullptr) {
+  auto Opened = UpstreamConnection::open(m_Where, *this);
+  if (std::holds_alternative<ConnectOutcome>(Opened)) {
     endSoon(m_Started ? TransportEnd::Broken : TransportEnd::NotSent);
     return;
   }
+  m_Connection =
+      std::get<std::unique_ptr<UpstreamConnection>>(std::move(Opened));
   m_Connecting = true;
   updateWatch();
   watchConnecting();
@@ -178,7 +180,7 @@
 }
 
 void HttpUpstreamCall::connected() {
-  if (!m_Connection->connected()) {
+  if (m_Connection->connected() != ConnectOutcome::Stands) {
     fail();
     return;
   }
@@ -306,8 +308,52 @@
   m_Listener.upstreamEnded(How);
 }
 
+/// A connection that is opened to see whether anybody listens.
+class HttpUpstreamProbe final : public UpstreamProbe, public SocketListener {
+public:
+  HttpUpstreamProbe(Scheduler &Timers, IdleConnections &Idle,
+                    const Address &Where, Duration Limit, ProbeDone OnDone)
+      : m_Idle(Idle), m_Where(Where), m_Done(std::move(OnDone)),
+        m_Limit(Timers) {
+    auto Opened = UpstreamConnection::open(Where, *this);
+    if (const auto *Failure = std::get_if<ConnectOutcome>(&Opened)) {
+      m_Limit.start(Duration::zero(), [this, Why = *Failure] { m_Done(Why); });
+      return;
+    }
+    m_Connection =
+        std::get<std::unique_ptr<UpstreamConnection>>(std::move(Opened));
+    m_Connection->watch().watchFor({.m_Write = true});
+    m_Limit.start(Limit, [this] { m_Done(ConnectOutcome::Failed); });
+  }
+
+private:
+  /// The owner may destroy the probe, so nothing follows m_Done.
+  void socketReady(SocketEvents) override {
+    m_Limit.stop();
+    const ConnectOutcome Result = m_Connection->connected();
+    if (Result == ConnectOutcome::Stands)
+      m_Idle.keep(m_Where, std::move(m_Connection));
+    else
+      m_Connection.reset();
+    m_Done(Result);
+  }
+
+  IdleConnections &m_Idle; ///< Outlives the probe.
+  Address m_Where;         ///< Of the upstream.
+  ProbeDone m_Done;        ///< Never empty.
+  Timer m_Limit;           ///< Or the outcome of the opening.
+  std::unique_ptr<UpstreamConnection> m_Connection; ///< Null once it failed.
+};
+
 } // namespace
 
+std::unique_ptr<UpstreamProbe> HttpUpstreamCaller::probe(const Address &Where,
+                                                         Duration Limit,
+                                                         ProbeDone OnDone) {
+  return std::make_unique<HttpUpstreamProbe>(m_Timers, m_Idle, Where, Limit,
+                                             std::move(OnDone));
+}
+
 std::unique_ptr<UpstreamCall>
 HttpUpstreamCaller::send(const UpstreamSend &What, UpstreamListener &Listener) {
   return std::make_unique<HttpUpstreamCall>(m_Clock, m_Timers, m_Idle, What,
--- a/src/http/upstream_call.h
+++ b/src/http/upstream_call.h
@@ -69,8 +69,25 @@
                                              UpstreamListener &Listener) = 0;
 };
 
+/// A probe on its way; destroying it ends it.
+class UpstreamProbe {
+public:
+  virtual ~UpstreamProbe() = default;
+};
+
+using ProbeDone = std::function<void(ConnectOutcome)>;
+
+/// Finds out whether anybody listens at an upstream's address; mocked in tests.
+class UpstreamProber {
+public:
+  virtual ~UpstreamProber() = default;
+  /// \p OnDone runs once, not from within probe(), and may destroy the probe.
+  virtual std::unique_ptr<UpstreamProbe>
+  probe(const Address &Where, Duration Limit, ProbeDone OnDone) = 0;
+};
+
 /// Calls over HTTP/1.1; outlives them.
-class HttpUpstreamCaller final : public UpstreamCaller {
+class HttpUpstreamCaller final : public UpstreamCaller, public UpstreamProber {
 public:
   HttpUpstreamCaller(const Clock &Time, Scheduler &Timers)
       : m_Clock(Time), m_Timers(Timers), m_Idle(Time, Timers) {}
@@ -81,6 +98,10 @@
   std::unique_ptr<UpstreamCall> send(const UpstreamSend &What,
                                      UpstreamListener &Listener) override;
 
+  /// A connection that stands is kept for the next call.
+  std::unique_ptr<UpstreamProbe> probe(const Address &Where, Duration Limit,
+                                       ProbeDone OnDone) override;
+
 private:
   const Clock &m_Clock;   ///< Outlives the caller.
   Scheduler &m_Timers;    ///< Outlives the caller.
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -28,32 +28,41 @@
   return g_socket_address_new_from_native(&Native, sizeof(Native));
 }
 
-/// Returns whether the socket is connecting or connected.
-bool beginConnecting(GSocket *Socket, const Address &Where) {
+/// Returns what became of a connection, and frees \p Failure.
+ConnectOutcome outcomeOf(GError *Failure) {
+  if (Failure == nullptr)
+    return ConnectOutcome::Stands;
+  const bool Refused =
+      g_error_matches(Failure, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) != 0;
+  g_error_free(Failure);
+  return Refused ? ConnectOutcome::Refused : ConnectOutcome::Failed;
+}
+
+/// Returns Stands where the socket is connecting or connected.
+ConnectOutcome beginConnecting(GSocket *Socket, const Address &Where) {
   GSocketAddress *Target = socketAddress(Where);
   GError *Failure = nullptr;
   g_socket_connect(Socket, Target, nullptr, &Failure);
   g_object_unref(Target);
-  const bool Begun =
-      Failure == nullptr ||
-      g_error_matches(Failure, G_IO_ERROR, G_IO_ERROR_PENDING) != 0;
-  g_clear_error(&Failure);
-  return Begun;
+  if (g_error_matches(Failure, G_IO_ERROR, G_IO_ERROR_PENDING) != 0)
+    g_clear_error(&Failure);
+  return outcomeOf(Failure);
 }
 
 } // namespace
 
-std::unique_ptr<UpstreamConnection>
+std::variant<std::unique_ptr<UpstreamConnection>, ConnectOutcome>
 UpstreamConnection::open(const Address &Where, SocketListener &Listener) {
   SocketPtr Socket(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
                                 G_SOCKET_PROTOCOL_TCP, nullptr));
   if (Socket == nullptr) // Out of descriptors.
-    return nullptr;
+    return ConnectOutcome::Failed;
   g_socket_set_blocking(Socket.get(), 0);
   g_socket_set_option(Socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
   probeConnection(Socket.get());
-  if (!beginConnecting(Socket.get(), Where))
-    return nullptr;
+  if (const ConnectOutcome Begun = beginConnecting(Socket.get(), Where);
+      Begun != ConnectOutcome::Stands)
+    return Begun;
   return std::unique_ptr<UpstreamConnection>(
       new UpstreamConnection(std::move(Socket), Listener));
 }
@@ -71,8 +80,10 @@
   return g_socket_get_fd(m_Socket.get());
 }
 
-bool UpstreamConnection::connected() {
-  return g_socket_check_connect_result(m_Socket.get(), nullptr) != 0;
+ConnectOutcome UpstreamConnection::connected() {
+  GError *Failure = nullptr;
+  g_socket_check_connect_result(m_Socket.get(), &Failure);
+  return outcomeOf(Failure);
 }
 
 std::optional<std::size_t> UpstreamConnection::write(std::string_view Bytes) {
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace crowstep {
@@ -23,19 +24,26 @@
   Failed,  ///< The connection is broken.
 };
 
+/// Whether a connection came to stand.
+enum class ConnectOutcome : std::uint8_t {
+  Stands,  ///< It does.
+  Refused, ///< The machine is there, and nobody listens.
+  Failed,  ///< For any other reason.
+};
+
 /// One TCP connection; destroying it closes it.
 class UpstreamConnection {
 public:
-  /// Begins to connect to \p Where; null if that fails at once. The connection
-  /// becomes writable once it stands or has failed.
-  static std::unique_ptr<UpstreamConnection> open(const Address &Where,
-                                                  SocketListener &Listener);
+  /// Begins to connect to \p Where; the outcome if that fails at once. The
+  /// connection becomes writable once it stands or has failed.
+  static std::variant<std::unique_ptr<UpstreamConnection>, ConnectOutcome>
+  open(const Address &Where, SocketListener &Listener);
   ~UpstreamConnection();
   UpstreamConnection(const UpstreamConnection &) = delete;
   UpstreamConnection &operator=(const UpstreamConnection &) = delete;
 
   /// Returns whether the connection stands, asked once it is writable.
-  [[nodiscard]] bool connected();
+  [[nodiscard]] ConnectOutcome connected();
 
   /// Writes what the socket takes now; returns how much, or nothing if the
   /// connection is broken.
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -51,6 +51,7 @@
         {"malformed_header", 400},
         {"timed_out", 504},
         {"upstream_refused", 503},
+        {"quarantined", 503},
     }};
 
 constexpr std::array<std::string_view,
--- a/src/refusal_type.h
+++ b/src/refusal_type.h
@@ -48,6 +48,7 @@
   MalformedHeader,      ///< A header that the router needs can't be read.
   TimedOut,             ///< The row's or the caller's time is over.
   UpstreamRefused,      ///< The upstream said that it did not run the call.
+  Quarantined,          ///< It crashes the upstreams that run it.
   Count,                ///< Number of reasons; not a reason.
 };
 
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -108,6 +108,8 @@
 
 struct WorkPlaced;
 
+struct RequestCrash;
+
 struct GatewayDigest;
 struct GatewayDigestBuilder;
 struct GatewayDigestT;
@@ -801,6 +803,59 @@
   using type = WorkPlaced;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RequestCrash FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t request_high_;
+  uint64_t request_low_;
+  uint64_t upstream_;
+  uint8_t clears_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  RequestCrash()
+      : request_high_(0),
+        request_low_(0),
+        upstream_(0),
+        clears_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  RequestCrash(uint64_t _request_high, uint64_t _request_low, uint64_t _upstream, bool _clears)
+      : request_high_(flatbuffers::EndianScalar(_request_high)),
+        request_low_(flatbuffers::EndianScalar(_request_low)),
+        upstream_(flatbuffers::EndianScalar(_upstream)),
+        clears_(flatbuffers::EndianScalar(static_cast<uint8_t>(_clears))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t request_high() const {
+    return flatbuffers::EndianScalar(request_high_);
+  }
+  uint64_t request_low() const {
+    return flatbuffers::EndianScalar(request_low_);
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  bool clears() const {
+    return flatbuffers::EndianScalar(clears_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(RequestCrash, 32);
+
+struct RequestCrash::Traits {
+  using type = RequestCrash;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint16_t schema = 0;
@@ -2868,6 +2923,7 @@
   std::vector<crowstep::wire::UpstreamLoad> loads{};
   std::vector<crowstep::wire::PartPlaced> parts{};
   std::vector<crowstep::wire::WorkPlaced> work{};
+  std::vector<crowstep::wire::RequestCrash> crashes{};
 };
 
 struct GatewayDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2877,7 +2933,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LOADS = 4,
     VT_PARTS = 6,
-    VT_WORK = 8
+    VT_WORK = 8,
+    VT_CRASHES = 10
   };
   const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *>(VT_LOADS);
@@ -2888,6 +2945,9 @@
   const flatbuffers::Vector<const crowstep::wire::WorkPlaced *> *work() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::WorkPlaced *> *>(VT_WORK);
   }
+  const flatbuffers::Vector<const crowstep::wire::RequestCrash *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::RequestCrash *> *>(VT_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_LOADS) &&
@@ -2896,6 +2956,8 @@
            verifier.VerifyVector(parts()) &&
            VerifyOffset(verifier, VT_WORK) &&
            verifier.VerifyVector(work()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
            verifier.EndTable();
   }
   GatewayDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2916,6 +2978,9 @@
   void add_work(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WorkPlaced *>> work) {
     fbb_.AddOffset(GatewayDigest::VT_WORK, work);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RequestCrash *>> crashes) {
+    fbb_.AddOffset(GatewayDigest::VT_CRASHES, crashes);
+  }
   explicit GatewayDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2931,8 +2996,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::UpstreamLoad *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::PartPlaced *>> parts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WorkPlaced *>> work = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WorkPlaced *>> work = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RequestCrash *>> crashes = 0) {
   GatewayDigestBuilder builder_(_fbb);
+  builder_.add_crashes(crashes);
   builder_.add_work(work);
   builder_.add_parts(parts);
   builder_.add_loads(loads);
@@ -2948,15 +3015,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<crowstep::wire::UpstreamLoad> *loads = nullptr,
     const std::vector<crowstep::wire::PartPlaced> *parts = nullptr,
-    const std::vector<crowstep::wire::WorkPlaced> *work = nullptr) {
+    const std::vector<crowstep::wire::WorkPlaced> *work = nullptr,
+    const std::vector<crowstep::wire::RequestCrash> *crashes = nullptr) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamLoad>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<crowstep::wire::PartPlaced>(*parts) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkPlaced>(*work) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<crowstep::wire::RequestCrash>(*crashes) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       loads__,
       parts__,
-      work__);
+      work__,
+      crashes__);
 }
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4369,6 +4439,7 @@
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = *_e->Get(_i); } } }
   { auto _e = work(); if (_e) { _o->work.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->work[_i] = *_e->Get(_i); } } }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<GatewayDigest> GatewayDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4382,11 +4453,13 @@
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
   auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStructs(_o->parts) : 0;
   auto _work = _o->work.size() ? _fbb.CreateVectorOfStructs(_o->work) : 0;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVectorOfStructs(_o->crashes) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       _loads,
       _parts,
-      _work);
+      _work,
+      _crashes);
 }
 
 inline DirectoryRowT *DirectoryRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/unit/digest_exchange_test.cpp
+++ b/tests/unit/digest_exchange_test.cpp
@@ -265,6 +265,60 @@
   BOOST_TEST(It.allKnow(30));
 }
 
+namespace {
+
+/// An upstream crashes under a request, as the instance sees it.
+void crash(Instance &At, std::uint64_t Upstream, TimePoint Now) {
+  At.m_Balancer.quarantine().callBroken({1, 1}, UpstreamId(Upstream), Now);
+  At.m_Balancer.quarantine().upstreamDown(UpstreamId(Upstream), Now);
+}
+
+bool allHold(Fleet &It) {
+  return std::all_of(
+      It.m_Instances.begin(), It.m_Instances.end(), [&](const auto &Each) {
+        return Each->m_Balancer.quarantine().heldFor({1, 1}, It.m_Clock.now()) >
+               Duration::zero();
+      });
+}
+
+} // namespace
+
+// Guards against crashes that are seen in different zones and never added up.
+BOOST_AUTO_TEST_CASE(CrashesAddUpAcrossZones) {
+  for (const auto &[Zones, InZone] :
+       {std::pair(2, 2), std::pair(3, 3), std::pair(4, 21), std::pair(6, 50)}) {
+    Fleet It(Zones, InZone);
+    It.run(1s);
+    const std::size_t Count = It.m_Instances.size();
+    crash(*It.m_Instances[0], 1, It.m_Clock.now());
+    It.run(300ms);
+    crash(*It.m_Instances[Count / 2], 2, It.m_Clock.now());
+    crash(*It.m_Instances[Count - 1], 3, It.m_Clock.now());
+    It.run(1500ms);
+    BOOST_TEST(allHold(It));
+  }
+}
+
+// Guards against crashes that are lost with the hub that was to pass them on.
+BOOST_AUTO_TEST_CASE(CrashesOutlastTheirHub) {
+  Fleet It(3, 10);
+  It.run(1s);
+  const auto Hub = std::find_if(
+      It.m_Instances.begin(), It.m_Instances.end(), [](const auto &Each) {
+        return Each->m_Self.m_Zone.m_Name == "z1" && Each->m_Self.m_Weight > 1;
+      });
+  const auto Seen = std::find_if(
+      It.m_Instances.begin(), It.m_Instances.end(), [](const auto &Each) {
+        return Each->m_Self.m_Zone.m_Name == "z1" && Each->m_Self.m_Weight == 1;
+      });
+  for (std::uint64_t I = 1; I <= 3; ++I)
+    crash(**Seen, I, It.m_Clock.now());
+  It.run(100ms); // The hub has heard of it.
+  It.m_Instances.erase(Hub);
+  It.run(1500ms);
+  BOOST_TEST(allHold(It));
+}
+
 // The bytes between zones grow with the zones, not with the instances' pairs.
 BOOST_AUTO_TEST_CASE(FewBytesLeaveAZone) {
   const auto Between = [](int InZone) {
--- a/tests/unit/directory_relay_test.cpp
+++ b/tests/unit/directory_relay_test.cpp
@@ -96,6 +96,7 @@
     m_Version = Table->version().value();
   }
   void peersChanged(const gateway::PeerList &) override {}
+  void quarantineChanged(const std::set<ContentHash> &) override {}
   void upstreamsChanged(const std::vector<Upstream> &List) override {
     m_Names.clear();
     for (const Upstream &Each : List)
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -75,6 +75,17 @@
   };
 };
 
+/// Probes that a test answers.
+class FakeProber final : public UpstreamProber {
+public:
+  std::unique_ptr<UpstreamProbe> probe(const Address &, Duration,
+                                       ProbeDone OnDone) override {
+    m_Done.push_back(std::move(OnDone));
+    return std::make_unique<UpstreamProbe>();
+  }
+  std::vector<ProbeDone> m_Done; ///< All, in order.
+};
+
 constexpr const char *Id = "attempt-1";
 
 std::string event(int Number) {
@@ -90,10 +101,20 @@
   test::PlainCodec m_Codec;
   Metrics m_Metrics;
   GatewayStats m_Stats{m_Metrics};
+  FakeProber m_Prober;
+  CrashWatch m_Crashes{m_Clock, m_Timers, m_Balancer, m_Prober, m_Metrics};
   WaitingRoom m_Waiting{m_Timers};
-  ForwardWorld m_World{
-      m_Clock, m_Timers, m_Balancer, m_Budget,           m_Upstreams,
-      m_Codec, m_Stats,  m_Waiting,  [] { return 0.5; }, [] { return false; }};
+  ForwardWorld m_World{m_Clock,
+                       m_Timers,
+                       m_Balancer,
+                       m_Budget,
+                       m_Upstreams,
+                       m_Crashes,
+                       m_Codec,
+                       m_Stats,
+                       m_Waiting,
+                       [] { return 0.5; },
+                       [] { return false; }};
   Seen m_Seen;
   int m_Finished = 0;
   std::vector<balance::TicketId> m_Others; ///< Of takeAllSlots().
@@ -176,6 +197,10 @@
   }
 };
 
+ContentHash contentOfRequest() {
+  return contentHashOf({"POST", "h", "/p/x?y=1", "", "body"});
+}
+
 const RouteKind AtMostOnce = PlainCall{false};
 const RouteKind Idempotent = PlainCall{true};
 const RouteKind Resumable = EventStream{true, 250ms};
@@ -453,3 +478,48 @@
   BOOST_TEST(It.m_Waiting.size() == 0U);
   BOOST_TEST(It.m_Finished == 1);
 }
+
+// Guards against a request that is sent on although it has crashed three
+// upstreams, and an answer to it that is not true or has no time.
+BOOST_AUTO_TEST_CASE(AQuarantinedRequestIsRefusedBeforeAnyUpstream) {
+  for (const RouteKind &Kind : {AtMostOnce, Idempotent, Resumable}) {
+    World It(Kind, 3);
+    It.m_Balancer.quarantine().setListed({contentOfRequest()},
+                                         It.m_Clock.now());
+    It.refusedBy(0);
+    BOOST_TEST(It.calls() == 1U);
+    BOOST_TEST(It.answer().m_Status == 503U);
+    BOOST_TEST((It.answer().m_State == RunState::NotRun));
+    BOOST_TEST(It.answerHas("Retry-After"));
+    BOOST_TEST(!It.call(0).m_What.m_Wanted());
+  }
+}
+
+// Guards against a caller that is told "not run" of a request which has run and
+// is then quarantined.
+BOOST_AUTO_TEST_CASE(ARequestThatRanAndIsQuarantinedMayHaveRun) {
+  World It(Idempotent, 3);
+  It.m_Balancer.quarantine().setListed({contentOfRequest()}, It.m_Clock.now());
+  It.end(0, TransportEnd::Broken);
+  BOOST_TEST(It.calls() == 1U);
+  BOOST_TEST(It.answer().m_Status == 502U);
+  BOOST_TEST(!It.answerHas("Retry-After"));
+}
+
+// Guards against a crash that is not looked for, or looked for twice, and a
+// connection that broke for another reason and counts as one.
+BOOST_AUTO_TEST_CASE(ABrokenCallIsACrashWhereNobodyListens) {
+  for (const auto &[Found, Crashes] : {std::pair(ConnectOutcome::Refused, 1U),
+                                       std::pair(ConnectOutcome::Failed, 0U),
+                                       std::pair(ConnectOutcome::Stands, 0U)}) {
+    World It(Idempotent, 2);
+    It.end(0, TransportEnd::Broken);
+    BOOST_REQUIRE(It.m_Prober.m_Done.size() == 1U);
+    It.m_Prober.m_Done[0](Found);
+    BOOST_TEST(It.m_Balancer.quarantine().crashesOf(contentOfRequest()) ==
+               Crashes);
+    It.good(1);
+    It.end(1, TransportEnd::Complete);
+    BOOST_TEST(It.m_Balancer.quarantine().crashesOf(contentOfRequest()) == 0U);
+  }
+}
--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -336,6 +336,7 @@
   PeerRegistry Registry(
       Rows, Clock, Timers, [] { return 0.5; },
       [&](const gateway::PeerList &List) { Told.push_back(List); },
+      [](const std::set<ContentHash> &) {},
       [](const gateway::DirectoryUpdate &) {});
   Registry.start({"edge-1", {0x0a000001, 7340}, {"a"}, 0.5});
   Rows.answer(StoreRows{{}, StoreVersion(1), false});
@@ -366,6 +367,7 @@
   FakeStore Rows;
   PeerRegistry Registry(
       Rows, Clock, Timers, [] { return 0.5; }, [](const gateway::PeerList &) {},
+      [](const std::set<ContentHash> &) {},
       [](const gateway::DirectoryUpdate &) {});
   Registry.start({"edge-1", {0x0a000001, 7340}, {"a"}, 0.5});
   const std::string Own =
@@ -381,3 +383,45 @@
   BOOST_REQUIRE(Rows.m_Writes.size() == 1U);
   BOOST_TEST(*Rows.m_Writes[0].first.m_Value == Own);
 }
+
+// Guards against a list of quarantined requests that loses a row, takes another
+// row for one or grows without end.
+BOOST_AUTO_TEST_CASE(QuarantinedRequestsAreRows) {
+  ManualClock Clock;
+  ManualScheduler Timers(Clock);
+  FakeStore Rows;
+  std::set<ContentHash> Listed;
+  PeerRegistry Registry(
+      Rows, Clock, Timers, [] { return 0.5; }, [](const gateway::PeerList &) {},
+      [&](const std::set<ContentHash> &All) { Listed = All; },
+      [](const gateway::DirectoryUpdate &) {});
+  Registry.start({"edge-1", {0x0a000001, 7340}, {"a"}, 0.5});
+  const ContentHash One{1, 1};
+  const std::string Key = "#quarantine/" + toString(One);
+  Rows.answer(StoreRows{{{Key, "{}", StoreVersion(2), false},
+                         {"#quarantine/odd", "{}", StoreVersion(3), false}},
+                        StoreVersion(4),
+                        false});
+  BOOST_TEST((Listed == std::set{One}));
+  Timers.advance(3s);
+  Rows.answer(
+      StoreRows{{{Key, "", StoreVersion(5), true}}, StoreVersion(5), false});
+  BOOST_TEST(Listed.empty());
+  Rows.m_Writes.clear();
+  Registry.listQuarantined(One);
+  BOOST_REQUIRE(Rows.m_Writes.size() == 1U);
+  BOOST_TEST(Rows.m_Writes[0].first.m_Key == Key);
+  BOOST_TEST(Rows.m_Writes[0].first.m_Expected->value() == 0U);
+  std::vector<StoreRow> Many;
+  for (std::uint64_t I = 0; I < PeerRegistry::MostQuarantined; ++I)
+    Many.push_back({"#quarantine/" + toString(ContentHash{9, I}), "{}",
+                    StoreVersion(10 + I), false});
+  Timers.advance(3s);
+  Rows.answer(StoreRows{Many, StoreVersion(1000), false});
+  Rows.m_Writes.clear();
+  Registry.listQuarantined(One);
+  BOOST_REQUIRE(Rows.m_Writes.size() == 2U);
+  BOOST_TEST(Rows.m_Writes[0].first.m_Key ==
+             "#quarantine/" + toString(ContentHash{9, 0}));
+  BOOST_TEST(!Rows.m_Writes[0].first.m_Value);
+}
--- a/tests/unit/store_directory_test.cpp
+++ b/tests/unit/store_directory_test.cpp
@@ -39,6 +39,9 @@
 public:
   void tableChanged(gateway::RouteTablePtr) override {}
   void peersChanged(const gateway::PeerList &) override {}
+  void quarantineChanged(const std::set<ContentHash> &Listed) override {
+    m_Quarantined = Listed;
+  }
   void directoryRead(const gateway::DirectoryUpdate &) override {}
   void upstreamsChanged(const std::vector<Upstream> &List) override {
     m_Names.clear();
@@ -49,7 +52,8 @@
     return std::find(m_Names.begin(), m_Names.end(), Name) != m_Names.end();
   }
 
-  std::vector<std::string> m_Names; ///< Listed now.
+  std::vector<std::string> m_Names;    ///< Listed now.
+  std::set<ContentHash> m_Quarantined; ///< Listed now.
 };
 
 /// An instance that knows three upstreams.
