--- a/tests/process/crashing_request_test.cpp
+++ b/tests/process/crashing_request_test.cpp
@@ -1,14 +1,10 @@
 /// Requests that crash the upstreams that run them, at real gateways between a
 /// stand-in of the store and upstreams in the test's own loop.
 #define BOOST_TEST_MODULE crashing_request
-#include "core/scheduler.h"
-#include "process/gateway_place.h"
-#include "process/process.h"
+#include "process/gateway_fleet.h"
 #include "standin/held_answer.h"
-#include "standin/store_server.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
 
 using namespace crowstep;
@@ -18,8 +14,6 @@
 
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr const char *CrashingBody = "crash";
 
 /// Instances know of a crash this long after it.
@@ -33,14 +27,12 @@
 constexpr Duration BackAfter = 700ms;   ///< A crashed upstream.
 constexpr Duration EntryLasts = 2500ms; ///< In the store after a crash.
 
-Address local(std::uint16_t Port) { return {INADDR_LOOPBACK, Port}; }
-
 /// A place of an upstream, which starts again after a crash under another name.
 class Seat {
 public:
   Seat(int Number, StoreServer &Store, const Clock &Time, Scheduler &Timers)
-      : m_Number(Number), m_Where(local(freePort())), m_Store(Store),
-        m_Clock(Time), m_Timers(Timers) {
+      : m_Number(Number), m_Where(freeAddress()), m_Store(Store), m_Clock(Time),
+        m_Timers(Timers) {
     start();
   }
 
@@ -99,71 +91,13 @@
   std::vector<std::shared_ptr<HeldAnswer>> m_Open; ///< Of this start.
 };
 
-struct World {
-  LoopClock m_Clock;
-  LoopScheduler m_Timers;
-  TemporaryFolder m_Folder;
-  StoreServer m_Store;
-  Address m_StoreAt = local(freePort());
-  std::vector<std::unique_ptr<Seat>> m_Seats;
-  std::vector<GatewayPlace> m_Places;
-  std::vector<std::unique_ptr<Process>> m_Gateways;
-  Caller m_Caller;
-  int m_Calls = 0;
-
-  World() {
-    m_Store.listen(m_StoreAt);
-    putManifest();
+struct World : GatewayFleet {
+  std::vector<std::unique_ptr<Seat>> m_Seats; ///< Of upstreams.
+
+  World() : GatewayFleet(4) {
     for (int I = 0; I < 8; ++I)
       m_Seats.push_back(std::make_unique<Seat>(I, m_Store, m_Clock, m_Timers));
-    for (int I = 0; I < 4; ++I) {
-      m_Places.push_back(gatewayPlace("edge-" + std::to_string(I), m_StoreAt));
-      m_Places.back().m_Drain = 1200ms;
-    }
-    startAll();
-  }
-
-  void putManifest() {
-    const auto RouteOf = [](const char *Kind) {
-      return Json{{"name", Kind},
-                  {"host", "h.example"},
-                  {"prefix", std::string("/") + Kind + "/"},
-                  {"routeKind", Kind},
-                  {"timeoutMs", 2000},
-                  {"targetLatencyMs", 200},
-                  {"priority", 0},
-                  {"service", "s"},
-                  {"maxAttempts", 2}};
-    };
-    const Json Manifest = {
-        {"version", 1},
-        {"routes", {RouteOf("idempotent"), RouteOf("non_idempotent")}},
-        {"services", {{{"name", "s"}}}},
-        {"tenants", {{{"name", "w"}, {"apiKeys", {"key-1"}}}}}};
-    m_Store.put("op", "config", Manifest.dump());
-  }
-
-  void startAll() {
-    m_Gateways.clear();
-    for (const GatewayPlace &Each : m_Places)
-      m_Gateways.push_back(std::make_unique<Process>(
-          m_Folder, "crowstep-gateway", Each.m_Name, settingsOf(Each)));
-    for (const GatewayPlace &Each : m_Places)
-      BOOST_TEST(runUntil(
-          [&] { return m_Caller.call(readinessCall(Each)).m_Status == 200; },
-          10s));
-  }
-
-  Call request(std::size_t Gateway, const std::string &Body,
-               const std::string &Path = "/idempotent/x") {
-    Call Result;
-    Result.m_Where = m_Places[Gateway % m_Places.size()].m_Listen;
-    Result.m_Path = Path;
-    Result.m_Body = Body;
-    Result.m_Headers = {{"Host", "h.example"},
-                        {"X-Attempt-Id", "a" + std::to_string(++m_Calls)},
-                        {"X-Key", "key-1"}};
-    return Result;
+    BOOST_TEST(startAll());
   }
 
   /// The crashing request comes again and again, at one gateway after the
@@ -171,7 +105,7 @@
   void sendCrashing(Duration Span, const std::string &Path) {
     const TimePoint End = m_Clock.fresh() + Span;
     for (std::size_t I = 0; m_Clock.fresh() < End; ++I) {
-      m_Caller.start(request(I, CrashingBody, Path));
+      m_Caller.start(request(I, Path, CrashingBody));
       runFor(50ms);
     }
   }
@@ -199,13 +133,14 @@
 
   /// Every gateway serves another request of the same caller on the same path.
   void othersAreServed() {
-    for (std::size_t I = 0; I < m_Places.size(); ++I)
-      BOOST_TEST(m_Caller.call(request(I, "other")).m_Status == 200U);
+    for (std::size_t I = 0; I < size(); ++I)
+      BOOST_TEST(m_Caller.call(request(I, "/idempotent/x", "other")).m_Status ==
+                 200U);
   }
 
   void crashingIsRefused(const std::string &Path) {
-    for (std::size_t I = 0; I < m_Places.size(); ++I) {
-      const Told Answer = m_Caller.call(request(I, CrashingBody, Path));
+    for (std::size_t I = 0; I < size(); ++I) {
+      const Told Answer = m_Caller.call(request(I, Path, CrashingBody));
       BOOST_TEST(Answer.m_Status == 503U);
       BOOST_TEST(!Answer.m_RetryAfter.empty());
       BOOST_TEST((Answer.m_Elapsed < 100ms));
@@ -231,9 +166,8 @@
 BOOST_AUTO_TEST_CASE(ARestartOfAllForgetsNoRequestThatCrashesUpstreams) {
   World It;
   It.sendCrashing(6s, "/idempotent/x");
-  for (const auto &Each : It.m_Gateways)
-    Each->kill();
-  It.startAll();
+  It.killAll();
+  BOOST_TEST(It.startAll());
   runFor(Contact);
   const std::size_t Before = It.all(&Seat::m_Runs).size();
   It.sendCrashing(2s, "/idempotent/x");
--- /dev/null
+++ b/tests/process/gateway_fleet.cpp
@@ -0,0 +1,61 @@
+/// Gateways under test, all alike.
+#include "process/gateway_fleet.h"
+
+namespace crowstep::test {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+
+Json routeOf(const std::string &Kind) {
+  return {
+      {"name", Kind},      {"host", "h.example"}, {"prefix", "/" + Kind + "/"},
+      {"routeKind", Kind}, {"timeoutMs", 2000},   {"targetLatencyMs", 200},
+      {"priority", 0},     {"service", "s"},      {"maxAttempts", 2}};
+}
+
+} // namespace
+
+GatewayFleet::GatewayFleet(std::size_t Count) {
+  const Address StoreAt = freeAddress();
+  m_Store.listen(StoreAt);
+  const Json Table = {
+      {"version", 1},
+      {"routes", {routeOf("idempotent"), routeOf("non_idempotent")}},
+      {"services", {{{"name", "s"}}}},
+      {"tenants", {{{"name", "w"}, {"apiKeys", {"key-1"}}}}}};
+  m_Store.put("op", "config", Table.dump());
+  for (std::size_t I = 0; I < Count; ++I) {
+    m_Places.push_back(gatewayPlace("edge-" + std::to_string(I), StoreAt));
+    m_Places.back().m_Drain = 1200ms;
+  }
+}
+
+bool GatewayFleet::startAll() {
+  for (const GatewayPlace &Each : m_Places)
+    m_Running.push_back(std::make_unique<Process>(
+        m_Folder, "crowstep-gateway", Each.m_Name, settingsOf(Each)));
+  for (const GatewayPlace &Each : m_Places)
+    if (!runUntil(
+            [&] { return m_Caller.call(readinessCall(Each)).m_Status == 200; },
+            10s))
+      return false;
+  return true;
+}
+
+void GatewayFleet::killAll() { m_Running.clear(); }
+
+Call GatewayFleet::request(std::size_t Gateway, const std::string &Path,
+                           const std::string &Body) {
+  Call Result;
+  Result.m_Where = m_Places[Gateway % m_Places.size()].m_Listen;
+  Result.m_Path = Path;
+  Result.m_Body = Body;
+  Result.m_Headers = {{"Host", "h.example"},
+                      {"X-Attempt-Id", "a" + std::to_string(++m_Requests)},
+                      {"X-Key", "key-1"}};
+  return Result;
+}
+
+} // namespace crowstep::test
