Feature: crowstepctl explain tells why a request's content was quarantined

Lines without a request id that name the content of the request belong to its story, like those that name its upstreams. Test: log_test/AStoryCrossesLogs.

--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -62,15 +62,23 @@
                     const std::vector<std::string> &Logs) {
   const std::vector<Json> Lines = linesOf(Logs);
   std::set<std::string> Upstreams;
-  for (const Json &Line : Lines)
-    if (textOf(Line, "request") == Request && Line.contains("upstream"))
+  std::set<std::string> Contents;
+  for (const Json &Line : Lines) {
+    if (textOf(Line, "request") != Request)
+      continue;
+    if (Line.contains("upstream"))
       Upstreams.insert(textOf(Line, "upstream"));
+    if (Line.contains("content"))
+      Contents.insert(textOf(Line, "content"));
+  }
   std::string Result;
   for (const Json &Line : Lines) {
     const bool Own = textOf(Line, "request") == Request;
     const bool AboutUpstream = !Line.contains("request") &&
                                Upstreams.contains(textOf(Line, "upstream"));
-    if (Own || AboutUpstream)
+    const bool AboutContent =
+        !Line.contains("request") && Contents.contains(textOf(Line, "content"));
+    if (Own || AboutUpstream || AboutContent)
       Result += printed(Line);
   }
   return Result;
--- a/src/ctl/explain.h
+++ b/src/ctl/explain.h
@@ -8,10 +8,10 @@
 namespace crowstep::ctl {
 
 /// Returns the lines of \p Logs that belong to the request, in the order of
-/// their times, each as "time name field=value ...", and what was believed of
-/// the upstreams that it was sent to. Lines that are no JSON are passed over,
-/// so output of other programs in a log does no harm. Times are of the
-/// instances' own clocks.
+/// their times, each as "time name field=value ...", what was believed of the
+/// upstreams that it was sent to, and why its content was quarantined. Lines
+/// that are no JSON are passed over, so output of other programs in a log does
+/// no harm. Times are of the instances' own clocks.
 std::string explain(const std::string &Request,
                     const std::vector<std::string> &Logs);
 
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -116,4 +116,10 @@
   BOOST_TEST(ctl::explain("r", {First, Second}) ==
              "3 A upstream=u\n5 B request=r upstream=u\n9 C request=r\n");
   BOOST_TEST(ctl::explain("t", {First, Second}).empty());
+  const std::string Held =
+      "{\"at_ms\":1,\"name\":\"Q\",\"content\":\"c\"}\n"
+      "{\"at_ms\":2,\"name\":\"Q\",\"content\":\"d\"}\n"
+      "{\"at_ms\":3,\"name\":\"F\",\"request\":\"q\",\"content\":\"c\"}\n";
+  BOOST_TEST(ctl::explain("q", {Held}) ==
+             "1 Q content=c\n3 F request=q content=c\n");
 }
