Fix: Keep the rate that an upstream states, all instances together

Cause: the header was not read, and nothing bounded what instances send to an upstream together. Class: a bound that all instances must keep, kept by none.

Change: of a limit of L a second the first L instances by a hash of both ids send, each an equal part with one call saved; the others send nothing. A new sender waits until lists agree and begins without a token. Digests carry statements with their age. The end of a limit is an answer to a call sent after the last statement; without word for eight seconds single calls are tried, one of all instances in four seconds on average. Where all upstreams are limited a call is refused with 503 'upstream_limited' and the time in which one takes a call.

The unit tests were made to fail by taking out the choice of senders, the wait of a new one, the draw of trials, the empty bucket under a lower limit and the order of answers.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -22,6 +22,10 @@
 /// directory learns of a new upstream within a second.
 constexpr Duration NoUpstreamRetryAfter = std::chrono::milliseconds(500);
 
+/// A caller refused for upstreams' limits comes back within this time: until
+/// then the limits may have ended.
+constexpr Duration LimitedRetryAfter = std::chrono::seconds(4);
+
 /// Another zone's upstream must have this many calls fewer to be worth the way.
 constexpr double ZoneAdvantage = 2;
 
@@ -88,6 +92,7 @@
   }
   m_States = std::move(Next);
   m_Cache.keepOnly(List);
+  m_Limits.keepOnly(List);
   rankEngines();
 }
 
@@ -115,7 +120,7 @@
         !State.m_Upstream.m_Leaving &&
         std::find(Query.m_Avoid.begin(), Query.m_Avoid.end(), Id) ==
             Query.m_Avoid.end() &&
-        Now >= State.m_LeavingUntil)
+        Now >= State.m_LeavingUntil && m_Limits.mayTake(Id, Now))
       Listed.push_back(&State);
   States Fit;
   std::copy_if(Listed.begin(), Listed.end(), std::back_inserter(Fit),
@@ -137,9 +142,7 @@
           RefusalReason::Quarantined, Left, {0, 0, 0, 0, m_Peers.size()}};
   const States From = candidates(Query, Now);
   if (From.empty())
-    return NotPlaced{RefusalReason::NoUpstream,
-                     NoUpstreamRetryAfter,
-                     {0, 0, 0, 0, m_Peers.size()}};
+    return nonePlaced(Query);
   if (Query.m_Prompt.m_PromptTokens > 0)
     return placeAtEngine(Query, From, Now);
   UpstreamState &Chosen = *chooseForPlain(From, Now);
@@ -148,6 +151,25 @@
   return begin(Chosen, Query, {}, Why, Now);
 }
 
+NotPlaced Balancer::nonePlaced(const PlacementQuery &Query) const {
+  NotPlaced Result{RefusalReason::NoUpstream,
+                   NoUpstreamRetryAfter,
+                   {0, 0, 0, 0, m_Peers.size()}};
+  double Rate = 0;
+  for (const auto &[Id, State] : m_States)
+    if (State.m_Upstream.m_Service == Query.m_Service)
+      if (const RateLimit Limit = m_Limits.limitOf(Id)) {
+        Result.m_Reason = RefusalReason::UpstreamLimited;
+        Rate += *Limit;
+      }
+  if (Rate > 0)
+    Result.m_RetryAfter =
+        std::clamp(std::chrono::duration_cast<Duration>(
+                       std::chrono::duration<double>(std::min(1 / Rate, 1e3))),
+                   NoUpstreamRetryAfter, LimitedRetryAfter);
+  return Result;
+}
+
 PlacementResult Balancer::placeAtEngine(const PlacementQuery &Query,
                                         const States &From, TimePoint Now) {
   const PromptSize &Prompt = Query.m_Prompt;
@@ -285,6 +307,7 @@
                        const CallTokens &Tokens, const PlacementInputs &Why,
                        TimePoint Now) {
   Chosen.m_Own.begin(Query.m_Urgency, Tokens);
+  m_Limits.taken(Chosen.m_Upstream.m_Id, Now);
   const TicketId Id(++m_LastTicket);
   m_Tickets[Id] = {Chosen.m_Upstream.m_Id, Query.m_Urgency, Tokens, Now, false,
                    Query.m_Content};
@@ -311,6 +334,7 @@
                         TimePoint Now) {
   m_Peers.take(Peer, Digest.m_Loads, Now);
   m_Quarantine.take(Digest.m_Crashes, Now);
+  m_Limits.take(Digest.m_Limits, Now);
   for (const auto &[Pool, Work] : Digest.m_Work)
     m_Splits[Pool].add(Work, Now);
   for (const PartPlaced &Each : Digest.m_Parts) {
@@ -321,7 +345,7 @@
   }
 }
 
-LoadDigest Balancer::wholeDigest() const {
+LoadDigest Balancer::wholeDigest(TimePoint Now) const {
   LoadDigest Result;
   for (const auto &[Id, State] : m_States) {
     State.m_Own.tell(Id, Result.m_Loads);
@@ -334,16 +358,18 @@
   for (const auto &[Pool, Split] : m_Splits)
     Result.m_Work[Pool] = Split.recent();
   Result.m_Crashes = m_Quarantine.all();
+  Result.m_Limits = m_Limits.all(Now);
   return Result;
 }
 
-LoadDigest Balancer::takeDigest() {
+LoadDigest Balancer::takeDigest(TimePoint Now) {
   LoadDigest Result;
   for (const auto &[Id, State] : m_States)
     State.m_Own.tell(Id, Result.m_Loads);
   Result.m_Parts = std::exchange(m_NewParts, {});
   Result.m_Work = std::exchange(m_NewWork, {});
   Result.m_Crashes = m_Quarantine.takeNews();
+  Result.m_Limits = m_Limits.takeNews(Now);
   return Result;
 }
 
@@ -406,6 +432,13 @@
   State->m_LoadAt = Now;
 }
 
+void Balancer::stated(TicketId Ticket, RateLimit Limit, TimePoint Now) {
+  const auto Found = m_Tickets.find(Ticket);
+  if (Found != m_Tickets.end() && m_States.contains(Found->second.m_Upstream))
+    m_Limits.stated(Found->second.m_Upstream, Limit, Found->second.m_Begin,
+                    Now);
+}
+
 void Balancer::ended(TicketId Ticket, CallOutcome Outcome, TimePoint Now) {
   if (UpstreamState *State = stateOf(Ticket)) {
     const struct Ticket &Over = m_Tickets[Ticket];
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -10,6 +10,7 @@
 #include "balance/engine_choice.h"
 #include "balance/peer_loads.h"
 #include "balance/quarantine.h"
+#include "balance/rate_limits.h"
 #include "balance/reading_speed.h"
 #include "balance/upstream_state.h"
 
@@ -23,7 +24,8 @@
   /// \p Zone is the instance's own.
   /// \p Seed differs between instances.
   explicit Balancer(AvailabilityZone Zone, std::uint64_t Seed = 1)
-      : m_Zone(std::move(Zone)), m_Random(Seed), m_Quarantine(Seed) {}
+      : m_Zone(std::move(Zone)), m_Random(Seed), m_Quarantine(Seed),
+        m_Limits(Seed) {}
 
   /// Replaces the list; what is known of those that stay is kept. Calls at
   /// upstreams that went count on until they end.
@@ -38,6 +40,21 @@
   /// The upstream told its load.
   void reported(TicketId Ticket, const LoadReport &Load, TimePoint Now);
 
+  /// The upstream stated how many requests a second it takes, or that it takes
+  /// as many as it has room for.
+  void stated(TicketId Ticket, RateLimit Limit, TimePoint Now);
+
+  /// Takes all instances, this one as \p Self.
+  void setInstances(InstanceId Self, std::vector<InstanceId> All,
+                    TimePoint Now) {
+    m_Limits.setInstances(Self, std::move(All), Now);
+  }
+
+  /// Returns the limit that an upstream has stated.
+  [[nodiscard]] RateLimit limitOf(UpstreamId Upstream) const {
+    return m_Limits.limitOf(Upstream);
+  }
+
   /// Bytes came from the call's upstream.
   void heard(TicketId Ticket, TimePoint Now);
 
@@ -73,12 +90,12 @@
   void peerGone(InstanceId Peer) { m_Peers.drop(Peer); }
 
   /// Returns what the other instances should know, and forgets the parts.
-  LoadDigest takeDigest();
+  LoadDigest takeDigest(TimePoint Now);
 
   /// Returns all that an instance should know that has just started: what is
   /// believed of the engines' memory. Without it a restarted instance sends
   /// prompts to engines that have not read their beginnings.
-  [[nodiscard]] LoadDigest wholeDigest() const;
+  [[nodiscard]] LoadDigest wholeDigest(TimePoint Now) const;
 
 private:
   using States = std::vector<UpstreamState *>;
@@ -94,6 +111,7 @@
   };
 
   States candidates(const PlacementQuery &Query, TimePoint Now);
+  [[nodiscard]] NotPlaced nonePlaced(const PlacementQuery &Query) const;
   PlacementResult placeAtEngine(const PlacementQuery &Query, const States &From,
                                 TimePoint Now);
   void rankEngines();
@@ -119,6 +137,7 @@
   AvailabilityZone m_Zone;                          ///< Own.
   std::mt19937_64 m_Random;                         ///< For choices.
   Quarantine m_Quarantine;                          ///< Of requests.
+  RateLimits m_Limits;                              ///< Of upstreams.
   ReadingSpeed m_Speed;                             ///< Of engines.
   PeerLoads m_Peers;                                ///< By digests.
   CacheModel m_Cache;                               ///< Of engines.
--- a/src/balance/digest_sum.cpp
+++ b/src/balance/digest_sum.cpp
@@ -12,6 +12,8 @@
     m_Work[Pool] += Work;
   m_Crashes.insert(m_Crashes.end(), Digest.m_Crashes.begin(),
                    Digest.m_Crashes.end());
+  for (const LimitNews &Each : Digest.m_Limits)
+    m_Limits.emplace_back(Each, Now);
 }
 
 void DigestSum::clear() {
@@ -19,6 +21,7 @@
   m_Parts.clear();
   m_Work.clear();
   m_Crashes.clear();
+  m_Limits.clear();
 }
 
 LoadDigest DigestSum::takeSum(TimePoint Now) {
@@ -28,6 +31,10 @@
   Result.m_Parts = std::exchange(m_Parts, {});
   Result.m_Work = std::exchange(m_Work, {});
   Result.m_Crashes = std::exchange(m_Crashes, {});
+  for (auto [News, Heard] : std::exchange(m_Limits, {})) {
+    News.m_Age += Now - Heard;
+    Result.m_Limits.push_back(News);
+  }
   return Result;
 }
 
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -4,6 +4,7 @@
 
 #include "balance/balance_type.h"
 #include "balance/quarantine.h"
+#include "balance/rate_limits.h"
 #include "balance/role_split.h"
 #include "core/clock.h"
 #include "upstream_type.h"
@@ -103,10 +104,12 @@
   std::vector<PartPlaced> m_Parts;   ///< Since its last digest.
   std::unordered_map<PoolId, WorkTokens> m_Work; ///< Since its last digest.
   std::vector<CrashNews> m_Crashes;              ///< Since its last digest.
+  std::vector<LimitNews> m_Limits;               ///< Since its last digest.
 
   /// Returns whether there is nothing to tell.
   [[nodiscard]] bool empty() const {
-    return m_Loads.empty() && m_Parts.empty() && m_Crashes.empty();
+    return m_Loads.empty() && m_Parts.empty() && m_Crashes.empty() &&
+           m_Limits.empty();
   }
 };
 
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -1,8 +1,27 @@
 /// Digests as they go over links.
 #include "gateway/digest_codec.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace crowstep::gateway {
 
+namespace {
+
+constexpr double Thousand = 1000;
+
+std::uint32_t thousandths(double Value) {
+  constexpr double Most = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(Value * Thousand, Most));
+}
+
+std::uint32_t milliseconds(Duration Span) {
+  return static_cast<std::uint32_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(Span).count());
+}
+
+} // namespace
+
 void pack(const balance::LoadDigest &What,
           std::unique_ptr<wire::GatewayDigestT> &Into) {
   if (Into == nullptr)
@@ -24,6 +43,10 @@
     Into->crashes.emplace_back(Each.m_Request.m_High, Each.m_Request.m_Low,
                                Each.m_Upstream.value_or(UpstreamId()).value(),
                                !Each.m_Upstream);
+  for (const balance::LimitNews &Each : What.m_Limits)
+    Into->limits.emplace_back(Each.m_Upstream.value(),
+                              thousandths(Each.m_Limit.value_or(0)),
+                              milliseconds(Each.m_Age), !Each.m_Limit);
 }
 
 balance::LoadDigest unpacked(const wire::GatewayDigest &From) {
@@ -49,6 +72,13 @@
           {{Each->request_high(), Each->request_low()},
            Each->clears() ? std::nullopt
                           : std::optional(UpstreamId(Each->upstream()))});
+  if (From.limits() != nullptr)
+    for (const wire::UpstreamLimit *Each : *From.limits())
+      Result.m_Limits.push_back({UpstreamId(Each->upstream()),
+                                 Each->ended()
+                                     ? std::nullopt
+                                     : std::optional(Each->milli() / Thousand),
+                                 std::chrono::milliseconds(Each->age_ms())});
   return Result;
 }
 
--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -85,7 +85,7 @@
   // One that has just started learns what engines keep; from the hub alone
   // where there are many, since that is a long message.
   if (m_Plan.m_Hubs.empty() || m_Hub)
-    pack(m_Balancer.wholeDigest(), m_Links->outbox(Link).digest);
+    pack(m_Balancer.wholeDigest(m_Clock.now()), m_Links->outbox(Link).digest);
 }
 
 void DigestExchange::linkFrame(link::LinkId Link, const wire::Frame &Frame) {
@@ -181,7 +181,7 @@
 void DigestExchange::tick() {
   m_Tick.start(interval(), [this] { tick(); });
   ++m_Ticks;
-  const balance::LoadDigest Own = m_Balancer.takeDigest();
+  const balance::LoadDigest Own = m_Balancer.takeDigest(m_Clock.now());
   tellNear(Own);
   becomeHub(shouldBeHub());
   if (m_Hub)
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -46,6 +46,7 @@
   }
   if (Facts.m_Load)
     m_World.m_Balancer.reported(m_Ticket, *Facts.m_Load, m_World.m_Clock.now());
+  takeLimit(Facts);
   if (Facts.m_NotRun) {
     upstreamRefused(Facts.m_OtherUpstream || Facts.m_Leaving
                         ? balance::CallOutcome::Leaving
@@ -69,6 +70,24 @@
     m_Silence.stop();
 }
 
+/// A refusal without a limit does not end one: it may come from a part of the
+/// upstream that knows nothing of it.
+void ForwardedRequest::takeLimit(const AnswerFacts &Facts) {
+  if (Facts.m_BadLimit) {
+    m_World.m_Stats.limitUnreadable();
+    return;
+  }
+  if (!Facts.m_Limit && (!Facts.m_Signed || Facts.m_NotRun))
+    return;
+  const UpstreamId Which = m_Tried.back();
+  const balance::RateLimit Before = m_World.m_Balancer.limitOf(Which);
+  m_World.m_Balancer.stated(m_Ticket, Facts.m_Limit, m_World.m_Clock.now());
+  if (const auto Now = m_World.m_Balancer.limitOf(Which); Now != Before)
+    logEvent(LogEvent::GatewayUpstreamLimit,
+             {{"upstream", m_Upstream},
+              {"limit", Now ? std::to_string(*Now) : std::string("none")}});
+}
+
 void ForwardedRequest::upstreamRefused(balance::CallOutcome Outcome) {
   endCall(Outcome);
   tryAgain(Outcome == balance::CallOutcome::Leaving
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -66,6 +66,7 @@
   [[nodiscard]] bool mayTryAgain() const;
   void giveUp(RefusalReason Reason, Duration RetryAfter);
 
+  void takeLimit(const AnswerFacts &Facts);
   void upstreamFailed(balance::CallOutcome Outcome, RetryReason Why);
   void upstreamRefused(balance::CallOutcome Outcome);
   void takeEvents(std::string_view Bytes);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -144,6 +144,11 @@
 
 void Gateway::peersChanged(const PeerList &List) {
   m_Budget.setInstances(List.m_Instances.size(), m_Clock.now());
+  std::vector<InstanceId> Ids;
+  for (const PeerInstance &Each : List.m_Instances)
+    Ids.push_back(instanceIdOf(Each.m_Name));
+  m_Balancer.setInstances(instanceIdOf(m_Settings.m_Name), std::move(Ids),
+                          m_Clock.now());
   m_Exchange.setPeers(List);
   const ReadingRole Role = m_Exchange.readingRole();
   if (Role == m_ReadingRole)
--- a/src/gateway/gateway_stats.cpp
+++ b/src/gateway/gateway_stats.cpp
@@ -3,7 +3,9 @@
 
 namespace crowstep::gateway {
 
-GatewayStats::GatewayStats(Metrics &Stats) : m_Metrics(Stats) {
+GatewayStats::GatewayStats(Metrics &Stats)
+    : m_Metrics(Stats), m_UnreadableLimits(Stats.counter(
+                            "crowstep_upstream_limits_unreadable_total")) {
   for (std::size_t I = 0; I < m_Refusals.size(); ++I)
     m_Refusals.at(I) = &Stats.counter(
         "crowstep_refusals_total",
--- a/src/gateway/gateway_stats.h
+++ b/src/gateway/gateway_stats.h
@@ -30,13 +30,17 @@
   void refused(RefusalReason Reason);
   void retried(RetryReason Reason);
 
+  /// An upstream stated a limit that is no number.
+  void limitUnreadable() { m_UnreadableLimits.add(); }
+
   /// Returns the handles of a route.
   RouteStats &route(const std::string &Name);
 
 private:
   RouteStats make(const std::string &Label);
 
-  Metrics &m_Metrics; ///< Outlives this object.
+  Metrics &m_Metrics;          ///< Outlives this object.
+  Counter &m_UnreadableLimits; ///< See limitUnreadable().
   std::array<Counter *, static_cast<std::size_t>(RefusalReason::Count)>
       m_Refusals; ///< By reason.
   std::array<Counter *, static_cast<std::size_t>(RetryReason::Count)>
--- a/src/gateway/header_codec.h
+++ b/src/gateway/header_codec.h
@@ -48,6 +48,8 @@
   bool m_Encoded = false;           ///< The body isn't what was made.
   bool m_Leaving = false;           ///< It closes its connections.
   std::optional<LoadReport> m_Load; ///< As of this answer.
+  std::optional<double> m_Limit;    ///< Requests a second, from all instances.
+  bool m_BadLimit = false;          ///< One is stated and can't be read.
 };
 
 /// Translates headers; one for each platform.
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -52,6 +52,7 @@
         {"timed_out", 504},
         {"upstream_refused", 503},
         {"quarantined", 503},
+        {"upstream_limited", 503},
     }};
 
 constexpr std::array<std::string_view,
--- a/src/refusal_type.h
+++ b/src/refusal_type.h
@@ -49,6 +49,7 @@
   TimedOut,             ///< The row's or the caller's time is over.
   UpstreamRefused,      ///< The upstream said that it did not run the call.
   Quarantined,          ///< It crashes the upstreams that run it.
+  UpstreamLimited,      ///< The upstreams' own limits are used up.
   Count,                ///< Number of reasons; not a reason.
 };
 
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -110,6 +110,8 @@
 
 struct RequestCrash;
 
+struct UpstreamLimit;
+
 struct GatewayDigest;
 struct GatewayDigestBuilder;
 struct GatewayDigestT;
@@ -856,6 +858,59 @@
   using type = RequestCrash;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint32_t milli_;
+  uint32_t age_ms_;
+  uint8_t ended_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  UpstreamLimit()
+      : upstream_(0),
+        milli_(0),
+        age_ms_(0),
+        ended_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  UpstreamLimit(uint64_t _upstream, uint32_t _milli, uint32_t _age_ms, bool _ended)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        milli_(flatbuffers::EndianScalar(_milli)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        ended_(flatbuffers::EndianScalar(static_cast<uint8_t>(_ended))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t milli() const {
+    return flatbuffers::EndianScalar(milli_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  bool ended() const {
+    return flatbuffers::EndianScalar(ended_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(UpstreamLimit, 24);
+
+struct UpstreamLimit::Traits {
+  using type = UpstreamLimit;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint16_t schema = 0;
@@ -2924,6 +2979,7 @@
   std::vector<crowstep::wire::PartPlaced> parts{};
   std::vector<crowstep::wire::WorkPlaced> work{};
   std::vector<crowstep::wire::RequestCrash> crashes{};
+  std::vector<crowstep::wire::UpstreamLimit> limits{};
 };
 
 struct GatewayDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2934,7 +2990,8 @@
     VT_LOADS = 4,
     VT_PARTS = 6,
     VT_WORK = 8,
-    VT_CRASHES = 10
+    VT_CRASHES = 10,
+    VT_LIMITS = 12
   };
   const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *>(VT_LOADS);
@@ -2948,6 +3005,9 @@
   const flatbuffers::Vector<const crowstep::wire::RequestCrash *> *crashes() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::RequestCrash *> *>(VT_CRASHES);
   }
+  const flatbuffers::Vector<const crowstep::wire::UpstreamLimit *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::UpstreamLimit *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_LOADS) &&
@@ -2958,6 +3018,8 @@
            verifier.VerifyVector(work()) &&
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
   GatewayDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2981,6 +3043,9 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RequestCrash *>> crashes) {
     fbb_.AddOffset(GatewayDigest::VT_CRASHES, crashes);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::UpstreamLimit *>> limits) {
+    fbb_.AddOffset(GatewayDigest::VT_LIMITS, limits);
+  }
   explicit GatewayDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2997,8 +3062,10 @@
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::UpstreamLoad *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::PartPlaced *>> parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WorkPlaced *>> work = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RequestCrash *>> crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RequestCrash *>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::UpstreamLimit *>> limits = 0) {
   GatewayDigestBuilder builder_(_fbb);
+  builder_.add_limits(limits);
   builder_.add_crashes(crashes);
   builder_.add_work(work);
   builder_.add_parts(parts);
@@ -3016,17 +3083,20 @@
     const std::vector<crowstep::wire::UpstreamLoad> *loads = nullptr,
     const std::vector<crowstep::wire::PartPlaced> *parts = nullptr,
     const std::vector<crowstep::wire::WorkPlaced> *work = nullptr,
-    const std::vector<crowstep::wire::RequestCrash> *crashes = nullptr) {
+    const std::vector<crowstep::wire::RequestCrash> *crashes = nullptr,
+    const std::vector<crowstep::wire::UpstreamLimit> *limits = nullptr) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamLoad>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<crowstep::wire::PartPlaced>(*parts) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkPlaced>(*work) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<crowstep::wire::RequestCrash>(*crashes) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamLimit>(*limits) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       loads__,
       parts__,
       work__,
-      crashes__);
+      crashes__,
+      limits__);
 }
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4440,6 +4510,7 @@
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = *_e->Get(_i); } } }
   { auto _e = work(); if (_e) { _o->work.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->work[_i] = *_e->Get(_i); } } }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = *_e->Get(_i); } } }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<GatewayDigest> GatewayDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4454,12 +4525,14 @@
   auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStructs(_o->parts) : 0;
   auto _work = _o->work.size() ? _fbb.CreateVectorOfStructs(_o->work) : 0;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVectorOfStructs(_o->crashes) : 0;
+  auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       _loads,
       _parts,
       _work,
-      _crashes);
+      _crashes,
+      _limits);
 }
 
 inline DirectoryRowT *DirectoryRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/benchmark/placing_benchmark.cpp
+++ b/tests/benchmark/placing_benchmark.cpp
@@ -56,7 +56,7 @@
       It.ended(Where->m_Ticket, CallOutcome::Served, TimePoint(1s));
     }
     if (Number % 100 == 0)
-      benchmark::DoNotOptimize(It.takeDigest());
+      benchmark::DoNotOptimize(It.takeDigest(TimePoint(1s)));
   }
 }
 
--- a/tests/standin/fleet_model.cpp
+++ b/tests/standin/fleet_model.cpp
@@ -383,7 +383,7 @@
   void digests() {
     m_Sums.resize(m_Model.m_Zones);
     for (std::size_t From = 0; From < m_Gateways.size(); ++From) {
-      const LoadDigest Said = m_Gateways[From].takeDigest();
+      const LoadDigest Said = m_Gateways[From].takeDigest(m_Now);
       m_Sums[zoneOf(From)].take(InstanceId(From + 1), Said, m_Now);
       for (std::size_t To = 0; To < m_Gateways.size(); ++To)
         if (To != From && zoneOf(To) == zoneOf(From))
--- a/tests/unit/balance_test.cpp
+++ b/tests/unit/balance_test.cpp
@@ -89,12 +89,12 @@
     for (std::uint64_t I = 0; I < 5; ++I)
       BOOST_TEST((Here.served(longCall(Prefix, 2000 + I)).m_Upstream ==
                   First.m_Upstream));
-    There.m_Balancer.peerSaid(InstanceId(1), Here.m_Balancer.takeDigest(),
-                              There.m_Now);
+    There.m_Balancer.peerSaid(
+        InstanceId(1), Here.m_Balancer.takeDigest(Here.m_Now), There.m_Now);
     BOOST_TEST(
         (There.served(longCall(Prefix, 3000)).m_Upstream == First.m_Upstream));
-    Here.m_Balancer.peerSaid(InstanceId(2), There.m_Balancer.takeDigest(),
-                             Here.m_Now);
+    Here.m_Balancer.peerSaid(
+        InstanceId(2), There.m_Balancer.takeDigest(There.m_Now), Here.m_Now);
   }
 }
 
@@ -105,8 +105,8 @@
   World Restarted(9);
   for (std::uint64_t Prefix = 1; Prefix <= 30; ++Prefix)
     Here.served(longCall(Prefix, 1000 + Prefix));
-  Restarted.m_Balancer.peerSaid(InstanceId(1), Here.m_Balancer.wholeDigest(),
-                                Restarted.m_Now);
+  Restarted.m_Balancer.peerSaid(
+      InstanceId(1), Here.m_Balancer.wholeDigest(Here.m_Now), Restarted.m_Now);
   for (std::uint64_t Prefix = 1; Prefix <= 30; ++Prefix)
     BOOST_TEST(Restarted.served(longCall(Prefix, 2000)).m_Why.m_MissingTokens ==
                Own);
@@ -417,6 +417,34 @@
   BOOST_TEST(SawOther);
 }
 
+// Guards against calls to an upstream over the limit that it has stated, and a
+// refusal that doesn't say so or when to come back.
+BOOST_AUTO_TEST_CASE(UpstreamsOverTheirLimitGetNothing) {
+  World It(0);
+  It.m_Balancer.setUpstreams({desk(1, "a"), desk(2, "a")});
+  It.m_Balancer.setInstances(InstanceId(1), {InstanceId(1)}, It.m_Now - 10s);
+  const auto State = [&](const Placed &At, RateLimit Limit) {
+    It.m_Balancer.stated(At.m_Ticket, Limit, It.m_Now);
+    It.m_Balancer.ended(At.m_Ticket, CallOutcome::Served, It.m_Now);
+  };
+  const Placed First = It.placed(plainCall());
+  const Placed Second = It.placed(plainCall());
+  BOOST_TEST(First.m_Name != Second.m_Name);
+  State(First, 0.5);
+  for (int I = 0; I < 5; ++I)
+    BOOST_TEST(It.placed(plainCall()).m_Name == Second.m_Name);
+  State(Second, 0.5);
+  const auto Result = It.m_Balancer.place(plainCall(), It.m_Now);
+  BOOST_REQUIRE(std::holds_alternative<NotPlaced>(Result));
+  const auto &None = std::get<NotPlaced>(Result);
+  BOOST_TEST((None.m_Reason == RefusalReason::UpstreamLimited));
+  BOOST_TEST((None.m_RetryAfter == 1s));
+  It.m_Now += 2100ms;
+  State(It.placed(plainCall()), std::nullopt);
+  It.placed(plainCall());
+  BOOST_TEST(It.placed(plainCall()).m_Name != "");
+}
+
 /// Engines are divided as the work is. Both kinds keep some while there is work
 /// of both; a kind without work needs none, and kept ones would idle.
 BOOST_AUTO_TEST_CASE(TheSplitFollowsTheWork) {
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -170,6 +170,9 @@
 
   PlayedCall &call(std::size_t Index) { return m_Upstreams.m_Calls.at(Index); }
   std::size_t calls() const { return m_Upstreams.m_Calls.size(); }
+  std::string upstreamOf(std::size_t Index) {
+    return *findHeader(call(Index).m_What.m_Headers, "Call-Upstream");
+  }
 
   void head(std::size_t Index, unsigned Status, HeaderList Headers = {}) {
     Headers.push_back({"Call-Id", Id});
@@ -523,3 +526,15 @@
     BOOST_TEST(It.m_Balancer.quarantine().crashesOf(contentOfRequest()) == 0U);
   }
 }
+
+// Guards against a limit that is not read from a refusal, or is ended by one.
+BOOST_AUTO_TEST_CASE(ALimitIsReadFromAnyAnswer) {
+  World It(Idempotent, 3);
+  const UpstreamId First = upstreamIdOf(It.upstreamOf(0));
+  It.head(0, 503, {{"Call-Not-Run", "1"}, {"Call-Limit", "2"}});
+  BOOST_TEST(It.m_Balancer.limitOf(First).value_or(0) == 2);
+  BOOST_TEST(It.calls() == 2U);
+  const UpstreamId Second = upstreamIdOf(It.upstreamOf(1));
+  It.head(1, 200, {{"Call-Signed", "s"}, {"Call-Limit", "3"}});
+  BOOST_TEST(It.m_Balancer.limitOf(Second).value_or(0) == 3);
+}
--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -227,6 +227,18 @@
   BOOST_TEST(!Codec.readAnswer(503, {}).m_NotRun);
   BOOST_TEST(Codec.readAnswer(503, {{"X-Not-Executed", "1"}}).m_NotRun);
   BOOST_TEST(Codec.readAnswer(421, {}).m_NotRun);
+  const auto LimitOf = [&](const char *Text) {
+    return Codec.readAnswer(200, {{"Server-Limit", Text}});
+  };
+  BOOST_TEST(*LimitOf("1.8").m_Limit == 1.8);
+  BOOST_TEST(*LimitOf("0").m_Limit == 0);
+  BOOST_TEST(*LimitOf("40 ").m_Limit == 40);
+  for (const char *Bad :
+       {"", "-1", "nan", "inf", "1e400", "0x10", "1,5", "x"}) {
+    BOOST_TEST(!LimitOf(Bad).m_Limit);
+    BOOST_TEST(LimitOf(Bad).m_BadLimit);
+  }
+  BOOST_TEST(!Codec.readAnswer(200, {}).m_BadLimit);
   const auto Load = Codec.readAnswer(200, {{"X-Server-Load", "3,1,8"}}).m_Load;
   BOOST_REQUIRE(Load.has_value());
   BOOST_TEST(Load->m_Running == 3U);
--- /dev/null
+++ b/tests/unit/rate_limits_test.cpp
@@ -0,0 +1,296 @@
+/// Limits that upstreams state, kept by fleets in virtual time.
+#define BOOST_TEST_MODULE rate_limits
+#include "balance/rate_limits.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <map>
+#include <random>
+
+using namespace crowstep;
+using namespace crowstep::balance;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Begin{1000s};
+constexpr Duration Step = 10ms;
+constexpr Duration AnswerTime = 60ms;
+
+/// A limit is kept this long after it was stated first, in any span of Window,
+/// by instances that had no trouble of their own for as long.
+constexpr Duration Contact = 3s;
+constexpr Duration Window = 4s;
+constexpr double RateFactor = 1.5;
+constexpr double RateSlack = 5;
+
+const UpstreamId Limited(7);
+
+/// Instances around one upstream; lists of instances and news come late, some
+/// twice, some never.
+class Fleet {
+public:
+  Fleet(std::size_t Count, std::uint64_t Seed) : m_Random(Seed) {
+    for (std::size_t I = 0; I < Count; ++I)
+      add();
+    for (Instance &Each : m_All)
+      Each.m_Limits.setInstances(Each.m_Id, list(), Begin - 20s);
+  }
+
+  std::size_t below(std::size_t Limit) { return m_Random() % Limit; }
+
+  /// Plays \p Span, in which \p CallsPerSecond callers choose this upstream and
+  /// there is a trouble each \p TroubleEvery on average; 0: none.
+  void play(Duration Span, std::size_t CallsPerSecond,
+            Duration TroubleEvery = Duration::zero()) {
+    const TimePoint End = m_Now + Span;
+    const auto StepsPerSecond = static_cast<std::size_t>(1s / Step);
+    for (; m_Now < End; m_Now += Step) {
+      answer();
+      deliver();
+      if (m_Steps++ % 10 == 0)
+        exchange();
+      if (TroubleEvery > Duration::zero() &&
+          below(static_cast<std::size_t>(TroubleEvery / Step)) == 0)
+        trouble();
+      for (std::size_t I = 0; I < 1 + CallsPerSecond / StepsPerSecond; ++I)
+        if (below(StepsPerSecond) < CallsPerSecond)
+          call(m_All[below(m_All.size())]);
+    }
+  }
+
+  /// Returns whether each window since \p From had no more than is allowed.
+  [[nodiscard]] bool keeps(double Limit, TimePoint From) const {
+    const double Allowed =
+        RateFactor * Limit * std::chrono::duration<double>(Window).count() +
+        RateSlack;
+    for (auto Each = m_Arrivals.begin(); Each != m_Arrivals.end(); ++Each)
+      if (*Each >= From &&
+          static_cast<double>(
+              std::upper_bound(Each, m_Arrivals.end(), *Each + Window) - Each) >
+              Allowed)
+        return false;
+    return true;
+  }
+
+  [[nodiscard]] std::size_t arrivedSince(TimePoint From) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_Arrivals.begin(), m_Arrivals.end(),
+                      [&](TimePoint Each) { return Each >= From; }));
+  }
+
+  RateLimit m_Limit; ///< The upstream states it.
+  TimePoint m_Now = Begin;
+
+private:
+  struct Instance {
+    InstanceId m_Id;
+    RateLimits m_Limits;
+    TimePoint m_ExcusedUntil{}; ///< After its own troubles.
+    TimePoint m_AwayUntil{};    ///< It stands still.
+  };
+
+  struct Answer {
+    TimePoint m_At;    ///< When it comes.
+    InstanceId m_To;   ///< To whom.
+    TimePoint m_Sent;  ///< Its call.
+    RateLimit m_Limit; ///< As stated.
+  };
+
+  void add() {
+    const InstanceId Id(++m_LastId * 0x9E3779B97F4A7C15U);
+    m_All.push_back({Id, RateLimits(m_Random())});
+    m_All.back().m_ExcusedUntil = m_Now + Contact;
+  }
+
+  [[nodiscard]] std::vector<InstanceId> list() const {
+    std::vector<InstanceId> Result;
+    for (const Instance &Each : m_All)
+      Result.push_back(Each.m_Id);
+    return Result;
+  }
+
+  Instance *find(InstanceId Id) {
+    const auto Found =
+        std::find_if(m_All.begin(), m_All.end(),
+                     [&](const Instance &Each) { return Each.m_Id == Id; });
+    return Found == m_All.end() ? nullptr : &*Found;
+  }
+
+  void call(Instance &From) {
+    if (m_Now < From.m_AwayUntil || !From.m_Limits.mayTake(Limited, m_Now))
+      return;
+    From.m_Limits.taken(Limited, m_Now);
+    if (m_Now >= From.m_ExcusedUntil)
+      m_Arrivals.push_back(m_Now);
+    m_Answers.push_back({m_Now + AnswerTime, From.m_Id, m_Now, m_Limit});
+  }
+
+  void answer() {
+    for (; !m_Answers.empty() && m_Answers.front().m_At <= m_Now;
+         m_Answers.pop_front()) {
+      const Answer &Next = m_Answers.front();
+      if (Instance *To = find(Next.m_To))
+        To->m_Limits.stated(Limited, Next.m_Limit, Next.m_Sent, m_Now);
+    }
+  }
+
+  void exchange() {
+    for (Instance &Each : m_All) {
+      if (m_Now < Each.m_AwayUntil)
+        continue;
+      const auto News = Each.m_Limits.takeNews(m_Now);
+      if (News.empty() || below(10) == 0) // Lost.
+        continue;
+      for (std::size_t I = 0; I < 1 + below(2); ++I)
+        m_OnTheWay.emplace(m_Now + std::chrono::milliseconds(below(700)),
+                           std::pair(m_Now, News));
+    }
+  }
+
+  void deliver() {
+    for (auto Each = m_OnTheWay.begin();
+         Each != m_OnTheWay.end() && Each->first <= m_Now;
+         Each = m_OnTheWay.erase(Each))
+      for (Instance &To : m_All)
+        if (m_Now >= To.m_AwayUntil)
+          To.m_Limits.take(Each->second.second, m_Now);
+    for (auto Each = m_Lists.begin();
+         Each != m_Lists.end() && Each->first <= m_Now;
+         Each = m_Lists.erase(Each))
+      if (Instance *To = find(Each->second))
+        To->m_Limits.setInstances(To->m_Id, list(), m_Now);
+  }
+
+  /// One instance restarts, stands still, goes for good or comes.
+  void trouble() {
+    Instance &Which = m_All[below(m_All.size())];
+    switch (below(4)) {
+    case 0:
+      Which.m_Limits = RateLimits(m_Random());
+      Which.m_ExcusedUntil = m_Now + Contact;
+      m_Lists.emplace(m_Now + 100ms, Which.m_Id);
+      return;
+    case 1:
+      Which.m_AwayUntil = m_Now + 2s;
+      Which.m_ExcusedUntil = m_Now + 2s + Contact;
+      return;
+    case 2:
+      if (m_All.size() > 3)
+        m_All.erase(m_All.begin() + (&Which - m_All.data()));
+      break;
+    default:
+      add();
+    }
+    for (const Instance &Each : m_All)
+      m_Lists.emplace(m_Now + std::chrono::milliseconds(below(3500)),
+                      Each.m_Id);
+  }
+
+  std::mt19937_64 m_Random;          ///< Seeded.
+  std::uint64_t m_LastId = 0;        ///< Of instances.
+  std::size_t m_Steps = 0;           ///< So far.
+  std::vector<Instance> m_All;       ///< Now.
+  std::deque<Answer> m_Answers;      ///< In the order of m_At.
+  std::vector<TimePoint> m_Arrivals; ///< Of instances that count.
+  std::multimap<TimePoint, std::pair<TimePoint, std::vector<LimitNews>>>
+      m_OnTheWay;                               ///< News by arrival.
+  std::multimap<TimePoint, InstanceId> m_Lists; ///< By arrival.
+};
+
+} // namespace
+
+// Guards against instances that together send an upstream more than it takes,
+// in fleets of any size that start, freeze and lose what they tell.
+BOOST_AUTO_TEST_CASE(AFleetKeepsALimit) {
+  for (const std::size_t Count : {4, 9, 30, 300, 1000})
+    for (const double Limit : {0.0, 0.3, 1.0, 1.8, 5.0, 20.0})
+      for (const Duration TroubleEvery :
+           {Duration(0s), Duration(300ms), Duration(12s)})
+        BOOST_TEST_CONTEXT(Count << " instances, limit " << Limit
+                                 << ", a trouble each " << TroubleEvery.count()
+                                 << " us") {
+          Fleet It(Count, Count);
+          It.play(1s, 500);
+          It.m_Limit = Limit;
+          const TimePoint Stated = It.m_Now;
+          It.play(40s, 500, TroubleEvery);
+          BOOST_TEST(It.keeps(Limit, Stated + Contact));
+        }
+}
+
+// Guards against a limit that is not used, or hardly.
+BOOST_AUTO_TEST_CASE(AFleetUsesALimit) {
+  for (const std::size_t Count : {4, 9, 30, 300})
+    for (const double Limit : {1.0, 5.0, 20.0}) {
+      Fleet It(Count, Count);
+      It.m_Limit = Limit;
+      It.play(6s, 2000);
+      const TimePoint Since = It.m_Now;
+      It.play(10s, 2000);
+      BOOST_TEST(static_cast<double>(It.arrivedSince(Since)) >= 5 * Limit);
+    }
+}
+
+// Guards against a limit that outlasts the need of its upstream.
+BOOST_AUTO_TEST_CASE(AnEndedLimitIsForgotten) {
+  for (const std::size_t Count : {4, 30, 300})
+    for (const double Limit : {0.0, 0.3, 1.0, 5.0})
+      BOOST_TEST_CONTEXT(Count << " instances, limit " << Limit) {
+        Fleet It(Count, Count);
+        It.m_Limit = Limit;
+        It.play(8s, 80);
+        It.m_Limit = std::nullopt;
+        It.play(40s, 80);
+        const TimePoint Since = It.m_Now;
+        It.play(5s, 80);
+        BOOST_TEST(It.arrivedSince(Since) > 200U);
+      }
+}
+
+// Guards against tokens that are kept from a higher limit, or from none.
+BOOST_AUTO_TEST_CASE(ALowerLimitBeginsWithoutTokens) {
+  RateLimits It(1);
+  It.setInstances(InstanceId(1), {InstanceId(1)}, Begin - 10s);
+  It.stated(Limited, 50, Begin, Begin);
+  BOOST_TEST(It.mayTake(Limited, Begin + 1s));
+  It.stated(Limited, 1, Begin + 1s, Begin + 1s);
+  BOOST_TEST(!It.mayTake(Limited, Begin + 1s));
+  BOOST_TEST(!It.mayTake(Limited, Begin + 1900ms));
+  BOOST_TEST(It.mayTake(Limited, Begin + 2100ms));
+}
+
+// Guards against a new sender beside one that doesn't know yet that it is none.
+BOOST_AUTO_TEST_CASE(ANewSenderWaitsUntilListsAgree) {
+  RateLimits It(1);
+  It.setInstances(InstanceId(1), {InstanceId(2)}, Begin - 10s);
+  It.stated(Limited, 100, Begin - 5s, Begin - 5s);
+  It.setInstances(InstanceId(1), {InstanceId(1), InstanceId(2)}, Begin);
+  BOOST_TEST(!It.mayTake(Limited, Begin + RateLimits::SettleSpan));
+  BOOST_TEST(It.mayTake(Limited, Begin + RateLimits::SettleSpan + 100ms));
+  It.setInstances(InstanceId(1), {InstanceId(2)}, Begin + 10s);
+  BOOST_TEST(!It.mayTake(Limited, Begin + 10s));
+}
+
+// Guards against an old answer that ends a limit stated after its call.
+BOOST_AUTO_TEST_CASE(AnAnswerToAnOlderCallEndsNoLimit) {
+  RateLimits It(1);
+  It.setInstances(InstanceId(1), {InstanceId(1)}, Begin - 10s);
+  It.stated(Limited, 1, Begin, Begin + 100ms);
+  It.stated(Limited, std::nullopt, Begin + 50ms, Begin + 200ms);
+  BOOST_TEST(It.limitOf(Limited).has_value());
+  It.take({{Limited, std::nullopt, 500ms}}, Begin + 300ms);
+  BOOST_TEST(It.limitOf(Limited).has_value());
+  It.stated(Limited, std::nullopt, Begin + 150ms, Begin + 400ms);
+  BOOST_TEST(!It.limitOf(Limited).has_value());
+}
+
+// Guards against upstreams that went and are remembered.
+BOOST_AUTO_TEST_CASE(UnlistedUpstreamsAreForgotten) {
+  RateLimits It(1);
+  It.stated(Limited, 1, Begin, Begin);
+  It.keepOnly({});
+  BOOST_TEST(!It.limitOf(Limited).has_value());
+  BOOST_TEST(It.mayTake(Limited, Begin));
+}
