Change: List a quarantined request as its third crash is seen

Two faults in a row, the third crash and a loss of power of all instances within a second, would have lost the quarantine. The instance that sees the third crash and knows of two others lists it at once; those that saw another one look again each second, as before. Tests: crash_watch_test, which also covers probes, entries that go, writes that are lost and removals.

--- a/src/content_hash.h
+++ b/src/content_hash.h
@@ -16,6 +16,8 @@
   std::uint64_t m_High = 0; ///< First half.
   std::uint64_t m_Low = 0;  ///< Second half.
 
+  // The check takes the generated comparison for ours.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const ContentHash &) const = default;
 };
 
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -58,8 +58,10 @@
             {"why", std::string(Why)},
             {"calls", std::to_string(Calls)}});
   m_LastCrash = Now;
-  if (!m_KeepList.running())
-    m_KeepList.start(ListAfter, [this] { keepList(); });
+  const bool Listable = !m_Balancer.quarantine().unlisted().empty();
+  if (Listable || !m_KeepList.running())
+    m_KeepList.start(Listable ? Duration::zero() : ListAfter,
+                     [this] { keepList(); });
 }
 
 void CrashWatch::quarantineChanged(const std::set<ContentHash> &Listed) {
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -19,8 +19,8 @@
   /// A machine that is there answers a connection within this time.
   static constexpr Duration ProbeLimit = std::chrono::milliseconds(500);
 
-  /// Until a quarantined request is listed, so that instances that have seen a
-  /// part of its crashes each know all of them by then.
+  /// Between two looks for quarantined requests to list, where the last crash
+  /// was seen by another instance; that one lists them at once.
   static constexpr Duration ListAfter = std::chrono::seconds(1);
 
   /// Until a request that is not seen on the list is written again: changes of
--- /dev/null
+++ b/tests/unit/crash_watch_test.cpp
@@ -0,0 +1,157 @@
+/// What follows from broken calls: probes, and the list of quarantined
+/// requests.
+#define BOOST_TEST_MODULE crash_watch
+#include "gateway/crash_watch.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace crowstep;
+using namespace crowstep::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Probes that a test answers.
+class FakeProber final : public UpstreamProber {
+public:
+  std::unique_ptr<UpstreamProbe> probe(const Address &, Duration,
+                                       ProbeDone OnDone) override {
+    m_Done.push_back(std::move(OnDone));
+    return std::make_unique<UpstreamProbe>();
+  }
+  std::vector<ProbeDone> m_Done; ///< All, in order.
+};
+
+/// Counts what is written; nothing takes effect.
+class FakeDirectory final : public Directory {
+public:
+  void start(DirectoryListener &, const PeerInstance &) override {}
+  void leave() override {}
+  void listQuarantined(const ContentHash &) override { ++m_Listed; }
+  void unlistQuarantined(const ContentHash &) override { ++m_Unlisted; }
+  void setReadingRole(ReadingRole) override {}
+  void passedOn(const DirectoryUpdate &) override {}
+
+  int m_Listed = 0;   ///< Writes.
+  int m_Unlisted = 0; ///< Removals.
+};
+
+constexpr ContentHash Request{1, 1};
+
+struct World {
+  ManualClock m_Clock;
+  ManualScheduler m_Timers{m_Clock};
+  balance::Balancer m_Balancer{{"a"}};
+  FakeProber m_Prober;
+  Metrics m_Metrics;
+  FakeDirectory m_List;
+  CrashWatch m_Watch{m_Clock, m_Timers, m_Balancer, m_Prober, m_Metrics};
+
+  World() {
+    m_Timers.advance(100s);
+    m_Watch.start(m_List);
+    listUpstreams({"u-1", "u-2", "u-3"});
+  }
+
+  void listUpstreams(const std::vector<std::string> &Names,
+                     bool Leaving = false) {
+    std::vector<Upstream> All;
+    for (const std::string &Name : Names)
+      All.push_back({upstreamIdOf(Name),
+                     Name,
+                     "s",
+                     {1, 1},
+                     {"a"},
+                     PlainService{4},
+                     Leaving});
+    m_Watch.upstreamsChanged(All);
+    m_Balancer.setUpstreams(All);
+  }
+
+  /// The request's call breaks at \p Name.
+  void breaks(const std::string &Name) {
+    m_Balancer.quarantine().callBroken(Request, upstreamIdOf(Name),
+                                       m_Clock.now());
+    m_Watch.callBroken(upstreamIdOf(Name), {1, 1});
+  }
+
+  void crashes(const std::string &Name) {
+    breaks(Name);
+    m_Prober.m_Done.back()(ConnectOutcome::Refused);
+  }
+
+  [[nodiscard]] std::size_t count() {
+    return m_Balancer.quarantine().crashesOf(Request);
+  }
+};
+
+} // namespace
+
+// Guards against a probe for each of the calls that broke at one upstream.
+BOOST_AUTO_TEST_CASE(OneProbeFindsOutForAllCalls) {
+  World It;
+  It.breaks("u-1");
+  It.breaks("u-1");
+  BOOST_TEST(It.m_Prober.m_Done.size() == 1U);
+  It.m_Prober.m_Done[0](ConnectOutcome::Refused);
+  BOOST_TEST(It.count() == 1U);
+  It.breaks("u-1");
+  BOOST_TEST(It.m_Prober.m_Done.size() == 2U);
+}
+
+// Guards against an upstream that comes back before it is probed, and one that
+// leaves and is taken for one that crashed.
+BOOST_AUTO_TEST_CASE(AnEntryThatGoesWithoutLeavingIsACrash) {
+  World It;
+  It.breaks("u-1");
+  It.m_Prober.m_Done[0](ConnectOutcome::Stands);
+  BOOST_TEST(It.count() == 0U);
+  It.listUpstreams({"u-2", "u-3"});
+  BOOST_TEST(It.count() == 1U);
+  It.breaks("u-2");
+  It.listUpstreams({"u-2", "u-3"}, true);
+  It.listUpstreams({});
+  BOOST_TEST(It.count() == 1U);
+}
+
+// Guards against a quarantine that is not listed before all power is lost, or
+// whose write is lost for good.
+BOOST_AUTO_TEST_CASE(AQuarantineIsListedAtOnceAndUntilItIsSeen) {
+  World It;
+  for (const char *Name : {"u-1", "u-2", "u-3"})
+    It.crashes(Name);
+  It.m_Timers.advance(1ms);
+  BOOST_TEST(It.m_List.m_Listed == 1);
+  It.m_Timers.advance(CrashWatch::ListAgainAfter);
+  BOOST_TEST(It.m_List.m_Listed == 2);
+  It.m_Watch.quarantineChanged({Request});
+  It.m_Timers.advance(1min);
+  BOOST_TEST(It.m_List.m_Listed == 2);
+}
+
+// Guards against a quarantine whose crashes were each seen elsewhere and that
+// no instance lists.
+BOOST_AUTO_TEST_CASE(ThoseThatSawOneCrashListAQuarantineOfOthers) {
+  World It;
+  It.crashes("u-1");
+  It.m_Balancer.quarantine().take(
+      {{Request, upstreamIdOf("u-2")}, {Request, upstreamIdOf("u-3")}},
+      It.m_Clock.now());
+  BOOST_TEST(It.m_List.m_Listed == 0);
+  It.m_Timers.advance(CrashWatch::ListAfter);
+  BOOST_TEST(It.m_List.m_Listed == 1);
+}
+
+// Guards against a list that goes on naming a request that was served.
+BOOST_AUTO_TEST_CASE(AServedRequestIsTakenOffTheList) {
+  World It;
+  It.m_Watch.quarantineChanged({Request});
+  It.m_Balancer.quarantine().served(Request);
+  It.m_Timers.advance(1ms);
+  BOOST_TEST(It.m_List.m_Unlisted == 1);
+  It.m_Timers.advance(CrashWatch::ListAgainAfter);
+  BOOST_TEST(It.m_List.m_Unlisted == 2);
+  It.m_Watch.quarantineChanged({});
+  It.m_Timers.advance(1min);
+  BOOST_TEST(It.m_List.m_Unlisted == 2);
+}
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -98,8 +98,9 @@
 BOOST_AUTO_TEST_CASE(NewsMergeTheSameInAnyOrder) {
   rc::check("news merge", [] {
     std::vector<CrashNews> News;
-    const auto Count = *rc::gen::inRange(0, 12);
-    for (int I = 0; I < Count; ++I)
+    const auto Count = *rc::gen::inRange<std::size_t>(0, 12);
+    News.reserve(Count);
+    for (std::size_t I = 0; I < Count; ++I)
       News.push_back({request(*rc::gen::inRange<std::uint64_t>(1, 4)),
                       upstream(*rc::gen::inRange<std::uint64_t>(1, 5))});
     Quarantine First(1);
