--- a/src/balance/rate_limits.h
+++ b/src/balance/rate_limits.h
@@ -1,15 +1,14 @@
 /// Limits that upstreams state: requests a second from all instances together.
 ///
 /// Instances can't ask one another for each call, and an equal share for each
-/// of hundreds is too much for a limit of one a second. So a few instances send
-/// to such an upstream at all: those that come first by a hash of its id and
-/// theirs, no more than the limit has requests a second. Each has an equal part
-/// of the rate. In a window W that is limit x W and one call an instance; an
-/// instance that becomes a sender waits until the one before must know that it
-/// no longer is one.
+/// of hundreds exceeds a limit of one a second. So few instances, the senders,
+/// call such an upstream at all: those that come first by rendezvous hashing,
+/// no more of them than the limit has requests a second. Each has a token
+/// bucket with an equal part of the rate. A new sender waits until all
+/// instances have the same list, so that the one before has stopped.
 ///
-/// The senders find out that a limit has ended and tell the others. Should no
-/// word come, any instance tries one call now and then.
+/// The senders find out that a limit has ended and tell the others. Where
+/// nothing is heard, any instance tries single calls.
 #ifndef CROWSTEP_BALANCE_RATE_LIMITS_H
 #define CROWSTEP_BALANCE_RATE_LIMITS_H
 
@@ -39,8 +38,8 @@
   /// Lists of instances agree after this long without a change.
   static constexpr Duration SettleSpan = std::chrono::seconds(4);
 
-  /// Without word of an upstream for this long, instances try single calls: one
-  /// of all instances in each TrialSpan, on average.
+  /// After this long without a statement instances try single calls: one of all
+  /// instances in each TrialSpan, on average.
   static constexpr Duration StaleAfter = std::chrono::seconds(8);
   static constexpr Duration TrialSpan = std::chrono::seconds(4);
 
@@ -82,8 +81,8 @@
   /// What is known of one upstream that has stated a limit.
   struct State {
     RateLimit m_Limit;     ///< Nothing: it has ended.
-    TimePoint m_StatedAt;  ///< The newest word.
-    TimePoint m_HeardAt;   ///< The newest word of an upstream with a limit.
+    TimePoint m_StatedAt;  ///< The newest statement.
+    TimePoint m_HeardAt;   ///< The newest statement with a limit.
     bool m_News = false;   ///< To be told.
     bool m_Sender = false; ///< This instance is one.
     double m_Tokens = 0;   ///< Calls that it may send now.
