Test: The soak plays a request that crashes upstreams

Upstreams stand behind relays that accept connections, so the crash shows by the row alone. Checked: no more than three runs once gateways in touch can know of three crashes; recovery while it goes on.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -160,6 +160,33 @@
     judgeLeaving(Id, Call);
   }
   judgeBudget();
+  judgeCrashing();
+}
+
+/// Returns whether the gateway had no trouble of its own or with the store.
+bool Ledger::inTouch(const Asked &Call, TimePoint At) const {
+  return At > Call.m_GatewayStart + SettleBound &&
+         std::none_of(m_Blind.begin(), m_Blind.end(), [&](const auto &Each) {
+           return Each.first <= At && At <= Each.second + SettleBound;
+         });
+}
+
+void Ledger::judgeCrashing() {
+  constexpr std::size_t Crashes = 3;
+  if (m_CrashesKnown.size() < Crashes)
+    return;
+  ++m_Checked["crashing_request"];
+  const TimePoint Known = knownBy(m_CrashesKnown[Crashes - 1]);
+  std::string Late;
+  std::size_t Count = 0;
+  for (const auto &[Id, Call] : m_Calls)
+    for (const Run &Each : Call.m_Runs)
+      if (Call.m_Crashing && Each.m_At > Known && inTouch(Call, Each.m_At)) {
+        ++Count;
+        Late += " " + Id + "@" + Each.m_Upstream;
+      }
+  if (Count > RunsAfterCrashes)
+    violated("crashing_request", "runs after three crashes:" + Late);
 }
 
 void Ledger::judgeRuns(const std::string &Id, const Asked &Call) {
@@ -231,7 +258,7 @@
   int Served = 0;
   for (const auto &[Id, Call] : m_Calls) {
     if (Call.m_At < From || Call.m_At >= To || !Call.m_Told->m_Ended ||
-        Call.m_TableVersion != 0)
+        Call.m_TableVersion != 0 || Call.m_Crashing)
       continue;
     ++Sent;
     if (Call.m_Told->m_Status == HttpOk && !Call.m_Told->m_Broken)
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -36,6 +36,8 @@
   TimePoint m_At;                           ///< When it was sent.
   std::shared_ptr<const test::Told> m_Told; ///< Fills while the loop runs.
   std::vector<Run> m_Runs;                  ///< So far.
+  bool m_Crashing = false;                  ///< Crashes what runs it.
+  TimePoint m_GatewayStart;                 ///< Of that start of it.
   bool m_Judged = false;                    ///< After its end.
 };
 
@@ -63,6 +65,9 @@
     m_Leaving.emplace(Upstream, Now);
   }
 
+  /// An upstream crashed under the crashing request; its row goes at \p Gone.
+  void crashed(TimePoint Gone) { m_CrashesKnown.push_back(Gone); }
+
   /// The store holds a newer table.
   void tableChanged(unsigned Version, TimePoint Now) {
     m_Tables.emplace(Version, Now);
@@ -123,11 +128,14 @@
   void judgeRuns(const std::string &Id, const Asked &Call);
   void judgeLeaving(const std::string &Id, const Asked &Call);
   void judgeBudget();
+  void judgeCrashing();
+  [[nodiscard]] bool inTouch(const Asked &Call, TimePoint At) const;
   [[nodiscard]] TimePoint knownBy(TimePoint Told) const;
 
   std::map<std::string, Asked> m_Calls;       ///< By attempt's id.
   std::map<std::string, int> m_Arrivals;      ///< By attempt's id.
   std::vector<TimePoint> m_Again;             ///< Arrivals after the first.
+  std::vector<TimePoint> m_CrashesKnown;      ///< See crashed().
   std::map<std::string, TimePoint> m_Leaving; ///< By upstream.
   std::map<unsigned, TimePoint> m_Tables;     ///< When each was written.
   Spans m_Blind;                              ///< See blind().
@@ -153,6 +161,10 @@
 /// them.
 inline constexpr std::chrono::milliseconds SettleBound{3000};
 
+/// Runs of a request that has crashed three upstreams, by gateways that can
+/// know of it.
+inline constexpr std::size_t RunsAfterCrashes = 3;
+
 /// Events of a stream.
 inline constexpr int EventsOfStream = 8;
 
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -61,6 +61,11 @@
 
 bool isCalm(std::uint64_t Seed) { return Seed % CalmEvery == 0; }
 
+bool hasCrashingRequest(std::uint64_t Seed) {
+  constexpr std::uint64_t Every = 5;
+  return !isCalm(Seed) && Seed % Every == Every - 1;
+}
+
 std::optional<FaultKind> faultKindOf(const std::string &Name) {
   const auto Found = std::find(Names.begin(), Names.end(), Name);
   if (Found == Names.end())
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -64,6 +64,10 @@
 /// Returns whether \p Seed plays only planned work.
 bool isCalm(std::uint64_t Seed);
 
+/// Returns whether, beside the schedule of \p Seed, a request comes again and
+/// again that crashes the upstreams that run it.
+bool hasCrashingRequest(std::uint64_t Seed);
+
 } // namespace crowstep::soak
 
 #endif // CROWSTEP_TESTS_SOAK_SCHEDULE_H
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -22,6 +22,11 @@
 
 constexpr Duration LoadStep = 20ms;
 
+/// A crashing request, its run, and the row of what it crashed.
+constexpr Duration CrashingEvery = 300ms;
+constexpr Duration CrashTime = 30ms;
+constexpr Duration CrashedRowStays = 500ms;
+
 /// The driver judges by its own clock, and shares the machine with all it runs.
 constexpr std::chrono::milliseconds DriverSlack{500};
 
@@ -67,6 +72,8 @@
       m_Calm(isCalm(Plan.m_Seed)) {
   m_Store.listen(m_StoreAt);
   putTable();
+  // Upstreams hold references to their seats.
+  m_Seats.reserve(static_cast<std::size_t>(Plan.m_Upstreams));
   for (int I = 0; I < Plan.m_Upstreams; ++I) {
     Seat Fresh;
     Fresh.m_Number = I;
@@ -94,6 +101,7 @@
   ++Which.m_Lifetime;
   Which.m_Stopping = false;
   Which.m_Frozen = false;
+  Which.m_StartedAt = m_Clock.now();
   Which.m_Process = std::make_unique<test::Process>(
       m_Folder, "crowstep-gateway", Which.m_At.m_Name, settingsOf(Which.m_At));
 }
@@ -121,7 +129,12 @@
   const std::string Name = "u-" + std::to_string(Which.m_Number) + "-" +
                            std::to_string(++Which.m_Lifetime);
   Which.m_Upstream = std::make_unique<SoakUpstream>(
-      Name, Which.m_Real, m_Ledger, m_Clock, m_Random());
+      Name, Which.m_Real, m_Ledger, m_Clock, m_Random(), [this, &Which, Name] {
+        later(CrashTime, [this, &Which, Name] {
+          if (Which.m_Upstream != nullptr && Which.m_Upstream->name() == Name)
+            crash(Which);
+        });
+      });
   list(Which, "ready");
 }
 
@@ -183,6 +196,46 @@
   m_Ledger.asked(Id, std::move(Call));
 }
 
+/// The same request each time, at any gateway.
+void SoakFleet::sendCrashing() {
+  const auto Where =
+      std::find_if(m_Places.begin(), m_Places.end(), [this](const Place &Each) {
+        return Each.m_TakesCalls &&
+               Each.m_Number == static_cast<int>(m_LastCall % m_Places.size());
+      });
+  if (Where == m_Places.end())
+    return;
+  const std::string Id = "crash-" + std::to_string(++m_LastCall);
+  Asked Call;
+  Call.m_Kind = Kind::Again;
+  Call.m_Gateway = Where->m_Number;
+  Call.m_Lifetime = Where->m_Lifetime;
+  Call.m_At = m_Clock.now();
+  Call.m_Crashing = true;
+  Call.m_GatewayStart = Where->m_StartedAt;
+  test::Call What;
+  What.m_Path = "/again/crash";
+  What.m_Where = Where->m_At.m_Listen;
+  What.m_Body = CrashingBody;
+  What.m_Limit = 6s;
+  What.m_Headers = {
+      {"Host", "h.example"}, {"X-Attempt-Id", Id}, {"X-Deadline-Ms", "5000"}};
+  Call.m_Told = m_Callers.start(What);
+  m_Ledger.asked(Id, std::move(Call));
+}
+
+/// Its row stays for a while, as an engine's that went without a word.
+void SoakFleet::crash(Seat &Which) {
+  const std::string Gone = Which.m_Upstream->name();
+  Which.m_Upstream = nullptr;
+  m_Ledger.crashed(m_Clock.now() + CrashedRowStays);
+  later(CrashedRowStays, [this, Gone] { m_Store.put("servers", Gone, ""); });
+  later(2 * CrashedRowStays, [this, &Which] {
+    if (Which.m_Upstream == nullptr)
+      startUpstream(Which);
+  });
+}
+
 void SoakFleet::reapAll() {
   for (Place &Each : m_Places) {
     if (Each.m_Process == nullptr || Each.m_Process->running())
@@ -235,6 +288,13 @@
             [&Each, Told] { Each.m_TakesCalls = Told->m_Status == 200; });
     }
   };
+  Timer Crashing(m_Timers);
+  std::function<void()> CrashingOn = [&] {
+    Crashing.start(CrashingEvery, CrashingOn);
+    sendCrashing();
+  };
+  if (hasCrashingRequest(m_Plan.m_Seed))
+    CrashingOn();
   LoadOn();
   ProbeOn();
   test::runFor(Last);
@@ -249,6 +309,7 @@
       RecoveryLimit + RecoveryWindow + 1500ms);
   m_Ledger.judgeRecovery(Recovered);
   Load.stop();
+  Crashing.stop();
   test::runFor(6s - std::min<Duration>(4s, m_Clock.fresh() - Over));
   Probes.stop();
   test::runFor(500ms);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -51,6 +51,7 @@
     bool m_TakesCalls = false;                ///< Callers choose it.
     bool m_Stopping = false;                  ///< After SIGTERM.
     bool m_Frozen = false;                    ///< After SIGSTOP.
+    TimePoint m_StartedAt;                    ///< Of m_Process.
   };
 
   /// One upstream's place; starts of it come and go there.
@@ -67,6 +68,8 @@
   void list(const Seat &Which, const std::string &State);
   void putTable();
   void callOnce();
+  void sendCrashing();
+  void crash(Seat &Which);
   void noteStall(TimePoint LastStep);
   bool poll(Place &Which);
 
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -34,8 +34,10 @@
 };
 
 SoakUpstream::SoakUpstream(std::string Name, Address Where, Ledger &Runs,
-                           const Clock &Time, std::uint64_t Seed)
-    : m_Name(std::move(Name)), m_Ledger(Runs), m_Clock(Time), m_Random(Seed) {
+                           const Clock &Time, std::uint64_t Seed,
+                           std::function<void()> OnCrash)
+    : m_Name(std::move(Name)), m_Ledger(Runs), m_Clock(Time), m_Random(Seed),
+      m_OnCrash(std::move(OnCrash)) {
   m_Server.listen(Where, [this](SoupServerMessage *Message, const char *Path) {
     handle(Message, Path);
   });
@@ -70,6 +72,10 @@
   What->m_Next = std::atoi(Last.c_str()) + 1;
   if (m_Trouble != Trouble::None && m_Trouble != Trouble::Busy && happens())
     What->m_Trouble = m_Trouble;
+  if (requestBody(Message) == CrashingBody) {
+    What->m_Trouble = Trouble::Mute;
+    m_OnCrash();
+  }
   m_Open[What] = g_timeout_add(StepMilliseconds, onTick, What);
 }
 
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -7,6 +7,7 @@
 #include "soak/ledger.h"
 #include "standin/held_answer.h"
 
+#include <functional>
 #include <random>
 
 namespace crowstep::soak {
@@ -21,10 +22,14 @@
   Mute,       ///< It runs some calls and says nothing.
 };
 
+/// A request with this body crashes the upstream that runs it.
+inline constexpr const char *CrashingBody = "crash";
+
 class SoakUpstream {
 public:
+  /// \p OnCrash is called as a crashing request begins to run.
   SoakUpstream(std::string Name, Address Where, Ledger &Runs, const Clock &Time,
-               std::uint64_t Seed);
+               std::uint64_t Seed, std::function<void()> OnCrash);
   ~SoakUpstream();
   SoakUpstream(const SoakUpstream &) = delete;
   SoakUpstream &operator=(const SoakUpstream &) = delete;
@@ -54,6 +59,7 @@
   Trouble m_Trouble = Trouble::None;   ///< Now.
   bool m_Leaving = false;              ///< See leave().
   std::map<Answer *, unsigned> m_Open; ///< Answers and their timers.
+  std::function<void()> m_OnCrash;     ///< Never empty.
   HttpServer m_Server;                 ///< Towards gateways.
 };
 
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -56,6 +56,7 @@
   void listUpstreams(const std::vector<std::string> &Names,
                      bool Leaving = false) {
     std::vector<Upstream> All;
+    All.reserve(Names.size());
     for (const std::string &Name : Names)
       All.push_back({upstreamIdOf(Name),
                      Name,
