--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -2,6 +2,7 @@
 /// requests.
 #define BOOST_TEST_MODULE crash_watch
 #include "gateway/crash_watch.h"
+#include "unit/fake_prober.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,17 +12,6 @@
 
 namespace {
 
-/// Probes that a test answers.
-class FakeProber final : public UpstreamProber {
-public:
-  std::unique_ptr<UpstreamProbe> probe(const Address &, Duration,
-                                       ProbeDone OnDone) override {
-    m_Done.push_back(std::move(OnDone));
-    return std::make_unique<UpstreamProbe>();
-  }
-  std::vector<ProbeDone> m_Done; ///< All, in order.
-};
-
 /// Counts what is written; nothing takes effect.
 class FakeDirectory final : public Directory {
 public:
@@ -42,7 +32,7 @@
   ManualClock m_Clock;
   ManualScheduler m_Timers{m_Clock};
   balance::Balancer m_Balancer{{"a"}};
-  FakeProber m_Prober;
+  test::FakeProber m_Prober;
   Metrics m_Metrics;
   FakeDirectory m_List;
   CrashWatch m_Watch{m_Clock, m_Timers, m_Balancer, m_Prober, m_Metrics};
--- /dev/null
+++ b/tests/unit/fake_prober.h
@@ -0,0 +1,25 @@
+/// Probes of upstreams that a test answers.
+#ifndef CROWSTEP_TESTS_UNIT_FAKE_PROBER_H
+#define CROWSTEP_TESTS_UNIT_FAKE_PROBER_H
+
+#include "http/upstream_call.h"
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace crowstep::test {
+
+class FakeProber final : public UpstreamProber {
+public:
+  std::unique_ptr<UpstreamProbe> probe(const Address &, Duration,
+                                       ProbeDone OnDone) override {
+    m_Done.push_back(std::move(OnDone));
+    return std::make_unique<UpstreamProbe>();
+  }
+  std::vector<ProbeDone> m_Done; ///< All, in order.
+};
+
+} // namespace crowstep::test
+
+#endif // CROWSTEP_TESTS_UNIT_FAKE_PROBER_H
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -2,6 +2,7 @@
 /// caller is told after each way in which a call can end.
 #define BOOST_TEST_MODULE forwarded_request
 #include "gateway/forwarded_request.h"
+#include "unit/fake_prober.h"
 #include "unit/plain_codec.h"
 
 #include <boost/test/unit_test.hpp>
@@ -75,17 +76,6 @@
   };
 };
 
-/// Probes that a test answers.
-class FakeProber final : public UpstreamProber {
-public:
-  std::unique_ptr<UpstreamProbe> probe(const Address &, Duration,
-                                       ProbeDone OnDone) override {
-    m_Done.push_back(std::move(OnDone));
-    return std::make_unique<UpstreamProbe>();
-  }
-  std::vector<ProbeDone> m_Done; ///< All, in order.
-};
-
 constexpr const char *Id = "attempt-1";
 
 std::string event(int Number) {
@@ -101,7 +91,7 @@
   test::PlainCodec m_Codec;
   Metrics m_Metrics;
   GatewayStats m_Stats{m_Metrics};
-  FakeProber m_Prober;
+  test::FakeProber m_Prober;
   CrashWatch m_Crashes{m_Clock, m_Timers, m_Balancer, m_Prober, m_Metrics};
   WaitingRoom m_Waiting{m_Timers};
   ForwardWorld m_World{m_Clock,
