Codechange: One update of a limit, one way for an upstream to go down

The fault upstream-crash thereby no longer starts a second time an upstream that is back already. - Names: broadcast, report and arrival for tell and heard.

Looked at and left: both token buckets of the project (leases: whole bursts by an interval; table: whole rates, starts full) fit neither fractions nor an empty start.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -445,7 +445,7 @@
     State->m_Own.read(Over.m_Urgency, Over.m_Tokens.m_Unread);
     State->m_Own.end(Over.m_Urgency, Over.m_Tokens);
     State->m_Health.ended(Outcome, Now);
-    tellQuarantine(Over, *State, Outcome, Now);
+    reportToQuarantine(Over, *State, Outcome, Now);
     if (Outcome == CallOutcome::Refused)
       State->m_FullUntil = Now + FullSpan;
     if (Outcome == CallOutcome::Leaving)
@@ -455,8 +455,9 @@
 }
 
 /// An upstream that leaves ends its last calls without a crash.
-void Balancer::tellQuarantine(const Ticket &Over, const UpstreamState &Where,
-                              CallOutcome Outcome, TimePoint Now) {
+void Balancer::reportToQuarantine(const Ticket &Over,
+                                  const UpstreamState &Where,
+                                  CallOutcome Outcome, TimePoint Now) {
   if (!Over.m_Content)
     return;
   if (Outcome == CallOutcome::Served)
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -126,8 +126,8 @@
   Placed begin(UpstreamState &Chosen, const PlacementQuery &Query,
                const CallTokens &Tokens, const PlacementInputs &Why,
                TimePoint Now);
-  void tellQuarantine(const Ticket &Over, const UpstreamState &Where,
-                      CallOutcome Outcome, TimePoint Now);
+  void reportToQuarantine(const Ticket &Over, const UpstreamState &Where,
+                          CallOutcome Outcome, TimePoint Now);
   UpstreamState *chooseForPlain(const States &From, TimePoint Now) const;
   [[nodiscard]] double callsAt(const UpstreamState &State, TimePoint Now) const;
   [[nodiscard]] double callsAt(const UpstreamState &State,
--- a/src/balance/digest_sum.cpp
+++ b/src/balance/digest_sum.cpp
@@ -31,8 +31,8 @@
   Result.m_Parts = std::exchange(m_Parts, {});
   Result.m_Work = std::exchange(m_Work, {});
   Result.m_Crashes = std::exchange(m_Crashes, {});
-  for (auto [News, Heard] : std::exchange(m_Limits, {})) {
-    News.m_Age += Now - Heard;
+  for (auto [News, Arrived] : std::exchange(m_Limits, {})) {
+    News.m_Age += Now - Arrived;
     Result.m_Limits.push_back(News);
   }
   return Result;
--- a/src/balance/digest_sum.h
+++ b/src/balance/digest_sum.h
@@ -27,7 +27,7 @@
   std::vector<PartPlaced> m_Parts;               ///< Not yet taken.
   std::unordered_map<PoolId, WorkTokens> m_Work; ///< Not yet taken.
   std::vector<CrashNews> m_Crashes;              ///< Not yet taken.
-  std::vector<std::pair<LimitNews, TimePoint>> m_Limits; ///< When heard.
+  std::vector<std::pair<LimitNews, TimePoint>> m_Limits; ///< And arrival.
 };
 
 } // namespace crowstep::balance
--- a/src/balance/quarantine.cpp
+++ b/src/balance/quarantine.cpp
@@ -61,7 +61,7 @@
     return;
   What.m_LastAt = Now;
   if (Own)
-    tell({Request, Upstream});
+    broadcast({Request, Upstream});
   if (What.m_Crashes.size() >= MostCrashes &&
       What.m_HeldUntil - Now <= What.m_Lapse / LastPart)
     hold(Request, What, Now);
@@ -84,7 +84,7 @@
 void Quarantine::served(const ContentHash &Request) {
   if (!m_Records.contains(Request))
     return;
-  tell({Request, std::nullopt});
+  broadcast({Request, std::nullopt});
   if (m_Listed.contains(Request))
     m_WronglyListed.insert(Request);
   clear(Request, ClearReason::Served);
@@ -99,7 +99,7 @@
     m_Listener->cleared(Request, Why);
 }
 
-void Quarantine::tell(const CrashNews &News) {
+void Quarantine::broadcast(const CrashNews &News) {
   if (m_News.size() < MostNews)
     m_News.push_back(News);
 }
--- a/src/balance/quarantine.h
+++ b/src/balance/quarantine.h
@@ -22,7 +22,7 @@
 
 namespace crowstep::balance {
 
-/// What instances tell one another of a request.
+/// What instances broadcast about a request.
 struct CrashNews {
   ContentHash m_Request; ///< Which request.
 
@@ -157,7 +157,7 @@
                TimePoint Now);
   void hold(const ContentHash &Request, Record &What, TimePoint Now);
   void clear(const ContentHash &Request, ClearReason Why);
-  void tell(const CrashNews &News);
+  void broadcast(const CrashNews &News);
   void makeRoom();
 
   QuarantineListener *m_Listener = nullptr;          ///< Null: none.
@@ -165,7 +165,7 @@
   std::unordered_map<ContentHash, Record> m_Records; ///< By request.
   std::size_t m_Size = 0;                ///< Quarantined ones among m_Records.
   std::deque<Broken> m_Broken;           ///< Oldest first.
-  std::vector<CrashNews> m_News;         ///< Not told yet.
+  std::vector<CrashNews> m_News;         ///< Not broadcast yet.
   std::set<ContentHash> m_Listed;        ///< See setListed().
   std::set<ContentHash> m_WronglyListed; ///< A part of m_Listed.
 };
--- a/src/balance/rate_limits.cpp
+++ b/src/balance/rate_limits.cpp
@@ -60,48 +60,41 @@
   What.m_Sender = Sends;
 }
 
-void RateLimits::set(State &What, RateLimit Limit, TimePoint Now) {
-  // Tokens of a higher limit, or of none, are not spent on a lower one.
-  if (Limit && (!What.m_Limit || *Limit < *What.m_Limit))
-    What.m_Tokens = 0;
-  What.m_FilledAt = std::max(What.m_FilledAt, Now);
-  What.m_Limit = Limit;
+void RateLimits::update(UpstreamId Upstream, RateLimit Limit,
+                        TimePoint StatedAt, TimePoint Now) {
+  State &What = m_States[Upstream];
+  fill(What, Now);
+  if (What.m_Limit != Limit) {
+    // Tokens of a higher limit, or of none, are not spent on a lower one.
+    if (Limit && (!What.m_Limit || *Limit < *What.m_Limit))
+      What.m_Tokens = 0;
+    What.m_FilledAt = std::max(What.m_FilledAt, Now);
+    What.m_Limit = Limit;
+    elect(Upstream, What, Now);
+  }
+  What.m_StatedAt = StatedAt;
+  if (Limit)
+    What.m_LimitAt = StatedAt;
 }
 
 void RateLimits::stated(UpstreamId Upstream, RateLimit Limit, TimePoint Sent,
                         TimePoint Now) {
   const auto Found = m_States.find(Upstream);
   if (!Limit && (Found == m_States.end() || !Found->second.m_Limit ||
-                 Sent <= Found->second.m_HeardAt))
+                 Sent <= Found->second.m_LimitAt))
     return;
-  State &What = m_States[Upstream];
-  fill(What, Now);
-  if (What.m_Limit != Limit) {
-    set(What, Limit, Now);
-    elect(Upstream, What, Now);
-  }
-  What.m_StatedAt = Now;
-  if (Limit)
-    What.m_HeardAt = Now;
-  What.m_News = true;
+  update(Upstream, Limit, Now, Now);
+  m_States[Upstream].m_News = true;
 }
 
 void RateLimits::take(const std::vector<LimitNews> &News, TimePoint Now) {
   for (const LimitNews &Each : News) {
     const TimePoint At = Now - Each.m_Age;
     const auto Found = m_States.find(Each.m_Upstream);
-    if (Found == m_States.end() ? !Each.m_Limit
+    if (Found == m_States.end() ? !Each.m_Limit.has_value()
                                 : At <= Found->second.m_StatedAt)
       continue;
-    State &What = m_States[Each.m_Upstream];
-    fill(What, Now);
-    if (What.m_Limit != Each.m_Limit) {
-      set(What, Each.m_Limit, Now);
-      elect(Each.m_Upstream, What, Now);
-    }
-    What.m_StatedAt = At;
-    if (Each.m_Limit)
-      What.m_HeardAt = At;
+    update(Each.m_Upstream, Each.m_Limit, At, Now);
   }
 }
 
--- a/src/balance/rate_limits.h
+++ b/src/balance/rate_limits.h
@@ -7,8 +7,8 @@
 /// bucket with an equal part of the rate. A new sender waits until all
 /// instances have the same list, so that the one before has stopped.
 ///
-/// The senders find out that a limit has ended and tell the others. Where
-/// nothing is heard, any instance tries single calls.
+/// The senders find out that a limit has ended and broadcast it. Where
+/// no statement arrives, any instance tries single calls.
 #ifndef CROWSTEP_BALANCE_RATE_LIMITS_H
 #define CROWSTEP_BALANCE_RATE_LIMITS_H
 
@@ -26,7 +26,7 @@
 /// Requests a second; nothing: as many as the upstream has room for.
 using RateLimit = std::optional<double>;
 
-/// What instances tell one another of an upstream's limit.
+/// What instances broadcast about an upstream's limit.
 struct LimitNews {
   UpstreamId m_Upstream; ///< Whose.
   RateLimit m_Limit;     ///< As it stated it.
@@ -82,15 +82,16 @@
   struct State {
     RateLimit m_Limit;     ///< Nothing: it has ended.
     TimePoint m_StatedAt;  ///< The newest statement.
-    TimePoint m_HeardAt;   ///< The newest statement with a limit.
-    bool m_News = false;   ///< To be told.
+    TimePoint m_LimitAt;   ///< The newest statement with a limit.
+    bool m_News = false;   ///< To be broadcast.
     bool m_Sender = false; ///< This instance is one.
     double m_Tokens = 0;   ///< Calls that it may send now.
     TimePoint m_FilledAt; ///< When m_Tokens was right; a sender may begin then.
     std::int64_t m_Trial = -1; ///< The TrialSpan of the last trial.
   };
 
-  void set(State &What, RateLimit Limit, TimePoint Now);
+  void update(UpstreamId Upstream, RateLimit Limit, TimePoint StatedAt,
+              TimePoint Now);
   void elect(UpstreamId Upstream, State &What, TimePoint Now) const;
   void fill(State &What, TimePoint Now) const;
   [[nodiscard]] std::size_t sendersFor(double Limit) const;
--- a/tests/process/crashing_request_test.cpp
+++ b/tests/process/crashing_request_test.cpp
@@ -50,12 +50,7 @@
   }
 
   void handle(SoupServerMessage *Message) {
-    SoupMessageHeaders *Headers =
-        soup_server_message_get_response_headers(Message);
-    soup_message_headers_replace(
-        Headers, "X-Attempt-Id",
-        requestHeader(Message, "X-Attempt-Id").c_str());
-    soup_message_headers_replace(Headers, "X-Server-Signature", "s");
+    signAnswer(Message);
     const auto Held = std::make_shared<HeldAnswer>(Message);
     m_Open.push_back(Held);
     if (requestBody(Message) == CrashingBody) {
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -17,6 +17,14 @@
 
 } // namespace
 
+void signAnswer(SoupServerMessage *Message) {
+  SoupMessageHeaders *Headers =
+      soup_server_message_get_response_headers(Message);
+  soup_message_headers_replace(Headers, "X-Attempt-Id",
+                               requestHeader(Message, "X-Attempt-Id").c_str());
+  soup_message_headers_replace(Headers, "X-Server-Signature", "s");
+}
+
 GatewayFleet::GatewayFleet(std::size_t Count) {
   const Address StoreAt = freeAddress();
   m_Store.listen(StoreAt);
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -17,6 +17,9 @@
 /// Returns a loopback address with a free port.
 inline Address freeAddress() { return {INADDR_LOOPBACK, freePort()}; }
 
+/// Sets the headers by which a gateway knows an upstream's answer.
+void signAnswer(SoupServerMessage *Message);
+
 class GatewayFleet {
 public:
   /// Tells the store of the table; gateways are started by startAll().
--- a/tests/process/limited_upstream_test.cpp
+++ b/tests/process/limited_upstream_test.cpp
@@ -56,15 +56,11 @@
 private:
   void handle(SoupServerMessage *Message) {
     m_Arrivals.push_back(m_Clock.fresh());
-    SoupMessageHeaders *Headers =
-        soup_server_message_get_response_headers(Message);
-    soup_message_headers_replace(
-        Headers, "X-Attempt-Id",
-        requestHeader(Message, "X-Attempt-Id").c_str());
-    soup_message_headers_replace(Headers, "X-Server-Signature", "s");
+    signAnswer(Message);
     if (m_Limit)
-      soup_message_headers_replace(Headers, "Server-Limit",
-                                   std::to_string(*m_Limit).c_str());
+      soup_message_headers_replace(
+          soup_server_message_get_response_headers(Message), "Server-Limit",
+          std::to_string(*m_Limit).c_str());
     const auto Held = std::make_shared<HeldAnswer>(Message);
     m_Open.push_back(Held);
     m_Timers.after(RunTime, [Late = std::weak_ptr(Held)] {
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -100,11 +100,7 @@
   if (Which.m_Upstream == nullptr)
     return;
   if (What.m_Kind == FaultKind::UpstreamCrash) {
-    // Its row stays for a while, as an engine's that went without a word.
-    const std::string Gone = Which.m_Upstream->name();
-    Which.m_Upstream = nullptr;
-    later(What.m_Span / 2, [this, Gone] { m_Store.put("servers", Gone, ""); });
-    later(What.m_Span, [this, &Which] { startUpstream(Which); });
+    takeDown(Which, What.m_Span / 2, What.m_Span);
     return;
   }
   if (What.m_Kind == FaultKind::UpstreamRelease) {
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -224,13 +224,17 @@
   m_Ledger.asked(Id, std::move(Call));
 }
 
-/// Its row stays for a while, as an engine's that went without a word.
 void SoakFleet::crash(Seat &Which) {
+  m_Ledger.crashed(m_Clock.now() + CrashedRowStays);
+  takeDown(Which, CrashedRowStays, 2 * CrashedRowStays);
+}
+
+/// Its row stays for a while, as an engine's that went without a word.
+void SoakFleet::takeDown(Seat &Which, Duration RowStays, Duration BackAfter) {
   const std::string Gone = Which.m_Upstream->name();
   Which.m_Upstream = nullptr;
-  m_Ledger.crashed(m_Clock.now() + CrashedRowStays);
-  later(CrashedRowStays, [this, Gone] { m_Store.put("servers", Gone, ""); });
-  later(2 * CrashedRowStays, [this, &Which] {
+  later(RowStays, [this, Gone] { m_Store.put("servers", Gone, ""); });
+  later(BackAfter, [this, &Which] {
     if (Which.m_Upstream == nullptr)
       startUpstream(Which);
   });
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -70,6 +70,7 @@
   void callOnce();
   void sendCrashing();
   void crash(Seat &Which);
+  void takeDown(Seat &Which, Duration RowStays, Duration BackAfter);
   void noteStall(TimePoint LastStep);
   bool poll(Place &Which);
 
