Feature: Log how long an upstream had been without an entry when it was used

An instance uses an upstream whose entry was removed for some time after an outage. The log told when it learned of the removal and when it stopped, not that a request was placed between the two, nor for how long in total.

The request's last line has unlisted_us, the time from the removal as the instance learned of it to the placement (0: it had an entry); and GatewayUpstreamDropped tells how long the upstream was used without one.

--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -54,6 +54,7 @@
       0;                              ///< Prompt tokens queued there before it.
   std::uint32_t m_UncachedTokens = 0; ///< Of this prompt, not cached there.
   std::size_t m_PeerCount = 0;        ///< Instances whose digests are in use.
+  Duration m_UnlistedFor{}; ///< Since its entry was removed; 0: it has one.
 };
 
 /// An upstream was chosen; the call counts towards its load.
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -348,8 +348,11 @@
   const TicketId Id(++m_LastTicket);
   m_Tickets[Id] = {Chosen.m_Upstream.m_Id, Query.m_Urgency, Tokens, Now, false,
                    Query.m_ContentHash};
-  return Placed{Id, Chosen.m_Upstream.m_Id, Chosen.m_Upstream.m_Name,
+  Placed Result{Id, Chosen.m_Upstream.m_Id, Chosen.m_Upstream.m_Name,
                 Chosen.m_Upstream.m_Address, Inputs};
+  if (Chosen.m_Upstream.m_UnlistedAt != TimePoint())
+    Result.m_Inputs.m_UnlistedFor = Now - Chosen.m_Upstream.m_UnlistedAt;
+  return Result;
 }
 
 double Balancer::callsAt(const UpstreamState &State, TimePoint Now) const {
--- a/src/gateway/upstream_list.cpp
+++ b/src/gateway/upstream_list.cpp
@@ -32,19 +32,20 @@
     remove(Name);
     return false;
   }
+  Found->second.m_UnlistedAt = Now;
   m_Unlisted.insert(Name);
   return true;
 }
 
-std::vector<std::string> UpstreamList::dropUnlisted(TimePoint OutOfReach,
-                                                    TimePoint Now) {
+std::vector<Upstream> UpstreamList::dropUnlisted(TimePoint OutOfReach,
+                                                 TimePoint Now) {
   // During another outage upstreams can't renew their entries either.
   if (Now < keptUntil(OutOfReach))
     return {};
-  std::vector<std::string> Result(m_Unlisted.begin(), m_Unlisted.end());
+  std::vector<Upstream> Result;
+  for (const std::string &Name : m_Unlisted)
+    Result.push_back(std::move(m_ByName.extract(Name).mapped()));
   m_Unlisted.clear();
-  for (const std::string &Name : Result)
-    m_ByName.erase(Name);
   return Result;
 }
 
--- a/src/gateway/upstream_list.h
+++ b/src/gateway/upstream_list.h
@@ -43,8 +43,8 @@
                    TimePoint Now);
 
   /// Removes the upstreams without an entry if their time is over, and returns
-  /// their names.
-  std::vector<std::string> dropUnlisted(TimePoint OutOfReach, TimePoint Now);
+  /// them.
+  std::vector<Upstream> dropUnlisted(TimePoint OutOfReach, TimePoint Now);
 
   /// Returns until when upstreams without an entry are used.
   [[nodiscard]] TimePoint keptUntil(TimePoint OutOfReach) const;
--- a/src/upstream_type.h
+++ b/src/upstream_type.h
@@ -2,6 +2,7 @@
 #ifndef CROWSTEP_UPSTREAM_TYPE_H
 #define CROWSTEP_UPSTREAM_TYPE_H
 
+#include "core/clock.h"
 #include "instance_type.h"
 
 #include <string>
@@ -49,7 +50,8 @@
   AvailabilityZone m_Zone;              ///< For the distance to callers.
   UpstreamKind m_Kind = PlainService{}; ///< Engine or plain service.
   bool m_Draining = false;              ///< Must get no new work.
-  bool m_Spot = false; ///< May be reclaimed with all others of its zone.
+  bool m_Spot = false;      ///< May be reclaimed with all others of its zone.
+  TimePoint m_UnlistedAt{}; ///< When its entry was removed; not set: listed.
 };
 
 /// Returns how many calls an upstream can run at once; at least 1.
