Test: A change behind a long poll that the store has forgotten is known in time; known red

What callers saw: requests reached an upstream up to 30 s after it had left, refusals for routes that had been added, answers by a table that was no longer in force; at all instances at once.

How it comes about: the store falls silent and loses its history in the same seconds. It has forgotten who waits for changes, and the connections stay open and answer keep-alive probes. An instance whose long poll began before that hears nothing until the poll times out, after 30.75 s.

--- a/tests/unit/directory_zone.h
+++ b/tests/unit/directory_zone.h
@@ -121,7 +121,11 @@
 
 class Zone {
 public:
-  explicit Zone(std::size_t Count, double Draw = 0.5) {
+  /// \p Bounds are those of all instances.
+  explicit Zone(std::size_t Count, double Draw = 0.5,
+                const StoreBounds &Bounds = {RemovalLimit, RemovalLimit,
+                                             RecoveryLimit})
+      : m_Bounds(Bounds) {
     m_Store.put("op", "config", manifest(1));
     for (const char *Name : {"a", "b", "c"})
       list(Name);
@@ -194,6 +198,7 @@
         Limit);
   }
 
+  StoreBounds m_Bounds;
   ManualClock m_Clock;
   ManualScheduler m_Timers{m_Clock};
   SimulatedStore m_Store{m_Clock, m_Timers};
@@ -205,8 +210,8 @@
       m_Directory(std::make_unique<StoreDirectory>(
           std::make_unique<GatedStore>(Owner.m_Store.client(), Owner.m_Timers,
                                        m_Access),
-          StoreBounds{RemovalLimit, RemovalLimit, RecoveryLimit}, Owner.m_Clock,
-          Owner.m_Timers, m_Stats, [Draw] { return Draw; })) {}
+          Owner.m_Bounds, Owner.m_Clock, Owner.m_Timers, m_Stats,
+          [Draw] { return Draw; })) {}
 
 inline void Instance::updateRead(const gateway::DirectoryUpdate &Update) {
   m_Zone.broadcast(*this, Update);
--- a/tests/unit/simulated_store.h
+++ b/tests/unit/simulated_store.h
@@ -62,6 +62,16 @@
   /// Resets the connections of waiting calls.
   void reset() { failWaiting(adapter::StoreFailure::Unreachable); }
 
+  /// Forgets all long polls without closing their connections: they get no
+  /// answer, whatever the mode, until they time out.
+  void forgetLongPolls() {
+    for (const LongPoll &Poll : m_LongPolls)
+      fail(adapter::StoreFailure::Unreachable,
+           Poll.m_EndsAt + adapter::StoreClient::Timeout - m_Clock.now(),
+           Poll.m_Done);
+    m_LongPolls.clear();
+  }
+
   /// Drops the history of all changes so far, which fails waiting calls.
   void dropHistory() {
     m_HistoryStart = m_Version;
@@ -82,6 +92,7 @@
     std::uint64_t m_After;      ///< Version.
     Done m_Done;                ///< Receives the result.
     std::uint64_t m_Number = 0; ///< Of the call.
+    TimePoint m_EndsAt{};       ///< When it has waited for as long as it asked.
   };
 
   class Client final : public adapter::Store {
@@ -128,7 +139,8 @@
     } else if (Wait == Duration::zero() || changedAfter(Table, After)) {
       answer({Table, After, std::move(OnDone)});
     } else {
-      m_LongPolls.push_back({Table, After, std::move(OnDone), ++m_LastPoll});
+      m_LongPolls.push_back({Table, After, std::move(OnDone), ++m_LastPoll,
+                             m_Clock.now() + Wait});
       m_Timers.runAfter(Wait, [this, Number = m_LastPoll] { endPoll(Number); });
     }
   }
