Fix: Bound the wait of every long poll by the freshness limit

What callers saw: requests sent to upstreams that had left up to 30 s before, and refusals by a table that was no longer in force, at all instances at once.

Cause: an instance that reads the store for itself let its calls wait for changes for 30 s. A store that is silent while its history is lost forgets such calls and leaves their connections open. No call failed, so the instance took the silence for a list without changes. Class: silence taken for knowledge; nothing bounded the age of what an instance knows unless a reader's updates did.

Every call now waits for no longer than updates of others count as fresh (half of the time within which a change must be known, 1 s here), a reader's for half of that, as before.

Ruled out: ending calls when another call fails (no other call is made by an instance whose calls all wait); keep-alive probes (the store's machine answers them); a lower constant for small fleets only (followers that call for themselves waited for 30 s as well).

Where zones have readers nothing changes.

--- a/src/gateway/directory_read_policy.cpp
+++ b/src/gateway/directory_read_policy.cpp
@@ -44,8 +44,7 @@
 }
 
 Duration DirectoryReadPolicy::callWait() const {
-  return readsForOthers() ? std::min(MaxWait, m_Freshness / CallsInFreshness)
-                          : MaxWait;
+  return readsForOthers() ? m_Freshness / CallsInFreshness : m_Freshness;
 }
 
 Duration DirectoryReadPolicy::firstBackoff() const {
--- a/src/gateway/directory_read_policy.h
+++ b/src/gateway/directory_read_policy.h
@@ -12,10 +12,6 @@
 
 class DirectoryReadPolicy {
 public:
-  /// Maximum wait for changes of a call on whose answer no other instance
-  /// relies.
-  static constexpr Duration MaxWait = std::chrono::seconds(30);
-
   /// Sets how old updates of others may be before this instance calls the
   /// directory itself, and the maximum backoff of a follower.
   void setFreshness(Duration Limit, Duration LongestBackoff) {
@@ -36,8 +32,10 @@
   /// Returns the age of the newest update.
   [[nodiscard]] Duration age(TimePoint Now) const { return Now - m_UpdatedAt; }
 
-  /// Returns how long a call may wait for changes. Other instances rely on a
-  /// reader's answers, also on those without changes.
+  /// Returns how long a call may wait for changes. A directory that fails may
+  /// forget a waiting call and leave its connection open: until the call times
+  /// out, the instance knows of no change. So every call ends within the
+  /// freshness limit, a reader's sooner, as others rely on its answers.
   [[nodiscard]] Duration callWait() const;
 
   /// Returns the backoff after the first of a series of failures, and the
@@ -51,10 +49,10 @@
 private:
   [[nodiscard]] bool readsForOthers() const;
 
-  ReadingRole m_Role = ReadingRole::Alone; ///< In the zone.
-  Duration m_Freshness{};                  ///< See setFreshness().
-  Duration m_MaxFollowerBackoff{};         ///< See setFreshness().
-  TimePoint m_UpdatedAt{};                 ///< When the newest was complete.
+  ReadingRole m_Role = ReadingRole::Alone;        ///< In the zone.
+  Duration m_Freshness = std::chrono::seconds(1); ///< See setFreshness().
+  Duration m_MaxFollowerBackoff{};                ///< See setFreshness().
+  TimePoint m_UpdatedAt{}; ///< When the newest was complete.
 };
 
 } // namespace crowstep::gateway
--- a/tests/unit/directory_read_policy_test.cpp
+++ b/tests/unit/directory_read_policy_test.cpp
@@ -46,7 +46,7 @@
   for (const ReadingRole Role : {ReadingRole::Reader, ReadingRole::Deputy})
     BOOST_TEST((policy(Role).callWait() == 1s));
   for (const ReadingRole Role : {ReadingRole::Alone, ReadingRole::Follower})
-    BOOST_TEST((policy(Role).callWait() == DirectoryReadPolicy::MaxWait));
+    BOOST_TEST((policy(Role).callWait() == 2s));
   const DirectoryReadPolicy Follower = policy(ReadingRole::Follower);
   for (const ReadingRole Role :
        {ReadingRole::Alone, ReadingRole::Reader, ReadingRole::Deputy}) {
