Change: One instance reads the directory for a small fleet

The roles of reader, deputy and follower, which zones of large fleets have, now hold in every fleet of two or more: without hubs the best two instances of all read for all. Alone is left for an instance that knows no other. Updates are accepted from the readers of the plan, which in a fleet with hubs are those of the own zone as before.

Ruled out: readers for each zone of a small fleet, which calls four times as often; longer waits, which the times within which changes must be known don't allow.

--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -158,14 +158,14 @@
 // ---- The directory ----------------------------------------------------------
 
 ReadingRole DigestExchange::readingRole() const {
-  const std::vector<InstanceId> &Hubs = m_Plan.m_Hubs;
-  if (Hubs.empty())
+  const std::vector<InstanceId> &Readers = m_Plan.m_Readers;
+  if (Readers.size() < 2)
     return ReadingRole::Alone;
   const auto Own =
-      std::find(Hubs.begin(), Hubs.end(), instanceIdOf(m_Self.m_Name));
-  if (Own == Hubs.end())
+      std::find(Readers.begin(), Readers.end(), instanceIdOf(m_Self.m_Name));
+  if (Own == Readers.end())
     return ReadingRole::Follower;
-  return Own == Hubs.begin() ? ReadingRole::Reader : ReadingRole::Deputy;
+  return Own == Readers.begin() ? ReadingRole::Reader : ReadingRole::Deputy;
 }
 
 void DigestExchange::sendUpdate(const DirectoryUpdate &Update) {
@@ -175,10 +175,9 @@
 }
 
 void DigestExchange::receiveUpdates(PeerLink &From, const wire::Frame &Frame) {
-  const std::vector<InstanceId> &Hubs = m_Plan.m_Hubs;
-  const bool IsReader =
-      From.m_Zone == m_Self.m_Zone &&
-      std::find(Hubs.begin(), Hubs.end(), From.m_Instance) != Hubs.end();
+  const std::vector<InstanceId> &Readers = m_Plan.m_Readers;
+  const bool IsReader = std::find(Readers.begin(), Readers.end(),
+                                  From.m_Instance) != Readers.end();
   std::vector<DirectoryUpdate> Accepted;
   for (const wire::DirectoryUpdate *Encoded : *Frame.directory_updates()) {
     if (auto Update = IsReader ? unpack(*Encoded) : std::nullopt)
--- a/src/gateway/digest_exchange.h
+++ b/src/gateway/digest_exchange.h
@@ -63,8 +63,8 @@
   /// Connects to \p Peers, which may include this instance.
   void setPeers(const PeerList &Peers);
 
-  /// Returns the role of this instance in reading the directory: the zone's
-  /// hubs read it for the others.
+  /// Returns the role of this instance in reading the directory for its near
+  /// peers; Alone if there are none.
   [[nodiscard]] ReadingRole readingRole() const;
 
   /// Returns whether this instance may hold the duties.
@@ -72,7 +72,7 @@
     return m_Plan.m_IsDutyCandidate;
   }
 
-  /// Sends an update that this instance has read to its zone.
+  /// Sends an update that this instance has read to its near peers.
   void sendUpdate(const DirectoryUpdate &Update);
 
 private:
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -54,10 +54,11 @@
   std::vector<DirectoryRow> m_Rows; ///< The latest of each key.
 };
 
-/// Role of an instance in reading the directory for its zone.
+/// Role of an instance in reading the directory for its near peers: those of
+/// its zone, or all in a fleet without hubs.
 enum class ReadingRole : std::uint8_t {
   Alone,    ///< Reads for itself only.
-  Reader,   ///< Reads continuously and sends its zone what it reads.
+  Reader,   ///< Reads continuously and sends the others what it reads.
   Deputy,   ///< Does the same while the reader sends no updates.
   Follower, ///< Reads for itself while neither of them sends updates.
 };
@@ -82,7 +83,7 @@
   /// The whole list of quarantined requests.
   virtual void quarantineChanged(const std::set<ContentHash> &Listed) = 0;
 
-  /// Changes just read, to be sent to the instances of the own zone. Called in
+  /// Changes just read, to be sent to the near peers. Called in
   /// the roles of reader and deputy only.
   virtual void updateRead(const DirectoryUpdate &Update) = 0;
 };
@@ -105,10 +106,10 @@
   virtual void listQuarantined(const ContentHash &Request) = 0;
   virtual void unlistQuarantined(const ContentHash &Request) = 0;
 
-  /// Sets the role of this instance in its zone; Alone at first.
+  /// Sets the role of this instance; Alone at first.
   virtual void setReadingRole(ReadingRole Role) = 0;
 
-  /// Takes an update that another instance of the zone has read.
+  /// Takes an update that a reader has read.
   virtual void receiveUpdate(const DirectoryUpdate &Update) = 0;
 };
 
--- a/src/gateway/exchange_plan.cpp
+++ b/src/gateway/exchange_plan.cpp
@@ -25,16 +25,24 @@
 
 using Zones = std::map<AvailabilityZone, std::vector<PeerInstance>>;
 
-/// Without hubs, the best instances of all collect, and are candidates.
-void chooseCollectorsOfAll(const Zones &ByZone, InstanceId Self,
-                           ExchangePlan &Result) {
+/// Without hubs, the best instances of all read the directory, collect, and are
+/// candidates.
+void chooseAmongAll(const Zones &ByZone, InstanceId Self,
+                    ExchangePlan &Result) {
   std::vector<PeerInstance> All;
   for (const auto &[Zone, Members] : ByZone)
     All.insert(All.end(), Members.begin(), Members.end());
   std::sort(All.begin(), All.end(), isBetterHub);
-  All.resize(std::min(All.size(), ExchangePlan::CollectorsWithoutHubs));
+  std::vector<InstanceId> Best;
   for (const PeerInstance &Peer : All)
-    Result.m_Collectors.insert(instanceIdOf(Peer.m_Name));
+    Best.push_back(instanceIdOf(Peer.m_Name));
+  const auto BestOf = [&](std::size_t Count) {
+    return Best.begin() +
+           static_cast<std::ptrdiff_t>(std::min(Best.size(), Count));
+  };
+  Result.m_Readers = {Best.begin(), BestOf(ExchangePlan::ReadersWithoutHubs)};
+  Result.m_Collectors = {Best.begin(),
+                         BestOf(ExchangePlan::CollectorsWithoutHubs)};
   Result.m_IsDutyCandidate = Result.m_Collectors.contains(Self);
 }
 
@@ -49,9 +57,10 @@
   return static_cast<std::size_t>(Better) < ExchangePlan::ZonesWithCandidates;
 }
 
-/// The hubs know the counters of all zones.
-void chooseHubsAsCollectors(const Zones &All, const PeerInstance &Self,
-                            ExchangePlan &Result) {
+/// The hubs read for their zone, and know the counters of all zones.
+void chooseHubs(const Zones &All, const PeerInstance &Self,
+                ExchangePlan &Result) {
+  Result.m_Readers = Result.m_Hubs;
   Result.m_Collectors.insert(Result.m_Hubs.begin(), Result.m_Hubs.end());
   const InstanceId SelfId = instanceIdOf(Self.m_Name);
   const bool IsCandidate = All.size() < ExchangePlan::ZonesForOneCandidate
@@ -90,9 +99,9 @@
       Result.m_Hubs.end())
     Result.m_OtherHubs.clear();
   if (Few)
-    chooseCollectorsOfAll(ByZone, SelfId, Result);
+    chooseAmongAll(ByZone, SelfId, Result);
   else
-    chooseHubsAsCollectors(ByZone, Self, Result);
+    chooseHubs(ByZone, Self, Result);
   return Result;
 }
 
--- a/src/gateway/exchange_plan.h
+++ b/src/gateway/exchange_plan.h
@@ -24,6 +24,9 @@
   /// the zone's hub. With two, the loss of one doesn't disconnect the zone.
   static constexpr std::size_t HubsPerZone = 2;
 
+  /// Instances that read the directory for all, where there are no hubs.
+  static constexpr std::size_t ReadersWithoutHubs = 2;
+
   /// Instances that collect what is needed for the duties, where there are no
   /// hubs to do so.
   static constexpr std::size_t CollectorsWithoutHubs = 3;
@@ -38,6 +41,8 @@
   std::map<InstanceId, Address> m_NearPeers; ///< Receive every digest.
   std::map<InstanceId, Address> m_OtherHubs; ///< Of other zones; for a hub.
   std::vector<InstanceId> m_Hubs; ///< Of the own zone, best first; empty: few.
+  std::vector<InstanceId>
+      m_Readers; ///< Read the directory for the near peers, best first.
   std::set<InstanceId> m_Collectors; ///< Receive the own usage counters.
   bool m_IsDutyCandidate = false;    ///< Self may hold the duties.
 };
