--- a/tests/unit/simulated_store.h
+++ b/tests/unit/simulated_store.h
@@ -78,6 +78,9 @@
     failWaiting(adapter::StoreFailure::HistoryDropped);
   }
 
+  /// Sets how many rows a read returns at most; 0: all.
+  void setPageSize(std::size_t Rows) { m_PageSize = Rows; }
+
   /// Returns the number of calls so far.
   [[nodiscard]] std::uint64_t calls() const { return m_Calls; }
 
@@ -98,9 +101,13 @@
   class Client final : public adapter::Store {
   public:
     explicit Client(SimulatedStore &Owner) : m_Store(Owner) {}
-    void read(const std::string &Table, const std::string &,
+    void read(const std::string &Table, const std::string &From,
               ResultCallback OnDone) override {
-      m_Store.call(Table, 0, Duration::zero(), std::move(OnDone));
+      m_Store.call(Table, 0, Duration::zero(),
+                   [this, From, OnDone = std::move(OnDone)](
+                       const adapter::StoreResult &Result) {
+                     OnDone(m_Store.pageOf(Result, From));
+                   });
     }
     void follow(const std::string &Table, adapter::StoreVersion After,
                 Duration Wait, ResultCallback OnDone) override {
@@ -122,6 +129,21 @@
     SimulatedStore &m_Store; ///< Outlives the client.
   };
 
+  /// Cuts a read of a whole table to the page that begins at \p From.
+  [[nodiscard]] adapter::StoreResult pageOf(adapter::StoreResult Result,
+                                            const std::string &From) const {
+    auto *Whole = std::get_if<adapter::StoreRows>(&Result);
+    if (Whole == nullptr)
+      return Result;
+    std::erase_if(Whole->m_Rows, [&](const adapter::StoreRow &Row) {
+      return Row.m_Key < From;
+    });
+    Whole->m_HasMore = m_PageSize > 0 && Whole->m_Rows.size() > m_PageSize;
+    if (Whole->m_HasMore)
+      Whole->m_Rows.resize(m_PageSize);
+    return Result;
+  }
+
   void call(const std::string &Table, std::uint64_t After, Duration Wait,
             Done OnDone) {
     ++m_Calls;
@@ -214,6 +236,7 @@
   ManualScheduler &m_Timers;        ///< Advanced with it.
   Mode m_Mode = Mode::Up;           ///< See setMode().
   std::uint64_t m_Calls = 0;        ///< Of all clients.
+  std::size_t m_PageSize = 0;       ///< See setPageSize().
   std::uint64_t m_Version = 0;      ///< Of the last change.
   std::uint64_t m_HistoryStart = 0; ///< History begins after it.
   std::map<std::string, std::map<std::string, adapter::StoreRow>>
--- a/tests/unit/store_directory_test.cpp
+++ b/tests/unit/store_directory_test.cpp
@@ -280,3 +280,17 @@
     BOOST_TEST((Test.listedFor("a", 10s) < DrainTime));
   }
 }
+
+// Guards against an upstream that leaves while the table is read in several
+// pages and is used for as long as it is silent.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeavesBetweenTwoPagesIsDropped) {
+  for (Duration Moment{}; Moment < 100ms; Moment += 1ms)
+    BOOST_TEST_CONTEXT("left after " << Moment.count() << " us") {
+      Fixture Test(0.5);
+      Test.m_Store.setPageSize(2);
+      Test.m_Store.dropHistory();
+      Test.m_Timers.advance(Moment);
+      Test.unlist("a");
+      BOOST_TEST((Test.listedFor("a", 10s) < DrainTime));
+    }
+}
