Fix: A second outage keeps an upstream only if most of its service have no entry

What callers could see: requests sent to an upstream for the whole length of an outage of the store, although the instance had read before it that the upstream's entry was removed.

Cause: an upstream whose entry goes soon after an outage is used until 2.9 s after the last call that failed. A second outage that begins in that time moved the end past its own, whatever it was that the first one had removed. Entries that expire in an outage expire together, while upstreams leave one by one: if most of the service have an entry, one without has left. The time from the first outage then holds, and the second one extends it only where most have none, as before (UpstreamsAreKeptThroughASecondOutage is unchanged).

Ruled out: dropping at the second outage whatever is missing, as all upstreams may be and nobody would be served.

--- a/src/gateway/upstream_list.cpp
+++ b/src/gateway/upstream_list.cpp
@@ -33,22 +33,48 @@
     return false;
   }
   Found->second.m_UnlistedAt = Now;
-  m_Unlisted.insert(Name);
+  m_Unlisted[Name] = keptUntil(OutOfReach);
   return true;
 }
 
 std::vector<Upstream> UpstreamList::dropUnlisted(TimePoint OutOfReach,
                                                  TimePoint Now) {
-  // During another outage upstreams can't renew their entries either.
-  if (Now < keptUntil(OutOfReach))
-    return {};
+  std::vector<std::string> Due;
+  for (const auto &[Name, Until] : m_Unlisted)
+    if (Now >= dropAt(Name, OutOfReach))
+      Due.push_back(Name);
   std::vector<Upstream> Result;
-  for (const std::string &Name : m_Unlisted)
+  for (const std::string &Name : Due) {
     Result.push_back(std::move(m_ByName.extract(Name).mapped()));
-  m_Unlisted.clear();
+    m_Unlisted.erase(Name);
+  }
+  return Result;
+}
+
+TimePoint UpstreamList::nextDropAt(TimePoint OutOfReach) const {
+  TimePoint Result = TimePoint::max();
+  for (const auto &[Name, Until] : m_Unlisted)
+    Result = std::min(Result, dropAt(Name, OutOfReach));
   return Result;
 }
 
+TimePoint UpstreamList::dropAt(const std::string &Name,
+                               TimePoint OutOfReach) const {
+  const TimePoint Until = m_Unlisted.at(Name);
+  return areMostListed(m_ByName.at(Name).m_Service)
+             ? Until
+             : std::max(Until, keptUntil(OutOfReach));
+}
+
+bool UpstreamList::areMostListed(const std::string &Service) const {
+  std::size_t Listed = 0;
+  std::size_t Unlisted = 0;
+  for (const auto &[Name, Entry] : m_ByName)
+    if (Entry.m_Service == Service)
+      ++(m_Unlisted.contains(Name) ? Unlisted : Listed);
+  return Listed > Unlisted;
+}
+
 TimePoint UpstreamList::keptUntil(TimePoint OutOfReach) const {
   if (OutOfReach == TimePoint())
     return {};
--- a/src/gateway/upstream_list.h
+++ b/src/gateway/upstream_list.h
@@ -11,6 +11,10 @@
 /// the end of the outage, so the time is over before the instance must be up to
 /// date; and as the instance calls often, it is not long before that end
 /// either.
+///
+/// A second outage extends this time only if most upstreams of the service have
+/// no entry, as it keeps them from renewing theirs. If most have one, the first
+/// outage did not let entries expire, and an upstream without one has left.
 #ifndef CROWSTEP_GATEWAY_UPSTREAM_LIST_H
 #define CROWSTEP_GATEWAY_UPSTREAM_LIST_H
 
@@ -18,7 +22,6 @@
 #include "upstream_type.h"
 
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -46,8 +49,9 @@
   /// them.
   std::vector<Upstream> dropUnlisted(TimePoint OutOfReach, TimePoint Now);
 
-  /// Returns until when upstreams without an entry are used.
-  [[nodiscard]] TimePoint keptUntil(TimePoint OutOfReach) const;
+  /// Returns when dropUnlisted() will remove the next one, as far as is known
+  /// now; TimePoint::max() if there is none to remove.
+  [[nodiscard]] TimePoint nextDropAt(TimePoint OutOfReach) const;
 
   /// Returns how many upstreams are used without an entry.
   [[nodiscard]] std::size_t unlistedCount() const { return m_Unlisted.size(); }
@@ -56,9 +60,16 @@
   [[nodiscard]] std::vector<Upstream> all() const;
 
 private:
+  [[nodiscard]] TimePoint keptUntil(TimePoint OutOfReach) const;
+  [[nodiscard]] TimePoint dropAt(const std::string &Name,
+                                 TimePoint OutOfReach) const;
+  [[nodiscard]] bool areMostListed(const std::string &Service) const;
+
   Duration m_SettleTime;                    ///< See the constructor.
   std::map<std::string, Upstream> m_ByName; ///< With or without an entry.
-  std::set<std::string> m_Unlisted;         ///< Without an entry.
+  std::map<std::string, TimePoint>
+      m_Unlisted; ///< Without an entry: until when it is used if no other
+                  ///< outage follows.
 };
 
 } // namespace crowstep::gateway
--- a/tests/unit/store_directory_test.cpp
+++ b/tests/unit/store_directory_test.cpp
@@ -294,3 +294,18 @@
       BOOST_TEST((Test.listedFor("a", 10s) < DrainTime));
     }
 }
+
+// Guards against an upstream that leaves between two outages and is used until
+// the end of the second one, although the other upstreams stay listed.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeftBetweenTwoOutagesIsDropped) {
+  atAnyMoment([](double Draw, Duration Moment) {
+    Fixture Test(Draw);
+    Test.during(Mode::Refusing, 2s);
+    Test.m_Timers.advance(900ms); // The instance calls the store again.
+    Test.unlist("a");
+    Test.m_Timers.advance(100ms + Moment);
+    Test.m_Store.setMode(Mode::Refusing);
+    BOOST_TEST((Moment + Test.listedFor("a", 10s) < SettleTime));
+    BOOST_TEST(Test.m_Listener.has("b"));
+  });
+}
