Fix: A leave is final for an upstream's lifetime

Cause: the balancer believed the newest entry of an upstream. An entry that says ready after one that said draining, written late by the upstream or by another writer, put the upstream back into use though it was about to end, and a list that lost the entry and got it back did the same.

LeavingUpstreams keeps the ids of those that have announced that they leave, while they are listed and for ten minutes after, and the balancer treats them as draining. Ids differ between lifetimes, so a restarted upstream is not affected.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -86,16 +86,20 @@
 void Balancer::setUpstreams(const std::vector<Upstream> &List) {
   std::map<UpstreamId, UpstreamState> NewStates;
   for (const Upstream &Listed : List) {
+    if (Listed.m_Draining)
+      m_Leaving.record(Listed.m_Id);
     const auto Found = m_States.find(Listed.m_Id);
     UpstreamState State;
     if (Found != m_States.end())
       State = std::move(Found->second);
     State.m_Upstream = Listed;
+    State.m_Upstream.m_Draining = m_Leaving.contains(Listed.m_Id);
     NewStates.emplace(Listed.m_Id, std::move(State));
   }
   m_States = std::move(NewStates);
   m_Cache.keepOnly(List);
   m_RateLimits.keepOnly(List);
+  m_Leaving.setListed(List);
   rankEngines();
 }
 
@@ -405,6 +409,7 @@
 }
 
 LoadDigest Balancer::takeDigest(TimePoint Now) {
+  m_Leaving.expire(Now);
   LoadDigest Result;
   for (const auto &[Id, State] : m_States)
     State.m_OwnLoad.appendLoads(Id, Result.m_Loads);
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -9,6 +9,7 @@
 
 #include "balance/cache_model.h"
 #include "balance/engine_choice.h"
+#include "balance/leaving_upstreams.h"
 #include "balance/peer_loads.h"
 #include "balance/prefill_speed.h"
 #include "balance/quarantine.h"
@@ -148,6 +149,7 @@
   std::mt19937_64 m_Random;                           ///< For sampling engines.
   Quarantine m_Quarantine;                            ///< Of requests.
   RateLimits m_RateLimits;                            ///< Stated by upstreams.
+  LeavingUpstreams m_Leaving;                         ///< By their entries.
   PrefillSpeed m_PrefillSpeed;                        ///< Of the engines.
   PeerLoads m_PeerLoads;                              ///< From their digests.
   CacheModel m_Cache;                                 ///< Of the engines.
--- /dev/null
+++ b/src/balance/leaving_upstreams.h
@@ -0,0 +1,51 @@
+/// Upstreams that have announced that they leave.
+///
+/// An upstream that leaves takes no new calls for the rest of its lifetime. Its
+/// entry may say otherwise later: a write of the upstream that was delayed, or
+/// another writer's. So the announcement is kept by the upstream's id, which
+/// differs between lifetimes, also while it is not listed.
+#ifndef CROWSTEP_BALANCE_LEAVING_UPSTREAMS_H
+#define CROWSTEP_BALANCE_LEAVING_UPSTREAMS_H
+
+#include "core/clock.h"
+#include "upstream_type.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace crowstep::balance {
+
+class LeavingUpstreams {
+public:
+  /// An announcement is forgotten when the upstream has not been listed for
+  /// this long: longer than any upstream goes on serving after it.
+  static constexpr Duration UnlistedMemory = std::chrono::minutes(10);
+
+  /// Records that \p Upstream leaves; returns whether that is new.
+  bool record(UpstreamId Upstream) {
+    return m_States.try_emplace(Upstream).second;
+  }
+
+  [[nodiscard]] bool contains(UpstreamId Upstream) const {
+    return m_States.contains(Upstream);
+  }
+
+  /// Sets which upstreams are listed.
+  void setListed(const std::vector<Upstream> &All);
+
+  /// Forgets those that have not been listed for UnlistedMemory.
+  void expire(TimePoint Now);
+
+private:
+  /// What is known of one that leaves.
+  struct State {
+    bool m_Listed = false;    ///< Now.
+    TimePoint m_UnlistedAt{}; ///< First expire() without it; not set: listed.
+  };
+
+  std::unordered_map<UpstreamId, State> m_States; ///< Those that leave.
+};
+
+} // namespace crowstep::balance
+
+#endif // CROWSTEP_BALANCE_LEAVING_UPSTREAMS_H
--- a/src/balance/upstream_state.h
+++ b/src/balance/upstream_state.h
@@ -33,9 +33,9 @@
 
 /// One upstream, its load and its health.
 struct UpstreamState {
-  Upstream m_Upstream;                    ///< As the directory describes it.
-  std::size_t m_RoleRank = 0;             ///< See roleOrder().
-  CallLoad m_OwnLoad;                     ///< This instance's calls.
+  Upstream m_Upstream;        ///< As listed; draining if it has ever said so.
+  std::size_t m_RoleRank = 0; ///< See roleOrder().
+  CallLoad m_OwnLoad;         ///< This instance's calls.
   std::optional<LoadReport> m_LoadReport; ///< Last report.
   std::uint32_t m_RunningAtReport = 0;    ///< Own calls at its receipt.
   TimePoint m_ReportedAt{};               ///< Receipt of the report.
