--- a/tests/unit/simulated_store.h
+++ b/tests/unit/simulated_store.h
@@ -78,6 +78,9 @@
     failWaiting(adapter::StoreFailure::HistoryDropped);
   }
 
+  /// Sets how long the store takes for an answer.
+  void setAnswerTime(Duration Time) { m_AnswerTime = Time; }
+
   /// Sets how many rows a read returns at most; 0: all.
   void setPageSize(std::size_t Rows) { m_PageSize = Rows; }
 
@@ -86,7 +89,6 @@
 
 private:
   using Done = adapter::Store::ResultCallback;
-  static constexpr Duration AnswerTime = std::chrono::milliseconds(4);
   static constexpr Duration KeepaliveTimeout = std::chrono::seconds(3);
 
   /// A long poll for changes.
@@ -119,10 +121,11 @@
       if (Up && Write.m_Value)
         m_Store.put(Write.m_Table, Write.m_Key, *Write.m_Value);
       ++m_Store.m_Calls;
-      m_Store.m_Timers.runAfter(AnswerTime, [Up, OnDone = std::move(OnDone)] {
-        OnDone(Up ? adapter::StoreWriteResult::Written
-                  : adapter::StoreWriteResult::Unknown);
-      });
+      m_Store.m_Timers.runAfter(
+          m_Store.m_AnswerTime, [Up, OnDone = std::move(OnDone)] {
+            OnDone(Up ? adapter::StoreWriteResult::Written
+                      : adapter::StoreWriteResult::Unknown);
+          });
     }
 
   private:
@@ -154,9 +157,9 @@
     } else if (m_Mode != Mode::Up) {
       fail(m_Mode == Mode::Refusing ? adapter::StoreFailure::Rejected
                                     : adapter::StoreFailure::Throttled,
-           AnswerTime, std::move(OnDone));
+           m_AnswerTime, std::move(OnDone));
     } else if (After > 0 && After < m_HistoryStart) {
-      fail(adapter::StoreFailure::HistoryDropped, AnswerTime,
+      fail(adapter::StoreFailure::HistoryDropped, m_AnswerTime,
            std::move(OnDone));
     } else if (Wait == Duration::zero() || changedAfter(Table, After)) {
       answer({Table, After, std::move(OnDone)});
@@ -199,7 +202,7 @@
   }
 
   void answer(const LongPoll &Poll) {
-    m_Timers.runAfter(AnswerTime, [this, Poll] {
+    m_Timers.runAfter(m_AnswerTime, [this, Poll] {
       adapter::StoreRows Result;
       Result.m_Version = adapter::StoreVersion(m_Version);
       Result.m_AnsweredAt = time();
@@ -232,12 +235,13 @@
       fail(Failure, Duration::zero(), Poll.m_Done);
   }
 
-  const Clock &m_Clock;             ///< Advanced by the test.
-  ManualScheduler &m_Timers;        ///< Advanced with it.
-  Mode m_Mode = Mode::Up;           ///< See setMode().
-  std::uint64_t m_Calls = 0;        ///< Of all clients.
-  std::size_t m_PageSize = 0;       ///< See setPageSize().
-  std::uint64_t m_Version = 0;      ///< Of the last change.
+  const Clock &m_Clock;       ///< Advanced by the test.
+  ManualScheduler &m_Timers;  ///< Advanced with it.
+  Mode m_Mode = Mode::Up;     ///< See setMode().
+  std::uint64_t m_Calls = 0;  ///< Of all clients.
+  std::size_t m_PageSize = 0; ///< See setPageSize().
+  Duration m_AnswerTime = std::chrono::milliseconds(4); ///< For each answer.
+  std::uint64_t m_Version = 0;                          ///< Of the last change.
   std::uint64_t m_HistoryStart = 0; ///< History begins after it.
   std::map<std::string, std::map<std::string, adapter::StoreRow>>
       m_Tables;                    ///< Including removed rows.
