Feature: Log answers of upstreams that state that they leave

The header of an upstream that leaves is read, and each answer with it is logged (event 2022). Nothing acts on it yet. With it the log tells a statement that is not read or not used (requests to the upstream follow the event) from one that is used and bypassed (only calls placed before the event follow it).

An answer 421 comes from another upstream at the address, so its statement is not about the one that was called.

--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -49,6 +49,7 @@
     m_Context.m_Balancer.recordLoadReport(m_Ticket, *Facts.m_Load,
                                           m_Context.m_Clock.now());
   applyStatedLimit(Facts);
+  applyStatedLeave(Facts);
   if (Facts.m_NotRun) {
     handleRefusal(Facts.m_WrongUpstream || Facts.m_Draining
                       ? balance::CallOutcome::Draining
@@ -92,6 +93,13 @@
          {"limit", Current ? std::to_string(*Current) : std::string("none")}});
 }
 
+/// An answer of another upstream at the same address says nothing about the one
+/// that was called.
+void ForwardedRequest::applyStatedLeave(const AnswerFacts &Facts) {
+  if (Facts.m_Leaving && !Facts.m_WrongUpstream)
+    logEvent(LogEvent::GatewayUpstreamLeaving, {{"upstream", m_Upstream}});
+}
+
 void ForwardedRequest::handleRefusal(balance::CallOutcome Outcome) {
   endCall(Outcome);
   retry(Outcome == balance::CallOutcome::Draining
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -71,6 +71,7 @@
   void refuse(RefusalReason Reason, Duration RetryAfter);
 
   void applyStatedLimit(const AnswerFacts &Facts);
+  void applyStatedLeave(const AnswerFacts &Facts);
   void handleFailure(balance::CallOutcome Outcome, RetryReason Reason);
   void handleRefusal(balance::CallOutcome Outcome);
   void relayEvents(std::string_view Bytes);
--- a/src/gateway/header_codec.h
+++ b/src/gateway/header_codec.h
@@ -47,6 +47,7 @@
   bool m_WrongUpstream = false;     ///< The call was for another upstream.
   bool m_Encoded = false;           ///< The body was altered by an encoding.
   bool m_Draining = false;          ///< It closes its connections.
+  bool m_Leaving = false;           ///< It states that it leaves.
   std::optional<LoadReport> m_Load; ///< At the time of this answer.
   std::optional<double> m_Limit;    ///< Requests a second, from all instances.
   bool m_LimitUnreadable = false;   ///< A limit is stated but malformed.
--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -240,6 +240,11 @@
     BOOST_TEST(LimitOf(Bad).m_LimitUnreadable);
   }
   BOOST_TEST(!Codec.readAnswer(200, {}).m_LimitUnreadable);
+  for (const char *Text : {"1", " 1 "})
+    BOOST_TEST(Codec.readAnswer(200, {{"Server-Leaving", Text}}).m_Leaving);
+  for (const char *Text : {"0", "", "yes", "1,1"})
+    BOOST_TEST(!Codec.readAnswer(200, {{"Server-Leaving", Text}}).m_Leaving);
+  BOOST_TEST(!Codec.readAnswer(200, {}).m_Leaving);
   const auto Load = Codec.readAnswer(200, {{"X-Server-Load", "3,1,8"}}).m_Load;
   BOOST_REQUIRE(Load.has_value());
   BOOST_TEST(Load->m_Running == 3U);
