Feature: Log pauses that upstreams request

Retry-After of an upstream's 503 is read as a number of seconds, with fractions, and logged with the upstream (event 2023). What is no such number, a date among it, counts for nothing and is counted (crowstep_upstream_pauses_unreadable_total). Nothing acts on it yet: the log tells a pause that is not read from one that is known and not kept.

--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -50,6 +50,7 @@
                                           m_Context.m_Clock.now());
   applyStatedLimit(Facts);
   applyStatedLeave(Facts);
+  applyRequestedPause(Facts);
   if (Facts.m_NotRun) {
     handleRefusal(Facts.m_WrongUpstream || Facts.m_Draining
                       ? balance::CallOutcome::Draining
@@ -100,6 +101,16 @@
     logEvent(LogEvent::GatewayUpstreamLeaving, {{"upstream", m_Upstream}});
 }
 
+void ForwardedRequest::applyRequestedPause(const AnswerFacts &Facts) {
+  if (Facts.m_PauseUnreadable)
+    m_Context.m_Stats.countUnreadablePause();
+  if (!Facts.m_RequestedPause)
+    return;
+  logEvent(LogEvent::GatewayUpstreamPause,
+           {{"upstream", m_Upstream},
+            {"pause_us", std::to_string(Facts.m_RequestedPause->count())}});
+}
+
 void ForwardedRequest::handleRefusal(balance::CallOutcome Outcome) {
   endCall(Outcome);
   retry(Outcome == balance::CallOutcome::Draining
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -72,6 +72,7 @@
 
   void applyStatedLimit(const AnswerFacts &Facts);
   void applyStatedLeave(const AnswerFacts &Facts);
+  void applyRequestedPause(const AnswerFacts &Facts);
   void handleFailure(balance::CallOutcome Outcome, RetryReason Reason);
   void handleRefusal(balance::CallOutcome Outcome);
   void relayEvents(std::string_view Bytes);
--- a/src/gateway/gateway_stats.h
+++ b/src/gateway/gateway_stats.h
@@ -33,6 +33,9 @@
   /// Counts a stated limit of an upstream that is not a number.
   void countUnreadableLimit() { m_UnreadableLimits.add(); }
 
+  /// Counts a pause that an upstream requested and that is not a time.
+  void countUnreadablePause() { m_UnreadablePauses.add(); }
+
   /// Returns the metrics of a route.
   RouteStats &statsOfRoute(const std::string &Name);
 
@@ -41,6 +44,7 @@
 
   Metrics &m_Metrics;          ///< Outlives this object.
   Counter &m_UnreadableLimits; ///< See countUnreadableLimit().
+  Counter &m_UnreadablePauses; ///< See countUnreadablePause().
   std::array<Counter *, static_cast<std::size_t>(RefusalReason::Count)>
       m_Refusals; ///< By reason.
   std::array<Counter *, static_cast<std::size_t>(RetryReason::Count)>
--- a/src/gateway/header_codec.h
+++ b/src/gateway/header_codec.h
@@ -51,6 +51,11 @@
   std::optional<LoadReport> m_Load; ///< At the time of this answer.
   std::optional<double> m_Limit;    ///< Requests a second, from all instances.
   bool m_LimitUnreadable = false;   ///< A limit is stated but malformed.
+
+  /// The upstream rejected the call for now and wants no other one from this
+  /// instance for so long.
+  std::optional<Duration> m_RequestedPause;
+  bool m_PauseUnreadable = false; ///< A pause is requested but malformed.
 };
 
 /// Reads and writes headers; one implementation for each platform.
--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -245,6 +245,22 @@
   for (const char *Text : {"0", "", "yes", "1,1"})
     BOOST_TEST(!Codec.readAnswer(200, {{"Server-Leaving", Text}}).m_Leaving);
   BOOST_TEST(!Codec.readAnswer(200, {}).m_Leaving);
+  const auto PauseOf = [&](const char *Text) {
+    return Codec.readAnswer(503, {{"Retry-After", Text}});
+  };
+  BOOST_TEST((PauseOf("3").m_RequestedPause == 3s));
+  BOOST_TEST((PauseOf(" 0.25 ").m_RequestedPause == 250ms));
+  BOOST_TEST((PauseOf("0").m_RequestedPause == 0s));
+  BOOST_TEST((PauseOf("3600").m_RequestedPause == 1h));
+  BOOST_TEST((PauseOf("1e300").m_PauseUnreadable));
+  BOOST_TEST((PauseOf("99999999999999999999").m_RequestedPause > 24h));
+  for (const char *Bad : {"", "soon", "-3", "3 s", "nan", "inf",
+                          "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+    BOOST_TEST(!PauseOf(Bad).m_RequestedPause);
+    BOOST_TEST(PauseOf(Bad).m_PauseUnreadable);
+  }
+  BOOST_TEST(!Codec.readAnswer(503, {}).m_PauseUnreadable);
+  BOOST_TEST(!Codec.readAnswer(200, {{"Retry-After", "3"}}).m_RequestedPause);
   const auto Load = Codec.readAnswer(200, {{"X-Server-Load", "3,1,8"}}).m_Load;
   BOOST_REQUIRE(Load.has_value());
   BOOST_TEST(Load->m_Running == 3U);
