Fix: Keep calls from an upstream that has stated in an answer that it leaves

What callers saw: requests went to an upstream that was about to end for as long as its entry could not say so, seconds after its own answers had said it; the last of them were at risk of being cut by its end.

Cause: the statement in answers was not read. The directory was the only source, and where it can't be written or read nobody learned of a leave. Class: a fact that one instance is told and nobody acts on; like rate limits before.

An answer's statement marks the upstream as draining for its lifetime, whatever its entry says, so every way to an upstream keeps it: first attempts, retries, resumed streams, calls that wait in the queue, and calls that were placed before and still wait for their connection (the last check before the first byte). Instances broadcast it with their digests, hubs relay it and repeat it to a link that comes up, so that the others don't need to be told by the upstream. An answer of another upstream (421, or another attempt's id) is not believed about this one.

Ruled out: a time limit on the statement, as answers to calls that are not sent can't repeat it; a belief of each instance for itself, which costs one call for each instance at an upstream that is about to end.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -380,6 +380,10 @@
   m_PeerLoads.setPeerLoads(Peer, Digest.m_Loads, Now);
   m_Quarantine.applyUpdates(Digest.m_Crashes, Now);
   m_RateLimits.applyUpdates(Digest.m_Limits, Now);
+  for (const UpstreamId Leaving : Digest.m_Leaving) {
+    m_Leaving.record(Leaving);
+    markDraining(Leaving);
+  }
   for (const auto &[Pool, Work] : Digest.m_Work)
     m_RoleSplits[Pool].add(Work, Now);
   for (const SegmentPlacement &Placement : Digest.m_Segments) {
@@ -405,6 +409,7 @@
     Result.m_Work[Pool] = Split.recentWork();
   Result.m_Crashes = m_Quarantine.snapshot();
   Result.m_Limits = m_RateLimits.snapshot(Now);
+  Result.m_Leaving = m_Leaving.snapshot();
   return Result;
 }
 
@@ -417,6 +422,7 @@
   Result.m_Work = std::exchange(m_UnsentWork, {});
   Result.m_Crashes = m_Quarantine.takeUpdates();
   Result.m_Limits = m_RateLimits.takeUpdates(Now);
+  Result.m_Leaving = m_Leaving.takeUpdates();
   return Result;
 }
 
@@ -482,6 +488,23 @@
   State->m_ReportedAt = Now;
 }
 
+bool Balancer::recordLeaveStatement(TicketId Ticket) {
+  const auto Found = m_Tickets.find(Ticket);
+  if (Found == m_Tickets.end() ||
+      !m_Leaving.recordStatement(Found->second.m_Upstream))
+    return false;
+  markDraining(Found->second.m_Upstream);
+  return true;
+}
+
+void Balancer::markDraining(UpstreamId Upstream) {
+  const auto State = m_States.find(Upstream);
+  if (State == m_States.end() || State->second.m_Upstream.m_Draining)
+    return;
+  State->second.m_Upstream.m_Draining = true;
+  rankEngines();
+}
+
 void Balancer::recordRateLimit(TicketId Ticket, RateLimit Limit,
                                TimePoint Now) {
   const auto Found = m_Tickets.find(Ticket);
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -41,6 +41,15 @@
   /// The call's upstream reported its load.
   void recordLoadReport(TicketId Ticket, const LoadReport &Load, TimePoint Now);
 
+  /// The call's upstream stated that it leaves. Returns whether that is new.
+  bool recordLeaveStatement(TicketId Ticket);
+
+  /// Returns the upstreams that leave, for an instance that has just been
+  /// linked.
+  [[nodiscard]] std::vector<UpstreamId> leavingUpstreams() const {
+    return m_Leaving.snapshot();
+  }
+
   /// The call's upstream stated its limit in requests a second, or that it has
   /// none and takes as many as it has room for.
   void recordRateLimit(TicketId Ticket, RateLimit Limit, TimePoint Now);
@@ -123,6 +132,7 @@
   PlacementResult placeAtEngine(const PlacementQuery &Query,
                                 const States &Candidates, TimePoint Now);
   void rankEngines();
+  void markDraining(UpstreamId Upstream);
   [[nodiscard]] bool isQueryLatencySensitive(const PlacementQuery &Query) const;
   [[nodiscard]] std::size_t
   latencySensitiveEngineCount(const std::string &Service) const;
@@ -145,15 +155,15 @@
                                const CallLoad &Peers, TimePoint Now) const;
   UpstreamState *stateOf(TicketId Ticket);
 
-  AvailabilityZone m_Zone;                            ///< Of this instance.
-  std::mt19937_64 m_Random;                           ///< For sampling engines.
-  Quarantine m_Quarantine;                            ///< Of requests.
-  RateLimits m_RateLimits;                            ///< Stated by upstreams.
-  LeavingUpstreams m_Leaving;                         ///< By their entries.
-  PrefillSpeed m_PrefillSpeed;                        ///< Of the engines.
-  PeerLoads m_PeerLoads;                              ///< From their digests.
-  CacheModel m_Cache;                                 ///< Of the engines.
-  std::unordered_map<PoolId, RoleSplit> m_RoleSplits; ///< By service.
+  AvailabilityZone m_Zone;     ///< Of this instance.
+  std::mt19937_64 m_Random;    ///< For sampling engines.
+  Quarantine m_Quarantine;     ///< Of requests.
+  RateLimits m_RateLimits;     ///< Stated by upstreams.
+  LeavingUpstreams m_Leaving;  ///< By their entries and answers.
+  PrefillSpeed m_PrefillSpeed; ///< Of the engines.
+  PeerLoads m_PeerLoads;       ///< From their digests.
+  CacheModel m_Cache;          ///< Of the engines.
+  std::unordered_map<PoolId, RoleSplit> m_RoleSplits;  ///< By service.
   std::unordered_map<PoolId, WorkTokens> m_UnsentWork; ///< Since takeDigest().
   std::vector<SegmentPlacement> m_UnsentSegments;      ///< Since takeDigest().
   std::unordered_map<std::string, std::uint64_t>
--- a/src/balance/digest_sum.cpp
+++ b/src/balance/digest_sum.cpp
@@ -15,6 +15,8 @@
                    Digest.m_Crashes.end());
   for (const LimitUpdate &Update : Digest.m_Limits)
     m_Limits.emplace_back(Update, Now);
+  m_Leaving.insert(m_Leaving.end(), Digest.m_Leaving.begin(),
+                   Digest.m_Leaving.end());
 }
 
 void DigestSum::clear() {
@@ -23,6 +25,7 @@
   m_Work.clear();
   m_Crashes.clear();
   m_Limits.clear();
+  m_Leaving.clear();
 }
 
 LoadDigest DigestSum::takeSum(TimePoint Now) {
@@ -36,6 +39,7 @@
     Update.m_Age += Now - ReceivedAt;
     Result.m_Limits.push_back(Update);
   }
+  Result.m_Leaving = std::exchange(m_Leaving, {});
   return Result;
 }
 
--- a/src/balance/digest_sum.h
+++ b/src/balance/digest_sum.h
@@ -27,7 +27,8 @@
   std::unordered_map<PoolId, WorkTokens> m_Work; ///< Not yet taken.
   std::vector<CrashUpdate> m_Crashes;            ///< Not yet taken.
   std::vector<std::pair<LimitUpdate, TimePoint>>
-      m_Limits; ///< With time of receipt.
+      m_Limits;                      ///< With time of receipt.
+  std::vector<UpstreamId> m_Leaving; ///< Not yet taken.
 };
 
 } // namespace crowstep::balance
--- a/src/balance/leaving_upstreams.cpp
+++ b/src/balance/leaving_upstreams.cpp
@@ -3,6 +3,21 @@
 
 namespace crowstep::balance {
 
+bool LeavingUpstreams::recordStatement(UpstreamId Upstream) {
+  const bool New = record(Upstream);
+  if (New)
+    m_UnsentStatements.push_back(Upstream);
+  return New;
+}
+
+std::vector<UpstreamId> LeavingUpstreams::snapshot() const {
+  std::vector<UpstreamId> Result;
+  Result.reserve(m_States.size());
+  for (const auto &[Id, Entry] : m_States)
+    Result.push_back(Id);
+  return Result;
+}
+
 void LeavingUpstreams::setListed(const std::vector<Upstream> &All) {
   for (auto &[Id, Entry] : m_States)
     Entry.m_Listed = false;
--- a/src/balance/leaving_upstreams.h
+++ b/src/balance/leaving_upstreams.h
@@ -1,9 +1,12 @@
 /// Upstreams that have announced that they leave.
 ///
-/// An upstream that leaves takes no new calls for the rest of its lifetime. Its
-/// entry may say otherwise later: a write of the upstream that was delayed, or
-/// another writer's. So the announcement is kept by the upstream's id, which
-/// differs between lifetimes, also while it is not listed.
+/// An upstream that leaves takes no new calls for the rest of its lifetime. It
+/// announces this in its entry and in its answers; where the directory can't be
+/// written or read, only an answer says so, and only to the instance that gets
+/// it. As it is a fact about the upstream and not a belief of one instance, it
+/// is broadcast. Its entry may say otherwise later: a write of the upstream
+/// that was delayed, or another writer's. So the announcement is kept by the
+/// upstream's id, which differs between lifetimes, also while it is not listed.
 #ifndef CROWSTEP_BALANCE_LEAVING_UPSTREAMS_H
 #define CROWSTEP_BALANCE_LEAVING_UPSTREAMS_H
 
@@ -11,6 +14,7 @@
 #include "upstream_type.h"
 
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace crowstep::balance {
@@ -21,11 +25,23 @@
   /// this long: longer than any upstream goes on serving after it.
   static constexpr Duration UnlistedMemory = std::chrono::minutes(10);
 
-  /// Records that \p Upstream leaves; returns whether that is new.
+  /// Records that \p Upstream leaves, as its entry or another instance says;
+  /// returns whether that is new.
   bool record(UpstreamId Upstream) {
     return m_States.try_emplace(Upstream).second;
   }
 
+  /// Records the same as an answer says, which is to be broadcast if it is new.
+  bool recordStatement(UpstreamId Upstream);
+
+  /// Returns the statements that were recorded since the last call.
+  std::vector<UpstreamId> takeUpdates() {
+    return std::exchange(m_UnsentStatements, {});
+  }
+
+  /// Returns all that leave, for an instance that has just been linked.
+  [[nodiscard]] std::vector<UpstreamId> snapshot() const;
+
   [[nodiscard]] bool contains(UpstreamId Upstream) const {
     return m_States.contains(Upstream);
   }
@@ -44,6 +60,7 @@
   };
 
   std::unordered_map<UpstreamId, State> m_States; ///< Those that leave.
+  std::vector<UpstreamId> m_UnsentStatements;     ///< Since takeUpdates().
 };
 
 } // namespace crowstep::balance
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -111,11 +111,12 @@
   std::unordered_map<PoolId, WorkTokens> m_Work; ///< Since its last digest.
   std::vector<CrashUpdate> m_Crashes;            ///< Since its last digest.
   std::vector<LimitUpdate> m_Limits;             ///< Since its last digest.
+  std::vector<UpstreamId> m_Leaving;             ///< Since its last digest.
 
   /// Returns whether there is nothing to send.
   [[nodiscard]] bool empty() const {
     return m_Loads.empty() && m_Segments.empty() && m_Crashes.empty() &&
-           m_Limits.empty();
+           m_Limits.empty() && m_Leaving.empty();
   }
 };
 
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -48,6 +48,9 @@
     Into->limits.emplace_back(Limit.m_Upstream.value(),
                               toMilli(Limit.m_Limit.value_or(0)),
                               milliseconds(Limit.m_Age), !Limit.m_Limit);
+  Into->leaving.clear();
+  for (const UpstreamId Leaving : Digest.m_Leaving)
+    Into->leaving.push_back(Leaving.value());
 }
 
 balance::LoadDigest unpack(const wire::GatewayDigest &From) {
@@ -80,6 +83,9 @@
            Limit->ended() ? std::nullopt
                           : std::optional(Limit->milli() / MilliPerUnit),
            std::chrono::milliseconds(Limit->age_ms())});
+  if (From.leaving() != nullptr)
+    for (const std::uint64_t Leaving : *From.leaving())
+      Result.m_Leaving.push_back(UpstreamId(Leaving));
   return Result;
 }
 
--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -79,9 +79,9 @@
   const PeerLink NewLink = {Peer.m_Instance, Peer.m_Zone, false, m_Clock.now()};
   updateUsageRole(Link, m_PeerLinks[Link] = NewLink);
   if (!isNearPeer(NewLink)) {
-    // Sums sent while the link was down are not repeated, so known crashes are.
+    // Sums sent while the link was down are not repeated.
     if (m_IsHub)
-      packDigest(knownCrashes(), m_Links->outbox(Link).zone_sum);
+      packDigest(lastingFacts(), m_Links->outbox(Link).zone_sum);
     return;
   }
   // A peer that has just started needs to know the prefixes that engines hold.
@@ -267,8 +267,8 @@
     m_Balancer.removePeer(zoneId(Peer.m_Zone));
   if (!Hub)
     return;
-  // The previous hub may have failed before it relayed all crash reports.
-  const balance::LoadDigest Known = knownCrashes();
+  // The previous hub may have failed before it relayed all of them.
+  const balance::LoadDigest Known = lastingFacts();
   m_OwnZoneSum.add(instanceIdOf(m_Self.m_Name), Known, m_Clock.now());
   m_OtherZonesSum.add(otherZonesId(), Known, m_Clock.now());
   // Nor all usage counters.
@@ -278,9 +278,11 @@
         m_Usage->sendAll(*m_Links, {Link, Peer.m_UsageRole});
 }
 
-balance::LoadDigest DigestExchange::knownCrashes() const {
+/// Returns what stays true until it is stated otherwise, unlike loads.
+balance::LoadDigest DigestExchange::lastingFacts() const {
   balance::LoadDigest Result;
   Result.m_Crashes = m_Balancer.quarantine().snapshot();
+  Result.m_Leaving = m_Balancer.leavingUpstreams();
   return Result;
 }
 
--- a/src/gateway/digest_exchange.h
+++ b/src/gateway/digest_exchange.h
@@ -97,7 +97,7 @@
   void sendToNearPeers(const balance::LoadDigest &Own);
   void relayZoneSums(const balance::LoadDigest &Own);
   void setHub(bool Hub);
-  [[nodiscard]] balance::LoadDigest knownCrashes() const;
+  [[nodiscard]] balance::LoadDigest lastingFacts() const;
   void receiveUpdates(PeerLink &From, const wire::Frame &Frame);
   void dropUpdate(PeerLink &From);
   [[nodiscard]] bool isNearPeer(const PeerLink &Link) const;
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -97,7 +97,8 @@
 /// An answer of another upstream at the same address says nothing about the one
 /// that was called.
 void ForwardedRequest::applyStatedLeave(const AnswerFacts &Facts) {
-  if (Facts.m_Leaving && !Facts.m_WrongUpstream)
+  if (Facts.m_Leaving && !Facts.m_WrongUpstream &&
+      m_Context.m_Balancer.recordLeaveStatement(m_Ticket))
     logEvent(LogEvent::GatewayUpstreamLeaving, {{"upstream", m_Upstream}});
 }
 
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -2989,6 +2989,7 @@
   std::vector<crowstep::wire::RequestCrash> crashes{};
   std::vector<crowstep::wire::UpstreamLimit> limits{};
   int64_t sent_at_us = -1LL;
+  std::vector<uint64_t> leaving{};
 };
 
 struct GatewayDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3001,7 +3002,8 @@
     VT_WORK = 8,
     VT_CRASHES = 10,
     VT_LIMITS = 12,
-    VT_SENT_AT_US = 14
+    VT_SENT_AT_US = 14,
+    VT_LEAVING = 16
   };
   const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *>(VT_LOADS);
@@ -3021,6 +3023,9 @@
   int64_t sent_at_us() const {
     return GetField<int64_t>(VT_SENT_AT_US, -1LL);
   }
+  const flatbuffers::Vector<uint64_t> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_LEAVING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_LOADS) &&
@@ -3034,6 +3039,8 @@
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
            VerifyField<int64_t>(verifier, VT_SENT_AT_US, 8) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
            verifier.EndTable();
   }
   GatewayDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3063,6 +3070,9 @@
   void add_sent_at_us(int64_t sent_at_us) {
     fbb_.AddElement<int64_t>(GatewayDigest::VT_SENT_AT_US, sent_at_us, -1LL);
   }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving) {
+    fbb_.AddOffset(GatewayDigest::VT_LEAVING, leaving);
+  }
   explicit GatewayDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3081,9 +3091,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WorkPlaced *>> work = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RequestCrash *>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::UpstreamLimit *>> limits = 0,
-    int64_t sent_at_us = -1LL) {
+    int64_t sent_at_us = -1LL,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving = 0) {
   GatewayDigestBuilder builder_(_fbb);
   builder_.add_sent_at_us(sent_at_us);
+  builder_.add_leaving(leaving);
   builder_.add_limits(limits);
   builder_.add_crashes(crashes);
   builder_.add_work(work);
@@ -3104,12 +3116,14 @@
     const std::vector<crowstep::wire::WorkPlaced> *work = nullptr,
     const std::vector<crowstep::wire::RequestCrash> *crashes = nullptr,
     const std::vector<crowstep::wire::UpstreamLimit> *limits = nullptr,
-    int64_t sent_at_us = -1LL) {
+    int64_t sent_at_us = -1LL,
+    const std::vector<uint64_t> *leaving = nullptr) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamLoad>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<crowstep::wire::PartPlaced>(*parts) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkPlaced>(*work) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<crowstep::wire::RequestCrash>(*crashes) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamLimit>(*limits) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVector<uint64_t>(*leaving) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       loads__,
@@ -3117,7 +3131,8 @@
       work__,
       crashes__,
       limits__,
-      sent_at_us);
+      sent_at_us,
+      leaving__);
 }
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4742,6 +4757,7 @@
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = *_e->Get(_i); } } }
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
   { auto _e = sent_at_us(); _o->sent_at_us = _e; }
+  { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<GatewayDigest> GatewayDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4758,6 +4774,7 @@
   auto _crashes = _o->crashes.size() ? _fbb.CreateVectorOfStructs(_o->crashes) : 0;
   auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   auto _sent_at_us = _o->sent_at_us;
+  auto _leaving = _o->leaving.size() ? _fbb.CreateVector(_o->leaving) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       _loads,
@@ -4765,7 +4782,8 @@
       _work,
       _crashes,
       _limits,
-      _sent_at_us);
+      _sent_at_us,
+      _leaving);
 }
 
 inline UsageCountT *UsageCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/unit/leaving_upstreams_test.cpp
+++ b/tests/unit/leaving_upstreams_test.cpp
@@ -1,12 +1,13 @@
-/// Upstreams that have announced that they leave, as the balancer treats them.
+/// Upstreams that have announced that they leave: as one instance treats them,
+/// and as a fleet learns of them.
 #define BOOST_TEST_MODULE leaving_upstreams
-#include "balance/balancer.h"
+#include "unit/digest_fleet.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace crowstep;
 using namespace crowstep::balance;
-using namespace std::chrono_literals;
+using namespace crowstep::test;
 
 namespace {
 
@@ -66,3 +67,78 @@
   Test.m_Balancer.setUpstreams({desk("a")});
   BOOST_TEST(Test.mayPlace());
 }
+
+// Guards against a statement that only the instance that got it acts on, or
+// that is broadcast again and again.
+BOOST_AUTO_TEST_CASE(AStatementIsBroadcastOnce) {
+  Fixture Test;
+  Test.m_Balancer.setUpstreams({desk("a")});
+  const auto Call =
+      std::get<Placed>(Test.m_Balancer.place(plainCall(), Test.m_Now));
+  BOOST_TEST(Test.m_Balancer.recordLeaveStatement(Call.m_Ticket));
+  BOOST_TEST(!Test.m_Balancer.recordLeaveStatement(Call.m_Ticket));
+  BOOST_TEST(!Test.mayPlace());
+  BOOST_TEST(Test.m_Balancer.takeDigest(Test.m_Now).m_Leaving.size() == 1U);
+  BOOST_TEST(Test.m_Balancer.takeDigest(Test.m_Now).m_Leaving.empty());
+  BOOST_TEST(Test.m_Balancer.fullDigest(Test.m_Now).m_Leaving.size() == 1U);
+}
+
+// Guards against a statement that comes before the upstream's entry, from
+// another instance.
+BOOST_AUTO_TEST_CASE(AStatementHoldsForAnEntryThatComesLater) {
+  Fixture Test;
+  LoadDigest Digest;
+  Digest.m_Leaving = {upstreamIdOf("a")};
+  Test.m_Balancer.applyPeerDigest(InstanceId(7), Digest, Test.m_Now);
+  Test.m_Balancer.setUpstreams({desk("a")});
+  BOOST_TEST(!Test.mayPlace());
+}
+
+namespace {
+
+/// Returns whether no instance places a call on the fleet's only upstream.
+bool allKnowOfLeave(Fleet &F) {
+  return std::none_of(F.m_Instances.begin(), F.m_Instances.end(),
+                      [&](const auto &Member) {
+                        PlacementQuery Query;
+                        Query.m_Service = "desk";
+                        return std::holds_alternative<Placed>(
+                            Member->m_Balancer.place(Query, F.m_Clock.now()));
+                      });
+}
+
+void stateLeave(Instance &Observer, TimePoint Now) {
+  Observer.m_Balancer.recordLeaveStatement(Observer.place(Now).m_Ticket);
+}
+
+} // namespace
+
+// Guards against a statement that does not reach all zones.
+BOOST_AUTO_TEST_CASE(AStatementReachesAllInstances) {
+  for (const auto &[Zones, InZone] :
+       {std::pair(3, 3), std::pair(4, 21), std::pair(6, 50)}) {
+    Fleet F(Zones, InZone);
+    F.run(1s);
+    stateLeave(*F.m_Instances.back(), F.m_Clock.now());
+    F.run(1s);
+    BOOST_TEST(allKnowOfLeave(F));
+  }
+}
+
+// Guards against a statement that is lost with the hub that was to relay it.
+BOOST_AUTO_TEST_CASE(AStatementSurvivesTheLossOfItsHub) {
+  Fleet F(3, 10);
+  F.run(1s);
+  const auto InZone = [&](double Weight) {
+    return std::find_if(F.m_Instances.begin(), F.m_Instances.end(),
+                        [&](const auto &Member) {
+                          return Member->m_Self.m_Zone.m_Name == "z1" &&
+                                 Member->m_Self.m_Weight == Weight;
+                        });
+  };
+  stateLeave(**InZone(1), F.m_Clock.now());
+  F.run(100ms); // The hub has received the statement.
+  F.m_Instances.erase(InZone(2));
+  F.run(1500ms);
+  BOOST_TEST(allKnowOfLeave(F));
+}
--- a/tests/unit/plain_codec.h
+++ b/tests/unit/plain_codec.h
@@ -55,6 +55,7 @@
     Result.m_Signed = findHeader(Headers, "Call-Signed") != nullptr;
     Result.m_NotRun = findHeader(Headers, "Call-Not-Run") != nullptr;
     Result.m_Encoded = findHeader(Headers, "Content-Encoding") != nullptr;
+    Result.m_Leaving = findHeader(Headers, "Call-Leaving") != nullptr;
     if (const std::string *Limit = findHeader(Headers, "Call-Limit"))
       Result.m_Limit = std::strtod(Limit->c_str(), nullptr);
     return Result;
--- /dev/null
+++ b/tests/unit/upstream_statement_test.cpp
@@ -0,0 +1,81 @@
+/// What a request's answers state about their upstreams.
+#define BOOST_TEST_MODULE upstream_statement
+#include "unit/forwarded_request_env.h"
+
+using namespace crowstep;
+using namespace crowstep::test;
+
+namespace {
+
+/// Returns whether a call may be placed on the upstream called \p Name.
+bool mayPlace(TestEnv &Env, const std::string &Name) {
+  balance::PlacementQuery Query;
+  Query.m_Service = "s";
+  for (const char *Other : {"u0", "u1", "u2"})
+    if (Name != Other)
+      Query.m_Excluded.push_back(upstreamIdOf(Other));
+  const auto Result = Env.m_Balancer.place(Query, Env.m_Clock.now());
+  return std::holds_alternative<balance::Placed>(Result);
+}
+
+} // namespace
+
+// Guards against a leave that is read from one kind of answer only.
+BOOST_AUTO_TEST_CASE(ALeaveIsReadFromAnyAnswer) {
+  const HeaderList Good = {{"Call-Signed", "s"}, {"Call-Leaving", "1"}};
+  for (const RouteKind &Kind : {AtMostOnce, Idempotent, Resumable})
+    for (const unsigned Status : {200U, 500U}) {
+      TestEnv Env(Kind);
+      const std::string Name = Env.upstreamOf(0);
+      Env.sendHeaders(0, Status, Good);
+      BOOST_TEST(!mayPlace(Env, Name));
+    }
+  TestEnv Refused(Idempotent);
+  const std::string Name = Refused.upstreamOf(0);
+  Refused.sendHeaders(0, 503, {{"Call-Not-Run", "1"}, {"Call-Leaving", "1"}});
+  BOOST_TEST(!mayPlace(Refused, Name));
+  BOOST_TEST(Refused.calls() == 2U);
+}
+
+// Guards against a leave that is taken from another upstream's answer, at a
+// reused address or late on a kept connection.
+BOOST_AUTO_TEST_CASE(ALeaveIsNotReadFromAnothersAnswer) {
+  TestEnv Foreign(Idempotent);
+  const std::string Name = Foreign.upstreamOf(0);
+  Foreign.call(0).m_Listener->upstreamHeaders(
+      200, {{"Call-Id", "other"}, {"Call-Signed", "s"}, {"Call-Leaving", "1"}});
+  BOOST_TEST(mayPlace(Foreign, Name));
+}
+
+// Guards against a call that was placed before an upstream stated that it
+// leaves, waited for its connection and is sent after.
+BOOST_AUTO_TEST_CASE(ACallThatWaitsForItsConnectionIsWithheld) {
+  TestEnv Env(Idempotent);
+  const std::string Name = Env.upstreamOf(0);
+  balance::PlacementQuery Query;
+  Query.m_Service = "s";
+  for (const char *Other : {"u0", "u1", "u2"})
+    if (Name != Other)
+      Query.m_Excluded.push_back(upstreamIdOf(Other));
+  const auto Answered =
+      std::get<balance::Placed>(Env.m_Balancer.place(Query, Env.m_Clock.now()));
+  BOOST_TEST(Env.call(0).m_Send.m_SendCheck());
+  Env.m_Balancer.recordLeaveStatement(Answered.m_Ticket);
+  BOOST_TEST(!Env.call(0).m_Send.m_SendCheck());
+  Env.endCall(0, TransportEnd::Withheld);
+  BOOST_REQUIRE(Env.calls() == 2U);
+  BOOST_TEST(Env.upstreamOf(1) != Name);
+}
+
+// Guards against a stream that resumes at an upstream that has stated that it
+// leaves.
+BOOST_AUTO_TEST_CASE(AStreamResumesElsewhere) {
+  TestEnv Env(Resumable, 3);
+  const std::string Name = Env.upstreamOf(0);
+  Env.sendHeaders(0, 200, {{"Call-Signed", "s"}, {"Call-Leaving", "1"}});
+  Env.sendBytes(0, event(1));
+  Env.endCall(0, TransportEnd::Broken);
+  BOOST_REQUIRE(Env.calls() == 2U);
+  BOOST_TEST(Env.upstreamOf(1) != Name);
+  BOOST_TEST(!mayPlace(Env, Name));
+}
