Fix: Keep the pause that an upstream requests with a 503

What callers saw: requests refused after two attempts at upstreams that both had just asked for a pause, while others served; and the load that an overloaded upstream wanted to be rid of.

Cause: Retry-After of an upstream's answer was read by the client of short calls only, not on the path of a forwarded request. An upstream that rejected a call was left out for 50 ms, as one without room, and came back at once if more than half were left out. Class: an upstream's own bound treated as a hint about its health.

RequestedPauses holds the end of each pause, between this instance and the upstream's lifetime; it is not broadcast. In it nothing is placed there and nothing that was placed before is sent; how many upstreams that leaves doesn't matter. After it a single call is placed until one is accepted, so that calls that wait aren't all sent to the first upstream that is free again. Where all are paused a caller is refused at once (503 upstream_paused, not run), with the time until the first is free as Retry-After, spread by half; one whose own wait in the queue allows it waits.

Balancer::isBarred() and mayPlaceAt() are now the one place that says whether an upstream may be sent to: leaving, closing, paused, limited. Health and room stay apart, as they give way where they would leave no upstream.

Ruled out: using the two requests in a pause that the upstream tolerates, as nothing is owed; broadcasting pauses, as the upstream decides for each instance; a table of lengths: zero is no pause, an hour is the longest, what is not a number is none.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -23,9 +23,14 @@
 constexpr Duration NoUpstreamRetryAfter = std::chrono::milliseconds(500);
 
 /// Longest retry time for callers that are refused because of upstreams' rate
-/// limits: the limits may have ended by then.
+/// limits or pauses: these may have ended by then, and other instances may have
+/// none.
 constexpr Duration LimitedRetryAfter = std::chrono::seconds(4);
 
+/// Callers that are refused because of pauses get up to this many times the
+/// time until the first pause ends.
+constexpr double PauseRetrySpread = 1.5;
+
 /// Cost of an upstream in another zone: for the longer way to it, it must have
 /// this many calls fewer to be chosen.
 constexpr double OtherZonePenalty = 2;
@@ -119,15 +124,30 @@
   }
 }
 
+/// Returns whether the upstream must get no call, not even one that was placed
+/// before and is not sent yet.
+bool Balancer::isBarred(const UpstreamState &State, TimePoint Now) const {
+  return State.m_Upstream.m_Draining || Now < State.m_DrainingUntil ||
+         Now < m_Pauses.pausedUntil(State.m_Upstream.m_Id);
+}
+
+/// Returns whether a call may be placed at the upstream, whatever its health
+/// and its room. These bounds are the upstream's own, so they hold even if they
+/// leave no upstream.
+bool Balancer::mayPlaceAt(const UpstreamState &State, TimePoint Now) {
+  const UpstreamId Id = State.m_Upstream.m_Id;
+  return !isBarred(State, Now) && m_Pauses.maySend(Id, Now) &&
+         m_RateLimits.maySend(Id, Now);
+}
+
 Balancer::States Balancer::findCandidates(const PlacementQuery &Query,
                                           TimePoint Now) {
   States Listed;
   for (auto &[Id, State] : m_States)
     if (State.m_Upstream.m_Service == Query.m_Service &&
-        !State.m_Upstream.m_Draining &&
         std::find(Query.m_Excluded.begin(), Query.m_Excluded.end(), Id) ==
             Query.m_Excluded.end() &&
-        Now >= State.m_DrainingUntil && m_RateLimits.maySend(Id, Now))
+        mayPlaceAt(State, Now))
       Listed.push_back(&State);
   States Available;
   std::copy_if(Listed.begin(), Listed.end(), std::back_inserter(Available),
@@ -151,7 +171,7 @@
           RefusalReason::Quarantined, Left, {0, 0, 0, 0, m_PeerLoads.size()}};
   const States Candidates = findCandidates(Query, Now);
   if (Candidates.empty())
-    return noCandidateResult(Query);
+    return noCandidateResult(Query, Now);
   if (Query.m_Prompt.m_PromptTokens > 0)
     return placeAtEngine(Query, Candidates, Now);
   UpstreamState &Chosen = *choosePlainUpstream(Candidates, Now);
@@ -160,17 +180,29 @@
   return issueTicket(Chosen, Query, {}, Inputs, Now);
 }
 
-NotPlaced Balancer::noCandidateResult(const PlacementQuery &Query) const {
+NotPlaced Balancer::noCandidateResult(const PlacementQuery &Query,
+                                      TimePoint Now) {
   NotPlaced Result{RefusalReason::NoUpstream,
                    NoUpstreamRetryAfter,
                    {0, 0, 0, 0, m_PeerLoads.size()}};
   double Rate = 0;
-  for (const auto &[Id, State] : m_States)
-    if (State.m_Upstream.m_Service == Query.m_Service)
-      if (const RateLimit Limit = m_RateLimits.limitOf(Id)) {
-        Result.m_Reason = RefusalReason::UpstreamLimited;
-        Rate += *Limit;
-      }
+  TimePoint PauseEnd = TimePoint::max();
+  for (const auto &[Id, State] : m_States) {
+    if (State.m_Upstream.m_Service != Query.m_Service ||
+        State.m_Upstream.m_Draining)
+      continue;
+    if (const RateLimit Limit = m_RateLimits.limitOf(Id)) {
+      Result.m_Reason = RefusalReason::UpstreamLimited;
+      Rate += *Limit;
+    }
+    if (!m_Pauses.maySend(Id, Now))
+      PauseEnd = std::min(PauseEnd, m_Pauses.pausedUntil(Id));
+  }
+  if (PauseEnd != TimePoint::max()) {
+    Result.m_Reason = RefusalReason::UpstreamPaused;
+    Result.m_RetryAfter = pauseRetryAfter(PauseEnd - Now);
+    return Result;
+  }
   if (Rate > 0)
     Result.m_RetryAfter =
         std::clamp(std::chrono::duration_cast<Duration>(
@@ -179,6 +211,17 @@
   return Result;
 }
 
+/// Callers that are refused in the same pause return one after the other. With
+/// no time left the trial after the pause is under way.
+Duration Balancer::pauseRetryAfter(Duration Left) {
+  const double Spread =
+      std::uniform_real_distribution<>(1, PauseRetrySpread)(m_Random);
+  const Duration Base = Left > Duration::zero()
+                            ? std::clamp(Left, FullBackoff, LimitedRetryAfter)
+                            : MinRetryAfter;
+  return std::chrono::duration_cast<Duration>(Base * Spread);
+}
+
 PlacementResult Balancer::placeAtEngine(const PlacementQuery &Query,
                                         const States &Candidates,
                                         TimePoint Now) {
@@ -350,6 +393,7 @@
   Chosen.m_OwnLoad.addCall(Query.m_Urgency, Tokens);
   m_RateLimits.recordSend(Chosen.m_Upstream.m_Id, Now);
   const TicketId Id(++m_LastTicket);
+  m_Pauses.recordSend(Chosen.m_Upstream.m_Id, Id);
   m_Tickets[Id] = {Chosen.m_Upstream.m_Id, Query.m_Urgency, Tokens, Now, false,
                    Query.m_ContentHash};
   Placed Result{Id, Chosen.m_Upstream.m_Id, Chosen.m_Upstream.m_Name,
@@ -415,6 +459,7 @@
 
 LoadDigest Balancer::takeDigest(TimePoint Now) {
   m_Leaving.expire(Now);
+  m_Pauses.expire(Now);
   LoadDigest Result;
   for (const auto &[Id, State] : m_States)
     State.m_OwnLoad.appendLoads(Id, Result.m_Loads);
@@ -453,6 +498,7 @@
   if (State == nullptr)
     return;
   struct Ticket &Found = m_Tickets[Ticket];
+  m_Pauses.recordAccepted(Found.m_Upstream, Ticket, Now);
   if (Found.m_NoQueuedPrefill)
     m_PrefillSpeed.addSample(State->m_Upstream.m_Service,
                              Found.m_Demand.m_PrefillTokens,
@@ -513,8 +559,20 @@
                                  Found->second.m_PlacedAt, Now);
 }
 
+void Balancer::recordPause(TicketId Ticket, Duration Span, TimePoint Now) {
+  const auto Found = m_Tickets.find(Ticket);
+  if (Found != m_Tickets.end())
+    m_Pauses.record(Found->second.m_Upstream, Span, Now);
+}
+
 void Balancer::recordCallEnd(TicketId Ticket, CallOutcome Outcome,
                              TimePoint Now) {
+  if (const auto Found = m_Tickets.find(Ticket); Found != m_Tickets.end()) {
+    const UpstreamId Upstream = Found->second.m_Upstream;
+    if (Outcome == CallOutcome::Served || Outcome == CallOutcome::Failed)
+      m_Pauses.recordAccepted(Upstream, Ticket, Now);
+    m_Pauses.recordCallEnd(Upstream, Ticket);
+  }
   if (UpstreamState *State = stateOf(Ticket)) {
     const struct Ticket &Ended = m_Tickets[Ticket];
     State->m_OwnLoad.finishPrefill(Ended.m_Urgency,
@@ -550,8 +608,7 @@
       Content && m_Quarantine.remainingHold(*Content, Now) > Duration::zero())
     return false;
   const auto State = m_States.find(Found->second.m_Upstream);
-  return State != m_States.end() && !State->second.m_Upstream.m_Draining &&
-         Now >= State->second.m_DrainingUntil;
+  return State != m_States.end() && !isBarred(State->second, Now);
 }
 
 } // namespace crowstep::balance
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -14,6 +14,7 @@
 #include "balance/prefill_speed.h"
 #include "balance/quarantine.h"
 #include "balance/rate_limits.h"
+#include "balance/requested_pauses.h"
 #include "balance/upstream_state.h"
 
 #include <map>
@@ -54,6 +55,10 @@
   /// none and takes as many as it has room for.
   void recordRateLimit(TicketId Ticket, RateLimit Limit, TimePoint Now);
 
+  /// The call's upstream rejected it and wants no other one from this instance
+  /// for \p Span.
+  void recordPause(TicketId Ticket, Duration Span, TimePoint Now);
+
   /// Sets the list of all instances, this one as \p Self.
   void setInstances(InstanceId Self, std::vector<InstanceId> All,
                     TimePoint Now) {
@@ -128,7 +133,10 @@
   };
 
   States findCandidates(const PlacementQuery &Query, TimePoint Now);
-  [[nodiscard]] NotPlaced noCandidateResult(const PlacementQuery &Query) const;
+  [[nodiscard]] bool isBarred(const UpstreamState &State, TimePoint Now) const;
+  [[nodiscard]] bool mayPlaceAt(const UpstreamState &State, TimePoint Now);
+  NotPlaced noCandidateResult(const PlacementQuery &Query, TimePoint Now);
+  [[nodiscard]] Duration pauseRetryAfter(Duration Left);
   PlacementResult placeAtEngine(const PlacementQuery &Query,
                                 const States &Candidates, TimePoint Now);
   void rankEngines();
@@ -159,6 +167,7 @@
   std::mt19937_64 m_Random;    ///< For sampling engines.
   Quarantine m_Quarantine;     ///< Of requests.
   RateLimits m_RateLimits;     ///< Stated by upstreams.
+  RequestedPauses m_Pauses;    ///< By upstreams, from this instance.
   LeavingUpstreams m_Leaving;  ///< By their entries and answers.
   PrefillSpeed m_PrefillSpeed; ///< Of the engines.
   PeerLoads m_PeerLoads;       ///< From their digests.
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -107,6 +107,9 @@
     m_Context.m_Stats.countUnreadablePause();
   if (!Facts.m_RequestedPause)
     return;
+  m_Context.m_Stats.countPause();
+  m_Context.m_Balancer.recordPause(m_Ticket, *Facts.m_RequestedPause,
+                                   m_Context.m_Clock.now());
   logEvent(LogEvent::GatewayUpstreamPause,
            {{"upstream", m_Upstream},
             {"pause_us", std::to_string(Facts.m_RequestedPause->count())}});
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -10,6 +10,12 @@
 
 namespace {
 
+/// Returns whether the call was not placed because upstreams have requested a
+/// pause.
+bool isPaused(const balance::NotPlaced &Unplaced) {
+  return Unplaced.m_Reason == RefusalReason::UpstreamPaused;
+}
+
 ContentHash hashOf(const IncomingRequest &Request,
                    const AdmittedRequest &Admission) {
   const std::string *Host = findHeader(Request.m_Headers, "Host");
@@ -96,13 +102,20 @@
     waitForRoom(Wait->m_Inputs);
     return;
   }
+  if (const auto *Unplaced = std::get_if<balance::NotPlaced>(&Result);
+      Unplaced != nullptr && Query.m_MayWait && isPaused(*Unplaced) &&
+      mayWaitFor(Unplaced->m_RetryAfter)) {
+    waitForRoom(Unplaced->m_Inputs);
+    return;
+  }
   if (m_QueueEntry != nullptr)
     m_QueueTime = m_Context.m_Clock.now() - m_ArrivedAt;
   m_QueueEntry.reset();
   if (const auto *Unplaced = std::get_if<balance::NotPlaced>(&Result)) {
     m_PlacementInputs = Unplaced->m_Inputs;
-    refuse(Unplaced->m_Reason,
-           m_WaitTimedOut ? QueueRetryAfter : Unplaced->m_RetryAfter);
+    refuse(Unplaced->m_Reason, m_WaitTimedOut && !isPaused(*Unplaced)
+                                   ? QueueRetryAfter
+                                   : Unplaced->m_RetryAfter);
     return;
   }
   send(std::get<balance::Placed>(Result));
@@ -115,12 +128,18 @@
          (m_QueueEntry != nullptr || !m_Context.m_WaitQueue.isFull());
 }
 
+/// Returns whether a call that has waited \p More in addition would still be in
+/// time to wait.
+bool ForwardedRequest::mayWaitFor(Duration More) const {
+  const Duration Waited = m_Context.m_Clock.now() - m_ArrivedAt;
+  return (Waited + More) * MaxWaitDenominator <=
+         m_Admitted.m_Route->m_Target * MaxWaitNumerator;
+}
+
 /// Ends an attempt(); the wait queue calls attempt() again.
 void ForwardedRequest::waitForRoom(const balance::PlacementInputs &Inputs) {
   m_PlacementInputs = Inputs;
-  const Duration Waited = m_Context.m_Clock.now() - m_ArrivedAt;
-  if (Waited * MaxWaitDenominator >
-      m_Admitted.m_Route->m_Target * MaxWaitNumerator) {
+  if (!mayWaitFor(Duration::zero())) {
     // Once more, at an engine that preempts less urgent calls for it.
     m_WaitTimedOut = true;
     attempt();
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -64,6 +64,7 @@
   void attempt();
   void waitForRoom(const balance::PlacementInputs &Inputs);
   [[nodiscard]] bool mayWait() const;
+  [[nodiscard]] bool mayWaitFor(Duration More) const;
   void send(const balance::Placed &Placement);
   void endCall(balance::CallOutcome Outcome);
   void retry(RetryReason Reason);
--- a/src/gateway/gateway_stats.cpp
+++ b/src/gateway/gateway_stats.cpp
@@ -6,6 +6,7 @@
 GatewayStats::GatewayStats(Metrics &Stats)
     : m_Metrics(Stats), m_UnreadableLimits(Stats.counter(
                             "crowstep_upstream_limits_unreadable_total")),
+      m_Pauses(Stats.counter("crowstep_upstream_pauses_total")),
       m_UnreadablePauses(
           Stats.counter("crowstep_upstream_pauses_unreadable_total")) {
   for (std::size_t I = 0; I < m_Refusals.size(); ++I)
--- a/src/gateway/gateway_stats.h
+++ b/src/gateway/gateway_stats.h
@@ -33,6 +33,9 @@
   /// Counts a stated limit of an upstream that is not a number.
   void countUnreadableLimit() { m_UnreadableLimits.add(); }
 
+  /// Counts a pause that an upstream requested.
+  void countPause() { m_Pauses.add(); }
+
   /// Counts a pause that an upstream requested and that is not a time.
   void countUnreadablePause() { m_UnreadablePauses.add(); }
 
@@ -44,6 +47,7 @@
 
   Metrics &m_Metrics;          ///< Outlives this object.
   Counter &m_UnreadableLimits; ///< See countUnreadableLimit().
+  Counter &m_Pauses;           ///< See countPause().
   Counter &m_UnreadablePauses; ///< See countUnreadablePause().
   std::array<Counter *, static_cast<std::size_t>(RefusalReason::Count)>
       m_Refusals; ///< By reason.
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -53,6 +53,7 @@
         {"upstream_refused", 503},
         {"quarantined", 503},
         {"upstream_limited", 503},
+        {"upstream_paused", 503},
     }};
 
 constexpr std::array<std::string_view,
--- a/src/refusal_type.h
+++ b/src/refusal_type.h
@@ -50,6 +50,7 @@
   UpstreamRefused,      ///< The upstream stated that it did not run the call.
   Quarantined,          ///< The request crashes the upstreams that run it.
   UpstreamLimited,      ///< The upstreams' own rate limits are used up.
+  UpstreamPaused,       ///< The upstreams have requested a pause.
   Count,                ///< Number of reasons; not a reason.
 };
 
--- a/tests/unit/forwarded_request_env.h
+++ b/tests/unit/forwarded_request_env.h
@@ -119,7 +119,8 @@
   explicit TestEnv(RouteKind Kind, unsigned MaxAttempts = 2,
                    HeaderList More = {},
                    const UpstreamKind &Upstreams = PlainService{4},
-                   const std::vector<WorkspaceEntry> &Workspaces = {}) {
+                   const std::vector<WorkspaceEntry> &Workspaces = {},
+                   const std::function<void(TestEnv &)> &Prepare = nullptr) {
     // The budget allows two retries before any calls add to it.
     m_Budget.setInstances(21, m_Clock.now() - 10s);
     std::vector<Upstream> List;
@@ -150,8 +151,9 @@
     m_Request = std::make_unique<ForwardedRequest>(
         m_Context, Incoming, std::get<AdmittedRequest>(Admission),
         std::make_unique<FakeCaller>(m_Record), [this] { ++m_Finished; });
-    const bool Waits = std::holds_alternative<Engine>(Upstreams);
-    if (Waits)
+    if (Prepare)
+      Prepare(*this);
+    else if (std::holds_alternative<Engine>(Upstreams))
       takeAllSlots();
     m_Request->start();
   }
--- a/tests/unit/plain_codec.h
+++ b/tests/unit/plain_codec.h
@@ -56,6 +56,9 @@
     Result.m_NotRun = findHeader(Headers, "Call-Not-Run") != nullptr;
     Result.m_Encoded = findHeader(Headers, "Content-Encoding") != nullptr;
     Result.m_Leaving = findHeader(Headers, "Call-Leaving") != nullptr;
+    if (const std::string *Pause = findHeader(Headers, "Call-Pause-Ms"))
+      Result.m_RequestedPause =
+          std::chrono::milliseconds(std::atoi(Pause->c_str()));
     if (const std::string *Limit = findHeader(Headers, "Call-Limit"))
       Result.m_Limit = std::strtod(Limit->c_str(), nullptr);
     return Result;
--- a/tests/unit/upstream_statement_test.cpp
+++ b/tests/unit/upstream_statement_test.cpp
@@ -79,3 +79,83 @@
   BOOST_TEST(Env.upstreamOf(1) != Name);
   BOOST_TEST(!mayPlace(Env, Name));
 }
+
+// Guards against a pause that is not read from a refusal, and against a retry
+// at the upstream that requested it.
+BOOST_AUTO_TEST_CASE(APauseIsReadFromARefusal) {
+  TestEnv Env(Idempotent);
+  const std::string Name = Env.upstreamOf(0);
+  Env.sendHeaders(0, 503, {{"Call-Not-Run", "1"}, {"Call-Pause-Ms", "3000"}});
+  BOOST_REQUIRE(Env.calls() == 2U);
+  BOOST_TEST(Env.upstreamOf(1) != Name);
+  Env.m_Timers.advance(2900ms);
+  BOOST_TEST(!mayPlace(Env, Name));
+  Env.m_Timers.advance(100ms);
+  BOOST_TEST(mayPlace(Env, Name));
+}
+
+// Guards against a call that was placed before its upstream requested a pause
+// and is sent in it.
+BOOST_AUTO_TEST_CASE(ACallIsWithheldInAPause) {
+  TestEnv Env(Idempotent);
+  balance::PlacementQuery Query;
+  Query.m_Service = "s";
+  const std::string Name = Env.upstreamOf(0);
+  for (const char *Other : {"u0", "u1", "u2"})
+    if (Name != Other)
+      Query.m_Excluded.push_back(upstreamIdOf(Other));
+  const auto Refused =
+      std::get<balance::Placed>(Env.m_Balancer.place(Query, Env.m_Clock.now()));
+  BOOST_TEST(Env.call(0).m_Send.m_SendCheck());
+  Env.m_Balancer.recordPause(Refused.m_Ticket, 3s, Env.m_Clock.now());
+  BOOST_TEST(!Env.call(0).m_Send.m_SendCheck());
+  Env.endCall(0, TransportEnd::Withheld);
+  BOOST_REQUIRE(Env.calls() == 2U);
+  BOOST_TEST(Env.upstreamOf(1) != Name);
+}
+
+// Guards against a caller that is held back until near its deadline because all
+// upstreams are paused: it learns at once that its request has not run and when
+// to come back.
+BOOST_AUTO_TEST_CASE(ACallerIsRefusedAtOnceWhereAllArePaused) {
+  TestEnv Env(Idempotent, 3);
+  for (std::size_t I = 0; I < 3; ++I)
+    Env.sendHeaders(I, 503, {{"Call-Not-Run", "1"}, {"Call-Pause-Ms", "3000"}});
+  BOOST_TEST(Env.answer().m_Status == 503U);
+  BOOST_TEST(Env.answerHas("Retry-After"));
+}
+
+namespace {
+
+/// A request that arrives while all upstreams are paused for \p Span.
+struct PausedEnv : TestEnv {
+  explicit PausedEnv(Duration Span)
+      : TestEnv(Idempotent, 2, {}, PlainService{4}, {}, [Span](TestEnv &Env) {
+          balance::PlacementQuery Query;
+          Query.m_Service = "s";
+          for (int I = 0; I < 3; ++I) {
+            const auto Call = std::get<balance::Placed>(
+                Env.m_Balancer.place(Query, Env.m_Clock.now()));
+            Env.m_Balancer.recordPause(Call.m_Ticket, Span, Env.m_Clock.now());
+            Env.m_Balancer.recordCallEnd(Call.m_Ticket,
+                                         balance::CallOutcome::Refused,
+                                         Env.m_Clock.now());
+          }
+        }) {}
+};
+
+} // namespace
+
+// Guards against a refusal where a pause ends within the time that the request
+// may wait, and against a wait where it doesn't.
+BOOST_AUTO_TEST_CASE(ARequestWaitsForTheEndOfAShortPauseOnly) {
+  PausedEnv Short(100ms);
+  BOOST_TEST(Short.calls() == 0U);
+  BOOST_TEST(Short.m_Finished == 0);
+  Short.m_Timers.advance(150ms);
+  BOOST_TEST(Short.calls() == 1U);
+  PausedEnv Long(1s);
+  BOOST_TEST(Long.answer().m_Status == 503U);
+  BOOST_TEST(Long.calls() == 0U);
+  BOOST_TEST(Long.answerHas("Retry-After"));
+}
