Fix: After the stop, close a caller's connection with the answer under way

What a caller saw: a stream that broke off in its middle, 1.8 s after it had been accepted by an instance that had been told to stop six seconds before.

Cause: a stream whose head was sent before the stop can't announce that its connection closes. When it ended, the connection counted as idle until the next look at idle ones, up to 50 ms later; a caller that sent its next request in that time was served, by an instance with less time left than the request took.

Once the instance listens no more, a connection is closed with the answer that is under way on it. A request sent behind it is not read, so its caller may send it elsewhere. A request that has arrived on an idle connection is still served, as before.

Evidence: front_test NoRequestFollowsAnAnswerAfterTheStop fails without the change, with the next request sent during the stream and after it.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -476,7 +476,7 @@
 }
 
 void CallerConnection::handleFlushed() {
-  if (m_CloseAfterAnswer || m_WriteFailed) {
+  if (m_CloseAfterAnswer || m_WriteFailed || m_Owner.closesAfterAnswers()) {
     startDiscarding();
     return;
   }
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -31,6 +31,9 @@
   /// Returns the limits in force.
   [[nodiscard]] virtual const ReceiveLimits &limits() const = 0;
 
+  /// Returns whether connections are closed after the answer under way.
+  [[nodiscard]] virtual bool closesAfterAnswers() const = 0;
+
   /// A request was received in full and within the limits.
   virtual void requestReceived(IncomingRequest Request,
                                std::unique_ptr<Caller> From) = 0;
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -34,6 +34,7 @@
 }
 
 void Frontend::stopListening() {
+  m_HasStopped = true;
   m_AcceptTimer.stop();
   m_Watch.reset();
   if (m_Socket != nullptr)
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -33,7 +33,9 @@
   /// Replaces the limits; they apply to later checks and timeouts.
   void setLimits(const ReceiveLimits &Limits) { m_Limits = Limits; }
 
-  /// Accepts no further connections; open ones continue.
+  /// Accepts no further connections, and closes each open one after the answer
+  /// under way, also where its head did not announce that. A request that was
+  /// sent behind it is not read.
   void stopListening();
 
   /// Closes the connections that wait for their next request. A request that
@@ -53,6 +55,9 @@
   [[nodiscard]] const ReceiveLimits &limits() const override {
     return m_Limits;
   }
+  [[nodiscard]] bool closesAfterAnswers() const override {
+    return m_HasStopped;
+  }
   void requestReceived(IncomingRequest Request,
                        std::unique_ptr<Caller> From) override;
   void requestRefused(RefusalReason Reason) override;
@@ -67,6 +72,7 @@
   SocketPtr m_Socket;         ///< Listening socket; null if not listening.
   std::optional<SocketWatch> m_Watch; ///< Set while m_Socket is.
   Timer m_AcceptTimer;                ///< Runs after accept has failed.
+  bool m_HasStopped = false;          ///< After stopListening().
   std::unordered_map<CallerConnection *, std::unique_ptr<CallerConnection>>
       m_Connections; ///< Open connections.
   std::vector<std::unique_ptr<CallerConnection>>
--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -327,6 +327,30 @@
   BOOST_TEST(Fixture.m_Front.unansweredRequests() == 1U);
 }
 
+/// Guards against a request that is accepted by a server that is about to end:
+/// it comes right behind a stream that began before the stop and whose head
+/// could not announce the close.
+BOOST_AUTO_TEST_CASE(NoRequestFollowsAnAnswerAfterTheStop) {
+  for (const bool SentBehind : {false, true}) {
+    FrontFixture Fixture;
+    const auto Caller = Fixture.connectAndSend(Get);
+    BOOST_TEST(pumpUntil([&] { return Fixture.m_Callers.size() == 1; }));
+    Fixture.m_Callers[0]->beginStream({});
+    Fixture.m_Front.stopListening();
+    if (SentBehind) {
+      Caller->send(Get);
+      pumpFor(2ms);
+    }
+    Fixture.m_Callers[0]->append("event");
+    Fixture.m_Callers[0]->endStream();
+    Caller->send(Get);
+    BOOST_TEST(pumpUntil([&] { return Caller->isClosed(); }));
+    BOOST_TEST(Caller->hasReceived("event"));
+    BOOST_TEST(Caller->hasReceived("0\r\n\r\n"));
+    BOOST_TEST(Fixture.m_Callers.size() == 1U);
+  }
+}
+
 /// Events are returned complete, however their bytes are split.
 BOOST_AUTO_TEST_CASE(EventsAreSplitWhole) {
   const std::string Text = "id: 4\ndata: a\n\nx: 1\nid:5\r\ndata: b\r\n\r\n";
