Test: A store that falls silent and forgets who waits, in the soak

The stand-in store answered calls that wait for changes only with changes, whatever they asked for, and also while it was silent. It now ends them after the time that they ask for, answers none while it is silent, and forgets those that wait if its history is dropped then, without closing their connections.

A schedule of its own, drawn apart so that the other faults of each seed stay as they are, plays such a silence on some seeds.

--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -53,6 +53,40 @@
 constexpr std::int64_t MaxGapInSeriesMs = 150;
 constexpr std::int64_t MaxGapBetweenSeriesMs = 1800;
 
+/// Returns whether \p Seed belongs to a share of those with unplanned faults.
+bool isInShare(std::uint64_t Seed, std::uint64_t Share) {
+  constexpr std::uint64_t Groups = 11;
+  constexpr std::uint64_t SeedsInShare = 3;
+  return !isPlannedWorkOnly(Seed) && Seed % Groups / SeedsInShare == Share;
+}
+
+/// A fault that is drawn by itself; \p m_Draw decides its kind.
+struct SingleFault {
+  Duration m_Start{};       ///< Since the load's start.
+  std::uint64_t m_Draw = 0; ///< Random number.
+  Duration m_Duration{};    ///< Until it ends.
+};
+
+std::vector<SingleFault> drawSingleFaults(std::uint64_t Seed, Duration Length) {
+  std::mt19937_64 Random(Seed);
+  std::vector<SingleFault> Result;
+  std::chrono::milliseconds Start(500);
+  while (Start < Length) {
+    const std::uint64_t Draw = Random();
+    const std::chrono::milliseconds Lasting(
+        MinDurationMs +
+        static_cast<std::int64_t>(Random() % (MaxDurationMs - MinDurationMs)));
+    Result.push_back({Start, Draw, Lasting});
+    Start += std::chrono::milliseconds(Random() % MaxGapBetweenSeriesMs);
+  }
+  return Result;
+}
+
+template <typename Kind> Kind kindOf(const SingleFault &Drawn) {
+  return static_cast<Kind>(Drawn.m_Draw %
+                           static_cast<std::uint64_t>(Kind::Count));
+}
+
 } // namespace
 
 std::string_view nameOf(FaultKind Kind) {
@@ -106,23 +140,29 @@
 }
 
 std::vector<DutyFault> makeDutySchedule(std::uint64_t Seed, Duration Length) {
-  constexpr std::uint64_t Groups = 11;
-  constexpr std::uint64_t SeedsInShare = 3;
   constexpr std::uint64_t DutySeed = 0x64757479;
-  if (isPlannedWorkOnly(Seed) || Seed % Groups / SeedsInShare != 2)
+  if (!isInShare(Seed, 2))
     return {};
-  std::mt19937_64 Random(Seed ^ DutySeed);
   std::vector<DutyFault> Result;
-  std::chrono::milliseconds Start(500);
-  while (Start < Length) {
-    const auto Kind = static_cast<DutyFaultKind>(
-        Random() % static_cast<std::uint64_t>(DutyFaultKind::Count));
-    const std::chrono::milliseconds Lasting(
-        MinDurationMs +
-        static_cast<std::int64_t>(Random() % (MaxDurationMs - MinDurationMs)));
-    Result.push_back({Start, Kind, Lasting});
-    Start += std::chrono::milliseconds(Random() % MaxGapBetweenSeriesMs);
-  }
+  for (const SingleFault &Drawn : drawSingleFaults(Seed ^ DutySeed, Length))
+    Result.push_back(
+        {Drawn.m_Start, kindOf<DutyFaultKind>(Drawn), Drawn.m_Duration});
+  return Result;
+}
+
+std::vector<StatementFault> makeStatementSchedule(std::uint64_t Seed,
+                                                  Duration Length) {
+  constexpr std::uint64_t StatementSeed = 0x73746174;
+  constexpr std::uint64_t Kinds =
+      static_cast<std::uint64_t>(StatementFaultKind::Count);
+  if (!isInShare(Seed, 1))
+    return {};
+  std::vector<StatementFault> Result;
+  for (const SingleFault &Drawn :
+       drawSingleFaults(Seed ^ StatementSeed, Length))
+    Result.push_back({Drawn.m_Start, kindOf<StatementFaultKind>(Drawn),
+                      static_cast<unsigned>(Drawn.m_Draw / Kinds),
+                      Drawn.m_Duration});
   return Result;
 }
 
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -83,6 +83,28 @@
 /// order; they are drawn apart from the other faults. Some seeds have none.
 std::vector<DutyFault> makeDutySchedule(std::uint64_t Seed, Duration Length);
 
+/// Kinds of faults in which something must be learned from an answer, or in
+/// spite of one that never comes.
+enum class StatementFaultKind : std::uint8_t {
+  UpstreamLeaves,    ///< An upstream leaves; only its answers say so.
+  UpstreamPauses,    ///< An upstream rejects some calls with a pause.
+  StoreForgetsCalls, ///< The store is silent and loses its history meanwhile.
+  Count,             ///< Number of kinds; not a kind.
+};
+
+/// One scheduled fault of that sort.
+struct StatementFault {
+  Duration m_Start{};          ///< Since the load's start.
+  StatementFaultKind m_Kind{}; ///< Which fault.
+  unsigned m_Target = 0;       ///< Upstream, modulo their count.
+  Duration m_Duration{};       ///< Until it ends.
+};
+
+/// Returns such faults of \p Seed that begin within \p Length, in order; they
+/// are drawn apart from the other faults. Some seeds have none.
+std::vector<StatementFault> makeStatementSchedule(std::uint64_t Seed,
+                                                  Duration Length);
+
 /// Returns the kind named \p Name, or nothing.
 std::optional<FaultKind> faultKindOf(const std::string &Name);
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -199,6 +199,16 @@
   });
 }
 
+void SoakFleet::apply(const StatementFault &Played) {
+  using Mode = standin::StoreServer::Mode;
+  if (Played.m_Kind != StatementFaultKind::StoreForgetsCalls)
+    return;
+  m_Ledger.excuseStaleness(m_Clock.now(), m_Clock.now() + Played.m_Duration);
+  m_Store.setMode(Mode::Silent);
+  runAfter(Played.m_Duration / 2, [this] { m_Store.dropHistory(); });
+  runAfter(Played.m_Duration, [this] { m_Store.setMode(Mode::Up); });
+}
+
 /// Removes a draining upstream after a while and starts a new incarnation.
 void SoakFleet::replaceUpstream(UpstreamNode &Upstream, Duration After) {
   const std::string Name = Upstream.m_Server->name();
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -294,6 +294,11 @@
     runAfter(Played.m_Start, [this, Played] { apply(Played); });
     End = std::max(End, Played.m_Start + Played.m_Duration);
   }
+  for (const StatementFault &Played :
+       makeStatementSchedule(m_Plan.m_Seed, Length)) {
+    runAfter(Played.m_Start, [this, Played] { apply(Played); });
+    End = std::max(End, Played.m_Start + Played.m_Duration);
+  }
   Timer LoadTimer(m_Timers);
   Timer ProbeTimer(m_Timers);
   TimePoint LastStep = m_Clock.now();
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -80,6 +80,7 @@
 
   void apply(const Fault &Played);
   void apply(const DutyFault &Played);
+  void apply(const StatementFault &Played);
   GatewayNode *dutyHolder();
   void freezeGateway(GatewayNode &Gateway, Duration Span);
   void checkDuties(TimePoint FaultsEnded);
--- a/tests/standin/store_server.cpp
+++ b/tests/standin/store_server.cpp
@@ -3,6 +3,7 @@
 
 #include "core/base64.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <glib.h>
 
@@ -48,6 +49,13 @@
   // The version grows as by a change of another table, so that every long poll
   // is behind the oldest version.
   m_OldestVersion = ++m_Version;
+  if (m_Mode == Mode::Silent)
+    m_LongPolls.clear(); // Their messages are freed at process exit.
+  answerLongPolls();
+}
+
+void StoreServer::setMode(Mode NewMode) {
+  m_Mode = NewMode;
   answerLongPolls();
 }
 
@@ -72,7 +80,8 @@
   else if (Path == "/rows-feed")
     handleFeed(Message, Name,
                std::strtoull(queryValue(Message, "after").c_str(), nullptr, 10),
-               queryValue(Message, "waitMs") != "0");
+               std::chrono::milliseconds(std::strtoull(
+                   queryValue(Message, "waitMs").c_str(), nullptr, 10)));
   else
     handleTransaction(Message);
 }
@@ -122,22 +131,41 @@
 
 void StoreServer::handleFeed(SoupServerMessage *Message,
                              const std::string &Name, std::uint64_t After,
-                             bool MayWait) {
+                             Duration Wait) {
   if (After < m_OldestVersion) {
     respond(Message, HttpGone, "text/plain", "");
     return;
   }
   const Json Rows = changes(Name, After);
-  if (!Rows.empty() || !MayWait) {
+  if (!Rows.empty() || Wait == Duration::zero()) {
     answer(Message, {{"rows", Rows}}, m_Version);
     return;
   }
   soup_server_message_pause(Message);
   m_LongPolls.push_back(
-      {SOUP_SERVER_MESSAGE(g_object_ref(Message)), Name, After});
+      {SOUP_SERVER_MESSAGE(g_object_ref(Message)), Name, After, ++m_LastPoll});
+  m_Timers.runAfter(Wait, [this, Number = m_LastPoll] { endLongPoll(Number); });
+}
+
+/// Answers a request that has waited for as long as it asked for.
+void StoreServer::endLongPoll(std::uint64_t Number) {
+  const auto Found = std::find_if(
+      m_LongPolls.begin(), m_LongPolls.end(),
+      [Number](const LongPoll &Poll) { return Poll.m_Number == Number; });
+  if (Found == m_LongPolls.end() || m_Mode == Mode::Silent)
+    return;
+  const LongPoll Ended = *Found;
+  m_LongPolls.erase(Found);
+  if (soup_server_message_get_socket(Ended.m_Message) != nullptr) {
+    answer(Ended.m_Message, {{"rows", Json::array()}}, m_Version);
+    soup_server_message_unpause(Ended.m_Message);
+  }
+  g_object_unref(Ended.m_Message);
 }
 
 void StoreServer::answerLongPolls() {
+  if (m_Mode == Mode::Silent)
+    return;
   std::vector<LongPoll> Remaining;
   for (const LongPoll &Poll : m_LongPolls) {
     const Json Rows = changes(Poll.m_Table, Poll.m_AfterVersion);
--- a/tests/standin/store_server.h
+++ b/tests/standin/store_server.h
@@ -4,6 +4,7 @@
 #define CROWSTEP_TESTS_STANDIN_STORE_SERVER_H
 
 #include "core/http_server.h"
+#include "core/scheduler.h"
 
 #include <map>
 #include <nlohmann/json.hpp>
@@ -18,7 +19,7 @@
   enum class Mode : std::uint8_t {
     Up,     ///< According to the protocol.
     Busy,   ///< 503 without effect.
-    Silent, ///< Not answered.
+    Silent, ///< Not answered, calls that wait for changes neither.
   };
 
   /// Starts the server. \throws ListenError.
@@ -28,14 +29,15 @@
   void put(const std::string &Table, const std::string &Key,
            const std::string &Value);
 
-  void setMode(Mode NewMode) { m_Mode = NewMode; }
+  void setMode(Mode NewMode);
 
   /// Answers reads from a copy of the present tables until called with false.
   /// A copy of a store without any change is not served.
   void serveStaleCopy(bool Enabled);
 
   /// Drops the history of changes: feed requests for an earlier version get
-  /// 410.
+  /// 410. A silent store also forgets the ones that wait; their connections
+  /// stay open.
   void dropHistory();
 
 private:
@@ -50,12 +52,14 @@
     SoupServerMessage *m_Message; ///< Paused; a reference is held.
     std::string m_Table;          ///< Name of the table.
     std::uint64_t m_AfterVersion; ///< Waits for later versions.
+    std::uint64_t m_Number;       ///< Of the request.
   };
 
   void handle(SoupServerMessage *Message, const std::string &Path);
   void handleRead(SoupServerMessage *Message, const std::string &Name);
   void handleFeed(SoupServerMessage *Message, const std::string &Name,
-                  std::uint64_t After, bool MayWait);
+                  std::uint64_t After, Duration Wait);
+  void endLongPoll(std::uint64_t Number);
   void handleTransaction(SoupServerMessage *Message);
   void answerLongPolls();
   nlohmann::json changes(const std::string &Name, std::uint64_t After);
@@ -70,6 +74,8 @@
   std::uint64_t m_Version = 0;      ///< Version of the newest change.
   std::uint64_t m_OldestVersion = 0; ///< Feeds from earlier versions get 410.
   Mode m_Mode = Mode::Up;            ///< See Mode.
+  LoopScheduler m_Timers;            ///< Ends long polls.
+  std::uint64_t m_LastPoll = 0;      ///< Number of the last long poll.
 };
 
 } // namespace crowstep::standin
