Test: Upstreams that only say in answers that they leave, or ask for a pause, in the soak

A leaving upstream of the soak now says so in all its answers.

stated_leave: once a caller has an answer that says so, no request that is sent to that gateway more than 2 s later is sent to that upstream, whatever the store's state and without an excuse but the gateway's restart. pause_kept: at most two requests between half a second after a pause was requested and its end, unless the path or the gateway was disturbed.

A first form of stated_leave took the incarnation that received a request for the one it was sent to: with long polls of 30 s a gateway that knows old entries only sent requests to them and got 421 from the next upstream at the address.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -59,7 +59,9 @@
 
 } // namespace
 
-void Ledger::recordArrival(const std::string &Id, TimePoint Now) {
+void Ledger::recordArrival(const std::string &Id, const std::string &Upstream,
+                           TimePoint Now) {
+  m_Arrivals.push_back({Id, Upstream, Now});
   if (++m_ArrivalCounts[Id] > 1)
     m_RetryArrivals.push_back(Now);
 }
@@ -180,6 +182,8 @@
     checkRuns(Id, Request);
     checkDraining(Id, Request);
   }
+  checkStatedLeaves();
+  checkPauses();
   checkRetryBudget();
   checkCrashingRequest();
 }
@@ -246,6 +250,66 @@
   }
 }
 
+std::optional<Ledger::Pairing> Ledger::pairingOf(const Arrival &At) const {
+  const auto Found = m_Requests.find(At.m_Id);
+  if (Found == m_Requests.end())
+    return std::nullopt;
+  return Pairing(Found->second.m_Gateway, Found->second.m_Incarnation,
+                 At.m_UpstreamName);
+}
+
+/// A gateway that has passed on an answer which states that its upstream leaves
+/// sends that upstream none of the requests that callers send later than
+/// DrainBound after, whatever the state of the store.
+void Ledger::checkStatedLeaves() {
+  std::map<Pairing, TimePoint> StatedAt;
+  for (const auto &[Id, Request] : m_Requests) {
+    if (!Request.m_Result->m_StatesLeaving || Request.m_Runs.empty())
+      continue;
+    const TimePoint End = Request.m_SentAt + Request.m_Result->m_Elapsed;
+    const Pairing Key(Request.m_Gateway, Request.m_Incarnation,
+                      Request.m_Runs.back().m_UpstreamName);
+    const auto [Known, New] = StatedAt.emplace(Key, End);
+    Known->second = std::min(Known->second, End);
+    if (New)
+      ++m_CheckCounts["stated_leave"];
+  }
+  for (const Arrival &At : m_Arrivals) {
+    const auto Key = pairingOf(At);
+    const auto Known = Key ? StatedAt.find(*Key) : StatedAt.end();
+    if (Known == StatedAt.end() || At.m_Time < Known->second)
+      continue;
+    const RequestRecord &Request = m_Requests.at(At.m_Id);
+    if (Request.m_SentAt > Known->second + DrainBound)
+      addViolation("stated_leave", describe(At.m_Id, Request));
+  }
+}
+
+/// In a pause a gateway sends the upstream few requests, unless the path
+/// between them was disturbed.
+void Ledger::checkPauses() {
+  for (const Arrival &Pause : m_Pauses) {
+    const TimePoint End = Pause.m_Time + PauseTime;
+    const auto Key = pairingOf(Pause);
+    if (!Key || std::any_of(m_PathExcuses.begin(), m_PathExcuses.end(),
+                            [&](const auto &Excused) {
+                              return Excused.first <= End &&
+                                     Pause.m_Time <= Excused.second;
+                            }))
+      continue;
+    ++m_CheckCounts["pause_kept"];
+    const auto Count = std::count_if(
+        m_Arrivals.begin(), m_Arrivals.end(), [&](const Arrival &At) {
+          return At.m_Time > Pause.m_Time + PauseGrace && At.m_Time < End &&
+                 pairingOf(At) == Key;
+        });
+    if (Count > MaxInPause)
+      addViolation("pause_kept",
+                   describe(Pause.m_Id, m_Requests.at(Pause.m_Id)) + ": " +
+                       std::to_string(Count) + " requests in the pause");
+  }
+}
+
 void Ledger::checkRetryBudget() {
   std::vector<TimePoint> Requests;
   for (const auto &[Id, Request] : m_Requests)
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -8,7 +8,9 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace crowstep::soak {
@@ -59,8 +61,21 @@
   }
   void recordRun(const std::string &Id, UpstreamRun Started);
 
-  /// Counts an arrival of a request at an upstream, whether it runs or not.
-  void recordArrival(const std::string &Id, TimePoint Now);
+  /// Records an arrival of a request that was sent to \p Upstream, whether it
+  /// runs or not, and also if another incarnation receives it.
+  void recordArrival(const std::string &Id, const std::string &Upstream,
+                     TimePoint Now);
+
+  /// Records that \p Upstream rejects a request with a pause of PauseTime.
+  void recordPause(const std::string &Id, const std::string &Upstream,
+                   TimePoint Now) {
+    m_Pauses.push_back({Id, Upstream, Now});
+  }
+
+  /// Excuses gateways from knowing what upstreams answer.
+  void excusePaths(TimePoint From, TimePoint To) {
+    m_PathExcuses.emplace_back(From, To);
+  }
 
   /// Records that the store has acknowledged that \p Upstream drains or is
   /// removed.
@@ -91,6 +106,7 @@
   /// Records that the driver, and the store that it hosts, did not run.
   void recordDriverStall(TimePoint From, TimePoint To) {
     excuseStaleness(From, To);
+    excusePaths(From, To);
     m_DriverStalls.push_back(To - From);
   }
 
@@ -125,6 +141,17 @@
   }
 
 private:
+  /// A request at an upstream.
+  struct Arrival {
+    std::string m_Id;           ///< X-Attempt-Id of the request.
+    std::string m_UpstreamName; ///< To which it was sent; names its
+                                ///< incarnation too.
+    TimePoint m_Time;           ///< When it arrived.
+  };
+
+  /// A gateway's process and an upstream's incarnation.
+  using Pairing = std::tuple<int, unsigned, std::string>;
+
   struct PlannedStop {
     int m_Gateway;           ///< Its number.
     TimePoint m_SignalledAt; ///< Time of SIGTERM.
@@ -140,6 +167,9 @@
   void checkPlannedStops(const std::string &Id, const RequestRecord &Request);
   void checkRuns(const std::string &Id, const RequestRecord &Request);
   void checkDraining(const std::string &Id, const RequestRecord &Request);
+  void checkStatedLeaves();
+  void checkPauses();
+  [[nodiscard]] std::optional<Pairing> pairingOf(const Arrival &At) const;
   void checkRetryBudget();
   void checkCrashingRequest();
   [[nodiscard]] bool isGatewayUpToDate(const RequestRecord &Request,
@@ -149,6 +179,9 @@
   std::map<std::string, RequestRecord> m_Requests; ///< By X-Attempt-Id.
   std::map<std::string, int> m_ArrivalCounts;      ///< By X-Attempt-Id.
   std::vector<TimePoint> m_RetryArrivals;    ///< Arrivals after the first.
+  std::vector<Arrival> m_Arrivals;           ///< All, in order of time.
+  std::vector<Arrival> m_Pauses;             ///< Those that were rejected so.
+  TimeRanges m_PathExcuses;                  ///< See excusePaths().
   std::vector<TimePoint> m_CrashRowsRemoved; ///< See recordCrash().
   std::map<std::string, TimePoint> m_DrainingSince; ///< By upstream's name.
   std::map<unsigned, TimePoint> m_TableWrittenAt;   ///< By version.
@@ -173,6 +206,12 @@
 /// acknowledged the change.
 inline constexpr std::chrono::milliseconds DrainBound{2000};
 
+/// Pause that upstreams request, the time after which a gateway must keep it,
+/// and the requests that it may still send in it.
+inline constexpr std::chrono::milliseconds PauseTime{1500};
+inline constexpr std::chrono::milliseconds PauseGrace{500};
+inline constexpr std::ptrdiff_t MaxInPause = 2;
+
 /// A gateway must know what the store holds this long after a fault between
 /// them has ended.
 inline constexpr std::chrono::milliseconds SettleBound{3000};
--- a/tests/soak/raw_caller.cpp
+++ b/tests/soak/raw_caller.cpp
@@ -45,6 +45,8 @@
     m_Chunked =
         Head.find("\r\ntransfer-encoding: chunked") != std::string::npos;
     m_Close = Head.find("\r\nconnection: close") != std::string::npos;
+    Into.m_StatesLeaving =
+        Head.find("\r\nserver-leaving: 1\r\n") != std::string::npos;
     if (const auto Length = Head.find("\r\ncontent-length: ");
         Length != std::string::npos)
       m_RemainingBytes = std::strtoull(Head.c_str() + Length + 18, nullptr, 10);
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -88,6 +88,7 @@
   Gateway.m_Frozen = true;
   Gateway.m_Process->signal(SIGSTOP);
   m_Ledger.excuseStaleness(m_Clock.now(), m_Clock.now() + Span);
+  m_Ledger.excusePaths(m_Clock.now(), m_Clock.now() + Span);
   runAfter(Span, [this, &Gateway] {
     Gateway.m_Frozen = false;
     if (Gateway.m_Process == nullptr)
@@ -201,12 +202,26 @@
 
 void SoakFleet::apply(const StatementFault &Played) {
   using Mode = standin::StoreServer::Mode;
-  if (Played.m_Kind != StatementFaultKind::StoreForgetsCalls)
+  if (Played.m_Kind == StatementFaultKind::StoreForgetsCalls) {
+    m_Ledger.excuseStaleness(m_Clock.now(), m_Clock.now() + Played.m_Duration);
+    m_Store.setMode(Mode::Silent);
+    runAfter(Played.m_Duration / 2, [this] { m_Store.dropHistory(); });
+    runAfter(Played.m_Duration, [this] { m_Store.setMode(Mode::Up); });
     return;
-  m_Ledger.excuseStaleness(m_Clock.now(), m_Clock.now() + Played.m_Duration);
-  m_Store.setMode(Mode::Silent);
-  runAfter(Played.m_Duration / 2, [this] { m_Store.dropHistory(); });
-  runAfter(Played.m_Duration, [this] { m_Store.setMode(Mode::Up); });
+  }
+  UpstreamNode &Upstream = m_Upstreams.at(Played.m_Target % m_Upstreams.size());
+  if (Upstream.m_Server == nullptr)
+    return;
+  if (Played.m_Kind == StatementFaultKind::UpstreamLeaves) {
+    Upstream.m_Server->startDraining();
+    replaceUpstream(Upstream, DrainTime + Played.m_Duration);
+    return;
+  }
+  Upstream.m_Server->setFault(UpstreamFault::Pauses);
+  runAfter(Played.m_Duration, [&Upstream] {
+    if (Upstream.m_Server != nullptr)
+      Upstream.m_Server->setFault(UpstreamFault::None);
+  });
 }
 
 /// Removes a draining upstream after a while and starts a new incarnation.
@@ -216,8 +231,10 @@
     return Upstream.m_Server != nullptr && Upstream.m_Server->name() == Name;
   };
   runAfter(After, [this, &Upstream, IsSameIncarnation] {
-    if (IsSameIncarnation())
-      putUpstreamRow(Upstream, "");
+    if (!IsSameIncarnation())
+      return;
+    putUpstreamRow(Upstream, "");
+    m_Ledger.recordDraining(Upstream.m_Server->name(), m_Clock.now());
   });
   // It serves on for a little longer than any answer takes.
   runAfter(After + 1500ms, [this, &Upstream, IsSameIncarnation] {
@@ -233,6 +250,7 @@
 
 void SoakFleet::applyToPath(const Fault &Played, UpstreamNode &Upstream) {
   test::Relay &Path = *Upstream.m_Relay;
+  m_Ledger.excusePaths(m_Clock.now(), m_Clock.now() + Played.m_Duration);
   if (Played.m_Kind == FaultKind::PathReset) {
     Path.reset();
   } else if (Played.m_Kind == FaultKind::PathSlow) {
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -54,12 +54,21 @@
 
 void SoakUpstream::handle(SoupServerMessage *Message, const std::string &Path) {
   const std::string Id = requestHeader(Message, "X-Attempt-Id");
-  m_Ledger.recordArrival(Id, m_Clock.now());
-  if (requestHeader(Message, "X-Expect-Instance") != m_Name) {
+  const std::string Expected = requestHeader(Message, "X-Expect-Instance");
+  m_Ledger.recordArrival(Id, Expected, m_Clock.now());
+  if (Expected != m_Name) {
     answerNotExecuted(Message, HttpMisdirected);
     return;
   }
-  if (m_Fault == UpstreamFault::Busy && drawFault()) {
+  const bool Pauses = m_Fault == UpstreamFault::Pauses;
+  if ((Pauses || m_Fault == UpstreamFault::Busy) && drawFault()) {
+    if (Pauses) {
+      m_Ledger.recordPause(Id, m_Name, m_Clock.now());
+      soup_message_headers_replace(
+          soup_server_message_get_response_headers(Message), "Retry-After",
+          std::to_string(std::chrono::duration<double>(PauseTime).count())
+              .c_str());
+    }
     answerNotExecuted(Message, HttpUnavailable);
     return;
   }
@@ -71,7 +80,7 @@
   Open->m_IsStream = Path.find("stream") != std::string::npos;
   Open->m_NextEvent = std::atoi(LastEventId.c_str()) + 1;
   if (m_Fault != UpstreamFault::None && m_Fault != UpstreamFault::Busy &&
-      drawFault())
+      !Pauses && drawFault())
     Open->m_Fault = m_Fault;
   if (requestBody(Message) == CrashingBody) {
     Open->m_Fault = UpstreamFault::Mute;
@@ -85,6 +94,8 @@
   SoupMessageHeaders *Headers =
       soup_server_message_get_response_headers(Message);
   soup_message_headers_replace(Headers, "X-Not-Executed", "1");
+  if (m_Draining)
+    soup_message_headers_replace(Headers, "Server-Leaving", "1");
   soup_message_headers_replace(Headers, "X-Attempt-Id",
                                requestHeader(Message, "X-Attempt-Id").c_str());
   respond(Message, Status, "text/plain", "");
@@ -149,8 +160,10 @@
   soup_message_headers_replace(Headers, "X-Attempt-Id",
                                Open.m_AttemptId.c_str());
   soup_message_headers_replace(Headers, "X-Server-Signature", m_Name.c_str());
-  if (m_Draining)
+  if (m_Draining) {
     soup_message_headers_replace(Headers, "Connection", "close");
+    soup_message_headers_replace(Headers, "Server-Leaving", "1");
+  }
 }
 
 } // namespace crowstep::soak
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -20,6 +20,7 @@
   Cuts,       ///< Closes the connection amid the answer.
   AnswerLost, ///< Runs the request, closes without an answer.
   Mute,       ///< Runs the request and never answers.
+  Pauses,     ///< Answers 503, not executed, and requests a pause.
 };
 
 /// Body of a request that crashes the upstream that runs it.
@@ -38,7 +39,8 @@
 
   void setFault(UpstreamFault Next) { m_Fault = Next; }
 
-  /// Answers with Connection: close from now on.
+  /// States in all answers from now on that it leaves, and closes their
+  /// connections.
   void startDraining() { m_Draining = true; }
 
   [[nodiscard]] const std::string &name() const { return m_Name; }
