Fix: Keep a stated leave for as long as the upstream is listed

A statement was recorded as that of an upstream without an entry until the list changed next. Where it did not for ten minutes, the statement was forgotten, and the next change put the upstream back into use.

Found by reading. leaving_upstreams_test AStatementIsKeptWhileTheUpstreamIsListed fails without the change.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -92,7 +92,7 @@
   std::map<UpstreamId, UpstreamState> NewStates;
   for (const Upstream &Listed : List) {
     if (Listed.m_Draining)
-      m_Leaving.record(Listed.m_Id);
+      m_Leaving.record(Listed.m_Id, true);
     const auto Found = m_States.find(Listed.m_Id);
     UpstreamState State;
     if (Found != m_States.end())
@@ -425,7 +425,7 @@
   m_Quarantine.applyUpdates(Digest.m_Crashes, Now);
   m_RateLimits.applyUpdates(Digest.m_Limits, Now);
   for (const UpstreamId Leaving : Digest.m_Leaving) {
-    m_Leaving.record(Leaving);
+    m_Leaving.record(Leaving, m_States.contains(Leaving));
     markDraining(Leaving);
   }
   for (const auto &[Pool, Work] : Digest.m_Work)
@@ -536,11 +536,13 @@
 
 bool Balancer::recordLeaveStatement(TicketId Ticket) {
   const auto Found = m_Tickets.find(Ticket);
-  if (Found == m_Tickets.end() ||
-      !m_Leaving.recordStatement(Found->second.m_Upstream))
+  if (Found == m_Tickets.end())
     return false;
-  markDraining(Found->second.m_Upstream);
-  return true;
+  const UpstreamId Upstream = Found->second.m_Upstream;
+  const bool New =
+      m_Leaving.recordStatement(Upstream, m_States.contains(Upstream));
+  markDraining(Upstream);
+  return New;
 }
 
 void Balancer::markDraining(UpstreamId Upstream) {
--- a/src/balance/leaving_upstreams.cpp
+++ b/src/balance/leaving_upstreams.cpp
@@ -3,8 +3,8 @@
 
 namespace crowstep::balance {
 
-bool LeavingUpstreams::recordStatement(UpstreamId Upstream) {
-  const bool New = record(Upstream);
+bool LeavingUpstreams::recordStatement(UpstreamId Upstream, bool IsListed) {
+  const bool New = record(Upstream, IsListed);
   if (New)
     m_UnsentStatements.push_back(Upstream);
   return New;
--- a/src/balance/leaving_upstreams.h
+++ b/src/balance/leaving_upstreams.h
@@ -26,13 +26,13 @@
   static constexpr Duration UnlistedMemory = std::chrono::minutes(10);
 
   /// Records that \p Upstream leaves, as its entry or another instance says;
-  /// returns whether that is new.
-  bool record(UpstreamId Upstream) {
-    return m_States.try_emplace(Upstream).second;
+  /// returns whether that is new. \p IsListed tells whether it has an entry.
+  bool record(UpstreamId Upstream, bool IsListed) {
+    return m_States.try_emplace(Upstream, State{IsListed, {}}).second;
   }
 
   /// Records the same as an answer says, which is to be broadcast if it is new.
-  bool recordStatement(UpstreamId Upstream);
+  bool recordStatement(UpstreamId Upstream, bool IsListed);
 
   /// Returns the statements that were recorded since the last call.
   std::vector<UpstreamId> takeUpdates() {
--- a/tests/unit/leaving_upstreams_test.cpp
+++ b/tests/unit/leaving_upstreams_test.cpp
@@ -83,6 +83,22 @@
   BOOST_TEST(Test.m_Balancer.fullDigest(Test.m_Now).m_Leaving.size() == 1U);
 }
 
+// Guards against a statement that is forgotten while the upstream is listed,
+// because the list doesn't change for a long time.
+BOOST_AUTO_TEST_CASE(AStatementIsKeptWhileTheUpstreamIsListed) {
+  Fixture Test;
+  Test.m_Balancer.setUpstreams({desk("a")});
+  const auto Call =
+      std::get<Placed>(Test.m_Balancer.place(plainCall(), Test.m_Now));
+  Test.m_Balancer.recordLeaveStatement(Call.m_Ticket);
+  Test.m_Balancer.takeDigest(Test.m_Now);
+  Test.m_Now += LeavingUpstreams::UnlistedMemory;
+  Test.m_Balancer.takeDigest(Test.m_Now);
+  Test.m_Balancer.setUpstreams({desk("a"), desk("b")});
+  Test.m_Balancer.setUpstreams({desk("a")});
+  BOOST_TEST(!Test.mayPlace());
+}
+
 // Guards against a statement that comes before the upstream's entry, from
 // another instance.
 BOOST_AUTO_TEST_CASE(AStatementHoldsForAnEntryThatComesLater) {
