--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -83,8 +83,8 @@
   /// The whole list of quarantined requests.
   virtual void quarantineChanged(const std::set<ContentHash> &Listed) = 0;
 
-  /// Changes just read, to be sent to the near peers. Called in
-  /// the roles of reader and deputy only.
+  /// Changes just read, to be sent to the near peers. Called in the roles of
+  /// reader and deputy only.
   virtual void updateRead(const DirectoryUpdate &Update) = 0;
 };
 
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -12,7 +12,7 @@
 
 /// Returns whether the call was not placed because upstreams have requested a
 /// pause.
-bool isPaused(const balance::NotPlaced &Unplaced) {
+bool isDueToPause(const balance::NotPlaced &Unplaced) {
   return Unplaced.m_Reason == RefusalReason::UpstreamPaused;
 }
 
@@ -84,41 +84,44 @@
 
 // ---- Calls ------------------------------------------------------------------
 
-void ForwardedRequest::attempt() {
-  balance::PlacementQuery Query;
-  Query.m_Service = m_Service;
-  Query.m_Urgency = static_cast<balance::Urgency>(m_Admitted.m_EngineRank);
-  Query.m_Prompt = m_Admitted.m_Facts.m_Prompt;
-  Query.m_LatencyTarget = m_Admitted.m_Route->m_Target;
+balance::PlacementQuery ForwardedRequest::placementQuery() const {
+  balance::PlacementQuery Result;
+  Result.m_Service = m_Service;
+  Result.m_Urgency = static_cast<balance::Urgency>(m_Admitted.m_EngineRank);
+  Result.m_Prompt = m_Admitted.m_Facts.m_Prompt;
+  Result.m_LatencyTarget = m_Admitted.m_Route->m_Target;
   if (const EventStream *Stream = eventStream())
-    Query.m_MaxPause = Stream->m_MaxPause;
-  Query.m_Excluded = m_TriedUpstreams;
-  Query.m_ContentHash = m_Content;
-  Query.m_MayWait = mayWait();
-  Query.m_WaitTimedOut = m_WaitTimedOut;
+    Result.m_MaxPause = Stream->m_MaxPause;
+  Result.m_Excluded = m_TriedUpstreams;
+  Result.m_ContentHash = m_Content;
+  Result.m_MayWait = mayWait();
+  Result.m_WaitTimedOut = m_WaitTimedOut;
+  return Result;
+}
+
+void ForwardedRequest::attempt() {
   const auto Result =
-      m_Context.m_Balancer.place(Query, m_Context.m_Clock.now());
+      m_Context.m_Balancer.place(placementQuery(), m_Context.m_Clock.now());
   if (const auto *Wait = std::get_if<balance::MustWait>(&Result)) {
     waitForRoom(Wait->m_Inputs);
     return;
   }
-  if (const auto *Unplaced = std::get_if<balance::NotPlaced>(&Result);
-      Unplaced != nullptr && Query.m_MayWait && isPaused(*Unplaced) &&
-      mayWaitFor(Unplaced->m_RetryAfter)) {
+  const auto *Unplaced = std::get_if<balance::NotPlaced>(&Result);
+  if (Unplaced != nullptr && mayWaitForPause(*Unplaced)) {
     waitForRoom(Unplaced->m_Inputs);
     return;
   }
   if (m_QueueEntry != nullptr)
     m_QueueTime = m_Context.m_Clock.now() - m_ArrivedAt;
   m_QueueEntry.reset();
-  if (const auto *Unplaced = std::get_if<balance::NotPlaced>(&Result)) {
-    m_PlacementInputs = Unplaced->m_Inputs;
-    refuse(Unplaced->m_Reason, m_WaitTimedOut && !isPaused(*Unplaced)
-                                   ? QueueRetryAfter
-                                   : Unplaced->m_RetryAfter);
+  if (Unplaced == nullptr) {
+    send(std::get<balance::Placed>(Result));
     return;
   }
-  send(std::get<balance::Placed>(Result));
+  m_PlacementInputs = Unplaced->m_Inputs;
+  const bool FoundNoRoom = m_WaitTimedOut && !isDueToPause(*Unplaced);
+  refuse(Unplaced->m_Reason,
+         FoundNoRoom ? QueueRetryAfter : Unplaced->m_RetryAfter);
 }
 
 /// A retry goes to any engine with room: its caller has waited once.
@@ -128,8 +131,15 @@
          (m_QueueEntry != nullptr || !m_Context.m_WaitQueue.isFull());
 }
 
-/// Returns whether a call that has waited \p More in addition would still be in
-/// time to wait.
+/// Returns whether the end of the pause comes while the call may still wait.
+bool ForwardedRequest::mayWaitForPause(
+    const balance::NotPlaced &Unplaced) const {
+  return isDueToPause(Unplaced) && mayWait() &&
+         mayWaitFor(Unplaced.m_RetryAfter);
+}
+
+/// Returns whether the call may wait for \p More beyond the time that it has
+/// waited.
 bool ForwardedRequest::mayWaitFor(Duration More) const {
   const Duration Waited = m_Context.m_Clock.now() - m_ArrivedAt;
   return (Waited + More) * MaxWaitDenominator <=
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -61,10 +61,12 @@
   void upstreamBytes(std::string_view Bytes) override;
   void upstreamEnded(TransportEnd End) override;
 
+  [[nodiscard]] balance::PlacementQuery placementQuery() const;
   void attempt();
   void waitForRoom(const balance::PlacementInputs &Inputs);
   [[nodiscard]] bool mayWait() const;
   [[nodiscard]] bool mayWaitFor(Duration More) const;
+  [[nodiscard]] bool mayWaitForPause(const balance::NotPlaced &Unplaced) const;
   void send(const balance::Placed &Placement);
   void endCall(balance::CallOutcome Outcome);
   void retry(RetryReason Reason);
--- a/tests/unit/leaving_upstreams_test.cpp
+++ b/tests/unit/leaving_upstreams_test.cpp
@@ -2,6 +2,7 @@
 /// and as a fleet learns of them.
 #define BOOST_TEST_MODULE leaving_upstreams
 #include "unit/digest_fleet.h"
+#include "unit/plain_calls.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,18 +12,6 @@
 
 namespace {
 
-Upstream desk(const std::string &Name, bool Draining = false) {
-  return {upstreamIdOf(Name), Name,    "desk", {0x7f000001, 9000}, {"a"},
-          PlainService{6},    Draining};
-}
-
-PlacementQuery plainCall() {
-  PlacementQuery Result;
-  Result.m_Service = "desk";
-  Result.m_LatencyTarget = 100ms;
-  return Result;
-}
-
 struct Fixture {
   TimePoint m_Now{100s};
   Balancer m_Balancer{{"a"}};
--- a/tests/unit/requested_pauses_test.cpp
+++ b/tests/unit/requested_pauses_test.cpp
@@ -1,12 +1,13 @@
 /// Pauses that upstreams request, and the trial after them.
 #define BOOST_TEST_MODULE requested_pauses
-#include "balance/balancer.h"
+#include "unit/plain_calls.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
 using namespace crowstep;
 using namespace crowstep::balance;
+using namespace crowstep::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -14,18 +15,6 @@
 constexpr TimePoint Begin{100s};
 constexpr UpstreamId Id(1);
 
-Upstream desk(const std::string &Name) {
-  return {upstreamIdOf(Name), Name, "desk", {0x7f000001, 9000}, {"a"},
-          PlainService{6},    false};
-}
-
-PlacementQuery plainCall() {
-  PlacementQuery Result;
-  Result.m_Service = "desk";
-  Result.m_LatencyTarget = 100ms;
-  return Result;
-}
-
 struct Fixture {
   TimePoint m_Now = Begin;
   Balancer m_Balancer{{"a"}};
--- a/tests/unit/upstream_statement_test.cpp
+++ b/tests/unit/upstream_statement_test.cpp
@@ -7,15 +7,18 @@
 
 namespace {
 
-/// Returns whether a call may be placed on the upstream called \p Name.
-bool mayPlace(TestEnv &Env, const std::string &Name) {
+/// Places another call on the upstream called \p Name, if that is allowed.
+balance::PlacementResult placeAt(TestEnv &Env, const std::string &Name) {
   balance::PlacementQuery Query;
   Query.m_Service = "s";
   for (const char *Other : {"u0", "u1", "u2"})
     if (Name != Other)
       Query.m_Excluded.push_back(upstreamIdOf(Other));
-  const auto Result = Env.m_Balancer.place(Query, Env.m_Clock.now());
-  return std::holds_alternative<balance::Placed>(Result);
+  return Env.m_Balancer.place(Query, Env.m_Clock.now());
+}
+
+bool mayPlace(TestEnv &Env, const std::string &Name) {
+  return std::holds_alternative<balance::Placed>(placeAt(Env, Name));
 }
 
 } // namespace
