Fix: Leave a silent upstream once the retry budget allows it

Cause: if the retry budget refused when a call's upstream had fallen silent, the timer was not started again, and the call stayed there until its deadline, however soon the budget allowed retries again. The call now asks again four times a second.

One of the faults found by reading (gateway, handleSilence). forwarded_request_test ASilentUpstreamIsLeftOnceTheBudgetAllows fails without the change.

--- a/src/gateway/forward_limits.h
+++ b/src/gateway/forward_limits.h
@@ -34,6 +34,9 @@
 /// unreachable; a loaded one sends something on one of its calls.
 inline constexpr Duration UpstreamSilenceLimit = std::chrono::milliseconds(900);
 
+/// Interval at which a call at a silent upstream asks the retry budget again.
+inline constexpr Duration BudgetCheckInterval = std::chrono::milliseconds(250);
+
 } // namespace crowstep::gateway
 
 #endif // CROWSTEP_GATEWAY_FORWARD_LIMITS_H
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -228,8 +228,10 @@
                          [this] { handleSilence(); });
     return;
   }
-  if (!m_Context.m_Budget.trySpend(m_Service, m_Context.m_Clock.now()))
+  if (!m_Context.m_Budget.trySpend(m_Service, m_Context.m_Clock.now())) {
+    startSilenceTimer(BudgetCheckInterval);
     return;
+  }
   m_MayHaveRun = true;
   endCall(balance::CallOutcome::Silent);
   m_Context.m_Stats.countRetry(closeReason());
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -239,6 +239,20 @@
   BOOST_TEST(Once.calls() == 1U);
 }
 
+/// Guards against a call that stays at a silent upstream until its deadline
+/// because the retry budget was used up when the silence was noticed.
+BOOST_AUTO_TEST_CASE(ASilentUpstreamIsLeftOnceTheBudgetAllows) {
+  TestEnv Env(Idempotent, 2);
+  while (Env.m_Budget.trySpend("s", Env.m_Clock.now()))
+    continue;
+  Env.m_Timers.advance(2s);
+  BOOST_TEST(Env.calls() == 1U);
+  for (int I = 0; I < 200; ++I)
+    Env.m_Budget.recordCall("s", Env.m_Clock.now());
+  Env.m_Timers.advance(1s);
+  BOOST_TEST(Env.calls() == 2U);
+}
+
 /// A loaded upstream still sends bytes on other calls; a second copy of the
 /// call would add to the load that delays it.
 BOOST_AUTO_TEST_CASE(ALoadedUpstreamCausesNoRetry) {
