--- a/src/gateway/exchange_plan.cpp
+++ b/src/gateway/exchange_plan.cpp
@@ -34,6 +34,7 @@
     All.insert(All.end(), Members.begin(), Members.end());
   std::sort(All.begin(), All.end(), isBetterHub);
   std::vector<InstanceId> Best;
+  Best.reserve(All.size());
   for (const PeerInstance &Peer : All)
     Best.push_back(instanceIdOf(Peer.m_Name));
   const auto BestOf = [&](std::size_t Count) {
--- a/tests/unit/requested_pauses_test.cpp
+++ b/tests/unit/requested_pauses_test.cpp
@@ -21,6 +21,7 @@
 
   explicit Fixture(const std::vector<std::string> &Names) {
     std::vector<Upstream> List;
+    List.reserve(Names.size());
     for (const std::string &Name : Names)
       List.push_back(desk(Name));
     m_Balancer.setUpstreams(List);
