Fix: Send a digest that reports nothing but work

Cause: LoadDigest::empty() left out the work of calls that began and ended since the previous digest. takeDigest() had already taken it, so where nothing else was to be reported the digest was not sent and other instances never counted that work in the split of an engine's roles.

One of the faults found by reading (balance). digest_exchange_test WorkOfEndedCallsIsReported fails without the change.

Refuted beside it: an urgency of 10 or more from a peer can't reach the balancer, as unpack() leaves such loads out. Cached segments may take 0.6 of an engine's memory in the model and calls 0.55, together over 1: segments yield to calls in the engine, so the sum costs at most the prefill of a segment that was taken for cached, and never a call's room; the two bounds are not shares of one budget.

--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -115,8 +115,8 @@
 
   /// Returns whether there is nothing to send.
   [[nodiscard]] bool empty() const {
-    return m_Loads.empty() && m_Segments.empty() && m_Crashes.empty() &&
-           m_Limits.empty() && m_Leaving.empty();
+    return m_Loads.empty() && m_Segments.empty() && m_Work.empty() &&
+           m_Crashes.empty() && m_Limits.empty() && m_Leaving.empty();
   }
 };
 
--- a/tests/unit/digest_exchange_test.cpp
+++ b/tests/unit/digest_exchange_test.cpp
@@ -70,6 +70,23 @@
       BOOST_TEST(Member->knownCalls(F.m_Clock.now()) == 1);
 }
 
+// Guards against work that is never reported because its calls have ended
+// before the next digest.
+BOOST_AUTO_TEST_CASE(WorkOfEndedCallsIsReported) {
+  balance::Balancer Balancer({"a"});
+  Balancer.setUpstreams(
+      {{upstreamIdOf("e"), "e", "writer", {1, 1}, {"a"}, Engine{8}, false}});
+  balance::PlacementQuery Query;
+  Query.m_Service = "writer";
+  Query.m_Prompt = {{}, 1000, 10, 10};
+  const TimePoint Now{100s};
+  const auto Call = std::get<balance::Placed>(Balancer.place(Query, Now));
+  Balancer.recordCallEnd(Call.m_Ticket, balance::CallOutcome::Served, Now);
+  const balance::LoadDigest Digest = Balancer.takeDigest(Now);
+  BOOST_TEST(!Digest.m_Work.empty());
+  BOOST_TEST(!Digest.empty());
+}
+
 namespace {
 
 /// Lets an instance observe that an upstream crashes under a request.
