Fix: Take a Retry-After that is no number of seconds for none

What operators would have seen: after one answer 429 with a malformed Retry-After the weight store is never asked again, or is asked at once without a pause.

Cause: the client of short calls parsed Retry-After with strtod(), which takes a negative number, infinity, no number, and a number with text behind it. A time that doesn't fit the clock's arithmetic is undefined as well. The reading of a requested pause did better, so both now use one function (http/header_value.h).

That open calls are dropped without their callback is refuted: a client cancels them as it is destroyed, with the objects that would be called; the interface now says so too.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,7 +1,8 @@
 /// HTTP client for short calls, over upstream calls.
 #include "http/http_client.h"
 
-#include <cstdlib>
+#include "http/header_value.h"
+
 #include <utility>
 
 namespace crowstep {
@@ -21,8 +22,7 @@
     m_Answer.m_Status = Status;
     if (const std::string *RetryAfter = findHeader(Headers, "Retry-After"))
       m_Answer.m_RetryAfter =
-          std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-              std::strtod(RetryAfter->c_str(), nullptr)));
+          parseSeconds(*RetryAfter).value_or(Duration::zero());
   }
   void upstreamBytes(std::string_view Bytes) override {
     m_Answer.m_Body.append(Bytes);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -52,7 +52,8 @@
   using Done = std::function<void(HttpResult)>;
   virtual ~HttpClientInterface() = default;
 
-  /// Starts a call; \p OnDone runs exactly once, never from within call().
+  /// Starts a call; \p OnDone runs exactly once, never from within call(), and
+  /// not after this object is destroyed.
   virtual void call(const HttpCall &Call, Done OnDone) = 0;
 };
 
