Fix: Find the route of an IPv6 address that is named without a port

What callers would have seen: 404 for "Host: [2001:db8::1]:8080" where the table names the address without a port, and the route of another address whose last group alone differs.

Cause: the text from the last colon on was taken for the port, also within the brackets of an address.

Evidence: route_table_test AnAddressInBracketsIsFoundWithAndWithoutItsPort, two of four checks fail without the change.

--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -10,8 +10,17 @@
 
 namespace {
 
+/// Removes a port. Colons before a bracket belong to an IPv6 address.
+std::string_view withoutPort(std::string_view Host) {
+  const std::size_t Colon = Host.rfind(':');
+  if (Colon == std::string_view::npos ||
+      Host.find(']', Colon) != std::string_view::npos)
+    return Host;
+  return Host.substr(0, Colon);
+}
+
 std::string normalizedHost(std::string_view Host) {
-  std::string Result(Host.substr(0, Host.rfind(':')));
+  std::string Result(withoutPort(Host));
   for (char &Ch : Result)
     Ch = static_cast<char>(std::tolower(static_cast<unsigned char>(Ch)));
   return Result;
--- a/tests/unit/route_table_test.cpp
+++ b/tests/unit/route_table_test.cpp
@@ -50,6 +50,17 @@
 
 } // namespace
 
+// Guards against a 404 for callers who name an IPv6 address without a port.
+BOOST_AUTO_TEST_CASE(AnAddressInBracketsIsFoundWithAndWithoutItsPort) {
+  RouteTableData Data;
+  Data.m_Routes = {route("/a/", 0, "[2001:db8::1]")};
+  const RouteTable Table(std::move(Data));
+  for (const char *Host : {"[2001:db8::1]", "[2001:DB8::1]:8080"})
+    BOOST_TEST(Table.find(Host, "/a/x") != nullptr, Host);
+  for (const char *Host : {"[2001:db8::2]", "[2001:db8:"})
+    BOOST_TEST(Table.find(Host, "/a/x") == nullptr, Host);
+}
+
 BOOST_AUTO_TEST_CASE(TheLongestPrefixOfTheHostWins) {
   const RouteTablePtr Table = table();
   BOOST_TEST(Table->find("api.example", "/a/x")->m_Name == "api.example/a/");
