Fix: Name an upstream that was unlisted before its probe ended

What operators saw: GatewayUpstreamDown without the upstream's name, in just those crashes in which the entry goes before the probe's answer comes.

Cause: the name was looked up in the map of listed upstreams when the probe ended, which also inserted an empty entry for an upstream that was no longer listed. The probe now holds the name.

Evidence: crash_watch_test AnUnlistedUpstreamIsNamedInTheLog fails without the change. The capture of the log is shared with log_test, whose checks are as before.

--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -19,22 +19,24 @@
 
 CrashWatch::~CrashWatch() { m_Balancer.quarantine().setListener(nullptr); }
 
-void CrashWatch::handleBrokenCall(UpstreamId Id, const Address &Where) {
+void CrashWatch::handleBrokenCall(UpstreamId Id, const std::string &Name,
+                                  const Address &Where) {
   if (m_Probes.contains(Id))
     return;
-  m_Probes[Id] =
-      m_Prober.probe(Where, ProbeTimeout, [this, Id](ConnectOutcome Result) {
-        handleProbeResult(Id, Result);
-      });
+  const auto OnDone = [this, Id](ConnectOutcome Result) {
+    handleProbeResult(Id, Result);
+  };
+  m_Probes[Id] = {Name, m_Prober.probe(Where, ProbeTimeout, OnDone)};
 }
 
 void CrashWatch::handleProbeResult(UpstreamId Id, ConnectOutcome Result) {
   auto Node = m_Probes.extract(Id);
+  const std::string Name = Node.mapped().m_Upstream;
   m_EndedProbes.push_back(std::move(Node.mapped()));
   // The probe is on the call stack here.
   m_CleanupTimer.start(Duration::zero(), [this] { m_EndedProbes.clear(); });
   if (Result == ConnectOutcome::Refused)
-    recordUpstreamDown(Id, "refuses connections");
+    recordUpstreamDown(Id, Name, "refuses connections");
 }
 
 void CrashWatch::upstreamsChanged(const std::vector<Upstream> &All) {
@@ -43,17 +45,18 @@
     Present[Entry.m_Id] = {Entry.m_Name, Entry.m_Draining};
   for (const auto &[Id, Known] : m_Upstreams)
     if (!Known.m_Draining && !Present.contains(Id))
-      recordUpstreamDown(Id, "no longer listed");
+      recordUpstreamDown(Id, Known.m_Name, "no longer listed");
   m_Upstreams = std::move(Present);
 }
 
-void CrashWatch::recordUpstreamDown(UpstreamId Id, std::string_view Reason) {
+void CrashWatch::recordUpstreamDown(UpstreamId Id, const std::string &Name,
+                                    std::string_view Reason) {
   const TimePoint Now = m_Clock.now();
   const std::size_t Calls = m_Balancer.quarantine().recordUpstreamDown(Id, Now);
   if (Calls == 0)
     return;
   m_Crashes.add();
-  logEvent(LogEvent::GatewayUpstreamDown, {{"upstream", m_Upstreams[Id].m_Name},
+  logEvent(LogEvent::GatewayUpstreamDown, {{"upstream", Name},
                                            {"why", std::string(Reason)},
                                            {"calls", std::to_string(Calls)}});
   m_LastCrashAt = Now;
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -40,9 +40,10 @@
   /// \p Target outlives this object.
   void start(Directory &Target) { m_Directory = &Target; }
 
-  /// Handles a broken connection of a call: probes the upstream, unless a probe
-  /// is running.
-  void handleBrokenCall(UpstreamId Id, const Address &Where);
+  /// Handles a broken connection of a call to the upstream called \p Name:
+  /// probes it, unless a probe is running.
+  void handleBrokenCall(UpstreamId Id, const std::string &Name,
+                        const Address &Where);
 
   /// Takes the whole list of upstreams. Those that are no longer listed and
   /// were not draining count as down.
@@ -52,6 +53,12 @@
   void quarantineChanged(const std::set<ContentHash> &Listed);
 
 private:
+  /// A probe that is running.
+  struct RunningProbe {
+    std::string m_Upstream; ///< Name; the upstream may be unlisted meanwhile.
+    std::unique_ptr<UpstreamProbe> m_Probe; ///< Never null.
+  };
+
   /// A listed upstream.
   struct ListedUpstream {
     std::string m_Name;      ///< Of the upstream.
@@ -63,7 +70,8 @@
   void onCleared(const ContentHash &Request,
                  balance::ClearReason Reason) override;
   void handleProbeResult(UpstreamId Id, ConnectOutcome Result);
-  void recordUpstreamDown(UpstreamId Id, std::string_view Reason);
+  void recordUpstreamDown(UpstreamId Id, const std::string &Name,
+                          std::string_view Reason);
   void syncQuarantineList();
 
   const Clock &m_Clock;             ///< Outlives this object.
@@ -72,9 +80,8 @@
   Directory *m_Directory = nullptr; ///< Never null after start().
   Counter &m_Crashes;               ///< Upstreams that went down under calls.
   Gauge &m_Quarantined;             ///< Requests.
-  std::map<UpstreamId, std::unique_ptr<UpstreamProbe>> m_Probes; ///< Running.
-  std::vector<std::unique_ptr<UpstreamProbe>>
-      m_EndedProbes;                                ///< To be destroyed.
+  std::map<UpstreamId, RunningProbe> m_Probes;      ///< By upstream.
+  std::vector<RunningProbe> m_EndedProbes;          ///< To be destroyed.
   std::map<UpstreamId, ListedUpstream> m_Upstreams; ///< As last listed.
   TimePoint m_LastCrashAt{};                        ///< Observed here.
   Timer m_ListTimer;                                ///< Next check of the list.
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -235,7 +235,8 @@
   case TransportEnd::Broken:
     m_MayHaveRun = true;
     recordUsage();
-    m_Context.m_CrashWatch.handleBrokenCall(m_TriedUpstreams.back(), m_Address);
+    m_Context.m_CrashWatch.handleBrokenCall(m_TriedUpstreams.back(), m_Upstream,
+                                            m_Address);
     handleFailure(balance::CallOutcome::Broken, closeReason());
     return;
   case TransportEnd::Complete:
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -1,10 +1,9 @@
 /// Consequences of broken calls: probes, and the list of quarantined requests.
 #define BOOST_TEST_MODULE crash_watch
 #include "gateway/crash_watch.h"
+#include "unit/captured_log.h"
 #include "unit/fake_prober.h"
 
-#include <boost/test/unit_test.hpp>
-
 using namespace crowstep;
 using namespace crowstep::gateway;
 using namespace std::chrono_literals;
@@ -62,7 +61,7 @@
   void breakCall(const std::string &Name) {
     m_Balancer.quarantine().recordBrokenCall(Request, upstreamIdOf(Name),
                                              m_Clock.now());
-    m_Watch.handleBrokenCall(upstreamIdOf(Name), {1, 1});
+    m_Watch.handleBrokenCall(upstreamIdOf(Name), Name, {1, 1});
   }
 
   void crashUpstream(const std::string &Name) {
@@ -104,6 +103,18 @@
   BOOST_TEST(Env.crashCount() == 1U);
 }
 
+// Guards against a log that doesn't name an upstream which was unlisted before
+// its probe ended.
+BOOST_AUTO_TEST_CASE(AnUnlistedUpstreamIsNamedInTheLog) {
+  const test::CapturedLog Log;
+  TestEnv Env;
+  Env.breakCall("u-1");
+  Env.listUpstreams({"u-1"}, true);
+  Env.listUpstreams({});
+  Env.m_Prober.m_Callbacks[0](ConnectOutcome::Refused);
+  BOOST_TEST(Log.read().find(R"("upstream":"u-1")") != std::string::npos);
+}
+
 // Guards against a quarantine that is listed too late to survive the loss of
 // all instances, or whose write is lost and not repeated.
 BOOST_AUTO_TEST_CASE(AQuarantineIsListedAtOnceAndRetried) {
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -1,55 +1,16 @@
 /// Log lines: their format, the limit per event and a reader that stops.
 #define BOOST_TEST_MODULE log
-#include "core/log.h"
 #include "ctl/explain.h"
+#include "unit/captured_log.h"
 
-#include <array>
-#include <boost/test/unit_test.hpp>
-#include <fcntl.h>
 #include <glib.h>
 #include <nlohmann/json.hpp>
-#include <unistd.h>
 
 using namespace crowstep;
+using namespace crowstep::test;
 
 namespace {
 
-/// Redirects standard error to a pipe, which the test reads when it wants.
-class Pipe {
-public:
-  Pipe() : m_Saved(dup(STDERR_FILENO)) {
-    std::array<int, 2> Ends{};
-    BOOST_REQUIRE(pipe(Ends.data()) == 0);
-    m_Read = Ends[0];
-    fcntl(m_Read, F_SETFL, O_NONBLOCK);
-    dup2(Ends[1], STDERR_FILENO);
-    close(Ends[1]);
-    startLogging("info", "test", LogTarget::StandardError);
-  }
-  ~Pipe() {
-    dup2(m_Saved, STDERR_FILENO);
-    close(m_Saved);
-    close(m_Read);
-  }
-  Pipe(const Pipe &) = delete;
-  Pipe &operator=(const Pipe &) = delete;
-
-  std::string read() const {
-    std::string Result;
-    std::array<char, 4096> Buffer{};
-    for (;;) {
-      const ssize_t Size = ::read(m_Read, Buffer.data(), Buffer.size());
-      if (Size <= 0)
-        return Result;
-      Result.append(Buffer.data(), static_cast<std::size_t>(Size));
-    }
-  }
-
-private:
-  int m_Saved;     ///< The original standard error.
-  int m_Read = -1; ///< Read end of the pipe.
-};
-
 std::size_t count(const std::string &Text, const std::string &Pattern) {
   std::size_t Result = 0;
   for (std::size_t At = Text.find(Pattern); At != std::string::npos;
@@ -61,7 +22,7 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(ALineIsOneJsonObject) {
-  const Pipe Reader;
+  const CapturedLog Reader;
   logEvent(LogEvent::GatewayNotAdmitted,
            {{"request", "a\"b\nc\xff"}, {"reason", "unknown_key"}});
   const std::string Text = Reader.read();
@@ -77,7 +38,7 @@
 /// serves callers: when the pipe is full, lines are dropped, and their number
 /// is logged once there is room again.
 BOOST_AUTO_TEST_CASE(AFullPipeBlocksNothing) {
-  const Pipe Reader;
+  const CapturedLog Reader;
   const std::string Long(3000, 'x');
   const gint64 Begin = g_get_monotonic_time();
   // Two events of 60 lines stay within their budgets, so that only the full
@@ -97,7 +58,7 @@
 /// The lines of one event are limited per second, and the number of those left
 /// out is logged.
 BOOST_AUTO_TEST_CASE(AStormIsBounded) {
-  const Pipe Reader;
+  const CapturedLog Reader;
   for (int I = 0; I < 5000; ++I)
     logEvent(LogEvent::EntryUpstreamFailed, {{"n", std::to_string(I)}});
   BOOST_TEST(count(Reader.read(), "EntryUpstreamFailed") <= 200U);
