Fix: Pause after a failed accept of a link

What operators would have seen: a gateway that has run out of file descriptors uses all of its processor share, as the link that waits to be accepted keeps the listening socket readable and the loop returns to it at once. Callers are served late.

Cause: the callers' side pauses after a failed accept, the links' side did not. Both now use one Acceptor (core/acceptor.h), the callers' code unchanged.

One of the faults found by reading (links). The probe server is libsoup's and was not looked at.

--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -1,68 +1,34 @@
 /// Accepting and owning callers' connections.
 #include "http/frontend.h"
 
-#include "core/http_server.h"
-
 #include <algorithm>
 
 namespace crowstep {
 
-namespace {
-
-/// Connections accepted at once, so that open ones are served in between.
-constexpr int MaxAcceptsPerEvent = 16;
-
-/// Pause after accept has failed. If file descriptors have run out, the pending
-/// connection keeps the socket readable and the event loop would spin.
-constexpr Duration AcceptPause = std::chrono::milliseconds(100);
-
-} // namespace
-
 Frontend::Frontend(const ReceiveLimits &Limits, RefusedHandler OnRefused,
                    Scheduler &Timers)
     : m_Limits(Limits), m_OnRefused(std::move(OnRefused)), m_Timers(Timers),
-      m_AcceptTimer(Timers), m_CleanupTimer(Timers) {}
+      m_Acceptor(Timers), m_CleanupTimer(Timers) {}
 
 Frontend::~Frontend() = default;
 
 void Frontend::listen(const Address &ListenAddress, Handler OnRequest) {
   m_Handler = std::move(OnRequest);
-  m_Socket.reset(openListeningSocket(ListenAddress));
-  g_socket_set_blocking(m_Socket.get(), 0);
-  m_Watch.emplace(g_socket_get_fd(m_Socket.get()), *this);
-  m_Watch->setEvents({.m_Read = true});
+  m_Acceptor.listen(ListenAddress, [this](SocketPtr Accepted) {
+    accept(std::move(Accepted));
+  });
 }
 
 void Frontend::stopListening() {
   m_HasStopped = true;
-  m_AcceptTimer.stop();
-  m_Watch.reset();
-  if (m_Socket != nullptr)
-    g_socket_close(m_Socket.get(), nullptr);
-  m_Socket.reset();
-}
-
-void Frontend::socketReady(SocketEvents) {
-  for (int Count = 0; Count < MaxAcceptsPerEvent; ++Count) {
-    GError *Failure = nullptr;
-    SocketPtr Accepted(g_socket_accept(m_Socket.get(), nullptr, &Failure));
-    if (Accepted == nullptr) {
-      if (!g_error_matches(Failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-        pauseAccepting();
-      g_error_free(Failure);
-      return;
-    }
-    auto NewConnection = std::make_unique<CallerConnection>(std::move(Accepted),
-                                                            *this, m_Timers);
-    CallerConnection *Key = NewConnection.get();
-    m_Connections.emplace(Key, std::move(NewConnection));
-  }
+  m_Acceptor.stop();
 }
 
-void Frontend::pauseAccepting() {
-  m_Watch->setEvents({});
-  m_AcceptTimer.start(AcceptPause,
-                      [this] { m_Watch->setEvents({.m_Read = true}); });
+void Frontend::accept(SocketPtr Accepted) {
+  auto NewConnection =
+      std::make_unique<CallerConnection>(std::move(Accepted), *this, m_Timers);
+  CallerConnection *Key = NewConnection.get();
+  m_Connections.emplace(Key, std::move(NewConnection));
 }
 
 void Frontend::requestReceived(IncomingRequest Request,
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -2,6 +2,7 @@
 #ifndef CROWSTEP_HTTP_FRONTEND_H
 #define CROWSTEP_HTTP_FRONTEND_H
 
+#include "core/acceptor.h"
 #include "http/caller_connection.h"
 #include "instance_type.h"
 
@@ -12,7 +13,7 @@
 
 namespace crowstep {
 
-class Frontend final : public SocketListener, public CallerConnectionOwner {
+class Frontend final : public CallerConnectionOwner {
 public:
   /// Handles requests that were received in full and within the limits.
   using Handler = std::function<void(IncomingRequest Request,
@@ -50,7 +51,7 @@
   [[nodiscard]] std::size_t openRequests() const;
 
 private:
-  void socketReady(SocketEvents Events) override;
+  void accept(SocketPtr Accepted);
 
   [[nodiscard]] const ReceiveLimits &limits() const override {
     return m_Limits;
@@ -63,16 +64,12 @@
   void requestRefused(RefusalReason Reason) override;
   void connectionClosed(CallerConnection &Connection) override;
 
-  void pauseAccepting();
-
   ReceiveLimits m_Limits;     ///< See setLimits().
   RefusedHandler m_OnRefused; ///< Never empty.
   Scheduler &m_Timers;        ///< Outlives this object.
   Handler m_Handler;          ///< See listen().
-  SocketPtr m_Socket;         ///< Listening socket; null if not listening.
-  std::optional<SocketWatch> m_Watch; ///< Set while m_Socket is.
-  Timer m_AcceptTimer;                ///< Runs after accept has failed.
-  bool m_HasStopped = false;          ///< After stopListening().
+  Acceptor m_Acceptor;        ///< Listens until stopListening().
+  bool m_HasStopped = false;  ///< After stopListening().
   std::unordered_map<CallerConnection *, std::unique_ptr<CallerConnection>>
       m_Connections; ///< Open connections.
   std::vector<std::unique_ptr<CallerConnection>>
--- a/src/link/link_tcp.cpp
+++ b/src/link/link_tcp.cpp
@@ -1,7 +1,7 @@
 /// Links over TCP: accepts, dials with backoff, and joins messages into frames.
 #include "link/link_tcp.h"
 
-#include "core/http_server.h"
+#include "core/acceptor.h"
 #include "core/log.h"
 #include "link/connection.h"
 #include "link/link_func.h"
@@ -36,7 +36,7 @@
 public:
   Impl(LinkConfig Config, Scheduler &Timers, Metrics &Stats,
        LinkListener &Listener);
-  ~Impl() override;
+  ~Impl() override = default;
   Impl(const Impl &) = delete;
   Impl &operator=(const Impl &) = delete;
 
@@ -51,8 +51,6 @@
   void connectionFailed(Connection &Source, CloseReason Reason) override;
 
 private:
-  static int acceptReady(GSocket *Socket, GIOCondition Condition, void *Self);
-
   std::shared_ptr<Connection> open(const Address &Remote);
   void attemptDial(const Address &Remote);
   void scheduleRetry(const Address &Remote);
@@ -63,12 +61,11 @@
   void updateOpenGauge();
 
   LinkConfig m_Config;
-  Scheduler &m_Timers;            ///< Outlives this.
-  LinkListener &m_Listener;       ///< Outlives this.
-  ConnectionContext m_Context;    ///< Used by the connections.
-  GSocket *m_Socket = nullptr;    ///< Listens; null if nothing is accepted.
-  GSource *m_Accepting = nullptr; ///< Set with m_Socket.
-  std::uint64_t m_LastId = 0;     ///< Ids start at 1.
+  Scheduler &m_Timers;         ///< Outlives this.
+  LinkListener &m_Listener;    ///< Outlives this.
+  ConnectionContext m_Context; ///< Used by the connections.
+  Acceptor m_Acceptor;         ///< Listens if an address is configured.
+  std::uint64_t m_LastId = 0;  ///< Ids start at 1.
   std::map<LinkId, std::shared_ptr<Connection>> m_Connections; ///< All open.
   std::map<Address, DialState> m_Dials; ///< Until disconnect().
   std::vector<LinkId> m_PendingLinks; ///< Links whose outbox may have messages.
@@ -87,7 +84,7 @@
       m_Listener(Listener), m_Context{m_Config, Timers, *this,
                                       FrameCounters(Stats, "in"),
                                       FrameCounters(Stats, "out")},
-      m_Flush(Timers), m_Random(std::random_device()()),
+      m_Acceptor(Timers), m_Flush(Timers), m_Random(std::random_device()()),
       m_DialCount(Stats.counter("crowstep_link_dials_total")),
       m_OpenGauge(Stats.gauge("crowstep_link_open")) {
   for (int Reason = 0; Reason < static_cast<int>(CloseReason::Count); ++Reason)
@@ -96,30 +93,12 @@
         {{"reason", closeReasonName(static_cast<CloseReason>(Reason))}}));
 }
 
-TcpLinks::Impl::~Impl() {
-  if (m_Accepting != nullptr) {
-    g_source_destroy(m_Accepting);
-    g_source_unref(m_Accepting);
-  }
-  if (m_Socket != nullptr)
-    g_object_unref(m_Socket);
-}
-
 void TcpLinks::Impl::start() {
   if (m_Config.m_Listen.m_Port == 0)
     return;
-  m_Socket = openListeningSocket(m_Config.m_Listen);
-  g_socket_set_blocking(m_Socket, 0);
-  m_Accepting = g_socket_create_source(m_Socket, G_IO_IN, nullptr);
-  g_source_set_callback(m_Accepting, G_SOURCE_FUNC(acceptReady), this, nullptr);
-  g_source_attach(m_Accepting, nullptr);
-}
-
-int TcpLinks::Impl::acceptReady(GSocket *Socket, GIOCondition, void *Self) {
-  GSocket *Accepted = g_socket_accept(Socket, nullptr, nullptr);
-  if (Accepted != nullptr)
-    static_cast<Impl *>(Self)->open(Address())->adopt(Accepted);
-  return G_SOURCE_CONTINUE;
+  m_Acceptor.listen(m_Config.m_Listen, [this](SocketPtr Accepted) {
+    open(Address())->adopt(Accepted.release());
+  });
 }
 
 std::shared_ptr<Connection> TcpLinks::Impl::open(const Address &Remote) {
--- a/tests/unit/link_tcp_test.cpp
+++ b/tests/unit/link_tcp_test.cpp
@@ -353,3 +353,38 @@
        optionOfConnections(IPPROTO_TCP, TCP_USER_TIMEOUT))
     BOOST_TEST((Milliseconds > 0 && Milliseconds <= 3000));
 }
+
+namespace {
+
+/// Makes every further accept on this process's listening sockets fail while
+/// they stay readable, as if there were no file descriptors left.
+void failAccepts() {
+  constexpr int MaxDescriptors = 256;
+  for (int Descriptor = 0; Descriptor < MaxDescriptors; ++Descriptor) {
+    int Listens = 0;
+    socklen_t Size = sizeof(Listens);
+    if (getsockopt(Descriptor, SOL_SOCKET, SO_ACCEPTCONN, &Listens, &Size) ==
+            0 &&
+        Listens != 0)
+      shutdown(Descriptor, SHUT_RDWR);
+  }
+}
+
+/// Returns how many iterations the main loop makes in \p Span.
+int countIterations(Duration Span) {
+  LoopScheduler Timers;
+  bool Ended = false;
+  Timers.runAfter(Span, [&] { Ended = true; });
+  int Result = 0;
+  for (; !Ended; ++Result)
+    g_main_context_iteration(nullptr, 1);
+  return Result;
+}
+
+} // namespace
+
+// Guards against an event loop that spins when no connection can be accepted.
+BOOST_FIXTURE_TEST_CASE(AFailedAcceptDoesNotSpin, Pair) {
+  failAccepts();
+  BOOST_TEST(countIterations(300ms) < 100);
+}
