Fix: Free what a link has written while other frames wait

What operators would have seen: the memory of an instance grows for as long as a peer reads slowly but steadily, past the limit of queued bytes, until the process is ended.

Cause: the written front of the queue was kept until all of it was written, and the limit counts only what is unwritten. The queue is a class of its own now (link/send_queue.h) and frees the front once it is the larger part, so that it holds at most twice what waits, and each byte is moved once at most on average.

--- a/src/link/connection.cpp
+++ b/src/link/connection.cpp
@@ -104,7 +104,8 @@
 
 void Connection::startHandshake() {
   const auto Opening = preamble();
-  m_SendQueue.insert(m_SendQueue.end(), Opening.begin(), Opening.end());
+  std::vector<std::uint8_t> &Queue = m_SendQueue.buffer();
+  Queue.insert(Queue.end(), Opening.begin(), Opening.end());
   watchForWriting(m_WriteBlocked);
   wire::FrameT First;
   First.hello = std::make_unique<wire::HelloT>(m_Handshake.hello());
@@ -202,24 +203,23 @@
 }
 
 void Connection::send(const wire::FrameT &Frame) {
-  const Bytes Encoded = appendFrame(Frame, m_SendQueue);
+  const Bytes Encoded = appendFrame(Frame, m_SendQueue.buffer());
   m_Context.m_Out.count(*wire::GetFrame(Encoded.data()), Encoded);
-  const std::size_t Unwritten = m_SendQueue.size() - m_Written;
   if (m_Up && Encoded.size() > m_Context.m_Config.m_MaxFrameBytes)
     fail(CloseReason::FrameTooLarge); // The peer would reject it.
-  else if (Unwritten > m_Context.m_Config.m_MaxQueuedBytes)
+  else if (m_SendQueue.unwritten().size() > m_Context.m_Config.m_MaxQueuedBytes)
     fail(CloseReason::Backlog);
   else if (!m_WriteBlocked)
     writeQueued();
 }
 
 void Connection::writeQueued() {
-  while (m_Written < m_SendQueue.size()) {
+  while (!m_SendQueue.unwritten().empty()) {
+    const Bytes Unwritten = m_SendQueue.unwritten();
     GError *Failure = nullptr;
     const gssize Count = g_socket_send(
-        m_Socket,
-        reinterpret_cast<const gchar *>(m_SendQueue.data() + m_Written),
-        m_SendQueue.size() - m_Written, nullptr, &Failure);
+        m_Socket, reinterpret_cast<const gchar *>(Unwritten.data()),
+        Unwritten.size(), nullptr, &Failure);
     if (Count < 0 && wouldBlock(Failure)) {
       watchForWriting(true);
       return;
@@ -228,10 +228,8 @@
       fail(CloseReason::PeerClosed);
       return;
     }
-    m_Written += static_cast<std::size_t>(Count);
+    m_SendQueue.recordWritten(static_cast<std::size_t>(Count));
   }
-  m_SendQueue.clear();
-  m_Written = 0;
   watchForWriting(false);
 }
 
--- a/src/link/connection.h
+++ b/src/link/connection.h
@@ -5,6 +5,7 @@
 #include "core/socket_watch.h"
 #include "link/frame_counters.h"
 #include "link/handshake.h"
+#include "link/send_queue.h"
 
 #include <gio/gio.h>
 #include <memory>
@@ -96,8 +97,7 @@
   FrameReader m_Reader;        ///< Splits the input into frames.
   Peer m_Peer;                 ///< Valid once m_Up.
   wire::FrameT m_Outbox;       ///< Under assembly.
-  std::vector<std::uint8_t> m_SendQueue; ///< Encoded frames.
-  std::size_t m_Written = 0;             ///< Bytes of m_SendQueue written.
+  SendQueue m_SendQueue;       ///< Encoded frames.
 };
 
 } // namespace crowstep::link
--- /dev/null
+++ b/src/link/send_queue.cpp
@@ -0,0 +1,15 @@
+/// Encoded frames of a connection that are not written yet.
+#include "link/send_queue.h"
+
+namespace crowstep::link {
+
+void SendQueue::recordWritten(std::size_t Count) {
+  m_Written += Count;
+  if (m_Written <= m_Buffer.size() - m_Written)
+    return;
+  m_Buffer.erase(m_Buffer.begin(),
+                 m_Buffer.begin() + static_cast<std::ptrdiff_t>(m_Written));
+  m_Written = 0;
+}
+
+} // namespace crowstep::link
