Fix: Log a link that this side closes

What operators saw: a link whose last event is LinkUp although it is gone; only the peer's log has the end, as peer_closed.

Cause: a close by this side is reported to the listener later and by another path, which did not log. Both now end in reportDown().

Evidence: link_tcp_test ALinkThatThisSideClosesIsLogged fails without the change.

--- a/src/link/link_tcp.cpp
+++ b/src/link/link_tcp.cpp
@@ -58,6 +58,7 @@
   void scheduleFlush();
   void flush();
   void countClose(CloseReason Reason);
+  void reportDown(LinkId Link, const Peer &Remote, CloseReason Reason);
   void updateOpenGauge();
 
   LinkConfig m_Config;
@@ -196,10 +197,16 @@
     const std::shared_ptr<Connection> Pending = Found->second;
     Pending->flush();
   }
-  for (const ClosedLink &Closed : std::exchange(m_ClosedLinks, {})) {
-    updateOpenGauge();
-    m_Listener.linkDown(Closed.m_Link, Closed.m_Peer, CloseReason::Local);
-  }
+  for (const ClosedLink &Closed : std::exchange(m_ClosedLinks, {}))
+    reportDown(Closed.m_Link, Closed.m_Peer, CloseReason::Local);
+}
+
+void TcpLinks::Impl::reportDown(LinkId Link, const Peer &Remote,
+                                CloseReason Reason) {
+  updateOpenGauge();
+  logEvent(LogEvent::LinkDown,
+           {{"peer", Remote.m_Name}, {"why", closeReasonName(Reason)}});
+  m_Listener.linkDown(Link, Remote, Reason);
 }
 
 void TcpLinks::Impl::connectionUp(Connection &Source) {
@@ -225,10 +232,7 @@
     scheduleRetry(Remote);
   const std::string ReasonName = closeReasonName(Reason);
   if (Source.isUp()) {
-    updateOpenGauge();
-    logEvent(LogEvent::LinkDown,
-             {{"peer", Source.peer().m_Name}, {"why", ReasonName}});
-    m_Listener.linkDown(Source.id(), Source.peer(), Reason);
+    reportDown(Source.id(), Source.peer(), Reason);
   } else if (Remote != Address()) {
     logEvent(LogEvent::LinkDialFailed,
              {{"address", toString(Remote)}, {"why", ReasonName}});
--- a/tests/unit/link_tcp_test.cpp
+++ b/tests/unit/link_tcp_test.cpp
@@ -5,8 +5,8 @@
 #include "link/handshake.h"
 #include "link/link_func.h"
 #include "link/link_tcp.h"
+#include "unit/captured_log.h"
 
-#include <boost/test/unit_test.hpp>
 #include <functional>
 #include <gio/gio.h>
 #include <netinet/in.h>
@@ -231,6 +231,17 @@
   BOOST_TEST(m_Client->m_UpCount == 2);
 }
 
+// Guards against a link that is missing although the log shows it up.
+BOOST_FIXTURE_TEST_CASE(ALinkThatThisSideClosesIsLogged, Pair) {
+  const test::CapturedLog Log;
+  connect();
+  Log.read();
+  m_Client->m_Links.disconnect(m_ServerAddress);
+  runUntil([this] { return m_Client->m_DownReason == CloseReason::Local; });
+  BOOST_TEST(Log.read().find(R"("peer":"server","why":"local")") !=
+             std::string::npos);
+}
+
 /// A peer that knows the key connects and then stops reading. The server keeps
 /// sending: the kernel's buffers fill, then the send queue up to its limit. The
 /// server must close the link instead of using more and more memory.
