Fix: Split events whose lines end in CR alone, or in mixed ways

What callers would have seen: no event of a stream until its end, and then a failure, as the gateway passes on whole events and found the end of none.

Cause: the splitter knew LF twice and CRLF twice; the format also allows CR, and an LF before a CRLF. A CR that was received last may be half of a CRLF, so the event waits for the next byte unless the stream's lines end in CR alone.

Evidence: front_test EventsAreSplitAtAnyLineEnd fails without the change; EventsAreSplitWhole is unchanged.

--- a/src/http/sse_splitter.cpp
+++ b/src/http/sse_splitter.cpp
@@ -7,19 +7,41 @@
 
 namespace {
 
+constexpr std::string_view LineEnds = "\r\n";
+
+/// Returns the length of the line end at \p At: LF, CRLF or CR; 0: none.
+std::size_t lineEndLength(std::string_view Text, std::size_t At) {
+  if (LineEnds.find(Text[At]) == std::string_view::npos)
+    return 0;
+  return Text.substr(At).starts_with(LineEnds) ? LineEnds.size() : 1;
+}
+
 /// Returns the length through the first blank line, or npos if there is none.
 std::size_t firstEventLength(std::string_view Text) {
-  const std::size_t LfEnd = Text.find("\n\n");
-  const std::size_t CrLfEnd = Text.find("\r\n\r\n");
-  if (CrLfEnd < LfEnd)
-    return CrLfEnd + 4;
-  return LfEnd == std::string_view::npos ? LfEnd : LfEnd + 2;
+  std::size_t At = Text.find_first_of(LineEnds);
+  while (At != std::string_view::npos) {
+    const std::size_t Length = lineEndLength(Text, At);
+    const std::size_t Next = At + Length;
+    if (Next == Text.size())
+      break;
+    const std::size_t NextLength = lineEndLength(Text, Next);
+    // A CR that was received last may be half of a CRLF, unless lines end with
+    // CR alone.
+    const bool IsCrOnly = Length == 1 && Text[At] == '\r';
+    if (NextLength > 0 && Text.substr(Next) == "\r" && !IsCrOnly)
+      break;
+    if (NextLength > 0)
+      return Next + NextLength;
+    At = Text.find_first_of(LineEnds, Next);
+  }
+  return std::string_view::npos;
 }
 
 std::optional<std::uint64_t> parseId(std::string_view Event) {
   std::optional<std::uint64_t> Result;
   while (!Event.empty()) {
-    const std::size_t End = std::min(Event.find('\n'), Event.size() - 1);
+    const std::size_t End =
+        std::min(Event.find_first_of(LineEnds), Event.size() - 1);
     std::string_view Line = Event.substr(0, End);
     Event.remove_prefix(End + 1);
     if (!Line.starts_with("id:"))
--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -351,6 +351,27 @@
   }
 }
 
+// Guards against events that are never passed on, or without their id, because
+// their lines end in another of the three ways that the format allows.
+BOOST_AUTO_TEST_CASE(EventsAreSplitAtAnyLineEnd) {
+  for (const std::string End : {"\n", "\r\n", "\r"}) {
+    std::string Text;
+    for (const char *Line : {"id: 4", "data: a", "", "data: b", "id:5", ""})
+      Text += Line + End;
+    for (std::size_t Step = 1; Step <= Text.size(); ++Step) {
+      SseSplitter Splitter;
+      std::vector<SseEvent> Events;
+      for (std::size_t Offset = 0; Offset < Text.size(); Offset += Step)
+        for (SseEvent &Event : Splitter.feed(Text.substr(Offset, Step)))
+          Events.push_back(std::move(Event));
+      BOOST_REQUIRE(Events.size() == 2U);
+      BOOST_TEST((Events[0].m_Id == 4U && Events[1].m_Id == 5U));
+      BOOST_TEST(Events[0].m_Bytes + Events[1].m_Bytes == Text);
+      BOOST_TEST(!Splitter.isMidEvent());
+    }
+  }
+}
+
 /// Events are returned complete, however their bytes are split.
 BOOST_AUTO_TEST_CASE(EventsAreSplitWhole) {
   const std::string Text = "id: 4\ndata: a\n\nx: 1\nid:5\r\ndata: b\r\n\r\n";
