Fix: Give up an event that is longer than a megabyte

What operators would have seen: an instance ended for its memory by one upstream that sends bytes without ever ending an event, as events are held until they are complete.

Such a call now fails as one that broke off: a stream that may be resumed goes on at another upstream. The class is a queue without a bound, as with the links' queue; plain answers are held whole as well, without a bound (open).

Found by reading. Evidence: forwarded_request_test AnEventWithoutEndIsGivenUp, three checks fail with the bound out of reach.

--- a/src/gateway/forward_limits.h
+++ b/src/gateway/forward_limits.h
@@ -34,6 +34,10 @@
 /// unreachable; a loaded one sends something on one of its calls.
 inline constexpr Duration UpstreamSilenceLimit = std::chrono::milliseconds(900);
 
+/// An event that is longer than this fails its call: events are held until they
+/// are complete, and an upstream that never ends one would use up the memory.
+inline constexpr std::size_t MaxEventBytes = 1 << 20;
+
 /// Interval at which a call at a silent upstream asks the retry budget again.
 inline constexpr Duration BudgetCheckInterval = std::chrono::milliseconds(250);
 
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -152,6 +152,10 @@
   m_Context.m_Balancer.recordBytesReceived(m_Ticket, m_Context.m_Clock.now());
   for (const SseEvent &Event : m_Splitter.feed(Bytes))
     relayEvent(Event);
+  if (m_Splitter.partialBytes() > MaxEventBytes) {
+    handleFailure(balance::CallOutcome::Failed, closeReason());
+    return;
+  }
   constexpr int PausesToWait = 4;
   constexpr Duration LeastPause = std::chrono::milliseconds(1000);
   if (m_Call != nullptr && isRetryable())
--- a/src/http/sse_splitter.h
+++ b/src/http/sse_splitter.h
@@ -24,6 +24,9 @@
   /// Appends bytes and returns the events that they complete.
   std::vector<SseEvent> feed(std::string_view Bytes);
 
+  /// Returns how much of an incomplete event has been received.
+  [[nodiscard]] std::size_t partialBytes() const { return m_Partial.size(); }
+
   /// Returns whether part of an event has been received.
   [[nodiscard]] bool isMidEvent() const { return !m_Partial.empty(); }
 
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -1,6 +1,7 @@
 /// One request through the gateway: the caller's answer after each way in which
 /// a call can end.
 #define BOOST_TEST_MODULE forwarded_request
+#include "gateway/forward_limits.h"
 #include "unit/forwarded_request_env.h"
 
 using namespace crowstep;
@@ -253,6 +254,27 @@
   BOOST_TEST(Env.calls() == 2U);
 }
 
+// Guards against an upstream that never ends an event and uses up the memory.
+BOOST_AUTO_TEST_CASE(AnEventWithoutEndIsGivenUp) {
+  const std::string Piece(64 << 10, 'x');
+  const auto SendWithoutEnd = [&](TestEnv &Env) {
+    Env.sendHeaders(0, 200, {{"Call-Signed", "s"}});
+    Env.sendBytes(0, event(1));
+    for (std::size_t Sent = 0;
+         Sent <= MaxEventBytes && !Env.call(0).m_Stopped && !Env.m_Finished;
+         Sent += Piece.size())
+      Env.sendBytes(0, Piece);
+  };
+  TestEnv Resumed(Resumable, 2);
+  SendWithoutEnd(Resumed);
+  BOOST_TEST(Resumed.calls() == 2U);
+  BOOST_TEST(Resumed.call(0).m_Stopped);
+  TestEnv Once(NotResumable, 2);
+  SendWithoutEnd(Once);
+  BOOST_TEST(Once.calls() == 1U);
+  BOOST_TEST(Once.m_Finished == 1);
+}
+
 /// A loaded upstream still sends bytes on other calls; a second copy of the
 /// call would add to the load that delays it.
 BOOST_AUTO_TEST_CASE(ALoadedUpstreamCausesNoRetry) {
