Fix: Don't take a late refusal of another call for this call's

What callers would have seen: 503, which says that the request has not run, although it has or may run, where an upstream's late refusal of an earlier call on the same connection came first. Only requests that may be repeated are sent on kept connections, so none ran twice that must not.

Cause: an answer that states that its call was not run was exempt from the check of the request's id, for refusals that have none. Now only a refusal without an id is exempt.

Found by reading. Evidence: forwarded_request_test ALateRefusalOfAnotherCallProvesNothing fails without the change.

--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -39,8 +39,10 @@
   const AnswerFacts Facts = m_Context.m_Codec.readAnswer(Status, Headers);
   m_Context.m_Balancer.recordBytesReceived(m_Ticket, m_Context.m_Clock.now());
   // A late answer to an earlier call on a kept connection, or bytes that are
-  // not an upstream's answer at all.
-  if (Facts.m_RequestId != m_Admitted.m_Facts.m_Id && !Facts.m_NotRun) {
+  // not an upstream's answer at all. Only refusals may lack the id: a late one
+  // must not be taken for a statement that this call was not run.
+  const bool MayLackId = Facts.m_NotRun && Facts.m_RequestId.empty();
+  if (Facts.m_RequestId != m_Admitted.m_Facts.m_Id && !MayLackId) {
     m_MayHaveRun = true;
     handleFailure(balance::CallOutcome::Failed, RetryReason::ClosedBeforeByte);
     return;
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -254,6 +254,20 @@
   BOOST_TEST(Env.calls() == 2U);
 }
 
+// Guards against a caller that is told that its request has not run because of
+// a late refusal of an earlier call on the same connection.
+BOOST_AUTO_TEST_CASE(ALateRefusalOfAnotherCallProvesNothing) {
+  const HeaderList NotRun = {{"Call-Not-Run", "1"}};
+  TestEnv Late(Idempotent, 2);
+  Late.call(0).m_Listener->upstreamHeaders(
+      503, {{"Call-Id", "other"}, {"Call-Not-Run", "1"}});
+  Late.refuseCall(1);
+  BOOST_TEST(Late.answer().m_Status == 502U);
+  TestEnv WithoutId(Idempotent, 1);
+  WithoutId.call(0).m_Listener->upstreamHeaders(503, NotRun);
+  BOOST_TEST(WithoutId.answer().m_Status == 503U);
+}
+
 // Guards against an upstream that never ends an event and uses up the memory.
 BOOST_AUTO_TEST_CASE(AnEventWithoutEndIsGivenUp) {
   const std::string Piece(64 << 10, 'x');
