Fix: Don't count an engine as capacity once it has stated that it leaves

The same cause as with calls to such an upstream, found by looking for it elsewhere: the count of engines by which others are ordered read the list of entries, which does not say so while the store can't be written. No engine was ordered in its place until its entry changed. Engines are now counted where leaves are known, and the gateway keeps no second copy of the list.

Looked at and left: crash reports (a call that breaks at an upstream that has stated a leave is not counted as its crash already, Balancer::reportToQuarantine), and entries kept after an outage (the balancer places nothing there).

Evidence: leaving_upstreams_test AnUpstreamThatLeavesIsNoCapacity; the function is new, and with its condition removed the test fails.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -366,6 +366,15 @@
                   [](const EngineOption &Option) { return Option.m_Full; });
 }
 
+std::vector<const Upstream *>
+Balancer::stayingUpstreams(const std::string &Service) const {
+  std::vector<const Upstream *> Result;
+  for (const auto &[Id, State] : m_States)
+    if (State.m_Upstream.m_Service == Service && !State.m_Upstream.m_Draining)
+      Result.push_back(&State.m_Upstream);
+  return Result;
+}
+
 double Balancer::busyEngines(const std::string &Service, TimePoint Now) const {
   double BySlots = 0;
   for (const auto &[Id, State] : m_States)
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -95,6 +95,11 @@
     m_MinPauses = std::move(Pauses);
   }
 
+  /// Returns the upstreams of a service that don't leave; valid until the next
+  /// change of the list.
+  [[nodiscard]] std::vector<const Upstream *>
+  stayingUpstreams(const std::string &Service) const;
+
   /// Returns how many engines of a service the load of all instances keeps
   /// busy: with the prefill that is placed, or with the calls that run.
   [[nodiscard]] double busyEngines(const std::string &Service,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -50,19 +50,17 @@
   return {Config.m_Name, Config.m_LinkAddress, Config.m_Zone, Config.m_Weight};
 }
 
-/// Counts the engines that take calls, by zone and kind.
-duty::ServiceCapacity countEngines(const std::string &Service,
-                                   const Scaling &Config,
-                                   const std::vector<Upstream> &Upstreams) {
+/// Counts \p Engines of a service by zone and kind.
+duty::ServiceCapacity
+countEngines(const std::string &Service, const Scaling &Config,
+             const std::vector<const Upstream *> &Engines) {
   std::map<AvailabilityZone, duty::ZoneCapacity> Zones;
   for (const auto &[Zone, Price] : Config.m_Prices)
     Zones[Zone] = {Zone, Price, 0, 0};
-  for (const Upstream &Listed : Upstreams) {
-    if (Listed.m_Service != Service || Listed.m_Draining)
-      continue;
-    duty::ZoneCapacity &At = Zones[Listed.m_Zone];
-    At.m_Zone = Listed.m_Zone;
-    ++(Listed.m_Spot ? At.m_Spot : At.m_Regular);
+  for (const Upstream *Engine : Engines) {
+    duty::ZoneCapacity &At = Zones[Engine->m_Zone];
+    At.m_Zone = Engine->m_Zone;
+    ++(Engine->m_Spot ? At.m_Spot : At.m_Regular);
   }
   duty::ServiceCapacity Result;
   Result.m_Service = Service;
@@ -148,7 +146,8 @@
   for (const Service &Entry : m_Table->data().m_Services) {
     if (!Entry.m_Scaling)
       continue;
-    Result.push_back(countEngines(Entry.m_Name, *Entry.m_Scaling, m_Upstreams));
+    Result.push_back(countEngines(Entry.m_Name, *Entry.m_Scaling,
+                                  m_Balancer.stayingUpstreams(Entry.m_Name)));
     Result.back().m_BusyEngines =
         m_Balancer.busyEngines(Entry.m_Name, m_Clock.now());
   }
@@ -187,7 +186,6 @@
 
 void Gateway::upstreamsChanged(const std::vector<Upstream> &List) {
   m_UpstreamsKnown = true;
-  m_Upstreams = List;
   m_CrashWatch.upstreamsChanged(List);
   m_Balancer.setUpstreams(List);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -98,7 +98,6 @@
   HttpServer m_ProbeServer;                   ///< Readiness and metrics.
   RouteTablePtr m_Table;                      ///< In force; null: none yet.
   bool m_UpstreamsKnown = false;              ///< A list was received.
-  std::vector<Upstream> m_Upstreams;          ///< As last received.
   ReadingRole m_ReadingRole = ReadingRole::Alone; ///< As set in the directory.
   std::unordered_map<std::uint64_t, std::unique_ptr<ForwardedRequest>>
       m_Requests; ///< In progress.
--- a/tests/unit/leaving_upstreams_test.cpp
+++ b/tests/unit/leaving_upstreams_test.cpp
@@ -88,6 +88,20 @@
   BOOST_TEST(!Test.mayPlace());
 }
 
+// Guards against an upstream that has stated that it leaves and still counts as
+// capacity, so that no other one is ordered in its place.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeavesIsNoCapacity) {
+  Fixture Test;
+  Test.m_Balancer.setUpstreams({desk("a"), desk("b")});
+  BOOST_TEST(Test.m_Balancer.stayingUpstreams("desk").size() == 2U);
+  LoadDigest Digest;
+  Digest.m_Leaving = {upstreamIdOf("a")};
+  Test.m_Balancer.applyPeerDigest(InstanceId(7), Digest, Test.m_Now);
+  const auto Staying = Test.m_Balancer.stayingUpstreams("desk");
+  BOOST_REQUIRE(Staying.size() == 1U);
+  BOOST_TEST(Staying[0]->m_Name == "b");
+}
+
 // Guards against a statement that comes before the upstream's entry, from
 // another instance.
 BOOST_AUTO_TEST_CASE(AStatementHoldsForAnEntryThatComesLater) {
