--- a/tests/unit/upstream_call_test.cpp
+++ b/tests/unit/upstream_call_test.cpp
@@ -32,12 +32,13 @@
   Listener m_Listener;
   std::unique_ptr<UpstreamCall> m_Call;
 
-  void send(bool Repeatable = false) {
+  void send(bool Repeatable = false, bool CloseAfter = false) {
     UpstreamRequest Request;
     Request.m_Address = m_Upstream.m_Address;
     Request.m_Path = "/x";
     Request.m_Body = "b";
     Request.m_Repeatable = Repeatable;
+    Request.m_CloseAfter = CloseAfter;
     Request.m_SendDeadline = m_Clock.readNow() + 10s;
     m_Call = m_Caller.send(Request, m_Listener);
   }
@@ -191,6 +192,18 @@
   BOOST_TEST(Fixture.m_Upstream.acceptPending() == 1U);
 }
 
+// Guards against a further call on a connection that was announced as closing.
+BOOST_AUTO_TEST_CASE(AConnectionIsNotKeptAfterItsCloseWasAnnounced) {
+  CallFixture Fixture;
+  Fixture.send(true, true);
+  Peer *Upstream = Fixture.m_Upstream.waitForRequest();
+  BOOST_TEST(Upstream->hasReceived("Connection: close"));
+  Upstream->send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  BOOST_TEST(Fixture.ended());
+  pumpFor(100ms); // Less than an idle connection is kept.
+  BOOST_TEST(Upstream->isClosed());
+}
+
 /// If the last check fails, no byte may be sent.
 BOOST_AUTO_TEST_CASE(TheLastCheckKeepsACallBack) {
   CallFixture Fixture;
