Fix: Leave out reported loads without calls

What callers could have seen: an upstream that is passed over, or chosen too often, for as long as calls run there, after one malformed digest; its loads count for longer than the second after which any digest expires.

Cause: the sum of all reported loads of an upstream is forgotten when no call is left. A load that has tokens and no call is forgotten with it, and when its digest expires its tokens are subtracted from a sum that doesn't hold them.

Only peers that know the key can send digests, and none of ours reports such a load, so nobody has met it.

--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -57,7 +57,7 @@
   balance::LoadDigest Result;
   if (From.loads() != nullptr)
     for (const wire::UpstreamLoad *Load : *From.loads())
-      if (Load->urgency() < balance::UrgencyCount)
+      if (Load->urgency() < balance::UrgencyCount && Load->running() > 0)
         Result.m_Loads.push_back({UpstreamId(Load->upstream()), Load->urgency(),
                                   Load->running(), Load->unread_tokens(),
                                   Load->held_tokens(), Load->tight()});
--- a/src/gateway/digest_codec.h
+++ b/src/gateway/digest_codec.h
@@ -15,7 +15,8 @@
 void packDigest(const balance::LoadDigest &Digest,
                 std::unique_ptr<wire::GatewayDigestT> &Into);
 
-/// Returns the digest without loads of an unknown urgency.
+/// Returns the digest without loads of an unknown urgency or without calls:
+/// sums of loads are forgotten when their last call ends.
 balance::LoadDigest unpack(const wire::GatewayDigest &From);
 
 } // namespace crowstep::gateway
