Fix: Return a slot that the entry granted itself

What callers saw would have been refusals by an entry that no dispatcher can be reached from: after as many calls as its share of the slots holds, it grants none any more until it is started anew. A request that gave up its wait could be granted a slot after its end, which is a use of freed memory.

Cause: release() and withdraw() told only the dispatcher that owns the pool. A bid that was placed locally has none, so the local decider went on counting its slot, or kept the bid with its listener.

Evidence: entry_placement_test ALocalSlotIsUsedAgainAfterItsCall and AWithdrawnLocalBidIsNotGranted fail without the change.

--- a/src/entry/dispatcher_placement.cpp
+++ b/src/entry/dispatcher_placement.cpp
@@ -65,7 +65,9 @@
   if (Found == m_Bids.end())
     return;
   const BidState &Bid = Found->second;
-  if (Bid.m_Link != link::LinkId())
+  if (Bid.m_LocalBid)
+    m_LocalPlacement.withdraw(*Bid.m_LocalBid);
+  else if (Bid.m_Link != link::LinkId())
     m_DispatcherLinks.links()
         .outbox(Bid.m_Link)
         .withdrawals.emplace_back(Number.value(), Bid.m_Pool.value());
@@ -91,7 +93,9 @@
   if (Found == m_Bids.end())
     return;
   const BidState &Bid = Found->second;
-  if (Bid.m_Link != link::LinkId())
+  if (Bid.m_LocalBid)
+    m_LocalPlacement.release(*Bid.m_LocalBid, Release);
+  else if (Bid.m_Link != link::LinkId())
     m_DispatcherLinks.links()
         .outbox(Bid.m_Link)
         .work_ends.emplace_back(Number.value(), Bid.m_Pool.value(),
--- a/tests/unit/entry_placement_test.cpp
+++ b/tests/unit/entry_placement_test.cpp
@@ -133,13 +133,25 @@
     Out.grants.emplace_back(Bid.value(), 99, 0x7f000001, 4000, 3, true, 2000);
     frame(Link, Out);
   }
-  BidNumber bid() {
+  BidNumber bid() { return bid(m_Listener); }
+  BidNumber bid(PlacementListener &Listener) {
     BidTerms Terms;
     Terms.m_Service = "guide-writer";
     Terms.m_Class = ClassId(1);
     Terms.m_Bid.m_UntilTarget = 30s;
     Terms.m_Bid.m_UntilLimit = 60s;
-    return m_Placement.bid(Terms, m_Listener);
+    return m_Placement.bid(Terms, Listener);
+  }
+  /// Cuts all links and takes all slots of the entry's share; returns the bids.
+  std::vector<BidNumber> fillLocalSlots() {
+    down(1, "a");
+    down(2, "b");
+    std::vector<BidNumber> Result;
+    for (int Count = 0; Count < 4; ++Count)
+      Result.push_back(bid());
+    m_Timers.advance(OwnerTimeout + 200ms);
+    BOOST_TEST(m_Listener.m_Slots.size() == 4U);
+    return Result;
   }
   /// Returns the link to the owner of the pool.
   std::uint64_t owner() const {
@@ -245,6 +257,41 @@
              2U);
 }
 
+// Guards against slots that are lost to calls that were placed locally and have
+// ended.
+BOOST_AUTO_TEST_CASE(ALocalSlotIsUsedAgainAfterItsCall) {
+  Bench Fixture;
+  const std::vector<BidNumber> Running = Fixture.fillLocalSlots();
+  FakeListener Waiting;
+  Fixture.bid(Waiting);
+  Fixture.m_Timers.advance(OwnerTimeout + 200ms);
+  BOOST_TEST(Waiting.m_Slots.empty());
+  Fixture.m_Placement.release(Running[0],
+                              {Fixture.m_Listener.m_Slots[0].m_Upstream,
+                               decision::WorkEnd::Finished, 5, 1ms});
+  Fixture.m_Timers.advance(100ms);
+  BOOST_TEST(Waiting.m_Slots.size() == 1U);
+}
+
+// Guards against a grant to a request that has withdrawn its bid and may no
+// longer exist.
+BOOST_AUTO_TEST_CASE(AWithdrawnLocalBidIsNotGranted) {
+  Bench Fixture;
+  const std::vector<BidNumber> Running = Fixture.fillLocalSlots();
+  FakeListener Withdrawn;
+  const BidNumber Bid = Fixture.bid(Withdrawn);
+  Fixture.m_Timers.advance(OwnerTimeout + 200ms);
+  Fixture.m_Placement.withdraw(Bid);
+  for (const BidNumber Ended : Running)
+    Fixture.m_Placement.release(Ended,
+                                {Fixture.m_Listener.m_Slots[0].m_Upstream,
+                                 decision::WorkEnd::Finished, 5, 1ms});
+  Fixture.m_Timers.advance(100ms);
+  BOOST_TEST(Withdrawn.m_Slots.empty());
+  Fixture.m_Timers.advance(2min);
+  BOOST_TEST(!Withdrawn.m_Refused.has_value());
+}
+
 // The process is paused for longer than a grant is valid. Afterwards the grant
 // in its socket looks new, but the upstream may have been removed. The grant is
 // returned unused, and the bid is sent again when the sockets are read.
