Fix: Forget a bid that the entry refused itself

What operators would have seen: the memory of an entry without dispatchers grows with each refusal.

Cause: a bid that was placed locally passed its request's listener to the local decider, so the placement that keeps the bid never learned of a refusal. It now puts a listener of its own in between.

Evidence: entry_placement_test ALocallyRefusedBidIsForgotten fails if the refusal goes to the request alone.

--- a/src/entry/dispatcher_placement.cpp
+++ b/src/entry/dispatcher_placement.cpp
@@ -36,6 +36,34 @@
 
 } // namespace
 
+/// Passes on the results of a bid that was placed locally.
+class DispatcherPlacement::LocalListener final : public PlacementListener {
+public:
+  LocalListener(DispatcherPlacement &Owner, std::uint64_t Number,
+                PlacementListener &Target)
+      : m_Owner(Owner), m_Number(Number), m_Target(Target) {}
+
+  void slotGranted(const GrantedSlot &Slot) override {
+    m_Target.slotGranted(Slot);
+  }
+  void bidRefused(RefusalReason Reason, Duration RetryAfter) override {
+    m_Owner.refuse(m_Number, Reason, RetryAfter); // Destroys this object.
+  }
+  void slotPreempted(UpstreamId Upstream) override {
+    m_Target.slotPreempted(Upstream);
+  }
+  void grantBecameSuspect() override { m_Target.grantBecameSuspect(); }
+  void bidMoved() override { m_Target.bidMoved(); }
+  [[nodiscard]] std::uint32_t callTokens() const override {
+    return m_Target.callTokens();
+  }
+
+private:
+  DispatcherPlacement &m_Owner; ///< Outlives this object.
+  std::uint64_t m_Number;       ///< Of the bid.
+  PlacementListener &m_Target;  ///< Outlives the bid.
+};
+
 DispatcherPlacement::DispatcherPlacement(DispatcherLinks &Dispatchers,
                                          LocalPlacement &Local,
                                          PauseGuard &Guard, const Clock &Time,
@@ -157,7 +185,9 @@
     const Duration Waited = m_Clock.now() - Bid.m_BidAt;
     Terms.m_Bid.m_UntilTarget = timeLeft(Terms.m_Bid.m_UntilTarget, Waited);
     Terms.m_Bid.m_UntilLimit = timeLeft(Terms.m_Bid.m_UntilLimit, Waited);
-    Bid.m_LocalBid = m_LocalPlacement.bid(Terms, *Bid.m_Listener);
+    Bid.m_LocalListener =
+        std::make_unique<LocalListener>(*this, Number, *Bid.m_Listener);
+    Bid.m_LocalBid = m_LocalPlacement.bid(Terms, *Bid.m_LocalListener);
   }
 }
 
@@ -278,9 +308,15 @@
   if (Refusal.reason() > 0 &&
       Refusal.reason() < static_cast<std::uint8_t>(RefusalReason::Count))
     Reason = static_cast<RefusalReason>(Refusal.reason());
-  const auto Removed = m_Bids.extract(Found);
-  Removed.mapped().m_Listener->bidRefused(
-      Reason, std::chrono::milliseconds(Refusal.retry_after_ms()));
+  refuse(Refusal.request(), Reason,
+         std::chrono::milliseconds(Refusal.retry_after_ms()));
+}
+
+void DispatcherPlacement::refuse(std::uint64_t Number, RefusalReason Reason,
+                                 Duration RetryAfter) {
+  const auto Removed = m_Bids.extract(Number);
+  if (!Removed.empty())
+    Removed.mapped().m_Listener->bidRefused(Reason, RetryAfter);
 }
 
 void DispatcherPlacement::handlePause() {
--- a/src/entry/dispatcher_placement.h
+++ b/src/entry/dispatcher_placement.h
@@ -31,7 +31,12 @@
   /// Handles the grants, refusals and preemptions in \p Frame.
   void handleFrame(link::LinkId Link, const wire::Frame &Frame);
 
+  /// Returns how many bids wait or have a slot.
+  [[nodiscard]] std::size_t openBids() const { return m_Bids.size(); }
+
 private:
+  class LocalListener;
+
   /// A bid that waits, or the call on its slot.
   struct BidState {
     BidTerms m_Terms;              ///< As placed at m_BidAt.
@@ -42,6 +47,7 @@
     TimePoint m_NoOwnerSince; ///< Start of the wait for an owner.
     std::optional<UpstreamId> m_GrantedUpstream; ///< Set once granted.
     std::optional<BidNumber> m_LocalBid;         ///< Set while placed locally.
+    std::unique_ptr<PlacementListener> m_LocalListener; ///< Of m_LocalBid.
   };
   using BidMap = std::unordered_map<std::uint64_t, BidState>;
 
@@ -52,6 +58,7 @@
   makeWireBid(std::uint64_t Number, const BidState &Bid) const;
   void handleGrant(link::LinkId Link, const wire::Grant &Grant);
   void handleRefusal(link::LinkId Link, const wire::Refusal &Refusal);
+  void refuse(std::uint64_t Number, RefusalReason Reason, Duration RetryAfter);
   void returnGrant(link::LinkId Link, const wire::Grant &Grant, PoolId Pool);
   void scheduleReroute(Duration Wait);
   void placeLocally();
--- a/tests/unit/entry_placement_test.cpp
+++ b/tests/unit/entry_placement_test.cpp
@@ -292,6 +292,19 @@
   BOOST_TEST(!Withdrawn.m_Refused.has_value());
 }
 
+// Guards against bids that are kept for good after the entry refused them
+// itself.
+BOOST_AUTO_TEST_CASE(ALocallyRefusedBidIsForgotten) {
+  Bench Fixture;
+  const std::vector<BidNumber> Running = Fixture.fillLocalSlots();
+  FakeListener Waiting;
+  Fixture.bid(Waiting);
+  BOOST_TEST(Fixture.m_Placement.openBids() == Running.size() + 1);
+  Fixture.m_Timers.advance(2min);
+  BOOST_TEST(Waiting.m_Refused.has_value());
+  BOOST_TEST(Fixture.m_Placement.openBids() == Running.size());
+}
+
 // The process is paused for longer than a grant is valid. Afterwards the grant
 // in its socket looks new, but the upstream may have been removed. The grant is
 // returned unused, and the bid is sent again when the sockets are read.
