Fix: Mark slots that the entry granted itself as suspect after a pause

Cause: only slots that a dispatcher granted were marked when the process had been paused for longer than a grant is valid; a slot from the local decider was used as if no time had passed, at an upstream that may have been removed.

Evidence: entry_placement_test ALocalGrantIsSuspectAfterAFreeze fails without the change.

--- a/src/entry/dispatcher_placement.cpp
+++ b/src/entry/dispatcher_placement.cpp
@@ -321,7 +321,9 @@
 
 void DispatcherPlacement::handlePause() {
   for (auto &[Number, Bid] : m_Bids) {
-    if (Bid.m_GrantedUpstream) {
+    const bool IsGrantedLocally =
+        Bid.m_LocalBid && !m_LocalPlacement.isWaiting(*Bid.m_LocalBid);
+    if (Bid.m_GrantedUpstream || IsGrantedLocally) {
       Bid.m_Listener->grantBecameSuspect();
       continue;
     }
--- a/tests/unit/entry_placement_test.cpp
+++ b/tests/unit/entry_placement_test.cpp
@@ -331,6 +331,20 @@
   BOOST_TEST(Fixture.m_Listener.m_Suspect == 1);
 }
 
+// Guards against a slot that the entry granted itself before a pause and that
+// is used after it, at an upstream that may have been removed.
+BOOST_AUTO_TEST_CASE(ALocalGrantIsSuspectAfterAFreeze) {
+  Bench Fixture;
+  Fixture.fillLocalSlots();
+  FakeListener Waiting;
+  Fixture.bid(Waiting);
+  Fixture.m_Timers.advance(OwnerTimeout + 200ms);
+  Fixture.pause(5s);
+  Fixture.m_Timers.advance(100ms);
+  BOOST_TEST(Fixture.m_Listener.m_Suspect == 4);
+  BOOST_TEST(Waiting.m_Suspect == 0);
+}
+
 // The right to serve is counted from the sending of the acknowledgement that is
 // echoed. Attachments that were in the socket during a pause bring old echoes,
 // which must not extend the right.
