Fix: Pass on every change of a listed upstream

What operators would have seen: an engine that is listed with more slots, or with other models, is used as before until another upstream changes.

Cause: a reading counted as changed by the kind of each upstream alone, not by what the kind holds. Upstreams now compare by all of their fields.

One of the faults found by reading (dispatcher). Evidence: upstream_directory_test AnyChangeOfAnUpstreamIsReported fails without the change.

--- a/src/dispatcher/upstream_directory.cpp
+++ b/src/dispatcher/upstream_directory.cpp
@@ -14,19 +14,6 @@
 constexpr const char *InstancePrefix = "instance/";
 constexpr const char *DrainedValue = "{\"drained\":true}";
 
-bool sameUpstream(const Upstream &Left, const Upstream &Right) {
-  return Left.m_Id == Right.m_Id && Left.m_Service == Right.m_Service &&
-         Left.m_Address == Right.m_Address && Left.m_Zone == Right.m_Zone &&
-         Left.m_Draining == Right.m_Draining &&
-         Left.m_Kind.index() == Right.m_Kind.index();
-}
-
-bool sameUpstreams(const std::vector<Upstream> &Left,
-                   const std::vector<Upstream> &Right) {
-  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
-                    sameUpstream);
-}
-
 } // namespace
 
 UpstreamDirectory::UpstreamDirectory(Scheduler &Timers,
@@ -87,7 +74,7 @@
   for (Upstream &Info : Updated)
     if (m_Drains.contains(UpstreamPrefix + Info.m_Name))
       Info.m_Draining = true;
-  const bool Changed = !sameUpstreams(Updated, m_Upstreams);
+  const bool Changed = Updated != m_Upstreams;
   m_Upstreams = std::move(Updated);
   if (Changed && m_Changed)
     m_Changed();
--- a/src/upstream_type.h
+++ b/src/upstream_type.h
@@ -31,12 +31,16 @@
   std::vector<std::string> m_Models; ///< Loaded models and adapters.
   bool m_CanResume = true;           ///< Can continue from given tokens.
   bool m_ChecksFencing = true;       ///< Refuses old fencing numbers.
+
+  bool operator==(const Engine &) const = default;
 };
 
 /// A plain service: one short answer for each call; some calls must not be
 /// retried.
 struct PlainService {
   std::uint32_t m_Slots = 32; ///< Concurrent calls, >= 1.
+
+  bool operator==(const PlainService &) const = default;
 };
 
 using UpstreamKind = std::variant<Engine, PlainService>;
@@ -52,6 +56,8 @@
   bool m_Draining = false;              ///< Must get no new work.
   bool m_Spot = false;      ///< May be reclaimed with all others of its zone.
   TimePoint m_UnlistedAt{}; ///< When its entry was removed; not set: listed.
+
+  bool operator==(const Upstream &) const = default;
 };
 
 /// Returns how many calls an upstream can run at once; at least 1.
