Fix: Read a drain anew before an operator's command

What operators would have seen: 200 for a drain that another dispatcher has just taken back, or the reverse, without anything being written.

Cause: the command was compared with the last reading, which may be an interval old. The row is now read first; a failed read is answered like a failed write.

Evidence: upstream_directory_test ADrainIsDecidedOnAFreshReading fails without the change. Cost: one read a command.

--- a/src/dispatcher/upstream_directory.cpp
+++ b/src/dispatcher/upstream_directory.cpp
@@ -128,15 +128,24 @@
 
 void UpstreamDirectory::setDrained(const std::string &Key, bool Drained,
                                    std::function<void(bool)> Done) {
-  const auto Found = m_Drains.find(Key);
-  const bool IsDrained = Found != m_Drains.end();
-  if (IsDrained == Drained) {
-    Done(true);
-    return;
-  }
-  RowWrite Write{Key, {}, DrainedValue};
-  if (!Drained)
-    Write = {Key, Found->second, ""};
+  m_Store.read(platform::DrainTableName, Key,
+               [this, Key, Drained,
+                Done = std::move(Done)](const platform::ReadResult &Read) {
+                 const auto *Rows = std::get_if<std::vector<Row>>(&Read);
+                 if (Rows == nullptr)
+                   return Done(false);
+                 const bool IsDrained = !Rows->empty();
+                 if (IsDrained == Drained)
+                   return Done(true);
+                 writeDrain(IsDrained
+                                ? RowWrite{Key, Rows->front().m_Version, ""}
+                                : RowWrite{Key, {}, DrainedValue},
+                            Done);
+               });
+}
+
+void UpstreamDirectory::writeDrain(const RowWrite &Write,
+                                   std::function<void(bool)> Done) {
   m_Store.write(platform::DrainTableName, {Write},
                 [this, Done = std::move(Done)](platform::WriteResult Result) {
                   const auto *Rows =
--- a/src/dispatcher/upstream_directory.h
+++ b/src/dispatcher/upstream_directory.h
@@ -67,8 +67,9 @@
   [[nodiscard]] bool isInstanceDraining(const std::string &Name) const;
 
   /// Writes or deletes the drain of "upstream/NAME" or "instance/NAME". \p Done
-  /// gets false if the write failed or its outcome is unknown. If the last
-  /// reading shows the wanted state, \p Done gets true and nothing is written.
+  /// gets false if the write failed or its outcome is unknown. The row is read
+  /// first, as another dispatcher may have changed it since the last reading;
+  /// if it is in the wanted state, \p Done gets true and nothing is written.
   void setDrained(const std::string &Key, bool Drained,
                   std::function<void(bool Written)> Done);
 
@@ -76,6 +77,8 @@
   void readList();
   void reportInstances() const;
   void readDrains();
+  void writeDrain(const platform::RowWrite &Write,
+                  std::function<void(bool)> Done);
   void rebuild();
 
   platform::InstanceList &m_List;      ///< Outlives this object.
--- a/tests/unit/upstream_directory_test.cpp
+++ b/tests/unit/upstream_directory_test.cpp
@@ -62,7 +62,7 @@
                                              ? platform::RowVersion()
                                              : Found->second.m_Version;
     if (Write.m_Expected != Current)
-      return {false, Found->second};
+      return {};
     m_Rows.erase(Write.m_Key);
     if (!Write.m_Value.empty())
       m_Rows[Write.m_Key] = {Write.m_Key, platform::RowVersion(++m_LastVersion),
@@ -113,3 +113,25 @@
   Test.m_Timers.advance(Interval);
   BOOST_TEST(Test.m_Changes == Before + 1);
 }
+
+// Guards against an operator who is told that an upstream is drained, or is
+// not, although another dispatcher has changed that since the last reading.
+BOOST_AUTO_TEST_CASE(ADrainIsDecidedOnAFreshReading) {
+  Fixture Test;
+  BOOST_TEST(Test.setDrained(true).value());
+  Test.m_Table.putFromElsewhere("upstream/e", "");
+  BOOST_TEST(Test.setDrained(true).value());
+  BOOST_TEST(Test.m_Table.m_Rows.contains("upstream/e"));
+  BOOST_TEST(Test.setDrained(false).value());
+  Test.m_Table.putFromElsewhere("upstream/e", "{}");
+  BOOST_TEST(Test.setDrained(false).value());
+  BOOST_TEST(Test.m_Table.m_Rows.empty());
+}
+
+// Guards against a write that changes nothing.
+BOOST_AUTO_TEST_CASE(ADrainInTheWantedStateIsNotWritten) {
+  Fixture Test;
+  BOOST_TEST(Test.setDrained(true).value());
+  BOOST_TEST(Test.setDrained(true).value());
+  BOOST_TEST(Test.m_Table.m_Writes == 1);
+}
