Fix: Don't take a fault of the decider for an unreadable load report

Cause: the handler of parse errors also covered the callback that passes events to the decider, and caught everything, so a fault there was counted as a late report and left the decider half way. Events are now read first and passed on after; only errors of reading are caught.

Evidence: load_monitor_test AFaultOfTheReceiverIsNotHidden fails without the change.

--- a/src/dispatcher/load_monitor.cpp
+++ b/src/dispatcher/load_monitor.cpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 #include <set>
+#include <stdexcept>
 
 namespace crowstep::dispatcher {
 
@@ -45,6 +46,22 @@
   return Result;
 }
 
+/// Returns the events in an answer up to the first that can't be read. Reports
+/// are only hints: an unreadable one counts as a late one.
+std::vector<decision::Event> parseEvents(UpstreamId Source,
+                                         const std::string &Text) {
+  std::vector<decision::Event> Result;
+  try {
+    const json Body = json::parse(Text);
+    Result.emplace_back(parseLoadReport(Source, Body));
+    for (const json &CacheEvent : Body.value("cache_events", json::array()))
+      Result.emplace_back(parseCacheEvent(Source, CacheEvent));
+  } catch (const json::exception &) {
+  } catch (const std::logic_error &) { // Of a prefix that is no number.
+  }
+  return Result;
+}
+
 } // namespace
 
 LoadMonitor::LoadMonitor(HttpClientInterface &Http, Scheduler &Timers,
@@ -86,16 +103,10 @@
 void LoadMonitor::handleAnswer(const std::shared_ptr<WatchedUpstream> &Target,
                                HttpResult Result) {
   const auto *Answer = std::get_if<HttpAnswer>(&Result);
-  if (Answer != nullptr && Answer->m_Status == 200) {
-    try {
-      const json Body = json::parse(Answer->m_Body);
-      m_OnEvent(parseLoadReport(Target->m_Upstream.m_Id, Body));
-      for (const json &CacheEvent : Body.value("cache_events", json::array()))
-        m_OnEvent(parseCacheEvent(Target->m_Upstream.m_Id, CacheEvent));
-    } catch (const std::exception &) {
-      // Reports are only hints: an unreadable one counts as a late one.
-    }
-  }
+  if (Answer != nullptr && Answer->m_Status == 200)
+    for (const decision::Event &Event :
+         parseEvents(Target->m_Upstream.m_Id, Answer->m_Body))
+      m_OnEvent(Event);
   const std::weak_ptr<WatchedUpstream> Weak = Target;
   Target->m_Timer.start(m_Interval, [this, Weak] {
     if (const std::shared_ptr<WatchedUpstream> Alive = Weak.lock())
