Fix: Log the outcome of a change of the table by its name

Cause: AdminChanged had the index of the outcome's type, which no operator can read and which changes with the order of the types. It has the name that the operator gets in the answer, from one function.

One of the faults found by reading (dispatcher); by reasoning, no test of its own.

--- a/src/dispatcher/admin_api.cpp
+++ b/src/dispatcher/admin_api.cpp
@@ -54,6 +54,26 @@
   SoupServerMessage *m_Message; ///< Holds a reference.
 };
 
+/// Returns the name of the outcome of a change of the table, in the log and in
+/// answers.
+const char *nameOf(const contract::ChangeOutcome &Outcome) {
+  struct Visitor {
+    const char *operator()(const contract::ChangeAccepted &) const {
+      return "accepted";
+    }
+    const char *operator()(const contract::ChangePending &) const {
+      return "pending";
+    }
+    const char *operator()(const contract::ChangeConflict &) const {
+      return "conflict";
+    }
+    const char *operator()(const contract::ChangeUnavailable &) const {
+      return "unavailable";
+    }
+  };
+  return std::visit(Visitor(), Outcome);
+}
+
 /// Answers an operator with the outcome of a change of the table.
 class ChangeOutcomeVisitor {
 public:
@@ -63,23 +83,23 @@
   void operator()(const contract::ChangeAccepted &Outcome) const {
     respondJson(
         m_Message, 200,
-        {{"outcome", "accepted"}, {"version", Outcome.m_Version.value()}});
+        {{"outcome", nameOf(Outcome)}, {"version", Outcome.m_Version.value()}});
   }
   void operator()(const contract::ChangePending &Outcome) const {
     respondJson(m_Message, 202,
-                {{"outcome", "pending"},
+                {{"outcome", nameOf(Outcome)},
                  {"version", Outcome.m_Version.value()},
                  {"unconfirmed", Outcome.m_Unconfirmed}});
   }
   void operator()(const contract::ChangeConflict &Outcome) const {
     respondJson(m_Message, 409,
-                {{"outcome", "conflict"},
+                {{"outcome", nameOf(Outcome)},
                  {"version", Outcome.m_PresentVersion.value()},
                  {"difference", Outcome.m_Difference}});
   }
   void operator()(const contract::ChangeUnavailable &Outcome) const {
     respondJson(m_Message, 503,
-                {{"outcome", "unavailable"},
+                {{"outcome", nameOf(Outcome)},
                  {"may_have_committed", Outcome.m_MayHaveCommitted}});
   }
 
@@ -261,10 +281,9 @@
       NewTable, *BaseVersion, Operator.m_Name,
       [Answer,
        OperatorName = Operator.m_Name](const contract::ChangeOutcome &Outcome) {
-        logEvent(LogEvent::AdminChanged,
-                 {{"operator", OperatorName},
-                  {"what", "table"},
-                  {"outcome", std::to_string(Outcome.index())}});
+        logEvent(LogEvent::AdminChanged, {{"operator", OperatorName},
+                                          {"what", "table"},
+                                          {"outcome", nameOf(Outcome)}});
         std::visit(ChangeOutcomeVisitor(Answer->message()), Outcome);
       });
 }
