Fix: Follow the list of instances also where no upstream changes

What operators would have seen: a dispatcher whose peers were all replaced, each at a new address, does not dial the new ones until an upstream changes as well; where the list has no upstream at all, never.

Cause: the addresses of listed instances were passed to the membership with changes of upstreams only. They are passed with each reading now; a list without instances, as some platforms have, no longer takes back the seeds of the settings.

One of the faults found by reading (dispatcher); by reasoning, no test of its own. fleet_membership_test, table_test and upstream_test pass.

--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -91,11 +91,13 @@
   m_Upstreams.onChange([this] {
     logEvent(LogEvent::UpstreamsRead,
              {{"count", std::to_string(m_Upstreams.upstreams().size())}});
-    m_Membership.setHints(m_Upstreams.dispatcherHints());
     m_Pools.upstreamsChanged();
     m_Attachments.upstreamsChanged();
   });
   m_Upstreams.onInstancesRead([this](const std::vector<std::string> &Names) {
+    // A platform that lists no instance doesn't take back the settings' seeds.
+    if (!Names.empty())
+      m_Membership.setHints(m_Upstreams.dispatcherHints());
     m_Table.instancesListed(Names);
   });
   m_Workspaces.onChange([this] { m_Attachments.workspacesChanged(); });
