Fix: Release a claim whose reply never came

Cause: when the time for a claim was up, a copy that was sent and not answered counted only while its reply was not overdue, and only copies that were resent counted for the release. Any copy without a reply may be written later, so the outcome is uncertain and the claim is released: the row of the release makes a late insert fail.

--- a/src/claim/claim_client.cpp
+++ b/src/claim/claim_client.cpp
@@ -115,12 +115,11 @@
     const auto Found = Next++;
     PendingRequest &Request = Found->second;
     if (Now >= Request.m_Deadline) {
-      // The last copy sent has no reply yet: the home may still write it.
-      const bool MayBeWritten =
-          Request.m_Uncertain || (Request.m_Sent && Now < Request.m_ResendAt);
-      finish(Found,
-             {MayBeWritten ? ClaimStatus::Uncertain : ClaimStatus::Unavailable,
-              {}});
+      // A copy without a reply may still be written.
+      Request.m_Uncertain = Request.m_Uncertain || Request.m_Sent;
+      finish(Found, {Request.m_Uncertain ? ClaimStatus::Uncertain
+                                         : ClaimStatus::Unavailable,
+                     {}});
     } else if (Now >= Request.m_ResendAt) {
       Request.m_Uncertain = Request.m_Uncertain || Request.m_Sent;
       send(Request);
