Fix: Answer claim requests that are dropped for their age

What operators would have seen: the memory of a dispatcher grows with each request that waited for a write for more than five seconds, as after a freeze.

Cause: the state machine dropped such requests without a reply, and the home keeps who asked until a reply is sent. They are answered as unavailable now, which is true of this copy: nothing was written for it.

--- a/src/claim/claim_home_core.cpp
+++ b/src/claim/claim_home_core.cpp
@@ -133,9 +133,13 @@
 void ClaimHomeCore::on(const HomeTick &, TimePoint Now) {
   // After a freeze of this process, the requesters may have turned to another
   // home long ago; nobody would use or release claims made for them now.
-  std::erase_if(m_Waiting, [&](const PendingRequest &Request) {
-    return Request.m_ReceivedAt + m_Config.m_MaxRequestAge < Now;
-  });
+  const auto FirstOld = std::stable_partition(
+      m_Waiting.begin(), m_Waiting.end(), [&](const PendingRequest &Request) {
+        return Now <= Request.m_ReceivedAt + m_Config.m_MaxRequestAge;
+      });
+  for (auto Old = FirstOld; Old != m_Waiting.end(); ++Old)
+    reply(*Old, {ClaimStatus::Unavailable, {}});
+  m_Waiting.erase(FirstOld, m_Waiting.end());
 }
 
 void ClaimHomeCore::replyOrQueue(PendingRequest Request) {
--- a/src/claim/claim_home_core.h
+++ b/src/claim/claim_home_core.h
@@ -62,7 +62,7 @@
 struct ClaimHomeConfig {
   Duration m_Window = std::chrono::milliseconds(20); ///< Between writes, > 0.
   std::size_t m_MaxBatchSize = 256;                  ///< Rows in one call.
-  /// Requests that have waited longer for a write are dropped.
+  /// Requests that have waited longer for a write are not written.
   Duration m_MaxRequestAge = std::chrono::seconds(5);
 };
 
--- a/tests/unit/claim_test.cpp
+++ b/tests/unit/claim_test.cpp
@@ -315,3 +315,31 @@
   BOOST_TEST(Calls <= 51U);
   BOOST_TEST(Owned >= 980U);
 }
+
+// Guards against requests that are dropped for their age and never answered, so
+// that the home keeps their requesters for good.
+BOOST_AUTO_TEST_CASE(ARequestThatIsTooOldIsAnswered) {
+  const ClaimHomeConfig Config;
+  ClaimHomeCore Home(Config);
+  TimePoint Now{1h};
+  std::vector<HomeAction> Actions;
+  const auto Receive = [&](std::uint64_t Number) {
+    Home.handle(RequestReceived{RequestNumber(Number),
+                                "key",
+                                ClaimOperation{std::to_string(Number), 7},
+                                {},
+                                0},
+                Now, Actions);
+  };
+  Receive(1); // Its write is under way for long.
+  Receive(2);
+  Now += Config.m_MaxRequestAge + 1s;
+  Home.handle(WriteEnded{PlatformFailure::Uncertain}, Now, Actions);
+  std::map<std::uint64_t, ClaimStatus> Replies;
+  for (const HomeAction &Action : Actions)
+    if (const auto *Reply = std::get_if<SendReply>(&Action))
+      Replies[Reply->m_Number.value()] = Reply->m_Outcome.m_Status;
+  BOOST_REQUIRE(Replies.size() == 2U);
+  BOOST_TEST((Replies[1] == ClaimStatus::Uncertain));
+  BOOST_TEST((Replies[2] == ClaimStatus::Unavailable));
+}
