Fix: Refuse an order that stays fenced

What operators would have seen: an order that has no end, and writes to the table service without end, where an engine answers 409 for a reason of its own.

Cause: an order that was fenced is sent again as soon as the lease has a higher number, whatever the engine answers; a 409 without a number counts as one more each time. Four attempts are the most now, then the operator learns that the engine refuses.

One of the faults found by reading (leases). That an order which was not sent counts as refused is refuted: the outcome is documented as rejected by the engine or no connection to it, and is true, nothing was carried out.

--- a/src/lease/engine_orders.cpp
+++ b/src/lease/engine_orders.cpp
@@ -12,6 +12,12 @@
 using nlohmann::json;
 
 constexpr std::chrono::seconds DefaultRetryAfter{1};
+
+/// An order that is fenced this often is refused: each attempt renews the
+/// lease, so an engine that answers 409 for another reason would cause an
+/// endless series of writes to the table service.
+constexpr unsigned MaxFencedAttempts = 4;
+
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusConflict = 409;
 constexpr unsigned StatusTooManyRequests = 429;
@@ -62,7 +68,7 @@
             Stats.counter("crowstep_orders_total", {{"event", "limited"}})) {}
 
   void order(const EngineOrder &Order, Done OnDone) {
-    m_Waiting.push_back({Order, std::move(OnDone)});
+    m_Waiting.push_back({Order, std::move(OnDone), 0});
     processQueue();
   }
 
@@ -73,7 +79,8 @@
 private:
   struct PendingOrder {
     EngineOrder m_Order;
-    Done m_OnDone; ///< Runs once.
+    Done m_OnDone;              ///< Runs once.
+    unsigned m_FencedCount = 0; ///< Attempts that were fenced.
   };
 
   template <typename Result, typename Function>
@@ -144,11 +151,7 @@
           std::get<HttpFailure>(Result) == HttpFailure::NotSent;
       Sent.m_OnDone(NotSent ? OrderOutcome::Refused : OrderOutcome::Unknown);
     } else if (Answer->m_Status == StatusConflict) {
-      m_Fenced.add();
-      logEvent(LogEvent::OrderFenced,
-               {{"engine", toString(Sent.m_Order.m_Engine)}});
-      m_Waiting.push_front(Sent);
-      m_Lease.recordFenced(highestSeen(*Answer));
+      handleFenced(Sent, *Answer);
     } else if (Answer->m_Status == StatusTooManyRequests) {
       m_RateLimited.add();
       const bool HasRetryAfter = Answer->m_RetryAfter > Duration::zero();
@@ -164,6 +167,18 @@
     }
   }
 
+  void handleFenced(PendingOrder Sent, const HttpAnswer &Answer) {
+    m_Fenced.add();
+    logEvent(LogEvent::OrderFenced,
+             {{"engine", toString(Sent.m_Order.m_Engine)}});
+    const bool IsRefused = ++Sent.m_FencedCount == MaxFencedAttempts;
+    if (!IsRefused)
+      m_Waiting.push_front(Sent);
+    m_Lease.recordFenced(highestSeen(Answer));
+    if (IsRefused)
+      Sent.m_OnDone(OrderOutcome::Refused);
+  }
+
   OrderConfig m_Config;              ///< As given.
   const Clock &m_Clock;              ///< Read anew before each order.
   HttpClientInterface &m_HttpClient; ///< Sends orders.
--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -333,3 +333,15 @@
   BOOST_TEST(m_Engine.m_Bodies.back().find("\"fencing\":42") !=
              std::string::npos);
 }
+
+// Guards against an order that is sent again without end to an engine that
+// answers 409 whatever the number.
+BOOST_FIXTURE_TEST_CASE(AnOrderThatStaysFencedIsRefused, OrdersFixture) {
+  for (int Count = 0; Count < 1000; ++Count)
+    m_Engine.m_Answers.emplace_back(HttpAnswer{409, "busy", {}});
+  load();
+  m_Timers.advance(seconds(10));
+  BOOST_TEST(m_Engine.m_Bodies.size() <= 10U);
+  BOOST_TEST(m_DoneCount == 1);
+  BOOST_TEST(m_Orders->pendingCount() == 0U);
+}
