--- a/tests/unit/entry_placement_test.cpp
+++ b/tests/unit/entry_placement_test.cpp
@@ -146,11 +146,13 @@
   std::vector<BidNumber> fillLocalSlots() {
     down(1, "a");
     down(2, "b");
+    constexpr std::size_t LocalSlots = 4;
     std::vector<BidNumber> Result;
-    for (int Count = 0; Count < 4; ++Count)
+    Result.reserve(LocalSlots);
+    for (std::size_t Count = 0; Count < LocalSlots; ++Count)
       Result.push_back(bid());
     m_Timers.advance(OwnerTimeout + 200ms);
-    BOOST_TEST(m_Listener.m_Slots.size() == 4U);
+    BOOST_TEST(m_Listener.m_Slots.size() == LocalSlots);
     return Result;
   }
   /// Returns the link to the owner of the pool.
--- a/tests/unit/link_tcp_test.cpp
+++ b/tests/unit/link_tcp_test.cpp
@@ -383,11 +383,12 @@
 
 /// Returns how many iterations the main loop makes in \p Span.
 int countIterations(Duration Span) {
+  const LoopClock Time;
+  const TimePoint End = Time.readNow() + Span;
   LoopScheduler Timers;
-  bool Ended = false;
-  Timers.runAfter(Span, [&] { Ended = true; });
+  Timers.runAfter(Span, [] {});
   int Result = 0;
-  for (; !Ended; ++Result)
+  for (; Time.readNow() < End; ++Result)
     g_main_context_iteration(nullptr, 1);
   return Result;
 }
