Test: Take a stated leave in the soak for that of the upstream that stated it

The check took the statement for that of the last run's upstream.

The statement now belongs to the upstream whose signature is in the same head, so the check is as strict as it was meant to be.

--- a/tests/process/caller.h
+++ b/tests/process/caller.h
@@ -31,8 +31,8 @@
   unsigned m_Status = 0;           ///< HTTP status; 0: no response head.
   std::string m_Run;               ///< Header Crowstep-Run.
   std::string m_RetryAfter;        ///< Header Retry-After.
-  bool m_StatesLeaving = false;    ///< Header Server-Leaving is present; set
-                                   ///< by soak::RawCaller only.
+  std::string m_LeavingUpstream;   ///< Signature of an answer with the header
+                                   ///< Server-Leaving; by soak::RawCaller only.
   std::string m_Body;              ///< Bytes received so far.
   bool m_ConnectionBroken = false; ///< The response is incomplete.
   Duration m_Elapsed{};            ///< From the start to the end.
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -264,11 +264,12 @@
 void Ledger::checkStatedLeaves() {
   std::map<Pairing, TimePoint> StatedAt;
   for (const auto &[Id, Request] : m_Requests) {
-    if (!Request.m_Result->m_StatesLeaving || Request.m_Runs.empty())
+    // A resumed stream keeps the head of its first upstream.
+    const std::string &Leaving = Request.m_Result->m_LeavingUpstream;
+    if (Leaving.empty())
       continue;
     const TimePoint End = Request.m_SentAt + Request.m_Result->m_Elapsed;
-    const Pairing Key(Request.m_Gateway, Request.m_Incarnation,
-                      Request.m_Runs.back().m_UpstreamName);
+    const Pairing Key(Request.m_Gateway, Request.m_Incarnation, Leaving);
     const auto [Known, New] = StatedAt.emplace(Key, End);
     Known->second = std::min(Known->second, End);
     if (New)
--- a/tests/soak/raw_caller.cpp
+++ b/tests/soak/raw_caller.cpp
@@ -17,6 +17,17 @@
   return Text;
 }
 
+/// Returns the value of a header in \p Head, which is in lower case, or an
+/// empty string if there is none.
+std::string valueOf(const std::string &Head, const std::string &Name) {
+  const std::string Begin = "\r\n" + Name + ": ";
+  const std::size_t Found = Head.find(Begin);
+  if (Found == std::string::npos)
+    return {};
+  const std::size_t Value = Found + Begin.size();
+  return Head.substr(Value, Head.find("\r\n", Value) - Value);
+}
+
 /// Parses an HTTP/1.1 answer incrementally.
 class AnswerParser {
 public:
@@ -45,11 +56,10 @@
     m_Chunked =
         Head.find("\r\ntransfer-encoding: chunked") != std::string::npos;
     m_Close = Head.find("\r\nconnection: close") != std::string::npos;
-    Into.m_StatesLeaving =
-        Head.find("\r\nserver-leaving: 1\r\n") != std::string::npos;
-    if (const auto Length = Head.find("\r\ncontent-length: ");
-        Length != std::string::npos)
-      m_RemainingBytes = std::strtoull(Head.c_str() + Length + 18, nullptr, 10);
+    if (valueOf(Head, "server-leaving") == "1")
+      Into.m_LeavingUpstream = valueOf(Head, "x-server-signature");
+    m_RemainingBytes =
+        std::strtoull(valueOf(Head, "content-length").c_str(), nullptr, 10);
     m_HasHead = true;
     return true;
   }
