Test: End a soak fault only when no other one of its kind lasts

The end of an earlier fault took back a later one at the same upstream, path or store, so overlapping faults were shorter than scheduled. Each affected property now counts the faults that last, and ends with the last one.

--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -118,7 +118,8 @@
   using Mode = standin::DutyServer::Mode;
   const auto SetMode = [&](Mode Failure) {
     m_Duties.setMode(Failure);
-    runAfter(Played.m_Duration, [this] { m_Duties.setMode(Mode::Up); });
+    endFaultAfter(Played.m_Duration, &m_Duties, "mode",
+                  [this] { m_Duties.setMode(Mode::Up); });
   };
   GatewayNode *Holder = dutyHolder();
   switch (Played.m_Kind) {
@@ -193,20 +194,30 @@
       return UpstreamFault::Mute;
     }
   }();
+  setUpstreamFault(Upstream, Selected, Played.m_Duration);
+}
+
+void SoakFleet::setUpstreamFault(UpstreamNode &Upstream, UpstreamFault Selected,
+                                 Duration Span) {
   Upstream.m_Server->setFault(Selected);
-  runAfter(Played.m_Duration, [&Upstream] {
+  endFaultAfter(Span, &Upstream, "fault", [&Upstream] {
     if (Upstream.m_Server != nullptr)
       Upstream.m_Server->setFault(UpstreamFault::None);
   });
 }
 
+void SoakFleet::setStoreMode(standin::StoreServer::Mode Selected,
+                             Duration Span) {
+  m_Store.setMode(Selected);
+  endFaultAfter(Span, &m_Store, "mode",
+                [this] { m_Store.setMode(standin::StoreServer::Mode::Up); });
+}
+
 void SoakFleet::apply(const StatementFault &Played) {
-  using Mode = standin::StoreServer::Mode;
   if (Played.m_Kind == StatementFaultKind::StoreForgetsCalls) {
     m_Ledger.excuseStaleness(m_Clock.now(), m_Clock.now() + Played.m_Duration);
-    m_Store.setMode(Mode::Silent);
+    setStoreMode(standin::StoreServer::Mode::Silent, Played.m_Duration);
     runAfter(Played.m_Duration / 2, [this] { m_Store.dropHistory(); });
-    runAfter(Played.m_Duration, [this] { m_Store.setMode(Mode::Up); });
     return;
   }
   UpstreamNode &Upstream = m_Upstreams.at(Played.m_Target % m_Upstreams.size());
@@ -217,11 +228,7 @@
     replaceUpstream(Upstream, DrainTime + Played.m_Duration);
     return;
   }
-  Upstream.m_Server->setFault(UpstreamFault::Pauses);
-  runAfter(Played.m_Duration, [&Upstream] {
-    if (Upstream.m_Server != nullptr)
-      Upstream.m_Server->setFault(UpstreamFault::None);
-  });
+  setUpstreamFault(Upstream, UpstreamFault::Pauses, Played.m_Duration);
 }
 
 /// Removes a draining upstream after a while and starts a new incarnation.
@@ -255,13 +262,14 @@
     Path.reset();
   } else if (Played.m_Kind == FaultKind::PathSlow) {
     Path.setDelay(PathDelay);
-    runAfter(Played.m_Duration, [&Path] { Path.setDelay(Duration::zero()); });
+    endFaultAfter(Played.m_Duration, &Path, "delay",
+                  [&Path] { Path.setDelay(Duration::zero()); });
   } else {
     Path.setSilence(Played.m_Kind == FaultKind::PathSilent
                         ? test::Silence::Both
                         : test::Silence::ToTarget);
-    runAfter(Played.m_Duration,
-             [&Path] { Path.setSilence(test::Silence::None); });
+    endFaultAfter(Played.m_Duration, &Path, "silence",
+                  [&Path] { Path.setSilence(test::Silence::None); });
   }
 }
 
@@ -272,23 +280,26 @@
   switch (Played.m_Kind) {
   case FaultKind::StoreBusy:
   case FaultKind::StoreSilent:
-    m_Store.setMode(Played.m_Kind == FaultKind::StoreBusy ? Mode::Busy
-                                                          : Mode::Silent);
-    runAfter(Played.m_Duration, [this] { m_Store.setMode(Mode::Up); });
+    setStoreMode(Played.m_Kind == FaultKind::StoreBusy ? Mode::Busy
+                                                       : Mode::Silent,
+                 Played.m_Duration);
     return;
   case FaultKind::StoreCut:
     Path.block();
-    runAfter(Played.m_Duration, [&Path] { Path.unblock(); });
+    endFaultAfter(Played.m_Duration, &Path, "block",
+                  [&Path] { Path.unblock(); });
     return;
   case FaultKind::StoreSlow:
     Path.setDelay(StoreDelay);
-    runAfter(Played.m_Duration, [&Path] { Path.setDelay(Duration::zero()); });
+    endFaultAfter(Played.m_Duration, &Path, "delay",
+                  [&Path] { Path.setDelay(Duration::zero()); });
     return;
   case FaultKind::StoreOldCopy:
     m_Store.serveStaleCopy(true);
     putTable();
     runAfter(Played.m_Duration / 2, [this] { m_Store.dropHistory(); });
-    runAfter(Played.m_Duration, [this] { m_Store.serveStaleCopy(false); });
+    endFaultAfter(Played.m_Duration, &m_Store, "copy",
+                  [this] { m_Store.serveStaleCopy(false); });
     return;
   default:
     m_Store.dropHistory();
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -277,6 +277,19 @@
   m_Timers.runAfter(After, std::move(Job));
 }
 
+/// Ends a fault after \p Span, unless another one that makes the same property
+/// of the same object faulty lasts longer.
+void SoakFleet::endFaultAfter(Duration Span, const void *Target,
+                              std::string_view Property,
+                              std::function<void()> Job) {
+  const std::pair Key(Target, Property);
+  ++m_LastingFaults[Key];
+  runAfter(Span, [this, Key, Job = std::move(Job)] {
+    if (--m_LastingFaults.at(Key) == 0)
+      Job();
+  });
+}
+
 /// The store and the operator run in the driver's process: while that gets no
 /// processor time on a busy machine, the store answers nobody.
 void SoakFleet::recordStall(TimePoint LastStep) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -86,11 +86,16 @@
   void checkDuties(TimePoint FaultsEnded);
   void applyToGateway(const Fault &Played, GatewayNode &Gateway);
   void applyToUpstream(const Fault &Played, UpstreamNode &Upstream);
+  void setUpstreamFault(UpstreamNode &Upstream, UpstreamFault Selected,
+                        Duration Span);
+  void setStoreMode(standin::StoreServer::Mode Selected, Duration Span);
   void applyToPath(const Fault &Played, UpstreamNode &Upstream);
   void applyToStore(const Fault &Played, GatewayNode &Gateway);
   void stopGateway(GatewayNode &Gateway);
   void replaceUpstream(UpstreamNode &Upstream, Duration After);
   void runAfter(Duration After, std::function<void()> Job);
+  void endFaultAfter(Duration Span, const void *Target,
+                     std::string_view Property, std::function<void()> Job);
   void restartExitedGateways();
 
   FleetPlan m_Plan;                      ///< Size and seed.
@@ -109,6 +114,8 @@
   unsigned m_TableVersion = 0;           ///< Newest in the store.
   std::uint64_t m_LastRequestNumber = 0; ///< Of request ids.
   bool m_PlannedWorkOnly = false;        ///< Only planned work is played.
+  std::map<std::pair<const void *, std::string_view>, int>
+      m_LastingFaults; ///< By object and faulty property.
 };
 
 } // namespace crowstep::soak
