Test: Excuse no time after a lost history in the soak

The loss is over at once, but excused stale knowledge for the length that the schedule drew for it, up to some seconds, and 3 s after that.

--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -276,7 +276,11 @@
 void SoakFleet::applyToStore(const Fault &Played, GatewayNode &Gateway) {
   using Mode = standin::StoreServer::Mode;
   test::Relay &Path = *Gateway.m_StoreRelay;
-  m_Ledger.excuseStaleness(m_Clock.now(), m_Clock.now() + Played.m_Duration);
+  // A loss of history is over at once.
+  m_Ledger.excuseStaleness(m_Clock.now(),
+                           Played.m_Kind == FaultKind::StoreForgets
+                               ? m_Clock.now()
+                               : m_Clock.now() + Played.m_Duration);
   switch (Played.m_Kind) {
   case FaultKind::StoreBusy:
   case FaultKind::StoreSilent:
