Test: Check what the names of four cases claim

AStopCutsNothing checks that each event comes once, AStopEndsAtItsLimit that connections are no longer accepted and that the log has the number of aborted requests, TheLogTellsWhyARequestFailed that it has no body, RacingOperatorsGetOneWinner the version and the difference in the loser's answer.

--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -167,6 +167,15 @@
   }
 };
 
+/// Returns how often \p Part occurs in \p Text.
+std::size_t countOf(const std::string &Part, const std::string &Text) {
+  std::size_t Result = 0;
+  for (std::size_t At = Text.find(Part); At != std::string::npos;
+       At = Text.find(Part, At + Part.size()))
+    ++Result;
+  return Result;
+}
+
 } // namespace
 
 // A gateway starts while the store is unavailable. It refuses requests as
@@ -242,10 +251,9 @@
   BOOST_TEST(Fixture.m_First.m_Calls == Before);
 }
 
-// SIGTERM arrives in the middle of streams. Each stream runs to its end; a
-// request that arrives shortly after the signal is still served and its
-// connection then closed. Later the gateway accepts no connections, and it
-// exits by itself within its grace period.
+// SIGTERM arrives in the middle of streams. Each stream runs to its end, each
+// event once; a request that arrives shortly after the signal is still served.
+// The gateway exits by itself within its grace period.
 BOOST_AUTO_TEST_CASE(AStopCutsNothing) {
   GatewayFixture Fixture;
   Fixture.startServing();
@@ -272,14 +280,17 @@
       10s));
   for (const auto &Stream : Streams) {
     BOOST_TEST(!Stream->m_ConnectionBroken);
-    BOOST_TEST(Stream->m_Body.find("id: 10\n") != std::string::npos);
+    for (int Id = 1; Id <= 10; ++Id)
+      BOOST_TEST(countOf("id: " + std::to_string(Id) + "\n", Stream->m_Body) ==
+                 1U);
   }
   BOOST_TEST((Fixture.m_Gateway->wait(8s) == 0));
 }
 
 // A stream does not end after SIGTERM. The gateway waits for it as long as its
-// grace period allows, then exits by itself and logs GatewayCut with the number
-// of requests that it aborted, which a SIGKILL would not leave in the log.
+// grace period allows and accepts no connections when callers know of the stop,
+// then exits by itself and logs GatewayCut with the number of requests that it
+// aborted, which a SIGKILL would not leave in the log.
 BOOST_AUTO_TEST_CASE(AStopEndsAtItsLimit) {
   GatewayFixture Fixture;
   Fixture.m_Config.m_GracePeriod = 4s;
@@ -290,8 +301,10 @@
   Fixture.m_Gateway->signal(SIGTERM);
   runFor(3s);
   BOOST_TEST(!Stream->m_Ended);
+  BOOST_TEST(Fixture.m_Caller.call(Fixture.request("/plain/x")).m_Status == 0U);
   BOOST_TEST((Fixture.m_Gateway->wait(2s) == 0));
-  BOOST_TEST(Fixture.m_Gateway->log().find("GatewayCut") != std::string::npos);
+  BOOST_TEST(Fixture.m_Gateway->log().find(
+                 R"("name":"GatewayCut","requests":"1")") != std::string::npos);
 }
 
 // Three requests fail: one is refused because no upstream is available, the
@@ -304,7 +317,8 @@
   Fixture.start();
   BOOST_TEST(runUntil([&] { return Fixture.readiness() == 200; }, 10s));
   const auto ExplainFailure = [&](const std::string &Path) {
-    const Call Request = Fixture.request(Path);
+    Call Request = Fixture.request(Path);
+    Request.m_Body = "private text";
     Fixture.m_Caller.call(Request);
     // The caller may see the end shortly before the log line is written.
     std::string Explanation;
@@ -334,6 +348,7 @@
   BOOST_TEST(Has(Unknown, "may_have_run=1"));
   BOOST_TEST(Has(Unknown, "upstream=u-1"));
   BOOST_TEST(!Has(Fixture.m_Gateway->log(), "key-1"));
+  BOOST_TEST(!Has(Fixture.m_Gateway->log(), "private text"));
 }
 
 // A missing setting makes the program exit with 2 and name the setting. A file
--- a/tests/process/table_test.cpp
+++ b/tests/process/table_test.cpp
@@ -3,6 +3,7 @@
 #include "process/fleet.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace crowstep;
 using namespace crowstep::test;
@@ -107,7 +108,11 @@
              FirstAnswer->m_Body << SecondAnswer->m_Body);
   const CallResult &Loser =
       FirstAnswer->m_Status == 409 ? *FirstAnswer : *SecondAnswer;
-  BOOST_TEST(Loser.m_Body.find("conflict") != std::string::npos);
+  const auto Outcome = nlohmann::json::parse(Loser.m_Body);
+  BOOST_TEST(Outcome.at("outcome") == "conflict");
+  BOOST_TEST(Outcome.at("version").get<std::uint64_t>() > BaseVersion);
+  BOOST_TEST(Outcome.at("difference").dump().find("max_tokens") !=
+             std::string::npos);
   const int WinningTokens = FirstAnswer->m_Status == 200 ? 11 : 12;
   for (const TestInstance &Instance : TestFleet.instances())
     BOOST_TEST(hasMaxTokens(TestFleet, Instance, WinningTokens));
