--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -125,6 +125,10 @@
   [[nodiscard]] LoadDigest fullDigest(TimePoint Now) const;
 
 private:
+  /// An upstream that had no room gets no calls for this long: about the time
+  /// in which a slot of a plain service becomes free.
+  static constexpr Duration FullBackoff = std::chrono::milliseconds(50);
+
   using States = std::vector<UpstreamState *>;
 
   /// A call that counts at an upstream.
--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -351,6 +351,20 @@
   }
 }
 
+namespace {
+
+/// Feeds \p Text in pieces of \p Step bytes; returns all events.
+std::vector<SseEvent> splitInSteps(SseSplitter &Splitter,
+                                   const std::string &Text, std::size_t Step) {
+  std::vector<SseEvent> Result;
+  for (std::size_t Offset = 0; Offset < Text.size(); Offset += Step)
+    for (SseEvent &Event : Splitter.feed(Text.substr(Offset, Step)))
+      Result.push_back(std::move(Event));
+  return Result;
+}
+
+} // namespace
+
 // Guards against events that are never passed on, or without their id, because
 // their lines end in another of the three ways that the format allows.
 BOOST_AUTO_TEST_CASE(EventsAreSplitAtAnyLineEnd) {
@@ -360,10 +374,7 @@
       Text += Line + End;
     for (std::size_t Step = 1; Step <= Text.size(); ++Step) {
       SseSplitter Splitter;
-      std::vector<SseEvent> Events;
-      for (std::size_t Offset = 0; Offset < Text.size(); Offset += Step)
-        for (SseEvent &Event : Splitter.feed(Text.substr(Offset, Step)))
-          Events.push_back(std::move(Event));
+      const std::vector<SseEvent> Events = splitInSteps(Splitter, Text, Step);
       BOOST_REQUIRE(Events.size() == 2U);
       BOOST_TEST((Events[0].m_Id == 4U && Events[1].m_Id == 5U));
       BOOST_TEST(Events[0].m_Bytes + Events[1].m_Bytes == Text);
@@ -377,10 +388,7 @@
   const std::string Text = "id: 4\ndata: a\n\nx: 1\nid:5\r\ndata: b\r\n\r\n";
   for (std::size_t Step = 1; Step < Text.size(); ++Step) {
     SseSplitter Splitter;
-    std::vector<SseEvent> Events;
-    for (std::size_t Offset = 0; Offset < Text.size(); Offset += Step)
-      for (SseEvent &Event : Splitter.feed(Text.substr(Offset, Step)))
-        Events.push_back(std::move(Event));
+    const std::vector<SseEvent> Events = splitInSteps(Splitter, Text, Step);
     BOOST_REQUIRE(Events.size() == 2U);
     BOOST_TEST(*Events[0].m_Id == 4U);
     BOOST_TEST(*Events[1].m_Id == 5U);
