Fix: Shorten a log line that is too long for a pipe

What operators would have seen: no line at all for a request with a long id, and a count of dropped lines that says the log's reader is too slow.

Cause: a line longer than a pipe takes at once can't be written without blocking, and was counted as if the pipe were full. Its fields are cut to 100 bytes each instead.

Evidence: log_test ALongLineIsShortened fails without the change.

--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -105,8 +105,14 @@
 
 std::string processName; // NOLINT(readability-identifier-naming)
 
-void writeLine(LogEvent Event, const EventRow &Row,
-               std::initializer_list<LogField> Fields) {
+/// Longest value of a field in a line that would exceed PIPE_BUF: a longer line
+/// can't be written without blocking or being mixed with others.
+constexpr std::size_t MaxShortenedField = 100;
+
+/// Returns one line of JSON whose fields are cut after \p MaxField bytes.
+std::string formatLine(LogEvent Event, const EventRow &Row,
+                       std::initializer_list<LogField> Fields,
+                       std::size_t MaxField) {
   nlohmann::ordered_json Line;
   Line["at_ms"] = g_get_real_time() / 1000;
   Line["level"] = log4cplus::getLogLevelManager().toString(Row.m_Level);
@@ -114,12 +120,18 @@
   Line["event"] = static_cast<unsigned>(Event);
   Line["name"] = Row.m_Name;
   for (const LogField &Field : Fields)
-    Line[std::string(Field.first)] = Field.second;
+    Line[std::string(Field.first)] = Field.second.substr(0, MaxField);
   // Fields may hold bytes from callers that are not UTF-8; the default handler
   // would throw.
-  logger().log(
-      Row.m_Level,
-      Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  return Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void writeLine(LogEvent Event, const EventRow &Row,
+               std::initializer_list<LogField> Fields) {
+  std::string Line = formatLine(Event, Row, Fields, std::string::npos);
+  if (Line.size() >= PIPE_BUF)
+    Line = formatLine(Event, Row, Fields, MaxShortenedField);
+  logger().log(Row.m_Level, Line);
 }
 
 /// Counts a line and returns whether it is within the event's budget.
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -34,6 +34,18 @@
   BOOST_TEST(Line.at("at_ms").is_number_integer());
 }
 
+// Guards against an event that is not logged because a caller's text is long.
+BOOST_AUTO_TEST_CASE(ALongLineIsShortened) {
+  const CapturedLog Reader;
+  logEvent(LogEvent::GatewayNotAdmitted,
+           {{"request", std::string(10000, 'x')}, {"reason", "unknown_key"}});
+  const auto Line = nlohmann::json::parse(Reader.read());
+  BOOST_TEST(Line.at("reason") == "unknown_key");
+  BOOST_TEST(Line.at("request").get<std::string>().starts_with("xxx"));
+  logEvent(LogEvent::GatewayDrained);
+  BOOST_TEST(count(Reader.read(), "LogLinesDropped") == 0U);
+}
+
 /// Guards against a stopped reader of the log that blocks the one thread that
 /// serves callers: when the pipe is full, lines are dropped, and their number
 /// is logged once there is room again.
