Fix: End a change of the table with its own failed read only

What operators would have seen: 503 for a change whose own read succeeds, because a read that was under way when it was requested failed.

Cause: every failed read ended all changes that wait for one, also those requested after it was sent; successful reads did look at the time. A function that was declared and never defined is removed on the way.

Evidence: table_core_test AnEarlierFailedReadEndsNoChange fails without the condition.

--- a/src/contract/table_core.cpp
+++ b/src/contract/table_core.cpp
@@ -70,8 +70,7 @@
   m_FailedReads = 0;
   const std::optional<RowImage> Row = decodeRow(Event.m_Row);
   if (!Row) {
-    for (ChangeProgress &Change : m_Changes)
-      Change.onReadFailed(m_Out);
+    endReadingChanges(Event.m_SentAt);
     return;
   }
   applyRow(*Row, Event.m_SentAt);
@@ -80,15 +79,22 @@
       Change.onRowRead(context(), *Row, m_Out);
 }
 
-void TableCore::on(const StoreReadFailed &) {
+void TableCore::on(const StoreReadFailed &Event) {
   m_PendingReads -= m_PendingReads > 0 ? 1 : 0;
   constexpr std::size_t MaxBackoffExponent = 2; // 4 intervals.
   const Duration Wait = m_Config.m_PollInterval *
                         (1 << std::min(m_FailedReads, MaxBackoffExponent));
   ++m_FailedReads;
   m_NextRead = m_Now + jittered(Wait);
+  endReadingChanges(Event.m_SentAt);
+}
+
+/// Ends the changes that a read sent at \p SentAt, which gave no row, was for.
+/// Later ones wait for their own.
+void TableCore::endReadingChanges(TimePoint SentAt) {
   for (ChangeProgress &Change : m_Changes)
-    Change.onReadFailed(m_Out);
+    if (SentAt >= Change.requestedAt())
+      Change.onReadFailed(m_Out);
 }
 
 void TableCore::on(const StoreWritten &Event) {
--- a/src/contract/table_core.h
+++ b/src/contract/table_core.h
@@ -68,6 +68,7 @@
   void on(const Tick &Event);
 
   void adopt(const TableDocument &Document);
+  void endReadingChanges(TimePoint SentAt);
   void applyRow(const RowImage &Row, TimePoint SentAt);
   std::optional<RowImage> decodeRow(const std::optional<platform::Row> &Row);
   void sendProbe(link::LinkId Link, PeerState &Peer);
@@ -75,7 +76,6 @@
   [[nodiscard]] TimePoint lastConfirmationOf(InstanceId Instance) const;
   void pollIfDue();
   void replaceVotersIfDue();
-  void writeVoters(const Voters &Wanted);
   void repairStoreIfDue();
   void writeRow(const TableDocument &Document, platform::RowVersion Expected);
   [[nodiscard]] bool maintainsRow() const;
--- a/src/contract/table_core_type.h
+++ b/src/contract/table_core_type.h
@@ -46,7 +46,9 @@
   TimePoint m_SentAt;                 ///< Time before the call was sent.
   std::optional<platform::Row> m_Row; ///< As read.
 };
-struct StoreReadFailed {};
+struct StoreReadFailed {
+  TimePoint m_SentAt; ///< Time before the call was sent.
+};
 /// The table service answered a write.
 struct StoreWritten {
   CommitId m_Commit;              ///< As in WriteStore.
--- a/src/contract/table_keeper.cpp
+++ b/src/contract/table_keeper.cpp
@@ -132,7 +132,7 @@
   void onReadDone(TimePoint SentAt, const platform::ReadResult &Result) {
     const auto *Rows = std::get_if<std::vector<platform::Row>>(&Result);
     if (Rows == nullptr)
-      handle(StoreReadFailed());
+      handle(StoreReadFailed{SentAt});
     else if (Rows->empty())
       handle(StoreRead{SentAt, std::nullopt});
     else
--- a/tests/unit/table_core_test.cpp
+++ b/tests/unit/table_core_test.cpp
@@ -8,6 +8,7 @@
 
 using namespace crowstep;
 using namespace crowstep::contract;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -105,3 +106,32 @@
     RC_ASSERT(Fleet.core(Index).document() == Fleet.core(0).document());
   }
 }
+
+namespace {
+
+/// Returns the outcome of the change in \p Actions, if it has one.
+std::optional<ChangeOutcome> outcomeIn(const TableActions &Actions) {
+  for (const TableAction &Action : Actions)
+    if (const auto *Finished = std::get_if<FinishChange>(&Action))
+      return Finished->m_Outcome;
+  return std::nullopt;
+}
+
+} // namespace
+
+// Guards against a change that ends as unavailable because of a read that
+// failed and was sent before the change was requested.
+BOOST_AUTO_TEST_CASE(AnEarlierFailedReadEndsNoChange) {
+  const TimePoint Start{100s};
+  TableKeeperConfig Config;
+  Config.m_Name = "a";
+  TableCore Core(Config, "p", Start);
+  Core.handle(Start + 1s, ChangeRequested{ChangeId(1), {}, {}, "op", ""});
+  const TableActions Earlier =
+      Core.handle(Start + 1100ms, StoreReadFailed{Start + 900ms});
+  BOOST_TEST(!outcomeIn(Earlier).has_value());
+  const TableActions Own =
+      Core.handle(Start + 1200ms, StoreReadFailed{Start + 1s});
+  BOOST_REQUIRE(outcomeIn(Own).has_value());
+  BOOST_TEST(std::holds_alternative<ChangeUnavailable>(*outcomeIn(Own)));
+}
--- a/tests/unit/table_fleet.h
+++ b/tests/unit/table_fleet.h
@@ -322,7 +322,7 @@
   void perform(std::size_t Index, const ReadStore &) {
     ++m_Reads;
     const TimePoint SentAt = m_Clock.now();
-    const auto Failed = delivery(Index, StoreReadFailed());
+    const auto Failed = delivery(Index, StoreReadFailed{SentAt});
     const bool Lost = draw(100) < m_LossPercent;
     schedule(milliseconds(draw(100)), [this, Index, SentAt, Failed, Lost,
                                        Start =
