Fix: Know the removed voters of a new document at once

Cause: voters that count as removed were found again with the next list of instances or change of the members only, so a version whose document names voters that are long gone settled up to one such interval later than it could.

--- a/src/contract/table_core.cpp
+++ b/src/contract/table_core.cpp
@@ -164,6 +164,7 @@
   if (Document.version() <= m_Document.version())
     return;
   m_Document = Document;
+  findRemovedVoters(); // Among the voters of this document.
   m_AdoptedAt = m_Now;
   m_NextProbe = m_Now;
   m_Watch.emplace(Document.version(), Document.m_Quorums, m_Now, expiryDelay());
