--- a/src/dispatcher/upstream_directory.cpp
+++ b/src/dispatcher/upstream_directory.cpp
@@ -62,7 +62,7 @@
     if (const auto *Rows = std::get_if<std::vector<Row>>(&Read)) {
       m_Drains.clear();
       for (const Row &Drain : *Rows)
-        m_Drains[Drain.m_Key] = Drain.m_Version;
+        m_Drains.insert(Drain.m_Key);
       rebuild();
     }
     m_DrainTimer.start(m_Interval, [this] { readDrains(); });
--- a/src/dispatcher/upstream_directory.h
+++ b/src/dispatcher/upstream_directory.h
@@ -9,7 +9,6 @@
 #include "platform/platform_type.h"
 
 #include <functional>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -89,8 +88,8 @@
   Timer m_DrainTimer;                  ///< For the next reading of drains.
   bool m_HasReadList = false;          ///< Read here, not from a peer.
   platform::InstanceListing m_Listing; ///< As last read, here or by a peer.
-  std::map<std::string, platform::RowVersion> m_Drains; ///< By key.
-  std::vector<Upstream> m_Upstreams; ///< Listing with drains applied.
+  std::set<std::string> m_Drains;      ///< Keys, as last read.
+  std::vector<Upstream> m_Upstreams;   ///< Listing with drains applied.
   std::function<void(const std::vector<std::string> &)>
       m_InstancesRead;             ///< May be empty.
   std::function<void()> m_Changed; ///< May be empty.
