Fix: Send entries a list that became empty

What callers and operators would have seen: a key that is still accepted after the last workspace was removed, and calls to the last upstream of a platform that lists none.

Cause: an attachment leaves out lists that have not changed, and a list without rows looks the same on the wire. An attachment now states which lists it has. An instance that has not read a list yet doesn't state it, so entries keep what they know; older senders state none and are read as before.

Evidence: attachment_test AListThatBecameEmptyIsSent and AListThatIsNotKnownYetIsNotSent; entry_placement_test AnEmptyListIsTakenIfItIsStated fails if the statement is not read. The process tests of entries and dispatchers pass.

--- a/src/dispatcher/entry_attachments.cpp
+++ b/src/dispatcher/entry_attachments.cpp
@@ -9,6 +9,26 @@
 
 namespace crowstep::dispatcher {
 
+namespace {
+
+/// Moves the lists that only \p Queued has to \p Next, which replaces it.
+void keepQueuedLists(wire::AttachmentT &Queued, wire::AttachmentT &Next) {
+  const auto Keep = [](bool HasQueued, auto &QueuedRows, bool &HasNext,
+                       auto &NextRows) {
+    if (!HasQueued || HasNext)
+      return;
+    HasNext = true;
+    NextRows = std::move(QueuedRows);
+  };
+  Keep(Queued.has_members, Queued.members, Next.has_members, Next.members);
+  Keep(Queued.has_upstreams, Queued.upstreams, Next.has_upstreams,
+       Next.upstreams);
+  Keep(Queued.has_workspaces, Queued.workspaces, Next.has_workspaces,
+       Next.workspaces);
+}
+
+} // namespace
+
 EntryAttachments::EntryAttachments(const Clock &Time, Scheduler &Timers,
                                    link::Links &Wire, AttachmentSource Source)
     : m_Clock(Time), m_Links(Wire), m_Source(std::move(Source)),
@@ -24,6 +44,10 @@
 void EntryAttachments::attach(link::LinkId Link) {
   Entry Added;
   Added.m_LastAckAt = m_Clock.now();
+  // An empty list may be one that this instance has not read yet.
+  Added.m_SendMembers = !m_Source.m_Members().empty();
+  Added.m_SendUpstreams = !m_Source.m_Upstreams().empty();
+  Added.m_SendWorkspaces = !m_Source.m_Workspaces().empty();
   send(Link, m_Attached.emplace(Link, Added).first->second);
   logEvent(LogEvent::EntryAttached, {{"instance", m_EntryNames.at(Link)}});
 }
@@ -125,30 +149,27 @@
   std::unique_ptr<wire::AttachmentT> &Queued = m_Links.outbox(Link).attachment;
   // Attachments of one loop iteration share a frame, which has room for one:
   // the lists of an attachment that is still queued must not be lost.
-  if (Queued != nullptr) {
-    if (Out->members.empty())
-      Out->members = std::move(Queued->members);
-    if (Out->upstreams.empty())
-      Out->upstreams = std::move(Queued->upstreams);
-    if (Out->workspaces.empty())
-      Out->workspaces = std::move(Queued->workspaces);
-  }
+  if (Queued != nullptr)
+    keepQueuedLists(*Queued, *Out);
   Queued = std::move(Out);
   Recipient.m_SendMembers = Recipient.m_SendUpstreams =
       Recipient.m_SendWorkspaces = false;
 }
 
 void EntryAttachments::addMembers(wire::AttachmentT &Out) const {
+  Out.has_members = true;
   for (const membership::Member &Member : m_Source.m_Members())
     Out.members.push_back(membership::wireOf(Member));
 }
 
 void EntryAttachments::addUpstreams(wire::AttachmentT &Out) const {
+  Out.has_upstreams = true;
   for (const Upstream &Info : m_Source.m_Upstreams())
     Out.upstreams.push_back(toWire(Info));
 }
 
 void EntryAttachments::addWorkspaces(wire::AttachmentT &Out) const {
+  Out.has_workspaces = true;
   for (const Workspace &Info : m_Source.m_Workspaces())
     Out.workspaces.push_back(toWire(Info));
 }
--- a/src/entry/dispatcher_links.cpp
+++ b/src/entry/dispatcher_links.cpp
@@ -25,16 +25,19 @@
   return {WorkspaceId(Info.id()), wire::textOf(Info.key_hash())};
 }
 
-/// Replaces \p Target by the rows of \p Source, and returns true, unless there
-/// are none.
+/// Replaces \p Target by the rows of \p Source, and returns true, if the list
+/// is present: it has rows, or \p IsStated says so. Older senders don't state
+/// it.
 template <typename Rows, typename Element, typename Converter>
-bool replaceRows(const Rows *Source, std::vector<Element> &Target,
-                 Converter Convert) {
-  if (Source == nullptr || Source->size() == 0)
+bool replaceRows(bool IsStated, const Rows *Source,
+                 std::vector<Element> &Target, Converter Convert) {
+  const bool HasRows = Source != nullptr && Source->size() > 0;
+  if (!HasRows && !IsStated)
     return false;
   Target.clear();
-  for (const auto *Row : *Source)
-    Target.push_back(Convert(*Row));
+  if (HasRows)
+    for (const auto *Row : *Source)
+      Target.push_back(Convert(*Row));
   return true;
 }
 
@@ -225,13 +228,14 @@
     Sender.m_AcknowledgedAt.erase(Sender.m_AcknowledgedAt.begin(), Echoed);
   }
   const bool Members = replaceRows(
-      Attachment.members(), Sender.m_Members,
+      Attachment.has_members(), Attachment.members(), Sender.m_Members,
       [](const wire::Member &Row) { return membership::memberOf(Row); });
-  const bool Upstreams =
-      replaceRows(Attachment.upstreams(), Sender.m_Upstreams,
-                  [](const wire::UpstreamInfo &Row) { return fromWire(Row); });
+  const bool Upstreams = replaceRows(
+      Attachment.has_upstreams(), Attachment.upstreams(), Sender.m_Upstreams,
+      [](const wire::UpstreamInfo &Row) { return fromWire(Row); });
   const bool Workspaces =
-      replaceRows(Attachment.workspaces(), Sender.m_Workspaces, workspaceOf);
+      replaceRows(Attachment.has_workspaces(), Attachment.workspaces(),
+                  Sender.m_Workspaces, workspaceOf);
   if (&Sender == findHome()) {
     m_Draining = Attachment.draining();
     if (Members || Upstreams || Workspaces)
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -2451,6 +2451,9 @@
   std::vector<std::unique_ptr<crowstep::wire::WorkspaceInfoT>> workspaces{};
   uint64_t acked = 0;
   bool draining = false;
+  bool has_members = false;
+  bool has_upstreams = false;
+  bool has_workspaces = false;
   AttachmentT() = default;
   AttachmentT(const AttachmentT &o);
   AttachmentT(AttachmentT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2468,7 +2471,10 @@
     VT_UPSTREAMS = 10,
     VT_WORKSPACES = 12,
     VT_ACKED = 14,
-    VT_DRAINING = 16
+    VT_DRAINING = 16,
+    VT_HAS_MEMBERS = 18,
+    VT_HAS_UPSTREAMS = 20,
+    VT_HAS_WORKSPACES = 22
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -2491,6 +2497,15 @@
   bool draining() const {
     return GetField<uint8_t>(VT_DRAINING, 0) != 0;
   }
+  bool has_members() const {
+    return GetField<uint8_t>(VT_HAS_MEMBERS, 0) != 0;
+  }
+  bool has_upstreams() const {
+    return GetField<uint8_t>(VT_HAS_UPSTREAMS, 0) != 0;
+  }
+  bool has_workspaces() const {
+    return GetField<uint8_t>(VT_HAS_WORKSPACES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -2506,6 +2521,9 @@
            verifier.VerifyVectorOfTables(workspaces()) &&
            VerifyField<uint64_t>(verifier, VT_ACKED, 8) &&
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_MEMBERS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_UPSTREAMS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_WORKSPACES, 1) &&
            verifier.EndTable();
   }
   AttachmentT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2538,6 +2556,15 @@
   void add_draining(bool draining) {
     fbb_.AddElement<uint8_t>(Attachment::VT_DRAINING, static_cast<uint8_t>(draining), 0);
   }
+  void add_has_members(bool has_members) {
+    fbb_.AddElement<uint8_t>(Attachment::VT_HAS_MEMBERS, static_cast<uint8_t>(has_members), 0);
+  }
+  void add_has_upstreams(bool has_upstreams) {
+    fbb_.AddElement<uint8_t>(Attachment::VT_HAS_UPSTREAMS, static_cast<uint8_t>(has_upstreams), 0);
+  }
+  void add_has_workspaces(bool has_workspaces) {
+    fbb_.AddElement<uint8_t>(Attachment::VT_HAS_WORKSPACES, static_cast<uint8_t>(has_workspaces), 0);
+  }
   explicit AttachmentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2557,13 +2584,19 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>>> upstreams = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>>> workspaces = 0,
     uint64_t acked = 0,
-    bool draining = false) {
+    bool draining = false,
+    bool has_members = false,
+    bool has_upstreams = false,
+    bool has_workspaces = false) {
   AttachmentBuilder builder_(_fbb);
   builder_.add_acked(acked);
   builder_.add_sequence(sequence);
   builder_.add_workspaces(workspaces);
   builder_.add_upstreams(upstreams);
   builder_.add_members(members);
+  builder_.add_has_workspaces(has_workspaces);
+  builder_.add_has_upstreams(has_upstreams);
+  builder_.add_has_members(has_members);
   builder_.add_draining(draining);
   builder_.add_right_to_serve(right_to_serve);
   return builder_.Finish();
@@ -2582,7 +2615,10 @@
     const std::vector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>> *upstreams = nullptr,
     const std::vector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>> *workspaces = nullptr,
     uint64_t acked = 0,
-    bool draining = false) {
+    bool draining = false,
+    bool has_members = false,
+    bool has_upstreams = false,
+    bool has_workspaces = false) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Member>>(*members) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::UpstreamInfo>>(*upstreams) : 0;
   auto workspaces__ = workspaces ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>>(*workspaces) : 0;
@@ -2594,7 +2630,10 @@
       upstreams__,
       workspaces__,
       acked,
-      draining);
+      draining,
+      has_members,
+      has_upstreams,
+      has_workspaces);
 }
 
 flatbuffers::Offset<Attachment> CreateAttachment(flatbuffers::FlatBufferBuilder &_fbb, const AttachmentT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4558,7 +4597,10 @@
       : sequence(o.sequence),
         right_to_serve(o.right_to_serve),
         acked(o.acked),
-        draining(o.draining) {
+        draining(o.draining),
+        has_members(o.has_members),
+        has_upstreams(o.has_upstreams),
+        has_workspaces(o.has_workspaces) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new crowstep::wire::MemberT(*members_) : nullptr); }
   upstreams.reserve(o.upstreams.size());
@@ -4575,6 +4617,9 @@
   std::swap(workspaces, o.workspaces);
   std::swap(acked, o.acked);
   std::swap(draining, o.draining);
+  std::swap(has_members, o.has_members);
+  std::swap(has_upstreams, o.has_upstreams);
+  std::swap(has_workspaces, o.has_workspaces);
   return *this;
 }
 
@@ -4594,6 +4639,9 @@
   { auto _e = workspaces(); if (_e) { _o->workspaces.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->workspaces[_i] = std::unique_ptr<crowstep::wire::WorkspaceInfoT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = acked(); _o->acked = _e; }
   { auto _e = draining(); _o->draining = _e; }
+  { auto _e = has_members(); _o->has_members = _e; }
+  { auto _e = has_upstreams(); _o->has_upstreams = _e; }
+  { auto _e = has_workspaces(); _o->has_workspaces = _e; }
 }
 
 inline flatbuffers::Offset<Attachment> Attachment::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AttachmentT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4611,6 +4659,9 @@
   auto _workspaces = _o->workspaces.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::WorkspaceInfo>> (_o->workspaces.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkspaceInfo(*__va->__fbb, __va->__o->workspaces[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _acked = _o->acked;
   auto _draining = _o->draining;
+  auto _has_members = _o->has_members;
+  auto _has_upstreams = _o->has_upstreams;
+  auto _has_workspaces = _o->has_workspaces;
   return crowstep::wire::CreateAttachment(
       _fbb,
       _sequence,
@@ -4619,7 +4670,10 @@
       _upstreams,
       _workspaces,
       _acked,
-      _draining);
+      _draining,
+      _has_members,
+      _has_upstreams,
+      _has_workspaces);
 }
 
 inline AttachmentAckT *AttachmentAck::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/unit/attachment_test.cpp
+++ b/tests/unit/attachment_test.cpp
@@ -150,3 +150,33 @@
   BOOST_REQUIRE(Sent != nullptr);
   BOOST_TEST(Sent->members.size() == 1U);
 }
+
+// Guards against entries that keep the last upstream or the last key for good,
+// because an empty list looks like one that has not changed.
+BOOST_AUTO_TEST_CASE(AListThatBecameEmptyIsSent) {
+  Bench Test;
+  Test.m_Upstreams = {{UpstreamId(1), "u-1", "s"}};
+  Test.m_Workspaces.emplace_back();
+  Test.attach(1);
+  const auto Last = [&]() -> wire::AttachmentT & {
+    return *Test.m_Links.m_Out[link::LinkId(1)].attachment;
+  };
+  BOOST_TEST(Last().upstreams.size() == 1U);
+  Test.m_Links.m_Out.clear();
+  Test.m_Upstreams.clear();
+  Test.m_Attached.upstreamsChanged();
+  BOOST_TEST((Last().has_upstreams && Last().upstreams.empty()));
+  BOOST_TEST(!Last().has_workspaces);
+  Test.m_Workspaces.clear();
+  Test.m_Attached.workspacesChanged(); // Joins the queued one.
+  BOOST_TEST((Last().has_upstreams && Last().has_workspaces));
+}
+
+// Guards against an entry that forgets what another home sent it because a home
+// that has just started has not read its lists yet.
+BOOST_AUTO_TEST_CASE(AListThatIsNotKnownYetIsNotSent) {
+  Bench Test;
+  Test.attach(1);
+  const auto &First = *Test.m_Links.m_Out[link::LinkId(1)].attachment;
+  BOOST_TEST((!First.has_upstreams && !First.has_workspaces));
+}
--- a/tests/unit/entry_placement_test.cpp
+++ b/tests/unit/entry_placement_test.cpp
@@ -389,6 +389,21 @@
   BOOST_TEST(Fixture.m_Directory.table().m_Version.value() == 6U);
 }
 
+// Guards against calls to upstreams of which none is left, and an entry that
+// takes a missing list for an empty one.
+BOOST_AUTO_TEST_CASE(AnEmptyListIsTakenIfItIsStated) {
+  Bench Fixture;
+  BOOST_TEST(Fixture.m_Directory.upstreams().size() == 1U);
+  Fixture.echo(1, 0);
+  BOOST_TEST(Fixture.m_Directory.upstreams().size() == 1U);
+  wire::FrameT Out;
+  Out.attachment = std::make_unique<wire::AttachmentT>();
+  Out.attachment->sequence = ++Fixture.m_Sequence;
+  Out.attachment->has_upstreams = true;
+  Fixture.frame(1, Out);
+  BOOST_TEST(Fixture.m_Directory.upstreams().empty());
+}
+
 // The link to the home is down for longer than HomeTimeout: the next home is
 // dialled.
 BOOST_AUTO_TEST_CASE(LostHomeIsReplaced) {
