Fix: Initialize the terms of a bid

A bid of which only the times were set had an indeterminate retry mark (UBSan: a value of 253 for a bool, entry_placement_test under make check-sanitize). The entry sets all fields, so callers have not met it.

--- a/src/entry/request_type.h
+++ b/src/entry/request_type.h
@@ -90,11 +90,11 @@
 
 /// Ask the dispatcher of the pool for a slot.
 struct PlaceBid {
-  std::uint32_t m_DoneTokens;        ///< Tokens that the caller already has.
-  bool m_IsRetry;                    ///< Counts against the retry budget.
+  std::uint32_t m_DoneTokens = 0;    ///< Tokens that the caller already has.
+  bool m_IsRetry = false;            ///< Counts against the retry budget.
   std::optional<UpstreamId> m_Avoid; ///< Upstream of the failed attempt.
-  Duration m_UntilTarget;            ///< Until the first token target.
-  Duration m_UntilLimit;             ///< Until the total time limit.
+  Duration m_UntilTarget{};          ///< Until the first token target.
+  Duration m_UntilLimit{};           ///< Until the total time limit.
 };
 /// Withdraw the waiting bid.
 struct WithdrawBid {};
