Fix: Compare the scheme and the content type without case

What callers saw: 415 for "Application/JSON" and 401 for "bearer", which RFC 9110 (8.3.1, 11.1) allows.

One of the faults found by reading (entry). Evidence: entry_input_test SchemeAndContentTypeHaveNoCase, two of four checks fail without the change.

--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -1,6 +1,9 @@
 /// Parsing and validation of callers' requests.
 #include "entry/caller_request.h"
 
+#include "http/header_list.h"
+#include "http/header_value.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -22,14 +25,14 @@
 
 std::string bearerKey(const std::string &Authorization) {
   static const std::string Scheme = "Bearer ";
-  if (Authorization.compare(0, Scheme.size(), Scheme) != 0)
+  if (!equalsIgnoreCase(Authorization.substr(0, Scheme.size()), Scheme))
     return {};
   return Authorization.substr(Scheme.size());
 }
 
-bool isJsonType(const std::string &ContentType) {
-  const std::string Type = ContentType.substr(0, ContentType.find(';'));
-  return Type == "application/json" || Type == "application/json ";
+bool isJsonType(std::string_view ContentType) {
+  const std::string_view Type = ContentType.substr(0, ContentType.find(';'));
+  return equalsIgnoreCase(withoutBlanks(Type), "application/json");
 }
 
 /// Returns whether brackets outside of strings nest deeper than MaxNesting. The
--- a/tests/unit/entry_input_test.cpp
+++ b/tests/unit/entry_input_test.cpp
@@ -33,8 +33,40 @@
   return Text.erase(Begin, Text.find("\r\n", Begin) + 2 - Begin);
 }
 
+RawRequest rawChat(const std::string &Body = GoodBody) {
+  RawRequest Result;
+  Result.m_Method = "POST";
+  Result.m_Path = Chat;
+  Result.m_Authorization = "Bearer alpha";
+  Result.m_Class = "guide";
+  Result.m_ContentType = "application/json";
+  Result.m_Body = Body;
+  return Result;
+}
+
+bool isAccepted(const RawRequest &Raw, const Directory &Dir) {
+  return std::holds_alternative<CallerRequest>(readCallerRequest(Raw, Dir));
+}
+
 } // namespace
 
+// Guards against requests that are refused for the case of a word that has
+// none.
+BOOST_AUTO_TEST_CASE(SchemeAndContentTypeHaveNoCase) {
+  const Bench Fixture;
+  for (const char *Type :
+       {"Application/JSON", "application/json ; charset=utf-8"}) {
+    RawRequest Raw = rawChat();
+    Raw.m_ContentType = Type;
+    BOOST_TEST(isAccepted(Raw, Fixture.m_Directory), Type);
+  }
+  RawRequest LowerScheme = rawChat();
+  LowerScheme.m_Authorization = "bearer alpha";
+  BOOST_TEST(isAccepted(LowerScheme, Fixture.m_Directory));
+  LowerScheme.m_Authorization = "basic alpha";
+  BOOST_TEST(!isAccepted(LowerScheme, Fixture.m_Directory));
+}
+
 BOOST_AUTO_TEST_CASE(EveryBadInputIsATypedRefusal) {
   Bench Fixture;
   const auto Guide = [](const std::string &Body) {
