Fix: Accept a query behind the paths of engines

What callers saw: 404 unknown_path for a path with a query, as some client libraries send it. The query is not passed on, as the entry writes the engine's request itself.

Evidence: entry_input_test AQueryChangesNoPath fails without the change.

--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -23,6 +23,11 @@
 using Json = nlohmann::json;
 using Outcome = std::variant<CallerRequest, ReadRefusal>;
 
+/// Returns whether \p Target is \p Path, with a query or without.
+bool isPath(std::string_view Target, std::string_view Path) {
+  return Target.substr(0, Target.find('?')) == Path;
+}
+
 std::string bearerKey(const std::string &Authorization) {
   static const std::string Scheme = "Bearer ";
   if (!equalsIgnoreCase(Authorization.substr(0, Scheme.size()), Scheme))
@@ -106,7 +111,7 @@
 
 bool readEngineCall(const RawRequest &Raw, CallerRequest &Out) {
   EngineCall Call;
-  Call.m_Chat = Raw.m_Path == ChatPath;
+  Call.m_Chat = isPath(Raw.m_Path, ChatPath);
   Call.m_Body = Json::parse(Raw.m_Body, nullptr, false);
   if (!Call.m_Body.is_object())
     return false;
@@ -155,7 +160,7 @@
 }
 
 bool isEnginePath(const std::string &Path) {
-  return Path == ChatPath || Path == CompletionPath;
+  return isPath(Path, ChatPath) || isPath(Path, CompletionPath);
 }
 
 RefusalReason readEnvelope(const RawRequest &Raw, const Directory &Dir,
--- a/tests/unit/entry_input_test.cpp
+++ b/tests/unit/entry_input_test.cpp
@@ -67,6 +67,16 @@
   BOOST_TEST(!isAccepted(LowerScheme, Fixture.m_Directory));
 }
 
+// Guards against an unknown path where a caller adds a query.
+BOOST_AUTO_TEST_CASE(AQueryChangesNoPath) {
+  const Bench Fixture;
+  RawRequest Raw = rawChat();
+  Raw.m_Path = Chat + "?api-version=1";
+  BOOST_TEST(isAccepted(Raw, Fixture.m_Directory));
+  Raw.m_Path = Chat + "/x?y";
+  BOOST_TEST(!isAccepted(Raw, Fixture.m_Directory));
+}
+
 BOOST_AUTO_TEST_CASE(EveryBadInputIsATypedRefusal) {
   Bench Fixture;
   const auto Guide = [](const std::string &Body) {
