Fix: Replace both limits of a caller on the output by the one in force

What operators would have seen: answers longer than their class allows, where a caller sets max_completion_tokens beside max_tokens: the smaller of the class's limit and the caller's was written to one of the two, and an engine may go by the other.

Evidence: entry_input_test NoLimitOfTheCallerIsLeftBesideTheOneInForce fails without the change.

--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -125,8 +125,11 @@
   Call.m_Streamed = Stream != Call.m_Body.end() && Stream->get<bool>();
   if (!Out.m_Contract.m_Model.empty())
     Call.m_Body["model"] = Out.m_Contract.m_Model;
-  if (*MaxTokens > 0)
+  if (*MaxTokens > 0) {
+    // Of the two, an engine may go by the one that is left unlimited.
+    Call.m_Body.erase("max_completion_tokens");
     Call.m_Body["max_tokens"] = *MaxTokens;
+  }
   Out.m_MaxTokens = *MaxTokens;
   Out.m_PromptTokens =
       static_cast<std::uint32_t>(Prompt->size() / CharactersPerToken);
--- a/tests/unit/entry_input_test.cpp
+++ b/tests/unit/entry_input_test.cpp
@@ -77,6 +77,21 @@
   BOOST_TEST(!isAccepted(Raw, Fixture.m_Directory));
 }
 
+// Guards against an output that is longer than its class allows because one of
+// two limits is left as the caller set it.
+BOOST_AUTO_TEST_CASE(NoLimitOfTheCallerIsLeftBesideTheOneInForce) {
+  const Bench Fixture;
+  const auto Read = readCallerRequest(
+      rawChat(R"({"messages":[{"content":"x"}],)"
+              R"("max_completion_tokens":999999,"max_tokens":999999})"),
+      Fixture.m_Directory);
+  const auto &Request = std::get<CallerRequest>(Read);
+  BOOST_REQUIRE(Request.m_Contract.m_MaxTokens > 0U);
+  const auto &Body = std::get<EngineCall>(Request.m_Call).m_Body;
+  BOOST_TEST(Body.at("max_tokens") == Request.m_Contract.m_MaxTokens);
+  BOOST_TEST(!Body.contains("max_completion_tokens"));
+}
+
 BOOST_AUTO_TEST_CASE(EveryBadInputIsATypedRefusal) {
   Bench Fixture;
   const auto Guide = [](const std::string &Body) {
