Fix: Take the drain of a new home with its other state

Cause: the drain was kept from the last attachment of any home; the rest of a home's state is kept for each dispatcher and taken when it becomes the home. So is the drain.

Evidence: entry_placement_test TheDrainOfAPreviousHomeEndsWithIt fails without the change.

--- a/src/entry/dispatcher_links.cpp
+++ b/src/entry/dispatcher_links.cpp
@@ -164,6 +164,7 @@
   if (Home == nullptr || Home->m_Members.empty())
     return;
   m_Members = Home->m_Members;
+  m_Draining = Home->m_Draining;
   m_Directory.setUpstreams(Home->m_Upstreams);
   m_Directory.setWorkspaces(Home->m_Workspaces);
   if (m_UpstreamsChanged)
@@ -218,6 +219,7 @@
   Sender.m_LastSequence =
       std::max(Sender.m_LastSequence, Attachment.sequence());
   Sender.m_RightToServe = Attachment.right_to_serve();
+  Sender.m_Draining = Attachment.draining();
   // The echo names an acknowledgement whose time of sending is known. The time
   // of receipt proves nothing: after a pause the process reads old attachments
   // from its socket as if they were new.
@@ -237,7 +239,7 @@
       replaceRows(Attachment.has_workspaces(), Attachment.workspaces(),
                   Sender.m_Workspaces, workspaceOf);
   if (&Sender == findHome()) {
-    m_Draining = Attachment.draining();
+    m_Draining = Sender.m_Draining;
     if (Members || Upstreams || Workspaces)
       applyHomeState();
   }
--- a/src/entry/dispatcher_links.h
+++ b/src/entry/dispatcher_links.h
@@ -87,6 +87,7 @@
     std::map<std::uint64_t, TimePoint> m_AcknowledgedAt; ///< Time by sequence.
     TimePoint m_ServesUntil;                   ///< From the last echo.
     bool m_RightToServe = false;               ///< As last received.
+    bool m_Draining = false;                   ///< As last received.
     bool m_Attached = false;                   ///< Attachments were requested.
     std::vector<membership::Member> m_Members; ///< Last full list.
     std::vector<Upstream> m_Upstreams;         ///< As above.
--- a/tests/unit/entry_placement_test.cpp
+++ b/tests/unit/entry_placement_test.cpp
@@ -120,12 +120,13 @@
     frame(Link, Out);
   }
   /// Delivers an attachment that only echoes the acknowledgement \p Acked.
-  void echo(std::uint64_t Link, std::uint64_t Acked) {
+  void echo(std::uint64_t Link, std::uint64_t Acked, bool Draining = false) {
     wire::FrameT Out;
     Out.attachment = std::make_unique<wire::AttachmentT>();
     Out.attachment->sequence = ++m_Sequence;
     Out.attachment->acked = Acked;
     Out.attachment->right_to_serve = true;
+    Out.attachment->draining = Draining;
     frame(Link, Out);
   }
   void grant(std::uint64_t Link, BidNumber Bid) {
@@ -404,6 +405,18 @@
   BOOST_TEST(Fixture.m_Directory.upstreams().empty());
 }
 
+// Guards against an entry that refuses new work because its previous home was
+// draining.
+BOOST_AUTO_TEST_CASE(TheDrainOfAPreviousHomeEndsWithIt) {
+  Bench Fixture;
+  Fixture.attach(2);
+  Fixture.echo(1, 0, true);
+  BOOST_TEST(Fixture.m_Fleet.isDraining());
+  Fixture.down(1, "a");
+  Fixture.m_Timers.advance(HomeTimeout + 10ms);
+  BOOST_TEST(!Fixture.m_Fleet.isDraining());
+}
+
 // The link to the home is down for longer than HomeTimeout: the next home is
 // dialled.
 BOOST_AUTO_TEST_CASE(LostHomeIsReplaced) {
