Fix: Log a pause of the entry's process

EntryPaused stood in the catalogue and was logged nowhere, so grants that were returned or checked again after a pause had no reason in the log.

One of the faults found by reading (entry). Evidence: entry_placement_test APauseIsLogged fails without the change.

--- a/src/entry/dispatcher_placement.cpp
+++ b/src/entry/dispatcher_placement.cpp
@@ -1,6 +1,8 @@
 /// Bids, grants and releases over the links to dispatchers.
 #include "entry/dispatcher_placement.h"
 
+#include "core/log.h"
+
 #include <algorithm>
 #include <glib.h>
 
@@ -320,6 +322,7 @@
 }
 
 void DispatcherPlacement::handlePause() {
+  logEvent(LogEvent::EntryPaused, {{"bids", std::to_string(m_Bids.size())}});
   for (auto &[Number, Bid] : m_Bids) {
     const bool IsGrantedLocally =
         Bid.m_LocalBid && !m_LocalPlacement.isWaiting(*Bid.m_LocalBid);
--- a/tests/unit/entry_placement_test.cpp
+++ b/tests/unit/entry_placement_test.cpp
@@ -3,8 +3,8 @@
 #include "contract/contract_func.h"
 #include "core/digest.h"
 #include "entry/dispatcher_placement.h"
+#include "unit/captured_log.h"
 
-#include <boost/test/unit_test.hpp>
 #include <map>
 #include <set>
 
@@ -334,6 +334,17 @@
   BOOST_TEST(Fixture.m_Listener.m_Suspect == 1);
 }
 
+// Guards against grants that were lost to a pause without a word in the log.
+BOOST_AUTO_TEST_CASE(APauseIsLogged) {
+  const test::CapturedLog Log;
+  Bench Fixture;
+  Fixture.bid();
+  Fixture.pause(5s);
+  Fixture.m_Timers.advance(100ms);
+  BOOST_TEST(Log.read().find(R"("name":"EntryPaused","bids":"1")") !=
+             std::string::npos);
+}
+
 // Guards against a slot that the entry granted itself before a pause and that
 // is used after it, at an upstream that may have been removed.
 BOOST_AUTO_TEST_CASE(ALocalGrantIsSuspectAfterAFreeze) {
