Feature: Log how far a request to an upstream has come, and why connections fail

An instance behind a lost path logged the same outcome, no_answer, for a machine that refuses connections and for one that answers none, and nothing told a silent upstream from a request that never arrived there. GatewayCallEnded has `progress` now, from the socket's count of unacknowledged bytes, and crowstep_connect_failures_total counts connections by reason.

upstream_call_test: a full accept queue ends as not answered, a closed port as refused; bytes that a machine takes for a busy process are acknowledged, 32 MB that it can't take are not.

--- a/src/entry/request.cpp
+++ b/src/entry/request.cpp
@@ -342,6 +342,7 @@
   const bool Begun = m_CallTokens > 0 || !m_Body.empty();
   switch (End) {
   case TransportEnd::NotSent:
+  case TransportEnd::ConnectRefused:
     endCall(CallEnd::ConnectFailed);
     return;
   case TransportEnd::Withheld:
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -217,7 +217,9 @@
 void ForwardedRequest::upstreamEnded(TransportEnd End) {
   switch (End) {
   case TransportEnd::NotSent:
+  case TransportEnd::ConnectRefused:
     --m_Attempts;
+    m_Context.m_Stats.countConnectFailure(End == TransportEnd::ConnectRefused);
     endCall(balance::CallOutcome::Unreachable);
     if (++m_UnsentAttempts > MaxUnsentAttempts) {
       refuse(m_MayHaveRun ? RefusalReason::UpstreamFailed
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -250,6 +250,7 @@
               {"sends", std::to_string(m_Attempts)},
               {"events", std::to_string(m_EventCount)},
               {"may_have_run", m_MayHaveRun ? "1" : "0"},
+              {"progress", std::string(nameOf(m_Call->progress()))},
               {"left_us", std::to_string(timeLeft().count())}});
   m_SilenceTimer.stop();
   m_Call.reset();
--- a/src/gateway/gateway_stats.cpp
+++ b/src/gateway/gateway_stats.cpp
@@ -4,8 +4,13 @@
 namespace crowstep::gateway {
 
 GatewayStats::GatewayStats(Metrics &Stats)
-    : m_Metrics(Stats), m_UnreadableLimits(Stats.counter(
-                            "crowstep_upstream_limits_unreadable_total")),
+    : m_Metrics(Stats),
+      m_RefusedConnections(Stats.counter("crowstep_connect_failures_total",
+                                         {{"reason", "refused"}})),
+      m_UnansweredConnections(Stats.counter("crowstep_connect_failures_total",
+                                            {{"reason", "no_answer"}})),
+      m_UnreadableLimits(
+          Stats.counter("crowstep_upstream_limits_unreadable_total")),
       m_Pauses(Stats.counter("crowstep_upstream_pauses_total")),
       m_UnreadablePauses(
           Stats.counter("crowstep_upstream_pauses_unreadable_total")) {
--- a/src/gateway/gateway_stats.h
+++ b/src/gateway/gateway_stats.h
@@ -30,6 +30,11 @@
   void countRefusal(RefusalReason Reason);
   void countRetry(RetryReason Reason);
 
+  /// Counts a connection that was refused, or else one that was not answered.
+  void countConnectFailure(bool Refused) {
+    (Refused ? m_RefusedConnections : m_UnansweredConnections).add();
+  }
+
   /// Counts a stated limit of an upstream that is not a number.
   void countUnreadableLimit() { m_UnreadableLimits.add(); }
 
@@ -45,10 +50,12 @@
 private:
   RouteStats makeRouteStats(const std::string &Label);
 
-  Metrics &m_Metrics;          ///< Outlives this object.
-  Counter &m_UnreadableLimits; ///< See countUnreadableLimit().
-  Counter &m_Pauses;           ///< See countPause().
-  Counter &m_UnreadablePauses; ///< See countUnreadablePause().
+  Metrics &m_Metrics;               ///< Outlives this object.
+  Counter &m_RefusedConnections;    ///< See countConnectFailure().
+  Counter &m_UnansweredConnections; ///< See countConnectFailure().
+  Counter &m_UnreadableLimits;      ///< See countUnreadableLimit().
+  Counter &m_Pauses;                ///< See countPause().
+  Counter &m_UnreadablePauses;      ///< See countUnreadablePause().
   std::array<Counter *, static_cast<std::size_t>(RefusalReason::Count)>
       m_Refusals; ///< By reason.
   std::array<Counter *, static_cast<std::size_t>(RetryReason::Count)>
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -39,7 +39,8 @@
 
 private:
   [[nodiscard]] HttpFailure failureOf(TransportEnd End) const {
-    if (End == TransportEnd::NotSent || End == TransportEnd::Withheld)
+    if (End == TransportEnd::NotSent || End == TransportEnd::ConnectRefused ||
+        End == TransportEnd::Withheld)
       return HttpFailure::NotSent;
     return m_Client.m_Clock.readNow() >= m_Deadline ? HttpFailure::TimedOut
                                                     : HttpFailure::NoAnswer;
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -5,9 +5,16 @@
 #include "http/http_error.h"
 
 #include <algorithm>
+#include <array>
 
 namespace crowstep {
 
+std::string_view nameOf(CallProgress Progress) {
+  static constexpr std::array<std::string_view, 3> Names = {
+      "connecting", "unacknowledged", "acknowledged"};
+  return Names.at(static_cast<std::size_t>(Progress));
+}
+
 namespace {
 
 /// Rejects blanks and control characters, which would end the path or the
@@ -58,6 +65,7 @@
 
   void pauseReading() override;
   void resumeReading() override;
+  [[nodiscard]] CallProgress progress() const override;
 
 private:
   void socketReady(SocketEvents Events) override;
@@ -75,6 +83,7 @@
   void startConnectTimer();
   void startSilenceTimer(Duration Delay);
   void fail();
+  [[nodiscard]] TransportEnd connectFailure(ConnectOutcome Outcome) const;
   void scheduleEnd(TransportEnd End);
   void end(TransportEnd End);
 
@@ -97,6 +106,8 @@
   bool m_IsPaused = false;      ///< The caller reads slowly.
   bool m_AnswerStarted = false; ///< Bytes or the end of the answer were read.
   bool m_HeadDelivered = false; ///< The listener has the head.
+  CallProgress m_LastProgress =
+      CallProgress::Connecting; ///< Without a connection.
   bool *m_Destroyed = nullptr;  ///< Set during a call of the listener.
   TimePoint m_LastByte;         ///< For the silence timeout.
   Timer m_SilenceTimer;         ///< For the silence timeout.
@@ -137,8 +148,8 @@
 
 void HttpUpstreamCall::open() {
   auto Opened = UpstreamConnection::open(m_Address, *this);
-  if (std::holds_alternative<ConnectOutcome>(Opened)) {
-    scheduleEnd(m_SendStarted ? TransportEnd::Broken : TransportEnd::NotSent);
+  if (const auto *Failed = std::get_if<ConnectOutcome>(&Opened)) {
+    scheduleEnd(connectFailure(*Failed));
     return;
   }
   m_Connection =
@@ -184,9 +195,28 @@
     read();
 }
 
+CallProgress HttpUpstreamCall::progress() const {
+  if (!m_SendStarted || m_Connection == nullptr || m_IsConnecting)
+    return m_LastProgress;
+  const bool IsPending = m_WrittenBytes < m_Output.size() ||
+                         m_Connection->hasUnacknowledgedBytes();
+  return m_AnswerStarted || !IsPending ? CallProgress::Acknowledged
+                                       : CallProgress::Unacknowledged;
+}
+
+/// Returns the end of a call whose connection failed before it was established.
+/// The first attempt on a stale connection may have been received.
+TransportEnd HttpUpstreamCall::connectFailure(ConnectOutcome Outcome) const {
+  if (m_SendStarted)
+    return TransportEnd::Broken;
+  return Outcome == ConnectOutcome::Refused ? TransportEnd::ConnectRefused
+                                            : TransportEnd::NotSent;
+}
+
 void HttpUpstreamCall::finishConnect() {
-  if (m_Connection->connectOutcome() != ConnectOutcome::Connected) {
-    fail();
+  if (const ConnectOutcome Outcome = m_Connection->connectOutcome();
+      Outcome != ConnectOutcome::Connected) {
+    end(connectFailure(Outcome));
     return;
   }
   m_IsConnecting = false;
@@ -317,6 +347,7 @@
   m_SilenceTimer.stop();
   m_ConnectTimer.stop();
   m_AnswerTimer.stop();
+  m_LastProgress = progress();
   m_Connection.reset();
   m_Listener.upstreamEnded(End);
 }
--- a/src/http/upstream_call.h
+++ b/src/http/upstream_call.h
@@ -17,12 +17,23 @@
 
 /// How a call ended at the transport level.
 enum class TransportEnd : std::uint8_t {
-  Complete, ///< The answer was received in full.
-  NotSent,  ///< No connection; no byte was sent.
-  Withheld, ///< Stopped by the last check; no byte was sent.
-  Broken,   ///< Closed, reset or timed out; maybe sent.
+  Complete,       ///< The answer was received in full.
+  NotSent,        ///< No connection; no byte was sent.
+  ConnectRefused, ///< Nothing listens at the address; no byte was sent.
+  Withheld,       ///< Stopped by the last check; no byte was sent.
+  Broken,         ///< Closed, reset or timed out; maybe sent.
 };
 
+/// How far a request has come.
+enum class CallProgress : std::uint8_t {
+  Connecting,     ///< No byte was sent.
+  Unacknowledged, ///< The upstream's machine hasn't acknowledged all of it.
+  Acknowledged,   ///< It has; the upstream may not have read it.
+};
+
+/// Returns the stable name in logs, such as "connecting".
+std::string_view nameOf(CallProgress Progress);
+
 /// A request to an upstream.
 struct UpstreamRequest {
   Address m_Address;             ///< Of the upstream's server.
@@ -58,6 +69,8 @@
   /// Pause and resume reading, for a caller that reads slowly.
   virtual void pauseReading() = 0;
   virtual void resumeReading() = 0;
+
+  [[nodiscard]] virtual CallProgress progress() const = 0;
 };
 
 /// Interface that starts calls; mocked in tests.
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -6,8 +6,10 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace crowstep {
@@ -112,6 +114,11 @@
          wouldBlock(errno);
 }
 
+bool UpstreamConnection::hasUnacknowledgedBytes() const {
+  int Bytes = 0;
+  return ioctl(descriptor(), SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
+}
+
 void UpstreamConnection::resetOnClose() {
   const linger Reset = {.l_onoff = 1, .l_linger = 0};
   setsockopt(descriptor(), SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -57,6 +57,11 @@
   /// Returns whether the connection is open and has no unread bytes.
   [[nodiscard]] bool isIdle();
 
+  /// Returns whether bytes that were written have not been acknowledged by the
+  /// peer's machine. A peer that is reachable acknowledges them within a round
+  /// trip, also if its process is busy.
+  [[nodiscard]] bool hasUnacknowledgedBytes() const;
+
   /// Makes the destructor reset the connection: bytes that are still held up
   /// on the way are then not delivered any more.
   void resetOnClose();
--- a/tests/unit/forwarded_request_env.h
+++ b/tests/unit/forwarded_request_env.h
@@ -52,6 +52,7 @@
   UpstreamRequest m_Send;       ///< As sent.
   UpstreamListener *m_Listener; ///< Receives the answer.
   bool m_Stopped = false;       ///< The gateway closed it.
+  CallProgress m_Progress = CallProgress::Acknowledged; ///< Of the request.
 };
 
 class FakeUpstreams final : public UpstreamClient {
@@ -72,6 +73,9 @@
     Handle &operator=(const Handle &) = delete;
     void pauseReading() override {}
     void resumeReading() override {}
+    [[nodiscard]] CallProgress progress() const override {
+      return m_Call.m_Progress;
+    }
 
   private:
     PlayedCall &m_Call; ///< Outlives the handle.
--- a/tests/unit/upstream_call_test.cpp
+++ b/tests/unit/upstream_call_test.cpp
@@ -55,6 +55,35 @@
   Connection.close();
 }
 
+/// Listens, but answers no further connection, as its queue is full.
+struct FullListener {
+  FullListener() {
+    sockaddr_in Local{};
+    Local.sin_family = AF_INET;
+    Local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(m_Fd, reinterpret_cast<sockaddr *>(&Local), sizeof(Local));
+    listen(m_Fd, 0);
+    socklen_t Size = sizeof(Local);
+    getsockname(m_Fd, reinterpret_cast<sockaddr *>(&Local), &Size);
+    m_Address = {INADDR_LOOPBACK, ntohs(Local.sin_port)};
+    m_Queued = Peer::connect(m_Address);
+  }
+  ~FullListener() { close(); }
+  FullListener(const FullListener &) = delete;
+  FullListener &operator=(const FullListener &) = delete;
+
+  /// Stops listening: the machine refuses connections from now on.
+  void close() {
+    if (m_Fd >= 0)
+      ::close(m_Fd);
+    m_Fd = -1;
+  }
+
+  int m_Fd = socket(AF_INET, SOCK_STREAM, 0);
+  Address m_Address;              ///< Where it listens.
+  std::unique_ptr<Peer> m_Queued; ///< Fills the queue.
+};
+
 } // namespace
 
 /// The upstream crashes within its answer. The length, the chunks or the reset
@@ -262,3 +291,50 @@
   BOOST_TEST(pumpUntil([&] { return Upstream->isClosed(); }));
   BOOST_TEST(Upstream->wasReset());
 }
+
+// Guards against a lost path that is taken for an upstream that has crashed.
+BOOST_AUTO_TEST_CASE(ARefusedConnectionIsNotAnUnansweredOne) {
+  const auto EndAt = [](const Address &Where) {
+    CallFixture Fixture;
+    UpstreamRequest Request;
+    Request.m_Address = Where;
+    Request.m_Path = "/x";
+    Request.m_SendDeadline = Fixture.m_Clock.readNow() + 10s;
+    Request.m_ConnectTimeout = 100ms;
+    Fixture.m_Call = Fixture.m_Caller.send(Request, Fixture.m_Listener);
+    BOOST_TEST(Fixture.ended());
+    BOOST_TEST((Fixture.m_Call->progress() == CallProgress::Connecting));
+    return *Fixture.m_Listener.m_End;
+  };
+  FullListener Unanswering;
+  BOOST_TEST((EndAt(Unanswering.m_Address) == TransportEnd::NotSent));
+  Unanswering.close();
+  BOOST_TEST((EndAt(Unanswering.m_Address) == TransportEnd::ConnectRefused));
+}
+
+// Guards against a busy upstream that is taken for one behind a lost path.
+BOOST_AUTO_TEST_CASE(ABusyUpstreamsMachineAcknowledges) {
+  CallFixture Fixture;
+  Fixture.send();
+  BOOST_TEST(
+      pumpUntil([&] { return Fixture.m_Upstream.acceptPending() == 1U; }));
+  BOOST_TEST(pumpUntil([&] {
+    return Fixture.m_Call->progress() == CallProgress::Acknowledged;
+  }));
+}
+
+// Guards against a request on its way that counts as acknowledged.
+BOOST_AUTO_TEST_CASE(ARequestThatIsNotTakenIsUnacknowledged) {
+  CallFixture Fixture;
+  UpstreamRequest Request;
+  Request.m_Address = Fixture.m_Upstream.m_Address;
+  Request.m_Path = "/x";
+  Request.m_Body = std::string(std::size_t(32) << 20U, 'x');
+  Request.m_SendDeadline = Fixture.m_Clock.readNow() + 10s;
+  Fixture.m_Call = Fixture.m_Caller.send(Request, Fixture.m_Listener);
+  BOOST_TEST(pumpUntil([&] {
+    return Fixture.m_Call->progress() == CallProgress::Unacknowledged;
+  }));
+  pumpFor(100ms);
+  BOOST_TEST((Fixture.m_Call->progress() == CallProgress::Unacknowledged));
+}
