Test: Callers of instances that can't reach any upstream are served; known red

What callers saw: 503 after 1.4 s or 504 from every instance that can't reach the upstreams, for as long as that lasts, while the other instances served all.

The test plays instances in virtual time with the deciding code as it is, a path between each instance and each upstream, and three kinds of cut: nothing is answered, connections are reset and refused, only new ones are refused.

--- /dev/null
+++ b/tests/unit/path_fleet.h
@@ -0,0 +1,271 @@
+/// Instances that forward requests to shared upstreams, with paths to cut.
+#ifndef CROWSTEP_TESTS_UNIT_PATH_FLEET_H
+#define CROWSTEP_TESTS_UNIT_PATH_FLEET_H
+
+#include "unit/forwarded_request_env.h"
+#include "unit/simulated_upstreams.h"
+
+#include <algorithm>
+
+namespace crowstep::test {
+
+/// One request of a caller and what became of it.
+struct PathRequest {
+  std::string m_Id;                            ///< Of the attempt.
+  std::size_t m_Instance = 0;                  ///< That it was sent to.
+  bool m_IsRepeatable = false;                 ///< May run again.
+  TimePoint m_SentAt;                          ///< By the caller.
+  TimePoint m_EndedAt;                         ///< Once it has ended.
+  bool m_HasEnded = false;                     ///< It was answered.
+  CallerRecord m_Record;                       ///< What the caller received.
+  std::unique_ptr<ForwardedRequest> m_Request; ///< At the instance.
+
+  [[nodiscard]] bool isServed() const {
+    return m_Record.m_Ended || (m_Record.m_Answers.size() == 1 &&
+                                m_Record.m_Answers[0].m_Status == 200);
+  }
+  /// Returns whether the caller was told that it has not run.
+  [[nodiscard]] bool isStatedNotRun() const {
+    return m_Record.m_Answers.size() == 1 &&
+           m_Record.m_Answers[0].m_RunState == RunState::NotRun;
+  }
+};
+
+/// An instance as the gateway composes it, without its sockets.
+struct PathInstance {
+  PathInstance(UpstreamWorld &World, ManualScheduler &Timers, const Clock &Time,
+               std::size_t Index, std::size_t Zones)
+      : m_Clock(Time),
+        m_Balancer({"z" + std::to_string(Index % Zones)}, Index + 1),
+        m_Upstreams(World, Time, Index),
+        m_CrashWatch(Time, Timers, m_Balancer, m_Upstreams, m_Metrics),
+        m_WaitQueue(Timers), m_Context{Time,
+                                       Timers,
+                                       m_Balancer,
+                                       m_Budget,
+                                       m_Upstreams,
+                                       m_CrashWatch,
+                                       m_Codec,
+                                       m_Stats,
+                                       m_WaitQueue,
+                                       [] { return 0.5; },
+                                       [] { return false; },
+                                       nullptr} {
+    m_Balancer.setUpstreams(World.m_List);
+    m_CrashWatch.upstreamsChanged(World.m_List);
+  }
+
+  const Clock &m_Clock; ///< Outlives it.
+  balance::Balancer m_Balancer;
+  balance::RetryBudget m_Budget{{0.2, 56, 10s}};
+  SimulatedUpstreams m_Upstreams;
+  PlainCodec m_Codec;
+  Metrics m_Metrics;
+  GatewayStats m_Stats{m_Metrics};
+  CrashWatch m_CrashWatch;
+  WaitQueue m_WaitQueue;
+  ForwardContext m_Context;
+};
+
+/// Requests of the callers of some instances within a time, at their first
+/// attempt.
+struct ServedShare {
+  std::size_t m_Sent = 0;
+  std::size_t m_Served = 0;
+  [[nodiscard]] double share() const {
+    return m_Sent == 0
+               ? 1
+               : static_cast<double>(m_Served) / static_cast<double>(m_Sent);
+  }
+};
+
+class PathFleet {
+public:
+  /// Makes upstreams on machines of their own: engines of the service "pool"
+  /// and plain ones of the service "desk".
+  PathFleet(std::size_t Instances, std::size_t Zones, std::size_t Engines,
+            std::size_t Desks)
+      : m_Zones(Zones) {
+    for (std::size_t I = 0; I < Engines + Desks; ++I) {
+      const bool IsEngine = I < Engines;
+      const std::string Name = (IsEngine ? "e" : "d") + std::to_string(I);
+      const auto Machine = static_cast<std::uint32_t>(0x0a000001 + I);
+      m_World.m_List.push_back(
+          {upstreamIdOf(Name),
+           Name,
+           IsEngine ? "pool" : "desk",
+           {Machine, 8000},
+           {"z" + std::to_string(I % Zones)},
+           IsEngine ? UpstreamKind(Engine{64}) : UpstreamKind(PlainService{64}),
+           false});
+    }
+    m_Table = makeTable();
+    for (std::size_t I = 0; I < Instances; ++I) {
+      m_Instances.push_back(
+          std::make_unique<PathInstance>(m_World, m_Timers, m_Clock, I, Zones));
+      m_Instances.back()->m_Budget.setInstances(Instances, m_Clock.now() - 10s);
+    }
+  }
+
+  /// Cuts all paths of \p Count instances, of the first zone as long as it has
+  /// as many.
+  void cut(std::size_t Count, PathMode Mode) {
+    m_World.m_Mode = Mode;
+    for (std::size_t Zone = 0; Zone < m_Zones; ++Zone)
+      for (std::size_t I = Zone;
+           I < m_Instances.size() && m_World.m_CutInstances.size() < Count;
+           I += m_Zones)
+        m_World.m_CutInstances.insert(I);
+    pathsChanged();
+  }
+
+  void heal() {
+    m_World.m_CutInstances.clear();
+    pathsChanged();
+  }
+
+  void pathsChanged() {
+    for (const auto &Instance : m_Instances)
+      Instance->m_Upstreams.handlePathChange();
+  }
+
+  /// Lets each instance get one request in each \p Interval.
+  void run(Duration Span, Duration Interval) {
+    const TimePoint End = m_Clock.now() + Span;
+    while (m_Clock.now() < End) {
+      for (std::size_t I = 0; I < m_Instances.size(); ++I)
+        if ((m_Ticks + I * 7) % static_cast<std::size_t>(Interval / Step) == 0)
+          sendNext(I);
+      ++m_Ticks;
+      m_Timers.advance(Step);
+      destroyEnded();
+    }
+  }
+
+  /// Sends a request of kind \p Number % 3: a call that may run once, one that
+  /// may run again, or a stream that may resume.
+  PathRequest &send(std::size_t Instance, unsigned Number) {
+    static constexpr std::array<const char *, 3> Paths = {"/hold/", "/check/",
+                                                          "/guide/"};
+    const unsigned Kind = Number % Paths.size();
+    auto Made = std::make_unique<PathRequest>();
+    PathRequest &Result = *Made;
+    Result.m_Id = "r" + std::to_string(m_Requests.size());
+    Result.m_Instance = Instance;
+    Result.m_IsRepeatable = Kind != 0;
+    Result.m_SentAt = m_Clock.now();
+    IncomingRequest Incoming{
+        "POST",
+        Paths.at(Kind) + std::string("x"),
+        {{"Host", "h"}, {"Call-Id", Result.m_Id}, {"Call-Time-Ms", "4000"}},
+        "body " + Result.m_Id};
+    if (Kind == 2)
+      Incoming.m_Headers.push_back({"Call-Prompt", "100"});
+    PathInstance &At = *m_Instances.at(Instance);
+    auto Admission = admit(Incoming, m_Table, At.m_Codec);
+    Result.m_Request = std::make_unique<ForwardedRequest>(
+        At.m_Context, Incoming, std::get<AdmittedRequest>(Admission),
+        std::make_unique<FakeCaller>(Result.m_Record), [this, &Result] {
+          Result.m_HasEnded = true;
+          Result.m_EndedAt = m_Clock.now();
+          m_Ended.push_back(&Result);
+        });
+    m_Requests.push_back(std::move(Made));
+    Result.m_Request->start();
+    return Result;
+  }
+
+  /// Returns how the requests that were sent from \p Since on and have ended
+  /// fared at the instances with cut paths, or at the others.
+  [[nodiscard]] ServedShare served(bool AtCut, TimePoint Since) const {
+    ServedShare Result;
+    for (const auto &Request : m_Requests) {
+      if (Request->m_SentAt < Since || !Request->m_HasEnded ||
+          m_World.m_CutInstances.contains(Request->m_Instance) != AtCut)
+        continue;
+      ++Result.m_Sent;
+      Result.m_Served += Request->isServed() ? 1 : 0;
+    }
+    return Result;
+  }
+
+  /// Returns how often the request has begun to run.
+  [[nodiscard]] std::size_t runsOf(const PathRequest &Request) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_World.m_Runs, [&](const UpstreamRun &Run) {
+          return Run.m_Request == Request.m_Id;
+        }));
+  }
+
+  /// Checks that calls that may run once did, and that those whose callers were
+  /// told that they have not run didn't.
+  void checkRuns() const {
+    std::map<std::string, std::size_t> Runs;
+    for (const UpstreamRun &Run : m_World.m_Runs)
+      ++Runs[Run.m_Request];
+    std::size_t Twice = 0;
+    std::size_t RunThoughDenied = 0;
+    for (const auto &Request : m_Requests) {
+      if (Request->m_IsRepeatable)
+        continue;
+      const std::size_t Count = Runs[Request->m_Id];
+      Twice += Count > 1 ? 1 : 0;
+      RunThoughDenied += Request->isStatedNotRun() && Count > 0 ? 1 : 0;
+    }
+    BOOST_TEST(Twice == 0U);
+    BOOST_TEST(RunThoughDenied == 0U);
+  }
+
+  static constexpr Duration Step = 1ms; ///< Of the simulation.
+
+  ManualClock m_Clock;
+  ManualScheduler m_Timers{m_Clock};
+  UpstreamWorld m_World{m_Timers};
+  std::size_t m_Zones;
+  RouteTablePtr m_Table;
+  std::vector<std::unique_ptr<PathInstance>> m_Instances;
+  std::vector<std::unique_ptr<PathRequest>> m_Requests; ///< All, in order.
+
+private:
+  static RouteTablePtr makeTable() {
+    RouteTableData Data;
+    const auto Add = [&](const char *Prefix, const char *Service,
+                         const RouteKind &Kind, Duration Target) {
+      Route Added;
+      Added.m_Name = Prefix;
+      Added.m_Host = "h";
+      Added.m_Prefix = Prefix;
+      Added.m_Kind = Kind;
+      Added.m_Timeout = 4s;
+      Added.m_Target = Target;
+      Added.m_Services = {{Service, 1}};
+      Added.m_MaxAttempts = 3;
+      Data.m_Routes.push_back(Added);
+    };
+    Add("/hold/", "desk", PlainCall{false}, 150ms);
+    Add("/check/", "desk", PlainCall{true}, 150ms);
+    Add("/guide/", "pool", EventStream{true, 250ms}, 600ms);
+    return std::make_shared<RouteTable>(std::move(Data));
+  }
+
+  /// Lets the kinds of an instance's requests alternate.
+  void sendNext(std::size_t Instance) {
+    const unsigned Number = m_Sent++;
+    send(Instance, Number + Number / static_cast<unsigned>(m_Instances.size()));
+  }
+
+  /// A request may not be destroyed while it is on the call stack.
+  void destroyEnded() {
+    for (PathRequest *Request : m_Ended)
+      Request->m_Request.reset();
+    m_Ended.clear();
+  }
+
+  std::size_t m_Ticks = 0;            ///< Steps so far.
+  unsigned m_Sent = 0;                ///< Requests of run() so far.
+  std::vector<PathRequest *> m_Ended; ///< Since the last step.
+};
+
+} // namespace crowstep::test
+
+#endif // CROWSTEP_TESTS_UNIT_PATH_FLEET_H
