Feature: Hold a call to an upstream between its connection and its first byte

A call that another instance carries must have a point up to which it has provably not been sent, whatever becomes of either instance. m_HoldSend connects and waits for release(); the last check before the first byte comes after that. closeIdle() drops connections that a lost path has made useless.

--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -65,6 +65,7 @@
 
   void pauseReading() override;
   void resumeReading() override;
+  void release() override;
   [[nodiscard]] CallProgress progress() const override;
 
 private:
@@ -73,6 +74,7 @@
   void open();
   [[nodiscard]] bool mayRetry() const;
   void finishConnect();
+  void handleConnected();
   [[nodiscard]] bool maySend() const;
   void startSending();
   void write();
@@ -94,6 +96,7 @@
   TimePoint m_SendDeadline;           ///< See UpstreamRequest.
   std::function<bool()> m_SendCheck;  ///< May be empty.
   bool m_CloseAfter;                  ///< Don't keep the connection.
+  bool m_IsHeld;                      ///< Waits for release().
   std::string m_Output;               ///< The serialized request.
   std::size_t m_WrittenBytes = 0;     ///< Part of m_Output already written.
   AnswerParser m_Parser;              ///< Of the answer.
@@ -124,7 +127,8 @@
     : m_Clock(Time), m_IdleConnections(Idle), m_Listener(Listener),
       m_Address(Request.m_Address), m_SendDeadline(Request.m_SendDeadline),
       m_SendCheck(Request.m_SendCheck), m_CloseAfter(Request.m_CloseAfter),
-      m_Output(requestText(Request)), m_Parser(Request.m_Method == "HEAD"),
+      m_IsHeld(Request.m_HoldSend), m_Output(requestText(Request)),
+      m_Parser(Request.m_Method == "HEAD"),
       m_RetryStaleConnection(Request.m_RetryStaleConnection),
       m_LastByte(Time.now()), m_SilenceTimer(Timers), m_ConnectTimer(Timers),
       m_SilenceTimeout(Request.m_SilenceTimeout),
@@ -140,12 +144,25 @@
   m_IsReused = m_Connection != nullptr;
   if (!m_IsReused)
     open();
-  else if (maySend())
+  else if (m_IsHeld)
+    m_ConnectTimer.start(Duration::zero(),
+                         [this] { m_Listener.upstreamConnected(); });
+  else
+    handleConnected();
+}
+
+void HttpUpstreamCall::handleConnected() {
+  if (maySend())
     startSending();
   else
     scheduleEnd(TransportEnd::Withheld);
 }
 
+void HttpUpstreamCall::release() {
+  m_IsHeld = false;
+  handleConnected();
+}
+
 void HttpUpstreamCall::open() {
   auto Opened = UpstreamConnection::open(m_Address, *this);
   if (const auto *Failed = std::get_if<ConnectOutcome>(&Opened)) {
@@ -221,6 +238,11 @@
   }
   m_IsConnecting = false;
   m_ConnectTimer.stop();
+  if (m_IsHeld) {
+    updateWatch();
+    m_Listener.upstreamConnected();
+    return;
+  }
   if (maySend())
     startSending();
   else
--- a/src/http/upstream_call.h
+++ b/src/http/upstream_call.h
@@ -48,6 +48,7 @@
   Duration m_SilenceTimeout{};       ///< Between two received bytes; 0: none.
   Duration m_ConnectTimeout{};       ///< For the connection; 0: none.
   Duration m_AnswerTimeout{};        ///< For the whole call; 0: none.
+  bool m_HoldSend = false; ///< Send nothing before UpstreamCall::release().
   bool m_RetryStaleConnection = false; ///< Once, if a reused connection fails
                                        ///< before a byte of the answer.
 };
@@ -57,6 +58,8 @@
 class UpstreamListener {
 public:
   virtual ~UpstreamListener() = default;
+  /// The connection of a call with m_HoldSend is established.
+  virtual void upstreamConnected() {}
   virtual void upstreamHeaders(unsigned Status, const HeaderList &Headers) = 0;
   virtual void upstreamBytes(std::string_view Bytes) = 0;
   virtual void upstreamEnded(TransportEnd End) = 0;
@@ -70,6 +73,9 @@
   virtual void pauseReading() = 0;
   virtual void resumeReading() = 0;
 
+  /// Sends a call with m_HoldSend, after upstreamConnected().
+  virtual void release() = 0;
+
   [[nodiscard]] virtual CallProgress progress() const = 0;
 };
 
@@ -80,6 +86,9 @@
   /// \p Listener outlives the call and is not called from within send().
   virtual std::unique_ptr<UpstreamCall> send(const UpstreamRequest &Request,
                                              UpstreamListener &Listener) = 0;
+
+  /// Closes the connections to an upstream that no call uses.
+  virtual void closeIdle(const Address &Upstream) = 0;
 };
 
 /// An open probe; destroying it cancels it.
@@ -110,6 +119,9 @@
   /// \throws UpstreamUriError for a path that can't be sent.
   std::unique_ptr<UpstreamCall> send(const UpstreamRequest &Request,
                                      UpstreamListener &Listener) override;
+  void closeIdle(const Address &Upstream) override {
+    m_IdleConnections.close(Upstream);
+  }
 
   /// An established connection is kept for the next call.
   std::unique_ptr<UpstreamProbe> probe(const Address &Upstream,
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -93,6 +93,9 @@
   std::unique_ptr<UpstreamConnection> take(const Address &Upstream,
                                            SocketListener &Listener);
 
+  /// Closes the connections to \p Upstream.
+  void close(const Address &Upstream) { m_ByUpstream.erase(Upstream); }
+
 private:
   /// One idle connection.
   struct IdleConnection final : SocketListener {
--- a/tests/unit/forwarded_request_env.h
+++ b/tests/unit/forwarded_request_env.h
@@ -62,6 +62,7 @@
     m_Calls.push_back({Send, &Listener});
     return std::make_unique<Handle>(m_Calls.back());
   }
+  void closeIdle(const Address &) override {}
   std::deque<PlayedCall> m_Calls; ///< All, in order.
 
 private:
@@ -73,6 +74,7 @@
     Handle &operator=(const Handle &) = delete;
     void pauseReading() override {}
     void resumeReading() override {}
+    void release() override {}
     [[nodiscard]] CallProgress progress() const override {
       return m_Call.m_Progress;
     }
--- a/tests/unit/simulated_upstreams.h
+++ b/tests/unit/simulated_upstreams.h
@@ -77,6 +77,7 @@
 
   void pauseReading() override { m_IsPaused = true; }
   void resumeReading() override { m_IsPaused = false; }
+  void release() override { startSending(); }
   [[nodiscard]] CallProgress progress() const override;
 
   /// The paths of the instance have changed.
@@ -123,6 +124,8 @@
     return std::make_unique<SimulatedCall>(*this, Request, Listener, IsReused);
   }
 
+  void closeIdle(const Address &Where) override { m_Kept.erase(Where); }
+
   std::unique_ptr<UpstreamProbe> probe(const Address &Where, Duration Timeout,
                                        ProbeCallback OnDone) override {
     ++m_ProbeCount;
@@ -222,7 +225,12 @@
   handleConnected();
 }
 
-inline void SimulatedCall::handleConnected() { startSending(); }
+inline void SimulatedCall::handleConnected() {
+  if (m_Request.m_HoldSend)
+    m_Listener.upstreamConnected();
+  else
+    startSending();
+}
 
 inline void SimulatedCall::startSending() {
   if (m_Request.m_SendCheck && !m_Request.m_SendCheck()) {
--- a/tests/unit/upstream_call_test.cpp
+++ b/tests/unit/upstream_call_test.cpp
@@ -13,12 +13,14 @@
 namespace {
 
 struct Listener final : UpstreamListener {
+  void upstreamConnected() override { m_Connected = true; }
   void upstreamHeaders(unsigned Status, const HeaderList &) override {
     m_Status = Status;
   }
   void upstreamBytes(std::string_view Bytes) override { m_Body += Bytes; }
   void upstreamEnded(TransportEnd End) override { m_End = End; }
 
+  bool m_Connected = false;
   unsigned m_Status = 0;
   std::string m_Body;
   std::optional<TransportEnd> m_End;
@@ -338,3 +340,29 @@
   pumpFor(100ms);
   BOOST_TEST((Fixture.m_Call->progress() == CallProgress::Unacknowledged));
 }
+
+// Guards against a call that is sent although its release was never given.
+BOOST_AUTO_TEST_CASE(AHeldCallSendsNothingBeforeItsRelease) {
+  CallFixture Fixture;
+  for (const bool IsReused : {false, true}) {
+    Fixture.m_Listener = Listener();
+    UpstreamRequest Request;
+    Request.m_Address = Fixture.m_Upstream.m_Address;
+    Request.m_Path = IsReused ? "/second" : "/first";
+    Request.m_Repeatable = true;
+    Request.m_HoldSend = true;
+    Request.m_SendDeadline = Fixture.m_Clock.readNow() + 10s;
+    Fixture.m_Call = Fixture.m_Caller.send(Request, Fixture.m_Listener);
+    BOOST_TEST(pumpUntil([&] { return Fixture.m_Listener.m_Connected; }));
+    pumpFor(20ms);
+    Fixture.m_Upstream.acceptPending();
+    Peer &Upstream = Fixture.m_Upstream.peer(0);
+    BOOST_TEST(!Upstream.hasReceived(Request.m_Path));
+    Fixture.m_Call->release();
+    BOOST_TEST(pumpUntil([&] { return Upstream.hasReceived(Request.m_Path); }));
+    Upstream.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_TEST(Fixture.ended());
+    BOOST_TEST((Fixture.m_Listener.m_End == TransportEnd::Complete));
+  }
+  BOOST_TEST(Fixture.m_Upstream.acceptPending() == 1U);
+}
