Feature: Send a link's frame before the end of the iteration

Requests with large bodies must not add up to a frame over the size limit. Links of different use have gauges of their own, as each would overwrite the other's number.

--- a/src/link/link_tcp.cpp
+++ b/src/link/link_tcp.cpp
@@ -44,6 +44,7 @@
   void dial(const Address &Remote);
   void disconnect(const Address &Remote);
   wire::FrameT &outbox(LinkId Link);
+  void flush(LinkId Link);
   void close(LinkId Link);
 
   void connectionUp(Connection &Source) override;
@@ -87,7 +88,10 @@
                                       FrameCounters(Stats, "out")},
       m_Acceptor(Timers), m_Flush(Timers), m_Random(std::random_device()()),
       m_DialCount(Stats.counter("crowstep_link_dials_total")),
-      m_OpenGauge(Stats.gauge("crowstep_link_open")) {
+      m_OpenGauge(Stats.gauge("crowstep_link_open",
+                              m_Config.m_Purpose.empty()
+                                  ? Labels()
+                                  : Labels{{"purpose", m_Config.m_Purpose}})) {
   for (int Reason = 0; Reason < static_cast<int>(CloseReason::Count); ++Reason)
     m_CloseCounts.push_back(&Stats.counter(
         "crowstep_link_closed_total",
@@ -189,14 +193,17 @@
     m_Flush.start(Duration::zero(), [this] { flush(); });
 }
 
+void TcpLinks::Impl::flush(LinkId Link) {
+  const auto Found = m_Connections.find(Link);
+  if (Found == m_Connections.end())
+    return;
+  const std::shared_ptr<Connection> Pending = Found->second;
+  Pending->flush();
+}
+
 void TcpLinks::Impl::flush() {
-  for (const LinkId Link : std::exchange(m_PendingLinks, {})) {
-    const auto Found = m_Connections.find(Link);
-    if (Found == m_Connections.end())
-      continue;
-    const std::shared_ptr<Connection> Pending = Found->second;
-    Pending->flush();
-  }
+  for (const LinkId Link : std::exchange(m_PendingLinks, {}))
+    flush(Link);
   for (const ClosedLink &Closed : std::exchange(m_ClosedLinks, {}))
     reportDown(Closed.m_Link, Closed.m_Peer, CloseReason::Local);
 }
@@ -260,6 +267,7 @@
 void TcpLinks::dial(const Address &Remote) { m_Impl->dial(Remote); }
 void TcpLinks::disconnect(const Address &Remote) { m_Impl->disconnect(Remote); }
 wire::FrameT &TcpLinks::outbox(LinkId Link) { return m_Impl->outbox(Link); }
+void TcpLinks::flush(LinkId Link) { m_Impl->flush(Link); }
 void TcpLinks::close(LinkId Link) { m_Impl->close(Link); }
 
 } // namespace crowstep::link
--- a/src/link/link_tcp.h
+++ b/src/link/link_tcp.h
@@ -17,6 +17,7 @@
   Incarnation m_Incarnation;                ///< Of this process.
   AvailabilityZone m_Zone;                  ///< Of this instance.
   Address m_Listen;                         ///< None: accepts no links.
+  std::string m_Purpose; ///< Label of the gauge of open links; empty: none.
   std::string m_Key;                        ///< Shared secret of all processes.
   std::uint32_t m_MaxFrameBytes = 4U << 20; ///< Bytes, in both directions.
   std::size_t m_MaxQueuedBytes = 16U << 20; ///< Bytes waiting for a slow peer.
@@ -40,6 +41,7 @@
   void dial(const Address &Remote) override;
   void disconnect(const Address &Remote) override;
   wire::FrameT &outbox(LinkId Link) override;
+  void flush(LinkId Link) override;
   void close(LinkId Link) override;
 
 private:
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -74,6 +74,9 @@
   /// frame is discarded.
   virtual wire::FrameT &outbox(LinkId Link) = 0;
 
+  /// Sends the frame under assembly for \p Link now.
+  virtual void flush(LinkId Link) = 0;
+
   /// Closes one link at once.
   virtual void close(LinkId Link) = 0;
 };
--- a/tests/unit/attachment_test.cpp
+++ b/tests/unit/attachment_test.cpp
@@ -16,6 +16,7 @@
   void dial(const Address &) override {}
   void disconnect(const Address &) override {}
   wire::FrameT &outbox(link::LinkId Link) override { return m_Out[Link]; }
+  void flush(link::LinkId) override {}
   void close(link::LinkId) override {}
 
   std::map<link::LinkId, wire::FrameT> m_Out; ///< By link.
--- a/tests/unit/claim_client_test.cpp
+++ b/tests/unit/claim_client_test.cpp
@@ -17,6 +17,7 @@
   void dial(const Address &) override {}
   void disconnect(const Address &) override {}
   wire::FrameT &outbox(link::LinkId) override { return m_Sent; }
+  void flush(link::LinkId) override {}
   void close(link::LinkId) override {}
 
   wire::FrameT m_Sent; ///< All that was sent.
--- a/tests/unit/digest_fleet.h
+++ b/tests/unit/digest_fleet.h
@@ -25,6 +25,7 @@
   void dial(const Address &Where) override;
   void disconnect(const Address &) override {}
   wire::FrameT &outbox(link::LinkId Link) override;
+  void flush(link::LinkId) override {}
   void close(link::LinkId) override {}
 
   Network &m_Network;             ///< Outlives it.
--- a/tests/unit/entry_placement_test.cpp
+++ b/tests/unit/entry_placement_test.cpp
@@ -21,6 +21,7 @@
   void dial(const Address &Target) override { m_Dialled.insert(Target); }
   void disconnect(const Address &Target) override { m_Dialled.erase(Target); }
   wire::FrameT &outbox(LinkId Link) override { return m_Out[Link.value()]; }
+  void flush(LinkId) override {}
   void close(LinkId) override {}
 
   std::set<Address> m_Dialled;
