--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -140,16 +140,61 @@
             Query.m_Excluded.end() &&
         mayPlaceAt(State, Now))
       Listed.push_back(&State);
-  States Available;
-  std::copy_if(Listed.begin(), Listed.end(), std::back_inserter(Available),
-               [&](const UpstreamState *State) {
-                 return !State->m_Health.isEjected(Now) &&
-                        Now >= State->m_FullUntil;
-               });
+  const auto Select = [](const States &From, const auto &Predicate) {
+    States Result;
+    std::copy_if(From.begin(), From.end(), std::back_inserter(Result),
+                 Predicate);
+    return Result;
+  };
   const auto MinAvailable = static_cast<std::size_t>(
       static_cast<double>(Listed.size()) * (1 - MaxExcludedShare));
-  return Available.empty() || Available.size() < MinAvailable ? Listed
-                                                              : Available;
+  const auto IsEnough = [&](const States &Left) {
+    return !Left.empty() && Left.size() >= MinAvailable;
+  };
+  States Available = Select(Listed, [&](const UpstreamState *State) {
+    return !State->m_Health.isEjected(Now) && Now >= State->m_FullUntil;
+  });
+  if (!IsEnough(Available))
+    return Listed;
+  States Reachable = Select(Available, [](const UpstreamState *State) {
+    return !State->m_IsPathLost;
+  });
+  return IsEnough(Reachable) ? Reachable : Available;
+}
+
+std::optional<Placed>
+Balancer::placeCarried(UpstreamId Upstream,
+                       const std::optional<ContentHash> &Content,
+                       TimePoint Now) {
+  const auto Found = m_States.find(Upstream);
+  if (Found == m_States.end() || isBarred(Found->second, Now) ||
+      !m_Pauses.maySend(Upstream, Now) ||
+      (Content && m_Quarantine.remainingHold(*Content, Now) > Duration::zero()))
+    return std::nullopt;
+  const TicketId Id(++m_LastTicket);
+  m_Pauses.recordSend(Upstream, Id);
+  Ticket &Carried = m_Tickets[Id];
+  Carried.m_Upstream = Upstream;
+  Carried.m_PlacedAt = Now;
+  Carried.m_ContentHash = Content;
+  Carried.m_IsCarried = true;
+  const struct Upstream &Where = Found->second.m_Upstream;
+  return Placed{Id, Upstream, Where.m_Name, Where.m_Address, {}};
+}
+
+/// What failed on a lost path says nothing about the upstream.
+void Balancer::setPathLost(UpstreamId Upstream, bool IsLost) {
+  const auto Found = m_States.find(Upstream);
+  if (Found == m_States.end())
+    return;
+  Found->second.m_IsPathLost = IsLost;
+  if (IsLost)
+    Found->second.m_Health = UpstreamHealth();
+}
+
+const Upstream *Balancer::findUpstream(UpstreamId Id) const {
+  const auto Found = m_States.find(Id);
+  return Found == m_States.end() ? nullptr : &Found->second.m_Upstream;
 }
 
 PlacementResult Balancer::place(const PlacementQuery &Query, TimePoint Now) {
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -36,6 +36,21 @@
   /// Chooses an upstream and counts the call there until recordCallEnd().
   PlacementResult place(const PlacementQuery &Query, TimePoint Now);
 
+  /// Counts a call that another instance has placed and that this one carries
+  /// to \p Upstream, until recordCallEnd(). Its load counts where it was
+  /// placed. Returns nullopt if the upstream must get no call from here, or the
+  /// request is quarantined.
+  std::optional<Placed> placeCarried(UpstreamId Upstream,
+                                     const std::optional<ContentHash> &Content,
+                                     TimePoint Now);
+
+  /// Sets whether this instance can reach \p Upstream only through others. Such
+  /// an upstream is used if too few of its service can be reached directly.
+  void setPathLost(UpstreamId Upstream, bool IsLost);
+
+  /// Returns a listed upstream, or null; valid until the next change.
+  [[nodiscard]] const Upstream *findUpstream(UpstreamId Id) const;
+
   /// The first event or the whole answer was received: prefill is complete.
   void recordFirstEvent(TicketId Ticket, TimePoint Now);
 
@@ -139,6 +154,7 @@
     TimePoint m_PlacedAt;                     ///< Time of the placement.
     bool m_NoQueuedPrefill = false;           ///< No prefill queued before it.
     std::optional<ContentHash> m_ContentHash; ///< Of the request, if known.
+    bool m_IsCarried = false; ///< Its load counts at another instance.
   };
 
   States findCandidates(const PlacementQuery &Query, TimePoint Now);
--- a/src/balance/balancer_reports.cpp
+++ b/src/balance/balancer_reports.cpp
@@ -108,9 +108,11 @@
   }
   if (UpstreamState *State = stateOf(Ticket)) {
     const struct Ticket &Ended = m_Tickets[Ticket];
-    State->m_OwnLoad.finishPrefill(Ended.m_Urgency,
-                                   Ended.m_Demand.m_PrefillTokens);
-    State->m_OwnLoad.removeCall(Ended.m_Urgency, Ended.m_Demand);
+    if (!Ended.m_IsCarried) {
+      State->m_OwnLoad.finishPrefill(Ended.m_Urgency,
+                                     Ended.m_Demand.m_PrefillTokens);
+      State->m_OwnLoad.removeCall(Ended.m_Urgency, Ended.m_Demand);
+    }
     State->m_Health.recordOutcome(Outcome, Now);
     reportToQuarantine(Ended, *State, Outcome, Now);
     if (Outcome == CallOutcome::Refused)
--- a/src/balance/upstream_state.h
+++ b/src/balance/upstream_state.h
@@ -43,6 +43,7 @@
   UpstreamHealth m_Health;                ///< By its answers.
   TimePoint m_FullUntil{};                ///< Had no room.
   TimePoint m_DrainingUntil{};            ///< Reported draining.
+  bool m_IsPathLost = false;              ///< Only other instances reach it.
 };
 
 } // namespace crowstep::balance
--- a/src/entry/request.cpp
+++ b/src/entry/request.cpp
@@ -343,6 +343,7 @@
   switch (End) {
   case TransportEnd::NotSent:
   case TransportEnd::ConnectRefused:
+  case TransportEnd::NoPath:
     endCall(CallEnd::ConnectFailed);
     return;
   case TransportEnd::Withheld:
@@ -352,6 +353,7 @@
     endCall(classifyAnswer());
     return;
   case TransportEnd::Broken:
+  case TransportEnd::RelayLost:
     // After [DONE], how the connection ends does not matter.
     if (m_StreamDone)
       endCall(CallEnd::Complete);
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -22,6 +22,8 @@
   Address m_Address;       ///< For links from other instances.
   AvailabilityZone m_Zone; ///< Of the instance.
   double m_Weight = 1;     ///< Capacity relative to others.
+  Address m_RelayAddress;  ///< For calls of other instances; none: it carries
+                           ///< none.
 };
 
 /// The listed instances and the key that authenticates their links.
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -218,17 +218,11 @@
   switch (End) {
   case TransportEnd::NotSent:
   case TransportEnd::ConnectRefused:
-    --m_Attempts;
     m_Context.m_Stats.countConnectFailure(End == TransportEnd::ConnectRefused);
-    endCall(balance::CallOutcome::Unreachable);
-    if (++m_UnsentAttempts > MaxUnsentAttempts) {
-      refuse(m_MayHaveRun ? RefusalReason::UpstreamFailed
-                          : RefusalReason::NoUpstream,
-             BusyRetryAfter);
-      return;
-    }
-    m_Context.m_Stats.countRetry(RetryReason::ConnectFailed);
-    attempt();
+    handleUnsent(balance::CallOutcome::Unreachable);
+    return;
+  case TransportEnd::NoPath:
+    handleUnsent(balance::CallOutcome::Dropped);
     return;
   case TransportEnd::Withheld:
     --m_Attempts;
@@ -247,6 +241,11 @@
                                             m_Address);
     handleFailure(balance::CallOutcome::Broken, closeReason());
     return;
+  case TransportEnd::RelayLost:
+    m_MayHaveRun = true;
+    recordUsage();
+    handleFailure(balance::CallOutcome::Dropped, RetryReason::PathLost);
+    return;
   case TransportEnd::Complete:
     break;
   }
@@ -256,6 +255,23 @@
     handlePlainEnd();
 }
 
+void ForwardedRequest::handleUnsent(balance::CallOutcome Outcome) {
+  --m_Attempts;
+  endCall(Outcome);
+  if (++m_UnsentAttempts > MaxUnsentAttempts) {
+    refuse(m_MayHaveRun ? RefusalReason::UpstreamFailed
+                        : RefusalReason::NoUpstream,
+           BusyRetryAfter);
+    return;
+  }
+  m_Context.m_Stats.countRetry(RetryReason::ConnectFailed);
+  if (const Duration Delay = m_Context.m_Transport.retryDelay();
+      Delay > Duration::zero())
+    m_RetryTimer.start(Delay, [this] { attempt(); });
+  else
+    attempt();
+}
+
 void ForwardedRequest::handleStreamEnd() {
   if (m_Splitter.isMidEvent() || !m_Streaming) {
     handleFailure(balance::CallOutcome::Failed, closeReason());
@@ -323,8 +339,9 @@
 
 void ForwardedRequest::handleDeadline() {
   if (m_Call != nullptr) {
-    // It may have been sent: whether it runs is not known.
-    m_MayHaveRun = true;
+    // If it was sent, whether it runs is not known.
+    m_MayHaveRun =
+        m_MayHaveRun || m_Call->progress() != CallProgress::Connecting;
     endCall(balance::CallOutcome::Dropped);
   }
   refuse(RefusalReason::TimedOut, Duration::zero());
@@ -341,6 +358,7 @@
 void ForwardedRequest::finish(std::string_view Outcome) {
   m_DeadlineTimer.stop();
   m_SilenceTimer.stop();
+  m_RetryTimer.stop();
   m_QueueEntry.reset();
   const Duration Elapsed = m_Context.m_Clock.now() - m_ArrivedAt;
   m_Stats.m_Total->record(Elapsed);
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 #include "gateway/forward_limits.h"
+#include "gateway/upstream_request.h"
 
 #include <algorithm>
 
@@ -16,14 +17,6 @@
   return Unplaced.m_Reason == RefusalReason::UpstreamPaused;
 }
 
-ContentHash hashOf(const IncomingRequest &Request,
-                   const AdmittedRequest &Admission) {
-  const std::string *Host = findHeader(Request.m_Headers, "Host");
-  return contentHashOf(
-      {Request.m_Method, Host == nullptr ? std::string_view() : *Host,
-       Request.m_Target, Admission.m_Workspace, Request.m_Body});
-}
-
 } // namespace
 
 ForwardedRequest::ForwardedRequest(ForwardContext &Context,
@@ -33,11 +26,11 @@
                                    std::function<void()> OnEnded)
     : m_Context(Context), m_Request(std::move(Request)),
       m_Admitted(std::move(Admission)),
-      m_Content(hashOf(m_Request, m_Admitted)), m_Caller(std::move(From)),
-      m_OnEnded(std::move(OnEnded)),
+      m_Content(contentHashOf(m_Request, m_Admitted)),
+      m_Caller(std::move(From)), m_OnEnded(std::move(OnEnded)),
       m_Stats(Context.m_Stats.statsOfRoute(m_Admitted.m_Route->m_Name)),
       m_ArrivedAt(Context.m_Clock.now()), m_DeadlineTimer(Context.m_Timers),
-      m_SilenceTimer(Context.m_Timers) {
+      m_SilenceTimer(Context.m_Timers), m_RetryTimer(Context.m_Timers) {
   Duration Timeout = m_Admitted.m_Route->m_Timeout;
   if (m_Admitted.m_Facts.m_Deadline)
     Timeout = std::min(Timeout, *m_Admitted.m_Facts.m_Deadline);
@@ -171,28 +164,21 @@
   m_Status = 0;
   m_Body.clear();
   m_Splitter = SseSplitter();
-  AttemptFacts Facts;
-  Facts.m_TimeLeft = timeLeft();
-  Facts.m_Upstream = Placement.m_Name;
-  Facts.m_Workspace = m_Admitted.m_Workspace;
-  Facts.m_Priority = m_Admitted.m_EngineRank;
-  Facts.m_LastEventId = m_LastEventId;
-  UpstreamRequest Outgoing;
-  Outgoing.m_Address = Placement.m_Address;
-  Outgoing.m_Method = m_Request.m_Method;
-  Outgoing.m_Path = m_Request.m_Target;
-  Outgoing.m_Headers = m_Context.m_Codec.writeRequest(
-      endToEndHeaders(m_Request.m_Headers), Facts);
-  Outgoing.m_Body = m_Request.m_Body;
-  Outgoing.m_Repeatable = isRetryable();
-  Outgoing.m_SendDeadline = m_Deadline;
-  Outgoing.m_ConnectTimeout = ConnectTimeout;
-  Outgoing.m_SendCheck = [this] {
+  OutgoingCall Outgoing;
+  Outgoing.m_Upstream = Placement.m_Upstream;
+  Outgoing.m_Name = Placement.m_Name;
+  Outgoing.m_RequestId = m_Admitted.m_Facts.m_Id;
+  Outgoing.m_Request = &m_Request;
+  Outgoing.m_LastEventId = m_LastEventId;
+  Outgoing.m_Direct =
+      makeUpstreamRequest(m_Context.m_Codec, m_Request, m_Admitted,
+                          {Placement, m_Deadline, timeLeft(), m_LastEventId});
+  Outgoing.m_Direct.m_SendCheck = [this] {
     return !m_Caller->hasDisconnected() &&
            m_Context.m_Balancer.mayBegin(m_Ticket, m_Context.m_Clock.now());
   };
   ++m_Attempts;
-  m_Call = m_Context.m_Upstream.send(Outgoing, *this);
+  m_Call = m_Context.m_Transport.send(Outgoing, *this);
   startSilenceTimer(firstByteTimeout());
 }
 
@@ -232,12 +218,23 @@
     startSilenceTimer(BudgetCheckInterval);
     return;
   }
+  leaveSilentCall(balance::CallOutcome::Silent, closeReason());
+}
+
+void ForwardedRequest::leaveSilentCall(balance::CallOutcome Outcome,
+                                       RetryReason Reason) {
   m_MayHaveRun = true;
-  endCall(balance::CallOutcome::Silent);
-  m_Context.m_Stats.countRetry(closeReason());
+  endCall(Outcome);
+  m_Context.m_Stats.countRetry(Reason);
   attempt();
 }
 
+void ForwardedRequest::upstreamUnreachable() {
+  if (isRetryable() && mayRetry() &&
+      m_Context.m_Budget.trySpend(m_Service, m_Context.m_Clock.now()))
+    leaveSilentCall(balance::CallOutcome::Dropped, RetryReason::PathLost);
+}
+
 void ForwardedRequest::endCall(balance::CallOutcome Outcome) {
   if (Outcome != balance::CallOutcome::Served)
     logEvent(LogEvent::GatewayCallEnded,
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -14,6 +14,7 @@
 #include "core/scheduler.h"
 #include "duty/usage_meter.h"
 #include "gateway/admission.h"
+#include "gateway/call_transport.h"
 #include "gateway/crash_watch.h"
 #include "gateway/gateway_stats.h"
 #include "gateway/wait_queue.h"
@@ -32,7 +33,7 @@
   Scheduler &m_Timers;                 ///< Of the loop.
   balance::Balancer &m_Balancer;       ///< Chooses upstreams.
   balance::RetryBudget &m_Budget;      ///< Limits retries.
-  UpstreamClient &m_Upstream;          ///< Sends calls.
+  CallTransport &m_Transport;          ///< Sends calls.
   CrashWatch &m_CrashWatch;            ///< Handles broken calls.
   const HeaderCodec &m_Codec;          ///< Reads and writes headers.
   GatewayStats &m_Stats;               ///< Metrics.
@@ -60,6 +61,7 @@
   void upstreamHeaders(unsigned Status, const HeaderList &Headers) override;
   void upstreamBytes(std::string_view Bytes) override;
   void upstreamEnded(TransportEnd End) override;
+  void upstreamUnreachable() override;
 
   [[nodiscard]] balance::PlacementQuery placementQuery() const;
   void attempt();
@@ -69,6 +71,8 @@
   [[nodiscard]] bool mayWaitForPause(const balance::NotPlaced &Unplaced) const;
   void send(const balance::Placed &Placement);
   void endCall(balance::CallOutcome Outcome);
+  void handleUnsent(balance::CallOutcome Outcome);
+  void leaveSilentCall(balance::CallOutcome Outcome, RetryReason Reason);
   void retry(RetryReason Reason);
   [[nodiscard]] bool mayRetry() const;
   void refuse(RefusalReason Reason, Duration RetryAfter);
@@ -117,6 +121,7 @@
   TimePoint m_Deadline;             ///< The route's or caller's, if earlier.
   Timer m_DeadlineTimer;            ///< Runs until m_Deadline.
   Timer m_SilenceTimer;             ///< Runs while bytes are awaited.
+  Timer m_RetryTimer;               ///< Delays an attempt.
 
   std::unique_ptr<WaitQueue::Entry>
       m_QueueEntry;                     ///< Set while it waits for room.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,6 +37,10 @@
 constexpr Duration DefaultReceiveLimit = std::chrono::seconds(10);
 constexpr Duration DefaultIdleLimit = std::chrono::seconds(60);
 
+/// Room for the windows of all calls that an instance may carry, and for
+/// requests with the longest bodies.
+constexpr std::size_t RelayFrameBytes = 32U << 20U;
+
 ReceiveLimits arrivalLimits(const CallerLimits &Limits) {
   const auto OrDefault = [](Duration Value, Duration Default) {
     return Value > Duration::zero() ? Value : Default;
@@ -47,7 +51,8 @@
 }
 
 PeerInstance selfOf(const GatewaySettings &Config) {
-  return {Config.m_Name, Config.m_LinkAddress, Config.m_Zone, Config.m_Weight};
+  return {Config.m_Name, Config.m_LinkAddress, Config.m_Zone, Config.m_Weight,
+          Config.m_RelayAddress};
 }
 
 /// Counts \p Engines of a service by zone and kind.
@@ -99,11 +104,12 @@
             m_PlatformParts.m_Directory->receiveUpdate(Update);
           },
           m_Usage == nullptr ? nullptr : &m_Usage->m_Exchange),
+      m_CallRelay(makeCallRelay()),
       m_Context{m_Clock,
                 m_Timers,
                 m_Balancer,
                 m_Budget,
-                m_Upstream,
+                m_CallRelay->transport(),
                 m_CrashWatch,
                 *m_PlatformParts.m_Codec,
                 m_Stats,
@@ -139,6 +145,21 @@
       [this] { return capacityView(); }, m_Metrics);
 }
 
+std::unique_ptr<relay::CallRelay> Gateway::makeCallRelay() {
+  const auto LinksAt = [this](const Address &Listen) {
+    return
+        [this, Listen](const std::string &Key, link::LinkListener &Listener) {
+          return openRelayLinks(Key, Listen, Listener);
+        };
+  };
+  return std::make_unique<relay::CallRelay>(
+      selfOf(m_Settings),
+      relay::CallRelayContext{m_Clock, m_Timers, m_Metrics, m_Balancer,
+                              m_Upstream, m_Upstream, m_CrashWatch,
+                              *m_PlatformParts.m_Codec},
+      LinksAt(Address()), LinksAt(m_Settings.m_RelayAddress), m_Random());
+}
+
 std::vector<duty::ServiceCapacity> Gateway::capacityView() const {
   if (m_Table == nullptr)
     return {};
@@ -180,6 +201,7 @@
   for (const Service &Entry : m_Table->data().m_Services)
     m_Balancer.setCacheCapacity(Entry.m_Name, Entry.m_CacheTokens);
   m_Balancer.setMinPauses(minPausesByService(m_Table->data()));
+  m_CallRelay->setTable(m_Table);
   m_Metrics.gauge("crowstep_table_version")
       .set(static_cast<double>(m_Table->version().value()));
 }
@@ -188,6 +210,7 @@
   m_UpstreamsKnown = true;
   m_CrashWatch.upstreamsChanged(List);
   m_Balancer.setUpstreams(List);
+  m_CallRelay->setUpstreams(List);
 }
 
 void Gateway::quarantineChanged(const std::set<ContentHash> &Listed) {
@@ -209,6 +232,27 @@
   return Result;
 }
 
+/// Calls are never sent on the links for digests, so that no answer delays
+/// them.
+std::unique_ptr<link::Links>
+Gateway::openRelayLinks(const std::string &Key, const Address &Listen,
+                        link::LinkListener &Listener) {
+  link::LinkConfig Config;
+  Config.m_Role = wire::Role::Gateway;
+  Config.m_Name = m_Settings.m_Name;
+  Config.m_Incarnation = m_Incarnation;
+  Config.m_Zone = m_Settings.m_Zone;
+  Config.m_Listen = Listen;
+  Config.m_Key = Key;
+  Config.m_Purpose = Listen == Address() ? "relayed" : "carried";
+  Config.m_MaxFrameBytes = RelayFrameBytes;
+  Config.m_MaxQueuedBytes = RelayFrameBytes;
+  auto Result =
+      std::make_unique<link::TcpLinks>(Config, m_Timers, m_Metrics, Listener);
+  Result->start();
+  return Result;
+}
+
 void Gateway::peersChanged(const PeerList &List) {
   m_Budget.setInstances(List.m_Instances.size(), m_Clock.now());
   std::vector<InstanceId> Ids;
@@ -217,6 +261,7 @@
   m_Balancer.setInstances(instanceIdOf(m_Settings.m_Name), std::move(Ids),
                           m_Clock.now());
   m_Exchange.setPeers(List);
+  m_CallRelay->setPeers(List);
   if (m_Duties != nullptr)
     m_Duties->setCandidate(m_Exchange.isDutyCandidate());
   const ReadingRole Role = m_Exchange.readingRole();
@@ -309,6 +354,7 @@
   m_StopBeganAt = m_Clock.now();
   m_OnStopped = std::move(Done);
   m_PlatformParts.m_Directory->deregister();
+  m_CallRelay->stop();
   if (m_Duties != nullptr)
     m_Duties->stop();
   checkStopped();
@@ -320,7 +366,8 @@
       m_Front.stopListening();
     m_Listening = false;
     m_Front.closeIdleConnections();
-    if (m_Requests.empty() && m_Front.openRequests() == 0) {
+    if (m_Requests.empty() && m_Front.openRequests() == 0 &&
+        m_CallRelay->carriedCalls() == 0) {
       logEvent(LogEvent::GatewayDrained);
       m_OnStopped();
       return;
@@ -339,7 +386,8 @@
     logEvent(LogEvent::GatewayDraining,
              {{"requests", std::to_string(m_Requests.size())},
               {"unfinished", std::to_string(m_Front.unansweredRequests())},
-              {"open", std::to_string(m_Front.openRequests())}});
+              {"open", std::to_string(m_Front.openRequests())},
+              {"carried", std::to_string(m_CallRelay->carriedCalls())}});
   }
   m_StopTimer.start(StopCheckInterval, [this] { checkStopped(); });
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
 #include "http/frontend.h"
+#include "relay/call_relay.h"
 
 #include <random>
 #include <unordered_map>
@@ -64,6 +65,10 @@
   [[nodiscard]] std::vector<duty::ServiceCapacity> capacityView() const;
   std::unique_ptr<link::Links> openLinks(const std::string &Key,
                                          link::LinkListener &Listener);
+  std::unique_ptr<link::Links> openRelayLinks(const std::string &Key,
+                                              const Address &Listen,
+                                              link::LinkListener &Listener);
+  std::unique_ptr<relay::CallRelay> makeCallRelay();
   void peersChanged(const PeerList &List) override;
   void quarantineChanged(const std::set<ContentHash> &Listed) override;
   void updateRead(const DirectoryUpdate &Update) override;
@@ -93,11 +98,12 @@
   std::unique_ptr<UsageParts> m_Usage;        ///< Null: no usage is reported.
   std::unique_ptr<duty::DutyHolder> m_Duties; ///< Null: there are no duties.
   DigestExchange m_Exchange;                  ///< With other instances.
-  ForwardContext m_Context;                   ///< Shared by requests.
-  Frontend m_Front;                           ///< Callers' connections.
-  HttpServer m_ProbeServer;                   ///< Readiness and metrics.
-  RouteTablePtr m_Table;                      ///< In force; null: none yet.
-  bool m_UpstreamsKnown = false;              ///< A list was received.
+  std::unique_ptr<relay::CallRelay> m_CallRelay;  ///< Calls and their paths.
+  ForwardContext m_Context;                       ///< Shared by requests.
+  Frontend m_Front;                               ///< Callers' connections.
+  HttpServer m_ProbeServer;                       ///< Readiness and metrics.
+  RouteTablePtr m_Table;                          ///< In force; null: none yet.
+  bool m_UpstreamsKnown = false;                  ///< A list was received.
   ReadingRole m_ReadingRole = ReadingRole::Alone; ///< As set in the directory.
   std::unordered_map<std::uint64_t, std::unique_ptr<ForwardedRequest>>
       m_Requests; ///< In progress.
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -25,6 +25,7 @@
   Result.m_Weight = File.number("instance", "weight", 0, MaxWeight);
   Result.m_ListenAddress = File.address("gateway", "listen");
   Result.m_LinkAddress = File.address("gateway", "links");
+  Result.m_RelayAddress = File.address("gateway", "relays", Address());
   Result.m_ProbeAddress = File.address("gateway", "probes");
   Result.m_ReadinessPath = File.text("gateway", "readiness_path", "/readyz");
   Result.m_GracePeriod = seconds(File, "gateway", "grace_s");
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -9,12 +9,13 @@
 namespace crowstep::gateway {
 
 struct GatewaySettings {
-  std::string m_Name;                         ///< Of the instance.
-  AvailabilityZone m_Zone;                    ///< Of the instance.
-  double m_Weight = 1;                        ///< Capacity relative to others.
-  Address m_ListenAddress;                    ///< For callers.
-  Address m_LinkAddress;                      ///< For the other instances.
-  Address m_ProbeAddress;                     ///< For readiness and metrics.
+  std::string m_Name;      ///< Of the instance.
+  AvailabilityZone m_Zone; ///< Of the instance.
+  double m_Weight = 1;     ///< Capacity relative to others.
+  Address m_ListenAddress; ///< For callers.
+  Address m_LinkAddress;   ///< For the other instances.
+  Address m_RelayAddress;  ///< For calls of other instances; none: no relays.
+  Address m_ProbeAddress;  ///< For readiness and metrics.
   std::string m_ReadinessPath;                ///< Answers 200 while ready.
   Duration m_GracePeriod{};                   ///< From SIGTERM to SIGKILL.
   balance::RetryBudgetSettings m_RetryBudget; ///< Shared by all instances.
--- a/src/http/upstream_call.h
+++ b/src/http/upstream_call.h
@@ -22,6 +22,9 @@
   ConnectRefused, ///< Nothing listens at the address; no byte was sent.
   Withheld,       ///< Stopped by the last check; no byte was sent.
   Broken,         ///< Closed, reset or timed out; maybe sent.
+  NoPath,         ///< The path is lost and, so far, no other instance carries
+                  ///< the call; no byte was sent.
+  RelayLost,      ///< The instance that carried it was lost; maybe sent.
 };
 
 /// How far a request has come.
@@ -60,6 +63,9 @@
   virtual ~UpstreamListener() = default;
   /// The connection of a call with m_HoldSend is established.
   virtual void upstreamConnected() {}
+  /// The path to the upstream is lost and nothing has come over it for a while,
+  /// though the call was sent. Called again from time to time.
+  virtual void upstreamUnreachable() {}
   virtual void upstreamHeaders(unsigned Status, const HeaderList &Headers) = 0;
   virtual void upstreamBytes(std::string_view Bytes) = 0;
   virtual void upstreamEnded(TransportEnd End) = 0;
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -60,7 +60,7 @@
                      static_cast<std::size_t>(RetryReason::Count)>
     RetryNames = {"connect_failed",     "upstream_refused",  "upstream_leaving",
                   "closed_before_byte", "closed_mid_stream", "preempted",
-                  "grant_expired",      "dispatcher_lost"};
+                  "grant_expired",      "dispatcher_lost",   "path_lost"};
 
 } // namespace
 
--- a/src/refusal_type.h
+++ b/src/refusal_type.h
@@ -65,6 +65,8 @@
   Preempted,        ///< Its slot was given to a more urgent tier.
   GrantExpired,     ///< The grant expired before it was used.
   DispatcherLost,   ///< The bid was sent again to a new dispatcher.
+  PathLost,         ///< The path to the upstream was lost under a repeatable
+                    ///< call, or the instance that carried it.
   Count,            ///< Number of reasons; not a reason.
 };
 
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -132,6 +132,40 @@
 struct DirectoryUpdateBuilder;
 struct DirectoryUpdateT;
 
+struct PathQuestion;
+struct PathQuestionBuilder;
+struct PathQuestionT;
+
+struct PathReport;
+struct PathReportBuilder;
+struct PathReportT;
+
+struct HeaderLine;
+struct HeaderLineBuilder;
+struct HeaderLineT;
+
+struct RelayOpen;
+struct RelayOpenBuilder;
+struct RelayOpenT;
+
+struct RelayReady;
+
+struct RelayStart;
+
+struct RelayHead;
+struct RelayHeadBuilder;
+struct RelayHeadT;
+
+struct RelayBytes;
+struct RelayBytesBuilder;
+struct RelayBytesT;
+
+struct RelayCredit;
+
+struct RelayEnd;
+
+struct RelayCancel;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -919,6 +953,152 @@
   using type = UpstreamLimit;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RelayReady FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t call_;
+
+ public:
+  struct Traits;
+  RelayReady()
+      : call_(0) {
+  }
+  RelayReady(uint64_t _call)
+      : call_(flatbuffers::EndianScalar(_call)) {
+  }
+  uint64_t call() const {
+    return flatbuffers::EndianScalar(call_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RelayReady, 8);
+
+struct RelayReady::Traits {
+  using type = RelayReady;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RelayStart FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t call_;
+  uint64_t left_us_;
+
+ public:
+  struct Traits;
+  RelayStart()
+      : call_(0),
+        left_us_(0) {
+  }
+  RelayStart(uint64_t _call, uint64_t _left_us)
+      : call_(flatbuffers::EndianScalar(_call)),
+        left_us_(flatbuffers::EndianScalar(_left_us)) {
+  }
+  uint64_t call() const {
+    return flatbuffers::EndianScalar(call_);
+  }
+  uint64_t left_us() const {
+    return flatbuffers::EndianScalar(left_us_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RelayStart, 16);
+
+struct RelayStart::Traits {
+  using type = RelayStart;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RelayCredit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t call_;
+  uint32_t bytes_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  RelayCredit()
+      : call_(0),
+        bytes_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  RelayCredit(uint64_t _call, uint32_t _bytes)
+      : call_(flatbuffers::EndianScalar(_call)),
+        bytes_(flatbuffers::EndianScalar(_bytes)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t call() const {
+    return flatbuffers::EndianScalar(call_);
+  }
+  uint32_t bytes() const {
+    return flatbuffers::EndianScalar(bytes_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RelayCredit, 16);
+
+struct RelayCredit::Traits {
+  using type = RelayCredit;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RelayEnd FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t call_;
+  uint8_t end_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  RelayEnd()
+      : call_(0),
+        end_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  RelayEnd(uint64_t _call, uint8_t _end)
+      : call_(flatbuffers::EndianScalar(_call)),
+        end_(flatbuffers::EndianScalar(_end)),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t call() const {
+    return flatbuffers::EndianScalar(call_);
+  }
+  uint8_t end() const {
+    return flatbuffers::EndianScalar(end_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RelayEnd, 16);
+
+struct RelayEnd::Traits {
+  using type = RelayEnd;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RelayCancel FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t call_;
+
+ public:
+  struct Traits;
+  RelayCancel()
+      : call_(0) {
+  }
+  RelayCancel(uint64_t _call)
+      : call_(flatbuffers::EndianScalar(_call)) {
+  }
+  uint64_t call() const {
+    return flatbuffers::EndianScalar(call_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RelayCancel, 8);
+
+struct RelayCancel::Traits {
+  using type = RelayCancel;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint16_t schema = 0;
@@ -3605,141 +3785,808 @@
 
 flatbuffers::Offset<DirectoryUpdate> CreateDirectoryUpdate(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct FrameT : public flatbuffers::NativeTable {
-  typedef Frame TableType;
-  std::unique_ptr<crowstep::wire::HeartbeatT> heartbeat{};
-  std::unique_ptr<crowstep::wire::TableProbeT> table_probe{};
-  std::unique_ptr<crowstep::wire::TableProbeAckT> table_probe_ack{};
-  std::unique_ptr<crowstep::wire::AttachmentAckT> attachment_ack{};
-  std::unique_ptr<crowstep::wire::AttachmentT> attachment{};
-  std::vector<std::unique_ptr<crowstep::wire::BidT>> bids{};
-  std::vector<crowstep::wire::Grant> grants{};
-  std::vector<crowstep::wire::WorkEnd> work_ends{};
-  std::vector<crowstep::wire::FirstToken> first_tokens{};
-  std::unique_ptr<crowstep::wire::HelloT> hello{};
-  std::unique_ptr<crowstep::wire::ProofT> proof{};
-  std::vector<crowstep::wire::Refusal> refusals{};
-  std::vector<crowstep::wire::Preempt> preempts{};
-  std::vector<crowstep::wire::Withdrawal> withdrawals{};
-  std::vector<std::unique_ptr<crowstep::wire::RunningT>> running{};
-  std::vector<crowstep::wire::NotOwner> not_owner{};
-  std::vector<std::unique_ptr<crowstep::wire::MemberT>> members{};
-  std::unique_ptr<crowstep::wire::TableUpdateT> table_update{};
-  std::unique_ptr<crowstep::wire::TableRequestT> table_request{};
-  std::vector<std::unique_ptr<crowstep::wire::ClaimRequestT>> claim_requests{};
-  std::vector<std::unique_ptr<crowstep::wire::ClaimReplyT>> claim_replies{};
-  std::vector<crowstep::wire::MemberNews> member_news{};
-  std::unique_ptr<crowstep::wire::KnowledgeT> knowledge{};
-  std::unique_ptr<crowstep::wire::GatewayDigestT> digest{};
-  std::unique_ptr<crowstep::wire::GatewayDigestT> zone_sum{};
-  std::unique_ptr<crowstep::wire::GatewayDigestT> elsewhere{};
-  std::vector<std::unique_ptr<crowstep::wire::DirectoryUpdateT>> directory_updates{};
-  std::vector<std::unique_ptr<crowstep::wire::UsageCountsT>> usage{};
-  FrameT() = default;
-  FrameT(const FrameT &o);
-  FrameT(FrameT&&) FLATBUFFERS_NOEXCEPT = default;
-  FrameT &operator=(FrameT o) FLATBUFFERS_NOEXCEPT;
+struct PathQuestionT : public flatbuffers::NativeTable {
+  typedef PathQuestion TableType;
+  uint64_t id = 0;
+  std::vector<uint64_t> upstreams{};
 };
 
-struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef FrameT NativeTableType;
-  typedef FrameBuilder Builder;
+struct PathQuestion FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PathQuestionT NativeTableType;
+  typedef PathQuestionBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_HEARTBEAT = 4,
-    VT_TABLE_PROBE = 6,
-    VT_TABLE_PROBE_ACK = 8,
-    VT_ATTACHMENT_ACK = 10,
-    VT_ATTACHMENT = 12,
-    VT_BIDS = 14,
-    VT_GRANTS = 16,
-    VT_WORK_ENDS = 18,
-    VT_FIRST_TOKENS = 20,
-    VT_HELLO = 22,
-    VT_PROOF = 24,
-    VT_REFUSALS = 26,
-    VT_PREEMPTS = 28,
-    VT_WITHDRAWALS = 30,
-    VT_RUNNING = 32,
-    VT_NOT_OWNER = 34,
-    VT_MEMBERS = 36,
-    VT_TABLE_UPDATE = 38,
-    VT_TABLE_REQUEST = 40,
-    VT_CLAIM_REQUESTS = 42,
-    VT_CLAIM_REPLIES = 44,
-    VT_MEMBER_NEWS = 46,
-    VT_KNOWLEDGE = 48,
-    VT_DIGEST = 50,
-    VT_ZONE_SUM = 52,
-    VT_ELSEWHERE = 54,
-    VT_DIRECTORY_UPDATES = 56,
-    VT_USAGE = 58
+    VT_ID = 4,
+    VT_UPSTREAMS = 6
   };
-  const crowstep::wire::Heartbeat *heartbeat() const {
-    return GetPointer<const crowstep::wire::Heartbeat *>(VT_HEARTBEAT);
-  }
-  const crowstep::wire::TableProbe *table_probe() const {
-    return GetPointer<const crowstep::wire::TableProbe *>(VT_TABLE_PROBE);
-  }
-  const crowstep::wire::TableProbeAck *table_probe_ack() const {
-    return GetPointer<const crowstep::wire::TableProbeAck *>(VT_TABLE_PROBE_ACK);
-  }
-  const crowstep::wire::AttachmentAck *attachment_ack() const {
-    return GetPointer<const crowstep::wire::AttachmentAck *>(VT_ATTACHMENT_ACK);
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
   }
-  const crowstep::wire::Attachment *attachment() const {
-    return GetPointer<const crowstep::wire::Attachment *>(VT_ATTACHMENT);
+  const flatbuffers::Vector<uint64_t> *upstreams() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_UPSTREAMS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Bid>> *bids() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Bid>> *>(VT_BIDS);
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAMS) &&
+           verifier.VerifyVector(upstreams()) &&
+           verifier.EndTable();
   }
-  const flatbuffers::Vector<const crowstep::wire::Grant *> *grants() const {
-    return GetPointer<const flatbuffers::Vector<const crowstep::wire::Grant *> *>(VT_GRANTS);
+  PathQuestionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PathQuestionT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PathQuestion> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PathQuestionT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PathQuestionBuilder {
+  typedef PathQuestion Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(PathQuestion::VT_ID, id, 0);
   }
-  const flatbuffers::Vector<const crowstep::wire::WorkEnd *> *work_ends() const {
-    return GetPointer<const flatbuffers::Vector<const crowstep::wire::WorkEnd *> *>(VT_WORK_ENDS);
+  void add_upstreams(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> upstreams) {
+    fbb_.AddOffset(PathQuestion::VT_UPSTREAMS, upstreams);
   }
-  const flatbuffers::Vector<const crowstep::wire::FirstToken *> *first_tokens() const {
-    return GetPointer<const flatbuffers::Vector<const crowstep::wire::FirstToken *> *>(VT_FIRST_TOKENS);
+  explicit PathQuestionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const crowstep::wire::Hello *hello() const {
-    return GetPointer<const crowstep::wire::Hello *>(VT_HELLO);
+  flatbuffers::Offset<PathQuestion> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PathQuestion>(end);
+    return o;
   }
-  const crowstep::wire::Proof *proof() const {
-    return GetPointer<const crowstep::wire::Proof *>(VT_PROOF);
+};
+
+inline flatbuffers::Offset<PathQuestion> CreatePathQuestion(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> upstreams = 0) {
+  PathQuestionBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_upstreams(upstreams);
+  return builder_.Finish();
+}
+
+struct PathQuestion::Traits {
+  using type = PathQuestion;
+  static auto constexpr Create = CreatePathQuestion;
+};
+
+inline flatbuffers::Offset<PathQuestion> CreatePathQuestionDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const std::vector<uint64_t> *upstreams = nullptr) {
+  auto upstreams__ = upstreams ? _fbb.CreateVector<uint64_t>(*upstreams) : 0;
+  return crowstep::wire::CreatePathQuestion(
+      _fbb,
+      id,
+      upstreams__);
+}
+
+flatbuffers::Offset<PathQuestion> CreatePathQuestion(flatbuffers::FlatBufferBuilder &_fbb, const PathQuestionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PathReportT : public flatbuffers::NativeTable {
+  typedef PathReport TableType;
+  uint64_t question = 0;
+  std::vector<uint64_t> reached{};
+  uint32_t open_calls = 0;
+  bool stopping = false;
+};
+
+struct PathReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PathReportT NativeTableType;
+  typedef PathReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_QUESTION = 4,
+    VT_REACHED = 6,
+    VT_OPEN_CALLS = 8,
+    VT_STOPPING = 10
+  };
+  uint64_t question() const {
+    return GetField<uint64_t>(VT_QUESTION, 0);
   }
-  const flatbuffers::Vector<const crowstep::wire::Refusal *> *refusals() const {
-    return GetPointer<const flatbuffers::Vector<const crowstep::wire::Refusal *> *>(VT_REFUSALS);
+  const flatbuffers::Vector<uint64_t> *reached() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_REACHED);
   }
-  const flatbuffers::Vector<const crowstep::wire::Preempt *> *preempts() const {
-    return GetPointer<const flatbuffers::Vector<const crowstep::wire::Preempt *> *>(VT_PREEMPTS);
+  uint32_t open_calls() const {
+    return GetField<uint32_t>(VT_OPEN_CALLS, 0);
   }
-  const flatbuffers::Vector<const crowstep::wire::Withdrawal *> *withdrawals() const {
-    return GetPointer<const flatbuffers::Vector<const crowstep::wire::Withdrawal *> *>(VT_WITHDRAWALS);
+  bool stopping() const {
+    return GetField<uint8_t>(VT_STOPPING, 0) != 0;
   }
-  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Running>> *running() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Running>> *>(VT_RUNNING);
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_QUESTION, 8) &&
+           VerifyOffset(verifier, VT_REACHED) &&
+           verifier.VerifyVector(reached()) &&
+           VerifyField<uint32_t>(verifier, VT_OPEN_CALLS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_STOPPING, 1) &&
+           verifier.EndTable();
   }
-  const flatbuffers::Vector<const crowstep::wire::NotOwner *> *not_owner() const {
-    return GetPointer<const flatbuffers::Vector<const crowstep::wire::NotOwner *> *>(VT_NOT_OWNER);
+  PathReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PathReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PathReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PathReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PathReportBuilder {
+  typedef PathReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_question(uint64_t question) {
+    fbb_.AddElement<uint64_t>(PathReport::VT_QUESTION, question, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>> *members() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>> *>(VT_MEMBERS);
+  void add_reached(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> reached) {
+    fbb_.AddOffset(PathReport::VT_REACHED, reached);
   }
-  const crowstep::wire::TableUpdate *table_update() const {
-    return GetPointer<const crowstep::wire::TableUpdate *>(VT_TABLE_UPDATE);
+  void add_open_calls(uint32_t open_calls) {
+    fbb_.AddElement<uint32_t>(PathReport::VT_OPEN_CALLS, open_calls, 0);
   }
-  const crowstep::wire::TableRequest *table_request() const {
-    return GetPointer<const crowstep::wire::TableRequest *>(VT_TABLE_REQUEST);
+  void add_stopping(bool stopping) {
+    fbb_.AddElement<uint8_t>(PathReport::VT_STOPPING, static_cast<uint8_t>(stopping), 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *claim_requests() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *>(VT_CLAIM_REQUESTS);
+  explicit PathReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *claim_replies() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *>(VT_CLAIM_REPLIES);
+  flatbuffers::Offset<PathReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PathReport>(end);
+    return o;
   }
-  const flatbuffers::Vector<const crowstep::wire::MemberNews *> *member_news() const {
-    return GetPointer<const flatbuffers::Vector<const crowstep::wire::MemberNews *> *>(VT_MEMBER_NEWS);
+};
+
+inline flatbuffers::Offset<PathReport> CreatePathReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t question = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> reached = 0,
+    uint32_t open_calls = 0,
+    bool stopping = false) {
+  PathReportBuilder builder_(_fbb);
+  builder_.add_question(question);
+  builder_.add_open_calls(open_calls);
+  builder_.add_reached(reached);
+  builder_.add_stopping(stopping);
+  return builder_.Finish();
+}
+
+struct PathReport::Traits {
+  using type = PathReport;
+  static auto constexpr Create = CreatePathReport;
+};
+
+inline flatbuffers::Offset<PathReport> CreatePathReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t question = 0,
+    const std::vector<uint64_t> *reached = nullptr,
+    uint32_t open_calls = 0,
+    bool stopping = false) {
+  auto reached__ = reached ? _fbb.CreateVector<uint64_t>(*reached) : 0;
+  return crowstep::wire::CreatePathReport(
+      _fbb,
+      question,
+      reached__,
+      open_calls,
+      stopping);
+}
+
+flatbuffers::Offset<PathReport> CreatePathReport(flatbuffers::FlatBufferBuilder &_fbb, const PathReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct HeaderLineT : public flatbuffers::NativeTable {
+  typedef HeaderLine TableType;
+  std::string name{};
+  std::string value{};
+};
+
+struct HeaderLine FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HeaderLineT NativeTableType;
+  typedef HeaderLineBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_VALUE = 6
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           verifier.EndTable();
+  }
+  HeaderLineT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HeaderLineT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<HeaderLine> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeaderLineT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HeaderLineBuilder {
+  typedef HeaderLine Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(HeaderLine::VT_NAME, name);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(HeaderLine::VT_VALUE, value);
+  }
+  explicit HeaderLineBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HeaderLine> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HeaderLine>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HeaderLine> CreateHeaderLine(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0) {
+  HeaderLineBuilder builder_(_fbb);
+  builder_.add_value(value);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+struct HeaderLine::Traits {
+  using type = HeaderLine;
+  static auto constexpr Create = CreateHeaderLine;
+};
+
+inline flatbuffers::Offset<HeaderLine> CreateHeaderLineDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *value = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return crowstep::wire::CreateHeaderLine(
+      _fbb,
+      name__,
+      value__);
+}
+
+flatbuffers::Offset<HeaderLine> CreateHeaderLine(flatbuffers::FlatBufferBuilder &_fbb, const HeaderLineT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RelayOpenT : public flatbuffers::NativeTable {
+  typedef RelayOpen TableType;
+  uint64_t call = 0;
+  uint64_t upstream = 0;
+  std::string method{};
+  std::string target{};
+  std::vector<std::unique_ptr<crowstep::wire::HeaderLineT>> headers{};
+  std::vector<uint8_t> body{};
+  uint64_t left_us = 0;
+  bool repeatable = false;
+  bool resumes = false;
+  uint64_t last_event = 0;
+  RelayOpenT() = default;
+  RelayOpenT(const RelayOpenT &o);
+  RelayOpenT(RelayOpenT&&) FLATBUFFERS_NOEXCEPT = default;
+  RelayOpenT &operator=(RelayOpenT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RelayOpen FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayOpenT NativeTableType;
+  typedef RelayOpenBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_UPSTREAM = 6,
+    VT_METHOD = 8,
+    VT_TARGET = 10,
+    VT_HEADERS = 12,
+    VT_BODY = 14,
+    VT_LEFT_US = 16,
+    VT_REPEATABLE = 18,
+    VT_RESUMES = 20,
+    VT_LAST_EVENT = 22
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  uint64_t upstream() const {
+    return GetField<uint64_t>(VT_UPSTREAM, 0);
+  }
+  const flatbuffers::String *method() const {
+    return GetPointer<const flatbuffers::String *>(VT_METHOD);
+  }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::HeaderLine>> *headers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::HeaderLine>> *>(VT_HEADERS);
+  }
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
+  }
+  uint64_t left_us() const {
+    return GetField<uint64_t>(VT_LEFT_US, 0);
+  }
+  bool repeatable() const {
+    return GetField<uint8_t>(VT_REPEATABLE, 0) != 0;
+  }
+  bool resumes() const {
+    return GetField<uint8_t>(VT_RESUMES, 0) != 0;
+  }
+  uint64_t last_event() const {
+    return GetField<uint64_t>(VT_LAST_EVENT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyField<uint64_t>(verifier, VT_UPSTREAM, 8) &&
+           VerifyOffset(verifier, VT_METHOD) &&
+           verifier.VerifyString(method()) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyOffset(verifier, VT_HEADERS) &&
+           verifier.VerifyVector(headers()) &&
+           verifier.VerifyVectorOfTables(headers()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
+           VerifyField<uint64_t>(verifier, VT_LEFT_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_REPEATABLE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RESUMES, 1) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_EVENT, 8) &&
+           verifier.EndTable();
+  }
+  RelayOpenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RelayOpenT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RelayOpen> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayOpenT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RelayOpenBuilder {
+  typedef RelayOpen Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(RelayOpen::VT_CALL, call, 0);
+  }
+  void add_upstream(uint64_t upstream) {
+    fbb_.AddElement<uint64_t>(RelayOpen::VT_UPSTREAM, upstream, 0);
+  }
+  void add_method(flatbuffers::Offset<flatbuffers::String> method) {
+    fbb_.AddOffset(RelayOpen::VT_METHOD, method);
+  }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(RelayOpen::VT_TARGET, target);
+  }
+  void add_headers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::HeaderLine>>> headers) {
+    fbb_.AddOffset(RelayOpen::VT_HEADERS, headers);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(RelayOpen::VT_BODY, body);
+  }
+  void add_left_us(uint64_t left_us) {
+    fbb_.AddElement<uint64_t>(RelayOpen::VT_LEFT_US, left_us, 0);
+  }
+  void add_repeatable(bool repeatable) {
+    fbb_.AddElement<uint8_t>(RelayOpen::VT_REPEATABLE, static_cast<uint8_t>(repeatable), 0);
+  }
+  void add_resumes(bool resumes) {
+    fbb_.AddElement<uint8_t>(RelayOpen::VT_RESUMES, static_cast<uint8_t>(resumes), 0);
+  }
+  void add_last_event(uint64_t last_event) {
+    fbb_.AddElement<uint64_t>(RelayOpen::VT_LAST_EVENT, last_event, 0);
+  }
+  explicit RelayOpenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayOpen> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayOpen>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayOpen> CreateRelayOpen(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    uint64_t upstream = 0,
+    flatbuffers::Offset<flatbuffers::String> method = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::HeaderLine>>> headers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
+    uint64_t left_us = 0,
+    bool repeatable = false,
+    bool resumes = false,
+    uint64_t last_event = 0) {
+  RelayOpenBuilder builder_(_fbb);
+  builder_.add_last_event(last_event);
+  builder_.add_left_us(left_us);
+  builder_.add_upstream(upstream);
+  builder_.add_call(call);
+  builder_.add_body(body);
+  builder_.add_headers(headers);
+  builder_.add_target(target);
+  builder_.add_method(method);
+  builder_.add_resumes(resumes);
+  builder_.add_repeatable(repeatable);
+  return builder_.Finish();
+}
+
+struct RelayOpen::Traits {
+  using type = RelayOpen;
+  static auto constexpr Create = CreateRelayOpen;
+};
+
+inline flatbuffers::Offset<RelayOpen> CreateRelayOpenDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    uint64_t upstream = 0,
+    const char *method = nullptr,
+    const char *target = nullptr,
+    const std::vector<flatbuffers::Offset<crowstep::wire::HeaderLine>> *headers = nullptr,
+    const std::vector<uint8_t> *body = nullptr,
+    uint64_t left_us = 0,
+    bool repeatable = false,
+    bool resumes = false,
+    uint64_t last_event = 0) {
+  auto method__ = method ? _fbb.CreateString(method) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::HeaderLine>>(*headers) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  return crowstep::wire::CreateRelayOpen(
+      _fbb,
+      call,
+      upstream,
+      method__,
+      target__,
+      headers__,
+      body__,
+      left_us,
+      repeatable,
+      resumes,
+      last_event);
+}
+
+flatbuffers::Offset<RelayOpen> CreateRelayOpen(flatbuffers::FlatBufferBuilder &_fbb, const RelayOpenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RelayHeadT : public flatbuffers::NativeTable {
+  typedef RelayHead TableType;
+  uint64_t call = 0;
+  uint16_t status = 0;
+  std::vector<std::unique_ptr<crowstep::wire::HeaderLineT>> headers{};
+  RelayHeadT() = default;
+  RelayHeadT(const RelayHeadT &o);
+  RelayHeadT(RelayHeadT&&) FLATBUFFERS_NOEXCEPT = default;
+  RelayHeadT &operator=(RelayHeadT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RelayHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayHeadT NativeTableType;
+  typedef RelayHeadBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_STATUS = 6,
+    VT_HEADERS = 8
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  uint16_t status() const {
+    return GetField<uint16_t>(VT_STATUS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::HeaderLine>> *headers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::HeaderLine>> *>(VT_HEADERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyField<uint16_t>(verifier, VT_STATUS, 2) &&
+           VerifyOffset(verifier, VT_HEADERS) &&
+           verifier.VerifyVector(headers()) &&
+           verifier.VerifyVectorOfTables(headers()) &&
+           verifier.EndTable();
+  }
+  RelayHeadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RelayHeadT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RelayHead> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayHeadT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RelayHeadBuilder {
+  typedef RelayHead Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(RelayHead::VT_CALL, call, 0);
+  }
+  void add_status(uint16_t status) {
+    fbb_.AddElement<uint16_t>(RelayHead::VT_STATUS, status, 0);
+  }
+  void add_headers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::HeaderLine>>> headers) {
+    fbb_.AddOffset(RelayHead::VT_HEADERS, headers);
+  }
+  explicit RelayHeadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayHead> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayHead>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayHead> CreateRelayHead(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    uint16_t status = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::HeaderLine>>> headers = 0) {
+  RelayHeadBuilder builder_(_fbb);
+  builder_.add_call(call);
+  builder_.add_headers(headers);
+  builder_.add_status(status);
+  return builder_.Finish();
+}
+
+struct RelayHead::Traits {
+  using type = RelayHead;
+  static auto constexpr Create = CreateRelayHead;
+};
+
+inline flatbuffers::Offset<RelayHead> CreateRelayHeadDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    uint16_t status = 0,
+    const std::vector<flatbuffers::Offset<crowstep::wire::HeaderLine>> *headers = nullptr) {
+  auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::HeaderLine>>(*headers) : 0;
+  return crowstep::wire::CreateRelayHead(
+      _fbb,
+      call,
+      status,
+      headers__);
+}
+
+flatbuffers::Offset<RelayHead> CreateRelayHead(flatbuffers::FlatBufferBuilder &_fbb, const RelayHeadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RelayBytesT : public flatbuffers::NativeTable {
+  typedef RelayBytes TableType;
+  uint64_t call = 0;
+  std::vector<uint8_t> bytes{};
+};
+
+struct RelayBytes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayBytesT NativeTableType;
+  typedef RelayBytesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_BYTES = 6
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           verifier.EndTable();
+  }
+  RelayBytesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RelayBytesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RelayBytes> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayBytesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RelayBytesBuilder {
+  typedef RelayBytes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(RelayBytes::VT_CALL, call, 0);
+  }
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(RelayBytes::VT_BYTES, bytes);
+  }
+  explicit RelayBytesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayBytes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayBytes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayBytes> CreateRelayBytes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+  RelayBytesBuilder builder_(_fbb);
+  builder_.add_call(call);
+  builder_.add_bytes(bytes);
+  return builder_.Finish();
+}
+
+struct RelayBytes::Traits {
+  using type = RelayBytes;
+  static auto constexpr Create = CreateRelayBytes;
+};
+
+inline flatbuffers::Offset<RelayBytes> CreateRelayBytesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    const std::vector<uint8_t> *bytes = nullptr) {
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  return crowstep::wire::CreateRelayBytes(
+      _fbb,
+      call,
+      bytes__);
+}
+
+flatbuffers::Offset<RelayBytes> CreateRelayBytes(flatbuffers::FlatBufferBuilder &_fbb, const RelayBytesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FrameT : public flatbuffers::NativeTable {
+  typedef Frame TableType;
+  std::unique_ptr<crowstep::wire::HeartbeatT> heartbeat{};
+  std::unique_ptr<crowstep::wire::TableProbeT> table_probe{};
+  std::unique_ptr<crowstep::wire::TableProbeAckT> table_probe_ack{};
+  std::unique_ptr<crowstep::wire::AttachmentAckT> attachment_ack{};
+  std::unique_ptr<crowstep::wire::AttachmentT> attachment{};
+  std::vector<std::unique_ptr<crowstep::wire::BidT>> bids{};
+  std::vector<crowstep::wire::Grant> grants{};
+  std::vector<crowstep::wire::WorkEnd> work_ends{};
+  std::vector<crowstep::wire::FirstToken> first_tokens{};
+  std::unique_ptr<crowstep::wire::HelloT> hello{};
+  std::unique_ptr<crowstep::wire::ProofT> proof{};
+  std::vector<crowstep::wire::Refusal> refusals{};
+  std::vector<crowstep::wire::Preempt> preempts{};
+  std::vector<crowstep::wire::Withdrawal> withdrawals{};
+  std::vector<std::unique_ptr<crowstep::wire::RunningT>> running{};
+  std::vector<crowstep::wire::NotOwner> not_owner{};
+  std::vector<std::unique_ptr<crowstep::wire::MemberT>> members{};
+  std::unique_ptr<crowstep::wire::TableUpdateT> table_update{};
+  std::unique_ptr<crowstep::wire::TableRequestT> table_request{};
+  std::vector<std::unique_ptr<crowstep::wire::ClaimRequestT>> claim_requests{};
+  std::vector<std::unique_ptr<crowstep::wire::ClaimReplyT>> claim_replies{};
+  std::vector<crowstep::wire::MemberNews> member_news{};
+  std::unique_ptr<crowstep::wire::KnowledgeT> knowledge{};
+  std::unique_ptr<crowstep::wire::GatewayDigestT> digest{};
+  std::unique_ptr<crowstep::wire::GatewayDigestT> zone_sum{};
+  std::unique_ptr<crowstep::wire::GatewayDigestT> elsewhere{};
+  std::vector<std::unique_ptr<crowstep::wire::DirectoryUpdateT>> directory_updates{};
+  std::vector<std::unique_ptr<crowstep::wire::UsageCountsT>> usage{};
+  std::vector<std::unique_ptr<crowstep::wire::PathQuestionT>> path_questions{};
+  std::vector<std::unique_ptr<crowstep::wire::PathReportT>> path_reports{};
+  std::vector<std::unique_ptr<crowstep::wire::RelayOpenT>> relay_opens{};
+  std::vector<crowstep::wire::RelayCancel> relay_cancels{};
+  std::vector<crowstep::wire::RelayStart> relay_starts{};
+  std::vector<crowstep::wire::RelayReady> relay_ready{};
+  std::vector<std::unique_ptr<crowstep::wire::RelayHeadT>> relay_heads{};
+  std::vector<std::unique_ptr<crowstep::wire::RelayBytesT>> relay_bytes{};
+  std::vector<crowstep::wire::RelayCredit> relay_credits{};
+  std::vector<crowstep::wire::RelayEnd> relay_ends{};
+  FrameT() = default;
+  FrameT(const FrameT &o);
+  FrameT(FrameT&&) FLATBUFFERS_NOEXCEPT = default;
+  FrameT &operator=(FrameT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FrameT NativeTableType;
+  typedef FrameBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HEARTBEAT = 4,
+    VT_TABLE_PROBE = 6,
+    VT_TABLE_PROBE_ACK = 8,
+    VT_ATTACHMENT_ACK = 10,
+    VT_ATTACHMENT = 12,
+    VT_BIDS = 14,
+    VT_GRANTS = 16,
+    VT_WORK_ENDS = 18,
+    VT_FIRST_TOKENS = 20,
+    VT_HELLO = 22,
+    VT_PROOF = 24,
+    VT_REFUSALS = 26,
+    VT_PREEMPTS = 28,
+    VT_WITHDRAWALS = 30,
+    VT_RUNNING = 32,
+    VT_NOT_OWNER = 34,
+    VT_MEMBERS = 36,
+    VT_TABLE_UPDATE = 38,
+    VT_TABLE_REQUEST = 40,
+    VT_CLAIM_REQUESTS = 42,
+    VT_CLAIM_REPLIES = 44,
+    VT_MEMBER_NEWS = 46,
+    VT_KNOWLEDGE = 48,
+    VT_DIGEST = 50,
+    VT_ZONE_SUM = 52,
+    VT_ELSEWHERE = 54,
+    VT_DIRECTORY_UPDATES = 56,
+    VT_USAGE = 58,
+    VT_PATH_QUESTIONS = 60,
+    VT_PATH_REPORTS = 62,
+    VT_RELAY_OPENS = 64,
+    VT_RELAY_CANCELS = 66,
+    VT_RELAY_STARTS = 68,
+    VT_RELAY_READY = 70,
+    VT_RELAY_HEADS = 72,
+    VT_RELAY_BYTES = 74,
+    VT_RELAY_CREDITS = 76,
+    VT_RELAY_ENDS = 78
+  };
+  const crowstep::wire::Heartbeat *heartbeat() const {
+    return GetPointer<const crowstep::wire::Heartbeat *>(VT_HEARTBEAT);
+  }
+  const crowstep::wire::TableProbe *table_probe() const {
+    return GetPointer<const crowstep::wire::TableProbe *>(VT_TABLE_PROBE);
+  }
+  const crowstep::wire::TableProbeAck *table_probe_ack() const {
+    return GetPointer<const crowstep::wire::TableProbeAck *>(VT_TABLE_PROBE_ACK);
+  }
+  const crowstep::wire::AttachmentAck *attachment_ack() const {
+    return GetPointer<const crowstep::wire::AttachmentAck *>(VT_ATTACHMENT_ACK);
+  }
+  const crowstep::wire::Attachment *attachment() const {
+    return GetPointer<const crowstep::wire::Attachment *>(VT_ATTACHMENT);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Bid>> *bids() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Bid>> *>(VT_BIDS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::Grant *> *grants() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::Grant *> *>(VT_GRANTS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::WorkEnd *> *work_ends() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::WorkEnd *> *>(VT_WORK_ENDS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::FirstToken *> *first_tokens() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::FirstToken *> *>(VT_FIRST_TOKENS);
+  }
+  const crowstep::wire::Hello *hello() const {
+    return GetPointer<const crowstep::wire::Hello *>(VT_HELLO);
+  }
+  const crowstep::wire::Proof *proof() const {
+    return GetPointer<const crowstep::wire::Proof *>(VT_PROOF);
+  }
+  const flatbuffers::Vector<const crowstep::wire::Refusal *> *refusals() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::Refusal *> *>(VT_REFUSALS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::Preempt *> *preempts() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::Preempt *> *>(VT_PREEMPTS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::Withdrawal *> *withdrawals() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::Withdrawal *> *>(VT_WITHDRAWALS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Running>> *running() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Running>> *>(VT_RUNNING);
+  }
+  const flatbuffers::Vector<const crowstep::wire::NotOwner *> *not_owner() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::NotOwner *> *>(VT_NOT_OWNER);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>> *members() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::Member>> *>(VT_MEMBERS);
+  }
+  const crowstep::wire::TableUpdate *table_update() const {
+    return GetPointer<const crowstep::wire::TableUpdate *>(VT_TABLE_UPDATE);
+  }
+  const crowstep::wire::TableRequest *table_request() const {
+    return GetPointer<const crowstep::wire::TableRequest *>(VT_TABLE_REQUEST);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *claim_requests() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimRequest>> *>(VT_CLAIM_REQUESTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *claim_replies() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::ClaimReply>> *>(VT_CLAIM_REPLIES);
+  }
+  const flatbuffers::Vector<const crowstep::wire::MemberNews *> *member_news() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::MemberNews *> *>(VT_MEMBER_NEWS);
   }
   const crowstep::wire::Knowledge *knowledge() const {
     return GetPointer<const crowstep::wire::Knowledge *>(VT_KNOWLEDGE);
@@ -3759,6 +4606,36 @@
   const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::UsageCounts>> *usage() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::UsageCounts>> *>(VT_USAGE);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::PathQuestion>> *path_questions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::PathQuestion>> *>(VT_PATH_QUESTIONS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::PathReport>> *path_reports() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::PathReport>> *>(VT_PATH_REPORTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayOpen>> *relay_opens() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayOpen>> *>(VT_RELAY_OPENS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::RelayCancel *> *relay_cancels() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::RelayCancel *> *>(VT_RELAY_CANCELS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::RelayStart *> *relay_starts() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::RelayStart *> *>(VT_RELAY_STARTS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::RelayReady *> *relay_ready() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::RelayReady *> *>(VT_RELAY_READY);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayHead>> *relay_heads() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayHead>> *>(VT_RELAY_HEADS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayBytes>> *relay_bytes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayBytes>> *>(VT_RELAY_BYTES);
+  }
+  const flatbuffers::Vector<const crowstep::wire::RelayCredit *> *relay_credits() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::RelayCredit *> *>(VT_RELAY_CREDITS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::RelayEnd *> *relay_ends() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::RelayEnd *> *>(VT_RELAY_ENDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HEARTBEAT) &&
@@ -3824,6 +4701,31 @@
            VerifyOffset(verifier, VT_USAGE) &&
            verifier.VerifyVector(usage()) &&
            verifier.VerifyVectorOfTables(usage()) &&
+           VerifyOffset(verifier, VT_PATH_QUESTIONS) &&
+           verifier.VerifyVector(path_questions()) &&
+           verifier.VerifyVectorOfTables(path_questions()) &&
+           VerifyOffset(verifier, VT_PATH_REPORTS) &&
+           verifier.VerifyVector(path_reports()) &&
+           verifier.VerifyVectorOfTables(path_reports()) &&
+           VerifyOffset(verifier, VT_RELAY_OPENS) &&
+           verifier.VerifyVector(relay_opens()) &&
+           verifier.VerifyVectorOfTables(relay_opens()) &&
+           VerifyOffset(verifier, VT_RELAY_CANCELS) &&
+           verifier.VerifyVector(relay_cancels()) &&
+           VerifyOffset(verifier, VT_RELAY_STARTS) &&
+           verifier.VerifyVector(relay_starts()) &&
+           VerifyOffset(verifier, VT_RELAY_READY) &&
+           verifier.VerifyVector(relay_ready()) &&
+           VerifyOffset(verifier, VT_RELAY_HEADS) &&
+           verifier.VerifyVector(relay_heads()) &&
+           verifier.VerifyVectorOfTables(relay_heads()) &&
+           VerifyOffset(verifier, VT_RELAY_BYTES) &&
+           verifier.VerifyVector(relay_bytes()) &&
+           verifier.VerifyVectorOfTables(relay_bytes()) &&
+           VerifyOffset(verifier, VT_RELAY_CREDITS) &&
+           verifier.VerifyVector(relay_credits()) &&
+           VerifyOffset(verifier, VT_RELAY_ENDS) &&
+           verifier.VerifyVector(relay_ends()) &&
            verifier.EndTable();
   }
   FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3919,6 +4821,36 @@
   void add_usage(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::UsageCounts>>> usage) {
     fbb_.AddOffset(Frame::VT_USAGE, usage);
   }
+  void add_path_questions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::PathQuestion>>> path_questions) {
+    fbb_.AddOffset(Frame::VT_PATH_QUESTIONS, path_questions);
+  }
+  void add_path_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::PathReport>>> path_reports) {
+    fbb_.AddOffset(Frame::VT_PATH_REPORTS, path_reports);
+  }
+  void add_relay_opens(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayOpen>>> relay_opens) {
+    fbb_.AddOffset(Frame::VT_RELAY_OPENS, relay_opens);
+  }
+  void add_relay_cancels(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayCancel *>> relay_cancels) {
+    fbb_.AddOffset(Frame::VT_RELAY_CANCELS, relay_cancels);
+  }
+  void add_relay_starts(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayStart *>> relay_starts) {
+    fbb_.AddOffset(Frame::VT_RELAY_STARTS, relay_starts);
+  }
+  void add_relay_ready(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayReady *>> relay_ready) {
+    fbb_.AddOffset(Frame::VT_RELAY_READY, relay_ready);
+  }
+  void add_relay_heads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayHead>>> relay_heads) {
+    fbb_.AddOffset(Frame::VT_RELAY_HEADS, relay_heads);
+  }
+  void add_relay_bytes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayBytes>>> relay_bytes) {
+    fbb_.AddOffset(Frame::VT_RELAY_BYTES, relay_bytes);
+  }
+  void add_relay_credits(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayCredit *>> relay_credits) {
+    fbb_.AddOffset(Frame::VT_RELAY_CREDITS, relay_credits);
+  }
+  void add_relay_ends(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayEnd *>> relay_ends) {
+    fbb_.AddOffset(Frame::VT_RELAY_ENDS, relay_ends);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3959,8 +4891,28 @@
     flatbuffers::Offset<crowstep::wire::GatewayDigest> zone_sum = 0,
     flatbuffers::Offset<crowstep::wire::GatewayDigest> elsewhere = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryUpdate>>> directory_updates = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::UsageCounts>>> usage = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::UsageCounts>>> usage = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::PathQuestion>>> path_questions = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::PathReport>>> path_reports = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayOpen>>> relay_opens = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayCancel *>> relay_cancels = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayStart *>> relay_starts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayReady *>> relay_ready = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayHead>>> relay_heads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayBytes>>> relay_bytes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayCredit *>> relay_credits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayEnd *>> relay_ends = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_relay_ends(relay_ends);
+  builder_.add_relay_credits(relay_credits);
+  builder_.add_relay_bytes(relay_bytes);
+  builder_.add_relay_heads(relay_heads);
+  builder_.add_relay_ready(relay_ready);
+  builder_.add_relay_starts(relay_starts);
+  builder_.add_relay_cancels(relay_cancels);
+  builder_.add_relay_opens(relay_opens);
+  builder_.add_path_reports(path_reports);
+  builder_.add_path_questions(path_questions);
   builder_.add_usage(usage);
   builder_.add_directory_updates(directory_updates);
   builder_.add_elsewhere(elsewhere);
@@ -4026,7 +4978,17 @@
     flatbuffers::Offset<crowstep::wire::GatewayDigest> zone_sum = 0,
     flatbuffers::Offset<crowstep::wire::GatewayDigest> elsewhere = 0,
     const std::vector<flatbuffers::Offset<crowstep::wire::DirectoryUpdate>> *directory_updates = nullptr,
-    const std::vector<flatbuffers::Offset<crowstep::wire::UsageCounts>> *usage = nullptr) {
+    const std::vector<flatbuffers::Offset<crowstep::wire::UsageCounts>> *usage = nullptr,
+    const std::vector<flatbuffers::Offset<crowstep::wire::PathQuestion>> *path_questions = nullptr,
+    const std::vector<flatbuffers::Offset<crowstep::wire::PathReport>> *path_reports = nullptr,
+    const std::vector<flatbuffers::Offset<crowstep::wire::RelayOpen>> *relay_opens = nullptr,
+    const std::vector<crowstep::wire::RelayCancel> *relay_cancels = nullptr,
+    const std::vector<crowstep::wire::RelayStart> *relay_starts = nullptr,
+    const std::vector<crowstep::wire::RelayReady> *relay_ready = nullptr,
+    const std::vector<flatbuffers::Offset<crowstep::wire::RelayHead>> *relay_heads = nullptr,
+    const std::vector<flatbuffers::Offset<crowstep::wire::RelayBytes>> *relay_bytes = nullptr,
+    const std::vector<crowstep::wire::RelayCredit> *relay_credits = nullptr,
+    const std::vector<crowstep::wire::RelayEnd> *relay_ends = nullptr) {
   auto bids__ = bids ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Bid>>(*bids) : 0;
   auto grants__ = grants ? _fbb.CreateVectorOfStructs<crowstep::wire::Grant>(*grants) : 0;
   auto work_ends__ = work_ends ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkEnd>(*work_ends) : 0;
@@ -4042,6 +5004,16 @@
   auto member_news__ = member_news ? _fbb.CreateVectorOfStructs<crowstep::wire::MemberNews>(*member_news) : 0;
   auto directory_updates__ = directory_updates ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::DirectoryUpdate>>(*directory_updates) : 0;
   auto usage__ = usage ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::UsageCounts>>(*usage) : 0;
+  auto path_questions__ = path_questions ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::PathQuestion>>(*path_questions) : 0;
+  auto path_reports__ = path_reports ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::PathReport>>(*path_reports) : 0;
+  auto relay_opens__ = relay_opens ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::RelayOpen>>(*relay_opens) : 0;
+  auto relay_cancels__ = relay_cancels ? _fbb.CreateVectorOfStructs<crowstep::wire::RelayCancel>(*relay_cancels) : 0;
+  auto relay_starts__ = relay_starts ? _fbb.CreateVectorOfStructs<crowstep::wire::RelayStart>(*relay_starts) : 0;
+  auto relay_ready__ = relay_ready ? _fbb.CreateVectorOfStructs<crowstep::wire::RelayReady>(*relay_ready) : 0;
+  auto relay_heads__ = relay_heads ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::RelayHead>>(*relay_heads) : 0;
+  auto relay_bytes__ = relay_bytes ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::RelayBytes>>(*relay_bytes) : 0;
+  auto relay_credits__ = relay_credits ? _fbb.CreateVectorOfStructs<crowstep::wire::RelayCredit>(*relay_credits) : 0;
+  auto relay_ends__ = relay_ends ? _fbb.CreateVectorOfStructs<crowstep::wire::RelayEnd>(*relay_ends) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
       heartbeat,
@@ -4071,7 +5043,17 @@
       zone_sum,
       elsewhere,
       directory_updates__,
-      usage__);
+      usage__,
+      path_questions__,
+      path_reports__,
+      relay_opens__,
+      relay_cancels__,
+      relay_starts__,
+      relay_ready__,
+      relay_heads__,
+      relay_bytes__,
+      relay_credits__,
+      relay_ends__);
 }
 
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5009,6 +5991,255 @@
       _rows);
 }
 
+inline PathQuestionT *PathQuestion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PathQuestionT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PathQuestion::UnPackTo(PathQuestionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = upstreams(); if (_e) { _o->upstreams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreams[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<PathQuestion> PathQuestion::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PathQuestionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePathQuestion(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PathQuestion> CreatePathQuestion(flatbuffers::FlatBufferBuilder &_fbb, const PathQuestionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PathQuestionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _upstreams = _o->upstreams.size() ? _fbb.CreateVector(_o->upstreams) : 0;
+  return crowstep::wire::CreatePathQuestion(
+      _fbb,
+      _id,
+      _upstreams);
+}
+
+inline PathReportT *PathReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PathReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PathReport::UnPackTo(PathReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = question(); _o->question = _e; }
+  { auto _e = reached(); if (_e) { _o->reached.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->reached[_i] = _e->Get(_i); } } }
+  { auto _e = open_calls(); _o->open_calls = _e; }
+  { auto _e = stopping(); _o->stopping = _e; }
+}
+
+inline flatbuffers::Offset<PathReport> PathReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PathReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePathReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PathReport> CreatePathReport(flatbuffers::FlatBufferBuilder &_fbb, const PathReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PathReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _question = _o->question;
+  auto _reached = _o->reached.size() ? _fbb.CreateVector(_o->reached) : 0;
+  auto _open_calls = _o->open_calls;
+  auto _stopping = _o->stopping;
+  return crowstep::wire::CreatePathReport(
+      _fbb,
+      _question,
+      _reached,
+      _open_calls,
+      _stopping);
+}
+
+inline HeaderLineT *HeaderLine::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<HeaderLineT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void HeaderLine::UnPackTo(HeaderLineT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = value(); if (_e) _o->value = _e->str(); }
+}
+
+inline flatbuffers::Offset<HeaderLine> HeaderLine::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeaderLineT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHeaderLine(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<HeaderLine> CreateHeaderLine(flatbuffers::FlatBufferBuilder &_fbb, const HeaderLineT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeaderLineT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _value = _o->value.empty() ? 0 : _fbb.CreateString(_o->value);
+  return crowstep::wire::CreateHeaderLine(
+      _fbb,
+      _name,
+      _value);
+}
+
+inline RelayOpenT::RelayOpenT(const RelayOpenT &o)
+      : call(o.call),
+        upstream(o.upstream),
+        method(o.method),
+        target(o.target),
+        body(o.body),
+        left_us(o.left_us),
+        repeatable(o.repeatable),
+        resumes(o.resumes),
+        last_event(o.last_event) {
+  headers.reserve(o.headers.size());
+  for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new crowstep::wire::HeaderLineT(*headers_) : nullptr); }
+}
+
+inline RelayOpenT &RelayOpenT::operator=(RelayOpenT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(call, o.call);
+  std::swap(upstream, o.upstream);
+  std::swap(method, o.method);
+  std::swap(target, o.target);
+  std::swap(headers, o.headers);
+  std::swap(body, o.body);
+  std::swap(left_us, o.left_us);
+  std::swap(repeatable, o.repeatable);
+  std::swap(resumes, o.resumes);
+  std::swap(last_event, o.last_event);
+  return *this;
+}
+
+inline RelayOpenT *RelayOpen::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RelayOpenT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RelayOpen::UnPackTo(RelayOpenT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = upstream(); _o->upstream = _e; }
+  { auto _e = method(); if (_e) _o->method = _e->str(); }
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = std::unique_ptr<crowstep::wire::HeaderLineT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+  { auto _e = left_us(); _o->left_us = _e; }
+  { auto _e = repeatable(); _o->repeatable = _e; }
+  { auto _e = resumes(); _o->resumes = _e; }
+  { auto _e = last_event(); _o->last_event = _e; }
+}
+
+inline flatbuffers::Offset<RelayOpen> RelayOpen::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayOpenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRelayOpen(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RelayOpen> CreateRelayOpen(flatbuffers::FlatBufferBuilder &_fbb, const RelayOpenT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayOpenT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _upstream = _o->upstream;
+  auto _method = _o->method.empty() ? 0 : _fbb.CreateString(_o->method);
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::HeaderLine>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return CreateHeaderLine(*__va->__fbb, __va->__o->headers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  auto _left_us = _o->left_us;
+  auto _repeatable = _o->repeatable;
+  auto _resumes = _o->resumes;
+  auto _last_event = _o->last_event;
+  return crowstep::wire::CreateRelayOpen(
+      _fbb,
+      _call,
+      _upstream,
+      _method,
+      _target,
+      _headers,
+      _body,
+      _left_us,
+      _repeatable,
+      _resumes,
+      _last_event);
+}
+
+inline RelayHeadT::RelayHeadT(const RelayHeadT &o)
+      : call(o.call),
+        status(o.status) {
+  headers.reserve(o.headers.size());
+  for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new crowstep::wire::HeaderLineT(*headers_) : nullptr); }
+}
+
+inline RelayHeadT &RelayHeadT::operator=(RelayHeadT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(call, o.call);
+  std::swap(status, o.status);
+  std::swap(headers, o.headers);
+  return *this;
+}
+
+inline RelayHeadT *RelayHead::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RelayHeadT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RelayHead::UnPackTo(RelayHeadT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = status(); _o->status = _e; }
+  { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = std::unique_ptr<crowstep::wire::HeaderLineT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<RelayHead> RelayHead::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayHeadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRelayHead(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RelayHead> CreateRelayHead(flatbuffers::FlatBufferBuilder &_fbb, const RelayHeadT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayHeadT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _status = _o->status;
+  auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::HeaderLine>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return CreateHeaderLine(*__va->__fbb, __va->__o->headers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return crowstep::wire::CreateRelayHead(
+      _fbb,
+      _call,
+      _status,
+      _headers);
+}
+
+inline RelayBytesT *RelayBytes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RelayBytesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RelayBytes::UnPackTo(RelayBytesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = bytes(); if (_e) { _o->bytes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->bytes.begin()); } }
+}
+
+inline flatbuffers::Offset<RelayBytes> RelayBytes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayBytesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRelayBytes(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RelayBytes> CreateRelayBytes(flatbuffers::FlatBufferBuilder &_fbb, const RelayBytesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayBytesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _bytes = _o->bytes.size() ? _fbb.CreateVector(_o->bytes) : 0;
+  return crowstep::wire::CreateRelayBytes(
+      _fbb,
+      _call,
+      _bytes);
+}
+
 inline FrameT::FrameT(const FrameT &o)
       : heartbeat((o.heartbeat) ? new crowstep::wire::HeartbeatT(*o.heartbeat) : nullptr),
         table_probe((o.table_probe) ? new crowstep::wire::TableProbeT(*o.table_probe) : nullptr),
@@ -5030,7 +6261,12 @@
         knowledge((o.knowledge) ? new crowstep::wire::KnowledgeT(*o.knowledge) : nullptr),
         digest((o.digest) ? new crowstep::wire::GatewayDigestT(*o.digest) : nullptr),
         zone_sum((o.zone_sum) ? new crowstep::wire::GatewayDigestT(*o.zone_sum) : nullptr),
-        elsewhere((o.elsewhere) ? new crowstep::wire::GatewayDigestT(*o.elsewhere) : nullptr) {
+        elsewhere((o.elsewhere) ? new crowstep::wire::GatewayDigestT(*o.elsewhere) : nullptr),
+        relay_cancels(o.relay_cancels),
+        relay_starts(o.relay_starts),
+        relay_ready(o.relay_ready),
+        relay_credits(o.relay_credits),
+        relay_ends(o.relay_ends) {
   bids.reserve(o.bids.size());
   for (const auto &bids_ : o.bids) { bids.emplace_back((bids_) ? new crowstep::wire::BidT(*bids_) : nullptr); }
   running.reserve(o.running.size());
@@ -5045,6 +6281,16 @@
   for (const auto &directory_updates_ : o.directory_updates) { directory_updates.emplace_back((directory_updates_) ? new crowstep::wire::DirectoryUpdateT(*directory_updates_) : nullptr); }
   usage.reserve(o.usage.size());
   for (const auto &usage_ : o.usage) { usage.emplace_back((usage_) ? new crowstep::wire::UsageCountsT(*usage_) : nullptr); }
+  path_questions.reserve(o.path_questions.size());
+  for (const auto &path_questions_ : o.path_questions) { path_questions.emplace_back((path_questions_) ? new crowstep::wire::PathQuestionT(*path_questions_) : nullptr); }
+  path_reports.reserve(o.path_reports.size());
+  for (const auto &path_reports_ : o.path_reports) { path_reports.emplace_back((path_reports_) ? new crowstep::wire::PathReportT(*path_reports_) : nullptr); }
+  relay_opens.reserve(o.relay_opens.size());
+  for (const auto &relay_opens_ : o.relay_opens) { relay_opens.emplace_back((relay_opens_) ? new crowstep::wire::RelayOpenT(*relay_opens_) : nullptr); }
+  relay_heads.reserve(o.relay_heads.size());
+  for (const auto &relay_heads_ : o.relay_heads) { relay_heads.emplace_back((relay_heads_) ? new crowstep::wire::RelayHeadT(*relay_heads_) : nullptr); }
+  relay_bytes.reserve(o.relay_bytes.size());
+  for (const auto &relay_bytes_ : o.relay_bytes) { relay_bytes.emplace_back((relay_bytes_) ? new crowstep::wire::RelayBytesT(*relay_bytes_) : nullptr); }
 }
 
 inline FrameT &FrameT::operator=(FrameT o) FLATBUFFERS_NOEXCEPT {
@@ -5076,6 +6322,16 @@
   std::swap(elsewhere, o.elsewhere);
   std::swap(directory_updates, o.directory_updates);
   std::swap(usage, o.usage);
+  std::swap(path_questions, o.path_questions);
+  std::swap(path_reports, o.path_reports);
+  std::swap(relay_opens, o.relay_opens);
+  std::swap(relay_cancels, o.relay_cancels);
+  std::swap(relay_starts, o.relay_starts);
+  std::swap(relay_ready, o.relay_ready);
+  std::swap(relay_heads, o.relay_heads);
+  std::swap(relay_bytes, o.relay_bytes);
+  std::swap(relay_credits, o.relay_credits);
+  std::swap(relay_ends, o.relay_ends);
   return *this;
 }
 
@@ -5116,6 +6372,16 @@
   { auto _e = elsewhere(); if (_e) _o->elsewhere = std::unique_ptr<crowstep::wire::GatewayDigestT>(_e->UnPack(_resolver)); }
   { auto _e = directory_updates(); if (_e) { _o->directory_updates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->directory_updates[_i] = std::unique_ptr<crowstep::wire::DirectoryUpdateT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = usage(); if (_e) { _o->usage.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->usage[_i] = std::unique_ptr<crowstep::wire::UsageCountsT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = path_questions(); if (_e) { _o->path_questions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->path_questions[_i] = std::unique_ptr<crowstep::wire::PathQuestionT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = path_reports(); if (_e) { _o->path_reports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->path_reports[_i] = std::unique_ptr<crowstep::wire::PathReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = relay_opens(); if (_e) { _o->relay_opens.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relay_opens[_i] = std::unique_ptr<crowstep::wire::RelayOpenT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = relay_cancels(); if (_e) { _o->relay_cancels.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relay_cancels[_i] = *_e->Get(_i); } } }
+  { auto _e = relay_starts(); if (_e) { _o->relay_starts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relay_starts[_i] = *_e->Get(_i); } } }
+  { auto _e = relay_ready(); if (_e) { _o->relay_ready.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relay_ready[_i] = *_e->Get(_i); } } }
+  { auto _e = relay_heads(); if (_e) { _o->relay_heads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relay_heads[_i] = std::unique_ptr<crowstep::wire::RelayHeadT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = relay_bytes(); if (_e) { _o->relay_bytes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relay_bytes[_i] = std::unique_ptr<crowstep::wire::RelayBytesT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = relay_credits(); if (_e) { _o->relay_credits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relay_credits[_i] = *_e->Get(_i); } } }
+  { auto _e = relay_ends(); if (_e) { _o->relay_ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relay_ends[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Frame> Frame::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5154,6 +6420,16 @@
   auto _elsewhere = _o->elsewhere ? CreateGatewayDigest(_fbb, _o->elsewhere.get(), _rehasher) : 0;
   auto _directory_updates = _o->directory_updates.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::DirectoryUpdate>> (_o->directory_updates.size(), [](size_t i, _VectorArgs *__va) { return CreateDirectoryUpdate(*__va->__fbb, __va->__o->directory_updates[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _usage = _o->usage.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::UsageCounts>> (_o->usage.size(), [](size_t i, _VectorArgs *__va) { return CreateUsageCounts(*__va->__fbb, __va->__o->usage[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _path_questions = _o->path_questions.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::PathQuestion>> (_o->path_questions.size(), [](size_t i, _VectorArgs *__va) { return CreatePathQuestion(*__va->__fbb, __va->__o->path_questions[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _path_reports = _o->path_reports.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::PathReport>> (_o->path_reports.size(), [](size_t i, _VectorArgs *__va) { return CreatePathReport(*__va->__fbb, __va->__o->path_reports[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _relay_opens = _o->relay_opens.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::RelayOpen>> (_o->relay_opens.size(), [](size_t i, _VectorArgs *__va) { return CreateRelayOpen(*__va->__fbb, __va->__o->relay_opens[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _relay_cancels = _o->relay_cancels.size() ? _fbb.CreateVectorOfStructs(_o->relay_cancels) : 0;
+  auto _relay_starts = _o->relay_starts.size() ? _fbb.CreateVectorOfStructs(_o->relay_starts) : 0;
+  auto _relay_ready = _o->relay_ready.size() ? _fbb.CreateVectorOfStructs(_o->relay_ready) : 0;
+  auto _relay_heads = _o->relay_heads.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::RelayHead>> (_o->relay_heads.size(), [](size_t i, _VectorArgs *__va) { return CreateRelayHead(*__va->__fbb, __va->__o->relay_heads[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _relay_bytes = _o->relay_bytes.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::RelayBytes>> (_o->relay_bytes.size(), [](size_t i, _VectorArgs *__va) { return CreateRelayBytes(*__va->__fbb, __va->__o->relay_bytes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _relay_credits = _o->relay_credits.size() ? _fbb.CreateVectorOfStructs(_o->relay_credits) : 0;
+  auto _relay_ends = _o->relay_ends.size() ? _fbb.CreateVectorOfStructs(_o->relay_ends) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
       _heartbeat,
@@ -5183,7 +6459,17 @@
       _zone_sum,
       _elsewhere,
       _directory_updates,
-      _usage);
+      _usage,
+      _path_questions,
+      _path_reports,
+      _relay_opens,
+      _relay_cancels,
+      _relay_starts,
+      _relay_ready,
+      _relay_heads,
+      _relay_bytes,
+      _relay_credits,
+      _relay_ends);
 }
 
 inline const crowstep::wire::Frame *GetFrame(const void *buf) {
--- a/tests/unit/forwarded_request_env.h
+++ b/tests/unit/forwarded_request_env.h
@@ -22,6 +22,8 @@
   bool m_Dropped = false;              ///< Closed before its end.
   bool m_HasLeft = false;              ///< The caller closed its connection.
   std::function<void()> m_OnGone;      ///< Runs when it does.
+  std::size_t m_Backlog = 0;           ///< That it has not read.
+  std::function<void()> m_OnRoom;      ///< Runs when it has read more.
 };
 
 class FakeCaller final : public Caller {
@@ -37,11 +39,15 @@
   [[nodiscard]] bool hasDisconnected() const override {
     return m_Record.m_HasLeft;
   }
-  [[nodiscard]] std::size_t backlog() const override { return 0; }
+  [[nodiscard]] std::size_t backlog() const override {
+    return m_Record.m_Backlog;
+  }
   void onDisconnect(std::function<void()> Job) override {
     m_Record.m_OnGone = std::move(Job);
   }
-  void onBacklogReduced(std::function<void()>) override {}
+  void onBacklogReduced(std::function<void()> Job) override {
+    m_Record.m_OnRoom = std::move(Job);
+  }
 
 private:
   CallerRecord &m_Record; ///< Outlives the caller.
@@ -96,6 +102,7 @@
   balance::Balancer m_Balancer{{"a"}};
   balance::RetryBudget m_Budget{{0.2, 56, 10s}};
   FakeUpstreams m_Upstreams;
+  DirectTransport m_Transport{m_Upstreams};
   PlainCodec m_Codec;
   Metrics m_Metrics;
   GatewayStats m_Stats{m_Metrics};
@@ -109,7 +116,7 @@
                            m_Timers,
                            m_Balancer,
                            m_Budget,
-                           m_Upstreams,
+                           m_Transport,
                            m_CrashWatch,
                            m_Codec,
                            m_Stats,
--- a/tests/unit/path_fleet.h
+++ b/tests/unit/path_fleet.h
@@ -2,7 +2,9 @@
 #ifndef CROWSTEP_TESTS_UNIT_PATH_FLEET_H
 #define CROWSTEP_TESTS_UNIT_PATH_FLEET_H
 
+#include "relay/call_relay.h"
 #include "unit/forwarded_request_env.h"
+#include "unit/simulated_links.h"
 #include "unit/simulated_upstreams.h"
 
 #include <algorithm>
@@ -31,31 +33,59 @@
   }
 };
 
+/// Returns the bytes of a stream's events.
+inline std::string wholeStream() {
+  std::string Result;
+  for (int I = 1; I <= UpstreamWorld::EventCount; ++I)
+    Result += event(I);
+  return Result;
+}
+
+inline bool isWholeStream(const PathRequest &Request) {
+  return Request.m_Record.m_Ended && Request.m_Record.m_Stream == wholeStream();
+}
+
 /// An instance as the gateway composes it, without its sockets.
 struct PathInstance {
-  PathInstance(UpstreamWorld &World, ManualScheduler &Timers, const Clock &Time,
-               std::size_t Index, std::size_t Zones)
-      : m_Clock(Time),
-        m_Balancer({"z" + std::to_string(Index % Zones)}, Index + 1),
+  PathInstance(UpstreamWorld &World, LinkNetwork &Net, ManualScheduler &Timers,
+               const Clock &Time, PeerInstance Self, std::size_t Index)
+      : m_Self(std::move(Self)), m_Balancer(m_Self.m_Zone, Index + 1),
         m_Upstreams(World, Time, Index),
         m_CrashWatch(Time, Timers, m_Balancer, m_Upstreams, m_Metrics),
-        m_WaitQueue(Timers), m_Context{Time,
-                                       Timers,
-                                       m_Balancer,
-                                       m_Budget,
-                                       m_Upstreams,
-                                       m_CrashWatch,
-                                       m_Codec,
-                                       m_Stats,
-                                       m_WaitQueue,
-                                       [] { return 0.5; },
-                                       [] { return false; },
-                                       nullptr} {
-    m_Balancer.setUpstreams(World.m_List);
-    m_CrashWatch.upstreamsChanged(World.m_List);
+        m_WaitQueue(Timers),
+        m_Relay(m_Self,
+                {Time, Timers, m_Metrics, m_Balancer, m_Upstreams, m_Upstreams,
+                 m_CrashWatch, m_Codec},
+                linksFactory(Net, false), linksFactory(Net, true), Index + 1),
+        m_Context{Time,
+                  Timers,
+                  m_Balancer,
+                  m_Budget,
+                  m_Relay.transport(),
+                  m_CrashWatch,
+                  m_Codec,
+                  m_Stats,
+                  m_WaitQueue,
+                  [] { return 0.5; },
+                  [] { return false; },
+                  nullptr} {
+    setUpstreams(World.m_List);
+  }
+
+  void setUpstreams(const std::vector<Upstream> &List) {
+    m_Balancer.setUpstreams(List);
+    m_CrashWatch.upstreamsChanged(List);
+    m_Relay.setUpstreams(List);
+  }
+
+  relay::RelayLinksFactory linksFactory(LinkNetwork &Net, bool Listens) {
+    return [this, &Net, Listens](const std::string &,
+                                 link::LinkListener &Listener) {
+      return std::make_unique<SimulatedLinks>(Net, m_Self, Listens, Listener);
+    };
   }
 
-  const Clock &m_Clock; ///< Outlives it.
+  PeerInstance m_Self;
   balance::Balancer m_Balancer;
   balance::RetryBudget m_Budget{{0.2, 56, 10s}};
   SimulatedUpstreams m_Upstreams;
@@ -64,6 +94,7 @@
   GatewayStats m_Stats{m_Metrics};
   CrashWatch m_CrashWatch;
   WaitQueue m_WaitQueue;
+  relay::CallRelay m_Relay;
   ForwardContext m_Context;
 };
 
@@ -100,11 +131,39 @@
            false});
     }
     m_Table = makeTable();
+    m_Peers.m_Key = "key";
     for (std::size_t I = 0; I < Instances; ++I) {
-      m_Instances.push_back(
-          std::make_unique<PathInstance>(m_World, m_Timers, m_Clock, I, Zones));
-      m_Instances.back()->m_Budget.setInstances(Instances, m_Clock.now() - 10s);
+      const auto Machine = static_cast<std::uint32_t>(0x0b000001 + I);
+      m_Peers.m_Instances.push_back({"i" + std::to_string(I),
+                                     {Machine, 7000},
+                                     {"z" + std::to_string(I % Zones)},
+                                     1,
+                                     {Machine, 7001}});
     }
+    for (std::size_t I = 0; I < Instances; ++I)
+      startInstance(I);
+  }
+
+  /// Starts an instance anew; its requests and links are lost.
+  void startInstance(std::size_t Index) {
+    if (m_Instances.size() <= Index)
+      m_Instances.resize(Index + 1);
+    stopInstance(Index);
+    m_Instances[Index] = std::make_unique<PathInstance>(
+        m_World, m_Links, m_Timers, m_Clock, m_Peers.m_Instances[Index], Index);
+    PathInstance &Started = *m_Instances[Index];
+    Started.m_Budget.setInstances(m_Peers.m_Instances.size(),
+                                  m_Clock.now() - 10s);
+    Started.m_Relay.setTable(m_Table);
+    Started.m_Relay.setPeers(m_Peers);
+  }
+
+  /// Kills an instance, with all of its requests.
+  void stopInstance(std::size_t Index) {
+    for (const auto &Request : m_Requests)
+      if (Request->m_Instance == Index)
+        Request->m_Request.reset();
+    m_Instances[Index].reset();
   }
 
   /// Cuts all paths of \p Count instances, of the first zone as long as it has
@@ -126,7 +185,8 @@
 
   void pathsChanged() {
     for (const auto &Instance : m_Instances)
-      Instance->m_Upstreams.handlePathChange();
+      if (Instance != nullptr)
+        Instance->m_Upstreams.handlePathChange();
   }
 
   /// Lets each instance get one request in each \p Interval.
@@ -134,14 +194,27 @@
     const TimePoint End = m_Clock.now() + Span;
     while (m_Clock.now() < End) {
       for (std::size_t I = 0; I < m_Instances.size(); ++I)
-        if ((m_Ticks + I * 7) % static_cast<std::size_t>(Interval / Step) == 0)
+        if (m_Instances[I] != nullptr &&
+            (m_Ticks + I * 7) % static_cast<std::size_t>(Interval / Step) == 0)
           sendNext(I);
       ++m_Ticks;
-      m_Timers.advance(Step);
-      destroyEnded();
+      advance();
     }
   }
 
+  void advance() {
+    m_Timers.advance(Step);
+    destroyEnded();
+  }
+
+  /// Lets an instance read nothing from other instances until thaw().
+  void freeze(std::size_t Index) {
+    m_Links.m_Frozen.insert(m_Peers.m_Instances[Index].m_Name);
+  }
+  void thaw(std::size_t Index) {
+    m_Links.thaw(m_Peers.m_Instances[Index].m_Name);
+  }
+
   /// Sends a request of kind \p Number % 3: a call that may run once, one that
   /// may run again, or a stream that may resume.
   PathRequest &send(std::size_t Instance, unsigned Number) {
@@ -197,6 +270,27 @@
         }));
   }
 
+  /// Returns how many calls the upstream called \p Name has begun to run.
+  [[nodiscard]] std::size_t runsAt(const std::string &Name) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_World.m_Runs, [&](const UpstreamRun &Run) {
+          return Run.m_Upstream == Name;
+        }));
+  }
+
+  /// Checks that no stream has a gap, or an event twice.
+  void checkStreams() const {
+    std::size_t Wrong = 0;
+    for (const auto &Request : m_Requests) {
+      const std::string &Stream = Request->m_Record.m_Stream;
+      Wrong += wholeStream().starts_with(Stream) &&
+                       (!Request->m_Record.m_Ended || Stream == wholeStream())
+                   ? 0
+                   : 1;
+    }
+    BOOST_TEST(Wrong == 0U);
+  }
+
   /// Checks that calls that may run once did, and that those whose callers were
   /// told that they have not run didn't.
   void checkRuns() const {
@@ -221,10 +315,12 @@
   ManualClock m_Clock;
   ManualScheduler m_Timers{m_Clock};
   UpstreamWorld m_World{m_Timers};
+  LinkNetwork m_Links{m_Timers};
   std::size_t m_Zones;
   RouteTablePtr m_Table;
-  std::vector<std::unique_ptr<PathInstance>> m_Instances;
-  std::vector<std::unique_ptr<PathRequest>> m_Requests; ///< All, in order.
+  PeerList m_Peers;
+  std::vector<std::unique_ptr<PathInstance>> m_Instances; ///< Null: killed.
+  std::vector<std::unique_ptr<PathRequest>> m_Requests;   ///< All, in order.
 
 private:
   static RouteTablePtr makeTable() {
--- a/tests/unit/simulated_upstreams.h
+++ b/tests/unit/simulated_upstreams.h
@@ -59,9 +59,10 @@
   PathMode m_Mode = PathMode::Silent;   ///< Of their paths.
   /// Which of their paths are cut; empty: all.
   std::function<bool(std::size_t, const Address &)> m_IsCut;
-  std::set<std::string> m_Down;          ///< Names of crashed upstreams.
-  std::vector<UpstreamRun> m_Runs;       ///< In order.
-  std::map<std::string, int> m_Unwanted; ///< Requests by a cancelled call.
+  std::set<std::string> m_Down;    ///< Names of crashed upstreams.
+  std::vector<UpstreamRun> m_Runs; ///< In order.
+  std::size_t m_EventBytes = 1;    ///< Of an event's data.
+  bool m_PausedDesks = false;      ///< Plain upstreams request a pause.
 };
 
 class SimulatedUpstreams;
@@ -251,6 +252,11 @@
 inline void SimulatedCall::run() {
   if (pathMode() == PathMode::Silent)
     return; // handlePathChange() goes on.
+  if (m_Owner.m_World.m_PausedDesks && !isStream()) {
+    m_Listener.upstreamHeaders(
+        503, {{"Call-Not-Run", "1"}, {"Call-Pause-Ms", "2000"}});
+    return;
+  }
   m_IsRunning = true;
   const HeaderList &Headers = m_Request.m_Headers;
   m_Owner.m_World.m_Runs.push_back(
@@ -276,7 +282,9 @@
   if (isStream() && m_NextEvent <= UpstreamWorld::EventCount) {
     const std::string Number = std::to_string(m_NextEvent++);
     after(UpstreamWorld::EventInterval, &SimulatedCall::sendNext);
-    m_Listener.upstreamBytes("id: " + Number + "\ndata: x\n\n");
+    m_Listener.upstreamBytes(
+        "id: " + Number +
+        "\ndata: " + std::string(m_Owner.m_World.m_EventBytes, 'x') + "\n\n");
     return;
   }
   if (!isStream())
