Fix: Don't count connections that a lost path refuses as crashes of upstreams

What callers would have seen: a request that is common to many callers, such as one without a body on a path, refused as quarantined for five minutes everywhere.

Cause: where a lost path resets connections and refuses new ones, the probe after each broken call is refused, which counted as a crash of the upstream under that request. Three equal requests at three upstreams in one such moment were enough.

Evidence: relayed_call_test ALostPathIsNoCrashOfTheUpstreams failed before (refused 503).

--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -13,7 +13,7 @@
     : m_Clock(Time), m_Balancer(Balancer), m_Prober(Prober),
       m_Crashes(Stats.counter("crowstep_upstream_crashes_total")),
       m_Quarantined(Stats.gauge("crowstep_requests_quarantined")),
-      m_ListTimer(Timers), m_CleanupTimer(Timers) {
+      m_ListTimer(Timers), m_CleanupTimer(Timers), m_PathTimer(Timers) {
   m_Balancer.quarantine().setListener(this);
 }
 
@@ -26,17 +26,45 @@
   const auto OnDone = [this, Id](ConnectOutcome Result) {
     handleProbeResult(Id, Result);
   };
-  m_Probes[Id] = {Name, m_Prober.probe(Where, ProbeTimeout, OnDone)};
+  m_Probes[Id] = {Name, m_Clock.now(),
+                  m_Prober.probe(Where, ProbeTimeout, OnDone)};
 }
 
 void CrashWatch::handleProbeResult(UpstreamId Id, ConnectOutcome Result) {
   auto Node = m_Probes.extract(Id);
   const std::string Name = Node.mapped().m_Upstream;
+  const TimePoint Began = Node.mapped().m_Began;
   m_EndedProbes.push_back(std::move(Node.mapped()));
   // The probe is on the call stack here.
   m_CleanupTimer.start(Duration::zero(), [this] { m_EndedProbes.clear(); });
-  if (Result == ConnectOutcome::Refused)
+  if (Result != ConnectOutcome::Refused)
+    return;
+  if (m_Paths == nullptr)
     recordUpstreamDown(Id, Name, "refuses connections");
+  else
+    checkPath({Id, Name, Began, m_Clock.now() + PathCheckTime});
+}
+
+void CrashWatch::checkPath(const RefusedProbe &Refused) {
+  m_RefusedProbes.push_back(Refused);
+  m_Paths->recordRefused(Refused.m_Id, Refused.m_Began);
+  if (!m_PathTimer.isRunning())
+    m_PathTimer.start(PathCheckTime, [this] { handleCheckedPaths(); });
+}
+
+void CrashWatch::handleCheckedPaths() {
+  const TimePoint Now = m_Clock.now();
+  while (!m_RefusedProbes.empty() &&
+         m_RefusedProbes.front().m_CheckedAt <= Now) {
+    const RefusedProbe Refused = m_RefusedProbes.front();
+    m_RefusedProbes.pop_front();
+    if (!m_Paths->isPathLost(Refused.m_Id))
+      recordUpstreamDown(Refused.m_Id, Refused.m_Upstream,
+                         "refuses connections");
+  }
+  if (!m_RefusedProbes.empty())
+    m_PathTimer.start(m_RefusedProbes.front().m_CheckedAt - Now,
+                      [this] { handleCheckedPaths(); });
 }
 
 void CrashWatch::upstreamsChanged(const std::vector<Upstream> &All) {
--- a/src/relay/call_relay.cpp
+++ b/src/relay/call_relay.cpp
@@ -19,7 +19,9 @@
       m_Server({Context.m_Clock, Context.m_Timers, Context.m_Balancer,
                 Context.m_Upstream, Context.m_CrashWatch, Context.m_Codec,
                 m_Prober},
-               Listen, Context.m_Metrics) {}
+               Listen, Context.m_Metrics) {
+  Context.m_CrashWatch.setPathView(m_Transport);
+}
 
 void CallRelay::setPeers(const gateway::PeerList &List) {
   m_Client.setPeers(List);
--- a/tests/unit/relayed_call_test.cpp
+++ b/tests/unit/relayed_call_test.cpp
@@ -287,6 +287,20 @@
   BOOST_TEST(Later.isServed());
 }
 
+// Guards against a quarantine of requests whose calls broke with the path.
+BOOST_AUTO_TEST_CASE(ALostPathIsNoCrashOfTheUpstreams) {
+  PathFleet Fleet(3, 1, 4, 4);
+  Fleet.run(500ms, 100ms);
+  for (int I = 0; I < 4; ++I)
+    Fleet.send(0, Hold, "same");
+  Fleet.run(10ms, 1s);
+  Fleet.cut(1, PathMode::Reset);
+  Fleet.run(500ms, 1s);
+  PathRequest &Request = Fleet.send(0, Hold, "same");
+  Fleet.run(500ms, 1s);
+  BOOST_TEST(Request.isServed());
+}
+
 // Guards against a second run, a false "not run" and a stream with a gap, in
 // any series of cuts, kills, freezes and stops.
 BOOST_AUTO_TEST_CASE(PromisesHoldUnderRandomFaults) {
