Test: Cut paths between gateways and upstreams in the soak

Each gateway calls from an address of its own and each upstream has one; a socket filter in the relays drops the packets of a pair.

The new check counts from 3 s after a cut, like the platform's rule, and only where a gateway that reaches the upstreams is calm and the store is stable.

Two drafts of the check were too strict and are not kept: requests while all gateways are cut, and right after a start of all, when gateways do not know one another yet.

--- a/src/relay/call_relay.cpp
+++ b/src/relay/call_relay.cpp
@@ -18,7 +18,7 @@
                   Seed),
       m_Server({Context.m_Clock, Context.m_Timers, Context.m_Balancer,
                 Context.m_Upstream, Context.m_CrashWatch, Context.m_Codec,
-                m_Prober},
+                m_Prober, m_Transport},
                Listen, Context.m_Metrics) {
   Context.m_CrashWatch.setPathView(m_Transport);
 }
--- a/src/relay/relay_client.cpp
+++ b/src/relay/relay_client.cpp
@@ -200,7 +200,9 @@
   m_Outcomes.at(static_cast<std::size_t>(Outcome))->add();
   if (Outcome == RelayOutcome::Stopping)
     m_Peers.recordStop(Peer, m_Clock.now());
-  else if (Outcome == RelayOutcome::Busy || Outcome == RelayOutcome::NotSent)
+  else if (Outcome == RelayOutcome::NotSent)
+    m_Peers.recordNoReach(Peer, m_Clock.now());
+  else if (Outcome == RelayOutcome::Busy)
     m_Peers.recordRefusal(Peer, m_Clock.now());
 }
 
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -104,6 +104,14 @@
          Now - Found->second.m_ProvenAt <= FreshProof;
 }
 
+/// It needs another proof, as its own path may be lost by now.
+void RelayPeers::recordNoReach(InstanceId Peer, TimePoint Now) {
+  recordRefusal(Peer, Now);
+  const auto Found = m_Selected.find(Peer);
+  if (Found != m_Selected.end())
+    Found->second.m_ProvenAt = TimePoint();
+}
+
 void RelayPeers::recordRefusal(InstanceId Peer, TimePoint Now) {
   m_AvoidedUntil[Peer] = Now + RefusedTime;
 }
--- a/src/relay/relay_peers.h
+++ b/src/relay/relay_peers.h
@@ -79,6 +79,9 @@
 
   [[nodiscard]] bool hasFreshProof(InstanceId Peer, TimePoint Now) const;
 
+  /// \p Peer could not connect to an upstream.
+  void recordNoReach(InstanceId Peer, TimePoint Now);
+
   /// \p Peer refused a call, is shutting down, or its link has closed.
   void recordRefusal(InstanceId Peer, TimePoint Now);
   void recordStop(InstanceId Peer, TimePoint Now);
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -122,6 +122,8 @@
   if (Admitted == nullptr || Target == nullptr ||
       !allowsService(*Admitted->m_Route, Target->m_Service))
     return RelayOutcome::NotAdmitted;
+  if (m_Context.m_Paths.isPathLost(Opening.m_Upstream))
+    return RelayOutcome::NotSent;
   const auto Placement = m_Context.m_Balancer.placeCarried(
       Opening.m_Upstream, gateway::contentHashOf(Opening.m_Request, *Admitted),
       m_Context.m_Clock.now());
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -32,6 +32,7 @@
   gateway::CrashWatch &m_CrashWatch;   ///< Handles broken calls.
   const gateway::HeaderCodec &m_Codec; ///< Reads and writes headers.
   PathProber &m_Prober;                ///< Connects to upstreams.
+  const gateway::PathView &m_Paths;    ///< Which upstreams are reached.
 };
 
 class RelayServer final : private link::LinkListener {
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -2,6 +2,7 @@
 #include "soak/ledger.h"
 
 #include <algorithm>
+#include <array>
 #include <iostream>
 #include <numeric>
 #include <set>
@@ -186,6 +187,60 @@
   checkPauses();
   checkRetryBudget();
   checkCrashingRequest();
+  checkCutGateways();
+}
+
+/// Returns whether \p Gateway had lost all upstreams for ContactBound, or
+/// reaches them, or nothing if it was disturbed otherwise or lost them lately.
+std::optional<bool> Ledger::isCut(int Gateway, TimePoint At) const {
+  const auto Concerns = [&](const GatewaySpan &Span) {
+    return Span.m_Gateway == Gateway && Span.m_From <= At &&
+           At <= Span.m_To + ContactBound;
+  };
+  if (std::ranges::any_of(m_GatewayFaults, Concerns))
+    return std::nullopt;
+  const bool IsCut = std::ranges::any_of(m_Cuts, [&](const GatewaySpan &Cut) {
+    return Cut.m_Gateway == Gateway && Cut.m_From + ContactBound <= At &&
+           At < Cut.m_To;
+  });
+  if (!IsCut && std::ranges::any_of(m_Cuts, Concerns))
+    return std::nullopt;
+  return IsCut;
+}
+
+/// Callers of gateways that can reach no upstream are served nearly as well as
+/// those of the others at the same time, as long as there are others.
+void Ledger::checkCutGateways() {
+  std::set<int> Gateways;
+  for (const GatewaySpan &Fault : m_GatewayFaults)
+    Gateways.insert(Fault.m_Gateway);
+  std::array<int, 2> Sent{};
+  std::array<int, 2> Served{};
+  for (const auto &[Id, Request] : m_Requests) {
+    std::array<int, 2> Present{};
+    for (const int Gateway : Gateways)
+      if (const auto IsCut = this->isCut(Gateway, Request.m_SentAt))
+        ++Present.at(*IsCut ? 1 : 0);
+    const auto IsCut = isCut(Request.m_Gateway, Request.m_SentAt);
+    if (Present[0] == 0 || Present[1] == 0 || !IsCut || Request.m_IsCrashing ||
+        Request.m_TableVersion != 0 || !isStoreStable(Request.m_SentAt))
+      continue;
+    ++Sent.at(*IsCut ? 1 : 0);
+    Served.at(*IsCut ? 1 : 0) += Request.m_Result->m_Status == HttpOk &&
+                                         !Request.m_Result->m_ConnectionBroken
+                                     ? 1
+                                     : 0;
+  }
+  if (Sent[0] == 0 || Sent[1] == 0)
+    return;
+  m_CheckCounts["served_behind_cut"] += Sent[1];
+  const double Failed = Sent[1] - Served[1];
+  if (Failed > CutFailures + CutFailureShare * Sent[1] &&
+      Served[1] * Sent[0] < CutServedRatio * Served[0] * Sent[1])
+    addViolation("served_behind_cut",
+                 std::to_string(Served[1]) + " of " + std::to_string(Sent[1]) +
+                     " by cut gateways, " + std::to_string(Served[0]) + " of " +
+                     std::to_string(Sent[0]) + " by the others");
 }
 
 /// Returns whether the gateway must know at \p At what the store holds: it has
@@ -193,8 +248,11 @@
 /// way within that time.
 bool Ledger::isGatewayUpToDate(const RequestRecord &Request,
                                TimePoint At) const {
-  return At > Request.m_GatewayStartedAt + SettleBound &&
-         std::none_of(m_StalenessExcuses.begin(), m_StalenessExcuses.end(),
+  return At > Request.m_GatewayStartedAt + SettleBound && isStoreStable(At);
+}
+
+bool Ledger::isStoreStable(TimePoint At) const {
+  return std::none_of(m_StalenessExcuses.begin(), m_StalenessExcuses.end(),
                       [&](const auto &Excused) {
                         return Excused.first <= At &&
                                At <= Excused.second + SettleBound;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -77,6 +77,16 @@
     m_PathExcuses.emplace_back(From, To);
   }
 
+  /// Records that \p Gateway can reach no upstream from \p From until \p To.
+  void recordCut(int Gateway, TimePoint From, TimePoint To) {
+    m_Cuts.push_back({Gateway, From, To});
+  }
+
+  /// Records that the process of \p Gateway is disturbed.
+  void recordGatewayFault(int Gateway, TimePoint From, TimePoint To) {
+    m_GatewayFaults.push_back({Gateway, From, To});
+  }
+
   /// Records that the store has acknowledged that \p Upstream drains or is
   /// removed.
   void recordDraining(const std::string &Upstream, TimePoint Now) {
@@ -149,6 +159,13 @@
     TimePoint m_Time;           ///< When it arrived.
   };
 
+  /// A time in which something concerned one gateway.
+  struct GatewaySpan {
+    int m_Gateway;    ///< Its number.
+    TimePoint m_From; ///< Begin.
+    TimePoint m_To;   ///< End.
+  };
+
   /// A gateway's process and an upstream's incarnation.
   using Pairing = std::tuple<int, unsigned, std::string>;
 
@@ -171,9 +188,12 @@
   void checkPauses();
   [[nodiscard]] std::optional<Pairing> pairingOf(const Arrival &At) const;
   void checkRetryBudget();
+  void checkCutGateways();
+  [[nodiscard]] std::optional<bool> isCut(int Gateway, TimePoint At) const;
   void checkCrashingRequest();
   [[nodiscard]] bool isGatewayUpToDate(const RequestRecord &Request,
                                        TimePoint At) const;
+  [[nodiscard]] bool isStoreStable(TimePoint At) const;
   [[nodiscard]] TimePoint knowledgeDeadline(TimePoint Written) const;
 
   std::map<std::string, RequestRecord> m_Requests; ///< By X-Attempt-Id.
@@ -182,6 +202,8 @@
   std::vector<Arrival> m_Arrivals;           ///< All, in order of time.
   std::vector<Arrival> m_Pauses;             ///< Those that were rejected so.
   TimeRanges m_PathExcuses;                  ///< See excusePaths().
+  std::vector<GatewaySpan> m_Cuts;           ///< See recordCut().
+  std::vector<GatewaySpan> m_GatewayFaults;  ///< See recordGatewayFault().
   std::vector<TimePoint> m_CrashRowsRemoved; ///< See recordCrash().
   std::map<std::string, TimePoint> m_DrainingSince; ///< By upstream's name.
   std::map<unsigned, TimePoint> m_TableWrittenAt;   ///< By version.
@@ -216,6 +238,16 @@
 /// them has ended.
 inline constexpr std::chrono::milliseconds SettleBound{3000};
 
+/// A gateway is calm this long after the last disturbance of its process; from
+/// then on a cut of its paths must not show.
+inline constexpr std::chrono::milliseconds ContactBound{3000};
+
+/// Callers of cut gateways may be served this much less often than others',
+/// if as many of their requests fail.
+inline constexpr double CutServedRatio = 2.0 / 3;
+inline constexpr double CutFailures = 10;
+inline constexpr double CutFailureShare = 1.0 / 50;
+
 /// Limit on runs of a request that has crashed three upstreams, by gateways
 /// that can know of the crashes.
 inline constexpr std::size_t MaxRunsAfterCrashes = 3;
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -166,4 +166,20 @@
   return Result;
 }
 
+std::vector<PathCut> makePathCutSchedule(std::uint64_t Seed, Duration Length) {
+  constexpr std::uint64_t PathCutSeed = 0x70617468;
+  constexpr std::uint64_t Kinds =
+      static_cast<std::uint64_t>(PathCutKind::Count);
+  // Long enough for callers to notice whether they are served meanwhile.
+  constexpr Duration MinLength = 3s;
+  if (!isInShare(Seed, 0))
+    return {};
+  std::vector<PathCut> Result;
+  for (const SingleFault &Drawn : drawSingleFaults(Seed ^ PathCutSeed, Length))
+    Result.push_back({Drawn.m_Start, kindOf<PathCutKind>(Drawn),
+                      static_cast<unsigned>(Drawn.m_Draw / Kinds),
+                      MinLength + Drawn.m_Duration});
+  return Result;
+}
+
 } // namespace crowstep::soak
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -105,6 +105,26 @@
 std::vector<StatementFault> makeStatementSchedule(std::uint64_t Seed,
                                                   Duration Length);
 
+/// Which paths between gateways and upstreams are cut.
+enum class PathCutKind : std::uint8_t {
+  OneGateway,   ///< One gateway loses all upstreams.
+  MostGateways, ///< All gateways but one do.
+  OnePair,      ///< One gateway loses one upstream.
+  Count,        ///< Number of kinds; not a kind.
+};
+
+/// One scheduled cut.
+struct PathCut {
+  Duration m_Start{};                           ///< Since the load's start.
+  PathCutKind m_Kind = PathCutKind::OneGateway; ///< Which paths.
+  unsigned m_Target = 0; ///< Gateway or upstream, modulo their count.
+  Duration m_Duration{}; ///< Until it ends.
+};
+
+/// Returns the cuts of \p Seed that begin within \p Length, in order; they are
+/// drawn apart from the other faults and overlap. Some seeds have none.
+std::vector<PathCut> makePathCutSchedule(std::uint64_t Seed, Duration Length);
+
 /// Returns the kind named \p Name, or nothing.
 std::optional<FaultKind> faultKindOf(const std::string &Name);
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -89,6 +89,8 @@
   Gateway.m_Process->signal(SIGSTOP);
   m_Ledger.excuseStaleness(m_Clock.now(), m_Clock.now() + Span);
   m_Ledger.excusePaths(m_Clock.now(), m_Clock.now() + Span);
+  m_Ledger.recordGatewayFault(Gateway.m_Number, m_Clock.now(),
+                              m_Clock.now() + Span);
   runAfter(Span, [this, &Gateway] {
     Gateway.m_Frozen = false;
     if (Gateway.m_Process == nullptr)
@@ -158,6 +160,8 @@
     return;
   Gateway.m_Stopping = true;
   Gateway.m_Process->signal(SIGTERM);
+  m_Ledger.recordGatewayFault(Gateway.m_Number, m_Clock.now(),
+                              m_Clock.now() + Gateway.m_Settings.m_GracePeriod);
   if (m_PlannedWorkOnly)
     m_Ledger.recordPlannedStop(Gateway.m_Number, m_Clock.now(),
                                m_Clock.now() + 8s);
@@ -231,6 +235,41 @@
   setUpstreamFault(Upstream, UpstreamFault::Pauses, Played.m_Duration);
 }
 
+void SoakFleet::apply(const PathCut &Played) {
+  const TimePoint End = m_Clock.now() + Played.m_Duration;
+  const std::size_t Target = Played.m_Target % m_Gateways.size();
+  m_Ledger.excusePaths(m_Clock.now(), End);
+  for (GatewayNode &Gateway : m_Gateways) {
+    const bool IsTarget = Gateway.m_Number == static_cast<int>(Target);
+    if (IsTarget == (Played.m_Kind == PathCutKind::MostGateways))
+      continue;
+    for (const UpstreamNode &Upstream : m_Upstreams) {
+      const int Number = Upstream.m_Number;
+      if (Played.m_Kind == PathCutKind::OnePair &&
+          Number != static_cast<int>(Played.m_Target % m_Upstreams.size()))
+        continue;
+      ++Gateway.m_CutUpstreams[Number];
+      runAfter(Played.m_Duration, [this, &Gateway, Number] {
+        --Gateway.m_CutUpstreams[Number];
+        updateCuts();
+      });
+    }
+    if (Played.m_Kind != PathCutKind::OnePair)
+      m_Ledger.recordCut(Gateway.m_Number, m_Clock.now(), End);
+  }
+  updateCuts();
+}
+
+void SoakFleet::updateCuts() {
+  for (const UpstreamNode &Upstream : m_Upstreams) {
+    std::set<std::uint32_t> Ips;
+    for (GatewayNode &Gateway : m_Gateways)
+      if (Gateway.m_CutUpstreams[Upstream.m_Number] > 0)
+        Ips.insert(Gateway.m_Settings.m_SourceAddress.m_Ip);
+    Upstream.m_Relay->setCutClients(Ips);
+  }
+}
+
 /// Removes a draining upstream after a while and starts a new incarnation.
 void SoakFleet::replaceUpstream(UpstreamNode &Upstream, Duration After) {
   const std::string Name = Upstream.m_Server->name();
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -22,6 +22,13 @@
 
 constexpr Duration LoadStep = 20ms;
 
+/// Beyond ContactBound, the others know a gateway that has started.
+constexpr Duration ListingTime = 2s;
+
+/// Addresses of the gateways and of the upstreams, each a machine of its own.
+constexpr std::uint32_t GatewayNet = INADDR_LOOPBACK + 1;
+constexpr std::uint32_t UpstreamNet = INADDR_LOOPBACK + 0x100;
+
 /// A usage report is due this long after its window; a successor needs some
 /// seconds for the lease and its own reports.
 constexpr std::chrono::seconds UsageDue = 5s;
@@ -90,7 +97,8 @@
     UpstreamNode Upstream;
     Upstream.m_Number = I;
     Upstream.m_ListenAddress = loopback(test::freePort());
-    Upstream.m_Relay = std::make_unique<test::Relay>(Upstream.m_ListenAddress);
+    Upstream.m_Relay = std::make_unique<test::Relay>(
+        Upstream.m_ListenAddress, UpstreamNet + static_cast<std::uint32_t>(I));
     m_Upstreams.push_back(std::move(Upstream));
     startUpstream(m_Upstreams.back());
   }
@@ -100,6 +108,8 @@
     Gateway.m_StoreRelay = std::make_unique<test::Relay>(m_StoreAddress);
     Gateway.m_Settings = test::makeGatewayConfig(
         "gateway-" + std::to_string(I), Gateway.m_StoreRelay->address());
+    Gateway.m_Settings.m_SourceAddress = {
+        GatewayNet + static_cast<std::uint32_t>(I), 0};
     Gateway.m_Settings.m_DutyAddress = DutyAddress;
     Gateway.m_Settings.m_UsageDue = UsageDue;
     Gateway.m_Settings.m_DrainTime = DrainBound;
@@ -116,6 +126,8 @@
   Gateway.m_Stopping = false;
   Gateway.m_Frozen = false;
   Gateway.m_StartedAt = m_Clock.now();
+  m_Ledger.recordGatewayFault(Gateway.m_Number, m_Clock.now(),
+                              m_Clock.now() + ListingTime);
   Gateway.m_Process = std::make_unique<test::Process>(
       m_Folder, "crowstep-gateway", Gateway.m_Settings.m_Name,
       gatewaySettingsText(Gateway.m_Settings));
@@ -312,6 +324,10 @@
     runAfter(Played.m_Start, [this, Played] { apply(Played); });
     End = std::max(End, Played.m_Start + Played.m_Duration);
   }
+  for (const PathCut &Played : makePathCutSchedule(m_Plan.m_Seed, Length)) {
+    runAfter(Played.m_Start, [this, Played] { apply(Played); });
+    End = std::max(End, Played.m_Start + Played.m_Duration);
+  }
   Timer LoadTimer(m_Timers);
   Timer ProbeTimer(m_Timers);
   TimePoint LastStep = m_Clock.now();
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -49,6 +49,7 @@
     int m_Number = 0;                          ///< From 0.
     test::GatewayConfig m_Settings;            ///< Addresses and limits.
     std::unique_ptr<test::Relay> m_StoreRelay; ///< In front of the store.
+    std::map<int, int> m_CutUpstreams;         ///< Cuts in force, by upstream.
     std::unique_ptr<test::Process> m_Process;  ///< Null while down.
     unsigned m_Incarnation = 0;                ///< Starts so far.
     bool m_IsReady = false;                    ///< Callers send requests to it.
@@ -81,6 +82,8 @@
   void apply(const Fault &Played);
   void apply(const DutyFault &Played);
   void apply(const StatementFault &Played);
+  void apply(const PathCut &Played);
+  void updateCuts();
   GatewayNode *dutyHolder();
   void freezeGateway(GatewayNode &Gateway, Duration Span);
   void checkDuties(TimePoint FaultsEnded);
