Feature: Keep rejections by brittle upstreams scarce

Upstreams that state they are brittle fall over if they have to reject more than a number of requests in a second, from all instances together. Nothing read that statement.

A statement concerns all upstreams of the service, and is broadcast with the digests. As many instances as an upstream has slots each own a share of them by rendezvous hashing, so that no race between instances makes it reject. Calls beyond a share are placed with a probability that grows by a tenth a second while the service is little used, and halves when it isn't; a rejection ends them and pauses the instance for that upstream. Calls wait for room as long as for an engine, then they are refused as upstream_brittle. A fall of a brittle upstream counts against no request. The state ends with answers that state nothing, or after 30 s without any.

Tried and dropped: open to all while the known calls take under half of the slots (84 instances: 16 falls), the same with a third (15), and a mean with a limit of 0.3 that opens again at once (12): what is known is late, so all instances come back together.

What it costs: while such a service is busy, instances that own no share of any upstream refuse calls: 84 instances serve 1,604 of 3,609 calls at a load of 0.3.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -131,14 +131,23 @@
          m_RateLimits.maySend(Id, Now);
 }
 
+/// For an upstream whose service is brittle.
+bool Balancer::mayPlaceAtBrittle(const UpstreamState &State,
+                                 TimePoint Now) const {
+  return m_Brittle.maySend(poolIdOf(State.m_Upstream.m_Service, 0),
+                           State.m_Upstream, State.m_OwnLoad.runningCalls(),
+                           Now);
+}
+
 Balancer::States Balancer::findCandidates(const PlacementQuery &Query,
                                           TimePoint Now) {
+  const bool IsBrittle = brittlenessOf(Query.m_Service, Now).has_value();
   States Listed;
   for (auto &[Id, State] : m_States)
     if (State.m_Upstream.m_Service == Query.m_Service &&
         std::find(Query.m_Excluded.begin(), Query.m_Excluded.end(), Id) ==
             Query.m_Excluded.end() &&
-        mayPlaceAt(State, Now))
+        mayPlaceAt(State, Now) && (!IsBrittle || mayPlaceAtBrittle(State, Now)))
       Listed.push_back(&State);
   const auto Select = [](const States &From, const auto &Predicate) {
     States Result;
@@ -205,22 +214,43 @@
         Left > Duration::zero())
       return NotPlaced{
           RefusalReason::Quarantined, Left, {0, 0, 0, 0, m_PeerLoads.size()}};
+  beginPlacementAtBrittle(Query.m_Service, Now);
   const States Candidates = findCandidates(Query, Now);
   if (Candidates.empty())
     return noCandidateResult(Query, Now);
   if (Query.m_Prompt.m_PromptTokens > 0)
     return placeAtEngine(Query, Candidates, Now);
-  UpstreamState &Chosen = *choosePlainUpstream(Candidates, Now);
+  UpstreamState &Chosen = *choosePlainUpstream(
+      brittlenessOf(Query.m_Service, Now) ? sampleTwo(Candidates) : Candidates,
+      Now);
   const PlacementInputs Inputs = {Candidates.size(), callsAt(Chosen, Now), 0, 0,
                                   m_PeerLoads.size()};
   return issueTicket(Chosen, Query, {}, Inputs, Now);
 }
 
-NotPlaced Balancer::noCandidateResult(const PlacementQuery &Query,
-                                      TimePoint Now) {
+/// Returns whether only brittleness keeps the call from some upstream.
+bool Balancer::isHeldBackAsBrittle(const PlacementQuery &Query,
+                                   TimePoint Now) const {
+  return brittlenessOf(Query.m_Service, Now) &&
+         std::ranges::any_of(m_States, [&](const auto &Entry) {
+           const UpstreamState &State = Entry.second;
+           return State.m_Upstream.m_Service == Query.m_Service &&
+                  !isBarred(State, Now) && !mayPlaceAtBrittle(State, Now);
+         });
+}
+
+PlacementResult Balancer::noCandidateResult(const PlacementQuery &Query,
+                                            TimePoint Now) {
   NotPlaced Result{RefusalReason::NoUpstream,
                    NoUpstreamRetryAfter,
                    {0, 0, 0, 0, m_PeerLoads.size()}};
+  if (isHeldBackAsBrittle(Query, Now)) {
+    if (Query.m_MayWait)
+      return MustWait{Result.m_Inputs};
+    Result.m_Reason = RefusalReason::UpstreamBrittle;
+    Result.m_RetryAfter = pauseRetryAfter(MinRetryAfter);
+    return Result;
+  }
   double Rate = 0;
   TimePoint PauseEnd = TimePoint::max();
   for (const auto &[Id, State] : m_States) {
@@ -464,6 +494,31 @@
   return std::max(Own, Reported + Own - State.m_RunningAtReport);
 }
 
+void Balancer::beginPlacementAtBrittle(const std::string &Service,
+                                       TimePoint Now) {
+  if (!brittlenessOf(Service, Now))
+    return;
+  double Calls = 0;
+  double Slots = 0;
+  for (const auto &[Id, State] : m_States)
+    if (State.m_Upstream.m_Service == Service && !isBarred(State, Now)) {
+      Calls += callsAt(State, Now);
+      Slots +=
+          static_cast<double>(BrittleUpstreams::usableSlots(State.m_Upstream));
+    }
+  if (Slots > 0)
+    m_Brittle.beginPlacement(poolIdOf(Service, 0), Calls / Slots,
+                             std::uniform_real_distribution<>()(m_Random), Now);
+}
+
+/// Instances that all take the best one would make it reject calls.
+Balancer::States Balancer::sampleTwo(const States &Candidates) {
+  States Result;
+  std::sample(Candidates.begin(), Candidates.end(), std::back_inserter(Result),
+              2, m_Random);
+  return Result;
+}
+
 UpstreamState *Balancer::choosePlainUpstream(const States &Candidates,
                                              TimePoint Now) const {
   const auto Cost = [&](const UpstreamState &State) {
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -7,6 +7,7 @@
 #ifndef CROWSTEP_BALANCE_BALANCER_H
 #define CROWSTEP_BALANCE_BALANCER_H
 
+#include "balance/brittle_upstreams.h"
 #include "balance/cache_model.h"
 #include "balance/engine_choice.h"
 #include "balance/leaving_upstreams.h"
@@ -74,9 +75,20 @@
   /// for \p Span.
   void recordPause(TicketId Ticket, Duration Span, TimePoint Now);
 
+  /// The call's upstream stated how many requests it can reject in a second, or
+  /// none: that it is not brittle.
+  void recordBrittleness(TicketId Ticket, RejectionLimit Limit, TimePoint Now);
+
+  /// Returns that number for a service.
+  [[nodiscard]] RejectionLimit brittlenessOf(const std::string &Service,
+                                             TimePoint Now) const {
+    return m_Brittle.limitOf(poolIdOf(Service, 0), Now);
+  }
+
   /// Sets the list of all instances, this one as \p Self.
   void setInstances(InstanceId Self, std::vector<InstanceId> All,
                     TimePoint Now) {
+    m_Brittle.setInstances(Self, All);
     m_RateLimits.setInstances(Self, std::move(All), Now);
   }
 
@@ -160,7 +172,11 @@
   States findCandidates(const PlacementQuery &Query, TimePoint Now);
   [[nodiscard]] bool isBarred(const UpstreamState &State, TimePoint Now) const;
   [[nodiscard]] bool mayPlaceAt(const UpstreamState &State, TimePoint Now);
-  NotPlaced noCandidateResult(const PlacementQuery &Query, TimePoint Now);
+  [[nodiscard]] bool mayPlaceAtBrittle(const UpstreamState &State,
+                                       TimePoint Now) const;
+  [[nodiscard]] bool isHeldBackAsBrittle(const PlacementQuery &Query,
+                                         TimePoint Now) const;
+  PlacementResult noCandidateResult(const PlacementQuery &Query, TimePoint Now);
   [[nodiscard]] Duration pauseRetryAfter(Duration Left);
   PlacementResult placeAtEngine(const PlacementQuery &Query,
                                 const States &Candidates, TimePoint Now);
@@ -181,6 +197,8 @@
                      TimePoint Now);
   void reportToQuarantine(const Ticket &Ended, const UpstreamState &At,
                           CallOutcome Outcome, TimePoint Now);
+  void beginPlacementAtBrittle(const std::string &Service, TimePoint Now);
+  States sampleTwo(const States &Candidates);
   UpstreamState *choosePlainUpstream(const States &Candidates,
                                      TimePoint Now) const;
   [[nodiscard]] double callsAt(const UpstreamState &State, TimePoint Now) const;
@@ -192,6 +210,7 @@
   std::mt19937_64 m_Random;    ///< For sampling engines.
   Quarantine m_Quarantine;     ///< Of requests.
   RateLimits m_RateLimits;     ///< Stated by upstreams.
+  BrittleUpstreams m_Brittle;  ///< As they state.
   RequestedPauses m_Pauses;    ///< By upstreams, from this instance.
   LeavingUpstreams m_Leaving;  ///< By their entries and answers.
   PrefillSpeed m_PrefillSpeed; ///< Of the engines.
--- a/src/balance/balancer_reports.cpp
+++ b/src/balance/balancer_reports.cpp
@@ -92,6 +92,13 @@
                                  Found->second.m_PlacedAt, Now);
 }
 
+void Balancer::recordBrittleness(TicketId Ticket, RejectionLimit Limit,
+                                 TimePoint Now) {
+  if (const UpstreamState *State = stateOf(Ticket))
+    m_Brittle.recordStatement(poolIdOf(State->m_Upstream.m_Service, 0), Limit,
+                              m_Tickets[Ticket].m_PlacedAt, Now);
+}
+
 void Balancer::recordPause(TicketId Ticket, Duration Span, TimePoint Now) {
   const auto Found = m_Tickets.find(Ticket);
   if (Found != m_Tickets.end())
@@ -115,18 +122,22 @@
     }
     State->m_Health.recordOutcome(Outcome, Now);
     reportToQuarantine(Ended, *State, Outcome, Now);
-    if (Outcome == CallOutcome::Refused)
+    if (Outcome == CallOutcome::Refused) {
       State->m_FullUntil = Now + FullBackoff;
+      m_Brittle.recordRejection(poolIdOf(State->m_Upstream.m_Service, 0),
+                                State->m_Upstream, Now);
+    }
     if (Outcome == CallOutcome::Draining)
       State->m_DrainingUntil = Now + DrainingBackoff;
   }
   m_Tickets.erase(Ticket);
 }
 
-/// A draining upstream may cut its last calls without having crashed.
+/// A draining upstream may cut its last calls without having crashed, and a
+/// brittle one falls over under rejections, whatever runs there.
 void Balancer::reportToQuarantine(const Ticket &Ended, const UpstreamState &At,
                                   CallOutcome Outcome, TimePoint Now) {
-  if (!Ended.m_ContentHash)
+  if (!Ended.m_ContentHash || brittlenessOf(At.m_Upstream.m_Service, Now))
     return;
   if (Outcome == CallOutcome::Served)
     m_Quarantine.recordServed(*Ended.m_ContentHash);
@@ -153,6 +164,7 @@
   m_PeerLoads.setPeerLoads(Peer, Digest.m_Loads, Now);
   m_Quarantine.applyUpdates(Digest.m_Crashes, Now);
   m_RateLimits.applyUpdates(Digest.m_Limits, Now);
+  m_Brittle.applyUpdates(Digest.m_Brittle, Now);
   for (const UpstreamId Leaving : Digest.m_Leaving) {
     m_Leaving.record(Leaving, m_States.contains(Leaving));
     markDraining(Leaving);
@@ -189,6 +201,7 @@
 LoadDigest Balancer::takeDigest(TimePoint Now) {
   m_Leaving.expire(Now);
   m_Pauses.expire(Now);
+  m_Brittle.expire(Now);
   LoadDigest Result;
   for (const auto &[Id, State] : m_States)
     State.m_OwnLoad.appendLoads(Id, Result.m_Loads);
@@ -196,6 +209,7 @@
   Result.m_Work = std::exchange(m_UnsentWork, {});
   Result.m_Crashes = m_Quarantine.takeUpdates();
   Result.m_Limits = m_RateLimits.takeUpdates(Now);
+  Result.m_Brittle = m_Brittle.takeUpdates(Now);
   Result.m_Leaving = m_Leaving.takeUpdates();
   return Result;
 }
--- a/src/balance/digest_sum.cpp
+++ b/src/balance/digest_sum.cpp
@@ -17,6 +17,8 @@
     m_Limits.emplace_back(Update, Now);
   m_Leaving.insert(m_Leaving.end(), Digest.m_Leaving.begin(),
                    Digest.m_Leaving.end());
+  for (const BrittleUpdate &Update : Digest.m_Brittle)
+    m_Brittle.emplace_back(Update, Now);
 }
 
 void DigestSum::clear() {
@@ -26,6 +28,7 @@
   m_Crashes.clear();
   m_Limits.clear();
   m_Leaving.clear();
+  m_Brittle.clear();
 }
 
 LoadDigest DigestSum::takeSum(TimePoint Now) {
@@ -35,10 +38,14 @@
   Result.m_Segments = std::exchange(m_Segments, {});
   Result.m_Work = std::exchange(m_Work, {});
   Result.m_Crashes = std::exchange(m_Crashes, {});
-  for (auto [Update, ReceivedAt] : std::exchange(m_Limits, {})) {
-    Update.m_Age += Now - ReceivedAt;
-    Result.m_Limits.push_back(Update);
-  }
+  const auto TakeAged = [Now](auto &From, auto &Into) {
+    for (auto [Update, ReceivedAt] : std::exchange(From, {})) {
+      Update.m_Age += Now - ReceivedAt;
+      Into.push_back(Update);
+    }
+  };
+  TakeAged(m_Limits, Result.m_Limits);
+  TakeAged(m_Brittle, Result.m_Brittle);
   Result.m_Leaving = std::exchange(m_Leaving, {});
   return Result;
 }
--- a/src/balance/digest_sum.h
+++ b/src/balance/digest_sum.h
@@ -29,6 +29,8 @@
   std::vector<std::pair<LimitUpdate, TimePoint>>
       m_Limits;                      ///< With time of receipt.
   std::vector<UpstreamId> m_Leaving; ///< Not yet taken.
+  std::vector<std::pair<BrittleUpdate, TimePoint>>
+      m_Brittle; ///< With time of receipt.
 };
 
 } // namespace crowstep::balance
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -3,6 +3,7 @@
 #define CROWSTEP_BALANCE_PEER_LOADS_H
 
 #include "balance/balance_type.h"
+#include "balance/brittle_upstreams.h"
 #include "balance/quarantine.h"
 #include "balance/rate_limits.h"
 #include "balance/role_split.h"
@@ -112,11 +113,13 @@
   std::vector<CrashUpdate> m_Crashes;            ///< Since its last digest.
   std::vector<LimitUpdate> m_Limits;             ///< Since its last digest.
   std::vector<UpstreamId> m_Leaving;             ///< Since its last digest.
+  std::vector<BrittleUpdate> m_Brittle;          ///< Since its last digest.
 
   /// Returns whether there is nothing to send.
   [[nodiscard]] bool empty() const {
     return m_Loads.empty() && m_Segments.empty() && m_Work.empty() &&
-           m_Crashes.empty() && m_Limits.empty() && m_Leaving.empty();
+           m_Crashes.empty() && m_Limits.empty() && m_Leaving.empty() &&
+           m_Brittle.empty();
   }
 };
 
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -48,6 +48,10 @@
     Into->limits.emplace_back(Limit.m_Upstream.value(),
                               toMilli(Limit.m_Limit.value_or(0)),
                               milliseconds(Limit.m_Age), !Limit.m_Limit);
+  for (const balance::BrittleUpdate &Brittle : Digest.m_Brittle)
+    Into->brittle.emplace_back(Brittle.m_Pool.value(),
+                               toMilli(Brittle.m_Limit.value_or(0)),
+                               milliseconds(Brittle.m_Age), !Brittle.m_Limit);
   Into->leaving.clear();
   for (const UpstreamId Leaving : Digest.m_Leaving)
     Into->leaving.push_back(Leaving.value());
@@ -83,6 +87,13 @@
            Limit->ended() ? std::nullopt
                           : std::optional(Limit->milli() / MilliPerUnit),
            std::chrono::milliseconds(Limit->age_ms())});
+  if (From.brittle() != nullptr)
+    for (const wire::BrittleService *Brittle : *From.brittle())
+      Result.m_Brittle.push_back(
+          {PoolId(Brittle->pool()),
+           Brittle->ended() ? std::nullopt
+                            : std::optional(Brittle->milli() / MilliPerUnit),
+           std::chrono::milliseconds(Brittle->age_ms())});
   if (From.leaving() != nullptr)
     for (const std::uint64_t Leaving : *From.leaving())
       Result.m_Leaving.push_back(UpstreamId(Leaving));
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -51,6 +51,7 @@
     m_Context.m_Balancer.recordLoadReport(m_Ticket, *Facts.m_Load,
                                           m_Context.m_Clock.now());
   applyStatedLimit(Facts);
+  applyStatedBrittleness(Facts);
   applyStatedLeave(Facts);
   applyRequestedPause(Facts);
   if (Facts.m_NotRun) {
@@ -96,6 +97,25 @@
          {"limit", Current ? std::to_string(*Current) : std::string("none")}});
 }
 
+/// An unreadable number counts as the least one: the upstreams are brittle.
+void ForwardedRequest::applyStatedBrittleness(const AnswerFacts &Facts) {
+  if (!Facts.m_Signed && !Facts.m_NotRun)
+    return;
+  const TimePoint Now = m_Context.m_Clock.now();
+  const balance::RejectionLimit Stated = Facts.m_RejectionLimitUnreadable
+                                             ? balance::RejectionLimit(1)
+                                             : Facts.m_RejectionLimit;
+  const bool WasBrittle =
+      m_Context.m_Balancer.brittlenessOf(m_Service, Now).has_value();
+  m_Context.m_Balancer.recordBrittleness(m_Ticket, Stated, Now);
+  const auto Current = m_Context.m_Balancer.brittlenessOf(m_Service, Now);
+  if (Current.has_value() != WasBrittle)
+    logEvent(LogEvent::GatewayServiceBrittle,
+             {{"service", m_Service},
+              {"rejections",
+               Current ? std::to_string(*Current) : std::string("none")}});
+}
+
 /// An answer of another upstream at the same address says nothing about the one
 /// that was called.
 void ForwardedRequest::applyStatedLeave(const AnswerFacts &Facts) {
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -78,6 +78,7 @@
   void refuse(RefusalReason Reason, Duration RetryAfter);
 
   void applyStatedLimit(const AnswerFacts &Facts);
+  void applyStatedBrittleness(const AnswerFacts &Facts);
   void applyStatedLeave(const AnswerFacts &Facts);
   void applyRequestedPause(const AnswerFacts &Facts);
   void handleFailure(balance::CallOutcome Outcome, RetryReason Reason);
--- a/src/gateway/header_codec.h
+++ b/src/gateway/header_codec.h
@@ -52,6 +52,11 @@
   std::optional<double> m_Limit;    ///< Requests a second, from all instances.
   bool m_LimitUnreadable = false;   ///< A limit is stated but malformed.
 
+  /// Requests that the service's upstreams can reject in a second, from all
+  /// instances together, without falling over; none: they are not brittle.
+  std::optional<double> m_RejectionLimit;
+  bool m_RejectionLimitUnreadable = false; ///< It is stated but malformed.
+
   /// The upstream rejected the call for now and wants no other one from this
   /// instance for so long.
   std::optional<Duration> m_RequestedPause;
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -54,6 +54,7 @@
         {"quarantined", 503},
         {"upstream_limited", 503},
         {"upstream_paused", 503},
+        {"upstream_brittle", 503},
     }};
 
 constexpr std::array<std::string_view,
--- a/src/refusal_type.h
+++ b/src/refusal_type.h
@@ -51,6 +51,7 @@
   Quarantined,          ///< The request crashes the upstreams that run it.
   UpstreamLimited,      ///< The upstreams' own rate limits are used up.
   UpstreamPaused,       ///< The upstreams have requested a pause.
+  UpstreamBrittle,      ///< The upstreams must not be made to reject calls.
   Count,                ///< Number of reasons; not a reason.
 };
 
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -112,6 +112,8 @@
 
 struct UpstreamLimit;
 
+struct BrittleService;
+
 struct GatewayDigest;
 struct GatewayDigestBuilder;
 struct GatewayDigestT;
@@ -953,6 +955,59 @@
   using type = UpstreamLimit;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) BrittleService FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t pool_;
+  uint32_t milli_;
+  uint32_t age_ms_;
+  uint8_t ended_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  BrittleService()
+      : pool_(0),
+        milli_(0),
+        age_ms_(0),
+        ended_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  BrittleService(uint64_t _pool, uint32_t _milli, uint32_t _age_ms, bool _ended)
+      : pool_(flatbuffers::EndianScalar(_pool)),
+        milli_(flatbuffers::EndianScalar(_milli)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        ended_(flatbuffers::EndianScalar(static_cast<uint8_t>(_ended))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t pool() const {
+    return flatbuffers::EndianScalar(pool_);
+  }
+  uint32_t milli() const {
+    return flatbuffers::EndianScalar(milli_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  bool ended() const {
+    return flatbuffers::EndianScalar(ended_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(BrittleService, 24);
+
+struct BrittleService::Traits {
+  using type = BrittleService;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RelayReady FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t call_;
@@ -3209,6 +3264,7 @@
   std::vector<crowstep::wire::UpstreamLimit> limits{};
   int64_t sent_at_us = -1LL;
   std::vector<uint64_t> leaving{};
+  std::vector<crowstep::wire::BrittleService> brittle{};
 };
 
 struct GatewayDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3222,7 +3278,8 @@
     VT_CRASHES = 10,
     VT_LIMITS = 12,
     VT_SENT_AT_US = 14,
-    VT_LEAVING = 16
+    VT_LEAVING = 16,
+    VT_BRITTLE = 18
   };
   const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *>(VT_LOADS);
@@ -3245,6 +3302,9 @@
   const flatbuffers::Vector<uint64_t> *leaving() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_LEAVING);
   }
+  const flatbuffers::Vector<const crowstep::wire::BrittleService *> *brittle() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::BrittleService *> *>(VT_BRITTLE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_LOADS) &&
@@ -3260,6 +3320,8 @@
            VerifyField<int64_t>(verifier, VT_SENT_AT_US, 8) &&
            VerifyOffset(verifier, VT_LEAVING) &&
            verifier.VerifyVector(leaving()) &&
+           VerifyOffset(verifier, VT_BRITTLE) &&
+           verifier.VerifyVector(brittle()) &&
            verifier.EndTable();
   }
   GatewayDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3292,6 +3354,9 @@
   void add_leaving(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving) {
     fbb_.AddOffset(GatewayDigest::VT_LEAVING, leaving);
   }
+  void add_brittle(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::BrittleService *>> brittle) {
+    fbb_.AddOffset(GatewayDigest::VT_BRITTLE, brittle);
+  }
   explicit GatewayDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3311,9 +3376,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RequestCrash *>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::UpstreamLimit *>> limits = 0,
     int64_t sent_at_us = -1LL,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::BrittleService *>> brittle = 0) {
   GatewayDigestBuilder builder_(_fbb);
   builder_.add_sent_at_us(sent_at_us);
+  builder_.add_brittle(brittle);
   builder_.add_leaving(leaving);
   builder_.add_limits(limits);
   builder_.add_crashes(crashes);
@@ -3336,13 +3403,15 @@
     const std::vector<crowstep::wire::RequestCrash> *crashes = nullptr,
     const std::vector<crowstep::wire::UpstreamLimit> *limits = nullptr,
     int64_t sent_at_us = -1LL,
-    const std::vector<uint64_t> *leaving = nullptr) {
+    const std::vector<uint64_t> *leaving = nullptr,
+    const std::vector<crowstep::wire::BrittleService> *brittle = nullptr) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamLoad>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<crowstep::wire::PartPlaced>(*parts) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkPlaced>(*work) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<crowstep::wire::RequestCrash>(*crashes) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamLimit>(*limits) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<uint64_t>(*leaving) : 0;
+  auto brittle__ = brittle ? _fbb.CreateVectorOfStructs<crowstep::wire::BrittleService>(*brittle) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       loads__,
@@ -3351,7 +3420,8 @@
       crashes__,
       limits__,
       sent_at_us,
-      leaving__);
+      leaving__,
+      brittle__);
 }
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5794,6 +5864,7 @@
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
   { auto _e = sent_at_us(); _o->sent_at_us = _e; }
   { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = _e->Get(_i); } } }
+  { auto _e = brittle(); if (_e) { _o->brittle.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->brittle[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<GatewayDigest> GatewayDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5811,6 +5882,7 @@
   auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   auto _sent_at_us = _o->sent_at_us;
   auto _leaving = _o->leaving.size() ? _fbb.CreateVector(_o->leaving) : 0;
+  auto _brittle = _o->brittle.size() ? _fbb.CreateVectorOfStructs(_o->brittle) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       _loads,
@@ -5819,7 +5891,8 @@
       _crashes,
       _limits,
       _sent_at_us,
-      _leaving);
+      _leaving,
+      _brittle);
 }
 
 inline UsageCountT *UsageCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/process/scripted_upstream.h
+++ b/tests/process/scripted_upstream.h
@@ -43,22 +43,36 @@
 
   std::unique_ptr<Relay> m_Path; ///< In front of it; never null.
 
-  std::optional<double> m_Limit;           ///< States this limit a second.
-  bool m_StatesLeaving = false;            ///< States that it leaves.
+  std::optional<double> m_Limit;   ///< States this limit a second.
+  std::optional<double> m_Brittle; ///< States that it can reject so many.
+  std::size_t m_Room = 1000;       ///< Calls that it runs at once.
+  bool m_StatesLeaving = false;    ///< States that it leaves.
   std::optional<std::string> m_RetryAfter; ///< Refuses, with this Retry-After.
   std::vector<Arrival> m_Arrivals;         ///< Of all requests.
 
 private:
   void handle(SoupServerMessage *Message, const char *Path) {
-    m_Arrivals.push_back({m_Clock.readNow(), Path, m_RetryAfter.has_value()});
+    std::erase_if(m_OpenAnswers,
+                  [](const auto &Open) { return !Open->isOpen(); });
+    const bool IsFull = m_OpenAnswers.size() >= m_Room;
+    m_Arrivals.push_back(
+        {m_Clock.readNow(), Path, IsFull || m_RetryAfter.has_value()});
     addSignatureHeaders(Message);
     SoupMessageHeaders *Headers =
         soup_server_message_get_response_headers(Message);
     if (m_Limit)
       soup_message_headers_replace(Headers, "Server-Limit",
                                    std::to_string(*m_Limit).c_str());
+    if (m_Brittle)
+      soup_message_headers_replace(Headers, "Server-Brittle",
+                                   std::to_string(*m_Brittle).c_str());
     if (m_StatesLeaving)
       soup_message_headers_replace(Headers, "Server-Leaving", "1");
+    if (IsFull) {
+      soup_message_headers_replace(Headers, "X-Not-Executed", "1");
+      respond(Message, 503, "text/plain", "");
+      return;
+    }
     if (m_RetryAfter) {
       soup_message_headers_replace(Headers, "X-Not-Executed", "1");
       soup_message_headers_replace(Headers, "Retry-After",
--- a/tests/unit/plain_codec.h
+++ b/tests/unit/plain_codec.h
@@ -61,6 +61,8 @@
           std::chrono::milliseconds(std::atoi(Pause->c_str()));
     if (const std::string *Limit = findHeader(Headers, "Call-Limit"))
       Result.m_Limit = std::strtod(Limit->c_str(), nullptr);
+    if (const std::string *Brittle = findHeader(Headers, "Call-Brittle"))
+      Result.m_RejectionLimit = std::strtod(Brittle->c_str(), nullptr);
     return Result;
   }
 
--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -240,6 +240,16 @@
     BOOST_TEST(LimitOf(Bad).m_LimitUnreadable);
   }
   BOOST_TEST(!Codec.readAnswer(200, {}).m_LimitUnreadable);
+  const auto BrittleOf = [&](const char *Text) {
+    return Codec.readAnswer(503, {{"Server-Brittle", Text}});
+  };
+  BOOST_TEST(*BrittleOf("6").m_RejectionLimit == 6);
+  BOOST_TEST(*BrittleOf("0.5").m_RejectionLimit == 0.5);
+  for (const char *Bad : {"", "-1", "nan", "x"}) {
+    BOOST_TEST(!BrittleOf(Bad).m_RejectionLimit);
+    BOOST_TEST(BrittleOf(Bad).m_RejectionLimitUnreadable);
+  }
+  BOOST_TEST(!Codec.readAnswer(200, {}).m_RejectionLimit);
   for (const char *Text : {"1", " 1 "})
     BOOST_TEST(Codec.readAnswer(200, {{"Server-Leaving", Text}}).m_Leaving);
   for (const char *Text : {"0", "", "yes", "1,1"})
