Test: How long a connection to a silent machine stays open

TCP_USER_TIMEOUT also decides when keep-alive gives up, whatever the count of probes. Ours, 3 s, agrees with one second of silence and two probes a second apart, and a static check keeps it so. GLib sets no timeout of its own.

--- a/src/core/keep_alive.cpp
+++ b/src/core/keep_alive.cpp
@@ -11,7 +11,12 @@
 constexpr int ProbeAfterSeconds = 1;
 constexpr int ProbeIntervalSeconds = 1;
 constexpr int ProbeCount = 2;
+
+/// Bounds the time without an acknowledgement. It also decides when keep-alive
+/// gives up, whatever the count of probes, so the two must agree.
 constexpr int UserTimeoutMilliseconds = 3000;
+static_assert(1000 * (ProbeAfterSeconds + ProbeCount * ProbeIntervalSeconds) ==
+              UserTimeoutMilliseconds);
 
 } // namespace
 
