Fix: A second of a healthy upstream's silence ejects and repeats nothing more

Cause: an upstream that has sent no byte for 0.9 s was taken for unreachable, and each of its calls that noticed the same silence counted as a further failure, so a loaded upstream that was silent for a second stayed ejected for up to five seconds after it, and its repeatable calls ran twice. Found by reading, beside the lost paths: a healthy upstream may be silent for a second.

Change: what calls that were placed before an ejection report of the same silence or failed connections counts once. An upstream whose machine has acknowledged a request may be silent for 1.5 s; one whose machine has not is left after 0.9 s, as before.

Ruled out: one limit of 1.5 s for both. It would hold calls at machines that are gone for 0.6 s more; acknowledgements tell the two apart.

--- a/src/balance/upstream_state.cpp
+++ b/src/balance/upstream_state.cpp
@@ -30,6 +30,11 @@
 } // namespace
 
 void UpstreamHealth::recordOutcome(CallOutcome Outcome, TimePoint Now) {
+  const bool HadNoContact =
+      Outcome == CallOutcome::Silent || Outcome == CallOutcome::Unreachable;
+  // Calls that were placed before the ejection tell of the same failure.
+  if (HadNoContact && isEjected(Now))
+    return;
   switch (Outcome) {
   case CallOutcome::Served:
     m_ConsecutiveFailures = 0;
@@ -47,7 +52,7 @@
   }
   ++m_ConsecutiveFailures;
   m_FailureShare += NewestWeight * (1 - m_FailureShare);
-  if (Outcome == CallOutcome::Silent || Outcome == CallOutcome::Unreachable)
+  if (HadNoContact)
     eject(UnreachableEjection * m_ConsecutiveFailures, Now);
   else if (m_FailureShare > MaxFailureShare ||
            m_ConsecutiveFailures >= MaxConsecutiveFailures)
--- a/src/gateway/forward_limits.h
+++ b/src/gateway/forward_limits.h
@@ -30,9 +30,16 @@
 /// time an engine of 16 slots has ended a third of its calls.
 inline constexpr Duration QueueRetryAfter = std::chrono::milliseconds(500);
 
-/// An upstream that has sent no byte on any call for this long may be
-/// unreachable; a loaded one sends something on one of its calls.
-inline constexpr Duration UpstreamSilenceLimit = std::chrono::milliseconds(900);
+/// An upstream that has sent no byte on any call for this long may have hung.
+/// Healthy ones are silent for a second at times, and a call that is repeated
+/// then runs twice.
+inline constexpr Duration UpstreamSilenceLimit =
+    std::chrono::milliseconds(1500);
+
+/// The same where the upstream's machine has not acknowledged the request: one
+/// that is up acknowledges within milliseconds, whatever its processes do.
+inline constexpr Duration UnacknowledgedSilenceLimit =
+    std::chrono::milliseconds(900);
 
 /// An event that is longer than this fails its call: events are held until they
 /// are complete, and an upstream that never ends one would use up the memory.
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -209,8 +209,11 @@
   // call.
   const Duration Silence =
       m_Context.m_Balancer.silenceDuration(m_Ticket, m_Context.m_Clock.now());
-  if (Silence < UpstreamSilenceLimit) {
-    m_SilenceTimer.start(UpstreamSilenceLimit - Silence + MinTimeToRetry,
+  const Duration Limit = m_Call->progress() == CallProgress::Unacknowledged
+                             ? UnacknowledgedSilenceLimit
+                             : UpstreamSilenceLimit;
+  if (Silence < Limit) {
+    m_SilenceTimer.start(Limit - Silence + MinTimeToRetry,
                          [this] { handleSilence(); });
     return;
   }
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -240,6 +240,21 @@
   BOOST_TEST(Once.calls() == 1U);
 }
 
+/// Guards against a call that runs twice because a healthy upstream sent
+/// nothing for a second.
+BOOST_AUTO_TEST_CASE(ASecondOfSilenceCausesNoRetry) {
+  TestEnv Env(Idempotent, 2);
+  Env.m_Timers.advance(1400ms);
+  BOOST_TEST(Env.calls() == 1U);
+  Env.sendGoodHeaders(0);
+  Env.endCall(0, TransportEnd::Complete);
+  BOOST_TEST(Env.answer().m_Status == 200U);
+  TestEnv Unacknowledged(Idempotent, 2);
+  Unacknowledged.call(0).m_Progress = CallProgress::Unacknowledged;
+  Unacknowledged.m_Timers.advance(1300ms);
+  BOOST_TEST(Unacknowledged.calls() == 2U);
+}
+
 /// Guards against a call that stays at a silent upstream until its deadline
 /// because the retry budget was used up when the silence was noticed.
 BOOST_AUTO_TEST_CASE(ASilentUpstreamIsLeftOnceTheBudgetAllows) {
