--- a/tests/unit/keep_alive_test.cpp
+++ b/tests/unit/keep_alive_test.cpp
@@ -18,17 +18,12 @@
 class CutConnection {
 public:
   CutConnection() {
-    sockaddr_in Local{};
-    Local.sin_family = AF_INET;
-    Local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(m_Listener, reinterpret_cast<sockaddr *>(&Local), sizeof(Local));
-    listen(m_Listener, 1);
-    socklen_t Size = sizeof(Local);
-    getsockname(m_Listener, reinterpret_cast<sockaddr *>(&Local), &Size);
+    Address Where;
+    std::tie(m_Listener, Where) = listenOnLoopback();
     m_Near = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
                           G_SOCKET_PROTOCOL_TCP, nullptr);
     GSocketAddress *Remote =
-        g_socket_address_new_from_native(&Local, sizeof(Local));
+        g_inet_socket_address_new_from_string("127.0.0.1", Where.m_Port);
     g_socket_connect(m_Near, Remote, nullptr, nullptr);
     g_object_unref(Remote);
     g_socket_set_blocking(m_Near, 0);
@@ -62,7 +57,7 @@
   GSocket *m_Near = nullptr; ///< Its keep-alive is tested.
 
 private:
-  int m_Listener = socket(AF_INET, SOCK_STREAM, 0);
+  int m_Listener = -1;
   int m_Far = -1;
 };
 
--- a/tests/unit/loopback_peer.h
+++ b/tests/unit/loopback_peer.h
@@ -113,13 +113,13 @@
 };
 
 /// Returns a socket that listens on a free port of loopback, and its address.
-inline std::pair<int, Address> listenOnLoopback() {
+inline std::pair<int, Address> listenOnLoopback(int Backlog = 64) {
   const int Fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in Local{};
   Local.sin_family = AF_INET;
   Local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   (void)bind(Fd, reinterpret_cast<sockaddr *>(&Local), sizeof(Local));
-  listen(Fd, 64);
+  listen(Fd, Backlog);
   socklen_t Size = sizeof(Local);
   getsockname(Fd, reinterpret_cast<sockaddr *>(&Local), &Size);
   return {Fd, {INADDR_LOOPBACK, ntohs(Local.sin_port)}};
--- a/tests/unit/relayed_call_test.cpp
+++ b/tests/unit/relayed_call_test.cpp
@@ -79,6 +79,7 @@
 BOOST_AUTO_TEST_CASE(AnUnsentCallGoesToAnotherRelay) {
   CutFleet Fleet;
   std::vector<PathRequest *> Requests;
+  Requests.reserve(10);
   for (int I = 0; I < 10; ++I)
     Requests.push_back(&Fleet.send(0, Hold));
   Fleet.stopInstance(1);
@@ -116,6 +117,7 @@
 BOOST_AUTO_TEST_CASE(CallsLeaveAFrozenRelay) {
   CutFleet Fleet(4);
   std::vector<PathRequest *> Streams;
+  Streams.reserve(6);
   for (int I = 0; I < 6; ++I)
     Streams.push_back(&Fleet.send(0, Guide));
   Fleet.wait(400ms);
--- a/tests/unit/upstream_call_test.cpp
+++ b/tests/unit/upstream_call_test.cpp
@@ -60,14 +60,7 @@
 /// Listens, but answers no further connection, as its queue is full.
 struct FullListener {
   FullListener() {
-    sockaddr_in Local{};
-    Local.sin_family = AF_INET;
-    Local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(m_Fd, reinterpret_cast<sockaddr *>(&Local), sizeof(Local));
-    listen(m_Fd, 0);
-    socklen_t Size = sizeof(Local);
-    getsockname(m_Fd, reinterpret_cast<sockaddr *>(&Local), &Size);
-    m_Address = {INADDR_LOOPBACK, ntohs(Local.sin_port)};
+    std::tie(m_Fd, m_Address) = listenOnLoopback(0);
     m_Queued = Peer::connect(m_Address);
   }
   ~FullListener() { close(); }
@@ -81,7 +74,7 @@
     m_Fd = -1;
   }
 
-  int m_Fd = socket(AF_INET, SOCK_STREAM, 0);
+  int m_Fd = -1;
   Address m_Address;              ///< Where it listens.
   std::unique_ptr<Peer> m_Queued; ///< Fills the queue.
 };
