Codechange: Name received bytes like the balancer does

recordHeard() is recordBytesReceived() in the path monitor, as in the balancer, and comments say what is sent and received. No change of behaviour.

--- a/src/relay/direct_call.cpp
+++ b/src/relay/direct_call.cpp
@@ -21,7 +21,7 @@
   PathMonitor &Monitor = m_Owner.m_Monitor;
   switch (m_Call->progress()) {
   case CallProgress::Acknowledged:
-    Monitor.recordHeard(m_Upstream, Now);
+    Monitor.recordBytesReceived(m_Upstream, Now);
     break;
   case CallProgress::Connecting:
     Monitor.recordDelay(m_Upstream, Now);
@@ -66,7 +66,7 @@
 
 void DirectCall::recordBytes() {
   m_LastByteAt = m_Owner.m_Clock.now();
-  m_Owner.m_Monitor.recordHeard(m_Upstream, m_LastByteAt);
+  m_Owner.m_Monitor.recordBytesReceived(m_Upstream, m_LastByteAt);
 }
 
 void DirectCall::upstreamHeaders(unsigned Status, const HeaderList &Headers) {
--- a/src/relay/path_monitor.cpp
+++ b/src/relay/path_monitor.cpp
@@ -62,7 +62,7 @@
   if (Entry == nullptr)
     return;
   Entry->m_ConnectedAt = Now;
-  Entry->m_HeardAt = Now;
+  Entry->m_ReceivedAt = Now;
   if (Entry->m_Phase != Phase::Open || Entry->m_FailedSince == TimePoint())
     return;
   Entry->m_FailedSince = TimePoint();
@@ -70,11 +70,11 @@
 }
 
 /// Where only new connections fail, bytes still come over older ones.
-void PathMonitor::recordHeard(UpstreamId Upstream, TimePoint Now) {
+void PathMonitor::recordBytesReceived(UpstreamId Upstream, TimePoint Now) {
   Path *Entry = find(Upstream);
   if (Entry == nullptr)
     return;
-  Entry->m_HeardAt = Now;
+  Entry->m_ReceivedAt = Now;
   if (Entry->m_Phase == Phase::Open && Entry->m_FailedSince != TimePoint() &&
       Entry->m_Evidence == PathEvidence::Unacknowledged) {
     Entry->m_FailedSince = TimePoint();
@@ -214,7 +214,7 @@
   m_Actions.pathLost({Upstream, Entry.m_Name, Evidence, FailedFor});
 }
 
-/// Spares those that were heard from since the last failure began, at \p Since.
+/// Spares those that have sent something since the last failure began, at \p Since.
 void PathMonitor::presumeOthersLost(TimePoint Since, TimePoint Now) {
   std::set<std::uint32_t> Hosts;
   for (const auto &[Id, Entry] : m_Paths)
@@ -225,7 +225,7 @@
   if (Hosts.size() < 2)
     return;
   for (auto &[Id, Entry] : m_Paths)
-    if (Entry.m_Phase == Phase::Open && Entry.m_HeardAt <= Since)
+    if (Entry.m_Phase == Phase::Open && Entry.m_ReceivedAt <= Since)
       lose(Id, Entry, PathEvidence::Presumed, Now);
 }
 
--- a/src/relay/path_monitor.h
+++ b/src/relay/path_monitor.h
@@ -8,7 +8,7 @@
 /// busy.
 ///
 /// Upstreams on two hosts that are lost show that the fault is near this
-/// instance. All others that it has not heard from since are then presumed
+/// instance. All others that have sent nothing since are then presumed
 /// lost, so that their callers need not find out one by one.
 ///
 /// A lost path is probed with connections of its own, so no request pays for
@@ -45,7 +45,7 @@
   UpstreamId m_Upstream;   ///< Where it led.
   std::string m_Name;      ///< Of the upstream.
   PathEvidence m_Evidence; ///< Why it counts as lost.
-  Duration m_FailedFor{};  ///< Since the beginning of the first failed attempt.
+  Duration m_FailedFor{};  ///< Since the first failed attempt began.
 };
 
 /// Acts for a PathMonitor. No method may call back into it.
@@ -120,7 +120,7 @@
   void recordConnected(UpstreamId Upstream, TimePoint Now);
 
   /// Bytes, or the acknowledgement of all sent ones, came from \p Upstream.
-  void recordHeard(UpstreamId Upstream, TimePoint Now);
+  void recordBytesReceived(UpstreamId Upstream, TimePoint Now);
 
   /// A call that began at \p Began is not connected or acknowledged yet.
   void recordDelay(UpstreamId Upstream, TimePoint Now);
@@ -167,7 +167,7 @@
     Phase m_Phase = Phase::Open;                      ///< See Phase.
     PathEvidence m_Evidence = PathEvidence::NoAnswer; ///< Of the last failure.
     TimePoint m_ConnectedAt{};   ///< Last established connection.
-    TimePoint m_HeardAt{};       ///< See recordHeard().
+    TimePoint m_ReceivedAt{};       ///< See recordBytesReceived().
     TimePoint m_FailedSince{};   ///< Begin of the first failure; not set: none.
     TimePoint m_AskedAt{};       ///< Other instances were asked about it.
     TimePoint m_PeerReachedAt{}; ///< See recordPeerReach().
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -1,7 +1,7 @@
 /// Calls that this instance carries for others.
 ///
-/// It connects to the upstream, reports that, and sends the call once it is
-/// told to. A call is never relayed again: if this instance can't reach the
+/// It connects to the upstream, reports that, and sends the call on request.
+/// A call is never relayed again: if this instance can't reach the
 /// upstream it says so. What it alone can know it checks itself: that its own
 /// table admits the request to that service, and that the upstream may be
 /// called.
--- a/src/relay/relayed_call.h
+++ b/src/relay/relayed_call.h
@@ -64,7 +64,7 @@
   std::vector<InstanceId> m_Tried;     ///< Instances, m_Peer included.
   bool m_IsStarted = false;            ///< May have been sent.
   bool m_IsPaused = false;             ///< The listener reads slowly.
-  bool m_HasEnded = false;             ///< The listener was told.
+  bool m_HasEnded = false;             ///< The listener knows.
   std::uint32_t m_UncreditedBytes = 0; ///< Received without a credit for them.
   bool m_WasRefused = false;           ///< The upstream refused a connection.
   bool *m_Destroyed = nullptr;         ///< Set during a call of the listener.
