Fix: Keep the age of work whose order to stop was lost

What callers would have seen: after lost orders the work that had generated most was stopped before younger work, and workspaces were charged too few tokens for work whose entry was lost.

Cause: the time of an order replaced the time of the grant. It stands apart now.

Evidence: decision_order ALostStopOrderLeavesTheAgeOfWork failed before.

--- a/src/decision/preemption.cpp
+++ b/src/decision/preemption.cpp
@@ -50,7 +50,7 @@
   VictimQueue &From = Victim.m_Class->m_Victims;
   From.erase(From.iterator_to(Victim));
   Victim.m_IsStopping = true;
-  Victim.m_StateSince = P.m_Now;
+  Victim.m_StopOrderedAt = P.m_Now;
   if (Victim.m_Preemptions < std::numeric_limits<std::uint8_t>::max())
     ++Victim.m_Preemptions;
   ++P.m_PendingStops;
@@ -155,7 +155,7 @@
     P.m_StopOrders.pop_front();
     const auto It = P.m_Requests.find(Id);
     if (It == P.m_Requests.end() || !It->second.m_IsStopping ||
-        It->second.m_StateSince != OrderedAt)
+        It->second.m_StopOrderedAt != OrderedAt)
       continue;
     // The order was lost, or the entry does not respond. Waiting for this slot
     // would let urgent bids miss their targets while others could be preempted.
--- a/src/decision/request_base.h
+++ b/src/decision/request_base.h
@@ -36,11 +36,11 @@
   Flow *m_Flow = nullptr; ///< Queue that holds it; null unless waiting.
   /// Where it runs; null unless granted.
   UpstreamState *m_UpstreamState = nullptr;
-  TimePoint m_FlowKey;  ///< Order within its flow.
-  TimePoint m_Deadline; ///< Waiting: the target, or the limit if late.
-  TimePoint m_Limit;    ///< End of the longest wait.
-  /// When it was granted, ordered to stop, or lost its slot.
-  TimePoint m_StateSince;
+  TimePoint m_FlowKey;         ///< Order within its flow.
+  TimePoint m_Deadline;        ///< Waiting: the target, or the limit if late.
+  TimePoint m_Limit;           ///< End of the longest wait.
+  TimePoint m_StateSince;      ///< When it was granted, or lost its slot.
+  TimePoint m_StopOrderedAt;   ///< Only if m_IsStopping.
   TimePoint m_SilenceDeadline; ///< Granted without a sign of use: freed then.
   double m_ReleaseRate = 0.0; ///< Its part of the upstream's, slots per second.
   double m_ReservedTokens = 0.0;       ///< Taken from the token buckets.
--- a/src/decision/work.cpp
+++ b/src/decision/work.cpp
@@ -77,7 +77,7 @@
     Class.m_Victims.erase(Class.m_Victims.iterator_to(Work));
   if (Work.m_IsStopping) {
     --P.m_PendingStops;
-    P.m_StopDelay.add(toSeconds(P.m_Now - Work.m_StateSince));
+    P.m_StopDelay.add(toSeconds(P.m_Now - Work.m_StopOrderedAt));
     P.m_StopLeadTime =
         fromSeconds(P.m_StopDelay.value()) + tuning::PreemptMargin;
     Work.m_IsStopping = false;
--- a/tests/unit/decision_order_test.cpp
+++ b/tests/unit/decision_order_test.cpp
@@ -199,3 +199,31 @@
     BOOST_TEST((Running.m_Bid.m_Class == ClassId(Urgent) ||
                 Running.m_Since != Youngest));
 }
+
+// Guards against a lost order to stop that makes work count as younger.
+BOOST_AUTO_TEST_CASE(ALostStopOrderLeavesTheAgeOfWork) {
+  DeciderSimulation Sim;
+  Sim.m_StopTime = 1h;
+  Sim.setTable({row(Urgent, 1, 200ms, 2s), row(Batch, 5, 10s, 90s, true)});
+  Sim.setUpstreams({engine(1, 1), engine(2, 1)});
+  Sim.submit(Batch, 1, 60s);
+  Sim.advance(1s);
+  const RequestId Youngest = Sim.submit(Batch, 1, 60s);
+  Sim.advance(1s);
+  std::vector<RequestId> Withdrawn;
+  for (int I = 0; I < 2; ++I) {
+    Withdrawn.push_back(Sim.submit(Urgent, 1, 1s));
+    Sim.advance(300ms);
+  }
+  for (const RequestId &Id : Withdrawn)
+    Sim.withdraw(Id);
+  Sim.advance(5s);
+  Sim.submit(Urgent, 1, 1s);
+  Sim.advance(300ms);
+  std::vector<RequestId> Stopped;
+  for (const Action &Next : Sim.m_Log)
+    if (const auto *Order = std::get_if<Preempt>(&Next))
+      Stopped.push_back(Order->m_Request);
+  BOOST_REQUIRE(Stopped.size() == 3U);
+  BOOST_TEST((Stopped[2] == Youngest));
+}
