Fix: Let an older probe of an ejected upstream end nothing but itself

What callers would have seen: two calls at once at an upstream that is known to be slow.

Cause: the upstream had a mark that a probe runs, and each call its own mark that it is one. A probe that had begun before the upstream was restored and ejected again ended the mark of the running probe, and its speed counted as a present one. The upstream knows its probe by the request now, and the calls have no mark.

Evidence: decision_fleet AnOlderProbeDoesNotEndTheRunningOne failed before, by one grant.

--- a/src/decision/request_base.h
+++ b/src/decision/request_base.h
@@ -53,7 +53,6 @@
   bool m_IsStopping = false;      ///< Granted, and ordered to stop.
   /// Not refused before its limit, unless displaced or its row is removed.
   bool m_WaitsUntilLimit = false;
-  bool m_IsProbe = false; ///< Granted to an ejected upstream.
   QueueHook m_QueueHook; ///< Waiting: its flow. Granted: its class's m_Victims.
   QueueHook m_DeadlineHook; ///< Waiting: its lane's m_ByDeadline.
 };
--- a/src/decision/straggler.cpp
+++ b/src/decision/straggler.cpp
@@ -61,7 +61,7 @@
 void setEjected(Pool &P, UpstreamState &State, bool IsEjected) {
   State.m_Ejected = IsEjected;
   State.m_ConsecutiveGoodProbes = 0;
-  State.m_ProbeRunning = false;
+  State.m_Probe.reset();
   State.m_Slowness.reset();
   State.m_ProbeInterval = tuning::InitialProbeInterval;
   State.m_NextProbe = P.m_Now + State.m_ProbeInterval;
@@ -121,10 +121,14 @@
 }
 
 void endProbe(Pool &P, UpstreamState &State) {
-  State.m_ProbeRunning = false;
+  State.m_Probe.reset();
   State.m_NextProbe = std::max(State.m_NextProbe, P.m_Now);
 }
 
+bool isProbe(const Request &Work) {
+  return Work.m_UpstreamState->m_Probe == Work.m_Bid.m_Request;
+}
+
 void reviewEjections(Pool &P) {
   Counts Current = count(P.m_Fleet);
   for (auto &[Id, State] : P.m_Fleet.upstreams()) {
@@ -146,7 +150,7 @@
 bool mayProbe(const UpstreamState &State, const ClassState &Class,
               TimePoint Now) {
   const bool IsOpenToAll = Now >= State.m_LastProbe + tuning::ProbeByAnyAfter;
-  return State.m_Ejected && State.isUsable() && !State.m_ProbeRunning &&
+  return State.m_Ejected && State.isUsable() && !State.m_Probe &&
          Now >= State.m_NextProbe && Now >= State.m_BackoffUntil &&
          (Class.m_MayProbe || IsOpenToAll);
 }
--- a/src/decision/straggler_func.h
+++ b/src/decision/straggler_func.h
@@ -19,9 +19,13 @@
 void recordSpeed(Pool &P, UpstreamState &State, const SpeedSample &Sample,
                  bool IsProbe);
 
-/// Ends a probe, with or without a sample.
+/// Ends the running probe, with or without a sample.
 void endProbe(Pool &P, UpstreamState &State);
 
+/// Tells whether a granted request is the probe of its upstream. One that was
+/// granted in an earlier ejection is not.
+bool isProbe(const Request &Work);
+
 /// Restores ejected upstreams when the pool has shrunk so far that more than
 /// the allowed share is ejected.
 void reviewEjections(Pool &P);
--- a/src/decision/upstream_state_base.h
+++ b/src/decision/upstream_state_base.h
@@ -2,6 +2,7 @@
 #ifndef CROWSTEP_DECISION_UPSTREAM_STATE_BASE_H
 #define CROWSTEP_DECISION_UPSTREAM_STATE_BASE_H
 
+#include "decision/decision_type.h"
 #include "decision/learned.h"
 #include "upstream_type.h"
 
@@ -60,8 +61,8 @@
   TimePoint m_BackoffUntil; ///< Not used before, if others are healthy.
   /// Ratio of its times to the means of the classes.
   MovingAverage m_Slowness{tuning::SpeedGain};
-  bool m_Ejected = false;      ///< A straggler: gets probes only.
-  bool m_ProbeRunning = false; ///< At most one probe at a time.
+  bool m_Ejected = false;           ///< A straggler: gets probes only.
+  std::optional<RequestId> m_Probe; ///< Running; at most one at a time.
   /// Good probes since the last bad one.
   std::uint32_t m_ConsecutiveGoodProbes = 0;
   Duration m_ProbeInterval{}; ///< Until the next probe, after a bad one.
--- a/src/decision/work.cpp
+++ b/src/decision/work.cpp
@@ -57,9 +57,8 @@
   Work.m_ExpectedTokens = expectedTokens(Class, Work.m_Bid, P.m_Now);
   Work.m_ReleaseRate = Seconds > 0.0 ? 1.0 / Seconds : 0.0;
   Work.m_WasteRank = wasteRank(Work, State);
-  Work.m_IsProbe = State.m_Ejected;
-  if (Work.m_IsProbe) {
-    State.m_ProbeRunning = true;
+  if (State.m_Ejected) {
+    State.m_Probe = Work.m_Bid.m_Request;
     State.m_LastProbe = P.m_Now;
   }
   if (!P.isBaseline())
@@ -82,7 +81,7 @@
         fromSeconds(P.m_StopDelay.value()) + tuning::PreemptMargin;
     Work.m_IsStopping = false;
   }
-  if (Work.m_IsProbe)
+  if (isProbe(Work))
     endProbe(P, *Work.m_UpstreamState);
   P.m_SilenceDeadlines.erase({Work.m_SilenceDeadline, Work.m_Bid.m_Request});
   Queue::addRunning(Class, Work.m_Bid.m_Workspace, -1, P.m_Now);
@@ -129,7 +128,7 @@
   recordSpeed(P, *Work.m_UpstreamState,
               {PerToken, Class.m_TimePerTokenMean.value(),
                tuning::StragglerMinTokenSeconds},
-              Work.m_IsProbe);
+              isProbe(Work));
   Class.m_TimePerTokenMean.add(PerToken);
 }
 
@@ -239,7 +238,7 @@
   recordSpeed(P, *Granted.m_UpstreamState,
               {Seconds, Class.m_FirstTokenMean.value(),
                tuning::StragglerMinFirstTokenSeconds},
-              Granted.m_IsProbe);
+              isProbe(Granted));
   Class.recordFirstToken(Latency);
 }
 
--- a/tests/unit/decision_fleet_test.cpp
+++ b/tests/unit/decision_fleet_test.cpp
@@ -87,6 +87,41 @@
   BOOST_TEST(Sim.m_Ejected.empty());
 }
 
+// Guards against a second probe of an ejected engine while one runs, once an
+// older one from before its last ejection ends.
+BOOST_AUTO_TEST_CASE(AnOlderProbeDoesNotEndTheRunningOne) {
+  constexpr std::uint64_t Slow = 2;
+  FourEngines Sim;
+  const auto Eject = [&Sim] {
+    Sim.m_SlowdownFactors[UpstreamId(Slow)] = 10;
+    Sim.submitMany(300, 50ms, 200ms);
+    BOOST_REQUIRE(Sim.m_Ejected.contains(UpstreamId(Slow)));
+    Sim.advance(5s);
+  };
+  // Returns a call of an hour that was granted to the ejected engine.
+  const auto StartProbe = [&Sim] {
+    for (;;) {
+      const RequestId Id = Sim.submit(2, 1, 1h);
+      Sim.advance(1s);
+      if (Sim.m_Running.at(Id).m_Upstream == UpstreamId(Slow))
+        return Id;
+      Sim.end(Id, WorkEnd::Cancelled);
+    }
+  };
+  Eject();
+  const RequestId First = StartProbe();
+  Sim.setUpstreams({engine(1, 4), engine(Slow, 4)});
+  BOOST_REQUIRE(Sim.m_Ejected.empty());
+  Sim.list(4);
+  Eject();
+  StartProbe();
+  BOOST_REQUIRE(Sim.m_Running.contains(First));
+  Sim.end(First, WorkEnd::Cancelled);
+  const unsigned Before = Sim.grantsTo(Slow);
+  Sim.submitMany(400, 50ms, 200ms);
+  BOOST_TEST(Sim.grantsTo(Slow) == Before);
+}
+
 // An engine answers that it is draining while the list still contains it, and
 // an earlier report denies it. The simulation fails the test if it is granted
 // anything again.
