--- a/src/relay/path_monitor.cpp
+++ b/src/relay/path_monitor.cpp
@@ -214,7 +214,8 @@
   m_Actions.pathLost({Upstream, Entry.m_Name, Evidence, FailedFor});
 }
 
-/// Spares those that have sent something since the last failure began, at \p Since.
+/// Spares those that have sent something since the last failure began, at \p
+/// Since.
 void PathMonitor::presumeOthersLost(TimePoint Since, TimePoint Now) {
   std::set<std::uint32_t> Hosts;
   for (const auto &[Id, Entry] : m_Paths)
--- a/src/relay/path_monitor.h
+++ b/src/relay/path_monitor.h
@@ -167,7 +167,7 @@
     Phase m_Phase = Phase::Open;                      ///< See Phase.
     PathEvidence m_Evidence = PathEvidence::NoAnswer; ///< Of the last failure.
     TimePoint m_ConnectedAt{};   ///< Last established connection.
-    TimePoint m_ReceivedAt{};       ///< See recordBytesReceived().
+    TimePoint m_ReceivedAt{};    ///< See recordBytesReceived().
     TimePoint m_FailedSince{};   ///< Begin of the first failure; not set: none.
     TimePoint m_AskedAt{};       ///< Other instances were asked about it.
     TimePoint m_PeerReachedAt{}; ///< See recordPeerReach().
