--- a/src/balance/brittle_upstreams.h
+++ b/src/balance/brittle_upstreams.h
@@ -7,7 +7,7 @@
 /// own a share of the slots: within these no race between instances makes it
 /// reject. Calls beyond that are placed with a probability that grows slowly
 /// while the service is little used and falls at once when it isn't, or when a
-/// call is rejected; news of calls arrive faster than it grows. An instance
+/// call is rejected; digests arrive faster than it grows. An instance
 /// whose call is rejected besides pauses for so long that all together stay
 /// under the number.
 ///
