--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,7 +3,6 @@
 
 #include "core/log.h"
 #include "http/refusal_answer.h"
-#include "link/link_tcp.h"
 
 #include <string_view>
 
@@ -217,40 +216,41 @@
   m_CrashWatch.quarantineChanged(Listed);
 }
 
-std::unique_ptr<link::Links> Gateway::openLinks(const std::string &Key,
-                                                link::LinkListener &Listener) {
-  link::LinkConfig Config;
-  Config.m_Role = wire::Role::Gateway;
-  Config.m_Name = m_Settings.m_Name;
-  Config.m_Incarnation = m_Incarnation;
-  Config.m_Zone = m_Settings.m_Zone;
-  Config.m_Listen = m_Settings.m_LinkAddress;
-  Config.m_Key = Key;
+link::LinkConfig Gateway::linkConfig(const std::string &Key,
+                                     const Address &Listen) const {
+  link::LinkConfig Result;
+  Result.m_Role = wire::Role::Gateway;
+  Result.m_Name = m_Settings.m_Name;
+  Result.m_Incarnation = m_Incarnation;
+  Result.m_Zone = m_Settings.m_Zone;
+  Result.m_Listen = Listen;
+  Result.m_Key = Key;
+  return Result;
+}
+
+std::unique_ptr<link::Links> Gateway::startLinks(const link::LinkConfig &Config,
+                                                 link::LinkListener &Listener) {
   auto Result =
       std::make_unique<link::TcpLinks>(Config, m_Timers, m_Metrics, Listener);
   Result->start();
   return Result;
 }
 
+std::unique_ptr<link::Links> Gateway::openLinks(const std::string &Key,
+                                                link::LinkListener &Listener) {
+  return startLinks(linkConfig(Key, m_Settings.m_LinkAddress), Listener);
+}
+
 /// Calls are never sent on the links for digests, so that no answer delays
 /// them.
 std::unique_ptr<link::Links>
 Gateway::openRelayLinks(const std::string &Key, const Address &Listen,
                         link::LinkListener &Listener) {
-  link::LinkConfig Config;
-  Config.m_Role = wire::Role::Gateway;
-  Config.m_Name = m_Settings.m_Name;
-  Config.m_Incarnation = m_Incarnation;
-  Config.m_Zone = m_Settings.m_Zone;
-  Config.m_Listen = Listen;
-  Config.m_Key = Key;
+  link::LinkConfig Config = linkConfig(Key, Listen);
   Config.m_Purpose = Listen == Address() ? "relayed" : "carried";
   Config.m_MaxFrameBytes = RelayFrameBytes;
   Config.m_MaxQueuedBytes = RelayFrameBytes;
-  auto Result =
-      std::make_unique<link::TcpLinks>(Config, m_Timers, m_Metrics, Listener);
-  Result->start();
-  return Result;
+  return startLinks(Config, Listener);
 }
 
 void Gateway::peersChanged(const PeerList &List) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
 #include "http/frontend.h"
+#include "link/link_tcp.h"
 #include "relay/call_relay.h"
 
 #include <random>
@@ -63,6 +64,10 @@
   std::unique_ptr<UsageParts> makeUsageParts();
   std::unique_ptr<duty::DutyHolder> makeDutyHolder();
   [[nodiscard]] std::vector<duty::ServiceCapacity> capacityView() const;
+  [[nodiscard]] link::LinkConfig linkConfig(const std::string &Key,
+                                            const Address &Listen) const;
+  std::unique_ptr<link::Links> startLinks(const link::LinkConfig &Config,
+                                          link::LinkListener &Listener);
   std::unique_ptr<link::Links> openLinks(const std::string &Key,
                                          link::LinkListener &Listener);
   std::unique_ptr<link::Links> openRelayLinks(const std::string &Key,
