--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -68,7 +68,7 @@
 }
 
 /// Each upstream that is reached is reported at once: another one that does not
-/// answer must not delay the news.
+/// answer must not delay the report.
 void RelayServer::handleProbe(std::uint64_t Number, const ProbeResult &Result) {
   const auto Found = m_Questions.find(Number);
   if (Found == m_Questions.end())
--- a/tests/unit/brittle_upstreams_test.cpp
+++ b/tests/unit/brittle_upstreams_test.cpp
@@ -226,7 +226,7 @@
         }
 }
 
-// Guards against the same with engines of many slots, long calls and late news.
+// Guards against the same with many slots, long calls and late digests.
 BOOST_AUTO_TEST_CASE(BrittleEnginesStandLateDigests) {
   for (const double Factor : {0.6, 1.0, 3.0})
     BOOST_TEST_CONTEXT("load " << Factor) {
--- a/tests/unit/path_fleet.h
+++ b/tests/unit/path_fleet.h
@@ -26,7 +26,7 @@
     return m_Record.m_Ended || (m_Record.m_Answers.size() == 1 &&
                                 m_Record.m_Answers[0].m_Status == 200);
   }
-  /// Returns whether the caller was told that it has not run.
+  /// Returns whether the answer states that it has not run.
   [[nodiscard]] bool isStatedNotRun() const {
     return m_Record.m_Answers.size() == 1 &&
            m_Record.m_Answers[0].m_RunState == RunState::NotRun;
@@ -348,8 +348,8 @@
     BOOST_TEST(Wrong == 0U);
   }
 
-  /// Checks that calls that may run once did, and that those whose callers were
-  /// told that they have not run didn't.
+  /// Checks that no call that may run once ran twice, and that none ran whose
+  /// answer states that it has not.
   void checkRuns() const {
     std::map<std::string, std::size_t> Runs;
     for (const UpstreamRun &Run : m_World.m_Runs)
