Feature: Show software versions and resumed attempts in logs and metrics

The logs could tell a stream that broke within one answer, but neither the version of any upstream nor which attempt a caller resumes, so that callers who resume streams at another instance could not be told from a directory that is wrong for a time.

Nothing is decided by these yet.

--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -59,11 +59,12 @@
 
 /// An upstream was chosen; the call counts towards its load.
 struct Placed {
-  TicketId m_Ticket;        ///< Must be passed to recordCallEnd().
-  UpstreamId m_Upstream;    ///< The chosen one.
-  std::string m_Name;       ///< Its name in the instance list.
-  Address m_Address;        ///< Where it listens.
-  PlacementInputs m_Inputs; ///< Basis of the choice.
+  TicketId m_Ticket;          ///< Must be passed to recordCallEnd().
+  UpstreamId m_Upstream;      ///< The chosen one.
+  std::string m_Name;         ///< Its name in the instance list.
+  Address m_Address;          ///< Where it listens.
+  PlacementInputs m_Inputs;   ///< Basis of the choice.
+  SoftwareVersion m_Software; ///< Of the upstream's process.
 };
 
 /// No upstream can take the call now.
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -188,7 +188,8 @@
   Carried.m_ContentHash = Content;
   Carried.m_IsCarried = true;
   const struct Upstream &Where = Found->second.m_Upstream;
-  return Placed{Id, Upstream, Where.m_Name, Where.m_Address, {}};
+  return Placed{Id, Upstream,        Where.m_Name, Where.m_Address,
+                {}, Where.m_Software};
 }
 
 /// What failed on a lost path says nothing about the upstream.
@@ -472,8 +473,12 @@
   m_Pauses.recordSend(Chosen.m_Upstream.m_Id, Id);
   m_Tickets[Id] = {Chosen.m_Upstream.m_Id, Query.m_Urgency, Tokens, Now, false,
                    Query.m_ContentHash};
-  Placed Result{Id, Chosen.m_Upstream.m_Id, Chosen.m_Upstream.m_Name,
-                Chosen.m_Upstream.m_Address, Inputs};
+  Placed Result{Id,
+                Chosen.m_Upstream.m_Id,
+                Chosen.m_Upstream.m_Name,
+                Chosen.m_Upstream.m_Address,
+                Inputs,
+                Chosen.m_Upstream.m_Software};
   if (Chosen.m_Upstream.m_UnlistedAt != TimePoint())
     Result.m_Inputs.m_UnlistedFor = Now - Chosen.m_Upstream.m_UnlistedAt;
   return Result;
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -194,6 +194,7 @@
   const TimePoint Now = m_Context.m_Clock.now();
   m_LongestPause = std::max(m_LongestPause, Now - m_LastEventAt);
   m_LastEventAt = Now;
+  recordStreamSoftware();
   m_Caller->append(Event.m_Bytes);
   ++m_EventCount;
   if (Event.m_Id)
@@ -205,6 +206,23 @@
     m_Call->pauseReading();
 }
 
+/// An unknown version counts as another one.
+void ForwardedRequest::recordStreamSoftware() {
+  if (!m_StreamSoftware.empty() && m_StreamSoftware.back() == m_Software.text())
+    return;
+  if (!m_StreamSoftware.empty())
+    m_Context.m_Stats.countMixedStream();
+  m_StreamSoftware.push_back(m_Software.text());
+}
+
+/// Returns the versions whose events the caller got, separated by commas.
+std::string ForwardedRequest::streamSoftwareText() const {
+  std::string Result;
+  for (const std::string &Version : m_StreamSoftware)
+    Result += (Result.empty() ? "" : ",") + (Version.empty() ? "?" : Version);
+  return Result;
+}
+
 void ForwardedRequest::recordUsage() {
   if (m_Context.m_Usage != nullptr && !std::exchange(m_UsageRecorded, true))
     m_Context.m_Usage->recordBegun(m_Admitted.m_Workspace);
@@ -391,6 +409,8 @@
        {"outcome", std::string(Outcome)},
        {"status", std::to_string(m_Status)},
        {"upstream", m_Upstream},
+       {"software", streamSoftwareText()},
+       {"resumes", m_Admitted.m_Facts.m_Resumes},
        {"sends", std::to_string(m_Attempts)},
        {"events", std::to_string(m_EventCount)},
        {"urgency", std::to_string(m_Admitted.m_EngineRank)},
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -158,6 +158,7 @@
 void ForwardedRequest::send(const balance::Placed &Placement) {
   m_Ticket = Placement.m_Ticket;
   m_Upstream = Placement.m_Name;
+  m_Software = Placement.m_Software;
   m_Address = Placement.m_Address;
   m_PlacementInputs = Placement.m_Inputs;
   m_TriedUpstreams.push_back(Placement.m_Upstream);
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -86,6 +86,8 @@
   void relayEvents(std::string_view Bytes);
   void relayEvent(const SseEvent &Event);
   void beginStream();
+  void recordStreamSoftware();
+  [[nodiscard]] std::string streamSoftwareText() const;
   void handleStreamEnd();
   void handlePlainEnd();
   void answerPlain();
@@ -131,7 +133,10 @@
   std::unique_ptr<UpstreamCall> m_Call; ///< Null between calls.
   balance::TicketId m_Ticket;           ///< Of m_Call.
   std::string m_Upstream;               ///< Name of the last one called.
-  Address m_Address;                    ///< Of the last call's upstream.
+  SoftwareVersion m_Software;           ///< Of the last upstream called.
+  std::vector<std::string> m_StreamSoftware;  ///< Of the upstreams whose events
+                                              ///< the caller has, in order.
+  Address m_Address;                          ///< Of the last call's upstream.
   balance::PlacementInputs m_PlacementInputs; ///< Of the last placement.
   TimePoint m_FirstEventAt{};                 ///< When it was relayed.
   TimePoint m_LastEventAt{};                  ///< When it was relayed.
--- a/src/gateway/gateway_stats.cpp
+++ b/src/gateway/gateway_stats.cpp
@@ -13,7 +13,8 @@
           Stats.counter("crowstep_upstream_limits_unreadable_total")),
       m_Pauses(Stats.counter("crowstep_upstream_pauses_total")),
       m_UnreadablePauses(
-          Stats.counter("crowstep_upstream_pauses_unreadable_total")) {
+          Stats.counter("crowstep_upstream_pauses_unreadable_total")),
+      m_MixedStreams(Stats.counter("crowstep_streams_mixed_total")) {
   for (std::size_t I = 0; I < m_Refusals.size(); ++I)
     m_Refusals.at(I) = &Stats.counter(
         "crowstep_refusals_total",
--- a/src/gateway/gateway_stats.h
+++ b/src/gateway/gateway_stats.h
@@ -44,6 +44,9 @@
   /// Counts a pause that an upstream requested and that is not a time.
   void countUnreadablePause() { m_UnreadablePauses.add(); }
 
+  /// Counts an answer in which another software version's events follow.
+  void countMixedStream() { m_MixedStreams.add(); }
+
   /// Returns the metrics of a route.
   RouteStats &statsOfRoute(const std::string &Name);
 
@@ -56,6 +59,7 @@
   Counter &m_UnreadableLimits;      ///< See countUnreadableLimit().
   Counter &m_Pauses;                ///< See countPause().
   Counter &m_UnreadablePauses;      ///< See countUnreadablePause().
+  Counter &m_MixedStreams;          ///< See countMixedStream().
   std::array<Counter *, static_cast<std::size_t>(RefusalReason::Count)>
       m_Refusals; ///< By reason.
   std::array<Counter *, static_cast<std::size_t>(RetryReason::Count)>
--- a/src/gateway/header_codec.h
+++ b/src/gateway/header_codec.h
@@ -22,7 +22,9 @@
   std::string m_Key;                  ///< API key; empty: none.
   std::optional<Duration> m_Deadline; ///< How long the caller waits.
   std::optional<std::uint64_t> m_LastEventId; ///< The stream resumes after it.
-  PromptInfo m_Prompt;                        ///< Empty for plain calls.
+  std::string m_Resumes; ///< Attempt that brought the resumed stream's first
+                         ///< event; empty: not stated.
+  PromptInfo m_Prompt;   ///< Empty for plain calls.
 };
 
 /// A header that the gateway needs is missing or malformed.
--- a/src/upstream_type.h
+++ b/src/upstream_type.h
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "instance_type.h"
+#include "software_version.h"
 
 #include <string>
 #include <variant>
@@ -54,8 +55,9 @@
   AvailabilityZone m_Zone;              ///< For the distance to callers.
   UpstreamKind m_Kind = PlainService{}; ///< Engine or plain service.
   bool m_Draining = false;              ///< Must get no new work.
-  bool m_Spot = false;      ///< May be reclaimed with all others of its zone.
-  TimePoint m_UnlistedAt{}; ///< When its entry was removed; not set: listed.
+  bool m_Spot = false;        ///< May be reclaimed with all others of its zone.
+  TimePoint m_UnlistedAt{};   ///< When its entry was removed; not set: listed.
+  SoftwareVersion m_Software; ///< Of its process.
 
   bool operator==(const Upstream &) const = default;
 };
--- a/tests/unit/plain_codec.h
+++ b/tests/unit/plain_codec.h
@@ -28,6 +28,8 @@
     }
     if (const std::string *After = findHeader(Headers, "Call-After"))
       Result.m_LastEventId = std::strtoull(After->c_str(), nullptr, 10);
+    if (const std::string *Resumes = findHeader(Headers, "Call-Resumes"))
+      Result.m_Resumes = *Resumes;
     return Result;
   }
 
