--- a/tests/process/gateway_config.cpp
+++ b/tests/process/gateway_config.cpp
@@ -63,11 +63,9 @@
 
 std::string upstreamRow(const Address &Upstream, unsigned Slots,
                         const std::string &State) {
-  return nlohmann::json{{"service", "s"},
-                        {"address", toString(Upstream)},
-                        {"zone", "a"},
-                        {"slots", Slots},
-                        {"state", State}}
+  return nlohmann::json{{"service", "s"}, {"address", toString(Upstream)},
+                        {"zone", "a"},    {"version", "1.0"},
+                        {"slots", Slots}, {"state", State}}
       .dump();
 }
 
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -17,6 +17,16 @@
       {"priority", 0},     {"service", "s"},      {"maxAttempts", 2}};
 }
 
+/// Returns a route whose streams may be resumed.
+Json streamRoute() {
+  Json Result = routeJson("streaming");
+  Result["timeoutMs"] = 4000;
+  Result["maxAttempts"] = 3;
+  Result["resumable"] = true;
+  Result["gapAimMs"] = 250;
+  return Result;
+}
+
 } // namespace
 
 void addSignatureHeaders(SoupServerMessage *Message) {
@@ -38,7 +48,8 @@
     Service["scaling"] = Scaling;
   const Json Table = {
       {"version", 1},
-      {"routes", {routeJson("idempotent"), routeJson("non_idempotent")}},
+      {"routes",
+       {routeJson("idempotent"), routeJson("non_idempotent"), streamRoute()}},
       {"services", Json::array({Service})},
       {"tenants", {{{"name", "w"}, {"apiKeys", {"key-1"}}}}}};
   m_Store.put("op", "config", Table.dump());
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -51,7 +51,8 @@
 
   /// Returns a request to the gateway \p Gateway modulo the number of gateways.
   /// Paths below /idempotent/ may run more than once, those below
-  /// /non_idempotent/ at most once.
+  /// /non_idempotent/ at most once, and those below /streaming/ are answered
+  /// with streams that may be resumed.
   Call request(std::size_t Gateway, const std::string &Path,
                const std::string &Body);
 
