Fix: Continue a broken stream at the software version that began it

Cause: a broken stream was continued at any upstream of the service, as nothing knew that upstreams of several versions serve side by side. The class: what one process has begun is carried on by another one that is taken for its equal.

Change: the version of the upstream of a stream's first event is a condition of all its further placements, beside the service (Balancer::isEligible()), and is checked again right before the first byte. A version belongs to a process: an entry without one doesn't clear what is known, contradictory ones make it unknown, and unknown equals nothing. Where no upstream of the version is listed the request ends at once, with a reason of its own (software_gone).

Ruled out: a retry that stays at the same upstream, which fails where the upstream has crashed.

--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -40,7 +40,12 @@
   PromptInfo m_Prompt;        ///< Empty for plain calls.
   Duration m_LatencyTarget{}; ///< Latency target of the call.
   Duration m_MaxPause{};      ///< Between events that are in time; 0: any.
-  std::vector<UpstreamId> m_Excluded;       ///< Already tried.
+  std::vector<UpstreamId> m_Excluded; ///< Already tried.
+
+  /// Only upstreams with this version may be chosen. None: any; unknown: no
+  /// upstream matches.
+  std::optional<SoftwareVersion> m_RequiredSoftware;
+
   std::optional<ContentHash> m_ContentHash; ///< Of the request, if known.
   bool m_MayWait = false;      ///< Until the best upstream has room.
   bool m_WaitTimedOut = false; ///< Must not wait again.
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -115,6 +115,14 @@
   }
 }
 
+/// Returns whether the upstream can answer the call at all.
+bool Balancer::isEligible(const UpstreamState &State,
+                          const PlacementQuery &Query) {
+  return State.m_Upstream.m_Service == Query.m_Service &&
+         (!Query.m_RequiredSoftware ||
+          State.m_Upstream.m_Software.matches(*Query.m_RequiredSoftware));
+}
+
 /// Returns whether the upstream must get no call, not even one that was placed
 /// before and is not sent yet.
 bool Balancer::isBarred(const UpstreamState &State, TimePoint Now) const {
@@ -144,7 +152,7 @@
   const bool IsBrittle = brittlenessOf(Query.m_Service, Now).has_value();
   States Listed;
   for (auto &[Id, State] : m_States)
-    if (State.m_Upstream.m_Service == Query.m_Service &&
+    if (isEligible(State, Query) &&
         std::find(Query.m_Excluded.begin(), Query.m_Excluded.end(), Id) ==
             Query.m_Excluded.end() &&
         mayPlaceAt(State, Now) && (!IsBrittle || mayPlaceAtBrittle(State, Now)))
@@ -235,8 +243,8 @@
   return brittlenessOf(Query.m_Service, Now) &&
          std::ranges::any_of(m_States, [&](const auto &Entry) {
            const UpstreamState &State = Entry.second;
-           return State.m_Upstream.m_Service == Query.m_Service &&
-                  !isBarred(State, Now) && !mayPlaceAtBrittle(State, Now);
+           return isEligible(State, Query) && !isBarred(State, Now) &&
+                  !mayPlaceAtBrittle(State, Now);
          });
 }
 
@@ -254,10 +262,13 @@
   }
   double Rate = 0;
   TimePoint PauseEnd = TimePoint::max();
+  if (Query.m_RequiredSoftware)
+    Result.m_Reason = RefusalReason::SoftwareGone;
   for (const auto &[Id, State] : m_States) {
-    if (State.m_Upstream.m_Service != Query.m_Service ||
-        State.m_Upstream.m_Draining)
+    if (!isEligible(State, Query) || State.m_Upstream.m_Draining)
       continue;
+    if (Result.m_Reason == RefusalReason::SoftwareGone)
+      Result.m_Reason = RefusalReason::NoUpstream;
     if (const RateLimit Limit = m_RateLimits.limitOf(Id)) {
       Result.m_Reason = RefusalReason::UpstreamLimited;
       Rate += *Limit;
@@ -299,7 +310,9 @@
       latencySensitiveEngineCount(Query.m_Service);
   // A long prompt that has waited for an engine of its role is refused rather
   // than placed where it would make other calls late; a short one delays none.
-  const bool KeepsToOwnRole = Query.m_WaitTimedOut && !LatencySensitive;
+  // A resumed stream has few engines to choose from.
+  const bool KeepsToOwnRole =
+      Query.m_WaitTimedOut && !LatencySensitive && !Query.m_RequiredSoftware;
   // Engines of the other role are used only if none of the call's own role has
   // room.
   std::vector<EngineOption> Options;
@@ -409,7 +422,8 @@
 /// urgent call. All other engines count as full for a call whose wait has timed
 /// out, as it would prefill its prefix again there. Otherwise a burst of the
 /// least urgent class would take every slot that becomes free, at whichever
-/// instance it waits, while urgent calls are refused.
+/// instance it waits, while urgent calls are refused. A resumed stream may take
+/// any free slot: it can't go elsewhere, and its caller has part of the answer.
 void Balancer::markFull(const PlacementQuery &Query,
                         std::vector<EngineOption> &Options) const {
   const auto Capacity = m_CacheCapacities.find(Query.m_Service);
@@ -420,10 +434,11 @@
   for (EngineOption &Option : Options) {
     const double Slots = slotsOf(Option.m_State->m_Upstream);
     const bool HasLessUrgent = Option.m_LessUrgentCalls > 0;
-    const bool NoSlot =
-        Option.m_Calls >= (HasLessUrgent ? 1 : MaxSlotShare) * Slots;
+    const bool MayFill = HasLessUrgent || Query.m_RequiredSoftware.has_value();
+    const bool NoSlot = Option.m_Calls >= (MayFill ? 1 : MaxSlotShare) * Slots;
     Option.m_Full =
-        (Query.m_WaitTimedOut ? !HasLessUrgent : NoSlot) ||
+        (Query.m_WaitTimedOut ? !HasLessUrgent && (NoSlot || !MayFill)
+                              : NoSlot) ||
         (Option.m_HeldTokens > 0 &&
          static_cast<double>(Option.m_HeldTokens + Option.m_UncachedTokens +
                              expectedOutput(Query.m_Prompt)) > Limit);
@@ -471,8 +486,14 @@
   m_RateLimits.recordSend(Chosen.m_Upstream.m_Id, Now);
   const TicketId Id(++m_LastTicket);
   m_Pauses.recordSend(Chosen.m_Upstream.m_Id, Id);
-  m_Tickets[Id] = {Chosen.m_Upstream.m_Id, Query.m_Urgency, Tokens, Now, false,
-                   Query.m_ContentHash};
+  m_Tickets[Id] = {Chosen.m_Upstream.m_Id,
+                   Query.m_Urgency,
+                   Tokens,
+                   Now,
+                   false,
+                   Query.m_ContentHash,
+                   false,
+                   Query.m_RequiredSoftware};
   Placed Result{Id,
                 Chosen.m_Upstream.m_Id,
                 Chosen.m_Upstream.m_Name,
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -107,8 +107,8 @@
   /// The call has ended at the upstream. Unknown tickets are ignored.
   void recordCallEnd(TicketId Ticket, CallOutcome Outcome, TimePoint Now);
 
-  /// Returns whether the upstream of a call is still listed and not draining,
-  /// and the call's request is not quarantined.
+  /// Returns whether the upstream of a call is still listed, not draining and
+  /// of the required version, and the call's request is not quarantined.
   [[nodiscard]] bool mayBegin(TicketId Ticket, TimePoint Now) const;
 
   /// Sets the memory of each engine of a service, in tokens.
@@ -167,9 +167,12 @@
     bool m_NoQueuedPrefill = false;           ///< No prefill queued before it.
     std::optional<ContentHash> m_ContentHash; ///< Of the request, if known.
     bool m_IsCarried = false; ///< Its load counts at another instance.
+    std::optional<SoftwareVersion> m_RequiredSoftware; ///< See PlacementQuery.
   };
 
   States findCandidates(const PlacementQuery &Query, TimePoint Now);
+  [[nodiscard]] static bool isEligible(const UpstreamState &State,
+                                       const PlacementQuery &Query);
   [[nodiscard]] bool isBarred(const UpstreamState &State, TimePoint Now) const;
   [[nodiscard]] bool mayPlaceAt(const UpstreamState &State, TimePoint Now);
   [[nodiscard]] bool mayPlaceAtBrittle(const UpstreamState &State,
--- a/src/balance/balancer_reports.cpp
+++ b/src/balance/balancer_reports.cpp
@@ -154,7 +154,9 @@
       Content && m_Quarantine.remainingHold(*Content, Now) > Duration::zero())
     return false;
   const auto State = m_States.find(Found->second.m_Upstream);
-  return State != m_States.end() && !isBarred(State->second, Now);
+  const auto &Required = Found->second.m_RequiredSoftware;
+  return State != m_States.end() && !isBarred(State->second, Now) &&
+         (!Required || State->second.m_Upstream.m_Software.matches(*Required));
 }
 
 // ---- Other instances --------------------------------------------------------
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -240,6 +240,7 @@
 
 void ForwardedRequest::beginStream() {
   m_Streaming = true;
+  recordOrigin();
   recordUsage();
   m_Context.m_Balancer.recordFirstEvent(m_Ticket, m_Context.m_Clock.now());
   m_FirstEventAt = m_Context.m_Clock.now();
@@ -411,6 +412,7 @@
        {"upstream", m_Upstream},
        {"software", streamSoftwareText()},
        {"resumes", m_Admitted.m_Facts.m_Resumes},
+       {"required", m_Origin ? m_Origin->m_Software.text() : std::string()},
        {"sends", std::to_string(m_Attempts)},
        {"events", std::to_string(m_EventCount)},
        {"urgency", std::to_string(m_Admitted.m_EngineRank)},
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -71,6 +71,16 @@
   return Shares.back().m_Service;
 }
 
+/// Runs before the caller gets the stream's first event.
+void ForwardedRequest::recordOrigin() {
+  if (m_Origin)
+    return;
+  if (const Upstream *Listed =
+          m_Context.m_Balancer.findUpstream(m_TriedUpstreams.back()))
+    m_Software.merge(Listed->m_Software);
+  m_Origin = resume::StreamOrigin{m_Service, m_Software};
+}
+
 Duration ForwardedRequest::timeLeft() const {
   return m_Deadline - m_Context.m_Clock.readNow();
 }
@@ -86,6 +96,8 @@
   if (const EventStream *Stream = eventStream())
     Result.m_MaxPause = Stream->m_MaxPause;
   Result.m_Excluded = m_TriedUpstreams;
+  if (m_Origin)
+    Result.m_RequiredSoftware = m_Origin->m_Software;
   Result.m_ContentHash = m_Content;
   Result.m_MayWait = mayWait();
   Result.m_WaitTimedOut = m_WaitTimedOut;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -21,6 +21,7 @@
 #include "http/caller.h"
 #include "http/sse_splitter.h"
 #include "http/upstream_call.h"
+#include "resume/stream_origin.h"
 
 #include <functional>
 #include <memory>
@@ -63,6 +64,7 @@
   void upstreamEnded(TransportEnd End) override;
   void upstreamUnreachable() override;
 
+  void recordOrigin();
   [[nodiscard]] balance::PlacementQuery placementQuery() const;
   void attempt();
   void waitForRoom(const balance::PlacementInputs &Inputs);
@@ -126,6 +128,10 @@
   Timer m_SilenceTimer;             ///< Runs while bytes are awaited.
   Timer m_RetryTimer;               ///< Delays an attempt.
 
+  /// Where the stream began; none: at no upstream so far. With an unknown
+  /// version it can't be continued.
+  std::optional<resume::StreamOrigin> m_Origin;
+
   std::unique_ptr<WaitQueue::Entry>
       m_QueueEntry;                     ///< Set while it waits for room.
   bool m_WaitTimedOut = false;          ///< It may not wait for room again.
--- a/src/gateway/upstream_list.cpp
+++ b/src/gateway/upstream_list.cpp
@@ -2,6 +2,7 @@
 #include "gateway/upstream_list.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crowstep::gateway {
 
@@ -14,7 +15,12 @@
 
 void UpstreamList::setListed(const Upstream &Entry) {
   m_Unlisted.erase(Entry.m_Name);
-  m_ByName[Entry.m_Name] = Entry;
+  Upstream &Known = m_ByName[Entry.m_Name];
+  SoftwareVersion Software =
+      Known.m_Id == Entry.m_Id ? Known.m_Software : SoftwareVersion();
+  Software.merge(Entry.m_Software);
+  Known = Entry;
+  Known.m_Software = std::move(Software);
 }
 
 void UpstreamList::remove(const std::string &Name) {
--- a/src/gateway/upstream_list.h
+++ b/src/gateway/upstream_list.h
@@ -33,7 +33,9 @@
   /// \p Settle.
   explicit UpstreamList(Duration Settle) : m_SettleTime(Settle) {}
 
-  /// Records that the upstream has an entry.
+  /// Records that the upstream has an entry. The software version of a process
+  /// never changes: an entry without one doesn't clear it, and one with another
+  /// makes it unknown for good.
   void setListed(const Upstream &Entry);
 
   /// Removes \p Name, whose entry can't be parsed.
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -55,6 +55,7 @@
         {"upstream_limited", 503},
         {"upstream_paused", 503},
         {"upstream_brittle", 503},
+        {"software_gone", 503},
     }};
 
 constexpr std::array<std::string_view,
--- a/src/refusal_type.h
+++ b/src/refusal_type.h
@@ -52,6 +52,7 @@
   UpstreamLimited,      ///< The upstreams' own rate limits are used up.
   UpstreamPaused,       ///< The upstreams have requested a pause.
   UpstreamBrittle,      ///< The upstreams must not be made to reject calls.
+  SoftwareGone,         ///< No upstream has the version that began the stream.
   Count,                ///< Number of reasons; not a reason.
 };
 
--- a/tests/unit/forwarded_request_env.h
+++ b/tests/unit/forwarded_request_env.h
@@ -141,6 +141,7 @@
       const std::string Name = "u" + std::to_string(I);
       List.push_back(
           {upstreamIdOf(Name), Name, "s", {1, 1}, {"a"}, Upstreams, false});
+      List.back().m_Software = SoftwareVersion("1.0");
     }
     m_Balancer.setUpstreams(List);
     RouteTableData Data;
--- a/tests/unit/path_fleet.h
+++ b/tests/unit/path_fleet.h
@@ -142,6 +142,7 @@
            {"z" + std::to_string(I % Zones)},
            IsEngine ? UpstreamKind(Engine{64}) : UpstreamKind(PlainService{64}),
            false});
+      m_World.m_List.back().m_Software = SoftwareVersion("1.0");
     }
     m_Table = makeTable();
     m_Peers.m_Key = "key";
