--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -29,9 +29,11 @@
 DigestExchange::DigestExchange(PeerInstance Self, LinksFactory Open,
                                const Clock &Time, Scheduler &Timers,
                                balance::Balancer &Balancer, Metrics &Stats,
-                               UpdateHandler OnUpdate, UsageExchange *Usage)
+                               UpdateHandler OnUpdate, UsageExchange *Usage,
+                               resume::OriginExchange *Origins)
     : m_Self(std::move(Self)), m_OpenLinks(std::move(Open)), m_Clock(Time),
       m_Balancer(Balancer), m_OnUpdate(std::move(OnUpdate)), m_Usage(Usage),
+      m_Origins(Origins),
       m_UpdatesReceived(Stats.counter("crowstep_directory_updates_total")),
       m_UpdatesDropped(
           Stats.counter("crowstep_directory_updates_dropped_total")),
@@ -46,8 +48,13 @@
     sendDigests();
   }
   updateDials();
-  for (auto &[Link, Peer] : m_PeerLinks)
+  if (m_Origins != nullptr)
+    m_Origins->setHubs(m_Plan.m_Hubs);
+  for (auto &[Link, Peer] : m_PeerLinks) {
     updateUsageRole(Link, Peer);
+    if (m_Origins != nullptr)
+      m_Origins->setNear(Link, isNearPeer(Peer));
+  }
 }
 
 /// Each pair has one link: the instance with the greater address dials.
@@ -78,6 +85,9 @@
 void DigestExchange::linkUp(link::LinkId Link, const link::Peer &Peer) {
   const PeerLink NewLink = {Peer.m_Instance, Peer.m_Zone, false, m_Clock.now()};
   updateUsageRole(Link, m_PeerLinks[Link] = NewLink);
+  if (m_Origins != nullptr)
+    m_Origins->addPeer(
+        *m_Links, {Link, Peer.m_Instance, Peer.m_Zone, isNearPeer(NewLink)});
   if (!isNearPeer(NewLink)) {
     // Sums sent while the link was down are not repeated.
     if (m_IsHub)
@@ -100,6 +110,8 @@
   From.m_LastFrameAt = Now;
   if (m_Usage != nullptr)
     m_Usage->receive(From.m_Instance, Frame, isNearPeer(From));
+  if (m_Origins != nullptr)
+    m_Origins->receive(Link, Frame);
   if (Frame.digest() != nullptr) {
     const balance::LoadDigest Digest = unpack(*Frame.digest());
     m_Balancer.applyPeerDigest(From.m_Instance, Digest, Now);
@@ -120,6 +132,8 @@
 void DigestExchange::linkDown(link::LinkId Link, const link::Peer &Peer,
                               link::CloseReason) {
   m_PeerLinks.erase(Link);
+  if (m_Origins != nullptr)
+    m_Origins->removePeer(Link);
   m_Balancer.removePeer(Peer.m_Instance);
   m_OwnZoneSum.drop(Peer.m_Instance);
   if (m_Usage != nullptr)
@@ -260,6 +274,8 @@
   if (Hub == m_IsHub)
     return;
   m_IsHub = Hub;
+  if (m_Origins != nullptr)
+    m_Origins->setActiveHub(Hub);
   m_OwnZoneSum.clear();
   m_OtherZonesSum.clear();
   m_Balancer.removePeer(otherZonesId());
--- a/src/gateway/digest_exchange.h
+++ b/src/gateway/digest_exchange.h
@@ -14,6 +14,7 @@
 #include "gateway/exchange_plan.h"
 #include "gateway/usage_exchange.h"
 #include "link/link_type.h"
+#include "resume/origin_exchange.h"
 
 #include <functional>
 #include <map>
@@ -52,10 +53,12 @@
       balance::PeerLoads::DigestLifetime;
 
   /// \p Self holds the address at which others open links to this instance.
-  /// \p Usage outlives this object; null: no usage is reported.
+  /// \p Usage and \p Origins outlive this object; null: no usage is reported,
+  /// or no origins of streams are exchanged.
   DigestExchange(PeerInstance Self, LinksFactory Open, const Clock &Time,
                  Scheduler &Timers, balance::Balancer &Balancer, Metrics &Stats,
-                 UpdateHandler OnUpdate, UsageExchange *Usage = nullptr);
+                 UpdateHandler OnUpdate, UsageExchange *Usage = nullptr,
+                 resume::OriginExchange *Origins = nullptr);
   ~DigestExchange() override;
   DigestExchange(const DigestExchange &) = delete;
   DigestExchange &operator=(const DigestExchange &) = delete;
@@ -113,6 +116,7 @@
   balance::Balancer &m_Balancer;        ///< Outlives this object.
   UpdateHandler m_OnUpdate;             ///< Never empty.
   UsageExchange *m_Usage;               ///< Null: no usage is reported.
+  resume::OriginExchange *m_Origins;    ///< Null: none are exchanged.
   Counter &m_UpdatesReceived;           ///< From readers.
   Counter &m_UpdatesDropped;            ///< From others, or malformed.
   std::unique_ptr<link::Links> m_Links; ///< Null until the key is known.
--- a/src/gateway/forward_limits.h
+++ b/src/gateway/forward_limits.h
@@ -41,6 +41,10 @@
 inline constexpr Duration UnacknowledgedSilenceLimit =
     std::chrono::milliseconds(900);
 
+/// A caller takes up a stream within this time after the end of its last
+/// attempt.
+inline constexpr Duration TimeBetweenAttempts = std::chrono::seconds(30);
+
 /// An event that is longer than this fails its call: events are held until they
 /// are complete, and an upstream that never ends one would use up the memory.
 inline constexpr std::size_t MaxEventBytes = 1 << 20;
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -398,6 +398,7 @@
   m_DeadlineTimer.stop();
   m_SilenceTimer.stop();
   m_RetryTimer.stop();
+  m_OriginLookup.reset();
   m_QueueEntry.reset();
   const Duration Elapsed = m_Context.m_Clock.now() - m_ArrivedAt;
   m_Stats.m_Total->record(Elapsed);
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -47,13 +47,20 @@
   m_Stats.m_Requests->add();
   m_Service = chooseService();
   m_LastEventId = m_Admitted.m_Facts.m_LastEventId;
-  m_Context.m_Budget.recordCall(m_Service, m_ArrivedAt);
   m_Caller->onDisconnect([this] { handleCallerGone(); });
   m_Caller->onBacklogReduced([this] {
     if (m_Call != nullptr)
       m_Call->resumeReading();
   });
   m_DeadlineTimer.start(timeLeft(), [this] { handleDeadline(); });
+  if (isResumed())
+    findOrigin();
+  else
+    placeFirst();
+}
+
+void ForwardedRequest::placeFirst() {
+  m_Context.m_Budget.recordCall(m_Service, m_ArrivedAt);
   attempt();
 }
 
@@ -71,14 +78,68 @@
   return Shares.back().m_Service;
 }
 
-/// Runs before the caller gets the stream's first event.
-void ForwardedRequest::recordOrigin() {
-  if (m_Origin)
+// ---- Origin of a stream -----------------------------------------------------
+
+/// All attempts of a caller name the one that brought the first event.
+resume::StreamKey ForwardedRequest::streamKey() const {
+  const RequestFacts &Facts = m_Admitted.m_Facts;
+  return resume::streamKeyOf(m_Admitted.m_Workspace, Facts.m_Resumes.empty()
+                                                         ? Facts.m_Id
+                                                         : Facts.m_Resumes);
+}
+
+void ForwardedRequest::findOrigin() {
+  const resume::StreamKey Key = streamKey();
+  if (const resume::StreamOrigin *Known = m_Context.m_Origins.findLocal(Key))
+    continueFrom(*Known);
+  else
+    m_OriginLookup =
+        m_Context.m_Origins.ask(Key, [this](const resume::LookupResult &Found) {
+          handleOrigin(Found);
+        });
+}
+
+/// Another attempt may find what was not answered in time; what all deny is
+/// known nowhere.
+void ForwardedRequest::handleOrigin(const resume::LookupResult &Found) {
+  m_OriginLookup.reset();
+  if (Found.m_Origin) {
+    continueFrom(*Found.m_Origin);
     return;
-  if (const Upstream *Listed =
-          m_Context.m_Balancer.findUpstream(m_TriedUpstreams.back()))
-    m_Software.merge(Listed->m_Software);
-  m_Origin = resume::StreamOrigin{m_Service, m_Software};
+  }
+  logEvent(LogEvent::GatewayOriginUnknown,
+           {{"request", m_Admitted.m_Facts.m_Id},
+            {"resumes", m_Admitted.m_Facts.m_Resumes},
+            {"asked", std::to_string(Found.m_AskedCount)},
+            {"unanswered", std::to_string(Found.m_UnansweredCount)}});
+  refuse(RefusalReason::OriginUnknown,
+         Found.m_UnansweredCount > 0 ? BusyRetryAfter : Duration::zero());
+}
+
+/// Versions are compared within a service, so the stream stays at its own as
+/// long as the route has it.
+void ForwardedRequest::continueFrom(const resume::StreamOrigin &Origin) {
+  m_Origin = Origin;
+  if (std::ranges::any_of(m_Admitted.m_Route->m_Services,
+                          [&](const ServiceShare &Share) {
+                            return Share.m_Service == Origin.m_Service;
+                          }))
+    m_Service = Origin.m_Service;
+  placeFirst();
+}
+
+/// Runs before the caller gets the stream's first event of this attempt: once
+/// it has that event, it may name the stream to any instance.
+void ForwardedRequest::recordOrigin() {
+  if (!m_Origin) {
+    if (const Upstream *Listed =
+            m_Context.m_Balancer.findUpstream(m_TriedUpstreams.back()))
+      m_Software.merge(Listed->m_Software);
+    m_Origin = resume::StreamOrigin{m_Service, m_Software};
+  }
+  if (isRetryable() && m_Origin->m_Software.isKnown())
+    m_Context.m_Origins.record(
+        {streamKey(), *m_Origin, timeLeft() + TimeBetweenAttempts});
 }
 
 Duration ForwardedRequest::timeLeft() const {
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -21,7 +21,7 @@
 #include "http/caller.h"
 #include "http/sse_splitter.h"
 #include "http/upstream_call.h"
-#include "resume/stream_origin.h"
+#include "resume/origin_directory.h"
 
 #include <functional>
 #include <memory>
@@ -36,6 +36,7 @@
   balance::RetryBudget &m_Budget;      ///< Limits retries.
   CallTransport &m_Transport;          ///< Sends calls.
   CrashWatch &m_CrashWatch;            ///< Handles broken calls.
+  resume::OriginDirectory &m_Origins;  ///< Knows where streams began.
   const HeaderCodec &m_Codec;          ///< Reads and writes headers.
   GatewayStats &m_Stats;               ///< Metrics.
   WaitQueue &m_WaitQueue;              ///< Calls that wait for room.
@@ -64,7 +65,12 @@
   void upstreamEnded(TransportEnd End) override;
   void upstreamUnreachable() override;
 
+  void findOrigin();
+  void handleOrigin(const resume::LookupResult &Found);
+  void continueFrom(const resume::StreamOrigin &Origin);
   void recordOrigin();
+  [[nodiscard]] resume::StreamKey streamKey() const;
+  void placeFirst();
   [[nodiscard]] balance::PlacementQuery placementQuery() const;
   void attempt();
   void waitForRoom(const balance::PlacementInputs &Inputs);
@@ -108,6 +114,14 @@
     return mayRunAgain(m_Admitted.m_Route->m_Kind);
   }
   [[nodiscard]] bool isEventStream() const;
+
+  /// Returns whether the caller has events of the stream from an earlier
+  /// attempt.
+  [[nodiscard]] bool isResumed() const {
+    const RequestFacts &Facts = m_Admitted.m_Facts;
+    return eventStream() != nullptr &&
+           (Facts.m_LastEventId || !Facts.m_Resumes.empty());
+  }
   [[nodiscard]] RetryReason closeReason() const;
   [[nodiscard]] Duration timeLeft() const;
   [[nodiscard]] Duration firstByteTimeout() const;
@@ -132,6 +146,9 @@
   /// version it can't be continued.
   std::optional<resume::StreamOrigin> m_Origin;
 
+  std::unique_ptr<resume::OriginLookup>
+      m_OriginLookup; ///< Set while other instances are asked.
+
   std::unique_ptr<WaitQueue::Entry>
       m_QueueEntry;                     ///< Set while it waits for room.
   bool m_WaitTimedOut = false;          ///< It may not wait for room again.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -93,6 +93,8 @@
       m_CrashWatch(m_Clock, m_Timers, m_Balancer, m_Upstream, m_Metrics),
       m_PlatformParts(MakeParts(m_Clock, m_Timers, m_Metrics)),
       m_Usage(makeUsageParts()), m_Duties(makeDutyHolder()),
+      m_Origins(instanceIdOf(m_Settings.m_Name), m_Settings.m_Zone, m_Clock,
+                m_Timers, m_Metrics),
       m_Exchange(
           selfOf(m_Settings),
           [this](const std::string &Key, link::LinkListener &Listener) {
@@ -102,7 +104,7 @@
           [this](const DirectoryUpdate &Update) {
             m_PlatformParts.m_Directory->receiveUpdate(Update);
           },
-          m_Usage == nullptr ? nullptr : &m_Usage->m_Exchange),
+          m_Usage == nullptr ? nullptr : &m_Usage->m_Exchange, &m_Origins),
       m_CallRelay(makeCallRelay()),
       m_Context{m_Clock,
                 m_Timers,
@@ -110,6 +112,7 @@
                 m_Budget,
                 m_CallRelay->transport(),
                 m_CrashWatch,
+                m_Origins,
                 *m_PlatformParts.m_Codec,
                 m_Stats,
                 m_WaitQueue,
@@ -355,6 +358,7 @@
   m_OnStopped = std::move(Done);
   m_PlatformParts.m_Directory->deregister();
   m_CallRelay->stop();
+  m_Origins.stop();
   if (m_Duties != nullptr)
     m_Duties->stop();
   checkStopped();
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -56,6 +56,7 @@
         {"upstream_paused", 503},
         {"upstream_brittle", 503},
         {"software_gone", 503},
+        {"origin_unknown", 503},
     }};
 
 constexpr std::array<std::string_view,
--- a/src/refusal_type.h
+++ b/src/refusal_type.h
@@ -53,6 +53,7 @@
   UpstreamPaused,       ///< The upstreams have requested a pause.
   UpstreamBrittle,      ///< The upstreams must not be made to reject calls.
   SoftwareGone,         ///< No upstream has the version that began the stream.
+  OriginUnknown,        ///< Which version began the stream is not known.
   Count,                ///< Number of reasons; not a reason.
 };
 
--- /dev/null
+++ b/src/resume/origin_exchange.cpp
@@ -0,0 +1,304 @@
+/// Records and lookups among instances.
+#include "resume/origin_exchange.h"
+
+#include "core/pair_hash.h"
+#include "resume/holder_ranking.h"
+#include "resume/origin_codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crowstep::resume {
+
+namespace {
+
+/// Arbitrary; it makes the hash independent of others.
+constexpr std::uint64_t PartnerSeed = 9;
+
+} // namespace
+
+/// Cancels its search when it is destroyed.
+class OriginExchange::Lookup final : public OriginLookup {
+public:
+  Lookup(OriginExchange &Owner, SearchId Id) : m_Owner(Owner), m_Id(Id) {}
+  ~Lookup() override { m_Owner.m_Searches.erase(m_Id); }
+  Lookup(const Lookup &) = delete;
+  Lookup &operator=(const Lookup &) = delete;
+
+private:
+  OriginExchange &m_Owner; ///< Outlives the lookup.
+  SearchId m_Id;           ///< Unknown to the owner once it has ended.
+};
+
+OriginExchange::OriginExchange(InstanceId Self, AvailabilityZone Zone,
+                               const Clock &Time, Scheduler &Timers,
+                               Metrics &Stats)
+    : m_Self(Self), m_Zone(std::move(Zone)), m_Clock(Time), m_Timers(Timers),
+      m_ExportTimer(Timers),
+      m_KeptGauge(Stats.gauge("crowstep_stream_origins")),
+      m_Copies(Stats.counter("crowstep_stream_origins_sent_total")),
+      m_Found(Stats.counter("crowstep_stream_lookups_total",
+                            {{"outcome", "found"}})),
+      m_Unknown(Stats.counter("crowstep_stream_lookups_total",
+                              {{"outcome", "unknown"}})),
+      m_Unanswered(Stats.counter("crowstep_stream_lookups_total",
+                                 {{"outcome", "unanswered"}})) {}
+
+OriginExchange::~OriginExchange() = default;
+
+// ---- Instances --------------------------------------------------------------
+
+void OriginExchange::addPeer(link::Links &Links, const OriginPeer &Peer) {
+  m_Links = &Links;
+  m_Peers[Peer.m_Link] = {Peer, false, false};
+  Links.outbox(Peer.m_Link).stream_peer = packPeerState(m_IsStopping);
+}
+
+/// What it was asked stays unanswered.
+void OriginExchange::removePeer(link::LinkId Link) {
+  m_Peers.erase(Link);
+  std::vector<SearchId> Ended;
+  for (auto &[Id, Open] : m_Searches)
+    if (Open.m_Unanswered.erase(Link) > 0) {
+      ++Open.m_Result.m_UnansweredCount;
+      if (Open.m_Unanswered.empty())
+        Ended.push_back(Id);
+    }
+  for (const SearchId Id : Ended)
+    finishSearch(Id);
+}
+
+void OriginExchange::setNear(link::LinkId Link, bool IsNear) {
+  if (const auto Found = m_Peers.find(Link); Found != m_Peers.end())
+    Found->second.m_Info.m_IsNear = IsNear;
+}
+
+void OriginExchange::setHubs(const std::vector<InstanceId> &Hubs) {
+  m_Hubs = Hubs;
+}
+
+void OriginExchange::stop() {
+  m_IsStopping = true;
+  for (const auto &[Link, Known] : m_Peers)
+    m_Links->outbox(Link).stream_peer = packPeerState(true);
+}
+
+bool OriginExchange::isHub() const {
+  return std::ranges::find(m_Hubs, m_Self) != m_Hubs.end();
+}
+
+/// Returns the links of those that keep a stream, or that are asked for it.
+std::vector<link::LinkId> OriginExchange::holdersOf(const StreamKey &Key,
+                                                    bool ForRecord) const {
+  std::vector<HolderCandidate> Candidates;
+  std::vector<link::LinkId> Links;
+  for (const auto &[Link, Known] : m_Peers) {
+    if (!Known.m_Info.m_IsNear || !Known.m_TakesPart ||
+        (ForRecord && Known.m_IsStopping))
+      continue;
+    const auto Hub = std::ranges::find(m_Hubs, Known.m_Info.m_Instance);
+    Candidates.push_back(
+        {Known.m_Info.m_Instance, Known.m_Info.m_Zone,
+         Hub == m_Hubs.end() ? NoHub
+                             : static_cast<std::size_t>(Hub - m_Hubs.begin())});
+    Links.push_back(Link);
+  }
+  std::vector<link::LinkId> Result;
+  for (const std::size_t Index :
+       rankHolders(Key, Candidates, ForRecord ? CopyCount : AskedCount))
+    Result.push_back(Links[Index]);
+  return Result;
+}
+
+/// Returns the links to the hubs of the other zones.
+std::vector<link::LinkId> OriginExchange::otherZones() const {
+  std::vector<link::LinkId> Result;
+  for (const auto &[Link, Known] : m_Peers)
+    if (!Known.m_Info.m_IsNear && Known.m_TakesPart)
+      Result.push_back(Link);
+  return Result;
+}
+
+/// Returns the links to the hubs of the zone that keeps this zone's origins.
+std::vector<link::LinkId> OriginExchange::partnerZone() const {
+  const auto RankOf = [&](link::LinkId Link) {
+    const std::string &Zone = m_Peers.at(Link).m_Info.m_Zone.m_Name;
+    return std::make_pair(
+        pairHash(PartnerSeed ^ instanceIdOf(m_Zone.m_Name).value(),
+                 instanceIdOf(Zone).value()),
+        Zone);
+  };
+  std::vector<link::LinkId> Result = otherZones();
+  std::erase_if(
+      Result, [&](link::LinkId Link) { return m_Peers.at(Link).m_IsStopping; });
+  if (Result.empty())
+    return Result;
+  const auto Best = RankOf(*std::ranges::max_element(Result, {}, RankOf));
+  std::erase_if(Result,
+                [&](link::LinkId Link) { return RankOf(Link) != Best; });
+  return Result;
+}
+
+// ---- Records ----------------------------------------------------------------
+
+void OriginExchange::keep(const StreamRecord &Record) {
+  m_Origins.record(Record, m_Clock.now());
+  m_KeptGauge.set(static_cast<double>(m_Origins.size()));
+}
+
+/// Flushes the links, as the caller gets the first event right after.
+void OriginExchange::record(const StreamRecord &Begun) {
+  keep(Begun);
+  if (isHub())
+    queueExport(Begun);
+  for (const link::LinkId Link : holdersOf(Begun.m_Key, true)) {
+    m_Links->outbox(Link).stream_origins.push_back(packRecord(Begun));
+    m_Links->flush(Link);
+    m_Copies.add();
+  }
+}
+
+void OriginExchange::handleRecord(const Peer &From,
+                                  const wire::StreamOrigin &Received) {
+  const auto Record = unpack(Received);
+  if (!Record)
+    return;
+  keep(*Record);
+  if (From.m_Info.m_IsNear && isHub())
+    queueExport(*Record);
+}
+
+void OriginExchange::queueExport(const StreamRecord &Record) {
+  m_Exports.push_back({m_Clock.now(), Record});
+  if (m_Exports.size() > StreamOrigins::MaxStreams)
+    m_Exports.pop_front();
+  if (!m_ExportTimer.isRunning())
+    m_ExportTimer.start(ExportInterval, [this] { sendExports(); });
+}
+
+void OriginExchange::sendExports() {
+  const TimePoint Now = m_Clock.now();
+  while (!m_Exports.empty() && Now - m_Exports.front().m_Since > ExportMemory)
+    m_Exports.pop_front();
+  if (m_IsActiveHub) {
+    for (const link::LinkId Link : partnerZone())
+      for (const Export &Entry : m_Exports)
+        m_Links->outbox(Link).stream_origins.push_back(
+            packRecord(Entry.m_Record));
+    m_Exports.clear();
+  }
+  if (!m_Exports.empty())
+    m_ExportTimer.start(ExportInterval, [this] { sendExports(); });
+}
+
+// ---- Lookups ----------------------------------------------------------------
+
+const StreamOrigin *OriginExchange::findLocal(const StreamKey &Key) const {
+  return m_Origins.find(Key, m_Clock.now());
+}
+
+std::unique_ptr<OriginLookup> OriginExchange::ask(const StreamKey &Key,
+                                                  LookupCallback OnDone) {
+  const auto Count = [this,
+                      Done = std::move(OnDone)](const LookupResult &Result) {
+    (Result.m_Origin                ? m_Found
+     : Result.m_UnansweredCount > 0 ? m_Unanswered
+                                    : m_Unknown)
+        .add();
+    Done(Result);
+  };
+  std::vector<link::LinkId> Asked = holdersOf(Key, false);
+  if (isHub())
+    for (const link::LinkId Hub : otherZones())
+      Asked.push_back(Hub);
+  return std::make_unique<Lookup>(
+      *this, search(Key, Asked, true, LookupTimeout, Count));
+}
+
+/// Asks the instances at the other ends of \p At, and lets them search in other
+/// zones if they are hubs and \p InOtherZones is set.
+OriginExchange::SearchId
+OriginExchange::search(const StreamKey &Key,
+                       const std::vector<link::LinkId> &At, bool InOtherZones,
+                       Duration Timeout, LookupCallback OnDone) {
+  const SearchId Id = ++m_LastSearch;
+  Search &Made = m_Searches[Id];
+  Made.m_OnDone = std::move(OnDone);
+  Made.m_Unanswered = {At.begin(), At.end()};
+  Made.m_Result.m_AskedCount = At.size();
+  Made.m_Timer = std::make_unique<Timer>(m_Timers);
+  Made.m_Timer->start(At.empty() ? Duration::zero() : Timeout,
+                      [this, Id] { finishSearch(Id); });
+  for (const link::LinkId Link : At)
+    m_Links->outbox(Link).stream_questions.emplace_back(
+        Id, Key.m_High, Key.m_Low,
+        InOtherZones && m_Peers.at(Link).m_Info.m_IsNear);
+  return Id;
+}
+
+/// The callback may destroy the lookup, and other ones.
+void OriginExchange::finishSearch(SearchId Id) {
+  auto Node = m_Searches.extract(Id);
+  if (Node.empty())
+    return;
+  Search &Ended = Node.mapped();
+  Ended.m_Result.m_UnansweredCount += Ended.m_Unanswered.size();
+  Ended.m_OnDone(Ended.m_Result);
+}
+
+void OriginExchange::handleQuestion(link::LinkId From,
+                                    const wire::StreamQuestion &Asked) {
+  const StreamKey Key = {Asked.high(), Asked.low()};
+  const StreamOrigin *Known = findLocal(Key);
+  const std::vector<link::LinkId> Others =
+      Known == nullptr && Asked.in_other_zones() && isHub()
+          ? otherZones()
+          : std::vector<link::LinkId>();
+  if (Others.empty() || m_Searches.size() >= MaxSearches) {
+    sendAnswer(From, Asked.id(), Known);
+    return;
+  }
+  search(Key, Others, false, SearchTimeout,
+         [this, From, Question = Asked.id()](const LookupResult &Result) {
+           if (Result.m_Origin || Result.m_UnansweredCount == 0)
+             sendAnswer(From, Question,
+                        Result.m_Origin ? &*Result.m_Origin : nullptr);
+         });
+}
+
+void OriginExchange::sendAnswer(link::LinkId To, std::uint64_t Question,
+                                const StreamOrigin *Origin) {
+  if (m_Peers.contains(To))
+    m_Links->outbox(To).stream_answers.push_back(packAnswer(Question, Origin));
+}
+
+void OriginExchange::handleAnswer(link::LinkId From,
+                                  const wire::StreamAnswer &Answer) {
+  const auto Found = m_Searches.find(Answer.question());
+  if (Found == m_Searches.end() || Found->second.m_Unanswered.erase(From) == 0)
+    return;
+  Found->second.m_Result.m_Origin = unpack(Answer);
+  if (Found->second.m_Result.m_Origin || Found->second.m_Unanswered.empty())
+    finishSearch(Answer.question());
+}
+
+void OriginExchange::receive(link::LinkId From, const wire::Frame &Frame) {
+  const auto Sender = m_Peers.find(From);
+  if (Sender == m_Peers.end())
+    return;
+  if (const wire::StreamPeer *State = Frame.stream_peer()) {
+    Sender->second.m_TakesPart = true;
+    Sender->second.m_IsStopping = State->stopping();
+  }
+  if (Frame.stream_origins() != nullptr)
+    for (const wire::StreamOrigin *Received : *Frame.stream_origins())
+      handleRecord(Sender->second, *Received);
+  if (Frame.stream_questions() != nullptr)
+    for (const wire::StreamQuestion *Asked : *Frame.stream_questions())
+      handleQuestion(From, *Asked);
+  if (Frame.stream_answers() != nullptr)
+    for (const wire::StreamAnswer *Answer : *Frame.stream_answers())
+      handleAnswer(From, *Answer);
+}
+
+} // namespace crowstep::resume
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -168,6 +168,20 @@
 
 struct RelayCancel;
 
+struct StreamPeer;
+struct StreamPeerBuilder;
+struct StreamPeerT;
+
+struct StreamOrigin;
+struct StreamOriginBuilder;
+struct StreamOriginT;
+
+struct StreamQuestion;
+
+struct StreamAnswer;
+struct StreamAnswerBuilder;
+struct StreamAnswerT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -1154,6 +1168,59 @@
   using type = RelayCancel;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) StreamQuestion FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint64_t high_;
+  uint64_t low_;
+  uint8_t in_other_zones_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  StreamQuestion()
+      : id_(0),
+        high_(0),
+        low_(0),
+        in_other_zones_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  StreamQuestion(uint64_t _id, uint64_t _high, uint64_t _low, bool _in_other_zones)
+      : id_(flatbuffers::EndianScalar(_id)),
+        high_(flatbuffers::EndianScalar(_high)),
+        low_(flatbuffers::EndianScalar(_low)),
+        in_other_zones_(flatbuffers::EndianScalar(static_cast<uint8_t>(_in_other_zones))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint64_t high() const {
+    return flatbuffers::EndianScalar(high_);
+  }
+  uint64_t low() const {
+    return flatbuffers::EndianScalar(low_);
+  }
+  bool in_other_zones() const {
+    return flatbuffers::EndianScalar(in_other_zones_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(StreamQuestion, 32);
+
+struct StreamQuestion::Traits {
+  using type = StreamQuestion;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint16_t schema = 0;
@@ -4502,6 +4569,282 @@
 
 flatbuffers::Offset<RelayBytes> CreateRelayBytes(flatbuffers::FlatBufferBuilder &_fbb, const RelayBytesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct StreamPeerT : public flatbuffers::NativeTable {
+  typedef StreamPeer TableType;
+  bool stopping = false;
+};
+
+struct StreamPeer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamPeerT NativeTableType;
+  typedef StreamPeerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STOPPING = 4
+  };
+  bool stopping() const {
+    return GetField<uint8_t>(VT_STOPPING, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_STOPPING, 1) &&
+           verifier.EndTable();
+  }
+  StreamPeerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamPeerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamPeer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamPeerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamPeerBuilder {
+  typedef StreamPeer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_stopping(bool stopping) {
+    fbb_.AddElement<uint8_t>(StreamPeer::VT_STOPPING, static_cast<uint8_t>(stopping), 0);
+  }
+  explicit StreamPeerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamPeer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamPeer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamPeer> CreateStreamPeer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool stopping = false) {
+  StreamPeerBuilder builder_(_fbb);
+  builder_.add_stopping(stopping);
+  return builder_.Finish();
+}
+
+struct StreamPeer::Traits {
+  using type = StreamPeer;
+  static auto constexpr Create = CreateStreamPeer;
+};
+
+flatbuffers::Offset<StreamPeer> CreateStreamPeer(flatbuffers::FlatBufferBuilder &_fbb, const StreamPeerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StreamOriginT : public flatbuffers::NativeTable {
+  typedef StreamOrigin TableType;
+  uint64_t high = 0;
+  uint64_t low = 0;
+  std::string service{};
+  std::string software{};
+  uint32_t lifetime_ms = 0;
+};
+
+struct StreamOrigin FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamOriginT NativeTableType;
+  typedef StreamOriginBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HIGH = 4,
+    VT_LOW = 6,
+    VT_SERVICE = 8,
+    VT_SOFTWARE = 10,
+    VT_LIFETIME_MS = 12
+  };
+  uint64_t high() const {
+    return GetField<uint64_t>(VT_HIGH, 0);
+  }
+  uint64_t low() const {
+    return GetField<uint64_t>(VT_LOW, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *software() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE);
+  }
+  uint32_t lifetime_ms() const {
+    return GetField<uint32_t>(VT_LIFETIME_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_HIGH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LOW, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_SOFTWARE) &&
+           verifier.VerifyString(software()) &&
+           VerifyField<uint32_t>(verifier, VT_LIFETIME_MS, 4) &&
+           verifier.EndTable();
+  }
+  StreamOriginT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamOriginT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamOrigin> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamOriginBuilder {
+  typedef StreamOrigin Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_high(uint64_t high) {
+    fbb_.AddElement<uint64_t>(StreamOrigin::VT_HIGH, high, 0);
+  }
+  void add_low(uint64_t low) {
+    fbb_.AddElement<uint64_t>(StreamOrigin::VT_LOW, low, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(StreamOrigin::VT_SERVICE, service);
+  }
+  void add_software(flatbuffers::Offset<flatbuffers::String> software) {
+    fbb_.AddOffset(StreamOrigin::VT_SOFTWARE, software);
+  }
+  void add_lifetime_ms(uint32_t lifetime_ms) {
+    fbb_.AddElement<uint32_t>(StreamOrigin::VT_LIFETIME_MS, lifetime_ms, 0);
+  }
+  explicit StreamOriginBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamOrigin> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamOrigin>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamOrigin> CreateStreamOrigin(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t high = 0,
+    uint64_t low = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> software = 0,
+    uint32_t lifetime_ms = 0) {
+  StreamOriginBuilder builder_(_fbb);
+  builder_.add_low(low);
+  builder_.add_high(high);
+  builder_.add_lifetime_ms(lifetime_ms);
+  builder_.add_software(software);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct StreamOrigin::Traits {
+  using type = StreamOrigin;
+  static auto constexpr Create = CreateStreamOrigin;
+};
+
+inline flatbuffers::Offset<StreamOrigin> CreateStreamOriginDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t high = 0,
+    uint64_t low = 0,
+    const char *service = nullptr,
+    const char *software = nullptr,
+    uint32_t lifetime_ms = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto software__ = software ? _fbb.CreateString(software) : 0;
+  return crowstep::wire::CreateStreamOrigin(
+      _fbb,
+      high,
+      low,
+      service__,
+      software__,
+      lifetime_ms);
+}
+
+flatbuffers::Offset<StreamOrigin> CreateStreamOrigin(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StreamAnswerT : public flatbuffers::NativeTable {
+  typedef StreamAnswer TableType;
+  uint64_t question = 0;
+  std::string service{};
+  std::string software{};
+};
+
+struct StreamAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamAnswerT NativeTableType;
+  typedef StreamAnswerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_QUESTION = 4,
+    VT_SERVICE = 6,
+    VT_SOFTWARE = 8
+  };
+  uint64_t question() const {
+    return GetField<uint64_t>(VT_QUESTION, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *software() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_QUESTION, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_SOFTWARE) &&
+           verifier.VerifyString(software()) &&
+           verifier.EndTable();
+  }
+  StreamAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamAnswerBuilder {
+  typedef StreamAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_question(uint64_t question) {
+    fbb_.AddElement<uint64_t>(StreamAnswer::VT_QUESTION, question, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(StreamAnswer::VT_SERVICE, service);
+  }
+  void add_software(flatbuffers::Offset<flatbuffers::String> software) {
+    fbb_.AddOffset(StreamAnswer::VT_SOFTWARE, software);
+  }
+  explicit StreamAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamAnswer> CreateStreamAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t question = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> software = 0) {
+  StreamAnswerBuilder builder_(_fbb);
+  builder_.add_question(question);
+  builder_.add_software(software);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct StreamAnswer::Traits {
+  using type = StreamAnswer;
+  static auto constexpr Create = CreateStreamAnswer;
+};
+
+inline flatbuffers::Offset<StreamAnswer> CreateStreamAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t question = 0,
+    const char *service = nullptr,
+    const char *software = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto software__ = software ? _fbb.CreateString(software) : 0;
+  return crowstep::wire::CreateStreamAnswer(
+      _fbb,
+      question,
+      service__,
+      software__);
+}
+
+flatbuffers::Offset<StreamAnswer> CreateStreamAnswer(flatbuffers::FlatBufferBuilder &_fbb, const StreamAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   std::unique_ptr<crowstep::wire::HeartbeatT> heartbeat{};
@@ -4542,6 +4885,10 @@
   std::vector<std::unique_ptr<crowstep::wire::RelayBytesT>> relay_bytes{};
   std::vector<crowstep::wire::RelayCredit> relay_credits{};
   std::vector<crowstep::wire::RelayEnd> relay_ends{};
+  std::vector<std::unique_ptr<crowstep::wire::StreamOriginT>> stream_origins{};
+  std::vector<crowstep::wire::StreamQuestion> stream_questions{};
+  std::vector<std::unique_ptr<crowstep::wire::StreamAnswerT>> stream_answers{};
+  std::unique_ptr<crowstep::wire::StreamPeerT> stream_peer{};
   FrameT() = default;
   FrameT(const FrameT &o);
   FrameT(FrameT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4590,7 +4937,11 @@
     VT_RELAY_HEADS = 72,
     VT_RELAY_BYTES = 74,
     VT_RELAY_CREDITS = 76,
-    VT_RELAY_ENDS = 78
+    VT_RELAY_ENDS = 78,
+    VT_STREAM_ORIGINS = 80,
+    VT_STREAM_QUESTIONS = 82,
+    VT_STREAM_ANSWERS = 84,
+    VT_STREAM_PEER = 86
   };
   const crowstep::wire::Heartbeat *heartbeat() const {
     return GetPointer<const crowstep::wire::Heartbeat *>(VT_HEARTBEAT);
@@ -4706,6 +5057,18 @@
   const flatbuffers::Vector<const crowstep::wire::RelayEnd *> *relay_ends() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::RelayEnd *> *>(VT_RELAY_ENDS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::StreamOrigin>> *stream_origins() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::StreamOrigin>> *>(VT_STREAM_ORIGINS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::StreamQuestion *> *stream_questions() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::StreamQuestion *> *>(VT_STREAM_QUESTIONS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::StreamAnswer>> *stream_answers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::StreamAnswer>> *>(VT_STREAM_ANSWERS);
+  }
+  const crowstep::wire::StreamPeer *stream_peer() const {
+    return GetPointer<const crowstep::wire::StreamPeer *>(VT_STREAM_PEER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HEARTBEAT) &&
@@ -4796,6 +5159,16 @@
            verifier.VerifyVector(relay_credits()) &&
            VerifyOffset(verifier, VT_RELAY_ENDS) &&
            verifier.VerifyVector(relay_ends()) &&
+           VerifyOffset(verifier, VT_STREAM_ORIGINS) &&
+           verifier.VerifyVector(stream_origins()) &&
+           verifier.VerifyVectorOfTables(stream_origins()) &&
+           VerifyOffset(verifier, VT_STREAM_QUESTIONS) &&
+           verifier.VerifyVector(stream_questions()) &&
+           VerifyOffset(verifier, VT_STREAM_ANSWERS) &&
+           verifier.VerifyVector(stream_answers()) &&
+           verifier.VerifyVectorOfTables(stream_answers()) &&
+           VerifyOffset(verifier, VT_STREAM_PEER) &&
+           verifier.VerifyTable(stream_peer()) &&
            verifier.EndTable();
   }
   FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4921,6 +5294,18 @@
   void add_relay_ends(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayEnd *>> relay_ends) {
     fbb_.AddOffset(Frame::VT_RELAY_ENDS, relay_ends);
   }
+  void add_stream_origins(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::StreamOrigin>>> stream_origins) {
+    fbb_.AddOffset(Frame::VT_STREAM_ORIGINS, stream_origins);
+  }
+  void add_stream_questions(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::StreamQuestion *>> stream_questions) {
+    fbb_.AddOffset(Frame::VT_STREAM_QUESTIONS, stream_questions);
+  }
+  void add_stream_answers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::StreamAnswer>>> stream_answers) {
+    fbb_.AddOffset(Frame::VT_STREAM_ANSWERS, stream_answers);
+  }
+  void add_stream_peer(flatbuffers::Offset<crowstep::wire::StreamPeer> stream_peer) {
+    fbb_.AddOffset(Frame::VT_STREAM_PEER, stream_peer);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4971,8 +5356,16 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayHead>>> relay_heads = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::RelayBytes>>> relay_bytes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayCredit *>> relay_credits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayEnd *>> relay_ends = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::RelayEnd *>> relay_ends = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::StreamOrigin>>> stream_origins = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::StreamQuestion *>> stream_questions = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::StreamAnswer>>> stream_answers = 0,
+    flatbuffers::Offset<crowstep::wire::StreamPeer> stream_peer = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_stream_peer(stream_peer);
+  builder_.add_stream_answers(stream_answers);
+  builder_.add_stream_questions(stream_questions);
+  builder_.add_stream_origins(stream_origins);
   builder_.add_relay_ends(relay_ends);
   builder_.add_relay_credits(relay_credits);
   builder_.add_relay_bytes(relay_bytes);
@@ -5058,7 +5451,11 @@
     const std::vector<flatbuffers::Offset<crowstep::wire::RelayHead>> *relay_heads = nullptr,
     const std::vector<flatbuffers::Offset<crowstep::wire::RelayBytes>> *relay_bytes = nullptr,
     const std::vector<crowstep::wire::RelayCredit> *relay_credits = nullptr,
-    const std::vector<crowstep::wire::RelayEnd> *relay_ends = nullptr) {
+    const std::vector<crowstep::wire::RelayEnd> *relay_ends = nullptr,
+    const std::vector<flatbuffers::Offset<crowstep::wire::StreamOrigin>> *stream_origins = nullptr,
+    const std::vector<crowstep::wire::StreamQuestion> *stream_questions = nullptr,
+    const std::vector<flatbuffers::Offset<crowstep::wire::StreamAnswer>> *stream_answers = nullptr,
+    flatbuffers::Offset<crowstep::wire::StreamPeer> stream_peer = 0) {
   auto bids__ = bids ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::Bid>>(*bids) : 0;
   auto grants__ = grants ? _fbb.CreateVectorOfStructs<crowstep::wire::Grant>(*grants) : 0;
   auto work_ends__ = work_ends ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkEnd>(*work_ends) : 0;
@@ -5084,6 +5481,9 @@
   auto relay_bytes__ = relay_bytes ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::RelayBytes>>(*relay_bytes) : 0;
   auto relay_credits__ = relay_credits ? _fbb.CreateVectorOfStructs<crowstep::wire::RelayCredit>(*relay_credits) : 0;
   auto relay_ends__ = relay_ends ? _fbb.CreateVectorOfStructs<crowstep::wire::RelayEnd>(*relay_ends) : 0;
+  auto stream_origins__ = stream_origins ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::StreamOrigin>>(*stream_origins) : 0;
+  auto stream_questions__ = stream_questions ? _fbb.CreateVectorOfStructs<crowstep::wire::StreamQuestion>(*stream_questions) : 0;
+  auto stream_answers__ = stream_answers ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::StreamAnswer>>(*stream_answers) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
       heartbeat,
@@ -5123,7 +5523,11 @@
       relay_heads__,
       relay_bytes__,
       relay_credits__,
-      relay_ends__);
+      relay_ends__,
+      stream_origins__,
+      stream_questions__,
+      stream_answers__,
+      stream_peer);
 }
 
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6313,6 +6717,102 @@
       _bytes);
 }
 
+inline StreamPeerT *StreamPeer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamPeerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamPeer::UnPackTo(StreamPeerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = stopping(); _o->stopping = _e; }
+}
+
+inline flatbuffers::Offset<StreamPeer> StreamPeer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamPeerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamPeer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamPeer> CreateStreamPeer(flatbuffers::FlatBufferBuilder &_fbb, const StreamPeerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamPeerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _stopping = _o->stopping;
+  return crowstep::wire::CreateStreamPeer(
+      _fbb,
+      _stopping);
+}
+
+inline StreamOriginT *StreamOrigin::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamOriginT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamOrigin::UnPackTo(StreamOriginT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = high(); _o->high = _e; }
+  { auto _e = low(); _o->low = _e; }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = software(); if (_e) _o->software = _e->str(); }
+  { auto _e = lifetime_ms(); _o->lifetime_ms = _e; }
+}
+
+inline flatbuffers::Offset<StreamOrigin> StreamOrigin::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamOrigin(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamOrigin> CreateStreamOrigin(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamOriginT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _high = _o->high;
+  auto _low = _o->low;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _software = _o->software.empty() ? 0 : _fbb.CreateString(_o->software);
+  auto _lifetime_ms = _o->lifetime_ms;
+  return crowstep::wire::CreateStreamOrigin(
+      _fbb,
+      _high,
+      _low,
+      _service,
+      _software,
+      _lifetime_ms);
+}
+
+inline StreamAnswerT *StreamAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamAnswerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamAnswer::UnPackTo(StreamAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = question(); _o->question = _e; }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = software(); if (_e) _o->software = _e->str(); }
+}
+
+inline flatbuffers::Offset<StreamAnswer> StreamAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamAnswer> CreateStreamAnswer(flatbuffers::FlatBufferBuilder &_fbb, const StreamAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _question = _o->question;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _software = _o->software.empty() ? 0 : _fbb.CreateString(_o->software);
+  return crowstep::wire::CreateStreamAnswer(
+      _fbb,
+      _question,
+      _service,
+      _software);
+}
+
 inline FrameT::FrameT(const FrameT &o)
       : heartbeat((o.heartbeat) ? new crowstep::wire::HeartbeatT(*o.heartbeat) : nullptr),
         table_probe((o.table_probe) ? new crowstep::wire::TableProbeT(*o.table_probe) : nullptr),
@@ -6339,7 +6839,9 @@
         relay_starts(o.relay_starts),
         relay_ready(o.relay_ready),
         relay_credits(o.relay_credits),
-        relay_ends(o.relay_ends) {
+        relay_ends(o.relay_ends),
+        stream_questions(o.stream_questions),
+        stream_peer((o.stream_peer) ? new crowstep::wire::StreamPeerT(*o.stream_peer) : nullptr) {
   bids.reserve(o.bids.size());
   for (const auto &bids_ : o.bids) { bids.emplace_back((bids_) ? new crowstep::wire::BidT(*bids_) : nullptr); }
   running.reserve(o.running.size());
@@ -6364,6 +6866,10 @@
   for (const auto &relay_heads_ : o.relay_heads) { relay_heads.emplace_back((relay_heads_) ? new crowstep::wire::RelayHeadT(*relay_heads_) : nullptr); }
   relay_bytes.reserve(o.relay_bytes.size());
   for (const auto &relay_bytes_ : o.relay_bytes) { relay_bytes.emplace_back((relay_bytes_) ? new crowstep::wire::RelayBytesT(*relay_bytes_) : nullptr); }
+  stream_origins.reserve(o.stream_origins.size());
+  for (const auto &stream_origins_ : o.stream_origins) { stream_origins.emplace_back((stream_origins_) ? new crowstep::wire::StreamOriginT(*stream_origins_) : nullptr); }
+  stream_answers.reserve(o.stream_answers.size());
+  for (const auto &stream_answers_ : o.stream_answers) { stream_answers.emplace_back((stream_answers_) ? new crowstep::wire::StreamAnswerT(*stream_answers_) : nullptr); }
 }
 
 inline FrameT &FrameT::operator=(FrameT o) FLATBUFFERS_NOEXCEPT {
@@ -6405,6 +6911,10 @@
   std::swap(relay_bytes, o.relay_bytes);
   std::swap(relay_credits, o.relay_credits);
   std::swap(relay_ends, o.relay_ends);
+  std::swap(stream_origins, o.stream_origins);
+  std::swap(stream_questions, o.stream_questions);
+  std::swap(stream_answers, o.stream_answers);
+  std::swap(stream_peer, o.stream_peer);
   return *this;
 }
 
@@ -6455,6 +6965,10 @@
   { auto _e = relay_bytes(); if (_e) { _o->relay_bytes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relay_bytes[_i] = std::unique_ptr<crowstep::wire::RelayBytesT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = relay_credits(); if (_e) { _o->relay_credits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relay_credits[_i] = *_e->Get(_i); } } }
   { auto _e = relay_ends(); if (_e) { _o->relay_ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relay_ends[_i] = *_e->Get(_i); } } }
+  { auto _e = stream_origins(); if (_e) { _o->stream_origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->stream_origins[_i] = std::unique_ptr<crowstep::wire::StreamOriginT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = stream_questions(); if (_e) { _o->stream_questions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->stream_questions[_i] = *_e->Get(_i); } } }
+  { auto _e = stream_answers(); if (_e) { _o->stream_answers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->stream_answers[_i] = std::unique_ptr<crowstep::wire::StreamAnswerT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = stream_peer(); if (_e) _o->stream_peer = std::unique_ptr<crowstep::wire::StreamPeerT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Frame> Frame::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6503,6 +7017,10 @@
   auto _relay_bytes = _o->relay_bytes.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::RelayBytes>> (_o->relay_bytes.size(), [](size_t i, _VectorArgs *__va) { return CreateRelayBytes(*__va->__fbb, __va->__o->relay_bytes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _relay_credits = _o->relay_credits.size() ? _fbb.CreateVectorOfStructs(_o->relay_credits) : 0;
   auto _relay_ends = _o->relay_ends.size() ? _fbb.CreateVectorOfStructs(_o->relay_ends) : 0;
+  auto _stream_origins = _o->stream_origins.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::StreamOrigin>> (_o->stream_origins.size(), [](size_t i, _VectorArgs *__va) { return CreateStreamOrigin(*__va->__fbb, __va->__o->stream_origins[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _stream_questions = _o->stream_questions.size() ? _fbb.CreateVectorOfStructs(_o->stream_questions) : 0;
+  auto _stream_answers = _o->stream_answers.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::StreamAnswer>> (_o->stream_answers.size(), [](size_t i, _VectorArgs *__va) { return CreateStreamAnswer(*__va->__fbb, __va->__o->stream_answers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _stream_peer = _o->stream_peer ? CreateStreamPeer(_fbb, _o->stream_peer.get(), _rehasher) : 0;
   return crowstep::wire::CreateFrame(
       _fbb,
       _heartbeat,
@@ -6542,7 +7060,11 @@
       _relay_heads,
       _relay_bytes,
       _relay_credits,
-      _relay_ends);
+      _relay_ends,
+      _stream_origins,
+      _stream_questions,
+      _stream_answers,
+      _stream_peer);
 }
 
 inline const crowstep::wire::Frame *GetFrame(const void *buf) {
--- a/tests/process/versioned_upstream.h
+++ b/tests/process/versioned_upstream.h
@@ -193,8 +193,10 @@
 /// another.
 class VersionFleet : public GatewayFleet {
 public:
-  /// Until all gateways know one another.
-  static constexpr Duration ListingTime = std::chrono::seconds(4);
+  /// Until all gateways know one another and have their share of the retry
+  /// budget.
+  static constexpr Duration ListingTime =
+      balance::RetryBudget::GrowthSettleTime + std::chrono::seconds(4);
 
   explicit VersionFleet(std::size_t Gateways) : GatewayFleet(Gateways) {
     for (const char *Version : {"v1", "v2", "v1", "v2"})
--- a/tests/unit/forwarded_request_env.h
+++ b/tests/unit/forwarded_request_env.h
@@ -3,6 +3,7 @@
 #define CROWSTEP_TESTS_UNIT_FORWARDED_REQUEST_ENV_H
 
 #include "gateway/forwarded_request.h"
+#include "unit/fake_origins.h"
 #include "unit/fake_prober.h"
 #include "unit/plain_codec.h"
 
@@ -109,21 +110,15 @@
   FakeProber m_Prober;
   CrashWatch m_CrashWatch{m_Clock, m_Timers, m_Balancer, m_Prober, m_Metrics};
   WaitQueue m_WaitQueue{m_Timers};
+  FakeOrigins m_Origins;
   SystemWallClock m_WallClock;
   duty::MajorityClock m_Time{m_WallClock, m_Clock};
   duty::UsageMeter m_Meter{{InstanceId(1), Incarnation(1)}, 1h, m_Time};
-  ForwardContext m_Context{m_Clock,
-                           m_Timers,
-                           m_Balancer,
-                           m_Budget,
-                           m_Transport,
-                           m_CrashWatch,
-                           m_Codec,
-                           m_Stats,
-                           m_WaitQueue,
-                           [] { return 0.5; },
-                           [] { return false; },
-                           &m_Meter};
+  ForwardContext m_Context{
+      m_Clock,     m_Timers,     m_Balancer,         m_Budget,
+      m_Transport, m_CrashWatch, m_Origins,          m_Codec,
+      m_Stats,     m_WaitQueue,  [] { return 0.5; }, [] { return false; },
+      &m_Meter};
   CallerRecord m_Record;
   int m_Finished = 0;
   std::vector<balance::TicketId> m_Others; ///< Of takeAllSlots().
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -220,7 +220,11 @@
 /// A caller resumes a stream itself: the upstream is told where, and no event
 /// that the caller has is sent again.
 BOOST_AUTO_TEST_CASE(ACallersOwnResumptionIsPassedOn) {
-  TestEnv Env(Resumable, 2, {{"Call-After", "7"}});
+  TestEnv Env(Resumable, 2, {{"Call-After", "7"}, {"Call-Resumes", "first"}},
+              PlainService{4}, {}, [](TestEnv &Made) {
+                Made.m_Origins.m_Known[resume::streamKeyOf("", "first")] = {
+                    "s", SoftwareVersion("1.0")};
+              });
   BOOST_TEST(*findHeader(Env.call(0).m_Send.m_Headers, "Call-After") == "7");
   Env.sendGoodHeaders(0);
   Env.sendBytes(0, event(7) + event(8));
--- a/tests/unit/path_fleet.h
+++ b/tests/unit/path_fleet.h
@@ -2,6 +2,7 @@
 #ifndef CROWSTEP_TESTS_UNIT_PATH_FLEET_H
 #define CROWSTEP_TESTS_UNIT_PATH_FLEET_H
 
+#include "gateway/digest_exchange.h"
 #include "relay/call_relay.h"
 #include "unit/forwarded_request_env.h"
 #include "unit/simulated_links.h"
@@ -19,6 +20,7 @@
   TimePoint m_SentAt;                          ///< By the caller.
   TimePoint m_EndedAt;                         ///< Once it has ended.
   bool m_HasEnded = false;                     ///< It was answered.
+  bool m_IsLost = false;                       ///< With its instance.
   CallerRecord m_Record;                       ///< What the caller received.
   std::unique_ptr<ForwardedRequest> m_Request; ///< At the instance.
 
@@ -63,7 +65,8 @@
       : m_Self(std::move(Self)), m_Balancer(m_Self.m_Zone, Index + 1),
         m_Upstreams(World, Time, Index),
         m_CrashWatch(Time, Timers, m_Balancer, m_Upstreams, m_Metrics),
-        m_WaitQueue(Timers),
+        m_WaitQueue(Timers), m_Origins(instanceIdOf(m_Self.m_Name),
+                                       m_Self.m_Zone, Time, Timers, m_Metrics),
         m_Relay(m_Self,
                 {Time, Timers, m_Metrics, m_Balancer, m_Upstreams, m_Upstreams,
                  m_CrashWatch, m_Codec},
@@ -74,6 +77,7 @@
                   m_Budget,
                   m_Relay.transport(),
                   m_CrashWatch,
+                  m_Origins,
                   m_Codec,
                   m_Stats,
                   m_WaitQueue,
@@ -90,6 +94,22 @@
     m_Relay.setUpstreams(List);
   }
 
+  /// Exchanges digests and origins of streams with \p Peers.
+  void joinDigests(LinkNetwork &Net, ManualScheduler &Timers, const Clock &Time,
+                   const PeerList &Peers) {
+    m_DigestSelf = m_Self;
+    m_DigestSelf.m_RelayAddress = m_Self.m_Address;
+    m_Digests = std::make_unique<DigestExchange>(
+        m_Self,
+        [this, &Net](const std::string &, link::LinkListener &Listener) {
+          return std::make_unique<SimulatedLinks>(Net, m_DigestSelf, true,
+                                                  Listener);
+        },
+        Time, Timers, m_Balancer, m_Metrics, [](const DirectoryUpdate &) {},
+        nullptr, &m_Origins);
+    m_Digests->setPeers(Peers);
+  }
+
   relay::RelayLinksFactory linksFactory(LinkNetwork &Net, bool Listens) {
     return [this, &Net, Listens](const std::string &,
                                  link::LinkListener &Listener) {
@@ -107,8 +127,11 @@
   EmptyDirectory m_Directory;
   CrashWatch m_CrashWatch;
   WaitQueue m_WaitQueue;
+  resume::OriginExchange m_Origins;
   relay::CallRelay m_Relay;
   ForwardContext m_Context;
+  PeerInstance m_DigestSelf; ///< It listens for digests at its own address.
+  std::unique_ptr<DigestExchange> m_Digests; ///< Null: see joinDigests().
 };
 
 /// Requests of the callers of some instances within a time, at their first
@@ -170,13 +193,25 @@
                                   m_Clock.now() - 10s);
     Started.m_Relay.setTable(m_Table);
     Started.m_Relay.setPeers(m_Peers);
+    if (m_HasDigests)
+      Started.joinDigests(m_DigestLinks, m_Timers, m_Clock, m_Peers);
+  }
+
+  /// Lets all instances, and those that start later, exchange digests and
+  /// origins of streams.
+  void joinDigests() {
+    m_HasDigests = true;
+    for (const auto &Instance : m_Instances)
+      Instance->joinDigests(m_DigestLinks, m_Timers, m_Clock, m_Peers);
   }
 
   /// Kills an instance, with all of its requests.
   void stopInstance(std::size_t Index) {
     for (const auto &Request : m_Requests)
-      if (Request->m_Instance == Index)
+      if (Request->m_Instance == Index && Request->m_Request != nullptr) {
+        Request->m_IsLost = !Request->m_HasEnded;
         Request->m_Request.reset();
+      }
     m_Instances[Index].reset();
   }
 
@@ -224,15 +259,17 @@
   /// Lets an instance read nothing from other instances until thaw().
   void freeze(std::size_t Index) {
     m_Links.m_Frozen.insert(m_Peers.m_Instances[Index].m_Name);
+    m_DigestLinks.m_Frozen.insert(m_Peers.m_Instances[Index].m_Name);
   }
   void thaw(std::size_t Index) {
     m_Links.thaw(m_Peers.m_Instances[Index].m_Name);
+    m_DigestLinks.thaw(m_Peers.m_Instances[Index].m_Name);
   }
 
   /// Sends a request of kind \p Number % 3: a call that may run once, one that
   /// may run again, or a stream that may resume.
   PathRequest &send(std::size_t Instance, unsigned Number,
-                    const std::string &Body = {}) {
+                    const std::string &Body = {}, const HeaderList &More = {}) {
     static constexpr std::array<const char *, 3> Paths = {"/hold/", "/check/",
                                                           "/guide/"};
     const unsigned Kind = Number % Paths.size();
@@ -249,6 +286,8 @@
         Body.empty() ? "body " + Result.m_Id : Body};
     if (Kind == 2)
       Incoming.m_Headers.push_back({"Call-Prompt", "100"});
+    Incoming.m_Headers.insert(Incoming.m_Headers.end(), More.begin(),
+                              More.end());
     PathInstance &At = *m_Instances.at(Instance);
     auto Admission = admit(Incoming, m_Table, At.m_Codec);
     Result.m_Request = std::make_unique<ForwardedRequest>(
@@ -374,6 +413,8 @@
   ManualScheduler m_Timers{m_Clock};
   UpstreamWorld m_World{m_Timers};
   LinkNetwork m_Links{m_Timers};
+  LinkNetwork m_DigestLinks{m_Timers};
+  bool m_HasDigests = false; ///< See joinDigests().
   std::size_t m_Zones;
   RouteTablePtr m_Table;
   PeerList m_Peers;
--- a/tests/unit/simulated_links.h
+++ b/tests/unit/simulated_links.h
@@ -21,7 +21,8 @@
 /// Connects SimulatedLinks. Frames take a millisecond and keep their order.
 class LinkNetwork {
 public:
-  static constexpr Duration Delay = 1ms; ///< One way.
+  static constexpr Duration Delay = 1ms;        ///< One way.
+  static constexpr Duration RedialTime = 100ms; ///< After a failed dial.
 
   explicit LinkNetwork(ManualScheduler &Timers) : m_Timers(Timers) {}
 
@@ -38,6 +39,9 @@
   void send(link::LinkId Link);
   void close(link::LinkId Link);
 
+  /// The instance has started.
+  void add(SimulatedLinks &Started);
+
   /// The instance is gone: its links close at their other ends.
   void remove(SimulatedLinks &Gone);
 
@@ -49,12 +53,14 @@
   void thaw(const std::string &Instance);
 
   std::map<Address, SimulatedLinks *> m_Listening; ///< By relay address.
+  std::map<std::uint64_t, SimulatedLinks *> m_All; ///< By serial number.
   std::map<link::LinkId, End> m_Ends;              ///< Open.
   std::set<std::string> m_Frozen; ///< Instances that read nothing.
   std::uint64_t m_Bytes = 0;      ///< Of all frames.
   std::size_t m_LinkCount = 0;    ///< Made so far.
 
 private:
+  void redial(const SimulatedLinks &From, const Address &Where);
   void deliver(link::LinkId To, const std::vector<std::uint8_t> &Bytes);
   void after(Duration Span, std::function<void()> Job) {
     m_Timers.runAfter(Span, std::move(Job));
@@ -62,6 +68,7 @@
 
   ManualScheduler &m_Timers; ///< Outlives it.
   std::uint64_t m_LastId = 0;
+  std::uint64_t m_LastSerial = 0;
   wire::FrameT m_Discarded; ///< For closed links.
   std::vector<std::pair<link::LinkId, std::vector<std::uint8_t>>>
       m_Unread; ///< By frozen instances.
@@ -73,6 +80,7 @@
   SimulatedLinks(LinkNetwork &Net, const gateway::PeerInstance &Self,
                  bool Listens, link::LinkListener &Listener)
       : m_Network(Net), m_Self(Self), m_Listener(Listener) {
+    m_Network.add(*this);
     if (Listens)
       m_Network.m_Listening[Self.m_RelayAddress] = this;
   }
@@ -80,8 +88,12 @@
   SimulatedLinks(const SimulatedLinks &) = delete;
   SimulatedLinks &operator=(const SimulatedLinks &) = delete;
 
-  void dial(const Address &Where) override { m_Network.connect(*this, Where); }
+  void dial(const Address &Where) override {
+    m_Wanted.insert(Where);
+    m_Network.connect(*this, Where);
+  }
   void disconnect(const Address &Where) override {
+    m_Wanted.erase(Where);
     const auto Found = m_Dialled.find(Where);
     if (Found == m_Dialled.end())
       return;
@@ -104,13 +116,22 @@
   gateway::PeerInstance m_Self;              ///< Its instance.
   link::LinkListener &m_Listener;            ///< Outlives it.
   std::map<Address, link::LinkId> m_Dialled; ///< Links that it dialled.
+  std::set<Address> m_Wanted;                ///< Dialled until disconnect().
+  std::uint64_t m_Serial = 0;                ///< Unique in the network.
 };
 
 inline void LinkNetwork::connect(SimulatedLinks &From, const Address &Where) {
-  after(Delay * 4, [this, &From, Where] {
+  after(Delay * 4, [this, Serial = From.m_Serial, Where] {
+    const auto Dialler = m_All.find(Serial);
+    if (Dialler == m_All.end() || !Dialler->second->m_Wanted.contains(Where) ||
+        Dialler->second->m_Dialled.contains(Where))
+      return;
+    SimulatedLinks &From = *Dialler->second;
     const auto Found = m_Listening.find(Where);
-    if (Found == m_Listening.end() || From.m_Dialled.contains(Where))
+    if (Found == m_Listening.end()) {
+      redial(From, Where);
       return;
+    }
     SimulatedLinks &To = *Found->second;
     const link::LinkId Near(++m_LastId);
     const link::LinkId Far(++m_LastId);
@@ -123,6 +144,19 @@
   });
 }
 
+inline void LinkNetwork::redial(const SimulatedLinks &From,
+                                const Address &Where) {
+  after(RedialTime, [this, Serial = From.m_Serial, Where] {
+    if (const auto Dialler = m_All.find(Serial); Dialler != m_All.end())
+      connect(*Dialler->second, Where);
+  });
+}
+
+inline void LinkNetwork::add(SimulatedLinks &Started) {
+  Started.m_Serial = ++m_LastSerial;
+  m_All[Started.m_Serial] = &Started;
+}
+
 inline wire::FrameT &LinkNetwork::outbox(link::LinkId Link) {
   const auto Found = m_Ends.find(Link);
   if (Found == m_Ends.end())
@@ -167,7 +201,7 @@
   const auto Unread = std::move(m_Unread);
   m_Unread.clear();
   for (const auto &[To, Bytes] : Unread)
-    deliver(To, Bytes);
+    deliver(To, Bytes); // Those of other frozen instances stay unread.
 }
 
 inline void LinkNetwork::close(link::LinkId Link) {
@@ -184,6 +218,9 @@
       return;
     SimulatedLinks &Owner = *Other->second.m_Owner;
     m_Ends.erase(Other);
+    for (const auto &[Where, Dialled] : Owner.m_Dialled)
+      if (Dialled == Remote)
+        redial(Owner, Where);
     std::erase_if(Owner.m_Dialled,
                   [&](const auto &Entry) { return Entry.second == Remote; });
     Owner.m_Listener.linkDown(Remote, Self, link::CloseReason::PeerClosed);
@@ -191,6 +228,7 @@
 }
 
 inline void LinkNetwork::remove(SimulatedLinks &Gone) {
+  m_All.erase(Gone.m_Serial);
   std::erase_if(m_Listening,
                 [&](const auto &Entry) { return Entry.second == &Gone; });
   std::vector<link::LinkId> Links;
--- a/tests/unit/simulated_upstreams.h
+++ b/tests/unit/simulated_upstreams.h
@@ -63,6 +63,7 @@
   std::vector<UpstreamRun> m_Runs; ///< In order.
   std::size_t m_EventBytes = 1;    ///< Of an event's data.
   bool m_PausedDesks = false;      ///< Plain upstreams request a pause.
+  bool m_StampsVersions = false;   ///< An event's data is the version.
 };
 
 class SimulatedUpstreams;
@@ -84,6 +85,10 @@
   /// The paths of the instance have changed.
   void handlePathChange();
 
+  /// The upstream's process has ended.
+  void handleCrash() { end(TransportEnd::Broken); }
+  [[nodiscard]] const Address &address() const { return m_Request.m_Address; }
+
 private:
   void connect();
   void handleConnected();
@@ -144,6 +149,15 @@
         Call->handlePathChange();
   }
 
+  /// The process of the upstream at \p Where has ended.
+  void handleCrash(const Address &Where) {
+    m_Kept.erase(Where);
+    const std::set<SimulatedCall *> Before = m_Calls;
+    for (SimulatedCall *Call : Before)
+      if (m_Calls.contains(Call) && Call->address() == Where)
+        Call->handleCrash();
+  }
+
   [[nodiscard]] const Upstream *upstreamAt(const Address &Where) const {
     for (const Upstream &Entry : m_World.m_List)
       if (Entry.m_Address == Where)
@@ -257,8 +271,14 @@
         503, {{"Call-Not-Run", "1"}, {"Call-Pause-Ms", "2000"}});
     return;
   }
-  m_IsRunning = true;
   const HeaderList &Headers = m_Request.m_Headers;
+  // Another process may listen at the address by now.
+  if (*findHeader(Headers, "Call-Upstream") !=
+      m_Owner.upstreamAt(m_Request.m_Address)->m_Name) {
+    m_Listener.upstreamHeaders(421, {{"Call-Not-Run", "1"}});
+    return;
+  }
+  m_IsRunning = true;
   m_Owner.m_World.m_Runs.push_back(
       {*findHeader(Headers, "Call-Id"),
        m_Owner.upstreamAt(m_Request.m_Address)->m_Name, m_Owner.m_Self});
@@ -283,8 +303,11 @@
     const std::string Number = std::to_string(m_NextEvent++);
     after(UpstreamWorld::EventInterval, &SimulatedCall::sendNext);
     m_Listener.upstreamBytes(
-        "id: " + Number +
-        "\ndata: " + std::string(m_Owner.m_World.m_EventBytes, 'x') + "\n\n");
+        "id: " + Number + "\ndata: " +
+        (m_Owner.m_World.m_StampsVersions
+             ? m_Owner.upstreamAt(m_Request.m_Address)->m_Software.text()
+             : std::string(m_Owner.m_World.m_EventBytes, 'x')) +
+        "\n\n");
     return;
   }
   if (!isStream())
