Fix: Serve resumed streams of callers that don't name them where one version serves

Such a stream can have begun at one version only if all upstreams of the service that this instance has seen in the last minute have the same known one; it is then continued there. Otherwise it is still refused.

Ruled out: a key from the request's content, equal in all attempts, would need a second record at other instances for each stream; one version at the moment of the question, as another one may have been removed just before.

--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -89,6 +89,14 @@
 }
 
 void ForwardedRequest::findOrigin() {
+  if (m_Admitted.m_Facts.m_Resumes.empty()) {
+    if (const auto Sole = m_Context.m_Software.soleVersionOf(
+            m_Service, m_Context.m_Clock.now()))
+      continueFrom({m_Service, *Sole});
+    else
+      handleOrigin({});
+    return;
+  }
   const resume::StreamKey Key = streamKey();
   if (const resume::StreamOrigin *Known = m_Context.m_Origins.findLocal(Key))
     continueFrom(*Known);
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -17,6 +17,7 @@
 #include "gateway/call_transport.h"
 #include "gateway/crash_watch.h"
 #include "gateway/gateway_stats.h"
+#include "gateway/software_history.h"
 #include "gateway/wait_queue.h"
 #include "http/caller.h"
 #include "http/sse_splitter.h"
@@ -37,6 +38,7 @@
   CallTransport &m_Transport;          ///< Sends calls.
   CrashWatch &m_CrashWatch;            ///< Handles broken calls.
   resume::OriginDirectory &m_Origins;  ///< Knows where streams began.
+  const SoftwareHistory &m_Software;   ///< Versions of the upstreams.
   const HeaderCodec &m_Codec;          ///< Reads and writes headers.
   GatewayStats &m_Stats;               ///< Metrics.
   WaitQueue &m_WaitQueue;              ///< Calls that wait for room.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -113,6 +113,7 @@
                 m_CallRelay->transport(),
                 m_CrashWatch,
                 m_Origins,
+                m_Software,
                 *m_PlatformParts.m_Codec,
                 m_Stats,
                 m_WaitQueue,
@@ -210,6 +211,7 @@
 
 void Gateway::upstreamsChanged(const std::vector<Upstream> &List) {
   m_UpstreamsKnown = true;
+  m_Software.record(List, m_Clock.now());
   m_CrashWatch.upstreamsChanged(List);
   m_Balancer.setUpstreams(List);
   m_CallRelay->setUpstreams(List);
--- a/tests/unit/path_fleet.h
+++ b/tests/unit/path_fleet.h
@@ -78,6 +78,7 @@
                   m_Relay.transport(),
                   m_CrashWatch,
                   m_Origins,
+                  m_Software,
                   m_Codec,
                   m_Stats,
                   m_WaitQueue,
@@ -127,6 +128,7 @@
   EmptyDirectory m_Directory;
   CrashWatch m_CrashWatch;
   WaitQueue m_WaitQueue;
+  SoftwareHistory m_Software;
   resume::OriginExchange m_Origins;
   relay::CallRelay m_Relay;
   ForwardContext m_Context;
