--- a/tests/process/gateway_config.cpp
+++ b/tests/process/gateway_config.cpp
@@ -62,9 +62,9 @@
 }
 
 std::string upstreamRow(const Address &Upstream, unsigned Slots,
-                        const std::string &State) {
+                        const std::string &State, const std::string &Version) {
   return nlohmann::json{{"service", "s"}, {"address", toString(Upstream)},
-                        {"zone", "a"},    {"version", "1.0"},
+                        {"zone", "a"},    {"version", Version},
                         {"slots", Slots}, {"state", State}}
       .dump();
 }
--- a/tests/process/gateway_config.h
+++ b/tests/process/gateway_config.h
@@ -38,7 +38,8 @@
 
 /// Returns the value of the store row of the upstream at \p Upstream, as JSON.
 std::string upstreamRow(const Address &Upstream, unsigned Slots,
-                        const std::string &State);
+                        const std::string &State,
+                        const std::string &Version = "1.0");
 
 } // namespace crowstep::test
 
--- a/tests/process/versioned_upstream.h
+++ b/tests/process/versioned_upstream.h
@@ -33,10 +33,10 @@
 
   /// Writes the upstream's entry; an empty \p State removes it.
   void list(const std::string &State) {
-    nlohmann::json Row =
-        nlohmann::json::parse(upstreamRow(m_Path->address(), 64, State));
-    Row["version"] = m_Version;
-    m_Store.put("servers", m_Name, State.empty() ? "" : Row.dump());
+    m_Store.put("servers", m_Name,
+                State.empty()
+                    ? ""
+                    : upstreamRow(m_Path->address(), 64, State, m_Version));
   }
 
   /// Closes the connections of all streams in progress.
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -43,6 +43,11 @@
   std::string m_Run;     ///< Name of the upstream's incarnation.
 };
 
+bool hasBegun(const RequestRecord &Request) {
+  return Request.m_Result->m_Status == HttpOk &&
+         !Request.m_Result->m_Body.empty();
+}
+
 std::vector<Event> parseEvents(const std::string &Body) {
   std::vector<Event> Result;
   std::istringstream Lines(Body);
@@ -60,6 +65,10 @@
 
 } // namespace
 
+std::string versionOfRun(const std::string &Run) {
+  return Run.substr(Run.find('.') + 1);
+}
+
 void Ledger::recordArrival(const std::string &Id, const std::string &Upstream,
                            TimePoint Now) {
   m_Arrivals.push_back({Id, Upstream, Now});
@@ -119,19 +128,125 @@
   std::set<std::string> Runs;
   for (std::size_t I = 0; I < Events.size(); ++I) {
     Runs.insert(Events[I].m_Run);
-    if (Events[I].m_Id != static_cast<int>(I) + 1 || Events[I].m_Attempt != Id)
+    if (Events[I].m_Id != Request.m_LastEvent + static_cast<int>(I) + 1 ||
+        Events[I].m_Attempt != Id)
       addViolation("stream_order",
                    describe(Id, Request) + ": event " + std::to_string(I + 1));
   }
   if (!Resumable && Runs.size() > 1)
     addViolation("stream_order",
                  describe(Id, Request) + ": joined from several upstreams");
-  if (!Request.m_Result->m_ConnectionBroken && Events.size() != EventsPerStream)
+  if (!Request.m_Result->m_ConnectionBroken &&
+      Request.m_LastEvent + static_cast<int>(Events.size()) != EventsPerStream)
     addViolation("stream_order", describe(Id, Request) +
                                      ": ends without an error after event " +
                                      std::to_string(Events.size()));
 }
 
+void Ledger::recordListed(const std::string &Version, int Change,
+                          TimePoint Now) {
+  std::map<TimePoint, int> &Counts = m_ListedCounts[Version];
+  const int Before = Counts.empty() ? 0 : Counts.rbegin()->second;
+  Counts[Now] = Before + Change;
+}
+
+int Ledger::resumeAfter(const std::string &Id) const {
+  const RequestRecord &Request = m_Requests.at(Id);
+  if (Request.m_Kind != RequestKind::ResumableStream || !hasBegun(Request))
+    return 0;
+  const auto Events = parseEvents(Request.m_Result->m_Body);
+  const int Last = Events.empty() ? 0 : Events.back().m_Id;
+  return Last == EventsPerStream ? 0 : Last;
+}
+
+/// Returns the version of the first event of a request, or an empty string.
+std::string Ledger::versionOf(const std::string &Id) const {
+  const auto Found = m_Requests.find(Id);
+  if (Found == m_Requests.end() || !hasBegun(Found->second))
+    return {};
+  const auto Events = parseEvents(Found->second.m_Result->m_Body);
+  return Events.empty() ? std::string() : versionOfRun(Events[0].m_Run);
+}
+
+/// A stream holds events of one software version, over all of its attempts.
+void Ledger::checkVersions() {
+  std::map<std::string, std::string> Versions;
+  for (const auto &[Id, Request] : m_Requests) {
+    if (Request.m_Kind != RequestKind::ResumableStream || !hasBegun(Request))
+      continue;
+    const std::string &Stream =
+        Request.m_Resumes.empty() ? Id : Request.m_Resumes;
+    ++m_CheckCounts["one_version"];
+    for (const Event &Part : parseEvents(Request.m_Result->m_Body)) {
+      const std::string Version = versionOfRun(Part.m_Run);
+      const auto [Known, IsNew] = Versions.emplace(Stream, Version);
+      if (!IsNew && Known->second != Version) {
+        addViolation("one_version", describe(Id, Request) + " resumes " +
+                                        Stream + ": " + Known->second +
+                                        " and " + Version);
+        break;
+      }
+    }
+  }
+}
+
+/// Returns whether the gateway's process, its paths, the upstreams and the
+/// store were undisturbed for a while before the request.
+bool Ledger::isCalm(const RequestRecord &Request) const {
+  const auto Concerns = [&](const GatewaySpan &Span) {
+    return Span.m_Gateway == Request.m_Gateway &&
+           Span.m_From <= Request.m_SentAt + Request.m_Result->m_Elapsed &&
+           Request.m_SentAt <= Span.m_To + ContactBound;
+  };
+  const auto Overlaps = [&](const auto &Span) {
+    return Span.first <= Request.m_SentAt + Request.m_Result->m_Elapsed &&
+           Request.m_SentAt <= Span.second + ContactBound;
+  };
+  return std::ranges::none_of(m_GatewayFaults, Concerns) &&
+         std::ranges::none_of(m_Cuts, Concerns) &&
+         std::ranges::none_of(m_UpstreamFaults, Overlaps) &&
+         isStoreStable(Request.m_SentAt);
+}
+
+/// Returns whether two upstreams of \p Version were listed all the while from
+/// ContactBound before \p At on.
+bool Ledger::areTwoListed(const std::string &Version, TimePoint At) const {
+  const auto Counts = m_ListedCounts.find(Version);
+  if (Counts == m_ListedCounts.end())
+    return false;
+  auto Next = Counts->second.upper_bound(At - ContactBound);
+  if (Next == Counts->second.begin())
+    return false;
+  for (--Next; Next != Counts->second.end() && Next->first <= At; ++Next)
+    if (Next->second < 2)
+      return false;
+  return true;
+}
+
+/// Streams that callers resume at calm gateways go on, if two upstreams of
+/// their version serve, half as often as new ones begin at least.
+void Ledger::checkResumedShare() {
+  std::array<int, 2> Sent{};
+  std::array<int, 2> Begun{};
+  for (const auto &[Id, Request] : m_Requests) {
+    if (Request.m_Kind != RequestKind::ResumableStream || !isCalm(Request))
+      continue;
+    const bool IsResumed = !Request.m_Resumes.empty();
+    if (IsResumed &&
+        !areTwoListed(versionOf(Request.m_Resumes), Request.m_SentAt))
+      continue;
+    ++Sent.at(IsResumed ? 1 : 0);
+    Begun.at(IsResumed ? 1 : 0) += hasBegun(Request) ? 1 : 0;
+  }
+  m_CheckCounts["resumed_streams"] += Sent[1];
+  if (Sent[1] >= MinResumed &&
+      Begun[1] * Sent[0] < ResumedShare * Begun[0] * Sent[1])
+    addViolation("resumed_streams",
+                 std::to_string(Begun[1]) + " of " + std::to_string(Sent[1]) +
+                     " went on, " + std::to_string(Begun[0]) + " of " +
+                     std::to_string(Sent[0]) + " new ones began");
+}
+
 /// A gateway that has served by a table must not answer by an older one again.
 void Ledger::checkTableVersion(const std::string &Id,
                                const RequestRecord &Request) {
@@ -183,6 +298,8 @@
     checkRuns(Id, Request);
     checkDraining(Id, Request);
   }
+  checkVersions();
+  checkResumedShare();
   checkStatedLeaves();
   checkPauses();
   checkRetryBudget();
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -15,6 +15,10 @@
 
 namespace crowstep::soak {
 
+/// Returns the software version in the name of an upstream's incarnation, such
+/// as "u-3-1.v2".
+std::string versionOfRun(const std::string &Run);
+
 /// Kinds of routes, by what callers may expect of a request.
 enum class RequestKind : std::uint8_t {
   AtMostOnce,      ///< Runs at most once.
@@ -41,8 +45,10 @@
       m_Result;                    ///< Fills while the loop runs.
   std::vector<UpstreamRun> m_Runs; ///< Recorded so far.
   bool m_IsCrashing = false;       ///< Crashes upstreams that run it.
-  TimePoint m_GatewayStartedAt;    ///< Of that incarnation.
-  bool m_IsChecked = false;        ///< Checked after its end.
+  std::string m_Resumes;        ///< First attempt of its stream; may be empty.
+  int m_LastEvent = 0;          ///< That its caller had before.
+  TimePoint m_GatewayStartedAt; ///< Of that incarnation.
+  bool m_IsChecked = false;     ///< Checked after its end.
 };
 
 /// A check that failed.
@@ -61,6 +67,20 @@
   }
   void recordRun(const std::string &Id, UpstreamRun Started);
 
+  /// Records that an upstream of the software version \p Version was listed or
+  /// removed.
+  void recordListed(const std::string &Version, int Change, TimePoint Now);
+
+  /// Returns the number of the last event that the caller of \p Id has, or 0 if
+  /// its stream is complete, has not begun or can't be resumed.
+  [[nodiscard]] int resumeAfter(const std::string &Id) const;
+
+  /// Returns the attempt that brought the first event of the stream of \p Id.
+  [[nodiscard]] std::string firstAttemptOf(const std::string &Id) const {
+    const std::string &Resumes = m_Requests.at(Id).m_Resumes;
+    return Resumes.empty() ? Id : Resumes;
+  }
+
   /// Records an arrival of a request that was sent to \p Upstream, whether it
   /// runs or not, and also if another incarnation receives it.
   void recordArrival(const std::string &Id, const std::string &Upstream,
@@ -77,6 +97,11 @@
     m_PathExcuses.emplace_back(From, To);
   }
 
+  /// Records that upstreams fail, or the paths to them.
+  void recordUpstreamFault(TimePoint From, TimePoint To) {
+    m_UpstreamFaults.emplace_back(From, To);
+  }
+
   /// Records that \p Gateway can reach no upstream from \p From until \p To.
   void recordCut(int Gateway, TimePoint From, TimePoint To) {
     m_Cuts.push_back({Gateway, From, To});
@@ -180,6 +205,12 @@
   }
   void checkAnswer(const std::string &Id, const RequestRecord &Request);
   void checkStream(const std::string &Id, const RequestRecord &Request);
+  void checkVersions();
+  void checkResumedShare();
+  [[nodiscard]] bool isCalm(const RequestRecord &Request) const;
+  [[nodiscard]] bool areTwoListed(const std::string &Version,
+                                  TimePoint At) const;
+  [[nodiscard]] std::string versionOf(const std::string &Id) const;
   void checkTableVersion(const std::string &Id, const RequestRecord &Request);
   void checkPlannedStops(const std::string &Id, const RequestRecord &Request);
   void checkRuns(const std::string &Id, const RequestRecord &Request);
@@ -198,11 +229,14 @@
 
   std::map<std::string, RequestRecord> m_Requests; ///< By X-Attempt-Id.
   std::map<std::string, int> m_ArrivalCounts;      ///< By X-Attempt-Id.
-  std::vector<TimePoint> m_RetryArrivals;    ///< Arrivals after the first.
-  std::vector<Arrival> m_Arrivals;           ///< All, in order of time.
-  std::vector<Arrival> m_Pauses;             ///< Those that were rejected so.
-  TimeRanges m_PathExcuses;                  ///< See excusePaths().
-  std::vector<GatewaySpan> m_Cuts;           ///< See recordCut().
+  std::vector<TimePoint> m_RetryArrivals; ///< Arrivals after the first.
+  std::vector<Arrival> m_Arrivals;        ///< All, in order of time.
+  std::vector<Arrival> m_Pauses;          ///< Those that were rejected so.
+  TimeRanges m_PathExcuses;               ///< See excusePaths().
+  TimeRanges m_UpstreamFaults;            ///< See recordUpstreamFault().
+  std::map<std::string, std::map<TimePoint, int>>
+      m_ListedCounts;              ///< Listed upstreams, by version and time.
+  std::vector<GatewaySpan> m_Cuts; ///< See recordCut().
   std::vector<GatewaySpan> m_GatewayFaults;  ///< See recordGatewayFault().
   std::vector<TimePoint> m_CrashRowsRemoved; ///< See recordCrash().
   std::map<std::string, TimePoint> m_DrainingSince; ///< By upstream's name.
@@ -252,6 +286,11 @@
 /// that can know of the crashes.
 inline constexpr std::size_t MaxRunsAfterCrashes = 3;
 
+/// Streams that callers resume go on at least this much as often as new ones
+/// begin, if there are enough of them.
+inline constexpr double ResumedShare = 0.5;
+inline constexpr int MinResumed = 12;
+
 /// Events in a complete stream.
 inline constexpr int EventsPerStream = 8;
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -178,6 +178,7 @@
     // About half are removed without having been listed as draining.
     const bool IsAnnounced = Played.m_Target / m_Upstreams.size() % 2 == 0;
     putUpstreamRow(Upstream, IsAnnounced ? "draining" : "");
+    m_Ledger.recordListed(Upstream.m_Server->version(), -1, m_Clock.now());
     Upstream.m_Server->startDraining();
     m_Ledger.recordDraining(Upstream.m_Server->name(), m_Clock.now());
     replaceUpstream(Upstream, DrainTime);
@@ -203,6 +204,7 @@
 
 void SoakFleet::setUpstreamFault(UpstreamNode &Upstream, UpstreamFault Selected,
                                  Duration Span) {
+  m_Ledger.recordUpstreamFault(m_Clock.now(), m_Clock.now() + Span);
   Upstream.m_Server->setFault(Selected);
   endFaultAfter(Span, &Upstream, "fault", [&Upstream] {
     if (Upstream.m_Server != nullptr)
@@ -297,6 +299,8 @@
 void SoakFleet::applyToPath(const Fault &Played, UpstreamNode &Upstream) {
   test::Relay &Path = *Upstream.m_Relay;
   m_Ledger.excusePaths(m_Clock.now(), m_Clock.now() + Played.m_Duration);
+  m_Ledger.recordUpstreamFault(m_Clock.now(),
+                               m_Clock.now() + Played.m_Duration);
   if (Played.m_Kind == FaultKind::PathReset) {
     Path.reset();
   } else if (Played.m_Kind == FaultKind::PathSlow) {
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -22,6 +22,12 @@
 
 constexpr Duration LoadStep = 20ms;
 
+/// Callers take up a broken stream within this time.
+constexpr Duration MaxResumeDelay = 300ms;
+
+/// Upstreams run one of so many software versions.
+constexpr int VersionCount = 2;
+
 /// Beyond ContactBound, the others know a gateway that has started.
 constexpr Duration ListingTime = 2s;
 
@@ -155,8 +161,10 @@
 }
 
 void SoakFleet::startUpstream(UpstreamNode &Upstream) {
+  const auto Version = static_cast<int>(m_Random() % VersionCount);
   const std::string Name = "u-" + std::to_string(Upstream.m_Number) + "-" +
-                           std::to_string(++Upstream.m_Incarnation);
+                           std::to_string(++Upstream.m_Incarnation) + ".v" +
+                           std::to_string(Version);
   Upstream.m_Server = std::make_unique<SoakUpstream>(
       Name, Upstream.m_ListenAddress, m_Ledger, m_Clock, m_Random(),
       [this, &Upstream, Name] {
@@ -170,10 +178,14 @@
 
 void SoakFleet::putUpstreamRow(const UpstreamNode &Upstream,
                                const std::string &State) {
-  m_Store.put("servers", Upstream.m_Server->name(),
-              State.empty()
-                  ? ""
-                  : test::upstreamRow(Upstream.m_Relay->address(), 64, State));
+  const std::string &Name = Upstream.m_Server->name();
+  const std::string Version = Upstream.m_Server->version();
+  if (State == "ready")
+    m_Ledger.recordListed(Version, 1, m_Clock.now());
+  m_Store.put("servers", Name,
+              State.empty() ? ""
+                            : test::upstreamRow(Upstream.m_Relay->address(), 64,
+                                                State, Version));
 }
 
 void SoakFleet::putTable() {
@@ -192,14 +204,19 @@
 
 // Load
 
-void SoakFleet::sendRequest() {
+SoakFleet::GatewayNode *SoakFleet::drawReadyGateway() {
   std::vector<GatewayNode *> Ready;
   for (GatewayNode &Gateway : m_Gateways)
     if (Gateway.m_IsReady)
       Ready.push_back(&Gateway);
-  if (Ready.empty())
+  return Ready.empty() ? nullptr : Ready.at(m_Random() % Ready.size());
+}
+
+void SoakFleet::sendRequest() {
+  GatewayNode *const Drawn = drawReadyGateway();
+  if (Drawn == nullptr)
     return;
-  GatewayNode &Gateway = *Ready.at(m_Random() % Ready.size());
+  GatewayNode &Gateway = *Drawn;
   const std::string Id = "call-" + std::to_string(++m_LastRequestNumber);
   constexpr std::uint64_t TableProbeEvery = 8;
   const RouteRow &Route = Routes.at(m_Random() % Routes.size());
@@ -224,9 +241,54 @@
   Request.m_Headers = {
       {"Host", "h.example"}, {"X-Attempt-Id", Id}, {"X-Deadline-Ms", "5000"}};
   Record.m_Result = m_Caller.start(Request);
+  if (Record.m_Kind == RequestKind::ResumableStream)
+    m_OpenStreams[Id] = Record.m_Result;
   m_Ledger.recordRequest(Id, std::move(Record));
 }
 
+/// Lets callers take up the streams that have broken off.
+void SoakFleet::resumeStreams() {
+  for (auto Open = m_OpenStreams.begin(); Open != m_OpenStreams.end();) {
+    if (!Open->second->m_Ended) {
+      ++Open;
+      continue;
+    }
+    const std::string Id = Open->first;
+    Open = m_OpenStreams.erase(Open);
+    if (m_Ledger.resumeAfter(Id) > 0)
+      runAfter(Duration(m_Random() % MaxResumeDelay.count()),
+               [this, Id] { resumeStream(Id); });
+  }
+}
+
+/// The further attempt names the one that brought the first event.
+void SoakFleet::resumeStream(const std::string &Id) {
+  GatewayNode *Gateway = drawReadyGateway();
+  if (Gateway == nullptr)
+    return;
+  const std::string Next = "call-" + std::to_string(++m_LastRequestNumber);
+  RequestRecord Record;
+  Record.m_Kind = RequestKind::ResumableStream;
+  Record.m_Gateway = Gateway->m_Number;
+  Record.m_Incarnation = Gateway->m_Incarnation;
+  Record.m_SentAt = m_Clock.now();
+  Record.m_LastEvent = m_Ledger.resumeAfter(Id);
+  Record.m_Resumes = m_Ledger.firstAttemptOf(Id);
+  test::Call Request;
+  Request.m_Path = "/restream/" + Id;
+  Request.m_Address = Gateway->m_Settings.m_ListenAddress;
+  Request.m_Body = "{}";
+  Request.m_Timeout = 6s;
+  Request.m_Headers = {{"Host", "h.example"},
+                       {"X-Attempt-Id", Next},
+                       {"X-Deadline-Ms", "5000"},
+                       {"Last-Event-Id", std::to_string(Record.m_LastEvent)},
+                       {"Resumes", Record.m_Resumes}};
+  Record.m_Result = m_Caller.start(Request);
+  m_OpenStreams[Next] = Record.m_Result;
+  m_Ledger.recordRequest(Next, std::move(Record));
+}
+
 /// Sends the same request each time, to the gateway that the number of requests
 /// so far selects; sends none while that gateway isn't ready.
 void SoakFleet::sendCrashingRequest() {
@@ -267,6 +329,7 @@
 void SoakFleet::stopUpstream(UpstreamNode &Upstream, Duration RowTime,
                              Duration RestartTime) {
   const std::string Name = Upstream.m_Server->name();
+  m_Ledger.recordListed(Upstream.m_Server->version(), -1, m_Clock.now());
   Upstream.m_Server = nullptr;
   runAfter(RowTime, [this, Name] { m_Store.put("servers", Name, ""); });
   runAfter(RestartTime, [this, &Upstream] {
@@ -339,6 +402,7 @@
     for (int I = 0; I < static_cast<int>(Expected); ++I)
       sendRequest();
     m_Ledger.checkEndedRequests();
+    resumeStreams();
     restartExitedGateways();
   };
   // The platform removes a gateway after two failed probes and adds it again
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -73,6 +73,9 @@
   void putTable();
   void sendRequest();
   void sendCrashingRequest();
+  void resumeStreams();
+  void resumeStream(const std::string &Id);
+  GatewayNode *drawReadyGateway();
   void crashUpstream(UpstreamNode &Upstream);
   void stopUpstream(UpstreamNode &Upstream, Duration RowTime,
                     Duration RestartTime);
@@ -116,7 +119,9 @@
   test::Caller m_ReadinessProbe;         ///< Probes readiness.
   unsigned m_TableVersion = 0;           ///< Newest in the store.
   std::uint64_t m_LastRequestNumber = 0; ///< Of request ids.
-  bool m_PlannedWorkOnly = false;        ///< Only planned work is played.
+  std::map<std::string, std::shared_ptr<const test::CallResult>>
+      m_OpenStreams;              ///< That may be resumed, by attempt.
+  bool m_PlannedWorkOnly = false; ///< Only planned work is played.
   std::map<std::pair<const void *, std::string_view>, int>
       m_LastingFaults; ///< By object and faulty property.
 };
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -45,6 +45,9 @@
 
   [[nodiscard]] const std::string &name() const { return m_Name; }
 
+  /// Returns its software version, with which its name ends.
+  [[nodiscard]] std::string version() const { return versionOfRun(m_Name); }
+
 private:
   struct OpenAnswer;
 
