Fix: Send streams only to the process whose version is known

What callers would see: where an upstream may start again under its name, a stream goes on at another version until the new entry is read.

Cause: the directory's version belongs to a process, but a call proves the name only. Change: a connection's other end is asked once when its process started, on that same connection, before a stream that may be resumed is sent there. Another process means that the listed one has ended: it gets nothing more.

Ruled out: connections that were open when the entry was read, and entries confirmed after a connection broke (docs/design/resumed-streams.md).

--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -70,6 +70,8 @@
   Address m_Address;          ///< Where it listens.
   PlacementInputs m_Inputs;   ///< Basis of the choice.
   SoftwareVersion m_Software; ///< Of the upstream's process.
+  std::optional<std::chrono::milliseconds>
+      m_StartTime; ///< Of that process, see Upstream.
 };
 
 /// No upstream can take the call now.
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -196,8 +196,8 @@
   Carried.m_ContentHash = Content;
   Carried.m_IsCarried = true;
   const struct Upstream &Where = Found->second.m_Upstream;
-  return Placed{Id, Upstream,        Where.m_Name, Where.m_Address,
-                {}, Where.m_Software};
+  return Placed{Id, Upstream,         Where.m_Name,     Where.m_Address,
+                {}, Where.m_Software, Where.m_StartTime};
 }
 
 /// What failed on a lost path says nothing about the upstream.
@@ -499,7 +499,8 @@
                 Chosen.m_Upstream.m_Name,
                 Chosen.m_Upstream.m_Address,
                 Inputs,
-                Chosen.m_Upstream.m_Software};
+                Chosen.m_Upstream.m_Software,
+                Chosen.m_Upstream.m_StartTime};
   if (Chosen.m_Upstream.m_UnlistedAt != TimePoint())
     Result.m_Inputs.m_UnlistedFor = Now - Chosen.m_Upstream.m_UnlistedAt;
   return Result;
--- a/src/entry/request.cpp
+++ b/src/entry/request.cpp
@@ -344,6 +344,8 @@
   case TransportEnd::NotSent:
   case TransportEnd::ConnectRefused:
   case TransportEnd::NoPath:
+  case TransportEnd::OtherProcess:
+  case TransportEnd::Unproven:
     endCall(CallEnd::ConnectFailed);
     return;
   case TransportEnd::Withheld:
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -263,6 +263,13 @@
   case TransportEnd::NoPath:
     handleUnsent(balance::CallOutcome::Dropped);
     return;
+  case TransportEnd::OtherProcess:
+    applyStatedLeave({.m_Leaving = true});
+    handleUnsent(balance::CallOutcome::Draining);
+    return;
+  case TransportEnd::Unproven:
+    handleUnproven();
+    return;
   case TransportEnd::Withheld:
     --m_Attempts;
     endCall(balance::CallOutcome::Dropped);
@@ -311,6 +318,15 @@
     attempt();
 }
 
+/// A new stream may go to an upstream whose version can't be told; it just
+/// can't be resumed.
+void ForwardedRequest::handleUnproven() {
+  m_SkipsProcessCheck = !m_Origin;
+  if (m_SkipsProcessCheck)
+    m_TriedUpstreams.pop_back();
+  handleUnsent(balance::CallOutcome::Dropped);
+}
+
 void ForwardedRequest::handleStreamEnd() {
   if (m_Splitter.isMidEvent() || !m_Streaming) {
     handleFailure(balance::CallOutcome::Failed, closeReason());
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -6,6 +6,7 @@
 #include "gateway/upstream_request.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crowstep::gateway {
 
@@ -140,8 +141,9 @@
 /// it has that event, it may name the stream to any instance.
 void ForwardedRequest::recordOrigin() {
   if (!m_Origin) {
-    if (const Upstream *Listed =
-            m_Context.m_Balancer.findUpstream(m_TriedUpstreams.back()))
+    const Upstream *Listed =
+        m_Context.m_Balancer.findUpstream(m_TriedUpstreams.back());
+    if (Listed != nullptr && !m_SkipsProcessCheck)
       m_Software.merge(Listed->m_Software);
     m_Origin = resume::StreamOrigin{m_Service, m_Software};
   }
@@ -259,6 +261,9 @@
     return !m_Caller->hasDisconnected() &&
            m_Context.m_Balancer.mayBegin(m_Ticket, m_Context.m_Clock.now());
   };
+  if (m_SkipsProcessCheck &&
+      std::exchange(Outgoing.m_Direct.m_ProcessCheck, std::nullopt))
+    m_Software = SoftwareVersion();
   ++m_Attempts;
   m_Call = m_Context.m_Transport.send(Outgoing, *this);
   startSilenceTimer(firstByteTimeout());
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -82,6 +82,7 @@
   void send(const balance::Placed &Placement);
   void endCall(balance::CallOutcome Outcome);
   void handleUnsent(balance::CallOutcome Outcome);
+  void handleUnproven();
   void leaveSilentCall(balance::CallOutcome Outcome, RetryReason Reason);
   void retry(RetryReason Reason);
   [[nodiscard]] bool mayRetry() const;
@@ -158,6 +159,8 @@
   std::unique_ptr<UpstreamCall> m_Call; ///< Null between calls.
   balance::TicketId m_Ticket;           ///< Of m_Call.
   std::string m_Upstream;               ///< Name of the last one called.
+  bool m_SkipsProcessCheck = false;     ///< An upstream could not prove which
+                                        ///< process it is.
   SoftwareVersion m_Software;           ///< Of the last upstream called.
   std::vector<std::string> m_StreamSoftware;  ///< Of the upstreams whose events
                                               ///< the caller has, in order.
--- a/src/gateway/header_codec.h
+++ b/src/gateway/header_codec.h
@@ -8,6 +8,7 @@
 #include "balance/balance_type.h"
 #include "core/clock.h"
 #include "http/header_list.h"
+#include "http/upstream_call.h"
 #include "prompt_type.h"
 
 #include <optional>
@@ -81,6 +82,13 @@
   [[nodiscard]] virtual AnswerFacts
   readAnswer(unsigned Status, const HeaderList &Headers) const = 0;
 
+  /// Returns how the upstream is asked which process it is, or nullopt if its
+  /// name tells that.
+  [[nodiscard]] virtual std::optional<ProcessCheck>
+  processCheck(const balance::Placed &) const {
+    return std::nullopt;
+  }
+
   /// Returns the headers of a refusal: the attempt's id and, unless
   /// \p RetryAfter is 0, when to retry.
   [[nodiscard]] virtual HeaderList writeRefusal(const std::string &RequestId,
--- a/src/gateway/upstream_request.cpp
+++ b/src/gateway/upstream_request.cpp
@@ -23,6 +23,9 @@
       Codec.writeRequest(endToEndHeaders(Request.m_Headers), Facts);
   Result.m_Body = Request.m_Body;
   Result.m_Repeatable = mayRunAgain(Admitted.m_Route->m_Kind);
+  if (std::holds_alternative<EventStream>(Admitted.m_Route->m_Kind) &&
+      Result.m_Repeatable)
+    Result.m_ProcessCheck = Codec.processCheck(Attempt.m_Placement);
   Result.m_SendDeadline = Attempt.m_Deadline;
   Result.m_ConnectTimeout = ConnectTimeout;
   return Result;
--- a/src/gateway/upstream_request.h
+++ b/src/gateway/upstream_request.h
@@ -16,7 +16,9 @@
   std::optional<std::uint64_t> m_LastEventId; ///< A stream goes on after it.
 };
 
-/// Returns the request without a last check before its first byte.
+/// Returns the request without a last check before its first byte. The version
+/// of a stream that may be resumed is that of the process that gets it, so this
+/// is checked where a process may start under the name of another one.
 UpstreamRequest makeUpstreamRequest(const HeaderCodec &Codec,
                                     const IncomingRequest &Request,
                                     const AdmittedRequest &Admitted,
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -40,7 +40,8 @@
 private:
   [[nodiscard]] HttpFailure failureOf(TransportEnd End) const {
     if (End == TransportEnd::NotSent || End == TransportEnd::ConnectRefused ||
-        End == TransportEnd::Withheld)
+        End == TransportEnd::Withheld || End == TransportEnd::OtherProcess ||
+        End == TransportEnd::Unproven)
       return HttpFailure::NotSent;
     return m_Client.m_Clock.readNow() >= m_Deadline ? HttpFailure::TimedOut
                                                     : HttpFailure::NoAnswer;
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace crowstep {
 
@@ -78,6 +79,10 @@
   void handleConnected();
   [[nodiscard]] bool maySend() const;
   void startSending();
+  [[nodiscard]] bool needsCheck() const;
+  void startCheck();
+  void readStatement();
+  void endCheck();
   void write();
   void read();
   void deliver(bool Failed);
@@ -90,18 +95,21 @@
   void scheduleEnd(TransportEnd End);
   void end(TransportEnd End);
 
-  const Clock &m_Clock;               ///< Outlives the call.
-  IdleConnections &m_IdleConnections; ///< Outlives the call.
-  UpstreamListener &m_Listener;       ///< Outlives the call.
-  Address m_Source;                   ///< See HttpUpstreamClient.
-  Address m_Address;                  ///< Of the upstream.
-  TimePoint m_SendDeadline;           ///< See UpstreamRequest.
-  std::function<bool()> m_SendCheck;  ///< May be empty.
-  bool m_CloseAfter;                  ///< Don't keep the connection.
-  bool m_IsHeld;                      ///< Waits for release().
-  std::string m_Output;               ///< The serialized request.
-  std::size_t m_WrittenBytes = 0;     ///< Part of m_Output already written.
-  AnswerParser m_Parser;              ///< Of the answer.
+  const Clock &m_Clock;                ///< Outlives the call.
+  IdleConnections &m_IdleConnections;  ///< Outlives the call.
+  UpstreamListener &m_Listener;        ///< Outlives the call.
+  Address m_Source;                    ///< See HttpUpstreamClient.
+  Address m_Address;                   ///< Of the upstream.
+  TimePoint m_SendDeadline;            ///< See UpstreamRequest.
+  std::function<bool()> m_SendCheck;   ///< May be empty.
+  bool m_CloseAfter;                   ///< Don't keep the connection.
+  bool m_IsHeld;                       ///< Waits for release().
+  std::string m_Output;                ///< The serialized request.
+  std::optional<ProcessCheck> m_Check; ///< See UpstreamRequest.
+  std::unique_ptr<AnswerParser> m_StatementParser; ///< Set during the check.
+  std::string m_Statement;                         ///< Its body so far.
+  std::size_t m_WrittenBytes = 0; ///< Part of m_Output already written.
+  AnswerParser m_Parser;          ///< Of the answer.
   std::unique_ptr<UpstreamConnection> m_Connection; ///< Null once ended.
   bool m_RetryStaleConnection;  ///< See UpstreamRequest; false after the retry.
   bool m_IsReused = false;      ///< The first connection came from the pool.
@@ -130,7 +138,8 @@
       m_Source(Source), m_Address(Request.m_Address),
       m_SendDeadline(Request.m_SendDeadline), m_SendCheck(Request.m_SendCheck),
       m_CloseAfter(Request.m_CloseAfter), m_IsHeld(Request.m_HoldSend),
-      m_Output(requestText(Request)), m_Parser(Request.m_Method == "HEAD"),
+      m_Output(requestText(Request)), m_Check(Request.m_ProcessCheck),
+      m_Parser(Request.m_Method == "HEAD"),
       m_RetryStaleConnection(Request.m_RetryStaleConnection),
       m_LastByte(Time.now()), m_SilenceTimer(Timers), m_ConnectTimer(Timers),
       m_SilenceTimeout(Request.m_SilenceTimeout),
@@ -154,7 +163,9 @@
 }
 
 void HttpUpstreamCall::handleConnected() {
-  if (maySend())
+  if (needsCheck())
+    startCheck();
+  else if (maySend())
     startSending();
   else
     scheduleEnd(TransportEnd::Withheld);
@@ -208,6 +219,10 @@
     finishConnect();
     return;
   }
+  if (m_StatementParser != nullptr) {
+    readStatement();
+    return;
+  }
   if (Events.m_Write)
     write();
   if (Events.m_Read && !m_IsPaused)
@@ -245,7 +260,9 @@
     m_Listener.upstreamConnected();
     return;
   }
-  if (maySend())
+  if (needsCheck())
+    startCheck();
+  else if (maySend())
     startSending();
   else
     // The first attempt on a stale connection may have been received.
@@ -265,6 +282,68 @@
   write();
 }
 
+bool HttpUpstreamCall::needsCheck() const {
+  return m_Check && m_Connection->process() != m_Check->m_Process;
+}
+
+/// The statement is so short that the socket takes it at once.
+void HttpUpstreamCall::startCheck() {
+  const std::string Text = "GET " + m_Check->m_Path +
+                           " HTTP/1.1\r\nHost: " + toString(m_Address) +
+                           "\r\n\r\n";
+  m_StatementParser = std::make_unique<AnswerParser>(false);
+  m_Statement.clear();
+  if (m_Connection->write(Text) != Text.size()) {
+    scheduleEnd(TransportEnd::NotSent);
+    return;
+  }
+  m_Connection->watch().setEvents({.m_Read = true});
+  startConnectTimer();
+}
+
+/// An idle connection may have been closed just before: a new one is opened.
+void HttpUpstreamCall::readStatement() {
+  std::string_view Bytes;
+  const ReadOutcome Outcome = m_Connection->read(Bytes);
+  if (Outcome == ReadOutcome::WouldBlock)
+    return;
+  if (Outcome == ReadOutcome::Bytes) {
+    m_StatementParser->feed(Bytes);
+    m_Statement += m_StatementParser->takeBody();
+    if (m_StatementParser->state() != AnswerState::Reading)
+      endCheck();
+    return;
+  }
+  m_StatementParser.reset();
+  if (std::exchange(m_IsReused, false))
+    open();
+  else
+    end(TransportEnd::NotSent);
+}
+
+void HttpUpstreamCall::endCheck() {
+  constexpr unsigned HttpOk = 200;
+  m_ConnectTimer.stop();
+  const bool IsReadable = m_StatementParser->state() == AnswerState::Complete &&
+                          m_StatementParser->status() == HttpOk &&
+                          m_StatementParser->canReuseConnection();
+  const ProcessStatement Stated =
+      IsReadable ? m_Check->m_Read(m_Statement) : ProcessStatement::Unreadable;
+  m_StatementParser.reset();
+  switch (Stated) {
+  case ProcessStatement::Expected:
+    m_Connection->setProcess(m_Check->m_Process);
+    handleConnected();
+    break;
+  case ProcessStatement::Other:
+    end(TransportEnd::OtherProcess);
+    break;
+  case ProcessStatement::Unreadable:
+    end(TransportEnd::Unproven);
+    break;
+  }
+}
+
 void HttpUpstreamCall::write() {
   if (m_WrittenBytes < m_Output.size()) {
     const auto Size =
--- a/src/http/upstream_call.h
+++ b/src/http/upstream_call.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,9 @@
   NoPath,         ///< The path is lost and, so far, no other instance carries
                   ///< the call; no byte was sent.
   RelayLost,      ///< The instance that carried it was lost; maybe sent.
+  OtherProcess,   ///< Another process listens there by now; no byte was sent.
+  Unproven,       ///< Which process listens there can't be told; no byte was
+                  ///< sent.
 };
 
 /// How far a request has come.
@@ -37,6 +41,23 @@
 /// Returns the stable name in logs, such as "connecting".
 std::string_view nameOf(CallProgress Progress);
 
+/// What the process at an upstream's address states about itself.
+enum class ProcessStatement : std::uint8_t {
+  Expected,   ///< It is the expected process.
+  Other,      ///< It is another one.
+  Unreadable, ///< It does not say.
+};
+
+/// Asks for such a statement, before a request is sent on the same connection:
+/// a process that starts at the address of another one gets none of its
+/// connections.
+struct ProcessCheck {
+  std::string m_Path;          ///< Of the statement.
+  std::uint64_t m_Process = 0; ///< Identifies the expected process; not 0.
+  std::function<ProcessStatement(std::string_view)>
+      m_Read; ///< Reads the body of the statement.
+};
+
 /// A request to an upstream.
 struct UpstreamRequest {
   Address m_Address;             ///< Of the upstream's server.
@@ -48,10 +69,11 @@
   bool m_CloseAfter = false;     ///< Ask the upstream to close the connection.
   TimePoint m_SendDeadline;      ///< Last check, against Clock::readNow().
   std::function<bool()> m_SendCheck; ///< Part of the last check; may be empty.
-  Duration m_SilenceTimeout{};       ///< Between two received bytes; 0: none.
-  Duration m_ConnectTimeout{};       ///< For the connection; 0: none.
-  Duration m_AnswerTimeout{};        ///< For the whole call; 0: none.
-  bool m_HoldSend = false; ///< Send nothing before UpstreamCall::release().
+  std::optional<ProcessCheck> m_ProcessCheck; ///< None: any process will do.
+  Duration m_SilenceTimeout{}; ///< Between two received bytes; 0: none.
+  Duration m_ConnectTimeout{}; ///< For the connection; 0: none.
+  Duration m_AnswerTimeout{};  ///< For the whole call; 0: none.
+  bool m_HoldSend = false;     ///< Send nothing before UpstreamCall::release().
   bool m_RetryStaleConnection = false; ///< Once, if a reused connection fails
                                        ///< before a byte of the answer.
 };
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -69,12 +69,17 @@
 
   [[nodiscard]] SocketWatch &watch() { return m_Watch; }
 
+  /// The process at the other end, once it has been checked; 0: unknown.
+  [[nodiscard]] std::uint64_t process() const { return m_Process; }
+  void setProcess(std::uint64_t Process) { m_Process = Process; }
+
 private:
   UpstreamConnection(SocketPtr Socket, SocketListener &Listener);
   [[nodiscard]] int descriptor() const;
 
-  SocketPtr m_Socket;  ///< Never null.
-  SocketWatch m_Watch; ///< For m_Socket.
+  SocketPtr m_Socket;          ///< Never null.
+  SocketWatch m_Watch;         ///< For m_Socket.
+  std::uint64_t m_Process = 0; ///< See process().
 };
 
 /// Pool of connections without a call, by upstream.
--- a/src/relay/carried_call.cpp
+++ b/src/relay/carried_call.cpp
@@ -21,6 +21,8 @@
   case TransportEnd::ConnectRefused:
     return RelayOutcome::ConnectRefused;
   case TransportEnd::Withheld:
+  case TransportEnd::OtherProcess:
+  case TransportEnd::Unproven:
     return RelayOutcome::Withheld;
   case TransportEnd::Broken:
   case TransportEnd::RelayLost:
@@ -131,7 +133,10 @@
     return balance::CallOutcome::Broken;
   case TransportEnd::Complete:
     break;
+  case TransportEnd::OtherProcess:
+    return balance::CallOutcome::Draining;
   case TransportEnd::Withheld:
+  case TransportEnd::Unproven:
   case TransportEnd::NoPath:
   case TransportEnd::RelayLost:
     return balance::CallOutcome::Dropped;
@@ -143,6 +148,8 @@
 }
 
 void CarriedCall::upstreamEnded(TransportEnd End) {
+  if (End == TransportEnd::OtherProcess)
+    m_Owner.m_Context.m_Balancer.recordLeaveStatement(m_Placement.m_Ticket);
   if (End == TransportEnd::Broken)
     m_Owner.m_Context.m_CrashWatch.handleBrokenCall(
         m_Placement.m_Upstream, m_Placement.m_Name, m_Placement.m_Address);
--- a/src/upstream_type.h
+++ b/src/upstream_type.h
@@ -6,6 +6,8 @@
 #include "instance_type.h"
 #include "software_version.h"
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -59,6 +61,10 @@
   TimePoint m_UnlistedAt{};   ///< When its entry was removed; not set: listed.
   SoftwareVersion m_Software; ///< Of its process.
 
+  /// When its process started, as stated by it; none: a process that starts
+  /// gets another name.
+  std::optional<std::chrono::milliseconds> m_StartTime;
+
   bool operator==(const Upstream &) const = default;
 };
 
--- a/tests/process/resumed_stream_version_test.cpp
+++ b/tests/process/resumed_stream_version_test.cpp
@@ -112,6 +112,36 @@
   BOOST_TEST(Fleet.completeCount() >= MostStreams);
 }
 
+// Guards against a process of another version that starts under the name of an
+// upstream, until its entry tells.
+BOOST_AUTO_TEST_CASE(AnUpstreamStartsAgainUnderItsName) {
+  VersionFleet Fleet(3);
+  for (const auto &Upstream : Fleet.m_Upstreams)
+    Upstream->stateStartTime();
+  runFor(2s); // Until the gateways have read the entries.
+  Fleet.begin(0, StreamCount);
+  Fleet.m_Upstreams[0]->restartUnlisted("v2");
+  Fleet.m_Upstreams[1]->restartUnlisted("v1");
+  // Streams of the others seem to find their version there.
+  Fleet.m_Upstreams[2]->breakStreams();
+  Fleet.m_Upstreams[3]->breakStreams();
+  Fleet.begin(1, 10);
+  runFor(500ms);
+  Fleet.resumeAt(2);
+  Fleet.checkStreams();
+  // Once they are listed, streams begin and go on there.
+  Fleet.m_Upstreams[0]->list("ready");
+  Fleet.m_Upstreams[1]->list("ready");
+  runFor(2s);
+  Fleet.m_Streams.clear();
+  Fleet.begin(0, StreamCount);
+  Fleet.process(0).signal(SIGKILL);
+  runFor(KillTime);
+  Fleet.resumeAt(1);
+  Fleet.checkStreams();
+  BOOST_TEST(Fleet.completeCount() >= MostStreams);
+}
+
 // Guards against streams that begin or go on through another gateway and change
 // their version.
 BOOST_AUTO_TEST_CASE(ARelayedStreamContinuesAtItsVersion) {
--- a/tests/process/versioned_upstream.h
+++ b/tests/process/versioned_upstream.h
@@ -25,18 +25,22 @@
         m_Timers(Fleet.m_Timers), m_Store(Fleet.m_Store) {
     const Address Listen = freeAddress();
     m_Path = std::make_unique<Relay>(Listen, Ip);
-    m_Server.listen(Listen, [this](SoupServerMessage *Message, const char *) {
-      handle(Message);
+    m_Server.listen(Listen, [this](SoupServerMessage *Message, const char *At) {
+      if (std::string_view(At) == "/report")
+        report(Message);
+      else
+        handle(Message);
     });
     list("ready");
   }
 
   /// Writes the upstream's entry; an empty \p State removes it.
   void list(const std::string &State) {
-    m_Store.put("servers", m_Name,
-                State.empty()
-                    ? ""
-                    : upstreamRow(m_Path->address(), 64, State, m_Version));
+    nlohmann::json Row = nlohmann::json::parse(
+        upstreamRow(m_Path->address(), 64, State, m_Version));
+    if (m_StartTime)
+      Row["born"] = *m_StartTime;
+    m_Store.put("servers", m_Name, State.empty() ? "" : Row.dump());
   }
 
   /// Closes the connections of all streams in progress.
@@ -58,6 +62,21 @@
     list("ready");
   }
 
+  /// States from now on when the process has started, and lists that.
+  void stateStartTime() {
+    m_StartTime = 1000;
+    list("ready");
+  }
+
+  /// The process ends, and another one starts under the same name. Its entry is
+  /// not written yet.
+  void restartUnlisted(const std::string &Version) {
+    breakStreams();
+    m_Path->reset();
+    m_Version = Version;
+    ++*m_StartTime;
+  }
+
   std::unique_ptr<Relay> m_Path; ///< In front of it; never null.
 
 private:
@@ -67,6 +86,13 @@
     int m_NextEvent = 1;     ///< Id of the next event.
   };
 
+  void report(SoupServerMessage *Message) const {
+    nlohmann::json Report = {{"active", m_Open.size()}};
+    if (m_StartTime)
+      Report["born"] = *m_StartTime;
+    respond(Message, 200, "application/json", Report.dump());
+  }
+
   void handle(SoupServerMessage *Message) {
     addSignatureHeaders(Message);
     if (requestHeader(Message, "X-Expect-Instance") != m_Name) {
@@ -103,11 +129,12 @@
     scheduleNext(Open);
   }
 
-  std::string m_Name;                              ///< In the store.
-  std::string m_Version;                           ///< Of its software.
-  Scheduler &m_Timers;                             ///< Outlives it.
-  standin::StoreServer &m_Store;                   ///< Outlives it.
-  bool m_IsPaused = false;                         ///< See setPaused().
+  std::string m_Name;                      ///< In the store.
+  std::string m_Version;                   ///< Of its software.
+  Scheduler &m_Timers;                     ///< Outlives it.
+  standin::StoreServer &m_Store;           ///< Outlives it.
+  std::optional<std::int64_t> m_StartTime; ///< As it states; none: it doesn't.
+  bool m_IsPaused = false;                 ///< See setPaused().
   std::vector<std::shared_ptr<OpenStream>> m_Open; ///< In progress.
   HttpServer m_Server;                             ///< For gateways.
 };
