--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -181,9 +181,10 @@
       const std::string Version = versionOfRun(Part.m_Run);
       const auto [Known, IsNew] = Versions.emplace(Stream, Version);
       if (!IsNew && Known->second != Version) {
-        addViolation("one_version", describe(Id, Request) + " resumes " +
-                                        Stream + ": " + Known->second +
-                                        " and " + Version);
+        std::ostringstream Details;
+        Details << describe(Id, Request) << " resumes " << Stream << ": "
+                << Known->second << " and " << Version;
+        addViolation("one_version", Details.str());
         break;
       }
     }
--- a/tests/unit/origin_exchange_test.cpp
+++ b/tests/unit/origin_exchange_test.cpp
@@ -176,6 +176,7 @@
 // Guards against origins that are all kept in one zone.
 BOOST_AUTO_TEST_CASE(HoldersAreInDifferentZones) {
   std::vector<HolderCandidate> Candidates;
+  Candidates.reserve(24);
   for (int I = 0; I < 24; ++I)
     Candidates.push_back({instanceIdOf(std::to_string(I)),
                           {I < 16 ? "a" : (I < 20 ? "b" : "c")},
