--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -264,6 +264,7 @@
     handleUnsent(balance::CallOutcome::Dropped);
     return;
   case TransportEnd::OtherProcess:
+    // The listed process has ended.
     applyStatedLeave({.m_Leaving = true});
     handleUnsent(balance::CallOutcome::Draining);
     return;
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -91,7 +91,7 @@
 
 void ForwardedRequest::findOrigin() {
   if (m_Admitted.m_Facts.m_Resumes.empty()) {
-    if (const auto Sole = m_Context.m_Software.soleVersionOf(
+    if (const auto Sole = m_Context.m_SoftwareHistory.soleVersionOf(
             m_Service, m_Context.m_Clock.now()))
       continueFrom({m_Service, *Sole});
     else
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -31,20 +31,20 @@
 
 /// Shared by all requests; everything outlives them.
 struct ForwardContext {
-  const Clock &m_Clock;                ///< Of the loop.
-  Scheduler &m_Timers;                 ///< Of the loop.
-  balance::Balancer &m_Balancer;       ///< Chooses upstreams.
-  balance::RetryBudget &m_Budget;      ///< Limits retries.
-  CallTransport &m_Transport;          ///< Sends calls.
-  CrashWatch &m_CrashWatch;            ///< Handles broken calls.
-  resume::OriginDirectory &m_Origins;  ///< Knows where streams began.
-  const SoftwareHistory &m_Software;   ///< Versions of the upstreams.
-  const HeaderCodec &m_Codec;          ///< Reads and writes headers.
-  GatewayStats &m_Stats;               ///< Metrics.
-  WaitQueue &m_WaitQueue;              ///< Calls that wait for room.
-  std::function<double()> m_Random;    ///< In [0, 1).
-  std::function<bool()> m_IsClosing;   ///< Connections are to be closed.
-  duty::UsageMeter *m_Usage = nullptr; ///< Null: usage is not counted.
+  const Clock &m_Clock;                     ///< Of the loop.
+  Scheduler &m_Timers;                      ///< Of the loop.
+  balance::Balancer &m_Balancer;            ///< Chooses upstreams.
+  balance::RetryBudget &m_Budget;           ///< Limits retries.
+  CallTransport &m_Transport;               ///< Sends calls.
+  CrashWatch &m_CrashWatch;                 ///< Handles broken calls.
+  resume::OriginDirectory &m_Origins;       ///< Knows where streams began.
+  const SoftwareHistory &m_SoftwareHistory; ///< Of the upstreams.
+  const HeaderCodec &m_Codec;               ///< Reads and writes headers.
+  GatewayStats &m_Stats;                    ///< Metrics.
+  WaitQueue &m_WaitQueue;                   ///< Calls that wait for room.
+  std::function<double()> m_Random;         ///< In [0, 1).
+  std::function<bool()> m_IsClosing;        ///< Connections are to be closed.
+  duty::UsageMeter *m_Usage = nullptr;      ///< Null: usage is not counted.
 };
 
 class ForwardedRequest final : private UpstreamListener {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -113,7 +113,7 @@
                 m_CallRelay->transport(),
                 m_CrashWatch,
                 m_Origins,
-                m_Software,
+                m_SoftwareHistory,
                 *m_PlatformParts.m_Codec,
                 m_Stats,
                 m_WaitQueue,
@@ -211,7 +211,7 @@
 
 void Gateway::upstreamsChanged(const std::vector<Upstream> &List) {
   m_UpstreamsKnown = true;
-  m_Software.record(List, m_Clock.now());
+  m_SoftwareHistory.record(List, m_Clock.now());
   m_CrashWatch.upstreamsChanged(List);
   m_Balancer.setUpstreams(List);
   m_CallRelay->setUpstreams(List);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -102,7 +102,7 @@
   PlatformParts m_PlatformParts;  ///< See PlatformParts.
   std::unique_ptr<UsageParts> m_Usage;        ///< Null: no usage is reported.
   std::unique_ptr<duty::DutyHolder> m_Duties; ///< Null: there are no duties.
-  SoftwareHistory m_Software;                 ///< Versions of the upstreams.
+  SoftwareHistory m_SoftwareHistory;          ///< Of the upstreams.
   resume::OriginExchange m_Origins;           ///< Knows where streams began.
   DigestExchange m_Exchange;                  ///< With other instances.
   std::unique_ptr<relay::CallRelay> m_CallRelay;  ///< Calls and their paths.
--- a/tests/unit/forwarded_request_env.h
+++ b/tests/unit/forwarded_request_env.h
@@ -111,7 +111,7 @@
   CrashWatch m_CrashWatch{m_Clock, m_Timers, m_Balancer, m_Prober, m_Metrics};
   WaitQueue m_WaitQueue{m_Timers};
   FakeOrigins m_Origins;
-  SoftwareHistory m_Software;
+  SoftwareHistory m_SoftwareHistory;
   SystemWallClock m_WallClock;
   duty::MajorityClock m_Time{m_WallClock, m_Clock};
   duty::UsageMeter m_Meter{{InstanceId(1), Incarnation(1)}, 1h, m_Time};
@@ -122,7 +122,7 @@
                            m_Transport,
                            m_CrashWatch,
                            m_Origins,
-                           m_Software,
+                           m_SoftwareHistory,
                            m_Codec,
                            m_Stats,
                            m_WaitQueue,
@@ -179,7 +179,7 @@
 
   void setUpstreams(const std::vector<Upstream> &List) {
     m_Balancer.setUpstreams(List);
-    m_Software.record(List, m_Clock.now());
+    m_SoftwareHistory.record(List, m_Clock.now());
   }
 
   /// Places another call at each upstream.
--- a/tests/unit/path_fleet.h
+++ b/tests/unit/path_fleet.h
@@ -78,7 +78,7 @@
                   m_Relay.transport(),
                   m_CrashWatch,
                   m_Origins,
-                  m_Software,
+                  m_SoftwareHistory,
                   m_Codec,
                   m_Stats,
                   m_WaitQueue,
@@ -128,7 +128,7 @@
   EmptyDirectory m_Directory;
   CrashWatch m_CrashWatch;
   WaitQueue m_WaitQueue;
-  SoftwareHistory m_Software;
+  SoftwareHistory m_SoftwareHistory;
   resume::OriginExchange m_Origins;
   relay::CallRelay m_Relay;
   ForwardContext m_Context;
