--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -319,7 +319,7 @@
     attempt();
 }
 
-/// A new stream may go to an upstream whose version can't be told; it just
+/// A new stream may go to an upstream whose version is unknown; it just
 /// can't be resumed.
 void ForwardedRequest::handleUnproven() {
   m_SkipsProcessCheck = !m_Origin;
--- a/src/http/upstream_call.h
+++ b/src/http/upstream_call.h
@@ -27,8 +27,8 @@
                   ///< the call; no byte was sent.
   RelayLost,      ///< The instance that carried it was lost; maybe sent.
   OtherProcess,   ///< Another process listens there by now; no byte was sent.
-  Unproven,       ///< Which process listens there can't be told; no byte was
-                  ///< sent.
+  Unproven, ///< The process there does not say which one it is; no byte was
+            ///< sent.
 };
 
 /// How far a request has come.
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -57,6 +57,14 @@
   std::string m_Details; ///< The request and what was observed.
 };
 
+/// A time in which a gateway's packets to an upstream were dropped.
+struct PathCutSpan {
+  int m_Gateway;    ///< Its number.
+  int m_Upstream;   ///< Its number.
+  TimePoint m_From; ///< Begin.
+  TimePoint m_To;   ///< End.
+};
+
 /// Time ranges in which a check is suspended.
 using TimeRanges = std::vector<std::pair<TimePoint, TimePoint>>;
 
@@ -107,6 +115,9 @@
     m_Cuts.push_back({Gateway, From, To});
   }
 
+  /// Bytes that were sent in that time may arrive after it.
+  void recordPathCut(const PathCutSpan &Cut) { m_PathCuts.push_back(Cut); }
+
   /// Records that the process of \p Gateway is disturbed.
   void recordGatewayFault(int Gateway, TimePoint From, TimePoint To) {
     m_GatewayFaults.push_back({Gateway, From, To});
@@ -215,6 +226,8 @@
   void checkPlannedStops(const std::string &Id, const RequestRecord &Request);
   void checkRuns(const std::string &Id, const RequestRecord &Request);
   void checkDraining(const std::string &Id, const RequestRecord &Request);
+  [[nodiscard]] bool wasHeldUp(const RequestRecord &Request,
+                               const UpstreamRun &Started) const;
   void checkStatedLeaves();
   void checkPauses();
   [[nodiscard]] std::optional<Pairing> pairingOf(const Arrival &At) const;
@@ -237,6 +250,7 @@
   std::map<std::string, std::map<TimePoint, int>>
       m_ListedCounts;              ///< Listed upstreams, by version and time.
   std::vector<GatewaySpan> m_Cuts; ///< See recordCut().
+  std::vector<PathCutSpan> m_PathCuts;       ///< See recordPathCut().
   std::vector<GatewaySpan> m_GatewayFaults;  ///< See recordGatewayFault().
   std::vector<TimePoint> m_CrashRowsRemoved; ///< See recordCrash().
   std::map<std::string, TimePoint> m_DrainingSince; ///< By upstream's name.
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -251,6 +251,8 @@
           Number != static_cast<int>(Played.m_Target % m_Upstreams.size()))
         continue;
       ++Gateway.m_CutUpstreams[Number];
+      m_Ledger.recordPathCut({Gateway.m_Number, Number, m_Clock.now(),
+                              m_Clock.now() + Played.m_Duration});
       runAfter(Played.m_Duration, [this, &Gateway, Number] {
         --Gateway.m_CutUpstreams[Number];
         updateCuts();
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -76,6 +76,8 @@
   void resumeStreams();
   void resumeStream(const std::string &Id);
   GatewayNode *drawReadyGateway();
+  static test::Call makeCall(const GatewayNode &To, const std::string &Path,
+                             const std::string &Id);
   void crashUpstream(UpstreamNode &Upstream);
   void stopUpstream(UpstreamNode &Upstream, Duration RowTime,
                     Duration RestartTime);
