--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -306,7 +306,7 @@
 inline constexpr int MinResumed = 12;
 
 /// Events in a complete stream.
-inline constexpr int EventsPerStream = 8;
+inline constexpr int EventsPerStream = 30;
 
 } // namespace crowstep::soak
 
