Fix: Let a probe report once

Cause: when a probe's time was over, it called back and kept its connection; if that was established in the same iteration of the loop, it called back again. PathProber and CrashWatch had taken the probe out of their maps and used an empty node. upstream_probe_test: two reports from 5 of 5 probes and a segmentation fault before, none after.

Change: a probe stops its timer and closes its connection before it calls back, and calls back once. The same was looked for in calls to upstreams and in direct, relayed and carried calls: they end their sources of events first, or ignore what follows.

--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -466,25 +466,31 @@
     auto Opened = UpstreamConnection::open(Upstream, Source, *this);
     if (const auto *FailedOutcome = std::get_if<ConnectOutcome>(&Opened)) {
       m_Timer.start(Duration::zero(),
-                    [this, Outcome = *FailedOutcome] { m_OnDone(Outcome); });
+                    [this, Outcome = *FailedOutcome] { finish(Outcome); });
       return;
     }
     m_Connection =
         std::get<std::unique_ptr<UpstreamConnection>>(std::move(Opened));
     m_Connection->watch().setEvents({.m_Write = true});
-    m_Timer.start(Timeout, [this] { m_OnDone(ConnectOutcome::Failed); });
+    m_Timer.start(Timeout, [this] { finish(ConnectOutcome::Failed); });
   }
 
 private:
-  /// The callback may destroy the probe, so it must come last.
   void socketReady(SocketEvents) override {
-    m_Timer.stop();
     const ConnectOutcome Result = m_Connection->connectOutcome();
     if (Result == ConnectOutcome::Connected)
       m_IdleConnections.add(m_Address, std::move(m_Connection));
-    else
-      m_Connection.reset();
-    m_OnDone(Result);
+    finish(Result);
+  }
+
+  /// Ends all sources of events first: the owner may keep the probe until the
+  /// next iteration of the loop, and another one may be due in this one. The
+  /// callback may destroy the probe, so it must come last.
+  void finish(ConnectOutcome Outcome) {
+    m_Timer.stop();
+    m_Connection.reset();
+    const ProbeCallback OnDone = std::exchange(m_OnDone, nullptr);
+    OnDone(Outcome);
   }
 
   IdleConnections &m_IdleConnections; ///< Outlives the probe.
