--- a/tests/process/versioned_upstream.h
+++ b/tests/process/versioned_upstream.h
@@ -148,9 +148,10 @@
 
   /// Takes the stream up at another gateway, unless it is complete.
   void resume(std::size_t Gateway) {
+    if (isComplete())
+      return;
     keepEvents();
-    if (!isComplete())
-      send(Gateway);
+    send(Gateway);
   }
 
   [[nodiscard]] int eventCount() const {
