--- a/tests/process/broken_stream_version_test.cpp
+++ b/tests/process/broken_stream_version_test.cpp
@@ -11,7 +11,6 @@
 // upstream has broken it.
 BOOST_AUTO_TEST_CASE(ABrokenStreamContinuesAtItsVersion) {
   VersionFleet Fleet(1);
-  runFor(balance::RetryBudget::GrowthSettleTime);
   Fleet.begin(0, 40);
   Fleet.m_Upstreams[0]->breakStreams();
   Fleet.m_Upstreams[1]->breakStreams();
--- a/tests/process/versioned_upstream.h
+++ b/tests/process/versioned_upstream.h
@@ -232,8 +232,10 @@
 /// another.
 class VersionFleet : public GatewayFleet {
 public:
-  /// Until all gateways know one another.
-  static constexpr Duration ListingTime = std::chrono::seconds(4);
+  /// Until all gateways know one another and have their share of the retry
+  /// budget.
+  static constexpr Duration ListingTime =
+      balance::RetryBudget::GrowthSettleTime + std::chrono::seconds(4);
 
   /// The upstreams are on machines of their own.
   static constexpr std::uint32_t UpstreamNet = INADDR_LOOPBACK + 0x100;
