Feature: Log segments and time of output of calls that end early

The logs of the incident could not tell which prompt segments the calls had in common that broke at crashes, nor how long before each had begun its answer. GatewayCallEnded names the ids of the segments that other prompts may have too (16 at most) and the time since the call's first output.

--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -164,6 +164,8 @@
 }
 
 void ForwardedRequest::upstreamBytes(std::string_view Bytes) {
+  if (m_FirstOutputAt == TimePoint())
+    m_FirstOutputAt = m_Context.m_Clock.now();
   if (isEventStream())
     relayEvents(Bytes);
   else
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -6,6 +6,7 @@
 #include "gateway/upstream_request.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace crowstep::gateway {
@@ -18,6 +19,18 @@
   return Unplaced.m_Reason == RefusalReason::UpstreamPaused;
 }
 
+/// Returns the ids of the segments that other prompts may have too, for the
+/// log.
+std::string sharedSegmentsText(const PromptInfo &Prompt) {
+  constexpr std::size_t MaxLogged = 16;
+  std::ostringstream Result;
+  Result << std::hex;
+  for (std::size_t I = 0; I + 1 < Prompt.m_Segments.size() && I < MaxLogged;
+       ++I)
+    Result << (I == 0 ? "" : ",") << Prompt.m_Segments[I].m_Id;
+  return Result.str();
+}
+
 } // namespace
 
 ForwardedRequest::ForwardedRequest(ForwardContext &Context,
@@ -246,6 +259,7 @@
   m_PlacementInputs = Placement.m_Inputs;
   m_TriedUpstreams.push_back(Placement.m_Upstream);
   m_Status = 0;
+  m_FirstOutputAt = TimePoint();
   m_Body.clear();
   m_Splitter = SseSplitter();
   OutgoingCall Outgoing;
@@ -326,6 +340,9 @@
 }
 
 void ForwardedRequest::endCall(balance::CallOutcome Outcome) {
+  const Duration OutputTime = m_FirstOutputAt == TimePoint()
+                                  ? Duration::zero()
+                                  : m_Context.m_Clock.now() - m_FirstOutputAt;
   if (Outcome != balance::CallOutcome::Served)
     logEvent(LogEvent::GatewayCallEnded,
              {{"request", m_Admitted.m_Facts.m_Id},
@@ -336,6 +353,8 @@
               {"status", std::to_string(m_Status)},
               {"sends", std::to_string(m_Attempts)},
               {"events", std::to_string(m_EventCount)},
+              {"output_us", std::to_string(OutputTime.count())},
+              {"segments", sharedSegmentsText(m_Admitted.m_Facts.m_Prompt)},
               {"may_have_run", m_MayHaveRun ? "1" : "0"},
               {"progress", std::string(nameOf(m_Call->progress()))},
               {"left_us", std::to_string(timeLeft().count())}});
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -166,13 +166,14 @@
                                               ///< the caller has, in order.
   Address m_Address;                          ///< Of the last call's upstream.
   balance::PlacementInputs m_PlacementInputs; ///< Of the last placement.
-  TimePoint m_FirstEventAt{};                 ///< When it was relayed.
-  TimePoint m_LastEventAt{};                  ///< When it was relayed.
-  Duration m_LongestPause{};                  ///< Between two events so far.
-  std::vector<UpstreamId> m_TriedUpstreams;   ///< The current one is the last.
-  unsigned m_Attempts = 0;                    ///< Not counting unsent ones.
-  unsigned m_UnsentAttempts = 0;              ///< Without a connection.
-  bool m_MayHaveRun = false;                  ///< See the head of this file.
+  TimePoint m_FirstOutputAt{}; ///< First body bytes of the current call.
+  TimePoint m_FirstEventAt{};  ///< When it was relayed.
+  TimePoint m_LastEventAt{};   ///< When it was relayed.
+  Duration m_LongestPause{};   ///< Between two events so far.
+  std::vector<UpstreamId> m_TriedUpstreams; ///< The current one is the last.
+  unsigned m_Attempts = 0;                  ///< Not counting unsent ones.
+  unsigned m_UnsentAttempts = 0;            ///< Without a connection.
+  bool m_MayHaveRun = false;                ///< See the head of this file.
 
   unsigned m_Status = 0;        ///< Of the current answer; 0: none.
   HeaderList m_AnswerHeaders;   ///< Kept once a stream has begun.
