Fix: Quarantine prompt segments that crash upstreams

Cause: requests were known by their whole content only. Requests that have one segment in common and nothing else were each new, so nothing was counted for the segment. The class: an identity under which instances count together that is too narrow for what recurs.

Change: segments are suspects of the same mechanism as contents. Only calls that had hardly begun their answers are evidence; a segment that an instance has served lately is stated to be sound; a crash has one reason; three different requests must be at five crashes.

The same class elsewhere: crashes are sets of processes, no longer of upstreams' names; a new start time or another process at the address shows a crash; updates that have no room in one message go with the next, and are counted if dropped.

--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -2,7 +2,7 @@
 #ifndef CROWSTEP_BALANCE_BALANCE_TYPE_H
 #define CROWSTEP_BALANCE_BALANCE_TYPE_H
 
-#include "content_hash.h"
+#include "balance/crash_suspect.h"
 #include "core/clock.h"
 #include "prompt_type.h"
 #include "refusal_type.h"
@@ -46,9 +46,9 @@
   /// upstream matches.
   std::optional<SoftwareVersion> m_RequiredSoftware;
 
-  std::optional<ContentHash> m_ContentHash; ///< Of the request, if known.
-  bool m_MayWait = false;      ///< Until the best upstream has room.
-  bool m_WaitTimedOut = false; ///< Must not wait again.
+  std::optional<CallSuspects> m_Suspects; ///< Of crashes, if known.
+  bool m_MayWait = false;                 ///< Until the best upstream has room.
+  bool m_WaitTimedOut = false;            ///< Must not wait again.
 };
 
 /// What a placement was based on, for the logs.
@@ -77,9 +77,10 @@
 /// No upstream can take the call now.
 struct NotPlaced {
   RefusalReason m_Reason =
-      RefusalReason::NoUpstream; ///< Why the call is refused.
-  Duration m_RetryAfter{};       ///< Time until an upstream may be free.
-  PlacementInputs m_Inputs;      ///< Basis of the refusal.
+      RefusalReason::NoUpstream;       ///< Why the call is refused.
+  Duration m_RetryAfter{};             ///< Time until an upstream may be free.
+  PlacementInputs m_Inputs;            ///< Basis of the refusal.
+  std::optional<ContentHash> m_HeldBy; ///< The quarantined suspect, if any.
 };
 
 /// The best upstream has no room now, and those with room would have to prefill
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -179,23 +179,23 @@
   return IsEnough(Reachable) ? Reachable : Available;
 }
 
-std::optional<Placed>
-Balancer::placeCarried(UpstreamId Upstream,
-                       const std::optional<ContentHash> &Content,
-                       TimePoint Now) {
+std::optional<Placed> Balancer::placeCarried(UpstreamId Upstream,
+                                             const CallSuspects &Suspects,
+                                             TimePoint Now) {
   const auto Found = m_States.find(Upstream);
   if (Found == m_States.end() || isBarred(Found->second, Now) ||
       !m_Pauses.maySend(Upstream, Now) ||
-      (Content && m_Quarantine.remainingHold(*Content, Now) > Duration::zero()))
+      m_Quarantine.holdOf(Suspects, Now).m_Left > Duration::zero())
     return std::nullopt;
   const TicketId Id(++m_LastTicket);
   m_Pauses.recordSend(Upstream, Id);
   Ticket &Carried = m_Tickets[Id];
   Carried.m_Upstream = Upstream;
   Carried.m_PlacedAt = Now;
-  Carried.m_ContentHash = Content;
+  Carried.m_Suspects = Suspects;
   Carried.m_IsCarried = true;
   const struct Upstream &Where = Found->second.m_Upstream;
+  Carried.m_Incarnation = incarnationOf(Upstream, Where.m_StartTime);
   return Placed{Id, Upstream,         Where.m_Name,     Where.m_Address,
                 {}, Where.m_Software, Where.m_StartTime};
 }
@@ -217,12 +217,15 @@
 
 PlacementResult Balancer::place(const PlacementQuery &Query, TimePoint Now) {
   m_PeerLoads.expire(Now);
-  if (Query.m_ContentHash)
-    if (const Duration Left =
-            m_Quarantine.remainingHold(*Query.m_ContentHash, Now);
-        Left > Duration::zero())
-      return NotPlaced{
-          RefusalReason::Quarantined, Left, {0, 0, 0, 0, m_PeerLoads.size()}};
+  if (Query.m_Suspects)
+    if (const CrashHold Hold = m_Quarantine.holdOf(*Query.m_Suspects, Now);
+        Hold.m_Left > Duration::zero())
+      return NotPlaced{Hold.m_Kind == SuspectKind::Request
+                           ? RefusalReason::Quarantined
+                           : RefusalReason::SegmentQuarantined,
+                       Hold.m_Left,
+                       {0, 0, 0, 0, m_PeerLoads.size()},
+                       Hold.m_Suspect};
   beginPlacementAtBrittle(Query.m_Service, Now);
   const States Candidates = findCandidates(Query, Now);
   if (Candidates.empty())
@@ -486,14 +489,16 @@
   m_RateLimits.recordSend(Chosen.m_Upstream.m_Id, Now);
   const TicketId Id(++m_LastTicket);
   m_Pauses.recordSend(Chosen.m_Upstream.m_Id, Id);
-  m_Tickets[Id] = {Chosen.m_Upstream.m_Id,
-                   Query.m_Urgency,
-                   Tokens,
-                   Now,
-                   false,
-                   Query.m_ContentHash,
-                   false,
-                   Query.m_RequiredSoftware};
+  m_Tickets[Id] = {
+      Chosen.m_Upstream.m_Id,
+      Query.m_Urgency,
+      Tokens,
+      Now,
+      false,
+      Query.m_Suspects,
+      false,
+      Query.m_RequiredSoftware,
+      incarnationOf(Chosen.m_Upstream.m_Id, Chosen.m_Upstream.m_StartTime)};
   Placed Result{Id,
                 Chosen.m_Upstream.m_Id,
                 Chosen.m_Upstream.m_Name,
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -39,10 +39,10 @@
 
   /// Counts a call that another instance has placed and that this one carries
   /// to \p Upstream, until recordCallEnd(). Its load counts where it was
-  /// placed. Returns nullopt if the upstream must get no call from here, or the
-  /// request is quarantined.
+  /// placed. Returns nullopt if the upstream must get no call from here, or one
+  /// of the call's suspects is quarantined.
   std::optional<Placed> placeCarried(UpstreamId Upstream,
-                                     const std::optional<ContentHash> &Content,
+                                     const CallSuspects &Suspects,
                                      TimePoint Now);
 
   /// Sets whether this instance can reach \p Upstream only through others. Such
@@ -97,6 +97,9 @@
     return m_RateLimits.limitOf(Upstream);
   }
 
+  /// Bytes of the answer's body were received.
+  void recordOutput(TicketId Ticket, TimePoint Now);
+
   /// Bytes were received from the call's upstream.
   void recordBytesReceived(TicketId Ticket, TimePoint Now);
 
@@ -108,7 +111,8 @@
   void recordCallEnd(TicketId Ticket, CallOutcome Outcome, TimePoint Now);
 
   /// Returns whether the upstream of a call is still listed, not draining and
-  /// of the required version, and the call's request is not quarantined.
+  /// of the required version, and none of the call's suspects is
+  /// quarantined.
   [[nodiscard]] bool mayBegin(TicketId Ticket, TimePoint Now) const;
 
   /// Sets the memory of each engine of a service, in tokens.
@@ -132,7 +136,7 @@
   [[nodiscard]] double busyEngines(const std::string &Service,
                                    TimePoint Now) const;
 
-  /// Returns the requests that must not run.
+  /// Returns the requests and segments that must not run.
   [[nodiscard]] Quarantine &quarantine() { return m_Quarantine; }
 
   /// Applies another instance's digest.
@@ -160,14 +164,17 @@
 
   /// A call that counts at an upstream.
   struct Ticket {
-    UpstreamId m_Upstream;                    ///< May be removed from the list.
-    Urgency m_Urgency = 0;                    ///< Of the call.
-    CallDemand m_Demand;                      ///< Load that it adds there.
-    TimePoint m_PlacedAt;                     ///< Time of the placement.
-    bool m_NoQueuedPrefill = false;           ///< No prefill queued before it.
-    std::optional<ContentHash> m_ContentHash; ///< Of the request, if known.
+    UpstreamId m_Upstream;                  ///< May be removed from the list.
+    Urgency m_Urgency = 0;                  ///< Of the call.
+    CallDemand m_Demand;                    ///< Load that it adds there.
+    TimePoint m_PlacedAt;                   ///< Time of the placement.
+    bool m_NoQueuedPrefill = false;         ///< No prefill queued before it.
+    std::optional<CallSuspects> m_Suspects; ///< Of crashes, if known.
     bool m_IsCarried = false; ///< Its load counts at another instance.
     std::optional<SoftwareVersion> m_RequiredSoftware; ///< See PlacementQuery.
+    IncarnationId m_Incarnation; ///< The upstream's process.
+    TimePoint m_FirstOutputAt{}; ///< Of its answer's body; not set: none yet.
+    bool m_IsSound = false;      ///< Its answer was written for some time.
   };
 
   States findCandidates(const PlacementQuery &Query, TimePoint Now);
@@ -211,7 +218,7 @@
 
   AvailabilityZone m_Zone;     ///< Of this instance.
   std::mt19937_64 m_Random;    ///< For sampling engines.
-  Quarantine m_Quarantine;     ///< Of requests.
+  Quarantine m_Quarantine;     ///< Of requests and segments.
   RateLimits m_RateLimits;     ///< Stated by upstreams.
   BrittleUpstreams m_Brittle;  ///< As they state.
   RequestedPauses m_Pauses;    ///< By upstreams, from this instance.
--- a/src/balance/balancer_reports.cpp
+++ b/src/balance/balancer_reports.cpp
@@ -39,6 +39,18 @@
   Found.m_Demand.m_PrefillTokens = 0;
 }
 
+void Balancer::recordOutput(TicketId Ticket, TimePoint Now) {
+  const auto Found = m_Tickets.find(Ticket);
+  if (Found == m_Tickets.end() || Found->second.m_IsSound)
+    return;
+  struct Ticket &Call = Found->second;
+  if (Call.m_FirstOutputAt == TimePoint())
+    Call.m_FirstOutputAt = Now;
+  Call.m_IsSound = Now - Call.m_FirstOutputAt >= Quarantine::SoundOutputTime;
+  if (Call.m_IsSound && Call.m_Suspects)
+    m_Quarantine.recordSound(Call.m_Suspects->m_Segments, Now);
+}
+
 void Balancer::recordBytesReceived(TicketId Ticket, TimePoint Now) {
   if (UpstreamState *State = stateOf(Ticket))
     State->m_LastByteAt = Now;
@@ -137,21 +149,28 @@
 /// brittle one falls over under rejections, whatever runs there.
 void Balancer::reportToQuarantine(const Ticket &Ended, const UpstreamState &At,
                                   CallOutcome Outcome, TimePoint Now) {
-  if (!Ended.m_ContentHash || brittlenessOf(At.m_Upstream.m_Service, Now))
+  if (!Ended.m_Suspects || brittlenessOf(At.m_Upstream.m_Service, Now))
     return;
-  if (Outcome == CallOutcome::Served)
-    m_Quarantine.recordServed(*Ended.m_ContentHash);
-  else if (Outcome == CallOutcome::Broken && !At.m_Upstream.m_Draining &&
-           Now >= At.m_DrainingUntil)
-    m_Quarantine.recordBrokenCall(*Ended.m_ContentHash, Ended.m_Upstream, Now);
+  if (Outcome == CallOutcome::Served) {
+    m_Quarantine.recordServed(Ended.m_Suspects->m_Request);
+    m_Quarantine.recordSound(Ended.m_Suspects->m_Segments, Now);
+  } else if (Outcome == CallOutcome::Broken && !At.m_Upstream.m_Draining &&
+             Now >= At.m_DrainingUntil) {
+    const bool HadBegun =
+        Ended.m_FirstOutputAt != TimePoint() &&
+        Now - Ended.m_FirstOutputAt >= Quarantine::SuspectOutputTime;
+    m_Quarantine.recordBrokenCall(
+        {*Ended.m_Suspects, Ended.m_Upstream, Ended.m_Incarnation, HadBegun},
+        Now);
+  }
 }
 
 bool Balancer::mayBegin(TicketId Ticket, TimePoint Now) const {
   const auto Found = m_Tickets.find(Ticket);
   if (Found == m_Tickets.end())
     return false;
-  if (const auto &Content = Found->second.m_ContentHash;
-      Content && m_Quarantine.remainingHold(*Content, Now) > Duration::zero())
+  if (const auto &Suspects = Found->second.m_Suspects;
+      Suspects && m_Quarantine.holdOf(*Suspects, Now).m_Left > Duration::zero())
     return false;
   const auto State = m_States.find(Found->second.m_Upstream);
   const auto &Required = Found->second.m_RequiredSoftware;
--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -68,8 +68,9 @@
       continue;
     if (Line.contains("upstream"))
       Upstreams.insert(textOf(Line, "upstream"));
-    if (Line.contains("content"))
-      Contents.insert(textOf(Line, "content"));
+    for (const char *Name : {"content", "held_by"})
+      if (const std::string Suspect = textOf(Line, Name); !Suspect.empty())
+        Contents.insert(Suspect);
   }
   std::string Result;
   for (const Json &Line : Lines) {
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -1,4 +1,4 @@
-/// Probes of upstreams where calls broke, and the list of quarantined requests.
+/// Probes of upstreams where calls broke, and the list of what is quarantined.
 #include "gateway/crash_watch.h"
 
 #include "core/log.h"
@@ -13,6 +13,8 @@
     : m_Clock(Time), m_Balancer(Balancer), m_Prober(Prober),
       m_Crashes(Stats.counter("crowstep_upstream_crashes_total")),
       m_Quarantined(Stats.gauge("crowstep_requests_quarantined")),
+      m_QuarantinedSegments(Stats.gauge("crowstep_segments_quarantined")),
+      m_DroppedUpdates(Stats.counter("crowstep_crash_updates_dropped_total")),
       m_ListTimer(Timers), m_CleanupTimer(Timers), m_PathTimer(Timers) {
   m_Balancer.quarantine().setListener(this);
 }
@@ -67,13 +69,24 @@
                       [this] { handleCheckedPaths(); });
 }
 
+void CrashWatch::handleReplaced(UpstreamId Id, const std::string &Name) {
+  recordUpstreamDown(Id, Name, "another process answers");
+}
+
 void CrashWatch::upstreamsChanged(const std::vector<Upstream> &All) {
   std::map<UpstreamId, ListedUpstream> Present;
   for (const Upstream &Entry : All)
-    Present[Entry.m_Id] = {Entry.m_Name, Entry.m_Draining};
-  for (const auto &[Id, Known] : m_Upstreams)
-    if (!Known.m_Draining && !Present.contains(Id))
+    Present[Entry.m_Id] = {Entry.m_Name, Entry.m_Draining,
+                           incarnationOf(Entry.m_Id, Entry.m_StartTime)};
+  for (const auto &[Id, Known] : m_Upstreams) {
+    const auto Found = Present.find(Id);
+    if (Known.m_Draining)
+      continue;
+    if (Found == Present.end())
       recordUpstreamDown(Id, Known.m_Name, "no longer listed");
+    else if (Found->second.m_Incarnation != Known.m_Incarnation)
+      recordUpstreamDown(Id, Known.m_Name, "was started again");
+  }
   m_Upstreams = std::move(Present);
 }
 
@@ -88,7 +101,7 @@
                                            {"why", std::string(Reason)},
                                            {"calls", std::to_string(Calls)}});
   m_LastCrashAt = Now;
-  const bool Listable = !m_Balancer.quarantine().unlistedRequests().empty();
+  const bool Listable = !m_Balancer.quarantine().unlistedSuspects().empty();
   if (Listable || !m_ListTimer.isRunning())
     m_ListTimer.start(Listable ? Duration::zero() : ListCheckInterval,
                       [this] { syncQuarantineList(); });
@@ -98,29 +111,41 @@
   m_Balancer.quarantine().setListed(Listed, m_Clock.now());
 }
 
-void CrashWatch::onQuarantined(const ContentHash &Request, std::size_t Crashes,
+void CrashWatch::onQuarantined(const ContentHash &Suspect,
+                               balance::SuspectKind Kind, std::size_t Crashes,
                                Duration Span) {
-  m_Quarantined.set(static_cast<double>(m_Balancer.quarantine().size()));
+  updateGauges();
   logEvent(LogEvent::GatewayQuarantined,
-           {{"content", toString(Request)},
+           {{"content", toString(Suspect)},
+            {"kind", std::string(nameOf(Kind))},
             {"crashes", std::to_string(Crashes)},
             {"span_us", std::to_string(Span.count())}});
 }
 
-void CrashWatch::onCleared(const ContentHash &Request,
+void CrashWatch::onCleared(const ContentHash &Suspect,
+                           balance::SuspectKind Kind,
                            balance::ClearReason Reason) {
-  m_Quarantined.set(static_cast<double>(m_Balancer.quarantine().size()));
-  logEvent(
-      LogEvent::GatewayQuarantineEnded,
-      {{"content", toString(Request)}, {"why", std::string(nameOf(Reason))}});
+  updateGauges();
+  logEvent(LogEvent::GatewayQuarantineEnded,
+           {{"content", toString(Suspect)},
+            {"kind", std::string(nameOf(Kind))},
+            {"why", std::string(nameOf(Reason))}});
   if (Reason == balance::ClearReason::Served && !m_ListTimer.isRunning())
     m_ListTimer.start(Duration::zero(), [this] { syncQuarantineList(); });
 }
 
+void CrashWatch::onUpdateDropped() { m_DroppedUpdates.add(); }
+
+void CrashWatch::updateGauges() {
+  const balance::Quarantine &Held = m_Balancer.quarantine();
+  m_Quarantined.set(static_cast<double>(Held.size()));
+  m_QuarantinedSegments.set(static_cast<double>(Held.segmentCount()));
+}
+
 /// Writes may be lost; the list itself shows whether they took effect.
 void CrashWatch::syncQuarantineList() {
   const balance::Quarantine &Quarantine = m_Balancer.quarantine();
-  const std::vector<ContentHash> Unlisted = Quarantine.unlistedRequests();
+  const std::vector<ContentHash> Unlisted = Quarantine.unlistedSuspects();
   for (const ContentHash &Request : Unlisted)
     m_Directory->listQuarantined(Request);
   for (const ContentHash &Request : Quarantine.staleListings())
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -1,5 +1,5 @@
 /// Detects whether an upstream where calls broke has gone down, and maintains
-/// the directory's list of quarantined requests.
+/// the directory's list of quarantined requests and segments.
 #ifndef CROWSTEP_GATEWAY_CRASH_WATCH_H
 #define CROWSTEP_GATEWAY_CRASH_WATCH_H
 
@@ -55,11 +55,14 @@
   void handleBrokenCall(UpstreamId Id, const std::string &Name,
                         const Address &Where);
 
-  /// Takes the whole list of upstreams. Those that are no longer listed and
-  /// were not draining count as down.
+  /// Another process answers at the address of the upstream called \p Name.
+  void handleReplaced(UpstreamId Id, const std::string &Name);
+
+  /// Takes the whole list of upstreams. Those that are no longer listed, or
+  /// were started again, and were not draining count as down.
   void upstreamsChanged(const std::vector<Upstream> &All);
 
-  /// Takes the whole list of quarantined requests.
+  /// Takes the whole list of quarantined requests and segments.
   void quarantineChanged(const std::set<ContentHash> &Listed);
 
 private:
@@ -80,14 +83,17 @@
 
   /// A listed upstream.
   struct ListedUpstream {
-    std::string m_Name;      ///< Of the upstream.
-    bool m_Draining = false; ///< Its removal is no crash.
+    std::string m_Name;          ///< Of the upstream.
+    bool m_Draining = false;     ///< Its removal is no crash.
+    IncarnationId m_Incarnation; ///< The listed process.
   };
 
-  void onQuarantined(const ContentHash &Request, std::size_t Crashes,
-                     Duration Span) override;
-  void onCleared(const ContentHash &Request,
+  void onQuarantined(const ContentHash &Suspect, balance::SuspectKind Kind,
+                     std::size_t Crashes, Duration Span) override;
+  void onCleared(const ContentHash &Suspect, balance::SuspectKind Kind,
                  balance::ClearReason Reason) override;
+  void onUpdateDropped() override;
+  void updateGauges();
   void handleProbeResult(UpstreamId Id, ConnectOutcome Result);
   void checkPath(const RefusedProbe &Refused);
   void handleCheckedPaths();
@@ -101,7 +107,9 @@
   Directory *m_Directory = nullptr; ///< Never null after start().
   PathView *m_Paths = nullptr;      ///< Null: refused probes count at once.
   Counter &m_Crashes;               ///< Upstreams that went down under calls.
-  Gauge &m_Quarantined;             ///< Requests.
+  Gauge &m_Quarantined;             ///< Requests and segments.
+  Gauge &m_QuarantinedSegments;     ///< Among these.
+  Counter &m_DroppedUpdates;        ///< For lack of room.
   std::map<UpstreamId, RunningProbe> m_Probes;      ///< By upstream.
   std::vector<RunningProbe> m_EndedProbes;          ///< To be destroyed.
   std::deque<RefusedProbe> m_RefusedProbes;         ///< Oldest first.
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -20,6 +20,37 @@
       std::chrono::ceil<std::chrono::milliseconds>(Span).count());
 }
 
+/// Instances of versions that know requests only ignore crashes of segments.
+void packCrash(const balance::CrashUpdate &Crash, wire::GatewayDigestT &Into) {
+  const ContentHash &Suspect = Crash.m_Suspect;
+  const std::uint64_t Process = Crash.m_Crash.value_or(IncarnationId()).value();
+  if (Crash.m_Segment)
+    Into.segment_crashes.emplace_back(
+        Suspect.m_High, Suspect.m_Low, Process, Crash.m_Segment->m_Request,
+        Crash.m_Segment->m_Position, !Crash.m_Crash);
+  else
+    Into.crashes.emplace_back(Suspect.m_High, Suspect.m_Low, Process,
+                              !Crash.m_Crash);
+}
+
+void unpackCrashes(const wire::GatewayDigest &From,
+                   std::vector<balance::CrashUpdate> &Into) {
+  const auto Process = [](const auto &Crash, std::uint64_t Id) {
+    return Crash.clears() ? std::nullopt : std::optional(IncarnationId(Id));
+  };
+  if (From.crashes() != nullptr)
+    for (const wire::RequestCrash *Crash : *From.crashes())
+      Into.push_back({{Crash->request_high(), Crash->request_low()},
+                      Process(*Crash, Crash->upstream()),
+                      std::nullopt});
+  if (From.segment_crashes() != nullptr)
+    for (const wire::SegmentCrash *Crash : *From.segment_crashes())
+      Into.push_back(
+          {{Crash->segment_high(), Crash->segment_low()},
+           Process(*Crash, Crash->process()),
+           balance::SegmentEvidence{Crash->request(), Crash->position()}});
+}
+
 } // namespace
 
 void packDigest(const balance::LoadDigest &Digest,
@@ -41,9 +72,7 @@
                             static_cast<std::uint32_t>(Work.m_LatencySensitive),
                             static_cast<std::uint32_t>(Work.m_Other));
   for (const balance::CrashUpdate &Crash : Digest.m_Crashes)
-    Into->crashes.emplace_back(Crash.m_Request.m_High, Crash.m_Request.m_Low,
-                               Crash.m_Upstream.value_or(UpstreamId()).value(),
-                               !Crash.m_Upstream);
+    packCrash(Crash, *Into);
   for (const balance::LimitUpdate &Limit : Digest.m_Limits)
     Into->limits.emplace_back(Limit.m_Upstream.value(),
                               toMilli(Limit.m_Limit.value_or(0)),
@@ -74,12 +103,7 @@
       Result.m_Work[PoolId(Work->pool())] +=
           {static_cast<double>(Work->short_tokens()),
            static_cast<double>(Work->long_tokens())};
-  if (From.crashes() != nullptr)
-    for (const wire::RequestCrash *Crash : *From.crashes())
-      Result.m_Crashes.push_back(
-          {{Crash->request_high(), Crash->request_low()},
-           Crash->clears() ? std::nullopt
-                           : std::optional(UpstreamId(Crash->upstream()))});
+  unpackCrashes(From, Result.m_Crashes);
   if (From.limits() != nullptr)
     for (const wire::UpstreamLimit *Limit : *From.limits())
       Result.m_Limits.push_back(
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -82,7 +82,7 @@
   /// The whole list of instances.
   virtual void peersChanged(const PeerList &List) = 0;
 
-  /// The whole list of quarantined requests.
+  /// The whole list of quarantined requests and segments.
   virtual void quarantineChanged(const std::set<ContentHash> &Listed) = 0;
 
   /// Changes just read, to be sent to the near peers. Called in the roles of
@@ -102,11 +102,11 @@
   /// Removes this instance from the list; does not wait for the result.
   virtual void deregister() = 0;
 
-  /// Lists a request that crashes upstreams, for instances that start later,
-  /// or removes it from the list. Only the list itself shows whether that
-  /// succeeded.
-  virtual void listQuarantined(const ContentHash &Request) = 0;
-  virtual void unlistQuarantined(const ContentHash &Request) = 0;
+  /// Lists a request or a segment that crashes upstreams, for instances that
+  /// start later, or removes it from the list. Only the list itself shows
+  /// whether that succeeded.
+  virtual void listQuarantined(const ContentHash &Suspect) = 0;
+  virtual void unlistQuarantined(const ContentHash &Suspect) = 0;
 
   /// Sets the role of this instance; Alone at first.
   virtual void setReadingRole(ReadingRole Role) = 0;
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -54,6 +54,8 @@
   applyStatedBrittleness(Facts);
   applyStatedLeave(Facts);
   applyRequestedPause(Facts);
+  if (Facts.m_WrongUpstream)
+    m_Context.m_CrashWatch.handleReplaced(m_TriedUpstreams.back(), m_Upstream);
   if (Facts.m_NotRun) {
     handleRefusal(Facts.m_WrongUpstream || Facts.m_Draining
                       ? balance::CallOutcome::Draining
@@ -166,6 +168,7 @@
 void ForwardedRequest::upstreamBytes(std::string_view Bytes) {
   if (m_FirstOutputAt == TimePoint())
     m_FirstOutputAt = m_Context.m_Clock.now();
+  m_Context.m_Balancer.recordOutput(m_Ticket, m_Context.m_Clock.now());
   if (isEventStream())
     relayEvents(Bytes);
   else
@@ -267,6 +270,7 @@
     return;
   case TransportEnd::OtherProcess:
     // The listed process has ended.
+    m_Context.m_CrashWatch.handleReplaced(m_TriedUpstreams.back(), m_Upstream);
     applyStatedLeave({.m_Leaving = true});
     handleUnsent(balance::CallOutcome::Draining);
     return;
@@ -426,6 +430,7 @@
       Served ? LogEvent::GatewayRequestServed : LogEvent::GatewayRequestFailed,
       {{"request", m_Admitted.m_Facts.m_Id},
        {"content", toString(m_Content)},
+       {"held_by", m_HeldBy ? toString(*m_HeldBy) : std::string()},
        {"route", m_Admitted.m_Route->m_Name},
        {"outcome", std::string(Outcome)},
        {"status", std::to_string(m_Status)},
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -74,6 +74,8 @@
 }
 
 void ForwardedRequest::placeFirst() {
+  m_Suspects =
+      balance::suspectsOf(m_Content, m_Service, m_Admitted.m_Facts.m_Prompt);
   m_Context.m_Budget.recordCall(m_Service, m_ArrivedAt);
   attempt();
 }
@@ -182,7 +184,7 @@
   Result.m_Excluded = m_TriedUpstreams;
   if (m_Origin)
     Result.m_RequiredSoftware = m_Origin->m_Software;
-  Result.m_ContentHash = m_Content;
+  Result.m_Suspects = m_Suspects;
   Result.m_MayWait = mayWait();
   Result.m_WaitTimedOut = m_WaitTimedOut;
   return Result;
@@ -208,6 +210,7 @@
     return;
   }
   m_PlacementInputs = Unplaced->m_Inputs;
+  m_HeldBy = Unplaced->m_HeldBy;
   const bool FoundNoRoom = m_WaitTimedOut && !isDueToPause(*Unplaced);
   refuse(Unplaced->m_Reason,
          FoundNoRoom ? QueueRetryAfter : Unplaced->m_RetryAfter);
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -135,6 +135,7 @@
   IncomingRequest m_Request;        ///< As received.
   AdmittedRequest m_Admitted;       ///< Its route and facts.
   ContentHash m_Content;            ///< Equal in all of the caller's attempts.
+  balance::CallSuspects m_Suspects; ///< For m_Service.
   std::unique_ptr<Caller> m_Caller; ///< Gets the answer.
   std::function<void()> m_OnEnded;  ///< Empty once it has run.
   RouteStats &m_Stats;              ///< Of its route.
@@ -166,6 +167,7 @@
                                               ///< the caller has, in order.
   Address m_Address;                          ///< Of the last call's upstream.
   balance::PlacementInputs m_PlacementInputs; ///< Of the last placement.
+  std::optional<ContentHash> m_HeldBy; ///< The suspect that it was refused for.
   TimePoint m_FirstOutputAt{}; ///< First body bytes of the current call.
   TimePoint m_FirstEventAt{};  ///< When it was relayed.
   TimePoint m_LastEventAt{};   ///< When it was relayed.
--- a/src/http/refusal_answer.cpp
+++ b/src/http/refusal_answer.cpp
@@ -55,6 +55,7 @@
   case RefusalReason::UpstreamFailed:
     return "The upstream failed.";
   case RefusalReason::Quarantined:
+  case RefusalReason::SegmentQuarantined:
     return "This request made upstreams crash and is not run for a while.";
   case RefusalReason::ShuttingDown:
     return "This instance is leaving; another one will serve.";
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -57,6 +57,7 @@
         {"upstream_brittle", 503},
         {"software_gone", 503},
         {"origin_unknown", 503},
+        {"segment_quarantined", 503},
     }};
 
 constexpr std::array<std::string_view,
--- a/src/refusal_type.h
+++ b/src/refusal_type.h
@@ -54,6 +54,7 @@
   UpstreamBrittle,      ///< The upstreams must not be made to reject calls.
   SoftwareGone,         ///< No upstream has the version that began the stream.
   OriginUnknown,        ///< Which version began the stream is not known.
+  SegmentQuarantined,   ///< A segment of the prompt crashes the upstreams.
   Count,                ///< Number of reasons; not a reason.
 };
 
--- a/src/relay/carried_call.cpp
+++ b/src/relay/carried_call.cpp
@@ -106,6 +106,8 @@
 }
 
 void CarriedCall::upstreamBytes(std::string_view Bytes) {
+  m_Owner.m_Context.m_Balancer.recordOutput(m_Placement.m_Ticket,
+                                            m_Owner.m_Context.m_Clock.now());
   m_Owner.m_Context.m_Balancer.recordBytesReceived(
       m_Placement.m_Ticket, m_Owner.m_Context.m_Clock.now());
   auto Part = std::make_unique<wire::RelayBytesT>();
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -125,7 +125,9 @@
   if (m_Context.m_Paths.isPathLost(Opening.m_Upstream))
     return RelayOutcome::NotSent;
   const auto Placement = m_Context.m_Balancer.placeCarried(
-      Opening.m_Upstream, gateway::contentHashOf(Opening.m_Request, *Admitted),
+      Opening.m_Upstream,
+      balance::suspectsOf(gateway::contentHashOf(Opening.m_Request, *Admitted),
+                          Target->m_Service, Admitted->m_Facts.m_Prompt),
       m_Context.m_Clock.now());
   if (!Placement)
     return RelayOutcome::Withheld;
--- a/src/upstream_type.h
+++ b/src/upstream_type.h
@@ -17,6 +17,10 @@
 /// Identifies an upstream; a hash of its name in the platform's instance list.
 using UpstreamId = StrongId<struct UpstreamTag, std::uint64_t>;
 
+/// Identifies a process of an upstream: upstreams may start again under their
+/// name.
+using IncarnationId = StrongId<struct IncarnationTag, std::uint64_t>;
+
 /// Identifies the pool of upstreams that one dispatcher decides for: a service,
 /// or a shard of one; a hash of "service/shard".
 using PoolId = StrongId<struct PoolTag, std::uint64_t>;
@@ -68,6 +72,12 @@
   bool operator==(const Upstream &) const = default;
 };
 
+/// Returns the id of an upstream's process. One that doesn't state when it
+/// started is the only one of its name.
+IncarnationId
+incarnationOf(UpstreamId Id,
+              const std::optional<std::chrono::milliseconds> &StartTime);
+
 /// Returns how many calls an upstream can run at once; at least 1.
 std::uint32_t slotsOf(const Upstream &Target);
 
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -110,6 +110,8 @@
 
 struct RequestCrash;
 
+struct SegmentCrash;
+
 struct UpstreamLimit;
 
 struct BrittleService;
@@ -916,6 +918,67 @@
   using type = RequestCrash;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) SegmentCrash FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t segment_high_;
+  uint64_t segment_low_;
+  uint64_t process_;
+  uint64_t request_;
+  uint8_t position_;
+  uint8_t clears_;
+  int16_t padding0__;  int32_t padding1__;
+
+ public:
+  struct Traits;
+  SegmentCrash()
+      : segment_high_(0),
+        segment_low_(0),
+        process_(0),
+        request_(0),
+        position_(0),
+        clears_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  SegmentCrash(uint64_t _segment_high, uint64_t _segment_low, uint64_t _process, uint64_t _request, uint8_t _position, bool _clears)
+      : segment_high_(flatbuffers::EndianScalar(_segment_high)),
+        segment_low_(flatbuffers::EndianScalar(_segment_low)),
+        process_(flatbuffers::EndianScalar(_process)),
+        request_(flatbuffers::EndianScalar(_request)),
+        position_(flatbuffers::EndianScalar(_position)),
+        clears_(flatbuffers::EndianScalar(static_cast<uint8_t>(_clears))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t segment_high() const {
+    return flatbuffers::EndianScalar(segment_high_);
+  }
+  uint64_t segment_low() const {
+    return flatbuffers::EndianScalar(segment_low_);
+  }
+  uint64_t process() const {
+    return flatbuffers::EndianScalar(process_);
+  }
+  uint64_t request() const {
+    return flatbuffers::EndianScalar(request_);
+  }
+  uint8_t position() const {
+    return flatbuffers::EndianScalar(position_);
+  }
+  bool clears() const {
+    return flatbuffers::EndianScalar(clears_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(SegmentCrash, 40);
+
+struct SegmentCrash::Traits {
+  using type = SegmentCrash;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamLimit FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t upstream_;
@@ -3332,6 +3395,7 @@
   int64_t sent_at_us = -1LL;
   std::vector<uint64_t> leaving{};
   std::vector<crowstep::wire::BrittleService> brittle{};
+  std::vector<crowstep::wire::SegmentCrash> segment_crashes{};
 };
 
 struct GatewayDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3346,7 +3410,8 @@
     VT_LIMITS = 12,
     VT_SENT_AT_US = 14,
     VT_LEAVING = 16,
-    VT_BRITTLE = 18
+    VT_BRITTLE = 18,
+    VT_SEGMENT_CRASHES = 20
   };
   const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *>(VT_LOADS);
@@ -3372,6 +3437,9 @@
   const flatbuffers::Vector<const crowstep::wire::BrittleService *> *brittle() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::BrittleService *> *>(VT_BRITTLE);
   }
+  const flatbuffers::Vector<const crowstep::wire::SegmentCrash *> *segment_crashes() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::SegmentCrash *> *>(VT_SEGMENT_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_LOADS) &&
@@ -3389,6 +3457,8 @@
            verifier.VerifyVector(leaving()) &&
            VerifyOffset(verifier, VT_BRITTLE) &&
            verifier.VerifyVector(brittle()) &&
+           VerifyOffset(verifier, VT_SEGMENT_CRASHES) &&
+           verifier.VerifyVector(segment_crashes()) &&
            verifier.EndTable();
   }
   GatewayDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3424,6 +3494,9 @@
   void add_brittle(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::BrittleService *>> brittle) {
     fbb_.AddOffset(GatewayDigest::VT_BRITTLE, brittle);
   }
+  void add_segment_crashes(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::SegmentCrash *>> segment_crashes) {
+    fbb_.AddOffset(GatewayDigest::VT_SEGMENT_CRASHES, segment_crashes);
+  }
   explicit GatewayDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3444,9 +3517,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::UpstreamLimit *>> limits = 0,
     int64_t sent_at_us = -1LL,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::BrittleService *>> brittle = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::BrittleService *>> brittle = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::SegmentCrash *>> segment_crashes = 0) {
   GatewayDigestBuilder builder_(_fbb);
   builder_.add_sent_at_us(sent_at_us);
+  builder_.add_segment_crashes(segment_crashes);
   builder_.add_brittle(brittle);
   builder_.add_leaving(leaving);
   builder_.add_limits(limits);
@@ -3471,7 +3546,8 @@
     const std::vector<crowstep::wire::UpstreamLimit> *limits = nullptr,
     int64_t sent_at_us = -1LL,
     const std::vector<uint64_t> *leaving = nullptr,
-    const std::vector<crowstep::wire::BrittleService> *brittle = nullptr) {
+    const std::vector<crowstep::wire::BrittleService> *brittle = nullptr,
+    const std::vector<crowstep::wire::SegmentCrash> *segment_crashes = nullptr) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamLoad>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<crowstep::wire::PartPlaced>(*parts) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkPlaced>(*work) : 0;
@@ -3479,6 +3555,7 @@
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamLimit>(*limits) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<uint64_t>(*leaving) : 0;
   auto brittle__ = brittle ? _fbb.CreateVectorOfStructs<crowstep::wire::BrittleService>(*brittle) : 0;
+  auto segment_crashes__ = segment_crashes ? _fbb.CreateVectorOfStructs<crowstep::wire::SegmentCrash>(*segment_crashes) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       loads__,
@@ -3488,7 +3565,8 @@
       limits__,
       sent_at_us,
       leaving__,
-      brittle__);
+      brittle__,
+      segment_crashes__);
 }
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6269,6 +6347,7 @@
   { auto _e = sent_at_us(); _o->sent_at_us = _e; }
   { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = _e->Get(_i); } } }
   { auto _e = brittle(); if (_e) { _o->brittle.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->brittle[_i] = *_e->Get(_i); } } }
+  { auto _e = segment_crashes(); if (_e) { _o->segment_crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->segment_crashes[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<GatewayDigest> GatewayDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6287,6 +6366,7 @@
   auto _sent_at_us = _o->sent_at_us;
   auto _leaving = _o->leaving.size() ? _fbb.CreateVector(_o->leaving) : 0;
   auto _brittle = _o->brittle.size() ? _fbb.CreateVectorOfStructs(_o->brittle) : 0;
+  auto _segment_crashes = _o->segment_crashes.size() ? _fbb.CreateVectorOfStructs(_o->segment_crashes) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       _loads,
@@ -6296,7 +6376,8 @@
       _limits,
       _sent_at_us,
       _leaving,
-      _brittle);
+      _brittle,
+      _segment_crashes);
 }
 
 inline UsageCountT *UsageCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -59,8 +59,9 @@
 
   /// The connection of a call of the request breaks at \p Name.
   void breakCall(const std::string &Name) {
-    m_Balancer.quarantine().recordBrokenCall(Request, upstreamIdOf(Name),
-                                             m_Clock.now());
+    const UpstreamId Id = upstreamIdOf(Name);
+    m_Balancer.quarantine().recordBrokenCall(
+        {{Request, {}}, Id, incarnationOf(Id, std::nullopt)}, m_Clock.now());
     m_Watch.handleBrokenCall(upstreamIdOf(Name), Name, {1, 1});
   }
 
@@ -136,7 +137,8 @@
   TestEnv Env;
   Env.crashUpstream("u-1");
   Env.m_Balancer.quarantine().applyUpdates(
-      {{Request, upstreamIdOf("u-2")}, {Request, upstreamIdOf("u-3")}},
+      {{Request, incarnationOf(upstreamIdOf("u-2"), std::nullopt)},
+       {Request, incarnationOf(upstreamIdOf("u-3"), std::nullopt)}},
       Env.m_Clock.now());
   BOOST_TEST(Env.m_Directory.m_Listed == 0);
   Env.m_Timers.advance(CrashWatch::ListCheckInterval);
@@ -156,3 +158,23 @@
   Env.m_Timers.advance(1min);
   BOOST_TEST(Env.m_Directory.m_Unlisted == 2);
 }
+
+// Guards against crashes that are missed since the upstream is back under its
+// name or at its address before it is probed.
+BOOST_AUTO_TEST_CASE(AnotherProcessAtTheAddressShowsACrash) {
+  TestEnv Env;
+  Env.breakCall("u-1");
+  Env.m_Prober.m_Callbacks.back()(ConnectOutcome::Connected);
+  BOOST_TEST(Env.crashCount() == 0U);
+  Env.m_Watch.handleReplaced(upstreamIdOf("u-1"), "u-1");
+  BOOST_TEST(Env.crashCount() == 1U);
+  Env.breakCall("u-2");
+  std::vector<Upstream> All = {
+      {upstreamIdOf("u-2"), "u-2", "s", {1, 1}, {"a"}},
+      {upstreamIdOf("u-3"), "u-3", "s", {1, 1}, {"a"}}};
+  Env.m_Watch.upstreamsChanged(All);
+  BOOST_TEST(Env.crashCount() == 1U);
+  All[0].m_StartTime = 2ms;
+  Env.m_Watch.upstreamsChanged(All);
+  BOOST_TEST(Env.crashCount() == 2U);
+}
--- a/tests/unit/digest_exchange_test.cpp
+++ b/tests/unit/digest_exchange_test.cpp
@@ -91,8 +91,8 @@
 
 /// Lets an instance observe that an upstream crashes under a request.
 void observeCrash(Instance &Observer, std::uint64_t Upstream, TimePoint Now) {
-  Observer.m_Balancer.quarantine().recordBrokenCall({1, 1},
-                                                    UpstreamId(Upstream), Now);
+  Observer.m_Balancer.quarantine().recordBrokenCall(
+      {{{1, 1}, {}}, UpstreamId(Upstream), IncarnationId(Upstream)}, Now);
   Observer.m_Balancer.quarantine().recordUpstreamDown(UpstreamId(Upstream),
                                                       Now);
 }
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -19,11 +19,17 @@
 
 ContentHash request(std::uint64_t Number) { return {Number, Number}; }
 UpstreamId upstream(std::uint64_t Number) { return UpstreamId(Number); }
+IncarnationId process(std::uint64_t Number) { return IncarnationId(Number); }
+
+/// Returns a call of a request without segments that broke at an upstream.
+BrokenCall brokenCall(const ContentHash &Request, std::uint64_t Upstream) {
+  return {{Request, {}}, upstream(Upstream), process(Upstream)};
+}
 
 /// Records at \p Observer that an upstream crashed while it ran a request.
 void crash(Quarantine &Observer, const ContentHash &Request,
            std::uint64_t Upstream, TimePoint Now) {
-  Observer.recordBrokenCall(Request, upstream(Upstream), Now);
+  Observer.recordBrokenCall(brokenCall(Request, Upstream), Now);
   Observer.recordUpstreamDown(upstream(Upstream), Now);
 }
 
@@ -85,7 +91,7 @@
 BOOST_AUTO_TEST_CASE(ABrokenConnectionAloneIsNoCrash) {
   Quarantine Local(1);
   for (std::uint64_t I = 0; I < 10; ++I)
-    Local.recordBrokenCall(request(1), upstream(I), Begin);
+    Local.recordBrokenCall(brokenCall(request(1), I), Begin);
   BOOST_TEST((Local.remainingHold(request(1), Begin) == 0s));
   // An upstream that goes down long after did not crash under these calls.
   for (std::uint64_t I = 0; I < 10; ++I)
@@ -103,7 +109,7 @@
     Updates.reserve(Count);
     for (std::size_t I = 0; I < Count; ++I)
       Updates.push_back({request(*rc::gen::inRange<std::uint64_t>(1, 4)),
-                         upstream(*rc::gen::inRange<std::uint64_t>(1, 5))});
+                         process(*rc::gen::inRange<std::uint64_t>(1, 5))});
     Quarantine First(1);
     First.applyUpdates(Updates, Begin);
     auto Mixed = Updates;
@@ -212,10 +218,11 @@
          ++Crash) {
       const std::uint64_t Target = Random() % UpstreamCount;
       ++Incarnation;
-      Local.recordBrokenCall(request(9999), upstream(Incarnation), Begin);
+      Local.recordBrokenCall(brokenCall(request(9999), Incarnation), Begin);
       for (std::size_t I = 0; I < Upstreams.size(); ++I)
         if (Upstreams[I] == Target && Runs[I] < 4) {
-          Local.recordBrokenCall(request(I + 1), upstream(Incarnation), Begin);
+          Local.recordBrokenCall(brokenCall(request(I + 1), Incarnation),
+                                 Begin);
           ++Runs[I];
           Upstreams[I] = Random() % UpstreamCount;
         }
@@ -254,7 +261,7 @@
   Quarantine Local(1);
   Local.setListed({request(1)}, Begin);
   BOOST_TEST((Local.remainingHold(request(1), Begin) > 0s));
-  BOOST_TEST(Local.unlistedRequests().empty());
+  BOOST_TEST(Local.unlistedSuspects().empty());
   Local.applyUpdates({{request(1), std::nullopt}}, Begin);
   BOOST_TEST((Local.remainingHold(request(1), Begin) == 0s));
   Local.setListed({request(1), request(2)}, Begin);
@@ -264,9 +271,9 @@
   BOOST_TEST((Local.remainingHold(request(2), Begin) == 0s));
   for (std::uint64_t I = 1; I <= 3; ++I)
     crash(Local, request(3), I, Begin);
-  BOOST_TEST((Local.unlistedRequests() == std::vector{request(3)}));
+  BOOST_TEST((Local.unlistedSuspects() == std::vector{request(3)}));
   Local.setListed({request(1), request(3)}, Begin);
-  BOOST_TEST(Local.unlistedRequests().empty());
+  BOOST_TEST(Local.unlistedSuspects().empty());
   Local.recordServed(request(3));
   BOOST_TEST((Local.staleListings() == std::set{request(3)}));
   Local.setListed({request(1)}, Begin);
@@ -278,7 +285,7 @@
   Quarantine Local(1);
   for (std::uint64_t I = 1; I <= 3; ++I)
     crash(Local, request(1), I, Begin);
-  for (std::uint64_t I = 2; I < 2 * Quarantine::MaxRequests; ++I)
+  for (std::uint64_t I = 2; I < 2 * Quarantine::MaxSuspects; ++I)
     crash(Local, request(I), I + 10, Begin + std::chrono::milliseconds(I));
   BOOST_TEST((Local.remainingHold(request(1), Begin + 10s) > 0s));
   BOOST_TEST(Local.crashCount(request(2)) == 0U);
