--- a/tests/standin/store_server.cpp
+++ b/tests/standin/store_server.cpp
@@ -54,6 +54,33 @@
   answerLongPolls();
 }
 
+void StoreServer::takeCopy() {
+  m_Copy = m_Tables;
+  m_CopyVersion = m_Version;
+}
+
+void StoreServer::restoreCopy() {
+  m_Tables = m_Copy;
+  m_Version = m_CopyVersion;
+  m_OldestVersion = std::min(m_OldestVersion, m_Version);
+  ++m_Era;
+  for (const LongPoll &Poll : m_LongPolls) {
+    if (GSocket *Socket = soup_server_message_get_socket(Poll.m_Message))
+      g_socket_close(Socket, nullptr);
+    soup_server_message_unpause(Poll.m_Message);
+    g_object_unref(Poll.m_Message);
+  }
+  m_LongPolls.clear();
+}
+
+std::string StoreServer::value(const std::string &Table,
+                               const std::string &Key) const {
+  const auto Found = m_Tables.find(Table);
+  if (Found == m_Tables.end() || !Found->second.contains(Key))
+    return {};
+  return Found->second.at(Key).m_Value;
+}
+
 void StoreServer::setMode(Mode NewMode) {
   m_Mode = NewMode;
   answerLongPolls();
@@ -65,6 +92,10 @@
 }
 
 void StoreServer::handle(SoupServerMessage *Message, const std::string &Path) {
+  if (m_StatesEra)
+    soup_message_headers_replace(
+        soup_server_message_get_response_headers(Message), "Store-Era",
+        std::to_string(m_Era).c_str());
   if (m_Mode == Mode::Busy) {
     respond(Message, HttpUnavailable, "text/plain", "");
     return;
@@ -132,7 +163,7 @@
 void StoreServer::handleFeed(SoupServerMessage *Message,
                              const std::string &Name, std::uint64_t After,
                              Duration Wait) {
-  if (After < m_OldestVersion) {
+  if (After < m_OldestVersion || After > m_Version) {
     respond(Message, HttpGone, "text/plain", "");
     return;
   }
--- a/tests/standin/store_server.h
+++ b/tests/standin/store_server.h
@@ -35,6 +35,20 @@
   /// A copy of a store without any change is not served.
   void serveStaleCopy(bool Enabled);
 
+  /// Keeps a copy of the present tables for restoreCopy().
+  void takeCopy();
+
+  /// Comes back from the copy: what was written since is gone, its versions are
+  /// given out again, the era rises, and long polls end.
+  void restoreCopy();
+
+  /// Sets whether answers state the era.
+  void setStatesEra(bool Enabled) { m_StatesEra = Enabled; }
+
+  /// Returns the value of a row; empty: there is none.
+  [[nodiscard]] std::string value(const std::string &Table,
+                                  const std::string &Key) const;
+
   /// Drops the history of changes: feed requests for an earlier version get
   /// 410. A silent store also forgets the ones that wait; their connections
   /// stay open.
@@ -72,10 +86,14 @@
   std::map<std::string, Table> m_StaleCopy; ///< See serveStaleCopy().
   std::uint64_t m_StaleVersion = 0; ///< Version of the copy; 0: none is served.
   std::uint64_t m_Version = 0;      ///< Version of the newest change.
-  std::uint64_t m_OldestVersion = 0; ///< Feeds from earlier versions get 410.
-  Mode m_Mode = Mode::Up;            ///< See Mode.
-  LoopScheduler m_Timers;            ///< Ends long polls.
-  std::uint64_t m_LastPoll = 0;      ///< Number of the last long poll.
+  std::map<std::string, Table> m_Copy; ///< See takeCopy().
+  std::uint64_t m_CopyVersion = 0;     ///< Version of m_Copy.
+  std::uint64_t m_Era = 1;             ///< Rises with each restoreCopy().
+  bool m_StatesEra = true;             ///< See setStatesEra().
+  std::uint64_t m_OldestVersion = 0;   ///< Feeds from earlier versions get 410.
+  Mode m_Mode = Mode::Up;              ///< See Mode.
+  LoopScheduler m_Timers;              ///< Ends long polls.
+  std::uint64_t m_LastPoll = 0;        ///< Number of the last long poll.
 };
 
 } // namespace crowstep::standin
