Fix: Order the store's rows by era and version

What callers saw: after a drill, in which the store comes back from an older copy, no instance put the operators' tables into force for 2.5 s, and requests with a revoked key were served 2 s and more after its revocation was acknowledged.

Cause: versions of rows were compared across copies. While the copy's version was under the known one, a table that was read whole counted as a stale copy; then its rows were dropped one by one, as their versions, given out again, were not above the known ones. The class: a number that only grew is taken for the order of all that the store ever says.

Change: the era that the store states in all its answers, errors too, orders before versions. The first answer of a later era, of whichever call, reads the tables whole. A store that states no era is ordered as before.

Ruled out: a longer time after which a lower version counts as new (a stale copy lasts as long), and an era that only a peer has stated (it could be wrong for ever).

--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -35,12 +35,20 @@
 /// Version of the whole directory; it increases with each change.
 using DirectoryVersion = StrongId<struct DirectoryVersionTag, std::uint64_t>;
 
+/// Era of the directory's content: rises each time that the directory comes
+/// back from an older copy. Versions are then given out again, so those of
+/// different eras can't be compared.
+using DirectoryEra = StrongId<struct DirectoryEraTag, std::uint64_t>;
+
 /// A row of one of the directory's tables.
 struct DirectoryRow {
   std::string m_Key;          ///< Unique in its table.
   std::string m_Value;        ///< Decoded bytes; empty if removed.
   DirectoryVersion m_Version; ///< Of its last change.
   bool m_Removed = false;     ///< That change removed it.
+
+  /// Nobody removed it: the directory came back from a copy without it.
+  bool m_IsLost = false;
 };
 
 /// Changes of one table, as sent by an instance that has read them.
@@ -54,6 +62,8 @@
   std::optional<std::chrono::milliseconds> m_ReadAt;
 
   std::vector<DirectoryRow> m_Rows; ///< The latest of each key.
+
+  std::optional<DirectoryEra> m_Era; ///< Of the versions; none: not stated.
 };
 
 /// Role of an instance in reading the directory for its near peers: those of
--- a/src/gateway/directory_codec.cpp
+++ b/src/gateway/directory_codec.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::int64_t NoTime = -1;
+constexpr std::int64_t NoEra = -1;
 
 std::optional<DirectoryRow> unpackRow(const wire::DirectoryRow &From) {
   if (From.key() == nullptr)
@@ -36,6 +37,8 @@
   Result->after = Update.m_After.value();
   Result->version = Update.m_Version.value();
   Result->read_at_ms = Update.m_ReadAt ? Update.m_ReadAt->count() : NoTime;
+  Result->era =
+      Update.m_Era ? static_cast<std::int64_t>(Update.m_Era->value()) : NoEra;
   for (const DirectoryRow &Row : Update.m_Rows) {
     auto Encoded = std::make_unique<wire::DirectoryRowT>();
     Encoded->key = Row.m_Key;
@@ -56,6 +59,8 @@
   Result.m_Version = DirectoryVersion(From.version());
   if (From.read_at_ms() >= 0)
     Result.m_ReadAt = std::chrono::milliseconds(From.read_at_ms());
+  if (From.era() >= 0)
+    Result.m_Era = DirectoryEra(static_cast<std::uint64_t>(From.era()));
   if (From.rows() == nullptr)
     return Result;
   for (const wire::DirectoryRow *Encoded : *From.rows()) {
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -20,6 +20,7 @@
 
   void upstreamHeaders(unsigned Status, const HeaderList &Headers) override {
     m_Answer.m_Status = Status;
+    m_Answer.m_Headers = Headers;
     if (const std::string *RetryAfter = findHeader(Headers, "Retry-After"))
       m_Answer.m_RetryAfter =
           parseSeconds(*RetryAfter).value_or(Duration::zero());
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -21,6 +21,7 @@
   std::string m_Body;      ///< Complete.
   Duration m_RetryAfter{}; ///< From Retry-After; 0 if it is absent or no number
                            ///< of seconds.
+  HeaderList m_Headers{};  ///< All of them.
 };
 
 /// Why there is no answer.
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -3880,6 +3880,7 @@
   uint64_t version = 0;
   int64_t read_at_ms = -1LL;
   std::vector<std::unique_ptr<crowstep::wire::DirectoryRowT>> rows{};
+  int64_t era = -1LL;
   DirectoryUpdateT() = default;
   DirectoryUpdateT(const DirectoryUpdateT &o);
   DirectoryUpdateT(DirectoryUpdateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3895,7 +3896,8 @@
     VT_AFTER = 6,
     VT_VERSION = 8,
     VT_READ_AT_MS = 10,
-    VT_ROWS = 12
+    VT_ROWS = 12,
+    VT_ERA = 14
   };
   const flatbuffers::String *table() const {
     return GetPointer<const flatbuffers::String *>(VT_TABLE);
@@ -3912,6 +3914,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryRow>> *rows() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryRow>> *>(VT_ROWS);
   }
+  int64_t era() const {
+    return GetField<int64_t>(VT_ERA, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TABLE) &&
@@ -3922,6 +3927,7 @@
            VerifyOffset(verifier, VT_ROWS) &&
            verifier.VerifyVector(rows()) &&
            verifier.VerifyVectorOfTables(rows()) &&
+           VerifyField<int64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   DirectoryUpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3948,6 +3954,9 @@
   void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryRow>>> rows) {
     fbb_.AddOffset(DirectoryUpdate::VT_ROWS, rows);
   }
+  void add_era(int64_t era) {
+    fbb_.AddElement<int64_t>(DirectoryUpdate::VT_ERA, era, -1LL);
+  }
   explicit DirectoryUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3965,8 +3974,10 @@
     uint64_t after = 0,
     uint64_t version = 0,
     int64_t read_at_ms = -1LL,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryRow>>> rows = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crowstep::wire::DirectoryRow>>> rows = 0,
+    int64_t era = -1LL) {
   DirectoryUpdateBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_read_at_ms(read_at_ms);
   builder_.add_version(version);
   builder_.add_after(after);
@@ -3986,7 +3997,8 @@
     uint64_t after = 0,
     uint64_t version = 0,
     int64_t read_at_ms = -1LL,
-    const std::vector<flatbuffers::Offset<crowstep::wire::DirectoryRow>> *rows = nullptr) {
+    const std::vector<flatbuffers::Offset<crowstep::wire::DirectoryRow>> *rows = nullptr,
+    int64_t era = -1LL) {
   auto table__ = table ? _fbb.CreateString(table) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::DirectoryRow>>(*rows) : 0;
   return crowstep::wire::CreateDirectoryUpdate(
@@ -3995,7 +4007,8 @@
       after,
       version,
       read_at_ms,
-      rows__);
+      rows__,
+      era);
 }
 
 flatbuffers::Offset<DirectoryUpdate> CreateDirectoryUpdate(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6497,7 +6510,8 @@
       : table(o.table),
         after(o.after),
         version(o.version),
-        read_at_ms(o.read_at_ms) {
+        read_at_ms(o.read_at_ms),
+        era(o.era) {
   rows.reserve(o.rows.size());
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new crowstep::wire::DirectoryRowT(*rows_) : nullptr); }
 }
@@ -6508,6 +6522,7 @@
   std::swap(version, o.version);
   std::swap(read_at_ms, o.read_at_ms);
   std::swap(rows, o.rows);
+  std::swap(era, o.era);
   return *this;
 }
 
@@ -6525,6 +6540,7 @@
   { auto _e = version(); _o->version = _e; }
   { auto _e = read_at_ms(); _o->read_at_ms = _e; }
   { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<crowstep::wire::DirectoryRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<DirectoryUpdate> DirectoryUpdate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6540,13 +6556,15 @@
   auto _version = _o->version;
   auto _read_at_ms = _o->read_at_ms;
   auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<crowstep::wire::DirectoryRow>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return CreateDirectoryRow(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _era = _o->era;
   return crowstep::wire::CreateDirectoryUpdate(
       _fbb,
       _table,
       _after,
       _version,
       _read_at_ms,
-      _rows);
+      _rows,
+      _era);
 }
 
 inline PathQuestionT *PathQuestion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/unit/directory_zone.h
+++ b/tests/unit/directory_zone.h
@@ -37,6 +37,7 @@
              StoreAccess &Access)
       : m_Inner(std::move(Inner)), m_Timers(Timers), m_Access(Access) {}
 
+  void onEra(EraCallback OnEra) override { m_Inner->onEra(std::move(OnEra)); }
   void read(const std::string &Table, const std::string &From,
             ResultCallback OnDone) override {
     if (mayCall(Duration::zero(), OnDone))
--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -4,6 +4,7 @@
 #include "manifest.h"
 #include "peer_registry.h"
 #include "platform_headers.h"
+#include "store_codec.h"
 #include "table_follower.h"
 
 #include <boost/test/unit_test.hpp>
@@ -43,6 +44,7 @@
     Duration m_Wait{};     ///< Of a follow.
     ResultCallback m_Done; ///< Callback of the answer.
   };
+  void onEra(EraCallback) override {}
   void read(const std::string &, const std::string &,
             ResultCallback OnDone) override {
     m_Calls.push_back({"read", {}, {}, std::move(OnDone)});
@@ -494,3 +496,112 @@
              "#quarantine/" + toString(ContentHash{9, 0}));
   BOOST_TEST(!Rows.m_Writes[0].first.m_Value);
 }
+
+// ---- Eras -------------------------------------------------------------------
+
+namespace {
+
+StoreRows rowsOf(std::vector<StoreRow> Rows, std::uint64_t Version,
+                 std::optional<std::uint64_t> Era) {
+  StoreRows Result;
+  Result.m_Rows = std::move(Rows);
+  Result.m_Version = StoreVersion(Version);
+  if (Era)
+    Result.m_Era = StoreEra(*Era);
+  return Result;
+}
+
+gateway::DirectoryUpdate updateOf(StoreRow Row, std::uint64_t After,
+                                  std::optional<std::uint64_t> Era) {
+  gateway::DirectoryUpdate Result;
+  Result.m_Table = "t";
+  Result.m_After = StoreVersion(After);
+  Result.m_Version = Row.m_Version;
+  Result.m_Rows = {std::move(Row)};
+  if (Era)
+    Result.m_Era = StoreEra(*Era);
+  return Result;
+}
+
+} // namespace
+
+// Guards against a long poll that was lost with the old store and delays what
+// another call has found out, and against its late answer.
+BOOST_AUTO_TEST_CASE(AnyAnswerOfALaterEraReadsTheTableAnew) {
+  Fixture Test;
+  Test.m_Store.answer(rowsOf({row("a", 5)}, 9, 1));
+  BOOST_TEST(Test.takeReported() == "+a5 ");
+  const auto LongPoll = Test.m_Store.m_Calls.back();
+  BOOST_TEST(LongPoll.m_Kind == "follow");
+  Test.m_Table.recordEra(StoreEra(1));
+  Test.m_Timers.advance(0s);
+  BOOST_TEST(Test.m_Store.m_Calls.size() == 1U);
+  Test.m_Table.recordEra(StoreEra(2));
+  Test.m_Timers.advance(0s);
+  BOOST_REQUIRE(Test.m_Store.m_Calls.size() == 2U);
+  BOOST_TEST(Test.m_Store.m_Calls.back().m_Kind == "read");
+  LongPoll.m_Done(rowsOf({row("a", 10)}, 10, 1));
+  BOOST_TEST(Test.takeReported().empty());
+  Test.m_Store.answer(rowsOf({row("a", 4)}, 7, 2));
+  BOOST_TEST(Test.takeReported() == "+a4 ");
+  BOOST_TEST(Test.m_Store.m_Calls.back().m_After.value() == 7U);
+}
+
+// Guards against rows of two eras in one table, and against an answer of an
+// earlier era that undoes a later one.
+BOOST_AUTO_TEST_CASE(PagesOfTwoErasAreNotMixed) {
+  Fixture Test;
+  StoreRows FirstPage = rowsOf({row("a", 5)}, 9, 1);
+  FirstPage.m_HasMore = true;
+  Test.m_Store.answer(FirstPage);
+  Test.m_Store.answer(rowsOf({row("b", 4)}, 7, 2));
+  BOOST_TEST(Test.takeReported().empty());
+  Test.m_Timers.advance(5s);
+  Test.m_Store.answer(rowsOf({row("a", 4), row("b", 3)}, 7, 2));
+  BOOST_TEST(Test.takeReported() == "+a4 +b3 ");
+  Test.m_Store.answer(StoreFailure::HistoryDropped);
+  Test.m_Timers.advance(5s);
+  BOOST_TEST(Test.m_Store.m_Calls.back().m_Kind == "read");
+  Test.m_Store.answer(rowsOf({row("a", 50)}, 99, 1));
+  BOOST_TEST(Test.takeReported().empty());
+}
+
+// Guards against updates between instances that are in different eras.
+BOOST_AUTO_TEST_CASE(UpdatesCountInTheirEraOnly) {
+  Fixture Test;
+  Test.m_Store.answer(rowsOf({row("a", 5)}, 9, 2));
+  Test.takeReported();
+  Test.m_Table.receiveUpdate(updateOf(row("a", 10), 9, 1));
+  BOOST_TEST(Test.takeReported().empty());
+  Test.m_Table.receiveUpdate(updateOf(row("a", 10), 9, 2));
+  BOOST_TEST(Test.takeReported() == "+a10 ");
+  // Of an instance of a version that knows no eras.
+  Test.m_Table.receiveUpdate(updateOf(row("a", 11), 10, std::nullopt));
+  BOOST_TEST(Test.takeReported() == "+a11 ");
+  Test.m_Table.receiveUpdate(updateOf(row("a", 3), 2, 3));
+  BOOST_TEST(Test.takeReported().empty());
+  Test.m_Timers.advance(0s);
+  BOOST_TEST(Test.m_Store.m_Calls.back().m_Kind == "read");
+  Test.m_Store.answer(rowsOf({row("a", 3)}, 3, 3));
+  BOOST_TEST(Test.takeReported() == "+a3 ");
+  Test.m_Table.receiveUpdate(updateOf(row("a", 12), 3, std::nullopt));
+  BOOST_TEST(Test.takeReported().empty());
+  // Other instances learn of the era at once.
+  BOOST_TEST((Test.m_Read.back().m_Era == StoreEra(3)));
+  BOOST_TEST(Test.m_Read.back().m_Rows.empty());
+}
+
+// Guards against an era that is taken from something else, and against one that
+// is not seen in an error.
+BOOST_AUTO_TEST_CASE(ErasAreReadFromAnyAnswer) {
+  const auto Read = [](const char *Text) {
+    HttpAnswer Answer;
+    Answer.m_Headers = {{"store-era", Text}};
+    return eraOf(Answer);
+  };
+  BOOST_TEST((Read("7") == StoreEra(7)));
+  BOOST_TEST((Read(" 7 ") == StoreEra(7)));
+  for (const char *Bad : {"", "x", "-1", "7x", "99999999999999999999999"})
+    BOOST_TEST(!Read(Bad));
+  BOOST_TEST(!eraOf(HttpAnswer()));
+}
--- a/tests/unit/simulated_store.h
+++ b/tests/unit/simulated_store.h
@@ -78,6 +78,44 @@
     failWaiting(adapter::StoreFailure::HistoryDropped);
   }
 
+  /// Keeps a copy of the present tables for restoreCopy().
+  void takeCopy() {
+    m_Copy = m_Tables;
+    m_CopyVersion = m_Version;
+  }
+
+  /// Comes back from the copy: versions since then are given out again, and the
+  /// era rises. Long polls fail, or get no answer until they time out.
+  void restoreCopy(bool ForgetsLongPolls = false) {
+    m_Tables = m_Copy;
+    m_Version = m_CopyVersion;
+    m_HistoryStart = std::min(m_HistoryStart, m_Version);
+    ++m_Era;
+    if (ForgetsLongPolls)
+      forgetLongPolls();
+    else
+      reset();
+  }
+
+  /// Sets whether answers state the era.
+  void setStatesEra(bool Enabled) { m_StatesEra = Enabled; }
+
+  /// Answers reads of whole tables from the present tables until called with
+  /// false.
+  void serveStaleCopy(bool Enabled) {
+    m_StaleTables = Enabled ? m_Tables : decltype(m_Tables)();
+    m_StaleVersion = Enabled ? m_Version : 0;
+    m_StaleEra = m_Era;
+  }
+
+  /// Returns the value of a row; empty: there is none.
+  [[nodiscard]] std::string value(const std::string &Table,
+                                  const std::string &Key) {
+    const auto Found = m_Tables[Table].find(Key);
+    return Found == m_Tables[Table].end() ? std::string()
+                                          : Found->second.m_Value;
+  }
+
   /// Sets how long the store takes for an answer.
   void setAnswerTime(Duration Time) { m_AnswerTime = Time; }
 
@@ -103,35 +141,71 @@
   class Client final : public adapter::Store {
   public:
     explicit Client(SimulatedStore &Owner) : m_Store(Owner) {}
+    void onEra(EraCallback OnEra) override { m_OnEra = std::move(OnEra); }
     void read(const std::string &Table, const std::string &From,
               ResultCallback OnDone) override {
       m_Store.call(Table, 0, Duration::zero(),
                    [this, From, OnDone = std::move(OnDone)](
                        const adapter::StoreResult &Result) {
+                     reportEra(Result);
                      OnDone(m_Store.pageOf(Result, From));
                    });
     }
     void follow(const std::string &Table, adapter::StoreVersion After,
                 Duration Wait, ResultCallback OnDone) override {
-      m_Store.call(Table, After.value(), Wait, std::move(OnDone));
+      m_Store.call(Table, After.value(), Wait,
+                   [this, OnDone = std::move(OnDone)](
+                       const adapter::StoreResult &Result) {
+                     reportEra(Result);
+                     OnDone(Result);
+                   });
     }
     void write(const adapter::StoreWrite &Write,
                std::function<void(adapter::StoreWriteResult)> OnDone) override {
       const bool Up = m_Store.m_Mode == Mode::Up;
-      if (Up && Write.m_Value)
+      const bool MayWrite = Up && m_Store.meetsCondition(Write);
+      if (MayWrite && Write.m_Value)
         m_Store.put(Write.m_Table, Write.m_Key, *Write.m_Value);
+      else if (MayWrite)
+        m_Store.remove(Write.m_Table, Write.m_Key);
       ++m_Store.m_Calls;
       m_Store.m_Timers.runAfter(
-          m_Store.m_AnswerTime, [Up, OnDone = std::move(OnDone)] {
-            OnDone(Up ? adapter::StoreWriteResult::Written
-                      : adapter::StoreWriteResult::Unknown);
+          m_Store.m_AnswerTime, [Up, MayWrite, OnDone = std::move(OnDone)] {
+            if (!Up)
+              OnDone(adapter::StoreWriteResult::Unknown);
+            else
+              OnDone(MayWrite ? adapter::StoreWriteResult::Written
+                              : adapter::StoreWriteResult::Conflict);
           });
     }
 
   private:
+    /// Answers without rows, but for that of a store that is away, state it
+    /// too.
+    void reportEra(const adapter::StoreResult &Result) const {
+      const auto *Failure = std::get_if<adapter::StoreFailure>(&Result);
+      const auto *Rows = std::get_if<adapter::StoreRows>(&Result);
+      if (m_OnEra && Rows != nullptr && Rows->m_Era)
+        m_OnEra(*Rows->m_Era);
+      else if (m_OnEra && Failure != nullptr && m_Store.m_StatesEra &&
+               *Failure == adapter::StoreFailure::HistoryDropped)
+        m_OnEra(adapter::StoreEra(m_Store.m_Era));
+    }
+
     SimulatedStore &m_Store; ///< Outlives the client.
+    EraCallback m_OnEra;     ///< May be empty.
   };
 
+  [[nodiscard]] bool meetsCondition(const adapter::StoreWrite &Write) {
+    if (!Write.m_Expected)
+      return true;
+    const auto Found = m_Tables[Write.m_Table].find(Write.m_Key);
+    const bool Exists =
+        Found != m_Tables[Write.m_Table].end() && !Found->second.m_Removed;
+    return *Write.m_Expected ==
+           (Exists ? Found->second.m_Version : adapter::StoreVersion());
+  }
+
   /// Cuts a read of a whole table to the page that begins at \p From.
   [[nodiscard]] adapter::StoreResult pageOf(adapter::StoreResult Result,
                                             const std::string &From) const {
@@ -158,7 +232,7 @@
       fail(m_Mode == Mode::Refusing ? adapter::StoreFailure::Rejected
                                     : adapter::StoreFailure::Throttled,
            m_AnswerTime, std::move(OnDone));
-    } else if (After > 0 && After < m_HistoryStart) {
+    } else if (After > 0 && (After < m_HistoryStart || After > m_Version)) {
       fail(adapter::StoreFailure::HistoryDropped, m_AnswerTime,
            std::move(OnDone));
     } else if (Wait == Duration::zero() || changedAfter(Table, After)) {
@@ -204,9 +278,14 @@
   void answer(const LongPoll &Poll) {
     m_Timers.runAfter(m_AnswerTime, [this, Poll] {
       adapter::StoreRows Result;
-      Result.m_Version = adapter::StoreVersion(m_Version);
+      const bool IsStale = Poll.m_After == 0 && m_StaleVersion > 0;
+      Result.m_Version =
+          adapter::StoreVersion(IsStale ? m_StaleVersion : m_Version);
       Result.m_AnsweredAt = time();
-      for (const auto &[Key, Row] : m_Tables[Poll.m_Table])
+      if (m_StatesEra)
+        Result.m_Era = adapter::StoreEra(IsStale ? m_StaleEra : m_Era);
+      for (const auto &[Key, Row] :
+           (IsStale ? m_StaleTables : m_Tables)[Poll.m_Table])
         // A read of a whole table contains no removed rows.
         if (Row.m_Version.value() > Poll.m_After &&
             !(Poll.m_After == 0 && Row.m_Removed))
@@ -244,9 +323,16 @@
   std::uint64_t m_Version = 0;                          ///< Of the last change.
   std::uint64_t m_HistoryStart = 0; ///< History begins after it.
   std::map<std::string, std::map<std::string, adapter::StoreRow>>
-      m_Tables;                    ///< Including removed rows.
-  std::list<LongPoll> m_LongPolls; ///< Not answered yet.
-  std::uint64_t m_LastPoll = 0;    ///< Number of the last long poll.
+      m_Tables;                     ///< Including removed rows.
+  decltype(m_Tables) m_Copy;        ///< See takeCopy().
+  std::uint64_t m_CopyVersion = 0;  ///< Of m_Copy.
+  decltype(m_Tables) m_StaleTables; ///< See serveStaleCopy().
+  std::uint64_t m_StaleVersion = 0; ///< Of m_StaleTables; 0: none.
+  std::uint64_t m_StaleEra = 0;     ///< Of m_StaleTables.
+  std::uint64_t m_Era = 1;          ///< Rises with each restoreCopy().
+  bool m_StatesEra = true;          ///< See setStatesEra().
+  std::list<LongPoll> m_LongPolls;  ///< Not answered yet.
+  std::uint64_t m_LastPoll = 0;     ///< Number of the last long poll.
 };
 
 } // namespace crowstep::test
--- a/tests/unit/store_directory_test.cpp
+++ b/tests/unit/store_directory_test.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <random>
 
 using namespace crowstep;
 using namespace crowstep::adapter;
@@ -37,7 +38,9 @@
 
 class Listener final : public gateway::DirectoryListener {
 public:
-  void tableChanged(gateway::RouteTablePtr) override {}
+  void tableChanged(gateway::RouteTablePtr Table) override {
+    m_TableVersions.push_back(Table->version().value());
+  }
   void peersChanged(const gateway::PeerList &) override {}
   void quarantineChanged(const std::set<ContentHash> &Listed) override {
     m_Quarantined = Listed;
@@ -52,8 +55,9 @@
     return std::find(m_Names.begin(), m_Names.end(), Name) != m_Names.end();
   }
 
-  std::vector<std::string> m_Names;    ///< Listed now.
-  std::set<ContentHash> m_Quarantined; ///< Listed now.
+  std::vector<std::uint64_t> m_TableVersions; ///< In the order of arrival.
+  std::vector<std::string> m_Names;           ///< Listed now.
+  std::set<ContentHash> m_Quarantined;        ///< Listed now.
 };
 
 /// An instance that knows three upstreams.
@@ -309,3 +313,198 @@
     BOOST_TEST(Test.m_Listener.has("b"));
   });
 }
+
+// ---- Restores from an older copy --------------------------------------------
+
+namespace {
+
+constexpr const char *Instances = "crowstep_instances";
+
+std::string tableText(std::uint64_t Version) {
+  return R"({"version":)" + std::to_string(Version) +
+         R"(,"routes":[],"services":[],"tenants":[]})";
+}
+
+/// A fixture in which other rows are written after the copy was taken.
+struct RestoreFixture : Fixture {
+  explicit RestoreFixture(double Draw) : Fixture(Draw) {
+    m_Store.put("op", "config", tableText(1));
+    m_Timers.advance(2s);
+    m_Store.takeCopy();
+  }
+  void writeOthers(int Count) {
+    for (int I = 0; I < Count; ++I)
+      m_Store.put("elsewhere", "row", std::to_string(I));
+  }
+  void writeTable(std::uint64_t Version) {
+    m_Store.put("op", "config", tableText(Version));
+  }
+  [[nodiscard]] std::uint64_t tableVersion() const {
+    return m_Listener.m_TableVersions.empty()
+               ? 0
+               : m_Listener.m_TableVersions.back();
+  }
+};
+
+} // namespace
+
+// Guards against a table that is in force too late after a restore, whatever
+// the moment, and against one that goes back.
+BOOST_AUTO_TEST_CASE(ATableWrittenAfterARestoreIsInForceInTime) {
+  for (const bool ForgetsLongPolls : {false, true})
+    atAnyMoment([&](double Draw, Duration Moment) {
+      RestoreFixture Test(Draw);
+      Test.writeOthers(20);
+      Test.writeTable(2);
+      Test.m_Timers.advance(1s + Moment);
+      BOOST_TEST(Test.tableVersion() == 2U);
+      Test.during(Mode::Refusing, Moment);
+      Test.m_Store.restoreCopy(ForgetsLongPolls);
+      // A long poll that is lost with the old store must not delay it.
+      Test.m_Timers.advance(ForgetsLongPolls ? 500ms : 50ms);
+      Test.writeTable(3);
+      Test.m_Timers.advance(DrainTime);
+      BOOST_TEST(Test.tableVersion() == 3U);
+      BOOST_TEST(std::ranges::is_sorted(Test.m_Listener.m_TableVersions));
+    });
+}
+
+// Guards against calls to an upstream that had left, and is listed again by the
+// copy until its entry expires.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeftBeforeARestoreStaysAway) {
+  atAnyMoment([](double Draw, Duration Moment) {
+    RestoreFixture Test(Draw);
+    Test.writeOthers(5);
+    Test.unlist("a");
+    Test.m_Timers.advance(SettleTime + Moment);
+    BOOST_TEST(!Test.m_Listener.has("a"));
+    Test.m_Store.restoreCopy();
+    for (Duration Passed{}; Passed < 5s; Passed += 100ms) {
+      Test.m_Timers.advance(100ms);
+      BOOST_TEST(!Test.m_Listener.has("a"));
+    }
+    // Written anew, it is one that serves.
+    Test.writeOthers(10);
+    Test.list("a");
+    Test.m_Timers.advance(2s);
+    BOOST_TEST(Test.m_Listener.has("a"));
+  });
+}
+
+// Guards against callers that are refused since the copy lacks an upstream, and
+// against one that is kept for good.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatARestoreHasLostIsKeptUntilRenewed) {
+  atAnyMoment([](double Draw, Duration Moment) {
+    for (const bool Renews : {true, false}) {
+      RestoreFixture Test(Draw);
+      Test.list("d");
+      Test.m_Timers.advance(1s + Moment);
+      BOOST_TEST(Test.m_Listener.has("d"));
+      Test.m_Store.restoreCopy();
+      BOOST_TEST((Test.listedFor("d", RenewalDelay) == RenewalDelay));
+      if (Renews)
+        Test.list("d");
+      Test.m_Timers.advance(3s + SettleTime);
+      BOOST_TEST(Test.m_Listener.has("d") == Renews);
+    }
+  });
+}
+
+// Guards against what is quarantined being cleared by a copy without its row,
+// and against a row that no instance writes again.
+BOOST_AUTO_TEST_CASE(ARestoreClearsNoQuarantine) {
+  for (const double Draw : Draws) {
+    RestoreFixture Test(Draw);
+    const ContentHash Held{1, 2};
+    const std::string Key = "#quarantine/" + toString(Held);
+    Test.m_Store.put(Instances, Key, "{}");
+    Test.m_Timers.advance(10s);
+    BOOST_TEST((Test.m_Listener.m_Quarantined == std::set{Held}));
+    Test.m_Store.restoreCopy();
+    for (Duration Passed{}; Passed < 20s; Passed += 100ms) {
+      Test.m_Timers.advance(100ms);
+      BOOST_TEST((Test.m_Listener.m_Quarantined == std::set{Held}));
+    }
+    BOOST_TEST(Test.m_Store.value(Instances, Key) == "{}");
+    // A row that was removed and is back is removed again.
+    Test.m_Store.takeCopy();
+    Test.m_Store.remove(Instances, Key);
+    Test.m_Timers.advance(10s);
+    BOOST_TEST(Test.m_Listener.m_Quarantined.empty());
+    Test.m_Store.restoreCopy();
+    Test.m_Timers.advance(10s);
+    BOOST_TEST(Test.m_Listener.m_Quarantined.empty());
+    BOOST_TEST(Test.m_Store.value(Instances, Key).empty());
+  }
+}
+
+// Guards against a store without eras, or with one that can't be read, that is
+// no longer ordered by version.
+BOOST_AUTO_TEST_CASE(WithoutAnEraAStaleCopyChangesNothing) {
+  for (const bool StatesEra : {true, false}) {
+    RestoreFixture Test(0.5);
+    Test.m_Store.setStatesEra(StatesEra);
+    Test.m_Store.serveStaleCopy(true);
+    Test.writeTable(2);
+    Test.unlist("a");
+    Test.m_Timers.advance(3s);
+    Test.m_Store.dropHistory();
+    Test.m_Timers.advance(10s);
+    BOOST_TEST(Test.tableVersion() == 2U);
+    BOOST_TEST(!Test.m_Listener.has("a"));
+  }
+}
+
+// Guards against a table that goes back or comes late, and an upstream that
+// left and is used, in any series of writes, restores, stale reads and outages.
+BOOST_AUTO_TEST_CASE(RandomSeriesOfRestoresKeepTheOrder) {
+  for (std::uint64_t Seed = 1; Seed <= 300; ++Seed) {
+    std::mt19937_64 Random(Seed);
+    RestoreFixture Test(Draws[Seed % 3]);
+    std::uint64_t Newest = 1;
+    std::set<std::string> Left;
+    for (int Action = 0; Action < 25; ++Action) {
+      switch (Random() % 8) {
+      case 0:
+        Test.m_Store.takeCopy();
+        break;
+      case 1:
+        Test.m_Store.restoreCopy(Random() % 2 == 0);
+        break;
+      case 2:
+        Test.during(Mode::Refusing, std::chrono::milliseconds(Random() % 2000));
+        break;
+      case 3:
+        Test.during(Mode::Cut, std::chrono::milliseconds(Random() % 2000));
+        break;
+      case 4:
+        Test.m_Store.serveStaleCopy(Random() % 2 == 0);
+        break;
+      case 5:
+        Test.m_Store.dropHistory();
+        break;
+      case 6: {
+        const std::string Name = "gone-" + std::to_string(Action);
+        Test.list(Name);
+        Test.m_Timers.advance(1s);
+        Test.unlist(Name);
+        break;
+      }
+      default:
+        Test.writeOthers(static_cast<int>(Random() % 10));
+        Test.writeTable(++Newest);
+        break;
+      }
+      Test.m_Timers.advance(std::chrono::milliseconds(Random() % 1500));
+    }
+    Test.m_Store.serveStaleCopy(false);
+    Test.m_Timers.advance(SettleTime + 1s);
+    Test.writeTable(++Newest);
+    Test.m_Timers.advance(DrainTime);
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      BOOST_TEST(Test.tableVersion() == Newest);
+      BOOST_TEST(std::ranges::is_sorted(Test.m_Listener.m_TableVersions));
+      BOOST_TEST(Test.m_Listener.has("b"));
+    }
+  }
+}
