Fix: Report no window of usage again when the store was restored

Cause: a holder that read the row of an older copy took it for the present one and made the reports again whose windows it had reported since, and dropped those that were written down and lost.

Evidence: ARestoreReportsEachWindowOnce: three windows twice without the merge.

Change: rows that were read in an earlier era are read again before they are written, and what this process has written down or reported is merged into an older row. Another process that takes over still knows only the row.

--- a/src/duty/duty_row.cpp
+++ b/src/duty/duty_row.cpp
@@ -58,6 +58,7 @@
 
 void DutyRow::apply(const std::optional<platform::Row> &Row) {
   m_Version = Row ? Row->m_Version : platform::RowVersion();
+  m_Era = m_Store.era();
   try {
     m_OnText(Row ? std::optional(Row->m_Value) : std::nullopt);
     m_Known = true;
--- a/src/duty/duty_row.h
+++ b/src/duty/duty_row.h
@@ -36,7 +36,9 @@
   void invalidate() { m_Known = false; }
 
   /// Returns whether the row is as the handler got it last.
-  [[nodiscard]] bool isKnown() const { return m_Known; }
+  [[nodiscard]] bool isKnown() const {
+    return m_Known && m_Era == m_Store.era();
+  }
 
   /// Returns whether a call may be made now.
   [[nodiscard]] bool mayCall() const {
@@ -61,9 +63,10 @@
   Counter &m_Unreadable;           ///< Times that the row could not be read.
   Handler m_OnText;                ///< Never empty.
   platform::RowVersion m_Version;  ///< As last observed; 0: no row.
-  bool m_Known = false;            ///< See isKnown().
-  bool m_Busy = false;             ///< A call is in flight.
-  TimePoint m_RetryAt{};           ///< No call before.
+  std::optional<platform::TableEra> m_Era; ///< Of m_Version.
+  bool m_Known = false;                    ///< See isKnown().
+  bool m_Busy = false;                     ///< A call is in flight.
+  TimePoint m_RetryAt{};                   ///< No call before.
 
   /// Expires with this object: callbacks that come later do nothing.
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
--- a/src/duty/usage_reporter.cpp
+++ b/src/duty/usage_reporter.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 
 #include <algorithm>
+#include <map>
 
 namespace crowstep::duty {
 
@@ -25,8 +26,8 @@
 UsageReporter::UsageReporter(const UsageSettings &Config, const Clock &Time,
                              platform::TableService &Store, DutyCaller &Caller,
                              UsageMeter &Meter, Metrics &Stats)
-    : m_Config(Config), m_Clock(Time), m_Caller(Caller), m_Meter(Meter),
-      m_Metrics(Stats),
+    : m_Config(Config), m_Clock(Time), m_Store(Store), m_Caller(Caller),
+      m_Meter(Meter), m_Metrics(Stats),
       m_Missed(Stats.counter("crowstep_usage_windows_missed_total")),
       m_StoredRow(
           "usage", Time, Store, Stats,
@@ -52,7 +53,29 @@
 
 /// Reports begin with the window in which the first holder finds no row.
 void UsageReporter::applyRow(const std::optional<std::string> &Text) {
-  m_Row = Text ? decodeUsageRow(*Text) : UsageRow{m_Meter.currentWindow(), {}};
+  const UsageRow Stored =
+      Text ? decodeUsageRow(*Text) : UsageRow{m_Meter.currentWindow(), {}};
+  const auto Era = m_Store.era();
+  const bool IsRestored = m_HasRow && m_RowEra && Era && *Era > *m_RowEra;
+  m_Row = IsRestored ? mergedWithKnown(Stored) : Stored;
+  m_HasRow = true;
+  m_RowEra = Era;
+}
+
+/// The row may be older than what this process knows: a window that it has
+/// reported must not be counted again, and one that it has written down not be
+/// left out.
+UsageRow UsageReporter::mergedWithKnown(const UsageRow &Stored) const {
+  std::map<UsageWindow, UsageReport> Pending;
+  for (const UsageRow &From : {m_Row, Stored})
+    for (const UsageReport &Report : From.m_Pending)
+      if (!m_Ended.contains(Report.m_Window))
+        Pending.try_emplace(Report.m_Window, Report);
+  UsageRow Result;
+  Result.m_Next = std::max(m_Row.m_Next, Stored.m_Next);
+  for (auto &[Window, Report] : Pending)
+    Result.m_Pending.push_back(std::move(Report));
+  return Result;
 }
 
 bool UsageReporter::isDue(UsageWindow Window) const {
@@ -107,6 +130,11 @@
              std::to_string(m_Meter.timeSinceEnd(Report.m_Window).count())}});
   const bool Ended =
       Outcome == DutyOutcome::Accepted || Outcome == DutyOutcome::Rejected;
+  if (Ended) {
+    m_Ended.insert(Report.m_Window);
+    if (m_Ended.size() > UsageCounts::KeptWindows)
+      m_Ended.erase(m_Ended.begin());
+  }
   if (Ended)
     // The row keeps it until the next write: its repeat would do no harm.
     std::erase(m_Row.m_Pending, Report);
--- a/tests/unit/usage_test.cpp
+++ b/tests/unit/usage_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 #include <random>
 #include <rapidcheck.h>
+#include <set>
 
 using namespace crowstep;
 using namespace crowstep::duty;
@@ -56,9 +57,14 @@
   void list(const std::string &, const std::string &,
             std::function<void(platform::ReadResult)>) override {}
 
-  std::optional<platform::Row> m_Row; ///< None: there is no row.
-  int m_Writes = 0;                   ///< Calls so far.
-  std::uint64_t m_Version = 1;        ///< Of the row.
+  [[nodiscard]] std::optional<platform::TableEra> era() const override {
+    return m_Era;
+  }
+
+  std::optional<platform::TableEra> m_Era; ///< Stated; none: it states none.
+  std::optional<platform::Row> m_Row;      ///< None: there is no row.
+  int m_Writes = 0;                        ///< Calls so far.
+  std::uint64_t m_Version = 1;             ///< Of the row.
 };
 
 /// A table service with a free lease.
@@ -312,3 +318,31 @@
   BOOST_TEST(Stats.counter("crowstep_lease_rows_unreadable_total").value() ==
              1U);
 }
+
+// Guards against a window that is reported again, or never, since the store has
+// forgotten the row that was written before the report.
+BOOST_AUTO_TEST_CASE(ARestoreReportsEachWindowOnce) {
+  Holder Test;
+  Test.m_UsageRow.m_Era = platform::TableEra(1);
+  std::optional<platform::Row> Copy;
+  for (int Report = 0; Report < 4; ++Report) {
+    Test.advance(Report == 0 ? 10s : 5s);
+    BOOST_REQUIRE(Test.m_Platform.m_Done);
+    std::exchange(Test.m_Platform.m_Done, {})(DutyOutcome::Accepted);
+    if (Report == 0)
+      Copy = Test.m_UsageRow.m_Row;
+  }
+  Test.m_UsageRow.m_Row = Copy;
+  Test.m_UsageRow.m_Era = platform::TableEra(2);
+  for (int Report = 0; Report < 3; ++Report) {
+    Test.advance(5s);
+    if (Test.m_Platform.m_Done)
+      std::exchange(Test.m_Platform.m_Done, {})(DutyOutcome::Accepted);
+  }
+  std::set<UsageWindow> Windows;
+  for (const UsageReport &Report : Test.m_Platform.m_Reports)
+    BOOST_TEST(Windows.insert(Report.m_Window).second);
+  BOOST_REQUIRE(Windows.size() >= 5U);
+  BOOST_TEST(Windows.rbegin()->value() - Windows.begin()->value() + 1 ==
+             Windows.size());
+}
