Fix: Bound answers that never end, and probe where a stream ends inside an event

What callers would see: gateways that run out of memory, where an upstream in trouble sends bytes that are no answer without end; and a segment or request that crashes upstreams and is not held, where these answer without a length, so that a crash closes the connection in order.

Cause: a plain answer, an answer to a call of the platform and the statement of a process were collected without a bound; the parser bounds each head, but 1xx answers may follow one another without end. A stream that ended inside an event counted as a failed answer, whose upstream is not probed; only connections that broke were.

Change: bounds where bytes are kept (4 MiB, 16 MiB, 64 KiB, 16 informational answers); such a call fails, its connection is closed, and it is repeated where that is allowed. Streams that end inside an event, or before the first one, are broken like others.

Tests: heads of 1xx, header lines, a header line, trailers, a trailer line and a chunk extension without end (the last six were bounded by the parser before); each new bound fails its test when it is taken out. Not tested: a hundred such upstreams at once with real gateways; uneven connections are not looked at.

--- a/src/gateway/forward_limits.h
+++ b/src/gateway/forward_limits.h
@@ -49,6 +49,10 @@
 /// are complete, and an upstream that never ends one would use up the memory.
 inline constexpr std::size_t MaxEventBytes = 1 << 20;
 
+/// Limit on the body of an answer that is no stream: it is collected whole, and
+/// an upstream that never ends one would use up the memory.
+inline constexpr std::size_t MaxPlainAnswerBytes = 4 << 20;
+
 /// Interval at which a call at a silent upstream asks the retry budget again.
 inline constexpr Duration BudgetCheckInterval = std::chrono::milliseconds(250);
 
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -171,8 +171,10 @@
   m_Context.m_Balancer.recordOutput(m_Ticket, m_Context.m_Clock.now());
   if (isEventStream())
     relayEvents(Bytes);
-  else
+  else if (m_Body.size() + Bytes.size() <= MaxPlainAnswerBytes)
     m_Body.append(Bytes);
+  else
+    handleFailure(balance::CallOutcome::Failed, RetryReason::ClosedBeforeByte);
 }
 
 void ForwardedRequest::relayEvents(std::string_view Bytes) {
@@ -290,9 +292,7 @@
   case TransportEnd::Broken:
     m_MayHaveRun = true;
     recordUsage();
-    m_Context.m_CrashWatch.handleBrokenCall(m_TriedUpstreams.back(), m_Upstream,
-                                            m_Address);
-    handleFailure(balance::CallOutcome::Broken, closeReason());
+    handleBrokenAnswer();
     return;
   case TransportEnd::RelayLost:
     m_MayHaveRun = true;
@@ -308,6 +308,13 @@
     handlePlainEnd();
 }
 
+/// The upstream may have crashed.
+void ForwardedRequest::handleBrokenAnswer() {
+  m_Context.m_CrashWatch.handleBrokenCall(m_TriedUpstreams.back(), m_Upstream,
+                                          m_Address);
+  handleFailure(balance::CallOutcome::Broken, closeReason());
+}
+
 void ForwardedRequest::handleUnsent(balance::CallOutcome Outcome) {
   --m_Attempts;
   endCall(Outcome);
@@ -336,7 +343,8 @@
 
 void ForwardedRequest::handleStreamEnd() {
   if (m_Splitter.isMidEvent() || !m_Streaming) {
-    handleFailure(balance::CallOutcome::Failed, closeReason());
+    // An answer without a length ends with its connection, also in a crash.
+    handleBrokenAnswer();
     return;
   }
   endCall(balance::CallOutcome::Served);
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -83,6 +83,7 @@
   void endCall(balance::CallOutcome Outcome);
   void handleUnsent(balance::CallOutcome Outcome);
   void handleUnproven();
+  void handleBrokenAnswer();
   void leaveSilentCall(balance::CallOutcome Outcome, RetryReason Reason);
   void retry(RetryReason Reason);
   [[nodiscard]] bool mayRetry() const;
--- a/src/http/answer_parser.cpp
+++ b/src/http/answer_parser.cpp
@@ -98,6 +98,8 @@
   // No request asks for an upgrade, so a 101 answer is invalid.
   if (Self.status() == HttpSwitchingProtocols)
     return Fail;
+  if (Self.isInformational() && ++Self.m_InformationalCount > MaxInformational)
+    return Fail;
   Self.m_Headers = Self.m_HeaderCollector.take();
   for (HeaderField &Field : Self.m_Headers)
     Field.m_Name.resize(Field.m_Name.find_last_not_of(" \t") + 1);
--- a/src/http/answer_parser.h
+++ b/src/http/answer_parser.h
@@ -23,6 +23,10 @@
 
 class AnswerParser {
 public:
+  /// Limit on the 1xx answers before the final one. The parser limits each
+  /// head, but not their number.
+  static constexpr unsigned MaxInformational = 16;
+
   /// \p IsHeadRequest: the answer has no body, even if its head states one.
   explicit AnswerParser(bool IsHeadRequest);
   AnswerParser(const AnswerParser &) = delete;
@@ -63,6 +67,7 @@
   bool m_IsHeadRequest;              ///< See the constructor.
   HeaderCollector m_HeaderCollector; ///< Of the head being read.
   HeaderList m_Headers;              ///< Of the final answer; see hasHead().
+  unsigned m_InformationalCount = 0; ///< 1xx answers so far.
   bool m_HasHead = false;            ///< See hasHead().
   bool m_CanReuse = false;           ///< See canReuseConnection().
   std::string m_Body;                ///< Not yet taken.
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -26,7 +26,10 @@
           parseSeconds(*RetryAfter).value_or(Duration::zero());
   }
   void upstreamBytes(std::string_view Bytes) override {
-    m_Answer.m_Body.append(Bytes);
+    if (m_Answer.m_Body.size() + Bytes.size() > MaxBodyBytes)
+      upstreamEnded(TransportEnd::Broken);
+    else
+      m_Answer.m_Body.append(Bytes);
   }
   void upstreamEnded(TransportEnd End) override {
     // Keeps this object alive until the callback has run.
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -62,6 +62,9 @@
 /// whose callbacks then don't run.
 class HttpClient final : public HttpClientInterface {
 public:
+  /// Limit on an answer's body; a longer one counts as none.
+  static constexpr std::size_t MaxBodyBytes = 16 << 20;
+
   HttpClient();
   ~HttpClient() override;
   HttpClient(const HttpClient &) = delete;
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -18,6 +18,9 @@
 
 namespace {
 
+/// Limit on the statement of a process check.
+constexpr std::size_t MaxStatementBytes = 64 << 10;
+
 /// Rejects blanks and control characters, which would end the path or the
 /// request line early.
 bool isPath(const std::string &Text) {
@@ -310,7 +313,9 @@
   if (Outcome == ReadOutcome::Bytes) {
     m_StatementParser->feed(Bytes);
     m_Statement += m_StatementParser->takeBody();
-    if (m_StatementParser->state() != AnswerState::Reading)
+    if (m_Statement.size() > MaxStatementBytes)
+      end(TransportEnd::Unproven);
+    else if (m_StatementParser->state() != AnswerState::Reading)
       endCheck();
     return;
   }
--- a/tests/unit/answer_end_test.cpp
+++ b/tests/unit/answer_end_test.cpp
@@ -1,6 +1,7 @@
 /// Tests that complete and truncated answers are told apart, however their
 /// bytes are split over packets.
 #define BOOST_TEST_MODULE answer_end
+#include "http/answer_parser.h"
 #include "http/upstream_call.h"
 #include "unit/broken_upstream.h"
 
@@ -155,3 +156,51 @@
   checkBroken("HTTP/1.1 100 Continue\r\n\r\n", 3, 60us);
   checkBroken("no answer\r\n\r\n", 3, 60us);
 }
+
+// Guards against memory that grows with an answer that never begins or ends.
+BOOST_AUTO_TEST_CASE(BytesWithoutEndMakeAnAnswerInvalid) {
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const std::string ChunkedHead = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  struct Case {
+    std::string m_Begin;  ///< Sent once.
+    std::string m_Repeat; ///< Sent without end.
+  };
+  constexpr std::size_t MaxBytes = 1 << 20;
+  for (const Case &Each :
+       {Case{"", "HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\n"},
+        Case{Head + "X-A: ", std::string(100, 'a')}, Case{Head, "X-A: b\r\n"},
+        Case{Head + "X", std::string(100, 'X')},
+        Case{ChunkedHead + "0\r\n", "X-A: b\r\n"},
+        Case{ChunkedHead + "0\r\nX-A: ", std::string(100, 'a')},
+        Case{ChunkedHead + "1;", std::string(100, 'a')}}) {
+    AnswerParser Parser(false);
+    Parser.feed(Each.m_Begin);
+    std::size_t Sent = 0;
+    for (; Parser.state() == AnswerState::Reading && Sent < MaxBytes;
+         Sent += Each.m_Repeat.size())
+      Parser.feed(Each.m_Repeat);
+    BOOST_TEST((Parser.state() == AnswerState::Invalid), Each.m_Begin);
+  }
+}
+
+// Guards against a process that uses up the memory with the statement of which
+// process it is.
+BOOST_AUTO_TEST_CASE(AStatementWithoutEndProvesNothing) {
+  FakeUpstream Upstream;
+  LoopClock Clock;
+  LoopScheduler Timers;
+  HttpUpstreamClient Caller(Clock, Timers);
+  Listener CallListener;
+  UpstreamRequest Request;
+  Request.m_Address = Upstream.m_Address;
+  Request.m_Path = "/x";
+  Request.m_SendDeadline = Clock.readNow() + 10s;
+  Request.m_ProcessCheck = ProcessCheck{"/report", 1, [](std::string_view) {
+                                          return ProcessStatement::Expected;
+                                        }};
+  const auto Call = Caller.send(Request, CallListener);
+  Upstream.waitForRequest()->send("HTTP/1.1 200 OK\r\n\r\n" +
+                                  std::string(100000, 'a'));
+  pumpUntil([&] { return CallListener.m_End.has_value(); });
+  BOOST_TEST((CallListener.m_End == TransportEnd::Unproven));
+}
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -475,3 +475,29 @@
     BOOST_TEST(Env.counted() == 1U);
   }
 }
+
+// Guards against a stream without a length that ends inside an event, or before
+// the first one, and counts as whole or hides a crash.
+BOOST_AUTO_TEST_CASE(AStreamThatEndsInsideAnEventIsBroken) {
+  for (const char *Events : {"", "id: 1\ndata: a\n\nid: 2\ndata"}) {
+    TestEnv Env(Resumable, 2);
+    Env.sendGoodHeaders(0);
+    Env.sendBytes(0, Events);
+    Env.endCall(0, TransportEnd::Complete);
+    BOOST_TEST(Env.m_Prober.m_Callbacks.size() == 1U);
+    BOOST_TEST(Env.calls() == 2U);
+  }
+}
+
+// Guards against memory that grows with an answer that never ends.
+BOOST_AUTO_TEST_CASE(APlainAnswerWithoutEndFails) {
+  TestEnv Env(AtMostOnce, 2);
+  Env.sendGoodHeaders(0);
+  const std::string Piece(1 << 20, 'a');
+  for (std::size_t Sent = 0; Sent < MaxPlainAnswerBytes; Sent += Piece.size())
+    Env.sendBytes(0, Piece);
+  BOOST_TEST(Env.m_Finished == 0);
+  Env.sendBytes(0, "a");
+  BOOST_TEST(Env.m_Finished == 1);
+  BOOST_TEST(Env.answer().m_Status == 502U);
+}
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -1,7 +1,7 @@
 /// Short calls over HTTP.
 #define BOOST_TEST_MODULE http_client
 #include "http/http_client.h"
-#include "unit/loopback_peer.h"
+#include "unit/broken_upstream.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -38,3 +38,20 @@
        {"-3", "nan", "inf", "1e300", "3 s", "Fri, 04 Dec 2026 10:00:00 GMT"})
     BOOST_TEST((retryAfterOf(Bad) == 0s), Bad);
 }
+
+// Guards against a server that uses up the memory with an answer without end.
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsTooLongIsNone) {
+  BrokenUpstream Server("HTTP/1.1 200 OK\r\n\r\n" +
+                            std::string(HttpClient::MaxBodyBytes + 1, 'a'),
+                        1, 0us);
+  HttpClient Client;
+  HttpCall Call;
+  Call.m_Address = Server.m_Address;
+  Call.m_Method = "POST";
+  Call.m_Path = "/";
+  Call.m_Timeout = 10s;
+  std::optional<HttpResult> Result;
+  Client.call(Call, [&](HttpResult Outcome) { Result = std::move(Outcome); });
+  BOOST_REQUIRE(pumpUntil([&] { return Result.has_value(); }));
+  BOOST_TEST((std::get<HttpFailure>(*Result) == HttpFailure::NoAnswer));
+}
