--- a/tests/unit/segment_fleet.h
+++ b/tests/unit/segment_fleet.h
@@ -75,9 +75,10 @@
       m_Due += (m_Settings.m_SoundPerSecond + m_Settings.m_CrashingPerSecond) *
                std::chrono::duration<double>(Step).count();
       for (; m_Due >= 1; --m_Due)
-        startCall(below(1000) < 1000 * m_Settings.m_CrashingPerSecond /
-                                    (m_Settings.m_SoundPerSecond +
-                                     m_Settings.m_CrashingPerSecond));
+        startCall(std::uniform_real_distribution<>(
+                      0, m_Settings.m_SoundPerSecond +
+                             m_Settings.m_CrashingPerSecond)(m_Random) <
+                  m_Settings.m_CrashingPerSecond);
     }
   }
 
--- a/tests/unit/segment_quarantine_test.cpp
+++ b/tests/unit/segment_quarantine_test.cpp
@@ -36,7 +36,7 @@
   return Local.remainingHold(Segment, Begin) > Duration::zero();
 }
 
-PromptInfo promptOf(std::vector<std::uint64_t> Ids) {
+PromptInfo promptOf(const std::vector<std::uint64_t> &Ids) {
   PromptInfo Result;
   for (const std::uint64_t Id : Ids)
     Result.m_Segments.push_back({Id, 10});
