--- a/src/balance/quarantine.h
+++ b/src/balance/quarantine.h
@@ -220,7 +220,7 @@
   struct Record {
     SuspectKind m_Kind = SuspectKind::Request;     ///< Of the suspect.
     std::map<IncarnationId, RequestIds> m_Crashes; ///< By process.
-    std::uint8_t m_Position = 0; ///< Of a segment: the last one seen.
+    std::uint8_t m_Position = 0; ///< Of a segment: the greatest one seen.
     TimePoint m_SoundAt{};       ///< When a segment was found to be sound.
     TimePoint m_UpdatedAt{};     ///< Last crash or listing.
     TimePoint m_HeldUntil{};     ///< Must not run before.
--- a/tests/unit/answer_end_test.cpp
+++ b/tests/unit/answer_end_test.cpp
@@ -166,7 +166,7 @@
     std::string m_Repeat; ///< Sent without end.
   };
   constexpr std::size_t MaxBytes = 1 << 20;
-  for (const Case &Each :
+  for (const Case &Tried :
        {Case{"", "HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\n"},
         Case{Head + "X-A: ", std::string(100, 'a')}, Case{Head, "X-A: b\r\n"},
         Case{Head + "X", std::string(100, 'X')},
@@ -174,12 +174,12 @@
         Case{ChunkedHead + "0\r\nX-A: ", std::string(100, 'a')},
         Case{ChunkedHead + "1;", std::string(100, 'a')}}) {
     AnswerParser Parser(false);
-    Parser.feed(Each.m_Begin);
+    Parser.feed(Tried.m_Begin);
     std::size_t Sent = 0;
     for (; Parser.state() == AnswerState::Reading && Sent < MaxBytes;
-         Sent += Each.m_Repeat.size())
-      Parser.feed(Each.m_Repeat);
-    BOOST_TEST((Parser.state() == AnswerState::Invalid), Each.m_Begin);
+         Sent += Tried.m_Repeat.size())
+      Parser.feed(Tried.m_Repeat);
+    BOOST_TEST((Parser.state() == AnswerState::Invalid), Tried.m_Begin);
   }
 }
 
--- a/tests/unit/segment_fleet.h
+++ b/tests/unit/segment_fleet.h
@@ -57,8 +57,8 @@
       m_Instances.back().setListener(&m_Counters[I]);
     }
     m_Engines.resize(Parameters.m_Engines);
-    for (Engine &Each : m_Engines)
-      Each.m_Process = ++m_LastProcess;
+    for (Engine &Started : m_Engines)
+      Started.m_Process = ++m_LastProcess;
   }
 
   static ContentHash crashingSegment() { return {1, 1}; }
@@ -90,16 +90,16 @@
   /// Returns the number of sound segments that are held, over all instances.
   [[nodiscard]] std::size_t wronglyHeld() const {
     std::size_t Result = 0;
-    for (const HoldCounter &Each : m_Counters)
-      Result += Each.m_Held.size() - Each.m_Held.count(crashingSegment());
+    for (const HoldCounter &Counter : m_Counters)
+      Result += Counter.m_Held.size() - Counter.m_Held.count(crashingSegment());
     return Result;
   }
 
   /// Returns the number of instances that hold the crashing segment.
   [[nodiscard]] std::size_t holders() const {
     std::size_t Result = 0;
-    for (const HoldCounter &Each : m_Counters)
-      Result += Each.m_Held.count(crashingSegment());
+    for (const HoldCounter &Counter : m_Counters)
+      Result += Counter.m_Held.count(crashingSegment());
     return Result;
   }
 
@@ -170,21 +170,22 @@
 
   void advanceCalls() {
     for (std::size_t I = 0; I < m_Engines.size(); ++I)
-      if (std::ranges::any_of(m_Calls, [&](const Call &Each) {
-            return Each.m_IsCrashing && Each.m_Engine == I &&
-                   Each.m_FirstOutputAt <= m_Now;
+      if (std::ranges::any_of(m_Calls, [&](const Call &Running) {
+            return Running.m_IsCrashing && Running.m_Engine == I &&
+                   Running.m_FirstOutputAt <= m_Now;
           })) {
         m_Crashes.push_back(m_Now);
         crash(m_Engines[I]);
       }
-    std::erase_if(m_Calls, [&](const Call &Each) {
-      if (Each.m_EndAt > m_Now)
+    std::erase_if(m_Calls, [&](const Call &Running) {
+      if (Running.m_EndAt > m_Now)
         return false;
-      m_Instances[Each.m_Instance].recordServed(Each.m_Suspects.m_Request);
-      m_Instances[Each.m_Instance].recordSound(Each.m_Suspects.m_Segments,
-                                               m_Now);
-      if (!Each.m_IsRepeat)
-        m_Sound[Each.m_Sound].second = true;
+      m_Instances[Running.m_Instance].recordServed(
+          Running.m_Suspects.m_Request);
+      m_Instances[Running.m_Instance].recordSound(Running.m_Suspects.m_Segments,
+                                                  m_Now);
+      if (!Running.m_IsRepeat)
+        m_Sound[Running.m_Sound].second = true;
       return true;
     });
   }
@@ -192,27 +193,27 @@
   void crash(Engine &Target) {
     const auto Index = static_cast<std::size_t>(&Target - m_Engines.data());
     std::vector<Call> Broken;
-    std::erase_if(m_Calls, [&](const Call &Each) {
-      if (Each.m_Engine != Index)
+    std::erase_if(m_Calls, [&](const Call &Running) {
+      if (Running.m_Engine != Index)
         return false;
-      Broken.push_back(Each);
+      Broken.push_back(Running);
       return true;
     });
     const UpstreamId Name(Target.m_Process);
-    for (Call &Each : Broken) {
-      const bool HadBegun = m_Now - Each.m_FirstOutputAt >=
+    for (Call &Running : Broken) {
+      const bool HadBegun = m_Now - Running.m_FirstOutputAt >=
                             balance::Quarantine::SuspectOutputTime;
-      m_Instances[Each.m_Instance].recordBrokenCall(
-          {Each.m_Suspects, Name, IncarnationId(Target.m_Process), HadBegun},
+      m_Instances[Running.m_Instance].recordBrokenCall(
+          {Running.m_Suspects, Name, IncarnationId(Target.m_Process), HadBegun},
           m_Now);
       m_Detections.emplace(m_Now + DetectionTime,
-                           Detection{Each.m_Instance, Name});
+                           Detection{Running.m_Instance, Name});
     }
     Target.m_Process = ++m_LastProcess;
     Target.m_UpAt = m_Now + std::chrono::milliseconds(2000 + below(2000));
-    for (Call &Each : Broken)
-      if (!std::exchange(Each.m_IsRepeat, true))
-        send(Each);
+    for (Call &Running : Broken)
+      if (!std::exchange(Running.m_IsRepeat, true))
+        send(Running);
   }
 
   void detectCrashes() {
@@ -234,8 +235,8 @@
     }
     if (m_Now.time_since_epoch() % DigestInterval != Duration::zero())
       return;
-    for (balance::Quarantine &Each : m_Instances)
-      if (const auto Updates = Each.takeUpdates(); !Updates.empty())
+    for (balance::Quarantine &Sender : m_Instances)
+      if (const auto Updates = Sender.takeUpdates(); !Updates.empty())
         for (std::size_t Group = 0; Group < Groups; ++Group)
           m_InFlight.emplace(m_Now +
                                  std::chrono::milliseconds(below(MaxDelayMs)),
--- a/tests/unit/segment_quarantine_test.cpp
+++ b/tests/unit/segment_quarantine_test.cpp
@@ -279,18 +279,18 @@
     double m_Sound;
     double m_Crashing;
   };
-  for (const Case &Each :
+  for (const Case &Tried :
        {Case{4, 8, 20, 1}, Case{9, 12, 40, 10}, Case{9, 12, 40, 1},
         Case{84, 60, 400, 15}, Case{300, 160, 1500, 15}})
-    for (std::uint64_t Seed = 1; Seed <= (Each.m_Instances > 50 ? 2U : 10U);
+    for (std::uint64_t Seed = 1; Seed <= (Tried.m_Instances > 50 ? 2U : 10U);
          ++Seed) {
-      SegmentFleet Fleet({Each.m_Instances, Each.m_Engines, Each.m_Sound},
+      SegmentFleet Fleet({Tried.m_Instances, Tried.m_Engines, Tried.m_Sound},
                          Seed);
       Fleet.run(4s);
-      Fleet.setCrashingPerSecond(Each.m_Crashing);
+      Fleet.setCrashingPerSecond(Tried.m_Crashing);
       Fleet.run(20s);
-      BOOST_TEST_CONTEXT(Each.m_Instances << " instances, " << Each.m_Crashing
-                                          << " a second, seed " << Seed) {
+      BOOST_TEST_CONTEXT(Tried.m_Instances << " instances, " << Tried.m_Crashing
+                                           << " a second, seed " << Seed) {
         BOOST_REQUIRE(Fleet.m_Crashes.size() >= 5U);
         const TimePoint FifthAt = Fleet.m_Crashes[4];
         const auto Late =
@@ -298,7 +298,7 @@
               return Sent > FifthAt + 3s;
             });
         BOOST_TEST(Late <= 3);
-        BOOST_TEST(Fleet.holders() == Each.m_Instances);
+        BOOST_TEST(Fleet.holders() == Tried.m_Instances);
         BOOST_TEST(Fleet.wronglyHeld() == 0U);
         BOOST_TEST(servedShare(Fleet, FifthAt + 6s) >= 0.9);
       }
@@ -313,21 +313,21 @@
     std::size_t m_Engines;
     double m_Sound;
   };
-  for (const Case &Each :
+  for (const Case &Tried :
        {Case{9, 12, 40}, Case{84, 60, 400}, Case{300, 160, 1500}})
-    for (std::uint64_t Seed = 1; Seed <= (Each.m_Instances > 50 ? 2U : 20U);
+    for (std::uint64_t Seed = 1; Seed <= (Tried.m_Instances > 50 ? 2U : 20U);
          ++Seed) {
       SegmentFleet Fleet(
-          {Each.m_Instances, Each.m_Engines, Each.m_Sound, 0, 10}, Seed);
+          {Tried.m_Instances, Tried.m_Engines, Tried.m_Sound, 0, 10}, Seed);
       Fleet.run(2s);
       std::mt19937_64 Random(Seed);
       for (int Round = 0; Round < 6; ++Round) {
-        for (std::size_t I = 0; I < Each.m_Engines / 18 + 1; ++I)
-          Fleet.crashEngine(Random() % Each.m_Engines);
+        for (std::size_t I = 0; I < Tried.m_Engines / 18 + 1; ++I)
+          Fleet.crashEngine(Random() % Tried.m_Engines);
         Fleet.run(1s);
       }
       Fleet.run(1s);
-      BOOST_TEST_CONTEXT(Each.m_Instances << " instances, seed " << Seed)
+      BOOST_TEST_CONTEXT(Tried.m_Instances << " instances, seed " << Seed)
       BOOST_TEST(Fleet.wronglyHeld() == 0U);
     }
 }
