--- a/src/lease/lease_core.cpp
+++ b/src/lease/lease_core.cpp
@@ -122,6 +122,7 @@
   m_Era = Event.m_Era;
   if (!IsRestored)
     return;
+  m_HasEraRisen = true;
   if (m_Row)
     m_HighestSeen = std::max(m_HighestSeen, m_Row->m_Fencing);
   m_RowKnown = false;
@@ -135,8 +136,11 @@
 }
 
 /// Returns whether no holder that the row doesn't name can still be valid. Such
-/// a one got its last answer before the era began.
+/// a one got its last answer before the era began. In a fleet that starts for
+/// the first time there is no row: it need not wait.
 bool LeaseCore::mayAcquire() const {
+  if (!m_Row && !m_HasEraRisen)
+    return true;
   const Duration Validity = m_Row ? m_Row->m_Duration : m_Config.m_Duration;
   return isOfThisEra() || m_Now >= m_RowSeenAt +
                                        std::max(Validity, m_Config.m_Duration) +
