--- a/tests/unit/simulated_upstreams.h
+++ b/tests/unit/simulated_upstreams.h
@@ -105,6 +105,7 @@
   SimulatedUpstreams &m_Owner;  ///< Outlives the call.
   UpstreamRequest m_Request;    ///< As sent.
   UpstreamListener &m_Listener; ///< Outlives the call.
+  std::uint64_t m_Number;       ///< In the order of sending.
   bool m_IsReused;              ///< On a kept connection.
   bool m_IsSent = false;        ///< Bytes have left.
   bool m_IsRunning = false;     ///< The upstream has the request.
@@ -143,19 +144,16 @@
       std::erase_if(m_Kept, [&](const auto &Entry) {
         return m_World.pathMode(m_Self, Entry.first) != PathMode::Open;
       });
-    const std::set<SimulatedCall *> Before = m_Calls;
-    for (SimulatedCall *Call : Before)
-      if (m_Calls.contains(Call))
-        Call->handlePathChange();
+    forEachCall([](SimulatedCall &Call) { Call.handlePathChange(); });
   }
 
   /// The process of the upstream at \p Where has ended.
   void handleCrash(const Address &Where) {
     m_Kept.erase(Where);
-    const std::set<SimulatedCall *> Before = m_Calls;
-    for (SimulatedCall *Call : Before)
-      if (m_Calls.contains(Call) && Call->address() == Where)
-        Call->handleCrash();
+    forEachCall([&](SimulatedCall &Call) {
+      if (Call.address() == Where)
+        Call.handleCrash();
+    });
   }
 
   [[nodiscard]] const Upstream *upstreamAt(const Address &Where) const {
@@ -165,12 +163,22 @@
     return nullptr;
   }
 
-  UpstreamWorld &m_World;            ///< Outlives it.
-  const Clock &m_Clock;              ///< Outlives it.
-  std::size_t m_Self;                ///< The instance.
-  std::set<SimulatedCall *> m_Calls; ///< Open.
-  std::map<Address, int> m_Kept;     ///< Idle connections.
-  std::size_t m_ProbeCount = 0;      ///< Made so far.
+  /// Calls \p Action for each open call, in the order in which they were sent.
+  /// It may end calls and send others.
+  void forEachCall(const std::function<void(SimulatedCall &)> &Action) {
+    const std::map<std::uint64_t, SimulatedCall *> Before = m_Calls;
+    for (const auto &[Number, Call] : Before)
+      if (m_Calls.contains(Number))
+        Action(*Call);
+  }
+
+  UpstreamWorld &m_World;       ///< Outlives it.
+  const Clock &m_Clock;         ///< Outlives it.
+  std::size_t m_Self;           ///< The instance.
+  std::uint64_t m_LastCall = 0; ///< Number of the last call.
+  std::map<std::uint64_t, SimulatedCall *> m_Calls; ///< Open ones, by number.
+  std::map<Address, int> m_Kept;                    ///< Idle connections.
+  std::size_t m_ProbeCount = 0;                     ///< Made so far.
 
 private:
   class Probe final : public UpstreamProbe {
@@ -199,10 +207,10 @@
                                     UpstreamRequest Request,
                                     UpstreamListener &Listener, bool IsReused)
     : m_Owner(Owner), m_Request(std::move(Request)), m_Listener(Listener),
-      m_IsReused(IsReused), m_Timer(Owner.m_World.m_Timers),
-      m_ConnectTimer(Owner.m_World.m_Timers),
+      m_Number(++Owner.m_LastCall), m_IsReused(IsReused),
+      m_Timer(Owner.m_World.m_Timers), m_ConnectTimer(Owner.m_World.m_Timers),
       m_CutTimer(Owner.m_World.m_Timers) {
-  m_Owner.m_Calls.insert(this);
+  m_Owner.m_Calls.emplace(m_Number, this);
   if (m_IsReused) {
     after(Duration::zero(), &SimulatedCall::handleConnected);
     return;
@@ -213,7 +221,7 @@
   after(UpstreamWorld::Delay * 2, &SimulatedCall::connect);
 }
 
-inline SimulatedCall::~SimulatedCall() { m_Owner.m_Calls.erase(this); }
+inline SimulatedCall::~SimulatedCall() { m_Owner.m_Calls.erase(m_Number); }
 
 inline PathMode SimulatedCall::pathMode() const {
   return m_Owner.m_World.pathMode(m_Owner.m_Self, m_Request.m_Address);
@@ -335,7 +343,7 @@
   m_Timer.stop();
   m_ConnectTimer.stop();
   m_CutTimer.stop();
-  m_Owner.m_Calls.erase(this);
+  m_Owner.m_Calls.erase(m_Number);
   m_Listener.upstreamEnded(End);
 }
 
