--- a/tests/process/caller.h
+++ b/tests/process/caller.h
@@ -22,7 +22,7 @@
   std::string m_Body;            ///< JSON; empty: no body.
   std::map<std::string, std::string> m_Headers;  ///< Additional headers.
   Duration m_Timeout = std::chrono::seconds(30); ///< Of the whole call.
-  bool m_KeepAlive = false; ///< Honoured by soak::RawCaller only.
+  bool m_KeepAlive = false; ///< Honoured by RawCaller only.
 };
 
 /// Result of a call; m_Ended is false while the call is in progress.
@@ -32,7 +32,7 @@
   std::string m_Run;               ///< Header Crowstep-Run.
   std::string m_RetryAfter;        ///< Header Retry-After.
   std::string m_LeavingUpstream;   ///< Signature of an answer with the header
-                                   ///< Server-Leaving; by soak::RawCaller only.
+                                   ///< Server-Leaving; by RawCaller only.
   std::string m_Body;              ///< Bytes received so far.
   bool m_ConnectionBroken = false; ///< The response is incomplete.
   Duration m_Elapsed{};            ///< From the start to the end.
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -56,6 +56,11 @@
   Call request(std::size_t Gateway, const std::string &Path,
                const std::string &Body);
 
+  /// Returns the address at which a gateway serves callers.
+  [[nodiscard]] Address listenAddress(std::size_t Gateway) const {
+    return m_Configs.at(Gateway).m_ListenAddress;
+  }
+
   [[nodiscard]] std::size_t size() const { return m_Configs.size(); }
 
   LoopClock m_Clock;            ///< Of the test process.
--- a/tests/soak/raw_caller.cpp
+++ b/tests/process/raw_caller.cpp
@@ -1,5 +1,5 @@
 /// Requests over plain sockets, with a minimal parser of answers.
-#include "soak/raw_caller.h"
+#include "process/raw_caller.h"
 
 #include <algorithm>
 #include <array>
@@ -7,7 +7,7 @@
 #include <gio/gio.h>
 #include <optional>
 
-namespace crowstep::soak {
+namespace crowstep::test {
 
 namespace {
 
@@ -32,7 +32,7 @@
 class AnswerParser {
 public:
   /// Parses further bytes; status and body go to \p Into.
-  void parse(std::string_view Bytes, test::CallResult &Into) {
+  void parse(std::string_view Bytes, CallResult &Into) {
     m_Pending.append(Bytes);
     if (!m_HasHead && !parseHead(Into))
       return;
@@ -46,7 +46,7 @@
   [[nodiscard]] bool allowsReuse() const { return m_IsComplete && !m_Close; }
 
 private:
-  bool parseHead(test::CallResult &Into) {
+  bool parseHead(CallResult &Into) {
     const auto End = m_Pending.find("\r\n\r\n");
     if (End == std::string::npos)
       return false;
@@ -64,7 +64,7 @@
     return true;
   }
 
-  void parseSizedBody(test::CallResult &Into) {
+  void parseSizedBody(CallResult &Into) {
     const std::size_t Size = std::min(m_RemainingBytes, m_Pending.size());
     Into.m_Body.append(m_Pending, 0, Size);
     m_Pending.erase(0, Size);
@@ -72,7 +72,7 @@
     m_IsComplete = m_RemainingBytes == 0;
   }
 
-  void parseChunks(test::CallResult &Into) {
+  void parseChunks(CallResult &Into) {
     while (!m_IsComplete) {
       const auto Line = m_Pending.find("\r\n");
       if (Line == std::string::npos)
@@ -109,10 +109,9 @@
 
 struct RawCaller::OpenRequest {
   RawCaller *m_Owner = nullptr; ///< Null once it has ended.
-  test::Call m_Request;         ///< As given.
+  Call m_Request;               ///< As given.
   std::string m_RequestBytes;   ///< Head and body.
-  std::shared_ptr<test::CallResult> m_Result =
-      std::make_shared<test::CallResult>();
+  std::shared_ptr<CallResult> m_Result = std::make_shared<CallResult>();
   std::shared_ptr<Connection> m_Connection;  ///< Null while not connected.
   AnswerParser m_Parser;                     ///< Parses the answer.
   std::array<char, 16384> m_ReadBuffer{};    ///< Buffer for reads.
@@ -132,8 +131,7 @@
     finish(Exchange, false);
 }
 
-std::shared_ptr<const test::CallResult>
-RawCaller::start(const test::Call &Request) {
+std::shared_ptr<const CallResult> RawCaller::start(const Call &Request) {
   auto Exchange = std::make_shared<OpenRequest>();
   Exchange->m_Owner = this;
   Exchange->m_Request = Request;
@@ -276,4 +274,4 @@
   m_OpenRequests.erase(Exchange);
 }
 
-} // namespace crowstep::soak
+} // namespace crowstep::test
--- a/tests/soak/raw_caller.h
+++ b/tests/process/raw_caller.h
@@ -1,15 +1,15 @@
 /// An HTTP/1.1 client that tells complete answers from truncated ones and
 /// whether a connection may be reused. libsoup takes a close between chunks for
 /// the end of the body.
-#ifndef CROWSTEP_TESTS_SOAK_RAW_CALLER_H
-#define CROWSTEP_TESTS_SOAK_RAW_CALLER_H
+#ifndef CROWSTEP_TESTS_PROCESS_RAW_CALLER_H
+#define CROWSTEP_TESTS_PROCESS_RAW_CALLER_H
 
 #include "process/caller.h"
 
 #include <list>
 #include <set>
 
-namespace crowstep::soak {
+namespace crowstep::test {
 
 class RawCaller {
 public:
@@ -20,7 +20,7 @@
 
   /// Starts a call, on an idle connection if there is one and the call allows
   /// reuse; the result is filled while the main loop runs.
-  std::shared_ptr<const test::CallResult> start(const test::Call &Request);
+  std::shared_ptr<const CallResult> start(const Call &Request);
 
   /// Closes all connections, idle or in use; open calls end as broken.
   void cancelAll();
@@ -41,6 +41,6 @@
   std::set<std::shared_ptr<OpenRequest>> m_OpenRequests; ///< Not ended.
 };
 
-} // namespace crowstep::soak
+} // namespace crowstep::test
 
-#endif // CROWSTEP_TESTS_SOAK_RAW_CALLER_H
+#endif // CROWSTEP_TESTS_PROCESS_RAW_CALLER_H
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -6,8 +6,8 @@
 #include "core/scheduler.h"
 #include "process/gateway_config.h"
 #include "process/process.h"
+#include "process/raw_caller.h"
 #include "process/relay.h"
-#include "soak/raw_caller.h"
 #include "soak/schedule.h"
 #include "soak/soak_upstream.h"
 #include "standin/duty_server.h"
@@ -117,7 +117,7 @@
   Address m_StoreAddress;                ///< Of m_Store.
   std::vector<GatewayNode> m_Gateways;   ///< By number.
   std::vector<UpstreamNode> m_Upstreams; ///< By number.
-  RawCaller m_Caller;                    ///< Sends the load.
+  test::RawCaller m_Caller;              ///< Sends the load.
   test::Caller m_ReadinessProbe;         ///< Probes readiness.
   unsigned m_TableVersion = 0;           ///< Newest in the store.
   std::uint64_t m_LastRequestNumber = 0; ///< Of request ids.
