--- a/tests/unit/connection_admission_test.cpp
+++ b/tests/unit/connection_admission_test.cpp
@@ -282,9 +282,9 @@
 BOOST_AUTO_TEST_CASE(ManyConnectionsAreClosedAtOnce) {
   ShedFixture Fixture;
   Fixture.m_Load.m_Share = 1;
-  std::vector<std::unique_ptr<Peer>> All;
-  for (int I = 0; I < 100; ++I)
-    All.push_back(Fixture.connectAndSend());
+  std::vector<std::unique_ptr<Peer>> All(100);
+  for (std::unique_ptr<Peer> &Connection : All)
+    Connection = Fixture.connectAndSend();
   int Iterations = 0;
   BOOST_TEST(pumpUntil([&] {
     ++Iterations;
