Test: Let the soak play store restores, crashing segments and uneven connections

Schedules of their own, so that the other faults of a seed stay as they are. New check table_in_force: a table that was acknowledged is in force in time, also after the store has come back from a copy 4 to 7 s old.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -268,15 +268,30 @@
   const bool Replaced =
       Next != m_TableWrittenAt.end() &&
       Next->second <= Request.m_SentAt + Request.m_Result->m_Elapsed;
-  if (After && Request.m_Result->m_Status == HttpNotFound &&
-      Request.m_TableVersion == Version && !Replaced)
+  const bool IsMissing =
+      Request.m_Result->m_Status == HttpNotFound && !Replaced;
+  if (After && IsMissing && Request.m_TableVersion == Version)
     addViolation("version_never_back",
                  describe(Id, Request) + ": its route is no longer found");
+  checkTableInForce(Id, Request, IsMissing);
   if (Served && Request.m_TableVersion > Version)
     Newest = {Request.m_TableVersion,
               Request.m_SentAt + Request.m_Result->m_Elapsed};
 }
 
+/// A table must be in force DrainBound after the store has acknowledged it.
+void Ledger::checkTableInForce(const std::string &Id,
+                               const RequestRecord &Request, bool IsMissing) {
+  const TimePoint Written = m_TableWrittenAt.at(Request.m_TableVersion);
+  if (Request.m_SentAt <= knowledgeDeadline(Written) ||
+      !isGatewayUpToDate(Request, Request.m_SentAt))
+    return;
+  ++m_CheckCounts["table_in_force"];
+  if (IsMissing)
+    addViolation("table_in_force",
+                 describe(Id, Request) + ": its table is not in force");
+}
+
 /// Around a stop in a round of planned work only, every request that an
 /// upstream has started to run must get a complete answer.
 void Ledger::checkPlannedStops(const std::string &Id,
@@ -378,7 +393,7 @@
 }
 
 void Ledger::checkCrashingRequest() {
-  constexpr std::size_t Crashes = 3;
+  const std::size_t Crashes = m_CrashesBeforeHold;
   if (m_CrashRowsRemoved.size() < Crashes)
     return;
   ++m_CheckCounts["crashing_request"];
@@ -393,7 +408,8 @@
         Late += " " + Id + "@" + Started.m_UpstreamName;
       }
   if (Count > MaxRunsAfterCrashes)
-    addViolation("crashing_request", "runs after three crashes:" + Late);
+    addViolation("crashing_request",
+                 "runs after " + std::to_string(Crashes) + " crashes:" + Late);
 }
 
 void Ledger::checkRuns(const std::string &Id, const RequestRecord &Request) {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -129,6 +129,10 @@
     m_DrainingSince.emplace(Upstream, Now);
   }
 
+  /// Sets the number of crashes from which the runs of crashing requests are
+  /// bounded.
+  void setCrashesBeforeHold(std::size_t Count) { m_CrashesBeforeHold = Count; }
+
   /// Records that the crashing request has crashed an upstream, whose row is
   /// removed at \p RowRemoved.
   void recordCrash(TimePoint RowRemoved) {
@@ -223,6 +227,8 @@
                                   TimePoint At) const;
   [[nodiscard]] std::string versionOf(const std::string &Id) const;
   void checkTableVersion(const std::string &Id, const RequestRecord &Request);
+  void checkTableInForce(const std::string &Id, const RequestRecord &Request,
+                         bool IsMissing);
   void checkPlannedStops(const std::string &Id, const RequestRecord &Request);
   void checkRuns(const std::string &Id, const RequestRecord &Request);
   void checkDraining(const std::string &Id, const RequestRecord &Request);
@@ -253,6 +259,7 @@
   std::vector<PathCutSpan> m_PathCuts;       ///< See recordPathCut().
   std::vector<GatewaySpan> m_GatewayFaults;  ///< See recordGatewayFault().
   std::vector<TimePoint> m_CrashRowsRemoved; ///< See recordCrash().
+  std::size_t m_CrashesBeforeHold = 3;       ///< See setCrashesBeforeHold().
   std::map<std::string, TimePoint> m_DrainingSince; ///< By upstream's name.
   std::map<unsigned, TimePoint> m_TableWrittenAt;   ///< By version.
   TimeRanges m_StalenessExcuses;                    ///< See excuseStaleness().
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -82,6 +82,21 @@
   return Result;
 }
 
+/// Returns spans of the seeds in \p Share, one after the other.
+std::vector<FleetSpan> drawSpans(std::uint64_t Seed, std::uint64_t Share,
+                                 Duration MinLength, Duration Length) {
+  if (!isInShare(Seed, Share))
+    return {};
+  std::vector<FleetSpan> Result;
+  for (const SingleFault &Drawn :
+       drawSingleFaults(Seed ^ (Share << 32U), Length))
+    if (Result.empty() ||
+        Result.back().m_Start + Result.back().m_Duration <= Drawn.m_Start)
+      Result.push_back({Drawn.m_Start, MinLength + Drawn.m_Duration,
+                        static_cast<unsigned>(Drawn.m_Draw)});
+  return Result;
+}
+
 template <typename Kind> Kind kindOf(const SingleFault &Drawn) {
   return static_cast<Kind>(Drawn.m_Draw %
                            static_cast<std::uint64_t>(Kind::Count));
@@ -102,6 +117,11 @@
   return !isPlannedWorkOnly(Seed) && Seed % Every == Every - 1;
 }
 
+bool hasCrashingSegment(std::uint64_t Seed) {
+  constexpr std::uint64_t Every = 5;
+  return !isPlannedWorkOnly(Seed) && Seed % Every == Every - 3;
+}
+
 std::optional<FaultKind> faultKindOf(const std::string &Name) {
   const auto Found = std::find(FaultNames.begin(), FaultNames.end(), Name);
   if (Found == FaultNames.end())
@@ -182,4 +202,17 @@
   return Result;
 }
 
+std::vector<FleetSpan> makeRestoreSchedule(std::uint64_t Seed,
+                                           Duration Length) {
+  // Versions that the store gives out again take longer to pass the known ones
+  // than gateways may take to learn what it holds.
+  constexpr Duration MinLength = 4s;
+  return drawSpans(Seed, 1, MinLength, Length);
+}
+
+std::vector<FleetSpan> makeUnevenSchedule(std::uint64_t Seed, Duration Length) {
+  constexpr Duration MinLength = 2s;
+  return drawSpans(Seed, 0, MinLength, Length);
+}
+
 } // namespace crowstep::soak
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -125,6 +125,23 @@
 /// drawn apart from the other faults and overlap. Some seeds have none.
 std::vector<PathCut> makePathCutSchedule(std::uint64_t Seed, Duration Length);
 
+/// A time that concerns the whole fleet.
+struct FleetSpan {
+  Duration m_Start{};    ///< Since the load's start.
+  Duration m_Duration{}; ///< Until it ends.
+  unsigned m_Target = 0; ///< Gateway, modulo their count.
+};
+
+/// Returns the times of \p Seed, which begin within \p Length, whose changes
+/// the store loses at their end: it comes back from a copy of their begin. They
+/// are drawn apart from the other faults and don't overlap. Some seeds have
+/// none.
+std::vector<FleetSpan> makeRestoreSchedule(std::uint64_t Seed, Duration Length);
+
+/// Returns the times of \p Seed, which begin within \p Length, in which most
+/// new connections go to the target; drawn as makeRestoreSchedule().
+std::vector<FleetSpan> makeUnevenSchedule(std::uint64_t Seed, Duration Length);
+
 /// Returns the kind named \p Name, or nothing.
 std::optional<FaultKind> faultKindOf(const std::string &Name);
 
@@ -135,6 +152,10 @@
 /// repeatedly, beside the schedule of \p Seed.
 bool hasCrashingRequest(std::uint64_t Seed);
 
+/// Returns whether requests with a segment that crashes upstreams are sent
+/// repeatedly, no two alike, beside the schedule of \p Seed.
+bool hasCrashingSegment(std::uint64_t Seed);
+
 } // namespace crowstep::soak
 
 #endif // CROWSTEP_TESTS_SOAK_SCHEDULE_H
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <filesystem>
+#include <sstream>
 #include <utility>
 
 namespace crowstep::soak {
@@ -46,6 +47,17 @@
 constexpr Duration CrashTime = 30ms;
 constexpr Duration CrashedRowTime = 500ms;
 
+/// Crashes from which the runs of requests with the crashing segment are
+/// bounded.
+constexpr std::size_t CrashesOfSegment = 5;
+
+/// One in this many new connections goes elsewhere than to the favored gateway.
+constexpr std::uint64_t OtherConnectionEvery = 10;
+
+/// Operators and upstreams write their rows again this long after the store has
+/// come back from an older copy.
+constexpr Duration RewriteTime = 300ms;
+
 /// Tolerance for delays of the driver, which checks by its own clock and shares
 /// the machine with the processes under test.
 constexpr std::chrono::milliseconds DriverSlack{500};
@@ -93,6 +105,8 @@
       m_Duties(m_Clock, test::GatewayConfig().m_LeaseTime),
       m_StoreAddress(loopback(test::freePort())),
       m_PlannedWorkOnly(isPlannedWorkOnly(Plan.m_Seed)) {
+  if (hasCrashingSegment(Plan.m_Seed))
+    m_Ledger.setCrashesBeforeHold(CrashesOfSegment);
   m_Store.listen(m_StoreAddress);
   const Address DutyAddress = loopback(test::freePort());
   m_Duties.listen(DutyAddress);
@@ -182,10 +196,28 @@
   const std::string Version = Upstream.m_Server->version();
   if (State == "ready")
     m_Ledger.recordListed(Version, 1, m_Clock.now());
-  m_Store.put("servers", Name,
-              State.empty() ? ""
-                            : test::upstreamRow(Upstream.m_Relay->address(), 64,
-                                                State, Version));
+  putServerRow(Name, State.empty()
+                         ? ""
+                         : test::upstreamRow(Upstream.m_Relay->address(), 64,
+                                             State, Version));
+}
+
+void SoakFleet::putServerRow(const std::string &Name,
+                             const std::string &Value) {
+  m_ServerRows[Name] = Value;
+  m_Store.put("servers", Name, Value);
+}
+
+/// The store comes back from its copy. What was written since is gone until it
+/// is written again.
+void SoakFleet::restoreStore() {
+  m_Store.restoreCopy();
+  m_Ledger.excuseStaleness(m_Clock.now(), m_Clock.now() + RewriteTime);
+  runAfter(RewriteTime, [this] {
+    m_Store.put("op", "config", m_Table);
+    for (const auto &[Name, Value] : m_ServerRows)
+      m_Store.put("servers", Name, Value);
+  });
 }
 
 void SoakFleet::putTable() {
@@ -198,7 +230,8 @@
                                         Route.m_TimeoutMs, Route.m_Resumable));
   Table["routes"].push_back(
       routeJson(tablePath(m_TableVersion), "idempotent", 2000, false));
-  m_Store.put("op", "config", Table.dump());
+  m_Table = Table.dump();
+  m_Store.put("op", "config", m_Table);
   m_Ledger.recordTableChange(m_TableVersion, m_Clock.readNow());
 }
 
@@ -212,6 +245,15 @@
   return Ready.empty() ? nullptr : Ready.at(m_Random() % Ready.size());
 }
 
+/// Returns the gateway that a new connection goes to, \p Drawn unless another
+/// one gets most of them.
+SoakFleet::GatewayNode &SoakFleet::gatewayOfNewConnection(GatewayNode &Drawn) {
+  if (!m_Favored || !m_Gateways.at(*m_Favored).m_IsReady ||
+      m_Random() % OtherConnectionEvery == 0)
+    return Drawn;
+  return m_Gateways.at(*m_Favored);
+}
+
 test::Call SoakFleet::makeCall(const GatewayNode &To, const std::string &Path,
                                const std::string &Id) {
   test::Call Result;
@@ -225,27 +267,33 @@
 }
 
 void SoakFleet::sendRequest() {
-  GatewayNode *const Drawn = drawReadyGateway();
-  if (Drawn == nullptr)
+  GatewayNode *Gateway = drawReadyGateway();
+  if (Gateway == nullptr)
     return;
-  GatewayNode &Gateway = *Drawn;
   const std::string Id = "call-" + std::to_string(++m_LastRequestNumber);
   constexpr std::uint64_t TableProbeEvery = 8;
   const RouteRow &Route = Routes.at(m_Random() % Routes.size());
   RequestRecord Record;
   Record.m_Kind = Route.m_Kind;
-  Record.m_Gateway = Gateway.m_Number;
-  Record.m_Incarnation = Gateway.m_Incarnation;
-  Record.m_SentAt = m_Clock.now();
-  test::Call Request = makeCall(Gateway, Route.m_Path + Id, Id);
+  std::string Path = Route.m_Path + Id;
   if (m_Random() % TableProbeEvery == 0) {
     // The newest table's own route, or the previous one's, which it removed.
     Record.m_TableVersion =
         std::max(1U, m_TableVersion - static_cast<unsigned>(m_Random() % 2));
     Record.m_Kind = RequestKind::Idempotent;
-    Request.m_Path = tablePath(Record.m_TableVersion) + Id;
+    Path = tablePath(Record.m_TableVersion) + Id;
   }
-  Request.m_KeepAlive = m_Random() % 2 == 0;
+  const bool KeepsAlive = m_Random() % 2 == 0;
+  if (!KeepsAlive)
+    Gateway = &gatewayOfNewConnection(*Gateway);
+  Record.m_Gateway = Gateway->m_Number;
+  Record.m_Incarnation = Gateway->m_Incarnation;
+  Record.m_SentAt = m_Clock.now();
+  Record.m_GatewayStartedAt = Gateway->m_StartedAt;
+  test::Call Request = makeCall(*Gateway, Path, Id);
+  Request.m_KeepAlive = KeepsAlive;
+  if (hasCrashingSegment(m_Plan.m_Seed))
+    addSegments(Request, false);
   Record.m_Result = m_Caller.start(Request);
   if (Record.m_Kind == RequestKind::ResumableStream)
     m_OpenStreams[Id] = Record.m_Result;
@@ -288,8 +336,20 @@
   m_Ledger.recordRequest(Next, std::move(Record));
 }
 
-/// Sends the same request each time, to the gateway that the number of requests
-/// so far selects; sends none while that gateway isn't ready.
+/// Gives a request a prompt. Crashing ones share all segments with sound ones
+/// but for one.
+void SoakFleet::addSegments(test::Call &To, bool IsCrashing) {
+  std::ostringstream Own;
+  Own << std::hex << 0x1000 + m_LastRequestNumber;
+  To.m_Headers["X-Prefix-Hash"] =
+      "5a:200," + (IsCrashing ? CrashingSegment : "50" + Own.str()) + ":50," +
+      Own.str() + ":100";
+  To.m_Headers["X-Token-Usage"] = "350,50";
+}
+
+/// Sends the same request each time, or one with the crashing segment, to the
+/// gateway that the number of requests so far selects; sends none while that
+/// gateway isn't ready.
 void SoakFleet::sendCrashingRequest() {
   const auto Target = std::find_if(
       m_Gateways.begin(), m_Gateways.end(), [this](const GatewayNode &Gateway) {
@@ -308,7 +368,12 @@
   Record.m_IsCrashing = true;
   Record.m_GatewayStartedAt = Target->m_StartedAt;
   test::Call Request = makeCall(*Target, "/again/crash", Id);
-  Request.m_Body = CrashingBody;
+  if (hasCrashingSegment(m_Plan.m_Seed)) {
+    Request.m_Path += "-" + Id; // No two are alike.
+    addSegments(Request, true);
+  } else {
+    Request.m_Body = CrashingBody;
+  }
   Record.m_Result = m_Caller.start(Request);
   m_Ledger.recordRequest(Id, std::move(Record));
 }
@@ -325,7 +390,7 @@
   const std::string Name = Upstream.m_Server->name();
   m_Ledger.recordListed(Upstream.m_Server->version(), -1, m_Clock.now());
   Upstream.m_Server = nullptr;
-  runAfter(RowTime, [this, Name] { m_Store.put("servers", Name, ""); });
+  runAfter(RowTime, [this, Name] { putServerRow(Name, ""); });
   runAfter(RestartTime, [this, &Upstream] {
     if (Upstream.m_Server == nullptr)
       startUpstream(Upstream);
@@ -385,6 +450,7 @@
     runAfter(Played.m_Start, [this, Played] { apply(Played); });
     End = std::max(End, Played.m_Start + Played.m_Duration);
   }
+  playSpans(Length, End);
   Timer LoadTimer(m_Timers);
   Timer ProbeTimer(m_Timers);
   TimePoint LastStep = m_Clock.now();
@@ -417,7 +483,7 @@
     CrashTimer.start(CrashingInterval, SendCrashing);
     sendCrashingRequest();
   };
-  if (hasCrashingRequest(m_Plan.m_Seed))
+  if (hasCrashingRequest(m_Plan.m_Seed) || hasCrashingSegment(m_Plan.m_Seed))
     SendCrashing();
   SendLoad();
   ProbeAll();
@@ -440,6 +506,22 @@
   test::runFor(500ms);
 }
 
+void SoakFleet::playSpans(Duration Length, Duration &End) {
+  for (const FleetSpan &Played : makeRestoreSchedule(m_Plan.m_Seed, Length)) {
+    const Duration RestoredAt = Played.m_Start + Played.m_Duration;
+    runAfter(Played.m_Start, [this] { m_Store.takeCopy(); });
+    runAfter(RestoredAt, [this] { restoreStore(); });
+    End = std::max(End, RestoredAt + RewriteTime);
+  }
+  for (const FleetSpan &Played : makeUnevenSchedule(m_Plan.m_Seed, Length)) {
+    runAfter(Played.m_Start, [this, Target = Played.m_Target] {
+      m_Favored = Target % m_Gateways.size();
+    });
+    runAfter(Played.m_Start + Played.m_Duration, [this] { m_Favored.reset(); });
+    End = std::max(End, Played.m_Start + Played.m_Duration);
+  }
+}
+
 /// No rule of the duties may have been broken, and reports must be made again
 /// after the faults.
 void SoakFleet::checkDuties(TimePoint FaultsEnded) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -73,9 +73,11 @@
   void putTable();
   void sendRequest();
   void sendCrashingRequest();
+  void addSegments(test::Call &To, bool IsCrashing);
   void resumeStreams();
   void resumeStream(const std::string &Id);
   GatewayNode *drawReadyGateway();
+  GatewayNode &gatewayOfNewConnection(GatewayNode &Drawn);
   static test::Call makeCall(const GatewayNode &To, const std::string &Path,
                              const std::string &Id);
   void crashUpstream(UpstreamNode &Upstream);
@@ -88,6 +90,9 @@
   void apply(const DutyFault &Played);
   void apply(const StatementFault &Played);
   void apply(const PathCut &Played);
+  void playSpans(Duration Length, Duration &End);
+  void restoreStore();
+  void putServerRow(const std::string &Name, const std::string &Value);
   void updateCuts();
   GatewayNode *dutyHolder();
   void freezeGateway(GatewayNode &Gateway, Duration Span);
@@ -120,6 +125,11 @@
   test::RawCaller m_Caller;              ///< Sends the load.
   test::Caller m_ReadinessProbe;         ///< Probes readiness.
   unsigned m_TableVersion = 0;           ///< Newest in the store.
+  std::string m_Table;                   ///< Row of that version.
+  std::map<std::string, std::string>
+      m_ServerRows; ///< As last written by upstreams; empty: removed.
+  std::optional<std::size_t>
+      m_Favored; ///< Gateway that gets most new connections.
   std::uint64_t m_LastRequestNumber = 0; ///< Of request ids.
   std::map<std::string, std::shared_ptr<const test::CallResult>>
       m_OpenStreams;              ///< That may be resumed, by attempt.
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -82,7 +82,9 @@
   if (m_Fault != UpstreamFault::None && m_Fault != UpstreamFault::Busy &&
       !Pauses && drawFault())
     Open->m_Fault = m_Fault;
-  if (requestBody(Message) == CrashingBody) {
+  if (requestBody(Message) == CrashingBody ||
+      requestHeader(Message, "X-Prefix-Hash")
+              .find("," + CrashingSegment + ":") != std::string::npos) {
     Open->m_Fault = UpstreamFault::Mute;
     m_OnCrash();
   }
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -26,6 +26,9 @@
 /// Body of a request that crashes the upstream that runs it.
 inline constexpr const char *CrashingBody = "crash";
 
+/// Segment of a prompt that does so, as the header states it.
+inline const std::string CrashingSegment = "dead";
+
 class SoakUpstream {
 public:
   /// \p OnCrash is called as a crashing request starts to run. \p Name names
