Fix: Let the soak know of a kill from the kill on, not from the restart

Now a kill disturbs its gateway from the kill on, and a request that ends with its gateway's process is not counted behind cuts.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -341,6 +341,15 @@
   return IsCut;
 }
 
+/// Returns whether the gateway was killed while the request was there.
+bool Ledger::isLostInKill(const RequestRecord &Request) const {
+  return std::ranges::any_of(m_Kills, [&](const GatewaySpan &Kill) {
+    return Kill.m_Gateway == Request.m_Gateway &&
+           Request.m_SentAt <= Kill.m_From &&
+           Kill.m_From <= Request.m_SentAt + Request.m_Result->m_Elapsed;
+  });
+}
+
 /// Callers of gateways that can reach no upstream are served nearly as well as
 /// those of the others at the same time, as long as there are others.
 void Ledger::checkCutGateways() {
@@ -356,7 +365,8 @@
         ++Present.at(*IsCut ? 1 : 0);
     const auto IsCut = isCut(Request.m_Gateway, Request.m_SentAt);
     if (Present[0] == 0 || Present[1] == 0 || !IsCut || Request.m_IsCrashing ||
-        Request.m_TableVersion != 0 || !isStoreStable(Request.m_SentAt))
+        Request.m_TableVersion != 0 || !isStoreStable(Request.m_SentAt) ||
+        isLostInKill(Request))
       continue;
     ++Sent.at(*IsCut ? 1 : 0);
     Served.at(*IsCut ? 1 : 0) += Request.m_Result->m_Status == HttpOk &&
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -123,6 +123,13 @@
     m_GatewayFaults.push_back({Gateway, From, To});
   }
 
+  /// Records that the process of \p Gateway is killed. Its next one records
+  /// its own start.
+  void recordKill(int Gateway, TimePoint Now) {
+    m_Kills.push_back({Gateway, Now, Now});
+    recordGatewayFault(Gateway, Now, Now);
+  }
+
   /// Records that the store has acknowledged that \p Upstream drains or is
   /// removed.
   void recordDraining(const std::string &Upstream, TimePoint Now) {
@@ -239,6 +246,7 @@
   [[nodiscard]] std::optional<Pairing> pairingOf(const Arrival &At) const;
   void checkRetryBudget();
   void checkCutGateways();
+  [[nodiscard]] bool isLostInKill(const RequestRecord &Request) const;
   [[nodiscard]] std::optional<bool> isCut(int Gateway, TimePoint At) const;
   void checkCrashingRequest();
   [[nodiscard]] bool isGatewayUpToDate(const RequestRecord &Request,
@@ -258,6 +266,7 @@
   std::vector<GatewaySpan> m_Cuts; ///< See recordCut().
   std::vector<PathCutSpan> m_PathCuts;       ///< See recordPathCut().
   std::vector<GatewaySpan> m_GatewayFaults;  ///< See recordGatewayFault().
+  std::vector<GatewaySpan> m_Kills;          ///< See recordKill().
   std::vector<TimePoint> m_CrashRowsRemoved; ///< See recordCrash().
   std::size_t m_CrashesBeforeHold = 3;       ///< See setCrashesBeforeHold().
   std::map<std::string, TimePoint> m_DrainingSince; ///< By upstream's name.
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -31,7 +31,7 @@
   case FaultKind::AllGatewaysKill:
     for (GatewayNode &Target : m_Gateways)
       if (Target.m_Process != nullptr)
-        Target.m_Process->signal(SIGKILL);
+        killGateway(Target);
     return;
   case FaultKind::AllUpstreamsErrors:
     for (UpstreamNode &Target : m_Upstreams)
@@ -69,7 +69,7 @@
   if (Played.m_Kind == FaultKind::GatewayTerm) {
     stopGateway(Gateway);
   } else if (Played.m_Kind == FaultKind::GatewayKill) {
-    Gateway.m_Process->signal(SIGKILL);
+    killGateway(Gateway);
   } else if (Played.m_Kind == FaultKind::GatewayHangUp) {
     m_Folder.write(Gateway.m_Settings.m_Name + ".ini",
                    gatewaySettingsText(Gateway.m_Settings) +
@@ -136,7 +136,7 @@
     return;
   case DutyFaultKind::HolderKill:
     if (Holder != nullptr)
-      Holder->m_Process->signal(SIGKILL);
+      killGateway(*Holder);
     return;
   case DutyFaultKind::HolderTerm:
     if (Holder != nullptr)
@@ -153,6 +153,11 @@
   }
 }
 
+void SoakFleet::killGateway(GatewayNode &Gateway) {
+  Gateway.m_Process->signal(SIGKILL);
+  m_Ledger.recordKill(Gateway.m_Number, m_Clock.now());
+}
+
 /// Callers keep using their connections and open new ones until a readiness
 /// probe fails.
 void SoakFleet::stopGateway(GatewayNode &Gateway) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -105,6 +105,7 @@
   void applyToPath(const Fault &Played, UpstreamNode &Upstream);
   void applyToStore(const Fault &Played, GatewayNode &Gateway);
   void stopGateway(GatewayNode &Gateway);
+  void killGateway(GatewayNode &Gateway);
   void replaceUpstream(UpstreamNode &Upstream, Duration After);
   void runAfter(Duration After, std::function<void()> Job);
   void endFaultAfter(Duration Span, const void *Target,
