Test: Three safeguards of relayed calls that no test needed; one goes

Taken out by hand one by one, each of the new tests fails without its safeguard: TheStricterOfTwoTablesDecides (the relay goes by its own table only), ACallThatMayRunOnceStaysWithASilentRelay (the call leaves a peer that seems silent), ARelaySendsNothingTooLate (no look at the deadline before bytes leave) and ARelayCarriesABoundedNumberOfCalls (no bound).

The time left that a start states goes: it was taken into account only by a check that follows at once, where it could not change the outcome. It is still sent, as older instances start nothing without it.

Not shown: RelayServer::openCall() refuses a path that it knows to be lost. Three tries of a test passed without it, as the other side goes by what the relay has reported.

--- a/src/relay/carried_call.cpp
+++ b/src/relay/carried_call.cpp
@@ -71,13 +71,12 @@
   });
 }
 
-/// The time left is what it was when the call was opened, or less.
-void CarriedCall::start(Duration TimeLeft) {
+/// The start may have waited unread while this process stood still.
+void CarriedCall::start() {
   if (!m_IsConnected || m_HasEnded)
     return;
   m_IsConnected = false;
   m_StartTimer.stop();
-  m_Deadline = std::min(m_Deadline, m_Owner.m_Context.m_Clock.now() + TimeLeft);
   if (m_Owner.m_Context.m_Clock.readNow() >= m_Deadline)
     end(RelayOutcome::Withheld, balance::CallOutcome::Dropped);
   else
--- a/src/relay/carried_call.h
+++ b/src/relay/carried_call.h
@@ -24,7 +24,7 @@
   void connect();
 
   /// Messages of the instance that has the request.
-  void start(Duration TimeLeft);
+  void start();
   void addCredit(std::size_t Bytes);
 
   [[nodiscard]] std::size_t requestBytes() const {
--- a/src/relay/relay_codec.cpp
+++ b/src/relay/relay_codec.cpp
@@ -92,11 +92,6 @@
   return Result;
 }
 
-Duration timeLeftOf(const wire::RelayStart &From) {
-  const auto Max = static_cast<std::uint64_t>(MaxTimeLeft.count());
-  return Duration(static_cast<Duration::rep>(std::min(From.left_us(), Max)));
-}
-
 std::unique_ptr<wire::PathReportT> packAnswer(const PathAnswer &Answer) {
   auto Result = std::make_unique<wire::PathReportT>();
   Result->question = Answer.m_Question;
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -24,9 +24,6 @@
 /// absurd.
 std::optional<RelayOpening> unpack(const wire::RelayOpen &From);
 
-/// Returns the time left for a call that is to be started.
-Duration timeLeftOf(const wire::RelayStart &From);
-
 std::unique_ptr<wire::PathReportT> packAnswer(const PathAnswer &Answer);
 PathAnswer unpack(const wire::PathReport &From);
 
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -191,7 +191,7 @@
   if (Frame.relay_starts() != nullptr)
     for (const wire::RelayStart *Start : *Frame.relay_starts())
       if (CarriedCall *Call = findCall({Link, RelayCallId(Start->call())}))
-        Call->start(timeLeftOf(*Start));
+        Call->start();
   if (Frame.relay_credits() != nullptr)
     for (const wire::RelayCredit *Credit : *Frame.relay_credits())
       if (CarriedCall *Call = findCall({Link, RelayCallId(Credit->call())}))
--- a/tests/unit/path_fleet.h
+++ b/tests/unit/path_fleet.h
@@ -281,15 +281,16 @@
     Result.m_Instance = Instance;
     Result.m_IsRepeatable = Kind != 0;
     Result.m_SentAt = m_Clock.now();
-    IncomingRequest Incoming{
-        "POST",
-        Paths.at(Kind) + std::string("x"),
-        {{"Host", "h"}, {"Call-Id", Result.m_Id}, {"Call-Time-Ms", "4000"}},
-        Body.empty() ? "body " + Result.m_Id : Body};
+    IncomingRequest Incoming{"POST",
+                             Paths.at(Kind) + std::string("x"),
+                             {{"Host", "h"}, {"Call-Id", Result.m_Id}},
+                             Body.empty() ? "body " + Result.m_Id : Body};
     if (Kind == 2)
       Incoming.m_Headers.push_back({"Call-Prompt", "100"});
     Incoming.m_Headers.insert(Incoming.m_Headers.end(), More.begin(),
                               More.end());
+    if (findHeader(More, "Call-Time-Ms") == nullptr)
+      Incoming.m_Headers.push_back({"Call-Time-Ms", "4000"});
     PathInstance &At = *m_Instances.at(Instance);
     auto Admission = admit(Incoming, m_Table, At.m_Codec);
     Result.m_Request = std::make_unique<ForwardedRequest>(
--- a/tests/unit/relayed_call_test.cpp
+++ b/tests/unit/relayed_call_test.cpp
@@ -1,5 +1,6 @@
 /// Calls that other instances carry, while these fail, stop or differ.
 #define BOOST_TEST_MODULE relayed_call
+#include "relay/relay_server.h"
 #include "unit/path_fleet.h"
 
 using namespace crowstep;
@@ -14,7 +15,8 @@
 /// Three instances of which the first one can't reach the upstreams, and knows
 /// that already.
 struct CutFleet : PathFleet {
-  explicit CutFleet(std::size_t Instances = 3) : PathFleet(Instances, 1, 4, 2) {
+  explicit CutFleet(std::size_t Instances = 3, std::size_t Engines = 4)
+      : PathFleet(Instances, 1, Engines, 2) {
     run(500ms, 100ms);
     cut(1, PathMode::Silent);
     run(1500ms, 100ms);
@@ -30,6 +32,14 @@
     return m_Instances.size();
   }
 
+  /// Returns the number of idle connections of an instance to upstreams.
+  int keptConnections(std::size_t Instance) const {
+    int Sum = 0;
+    for (const auto &[Where, Count] : m_Instances[Instance]->m_Upstreams.m_Kept)
+      Sum += Count;
+    return Sum;
+  }
+
   /// Advances the time without further requests.
   void wait(Duration Span) {
     for (Duration Elapsed{}; Elapsed < Span; Elapsed += Step)
@@ -262,6 +272,77 @@
   BOOST_TEST(Calls(0) == 0U);
 }
 
+// Guards against a call that runs twice because the relay's table says that it
+// may.
+BOOST_AUTO_TEST_CASE(TheStricterOfTwoTablesDecides) {
+  CutFleet Fleet(2);
+  RouteTableData Data = Fleet.m_Table->data();
+  for (Route &Changed : Data.m_Routes)
+    if (Changed.m_Prefix == "/hold/")
+      Changed.m_Kind = PlainCall{true};
+  Fleet.m_Instances.at(1)->m_Relay.setTable(
+      std::make_shared<RouteTable>(std::move(Data)));
+  for (int I = 0; I < 6; ++I)
+    Fleet.send(1, Check); // Leaves idle connections to both desks.
+  Fleet.wait(200ms);
+  const int Before = Fleet.keptConnections(1);
+  PathRequest &Request = Fleet.send(0, Hold);
+  Fleet.wait(200ms);
+  BOOST_TEST(Request.isServed());
+  // It was sent on a connection of its own, as an idle one may be stale.
+  BOOST_TEST(Fleet.keptConnections(1) == Before + 1);
+}
+
+// Guards against a ready answer that is lost as its relay seems to be silent.
+BOOST_AUTO_TEST_CASE(ACallThatMayRunOnceStaysWithASilentRelay) {
+  CutFleet Fleet;
+  PathRequest &Request = Fleet.send(0, Hold);
+  while (Fleet.runsOf(Request) == 0)
+    Fleet.wait(1ms);
+  Fleet.freeze(0); // Its answer stays unread.
+  Fleet.wait(2s);
+  BOOST_TEST(!Request.m_HasEnded);
+  Fleet.thaw(0);
+  Fleet.wait(100ms);
+  BOOST_TEST(Request.isServed());
+}
+
+// Guards against a call that a relay sends after its caller's time is over.
+BOOST_AUTO_TEST_CASE(ARelaySendsNothingTooLate) {
+  CutFleet Fleet(2);
+  const SimulatedUpstreams &Upstreams = Fleet.m_Instances.at(1)->m_Upstreams;
+  const std::size_t Before = Upstreams.m_SendCount;
+  PathRequest &Request = Fleet.send(0, Hold, {}, {{"Call-Time-Ms", "60"}});
+  while (Fleet.m_Instances.at(1)->m_Relay.carriedCalls() == 0)
+    Fleet.wait(1ms);
+  Fleet.wait(2 * UpstreamWorld::Delay);
+  Fleet.freeze(1); // It is connected, and the start is under way.
+  Fleet.wait(100ms);
+  Fleet.thaw(1);
+  Fleet.wait(500ms);
+  BOOST_TEST(Request.m_HasEnded);
+  BOOST_TEST(Upstreams.m_SendCount == Before);
+}
+
+// Guards against an instance that carries so many calls of others that it
+// serves its own callers no more.
+BOOST_AUTO_TEST_CASE(ARelayCarriesABoundedNumberOfCalls) {
+  CutFleet Fleet(2, 8);
+  std::vector<PathRequest *> Requests;
+  for (int I = 0; I < 300; ++I)
+    Requests.push_back(&Fleet.send(0, Guide));
+  Fleet.wait(400ms);
+  BOOST_TEST(Fleet.m_Instances.at(1)->m_Relay.carriedCalls() ==
+             relay::RelayServer::MaxCalls);
+  Fleet.wait(5s);
+  std::size_t Whole = 0;
+  for (const PathRequest *Request : Requests) {
+    BOOST_TEST(Request->m_HasEnded);
+    Whole += isWholeStream(*Request) ? 1 : 0;
+  }
+  BOOST_TEST(Whole >= relay::RelayServer::MaxCalls);
+}
+
 // Guards against an upstream's pause that the relay, which it concerns,
 // ignores.
 BOOST_AUTO_TEST_CASE(ARelayKeepsARequestedPause) {
--- a/tests/unit/simulated_upstreams.h
+++ b/tests/unit/simulated_upstreams.h
@@ -179,6 +179,7 @@
   std::map<std::uint64_t, SimulatedCall *> m_Calls; ///< Open ones, by number.
   std::map<Address, int> m_Kept;                    ///< Idle connections.
   std::size_t m_ProbeCount = 0;                     ///< Made so far.
+  std::size_t m_SendCount = 0; ///< Calls of which bytes have left.
 
 private:
   class Probe final : public UpstreamProbe {
@@ -261,6 +262,7 @@
     return;
   }
   m_IsSent = true;
+  ++m_Owner.m_SendCount;
   after(UpstreamWorld::Delay, &SimulatedCall::run);
   if (pathMode() != PathMode::Open)
     handlePathChange();
