--- a/src/duty/usage_reporter.cpp
+++ b/src/duty/usage_reporter.cpp
@@ -134,12 +134,11 @@
     m_Ended.insert(Report.m_Window);
     if (m_Ended.size() > UsageCounts::KeptWindows)
       m_Ended.erase(m_Ended.begin());
-  }
-  if (Ended)
     // The row keeps it until the next write: its repeat would do no harm.
     std::erase(m_Row.m_Pending, Report);
-  else
+  } else {
     m_RetryAt = m_Clock.now() + RetryDelay;
+  }
 }
 
 } // namespace crowstep::duty
