Fix: Bound the memory of all unfinished answers together

Each answer has a bound, 4 MiB for a plain one and 1 MiB for an event, but a hundred upstreams that send without end at once reach it together: a real gateway grew by 397 MiB with a hundred plain answers (52 MiB with a hundred events), where a small instance has 160. Now all of them may hold 32 MiB; beyond that a call fails whose own answer has more than 64 KiB, so that answers of a usual size go on.

--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -171,7 +171,8 @@
   m_Context.m_Balancer.recordOutput(m_Ticket, m_Context.m_Clock.now());
   if (isEventStream())
     relayEvents(Bytes);
-  else if (m_Body.size() + Bytes.size() <= MaxPlainAnswerBytes)
+  else if (m_Body.size() + Bytes.size() <= MaxPlainAnswerBytes &&
+           m_Held.tryResize(m_Body.size() + Bytes.size()))
     m_Body.append(Bytes);
   else
     handleFailure(balance::CallOutcome::Failed, RetryReason::ClosedBeforeByte);
@@ -181,7 +182,8 @@
   m_Context.m_Balancer.recordBytesReceived(m_Ticket, m_Context.m_Clock.now());
   for (const SseEvent &Event : m_Splitter.feed(Bytes))
     relayEvent(Event);
-  if (m_Splitter.partialBytes() > MaxEventBytes) {
+  if (m_Splitter.partialBytes() > MaxEventBytes ||
+      !m_Held.tryResize(m_Splitter.partialBytes())) {
     handleFailure(balance::CallOutcome::Failed, closeReason());
     return;
   }
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -44,7 +44,8 @@
       m_Caller(std::move(From)), m_OnEnded(std::move(OnEnded)),
       m_Stats(Context.m_Stats.statsOfRoute(m_Admitted.m_Route->m_Name)),
       m_ArrivedAt(Context.m_Clock.now()), m_DeadlineTimer(Context.m_Timers),
-      m_SilenceTimer(Context.m_Timers), m_RetryTimer(Context.m_Timers) {
+      m_SilenceTimer(Context.m_Timers), m_RetryTimer(Context.m_Timers),
+      m_Held(Context.m_AnswerMemory) {
   Duration Timeout = m_Admitted.m_Route->m_Timeout;
   if (m_Admitted.m_Facts.m_Deadline)
     Timeout = std::min(Timeout, *m_Admitted.m_Facts.m_Deadline);
@@ -264,6 +265,7 @@
   m_Status = 0;
   m_FirstOutputAt = TimePoint();
   m_Body.clear();
+  m_Held.release();
   m_Splitter = SseSplitter();
   OutgoingCall Outgoing;
   Outgoing.m_Upstream = Placement.m_Upstream;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -14,6 +14,7 @@
 #include "core/scheduler.h"
 #include "duty/usage_meter.h"
 #include "gateway/admission.h"
+#include "gateway/answer_memory.h"
 #include "gateway/call_transport.h"
 #include "gateway/crash_watch.h"
 #include "gateway/gateway_stats.h"
@@ -42,6 +43,7 @@
   const HeaderCodec &m_Codec;               ///< Reads and writes headers.
   GatewayStats &m_Stats;                    ///< Metrics.
   WaitQueue &m_WaitQueue;                   ///< Calls that wait for room.
+  AnswerMemory &m_AnswerMemory;             ///< Of all calls.
   std::function<double()> m_Random;         ///< In [0, 1).
   std::function<bool()> m_IsClosing;        ///< Connections are to be closed.
   duty::UsageMeter *m_Usage = nullptr;      ///< Null: usage is not counted.
@@ -181,6 +183,7 @@
   unsigned m_Status = 0;        ///< Of the current answer; 0: none.
   HeaderList m_AnswerHeaders;   ///< Kept once a stream has begun.
   std::string m_Body;           ///< Of a plain answer so far.
+  AnswerMemory::Part m_Held;    ///< m_Body, or an incomplete event.
   SseSplitter m_Splitter;       ///< Of the current call's stream.
   bool m_Streaming = false;     ///< The stream's headers were sent.
   bool m_UsageRecorded = false; ///< The request was counted.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -118,6 +118,7 @@
                 *m_PlatformParts.m_Codec,
                 m_Stats,
                 m_WaitQueue,
+                m_AnswerMemory,
                 [this] { return std::uniform_real_distribution<>()(m_Random); },
                 [this] { return m_ClosingConnections; },
                 m_Usage == nullptr ? nullptr : &m_Usage->m_Meter},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -98,6 +98,7 @@
   balance::Balancer m_Balancer;   ///< Chooses upstreams.
   balance::RetryBudget m_Budget;  ///< Limits retries.
   WaitQueue m_WaitQueue;          ///< Calls that wait for room.
+  AnswerMemory m_AnswerMemory;    ///< Of unfinished answers.
   HttpUpstreamClient m_Upstream;  ///< Sends calls.
   CrashWatch m_CrashWatch;        ///< Handles broken calls.
   PlatformParts m_PlatformParts;  ///< See PlatformParts.
--- a/tests/unit/forwarded_request_env.h
+++ b/tests/unit/forwarded_request_env.h
@@ -110,6 +110,7 @@
   FakeProber m_Prober;
   CrashWatch m_CrashWatch{m_Clock, m_Timers, m_Balancer, m_Prober, m_Metrics};
   WaitQueue m_WaitQueue{m_Timers};
+  AnswerMemory m_AnswerMemory;
   FakeOrigins m_Origins;
   SoftwareHistory m_SoftwareHistory;
   SystemWallClock m_WallClock;
@@ -126,6 +127,7 @@
                            m_Codec,
                            m_Stats,
                            m_WaitQueue,
+                           m_AnswerMemory,
                            [] { return 0.5; },
                            [] { return false; },
                            &m_Meter};
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -489,6 +489,23 @@
   }
 }
 
+// Guards against memory that grows with the number of answers that never end.
+BOOST_AUTO_TEST_CASE(AllAnswersWithoutEndHaveOneBound) {
+  AnswerMemory Memory;
+  AnswerMemory::Part Large(Memory);
+  BOOST_TEST(Large.tryResize(AnswerMemory::MaxBytes));
+  AnswerMemory::Part Small(Memory);
+  BOOST_TEST(Small.tryResize(AnswerMemory::OwnBytes));
+  BOOST_TEST(!Small.tryResize(AnswerMemory::OwnBytes + 1));
+  BOOST_TEST(!Large.tryResize(AnswerMemory::MaxBytes + 1));
+  {
+    AnswerMemory::Part Ended(Memory);
+    BOOST_TEST(Ended.tryResize(AnswerMemory::OwnBytes));
+  }
+  Large.release();
+  BOOST_TEST(Small.tryResize(AnswerMemory::MaxBytes));
+}
+
 // Guards against memory that grows with an answer that never ends.
 BOOST_AUTO_TEST_CASE(APlainAnswerWithoutEndFails) {
   TestEnv Env(AtMostOnce, 2);
--- a/tests/unit/path_fleet.h
+++ b/tests/unit/path_fleet.h
@@ -82,6 +82,7 @@
                   m_Codec,
                   m_Stats,
                   m_WaitQueue,
+                  m_AnswerMemory,
                   [] { return 0.5; },
                   [] { return false; },
                   nullptr} {
@@ -128,6 +129,7 @@
   EmptyDirectory m_Directory;
   CrashWatch m_CrashWatch;
   WaitQueue m_WaitQueue;
+  AnswerMemory m_AnswerMemory;
   SoftwareHistory m_SoftwareHistory;
   resume::OriginExchange m_Origins;
   relay::CallRelay m_Relay;
