--- a/tests/process/endless_answer_test.cpp
+++ b/tests/process/endless_answer_test.cpp
@@ -63,6 +63,7 @@
       const std::size_t Before = residentBytes(Gateway);
       RawCaller Caller;
       std::vector<std::shared_ptr<const CallResult>> Results;
+      Results.reserve(RequestCount);
       for (int I = 0; I < RequestCount; ++I)
         Results.push_back(Caller.start(Fleet.request(0, Answer.m_Path, "b")));
       std::size_t Most = Before;
--- a/tests/unit/relayed_call_test.cpp
+++ b/tests/unit/relayed_call_test.cpp
@@ -328,8 +328,10 @@
 // serves its own callers no more.
 BOOST_AUTO_TEST_CASE(ARelayCarriesABoundedNumberOfCalls) {
   CutFleet Fleet(2, 8);
+  constexpr std::size_t Sent = relay::RelayServer::MaxCalls + 44;
   std::vector<PathRequest *> Requests;
-  for (int I = 0; I < 300; ++I)
+  Requests.reserve(Sent);
+  for (std::size_t I = 0; I < Sent; ++I)
     Requests.push_back(&Fleet.send(0, Guide));
   Fleet.wait(400ms);
   BOOST_TEST(Fleet.m_Instances.at(1)->m_Relay.carriedCalls() ==
