--- a/src/duty/usage_reporter.cpp
+++ b/src/duty/usage_reporter.cpp
@@ -56,9 +56,8 @@
   const UsageRow Stored =
       Text ? decodeUsageRow(*Text) : UsageRow{m_Meter.currentWindow(), {}};
   const auto Era = m_Store.era();
-  const bool IsRestored = m_HasRow && m_RowEra && Era && *Era > *m_RowEra;
+  const bool IsRestored = m_RowEra && Era && *Era > *m_RowEra;
   m_Row = IsRestored ? mergedWithKnown(Stored) : Stored;
-  m_HasRow = true;
   m_RowEra = Era;
 }
 
--- a/src/duty/usage_reporter.h
+++ b/src/duty/usage_reporter.h
@@ -43,16 +43,15 @@
   void sendFirst();
   void handleSent(const UsageReport &Report, DutyOutcome Outcome);
 
-  UsageSettings m_Config;          ///< As given.
-  const Clock &m_Clock;            ///< Outlives this object.
-  platform::TableService &m_Store; ///< Holds the row.
-  DutyCaller &m_Caller;            ///< Sends the reports.
-  UsageMeter &m_Meter;             ///< What was counted.
-  Metrics &m_Metrics;              ///< Outlives this object.
-  Counter &m_Missed;               ///< Windows without a report.
-  DutyRow m_StoredRow;             ///< Reads and writes m_Row.
-  UsageRow m_Row;                  ///< While m_StoredRow is known.
-  bool m_HasRow = false;           ///< m_Row was read or written here.
+  UsageSettings m_Config;                     ///< As given.
+  const Clock &m_Clock;                       ///< Outlives this object.
+  platform::TableService &m_Store;            ///< Holds the row.
+  DutyCaller &m_Caller;                       ///< Sends the reports.
+  UsageMeter &m_Meter;                        ///< What was counted.
+  Metrics &m_Metrics;                         ///< Outlives this object.
+  Counter &m_Missed;                          ///< Windows without a report.
+  DutyRow m_StoredRow;                        ///< Reads and writes m_Row.
+  UsageRow m_Row;                             ///< While m_StoredRow is known.
   std::optional<platform::TableEra> m_RowEra; ///< Of m_Row.
   std::set<UsageWindow> m_Ended; ///< Reported here; the newest ones.
   bool m_Sending = false;        ///< A report is in flight.
