Codechange: Keep a request's suspects once

A waiting call is placed again every few milliseconds, and each time its suspects were copied into the query, up to 32 hashes in a vector of their own. The query now points to them; a ticket still has a copy, as it may outlive the request. ForwardedRequest::m_Content goes: it was the same hash as that of the suspects.

--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -46,9 +46,11 @@
   /// upstream matches.
   std::optional<SoftwareVersion> m_RequiredSoftware;
 
-  std::optional<CallSuspects> m_Suspects; ///< Of crashes, if known.
-  bool m_MayWait = false;                 ///< Until the best upstream has room.
-  bool m_WaitTimedOut = false;            ///< Must not wait again.
+  /// Of crashes; null: not known. Must outlive the placement.
+  const CallSuspects *m_Suspects = nullptr;
+
+  bool m_MayWait = false;      ///< Until the best upstream has room.
+  bool m_WaitTimedOut = false; ///< Must not wait again.
 };
 
 /// What a placement was based on, for the logs.
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -217,7 +217,7 @@
 
 PlacementResult Balancer::place(const PlacementQuery &Query, TimePoint Now) {
   m_PeerLoads.expire(Now);
-  if (Query.m_Suspects)
+  if (Query.m_Suspects != nullptr)
     if (const CrashHold Hold = m_Quarantine.holdOf(*Query.m_Suspects, Now);
         Hold.m_Left > Duration::zero())
       return NotPlaced{Hold.m_Kind == SuspectKind::Request
@@ -495,7 +495,8 @@
       Tokens,
       Now,
       false,
-      Query.m_Suspects,
+      Query.m_Suspects == nullptr ? std::nullopt
+                                  : std::optional(*Query.m_Suspects),
       false,
       Query.m_RequiredSoftware,
       incarnationOf(Chosen.m_Upstream.m_Id, Chosen.m_Upstream.m_StartTime)};
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -439,7 +439,7 @@
   logEvent(
       Served ? LogEvent::GatewayRequestServed : LogEvent::GatewayRequestFailed,
       {{"request", m_Admitted.m_Facts.m_Id},
-       {"content", toString(m_Content)},
+       {"content", toString(m_Suspects.m_Request)},
        {"held_by", m_HeldBy ? toString(*m_HeldBy) : std::string()},
        {"route", m_Admitted.m_Route->m_Name},
        {"outcome", std::string(Outcome)},
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -39,8 +39,9 @@
                                    std::unique_ptr<Caller> From,
                                    std::function<void()> OnEnded)
     : m_Context(Context), m_Request(std::move(Request)),
-      m_Admitted(std::move(Admission)),
-      m_Content(contentHashOf(m_Request, m_Admitted)),
+      m_Admitted(std::move(Admission)), m_Suspects{contentHashOf(m_Request,
+                                                                 m_Admitted),
+                                                   {}},
       m_Caller(std::move(From)), m_OnEnded(std::move(OnEnded)),
       m_Stats(Context.m_Stats.statsOfRoute(m_Admitted.m_Route->m_Name)),
       m_ArrivedAt(Context.m_Clock.now()), m_DeadlineTimer(Context.m_Timers),
@@ -75,8 +76,8 @@
 }
 
 void ForwardedRequest::placeFirst() {
-  m_Suspects =
-      balance::suspectsOf(m_Content, m_Service, m_Admitted.m_Facts.m_Prompt);
+  m_Suspects = balance::suspectsOf(m_Suspects.m_Request, m_Service,
+                                   m_Admitted.m_Facts.m_Prompt);
   m_Context.m_Budget.recordCall(m_Service, m_ArrivedAt);
   attempt();
 }
@@ -185,7 +186,7 @@
   Result.m_Excluded = m_TriedUpstreams;
   if (m_Origin)
     Result.m_RequiredSoftware = m_Origin->m_Software;
-  Result.m_Suspects = m_Suspects;
+  Result.m_Suspects = &m_Suspects;
   Result.m_MayWait = mayWait();
   Result.m_WaitTimedOut = m_WaitTimedOut;
   return Result;
@@ -351,7 +352,7 @@
   if (Outcome != balance::CallOutcome::Served)
     logEvent(LogEvent::GatewayCallEnded,
              {{"request", m_Admitted.m_Facts.m_Id},
-              {"content", toString(m_Content)},
+              {"content", toString(m_Suspects.m_Request)},
               {"body", std::to_string(m_Request.m_Body.size())},
               {"upstream", m_Upstream},
               {"outcome", std::string(balance::nameOf(Outcome))},
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -134,11 +134,12 @@
   [[nodiscard]] HeaderList answerHeaders() const;
   [[nodiscard]] std::string chooseService() const;
 
-  ForwardContext &m_Context;        ///< Outlives the request.
-  IncomingRequest m_Request;        ///< As received.
-  AdmittedRequest m_Admitted;       ///< Its route and facts.
-  ContentHash m_Content;            ///< Equal in all of the caller's attempts.
-  balance::CallSuspects m_Suspects; ///< For m_Service.
+  ForwardContext &m_Context;  ///< Outlives the request.
+  IncomingRequest m_Request;  ///< As received.
+  AdmittedRequest m_Admitted; ///< Its route and facts.
+  /// The request is equal in all of the caller's attempts; the segments are
+  /// those for m_Service.
+  balance::CallSuspects m_Suspects;
   std::unique_ptr<Caller> m_Caller; ///< Gets the answer.
   std::function<void()> m_OnEnded;  ///< Empty once it has run.
   RouteStats &m_Stats;              ///< Of its route.
--- a/tests/unit/brittle_upstreams_test.cpp
+++ b/tests/unit/brittle_upstreams_test.cpp
@@ -296,7 +296,8 @@
   Chosen.setUpstreams(List);
   PlacementQuery Query;
   Query.m_Service = "s";
-  Query.m_Suspects = CallSuspects{{1, 2}, {}};
+  const CallSuspects Suspects{{1, 2}, {}};
+  Query.m_Suspects = &Suspects;
   TimePoint Now{10s};
   for (int I = 0; I < 3; ++I) {
     const auto Placement = std::get<Placed>(Chosen.place(Query, Now));
--- a/tests/unit/segment_quarantine_test.cpp
+++ b/tests/unit/segment_quarantine_test.cpp
@@ -251,13 +251,14 @@
       {{Engine, "u", "s", {1, 1}, {"a"}, PlainService{6}, false}});
   PlacementQuery Query;
   Query.m_Service = "s";
-  Query.m_Suspects = CallSuspects{{1, 1}, {First, Crashing}};
+  const CallSuspects Suspects{{1, 1}, {First, Crashing}};
+  Query.m_Suspects = &Suspects;
   const auto Before = std::get<Placed>(Chosen.place(Query, Begin));
   BOOST_TEST(Chosen.mayBegin(Before.m_Ticket, Begin));
   for (std::uint64_t I = 1; I <= 5; ++I)
     crashUnder(Chosen.quarantine(), I, I, {Crashing});
   BOOST_TEST(!Chosen.mayBegin(Before.m_Ticket, Begin));
-  BOOST_TEST(!Chosen.placeCarried(Engine, *Query.m_Suspects, Begin));
+  BOOST_TEST(!Chosen.placeCarried(Engine, Suspects, Begin));
   const auto Refused = std::get<NotPlaced>(Chosen.place(Query, Begin));
   BOOST_TEST((Refused.m_Reason == RefusalReason::SegmentQuarantined));
   BOOST_TEST((Refused.m_HeldBy == Crashing));
