--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -433,23 +433,16 @@
 
 void SoakFleet::play(const std::vector<Fault> &Faults, Duration Length) {
   Duration End = Length;
-  for (const Fault &Played : Faults) {
-    runAfter(Played.m_Start, [this, Played] { apply(Played); });
-    End = std::max(End, Played.m_Start + Played.m_Duration);
-  }
-  for (const DutyFault &Played : makeDutySchedule(m_Plan.m_Seed, Length)) {
-    runAfter(Played.m_Start, [this, Played] { apply(Played); });
-    End = std::max(End, Played.m_Start + Played.m_Duration);
-  }
-  for (const StatementFault &Played :
-       makeStatementSchedule(m_Plan.m_Seed, Length)) {
-    runAfter(Played.m_Start, [this, Played] { apply(Played); });
-    End = std::max(End, Played.m_Start + Played.m_Duration);
-  }
-  for (const PathCut &Played : makePathCutSchedule(m_Plan.m_Seed, Length)) {
-    runAfter(Played.m_Start, [this, Played] { apply(Played); });
-    End = std::max(End, Played.m_Start + Played.m_Duration);
-  }
+  const auto Schedule = [&](const auto &Some) {
+    for (const auto &Played : Some) {
+      runAfter(Played.m_Start, [this, Played] { apply(Played); });
+      End = std::max(End, Played.m_Start + Played.m_Duration);
+    }
+  };
+  Schedule(Faults);
+  Schedule(makeDutySchedule(m_Plan.m_Seed, Length));
+  Schedule(makeStatementSchedule(m_Plan.m_Seed, Length));
+  Schedule(makePathCutSchedule(m_Plan.m_Seed, Length));
   playSpans(Length, End);
   Timer LoadTimer(m_Timers);
   Timer ProbeTimer(m_Timers);
