Codechange: One piece of test code for descriptor limits and late runs

DescriptorLimit stood in two tests, countOf() in two, and the counting of runs after a crash in the two tests of crashing requests and segments. The bounds, 3 runs later than 3 s after the third or fifth crash, are unchanged.

--- a/tests/process/caller.cpp
+++ b/tests/process/caller.cpp
@@ -134,6 +134,14 @@
   return m_Body.find("data: [DONE]") != std::string::npos;
 }
 
+std::size_t countOf(const std::string &Part, const std::string &Text) {
+  std::size_t Result = 0;
+  for (std::size_t At = Text.find(Part); At != std::string::npos;
+       At = Text.find(Part, At + Part.size()))
+    ++Result;
+  return Result;
+}
+
 Caller::Caller()
     : m_Session(soup_session_new_with_options(
           "max-conns", 4096, "max-conns-per-host", 1024, nullptr)) {}
--- a/tests/process/caller.h
+++ b/tests/process/caller.h
@@ -48,6 +48,9 @@
   [[nodiscard]] bool isStreamComplete() const;
 };
 
+/// Returns how often \p Part occurs in \p Text.
+std::size_t countOf(const std::string &Part, const std::string &Text);
+
 /// Sends requests on the test's main loop.
 class Caller {
 public:
--- a/tests/process/crashing_request_test.cpp
+++ b/tests/process/crashing_request_test.cpp
@@ -14,12 +14,8 @@
 
 constexpr const char *CrashingBody = "crash";
 
-/// Longest time until all instances know of a crash.
-constexpr Duration PropagationTime = 3s;
-
-/// Runs that a request may still have more than PropagationTime after it has
-/// crashed three upstreams.
-constexpr std::size_t MaxLateRuns = 3;
+/// Number of crashes from which runs are bounded.
+constexpr std::size_t BoundedFrom = 3;
 
 struct CrashTestFleet : GatewayFleet {
   std::vector<std::unique_ptr<RestartingUpstream>>
@@ -43,20 +39,6 @@
     }
   }
 
-  /// Returns the number of runs that started more than PropagationTime after
-  /// the third crash.
-  [[nodiscard]] std::size_t lateRuns() const {
-    const auto Crashes =
-        sortedTimes(m_Upstreams, &RestartingUpstream::m_Crashes);
-    if (Crashes.size() < 3)
-      return 0;
-    const auto Runs = sortedTimes(m_Upstreams, &RestartingUpstream::m_Runs);
-    return static_cast<std::size_t>(
-        std::count_if(Runs.begin(), Runs.end(), [&](TimePoint Run) {
-          return Run > Crashes[2] + PropagationTime;
-        }));
-  }
-
   /// Checks that every gateway serves a different request of the same caller on
   /// the idempotent path.
   void checkOthersServed() {
@@ -84,8 +66,8 @@
     TestFleet.sendCrashing(8s, Path);
     BOOST_TEST(
         sortedTimes(TestFleet.m_Upstreams, &RestartingUpstream::m_Crashes)
-            .size() >= 3U);
-    BOOST_TEST(TestFleet.lateRuns() <= MaxLateRuns);
+            .size() >= BoundedFrom);
+    BOOST_TEST(lateRuns(TestFleet.m_Upstreams, BoundedFrom) <= MaxLateRuns);
     TestFleet.checkOthersServed();
     TestFleet.checkCrashingRefused(Path);
   }
--- a/tests/process/crashing_segment_test.cpp
+++ b/tests/process/crashing_segment_test.cpp
@@ -14,13 +14,8 @@
 
 constexpr const char *CrashingSegment = "dead";
 
-/// Longest time until all instances know of a crash.
-constexpr Duration PropagationTime = 3s;
-
-/// Number of crashes from which runs are bounded, and the bound on those that
-/// begin more than PropagationTime later.
+/// Number of crashes from which runs are bounded.
 constexpr std::size_t BoundedFrom = 5;
-constexpr std::size_t MaxLateRuns = 3;
 
 /// Sound requests are to be served again this long after that crash, and which
 /// share of them.
@@ -55,24 +50,10 @@
                          m_Caller.start(nextRequest(Path, false)));
   }
 
-  [[nodiscard]] TimePoint fifthCrashAt() const {
-    const auto Crashes =
-        sortedTimes(m_Upstreams, &RestartingUpstream::m_Crashes);
-    return Crashes.size() < BoundedFrom ? TimePoint::max() - 1h
-                                        : Crashes[BoundedFrom - 1];
-  }
-
   [[nodiscard]] std::size_t runCount() const {
     return sortedTimes(m_Upstreams, &RestartingUpstream::m_Runs).size();
   }
 
-  [[nodiscard]] std::ptrdiff_t lateRuns() const {
-    const auto Runs = sortedTimes(m_Upstreams, &RestartingUpstream::m_Runs);
-    const TimePoint Limit = fifthCrashAt() + PropagationTime;
-    return std::ranges::count_if(Runs,
-                                 [&](TimePoint Run) { return Run > Limit; });
-  }
-
   /// Checks the sound requests that were sent from \p Since on.
   void checkSoundServed(TimePoint Since) const {
     std::size_t Count = 0;
@@ -125,8 +106,9 @@
     runFor(1s);
     BOOST_TEST_CONTEXT(Path) {
       BOOST_TEST(Fleet.runCount() >= BoundedFrom);
-      BOOST_TEST(Fleet.lateRuns() <= static_cast<std::ptrdiff_t>(MaxLateRuns));
-      Fleet.checkSoundServed(Fleet.fifthCrashAt() + RecoveryTime);
+      BOOST_TEST(lateRuns(Fleet.m_Upstreams, BoundedFrom) <= MaxLateRuns);
+      Fleet.checkSoundServed(crashTime(Fleet.m_Upstreams, BoundedFrom) +
+                             RecoveryTime);
     }
   }
 }
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -167,15 +167,6 @@
   }
 };
 
-/// Returns how often \p Part occurs in \p Text.
-std::size_t countOf(const std::string &Part, const std::string &Text) {
-  std::size_t Result = 0;
-  for (std::size_t At = Text.find(Part); At != std::string::npos;
-       At = Text.find(Part, At + Part.size()))
-    ++Result;
-  return Result;
-}
-
 } // namespace
 
 // A gateway starts while the store is unavailable. It refuses requests as
--- a/tests/process/restarting_upstream.h
+++ b/tests/process/restarting_upstream.h
@@ -116,6 +116,34 @@
   return Result;
 }
 
+/// Longest time until all gateways know of a crash.
+inline constexpr Duration PropagationTime = std::chrono::seconds(3);
+
+/// Crashing requests that may still run more than PropagationTime after the
+/// crash from which they are bounded.
+inline constexpr std::size_t MaxLateRuns = 3;
+
+/// Returns the time of the crash number \p Number of all, or a time later than
+/// all runs if there were fewer.
+inline TimePoint
+crashTime(const std::vector<std::unique_ptr<RestartingUpstream>> &Upstreams,
+          std::size_t Number) {
+  const auto Crashes = sortedTimes(Upstreams, &RestartingUpstream::m_Crashes);
+  return Crashes.size() < Number ? TimePoint::max() - std::chrono::hours(1)
+                                 : Crashes[Number - 1];
+}
+
+/// Returns how many crashing requests have begun to run more than
+/// PropagationTime after the crash number \p Number.
+inline std::size_t
+lateRuns(const std::vector<std::unique_ptr<RestartingUpstream>> &Upstreams,
+         std::size_t Number) {
+  const TimePoint Limit = crashTime(Upstreams, Number) + PropagationTime;
+  return static_cast<std::size_t>(
+      std::ranges::count_if(sortedTimes(Upstreams, &RestartingUpstream::m_Runs),
+                            [&](TimePoint Run) { return Run > Limit; }));
+}
+
 } // namespace crowstep::test
 
 #endif // CROWSTEP_TESTS_PROCESS_RESTARTING_UPSTREAM_H
--- a/tests/process/uneven_connections_test.cpp
+++ b/tests/process/uneven_connections_test.cpp
@@ -6,12 +6,12 @@
 #include "process/raw_caller.h"
 #include "process/throttle.h"
 #include "standin/deferred_answer.h"
+#include "unit/descriptor_limit.h"
 #include "unit/loopback_peer.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <random>
-#include <sys/resource.h>
 
 using namespace crowstep;
 using namespace crowstep::test;
@@ -51,23 +51,6 @@
   HttpServer m_Server; ///< For gateways.
 };
 
-/// Lowers the limit of file descriptors for processes that are started while it
-/// lives.
-class DescriptorLimit {
-public:
-  explicit DescriptorLimit(rlim_t Count) {
-    getrlimit(RLIMIT_NOFILE, &m_Before);
-    const rlimit Lowered{Count, m_Before.rlim_max};
-    setrlimit(RLIMIT_NOFILE, &Lowered);
-  }
-  ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &m_Before); }
-  DescriptorLimit(const DescriptorLimit &) = delete;
-  DescriptorLimit &operator=(const DescriptorLimit &) = delete;
-
-private:
-  rlimit m_Before{}; ///< Of the test.
-};
-
 /// A request of a caller that tries another gateway while its connections are
 /// closed without an answer.
 struct Attempts {
@@ -173,14 +156,6 @@
          std::to_string(Number) + "\r\nContent-Length: 1\r\n\r\nb";
 }
 
-std::size_t countOf(const std::string &Text, const std::string &Part) {
-  std::size_t Result = 0;
-  for (auto At = Text.find(Part); At != std::string::npos;
-       At = Text.find(Part, At + 1))
-    ++Result;
-  return Result;
-}
-
 } // namespace
 
 // Guards against requests that are read by a gateway without the processor time
@@ -224,5 +199,5 @@
     Kept[I]->send(rawRequest(Limit + I));
   runFor(1500ms);
   for (const auto &Connection : Kept)
-    BOOST_TEST(countOf(Connection->received(), "200 OK") == 2U);
+    BOOST_TEST(countOf("200 OK", Connection->received()) == 2U);
 }
--- a/tests/unit/connection_admission_test.cpp
+++ b/tests/unit/connection_admission_test.cpp
@@ -3,12 +3,12 @@
 #define BOOST_TEST_MODULE connection_admission
 #include "http/connection_admission.h"
 #include "http/frontend.h"
+#include "unit/descriptor_limit.h"
 #include "unit/loopback_peer.h"
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <random>
-#include <sys/resource.h>
 
 using namespace crowstep;
 using namespace crowstep::test;
@@ -21,22 +21,6 @@
   double m_Share = 0; ///< As reported.
 };
 
-/// Lowers the process's limit of file descriptors while it lives.
-class DescriptorLimit {
-public:
-  explicit DescriptorLimit(rlim_t Count) {
-    getrlimit(RLIMIT_NOFILE, &m_Before);
-    const rlimit Lowered{Count, m_Before.rlim_max};
-    setrlimit(RLIMIT_NOFILE, &Lowered);
-  }
-  ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &m_Before); }
-  DescriptorLimit(const DescriptorLimit &) = delete;
-  DescriptorLimit &operator=(const DescriptorLimit &) = delete;
-
-private:
-  rlimit m_Before{}; ///< Of the process.
-};
-
 constexpr const char *Get = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /// A server that answers each request at once.
