Test: Streams taken up after the loss of all gateways, failing

Cause: origins of streams live in memory, and the history of software versions begins empty in a process. After the loss of all gateways a stream whose caller does not name it is joined from two versions when one of them has just left, and streams whose callers name them are all refused though their version is in service.

--- a/tests/process/versioned_upstream.h
+++ b/tests/process/versioned_upstream.h
@@ -228,8 +228,8 @@
   std::shared_ptr<const CallResult> m_Result; ///< Of the current attempt.
 };
 
-/// Gateways, and four upstreams of which two run one software version and two
-/// another.
+/// Gateways, and four upstreams, of which by default two run one software
+/// version and two another.
 class VersionFleet : public GatewayFleet {
 public:
   /// Until all gateways know one another and have their share of the retry
@@ -240,8 +240,11 @@
   /// The upstreams are on machines of their own.
   static constexpr std::uint32_t UpstreamNet = INADDR_LOOPBACK + 0x100;
 
-  explicit VersionFleet(std::size_t Gateways) : GatewayFleet(Gateways) {
-    for (const char *Version : {"v1", "v2", "v1", "v2"})
+  explicit VersionFleet(std::size_t Gateways,
+                        const std::vector<std::string> &Versions = {"v1", "v2",
+                                                                    "v1", "v2"})
+      : GatewayFleet(Gateways) {
+    for (const std::string &Version : Versions)
       addUpstream(Version);
     BOOST_TEST(startAll());
     runFor(ListingTime);
