Feature: Read the fourth figure of a load report; interfaces of learned speeds

Cause: X-Server-Load may carry how long work takes on the upstream's machine. The parser wants exactly three figures and drops the whole report. A malformed fourth figure now loses only itself (platform_adapter_test).

Nothing else behaves differently.

--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -20,6 +20,10 @@
   std::uint32_t m_Running = 0; ///< Calls in progress.
   std::uint32_t m_Waiting = 0; ///< Calls in its queue.
   std::uint32_t m_Slots = 0;   ///< Calls that it can run at once.
+
+  /// Time that work takes on its machine now, in percent of the usual time;
+  /// none: not stated.
+  std::optional<std::uint32_t> m_MachinePace;
 };
 
 namespace balance {
@@ -49,6 +53,10 @@
   /// Of crashes; null: not known. Must outlive the placement.
   const CallSuspects *m_Suspects = nullptr;
 
+  /// Longest predicted wait for prefill at an engine; none: by the latency
+  /// target.
+  std::optional<Duration> m_WaitLimit;
+
   bool m_MayWait = false;      ///< Until the best upstream has room.
   bool m_WaitTimedOut = false; ///< Must not wait again.
 };
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -70,6 +70,14 @@
 /// could not take the load.
 constexpr double MaxExcludedShare = 0.5;
 
+/// Returns how long a call may wait for the prefill that is queued at an
+/// engine.
+Duration waitLimitOf(const PlacementQuery &Query) {
+  return Query.m_WaitLimit.value_or(
+      std::max(MinWaitLimit, std::chrono::duration_cast<Duration>(
+                                 Query.m_LatencyTarget * MaxWaitInTargets)));
+}
+
 /// Returns the number of tokens that a call is expected to generate.
 std::uint32_t expectedOutput(const PromptInfo &Prompt) {
   if (Prompt.m_ExpectedOutputTokens > 0 && Prompt.m_MaxOutputTokens > 0)
@@ -341,12 +349,7 @@
     return MustWait{Inputs};
   const Duration Wait = m_PrefillSpeed.timeToFirstEvent(
       Query.m_Service, Chosen.m_QueuedPrefillTokens);
-  const auto Limit = std::max(
-      MinWaitLimit,
-      std::chrono::duration_cast<Duration>(
-          std::chrono::duration<double, std::micro>(Query.m_LatencyTarget) *
-          MaxWaitInTargets));
-  if (Wait > Limit)
+  if (Wait > waitLimitOf(Query))
     return NotPlaced{RefusalReason::TargetUnreachable,
                      std::max(Wait - Query.m_LatencyTarget, MinRetryAfter),
                      Inputs};
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -17,6 +17,7 @@
 #include "balance/rate_limits.h"
 #include "balance/requested_pauses.h"
 #include "balance/upstream_state.h"
+#include "speed/upstream_speeds.h"
 
 #include <map>
 #include <unordered_map>
@@ -136,6 +137,9 @@
   [[nodiscard]] double busyEngines(const std::string &Service,
                                    TimePoint Now) const;
 
+  /// Returns how fast upstreams work.
+  [[nodiscard]] speed::UpstreamSpeeds &speeds() { return m_Speeds; }
+
   /// Returns the requests and segments that must not run.
   [[nodiscard]] Quarantine &quarantine() { return m_Quarantine; }
 
@@ -216,16 +220,17 @@
                                const CallLoad &Peers, TimePoint Now) const;
   UpstreamState *stateOf(TicketId Ticket);
 
-  AvailabilityZone m_Zone;     ///< Of this instance.
-  std::mt19937_64 m_Random;    ///< For sampling engines.
-  Quarantine m_Quarantine;     ///< Of requests and segments.
-  RateLimits m_RateLimits;     ///< Stated by upstreams.
-  BrittleUpstreams m_Brittle;  ///< As they state.
-  RequestedPauses m_Pauses;    ///< By upstreams, from this instance.
-  LeavingUpstreams m_Leaving;  ///< By their entries and answers.
-  PrefillSpeed m_PrefillSpeed; ///< Of the engines.
-  PeerLoads m_PeerLoads;       ///< From their digests.
-  CacheModel m_Cache;          ///< Of the engines.
+  AvailabilityZone m_Zone;        ///< Of this instance.
+  std::mt19937_64 m_Random;       ///< For sampling engines.
+  Quarantine m_Quarantine;        ///< Of requests and segments.
+  RateLimits m_RateLimits;        ///< Stated by upstreams.
+  BrittleUpstreams m_Brittle;     ///< As they state.
+  RequestedPauses m_Pauses;       ///< By upstreams, from this instance.
+  LeavingUpstreams m_Leaving;     ///< By their entries and answers.
+  PrefillSpeed m_PrefillSpeed;    ///< Of the engines.
+  speed::UpstreamSpeeds m_Speeds; ///< Of the upstreams.
+  PeerLoads m_PeerLoads;          ///< From their digests.
+  CacheModel m_Cache;             ///< Of the engines.
   std::unordered_map<PoolId, RoleSplit> m_RoleSplits;  ///< By service.
   std::unordered_map<PoolId, WorkTokens> m_UnsentWork; ///< Since takeDigest().
   std::vector<SegmentPlacement> m_UnsentSegments;      ///< Since takeDigest().
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -116,6 +116,14 @@
 
 struct BrittleService;
 
+struct UpstreamSpeed;
+
+struct ServiceSpeed;
+
+struct MachinePace;
+
+struct WaitingCalls;
+
 struct GatewayDigest;
 struct GatewayDigestBuilder;
 struct GatewayDigestT;
@@ -1085,6 +1093,188 @@
   using type = BrittleService;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamSpeed FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  int32_t log_milli_;
+  uint16_t samples_;
+  uint8_t crowded_;
+  int8_t padding0__;
+
+ public:
+  struct Traits;
+  UpstreamSpeed()
+      : upstream_(0),
+        log_milli_(0),
+        samples_(0),
+        crowded_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  UpstreamSpeed(uint64_t _upstream, int32_t _log_milli, uint16_t _samples, bool _crowded)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        log_milli_(flatbuffers::EndianScalar(_log_milli)),
+        samples_(flatbuffers::EndianScalar(_samples)),
+        crowded_(flatbuffers::EndianScalar(static_cast<uint8_t>(_crowded))),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  int32_t log_milli() const {
+    return flatbuffers::EndianScalar(log_milli_);
+  }
+  uint16_t samples() const {
+    return flatbuffers::EndianScalar(samples_);
+  }
+  bool crowded() const {
+    return flatbuffers::EndianScalar(crowded_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(UpstreamSpeed, 16);
+
+struct UpstreamSpeed::Traits {
+  using type = UpstreamSpeed;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServiceSpeed FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t pool_;
+  int64_t log_milli_;
+  uint32_t samples_;
+  uint8_t state_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  struct Traits;
+  ServiceSpeed()
+      : pool_(0),
+        log_milli_(0),
+        samples_(0),
+        state_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  ServiceSpeed(uint64_t _pool, int64_t _log_milli, uint32_t _samples, uint8_t _state)
+      : pool_(flatbuffers::EndianScalar(_pool)),
+        log_milli_(flatbuffers::EndianScalar(_log_milli)),
+        samples_(flatbuffers::EndianScalar(_samples)),
+        state_(flatbuffers::EndianScalar(_state)),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t pool() const {
+    return flatbuffers::EndianScalar(pool_);
+  }
+  int64_t log_milli() const {
+    return flatbuffers::EndianScalar(log_milli_);
+  }
+  uint32_t samples() const {
+    return flatbuffers::EndianScalar(samples_);
+  }
+  uint8_t state() const {
+    return flatbuffers::EndianScalar(state_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServiceSpeed, 24);
+
+struct ServiceSpeed::Traits {
+  using type = ServiceSpeed;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) MachinePace FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint16_t percent_;
+  uint16_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  MachinePace()
+      : upstream_(0),
+        percent_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  MachinePace(uint64_t _upstream, uint16_t _percent, uint16_t _age_ms)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        percent_(flatbuffers::EndianScalar(_percent)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint16_t percent() const {
+    return flatbuffers::EndianScalar(percent_);
+  }
+  uint16_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(MachinePace, 16);
+
+struct MachinePace::Traits {
+  using type = MachinePace;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) WaitingCalls FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t pool_;
+  uint16_t waiting_;
+  uint16_t placed_;
+  uint8_t urgency_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  struct Traits;
+  WaitingCalls()
+      : pool_(0),
+        waiting_(0),
+        placed_(0),
+        urgency_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  WaitingCalls(uint64_t _pool, uint16_t _waiting, uint16_t _placed, uint8_t _urgency)
+      : pool_(flatbuffers::EndianScalar(_pool)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        placed_(flatbuffers::EndianScalar(_placed)),
+        urgency_(flatbuffers::EndianScalar(_urgency)),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t pool() const {
+    return flatbuffers::EndianScalar(pool_);
+  }
+  uint16_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
+  uint16_t placed() const {
+    return flatbuffers::EndianScalar(placed_);
+  }
+  uint8_t urgency() const {
+    return flatbuffers::EndianScalar(urgency_);
+  }
+};
+FLATBUFFERS_STRUCT_END(WaitingCalls, 16);
+
+struct WaitingCalls::Traits {
+  using type = WaitingCalls;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RelayReady FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t call_;
@@ -3396,6 +3586,10 @@
   std::vector<uint64_t> leaving{};
   std::vector<crowstep::wire::BrittleService> brittle{};
   std::vector<crowstep::wire::SegmentCrash> segment_crashes{};
+  std::vector<crowstep::wire::UpstreamSpeed> speeds{};
+  std::vector<crowstep::wire::ServiceSpeed> service_speeds{};
+  std::vector<crowstep::wire::MachinePace> machine_paces{};
+  std::vector<crowstep::wire::WaitingCalls> waiting{};
 };
 
 struct GatewayDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3411,7 +3605,11 @@
     VT_SENT_AT_US = 14,
     VT_LEAVING = 16,
     VT_BRITTLE = 18,
-    VT_SEGMENT_CRASHES = 20
+    VT_SEGMENT_CRASHES = 20,
+    VT_SPEEDS = 22,
+    VT_SERVICE_SPEEDS = 24,
+    VT_MACHINE_PACES = 26,
+    VT_WAITING = 28
   };
   const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::UpstreamLoad *> *>(VT_LOADS);
@@ -3440,6 +3638,18 @@
   const flatbuffers::Vector<const crowstep::wire::SegmentCrash *> *segment_crashes() const {
     return GetPointer<const flatbuffers::Vector<const crowstep::wire::SegmentCrash *> *>(VT_SEGMENT_CRASHES);
   }
+  const flatbuffers::Vector<const crowstep::wire::UpstreamSpeed *> *speeds() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::UpstreamSpeed *> *>(VT_SPEEDS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::ServiceSpeed *> *service_speeds() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::ServiceSpeed *> *>(VT_SERVICE_SPEEDS);
+  }
+  const flatbuffers::Vector<const crowstep::wire::MachinePace *> *machine_paces() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::MachinePace *> *>(VT_MACHINE_PACES);
+  }
+  const flatbuffers::Vector<const crowstep::wire::WaitingCalls *> *waiting() const {
+    return GetPointer<const flatbuffers::Vector<const crowstep::wire::WaitingCalls *> *>(VT_WAITING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_LOADS) &&
@@ -3459,6 +3669,14 @@
            verifier.VerifyVector(brittle()) &&
            VerifyOffset(verifier, VT_SEGMENT_CRASHES) &&
            verifier.VerifyVector(segment_crashes()) &&
+           VerifyOffset(verifier, VT_SPEEDS) &&
+           verifier.VerifyVector(speeds()) &&
+           VerifyOffset(verifier, VT_SERVICE_SPEEDS) &&
+           verifier.VerifyVector(service_speeds()) &&
+           VerifyOffset(verifier, VT_MACHINE_PACES) &&
+           verifier.VerifyVector(machine_paces()) &&
+           VerifyOffset(verifier, VT_WAITING) &&
+           verifier.VerifyVector(waiting()) &&
            verifier.EndTable();
   }
   GatewayDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3497,6 +3715,18 @@
   void add_segment_crashes(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::SegmentCrash *>> segment_crashes) {
     fbb_.AddOffset(GatewayDigest::VT_SEGMENT_CRASHES, segment_crashes);
   }
+  void add_speeds(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::UpstreamSpeed *>> speeds) {
+    fbb_.AddOffset(GatewayDigest::VT_SPEEDS, speeds);
+  }
+  void add_service_speeds(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::ServiceSpeed *>> service_speeds) {
+    fbb_.AddOffset(GatewayDigest::VT_SERVICE_SPEEDS, service_speeds);
+  }
+  void add_machine_paces(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::MachinePace *>> machine_paces) {
+    fbb_.AddOffset(GatewayDigest::VT_MACHINE_PACES, machine_paces);
+  }
+  void add_waiting(flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WaitingCalls *>> waiting) {
+    fbb_.AddOffset(GatewayDigest::VT_WAITING, waiting);
+  }
   explicit GatewayDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3518,9 +3748,17 @@
     int64_t sent_at_us = -1LL,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> leaving = 0,
     flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::BrittleService *>> brittle = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::SegmentCrash *>> segment_crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::SegmentCrash *>> segment_crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::UpstreamSpeed *>> speeds = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::ServiceSpeed *>> service_speeds = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::MachinePace *>> machine_paces = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crowstep::wire::WaitingCalls *>> waiting = 0) {
   GatewayDigestBuilder builder_(_fbb);
   builder_.add_sent_at_us(sent_at_us);
+  builder_.add_waiting(waiting);
+  builder_.add_machine_paces(machine_paces);
+  builder_.add_service_speeds(service_speeds);
+  builder_.add_speeds(speeds);
   builder_.add_segment_crashes(segment_crashes);
   builder_.add_brittle(brittle);
   builder_.add_leaving(leaving);
@@ -3547,7 +3785,11 @@
     int64_t sent_at_us = -1LL,
     const std::vector<uint64_t> *leaving = nullptr,
     const std::vector<crowstep::wire::BrittleService> *brittle = nullptr,
-    const std::vector<crowstep::wire::SegmentCrash> *segment_crashes = nullptr) {
+    const std::vector<crowstep::wire::SegmentCrash> *segment_crashes = nullptr,
+    const std::vector<crowstep::wire::UpstreamSpeed> *speeds = nullptr,
+    const std::vector<crowstep::wire::ServiceSpeed> *service_speeds = nullptr,
+    const std::vector<crowstep::wire::MachinePace> *machine_paces = nullptr,
+    const std::vector<crowstep::wire::WaitingCalls> *waiting = nullptr) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamLoad>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<crowstep::wire::PartPlaced>(*parts) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<crowstep::wire::WorkPlaced>(*work) : 0;
@@ -3556,6 +3798,10 @@
   auto leaving__ = leaving ? _fbb.CreateVector<uint64_t>(*leaving) : 0;
   auto brittle__ = brittle ? _fbb.CreateVectorOfStructs<crowstep::wire::BrittleService>(*brittle) : 0;
   auto segment_crashes__ = segment_crashes ? _fbb.CreateVectorOfStructs<crowstep::wire::SegmentCrash>(*segment_crashes) : 0;
+  auto speeds__ = speeds ? _fbb.CreateVectorOfStructs<crowstep::wire::UpstreamSpeed>(*speeds) : 0;
+  auto service_speeds__ = service_speeds ? _fbb.CreateVectorOfStructs<crowstep::wire::ServiceSpeed>(*service_speeds) : 0;
+  auto machine_paces__ = machine_paces ? _fbb.CreateVectorOfStructs<crowstep::wire::MachinePace>(*machine_paces) : 0;
+  auto waiting__ = waiting ? _fbb.CreateVectorOfStructs<crowstep::wire::WaitingCalls>(*waiting) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       loads__,
@@ -3566,7 +3812,11 @@
       sent_at_us,
       leaving__,
       brittle__,
-      segment_crashes__);
+      segment_crashes__,
+      speeds__,
+      service_speeds__,
+      machine_paces__,
+      waiting__);
 }
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6361,6 +6611,10 @@
   { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = _e->Get(_i); } } }
   { auto _e = brittle(); if (_e) { _o->brittle.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->brittle[_i] = *_e->Get(_i); } } }
   { auto _e = segment_crashes(); if (_e) { _o->segment_crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->segment_crashes[_i] = *_e->Get(_i); } } }
+  { auto _e = speeds(); if (_e) { _o->speeds.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->speeds[_i] = *_e->Get(_i); } } }
+  { auto _e = service_speeds(); if (_e) { _o->service_speeds.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->service_speeds[_i] = *_e->Get(_i); } } }
+  { auto _e = machine_paces(); if (_e) { _o->machine_paces.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->machine_paces[_i] = *_e->Get(_i); } } }
+  { auto _e = waiting(); if (_e) { _o->waiting.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waiting[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<GatewayDigest> GatewayDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6380,6 +6634,10 @@
   auto _leaving = _o->leaving.size() ? _fbb.CreateVector(_o->leaving) : 0;
   auto _brittle = _o->brittle.size() ? _fbb.CreateVectorOfStructs(_o->brittle) : 0;
   auto _segment_crashes = _o->segment_crashes.size() ? _fbb.CreateVectorOfStructs(_o->segment_crashes) : 0;
+  auto _speeds = _o->speeds.size() ? _fbb.CreateVectorOfStructs(_o->speeds) : 0;
+  auto _service_speeds = _o->service_speeds.size() ? _fbb.CreateVectorOfStructs(_o->service_speeds) : 0;
+  auto _machine_paces = _o->machine_paces.size() ? _fbb.CreateVectorOfStructs(_o->machine_paces) : 0;
+  auto _waiting = _o->waiting.size() ? _fbb.CreateVectorOfStructs(_o->waiting) : 0;
   return crowstep::wire::CreateGatewayDigest(
       _fbb,
       _loads,
@@ -6390,7 +6648,11 @@
       _sent_at_us,
       _leaving,
       _brittle,
-      _segment_crashes);
+      _segment_crashes,
+      _speeds,
+      _service_speeds,
+      _machine_paces,
+      _waiting);
 }
 
 inline UsageCountT *UsageCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -303,6 +303,15 @@
   BOOST_TEST(Load->m_Running == 3U);
   BOOST_TEST(Load->m_Slots == 8U);
   BOOST_TEST(!Codec.readAnswer(200, {{"X-Server-Load", "3,x,8"}}).m_Load);
+  BOOST_TEST(!Load->m_MachinePace.has_value());
+  const auto LoadOf = [&](const char *Text) {
+    return Codec.readAnswer(200, {{"X-Server-Load", Text}}).m_Load;
+  };
+  // Guards against a report that is lost for a figure that was added to it.
+  BOOST_TEST(LoadOf("3,1,8,250")->m_MachinePace.value() == 250U);
+  BOOST_TEST(LoadOf("3,1,8,x")->m_Slots == 8U);
+  BOOST_TEST(!LoadOf("3,1,8,x")->m_MachinePace.has_value());
+  BOOST_TEST(!LoadOf("3,1,8,250,1").has_value());
 }
 
 BOOST_AUTO_TEST_CASE(ATableIsReadAndFollowed) {
