Fix: Let reads from the stand-in store's stale copy state the era of the copy

By the gateways' logs: the stand-in served reads from a copy of era 1 while it came back from another copy as era 2, and stated era 2 with rows and version (28) of era 1. Two gateways read the table of the operators so, followed changes after version 28, and missed the table that was written again as an earlier version of era 2, until era 3. The two that started later read it. A store that answers from content of an earlier era states that era, and gateways then read again; so the stand-in is wrong, and check and bounds stay as they are.

Ruled out: the order of rows (era and version), a long poll that was forgotten.

--- a/tests/standin/store_server.cpp
+++ b/tests/standin/store_server.cpp
@@ -89,13 +89,19 @@
 void StoreServer::serveStaleCopy(bool Enabled) {
   m_StaleCopy = Enabled ? m_Tables : std::map<std::string, Table>();
   m_StaleVersion = Enabled ? m_Version : 0;
+  m_StaleEra = m_Era;
 }
 
-void StoreServer::handle(SoupServerMessage *Message, const std::string &Path) {
+void StoreServer::stateEra(SoupServerMessage *Message,
+                           std::uint64_t Era) const {
   if (m_StatesEra)
     soup_message_headers_replace(
         soup_server_message_get_response_headers(Message), "Store-Era",
-        std::to_string(m_Era).c_str());
+        std::to_string(Era).c_str());
+}
+
+void StoreServer::handle(SoupServerMessage *Message, const std::string &Path) {
+  stateEra(Message, m_Era);
   if (m_Mode == Mode::Busy) {
     respond(Message, HttpUnavailable, "text/plain", "");
     return;
@@ -127,6 +133,8 @@
 void StoreServer::handleRead(SoupServerMessage *Message,
                              const std::string &Name) {
   const bool Stale = m_StaleVersion != 0;
+  if (Stale)
+    stateEra(Message, m_StaleEra);
   Json Rows = Json::array();
   for (const auto &[Key, Row] : Stale ? m_StaleCopy[Name] : m_Tables[Name])
     if (!Row.m_Value.empty())
--- a/tests/standin/store_server.h
+++ b/tests/standin/store_server.h
@@ -31,8 +31,9 @@
 
   void setMode(Mode NewMode);
 
-  /// Answers reads from a copy of the present tables until called with false.
-  /// A copy of a store without any change is not served.
+  /// Answers reads from a copy of the present tables until called with false,
+  /// also after restoreCopy(). They state the era of the copy. A copy of a
+  /// store without any change is not served.
   void serveStaleCopy(bool Enabled);
 
   /// Keeps a copy of the present tables for restoreCopy().
@@ -79,12 +80,14 @@
   nlohmann::json changes(const std::string &Name, std::uint64_t After);
   void answer(SoupServerMessage *Message, nlohmann::json Body,
               std::uint64_t Version) const;
+  void stateEra(SoupServerMessage *Message, std::uint64_t Era) const;
 
   HttpServer m_Server;                      ///< Serves the gateways.
   std::map<std::string, Table> m_Tables;    ///< By name.
   std::vector<LongPoll> m_LongPolls;        ///< Paused feed requests.
   std::map<std::string, Table> m_StaleCopy; ///< See serveStaleCopy().
   std::uint64_t m_StaleVersion = 0; ///< Version of the copy; 0: none is served.
+  std::uint64_t m_StaleEra = 0;     ///< Era of the copy.
   std::uint64_t m_Version = 0;      ///< Version of the newest change.
   std::map<std::string, Table> m_Copy; ///< See takeCopy().
   std::uint64_t m_CopyVersion = 0;     ///< Version of m_Copy.
