Fix: Keep the soak's driver running with 60 gateways

Cause: a path cut started a timer for each pair of gateway and upstream, and each set the packet filters of all connections again. Relay::accept waited in a connect to a stand-in of its own process.

Change: one timer a cut; filters are set only if the cut clients have changed; the relay works on sockets watched by the process's epoll instance, connects and writes without blocking, and listens with a backlog of 1,024.

Ruled out: the gateways (they log connect timeouts only); the libsoup servers of the stand-ins (their backlog is 1,024).

Checks and bounds are unchanged.

--- a/tests/process/relay.cpp
+++ b/tests/process/relay.cpp
@@ -1,77 +1,161 @@
 /// TCP relay with injected faults.
 #include "process/relay.h"
 
+#include "core/error.h"
 #include "process/process.h"
 
 #include <array>
-#include <gio/gio.h>
+#include <cerrno>
+#include <glib.h>
 #include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 namespace crowstep::test {
 
 /// One direction of a connection. Reads one chunk at a time: the next read
-/// starts once the chunk has been forwarded.
+/// starts once the chunk has been written.
 struct Relay::Pipe {
-  Relay *m_Owner = nullptr;           ///< Valid while the connection is open.
-  GInputStream *m_From = nullptr;     ///< Of m_Connection.
-  GOutputStream *m_To = nullptr;      ///< Of m_Connection.
+  /// What the direction waits for.
+  enum class State : std::uint8_t {
+    Connecting, ///< The target's side to be connected.
+    Reading,    ///< Bytes.
+    Delayed,    ///< The end of the chunk's delay.
+    Held,       ///< The end of a silence or cut.
+    Writing,    ///< Room in the other socket.
+  };
+
+  bool m_IsToTarget = true;           ///< Direction of the bytes.
+  State m_State = State::Connecting;  ///< See State.
   std::array<char, 16384> m_Buffer{}; ///< Current chunk.
   std::size_t m_Size = 0;             ///< Of the chunk, in bytes.
-  bool m_IsToTarget = true;           ///< Direction of the bytes.
-  std::shared_ptr<Connection> m_Connection; ///< Keeps the streams alive.
+  std::size_t m_Written = 0;          ///< Part of the chunk.
 };
 
-struct Relay::Connection {
-  GSocketConnection *m_Inbound = nullptr;  ///< From the client; owned.
-  GSocketConnection *m_Outbound = nullptr; ///< To the target; owned.
-  std::uint32_t m_ClientIp = 0;            ///< Of m_Inbound's peer.
-  bool m_Open = true;                      ///< False after close().
+/// A socket of a connection, which is watched and closed with it.
+struct Relay::Side final : SocketListener {
+  Side(int Socket, Connection &Owner)
+      : m_Socket(Socket), m_Owner(Owner), m_Watch(Socket, *this) {}
+  ~Side() override {
+    m_Watch.setEvents({});
+    close(m_Socket);
+  }
+  Side(const Side &) = delete;
+  Side &operator=(const Side &) = delete;
+  void socketReady(SocketEvents Events) override;
+
+  int m_Socket;        ///< Owned.
+  Connection &m_Owner; ///< Outlives it.
+  SocketWatch m_Watch; ///< Of m_Socket.
+};
+
+struct Relay::Connection : std::enable_shared_from_this<Connection> {
+  Connection(Relay &Owner, int Inbound, int Outbound, std::uint32_t ClientIp)
+      : m_Owner(Owner), m_Inbound(std::make_unique<Side>(Inbound, *this)),
+        m_Outbound(std::make_unique<Side>(Outbound, *this)),
+        m_ClientIp(ClientIp) {
+    for (Pipe *Direction : {&m_ToTarget, &m_ToClient})
+      Direction->m_IsToTarget = Direction == &m_ToTarget;
+  }
+
+  [[nodiscard]] bool isOpen() const { return m_Inbound != nullptr; }
 
   void close() {
-    if (!m_Open)
+    m_Inbound = nullptr;
+    m_Outbound = nullptr;
+  }
+
+  [[nodiscard]] int source(const Pipe &Direction) const {
+    return (Direction.m_IsToTarget ? m_Inbound : m_Outbound)->m_Socket;
+  }
+  [[nodiscard]] int target(const Pipe &Direction) const {
+    return (Direction.m_IsToTarget ? m_Outbound : m_Inbound)->m_Socket;
+  }
+
+  /// Watches the sockets for what the two directions wait for.
+  void updateWatches() {
+    if (!isOpen())
       return;
-    m_Open = false;
-    for (GSocketConnection *Side : {m_Inbound, m_Outbound})
-      g_socket_close(g_socket_connection_get_socket(Side), nullptr);
+    using State = Pipe::State;
+    const auto EventsFor = [](const Pipe &From, const Pipe &To) {
+      return SocketEvents{From.m_State == State::Reading,
+                          To.m_State == State::Writing, false};
+    };
+    m_Inbound->m_Watch.setEvents(EventsFor(m_ToTarget, m_ToClient));
+    SocketEvents Outbound = EventsFor(m_ToClient, m_ToTarget);
+    Outbound.m_Write |= m_ToTarget.m_State == State::Connecting;
+    m_Outbound->m_Watch.setEvents(Outbound);
+  }
+
+  /// Handles events of \p From.
+  void handleReady(const Side &From, SocketEvents Events) {
+    // A side is destroyed when the connection is closed.
+    const std::shared_ptr<Connection> Self = shared_from_this();
+    Pipe &Incoming = &From == m_Inbound.get() ? m_ToTarget : m_ToClient;
+    Pipe &Outgoing = &From == m_Inbound.get() ? m_ToClient : m_ToTarget;
+    if (Outgoing.m_State == Pipe::State::Connecting)
+      finishConnect();
+    else if (Events.m_Write && Outgoing.m_State == Pipe::State::Writing)
+      m_Owner.write(*this, Outgoing);
+    if (isOpen() && Events.m_Read && Incoming.m_State == Pipe::State::Reading)
+      m_Owner.read(*this, Incoming);
+    updateWatches();
   }
-  ~Connection() {
-    g_object_unref(m_Inbound);
-    g_object_unref(m_Outbound);
+
+  void finishConnect() {
+    int Failure = 0;
+    socklen_t Size = sizeof(Failure);
+    getsockopt(m_Outbound->m_Socket, SOL_SOCKET, SO_ERROR, &Failure, &Size);
+    if (Failure != 0) {
+      close();
+      return;
+    }
+    m_ToTarget.m_State = Pipe::State::Reading;
+    m_ToClient.m_State = Pipe::State::Reading;
   }
+
+  Relay &m_Owner;                   ///< Valid while the connection is open.
+  std::unique_ptr<Side> m_Inbound;  ///< From the client; null once closed.
+  std::unique_ptr<Side> m_Outbound; ///< To the target; null once closed.
+  std::uint32_t m_ClientIp;         ///< Of m_Inbound's peer.
+  Pipe m_ToTarget;                  ///< From m_Inbound.
+  Pipe m_ToClient;                  ///< From m_Outbound.
 };
 
+void Relay::Side::socketReady(SocketEvents Events) {
+  m_Owner.handleReady(*this, Events);
+}
+
 namespace {
 
-GSocketAddress *socketAddress(const Address &Where) {
-  sockaddr_in Native{};
-  Native.sin_family = AF_INET;
-  Native.sin_port = htons(Where.m_Port);
-  Native.sin_addr.s_addr = htonl(Where.m_Ip);
-  return g_socket_address_new_from_native(&Native, sizeof(Native));
-}
-
-GSocket *listenAt(const Address &Where) {
-  GSocket *Result = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                                 G_SOCKET_PROTOCOL_TCP, nullptr);
-  GSocketAddress *Local = socketAddress(Where);
-  g_socket_bind(Result, Local, 1, nullptr);
-  g_object_unref(Local);
-  g_socket_listen(Result, nullptr);
+/// The default of GLib is 10. A fleet connects to an upstream all at once, and
+/// the kernel drops what exceeds the backlog.
+constexpr int ListenBacklog = 1024;
+
+sockaddr_in nativeAddress(const Address &Where) {
+  sockaddr_in Result{};
+  Result.sin_family = AF_INET;
+  Result.sin_port = htons(Where.m_Port);
+  Result.sin_addr.s_addr = htonl(Where.m_Ip);
   return Result;
 }
 
-std::uint32_t clientIpOf(GSocketConnection *Inbound) {
-  GSocketAddress *Remote =
-      g_socket_connection_get_remote_address(Inbound, nullptr);
-  sockaddr_in Native{};
-  if (Remote != nullptr) {
-    g_socket_address_to_native(Remote, &Native, sizeof(Native), nullptr);
-    g_object_unref(Remote);
-  }
-  return ntohl(Native.sin_addr.s_addr);
+int makeSocket() {
+  return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+int listenAt(const Address &Where) {
+  const int Result = makeSocket();
+  const int Enabled = 1;
+  setsockopt(Result, SOL_SOCKET, SO_REUSEADDR, &Enabled, sizeof(Enabled));
+  const sockaddr_in Local = nativeAddress(Where);
+  if (bind(Result, reinterpret_cast<const sockaddr *>(&Local), sizeof(Local)) !=
+          0 ||
+      listen(Result, ListenBacklog) != 0)
+    throw Error("a relay can't listen at " + toString(Where));
+  return Result;
 }
 
 } // namespace
@@ -80,121 +164,113 @@
     : m_Target(Target), m_ListenAddress{ListenIp == 0 ? Target.m_Ip : ListenIp,
                                         freePort()},
       m_ListenSocket(listenAt(m_ListenAddress)),
-      m_Service(g_socket_service_new()) {
-  g_socket_listener_add_socket(G_SOCKET_LISTENER(m_Service), m_ListenSocket,
-                               nullptr, nullptr);
-  const auto OnIncoming = +[](GSocketService *, GSocketConnection *Accepted,
-                              GObject *, gpointer Self) -> gboolean {
-    static_cast<Relay *>(Self)->accept(Accepted);
-    return 1;
-  };
-  g_signal_connect(m_Service, "incoming", G_CALLBACK(OnIncoming), this);
-  g_socket_service_start(m_Service);
+      m_ListenWatch(m_ListenSocket, *this) {
+  m_ListenWatch.setEvents({true, false, false});
 }
 
 Relay::~Relay() {
   block();
-  g_signal_handlers_disconnect_by_data(m_Service, this);
-  g_socket_service_stop(m_Service);
-  g_socket_listener_close(G_SOCKET_LISTENER(m_Service));
-  g_object_unref(m_Service);
-  g_object_unref(m_ListenSocket);
-  // Pending reads end with an error now that the sockets are closed; let their
-  // callbacks run.
-  runUntil([] { return g_main_context_pending(nullptr) == 0; },
-           std::chrono::seconds(1));
-}
-
-void Relay::accept(void *Accepted) {
-  auto *Inbound = static_cast<GSocketConnection *>(Accepted);
-  if (m_Blocked) {
-    g_socket_close(g_socket_connection_get_socket(Inbound), nullptr);
-    return;
-  }
-  GSocketClient *Client = g_socket_client_new();
-  const std::string HostAndPort = toString(m_Target);
-  GSocketConnection *Outbound = g_socket_client_connect_to_host(
-      Client, HostAndPort.c_str(), m_Target.m_Port, nullptr, nullptr);
-  g_object_unref(Client);
-  if (Outbound == nullptr) {
-    g_socket_close(g_socket_connection_get_socket(Inbound), nullptr);
-    return;
-  }
-  auto NewConnection = std::make_shared<Connection>();
-  NewConnection->m_Inbound = G_SOCKET_CONNECTION(g_object_ref(Inbound));
-  NewConnection->m_Outbound = Outbound;
-  NewConnection->m_ClientIp = clientIpOf(Inbound);
-  filterPackets(g_socket_connection_get_socket(Inbound));
-  m_Connections.push_back(NewConnection);
-  for (const bool IsToTarget : {true, false}) {
-    auto Direction = std::make_shared<Pipe>();
-    Direction->m_Owner = this;
-    Direction->m_Connection = NewConnection;
-    Direction->m_IsToTarget = IsToTarget;
-    GSocketConnection *From = IsToTarget ? Inbound : Outbound;
-    GSocketConnection *To = IsToTarget ? Outbound : Inbound;
-    Direction->m_From = g_io_stream_get_input_stream(G_IO_STREAM(From));
-    Direction->m_To = g_io_stream_get_output_stream(G_IO_STREAM(To));
-    startRead(Direction);
-  }
+  m_ListenWatch.setEvents({});
+  close(m_ListenSocket);
 }
 
-void Relay::startRead(const std::shared_ptr<Pipe> &Direction) {
-  using PipePtr = std::shared_ptr<Pipe>;
-  const auto OnRead = +[](GObject *From, GAsyncResult *Outcome, gpointer Data) {
-    const std::unique_ptr<PipePtr> Owned(static_cast<PipePtr *>(Data));
-    Pipe &Current = **Owned;
-    const gssize Size =
-        g_input_stream_read_finish(G_INPUT_STREAM(From), Outcome, nullptr);
-    if (Size <= 0 || !Current.m_Connection->m_Open) {
-      Current.m_Connection->close();
-      return;
-    }
-    Current.m_Size = static_cast<std::size_t>(Size);
-    Current.m_Owner->handleRead(*Owned);
-  };
-  g_input_stream_read_async(Direction->m_From, Direction->m_Buffer.data(),
-                            Direction->m_Buffer.size(), G_PRIORITY_DEFAULT,
-                            nullptr, OnRead, new PipePtr(Direction));
+void Relay::socketReady(SocketEvents) {
+  std::erase_if(m_Connections, [](const std::shared_ptr<Connection> &Known) {
+    return !Known->isOpen();
+  });
+  sockaddr_in Client{};
+  socklen_t Size = sizeof(Client);
+  int Accepted = -1;
+  while (
+      (Accepted = accept4(m_ListenSocket, reinterpret_cast<sockaddr *>(&Client),
+                          &Size, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+    if (m_Blocked)
+      close(Accepted);
+    else
+      forwardConnection(Accepted, ntohl(Client.sin_addr.s_addr));
 }
 
-void Relay::handleRead(const std::shared_ptr<Pipe> &Direction) {
+/// Targets run in this process too: waiting here for one whose backlog is full
+/// would keep it from accepting.
+void Relay::forwardConnection(int Accepted, std::uint32_t ClientIp) {
+  const int Outbound = makeSocket();
+  const sockaddr_in Remote = nativeAddress(m_Target);
+  if (connect(Outbound, reinterpret_cast<const sockaddr *>(&Remote),
+              sizeof(Remote)) != 0 &&
+      errno != EINPROGRESS) {
+    close(Outbound);
+    close(Accepted);
+    return;
+  }
+  filterPackets(Accepted);
+  m_Connections.push_back(
+      std::make_shared<Connection>(*this, Accepted, Outbound, ClientIp));
+  const std::shared_ptr<Connection> &Added = m_Connections.back();
+  Added->updateWatches();
+}
+
+void Relay::read(Connection &From, Pipe &Direction) {
+  const ssize_t Size = recv(From.source(Direction), Direction.m_Buffer.data(),
+                            Direction.m_Buffer.size(), MSG_DONTWAIT);
+  if (Size < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (Size <= 0) {
+    From.close();
+    return;
+  }
+  Direction.m_Size = static_cast<std::size_t>(Size);
+  Direction.m_Written = 0;
   if (m_Delay == Duration::zero()) {
-    forward(Direction);
+    forward(From, Direction);
     return;
   }
-  using PipePtr = std::shared_ptr<Pipe>;
+  Direction.m_State = Pipe::State::Delayed;
+  struct Delayed {
+    std::shared_ptr<Connection> m_Connection;
+    Pipe &m_Direction;
+  };
   const auto OnTimer = +[](gpointer Data) -> gboolean {
-    const std::unique_ptr<PipePtr> Owned(static_cast<PipePtr *>(Data));
+    const std::unique_ptr<Delayed> Owned(static_cast<Delayed *>(Data));
+    Connection &Current = *Owned->m_Connection;
     // The relay closes its connections before it is destroyed, so m_Owner is
     // valid while the connection is open.
-    if ((*Owned)->m_Connection->m_Open)
-      (*Owned)->m_Owner->forward(*Owned);
+    if (Current.isOpen())
+      Current.m_Owner.forward(Current, Owned->m_Direction);
+    Current.updateWatches();
     return G_SOURCE_REMOVE;
   };
   const auto Milliseconds =
       std::chrono::ceil<std::chrono::milliseconds>(m_Delay).count();
   g_timeout_add(static_cast<guint>(Milliseconds), OnTimer,
-                new PipePtr(Direction));
+                new Delayed{From.shared_from_this(), Direction});
 }
 
-void Relay::forward(const std::shared_ptr<Pipe> &Direction) {
-  if (isHeldBack(*Direction)) {
-    m_HeldPipes.push_back(Direction);
+/// Forwards or holds back a chunk that was read.
+void Relay::forward(Connection &From, Pipe &Direction) {
+  if (isHeldBack(From, Direction))
+    Direction.m_State = Pipe::State::Held;
+  else
+    write(From, Direction);
+}
+
+void Relay::write(Connection &From, Pipe &Direction) {
+  const ssize_t Size = send(
+      From.target(Direction), Direction.m_Buffer.data() + Direction.m_Written,
+      Direction.m_Size - Direction.m_Written, MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (Size < 0 && errno != EAGAIN && errno != EINTR) {
+    From.close();
     return;
   }
-  if (g_output_stream_write_all(Direction->m_To, Direction->m_Buffer.data(),
-                                Direction->m_Size, nullptr, nullptr,
-                                nullptr) == 0)
-    Direction->m_Connection->close();
-  else
-    startRead(Direction);
+  Direction.m_Written += Size > 0 ? static_cast<std::size_t>(Size) : 0;
+  Direction.m_State = Direction.m_Written == Direction.m_Size
+                          ? Pipe::State::Reading
+                          : Pipe::State::Writing;
 }
 
-bool Relay::isHeldBack(const Pipe &Direction) const {
+bool Relay::isHeldBack(const Connection &From, const Pipe &Direction) const {
   return m_Silence == Silence::Both ||
          (m_Silence == Silence::ToTarget && Direction.m_IsToTarget) ||
-         m_CutClients.contains(Direction.m_Connection->m_ClientIp);
+         m_CutClients.contains(From.m_ClientIp);
 }
 
 void Relay::setSilence(Silence Mode) {
@@ -203,16 +279,18 @@
 }
 
 void Relay::setCutClients(const std::set<std::uint32_t> &Ips) {
+  if (Ips == m_CutClients)
+    return;
   m_CutClients = Ips;
   filterPackets(m_ListenSocket);
   for (const std::shared_ptr<Connection> &Open : m_Connections)
-    if (Open->m_Open)
-      filterPackets(g_socket_connection_get_socket(Open->m_Inbound));
+    if (Open->isOpen())
+      filterPackets(Open->m_Inbound->m_Socket);
   forwardHeldPipes();
 }
 
 /// Lets the kernel drop the packets of cut clients before it answers them.
-void Relay::filterPackets(GSocket *Socket) const {
+void Relay::filterPackets(int Socket) const {
   constexpr std::uint32_t SourceOffset = 12; // Within the IP header.
   constexpr std::uint32_t WholePacket = 0xffffffff;
   std::vector<sock_filter> Program = {
@@ -225,23 +303,22 @@
   Program.push_back(BPF_STMT(BPF_RET | BPF_K, WholePacket));
   const sock_fprog Filter = {static_cast<unsigned short>(Program.size()),
                              Program.data()};
-  setsockopt(g_socket_get_fd(Socket), SOL_SOCKET, SO_ATTACH_FILTER, &Filter,
-             sizeof(Filter));
+  setsockopt(Socket, SOL_SOCKET, SO_ATTACH_FILTER, &Filter, sizeof(Filter));
 }
 
 void Relay::forwardHeldPipes() {
-  std::list<std::shared_ptr<Pipe>> Released;
-  Released.swap(m_HeldPipes);
-  for (const std::shared_ptr<Pipe> &Direction : Released)
-    if (Direction->m_Connection->m_Open)
-      forward(Direction);
+  for (const std::shared_ptr<Connection> &Known : m_Connections) {
+    for (Pipe *Direction : {&Known->m_ToTarget, &Known->m_ToClient})
+      if (Known->isOpen() && Direction->m_State == Pipe::State::Held)
+        forward(*Known, *Direction);
+    Known->updateWatches();
+  }
 }
 
 void Relay::reset() {
   for (const std::shared_ptr<Connection> &Open : m_Connections)
     Open->close();
   m_Connections.clear();
-  m_HeldPipes.clear();
 }
 
 void Relay::block() {
--- a/tests/process/relay.h
+++ b/tests/process/relay.h
@@ -4,9 +4,9 @@
 #define CROWSTEP_TESTS_PROCESS_RELAY_H
 
 #include "core/clock.h"
+#include "core/socket_watch.h"
 #include "instance_type.h"
 
-#include <gio/gio.h>
 #include <list>
 #include <memory>
 #include <set>
@@ -21,11 +21,11 @@
 };
 
 /// Listens on its own port and forwards connections to a target.
-class Relay {
+class Relay final : private SocketListener {
 public:
   /// Listens on \p ListenIp; 0: on that of the target.
   explicit Relay(const Address &Target, std::uint32_t ListenIp = 0);
-  ~Relay();
+  ~Relay() override;
   Relay(const Relay &) = delete;
   Relay &operator=(const Relay &) = delete;
 
@@ -51,24 +51,26 @@
 
 private:
   struct Pipe;
+  struct Side;
   struct Connection;
-  void accept(void *Accepted);
-  void filterPackets(GSocket *Socket) const;
-  [[nodiscard]] bool isHeldBack(const Pipe &Direction) const;
+  void socketReady(SocketEvents Events) override;
+  void forwardConnection(int Accepted, std::uint32_t ClientIp);
+  void filterPackets(int Socket) const;
+  [[nodiscard]] bool isHeldBack(const Connection &From,
+                                const Pipe &Direction) const;
   void forwardHeldPipes();
-  void startRead(const std::shared_ptr<Pipe> &Direction);
-  void handleRead(const std::shared_ptr<Pipe> &Direction);
-  void forward(const std::shared_ptr<Pipe> &Direction);
-
-  Address m_Target;                             ///< Forwarding destination.
-  Address m_ListenAddress;                      ///< Listening address.
-  GSocket *m_ListenSocket;                      ///< Owned.
-  GSocketService *m_Service;                    ///< Owned.
-  bool m_Blocked = false;                       ///< New connections are closed.
-  Duration m_Delay{};                           ///< Of each chunk.
-  Silence m_Silence = Silence::None;            ///< See setSilence().
-  std::set<std::uint32_t> m_CutClients;         ///< See setCutClients().
-  std::list<std::shared_ptr<Pipe>> m_HeldPipes; ///< With a chunk held back.
+  void read(Connection &From, Pipe &Direction);
+  void forward(Connection &From, Pipe &Direction);
+  static void write(Connection &From, Pipe &Direction);
+
+  Address m_Target;                     ///< Forwarding destination.
+  Address m_ListenAddress;              ///< Listening address.
+  int m_ListenSocket;                   ///< Owned.
+  SocketWatch m_ListenWatch;            ///< Of m_ListenSocket.
+  bool m_Blocked = false;               ///< New connections are closed.
+  Duration m_Delay{};                   ///< Of each chunk.
+  Silence m_Silence = Silence::None;    ///< See setSilence().
+  std::set<std::uint32_t> m_CutClients; ///< See setCutClients().
   std::list<std::shared_ptr<Connection>>
       m_Connections; ///< Accepted since the last reset().
 };
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -245,6 +245,7 @@
 void SoakFleet::apply(const PathCut &Played) {
   const TimePoint End = m_Clock.now() + Played.m_Duration;
   const std::size_t Target = Played.m_Target % m_Gateways.size();
+  std::vector<std::pair<GatewayNode *, int>> Cut;
   m_Ledger.excusePaths(m_Clock.now(), End);
   for (GatewayNode &Gateway : m_Gateways) {
     const bool IsTarget = Gateway.m_Number == static_cast<int>(Target);
@@ -256,17 +257,18 @@
           Number != static_cast<int>(Played.m_Target % m_Upstreams.size()))
         continue;
       ++Gateway.m_CutUpstreams[Number];
-      m_Ledger.recordPathCut({Gateway.m_Number, Number, m_Clock.now(),
-                              m_Clock.now() + Played.m_Duration});
-      runAfter(Played.m_Duration, [this, &Gateway, Number] {
-        --Gateway.m_CutUpstreams[Number];
-        updateCuts();
-      });
+      m_Ledger.recordPathCut({Gateway.m_Number, Number, m_Clock.now(), End});
+      Cut.emplace_back(&Gateway, Number);
     }
     if (Played.m_Kind != PathCutKind::OnePair)
       m_Ledger.recordCut(Gateway.m_Number, m_Clock.now(), End);
   }
   updateCuts();
+  runAfter(Played.m_Duration, [this, Cut = std::move(Cut)] {
+    for (const auto &[Gateway, Number] : Cut)
+      --Gateway->m_CutUpstreams[Number];
+    updateCuts();
+  });
 }
 
 void SoakFleet::updateCuts() {
