Feature: Bound what is buffered for slow callers and slow upstreams

Cause: a stream was paused at 64 KB for a slow caller, whatever room there was, and its upstream cut it off; the pause also counted as silence of the upstream, which a stream that may be resumed then left. A finished answer counted for no limit while its caller didn't read it, and a request was held twice, without a bound, while an upstream read it slowly and for the whole of its answer.

Callers' unread answers have one of 16 MB, which AnswerMemory counts as well; requests have one of 32 MB, beyond which bodies are not read on. The copy for the upstream is freed once it is written. A finished answer of which no byte is accepted for 20 s is dropped. A paused call has no silence timer.

Ruled out: a fixed limit for each caller (it grows with their number, or loses streams while there is room).

Without the change of the silence timer the new case of forwarded_request fails 3 checks.

--- a/src/gateway/answer_memory.h
+++ b/src/gateway/answer_memory.h
@@ -2,11 +2,14 @@
 #ifndef CROWSTEP_GATEWAY_ANSWER_MEMORY_H
 #define CROWSTEP_GATEWAY_ANSWER_MEMORY_H
 
+#include "core/buffer_budget.h"
+
 #include <cstddef>
 
 namespace crowstep::gateway {
 
-/// Bounds what all calls of this instance hold together. Each answer has a
+/// Bounds what all calls of this instance hold together, with the answers that
+/// callers have not read. Each answer has a
 /// bound of its own, but a hundred upstreams that send without end at once
 /// would use up the memory before they reach it.
 class AnswerMemory {
@@ -18,6 +21,9 @@
   /// answers of a usual size don't fail.
   static constexpr std::size_t OwnBytes = 64 << 10;
 
+  /// Counts what callers have not read as well. \p Unread outlives this object.
+  void countUnread(const BufferBudget &Unread) { m_Unread = &Unread; }
+
   /// What one call holds; given back by its destructor.
   class Part {
   public:
@@ -30,7 +36,10 @@
     /// what is left.
     bool tryResize(std::size_t Bytes) {
       const std::size_t Others = m_Owner.m_Bytes - m_Bytes;
-      if (Bytes > m_Bytes && Bytes > OwnBytes && Others + Bytes > MaxBytes)
+      const std::size_t Unread =
+          m_Owner.m_Unread == nullptr ? 0 : m_Owner.m_Unread->usedBytes();
+      if (Bytes > m_Bytes && Bytes > OwnBytes &&
+          Others + Unread + Bytes > MaxBytes)
         return false;
       m_Owner.m_Bytes = Others + Bytes;
       m_Bytes = Bytes;
@@ -45,7 +54,8 @@
   };
 
 private:
-  std::size_t m_Bytes = 0; ///< Sum of all parts.
+  std::size_t m_Bytes = 0;                ///< Sum of all parts.
+  const BufferBudget *m_Unread = nullptr; ///< See countUnread().
 };
 
 } // namespace crowstep::gateway
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -187,11 +187,7 @@
     handleFailure(balance::CallOutcome::Failed, closeReason());
     return;
   }
-  constexpr int PausesToWait = 4;
-  constexpr Duration LeastPause = std::chrono::milliseconds(1000);
-  if (m_Call != nullptr && isRetryable())
-    startSilenceTimer(
-        std::max(eventStream()->m_MaxPause * PausesToWait, LeastPause));
+  startEventSilenceTimer();
 }
 
 void ForwardedRequest::relayEvent(const SseEvent &Event) {
@@ -208,11 +204,36 @@
   ++m_EventCount;
   if (Event.m_Id)
     m_LastEventId = Event.m_Id;
-  // A caller that reads slowly must not make this process buffer its whole
-  // answer; flow control of the upstream's connection slows the engine down.
-  constexpr std::size_t CallerBacklog = 64 << 10;
-  if (m_Call != nullptr && m_Caller->backlog() > CallerBacklog)
-    m_Call->pauseReading();
+  pauseForSlowCaller();
+}
+
+/// An upstream cuts off an answer that is not read for some seconds, so it is
+/// read on while there is room for what the caller has not read. Without room,
+/// flow control of the upstream's connection slows the upstream down. A paused
+/// call is silent for this instance's sake and not for the upstream's.
+void ForwardedRequest::pauseForSlowCaller() {
+  if (m_Call == nullptr || m_IsPaused || m_Caller->mayBuffer())
+    return;
+  m_IsPaused = true;
+  m_SilenceTimer.stop();
+  m_Call->pauseReading();
+  m_Context.m_Stats.countSlowCallerPause();
+}
+
+void ForwardedRequest::resumeAfterPause() {
+  if (!m_IsPaused || m_Call == nullptr || !m_Caller->mayBuffer())
+    return;
+  m_IsPaused = false;
+  m_Call->resumeReading();
+  startEventSilenceTimer();
+}
+
+void ForwardedRequest::startEventSilenceTimer() {
+  constexpr int PausesToWait = 4;
+  constexpr Duration LeastPause = std::chrono::milliseconds(1000);
+  if (m_Call != nullptr && isRetryable() && !m_IsPaused)
+    startSilenceTimer(
+        std::max(eventStream()->m_MaxPause * PausesToWait, LeastPause));
 }
 
 /// An unknown version counts as another one.
@@ -379,7 +400,7 @@
   const std::string *Type = findHeader(m_AnswerHeaders, "Content-Type");
   Answer.m_ContentType = Type == nullptr ? "application/octet-stream" : *Type;
   Answer.m_Headers = answerHeaders();
-  Answer.m_Body = m_Body;
+  Answer.m_Body = std::move(m_Body);
   m_Caller->answer(Answer);
   if (m_Status < FirstServerError)
     m_Stats.m_Finished->add();
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -64,10 +64,7 @@
   m_Service = chooseService();
   m_LastEventId = m_Admitted.m_Facts.m_LastEventId;
   m_Caller->onDisconnect([this] { handleCallerGone(); });
-  m_Caller->onBacklogReduced([this] {
-    if (m_Call != nullptr)
-      m_Call->resumeReading();
-  });
+  m_Caller->onBacklogReduced([this] { resumeAfterPause(); });
   m_DeadlineTimer.start(timeLeft(), [this] { handleDeadline(); });
   if (isResumed())
     findOrigin();
@@ -365,6 +362,7 @@
               {"progress", std::string(nameOf(m_Call->progress()))},
               {"left_us", std::to_string(timeLeft().count())}});
   m_SilenceTimer.stop();
+  m_IsPaused = false;
   m_Call.reset();
   m_Context.m_Balancer.recordCallEnd(m_Ticket, Outcome,
                                      m_Context.m_Clock.now());
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -99,6 +99,9 @@
   void handleRefusal(balance::CallOutcome Outcome);
   void relayEvents(std::string_view Bytes);
   void relayEvent(const SseEvent &Event);
+  void pauseForSlowCaller();
+  void resumeAfterPause();
+  void startEventSilenceTimer();
   void beginStream();
   void recordStreamSoftware();
   [[nodiscard]] std::string streamSoftwareText() const;
@@ -187,6 +190,7 @@
   AnswerMemory::Part m_Held;    ///< m_Body, or an incomplete event.
   SseSplitter m_Splitter;       ///< Of the current call's stream.
   bool m_Streaming = false;     ///< The stream's headers were sent.
+  bool m_IsPaused = false;      ///< m_Call is not read: the caller is slow.
   bool m_UsageRecorded = false; ///< The request was counted.
   std::optional<std::uint64_t>
       m_LastEventId;            ///< Last event that the caller has.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -127,7 +127,9 @@
           arrivalLimits({}),
           [this](RefusalReason Reason) { m_Stats.countRefusal(Reason); },
           m_Timers),
-      m_CleanupTimer(m_Timers), m_StopTimer(m_Timers) {}
+      m_CleanupTimer(m_Timers), m_StopTimer(m_Timers) {
+  m_AnswerMemory.countUnread(m_Front.unreadBytes());
+}
 
 Gateway::~Gateway() = default;
 
@@ -308,6 +310,10 @@
         .set(static_cast<double>(m_Requests.size()));
     m_Metrics.gauge("crowstep_caller_connections")
         .set(static_cast<double>(m_Front.connections()));
+    m_Metrics.gauge("crowstep_unread_bytes")
+        .set(static_cast<double>(m_Front.unreadBytes().usedBytes()));
+    m_Metrics.gauge("crowstep_received_bytes")
+        .set(static_cast<double>(m_Front.receivedBytes().usedBytes()));
     m_Metrics.gauge("crowstep_loop_busy_share").set(m_LoopLoad.busyShare());
     respond(Message, HttpOk, "text/plain; version=0.0.4", m_Metrics.text());
     return;
--- a/src/gateway/gateway_stats.cpp
+++ b/src/gateway/gateway_stats.cpp
@@ -12,6 +12,7 @@
       m_UnreadableLimits(
           Stats.counter("crowstep_upstream_limits_unreadable_total")),
       m_Pauses(Stats.counter("crowstep_upstream_pauses_total")),
+      m_SlowCallerPauses(Stats.counter("crowstep_slow_caller_pauses_total")),
       m_UnreadablePauses(
           Stats.counter("crowstep_upstream_pauses_unreadable_total")),
       m_MixedStreams(Stats.counter("crowstep_streams_mixed_total")) {
--- a/src/gateway/gateway_stats.h
+++ b/src/gateway/gateway_stats.h
@@ -45,6 +45,9 @@
   /// Counts a pause that an upstream requested.
   void countPause() { m_Pauses.add(); }
 
+  /// Counts an answer that is not read on until its caller has read.
+  void countSlowCallerPause() { m_SlowCallerPauses.add(); }
+
   /// Counts a pause that an upstream requested and that is not a time.
   void countUnreadablePause() { m_UnreadablePauses.add(); }
 
@@ -62,6 +65,7 @@
   Counter &m_UnansweredConnections; ///< See countConnectFailure().
   Counter &m_UnreadableLimits;      ///< See countUnreadableLimit().
   Counter &m_Pauses;                ///< See countPause().
+  Counter &m_SlowCallerPauses;      ///< See countSlowCallerPause().
   Counter &m_UnreadablePauses;      ///< See countUnreadablePause().
   Counter &m_MixedStreams;          ///< See countMixedStream().
   std::array<Counter *, static_cast<std::size_t>(RefusalReason::Count)>
--- a/src/http/caller.h
+++ b/src/http/caller.h
@@ -51,8 +51,14 @@
   /// Returns the number of bytes that the socket has not yet accepted.
   [[nodiscard]] virtual std::size_t backlog() const = 0;
 
+  /// Returns whether more may be appended while the caller reads slowly;
+  /// otherwise onBacklogReduced() runs once it may. Always true where the
+  /// backlog is bounded otherwise.
+  [[nodiscard]] virtual bool mayBuffer() { return true; }
+
   /// Sets the callbacks that run when the caller disconnects before its answer
-  /// was given in full, and when the socket has accepted more of the backlog.
+  /// was given in full, and when the socket has accepted more of the backlog or
+  /// there is room for more.
   virtual void onDisconnect(std::function<void()> Callback) = 0;
   virtual void onBacklogReduced(std::function<void()> Callback) = 0;
 };
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -17,8 +17,14 @@
 
 constexpr std::size_t ReadSize = 16384;
 
-/// Written bytes that are kept in memory while a caller reads slowly.
-constexpr std::size_t CompactThreshold = 64 << 10;
+/// Bytes that the kernel takes for a caller beyond what it may send at once.
+/// Its own limit is several MB a connection, which no budget of this process
+/// counts.
+constexpr int KernelBacklog = 64 << 10;
+
+/// A caller that accepts no byte of a finished answer for this long counts as
+/// gone: without a limit it would hold the memory of the answer for ever.
+constexpr Duration FlushTimeout = std::chrono::seconds(20);
 
 /// Time for a caller to read its last answer and to close. Closing a socket
 /// with unread input sends a reset, which can destroy an unread answer.
@@ -103,6 +109,9 @@
   [[nodiscard]] std::size_t backlog() const override {
     return m_Connection == nullptr ? 0 : m_Connection->backlog();
   }
+  [[nodiscard]] bool mayBuffer() override {
+    return m_Connection == nullptr || m_Connection->m_Unread.hasRoom();
+  }
   void onDisconnect(std::function<void()> Callback) override {
     m_OnDisconnect = std::move(Callback);
   }
@@ -132,10 +141,18 @@
 CallerConnection::CallerConnection(SocketPtr Socket,
                                    CallerConnectionOwner &Owner,
                                    Scheduler &Timers)
-    : m_Owner(Owner), m_Socket(std::move(Socket)), m_Timer(Timers) {
+    : m_Owner(Owner), m_Socket(std::move(Socket)), m_Timer(Timers),
+      m_Unread(Owner.unreadBytes(),
+               [this] {
+                 if (m_Handle != nullptr)
+                   m_Handle->notifyBacklogReduced();
+               }),
+      m_Received(Owner.receivedBytes(), [this] { updateWatch(); }) {
   g_socket_set_blocking(m_Socket.get(), 0);
   // Nagle's algorithm would delay the last segment of an answer.
   g_socket_set_option(m_Socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  g_socket_set_option(m_Socket.get(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                      KernelBacklog, nullptr);
   m_Watch.emplace(g_socket_get_fd(m_Socket.get()), *this);
   waitForRequest();
 }
@@ -164,6 +181,9 @@
   m_Watch.reset();
   g_socket_close(m_Socket.get(), nullptr);
   Handle *OpenHandle = releaseHandle();
+  m_Output.clear();
+  m_Unread.resize(0);
+  m_Received.resize(0);
   m_Owner.connectionClosed(*this);
   if (OpenHandle == nullptr)
     return;
@@ -176,10 +196,18 @@
     return;
   const bool AnswerPending =
       m_Phase == Phase::AwaitingAnswer || m_Phase == Phase::Streaming;
-  m_Watch->setEvents(
-      {.m_Read = m_Phase != Phase::Flushing && !m_NextRequestPending,
-       .m_Write = !m_WriteFailed && m_SentBytes < m_Output.size(),
-       .m_HungUp = AnswerPending});
+  m_Watch->setEvents({.m_Read = m_Phase != Phase::Flushing &&
+                                !m_NextRequestPending && mayReceive(),
+                      .m_Write = !m_WriteFailed && !m_Output.empty(),
+                      .m_HungUp = AnswerPending});
+}
+
+/// Bodies are read only while there is room for them; the kernel then stops the
+/// caller. Heads are short, and the first bytes of a request tell whether the
+/// caller is there.
+bool CallerConnection::mayReceive() {
+  return m_Phase != Phase::Receiving ||
+         m_Parser->state() != RequestParseState::Body || m_Received.hasRoom();
 }
 
 void CallerConnection::socketReady(SocketEvents Events) {
@@ -197,7 +225,7 @@
     }
     return;
   }
-  if (Events.m_Write && m_SentBytes < m_Output.size())
+  if (Events.m_Write && !m_Output.empty())
     write();
   if (m_WriteFailed)
     close();
@@ -274,6 +302,10 @@
     return;
   m_Input.append(Buffer.data(), static_cast<std::size_t>(Size));
   processInput();
+  if (m_Phase != Phase::Receiving)
+    return;
+  m_Received.resize(m_Input.size() + m_Parser->request().m_Body.size());
+  updateWatch();
 }
 
 void CallerConnection::processInput() {
@@ -281,6 +313,8 @@
   while (m_Phase == Phase::Receiving && !m_Input.empty()) {
     const RequestParseState Before = m_Parser->state();
     m_Input.erase(0, m_Parser->feed(m_Input));
+    if (m_Input.empty())
+      std::string().swap(m_Input); // An idle connection keeps no memory.
     const RequestParseState Now = m_Parser->state();
     if (Before < RequestParseState::Body && Now == RequestParseState::Body)
       handleHead();
@@ -310,7 +344,7 @@
   } else if (const std::string *Expected = findHeader(Headers, "Expect");
              Expected != nullptr &&
              equalsIgnoreCase(*Expected, "100-continue")) {
-    m_Output += "HTTP/1.1 100 Continue\r\n\r\n";
+    m_Output.append("HTTP/1.1 100 Continue\r\n\r\n");
     write();
   }
 }
@@ -330,6 +364,9 @@
   m_CloseAfterAnswer =
       !m_Parser->acceptsChunked() || !m_Parser->wantsKeepAlive();
   m_IsHeadRequest = m_Parser->request().m_Method == "HEAD";
+  // The request is kept for retries, beside the copy that an upstream reads.
+  constexpr std::size_t Copies = 2;
+  m_Received.resize(m_Parser->request().m_Body.size() * Copies);
   auto From = std::make_unique<Handle>(*this);
   m_Handle = From.get();
   updateWatch();
@@ -345,10 +382,11 @@
   Answer.m_Headers.push_back({"Connection", "close"});
   appendHead(Answer,
              {{"Content-Length", std::to_string(Answer.m_Body.size())}});
-  m_Output += Answer.m_Body;
+  m_Output.append(Answer.m_Body);
   m_CloseAfterAnswer = true;
   m_LingerTime = m_Owner.limits().m_ReceiveTimeout;
   m_Phase = Phase::Flushing;
+  m_Received.resize(0);
   write();
 }
 
@@ -358,10 +396,10 @@
                                   const HeaderList &Framing) {
   const char *Reason =
       http_status_str(static_cast<http_status>(Answer.m_Status));
-  m_Output +=
+  std::string Text =
       "HTTP/1.1 " + std::to_string(Answer.m_Status) + " " + Reason + "\r\n";
-  const auto Append = [this](const HeaderField &Field) {
-    m_Output += Field.m_Name + ": " + Field.m_Value + "\r\n";
+  const auto Append = [&Text](const HeaderField &Field) {
+    Text += Field.m_Name + ": " + Field.m_Value + "\r\n";
   };
   const HeaderList AnswerHeaders = headersOf(Answer);
   std::ranges::for_each(AnswerHeaders, Append);
@@ -369,7 +407,7 @@
   m_CloseAfterAnswer = m_CloseAfterAnswer || closesConnection(AnswerHeaders);
   if (m_CloseAfterAnswer && !closesConnection(AnswerHeaders))
     Append({"Connection", "close"});
-  m_Output += "\r\n";
+  m_Output.append(Text + "\r\n");
 }
 
 void CallerConnection::answer(const CallerAnswer &Answer) {
@@ -381,7 +419,7 @@
     appendHead(Answer,
                {{"Content-Length", std::to_string(Answer.m_Body.size())}});
     if (!m_IsHeadRequest)
-      m_Output += Answer.m_Body;
+      m_Output.append(Answer.m_Body);
   }
   finishAnswer();
 }
@@ -405,27 +443,31 @@
 void CallerConnection::append(const std::string &Bytes) {
   if (m_Phase != Phase::Streaming || Bytes.empty() || m_IsHeadRequest)
     return;
-  const bool HasBacklog = m_SentBytes < m_Output.size();
+  const bool HasBacklog = !m_Output.empty();
   if (m_IsChunked)
-    m_Output += hex(Bytes.size()) + "\r\n" + Bytes + "\r\n";
-  else
-    m_Output += Bytes;
+    m_Output.append(hex(Bytes.size()) + "\r\n");
+  m_Output.append(Bytes);
+  if (m_IsChunked)
+    m_Output.append("\r\n");
   // An existing backlog is written once the socket is writable, as only that
   // runs the onBacklogReduced() callback.
   if (!HasBacklog)
     write();
+  else
+    m_Unread.resize(m_Output.size());
 }
 
 void CallerConnection::endStream() {
   if (m_Phase != Phase::Streaming)
     return;
   if (m_IsChunked && !m_IsHeadRequest)
-    m_Output += "0\r\n\r\n";
+    m_Output.append("0\r\n\r\n");
   finishAnswer();
 }
 
 void CallerConnection::finishAnswer() {
   m_Phase = Phase::Flushing;
+  m_Received.resize(0);
   m_HasServed = true;
   m_LingerTime = LingerTimeout;
   if (Handle *OpenHandle = releaseHandle())
@@ -452,25 +494,26 @@
 
 /// Never closes the connection, as it may run within a call of the owner.
 void CallerConnection::write() {
-  while (!m_WriteFailed && m_SentBytes < m_Output.size()) {
-    const ssize_t Size =
-        send(g_socket_get_fd(m_Socket.get()), m_Output.data() + m_SentBytes,
-             m_Output.size() - m_SentBytes, MSG_NOSIGNAL | MSG_DONTWAIT);
+  while (!m_WriteFailed && !m_Output.empty()) {
+    const std::string_view Next = m_Output.front();
+    const ssize_t Size = send(g_socket_get_fd(m_Socket.get()), Next.data(),
+                              Next.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     if (Size < 0 && wouldBlock(errno))
       break;
-    if (Size < 0)
+    if (Size < 0) {
       m_WriteFailed = true; // The socket watch will report the error.
-    else
-      m_SentBytes += static_cast<std::size_t>(Size);
+      break;
+    }
+    m_Output.recordWritten(static_cast<std::size_t>(Size));
   }
-  if (m_SentBytes == m_Output.size() || m_WriteFailed) {
+  if (m_WriteFailed)
     m_Output.clear();
-    m_SentBytes = 0;
-    if (m_Phase == Phase::Flushing)
+  m_Unread.resize(m_Output.size());
+  if (m_Phase == Phase::Flushing) {
+    if (m_Output.empty())
       handleFlushed();
-  } else if (m_SentBytes >= CompactThreshold) {
-    m_Output.erase(0, m_SentBytes);
-    m_SentBytes = 0;
+    else
+      m_Timer.start(FlushTimeout, [this] { close(); });
   }
   updateWatch();
 }
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -2,9 +2,11 @@
 #ifndef CROWSTEP_HTTP_CALLER_CONNECTION_H
 #define CROWSTEP_HTTP_CALLER_CONNECTION_H
 
+#include "core/buffer_budget.h"
 #include "core/scheduler.h"
 #include "core/socket_watch.h"
 #include "http/caller.h"
+#include "http/output_queue.h"
 #include "http/request_parser.h"
 #include "http/socket_state.h"
 
@@ -41,6 +43,14 @@
   /// A request was refused while it was being received.
   virtual void requestRefused(RefusalReason Reason) = 0;
 
+  /// Returns the memory for what callers have not read. Outlives all
+  /// connections.
+  [[nodiscard]] virtual BufferBudget &unreadBytes() = 0;
+
+  /// Returns the memory for requests, from their first byte to the end of their
+  /// answer. Outlives all connections.
+  [[nodiscard]] virtual BufferBudget &receivedBytes() = 0;
+
   /// The connection was closed. It must not be destroyed within this call.
   virtual void connectionClosed(CallerConnection &Connection) = 0;
 };
@@ -101,9 +111,7 @@
   void endStream();
   void abortAnswer();
   [[nodiscard]] bool hasDisconnected() const;
-  [[nodiscard]] std::size_t backlog() const {
-    return m_Output.size() - m_SentBytes;
-  }
+  [[nodiscard]] std::size_t backlog() const { return m_Output.size(); }
 
   void appendHead(const CallerAnswer &Answer, const HeaderList &Framing);
   void write();
@@ -112,23 +120,25 @@
   void startDiscarding();
   void detectClose();
   void updateWatch();
+  [[nodiscard]] bool mayReceive();
   Handle *releaseHandle();
 
   CallerConnectionOwner &m_Owner; ///< Outlives the connection.
   SocketPtr m_Socket;             ///< Never null; closed with the connection.
   std::optional<SocketWatch> m_Watch; ///< Null once closed.
-  Timer m_Timer; ///< Idle, receive or linger timeout, by phase.
+  Timer m_Timer; ///< Idle, receive, flush or linger timeout, by phase.
   std::optional<RequestParser> m_Parser; ///< Of the current request.
   Phase m_Phase = Phase::Receiving;      ///< See Phase.
-  Handle *m_Handle = nullptr;  ///< Of the request without a full answer.
-  std::string m_Input;         ///< Received, not yet parsed.
-  std::string m_Output;        ///< Being written.
-  std::size_t m_SentBytes = 0; ///< Part of m_Output already written.
-  Duration m_LingerTime{};     ///< Timeout for the caller's close after the
-                               ///< last answer.
-  bool m_IsParsing = false;    ///< Within processInput().
-  bool m_HasServed = false;    ///< A request was answered.
-  bool m_WriteFailed = false;  ///< The socket reported a write error.
+  Handle *m_Handle = nullptr;    ///< Of the request without a full answer.
+  std::string m_Input;           ///< Received, not yet parsed.
+  OutputQueue m_Output;          ///< Being written.
+  BufferBudget::Part m_Unread;   ///< Counts m_Output.
+  BufferBudget::Part m_Received; ///< Counts the request until its answer ends.
+  Duration m_LingerTime{};       ///< Timeout for the caller's close after the
+                                 ///< last answer.
+  bool m_IsParsing = false;      ///< Within processInput().
+  bool m_HasServed = false;      ///< A request was answered.
+  bool m_WriteFailed = false;    ///< The socket reported a write error.
   bool m_NextRequestPending = false; ///< The socket holds the next request.
   bool m_CloseAfterAnswer = false;   ///< The current answer is the last.
   bool m_IsHeadRequest = false;      ///< The current request is a HEAD.
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -54,6 +54,16 @@
   /// Returns the number of open connections.
   [[nodiscard]] std::size_t connections() const { return m_Connections.size(); }
 
+  /// Bytes of answers that all callers together may leave unread.
+  static constexpr std::size_t MaxUnreadBytes = 16 << 20;
+
+  /// Bytes of the requests of all callers, each counted twice: as received,
+  /// and as sent to an upstream that may read it slowly.
+  static constexpr std::size_t MaxReceivedBytes = 32 << 20;
+
+  [[nodiscard]] BufferBudget &unreadBytes() override { return m_Unread; }
+  [[nodiscard]] BufferBudget &receivedBytes() override { return m_Received; }
+
   /// Returns on how many connections an answer, which may be a refusal, is
   /// pending or not yet written in full.
   [[nodiscard]] std::size_t unansweredRequests() const;
@@ -75,11 +85,13 @@
   void requestRefused(RefusalReason Reason) override;
   void connectionClosed(CallerConnection &Connection) override;
 
-  ReceiveLimits m_Limits;     ///< See setLimits().
-  RefusedHandler m_OnRefused; ///< Never empty.
-  Scheduler &m_Timers;        ///< Outlives this object.
-  Handler m_Handler;          ///< See listen().
-  Acceptor m_Acceptor;        ///< Listens until stopListening().
+  BufferBudget m_Unread{MaxUnreadBytes};     ///< See unreadBytes().
+  BufferBudget m_Received{MaxReceivedBytes}; ///< See receivedBytes().
+  ReceiveLimits m_Limits;                    ///< See setLimits().
+  RefusedHandler m_OnRefused;                ///< Never empty.
+  Scheduler &m_Timers;                       ///< Outlives this object.
+  Handler m_Handler;                         ///< See listen().
+  Acceptor m_Acceptor;                       ///< Listens until stopListening().
   const ConnectionAdmission *m_Admission = nullptr; ///< Null: sheds none.
   ShedHandler m_OnShed;                             ///< Set with m_Admission.
   bool m_HasStopped = false;                        ///< After stopListening().
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -87,6 +87,7 @@
   void readStatement();
   void endCheck();
   void write();
+  void freeWrittenRequest();
   void read();
   void deliver(bool Failed);
   void keepConnection();
@@ -358,9 +359,19 @@
     m_WriteFailed = !Size;
     m_WrittenBytes = Size ? m_WrittenBytes + *Size : m_Output.size();
   }
+  freeWrittenRequest();
   updateWatch();
 }
 
+/// An answer may take long, and its request is needed only until it can't be
+/// sent again.
+void HttpUpstreamCall::freeWrittenRequest() {
+  if (m_WrittenBytes < m_Output.size() || mayRetry())
+    return;
+  std::string().swap(m_Output);
+  m_WrittenBytes = 0;
+}
+
 void HttpUpstreamCall::read() {
   std::string_view Bytes;
   const ReadOutcome Outcome = m_Connection->read(Bytes);
@@ -374,6 +385,7 @@
   }
   m_LastByte = m_Clock.now();
   m_AnswerStarted = true;
+  freeWrittenRequest();
   if (Outcome == ReadOutcome::Bytes)
     m_Parser.feed(Bytes);
   else if (Outcome == ReadOutcome::Closed)
--- a/tests/process/endless_server.h
+++ b/tests/process/endless_server.h
@@ -1,23 +1,33 @@
-/// An upstream that begins an answer to each request and sends bytes without
-/// end after it.
+/// An upstream that begins an answer to each request and sends many bytes, or
+/// bytes without end, after it.
 #ifndef CROWSTEP_TESTS_PROCESS_ENDLESS_SERVER_H
 #define CROWSTEP_TESTS_PROCESS_ENDLESS_SERVER_H
 
 #include "unit/loopback_peer.h"
 
+#include <algorithm>
+#include <atomic>
 #include <map>
 #include <poll.h>
 #include <thread>
 
 namespace crowstep::test {
 
+/// When an EndlessServer ends an answer.
+struct AnswerLimits {
+  std::size_t m_Bytes = 0; ///< After so many bytes of its body; 0: never.
+  std::chrono::milliseconds
+      m_Blocked{}; ///< Not read for so long, cut off; 0: never.
+};
+
 /// It has a thread of its own, which writes as fast as the gateways read.
 class EndlessServer {
 public:
   /// \p Begin is how its answers begin, and \p Repeated what follows. In
   /// \p Begin, "{id}" stands for the id of the request's attempt.
-  EndlessServer(std::string Begin, const std::string &Repeated)
-      : m_Begin(std::move(Begin)) {
+  EndlessServer(std::string Begin, const std::string &Repeated,
+                const AnswerLimits &Limits = {})
+      : m_Begin(std::move(Begin)), m_Limits(Limits) {
     while (m_Repeated.size() < 65536)
       m_Repeated += Repeated;
     std::tie(m_Listening, m_Address) = listenOnLoopback(512);
@@ -35,10 +45,15 @@
 
   [[nodiscard]] const Address &address() const { return m_Address; }
 
+  /// Returns how many answers were cut off as they were not read.
+  [[nodiscard]] int cutOff() const { return m_CutOff; }
+
 private:
   struct Connection {
     std::unique_ptr<Peer> m_Peer;
     bool m_HasBegun = false;
+    std::size_t m_SentBytes = 0;                        ///< Of the body.
+    std::chrono::steady_clock::time_point m_LastSent{}; ///< Bytes of it.
   };
 
   void serveUntil(const std::stop_token &Stop) {
@@ -58,7 +73,7 @@
   }
 
   /// Returns whether bytes were sent.
-  bool serve(Connection &Entry) const {
+  bool serve(Connection &Entry) {
     Peer &To = *Entry.m_Peer;
     if (To.isClosed()) {
       To.close();
@@ -73,8 +88,32 @@
         Begin.replace(At, 4, idOf(To.received()));
       return send(To.fd(), Begin.data(), Begin.size(), MSG_NOSIGNAL) > 0;
     }
-    return send(To.fd(), m_Repeated.data(), m_Repeated.size(),
-                MSG_NOSIGNAL | MSG_DONTWAIT) > 0;
+    return sendBody(Entry);
+  }
+
+  bool sendBody(Connection &Entry) {
+    using std::chrono::steady_clock;
+    if (m_Limits.m_Bytes > 0 && Entry.m_SentBytes >= m_Limits.m_Bytes)
+      return false;
+    // What is repeated stays whole where the socket takes a part of it.
+    const std::size_t Offset = Entry.m_SentBytes % m_Repeated.size();
+    std::size_t Left = m_Repeated.size() - Offset;
+    if (m_Limits.m_Bytes > 0)
+      Left = std::min(Left, m_Limits.m_Bytes - Entry.m_SentBytes);
+    const ssize_t Size = send(Entry.m_Peer->fd(), m_Repeated.data() + Offset,
+                              Left, MSG_NOSIGNAL | MSG_DONTWAIT);
+    const auto Now = steady_clock::now();
+    if (Size > 0) {
+      Entry.m_SentBytes += static_cast<std::size_t>(Size);
+      Entry.m_LastSent = Now;
+      return true;
+    }
+    if (m_Limits.m_Blocked > m_Limits.m_Blocked.zero() &&
+        Now - Entry.m_LastSent > m_Limits.m_Blocked) {
+      ++m_CutOff;
+      Entry.m_Peer->close();
+    }
+    return false;
   }
 
   static std::string idOf(const std::string &Request) {
@@ -83,8 +122,10 @@
     return Request.substr(At, Request.find("\r\n", At) - At);
   }
 
-  std::string m_Begin;    ///< See the constructor.
-  std::string m_Repeated; ///< Many times over.
+  std::string m_Begin;           ///< See the constructor.
+  AnswerLimits m_Limits;         ///< Of each answer.
+  std::atomic<int> m_CutOff = 0; ///< See cutOff().
+  std::string m_Repeated;        ///< Many times over.
   Address m_Address;
   int m_Listening = -1;
   std::vector<Connection> m_Connections; ///< Open.
--- a/tests/unit/forwarded_request_env.h
+++ b/tests/unit/forwarded_request_env.h
@@ -43,6 +43,10 @@
   [[nodiscard]] std::size_t backlog() const override {
     return m_Record.m_Backlog;
   }
+  [[nodiscard]] bool mayBuffer() override {
+    constexpr std::size_t Room = 64 << 10;
+    return m_Record.m_Backlog <= Room;
+  }
   void onDisconnect(std::function<void()> Job) override {
     m_Record.m_OnGone = std::move(Job);
   }
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -259,6 +259,23 @@
   BOOST_TEST(Unacknowledged.calls() == 2U);
 }
 
+// Guards against a stream that leaves its upstream because nothing was read
+// there while its caller was slow.
+BOOST_AUTO_TEST_CASE(AStreamThatWaitsForItsCallerIsNotSilent) {
+  TestEnv Env(EventStream{true, 250ms}, 3);
+  Env.sendGoodHeaders(0);
+  Env.sendBytes(0, event(1));
+  Env.m_Record.m_Backlog = 1 << 20;
+  Env.sendBytes(0, event(2));
+  Env.m_Timers.advance(3s);
+  BOOST_TEST(Env.calls() == 1U);
+  BOOST_TEST(!Env.call(0).m_Stopped);
+  Env.m_Record.m_Backlog = 0;
+  Env.m_Record.m_OnRoom();
+  Env.m_Timers.advance(1500ms);
+  BOOST_TEST(Env.calls() == 2U);
+}
+
 /// Guards against a call that stays at a silent upstream until its deadline
 /// because the retry budget was used up when the silence was noticed.
 BOOST_AUTO_TEST_CASE(ASilentUpstreamIsLeftOnceTheBudgetAllows) {
