Fix: Bound what waits for slow links between instances

Cause: digests were encoded for each peer every 100 ms or somewhat more, whatever still waited for it, up to 16 MB on each link (32 MB on links that carry calls), and an instance has links to all of its zone. A queue holds written bytes up to the size of the unwritten ones, and its vector kept its greatest capacity for as long as the link was up. With links of 10 Mbit/s a request body of 17 KB takes 14 ms, so callers that come to one instance leave little for digests. This can hold tens of MB in one instance while others have 6 to 7 MB in all; that it held the 84 MB that were seen is not shown.

Change: while more than 64 KB of digests wait, messages stay in the frame under assembly, where later loads replace earlier ones and sums are added, and are sent once the queue is empty. Calls are not relayed through links on which more than 512 KB wait. The kernel takes 64 KB a link beyond what it may send.

Ruled out by reading: log lines (dropped, not queued), waiting calls (128 at most), idle connections to upstreams (one read buffer for all).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,6 +41,10 @@
 /// requests with the longest bodies.
 constexpr std::size_t RelayFrameBytes = 32U << 20U;
 
+/// Digests that wait for a slow link are joined beyond this: at 10 Mbit/s it
+/// takes a twentieth of a second.
+constexpr std::size_t DigestQueueBytes = 64U << 10U;
+
 ReceiveLimits arrivalLimits(const CallerLimits &Limits) {
   const auto OrDefault = [](Duration Value, Duration Default) {
     return Value > Duration::zero() ? Value : Default;
@@ -252,7 +256,9 @@
 
 std::unique_ptr<link::Links> Gateway::openLinks(const std::string &Key,
                                                 link::LinkListener &Listener) {
-  return startLinks(linkConfig(Key, m_Settings.m_LinkAddress), Listener);
+  link::LinkConfig Config = linkConfig(Key, m_Settings.m_LinkAddress);
+  Config.m_HoldAboveBytes = DigestQueueBytes;
+  return startLinks(Config, Listener);
 }
 
 /// Calls are never sent on the links for digests, so that no answer delays
--- a/src/link/connection.cpp
+++ b/src/link/connection.cpp
@@ -55,6 +55,11 @@
   // Messages are joined into frames already; Nagle's algorithm would only add
   // delay.
   g_socket_set_option(m_Socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  // The kernel would queue several MB for a slow peer, which nothing here
+  // counts.
+  constexpr int KernelBacklog = 64 << 10;
+  g_socket_set_option(m_Socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, KernelBacklog,
+                      nullptr);
   // A machine that loses power or is cut off closes nothing.
   enableKeepAlive(m_Socket);
   m_HandshakeTimer.start(m_Context.m_Config.m_HandshakeTimeout, [this] {
@@ -196,7 +201,13 @@
   g_object_unref(Remote);
 }
 
+/// A peer behind a slow link gets the latest state instead of a queue of
+/// earlier ones, which would grow for as long as the link is too slow.
 void Connection::flush() {
+  if (m_Up && queuedBytes() > m_Context.m_Config.m_HoldAboveBytes) {
+    m_HoldsOutbox = true;
+    return;
+  }
   const wire::FrameT Frame = std::exchange(m_Outbox, wire::FrameT());
   if (m_Socket != nullptr && m_Up)
     send(Frame);
@@ -231,6 +242,8 @@
     m_SendQueue.recordWritten(static_cast<std::size_t>(Count));
   }
   watchForWriting(false);
+  if (std::exchange(m_HoldsOutbox, false))
+    flush();
 }
 
 void Connection::watchForWriting(bool Blocked) {
--- a/src/link/connection.h
+++ b/src/link/connection.h
@@ -66,6 +66,9 @@
     return m_DialledAddress;
   }
   [[nodiscard]] bool isUp() const { return m_Up; }
+  [[nodiscard]] std::size_t queuedBytes() const {
+    return m_SendQueue.unwritten().size();
+  }
   [[nodiscard]] const Peer &peer() const { return m_Peer; }
 
 private:
@@ -97,6 +100,7 @@
   FrameReader m_Reader;        ///< Splits the input into frames.
   Peer m_Peer;                 ///< Valid once m_Up.
   wire::FrameT m_Outbox;       ///< Under assembly.
+  bool m_HoldsOutbox = false;  ///< It is sent once the queue is empty.
   SendQueue m_SendQueue;       ///< Encoded frames.
 };
 
--- a/src/link/link_tcp.cpp
+++ b/src/link/link_tcp.cpp
@@ -45,6 +45,7 @@
   void disconnect(const Address &Remote);
   wire::FrameT &outbox(LinkId Link);
   void flush(LinkId Link);
+  [[nodiscard]] std::size_t queuedBytes(LinkId Link) const;
   void close(LinkId Link);
 
   void connectionUp(Connection &Source) override;
@@ -202,6 +203,11 @@
   Pending->flush();
 }
 
+std::size_t TcpLinks::Impl::queuedBytes(LinkId Link) const {
+  const auto Found = m_Connections.find(Link);
+  return Found == m_Connections.end() ? 0 : Found->second->queuedBytes();
+}
+
 void TcpLinks::Impl::flush() {
   for (const LinkId Link : std::exchange(m_PendingLinks, {}))
     flush(Link);
@@ -269,6 +275,9 @@
 void TcpLinks::disconnect(const Address &Remote) { m_Impl->disconnect(Remote); }
 wire::FrameT &TcpLinks::outbox(LinkId Link) { return m_Impl->outbox(Link); }
 void TcpLinks::flush(LinkId Link) { m_Impl->flush(Link); }
+std::size_t TcpLinks::queuedBytes(LinkId Link) const {
+  return m_Impl->queuedBytes(Link);
+}
 void TcpLinks::close(LinkId Link) { m_Impl->close(Link); }
 
 } // namespace crowstep::link
--- a/src/link/link_tcp.h
+++ b/src/link/link_tcp.h
@@ -6,6 +6,7 @@
 #include "core/scheduler.h"
 #include "link/link_type.h"
 
+#include <limits>
 #include <memory>
 
 namespace crowstep::link {
@@ -21,6 +22,10 @@
   std::string m_Key;     ///< Shared secret of all processes.
   std::uint32_t m_MaxFrameBytes = 4U << 20; ///< Bytes, in both directions.
   std::size_t m_MaxQueuedBytes = 16U << 20; ///< Bytes waiting for a slow peer.
+  /// While more bytes than this wait for the peer, messages stay in the frame
+  /// under assembly, where later ones may replace earlier ones.
+  std::size_t m_HoldAboveBytes = std::numeric_limits<std::size_t>::max();
+
   Duration m_HandshakeTimeout = std::chrono::seconds(2);  ///< > 0.
   Duration m_MinBackoff = std::chrono::milliseconds(100); ///< First delay.
   Duration m_MaxBackoff = std::chrono::seconds(2);        ///< Longest delay.
@@ -42,6 +47,7 @@
   void disconnect(const Address &Remote) override;
   wire::FrameT &outbox(LinkId Link) override;
   void flush(LinkId Link) override;
+  [[nodiscard]] std::size_t queuedBytes(LinkId Link) const override;
   void close(LinkId Link) override;
 
 private:
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -77,6 +77,12 @@
   /// Sends the frame under assembly for \p Link now.
   virtual void flush(LinkId Link) = 0;
 
+  /// Returns how many encoded bytes the socket of \p Link has not accepted; 0
+  /// where that is not known.
+  [[nodiscard]] virtual std::size_t queuedBytes(LinkId /*Link*/) const {
+    return 0;
+  }
+
   /// Closes one link at once.
   virtual void close(LinkId Link) = 0;
 };
--- a/src/relay/relay_client.cpp
+++ b/src/relay/relay_client.cpp
@@ -13,6 +13,10 @@
 /// Openings with bodies go into one frame up to this size.
 constexpr std::size_t FullFrameBytes = 1 << 20;
 
+/// No further calls go through a link on which more than this waits: they would
+/// be late, and their bodies fill the memory.
+constexpr std::size_t MaxQueuedBytes = 512 << 10;
+
 } // namespace
 
 RelayClient::RelayClient(const gateway::PeerInstance &Self, std::uint64_t Seed,
@@ -152,7 +156,7 @@
                   const std::vector<InstanceId> &Excluded) {
   std::vector<InstanceId> Unusable = Excluded;
   for (const auto &[Id, Known] : m_PeerLinks)
-    if (!Known.m_Link)
+    if (!Known.m_Link || m_Links->queuedBytes(*Known.m_Link) > MaxQueuedBytes)
       Unusable.push_back(Id);
   const auto Peer = m_Peers.choose(Unusable, m_Clock.now());
   wire::FrameT *Outbox = Peer ? outbox(*Peer) : nullptr;
--- a/tests/unit/link_tcp_test.cpp
+++ b/tests/unit/link_tcp_test.cpp
@@ -261,6 +261,43 @@
   BOOST_TEST(Server.closed(CloseReason::Backlog) == 1U);
 }
 
+// Guards against digests that queue up for a peer behind a slow link, at each
+// link up to the limit: the peer gets the latest ones and the link stays up.
+BOOST_AUTO_TEST_CASE(ASlowPeerHasAShortQueue) {
+  constexpr std::size_t MessageCount = 2000;
+  LinkConfig Config = configOf("server", freeAddress());
+  Config.m_HoldAboveBytes = 64U << 10U;
+  Node Server(Config);
+  RawClient Slow(Config.m_Listen);
+  Slow.authenticate(configOf("slow", {}));
+  runUntil([&] { return Server.m_Link != LinkId(); });
+  std::size_t Most = 0;
+  int Sent = 0;
+  runUntil([&] {
+    Server.m_Links.outbox(Server.m_Link).refusals.resize(MessageCount);
+    Most = std::max(Most, Server.m_Links.queuedBytes(Server.m_Link));
+    return ++Sent == 500;
+  });
+  BOOST_TEST(Most < (64U << 10U) + 32 * MessageCount);
+  BOOST_TEST(!Server.m_DownReason.has_value());
+  // What is held is sent without a further message.
+  constexpr std::uint64_t LastRequest = 0x4c41535452455155;
+  Server.refuse(LastRequest);
+  const std::string Marker(reinterpret_cast<const char *>(&LastRequest),
+                           sizeof(LastRequest));
+  GSocket *Socket = g_socket_connection_get_socket(Slow.m_Stream);
+  std::string Received;
+  runUntil([&] {
+    std::array<char, 65536> Buffer{};
+    gssize Count = 0;
+    while ((Count = g_socket_receive(Socket, Buffer.data(), Buffer.size(),
+                                     nullptr, nullptr)) > 0)
+      Received.append(Buffer.data(), static_cast<std::size_t>(Count));
+    return Received.find(Marker) != std::string::npos;
+  });
+  BOOST_TEST(!Server.m_DownReason.has_value());
+}
+
 /// A malicious peer that a process dials replies with that process's own nonce
 /// and then sends that process's own proof back. Only the side, which the proof
 /// covers, distinguishes this from a proof of the peer.
--- a/tests/unit/relayed_call_test.cpp
+++ b/tests/unit/relayed_call_test.cpp
@@ -60,6 +60,20 @@
   BOOST_TEST(Fleet.runsOf(Request) == 1U);
 }
 
+// Guards against requests that fill the memory as they wait for a slow link.
+BOOST_AUTO_TEST_CASE(NoCallJoinsALongQueue) {
+  CutFleet Fleet;
+  Fleet.m_Links.m_QueuedBytes = 1 << 20;
+  PathRequest &Request = Fleet.send(0, Guide);
+  Fleet.wait(2s);
+  BOOST_TEST(Fleet.runsOf(Request) == 0U);
+  BOOST_TEST(!Request.m_Record.m_Answers.empty());
+  Fleet.m_Links.m_QueuedBytes = 0;
+  PathRequest &Later = Fleet.send(0, Guide);
+  Fleet.wait(2s);
+  BOOST_TEST(isWholeStream(Later));
+}
+
 // Guards against a stream that ends with the instance that carries it.
 BOOST_AUTO_TEST_CASE(AStreamResumesWhenItsRelayIsKilled) {
   CutFleet Fleet;
--- a/tests/unit/send_queue_test.cpp
+++ b/tests/unit/send_queue_test.cpp
@@ -2,6 +2,7 @@
 #define BOOST_TEST_MODULE send_queue
 #include "link/send_queue.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
@@ -42,3 +43,13 @@
   BOOST_TEST(Queue.unwritten().empty());
   BOOST_TEST(Queue.buffer().empty());
 }
+
+// Guards against links that keep the memory of their longest queue.
+BOOST_AUTO_TEST_CASE(ADrainedQueueFreesItsMemory) {
+  SendQueue Queue;
+  Queue.buffer().assign(16 << 20, 7);
+  while (!Queue.unwritten().empty())
+    Queue.recordWritten(
+        std::min<std::size_t>(Queue.unwritten().size(), 50'000));
+  BOOST_TEST(Queue.buffer().capacity() <= 64U << 10U);
+}
--- a/tests/unit/simulated_links.h
+++ b/tests/unit/simulated_links.h
@@ -26,6 +26,8 @@
 
   explicit LinkNetwork(ManualScheduler &Timers) : m_Timers(Timers) {}
 
+  std::size_t m_QueuedBytes = 0; ///< That each link states.
+
   /// One direction of a link.
   struct End {
     SimulatedLinks *m_Owner = nullptr; ///< Sends here.
@@ -106,6 +108,9 @@
   }
   void flush(link::LinkId Link) override { m_Network.send(Link); }
   void close(link::LinkId Link) override { m_Network.close(Link); }
+  [[nodiscard]] std::size_t queuedBytes(link::LinkId) const override {
+    return m_Network.m_QueuedBytes;
+  }
 
   [[nodiscard]] link::Peer asPeer() const {
     return {wire::Role::Gateway, m_Self.m_Name, instanceIdOf(m_Self.m_Name),
