--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,6 +41,10 @@
 /// requests with the longest bodies.
 constexpr std::size_t RelayFrameBytes = 32U << 20U;
 
+/// Digests that wait for a slow link are joined beyond this: at 10 Mbit/s it
+/// takes a twentieth of a second.
+constexpr std::size_t DigestQueueBytes = 64U << 10U;
+
 ReceiveLimits arrivalLimits(const CallerLimits &Limits) {
   const auto OrDefault = [](Duration Value, Duration Default) {
     return Value > Duration::zero() ? Value : Default;
@@ -127,7 +131,9 @@
           arrivalLimits({}),
           [this](RefusalReason Reason) { m_Stats.countRefusal(Reason); },
           m_Timers),
-      m_CleanupTimer(m_Timers), m_StopTimer(m_Timers) {}
+      m_CleanupTimer(m_Timers), m_StopTimer(m_Timers) {
+  m_AnswerMemory.countUnread(m_Front.unreadBytes());
+}
 
 Gateway::~Gateway() = default;
 
@@ -250,7 +256,9 @@
 
 std::unique_ptr<link::Links> Gateway::openLinks(const std::string &Key,
                                                 link::LinkListener &Listener) {
-  return startLinks(linkConfig(Key, m_Settings.m_LinkAddress), Listener);
+  link::LinkConfig Config = linkConfig(Key, m_Settings.m_LinkAddress);
+  Config.m_HoldAboveBytes = DigestQueueBytes;
+  return startLinks(Config, Listener);
 }
 
 /// Calls are never sent on the links for digests, so that no answer delays
@@ -308,6 +316,10 @@
         .set(static_cast<double>(m_Requests.size()));
     m_Metrics.gauge("crowstep_caller_connections")
         .set(static_cast<double>(m_Front.connections()));
+    m_Metrics.gauge("crowstep_unread_bytes")
+        .set(static_cast<double>(m_Front.unreadBytes().usedBytes()));
+    m_Metrics.gauge("crowstep_received_bytes")
+        .set(static_cast<double>(m_Front.receivedBytes().usedBytes()));
     m_Metrics.gauge("crowstep_loop_busy_share").set(m_LoopLoad.busyShare());
     respond(Message, HttpOk, "text/plain; version=0.0.4", m_Metrics.text());
     return;
