Feature: Archive the origins of streams in the store

Cause: origins are kept in memory only, so streams that callers resume after the loss of all instances are refused.

Change: resume::OriginArchive writes the origins of services with several versions to rows of the table crowstep_origins, a row a second, rewritten each 250 ms while it grows, one call at a time. Without hubs each instance writes what it began; with hubs the active hub of a zone writes what it already has. A second version, a takeover and a later era of the store queue open streams again. An instance that starts among several versions reads the table once, and a lookup that nobody can answer waits for that within its time limit. An origin whose version could not be proven is recorded and answered as such (`unproven`, a new field that older instances don't read), so that it isn't taken for an unknown one; a stream with two origins is unknown also if the services differ.

Ruled out: a blind write to slot 00 after a restart, which overwrites rows of streams that are still open; taking all rows, which displaces open streams at the bound of 65,536, as the age of a row isn't known: the newest rows go first.

Result: origin_archive_test, 15 cases: no call with one version; at most four writes a second at 10, 420 and 1,700 streams a second, values within 65,536 bytes, 64 rows.

--- a/src/resume/origin_codec.cpp
+++ b/src/resume/origin_codec.cpp
@@ -9,10 +9,15 @@
 
 namespace {
 
+/// Older versions take an origin without a version for none.
 std::optional<StreamOrigin> originOf(const flatbuffers::String *Service,
-                                     const flatbuffers::String *Software) {
-  if (Service == nullptr || Software == nullptr || Service->size() == 0 ||
-      Software->size() == 0)
+                                     const flatbuffers::String *Software,
+                                     bool IsUnproven) {
+  if (Service == nullptr || Service->size() == 0)
+    return std::nullopt;
+  if (IsUnproven)
+    return StreamOrigin{Service->str(), SoftwareVersion()};
+  if (Software == nullptr || Software->size() == 0)
     return std::nullopt;
   return StreamOrigin{Service->str(), SoftwareVersion(Software->str())};
 }
@@ -31,6 +36,7 @@
   Result->low = Record.m_Key.m_Low;
   Result->service = Record.m_Origin.m_Service;
   Result->software = Record.m_Origin.m_Software.text();
+  Result->unproven = !Record.m_Origin.m_Software.isKnown();
   Result->lifetime_ms = static_cast<std::uint32_t>(
       std::chrono::ceil<std::chrono::milliseconds>(
           std::clamp(Record.m_Lifetime, Duration::zero(),
@@ -40,7 +46,7 @@
 }
 
 std::optional<StreamRecord> unpack(const wire::StreamOrigin &From) {
-  auto Origin = originOf(From.service(), From.software());
+  auto Origin = originOf(From.service(), From.software(), From.unproven());
   if (!Origin)
     return std::nullopt;
   return StreamRecord{{From.high(), From.low()},
@@ -55,12 +61,13 @@
   if (Origin != nullptr) {
     Result->service = Origin->m_Service;
     Result->software = Origin->m_Software.text();
+    Result->unproven = !Origin->m_Software.isKnown();
   }
   return Result;
 }
 
 std::optional<StreamOrigin> unpack(const wire::StreamAnswer &From) {
-  return originOf(From.service(), From.software());
+  return originOf(From.service(), From.software(), From.unproven());
 }
 
 } // namespace crowstep::resume
--- a/src/resume/origin_codec.h
+++ b/src/resume/origin_codec.h
@@ -23,7 +23,8 @@
 std::unique_ptr<wire::StreamAnswerT> packAnswer(std::uint64_t Question,
                                                 const StreamOrigin *Origin);
 
-/// Returns nothing if the stream is not known, or the answer is malformed.
+/// Returns nothing if the stream is not known, or the answer is malformed. A
+/// stream that is known to have no continuation has an unknown version.
 std::optional<StreamOrigin> unpack(const wire::StreamAnswer &From);
 
 } // namespace crowstep::resume
--- a/src/resume/origin_directory.h
+++ b/src/resume/origin_directory.h
@@ -12,7 +12,8 @@
 
 /// What a lookup has found.
 struct LookupResult {
-  std::optional<StreamOrigin> m_Origin; ///< None: not known.
+  std::optional<StreamOrigin> m_Origin; ///< None: not known. With an unknown
+                                        ///< version it can't be continued.
   std::size_t m_AskedCount = 0;         ///< Instances that were asked.
   std::size_t m_UnansweredCount = 0;    ///< Those that did not answer in time.
 };
@@ -39,8 +40,14 @@
   [[nodiscard]] virtual const StreamOrigin *
   findLocal(const StreamKey &Key) const = 0;
 
-  /// Asks other instances. \p OnDone runs once, not within ask(), and may
-  /// destroy the lookup.
+  /// Returns whether this instance knows that the stream can't be continued: it
+  /// began at an unknown version, or was recorded with two origins.
+  [[nodiscard]] virtual bool isUnproven(const StreamKey & /*Key*/) const {
+    return false;
+  }
+
+  /// Asks other instances, and the archive if it is being read. \p OnDone runs
+  /// once, not within ask(), and may destroy the lookup.
   virtual std::unique_ptr<OriginLookup> ask(const StreamKey &Key,
                                             LookupCallback OnDone) = 0;
 };
--- a/src/resume/origin_exchange.cpp
+++ b/src/resume/origin_exchange.cpp
@@ -75,6 +75,27 @@
 
 void OriginExchange::setHubs(const std::vector<InstanceId> &Hubs) {
   m_Hubs = Hubs;
+  updateArchiveRoles();
+}
+
+void OriginExchange::setActiveHub(bool IsActive) {
+  m_IsActiveHub = IsActive;
+  updateArchiveRoles();
+}
+
+void OriginExchange::setArchive(OriginArchive &Archive) {
+  m_Archive = &Archive;
+  Archive.setEvents({[this](const StreamRecord &Record) { keep(Record); },
+                     [this] { handleArchiveRead(); }});
+  updateArchiveRoles();
+}
+
+/// A zone's hubs have the origins of all its streams, so the others neither
+/// write nor read.
+void OriginExchange::updateArchiveRoles() {
+  if (m_Archive != nullptr)
+    m_Archive->setRoles(m_Hubs.empty() || (isHub() && m_IsActiveHub),
+                        m_Hubs.empty() || isHub());
 }
 
 void OriginExchange::stop() {
@@ -151,6 +172,8 @@
   keep(Begun);
   if (isHub())
     queueExport(Begun);
+  if (m_Archive != nullptr && (m_Hubs.empty() || isHub()))
+    m_Archive->add(Begun);
   for (const link::LinkId Link : holdersOf(Begun.m_Key, true)) {
     m_Links->outbox(Link).stream_origins.push_back(packRecord(Begun));
     m_Links->flush(Link);
@@ -164,8 +187,11 @@
   if (!Record)
     return;
   keep(*Record);
-  if (From.m_Info.m_IsNear && isHub())
-    queueExport(*Record);
+  if (!From.m_Info.m_IsNear || !isHub())
+    return;
+  queueExport(*Record);
+  if (m_Archive != nullptr)
+    m_Archive->add(*Record);
 }
 
 void OriginExchange::queueExport(const StreamRecord &Record) {
@@ -197,6 +223,17 @@
   return m_Origins.find(Key, m_Clock.now());
 }
 
+bool OriginExchange::isUnproven(const StreamKey &Key) const {
+  return m_Origins.findUnproven(Key, m_Clock.now()) != nullptr;
+}
+
+/// Returns what this instance has recorded of a stream, also if that says that
+/// it can't be continued.
+const StreamOrigin *OriginExchange::findAny(const StreamKey &Key) const {
+  const StreamOrigin *Known = findLocal(Key);
+  return Known != nullptr ? Known : m_Origins.findUnproven(Key, m_Clock.now());
+}
+
 std::unique_ptr<OriginLookup> OriginExchange::ask(const StreamKey &Key,
                                                   LookupCallback OnDone) {
   const auto Count = [this,
@@ -226,6 +263,8 @@
   Made.m_OnDone = std::move(OnDone);
   Made.m_Unanswered = {At.begin(), At.end()};
   Made.m_Result.m_AskedCount = At.size();
+  Made.m_Key = Key;
+  Made.m_EndsAt = m_Clock.now() + Timeout;
   Made.m_Timer = std::make_unique<Timer>(m_Timers);
   Made.m_Timer->start(At.empty() ? Duration::zero() : Timeout,
                       [this, Id] { finishSearch(Id); });
@@ -236,8 +275,41 @@
   return Id;
 }
 
+/// Returns whether the search goes on until the archive is read or its time has
+/// passed. The stream may have been recorded here meanwhile.
+bool OriginExchange::waitForArchive(SearchId Id) {
+  const auto Found = m_Searches.find(Id);
+  if (Found == m_Searches.end() || Found->second.m_Result.m_Origin ||
+      m_Archive == nullptr)
+    return false;
+  Search &Open = Found->second;
+  if (const StreamOrigin *Known = findAny(Open.m_Key))
+    Open.m_Result.m_Origin = *Known;
+  if (Open.m_Result.m_Origin || !isArchivePending())
+    return false;
+  const Duration TimeLeft = Open.m_EndsAt - m_Clock.now();
+  if (TimeLeft <= Duration::zero()) {
+    ++Open.m_Result.m_UnansweredCount; // The archive.
+    return false;
+  }
+  Open.m_WaitsForArchive = true;
+  Open.m_Timer->start(TimeLeft, [this, Id] { finishSearch(Id); });
+  return true;
+}
+
+void OriginExchange::handleArchiveRead() {
+  std::vector<SearchId> Waiting;
+  for (const auto &[Id, Open] : m_Searches)
+    if (Open.m_WaitsForArchive)
+      Waiting.push_back(Id);
+  for (const SearchId Id : Waiting)
+    finishSearch(Id);
+}
+
 /// The callback may destroy the lookup, and other ones.
 void OriginExchange::finishSearch(SearchId Id) {
+  if (waitForArchive(Id))
+    return;
   auto Node = m_Searches.extract(Id);
   if (Node.empty())
     return;
@@ -249,12 +321,15 @@
 void OriginExchange::handleQuestion(link::LinkId From,
                                     const wire::StreamQuestion &Asked) {
   const StreamKey Key = {Asked.high(), Asked.low()};
-  const StreamOrigin *Known = findLocal(Key);
+  const StreamOrigin *Known = findAny(Key);
   const std::vector<link::LinkId> Others =
       Known == nullptr && Asked.in_other_zones() && isHub()
           ? otherZones()
           : std::vector<link::LinkId>();
-  if (Others.empty() || m_Searches.size() >= MaxSearches) {
+  const bool MayBeArchived = Known == nullptr && isArchivePending();
+  if (m_Searches.size() >= MaxSearches && MayBeArchived)
+    return;
+  if ((Others.empty() && !MayBeArchived) || m_Searches.size() >= MaxSearches) {
     sendAnswer(From, Asked.id(), Known);
     return;
   }
--- a/src/resume/origin_exchange.h
+++ b/src/resume/origin_exchange.h
@@ -7,6 +7,9 @@
 /// never changes, so any answer is right however old it is; without an answer
 /// the stream is not continued.
 ///
+/// After the loss of all instances the archive in the store is read once. A
+/// lookup that finds nothing waits for that, within its time limit.
+///
 /// In a fleet with hubs the hubs of a zone keep all of its origins and pass
 /// them on to the hubs of another zone. They search in the other zones for
 /// streams that are not known in their own.
@@ -17,6 +20,7 @@
 #include "core/scheduler.h"
 #include "instance_type.h"
 #include "link/link_type.h"
+#include "resume/origin_archive.h"
 #include "resume/origin_directory.h"
 #include "resume/stream_origins.h"
 
@@ -68,9 +72,14 @@
   void record(const StreamRecord &Begun) override;
   [[nodiscard]] const StreamOrigin *
   findLocal(const StreamKey &Key) const override;
+  [[nodiscard]] bool isUnproven(const StreamKey &Key) const override;
   std::unique_ptr<OriginLookup> ask(const StreamKey &Key,
                                     LookupCallback OnDone) override;
 
+  /// Sets the archive that gets the origins which this instance has to write,
+  /// and whose origins are kept here; it outlives this object.
+  void setArchive(OriginArchive &Archive);
+
   /// Announces to all instances that this one ends soon and must get no
   /// further records.
   void stop();
@@ -88,7 +97,7 @@
   void setHubs(const std::vector<InstanceId> &Hubs);
 
   /// Sets whether this instance is its zone's active hub.
-  void setActiveHub(bool IsActive) { m_IsActiveHub = IsActive; }
+  void setActiveHub(bool IsActive);
 
   void receive(link::LinkId From, const wire::Frame &Frame);
 
@@ -105,6 +114,9 @@
   struct Search {
     std::set<link::LinkId> m_Unanswered; ///< Asked.
     LookupResult m_Result;               ///< So far.
+    StreamKey m_Key;                     ///< Of the stream.
+    TimePoint m_EndsAt;                  ///< Its time limit.
+    bool m_WaitsForArchive = false;      ///< Nobody else knows the stream.
     LookupCallback m_OnDone;             ///< Never empty.
     std::unique_ptr<Timer> m_Timer;      ///< Ends it.
   };
@@ -125,12 +137,19 @@
   SearchId search(const StreamKey &Key, const std::vector<link::LinkId> &At,
                   bool InOtherZones, Duration Timeout, LookupCallback OnDone);
   void finishSearch(SearchId Id);
+  bool waitForArchive(SearchId Id);
+  void handleArchiveRead();
+  void updateArchiveRoles();
+  [[nodiscard]] bool isArchivePending() const {
+    return m_Archive != nullptr && m_Archive->isReadPending();
+  }
   void handleQuestion(link::LinkId From, const wire::StreamQuestion &Asked);
   void sendAnswer(link::LinkId To, std::uint64_t Question,
                   const StreamOrigin *Origin);
   void handleAnswer(link::LinkId From, const wire::StreamAnswer &Answer);
   void handleRecord(const Peer &From, const wire::StreamOrigin &Received);
   void keep(const StreamRecord &Record);
+  [[nodiscard]] const StreamOrigin *findAny(const StreamKey &Key) const;
   void queueExport(const StreamRecord &Record);
   void sendExports();
 
@@ -143,6 +162,7 @@
   std::map<link::LinkId, Peer> m_Peers;  ///< Linked.
   std::vector<InstanceId> m_Hubs;        ///< See setHubs().
   bool m_IsActiveHub = false;            ///< See setActiveHub().
+  OriginArchive *m_Archive = nullptr;    ///< Null: there is none.
   bool m_IsStopping = false;             ///< After stop().
   std::map<SearchId, Search> m_Searches; ///< In progress.
   SearchId m_LastSearch = 0;             ///< The first id is 1.
--- a/src/resume/stream_origin.h
+++ b/src/resume/stream_origin.h
@@ -30,7 +30,8 @@
 /// A stream that has begun.
 struct StreamRecord {
   StreamKey m_Key;       ///< Of the stream.
-  StreamOrigin m_Origin; ///< Where it began; its version is known.
+  StreamOrigin m_Origin; ///< Where it began; with an unknown version it can't
+                         ///< be continued anywhere.
   Duration m_Lifetime{}; ///< How long it may be resumed from now on.
 };
 
--- a/src/resume/stream_origins.cpp
+++ b/src/resume/stream_origins.cpp
@@ -8,7 +8,7 @@
 void StreamOrigins::record(const StreamRecord &Record, TimePoint Now) {
   expire(Now);
   const StreamOrigin &Origin = Record.m_Origin;
-  if (!Origin.m_Software.isKnown() || Record.m_Lifetime <= Duration::zero() ||
+  if (Record.m_Lifetime <= Duration::zero() ||
       Origin.m_Service.size() > MaxNameBytes ||
       Origin.m_Software.text().size() > MaxNameBytes)
     return;
@@ -16,6 +16,9 @@
   const auto [Found, IsNew] =
       m_Entries.try_emplace(Record.m_Key, Entry{Origin, ExpiresAt});
   Entry &Kept = Found->second;
+  if (!Origin.m_Software.isKnown() ||
+      Kept.m_Origin.m_Service != Origin.m_Service)
+    Kept.m_Origin.m_Software.invalidate();
   if (!IsNew) {
     Kept.m_Origin.m_Software.merge(Origin.m_Software);
     if (ExpiresAt <= Kept.m_ExpiresAt)
@@ -28,13 +31,24 @@
     forgetFirst();
 }
 
+const StreamOrigin *StreamOrigins::findAny(const StreamKey &Key,
+                                           TimePoint Now) const {
+  const auto Found = m_Entries.find(Key);
+  return Found == m_Entries.end() || Now >= Found->second.m_ExpiresAt
+             ? nullptr
+             : &Found->second.m_Origin;
+}
+
 const StreamOrigin *StreamOrigins::find(const StreamKey &Key,
                                         TimePoint Now) const {
-  const auto Found = m_Entries.find(Key);
-  if (Found == m_Entries.end() || Now >= Found->second.m_ExpiresAt ||
-      !Found->second.m_Origin.m_Software.isKnown())
-    return nullptr;
-  return &Found->second.m_Origin;
+  const StreamOrigin *Found = findAny(Key, Now);
+  return Found != nullptr && Found->m_Software.isKnown() ? Found : nullptr;
+}
+
+const StreamOrigin *StreamOrigins::findUnproven(const StreamKey &Key,
+                                                TimePoint Now) const {
+  const StreamOrigin *Found = findAny(Key, Now);
+  return Found != nullptr && !Found->m_Software.isKnown() ? Found : nullptr;
 }
 
 void StreamOrigins::expire(TimePoint Now) {
--- a/src/resume/stream_origins.h
+++ b/src/resume/stream_origins.h
@@ -22,8 +22,8 @@
   /// No stream is kept for longer.
   static constexpr Duration MaxLifetime = std::chrono::minutes(15);
 
-  /// Keeps \p Record. A stream that is recorded with two versions is forgotten
-  /// for as long as it may be resumed.
+  /// Keeps \p Record. A stream that is recorded with two origins has an unknown
+  /// version for as long as it may be resumed.
   void record(const StreamRecord &Record, TimePoint Now);
 
   /// Returns the origin of a stream, or null if it isn't known; valid until the
@@ -31,6 +31,11 @@
   [[nodiscard]] const StreamOrigin *find(const StreamKey &Key,
                                          TimePoint Now) const;
 
+  /// Returns the origin of a stream that began at an unknown version, or was
+  /// recorded with two origins: it can't be continued, whatever others know.
+  [[nodiscard]] const StreamOrigin *findUnproven(const StreamKey &Key,
+                                                 TimePoint Now) const;
+
   /// Forgets the streams that can't be resumed any more.
   void expire(TimePoint Now);
 
@@ -42,6 +47,8 @@
     TimePoint m_ExpiresAt; ///< Also in m_Expiries.
   };
 
+  [[nodiscard]] const StreamOrigin *findAny(const StreamKey &Key,
+                                            TimePoint Now) const;
   void forgetFirst();
 
   std::unordered_map<StreamKey, Entry> m_Entries;       ///< By stream.
--- a/src/software_version.h
+++ b/src/software_version.h
@@ -33,6 +33,12 @@
     m_Text = m_IsContradictory ? std::string() : Stated.m_Text;
   }
 
+  /// Makes the version unknown for good.
+  void invalidate() {
+    m_IsContradictory = true;
+    m_Text.clear();
+  }
+
   /// Returns the text for logs and the wire; empty: unknown.
   [[nodiscard]] const std::string &text() const { return m_Text; }
 
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -4975,6 +4975,7 @@
   std::string service{};
   std::string software{};
   uint32_t lifetime_ms = 0;
+  bool unproven = false;
 };
 
 struct StreamOrigin FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4986,7 +4987,8 @@
     VT_LOW = 6,
     VT_SERVICE = 8,
     VT_SOFTWARE = 10,
-    VT_LIFETIME_MS = 12
+    VT_LIFETIME_MS = 12,
+    VT_UNPROVEN = 14
   };
   uint64_t high() const {
     return GetField<uint64_t>(VT_HIGH, 0);
@@ -5003,6 +5005,9 @@
   uint32_t lifetime_ms() const {
     return GetField<uint32_t>(VT_LIFETIME_MS, 0);
   }
+  bool unproven() const {
+    return GetField<uint8_t>(VT_UNPROVEN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_HIGH, 8) &&
@@ -5012,6 +5017,7 @@
            VerifyOffset(verifier, VT_SOFTWARE) &&
            verifier.VerifyString(software()) &&
            VerifyField<uint32_t>(verifier, VT_LIFETIME_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_UNPROVEN, 1) &&
            verifier.EndTable();
   }
   StreamOriginT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5038,6 +5044,9 @@
   void add_lifetime_ms(uint32_t lifetime_ms) {
     fbb_.AddElement<uint32_t>(StreamOrigin::VT_LIFETIME_MS, lifetime_ms, 0);
   }
+  void add_unproven(bool unproven) {
+    fbb_.AddElement<uint8_t>(StreamOrigin::VT_UNPROVEN, static_cast<uint8_t>(unproven), 0);
+  }
   explicit StreamOriginBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5055,13 +5064,15 @@
     uint64_t low = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
     flatbuffers::Offset<flatbuffers::String> software = 0,
-    uint32_t lifetime_ms = 0) {
+    uint32_t lifetime_ms = 0,
+    bool unproven = false) {
   StreamOriginBuilder builder_(_fbb);
   builder_.add_low(low);
   builder_.add_high(high);
   builder_.add_lifetime_ms(lifetime_ms);
   builder_.add_software(software);
   builder_.add_service(service);
+  builder_.add_unproven(unproven);
   return builder_.Finish();
 }
 
@@ -5076,7 +5087,8 @@
     uint64_t low = 0,
     const char *service = nullptr,
     const char *software = nullptr,
-    uint32_t lifetime_ms = 0) {
+    uint32_t lifetime_ms = 0,
+    bool unproven = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto software__ = software ? _fbb.CreateString(software) : 0;
   return crowstep::wire::CreateStreamOrigin(
@@ -5085,7 +5097,8 @@
       low,
       service__,
       software__,
-      lifetime_ms);
+      lifetime_ms,
+      unproven);
 }
 
 flatbuffers::Offset<StreamOrigin> CreateStreamOrigin(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5095,6 +5108,7 @@
   uint64_t question = 0;
   std::string service{};
   std::string software{};
+  bool unproven = false;
 };
 
 struct StreamAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5104,7 +5118,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_QUESTION = 4,
     VT_SERVICE = 6,
-    VT_SOFTWARE = 8
+    VT_SOFTWARE = 8,
+    VT_UNPROVEN = 10
   };
   uint64_t question() const {
     return GetField<uint64_t>(VT_QUESTION, 0);
@@ -5115,6 +5130,9 @@
   const flatbuffers::String *software() const {
     return GetPointer<const flatbuffers::String *>(VT_SOFTWARE);
   }
+  bool unproven() const {
+    return GetField<uint8_t>(VT_UNPROVEN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_QUESTION, 8) &&
@@ -5122,6 +5140,7 @@
            verifier.VerifyString(service()) &&
            VerifyOffset(verifier, VT_SOFTWARE) &&
            verifier.VerifyString(software()) &&
+           VerifyField<uint8_t>(verifier, VT_UNPROVEN, 1) &&
            verifier.EndTable();
   }
   StreamAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5142,6 +5161,9 @@
   void add_software(flatbuffers::Offset<flatbuffers::String> software) {
     fbb_.AddOffset(StreamAnswer::VT_SOFTWARE, software);
   }
+  void add_unproven(bool unproven) {
+    fbb_.AddElement<uint8_t>(StreamAnswer::VT_UNPROVEN, static_cast<uint8_t>(unproven), 0);
+  }
   explicit StreamAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5157,11 +5179,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t question = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
-    flatbuffers::Offset<flatbuffers::String> software = 0) {
+    flatbuffers::Offset<flatbuffers::String> software = 0,
+    bool unproven = false) {
   StreamAnswerBuilder builder_(_fbb);
   builder_.add_question(question);
   builder_.add_software(software);
   builder_.add_service(service);
+  builder_.add_unproven(unproven);
   return builder_.Finish();
 }
 
@@ -5174,14 +5198,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t question = 0,
     const char *service = nullptr,
-    const char *software = nullptr) {
+    const char *software = nullptr,
+    bool unproven = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto software__ = software ? _fbb.CreateString(software) : 0;
   return crowstep::wire::CreateStreamAnswer(
       _fbb,
       question,
       service__,
-      software__);
+      software__,
+      unproven);
 }
 
 flatbuffers::Offset<StreamAnswer> CreateStreamAnswer(flatbuffers::FlatBufferBuilder &_fbb, const StreamAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7118,6 +7144,7 @@
   { auto _e = service(); if (_e) _o->service = _e->str(); }
   { auto _e = software(); if (_e) _o->software = _e->str(); }
   { auto _e = lifetime_ms(); _o->lifetime_ms = _e; }
+  { auto _e = unproven(); _o->unproven = _e; }
 }
 
 inline flatbuffers::Offset<StreamOrigin> StreamOrigin::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7133,13 +7160,15 @@
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
   auto _software = _o->software.empty() ? 0 : _fbb.CreateString(_o->software);
   auto _lifetime_ms = _o->lifetime_ms;
+  auto _unproven = _o->unproven;
   return crowstep::wire::CreateStreamOrigin(
       _fbb,
       _high,
       _low,
       _service,
       _software,
-      _lifetime_ms);
+      _lifetime_ms,
+      _unproven);
 }
 
 inline StreamAnswerT *StreamAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7154,6 +7183,7 @@
   { auto _e = question(); _o->question = _e; }
   { auto _e = service(); if (_e) _o->service = _e->str(); }
   { auto _e = software(); if (_e) _o->software = _e->str(); }
+  { auto _e = unproven(); _o->unproven = _e; }
 }
 
 inline flatbuffers::Offset<StreamAnswer> StreamAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7167,11 +7197,13 @@
   auto _question = _o->question;
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
   auto _software = _o->software.empty() ? 0 : _fbb.CreateString(_o->software);
+  auto _unproven = _o->unproven;
   return crowstep::wire::CreateStreamAnswer(
       _fbb,
       _question,
       _service,
-      _software);
+      _software,
+      _unproven);
 }
 
 inline FrameT::FrameT(const FrameT &o)
--- /dev/null
+++ b/tests/unit/origin_archive_test.cpp
@@ -0,0 +1,402 @@
+/// The archive of streams' origins in the store, which outlives all instances.
+#define BOOST_TEST_MODULE origin_archive
+#include "resume/origin_archive.h"
+#include "resume/origin_exchange.h"
+#include "resume/origin_row.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace crowstep;
+using namespace crowstep::resume;
+using namespace std::chrono_literals;
+
+namespace {
+
+const StreamOrigin Old{"s", SoftwareVersion("v1")};
+const StreamOrigin New{"s", SoftwareVersion("v2")};
+const std::set<std::string> Mixed{"s"};
+constexpr Duration Interval = OriginArchive::WriteInterval;
+
+StreamKey keyOf(std::size_t Number) {
+  return streamKeyOf("w", std::to_string(Number));
+}
+
+/// The store's table of origins in virtual time.
+class Tables final : public platform::TableService {
+public:
+  explicit Tables(ManualScheduler &Timers) : m_Timers(Timers) {}
+
+  void write(const std::string &Table, std::vector<platform::RowWrite> Writes,
+             std::function<void(platform::WriteResult)> Done) override {
+    BOOST_TEST(Table == OriginArchive::TableName);
+    BOOST_TEST(Writes.size() == 1U);
+    BOOST_TEST(Writes[0].m_Value.size() <= 65536U);
+    ++m_Writes;
+    ++m_Open;
+    m_MostOpen = std::max(m_MostOpen, m_Open);
+    m_Timers.runAfter(m_AnswerTime, [this, Write = Writes[0],
+                                     Done = std::move(Done)] {
+      --m_Open;
+      if (m_IsAway) {
+        Done(platform::PlatformFailure::Uncertain);
+        return;
+      }
+      platform::Row &Row = m_Rows[Write.m_Key];
+      const bool Fits = Row.m_Version == Write.m_Expected;
+      if (Fits)
+        Row = {Write.m_Key, platform::RowVersion(++m_Version), Write.m_Value};
+      m_StatedEra = m_Era;
+      Done(std::vector{platform::RowOutcome{Fits, Row}});
+    });
+  }
+  void read(const std::string &, const std::string &,
+            std::function<void(platform::ReadResult)>) override {}
+  void list(const std::string &, const std::string &,
+            std::function<void(platform::ReadResult)> Done) override {
+    ++m_Reads;
+    m_Timers.runAfter(m_AnswerTime, [this, Done = std::move(Done)] {
+      if (m_IsAway) {
+        Done(platform::PlatformFailure::Refused);
+        return;
+      }
+      std::vector<platform::Row> Result;
+      for (const auto &[Key, Row] : m_Rows)
+        Result.push_back(Row);
+      Done(std::move(Result));
+    });
+  }
+  [[nodiscard]] std::optional<platform::TableEra> era() const override {
+    return platform::TableEra(m_StatedEra);
+  }
+
+  void put(const std::string &Key, const std::string &Value) {
+    m_Rows[Key] = {Key, platform::RowVersion(++m_Version), Value};
+  }
+  [[nodiscard]] std::size_t calls() const { return m_Writes + m_Reads; }
+
+  ManualScheduler &m_Timers;
+  Duration m_AnswerTime = 5ms;
+  bool m_IsAway = false;
+  std::map<std::string, platform::Row> m_Rows;
+  std::uint64_t m_Version = 0;
+  std::uint64_t m_Era = 1;
+  std::uint64_t m_StatedEra = 1; ///< Of the last answer.
+  std::size_t m_Writes = 0;
+  std::size_t m_Reads = 0;
+  std::size_t m_Open = 0;     ///< Writes that are not answered.
+  std::size_t m_MostOpen = 0; ///< At a time.
+};
+
+struct World {
+  ManualClock m_Clock;
+  ManualScheduler m_Timers{m_Clock};
+  Tables m_Tables{m_Timers};
+  Metrics m_Stats;
+};
+
+/// An instance with its own and the others' origins, without links.
+struct Instance {
+  explicit Instance(World &Owner, const std::string &Name = "edge-1")
+      : m_World(Owner), m_Archive(Name, Owner.m_Tables, Owner.m_Clock,
+                                  Owner.m_Timers, Owner.m_Stats),
+        m_Exchange(instanceIdOf(Name), {"a"}, Owner.m_Clock, Owner.m_Timers,
+                   Owner.m_Stats) {
+    m_Exchange.setArchive(m_Archive);
+  }
+  void begin(std::size_t From, std::size_t Count,
+             const StreamOrigin &Origin = Old, Duration Lifetime = 10s) {
+    for (std::size_t I = From; I < From + Count; ++I)
+      m_Exchange.record({keyOf(I), Origin, Lifetime});
+  }
+  [[nodiscard]] std::size_t knownCount(std::size_t Count) const {
+    std::size_t Result = 0;
+    for (std::size_t I = 0; I < Count; ++I)
+      Result += m_Exchange.findLocal(keyOf(I)) != nullptr ? 1 : 0;
+    return Result;
+  }
+  void startLookup(std::size_t Stream) {
+    m_Lookup = m_Exchange.ask(
+        keyOf(Stream), [this](const LookupResult &Found) { m_Found = Found; });
+  }
+
+  World &m_World;
+  OriginArchive m_Archive;
+  OriginExchange m_Exchange;
+  std::unique_ptr<OriginLookup> m_Lookup;
+  std::optional<LookupResult> m_Found;
+};
+
+/// Returns how many of the first \p Count streams an instance knows that starts
+/// after the loss of all others.
+std::size_t countAfterLoss(World &Where, std::size_t Count) {
+  Instance Later(Where, "edge-9");
+  Later.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(100ms);
+  return Later.knownCount(Count);
+}
+
+} // namespace
+
+// Guards against calls to the store where one version alone serves.
+BOOST_AUTO_TEST_CASE(OneVersionCostsNoCall) {
+  World Where;
+  Instance First(Where);
+  First.m_Archive.setMixedServices({});
+  First.begin(0, 1000);
+  Where.m_Timers.advance(10min);
+  BOOST_TEST(Where.m_Tables.calls() == 0U);
+}
+
+// Guards against streams that are lost with all instances.
+BOOST_AUTO_TEST_CASE(OriginsAreSavedAndRead) {
+  World Where;
+  Instance First(Where);
+  First.m_Archive.setMixedServices(Mixed);
+  First.begin(0, 20, Old);
+  First.begin(20, 20, New);
+  Where.m_Timers.advance(Interval + 20ms);
+  Instance Later(Where, "edge-2");
+  Later.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(100ms);
+  BOOST_TEST((*Later.m_Exchange.findLocal(keyOf(0)) == Old));
+  BOOST_TEST((*Later.m_Exchange.findLocal(keyOf(39)) == New));
+  BOOST_TEST(Where.m_Tables.m_Reads == 2U);
+}
+
+// Guards against a guess about streams that began after the last write.
+BOOST_AUTO_TEST_CASE(ALossBeforeTheBatchLosesItsStreamsOnly) {
+  World Where;
+  Instance First(Where);
+  First.m_Archive.setMixedServices(Mixed);
+  First.begin(0, 10);
+  Where.m_Timers.advance(Interval + 20ms);
+  First.begin(10, 10);
+  Instance Later(Where, "edge-2");
+  Later.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(100ms);
+  BOOST_TEST(Later.knownCount(20) == 10U);
+  Later.startLookup(15);
+  Where.m_Timers.advance(1ms);
+  BOOST_REQUIRE(Later.m_Found.has_value());
+  BOOST_TEST(!Later.m_Found->m_Origin.has_value());
+  BOOST_TEST(Later.m_Found->m_UnansweredCount == 0U);
+}
+
+// Guards against streams that began while there was one version only.
+BOOST_AUTO_TEST_CASE(OpenStreamsAreSavedWhenAVersionAppears) {
+  World Where;
+  Instance First(Where);
+  First.m_Archive.setMixedServices({});
+  First.begin(0, 100, Old, 1s);
+  Where.m_Timers.advance(2s);
+  First.begin(100, 5000);
+  Where.m_Timers.advance(2s);
+  First.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(50ms);
+  BOOST_TEST(countAfterLoss(Where, 5100) == 5000U);
+  BOOST_TEST(Where.m_Tables.m_Writes <= 4U);
+}
+
+// Guards against more calls than four a second a writer, values that are too
+// long, and rows without end.
+BOOST_AUTO_TEST_CASE(AWriterIsBounded) {
+  for (const std::size_t PerStep : {1U, 42U, 170U}) { // 10 to 1,700 a second.
+    World Where;
+    Instance First(Where);
+    First.m_Archive.setMixedServices(Mixed);
+    for (std::size_t I = 0; I < 1500; ++I) {
+      First.begin(I * PerStep, PerStep);
+      Where.m_Timers.advance(100ms);
+    }
+    BOOST_TEST(Where.m_Tables.m_Writes <= 150U * 4 + 10);
+    BOOST_TEST(Where.m_Tables.m_Rows.size() == OriginArchive::SlotCount);
+  }
+}
+
+// Guards against events that wait for the store, and against origins that are
+// lost while it is away or slow.
+BOOST_AUTO_TEST_CASE(AStoreThatIsAwayOrSlowGetsThemLater) {
+  for (const bool IsAway : {true, false}) {
+    World Where;
+    Instance First(Where);
+    First.m_Archive.setMixedServices(Mixed);
+    Where.m_Timers.advance(100ms);
+    Where.m_Tables.m_IsAway = IsAway;
+    Where.m_Tables.m_AnswerTime = 700ms;
+    for (std::size_t I = 0; I < 50; ++I) {
+      First.begin(I * 10, 10, Old, 60s);
+      Where.m_Timers.advance(100ms);
+    }
+    BOOST_TEST(Where.m_Tables.m_MostOpen == 1U);
+    Where.m_Tables.m_IsAway = false;
+    Where.m_Tables.m_AnswerTime = 5ms;
+    Where.m_Timers.advance(2s);
+    BOOST_TEST(countAfterLoss(Where, 500) == 500U);
+  }
+}
+
+// Guards against rows that a restored store has lost.
+BOOST_AUTO_TEST_CASE(ARestoredStoreGetsThemAgain) {
+  World Where;
+  Instance First(Where);
+  First.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(100ms);
+  First.begin(0, 100, Old, 60s);
+  Where.m_Timers.advance(5s);
+  Where.m_Tables.m_Rows.clear();
+  ++Where.m_Tables.m_Era;
+  First.begin(100, 1);
+  Where.m_Timers.advance(2 * Interval + 50ms);
+  BOOST_TEST(countAfterLoss(Where, 101) == 101U);
+}
+
+// Guards against origins that are lost with the writer of a zone, and against
+// instances that all write.
+BOOST_AUTO_TEST_CASE(TheNextHubWritesTheLastOnesAgain) {
+  World Where;
+  Instance Second(Where);
+  Second.m_Exchange.setHubs({instanceIdOf("other"), instanceIdOf("edge-1")});
+  Second.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(10s);
+  Second.begin(0, 10);
+  Where.m_Timers.advance(2s);
+  Second.begin(10, 10);
+  Where.m_Timers.advance(2s);
+  BOOST_TEST(Where.m_Tables.m_Writes == 0U);
+  Second.m_Exchange.setActiveHub(true);
+  Where.m_Timers.advance(50ms);
+  BOOST_TEST(Where.m_Tables.m_Writes == 1U);
+  BOOST_TEST(countAfterLoss(Where, 20) == 10U);
+  Instance NoHub(Where, "edge-3");
+  NoHub.m_Exchange.setHubs({instanceIdOf("other")});
+  const std::size_t Calls = Where.m_Tables.calls();
+  NoHub.m_Archive.setMixedServices(Mixed);
+  NoHub.begin(100, 10);
+  Where.m_Timers.advance(10s);
+  BOOST_TEST(Where.m_Tables.calls() == Calls);
+}
+
+// Guards against a loss between a second version and the writer's first row.
+BOOST_AUTO_TEST_CASE(TheNextHubWritesAllOfANewMix) {
+  World Where;
+  Instance Second(Where);
+  Second.m_Exchange.setHubs({instanceIdOf("other"), instanceIdOf("edge-1")});
+  Second.m_Archive.setMixedServices({});
+  Second.begin(0, 10, Old, 30s);
+  Where.m_Timers.advance(10s);
+  Second.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(1s);
+  Second.m_Exchange.setActiveHub(true);
+  Where.m_Timers.advance(50ms);
+  BOOST_TEST(countAfterLoss(Where, 10) == 10U);
+}
+
+// Guards against a process that overwrites the rows of the one before it.
+BOOST_AUTO_TEST_CASE(ARestartedWriterContinuesAfterItsLastRow) {
+  World Where;
+  {
+    Instance First(Where);
+    First.m_Archive.setMixedServices(Mixed);
+    First.begin(0, 10, Old, 60s);
+    Where.m_Timers.advance(1s);
+    First.begin(10, 10, Old, 60s);
+    Where.m_Timers.advance(1s);
+  }
+  Where.m_Tables.m_AnswerTime = 600ms;
+  Instance Again(Where);
+  Again.m_Archive.setMixedServices(Mixed);
+  Again.begin(20, 10, Old, 60s);
+  Where.m_Timers.advance(2s);
+  Where.m_Tables.m_AnswerTime = 5ms;
+  BOOST_TEST(countAfterLoss(Where, 30) == 30U);
+}
+
+// Guards against a row that breaks the reader or states foreign origins.
+BOOST_AUTO_TEST_CASE(BadRowsAreIgnored) {
+  World Where;
+  const std::string Good = originRowValue("edge-1", {{keyOf(0), Old, 10s}});
+  Where.m_Tables.put("edge-1/00", Good);
+  const std::string Other = originRowValue("edge-1", {{keyOf(1), Old, 10s}});
+  for (const char *Key :
+       {"edge-2/00", "edge-1/64", "edge-1/x1", "edge-1/001", "edge-1", "/00"})
+    Where.m_Tables.put(Key, Other);
+  Where.m_Tables.put("edge-1/01", "{");
+  Where.m_Tables.put("edge-1/02", Other + std::string(65536, ' '));
+  Where.m_Tables.put("edge-1/03", R"({"format":1,"writer":"edge-1","origins":[)"
+                                  R"({"service":"s","version":"v1",)"
+                                  R"("streams":"AAAA"}]})");
+  Where.m_Tables.put("edge-1/04", R"({"format":2,"writer":"edge-1"})");
+  BOOST_TEST(countAfterLoss(Where, 2) == 1U);
+}
+
+// Guards against an origin that a late batch changes.
+BOOST_AUTO_TEST_CASE(ALateBatchDoesNotChangeAnOrigin) {
+  World Where;
+  Where.m_Tables.put(
+      "edge-2/00",
+      originRowValue("edge-2", {{keyOf(0), Old, 10s}, {keyOf(1), New, 10s}}));
+  Where.m_Tables.m_AnswerTime = 500ms;
+  Instance Later(Where);
+  Later.m_Archive.setMixedServices(Mixed);
+  Later.begin(0, 2, Old); // Resumed, and recorded again.
+  Where.m_Timers.advance(1s);
+  BOOST_REQUIRE(Later.m_Exchange.findLocal(keyOf(0)) != nullptr);
+  BOOST_TEST((*Later.m_Exchange.findLocal(keyOf(0)) == Old));
+  BOOST_TEST(Later.m_Exchange.findLocal(keyOf(1)) == nullptr);
+  BOOST_TEST(Later.m_Exchange.isUnproven(keyOf(1)));
+}
+
+// Guards against a refusal for good while the archive is being read, and
+// against callers who wait for longer than for other instances.
+BOOST_AUTO_TEST_CASE(ALookupWaitsForTheArchive) {
+  World Where;
+  Where.m_Tables.put("edge-2/00",
+                     originRowValue("edge-2", {{keyOf(0), Old, 10s}}));
+  Where.m_Tables.m_AnswerTime = 200ms;
+  Instance Later(Where);
+  Later.m_Archive.setMixedServices(Mixed);
+  Later.startLookup(0);
+  Where.m_Timers.advance(199ms);
+  BOOST_TEST(!Later.m_Found.has_value());
+  Where.m_Timers.advance(1ms);
+  BOOST_REQUIRE(Later.m_Found.has_value());
+  BOOST_TEST((Later.m_Found->m_Origin == Old));
+}
+
+// Guards against callers that are told that a stream is lost because the store
+// is away.
+BOOST_AUTO_TEST_CASE(WithoutTheStoreALookupIsUnanswered) {
+  World Where;
+  Where.m_Tables.put("edge-2/00",
+                     originRowValue("edge-2", {{keyOf(0), Old, 60s}}));
+  Where.m_Tables.m_IsAway = true;
+  Instance Later(Where); // Not even the register was read.
+  for (const bool IsRegisterRead : {false, true}) {
+    if (IsRegisterRead)
+      Later.m_Archive.setMixedServices(Mixed);
+    Later.m_Found.reset();
+    Later.startLookup(0);
+    Where.m_Timers.advance(OriginExchange::LookupTimeout - 1ms);
+    BOOST_TEST(!Later.m_Found.has_value());
+    Where.m_Timers.advance(1ms);
+    BOOST_REQUIRE(Later.m_Found.has_value());
+    BOOST_TEST(Later.m_Found->m_UnansweredCount == 1U);
+  }
+  Where.m_Tables.m_IsAway = false;
+  Where.m_Timers.advance(OriginArchive::MaxReadPause);
+  BOOST_TEST(Later.knownCount(1) == 1U);
+}
+
+// Guards against a stream of an unproven process that is saved as of none.
+BOOST_AUTO_TEST_CASE(AnUnprovenStreamIsSavedAsSuch) {
+  World Where;
+  Instance First(Where);
+  First.m_Archive.setMixedServices(Mixed);
+  First.begin(0, 1, {"s", SoftwareVersion()});
+  Where.m_Timers.advance(Interval + 20ms);
+  Instance Later(Where, "edge-2");
+  Later.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(100ms);
+  BOOST_TEST(Later.m_Exchange.isUnproven(keyOf(0)));
+}
