Feature: Resume streams after the loss of all instances

Cause: SoftwareHistory starts empty in each process. After the loss of all instances streams whose callers don't name them were joined from two versions, and named ones were refused although their version was in service.

Change: a register of software versions, rows #software/HASH of the table of the instances, which every instance reads anyway. The reader (with hubs, that of the first zone) writes a missing row at once, others after 2 to 5 s, and those without a role after 4 to 7 s; rows go 60 s after the version's last upstream. A sole version must be in the register, and be the only one in the register, the list and the instance's own history. Streams that no instance and no archive know continue there, also named ones, unless the store can't be reached or the route has several services. Upstreams of a version that isn't registered get no calls for up to 1 s while others serve.

Ruled out: the time of 2 to 5 s for instances without a role. A fleet that starts for the first time has no reader for the first reads, which are 3 s apart, and a third of it would write. Also a sole version for named streams at an instance that is cut off: the others may have seen a new version since.

The environment of forwarded_request tests gets a register with what is listed, as there is no sole version without one.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -161,6 +161,7 @@
   States Listed;
   for (auto &[Id, State] : m_States)
     if (isEligible(State, Query) &&
+        (Query.m_RequiredSoftware || !m_HeldBack.contains(Id)) &&
         std::find(Query.m_Excluded.begin(), Query.m_Excluded.end(), Id) ==
             Query.m_Excluded.end() &&
         mayPlaceAt(State, Now) && (!IsBrittle || mayPlaceAtBrittle(State, Now)))
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -20,6 +20,7 @@
 #include "speed/upstream_speeds.h"
 
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace crowstep::balance {
@@ -50,6 +51,12 @@
   /// an upstream is used if too few of its service can be reached directly.
   void setPathLost(UpstreamId Upstream, bool IsLost);
 
+  /// Sets the upstreams that get no calls for now, apart from streams that must
+  /// continue at their version.
+  void setHeldBack(std::set<UpstreamId> Upstreams) {
+    m_HeldBack = std::move(Upstreams);
+  }
+
   /// Returns a listed upstream, or null; valid until the next change.
   [[nodiscard]] const Upstream *findUpstream(UpstreamId Id) const;
 
@@ -240,6 +247,7 @@
   std::map<std::string, std::size_t>
       m_ActiveUpstreamCounts;                   ///< Not draining, by service.
   std::map<UpstreamId, UpstreamState> m_States; ///< Listed upstreams.
+  std::set<UpstreamId> m_HeldBack;              ///< See setHeldBack().
   std::unordered_map<TicketId, Ticket>
       m_Tickets;                  ///< Calls that have not ended.
   std::uint64_t m_LastTicket = 0; ///< The first id is 1.
--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -43,6 +43,9 @@
 
 void DigestExchange::setPeers(const PeerList &Peers) {
   m_Plan = planExchange(m_Self, Peers.m_Instances);
+  m_FirstZone = m_Self.m_Zone.m_Name;
+  for (const PeerInstance &Peer : Peers.m_Instances)
+    m_FirstZone = std::min(m_FirstZone, Peer.m_Zone.m_Name);
   if (m_Links == nullptr) {
     m_Links = m_OpenLinks(Peers.m_Key, *this);
     sendDigests();
@@ -182,6 +185,11 @@
   return Own == Readers.begin() ? ReadingRole::Reader : ReadingRole::Deputy;
 }
 
+bool DigestExchange::isFirstReader() const {
+  return readingRole() == ReadingRole::Reader &&
+         (m_Plan.m_Hubs.empty() || m_Self.m_Zone.m_Name == m_FirstZone);
+}
+
 void DigestExchange::sendUpdate(const DirectoryUpdate &Update) {
   for (const auto &[Link, Peer] : m_PeerLinks)
     if (isNearPeer(Peer))
--- a/src/gateway/digest_exchange.h
+++ b/src/gateway/digest_exchange.h
@@ -70,6 +70,10 @@
   /// peers; Alone if there are none.
   [[nodiscard]] ReadingRole readingRole() const;
 
+  /// Returns whether this instance is the reader, and in a fleet with hubs, in
+  /// which each zone has one, the reader of the first zone.
+  [[nodiscard]] bool isFirstReader() const;
+
   /// Returns whether this instance may hold the duties.
   [[nodiscard]] bool isDutyCandidate() const {
     return m_Plan.m_IsDutyCandidate;
@@ -121,6 +125,7 @@
   Counter &m_UpdatesDropped;            ///< From others, or malformed.
   std::unique_ptr<link::Links> m_Links; ///< Null until the key is known.
   ExchangePlan m_Plan;                  ///< For the last list of peers.
+  std::string m_FirstZone;              ///< Of all zones, by name.
   std::set<Address> m_Dialled;          ///< Peers that this instance dials.
   std::map<link::LinkId, PeerLink> m_PeerLinks; ///< Established links.
   bool m_LastDigestEmpty = true;                ///< Or none was sent yet.
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -5,6 +5,7 @@
 #include "content_hash.h"
 #include "core/strong_id.h"
 #include "gateway/route_table.h"
+#include "gateway/software_history.h"
 #include "upstream_type.h"
 
 #include <chrono>
@@ -95,6 +96,10 @@
   /// The whole list of quarantined requests and segments.
   virtual void quarantineChanged(const std::set<ContentHash> &Listed) = 0;
 
+  /// The whole register of software versions, also if it is empty, once the
+  /// directory has been read and whenever instances or versions change.
+  virtual void softwareRegistered(const ServiceVersions &Registered) = 0;
+
   /// Changes just read, to be sent to the near peers. Called in the roles of
   /// reader and deputy only.
   virtual void updateRead(const DirectoryUpdate &Update) = 0;
@@ -118,6 +123,18 @@
   virtual void listQuarantined(const ContentHash &Suspect) = 0;
   virtual void unlistQuarantined(const ContentHash &Suspect) = 0;
 
+  /// Adds a software version of a service to the register, or removes it. An
+  /// empty \p Text stands for an unknown version. Only the register itself
+  /// shows whether that succeeded.
+  virtual void registerSoftware(const std::string &Service,
+                                const std::string &Text) = 0;
+  virtual void unregisterSoftware(const std::string &Service,
+                                  const std::string &Text) = 0;
+
+  /// Returns whether the register is as new as the directory's readers get it;
+  /// an instance that is cut off from the store doesn't learn of new versions.
+  [[nodiscard]] virtual bool isRegisterCurrent() const { return true; }
+
   /// Sets the role of this instance; Alone at first.
   virtual void setReadingRole(ReadingRole Role) = 0;
 
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -338,8 +338,11 @@
 /// can't be resumed.
 void ForwardedRequest::handleUnproven() {
   m_SkipsProcessCheck = !m_Origin;
-  if (m_SkipsProcessCheck)
+  if (m_SkipsProcessCheck) {
+    // The register learns of it before the first event.
+    reportUnproven();
     m_TriedUpstreams.pop_back();
+  }
   handleUnsent(balance::CallOutcome::Dropped);
 }
 
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -108,16 +108,14 @@
 
 void ForwardedRequest::findOrigin() {
   if (m_Admitted.m_Facts.m_Resumes.empty()) {
-    if (const auto Sole = m_Context.m_SoftwareHistory.soleVersionOf(
-            m_Service, m_Context.m_Clock.now()))
-      continueFrom({m_Service, *Sole});
-    else
-      handleOrigin({});
+    handleOrigin({});
     return;
   }
   const resume::StreamKey Key = streamKey();
   if (const resume::StreamOrigin *Known = m_Context.m_Origins.findLocal(Key))
     continueFrom(*Known);
+  else if (m_Context.m_Origins.isUnproven(Key))
+    refuseUnknownOrigin({}, false);
   else
     m_OriginLookup =
         m_Context.m_Origins.ask(Key, [this](const resume::LookupResult &Found) {
@@ -125,21 +123,58 @@
         });
 }
 
-/// Another attempt may find what was not answered in time; what all deny is
-/// known nowhere.
+bool ForwardedRequest::isRegisterCurrent() const {
+  return m_Context.m_SoftwareHistory.isRegisterRead() &&
+         (!m_Context.m_IsRegisterCurrent || m_Context.m_IsRegisterCurrent());
+}
+
+/// Returns the version that alone can have begun a stream which nobody knows.
+/// Versions of different services don't fit together, so there is none if the
+/// stream may have begun at several services. An instance that is cut off from
+/// the store, and perhaps from those that know a named stream, must not decide
+/// by an old register.
+std::optional<SoftwareVersion> ForwardedRequest::soleVersion() const {
+  const bool IsNamed = !m_Admitted.m_Facts.m_Resumes.empty();
+  if (m_Admitted.m_Route->m_Services.size() != 1 ||
+      (IsNamed && !isRegisterCurrent()))
+    return std::nullopt;
+  return m_Context.m_SoftwareHistory.soleVersionOf(m_Service,
+                                                   m_Context.m_Clock.now());
+}
+
 void ForwardedRequest::handleOrigin(const resume::LookupResult &Found) {
   m_OriginLookup.reset();
-  if (Found.m_Origin) {
+  if (Found.m_Origin && Found.m_Origin->m_Software.isKnown()) {
     continueFrom(*Found.m_Origin);
     return;
   }
+  if (Found.m_Origin) {
+    refuseUnknownOrigin(Found, false);
+    return;
+  }
+  if (const auto Sole = soleVersion())
+    continueFrom({m_Service, *Sole});
+  else
+    refuseUnknownOrigin(Found,
+                        Found.m_UnansweredCount > 0 || !isRegisterCurrent());
+}
+
+/// Another attempt may find what was not answered in time (\p MayChange); what
+/// all deny is known nowhere.
+void ForwardedRequest::refuseUnknownOrigin(const resume::LookupResult &Found,
+                                           bool MayChange) {
   logEvent(LogEvent::GatewayOriginUnknown,
            {{"request", m_Admitted.m_Facts.m_Id},
             {"resumes", m_Admitted.m_Facts.m_Resumes},
             {"asked", std::to_string(Found.m_AskedCount)},
             {"unanswered", std::to_string(Found.m_UnansweredCount)}});
   refuse(RefusalReason::OriginUnknown,
-         Found.m_UnansweredCount > 0 ? BusyRetryAfter : Duration::zero());
+         MayChange ? BusyRetryAfter : Duration::zero());
+}
+
+void ForwardedRequest::reportUnproven() {
+  if (isRetryable() && m_Context.m_OnUnproven)
+    m_Context.m_OnUnproven(m_Service);
 }
 
 /// Versions are compared within a service, so the stream stays at its own as
@@ -157,14 +192,21 @@
 /// Runs before the caller gets the stream's first event of this attempt: once
 /// it has that event, it may name the stream to any instance.
 void ForwardedRequest::recordOrigin() {
+  bool IsDoubtful = false; // The directory stated another version, or had one.
   if (!m_Origin) {
     const Upstream *Listed =
         m_Context.m_Balancer.findUpstream(m_TriedUpstreams.back());
     if (Listed != nullptr && !m_SkipsProcessCheck)
       m_Software.merge(Listed->m_Software);
     m_Origin = resume::StreamOrigin{m_Service, m_Software};
+    IsDoubtful = !m_Software.isKnown() &&
+                 (Listed == nullptr || Listed->m_Software.isKnown());
   }
-  if (isRetryable() && m_Origin->m_Software.isKnown())
+  if (IsDoubtful)
+    reportUnproven();
+  // Without a record a stream of doubtful origin would be taken for one of the
+  // sole version. Where upstreams state no version there is no sole one.
+  if (isRetryable() && (IsDoubtful || m_Origin->m_Software.isKnown()))
     m_Context.m_Origins.record(
         {streamKey(), *m_Origin, timeLeft() + TimeBetweenAttempts});
 }
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -47,6 +47,14 @@
   std::function<double()> m_Random;         ///< In [0, 1).
   std::function<bool()> m_IsClosing;        ///< Connections are to be closed.
   duty::UsageMeter *m_Usage = nullptr;      ///< Null: usage is not counted.
+
+  /// Called when a resumable stream of a service begins at a process whose
+  /// version can't be proven; may be empty.
+  std::function<void(const std::string &Service)> m_OnUnproven{};
+
+  /// Returns whether the register of software versions is up to date; empty: it
+  /// always is.
+  std::function<bool()> m_IsRegisterCurrent{};
 };
 
 class ForwardedRequest final : private UpstreamListener {
@@ -71,6 +79,10 @@
 
   void findOrigin();
   void handleOrigin(const resume::LookupResult &Found);
+  [[nodiscard]] bool isRegisterCurrent() const;
+  [[nodiscard]] std::optional<SoftwareVersion> soleVersion() const;
+  void refuseUnknownOrigin(const resume::LookupResult &Found, bool MayChange);
+  void reportUnproven();
   void continueFrom(const resume::StreamOrigin &Origin);
   void recordOrigin();
   [[nodiscard]] resume::StreamKey streamKey() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -94,6 +94,22 @@
       m_CrashWatch(m_Clock, m_Timers, m_Balancer, m_Upstream, m_Metrics),
       m_PlatformParts(MakeParts(m_Clock, m_Timers, m_Metrics)),
       m_Usage(makeUsageParts()), m_Duties(makeDutyHolder()),
+      m_SoftwareRegister(
+          m_SoftwareHistory, *m_PlatformParts.m_Directory, m_Clock, m_Timers,
+          [this] { return std::uniform_real_distribution<>()(m_Random); },
+          m_Metrics,
+          {[this](const std::set<UpstreamId> &Held) {
+             m_Balancer.setHeldBack(Held);
+           },
+           [this](const std::set<std::string> &Services) {
+             if (m_OriginArchive != nullptr)
+               m_OriginArchive->setMixedServices(Services);
+           }}),
+      m_OriginArchive(m_PlatformParts.m_Tables == nullptr
+                          ? nullptr
+                          : std::make_unique<resume::OriginArchive>(
+                                m_Settings.m_Name, *m_PlatformParts.m_Tables,
+                                m_Clock, m_Timers, m_Metrics)),
       m_Origins(instanceIdOf(m_Settings.m_Name), m_Settings.m_Zone, m_Clock,
                 m_Timers, m_Metrics),
       m_Exchange(
@@ -107,27 +123,35 @@
           },
           m_Usage == nullptr ? nullptr : &m_Usage->m_Exchange, &m_Origins),
       m_CallRelay(makeCallRelay()),
-      m_Context{m_Clock,
-                m_Timers,
-                m_Balancer,
-                m_Budget,
-                m_CallRelay->transport(),
-                m_CrashWatch,
-                m_Origins,
-                m_SoftwareHistory,
-                *m_PlatformParts.m_Codec,
-                m_Stats,
-                m_WaitQueue,
-                m_AnswerMemory,
-                [this] { return std::uniform_real_distribution<>()(m_Random); },
-                [this] { return m_ClosingConnections; },
-                m_Usage == nullptr ? nullptr : &m_Usage->m_Meter},
+      m_Context{
+          m_Clock,
+          m_Timers,
+          m_Balancer,
+          m_Budget,
+          m_CallRelay->transport(),
+          m_CrashWatch,
+          m_Origins,
+          m_SoftwareHistory,
+          *m_PlatformParts.m_Codec,
+          m_Stats,
+          m_WaitQueue,
+          m_AnswerMemory,
+          [this] { return std::uniform_real_distribution<>()(m_Random); },
+          [this] { return m_ClosingConnections; },
+          m_Usage == nullptr ? nullptr : &m_Usage->m_Meter,
+          [this](const std::string &Service) {
+            m_SoftwareRegister.recordUnproven(Service);
+          },
+          [this] { return m_PlatformParts.m_Directory->isRegisterCurrent(); }},
       m_LoopLoad(m_Clock), m_Admission(m_LoopLoad),
       m_Front(
           arrivalLimits({}),
           [this](RefusalReason Reason) { m_Stats.countRefusal(Reason); },
           m_Timers),
-      m_CleanupTimer(m_Timers), m_StopTimer(m_Timers) {}
+      m_CleanupTimer(m_Timers), m_StopTimer(m_Timers) {
+  if (m_OriginArchive != nullptr)
+    m_Origins.setArchive(*m_OriginArchive);
+}
 
 Gateway::~Gateway() = default;
 
@@ -212,15 +236,16 @@
     m_Balancer.setCacheCapacity(Entry.m_Name, Entry.m_CacheTokens);
   m_Balancer.setMinPauses(minPausesByService(m_Table->data()));
   m_CallRelay->setTable(m_Table);
+  m_SoftwareRegister.setServices(resumableServices(m_Table->data()));
   m_Metrics.gauge("crowstep_table_version")
       .set(static_cast<double>(m_Table->version().value()));
 }
 
 void Gateway::upstreamsChanged(const std::vector<Upstream> &List) {
   m_UpstreamsKnown = true;
-  m_SoftwareHistory.record(List, m_Clock.now());
   m_CrashWatch.upstreamsChanged(List);
   m_Balancer.setUpstreams(List);
+  m_SoftwareRegister.setUpstreams(List);
   m_CallRelay->setUpstreams(List);
 }
 
@@ -277,6 +302,7 @@
   if (m_Duties != nullptr)
     m_Duties->setCandidate(m_Exchange.isDutyCandidate());
   const ReadingRole Role = m_Exchange.readingRole();
+  m_SoftwareRegister.setRole(Role, m_Exchange.isFirstReader());
   if (Role == m_ReadingRole)
     return;
   m_ReadingRole = Role;
@@ -286,6 +312,10 @@
   m_PlatformParts.m_Directory->setReadingRole(Role);
 }
 
+void Gateway::softwareRegistered(const ServiceVersions &Registered) {
+  m_SoftwareRegister.setRegister(Registered);
+}
+
 void Gateway::updateRead(const DirectoryUpdate &Update) {
   m_Exchange.sendUpdate(Update);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/directory.h"
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/software_register.h"
 #include "http/frontend.h"
 #include "link/link_tcp.h"
 #include "relay/call_relay.h"
@@ -30,7 +31,7 @@
     std::unique_ptr<Directory> m_Directory; ///< Never null.
     std::unique_ptr<HeaderCodec> m_Codec;   ///< Never null.
     std::unique_ptr<platform::TableService>
-        m_Tables; ///< Null only without duties.
+        m_Tables; ///< Null: there are no duties, and no origins are archived.
     std::unique_ptr<duty::DutyPlatform>
         m_DutyPlatform; ///< Null only without duties.
   };
@@ -76,6 +77,7 @@
   std::unique_ptr<relay::CallRelay> makeCallRelay();
   void peersChanged(const PeerList &List) override;
   void quarantineChanged(const std::set<ContentHash> &Listed) override;
+  void softwareRegistered(const ServiceVersions &Registered) override;
   void updateRead(const DirectoryUpdate &Update) override;
 
   void handle(IncomingRequest Request, std::unique_ptr<Caller> From);
@@ -105,16 +107,18 @@
   std::unique_ptr<UsageParts> m_Usage;        ///< Null: no usage is reported.
   std::unique_ptr<duty::DutyHolder> m_Duties; ///< Null: there are no duties.
   SoftwareHistory m_SoftwareHistory;          ///< Of the upstreams.
-  resume::OriginExchange m_Origins;           ///< Knows where streams began.
-  DigestExchange m_Exchange;                  ///< With other instances.
-  std::unique_ptr<relay::CallRelay> m_CallRelay;  ///< Calls and their paths.
-  ForwardContext m_Context;                       ///< Shared by requests.
-  MainLoopLoad m_LoopLoad;                        ///< Of the loop.
-  ConnectionAdmission m_Admission;                ///< Of callers' connections.
-  Frontend m_Front;                               ///< Callers' connections.
-  HttpServer m_ProbeServer;                       ///< Readiness and metrics.
-  RouteTablePtr m_Table;                          ///< In force; null: none yet.
-  bool m_UpstreamsKnown = false;                  ///< A list was received.
+  SoftwareRegister m_SoftwareRegister;        ///< Of all instances.
+  std::unique_ptr<resume::OriginArchive> m_OriginArchive; ///< May be null.
+  resume::OriginExchange m_Origins;              ///< Knows where streams began.
+  DigestExchange m_Exchange;                     ///< With other instances.
+  std::unique_ptr<relay::CallRelay> m_CallRelay; ///< Calls and their paths.
+  ForwardContext m_Context;                      ///< Shared by requests.
+  MainLoopLoad m_LoopLoad;                       ///< Of the loop.
+  ConnectionAdmission m_Admission;               ///< Of callers' connections.
+  Frontend m_Front;                              ///< Callers' connections.
+  HttpServer m_ProbeServer;                      ///< Readiness and metrics.
+  RouteTablePtr m_Table;                         ///< In force; null: none yet.
+  bool m_UpstreamsKnown = false;                 ///< A list was received.
   ReadingRole m_ReadingRole = ReadingRole::Alone; ///< As set in the directory.
   std::unordered_map<std::uint64_t, std::unique_ptr<ForwardedRequest>>
       m_Requests; ///< In progress.
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -55,6 +55,17 @@
   return std::visit(Visitor{}, Kind);
 }
 
+std::set<std::string> resumableServices(const RouteTableData &Table) {
+  std::set<std::string> Result;
+  for (const Route &Entry : Table.m_Routes) {
+    const auto *Stream = std::get_if<EventStream>(&Entry.m_Kind);
+    if (Stream != nullptr && Stream->m_Resumable)
+      for (const ServiceShare &Share : Entry.m_Services)
+        Result.insert(Share.m_Service);
+  }
+  return Result;
+}
+
 std::map<std::string, Duration>
 minPausesByService(const RouteTableData &Table) {
   std::map<std::string, Duration> Result;
--- a/src/gateway/route_type.h
+++ b/src/gateway/route_type.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -95,6 +96,9 @@
   CallerLimits m_Limits;                    ///< For all routes.
 };
 
+/// Returns the services of routes whose streams may be resumed.
+std::set<std::string> resumableServices(const RouteTableData &Table);
+
 /// Returns the shortest target of a pause between events among a service's
 /// routes, by service; services without such a route are left out.
 std::map<std::string, Duration> minPausesByService(const RouteTableData &Table);
--- a/src/gateway/software_history.cpp
+++ b/src/gateway/software_history.cpp
@@ -1,37 +1,96 @@
-/// Versions by service, with the time of their removal.
+/// Versions by service, with the time at which each was seen last.
 #include "gateway/software_history.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace crowstep::gateway {
 
 void SoftwareHistory::record(const std::vector<Upstream> &List, TimePoint Now) {
+  if (!m_FirstListAt)
+    m_FirstListAt = Now;
   for (auto &[Service, Versions] : m_Services) {
     for (auto &[Text, Known] : Versions)
       if (Known.m_IsListed)
-        Known = {false, Now, Known.m_Version};
+        Known = {false, Now};
     std::erase_if(Versions, [&](const auto &Entry) {
-      return Now - Entry.second.m_RemovedAt >= Memory;
+      return !isRecent(Entry.second, Now);
     });
   }
   for (const Upstream &Listed : List)
-    m_Services[Listed.m_Service][Listed.m_Software.text()] = {
-        true, TimePoint(), Listed.m_Software};
+    m_Services[Listed.m_Service][Listed.m_Software.text()] = {true, Now};
+}
+
+void SoftwareHistory::recordUnproven(const std::string &Service,
+                                     TimePoint Now) {
+  m_Services[Service][""].m_LastAt = Now;
+}
+
+void SoftwareHistory::setRegister(ServiceVersions Registered, TimePoint Now) {
+  m_Registered = std::move(Registered);
+  if (!m_RegisterReadAt)
+    m_RegisterReadAt = Now;
+}
+
+bool SoftwareHistory::isRegistered(const std::string &Service,
+                                   const std::string &Text) const {
+  const auto Found = m_Registered.find(Service);
+  return Found != m_Registered.end() && Found->second.contains(Text);
+}
+
+ServiceVersions SoftwareHistory::seenVersions(TimePoint Now) const {
+  ServiceVersions Result;
+  for (const auto &[Service, Versions] : m_Services)
+    for (const auto &[Text, Known] : Versions)
+      if (isRecent(Known, Now))
+        Result[Service].insert(Text);
+  return Result;
+}
+
+/// Versions that left before this instance read its first list may have been in
+/// service until then, so the time counts from both first reads.
+ServiceVersions SoftwareHistory::disusedVersions(TimePoint Now) const {
+  ServiceVersions Result;
+  if (!m_RegisterReadAt || !m_FirstListAt ||
+      Now - std::max(*m_RegisterReadAt, *m_FirstListAt) < Memory)
+    return Result;
+  const ServiceVersions Seen = seenVersions(Now);
+  for (const auto &[Service, Versions] : m_Registered) {
+    const auto Found = Seen.find(Service);
+    for (const std::string &Text : Versions)
+      if (Found == Seen.end() || !Found->second.contains(Text))
+        Result[Service].insert(Text);
+  }
+  return Result;
+}
+
+std::set<std::string> SoftwareHistory::mixedServices(TimePoint Now) const {
+  ServiceVersions InService = m_Registered;
+  for (const auto &[Service, Versions] : disusedVersions(Now))
+    for (const std::string &Text : Versions)
+      InService[Service].erase(Text);
+  for (const auto &[Service, Versions] : seenVersions(Now))
+    InService[Service].insert(Versions.begin(), Versions.end());
+  std::set<std::string> Result;
+  for (const auto &[Service, Versions] : InService)
+    if (Versions.size() > 1)
+      Result.insert(Service);
+  return Result;
 }
 
 std::optional<SoftwareVersion>
 SoftwareHistory::soleVersionOf(const std::string &Service,
                                TimePoint Now) const {
-  const auto Versions = m_Services.find(Service);
-  if (Versions == m_Services.end())
+  const auto Registered = m_Registered.find(Service);
+  if (Registered == m_Registered.end() || Registered->second.size() != 1)
     return std::nullopt;
-  std::optional<SoftwareVersion> Result;
-  for (const auto &[Text, Known] : Versions->second) {
-    if (!Known.m_IsListed && Now - Known.m_RemovedAt >= Memory)
-      continue;
-    if (Result || !Known.m_Version.isKnown())
-      return std::nullopt;
-    Result = Known.m_Version;
-  }
-  return Result;
+  const std::string &Sole = *Registered->second.begin();
+  if (const auto Versions = m_Services.find(Service);
+      Versions != m_Services.end())
+    for (const auto &[Text, Known] : Versions->second)
+      if (Text != Sole && isRecent(Known, Now))
+        return std::nullopt;
+  return Sole.empty() ? std::nullopt : std::optional(SoftwareVersion(Sole));
 }
 
 } // namespace crowstep::gateway
--- a/src/gateway/software_history.h
+++ b/src/gateway/software_history.h
@@ -1,7 +1,9 @@
 /// Which software versions the upstreams of each service have had lately.
 ///
-/// A caller that resumes a stream and does not name it can be served only where
-/// nothing but one version can have begun it.
+/// A stream whose origin no instance knows can be continued only where nothing
+/// but one version can have begun it. What this instance has seen itself isn't
+/// enough for that: all instances may have been lost since the stream began. So
+/// the store has a register of the versions, which outlives them.
 #ifndef CROWSTEP_GATEWAY_SOFTWARE_HISTORY_H
 #define CROWSTEP_GATEWAY_SOFTWARE_HISTORY_H
 
@@ -10,11 +12,19 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace crowstep::gateway {
 
+/// Software versions of one service, by their text; the empty text stands for
+/// an unknown version.
+using VersionTexts = std::set<std::string>;
+
+/// Software versions by service.
+using ServiceVersions = std::map<std::string, VersionTexts>;
+
 class SoftwareHistory {
 public:
   /// A version counts for this long after its last upstream was removed: longer
@@ -24,20 +34,57 @@
   /// Records the whole list of upstreams.
   void record(const std::vector<Upstream> &List, TimePoint Now);
 
-  /// Returns the version of all upstreams of \p Service in that time, as far as
-  /// this instance has seen; none: there were several, or an unknown one.
+  /// Records that a stream of \p Service has begun at a process whose version
+  /// isn't known.
+  void recordUnproven(const std::string &Service, TimePoint Now);
+
+  /// Records the whole register. The first call marks it as read.
+  void setRegister(ServiceVersions Registered, TimePoint Now);
+
+  [[nodiscard]] bool isRegisterRead() const {
+    return m_RegisterReadAt.has_value();
+  }
+
+  /// Returns the register; empty until it was read.
+  [[nodiscard]] const ServiceVersions &registered() const {
+    return m_Registered;
+  }
+  [[nodiscard]] bool isRegistered(const std::string &Service,
+                                  const std::string &Text) const;
+
+  /// Returns the versions of all services that this instance has itself seen
+  /// within the last Memory, the listed ones included.
+  [[nodiscard]] ServiceVersions seenVersions(TimePoint Now) const;
+
+  /// Returns the registered versions of which this instance has seen no
+  /// upstream for Memory, all of which it must have been running.
+  [[nodiscard]] ServiceVersions disusedVersions(TimePoint Now) const;
+
+  /// Returns the services of which several versions count as in service: those
+  /// that were seen, and the registered ones that are not disused.
+  [[nodiscard]] std::set<std::string> mixedServices(TimePoint Now) const;
+
+  /// Returns the version that alone can have begun a stream of \p Service; none
+  /// if the register wasn't read, doesn't hold it, or if the register or this
+  /// instance knows of another or an unknown one.
   [[nodiscard]] std::optional<SoftwareVersion>
   soleVersionOf(const std::string &Service, TimePoint Now) const;
 
 private:
   struct Seen {
-    bool m_IsListed = false;   ///< In the last list.
-    TimePoint m_RemovedAt{};   ///< Of the last one, unless it is listed.
-    SoftwareVersion m_Version; ///< May be unknown.
+    bool m_IsListed = false; ///< In the last list.
+    TimePoint m_LastAt{};    ///< When it was seen last, unless it is listed.
   };
 
+  [[nodiscard]] static bool isRecent(const Seen &Known, TimePoint Now) {
+    return Known.m_IsListed || Now - Known.m_LastAt < Memory;
+  }
+
   std::map<std::string, std::map<std::string, Seen>>
-      m_Services; ///< By service, then by text of the version.
+      m_Services;               ///< By service, then by text of the version.
+  ServiceVersions m_Registered; ///< As read last.
+  std::optional<TimePoint> m_RegisterReadAt; ///< When it was read first.
+  std::optional<TimePoint> m_FirstListAt;    ///< When a list was read first.
 };
 
 } // namespace crowstep::gateway
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -17,6 +17,8 @@
   void deregister() override {}
   void listQuarantined(const ContentHash &) override { ++m_Listed; }
   void unlistQuarantined(const ContentHash &) override { ++m_Unlisted; }
+  void registerSoftware(const std::string &, const std::string &) override {}
+  void unregisterSoftware(const std::string &, const std::string &) override {}
   void setReadingRole(ReadingRole) override {}
   void receiveUpdate(const DirectoryUpdate &) override {}
 
--- a/tests/unit/directory_zone.h
+++ b/tests/unit/directory_zone.h
@@ -101,6 +101,7 @@
   }
   void peersChanged(const gateway::PeerList &) override {}
   void quarantineChanged(const std::set<ContentHash> &) override {}
+  void softwareRegistered(const gateway::ServiceVersions &) override {}
   void upstreamsChanged(const std::vector<Upstream> &List) override {
     m_Names.clear();
     for (const Upstream &Entry : List)
--- a/tests/unit/forwarded_request_env.h
+++ b/tests/unit/forwarded_request_env.h
@@ -182,6 +182,8 @@
   void setUpstreams(const std::vector<Upstream> &List) {
     m_Balancer.setUpstreams(List);
     m_SoftwareHistory.record(List, m_Clock.now());
+    m_SoftwareHistory.setRegister(m_SoftwareHistory.seenVersions(m_Clock.now()),
+                                  m_Clock.now());
   }
 
   /// Places another call at each upstream.
--- a/tests/unit/path_fleet.h
+++ b/tests/unit/path_fleet.h
@@ -54,6 +54,8 @@
   void deregister() override {}
   void listQuarantined(const ContentHash &) override {}
   void unlistQuarantined(const ContentHash &) override {}
+  void registerSoftware(const std::string &, const std::string &) override {}
+  void unregisterSoftware(const std::string &, const std::string &) override {}
   void setReadingRole(ReadingRole) override {}
   void receiveUpdate(const DirectoryUpdate &) override {}
 };
--- a/tests/unit/store_directory_test.cpp
+++ b/tests/unit/store_directory_test.cpp
@@ -45,6 +45,9 @@
   void quarantineChanged(const std::set<ContentHash> &Listed) override {
     m_Quarantined = Listed;
   }
+  void softwareRegistered(const gateway::ServiceVersions &All) override {
+    m_Registered = All;
+  }
   void updateRead(const gateway::DirectoryUpdate &) override {}
   void upstreamsChanged(const std::vector<Upstream> &List) override {
     m_Names.clear();
@@ -58,6 +61,7 @@
   std::vector<std::uint64_t> m_TableVersions; ///< In the order of arrival.
   std::vector<std::string> m_Names;           ///< Listed now.
   std::set<ContentHash> m_Quarantined;        ///< Listed now.
+  std::optional<gateway::ServiceVersions> m_Registered; ///< None: not read.
 };
 
 /// An instance that knows three upstreams.
--- a/tests/unit/stream_origin_test.cpp
+++ b/tests/unit/stream_origin_test.cpp
@@ -183,6 +183,59 @@
   BOOST_TEST(Unknown.answer().m_Status == 503U);
 }
 
+// Guards against refusals after the loss of all instances where one version
+// alone can have begun the stream.
+BOOST_AUTO_TEST_CASE(ANamedStreamThatNobodyKnowsUsesTheSoleVersion) {
+  TestEnv Env(Resumable, 3, resumesAfter(3, "first"));
+  BOOST_TEST(Env.calls() == 0U);
+  const auto OnDone = std::move(Env.m_Origins.m_OnDone);
+  OnDone({std::nullopt, 6, 0});
+  BOOST_REQUIRE(Env.calls() == 1U);
+  Env.sendGoodHeaders(0);
+  Env.sendBytes(0, event(4));
+  BOOST_REQUIRE(Env.m_Origins.m_Records.size() == 1U);
+  BOOST_TEST((Env.m_Origins.m_Records[0].m_Origin ==
+              StreamOrigin{"s", SoftwareVersion("1.0")}));
+}
+
+// Guards against an instance that is cut off and takes the only version that it
+// knows for the only one there is.
+BOOST_AUTO_TEST_CASE(AnOldRegisterProvesNothing) {
+  TestEnv Env(Resumable, 3, resumesAfter(3, "first"));
+  Env.m_Context.m_IsRegisterCurrent = [] { return false; };
+  const auto OnDone = std::move(Env.m_Origins.m_OnDone);
+  OnDone({std::nullopt, 0, 0});
+  BOOST_TEST(Env.calls() == 0U);
+  BOOST_TEST(Env.answer().m_Status == 503U);
+  BOOST_TEST(Env.answerHas("Retry-After"));
+}
+
+// Guards against the sole version for a stream that is known to have begun at
+// an unknown one.
+BOOST_AUTO_TEST_CASE(AnUnprovenStreamIsNotContinued) {
+  TestEnv Env(Resumable, 3, resumesAfter(3, "first"));
+  const auto OnDone = std::move(Env.m_Origins.m_OnDone);
+  OnDone({StreamOrigin{"s", SoftwareVersion()}, 6, 0});
+  BOOST_TEST(Env.calls() == 0U);
+  BOOST_TEST(Env.m_Record.m_Answers.at(0).m_Status == 503U);
+}
+
+// Guards against a refusal for good before the register could be read.
+BOOST_AUTO_TEST_CASE(WithoutTheRegisterCallersAreToldToRetry) {
+  for (const HeaderList &Headers :
+       {HeaderList{{"Call-After", "3"}}, resumesAfter(3, "first")}) {
+    TestEnv Env(Resumable, 3, Headers, PlainService{4}, {}, [](TestEnv &Made) {
+      Made.m_SoftwareHistory = SoftwareHistory();
+    });
+    if (Env.m_Origins.m_OnDone) {
+      const auto OnDone = std::move(Env.m_Origins.m_OnDone);
+      OnDone({std::nullopt, 6, 0});
+    }
+    BOOST_TEST(Env.calls() == 0U);
+    BOOST_TEST(Env.answerHas("Retry-After"));
+  }
+}
+
 // Guards against a version that is taken for the only one right after another
 // one was removed.
 BOOST_AUTO_TEST_CASE(ARemovedVersionCountsForAWhile) {
@@ -201,6 +254,7 @@
     return History.soleVersionOf("s", Begin + After);
   };
   BOOST_TEST(!Sole(0s).has_value());
+  History.setRegister({{"s", {"v2"}}}, Begin);
   History.record(ListOf({Old, New}), Begin);
   BOOST_TEST(!Sole(1h).has_value());
   History.record(ListOf({New}), Begin + 1h);
@@ -266,6 +320,18 @@
              nullptr);
 }
 
+// Guards against an origin that says only half of what differs.
+BOOST_AUTO_TEST_CASE(OriginsOfTwoServicesAreUnknown) {
+  StreamOrigins Origins;
+  const resume::StreamKey Key = resume::streamKeyOf("w", "a");
+  const TimePoint Begin{};
+  Origins.record({Key, {"s", Old}, 10s}, Begin);
+  Origins.record({Key, {"t", Old}, 10s}, Begin);
+  BOOST_TEST(Origins.find(Key, Begin + 1s) == nullptr);
+  BOOST_TEST(Origins.findUnproven(Key, Begin + 1s) != nullptr);
+  BOOST_TEST(Origins.findUnproven(Key, Begin + 10s) == nullptr);
+}
+
 // Guards against a version that is picked from two that were recorded.
 BOOST_AUTO_TEST_CASE(ContradictoryOriginsAreUnknown) {
   StreamOrigins Origins;
