Fix: Don't write a removed row of the register again

Cause: instances see the last upstream of a version go at different times. Those that see it later still have the version in their history when the reader removes its row, take the row for missing and write it again.

Change: a version that leaves the history within 10 s isn't registered.

--- a/src/gateway/software_register.cpp
+++ b/src/gateway/software_register.cpp
@@ -94,7 +94,8 @@
 
 std::set<SoftwareRegister::Entry> SoftwareRegister::missingRows() const {
   std::set<Entry> Result;
-  for (const auto &[Service, Versions] : m_History.seenVersions(m_Clock.now()))
+  for (const auto &[Service, Versions] :
+       m_History.seenVersions(m_Clock.now() + RemovalMargin))
     if (isResumable(Service))
       for (const std::string &Text : Versions)
         if (!m_History.isRegistered(Service, Text))
--- a/src/gateway/software_register.h
+++ b/src/gateway/software_register.h
@@ -36,6 +36,11 @@
   static constexpr Duration MinRemovalDelay = std::chrono::seconds(5);
   static constexpr Duration MaxRemovalDelay = std::chrono::seconds(15);
 
+  /// A version that leaves the history within this time isn't registered any
+  /// more: instances see its last upstream go at different times, and some
+  /// would write its row again right after another one has removed it.
+  static constexpr Duration RemovalMargin = std::chrono::seconds(10);
+
   /// Upstreams of a version that isn't registered get no calls for this long.
   static constexpr Duration HoldTime = std::chrono::seconds(1);
 
--- a/tests/unit/origin_exchange_test.cpp
+++ b/tests/unit/origin_exchange_test.cpp
@@ -284,6 +284,25 @@
   BOOST_TEST(Env.linksWithRecords().empty());
 }
 
+// Guards against a stream of an unproven process that others take for one that
+// nobody knows.
+BOOST_AUTO_TEST_CASE(UnprovenStreamsAreRecordedAndAnswered) {
+  ExchangeEnv Env(2);
+  Env.receiveRecord(1, {Key, {"s", SoftwareVersion()}, 10s});
+  BOOST_TEST(Env.m_Exchange.findLocal(Key) == nullptr);
+  BOOST_TEST(Env.m_Exchange.isUnproven(Key));
+  Env.ask(2, 7, Key);
+  wire::FrameT &Sent = Env.m_Links.m_Frames[link::LinkId(2)];
+  BOOST_REQUIRE(Sent.stream_answers.size() == 1U);
+  ExchangeEnv Asking(1);
+  Asking.startLookup(Key);
+  Sent.stream_answers[0]->question = Asking.questionAt(1);
+  Asking.receive(1, Sent);
+  BOOST_REQUIRE(Asking.m_Results.size() == 1U);
+  BOOST_REQUIRE(Asking.m_Results[0].m_Origin.has_value());
+  BOOST_TEST(!Asking.m_Results[0].m_Origin->m_Software.isKnown());
+}
+
 // Guards against origins that are lost with their zone.
 BOOST_AUTO_TEST_CASE(HubsPassOriginsOnToAnotherZone) {
   ExchangeEnv Env(3);
--- a/tests/unit/software_register_test.cpp
+++ b/tests/unit/software_register_test.cpp
@@ -266,6 +266,21 @@
   BOOST_TEST((Fleet.m_Rows["s"] == VersionTexts{"v1"}));
 }
 
+// Guards against instances that write a row again after the reader has removed
+// it, as they saw the last upstream go later.
+BOOST_AUTO_TEST_CASE(ARemovedRowIsNotWrittenAgain) {
+  RegisterFleet Fleet(84);
+  Fleet.list({upstreamOf("a", "v1"), upstreamOf("b", "v2")});
+  Fleet.m_Timers.advance(10min);
+  Fleet.m_Calls = 0;
+  Fleet.m_Instances[0]->m_Register.setUpstreams({upstreamOf("a", "v1")});
+  Fleet.m_Timers.advance(8s);
+  Fleet.list({upstreamOf("a", "v1")});
+  Fleet.m_Timers.advance(10min);
+  BOOST_TEST(Fleet.m_Calls == 1U);
+  BOOST_TEST((Fleet.m_Rows["s"] == VersionTexts{"v1"}));
+}
+
 // Guards against streams that begin at a version before its row is written, and
 // against upstreams that are held back for longer or without a substitute.
 BOOST_AUTO_TEST_CASE(AnUnregisteredVersionIsHeldBack) {
@@ -310,6 +325,7 @@
 BOOST_AUTO_TEST_CASE(TheRegisterIsBounded) {
   RegisterFleet Fleet(3);
   std::vector<Upstream> List;
+  List.reserve(200);
   for (int I = 0; I < 200; ++I)
     List.push_back(upstreamOf(std::to_string(I), "v" + std::to_string(I)));
   Fleet.list(List);
