Feature: Learn the speed of upstreams from pooled samples

Upstreams of one service differ in speed, and an instance of many calls each of them every few seconds only, so placement had nothing to go by.

Each sample's time (the shortest of eight intervals between an engine's events, or a plain call) is compared with the service's time in the same state, and that time is learned from the samples less the effect of their upstreams. Both are sums that decay, by upstream and half of its slots and by service and state; instances send theirs, hubs add them up. Stated machine paces are passed on and hold for 300 ms. Nothing is learned or sent for a service none of whose upstreams has stated a pace.

What doesn't fit is added to what comes later.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -104,6 +104,7 @@
   m_Cache.keepOnly(List);
   m_RateLimits.keepOnly(List);
   m_Leaving.setListed(List);
+  m_Speeds.setUpstreams(List);
   rankEngines();
 }
 
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -17,6 +17,7 @@
 #include "balance/rate_limits.h"
 #include "balance/requested_pauses.h"
 #include "balance/upstream_state.h"
+#include "speed/event_intervals.h"
 #include "speed/upstream_speeds.h"
 
 #include <map>
@@ -98,6 +99,10 @@
     return m_RateLimits.limitOf(Upstream);
   }
 
+  /// An event of the call's answer was received, whether or not it is passed
+  /// on.
+  void recordEvent(TicketId Ticket, TimePoint Now);
+
   /// Bytes of the answer's body were received.
   void recordOutput(TicketId Ticket, TimePoint Now);
 
@@ -179,6 +184,7 @@
     IncarnationId m_Incarnation; ///< The upstream's process.
     TimePoint m_FirstOutputAt{}; ///< Of its answer's body; not set: none yet.
     bool m_IsSound = false;      ///< Its answer was written for some time.
+    speed::EventIntervals m_Intervals; ///< Of an engine's events.
   };
 
   States findCandidates(const PlacementQuery &Query, TimePoint Now);
@@ -219,6 +225,8 @@
   [[nodiscard]] double callsAt(const UpstreamState &State,
                                const CallLoad &Peers, TimePoint Now) const;
   UpstreamState *stateOf(TicketId Ticket);
+  void addSpeedSample(const UpstreamState &At, Duration UnitTime,
+                      TimePoint Now);
 
   AvailabilityZone m_Zone;        ///< Of this instance.
   std::mt19937_64 m_Random;       ///< For sampling engines.
--- a/src/balance/balancer_reports.cpp
+++ b/src/balance/balancer_reports.cpp
@@ -39,6 +39,31 @@
   Found.m_Demand.m_PrefillTokens = 0;
 }
 
+void Balancer::recordEvent(TicketId Ticket, TimePoint Now) {
+  const UpstreamState *State = stateOf(Ticket);
+  if (State == nullptr ||
+      !std::holds_alternative<Engine>(State->m_Upstream.m_Kind))
+    return;
+  if (const std::optional<Duration> Shortest =
+          m_Tickets[Ticket].m_Intervals.recordEvent(Now))
+    addSpeedSample(*State, *Shortest, Now);
+}
+
+void Balancer::addSpeedSample(const UpstreamState &At, Duration UnitTime,
+                              TimePoint Now) {
+  const PoolId Pool = poolIdOf(At.m_Upstream.m_Service, 0);
+  if (!m_Speeds.isActive(Pool))
+    return;
+  constexpr Urgency LeastUrgent = UrgencyCount - 1;
+  const CallLoad &Peers = m_PeerLoads.at(At.m_Upstream.m_Id);
+  m_Speeds.addSample({At.m_Upstream.m_Id, Pool, UnitTime,
+                      callsAt(At, Peers, Now) / slotsOf(At.m_Upstream),
+                      At.m_OwnLoad.prefillBefore(LeastUrgent) +
+                              Peers.prefillBefore(LeastUrgent) >
+                          0},
+                     Now);
+}
+
 void Balancer::recordOutput(TicketId Ticket, TimePoint Now) {
   const auto Found = m_Tickets.find(Ticket);
   if (Found == m_Tickets.end() || Found->second.m_IsSound)
@@ -75,6 +100,10 @@
   State->m_LoadReport = Load;
   State->m_RunningAtReport = State->m_OwnLoad.runningCalls();
   State->m_ReportedAt = Now;
+  if (Load.m_MachinePace)
+    m_Speeds.recordMachinePace(State->m_Upstream.m_Id,
+                               poolIdOf(State->m_Upstream.m_Service, 0),
+                               *Load.m_MachinePace, Now);
 }
 
 bool Balancer::recordLeaveStatement(TicketId Ticket) {
@@ -127,6 +156,10 @@
   }
   if (UpstreamState *State = stateOf(Ticket)) {
     const struct Ticket &Ended = m_Tickets[Ticket];
+    // The instance that placed a carried call adds its sample.
+    if (Outcome == CallOutcome::Served && !Ended.m_IsCarried &&
+        std::holds_alternative<PlainService>(State->m_Upstream.m_Kind))
+      addSpeedSample(*State, Now - Ended.m_PlacedAt, Now);
     if (!Ended.m_IsCarried) {
       State->m_OwnLoad.finishPrefill(Ended.m_Urgency,
                                      Ended.m_Demand.m_PrefillTokens);
@@ -186,6 +219,7 @@
   m_Quarantine.applyUpdates(Digest.m_Crashes, Now);
   m_RateLimits.applyUpdates(Digest.m_Limits, Now);
   m_Brittle.applyUpdates(Digest.m_Brittle, Now);
+  m_Speeds.applyUpdates(Digest.m_Speeds, Now);
   for (const UpstreamId Leaving : Digest.m_Leaving) {
     m_Leaving.record(Leaving, m_States.contains(Leaving));
     markDraining(Leaving);
@@ -216,6 +250,7 @@
   Result.m_Crashes = m_Quarantine.snapshot();
   Result.m_Limits = m_RateLimits.snapshot(Now);
   Result.m_Leaving = m_Leaving.snapshot();
+  Result.m_Speeds = m_Speeds.snapshot(Now);
   return Result;
 }
 
@@ -232,6 +267,7 @@
   Result.m_Limits = m_RateLimits.takeUpdates(Now);
   Result.m_Brittle = m_Brittle.takeUpdates(Now);
   Result.m_Leaving = m_Leaving.takeUpdates();
+  Result.m_Speeds = m_Speeds.takeUpdates(Now);
   return Result;
 }
 
--- a/src/balance/digest_sum.h
+++ b/src/balance/digest_sum.h
@@ -3,11 +3,16 @@
 #define CROWSTEP_BALANCE_DIGEST_SUM_H
 
 #include "balance/peer_loads.h"
+#include "speed/speed_sums.h"
 
 namespace crowstep::balance {
 
 class DigestSum {
 public:
+  /// \p SpeedLimit bounds what it takes about speeds, see SpeedSums.
+  explicit DigestSum(double SpeedLimit = speed::SpeedSums::ZoneSumLimit)
+      : m_Speeds(SpeedLimit) {}
+
   /// Replaces the loads of the last digest of \p From; the rest of the digests
   /// accumulates until takeSum().
   void add(InstanceId From, const LoadDigest &Digest, TimePoint Now);
@@ -30,7 +35,8 @@
       m_Limits;                      ///< With time of receipt.
   std::vector<UpstreamId> m_Leaving; ///< Not yet taken.
   std::vector<std::pair<BrittleUpdate, TimePoint>>
-      m_Brittle; ///< With time of receipt.
+      m_Brittle;             ///< With time of receipt.
+  speed::SpeedSums m_Speeds; ///< Not yet taken.
 };
 
 } // namespace crowstep::balance
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -8,6 +8,7 @@
 #include "balance/rate_limits.h"
 #include "balance/role_split.h"
 #include "core/clock.h"
+#include "speed/speed_type.h"
 #include "upstream_type.h"
 
 #include <array>
@@ -114,12 +115,13 @@
   std::vector<LimitUpdate> m_Limits;             ///< Since its last digest.
   std::vector<UpstreamId> m_Leaving;             ///< Since its last digest.
   std::vector<BrittleUpdate> m_Brittle;          ///< Since its last digest.
+  std::vector<speed::SpeedUpdate> m_Speeds;      ///< Since its last digest.
 
   /// Returns whether there is nothing to send.
   [[nodiscard]] bool empty() const {
     return m_Loads.empty() && m_Segments.empty() && m_Work.empty() &&
            m_Crashes.empty() && m_Limits.empty() && m_Leaving.empty() &&
-           m_Brittle.empty();
+           m_Brittle.empty() && m_Speeds.empty();
   }
 };
 
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -2,6 +2,7 @@
 #include "gateway/digest_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace crowstep::gateway {
@@ -51,6 +52,60 @@
            balance::SegmentEvidence{Crash->request(), Crash->position()}});
 }
 
+/// Returns \p Value as far as \p Integer can hold it; 0 if it is no number.
+template <typename Integer> Integer bounded(double Value) {
+  using Limits = std::numeric_limits<Integer>;
+  return std::isfinite(Value) ? static_cast<Integer>(std::clamp<double>(
+                                    Value, Limits::min(), Limits::max()))
+                              : Integer(0);
+}
+
+/// Returns the mean of some samples in thousandths.
+template <typename Integer, typename Update>
+Integer meanMilli(const Update &From) {
+  return bounded<Integer>(
+      std::round(From.m_LogSum / From.m_Samples * MilliPerUnit));
+}
+
+template <typename Id> std::uint32_t lowerHalf(Id Whole) {
+  return static_cast<std::uint32_t>(Whole.value());
+}
+
+void packSpeed(const speed::SpeedUpdate &Update, wire::GatewayDigestT &Into) {
+  if (const auto *Upstream = std::get_if<speed::UpstreamSpeedUpdate>(&Update))
+    Into.speeds.emplace_back(
+        lowerHalf(Upstream->m_Upstream), meanMilli<std::int16_t>(*Upstream),
+        bounded<std::uint8_t>(Upstream->m_Samples), Upstream->m_IsCrowded);
+  else if (const auto *Service =
+               std::get_if<speed::ServiceSpeedUpdate>(&Update))
+    Into.service_speeds.emplace_back(
+        lowerHalf(Service->m_Pool), meanMilli<std::uint16_t>(*Service),
+        bounded<std::uint8_t>(Service->m_Samples), Service->m_State);
+  else if (const auto *Pace = std::get_if<speed::MachinePaceUpdate>(&Update))
+    Into.machine_paces.emplace_back(
+        lowerHalf(Pace->m_Upstream), bounded<std::uint16_t>(Pace->m_Percent),
+        bounded<std::uint16_t>(milliseconds(Pace->m_Age)));
+}
+
+void unpackSpeeds(const wire::GatewayDigest &From,
+                  std::vector<speed::SpeedUpdate> &Into) {
+  if (From.speeds() != nullptr)
+    for (const wire::UpstreamSpeed *Speed : *From.speeds())
+      Into.emplace_back(speed::UpstreamSpeedUpdate{
+          UpstreamId(Speed->upstream()), Speed->crowded(), Speed->samples(),
+          Speed->samples() * Speed->mean_milli() / MilliPerUnit});
+  if (From.service_speeds() != nullptr)
+    for (const wire::ServiceSpeed *Speed : *From.service_speeds())
+      Into.emplace_back(speed::ServiceSpeedUpdate{
+          PoolId(Speed->pool()), Speed->state(), Speed->samples(),
+          Speed->samples() * Speed->mean_milli() / MilliPerUnit});
+  if (From.machine_paces() != nullptr)
+    for (const wire::MachinePace *Pace : *From.machine_paces())
+      Into.emplace_back(speed::MachinePaceUpdate{
+          UpstreamId(Pace->upstream()), Pace->percent(),
+          std::chrono::milliseconds(Pace->age_ms())});
+}
+
 } // namespace
 
 void packDigest(const balance::LoadDigest &Digest,
@@ -81,6 +136,8 @@
     Into->brittle.emplace_back(Brittle.m_Pool.value(),
                                toMilli(Brittle.m_Limit.value_or(0)),
                                milliseconds(Brittle.m_Age), !Brittle.m_Limit);
+  for (const speed::SpeedUpdate &Update : Digest.m_Speeds)
+    packSpeed(Update, *Into);
   Into->leaving.clear();
   for (const UpstreamId Leaving : Digest.m_Leaving)
     Into->leaving.push_back(Leaving.value());
@@ -121,6 +178,7 @@
   if (From.leaving() != nullptr)
     for (const std::uint64_t Leaving : *From.leaving())
       Result.m_Leaving.push_back(UpstreamId(Leaving));
+  unpackSpeeds(From, Result.m_Speeds);
   return Result;
 }
 
--- a/src/gateway/digest_exchange.h
+++ b/src/gateway/digest_exchange.h
@@ -124,11 +124,13 @@
   std::set<Address> m_Dialled;          ///< Peers that this instance dials.
   std::map<link::LinkId, PeerLink> m_PeerLinks; ///< Established links.
   bool m_LastDigestEmpty = true;                ///< Or none was sent yet.
-  bool m_IsHub = false;               ///< This instance is its zone's hub.
-  unsigned m_IntervalCount = 0;       ///< Digest intervals so far.
-  balance::DigestSum m_OwnZoneSum;    ///< A hub sends it to other zones.
-  balance::DigestSum m_OtherZonesSum; ///< A hub sends it to its zone.
-  Timer m_DigestTimer;                ///< Until the next digest.
+  bool m_IsHub = false;         ///< This instance is its zone's hub.
+  unsigned m_IntervalCount = 0; ///< Digest intervals so far.
+  balance::DigestSum m_OwnZoneSum{
+      speed::SpeedSums::ZoneSumLimit}; ///< A hub sends it to other zones.
+  balance::DigestSum m_OtherZonesSum{
+      speed::SpeedSums::OtherZonesLimit}; ///< A hub sends it to its zone.
+  Timer m_DigestTimer;                    ///< Until the next digest.
 };
 
 } // namespace crowstep::gateway
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -195,6 +195,7 @@
 }
 
 void ForwardedRequest::relayEvent(const SseEvent &Event) {
+  m_Context.m_Balancer.recordEvent(m_Ticket, m_Context.m_Clock.now());
   // A resumed stream may begin with events that the caller already has.
   if (Event.m_Id && m_LastEventId && *Event.m_Id <= *m_LastEventId)
     return;
--- a/src/speed/speed_type.h
+++ b/src/speed/speed_type.h
@@ -28,10 +28,17 @@
   bool m_IsPrefilling = false; ///< Other prompts were prefilled meanwhile.
 };
 
+/// Returns the part of the id of an upstream or a service that updates carry:
+/// the lower half, as the bytes of updates are limited.
+template <typename Id> Id shortId(Id Whole) {
+  constexpr std::uint64_t LowerHalf = 0xffffffff;
+  return Id(Whole.value() & LowerHalf);
+}
+
 /// Samples of one upstream that were added up, against what its service takes
 /// in the same state.
 struct UpstreamSpeedUpdate {
-  UpstreamId m_Upstream;       ///< That was observed.
+  UpstreamId m_Upstream;       ///< That was observed; see shortId().
   bool m_IsCrowded = false;    ///< At more than half of its slots.
   std::uint32_t m_Samples = 0; ///< How many.
   double m_LogSum = 0;         ///< Sum of ln(time / expected time).
@@ -39,7 +46,7 @@
 
 /// Samples of a whole service in one state that were added up.
 struct ServiceSpeedUpdate {
-  PoolId m_Pool;               ///< The service.
+  PoolId m_Pool;               ///< The service; see shortId().
   std::uint8_t m_State = 0;    ///< Share of slots in quarters, plus 4 with
                                ///< prefill.
   std::uint32_t m_Samples = 0; ///< How many.
@@ -48,7 +55,7 @@
 
 /// What an upstream stated about its machine.
 struct MachinePaceUpdate {
-  UpstreamId m_Upstream;       ///< That stated it.
+  UpstreamId m_Upstream;       ///< That stated it; see shortId().
   std::uint32_t m_Percent = 0; ///< Time that work takes now; 100 is usual.
   Duration m_Age{};            ///< Time since the statement.
 };
--- a/src/wire/crowstep_generated.h
+++ b/src/wire/crowstep_generated.h
@@ -1093,124 +1093,105 @@
   using type = BrittleService;
 };
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamSpeed FLATBUFFERS_FINAL_CLASS {
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) UpstreamSpeed FLATBUFFERS_FINAL_CLASS {
  private:
-  uint64_t upstream_;
-  int32_t log_milli_;
-  uint16_t samples_;
+  uint32_t upstream_;
+  int16_t mean_milli_;
+  uint8_t samples_;
   uint8_t crowded_;
-  int8_t padding0__;
 
  public:
   struct Traits;
   UpstreamSpeed()
       : upstream_(0),
-        log_milli_(0),
+        mean_milli_(0),
         samples_(0),
-        crowded_(0),
-        padding0__(0) {
-    (void)padding0__;
+        crowded_(0) {
   }
-  UpstreamSpeed(uint64_t _upstream, int32_t _log_milli, uint16_t _samples, bool _crowded)
+  UpstreamSpeed(uint32_t _upstream, int16_t _mean_milli, uint8_t _samples, bool _crowded)
       : upstream_(flatbuffers::EndianScalar(_upstream)),
-        log_milli_(flatbuffers::EndianScalar(_log_milli)),
+        mean_milli_(flatbuffers::EndianScalar(_mean_milli)),
         samples_(flatbuffers::EndianScalar(_samples)),
-        crowded_(flatbuffers::EndianScalar(static_cast<uint8_t>(_crowded))),
-        padding0__(0) {
-    (void)padding0__;
+        crowded_(flatbuffers::EndianScalar(static_cast<uint8_t>(_crowded))) {
   }
-  uint64_t upstream() const {
+  uint32_t upstream() const {
     return flatbuffers::EndianScalar(upstream_);
   }
-  int32_t log_milli() const {
-    return flatbuffers::EndianScalar(log_milli_);
+  int16_t mean_milli() const {
+    return flatbuffers::EndianScalar(mean_milli_);
   }
-  uint16_t samples() const {
+  uint8_t samples() const {
     return flatbuffers::EndianScalar(samples_);
   }
   bool crowded() const {
     return flatbuffers::EndianScalar(crowded_) != 0;
   }
 };
-FLATBUFFERS_STRUCT_END(UpstreamSpeed, 16);
+FLATBUFFERS_STRUCT_END(UpstreamSpeed, 8);
 
 struct UpstreamSpeed::Traits {
   using type = UpstreamSpeed;
 };
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServiceSpeed FLATBUFFERS_FINAL_CLASS {
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) ServiceSpeed FLATBUFFERS_FINAL_CLASS {
  private:
-  uint64_t pool_;
-  int64_t log_milli_;
-  uint32_t samples_;
+  uint32_t pool_;
+  uint16_t mean_milli_;
+  uint8_t samples_;
   uint8_t state_;
-  int8_t padding0__;  int16_t padding1__;
 
  public:
   struct Traits;
   ServiceSpeed()
       : pool_(0),
-        log_milli_(0),
+        mean_milli_(0),
         samples_(0),
-        state_(0),
-        padding0__(0),
-        padding1__(0) {
-    (void)padding0__;
-    (void)padding1__;
+        state_(0) {
   }
-  ServiceSpeed(uint64_t _pool, int64_t _log_milli, uint32_t _samples, uint8_t _state)
+  ServiceSpeed(uint32_t _pool, uint16_t _mean_milli, uint8_t _samples, uint8_t _state)
       : pool_(flatbuffers::EndianScalar(_pool)),
-        log_milli_(flatbuffers::EndianScalar(_log_milli)),
+        mean_milli_(flatbuffers::EndianScalar(_mean_milli)),
         samples_(flatbuffers::EndianScalar(_samples)),
-        state_(flatbuffers::EndianScalar(_state)),
-        padding0__(0),
-        padding1__(0) {
-    (void)padding0__;
-    (void)padding1__;
+        state_(flatbuffers::EndianScalar(_state)) {
   }
-  uint64_t pool() const {
+  uint32_t pool() const {
     return flatbuffers::EndianScalar(pool_);
   }
-  int64_t log_milli() const {
-    return flatbuffers::EndianScalar(log_milli_);
+  uint16_t mean_milli() const {
+    return flatbuffers::EndianScalar(mean_milli_);
   }
-  uint32_t samples() const {
+  uint8_t samples() const {
     return flatbuffers::EndianScalar(samples_);
   }
   uint8_t state() const {
     return flatbuffers::EndianScalar(state_);
   }
 };
-FLATBUFFERS_STRUCT_END(ServiceSpeed, 24);
+FLATBUFFERS_STRUCT_END(ServiceSpeed, 8);
 
 struct ServiceSpeed::Traits {
   using type = ServiceSpeed;
 };
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) MachinePace FLATBUFFERS_FINAL_CLASS {
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) MachinePace FLATBUFFERS_FINAL_CLASS {
  private:
-  uint64_t upstream_;
+  uint32_t upstream_;
   uint16_t percent_;
   uint16_t age_ms_;
-  int32_t padding0__;
 
  public:
   struct Traits;
   MachinePace()
       : upstream_(0),
         percent_(0),
-        age_ms_(0),
-        padding0__(0) {
-    (void)padding0__;
+        age_ms_(0) {
   }
-  MachinePace(uint64_t _upstream, uint16_t _percent, uint16_t _age_ms)
+  MachinePace(uint32_t _upstream, uint16_t _percent, uint16_t _age_ms)
       : upstream_(flatbuffers::EndianScalar(_upstream)),
         percent_(flatbuffers::EndianScalar(_percent)),
-        age_ms_(flatbuffers::EndianScalar(_age_ms)),
-        padding0__(0) {
-    (void)padding0__;
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
   }
-  uint64_t upstream() const {
+  uint32_t upstream() const {
     return flatbuffers::EndianScalar(upstream_);
   }
   uint16_t percent() const {
@@ -1220,7 +1201,7 @@
     return flatbuffers::EndianScalar(age_ms_);
   }
 };
-FLATBUFFERS_STRUCT_END(MachinePace, 16);
+FLATBUFFERS_STRUCT_END(MachinePace, 8);
 
 struct MachinePace::Traits {
   using type = MachinePace;
--- a/tests/unit/digest_fleet.h
+++ b/tests/unit/digest_fleet.h
@@ -37,12 +37,13 @@
 class Network {
 public:
   struct LinkEnd {
-    FakeLinks *m_From;       ///< Sends.
-    FakeLinks *m_To;         ///< Receives.
-    link::LinkId m_Id;       ///< At the sender.
-    link::LinkId m_RemoteId; ///< At the receiver.
-    wire::FrameT m_Frame;    ///< Not delivered.
-    bool m_HasFrame = false; ///< m_Frame is to be sent.
+    FakeLinks *m_From;         ///< Sends.
+    FakeLinks *m_To;           ///< Receives.
+    link::LinkId m_Id;         ///< At the sender.
+    link::LinkId m_RemoteId;   ///< At the receiver.
+    wire::FrameT m_Frame;      ///< Not delivered.
+    bool m_HasFrame = false;   ///< m_Frame is to be sent.
+    std::uint64_t m_Bytes = 0; ///< Of all frames sent.
   };
 
   void dial(FakeLinks &From, const Address &Where) {
@@ -64,13 +65,14 @@
       if (!Entry.second.m_HasFrame)
         continue;
       Entry.second.m_HasFrame = false;
-      if (Entry.second.m_From == m_Stalled) {
+      if (Entry.second.m_From == m_Stalled || (m_Loses && m_Loses())) {
         Entry.second.m_Frame = {};
         continue;
       }
       flatbuffers::FlatBufferBuilder Builder;
       Builder.Finish(wire::Frame::Pack(Builder, &Entry.second.m_Frame));
       Entry.second.m_Frame = {};
+      Entry.second.m_Bytes += Builder.GetSize();
       ++m_Frames[Entry.second.m_From->m_Self.m_Name];
       m_Bytes[Entry.second.m_From->m_Self.m_Zone !=
               Entry.second.m_To->m_Self.m_Zone] += Builder.GetSize();
@@ -94,8 +96,9 @@
     }
   }
 
-  std::vector<FakeLinks *> m_All;             ///< Instances that are up.
-  FakeLinks *m_Stalled = nullptr;             ///< Sends nothing.
+  std::vector<FakeLinks *> m_All; ///< Instances that are up.
+  FakeLinks *m_Stalled = nullptr; ///< Sends nothing.
+  std::function<bool()> m_Loses;  ///< Whether the next frame is lost.
   std::map<link::LinkId, LinkEnd> m_LinkEnds; ///< By the sender's id.
   std::map<std::string, int> m_Frames;        ///< Sent, by instance.
   std::array<std::uint64_t, 2> m_Bytes{};     ///< Within, between zones.
