Feature: Setting, metrics and log event for the speeds of upstreams

Operators couldn't switch learning on or off, nor see what was learned.

A time constant of 1.5 s was tried and ruled out: not more accurate, and a quarter more changes of classes by short slowness.

--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -4,6 +4,7 @@
 #include "core/error.h"
 #include "instance_error.h"
 
+#include <algorithm>
 #include <charconv>
 #include <glib.h>
 #include <sstream>
@@ -130,6 +131,22 @@
   return *Value == "yes";
 }
 
+std::size_t Settings::choice(const std::string &Section, const std::string &Key,
+                             const std::vector<std::string> &Allowed,
+                             std::size_t Default) {
+  const std::optional<std::string> Value = find(Section, Key);
+  if (!Value)
+    return Default;
+  const auto Found = std::find(Allowed.begin(), Allowed.end(), *Value);
+  if (Found == Allowed.end()) {
+    std::string List;
+    for (const std::string &Entry : Allowed)
+      List += (List.empty() ? "" : " ") + Entry;
+    throwSettingError(Section, Key, *Value, List);
+  }
+  return static_cast<std::size_t>(Found - Allowed.begin());
+}
+
 Address Settings::address(const std::string &Section, const std::string &Key,
                           std::optional<Address> Default) {
   const std::optional<std::string> Value = find(Section, Key);
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -38,6 +38,11 @@
                        std::optional<std::int64_t> Default = std::nullopt);
   double number(const std::string &Section, const std::string &Key, double Min,
                 double Max, std::optional<double> Default = std::nullopt);
+  /// Returns the position of the value in \p Allowed.
+  std::size_t choice(const std::string &Section, const std::string &Key,
+                     const std::vector<std::string> &Allowed,
+                     std::size_t Default);
+
   bool boolean(const std::string &Section, const std::string &Key,
                std::optional<bool> Default = std::nullopt);
   Address address(const std::string &Section, const std::string &Key,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -127,6 +127,7 @@
           arrivalLimits({}),
           [this](RefusalReason Reason) { m_Stats.countRefusal(Reason); },
           m_Timers),
+      m_SpeedReport(m_Clock, m_Timers, m_Balancer, m_Metrics),
       m_CleanupTimer(m_Timers), m_StopTimer(m_Timers) {}
 
 Gateway::~Gateway() = default;
@@ -182,6 +183,8 @@
 }
 
 void Gateway::start() {
+  m_Balancer.speeds().setMode(m_Settings.m_LearnSpeed);
+  m_SpeedReport.start();
   m_CrashWatch.start(*m_PlatformParts.m_Directory);
   m_PlatformParts.m_Directory->start(*this, selfOf(m_Settings));
   m_ProbeServer.listen(m_Settings.m_ProbeAddress,
@@ -201,6 +204,7 @@
   m_Settings = readGatewaySettings(File);
   m_Budget.setBound(m_Settings.m_RetryBudget);
   m_Admission.setDescriptors(m_Settings.m_Descriptors);
+  m_Balancer.speeds().setMode(m_Settings.m_LearnSpeed);
 }
 
 // ---- Directory --------------------------------------------------------------
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/directory.h"
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/speed_report.h"
 #include "http/frontend.h"
 #include "link/link_tcp.h"
 #include "relay/call_relay.h"
@@ -121,6 +122,7 @@
   std::vector<std::unique_ptr<ForwardedRequest>>
       m_EndedRequests;                   ///< To be destroyed.
   std::uint64_t m_LastRequestNumber = 0; ///< Last key in m_Requests.
+  SpeedReport m_SpeedReport;             ///< Logs and metrics of speeds.
   Timer m_CleanupTimer;                  ///< Destroys ended requests.
   Timer m_StopTimer;                     ///< Checks the shutdown.
   bool m_Stopping = false;               ///< After stop().
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -1,6 +1,8 @@
 /// Reading the gateway's settings.
 #include "gateway/gateway_settings.h"
 
+#include <array>
+
 namespace crowstep::gateway {
 
 namespace {
@@ -42,6 +44,11 @@
   Result.m_RetryBudget.m_Slack =
       File.number("retry_budget", "slack", 0, MaxSlack);
   Result.m_RetryBudget.m_Window = seconds(File, "retry_budget", "window_s");
+  constexpr std::array Modes = {speed::LearnSpeed::Stated,
+                                speed::LearnSpeed::Always,
+                                speed::LearnSpeed::Never};
+  Result.m_LearnSpeed = Modes.at(File.choice("upstreams", "learn_speed",
+                                             {"stated", "always", "never"}, 0));
   Result.m_Duties = duty::readDutySettings(File);
   return Result;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 #include "balance/retry_budget.h"
 #include "core/settings.h"
 #include "duty/duty_settings.h"
+#include "speed/speed_type.h"
 
 namespace crowstep::gateway {
 
@@ -21,6 +22,7 @@
   Duration m_GracePeriod{};      ///< From SIGTERM to SIGKILL.
   std::size_t m_Descriptors = 0; ///< File descriptors that it may open.
   balance::RetryBudgetSettings m_RetryBudget; ///< Shared by all instances.
+  speed::LearnSpeed m_LearnSpeed = speed::LearnSpeed::Stated; ///< Of upstreams.
   std::optional<duty::DutySettings> m_Duties; ///< None: the platform has none.
 };
 
--- a/src/speed/speed_sums.cpp
+++ b/src/speed/speed_sums.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-/// Share of the bytes that statements about machines may use, and the one that
-/// sums of services may use; samples of upstreams get the rest.
+/// Share of the bytes that statements about machines may use, and of those of
+/// one second that sums of services may use each time; samples of upstreams get
+/// the rest.
 constexpr double PaceShare = 0.4;
 constexpr double ServiceShare = 0.25;
 
--- a/src/speed/speed_sums.h
+++ b/src/speed/speed_sums.h
@@ -30,8 +30,8 @@
 
   /// Samples of upstreams are sent at most this often, so that several of them
   /// share one entry, and those of services less often, as these change slowly.
-  static constexpr Duration UpstreamInterval = std::chrono::milliseconds(250);
-  static constexpr Duration ServiceInterval = std::chrono::seconds(1);
+  static constexpr Duration UpstreamInterval = std::chrono::milliseconds(200);
+  static constexpr Duration ServiceInterval = std::chrono::seconds(3);
 
   void add(const SpeedUpdate &Update, TimePoint Now);
 
--- a/src/speed/upstream_effect.cpp
+++ b/src/speed/upstream_effect.cpp
@@ -25,6 +25,10 @@
 constexpr double HalfUsableFactor = 1.75;
 constexpr double LeastUsableShare = 0.5;
 
+/// Samples in the half with fewer of them from which a difference between the
+/// halves counts mostly; a single outlier counts for a tenth.
+constexpr double FewSamples = 3;
+
 } // namespace
 
 void UpstreamEffect::add(bool IsCrowded, double Samples, double LogSum,
@@ -63,8 +67,10 @@
 double UpstreamEffect::usableShare(TimePoint Now) const {
   const double Weight =
       std::min(recentWeight(m_Halves[0], Now), recentWeight(m_Halves[1], Now));
-  const double Factor = std::exp((m_Halves[1].mean() - m_Halves[0].mean()) *
-                                 Weight / (Weight + PriorWeight));
+  const double Confidence =
+      Weight * Weight / (Weight * Weight + FewSamples * FewSamples);
+  const double Factor =
+      std::exp((m_Halves[1].mean() - m_Halves[0].mean()) * Confidence);
   const double Lost =
       (Factor - AllUsableFactor) / (HalfUsableFactor - AllUsableFactor);
   return 1 - (1 - LeastUsableShare) * std::clamp(Lost, 0.0, 1.0);
--- a/src/speed/upstream_speeds.cpp
+++ b/src/speed/upstream_speeds.cpp
@@ -38,6 +38,9 @@
 constexpr std::size_t MaxUnlisted = 4096;
 constexpr std::size_t MaxUnlistedServices = 64;
 
+/// Most changes of classes that are kept.
+constexpr std::size_t MaxClassChanges = 10'000;
+
 /// No call takes longer.
 constexpr double MaxTimeUs = 1e10;
 
@@ -66,6 +69,7 @@
       Entry = UpstreamEntry();
     Entry.m_Pool = Pool;
     Entry.m_Incarnation = Process;
+    Entry.m_Name = Listed.m_Name;
     Entry.m_IsListed = true;
     m_Services[Pool].m_Upstreams.push_back(Id);
   }
@@ -99,8 +103,12 @@
 
 void UpstreamSpeeds::recordMachinePace(UpstreamId Upstream, PoolId Service,
                                        std::uint32_t Percent, TimePoint Now) {
-  if (m_Mode == LearnSpeed::Never || !MachinePaces::isValid(Percent))
+  if (m_Mode == LearnSpeed::Never)
+    return;
+  if (!MachinePaces::isValid(Percent)) {
+    ++m_Counts.m_BadPaces;
     return;
+  }
   const UpstreamId Id = shortId(Upstream);
   const bool IsFirst = m_Stated.insert(shortId(Service)).second;
   m_Paces.record(Id, Percent, Now);
@@ -166,6 +174,7 @@
       refreshService(Service, Now);
 }
 
+/// A report takes the changes every second; without one they are bounded.
 void UpstreamSpeeds::refreshService(ServiceEntry &Service, TimePoint Now) {
   if (Service.m_Upstreams.empty())
     return;
@@ -178,9 +187,11 @@
     UpstreamEntry &Entry = m_Upstreams.at(Id);
     const double Speed = speedOf(Entry, Now);
     const int Next = nextSpeedClass(Entry.m_Class, Speed);
-    if (Next != Entry.m_Class)
-      m_ClassChanges.push_back(
-          {Id, std::exchange(Entry.m_Class, Next), Next, Speed});
+    if (Next == Entry.m_Class)
+      continue;
+    const int Before = std::exchange(Entry.m_Class, Next);
+    if (m_ClassChanges.size() < MaxClassChanges)
+      m_ClassChanges.push_back({Entry.m_Name, Before, Next, Speed});
   }
 }
 
--- a/src/speed/upstream_speeds.h
+++ b/src/speed/upstream_speeds.h
@@ -15,6 +15,7 @@
 #include "speed/upstream_effect.h"
 
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -22,10 +23,10 @@
 
 /// An upstream's class has changed.
 struct SpeedClassChange {
-  UpstreamId m_Upstream; ///< Listed at that time; see shortId().
-  int m_Before = 0;      ///< See SpeedView::speedClassOf().
-  int m_Class = 0;       ///< In force.
-  double m_Speed = 1;    ///< At that time.
+  std::string m_Name; ///< Of the upstream, as listed.
+  int m_Before = 0;   ///< See SpeedView::speedClassOf().
+  int m_Class = 0;    ///< In force.
+  double m_Speed = 1; ///< At that time.
 };
 
 /// Numbers for the metrics.
@@ -36,6 +37,7 @@
   std::uint64_t m_Samples = 0;  ///< Of this instance, since its start.
   std::uint64_t m_Outliers = 0; ///< Among them, those that were clamped.
   std::uint64_t m_Updates = 0;  ///< Received from other instances.
+  std::uint64_t m_BadPaces = 0; ///< Stated percentages out of range.
 };
 
 class UpstreamSpeeds final : public SpeedView {
@@ -87,6 +89,7 @@
 private:
   struct UpstreamEntry {
     PoolId m_Pool;               ///< Its service; not set: never listed.
+    std::string m_Name;          ///< As listed.
     bool m_IsListed = false;     ///< Else kept for UnlistedLifetime.
     IncarnationId m_Incarnation; ///< Its process.
     UpstreamEffect m_Effect;     ///< Of this process.
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -35,6 +35,14 @@
   BOOST_CHECK_THROW(File.rejectUnknown(), SettingError);
 }
 
+/// Guards against a misspelt choice that is taken for the default.
+BOOST_AUTO_TEST_CASE(ChoiceMustBeListed) {
+  Settings File = Settings::parse("[a]\nx=two\ny=tow\n", "file");
+  BOOST_TEST(File.choice("a", "x", {"one", "two"}, 0) == 1U);
+  BOOST_TEST(File.choice("a", "z", {"one", "two"}, 1) == 1U);
+  BOOST_CHECK_THROW(File.choice("a", "y", {"one", "two"}, 0), SettingError);
+}
+
 BOOST_AUTO_TEST_CASE(AddressMustBeLiteral) {
   for (const char *Text : {"localhost:80", "127.0.0.1", "127.0.0.1:", ":80",
                            "127.0.0.1:70000", "127.0.0.1:80x"}) {
