--- a/tests/unit/digest_codec_test.cpp
+++ b/tests/unit/digest_codec_test.cpp
@@ -69,6 +69,20 @@
     Result->limits.emplace_back(randomUpstream(), randomValue<std::uint32_t>(),
                                 randomValue<std::uint32_t>(),
                                 *rc::gen::arbitrary<bool>());
+  for (int I = Count(); I > 0; --I)
+    Result->speeds.emplace_back(static_cast<std::uint32_t>(randomUpstream()),
+                                randomValue<std::int16_t>(),
+                                randomValue<std::uint8_t>(),
+                                *rc::gen::arbitrary<bool>());
+  for (int I = Count(); I > 0; --I)
+    Result->service_speeds.emplace_back(
+        static_cast<std::uint32_t>(poolIdOf(Service, 0).value()),
+        randomValue<std::uint16_t>(), randomValue<std::uint8_t>(),
+        randomValue<std::uint8_t>());
+  for (int I = Count(); I > 0; --I)
+    Result->machine_paces.emplace_back(
+        static_cast<std::uint32_t>(randomUpstream()),
+        randomValue<std::uint16_t>(), randomValue<std::uint16_t>());
   for (int I = *rc::gen::inRange(0, 2); I > 0; --I)
     Result->leaving.push_back(randomUpstream());
   return Result;
@@ -184,3 +198,35 @@
     RC_ASSERT(queuedTokensAt(Disturbed, Engine.m_Id, Now) ==
               queuedTokensAt(Calm, Engine.m_Id, Now));
 }
+
+/// Guards against sums of speeds that another instance reads differently.
+BOOST_AUTO_TEST_CASE(speeds_arrive_as_they_were_sent) {
+  using namespace speed;
+  LoadDigest Sent;
+  const UpstreamId Engine = upstreamIdOf("e1");
+  Sent.m_Speeds = {
+      UpstreamSpeedUpdate{Engine, true, 40, -40 * 0.693},
+      UpstreamSpeedUpdate{Engine, false, 1000, 1000 * 2.079},
+      ServiceSpeedUpdate{poolIdOf(Service, 0), 5, 100, 100 * 8.294},
+      MachinePaceUpdate{Engine, 250, 120ms}};
+  auto Packed = std::make_unique<wire::GatewayDigestT>();
+  gateway::packDigest(Sent, Packed);
+  const auto Received = decode(encode(std::move(Packed)));
+  BOOST_TEST_REQUIRE(Received.has_value());
+  BOOST_TEST_REQUIRE(Received->m_Speeds.size() == 4U);
+  const auto &Crowded = std::get<UpstreamSpeedUpdate>(Received->m_Speeds[0]);
+  BOOST_TEST(Crowded.m_Upstream.value() == shortId(Engine).value());
+  BOOST_TEST(Crowded.m_IsCrowded);
+  BOOST_TEST(Crowded.m_Samples == 40U);
+  BOOST_TEST(std::abs(Crowded.m_LogSum + 40 * 0.693) < 0.1);
+  // The number of samples is bounded, and their mean stays.
+  const auto &Many = std::get<UpstreamSpeedUpdate>(Received->m_Speeds[1]);
+  BOOST_TEST(Many.m_Samples == 255U);
+  BOOST_TEST(std::abs(Many.m_LogSum / Many.m_Samples - 2.079) < 0.001);
+  const auto &State = std::get<ServiceSpeedUpdate>(Received->m_Speeds[2]);
+  BOOST_TEST(State.m_State == 5);
+  BOOST_TEST(std::abs(State.m_LogSum / State.m_Samples - 8.294) < 0.001);
+  const auto &Pace = std::get<MachinePaceUpdate>(Received->m_Speeds[3]);
+  BOOST_TEST(Pace.m_Percent == 250U);
+  BOOST_TEST((Pace.m_Age == 120ms));
+}
