Test: Engines of different speeds in the simulated fleet

Cause: uneven upstreams can't be played. Engines of the fleet model all take the same time, and gateways know nothing else.

Groups of engines take a factor of the usual time, machines slow down by turns, steps slow down from a share of the slots on, and answers can state the fourth figure of a load. Gateways take the engines for equal, know their true speeds (with an error that differs between gateways), or learn them.

Balancer::setSpeedView() is what a fake gives its speeds to; placement doesn't read them yet. load_play_test gives the same results, as no random draw of a fleet without these is changed.

--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -140,6 +140,15 @@
   /// Returns how fast upstreams work.
   [[nodiscard]] speed::UpstreamSpeeds &speeds() { return m_Speeds; }
 
+  /// Places by the speeds of \p View instead of those that are learned here;
+  /// null: by the learned ones. \p View must outlive the balancer.
+  void setSpeedView(const speed::SpeedView *View) { m_SpeedView = View; }
+
+  /// Returns how many engines of a service, the first by role rank, take
+  /// latency-sensitive calls only.
+  [[nodiscard]] std::size_t
+  latencySensitiveEngineCount(const std::string &Service) const;
+
   /// Returns the requests and segments that must not run.
   [[nodiscard]] Quarantine &quarantine() { return m_Quarantine; }
 
@@ -197,8 +206,6 @@
   void rankEngines();
   void markDraining(UpstreamId Upstream);
   [[nodiscard]] bool isQueryLatencySensitive(const PlacementQuery &Query) const;
-  [[nodiscard]] std::size_t
-  latencySensitiveEngineCount(const std::string &Service) const;
   [[nodiscard]] EngineOption optionAt(UpstreamState &State,
                                       const PlacementQuery &Query,
                                       TimePoint Now) const;
@@ -229,8 +236,9 @@
   LeavingUpstreams m_Leaving;     ///< By their entries and answers.
   PrefillSpeed m_PrefillSpeed;    ///< Of the engines.
   speed::UpstreamSpeeds m_Speeds; ///< Of the upstreams.
-  PeerLoads m_PeerLoads;          ///< From their digests.
-  CacheModel m_Cache;             ///< Of the engines.
+  const speed::SpeedView *m_SpeedView = nullptr;       ///< Null: m_Speeds.
+  PeerLoads m_PeerLoads;                               ///< From their digests.
+  CacheModel m_Cache;                                  ///< Of the engines.
   std::unordered_map<PoolId, RoleSplit> m_RoleSplits;  ///< By service.
   std::unordered_map<PoolId, WorkTokens> m_UnsentWork; ///< Since takeDigest().
   std::vector<SegmentPlacement> m_UnsentSegments;      ///< Since takeDigest().
--- a/tests/standin/fleet_model.cpp
+++ b/tests/standin/fleet_model.cpp
@@ -3,8 +3,10 @@
 
 #include "balance/balancer.h"
 #include "balance/digest_sum.h"
+#include "core/pair_hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -36,6 +38,7 @@
   std::uint32_t m_GeneratedTokens = 0; ///< Output tokens so far.
   bool m_Running = false;              ///< Placed and not ended.
   bool m_InTime = true;                ///< No event was late so far.
+  bool m_HadLongPause = false;         ///< A later event was late.
 };
 
 using CallPtr = std::shared_ptr<Call>;
@@ -43,8 +46,40 @@
 /// One engine: a batch that runs in steps, and the calls that wait for a slot.
 class SimulatedEngine {
 public:
-  SimulatedEngine(const FleetModel &Load, UpstreamId Id)
-      : m_Model(Load), m_Id(Id) {}
+  /// Its steps take \p TimeFactor of the usual time.
+  SimulatedEngine(const FleetModel &Load, UpstreamId Id, double TimeFactor)
+      : m_Model(Load), m_Id(Id), m_TimeFactor(TimeFactor) {}
+
+  void setMachineSlow(bool IsSlow) { m_IsMachineSlow = IsSlow; }
+
+  [[nodiscard]] double timeFactor() const { return m_TimeFactor; }
+
+  /// Returns by what factor steps take longer on its machine now.
+  [[nodiscard]] double machineSlowdown() const {
+    return m_IsMachineSlow ? m_Model.m_SlowMachines.m_TimeFactor : 1;
+  }
+
+  /// Returns the load that its answers state.
+  [[nodiscard]] LoadReport loadReport() const {
+    return {static_cast<std::uint32_t>(m_Running.size()),
+            static_cast<std::uint32_t>(m_Waiting.size()), m_Model.m_Slots,
+            static_cast<std::uint32_t>(std::lround(100 * machineSlowdown()))};
+  }
+
+  [[nodiscard]] double takenSlotShare() const {
+    return static_cast<double>(m_Running.size() + m_Waiting.size()) /
+           m_Model.m_Slots;
+  }
+
+  /// Returns whether it has no prompt to prefill and half of its slots free.
+  [[nodiscard]] bool hasIdleCapacity() const {
+    constexpr double IdleSlotShare = 0.5;
+    return m_Waiting.empty() && takenSlotShare() <= IdleSlotShare &&
+           std::none_of(m_Running.begin(), m_Running.end(),
+                        [](const CallPtr &Active) {
+                          return Active->m_PrefillTokens > 0;
+                        });
+  }
 
   void add(const CallPtr &NewCall) { m_Waiting.push_back(NewCall); }
   void remove(const CallPtr &Ended) {
@@ -83,9 +118,10 @@
         m_Decoding.push_back(Active);
     }
     return microseconds(
-        m_Model.m_BaseStepUs +
-        m_Model.m_RunningCallUs * static_cast<double>(m_Running.size()) +
-        m_Model.m_PrefillTokenUs * (m_Model.m_PrefillChunk - Left));
+        stepTimeFactor() *
+        (m_Model.m_BaseStepUs +
+         m_Model.m_RunningCallUs * static_cast<double>(m_Running.size()) +
+         m_Model.m_PrefillTokenUs * (m_Model.m_PrefillChunk - Left)));
   }
 
   /// Ends the step; returns the calls that generated a token in it.
@@ -110,6 +146,12 @@
     return Segments;
   }
 
+  [[nodiscard]] double stepTimeFactor() const {
+    const bool IsCrowded = takenSlotShare() > m_Model.m_Crowding.m_FromShare;
+    return m_TimeFactor * machineSlowdown() *
+           (IsCrowded ? m_Model.m_Crowding.m_TimeFactor : 1);
+  }
+
   static void sortByUrgency(std::vector<CallPtr> &Calls) {
     std::stable_sort(Calls.begin(), Calls.end(),
                      [](const CallPtr &Left, const CallPtr &Right) {
@@ -142,6 +184,8 @@
 
   const FleetModel &m_Model;                 ///< Outlives the engine.
   UpstreamId m_Id;                           ///< Of this engine.
+  double m_TimeFactor;                       ///< Of its steps.
+  bool m_IsMachineSlow = false;              ///< See ModelSlowMachines.
   CacheModel m_Cache;                        ///< Its prefix cache.
   std::vector<CallPtr> m_Waiting;            ///< Calls that wait for a slot.
   std::vector<CallPtr> m_Running;            ///< Calls in the batch.
@@ -151,11 +195,57 @@
   bool m_Used = false;                       ///< Has run at least one call.
 };
 
+using EngineMap = std::map<UpstreamId, SimulatedEngine>;
+
+/// The engines' true speeds, with an error that differs between gateways.
+class TrueSpeeds final : public speed::SpeedView {
+public:
+  TrueSpeeds(const EngineMap &Engines, double MeanTimeFactor, double Error,
+             std::uint64_t Gateway)
+      : m_Engines(Engines), m_MeanTimeFactor(MeanTimeFactor), m_Error(Error),
+        m_Gateway(Gateway) {}
+
+  [[nodiscard]] bool isActive(PoolId) const override { return true; }
+
+  [[nodiscard]] double speedOf(UpstreamId Upstream, TimePoint) const override {
+    constexpr std::uint64_t Steps = 1001;
+    const double Draw =
+        static_cast<double>(pairHash(m_Gateway, Upstream.value()) % Steps) /
+        (Steps - 1);
+    return trueSpeedOf(Upstream) * (1 + m_Error * (2 * Draw - 1));
+  }
+
+  [[nodiscard]] int speedClassOf(UpstreamId Upstream) const override {
+    constexpr double ClassStep = 1.5;
+    return static_cast<int>(
+        std::lround(std::log(trueSpeedOf(Upstream)) / std::log(ClassStep)));
+  }
+
+  [[nodiscard]] double usableShareOf(UpstreamId, TimePoint) const override {
+    return 1;
+  }
+
+  [[nodiscard]] double machineSlowdownOf(UpstreamId Upstream,
+                                         TimePoint) const override {
+    return m_Engines.at(Upstream).machineSlowdown();
+  }
+
+private:
+  [[nodiscard]] double trueSpeedOf(UpstreamId Upstream) const {
+    return m_MeanTimeFactor / m_Engines.at(Upstream).timeFactor();
+  }
+
+  const EngineMap &m_Engines; ///< Outlives the view.
+  double m_MeanTimeFactor;    ///< Of all engines, geometric.
+  double m_Error;             ///< See FleetModel::m_SpeedError.
+  std::uint64_t m_Gateway;    ///< Index of the gateway that asks.
+};
+
 /// Event loop in virtual time.
 class FleetSimulation {
 public:
   explicit FleetSimulation(const FleetModel &Load)
-      : m_Model(Load), m_Random(Load.m_Seed) {
+      : m_Model(Load), m_Random(Load.m_Seed), m_MachineRandom(Load.m_Seed) {
     SimulatedEngine::clearComputedSegments();
     for (std::size_t I = 0; I < Load.m_Engines; ++I)
       addEngine("engine-" + std::to_string(I));
@@ -170,6 +260,7 @@
       m_Gateways.back().setCacheCapacity(ServiceName, Load.m_CacheTokens);
       m_Gateways.back().setMinPauses({{ServiceName, MinPause}});
     }
+    setSpeeds();
   }
 
   FleetResult run() {
@@ -178,6 +269,14 @@
     schedule(m_Model.m_DigestInterval, [this] { sendDigests(); });
     for (const ModelCrash &Loss : m_Model.m_Crashes)
       schedule(Loss.m_At, [this, &Loss] { crashEngines(Loss); });
+    if (m_Model.m_SlowMachines.m_Share > 0)
+      for (auto &[Id, Simulated] : m_Engines)
+        startMachine(Simulated);
+    for (const Upstream &Target : m_Listed)
+      m_Result.m_EngineTimeFactors.push_back(
+          m_Engines.at(Target.m_Id).timeFactor());
+    if (m_Model.m_SnapshotInterval > Duration::zero())
+      takeSnapshots();
     while (!m_Events.empty()) {
       const Event Next = m_Events.top();
       m_Events.pop();
@@ -219,6 +318,83 @@
     return Result;
   }
 
+  /// Returns the time factor of the engine with this index: engines of all
+  /// groups alternate, so that the hash of a name says nothing about its group.
+  [[nodiscard]] double timeFactorOf(std::size_t Index) const {
+    constexpr std::uint64_t Steps = 10000;
+    constexpr std::uint64_t GroupSeed = 77;
+    auto Draw = static_cast<double>(pairHash(GroupSeed, Index) % Steps) / Steps;
+    for (const ModelSpeedGroup &Group : m_Model.m_SpeedGroups) {
+      if (Draw < Group.m_Share)
+        return Group.m_TimeFactor;
+      Draw -= Group.m_Share;
+    }
+    return 1;
+  }
+
+  void setSpeeds() {
+    if (m_Model.m_Speeds != ModelSpeeds::True)
+      return;
+    double LogSum = 0;
+    for (const auto &[Id, Simulated] : m_Engines)
+      LogSum += std::log(Simulated.timeFactor());
+    const double Mean =
+        std::exp(LogSum / static_cast<double>(m_Engines.size()));
+    for (std::size_t I = 0; I < m_Gateways.size(); ++I) {
+      m_TrueSpeeds.push_back(std::make_unique<TrueSpeeds>(
+          m_Engines, Mean, m_Model.m_SpeedError, I));
+      m_Gateways[I].setSpeedView(m_TrueSpeeds.back().get());
+    }
+  }
+
+  /// Draws the state of a machine and lets it alternate from then on.
+  void startMachine(SimulatedEngine &Target) {
+    const bool IsSlow = std::uniform_real_distribution<>()(m_MachineRandom) <
+                        m_Model.m_SlowMachines.m_Share;
+    alternateMachine(Target, IsSlow);
+  }
+
+  void alternateMachine(SimulatedEngine &Target, bool IsSlow) {
+    const ModelSlowMachines &Slow = m_Model.m_SlowMachines;
+    Target.setMachineSlow(IsSlow);
+    const double MeanUs = static_cast<double>(Slow.m_MeanSpan.count()) *
+                          (IsSlow ? 1 : (1 - Slow.m_Share) / Slow.m_Share);
+    const double SpanUs =
+        MeanUs * std::uniform_real_distribution<>(0.5, 1.5)(m_MachineRandom);
+    if (!isOver())
+      schedule(microseconds(SpanUs),
+               [this, &Target, IsSlow] { alternateMachine(Target, !IsSlow); });
+  }
+
+  void takeSnapshots() {
+    ModelSnapshot Result;
+    Result.m_SensitiveEngines =
+        m_Gateways.front().latencySensitiveEngineCount(ServiceName);
+    for (const Upstream &Target : m_Listed)
+      Result.m_SlotShares.push_back(m_Engines.at(Target.m_Id).takenSlotShare());
+    m_Result.m_Snapshots.push_back(std::move(Result));
+    if (!isOver())
+      schedule(m_Model.m_SnapshotInterval, [this] { takeSnapshots(); });
+  }
+
+  /// Returns whether a quarter of the engines has idle capacity.
+  [[nodiscard]] bool isCapacityIdle() const {
+    constexpr std::size_t IdleFraction = 4;
+    const auto Idle = std::count_if(
+        m_Listed.begin(), m_Listed.end(), [this](const Upstream &Target) {
+          return m_Engines.at(Target.m_Id).hasIdleCapacity();
+        });
+    return static_cast<std::size_t>(Idle) * IdleFraction >= m_Listed.size();
+  }
+
+  /// Returns where the outcome of a request that arrived at \p ArrivedAt
+  /// counts.
+  ModelResult &resultOf(const ModelClass &Class, TimePoint ArrivedAt) {
+    return ArrivedAt - Start < m_Model.m_CountFrom
+               ? m_Uncounted
+               : m_Result.m_Classes[Class.m_Name];
+  }
+
   void addEngine(const std::string &Name) {
     m_Listed.push_back({upstreamIdOf(Name),
                         Name,
@@ -228,7 +404,8 @@
                         Engine{m_Model.m_Slots, {}, true, true},
                         false});
     m_Engines.emplace(m_Listed.back().m_Id,
-                      SimulatedEngine(m_Model, m_Listed.back().m_Id));
+                      SimulatedEngine(m_Model, m_Listed.back().m_Id,
+                                      timeFactorOf(m_Engines.size())));
   }
 
   void updateGateways() {
@@ -243,7 +420,7 @@
     for (std::size_t I = 0; I < Count; ++I) {
       for (const CallPtr &Affected :
            m_Engines.at(m_Listed.back().m_Id).crash()) {
-        ++m_Result.m_Classes[Affected->m_Class->m_Name].m_Lost;
+        ++resultOf(*Affected->m_Class, Affected->m_ArrivedAt).m_Lost;
         endCall(Affected, CallOutcome::Failed);
       }
       m_Listed.pop_back();
@@ -288,7 +465,7 @@
   }
 
   void startRequest(const ModelClass &Class) {
-    ++m_Result.m_Classes[Class.m_Name].m_Requests;
+    ++resultOf(Class, m_Now).m_Requests;
     PlacementQuery Query;
     Query.m_Service = ServiceName;
     Query.m_Urgency = Class.m_Urgency;
@@ -321,7 +498,9 @@
     }
     const auto *Placement = std::get_if<Placed>(&Answer);
     if (Placement == nullptr) {
-      ++m_Result.m_Classes[Class.m_Name].m_Refused;
+      ModelResult &Counts = resultOf(Class, ArrivedAt);
+      ++Counts.m_Refused;
+      Counts.m_RefusedAmidIdle += isCapacityIdle() ? 1 : 0;
       return;
     }
     auto NewCall = std::make_shared<Call>();
@@ -341,7 +520,7 @@
   void handleDeadline(const CallPtr &Target, UpstreamId Engine) {
     if (!Target->m_Running)
       return;
-    ++m_Result.m_Classes[Target->m_Class->m_Name].m_Unfinished;
+    ++resultOf(*Target->m_Class, Target->m_ArrivedAt).m_Unfinished;
     m_Engines.at(Engine).remove(Target);
     endCall(Target, CallOutcome::Dropped);
   }
@@ -367,6 +546,15 @@
     startStep(Engine);
   }
 
+  /// The load comes with the headers of the answer.
+  void reportFirstEvent(const CallPtr &Target, UpstreamId Engine) {
+    Balancer &Gateway = m_Gateways[Target->m_Gateway];
+    if (m_Model.m_StatesPace)
+      Gateway.recordLoadReport(Target->m_Ticket,
+                               m_Engines.at(Engine).loadReport(), m_Now);
+    Gateway.recordFirstEvent(Target->m_Ticket, m_Now);
+  }
+
   void addToken(const CallPtr &Target, UpstreamId Engine) {
     const ModelClass &Class = *Target->m_Class;
     ++Target->m_GeneratedTokens;
@@ -376,15 +564,17 @@
         !Last)
       return;
     if (Target->m_GeneratedTokens == 1) {
-      m_Gateways[Target->m_Gateway].recordFirstEvent(Target->m_Ticket, m_Now);
+      reportFirstEvent(Target, Engine);
       Target->m_InTime = m_Now - Target->m_ArrivedAt <= Class.m_LatencyTarget;
     } else if (m_Now - Target->m_LastEventAt > Class.m_MaxPause) {
       Target->m_InTime = false;
+      Target->m_HadLongPause = true;
     }
     Target->m_LastEventAt = m_Now;
     if (!Last)
       return;
-    ModelResult &Counts = m_Result.m_Classes[Class.m_Name];
+    ModelResult &Counts = resultOf(Class, Target->m_ArrivedAt);
+    Counts.m_PauseTooLong += Target->m_HadLongPause ? 1 : 0;
     ++(Target->m_InTime ? Counts.m_InTime : Counts.m_Late);
     m_Engines.at(Engine).remove(Target);
     endCall(Target, CallOutcome::Served);
@@ -423,6 +613,7 @@
 
   const FleetModel &m_Model;             ///< Outlives the simulation.
   std::mt19937_64 m_Random;              ///< For arrivals, prompts and crashes.
+  std::mt19937_64 m_MachineRandom;       ///< For the states of machines.
   TimePoint m_Now = Start;               ///< Virtual time.
   std::priority_queue<Event> m_Events;   ///< Earliest first.
   std::uint64_t m_Order = 0;             ///< Orders events of equal times.
@@ -431,8 +622,10 @@
   std::vector<DigestSum> m_ZoneSums;     ///< By zone.
   unsigned m_DigestIntervals = 0;        ///< Digest intervals so far.
   std::vector<Upstream> m_Listed;        ///< Listed engines.
-  std::map<UpstreamId, SimulatedEngine> m_Engines; ///< Lost engines included.
-  FleetResult m_Result;                            ///< Counts so far.
+  EngineMap m_Engines;                   ///< Lost engines included.
+  std::vector<std::unique_ptr<TrueSpeeds>> m_TrueSpeeds; ///< By gateway.
+  FleetResult m_Result;                                  ///< Counts so far.
+  ModelResult m_Uncounted; ///< Of requests before m_CountFrom.
 };
 
 } // namespace
--- a/tests/standin/fleet_model.h
+++ b/tests/standin/fleet_model.h
@@ -11,6 +11,7 @@
 #include "balance/balance_type.h"
 
 #include <map>
+#include <vector>
 
 namespace crowstep::standin {
 
@@ -50,6 +51,32 @@
   double m_EngineShare = 0; ///< Share of the engines lost.
 };
 
+/// What the gateways know about the speed of the engines.
+enum class ModelSpeeds : std::uint8_t {
+  Equal,   ///< All engines count as equal.
+  True,    ///< Their true speeds, and the state of their machines.
+  Learned, ///< What the balancers learn from events and digests.
+};
+
+/// A group of engines whose steps take a factor of the usual time.
+struct ModelSpeedGroup {
+  double m_Share = 0;      ///< Of the engines.
+  double m_TimeFactor = 1; ///< Against the usual time of a step.
+};
+
+/// A step that slows down from a share of the slots on.
+struct ModelCrowding {
+  double m_FromShare = 1;  ///< Of the slots.
+  double m_TimeFactor = 1; ///< Against the time of a step below it.
+};
+
+/// Machines that slow down by turns.
+struct ModelSlowMachines {
+  double m_Share = 0;      ///< Of the machines, at any moment.
+  double m_TimeFactor = 1; ///< Against the usual time of a step.
+  Duration m_MeanSpan = std::chrono::milliseconds(600); ///< Of a slow machine.
+};
+
 /// A fleet and its load. The engines' defaults are those of a large dense
 /// model.
 struct FleetModel {
@@ -74,6 +101,19 @@
   std::vector<ModelClass> m_Classes;
   std::vector<ModelBurst> m_Bursts;
   std::vector<ModelCrash> m_Crashes;
+
+  std::vector<ModelSpeedGroup> m_SpeedGroups; ///< The rest takes usual time.
+  ModelCrowding m_Crowding;                   ///< Of all engines.
+  ModelSlowMachines m_SlowMachines;           ///< One engine a machine.
+  bool m_StatesPace = false; ///< Engines state the fourth figure of their load.
+  ModelSpeeds m_Speeds = ModelSpeeds::Equal;
+
+  /// Largest share by which the speeds that gateways know differ from the true
+  /// ones, at each gateway by another amount. Only for ModelSpeeds::True.
+  double m_SpeedError = 0;
+
+  Duration m_CountFrom{}; ///< Requests that arrive earlier are not counted.
+  Duration m_SnapshotInterval{}; ///< Zero: no snapshots.
 };
 
 /// Outcomes of the requests of one class.
@@ -82,8 +122,17 @@
   int m_InTime = 0; ///< First event and all pauses in time, and complete.
   int m_Late = 0;   ///< Complete, but not in time.
   int m_Refused = 0;
-  int m_Unfinished = 0; ///< Their deadline came first.
-  int m_Lost = 0;       ///< Their engine crashed.
+  int m_Unfinished = 0;      ///< Their deadline came first.
+  int m_Lost = 0;            ///< Their engine crashed.
+  int m_PauseTooLong = 0;    ///< Complete, with a pause over the limit.
+  int m_RefusedAmidIdle = 0; ///< Refused while a quarter of the engines was
+                             ///< idle: no prefill, half of the slots free.
+
+  /// Returns the share of complete answers with a pause over the limit.
+  [[nodiscard]] double longPauseShare() const {
+    const int Complete = m_InTime + m_Late;
+    return Complete == 0 ? 0 : static_cast<double>(m_PauseTooLong) / Complete;
+  }
 
   /// Returns the share of requests answered in time.
   [[nodiscard]] double inTimeShare() const {
@@ -91,6 +140,12 @@
   }
 };
 
+/// State of the fleet at one moment.
+struct ModelSnapshot {
+  std::size_t m_SensitiveEngines = 0; ///< By gateway 0, see isLatencySensitive.
+  std::vector<double> m_SlotShares;   ///< Taken at each engine, by index.
+};
+
 /// Result of a simulation.
 struct FleetResult {
   std::map<std::string, ModelResult> m_Classes; ///< By name.
@@ -98,6 +153,8 @@
       0;                         ///< Prefill tokens of segments that some
                                  ///< engine had computed before.
   std::size_t m_EnginesUsed = 0; ///< Engines with at least one call.
+  std::vector<ModelSnapshot> m_Snapshots;  ///< While requests arrive.
+  std::vector<double> m_EngineTimeFactors; ///< As in ModelSnapshot, by index.
 };
 
 /// Simulates a load to its end.
