Feature: Place by time where the speeds of a service are learned

Cause: placement compares engines by tokens. Where engines differ in speed, short streams run at engines chosen by a hash, and a third of them have a pause that is too long. A long stream stays at the engine that has its prefix cached and is refused for the queue there while other engines are idle.

Change: roles follow speed classes, and the boundary the sum of speeds; costs and predicted waits are divided by speed, queued prefill is multiplied by the slowdown of the machine; prefilling a prefix again is expensive only while prefill is scarce; a call leaves a saturated engine while the service has room; slots are limited to the usable share; plain upstreams are compared by time; busyEngines() counts speeds. Times to first events are taken to the usual speed before they teach the service's prefill time: fast engines would make it look too short for the others.

The order of engines depends on classes only, and the boundary on the mean speed of each class, as instances know slightly different speeds. Both are checked at most every 250 ms, and the boundary stays while it is off by less than 0.75 engines or 5 in 100 of the engines before it. A band of 2 in 100 of all engines was ruled out: with 506 engines the boundary stayed at 43 for 7 s.

Where SpeedView::isActive() is false the same engines are chosen: the test holds a hash of all choices of a load that was taken before the change.

--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -69,7 +69,11 @@
       0;                              ///< Prompt tokens queued there before it.
   std::uint32_t m_UncachedTokens = 0; ///< Of this prompt, not cached there.
   std::size_t m_PeerCount = 0;        ///< Instances whose digests are in use.
-  Duration m_UnlistedFor{}; ///< Since its entry was removed; 0: it has one.
+  Duration m_UnlistedFor{};     ///< Since its entry was removed; 0: it has one.
+  int m_SpeedClass = 0;         ///< Of the chosen one, see speed::SpeedView.
+  Duration m_PredictedWait{};   ///< For the prefill queued there; engines only.
+  bool m_LeftSaturated = false; ///< The best engine's wait was too long, and
+                                ///< another one was chosen.
 };
 
 /// An upstream was chosen; the call counts towards its load.
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -1,6 +1,8 @@
 /// Choice among the upstreams of a service.
 #include "balance/balancer.h"
 
+#include "balance/wait_limit.h"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -29,16 +31,6 @@
 /// Age from which a load report is not used any more.
 constexpr Duration ReportLifetime = std::chrono::milliseconds(1500);
 
-/// A call is refused at once if the prefill queued before it takes longer than
-/// this share of its latency target: it would be late, and its own prefill
-/// would delay calls that can still be in time. Its own prompt is not counted,
-/// so that long prompts are not refused where shorter ones are accepted.
-constexpr double MaxWaitInTargets = 0.75;
-
-/// Least limit on that wait: callers with short targets wait longer than these
-/// before they give up, and a late answer is still of use to them.
-constexpr Duration MinWaitLimit = std::chrono::milliseconds(1200);
-
 /// Share of an engine's memory that calls may need beside the cached segments,
 /// which take about as much again.
 constexpr double MaxHeldShare = 0.55;
@@ -70,14 +62,6 @@
 /// could not take the load.
 constexpr double MaxExcludedShare = 0.5;
 
-/// Returns how long a call may wait for the prefill that is queued at an
-/// engine.
-Duration waitLimitOf(const PlacementQuery &Query) {
-  return Query.m_WaitLimit.value_or(
-      std::max(MinWaitLimit, std::chrono::duration_cast<Duration>(
-                                 Query.m_LatencyTarget * MaxWaitInTargets)));
-}
-
 /// Returns the number of tokens that a call is expected to generate.
 std::uint32_t expectedOutput(const PromptInfo &Prompt) {
   if (Prompt.m_ExpectedOutputTokens > 0 && Prompt.m_MaxOutputTokens > 0)
@@ -110,15 +94,19 @@
 /// Roles follow the order among all listed engines that are not draining, so
 /// that the ejection of one does not change the role of another.
 void Balancer::rankEngines() {
-  std::map<std::string, std::vector<UpstreamId>> Engines;
-  for (const auto &[Id, State] : m_States)
+  std::map<std::string, std::vector<RankedEngine>> Engines;
+  for (auto &[Id, State] : m_States) {
+    State.m_SpeedClass = rankedSpeedClassOf(State);
     if (!State.m_Upstream.m_Draining)
-      Engines[State.m_Upstream.m_Service].push_back(Id);
+      Engines[State.m_Upstream.m_Service].push_back({Id, State.m_SpeedClass});
+  }
+  for (auto &[Service, Roles] : m_EngineRoles)
+    Roles.invalidate();
   m_ActiveUpstreamCounts.clear();
-  for (auto &[Service, Ids] : Engines) {
-    m_ActiveUpstreamCounts[Service] = Ids.size();
+  for (auto &[Service, Ranked] : Engines) {
+    m_ActiveUpstreamCounts[Service] = Ranked.size();
     std::size_t Rank = 0;
-    for (const UpstreamId Id : roleOrder(std::move(Ids)))
+    for (const UpstreamId Id : roleOrder(std::move(Ranked)))
       m_States.at(Id).m_RoleRank = Rank++;
   }
 }
@@ -314,18 +302,54 @@
 PlacementResult Balancer::placeAtEngine(const PlacementQuery &Query,
                                         const States &Candidates,
                                         TimePoint Now) {
-  const PromptInfo &Prompt = Query.m_Prompt;
   const bool LatencySensitive = isQueryLatencySensitive(Query);
-  const PoolId Pool = poolIdOf(Query.m_Service, 0);
+  updateRoles(Query.m_Service, Now);
+  const std::vector<EngineOption> Options =
+      engineOptions(Query, LatencySensitive, Candidates, Now);
+  if (Options.empty())
+    return NotPlaced{RefusalReason::TargetUnreachable,
+                     MinRetryAfter,
+                     {0, 0, 0, 0, m_PeerLoads.size()}};
+  const EngineOption &Best =
+      chooseEngine(Query, LatencySensitive, Options,
+                   prefillTimeOf(Query.m_Service), m_Random);
+  const std::optional<EngineOption> LessLoaded =
+      chooseLessLoaded(Query, LatencySensitive, Best, Options, Candidates, Now);
+  const EngineOption &Chosen = LessLoaded ? *LessLoaded : Best;
+  const Duration Wait = predictedWait(Query.m_Service, Chosen);
+  const PlacementInputs Inputs = {Options.size(),
+                                  Chosen.m_Calls,
+                                  Chosen.m_QueuedPrefillTokens,
+                                  Chosen.m_UncachedTokens,
+                                  m_PeerLoads.size(),
+                                  {},
+                                  Chosen.m_State->m_SpeedClass,
+                                  Wait,
+                                  LessLoaded.has_value()};
+  if (Chosen.m_Full)
+    return MustWait{Inputs};
+  if (Wait > waitLimitOf(Query))
+    return NotPlaced{RefusalReason::TargetUnreachable,
+                     std::max(Wait - Query.m_LatencyTarget, MinRetryAfter),
+                     Inputs};
+  return sendToEngine(Query, LatencySensitive, Chosen, Inputs, Now);
+}
+
+/// Returns the engines to choose from. Those of the other role are used only if
+/// none of the call's own role has room.
+///
+/// A long prompt that has waited for an engine of its role is refused rather
+/// than placed where it would make other calls late; a short one delays none. A
+/// resumed stream has few engines to choose from.
+std::vector<EngineOption> Balancer::engineOptions(const PlacementQuery &Query,
+                                                  bool LatencySensitive,
+                                                  const States &Candidates,
+                                                  TimePoint Now) const {
+  const bool ByTime = isPlacedByTime(Query.m_Service);
   const std::size_t SensitiveEngines =
       latencySensitiveEngineCount(Query.m_Service);
-  // A long prompt that has waited for an engine of its role is refused rather
-  // than placed where it would make other calls late; a short one delays none.
-  // A resumed stream has few engines to choose from.
   const bool KeepsToOwnRole =
       Query.m_WaitTimedOut && !LatencySensitive && !Query.m_RequiredSoftware;
-  // Engines of the other role are used only if none of the call's own role has
-  // room.
   std::vector<EngineOption> Options;
   for (const bool OwnRole : {true, false}) {
     if (!Options.empty() || (!OwnRole && KeepsToOwnRole))
@@ -334,25 +358,28 @@
       if (((State->m_RoleRank < SensitiveEngines) == LatencySensitive) ==
           OwnRole)
         Options.push_back(optionAt(*State, Query, Now));
+    if (ByTime)
+      for (EngineOption &Option : Options)
+        addSpeed(Option, Now);
     markFull(Query, Options);
   }
-  if (Options.empty())
-    return NotPlaced{RefusalReason::TargetUnreachable,
-                     MinRetryAfter,
-                     {0, 0, 0, 0, m_PeerLoads.size()}};
-  const EngineOption &Chosen =
-      chooseEngine(Query, LatencySensitive, Options, m_Random);
-  const PlacementInputs Inputs = {Options.size(), Chosen.m_Calls,
-                                  Chosen.m_QueuedPrefillTokens,
-                                  Chosen.m_UncachedTokens, m_PeerLoads.size()};
-  if (Chosen.m_Full)
-    return MustWait{Inputs};
-  const Duration Wait = m_PrefillSpeed.timeToFirstEvent(
-      Query.m_Service, Chosen.m_QueuedPrefillTokens);
-  if (Wait > waitLimitOf(Query))
-    return NotPlaced{RefusalReason::TargetUnreachable,
-                     std::max(Wait - Query.m_LatencyTarget, MinRetryAfter),
-                     Inputs};
+  return Options;
+}
+
+/// Returns the time until the prefill that is queued at the engine is done.
+Duration Balancer::predictedWait(const std::string &Service,
+                                 const EngineOption &Option) const {
+  const auto Tokens = static_cast<std::uint64_t>(
+      static_cast<double>(Option.m_QueuedPrefillTokens) * Option.m_Slowdown);
+  return std::chrono::duration_cast<Duration>(
+      m_PrefillSpeed.timeToFirstEvent(Service, Tokens) / Option.m_Speed);
+}
+
+/// Counts the call, its prefix and its work at the chosen engine.
+Placed Balancer::sendToEngine(const PlacementQuery &Query,
+                              bool LatencySensitive, const EngineOption &Chosen,
+                              const PlacementInputs &Inputs, TimePoint Now) {
+  const PromptInfo &Prompt = Query.m_Prompt;
   UpstreamState &State = *Chosen.m_State;
   // The last segment is unique to the call and will not be requested again.
   for (std::size_t I = 0; I + 1 < Prompt.m_Segments.size(); ++I) {
@@ -360,17 +387,18 @@
                             m_CacheCapacities[Query.m_Service]);
     m_UnsentSegments.push_back({State.m_Upstream.m_Id, Prompt.m_Segments[I]});
   }
-  recordWork(Pool, LatencySensitive,
+  recordWork(poolIdOf(Query.m_Service, 0), LatencySensitive,
              Chosen.m_UncachedTokens + expectedOutput(Prompt) * StepTokens /
                                            slotsOf(State.m_Upstream),
              Now);
-  const bool NoQueuedPrefill = Chosen.m_QueuedPrefillTokens == 0;
-  const Placed Result = issueTicket(
+  Placed Result = issueTicket(
       State, Query,
       {Chosen.m_UncachedTokens,
        Chosen.m_UncachedTokens + expectedOutput(Prompt), LatencySensitive},
       Inputs, Now);
-  m_Tickets[Result.m_Ticket].m_NoQueuedPrefill = NoQueuedPrefill;
+  Ticket &Issued = m_Tickets[Result.m_Ticket];
+  Issued.m_NoQueuedPrefill = Chosen.m_QueuedPrefillTokens == 0;
+  Issued.m_TimeFactor = Chosen.m_Slowdown / Chosen.m_Speed;
   return Result;
 }
 
@@ -411,6 +439,9 @@
 /// The first engines by rank take latency-sensitive calls only.
 std::size_t
 Balancer::latencySensitiveEngineCount(const std::string &Service) const {
+  if (const auto Roles = m_EngineRoles.find(Service);
+      Roles != m_EngineRoles.end())
+    return Roles->second.latencySensitiveEngineCount();
   const auto Engines = m_ActiveUpstreamCounts.find(Service);
   const auto Split = m_RoleSplits.find(poolIdOf(Service, 0));
   if (Engines == m_ActiveUpstreamCounts.end())
@@ -438,23 +469,36 @@
           ? std::numeric_limits<double>::infinity()
           : MaxHeldShare * static_cast<double>(Capacity->second);
   for (EngineOption &Option : Options) {
-    const double Slots = slotsOf(Option.m_State->m_Upstream);
     const bool HasLessUrgent = Option.m_LessUrgentCalls > 0;
     const bool MayFill = HasLessUrgent || Query.m_RequiredSoftware.has_value();
-    const bool NoSlot = Option.m_Calls >= (MayFill ? 1 : MaxSlotShare) * Slots;
+    const bool NoSlot = hasNoSlot(Query, Option);
     Option.m_Full =
         (Query.m_WaitTimedOut ? !HasLessUrgent && (NoSlot || !MayFill)
                               : NoSlot) ||
         (Option.m_HeldTokens > 0 &&
          static_cast<double>(Option.m_HeldTokens + Option.m_UncachedTokens +
                              expectedOutput(Query.m_Prompt)) > Limit);
-    Option.m_SlotWaitTokens = SlotTurnoverTokens / Slots;
+    Option.m_SlotWaitTokens =
+        SlotTurnoverTokens / slotsOf(Option.m_State->m_Upstream);
   }
   if (!Query.m_MayWait)
     std::erase_if(Options,
                   [](const EngineOption &Option) { return Option.m_Full; });
 }
 
+/// Returns whether the slots that the call may take at the engine are taken. An
+/// engine whose usable share is less than one slot has that one.
+bool Balancer::hasNoSlot(const PlacementQuery &Query,
+                         const EngineOption &Option) {
+  const double Slots = slotsOf(Option.m_State->m_Upstream);
+  if (Query.m_RequiredSoftware)
+    return Option.m_Calls >= Slots;
+  const double Usable = Option.m_UsableShare * Slots;
+  const double Limit =
+      Option.m_LessUrgentCalls > 0 ? Usable : MaxSlotShare * Usable;
+  return Option.m_Calls >= std::max(1.0, Limit);
+}
+
 std::vector<const Upstream *>
 Balancer::stayingUpstreams(const std::string &Service) const {
   std::vector<const Upstream *> Result;
@@ -465,15 +509,19 @@
 }
 
 double Balancer::busyEngines(const std::string &Service, TimePoint Now) const {
+  const bool ByTime = isPlacedByTime(Service);
+  const double MeanSpeed = ByTime ? meanSpeedOf(Service, Now) : 1;
   double BySlots = 0;
   for (const auto &[Id, State] : m_States)
     if (State.m_Upstream.m_Service == Service)
-      BySlots += callsAt(State, Now) / slotsOf(State.m_Upstream);
+      BySlots += callsAt(State, Now) / slotsOf(State.m_Upstream) *
+                 (ByTime ? speedView().speedOf(Id, Now) / MeanSpeed : 1);
   const auto Split = m_RoleSplits.find(poolIdOf(Service, 0));
   if (Split == m_RoleSplits.end())
     return BySlots;
   const std::chrono::duration<double> ByPrefill =
-      Split->second.tokensPerSecond(Now) * m_PrefillSpeed.perToken(Service);
+      Split->second.tokensPerSecond(Now) * m_PrefillSpeed.perToken(Service) /
+      MeanSpeed;
   return std::max(BySlots, ByPrefill.count());
 }
 
@@ -558,9 +606,13 @@
 
 UpstreamState *Balancer::choosePlainUpstream(const States &Candidates,
                                              TimePoint Now) const {
+  const bool ByTime = isPlacedByTime(Candidates.front()->m_Upstream.m_Service);
   const auto Cost = [&](const UpstreamState &State) {
     const bool SameZone = State.m_Upstream.m_Zone == m_Zone;
-    return callsAt(State, Now) + (SameZone ? 0 : OtherZonePenalty) +
+    const double Calls = callsAt(State, Now);
+    return (ByTime ? (Calls + 1) * timeFactorOf(State.m_Upstream.m_Id, Now)
+                   : Calls) +
+           (SameZone ? 0 : OtherZonePenalty) +
            // Among upstreams with equal calls, prefers those with fewer
            // failures.
            State.m_Health.failureShare();
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -10,6 +10,7 @@
 #include "balance/brittle_upstreams.h"
 #include "balance/cache_model.h"
 #include "balance/engine_choice.h"
+#include "balance/engine_roles.h"
 #include "balance/leaving_upstreams.h"
 #include "balance/peer_loads.h"
 #include "balance/prefill_speed.h"
@@ -187,6 +188,7 @@
     std::optional<SoftwareVersion> m_RequiredSoftware; ///< See PlacementQuery.
     IncarnationId m_Incarnation; ///< The upstream's process.
     TimePoint m_FirstOutputAt{}; ///< Of its answer's body; not set: none yet.
+    double m_TimeFactor = 1;     ///< See timeFactorOf().
     bool m_IsSound = false;      ///< Its answer was written for some time.
   };
 
@@ -203,6 +205,14 @@
   [[nodiscard]] Duration pauseRetryAfter(Duration Left);
   PlacementResult placeAtEngine(const PlacementQuery &Query,
                                 const States &Candidates, TimePoint Now);
+  [[nodiscard]] std::vector<EngineOption>
+  engineOptions(const PlacementQuery &Query, bool LatencySensitive,
+                const States &Candidates, TimePoint Now) const;
+  Placed sendToEngine(const PlacementQuery &Query, bool LatencySensitive,
+                      const EngineOption &Chosen, const PlacementInputs &Inputs,
+                      TimePoint Now);
+  [[nodiscard]] Duration predictedWait(const std::string &Service,
+                                       const EngineOption &Option) const;
   void rankEngines();
   void markDraining(UpstreamId Upstream);
   [[nodiscard]] bool isQueryLatencySensitive(const PlacementQuery &Query) const;
@@ -211,6 +221,8 @@
                                       TimePoint Now) const;
   void markFull(const PlacementQuery &Query,
                 std::vector<EngineOption> &Options) const;
+  [[nodiscard]] static bool hasNoSlot(const PlacementQuery &Query,
+                                      const EngineOption &Option);
   void recordWork(PoolId Pool, bool LatencySensitive, double Tokens,
                   TimePoint Now);
   Placed issueTicket(UpstreamState &Chosen, const PlacementQuery &Query,
@@ -227,6 +239,28 @@
                                const CallLoad &Peers, TimePoint Now) const;
   UpstreamState *stateOf(TicketId Ticket);
 
+  // Placement by time, for services whose speeds are learned.
+  [[nodiscard]] const speed::SpeedView &speedView() const;
+  [[nodiscard]] bool isPlacedByTime(const std::string &Service) const;
+  [[nodiscard]] double timeFactorOf(UpstreamId Upstream, TimePoint Now) const;
+  [[nodiscard]] PrefillTime prefillTimeOf(const std::string &Service) const;
+  void addSpeed(EngineOption &Option, TimePoint Now) const;
+  void updateRoles(const std::string &Service, TimePoint Now);
+  [[nodiscard]] int rankedSpeedClassOf(const UpstreamState &State) const;
+  [[nodiscard]] bool haveSpeedClassesChanged(const std::string &Service) const;
+  [[nodiscard]] std::vector<SpeedGroup>
+  speedGroupsOf(const std::string &Service, TimePoint Now) const;
+  std::optional<EngineOption>
+  chooseLessLoaded(const PlacementQuery &Query, bool LatencySensitive,
+                   const EngineOption &Best,
+                   const std::vector<EngineOption> &Options,
+                   const States &Candidates, TimePoint Now);
+  [[nodiscard]] Duration meanWait(const PlacementQuery &Query,
+                                  const States &Candidates,
+                                  TimePoint Now) const;
+  [[nodiscard]] double meanSpeedOf(const std::string &Service,
+                                   TimePoint Now) const;
+
   AvailabilityZone m_Zone;        ///< Of this instance.
   std::mt19937_64 m_Random;       ///< For sampling engines.
   Quarantine m_Quarantine;        ///< Of requests and segments.
@@ -240,6 +274,8 @@
   PeerLoads m_PeerLoads;                               ///< From their digests.
   CacheModel m_Cache;                                  ///< Of the engines.
   std::unordered_map<PoolId, RoleSplit> m_RoleSplits;  ///< By service.
+  std::map<std::string, EngineRoles> m_EngineRoles;    ///< By service, if its
+                                                       ///< speeds are learned.
   std::unordered_map<PoolId, WorkTokens> m_UnsentWork; ///< Since takeDigest().
   std::vector<SegmentPlacement> m_UnsentSegments;      ///< Since takeDigest().
   std::unordered_map<std::string, std::uint64_t>
--- a/src/balance/balancer_reports.cpp
+++ b/src/balance/balancer_reports.cpp
@@ -31,9 +31,10 @@
   struct Ticket &Found = m_Tickets[Ticket];
   m_Pauses.recordAccepted(Found.m_Upstream, Ticket, Now);
   if (Found.m_NoQueuedPrefill)
-    m_PrefillSpeed.addSample(State->m_Upstream.m_Service,
-                             Found.m_Demand.m_PrefillTokens,
-                             Now - Found.m_PlacedAt);
+    m_PrefillSpeed.addSample(
+        State->m_Upstream.m_Service, Found.m_Demand.m_PrefillTokens,
+        std::chrono::duration_cast<Duration>((Now - Found.m_PlacedAt) /
+                                             Found.m_TimeFactor));
   State->m_OwnLoad.finishPrefill(Found.m_Urgency,
                                  Found.m_Demand.m_PrefillTokens);
   Found.m_Demand.m_PrefillTokens = 0;
--- a/src/balance/engine_choice.cpp
+++ b/src/balance/engine_choice.cpp
@@ -10,6 +10,7 @@
 #include "core/pair_hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crowstep::balance {
 
@@ -19,22 +20,6 @@
 /// 80 ms, which is less than the shortest pause that a caller notices.
 constexpr std::uint32_t ShortPromptTokens = 4000;
 
-/// Weight of a call's own uncached tokens while the engines have little to do:
-/// their prefill delays this call once, and every call behind it as well.
-constexpr double UncachedWeight = 4.5;
-
-/// Added to UncachedWeight when all slots of the engines are taken; scaled by
-/// the square of the share that is taken. Without it, in a burst that takes
-/// most slots, calls go wherever a slot is free and prefill their prefixes once
-/// more there, so that calls last longer and take more slots.
-constexpr double ScarceSlotWeight = 8;
-
-/// Discount on the uncached tokens at the preferred engine, as a share of them.
-/// Instances that place calls with the same prefix within a tenth of a second
-/// don't know of one another's calls; with it they choose the same engine, and
-/// the prefix is prefilled once.
-constexpr double PreferredDiscount = 0.7;
-
 /// Number of engines that are compared, of those that have cached the prefix
 /// and of the others each. Instances learn of one another's calls late: if each
 /// compared all engines, all would send their calls to the same one, the best
@@ -46,21 +31,6 @@
 /// considered equal: an engine prefills this much in a few steps of its batch.
 constexpr std::uint32_t EqualTokens = 1000;
 
-/// Weight of the prompt tokens of less urgent calls: their prefill takes place
-/// between the tokens of a more urgent call and makes its pauses longer.
-constexpr double LaterPrefillWeight = 0.3;
-
-/// Cost in tokens of each more urgent call at an engine: prefill of this call's
-/// prompt takes place between its tokens and makes its pauses longer.
-constexpr double TokensPerMoreUrgent = 300;
-
-/// Cost in tokens of each latency-sensitive call at an engine, for a call that
-/// is none: prefill of a long prompt makes such calls late. With this cost
-/// another engine is taken unless the wait there is some tenths of a second
-/// longer. The boundary between the roles moves within a second, while streams
-/// that began before it moved run for six seconds more.
-constexpr double TokensPerLatencySensitive = 5000;
-
 /// Arbitrary; keeps the hash of roles apart from that of prefixes.
 constexpr std::uint64_t RoleSeed = 1;
 
@@ -121,30 +91,6 @@
   return Result;
 }
 
-/// Returns the weight of an uncached token, by the share of slots that are
-/// taken.
-double uncachedWeight(const std::vector<EngineOption> &Options) {
-  double LoadSum = 0;
-  for (const EngineOption &Option : Options)
-    LoadSum += Option.m_Calls / slotsOf(Option.m_State->m_Upstream);
-  const double Share =
-      std::min(1.0, LoadSum / static_cast<double>(Options.size()));
-  return UncachedWeight + ScarceSlotWeight * Share * Share;
-}
-
-double costOf(const EngineOption &Option, double Weight, bool LatencySensitive,
-              bool Preferred) {
-  const double Uncached = Weight * Option.m_UncachedTokens *
-                          (Preferred ? 1 - PreferredDiscount : 1);
-  return static_cast<double>(Option.m_QueuedPrefillTokens) + Uncached +
-         LaterPrefillWeight * static_cast<double>(Option.m_LaterPrefillTokens) +
-         TokensPerMoreUrgent * Option.m_MoreUrgentCalls +
-         (LatencySensitive
-              ? 0
-              : TokensPerLatencySensitive * Option.m_LatencySensitiveCalls) +
-         (Option.m_Full ? Option.m_SlotWaitTokens : 0);
-}
-
 } // namespace
 
 bool isLatencySensitive(const PlacementQuery &Query, Duration MinPause) {
@@ -156,21 +102,28 @@
          Query.m_MaxPause * 2 < MinPause * 3;
 }
 
-std::vector<UpstreamId> roleOrder(std::vector<UpstreamId> Engines) {
+std::vector<UpstreamId> roleOrder(std::vector<RankedEngine> Engines) {
   std::sort(Engines.begin(), Engines.end(),
-            [](UpstreamId Left, UpstreamId Right) {
-              return pairHash(RoleSeed, Left.value()) >
-                     pairHash(RoleSeed, Right.value());
+            [](const RankedEngine &Left, const RankedEngine &Right) {
+              return std::pair(Left.m_SpeedClass,
+                               pairHash(RoleSeed, Left.m_Id.value())) >
+                     std::pair(Right.m_SpeedClass,
+                               pairHash(RoleSeed, Right.m_Id.value()));
             });
-  return Engines;
+  std::vector<UpstreamId> Result;
+  Result.reserve(Engines.size());
+  for (const RankedEngine &Ranked : Engines)
+    Result.push_back(Ranked.m_Id);
+  return Result;
 }
 
 const EngineOption &chooseEngine(const PlacementQuery &Query,
                                  bool LatencySensitive,
                                  const std::vector<EngineOption> &Options,
+                                 PrefillTime PerToken,
                                  std::mt19937_64 &Random) {
   const EngineOption *Preferred = preferredEngine(Query, Options);
-  const double Weight = uncachedWeight(Options);
+  const double Weight = uncachedWeight(Options, PerToken);
   const OptionList Sample = sampleOptions(Options, Preferred, Random);
   return **std::min_element(
       Sample.begin(), Sample.end(), [&](const auto *Left, const auto *Right) {
--- a/src/balance/role_split.cpp
+++ b/src/balance/role_split.cpp
@@ -38,9 +38,9 @@
          decayUntil(Now) / std::chrono::duration<double>(DecayTime).count();
 }
 
-std::size_t RoleSplit::latencySensitiveEngineCount(std::size_t Engines) const {
-  if (Engines < 2)
-    return 0;
+/// Returns the share of the weighted work that is latency-sensitive; exactly 0
+/// or 1 if nearly all work is of one kind.
+double RoleSplit::latencySensitiveShare() const {
   // Without work the sums decay to zero after some minutes.
   const bool HasWork =
       m_RecentWork.m_LatencySensitive + m_RecentWork.m_Other > 0;
@@ -49,11 +49,46 @@
   const double Share = Weighted / (Weighted + Work.m_Other);
   if (Share < MinShare)
     return 0;
-  if (Share > 1 - MinShare)
-    return Engines;
-  const auto Count = static_cast<std::size_t>(
-      std::lround(static_cast<double>(Engines) * Share));
-  return std::clamp<std::size_t>(Count, 1, Engines - 1);
+  return Share > 1 - MinShare ? 1 : Share;
+}
+
+std::size_t RoleSplit::latencySensitiveEngineCount(std::size_t Engines) const {
+  if (Engines < 2)
+    return 0;
+  return boundedEngineCount(
+      static_cast<double>(Engines) * latencySensitiveShare(), Engines);
+}
+
+double RoleSplit::exactLatencySensitiveEngineCount(
+    const std::vector<SpeedGroup> &Groups) const {
+  double SpeedSum = 0;
+  std::size_t Engines = 0;
+  for (const SpeedGroup &Group : Groups) {
+    SpeedSum += static_cast<double>(Group.m_Engines) * Group.m_Speed;
+    Engines += Group.m_Engines;
+  }
+  const double Share = latencySensitiveShare();
+  if (Engines < 2 || Share == 0)
+    return 0;
+  if (Share == 1)
+    return static_cast<double>(Engines);
+  double Left = SpeedSum * Share;
+  double Result = 0;
+  for (const SpeedGroup &Group : Groups) {
+    const double Taken =
+        std::min(static_cast<double>(Group.m_Engines), Left / Group.m_Speed);
+    Result += Taken;
+    Left -= Taken * Group.m_Speed;
+  }
+  return Result;
+}
+
+std::size_t boundedEngineCount(double Exact, std::size_t Engines) {
+  const auto All = static_cast<double>(Engines);
+  if (Exact <= 0 || Exact >= All || Engines < 2)
+    return Exact <= 0 ? 0 : Engines;
+  return std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(Exact)),
+                                 1, Engines - 1);
 }
 
 } // namespace crowstep::balance
--- a/src/balance/role_split.h
+++ b/src/balance/role_split.h
@@ -10,6 +10,7 @@
 #include "core/clock.h"
 
 #include <cstddef>
+#include <vector>
 
 namespace crowstep::balance {
 
@@ -25,6 +26,16 @@
   }
 };
 
+/// Engines of one speed class.
+struct SpeedGroup {
+  std::size_t m_Engines = 0; ///< How many.
+  double m_Speed = 1;        ///< Their mean speed, see SpeedView.
+};
+
+/// Returns a number of latency-sensitive engines, rounded: at least one and at
+/// most all but one of \p Engines, unless it is exactly none or all.
+[[nodiscard]] std::size_t boundedEngineCount(double Exact, std::size_t Engines);
+
 /// The work of one service from all instances, weighted by its age.
 class RoleSplit {
 public:
@@ -48,7 +59,14 @@
   [[nodiscard]] std::size_t
   latencySensitiveEngineCount(std::size_t Engines) const;
 
+  /// Returns how many engines, which are ordered as \p Groups, have speeds that
+  /// add up to the share of the latency-sensitive work; not rounded. None or
+  /// all in the cases stated above.
+  [[nodiscard]] double
+  exactLatencySensitiveEngineCount(const std::vector<SpeedGroup> &Groups) const;
+
 private:
+  [[nodiscard]] double latencySensitiveShare() const;
   [[nodiscard]] double decayUntil(TimePoint Now) const;
 
   WorkTokens m_RecentWork; ///< Decayed sums; without work their ratio stays.
--- a/src/balance/upstream_state.h
+++ b/src/balance/upstream_state.h
@@ -35,6 +35,7 @@
 struct UpstreamState {
   Upstream m_Upstream;        ///< As listed; draining if it has ever said so.
   std::size_t m_RoleRank = 0; ///< See roleOrder().
+  int m_SpeedClass = 0;       ///< By which it was ranked.
   CallLoad m_OwnLoad;         ///< This instance's calls.
   std::optional<LoadReport> m_LoadReport; ///< Last report.
   std::uint32_t m_RunningAtReport = 0;    ///< Own calls at its receipt.
--- a/tests/standin/fleet_model.cpp
+++ b/tests/standin/fleet_model.cpp
@@ -511,6 +511,7 @@
     NewCall->m_ArrivedAt = ArrivedAt;
     NewCall->m_Running = true;
     const UpstreamId Engine = Placement->m_Upstream;
+    m_Result.m_ChoiceHash = pairHash(m_Result.m_ChoiceHash, Engine.value());
     m_Engines.at(Engine).add(NewCall);
     startStep(Engine);
     schedule(Class.m_Deadline - (m_Now - ArrivedAt),
--- a/tests/standin/fleet_model.h
+++ b/tests/standin/fleet_model.h
@@ -150,9 +150,10 @@
 struct FleetResult {
   std::map<std::string, ModelResult> m_Classes; ///< By name.
   std::uint64_t m_RepeatedPrefillTokens =
-      0;                         ///< Prefill tokens of segments that some
-                                 ///< engine had computed before.
-  std::size_t m_EnginesUsed = 0; ///< Engines with at least one call.
+      0;                          ///< Prefill tokens of segments that some
+                                  ///< engine had computed before.
+  std::size_t m_EnginesUsed = 0;  ///< Engines with at least one call.
+  std::uint64_t m_ChoiceHash = 0; ///< Of the chosen engines, in order.
   std::vector<ModelSnapshot> m_Snapshots;  ///< While requests arrive.
   std::vector<double> m_EngineTimeFactors; ///< As in ModelSnapshot, by index.
 };
--- a/tests/unit/balance_test.cpp
+++ b/tests/unit/balance_test.cpp
@@ -257,7 +257,8 @@
                           const EngineOption &First,
                           const EngineOption &Second) {
     const bool LatencySensitive = isLatencySensitive(Query, Duration::zero());
-    return chooseEngine(Query, LatencySensitive, {First, Second}, Random)
+    return chooseEngine(Query, LatencySensitive, {First, Second}, std::nullopt,
+                        Random)
         .m_State;
   };
   const PlacementQuery Short = shortCall(5000);
