Feature: Log the speed class and the predicted wait of a placement

Cause: GatewayRequestServed and GatewayRequestFailed don't show why a call went to a slower or a less loaded engine. They get speed_class and wait_us, and calls that left a saturated engine are counted in crowstep_calls_left_saturated_total.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -231,8 +231,9 @@
   UpstreamState &Chosen = *choosePlainUpstream(
       brittlenessOf(Query.m_Service, Now) ? sampleTwo(Candidates) : Candidates,
       Now);
-  const PlacementInputs Inputs = {Candidates.size(), callsAt(Chosen, Now), 0, 0,
-                                  m_PeerLoads.size()};
+  PlacementInputs Inputs = {Candidates.size(), callsAt(Chosen, Now), 0, 0,
+                            m_PeerLoads.size()};
+  Inputs.m_SpeedClass = rankedSpeedClassOf(Chosen);
   return issueTicket(Chosen, Query, {}, Inputs, Now);
 }
 
@@ -391,11 +392,11 @@
              Chosen.m_UncachedTokens + expectedOutput(Prompt) * StepTokens /
                                            slotsOf(State.m_Upstream),
              Now);
-  Placed Result = issueTicket(
-      State, Query,
-      {Chosen.m_UncachedTokens,
-       Chosen.m_UncachedTokens + expectedOutput(Prompt), LatencySensitive},
-      Inputs, Now);
+  Placed Result = issueTicket(State, Query,
+                              {Chosen.m_UncachedTokens,
+                               Chosen.m_UncachedTokens + expectedOutput(Prompt),
+                               LatencySensitive},
+                              Inputs, Now);
   Ticket &Issued = m_Tickets[Result.m_Ticket];
   Issued.m_NoQueuedPrefill = Chosen.m_QueuedPrefillTokens == 0;
   Issued.m_TimeFactor = Chosen.m_Slowdown / Chosen.m_Speed;
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -456,6 +456,8 @@
        {"unread", std::to_string(m_PlacementInputs.m_QueuedPrefillTokens)},
        {"missing", std::to_string(m_PlacementInputs.m_UncachedTokens)},
        {"peers", std::to_string(m_PlacementInputs.m_PeerCount)},
+       {"speed_class", std::to_string(m_PlacementInputs.m_SpeedClass)},
+       {"wait_us", std::to_string(m_PlacementInputs.m_PredictedWait.count())},
        {"unlisted_us", std::to_string(m_PlacementInputs.m_UnlistedFor.count())},
        {"waited_us", std::to_string(m_QueueTime.count())},
        {"prompt", std::to_string(m_Admitted.m_Facts.m_Prompt.m_PromptTokens)},
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -262,6 +262,8 @@
   m_Software = Placement.m_Software;
   m_Address = Placement.m_Address;
   m_PlacementInputs = Placement.m_Inputs;
+  if (m_PlacementInputs.m_LeftSaturated)
+    m_Context.m_Stats.countLeftSaturated();
   m_TriedUpstreams.push_back(Placement.m_Upstream);
   m_Status = 0;
   m_FirstOutputAt = TimePoint();
--- a/src/gateway/gateway_stats.cpp
+++ b/src/gateway/gateway_stats.cpp
@@ -11,6 +11,7 @@
                                             {{"reason", "no_answer"}})),
       m_UnreadableLimits(
           Stats.counter("crowstep_upstream_limits_unreadable_total")),
+      m_LeftSaturated(Stats.counter("crowstep_calls_left_saturated_total")),
       m_Pauses(Stats.counter("crowstep_upstream_pauses_total")),
       m_UnreadablePauses(
           Stats.counter("crowstep_upstream_pauses_unreadable_total")),
--- a/src/gateway/gateway_stats.h
+++ b/src/gateway/gateway_stats.h
@@ -42,6 +42,10 @@
   /// Counts a stated limit of an upstream that is not a number.
   void countUnreadableLimit() { m_UnreadableLimits.add(); }
 
+  /// Counts a call that was placed at another engine than the best one because
+  /// the wait there was too long.
+  void countLeftSaturated() { m_LeftSaturated.add(); }
+
   /// Counts a pause that an upstream requested.
   void countPause() { m_Pauses.add(); }
 
@@ -61,6 +65,7 @@
   Counter &m_RefusedConnections;    ///< See countConnectFailure().
   Counter &m_UnansweredConnections; ///< See countConnectFailure().
   Counter &m_UnreadableLimits;      ///< See countUnreadableLimit().
+  Counter &m_LeftSaturated;         ///< See countLeftSaturated().
   Counter &m_Pauses;                ///< See countPause().
   Counter &m_UnreadablePauses;      ///< See countUnreadablePause().
   Counter &m_MixedStreams;          ///< See countMixedStream().
--- a/tests/unit/uneven_engines_test.cpp
+++ b/tests/unit/uneven_engines_test.cpp
@@ -61,6 +61,7 @@
 /// Index of the snapshot 5 s after the start.
 constexpr std::size_t SettledFrom = 20;
 
+/// Prints a result if CROWSTEP_PRINT is set.
 void print(const char *Title, const FleetResult &Result) {
   if (std::getenv("CROWSTEP_PRINT") == nullptr)
     return;
@@ -180,14 +181,20 @@
 }
 
 const FleetResult &withEqualPlacement() {
-  static const FleetResult Result =
-      simulate(secondDeployment(ModelSpeeds::Equal));
+  static const FleetResult Result = [] {
+    FleetResult Simulated = simulate(secondDeployment(ModelSpeeds::Equal));
+    print("equal", Simulated);
+    return Simulated;
+  }();
   return Result;
 }
 
 const FleetResult &withTrueSpeeds() {
-  static const FleetResult Result =
-      simulate(secondDeployment(ModelSpeeds::True));
+  static const FleetResult Result = [] {
+    FleetResult Simulated = simulate(secondDeployment(ModelSpeeds::True));
+    print("true", Simulated);
+    return Simulated;
+  }();
   return Result;
 }
 
