--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -18,6 +18,7 @@
 #include "balance/rate_limits.h"
 #include "balance/requested_pauses.h"
 #include "balance/upstream_state.h"
+#include "speed/event_intervals.h"
 #include "speed/upstream_speeds.h"
 
 #include <map>
@@ -99,6 +100,10 @@
     return m_RateLimits.limitOf(Upstream);
   }
 
+  /// An event of the call's answer was received, whether or not it is passed
+  /// on.
+  void recordEvent(TicketId Ticket, TimePoint Now);
+
   /// Bytes of the answer's body were received.
   void recordOutput(TicketId Ticket, TimePoint Now);
 
@@ -190,6 +195,7 @@
     TimePoint m_FirstOutputAt{}; ///< Of its answer's body; not set: none yet.
     double m_TimeFactor = 1;     ///< See timeFactorOf().
     bool m_IsSound = false;      ///< Its answer was written for some time.
+    speed::EventIntervals m_Intervals; ///< Of an engine's events.
   };
 
   States findCandidates(const PlacementQuery &Query, TimePoint Now);
@@ -238,6 +244,8 @@
   [[nodiscard]] double callsAt(const UpstreamState &State,
                                const CallLoad &Peers, TimePoint Now) const;
   UpstreamState *stateOf(TicketId Ticket);
+  void addSpeedSample(const UpstreamState &At, Duration UnitTime,
+                      TimePoint Now);
 
   // Placement by time, for services whose speeds are learned.
   [[nodiscard]] const speed::SpeedView &speedView() const;
