--- a/tests/standin/fleet_model.cpp
+++ b/tests/standin/fleet_model.cpp
@@ -333,6 +333,10 @@
   }
 
   void setSpeeds() {
+    for (Balancer &Gateway : m_Gateways)
+      Gateway.speeds().setMode(m_Model.m_Speeds == ModelSpeeds::Learned
+                                   ? speed::LearnSpeed::Stated
+                                   : speed::LearnSpeed::Never);
     if (m_Model.m_Speeds != ModelSpeeds::True)
       return;
     double LogSum = 0;
@@ -564,6 +568,7 @@
             1 % m_Model.m_TokensPerEvent &&
         !Last)
       return;
+    m_Gateways[Target->m_Gateway].recordEvent(Target->m_Ticket, m_Now);
     if (Target->m_GeneratedTokens == 1) {
       reportFirstEvent(Target, Engine);
       Target->m_InTime = m_Now - Target->m_ArrivedAt <= Class.m_LatencyTarget;
--- a/tests/unit/placement_by_time_test.cpp
+++ b/tests/unit/placement_by_time_test.cpp
@@ -449,6 +449,7 @@
   BOOST_TEST(fillEngine(1, false) == 14);
   BOOST_TEST(fillEngine(0.5, false) == 7);
   BOOST_TEST(fillEngine(0.01, false) == 1);
+  BOOST_TEST(fillEngine(0, false) == 1);
   BOOST_TEST(fillEngine(0.5, true) == 16);
 }
 
