--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -10,6 +10,7 @@
 #include "balance/brittle_upstreams.h"
 #include "balance/cache_model.h"
 #include "balance/engine_choice.h"
+#include "balance/engine_roles.h"
 #include "balance/leaving_upstreams.h"
 #include "balance/peer_loads.h"
 #include "balance/prefill_speed.h"
@@ -152,6 +153,15 @@
   /// Returns how fast upstreams work.
   [[nodiscard]] speed::UpstreamSpeeds &speeds() { return m_Speeds; }
 
+  /// Places by the speeds of \p View instead of those that are learned here;
+  /// null: by the learned ones. \p View must outlive the balancer.
+  void setSpeedView(const speed::SpeedView *View) { m_SpeedView = View; }
+
+  /// Returns how many engines of a service, the first by role rank, take
+  /// latency-sensitive calls only.
+  [[nodiscard]] std::size_t
+  latencySensitiveEngineCount(const std::string &Service) const;
+
   /// Returns the requests and segments that must not run.
   [[nodiscard]] Quarantine &quarantine() { return m_Quarantine; }
 
@@ -190,6 +200,7 @@
     std::optional<SoftwareVersion> m_RequiredSoftware; ///< See PlacementQuery.
     IncarnationId m_Incarnation; ///< The upstream's process.
     TimePoint m_FirstOutputAt{}; ///< Of its answer's body; not set: none yet.
+    double m_TimeFactor = 1;     ///< See timeFactorOf().
     bool m_IsSound = false;      ///< Its answer was written for some time.
     speed::EventIntervals m_Intervals; ///< Of an engine's events.
   };
@@ -207,16 +218,24 @@
   [[nodiscard]] Duration pauseRetryAfter(Duration Left);
   PlacementResult placeAtEngine(const PlacementQuery &Query,
                                 const States &Candidates, TimePoint Now);
+  [[nodiscard]] std::vector<EngineOption>
+  engineOptions(const PlacementQuery &Query, bool LatencySensitive,
+                const States &Candidates, TimePoint Now) const;
+  Placed sendToEngine(const PlacementQuery &Query, bool LatencySensitive,
+                      const EngineOption &Chosen, const PlacementInputs &Inputs,
+                      TimePoint Now);
+  [[nodiscard]] Duration predictedWait(const std::string &Service,
+                                       const EngineOption &Option) const;
   void rankEngines();
   void markDraining(UpstreamId Upstream);
   [[nodiscard]] bool isQueryLatencySensitive(const PlacementQuery &Query) const;
-  [[nodiscard]] std::size_t
-  latencySensitiveEngineCount(const std::string &Service) const;
   [[nodiscard]] EngineOption optionAt(UpstreamState &State,
                                       const PlacementQuery &Query,
                                       TimePoint Now) const;
   void markFull(const PlacementQuery &Query,
                 std::vector<EngineOption> &Options) const;
+  [[nodiscard]] static bool hasNoSlot(const PlacementQuery &Query,
+                                      const EngineOption &Option);
   void recordWork(PoolId Pool, bool LatencySensitive, double Tokens,
                   TimePoint Now);
   Placed issueTicket(UpstreamState &Chosen, const PlacementQuery &Query,
@@ -235,6 +254,28 @@
   void addSpeedSample(const UpstreamState &At, Duration UnitTime,
                       TimePoint Now);
 
+  // Placement by time, for services whose speeds are learned.
+  [[nodiscard]] const speed::SpeedView &speedView() const;
+  [[nodiscard]] bool isPlacedByTime(const std::string &Service) const;
+  [[nodiscard]] double timeFactorOf(UpstreamId Upstream, TimePoint Now) const;
+  [[nodiscard]] PrefillTime prefillTimeOf(const std::string &Service) const;
+  void addSpeed(EngineOption &Option, TimePoint Now) const;
+  void updateRoles(const std::string &Service, TimePoint Now);
+  [[nodiscard]] int rankedSpeedClassOf(const UpstreamState &State) const;
+  [[nodiscard]] bool haveSpeedClassesChanged(const std::string &Service) const;
+  [[nodiscard]] std::vector<SpeedGroup>
+  speedGroupsOf(const std::string &Service, TimePoint Now) const;
+  std::optional<EngineOption>
+  chooseLessLoaded(const PlacementQuery &Query, bool LatencySensitive,
+                   const EngineOption &Best,
+                   const std::vector<EngineOption> &Options,
+                   const States &Candidates, TimePoint Now);
+  [[nodiscard]] Duration meanWait(const PlacementQuery &Query,
+                                  const States &Candidates,
+                                  TimePoint Now) const;
+  [[nodiscard]] double meanSpeedOf(const std::string &Service,
+                                   TimePoint Now) const;
+
   AvailabilityZone m_Zone;        ///< Of this instance.
   std::mt19937_64 m_Random;       ///< For sampling engines.
   Quarantine m_Quarantine;        ///< Of requests and segments.
@@ -244,9 +285,12 @@
   LeavingUpstreams m_Leaving;     ///< By their entries and answers.
   PrefillSpeed m_PrefillSpeed;    ///< Of the engines.
   speed::UpstreamSpeeds m_Speeds; ///< Of the upstreams.
-  PeerLoads m_PeerLoads;          ///< From their digests.
-  CacheModel m_Cache;             ///< Of the engines.
+  const speed::SpeedView *m_SpeedView = nullptr;       ///< Null: m_Speeds.
+  PeerLoads m_PeerLoads;                               ///< From their digests.
+  CacheModel m_Cache;                                  ///< Of the engines.
   std::unordered_map<PoolId, RoleSplit> m_RoleSplits;  ///< By service.
+  std::map<std::string, EngineRoles> m_EngineRoles;    ///< By service, if its
+                                                       ///< speeds are learned.
   std::unordered_map<PoolId, WorkTokens> m_UnsentWork; ///< Since takeDigest().
   std::vector<SegmentPlacement> m_UnsentSegments;      ///< Since takeDigest().
   std::unordered_map<std::string, std::uint64_t>
