--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -518,3 +518,15 @@
   BOOST_TEST(Env.m_Finished == 1);
   BOOST_TEST(Env.answer().m_Status == 502U);
 }
+
+/// Guards against engines whose events don't count as samples of their speed.
+BOOST_AUTO_TEST_CASE(EventsOfAStreamAreSamplesOfTheEnginesSpeed) {
+  TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{4});
+  Env.m_Balancer.speeds().setMode(speed::LearnSpeed::Always);
+  Env.sendGoodHeaders(0);
+  for (int I = 1; I <= 17; ++I) {
+    Env.m_Clock.advance(5ms);
+    Env.sendBytes(0, event(I));
+  }
+  BOOST_TEST(Env.m_Balancer.speeds().counts(Env.m_Clock.now()).m_Samples == 2U);
+}
