Fix: Bound the sums of speeds that a hub keeps for others

An instance that names upstreams without end would make a hub keep and send ever more, as the bytes that are sent grow with the number of upstreams. At most 16,384 entries of each kind are kept now; further ones are dropped until some are forgotten. upstream_speeds_test has a case with 100,000 names; upstream_speeds_test and speed_fleet_test pass.

--- a/src/speed/speed_sums.cpp
+++ b/src/speed/speed_sums.cpp
@@ -32,6 +32,20 @@
 /// What was sent last is remembered for this long after the last sample.
 constexpr Duration SentLifetime = std::chrono::seconds(10);
 
+/// Most entries of one kind: another instance could name upstreams without end,
+/// and the bytes that are sent grow with their number.
+constexpr std::size_t MaxEntries = 16'384;
+
+/// Returns the entry of \p Key; null: there is no room for a new one.
+template <typename Map>
+typename Map::mapped_type *findOrAdd(Map &Entries,
+                                     const typename Map::key_type &Key) {
+  const auto Found = Entries.find(Key);
+  if (Found != Entries.end())
+    return &Found->second;
+  return Entries.size() < MaxEntries ? &Entries[Key] : nullptr;
+}
+
 template <typename... Kinds> struct Overloaded : Kinds... {
   using Kinds::operator()...;
 };
@@ -79,18 +93,22 @@
   std::visit(
       Overloaded{
           [&](const UpstreamSpeedUpdate &Added) {
-            m_Upstreams[{shortId(Added.m_Upstream), Added.m_IsCrowded}].add(
-                Added.m_Samples, Added.m_LogSum, Now);
+            if (Sum *Into =
+                    findOrAdd(m_Upstreams, std::pair(shortId(Added.m_Upstream),
+                                                     Added.m_IsCrowded)))
+              Into->add(Added.m_Samples, Added.m_LogSum, Now);
           },
           [&](const ServiceSpeedUpdate &Added) {
-            m_Services[{shortId(Added.m_Pool), Added.m_State}].add(
-                Added.m_Samples, Added.m_LogSum, Now);
+            if (Sum *Into =
+                    findOrAdd(m_Services,
+                              std::pair(shortId(Added.m_Pool), Added.m_State)))
+              Into->add(Added.m_Samples, Added.m_LogSum, Now);
           },
           [&](const MachinePaceUpdate &Added) {
             const TimePoint StatedAt = Now - Added.m_Age;
-            auto &Pending = m_Paces[shortId(Added.m_Upstream)];
-            if (StatedAt >= Pending.second)
-              Pending = {Added.m_Percent, StatedAt};
+            auto *Pending = findOrAdd(m_Paces, shortId(Added.m_Upstream));
+            if (Pending != nullptr && StatedAt >= Pending->second)
+              *Pending = {Added.m_Percent, StatedAt};
           }},
       Update);
 }
--- a/tests/unit/upstream_speeds_test.cpp
+++ b/tests/unit/upstream_speeds_test.cpp
@@ -358,6 +358,27 @@
   BOOST_TEST(Bytes / Seconds > 300U);
 }
 
+/// Guards against an instance that names upstreams without end, at a hub that
+/// passes on what it gets.
+BOOST_AUTO_TEST_CASE(sums_of_unknown_upstreams_are_bounded) {
+  SpeedSums Sums(SpeedSums::ZoneSumLimit);
+  TimePoint Now(1s);
+  for (std::uint64_t I = 0; I < 100'000; ++I)
+    Sums.add(UpstreamSpeedUpdate{UpstreamId(I), false, 1, 0.5}, Now);
+  std::size_t Taken = 0;
+  for (int I = 0; I < 9; ++I) {
+    Taken += Sums.take(Now).size();
+    Now += 1s;
+  }
+  BOOST_TEST(Taken > 1000U);
+  BOOST_TEST(Taken <= 16'384U);
+  Now += 11s;
+  Sums.take(Now);
+  Sums.add(UpstreamSpeedUpdate{UpstreamId(1'000'000), false, 1, 0.5}, Now);
+  Now += 1s;
+  BOOST_TEST(Sums.take(Now).size() >= 1U);
+}
+
 /// Guards against events that arrive together, which look like a fast engine.
 BOOST_AUTO_TEST_CASE(events_that_arrive_together_share_their_time) {
   EventIntervals Intervals;
