Feature: Read learned speeds with the roles, not for each call

A test of the log fields and of the counter comes with it, the fake speeds move to a header of their own, and the benchmark places by learned speeds.

--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -256,8 +256,9 @@
   void updateRoles(const std::string &Service, TimePoint Now);
   [[nodiscard]] int rankedSpeedClassOf(const UpstreamState &State) const;
   [[nodiscard]] bool haveSpeedClassesChanged(const std::string &Service) const;
+  void readSpeeds(const std::string &Service, TimePoint Now);
   [[nodiscard]] std::vector<SpeedGroup>
-  speedGroupsOf(const std::string &Service, TimePoint Now) const;
+  speedGroupsOf(const std::string &Service) const;
   std::optional<EngineOption>
   chooseLessLoaded(const PlacementQuery &Query, bool LatencySensitive,
                    const EngineOption &Best,
--- a/src/balance/balancer_speeds.cpp
+++ b/src/balance/balancer_speeds.cpp
@@ -42,17 +42,20 @@
   return m_PrefillSpeed.perToken(Service);
 }
 
+/// Adds the speed as of the last update of roles, and the slowdown of this
+/// moment, as that changes many times a second.
 void Balancer::addSpeed(EngineOption &Option, TimePoint Now) const {
-  const UpstreamId Id = Option.m_State->m_Upstream.m_Id;
-  Option.m_Speed = speedView().speedOf(Id, Now);
-  Option.m_Slowdown = speedView().machineSlowdownOf(Id, Now);
-  Option.m_UsableShare = speedView().usableShareOf(Id, Now);
+  const UpstreamState &State = *Option.m_State;
+  Option.m_Speed = State.m_Speed;
+  Option.m_UsableShare = State.m_UsableShare;
+  Option.m_Slowdown = speedView().machineSlowdownOf(State.m_Upstream.m_Id, Now);
 }
 
 // ---- Roles ------------------------------------------------------------------
 
-/// Updates the division of the service's engines at a bounded interval. Between
-/// two updates a placement costs nothing more.
+/// Reads the speeds of the service's engines and updates their division, at a
+/// bounded interval: reading all of them for each call would take most of the
+/// time of a placement.
 void Balancer::updateRoles(const std::string &Service, TimePoint Now) {
   const bool ByTime = isPlacedByTime(Service);
   if (!ByTime && !m_EngineRoles.contains(Service))
@@ -66,8 +69,17 @@
     m_EngineRoles.erase(Service);
     return;
   }
-  Roles.update(m_RoleSplits[poolIdOf(Service, 0)], speedGroupsOf(Service, Now),
-               Now);
+  readSpeeds(Service, Now);
+  Roles.update(m_RoleSplits[poolIdOf(Service, 0)], speedGroupsOf(Service), Now);
+}
+
+void Balancer::readSpeeds(const std::string &Service, TimePoint Now) {
+  for (auto &[Id, State] : m_States) {
+    if (State.m_Upstream.m_Service != Service)
+      continue;
+    State.m_Speed = speedView().speedOf(Id, Now);
+    State.m_UsableShare = speedView().usableShareOf(Id, Now);
+  }
 }
 
 int Balancer::rankedSpeedClassOf(const UpstreamState &State) const {
@@ -86,8 +98,8 @@
 
 /// Returns the engines by class, the fastest first. With the mean speed of a
 /// class, the errors of the speeds that instances know mostly cancel out.
-std::vector<SpeedGroup> Balancer::speedGroupsOf(const std::string &Service,
-                                                TimePoint Now) const {
+std::vector<SpeedGroup>
+Balancer::speedGroupsOf(const std::string &Service) const {
   std::map<int, SpeedGroup, std::greater<>> ByClass;
   for (const auto &[Id, State] : m_States) {
     if (State.m_Upstream.m_Service != Service || State.m_Upstream.m_Draining)
@@ -95,8 +107,8 @@
     SpeedGroup &Group =
         ByClass.try_emplace(State.m_SpeedClass, SpeedGroup{0, 0}).first->second;
     ++Group.m_Engines;
-    Group.m_Speed += (speedView().speedOf(Id, Now) - Group.m_Speed) /
-                     static_cast<double>(Group.m_Engines);
+    Group.m_Speed +=
+        (State.m_Speed - Group.m_Speed) / static_cast<double>(Group.m_Engines);
   }
   std::vector<SpeedGroup> Result;
   Result.reserve(ByClass.size());
--- a/src/balance/upstream_state.h
+++ b/src/balance/upstream_state.h
@@ -36,6 +36,8 @@
   Upstream m_Upstream;        ///< As listed; draining if it has ever said so.
   std::size_t m_RoleRank = 0; ///< See roleOrder().
   int m_SpeedClass = 0;       ///< By which it was ranked.
+  double m_Speed = 1;         ///< Of an engine, as of the last update of roles.
+  double m_UsableShare = 1;   ///< Of its slots, as of that update.
   CallLoad m_OwnLoad;         ///< This instance's calls.
   std::optional<LoadReport> m_LoadReport; ///< Last report.
   std::uint32_t m_RunningAtReport = 0;    ///< Own calls at its receipt.
--- a/tests/benchmark/placing_benchmark.cpp
+++ b/tests/benchmark/placing_benchmark.cpp
@@ -58,8 +58,10 @@
   std::unordered_map<UpstreamId, bool> m_IsFast; ///< By engine.
 };
 
-/// Places calls that are \p Apart in time; by time, if \p ByTime.
-void placeCalls(benchmark::State &State, bool ByTime, Duration Apart) {
+enum class PlacedBy : std::uint8_t { Tokens, FakeSpeeds, LearnedSpeeds };
+
+/// Places calls that are \p Apart in time.
+void placeCalls(benchmark::State &State, PlacedBy Order, Duration Apart) {
   std::vector<Upstream> List;
   LoadDigest PeerDigest;
   for (int I = 0; I < State.range(0); ++I) {
@@ -79,8 +81,10 @@
   Gateway.setUpstreams(List);
   Gateway.setCacheCapacity("model", 260000);
   const FakeSpeeds Speeds(List);
-  if (ByTime)
+  if (Order == PlacedBy::FakeSpeeds)
     Gateway.setSpeedView(&Speeds);
+  if (Order == PlacedBy::LearnedSpeeds)
+    Gateway.speeds().setMode(speed::LearnSpeed::Always);
   TimePoint Now(1s);
   Gateway.applyPeerDigest(InstanceId(1), PeerDigest, Now);
   std::uint64_t Number = 0;
@@ -97,20 +101,25 @@
 }
 
 void placing(benchmark::State &State) {
-  placeCalls(State, false, Duration::zero());
+  placeCalls(State, PlacedBy::Tokens, Duration::zero());
 }
 
 void placingByTime(benchmark::State &State) {
-  placeCalls(State, true, Duration::zero());
+  placeCalls(State, PlacedBy::FakeSpeeds, Duration::zero());
+}
+
+void placingByLearnedSpeeds(benchmark::State &State) {
+  placeCalls(State, PlacedBy::LearnedSpeeds, Duration::zero());
 }
 
 /// With an update of the roles for each call.
 void placingAndUpdatingRoles(benchmark::State &State) {
-  placeCalls(State, true, EngineRoles::UpdateInterval);
+  placeCalls(State, PlacedBy::LearnedSpeeds, EngineRoles::UpdateInterval);
 }
 
 BENCHMARK(placing)->Arg(12)->Arg(140)->Arg(700)->Arg(2600);
 BENCHMARK(placingByTime)->Arg(15)->Arg(140)->Arg(500)->Arg(2600);
+BENCHMARK(placingByLearnedSpeeds)->Arg(15)->Arg(140)->Arg(500)->Arg(2600);
 BENCHMARK(placingAndUpdatingRoles)->Arg(15)->Arg(140)->Arg(500)->Arg(2600);
 
 } // namespace
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -2,6 +2,8 @@
 /// a call can end.
 #define BOOST_TEST_MODULE forwarded_request
 #include "gateway/forward_limits.h"
+#include "unit/captured_log.h"
+#include "unit/fake_speeds.h"
 #include "unit/forwarded_request_env.h"
 
 using namespace crowstep;
@@ -518,3 +520,32 @@
   BOOST_TEST(Env.m_Finished == 1);
   BOOST_TEST(Env.answer().m_Status == 502U);
 }
+
+/// Guards against a log that doesn't tell why a call went to a slow engine: the
+/// best one was saturated. The fast engine is for short prompts.
+BOOST_AUTO_TEST_CASE(ACallThatLeftASaturatedEngineIsLogged) {
+  const CapturedLog Log;
+  FakeSpeeds Speeds;
+  Speeds.m_Speeds[upstreamIdOf("u0")] = {1, 1, 1, 1};
+  Speeds.m_Speeds[upstreamIdOf("u2")] = {0.5, -1, 1, 1};
+  TestEnv Env(NotResumable, 1, {{"Call-Prompt", "5000"}}, Engine{64}, {},
+              [&Speeds](TestEnv &Prepared) {
+                Prepared.m_Balancer.setSpeedView(&Speeds);
+                balance::LoadDigest Peer;
+                // 64,000 tokens to prefill, or 30 latency-sensitive calls.
+                Peer.m_Loads = {{upstreamIdOf("u1"), 0, 1, 64000, 64000, 0},
+                                {upstreamIdOf("u2"), 0, 30, 0, 3000, 30}};
+                Prepared.m_Balancer.applyPeerDigest(InstanceId(2), Peer,
+                                                    Prepared.m_Clock.now());
+              });
+  BOOST_TEST(Env.upstreamOf(0) == "u2");
+  Env.sendGoodHeaders(0);
+  Env.sendBytes(0, "whole");
+  Env.endCall(0, TransportEnd::Complete);
+  const std::string Text = Log.read();
+  BOOST_TEST(Text.find("\"speed_class\":\"-1\"") != std::string::npos, Text);
+  // Without prefill an engine needs 60 ms, one of half the speed 120 ms.
+  BOOST_TEST(Text.find("\"wait_us\":\"120000\"") != std::string::npos, Text);
+  BOOST_TEST(Env.m_Metrics.text().find(
+                 "crowstep_calls_left_saturated_total 1") != std::string::npos);
+}
--- a/tests/unit/placement_by_time_test.cpp
+++ b/tests/unit/placement_by_time_test.cpp
@@ -2,6 +2,7 @@
 /// virtual clock.
 #define BOOST_TEST_MODULE placement_by_time
 #include "balance/balancer.h"
+#include "unit/fake_speeds.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -10,51 +11,14 @@
 
 using namespace crowstep;
 using namespace crowstep::balance;
+using crowstep::test::FakeSpeed;
+using crowstep::test::FakeSpeeds;
 using namespace std::chrono_literals;
 
 namespace {
 
 constexpr std::uint32_t Slots = 16;
 
-struct FakeSpeed {
-  double m_Speed = 1;
-  int m_Class = 0;
-  double m_UsableShare = 1;
-  double m_Slowdown = 1;
-};
-
-/// Speeds that a test sets.
-class FakeSpeeds final : public speed::SpeedView {
-public:
-  explicit FakeSpeeds(bool IsActive = true) : m_IsActive(IsActive) {}
-
-  [[nodiscard]] bool isActive(PoolId) const override { return m_IsActive; }
-  [[nodiscard]] double speedOf(UpstreamId Id, TimePoint) const override {
-    return at(Id).m_Speed;
-  }
-  [[nodiscard]] int speedClassOf(UpstreamId Id) const override {
-    ++m_ClassReads;
-    return at(Id).m_Class;
-  }
-  [[nodiscard]] double usableShareOf(UpstreamId Id, TimePoint) const override {
-    return at(Id).m_UsableShare;
-  }
-  [[nodiscard]] double machineSlowdownOf(UpstreamId Id,
-                                         TimePoint) const override {
-    return at(Id).m_Slowdown;
-  }
-
-  bool m_IsActive;
-  std::map<UpstreamId, FakeSpeed> m_Speeds; ///< Not listed: as the mean.
-  mutable int m_ClassReads = 0;             ///< Calls of speedClassOf().
-
-private:
-  [[nodiscard]] FakeSpeed at(UpstreamId Id) const {
-    const auto Found = m_Speeds.find(Id);
-    return Found == m_Speeds.end() ? FakeSpeed() : Found->second;
-  }
-};
-
 UpstreamId engineId(int Number) {
   return upstreamIdOf("engine-" + std::to_string(Number));
 }
