Codechange: findCandidates() as a list of named questions

Cause: who looks for the reason why an upstream got no call had to read lambdas. No choice changes: the hash of all choices without learned speeds is the same, balance_test, load_play_test and placement_by_time_test pass.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -62,6 +62,32 @@
 /// could not take the load.
 constexpr double MaxExcludedShare = 0.5;
 
+/// Returns whether the upstream was tried for the call already.
+bool isExcluded(UpstreamId Id, const PlacementQuery &Query) {
+  return std::find(Query.m_Excluded.begin(), Query.m_Excluded.end(), Id) !=
+         Query.m_Excluded.end();
+}
+
+/// Returns whether neither its health nor a lack of room keeps calls from the
+/// upstream.
+bool isAvailable(const UpstreamState &State, TimePoint Now) {
+  return !State.m_Health.isEjected(Now) && Now >= State.m_FullUntil;
+}
+
+/// Returns whether \p Left of \p All upstreams can take the load of all.
+bool areEnough(std::size_t Left, std::size_t All) {
+  return Left > 0 && Left >= static_cast<std::size_t>(static_cast<double>(All) *
+                                                      (1 - MaxExcludedShare));
+}
+
+/// Returns those of \p From for which \p Predicate holds.
+template <typename List, typename Condition>
+List select(const List &From, const Condition &Predicate) {
+  List Result;
+  std::copy_if(From.begin(), From.end(), std::back_inserter(Result), Predicate);
+  return Result;
+}
+
 /// Returns the number of tokens that a call is expected to generate.
 std::uint32_t expectedOutput(const PromptInfo &Prompt) {
   if (Prompt.m_ExpectedOutputTokens > 0 && Prompt.m_MaxOutputTokens > 0)
@@ -144,36 +170,25 @@
                            Now);
 }
 
+/// Returns the upstreams that may get the call: those that are available and
+/// that this instance reaches itself, as long as each leaves enough.
 Balancer::States Balancer::findCandidates(const PlacementQuery &Query,
                                           TimePoint Now) {
   const bool IsBrittle = brittlenessOf(Query.m_Service, Now).has_value();
-  States Listed;
+  States Allowed;
   for (auto &[Id, State] : m_States)
-    if (isEligible(State, Query) &&
-        std::find(Query.m_Excluded.begin(), Query.m_Excluded.end(), Id) ==
-            Query.m_Excluded.end() &&
+    if (isEligible(State, Query) && !isExcluded(Id, Query) &&
         mayPlaceAt(State, Now) && (!IsBrittle || mayPlaceAtBrittle(State, Now)))
-      Listed.push_back(&State);
-  const auto Select = [](const States &From, const auto &Predicate) {
-    States Result;
-    std::copy_if(From.begin(), From.end(), std::back_inserter(Result),
-                 Predicate);
-    return Result;
-  };
-  const auto MinAvailable = static_cast<std::size_t>(
-      static_cast<double>(Listed.size()) * (1 - MaxExcludedShare));
-  const auto IsEnough = [&](const States &Left) {
-    return !Left.empty() && Left.size() >= MinAvailable;
-  };
-  States Available = Select(Listed, [&](const UpstreamState *State) {
-    return !State->m_Health.isEjected(Now) && Now >= State->m_FullUntil;
+      Allowed.push_back(&State);
+  States Available = select(Allowed, [Now](const UpstreamState *State) {
+    return isAvailable(*State, Now);
   });
-  if (!IsEnough(Available))
-    return Listed;
-  States Reachable = Select(Available, [](const UpstreamState *State) {
+  if (!areEnough(Available.size(), Allowed.size()))
+    return Allowed;
+  States Reachable = select(Available, [](const UpstreamState *State) {
     return !State->m_IsPathLost;
   });
-  return IsEnough(Reachable) ? Reachable : Available;
+  return areEnough(Reachable.size(), Allowed.size()) ? Reachable : Available;
 }
 
 std::optional<Placed> Balancer::placeCarried(UpstreamId Upstream,
