--- a/tests/unit/malformed_entries_test.cpp
+++ b/tests/unit/malformed_entries_test.cpp
@@ -127,7 +127,8 @@
 StoreResult readPage(const std::string &Body, Metrics &Stats) {
   StoreClient Client(std::make_unique<FakeHttp>(Body), {1, 2}, Stats);
   StoreResult Result = StoreFailure::Rejected;
-  Client.read("servers", "", [&](StoreResult Read) { Result = Read; });
+  Client.read("servers", "",
+              [&](StoreResult Read) { Result = std::move(Read); });
   return Result;
 }
 
