Test: Few instances write and read the archive of origins

With the plans of 9, 84 and 300 instances in 3, 4 and 6 zones, 9, 4 and 6 instances write, each at most four times a second, and 9, 8 and 12 read once.

--- a/tests/unit/origin_archive_test.cpp
+++ b/tests/unit/origin_archive_test.cpp
@@ -1,5 +1,6 @@
 /// The archive of streams' origins in the store, which outlives all instances.
 #define BOOST_TEST_MODULE origin_archive
+#include "gateway/exchange_plan.h"
 #include "resume/origin_archive.h"
 #include "resume/origin_exchange.h"
 #include "resume/origin_row.h"
@@ -214,6 +215,39 @@
   }
 }
 
+// Guards against calls that grow with the fleet.
+BOOST_AUTO_TEST_CASE(FewInstancesWriteAndRead) {
+  for (const auto &[Count, Zones, Writers, Readers] :
+       {std::array{9U, 3U, 9U, 9U}, {84U, 4U, 4U, 8U}, {300U, 6U, 6U, 12U}}) {
+    World Where;
+    std::vector<gateway::PeerInstance> Peers;
+    Peers.reserve(Count);
+    for (unsigned I = 0; I < Count; ++I)
+      Peers.push_back({"edge-" + std::to_string(I),
+                       {0x0a000001 + I, 1},
+                       {std::string(1, static_cast<char>('a' + I % Zones))}});
+    std::vector<std::unique_ptr<Instance>> Fleet;
+    for (const gateway::PeerInstance &Self : Peers) {
+      Fleet.push_back(std::make_unique<Instance>(Where, Self.m_Name));
+      const auto Hubs = gateway::planExchange(Self, Peers).m_Hubs;
+      Fleet.back()->m_Exchange.setHubs(Hubs);
+      Fleet.back()->m_Exchange.setActiveHub(
+          !Hubs.empty() && Hubs[0] == instanceIdOf(Self.m_Name));
+    }
+    for (const auto &Started : Fleet)
+      Started->m_Archive.setMixedServices(Mixed);
+    constexpr std::size_t Steps = 100;
+    for (std::size_t Step = 0; Step < Steps; ++Step) {
+      for (std::size_t I = 0; I < Fleet.size(); ++I)
+        Fleet[I]->begin(Step * Count + I, 1);
+      Where.m_Timers.advance(100ms);
+    }
+    BOOST_TEST(Where.m_Tables.m_Reads == Readers);
+    BOOST_TEST(Where.m_Tables.m_Writes <= Writers * 4U * 10 + Writers);
+    BOOST_TEST(Where.m_Tables.m_Writes >= Writers * 3U * 10);
+  }
+}
+
 // Guards against events that wait for the store, and against origins that are
 // lost while it is away or slow.
 BOOST_AUTO_TEST_CASE(AStoreThatIsAwayOrSlowGetsThemLater) {
