--- a/tests/unit/duty_client_test.cpp
+++ b/tests/unit/duty_client_test.cpp
@@ -168,3 +168,40 @@
   const auto Bad = read(HttpAnswer{200, R"({"rows":[{"key":3}]})", {}});
   BOOST_TEST(std::holds_alternative<platform::PlatformFailure>(Bad));
 }
+
+// Guards against rows after the first page that are missed, and against pages
+// without end.
+BOOST_AUTO_TEST_CASE(AListHasTheRowsOfAllPages) {
+  /// Answers each call with the next page; the last one repeats.
+  class PagedHttp final : public HttpClientInterface {
+  public:
+    explicit PagedHttp(std::vector<std::string> &Paths) : m_Paths(Paths) {}
+    void call(const HttpCall &Call, Done OnDone) override {
+      m_Paths.push_back(Call.m_Path);
+      const std::vector<std::vector<std::string>> Pages = {
+          {"a/1", "a/2"}, {"a/2", "a/3"}, {"a/3"}};
+      nlohmann::json Body = {{"hasMore", true}};
+      Body["rows"] = nlohmann::json::array();
+      for (const std::string &Key :
+           Pages[std::min(m_Paths.size() - 1, Pages.size() - 1)])
+        Body["rows"].push_back(
+            {{"key", Key}, {"value", ""}, {"schemaVersion", 7}});
+      OnDone(HttpAnswer{200, Body.dump(), {}});
+    }
+
+  private:
+    std::vector<std::string> &m_Paths; ///< Called, in order.
+  };
+  std::vector<std::string> Paths;
+  Metrics Stats;
+  StoreTables Tables(std::make_unique<PagedHttp>(Paths), {1, 2}, Stats);
+  std::vector<std::string> Keys;
+  Tables.list("t", "a/", [&](const platform::ReadResult &Result) {
+    for (const platform::Row &Row :
+         std::get<std::vector<platform::Row>>(Result))
+      Keys.push_back(Row.m_Key);
+  });
+  BOOST_TEST((Keys == std::vector<std::string>{"a/1", "a/2", "a/3"}));
+  BOOST_TEST(Paths.size() == 3U);
+  BOOST_TEST((Paths[1].find("from=a%2F2") != std::string::npos));
+}
