Test: A wait at an engine whose machine is slow

Cause: taking the slowdown of the machine out of the predicted wait failed no test: the case of predicted waits also teaches the service's prefill time, which made up for it.

--- a/tests/unit/placement_by_time_test.cpp
+++ b/tests/unit/placement_by_time_test.cpp
@@ -475,3 +475,20 @@
   BOOST_TEST(WaitAt({1, 0, 1, 2}) == 0.06 + 20000 * 50e-6,
              boost::test_tools::tolerance(0.1));
 }
+
+/// Guards against a prediction that leaves out that the machine of an engine is
+/// slow at this moment.
+BOOST_AUTO_TEST_CASE(ASlowMachineMakesTheWaitLonger) {
+  TestInstance Instance(1);
+  Instance.speed(0) = {1, 0, 1, 2.5};
+  Instance.setPeerLoad({{0, 20000}});
+  PlacementQuery Query = longCall(1);
+  Query.m_WaitLimit = 5s;
+  BOOST_TEST(
+      (Instance.placeOrFail(Query).m_Inputs.m_PredictedWait == 60ms + 1250ms));
+  // It is over before the next update of the roles.
+  Instance.speed(0).m_Slowdown = 1;
+  Instance.setPeerLoad({{0, 20000}});
+  BOOST_TEST(
+      (Instance.placeOrFail(Query).m_Inputs.m_PredictedWait < 60ms + 1250ms));
+}
