Fix: Write origins to the archive after 20 ms instead of 250

Change: a writer waits 20 ms, and all writers together keep to 150 writes a second, each to its share with bursts of five; the store carries out 200 transactions a second on one part of a table.

--- a/src/resume/origin_archive.cpp
+++ b/src/resume/origin_archive.cpp
@@ -86,7 +86,7 @@
   }
   m_Pending.set(static_cast<double>(m_Queue.size()));
   if (!m_WriteTimer.isRunning() && !m_IsWriting)
-    scheduleWrite(WriteInterval);
+    scheduleWrite(writeDelay());
 }
 
 /// Queues the open streams of \p Services that were added since \p Begin.
@@ -122,7 +122,11 @@
 
 /// The writer before may have been lost while it wrote what was open when the
 /// second version appeared.
-void OriginArchive::setRoles(bool IsWriter, bool IsReader) {
+void OriginArchive::setRoles(bool IsWriter, bool IsReader,
+                             std::size_t Writers) {
+  m_WriteCost =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          static_cast<double>(Writers) / MaxWritesPerSecond));
   const bool TakesOver = IsWriter && !m_IsWriter;
   m_IsWriter = IsWriter;
   m_IsReader = IsReader;
@@ -211,6 +215,12 @@
   return m_Writer + (Slot < TwoDigits ? "/0" : "/") + std::to_string(Slot);
 }
 
+/// Returns the time until this writer may write again.
+Duration OriginArchive::writeDelay() const {
+  return std::max(WriteInterval,
+                  m_PaidUntil - m_WriteCost * WriteBurst - m_Clock.now());
+}
+
 void OriginArchive::scheduleWrite(Duration Delay) {
   m_WriteTimer.start(Delay, [this] { write(); });
 }
@@ -258,6 +268,7 @@
       Records.push_back(
           {Stream.m_Key, *Stream.m_Origin, Stream.m_ExpiresAt - Now});
   m_IsWriting = true;
+  m_PaidUntil = std::max(m_PaidUntil, Now) + m_WriteCost;
   m_IsRowDirty = false;
   m_Writes.add();
   m_Tables.write(
@@ -290,7 +301,7 @@
   if (IsAnswered && (!IsWritten || IsFull))
     scheduleWrite(Duration::zero());
   else if (m_IsRowDirty || !m_Queue.empty())
-    scheduleWrite(WriteInterval);
+    scheduleWrite(writeDelay());
 }
 
 /// A store that came back from an older copy has lost rows, so all that may be
--- a/src/resume/origin_archive.h
+++ b/src/resume/origin_archive.h
@@ -31,8 +31,16 @@
   static constexpr std::size_t SlotCount = 64;
   static constexpr Duration SlotSpan = std::chrono::seconds(1);
 
-  /// Interval at which a row is written while it grows.
-  static constexpr Duration WriteInterval = std::chrono::milliseconds(250);
+  /// Least interval between two writes. Origins that are younger are lost with
+  /// all instances, and most streams that are open then have just begun.
+  static constexpr Duration WriteInterval = std::chrono::milliseconds(20);
+
+  /// Writes of all writers together in a second. The store carries out 200
+  /// transactions a second on one part of a table.
+  static constexpr double MaxWritesPerSecond = 150;
+
+  /// Writes that a writer may make at once after a time without any.
+  static constexpr int WriteBurst = 5;
 
   /// The store takes values of up to 65,536 bytes; a row that is full is
   /// followed by the next one at once.
@@ -66,9 +74,9 @@
   /// writer. An origin with an unknown version is kept as such.
   void add(const StreamRecord &Begun);
 
-  /// Sets whether this instance writes, and whether it reads the archive if
-  /// that is needed.
-  void setRoles(bool IsWriter, bool IsReader);
+  /// Sets whether this instance writes, as one of \p Writers, and whether it
+  /// reads the archive if that is needed.
+  void setRoles(bool IsWriter, bool IsReader, std::size_t Writers = 1);
 
   /// Sets the services whose origins are to be written. The first call tells
   /// whether the archive must be read: an instance that starts among several
@@ -105,6 +113,7 @@
   void handleRead(const platform::ReadResult &Result);
   bool readRow(const platform::Row &Row, std::size_t &ReadCount);
   void scheduleWrite(Duration Delay);
+  [[nodiscard]] Duration writeDelay() const;
   void write();
   bool fillRow();
   void handleWritten(const platform::WriteResult &Result);
@@ -118,6 +127,8 @@
   Events m_Events;                   ///< Empty: nobody asks.
   bool m_IsWriter = false;           ///< See setRoles().
   bool m_IsReader = false;           ///< See setRoles().
+  Duration m_WriteCost{};            ///< Of one write, in time of this writer.
+  TimePoint m_PaidUntil{};           ///< What the writes so far have used up.
   std::set<std::string> m_Mixed;     ///< See setMixedServices().
   TimePoint m_MixedSince{};          ///< When m_Mixed got a service.
   std::vector<OriginPtr> m_Interned; ///< Shared by streams.
--- a/src/resume/origin_exchange.cpp
+++ b/src/resume/origin_exchange.cpp
@@ -52,11 +52,13 @@
   m_Links = &Links;
   m_Peers[Peer.m_Link] = {Peer, false, false};
   Links.outbox(Peer.m_Link).stream_peer = packPeerState(m_IsStopping);
+  updateArchiveRoles();
 }
 
 /// What it was asked stays unanswered.
 void OriginExchange::removePeer(link::LinkId Link) {
   m_Peers.erase(Link);
+  updateArchiveRoles();
   std::vector<SearchId> Ended;
   for (auto &[Id, Open] : m_Searches)
     if (Open.m_Unanswered.erase(Link) > 0) {
@@ -90,12 +92,23 @@
   updateArchiveRoles();
 }
 
+/// Returns how many instances write: one of each zone, or all where there are
+/// no hubs.
+std::size_t OriginExchange::archiveWriters() const {
+  if (m_Hubs.empty())
+    return m_Peers.size() + 1;
+  std::set<std::string> Zones = {m_Zone.m_Name};
+  for (const auto &[Link, Known] : m_Peers)
+    Zones.insert(Known.m_Info.m_Zone.m_Name);
+  return Zones.size();
+}
+
 /// A zone's hubs have the origins of all its streams, so the others neither
 /// write nor read.
 void OriginExchange::updateArchiveRoles() {
   if (m_Archive != nullptr)
     m_Archive->setRoles(m_Hubs.empty() || (isHub() && m_IsActiveHub),
-                        m_Hubs.empty() || isHub());
+                        m_Hubs.empty() || isHub(), archiveWriters());
 }
 
 void OriginExchange::stop() {
--- a/src/resume/origin_exchange.h
+++ b/src/resume/origin_exchange.h
@@ -140,6 +140,7 @@
   bool waitForArchive(SearchId Id);
   void handleArchiveRead();
   void updateArchiveRoles();
+  [[nodiscard]] std::size_t archiveWriters() const;
   [[nodiscard]] bool isArchivePending() const {
     return m_Archive != nullptr && m_Archive->isReadPending();
   }
