Feature: Wait by prediction where speeds are learned

Cause: a call whose predicted wait at its engine exceeds 0.75 of its target is refused at once, while other engines are idle or the burst is about to end; a call without a slot waits two fifths of its target, however long the wait of its caller would be.

Module src/waiting: a backlog of all instances, summed from digests, and a decision for each call from its age, target, patience, deadline and the predicted wait. Digests carry waiting calls by urgency and by whether they can still be in time, and placements of such calls. The rate that a call waits for is that of placements after waiting, so that it is what calls that are placed at arrival leave over; at the start of an overload, when none has waited yet, the rate of all placements counts and fades as the overload lasts.

Calls that can be in time go first in the queue; a call of a workspace that already waits is not placed before its earlier ones; a workspace with more than twice the waiting calls of the others is placed only where the wait is under a quarter of the target, as are calls that can't be in time.

Active only where SpeedView::isActive() says so. Existing tests of the queue, requests, digests and load plays pass unchanged.

--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -57,6 +57,10 @@
   /// target.
   std::optional<Duration> m_WaitLimit;
 
+  /// With m_MayWait: the call also waits where the predicted wait exceeds the
+  /// limit, instead of being refused.
+  bool m_WaitsBeyondLimit = false;
+
   bool m_MayWait = false;      ///< Until the best upstream has room.
   bool m_WaitTimedOut = false; ///< Must not wait again.
 };
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -349,10 +349,13 @@
     return MustWait{Inputs};
   const Duration Wait = m_PrefillSpeed.timeToFirstEvent(
       Query.m_Service, Chosen.m_QueuedPrefillTokens);
-  if (Wait > waitLimitOf(Query))
+  if (Wait > waitLimitOf(Query)) {
+    if (Query.m_MayWait && Query.m_WaitsBeyondLimit)
+      return MustWait{Inputs};
     return NotPlaced{RefusalReason::TargetUnreachable,
                      std::max(Wait - Query.m_LatencyTarget, MinRetryAfter),
                      Inputs};
+  }
   UpstreamState &State = *Chosen.m_State;
   // The last segment is unique to the call and will not be requested again.
   for (std::size_t I = 0; I + 1 < Prompt.m_Segments.size(); ++I) {
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -18,6 +18,7 @@
 #include "balance/requested_pauses.h"
 #include "balance/upstream_state.h"
 #include "speed/upstream_speeds.h"
+#include "waiting/backlog.h"
 
 #include <map>
 #include <unordered_map>
@@ -140,6 +141,15 @@
   /// Returns how fast upstreams work.
   [[nodiscard]] speed::UpstreamSpeeds &speeds() { return m_Speeds; }
 
+  /// Returns the waiting calls of all instances.
+  [[nodiscard]] waiting::Backlog &backlog() { return m_Backlog; }
+
+  /// Returns the time to a first event after the prefill of \p Tokens.
+  [[nodiscard]] Duration timeToFirstEvent(const std::string &Service,
+                                          std::uint64_t Tokens) const {
+    return m_PrefillSpeed.timeToFirstEvent(Service, Tokens);
+  }
+
   /// Returns the requests and segments that must not run.
   [[nodiscard]] Quarantine &quarantine() { return m_Quarantine; }
 
@@ -148,7 +158,10 @@
                        TimePoint Now);
 
   /// Forgets the loads of an instance that was removed.
-  void removePeer(InstanceId Peer) { m_PeerLoads.drop(Peer); }
+  void removePeer(InstanceId Peer) {
+    m_PeerLoads.drop(Peer);
+    m_Backlog.drop(Peer);
+  }
 
   /// Returns the digest for the other instances: this instance's loads, and all
   /// changes since the last digest.
@@ -229,6 +242,7 @@
   LeavingUpstreams m_Leaving;     ///< By their entries and answers.
   PrefillSpeed m_PrefillSpeed;    ///< Of the engines.
   speed::UpstreamSpeeds m_Speeds; ///< Of the upstreams.
+  waiting::Backlog m_Backlog;     ///< Of all instances.
   PeerLoads m_PeerLoads;          ///< From their digests.
   CacheModel m_Cache;             ///< Of the engines.
   std::unordered_map<PoolId, RoleSplit> m_RoleSplits;  ///< By service.
--- a/src/balance/balancer_reports.cpp
+++ b/src/balance/balancer_reports.cpp
@@ -183,6 +183,7 @@
 void Balancer::applyPeerDigest(InstanceId Peer, const LoadDigest &Digest,
                                TimePoint Now) {
   m_PeerLoads.setPeerLoads(Peer, Digest.m_Loads, Now);
+  m_Backlog.applyReport(Peer, Digest.m_Waiting, Now);
   m_Quarantine.applyUpdates(Digest.m_Crashes, Now);
   m_RateLimits.applyUpdates(Digest.m_Limits, Now);
   m_Brittle.applyUpdates(Digest.m_Brittle, Now);
@@ -216,6 +217,7 @@
   Result.m_Crashes = m_Quarantine.snapshot();
   Result.m_Limits = m_RateLimits.snapshot(Now);
   Result.m_Leaving = m_Leaving.snapshot();
+  Result.m_Waiting = m_Backlog.snapshot();
   return Result;
 }
 
@@ -232,6 +234,7 @@
   Result.m_Limits = m_RateLimits.takeUpdates(Now);
   Result.m_Brittle = m_Brittle.takeUpdates(Now);
   Result.m_Leaving = m_Leaving.takeUpdates();
+  Result.m_Waiting = m_Backlog.takeReport();
   return Result;
 }
 
--- a/src/balance/digest_sum.cpp
+++ b/src/balance/digest_sum.cpp
@@ -19,6 +19,7 @@
                    Digest.m_Leaving.end());
   for (const BrittleUpdate &Update : Digest.m_Brittle)
     m_Brittle.emplace_back(Update, Now);
+  m_Waiting.add(From, Digest.m_Waiting, Now);
 }
 
 void DigestSum::clear() {
@@ -29,6 +30,7 @@
   m_Limits.clear();
   m_Leaving.clear();
   m_Brittle.clear();
+  m_Waiting.clear();
 }
 
 LoadDigest DigestSum::takeSum(TimePoint Now) {
@@ -47,6 +49,7 @@
   TakeAged(m_Limits, Result.m_Limits);
   TakeAged(m_Brittle, Result.m_Brittle);
   Result.m_Leaving = std::exchange(m_Leaving, {});
+  Result.m_Waiting = m_Waiting.take(PeerLoads::DigestLifetime, Now);
   return Result;
 }
 
--- a/src/balance/digest_sum.h
+++ b/src/balance/digest_sum.h
@@ -3,6 +3,7 @@
 #define CROWSTEP_BALANCE_DIGEST_SUM_H
 
 #include "balance/peer_loads.h"
+#include "waiting/waiting_sum.h"
 
 namespace crowstep::balance {
 
@@ -13,7 +14,10 @@
   void add(InstanceId From, const LoadDigest &Digest, TimePoint Now);
 
   /// Forgets an instance's loads.
-  void drop(InstanceId From) { m_Loads.drop(From); }
+  void drop(InstanceId From) {
+    m_Loads.drop(From);
+    m_Waiting.drop(From);
+  }
 
   void clear();
 
@@ -30,7 +34,8 @@
       m_Limits;                      ///< With time of receipt.
   std::vector<UpstreamId> m_Leaving; ///< Not yet taken.
   std::vector<std::pair<BrittleUpdate, TimePoint>>
-      m_Brittle; ///< With time of receipt.
+      m_Brittle;                 ///< With time of receipt.
+  waiting::WaitingSum m_Waiting; ///< Of the last digests.
 };
 
 } // namespace crowstep::balance
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -9,6 +9,7 @@
 #include "balance/role_split.h"
 #include "core/clock.h"
 #include "upstream_type.h"
+#include "waiting/waiting_type.h"
 
 #include <array>
 #include <unordered_map>
@@ -115,11 +116,14 @@
   std::vector<UpstreamId> m_Leaving;             ///< Since its last digest.
   std::vector<BrittleUpdate> m_Brittle;          ///< Since its last digest.
 
+  /// All services that its calls wait for, or were placed at.
+  std::vector<waiting::WaitingCalls> m_Waiting;
+
   /// Returns whether there is nothing to send.
   [[nodiscard]] bool empty() const {
     return m_Loads.empty() && m_Segments.empty() && m_Work.empty() &&
            m_Crashes.empty() && m_Limits.empty() && m_Leaving.empty() &&
-           m_Brittle.empty();
+           m_Brittle.empty() && m_Waiting.empty();
   }
 };
 
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -51,6 +51,56 @@
            balance::SegmentEvidence{Crash->request(), Crash->position()}});
 }
 
+/// Calls of a group are sent with its number times UrgencyCount added to their
+/// urgency.
+std::uint8_t packStanding(const waiting::CallStanding &Standing) {
+  return static_cast<std::uint8_t>(static_cast<std::size_t>(Standing.m_Group) *
+                                       balance::UrgencyCount +
+                                   Standing.m_Urgency);
+}
+
+waiting::CallStanding unpackStanding(std::uint8_t Packed) {
+  return {static_cast<waiting::CallGroup>(Packed / balance::UrgencyCount),
+          static_cast<std::uint8_t>(Packed % balance::UrgencyCount)};
+}
+
+std::uint16_t toCount(std::uint32_t Value) {
+  return static_cast<std::uint16_t>(std::min<std::uint32_t>(
+      Value, std::numeric_limits<std::uint16_t>::max()));
+}
+
+/// Placements of a digest that is still queued are added up; its waiting calls
+/// are replaced.
+void packWaiting(const std::vector<waiting::WaitingCalls> &Calls,
+                 std::vector<wire::WaitingCalls> &Into) {
+  for (wire::WaitingCalls &Queued : Into)
+    Queued = {Queued.pool(), 0, Queued.placed(), Queued.urgency()};
+  for (const waiting::WaitingCalls &Entry : Calls) {
+    const std::uint8_t Standing = packStanding(Entry.m_Standing);
+    const auto Queued = std::ranges::find_if(Into, [&](const auto &Candidate) {
+      return Candidate.pool() == Entry.m_Pool.value() &&
+             Candidate.urgency() == Standing;
+    });
+    if (Queued == Into.end()) {
+      Into.emplace_back(Entry.m_Pool.value(), toCount(Entry.m_Waiting),
+                        toCount(Entry.m_Placed), Standing);
+      continue;
+    }
+    *Queued = {Entry.m_Pool.value(), toCount(Entry.m_Waiting),
+               toCount(Queued->placed() + Entry.m_Placed), Standing};
+  }
+}
+
+void unpackWaiting(const wire::GatewayDigest &From,
+                   std::vector<waiting::WaitingCalls> &Into) {
+  if (From.waiting() == nullptr)
+    return;
+  for (const wire::WaitingCalls *Calls : *From.waiting())
+    if (Calls->urgency() < waiting::GroupCount * balance::UrgencyCount)
+      Into.push_back({PoolId(Calls->pool()), unpackStanding(Calls->urgency()),
+                      Calls->waiting(), Calls->placed()});
+}
+
 } // namespace
 
 void packDigest(const balance::LoadDigest &Digest,
@@ -84,6 +134,7 @@
   Into->leaving.clear();
   for (const UpstreamId Leaving : Digest.m_Leaving)
     Into->leaving.push_back(Leaving.value());
+  packWaiting(Digest.m_Waiting, Into->waiting);
 }
 
 balance::LoadDigest unpack(const wire::GatewayDigest &From) {
@@ -121,6 +172,7 @@
   if (From.leaving() != nullptr)
     for (const std::uint64_t Leaving : *From.leaving())
       Result.m_Leaving.push_back(UpstreamId(Leaving));
+  unpackWaiting(From, Result.m_Waiting);
   return Result;
 }
 
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -433,6 +433,7 @@
   m_RetryTimer.stop();
   m_OriginLookup.reset();
   m_QueueEntry.reset();
+  recordWaitEnd(Outcome);
   const Duration Elapsed = m_Context.m_Clock.now() - m_ArrivedAt;
   m_Stats.m_Total->record(Elapsed);
   const bool Served = Outcome == "served";
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -193,10 +193,13 @@
 }
 
 void ForwardedRequest::attempt() {
-  const auto Result =
-      m_Context.m_Balancer.place(placementQuery(), m_Context.m_Clock.now());
+  beginWait();
+  const balance::PlacementResult Result = tryPlacement();
   if (const auto *Wait = std::get_if<balance::MustWait>(&Result)) {
-    waitForRoom(Wait->m_Inputs);
+    if (isHeldByPrediction())
+      waitByPrediction(Wait->m_Inputs);
+    else
+      waitForRoom(Wait->m_Inputs);
     return;
   }
   const auto *Unplaced = std::get_if<balance::NotPlaced>(&Result);
@@ -204,15 +207,21 @@
     waitForRoom(Unplaced->m_Inputs);
     return;
   }
-  if (m_QueueEntry != nullptr)
-    m_QueueTime = m_Context.m_Clock.now() - m_ArrivedAt;
-  m_QueueEntry.reset();
+  leaveQueue();
   if (Unplaced == nullptr) {
+    if (m_Wait != nullptr)
+      m_Wait->handlePlaced(m_Context.m_Clock.now());
     send(std::get<balance::Placed>(Result));
     return;
   }
   m_PlacementInputs = Unplaced->m_Inputs;
   m_HeldBy = Unplaced->m_HeldBy;
+  if (m_Wait != nullptr &&
+      Unplaced->m_Reason == RefusalReason::TargetUnreachable) {
+    refuse(Unplaced->m_Reason,
+           m_Wait->retryAfter(m_Context.m_Random(), m_Context.m_Clock.now()));
+    return;
+  }
   const bool FoundNoRoom = m_WaitTimedOut && !isDueToPause(*Unplaced);
   refuse(Unplaced->m_Reason,
          FoundNoRoom ? QueueRetryAfter : Unplaced->m_RetryAfter);
@@ -225,6 +234,145 @@
          (m_QueueEntry != nullptr || !m_Context.m_WaitQueue.isFull());
 }
 
+// ---- Waiting by prediction --------------------------------------------------
+
+void ForwardedRequest::beginWait() {
+  if (m_Wait != nullptr || m_Attempts > 0 || m_Context.m_WaitPolicy == nullptr)
+    return;
+  waiting::CallFacts Facts;
+  Facts.m_Pool = poolIdOf(m_Service, 0);
+  Facts.m_Urgency = static_cast<std::uint8_t>(m_Admitted.m_EngineRank);
+  Facts.m_ArrivedAt = m_ArrivedAt;
+  Facts.m_Target = m_Admitted.m_Route->m_Target;
+  if (const EventStream *Stream = eventStream())
+    Facts.m_Patience = waiting::patienceOf(Facts.m_Target, Stream->m_MaxPause);
+  Facts.m_Deadline = m_Deadline - m_ArrivedAt;
+  m_Wait = m_Context.m_WaitPolicy->begin(Facts);
+}
+
+bool ForwardedRequest::isHeldByPrediction() const {
+  return m_Wait != nullptr && mayWait();
+}
+
+WaitingCall ForwardedRequest::waitingCall() const {
+  return {static_cast<balance::Urgency>(m_Admitted.m_QueueRank),
+          m_Admitted.m_Workspace, poolIdOf(m_Service, 0),
+          m_Wait != nullptr && !m_Wait->canBeInTime(m_Context.m_Clock.now())};
+}
+
+balance::PlacementResult ForwardedRequest::tryPlacement() {
+  balance::PlacementQuery Query = placementQuery();
+  if (isHeldByPrediction())
+    return placeByPrediction(std::move(Query));
+  return m_Context.m_Balancer.place(Query, m_Context.m_Clock.now());
+}
+
+/// A call that arrives is not placed before those of its workspace that wait:
+/// arrivals try at once, so that a workspace with many of them would get most
+/// of the room that becomes free.
+balance::PlacementResult
+ForwardedRequest::placeByPrediction(balance::PlacementQuery Query) {
+  const TimePoint Now = m_Context.m_Clock.now();
+  if (m_QueueEntry == nullptr &&
+      m_Context.m_WaitQueue.hasEarlier(waitingCall()))
+    return balance::MustWait{m_PlacementInputs};
+  Query.m_WaitsBeyondLimit = true;
+  Query.m_WaitLimit = m_Wait->engineWaitLimit(
+      m_Context.m_WaitQueue.hasManyWaiting(poolIdOf(m_Service, 0),
+                                           m_Admitted.m_Workspace),
+      m_Context.m_Balancer.timeToFirstEvent(m_Service, 0), Now);
+  balance::PlacementResult Result = m_Context.m_Balancer.place(Query, Now);
+  if (!std::holds_alternative<balance::MustWait>(Result) ||
+      mayWaitFor(Duration::zero()) || !m_Wait->canBeInTime(Now))
+    return Result;
+  // At an engine that preempts less urgent calls for it, as a call whose wait
+  // has timed out without prediction.
+  Query.m_MayWait = false;
+  Query.m_WaitTimedOut = true;
+  balance::PlacementResult Preempting = m_Context.m_Balancer.place(Query, Now);
+  return std::holds_alternative<balance::Placed>(Preempting) ? Preempting
+                                                             : Result;
+}
+
+/// Of a call whose prefix is cached where the last placement would have gone.
+waiting::CallWork ForwardedRequest::expectedWork() const {
+  const PoolId Pool = poolIdOf(m_Service, 0);
+  if (m_Admitted.m_Facts.m_Prompt.m_PromptTokens == 0)
+    return {};
+  return {m_Context.m_Balancer.timeToFirstEvent(
+              m_Service, m_PlacementInputs.m_UncachedTokens),
+          m_Context.m_WaitPolicy->backlog().outputTime(
+              Pool, static_cast<std::uint8_t>(m_Admitted.m_EngineRank))};
+}
+
+/// Ends an attempt(); the wait queue calls attempt() again.
+void ForwardedRequest::waitByPrediction(
+    const balance::PlacementInputs &Inputs) {
+  const TimePoint Now = m_Context.m_Clock.now();
+  m_PlacementInputs = Inputs;
+  const waiting::WaitVerdict Verdict =
+      m_Wait->handleNoRoom(expectedWork(), Now);
+  if (Verdict == waiting::WaitVerdict::Wait) {
+    if (m_QueueEntry == nullptr)
+      m_Context.m_Stats.countWait();
+    enqueue();
+    if (!m_Wait->canBeInTime(Now))
+      m_QueueEntry->setLate();
+    return;
+  }
+  leaveQueue();
+  m_GivenUp = Verdict;
+  refuse(RefusalReason::TargetUnreachable,
+         m_Wait->retryAfter(m_Context.m_Random(), Now));
+}
+
+void ForwardedRequest::enqueue() {
+  if (m_QueueEntry == nullptr)
+    m_QueueEntry =
+        m_Context.m_WaitQueue.enqueue(waitingCall(), [this] { attempt(); });
+}
+
+void ForwardedRequest::leaveQueue() {
+  if (m_QueueEntry != nullptr)
+    m_QueueTime = m_Context.m_Clock.now() - m_ArrivedAt;
+  m_QueueEntry.reset();
+}
+
+bool ForwardedRequest::wasInTime() const {
+  const EventStream *Stream = eventStream();
+  if (Stream == nullptr)
+    return m_Context.m_Clock.now() - m_ArrivedAt <=
+           m_Admitted.m_Route->m_Target;
+  return m_FirstEventAt - m_ArrivedAt <= m_Admitted.m_Route->m_Target &&
+         (Stream->m_MaxPause == Duration::zero() ||
+          m_LongestPause <= Stream->m_MaxPause);
+}
+
+/// Counts what became of a call that has waited by prediction.
+void ForwardedRequest::recordWaitEnd(std::string_view Outcome) {
+  if (m_Wait == nullptr)
+    return;
+  const TimePoint Now = m_Context.m_Clock.now();
+  const bool IsServed = Outcome == "served";
+  if (IsServed && m_Streaming)
+    m_Context.m_WaitPolicy->backlog().recordOutput(
+        poolIdOf(m_Service, 0),
+        static_cast<std::uint8_t>(m_Admitted.m_EngineRank),
+        Now - m_FirstEventAt);
+  if (m_Wait->hasWaited()) {
+    if (IsServed)
+      m_Context.m_Stats.countServedAfterWait(wasInTime());
+    else
+      m_Context.m_Stats.countRefusedAfterWait(
+          m_GivenUp ? waiting::nameOf(*m_GivenUp)
+          : Outcome == nameOf(RefusalReason::CallerGone) ? "caller_gone"
+                                                         : "other");
+  }
+  m_Wait.reset();
+}
+
+// ---- Waiting for room -------------------------------------------------------
+
 /// Returns whether the end of the pause comes while the call may still wait.
 bool ForwardedRequest::mayWaitForPause(
     const balance::NotPlaced &Unplaced) const {
@@ -249,11 +397,7 @@
     attempt();
     return;
   }
-  if (m_QueueEntry == nullptr)
-    m_QueueEntry = m_Context.m_WaitQueue.enqueue(
-        {static_cast<balance::Urgency>(m_Admitted.m_QueueRank),
-         m_Admitted.m_Workspace},
-        [this] { attempt(); });
+  enqueue();
 }
 
 void ForwardedRequest::send(const balance::Placed &Placement) {
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -24,6 +24,7 @@
 #include "http/sse_splitter.h"
 #include "http/upstream_call.h"
 #include "resume/origin_directory.h"
+#include "waiting/wait_policy.h"
 
 #include <functional>
 #include <memory>
@@ -47,6 +48,8 @@
   std::function<double()> m_Random;         ///< In [0, 1).
   std::function<bool()> m_IsClosing;        ///< Connections are to be closed.
   duty::UsageMeter *m_Usage = nullptr;      ///< Null: usage is not counted.
+  const waiting::WaitPolicy *m_WaitPolicy =
+      nullptr; ///< Null: no call waits by prediction.
 };
 
 class ForwardedRequest final : private UpstreamListener {
@@ -77,6 +80,18 @@
   void placeFirst();
   [[nodiscard]] balance::PlacementQuery placementQuery() const;
   void attempt();
+  void beginWait();
+  [[nodiscard]] balance::PlacementResult tryPlacement();
+  [[nodiscard]] balance::PlacementResult
+  placeByPrediction(balance::PlacementQuery Query);
+  [[nodiscard]] bool isHeldByPrediction() const;
+  void waitByPrediction(const balance::PlacementInputs &Inputs);
+  void leaveQueue();
+  void enqueue();
+  [[nodiscard]] WaitingCall waitingCall() const;
+  [[nodiscard]] waiting::CallWork expectedWork() const;
+  [[nodiscard]] bool wasInTime() const;
+  void recordWaitEnd(std::string_view Outcome);
   void waitForRoom(const balance::PlacementInputs &Inputs);
   [[nodiscard]] bool mayWait() const;
   [[nodiscard]] bool mayWaitFor(Duration More) const;
@@ -158,8 +173,11 @@
       m_OriginLookup; ///< Set while other instances are asked.
 
   std::unique_ptr<WaitQueue::Entry>
-      m_QueueEntry;                     ///< Set while it waits for room.
-  bool m_WaitTimedOut = false;          ///< It may not wait for room again.
+      m_QueueEntry;            ///< Set while it waits for room.
+  bool m_WaitTimedOut = false; ///< It may not wait for room again.
+  std::unique_ptr<waiting::CallWait>
+      m_Wait; ///< Null: the call doesn't wait by prediction.
+  std::optional<waiting::WaitVerdict> m_GivenUp; ///< Why it was refused by it.
   Duration m_QueueTime{};               ///< Total time that it waited for room.
   std::unique_ptr<UpstreamCall> m_Call; ///< Null between calls.
   balance::TicketId m_Ticket;           ///< Of m_Call.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -90,6 +90,7 @@
       m_Stats(m_Metrics), m_Random(std::random_device{}()),
       m_Balancer(m_Settings.m_Zone, m_Random()),
       m_Budget(m_Settings.m_RetryBudget), m_WaitQueue(m_Timers),
+      m_WaitPolicy(m_Balancer.speeds(), m_Balancer.backlog()),
       m_Upstream(m_Clock, m_Timers, m_Settings.m_SourceAddress),
       m_CrashWatch(m_Clock, m_Timers, m_Balancer, m_Upstream, m_Metrics),
       m_PlatformParts(MakeParts(m_Clock, m_Timers, m_Metrics)),
@@ -121,7 +122,8 @@
                 m_AnswerMemory,
                 [this] { return std::uniform_real_distribution<>()(m_Random); },
                 [this] { return m_ClosingConnections; },
-                m_Usage == nullptr ? nullptr : &m_Usage->m_Meter},
+                m_Usage == nullptr ? nullptr : &m_Usage->m_Meter,
+                &m_WaitPolicy},
       m_LoopLoad(m_Clock), m_Admission(m_LoopLoad),
       m_Front(
           arrivalLimits({}),
@@ -304,6 +306,8 @@
   if (std::string_view(Path) == "/metrics") {
     m_Metrics.gauge("crowstep_requests_waiting")
         .set(static_cast<double>(m_WaitQueue.size()));
+    m_Metrics.gauge("crowstep_backlog_calls")
+        .set(m_Balancer.backlog().totalWaiting(m_Clock.now()));
     m_Metrics.gauge("crowstep_requests_open")
         .set(static_cast<double>(m_Requests.size()));
     m_Metrics.gauge("crowstep_caller_connections")
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -98,10 +98,14 @@
   balance::Balancer m_Balancer;   ///< Chooses upstreams.
   balance::RetryBudget m_Budget;  ///< Limits retries.
   WaitQueue m_WaitQueue;          ///< Calls that wait for room.
-  AnswerMemory m_AnswerMemory;    ///< Of unfinished answers.
-  HttpUpstreamClient m_Upstream;  ///< Sends calls.
-  CrashWatch m_CrashWatch;        ///< Handles broken calls.
-  PlatformParts m_PlatformParts;  ///< See PlatformParts.
+
+  /// States which calls wait by prediction.
+  waiting::WaitPolicy m_WaitPolicy;
+
+  AnswerMemory m_AnswerMemory;                ///< Of unfinished answers.
+  HttpUpstreamClient m_Upstream;              ///< Sends calls.
+  CrashWatch m_CrashWatch;                    ///< Handles broken calls.
+  PlatformParts m_PlatformParts;              ///< See PlatformParts.
   std::unique_ptr<UsageParts> m_Usage;        ///< Null: no usage is reported.
   std::unique_ptr<duty::DutyHolder> m_Duties; ///< Null: there are no duties.
   SoftwareHistory m_SoftwareHistory;          ///< Of the upstreams.
--- a/src/gateway/gateway_stats.cpp
+++ b/src/gateway/gateway_stats.cpp
@@ -14,7 +14,15 @@
       m_Pauses(Stats.counter("crowstep_upstream_pauses_total")),
       m_UnreadablePauses(
           Stats.counter("crowstep_upstream_pauses_unreadable_total")),
-      m_MixedStreams(Stats.counter("crowstep_streams_mixed_total")) {
+      m_MixedStreams(Stats.counter("crowstep_streams_mixed_total")),
+      m_Waits(Stats.counter("crowstep_waits_total")),
+      m_ServedInTimeAfterWait(Stats.counter("crowstep_waits_served_total",
+                                            {{"result", "in_time"}})),
+      m_ServedLateAfterWait(
+          Stats.counter("crowstep_waits_served_total", {{"result", "late"}})) {
+  for (const char *Reason :
+       {"no_capacity", "limit_ended", "caller_gone", "other"})
+    Stats.counter("crowstep_waits_refused_total", {{"reason", Reason}});
   for (std::size_t I = 0; I < m_Refusals.size(); ++I)
     m_Refusals.at(I) = &Stats.counter(
         "crowstep_refusals_total",
@@ -42,6 +50,13 @@
   m_Shed.at(static_cast<std::size_t>(Reason))->add();
 }
 
+void GatewayStats::countRefusedAfterWait(std::string_view Reason) {
+  m_Metrics
+      .counter("crowstep_waits_refused_total",
+               {{"reason", std::string(Reason)}})
+      .add();
+}
+
 RouteStats &GatewayStats::statsOfRoute(const std::string &Name) {
   const auto Found = m_Routes.find(Name);
   if (Found != m_Routes.end())
--- a/src/gateway/gateway_stats.h
+++ b/src/gateway/gateway_stats.h
@@ -48,6 +48,17 @@
   /// Counts a pause that an upstream requested and that is not a time.
   void countUnreadablePause() { m_UnreadablePauses.add(); }
 
+  /// Counts a call that begins to wait by prediction.
+  void countWait() { m_Waits.add(); }
+
+  /// Counts such a call that was served, in time or late.
+  void countServedAfterWait(bool InTime) {
+    (InTime ? m_ServedInTimeAfterWait : m_ServedLateAfterWait).add();
+  }
+
+  /// Counts such a call that was not served.
+  void countRefusedAfterWait(std::string_view Reason);
+
   /// Counts an answer in which another software version's events follow.
   void countMixedStream() { m_MixedStreams.add(); }
 
@@ -64,6 +75,9 @@
   Counter &m_Pauses;                ///< See countPause().
   Counter &m_UnreadablePauses;      ///< See countUnreadablePause().
   Counter &m_MixedStreams;          ///< See countMixedStream().
+  Counter &m_Waits;                 ///< See countWait().
+  Counter &m_ServedInTimeAfterWait; ///< See countServedAfterWait().
+  Counter &m_ServedLateAfterWait;   ///< See countServedAfterWait().
   std::array<Counter *, static_cast<std::size_t>(RefusalReason::Count)>
       m_Refusals; ///< By reason.
   std::array<Counter *, static_cast<std::size_t>(RetryReason::Count)>
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -2,6 +2,7 @@
 #include "gateway/wait_queue.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 
 namespace crowstep::gateway {
@@ -18,23 +19,57 @@
 
 void WaitQueue::remove(std::uint64_t Number) { m_Calls.erase(Number); }
 
-/// The most urgent first; among equals the first call of each workspace, then
-/// the second of each, so that a workspace with many calls delays no other.
+void WaitQueue::Entry::setLate() {
+  m_Queue.m_Calls.at(m_Number).m_Call.m_IsLate = true;
+}
+
+bool WaitQueue::hasEarlier(const WaitingCall &Call) const {
+  return std::ranges::any_of(m_Calls, [&](const auto &Queued) {
+    const WaitingCall &Other = Queued.second.m_Call;
+    return Other.m_Pool == Call.m_Pool && Other.m_Urgency == Call.m_Urgency &&
+           Other.m_Workspace == Call.m_Workspace;
+  });
+}
+
+bool WaitQueue::hasManyWaiting(PoolId Pool,
+                               const std::string &Workspace) const {
+  constexpr std::size_t MaxShareOfMean = 2;
+  std::size_t Own = 0;
+  std::map<std::string_view, std::size_t> Others;
+  std::size_t OthersSum = 0;
+  for (const auto &[Number, Queued] : m_Calls) {
+    if (Queued.m_Call.m_Pool != Pool)
+      continue;
+    if (Queued.m_Call.m_Workspace == Workspace) {
+      ++Own;
+    } else {
+      ++Others[Queued.m_Call.m_Workspace];
+      ++OthersSum;
+    }
+  }
+  return !Others.empty() && Own * Others.size() > MaxShareOfMean * OthersSum;
+}
+
+/// Calls that can be in time first, then the most urgent; among equals the
+/// first call of each workspace, then the second of each, so that a workspace
+/// with many calls delays no other.
 std::vector<std::uint64_t> WaitQueue::placementOrder() const {
-  using Rank = std::tuple<balance::Urgency, std::size_t, std::uint64_t>;
-  std::map<std::pair<balance::Urgency, std::string>, std::size_t> CallsSeen;
+  using Rank = std::tuple<bool, balance::Urgency, std::size_t, std::uint64_t>;
+  std::map<std::tuple<bool, balance::Urgency, std::string_view>, std::size_t>
+      CallsSeen;
   std::vector<Rank> Ranks;
   Ranks.reserve(m_Calls.size());
   for (const auto &[Number, Queued] : m_Calls) {
-    const balance::Urgency Urgency = Queued.m_Call.m_Urgency;
+    const WaitingCall &Call = Queued.m_Call;
     Ranks.emplace_back(
-        Urgency, CallsSeen[{Urgency, Queued.m_Call.m_Workspace}]++, Number);
+        Call.m_IsLate, Call.m_Urgency,
+        CallsSeen[{Call.m_IsLate, Call.m_Urgency, Call.m_Workspace}]++, Number);
   }
   std::sort(Ranks.begin(), Ranks.end());
   std::vector<std::uint64_t> Result;
   Result.reserve(Ranks.size());
   for (const Rank &Ranked : Ranks)
-    Result.push_back(std::get<2>(Ranked));
+    Result.push_back(std::get<3>(Ranked));
   return Result;
 }
 
--- a/src/gateway/wait_queue.h
+++ b/src/gateway/wait_queue.h
@@ -27,6 +27,9 @@
 struct WaitingCall {
   balance::Urgency m_Urgency = 0; ///< 0 is the most urgent.
   std::string m_Workspace;        ///< Of the call; may be empty.
+  PoolId m_Pool;                  ///< Service that it waits for.
+  bool m_IsLate = false; ///< It can't be in time any more. Those that can go
+                         ///< first.
 };
 
 class WaitQueue {
@@ -47,6 +50,9 @@
     Entry(const Entry &) = delete;
     Entry &operator=(const Entry &) = delete;
 
+    /// The call can't be in time any more.
+    void setLate();
+
   private:
     friend class WaitQueue;
     Entry(WaitQueue &Queue, std::uint64_t Number)
@@ -61,6 +67,15 @@
   [[nodiscard]] bool isFull() const { return m_Calls.size() >= MaxCalls; }
   [[nodiscard]] std::size_t size() const { return m_Calls.size(); }
 
+  /// Returns whether a call of the same workspace, service and urgency waits.
+  /// One that arrives later must not be placed before it.
+  [[nodiscard]] bool hasEarlier(const WaitingCall &Call) const;
+
+  /// Returns whether a workspace has more than twice as many calls waiting for
+  /// a service as the others with waiting calls have on average.
+  [[nodiscard]] bool hasManyWaiting(PoolId Pool,
+                                    const std::string &Workspace) const;
+
   /// Adds a call; \p RetryPlacement runs each RetryInterval until the returned
   /// entry is destroyed, which it may do itself.
   std::unique_ptr<Entry> enqueue(WaitingCall Call,
