--- a/tests/standin/fleet_model.cpp
+++ b/tests/standin/fleet_model.cpp
@@ -4,6 +4,8 @@
 #include "balance/balancer.h"
 #include "balance/digest_sum.h"
 #include "core/pair_hash.h"
+#include "gateway/forward_limits.h"
+#include "gateway/predicted_placement.h"
 
 #include <algorithm>
 #include <cmath>
@@ -33,6 +35,7 @@
   TicketId m_Ticket;                   ///< Of that gateway's balancer.
   PromptInfo m_Prompt;                 ///< As in the placement query.
   TimePoint m_ArrivedAt;               ///< Arrival of the request.
+  TimePoint m_FirstEventAt{};          ///< Time of the first event.
   TimePoint m_LastEventAt{};           ///< Time of the newest event.
   std::uint32_t m_PrefillTokens = 0;   ///< Prompt tokens left to prefill.
   std::uint32_t m_GeneratedTokens = 0; ///< Output tokens so far.
@@ -43,6 +46,20 @@
 
 using CallPtr = std::shared_ptr<Call>;
 
+/// A request that is placed by prediction.
+struct HeldRequest {
+  const ModelClass *m_Class;  ///< Not null.
+  PlacementQuery m_Query;     ///< As in the placement.
+  std::size_t m_Gateway;      ///< Index of the gateway that has it.
+  TimePoint m_ArrivedAt;      ///< Its arrival.
+  std::string m_Workspace;    ///< That sends it.
+  waiting::CallWait m_Wait;   ///< Decides.
+  PlacementInputs m_Inputs{}; ///< Of the last placement.
+  std::unique_ptr<gateway::WaitQueue::Entry> m_Entry; ///< While it waits.
+};
+
+using HeldPtr = std::shared_ptr<HeldRequest>;
+
 /// One engine: a batch that runs in steps, and the calls that wait for a slot.
 class SimulatedEngine {
 public:
@@ -242,7 +259,7 @@
 };
 
 /// Event loop in virtual time.
-class FleetSimulation {
+class FleetSimulation final : public Scheduler {
 public:
   explicit FleetSimulation(const FleetModel &Load)
       : m_Model(Load), m_Random(Load.m_Seed), m_MachineRandom(Load.m_Seed) {
@@ -260,6 +277,9 @@
       m_Gateways.back().setCacheCapacity(ServiceName, Load.m_CacheTokens);
       m_Gateways.back().setMinPauses({{ServiceName, MinPause}});
     }
+    m_WorkspaceLoads.resize(Load.m_Gateways);
+    for (std::size_t I = 0; I < Load.m_Gateways; ++I)
+      m_WaitQueues.push_back(std::make_unique<gateway::WaitQueue>(*this));
     setSpeeds();
   }
 
@@ -305,6 +325,18 @@
     m_Events.push({m_Now + Delay, ++m_Order, std::move(Job)});
   }
 
+  TimerId runAfter(Duration Delay, std::function<void()> Job) override {
+    const TimerId Result(++m_LastTimer);
+    m_Timers.insert(Result);
+    schedule(Delay, [this, Result, Job = std::move(Job)] {
+      if (m_Timers.erase(Result) > 0)
+        Job();
+    });
+    return Result;
+  }
+
+  void cancel(TimerId Timer) override { m_Timers.erase(Timer); }
+
   [[nodiscard]] bool isOver() const {
     return m_Now - Start > m_Model.m_ArrivalPeriod;
   }
@@ -473,9 +505,88 @@
     Query.m_MaxPause = Class.m_MaxPause;
     Query.m_Prompt = promptFor(Class);
     Query.m_MayWait = m_Model.m_MaxWaitShare > 0;
-    place(Class, Query, m_Random() % m_Gateways.size(), m_Now);
+    const std::size_t Gateway = chooseGateway();
+    if (m_Model.m_WaitsByPrediction)
+      hold(Class, Query, Gateway);
+    else
+      place(Class, Query, Gateway, m_Now);
+  }
+
+  std::size_t chooseGateway() {
+    if (m_Model.m_FirstGatewayShare > 0 &&
+        std::uniform_real_distribution<>()(m_Random) <
+            m_Model.m_FirstGatewayShare)
+      return 0;
+    return m_Random() % m_Gateways.size();
+  }
+
+  // ---- Waiting by prediction ------------------------------------------------
+
+  void hold(const ModelClass &Class, const PlacementQuery &Query,
+            std::size_t Gateway) {
+    waiting::CallFacts Facts;
+    Facts.m_Pool = poolIdOf(ServiceName, 0);
+    Facts.m_Urgency = Class.m_Urgency;
+    Facts.m_ArrivedAt = m_Now;
+    Facts.m_Target = Class.m_LatencyTarget;
+    Facts.m_Patience =
+        waiting::patienceOf(Class.m_LatencyTarget, Class.m_MaxPause);
+    Facts.m_Deadline = Class.m_Deadline;
+    // Not drawn, so that the same requests arrive without it.
+    constexpr std::uint64_t WorkspaceSeed = 5;
+    const std::string Workspace =
+        Class.m_WorkspacePrefix +
+        std::to_string(pairHash(WorkspaceSeed, m_LastUniqueSegment) %
+                       Class.m_Workspaces);
+    m_WorkspaceLoads[Gateway].recordArrival(Facts.m_Pool, Workspace, m_Now);
+    attempt(HeldPtr(new HeldRequest{
+        &Class, Query, Gateway, m_Now, Workspace,
+        waiting::CallWait(m_Gateways[Gateway].backlog(), Facts)}));
+  }
+
+  void attempt(const HeldPtr &Target) {
+    const ModelClass &Class = *Target->m_Class;
+    Balancer &At = m_Gateways[Target->m_Gateway];
+    gateway::WaitQueue &Queue = *m_WaitQueues[Target->m_Gateway];
+    const gateway::WaitingCall Call = {Class.m_Urgency, Target->m_Workspace,
+                                       poolIdOf(ServiceName, 0),
+                                       !Target->m_Wait.canBeInTime(m_Now)};
+    const bool HasQueued = Target->m_Entry != nullptr;
+    const bool MayPreempt =
+        (m_Now - Target->m_ArrivedAt) * gateway::MaxWaitDenominator >
+        Class.m_LatencyTarget * gateway::MaxWaitNumerator;
+    const PlacementResult Answer = gateway::placeByPrediction(
+        {At, Queue, m_WorkspaceLoads[Target->m_Gateway]}, Target->m_Wait,
+        Target->m_Query, Call, HasQueued, MayPreempt, m_Now);
+    if (const auto *Placement = std::get_if<Placed>(&Answer)) {
+      Target->m_Entry.reset();
+      Target->m_Wait.handlePlaced(m_Now);
+      startCall(Class, Target->m_Query, Target->m_Gateway, Target->m_ArrivedAt,
+                *Placement);
+      return;
+    }
+    const auto *Wait = std::get_if<MustWait>(&Answer);
+    if (Wait != nullptr && (HasQueued || !Queue.isFull())) {
+      Target->m_Inputs = Wait->m_Inputs;
+      const waiting::CallWork Work = {
+          At.timeToFirstEvent(ServiceName, Target->m_Inputs.m_UncachedTokens),
+          At.backlog().outputTime(poolIdOf(ServiceName, 0), Class.m_Urgency)};
+      if (Target->m_Wait.handleNoRoom(Work, m_Now) ==
+          waiting::WaitVerdict::Wait) {
+        if (!HasQueued)
+          Target->m_Entry =
+              Queue.enqueue(Call, [this, Target] { attempt(Target); });
+        if (Call.m_IsLate)
+          Target->m_Entry->setLate();
+        return;
+      }
+    }
+    countRefusal(Class, Target->m_ArrivedAt);
+    Target->m_Entry.reset();
   }
 
+  // ---- Calls ----------------------------------------------------------------
+
   void place(const ModelClass &Class, const PlacementQuery &Query,
              std::size_t Gateway, TimePoint ArrivedAt) {
     const PlacementResult Answer = m_Gateways[Gateway].place(Query, m_Now);
@@ -496,25 +607,51 @@
       place(Class, Final, Gateway, ArrivedAt);
       return;
     }
-    const auto *Placement = std::get_if<Placed>(&Answer);
-    if (Placement == nullptr) {
-      ModelResult &Counts = resultOf(Class, ArrivedAt);
-      ++Counts.m_Refused;
-      Counts.m_RefusedAmidIdle += isCapacityIdle() ? 1 : 0;
+    if (const auto *Placement = std::get_if<Placed>(&Answer))
+      startCall(Class, Query, Gateway, ArrivedAt, *Placement);
+    else
+      countRefusal(Class, ArrivedAt);
+  }
+
+  void countRefusal(const ModelClass &Class, TimePoint ArrivedAt) {
+    ModelResult &Counts = resultOf(Class, ArrivedAt);
+    ++Counts.m_Refused;
+    Counts.m_RefusedAmidIdle += isCapacityIdle() ? 1 : 0;
+    const Duration Held = m_Now - ArrivedAt;
+    if (Held == Duration::zero())
       return;
-    }
+    ++Counts.m_Held;
+    Counts.m_HeldTime += Held;
+    Counts.m_LongestHeld = std::max(Counts.m_LongestHeld, Held);
+  }
+
+  void startCall(const ModelClass &Class, const PlacementQuery &Query,
+                 std::size_t Gateway, TimePoint ArrivedAt,
+                 const Placed &Placement) {
     auto NewCall = std::make_shared<Call>();
     NewCall->m_Class = &Class;
     NewCall->m_Gateway = Gateway;
-    NewCall->m_Ticket = Placement->m_Ticket;
+    NewCall->m_Ticket = Placement.m_Ticket;
     NewCall->m_Prompt = Query.m_Prompt;
     NewCall->m_ArrivedAt = ArrivedAt;
     NewCall->m_Running = true;
-    const UpstreamId Engine = Placement->m_Upstream;
+    const UpstreamId Engine = Placement.m_Upstream;
     m_Engines.at(Engine).add(NewCall);
     startStep(Engine);
     schedule(Class.m_Deadline - (m_Now - ArrivedAt),
              [this, NewCall, Engine] { handleDeadline(NewCall, Engine); });
+    if (m_Model.m_CallersGiveUp)
+      schedule(waiting::patienceOf(Class.m_LatencyTarget, Class.m_MaxPause) -
+                   (m_Now - ArrivedAt),
+               [this, NewCall, Engine] { handleImpatience(NewCall, Engine); });
+  }
+
+  void handleImpatience(const CallPtr &Target, UpstreamId Engine) {
+    if (!Target->m_Running || Target->m_GeneratedTokens > 0)
+      return;
+    ++resultOf(*Target->m_Class, Target->m_ArrivedAt).m_GivenUp;
+    m_Engines.at(Engine).remove(Target);
+    endCall(Target, CallOutcome::Dropped);
   }
 
   void handleDeadline(const CallPtr &Target, UpstreamId Engine) {
@@ -565,6 +702,7 @@
       return;
     if (Target->m_GeneratedTokens == 1) {
       reportFirstEvent(Target, Engine);
+      Target->m_FirstEventAt = m_Now;
       Target->m_InTime = m_Now - Target->m_ArrivedAt <= Class.m_LatencyTarget;
     } else if (m_Now - Target->m_LastEventAt > Class.m_MaxPause) {
       Target->m_InTime = false;
@@ -577,6 +715,10 @@
     Counts.m_PauseTooLong += Target->m_HadLongPause ? 1 : 0;
     ++(Target->m_InTime ? Counts.m_InTime : Counts.m_Late);
     m_Engines.at(Engine).remove(Target);
+    if (m_Model.m_WaitsByPrediction)
+      m_Gateways[Target->m_Gateway].backlog().recordOutput(
+          poolIdOf(ServiceName, 0), Class.m_Urgency,
+          m_Now - Target->m_FirstEventAt);
     endCall(Target, CallOutcome::Served);
   }
 
@@ -584,13 +726,18 @@
     return Gateway % m_Model.m_Zones;
   }
 
+  bool isDigestLost() {
+    return m_Model.m_DigestLoss > 0 &&
+           std::uniform_real_distribution<>()(m_Random) < m_Model.m_DigestLoss;
+  }
+
   void sendDigests() {
     m_ZoneSums.resize(m_Model.m_Zones);
     for (std::size_t From = 0; From < m_Gateways.size(); ++From) {
       const LoadDigest Digest = m_Gateways[From].takeDigest(m_Now);
       m_ZoneSums[zoneOf(From)].add(InstanceId(From + 1), Digest, m_Now);
       for (std::size_t To = 0; To < m_Gateways.size(); ++To)
-        if (To != From && zoneOf(To) == zoneOf(From))
+        if (To != From && zoneOf(To) == zoneOf(From) && !isDigestLost())
           m_Gateways[To].applyPeerDigest(InstanceId(From + 1), Digest, m_Now);
     }
     if (m_Model.m_Zones > 1 && ++m_DigestIntervals % 2 == 0)
@@ -603,7 +750,7 @@
     for (std::size_t From = 0; From < m_Model.m_Zones; ++From) {
       const LoadDigest Sum = m_ZoneSums[From].takeSum(m_Now);
       for (std::size_t To = 0; To < m_Gateways.size(); ++To)
-        if (zoneOf(To) != From)
+        if (zoneOf(To) != From && !isDigestLost())
           m_Gateways[To].applyPeerDigest(
               InstanceId(m_Gateways.size() + 1 + From), Sum, m_Now);
     }
@@ -619,10 +766,15 @@
   std::uint64_t m_Order = 0;             ///< Orders events of equal times.
   std::uint64_t m_LastUniqueSegment = 1; ///< Id of the last unique segment.
   std::vector<Balancer> m_Gateways;      ///< By index.
-  std::vector<DigestSum> m_ZoneSums;     ///< By zone.
-  unsigned m_DigestIntervals = 0;        ///< Digest intervals so far.
-  std::vector<Upstream> m_Listed;        ///< Listed engines.
-  EngineMap m_Engines;                   ///< Lost engines included.
+  std::set<TimerId> m_Timers;            ///< Set and not yet run.
+  std::uint64_t m_LastTimer = 0;         ///< Ids start at 1.
+  std::vector<std::unique_ptr<gateway::WaitQueue>>
+      m_WaitQueues;                                      ///< By gateway.
+  std::vector<waiting::WorkspaceLoads> m_WorkspaceLoads; ///< By gateway.
+  std::vector<DigestSum> m_ZoneSums;                     ///< By zone.
+  unsigned m_DigestIntervals = 0; ///< Digest intervals so far.
+  std::vector<Upstream> m_Listed; ///< Listed engines.
+  EngineMap m_Engines;            ///< Lost engines included.
   std::vector<std::unique_ptr<TrueSpeeds>> m_TrueSpeeds; ///< By gateway.
   FleetResult m_Result;                                  ///< Counts so far.
   ModelResult m_Uncounted; ///< Of requests before m_CountFrom.
--- a/tests/standin/fleet_model.h
+++ b/tests/standin/fleet_model.h
@@ -34,6 +34,9 @@
   std::uint32_t m_MeanUniqueTokens =
       1000;                          ///< Drawn from 0.5 to 1.5 times this.
   std::uint32_t m_OutputTokens = 50; ///< Length of the answer.
+  std::size_t m_Workspaces = 1;      ///< From which its calls come alike.
+  std::string m_WorkspacePrefix;     ///< Of their names; classes with the same
+                                     ///< one share workspaces.
 };
 
 /// A period in which the arrival rate of one class is changed.
@@ -112,6 +115,12 @@
   /// ones, at each gateway by another amount. Only for ModelSpeeds::True.
   double m_SpeedError = 0;
 
+  bool m_WaitsByPrediction = false; ///< As in a gateway with speeds learned.
+  bool m_CallersGiveUp = false;     ///< Callers leave when their patience ends.
+  double m_DigestLoss = 0;          ///< Share of the digests that are lost.
+  double m_FirstGatewayShare =
+      0; ///< Share of the calls that arrive at the first gateway.
+
   Duration m_CountFrom{}; ///< Requests that arrive earlier are not counted.
   Duration m_SnapshotInterval{}; ///< Zero: no snapshots.
 };
@@ -124,6 +133,10 @@
   int m_Refused = 0;
   int m_Unfinished = 0;      ///< Their deadline came first.
   int m_Lost = 0;            ///< Their engine crashed.
+  int m_GivenUp = 0;         ///< Their caller left before the first event.
+  int m_Held = 0;            ///< Refused after they had waited.
+  Duration m_HeldTime{};     ///< Of all of these.
+  Duration m_LongestHeld{};  ///< Of these.
   int m_PauseTooLong = 0;    ///< Complete, with a pause over the limit.
   int m_RefusedAmidIdle = 0; ///< Refused while a quarter of the engines was
                              ///< idle: no prefill, half of the slots free.
--- a/tests/unit/digest_codec_test.cpp
+++ b/tests/unit/digest_codec_test.cpp
@@ -184,3 +184,30 @@
     RC_ASSERT(queuedTokensAt(Disturbed, Engine.m_Id, Now) ==
               queuedTokensAt(Calm, Engine.m_Id, Now));
 }
+
+/// Guards against waiting calls that arrive under another urgency or group, and
+/// against groups of later versions that would be counted as one of these.
+BOOST_AUTO_TEST_CASE(WaitingCallsArriveAsSent) {
+  LoadDigest Sent;
+  Sent.m_Waiting = {{PoolId(7), {waiting::CallGroup::Late, 9}, 3, 70000},
+                    {PoolId(7), {waiting::CallGroup::AtOnce, 0}, 0, 5}};
+  wire::FrameT Frame;
+  gateway::packDigest(Sent, Frame.digest);
+  // A digest that is still queued is replaced.
+  gateway::packDigest(Sent, Frame.digest);
+  Frame.digest->waiting.emplace_back(7, 1, 1, 30);
+  flatbuffers::FlatBufferBuilder Builder;
+  Builder.Finish(wire::Frame::Pack(Builder, &Frame));
+  const std::vector<waiting::WaitingCalls> Received =
+      gateway::unpack(
+          *flatbuffers::GetRoot<wire::Frame>(Builder.GetBufferPointer())
+               ->digest())
+          .m_Waiting;
+  BOOST_REQUIRE(Received.size() == 2U);
+  BOOST_TEST((Received[0].m_Standing ==
+              waiting::CallStanding{waiting::CallGroup::Late, 9}));
+  BOOST_TEST(Received[0].m_Waiting == 3U);
+  BOOST_TEST(Received[0].m_Placed == 65535U);
+  BOOST_TEST((Received[1].m_Standing ==
+              waiting::CallStanding{waiting::CallGroup::AtOnce, 0}));
+}
--- a/tests/unit/forwarded_request_env.h
+++ b/tests/unit/forwarded_request_env.h
@@ -97,6 +97,22 @@
   return "id: " + std::to_string(Number) + "\ndata: x\n\n";
 }
 
+/// Switches waiting by prediction on.
+class ActiveSpeeds final : public speed::SpeedView {
+public:
+  [[nodiscard]] bool isActive(PoolId) const override { return true; }
+  [[nodiscard]] double speedOf(UpstreamId, TimePoint) const override {
+    return 1;
+  }
+  [[nodiscard]] int speedClassOf(UpstreamId) const override { return 0; }
+  [[nodiscard]] double usableShareOf(UpstreamId, TimePoint) const override {
+    return 1;
+  }
+  [[nodiscard]] double machineSlowdownOf(UpstreamId, TimePoint) const override {
+    return 1;
+  }
+};
+
 struct TestEnv {
   ManualClock m_Clock;
   ManualScheduler m_Timers{m_Clock};
@@ -110,6 +126,8 @@
   FakeProber m_Prober;
   CrashWatch m_CrashWatch{m_Clock, m_Timers, m_Balancer, m_Prober, m_Metrics};
   WaitQueue m_WaitQueue{m_Timers};
+  ActiveSpeeds m_ActiveSpeeds;
+  waiting::WaitPolicy m_WaitPolicy{m_ActiveSpeeds, m_Balancer.backlog()};
   AnswerMemory m_AnswerMemory;
   FakeOrigins m_Origins;
   SoftwareHistory m_SoftwareHistory;
@@ -195,6 +213,20 @@
     }
   }
 
+  /// Queues 100,000 tokens of prefill at each upstream.
+  void queuePrefill() {
+    balance::PlacementQuery Query;
+    Query.m_Service = "s";
+    Query.m_WaitLimit = 10s;
+    Query.m_Prompt = {{{1, 100000}}, 100000, 10, 10};
+    for (int I = 0; I < 3; ++I) {
+      const auto Taken = m_Balancer.place(Query, m_Clock.now());
+      const auto &Ticket = std::get<balance::Placed>(Taken);
+      m_Others.push_back(Ticket.m_Ticket);
+      Query.m_Excluded.push_back(Ticket.m_Upstream);
+    }
+  }
+
   PlayedCall &call(std::size_t Index) { return m_Upstreams.m_Calls.at(Index); }
   std::size_t calls() const { return m_Upstreams.m_Calls.size(); }
   std::string upstreamOf(std::size_t Index) {
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -361,6 +361,118 @@
   BOOST_TEST(Env.m_Finished == 1);
 }
 
+// ---- Waiting by prediction --------------------------------------------------
+
+namespace {
+
+/// A stream with a target of 600 ms, whose caller gives up after 2.4 s, while
+/// all slots are taken.
+void waitByPrediction(TestEnv &Env) {
+  Env.m_Context.m_WaitPolicy = &Env.m_WaitPolicy;
+  Env.takeAllSlots();
+}
+
+std::uint64_t refusedAfterWait(TestEnv &Env, const char *Reason) {
+  return Env.m_Metrics
+      .counter("crowstep_waits_refused_total", {{"reason", Reason}})
+      .value();
+}
+
+} // namespace
+
+/// Guards against a refusal at two fifths of the target, long before the caller
+/// gives up.
+BOOST_AUTO_TEST_CASE(ACallWaitsAsLongAsItHelps) {
+  TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{1}, {},
+              waitByPrediction);
+  Env.m_Timers.advance(1s);
+  BOOST_TEST(Env.m_Record.m_Answers.empty());
+  BOOST_TEST(Env.m_WaitQueue.size() == 1U);
+  BOOST_TEST(Env.m_Balancer.backlog().totalWaiting(Env.m_Clock.now()) == 1);
+  Env.m_Balancer.recordCallEnd(Env.m_Others[1], balance::CallOutcome::Served,
+                               Env.m_Clock.now());
+  Env.m_Timers.advance(WaitQueue::RetryInterval);
+  BOOST_REQUIRE(Env.calls() == 1U);
+  BOOST_TEST(Env.m_Balancer.backlog().totalWaiting(Env.m_Clock.now()) == 0);
+  Env.sendGoodHeaders(0);
+  Env.sendBytes(0, event(1));
+  Env.endCall(0, TransportEnd::Complete);
+  BOOST_TEST(Env.m_Record.m_Ended);
+  BOOST_TEST(
+      Env.m_Metrics.counter("crowstep_waits_served_total", {{"result", "late"}})
+          .value() == 1U);
+  BOOST_TEST(Env.m_Metrics.counter("crowstep_waits_total").value() == 1U);
+}
+
+/// Guards against a call that is held until its caller gives up.
+BOOST_AUTO_TEST_CASE(ACallIsRefusedAtItsLimit) {
+  TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{1}, {},
+              waitByPrediction);
+  Env.m_Timers.advance(1400ms);
+  BOOST_TEST(Env.m_Record.m_Answers.empty());
+  Env.m_Timers.advance(100ms);
+  BOOST_TEST(Env.answer().m_Status == 503U);
+  BOOST_TEST(Env.answerHas("Retry-After"));
+  BOOST_TEST(Env.calls() == 0U);
+  BOOST_TEST(Env.m_WaitQueue.size() == 0U);
+  BOOST_TEST(Env.m_Balancer.backlog().totalWaiting(Env.m_Clock.now()) == 0);
+  BOOST_TEST(refusedAfterWait(Env, "limit_ended") == 1U);
+}
+
+/// Guards against a call that is still counted, and an answer that is awaited,
+/// after its caller has left.
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesEndsTheWait) {
+  TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{1}, {},
+              waitByPrediction);
+  Env.m_Timers.advance(50ms);
+  Env.m_Record.m_OnGone();
+  BOOST_TEST(Env.m_WaitQueue.size() == 0U);
+  BOOST_TEST(Env.m_Balancer.backlog().totalWaiting(Env.m_Clock.now()) == 0);
+  BOOST_TEST(Env.m_Finished == 1);
+  BOOST_TEST(refusedAfterWait(Env, "caller_gone") == 1U);
+}
+
+/// Guards against refusals while the prefill that is queued at the engines can
+/// end within the caller's patience; without prediction the call is refused.
+BOOST_AUTO_TEST_CASE(ACallWaitsForQueuedPrefillOnlyByPrediction) {
+  for (const bool ByPrediction : {false, true}) {
+    TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{16}, {},
+                [&](TestEnv &Started) {
+                  if (ByPrediction)
+                    Started.m_Context.m_WaitPolicy = &Started.m_WaitPolicy;
+                  Started.queuePrefill();
+                });
+    BOOST_TEST(Env.m_WaitQueue.size() == (ByPrediction ? 1U : 0U));
+    if (!ByPrediction) {
+      BOOST_TEST(Env.answer().m_Status == 503U);
+      continue;
+    }
+    Env.m_Timers.advance(500ms);
+    Env.m_Balancer.recordFirstEvent(Env.m_Others[0], Env.m_Clock.now());
+    Env.m_Timers.advance(WaitQueue::RetryInterval);
+    BOOST_TEST(Env.calls() == 1U);
+  }
+}
+
+/// Guards against a deployment without learned speeds whose calls wait
+/// otherwise than before, although the policy is there.
+BOOST_AUTO_TEST_CASE(WithoutLearnedSpeedsCallsWaitAsBefore) {
+  TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{1}, {},
+              [](TestEnv &Started) {
+                static const speed::UpstreamSpeeds NotLearned;
+                static waiting::WaitPolicy Inactive(
+                    NotLearned, Started.m_Balancer.backlog());
+                Started.m_Context.m_WaitPolicy = &Inactive;
+                Started.takeAllSlots();
+              });
+  Env.m_Timers.advance(200ms);
+  BOOST_TEST(Env.m_Record.m_Answers.empty());
+  BOOST_TEST(Env.m_Balancer.backlog().totalWaiting(Env.m_Clock.now()) == 0);
+  Env.m_Timers.advance(80ms);
+  BOOST_TEST(Env.answer().m_Status == 503U);
+  BOOST_TEST(Env.m_Balancer.takeDigest(Env.m_Clock.now()).m_Waiting.empty());
+}
+
 // Guards against a quarantined request, which has crashed three upstreams, that
 // is forwarded, or refused with a wrong run state or without Retry-After.
 BOOST_AUTO_TEST_CASE(AQuarantinedRequestIsRefusedBeforeAnyUpstream) {
--- a/tests/unit/wait_queue_test.cpp
+++ b/tests/unit/wait_queue_test.cpp
@@ -69,3 +69,26 @@
   Env.m_Entries.pop_back();
   BOOST_TEST(!Env.m_Queue.isFull());
 }
+
+/// Guards against calls that can't be in time any more and are placed before
+/// those that can, however urgent they are.
+BOOST_AUTO_TEST_CASE(CallsInTimeGoFirst) {
+  TestEnv Env;
+  Env.add(1, 0, "a");
+  Env.add(2, 5, "b");
+  Env.m_Entries[0]->setLate();
+  Env.m_Timers.advance(WaitQueue::RetryInterval);
+  BOOST_TEST(Env.m_Retried == (std::vector<int>{2, 1}),
+             boost::test_tools::per_element());
+}
+
+/// Guards against calls that overtake those of the same workspace, and against
+/// workspaces or services that hold up others.
+BOOST_AUTO_TEST_CASE(EarlierCallsOfAWorkspaceAreFound) {
+  TestEnv Env;
+  Env.add(1, 5, "a");
+  BOOST_TEST(Env.m_Queue.hasEarlier({5, "a"}));
+  BOOST_TEST(!Env.m_Queue.hasEarlier({5, "b"}));
+  BOOST_TEST(!Env.m_Queue.hasEarlier({4, "a"}));
+  BOOST_TEST(!Env.m_Queue.hasEarlier({5, "a", PoolId(2)}));
+}
