--- a/tests/unit/waiting_test.cpp
+++ b/tests/unit/waiting_test.cpp
@@ -1,5 +1,6 @@
 /// Who waits, how long, and when callers are told to return.
 #define BOOST_TEST_MODULE waiting
+#include "gateway/predicted_placement.h"
 #include "waiting/wait_policy.h"
 #include "waiting/waiting_sum.h"
 
@@ -370,3 +371,28 @@
   NoTarget.m_Target = Duration::zero();
   BOOST_TEST((WaitPolicy(On, Waiting).begin(NoTarget) == nullptr));
 }
+
+/// Guards against a workspace whose arrivals are placed before its calls that
+/// wait, so that it gets all room that becomes free.
+BOOST_AUTO_TEST_CASE(AnArrivalIsNotPlacedBeforeEarlierCalls) {
+  ManualClock Clock;
+  ManualScheduler Timers(Clock);
+  gateway::WaitQueue Queue(Timers);
+  balance::Balancer Upstreams({"a"});
+  Upstreams.setUpstreams(
+      {{upstreamIdOf("e"), "e", "s", {1, 1}, {"a"}, Engine{16}, false}});
+  WorkspaceLoads Loads;
+  balance::PlacementQuery Query;
+  Query.m_Service = "s";
+  Query.m_Prompt = {{{1, 100}}, 100, 10, 10};
+  const auto Earlier = Queue.enqueue({3, "w", Pool}, [] {});
+  const CallWait Wait(Upstreams.backlog(), streamFacts());
+  const auto IsPlaced = [&](const char *Workspace, bool IsQueued) {
+    return std::holds_alternative<balance::Placed>(gateway::placeByPrediction(
+        {Upstreams, Queue, Loads}, Wait, Query, {3, Workspace, Pool}, IsQueued,
+        false, Start));
+  };
+  BOOST_TEST(!IsPlaced("w", false));
+  BOOST_TEST(IsPlaced("w", true));
+  BOOST_TEST(IsPlaced("other", false));
+}
