--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -41,6 +41,13 @@
 /// prefill them again later.
 constexpr double MaxSlotShare = 0.85;
 
+/// Share of an engine's slots up to which calls take them that get only what
+/// others leave over. While the slots are scarce, other calls take all up to
+/// MaxSlotShare; without the difference a call that is late anyway would take
+/// each slot that becomes free, at whichever instance it waits. With 0.7, 4 in
+/// 100 fewer calls were in time in a simulated burst of nine seconds.
+constexpr double RemainderSlotShare = 0.4;
+
 /// Tokens that an engine could prefill while all of its slots are freed once,
 /// at 1.5 s a call and 40 tokens a ms. An engine whose slots are all taken
 /// frees one each time that one of its calls ends.
@@ -346,6 +353,8 @@
                                   LessLoaded.has_value()};
   if (Chosen.m_Full)
     return MustWait{Inputs};
+  if (Wait > waitLimitOf(Query) && Query.m_MayWait && Query.m_WaitsBeyondLimit)
+    return MustWait{Inputs};
   if (Wait > waitLimitOf(Query))
     return NotPlaced{RefusalReason::TargetUnreachable,
                      std::max(Wait - Query.m_LatencyTarget, MinRetryAfter),
@@ -512,8 +521,10 @@
   if (Query.m_RequiredSoftware)
     return Option.m_Calls >= Slots;
   const double Usable = Option.m_UsableShare * Slots;
-  const double Limit =
-      Option.m_LessUrgentCalls > 0 ? Usable : MaxSlotShare * Usable;
+  const double SlotShare = Query.m_TakesRemainder         ? RemainderSlotShare
+                           : Option.m_LessUrgentCalls > 0 ? 1
+                                                          : MaxSlotShare;
+  const double Limit = SlotShare * Usable;
   return Option.m_Calls >= std::max(1.0, Limit);
 }
 
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -20,6 +20,7 @@
 #include "balance/upstream_state.h"
 #include "speed/event_intervals.h"
 #include "speed/upstream_speeds.h"
+#include "waiting/backlog.h"
 
 #include <map>
 #include <set>
@@ -153,6 +154,15 @@
   /// Returns how fast upstreams work.
   [[nodiscard]] speed::UpstreamSpeeds &speeds() { return m_Speeds; }
 
+  /// Returns the waiting calls of all instances.
+  [[nodiscard]] waiting::Backlog &backlog() { return m_Backlog; }
+
+  /// Returns the time to a first event after the prefill of \p Tokens.
+  [[nodiscard]] Duration timeToFirstEvent(const std::string &Service,
+                                          std::uint64_t Tokens) const {
+    return m_PrefillSpeed.timeToFirstEvent(Service, Tokens);
+  }
+
   /// Places by the speeds of \p View instead of those that are learned here;
   /// null: by the learned ones. \p View must outlive the balancer.
   void setSpeedView(const speed::SpeedView *View) { m_SpeedView = View; }
@@ -286,6 +296,7 @@
   LeavingUpstreams m_Leaving;     ///< By their entries and answers.
   PrefillSpeed m_PrefillSpeed;    ///< Of the engines.
   speed::UpstreamSpeeds m_Speeds; ///< Of the upstreams.
+  waiting::Backlog m_Backlog;     ///< Of all instances.
   const speed::SpeedView *m_SpeedView = nullptr;       ///< Null: m_Speeds.
   PeerLoads m_PeerLoads;                               ///< From their digests.
   CacheModel m_Cache;                                  ///< Of the engines.
--- a/src/balance/balancer_reports.cpp
+++ b/src/balance/balancer_reports.cpp
@@ -217,6 +217,7 @@
 void Balancer::applyPeerDigest(InstanceId Peer, const LoadDigest &Digest,
                                TimePoint Now) {
   m_PeerLoads.setPeerLoads(Peer, Digest.m_Loads, Now);
+  m_Backlog.applyReport(Peer, Digest.m_Waiting, Now);
   m_Quarantine.applyUpdates(Digest.m_Crashes, Now);
   m_RateLimits.applyUpdates(Digest.m_Limits, Now);
   m_Brittle.applyUpdates(Digest.m_Brittle, Now);
@@ -269,6 +270,7 @@
   Result.m_Brittle = m_Brittle.takeUpdates(Now);
   Result.m_Leaving = m_Leaving.takeUpdates();
   Result.m_Speeds = m_Speeds.takeUpdates(Now);
+  Result.m_Waiting = m_Backlog.report(Now);
   return Result;
 }
 
--- a/src/balance/digest_sum.cpp
+++ b/src/balance/digest_sum.cpp
@@ -21,6 +21,7 @@
     m_Brittle.emplace_back(Update, Now);
   for (const speed::SpeedUpdate &Update : Digest.m_Speeds)
     m_Speeds.add(Update, Now);
+  m_Waiting.add(From, Digest.m_Waiting, Now);
 }
 
 void DigestSum::clear() {
@@ -32,6 +33,7 @@
   m_Leaving.clear();
   m_Brittle.clear();
   m_Speeds.clear();
+  m_Waiting.clear();
 }
 
 LoadDigest DigestSum::takeSum(TimePoint Now) {
@@ -51,6 +53,7 @@
   TakeAged(m_Brittle, Result.m_Brittle);
   Result.m_Leaving = std::exchange(m_Leaving, {});
   Result.m_Speeds = m_Speeds.take(Now);
+  Result.m_Waiting = m_Waiting.sum(PeerLoads::DigestLifetime, Now);
   return Result;
 }
 
--- a/src/balance/digest_sum.h
+++ b/src/balance/digest_sum.h
@@ -4,6 +4,7 @@
 
 #include "balance/peer_loads.h"
 #include "speed/speed_sums.h"
+#include "waiting/waiting_sum.h"
 
 namespace crowstep::balance {
 
@@ -18,7 +19,10 @@
   void add(InstanceId From, const LoadDigest &Digest, TimePoint Now);
 
   /// Forgets an instance's loads.
-  void drop(InstanceId From) { m_Loads.drop(From); }
+  void drop(InstanceId From) {
+    m_Loads.drop(From);
+    m_Waiting.drop(From);
+  }
 
   void clear();
 
@@ -35,8 +39,9 @@
       m_Limits;                      ///< With time of receipt.
   std::vector<UpstreamId> m_Leaving; ///< Not yet taken.
   std::vector<std::pair<BrittleUpdate, TimePoint>>
-      m_Brittle;             ///< With time of receipt.
-  speed::SpeedSums m_Speeds; ///< Not yet taken.
+      m_Brittle;                 ///< With time of receipt.
+  speed::SpeedSums m_Speeds;     ///< Not yet taken.
+  waiting::WaitingSum m_Waiting; ///< Of the last digests.
 };
 
 } // namespace crowstep::balance
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -106,6 +106,42 @@
           std::chrono::milliseconds(Pace->age_ms())});
 }
 
+/// Calls of a group are sent with its number times UrgencyCount added to their
+/// urgency.
+std::uint8_t packStanding(const waiting::CallStanding &Standing) {
+  return static_cast<std::uint8_t>(static_cast<std::size_t>(Standing.m_Group) *
+                                       balance::UrgencyCount +
+                                   Standing.m_Urgency);
+}
+
+waiting::CallStanding unpackStanding(std::uint8_t Packed) {
+  return {static_cast<waiting::CallGroup>(Packed / balance::UrgencyCount),
+          static_cast<std::uint8_t>(Packed % balance::UrgencyCount)};
+}
+
+std::uint16_t toCount(std::uint32_t Value) {
+  return static_cast<std::uint16_t>(std::min<std::uint32_t>(
+      Value, std::numeric_limits<std::uint16_t>::max()));
+}
+
+void packWaiting(const std::vector<waiting::WaitingCalls> &Calls,
+                 std::vector<wire::WaitingCalls> &Into) {
+  Into.clear();
+  for (const waiting::WaitingCalls &Entry : Calls)
+    Into.emplace_back(Entry.m_Pool.value(), toCount(Entry.m_Waiting),
+                      toCount(Entry.m_Placed), packStanding(Entry.m_Standing));
+}
+
+void unpackWaiting(const wire::GatewayDigest &From,
+                   std::vector<waiting::WaitingCalls> &Into) {
+  if (From.waiting() == nullptr)
+    return;
+  for (const wire::WaitingCalls *Calls : *From.waiting())
+    if (Calls->urgency() < waiting::GroupCount * balance::UrgencyCount)
+      Into.push_back({PoolId(Calls->pool()), unpackStanding(Calls->urgency()),
+                      Calls->waiting(), Calls->placed()});
+}
+
 } // namespace
 
 void packDigest(const balance::LoadDigest &Digest,
@@ -141,6 +177,7 @@
   Into->leaving.clear();
   for (const UpstreamId Leaving : Digest.m_Leaving)
     Into->leaving.push_back(Leaving.value());
+  packWaiting(Digest.m_Waiting, Into->waiting);
 }
 
 balance::LoadDigest unpack(const wire::GatewayDigest &From) {
@@ -179,6 +216,7 @@
     for (const std::uint64_t Leaving : *From.leaving())
       Result.m_Leaving.push_back(UpstreamId(Leaving));
   unpackSpeeds(From, Result.m_Speeds);
+  unpackWaiting(From, Result.m_Waiting);
   return Result;
 }
 
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 #include "gateway/forward_limits.h"
+#include "gateway/predicted_placement.h"
 #include "gateway/upstream_request.h"
 
 #include <algorithm>
@@ -232,10 +233,13 @@
 }
 
 void ForwardedRequest::attempt() {
-  const auto Result =
-      m_Context.m_Balancer.place(placementQuery(), m_Context.m_Clock.now());
+  beginWait();
+  const balance::PlacementResult Result = tryPlacement();
   if (const auto *Wait = std::get_if<balance::MustWait>(&Result)) {
-    waitForRoom(Wait->m_Inputs);
+    if (isPlacedByPrediction())
+      waitByPrediction(Wait->m_Inputs);
+    else
+      waitForRoom(Wait->m_Inputs);
     return;
   }
   const auto *Unplaced = std::get_if<balance::NotPlaced>(&Result);
@@ -243,15 +247,21 @@
     waitForRoom(Unplaced->m_Inputs);
     return;
   }
-  if (m_QueueEntry != nullptr)
-    m_QueueTime = m_Context.m_Clock.now() - m_ArrivedAt;
-  m_QueueEntry.reset();
+  leaveQueue();
   if (Unplaced == nullptr) {
+    if (m_Wait != nullptr)
+      m_Wait->handlePlaced(m_Context.m_Clock.now());
     send(std::get<balance::Placed>(Result));
     return;
   }
   m_PlacementInputs = Unplaced->m_Inputs;
   m_HeldBy = Unplaced->m_HeldBy;
+  if (m_Wait != nullptr &&
+      Unplaced->m_Reason == RefusalReason::TargetUnreachable) {
+    refuse(Unplaced->m_Reason,
+           m_Wait->retryAfter(m_Context.m_Random(), m_Context.m_Clock.now()));
+    return;
+  }
   const bool FoundNoRoom = m_WaitTimedOut && !isDueToPause(*Unplaced);
   refuse(Unplaced->m_Reason,
          FoundNoRoom ? QueueRetryAfter : Unplaced->m_RetryAfter);
@@ -264,6 +274,127 @@
          (m_QueueEntry != nullptr || !m_Context.m_WaitQueue.isFull());
 }
 
+// ---- Waiting by prediction --------------------------------------------------
+
+void ForwardedRequest::beginWait() {
+  if (m_Wait != nullptr || m_Attempts > 0 || m_Context.m_WaitPolicy == nullptr)
+    return;
+  waiting::CallFacts Facts;
+  Facts.m_Pool = poolIdOf(m_Service, 0);
+  Facts.m_Urgency = static_cast<std::uint8_t>(m_Admitted.m_EngineRank);
+  Facts.m_ArrivedAt = m_ArrivedAt;
+  Facts.m_Target = m_Admitted.m_Route->m_Target;
+  if (const EventStream *Stream = eventStream())
+    Facts.m_Patience = waiting::patienceOf(Facts.m_Target, Stream->m_MaxPause);
+  Facts.m_Deadline = m_Deadline - m_ArrivedAt;
+  m_Wait = m_Context.m_WaitPolicy->begin(Facts);
+  if (m_Wait != nullptr)
+    m_Context.m_WaitPolicy->workspaces().recordArrival(
+        Facts.m_Pool, m_Admitted.m_Workspace, m_Context.m_Clock.now());
+}
+
+/// A retry goes to any engine with room: its caller has waited once.
+bool ForwardedRequest::isPlacedByPrediction() const {
+  return m_Wait != nullptr && m_Attempts == 0;
+}
+
+WaitingCall ForwardedRequest::waitingCall() const {
+  return {static_cast<balance::Urgency>(m_Admitted.m_QueueRank),
+          m_Admitted.m_Workspace, poolIdOf(m_Service, 0),
+          m_Wait != nullptr && !m_Wait->canBeInTime(m_Context.m_Clock.now())};
+}
+
+balance::PlacementResult ForwardedRequest::tryPlacement() {
+  const TimePoint Now = m_Context.m_Clock.now();
+  if (isPlacedByPrediction())
+    return placeByPrediction({m_Context.m_Balancer, m_Context.m_WaitQueue,
+                              m_Context.m_WaitPolicy->workspaces()},
+                             *m_Wait, placementQuery(), waitingCall(),
+                             m_QueueEntry != nullptr,
+                             !mayWaitFor(Duration::zero()), Now);
+  return m_Context.m_Balancer.place(placementQuery(), Now);
+}
+
+/// Of a call whose prefix is cached where the last placement would have gone.
+waiting::CallWork ForwardedRequest::expectedWork() const {
+  const PoolId Pool = poolIdOf(m_Service, 0);
+  if (m_Admitted.m_Facts.m_Prompt.m_PromptTokens == 0)
+    return {};
+  return {m_Context.m_Balancer.timeToFirstEvent(
+              m_Service, m_PlacementInputs.m_UncachedTokens),
+          m_Context.m_WaitPolicy->backlog().outputTime(
+              Pool, static_cast<std::uint8_t>(m_Admitted.m_EngineRank))};
+}
+
+/// Ends an attempt(); the wait queue calls attempt() again.
+void ForwardedRequest::waitByPrediction(
+    const balance::PlacementInputs &Inputs) {
+  const TimePoint Now = m_Context.m_Clock.now();
+  m_PlacementInputs = Inputs;
+  const waiting::WaitVerdict Verdict =
+      mayWait() ? m_Wait->handleNoRoom(expectedWork(), Now)
+                : waiting::WaitVerdict::NoCapacity;
+  if (Verdict == waiting::WaitVerdict::Wait) {
+    if (m_QueueEntry == nullptr)
+      m_Context.m_Stats.countWait();
+    enqueue();
+    if (!m_Wait->canBeInTime(Now))
+      m_QueueEntry->setLate();
+    return;
+  }
+  leaveQueue();
+  m_GivenUp = Verdict;
+  refuse(RefusalReason::TargetUnreachable,
+         m_Wait->retryAfter(m_Context.m_Random(), Now));
+}
+
+void ForwardedRequest::enqueue() {
+  if (m_QueueEntry == nullptr)
+    m_QueueEntry =
+        m_Context.m_WaitQueue.enqueue(waitingCall(), [this] { attempt(); });
+}
+
+void ForwardedRequest::leaveQueue() {
+  if (m_QueueEntry != nullptr)
+    m_QueueTime = m_Context.m_Clock.now() - m_ArrivedAt;
+  m_QueueEntry.reset();
+}
+
+bool ForwardedRequest::wasInTime() const {
+  const EventStream *Stream = eventStream();
+  if (Stream == nullptr)
+    return m_Context.m_Clock.now() - m_ArrivedAt <=
+           m_Admitted.m_Route->m_Target;
+  return m_FirstEventAt - m_ArrivedAt <= m_Admitted.m_Route->m_Target &&
+         (Stream->m_MaxPause == Duration::zero() ||
+          m_LongestPause <= Stream->m_MaxPause);
+}
+
+/// Counts what became of a call that has waited by prediction.
+void ForwardedRequest::recordWaitEnd(std::string_view Outcome) {
+  if (m_Wait == nullptr)
+    return;
+  const TimePoint Now = m_Context.m_Clock.now();
+  const bool IsServed = Outcome == "served";
+  if (IsServed && m_Streaming)
+    m_Context.m_WaitPolicy->backlog().recordOutput(
+        poolIdOf(m_Service, 0),
+        static_cast<std::uint8_t>(m_Admitted.m_EngineRank),
+        Now - m_FirstEventAt);
+  if (m_Wait->hasWaited()) {
+    if (IsServed)
+      m_Context.m_Stats.countServedAfterWait(wasInTime());
+    else
+      m_Context.m_Stats.countRefusedAfterWait(
+          m_GivenUp ? waiting::nameOf(*m_GivenUp)
+          : Outcome == nameOf(RefusalReason::CallerGone) ? "caller_gone"
+                                                         : "other");
+  }
+  m_Wait.reset();
+}
+
+// ---- Waiting for room -------------------------------------------------------
+
 /// Returns whether the end of the pause comes while the call may still wait.
 bool ForwardedRequest::mayWaitForPause(
     const balance::NotPlaced &Unplaced) const {
@@ -288,11 +419,7 @@
     attempt();
     return;
   }
-  if (m_QueueEntry == nullptr)
-    m_QueueEntry = m_Context.m_WaitQueue.enqueue(
-        {static_cast<balance::Urgency>(m_Admitted.m_QueueRank),
-         m_Admitted.m_Workspace},
-        [this] { attempt(); });
+  enqueue();
 }
 
 void ForwardedRequest::send(const balance::Placed &Placement) {
