--- a/tests/unit/malformed_entries_test.cpp
+++ b/tests/unit/malformed_entries_test.cpp
@@ -90,6 +90,7 @@
   void tableChanged(gateway::RouteTablePtr) override {}
   void peersChanged(const gateway::PeerList &) override {}
   void quarantineChanged(const std::set<ContentHash> &) override {}
+  void softwareRegistered(const gateway::ServiceVersions &) override {}
   void updateRead(const gateway::DirectoryUpdate &) override {}
   void upstreamsChanged(const std::vector<Upstream> &List) override {
     m_Names.clear();
