--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -148,7 +148,7 @@
             m_SoftwareRegister.recordUnproven(Service);
           },
           [this] { return m_PlatformParts.m_Directory->isRegisterCurrent(); },
-          &m_WaitPolicy},
+          m_Settings.m_WaitsByPrediction ? &m_WaitPolicy : nullptr},
       m_LoopLoad(m_Clock), m_Admission(m_LoopLoad),
       m_Front(
           arrivalLimits({}),
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -49,6 +49,8 @@
                                 speed::LearnSpeed::Never};
   Result.m_LearnSpeed = Modes.at(File.choice("upstreams", "learn_speed",
                                              {"stated", "always", "never"}, 0));
+  Result.m_WaitsByPrediction =
+      File.choice("waiting", "by_prediction", {"never", "learned"}, 0) == 1;
   Result.m_Duties = duty::readDutySettings(File);
   return Result;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -23,6 +23,9 @@
   std::size_t m_Descriptors = 0; ///< File descriptors that it may open.
   balance::RetryBudgetSettings m_RetryBudget; ///< Shared by all instances.
   speed::LearnSpeed m_LearnSpeed = speed::LearnSpeed::Stated; ///< Of upstreams.
+
+  /// Calls of services whose speeds are learned wait by prediction.
+  bool m_WaitsByPrediction = false;
   std::optional<duty::DutySettings> m_Duties; ///< None: the platform has none.
 };
 
