--- a/src/gateway/software_history.cpp
+++ b/src/gateway/software_history.cpp
@@ -73,7 +73,7 @@
     InService[Service].insert(Versions.begin(), Versions.end());
   std::set<std::string> Result;
   for (const auto &[Service, Versions] : InService)
-    if (Versions.size() > 1)
+    if (Versions.size() - Versions.count("") > 1)
       Result.insert(Service);
   return Result;
 }
--- a/src/gateway/software_history.h
+++ b/src/gateway/software_history.h
@@ -60,8 +60,10 @@
   /// upstream for Memory, all of which it must have been running.
   [[nodiscard]] ServiceVersions disusedVersions(TimePoint Now) const;
 
-  /// Returns the services of which several versions count as in service: those
-  /// that were seen, and the registered ones that are not disused.
+  /// Returns the services of which several known versions count as in service:
+  /// those that were seen, and the registered ones that are not disused. One
+  /// process that can't prove its version must not make all streams of its
+  /// service be archived.
   [[nodiscard]] std::set<std::string> mixedServices(TimePoint Now) const;
 
   /// Returns the version that alone can have begun a stream of \p Service; none
--- a/tests/unit/stream_origin_test.cpp
+++ b/tests/unit/stream_origin_test.cpp
@@ -342,3 +342,22 @@
   Origins.record({Key, {"s", Old}, 10s}, Begin);
   BOOST_TEST(Origins.find(Key, Begin + 1s) == nullptr);
 }
+
+// Guards against an archive of all streams of a service for one process that
+// can't prove its version, and against a guess about the streams it began.
+BOOST_AUTO_TEST_CASE(AnUnprovenProcessIsNoFurtherVersion) {
+  SoftwareHistory History;
+  const TimePoint Now{1h};
+  Upstream Listed;
+  Listed.m_Service = "s";
+  Listed.m_Software = SoftwareVersion("v1");
+  History.record({Listed}, Now);
+  History.setRegister({{"s", {"v1"}}}, Now);
+  BOOST_TEST(History.soleVersionOf("s", Now).has_value());
+  History.recordUnproven("s", Now);
+  BOOST_TEST(History.mixedServices(Now).empty());
+  BOOST_TEST(!History.soleVersionOf("s", Now).has_value());
+  Listed.m_Software = SoftwareVersion("v2");
+  History.record({Listed}, Now);
+  BOOST_TEST(History.mixedServices(Now).contains("s"));
+}
