Test: Start a gateway anew only after its old process has ended

Cause: restart() forked the new process before the old one was waited for. The kernel frees the address of a killed process only when that has run to its end, so a new one that is quicker can't listen ("Address already in use") and exits, and each attempt finds no gateway.

Ruled out: links that come late. The log of the failed run itself is not kept, so that it was this race is inferred.

restart() ends the old process and waits for that. The check and its bound stay; if it fails again it prints the statuses and the gateway's log.

--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -82,6 +82,8 @@
 
 void GatewayFleet::restart(std::size_t Gateway) {
   const GatewayConfig &Config = m_Configs.at(Gateway);
+  // Until the process has ended, its addresses are in use.
+  m_Processes.at(Gateway)->kill();
   m_Processes.at(Gateway) = std::make_unique<Process>(
       m_Folder, "crowstep-gateway", Config.m_Name, gatewaySettingsText(Config));
 }
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -38,7 +38,7 @@
   /// Returns the process of a gateway that startAll() has started.
   Process &process(std::size_t Gateway) { return *m_Processes.at(Gateway); }
 
-  /// Starts a gateway anew, after it was killed.
+  /// Kills a gateway if it still runs, and starts it anew.
   void restart(std::size_t Gateway);
 
   /// Returns the number of the gateway called \p Name.
--- a/tests/process/resumed_stream_version_test.cpp
+++ b/tests/process/resumed_stream_version_test.cpp
@@ -28,7 +28,10 @@
 void resumeAndCheck(VersionFleet &Fleet, std::size_t Gateway) {
   Fleet.resumeAt(Gateway);
   Fleet.checkStreams();
-  BOOST_TEST(Fleet.completeCount() >= MostStreams);
+  BOOST_TEST(Fleet.completeCount() >= MostStreams,
+             Fleet.completeCount() << " go on at gateway " << Gateway << ", "
+                                   << Fleet.statusText() << "\n"
+                                   << Fleet.process(Gateway).log());
 }
 
 } // namespace
--- a/tests/process/versioned_upstream.h
+++ b/tests/process/versioned_upstream.h
@@ -293,6 +293,17 @@
         m_Streams, [](const auto &Stream) { return Stream->isComplete(); });
   }
 
+  /// Returns the statuses of the last attempts for a message; 0: no answer.
+  [[nodiscard]] std::string statusText() const {
+    std::map<unsigned, int> Counts;
+    for (const auto &Stream : m_Streams)
+      ++Counts[Stream->status()];
+    std::string Result = "statuses of the last attempts:";
+    for (const auto &[Status, Count] : Counts)
+      Result += " " + std::to_string(Count) + " x " + std::to_string(Status);
+    return Result;
+  }
+
   /// Returns how many of the last attempts were refused.
   [[nodiscard]] std::ptrdiff_t refusedCount() const {
     return std::ranges::count_if(
