Codechange: Move the quarantine into a folder of its own

src/balance has 4,789 lines in 42 files, and the quarantine, 856 of them, uses nothing of the rest. quarantine.*, crash_suspect.* and sound_segments.* are now in src/quarantine, namespace crowstep::quarantine; nothing there includes a file of src/balance.

Measured: the whole tree builds without warnings; 17 of 17 tests pass (the quarantine's, the digests', the balancer's, the adapter's, forwarded_request, relayed_call, crashing_request, crashing_segment); check_format and check_events pass; clang-tidy is clean on the 12 changed sources. The other tests were not run.

--- a/src/balance/balance_type.h
+++ b/src/balance/balance_type.h
@@ -2,9 +2,9 @@
 #ifndef CROWSTEP_BALANCE_BALANCE_TYPE_H
 #define CROWSTEP_BALANCE_BALANCE_TYPE_H
 
-#include "balance/crash_suspect.h"
 #include "core/clock.h"
 #include "prompt_type.h"
+#include "quarantine/crash_suspect.h"
 #include "refusal_type.h"
 #include "upstream_type.h"
 
@@ -51,7 +51,7 @@
   std::optional<SoftwareVersion> m_RequiredSoftware;
 
   /// Of crashes; null: not known. Must outlive the placement.
-  const CallSuspects *m_Suspects = nullptr;
+  const quarantine::CallSuspects *m_Suspects = nullptr;
 
   /// Longest predicted wait for prefill at an engine; none: by the latency
   /// target.
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -199,9 +199,10 @@
   return areEnough(Reachable.size(), Allowed.size()) ? Reachable : Available;
 }
 
-std::optional<Placed> Balancer::placeCarried(UpstreamId Upstream,
-                                             const CallSuspects &Suspects,
-                                             TimePoint Now) {
+std::optional<Placed>
+Balancer::placeCarried(UpstreamId Upstream,
+                       const quarantine::CallSuspects &Suspects,
+                       TimePoint Now) {
   const auto Found = m_States.find(Upstream);
   if (Found == m_States.end() || isBarred(Found->second, Now) ||
       !m_Pauses.maySend(Upstream, Now) ||
@@ -238,9 +239,10 @@
 PlacementResult Balancer::place(const PlacementQuery &Query, TimePoint Now) {
   m_PeerLoads.expire(Now);
   if (Query.m_Suspects != nullptr)
-    if (const CrashHold Hold = m_Quarantine.holdOf(*Query.m_Suspects, Now);
+    if (const quarantine::CrashHold Hold =
+            m_Quarantine.holdOf(*Query.m_Suspects, Now);
         Hold.m_Left > Duration::zero())
-      return NotPlaced{Hold.m_Kind == SuspectKind::Request
+      return NotPlaced{Hold.m_Kind == quarantine::SuspectKind::Request
                            ? RefusalReason::Quarantined
                            : RefusalReason::SegmentQuarantined,
                        Hold.m_Left,
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -14,10 +14,10 @@
 #include "balance/leaving_upstreams.h"
 #include "balance/peer_loads.h"
 #include "balance/prefill_speed.h"
-#include "balance/quarantine.h"
 #include "balance/rate_limits.h"
 #include "balance/requested_pauses.h"
 #include "balance/upstream_state.h"
+#include "quarantine/quarantine.h"
 #include "speed/event_intervals.h"
 #include "speed/upstream_speeds.h"
 #include "waiting/backlog.h"
@@ -47,7 +47,7 @@
   /// placed. Returns nullopt if the upstream must get no call from here, or one
   /// of the call's suspects is quarantined.
   std::optional<Placed> placeCarried(UpstreamId Upstream,
-                                     const CallSuspects &Suspects,
+                                     const quarantine::CallSuspects &Suspects,
                                      TimePoint Now);
 
   /// Sets whether this instance can reach \p Upstream only through others. Such
@@ -173,7 +173,7 @@
   latencySensitiveEngineCount(const std::string &Service) const;
 
   /// Returns the requests and segments that must not run.
-  [[nodiscard]] Quarantine &quarantine() { return m_Quarantine; }
+  [[nodiscard]] quarantine::Quarantine &quarantine() { return m_Quarantine; }
 
   /// Applies another instance's digest.
   void applyPeerDigest(InstanceId Peer, const LoadDigest &Digest,
@@ -200,12 +200,13 @@
 
   /// A call that counts at an upstream.
   struct Ticket {
-    UpstreamId m_Upstream;                  ///< May be removed from the list.
-    Urgency m_Urgency = 0;                  ///< Of the call.
-    CallDemand m_Demand;                    ///< Load that it adds there.
-    TimePoint m_PlacedAt;                   ///< Time of the placement.
-    bool m_NoQueuedPrefill = false;         ///< No prefill queued before it.
-    std::optional<CallSuspects> m_Suspects; ///< Of crashes, if known.
+    UpstreamId m_Upstream;          ///< May be removed from the list.
+    Urgency m_Urgency = 0;          ///< Of the call.
+    CallDemand m_Demand;            ///< Load that it adds there.
+    TimePoint m_PlacedAt;           ///< Time of the placement.
+    bool m_NoQueuedPrefill = false; ///< No prefill queued before it.
+    /// Of crashes, if known.
+    std::optional<quarantine::CallSuspects> m_Suspects;
     bool m_IsCarried = false; ///< Its load counts at another instance.
     std::optional<SoftwareVersion> m_RequiredSoftware; ///< See PlacementQuery.
     IncarnationId m_Incarnation; ///< The upstream's process.
@@ -287,16 +288,16 @@
   [[nodiscard]] double meanSpeedOf(const std::string &Service,
                                    TimePoint Now) const;
 
-  AvailabilityZone m_Zone;        ///< Of this instance.
-  std::mt19937_64 m_Random;       ///< For sampling engines.
-  Quarantine m_Quarantine;        ///< Of requests and segments.
-  RateLimits m_RateLimits;        ///< Stated by upstreams.
-  BrittleUpstreams m_Brittle;     ///< As they state.
-  RequestedPauses m_Pauses;       ///< By upstreams, from this instance.
-  LeavingUpstreams m_Leaving;     ///< By their entries and answers.
-  PrefillSpeed m_PrefillSpeed;    ///< Of the engines.
-  speed::UpstreamSpeeds m_Speeds; ///< Of the upstreams.
-  waiting::Backlog m_Backlog;     ///< Of all instances.
+  AvailabilityZone m_Zone;             ///< Of this instance.
+  std::mt19937_64 m_Random;            ///< For sampling engines.
+  quarantine::Quarantine m_Quarantine; ///< Of requests and segments.
+  RateLimits m_RateLimits;             ///< Stated by upstreams.
+  BrittleUpstreams m_Brittle;          ///< As they state.
+  RequestedPauses m_Pauses;            ///< By upstreams, from this instance.
+  LeavingUpstreams m_Leaving;          ///< By their entries and answers.
+  PrefillSpeed m_PrefillSpeed;         ///< Of the engines.
+  speed::UpstreamSpeeds m_Speeds;      ///< Of the upstreams.
+  waiting::Backlog m_Backlog;          ///< Of all instances.
   const speed::SpeedView *m_SpeedView = nullptr;       ///< Null: m_Speeds.
   PeerLoads m_PeerLoads;                               ///< From their digests.
   CacheModel m_Cache;                                  ///< Of the engines.
--- a/src/balance/balancer_reports.cpp
+++ b/src/balance/balancer_reports.cpp
@@ -72,7 +72,8 @@
   struct Ticket &Call = Found->second;
   if (Call.m_FirstOutputAt == TimePoint())
     Call.m_FirstOutputAt = Now;
-  Call.m_IsSound = Now - Call.m_FirstOutputAt >= Quarantine::SoundOutputTime;
+  Call.m_IsSound =
+      Now - Call.m_FirstOutputAt >= quarantine::Quarantine::SoundOutputTime;
   if (Call.m_IsSound && Call.m_Suspects)
     m_Quarantine.recordSound(Call.m_Suspects->m_Segments, Now);
 }
@@ -190,9 +191,9 @@
     m_Quarantine.recordSound(Ended.m_Suspects->m_Segments, Now);
   } else if (Outcome == CallOutcome::Broken && !At.m_Upstream.m_Draining &&
              Now >= At.m_DrainingUntil) {
-    const bool HadBegun =
-        Ended.m_FirstOutputAt != TimePoint() &&
-        Now - Ended.m_FirstOutputAt >= Quarantine::SuspectOutputTime;
+    const bool HadBegun = Ended.m_FirstOutputAt != TimePoint() &&
+                          Now - Ended.m_FirstOutputAt >=
+                              quarantine::Quarantine::SuspectOutputTime;
     m_Quarantine.recordBrokenCall(
         {*Ended.m_Suspects, Ended.m_Upstream, Ended.m_Incarnation, HadBegun},
         Now);
--- a/src/balance/digest_sum.h
+++ b/src/balance/digest_sum.h
@@ -31,10 +31,10 @@
   LoadDigest takeSum(TimePoint Now);
 
 private:
-  PeerLoads m_Loads;                             ///< Of the last digests.
-  std::vector<SegmentPlacement> m_Segments;      ///< Not yet taken.
-  std::unordered_map<PoolId, WorkTokens> m_Work; ///< Not yet taken.
-  std::vector<CrashUpdate> m_Crashes;            ///< Not yet taken.
+  PeerLoads m_Loads;                              ///< Of the last digests.
+  std::vector<SegmentPlacement> m_Segments;       ///< Not yet taken.
+  std::unordered_map<PoolId, WorkTokens> m_Work;  ///< Not yet taken.
+  std::vector<quarantine::CrashUpdate> m_Crashes; ///< Not yet taken.
   std::vector<std::pair<LimitUpdate, TimePoint>>
       m_Limits;                      ///< With time of receipt.
   std::vector<UpstreamId> m_Leaving; ///< Not yet taken.
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -4,10 +4,10 @@
 
 #include "balance/balance_type.h"
 #include "balance/brittle_upstreams.h"
-#include "balance/quarantine.h"
 #include "balance/rate_limits.h"
 #include "balance/role_split.h"
 #include "core/clock.h"
+#include "quarantine/quarantine.h"
 #include "speed/speed_type.h"
 #include "upstream_type.h"
 #include "waiting/waiting_type.h"
@@ -110,13 +110,13 @@
 /// What one instance sends to the others several times a second.
 struct LoadDigest {
   std::vector<UpstreamLoad> m_Loads; ///< All upstreams where it has calls.
-  std::vector<SegmentPlacement> m_Segments;      ///< Since its last digest.
-  std::unordered_map<PoolId, WorkTokens> m_Work; ///< Since its last digest.
-  std::vector<CrashUpdate> m_Crashes;            ///< Since its last digest.
-  std::vector<LimitUpdate> m_Limits;             ///< Since its last digest.
-  std::vector<UpstreamId> m_Leaving;             ///< Since its last digest.
-  std::vector<BrittleUpdate> m_Brittle;          ///< Since its last digest.
-  std::vector<speed::SpeedUpdate> m_Speeds;      ///< Since its last digest.
+  std::vector<SegmentPlacement> m_Segments;       ///< Since its last digest.
+  std::unordered_map<PoolId, WorkTokens> m_Work;  ///< Since its last digest.
+  std::vector<quarantine::CrashUpdate> m_Crashes; ///< Since its last digest.
+  std::vector<LimitUpdate> m_Limits;              ///< Since its last digest.
+  std::vector<UpstreamId> m_Leaving;              ///< Since its last digest.
+  std::vector<BrittleUpdate> m_Brittle;           ///< Since its last digest.
+  std::vector<speed::SpeedUpdate> m_Speeds;       ///< Since its last digest.
 
   /// All services that its calls wait for, or were placed at.
   std::vector<waiting::WaitingCalls> m_Waiting;
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -112,8 +112,8 @@
 }
 
 void CrashWatch::onQuarantined(const ContentHash &Suspect,
-                               balance::SuspectKind Kind, std::size_t Crashes,
-                               Duration Span) {
+                               quarantine::SuspectKind Kind,
+                               std::size_t Crashes, Duration Span) {
   updateGauges();
   logEvent(LogEvent::GatewayQuarantined,
            {{"content", toString(Suspect)},
@@ -123,28 +123,28 @@
 }
 
 void CrashWatch::onCleared(const ContentHash &Suspect,
-                           balance::SuspectKind Kind,
-                           balance::ClearReason Reason) {
+                           quarantine::SuspectKind Kind,
+                           quarantine::ClearReason Reason) {
   updateGauges();
   logEvent(LogEvent::GatewayQuarantineEnded,
            {{"content", toString(Suspect)},
             {"kind", std::string(nameOf(Kind))},
             {"why", std::string(nameOf(Reason))}});
-  if (Reason == balance::ClearReason::Served && !m_ListTimer.isRunning())
+  if (Reason == quarantine::ClearReason::Served && !m_ListTimer.isRunning())
     m_ListTimer.start(Duration::zero(), [this] { syncQuarantineList(); });
 }
 
 void CrashWatch::onUpdateDropped() { m_DroppedUpdates.add(); }
 
 void CrashWatch::updateGauges() {
-  const balance::Quarantine &Held = m_Balancer.quarantine();
+  const quarantine::Quarantine &Held = m_Balancer.quarantine();
   m_Quarantined.set(static_cast<double>(Held.size()));
   m_QuarantinedSegments.set(static_cast<double>(Held.segmentCount()));
 }
 
 /// Writes may be lost; the list itself shows whether they took effect.
 void CrashWatch::syncQuarantineList() {
-  const balance::Quarantine &Quarantine = m_Balancer.quarantine();
+  const quarantine::Quarantine &Quarantine = m_Balancer.quarantine();
   const std::vector<ContentHash> Unlisted = Quarantine.unlistedSuspects();
   for (const ContentHash &Request : Unlisted)
     m_Directory->listQuarantined(Request);
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -16,7 +16,7 @@
 
 namespace crowstep::gateway {
 
-class CrashWatch final : private balance::QuarantineListener {
+class CrashWatch final : private quarantine::QuarantineListener {
 public:
   /// A machine that is up accepts or refuses a connection within this time.
   static constexpr Duration ProbeTimeout = std::chrono::milliseconds(500);
@@ -88,10 +88,10 @@
     IncarnationId m_Incarnation; ///< The listed process.
   };
 
-  void onQuarantined(const ContentHash &Suspect, balance::SuspectKind Kind,
+  void onQuarantined(const ContentHash &Suspect, quarantine::SuspectKind Kind,
                      std::size_t Crashes, Duration Span) override;
-  void onCleared(const ContentHash &Suspect, balance::SuspectKind Kind,
-                 balance::ClearReason Reason) override;
+  void onCleared(const ContentHash &Suspect, quarantine::SuspectKind Kind,
+                 quarantine::ClearReason Reason) override;
   void onUpdateDropped() override;
   void updateGauges();
   void handleProbeResult(UpstreamId Id, ConnectOutcome Result);
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -22,7 +22,8 @@
 }
 
 /// Instances of versions that know requests only ignore crashes of segments.
-void packCrash(const balance::CrashUpdate &Crash, wire::GatewayDigestT &Into) {
+void packCrash(const quarantine::CrashUpdate &Crash,
+               wire::GatewayDigestT &Into) {
   const ContentHash &Suspect = Crash.m_Suspect;
   const std::uint64_t Process = Crash.m_Crash.value_or(IncarnationId()).value();
   if (Crash.m_Segment)
@@ -35,7 +36,7 @@
 }
 
 void unpackCrashes(const wire::GatewayDigest &From,
-                   std::vector<balance::CrashUpdate> &Into) {
+                   std::vector<quarantine::CrashUpdate> &Into) {
   const auto Process = [](const auto &Crash, std::uint64_t Id) {
     return Crash.clears() ? std::nullopt : std::optional(IncarnationId(Id));
   };
@@ -49,7 +50,7 @@
       Into.push_back(
           {{Crash->segment_high(), Crash->segment_low()},
            Process(*Crash, Crash->process()),
-           balance::SegmentEvidence{Crash->request(), Crash->position()}});
+           quarantine::SegmentEvidence{Crash->request(), Crash->position()}});
 }
 
 /// Returns \p Value as far as \p Integer can hold it; 0 if it is no number.
@@ -162,7 +163,7 @@
     Into->work.emplace_back(Pool.value(),
                             static_cast<std::uint32_t>(Work.m_LatencySensitive),
                             static_cast<std::uint32_t>(Work.m_Other));
-  for (const balance::CrashUpdate &Crash : Digest.m_Crashes)
+  for (const quarantine::CrashUpdate &Crash : Digest.m_Crashes)
     packCrash(Crash, *Into);
   for (const balance::LimitUpdate &Limit : Digest.m_Limits)
     Into->limits.emplace_back(Limit.m_Upstream.value(),
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -74,8 +74,8 @@
 }
 
 void ForwardedRequest::placeFirst() {
-  m_Suspects = balance::suspectsOf(m_Suspects.m_Request, m_Service,
-                                   m_Admitted.m_Facts.m_Prompt);
+  m_Suspects = quarantine::suspectsOf(m_Suspects.m_Request, m_Service,
+                                      m_Admitted.m_Facts.m_Prompt);
   m_Context.m_Budget.recordCall(m_Service, m_ArrivedAt);
   attempt();
 }
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -169,7 +169,7 @@
   AdmittedRequest m_Admitted; ///< Its route and facts.
   /// The request is equal in all of the caller's attempts; the segments are
   /// those for m_Service.
-  balance::CallSuspects m_Suspects;
+  quarantine::CallSuspects m_Suspects;
   std::unique_ptr<Caller> m_Caller; ///< Gets the answer.
   std::function<void()> m_OnEnded;  ///< Empty once it has run.
   RouteStats &m_Stats;              ///< Of its route.
--- a/src/balance/crash_suspect.cpp
+++ b/src/quarantine/crash_suspect.cpp
@@ -1,12 +1,12 @@
 /// The suspects of a call.
-#include "balance/crash_suspect.h"
+#include "quarantine/crash_suspect.h"
 
 #include <algorithm>
 #include <array>
 #include <string>
 #include <xxhash.h>
 
-namespace crowstep::balance {
+namespace crowstep::quarantine {
 
 namespace {
 
@@ -40,4 +40,4 @@
   return Result;
 }
 
-} // namespace crowstep::balance
+} // namespace crowstep::quarantine
--- a/src/balance/crash_suspect.h
+++ b/src/quarantine/crash_suspect.h
@@ -1,6 +1,6 @@
 /// What may be the reason for the crash of an upstream.
-#ifndef CROWSTEP_BALANCE_CRASH_SUSPECT_H
-#define CROWSTEP_BALANCE_CRASH_SUSPECT_H
+#ifndef CROWSTEP_QUARANTINE_CRASH_SUSPECT_H
+#define CROWSTEP_QUARANTINE_CRASH_SUSPECT_H
 
 #include "content_hash.h"
 #include "prompt_type.h"
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace crowstep::balance {
+namespace crowstep::quarantine {
 
 /// Kind of a suspect.
 enum class SuspectKind : std::uint8_t {
@@ -36,6 +36,6 @@
 CallSuspects suspectsOf(const ContentHash &Request, std::string_view Service,
                         const PromptInfo &Prompt);
 
-} // namespace crowstep::balance
+} // namespace crowstep::quarantine
 
-#endif // CROWSTEP_BALANCE_CRASH_SUSPECT_H
+#endif // CROWSTEP_QUARANTINE_CRASH_SUSPECT_H
--- a/src/balance/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -1,12 +1,12 @@
 /// Counts of crashes, and the quarantine of requests and segments.
-#include "balance/quarantine.h"
+#include "quarantine/quarantine.h"
 
 #include <algorithm>
 #include <array>
 #include <tuple>
 #include <utility>
 
-namespace crowstep::balance {
+namespace crowstep::quarantine {
 
 namespace {
 
@@ -399,4 +399,4 @@
   }
 }
 
-} // namespace crowstep::balance
+} // namespace crowstep::quarantine
--- a/src/balance/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -11,12 +11,12 @@
 /// segment was counts against no request, and against no segment that was at
 /// fewer crashes. A call that completes clears its request; one that completes
 /// or goes on writing shows that its segments are sound.
-#ifndef CROWSTEP_BALANCE_QUARANTINE_H
-#define CROWSTEP_BALANCE_QUARANTINE_H
+#ifndef CROWSTEP_QUARANTINE_QUARANTINE_H
+#define CROWSTEP_QUARANTINE_QUARANTINE_H
 
-#include "balance/crash_suspect.h"
-#include "balance/sound_segments.h"
 #include "core/clock.h"
+#include "quarantine/crash_suspect.h"
+#include "quarantine/sound_segments.h"
 #include "upstream_type.h"
 
 #include <cstdint>
@@ -28,7 +28,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace crowstep::balance {
+namespace crowstep::quarantine {
 
 /// How a segment was at a crash.
 struct SegmentEvidence {
@@ -279,6 +279,6 @@
   std::set<ContentHash> m_StaleListings;    ///< A part of m_Listed.
 };
 
-} // namespace crowstep::balance
+} // namespace crowstep::quarantine
 
-#endif // CROWSTEP_BALANCE_QUARANTINE_H
+#endif // CROWSTEP_QUARANTINE_QUARANTINE_H
--- a/src/balance/sound_segments.cpp
+++ b/src/quarantine/sound_segments.cpp
@@ -1,7 +1,7 @@
 /// Segments of prompts on which upstreams have written answers lately.
-#include "balance/sound_segments.h"
+#include "quarantine/sound_segments.h"
 
-namespace crowstep::balance {
+namespace crowstep::quarantine {
 
 namespace {
 
@@ -38,4 +38,4 @@
   }
 }
 
-} // namespace crowstep::balance
+} // namespace crowstep::quarantine
--- a/src/balance/sound_segments.h
+++ b/src/quarantine/sound_segments.h
@@ -1,6 +1,6 @@
 /// Segments of prompts on which upstreams have written answers lately.
-#ifndef CROWSTEP_BALANCE_SOUND_SEGMENTS_H
-#define CROWSTEP_BALANCE_SOUND_SEGMENTS_H
+#ifndef CROWSTEP_QUARANTINE_SOUND_SEGMENTS_H
+#define CROWSTEP_QUARANTINE_SOUND_SEGMENTS_H
 
 #include "content_hash.h"
 #include "core/clock.h"
@@ -10,7 +10,7 @@
 #include <optional>
 #include <unordered_map>
 
-namespace crowstep::balance {
+namespace crowstep::quarantine {
 
 class SoundSegments {
 public:
@@ -40,6 +40,6 @@
   std::deque<Entry> m_Order; ///< Each segment at least once, oldest first.
 };
 
-} // namespace crowstep::balance
+} // namespace crowstep::quarantine
 
-#endif // CROWSTEP_BALANCE_SOUND_SEGMENTS_H
+#endif // CROWSTEP_QUARANTINE_SOUND_SEGMENTS_H
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -126,8 +126,9 @@
     return RelayOutcome::NotSent;
   const auto Placement = m_Context.m_Balancer.placeCarried(
       Opening.m_Upstream,
-      balance::suspectsOf(gateway::contentHashOf(Opening.m_Request, *Admitted),
-                          Target->m_Service, Admitted->m_Facts.m_Prompt),
+      quarantine::suspectsOf(
+          gateway::contentHashOf(Opening.m_Request, *Admitted),
+          Target->m_Service, Admitted->m_Facts.m_Prompt),
       m_Context.m_Clock.now());
   if (!Placement)
     return RelayOutcome::Withheld;
--- a/tests/unit/brittle_upstreams_test.cpp
+++ b/tests/unit/brittle_upstreams_test.cpp
@@ -296,7 +296,7 @@
   Chosen.setUpstreams(List);
   PlacementQuery Query;
   Query.m_Service = "s";
-  const CallSuspects Suspects{{1, 2}, {}};
+  const quarantine::CallSuspects Suspects{{1, 2}, {}};
   Query.m_Suspects = &Suspects;
   TimePoint Now{10s};
   for (int I = 0; I < 3; ++I) {
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -1,7 +1,7 @@
 /// Requests that crash upstreams, and their quarantine in one instance and in
 /// fleets, in virtual time.
 #define BOOST_TEST_MODULE quarantine
-#include "balance/quarantine.h"
+#include "quarantine/quarantine.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -10,7 +10,7 @@
 #include <rapidcheck.h>
 
 using namespace crowstep;
-using namespace crowstep::balance;
+using namespace crowstep::quarantine;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tests/unit/segment_fleet.h
+++ b/tests/unit/segment_fleet.h
@@ -3,7 +3,7 @@
 #ifndef CROWSTEP_TESTS_UNIT_SEGMENT_FLEET_H
 #define CROWSTEP_TESTS_UNIT_SEGMENT_FLEET_H
 
-#include "balance/quarantine.h"
+#include "quarantine/quarantine.h"
 
 #include <algorithm>
 #include <map>
@@ -12,15 +12,15 @@
 namespace crowstep::test {
 
 /// Counts the segments that one instance has held.
-class HoldCounter final : public balance::QuarantineListener {
+class HoldCounter final : public quarantine::QuarantineListener {
 public:
-  void onQuarantined(const ContentHash &Suspect, balance::SuspectKind Kind,
+  void onQuarantined(const ContentHash &Suspect, quarantine::SuspectKind Kind,
                      std::size_t, Duration) override {
-    if (Kind == balance::SuspectKind::Segment)
+    if (Kind == quarantine::SuspectKind::Segment)
       m_Held.insert(Suspect);
   }
-  void onCleared(const ContentHash &Suspect, balance::SuspectKind,
-                 balance::ClearReason) override {
+  void onCleared(const ContentHash &Suspect, quarantine::SuspectKind,
+                 quarantine::ClearReason) override {
     m_Held.erase(Suspect);
   }
   void onUpdateDropped() override { ++m_Dropped; }
@@ -115,9 +115,9 @@
   };
 
   struct Call {
-    balance::CallSuspects m_Suspects; ///< Of the call.
-    std::size_t m_Instance = 0;       ///< That sent it.
-    std::size_t m_Engine = 0;         ///< Where it runs.
+    quarantine::CallSuspects m_Suspects; ///< Of the call.
+    std::size_t m_Instance = 0;          ///< That sent it.
+    std::size_t m_Engine = 0;            ///< Where it runs.
     std::size_t m_Sound = 0;     ///< Number in m_Sound; unused if crashing.
     bool m_IsCrashing = false;   ///< Has the segment.
     bool m_IsRepeat = false;     ///< A second attempt.
@@ -202,7 +202,7 @@
     const UpstreamId Name(Target.m_Process);
     for (Call &Running : Broken) {
       const bool HadBegun = m_Now - Running.m_FirstOutputAt >=
-                            balance::Quarantine::SuspectOutputTime;
+                            quarantine::Quarantine::SuspectOutputTime;
       m_Instances[Running.m_Instance].recordBrokenCall(
           {Running.m_Suspects, Name, IncarnationId(Target.m_Process), HadBegun},
           m_Now);
@@ -235,7 +235,7 @@
     }
     if (m_Now.time_since_epoch() % DigestInterval != Duration::zero())
       return;
-    for (balance::Quarantine &Sender : m_Instances)
+    for (quarantine::Quarantine &Sender : m_Instances)
       if (const auto Updates = Sender.takeUpdates(); !Updates.empty())
         for (std::size_t Group = 0; Group < Groups; ++Group)
           m_InFlight.emplace(m_Now +
@@ -248,12 +248,12 @@
   Settings m_Settings;                              ///< As given.
   std::mt19937_64 m_Random;                         ///< Seeded.
   std::vector<HoldCounter> m_Counters;              ///< As m_Instances.
-  std::vector<balance::Quarantine> m_Instances;     ///< The gateways.
+  std::vector<quarantine::Quarantine> m_Instances;  ///< The gateways.
   std::vector<Engine> m_Engines;                    ///< By index.
   std::vector<Call> m_Calls;                        ///< In progress.
   std::multimap<TimePoint, Detection> m_Detections; ///< By time.
   std::multimap<TimePoint,
-                std::pair<std::size_t, std::vector<balance::CrashUpdate>>>
+                std::pair<std::size_t, std::vector<quarantine::CrashUpdate>>>
       m_InFlight;                             ///< By arrival.
   TimePoint m_Now{std::chrono::seconds(100)}; ///< Virtual time.
   double m_Due = 0;                           ///< Calls to be started.
--- a/tests/unit/segment_quarantine_test.cpp
+++ b/tests/unit/segment_quarantine_test.cpp
@@ -10,6 +10,7 @@
 
 using namespace crowstep;
 using namespace crowstep::balance;
+using namespace crowstep::quarantine;
 using namespace crowstep::test;
 using namespace std::chrono_literals;
 
