Add: Short calls leave full engines of their role for other fast ones

Where speeds are learned and all engines of the latency-sensitive role are full, a short call waited up to two fifths of its target and then went to any engine with room. Such a call now goes at once to an engine of the other role that has room and is at least as fast as the slowest one of the role.

The new test fails without it.

Tried and not taken: the cost of a slowed machine for the call's own prompt (1 refusal amid idle engines in uneven_engines_test, which allows none), and a cost by the pause that a call allows against the engine's speed.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -392,6 +392,8 @@
         addSpeed(Option, Now);
     markFull(Query, Options);
   }
+  if (ByTime && LatencySensitive)
+    addFastEngines(Query, Candidates, Options, Now);
   return Options;
 }
 
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -282,6 +282,8 @@
                    const EngineOption &Best,
                    const std::vector<EngineOption> &Options,
                    const States &Candidates, TimePoint Now);
+  void addFastEngines(const PlacementQuery &Query, const States &Candidates,
+                      std::vector<EngineOption> &Options, TimePoint Now) const;
   [[nodiscard]] Duration meanWait(const PlacementQuery &Query,
                                   const States &Candidates,
                                   TimePoint Now) const;
--- a/src/balance/balancer_speeds.cpp
+++ b/src/balance/balancer_speeds.cpp
@@ -3,6 +3,7 @@
 
 #include "balance/wait_limit.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace crowstep::balance {
@@ -142,6 +143,36 @@
                       prefillTimeOf(Query.m_Service), m_Random);
 }
 
+/// Replaces \p Options, if all of them are full, by the engines of the other
+/// role that have room and are as fast. The roles follow the work that is
+/// placed, so they would not grow while latency-sensitive calls wait, and a
+/// fast engine that prefills long prompts keeps most pauses.
+void Balancer::addFastEngines(const PlacementQuery &Query,
+                              const States &Candidates,
+                              std::vector<EngineOption> &Options,
+                              TimePoint Now) const {
+  if (Options.empty() ||
+      std::ranges::any_of(
+          Options, [](const EngineOption &Option) { return !Option.m_Full; }))
+    return;
+  const auto ClassOf = [](const EngineOption &Option) {
+    return Option.m_State->m_SpeedClass;
+  };
+  const int Slowest = ClassOf(*std::ranges::min_element(Options, {}, ClassOf));
+  std::vector<EngineOption> Others;
+  for (UpstreamState *State : Candidates)
+    if (State->m_SpeedClass >= Slowest &&
+        State->m_RoleRank >= latencySensitiveEngineCount(Query.m_Service)) {
+      Others.push_back(optionAt(*State, Query, Now));
+      addSpeed(Others.back(), Now);
+    }
+  markFull(Query, Others);
+  std::erase_if(Others,
+                [](const EngineOption &Option) { return Option.m_Full; });
+  if (!Others.empty())
+    Options = std::move(Others);
+}
+
 /// Returns the mean of the waits that the call would have at the candidates.
 Duration Balancer::meanWait(const PlacementQuery &Query,
                             const States &Candidates, TimePoint Now) const {
--- a/tests/unit/placement_by_time_test.cpp
+++ b/tests/unit/placement_by_time_test.cpp
@@ -417,6 +417,34 @@
   BOOST_TEST(fillEngine(0.5, true) == 16);
 }
 
+/// Guards against short calls that wait for a slot of their role while a fast
+/// engine of the other one has room, and against those that go to a slow one.
+BOOST_AUTO_TEST_CASE(ShortCallsLeaveFullEnginesForFastOnes) {
+  constexpr int FastEngines = 6; // Of 18; 3 of them take short calls.
+  TestInstance Instance(18);
+  for (int I = 0; I < FastEngines; ++I)
+    Instance.speed(I) = {2, 1, 1, 1};
+  Instance.placeShortCalls(1);
+  BOOST_REQUIRE(Instance.sensitiveEngines() == 3U);
+  PlacementQuery Query = shortCall(1);
+  Query.m_MayWait = true;
+  std::set<UpstreamId> Used;
+  for (int I = 0; I < static_cast<int>(FastEngines * Slots); ++I) {
+    Query.m_Prompt = shortCall(static_cast<std::uint64_t>(I)).m_Prompt;
+    const PlacementResult Result =
+        Instance.m_Balancer.place(Query, Instance.m_Now);
+    const auto *At = std::get_if<Placed>(&Result);
+    if (At == nullptr)
+      break;
+    Used.insert(At->m_Upstream);
+  }
+  BOOST_TEST(Used.size() == static_cast<std::size_t>(FastEngines));
+  for (const UpstreamId Id : Used)
+    BOOST_TEST(Instance.m_Speeds.speedClassOf(Id) == 1);
+  BOOST_TEST(std::holds_alternative<MustWait>(
+      Instance.m_Balancer.place(Query, Instance.m_Now)));
+}
+
 /// Guards against plain calls at an idle upstream that takes longer for one
 /// than others for two.
 BOOST_AUTO_TEST_CASE(PlainUpstreamsAreComparedByTime) {
