Codechange: Make no WaitPolicy where no call waits by prediction

With [waiting] by_prediction=never the gateway made a WaitPolicy that nothing used, and each digest asked the Backlog for the waiting calls of this instance, of which there are none. The policy is now made only with "learned", and a digest asks only then. The reports of other instances are applied as before, since crowstep_backlog_calls shows them where instances with both settings run together.

--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -157,6 +157,10 @@
   /// Returns the waiting calls of all instances.
   [[nodiscard]] waiting::Backlog &backlog() { return m_Backlog; }
 
+  /// Sets whether digests state the waiting calls of this instance; without a
+  /// call they do. Those of other instances are counted in any case.
+  void setReportsWaiting(bool Reports) { m_ReportsWaiting = Reports; }
+
   /// Returns the time to a first event after the prefill of \p Tokens.
   [[nodiscard]] Duration timeToFirstEvent(const std::string &Service,
                                           std::uint64_t Tokens) const {
@@ -298,6 +302,7 @@
   PrefillSpeed m_PrefillSpeed;         ///< Of the engines.
   speed::UpstreamSpeeds m_Speeds;      ///< Of the upstreams.
   waiting::Backlog m_Backlog;          ///< Of all instances.
+  bool m_ReportsWaiting = true;        ///< See setReportsWaiting().
   const speed::SpeedView *m_SpeedView = nullptr;       ///< Null: m_Speeds.
   PeerLoads m_PeerLoads;                               ///< From their digests.
   CacheModel m_Cache;                                  ///< Of the engines.
--- a/src/balance/balancer_reports.cpp
+++ b/src/balance/balancer_reports.cpp
@@ -271,7 +271,8 @@
   Result.m_Brittle = m_Brittle.takeUpdates(Now);
   Result.m_Leaving = m_Leaving.takeUpdates();
   Result.m_Speeds = m_Speeds.takeUpdates(Now);
-  Result.m_Waiting = m_Backlog.report(Now);
+  if (m_ReportsWaiting)
+    Result.m_Waiting = m_Backlog.report(Now);
   return Result;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -94,7 +94,10 @@
       m_Stats(m_Metrics), m_Random(std::random_device{}()),
       m_Balancer(m_Settings.m_Zone, m_Random()),
       m_Budget(m_Settings.m_RetryBudget), m_WaitQueue(m_Timers),
-      m_WaitPolicy(m_Balancer.speeds(), m_Balancer.backlog()),
+      m_WaitPolicy(m_Settings.m_WaitsByPrediction
+                       ? std::make_unique<waiting::WaitPolicy>(
+                             m_Balancer.speeds(), m_Balancer.backlog())
+                       : nullptr),
       m_Upstream(m_Clock, m_Timers, m_Settings.m_SourceAddress),
       m_CrashWatch(m_Clock, m_Timers, m_Balancer, m_Upstream, m_Metrics),
       m_PlatformParts(MakeParts(m_Clock, m_Timers, m_Metrics)),
@@ -148,7 +151,7 @@
             m_SoftwareRegister.recordUnproven(Service);
           },
           [this] { return m_PlatformParts.m_Directory->isRegisterCurrent(); },
-          m_Settings.m_WaitsByPrediction ? &m_WaitPolicy : nullptr},
+          m_WaitPolicy.get()},
       m_LoopLoad(m_Clock), m_Admission(m_LoopLoad),
       m_Front(
           arrivalLimits({}),
@@ -156,6 +159,7 @@
           m_Timers),
       m_SpeedReport(m_Clock, m_Timers, m_Balancer, m_Metrics),
       m_CleanupTimer(m_Timers), m_StopTimer(m_Timers) {
+  m_Balancer.setReportsWaiting(m_WaitPolicy != nullptr);
   m_AnswerMemory.countUnread(m_Front.unreadBytes());
   if (m_OriginArchive != nullptr)
     m_Origins.setArchive(*m_OriginArchive);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -102,8 +102,8 @@
   balance::RetryBudget m_Budget;  ///< Limits retries.
   WaitQueue m_WaitQueue;          ///< Calls that wait for room.
 
-  /// States which calls wait by prediction.
-  waiting::WaitPolicy m_WaitPolicy;
+  /// Null: no call waits by prediction.
+  std::unique_ptr<waiting::WaitPolicy> m_WaitPolicy;
 
   AnswerMemory m_AnswerMemory;                ///< Of unfinished answers.
   HttpUpstreamClient m_Upstream;              ///< Sends calls.
