--- a/tests/process/endless_answer_test.cpp
+++ b/tests/process/endless_answer_test.cpp
@@ -1,12 +1,11 @@
 /// Upstreams whose answers never end, a hundred at once, at a real gateway.
 #define BOOST_TEST_MODULE endless_answer
 #include "process/endless_server.h"
-#include "process/gateway_fleet.h"
 #include "process/raw_caller.h"
+#include "process/watched_gateway.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <fstream>
 
 using namespace crowstep;
 using namespace crowstep::test;
@@ -16,17 +15,6 @@
 
 constexpr int RequestCount = 100;
 
-/// Resident memory that the gateway may use beyond that of its start.
-constexpr std::size_t MaxGrowth = 80 << 20;
-
-std::size_t residentBytes(pid_t Process) {
-  std::ifstream File("/proc/" + std::to_string(Process) + "/statm");
-  std::size_t Total = 0;
-  std::size_t Resident = 0;
-  File >> Total >> Resident;
-  return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-}
-
 struct EndlessAnswer {
   const char *m_Name;
   const char *m_Path;     ///< Of the requests.
@@ -52,32 +40,23 @@
 BOOST_AUTO_TEST_CASE(AHundredAnswersWithoutEndLeaveTheMemoryFlat) {
   for (const EndlessAnswer &Answer : EndlessAnswers)
     BOOST_TEST_CONTEXT(Answer.m_Name) {
-      GatewayFleet Fleet(1);
-      EndlessServer Upstream(Answer.m_Begin, Answer.m_Repeated);
-      Fleet.m_Store.put(
-          "servers", "u",
-          upstreamRow(Upstream.address(), 2 * RequestCount, "ready"));
-      BOOST_TEST(Fleet.startAll());
-      runFor(1s);
-      const pid_t Gateway = Fleet.process(0).pid();
-      const std::size_t Before = residentBytes(Gateway);
+      const EndlessServer Upstream(Answer.m_Begin, Answer.m_Repeated);
+      WatchedGateway Gateway(Upstream.address(), 2 * RequestCount);
       RawCaller Caller;
       std::vector<std::shared_ptr<const CallResult>> Results;
       Results.reserve(RequestCount);
       for (int I = 0; I < RequestCount; ++I)
-        Results.push_back(Caller.start(Fleet.request(0, Answer.m_Path, "b")));
-      std::size_t Most = Before;
-      const bool HaveEnded = runUntil(
+        Results.push_back(
+            Caller.start(Gateway.m_Fleet.request(0, Answer.m_Path, "b")));
+      const bool HaveEnded = Gateway.watchUntil(
           [&] {
-            Most = std::max(Most, residentBytes(Gateway));
             return std::ranges::all_of(
                 Results, [](const auto &Result) { return Result->m_Ended; });
           },
           10s);
-      BOOST_TEST_MESSAGE("grew by " << ((Most - Before) >> 10U) << " KiB");
       BOOST_TEST(HaveEnded);
-      BOOST_TEST(Most - Before < MaxGrowth);
-      BOOST_TEST(Fleet.process(0).isRunning());
+      BOOST_TEST(Gateway.growth() < WatchedGateway::MaxGrowth);
+      BOOST_TEST(Gateway.isRunning());
       for (const auto &Result : Results)
         BOOST_TEST(Result->m_Status >= 500U);
     }
--- a/tests/process/slow_caller_test.cpp
+++ b/tests/process/slow_caller_test.cpp
@@ -2,10 +2,9 @@
 /// slowly, a hundred at once, at a real gateway.
 #define BOOST_TEST_MODULE slow_caller
 #include "process/endless_server.h"
-#include "process/gateway_fleet.h"
+#include "process/watched_gateway.h"
 
 #include <boost/test/unit_test.hpp>
-#include <fstream>
 
 using namespace crowstep;
 using namespace crowstep::test;
@@ -15,17 +14,6 @@
 
 constexpr int CallerCount = 100;
 
-/// Resident memory that the gateway may use beyond that of its start.
-constexpr std::size_t MaxGrowth = 80 << 20;
-
-std::size_t residentBytes(pid_t Process) {
-  std::ifstream File("/proc/" + std::to_string(Process) + "/statm");
-  std::size_t Total = 0;
-  std::size_t Resident = 0;
-  File >> Total >> Resident;
-  return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-}
-
 constexpr const char *Signature = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n"
                                   "X-Server-Signature: s\r\n";
 
@@ -46,38 +34,31 @@
 
 /// A gateway and callers that send requests and read only when told to.
 struct Fixture {
-  GatewayFleet m_Fleet{1};
+  WatchedGateway m_Gateway;
   std::vector<std::unique_ptr<Peer>> m_Callers;
   std::vector<std::string> m_Unsent; ///< By caller.
-  std::size_t m_Before = 0;          ///< Memory at the start.
-  std::size_t m_Most = 0;            ///< Most memory since.
 
-  explicit Fixture(const Address &Upstream) {
-    m_Fleet.m_Store.put("servers", "u",
-                        upstreamRow(Upstream, 2 * CallerCount, "ready"));
-    BOOST_TEST(m_Fleet.startAll());
-    runFor(1s);
-    m_Before = residentBytes(m_Fleet.process(0).pid());
-    m_Most = m_Before;
+  explicit Fixture(const Address &Upstream)
+      : m_Gateway(Upstream, 2 * CallerCount) {}
+  [[nodiscard]] std::unique_ptr<Peer> connect() const {
+    return Peer::connect(m_Gateway.m_Fleet.listenAddress(0));
   }
   void start(int Count, const std::string &Path, std::size_t BodyBytes = 1) {
     for (int I = 0; I < Count; ++I) {
-      m_Callers.push_back(Peer::connect(m_Fleet.listenAddress(0)));
+      m_Callers.push_back(connect());
       m_Unsent.push_back(requestText(
           Path, "slow-" + std::to_string(m_Callers.size()), BodyBytes));
     }
   }
   /// Sends requests, watches the memory and reads nothing.
   void watch(Duration Span) {
-    runUntil(
+    m_Gateway.watchUntil(
         [this] {
           for (std::size_t I = 0; I < m_Callers.size(); ++I)
             sendPart(I);
-          m_Most = std::max(m_Most, residentBytes(m_Fleet.process(0).pid()));
           return false;
         },
         Span);
-    BOOST_TEST_MESSAGE("grew by " << ((m_Most - m_Before) >> 10U) << " KiB");
   }
   void sendPart(std::size_t Number) {
     std::string &Rest = m_Unsent.at(Number);
@@ -118,8 +99,8 @@
     Test.start(10, "/non_idempotent/x");
     Test.watch(300ms);
   }
-  BOOST_TEST(Test.m_Most - Test.m_Before < MaxGrowth);
-  BOOST_TEST(Test.m_Fleet.process(0).isRunning());
+  BOOST_TEST(Test.m_Gateway.growth() < WatchedGateway::MaxGrowth);
+  BOOST_TEST(Test.m_Gateway.isRunning());
 }
 
 // Guards against streams without end that are buffered for callers that don't
@@ -129,12 +110,12 @@
   Fixture Test(Upstream.address());
   Test.start(CallerCount, "/streaming/x");
   Test.watch(2s);
-  BOOST_TEST(Test.m_Most - Test.m_Before < MaxGrowth);
-  const auto Reader = Peer::connect(Test.m_Fleet.listenAddress(0));
+  BOOST_TEST(Test.m_Gateway.growth() < WatchedGateway::MaxGrowth);
+  const auto Reader = Test.connect();
   Reader->send(requestText("/streaming/x", "reader"));
   BOOST_TEST(
       runUntil([&] { return Reader->received().size() > (256U << 10); }, 3s));
-  BOOST_TEST(Test.m_Fleet.process(0).isRunning());
+  BOOST_TEST(Test.m_Gateway.isRunning());
 }
 
 // Guards against requests that fill the memory while upstreams don't read them.
@@ -143,7 +124,7 @@
   Fixture Test(Where);
   Test.start(CallerCount, "/non_idempotent/x", 1 << 20);
   Test.watch(5s);
-  BOOST_TEST(Test.m_Most - Test.m_Before < MaxGrowth);
-  BOOST_TEST(Test.m_Fleet.process(0).isRunning());
+  BOOST_TEST(Test.m_Gateway.growth() < WatchedGateway::MaxGrowth);
+  BOOST_TEST(Test.m_Gateway.isRunning());
   close(Listening);
 }
