Test: A finished answer that its caller does not read is dropped

The limit of 20 s on an answer of which its caller accepts no byte had no test. The new one runs the server for callers on a manual clock: the connection stays open until the limit, the limit begins anew when the caller accepts bytes, and at its end the connection and the memory of the answer are gone. FrontFixture takes a scheduler for that.

--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -14,8 +14,13 @@
 
 namespace {
 
+/// A caller that accepts no byte of a finished answer for this long is given
+/// up; see docs/OPERATIONS.md.
+constexpr Duration FlushTimeout = 20s;
+
 struct FrontFixture {
-  LoopScheduler m_Timers;
+  LoopScheduler m_LoopTimers;
+  Scheduler &m_Timers; ///< In force.
   std::vector<RefusalReason> m_Refused;
   Frontend m_Front{
       {1000, 4096, 10s, 1s},
@@ -25,7 +30,8 @@
   int m_DisconnectCount = 0;
   Address m_Address{INADDR_LOOPBACK, 0};
 
-  FrontFixture() {
+  FrontFixture() : FrontFixture(m_LoopTimers) {}
+  explicit FrontFixture(Scheduler &Timers) : m_Timers(Timers) {
     FakeUpstream FreePort; // Only to find a free port.
     m_Address = FreePort.m_Address;
     FreePort.stopListening();
@@ -268,6 +274,40 @@
   BOOST_TEST(Drained > 0);
 }
 
+/// Guards against a caller that never reads the end of its answer and holds its
+/// memory for ever, and against one that reads slowly and is given up.
+BOOST_AUTO_TEST_CASE(AFinishedAnswerThatIsNotReadIsDropped) {
+  ManualClock Clock;
+  ManualScheduler Timers(Clock);
+  FrontFixture Fixture(Timers);
+  const BufferBudget &Unread = Fixture.m_Front.unreadBytes();
+  const auto Caller = Fixture.connectAndSend(Get);
+  // Otherwise the kernel may take the whole answer.
+  const int ReceiveBuffer = 64 << 10;
+  setsockopt(Caller->fd(), SOL_SOCKET, SO_RCVBUF, &ReceiveBuffer,
+             sizeof(ReceiveBuffer));
+  BOOST_TEST(pumpUntil([&] { return Fixture.m_Callers.size() == 1; }));
+  CallerAnswer Answer;
+  Answer.m_Body.assign(32 << 20, 'x');
+  Fixture.m_Callers[0]->answer(Answer);
+  const std::size_t Before = Unread.usedBytes();
+  BOOST_TEST(Before > 0U);
+  Timers.advance(FlushTimeout - 1ms);
+  BOOST_TEST(Fixture.m_Front.connections() == 1U);
+  BOOST_TEST(pumpUntil([&] {
+    Caller->received();
+    return Unread.usedBytes() < Before;
+  }));
+  BOOST_TEST(Unread.usedBytes() > 0U);
+  Timers.advance(FlushTimeout - 1ms);
+  BOOST_TEST(Fixture.m_Front.connections() == 1U);
+  Timers.advance(1ms);
+  BOOST_TEST(Fixture.m_Front.connections() == 0U);
+  BOOST_TEST(Unread.usedBytes() == 0U);
+  BOOST_TEST(pumpUntil([&] { return Caller->isClosed(); }));
+  BOOST_TEST(Caller->received().size() < Answer.m_Body.size());
+}
+
 /// Guards against a body where HTTP allows none: the caller would take it for
 /// the next answer.
 BOOST_AUTO_TEST_CASE(AnswersWithoutABodyHaveNone) {
