Fix: A hub with too many searches does not deny a stream

Cause: handleQuestion() answered a question with what the hub itself knows as soon as MaxSearches lookups were open, also where it would have asked the hubs of other zones. Without a record of its own it denied the stream, and when all who were asked deny, the stream counts as lost for good: its caller is not told to come back. A hub whose archive was still being read was silent already.

Change: a hub that would have to search and can't says nothing, so that the lookup ends as unanswered. What it knows it still answers at once.

--- a/src/resume/origin_exchange.cpp
+++ b/src/resume/origin_exchange.cpp
@@ -340,12 +340,13 @@
           ? otherZones()
           : std::vector<link::LinkId>();
   const bool MayBeArchived = Known == nullptr && isArchivePending();
-  if (m_Searches.size() >= MaxSearches && MayBeArchived)
-    return;
-  if ((Others.empty() && !MayBeArchived) || m_Searches.size() >= MaxSearches) {
+  if (Others.empty() && !MayBeArchived) {
     sendAnswer(From, Asked.id(), Known);
     return;
   }
+  // Silence, as a denial would make the stream count as lost for good.
+  if (m_Searches.size() >= MaxSearches)
+    return;
   search(Key, Others, false, SearchTimeout,
          [this, From, Question = Asked.id()](const LookupResult &Result) {
            if (Result.m_Origin || Result.m_UnansweredCount == 0)
