Fix: A register row stays for a minute after it was read

Cause: a registered version counted as disused once an instance had run for SoftwareHistory::Memory without seeing it. The row of an unproven process is written by the only instance that has seen it, so every other one that had run for a minute took it for disused as soon as it read it, and the directory's reader removed it at once. The others then had a sole version again, and could continue at it a stream that the unproven process had begun and whose caller doesn't name it. The writer wrote the row again after 2 to 5 s, and the reader removed it again.

Change: the time of disuse counts from the first read of the row as well as from the first list of upstreams.

--- a/src/gateway/software_history.cpp
+++ b/src/gateway/software_history.cpp
@@ -28,8 +28,13 @@
 
 void SoftwareHistory::setRegister(ServiceVersions Registered, TimePoint Now) {
   m_Registered = std::move(Registered);
-  if (!m_RegisterReadAt)
-    m_RegisterReadAt = Now;
+  m_IsRegisterRead = true;
+  std::erase_if(m_RegisteredSince, [&](const auto &Entry) {
+    return !isRegistered(Entry.first.first, Entry.first.second);
+  });
+  for (const auto &[Service, Versions] : m_Registered)
+    for (const std::string &Text : Versions)
+      m_RegisteredSince.try_emplace({Service, Text}, Now);
 }
 
 bool SoftwareHistory::isRegistered(const std::string &Service,
@@ -48,18 +53,20 @@
 }
 
 /// Versions that left before this instance read its first list may have been in
-/// service until then, so the time counts from both first reads.
+/// service until then, and a row may stand for a process that only another
+/// instance has seen. So the time counts from the first list and the first read
+/// of the row.
 ServiceVersions SoftwareHistory::disusedVersions(TimePoint Now) const {
   ServiceVersions Result;
-  if (!m_RegisterReadAt || !m_FirstListAt ||
-      Now - std::max(*m_RegisterReadAt, *m_FirstListAt) < Memory)
+  if (!m_FirstListAt)
     return Result;
   const ServiceVersions Seen = seenVersions(Now);
-  for (const auto &[Service, Versions] : m_Registered) {
+  for (const auto &[Row, Since] : m_RegisteredSince) {
+    const auto &[Service, Text] = Row;
     const auto Found = Seen.find(Service);
-    for (const std::string &Text : Versions)
-      if (Found == Seen.end() || !Found->second.contains(Text))
-        Result[Service].insert(Text);
+    if (Now - std::max(Since, *m_FirstListAt) >= Memory &&
+        (Found == Seen.end() || !Found->second.contains(Text)))
+      Result[Service].insert(Text);
   }
   return Result;
 }
--- a/src/gateway/software_history.h
+++ b/src/gateway/software_history.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace crowstep::gateway {
@@ -38,12 +39,10 @@
   /// isn't known.
   void recordUnproven(const std::string &Service, TimePoint Now);
 
-  /// Records the whole register. The first call marks it as read.
+  /// Records the whole register, and marks it as read.
   void setRegister(ServiceVersions Registered, TimePoint Now);
 
-  [[nodiscard]] bool isRegisterRead() const {
-    return m_RegisterReadAt.has_value();
-  }
+  [[nodiscard]] bool isRegisterRead() const { return m_IsRegisterRead; }
 
   /// Returns the register; empty until it was read.
   [[nodiscard]] const ServiceVersions &registered() const {
@@ -57,7 +56,8 @@
   [[nodiscard]] ServiceVersions seenVersions(TimePoint Now) const;
 
   /// Returns the registered versions of which this instance has seen no
-  /// upstream for Memory, all of which it must have been running.
+  /// upstream for Memory, all of which it must have been running and have known
+  /// of their rows.
   [[nodiscard]] ServiceVersions disusedVersions(TimePoint Now) const;
 
   /// Returns the services of which several known versions count as in service:
@@ -83,10 +83,12 @@
   }
 
   std::map<std::string, std::map<std::string, Seen>>
-      m_Services;               ///< By service, then by text of the version.
-  ServiceVersions m_Registered; ///< As read last.
-  std::optional<TimePoint> m_RegisterReadAt; ///< When it was read first.
-  std::optional<TimePoint> m_FirstListAt;    ///< When a list was read first.
+      m_Services;                ///< By service, then by text of the version.
+  ServiceVersions m_Registered;  ///< As read last.
+  bool m_IsRegisterRead = false; ///< setRegister() was called.
+  std::map<std::pair<std::string, std::string>, TimePoint>
+      m_RegisteredSince; ///< Of m_Registered: when each row was read first.
+  std::optional<TimePoint> m_FirstListAt; ///< When a list was read first.
 };
 
 } // namespace crowstep::gateway
