--- a/tests/unit/origin_exchange_test.cpp
+++ b/tests/unit/origin_exchange_test.cpp
@@ -362,3 +362,20 @@
   Env.m_Timers.advance(OriginExchange::SearchTimeout);
   BOOST_TEST(Answers.size() == 1U);
 }
+
+// Guards against a hub that denies a stream because it is too busy to search in
+// other zones, and against searches without end.
+BOOST_AUTO_TEST_CASE(AFullHubDoesNotDeny) {
+  ExchangeEnv Env(2);
+  Env.m_Exchange.setHubs({instanceIdOf("self"), ExchangeEnv::idOf(1)});
+  Env.addPeer(11, Other, false);
+  Env.announce(11, false);
+  for (std::size_t I = 0; I <= OriginExchange::MaxSearches; ++I)
+    Env.ask(2, I, streamKeyOf("w", std::to_string(I)));
+  BOOST_TEST(Env.m_Links.m_Frames[link::LinkId(11)].stream_questions.size() ==
+             OriginExchange::MaxSearches);
+  BOOST_TEST(Env.linksWithAnswers().empty());
+  Env.receiveRecord(1, Record);
+  Env.ask(2, 9999, Key);
+  BOOST_TEST(Env.linksWithAnswers().size() == 1U);
+}
