Test: The row of an unproven process stays at instances that have run for long

AnUnprovenStreamIsRegisteredAtOnce checks this for instances that have run for 10 s only, less than the time after which a row may be removed.

--- a/tests/unit/software_register_test.cpp
+++ b/tests/unit/software_register_test.cpp
@@ -321,6 +321,25 @@
   BOOST_TEST(!Fleet.m_Instances[1]->sole().has_value());
 }
 
+// Guards against a reader that removes the row of an unproven process at once,
+// as only another instance has seen that process.
+BOOST_AUTO_TEST_CASE(AnUnprovenRowStaysWhereOthersHaveRunForLong) {
+  RegisterFleet Fleet(3);
+  Fleet.list({upstreamOf("a", "v1")});
+  Fleet.m_Timers.advance(1h);
+  const std::size_t Before = Fleet.m_Calls;
+  Fleet.m_Instances[2]->m_Register.recordUnproven("s");
+  Fleet.m_Timers.advance(ReadDelay);
+  for (Duration Passed{}; Passed < Memory - 1s; Passed += ReadDelay) {
+    Fleet.m_Timers.advance(ReadDelay);
+    BOOST_REQUIRE(!Fleet.m_Instances[1]->sole().has_value());
+  }
+  BOOST_TEST(Fleet.m_Calls == Before + 1);
+  Fleet.m_Timers.advance(Memory);
+  BOOST_TEST((Fleet.m_Rows["s"] == VersionTexts{"v1"}));
+  BOOST_TEST(Fleet.m_Calls == Before + 2);
+}
+
 // Guards against a table that upstreams fill, each with a version of its own.
 BOOST_AUTO_TEST_CASE(TheRegisterIsBounded) {
   RegisterFleet Fleet(3);
