Test: Each safeguard of the archive of origins has a test that needs it

Not observable from outside: that origins without streams are dropped from m_Interned. The check for the end of a takeover without mixed services repeats one in queueSince(). AFullRowIsFollowedAtOnce is new as well.

--- a/tests/unit/origin_archive_test.cpp
+++ b/tests/unit/origin_archive_test.cpp
@@ -43,6 +43,10 @@
         Done(platform::PlatformFailure::Uncertain);
         return;
       }
+      if (m_AnswersNothing) {
+        Done(std::vector<platform::RowOutcome>());
+        return;
+      }
       platform::Row &Row = m_Rows[Write.m_Key];
       const bool Fits = Row.m_Version == Write.m_Expected;
       if (Fits)
@@ -79,6 +83,7 @@
   ManualScheduler &m_Timers;
   Duration m_AnswerTime = 5ms;
   bool m_IsAway = false;
+  bool m_AnswersNothing = false; ///< Writes get an answer without a row.
   std::map<std::string, platform::Row> m_Rows;
   std::uint64_t m_Version = 0;
   std::uint64_t m_Era = 1;
@@ -147,6 +152,10 @@
   First.begin(0, 1000);
   Where.m_Timers.advance(10min);
   BOOST_TEST(Where.m_Tables.calls() == 0U);
+  First.begin(1000, 10, {"t", SoftwareVersion("v1")});
+  First.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(1s);
+  BOOST_TEST(Where.m_Tables.calls() == 0U);
 }
 
 // Guards against streams that are lost with all instances.
@@ -199,6 +208,18 @@
   BOOST_TEST(Where.m_Tables.m_Writes <= 4U);
 }
 
+// Guards against a loss while the rows of a new mix wait for their turn.
+BOOST_AUTO_TEST_CASE(AFullRowIsFollowedAtOnce) {
+  World Where;
+  Instance First(Where);
+  First.m_Archive.setRoles(true, true, 24);
+  First.m_Archive.setMixedServices({});
+  First.begin(0, 40000);
+  First.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(200ms);
+  BOOST_TEST(countAfterLoss(Where, 40000) == 40000U);
+}
+
 // Guards against more calls than the store carries out on one part of a table,
 // values that are too long, and rows without end.
 BOOST_AUTO_TEST_CASE(AWriterIsBounded) {
@@ -335,6 +356,56 @@
   BOOST_TEST(countAfterLoss(Where, 10) == 10U);
 }
 
+// Guards against lookups that wait for an archive which others read.
+BOOST_AUTO_TEST_CASE(OnlyReadersWaitForTheArchive) {
+  World Where;
+  Instance NoHub(Where);
+  NoHub.m_Exchange.setHubs({instanceIdOf("other")});
+  NoHub.m_Archive.setMixedServices(Mixed);
+  NoHub.startLookup(0);
+  Where.m_Timers.advance(1ms);
+  BOOST_REQUIRE(NoHub.m_Found.has_value());
+  BOOST_TEST(NoHub.m_Found->m_UnansweredCount == 0U);
+}
+
+// Guards against two writers of one zone, after a change of its active hub.
+BOOST_AUTO_TEST_CASE(AFormerWriterWritesNothing) {
+  World Where;
+  Instance First(Where);
+  First.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(100ms);
+  Where.m_Tables.m_IsAway = true;
+  First.begin(0, 10, Old, 60s);
+  Where.m_Timers.advance(1s);
+  First.begin(10, 10, Old, 60s);
+  First.m_Archive.setRoles(false, true);
+  Where.m_Tables.m_IsAway = false;
+  const std::size_t Writes = Where.m_Tables.m_Writes;
+  Where.m_Timers.advance(2 * OriginArchive::TakeoverMemory);
+  BOOST_TEST(Where.m_Tables.m_Writes == Writes);
+  // The other hub has written what waited here.
+  First.m_Archive.setRoles(true, true);
+  Where.m_Timers.advance(1s);
+  BOOST_TEST(Where.m_Tables.m_Writes == Writes);
+}
+
+// Guards against rows that are lost with a restore of the store before the
+// first write of the next hub.
+BOOST_AUTO_TEST_CASE(TheNextHubNoticesARestoredStore) {
+  World Where;
+  Instance Second(Where);
+  Second.m_Exchange.setHubs({instanceIdOf("other"), instanceIdOf("edge-1")});
+  Second.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(10s);
+  Second.begin(0, 10, Old, 60s);
+  Where.m_Timers.advance(10s);
+  ++Where.m_Tables.m_Era;
+  Second.m_Exchange.setActiveHub(true);
+  Second.begin(10, 1, Old, 60s);
+  Where.m_Timers.advance(1s);
+  BOOST_TEST(countAfterLoss(Where, 11) == 11U);
+}
+
 // Guards against a process that overwrites the rows of the one before it.
 BOOST_AUTO_TEST_CASE(ARestartedWriterContinuesAfterItsLastRow) {
   World Where;
@@ -350,26 +421,146 @@
   Instance Again(Where);
   Again.m_Archive.setMixedServices(Mixed);
   Again.begin(20, 10, Old, 60s);
+  const std::size_t Writes = Where.m_Tables.m_Writes;
+  Where.m_Timers.advance(599ms);
+  BOOST_TEST(Where.m_Tables.m_Writes == Writes);
   Where.m_Timers.advance(2s);
   Where.m_Tables.m_AnswerTime = 5ms;
   BOOST_TEST(countAfterLoss(Where, 30) == 30U);
 }
 
+// Guards against a queue that stops when an answer names no row.
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutARowIsAFailure) {
+  World Where;
+  Instance First(Where);
+  First.m_Archive.setMixedServices(Mixed);
+  Where.m_Tables.m_AnswersNothing = true;
+  First.begin(0, 10, Old, 60s);
+  Where.m_Timers.advance(1s);
+  Where.m_Tables.m_AnswersNothing = false;
+  Where.m_Timers.advance(1s);
+  BOOST_TEST(countAfterLoss(Where, 10) == 10U);
+}
+
+// Guards against a write for each stream where one instance alone writes.
+BOOST_AUTO_TEST_CASE(WritesAreNotCloserThanTheInterval) {
+  World Where;
+  Instance First(Where);
+  First.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(100ms);
+  for (std::size_t I = 0; I < 1000; ++I) {
+    First.begin(I, 1);
+    Where.m_Timers.advance(1ms);
+  }
+  BOOST_TEST(Where.m_Tables.m_Writes <= 1s / Interval + 1);
+}
+
+// Guards against a crash, and rows that the store doesn't take, by records from
+// other instances.
+BOOST_AUTO_TEST_CASE(BadRecordsAreNotWritten) {
+  World Where;
+  Instance First(Where);
+  const std::string Long(70000, 'x');
+  const std::string NoText = "s\xff";
+  First.m_Archive.setMixedServices({"s", Long, NoText});
+  Where.m_Timers.advance(100ms);
+  First.begin(0, 1, Old, 0s);
+  First.begin(1, 1, {"s", SoftwareVersion(Long)});
+  First.begin(2, 1, {Long, SoftwareVersion("v1")});
+  Where.m_Timers.advance(1s);
+  BOOST_TEST(Where.m_Tables.m_Writes == 0U);
+  First.begin(3, 1, {NoText, SoftwareVersion("v1")});
+  First.begin(4, 1);
+  const std::string Name(250, 'x');
+  for (std::size_t I = 5; I < 500; ++I)
+    First.begin(I, 1, {"s", SoftwareVersion(Name + std::to_string(I))});
+  Where.m_Timers.advance(1s);
+  BOOST_TEST(countAfterLoss(Where, 500) == 497U);
+  const auto Expired =
+      readOriginRow("w/00", originRowValue("w", {{keyOf(0), Old, -5s}}));
+  BOOST_REQUIRE(Expired.has_value());
+  BOOST_TEST((Expired->at(0).m_Lifetime == Duration::zero()));
+}
+
+// Guards against rows of streams that can't be resumed any more.
+BOOST_AUTO_TEST_CASE(ExpiredStreamsAreNotWritten) {
+  World Where;
+  Instance First(Where);
+  First.m_Archive.setMixedServices({});
+  First.begin(0, 1, Old, 1000h);
+  Where.m_Timers.advance(StreamOrigins::MaxLifetime);
+  First.begin(1, 1, Old, 60s);
+  First.begin(2, 100, Old, 1s);
+  Where.m_Timers.advance(2s);
+  First.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(50ms);
+  BOOST_TEST(
+      Where.m_Stats.counter("crowstep_origin_archive_saved_total").value() ==
+      1U);
+  Where.m_Tables.m_IsAway = true;
+  First.begin(102, 100, Old, 1s);
+  Where.m_Timers.advance(3s);
+  Where.m_Tables.m_IsAway = false;
+  Where.m_Timers.advance(1s);
+  std::size_t Written = 0;
+  for (const auto &[Key, Row] : Where.m_Tables.m_Rows)
+    Written += readOriginRow(Key, Row.m_Value)->size();
+  BOOST_TEST(Written == 1U);
+}
+
+// Guards against memory that grows with the streams, and against a reader that
+// drops its own streams for those of the archive, or takes the oldest ones.
+BOOST_AUTO_TEST_CASE(StreamsAreBounded) {
+  World Where;
+  Instance First(Where);
+  constexpr std::size_t Most = StreamOrigins::MaxStreams;
+  const Counter &Dropped =
+      Where.m_Stats.counter("crowstep_origin_archive_dropped_total");
+  First.m_Archive.setMixedServices({});
+  First.begin(0, Most + 100, Old, 60s);
+  First.m_Archive.setMixedServices(Mixed);
+  BOOST_TEST(Dropped.value() == 0U);
+  First.begin(Most + 100, 50, Old, 60s);
+  BOOST_TEST(Dropped.value() == 50U);
+  BOOST_TEST(Where.m_Stats.gauge("crowstep_origin_archive_pending").value() ==
+             static_cast<double>(Most));
+  World Full;
+  constexpr std::size_t InRow = 1000;
+  for (std::size_t Slot = 10; Slot < OriginArchive::SlotCount; ++Slot) {
+    std::vector<StreamRecord> Records;
+    for (std::size_t I = 0; I < InRow; ++I)
+      Records.push_back({keyOf(Slot * InRow + I), Old, 10s});
+    Full.m_Tables.put("edge-1/" + std::to_string(Slot),
+                      originRowValue("edge-1", Records));
+  }
+  Instance Later(Full);
+  Later.m_Archive.setMixedServices(Mixed);
+  Full.m_Timers.advance(100ms);
+  BOOST_TEST(Later.knownCount(10 * InRow + InRow) == 0U);
+  BOOST_TEST(Later.knownCount(OriginArchive::SlotCount * InRow) ==
+             OriginArchive::MaxRead / InRow * InRow);
+}
+
 // Guards against a row that breaks the reader or states foreign origins.
 BOOST_AUTO_TEST_CASE(BadRowsAreIgnored) {
   World Where;
   const std::string Good = originRowValue("edge-1", {{keyOf(0), Old, 10s}});
   Where.m_Tables.put("edge-1/00", Good);
   const std::string Other = originRowValue("edge-1", {{keyOf(1), Old, 10s}});
-  for (const char *Key :
-       {"edge-2/00", "edge-1/64", "edge-1/x1", "edge-1/001", "edge-1", "/00"})
+  for (const char *Key : {"edge-2/00", "edge-1/64", "edge-1/x1", "edge-1/1x",
+                          "edge-1/001", "edge-1", "/00"})
     Where.m_Tables.put(Key, Other);
   Where.m_Tables.put("edge-1/01", "{");
   Where.m_Tables.put("edge-1/02", Other + std::string(65536, ' '));
-  Where.m_Tables.put("edge-1/03", R"({"format":1,"writer":"edge-1","origins":[)"
-                                  R"({"service":"s","version":"v1",)"
-                                  R"("streams":"AAAA"}]})");
-  Where.m_Tables.put("edge-1/04", R"({"format":2,"writer":"edge-1"})");
+  std::string Odd = Other; // Four bytes too many.
+  Odd.replace(Odd.find('='), 1, "AAAAA");
+  Where.m_Tables.put("edge-1/03", Odd);
+  std::string Later = Other;
+  Later.replace(Later.find("\"format\":1"), 10, "\"format\":2");
+  Where.m_Tables.put("edge-1/04", Later);
+  Where.m_Tables.put(
+      "edge-1/05",
+      originRowValue("edge-1", {{keyOf(1), {"", SoftwareVersion("v1")}, 10s}}));
   BOOST_TEST(countAfterLoss(Where, 2) == 1U);
 }
 
@@ -407,6 +598,44 @@
   BOOST_TEST((Later.m_Found->m_Origin == Old));
 }
 
+// Guards against callers who wait for an archive that needn't be read.
+BOOST_AUTO_TEST_CASE(ALookupEndsOnceOneVersionIsKnown) {
+  World Where;
+  Instance Later(Where);
+  Later.startLookup(0);
+  Where.m_Timers.advance(10ms);
+  BOOST_TEST(!Later.m_Found.has_value());
+  Later.m_Archive.setMixedServices({});
+  BOOST_REQUIRE(Later.m_Found.has_value());
+  BOOST_TEST(Later.m_Found->m_UnansweredCount == 0U);
+}
+
+// Guards against calls without pause to a store that is away, and against a hub
+// that has not read the archive.
+BOOST_AUTO_TEST_CASE(ReadsAreRepeatedWithPauses) {
+  World Where;
+  Where.m_Tables.m_IsAway = true;
+  Instance Later(Where);
+  Later.m_Archive.setMixedServices(Mixed);
+  Where.m_Timers.advance(10min);
+  const auto Expected =
+      static_cast<std::size_t>(10min / OriginArchive::MaxReadPause);
+  BOOST_TEST(Where.m_Tables.m_Reads >= Expected - 3);
+  BOOST_TEST(Where.m_Tables.m_Reads <= Expected + 3);
+  const std::size_t Reads = Where.m_Tables.m_Reads;
+  Later.m_Archive.setRoles(true, true);
+  BOOST_TEST(Where.m_Tables.m_Reads == Reads);
+  World Other;
+  Instance Hub(Other);
+  Hub.m_Exchange.setHubs({instanceIdOf("other")});
+  Hub.m_Archive.setMixedServices(Mixed);
+  Other.m_Timers.advance(1s);
+  BOOST_TEST(Other.m_Tables.m_Reads == 0U);
+  Hub.m_Exchange.setHubs({instanceIdOf("other"), instanceIdOf("edge-1")});
+  Other.m_Timers.advance(1s);
+  BOOST_TEST(Other.m_Tables.m_Reads == 1U);
+}
+
 // Guards against callers that are told that a stream is lost because the store
 // is away.
 BOOST_AUTO_TEST_CASE(WithoutTheStoreALookupIsUnanswered) {
