Fix: The boundary between the roles leaves both kinds of calls an engine

Cause: EngineRoles keeps its boundary while that is off by less than 0.75 engines or a twentieth. isNearlyRight() was to exclude counts that leave one kind of calls without an engine, but compared the count with boundedEngineCount() of itself, which returns none and all unchanged. So a boundary at all engines stayed after one of them had gone (5 of 6, then 5 of 5 with 0.88 of the work latency-sensitive), and one at none stayed after the first latency-sensitive calls (6 of 100 work, 10 engines).

Change: a boundary at none or all engines never stays where both kinds have work.

--- a/src/balance/engine_roles.cpp
+++ b/src/balance/engine_roles.cpp
@@ -15,9 +15,10 @@
 constexpr double HysteresisShare = 0.05;
 
 /// Returns whether the boundary \p Count may stay although \p Exact is right.
+/// With none or all of the engines one kind of calls would have none.
 bool isNearlyRight(std::size_t Count, double Exact, std::size_t Engines) {
   const auto Current = static_cast<double>(Count);
-  return boundedEngineCount(Current, Engines) == Count &&
+  return Count > 0 && Count < Engines &&
          std::abs(Exact - Current) <
              std::max(MinHysteresis, HysteresisShare * Current);
 }
