Test: Safeguards of roles and placement costs without a failing test

Each was taken out, one at a time, and placement_by_time_test failed in the new or extended case: slowdown of plain upstreams' machines, classes where speeds are not learned, draining engines, hysteresis of large fleets, roles at once after a change of the list, calls that are more urgent, slots that are taken or waited for.

PlainUpstreamsAreComparedByTime had a check for a slow machine that passed without the slowdown, as the upstream was the busiest one anyway; it is replaced by one in which six calls all go to the only machine at its usual pace.

--- a/tests/unit/placement_by_time_test.cpp
+++ b/tests/unit/placement_by_time_test.cpp
@@ -72,10 +72,17 @@
                         std::uint64_t Seed = 1)
       : m_Speeds(IsActive), m_Balancer({"a"}, Seed) {
     m_Balancer.setSpeedView(&m_Speeds);
+    setEngines(Engines);
+  }
+
+  /// Lists the plain upstreams and engines, those from \p Draining on as such.
+  void setEngines(int Engines, int Draining = 1000) {
     std::vector<Upstream> List;
     List.reserve(static_cast<std::size_t>(Engines) + 4);
-    for (int I = 0; I < Engines; ++I)
+    for (int I = 0; I < Engines; ++I) {
       List.push_back(engine(I));
+      List.back().m_Draining = I >= Draining;
+    }
     for (int I = 0; I < 4; ++I)
       List.push_back(desk(1000 + I));
     m_Balancer.setUpstreams(List);
@@ -143,6 +150,7 @@
     Wild.speed(I) = {I % 2 == 0 ? 4.0 : 0.25, I % 5 - 2, 0.1, 10};
   for (int I = 1000; I < 1004; ++I)
     Wild.speed(I) = {I % 2 == 0 ? 4.0 : 0.25, 0, 0.1, 10};
+  Wild.setEngines(20);
   TestInstance Plain(20, false);
   Plain.m_Balancer.setSpeedView(nullptr);
   for (std::uint64_t I = 0; I < 600; ++I) {
@@ -229,6 +237,33 @@
   BOOST_TEST(Instance.m_Speeds.m_ClassReads == Reads);
 }
 
+/// Guards against roles of engines that are gone or draining, and against
+/// learned ones that stay when speeds are not learned any more.
+BOOST_AUTO_TEST_CASE(RolesAreThoseOfTheEnginesInService) {
+  TestInstance Few(10);
+  Few.placeShortCalls(200);
+  TestInstance Drained(20);
+  Drained.setEngines(20, 10);
+  Drained.placeShortCalls(200);
+  BOOST_TEST(Drained.sensitiveEngines() == Few.sensitiveEngines());
+  TestInstance Shrunk(100);
+  Shrunk.placeShortCalls(200);
+  Shrunk.setEngines(10);
+  Shrunk.placeOrFail(shortCall(1));
+  BOOST_TEST(Shrunk.sensitiveEngines() == Few.sensitiveEngines());
+  TestInstance Never(20, false);
+  Never.placeShortCalls(200);
+  TestInstance Ended(20);
+  for (int I = 0; I < 20; ++I)
+    Ended.speed(I) = {I < 2 ? 4.0 : 0.5, I < 2 ? 1 : 0, 1, 1};
+  Ended.placeShortCalls(200);
+  BOOST_TEST(Ended.sensitiveEngines() != Never.sensitiveEngines());
+  Ended.m_Speeds.m_IsActive = false;
+  Ended.m_Now += EngineRoles::UpdateInterval;
+  Ended.placeShortCalls(1);
+  BOOST_TEST(Ended.sensitiveEngines() == Never.sensitiveEngines());
+}
+
 /// Guards against a boundary that moves with each small change of the work.
 BOOST_AUTO_TEST_CASE(TheBoundaryStaysWhileItIsNearlyRight) {
   const std::vector<SpeedGroup> Groups = {{10, 1}};
@@ -249,6 +284,27 @@
   BOOST_TEST(Roles.latencySensitiveEngineCount() == 5U);
 }
 
+/// Guards against a boundary that leaves one kind of calls without an engine,
+/// and against one that moves in a large fleet with each change of the work.
+BOOST_AUTO_TEST_CASE(TheBoundaryIsPossible) {
+  const auto CountAfter = [](const std::vector<std::pair<double, double>> &Of) {
+    EngineRoles Roles;
+    for (const auto &[Exact, Engines] : Of) {
+      RoleSplit Split;
+      Split.add({Exact / 1.5, Engines - Exact}, TimePoint{100s});
+      Roles.update(Split, {{static_cast<std::size_t>(Engines), 1}},
+                   TimePoint{100s});
+    }
+    return Roles.latencySensitiveEngineCount();
+  };
+  BOOST_TEST(CountAfter({{0.6, 10}}) == 1U);
+  BOOST_TEST(CountAfter({{5.1, 6}, {4.4, 5}}) == 4U);
+  BOOST_TEST(CountAfter({{0, 10}, {0.6, 10}}) == 1U);
+  BOOST_TEST(CountAfter({{97, 100}, {100, 100}}) == 100U);
+  BOOST_TEST(CountAfter({{44.4, 100}, {46, 100}}) == 44U);
+  BOOST_TEST(CountAfter({{44.4, 100}, {47, 100}}) == 47U);
+}
+
 /// Guards against a cost that leaves out how fast an engine is, or that its
 /// machine is slow at this moment.
 BOOST_AUTO_TEST_CASE(CostsAreTimes) {
@@ -265,6 +321,28 @@
   BOOST_TEST(costOf(Slowed, 2, false, false) == Cost + 1.5 * 10000);
 }
 
+/// Guards against calls that go where they delay more urgent ones, or where no
+/// slot is free, and against prefixes that are prefilled again in a burst.
+BOOST_AUTO_TEST_CASE(DelaysOfOthersAndTakenSlotsCost) {
+  UpstreamState State;
+  const EngineOption Idle = option(State, 0, 0);
+  const double Least = costOf(Idle, 1, true, false);
+  EngineOption Urgent = Idle;
+  Urgent.m_MoreUrgentCalls = 1;
+  BOOST_TEST(costOf(Urgent, 1, true, false) > Least);
+  EngineOption Full = Idle;
+  Full.m_SlotWaitTokens = 1000;
+  BOOST_TEST(costOf(Full, 1, true, false) == Least);
+  Full.m_Full = true;
+  BOOST_TEST(costOf(Full, 1, true, false) == Least + 1000);
+  EngineOption Taken = Idle;
+  Taken.m_Calls = Slots;
+  const double Scarce = uncachedWeight({Taken}, std::nullopt);
+  BOOST_TEST(Scarce > 2 * uncachedWeight({Idle}, std::nullopt));
+  Taken.m_Calls = 3 * Slots;
+  BOOST_TEST(uncachedWeight({Taken}, std::nullopt) == Scarce);
+}
+
 /// Guards against calls that stay at a saturated engine for a cached prefix
 /// while prefill is not scarce, and against a few engines with long queues that
 /// make it look scarce everywhere.
@@ -432,8 +510,11 @@
   for (int I = 0; I < 5; ++I)
     Used.insert(Instance.placeOrFail(plainCall()).m_Upstream);
   BOOST_TEST(Used.count(Fast) >= 2U);
-  Instance.speed(First).m_Slowdown = 10;
-  BOOST_TEST((Instance.placeOrFail(plainCall()).m_Upstream != Fast));
+  TestInstance Slow(0);
+  for (int I = 1; I < 4; ++I)
+    Slow.speed(First + I).m_Slowdown = 10;
+  for (int I = 0; I < 6; ++I)
+    BOOST_TEST((Slow.placeOrFail(plainCall()).m_Upstream == Fast));
 }
 
 /// Guards against engines that are ordered, or given back, by a count that
