--- a/tests/unit/buffer_budget_test.cpp
+++ b/tests/unit/buffer_budget_test.cpp
@@ -84,6 +84,72 @@
   BOOST_TEST((Test.m_Notified == std::vector<int>{2, 1}));
 }
 
+// Guards against a stream that is paused a second time and never read again.
+BOOST_AUTO_TEST_CASE(APartMayWaitAgain) {
+  Fixture Test(2);
+  for (int Times = 1; Times <= 2; ++Times) {
+    Test.m_Parts[0].resize(900'000);
+    Test.m_Parts[1].resize(90'000);
+    BOOST_TEST(!Test.m_Parts[1].hasRoom());
+    Test.m_Parts[0].resize(0);
+    BOOST_TEST((Test.m_Notified ==
+                std::vector<int>(static_cast<std::size_t>(Times), 1)));
+  }
+}
+
+// Guards against a waiting connection that is called after its end, as it was
+// listed with what it held before.
+BOOST_AUTO_TEST_CASE(AWaitingPartIsListedWithWhatItHolds) {
+  Fixture Test(3);
+  Test.m_Parts[0].resize(500'000);
+  Test.m_Parts[1].resize(300'000);
+  Test.m_Parts[2].resize(190'000);
+  BOOST_TEST(!Test.m_Parts[1].hasRoom());
+  BOOST_TEST(!Test.m_Parts[2].hasRoom());
+  Test.m_Parts[1].resize(100'000);
+  BOOST_TEST((Test.m_Notified == std::vector<int>{1, 2}));
+}
+
+// Guards against a connection without bytes that waits for others' room: it
+// would never be read.
+BOOST_AUTO_TEST_CASE(AnEmptyPartHasRoom) {
+  Fixture Test(2);
+  Test.m_Parts[0].resize(Total + Piece);
+  BOOST_TEST(Test.m_Budget.freeBytes() == 0U);
+  BOOST_TEST(Test.m_Parts[1].hasRoom());
+  Test.m_Parts[1].resize(Piece);
+  BOOST_TEST(!Test.m_Parts[1].hasRoom());
+}
+
+// Guards against a call within another one, when a connection that may go on
+// ends others.
+BOOST_AUTO_TEST_CASE(CallsAreNotNested) {
+  BufferBudget Budget(Total);
+  std::optional<BufferBudget::Part> Ended;
+  int Depth = 0;
+  int Calls = 0;
+  BufferBudget::Part Large(Budget, [] {});
+  BufferBudget::Part First(Budget, [&] {
+    ++Depth;
+    Ended.reset();
+    --Depth;
+  });
+  BufferBudget::Part Second(Budget, [&] {
+    BOOST_TEST(Depth == 0);
+    ++Calls;
+  });
+  Ended.emplace(Budget, [] {});
+  Ended->resize(100'000);
+  Large.resize(800'000);
+  First.resize(40'000);
+  Second.resize(50'000);
+  Large.resize(809'000);
+  BOOST_TEST(!First.hasRoom());
+  BOOST_TEST(!Second.hasRoom());
+  Large.resize(0);
+  BOOST_TEST(Calls == 1);
+}
+
 // Guards against bytes that stay counted, and against a call to a connection
 // that is gone.
 BOOST_AUTO_TEST_CASE(ADestroyedPartHoldsNothing) {
