--- a/tests/unit/upstream_speeds_test.cpp
+++ b/tests/unit/upstream_speeds_test.cpp
@@ -79,6 +79,11 @@
   BOOST_TEST(!At.m_Speeds.isActive(pool()));
   BOOST_TEST((At.speedOf(0) == 1));
   BOOST_TEST(At.m_Speeds.takeUpdates(At.m_Now).empty());
+  At.m_Speeds.applyUpdates({UpstreamSpeedUpdate{idOf(0), false, 60, 60},
+                            ServiceSpeedUpdate{pool(), 1, 60, 480},
+                            MachinePaceUpdate{idOf(0), 250, 301ms}},
+                           At.m_Now);
+  BOOST_TEST(!At.m_Speeds.isActive(pool()));
   BOOST_TEST(At.m_Speeds.snapshot(At.m_Now).empty());
 }
 
@@ -87,6 +92,8 @@
   Learner At(4, LearnSpeed::Never);
   At.m_Speeds.recordMachinePace(idOf(0), pool(), 400, At.m_Now);
   At.m_Speeds.applyUpdates({MachinePaceUpdate{idOf(1), 400, 0ms}}, At.m_Now);
+  BOOST_TEST(At.m_Speeds.takeUpdates(At.m_Now).empty());
+  BOOST_TEST(At.m_Speeds.counts(At.m_Now).m_Updates == 0U);
   At.run(5s, [&](int I) { At.add(I, I == 0 ? 9000 : 4000, 0.2, false); });
   BOOST_TEST(!At.m_Speeds.isActive(pool()));
   BOOST_TEST((At.slowdownOf(0) == 1));
@@ -128,6 +135,105 @@
   BOOST_TEST((At.slowdownOf(0) == 1));
 }
 
+/// Guards against statements that each are passed on, and against receivers
+/// that count a machine as slow after it has recovered.
+BOOST_AUTO_TEST_CASE(paces_are_passed_on_while_they_matter) {
+  Learner At(4, LearnSpeed::Stated);
+  const auto IsPassedOn = [&](std::uint32_t Percent, Duration Later) {
+    At.m_Now += Later;
+    At.m_Speeds.recordMachinePace(idOf(0), pool(), Percent, At.m_Now);
+    const auto Updates = At.m_Speeds.takeUpdates(At.m_Now);
+    return std::ranges::any_of(Updates, [&](const SpeedUpdate &Update) {
+      const auto *Pace = std::get_if<MachinePaceUpdate>(&Update);
+      return Pace != nullptr && Pace->m_Percent == Percent;
+    });
+  };
+  BOOST_TEST(IsPassedOn(100, 0s)); // The first one starts learning.
+  BOOST_TEST(!IsPassedOn(101, 1s));
+  BOOST_TEST(IsPassedOn(250, 1s));
+  BOOST_TEST(IsPassedOn(102, MachinePaces::Lifetime));
+  BOOST_TEST(!IsPassedOn(103, 100ms));
+  BOOST_TEST(IsPassedOn(251, 1s));
+  BOOST_TEST(!IsPassedOn(104, 1s)); // Receivers have dropped it.
+}
+
+/// Guards against statements that are used after they are old, or out of order,
+/// and against those about upstreams that are not listed.
+BOOST_AUTO_TEST_CASE(old_paces_are_ignored) {
+  Learner At(4);
+  At.m_Now = TimePoint(100s);
+  At.m_Speeds.recordMachinePace(idOf(0), pool(), 300, At.m_Now);
+  At.m_Speeds.applyUpdates({MachinePaceUpdate{idOf(0), 100, 100ms},
+                            MachinePaceUpdate{idOf(1), 300, 301ms},
+                            MachinePaceUpdate{idOf(2), 300, -1s},
+                            UpstreamSpeedUpdate{idOf(9), false, 60, 60},
+                            MachinePaceUpdate{idOf(9), 300, 0ms}},
+                           At.m_Now);
+  BOOST_TEST((At.speedOf(9) == 1));
+  BOOST_TEST(At.slowdownOf(0) == 3);
+  BOOST_TEST((At.slowdownOf(1) == 1));
+  BOOST_TEST((At.slowdownOf(2) == 1));
+  At.m_Speeds.setUpstreams(engines(10));
+  BOOST_TEST((At.slowdownOf(9) == 1));
+  // A linked instance gets no statement that it would drop.
+  At.m_Now += 301ms;
+  for (const SpeedUpdate &Update : At.m_Speeds.snapshot(At.m_Now))
+    BOOST_TEST(!std::holds_alternative<MachinePaceUpdate>(Update));
+  // A pause in the statements counts as the usual pace.
+  At.m_Now += 20s;
+  At.m_Speeds.recordMachinePace(idOf(0), pool(), 300, At.m_Now);
+  BOOST_TEST(At.slowdownOf(0) == 3);
+}
+
+/// Guards against what is kept of upstreams and services that were removed.
+BOOST_AUTO_TEST_CASE(removed_upstreams_are_forgotten) {
+  Learner At(9, LearnSpeed::Stated);
+  At.m_Speeds.recordMachinePace(idOf(0), pool(), 300, At.m_Now);
+  At.run(10s, [&](int I) { At.add(I, I == 0 ? 16000 : 4000, 0.3, false); });
+  At.m_Speeds.recordMachinePace(idOf(0), pool(), 300, At.m_Now);
+  auto Others = engines(9);
+  Others.erase(Others.begin());
+  At.m_Speeds.setUpstreams(Others);
+  At.m_Speeds.setUpstreams(engines(9));
+  BOOST_TEST((At.speedOf(0) > 0.7));
+  BOOST_TEST((At.slowdownOf(0) == 1));
+  At.m_Speeds.setUpstreams({});
+  BOOST_TEST(!At.m_Speeds.isActive(pool()));
+}
+
+/// Guards against one sample that spoils a service, and against samples of
+/// another service's upstreams.
+BOOST_AUTO_TEST_CASE(impossible_samples_are_ignored_or_bounded) {
+  Learner At(9);
+  At.m_Speeds.addSample({idOf(0), pool(), 0us, 0.3, false}, At.m_Now);
+  At.m_Speeds.addSample({idOf(0), pool(), -1s, 0.3, false}, At.m_Now);
+  At.m_Speeds.addSample({idOf(0), poolIdOf("other", 0), 4ms, 0.3, false},
+                        At.m_Now);
+  BOOST_TEST(At.m_Speeds.counts(At.m_Now).m_Samples == 0U);
+  At.run(5s, [&](int I) { At.add(I, 4000, 0.3, false); });
+  At.m_Now += 1s;
+  At.m_Speeds.takeUpdates(At.m_Now);
+  At.m_Now += 1s;
+  At.add(0, 4e9, 0.3, false);
+  At.m_Now += 1s;
+  for (const SpeedUpdate &Update : At.m_Speeds.takeUpdates(At.m_Now))
+    if (const auto *Sum = std::get_if<UpstreamSpeedUpdate>(&Update))
+      BOOST_TEST((Sum->m_LogSum <= Sum->m_Samples * 2.1)); // ln(8) and noise.
+  // A load share outside of 0 to 1 is one of the four quarters.
+  BOOST_TEST(stateOf({idOf(0), pool(), 4ms, 7, false}) == 3);
+  BOOST_TEST(stateOf({idOf(0), pool(), 4ms, -7, true}) == 4);
+}
+
+/// Guards against speeds that leave an upstream without calls, or with all.
+BOOST_AUTO_TEST_CASE(speeds_are_bounded) {
+  Learner At(9);
+  At.run(10s, [&](int I) {
+    At.add(I, I == 0 ? 100'000 : (I == 1 ? 200 : 4000), 0.3, false);
+  });
+  BOOST_TEST((At.speedOf(0) == 0.25));
+  BOOST_TEST((At.speedOf(1) == 4));
+}
+
 /// Guards against a machine that stays slow and counts in its speed and in its
 /// slowdown.
 BOOST_AUTO_TEST_CASE(a_machine_that_stays_slow_counts_once) {
@@ -254,6 +360,13 @@
   });
   BOOST_TEST((At.m_Speeds.usableShareOf(idOf(0), At.m_Now) < 0.65));
   BOOST_TEST((At.m_Speeds.usableShareOf(idOf(1), At.m_Now) == 1));
+  // Half of the slots remain usable.
+  At.run(10s, [&](int I) {
+    const bool IsCrowded = Round++ % 3 == 0;
+    At.add(I, 4000 * (IsCrowded && I == 0 ? 7 : 1), IsCrowded ? 0.8 : 0.3,
+           false);
+  });
+  BOOST_TEST((At.m_Speeds.usableShareOf(idOf(0), At.m_Now) == 0.5));
   // Without calls in the upper half it is tried again.
   At.run(10s, [&](int I) { At.add(I, 4000, 0.3, false); });
   BOOST_TEST((At.m_Speeds.usableShareOf(idOf(0), At.m_Now) == 1));
@@ -269,6 +382,10 @@
   List[0].m_StartTime = 5ms;
   At.m_Speeds.setUpstreams(List);
   BOOST_TEST((At.speedOf(0) > 0.7));
+  At.run(10s, [&](int I) { At.add(I, I == 0 ? 16000 : 4000, 0.3, false); });
+  List[0].m_Service = "other";
+  At.m_Speeds.setUpstreams(List);
+  BOOST_TEST((At.speedOf(0) > 0.7));
 }
 
 /// Guards against updates that are lost because the list is read later, and
@@ -310,6 +427,8 @@
           {UpstreamSpeedUpdate{idOf(0), false, Max, Huge},
            UpstreamSpeedUpdate{idOf(1), false, 0, 5},
            UpstreamSpeedUpdate{idOf(1), false, 3, std::nan("")},
+           ServiceSpeedUpdate{pool(), 1, 0, 5},
+           ServiceSpeedUpdate{pool(), 1, 3, std::nan("")},
            ServiceSpeedUpdate{pool(), 1, 1, Huge},
            ServiceSpeedUpdate{pool(), 1, 5, -Huge},
            ServiceSpeedUpdate{pool(), 200, 5, 8},
@@ -323,6 +442,97 @@
   BOOST_TEST(At.speedOf(1) == 1.1);
 }
 
+/// Guards against a false number or sum that outweighs the samples of all
+/// others for long.
+BOOST_AUTO_TEST_CASE(implausible_updates_are_soon_outweighed) {
+  const auto Max = std::numeric_limits<std::uint32_t>::max();
+  for (const SpeedUpdate &False :
+       {SpeedUpdate(UpstreamSpeedUpdate{idOf(0), false, Max, Max * 1.4}),
+        SpeedUpdate(UpstreamSpeedUpdate{idOf(0), false, 10, 1e12}),
+        SpeedUpdate(ServiceSpeedUpdate{pool(), 1, Max, Max * 10.0})}) {
+    Learner At(9);
+    int Round = 0;
+    const auto Add = [&](int I) {
+      At.add(I, 4000, I > 0 && Round++ % 3 == 0 ? 0.3 : 0.1, false);
+    };
+    At.run(20s, Add);
+    At.m_Speeds.applyUpdates({False}, At.m_Now);
+    At.run(30s, Add);
+    for (int I = 0; I < 9; ++I)
+      BOOST_TEST((std::abs(At.speedOf(I) - 1) < 0.25));
+  }
+}
+
+/// Guards against memory that grows with what other instances name, and against
+/// updates about a service that come before its list.
+BOOST_AUTO_TEST_CASE(unlisted_names_are_bounded) {
+  constexpr int Named = 5000;
+  Learner At(0);
+  std::vector<SpeedUpdate> Updates;
+  for (int I = 0; I < Named; ++I)
+    Updates.emplace_back(UpstreamSpeedUpdate{idOf(I), false, 60, 90});
+  for (int I = 0; I < 100; ++I)
+    Updates.emplace_back(ServiceSpeedUpdate{PoolId(I + 1), 1, 60, 480});
+  At.m_Speeds.applyUpdates(Updates, At.m_Now);
+  BOOST_TEST(At.m_Speeds.snapshot(At.m_Now).size() == 64U);
+  At.m_Now += 1s;
+  At.m_Speeds.takeUpdates(At.m_Now);
+  At.m_Speeds.setUpstreams(engines(Named));
+  BOOST_TEST((At.speedOf(Named - 1) > 2 * At.speedOf(0)));
+  At.m_Now += 4s;
+  At.m_Speeds.takeUpdates(At.m_Now);
+  for (const SpeedUpdate &Update : At.m_Speeds.snapshot(At.m_Now))
+    BOOST_TEST(!std::holds_alternative<ServiceSpeedUpdate>(Update));
+  Learner Early(0);
+  Early.m_Speeds.applyUpdates({ServiceSpeedUpdate{pool(), 1, 60, 480}},
+                              Early.m_Now);
+  Early.m_Now += 1s;
+  Early.m_Speeds.takeUpdates(Early.m_Now);
+  Early.m_Speeds.setUpstreams(engines(3));
+  BOOST_TEST((Early.speedOf(0) == 1));
+}
+
+/// Guards against memory that grows with changes that nobody takes.
+BOOST_AUTO_TEST_CASE(class_changes_are_bounded) {
+  constexpr int Count = 2000;
+  Learner At(Count);
+  for (int Round = 0; Round < 10; ++Round) {
+    std::vector<SpeedUpdate> Updates;
+    for (int I = 0; I < Count; ++I)
+      Updates.emplace_back(UpstreamSpeedUpdate{
+          idOf(I), false, 100, I % 2 == Round % 2 ? 140.0 : -140.0});
+    At.m_Speeds.applyUpdates(Updates, At.m_Now);
+    At.m_Now += 1s;
+    At.m_Speeds.takeUpdates(At.m_Now);
+    At.m_Now += 5s;
+  }
+  BOOST_TEST(At.m_Speeds.takeClassChanges().size() == 10'000U);
+}
+
+/// Guards against a first sample that is compared with itself or with another
+/// upstream's only.
+BOOST_AUTO_TEST_CASE(a_baseline_needs_samples) {
+  Learner At(2);
+  At.add(0, 4000, 0.3, false);
+  At.add(1, 16000, 0.3, false);
+  BOOST_TEST((At.speedOf(1) == 1));
+}
+
+/// Guards against an upstream with many calls that counts as slow for longer
+/// than others after its last one.
+BOOST_AUTO_TEST_CASE(many_calls_are_forgotten_as_soon_as_few) {
+  Learner At(9);
+  At.run(10s, [&](int I) {
+    for (int Times = 0; Times < (I == 0 ? 50 : 1); ++Times)
+      At.add(I, I == 0 ? 16000 : 4000, 0.3, false);
+  });
+  At.run(10s, [&](int I) {
+    if (I != 0)
+      At.add(I, 4000, 0.3, false);
+  });
+  BOOST_TEST((At.speedOf(0) > 0.8));
+}
+
 /// Guards against an instance that sends more than 1 KB a second about 90
 /// engines, with the most calls that one of 9 instances has.
 BOOST_AUTO_TEST_CASE(updates_take_less_than_1_kb_a_second) {
@@ -379,6 +589,60 @@
   BOOST_TEST(Sums.take(Now).size() >= 1U);
 }
 
+/// Guards against a burst of what was not sent for long, and against a fleet
+/// with more upstreams in which each waits for longer.
+BOOST_AUTO_TEST_CASE(a_second_of_the_limit_may_be_sent_at_once) {
+  SpeedSums Sums(SpeedSums::OwnLimit);
+  TimePoint Now(1s);
+  for (int I = 0; I < 100; ++I) {
+    Sums.add(UpstreamSpeedUpdate{UpstreamId(1), false, 1, 0.5}, Now);
+    Sums.take(Now);
+    Now += 1s;
+  }
+  for (std::uint64_t I = 0; I < 1000; ++I)
+    Sums.add(UpstreamSpeedUpdate{UpstreamId(I), false, 1, 0.5}, Now);
+  const std::size_t Taken = Sums.take(Now).size();
+  BOOST_TEST(Taken <= 630U);
+  BOOST_TEST(Taken >= 550U);
+}
+
+/// Guards against changes that wait behind what is known, and against sums that
+/// are lost while they wait.
+BOOST_AUTO_TEST_CASE(what_differs_most_is_sent_first) {
+  SpeedSums Sums(SpeedSums::OwnLimit);
+  TimePoint Now(1s);
+  for (std::uint64_t I = 0; I < 200; ++I)
+    Sums.add(
+        UpstreamSpeedUpdate{UpstreamId(I), false, 1, I == 199 ? -2.0 : 0.0},
+        Now);
+  const auto First = Sums.take(Now);
+  BOOST_TEST(First.size() < 200U);
+  BOOST_REQUIRE(!First.empty());
+  BOOST_TEST(
+      (std::get<UpstreamSpeedUpdate>(First[0]).m_Upstream == UpstreamId(199)));
+  std::size_t Taken = First.size();
+  for (int I = 0; I < 2; ++I) {
+    Now += 11s;
+    Taken += Sums.take(Now).size();
+  }
+  BOOST_TEST(Taken == 200U);
+}
+
+/// Guards against a statement that an older one replaces, and against old ones
+/// and those about fast machines that take the place of others.
+BOOST_AUTO_TEST_CASE(the_slowest_machines_are_sent_first) {
+  SpeedSums Sums(SpeedSums::OwnLimit);
+  TimePoint Now(1s);
+  for (std::uint64_t I = 0; I < 200; ++I)
+    Sums.add(MachinePaceUpdate{UpstreamId(I), I == 199 ? 300U : 30U, 0ms}, Now);
+  Sums.add(MachinePaceUpdate{UpstreamId(199), 100, 200ms}, Now);
+  const auto First = Sums.take(Now);
+  BOOST_REQUIRE(!First.empty());
+  BOOST_TEST((std::get<MachinePaceUpdate>(First[0]).m_Percent == 300U));
+  BOOST_TEST(First.size() < SpeedSums::OwnLimit / 8 / 2);
+  BOOST_TEST(Sums.take(Now + 301ms).empty());
+}
+
 /// Guards against events that arrive together, which look like a fast engine.
 BOOST_AUTO_TEST_CASE(events_that_arrive_together_share_their_time) {
   EventIntervals Intervals;
