--- a/tests/unit/software_register_test.cpp
+++ b/tests/unit/software_register_test.cpp
@@ -30,16 +30,20 @@
 class RegisterFleet {
 public:
   struct Instance final : Directory {
-    Instance(RegisterFleet &Owner, double Draw)
+    Instance(RegisterFleet &Owner, double Draw, bool HasServices = true)
         : m_Fleet(Owner),
-          m_Register(
-              m_History, *this, Owner.m_Clock, Owner.m_Timers,
-              [Draw] { return Draw; }, m_Stats,
-              {[this](const std::set<UpstreamId> &Held) { m_Held = Held; },
-               [this](const std::set<std::string> &Mixed) {
-                 m_Mixed = Mixed;
-               }}) {
-      m_Register.setServices({"s", "t"});
+          m_Register(m_History, *this, Owner.m_Clock, Owner.m_Timers,
+                     [Draw] { return Draw; }, m_Stats,
+                     {[this](const std::set<UpstreamId> &Held) {
+                        m_Held = Held;
+                        ++m_Reports;
+                      },
+                      [this](const std::set<std::string> &Mixed) {
+                        m_Mixed = Mixed;
+                        ++m_Reports;
+                      }}) {
+      if (HasServices)
+        m_Register.setServices({"s", "t"});
     }
     void start(DirectoryListener &, const PeerInstance &) override {}
     void deregister() override {}
@@ -68,6 +72,7 @@
     SoftwareHistory m_History;
     std::set<UpstreamId> m_Held;
     std::optional<std::set<std::string>> m_Mixed;
+    std::size_t m_Reports = 0; ///< Of m_Held and m_Mixed.
     SoftwareRegister m_Register;
   };
 
@@ -191,6 +196,54 @@
   }
 }
 
+// Guards against readers of other zones, and followers, that write at once.
+BOOST_AUTO_TEST_CASE(OneReaderWritesAtOnce) {
+  RegisterFleet Fleet(3);
+  Fleet.m_Instances[1]->m_Register.setRole(ReadingRole::Reader, false);
+  Fleet.m_Instances[2]->m_Register.setRole(ReadingRole::Follower, true);
+  Fleet.list({upstreamOf("a", "v1")});
+  BOOST_TEST(Fleet.m_Calls == 1U);
+}
+
+// Guards against random times that begin anew with each statement of a role,
+// and against a new reader that waits for the time it had as a follower.
+BOOST_AUTO_TEST_CASE(OnlyAChangedRoleStartsTheTimesAnew) {
+  RegisterFleet Fleet(1, false);
+  SoftwareRegister &Register = Fleet.m_Instances[0]->m_Register;
+  Fleet.list({upstreamOf("a", "v1"), upstreamOf("b", "v2")});
+  for (int I = 0; I < 10; ++I) {
+    Fleet.m_Timers.advance(1s);
+    Register.setRole(ReadingRole::Follower, false);
+  }
+  BOOST_TEST(Fleet.m_Rows["s"].size() == 2U);
+  Fleet.list({upstreamOf("a", "v1")});
+  Fleet.m_Timers.advance(Memory + 1s);
+  BOOST_TEST(Fleet.m_Rows["s"].size() == 2U);
+  Register.setRole(ReadingRole::Reader, true);
+  BOOST_TEST((Fleet.m_Rows["s"] == VersionTexts{"v1"}));
+}
+
+// Guards against writes and reports of an instance that has not read the
+// register, or doesn't know which services may be resumed: archives are read
+// only if there are several versions.
+BOOST_AUTO_TEST_CASE(NothingIsDecidedBeforeAllIsRead) {
+  RegisterFleet Fleet(0);
+  RegisterFleet::Instance NoServices(Fleet, 0.5, false);
+  RegisterFleet::Instance NoRegister(Fleet, 0.5);
+  NoServices.m_Register.setRegister({{"s", {"v1", "v2"}}});
+  for (SoftwareRegister *Register :
+       {&NoServices.m_Register, &NoRegister.m_Register}) {
+    Register->setRole(ReadingRole::Reader, true);
+    Register->setUpstreams({upstreamOf("a", "v3")});
+  }
+  Fleet.m_Timers.advance(10s);
+  BOOST_TEST(Fleet.m_Calls == 0U);
+  BOOST_TEST(!NoServices.m_Mixed.has_value());
+  BOOST_TEST(!NoRegister.m_Mixed.has_value());
+  NoServices.m_Register.setServices({"s"});
+  BOOST_TEST((NoServices.m_Mixed == std::set<std::string>{"s"}));
+}
+
 // Guards against a version that stays unregistered after the store was away.
 BOOST_AUTO_TEST_CASE(AFailedWriteIsRepeated) {
   RegisterFleet Fleet(9);
@@ -266,6 +319,31 @@
   BOOST_TEST((Fleet.m_Rows["s"] == VersionTexts{"v1"}));
 }
 
+// Guards against a row, and archives, that stay for a version that is gone, as
+// lists and rows are read again, and against archives of other services.
+BOOST_AUTO_TEST_CASE(FurtherReadsDoNotProlongARow) {
+  RegisterFleet Fleet(1);
+  const auto &Only = *Fleet.m_Instances[0];
+  Fleet.list({upstreamOf("a", "v1"), upstreamOf("b", "v2"),
+              upstreamOf("c", "v1", "not resumable"),
+              upstreamOf("d", "v2", "not resumable")});
+  Fleet.m_Timers.advance(1s);
+  BOOST_TEST((*Only.m_Mixed == std::set<std::string>{"s"}));
+  const std::size_t Reports = Only.m_Reports;
+  Fleet.m_Timers.advance(1h);
+  BOOST_TEST(Only.m_Reports == Reports);
+  Fleet.m_IsAway = true;
+  for (int I = 0; I < 7; ++I) {
+    Fleet.list({upstreamOf("a", "v1")});
+    Fleet.publish();
+    Fleet.m_Timers.advance(10s);
+  }
+  BOOST_TEST(Only.m_Mixed->empty());
+  Fleet.m_IsAway = false;
+  Fleet.m_Timers.advance(SoftwareRegister::MaxRemovalDelay + 1s);
+  BOOST_TEST((Fleet.m_Rows["s"] == VersionTexts{"v1"}));
+}
+
 // Guards against instances that write a row again after the reader has removed
 // it, as they saw the last upstream go later.
 BOOST_AUTO_TEST_CASE(ARemovedRowIsNotWrittenAgain) {
@@ -338,6 +416,9 @@
   Fleet.m_Timers.advance(Memory);
   BOOST_TEST((Fleet.m_Rows["s"] == VersionTexts{"v1"}));
   BOOST_TEST(Fleet.m_Calls == Before + 2);
+  // The next such stream is registered at once again.
+  Fleet.m_Instances[2]->m_Register.recordUnproven("s");
+  BOOST_TEST(Fleet.m_Rows["s"].contains(""));
 }
 
 // Guards against a table that upstreams fill, each with a version of its own.
