Codechange: Split a placement into its decision and its effect

An explanation of a placement needs the verdicts of the functions that place calls. Balancer::place() decided and counted the call in one pass, and a condition that kept an upstream out left no trace.

Balancer::decide() now finds the upstream, or why there is none, and place() issues the ticket. boundAt(), findCandidates(), engineOptions() and verdictAt() return or record a verdict for each upstream; in a placement the trace is null. The search for candidates moves to a file of its own.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -64,37 +64,6 @@
 /// their slots were all taken.
 constexpr double StepTokens = 400;
 
-/// Largest share of a service's upstreams that is left out for their health or
-/// for lack of room: when all fail alike the fault is elsewhere, and the rest
-/// could not take the load.
-constexpr double MaxExcludedShare = 0.5;
-
-/// Returns whether the upstream was tried for the call already.
-bool isExcluded(UpstreamId Id, const PlacementQuery &Query) {
-  return std::find(Query.m_Excluded.begin(), Query.m_Excluded.end(), Id) !=
-         Query.m_Excluded.end();
-}
-
-/// Returns whether neither its health nor a lack of room keeps calls from the
-/// upstream.
-bool isAvailable(const UpstreamState &State, TimePoint Now) {
-  return !State.m_Health.isEjected(Now) && Now >= State.m_FullUntil;
-}
-
-/// Returns whether \p Left of \p All upstreams can take the load of all.
-bool areEnough(std::size_t Left, std::size_t All) {
-  return Left > 0 && Left >= static_cast<std::size_t>(static_cast<double>(All) *
-                                                      (1 - MaxExcludedShare));
-}
-
-/// Returns those of \p From for which \p Predicate holds.
-template <typename List, typename Condition>
-List select(const List &From, const Condition &Predicate) {
-  List Result;
-  std::copy_if(From.begin(), From.end(), std::back_inserter(Result), Predicate);
-  return Result;
-}
-
 /// Returns the number of tokens that a call is expected to generate.
 std::uint32_t expectedOutput(const PromptInfo &Prompt) {
   if (Prompt.m_ExpectedOutputTokens > 0 && Prompt.m_MaxOutputTokens > 0)
@@ -145,60 +114,6 @@
   }
 }
 
-/// Returns whether the upstream can answer the call at all.
-bool Balancer::isEligible(const UpstreamState &State,
-                          const PlacementQuery &Query) {
-  return State.m_Upstream.m_Service == Query.m_Service &&
-         (!Query.m_RequiredSoftware ||
-          State.m_Upstream.m_Software.matches(*Query.m_RequiredSoftware));
-}
-
-/// Returns whether the upstream must get no call, not even one that was placed
-/// before and is not sent yet.
-bool Balancer::isBarred(const UpstreamState &State, TimePoint Now) const {
-  return State.m_Upstream.m_Draining || Now < State.m_DrainingUntil ||
-         Now < m_Pauses.pausedUntil(State.m_Upstream.m_Id);
-}
-
-/// Returns whether a call may be placed at the upstream, whatever its health
-/// and its room. These bounds are the upstream's own, so they hold even if they
-/// leave no upstream.
-bool Balancer::mayPlaceAt(const UpstreamState &State, TimePoint Now) {
-  const UpstreamId Id = State.m_Upstream.m_Id;
-  return !isBarred(State, Now) && m_Pauses.maySend(Id, Now) &&
-         m_RateLimits.maySend(Id, Now);
-}
-
-/// For an upstream whose service is brittle.
-bool Balancer::mayPlaceAtBrittle(const UpstreamState &State,
-                                 TimePoint Now) const {
-  return m_Brittle.maySend(poolIdOf(State.m_Upstream.m_Service, 0),
-                           State.m_Upstream, State.m_OwnLoad.runningCalls(),
-                           Now);
-}
-
-/// Returns the upstreams that may get the call: those that are available and
-/// that this instance reaches itself, as long as each leaves enough.
-Balancer::States Balancer::findCandidates(const PlacementQuery &Query,
-                                          TimePoint Now) {
-  const bool IsBrittle = brittlenessOf(Query.m_Service, Now).has_value();
-  States Allowed;
-  for (auto &[Id, State] : m_States)
-    if (isEligible(State, Query) && !isExcluded(Id, Query) &&
-        (Query.m_RequiredSoftware || !m_HeldBack.contains(Id)) &&
-        mayPlaceAt(State, Now) && (!IsBrittle || mayPlaceAtBrittle(State, Now)))
-      Allowed.push_back(&State);
-  States Available = select(Allowed, [Now](const UpstreamState *State) {
-    return isAvailable(*State, Now);
-  });
-  if (!areEnough(Available.size(), Allowed.size()))
-    return Allowed;
-  States Reachable = select(Available, [](const UpstreamState *State) {
-    return !State->m_IsPathLost;
-  });
-  return areEnough(Reachable.size(), Allowed.size()) ? Reachable : Available;
-}
-
 std::optional<Placed> Balancer::placeCarried(UpstreamId Upstream,
                                              const CallSuspects &Suspects,
                                              TimePoint Now) {
@@ -236,6 +151,18 @@
 }
 
 PlacementResult Balancer::place(const PlacementQuery &Query, TimePoint Now) {
+  const Decision Decided = decide(Query, Now, nullptr);
+  if (const auto *Refused = std::get_if<NotPlaced>(&Decided))
+    return *Refused;
+  if (const auto *Waiting = std::get_if<MustWait>(&Decided))
+    return *Waiting;
+  const auto &Chosen = std::get<Choice>(Decided);
+  return Chosen.m_Engine ? sendToEngine(Query, Chosen, Now)
+                         : issueTicket(Chosen, Query, {}, Now);
+}
+
+Balancer::Decision Balancer::decide(const PlacementQuery &Query, TimePoint Now,
+                                    PlacementTrace *Trace) {
   m_PeerLoads.expire(Now);
   if (Query.m_Suspects != nullptr)
     if (const CrashHold Hold = m_Quarantine.holdOf(*Query.m_Suspects, Now);
@@ -247,33 +174,27 @@
                        {0, 0, 0, 0, m_PeerLoads.size()},
                        Hold.m_Suspect};
   beginPlacementAtBrittle(Query.m_Service, Now);
-  const States Candidates = findCandidates(Query, Now);
+  const States Candidates = findCandidates(Query, Now, Trace);
   if (Candidates.empty())
     return noCandidateResult(Query, Now);
   if (Query.m_Prompt.m_PromptTokens > 0)
-    return placeAtEngine(Query, Candidates, Now);
+    return decideAtEngine(Query, Candidates, Now, Trace);
   UpstreamState &Chosen = *choosePlainUpstream(
       brittlenessOf(Query.m_Service, Now) ? sampleTwo(Candidates) : Candidates,
       Now);
   PlacementInputs Inputs = {Candidates.size(), callsAt(Chosen, Now), 0, 0,
                             m_PeerLoads.size()};
   Inputs.m_SpeedClass = rankedSpeedClassOf(Chosen);
-  return issueTicket(Chosen, Query, {}, Inputs, Now);
-}
-
-/// Returns whether only brittleness keeps the call from some upstream.
-bool Balancer::isHeldBackAsBrittle(const PlacementQuery &Query,
-                                   TimePoint Now) const {
-  return brittlenessOf(Query.m_Service, Now) &&
-         std::ranges::any_of(m_States, [&](const auto &Entry) {
-           const UpstreamState &State = Entry.second;
-           return isEligible(State, Query) && !isBarred(State, Now) &&
-                  !mayPlaceAtBrittle(State, Now);
-         });
+  if (Trace != nullptr) {
+    for (UpstreamState *State : Candidates)
+      Trace->add(*State, Verdict::CouldTake);
+    Trace->setBest(Chosen);
+  }
+  return Choice{&Chosen, Inputs, std::nullopt};
 }
 
-PlacementResult Balancer::noCandidateResult(const PlacementQuery &Query,
-                                            TimePoint Now) {
+Balancer::Decision Balancer::noCandidateResult(const PlacementQuery &Query,
+                                               TimePoint Now) {
   NotPlaced Result{RefusalReason::NoUpstream,
                    NoUpstreamRetryAfter,
                    {0, 0, 0, 0, m_PeerLoads.size()}};
@@ -324,13 +245,14 @@
   return std::chrono::duration_cast<Duration>(Base * Spread);
 }
 
-PlacementResult Balancer::placeAtEngine(const PlacementQuery &Query,
-                                        const States &Candidates,
-                                        TimePoint Now) {
+Balancer::Decision Balancer::decideAtEngine(const PlacementQuery &Query,
+                                            const States &Candidates,
+                                            TimePoint Now,
+                                            PlacementTrace *Trace) {
   const bool LatencySensitive = isQueryLatencySensitive(Query);
   updateRoles(Query.m_Service, Now);
   const std::vector<EngineOption> Options =
-      engineOptions(Query, LatencySensitive, Candidates, Now);
+      engineOptions(Query, LatencySensitive, Candidates, Now, Trace);
   if (Options.empty())
     return NotPlaced{RefusalReason::TargetUnreachable,
                      MinRetryAfter,
@@ -351,15 +273,30 @@
                                   Chosen.m_State->m_SpeedClass,
                                   Wait,
                                   LessLoaded.has_value()};
+  if (Trace != nullptr) {
+    for (const EngineOption &Option : Options)
+      Trace->addOption(Option, verdictAt(Query, Option));
+    Trace->setBest(*Chosen.m_State);
+  }
   if (Chosen.m_Full)
     return MustWait{Inputs};
-  if (Wait > waitLimitOf(Query) && Query.m_MayWait && Query.m_WaitsBeyondLimit)
+  if (verdictAt(Query, Chosen) == Verdict::CouldTake)
+    return Choice{Chosen.m_State, Inputs, Chosen, LatencySensitive};
+  if (Query.m_MayWait && Query.m_WaitsBeyondLimit)
     return MustWait{Inputs};
-  if (Wait > waitLimitOf(Query))
-    return NotPlaced{RefusalReason::TargetUnreachable,
-                     std::max(Wait - Query.m_LatencyTarget, MinRetryAfter),
-                     Inputs};
-  return sendToEngine(Query, LatencySensitive, Chosen, Inputs, Now);
+  return NotPlaced{RefusalReason::TargetUnreachable,
+                   std::max(Wait - Query.m_LatencyTarget, MinRetryAfter),
+                   Inputs};
+}
+
+/// Returns why the call can't be placed at a compared engine now, or CouldTake.
+Verdict Balancer::verdictAt(const PlacementQuery &Query,
+                            const EngineOption &Option) const {
+  if (Option.m_Full)
+    return Option.m_LacksMemory ? Verdict::NoMemory : Verdict::NoSlot;
+  return predictedWait(Query.m_Service, Option) > waitLimitOf(Query)
+             ? Verdict::WaitTooLong
+             : Verdict::CouldTake;
 }
 
 /// Returns the engines to choose from. Those of the other role are used only if
@@ -371,7 +308,8 @@
 std::vector<EngineOption> Balancer::engineOptions(const PlacementQuery &Query,
                                                   bool LatencySensitive,
                                                   const States &Candidates,
-                                                  TimePoint Now) const {
+                                                  TimePoint Now,
+                                                  PlacementTrace *Trace) const {
   const bool ByTime = isPlacedByTime(Query.m_Service);
   const std::size_t SensitiveEngines =
       latencySensitiveEngineCount(Query.m_Service);
@@ -379,16 +317,32 @@
       Query.m_WaitTimedOut && !LatencySensitive && !Query.m_RequiredSoftware;
   std::vector<EngineOption> Options;
   for (const bool OwnRole : {true, false}) {
-    if (!Options.empty() || (!OwnRole && KeepsToOwnRole))
+    const bool IsUsed = Options.empty() && (OwnRole || !KeepsToOwnRole);
+    if (!IsUsed && Trace == nullptr)
       break;
-    for (UpstreamState *State : Candidates)
-      if (((State->m_RoleRank < SensitiveEngines) == LatencySensitive) ==
+    for (UpstreamState *State : Candidates) {
+      if (((State->m_RoleRank < SensitiveEngines) == LatencySensitive) !=
           OwnRole)
+        continue;
+      if (IsUsed)
         Options.push_back(optionAt(*State, Query, Now));
+      else
+        Trace->add(*State, Verdict::OtherRole);
+    }
+    if (!IsUsed)
+      break;
     if (ByTime)
       for (EngineOption &Option : Options)
         addSpeed(Option, Now);
     markFull(Query, Options);
+    if (Query.m_MayWait)
+      continue;
+    if (Trace != nullptr)
+      for (const EngineOption &Option : Options)
+        if (Option.m_Full)
+          Trace->add(*Option.m_State, verdictAt(Query, Option));
+    std::erase_if(Options,
+                  [](const EngineOption &Option) { return Option.m_Full; });
   }
   return Options;
 }
@@ -403,29 +357,29 @@
 }
 
 /// Counts the call, its prefix and its work at the chosen engine.
-Placed Balancer::sendToEngine(const PlacementQuery &Query,
-                              bool LatencySensitive, const EngineOption &Chosen,
-                              const PlacementInputs &Inputs, TimePoint Now) {
+Placed Balancer::sendToEngine(const PlacementQuery &Query, const Choice &Chosen,
+                              TimePoint Now) {
   const PromptInfo &Prompt = Query.m_Prompt;
-  UpstreamState &State = *Chosen.m_State;
+  const UpstreamState &State = *Chosen.m_State;
+  const EngineOption &Engine = *Chosen.m_Engine;
   // The last segment is unique to the call and will not be requested again.
   for (std::size_t I = 0; I + 1 < Prompt.m_Segments.size(); ++I) {
     m_Cache.recordPlacement(State.m_Upstream.m_Id, Prompt.m_Segments[I],
                             m_CacheCapacities[Query.m_Service]);
     m_UnsentSegments.push_back({State.m_Upstream.m_Id, Prompt.m_Segments[I]});
   }
-  recordWork(poolIdOf(Query.m_Service, 0), LatencySensitive,
-             Chosen.m_UncachedTokens + expectedOutput(Prompt) * StepTokens /
+  recordWork(poolIdOf(Query.m_Service, 0), Chosen.m_LatencySensitive,
+             Engine.m_UncachedTokens + expectedOutput(Prompt) * StepTokens /
                                            slotsOf(State.m_Upstream),
              Now);
-  Placed Result = issueTicket(State, Query,
-                              {Chosen.m_UncachedTokens,
-                               Chosen.m_UncachedTokens + expectedOutput(Prompt),
-                               LatencySensitive},
-                              Inputs, Now);
+  Placed Result = issueTicket(Chosen, Query,
+                              {Engine.m_UncachedTokens,
+                               Engine.m_UncachedTokens + expectedOutput(Prompt),
+                               Chosen.m_LatencySensitive},
+                              Now);
   Ticket &Issued = m_Tickets[Result.m_Ticket];
-  Issued.m_NoQueuedPrefill = Chosen.m_QueuedPrefillTokens == 0;
-  Issued.m_TimeFactor = Chosen.m_Slowdown / Chosen.m_Speed;
+  Issued.m_NoQueuedPrefill = Engine.m_QueuedPrefillTokens == 0;
+  Issued.m_TimeFactor = Engine.m_Slowdown / Engine.m_Speed;
   return Result;
 }
 
@@ -499,18 +453,16 @@
     const bool HasLessUrgent = Option.m_LessUrgentCalls > 0;
     const bool MayFill = HasLessUrgent || Query.m_RequiredSoftware.has_value();
     const bool NoSlot = hasNoSlot(Query, Option);
-    Option.m_Full =
-        (Query.m_WaitTimedOut ? !HasLessUrgent && (NoSlot || !MayFill)
-                              : NoSlot) ||
-        (Option.m_HeldTokens > 0 &&
-         static_cast<double>(Option.m_HeldTokens + Option.m_UncachedTokens +
-                             expectedOutput(Query.m_Prompt)) > Limit);
+    const bool MayTakeNone =
+        Query.m_WaitTimedOut ? !HasLessUrgent && (NoSlot || !MayFill) : NoSlot;
+    Option.m_LacksMemory =
+        !MayTakeNone && Option.m_HeldTokens > 0 &&
+        static_cast<double>(Option.m_HeldTokens + Option.m_UncachedTokens +
+                            expectedOutput(Query.m_Prompt)) > Limit;
+    Option.m_Full = MayTakeNone || Option.m_LacksMemory;
     Option.m_SlotWaitTokens =
         SlotTurnoverTokens / slotsOf(Option.m_State->m_Upstream);
   }
-  if (!Query.m_MayWait)
-    std::erase_if(Options,
-                  [](const EngineOption &Option) { return Option.m_Full; });
 }
 
 /// Returns whether the slots that the call may take at the engine are taken. An
@@ -562,36 +514,38 @@
   m_UnsentWork[Pool] += Work;
 }
 
-Placed Balancer::issueTicket(UpstreamState &Chosen, const PlacementQuery &Query,
-                             const CallDemand &Tokens,
-                             const PlacementInputs &Inputs, TimePoint Now) {
-  Chosen.m_OwnLoad.addCall(Query.m_Urgency, Tokens);
-  m_RateLimits.recordSend(Chosen.m_Upstream.m_Id, Now);
-  const TicketId Id(++m_LastTicket);
-  m_Pauses.recordSend(Chosen.m_Upstream.m_Id, Id);
-  m_Tickets[Id] = {
-      Chosen.m_Upstream.m_Id,
-      Query.m_Urgency,
-      Tokens,
-      Now,
-      false,
-      Query.m_Suspects == nullptr ? std::nullopt
-                                  : std::optional(*Query.m_Suspects),
-      false,
-      Query.m_RequiredSoftware,
-      incarnationOf(Chosen.m_Upstream.m_Id, Chosen.m_Upstream.m_StartTime)};
-  Placed Result{Id,
-                Chosen.m_Upstream.m_Id,
-                Chosen.m_Upstream.m_Name,
-                Chosen.m_Upstream.m_Address,
-                Inputs,
-                Chosen.m_Upstream.m_Software,
-                Chosen.m_Upstream.m_StartTime};
-  if (Chosen.m_Upstream.m_UnlistedAt != TimePoint())
-    Result.m_Inputs.m_UnlistedFor = Now - Chosen.m_Upstream.m_UnlistedAt;
+/// Returns what the caller of place() gets.
+Placed Balancer::placedAt(const Choice &Chosen, TicketId Ticket,
+                          TimePoint Now) {
+  const Upstream &At = Chosen.m_State->m_Upstream;
+  Placed Result{Ticket,          At.m_Id,       At.m_Name,     At.m_Address,
+                Chosen.m_Inputs, At.m_Software, At.m_StartTime};
+  if (At.m_UnlistedAt != TimePoint())
+    Result.m_Inputs.m_UnlistedFor = Now - At.m_UnlistedAt;
   return Result;
 }
 
+Placed Balancer::issueTicket(const Choice &Chosen, const PlacementQuery &Query,
+                             const CallDemand &Tokens, TimePoint Now) {
+  const Upstream &At = Chosen.m_State->m_Upstream;
+  Chosen.m_State->m_OwnLoad.addCall(Query.m_Urgency, Tokens);
+  m_RateLimits.recordSend(At.m_Id, Now);
+  const TicketId Id(++m_LastTicket);
+  m_Pauses.recordSend(At.m_Id, Id);
+  m_Tickets[Id] = {At.m_Id,
+                   Query.m_Urgency,
+                   Tokens,
+                   Now,
+                   false,
+                   Query.m_Suspects == nullptr
+                       ? std::nullopt
+                       : std::optional(*Query.m_Suspects),
+                   false,
+                   Query.m_RequiredSoftware,
+                   incarnationOf(At.m_Id, At.m_StartTime)};
+  return placedAt(Chosen, Id, Now);
+}
+
 double Balancer::callsAt(const UpstreamState &State, TimePoint Now) const {
   return callsAt(State, m_PeerLoads.at(State.m_Upstream.m_Id), Now);
 }
@@ -636,19 +590,22 @@
 UpstreamState *Balancer::choosePlainUpstream(const States &Candidates,
                                              TimePoint Now) const {
   const bool ByTime = isPlacedByTime(Candidates.front()->m_Upstream.m_Service);
-  const auto Cost = [&](const UpstreamState &State) {
-    const bool SameZone = State.m_Upstream.m_Zone == m_Zone;
-    const double Calls = callsAt(State, Now);
-    return (ByTime ? (Calls + 1) * timeFactorOf(State.m_Upstream.m_Id, Now)
-                   : Calls) +
-           (SameZone ? 0 : OtherZonePenalty) +
-           // Among upstreams with equal calls, prefers those with fewer
-           // failures.
-           State.m_Health.failureShare();
-  };
-  return *std::min_element(
-      Candidates.begin(), Candidates.end(),
-      [&](auto *Left, auto *Right) { return Cost(*Left) < Cost(*Right); });
+  return *std::min_element(Candidates.begin(), Candidates.end(),
+                           [&](auto *Left, auto *Right) {
+                             return plainCostAt(*Left, ByTime, Now) <
+                                    plainCostAt(*Right, ByTime, Now);
+                           });
+}
+
+double Balancer::plainCostAt(const UpstreamState &State, bool ByTime,
+                             TimePoint Now) const {
+  const bool SameZone = State.m_Upstream.m_Zone == m_Zone;
+  const double Calls = callsAt(State, Now);
+  return (ByTime ? (Calls + 1) * timeFactorOf(State.m_Upstream.m_Id, Now)
+                 : Calls) +
+         (SameZone ? 0 : OtherZonePenalty) +
+         // Among upstreams with equal calls, prefers those with fewer failures.
+         State.m_Health.failureShare();
 }
 
 } // namespace crowstep::balance
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -13,6 +13,7 @@
 #include "balance/engine_roles.h"
 #include "balance/leaving_upstreams.h"
 #include "balance/peer_loads.h"
+#include "balance/placement_trace.h"
 #include "balance/prefill_speed.h"
 #include "balance/quarantine.h"
 #include "balance/rate_limits.h"
@@ -175,6 +176,11 @@
   /// Returns the requests and segments that must not run.
   [[nodiscard]] Quarantine &quarantine() { return m_Quarantine; }
 
+  /// Returns on which digests a placement would be based now.
+  [[nodiscard]] DigestBasis digestBasis(TimePoint Now) const {
+    return m_PeerLoads.basis(Now);
+  }
+
   /// Applies another instance's digest.
   void applyPeerDigest(InstanceId Peer, const LoadDigest &Digest,
                        TimePoint Now);
@@ -192,6 +198,9 @@
   [[nodiscard]] LoadDigest fullDigest(TimePoint Now) const;
 
 private:
+  /// Decides without effect, and explains.
+  friend class PlacementPreview;
+
   /// An upstream that had no room gets no calls for this long: about the time
   /// in which a slot of a plain service becomes free.
   static constexpr Duration FullBackoff = std::chrono::milliseconds(50);
@@ -215,24 +224,45 @@
     speed::EventIntervals m_Intervals; ///< Of an engine's events.
   };
 
-  States findCandidates(const PlacementQuery &Query, TimePoint Now);
+  /// Where a call is to be placed, before it counts there.
+  struct Choice {
+    UpstreamState *m_State = nullptr;     ///< Never null.
+    PlacementInputs m_Inputs;             ///< Basis of the choice.
+    std::optional<EngineOption> m_Engine; ///< None: a plain upstream.
+    bool m_LatencySensitive = false;      ///< See isLatencySensitive().
+  };
+
+  using Decision = std::variant<Choice, NotPlaced, MustWait>;
+
+  // What finds the upstream for a call. It changes only what PlacementPreview
+  // saves; what was found is recorded in the trace unless that is null.
+  Decision decide(const PlacementQuery &Query, TimePoint Now,
+                  PlacementTrace *Trace);
+  States findCandidates(const PlacementQuery &Query, TimePoint Now,
+                        PlacementTrace *Trace);
   [[nodiscard]] static bool isEligible(const UpstreamState &State,
                                        const PlacementQuery &Query);
+  [[nodiscard]] static bool isDraining(const UpstreamState &State,
+                                       TimePoint Now);
   [[nodiscard]] bool isBarred(const UpstreamState &State, TimePoint Now) const;
-  [[nodiscard]] bool mayPlaceAt(const UpstreamState &State, TimePoint Now);
+  [[nodiscard]] Verdict boundAt(const UpstreamState &State,
+                                const PlacementQuery &Query, bool IsBrittle,
+                                TimePoint Now);
   [[nodiscard]] bool mayPlaceAtBrittle(const UpstreamState &State,
                                        TimePoint Now) const;
   [[nodiscard]] bool isHeldBackAsBrittle(const PlacementQuery &Query,
                                          TimePoint Now) const;
-  PlacementResult noCandidateResult(const PlacementQuery &Query, TimePoint Now);
+  Decision noCandidateResult(const PlacementQuery &Query, TimePoint Now);
   [[nodiscard]] Duration pauseRetryAfter(Duration Left);
-  PlacementResult placeAtEngine(const PlacementQuery &Query,
-                                const States &Candidates, TimePoint Now);
+  Decision decideAtEngine(const PlacementQuery &Query, const States &Candidates,
+                          TimePoint Now, PlacementTrace *Trace);
   [[nodiscard]] std::vector<EngineOption>
   engineOptions(const PlacementQuery &Query, bool LatencySensitive,
-                const States &Candidates, TimePoint Now) const;
-  Placed sendToEngine(const PlacementQuery &Query, bool LatencySensitive,
-                      const EngineOption &Chosen, const PlacementInputs &Inputs,
+                const States &Candidates, TimePoint Now,
+                PlacementTrace *Trace) const;
+  [[nodiscard]] Verdict verdictAt(const PlacementQuery &Query,
+                                  const EngineOption &Option) const;
+  Placed sendToEngine(const PlacementQuery &Query, const Choice &Chosen,
                       TimePoint Now);
   [[nodiscard]] Duration predictedWait(const std::string &Service,
                                        const EngineOption &Option) const;
@@ -248,15 +278,18 @@
                                       const EngineOption &Option);
   void recordWork(PoolId Pool, bool LatencySensitive, double Tokens,
                   TimePoint Now);
-  Placed issueTicket(UpstreamState &Chosen, const PlacementQuery &Query,
-                     const CallDemand &Tokens, const PlacementInputs &Inputs,
-                     TimePoint Now);
+  [[nodiscard]] static Placed placedAt(const Choice &Chosen, TicketId Ticket,
+                                       TimePoint Now);
+  Placed issueTicket(const Choice &Chosen, const PlacementQuery &Query,
+                     const CallDemand &Tokens, TimePoint Now);
   void reportToQuarantine(const Ticket &Ended, const UpstreamState &At,
                           CallOutcome Outcome, TimePoint Now);
   void beginPlacementAtBrittle(const std::string &Service, TimePoint Now);
   States sampleTwo(const States &Candidates);
   UpstreamState *choosePlainUpstream(const States &Candidates,
                                      TimePoint Now) const;
+  [[nodiscard]] double plainCostAt(const UpstreamState &State, bool ByTime,
+                                   TimePoint Now) const;
   [[nodiscard]] double callsAt(const UpstreamState &State, TimePoint Now) const;
   [[nodiscard]] double callsAt(const UpstreamState &State,
                                const CallLoad &Peers, TimePoint Now) const;
@@ -270,6 +303,8 @@
   [[nodiscard]] double timeFactorOf(UpstreamId Upstream, TimePoint Now) const;
   [[nodiscard]] PrefillTime prefillTimeOf(const std::string &Service) const;
   void addSpeed(EngineOption &Option, TimePoint Now) const;
+  [[nodiscard]] bool isRoleUpdateDue(const std::string &Service,
+                                     TimePoint Now) const;
   void updateRoles(const std::string &Service, TimePoint Now);
   [[nodiscard]] int rankedSpeedClassOf(const UpstreamState &State) const;
   [[nodiscard]] bool haveSpeedClassesChanged(const std::string &Service) const;
--- a/src/balance/balancer_speeds.cpp
+++ b/src/balance/balancer_speeds.cpp
@@ -53,19 +53,24 @@
 
 // ---- Roles ------------------------------------------------------------------
 
+/// Also once more after the service's speeds are no longer learned.
+bool Balancer::isRoleUpdateDue(const std::string &Service,
+                               TimePoint Now) const {
+  const auto Known = m_EngineRoles.find(Service);
+  return Known == m_EngineRoles.end() ? isPlacedByTime(Service)
+                                      : Known->second.isUpdateDue(Now);
+}
+
 /// Reads the speeds of the service's engines and updates their division, at a
 /// bounded interval: reading all of them for each call would take most of the
 /// time of a placement.
 void Balancer::updateRoles(const std::string &Service, TimePoint Now) {
-  const bool ByTime = isPlacedByTime(Service);
-  if (!ByTime && !m_EngineRoles.contains(Service))
+  if (!isRoleUpdateDue(Service, Now))
     return;
   EngineRoles &Roles = m_EngineRoles[Service];
-  if (!Roles.isUpdateDue(Now))
-    return;
   if (haveSpeedClassesChanged(Service))
     rankEngines();
-  if (!ByTime) {
+  if (!isPlacedByTime(Service)) {
     m_EngineRoles.erase(Service);
     return;
   }
--- a/src/balance/engine_choice.cpp
+++ b/src/balance/engine_choice.cpp
@@ -117,19 +117,24 @@
   return Result;
 }
 
+EngineCosts::EngineCosts(const PlacementQuery &Query, bool LatencySensitive,
+                         const std::vector<EngineOption> &Options,
+                         PrefillTime PerToken)
+    : m_Preferred(preferredEngine(Query, Options)),
+      m_Weight(uncachedWeight(Options, PerToken)),
+      m_LatencySensitive(LatencySensitive) {}
+
 const EngineOption &chooseEngine(const PlacementQuery &Query,
                                  bool LatencySensitive,
                                  const std::vector<EngineOption> &Options,
                                  PrefillTime PerToken,
                                  std::mt19937_64 &Random) {
-  const EngineOption *Preferred = preferredEngine(Query, Options);
-  const double Weight = uncachedWeight(Options, PerToken);
-  const OptionList Sample = sampleOptions(Options, Preferred, Random);
-  return **std::min_element(
-      Sample.begin(), Sample.end(), [&](const auto *Left, const auto *Right) {
-        return costOf(*Left, Weight, LatencySensitive, Left == Preferred) <
-               costOf(*Right, Weight, LatencySensitive, Right == Preferred);
-      });
+  const EngineCosts Costs(Query, LatencySensitive, Options, PerToken);
+  const OptionList Sample = sampleOptions(Options, Costs.preferred(), Random);
+  return **std::min_element(Sample.begin(), Sample.end(),
+                            [&](const auto *Left, const auto *Right) {
+                              return Costs.at(*Left) < Costs.at(*Right);
+                            });
 }
 
 } // namespace crowstep::balance
--- a/src/balance/engine_choice.h
+++ b/src/balance/engine_choice.h
@@ -26,6 +26,27 @@
 /// allows; zero: none is known.
 bool isLatencySensitive(const PlacementQuery &Query, Duration MinPause);
 
+/// Costs of a call at the engines that are compared.
+class EngineCosts {
+public:
+  /// \p Options must not be empty, and must outlive this object.
+  EngineCosts(const PlacementQuery &Query, bool LatencySensitive,
+              const std::vector<EngineOption> &Options, PrefillTime PerToken);
+
+  /// Returns the engine that all instances prefer for the call's prefix.
+  [[nodiscard]] const EngineOption *preferred() const { return m_Preferred; }
+
+  /// Returns the cost at one of the options; the lowest is chosen.
+  [[nodiscard]] double at(const EngineOption &Option) const {
+    return costOf(Option, m_Weight, m_LatencySensitive, &Option == m_Preferred);
+  }
+
+private:
+  const EngineOption *m_Preferred; ///< Never null.
+  double m_Weight;                 ///< Of an uncached token.
+  bool m_LatencySensitive;         ///< Whether the call is.
+};
+
 /// Returns the best of a sample of \p Options, which must not be empty.
 const EngineOption &chooseEngine(const PlacementQuery &Query,
                                  bool LatencySensitive,
--- a/src/balance/peer_loads.cpp
+++ b/src/balance/peer_loads.cpp
@@ -126,12 +126,30 @@
 void PeerLoads::expire(TimePoint Now) {
   std::vector<InstanceId> Expired;
   for (const auto &[Peer, Report] : m_Peers)
-    if (Now - Report.m_ReceivedAt > DigestLifetime)
+    if (Report.hasExpired(Now))
       Expired.push_back(Peer);
   for (const InstanceId Peer : Expired)
     drop(Peer);
 }
 
+bool PeerLoads::hasExpired(TimePoint Now) const {
+  return std::ranges::any_of(m_Peers, [Now](const auto &Entry) {
+    return Entry.second.hasExpired(Now);
+  });
+}
+
+DigestBasis PeerLoads::basis(TimePoint Now) const {
+  DigestBasis Result;
+  for (const auto &[Peer, Report] : m_Peers) {
+    if (Report.hasExpired(Now))
+      continue;
+    ++Result.m_PeerCount;
+    Result.m_OldestAge = std::max(Result.m_OldestAge.value_or(Duration::zero()),
+                                  Now - Report.m_ReceivedAt);
+  }
+  return Result;
+}
+
 void PeerLoads::appendLoads(std::vector<UpstreamLoad> &Out) const {
   for (const auto &[Upstream, Sum] : m_Sums)
     Sum.appendLoads(Upstream, Out);
--- a/src/balance/peer_loads.h
+++ b/src/balance/peer_loads.h
@@ -129,6 +129,13 @@
   }
 };
 
+/// How well an instance knows the loads of the others.
+struct DigestBasis {
+  std::size_t m_PeerCount = 0;         ///< Instances whose digests count.
+  std::optional<Duration> m_OldestAge; ///< Of these digests; none: there are
+                                       ///< none.
+};
+
 /// Sums of the loads of all instances whose digests have not expired.
 class PeerLoads {
 public:
@@ -147,6 +154,12 @@
   /// Forgets the instances whose digests are older than DigestLifetime.
   void expire(TimePoint Now);
 
+  /// Returns whether expire() would forget any.
+  [[nodiscard]] bool hasExpired(TimePoint Now) const;
+
+  /// Returns on which digests the sums are based once expire() was called.
+  [[nodiscard]] DigestBasis basis(TimePoint Now) const;
+
   /// Returns the sum of the peers' loads at \p Upstream.
   [[nodiscard]] const CallLoad &at(UpstreamId Upstream) const;
 
@@ -163,6 +176,10 @@
   struct PeerReport {
     std::vector<UpstreamLoad> m_Loads; ///< See LoadDigest.
     TimePoint m_ReceivedAt;            ///< Time of receipt.
+
+    [[nodiscard]] bool hasExpired(TimePoint Now) const {
+      return Now - m_ReceivedAt > DigestLifetime;
+    }
   };
 
   std::unordered_map<InstanceId, PeerReport> m_Peers; ///< By instance.
--- a/src/balance/placement_cost.h
+++ b/src/balance/placement_cost.h
@@ -25,6 +25,7 @@
   std::uint32_t m_UncachedTokens = 0;  ///< Of this prompt, not cached there.
   std::uint64_t m_HeldTokens = 0;      ///< Memory that the calls there need.
   bool m_Full = false;                 ///< It has no room for this call now.
+  bool m_LacksMemory = false;          ///< It is full, but it has a slot.
   double m_SlotWaitTokens = 0;         ///< Wait for a slot, as prefill.
   double m_Speed = 1;       ///< See SpeedView; 1 if speeds are not learned.
   double m_Slowdown = 1;    ///< Of its machine; 1 if speeds are not learned.
