--- a/tests/benchmark/placing_benchmark.cpp
+++ b/tests/benchmark/placing_benchmark.cpp
@@ -1,8 +1,9 @@
-/// Time to place a long prompt by the number of engines, with calls of other
-/// instances at all of them, by tokens and by time. docs/CAPACITY.md and
-/// docs/design/placement-by-time.md have the figures.
-#include "balance/balancer.h"
+/// Time to place a long prompt, and to explain that, by the number of engines,
+/// with calls of other instances at all of them, by tokens and by time.
+/// docs/CAPACITY.md, docs/design/placement-by-time.md and
+/// docs/design/explained-placement.md have the figures.
 #include "balance/engine_roles.h"
+#include "balance/placement_preview.h"
 
 #include <benchmark/benchmark.h>
 #include <unordered_map>
@@ -60,8 +61,12 @@
 
 enum class PlacedBy : std::uint8_t { Tokens, FakeSpeeds, LearnedSpeeds };
 
-/// Places calls that are \p Apart in time.
-void placeCalls(benchmark::State &State, PlacedBy Order, Duration Apart) {
+/// Whether a call is placed, or its placement is only explained.
+enum class Action : std::uint8_t { Place, Explain };
+
+/// Places calls that are \p Apart in time, or explains it.
+void placeCalls(benchmark::State &State, PlacedBy Order, Duration Apart,
+                Action Done = Action::Place) {
   std::vector<Upstream> List;
   LoadDigest PeerDigest;
   for (int I = 0; I < State.range(0); ++I) {
@@ -88,8 +93,15 @@
   TimePoint Now(1s);
   Gateway.applyPeerDigest(InstanceId(1), PeerDigest, Now);
   std::uint64_t Number = 0;
+  // So that roles have been updated before the first explanation.
+  benchmark::DoNotOptimize(Gateway.place(longCall(++Number), Now));
   for (auto _ : State) {
     Now += Apart;
+    if (Done == Action::Explain) {
+      benchmark::DoNotOptimize(
+          PlacementPreview(Gateway, Now).explain(longCall(++Number)));
+      continue;
+    }
     const PlacementResult Result = Gateway.place(longCall(++Number), Now);
     if (const auto *Placement = std::get_if<Placed>(&Result)) {
       Gateway.recordFirstEvent(Placement->m_Ticket, Now);
@@ -117,10 +129,27 @@
   placeCalls(State, PlacedBy::LearnedSpeeds, EngineRoles::UpdateInterval);
 }
 
+void explaining(benchmark::State &State) {
+  placeCalls(State, PlacedBy::Tokens, Duration::zero(), Action::Explain);
+}
+
+void explainingByLearnedSpeeds(benchmark::State &State) {
+  placeCalls(State, PlacedBy::LearnedSpeeds, Duration::zero(), Action::Explain);
+}
+
+/// With an update of the roles, and digests that have expired.
+void explainingAndUpdatingRoles(benchmark::State &State) {
+  placeCalls(State, PlacedBy::LearnedSpeeds, EngineRoles::UpdateInterval,
+             Action::Explain);
+}
+
 BENCHMARK(placing)->Arg(12)->Arg(140)->Arg(700)->Arg(2600);
 BENCHMARK(placingByTime)->Arg(15)->Arg(140)->Arg(500)->Arg(2600);
 BENCHMARK(placingByLearnedSpeeds)->Arg(15)->Arg(140)->Arg(500)->Arg(2600);
 BENCHMARK(placingAndUpdatingRoles)->Arg(15)->Arg(140)->Arg(500)->Arg(2600);
+BENCHMARK(explaining)->Arg(15)->Arg(140)->Arg(500)->Arg(2600);
+BENCHMARK(explainingByLearnedSpeeds)->Arg(15)->Arg(140)->Arg(500)->Arg(2600);
+BENCHMARK(explainingAndUpdatingRoles)->Arg(15)->Arg(140)->Arg(500)->Arg(2600);
 
 } // namespace
 
