Codechange: Make the limits of a first attempt usable without a request

What a request's first placement depends on (its query, deadline, wait, order in the queue, the version that a resumed stream needs) was computed by members of ForwardedRequest. The functions move to first_attempt.h, and predictedQuery() is split off placeByPrediction(), so that an explanation uses the same ones. No change of behaviour.

--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -17,6 +17,18 @@
   unsigned m_QueueRank = 0;  ///< See RouteTable::queueRank().
   unsigned m_EngineRank = 0; ///< See RouteTable::engineRank().
   RequestFacts m_Facts;      ///< From its headers.
+
+  /// Returns null if the answer is no stream.
+  [[nodiscard]] const EventStream *eventStream() const {
+    return std::get_if<EventStream>(&m_Route->m_Kind);
+  }
+
+  /// Returns whether the caller has events of the stream from an earlier
+  /// attempt.
+  [[nodiscard]] bool isResumed() const {
+    return eventStream() != nullptr &&
+           (m_Facts.m_LastEventId || !m_Facts.m_Resumes.empty());
+  }
 };
 
 /// A request that is refused before placement.
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -2,6 +2,7 @@
 #include "gateway/forwarded_request.h"
 
 #include "core/log.h"
+#include "gateway/first_attempt.h"
 #include "gateway/forward_limits.h"
 #include "gateway/predicted_placement.h"
 #include "gateway/upstream_request.h"
@@ -48,10 +49,7 @@
       m_ArrivedAt(Context.m_Clock.now()), m_DeadlineTimer(Context.m_Timers),
       m_SilenceTimer(Context.m_Timers), m_RetryTimer(Context.m_Timers),
       m_Held(Context.m_AnswerMemory) {
-  Duration Timeout = m_Admitted.m_Route->m_Timeout;
-  if (m_Admitted.m_Facts.m_Deadline)
-    Timeout = std::min(Timeout, *m_Admitted.m_Facts.m_Deadline);
-  m_Deadline = m_ArrivedAt + Timeout;
+  m_Deadline = m_ArrivedAt + timeoutOf(m_Admitted);
 }
 
 ForwardedRequest::~ForwardedRequest() {
@@ -96,20 +94,12 @@
 
 // ---- Origin of a stream -----------------------------------------------------
 
-/// All attempts of a caller name the one that brought the first event.
-resume::StreamKey ForwardedRequest::streamKey() const {
-  const RequestFacts &Facts = m_Admitted.m_Facts;
-  return resume::streamKeyOf(m_Admitted.m_Workspace, Facts.m_Resumes.empty()
-                                                         ? Facts.m_Id
-                                                         : Facts.m_Resumes);
-}
-
 void ForwardedRequest::findOrigin() {
   if (m_Admitted.m_Facts.m_Resumes.empty()) {
     handleOrigin({});
     return;
   }
-  const resume::StreamKey Key = streamKey();
+  const resume::StreamKey Key = streamKeyOf(m_Admitted);
   if (const resume::StreamOrigin *Known = m_Context.m_Origins.findLocal(Key))
     continueFrom(*Known);
   else if (m_Context.m_Origins.isUnproven(Key))
@@ -121,25 +111,6 @@
         });
 }
 
-bool ForwardedRequest::isRegisterCurrent() const {
-  return m_Context.m_SoftwareHistory.isRegisterRead() &&
-         (!m_Context.m_IsRegisterCurrent || m_Context.m_IsRegisterCurrent());
-}
-
-/// Returns the version that alone can have begun a stream which nobody knows.
-/// Versions of different services don't fit together, so there is none if the
-/// stream may have begun at several services. An instance that is cut off from
-/// the store, and perhaps from those that know a named stream, must not decide
-/// by an old register.
-std::optional<SoftwareVersion> ForwardedRequest::soleVersion() const {
-  const bool IsNamed = !m_Admitted.m_Facts.m_Resumes.empty();
-  if (m_Admitted.m_Route->m_Services.size() != 1 ||
-      (IsNamed && !isRegisterCurrent()))
-    return std::nullopt;
-  return m_Context.m_SoftwareHistory.soleVersionOf(m_Service,
-                                                   m_Context.m_Clock.now());
-}
-
 void ForwardedRequest::handleOrigin(const resume::LookupResult &Found) {
   m_OriginLookup.reset();
   if (Found.m_Origin && Found.m_Origin->m_Software.isKnown()) {
@@ -150,11 +121,11 @@
     refuseUnknownOrigin(Found, false);
     return;
   }
-  if (const auto Sole = soleVersion())
+  if (const auto Sole = soleVersionOf(m_Context, m_Admitted, m_Service))
     continueFrom({m_Service, *Sole});
   else
-    refuseUnknownOrigin(Found,
-                        Found.m_UnansweredCount > 0 || !isRegisterCurrent());
+    refuseUnknownOrigin(Found, Found.m_UnansweredCount > 0 ||
+                                   !isRegisterCurrent(m_Context));
 }
 
 /// Another attempt may find what was not answered in time (\p MayChange); what
@@ -179,10 +150,7 @@
 /// long as the route has it.
 void ForwardedRequest::continueFrom(const resume::StreamOrigin &Origin) {
   m_Origin = Origin;
-  if (std::ranges::any_of(m_Admitted.m_Route->m_Services,
-                          [&](const ServiceShare &Share) {
-                            return Share.m_Service == Origin.m_Service;
-                          }))
+  if (hasService(*m_Admitted.m_Route, Origin.m_Service))
     m_Service = Origin.m_Service;
   placeFirst();
 }
@@ -206,7 +174,7 @@
   // sole version. Where upstreams state no version there is no sole one.
   if (isRetryable() && (IsDoubtful || m_Origin->m_Software.isKnown()))
     m_Context.m_Origins.record(
-        {streamKey(), *m_Origin, timeLeft() + TimeBetweenAttempts});
+        {streamKeyOf(m_Admitted), *m_Origin, timeLeft() + TimeBetweenAttempts});
 }
 
 Duration ForwardedRequest::timeLeft() const {
@@ -216,13 +184,7 @@
 // ---- Calls ------------------------------------------------------------------
 
 balance::PlacementQuery ForwardedRequest::placementQuery() const {
-  balance::PlacementQuery Result;
-  Result.m_Service = m_Service;
-  Result.m_Urgency = static_cast<balance::Urgency>(m_Admitted.m_EngineRank);
-  Result.m_Prompt = m_Admitted.m_Facts.m_Prompt;
-  Result.m_LatencyTarget = m_Admitted.m_Route->m_Target;
-  if (const EventStream *Stream = eventStream())
-    Result.m_MaxPause = Stream->m_MaxPause;
+  balance::PlacementQuery Result = firstQueryOf(m_Admitted, m_Service);
   Result.m_Excluded = m_TriedUpstreams;
   if (m_Origin)
     Result.m_RequiredSoftware = m_Origin->m_Software;
@@ -270,8 +232,7 @@
 /// A retry goes to any engine with room: its caller has waited once.
 bool ForwardedRequest::mayWait() const {
   return m_Attempts == 0 && !m_WaitTimedOut &&
-         m_Admitted.m_Route->m_Target > Duration::zero() &&
-         (m_QueueEntry != nullptr || !m_Context.m_WaitQueue.isFull());
+         mayWaitAtFirst(m_Context, m_Admitted, m_QueueEntry != nullptr);
 }
 
 // ---- Waiting by prediction --------------------------------------------------
@@ -279,14 +240,8 @@
 void ForwardedRequest::beginWait() {
   if (m_Wait != nullptr || m_Attempts > 0 || m_Context.m_WaitPolicy == nullptr)
     return;
-  waiting::CallFacts Facts;
-  Facts.m_Pool = poolIdOf(m_Service, 0);
-  Facts.m_Urgency = static_cast<std::uint8_t>(m_Admitted.m_EngineRank);
-  Facts.m_ArrivedAt = m_ArrivedAt;
-  Facts.m_Target = m_Admitted.m_Route->m_Target;
-  if (const EventStream *Stream = eventStream())
-    Facts.m_Patience = waiting::patienceOf(Facts.m_Target, Stream->m_MaxPause);
-  Facts.m_Deadline = m_Deadline - m_ArrivedAt;
+  const waiting::CallFacts Facts =
+      callFactsOf(m_Admitted, m_Service, m_ArrivedAt);
   m_Wait = m_Context.m_WaitPolicy->begin(Facts);
   if (m_Wait != nullptr)
     m_Context.m_WaitPolicy->workspaces().recordArrival(
@@ -299,9 +254,8 @@
 }
 
 WaitingCall ForwardedRequest::waitingCall() const {
-  return {static_cast<balance::Urgency>(m_Admitted.m_QueueRank),
-          m_Admitted.m_Workspace, poolIdOf(m_Service, 0),
-          m_Wait != nullptr && !m_Wait->canBeInTime(m_Context.m_Clock.now())};
+  return waitingCallOf(m_Admitted, m_Service, m_Wait.get(),
+                       m_Context.m_Clock.now());
 }
 
 balance::PlacementResult ForwardedRequest::tryPlacement() {
@@ -317,13 +271,8 @@
 
 /// Of a call whose prefix is cached where the last placement would have gone.
 waiting::CallWork ForwardedRequest::expectedWork() const {
-  const PoolId Pool = poolIdOf(m_Service, 0);
-  if (m_Admitted.m_Facts.m_Prompt.m_PromptTokens == 0)
-    return {};
-  return {m_Context.m_Balancer.timeToFirstEvent(
-              m_Service, m_PlacementInputs.m_UncachedTokens),
-          m_Context.m_WaitPolicy->backlog().outputTime(
-              Pool, static_cast<std::uint8_t>(m_Admitted.m_EngineRank))};
+  return expectedWorkOf(m_Context, m_Admitted, m_Service,
+                        m_PlacementInputs.m_UncachedTokens);
 }
 
 /// Ends an attempt(); the wait queue calls attempt() again.
@@ -426,9 +375,8 @@
 /// Returns whether the call may wait for \p More beyond the time that it has
 /// waited.
 bool ForwardedRequest::mayWaitFor(Duration More) const {
-  const Duration Waited = m_Context.m_Clock.now() - m_ArrivedAt;
-  return (Waited + More) * MaxWaitDenominator <=
-         m_Admitted.m_Route->m_Target * MaxWaitNumerator;
+  return isWaitAllowed(m_Context.m_Clock.now() - m_ArrivedAt + More,
+                       m_Admitted);
 }
 
 /// Ends an attempt(); the wait queue calls attempt() again.
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -83,13 +83,10 @@
 
   void findOrigin();
   void handleOrigin(const resume::LookupResult &Found);
-  [[nodiscard]] bool isRegisterCurrent() const;
-  [[nodiscard]] std::optional<SoftwareVersion> soleVersion() const;
   void refuseUnknownOrigin(const resume::LookupResult &Found, bool MayChange);
   void reportUnproven();
   void continueFrom(const resume::StreamOrigin &Origin);
   void recordOrigin();
-  [[nodiscard]] resume::StreamKey streamKey() const;
   void placeFirst();
   [[nodiscard]] balance::PlacementQuery placementQuery() const;
   void attempt();
@@ -144,7 +141,7 @@
   void finish(std::string_view Outcome);
 
   [[nodiscard]] const EventStream *eventStream() const {
-    return std::get_if<EventStream>(&m_Admitted.m_Route->m_Kind);
+    return m_Admitted.eventStream();
   }
   [[nodiscard]] bool isRetryable() const {
     return mayRunAgain(m_Admitted.m_Route->m_Kind);
@@ -153,11 +150,7 @@
 
   /// Returns whether the caller has events of the stream from an earlier
   /// attempt.
-  [[nodiscard]] bool isResumed() const {
-    const RequestFacts &Facts = m_Admitted.m_Facts;
-    return eventStream() != nullptr &&
-           (Facts.m_LastEventId || !Facts.m_Resumes.empty());
-  }
+  [[nodiscard]] bool isResumed() const { return m_Admitted.isResumed(); }
   [[nodiscard]] RetryReason closeReason() const;
   [[nodiscard]] Duration timeLeft() const;
   [[nodiscard]] Duration firstByteTimeout() const;
--- a/src/gateway/predicted_placement.cpp
+++ b/src/gateway/predicted_placement.cpp
@@ -3,20 +3,15 @@
 
 namespace crowstep::gateway {
 
-/// Also used where the queue is full: placed as a call that may not wait, a
-/// long prompt would go to an engine of latency-sensitive calls.
-///
 /// A call that arrives is not placed before those of its workspace that wait:
 /// arrivals try at once, so a workspace with many of them would get most of the
 /// room that becomes free.
-balance::PlacementResult placeByPrediction(const PredictionContext &Context,
-                                           const waiting::CallWait &Wait,
-                                           balance::PlacementQuery Query,
-                                           const WaitingCall &Call,
-                                           bool IsQueued, bool MayPreempt,
-                                           TimePoint Now) {
+std::optional<balance::PlacementQuery>
+predictedQuery(const PredictionContext &Context, const waiting::CallWait &Wait,
+               balance::PlacementQuery Query, const WaitingCall &Call,
+               bool IsQueued, TimePoint Now) {
   if (!IsQueued && Context.m_Queue.hasEarlier(Call))
-    return balance::MustWait{};
+    return std::nullopt;
   Query.m_MayWait = true;
   Query.m_WaitsBeyondLimit = true;
   balance::Balancer &Upstreams = Context.m_Balancer;
@@ -26,6 +21,23 @@
   Query.m_TakesRemainder = Yields || !Wait.canBeInTime(Now);
   Query.m_WaitLimit = Wait.engineWaitLimit(
       Yields, Upstreams.timeToFirstEvent(Query.m_Service, 0), Now);
+  return Query;
+}
+
+/// Also used where the queue is full: placed as a call that may not wait, a
+/// long prompt would go to an engine of latency-sensitive calls.
+balance::PlacementResult placeByPrediction(const PredictionContext &Context,
+                                           const waiting::CallWait &Wait,
+                                           balance::PlacementQuery Query,
+                                           const WaitingCall &Call,
+                                           bool IsQueued, bool MayPreempt,
+                                           TimePoint Now) {
+  const auto Predicted =
+      predictedQuery(Context, Wait, std::move(Query), Call, IsQueued, Now);
+  if (!Predicted)
+    return balance::MustWait{};
+  Query = *Predicted;
+  balance::Balancer &Upstreams = Context.m_Balancer;
   balance::PlacementResult Result = Upstreams.place(Query, Now);
   if (!std::holds_alternative<balance::MustWait>(Result) || !MayPreempt ||
       Query.m_TakesRemainder)
--- a/src/gateway/predicted_placement.h
+++ b/src/gateway/predicted_placement.h
@@ -16,6 +16,13 @@
   waiting::WorkspaceLoads &m_Workspaces; ///< Whose calls arrive here.
 };
 
+/// Returns the query with which such a call is placed; none if it must wait
+/// behind others of its workspace. \p IsQueued: see placeByPrediction().
+std::optional<balance::PlacementQuery>
+predictedQuery(const PredictionContext &Context, const waiting::CallWait &Wait,
+               balance::PlacementQuery Query, const WaitingCall &Call,
+               bool IsQueued, TimePoint Now);
+
 /// Places a call that may wait, or returns MustWait. \p IsQueued: it is in the
 /// queue already. \p MayPreempt: it has waited for a slot long enough to get
 /// one of a less urgent call.
