Feature: Answer POST /placement on the probe listener

Operators want to know where a request would go now, and why, without sending it. PlacementExplainer admits the request and follows the first attempt of each service of its route up to the point where it would take effect; the report is JSON. It counts no request and writes one line, event 2034 at level debug.

A body over 1 MiB is refused with 413 by its Content-Length, before it is read; one without a Content-Length gets 400, as its length would be known too late.

--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -135,6 +135,12 @@
   /// an instance that is cut off from the store doesn't learn of new versions.
   [[nodiscard]] virtual bool isRegisterCurrent() const { return true; }
 
+  /// Returns a time at which the list of upstreams was complete; none: not
+  /// known.
+  [[nodiscard]] virtual std::optional<TimePoint> upstreamsReadAt() const {
+    return std::nullopt;
+  }
+
   /// Sets the role of this instance; Alone at first.
   virtual void setReadingRole(ReadingRole Role) = 0;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 #include "gateway/gateway.h"
 
 #include "core/log.h"
+#include "gateway/placement_report.h"
 #include "http/refusal_answer.h"
 
 #include <string_view>
@@ -11,6 +12,9 @@
 namespace {
 
 constexpr unsigned HttpOk = 200;
+constexpr unsigned HttpBadRequest = 400;
+constexpr unsigned HttpWrongMethod = 405;
+constexpr unsigned HttpTooLarge = 413;
 constexpr unsigned HttpUnavailable = 503;
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration DrainLogInterval = std::chrono::seconds(1);
@@ -45,6 +49,29 @@
 /// takes a twentieth of a second.
 constexpr std::size_t DigestQueueBytes = 64U << 10U;
 
+/// Refuses a query whose body could take much memory before it is read.
+void checkQueryLength(SoupServerMessage *Message) {
+  if (std::string_view(g_uri_get_path(soup_server_message_get_uri(Message))) !=
+      PlacementPath)
+    return;
+  SoupMessageHeaders *Headers =
+      soup_server_message_get_request_headers(Message);
+  const bool IsChunked =
+      soup_message_headers_get_encoding(Headers) == SOUP_ENCODING_CHUNKED;
+  const bool IsTooLong = soup_message_headers_get_content_length(Headers) >
+                         static_cast<goffset>(MaxPlacementQueryBytes);
+  if (!IsChunked && !IsTooLong)
+    return;
+  soup_message_body_set_accumulate(
+      soup_server_message_get_request_body(Message), FALSE);
+  if (IsTooLong)
+    respond(Message, HttpTooLarge, "application/json",
+            writePlacementError("the query is too long"));
+  else
+    respond(Message, HttpBadRequest, "application/json",
+            writePlacementError("the query has no Content-Length"));
+}
+
 ReceiveLimits arrivalLimits(const CallerLimits &Limits) {
   const auto OrDefault = [](Duration Value, Duration Default) {
     return Value > Duration::zero() ? Value : Default;
@@ -149,7 +176,7 @@
           },
           [this] { return m_PlatformParts.m_Directory->isRegisterCurrent(); },
           m_Settings.m_WaitsByPrediction ? &m_WaitPolicy : nullptr},
-      m_LoopLoad(m_Clock), m_Admission(m_LoopLoad),
+      m_Explainer(m_Context), m_LoopLoad(m_Clock), m_Admission(m_LoopLoad),
       m_Front(
           arrivalLimits({}),
           [this](RefusalReason Reason) { m_Stats.countRefusal(Reason); },
@@ -222,6 +249,7 @@
                        [this](SoupServerMessage *Message, const char *Path) {
                          handleProbe(Message, Path);
                        });
+  m_ProbeServer.onHeaders(checkQueryLength);
   m_Admission.setDescriptors(m_Settings.m_Descriptors);
   m_Front.setAdmission(m_Admission,
                        [this](ShedReason Reason) { handleShed(Reason); });
@@ -361,10 +389,41 @@
     respond(Message, HttpOk, "text/plain; version=0.0.4", m_Metrics.text());
     return;
   }
+  if (std::string_view(Path) == PlacementPath) {
+    handlePlacementQuery(Message);
+    return;
+  }
   fillAnswer(Message, refusalAnswer(RefusalReason::UnknownPath,
                                     RunState::NotRun, Duration::zero()));
 }
 
+void Gateway::handlePlacementQuery(SoupServerMessage *Message) {
+  if (std::string_view(soup_server_message_get_method(Message)) != "POST") {
+    respond(Message, HttpWrongMethod, "application/json",
+            writePlacementError("the method must be POST"));
+    return;
+  }
+  const auto Query = readPlacementQuery(requestBody(Message));
+  if (const auto *Wrong = std::get_if<std::string>(&Query)) {
+    respond(Message, HttpBadRequest, "application/json",
+            writePlacementError(*Wrong));
+    return;
+  }
+  const RequestExplanation Explained =
+      m_Explainer.explain(std::get<IncomingRequest>(Query), m_Table);
+  logEvent(
+      LogEvent::PlacementExplained,
+      {{"request", Explained.m_Id},
+       {"route", Explained.m_Route},
+       {"outcome", Explained.m_Reason ? std::string(nameOf(*Explained.m_Reason))
+                                      : "admitted"}});
+  const auto ReadAt = m_PlatformParts.m_Directory->upstreamsReadAt();
+  respond(Message, HttpOk, "application/json",
+          writePlacementReport(Explained,
+                               ReadAt ? std::optional(m_Clock.now() - *ReadAt)
+                                      : std::nullopt));
+}
+
 // ---- Requests ---------------------------------------------------------------
 
 void Gateway::handle(IncomingRequest Request, std::unique_ptr<Caller> From) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/directory.h"
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/placement_explainer.h"
 #include "gateway/software_register.h"
 #include "gateway/speed_report.h"
 #include "http/frontend.h"
@@ -85,6 +86,7 @@
   void handleShed(ShedReason Reason);
   void refuse(Caller &From, const RefusedRequest &Refused);
   void handleProbe(SoupServerMessage *Message, const char *Path);
+  void handlePlacementQuery(SoupServerMessage *Message);
   void handleRequestEnd(std::uint64_t Number);
   void checkStopped();
   [[nodiscard]] bool isReady() const;
@@ -118,6 +120,7 @@
   DigestExchange m_Exchange;                     ///< With other instances.
   std::unique_ptr<relay::CallRelay> m_CallRelay; ///< Calls and their paths.
   ForwardContext m_Context;                      ///< Shared by requests.
+  PlacementExplainer m_Explainer;                ///< For operators.
   MainLoopLoad m_LoopLoad;                       ///< Of the loop.
   ConnectionAdmission m_Admission;               ///< Of callers' connections.
   Frontend m_Front;                              ///< Callers' connections.
