Feature: crowstepctl place FILE

Exit codes: 0 answered, 1 unreachable, older or unexpected answer, 2 no request in the file, 400 or 413.

--- a/src/ctl/admin_client.cpp
+++ b/src/ctl/admin_client.cpp
@@ -42,13 +42,15 @@
   if (Message == nullptr)
     throw AdminUnreachable(m_Address, "no valid path: " + Call.m_Path);
   SoupMessageHeaders *Headers = soup_message_get_request_headers(Message);
-  soup_message_headers_replace(Headers, "Authorization",
-                               ("Bearer " + m_Key).c_str());
+  if (!m_Key.empty())
+    soup_message_headers_replace(Headers, "Authorization",
+                                 ("Bearer " + m_Key).c_str());
   if (!Call.m_IfMatch.empty())
     soup_message_headers_replace(Headers, "If-Match", Call.m_IfMatch.c_str());
   if (!Call.m_Body.empty()) {
     GBytes *Body = g_bytes_new(Call.m_Body.data(), Call.m_Body.size());
-    soup_message_set_request_body_from_bytes(Message, "text/csv", Body);
+    soup_message_set_request_body_from_bytes(Message,
+                                             Call.m_ContentType.c_str(), Body);
     g_bytes_unref(Body);
   }
   GError *Failure = nullptr;
--- a/src/ctl/admin_client.h
+++ b/src/ctl/admin_client.h
@@ -1,4 +1,5 @@
-/// HTTP client of the administration API, for the operators' command.
+/// HTTP client of the administration API and of gateways' probe listeners, for
+/// the operators' command.
 #ifndef CROWSTEP_CTL_ADMIN_CLIENT_H
 #define CROWSTEP_CTL_ADMIN_CLIENT_H
 
@@ -26,13 +27,14 @@
 
 /// One call to the administration API.
 struct AdminCall {
-  std::string m_Method;  ///< HTTP method.
-  std::string m_Path;    ///< For example "/v1/table".
-  std::string m_Body;    ///< CSV or JSON, or empty.
-  std::string m_IfMatch; ///< Table version, or empty.
+  std::string m_Method;                   ///< HTTP method.
+  std::string m_Path;                     ///< For example "/v1/table".
+  std::string m_Body;                     ///< CSV or JSON, or empty.
+  std::string m_IfMatch;                  ///< Table version, or empty.
+  std::string m_ContentType = "text/csv"; ///< Of the body.
 };
 
-/// Makes blocking calls with an operator's key.
+/// Makes blocking calls, with an operator's key unless it is empty.
 class AdminClient {
 public:
   AdminClient(const Address &Api, std::string Key);
@@ -44,8 +46,8 @@
   AdminAnswer call(const AdminCall &Call);
 
 private:
-  Address m_Address;      ///< A dispatcher's administration API.
-  std::string m_Key;      ///< The operator's key.
+  Address m_Address;      ///< Where calls go.
+  std::string m_Key;      ///< The operator's key; may be empty.
   SoupSession *m_Session; ///< Owned.
 };
 
--- a/src/ctl/ctl_command.cpp
+++ b/src/ctl/ctl_command.cpp
@@ -12,6 +12,7 @@
     "table history | status | drain upstream|instance NAME | "
     "undrain upstream|instance NAME | "
     "explain REQUEST LOGFILE... | "
+    "place FILE (with --admin: a gateway's probe listener) | "
     "order ENGINE load_model|load_adapter|unload_model|set_role NAME";
 
 namespace {
--- a/src/ctl/ctl_main.cpp
+++ b/src/ctl/ctl_main.cpp
@@ -4,6 +4,7 @@
 #include "core/program.h"
 #include "ctl/ctl_command.h"
 #include "ctl/explain.h"
+#include "ctl/place.h"
 #include "instance_error.h"
 
 #include <iostream>
@@ -14,19 +15,24 @@
 using namespace crowstep;
 
 struct Options {
-  std::string m_AdminAddress;           ///< Address of a dispatcher's API.
+  std::string m_AdminAddress;           ///< Of a dispatcher's API, or of a
+                                        ///< gateway's probe listener.
+  bool m_HasAdminAddress = false;       ///< It is stated.
   std::string m_KeyFile;                ///< File with the operator's key.
   std::string m_ReadVersion;            ///< For table apply, else empty.
   bool m_CheckOnly = false;             ///< Validate only; make no call.
+  bool m_Json = false;                  ///< Print an answer as received.
   std::vector<std::string> m_Arguments; ///< Command and arguments.
 };
 
 Options parse(int Argc, char **Argv) {
   TCLAP::CmdLine Line("Steers crowstep: reads and changes the operators' "
-                      "table, shows the fleet, drains upstreams and instances",
+                      "table, shows the fleet, drains upstreams and instances, "
+                      "explains where requests went or would go",
                       ' ', versionText());
   TCLAP::ValueArg<std::string> Admin("a", "admin",
-                                     "administration API of any instance",
+                                     "administration API of any instance; for "
+                                     "place the probe listener of a gateway",
                                      false, "127.0.0.1:7201", "address", Line);
   TCLAP::ValueArg<std::string> KeyFile(
       "k", "key-file", "file with the operator's key", false, "", "file", Line);
@@ -36,11 +42,14 @@
   TCLAP::SwitchArg Check(
       "", "check", "only check the words and the table file of the command",
       Line);
+  TCLAP::SwitchArg AsJson("", "json", "print the answer to place as received",
+                          Line);
   TCLAP::UnlabeledMultiArg<std::string> Words("command", ctl::CommandHelp, true,
                                               "command", Line);
   Line.parse(Argc, Argv);
-  return {Admin.getValue(), KeyFile.getValue(), ReadVersion.getValue(),
-          Check.getValue(), Words.getValue()};
+  return {Admin.getValue(),       Admin.isSet(),    KeyFile.getValue(),
+          ReadVersion.getValue(), Check.getValue(), AsJson.getValue(),
+          Words.getValue()};
 }
 
 std::string readKey(const std::string &Path) {
@@ -70,9 +79,39 @@
   return Report.empty() ? ExitCode::Failure : ExitCode::Success;
 }
 
+/// Runs "place FILE".
+ExitCode placeRequest(const Options &Parsed) {
+  if (Parsed.m_Arguments.size() != 2)
+    throw ctl::CommandError(ctl::CommandHelp);
+  if (!Parsed.m_HasAdminAddress)
+    throw ctl::CommandError(
+        "place needs --admin: the probe listener of a gateway");
+  const ctl::AdminCall Call =
+      ctl::placementCall(ctl::readFile(Parsed.m_Arguments[1]));
+  if (Parsed.m_CheckOnly)
+    return ExitCode::Success;
+  ctl::AdminClient Client(parseAddress(Parsed.m_AdminAddress), "");
+  const ctl::AdminAnswer Answer = Client.call(Call);
+  if (Answer.m_Status == 404)
+    throw ctl::PlacementUnanswered(
+        Parsed.m_AdminAddress +
+        ": this instance can't explain placements, its version is older");
+  if (Answer.m_Status != 200) {
+    std::cerr << "crowstepctl: " << Parsed.m_AdminAddress << " answered "
+              << Answer.m_Status << ": " << Answer.m_Body;
+    return Answer.m_Status == 400 || Answer.m_Status == 413 ? ExitCode::BadInput
+                                                            : ExitCode::Failure;
+  }
+  std::cout << (Parsed.m_Json ? Answer.m_Body
+                              : ctl::placementText(Answer.m_Body));
+  return ExitCode::Success;
+}
+
 ExitCode run(const Options &Parsed) {
   if (Parsed.m_Arguments.front() == "explain")
     return explainRequest(Parsed.m_Arguments);
+  if (Parsed.m_Arguments.front() == "place")
+    return placeRequest(Parsed);
   const ctl::AdminCall Call =
       ctl::parseCommand(Parsed.m_Arguments, Parsed.m_ReadVersion);
   // A table file is validated here as well, so that an invalid cell is reported
@@ -102,6 +141,8 @@
     return static_cast<int>(run(parse(Argc, Argv)));
   } catch (const ctl::AdminUnreachable &Failure) {
     return fail(Failure, ExitCode::Failure);
+  } catch (const ctl::PlacementUnanswered &Failure) {
+    return fail(Failure, ExitCode::Failure);
   } catch (const Error &Failure) {
     return fail(Failure, ExitCode::BadInput);
   }
