--- a/src/balance/balancer_speeds.cpp
+++ b/src/balance/balancer_speeds.cpp
@@ -54,19 +54,24 @@
 
 // ---- Roles ------------------------------------------------------------------
 
+/// Also once more after the service's speeds are no longer learned.
+bool Balancer::isRoleUpdateDue(const std::string &Service,
+                               TimePoint Now) const {
+  const auto Known = m_EngineRoles.find(Service);
+  return Known == m_EngineRoles.end() ? isPlacedByTime(Service)
+                                      : Known->second.isUpdateDue(Now);
+}
+
 /// Reads the speeds of the service's engines and updates their division, at a
 /// bounded interval: reading all of them for each call would take most of the
 /// time of a placement.
 void Balancer::updateRoles(const std::string &Service, TimePoint Now) {
-  const bool ByTime = isPlacedByTime(Service);
-  if (!ByTime && !m_EngineRoles.contains(Service))
+  if (!isRoleUpdateDue(Service, Now))
     return;
   EngineRoles &Roles = m_EngineRoles[Service];
-  if (!Roles.isUpdateDue(Now))
-    return;
   if (haveSpeedClassesChanged(Service))
     rankEngines();
-  if (!ByTime) {
+  if (!isPlacedByTime(Service)) {
     m_EngineRoles.erase(Service);
     return;
   }
@@ -147,13 +152,12 @@
 /// role that have room and are as fast. The roles follow the work that is
 /// placed, so they would not grow while latency-sensitive calls wait, and a
 /// fast engine that prefills long prompts keeps most pauses.
-void Balancer::addFastEngines(const PlacementQuery &Query,
-                              const States &Candidates,
-                              std::vector<EngineOption> &Options,
-                              TimePoint Now) const {
-  if (Options.empty() ||
-      std::ranges::any_of(
-          Options, [](const EngineOption &Option) { return !Option.m_Full; }))
+void Balancer::replaceFullEngines(const PlacementQuery &Query,
+                                  const States &Candidates,
+                                  std::vector<EngineOption> &Options,
+                                  TimePoint Now, PlacementTrace *Trace) const {
+  const auto IsFull = [](const EngineOption &Option) { return Option.m_Full; };
+  if (Options.empty() || !std::ranges::all_of(Options, IsFull))
     return;
   const auto ClassOf = [](const EngineOption &Option) {
     return Option.m_State->m_SpeedClass;
@@ -167,10 +171,13 @@
       addSpeed(Others.back(), Now);
     }
   markFull(Query, Others);
-  std::erase_if(Others,
-                [](const EngineOption &Option) { return Option.m_Full; });
-  if (!Others.empty())
-    Options = std::move(Others);
+  std::erase_if(Others, IsFull);
+  if (Others.empty())
+    return;
+  if (Trace != nullptr)
+    for (const EngineOption &Option : Options)
+      Trace->add(*Option.m_State, verdictAt(Query, Option));
+  Options = std::move(Others);
 }
 
 /// Returns the mean of the waits that the call would have at the candidates.
--- a/tests/unit/forwarded_request_test.cpp
+++ b/tests/unit/forwarded_request_test.cpp
@@ -384,6 +384,9 @@
 
 namespace {
 
+/// A prompt that is too long for a latency-sensitive call.
+const HeaderList LongCall = {{"Call-Prompt", "4000"}};
+
 /// A stream with a target of 600 ms, whose caller gives up after 2.4 s, while
 /// all slots are taken.
 void waitByPrediction(TestEnv &Env) {
@@ -402,8 +405,7 @@
 /// Guards against a refusal at two fifths of the target, long before the caller
 /// gives up.
 BOOST_AUTO_TEST_CASE(ACallWaitsAsLongAsItHelps) {
-  TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{1}, {},
-              waitByPrediction);
+  TestEnv Env(NotResumable, 1, LongCall, Engine{1}, {}, waitByPrediction);
   Env.m_Timers.advance(1s);
   BOOST_TEST(Env.m_Record.m_Answers.empty());
   BOOST_TEST(Env.m_WaitQueue.size() == 1U);
@@ -425,8 +427,7 @@
 
 /// Guards against a call that is held until its caller gives up.
 BOOST_AUTO_TEST_CASE(ACallIsRefusedAtItsLimit) {
-  TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{1}, {},
-              waitByPrediction);
+  TestEnv Env(NotResumable, 1, LongCall, Engine{1}, {}, waitByPrediction);
   Env.m_Timers.advance(1400ms);
   BOOST_TEST(Env.m_Record.m_Answers.empty());
   Env.m_Timers.advance(100ms);
@@ -441,8 +442,7 @@
 /// Guards against a call that is still counted, and an answer that is awaited,
 /// after its caller has left.
 BOOST_AUTO_TEST_CASE(ACallerThatLeavesEndsTheWait) {
-  TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{1}, {},
-              waitByPrediction);
+  TestEnv Env(NotResumable, 1, LongCall, Engine{1}, {}, waitByPrediction);
   Env.m_Timers.advance(50ms);
   Env.m_Record.m_OnGone();
   BOOST_TEST(Env.m_WaitQueue.size() == 0U);
@@ -455,7 +455,7 @@
 /// end within the caller's patience; without prediction the call is refused.
 BOOST_AUTO_TEST_CASE(ACallWaitsForQueuedPrefillOnlyByPrediction) {
   for (const bool ByPrediction : {false, true}) {
-    TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{16}, {},
+    TestEnv Env(NotResumable, 1, LongCall, Engine{16}, {},
                 [&](TestEnv &Started) {
                   if (ByPrediction)
                     Started.m_Context.m_WaitPolicy = &Started.m_WaitPolicy;
@@ -476,14 +476,13 @@
 /// Guards against a deployment without learned speeds whose calls wait
 /// otherwise than before, although the policy is there.
 BOOST_AUTO_TEST_CASE(WithoutLearnedSpeedsCallsWaitAsBefore) {
-  TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{1}, {},
-              [](TestEnv &Started) {
-                static const speed::UpstreamSpeeds NotLearned;
-                static waiting::WaitPolicy Inactive(
-                    NotLearned, Started.m_Balancer.backlog());
-                Started.m_Context.m_WaitPolicy = &Inactive;
-                Started.takeAllSlots();
-              });
+  TestEnv Env(NotResumable, 1, LongCall, Engine{1}, {}, [](TestEnv &Started) {
+    static const speed::UpstreamSpeeds NotLearned;
+    static waiting::WaitPolicy Inactive(NotLearned,
+                                        Started.m_Balancer.backlog());
+    Started.m_Context.m_WaitPolicy = &Inactive;
+    Started.takeAllSlots();
+  });
   Env.m_Timers.advance(200ms);
   BOOST_TEST(Env.m_Record.m_Answers.empty());
   BOOST_TEST(Env.m_Balancer.backlog().totalWaiting(Env.m_Clock.now()) == 0);
@@ -652,7 +651,7 @@
 
 /// Guards against engines whose events don't count as samples of their speed.
 BOOST_AUTO_TEST_CASE(EventsOfAStreamAreSamplesOfTheEnginesSpeed) {
-  TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{4});
+  TestEnv Env(NotResumable, 1, LongCall, Engine{4});
   Env.m_Balancer.speeds().setMode(speed::LearnSpeed::Always);
   Env.sendGoodHeaders(0);
   for (int I = 1; I <= 17; ++I) {
@@ -690,3 +689,16 @@
   BOOST_TEST(Env.m_Metrics.text().find(
                  "crowstep_calls_left_saturated_total 1") != std::string::npos);
 }
+
+/// Guards against a latency-sensitive call that is judged by the backlog of the
+/// service: it waits for a slot for two fifths of its target.
+BOOST_AUTO_TEST_CASE(ALatencySensitiveCallDoesNotWaitByPrediction) {
+  TestEnv Env(NotResumable, 1, {{"Call-Prompt", "100"}}, Engine{1}, {},
+              waitByPrediction);
+  Env.m_Timers.advance(200ms);
+  BOOST_TEST(Env.m_Record.m_Answers.empty());
+  BOOST_TEST(Env.m_Balancer.backlog().totalWaiting(Env.m_Clock.now()) == 0);
+  Env.m_Timers.advance(80ms);
+  BOOST_TEST(Env.answer().m_Status == 503U);
+  BOOST_TEST(Env.m_Metrics.counter("crowstep_waits_total").value() == 0U);
+}
