Test: Safeguards of the exchange of origins without a failing test

Each safeguard in src/resume/origin_exchange.cpp, origin_codec.cpp and holder_ranking.cpp was taken out, one at a time, and origin_exchange_test and origin_archive_test run. New or extended cases fail now without each of these, where none did:

- other zones' hubs: no records of single streams, no questions where they don't take part or on behalf of others, no exports to those that stop, exports of a hub's own streams, bounds on how many and how old;
- hubs keep what their zone sends in the archive, are first among the holders, and alone search in other zones;
- writers share the rate of all, by zone with hubs and by instance without;
- questions and lookups end neither before the archive was read nor because of it, an instance that is gone gets no answer, a result may end other lookups;
- frames of unknown links, records without a service, negative lifetimes.

A record that can't be read is undefined behaviour without its check, but did not fail in this build. Four checks repeat others and bound memory only: those for hubs in record() and handleRecord(), the one in updateArchiveRoles(), and the flag of a hub's own search.

--- a/tests/unit/origin_archive_test.cpp
+++ b/tests/unit/origin_archive_test.cpp
@@ -1,7 +1,9 @@
 /// The archive of streams' origins in the store, which outlives all instances.
 #define BOOST_TEST_MODULE origin_archive
 #include "gateway/exchange_plan.h"
+#include "link/link_type.h"
 #include "resume/origin_archive.h"
+#include "resume/origin_codec.h"
 #include "resume/origin_exchange.h"
 #include "resume/origin_row.h"
 
@@ -94,6 +96,18 @@
   std::size_t m_MostOpen = 0; ///< At a time.
 };
 
+/// Keeps the frames of each link.
+class RecordingLinks final : public link::Links {
+public:
+  void dial(const Address &) override {}
+  void disconnect(const Address &) override {}
+  wire::FrameT &outbox(link::LinkId Link) override { return m_Frames[Link]; }
+  void flush(link::LinkId) override {}
+  void close(link::LinkId) override {}
+
+  std::map<link::LinkId, wire::FrameT> m_Frames; ///< Never sent.
+};
+
 struct World {
   ManualClock m_Clock;
   ManualScheduler m_Timers{m_Clock};
@@ -121,12 +135,35 @@
       Result += m_Exchange.findLocal(keyOf(I)) != nullptr ? 1 : 0;
     return Result;
   }
+  void addPeer(std::uint64_t Number, const std::string &Zone) {
+    m_Exchange.addPeer(m_Links, {link::LinkId(Number),
+                                 instanceIdOf("peer-" + std::to_string(Number)),
+                                 {Zone},
+                                 Zone == "a"});
+  }
+  void receive(std::uint64_t From, const wire::FrameT &Frame) {
+    flatbuffers::FlatBufferBuilder Builder;
+    Builder.Finish(wire::Frame::Pack(Builder, &Frame));
+    m_Exchange.receive(link::LinkId(From),
+                       *wire::GetFrame(Builder.GetBufferPointer()));
+  }
+  void ask(std::uint64_t From, std::uint64_t Question, std::size_t Stream) {
+    wire::FrameT Frame;
+    const StreamKey Key = keyOf(Stream);
+    Frame.stream_questions.emplace_back(Question, Key.m_High, Key.m_Low, true);
+    receive(From, Frame);
+  }
+  /// Returns how many questions of a peer were answered.
+  std::size_t answers(std::uint64_t To) {
+    return m_Links.m_Frames[link::LinkId(To)].stream_answers.size();
+  }
   void startLookup(std::size_t Stream) {
     m_Lookup = m_Exchange.ask(
         keyOf(Stream), [this](const LookupResult &Found) { m_Found = Found; });
   }
 
   World &m_World;
+  RecordingLinks m_Links;
   OriginArchive m_Archive;
   OriginExchange m_Exchange;
   std::unique_ptr<OriginLookup> m_Lookup;
@@ -356,6 +393,100 @@
   BOOST_TEST(countAfterLoss(Where, 10) == 10U);
 }
 
+// Guards against writers that each take the rate of all, and against zones
+// without one as all instances of the others are counted.
+BOOST_AUTO_TEST_CASE(WritersShareTheRate) {
+  for (const bool HasHubs : {false, true}) {
+    World Where;
+    Instance First(Where);
+    for (std::uint64_t I = 1; I < 12; ++I)
+      First.addPeer(I, I < 6 ? "a" : (I < 9 ? "b" : "c"));
+    if (HasHubs)
+      First.m_Exchange.setHubs({instanceIdOf("edge-1")});
+    First.m_Exchange.setActiveHub(HasHubs);
+    First.m_Archive.setMixedServices(Mixed);
+    for (std::size_t I = 0; I < 1000; ++I) {
+      First.begin(I, 1);
+      Where.m_Timers.advance(10ms);
+    }
+    const double Rate = OriginArchive::MaxWritesPerSecond / (HasHubs ? 3 : 12);
+    const auto Writes = static_cast<double>(Where.m_Tables.m_Writes);
+    BOOST_TEST(Writes <= 10 * Rate + OriginArchive::WriteBurst + 1);
+    BOOST_TEST(Writes >= 10 * Rate * 0.6);
+  }
+}
+
+// Guards against a hub that saves only its own streams and not its zone's.
+BOOST_AUTO_TEST_CASE(AHubSavesWhatItReceives) {
+  World Where;
+  Instance Hub(Where);
+  Hub.addPeer(1, "a");
+  Hub.m_Exchange.setHubs({instanceIdOf("edge-1")});
+  Hub.m_Exchange.setActiveHub(true);
+  Hub.m_Archive.setMixedServices(Mixed);
+  wire::FrameT Frame;
+  Frame.stream_origins.push_back(packRecord({keyOf(0), Old, 10s}));
+  Hub.receive(1, Frame);
+  Where.m_Timers.advance(100ms);
+  BOOST_TEST(countAfterLoss(Where, 1) == 1U);
+}
+
+// Guards against a denial, to another instance, of a stream that the archive
+// may hold, and against searches without end while it is read.
+BOOST_AUTO_TEST_CASE(QuestionsWaitForTheArchive) {
+  World Where;
+  Where.m_Tables.put("edge-2/00",
+                     originRowValue("edge-2", {{keyOf(0), Old, 60s}}));
+  Where.m_Tables.m_AnswerTime = 100ms;
+  Instance Later(Where);
+  Later.addPeer(1, "a");
+  Later.addPeer(2, "a");
+  Later.m_Archive.setMixedServices(Mixed);
+  Later.ask(1, 1, 0);
+  Later.ask(1, 2, 1);
+  Later.ask(2, 3, 0);
+  Later.m_Exchange.removePeer(link::LinkId(2));
+  Later.m_Links.m_Frames.erase(link::LinkId(2));
+  BOOST_TEST(Later.answers(1) == 0U);
+  Where.m_Timers.advance(100ms);
+  BOOST_TEST(Later.answers(1) == 2U);
+  BOOST_TEST(Later.m_Links.m_Frames.count(link::LinkId(2)) == 0U);
+  World Full;
+  Full.m_Tables.m_AnswerTime = 100ms;
+  Instance Busy(Full);
+  Busy.addPeer(1, "a");
+  Busy.m_Archive.setMixedServices(Mixed);
+  for (std::size_t I = 0; I < OriginExchange::MaxSearches + 5; ++I)
+    Busy.ask(1, I, I);
+  Full.m_Timers.advance(100ms);
+  BOOST_TEST(Busy.answers(1) == OriginExchange::MaxSearches);
+  World Away;
+  Away.m_Tables.m_IsAway = true;
+  Instance Never(Away);
+  Never.addPeer(1, "a");
+  Never.m_Archive.setMixedServices(Mixed);
+  Never.ask(1, 1, 0);
+  Away.m_Timers.advance(1s);
+  BOOST_TEST(Never.answers(1) == 0U);
+}
+
+// Guards against a lookup that the archive ends before all have answered.
+BOOST_AUTO_TEST_CASE(AReadArchiveIsNotTheLastAnswer) {
+  World Where;
+  Where.m_Tables.m_AnswerTime = 50ms;
+  Instance Later(Where);
+  Later.addPeer(1, "a");
+  wire::FrameT Frame;
+  Frame.stream_peer = packPeerState(false);
+  Later.receive(1, Frame);
+  Later.m_Archive.setMixedServices(Mixed);
+  Later.startLookup(0);
+  Where.m_Timers.advance(100ms);
+  BOOST_TEST(!Later.m_Found.has_value());
+  Where.m_Timers.advance(OriginExchange::LookupTimeout);
+  BOOST_TEST(Later.m_Found.has_value());
+}
+
 // Guards against lookups that wait for an archive which others read.
 BOOST_AUTO_TEST_CASE(OnlyReadersWaitForTheArchive) {
   World Where;
--- a/tests/unit/origin_exchange_test.cpp
+++ b/tests/unit/origin_exchange_test.cpp
@@ -190,6 +190,22 @@
   }
 }
 
+// Guards against origins that hubs, which the other zones ask, don't have.
+BOOST_AUTO_TEST_CASE(HubsKeepAllOriginsOfTheirZone) {
+  std::vector<HolderCandidate> Candidates;
+  for (std::size_t I = 0; I < 24; ++I)
+    Candidates.push_back(
+        {instanceIdOf(std::to_string(I)),
+         {I % 2 == 0 ? "a" : "b"},
+         I < 20 ? NoHub : (I == 20 ? 1 : (I == 22 ? 0 : NoHub))});
+  for (int I = 0; I < 50; ++I) {
+    const auto Ranked =
+        rankHolders(streamKeyOf("w", std::to_string(I)), Candidates, 3);
+    BOOST_TEST(Ranked.at(0) == 22U);
+    BOOST_TEST(Ranked.at(1) == 20U);
+  }
+}
+
 // Guards against a stream that counts as unknown because one instance has
 // forgotten it.
 BOOST_AUTO_TEST_CASE(OneAnswerIsEnough) {
@@ -240,6 +256,22 @@
   BOOST_TEST(Lost.m_Results.size() == 1U);
 }
 
+// Guards against a result of a lookup that another one's result has ended.
+BOOST_AUTO_TEST_CASE(AResultMayEndOtherLookups) {
+  ExchangeEnv Env(1);
+  std::unique_ptr<OriginLookup> Second;
+  int Results = 0;
+  const auto First = Env.m_Exchange.ask(Key, [&](const LookupResult &) {
+    ++Results;
+    Second.reset();
+  });
+  Second = Env.m_Exchange.ask(streamKeyOf("w", "other"),
+                              [&](const LookupResult &) { ++Results; });
+  Env.m_Exchange.removePeer(link::LinkId(1));
+  Env.m_Timers.advance(1s);
+  BOOST_TEST(Results == 1);
+}
+
 // Guards against results of a request that has ended.
 BOOST_AUTO_TEST_CASE(ACancelledLookupHasNoResult) {
   ExchangeEnv Env(3);
@@ -303,6 +335,62 @@
   BOOST_TEST(!Asking.m_Results[0].m_Origin->m_Software.isKnown());
 }
 
+// Guards against records and questions of each stream to another zone's hubs.
+BOOST_AUTO_TEST_CASE(OnlyNearPeersKeepRecords) {
+  ExchangeEnv Env(3);
+  Env.addPeer(11, Other, false);
+  Env.announce(11, false);
+  Env.m_Exchange.record(Record);
+  Env.startLookup(streamKeyOf("w", "other"));
+  const std::vector<std::uint64_t> Near = {1, 2, 3};
+  BOOST_TEST((Env.linksWithRecords() == Near));
+  BOOST_TEST((Env.linksWithQuestions() == Near));
+}
+
+// Guards against a crash by a frame of a link that is being removed, and by a
+// record without a service.
+BOOST_AUTO_TEST_CASE(UnreadableRecordsAreIgnored) {
+  ExchangeEnv Env(2);
+  Env.receiveRecord(9, Record);
+  wire::FrameT Frame;
+  Frame.stream_origins.push_back(packRecord(Record));
+  Frame.stream_origins.back()->service.clear();
+  Env.receive(1, Frame);
+  BOOST_TEST(Env.m_Exchange.findLocal(Key) == nullptr);
+  BOOST_TEST(!Env.m_Exchange.isUnproven(Key));
+  // What has expired stays so.
+  BOOST_TEST(packRecord({Key, Origin, -1s})->lifetime_ms == 0U);
+}
+
+// Guards against a hub's own streams that are lost with its zone, and against
+// records and lookups at the hubs of another zone that end, or that are
+// missing.
+BOOST_AUTO_TEST_CASE(AHubsOwnStreamsAreKnownInAnotherZone) {
+  ExchangeEnv Env(2);
+  Env.m_Exchange.setHubs({instanceIdOf("self"), ExchangeEnv::idOf(1)});
+  Env.m_Exchange.setActiveHub(true);
+  Env.m_Exchange.record({streamKeyOf("w", "early"), Origin, 10s});
+  Env.m_Timers.advance(OriginExchange::ExportInterval);
+  for (const std::uint64_t Far : {11U, 12U}) {
+    Env.addPeer(Far, Other, false);
+    Env.announce(Far, Far == 11U);
+  }
+  Env.m_Links.m_Frames.clear();
+  Env.m_Exchange.record(Record);
+  Env.m_Timers.advance(OriginExchange::ExportInterval);
+  BOOST_TEST((Env.linksWithRecords() == std::vector<std::uint64_t>{1, 2, 12}));
+  Env.startLookup(streamKeyOf("w", "other"));
+  BOOST_TEST(
+      (Env.linksWithQuestions() == std::vector<std::uint64_t>{1, 2, 11, 12}));
+  const auto IsPassedOn = [&](std::uint64_t Link) {
+    return Env.m_Links.m_Frames[link::LinkId(Link)]
+        .stream_questions.at(0)
+        .in_other_zones();
+  };
+  BOOST_TEST(IsPassedOn(1));
+  BOOST_TEST(!IsPassedOn(12));
+}
+
 // Guards against origins that are lost with their zone.
 BOOST_AUTO_TEST_CASE(HubsPassOriginsOnToAnotherZone) {
   ExchangeEnv Env(3);
@@ -336,6 +424,21 @@
   Env.m_Exchange.setActiveHub(true);
   Env.m_Timers.advance(OriginExchange::ExportInterval);
   BOOST_TEST((Env.linksWithRecords() == std::vector<std::uint64_t>{11}));
+  // What the first one had time for is not sent again, and not kept.
+  const auto &Sent = Env.m_Links.m_Frames[link::LinkId(11)].stream_origins;
+  Env.m_Exchange.setActiveHub(false);
+  Env.receiveRecord(2, {streamKeyOf("w", "old"), Origin, 10s});
+  Env.m_Timers.advance(OriginExchange::ExportMemory + 100ms);
+  Env.receiveRecord(2, {streamKeyOf("w", "new"), Origin, 10s});
+  Env.m_Exchange.setActiveHub(true);
+  Env.m_Timers.advance(OriginExchange::ExportInterval);
+  BOOST_TEST(Sent.size() == 2U);
+  Env.m_Exchange.setActiveHub(false);
+  for (std::size_t I = 0; I < StreamOrigins::MaxStreams + 10; ++I)
+    Env.receiveRecord(2, {streamKeyOf("w", std::to_string(I)), Origin, 10s});
+  Env.m_Exchange.setActiveHub(true);
+  Env.m_Timers.advance(OriginExchange::ExportInterval);
+  BOOST_TEST(Sent.size() == 2 + StreamOrigins::MaxStreams);
 }
 
 // Guards against streams that can't be resumed in another zone.
@@ -346,6 +449,7 @@
     Env.addPeer(Far, Other, false);
     Env.announce(Far, false);
   }
+  Env.addPeer(13, Other, false); // Of an older version.
   Env.ask(2, 7, Key);
   BOOST_TEST((Env.linksWithQuestions() == std::vector<std::uint64_t>{11, 12}));
   BOOST_TEST(!Env.m_Links.m_Frames[link::LinkId(11)]
@@ -363,6 +467,24 @@
   BOOST_TEST(Answers.size() == 1U);
 }
 
+// Guards against questions that instances pass on in circles.
+BOOST_AUTO_TEST_CASE(OnlyHubsPassOnQuestionsOfTheirZone) {
+  for (const bool IsHub : {false, true}) {
+    ExchangeEnv Env(2);
+    Env.m_Exchange.setHubs(
+        {IsHub ? instanceIdOf("self") : ExchangeEnv::idOf(1)});
+    for (const std::uint64_t Far : {11U, 12U}) {
+      Env.addPeer(Far, Other, false);
+      Env.announce(Far, false);
+    }
+    wire::FrameT Frame;
+    Frame.stream_questions.emplace_back(7, Key.m_High, Key.m_Low, !IsHub);
+    Env.receive(IsHub ? 11 : 2, Frame);
+    BOOST_TEST(Env.linksWithQuestions().empty());
+    BOOST_TEST(Env.linksWithAnswers().size() == 1U);
+  }
+}
+
 // Guards against a hub that denies a stream because it is too busy to search in
 // other zones, and against searches without end.
 BOOST_AUTO_TEST_CASE(AFullHubDoesNotDeny) {
