Test: Origins of streams at upstreams that change, leave or can't be proven

No unit test sent a stream to a process that could not be proven. Taken out one at a time without a failing test were, in ForwardedRequest: the merge with the version that the directory states at the first event, the exceptions from it, the record and report of a doubtful origin, records of resumable streams only, and the report before the first event; in StreamOrigins: bounds on services' names, unknown versions that follow known ones, and records that are extended or have expired. stream_origin_test fails now without each.

--- a/tests/unit/plain_codec.h
+++ b/tests/unit/plain_codec.h
@@ -75,6 +75,16 @@
       Result.push_back({"Retry-After", "1"});
     return Result;
   }
+
+  [[nodiscard]] std::optional<ProcessCheck>
+  processCheck(const balance::Placed &) const override {
+    if (!m_ChecksProcess)
+      return std::nullopt;
+    return ProcessCheck{
+        "/who", 7, [](std::string_view) { return ProcessStatement::Expected; }};
+  }
+
+  bool m_ChecksProcess = false; ///< Upstreams state which process they are.
 };
 
 } // namespace crowstep::test
--- a/tests/unit/stream_origin_test.cpp
+++ b/tests/unit/stream_origin_test.cpp
@@ -66,6 +66,77 @@
   BOOST_TEST(!Env.call(0).m_Send.m_SendCheck());
 }
 
+// Guards against a version that the directory has corrected between placement
+// and first event.
+BOOST_AUTO_TEST_CASE(TheVersionStatedAtTheFirstEventCounts) {
+  for (const bool IsStatedLate : {true, false}) {
+    TestEnv Env(Resumable, 3, {}, PlainService{4}, {},
+                withVersions(std::vector<SoftwareVersion>(
+                    3, IsStatedLate ? SoftwareVersion() : Old)));
+    int Reports = 0;
+    Env.m_Context.m_OnUnproven = [&](const std::string &) { ++Reports; };
+    Env.sendGoodHeaders(0);
+    withVersions({New, New, New})(Env);
+    Env.sendBytes(0, event(1));
+    BOOST_TEST(Reports == (IsStatedLate ? 0 : 1));
+    BOOST_REQUIRE(Env.m_Origins.m_Records.size() == 1U);
+    BOOST_TEST((Env.m_Origins.m_Records[0].m_Origin.m_Software.text() ==
+                (IsStatedLate ? "v2" : "")));
+  }
+}
+
+// Guards against a stream that is taken for one of the sole version, as its
+// upstream was removed before its first event, and against records where
+// upstreams state no versions or streams can't be resumed.
+BOOST_AUTO_TEST_CASE(AStreamOfARemovedUpstreamIsRecorded) {
+  for (const bool IsRemoved : {true, false}) {
+    TestEnv Env(Resumable, 3, {}, PlainService{4}, {},
+                withVersions(std::vector<SoftwareVersion>(3)));
+    Env.sendGoodHeaders(0);
+    if (IsRemoved)
+      Env.setUpstreams({});
+    Env.sendBytes(0, event(1));
+    BOOST_TEST(Env.m_Origins.m_Records.size() == (IsRemoved ? 1U : 0U));
+  }
+  TestEnv Once(NotResumable, 3, {}, PlainService{4}, {},
+               withVersions({Old, Old, Old}));
+  Once.sendGoodHeaders(0);
+  Once.sendBytes(0, event(1));
+  BOOST_TEST(Once.m_Origins.m_Records.empty());
+}
+
+// Guards against a listed version that is taken for that of a process which
+// could not be proven, and against a report after the first event.
+BOOST_AUTO_TEST_CASE(AnUnprovenProcessHasNoVersion) {
+  int Reports = 0;
+  const auto Prepare = [&](TestEnv &Made) {
+    withVersions({Old, New, Old})(Made);
+    Made.m_Codec.m_ChecksProcess = true;
+    Made.m_Context.m_OnUnproven = [&](const std::string &) { ++Reports; };
+  };
+  TestEnv Begun(Resumable, 3, {}, PlainService{4}, {}, Prepare);
+  BOOST_REQUIRE(Begun.call(0).m_Send.m_ProcessCheck.has_value());
+  Begun.endCall(0, TransportEnd::Unproven);
+  BOOST_TEST(Reports == 1);
+  BOOST_REQUIRE(Begun.calls() == 2U);
+  BOOST_TEST(!Begun.call(1).m_Send.m_ProcessCheck.has_value());
+  Begun.sendGoodHeaders(1);
+  Begun.sendBytes(1, event(1));
+  BOOST_REQUIRE(Begun.m_Origins.m_Records.size() == 1U);
+  BOOST_TEST(!Begun.m_Origins.m_Records[0].m_Origin.m_Software.isKnown());
+  // A resumed stream goes to another upstream, and is sent only if proven.
+  Reports = 0;
+  TestEnv Resumed(Resumable, 3, resumesAfter(3, "first"), PlainService{4}, {},
+                  Prepare);
+  const auto OnDone = std::move(Resumed.m_Origins.m_OnDone);
+  OnDone({StreamOrigin{"s", Old}, 1, 0});
+  Resumed.endCall(0, TransportEnd::Unproven);
+  BOOST_TEST(Reports == 0);
+  BOOST_REQUIRE(Resumed.calls() == 2U);
+  BOOST_TEST(Resumed.upstreamOf(1) != Resumed.upstreamOf(0));
+  BOOST_TEST(Resumed.call(1).m_Send.m_ProcessCheck.has_value());
+}
+
 // Guards against a resumed stream that is placed before its version is known.
 BOOST_AUTO_TEST_CASE(AResumedStreamWaitsForItsOrigin) {
   ResumeEnv Env({Old, New, Old});
@@ -291,9 +362,16 @@
   BOOST_REQUIRE(Origins.find(Key, Begin + 9s) != nullptr);
   BOOST_TEST(Origins.find(Key, Begin + 10s) == nullptr);
   Origins.record({Key, {"s", Old}, 10s}, Begin + 5s);
+  Origins.record({Key, {"s", New}, 0s}, Begin + 5s);
+  Origins.expire(Begin + 12s);
   BOOST_TEST(Origins.find(Key, Begin + 14s) != nullptr);
   Origins.expire(Begin + 15s);
   BOOST_TEST(Origins.size() == 0U);
+  // What has expired doesn't contradict.
+  Origins.record({Key, {"s", Old}, 1s}, Begin);
+  Origins.record({Key, {"s", New}, 1s}, Begin + 2s);
+  BOOST_TEST(Origins.find(Key, Begin + 2s) != nullptr);
+  Origins.expire(Begin + 3s);
   Origins.record({Key, {"s", Old}, 1000h}, Begin);
   Origins.expire(Begin + StreamOrigins::MaxLifetime);
   BOOST_TEST(Origins.size() == 0U);
@@ -316,6 +394,8 @@
   Origins.record(
       {resume::streamKeyOf("w", "long"), {"s", SoftwareVersion(Long)}, 10s},
       Begin + 1s);
+  Origins.record({resume::streamKeyOf("w", "long"), {Long, Old}, 10s},
+                 Begin + 1s);
   BOOST_TEST(Origins.find(resume::streamKeyOf("w", "long"), Begin + 1s) ==
              nullptr);
 }
@@ -341,6 +421,10 @@
   Origins.record({Key, {"s", New}, 10s}, Begin);
   Origins.record({Key, {"s", Old}, 10s}, Begin);
   BOOST_TEST(Origins.find(Key, Begin + 1s) == nullptr);
+  const resume::StreamKey Unproven = resume::streamKeyOf("w", "b");
+  Origins.record({Unproven, {"s", Old}, 10s}, Begin);
+  Origins.record({Unproven, {"s", SoftwareVersion()}, 10s}, Begin);
+  BOOST_TEST(Origins.findUnproven(Unproven, Begin + 1s) != nullptr);
 }
 
 // Guards against an archive of all streams of a service for one process that
