Fix: The row of a process that stays unproven is written again at once

Cause: other instances remove the row of an unproven process a minute after they read it, as they have not seen that process. The instance that goes on to begin streams there found the row missing and wrote it after the random 2 to 5 s that are meant for rows which any instance may write, or at its next such stream. Until then the others had a sole version.

Change: an instance that has recorded an unproven stream within the last minute writes the missing row at once.

--- a/src/gateway/software_register.cpp
+++ b/src/gateway/software_register.cpp
@@ -50,10 +50,7 @@
 
 void SoftwareRegister::recordUnproven(const std::string &Service) {
   m_History.recordUnproven(Service, m_Clock.now());
-  // Only this instance knows of such a stream, so nobody else writes first.
-  if (isResumable(Service) && !m_History.isRegistered(Service, "") &&
-      m_Unproven.insert(Service).second)
-    m_WritesDue[{Service, ""}] = m_Clock.now();
+  m_Unproven.insert(Service);
   update();
 }
 
@@ -110,9 +107,16 @@
     std::erase_if(*Times, [&](const auto &Known) {
       return !Missing.contains(Known.first);
     });
+  // Others may remove the row of an unproven process that they have not seen.
+  // This instance writes it again at once, as nobody else writes first.
+  const ServiceVersions Seen = m_History.seenVersions(Now);
   std::erase_if(m_Unproven, [&](const std::string &Service) {
-    return !Missing.contains({Service, ""});
+    const auto Found = Seen.find(Service);
+    return Found == Seen.end() || !Found->second.contains("");
   });
+  for (const std::string &Service : m_Unproven)
+    if (Missing.contains({Service, ""}))
+      m_WritesDue.try_emplace({Service, ""}, Now);
   std::map<std::string, std::size_t> Counts;
   for (const auto &[Service, Versions] : m_History.registered())
     Counts[Service] = Versions.size();
--- a/src/gateway/software_register.h
+++ b/src/gateway/software_register.h
@@ -115,7 +115,7 @@
   std::vector<Upstream> m_Upstreams;       ///< Listed.
   ReadingRole m_Role = ReadingRole::Alone; ///< See setRole().
   bool m_WritesAtOnce = false;             ///< See setRole().
-  std::set<std::string> m_Unproven; ///< See recordUnproven(); not registered.
+  std::set<std::string> m_Unproven; ///< See recordUnproven(); seen lately.
   DueTimes m_MissingSince;          ///< Since when rows have been missing.
   DueTimes m_WritesDue;             ///< Of rows that are missing.
   DueTimes m_RemovalsDue;           ///< Of rows that are to be removed.
