--- a/tests/unit/software_register_test.cpp
+++ b/tests/unit/software_register_test.cpp
@@ -421,6 +421,24 @@
   BOOST_TEST(Fleet.m_Rows["s"].contains(""));
 }
 
+// Guards against a row that is missing time and again while a process stays
+// unproven: others remove it each minute.
+BOOST_AUTO_TEST_CASE(AProcessThatStaysUnprovenKeepsItsRow) {
+  RegisterFleet Fleet(3);
+  Fleet.list({upstreamOf("a", "v1")});
+  Fleet.m_Timers.advance(1h);
+  const std::size_t Before = Fleet.m_Calls;
+  int Guesses = 0; // In 10 minutes, looked for each 100 ms.
+  for (int I = 0; I < 6000; ++I) {
+    if (I % 50 == 0)
+      Fleet.m_Instances[2]->m_Register.recordUnproven("s");
+    Fleet.m_Timers.advance(ReadDelay);
+    Guesses += Fleet.m_Instances[1]->sole().has_value() ? 1 : 0;
+  }
+  BOOST_TEST(Guesses <= 20);
+  BOOST_TEST(Fleet.m_Calls - Before <= 22U);
+}
+
 // Guards against a table that upstreams fill, each with a version of its own.
 BOOST_AUTO_TEST_CASE(TheRegisterIsBounded) {
   RegisterFleet Fleet(3);
