--- a/tests/unit/placement_by_time_test.cpp
+++ b/tests/unit/placement_by_time_test.cpp
@@ -432,6 +432,18 @@
   BOOST_TEST(Other.isRefused());
 }
 
+/// Guards against calls that leave the engine with their prefix although its
+/// wait, 0.83 s, is within their limit.
+BOOST_AUTO_TEST_CASE(ACallStaysWhileItsWaitIsWithinTheLimit) {
+  SaturatedEngine Instance;
+  std::map<int, std::uint32_t> Tokens;
+  for (int I = 0; I < SaturatedEngine::Engines; ++I)
+    Tokens[I] = engineId(I) == Instance.m_Cached ? 32000 : 10000;
+  Instance.setPeerLoad(Tokens);
+  BOOST_TEST(
+      (Instance.placeOrFail(Instance.m_Query).m_Upstream == Instance.m_Cached));
+}
+
 /// Guards against a call that goes to an engine which is nearly as busy: the
 /// mean wait is under 0.6 of the limit, but none is under half.
 BOOST_AUTO_TEST_CASE(ACallLeavesOnlyForAnEngineWithRoom) {
