--- a/tests/unit/upstream_speeds_test.cpp
+++ b/tests/unit/upstream_speeds_test.cpp
@@ -589,6 +589,15 @@
   BOOST_TEST(Sums.take(Now).size() >= 1U);
 }
 
+/// Guards against weights that grow by samples which come out of order.
+BOOST_AUTO_TEST_CASE(an_earlier_sample_counts_as_one) {
+  DecayedSum Sum;
+  Sum.add(1, 1, TimePoint(10s), 2s);
+  Sum.add(1, 1, TimePoint(5s), 2s);
+  BOOST_TEST(Sum.weight(TimePoint(10s), 2s) == 2);
+  BOOST_TEST((Sum.lastSampleAt() == TimePoint(10s)));
+}
+
 /// Guards against a burst of what was not sent for long, and against a fleet
 /// with more upstreams in which each waits for longer.
 BOOST_AUTO_TEST_CASE(a_second_of_the_limit_may_be_sent_at_once) {
