--- a/src/balance/placement_preview.cpp
+++ b/src/balance/placement_preview.cpp
@@ -101,8 +101,8 @@
   const bool ByTime = m_Balancer.isPlacedByTime(Query.m_Service);
   std::optional<EngineCosts> Costs;
   if (!Trace.options().empty())
-    Costs.emplace(Query, m_Balancer.isLatencySensitive(Query),
-                  Trace.options(), m_Balancer.prefillTimeOf(Query.m_Service));
+    Costs.emplace(Query, m_Balancer.isLatencySensitive(Query), Trace.options(),
+                  m_Balancer.prefillTimeOf(Query.m_Service));
   Result.reserve(Trace.findings().size());
   for (const PlacementTrace::Finding &Found : Trace.findings()) {
     Result.push_back({Found.m_State, Found.m_Verdict, std::nullopt});
