--- a/tests/unit/upstream_speeds_test.cpp
+++ b/tests/unit/upstream_speeds_test.cpp
@@ -469,6 +469,7 @@
   constexpr int Named = 5000;
   Learner At(0);
   std::vector<SpeedUpdate> Updates;
+  Updates.reserve(Named + 100);
   for (int I = 0; I < Named; ++I)
     Updates.emplace_back(UpstreamSpeedUpdate{idOf(I), false, 60, 90});
   for (int I = 0; I < 100; ++I)
@@ -498,6 +499,7 @@
   Learner At(Count);
   for (int Round = 0; Round < 10; ++Round) {
     std::vector<SpeedUpdate> Updates;
+    Updates.reserve(Count);
     for (int I = 0; I < Count; ++I)
       Updates.emplace_back(UpstreamSpeedUpdate{
           idOf(I), false, 100, I % 2 == Round % 2 ? 140.0 : -140.0});
