--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,5 @@
-/// Usage reports after the loss of all gateways, while the store has come back
-/// from a copy that is older than the last report.
+/// Usage reports after a drill in which the store comes back from a copy that
+/// is older than the last report. Machines were added before, as planned work.
 #include "engine.h"
 
 #include <algorithm>
@@ -8,10 +8,12 @@
 
 namespace {
 
-constexpr std::size_t GatewayCount = 3;
+constexpr std::size_t FirstGateways = 3;
+constexpr std::size_t AddedGateways = 3;
+constexpr double AddedCpuShare = 0.5;
 
-/// Time after the restart in which windows that ended before it are reported.
-constexpr milliseconds TimeAfterRestart(25000);
+/// Time after the drill in which windows that ended before it are reported.
+constexpr milliseconds TimeAfterDrill(20000);
 
 /// The platform's side of the usage reports. It accepts each of them.
 class Platform {
@@ -70,9 +72,10 @@
   [[noreturn]] void end(int Code) { endScript(Code, m_Gateways, m_Folder); }
 
 private:
-  bool start();
+  bool addGateways(std::size_t Count, double CpuShare);
+  bool waitForReports(int Count);
   void sendRequests(std::size_t Number);
-  void loseAllAndRestore();
+  void restoreStore();
 
   Record m_Record;
   TemporaryFolder m_Folder;
@@ -84,15 +87,25 @@
   std::atomic<bool> m_IsOver = false;
 };
 
-bool Case::start() {
-  m_Store.put("op", "config", manifest().dump());
-  m_Engine.list(m_Store);
-  for (std::size_t I = 1; I <= GatewayCount; ++I)
+bool Case::addGateways(std::size_t Count, double CpuShare) {
+  const std::size_t Before = m_Gateways.size();
+  for (std::size_t I = 1; I <= Count; ++I) {
     m_Gateways.push_back(std::make_unique<Gateway>(
-        GatewaySettings{"edge-" + std::to_string(I), m_Store.address(),
-                        m_Platform.address()},
+        GatewaySettings{"edge-" + std::to_string(Before + I), m_Store.address(),
+                        m_Platform.address(), CpuShare},
         m_Folder.path()));
-  return startAll(m_Gateways);
+    m_Gateways.back()->start();
+    m_Record.line(m_Gateways.back()->name() + " starts, with a cpuShare of " +
+                  std::to_string(CpuShare));
+  }
+  return areAllReady(m_Gateways, milliseconds(10000));
+}
+
+/// Waits until \p Count more windows with requests are reported.
+bool Case::waitForReports(int Count) {
+  const int Last = m_Platform.reportsWithRequests() + Count;
+  return waitFor([&] { return m_Platform.reportsWithRequests() >= Last; },
+                 milliseconds(5000) * Count + milliseconds(15000));
 }
 
 /// A client that sends some requests a second, each on a new channel.
@@ -114,40 +127,38 @@
                 std::to_string(Answered) + " answers");
 }
 
-/// All gateways are killed; the store is away and comes back from its copy.
-void Case::loseAllAndRestore() {
-  m_Record.line("all gateways are killed, the store is away");
-  for (const auto &Process : m_Gateways)
-    Process->kill();
+/// The store is away for a moment and comes back from its copy; the engine
+/// writes its entry again.
+void Case::restoreStore() {
+  m_Record.line("the store is away");
   m_Store.goAway();
   sleepFor(milliseconds(500));
   m_Store.comeBack();
+  m_Record.line("the store is back from its copy");
+  sleepFor(milliseconds(500));
   m_Engine.list(m_Store);
-  m_Record.line("the store is back from its copy, the gateways start again");
-  for (const auto &Process : m_Gateways)
-    Process->start();
 }
 
 int Case::play() {
-  if (!start())
+  m_Store.put("op", "config", manifest().dump());
+  m_Engine.list(m_Store);
+  if (!addGateways(FirstGateways, GatewaySettings().m_CpuShare))
     return CouldNotRun;
-  for (std::size_t I = 0; I < GatewayCount; ++I)
+  for (std::size_t I = 0; I < FirstGateways; ++I)
     m_Clients.emplace_back([this, I] { sendRequests(I); });
-  // One window with requests is reported; the copy is taken before the next.
-  if (!waitFor([this] { return m_Platform.reportsWithRequests() >= 1; },
-               milliseconds(40000)))
+  if (!waitForReports(1) || !addGateways(AddedGateways, AddedCpuShare) ||
+      !waitForReports(4))
     return CouldNotRun;
+  // Between two reports: the next one is written after the copy.
   sleepFor(milliseconds(1000));
   m_Store.takeCopy();
   m_Record.line("the store's copy is of this moment");
-  const int Before = m_Platform.reportsWithRequests();
-  if (!waitFor([&] { return m_Platform.reportsWithRequests() > Before; },
-               milliseconds(10000)))
+  if (!waitForReports(1))
     return CouldNotRun;
   sleepFor(milliseconds(1000));
   if (hasTrouble())
-    loseAllAndRestore();
-  sleepFor(TimeAfterRestart);
+    restoreStore();
+  sleepFor(TimeAfterDrill);
   m_IsOver = true;
   for (std::thread &Client : m_Clients)
     Client.join();
--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -143,10 +143,23 @@
   return true;
 }
 
+/// Ports below those that the kernel gives to outgoing connections, so that a
+/// process that starts again finds its own free.
 std::uint16_t freePort() {
-  const auto [Socket, Port] = listenAnywhere();
-  close(Socket);
-  return Port;
+  constexpr std::uint16_t First = 20000;
+  constexpr std::uint16_t Count = 10000;
+  static std::uint16_t Next = static_cast<std::uint16_t>(getpid() * 37 % Count);
+  for (;;) {
+    Next = static_cast<std::uint16_t>((Next + 1) % Count);
+    const auto Port = static_cast<std::uint16_t>(First + Next);
+    const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Where = loopback(Port);
+    const bool IsFree =
+        bind(Socket, reinterpret_cast<sockaddr *>(&Where), sizeof(Where)) == 0;
+    close(Socket);
+    if (IsFree)
+      return Port;
+  }
 }
 
 void Record::line(const std::string &Text) {
@@ -518,8 +531,9 @@
   std::ofstream Out(File);
   // deploy/gateway.ini, filled in with the bounds of a small deployment.
   Out << "[instance]\nname=" << m_Settings.m_Name
-      << "\nzone=suva-a\nweight=0.25\n[gateway]\nlisten=" << At(0)
-      << "links=" << At(1) << "relays=" << At(2) << "probes=" << At(3)
+      << "\nzone=suva-a\nweight=" << m_Settings.m_CpuShare
+      << "\n[gateway]\nlisten=" << At(0) << "links=" << At(1)
+      << "relays=" << At(2) << "probes=" << At(3)
       << "readiness_path=/readiness\ngrace_s=8\ndescriptors=4100\n"
       << "[retry_budget]\nratio=0.2\nslack=58\nwindow_s=10\n"
       << "[upstreams]\ndrain_ms=2000\n[store]\naddress=" << m_Settings.m_Store
@@ -574,12 +588,17 @@
   return Head && Head->status() == 200;
 }
 
+bool areAllReady(const std::vector<std::unique_ptr<Gateway>> &Gateways,
+                 milliseconds Limit) {
+  return std::ranges::all_of(Gateways, [Limit](const auto &Started) {
+    return waitFor([&] { return Started->isReady(); }, Limit);
+  });
+}
+
 bool startAll(std::vector<std::unique_ptr<Gateway>> &Gateways) {
   for (const auto &Started : Gateways)
     Started->start();
-  return std::ranges::all_of(Gateways, [](const auto &Started) {
-    return waitFor([&] { return Started->isReady(); }, milliseconds(10000));
-  });
+  return areAllReady(Gateways, milliseconds(10000));
 }
 
 void endScript(int Code, std::vector<std::unique_ptr<Gateway>> &Gateways,
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -196,6 +196,7 @@
   std::string m_Name = "edge-1";
   std::string m_Store;       ///< Address of the store.
   std::string m_DutyAddress; ///< Empty: no duties.
+  double m_CpuShare = 0.25;  ///< Of the machine.
 };
 
 /// One process of the gateway, started as the deploy file says.
@@ -240,6 +241,11 @@
   std::string m_Path; ///< Absolute.
 };
 
+/// Waits until all gateways are ready; returns whether each was within \p
+/// Limit.
+bool areAllReady(const std::vector<std::unique_ptr<Gateway>> &Gateways,
+                 milliseconds Limit);
+
 /// Starts all gateways and waits until they are ready; returns whether they
 /// were in time.
 bool startAll(std::vector<std::unique_ptr<Gateway>> &Gateways);
