Feature: Log each request that a stop cuts, and connections that linger at its end

GatewayCut told two counts. Whether a request came late, waited in its upstream, had a part of its answer or had only unwritten output left could not be told, nor whether the process ended while a caller had not yet closed after its last answer. GatewayRequestCut names each request with these facts; GatewayCut and GatewayDrained tell the lingering connections. No logic changes.

--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -452,6 +452,23 @@
   finish(nameOf(RefusalReason::CallerGone));
 }
 
+void ForwardedRequest::logCut() const {
+  logEvent(
+      LogEvent::GatewayRequestCut,
+      {{"request", m_Admitted.m_Facts.m_Id},
+       {"route", m_Admitted.m_Route->m_Name},
+       {"upstream", m_Upstream},
+       {"sends", std::to_string(m_Attempts)},
+       {"progress",
+        m_Call == nullptr ? "none" : std::string(nameOf(m_Call->progress()))},
+       {"status", std::to_string(m_Status)},
+       {"events", std::to_string(m_EventCount)},
+       {"unwritten", std::to_string(m_Caller->backlog())},
+       {"took_us",
+        std::to_string((m_Context.m_Clock.now() - m_ArrivedAt).count())},
+       {"left_us", std::to_string(timeLeft().count())}});
+}
+
 void ForwardedRequest::finish(std::string_view Outcome) {
   m_DeadlineTimer.stop();
   m_SilenceTimer.stop();
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -75,6 +75,9 @@
   /// Starts the first attempt.
   void start();
 
+  /// Logs how far the request is when the shutdown cuts it off.
+  void logCut() const;
+
 private:
   void upstreamHeaders(unsigned Status, const HeaderList &Headers) override;
   void upstreamBytes(std::string_view Bytes) override;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -509,16 +509,20 @@
     m_Front.closeIdleConnections();
     if (m_Requests.empty() && m_Front.openRequests() == 0 &&
         m_CallRelay->carriedCalls() == 0) {
-      logEvent(LogEvent::GatewayDrained);
+      logEvent(LogEvent::GatewayDrained,
+               {{"lingering", std::to_string(m_Front.lingeringConnections())}});
       m_OnStopped();
       return;
     }
   }
   if (m_Settings.m_GracePeriod > KillMargin &&
       m_Clock.now() - m_StopBeganAt >= m_Settings.m_GracePeriod - KillMargin) {
+    for (const auto &[Number, Open] : m_Requests)
+      Open->logCut();
     logEvent(LogEvent::GatewayCut,
              {{"requests", std::to_string(m_Requests.size())},
-              {"open", std::to_string(m_Front.openRequests())}});
+              {"open", std::to_string(m_Front.openRequests())},
+              {"lingering", std::to_string(m_Front.lingeringConnections())}});
     m_OnStopped();
     return;
   }
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -73,6 +73,12 @@
   /// Returns whether a request is partly received, or isAnswering().
   [[nodiscard]] bool isBusy() const;
 
+  /// Returns whether the last answer was written and the caller has not closed
+  /// the connection yet.
+  [[nodiscard]] bool isLingering() const {
+    return m_Phase == Phase::Discarding;
+  }
+
   /// Closes the connection if no request has arrived on it; the socket is read
   /// first. A connection that has not served a request yet stays open.
   void closeIfIdle();
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -81,4 +81,11 @@
       m_Connections, [](const auto &Entry) { return Entry.second->isBusy(); }));
 }
 
+std::size_t Frontend::lingeringConnections() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(m_Connections, [](const auto &Entry) {
+        return Entry.second->isLingering();
+      }));
+}
+
 } // namespace crowstep
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -71,6 +71,10 @@
   /// Like unansweredRequests(), with requests that are partly received.
   [[nodiscard]] std::size_t openRequests() const;
 
+  /// Returns how many connections wait only for their caller's close, after
+  /// their last answer.
+  [[nodiscard]] std::size_t lingeringConnections() const;
+
 private:
   bool accept(SocketPtr Accepted);
 
