Fix: Refuse a request that comes late in a stop and may outlast it

Callers saw a 200 whose stream was cut 7.8 s after SIGTERM, on requests that the gateway had read after it stopped listening: on a connection that had not been used before, or with a body whose last chunk came then. Such a request was placed as usual, though its route allowed more time than was left of the grace period.

Once the gateway listens no more, a request whose time limit ends after that of the shutdown is refused with 503, which is true, and a short Retry-After: another instance serves it whole. A request that ends in time is served. So nothing that was admitted after the listener closed can be cut by the end of the grace period.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 #include "gateway/gateway.h"
 
 #include "core/log.h"
+#include "gateway/first_attempt.h"
 #include "gateway/placement_report.h"
 #include "http/refusal_answer.h"
 
@@ -24,6 +25,9 @@
 /// reach another instance.
 constexpr Duration NoTableRetryAfter = std::chrono::milliseconds(500);
 
+/// Retry-After of an instance that is about to end: another one serves.
+constexpr Duration ElsewhereRetryAfter = std::chrono::milliseconds(50);
+
 /// After SIGTERM new connections keep arriving until the platform has probed
 /// readiness twice, a second apart, and longer if too few instances of the zone
 /// are ready. For this time they are served as usual. Then this instance stops
@@ -433,7 +437,13 @@
 void Gateway::handle(IncomingRequest Request, std::unique_ptr<Caller> From) {
   auto Outcome = admit(Request, m_Table, *m_PlatformParts.m_Codec);
   if (const auto *Refused = std::get_if<RefusedRequest>(&Outcome)) {
-    refuse(*From, *Refused);
+    refuse(*From, *Refused, NoTableRetryAfter);
+    return;
+  }
+  const auto &Admitted = std::get<AdmittedRequest>(Outcome);
+  if (mayOutlastStop(Admitted)) {
+    refuse(*From, {RefusalReason::ShuttingDown, Admitted.m_Facts.m_Id},
+           ElsewhereRetryAfter);
     return;
   }
   const std::uint64_t Number = ++m_LastRequestNumber;
@@ -446,7 +456,17 @@
   Started.start();
 }
 
-void Gateway::refuse(Caller &From, const RefusedRequest &Refused) {
+/// While connections are accepted, callers don't know of the stop, and most
+/// requests end in time. Later ones come on connections that were opened
+/// before; a caller that is refused there tries another instance.
+bool Gateway::mayOutlastStop(const AdmittedRequest &Admitted) const {
+  const auto EndsAt = stopLimit();
+  return !m_Listening && EndsAt &&
+         m_Clock.now() + timeoutOf(Admitted) > *EndsAt;
+}
+
+void Gateway::refuse(Caller &From, const RefusedRequest &Refused,
+                     Duration RetryAfter) {
   m_Stats.countRefusal(Refused.m_Reason);
   logEvent(LogEvent::GatewayNotAdmitted,
            {{"request", Refused.m_Id},
@@ -455,7 +475,7 @@
       refusalAnswer(Refused.m_Reason, RunState::NotRun, Duration::zero());
   Answer.m_Headers = m_PlatformParts.m_Codec->writeRefusal(
       Refused.m_Id, httpStatusOf(Refused.m_Reason) == HttpUnavailable
-                        ? NoTableRetryAfter
+                        ? RetryAfter
                         : Duration::zero());
   if (m_ClosingConnections)
     Answer.m_Headers.push_back({"Connection", "close"});
@@ -501,6 +521,12 @@
   checkStopped();
 }
 
+std::optional<TimePoint> Gateway::stopLimit() const {
+  if (!m_Stopping || m_Settings.m_GracePeriod <= KillMargin)
+    return std::nullopt;
+  return m_StopBeganAt + m_Settings.m_GracePeriod - KillMargin;
+}
+
 void Gateway::checkStopped() {
   if (m_Clock.now() - m_StopBeganAt >= OutOfRotation) {
     if (m_Listening)
@@ -515,8 +541,7 @@
       return;
     }
   }
-  if (m_Settings.m_GracePeriod > KillMargin &&
-      m_Clock.now() - m_StopBeganAt >= m_Settings.m_GracePeriod - KillMargin) {
+  if (const auto EndsAt = stopLimit(); EndsAt && m_Clock.now() >= *EndsAt) {
     for (const auto &[Number, Open] : m_Requests)
       Open->logCut();
     logEvent(LogEvent::GatewayCut,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -84,10 +84,16 @@
 
   void handle(IncomingRequest Request, std::unique_ptr<Caller> From);
   void handleShed(ShedReason Reason);
-  void refuse(Caller &From, const RefusedRequest &Refused);
+
+  /// \p RetryAfter applies to statuses that allow one.
+  void refuse(Caller &From, const RefusedRequest &Refused, Duration RetryAfter);
+  [[nodiscard]] bool mayOutlastStop(const AdmittedRequest &Admitted) const;
   void handleProbe(SoupServerMessage *Message, const char *Path);
   void handlePlacementQuery(SoupServerMessage *Message);
   void handleRequestEnd(std::uint64_t Number);
+
+  /// Returns when the shutdown ends by itself; nullopt: nothing limits it.
+  [[nodiscard]] std::optional<TimePoint> stopLimit() const;
   void checkStopped();
   [[nodiscard]] bool isReady() const;
 
