Fix: Answer the requests that a stop cuts, and log the end of each

Callers whose request had no answer 7.8 s after SIGTERM, as it waited in its upstream, saw their connection close without one, though the instance knew that it gave the request up.

At its time limit the shutdown now ends each request as any other end does: one that no upstream has got is refused with 503 and a Retry-After, one that may have run with 502, a stream that has begun is cut visibly. Each is logged by GatewayRequestFailed with the outcome shutting_down. The calls to upstreams end with it, before the process does.

--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -434,22 +434,17 @@
   finish(nameOf(Reason));
 }
 
-void ForwardedRequest::handleDeadline() {
-  if (m_Call != nullptr) {
-    // If it was sent, whether it runs is not known.
-    m_MayHaveRun =
-        m_MayHaveRun || m_Call->progress() != CallProgress::Connecting;
-    endCall(balance::CallOutcome::Dropped);
-  }
-  refuse(RefusalReason::TimedOut, Duration::zero());
+/// Whether a call runs that was sent is not known.
+void ForwardedRequest::dropCall() {
+  if (m_Call == nullptr)
+    return;
+  m_MayHaveRun = m_MayHaveRun || m_Call->progress() != CallProgress::Connecting;
+  endCall(balance::CallOutcome::Dropped);
 }
 
-void ForwardedRequest::handleCallerGone() {
-  if (m_Call != nullptr)
-    endCall(balance::CallOutcome::Dropped);
-  m_Context.m_Stats.countRefusal(RefusalReason::CallerGone);
-  m_Caller->abortAnswer();
-  finish(nameOf(RefusalReason::CallerGone));
+void ForwardedRequest::handleDeadline() {
+  dropCall();
+  refuse(RefusalReason::TimedOut, Duration::zero());
 }
 
 void ForwardedRequest::logCut() const {
@@ -469,6 +464,20 @@
        {"left_us", std::to_string(timeLeft().count())}});
 }
 
+void ForwardedRequest::cut(Duration RetryAfter) {
+  logCut();
+  dropCall();
+  refuse(RefusalReason::ShuttingDown, RetryAfter);
+}
+
+void ForwardedRequest::handleCallerGone() {
+  if (m_Call != nullptr)
+    endCall(balance::CallOutcome::Dropped);
+  m_Context.m_Stats.countRefusal(RefusalReason::CallerGone);
+  m_Caller->abortAnswer();
+  finish(nameOf(RefusalReason::CallerGone));
+}
+
 void ForwardedRequest::finish(std::string_view Outcome) {
   m_DeadlineTimer.stop();
   m_SilenceTimer.stop();
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -75,8 +75,10 @@
   /// Starts the first attempt.
   void start();
 
-  /// Logs how far the request is when the shutdown cuts it off.
-  void logCut() const;
+  /// Ends the request as the instance shuts down: a stream that has begun is
+  /// visibly incomplete, others are refused, with \p RetryAfter if they have
+  /// not run.
+  void cut(Duration RetryAfter);
 
 private:
   void upstreamHeaders(unsigned Status, const HeaderList &Headers) override;
@@ -139,6 +141,8 @@
   void startSilenceTimer(Duration Limit);
   void handleSilence();
   void handleDeadline();
+  void dropCall();
+  void logCut() const;
   void handleCallerGone();
   void finish(std::string_view Outcome);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -527,6 +527,16 @@
   return m_StopBeganAt + m_Settings.m_GracePeriod - KillMargin;
 }
 
+/// Each request leaves m_Requests within its call.
+void Gateway::cutRequests() {
+  std::vector<ForwardedRequest *> Open;
+  Open.reserve(m_Requests.size());
+  for (const auto &[Number, Owned] : m_Requests)
+    Open.push_back(Owned.get());
+  for (ForwardedRequest *Request : Open)
+    Request->cut(ElsewhereRetryAfter);
+}
+
 void Gateway::checkStopped() {
   if (m_Clock.now() - m_StopBeganAt >= OutOfRotation) {
     if (m_Listening)
@@ -542,12 +552,11 @@
     }
   }
   if (const auto EndsAt = stopLimit(); EndsAt && m_Clock.now() >= *EndsAt) {
-    for (const auto &[Number, Open] : m_Requests)
-      Open->logCut();
     logEvent(LogEvent::GatewayCut,
              {{"requests", std::to_string(m_Requests.size())},
               {"open", std::to_string(m_Front.openRequests())},
               {"lingering", std::to_string(m_Front.lingeringConnections())}});
+    cutRequests();
     m_OnStopped();
     return;
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -94,6 +94,7 @@
 
   /// Returns when the shutdown ends by itself; nullopt: nothing limits it.
   [[nodiscard]] std::optional<TimePoint> stopLimit() const;
+  void cutRequests();
   void checkStopped();
   [[nodiscard]] bool isReady() const;
 
