Fix: Wait for callers to close before a gateway ends

A caller that had sent its next request could lose the end of its last answer: the process ended within 50 ms of the last write, the kernel reset the connection as it held or got unread input, and dropped what was not sent yet. Connections whose last answer is written are kept for up to a second, so that just this doesn't happen, but the shutdown did not count them.

It waits for them now. At its time limit it leaves 0.1 s of the margin before the kill to them, as the refusals of cut requests are written just then.

stop_limit_test/TheEndOfTheProcessDestroysNoAnswer (an answer of 40 KB, a caller that has read 4 KB of it and sends its next request) failed before and passes, one run each. Ruled out for the incident: such an end leaves a GatewayRequestServed line, which the record doesn't have.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,6 +40,11 @@
 /// requests cut off by it are logged.
 constexpr Duration KillMargin = std::chrono::milliseconds(200);
 
+/// Time within KillMargin for callers to read their refusals and to close: the
+/// end of the process resets a connection with unread input, which can destroy
+/// an unread answer.
+constexpr Duration FinalLingerTime = std::chrono::milliseconds(100);
+
 /// Limits where the table sets none, for headers and body to arrive and for
 /// connections without a request.
 constexpr Duration DefaultReceiveLimit = std::chrono::seconds(10);
@@ -544,9 +549,9 @@
     m_Listening = false;
     m_Front.closeIdleConnections();
     if (m_Requests.empty() && m_Front.openRequests() == 0 &&
+        m_Front.lingeringConnections() == 0 &&
         m_CallRelay->carriedCalls() == 0) {
-      logEvent(LogEvent::GatewayDrained,
-               {{"lingering", std::to_string(m_Front.lingeringConnections())}});
+      logEvent(LogEvent::GatewayDrained);
       m_OnStopped();
       return;
     }
@@ -557,7 +562,7 @@
               {"open", std::to_string(m_Front.openRequests())},
               {"lingering", std::to_string(m_Front.lingeringConnections())}});
     cutRequests();
-    m_OnStopped();
+    m_StopTimer.start(FinalLingerTime, [this] { m_OnStopped(); });
     return;
   }
   if (m_Clock.now() - m_DrainLoggedAt >= DrainLogInterval) {
@@ -566,6 +571,7 @@
              {{"requests", std::to_string(m_Requests.size())},
               {"unfinished", std::to_string(m_Front.unansweredRequests())},
               {"open", std::to_string(m_Front.openRequests())},
+              {"lingering", std::to_string(m_Front.lingeringConnections())},
               {"carried", std::to_string(m_CallRelay->carriedCalls())}});
   }
   m_StopTimer.start(StopCheckInterval, [this] { checkStopped(); });
