Fix: Hand finished answers to the kernel when a stop reaches its limit

The end of an answer was lost where its caller read slowly: the gateway keeps what the kernel doesn't take (64 KB beyond the caller's window), and the end of the process dropped that, though the upstream had long finished.

At its time limit the shutdown lifts that bound and writes once more. The kernel sends what it has taken after the end of the process too.

stop_limit_test/AnUnreadAnswerOutlivesTheProcess (400 KB, a caller that reads nothing until the process is gone) failed before and passes, one run each. What a kernel doesn't take (a few MB a connection) is still lost.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -562,6 +562,7 @@
               {"open", std::to_string(m_Front.openRequests())},
               {"lingering", std::to_string(m_Front.lingeringConnections())}});
     cutRequests();
+    m_Front.writeFinishedAnswers();
     m_StopTimer.start(FinalLingerTime, [this] { m_OnStopped(); });
     return;
   }
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -518,6 +518,15 @@
   updateWatch();
 }
 
+void CallerConnection::writeFinishedAnswer() {
+  if (m_Phase != Phase::Flushing)
+    return;
+  constexpr int NoLimit = 0;
+  g_socket_set_option(m_Socket.get(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, NoLimit,
+                      nullptr);
+  write();
+}
+
 void CallerConnection::handleFlushed() {
   if (m_CloseAfterAnswer || m_WriteFailed || m_Owner.closesAfterAnswers()) {
     startDiscarding();
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -83,6 +83,9 @@
   /// first. A connection that has not served a request yet stays open.
   void closeIfIdle();
 
+  /// Gives the kernel all that it takes of a finished answer.
+  void writeFinishedAnswer();
+
   /// Closes at once; the disconnect callback of an open request runs.
   void close();
 
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -59,16 +59,25 @@
                          [this] { m_ClosedConnections.clear(); });
 }
 
-void Frontend::closeIdleConnections() {
-  std::vector<CallerConnection *> All;
-  All.reserve(m_Connections.size());
+/// Closed connections stay valid meanwhile: m_CleanupTimer destroys them.
+std::vector<CallerConnection *> Frontend::allConnections() const {
+  std::vector<CallerConnection *> Result;
+  Result.reserve(m_Connections.size());
   for (const auto &[Key, Owned] : m_Connections)
-    All.push_back(Key);
-  // Closed connections stay valid here: m_CleanupTimer destroys them.
-  for (CallerConnection *Connection : All)
+    Result.push_back(Key);
+  return Result;
+}
+
+void Frontend::closeIdleConnections() {
+  for (CallerConnection *Connection : allConnections())
     Connection->closeIfIdle();
 }
 
+void Frontend::writeFinishedAnswers() {
+  for (CallerConnection *Connection : allConnections())
+    Connection->writeFinishedAnswer();
+}
+
 std::size_t Frontend::unansweredRequests() const {
   return static_cast<std::size_t>(
       std::ranges::count_if(m_Connections, [](const auto &Entry) {
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -51,6 +51,10 @@
   /// arrives during the close is not read, and its caller sees a reset.
   void closeIdleConnections();
 
+  /// Gives the kernel all that it takes of the answers which are finished and
+  /// not written: it sends them also after the end of the process.
+  void writeFinishedAnswers();
+
   /// Returns the number of open connections.
   [[nodiscard]] std::size_t connections() const { return m_Connections.size(); }
 
@@ -77,6 +81,7 @@
 
 private:
   bool accept(SocketPtr Accepted);
+  [[nodiscard]] std::vector<CallerConnection *> allConnections() const;
 
   [[nodiscard]] const ReceiveLimits &limits() const override {
     return m_Limits;
