Fix: Wait for callers to close before an entry ends

An entry also kept connections open after answers given in a stop.

During a stop connections close after their answers, and the entry waits for their callers to close, for a second after its last request at most: callers that are refused meanwhile don't prolong the stop (found by review).

--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -9,6 +9,10 @@
 
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration ElsewhereRetryAfter = std::chrono::seconds(1);
+
+/// Time after the last answer of a stop for its caller to close. Callers that
+/// are refused meanwhile don't prolong the stop.
+constexpr Duration StopLingerTime = std::chrono::seconds(1);
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpUnavailable = 503;
 
@@ -135,6 +139,7 @@
 }
 
 void RequestService::handleRequestEnd(std::uint64_t Number) {
+  m_LastEndAt = m_Context.m_Clock.now();
   auto Node = m_Requests.extract(Number);
   m_EndedRequests.push_back(std::move(Node.mapped()));
   if (!m_CleanupTimer.isRunning())
@@ -154,11 +159,16 @@
 void RequestService::stop(std::function<void()> Done) {
   m_Stopping = true;
   m_OnStopped = std::move(Done);
+  m_Frontend.closeAfterAnswers();
   checkStopped();
 }
 
 void RequestService::checkStopped() {
-  if (m_Requests.empty() && m_Frontend.unansweredRequests() == 0) {
+  const bool HasLingered =
+      m_Frontend.lingeringConnections() == 0 ||
+      m_Context.m_Clock.now() - m_LastEndAt >= StopLingerTime;
+  if (m_Requests.empty() && m_Frontend.unansweredRequests() == 0 &&
+      HasLingered) {
     logEvent(LogEvent::EntryDrained);
     m_OnStopped();
     return;
--- a/src/entry/request_service.h
+++ b/src/entry/request_service.h
@@ -29,7 +29,8 @@
   /// Creates the metrics of the classes in force.
   void tableChanged() { m_Stats.createSeries(m_Directory.table()); }
 
-  /// Refuses new requests, and calls \p Done when every answer is written.
+  /// Refuses new requests, and calls \p Done when every answer is written and
+  /// its caller has closed, or has had a second to.
   void stop(std::function<void()> Done);
 
 private:
@@ -55,6 +56,7 @@
   Timer m_CleanupTimer;                  ///< Destroys ended requests.
   Timer m_StopTimer;                     ///< Runs while stopping.
   bool m_Stopping = false;               ///< After stop().
+  TimePoint m_LastEndAt{};               ///< Of the last request that ended.
   std::function<void()> m_OnStopped;     ///< Set by stop().
 };
 
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -26,7 +26,7 @@
 }
 
 void Frontend::stopListening() {
-  m_HasStopped = true;
+  closeAfterAnswers();
   m_Acceptor.stop();
 }
 
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -42,11 +42,14 @@
   /// this object, has a reason to. Without a call all are served.
   void setAdmission(const ConnectionAdmission &Admission, ShedHandler OnShed);
 
-  /// Accepts no further connections, and closes each open one after the answer
-  /// under way, also where its head did not announce that. A request that was
-  /// sent behind it is not read.
+  /// Accepts no further connections, and closes each open one as
+  /// closeAfterAnswers() does.
   void stopListening();
 
+  /// Closes each connection after the answer under way, also where its head did
+  /// not announce that. A request that was sent behind it is not answered.
+  void closeAfterAnswers() { m_ClosesAfterAnswers = true; }
+
   /// Closes the connections that wait for their next request. A request that
   /// arrives during the close is not read, and its caller sees a reset.
   void closeIdleConnections();
@@ -87,7 +90,7 @@
     return m_Limits;
   }
   [[nodiscard]] bool closesAfterAnswers() const override {
-    return m_HasStopped;
+    return m_ClosesAfterAnswers;
   }
   void requestReceived(IncomingRequest Request,
                        std::unique_ptr<Caller> From) override;
@@ -103,7 +106,7 @@
   Acceptor m_Acceptor;                       ///< Listens until stopListening().
   const ConnectionAdmission *m_Admission = nullptr; ///< Null: sheds none.
   ShedHandler m_OnShed;                             ///< Set with m_Admission.
-  bool m_HasStopped = false;                        ///< After stopListening().
+  bool m_ClosesAfterAnswers = false; ///< After closeAfterAnswers().
   std::unordered_map<CallerConnection *, std::unique_ptr<CallerConnection>>
       m_Connections; ///< Open connections.
   std::vector<std::unique_ptr<CallerConnection>>
--- a/tests/process/shutdown_test.cpp
+++ b/tests/process/shutdown_test.cpp
@@ -1,6 +1,7 @@
 /// A graceful shutdown truncates no answer, and a rolling restart works.
 #define BOOST_TEST_MODULE shutdown
 #include "process/fleet.h"
+#include "unit/loopback_peer.h"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -46,6 +47,10 @@
       10s));
   Process &Entry = *TestFleet.instances()[0].m_Entry;
   Entry.signal(SIGTERM);
+  // A request that is read before the signal is handled is served.
+  BOOST_TEST(runUntil(
+      [&] { return Entry.log().find("ProgramStopping") != std::string::npos; },
+      5s));
   const CallResult Late =
       TestFleet.caller().call(TestFleet.chatCall(0, "guide", 5, false));
   BOOST_TEST(Late.m_Status != 200U);
@@ -99,3 +104,39 @@
   BOOST_TEST_MESSAGE(Whole << " of " << Answers.size() << " answered whole");
   BOOST_TEST(Whole * 2 >= Answers.size());
 }
+
+// Guards against a reset that destroys the last answer of a caller which has
+// sent its next request, as the process ends.
+BOOST_AUTO_TEST_CASE(TheEndOfAnEntryDestroysNoAnswer) {
+  constexpr std::size_t LongAnswer = 4000;
+  FleetPlan Plan;
+  Plan.m_EngineSettings = "token_ms = 0.2\n";
+  Fleet TestFleet(Plan);
+  TestFleet.start();
+  const Call Request = TestFleet.chatCall(0, "guide", LongAnswer, false);
+  std::string Text = "POST " + Request.m_Path + " HTTP/1.1\r\nHost: h\r\n";
+  for (const auto &[Name, Value] : Request.m_Headers)
+    Text.append(Name).append(": ").append(Value).append("\r\n");
+  Text += "Content-Type: application/json\r\nContent-Length: " +
+          std::to_string(Request.m_Body.size()) + "\r\n\r\n" + Request.m_Body;
+  constexpr int SmallBuffer = 4096;
+  const auto Caller = Peer::connect(Request.m_Address, SmallBuffer);
+  Caller->send(Text);
+  runFor(200ms);
+  Process &Entry = *TestFleet.instances()[0].m_Entry;
+  Entry.signal(SIGTERM);
+  char Byte = 0;
+  BOOST_TEST(runUntil(
+      [&] { return recv(Caller->fd(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0; },
+      10s));
+  Entry.wait(300ms);
+  Caller->send(Text);
+  runFor(100ms);
+  BOOST_TEST(runUntil([&] { return Caller->isClosed(); }, 5s));
+  const std::size_t Body = Caller->received().find("\r\n\r\n") + 4;
+  BOOST_TEST(Caller->hasReceived("HTTP/1.1 200 "));
+  const auto Answer =
+      nlohmann::json::parse(Caller->received().substr(Body), nullptr, false);
+  BOOST_TEST(!Answer.is_discarded());
+  BOOST_TEST((Entry.wait(10s) == 0));
+}
