Fix: Keep a connection whose next request was read ahead when a stop closes idle ones

A request that had come in one read with the one before waits for the next iteration of the loop. If the listener closed in this iteration, the connection counted as idle and was closed with the request in memory: its caller saw an end without an answer. Found by review.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -165,8 +165,9 @@
 }
 
 bool CallerConnection::isBusy() const {
-  return isAnswering() || (m_Phase == Phase::Receiving &&
-                           m_Parser->state() != RequestParseState::NotStarted);
+  const bool HasInput =
+      !m_Input.empty() || m_Parser->state() != RequestParseState::NotStarted;
+  return isAnswering() || (m_Phase == Phase::Receiving && HasInput);
 }
 
 CallerConnection::Handle *CallerConnection::releaseHandle() {
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -70,7 +70,8 @@
            m_Phase == Phase::Flushing;
   }
 
-  /// Returns whether a request is partly received, or isAnswering().
+  /// Returns whether a request is partly received or was received behind the
+  /// last one, or isAnswering().
   [[nodiscard]] bool isBusy() const;
 
   /// Returns whether the last answer was written and the caller has not closed
--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -367,6 +367,16 @@
   BOOST_TEST(Fixture.m_Front.unansweredRequests() == 1U);
 }
 
+/// Guards against the same for a request that was read with the one before.
+BOOST_AUTO_TEST_CASE(ARequestThatWasReadAheadIsServedAtAStop) {
+  FrontFixture Fixture;
+  const auto Caller = Fixture.connectAndSend(Get + Get);
+  BOOST_TEST(pumpUntil([&] { return Fixture.m_Callers.size() == 1; }));
+  Fixture.answerLast();
+  Fixture.m_Front.closeIdleConnections();
+  BOOST_TEST(pumpUntil([&] { return Fixture.m_Callers.size() == 2; }));
+}
+
 /// Guards against a request that is accepted by a server that is about to end:
 /// it comes right behind a stream that began before the stop and whose head
 /// could not announce the close.
