Fix: Fix the limit of a stop at its signal, and accept nothing behind it

A settings file that changed during a stop moved the stop's time limit, also past the kill by the platform: open requests then got neither an answer nor a log line. With a grace period under 2.8 s the limit came before the listener was closed, and what was accepted in the last 0.1 s was dropped unanswered.

The limit is computed once, as the signal comes, and the listener closes there at the latest. The last check runs at the limit and not up to 50 ms after it; what callers have not read goes to the kernel before anything else is done. Whether a request comes late is asked of the clock and not of the timer that closes the listener.

stop_limit_test, one run each: ALongerGraceDoesNotProlongAStop and NothingIsAcceptedAtTheLimit failed before and pass. A test that stops the process around 2.6 s passed before as well and is not kept. Found by review.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include "gateway/placement_report.h"
 #include "http/refusal_answer.h"
 
+#include <algorithm>
 #include <string_view>
 
 namespace crowstep::gateway {
@@ -465,9 +466,8 @@
 /// requests end in time. Later ones come on connections that were opened
 /// before; a caller that is refused there tries another instance.
 bool Gateway::mayOutlastStop(const AdmittedRequest &Admitted) const {
-  const auto EndsAt = stopLimit();
-  return !m_Listening && EndsAt &&
-         m_Clock.now() + timeoutOf(Admitted) > *EndsAt;
+  return m_StopLimit && isOutOfRotation() &&
+         m_Clock.now() + timeoutOf(Admitted) > *m_StopLimit;
 }
 
 void Gateway::refuse(Caller &From, const RefusedRequest &Refused,
@@ -517,6 +517,9 @@
   m_Stopping = true;
   m_ClosingConnections = true;
   m_StopBeganAt = m_Clock.now();
+  // The platform counts by the settings at the signal.
+  if (m_Settings.m_GracePeriod > KillMargin)
+    m_StopLimit = m_StopBeganAt + m_Settings.m_GracePeriod - KillMargin;
   m_OnStopped = std::move(Done);
   m_PlatformParts.m_Directory->deregister();
   m_CallRelay->stop();
@@ -526,12 +529,6 @@
   checkStopped();
 }
 
-std::optional<TimePoint> Gateway::stopLimit() const {
-  if (!m_Stopping || m_Settings.m_GracePeriod <= KillMargin)
-    return std::nullopt;
-  return m_StopBeganAt + m_Settings.m_GracePeriod - KillMargin;
-}
-
 /// Each request leaves m_Requests within its call.
 void Gateway::cutRequests() {
   std::vector<ForwardedRequest *> Open;
@@ -542,11 +539,13 @@
     Request->cut(ElsewhereRetryAfter);
 }
 
+bool Gateway::isOutOfRotation() const {
+  return m_Stopping && m_Clock.now() - m_StopBeganAt >= OutOfRotation;
+}
+
 void Gateway::checkStopped() {
-  if (m_Clock.now() - m_StopBeganAt >= OutOfRotation) {
-    if (m_Listening)
-      m_Front.stopListening();
-    m_Listening = false;
+  if (isOutOfRotation()) {
+    m_Front.stopListening();
     m_Front.closeIdleConnections();
     if (m_Requests.empty() && m_Front.openRequests() == 0 &&
         m_Front.lingeringConnections() == 0 &&
@@ -556,13 +555,14 @@
       return;
     }
   }
-  if (const auto EndsAt = stopLimit(); EndsAt && m_Clock.now() >= *EndsAt) {
+  if (m_StopLimit && m_Clock.now() >= *m_StopLimit) {
+    m_Front.stopListening();
+    m_Front.writeFinishedAnswers();
     logEvent(LogEvent::GatewayCut,
              {{"requests", std::to_string(m_Requests.size())},
               {"open", std::to_string(m_Front.openRequests())},
               {"lingering", std::to_string(m_Front.lingeringConnections())}});
     cutRequests();
-    m_Front.writeFinishedAnswers();
     m_StopTimer.start(FinalLingerTime, [this] { m_OnStopped(); });
     return;
   }
@@ -575,7 +575,10 @@
               {"lingering", std::to_string(m_Front.lingeringConnections())},
               {"carried", std::to_string(m_CallRelay->carriedCalls())}});
   }
-  m_StopTimer.start(StopCheckInterval, [this] { checkStopped(); });
+  const Duration NextCheck =
+      m_StopLimit ? std::min(StopCheckInterval, *m_StopLimit - m_Clock.now())
+                  : StopCheckInterval;
+  m_StopTimer.start(NextCheck, [this] { checkStopped(); });
 }
 
 } // namespace crowstep::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -91,9 +91,7 @@
   void handleProbe(SoupServerMessage *Message, const char *Path);
   void handlePlacementQuery(SoupServerMessage *Message);
   void handleRequestEnd(std::uint64_t Number);
-
-  /// Returns when the shutdown ends by itself; nullopt: nothing limits it.
-  [[nodiscard]] std::optional<TimePoint> stopLimit() const;
+  [[nodiscard]] bool isOutOfRotation() const;
   void cutRequests();
   void checkStopped();
   [[nodiscard]] bool isReady() const;
@@ -144,9 +142,9 @@
   Timer m_CleanupTimer;                  ///< Destroys ended requests.
   Timer m_StopTimer;                     ///< Checks the shutdown.
   bool m_Stopping = false;               ///< After stop().
-  bool m_Listening = true;               ///< For new connections.
   bool m_ClosingConnections = false;     ///< Answers close their connections.
   TimePoint m_StopBeganAt;               ///< When stop() was called.
+  std::optional<TimePoint> m_StopLimit;  ///< When it ends; none: no limit.
   TimePoint m_DrainLoggedAt{};           ///< Last log of open requests.
   TimePoint m_ShedLoggedAt{};            ///< Last log of shed connections.
   std::size_t m_ShedSinceLog = 0;        ///< Connections shed since then.
--- a/tests/process/stop_limit_test.cpp
+++ b/tests/process/stop_limit_test.cpp
@@ -101,18 +101,9 @@
 }
 
 struct StoppingGateway {
-  TemporaryFolder m_Folder;
-  standin::StoreServer m_Store;
-  Address m_StoreAddress{INADDR_LOOPBACK, freePort()};
-  GatewayConfig m_Config = makeGatewayConfig("edge-1", m_StoreAddress);
-  HoldingUpstream m_Upstream;
-  Caller m_Caller;
-  std::unique_ptr<Process> m_Process;
-  std::unique_ptr<Peer> m_Holder; ///< See stopListening().
-
-  StoppingGateway() {
+  explicit StoppingGateway(std::chrono::seconds Grace = GracePeriod) {
     m_Store.listen(m_StoreAddress);
-    m_Config.m_GracePeriod = GracePeriod;
+    m_Config.m_GracePeriod = Grace;
     Json Stream = routeJson("stream", "streaming", 30s);
     Stream["gapAimMs"] = 500;
     const Json Table = {{"version", 1},
@@ -133,6 +124,15 @@
         10s));
   }
 
+  TemporaryFolder m_Folder;
+  standin::StoreServer m_Store;
+  Address m_StoreAddress{INADDR_LOOPBACK, freePort()};
+  GatewayConfig m_Config = makeGatewayConfig("edge-1", m_StoreAddress);
+  HoldingUpstream m_Upstream;
+  Caller m_Caller;
+  std::unique_ptr<Process> m_Process;
+  std::unique_ptr<Peer> m_Holder; ///< See stopListening().
+
   [[nodiscard]] std::unique_ptr<Peer> connect() const {
     return Peer::connect(m_Config.m_ListenAddress);
   }
@@ -270,3 +270,35 @@
   BOOST_TEST(runUntil([&] { return Caller->isClosed(); }, 3s));
   BOOST_TEST(isWholeAnswer(Caller->received()));
 }
+
+// Guards against a stop that outlasts the kill as settings change meanwhile.
+BOOST_AUTO_TEST_CASE(ALongerGraceDoesNotProlongAStop) {
+  StoppingGateway Gateway;
+  const auto Caller = Gateway.connect();
+  Caller->send(StoppingGateway::request("/hold/x"));
+  BOOST_TEST(Gateway.waitForCalls(1));
+  Gateway.m_Process->signal(SIGTERM);
+  Gateway.m_Config.m_GracePeriod = 60s;
+  Gateway.m_Folder.write("gateway.ini", gatewaySettingsText(Gateway.m_Config));
+  Gateway.m_Process->signal(SIGHUP);
+  BOOST_TEST((Gateway.m_Process->wait(GracePeriod) == 0));
+  BOOST_TEST(isWholeAnswer(Caller->received()));
+}
+
+// Guards against a request that is accepted behind the last answers of a stop.
+BOOST_AUTO_TEST_CASE(NothingIsAcceptedAtTheLimit) {
+  StoppingGateway Gateway(2s);
+  const auto Holder = Gateway.connect();
+  Holder->send(StoppingGateway::request("/hold/x"));
+  BOOST_TEST(Gateway.waitForCalls(1));
+  Gateway.m_Process->signal(SIGTERM);
+  BOOST_TEST(runUntil(
+      [&] {
+        return Gateway.m_Process->log().find("GatewayCut") != std::string::npos;
+      },
+      3s));
+  const auto Caller = Gateway.connect();
+  Caller->send(StoppingGateway::request("/short/x"));
+  BOOST_TEST((Gateway.m_Process->wait(1s) == 0));
+  BOOST_TEST(Gateway.m_Upstream.m_CallCount == 1);
+}
