Fix: Size the kernel's buffer for finished answers at the limit of a stop

The kernel's buffer for a caller that reads slowly grows with what the caller has read. On loopback, whose segments hold 64 KB, it took 400 KB at once; with the segments of an Ethernet link the end of the answer was lost as before (found by review). The buffer is set to what is left, within the system's limit (net.core.wmem_max).

stop_limit_test/AnUnreadAnswerOutlivesTheProcess, whose caller now announces segments of 1,448 bytes, failed before in 2 of 2 runs and passes in 2 of 2.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <limits>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -519,12 +520,20 @@
   updateWatch();
 }
 
+/// The kernel's own growth of its buffer follows what the caller has read.
 void CallerConnection::writeFinishedAnswer() {
   if (m_Phase != Phase::Flushing)
     return;
   constexpr int NoLimit = 0;
   g_socket_set_option(m_Socket.get(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, NoLimit,
                       nullptr);
+  int BufferSize = 0;
+  g_socket_get_option(m_Socket.get(), SOL_SOCKET, SO_SNDBUF, &BufferSize,
+                      nullptr);
+  const auto Needed = static_cast<int>(
+      std::min<std::size_t>(m_Output.size(), std::numeric_limits<int>::max()));
+  if (BufferSize < Needed)
+    g_socket_set_option(m_Socket.get(), SOL_SOCKET, SO_SNDBUF, Needed, nullptr);
   write();
 }
 
--- a/tests/unit/loopback_peer.h
+++ b/tests/unit/loopback_peer.h
@@ -10,6 +10,8 @@
 #include <fcntl.h>
 #include <glib.h>
 #include <memory>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
 #include <tuple>
@@ -47,14 +49,19 @@
   Peer(const Peer &) = delete;
   Peer &operator=(const Peer &) = delete;
 
-  /// Connects with a receive buffer of \p ReceiveBuffer bytes; 0: the kernel's
-  /// default.
+  /// Connects with a receive buffer of \p ReceiveBuffer bytes, and with the
+  /// segments of an Ethernet link, by which the sender's kernel sizes its own
+  /// buffer; 0: as the loopback link has them.
   static std::unique_ptr<Peer> connect(const Address &Server,
                                        int ReceiveBuffer = 0) {
     const int Fd = socket(AF_INET, SOCK_STREAM, 0);
-    if (ReceiveBuffer > 0)
+    if (ReceiveBuffer > 0) {
+      constexpr int EthernetSegment = 1448;
       setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &ReceiveBuffer,
                  sizeof(ReceiveBuffer));
+      setsockopt(Fd, IPPROTO_TCP, TCP_MAXSEG, &EthernetSegment,
+                 sizeof(EthernetSegment));
+    }
     sockaddr_in Remote{};
     Remote.sin_family = AF_INET;
     Remote.sin_port = htons(Server.m_Port);
