--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -434,16 +434,42 @@
   finish(nameOf(Reason));
 }
 
+/// Whether a call runs that was sent is not known.
+void ForwardedRequest::dropCall() {
+  if (m_Call == nullptr)
+    return;
+  m_MayHaveRun = m_MayHaveRun || m_Call->progress() != CallProgress::Connecting;
+  endCall(balance::CallOutcome::Dropped);
+}
+
 void ForwardedRequest::handleDeadline() {
-  if (m_Call != nullptr) {
-    // If it was sent, whether it runs is not known.
-    m_MayHaveRun =
-        m_MayHaveRun || m_Call->progress() != CallProgress::Connecting;
-    endCall(balance::CallOutcome::Dropped);
-  }
+  dropCall();
   refuse(RefusalReason::TimedOut, Duration::zero());
 }
 
+void ForwardedRequest::logCut() const {
+  logEvent(
+      LogEvent::GatewayRequestCut,
+      {{"request", m_Admitted.m_Facts.m_Id},
+       {"route", m_Admitted.m_Route->m_Name},
+       {"upstream", m_Upstream},
+       {"sends", std::to_string(m_Attempts)},
+       {"progress",
+        m_Call == nullptr ? "none" : std::string(nameOf(m_Call->progress()))},
+       {"status", std::to_string(m_Status)},
+       {"events", std::to_string(m_EventCount)},
+       {"unwritten", std::to_string(m_Caller->backlog())},
+       {"took_us",
+        std::to_string((m_Context.m_Clock.now() - m_ArrivedAt).count())},
+       {"left_us", std::to_string(timeLeft().count())}});
+}
+
+void ForwardedRequest::cut(Duration RetryAfter) {
+  logCut();
+  dropCall();
+  refuse(RefusalReason::ShuttingDown, RetryAfter);
+}
+
 void ForwardedRequest::handleCallerGone() {
   if (m_Call != nullptr)
     endCall(balance::CallOutcome::Dropped);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,9 +2,11 @@
 #include "gateway/gateway.h"
 
 #include "core/log.h"
+#include "gateway/first_attempt.h"
 #include "gateway/placement_report.h"
 #include "http/refusal_answer.h"
 
+#include <algorithm>
 #include <string_view>
 
 namespace crowstep::gateway {
@@ -24,6 +26,9 @@
 /// reach another instance.
 constexpr Duration NoTableRetryAfter = std::chrono::milliseconds(500);
 
+/// Retry-After of an instance that is about to end: another one serves.
+constexpr Duration ElsewhereRetryAfter = std::chrono::milliseconds(50);
+
 /// After SIGTERM new connections keep arriving until the platform has probed
 /// readiness twice, a second apart, and longer if too few instances of the zone
 /// are ready. For this time they are served as usual. Then this instance stops
@@ -36,6 +41,11 @@
 /// requests cut off by it are logged.
 constexpr Duration KillMargin = std::chrono::milliseconds(200);
 
+/// Time within KillMargin for callers to read their refusals and to close: the
+/// end of the process resets a connection with unread input, which can destroy
+/// an unread answer.
+constexpr Duration FinalLingerTime = std::chrono::milliseconds(100);
+
 /// Limits where the table sets none, for headers and body to arrive and for
 /// connections without a request.
 constexpr Duration DefaultReceiveLimit = std::chrono::seconds(10);
@@ -433,7 +443,13 @@
 void Gateway::handle(IncomingRequest Request, std::unique_ptr<Caller> From) {
   auto Outcome = admit(Request, m_Table, *m_PlatformParts.m_Codec);
   if (const auto *Refused = std::get_if<RefusedRequest>(&Outcome)) {
-    refuse(*From, *Refused);
+    refuse(*From, *Refused, NoTableRetryAfter);
+    return;
+  }
+  const auto &Admitted = std::get<AdmittedRequest>(Outcome);
+  if (mayOutlastStop(Admitted)) {
+    refuse(*From, {RefusalReason::ShuttingDown, Admitted.m_Facts.m_Id},
+           ElsewhereRetryAfter);
     return;
   }
   const std::uint64_t Number = ++m_LastRequestNumber;
@@ -446,7 +462,16 @@
   Started.start();
 }
 
-void Gateway::refuse(Caller &From, const RefusedRequest &Refused) {
+/// While connections are accepted, callers don't know of the stop, and most
+/// requests end in time. Later ones come on connections that were opened
+/// before; a caller that is refused there tries another instance.
+bool Gateway::mayOutlastStop(const AdmittedRequest &Admitted) const {
+  return m_StopLimit && isOutOfRotation() &&
+         m_Clock.now() + timeoutOf(Admitted) > *m_StopLimit;
+}
+
+void Gateway::refuse(Caller &From, const RefusedRequest &Refused,
+                     Duration RetryAfter) {
   m_Stats.countRefusal(Refused.m_Reason);
   logEvent(LogEvent::GatewayNotAdmitted,
            {{"request", Refused.m_Id},
@@ -455,7 +480,7 @@
       refusalAnswer(Refused.m_Reason, RunState::NotRun, Duration::zero());
   Answer.m_Headers = m_PlatformParts.m_Codec->writeRefusal(
       Refused.m_Id, httpStatusOf(Refused.m_Reason) == HttpUnavailable
-                        ? NoTableRetryAfter
+                        ? RetryAfter
                         : Duration::zero());
   if (m_ClosingConnections)
     Answer.m_Headers.push_back({"Connection", "close"});
@@ -492,6 +517,9 @@
   m_Stopping = true;
   m_ClosingConnections = true;
   m_StopBeganAt = m_Clock.now();
+  // The platform counts by the settings at the signal.
+  if (m_Settings.m_GracePeriod > KillMargin)
+    m_StopLimit = m_StopBeganAt + m_Settings.m_GracePeriod - KillMargin;
   m_OnStopped = std::move(Done);
   m_PlatformParts.m_Directory->deregister();
   m_CallRelay->stop();
@@ -501,25 +529,41 @@
   checkStopped();
 }
 
+/// Each request leaves m_Requests within its call.
+void Gateway::cutRequests() {
+  std::vector<ForwardedRequest *> Open;
+  Open.reserve(m_Requests.size());
+  for (const auto &[Number, Owned] : m_Requests)
+    Open.push_back(Owned.get());
+  for (ForwardedRequest *Request : Open)
+    Request->cut(ElsewhereRetryAfter);
+}
+
+bool Gateway::isOutOfRotation() const {
+  return m_Stopping && m_Clock.now() - m_StopBeganAt >= OutOfRotation;
+}
+
 void Gateway::checkStopped() {
-  if (m_Clock.now() - m_StopBeganAt >= OutOfRotation) {
-    if (m_Listening)
-      m_Front.stopListening();
-    m_Listening = false;
+  if (isOutOfRotation()) {
+    m_Front.stopListening();
     m_Front.closeIdleConnections();
     if (m_Requests.empty() && m_Front.openRequests() == 0 &&
+        m_Front.lingeringConnections() == 0 &&
         m_CallRelay->carriedCalls() == 0) {
       logEvent(LogEvent::GatewayDrained);
       m_OnStopped();
       return;
     }
   }
-  if (m_Settings.m_GracePeriod > KillMargin &&
-      m_Clock.now() - m_StopBeganAt >= m_Settings.m_GracePeriod - KillMargin) {
+  if (m_StopLimit && m_Clock.now() >= *m_StopLimit) {
+    m_Front.stopListening();
+    m_Front.writeFinishedAnswers();
     logEvent(LogEvent::GatewayCut,
              {{"requests", std::to_string(m_Requests.size())},
-              {"open", std::to_string(m_Front.openRequests())}});
-    m_OnStopped();
+              {"open", std::to_string(m_Front.openRequests())},
+              {"lingering", std::to_string(m_Front.lingeringConnections())}});
+    cutRequests();
+    m_StopTimer.start(FinalLingerTime, [this] { m_OnStopped(); });
     return;
   }
   if (m_Clock.now() - m_DrainLoggedAt >= DrainLogInterval) {
@@ -528,9 +572,13 @@
              {{"requests", std::to_string(m_Requests.size())},
               {"unfinished", std::to_string(m_Front.unansweredRequests())},
               {"open", std::to_string(m_Front.openRequests())},
+              {"lingering", std::to_string(m_Front.lingeringConnections())},
               {"carried", std::to_string(m_CallRelay->carriedCalls())}});
   }
-  m_StopTimer.start(StopCheckInterval, [this] { checkStopped(); });
+  const Duration NextCheck =
+      m_StopLimit ? std::min(StopCheckInterval, *m_StopLimit - m_Clock.now())
+                  : StopCheckInterval;
+  m_StopTimer.start(NextCheck, [this] { checkStopped(); });
 }
 
 } // namespace crowstep::gateway
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -70,13 +70,23 @@
            m_Phase == Phase::Flushing;
   }
 
-  /// Returns whether a request is partly received, or isAnswering().
+  /// Returns whether a request is partly received or was received behind the
+  /// last one, or isAnswering().
   [[nodiscard]] bool isBusy() const;
 
+  /// Returns whether the last answer was written and the caller has not closed
+  /// the connection yet.
+  [[nodiscard]] bool isLingering() const {
+    return m_Phase == Phase::Discarding;
+  }
+
   /// Closes the connection if no request has arrived on it; the socket is read
   /// first. A connection that has not served a request yet stays open.
   void closeIfIdle();
 
+  /// Gives the kernel all that it takes of a finished answer.
+  void writeFinishedAnswer();
+
   /// Closes at once; the disconnect callback of an open request runs.
   void close();
 
