Fix: Read the versions before a stream goes on at the sole one

What callers would see: during a release a stream begins at an upstream of a new software version and breaks. Resumed at an instance that was stopped for some seconds, or is cut off from the others, it went on at an upstream of the old version (events of two versions in one stream).

Cause: a stream of unknown origin goes on at the sole version, which is derived from the register and the list of upstreams. Their age was checked by "the last call to the store has not failed" only. That holds in a process that was stopped, for seconds on a connection that is cut (a long poll), and during the pauses between two reads (1 s and 3 s). A lookup that asks nobody, or whose links break, ends without an origin.

Fix: the register and the list of upstreams are read by calls that begin after the request arrived, before the stream goes on at the sole version (Directory::confirmSoftware). The stream began before these calls, so they return its version or its upstream. Calls are counted instead of comparing times: clocks, timers and updates of others may be behind in a process that has just gone on. Without answers within 1 s a named stream is told to come back. An unnamed one goes on as before: else all of them would be refused in each outage of the store. Streams whose origin is known don't wait.

Ruled out: a limit on the age of what was read (in the usual state the register is read every 4 to 8 s); trust in updates of others; to refuse when nobody was asked.

--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -9,6 +9,8 @@
 #include "upstream_type.h"
 
 #include <chrono>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -135,6 +137,14 @@
   /// an instance that is cut off from the store doesn't learn of new versions.
   [[nodiscard]] virtual bool isRegisterCurrent() const { return true; }
 
+  /// Callback that its owner releases to cancel it, also from within.
+  using ConfirmCallback = std::shared_ptr<std::function<void()>>;
+
+  /// Reads the register and the list of upstreams from the store, with calls
+  /// that begin after this one. \p OnDone runs once, not within this call, when
+  /// both have been answered and reported, unless it was released before.
+  virtual void confirmSoftware(const ConfirmCallback &OnDone) = 0;
+
   /// Returns a time at which the list of upstreams was complete; none: not
   /// known.
   [[nodiscard]] virtual std::optional<TimePoint> upstreamsReadAt() const {
--- a/src/gateway/forward_limits.h
+++ b/src/gateway/forward_limits.h
@@ -49,6 +49,11 @@
 /// are complete, and an upstream that never ends one would use up the memory.
 inline constexpr std::size_t MaxEventBytes = 1 << 20;
 
+/// A resumed stream of unknown origin waits this long for calls to the store.
+/// In this time a lost answer is followed by another call, as is the call of an
+/// earlier request.
+inline constexpr Duration ConfirmTimeout = std::chrono::seconds(1);
+
 /// Limit on the body of an answer that is no stream: it is collected whole, and
 /// an upstream that never ends one would use up the memory.
 inline constexpr std::size_t MaxPlainAnswerBytes = 4 << 20;
--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -483,6 +483,7 @@
   m_SilenceTimer.stop();
   m_RetryTimer.stop();
   m_OriginLookup.reset();
+  m_Confirmation.reset();
   m_QueueEntry.reset();
   recordWaitEnd(Outcome);
   const Duration Elapsed = m_Context.m_Clock.now() - m_ArrivedAt;
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -121,8 +121,43 @@
     refuseUnknownOrigin(Found, false);
     return;
   }
-  if (const auto Sole = soleVersionOf(m_Context, m_Admitted, m_Service))
+  if (soleVersionOf(m_Context, m_Admitted, m_Service))
+    confirmSoleVersion(Found);
+  else
+    refuseUnknownOrigin(Found, Found.m_UnansweredCount > 0 ||
+                                   !isRegisterCurrent(m_Context));
+}
+
+/// The upstream that began the stream may have joined, and may have left, since
+/// this instance read the store last: it may have been stopped, or cut off from
+/// the store, without having noticed it. What is read from now on includes the
+/// upstream or its version, as the stream has begun before.
+void ForwardedRequest::confirmSoleVersion(const resume::LookupResult &Found) {
+  if (!m_Context.m_ConfirmSoftware || !isRegisterCurrent(m_Context)) {
+    continueFromSoleVersion(Found, true);
+    return;
+  }
+  const auto Finish = [this, Found](bool IsConfirmed) {
+    m_Confirmation.reset();
+    m_RetryTimer.stop();
+    continueFromSoleVersion(Found, IsConfirmed);
+  };
+  m_Confirmation =
+      std::make_shared<std::function<void()>>([Finish] { Finish(true); });
+  m_RetryTimer.start(ConfirmTimeout, [Finish] { Finish(false); });
+  m_Context.m_ConfirmSoftware(m_Confirmation);
+}
+
+/// A caller that doesn't name its stream is served without a confirmation:
+/// otherwise all of these would be refused in each outage of the store.
+void ForwardedRequest::continueFromSoleVersion(
+    const resume::LookupResult &Found, bool IsConfirmed) {
+  const bool IsNamed = !m_Admitted.m_Facts.m_Resumes.empty();
+  const auto Sole = soleVersionOf(m_Context, m_Admitted, m_Service);
+  if (Sole && (IsConfirmed || !IsNamed))
     continueFrom({m_Service, *Sole});
+  else if (Sole)
+    refuseUnknownOrigin(Found, true);
   else
     refuseUnknownOrigin(Found, Found.m_UnansweredCount > 0 ||
                                    !isRegisterCurrent(m_Context));
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -17,6 +17,7 @@
 #include "gateway/answer_memory.h"
 #include "gateway/call_transport.h"
 #include "gateway/crash_watch.h"
+#include "gateway/directory.h"
 #include "gateway/gateway_stats.h"
 #include "gateway/software_history.h"
 #include "gateway/wait_queue.h"
@@ -57,6 +58,9 @@
   /// always is.
   std::function<bool()> m_IsRegisterCurrent{};
 
+  /// See Directory::confirmSoftware(); empty: what is known is always current.
+  std::function<void(const Directory::ConfirmCallback &)> m_ConfirmSoftware{};
+
   waiting::WaitPolicy *m_WaitPolicy =
       nullptr; ///< Null: no call waits by prediction.
 };
@@ -88,6 +92,9 @@
 
   void findOrigin();
   void handleOrigin(const resume::LookupResult &Found);
+  void confirmSoleVersion(const resume::LookupResult &Found);
+  void continueFromSoleVersion(const resume::LookupResult &Found,
+                               bool IsConfirmed);
   void refuseUnknownOrigin(const resume::LookupResult &Found, bool MayChange);
   void reportUnproven();
   void continueFrom(const resume::StreamOrigin &Origin);
@@ -177,7 +184,8 @@
   TimePoint m_Deadline;             ///< The route's or caller's, if earlier.
   Timer m_DeadlineTimer;            ///< Runs until m_Deadline.
   Timer m_SilenceTimer;             ///< Runs while bytes are awaited.
-  Timer m_RetryTimer;               ///< Delays an attempt.
+  Timer m_RetryTimer;               ///< Delays an attempt, or limits the
+                                    ///< time for m_Confirmation.
 
   /// Where the stream began; none: at no upstream so far. With an unknown
   /// version it can't be continued.
@@ -186,6 +194,9 @@
   std::unique_ptr<resume::OriginLookup>
       m_OriginLookup; ///< Set while other instances are asked.
 
+  Directory::ConfirmCallback
+      m_Confirmation; ///< Set while the sole version is confirmed.
+
   std::unique_ptr<WaitQueue::Entry>
       m_QueueEntry;            ///< Set while it waits for room.
   bool m_WaitTimedOut = false; ///< It may not wait for room again.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -187,6 +187,9 @@
             m_SoftwareRegister.recordUnproven(Service);
           },
           [this] { return m_PlatformParts.m_Directory->isRegisterCurrent(); },
+          [this](const Directory::ConfirmCallback &OnDone) {
+            m_PlatformParts.m_Directory->confirmSoftware(OnDone);
+          },
           m_WaitPolicy.get()},
       m_Explainer(m_Context), m_LoopLoad(m_Clock), m_Admission(m_LoopLoad),
       m_Front(
--- a/tests/unit/forwarded_request_env.h
+++ b/tests/unit/forwarded_request_env.h
@@ -173,6 +173,17 @@
       List.back().m_Software = SoftwareVersion("1.0");
     }
     setUpstreams(List);
+    receive(Kind, MaxAttempts, std::move(More), Workspaces);
+    if (Prepare)
+      Prepare(*this);
+    else if (std::holds_alternative<Engine>(Upstreams))
+      takeAllSlots();
+    m_Request->start();
+  }
+
+  /// Makes the request that start() starts, in place of an earlier one.
+  void receive(RouteKind Kind, unsigned MaxAttempts, HeaderList More,
+               const std::vector<WorkspaceEntry> &Workspaces = {}) {
     RouteTableData Data;
     Route Only;
     Only.m_Name = "r";
@@ -194,11 +205,6 @@
     m_Request = std::make_unique<ForwardedRequest>(
         m_Context, Incoming, std::get<AdmittedRequest>(Admission),
         std::make_unique<FakeCaller>(m_Record), [this] { ++m_Finished; });
-    if (Prepare)
-      Prepare(*this);
-    else if (std::holds_alternative<Engine>(Upstreams))
-      takeAllSlots();
-    m_Request->start();
   }
 
   void setUpstreams(const std::vector<Upstream> &List) {
--- a/tests/unit/path_fleet.h
+++ b/tests/unit/path_fleet.h
@@ -57,6 +57,7 @@
   void registerSoftware(const std::string &, const std::string &) override {}
   void unregisterSoftware(const std::string &, const std::string &) override {}
   void setReadingRole(ReadingRole) override {}
+  void confirmSoftware(const ConfirmCallback &) override {}
   void receiveUpdate(const DirectoryUpdate &) override {}
 };
 
--- a/tests/unit/software_register_test.cpp
+++ b/tests/unit/software_register_test.cpp
@@ -50,6 +50,7 @@
     void listQuarantined(const ContentHash &) override {}
     void unlistQuarantined(const ContentHash &) override {}
     void setReadingRole(ReadingRole) override {}
+    void confirmSoftware(const ConfirmCallback &) override {}
     void receiveUpdate(const DirectoryUpdate &) override {}
     void registerSoftware(const std::string &Service,
                           const std::string &Text) override {
