Fix: Read no foreign JSON that nests too deeply for the stack

What callers would see: one entry of the instance list whose name nests deeply, one load report, refusal or event of an engine, or one row of the operators' table ends the dispatcher or the entry; started anew, it reads the same text and ends again.

Cause: the JSON library parses and frees without recursion, but copies, compares and serialises by it. The name of an entry that can't be read was serialised for the log; cache events and history were copied by value() in a range-for; a refusal's type and code were copied and compared; a cell was serialised into its error message; an event's usage and head are kept as copies. Only callers' requests were scanned for their nesting.

Evidence, on the code before (RelWithDebInfo): odd_entries_test, each case run alone: ADeepNameInAListHidesNoOther, DeepCacheEventsEndNoPolls, ADeepHistoryIsRejected, ADeepCellIsRejected and ADeepEventIsRejected end with a segmentation fault, as does entry_call/ADeepRefusalEndsOnlyItsCall. After: all pass, as do contract_test, load_monitor_test, platform_client_test, entry_input_test and table_core_test.

Fix: the scan moves to core/foreign_json, and readers that copy or serialise parse through it. Its error is one of the library's exceptions, which all these readers already turn into their own. The instance list itself is not scanned: one entry would hide all others; its name is logged only if it is a string.

Ruled out: the gateway's readers of the store (entries, manifest, peers) use no copy and no serialisation; malformed_entries_test feeds them such texts.

--- a/src/contract/table_document.cpp
+++ b/src/contract/table_document.cpp
@@ -4,6 +4,7 @@
 #include "contract/contract_error.h"
 #include "contract/contract_func.h"
 #include "contract/contract_json.h"
+#include "core/foreign_json.h"
 
 #include <algorithm>
 
@@ -50,7 +51,7 @@
 }
 
 TableDocument decodeDocument(const std::string &Text) {
-  const json Value = json::parse(Text, nullptr, false);
+  const json Value = parseForeignJsonOrDiscard(Text);
   if (Value.is_discarded())
     throw TableFormatError("no JSON");
   TableDocument Result;
--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -1,6 +1,7 @@
 /// Parsing and validation of callers' requests.
 #include "entry/caller_request.h"
 
+#include "core/foreign_json.h"
 #include "http/header_list.h"
 #include "http/header_value.h"
 
@@ -18,7 +19,6 @@
 constexpr const char *ServicePrefix = "/v1/services/";
 constexpr std::size_t CharactersPerToken = 4;
 constexpr std::size_t MaxIdempotencyKey = 256;
-constexpr std::size_t MaxNesting = 64;
 
 using Json = nlohmann::json;
 using Outcome = std::variant<CallerRequest, ReadRefusal>;
@@ -40,27 +40,6 @@
   return equalsIgnoreCase(withoutBlanks(Type), "application/json");
 }
 
-/// Returns whether brackets outside of strings nest deeper than MaxNesting. The
-/// JSON library serialises by recursion, so a body of brackets would overflow
-/// the stack. A scan before the parse is enough, as no document that passes it
-/// nests deeper.
-bool nestsTooDeep(const std::string &Text) {
-  std::size_t Depth = 0;
-  bool InString = false;
-  for (std::size_t Index = 0; Index < Text.size(); ++Index) {
-    const char Ch = Text[Index];
-    if (InString && Ch == '\\')
-      ++Index;
-    else if (Ch == '"')
-      InString = !InString;
-    else if (!InString && (Ch == '[' || Ch == '{') && ++Depth > MaxNesting)
-      return true;
-    else if (!InString && (Ch == ']' || Ch == '}') && Depth > 0)
-      --Depth;
-  }
-  return false;
-}
-
 /// Appends the text of a message's content, which is a string or an array of
 /// typed parts.
 void appendContent(const Json &Content, std::string &Out) {
--- a/src/entry/event_stream.cpp
+++ b/src/entry/event_stream.cpp
@@ -1,6 +1,8 @@
 /// Splitting and parsing of engines' server-sent events.
 #include "entry/event_stream.h"
 
+#include "core/foreign_json.h"
+
 namespace crowstep::entry {
 
 namespace {
@@ -82,7 +84,7 @@
     Begin = End + EventEnd.size();
     if (Payload.empty() || Payload == DoneMark)
       continue;
-    const Json Chunk = Json::parse(Payload, nullptr, false);
+    const Json Chunk = parseForeignJsonOrDiscard(Payload);
     if (!Chunk.is_object() || !feedChunk(Chunk))
       return false;
   }
--- a/src/entry/request.cpp
+++ b/src/entry/request.cpp
@@ -1,6 +1,7 @@
 /// Events and actions of one request.
 #include "entry/request.h"
 
+#include "core/foreign_json.h"
 #include "core/log.h"
 #include "http/refusal_answer.h"
 
@@ -47,7 +48,7 @@
                                       const std::string &Body) {
   if (Status != HttpUnavailable)
     return std::nullopt;
-  const Json Answer = Json::parse(Body, nullptr, false);
+  const Json Answer = parseForeignJsonOrDiscard(Body);
   if (!Answer.is_object() || !Answer.contains("error") ||
       !Answer["error"].is_object() ||
       Answer["error"].value("type", Json()) != "not_run")
--- a/src/platform/platform_codec.cpp
+++ b/src/platform/platform_codec.cpp
@@ -81,8 +81,10 @@
 }
 
 void ignoreEntry(const json &Entry, const std::string &Reason) {
-  const std::string Name =
-      Entry.is_object() && Entry.contains("name") ? Entry["name"].dump() : "";
+  // An entry may nest deeper than the stack allows to serialise.
+  const bool IsNamed =
+      Entry.is_object() && Entry.contains("name") && Entry["name"].is_string();
+  const std::string Name = IsNamed ? Entry["name"].get<std::string>() : "";
   logEvent(LogEvent::PlatformEntryIgnored, {{"name", Name}, {"why", Reason}});
 }
 
--- a/tests/unit/entry_call_test.cpp
+++ b/tests/unit/entry_call_test.cpp
@@ -105,6 +105,24 @@
   BOOST_TEST(Second.acceptPending() == 0U);
 }
 
+// Guards against an engine whose refusal nests so deeply that copying its code
+// overflows the stack.
+BOOST_AUTO_TEST_CASE(ADeepRefusalEndsOnlyItsCall) {
+  for (const char *Field : {"type", "code"}) {
+    Bench Fixture;
+    FakeUpstream Odd;
+    Fixture.m_Placement.grantAt(Odd.m_Address);
+    const auto Caller = Fixture.sendHold();
+    Peer *Call = Odd.waitForRequest();
+    BOOST_REQUIRE(Call != nullptr);
+    constexpr std::size_t Depth = 100'000;
+    Call->send(plainAnswer(
+        503, R"({"error":{"type":"not_run",")" + std::string(Field) + "\":" +
+                 std::string(Depth, '[') + std::string(Depth, ']') + "}}"));
+    BOOST_TEST(pumpUntil([&] { return Caller->hasReceived("HTTP/1.1 "); }));
+  }
+}
+
 // The first upstream refuses the connection, the second is draining, the third
 // is busy. The caller gets only the answer of the fourth.
 BOOST_AUTO_TEST_CASE(ProvableFailuresAreRetriedElsewhere) {
