--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -242,6 +242,49 @@
   BOOST_TEST(Fixture.m_First.m_Calls == Before);
 }
 
+// Guards against an entry of another writer that ends the gateway, or after
+// which it no longer follows the list, when it starts and while it runs.
+BOOST_AUTO_TEST_CASE(OddEntriesStopNeitherTheGatewayNorItsReading) {
+  constexpr std::size_t Depth = 24'000;
+  const std::string Deep = std::string(Depth, '[') + std::string(Depth, ']');
+  const std::vector<std::string> Values = {
+      Deep,
+      R"({"service":)" + Deep + "}",
+      R"({"service":"s","slots":1e400})",
+      R"({"service":"s","slots":-1,"address":"127.0.0.1:80"})",
+      R"({"service":"s","zone":"z","state":"ready","slots":4,)"
+      R"("address":"127.0.0.1:65536"})",
+      "\xff\xfe"};
+  GatewayFixture Fixture;
+  const auto PutOdd = [&](const std::string &Prefix) {
+    for (std::size_t I = 0; I < Values.size(); ++I) {
+      const std::string Key = Prefix + std::to_string(I);
+      Fixture.m_Store.put("servers", Key, Values[I]);
+      Fixture.m_Store.put("crowstep_instances", Key, Values[I]);
+    }
+  };
+  PutOdd("a-");
+  Fixture.startServing();
+  PutOdd("z-");
+  Fixture.m_Store.put("op", "config", Deep);
+  Fixture.m_Store.put("op", "config",
+                      R"({"version":-1,"routes":[],)"
+                      R"("services":[]})");
+  runFor(1500ms);
+  BOOST_TEST(Fixture.m_Caller.call(Fixture.request("/plain/x")).m_Body ==
+             "from u-1");
+  Fixture.putUpstream(Fixture.m_Second, "ready");
+  Fixture.putUpstream(Fixture.m_First, "draining");
+  Fixture.putManifest(2, "key-2");
+  BOOST_TEST(runUntil(
+      [&] {
+        return Fixture.m_Caller.call(Fixture.request("/plain/x", "key-2"))
+                   .m_Body == "from u-2";
+      },
+      5s));
+  BOOST_TEST(Fixture.m_Gateway->isRunning());
+}
+
 // SIGTERM arrives in the middle of streams. Each stream runs to its end, each
 // event once; a request that arrives shortly after the signal is still served.
 // The gateway exits by itself within its grace period.
--- a/tests/unit/malformed_entries_test.cpp
+++ b/tests/unit/malformed_entries_test.cpp
@@ -283,3 +283,104 @@
                }) == 2);
   }
 }
+
+namespace {
+
+const char *const GoodManifest =
+    R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+    R"("routeKind":"streaming","gapAimMs":50,"timeoutMs":2000,)"
+    R"("targetLatencyMs":100,"priority":1,"maxAttempts":2,"service":"s",)"
+    R"("split":[{"service":"s","weight":1}]}],"services":[{"name":"s",)"
+    R"("engine":{"kvCapacityTokens":9},"scaling":{"min":1,"max":2,"bootS":3,)"
+    R"("zonePrices":{"z":1.5}}}],"tenants":[{"name":"w","apiKeys":["k"],)"
+    R"("priority":1}],"limits":{"maxHeaderBytes":100,"maxBodyBytes":100,)"
+    R"("headerTimeoutMs":100,"idleTimeoutMs":100}})";
+
+/// Returns the good manifest with the value at \p Path set to the JSON text
+/// \p Value.
+std::string manifestWith(const std::string &Path, const std::string &Value) {
+  Json Manifest = Json::parse(GoodManifest);
+  Manifest[Json::json_pointer(Path)] = "@";
+  std::string Text = Manifest.dump();
+  return Text.replace(Text.find("\"@\""), 3, Value);
+}
+
+/// Values of manifests that can't be put in force.
+std::vector<std::string> malformedManifests() {
+  std::vector<std::string> Result = {"", "null", "[]", "{}",
+                                     nested(60'000, '[', ']')};
+  const std::vector<std::string> NoNumbers = {
+      R"("1")", "true", "null", "[1]", "{}", "-1", "1e300", "1e400", "-1e300"};
+  for (const char *Path :
+       {"/version", "/routes/0/gapAimMs", "/routes/0/timeoutMs",
+        "/routes/0/targetLatencyMs", "/routes/0/priority",
+        "/routes/0/maxAttempts", "/services/0/engine/kvCapacityTokens",
+        "/services/0/scaling/min", "/services/0/scaling/max",
+        "/services/0/scaling/bootS", "/tenants/0/priority",
+        "/limits/maxHeaderBytes", "/limits/maxBodyBytes",
+        "/limits/headerTimeoutMs", "/limits/idleTimeoutMs"})
+    for (const std::string &Value : NoNumbers)
+      Result.push_back(manifestWith(Path, Value));
+  for (const char *Path : {"/routes", "/routes/0/split", "/services",
+                           "/tenants", "/tenants/0/apiKeys"})
+    for (const char *Value : {"null", "{}", "7", "true", R"("x")"})
+      Result.push_back(manifestWith(Path, Value));
+  for (const char *Path :
+       {"/services/0/engine", "/services/0/scaling", "/limits"})
+    for (const char *Value : {"null", "7", "[]", R"("x")"})
+      Result.push_back(manifestWith(Path, Value));
+  for (const char *Value : {"7", "[1]", R"({"z":true})", R"({"z":-1})"})
+    Result.push_back(manifestWith("/services/0/scaling/zonePrices", Value));
+  for (const char *Path : {"/routes/0/priority", "/routes/0/maxAttempts",
+                           "/services/0/scaling/max", "/tenants/0/priority"})
+    Result.push_back(manifestWith(Path, "4294967296"));
+  Result.push_back(manifestWith("/version", "18446744073709551616"));
+  return Result;
+}
+
+} // namespace
+
+// Guards against numbers that are reduced to others, and against a list that is
+// taken for an empty one: keys would not be checked, or no route be known.
+BOOST_AUTO_TEST_CASE(MalformedManifestsAreRejected) {
+  BOOST_CHECK_NO_THROW(readManifest(GoodManifest));
+  for (const std::string &Value : malformedManifests())
+    BOOST_TEST_CONTEXT(Value.substr(0, 700))
+  BOOST_CHECK_THROW(readManifest(Value), StoreValueError);
+}
+
+// Guards against a manifest whose version is reduced to a high one, after which
+// no other would come into force.
+BOOST_AUTO_TEST_CASE(AMalformedManifestHidesNoLaterOne) {
+  class TableListener final : public gateway::DirectoryListener {
+  public:
+    void tableChanged(gateway::RouteTablePtr Table) override {
+      m_Version = Table->version().value();
+    }
+    void peersChanged(const gateway::PeerList &) override {}
+    void quarantineChanged(const std::set<ContentHash> &) override {}
+    void softwareRegistered(const gateway::ServiceVersions &) override {}
+    void updateRead(const gateway::DirectoryUpdate &) override {}
+    void upstreamsChanged(const std::vector<Upstream> &) override {}
+    std::uint64_t m_Version = 0; ///< In force.
+  };
+  ManualClock Time;
+  ManualScheduler Timers(Time);
+  SimulatedStore Store(Time, Timers);
+  Metrics Stats;
+  TableListener Seen;
+  StoreDirectory Directory(Store.client(), {2s, 2s, 3s}, Time, Timers, Stats,
+                           [] { return 0.5; });
+  Store.put("op", "config", GoodManifest);
+  Directory.start(Seen, {"edge-1", {0x0a000001, 7340}, {"z"}, 1});
+  Timers.advance(5s);
+  BOOST_TEST(Seen.m_Version == 1U);
+  for (const std::string &Value : malformedManifests()) {
+    Store.put("op", "config", Value);
+    Timers.advance(5s);
+    BOOST_TEST(Seen.m_Version == 1U);
+  }
+  Store.put("op", "config", manifestWith("/version", "2"));
+  Timers.advance(5s);
+  BOOST_TEST(Seen.m_Version == 2U);
+}
