Fix: Read no duty row or lease whose numbers can't be what they say

What callers would see: nothing; the platform would. A capacity row of another writer with -1 orders engines. A usage row whose next window is -1 or 1e300 names a window whose end overflows.

Cause: the JSON library's conversions accept booleans and reduce numbers that are out of range; the time since a window's end was multiplied without a bound.

Fix: the numbers are checked for type and range. What becomes of a row that can't be read is unchanged: it is left alone, counted and read again.

--- a/src/duty/capacity_row.cpp
+++ b/src/duty/capacity_row.cpp
@@ -1,8 +1,10 @@
 /// The row of the table service that holds the orders for engines in force.
 #include "duty/capacity_row.h"
 
+#include "core/foreign_json.h"
 #include "duty/duty_error.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace crowstep::duty {
@@ -25,15 +27,20 @@
   return {{"target", State.m_Target}, {"zones", Zones}};
 }
 
+unsigned countOf(const json &Value, const char *Name) {
+  return static_cast<unsigned>(
+      wholeNumberOf(Value, Name, std::numeric_limits<unsigned>::max()));
+}
+
 std::optional<unsigned> countIn(const json &Value, const char *Name) {
   const auto Found = Value.find(Name);
   return Found == Value.end() ? std::nullopt
-                              : std::optional(Found->get<unsigned>());
+                              : std::optional(countOf(*Found, Name));
 }
 
 CapacityState decodeState(const json &Value) {
   CapacityState Result;
-  Result.m_Target = Value.at("target").get<unsigned>();
+  Result.m_Target = countOf(Value.at("target"), "target");
   for (const auto &[Zone, Orders] : Value.at("zones").items())
     Result.m_Zones[AvailabilityZone{Zone}] = {countIn(Orders, "regular"),
                                               countIn(Orders, "spot")};
@@ -51,7 +58,7 @@
 
 CapacityRow decodeCapacityRow(const std::string &Text) {
   try {
-    const json Value = json::parse(Text);
+    const json Value = parseForeignJson(Text);
     if (Value.at("format").get<std::int64_t>() != CapacityFormat)
       throw DutyRowError("unsupported format " + Value.at("format").dump());
     CapacityRow Result;
--- a/src/duty/usage_meter.h
+++ b/src/duty/usage_meter.h
@@ -5,6 +5,8 @@
 #include "duty/majority_clock.h"
 #include "duty/usage_counts.h"
 
+#include <algorithm>
+
 namespace crowstep::duty {
 
 class UsageMeter {
@@ -36,8 +38,12 @@
 
   /// Returns how long ago a window ended; negative if it has not ended yet.
   [[nodiscard]] Duration timeSinceEnd(UsageWindow Window) const {
+    // A stored row may name any window, whose end no clock can hold.
+    const auto MaxWindows =
+        static_cast<std::uint64_t>(Duration::max() / 2 / m_Length);
     return m_Time.now().time_since_epoch() -
-           m_Length * static_cast<Duration::rep>(Window.value() + 1);
+           m_Length * static_cast<Duration::rep>(
+                          std::min(Window.value() + 1, MaxWindows));
   }
 
 private:
--- a/src/duty/usage_row.cpp
+++ b/src/duty/usage_row.cpp
@@ -1,8 +1,10 @@
 /// The row of the table service that holds the usage reports under way.
 #include "duty/usage_row.h"
 
+#include "core/foreign_json.h"
 #include "duty/duty_error.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace crowstep::duty {
@@ -13,9 +15,20 @@
 
 constexpr std::int64_t UsageFormat = 1;
 
+/// The numbers of the windows after it must not overflow.
+constexpr std::uint64_t MaxWindow = std::uint64_t{1} << 62U;
+
+UsageWindow windowOf(const json &Value, const char *Name) {
+  return UsageWindow(wholeNumberOf(Value.at(Name), Name, MaxWindow));
+}
+
 UsageReport reportOf(const json &Value) {
-  return {UsageWindow(Value.at("window").get<std::uint64_t>()),
-          Value.at("counts").get<WorkspaceCounts>()};
+  UsageReport Result{windowOf(Value, "window"), {}};
+  const auto &Counts = Value.at("counts").get_ref<const json::object_t &>();
+  for (const auto &[Workspace, Count] : Counts)
+    Result.m_Counts[Workspace] = wholeNumberOf(
+        Count, "counts", std::numeric_limits<std::uint64_t>::max());
+  return Result;
 }
 
 } // namespace
@@ -33,11 +46,11 @@
 
 UsageRow decodeUsageRow(const std::string &Text) {
   try {
-    const json Value = json::parse(Text);
+    const json Value = parseForeignJson(Text);
     if (Value.at("format").get<std::int64_t>() != UsageFormat)
       throw DutyRowError("unsupported format " + Value.at("format").dump());
     UsageRow Result;
-    Result.m_Next = UsageWindow(Value.at("next").get<std::uint64_t>());
+    Result.m_Next = windowOf(Value, "next");
     for (const json &Report : Value.at("pending"))
       Result.m_Pending.push_back(reportOf(Report));
     for (const UsageReport &Report : Result.m_Pending)
--- a/src/lease/lease_core.cpp
+++ b/src/lease/lease_core.cpp
@@ -1,6 +1,7 @@
 /// One lease, as a state machine without I/O.
 #include "lease/lease_core.h"
 
+#include "core/foreign_json.h"
 #include "lease/lease_error.h"
 
 #include <algorithm>
@@ -16,6 +17,12 @@
 constexpr std::int64_t LeaseFormat = 1;
 constexpr int RenewalsPerDuration = 3;
 
+/// A longer validity is no lease's: it would never be taken over.
+constexpr milliseconds MaxDuration = std::chrono::hours(1);
+
+/// Higher numbers could overflow when eras and renewals raise them.
+constexpr std::uint64_t MaxFencing = std::uint64_t{1} << 62U;
+
 } // namespace
 
 std::string encodeLease(const LeaseRow &Row) {
@@ -31,12 +38,15 @@
 
 LeaseRow decodeLease(const platform::Row &Row) {
   try {
-    const json Value = json::parse(Row.m_Value);
+    const json Value = parseForeignJson(Row.m_Value);
     if (Value.at("format").get<std::int64_t>() != LeaseFormat)
       throw LeaseRowError("unsupported format " + Value.at("format").dump());
     LeaseRow Result{Row.m_Version, Value.at("holder").get<std::string>(),
-                    FencingNumber(Value.at("fencing").get<std::uint64_t>()),
-                    milliseconds(Value.at("length_ms").get<std::int64_t>())};
+                    FencingNumber(wholeNumberOf(Value.at("fencing"), "fencing",
+                                                MaxFencing)),
+                    milliseconds(wholeNumberOf(
+                        Value.at("length_ms"), "length_ms",
+                        static_cast<std::uint64_t>(MaxDuration.count())))};
     if (Value.contains("era"))
       Result.m_Era = platform::TableEra(Value.at("era").get<std::uint64_t>());
     return Result;
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -5,7 +5,12 @@
 #include "contract/contract_func.h"
 #include "contract/table_document.h"
 #include "dispatcher/load_monitor.h"
+#include "duty/capacity_row.h"
+#include "duty/duty_error.h"
+#include "duty/usage_row.h"
 #include "entry/event_stream.h"
+#include "lease/lease_core.h"
+#include "lease/lease_error.h"
 #include "platform/platform_codec.h"
 
 #include <boost/test/unit_test.hpp>
@@ -97,3 +102,69 @@
   BOOST_TEST(!Assembler.feed(
       "data: {\"choices\":[],\"usage\":{\"x\":" + nested() + "}}\n\n"));
 }
+
+namespace {
+
+/// Texts that stand for no count.
+const std::vector<std::string> NoCounts = {"-1",   "1.5",    "1e300", "1e400",
+                                           "true", R"("1")", "null",  "{}"};
+
+} // namespace
+
+// Guards against a row of the duties whose numbers are reduced to others:
+// windows that never come, or orders for billions of engines.
+BOOST_AUTO_TEST_CASE(DutyRowsWithOddNumbersAreRejected) {
+  const auto Usage = [](const std::string &Next, const std::string &Window,
+                        const std::string &Count) {
+    return R"({"format":1,"next":)" + Next + R"(,"pending":[{"window":)" +
+           Window + R"(,"counts":{"w":)" + Count + "}}]}";
+  };
+  const auto Capacity = [](const std::string &Target,
+                           const std::string &Count) {
+    return R"({"format":1,"services":{"s":{"target":)" + Target +
+           R"(,"zones":{"z":{"regular":)" + Count + "}}}}}";
+  };
+  BOOST_CHECK_NO_THROW(duty::decodeUsageRow(Usage("7", "6", "5")));
+  BOOST_CHECK_NO_THROW(duty::decodeCapacityRow(Capacity("2", "2")));
+  std::vector<std::string> Odd = NoCounts;
+  Odd.emplace_back("18446744073709551616");
+  Odd.push_back(nested());
+  for (const std::string &Value : Odd)
+    BOOST_TEST_CONTEXT(Value.substr(0, 20)) {
+      for (const std::string &Text :
+           {Usage(Value, "6", "5"), Usage("7", Value, "5"),
+            Usage("7", "6", Value), Value})
+        BOOST_CHECK_THROW(duty::decodeUsageRow(Text), duty::DutyRowError);
+      for (const std::string &Text :
+           {Capacity(Value, "2"), Capacity("2", Value), Value})
+        BOOST_CHECK_THROW(duty::decodeCapacityRow(Text), duty::DutyRowError);
+    }
+  BOOST_CHECK_THROW(
+      duty::decodeUsageRow(Usage("18446744073709551615", "6", "5")),
+      duty::DutyRowError);
+  BOOST_CHECK_THROW(duty::decodeCapacityRow(Capacity("4294967296", "2")),
+                    duty::DutyRowError);
+}
+
+// Guards against a lease that counts as expired at once or never, and against
+// fencing numbers that begin again at 0.
+BOOST_AUTO_TEST_CASE(LeasesWithOddNumbersAreRejected) {
+  const auto Lease = [](const std::string &Fencing, const std::string &Length) {
+    return platform::Row{"duties", platform::RowVersion(1),
+                         R"({"format":1,"holder":"h","fencing":)" + Fencing +
+                             R"(,"length_ms":)" + Length + "}"};
+  };
+  BOOST_CHECK_NO_THROW(lease::decodeLease(Lease("7", "1000")));
+  std::vector<std::string> Odd = NoCounts;
+  Odd.emplace_back("18446744073709551615");
+  Odd.push_back(nested());
+  for (const std::string &Value : Odd)
+    BOOST_TEST_CONTEXT(Value.substr(0, 20)) {
+      BOOST_CHECK_THROW(lease::decodeLease(Lease(Value, "1000")),
+                        lease::LeaseRowError);
+      BOOST_CHECK_THROW(lease::decodeLease(Lease("7", Value)),
+                        lease::LeaseRowError);
+    }
+  BOOST_CHECK_THROW(lease::decodeLease(Lease("7", "9223372036854775807")),
+                    lease::LeaseRowError);
+}
--- a/tests/unit/usage_test.cpp
+++ b/tests/unit/usage_test.cpp
@@ -346,3 +346,15 @@
   BOOST_TEST(Windows.rbegin()->value() - Windows.begin()->value() + 1 ==
              Windows.size());
 }
+
+// Guards against a window of a stored row whose end overflows, so that it
+// counts as over.
+BOOST_AUTO_TEST_CASE(AWindowFarAheadIsNotOver) {
+  const ManualClock Steady;
+  const FakeWallClock Wall{Steady};
+  const MajorityClock Time{Wall, Steady};
+  const UsageMeter Meter{{InstanceId(1), Incarnation(1)}, 5s, Time};
+  for (const unsigned Bit : {42U, 50U, 62U})
+    BOOST_TEST((Meter.timeSinceEnd(UsageWindow(std::uint64_t{1} << Bit)) <
+                Duration::zero()));
+}
