Test: Mutate entries, manifests and pages that readers meet

RapidCheck puts brackets, numbers out of range, and bytes that are no UTF-8 into proper texts; readers may throw only the error that their callers catch. With the conversion of AddressError taken out of readUpstreamEntry() on a scratch copy it is falsified after 31 tests.

--- a/tests/unit/malformed_entries_test.cpp
+++ b/tests/unit/malformed_entries_test.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
+#include <rapidcheck.h>
 
 using namespace crowstep;
 using namespace crowstep::adapter;
@@ -384,3 +385,38 @@
   Timers.advance(5s);
   BOOST_TEST(Seen.m_Version == 2U);
 }
+
+// Guards against a text near a proper one at which a reader throws an error
+// that its callers don't catch.
+BOOST_AUTO_TEST_CASE(MutatedTextsAreReadOrRejected) {
+  const auto Mutated = [](std::string Text) {
+    static const std::vector<std::string> Pieces = {
+        "-1",     "1e400", "99999999999999999999",
+        "1.5",    "null",  "[",
+        "]",      "{",     "}",
+        "\"",     "\\",    ",",
+        ":",      "\xff",  "\xc3",
+        "\\ud800"};
+    const int Edits = *rc::gen::inRange(1, 5);
+    for (int I = 0; I < Edits; ++I) {
+      const std::size_t At = *rc::gen::inRange<std::size_t>(0, Text.size());
+      const std::size_t Cut = *rc::gen::inRange<std::size_t>(0, 8);
+      Text.replace(At, Cut, *rc::gen::elementOf(Pieces));
+    }
+    return Text;
+  };
+  BOOST_TEST(rc::check("mutated texts", [&] {
+    try {
+      readUpstreamEntry("e", Mutated(GoodEntry));
+    } catch (const StoreValueError &) {
+    }
+    try {
+      readManifest(Mutated(GoodManifest));
+    } catch (const StoreValueError &) {
+    }
+    readReport(Mutated(GoodEntry), 1ms);
+    Metrics Stats;
+    const std::string Odd = Mutated(rowText("m", GoodEntry));
+    readPage(pageText(Odd), Stats);
+  }));
+}
