--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -247,13 +247,15 @@
 BOOST_AUTO_TEST_CASE(OddEntriesStopNeitherTheGatewayNorItsReading) {
   constexpr std::size_t Depth = 24'000;
   const std::string Deep = std::string(Depth, '[') + std::string(Depth, ']');
+  const std::string WrongPort =
+      R"({"service":"s","zone":"z","state":"ready","slots":4,)"
+      R"("address":"127.0.0.1:65536"})";
   const std::vector<std::string> Values = {
       Deep,
       R"({"service":)" + Deep + "}",
       R"({"service":"s","slots":1e400})",
       R"({"service":"s","slots":-1,"address":"127.0.0.1:80"})",
-      R"({"service":"s","zone":"z","state":"ready","slots":4,)"
-      R"("address":"127.0.0.1:65536"})",
+      WrongPort,
       "\xff\xfe"};
   GatewayFixture Fixture;
   const auto PutOdd = [&](const std::string &Prefix) {
