--- a/tests/process/stop_limit_test.cpp
+++ b/tests/process/stop_limit_test.cpp
@@ -9,7 +9,6 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <netinet/in.h>
 
 using namespace crowstep;
 using namespace crowstep::test;
@@ -28,6 +27,9 @@
 constexpr std::size_t LongAnswer = 400U << 10;
 constexpr std::size_t ShortAnswer = 40U << 10;
 
+/// Receive buffer of callers that read slowly, in bytes.
+constexpr int SmallBuffer = 4096;
+
 /// An upstream that begins no answer below /hold/ until release(), sends an
 /// event every 100 ms without end below /stream/, and answers others at once.
 class HoldingUpstream {
@@ -85,19 +87,6 @@
   HttpServer m_Server;                                 ///< For the gateway.
 };
 
-/// A caller's connection with a receive buffer of a few KB.
-std::unique_ptr<Peer> connectWithSmallBuffer(const Address &Server) {
-  const int Fd = socket(AF_INET, SOCK_STREAM, 0);
-  const int Size = 4096;
-  setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &Size, sizeof(Size));
-  sockaddr_in Remote{};
-  Remote.sin_family = AF_INET;
-  Remote.sin_port = htons(Server.m_Port);
-  Remote.sin_addr.s_addr = htonl(Server.m_Ip);
-  (void)::connect(Fd, reinterpret_cast<sockaddr *>(&Remote), sizeof(Remote));
-  return std::make_unique<Peer>(Fd);
-}
-
 Json routeJson(const std::string &Name, const std::string &Kind,
                std::chrono::milliseconds Timeout) {
   return {{"name", Name},
@@ -253,7 +242,8 @@
 // sent its next request, as the process ends.
 BOOST_AUTO_TEST_CASE(TheEndOfTheProcessDestroysNoAnswer) {
   StoppingGateway Gateway;
-  const auto Caller = connectWithSmallBuffer(Gateway.m_Config.m_ListenAddress);
+  const auto Caller =
+      Peer::connect(Gateway.m_Config.m_ListenAddress, SmallBuffer);
   Caller->send(StoppingGateway::request("/hold/x"));
   BOOST_TEST(Gateway.waitForCalls(1));
   Gateway.m_Process->signal(SIGTERM);
@@ -270,7 +260,8 @@
 // reads slowly.
 BOOST_AUTO_TEST_CASE(AnUnreadAnswerOutlivesTheProcess) {
   StoppingGateway Gateway;
-  const auto Caller = connectWithSmallBuffer(Gateway.m_Config.m_ListenAddress);
+  const auto Caller =
+      Peer::connect(Gateway.m_Config.m_ListenAddress, SmallBuffer);
   Caller->send(StoppingGateway::request("/hold/x"));
   BOOST_TEST(Gateway.waitForCalls(1));
   Gateway.m_Process->signal(SIGTERM);
--- a/tests/unit/loopback_peer.h
+++ b/tests/unit/loopback_peer.h
@@ -47,8 +47,13 @@
   Peer(const Peer &) = delete;
   Peer &operator=(const Peer &) = delete;
 
-  static std::unique_ptr<Peer> connect(const Address &Server) {
+  /// \p ReceiveBuffer is in bytes; 0: the kernel's default.
+  static std::unique_ptr<Peer> connect(const Address &Server,
+                                       int ReceiveBuffer = 0) {
     const int Fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (ReceiveBuffer > 0)
+      setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &ReceiveBuffer,
+                 sizeof(ReceiveBuffer));
     sockaddr_in Remote{};
     Remote.sin_family = AF_INET;
     Remote.sin_port = htons(Server.m_Port);
