Fix: Don't end a resumed stream with an answer that brought nothing

What callers would see: a stream that broke off at one engine went on at a second one, which sent its head without length and chunks and closed before any event. The caller got a properly ended 200 with the first engine's events alone.

Cause: such an answer ends with its connection, so the parser rightly calls it complete (RFC 9112, 6.3), and the gateway took a complete answer for the stream's end once the caller had any event, also of an earlier engine. For a first engine without an event it already didn't.

Evidence: cut_head_test/AContinuationWithoutANewEventIsNoEnd over real sockets, before the fix 6 failed checks (a bare head, a head with only an event that the caller has, a head with another coding than chunks: each ended as whole), after it none. In the same test a continuation with a new event, an empty one with Content-Length: 0 and an empty one with a last chunk still end the stream.

Why this works: the gateway asks the head, direct or relayed, whether the body has an end of its own. Where it has none, only a new event makes the close an end; without one the call counts as broken, so the stream is tried elsewhere or the caller's answer is cut visibly. An engine that has nothing left to send and frames that as such is believed as before.

Not covered: a close-delimited stream that is closed in order between two new events, and an empty close-delimited plain answer. Neither can be told from a whole one.

--- a/src/gateway/forwarded_answer.cpp
+++ b/src/gateway/forwarded_answer.cpp
@@ -69,6 +69,7 @@
     return;
   }
   m_Status = Status;
+  m_IsCloseDelimited = isCloseDelimited(Status, Headers);
   if (!m_Streaming)
     m_AnswerHeaders = Headers;
   if (m_Streaming && !Success) {
@@ -368,9 +369,12 @@
   handleUnsent(balance::CallOutcome::Dropped);
 }
 
+/// The end of a close-delimited answer may be a crash, so it counts only after
+/// an event that the caller did not have.
 void ForwardedRequest::handleStreamEnd() {
-  if (m_Splitter.isMidEvent() || !m_Streaming) {
-    // An answer without a length ends with its connection, also in a crash.
+  const bool HasNewEvent = m_EventCount > m_EventsBeforeCall;
+  if (m_Splitter.isMidEvent() || !m_Streaming ||
+      (m_IsCloseDelimited && !HasNewEvent)) {
     handleBrokenAnswer();
     return;
   }
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -385,6 +385,7 @@
   m_Body.clear();
   m_Held.release();
   m_Splitter = SseSplitter();
+  m_EventsBeforeCall = m_EventCount;
   OutgoingCall Outgoing;
   Outgoing.m_Upstream = Placement.m_Upstream;
   Outgoing.m_Name = Placement.m_Name;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -213,17 +213,19 @@
   unsigned m_UnsentAttempts = 0;            ///< Without a connection.
   bool m_MayHaveRun = false;                ///< See the head of this file.
 
-  unsigned m_Status = 0;        ///< Of the current answer; 0: none.
-  HeaderList m_AnswerHeaders;   ///< Kept once a stream has begun.
-  std::string m_Body;           ///< Of a plain answer so far.
-  AnswerMemory::Part m_Held;    ///< m_Body, or an incomplete event.
-  SseSplitter m_Splitter;       ///< Of the current call's stream.
-  bool m_Streaming = false;     ///< The stream's headers were sent.
-  bool m_IsPaused = false;      ///< m_Call is not read: the caller is slow.
-  bool m_UsageRecorded = false; ///< The request was counted.
+  unsigned m_Status = 0;           ///< Of the current answer; 0: none.
+  bool m_IsCloseDelimited = false; ///< The current answer's body.
+  HeaderList m_AnswerHeaders;      ///< Kept once a stream has begun.
+  std::string m_Body;              ///< Of a plain answer so far.
+  AnswerMemory::Part m_Held;       ///< m_Body, or an incomplete event.
+  SseSplitter m_Splitter;          ///< Of the current call's stream.
+  bool m_Streaming = false;        ///< The stream's headers were sent.
+  bool m_IsPaused = false;         ///< m_Call is not read: the caller is slow.
+  bool m_UsageRecorded = false;    ///< The request was counted.
   std::optional<std::uint64_t>
-      m_LastEventId;            ///< Last event that the caller has.
-  std::size_t m_EventCount = 0; ///< Sent to the caller.
+      m_LastEventId;                  ///< Last event that the caller has.
+  std::size_t m_EventCount = 0;       ///< Sent to the caller.
+  std::size_t m_EventsBeforeCall = 0; ///< m_EventCount as the call was sent.
 };
 
 } // namespace crowstep::gateway
--- a/src/http/header_list.cpp
+++ b/src/http/header_list.cpp
@@ -88,4 +88,23 @@
   return Result;
 }
 
+bool isCloseDelimited(unsigned Status, const HeaderList &Headers) {
+  constexpr unsigned HttpNoContent = 204;
+  constexpr unsigned HttpNotModified = 304;
+  if (Status == HttpNoContent || Status == HttpNotModified)
+    return false;
+  const auto Coding =
+      std::find_if(Headers.rbegin(), Headers.rend(), [](const auto &Field) {
+        return equalsIgnoreCase(Field.m_Name, "Transfer-Encoding");
+      });
+  if (Coding == Headers.rend())
+    return findHeader(Headers, "Content-Length") == nullptr;
+  // Only chunks as the last coding have an end of their own.
+  constexpr std::string_view Chunked = "chunked";
+  const std::string_view Value = Coding->m_Value;
+  return Value.size() < Chunked.size() ||
+         !equalsIgnoreCase(Value.substr(Value.size() - Chunked.size()),
+                           Chunked);
+}
+
 } // namespace crowstep
--- a/src/http/header_list.h
+++ b/src/http/header_list.h
@@ -36,6 +36,10 @@
 /// ones (RFC 9110, 7.6.1) and those that frame the body.
 HeaderList endToEndHeaders(const HeaderList &Headers);
 
+/// Returns whether the body of an answer with this head has neither a length
+/// nor chunks, so that it ends with its connection (RFC 9112, 6.3).
+bool isCloseDelimited(unsigned Status, const HeaderList &Headers);
+
 } // namespace crowstep
 
 #endif // CROWSTEP_HTTP_HEADER_LIST_H
--- a/tests/unit/cut_head_test.cpp
+++ b/tests/unit/cut_head_test.cpp
@@ -331,6 +331,30 @@
   BOOST_TEST(Whole.m_Env.m_Record.m_Stream == Events + "id: 2\ndata: y\n\n");
 }
 
+// Guards against a stream that ends as a whole one as the upstream that
+// continues it stops right after a head without length and chunks.
+BOOST_AUTO_TEST_CASE(AContinuationWithoutANewEventIsNoEnd) {
+  const std::string EventHead = Ok + "Content-Type: text/event-stream\r\n";
+  const std::string Unframed = EventHead + "\r\n";
+  struct Case {
+    std::string m_Text;
+    bool m_IsEnd;
+  };
+  for (const Case &Tried :
+       {Case{Unframed, false}, Case{Unframed + Events, false},
+        Case{EventHead + "Transfer-Encoding: x\r\n\r\n", false},
+        Case{Unframed + "id: 2\ndata: y\n\n", true},
+        Case{EventHead + "Content-Length: 0\r\n\r\n", true},
+        Case{StreamHead + "0\r\n\r\n", true}})
+    BOOST_TEST_CONTEXT(Tried.m_Text) {
+      GatewayFixture Fixture(Resumable);
+      Fixture.answer(0, StreamHead + chunkOf(Events), false);
+      Fixture.answer(1, Tried.m_Text, false);
+      BOOST_TEST(Fixture.m_Env.m_Record.m_Ended == Tried.m_IsEnd);
+      BOOST_TEST(Fixture.m_Env.m_Record.m_Dropped == !Tried.m_IsEnd);
+    }
+}
+
 // Guards against the same at an entry, for plain calls and engines' streams.
 BOOST_AUTO_TEST_CASE(AnEntryPassesOnNoCutAnswer) {
   namespace entry_test = crowstep::entry::test;
