Test: Test that a cut answer stays cut behind a relay

The caller's gateway sees of a relayed call only what the carrying one reports, so a cut that is reported as an end would be framed as whole. relayed_call_test/ACutAnswerIsCutBehindARelay cuts every run of a call that may run once, of one that may run again and of a stream, before the head and after 100 ms, 400 ms and 1 s.

It passes on the code as it was.

--- a/tests/unit/relayed_call_test.cpp
+++ b/tests/unit/relayed_call_test.cpp
@@ -99,6 +99,38 @@
   BOOST_TEST(Fleet.runsOf(Request) == 1U);
 }
 
+// Guards against a cut answer that ends as a whole one behind a relay, before
+// its head and within its stream.
+BOOST_AUTO_TEST_CASE(ACutAnswerIsCutBehindARelay) {
+  for (const Duration Until : {0ms, 100ms, 400ms, 1000ms})
+    for (const unsigned Kind : {Hold, Check, Guide}) {
+      CutFleet Fleet(2);
+      PathRequest &Request = Fleet.send(0, Kind);
+      auto &Calls = Fleet.m_Instances.at(1)->m_Upstreams.m_Calls;
+      const auto CutAll = [&] {
+        while (!Calls.empty())
+          Calls.begin()->second->handleCrash();
+      };
+      while (Fleet.runsOf(Request) == 0)
+        Fleet.wait(1ms);
+      if (Kind == Guide)
+        Fleet.wait(Until);
+      CutAll();
+      for (int Step = 0; Step < 3000 && !Request.m_HasEnded; ++Step) {
+        Fleet.wait(1ms);
+        if (Fleet.runsOf(Request) > 1)
+          CutAll();
+      }
+      BOOST_TEST(Request.m_HasEnded);
+      BOOST_TEST(!Request.isServed());
+      BOOST_TEST(!Request.isStatedNotRun());
+      for (const CallerAnswer &Answer : Request.m_Record.m_Answers)
+        BOOST_TEST(Answer.m_Status == 502U);
+      if (Kind == Hold)
+        BOOST_TEST(Fleet.runsOf(Request) == 1U);
+    }
+}
+
 // Guards against a call that is given up though its relay had not sent it.
 BOOST_AUTO_TEST_CASE(AnUnsentCallGoesToAnotherRelay) {
   CutFleet Fleet;
