Test: Excuse none but the callers around stops in stop_cuts_nothing

Ordinary requests of the soak end within half a second, and were never excused before; the excuses of the wider check apply to the new callers only.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -343,7 +343,7 @@
     if ((!HasRun && !WasRead) || (Request.m_Result->m_Status != 0 &&
                                   !Request.m_Result->m_ConnectionBroken))
       continue;
-    if (isCutAllowed(Request, Stop)) {
+    if (Request.m_IsAroundStop && isCutAllowed(Request, Stop)) {
       ++m_CheckCounts["stop_cuts_nothing (excused)"];
       continue;
     }
