--- a/src/contract/contract_json.cpp
+++ b/src/contract/contract_json.cpp
@@ -4,7 +4,7 @@
 #include "contract/contract_column.h"
 #include "contract/contract_error.h"
 #include "contract/contract_func.h"
-#include "core/foreign_json.h"
+#include "core/untrusted_json.h"
 
 namespace crowstep::contract {
 
@@ -97,7 +97,7 @@
 }
 
 ContractTable readJson(const std::string &Text) {
-  const json Value = parseForeignJsonOrDiscard(Text);
+  const json Value = parseUntrustedJsonOrDiscard(Text);
   if (Value.is_discarded())
     throw TableFormatError("no JSON");
   return tableFromJson(Value);
--- a/src/contract/table_document.cpp
+++ b/src/contract/table_document.cpp
@@ -4,7 +4,7 @@
 #include "contract/contract_error.h"
 #include "contract/contract_func.h"
 #include "contract/contract_json.h"
-#include "core/foreign_json.h"
+#include "core/untrusted_json.h"
 
 #include <algorithm>
 
@@ -51,7 +51,7 @@
 }
 
 TableDocument decodeDocument(const std::string &Text) {
-  const json Value = parseForeignJsonOrDiscard(Text);
+  const json Value = parseUntrustedJsonOrDiscard(Text);
   if (Value.is_discarded())
     throw TableFormatError("no JSON");
   TableDocument Result;
--- a/src/core/foreign_json.cpp
+++ b/src/core/untrusted_json.cpp
@@ -1,5 +1,5 @@
 /// Checks of JSON that another program wrote.
-#include "core/foreign_json.h"
+#include "core/untrusted_json.h"
 
 namespace crowstep {
 
@@ -34,13 +34,13 @@
   return false;
 }
 
-nlohmann::json parseForeignJson(std::string_view Text) {
+nlohmann::json parseUntrustedJson(std::string_view Text) {
   if (nestsTooDeep(Text))
     throw JsonNestingError();
   return nlohmann::json::parse(Text);
 }
 
-nlohmann::json parseForeignJsonOrDiscard(std::string_view Text) {
+nlohmann::json parseUntrustedJsonOrDiscard(std::string_view Text) {
   return nestsTooDeep(Text) ? nlohmann::json(nlohmann::json::value_t::discarded)
                             : nlohmann::json::parse(Text, nullptr, false);
 }
--- a/src/core/foreign_json.h
+++ b/src/core/untrusted_json.h
@@ -1,6 +1,6 @@
 /// Reading of JSON that another program wrote.
-#ifndef CROWSTEP_CORE_FOREIGN_JSON_H
-#define CROWSTEP_CORE_FOREIGN_JSON_H
+#ifndef CROWSTEP_CORE_UNTRUSTED_JSON_H
+#define CROWSTEP_CORE_UNTRUSTED_JSON_H
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -32,10 +32,10 @@
 
 /// Parses \p Text. \throws nlohmann::json::exception if it is no JSON or nests
 /// too deeply.
-nlohmann::json parseForeignJson(std::string_view Text);
+nlohmann::json parseUntrustedJson(std::string_view Text);
 
-/// As parseForeignJson(), but returns a discarded value instead of throwing.
-nlohmann::json parseForeignJsonOrDiscard(std::string_view Text);
+/// As parseUntrustedJson(), but returns a discarded value instead of throwing.
+nlohmann::json parseUntrustedJsonOrDiscard(std::string_view Text);
 
 /// Returns \p Value, a whole number from 0 to \p Max. The library's own
 /// conversions accept booleans and fractions, and reduce numbers that are out
@@ -45,4 +45,4 @@
 
 } // namespace crowstep
 
-#endif // CROWSTEP_CORE_FOREIGN_JSON_H
+#endif // CROWSTEP_CORE_UNTRUSTED_JSON_H
--- a/src/dispatcher/load_monitor.cpp
+++ b/src/dispatcher/load_monitor.cpp
@@ -1,7 +1,7 @@
 /// Reads load reports and cache events over HTTP.
 #include "dispatcher/load_monitor.h"
 
-#include "core/foreign_json.h"
+#include "core/untrusted_json.h"
 
 #include <nlohmann/json.hpp>
 #include <set>
@@ -54,7 +54,7 @@
                                          const std::string &Text) {
   std::vector<decision::Event> Result;
   try {
-    const json Body = parseForeignJson(Text);
+    const json Body = parseUntrustedJson(Text);
     Result.emplace_back(parseLoadReport(Source, Body));
     for (const json &CacheEvent : Body.value("cache_events", json::array()))
       Result.emplace_back(parseCacheEvent(Source, CacheEvent));
--- a/src/duty/capacity_row.cpp
+++ b/src/duty/capacity_row.cpp
@@ -1,7 +1,7 @@
 /// The row of the table service that holds the orders for engines in force.
 #include "duty/capacity_row.h"
 
-#include "core/foreign_json.h"
+#include "core/untrusted_json.h"
 #include "duty/duty_error.h"
 
 #include <limits>
@@ -58,7 +58,7 @@
 
 CapacityRow decodeCapacityRow(const std::string &Text) {
   try {
-    const json Value = parseForeignJson(Text);
+    const json Value = parseUntrustedJson(Text);
     if (Value.at("format").get<std::int64_t>() != CapacityFormat)
       throw DutyRowError("unsupported format " + Value.at("format").dump());
     CapacityRow Result;
--- a/src/duty/usage_row.cpp
+++ b/src/duty/usage_row.cpp
@@ -1,7 +1,7 @@
 /// The row of the table service that holds the usage reports under way.
 #include "duty/usage_row.h"
 
-#include "core/foreign_json.h"
+#include "core/untrusted_json.h"
 #include "duty/duty_error.h"
 
 #include <limits>
@@ -46,7 +46,7 @@
 
 UsageRow decodeUsageRow(const std::string &Text) {
   try {
-    const json Value = parseForeignJson(Text);
+    const json Value = parseUntrustedJson(Text);
     if (Value.at("format").get<std::int64_t>() != UsageFormat)
       throw DutyRowError("unsupported format " + Value.at("format").dump());
     UsageRow Result;
--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -1,7 +1,7 @@
 /// Parsing and validation of callers' requests.
 #include "entry/caller_request.h"
 
-#include "core/foreign_json.h"
+#include "core/untrusted_json.h"
 #include "http/header_list.h"
 #include "http/header_value.h"
 
--- a/src/entry/event_stream.cpp
+++ b/src/entry/event_stream.cpp
@@ -1,7 +1,7 @@
 /// Splitting and parsing of engines' server-sent events.
 #include "entry/event_stream.h"
 
-#include "core/foreign_json.h"
+#include "core/untrusted_json.h"
 
 namespace crowstep::entry {
 
@@ -84,7 +84,7 @@
     Begin = End + EventEnd.size();
     if (Payload.empty() || Payload == DoneMark)
       continue;
-    const Json Chunk = parseForeignJsonOrDiscard(Payload);
+    const Json Chunk = parseUntrustedJsonOrDiscard(Payload);
     if (!Chunk.is_object() || !feedChunk(Chunk))
       return false;
   }
--- a/src/entry/request.cpp
+++ b/src/entry/request.cpp
@@ -1,8 +1,8 @@
 /// Events and actions of one request.
 #include "entry/request.h"
 
-#include "core/foreign_json.h"
 #include "core/log.h"
+#include "core/untrusted_json.h"
 #include "http/refusal_answer.h"
 
 #include <glib.h>
@@ -48,7 +48,7 @@
                                       const std::string &Body) {
   if (Status != HttpUnavailable)
     return std::nullopt;
-  const Json Answer = parseForeignJsonOrDiscard(Body);
+  const Json Answer = parseUntrustedJsonOrDiscard(Body);
   if (!Answer.is_object() || !Answer.contains("error") ||
       !Answer["error"].is_object() ||
       Answer["error"].value("type", Json()) != "not_run")
--- a/src/lease/lease_core.cpp
+++ b/src/lease/lease_core.cpp
@@ -1,7 +1,7 @@
 /// One lease, as a state machine without I/O.
 #include "lease/lease_core.h"
 
-#include "core/foreign_json.h"
+#include "core/untrusted_json.h"
 #include "lease/lease_error.h"
 
 #include <algorithm>
@@ -38,7 +38,7 @@
 
 LeaseRow decodeLease(const platform::Row &Row) {
   try {
-    const json Value = parseForeignJson(Row.m_Value);
+    const json Value = parseUntrustedJson(Row.m_Value);
     if (Value.at("format").get<std::int64_t>() != LeaseFormat)
       throw LeaseRowError("unsupported format " + Value.at("format").dump());
     LeaseRow Result{Row.m_Version, Value.at("holder").get<std::string>(),
