Fix: Let no write of an earlier era of the store change a lease

Cause: a lease is written on the condition that its row has a known version. A restored store gives versions out again, so that a write of the era before it, carried out late or sent by a process that was frozen or cut off, can meet a row of the new era that has the very version. It puts back the former holder and its number, and whoever acquires the lease next gives out again the number that was just in use.

Evidence: found by duties under random restores in virtual time: a holder of era 3 wrote number 3004 as version 25 and 27; a renewal of era 2, with version 27 as its condition, took effect at 53.5 s; the next holder took 3004 as well.

Fix: a write has a second condition, that no row says that its era is over. Who acquires the lease in a later era writes that row in the same transaction, for the last four eras. The condition can't hold by chance, as the row's key names the era and it must not exist at all. No further call.

--- a/src/lease/lease_core.cpp
+++ b/src/lease/lease_core.cpp
@@ -23,6 +23,15 @@
 /// Higher numbers could overflow when eras and renewals raise them.
 constexpr std::uint64_t MaxFencing = std::uint64_t{1} << 62U;
 
+/// Eras before the current one whose writes may still be under way.
+constexpr std::uint64_t EndedEras = 4;
+
+/// Returns the key of the row that exists once the lease was acquired in a
+/// later era than \p Era.
+std::string endOfEraKey(const std::string &LeaseKey, std::uint64_t Era) {
+  return LeaseKey + "/after/" + std::to_string(Era);
+}
+
 } // namespace
 
 std::string encodeLease(const LeaseRow &Row) {
@@ -218,13 +227,30 @@
   return FencingNumber(std::max(Last, m_HighestSeen.value()) + 1);
 }
 
+/// A restored table service gives versions out again. A write of an earlier era
+/// whose condition holds by chance would put back a holder that others have
+/// succeeded, and a number that they go beyond.
 void LeaseCore::write(const HolderId &Holder, FencingNumber Fencing) {
   const LeaseRow NewRow{{}, Holder, Fencing, m_Config.m_Duration, m_Era};
   const platform::RowVersion Expected =
       m_Row ? m_Row->m_Version : platform::RowVersion();
+  platform::RowWrite Write{m_Config.m_Key, Expected, encodeLease(NewRow)};
+  if (m_Era) {
+    Write.m_UnlessKey = endOfEraKey(m_Config.m_Key, m_Era->value());
+    if (!isOfThisEra())
+      Write.m_MarkerKeys = endedEraKeys();
+  }
   m_CallInFlight = true;
-  m_Actions.push_back(
-      WriteLease{{m_Config.m_Key, Expected, encodeLease(NewRow)}});
+  m_Actions.push_back(WriteLease{std::move(Write)});
+}
+
+std::vector<std::string> LeaseCore::endedEraKeys() const {
+  const std::uint64_t Era = m_Era->value();
+  std::vector<std::string> Result;
+  for (std::uint64_t Ended = Era - std::min(Era, EndedEras); Ended < Era;
+       ++Ended)
+    Result.push_back(endOfEraKey(m_Config.m_Key, Ended));
+  return Result;
 }
 
 } // namespace crowstep::lease
--- a/src/lease/lease_core.h
+++ b/src/lease/lease_core.h
@@ -53,6 +53,7 @@
   void applyRow(const std::optional<platform::Row> &Row);
   void startNextCall();
   void write(const HolderId &Holder, FencingNumber Fencing);
+  [[nodiscard]] std::vector<std::string> endedEraKeys() const;
   [[nodiscard]] FencingNumber nextFencingNumber() const;
   [[nodiscard]] bool isHolder() const;
   [[nodiscard]] bool isOfThisEra() const;
--- a/src/platform/platform_type.h
+++ b/src/platform/platform_type.h
@@ -36,6 +36,13 @@
   std::string m_Key;     ///< Of the row.
   RowVersion m_Expected; ///< See above.
   std::string m_Value;   ///< New JSON text; empty deletes the row.
+
+  /// Key of a row of the same table: while it exists, the write has no effect.
+  /// Empty: there is no such row. Only for services that state an era.
+  std::string m_UnlessKey{};
+
+  /// Keys of rows of the same table that are written along, without content.
+  std::vector<std::string> m_MarkerKeys{};
 };
 
 /// Outcome of one conditional write.
--- a/tests/unit/duty_client_test.cpp
+++ b/tests/unit/duty_client_test.cpp
@@ -131,6 +131,30 @@
   BOOST_TEST(Outcome.m_CurrentRow->m_Version.value() == 7U);
 }
 
+// Guards against a write of an earlier era that takes effect since its row has
+// the expected version again.
+BOOST_FIXTURE_TEST_CASE(AWriteDependsOnTheLackOfARow, Fixture) {
+  const auto WriteUnless = [&](const HttpResult &Answer) {
+    m_Http.m_Next = Answer;
+    platform::WriteResult Result = platform::PlatformFailure::Uncertain;
+    m_Tables.write(
+        "t", {{"k", platform::RowVersion(3), "v", "k/after/2", {"k/after/1"}}},
+        [&](const platform::WriteResult &Given) { Result = Given; });
+    return Result;
+  };
+  WriteUnless(HttpAnswer{200, R"({"schemaVersion":8})", {}});
+  const auto Body = nlohmann::json::parse(m_Http.m_Call.m_Body);
+  BOOST_TEST(Body["expectedRevision"][1]["key"] == "k/after/2");
+  BOOST_TEST(Body["expectedRevision"][1]["schemaVersion"] == 0);
+  BOOST_TEST(Body["puts"].size() == 2U);
+  BOOST_TEST(Body["puts"][0]["key"] == "k/after/1");
+  // The answer need not hold the written row, which is as expected.
+  const auto Prevented =
+      WriteUnless(HttpAnswer{412, rowsText("k/after/2", "{}"), {}});
+  BOOST_TEST((std::get<platform::PlatformFailure>(Prevented) ==
+              platform::PlatformFailure::Refused));
+}
+
 // Guards against an insert that is repeated without a pause, since an answer
 // that lacks the present row looks as if there were none.
 BOOST_FIXTURE_TEST_CASE(AConflictWithoutARowSaysNothing, Fixture) {
--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -359,17 +359,12 @@
 class RestoredLease {
 public:
   static constexpr Duration Step = milliseconds(10);
+  static constexpr Duration CallTimeout = milliseconds(400);
 
   explicit RestoredLease(std::uint64_t Seed) : m_Random(Seed) {
     for (int I = 0; I < 3; ++I) {
-      LeaseConfig Config;
-      Config.m_Key = "k";
-      Config.m_Holder = std::to_string(I);
-      Config.m_Duration = milliseconds(1500);
-      Config.m_Margin = milliseconds(300);
-      Config.m_ReadInterval = milliseconds(400);
-      Config.m_Releases = false;
-      m_Cores.emplace_back(Config);
+      m_Cores.emplace_back(configOf(std::to_string(I)));
+      m_Process.push_back(0);
       handle(m_Cores.size() - 1, LeaseWanted{true});
     }
   }
@@ -387,11 +382,23 @@
     }
   }
 
-  void takeCopy() { m_Copy = {m_Row, m_Version}; }
+  void takeCopy() { m_Copy = {m_Row, m_Version, m_Markers}; }
   void restore() {
-    std::tie(m_Row, m_Version) = m_Copy;
+    std::tie(m_Row, m_Version, m_Markers) = m_Copy;
     ++m_Era;
   }
+
+  /// Sets how many writes of a hundred take effect seconds late, unanswered.
+  void setLateWrites(std::size_t Percent) { m_LatePercent = Percent; }
+
+  /// Replaces a process by a new one.
+  void restartOne() {
+    const std::size_t Index = below(m_Cores.size());
+    LeaseConfig Config = configOf(std::to_string(++m_Starts) + " again");
+    m_Cores[Index] = LeaseCore(Config);
+    ++m_Process[Index];
+    handle(Index, LeaseWanted{true});
+  }
   [[nodiscard]] std::size_t below(std::size_t Limit) {
     return m_Random() % Limit;
   }
@@ -400,6 +407,17 @@
   std::uint64_t m_Highest = 0;   ///< Number that a process has acted under.
 
 private:
+  static LeaseConfig configOf(const std::string &Holder) {
+    LeaseConfig Result;
+    Result.m_Key = "k";
+    Result.m_Holder = Holder;
+    Result.m_Duration = milliseconds(1500);
+    Result.m_Margin = milliseconds(300);
+    Result.m_ReadInterval = milliseconds(400);
+    Result.m_Releases = false;
+    return Result;
+  }
+
   void handle(std::size_t Index, const LeaseEvent &Event) {
     for (const LeaseAction &Action : m_Cores[Index].handle(m_Now, Event))
       std::visit([&](const auto &Call) { start(Index, Call); }, Action);
@@ -408,25 +426,45 @@
   /// A call takes effect at one time, and its answer arrives at another.
   template <typename Call> void start(std::size_t Index, const Call &Action) {
     const TimePoint Sent = m_Now;
+    const bool IsLate =
+        std::is_same_v<Call, WriteLease> && below(100) < m_LatePercent;
+    if (IsLate) {
+      answerLater(m_Now + CallTimeout, Index, [] { return LeaseCallFailed(); });
+      m_InFlight.emplace(m_Now + milliseconds(below(6000)),
+                         [this, Action, Sent] { perform(Action, Sent); });
+      return;
+    }
     m_InFlight.emplace(later(), [this, Index, Action, Sent] {
       const LeaseEvent Answer = perform(Action, Sent);
-      m_InFlight.emplace(later(), [this, Index, Answer, Era = m_Era] {
+      answerLater(later(), Index, [this, Index, Answer, Era = m_Era] {
         handle(Index, LeaseEraSeen{platform::TableEra(Era)});
-        handle(Index, Answer);
+        return Answer;
       });
     });
   }
 
+  /// Delivers an answer unless the process has been replaced.
+  void answerLater(TimePoint At, std::size_t Index,
+                   std::function<LeaseEvent()> Answer) {
+    m_InFlight.emplace(At, [this, Index, Process = m_Process[Index], Answer] {
+      if (m_Process[Index] == Process)
+        handle(Index, Answer());
+    });
+  }
+
   TimePoint later() { return m_Now + milliseconds(below(60)); }
 
   LeaseEvent perform(const ReadLease &, TimePoint) { return LeaseRead{m_Row}; }
   LeaseEvent perform(const WriteLease &Action, TimePoint Sent) {
     const platform::RowVersion Current =
         m_Row ? m_Row->m_Version : platform::RowVersion();
-    if (Current != Action.m_Write.m_Expected)
+    if (Current != Action.m_Write.m_Expected ||
+        m_Markers.contains(Action.m_Write.m_UnlessKey))
       return LeaseWritten{Sent, {false, m_Row}};
     m_Row = platform::Row{"k", platform::RowVersion(++m_Version),
                           Action.m_Write.m_Value};
+    m_Markers.insert(Action.m_Write.m_MarkerKeys.begin(),
+                     Action.m_Write.m_MarkerKeys.end());
     return LeaseWritten{Sent, {true, m_Row}};
   }
 
@@ -452,9 +490,14 @@
   std::deque<LeaseCore> m_Cores;             ///< The processes.
   std::optional<platform::Row> m_Row;        ///< The lease.
   std::uint64_t m_Version = 0;               ///< Of the last write.
+  std::set<std::string> m_Markers;           ///< Rows written along.
   std::uint64_t m_Era = 1;                   ///< Rises with each restore().
-  std::pair<std::optional<platform::Row>, std::uint64_t> m_Copy; ///< Taken.
-  std::multimap<TimePoint, std::function<void()>> m_InFlight;    ///< By time.
+  std::tuple<std::optional<platform::Row>, std::uint64_t, std::set<std::string>>
+      m_Copy;                    ///< Row, version, markers.
+  std::vector<int> m_Process;    ///< Number of the process, by core.
+  int m_Starts = 0;              ///< By restartOne().
+  std::size_t m_LatePercent = 0; ///< See setLateWrites().
+  std::multimap<TimePoint, std::function<void()>> m_InFlight; ///< By time.
   std::size_t m_LastActor = 0; ///< That acted under m_Highest.
 };
 
@@ -482,3 +525,41 @@
       BOOST_TEST(Lease.m_ActingSteps - Before > 600U);
     }
 }
+
+namespace {
+
+/// Checks processes that are replaced, and whose writes come late, over several
+/// restores.
+void checkOverlappingRestores(std::uint64_t Seed, bool CopyIsEmpty) {
+  RestoredLease Lease(Seed);
+  Lease.setLateWrites(20);
+  if (CopyIsEmpty)
+    Lease.takeCopy();
+  Lease.run(seconds(4));
+  if (!CopyIsEmpty)
+    Lease.takeCopy();
+  for (int Restore = 0; Restore < 5; ++Restore) {
+    Lease.run(milliseconds(Lease.below(4000)));
+    if (Lease.below(2) == 0)
+      Lease.takeCopy();
+    if (Lease.below(3) == 0)
+      Lease.restartOne();
+    Lease.run(milliseconds(Lease.below(4000)));
+    Lease.restore();
+  }
+  Lease.setLateWrites(0);
+  Lease.run(seconds(8));
+  const std::size_t Before = Lease.m_ActingSteps;
+  Lease.run(seconds(6));
+  BOOST_TEST(Lease.m_ActingSteps - Before > 500U);
+}
+
+} // namespace
+
+// Guards against a write of an earlier era that overwrites a later holder's
+// lease, as a restored table service gives versions out again.
+BOOST_AUTO_TEST_CASE(ALateWriteOfAnEarlierEraChangesNoLease) {
+  for (std::uint64_t Seed = 1; Seed <= 300; ++Seed)
+    BOOST_TEST_CONTEXT("seed " << Seed)
+  checkOverlappingRestores(Seed, false);
+}
