Fix: Wait a lease time where a store that states an era holds no lease

What the platform would see: two holders of the duties at once, and a lower number after a higher one (ONE), where a drill brings back a copy from before the first lease and an instance is started then.

Cause: a process that finds no lease, and has seen one era only, took the deployment for one that starts for the first time, and acquired the lease at once. A store restored from an empty copy looks the same, and the holder of the era before is valid for up to a lease time.

Fix: only a store that states no era lets a process acquire a missing lease at once. The price is one lease time without duties when a deployment starts for the first time.

--- a/src/lease/lease_core.cpp
+++ b/src/lease/lease_core.cpp
@@ -141,7 +141,6 @@
   m_Era = Event.m_Era;
   if (!IsRestored)
     return;
-  m_HasEraRisen = true;
   if (m_Row)
     m_HighestSeen = std::max(m_HighestSeen, m_Row->m_Fencing);
   m_RowKnown = false;
@@ -155,10 +154,11 @@
 }
 
 /// Returns whether no holder that the row doesn't name can still be valid. Such
-/// a one got its last answer before the era began. In a fleet that starts for
-/// the first time there is no row: it need not wait.
+/// a one got its last answer before the era began. A table service that is
+/// empty as nothing was ever written looks like one that was restored from an
+/// empty copy.
 bool LeaseCore::mayAcquire() const {
-  if (!m_Row && !m_HasEraRisen)
+  if (!m_Row && !m_Era)
     return true;
   const Duration Validity = m_Row ? m_Row->m_Duration : m_Config.m_Duration;
   return isOfThisEra() || m_Now >= m_RowSeenAt +
--- a/src/lease/lease_core.h
+++ b/src/lease/lease_core.h
@@ -71,7 +71,6 @@
   TimePoint m_NextCallAt;        ///< No call to the table service before.
   FencingNumber m_HighestSeen;   ///< Highest number that upstreams saw.
   std::optional<platform::TableEra> m_Era; ///< The highest one seen.
-  bool m_HasEraRisen = false;              ///< In this process's lifetime.
   bool m_CallInFlight = false;             ///< To the table service.
   std::size_t m_OrdersInFlight = 0;        ///< Started and not ended.
 };
--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -563,3 +563,11 @@
     BOOST_TEST_CONTEXT("seed " << Seed)
   checkOverlappingRestores(Seed, false);
 }
+
+// Guards against a new process that acquires the lease at once, since it takes
+// a table service that was restored from an empty copy for a new one.
+BOOST_AUTO_TEST_CASE(AnEmptyCopyHidesNoHolder) {
+  for (std::uint64_t Seed = 1; Seed <= 300; ++Seed)
+    BOOST_TEST_CONTEXT("seed " << Seed)
+  checkOverlappingRestores(Seed, true);
+}
