Change: Let a holder go on after a restore of the store

What the platform saw: nobody did the duties for a lease time after each restore, and then mostly another instance, which can't know what was reported and leaves windows out.

Cause: whoever learned of a later era dropped the lease and waited like all others, for a holder that the copy doesn't name.

Why the holder need not wait: while its own validity lasts, nobody else held the lease in the era before, and in the new one all others wait a lease time from their first answer of it, which is longer. It acquires the lease anew, under a higher number; the number under which it first acquired it tells the duties that no other instance has acted since.

--- a/src/duty/capacity_manager.cpp
+++ b/src/duty/capacity_manager.cpp
@@ -20,7 +20,7 @@
                   }) {}
 
 void CapacityManager::run(std::optional<lease::FencingNumber> Fencing) {
-  if (Fencing && m_StoredRow.setTerm(*Fencing)) {
+  if (Fencing && m_StoredRow.setTerm(m_Caller.heldSince())) {
     m_Accepted.clear();
     m_RetryAt.clear();
   }
--- a/src/duty/duty_caller.h
+++ b/src/duty/duty_caller.h
@@ -30,6 +30,12 @@
     return m_Lease.fencingFor(m_CallTimeout);
   }
 
+  /// Returns the number under which the lease was acquired that is held. Until
+  /// it changes, no other instance has called.
+  [[nodiscard]] lease::FencingNumber heldSince() const {
+    return m_Lease.heldSince();
+  }
+
   /// Sends a call if the lease is held long enough and the rate allows it;
   /// returns whether it was sent. \p OnDone then runs once, later.
   bool reportUsage(const UsageReport &Report, DutyPlatform::Done OnDone);
--- a/src/duty/duty_holder.cpp
+++ b/src/duty/duty_holder.cpp
@@ -47,7 +47,8 @@
 }
 
 /// A holder that gave the lease up as soon as a better candidate is listed
-/// would leave the duties undone for the time of a lease.
+/// would leave the duties undone for the time of a lease. After a restore, it
+/// alone may know what the table service has lost.
 void DutyHolder::setCandidate(bool Candidate) {
   if (Candidate == m_Candidate)
     return;
@@ -62,7 +63,8 @@
 }
 
 void DutyHolder::updateWanted() {
-  const bool Holds = m_Lease.fencingFor(Duration::zero()).has_value();
+  const bool Holds =
+      m_Lease.fencingFor(Duration::zero()).has_value() || m_Lease.mayContinue();
   m_Lease.setWanted(!m_Stopped && (m_Candidate || Holds));
 }
 
--- a/src/duty/usage_reporter.cpp
+++ b/src/duty/usage_reporter.cpp
@@ -36,7 +36,7 @@
 
 void UsageReporter::run(std::optional<lease::FencingNumber> Fencing) {
   if (Fencing)
-    m_StoredRow.setTerm(*Fencing);
+    m_StoredRow.setTerm(m_Caller.heldSince());
   if (!Fencing || m_Sending || !m_StoredRow.mayCall())
     return;
   if (!m_StoredRow.isKnown())
--- a/src/lease/lease_client.h
+++ b/src/lease/lease_client.h
@@ -32,6 +32,12 @@
   /// before the call is sent.
   [[nodiscard]] std::optional<FencingNumber> fencingFor(Duration Timeout) const;
 
+  /// As LeaseCore::mayContinue() and LeaseCore::heldSince().
+  [[nodiscard]] bool mayContinue() const {
+    return m_Core.mayContinue(m_Clock.readNow());
+  }
+  [[nodiscard]] FencingNumber heldSince() const { return m_Core.heldSince(); }
+
   /// Counts the calls that are in flight under the lease.
   void recordCallStarted() { handle(OrderStarted()); }
   void recordCallEnded() { handle(OrderEnded()); }
--- a/src/lease/lease_core.cpp
+++ b/src/lease/lease_core.cpp
@@ -104,7 +104,7 @@
 void LeaseCore::on(const LeaseWritten &Event) {
   m_CallInFlight = false;
   applyRow(Event.m_Outcome.m_CurrentRow);
-  if (!Event.m_Outcome.m_Written || !isHolder())
+  if (!Event.m_Outcome.m_Written || !isHolder() || !isOfThisEra())
     return;
   m_ValidUntil = Event.m_SentAt + m_Config.m_Duration;
   m_NextCallAt = Event.m_SentAt + m_Config.m_Duration / RenewalsPerDuration;
@@ -133,11 +133,15 @@
 }
 
 /// The table service may have lost rows that it has acknowledged, this
-/// process's too: whoever holds the lease is not known.
+/// process's too: whoever holds the lease is not known. While this process's
+/// own validity lasts, however, nobody else does: another one waits for as long
+/// from the restore on.
 void LeaseCore::on(const LeaseEraSeen &Event) {
   if (m_Era && Event.m_Era <= *m_Era)
     return;
   const bool IsRestored = m_Era.has_value();
+  if (fencingForOrder(m_Now, Duration::zero()))
+    m_ContinuesUntil = m_ValidUntil;
   m_Era = Event.m_Era;
   if (!IsRestored)
     return;
@@ -183,8 +187,10 @@
   m_RowKnown = true;
   m_Row = NewRow;
   const bool HeldByOther = NewRow && !NewRow->m_Holder.empty() && !isHolder();
-  m_NextCallAt =
-      HeldByOther || !mayAcquire() ? m_Now + m_Config.m_ReadInterval : m_Now;
+  if (HeldByOther && isOfThisEra())
+    m_ContinuesUntil = m_Now;
+  const bool MustWait = !mayContinue(m_Now) && (HeldByOther || !mayAcquire());
+  m_NextCallAt = MustWait ? m_Now + m_Config.m_ReadInterval : m_Now;
 }
 
 void LeaseCore::startNextCall() {
@@ -209,14 +215,22 @@
       m_Now >= m_RowSeenAt + m_Row->m_Duration + m_Config.m_Margin;
   if (isHolder() && isOfThisEra() && m_HighestSeen <= m_Row->m_Fencing) {
     write(m_Config.m_Holder, m_Row->m_Fencing);
-  } else if ((isHolder() || IsFree || Expired) && mayAcquire()) {
-    write(m_Config.m_Holder, nextFencingNumber());
+  } else if ((m_RowKnown && mayContinue(m_Now)) ||
+             ((isHolder() || IsFree || Expired) && mayAcquire())) {
+    acquire();
   } else {
     m_CallInFlight = true;
     m_Actions.emplace_back(std::in_place_type<ReadLease>);
   }
 }
 
+void LeaseCore::acquire() {
+  const FencingNumber Number = nextFencingNumber();
+  if (!mayContinue(m_Now))
+    m_HeldSince = Number;
+  write(m_Config.m_Holder, Number);
+}
+
 FencingNumber LeaseCore::nextFencingNumber() const {
   std::uint64_t Last = m_Row ? m_Row->m_Fencing.value() : 0;
   if (!isOfThisEra()) {
--- a/src/lease/lease_core.h
+++ b/src/lease/lease_core.h
@@ -30,6 +30,16 @@
   [[nodiscard]] std::optional<FencingNumber>
   fencingForOrder(TimePoint Now, Duration Timeout) const;
 
+  /// Returns whether this process held the lease when the table service came
+  /// back from an older copy, and no other one can have acquired it since.
+  [[nodiscard]] bool mayContinue(TimePoint Now) const {
+    return Now < m_ContinuesUntil;
+  }
+
+  /// Returns the number under which this process acquired the lease that it
+  /// holds. It has had other numbers since if it continued after restores.
+  [[nodiscard]] FencingNumber heldSince() const { return m_HeldSince; }
+
   /// Returns whether LeaseTick events are needed.
   [[nodiscard]] bool needsTicks() const {
     return m_Wanted || (m_Config.m_Releases && isHolder());
@@ -55,6 +65,7 @@
   void write(const HolderId &Holder, FencingNumber Fencing);
   [[nodiscard]] std::vector<std::string> endedEraKeys() const;
   [[nodiscard]] FencingNumber nextFencingNumber() const;
+  void acquire();
   [[nodiscard]] bool isHolder() const;
   [[nodiscard]] bool isOfThisEra() const;
   [[nodiscard]] bool mayAcquire() const;
@@ -68,6 +79,8 @@
   std::optional<LeaseRow> m_Row; ///< None: there is no row.
   TimePoint m_RowSeenAt;         ///< When m_Row was first observed.
   TimePoint m_ValidUntil;        ///< Orders must have ended by then.
+  TimePoint m_ContinuesUntil;    ///< See mayContinue().
+  FencingNumber m_HeldSince;     ///< See heldSince().
   TimePoint m_NextCallAt;        ///< No call to the table service before.
   FencingNumber m_HighestSeen;   ///< Highest number that upstreams saw.
   std::optional<platform::TableEra> m_Era; ///< The highest one seen.
--- a/tests/unit/duty_fleet_test.cpp
+++ b/tests/unit/duty_fleet_test.cpp
@@ -332,3 +332,26 @@
     checkRestoredFleet(Seed % 8 == 0 ? 30 : 5, Seed);
   }));
 }
+
+// Guards against windows that are left out after a restore although their
+// holder still runs, also one that is no candidate any more.
+BOOST_AUTO_TEST_CASE(AHolderLeavesNoWindowOutAfterARestore) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed)
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      DutyFleet Fleet(6, Seed);
+      serve(Fleet, 12s);
+      if (Seed % 2 == 0)
+        Fleet.chooseCandidates(4);
+      for (int Restore = 0; Restore < 4; ++Restore) {
+        Fleet.takeCopy();
+        serve(Fleet, std::chrono::milliseconds(Fleet.draw(9000)));
+        playRestore(Fleet, std::chrono::milliseconds(Fleet.draw(500)));
+      }
+      serve(Fleet, 15s);
+      const auto &Reports = Fleet.m_Record.reports();
+      BOOST_TEST(Reports.rbegin()->first.value() -
+                     Reports.begin()->first.value() + 1 ==
+                 Reports.size());
+      BOOST_TEST(Fleet.m_Record.firstViolation() == "");
+    }
+}
--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -403,6 +403,11 @@
     return m_Random() % Limit;
   }
 
+  /// Returns the last process that acted, and since which number it holds.
+  [[nodiscard]] std::pair<std::size_t, FencingNumber> lastActor() const {
+    return {m_LastActor, m_Cores[m_LastActor].heldSince()};
+  }
+
   std::size_t m_ActingSteps = 0; ///< Steps in which some process acts.
   std::uint64_t m_Highest = 0;   ///< Number that a process has acted under.
 
@@ -571,3 +576,23 @@
     BOOST_TEST_CONTEXT("seed " << Seed)
   checkOverlappingRestores(Seed, true);
 }
+
+// Guards against duties that nobody does for a lease time after each restore,
+// and against a holder that forgets what it knows.
+BOOST_AUTO_TEST_CASE(AValidHolderContinuesAfterARestore) {
+  for (std::uint64_t Seed = 1; Seed <= 50; ++Seed)
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      RestoredLease Lease(Seed);
+      Lease.run(seconds(4));
+      const auto Holder = Lease.lastActor();
+      for (int Restore = 0; Restore < 4; ++Restore) {
+        Lease.takeCopy();
+        Lease.run(milliseconds(Lease.below(3000)));
+        Lease.restore();
+        const std::size_t Before = Lease.m_ActingSteps;
+        Lease.run(seconds(3));
+        BOOST_TEST(Lease.m_ActingSteps - Before > 270U);
+        BOOST_TEST((Lease.lastActor() == Holder));
+      }
+    }
+}
