Fix: Prevent the writes of many eras before, not of the last four

Cause: only the last four eras were marked as over.

Fix: all eras before are marked, or the last 64, in the same transaction.

--- a/src/lease/lease_core.cpp
+++ b/src/lease/lease_core.cpp
@@ -23,8 +23,9 @@
 /// Higher numbers could overflow when eras and renewals raise them.
 constexpr std::uint64_t MaxFencing = std::uint64_t{1} << 62U;
 
-/// Eras before the current one whose writes may still be under way.
-constexpr std::uint64_t EndedEras = 4;
+/// Eras before the current one whose writes are prevented: as many as one write
+/// can hold with room to spare.
+constexpr std::uint64_t EndedEras = 64;
 
 /// Returns the key of the row that exists once the lease was acquired in a
 /// later era than \p Era.
--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -365,6 +365,7 @@
     for (int I = 0; I < 3; ++I) {
       m_Cores.emplace_back(configOf(std::to_string(I)));
       m_Process.push_back(0);
+      m_IsCut.push_back(false);
       handle(m_Cores.size() - 1, LeaseWanted{true});
     }
   }
@@ -391,6 +392,9 @@
   /// Sets how many writes of a hundred take effect seconds late, unanswered.
   void setLateWrites(std::size_t Percent) { m_LatePercent = Percent; }
 
+  /// Cuts a process off from the table service, or ends that.
+  void setCut(std::size_t Index, bool Cut) { m_IsCut[Index] = Cut; }
+
   /// Replaces a process by a new one.
   void restartOne() {
     const std::size_t Index = below(m_Cores.size());
@@ -431,6 +435,10 @@
   /// A call takes effect at one time, and its answer arrives at another.
   template <typename Call> void start(std::size_t Index, const Call &Action) {
     const TimePoint Sent = m_Now;
+    if (m_IsCut[Index]) {
+      answerLater(m_Now + CallTimeout, Index, [] { return LeaseCallFailed(); });
+      return;
+    }
     const bool IsLate =
         std::is_same_v<Call, WriteLease> && below(100) < m_LatePercent;
     if (IsLate) {
@@ -500,6 +508,7 @@
   std::tuple<std::optional<platform::Row>, std::uint64_t, std::set<std::string>>
       m_Copy;                    ///< Row, version, markers.
   std::vector<int> m_Process;    ///< Number of the process, by core.
+  std::vector<bool> m_IsCut;     ///< See setCut().
   int m_Starts = 0;              ///< By restartOne().
   std::size_t m_LatePercent = 0; ///< See setLateWrites().
   std::multimap<TimePoint, std::function<void()>> m_InFlight; ///< By time.
@@ -569,6 +578,26 @@
   checkOverlappingRestores(Seed, false);
 }
 
+// Guards against the same write of a process that was cut off for many eras.
+BOOST_AUTO_TEST_CASE(AWriteOfAnEraLongAgoChangesNoLease) {
+  for (std::uint64_t Seed = 1; Seed <= 300; ++Seed)
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      RestoredLease Lease(Seed);
+      Lease.run(milliseconds(2000 + Lease.below(4000)));
+      Lease.takeCopy();
+      Lease.run(milliseconds(Lease.below(3000)));
+      const std::size_t Cut = Lease.below(3);
+      Lease.setCut(Cut, true);
+      for (int Restore = 0; Restore < 8; ++Restore) {
+        Lease.run(milliseconds(Lease.below(3000)));
+        Lease.restore();
+      }
+      Lease.run(milliseconds(Lease.below(5000)));
+      Lease.setCut(Cut, false);
+      Lease.run(seconds(8));
+    }
+}
+
 // Guards against a new process that acquires the lease at once, since it takes
 // a table service that was restored from an empty copy for a new one.
 BOOST_AUTO_TEST_CASE(AnEmptyCopyHidesNoHolder) {
