Fix: Keep the orders for engines in force after a restore of the store

What callers would see: engines that end while they are needed, some seconds after a drill, and are started again later.

Fix: a holder that goes on keeps its orders and writes them again. One that takes over still begins with the restored row, as nobody else knows more; its next plan raises the orders to what the load needs.

--- a/src/duty/capacity_manager.cpp
+++ b/src/duty/capacity_manager.cpp
@@ -15,8 +15,8 @@
     : m_Config(Config), m_Clock(Time), m_Caller(Caller),
       m_View(std::move(View)), m_Metrics(Stats),
       m_StoredRow("capacity", Time, Store, Stats,
-                  [this](const std::optional<std::string> &Text, RowUse) {
-                    applyRow(Text);
+                  [this](const std::optional<std::string> &Text, RowUse Use) {
+                    applyRow(Text, Use);
                   }) {}
 
 void CapacityManager::run(std::optional<lease::FencingNumber> Fencing) {
@@ -34,8 +34,13 @@
     sendNext();
 }
 
-void CapacityManager::applyRow(const std::optional<std::string> &Text) {
-  m_Row = Text ? decodeCapacityRow(*Text) : CapacityRow();
+/// A holder that begins continues from the orders of a restored row, too: the
+/// next plan raises them to what the load needs.
+void CapacityManager::applyRow(const std::optional<std::string> &Text,
+                               RowUse Use) {
+  CapacityRow Stored = Text ? decodeCapacityRow(*Text) : CapacityRow();
+  if (Use != RowUse::Keep)
+    m_Row = std::move(Stored);
 }
 
 CapacityPlanner &CapacityManager::plannerOf(const std::string &Service) {
@@ -58,7 +63,7 @@
     NewRow[Service.m_Service] = Plan.m_State;
   }
   forgetMissed(Seen);
-  if (NewRow != m_Row)
+  if (NewRow != m_Row || !m_StoredRow.isStored())
     m_StoredRow.write(encodeCapacityRow(NewRow));
 }
 
--- a/src/duty/capacity_manager.h
+++ b/src/duty/capacity_manager.h
@@ -51,7 +51,7 @@
     TimePoint m_At;       ///< Time of the answer.
   };
 
-  void applyRow(const std::optional<std::string> &Text);
+  void applyRow(const std::optional<std::string> &Text, RowUse Use);
   void plan();
   void forgetMissed(const std::vector<ServiceCapacity> &Seen);
   void sendNext();
--- a/tests/unit/duty_fleet_test.cpp
+++ b/tests/unit/duty_fleet_test.cpp
@@ -355,3 +355,30 @@
       BOOST_TEST(Fleet.m_Record.firstViolation() == "");
     }
 }
+
+// Guards against engines that go, as their holder goes by the orders of a
+// restored row.
+BOOST_AUTO_TEST_CASE(ARestoredRowOrdersNoEngineAway) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed)
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      DutyFleet Fleet(6, Seed);
+      const auto Engines = [&] {
+        unsigned Result = 0;
+        for (const duty::ZoneCapacity &Zone : Fleet.m_Engines[0].m_Zones)
+          Result += Zone.m_Regular + Zone.m_Spot;
+        return Result;
+      };
+      serve(Fleet, 12s);
+      Fleet.takeCopy();
+      Fleet.m_Engines[0].m_BusyEngines = 40;
+      serve(Fleet, 6s);
+      Fleet.m_Engines[0].m_BusyEngines = 1;
+      serve(Fleet, 1s);
+      const unsigned Before = Engines();
+      playRestore(Fleet, std::chrono::milliseconds(Fleet.draw(500)));
+      for (int Step = 0; Step < 50; ++Step) {
+        serve(Fleet, 100ms);
+        BOOST_REQUIRE(Engines() >= Before);
+      }
+    }
+}
