--- a/tests/unit/duty_fleet.h
+++ b/tests/unit/duty_fleet.h
@@ -376,7 +376,7 @@
     m_Timers.runAfter(delay(m_Store, Path), [this, &From, Table, Key, Done,
                                              Path, Start = From.m_Starts] {
       std::vector<platform::Row> Rows;
-      if (const auto Found = m_Rows.find(Table + "/" + Key);
+      if (const auto Found = m_Rows.find(nameOf(Table, Key));
           Found != m_Rows.end())
         Rows.push_back(Found->second);
       if (From.m_Starts == Start)
@@ -417,24 +417,27 @@
     });
   }
 
+  /// Returns the name under which m_Rows holds a row.
+  static std::string nameOf(std::string Table, const std::string &Key) {
+    return Table.append("/").append(Key);
+  }
+
   platform::RowOutcome carryOut(const std::string &Table,
                                 const platform::RowWrite &Write) {
-    const std::string Key = Table + "/" + Write.m_Key;
-    const bool IsPrevented = !Write.m_UnlessKey.empty() &&
-                             m_Rows.contains(Table + "/" + Write.m_UnlessKey);
-    const auto Found = m_Rows.find(Key);
+    const std::string Name = nameOf(Table, Write.m_Key);
+    const auto Found = m_Rows.find(Name);
     const auto Version = Found == m_Rows.end() ? platform::RowVersion()
                                                : Found->second.m_Version;
+    const bool IsPrevented = !Write.m_UnlessKey.empty() &&
+                             m_Rows.contains(nameOf(Table, Write.m_UnlessKey));
     if (Version != Write.m_Expected || IsPrevented)
       return {false, Found == m_Rows.end() ? std::nullopt
                                            : std::optional(Found->second)};
-    ++m_LastVersion;
+    const platform::RowVersion NewVersion(++m_LastVersion);
     for (const std::string &Marker : Write.m_MarkerKeys)
-      m_Rows[Table + "/" + Marker] = {
-          Marker, platform::RowVersion(m_LastVersion), "{}"};
-    m_Rows[Key] = {Write.m_Key, platform::RowVersion(m_LastVersion),
-                   Write.m_Value};
-    return {true, m_Rows[Key]};
+      m_Rows[nameOf(Table, Marker)] = {Marker, NewVersion, "{}"};
+    m_Rows[Name] = {Write.m_Key, NewVersion, Write.m_Value};
+    return {true, m_Rows[Name]};
   }
 
   /// The connection is made first; then the sender checks the lease once more.
--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -448,7 +448,7 @@
       return;
     }
     m_InFlight.emplace(later(), [this, Index, Action, Sent] {
-      const LeaseEvent Answer = perform(Action, Sent);
+      LeaseEvent Answer = perform(Action, Sent);
       answerLater(later(), Index, [this, Index, Answer, Era = m_Era] {
         handle(Index, LeaseEraSeen{platform::TableEra(Era)});
         return Answer;
@@ -458,7 +458,7 @@
 
   /// Delivers an answer unless the process has been replaced.
   void answerLater(TimePoint At, std::size_t Index,
-                   std::function<LeaseEvent()> Answer) {
+                   const std::function<LeaseEvent()> &Answer) {
     m_InFlight.emplace(At, [this, Index, Process = m_Process[Index], Answer] {
       if (m_Process[Index] == Process)
         handle(Index, Answer());
