--- a/tests/unit/usage_test.cpp
+++ b/tests/unit/usage_test.cpp
@@ -93,7 +93,12 @@
     }
   }
 
-  std::optional<platform::Row> m_Row; ///< The lease.
+  [[nodiscard]] std::optional<platform::TableEra> era() const override {
+    return m_Era;
+  }
+
+  std::optional<platform::Row> m_Row;      ///< The lease.
+  std::optional<platform::TableEra> m_Era; ///< Stated; none: it states none.
 
 private:
   std::vector<std::function<void(platform::ReadResult)>> m_Reads;
@@ -347,6 +352,37 @@
              Windows.size());
 }
 
+// Guards against an answer that was under way during a restore or a take-over
+// and is taken for the present row.
+BOOST_AUTO_TEST_CASE(AnswersOfAnEarlierEraOrTermAreNoState) {
+  const ManualClock Time;
+  Metrics Stats;
+  LeaseTable Table;
+  Table.m_Era = platform::TableEra(1);
+  int States = 0;
+  DutyRow Row("r", Time, Table, Stats,
+              [&](const std::optional<std::string> &, RowUse) { ++States; });
+  Row.setTerm(lease::FencingNumber(1));
+  Row.load();
+  Table.m_Era = platform::TableEra(2);
+  Table.answer();
+  BOOST_TEST(!Row.isKnown());
+  Row.load();
+  Row.setTerm(lease::FencingNumber(2));
+  Table.answer();
+  BOOST_TEST(!Row.isKnown());
+  BOOST_TEST(States == 0);
+  Row.load();
+  Table.answer();
+  BOOST_TEST(Row.isKnown());
+  BOOST_TEST(States == 1);
+  Row.write("{}");
+  Table.m_Era = platform::TableEra(3);
+  Table.answer();
+  BOOST_TEST(!Row.isKnown());
+  BOOST_TEST(States == 1);
+}
+
 // Guards against a window of a stored row whose end overflows, so that it
 // counts as over.
 BOOST_AUTO_TEST_CASE(AWindowFarAheadIsNotOver) {
