Codechange: Drop a check of the lease that nothing can meet

A process that continues after a restore asked whether another one holds the lease in the new era already. None can, while its validity lasts. No test of lease, usage or duty_fleet fails without it.

--- a/src/lease/lease_core.cpp
+++ b/src/lease/lease_core.cpp
@@ -188,8 +188,6 @@
   m_RowKnown = true;
   m_Row = NewRow;
   const bool HeldByOther = NewRow && !NewRow->m_Holder.empty() && !isHolder();
-  if (HeldByOther && isOfThisEra())
-    m_ContinuesUntil = m_Now;
   const bool MustWait = !mayContinue(m_Now) && (HeldByOther || !mayAcquire());
   m_NextCallAt = MustWait ? m_Now + m_Config.m_ReadInterval : m_Now;
 }
