Test: Test what holders of duties store and forget around a restore

Each of them fails with its safeguard taken out, and found it untested: WhatAHolderKnowsIsStoredSoonAfterARestore (the state is not written again at once), AFormerHolderKnowsNothingAfterARestore (the state outlives the term), AReportThatALateWritePutsBackIsNotSent (reports of an outdated row are sent), and ARestoredRowOrdersNoEngineAway now also with the holder lost (orders are not written again at once).

--- a/tests/unit/duty_fleet_test.cpp
+++ b/tests/unit/duty_fleet_test.cpp
@@ -47,6 +47,14 @@
   return {Right, static_cast<int>(Count)};
 }
 
+/// Returns how many windows between the first and the last reported one have no
+/// report.
+std::uint64_t windowsLeftOut(const DutyFleet &Fleet) {
+  const auto &Reports = Fleet.m_Record.reports();
+  return Reports.rbegin()->first.value() - Reports.begin()->first.value() + 1 -
+         Reports.size();
+}
+
 /// One random fault, often at the holder.
 void playFault(DutyFleet &Fleet) {
   const std::size_t Target =
@@ -348,16 +356,84 @@
         playRestore(Fleet, std::chrono::milliseconds(Fleet.draw(500)));
       }
       serve(Fleet, 15s);
-      const auto &Reports = Fleet.m_Record.reports();
-      BOOST_TEST(Reports.rbegin()->first.value() -
-                     Reports.begin()->first.value() + 1 ==
-                 Reports.size());
+      BOOST_TEST(windowsLeftOut(Fleet) == 0U);
+      BOOST_TEST(Fleet.m_Record.firstViolation() == "");
+    }
+}
+
+// Guards against windows that are left out since the holder is lost too, some
+// time after the restore.
+BOOST_AUTO_TEST_CASE(WhatAHolderKnowsIsStoredSoonAfterARestore) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed)
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      DutyFleet Fleet(6, Seed);
+      serve(Fleet, std::chrono::milliseconds(15000 + Fleet.draw(5000)));
+      Fleet.takeCopy();
+      serve(Fleet, 4s);
+      playRestore(Fleet, std::chrono::milliseconds(Fleet.draw(500)));
+      serve(Fleet, 2s);
+      Fleet.kill(Fleet.holder());
+      serve(Fleet, 20s);
+      BOOST_TEST(windowsLeftOut(Fleet) == 0U);
+      BOOST_TEST(Fleet.m_Record.firstViolation() == "");
+    }
+}
+
+// Guards against a former holder that goes by what it knew, although another
+// one has reported since, whose row is lost.
+BOOST_AUTO_TEST_CASE(AFormerHolderKnowsNothingAfterARestore) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed)
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      DutyFleet Fleet(3, Seed);
+      serve(Fleet, std::chrono::milliseconds(15000 + Fleet.draw(5000)));
+      const std::size_t Former = Fleet.holder();
+      Fleet.takeCopy();
+      Fleet.storePath(Former).m_Cut = true;
+      Fleet.cutLinks(Former, true);
+      serve(Fleet, 15s);
+      BOOST_TEST(Fleet.lastActor() != Former);
+      Fleet.storePath(Former).m_Cut = false;
+      Fleet.cutLinks(Former, false);
+      for (std::size_t I = 0; I < Fleet.size(); ++I)
+        if (I != Former)
+          Fleet.kill(I);
+      playRestore(Fleet, 300ms);
+      serve(Fleet, 15s);
+      BOOST_TEST(Fleet.lastActor() == Former);
+      BOOST_TEST(Fleet.m_Record.firstViolation() == "");
+    }
+}
+
+// Guards against a report that a late write has put back into a restored row:
+// another holder has sent one with other counts.
+BOOST_AUTO_TEST_CASE(AReportThatALateWritePutsBackIsNotSent) {
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed)
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      DutyFleet Fleet(3, Seed);
+      serve(Fleet, 12s);
+      const std::size_t First = Fleet.holder();
+      Fleet.cutLinks(First, true);
+      serve(Fleet, 4s);
+      const auto Window = Fleet.currentWindow();
+      while (Fleet.currentWindow() == Window)
+        serve(Fleet, 20ms);
+      serve(Fleet, Usage.collectTime() - 200ms);
+      Fleet.takeCopy();
+      Fleet.storePath(First).m_LatePercent = 100;
+      serve(Fleet, 500ms);
+      Fleet.kill(First);
+      for (int Step = 0;
+           Step < 100 && !Fleet.m_Record.reports().contains(Window); ++Step)
+        serve(Fleet, 50ms);
+      playRestore(Fleet, 50ms);
+      killAll(Fleet);
+      serve(Fleet, 15s);
       BOOST_TEST(Fleet.m_Record.firstViolation() == "");
     }
 }
 
-// Guards against engines that go, as their holder goes by the orders of a
-// restored row.
+// Guards against engines that go, as their holder, or the next one, goes by the
+// orders of a restored row.
 BOOST_AUTO_TEST_CASE(ARestoredRowOrdersNoEngineAway) {
   for (std::uint64_t Seed = 1; Seed <= 20; ++Seed)
     BOOST_TEST_CONTEXT("seed " << Seed) {
@@ -376,7 +452,9 @@
       serve(Fleet, 1s);
       const unsigned Before = Engines();
       playRestore(Fleet, std::chrono::milliseconds(Fleet.draw(500)));
-      for (int Step = 0; Step < 50; ++Step) {
+      for (int Step = 0; Step < 80; ++Step) {
+        if (Step == 20 && Seed % 2 == 0)
+          Fleet.kill(Fleet.holder());
         serve(Fleet, 100ms);
         BOOST_REQUIRE(Engines() >= Before);
       }
