Codechange: Drop a comparison of the era that always holds

A row is read only after run() has recorded the era, and DutyRow passes on no answer of another one. usage, duty_fleet and lease tests pass.

--- a/src/duty/usage_reporter.cpp
+++ b/src/duty/usage_reporter.cpp
@@ -81,7 +81,7 @@
 /// era: then the window counts in which the era was first seen, so that those
 /// of a deployment's first seconds are not lost.
 UsageRow UsageReporter::beginAfter(const std::optional<UsageRow> &Outdated) {
-  if (!Outdated && m_Era && m_Era == m_Store.era() && m_Caller.isFirstOfEra())
+  if (!Outdated && m_Era && m_Caller.isFirstOfEra())
     return {m_EraSeenIn, {}};
   const UsageWindow Current = m_Meter.currentWindow();
   if (Outdated && Outdated->m_Next < Current) {
