--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -574,8 +574,9 @@
 // lease, as a restored table service gives versions out again.
 BOOST_AUTO_TEST_CASE(ALateWriteOfAnEarlierEraChangesNoLease) {
   for (std::uint64_t Seed = 1; Seed <= 300; ++Seed)
-    BOOST_TEST_CONTEXT("seed " << Seed)
-  checkOverlappingRestores(Seed, false);
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      checkOverlappingRestores(Seed, false);
+    }
 }
 
 // Guards against the same write of a process that was cut off for many eras.
@@ -602,8 +603,9 @@
 // a table service that was restored from an empty copy for a new one.
 BOOST_AUTO_TEST_CASE(AnEmptyCopyHidesNoHolder) {
   for (std::uint64_t Seed = 1; Seed <= 300; ++Seed)
-    BOOST_TEST_CONTEXT("seed " << Seed)
-  checkOverlappingRestores(Seed, true);
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      checkOverlappingRestores(Seed, true);
+    }
 }
 
 // Guards against duties that nobody does for a lease time after each restore,
