--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -163,12 +163,14 @@
           setting("link_listen", toString(Instance.m_LinkAddress)) +
           setting("admin_listen", toString(Instance.m_AdminAddress)) +
           LinkSection + setting("seeds", Dispatchers) + section("platform") +
-          setting("address", toString(m_PlatformAddress)));
+          setting("address", toString(m_PlatformAddress)),
+      m_Plan.m_Limits);
   Instance.m_Entry = std::make_unique<Process>(
       m_Folder, "crowstep-entry", "entry-" + Instance.m_Name + StartSuffix,
       InstanceSection + section("entry") +
           setting("listen", toString(Instance.m_CallerAddress)) +
-          setting("home", Dispatchers) + LinkSection);
+          setting("home", Dispatchers) + LinkSection,
+      m_Plan.m_Limits);
 }
 
 /// Waits until the platform listens: an instance that starts earlier retries
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -24,6 +24,7 @@
   std::string m_ServiceSettings;    ///< Additional lines for each "desk".
   std::string m_TableCsv;           ///< CSV; empty: the default table.
   bool m_RelayUpstreams = false;    ///< Instances reach upstreams by relays.
+  ProcessLimits m_Limits;           ///< Of each entry and dispatcher.
 };
 
 /// One instance: a dispatcher and an entry.
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -67,7 +67,7 @@
   for (const GatewayConfig &Config : m_Configs)
     m_Processes.push_back(
         std::make_unique<Process>(m_Folder, "crowstep-gateway", Config.m_Name,
-                                  gatewaySettingsText(Config)));
+                                  gatewaySettingsText(Config), m_Limits));
   for (const GatewayConfig &Config : m_Configs)
     if (!runUntil(
             [&] {
@@ -84,8 +84,9 @@
   const GatewayConfig &Config = m_Configs.at(Gateway);
   // Until the process has ended, its addresses are in use.
   m_Processes.at(Gateway)->kill();
-  m_Processes.at(Gateway) = std::make_unique<Process>(
-      m_Folder, "crowstep-gateway", Config.m_Name, gatewaySettingsText(Config));
+  m_Processes.at(Gateway) =
+      std::make_unique<Process>(m_Folder, "crowstep-gateway", Config.m_Name,
+                                gatewaySettingsText(Config), m_Limits);
 }
 
 std::size_t GatewayFleet::numberOf(const std::string &Name) const {
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -29,6 +29,9 @@
   explicit GatewayFleet(std::size_t Count,
                         const nlohmann::json &Scaling = nullptr);
 
+  /// Sets the limits of the gateways that are started from now on.
+  void setLimits(const ProcessLimits &Limits) { m_Limits = Limits; }
+
   /// Starts all gateways; returns whether each became ready within 10 s.
   bool startAll();
 
@@ -61,6 +64,17 @@
     return m_Configs.at(Gateway).m_ListenAddress;
   }
 
+  /// Return where a gateway serves probes, other gateways and their calls.
+  [[nodiscard]] Address probeAddress(std::size_t Gateway) const {
+    return m_Configs.at(Gateway).m_ProbeAddress;
+  }
+  [[nodiscard]] Address linkAddress(std::size_t Gateway) const {
+    return m_Configs.at(Gateway).m_LinkAddress;
+  }
+  [[nodiscard]] Address relayAddress(std::size_t Gateway) const {
+    return m_Configs.at(Gateway).m_RelayAddress;
+  }
+
   [[nodiscard]] std::size_t size() const { return m_Configs.size(); }
 
   LoopClock m_Clock;            ///< Of the test process.
@@ -72,6 +86,7 @@
 private:
   TemporaryFolder m_Folder;             ///< Settings and logs.
   std::vector<GatewayConfig> m_Configs; ///< By gateway.
+  ProcessLimits m_Limits;               ///< See setLimits().
   std::vector<std::unique_ptr<Process>>
       m_Processes;        ///< As m_Configs; empty: stopped.
   int m_RequestCount = 0; ///< Attempt ids used so far.
--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -11,6 +11,7 @@
 #include <glib.h>
 #include <sstream>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -19,6 +20,25 @@
 
 using namespace std::chrono_literals;
 
+namespace {
+
+void setLimit(int Resource, std::size_t Value) {
+  const rlimit Limit = {Value, Value};
+  if (Value > 0)
+    setrlimit(static_cast<__rlimit_resource>(Resource), &Limit);
+}
+
+/// The shadow memory of the address sanitizer counts as data.
+void applyLimits(const ProcessLimits &Limits) {
+#ifndef __SANITIZE_ADDRESS__
+  setLimit(RLIMIT_DATA, Limits.m_DataBytes);
+#endif
+  setLimit(RLIMIT_STACK, Limits.m_StackBytes);
+  setLimit(RLIMIT_NOFILE, Limits.m_Descriptors);
+}
+
+} // namespace
+
 TemporaryFolder::TemporaryFolder() {
   std::string Pattern =
       (std::filesystem::temp_directory_path() / "crowstep-XXXXXX").string();
@@ -40,7 +60,8 @@
 }
 
 Process::Process(const TemporaryFolder &Folder, const std::string &Program,
-                 const std::string &Name, const std::string &Settings)
+                 const std::string &Name, const std::string &Settings,
+                 const ProcessLimits &Limits)
     : m_LogPath(Folder.path() + "/" + Name + ".log") {
   const std::string Config = Folder.write(Name + ".ini", Settings);
   const std::string Path = std::string(CROWSTEP_BINARY_DIR) + "/" + Program;
@@ -55,6 +76,7 @@
       open(m_LogPath.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
   dup2(LogFd, STDOUT_FILENO);
   dup2(LogFd, STDERR_FILENO);
+  applyLimits(Limits);
   execl(Path.c_str(), Path.c_str(), "--config", Config.c_str(), nullptr);
   _exit(127);
 }
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -29,6 +29,13 @@
   std::string m_Path; ///< Absolute path of the directory.
 };
 
+/// Limits that the kernel sets a process; 0: as those of the test.
+struct ProcessLimits {
+  std::size_t m_DataBytes = 0;   ///< Of its heap and private mappings.
+  std::size_t m_StackBytes = 0;  ///< Of each thread; part of the data.
+  std::size_t m_Descriptors = 0; ///< That are open at once.
+};
+
 /// A child process. The destructor kills it, and the kernel kills it when the
 /// test itself dies.
 class Process {
@@ -36,7 +43,8 @@
   /// Starts \p Program (relative to the build directory) with \p Settings as
   /// its configuration file. \p Name names that file and the log.
   Process(const TemporaryFolder &Folder, const std::string &Program,
-          const std::string &Name, const std::string &Settings);
+          const std::string &Name, const std::string &Settings,
+          const ProcessLimits &Limits = {});
   ~Process();
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
