Fix: Refuse targets that can't be sent, and end no process by one request

Cause: http_parser accepts these bytes in a target. The text of the call to the upstream can't hold them, so UpstreamUriError was thrown there; nothing between that and the main loop caught it.

The parser now refuses such a target with 400 (malformed_header), and an instance takes no relayed call with one.

Not covered: exceptions thrown from a later event of a request, such as an upstream's answer.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -372,7 +372,18 @@
   auto From = std::make_unique<Handle>(*this);
   m_Handle = From.get();
   updateWatch();
-  m_Owner.requestReceived(m_Parser->takeRequest(), std::move(From));
+  passOnRequest(std::move(From));
+}
+
+/// A request that can't be handled must not end the others of the process. Its
+/// caller is told nothing, as it may have run.
+void CallerConnection::passOnRequest(std::unique_ptr<Caller> From) {
+  try {
+    m_Owner.requestReceived(m_Parser->takeRequest(), std::move(From));
+  } catch (const std::exception &Failure) {
+    m_Owner.requestFailed(Failure);
+    close();
+  }
 }
 
 /// The rest of the request is read and discarded: closing at once would reset
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -10,6 +10,7 @@
 #include "http/request_parser.h"
 #include "http/socket_state.h"
 
+#include <exception>
 #include <memory>
 #include <optional>
 
@@ -40,6 +41,9 @@
   virtual void requestReceived(IncomingRequest Request,
                                std::unique_ptr<Caller> From) = 0;
 
+  /// A request could not be handled because of an exception.
+  virtual void requestFailed(const std::exception &Failure) = 0;
+
   /// A request was refused while it was being received.
   virtual void requestRefused(RefusalReason Reason) = 0;
 
@@ -110,6 +114,7 @@
   void handleHead();
   void checkBodySize();
   void handleRequest();
+  void passOnRequest(std::unique_ptr<Caller> From);
   void refuse(RefusalReason Reason);
   void handleIdleTimeout();
   void waitForRequest();
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -1,6 +1,8 @@
 /// Accepting and owning callers' connections.
 #include "http/frontend.h"
 
+#include "core/log.h"
+
 #include <algorithm>
 
 namespace crowstep {
@@ -49,6 +51,11 @@
   m_Handler(std::move(Request), std::move(From));
 }
 
+void Frontend::requestFailed(const std::exception &Failure) {
+  logEvent(LogEvent::CallerRequestFailed, {{"why", Failure.what()}});
+  m_OnRefused(RefusalReason::InternalError);
+}
+
 void Frontend::requestRefused(RefusalReason Reason) { m_OnRefused(Reason); }
 
 void Frontend::connectionClosed(CallerConnection &Connection) {
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -94,6 +94,7 @@
   }
   void requestReceived(IncomingRequest Request,
                        std::unique_ptr<Caller> From) override;
+  void requestFailed(const std::exception &Failure) override;
   void requestRefused(RefusalReason Reason) override;
   void connectionClosed(CallerConnection &Connection) override;
 
--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -1,6 +1,8 @@
 /// Parsing of requests with http_parser.
 #include "http/request_parser.h"
 
+#include "http/request_target.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -115,7 +117,9 @@
 
 bool RequestParser::processHead() {
   m_Request.m_Headers = m_HeaderCollector.take();
-  if (std::ranges::any_of(m_Request.m_Headers, nameHasBlank))
+  // http_parser accepts tabs and form feeds in a target.
+  if (std::ranges::any_of(m_Request.m_Headers, nameHasBlank) ||
+      !isSendableTarget(m_Request.m_Target))
     return false;
   m_Request.m_Method =
       http_method_str(static_cast<http_method>(m_Parser.method));
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -14,7 +14,7 @@
 /// A request as received.
 struct IncomingRequest {
   std::string m_Method; ///< HTTP method.
-  std::string m_Target; ///< Path and query, percent-encoded as received.
+  std::string m_Target; ///< Path and query as received; isSendableTarget().
   HeaderList m_Headers; ///< All headers of the head.
   std::string m_Body;   ///< Complete.
 };
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -3,6 +3,7 @@
 
 #include "http/answer_parser.h"
 #include "http/http_error.h"
+#include "http/request_target.h"
 
 #include <algorithm>
 #include <array>
@@ -21,14 +22,6 @@
 /// Limit on the statement of a process check.
 constexpr std::size_t MaxStatementBytes = 64 << 10;
 
-/// Rejects blanks and control characters, which would end the path or the
-/// request line early.
-bool isPath(const std::string &Text) {
-  return Text.starts_with('/') && std::ranges::none_of(Text, [](char Ch) {
-           return static_cast<unsigned char>(Ch) <= ' ' || Ch == '\x7f';
-         });
-}
-
 /// Rejects line breaks, which would start another header.
 bool isOneLine(const HeaderField &Field) {
   constexpr const char *LineBreaks = "\r\n";
@@ -37,7 +30,7 @@
 }
 
 std::string requestText(const UpstreamRequest &Request) {
-  if (!isPath(Request.m_Path))
+  if (!Request.m_Path.starts_with('/') || !isSendableTarget(Request.m_Path))
     throw UpstreamUriError(Request.m_Path);
   std::string Result =
       Request.m_Method + " " + Request.m_Path + " HTTP/1.1\r\n";
--- a/src/relay/relay_codec.cpp
+++ b/src/relay/relay_codec.cpp
@@ -1,6 +1,8 @@
 /// Encoding of relayed calls on links.
 #include "relay/relay_codec.h"
 
+#include "http/request_target.h"
+
 #include <array>
 
 namespace crowstep::relay {
@@ -75,6 +77,7 @@
 
 std::optional<RelayOpening> unpack(const wire::RelayOpen &From) {
   if (From.method() == nullptr || From.target() == nullptr ||
+      !isSendableTarget(From.target()->string_view()) ||
       From.left_us() > static_cast<std::uint64_t>(MaxTimeLeft.count()))
     return std::nullopt;
   RelayOpening Result;
--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -28,6 +28,7 @@
       m_Timers};
   std::vector<std::unique_ptr<Caller>> m_Callers;
   int m_DisconnectCount = 0;
+  bool m_Throws = false; ///< The handling of requests fails.
   Address m_Address{INADDR_LOOPBACK, 0};
 
   FrontFixture() : FrontFixture(m_LoopTimers) {}
@@ -37,6 +38,8 @@
     FreePort.stopListening();
     m_Front.listen(m_Address, [this](const IncomingRequest &,
                                      std::unique_ptr<Caller> AnswerTo) {
+      if (m_Throws)
+        throw std::runtime_error("thrown by the handler");
       m_Callers.push_back(std::move(AnswerTo));
       m_Callers.back()->onDisconnect([this] { ++m_DisconnectCount; });
     });
@@ -446,3 +449,31 @@
     BOOST_TEST(!Splitter.isMidEvent());
   }
 }
+
+/// Guards against one request that ends the process: an exception of its
+/// handling would end the event loop.
+BOOST_AUTO_TEST_CASE(AnExceptionEndsOnlyItsRequest) {
+  FrontFixture Fixture;
+  const auto Other = Fixture.connectAndSend(Get);
+  BOOST_TEST(pumpUntil([&] { return Fixture.m_Callers.size() == 1; }));
+  Fixture.m_Throws = true;
+  const auto Caller = Fixture.connectAndSend(Get);
+  BOOST_TEST(pumpUntil([&] { return Caller->isClosed(); }));
+  BOOST_TEST(Caller->received().empty());
+  BOOST_TEST((Fixture.m_Refused ==
+              std::vector<RefusalReason>{RefusalReason::InternalError}));
+  Fixture.answerLast();
+  BOOST_TEST(pumpUntil([&] { return Other->hasReceived("ok"); }));
+}
+
+/// Guards against a target that can't be sent to an upstream as it is.
+BOOST_AUTO_TEST_CASE(ControlCharactersInATargetAreRefused) {
+  FrontFixture Fixture;
+  for (const char *Target : {"/a\tb", "/a\fb", "/\x7f", "http://h/\t"}) {
+    const auto Caller = Fixture.connectAndSend("GET " + std::string(Target) +
+                                               " HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(pumpUntil([&] { return Caller->isClosed(); }));
+    BOOST_TEST(Caller->hasReceived("HTTP/1.1 400 "));
+  }
+  BOOST_TEST(Fixture.m_Callers.empty());
+}
