Fix: Separate headers of one connection in linear time

Callers saw: after requests of 4,000 header lines an ordinary request got no answer: the loop was busy with endToEndHeaders(), which went through all headers, and through each Connection list, for each header.

The names that Connection headers list are now collected once. Names are compared only if their lengths are equal, and the copies reserve their size.

--- a/src/http/header_list.cpp
+++ b/src/http/header_list.cpp
@@ -1,9 +1,12 @@
 /// HTTP headers as plain values.
 #include "http/header_list.h"
 
+#include "http/header_value.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <unordered_set>
 
 namespace crowstep {
 
@@ -19,38 +22,46 @@
   return static_cast<char>(std::tolower(static_cast<unsigned char>(Ch)));
 }
 
-/// Returns whether a Connection header's list names \p Name.
-bool listContains(std::string_view List, std::string_view Name) {
+std::string lowerCase(std::string_view Text) {
+  std::string Result(Text);
+  std::ranges::transform(Result, Result.begin(), toLower);
+  return Result;
+}
+
+/// Names of headers in lower case.
+using NameSet = std::unordered_set<std::string>;
+
+/// Adds the names that a Connection header lists.
+void addListed(std::string_view List, NameSet &Names) {
   while (!List.empty()) {
     const std::size_t Comma = std::min(List.find(','), List.size());
-    std::string_view Item = List.substr(0, Comma);
-    while (!Item.empty() && Item.front() == ' ')
-      Item.remove_prefix(1);
-    while (!Item.empty() && Item.back() == ' ')
-      Item.remove_suffix(1);
-    if (equalsIgnoreCase(Item, Name))
-      return true;
+    const std::string_view Item = withoutBlanks(List.substr(0, Comma));
+    if (!Item.empty())
+      Names.insert(lowerCase(Item));
     List.remove_prefix(std::min(Comma + 1, List.size()));
   }
-  return false;
 }
 
-bool isEndToEnd(const HeaderList &All, const HeaderField &Field) {
-  if (equalsIgnoreCase(Field.m_Name, "Content-Length"))
-    return false;
-  for (const std::string_view Name : HopByHopHeaders)
-    if (equalsIgnoreCase(Field.m_Name, Name))
-      return false;
-  return std::none_of(All.begin(), All.end(), [&](const HeaderField &Other) {
-    return equalsIgnoreCase(Other.m_Name, "Connection") &&
-           listContains(Other.m_Value, Field.m_Name);
+/// Returns the names that Connection headers list.
+NameSet listedNames(const HeaderList &Headers) {
+  NameSet Result;
+  for (const HeaderField &Field : Headers)
+    if (equalsIgnoreCase(Field.m_Name, "Connection"))
+      addListed(Field.m_Value, Result);
+  return Result;
+}
+
+bool isHopByHop(std::string_view Name) {
+  return std::ranges::any_of(HopByHopHeaders, [&](std::string_view Known) {
+    return equalsIgnoreCase(Name, Known);
   });
 }
 
 } // namespace
 
 bool equalsIgnoreCase(std::string_view Left, std::string_view Right) {
-  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+  return Left.size() == Right.size() &&
+         std::equal(Left.begin(), Left.end(), Right.begin(),
                     [](char A, char B) { return toLower(A) == toLower(B); });
 }
 
@@ -80,11 +91,17 @@
   return Result;
 }
 
+/// The time taken is linear in the size of the headers, as callers choose how
+/// many there are.
 HeaderList endToEndHeaders(const HeaderList &Headers) {
+  const NameSet Listed = listedNames(Headers);
   HeaderList Result;
-  std::copy_if(
-      Headers.begin(), Headers.end(), std::back_inserter(Result),
-      [&](const HeaderField &Field) { return isEndToEnd(Headers, Field); });
+  Result.reserve(Headers.size());
+  for (const HeaderField &Field : Headers)
+    if (!equalsIgnoreCase(Field.m_Name, "Content-Length") &&
+        !isHopByHop(Field.m_Name) &&
+        (Listed.empty() || !Listed.contains(lowerCase(Field.m_Name))))
+      Result.push_back(Field);
   return Result;
 }
 
