Fix: Count requests as what they occupy, from their first byte

Callers saw: 200 heads without end, of 60 KB each, ended a gateway with 88 MB and an entry, with all their connections; so did whole requests of 4,000 header lines.

Cause: memory was counted as bytes on the wire, and only of bodies. A header line of four bytes became two strings of 64 bytes in a vector that doubles, and heads were read whatever room there was.

The text of a head is now kept in one piece until it ends, with 8 bytes a line. The budget counts that, what the list of headers will take, and what bodies have allocated; they grow to their stated length. A complete request is passed on only if there is room for it and its copy. Requests of up to 8 KB always pass, with reads of 1 KB while there is no room; so does the only request, whatever its size. What is not complete in time for lack of room is refused with 503 (no_memory) and Retry-After in place of 408.

Unit tests: front_test (3 cases), buffer_budget_test.

--- a/src/core/buffer_budget.cpp
+++ b/src/core/buffer_budget.cpp
@@ -1,6 +1,8 @@
 /// Memory for bytes that wait for slow peers.
 #include "core/buffer_budget.h"
 
+#include <algorithm>
+
 namespace crowstep {
 
 BufferBudget::Part::~Part() {
@@ -28,10 +30,26 @@
 bool BufferBudget::Part::hasRoom() {
   if (m_Bytes == 0 || m_Bytes < m_Owner.maxPart())
     return true;
+  wait();
+  return false;
+}
+
+bool BufferBudget::Part::tryResize(std::size_t Bytes) {
+  const std::size_t Others = m_Owner.m_UsedBytes - m_Bytes;
+  const std::size_t Left =
+      m_Owner.m_MaxBytes - std::min(m_Owner.m_MaxBytes, Others + Bytes);
+  if (Bytes > m_Bytes && Others > 0 && Bytes > Left * FreeMultiple) {
+    wait();
+    return false;
+  }
+  resize(Bytes);
+  return true;
+}
+
+void BufferBudget::Part::wait() {
   if (!m_IsWaiting)
     m_Owner.m_Waiting.insert({m_Bytes, this});
   m_IsWaiting = true;
-  return false;
 }
 
 /// A part that has waited goes on at half of what it may hold, so that it is
--- a/src/core/buffer_budget.h
+++ b/src/core/buffer_budget.h
@@ -31,6 +31,12 @@
 
   [[nodiscard]] std::size_t maxBytes() const { return m_MaxBytes; }
 
+  /// Replaces the total.
+  void setMaxBytes(std::size_t MaxBytes) { m_MaxBytes = MaxBytes; }
+
+  /// Returns whether a part waits for room.
+  [[nodiscard]] bool hasWaiting() const { return !m_Waiting.empty(); }
+
   /// Returns what is left; zero if more than the total is held.
   [[nodiscard]] std::size_t freeBytes() const {
     return m_UsedBytes < m_MaxBytes ? m_MaxBytes - m_UsedBytes : 0;
@@ -50,14 +56,24 @@
     /// Sets what the part holds. It is never refused: the bytes are there.
     void resize(std::size_t Bytes);
 
+    /// Sets what the part is to hold, if there is room for it, and returns
+    /// whether there is; otherwise the part waits for room. A part that holds
+    /// all that is used has room for anything.
+    bool tryResize(std::size_t Bytes);
+
     /// Returns whether more may be buffered; otherwise the part waits for room.
     bool hasRoom();
 
+    /// Returns whether the part waits for room.
+    [[nodiscard]] bool isWaiting() const { return m_IsWaiting; }
+
     [[nodiscard]] std::size_t bytes() const { return m_Bytes; }
 
   private:
     friend class BufferBudget;
 
+    void wait();
+
     BufferBudget &m_Owner;          ///< Outlives the part.
     std::function<void()> m_OnRoom; ///< Never empty.
     std::size_t m_Bytes = 0;        ///< Counted in the owner.
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -18,6 +18,17 @@
 
 constexpr std::size_t ReadSize = 16384;
 
+/// Size of a read when the memory for requests is used up: short requests are
+/// served also then.
+constexpr std::size_t ScarceReadSize = 1024;
+
+/// A request may occupy this much even if others have used up the memory.
+constexpr std::size_t OwnBytes = 8192;
+
+/// What a request occupies while it waits for its answer, beside its own bytes:
+/// the objects of the request and of its call, and the call's connection.
+constexpr std::size_t RequestOverhead = 4096;
+
 /// Bytes that the kernel takes for a caller beyond what it may send at once.
 /// Its own limit is several MB a connection, which no budget of this process
 /// counts.
@@ -31,6 +42,9 @@
 /// with unread input sends a reset, which can destroy an unread answer.
 constexpr Duration LingerTimeout = std::chrono::seconds(1);
 
+/// Retry-After of a request that was given up for lack of memory.
+constexpr Duration NoMemoryRetryAfter = std::chrono::seconds(1);
+
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpNoContent = 204;
 constexpr unsigned HttpNotModified = 304;
@@ -143,12 +157,14 @@
                                    CallerConnectionOwner &Owner,
                                    Scheduler &Timers)
     : m_Owner(Owner), m_Socket(std::move(Socket)), m_Timer(Timers),
-      m_Unread(Owner.unreadBytes(),
-               [this] {
-                 if (m_Handle != nullptr)
-                   m_Handle->notifyBacklogReduced();
-               }),
-      m_Received(Owner.receivedBytes(), [this] { updateWatch(); }) {
+      m_RoomTimer(Timers), m_Unread(Owner.unreadBytes(),
+                                    [this] {
+                                      if (m_Handle != nullptr)
+                                        m_Handle->notifyBacklogReduced();
+                                    }),
+      m_Received(Owner.receivedBytes(), [this] {
+        m_RoomTimer.start(Duration::zero(), [this] { handleRoom(); });
+      }) {
   g_socket_set_blocking(m_Socket.get(), 0);
   // Nagle's algorithm would delay the last segment of an answer.
   g_socket_set_option(m_Socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
@@ -180,6 +196,7 @@
     return;
   m_Phase = Phase::Closed;
   m_Timer.stop();
+  m_RoomTimer.stop();
   m_Watch.reset();
   g_socket_close(m_Socket.get(), nullptr);
   Handle *OpenHandle = releaseHandle();
@@ -204,12 +221,36 @@
                       .m_HungUp = AnswerPending});
 }
 
-/// Bodies are read only while there is room for them; the kernel then stops the
-/// caller. Heads are short, and the first bytes of a request tell whether the
-/// caller is there.
+/// Requests are read only while there is room for them; the kernel then stops
+/// the caller. The first bytes always are: they tell whether the caller is
+/// there, and a short request needs no more.
 bool CallerConnection::mayReceive() {
-  return m_Phase != Phase::Receiving ||
-         m_Parser->state() != RequestParseState::Body || m_Received.hasRoom();
+  if (m_Phase != Phase::Receiving)
+    return true;
+  if (m_IsComplete)
+    return false;
+  // The only request has room up to the limit on its size.
+  const bool IsAlone =
+      m_Received.bytes() == m_Owner.receivedBytes().usedBytes();
+  return m_Received.bytes() < OwnBytes || IsAlone || m_Received.hasRoom();
+}
+
+std::size_t CallerConnection::readSize() const {
+  if (m_Phase != Phase::Receiving)
+    return ReadSize;
+  return std::clamp(m_Owner.receivedBytes().freeBytes(), ScarceReadSize,
+                    ReadSize);
+}
+
+void CallerConnection::handleRoom() {
+  if (m_IsComplete)
+    handleRequest();
+  else
+    updateWatch();
+}
+
+bool CallerConnection::isWaitingForRoom() const {
+  return m_Phase == Phase::Receiving && m_Received.isWaiting();
 }
 
 void CallerConnection::socketReady(SocketEvents Events) {
@@ -292,7 +333,7 @@
 void CallerConnection::readSocket() {
   static std::array<char, ReadSize> Buffer;
   const ssize_t Size = recv(g_socket_get_fd(m_Socket.get()), Buffer.data(),
-                            Buffer.size(), MSG_DONTWAIT);
+                            readSize(), MSG_DONTWAIT);
   if (Size < 0 && wouldBlock(errno))
     return;
   if (Size <= 0) {
@@ -304,15 +345,15 @@
     return;
   m_Input.append(Buffer.data(), static_cast<std::size_t>(Size));
   processInput();
-  if (m_Phase != Phase::Receiving)
+  if (m_Phase != Phase::Receiving || m_IsComplete)
     return;
-  m_Received.resize(m_Input.size() + m_Parser->request().m_Body.size());
+  m_Received.resize(m_Input.size() + m_Parser->memoryBytes());
   updateWatch();
 }
 
 void CallerConnection::processInput() {
   m_IsParsing = true;
-  while (m_Phase == Phase::Receiving && !m_Input.empty()) {
+  while (m_Phase == Phase::Receiving && !m_IsComplete && !m_Input.empty()) {
     const RequestParseState Before = m_Parser->state();
     m_Input.erase(0, m_Parser->feed(m_Input));
     if (m_Input.empty())
@@ -335,8 +376,10 @@
 void CallerConnection::handleHead() {
   const ReceiveLimits &Limits = m_Owner.limits();
   const HeaderList &Headers = m_Parser->request().m_Headers;
-  m_Timer.start(Limits.m_ReceiveTimeout,
-                [this] { refuse(RefusalReason::SlowCaller); });
+  m_Timer.start(Limits.m_ReceiveTimeout, [this] {
+    refuse(isWaitingForRoom() ? RefusalReason::NoMemory
+                              : RefusalReason::SlowCaller);
+  });
   if (isFramingAmbiguous(Headers)) {
     refuse(RefusalReason::AmbiguousFraming);
   } else if (longestHeader(Headers) > Limits.m_MaxHeaderBytes) {
@@ -361,14 +404,22 @@
   checkBodySize();
   if (m_Phase != Phase::Receiving)
     return;
+  // The request is kept for retries, beside the copy that an upstream reads.
+  constexpr std::size_t Copies = 2;
+  const std::size_t Needed =
+      RequestOverhead + Copies * memoryBytesOf(m_Parser->request());
+  m_IsComplete = Needed > OwnBytes && !m_Received.tryResize(Needed);
+  if (m_IsComplete) {
+    m_Received.resize(m_Input.size() + m_Parser->memoryBytes());
+    updateWatch();
+    return;
+  }
+  m_Received.resize(Needed);
   m_Timer.stop();
   m_Phase = Phase::AwaitingAnswer;
   m_CloseAfterAnswer =
       !m_Parser->acceptsChunked() || !m_Parser->wantsKeepAlive();
   m_IsHeadRequest = m_Parser->request().m_Method == "HEAD";
-  // The request is kept for retries, beside the copy that an upstream reads.
-  constexpr std::size_t Copies = 2;
-  m_Received.resize(m_Parser->request().m_Body.size() * Copies);
   auto From = std::make_unique<Handle>(*this);
   m_Handle = From.get();
   updateWatch();
@@ -391,7 +442,9 @@
 void CallerConnection::refuse(RefusalReason Reason) {
   m_Owner.requestRefused(Reason);
   CallerAnswer Answer =
-      refusalAnswer(Reason, RunState::NotRun, Duration::zero());
+      refusalAnswer(Reason, RunState::NotRun,
+                    Reason == RefusalReason::NoMemory ? NoMemoryRetryAfter
+                                                      : Duration::zero());
   Answer.m_Headers.push_back({"Connection", "close"});
   appendHead(Answer,
              {{"Content-Length", std::to_string(Answer.m_Body.size())}});
@@ -399,6 +452,8 @@
   m_CloseAfterAnswer = true;
   m_LingerTime = m_Owner.limits().m_ReceiveTimeout;
   m_Phase = Phase::Flushing;
+  m_Parser.emplace();
+  m_IsComplete = false;
   m_Received.resize(0);
   write();
 }
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -84,6 +84,9 @@
     return m_Phase == Phase::Discarding;
   }
 
+  /// Returns whether a request is not read on for lack of room.
+  [[nodiscard]] bool isWaitingForRoom() const;
+
   /// Closes the connection if no request has arrived on it; the socket is read
   /// first. A connection that has not served a request yet stays open.
   void closeIfIdle();
@@ -136,12 +139,15 @@
   void detectClose();
   void updateWatch();
   [[nodiscard]] bool mayReceive();
+  [[nodiscard]] std::size_t readSize() const;
+  void handleRoom();
   Handle *releaseHandle();
 
   CallerConnectionOwner &m_Owner; ///< Outlives the connection.
   SocketPtr m_Socket;             ///< Never null; closed with the connection.
   std::optional<SocketWatch> m_Watch; ///< Null once closed.
-  Timer m_Timer; ///< Idle, receive, flush or linger timeout, by phase.
+  Timer m_Timer;     ///< Idle, receive, flush or linger timeout, by phase.
+  Timer m_RoomTimer; ///< Goes on with a request that has waited for room.
   std::optional<RequestParser> m_Parser; ///< Of the current request.
   Phase m_Phase = Phase::Receiving;      ///< See Phase.
   Handle *m_Handle = nullptr;    ///< Of the request without a full answer.
@@ -151,6 +157,7 @@
   BufferBudget::Part m_Received; ///< Counts the request until its answer ends.
   Duration m_LingerTime{};       ///< Timeout for the caller's close after the
                                  ///< last answer.
+  bool m_IsComplete = false;     ///< The request waits only for room.
   bool m_IsParsing = false;      ///< Within processInput().
   bool m_HasServed = false;      ///< A request was answered.
   bool m_WriteFailed = false;    ///< The socket reported a write error.
--- a/src/http/header_collector.h
+++ b/src/http/header_collector.h
@@ -4,10 +4,14 @@
 
 #include "http/header_list.h"
 
+#include <cstdint>
 #include <string_view>
+#include <vector>
 
 namespace crowstep {
 
+/// Keeps the text of all headers in one piece: a head may consist of very many
+/// short lines, and may never end.
 class HeaderCollector {
 public:
   void clear();
@@ -20,9 +24,20 @@
   /// values.
   [[nodiscard]] HeaderList take();
 
+  /// Returns what the headers so far occupy, and what they will in the list
+  /// that take() returns, which is many times their size if they are short.
+  [[nodiscard]] std::size_t memoryBytes() const;
+
 private:
-  HeaderList m_Headers;        ///< Collected so far.
-  bool m_LastWasValue = false; ///< The last fragment was part of a value.
+  /// Sizes of one header's parts in m_Text.
+  struct FieldSize {
+    std::uint32_t m_Name = 0;
+    std::uint32_t m_Value = 0;
+  };
+
+  std::string m_Text;             ///< Names and values, one after the other.
+  std::vector<FieldSize> m_Sizes; ///< By header; their sum is m_Text's size.
+  bool m_LastWasValue = false;    ///< The last fragment was part of a value.
 };
 
 } // namespace crowstep
--- a/src/http/header_list.cpp
+++ b/src/http/header_list.cpp
@@ -80,6 +80,18 @@
       }));
 }
 
+std::size_t memoryBytesOf(const HeaderList &Headers) {
+  // Shorter texts need no allocation.
+  const auto Allocated = [Inline = std::string().capacity()](
+                             const std::string &Text) -> std::size_t {
+    return Text.capacity() > Inline ? Text.capacity() : 0;
+  };
+  std::size_t Result = Headers.capacity() * sizeof(HeaderField);
+  for (const HeaderField &Field : Headers)
+    Result += Allocated(Field.m_Name) + Allocated(Field.m_Value);
+  return Result;
+}
+
 HeaderList copyHeaders(SoupMessageHeaders *Headers) {
   HeaderList Result;
   SoupMessageHeadersIter Iterator;
--- a/src/http/header_list.h
+++ b/src/http/header_list.h
@@ -29,6 +29,9 @@
 /// Returns how many headers are called \p Name.
 std::size_t countHeaders(const HeaderList &Headers, std::string_view Name);
 
+/// Returns what the headers occupy, the list's own allocation included.
+std::size_t memoryBytesOf(const HeaderList &Headers);
+
 /// Returns a copy of libsoup's headers.
 HeaderList copyHeaders(SoupMessageHeaders *Headers);
 
--- a/src/http/refusal_answer.cpp
+++ b/src/http/refusal_answer.cpp
@@ -57,6 +57,8 @@
   case RefusalReason::Quarantined:
   case RefusalReason::SegmentQuarantined:
     return "This request made upstreams crash and is not run for a while.";
+  case RefusalReason::NoMemory:
+    return "Other requests have used up the memory; another instance serves.";
   case RefusalReason::ShuttingDown:
     return "This instance is leaving; another one will serve.";
   case RefusalReason::NotInForce:
--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -53,6 +53,16 @@
   return Result;
 }
 
+std::size_t memoryBytesOf(const IncomingRequest &Request) {
+  return Request.m_Method.capacity() + Request.m_Target.capacity() +
+         memoryBytesOf(Request.m_Headers) + Request.m_Body.capacity();
+}
+
+std::size_t RequestParser::memoryBytes() const {
+  return m_HeadBytes + m_HeaderCollector.memoryBytes() +
+         m_Request.m_Target.capacity() + m_Request.m_Body.capacity();
+}
+
 std::size_t RequestParser::feed(std::string_view Bytes) {
   if (m_State == RequestParseState::Complete ||
       m_State == RequestParseState::Invalid)
@@ -127,6 +137,7 @@
   if (m_Parser.content_length != std::numeric_limits<std::uint64_t>::max())
     m_ContentLength = m_Parser.content_length;
   m_KeepAlive = http_should_keep_alive(&m_Parser) != 0;
+  m_HeadBytes = memoryBytesOf(m_Request.m_Headers);
   m_State = RequestParseState::Body;
   return true;
 }
@@ -141,10 +152,24 @@
 }
 
 int RequestParser::onBody(http_parser *Parser, const char *At, size_t Size) {
-  ownerOf(Parser).m_Request.m_Body.append(At, Size);
+  ownerOf(Parser).appendBody({At, Size});
   return 0;
 }
 
+/// The last growth is to the stated length: doubling would leave up to half of
+/// the memory unused, and reserve() doubles what a text already has.
+void RequestParser::appendBody(std::string_view Piece) {
+  std::string &Body = m_Request.m_Body;
+  const std::size_t Needed = Body.size() + Piece.size();
+  if (Needed > Body.capacity() && Needed <= m_ContentLength) {
+    std::string Grown;
+    Grown.reserve(std::min<std::size_t>(m_ContentLength, 2 * Needed));
+    Grown.append(Body);
+    Body.swap(Grown);
+  }
+  Body.append(Piece);
+}
+
 int RequestParser::onMessageComplete(http_parser *Parser) {
   ownerOf(Parser).m_State = RequestParseState::Complete;
   http_parser_pause(Parser, 1);
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -19,6 +19,9 @@
   std::string m_Body;   ///< Complete.
 };
 
+/// Returns what the request occupies.
+std::size_t memoryBytesOf(const IncomingRequest &Request);
+
 /// Progress of a request.
 enum class RequestParseState : std::uint8_t {
   NotStarted, ///< No byte received.
@@ -44,6 +47,9 @@
   [[nodiscard]] const IncomingRequest &request() const { return m_Request; }
   [[nodiscard]] IncomingRequest takeRequest() { return std::move(m_Request); }
 
+  /// Returns what the request occupies so far.
+  [[nodiscard]] std::size_t memoryBytes() const;
+
   /// Returns the Content-Length, or 0 if the head states none.
   [[nodiscard]] std::uint64_t contentLength() const { return m_ContentLength; }
 
@@ -71,12 +77,14 @@
   static int onMessageComplete(http_parser *Parser);
   static const http_parser_settings &callbacks();
   bool processHead();
+  void appendBody(std::string_view Piece);
 
   http_parser m_Parser{};            ///< Points back to this object.
   IncomingRequest m_Request;         ///< Received so far.
   HeaderCollector m_HeaderCollector; ///< Of the head.
   bool m_KeepAlive = false;          ///< See wantsKeepAlive().
   std::uint64_t m_ContentLength = 0; ///< See contentLength().
+  std::size_t m_HeadBytes = 0;       ///< What a complete head occupies.
   RequestParseState m_State =
       RequestParseState::NotStarted; ///< Never goes back.
 };
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -58,6 +58,7 @@
         {"software_gone", 503},
         {"origin_unknown", 503},
         {"segment_quarantined", 503},
+        {"no_memory", 503},
         {"internal_error", 500},
     }};
 
--- a/src/refusal_type.h
+++ b/src/refusal_type.h
@@ -55,6 +55,7 @@
   SoftwareGone,         ///< No upstream has the version that began the stream.
   OriginUnknown,        ///< Which version began the stream is not known.
   SegmentQuarantined,   ///< A segment of the prompt crashes the upstreams.
+  NoMemory,             ///< Requests have used up their memory.
   InternalError,        ///< An exception; the connection was closed.
   Count,                ///< Number of reasons; not a reason.
 };
--- a/tests/unit/buffer_budget_test.cpp
+++ b/tests/unit/buffer_budget_test.cpp
@@ -150,6 +150,21 @@
   BOOST_TEST(Calls == 1);
 }
 
+// Guards against a request that is begun though it can't be held, and against
+// one that nobody else keeps from the room.
+BOOST_AUTO_TEST_CASE(APartGrowsOnlyIntoWhatIsFree) {
+  Fixture Test(2);
+  BOOST_TEST(Test.m_Parts[0].tryResize(2 * Total));
+  BOOST_TEST(!Test.m_Parts[1].tryResize(Piece));
+  BOOST_TEST(Test.m_Parts[1].isWaiting());
+  BOOST_TEST(Test.m_Parts[1].bytes() == 0U);
+  BOOST_TEST(Test.m_Parts[0].tryResize(Total / 2));
+  BOOST_TEST((Test.m_Notified == std::vector<int>{1}));
+  BOOST_TEST(Test.m_Parts[1].tryResize(Total / 3));
+  BOOST_TEST(!Test.m_Parts[1].tryResize(Total / 2));
+  BOOST_TEST(Test.m_Parts[1].tryResize(Piece));
+}
+
 // Guards against bytes that stay counted, and against a call to a connection
 // that is gone.
 BOOST_AUTO_TEST_CASE(ADestroyedPartHoldsNothing) {
--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -477,3 +477,57 @@
   }
   BOOST_TEST(Fixture.m_Callers.empty());
 }
+
+namespace {
+
+constexpr std::size_t SmallMemory = 128 << 10;
+
+/// A server with little memory for requests.
+struct ScarceFixture : FrontFixture {
+  ScarceFixture() {
+    m_Front.setLimits({1 << 20, 4096, 10s, 10s});
+    m_Front.receivedBytes().setMaxBytes(SmallMemory);
+  }
+  /// Connects and sends a request, less \p MissingBytes of its body.
+  [[nodiscard]] std::unique_ptr<Peer>
+  sendBody(std::size_t Bytes, std::size_t MissingBytes = 0) const {
+    return connectAndSend("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                          std::to_string(Bytes) + "\r\n\r\n" +
+                          std::string(Bytes - MissingBytes, 'b'));
+  }
+};
+
+} // namespace
+
+/// Guards against heads that take many times their size, uncounted.
+BOOST_AUTO_TEST_CASE(ShortHeaderLinesCountAsWhatTheyOccupy) {
+  constexpr std::size_t LineCount = 500;
+  ScarceFixture Fixture;
+  std::string Head = "GET /x HTTP/1.1\r\nHost: h\r\n";
+  for (std::size_t I = 0; I < LineCount; ++I)
+    Head += "a:\r\n";
+  const auto Endless = Fixture.connectAndSend(Head);
+  pumpFor(20ms);
+  const BufferBudget &Received = Fixture.m_Front.receivedBytes();
+  BOOST_TEST(Received.usedBytes() >= LineCount * sizeof(HeaderField));
+  const auto Whole = Fixture.connectAndSend(Head + "\r\n");
+  BOOST_TEST(pumpUntil([&] { return !Fixture.m_Callers.empty(); }));
+  BOOST_TEST(Received.usedBytes() >= 3 * LineCount * sizeof(HeaderField));
+  BOOST_TEST(Received.usedBytes() <= SmallMemory);
+}
+
+/// Guards against a short request that waits behind long ones.
+BOOST_AUTO_TEST_CASE(AShortRequestNeedsNoFreeMemory) {
+  ScarceFixture Fixture;
+  BufferBudget::Part Others(Fixture.m_Front.receivedBytes(), [] {});
+  Others.resize(2 * SmallMemory);
+  const auto Caller = Fixture.sendBody(500);
+  BOOST_TEST(pumpUntil([&] { return Fixture.m_Callers.size() == 1; }));
+}
+
+/// Guards against a request that no memory would do for.
+BOOST_AUTO_TEST_CASE(TheOnlyRequestMayOccupyEverything) {
+  ScarceFixture Fixture;
+  const auto Caller = Fixture.sendBody(500 << 10);
+  BOOST_TEST(pumpUntil([&] { return Fixture.m_Callers.size() == 1; }));
+}
