Fix: Give up requests that make no progress while others need their memory

Callers saw: beside 60 bodies of 1 MiB less a byte, with a length or in chunks, an ordinary request of 100 KiB got no answer until the crowd had run into its time limit: ten minutes in the test's settings, seconds in a usual table.

Cause: the budget only stops readers. What had been received of bodies that can't be completed kept its memory, and each of them needed more.

While a request waits for room, the progress of all that are being received is measured. After half a second those that have received less than 4 KB are refused, the largest first, until a quarter of the memory is free: with 408 if the caller sent nothing, else with 503 and Retry-After. Both promise that the request has not run, which holds: it was never passed on. With enough memory nothing is measured, and a slow caller has all of its time.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -29,6 +29,10 @@
 /// the objects of the request and of its call, and the call's connection.
 constexpr std::size_t RequestOverhead = 4096;
 
+/// A request that is received more slowly than this while others wait for its
+/// memory is given up.
+constexpr std::size_t MinProgressBytes = 4096;
+
 /// Bytes that the kernel takes for a caller beyond what it may send at once.
 /// Its own limit is several MB a connection, which no budget of this process
 /// counts.
@@ -232,7 +236,10 @@
   // The only request has room up to the limit on its size.
   const bool IsAlone =
       m_Received.bytes() == m_Owner.receivedBytes().usedBytes();
-  return m_Received.bytes() < OwnBytes || IsAlone || m_Received.hasRoom();
+  if (m_Received.bytes() < OwnBytes || IsAlone || m_Received.hasRoom())
+    return true;
+  m_Owner.roomNeeded();
+  return false;
 }
 
 std::size_t CallerConnection::readSize() const {
@@ -249,10 +256,26 @@
     updateWatch();
 }
 
+// ---- Progress ---------------------------------------------------------------
+
+void CallerConnection::startMeasuringProgress() { m_ProgressBytes = 0; }
+
+bool CallerConnection::hasStalled() const {
+  return m_Phase == Phase::Receiving && m_Received.bytes() > 0 &&
+         m_ProgressBytes < MinProgressBytes;
+}
+
 bool CallerConnection::isWaitingForRoom() const {
   return m_Phase == Phase::Receiving && m_Received.isWaiting();
 }
 
+void CallerConnection::giveUp(RefusalReason Reason) {
+  if (m_Phase != Phase::Receiving)
+    return;
+  refuse(Reason);
+  m_LingerTime = LingerTimeout;
+}
+
 void CallerConnection::socketReady(SocketEvents Events) {
   if (m_Phase == Phase::AwaitingAnswer || m_Phase == Phase::Streaming) {
     if (Events.m_HungUp) {
@@ -343,6 +366,7 @@
   }
   if (m_Phase == Phase::Discarding)
     return;
+  m_ProgressBytes += static_cast<std::size_t>(Size);
   m_Input.append(Buffer.data(), static_cast<std::size_t>(Size));
   processInput();
   if (m_Phase != Phase::Receiving || m_IsComplete)
@@ -412,6 +436,7 @@
   if (m_IsComplete) {
     m_Received.resize(m_Input.size() + m_Parser->memoryBytes());
     updateWatch();
+    m_Owner.roomNeeded();
     return;
   }
   m_Received.resize(Needed);
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -55,6 +55,9 @@
   /// answer. Outlives all connections.
   [[nodiscard]] virtual BufferBudget &receivedBytes() = 0;
 
+  /// A request waits for room in receivedBytes().
+  virtual void roomNeeded() = 0;
+
   /// The connection was closed. It must not be destroyed within this call.
   virtual void connectionClosed(CallerConnection &Connection) = 0;
 };
@@ -84,9 +87,21 @@
     return m_Phase == Phase::Discarding;
   }
 
-  /// Returns whether a request is not read on for lack of room.
+  /// Begins to measure the progress of a request that is being received.
+  void startMeasuringProgress();
+
+  /// Returns whether such a request has made no progress since then.
+  [[nodiscard]] bool hasStalled() const;
+
+  /// Returns whether such a request is not read on for lack of room.
   [[nodiscard]] bool isWaitingForRoom() const;
 
+  /// Returns what the request occupies.
+  [[nodiscard]] std::size_t receivedBytes() const { return m_Received.bytes(); }
+
+  /// Refuses a request that is being received.
+  void giveUp(RefusalReason Reason);
+
   /// Closes the connection if no request has arrived on it; the socket is read
   /// first. A connection that has not served a request yet stays open.
   void closeIfIdle();
@@ -157,10 +172,11 @@
   BufferBudget::Part m_Received; ///< Counts the request until its answer ends.
   Duration m_LingerTime{};       ///< Timeout for the caller's close after the
                                  ///< last answer.
-  bool m_IsComplete = false;     ///< The request waits only for room.
-  bool m_IsParsing = false;      ///< Within processInput().
-  bool m_HasServed = false;      ///< A request was answered.
-  bool m_WriteFailed = false;    ///< The socket reported a write error.
+  std::size_t m_ProgressBytes = 0;   ///< See startMeasuringProgress().
+  bool m_IsComplete = false;         ///< The request waits only for room.
+  bool m_IsParsing = false;          ///< Within processInput().
+  bool m_HasServed = false;          ///< A request was answered.
+  bool m_WriteFailed = false;        ///< The socket reported a write error.
   bool m_NextRequestPending = false; ///< The socket holds the next request.
   bool m_CloseAfterAnswer = false;   ///< The current answer is the last.
   bool m_IsHeadRequest = false;      ///< The current request is a HEAD.
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -4,13 +4,14 @@
 #include "core/log.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace crowstep {
 
 Frontend::Frontend(const ReceiveLimits &Limits, RefusedHandler OnRefused,
                    Scheduler &Timers)
     : m_Limits(Limits), m_OnRefused(std::move(OnRefused)), m_Timers(Timers),
-      m_Acceptor(Timers), m_CleanupTimer(Timers) {}
+      m_Acceptor(Timers), m_CleanupTimer(Timers), m_ReclaimTimer(Timers) {}
 
 Frontend::~Frontend() = default;
 
@@ -66,6 +67,54 @@
                          [this] { m_ClosedConnections.clear(); });
 }
 
+// ---- Memory -----------------------------------------------------------------
+
+void Frontend::roomNeeded() {
+  if (!m_ReclaimTimer.isRunning())
+    startMeasuringProgress();
+}
+
+void Frontend::startMeasuringProgress() {
+  for (const auto &[Key, Owned] : m_Connections)
+    Key->startMeasuringProgress();
+  m_ReclaimTimer.start(ReclaimInterval, [this] { reclaimMemory(); });
+}
+
+/// Returns the requests to be given up, the largest first: those whose callers
+/// send nothing, or, if there are none, those that are not read for lack of
+/// room, as together they can't be completed.
+std::vector<CallerConnection *> Frontend::withoutProgress() const {
+  std::vector<CallerConnection *> Silent;
+  std::vector<CallerConnection *> Waiting;
+  for (const auto &[Key, Owned] : m_Connections)
+    if (Key->hasStalled())
+      (Key->isWaitingForRoom() ? Waiting : Silent).push_back(Key);
+  std::vector<CallerConnection *> &Result = Silent.empty() ? Waiting : Silent;
+  std::ranges::sort(Result, std::greater(), &CallerConnection::receivedBytes);
+  return Result;
+}
+
+/// Gives up so many requests that the others can go on, the largest first.
+void Frontend::reclaimMemory() {
+  if (!m_Received.hasWaiting())
+    return;
+  constexpr std::size_t ReclaimedParts = 4;
+  const std::size_t Enough = m_Received.maxBytes() / ReclaimedParts;
+  std::size_t Freed = 0;
+  for (CallerConnection *Connection : withoutProgress()) {
+    if (Freed >= Enough)
+      break;
+    Freed += Connection->receivedBytes();
+    Connection->giveUp(Connection->isWaitingForRoom()
+                           ? RefusalReason::NoMemory
+                           : RefusalReason::SlowCaller);
+  }
+  logEvent(LogEvent::CallerRequestsGivenUp,
+           {{"bytes", std::to_string(Freed)},
+            {"used", std::to_string(m_Received.usedBytes())}});
+  startMeasuringProgress();
+}
+
 /// Closed connections stay valid meanwhile: m_CleanupTimer destroys them.
 std::vector<CallerConnection *> Frontend::allConnections() const {
   std::vector<CallerConnection *> Result;
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -71,6 +71,10 @@
   [[nodiscard]] BufferBudget &unreadBytes() override { return m_Unread; }
   [[nodiscard]] BufferBudget &receivedBytes() override { return m_Received; }
 
+  /// While requests wait for memory, those that make no progress for this long
+  /// are given up.
+  static constexpr Duration ReclaimInterval = std::chrono::milliseconds(500);
+
   /// Returns on how many connections an answer, which may be a refusal, is
   /// pending or not yet written in full.
   [[nodiscard]] std::size_t unansweredRequests() const;
@@ -96,7 +100,11 @@
                        std::unique_ptr<Caller> From) override;
   void requestFailed(const std::exception &Failure) override;
   void requestRefused(RefusalReason Reason) override;
+  void roomNeeded() override;
   void connectionClosed(CallerConnection &Connection) override;
+  void startMeasuringProgress();
+  void reclaimMemory();
+  [[nodiscard]] std::vector<CallerConnection *> withoutProgress() const;
 
   BufferBudget m_Unread{MaxUnreadBytes};     ///< See unreadBytes().
   BufferBudget m_Received{MaxReceivedBytes}; ///< See receivedBytes().
@@ -113,6 +121,7 @@
   std::vector<std::unique_ptr<CallerConnection>>
       m_ClosedConnections; ///< Awaiting destruction.
   Timer m_CleanupTimer;    ///< Destroys m_ClosedConnections.
+  Timer m_ReclaimTimer;    ///< Runs while requests wait for memory.
 };
 
 } // namespace crowstep
--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -516,6 +516,55 @@
   BOOST_TEST(Received.usedBytes() <= SmallMemory);
 }
 
+/// Guards against memory that is kept for a body which never arrives whole.
+BOOST_AUTO_TEST_CASE(AStalledBodyIsGivenUpForOthers) {
+  ScarceFixture Fixture;
+  const auto Stalled = Fixture.sendBody(100 << 10, 1);
+  pumpFor(20ms);
+  const auto Other = Fixture.sendBody(40 << 10);
+  BOOST_TEST(pumpUntil([&] { return Fixture.m_Callers.size() == 1; }));
+  BOOST_TEST(Stalled->hasReceived("HTTP/1.1 408 "));
+  BOOST_TEST((Fixture.m_Refused ==
+              std::vector<RefusalReason>{RefusalReason::SlowCaller}));
+  Fixture.answerLast();
+  BOOST_TEST(pumpUntil([&] { return Other->hasReceived("ok"); }));
+}
+
+/// Guards against a slow caller that is given up though nobody needs the
+/// memory.
+BOOST_AUTO_TEST_CASE(ASlowBodyIsAwaitedInCalm) {
+  ScarceFixture Fixture;
+  const auto Slow = Fixture.sendBody(20 << 10, 1);
+  const auto Other = Fixture.sendBody(1 << 10);
+  pumpFor(1200ms);
+  BOOST_TEST(Fixture.m_Callers.size() == 1);
+  Slow->send("b");
+  BOOST_TEST(pumpUntil([&] { return Fixture.m_Callers.size() == 2; }));
+  BOOST_TEST(Fixture.m_Refused.empty());
+}
+
+/// Guards against bodies that wait for one another for ever: together they have
+/// used up the memory that each of them needs.
+BOOST_AUTO_TEST_CASE(BodiesThatCannotBeCompletedMakeRoom) {
+  ScarceFixture Fixture;
+  std::vector<std::unique_ptr<Peer>> Senders;
+  for (int I = 0; I < 4; ++I)
+    Senders.push_back(Fixture.sendBody(60 << 10));
+  std::size_t Answered = 0;
+  const auto Ended = [&] {
+    for (; Answered < Fixture.m_Callers.size(); ++Answered) {
+      CallerAnswer Answer;
+      Answer.m_Body = "ok";
+      Fixture.m_Callers[Answered]->answer(Answer);
+    }
+    return Answered + Fixture.m_Refused.size() == Senders.size();
+  };
+  BOOST_TEST(pumpUntil(Ended));
+  BOOST_TEST(Answered > 0);
+  for (const RefusalReason Reason : Fixture.m_Refused)
+    BOOST_TEST(httpStatusOf(Reason) == 503U);
+}
+
 /// Guards against a short request that waits behind long ones.
 BOOST_AUTO_TEST_CASE(AShortRequestNeedsNoFreeMemory) {
   ScarceFixture Fixture;
