Fix: Bound bodies and connections at the ports for probes and operators

Callers saw: 20 bodies of 16 MiB at the port for probes ended a gateway with 88 MB, and without any key a dispatcher, whose entry then refused ordinary requests. 1,100 connections to the port for probes used up the descriptors of a gateway: ordinary callers got no answer while they stayed open.

Cause: libsoup collects a body before a handler can refuse it, and neither bounds connections nor closes idle ones.

HttpServer accepts connections itself where it has limits. Bodies count from their stated length, or chunk by chunk; one that is too long is discarded and gets 413. Where all together take too much, the newest gets 503, and the oldest connection is closed, also where there are too many: it has made the least progress. The limits are constants so far, not settings.

--- a/src/core/http_server.h
+++ b/src/core/http_server.h
@@ -3,10 +3,13 @@
 #define CROWSTEP_CORE_HTTP_SERVER_H
 
 #include "core/error.h"
+#include "core/metrics.h"
+#include "core/socket_ptr.h"
 #include "instance_type.h"
 
 #include <functional>
 #include <libsoup/soup.h>
+#include <memory>
 #include <string>
 
 namespace crowstep {
@@ -18,12 +21,20 @@
       : Error("can't listen on " + toString(BindAddress) + ": " + Reason) {}
 };
 
+/// Bounds on what all clients of a server together may occupy.
+struct HttpLimits {
+  std::size_t m_Connections = 0;    ///< Open at once; the oldest one yields.
+  std::size_t m_BodyBytes = 0;      ///< Of one request; longer ones get 413.
+  std::size_t m_TotalBodyBytes = 0; ///< Of all requests; beyond it they get 503
+                                    ///< and the oldest connection is closed.
+};
+
 /// Listens on one address and passes every request to one handler.
 class HttpServer {
 public:
   using Handler = std::function<void(SoupServerMessage *, const char *Path)>;
 
-  HttpServer() = default;
+  HttpServer();
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
@@ -32,6 +43,10 @@
   /// complete. \throws ListenError.
   void listen(const Address &BindAddress, Handler OnRequest);
 
+  /// Sets limits; without a call there are none. Must be called before
+  /// listen(). \p Stats outlives the server.
+  void setLimits(const HttpLimits &Limits, Metrics &Stats);
+
   /// Sets a hook that runs when a request's headers have been received, before
   /// its body is read; it may set a status to refuse the request. Must be
   /// called after listen().
@@ -44,8 +59,18 @@
   [[nodiscard]] SoupServer *native() const { return m_Server; }
 
 private:
-  SoupServer *m_Server = nullptr; ///< Null before listen().
-  Handler m_Handler;              ///< Called for each request.
+  class BodyShare;
+  struct LimitState;
+
+  void listenWithLimits(const Address &BindAddress);
+  bool accept(SocketPtr Accepted);
+  void closeOldest();
+  void startRequest(SoupServerMessage *Message);
+  void countBody(SoupServerMessage *Message, std::size_t MoreBytes);
+
+  std::unique_ptr<LimitState> m_Limits; ///< Null: there are no limits.
+  SoupServer *m_Server = nullptr;       ///< Null before listen().
+  Handler m_Handler;                    ///< Called for each request.
   std::function<void(SoupServerMessage *)> m_HeadersHook; ///< May be empty.
 };
 
--- a/src/dispatcher/admin_api.cpp
+++ b/src/dispatcher/admin_api.cpp
@@ -21,6 +21,10 @@
 constexpr const char *OrdersPath = "/v1/orders/";
 constexpr const char *BearerPrefix = "Bearer ";
 
+/// A table of 10,000 rows takes about 1 MB.
+constexpr HttpLimits Limits = {
+    .m_Connections = 64, .m_BodyBytes = 4 << 20, .m_TotalBodyBytes = 8 << 20};
+
 void respondJson(SoupServerMessage *Message, unsigned Status,
                  const json &Body) {
   respond(Message, Status, JsonType, Body.dump(2) + "\n");
@@ -197,6 +201,7 @@
       m_RefusedCalls(Parts.m_Stats.counter("crowstep_admin_refused_total")) {}
 
 void AdminApi::listen(const Address &ListenAddress) {
+  m_Server.setLimits(Limits, m_Context.m_Stats);
   m_Server.listen(ListenAddress,
                   [this](SoupServerMessage *Message, const char *Path) {
                     handle(Message, Path);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -59,6 +59,12 @@
 /// takes a twentieth of a second.
 constexpr std::size_t DigestQueueBytes = 64U << 10U;
 
+/// Bounds on clients of the port for probes.
+constexpr HttpLimits ProbeLimits = {.m_Connections = 64,
+                                    .m_BodyBytes = MaxPlacementQueryBytes,
+                                    .m_TotalBodyBytes =
+                                        4 * MaxPlacementQueryBytes};
+
 /// Refuses a query whose body could take much memory before it is read.
 void checkQueryLength(SoupServerMessage *Message) {
   if (std::string_view(g_uri_get_path(soup_server_message_get_uri(Message))) !=
@@ -262,6 +268,7 @@
   m_SpeedReport.start();
   m_CrashWatch.start(*m_PlatformParts.m_Directory);
   m_PlatformParts.m_Directory->start(*this, selfOf(m_Settings));
+  m_ProbeServer.setLimits(ProbeLimits, m_Metrics);
   m_ProbeServer.listen(m_Settings.m_ProbeAddress,
                        [this](SoupServerMessage *Message, const char *Path) {
                          handleProbe(Message, Path);
