Change: Derive the bounds on requests and answers from the process's memory

The budgets were constants, 32 MiB for requests and 32 MiB for answers, alike for processes that may use 88 MB and 512 MB: on the smaller ones they left 20 MB for everything else, which is less than the program, its directory and the copies of one long body take.

Requests and answers now get a quarter of the memory each, unread answers an eighth, with the earlier constants as the most. The memory is the least of the setting memory_mb, which the platform's template fills in for gateways, the kernel's limit on data and the machine's memory.

--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -2,6 +2,7 @@
 #include "entry/entry_settings.h"
 
 #include "core/error.h"
+#include "core/memory_plan.h"
 #include "membership/member_func.h"
 
 namespace crowstep::entry {
@@ -43,6 +44,7 @@
       size(File, "caller_backlog_bytes", 4096, MaxBodyLimit, 256 << 10);
   Result.m_MaxAttempts =
       static_cast<unsigned>(File.integer("entry", "max_attempts", 1, 16, 4));
+  Result.m_MemoryBytes = readMemory(File, "entry");
   return Result;
 }
 
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -24,8 +24,9 @@
   Duration m_UpstreamSilenceTimeout{}; ///< Longest wait for the upstream's next
                                        ///< byte.
   std::size_t m_MaxCallerBacklogBytes =
-      0;                      ///< Unsent bytes at which reading pauses.
-  unsigned m_MaxAttempts = 0; ///< Limit on calls to upstreams.
+      0;                         ///< Unsent bytes at which reading pauses.
+  unsigned m_MaxAttempts = 0;    ///< Limit on calls to upstreams.
+  std::size_t m_MemoryBytes = 0; ///< Of the process; 0: not stated.
 };
 
 struct EntrySettings {
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -65,6 +65,8 @@
           },
           Context.m_Timers),
       m_CleanupTimer(Context.m_Timers), m_StopTimer(Context.m_Timers) {
+  m_Frontend.setMemory(
+      planMemory(usableMemory(Context.m_Limits.m_MemoryBytes)));
   tableChanged();
 }
 
--- a/src/gateway/answer_memory.h
+++ b/src/gateway/answer_memory.h
@@ -14,13 +14,15 @@
 /// would use up the memory before they reach it.
 class AnswerMemory {
 public:
-  /// Bytes of all calls together.
+  /// Bytes of all calls together, unless setMaxBytes() has set others.
   static constexpr std::size_t MaxBytes = 32 << 20;
 
   /// Bytes that a call may hold even if others have used up the rest, so that
   /// answers of a usual size don't fail.
   static constexpr std::size_t OwnBytes = 64 << 10;
 
+  void setMaxBytes(std::size_t Bytes) { m_MaxBytes = Bytes; }
+
   /// Counts what callers have not read as well. \p Unread outlives this object.
   void countUnread(const BufferBudget &Unread) { m_Unread = &Unread; }
 
@@ -39,7 +41,7 @@
       const std::size_t Unread =
           m_Owner.m_Unread == nullptr ? 0 : m_Owner.m_Unread->usedBytes();
       if (Bytes > m_Bytes && Bytes > OwnBytes &&
-          Others + Unread + Bytes > MaxBytes)
+          Others + Unread + Bytes > m_Owner.m_MaxBytes)
         return false;
       m_Owner.m_Bytes = Others + Bytes;
       m_Bytes = Bytes;
@@ -54,6 +56,7 @@
   };
 
 private:
+  std::size_t m_MaxBytes = MaxBytes;      ///< See setMaxBytes().
   std::size_t m_Bytes = 0;                ///< Sum of all parts.
   const BufferBudget *m_Unread = nullptr; ///< See countUnread().
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -274,6 +274,7 @@
                          handleProbe(Message, Path);
                        });
   m_ProbeServer.onHeaders(checkQueryLength);
+  applyMemory();
   m_Admission.setDescriptors(m_Settings.m_Descriptors);
   m_Front.setAdmission(m_Admission,
                        [this](ShedReason Reason) { handleShed(Reason); });
@@ -283,8 +284,15 @@
                  });
 }
 
+void Gateway::applyMemory() {
+  const MemoryPlan Plan = planMemory(usableMemory(m_Settings.m_MemoryBytes));
+  m_Front.setMemory(Plan);
+  m_AnswerMemory.setMaxBytes(Plan.m_Answers);
+}
+
 void Gateway::reload(Settings &File) {
   m_Settings = readGatewaySettings(File);
+  applyMemory();
   m_Budget.setBound(m_Settings.m_RetryBudget);
   m_Admission.setDescriptors(m_Settings.m_Descriptors);
   m_Balancer.speeds().setMode(m_Settings.m_LearnSpeed);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -95,6 +95,7 @@
   void cutRequests();
   void checkStopped();
   [[nodiscard]] bool isReady() const;
+  void applyMemory();
 
   GatewaySettings m_Settings;     ///< In force.
   Incarnation m_Incarnation;      ///< Of this process.
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -1,6 +1,8 @@
 /// Reading the gateway's settings.
 #include "gateway/gateway_settings.h"
 
+#include "core/memory_plan.h"
+
 #include <array>
 
 namespace crowstep::gateway {
@@ -39,6 +41,7 @@
   Result.m_Descriptors = static_cast<std::size_t>(
       File.integer("gateway", "descriptors", MinDescriptors, MaxDescriptors,
                    MaxDescriptors));
+  Result.m_MemoryBytes = readMemory(File, "gateway");
   Result.m_RetryBudget.m_Ratio =
       File.number("retry_budget", "ratio", 0, MaxRatio);
   Result.m_RetryBudget.m_Slack =
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -21,6 +21,7 @@
   std::string m_ReadinessPath;   ///< Answers 200 while ready.
   Duration m_GracePeriod{};      ///< From SIGTERM to SIGKILL.
   std::size_t m_Descriptors = 0; ///< File descriptors that it may open.
+  std::size_t m_MemoryBytes = 0; ///< That it may use; 0: not stated.
   balance::RetryBudgetSettings m_RetryBudget; ///< Shared by all instances.
   speed::LearnSpeed m_LearnSpeed = speed::LearnSpeed::Stated; ///< Of upstreams.
 
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -69,6 +69,12 @@
 
 // ---- Memory -----------------------------------------------------------------
 
+void Frontend::setMemory(const MemoryPlan &Plan) {
+  m_Memory = Plan;
+  m_Unread.setMaxBytes(Plan.m_Unread);
+  m_Received.setMaxBytes(Plan.m_Requests);
+}
+
 void Frontend::roomNeeded() {
   if (!m_ReclaimTimer.isRunning())
     startMeasuringProgress();
--- a/src/http/frontend.h
+++ b/src/http/frontend.h
@@ -3,6 +3,7 @@
 #define CROWSTEP_HTTP_FRONTEND_H
 
 #include "core/acceptor.h"
+#include "core/memory_plan.h"
 #include "http/caller_connection.h"
 #include "http/connection_admission.h"
 #include "instance_type.h"
@@ -61,12 +62,9 @@
   /// Returns the number of open connections.
   [[nodiscard]] std::size_t connections() const { return m_Connections.size(); }
 
-  /// Bytes of answers that all callers together may leave unread.
-  static constexpr std::size_t MaxUnreadBytes = 16 << 20;
-
-  /// Bytes of the requests of all callers, each counted twice: as received,
-  /// and as sent to an upstream that may read it slowly.
-  static constexpr std::size_t MaxReceivedBytes = 32 << 20;
+  /// Sets the memory for requests and for what callers leave unread; without a
+  /// call it follows from what the process may use.
+  void setMemory(const MemoryPlan &Plan);
 
   [[nodiscard]] BufferBudget &unreadBytes() override { return m_Unread; }
   [[nodiscard]] BufferBudget &receivedBytes() override { return m_Received; }
@@ -106,13 +104,14 @@
   void reclaimMemory();
   [[nodiscard]] std::vector<CallerConnection *> withoutProgress() const;
 
-  BufferBudget m_Unread{MaxUnreadBytes};     ///< See unreadBytes().
-  BufferBudget m_Received{MaxReceivedBytes}; ///< See receivedBytes().
-  ReceiveLimits m_Limits;                    ///< See setLimits().
-  RefusedHandler m_OnRefused;                ///< Never empty.
-  Scheduler &m_Timers;                       ///< Outlives this object.
-  Handler m_Handler;                         ///< See listen().
-  Acceptor m_Acceptor;                       ///< Listens until stopListening().
+  MemoryPlan m_Memory{planMemory(usableMemory(0))}; ///< See setMemory().
+  BufferBudget m_Unread{m_Memory.m_Unread};         ///< See unreadBytes().
+  BufferBudget m_Received{m_Memory.m_Requests};     ///< See receivedBytes().
+  ReceiveLimits m_Limits;                           ///< See setLimits().
+  RefusedHandler m_OnRefused;                       ///< Never empty.
+  Scheduler &m_Timers;                              ///< Outlives this object.
+  Handler m_Handler;                                ///< See listen().
+  Acceptor m_Acceptor; ///< Listens until stopListening().
   const ConnectionAdmission *m_Admission = nullptr; ///< Null: sheds none.
   ShedHandler m_OnShed;                             ///< Set with m_Admission.
   bool m_ClosesAfterAnswers = false; ///< After closeAfterAnswers().
--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -547,9 +547,10 @@
 /// used up the memory that each of them needs.
 BOOST_AUTO_TEST_CASE(BodiesThatCannotBeCompletedMakeRoom) {
   ScarceFixture Fixture;
-  std::vector<std::unique_ptr<Peer>> Senders;
-  for (int I = 0; I < 4; ++I)
-    Senders.push_back(Fixture.sendBody(60 << 10));
+  constexpr std::size_t SenderCount = 4;
+  std::vector<std::unique_ptr<Peer>> Senders(SenderCount);
+  for (std::unique_ptr<Peer> &Sender : Senders)
+    Sender = Fixture.sendBody(60 << 10);
   std::size_t Answered = 0;
   const auto Ended = [&] {
     for (; Answered < Fixture.m_Callers.size(); ++Answered) {
