Codechange: Count a complete request by what its parser already counts

The headers of a complete request were summed up a second time, by a function of its own; the parser keeps that sum from the end of the head. It also serves where a request is tried again once there is room. OpenStream's two ways to get at its stream are one, and its comment says what it is.

--- a/src/core/http_server.cpp
+++ b/src/core/http_server.cpp
@@ -48,9 +48,15 @@
 
 namespace {
 
-/// Closes its stream for both directions; libsoup then drops the connection and
-/// what it has received.
-struct OpenStream {
+struct ObjectDeleter {
+  void operator()(gpointer Owned) const { g_object_unref(Owned); }
+};
+template <typename Object>
+using ObjectPtr = std::unique_ptr<Object, ObjectDeleter>;
+
+/// A connection that was passed to libsoup, which alone keeps it open.
+class OpenStream {
+public:
   explicit OpenStream(GSocketConnection *Stream) {
     g_weak_ref_init(&m_Stream, Stream);
   }
@@ -58,29 +64,24 @@
   OpenStream(const OpenStream &) = delete;
   OpenStream &operator=(const OpenStream &) = delete;
 
-  [[nodiscard]] bool isOpen() {
-    gpointer Found = g_weak_ref_get(&m_Stream);
-    if (Found != nullptr)
-      g_object_unref(Found);
-    return Found != nullptr;
-  }
+  [[nodiscard]] bool isOpen() { return stream() != nullptr; }
+
+  /// Shuts down both directions; libsoup then drops the connection and what it
+  /// has received.
   void close() {
-    gpointer Found = g_weak_ref_get(&m_Stream);
-    if (Found == nullptr)
-      return;
-    g_socket_shutdown(
-        g_socket_connection_get_socket(G_SOCKET_CONNECTION(Found)), 1, 1,
-        nullptr);
-    g_object_unref(Found);
+    if (const auto Stream = stream())
+      g_socket_shutdown(g_socket_connection_get_socket(Stream.get()), 1, 1,
+                        nullptr);
   }
 
-  GWeakRef m_Stream; ///< Null once libsoup has dropped it.
-};
+private:
+  [[nodiscard]] ObjectPtr<GSocketConnection> stream() {
+    return ObjectPtr<GSocketConnection>(
+        static_cast<GSocketConnection *>(g_weak_ref_get(&m_Stream)));
+  }
 
-struct AddressDeleter {
-  void operator()(GSocketAddress *Owned) const { g_object_unref(Owned); }
+  GWeakRef m_Stream; ///< Null once libsoup has dropped it.
 };
-using AddressPtr = std::unique_ptr<GSocketAddress, AddressDeleter>;
 
 constexpr const char *ShareKey = "crowstep-body-share";
 
@@ -187,18 +188,19 @@
   std::erase_if(Streams, [](OpenStream &Entry) { return !Entry.isOpen(); });
   if (Streams.size() >= m_Limits->m_Limits.m_Connections)
     closeOldest();
-  const AddressPtr Local(g_socket_get_local_address(Accepted.get(), nullptr));
-  const AddressPtr Remote(g_socket_get_remote_address(Accepted.get(), nullptr));
+  const ObjectPtr<GSocketAddress> Local(
+      g_socket_get_local_address(Accepted.get(), nullptr));
+  const ObjectPtr<GSocketAddress> Remote(
+      g_socket_get_remote_address(Accepted.get(), nullptr));
   if (Local == nullptr || Remote == nullptr)
     return false; // The client has closed the connection already.
-  GSocketConnection *Stream =
-      g_socket_connection_factory_create_connection(Accepted.get());
+  const ObjectPtr<GSocketConnection> Stream(
+      g_socket_connection_factory_create_connection(Accepted.get()));
   const bool IsServed =
-      soup_server_accept_iostream(m_Server, G_IO_STREAM(Stream), Local.get(),
-                                  Remote.get(), nullptr) != 0;
+      soup_server_accept_iostream(m_Server, G_IO_STREAM(Stream.get()),
+                                  Local.get(), Remote.get(), nullptr) != 0;
   if (IsServed)
-    Streams.emplace_back(Stream);
-  g_object_unref(Stream);
+    Streams.emplace_back(Stream.get());
   return IsServed;
 }
 
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -432,8 +432,8 @@
     return;
   // The request is kept for retries, beside the copy that an upstream reads.
   constexpr std::size_t Copies = 2;
-  const std::size_t Needed = RequestOverhead + m_Input.capacity() +
-                             Copies * memoryBytesOf(m_Parser->request());
+  const std::size_t Needed =
+      RequestOverhead + m_Input.capacity() + Copies * m_Parser->memoryBytes();
   m_IsComplete = Needed > OwnBytes && !m_Received.tryResize(Needed);
   if (m_IsComplete) {
     m_Received.resize(partialBytes());
--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -53,11 +53,6 @@
   return Result;
 }
 
-std::size_t memoryBytesOf(const IncomingRequest &Request) {
-  return Request.m_Method.capacity() + Request.m_Target.capacity() +
-         memoryBytesOf(Request.m_Headers) + Request.m_Body.capacity();
-}
-
 std::size_t RequestParser::memoryBytes() const {
   return m_HeadBytes + m_HeaderCollector.memoryBytes() +
          m_Request.m_Target.capacity() + m_Request.m_Body.capacity();
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -19,9 +19,6 @@
   std::string m_Body;   ///< Complete.
 };
 
-/// Returns what the request occupies.
-std::size_t memoryBytesOf(const IncomingRequest &Request);
-
 /// Progress of a request.
 enum class RequestParseState : std::uint8_t {
   NotStarted, ///< No byte received.
