Codechange: Share the crowds and samples of the crowd tests

What is resident was read from the kernel in two ways, and sampled while the loop runs in three. Crowds, bounds and assertions are the same.

--- a/tests/process/crowd.cpp
+++ b/tests/process/crowd.cpp
@@ -38,6 +38,25 @@
 
 } // namespace
 
+std::string bodyChunk() {
+  return "1000\r\n" + std::string(0x1000, 'b') + "\r\n";
+}
+
+std::vector<CrowdCase> sidePortCrowds(const std::string &Path) {
+  constexpr std::size_t BodyBytes = 16 << 20;
+  const std::string Head = "POST " + Path + " HTTP/1.1\r\nHost: h\r\n";
+  return {
+      {"bodies",
+       20,
+       {Head + "Content-Length: " + std::to_string(BodyBytes) + "\r\n\r\n", "b",
+        BodyBytes - 1}},
+      {"bodies in chunks",
+       20,
+       {Head + "Transfer-Encoding: chunked\r\n\r\n", bodyChunk(), BodyBytes}},
+      {"heads without end", 400, {Head, "a:\r\n", 200'000}},
+      {"connections", 1100, {"", "", 0}}};
+}
+
 Crowd::Crowd(const Address &Server, std::size_t Count, CrowdScript Script)
     : m_Server(Server), m_Script(std::move(Script)),
       m_UnitBytes(m_Script.m_Repeated.size()), m_Clients(Count),
--- a/tests/process/crowd.h
+++ b/tests/process/crowd.h
@@ -21,6 +21,20 @@
   std::chrono::milliseconds m_Pause{}; ///< After each m_Repeated; 0: none.
 };
 
+/// A crowd of a test.
+struct CrowdCase {
+  const char *m_Name;
+  std::size_t m_ClientCount;
+  CrowdScript m_Script;
+};
+
+/// Returns a chunk of a body of 4 KiB: its size in hexadecimal digits, the
+/// bytes and a line break.
+[[nodiscard]] std::string bodyChunk();
+
+/// Returns crowds at a port that gets short requests from few clients.
+[[nodiscard]] std::vector<CrowdCase> sidePortCrowds(const std::string &Path);
+
 /// Connects all clients and then sends, from a thread of its own and as fast as
 /// the server reads.
 /// Each client keeps its connection open until the server closes it.
--- a/tests/process/crowded_gateway.cpp
+++ b/tests/process/crowded_gateway.cpp
@@ -94,13 +94,7 @@
 
 bool CrowdedGateway::runSampled(const std::function<bool()> &Done,
                                 Duration Limit) {
-  return runUntil(
-      [&] {
-        if (m_Usage)
-          m_Usage->sample();
-        return Done();
-      },
-      Limit);
+  return m_Usage ? m_Usage->watchUntil(Done, Limit) : runUntil(Done, Limit);
 }
 
 void CrowdedGateway::watchUntilSettled(const Crowd &Senders) {
--- a/tests/process/entry_crowd_test.cpp
+++ b/tests/process/entry_crowd_test.cpp
@@ -13,20 +13,13 @@
 
 namespace {
 
-struct EntryCrowd {
-  const char *m_Name;
-  std::size_t m_ClientCount;
-  CrowdScript m_Script;
-};
-
 const std::string Head = "POST /v1/services/desk/check HTTP/1.1\r\nHost: h\r\n"
                          "Authorization: Bearer workspace-key\r\n"
                          "Crowstep-Class: check\r\n"
                          "Content-Type: application/json\r\n";
-const std::string Chunk = "1000\r\n" + std::string(0x1000, 'b') + "\r\n";
 constexpr std::size_t BodyBytes = 4 << 20;
 
-const std::vector<EntryCrowd> EntryCrowds = {
+const std::vector<CrowdCase> EntryCrowds = {
     {"heads without end", 200, {Head, "a:\r\n", 60'000}},
     {"a target without end", 200, {"POST /", "b", 1 << 20}},
     {"bodies that stop short",
@@ -34,7 +27,7 @@
      {Head + "Content-Length: 4194304\r\n\r\n", "b", BodyBytes - 1}},
     {"chunks that stop short",
      60,
-     {Head + "Transfer-Encoding: chunked\r\n\r\n", Chunk, BodyBytes}},
+     {Head + "Transfer-Encoding: chunked\r\n\r\n", bodyChunk(), BodyBytes}},
     {"nested values",
      60,
      {Head + "Content-Length: 4194304\r\n\r\n", "[1],", BodyBytes}},
@@ -45,7 +38,7 @@
 
 // Guards against an entry whose memory or descriptors are used up by callers.
 BOOST_AUTO_TEST_CASE(AnEntryBearsCrowds) {
-  for (const EntryCrowd &Sent : EntryCrowds)
+  for (const CrowdCase &Sent : EntryCrowds)
     BOOST_TEST_CONTEXT(Sent.m_Name) {
       FleetPlan Plan;
       Plan.m_InstanceCount = 1;
@@ -57,12 +50,7 @@
                          {Instance.m_CallerAddress.m_Port});
       const Crowd Senders(Instance.m_CallerAddress, Sent.m_ClientCount,
                           Sent.m_Script);
-      BOOST_TEST(runUntil(
-          [&] {
-            Usage.sample();
-            return Senders.hasSettled();
-          },
-          60s));
+      BOOST_TEST(Usage.watchUntil([&] { return Senders.hasSettled(); }, 60s));
       constexpr int MaxTries = 3;
       unsigned Status = 0;
       for (int Try = 0; Try < MaxTries && Status != 200; ++Try)
--- a/tests/process/link_crowd_test.cpp
+++ b/tests/process/link_crowd_test.cpp
@@ -9,18 +9,12 @@
 
 namespace {
 
-struct LinkCrowd {
-  const char *m_Name;
-  std::size_t m_ClientCount;
-  CrowdScript m_Script;
-};
-
 /// The preamble of a link, and the length of its first frame.
 const std::string Preamble = std::string("CRWSTP\1\0", 8);
 const std::string LargeFrame = Preamble + std::string("\0\0\x40\0", 4);
 const std::string SmallFrame = Preamble + std::string("\0\1\0\0", 4);
 
-const std::vector<LinkCrowd> LinkCrowds = {
+const std::vector<CrowdCase> LinkCrowds = {
     {"large frames", 100, {LargeFrame, "b", 1 << 20}},
     {"frames that stop short", 400, {SmallFrame, "b", 255}},
     {"connections", 1100, {"", "", 0}},
@@ -32,7 +26,7 @@
 // that have proved nothing.
 BOOST_AUTO_TEST_CASE(LinksLeaveRoomForCallers) {
   for (const bool IsRelay : {false, true})
-    for (const LinkCrowd &Sent : LinkCrowds)
+    for (const CrowdCase &Sent : LinkCrowds)
       BOOST_TEST_CONTEXT(Sent.m_Name << IsRelay) {
         CrowdedGateway Gateway;
         const Crowd Senders(IsRelay ? Gateway.relayAddress()
--- a/tests/process/process_usage.cpp
+++ b/tests/process/process_usage.cpp
@@ -18,10 +18,20 @@
 } // namespace
 
 void ProcessUsage::sample() {
-  m_MostBytes = std::max(m_MostBytes, residentBytes() + unreadBytes());
+  m_MostBytes = std::max(m_MostBytes, residentBytesOf(m_Pid) + unreadBytes());
   m_MostDescriptors = std::max(m_MostDescriptors, openDescriptors());
 }
 
+bool ProcessUsage::watchUntil(const std::function<bool()> &Done,
+                              Duration Limit) {
+  return runUntil(
+      [&] {
+        sample();
+        return Done();
+      },
+      Limit);
+}
+
 void ProcessUsage::check() {
   sample();
   BOOST_TEST_MESSAGE("used " << (m_MostBytes >> 10U) << " KiB and "
@@ -30,8 +40,8 @@
   BOOST_TEST(m_MostDescriptors <= SmallMachine.m_Descriptors);
 }
 
-std::size_t ProcessUsage::residentBytes() const {
-  std::ifstream File("/proc/" + std::to_string(m_Pid) + "/statm");
+std::size_t residentBytesOf(pid_t Pid) {
+  std::ifstream File("/proc/" + std::to_string(Pid) + "/statm");
   std::size_t Total = 0;
   std::size_t Resident = 0;
   File >> Total >> Resident;
--- a/tests/process/process_usage.h
+++ b/tests/process/process_usage.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <sys/types.h>
 
@@ -15,6 +16,9 @@
 inline constexpr ProcessLimits SmallMachine = {
     .m_DataBytes = 88'000'000, .m_StackBytes = 1 << 20, .m_Descriptors = 1024};
 
+/// Returns the resident memory of a process.
+[[nodiscard]] std::size_t residentBytesOf(pid_t Pid);
+
 /// Keeps the most that a process has used at the times of its samples.
 class ProcessUsage {
 public:
@@ -24,6 +28,10 @@
 
   void sample();
 
+  /// Samples while the main loop runs until \p Done returns true, for at most
+  /// \p Limit; returns whether it did.
+  bool watchUntil(const std::function<bool()> &Done, Duration Limit);
+
   /// Returns the most memory: what is resident, and what the kernel holds
   /// unread on the connections to the process's ports.
   [[nodiscard]] std::size_t mostBytes() const { return m_MostBytes; }
@@ -38,7 +46,6 @@
   void check();
 
 private:
-  [[nodiscard]] std::size_t residentBytes() const;
   [[nodiscard]] std::size_t unreadBytes() const;
   [[nodiscard]] std::size_t openDescriptors() const;
 
--- a/tests/process/stalled_chunks_crowd_test.cpp
+++ b/tests/process/stalled_chunks_crowd_test.cpp
@@ -12,9 +12,6 @@
 constexpr std::size_t ClientCount = 60;
 constexpr std::size_t OrdinaryBytes = 100 << 10;
 
-/// The size in hexadecimal digits, the bytes and a line break.
-const std::string Chunk = "1000\r\n" + std::string(0x1000, 'b') + "\r\n";
-
 } // namespace
 
 // Guards against bodies that never arrive whole and keep the room of those that
@@ -22,6 +19,7 @@
 BOOST_AUTO_TEST_CASE(BodiesInChunksThatStopLeaveRoomForOthers) {
   const CrowdLimits Limits;
   CrowdedGateway Gateway(Limits);
+  const std::string Chunk = bodyChunk();
   const std::string Head = CrowdedGateway::headOf("/plain/x", "client-{n}") +
                            "Transfer-Encoding: chunked\r\n\r\n";
   const std::size_t Chunks = Limits.m_MaxBodyBytes / 0x1000;
--- a/tests/process/watched_gateway.h
+++ b/tests/process/watched_gateway.h
@@ -3,12 +3,11 @@
 #define CROWSTEP_TESTS_PROCESS_WATCHED_GATEWAY_H
 
 #include "process/gateway_fleet.h"
+#include "process/process_usage.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <fstream>
 #include <functional>
-#include <unistd.h>
 
 namespace crowstep::test {
 
@@ -49,12 +48,7 @@
 
 private:
   [[nodiscard]] std::size_t residentBytes() {
-    std::ifstream File("/proc/" + std::to_string(m_Fleet.process(0).pid()) +
-                       "/statm");
-    std::size_t Total = 0;
-    std::size_t Resident = 0;
-    File >> Total >> Resident;
-    return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+    return residentBytesOf(m_Fleet.process(0).pid());
   }
 
   std::size_t m_Before = 0; ///< Memory at the start.
