--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -15,8 +15,8 @@
 constexpr int Events = 17;
 constexpr auto Interval = 480ms;
 constexpr double Deadline = 10;
-constexpr int Stops = 4;
-constexpr double FirstStop = 6, StopInterval = 18; ///< Seconds of traffic.
+constexpr int Stops = 6;
+constexpr double FirstStop = 6, StopInterval = 14; ///< Seconds of traffic.
 constexpr double GraceS = 8, RestartDelay = 1;
 
 Json routeJson(const char *Name, const char *Prefix, int Target, int Pause) {
@@ -168,7 +168,7 @@
   const Rotation In(Fleet);
   Counts Seen;
   const double Begin = now();
-  const double End = Begin + FirstStop + Stops * StopInterval;
+  const double End = Begin + FirstStop + (Stops - 1) * StopInterval + 10;
   std::atomic<double> StoppedAt = -1000;
   Gateway &Stopped = *Fleet.m_Gateways[0];
 
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -348,14 +348,17 @@
   }
   const Address m_Address;
 
-  /// Closes the listener and all connections, like the end of the process.
+  /// Closes the listener and resets all connections, like a crash.
   void end() {
     const std::lock_guard Lock(m_Mutex);
     m_Ended = true;
     shutdown(m_Listen, SHUT_RDWR);
     close(m_Listen);
-    for (const int Socket : m_Open)
-      shutdown(Socket, SHUT_RDWR);
+    const linger Reset = {1, 0};
+    for (const int Socket : m_Open) {
+      setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
+      shutdown(Socket, SHUT_RD);
+    }
   }
 
 private:
