--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -16,7 +16,7 @@
 constexpr auto Interval = 480ms;
 constexpr double Deadline = 10;
 constexpr int Stops = 6;
-constexpr double FirstStop = 6, StopInterval = 14; ///< Seconds of traffic.
+constexpr double FirstStop = 6, StopInterval = 14.3; ///< Seconds of traffic.
 constexpr double GraceS = 8, RestartDelay = 1;
 
 Json routeJson(const char *Name, const char *Prefix, int Target, int Pause) {
