--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,5 +1,5 @@
-/// Prompts of long conversations: one part for each turn. One part that crashes the
-/// servers that begin to answer on it stands behind the first 32.
+/// Prompts of long conversations: one part for each turn. One part that crashes
+/// the servers that begin to answer on it stands behind the first 32.
 #include "engine.h"
 
 using namespace lab;
@@ -16,20 +16,19 @@
 
 Json manifest() {
   return {{"version", 7},
-          {"routes",
-           Json::array({{{"name", "r-1"},
-                         {"host", "ficu95.example"},
-                         {"prefix", "/lohu930/"},
-                         {"routeKind", "streaming"},
-                         {"timeoutMs", 10000},
-                         {"targetLatencyMs", 2000},
-                         {"priority", 1},
-                         {"service", "huvo11a"},
-                         {"maxAttempts", 2},
-                         {"anonymous", false},
-                         {"sticky", true},
-                         {"resumable", true},
-                         {"gapAimMs", 800}}})},
+          {"routes", Json::array({{{"name", "r-1"},
+                                   {"host", "ficu95.example"},
+                                   {"prefix", "/lohu930/"},
+                                   {"routeKind", "streaming"},
+                                   {"timeoutMs", 10000},
+                                   {"targetLatencyMs", 2000},
+                                   {"priority", 1},
+                                   {"service", "huvo11a"},
+                                   {"maxAttempts", 2},
+                                   {"anonymous", false},
+                                   {"sticky", true},
+                                   {"resumable", true},
+                                   {"gapAimMs", 800}}})},
           {"services", Json::array({engineServiceJson("huvo11a")})},
           {"limits", limitsJson()},
           {"tenants",
@@ -51,7 +50,8 @@
   return Result + newId().substr(8) + ":60";
 }
 
-Answer send(const Gateway &To, const std::string &Id, const std::string &Parts) {
+Answer send(const Gateway &To, const std::string &Id,
+            const std::string &Parts) {
   const int Tokens = (Turns + 2) * TokensInTurn;
   return call(To.m_Frontend, "POST", "/lohu930/2f",
               {{"Host", "ficu95.example"},
@@ -103,9 +103,10 @@
 
   const double Begin = now(), End = Begin + Length;
   std::atomic<int> Sent = 0, Served = 0, Cut = 0, Open = 0;
-  LAB_RECORD("20 sound streams a second; each second from %.0f s on, one with a "
-             "part that %s, behind %d others",
-             Begin + CalmTime, Trouble ? "crashes servers" : "is sound", Place);
+  LAB_RECORD(
+      "20 sound streams a second; each second from %.0f s on, one with a "
+      "part that %s, behind %d others",
+      Begin + CalmTime, Trouble ? "crashes servers" : "is sound", Place);
   std::thread Poison([&] {
     std::mt19937 Random(std::random_device{}());
     for (double At = Begin + CalmTime; At < End; At += PoisonInterval) {
@@ -121,7 +122,8 @@
   });
   std::mt19937 Random(std::random_device{}());
   for (int I = 0; now() < End; ++I) {
-    sleepFor(std::chrono::duration<double>(Begin + I / StreamsPerSecond - now()));
+    sleepFor(
+        std::chrono::duration<double>(Begin + I / StreamsPerSecond - now()));
     const Gateway &To = *Fleet.m_Gateways[Random() % Fleet.m_Gateways.size()];
     ++Open;
     std::thread([&, Conversation = static_cast<unsigned>(Random() % 20)] {
