--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -158,7 +158,8 @@
       ++New;
       Begun += Got.m_LastEvent > 0 ? 1 : 0;
     }
-    if (Got.m_Whole || Got.m_LastEvent == 0)
+    // A stream with all of its events needs no other attempt.
+    if (Got.m_Whole || Got.m_LastEvent == 0 || Got.m_LastEvent == Events)
       return;
     const std::string NextId = newId();
     const Attempt Second = send(*Fleet.m_Gateways[Left], NextId, Id,
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -206,9 +206,10 @@
     ++Seen.m_New;
     if (Got.m_LastEvent > 0)
       ++Seen.m_Begun;
-    if (Got.m_Whole || Got.m_LastEvent == 0) {
+    // A stream with all of its events needs no other attempt.
+    if (Got.m_Whole || Got.m_LastEvent == 0 || Got.m_LastEvent == Events) {
       Seen.m_Complete += Got.m_Whole ? 1 : 0;
-      if (!Got.m_Whole)
+      if (Got.m_LastEvent == 0)
         LAB_RECORD("%s at %s: status %d %s, no event", Id.c_str(),
                    Fleet.m_Gateways[First]->m_Name.c_str(), Got.m_Status,
                    Got.m_Failure.c_str());
