--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int Gateways = 9; ///< As on the sheet of kls-hopon.
+constexpr int Gateways = 13; ///< Those of kls-hopon with its spare ones.
 constexpr int Servers = 12;
 constexpr double StreamsPerSecond = 13, QuickPerSecond = 6;
 constexpr int Events = 32;
@@ -117,8 +117,7 @@
 
   const bool Trouble = hasTrouble();
   std::mt19937 Random(std::random_device{}());
-  // One of the zone with three machines, which are the numbers 0, 4 and 8.
-  const std::size_t Left = 4 * (Random() % 3);
+  const std::size_t Left = Random() % Gateways;
   const double Begin = now(), End = Begin + Length;
   std::atomic<bool> Leaves = false, IsKilled = false;
   std::atomic<int> New = 0, Begun = 0, TakenUp = 0, WentOn = 0, Mixed = 0;
