Fix: Send origins with too few copies to peers that are linked later

What callers saw: a stream that began while its instance had no link to the others, or few, did not go on elsewhere once that instance was gone (503, origin_unknown).

Cause: a record is sent once, to the peers that are linked at that moment. What could not be sent then was never sent.

Fix: records that fewer than three others have got are kept (8,192 at most, while their streams may be resumed) and sent to each near peer that takes part from then on, until three have them. A record never changes, so one that arrives twice or late is right.

Evidence: MissingCopiesGoToPeersThatAreLinkedLater fails before. A fleet of three or more peers sends nothing more while its links are up.

--- a/src/resume/origin_exchange.cpp
+++ b/src/resume/origin_exchange.cpp
@@ -187,11 +187,45 @@
     queueExport(Begun);
   if (m_Archive != nullptr && (m_Hubs.empty() || isHub()))
     m_Archive->add(Begun);
-  for (const link::LinkId Link : holdersOf(Begun.m_Key, true)) {
-    m_Links->outbox(Link).stream_origins.push_back(packRecord(Begun));
+  const std::vector<link::LinkId> Holders = holdersOf(Begun.m_Key, true);
+  for (const link::LinkId Link : Holders) {
+    sendRecord(Link, Begun);
     m_Links->flush(Link);
-    m_Copies.add();
   }
+  if (Holders.size() < CopyCount)
+    keepForLaterPeers(Begun, Holders.size());
+}
+
+void OriginExchange::keepForLaterPeers(const StreamRecord &Begun,
+                                       std::size_t Copies) {
+  m_Uncopied.push_back({Begun, m_Clock.now(), Copies});
+  while (m_Uncopied.size() > MaxUncopied ||
+         m_Uncopied.front().m_Since + m_Uncopied.front().m_Record.m_Lifetime <=
+             m_Clock.now())
+    m_Uncopied.pop_front();
+}
+
+void OriginExchange::sendRecord(link::LinkId To, const StreamRecord &Record) {
+  m_Links->outbox(To).stream_origins.push_back(packRecord(Record));
+  m_Copies.add();
+}
+
+/// Sends a peer that takes part now the records of open streams that began
+/// while too few did.
+void OriginExchange::sendMissingCopies(link::LinkId To) {
+  const TimePoint Now = m_Clock.now();
+  std::erase_if(m_Uncopied, [&](const UncopiedRecord &Entry) {
+    return Entry.m_Since + Entry.m_Record.m_Lifetime <= Now;
+  });
+  for (UncopiedRecord &Entry : m_Uncopied) {
+    StreamRecord Left = Entry.m_Record;
+    Left.m_Lifetime -= Now - Entry.m_Since;
+    sendRecord(To, Left);
+    ++Entry.m_Count;
+  }
+  std::erase_if(m_Uncopied, [](const UncopiedRecord &Entry) {
+    return Entry.m_Count >= CopyCount;
+  });
 }
 
 void OriginExchange::handleRecord(const Peer &From,
@@ -376,8 +410,10 @@
   if (Sender == m_Peers.end())
     return;
   if (const wire::StreamPeer *State = Frame.stream_peer()) {
-    Sender->second.m_TakesPart = true;
+    const bool IsNew = !std::exchange(Sender->second.m_TakesPart, true);
     Sender->second.m_IsStopping = State->stopping();
+    if (IsNew && !State->stopping() && Sender->second.m_Info.m_IsNear)
+      sendMissingCopies(From);
   }
   if (Frame.stream_origins() != nullptr)
     for (const wire::StreamOrigin *Received : *Frame.stream_origins())
--- a/src/resume/origin_exchange.h
+++ b/src/resume/origin_exchange.h
@@ -59,6 +59,9 @@
   /// case the first one has failed.
   static constexpr Duration ExportMemory = std::chrono::seconds(3);
 
+  /// Limit on the records that are kept for peers that are linked later.
+  static constexpr std::size_t MaxUncopied = 1 << 13;
+
   /// Lookups that this instance does for others at a time.
   static constexpr std::size_t MaxSearches = 4096;
 
@@ -123,6 +126,13 @@
 
   using SearchId = std::uint64_t;
 
+  /// A record that fewer than CopyCount others have got.
+  struct UncopiedRecord {
+    StreamRecord m_Record;   ///< With its lifetime when it began.
+    TimePoint m_Since;       ///< When it began.
+    std::size_t m_Count = 0; ///< Others that have got it.
+  };
+
   /// A record that is to be passed on to another zone.
   struct Export {
     TimePoint m_Since;     ///< When it was recorded here.
@@ -150,6 +160,9 @@
   void handleAnswer(link::LinkId From, const wire::StreamAnswer &Answer);
   void handleRecord(const Peer &From, const wire::StreamOrigin &Received);
   void keep(const StreamRecord &Record);
+  void sendRecord(link::LinkId To, const StreamRecord &Record);
+  void keepForLaterPeers(const StreamRecord &Begun, std::size_t Copies);
+  void sendMissingCopies(link::LinkId To);
   [[nodiscard]] const StreamOrigin *findAny(const StreamKey &Key) const;
   void queueExport(const StreamRecord &Record);
   void sendExports();
@@ -165,6 +178,7 @@
   bool m_IsActiveHub = false;            ///< See setActiveHub().
   OriginArchive *m_Archive = nullptr;    ///< Null: there is none.
   bool m_IsStopping = false;             ///< After stop().
+  std::deque<UncopiedRecord> m_Uncopied; ///< In the order of m_Since.
   std::map<SearchId, Search> m_Searches; ///< In progress.
   SearchId m_LastSearch = 0;             ///< The first id is 1.
   std::deque<Export> m_Exports;          ///< In the order of m_Since.
--- a/tests/unit/origin_exchange_test.cpp
+++ b/tests/unit/origin_exchange_test.cpp
@@ -144,6 +144,40 @@
   BOOST_TEST((Env.linksWithQuestions() == std::vector<std::uint64_t>{2}));
 }
 
+// Guards against an origin that no other instance has, as its stream began
+// while the links to most of them were down.
+BOOST_AUTO_TEST_CASE(MissingCopiesGoToPeersThatAreLinkedLater) {
+  ExchangeEnv Env(1);
+  Env.m_Exchange.record(Record);
+  Env.m_Timers.advance(4s);
+  const std::uint64_t Last = OriginExchange::CopyCount + 1;
+  for (std::uint64_t I = 2; I <= Last; ++I) {
+    Env.addPeer(I, Own, true);
+    Env.announce(I, false);
+    Env.announce(I, false);
+  }
+  BOOST_TEST((Env.linksWithRecords() == std::vector<std::uint64_t>{1, 2, 3}));
+  const auto &Late = Env.m_Links.m_Frames[link::LinkId(2)].stream_origins;
+  BOOST_TEST(Late.size() == 1U);
+  BOOST_TEST(Late[0]->lifetime_ms == 6000U);
+}
+
+// Guards against copies of streams that have ended, at peers that stop and at
+// those of other zones.
+BOOST_AUTO_TEST_CASE(MissingCopiesGoOnlyWhereTheyAreOfUse) {
+  ExchangeEnv Env;
+  Env.m_Exchange.record(Record);
+  Env.addPeer(1, Own, true);
+  Env.announce(1, true);
+  Env.addPeer(2, Other, false);
+  Env.announce(2, false);
+  BOOST_TEST(Env.linksWithRecords().empty());
+  Env.m_Timers.advance(Record.m_Lifetime);
+  Env.addPeer(3, Own, true);
+  Env.announce(3, false);
+  BOOST_TEST(Env.linksWithRecords().empty());
+}
+
 // Guards against records that end with an instance that shuts down.
 BOOST_AUTO_TEST_CASE(AStoppingPeerGetsNoRecordsAndIsAsked) {
   ExchangeEnv Env(4);
