Fix: Keep the links of an instance that stops until its process ends

What callers saw: streams that began at a gateway after its SIGTERM went on nowhere once it had ended (503, origin_unknown).

Cause: a stopping gateway removes its row at once, and those that had dialled it closed their links when they read that, although it serves for seconds more. The one with the least address dials nobody, so it had no links left. All that links carry was lost with them: origins, crashes, limits, loads, usage. An instance that starts with a small address was in the same state until the others had read its row, up to 3 s later.

Fix: a dialler only stops dialling an instance that is no longer listed; the link stays until one end closes it. An instance dials the planned peers that are not linked 0.3 s after a change, whichever address is greater, and that link gives way when the peer dials as well. A stopping instance has no role once it is unlisted.

--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -37,12 +37,12 @@
       m_UpdatesReceived(Stats.counter("crowstep_directory_updates_total")),
       m_UpdatesDropped(
           Stats.counter("crowstep_directory_updates_dropped_total")),
-      m_DigestTimer(Timers) {}
+      m_DigestTimer(Timers), m_DialTimer(Timers) {}
 
 DigestExchange::~DigestExchange() = default;
 
 void DigestExchange::setPeers(const PeerList &Peers) {
-  m_Plan = planExchange(m_Self, Peers.m_Instances);
+  m_Plan = planExchange(m_Self, Peers.m_Instances, m_IsStopping);
   m_FirstZone = m_Self.m_Zone.m_Name;
   for (const PeerInstance &Peer : Peers.m_Instances)
     m_FirstZone = std::min(m_FirstZone, Peer.m_Zone.m_Name);
@@ -50,7 +50,7 @@
     m_Links = m_OpenLinks(Peers.m_Key, *this);
     sendDigests();
   }
-  updateDials();
+  updateDials(Peers);
   if (m_Origins != nullptr)
     m_Origins->setHubs(m_Plan.m_Hubs);
   for (auto &[Link, Peer] : m_PeerLinks) {
@@ -60,32 +60,71 @@
   }
 }
 
-/// Each pair has one link: the instance with the greater address dials.
-void DigestExchange::updateDials() {
+void DigestExchange::stop() { m_IsStopping = true; }
+
+/// Each pair has one link: the instance with the greater address dials. A peer
+/// that is no longer listed stops, but serves until its process ends: its link
+/// stays until then. One that stops keeps its links as well.
+void DigestExchange::updateDials(const PeerList &Peers) {
   std::set<Address> Wanted;
-  for (const auto *Peers : {&m_Plan.m_NearPeers, &m_Plan.m_OtherHubs})
-    for (const auto &[Id, Where] : *Peers)
-      if (Where < m_Self.m_Address)
+  for (const auto *Planned : {&m_Plan.m_NearPeers, &m_Plan.m_OtherHubs})
+    for (const auto &[Id, Where] : *Planned)
+      if (Where < m_Self.m_Address || m_DialledInstead.contains(Where))
         Wanted.insert(Where);
+  std::set<Address> Listed;
+  for (const PeerInstance &Peer : Peers.m_Instances)
+    Listed.insert(Peer.m_Address);
   for (const Address &Where : m_Dialled)
-    if (!Wanted.contains(Where))
-      m_Links->disconnect(Where);
+    if (!Wanted.contains(Where)) {
+      m_DialledInstead.erase(Where);
+      if (Listed.contains(Where) && !m_IsStopping)
+        m_Links->disconnect(Where);
+      else
+        m_Links->stopDialling(Where);
+    }
   for (const Address &Where : Wanted)
     if (!m_Dialled.contains(Where))
       m_Links->dial(Where);
   m_Dialled = std::move(Wanted);
+  scheduleMissingDials();
+}
+
+void DigestExchange::scheduleMissingDials() {
+  if (!m_DialTimer.isRunning())
+    m_DialTimer.start(DialWait, [this] { dialMissingPeers(); });
+}
+
+/// The peer that should dial does so once it knows this instance, and the link
+/// made here then gives way (see linkUp()).
+void DigestExchange::dialMissingPeers() {
+  for (const auto *Planned : {&m_Plan.m_NearPeers, &m_Plan.m_OtherHubs})
+    for (const auto &[Id, Where] : *Planned)
+      if (!isLinked(Id) && m_Dialled.insert(Where).second) {
+        m_DialledInstead.insert(Where);
+        m_Links->dial(Where);
+      }
+}
+
+bool DigestExchange::isLinked(InstanceId Peer) const {
+  return std::any_of(
+      m_PeerLinks.begin(), m_PeerLinks.end(),
+      [&](const auto &Entry) { return Entry.second.m_Instance == Peer; });
 }
 
 // ---- Links ------------------------------------------------------------------
 
-/// A peer that is not in this instance's list yet is near if it is in the same
-/// zone.
+/// A peer that is not in this instance's list, or no longer, is near if those
+/// of its zone are.
 bool DigestExchange::isNearPeer(const PeerLink &Link) const {
   return m_Plan.m_NearPeers.contains(Link.m_Instance) ||
-         Link.m_Zone == m_Self.m_Zone;
+         Link.m_Zone == m_Self.m_Zone || m_Plan.m_Hubs.empty();
 }
 
 void DigestExchange::linkUp(link::LinkId Link, const link::Peer &Peer) {
+  if (isLinked(Peer.m_Instance) && m_DialledInstead.erase(Peer.m_Address) > 0) {
+    m_Dialled.erase(Peer.m_Address);
+    m_Links->disconnect(Peer.m_Address);
+  }
   const PeerLink NewLink = {Peer.m_Instance, Peer.m_Zone, false, m_Clock.now()};
   updateUsageRole(Link, m_PeerLinks[Link] = NewLink);
   if (m_Origins != nullptr)
@@ -137,6 +176,9 @@
   m_PeerLinks.erase(Link);
   if (m_Origins != nullptr)
     m_Origins->removePeer(Link);
+  scheduleMissingDials();
+  if (isLinked(Peer.m_Instance))
+    return;
   m_Balancer.removePeer(Peer.m_Instance);
   m_OwnZoneSum.drop(Peer.m_Instance);
   if (m_Usage != nullptr)
--- a/src/gateway/digest_exchange.h
+++ b/src/gateway/digest_exchange.h
@@ -52,6 +52,10 @@
   static constexpr Duration HubSilenceLimit =
       balance::PeerLoads::DigestLifetime;
 
+  /// A peer that has not dialled this instance within this time is dialled: it
+  /// may not have read yet that this instance is listed, or no longer lists it.
+  static constexpr Duration DialWait = std::chrono::milliseconds(300);
+
   /// \p Self holds the address at which others open links to this instance.
   /// \p Usage and \p Origins outlive this object; null: no usage is reported,
   /// or no origins of streams are exchanged.
@@ -66,6 +70,10 @@
   /// Connects to \p Peers, which may include this instance.
   void setPeers(const PeerList &Peers);
 
+  /// This instance ends soon. It takes part until then, but once it is no
+  /// longer listed it is neither a hub, a reader nor a collector.
+  void stop();
+
   /// Returns the role of this instance in reading the directory for its near
   /// peers; Alone if there are none.
   [[nodiscard]] ReadingRole readingRole() const;
@@ -99,7 +107,10 @@
                 link::CloseReason Reason) override;
   void dialFailed(const Address &Where, link::CloseReason Reason) override;
 
-  void updateDials();
+  void updateDials(const PeerList &Peers);
+  void scheduleMissingDials();
+  void dialMissingPeers();
+  [[nodiscard]] bool isLinked(InstanceId Peer) const;
   void sendDigests();
   void sendToNearPeers(const balance::LoadDigest &Own);
   void relayZoneSums(const balance::LoadDigest &Own);
@@ -127,15 +138,18 @@
   ExchangePlan m_Plan;                  ///< For the last list of peers.
   std::string m_FirstZone;              ///< Of all zones, by name.
   std::set<Address> m_Dialled;          ///< Peers that this instance dials.
+  std::set<Address> m_DialledInstead;   ///< Of these, those that should dial.
   std::map<link::LinkId, PeerLink> m_PeerLinks; ///< Established links.
   bool m_LastDigestEmpty = true;                ///< Or none was sent yet.
   bool m_IsHub = false;         ///< This instance is its zone's hub.
+  bool m_IsStopping = false;    ///< After stop().
   unsigned m_IntervalCount = 0; ///< Digest intervals so far.
   balance::DigestSum m_OwnZoneSum{
       speed::SpeedSums::ZoneSumLimit}; ///< A hub sends it to other zones.
   balance::DigestSum m_OtherZonesSum{
       speed::SpeedSums::OtherZonesLimit}; ///< A hub sends it to its zone.
   Timer m_DigestTimer;                    ///< Until the next digest.
+  Timer m_DialTimer;                      ///< Until dialMissingPeers().
 };
 
 } // namespace crowstep::gateway
--- a/src/gateway/exchange_plan.cpp
+++ b/src/gateway/exchange_plan.cpp
@@ -23,6 +23,12 @@
   return RankOf(Left) > RankOf(Right);
 }
 
+bool isListed(const std::vector<PeerInstance> &All, const PeerInstance &Self) {
+  return std::any_of(All.begin(), All.end(), [&](const PeerInstance &Peer) {
+    return Peer.m_Name == Self.m_Name;
+  });
+}
+
 using Zones = std::map<AvailabilityZone, std::vector<PeerInstance>>;
 
 /// Without hubs, the best instances of all read the directory, collect, and are
@@ -64,18 +70,22 @@
   Result.m_Readers = Result.m_Hubs;
   Result.m_Collectors.insert(Result.m_Hubs.begin(), Result.m_Hubs.end());
   const InstanceId SelfId = instanceIdOf(Self.m_Name);
+  const bool IsFirstHub =
+      !Result.m_Hubs.empty() && Result.m_Hubs.front() == SelfId;
   const bool IsCandidate = All.size() < ExchangePlan::ZonesForOneCandidate
                                ? Result.m_Collectors.contains(SelfId)
-                               : Result.m_Hubs.front() == SelfId;
+                               : IsFirstHub;
   Result.m_IsDutyCandidate = IsCandidate && hasCandidates(All, Self.m_Zone);
 }
 
 } // namespace
 
 ExchangePlan planExchange(const PeerInstance &Self,
-                          const std::vector<PeerInstance> &All) {
+                          const std::vector<PeerInstance> &All,
+                          bool IsStopping) {
   Zones ByZone;
-  ByZone[Self.m_Zone].push_back(Self);
+  if (!IsStopping || isListed(All, Self))
+    ByZone[Self.m_Zone].push_back(Self);
   for (const PeerInstance &Peer : All)
     if (Peer.m_Name != Self.m_Name)
       ByZone[Peer.m_Zone].push_back(Peer);
--- a/src/gateway/exchange_plan.h
+++ b/src/gateway/exchange_plan.h
@@ -47,10 +47,12 @@
   bool m_IsDutyCandidate = false;    ///< Self may hold the duties.
 };
 
-/// Returns the plan of \p Self, which may be among \p All. Instances with the
-/// same list compute consistent plans.
+/// Returns the plan of \p Self. Instances with the same list compute consistent
+/// plans. \p Self counts as listed unless it is \p IsStopping: then it has a
+/// role only while it is among \p All.
 ExchangePlan planExchange(const PeerInstance &Self,
-                          const std::vector<PeerInstance> &All);
+                          const std::vector<PeerInstance> &All,
+                          bool IsStopping = false);
 
 } // namespace crowstep::gateway
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -539,6 +539,7 @@
   if (m_Settings.m_GracePeriod > KillMargin)
     m_StopLimit = m_StopBeganAt + m_Settings.m_GracePeriod - KillMargin;
   m_OnStopped = std::move(Done);
+  m_Exchange.stop();
   m_PlatformParts.m_Directory->deregister();
   m_CallRelay->stop();
   m_Origins.stop();
--- a/src/link/link_tcp.cpp
+++ b/src/link/link_tcp.cpp
@@ -43,6 +43,7 @@
   void start();
   void dial(const Address &Remote);
   void disconnect(const Address &Remote);
+  void stopDialling(const Address &Remote);
   wire::FrameT &outbox(LinkId Link);
   void flush(LinkId Link);
   [[nodiscard]] std::size_t queuedBytes(LinkId Link) const;
@@ -116,7 +117,16 @@
 }
 
 void TcpLinks::Impl::dial(const Address &Remote) {
-  if (m_Dials.try_emplace(Remote, m_Timers).second)
+  const auto [Entry, IsNew] = m_Dials.try_emplace(Remote, m_Timers);
+  if (!IsNew)
+    return;
+  // stopDialling() may have left a link.
+  const auto Open = std::ranges::find_if(m_Connections, [&](const auto &Known) {
+    return Known.second->dialledAddress() == Remote;
+  });
+  if (Open != m_Connections.end())
+    Entry->second.m_Attempt = Open->first;
+  else
     attemptDial(Remote);
 }
 
@@ -157,6 +167,17 @@
   close(Attempt);
 }
 
+void TcpLinks::Impl::stopDialling(const Address &Remote) {
+  const auto Found = m_Dials.find(Remote);
+  if (Found == m_Dials.end())
+    return;
+  const auto Open = m_Connections.find(Found->second.m_Attempt);
+  if (Open != m_Connections.end() && Open->second->isUp())
+    m_Dials.erase(Found);
+  else
+    disconnect(Remote);
+}
+
 void TcpLinks::Impl::close(LinkId Link) {
   const auto Found = m_Connections.find(Link);
   if (Found == m_Connections.end())
@@ -273,6 +294,9 @@
 void TcpLinks::start() { m_Impl->start(); }
 void TcpLinks::dial(const Address &Remote) { m_Impl->dial(Remote); }
 void TcpLinks::disconnect(const Address &Remote) { m_Impl->disconnect(Remote); }
+void TcpLinks::stopDialling(const Address &Remote) {
+  m_Impl->stopDialling(Remote);
+}
 wire::FrameT &TcpLinks::outbox(LinkId Link) { return m_Impl->outbox(Link); }
 void TcpLinks::flush(LinkId Link) { m_Impl->flush(Link); }
 std::size_t TcpLinks::queuedBytes(LinkId Link) const {
--- a/src/link/link_tcp.h
+++ b/src/link/link_tcp.h
@@ -45,6 +45,7 @@
 
   void dial(const Address &Remote) override;
   void disconnect(const Address &Remote) override;
+  void stopDialling(const Address &Remote) override;
   wire::FrameT &outbox(LinkId Link) override;
   void flush(LinkId Link) override;
   [[nodiscard]] std::size_t queuedBytes(LinkId Link) const override;
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -69,6 +69,10 @@
   /// Closes the link to \p Remote and stops dialling it.
   virtual void disconnect(const Address &Remote) = 0;
 
+  /// Stops dialling \p Remote. A link that is up stays until it is closed or
+  /// fails.
+  virtual void stopDialling(const Address &Remote) = 0;
+
   /// Returns the frame under assembly for \p Link. Its messages are sent as one
   /// frame at the end of the loop iteration. For a link that is not up the
   /// frame is discarded.
--- a/tests/process/resumed_stream_version_test.cpp
+++ b/tests/process/resumed_stream_version_test.cpp
@@ -20,6 +20,9 @@
 /// Until the others know that a gateway was killed.
 constexpr Duration KillTime = 100ms;
 
+/// Until the others have read that a gateway is no longer listed.
+constexpr Duration UnlistTime = 500ms;
+
 /// Until a gateway that was started is linked with the others.
 constexpr Duration StartTime = 4s;
 
@@ -74,6 +77,22 @@
   resumeAndCheck(Fleet, 3);
 }
 
+// Guards against streams that no other gateway knows, as they began at one
+// after its SIGTERM.
+BOOST_AUTO_TEST_CASE(AStreamThatBeganInAStopContinues) {
+  VersionFleet Fleet(4);
+  std::size_t Stopping = 0;
+  for (std::size_t I = 1; I < Fleet.size(); ++I)
+    if (Fleet.linkAddress(I) < Fleet.linkAddress(Stopping))
+      Stopping = I;
+  Fleet.process(Stopping).signal(SIGTERM);
+  runFor(UnlistTime);
+  Fleet.begin(Stopping, StreamCount);
+  Fleet.process(Stopping).signal(SIGKILL);
+  runFor(KillTime);
+  resumeAndCheck(Fleet, (Stopping + 1) % Fleet.size());
+}
+
 // Guards against a gateway that has forgotten its streams and takes them for
 // new ones.
 BOOST_AUTO_TEST_CASE(ARestartedGatewayAsksTheOthers) {
--- a/tests/unit/attachment_test.cpp
+++ b/tests/unit/attachment_test.cpp
@@ -15,6 +15,7 @@
 public:
   void dial(const Address &) override {}
   void disconnect(const Address &) override {}
+  void stopDialling(const Address &) override {}
   wire::FrameT &outbox(link::LinkId Link) override { return m_Out[Link]; }
   void flush(link::LinkId) override {}
   void close(link::LinkId) override {}
--- a/tests/unit/digest_exchange_test.cpp
+++ b/tests/unit/digest_exchange_test.cpp
@@ -367,6 +367,52 @@
   BOOST_TEST(candidatesKnow(F, Window, 30));
 }
 
+// Guards against requests that are not reported because they began after their
+// instance had left the list.
+BOOST_AUTO_TEST_CASE(UsageOfAStoppingInstanceIsReported) {
+  for (const auto &[Zones, InZone] :
+       {std::pair(2, 2), std::pair(3, 3), std::pair(4, 21), std::pair(6, 50)}) {
+    const auto Count = static_cast<std::size_t>(Zones * InZone);
+    for (const std::size_t Index : {std::size_t(0), Count / 2, Count - 1}) {
+      Fleet F(Zones, InZone);
+      F.run(1s);
+      Instance &Stopping = *F.m_Instances[Index];
+      const duty::UsageWindow Window = Stopping.m_Meter.currentWindow();
+      F.beginStop(Stopping);
+      F.run(200ms);
+      Stopping.m_Meter.recordBegun("w");
+      F.run(1s);
+      F.m_Instances.erase(F.m_Instances.begin() +
+                          static_cast<std::ptrdiff_t>(Index));
+      F.run(500ms);
+      BOOST_TEST(candidatesKnow(F, Window, 1));
+    }
+  }
+}
+
+// Guards against roles that stay with an instance that is about to end, or that
+// nobody has.
+BOOST_AUTO_TEST_CASE(AStoppingInstanceHasNoRoleOnceItIsUnlisted) {
+  for (const auto &[Zones, InZone] : {std::pair(3, 3), std::pair(3, 10)}) {
+    Fleet F(Zones, InZone);
+    F.run(1s);
+    for (std::size_t Index = 0; Index < F.m_Instances.size() - 3; ++Index) {
+      Instance &Stopping = *F.m_Instances[Index];
+      const ReadingRole Before = Stopping.m_Exchange.readingRole();
+      Stopping.m_Exchange.stop();
+      Stopping.m_Exchange.setPeers(F.m_List);
+      BOOST_TEST((Stopping.m_Exchange.readingRole() == Before));
+      F.beginStop(Stopping);
+      BOOST_TEST(!Stopping.m_Exchange.isDutyCandidate());
+      BOOST_TEST((Stopping.m_Exchange.readingRole() != ReadingRole::Reader));
+      BOOST_TEST((Stopping.m_Exchange.readingRole() != ReadingRole::Deputy));
+    }
+    BOOST_TEST(std::ranges::any_of(F.m_Instances, [](const auto &Member) {
+      return Member->m_Exchange.isDutyCandidate();
+    }));
+  }
+}
+
 // Guards against windows by a single machine's time of day.
 BOOST_AUTO_TEST_CASE(PeersCorrectAWrongClock) {
   Fleet F(1, 6);
--- a/tests/unit/digest_fleet.h
+++ b/tests/unit/digest_fleet.h
@@ -23,7 +23,8 @@
       : m_Network(Net), m_Self(Self), m_Listener(Listener) {}
   ~FakeLinks() override;
   void dial(const Address &Where) override;
-  void disconnect(const Address &) override {}
+  void disconnect(const Address &Where) override;
+  void stopDialling(const Address &) override {}
   wire::FrameT &outbox(link::LinkId Link) override;
   void flush(link::LinkId) override {}
   void close(link::LinkId) override {}
@@ -81,6 +82,22 @@
     }
   }
 
+  /// Closes the link between an instance and the one at \p Where.
+  void disconnect(FakeLinks &From, const Address &Where) {
+    std::vector<LinkEnd> Closed;
+    for (auto &Entry : m_LinkEnds)
+      if ((Entry.second.m_From == &From &&
+           Entry.second.m_To->m_Self.m_Address == Where) ||
+          (Entry.second.m_To == &From &&
+           Entry.second.m_From->m_Self.m_Address == Where))
+        Closed.push_back(Entry.second);
+    for (const LinkEnd &Entry : Closed)
+      m_LinkEnds.erase(Entry.m_Id);
+    for (const LinkEnd &Entry : Closed)
+      Entry.m_From->m_Listener.linkDown(Entry.m_Id, peerOf(*Entry.m_To),
+                                        link::CloseReason::PeerClosed);
+  }
+
   /// Removes an instance and closes its links.
   void removeInstance(FakeLinks &Removed) {
     std::erase(m_All, &Removed);
@@ -132,6 +149,10 @@
   m_Network.dial(*this, Where);
 }
 
+inline void FakeLinks::disconnect(const Address &Where) {
+  m_Network.disconnect(*this, Where);
+}
+
 inline wire::FrameT &FakeLinks::outbox(link::LinkId Link) {
   static wire::FrameT Discarded;
   const auto Found = m_Network.m_LinkEnds.find(Link);
@@ -239,6 +260,16 @@
     }
   }
 
+  /// Begins a planned stop of an instance: it leaves the list.
+  void beginStop(Instance &Stopping) {
+    Stopping.m_Exchange.stop();
+    std::erase_if(m_List.m_Instances, [&](const PeerInstance &Peer) {
+      return Peer.m_Name == Stopping.m_Self.m_Name;
+    });
+    for (const auto &Member : m_Instances)
+      Member->m_Exchange.setPeers(m_List);
+  }
+
   void placeOneEach() {
     for (const auto &Member : m_Instances)
       Member->place(m_Clock.now());
--- a/tests/unit/entry_placement_test.cpp
+++ b/tests/unit/entry_placement_test.cpp
@@ -20,6 +20,7 @@
 public:
   void dial(const Address &Target) override { m_Dialled.insert(Target); }
   void disconnect(const Address &Target) override { m_Dialled.erase(Target); }
+  void stopDialling(const Address &) override {}
   wire::FrameT &outbox(LinkId Link) override { return m_Out[Link.value()]; }
   void flush(LinkId) override {}
   void close(LinkId) override {}
--- a/tests/unit/link_tcp_test.cpp
+++ b/tests/unit/link_tcp_test.cpp
@@ -231,6 +231,40 @@
   BOOST_TEST(m_Client->m_UpCount == 2);
 }
 
+// Guards against a link that ends with the wish to dial, and against a second
+// one beside it.
+BOOST_FIXTURE_TEST_CASE(ALinkOutlivesTheWishToDial, Pair) {
+  connect();
+  m_Client->m_Links.stopDialling(m_ServerAddress);
+  m_Client->m_Links.dial(m_ServerAddress);
+  m_Client->m_Links.stopDialling(m_ServerAddress);
+  m_Client->refuse(1);
+  runUntil([this] { return m_Server->m_MessageCount == 1; });
+  BOOST_TEST(m_Server->m_UpCount == 1);
+  m_Server.reset();
+  runUntil([this] { return m_Client->m_DownReason.has_value(); });
+  m_Server.emplace(configOf("server", m_ServerAddress));
+  LoopScheduler Timers;
+  bool HasWaited = false;
+  Timers.runAfter(200ms, [&] { HasWaited = true; });
+  runUntil([&] { return HasWaited; });
+  BOOST_TEST(m_Server->m_UpCount == 0);
+}
+
+// Guards against attempts to dial an address after they should have stopped.
+BOOST_FIXTURE_TEST_CASE(AnAttemptEndsWithTheWishToDial, Pair) {
+  m_Server.reset();
+  m_Client->m_Links.dial(m_ServerAddress);
+  runUntil([this] { return m_Client->m_DialFailure.has_value(); });
+  m_Client->m_Links.stopDialling(m_ServerAddress);
+  m_Server.emplace(configOf("server", m_ServerAddress));
+  LoopScheduler Timers;
+  bool HasWaited = false;
+  Timers.runAfter(200ms, [&] { HasWaited = true; });
+  runUntil([&] { return HasWaited; });
+  BOOST_TEST(m_Server->m_UpCount == 0);
+}
+
 // Guards against a link that is missing although the log shows it up.
 BOOST_FIXTURE_TEST_CASE(ALinkThatThisSideClosesIsLogged, Pair) {
   const test::CapturedLog Log;
--- a/tests/unit/path_fleet.h
+++ b/tests/unit/path_fleet.h
@@ -199,9 +199,19 @@
     Started.m_Budget.setInstances(m_Peers.m_Instances.size(),
                                   m_Clock.now() - 10s);
     Started.m_Relay.setTable(m_Table);
-    Started.m_Relay.setPeers(m_Peers);
+    Started.m_Relay.setPeers(listedPeers());
     if (m_HasDigests)
-      Started.joinDigests(m_DigestLinks, m_Timers, m_Clock, m_Peers);
+      Started.joinDigests(m_DigestLinks, m_Timers, m_Clock, listedPeers());
+  }
+
+  /// Returns the list of instances as the directory has it.
+  [[nodiscard]] PeerList listedPeers() const {
+    PeerList Result;
+    Result.m_Key = m_Peers.m_Key;
+    for (std::size_t I = 0; I < m_Peers.m_Instances.size(); ++I)
+      if (!m_Unlisted.contains(I))
+        Result.m_Instances.push_back(m_Peers.m_Instances[I]);
+    return Result;
   }
 
   /// Lets all instances, and those that start later, exchange digests and
@@ -425,7 +435,8 @@
   bool m_HasDigests = false; ///< See joinDigests().
   std::size_t m_Zones;
   RouteTablePtr m_Table;
-  PeerList m_Peers;
+  PeerList m_Peers;                 ///< All instances.
+  std::set<std::size_t> m_Unlisted; ///< Of these, not in the directory.
   std::vector<std::unique_ptr<PathInstance>> m_Instances; ///< Null: killed.
   std::vector<std::unique_ptr<PathRequest>> m_Requests;   ///< All, in order.
 
--- a/tests/unit/resume_fleet.h
+++ b/tests/unit/resume_fleet.h
@@ -61,6 +61,11 @@
   /// Until all instances are linked.
   static constexpr Duration LinkTime = 500ms;
 
+  /// Time in which all instances read a change of their list, usually and at
+  /// most.
+  static constexpr Duration UsualReadTime = 50ms;
+  static constexpr Duration LongestReadTime = 3s;
+
   ResumeFleet(std::size_t Instances, std::size_t Zones, std::size_t Engines,
               std::uint64_t Seed)
       : PathFleet(Instances, Zones, Engines, 0), m_Random(Seed),
@@ -96,10 +101,37 @@
       return;
     stopInstance(Instance);
     m_CalmSince[Instance] = m_Clock.now() + Down;
-    m_Timers.runAfter(Down, [this, Instance] {
-      startInstance(Instance);
-      m_Instances[Instance]->setUpstreams(m_World.m_List);
-    });
+    m_Timers.runAfter(Down, [this, Instance] { start(Instance); });
+  }
+
+  /// Starts an instance. If it is not listed, the others read its row late.
+  void start(std::size_t Instance) {
+    const bool IsNew = m_Unlisted.erase(Instance) > 0;
+    startUnread(Instance);
+    if (IsNew)
+      publishPeers(LongestReadTime);
+  }
+
+  /// Starts an instance whose row the others don't read.
+  void startUnread(std::size_t Instance) {
+    startInstance(Instance);
+    m_Instances[Instance]->setUpstreams(m_World.m_List);
+  }
+
+  /// Begins a planned stop: the instance leaves the list and serves until it
+  /// is killed.
+  void beginStop(std::size_t Instance) {
+    if (m_Instances[Instance] == nullptr)
+      return;
+    m_Instances[Instance]->m_Digests->stop();
+    m_Instances[Instance]->m_Origins.stop();
+    m_Unlisted.insert(Instance);
+    publishPeers(UsualReadTime);
+  }
+
+  /// Resets all links between an instance and the others.
+  void breakDigestLinks(std::size_t Instance) {
+    m_DigestLinks.breakLinks(m_Peers.m_Instances[Instance].m_Name);
   }
 
   void freezeFor(std::size_t Instance, Duration Span) {
@@ -142,6 +174,10 @@
   }
 
   ResumeShares m_Shares; ///< At instances in contact.
+
+  /// Instances that get all new streams; empty: any instance does. Streams are
+  /// resumed at instances that are listed.
+  std::vector<std::size_t> m_NewStreamsAt;
   std::vector<std::unique_ptr<ResumedStream>> m_Streams; ///< All so far.
 
 private:
@@ -155,6 +191,28 @@
                         });
   }
 
+  /// Each instance reads the list of instances after a time of its own.
+  void publishPeers(Duration Longest) {
+    for (std::size_t I = 0; I < m_Instances.size(); ++I)
+      m_Timers.runAfter(
+          Duration(m_Random() % static_cast<std::uint64_t>(Longest.count())),
+          [this, I] {
+            if (m_Instances[I] == nullptr)
+              return;
+            m_Instances[I]->m_Digests->setPeers(listedPeers());
+            m_Instances[I]->m_Relay.setPeers(listedPeers());
+          });
+  }
+
+  std::size_t chooseInstance(const ResumedStream &Stream) {
+    if (Stream.m_Events.empty() && !m_NewStreamsAt.empty())
+      return m_NewStreamsAt[draw(m_NewStreamsAt.size())];
+    std::size_t Result = draw(m_Instances.size());
+    while (m_Unlisted.contains(Result))
+      Result = draw(m_Instances.size());
+    return Result;
+  }
+
   [[nodiscard]] bool allEnded() const {
     return std::ranges::all_of(
         m_Streams, [](const auto &Stream) { return Stream->m_HasEnded; });
@@ -178,7 +236,7 @@
   }
 
   void sendAttempt(ResumedStream &Stream) {
-    const std::size_t Instance = draw(m_Instances.size());
+    const std::size_t Instance = chooseInstance(Stream);
     if (m_Instances[Instance] == nullptr) {
       Stream.m_NextAt = m_Clock.now() + 10ms;
       return;
--- a/tests/unit/simulated_links.h
+++ b/tests/unit/simulated_links.h
@@ -6,6 +6,7 @@
 #include "gateway/directory.h"
 #include "link/link_type.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -44,6 +45,9 @@
   /// The instance has started.
   void add(SimulatedLinks &Started);
 
+  /// All links of an instance are lost.
+  void breakLinks(const std::string &Instance);
+
   /// The instance is gone: its links close at their other ends.
   void remove(SimulatedLinks &Gone);
 
@@ -63,6 +67,7 @@
 
 private:
   void redial(const SimulatedLinks &From, const Address &Where);
+  void notifyClosed(const End &Closed, link::LinkId Link);
   void deliver(link::LinkId To, const std::vector<std::uint8_t> &Bytes);
   void after(Duration Span, std::function<void()> Job) {
     m_Timers.runAfter(Span, std::move(Job));
@@ -92,7 +97,16 @@
 
   void dial(const Address &Where) override {
     m_Wanted.insert(Where);
-    m_Network.connect(*this, Where);
+    const auto Kept = m_Kept.extract(Where);
+    if (!Kept.empty() && m_Network.m_Ends.contains(Kept.mapped()))
+      m_Dialled[Where] = Kept.mapped();
+    else
+      m_Network.connect(*this, Where);
+  }
+  void stopDialling(const Address &Where) override {
+    m_Wanted.erase(Where);
+    if (const auto Dialled = m_Dialled.extract(Where); !Dialled.empty())
+      m_Kept[Where] = Dialled.mapped();
   }
   void disconnect(const Address &Where) override {
     m_Wanted.erase(Where);
@@ -121,6 +135,7 @@
   gateway::PeerInstance m_Self;              ///< Its instance.
   link::LinkListener &m_Listener;            ///< Outlives it.
   std::map<Address, link::LinkId> m_Dialled; ///< Links that it dialled.
+  std::map<Address, link::LinkId> m_Kept;    ///< After stopDialling().
   std::set<Address> m_Wanted;                ///< Dialled until disconnect().
   std::uint64_t m_Serial = 0;                ///< Unique in the network.
 };
@@ -216,6 +231,7 @@
     return;
   const link::LinkId Remote = Found->second.m_Remote;
   const link::Peer Self = Found->second.m_Owner->asPeer();
+  notifyClosed(Found->second, Link);
   m_Ends.erase(Found);
   after(Delay, [this, Remote, Self] {
     const auto Other = m_Ends.find(Remote);
@@ -232,6 +248,37 @@
   });
 }
 
+/// The listener learns of a link that its own side closed from the loop.
+inline void LinkNetwork::notifyClosed(const End &Closed, link::LinkId Link) {
+  const auto Remote = m_Ends.find(Closed.m_Remote);
+  if (Remote == m_Ends.end())
+    return;
+  after(Duration::zero(), [this, Serial = Closed.m_Owner->m_Serial, Link,
+                           Peer = Remote->second.m_Owner->asPeer()] {
+    if (const auto Owner = m_All.find(Serial); Owner != m_All.end())
+      Owner->second->m_Listener.linkDown(Link, Peer, link::CloseReason::Local);
+  });
+}
+
+inline void LinkNetwork::breakLinks(const std::string &Instance) {
+  std::vector<link::LinkId> Links;
+  for (const auto &[Id, Entry] : m_Ends)
+    if (Entry.m_Owner->m_Self.m_Name == Instance)
+      Links.push_back(Id);
+  for (const link::LinkId Link : Links) {
+    SimulatedLinks &Owner = *m_Ends.at(Link).m_Owner;
+    const auto Dialled =
+        std::ranges::find_if(Owner.m_Dialled, [&](const auto &Entry) {
+          return Entry.second == Link;
+        });
+    close(Link);
+    if (Dialled == Owner.m_Dialled.end())
+      continue;
+    redial(Owner, Dialled->first);
+    Owner.m_Dialled.erase(Dialled);
+  }
+}
+
 inline void LinkNetwork::remove(SimulatedLinks &Gone) {
   m_All.erase(Gone.m_Serial);
   std::erase_if(m_Listening,
