Fix: Send a last digest before the process of an instance ends

What upstreams and the platform saw: requests and crashes of the last digest interval (0.1 s, 0.3 s where a zone has 60 instances) of an instance that ended as planned were unknown to all others, so such a request was not reported, and a crash counted nowhere.

Cause: digests and usage counters leave on a timer, and the process ended between two of its runs.

Fix: both ways in which a stop ends send what is due and write it to the sockets before the process ends.

Evidence: digest_exchange_test/TheLastFactsOfAnInstanceArrive, in fleets with and without hubs, fails without the call to flush() (4 checks) and passes with it.

--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -286,6 +286,14 @@
     sendUsage();
 }
 
+void DigestExchange::flush() {
+  if (m_Links == nullptr)
+    return;
+  sendDigests();
+  for (const auto &[Link, Peer] : m_PeerLinks)
+    m_Links->flush(Link);
+}
+
 void DigestExchange::sendToNearPeers(const balance::LoadDigest &Own) {
   // One empty digest clears the last one; further ones would change nothing. A
   // hub sends them all the same, as its silence means that it has failed.
--- a/src/gateway/digest_exchange.h
+++ b/src/gateway/digest_exchange.h
@@ -74,6 +74,9 @@
   /// longer listed it is neither a hub, a reader nor a collector.
   void stop();
 
+  /// Sends what is due at once, as the process is about to end.
+  void flush();
+
   /// Returns the role of this instance in reading the directory for its near
   /// peers; Alone if there are none.
   [[nodiscard]] ReadingRole readingRole() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -558,6 +558,12 @@
     Request->cut(ElsewhereRetryAfter);
 }
 
+/// The usage and the crashes of the last digest interval are known here only.
+void Gateway::endStop() {
+  m_Exchange.flush();
+  m_OnStopped();
+}
+
 bool Gateway::isOutOfRotation() const {
   return m_Stopping && m_Clock.now() - m_StopBeganAt >= OutOfRotation;
 }
@@ -570,7 +576,7 @@
         m_Front.lingeringConnections() == 0 &&
         m_CallRelay->carriedCalls() == 0) {
       logEvent(LogEvent::GatewayDrained);
-      m_OnStopped();
+      endStop();
       return;
     }
   }
@@ -582,7 +588,7 @@
               {"open", std::to_string(m_Front.openRequests())},
               {"lingering", std::to_string(m_Front.lingeringConnections())}});
     cutRequests();
-    m_StopTimer.start(FinalLingerTime, [this] { m_OnStopped(); });
+    m_StopTimer.start(FinalLingerTime, [this] { endStop(); });
     return;
   }
   if (m_Clock.now() - m_DrainLoggedAt >= DrainLogInterval) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -94,6 +94,7 @@
   [[nodiscard]] bool isOutOfRotation() const;
   void cutRequests();
   void checkStopped();
+  void endStop();
   [[nodiscard]] bool isReady() const;
   void applyMemory();
 
--- a/tests/unit/digest_exchange_test.cpp
+++ b/tests/unit/digest_exchange_test.cpp
@@ -390,6 +390,36 @@
   }
 }
 
+// Guards against requests and crashes that are unknown to the others because
+// they came after the last digest of an instance that ends.
+BOOST_AUTO_TEST_CASE(TheLastFactsOfAnInstanceArrive) {
+  const ContentHash Crashing{1, 1};
+  for (const auto &[Zones, InZone] : {std::pair(3, 3), std::pair(3, 10)}) {
+    Fleet F(Zones, InZone);
+    F.run(1s);
+    Instance &Stopping = *F.m_Instances[0];
+    const duty::UsageWindow Window = Stopping.m_Meter.currentWindow();
+    F.beginStop(Stopping);
+    F.run(200ms);
+    Stopping.m_Meter.recordBegun("w");
+    quarantine::Quarantine &Crashes = Stopping.m_Balancer.quarantine();
+    for (std::uint64_t I = 1; I <= quarantine::Quarantine::CrashThreshold;
+         ++I) {
+      Crashes.recordBrokenCall(
+          {{Crashing, {}}, UpstreamId(I), IncarnationId(I)}, F.m_Clock.now());
+      Crashes.recordUpstreamDown(UpstreamId(I), F.m_Clock.now());
+    }
+    Stopping.m_Exchange.flush();
+    F.m_Instances.erase(F.m_Instances.begin());
+    F.run(1s);
+    BOOST_TEST(candidatesKnow(F, Window, 1));
+    BOOST_TEST(std::ranges::all_of(F.m_Instances, [&](const auto &Member) {
+      return Member->m_Balancer.quarantine().remainingHold(
+                 Crashing, F.m_Clock.now()) > Duration::zero();
+    }));
+  }
+}
+
 // Guards against roles that stay with an instance that is about to end, or that
 // nobody has.
 BOOST_AUTO_TEST_CASE(AStoppingInstanceHasNoRoleOnceItIsUnlisted) {
--- a/tests/unit/digest_fleet.h
+++ b/tests/unit/digest_fleet.h
@@ -26,7 +26,7 @@
   void disconnect(const Address &Where) override;
   void stopDialling(const Address &) override {}
   wire::FrameT &outbox(link::LinkId Link) override;
-  void flush(link::LinkId) override {}
+  void flush(link::LinkId Link) override;
   void close(link::LinkId) override {}
 
   Network &m_Network;             ///< Outlives it.
@@ -62,24 +62,27 @@
 
   void deliver() {
     connect();
-    for (auto &Entry : m_LinkEnds) {
-      if (!Entry.second.m_HasFrame)
-        continue;
-      Entry.second.m_HasFrame = false;
-      if (Entry.second.m_From == m_Stalled || (m_Loses && m_Loses())) {
-        Entry.second.m_Frame = {};
-        continue;
-      }
-      flatbuffers::FlatBufferBuilder Builder;
-      Builder.Finish(wire::Frame::Pack(Builder, &Entry.second.m_Frame));
-      Entry.second.m_Frame = {};
-      Entry.second.m_Bytes += Builder.GetSize();
-      ++m_Frames[Entry.second.m_From->m_Self.m_Name];
-      m_Bytes[Entry.second.m_From->m_Self.m_Zone !=
-              Entry.second.m_To->m_Self.m_Zone] += Builder.GetSize();
-      Entry.second.m_To->m_Listener.linkFrame(
-          Entry.second.m_RemoteId, *wire::GetFrame(Builder.GetBufferPointer()));
+    for (auto &Entry : m_LinkEnds)
+      deliver(Entry.second);
+  }
+
+  void deliver(LinkEnd &Sending) {
+    if (!Sending.m_HasFrame)
+      return;
+    Sending.m_HasFrame = false;
+    if (Sending.m_From == m_Stalled || (m_Loses && m_Loses())) {
+      Sending.m_Frame = {};
+      return;
     }
+    flatbuffers::FlatBufferBuilder Builder;
+    Builder.Finish(wire::Frame::Pack(Builder, &Sending.m_Frame));
+    Sending.m_Frame = {};
+    Sending.m_Bytes += Builder.GetSize();
+    ++m_Frames[Sending.m_From->m_Self.m_Name];
+    m_Bytes[Sending.m_From->m_Self.m_Zone != Sending.m_To->m_Self.m_Zone] +=
+        Builder.GetSize();
+    Sending.m_To->m_Listener.linkFrame(
+        Sending.m_RemoteId, *wire::GetFrame(Builder.GetBufferPointer()));
   }
 
   /// Closes the link between an instance and the one at \p Where.
@@ -162,6 +165,12 @@
   return Found->second.m_Frame;
 }
 
+inline void FakeLinks::flush(link::LinkId Link) {
+  if (const auto Found = m_Network.m_LinkEnds.find(Link);
+      Found != m_Network.m_LinkEnds.end())
+    m_Network.deliver(Found->second);
+}
+
 /// Calendar time that follows the manual clock.
 class FakeWallClock final : public WallClock {
 public:
