Fix: Send records of streams again that were lost with their links

What callers saw: a stream that began while its instance was cut off from the others, or whose record was on its way when the links were reset, went on nowhere once that instance had ended (503, origin_unknown).

Cause: a record is written to three links and nothing confirms it. A copy on a link that fails within the 3 s in which a dead one is found counted as kept. Those with too few copies went to whoever was linked next, also where nobody asks for them. And while two links to an instance are up, it counted as two holders.

Fix: RecordCopies tracks the records of the last 3 s, and older ones with fewer than three copies. When links change, each goes to those of its best holders that have no copy; copies on a link that has failed don't count. One instance is one holder.

No store call.

--- a/src/resume/origin_exchange.cpp
+++ b/src/resume/origin_exchange.cpp
@@ -34,7 +34,7 @@
                                const Clock &Time, Scheduler &Timers,
                                Metrics &Stats)
     : m_Self(Self), m_Zone(std::move(Zone)), m_Clock(Time), m_Timers(Timers),
-      m_ExportTimer(Timers),
+      m_CopyTimer(Timers), m_ExportTimer(Timers),
       m_KeptGauge(Stats.gauge("crowstep_stream_origins")),
       m_Copies(Stats.counter("crowstep_stream_origins_sent_total")),
       m_Found(Stats.counter("crowstep_stream_lookups_total",
@@ -59,6 +59,8 @@
 void OriginExchange::removePeer(link::LinkId Link) {
   m_Peers.erase(Link);
   updateArchiveRoles();
+  m_RecordCopies.removeLink(Link, m_Clock.now());
+  scheduleMissingCopies();
   std::vector<SearchId> Ended;
   for (auto &[Id, Open] : m_Searches)
     if (Open.m_Unanswered.erase(Link) > 0) {
@@ -121,23 +123,26 @@
   return std::ranges::find(m_Hubs, m_Self) != m_Hubs.end();
 }
 
-/// Returns the links of those that keep a stream, or that are asked for it.
-std::vector<link::LinkId> OriginExchange::holdersOf(const StreamKey &Key,
-                                                    bool ForRecord) const {
+/// Returns those that keep a stream, or that are asked for it. Two links to one
+/// instance may be up for a short time; the newer one stays.
+std::vector<RecordCopy> OriginExchange::holdersOf(const StreamKey &Key,
+                                                  bool ForRecord) const {
+  std::map<InstanceId, const Peer *> Usable;
+  for (const auto &[Link, Known] : m_Peers)
+    if (Known.m_Info.m_IsNear && Known.m_TakesPart &&
+        !(ForRecord && Known.m_IsStopping))
+      Usable[Known.m_Info.m_Instance] = &Known;
   std::vector<HolderCandidate> Candidates;
-  std::vector<link::LinkId> Links;
-  for (const auto &[Link, Known] : m_Peers) {
-    if (!Known.m_Info.m_IsNear || !Known.m_TakesPart ||
-        (ForRecord && Known.m_IsStopping))
-      continue;
-    const auto Hub = std::ranges::find(m_Hubs, Known.m_Info.m_Instance);
+  std::vector<RecordCopy> Links;
+  for (const auto &[Instance, Known] : Usable) {
+    const auto Hub = std::ranges::find(m_Hubs, Instance);
     Candidates.push_back(
-        {Known.m_Info.m_Instance, Known.m_Info.m_Zone,
+        {Instance, Known->m_Info.m_Zone,
          Hub == m_Hubs.end() ? NoHub
                              : static_cast<std::size_t>(Hub - m_Hubs.begin())});
-    Links.push_back(Link);
+    Links.push_back({Instance, Known->m_Info.m_Link});
   }
-  std::vector<link::LinkId> Result;
+  std::vector<RecordCopy> Result;
   for (const std::size_t Index :
        rankHolders(Key, Candidates, ForRecord ? CopyCount : AskedCount))
     Result.push_back(Links[Index]);
@@ -187,22 +192,12 @@
     queueExport(Begun);
   if (m_Archive != nullptr && (m_Hubs.empty() || isHub()))
     m_Archive->add(Begun);
-  const std::vector<link::LinkId> Holders = holdersOf(Begun.m_Key, true);
-  for (const link::LinkId Link : Holders) {
-    sendRecord(Link, Begun);
-    m_Links->flush(Link);
+  std::vector<RecordCopy> Holders = holdersOf(Begun.m_Key, true);
+  for (const RecordCopy &Holder : Holders) {
+    sendRecord(Holder.m_Link, Begun);
+    m_Links->flush(Holder.m_Link);
   }
-  if (Holders.size() < CopyCount)
-    keepForLaterPeers(Begun, Holders.size());
-}
-
-void OriginExchange::keepForLaterPeers(const StreamRecord &Begun,
-                                       std::size_t Copies) {
-  m_Uncopied.push_back({Begun, m_Clock.now(), Copies});
-  while (m_Uncopied.size() > MaxUncopied ||
-         m_Uncopied.front().m_Since + m_Uncopied.front().m_Record.m_Lifetime <=
-             m_Clock.now())
-    m_Uncopied.pop_front();
+  m_RecordCopies.add(Begun, std::move(Holders), m_Clock.now());
 }
 
 void OriginExchange::sendRecord(link::LinkId To, const StreamRecord &Record) {
@@ -210,22 +205,18 @@
   m_Copies.add();
 }
 
-/// Sends a peer that takes part now the records of open streams that began
-/// while too few did.
-void OriginExchange::sendMissingCopies(link::LinkId To) {
-  const TimePoint Now = m_Clock.now();
-  std::erase_if(m_Uncopied, [&](const UncopiedRecord &Entry) {
-    return Entry.m_Since + Entry.m_Record.m_Lifetime <= Now;
-  });
-  for (UncopiedRecord &Entry : m_Uncopied) {
-    StreamRecord Left = Entry.m_Record;
-    Left.m_Lifetime -= Now - Entry.m_Since;
-    sendRecord(To, Left);
-    ++Entry.m_Count;
-  }
-  std::erase_if(m_Uncopied, [](const UncopiedRecord &Entry) {
-    return Entry.m_Count >= CopyCount;
-  });
+void OriginExchange::scheduleMissingCopies() {
+  if (!m_CopyTimer.isRunning())
+    m_CopyTimer.start(CopyDelay, [this] { sendMissingCopies(); });
+}
+
+void OriginExchange::sendMissingCopies() {
+  m_RecordCopies.sendMissing(
+      [this](const StreamKey &Key) { return holdersOf(Key, true); },
+      [this](link::LinkId To, const StreamRecord &Record) {
+        sendRecord(To, Record);
+      },
+      m_Clock.now());
 }
 
 void OriginExchange::handleRecord(const Peer &From,
@@ -291,7 +282,9 @@
         .add();
     Done(Result);
   };
-  std::vector<link::LinkId> Asked = holdersOf(Key, false);
+  std::vector<link::LinkId> Asked;
+  for (const RecordCopy &Holder : holdersOf(Key, false))
+    Asked.push_back(Holder.m_Link);
   if (isHub())
     for (const link::LinkId Hub : otherZones())
       Asked.push_back(Hub);
@@ -413,7 +406,7 @@
     const bool IsNew = !std::exchange(Sender->second.m_TakesPart, true);
     Sender->second.m_IsStopping = State->stopping();
     if (IsNew && !State->stopping() && Sender->second.m_Info.m_IsNear)
-      sendMissingCopies(From);
+      scheduleMissingCopies();
   }
   if (Frame.stream_origins() != nullptr)
     for (const wire::StreamOrigin *Received : *Frame.stream_origins())
--- a/src/resume/origin_exchange.h
+++ b/src/resume/origin_exchange.h
@@ -22,6 +22,7 @@
 #include "link/link_type.h"
 #include "resume/origin_archive.h"
 #include "resume/origin_directory.h"
+#include "resume/record_copies.h"
 #include "resume/stream_origins.h"
 
 #include <deque>
@@ -42,7 +43,7 @@
 class OriginExchange final : public OriginDirectory {
 public:
   /// Other instances that keep an origin.
-  static constexpr std::size_t CopyCount = 3;
+  static constexpr std::size_t CopyCount = RecordCopies::CopyCount;
 
   /// Instances that are asked: more than keep it, as those that ask and those
   /// that recorded it may know of different instances.
@@ -59,8 +60,9 @@
   /// case the first one has failed.
   static constexpr Duration ExportMemory = std::chrono::seconds(3);
 
-  /// Limit on the records that are kept for peers that are linked later.
-  static constexpr std::size_t MaxUncopied = 1 << 13;
+  /// Time after a change of the links in which further ones are awaited before
+  /// missing copies are sent.
+  static constexpr Duration CopyDelay = std::chrono::milliseconds(20);
 
   /// Lookups that this instance does for others at a time.
   static constexpr std::size_t MaxSearches = 4096;
@@ -126,21 +128,14 @@
 
   using SearchId = std::uint64_t;
 
-  /// A record that fewer than CopyCount others have got.
-  struct UncopiedRecord {
-    StreamRecord m_Record;   ///< With its lifetime when it began.
-    TimePoint m_Since;       ///< When it began.
-    std::size_t m_Count = 0; ///< Others that have got it.
-  };
-
   /// A record that is to be passed on to another zone.
   struct Export {
     TimePoint m_Since;     ///< When it was recorded here.
     StreamRecord m_Record; ///< With its lifetime at that time.
   };
 
-  [[nodiscard]] std::vector<link::LinkId> holdersOf(const StreamKey &Key,
-                                                    bool ForRecord) const;
+  [[nodiscard]] std::vector<RecordCopy> holdersOf(const StreamKey &Key,
+                                                  bool ForRecord) const;
   [[nodiscard]] std::vector<link::LinkId> otherZones() const;
   [[nodiscard]] std::vector<link::LinkId> partnerZone() const;
   [[nodiscard]] bool isHub() const;
@@ -161,8 +156,8 @@
   void handleRecord(const Peer &From, const wire::StreamOrigin &Received);
   void keep(const StreamRecord &Record);
   void sendRecord(link::LinkId To, const StreamRecord &Record);
-  void keepForLaterPeers(const StreamRecord &Begun, std::size_t Copies);
-  void sendMissingCopies(link::LinkId To);
+  void scheduleMissingCopies();
+  void sendMissingCopies();
   [[nodiscard]] const StreamOrigin *findAny(const StreamKey &Key) const;
   void queueExport(const StreamRecord &Record);
   void sendExports();
@@ -178,7 +173,8 @@
   bool m_IsActiveHub = false;            ///< See setActiveHub().
   OriginArchive *m_Archive = nullptr;    ///< Null: there is none.
   bool m_IsStopping = false;             ///< After stop().
-  std::deque<UncopiedRecord> m_Uncopied; ///< In the order of m_Since.
+  RecordCopies m_RecordCopies;           ///< Of streams that began here.
+  Timer m_CopyTimer;                     ///< Until sendMissingCopies().
   std::map<SearchId, Search> m_Searches; ///< In progress.
   SearchId m_LastSearch = 0;             ///< The first id is 1.
   std::deque<Export> m_Exports;          ///< In the order of m_Since.
--- a/tests/unit/resume_fleet.h
+++ b/tests/unit/resume_fleet.h
@@ -134,6 +134,13 @@
     m_DigestLinks.breakLinks(m_Peers.m_Instances[Instance].m_Name);
   }
 
+  /// Cuts an instance off from the others, until its links have failed.
+  void cutOffFor(std::size_t Instance, Duration Span) {
+    const std::string Name = m_Peers.m_Instances[Instance].m_Name;
+    m_DigestLinks.cutOff(Name);
+    m_Timers.runAfter(Span, [this, Name] { m_DigestLinks.reconnect(Name); });
+  }
+
   void freezeFor(std::size_t Instance, Duration Span) {
     freeze(Instance);
     m_CalmSince[Instance] = m_Clock.now() + Span;
--- a/tests/unit/stopping_instance_test.cpp
+++ b/tests/unit/stopping_instance_test.cpp
@@ -153,6 +153,19 @@
       }
 }
 
+// Guards against records that are lost with the links on which they were sent.
+BOOST_AUTO_TEST_CASE(StreamsOfAStoppingInstanceThatIsCutOffContinue) {
+  for (const std::size_t Instances : {4U, 9U, 25U, 84U, 300U})
+    for (const std::size_t Stopping :
+         {std::size_t(0), Instances / 2, Instances - 1})
+      BOOST_TEST_CONTEXT(Instances << " instances, " << Stopping) {
+        ResumeFleet Fleet(Instances, zonesOf(Instances), 24, 1);
+        Fleet.m_Timers.runAfter(100ms,
+                                [&] { Fleet.cutOffFor(Stopping, 300ms); });
+        stopAndResume(Fleet, {Stopping});
+      }
+}
+
 // Guards against an instance that takes streams before those that should dial
 // it have read that it is listed.
 BOOST_AUTO_TEST_CASE(StreamsOfAnInstanceThatHasJustStartedContinue) {
