Fix: Dial missing peers at once while stopping

What callers saw: streams that began at a stopping gateway in the 0.3 s after its links were reset went on nowhere if it ended in that time.

Cause: an instance waits DialWait for peers that should dial it. Once it is unlisted none does.

Fix: an instance that stops doesn't wait.

Evidence: stopping_instance_test/StreamsContinueWhileAllInstancesAreRestarted plays the class: all instances are stopped, cut at the end of their grace and started in turn, up to half of them at a time, and one after the other freezes, is cut off or loses its links.

lost_fleet_stream_test/StreamsThatBeganWhileAllStoppedContinue is new as well: all four real gateways stop at once, and the archive has what began then.

--- a/src/gateway/digest_exchange.cpp
+++ b/src/gateway/digest_exchange.cpp
@@ -89,9 +89,11 @@
   scheduleMissingDials();
 }
 
+/// No peer dials an instance that is no longer listed.
 void DigestExchange::scheduleMissingDials() {
   if (!m_DialTimer.isRunning())
-    m_DialTimer.start(DialWait, [this] { dialMissingPeers(); });
+    m_DialTimer.start(m_IsStopping ? Duration::zero() : DialWait,
+                      [this] { dialMissingPeers(); });
 }
 
 /// The peer that should dial does so once it knows this instance, and the link
--- a/src/gateway/digest_exchange.h
+++ b/src/gateway/digest_exchange.h
@@ -53,7 +53,7 @@
       balance::PeerLoads::DigestLifetime;
 
   /// A peer that has not dialled this instance within this time is dialled: it
-  /// may not have read yet that this instance is listed, or no longer lists it.
+  /// may not have read yet that this instance is listed.
   static constexpr Duration DialWait = std::chrono::milliseconds(300);
 
   /// \p Self holds the address at which others open links to this instance.
--- a/tests/process/lost_fleet_stream_test.cpp
+++ b/tests/process/lost_fleet_stream_test.cpp
@@ -19,6 +19,9 @@
 /// Until what must survive the gateways has left them.
 constexpr Duration SaveTime = 500ms;
 
+/// Until all gateways that stop have left the list.
+constexpr Duration UnlistTime = 500ms;
+
 /// Until gateways that were started have read the store and are linked.
 constexpr Duration StartTime = 1500ms;
 
@@ -85,6 +88,19 @@
   Fleet.resumeAndCheck(StreamCount);
 }
 
+// Guards against origins that nobody keeps, as no gateway that stops gets
+// records of others.
+BOOST_AUTO_TEST_CASE(StreamsThatBeganWhileAllStoppedContinue) {
+  LostFleet Fleet;
+  for (std::size_t I = 0; I < Fleet.size(); ++I)
+    Fleet.process(I).signal(SIGTERM);
+  runFor(UnlistTime);
+  Fleet.beginOpenStreams();
+  runFor(SaveTime);
+  Fleet.loseAll();
+  Fleet.resumeAndCheck(StreamCount);
+}
+
 // Guards against a guess by gateways that know one version only, as the
 // upstreams of the other one left before they started.
 BOOST_AUTO_TEST_CASE(AVersionThatHasLeftIsRemembered) {
--- a/tests/unit/resume_fleet.h
+++ b/tests/unit/resume_fleet.h
@@ -138,6 +138,7 @@
   void cutOffFor(std::size_t Instance, Duration Span) {
     const std::string Name = m_Peers.m_Instances[Instance].m_Name;
     m_DigestLinks.cutOff(Name);
+    m_CalmSince[Instance] = m_Clock.now() + Span;
     m_Timers.runAfter(Span, [this, Name] { m_DigestLinks.reconnect(Name); });
   }
 
--- a/tests/unit/stopping_instance_test.cpp
+++ b/tests/unit/stopping_instance_test.cpp
@@ -82,6 +82,54 @@
   return {Result.begin(), Result.end()};
 }
 
+/// Returns all instances in a random order.
+std::vector<std::size_t> shuffled(ResumeFleet &Fleet) {
+  std::vector<std::size_t> Result;
+  for (std::size_t I = 0; I < Fleet.m_Instances.size(); ++I)
+    Result.insert(
+        Result.begin() + static_cast<std::ptrdiff_t>(Fleet.draw(I + 1)), I);
+  return Result;
+}
+
+/// Stops and starts all instances in turn, at most about half of them at a
+/// time. Returns how long that takes.
+Duration scheduleRestarts(ResumeFleet &Fleet) {
+  constexpr Duration Down = 500ms;
+  const Duration Absence = StopTime + Down + ResumeFleet::LongestReadTime;
+  const Duration Apart = std::max<Duration>(
+      50ms, 2 * Absence / static_cast<Duration::rep>(Fleet.m_Instances.size()));
+  Duration Begin = 100ms;
+  for (const std::size_t Instance : shuffled(Fleet)) {
+    Fleet.m_Timers.runAfter(Begin,
+                            [&Fleet, Instance] { Fleet.beginStop(Instance); });
+    Fleet.m_Timers.runAfter(Begin + StopTime, [&Fleet, Instance, Down] {
+      Fleet.kill(Instance, Down);
+    });
+    Begin += Apart;
+  }
+  return Begin + Absence;
+}
+
+/// Disturbs one instance after the other for a short time. One that stops is
+/// not cut off, as no other learns what it does until its end.
+void scheduleTroubles(ResumeFleet &Fleet, Duration Span) {
+  constexpr Duration Interval = 700ms;
+  constexpr Duration Longest = 300ms;
+  for (Duration At = Interval; At < Span; At += Interval)
+    Fleet.m_Timers.runAfter(At, [&Fleet, Longest] {
+      const std::size_t Instance = Fleet.draw(Fleet.m_Instances.size());
+      const std::size_t Trouble = Fleet.draw(3);
+      if (Fleet.m_Instances[Instance] == nullptr)
+        return;
+      if (Trouble == 0)
+        Fleet.freezeFor(Instance, Longest);
+      else if (Trouble == 1 && !Fleet.m_Unlisted.contains(Instance))
+        Fleet.cutOffFor(Instance, Longest);
+      else
+        Fleet.breakDigestLinks(Instance);
+    });
+}
+
 } // namespace
 
 // Guards against streams that no other instance knows, as they began at an
@@ -153,6 +201,26 @@
       }
 }
 
+// Guards against the same where all instances are stopped and started in turn,
+// several at a time, while others are cut off, freeze or lose their links.
+BOOST_AUTO_TEST_CASE(StreamsContinueWhileAllInstancesAreRestarted) {
+  for (const auto &[Instances, Seeds] :
+       {std::pair(std::size_t(4), 6U), std::pair(std::size_t(9), 6U),
+        std::pair(std::size_t(24), 3U), std::pair(std::size_t(25), 3U),
+        std::pair(std::size_t(84), 1U)})
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed)
+      BOOST_TEST_CONTEXT(Instances << " instances, seed " << Seed) {
+        ResumeFleet Fleet(Instances, zonesOf(Instances), 24, Seed);
+        Fleet.m_NewStreamsAt = shuffled(Fleet);
+        const Duration Span = scheduleRestarts(Fleet);
+        scheduleTroubles(Fleet, Span);
+        Fleet.play(Span, StreamsPerSecond);
+        Fleet.finish();
+        Fleet.checkStreams();
+        checkShares(Fleet);
+      }
+}
+
 // Guards against records that are lost with the links on which they were sent.
 BOOST_AUTO_TEST_CASE(StreamsOfAStoppingInstanceThatIsCutOffContinue) {
   for (const std::size_t Instances : {4U, 9U, 25U, 84U, 300U})
