Fix: Don't crash on a stream that begins after its last moment

What callers saw: nothing yet; found by reading.

Cause: a record whose lifetime has passed when it is made was removed at once, and the first entry of an empty list was looked at next.

Fix: the loop ends with the list.

Evidence: origin_exchange_test/ARecordWithoutLifetimeIsNotTracked ends with a segmentation fault before.

--- a/src/resume/record_copies.cpp
+++ b/src/resume/record_copies.cpp
@@ -14,8 +14,9 @@
 void RecordCopies::add(const StreamRecord &Begun,
                        std::vector<RecordCopy> Copies, TimePoint Now) {
   m_Entries.push_back({Begun, Now, Now, std::move(Copies)});
-  while (m_Entries.size() > MaxRecords || m_Entries.front().hasExpired(Now) ||
-         m_Entries.front().isDelivered(Now))
+  while (!m_Entries.empty() &&
+         (m_Entries.size() > MaxRecords || m_Entries.front().hasExpired(Now) ||
+          m_Entries.front().isDelivered(Now)))
     m_Entries.pop_front();
 }
 
--- a/tests/unit/origin_exchange_test.cpp
+++ b/tests/unit/origin_exchange_test.cpp
@@ -211,6 +211,17 @@
   BOOST_TEST((Env.linksWithRecords() == First));
 }
 
+// Guards against a crash by a stream whose time has passed as it begins.
+BOOST_AUTO_TEST_CASE(ARecordWithoutLifetimeIsNotTracked) {
+  ExchangeEnv Env;
+  for (const Duration Left : {0ms, -5ms})
+    Env.m_Exchange.record({Key, Origin, Left});
+  Env.addPeer(1, Own, true);
+  Env.announce(1, false);
+  Env.m_Timers.advance(1s);
+  BOOST_TEST(Env.linksWithRecords().empty());
+}
+
 // Guards against an instance that counts as several others while two links to
 // it are up.
 BOOST_AUTO_TEST_CASE(OneInstanceGetsOneCopy) {
