Test: Streams of gateways that stop together, or without the store

New: StreamsThatBeganInAStopOfTwoContinue (the least and the greatest address at once; with the gateway of before 20 of 40 went on, so it failed) and AStreamThatBeganInAStopWithoutTheStoreContinues (store busy and silent; it passes before as well, as the row stays and the links with it).

--- a/tests/process/resumed_stream_version_test.cpp
+++ b/tests/process/resumed_stream_version_test.cpp
@@ -4,7 +4,9 @@
 #include "process/scripted_upstream.h"
 #include "process/versioned_upstream.h"
 
+#include <algorithm>
 #include <csignal>
+#include <numeric>
 
 using namespace crowstep;
 using namespace crowstep::test;
@@ -37,6 +39,33 @@
                                    << Fleet.process(Gateway).log());
 }
 
+/// Returns the gateways in the order of their link addresses.
+std::vector<std::size_t> byAddress(const VersionFleet &Fleet) {
+  std::vector<std::size_t> Result(Fleet.size());
+  std::iota(Result.begin(), Result.end(), std::size_t(0));
+  std::ranges::sort(Result, {}, [&](std::size_t Gateway) {
+    return Fleet.linkAddress(Gateway);
+  });
+  return Result;
+}
+
+/// Stops gateways, begins streams there, and ends them while these are open.
+void stopAndResume(VersionFleet &Fleet,
+                   const std::vector<std::size_t> &Stopping) {
+  for (const std::size_t Gateway : Stopping)
+    Fleet.process(Gateway).signal(SIGTERM);
+  runFor(UnlistTime);
+  for (const std::size_t Gateway : Stopping)
+    Fleet.begin(Gateway, StreamCount / Stopping.size());
+  for (const std::size_t Gateway : Stopping)
+    Fleet.process(Gateway).signal(SIGKILL);
+  runFor(KillTime);
+  std::size_t Other = 0;
+  while (std::ranges::find(Stopping, Other) != Stopping.end())
+    ++Other;
+  resumeAndCheck(Fleet, Other);
+}
+
 } // namespace
 
 // Guards against a stream that another software version continues when its
@@ -81,16 +110,24 @@
 // after its SIGTERM.
 BOOST_AUTO_TEST_CASE(AStreamThatBeganInAStopContinues) {
   VersionFleet Fleet(4);
-  std::size_t Stopping = 0;
-  for (std::size_t I = 1; I < Fleet.size(); ++I)
-    if (Fleet.linkAddress(I) < Fleet.linkAddress(Stopping))
-      Stopping = I;
-  Fleet.process(Stopping).signal(SIGTERM);
-  runFor(UnlistTime);
-  Fleet.begin(Stopping, StreamCount);
-  Fleet.process(Stopping).signal(SIGKILL);
-  runFor(KillTime);
-  resumeAndCheck(Fleet, (Stopping + 1) % Fleet.size());
+  stopAndResume(Fleet, {byAddress(Fleet)[0]});
+}
+
+// Guards against the same where gateways stop that are linked to one another.
+BOOST_AUTO_TEST_CASE(StreamsThatBeganInAStopOfTwoContinue) {
+  VersionFleet Fleet(4);
+  const std::vector<std::size_t> Order = byAddress(Fleet);
+  stopAndResume(Fleet, {Order[0], Order[3]});
+}
+
+// Guards against the same where the gateway can't leave the list.
+BOOST_AUTO_TEST_CASE(AStreamThatBeganInAStopWithoutTheStoreContinues) {
+  using Mode = standin::StoreServer::Mode;
+  for (const Mode Failure : {Mode::Busy, Mode::Silent}) {
+    VersionFleet Fleet(4);
+    Fleet.m_Store.setMode(Failure);
+    stopAndResume(Fleet, {byAddress(Fleet)[0]});
+  }
 }
 
 // Guards against a gateway that has forgotten its streams and takes them for
