Fix: Read saved origins again when a stream's keepers were lost

What callers saw: after the loss of all gateways but one most resumed streams were refused there for good (503, origin_unknown, no Retry-After), though the store had their origins.

Cause: three others keep an origin, and an instance reads the store only when it starts. One that runs on asked those that were left, and took the lack of others for a denial by all.

Fix: OriginExchange notes when a link went down or a question stayed unanswered. A lookup that finds nothing then has the archive read by a call that begins later (OriginArchive::readSince()); all lookups that wait share it. Hubs read for their zone; an instance without a linked hub reads itself. A read that fails, or someone who is silent, leaves the answer open, so that the caller comes back. Writes go on meanwhile.

--- a/src/resume/origin_archive.cpp
+++ b/src/resume/origin_archive.cpp
@@ -1,4 +1,4 @@
-/// Writes rows of origins and reads the table of all writers once.
+/// Writes rows of origins and reads the table of all writers.
 #include "resume/origin_archive.h"
 
 #include "core/log.h"
@@ -37,6 +37,7 @@
                              Metrics &Stats)
     : m_Writer(std::move(Writer)), m_Tables(Tables), m_Clock(Time),
       m_WriteTimer(Timers), m_ReadTimer(Timers),
+      m_Reads(Stats.counter("crowstep_origin_archive_reads_total")),
       m_Writes(Stats.counter("crowstep_origin_archive_writes_total")),
       m_Failures(Stats.counter("crowstep_origin_archive_failures_total")),
       m_Saved(Stats.counter("crowstep_origin_archive_saved_total")),
@@ -111,6 +112,7 @@
     m_MixedSince = m_Clock.now();
   if (m_ReadState == ReadState::Undecided) {
     m_ReadState = Services.empty() ? ReadState::Done : ReadState::Needed;
+    m_HasRead = Services.empty();
     if (m_ReadState == ReadState::Done && m_Events.m_OnReadEnd)
       m_Events.m_OnReadEnd();
     else if (m_IsReader)
@@ -143,13 +145,36 @@
 
 // ---- Reading ----------------------------------------------------------------
 
+bool OriginArchive::needsRead(TimePoint Since) const {
+  return !m_Mixed.empty() && m_ReadBeganAt < Since;
+}
+
+/// Further losses within the pause share a call.
+void OriginArchive::readSince(TimePoint Since) {
+  if (!needsRead(Since))
+    return;
+  m_ReadSince = std::max(m_ReadSince, Since);
+  if (m_ReadState != ReadState::Reading && !m_ReadTimer.isRunning())
+    scheduleRead(m_ReadBeganAt == TimePoint::min()
+                     ? Duration::zero()
+                     : m_ReadBeganAt + MinReadPause - m_Clock.now());
+}
+
 bool OriginArchive::isReadPending() const {
   return m_ReadState == ReadState::Undecided ||
-         (m_ReadState != ReadState::Done && m_IsReader);
+         (m_ReadState != ReadState::Done &&
+          (m_IsReader || m_ReadSince != TimePoint::min()));
+}
+
+void OriginArchive::scheduleRead(Duration Delay) {
+  m_ReadState = ReadState::Needed;
+  m_ReadTimer.start(std::max(Delay, Duration::zero()), [this] { read(); });
 }
 
 void OriginArchive::read() {
   m_ReadState = ReadState::Reading;
+  m_ReadBeganAt = m_Clock.now();
+  m_Reads.add();
   m_Tables.list(TableName, "", [this](const platform::ReadResult &Result) {
     handleRead(Result);
   });
@@ -159,9 +184,11 @@
   const auto *Rows = std::get_if<std::vector<platform::Row>>(&Result);
   recordOutcome(Rows != nullptr);
   if (Rows == nullptr) {
-    m_ReadState = ReadState::Needed;
-    m_ReadTimer.start(m_ReadPause, [this] { read(); });
+    m_ReadBeganAt = TimePoint::min();
+    scheduleRead(m_ReadPause);
     m_ReadPause = std::min(m_ReadPause * 2, MaxReadPause);
+    if (m_Events.m_OnReadEnd)
+      m_Events.m_OnReadEnd();
     return;
   }
   std::vector<const platform::Row *> Newest;
@@ -174,19 +201,23 @@
   for (const platform::Row *Row : Newest)
     Unreadable += readRow(*Row, ReadCount) ? 0 : 1;
   m_ReadState = ReadState::Done;
+  m_ReadPause = MinReadPause;
   // The own rows of an earlier process are overwritten last.
   const auto Last = std::ranges::max_element(m_Versions);
-  if (*Last != platform::RowVersion())
+  const bool IsFirst = !std::exchange(m_HasRead, true);
+  if (IsFirst && *Last != platform::RowVersion())
     m_Slot =
         (static_cast<std::size_t>(Last - m_Versions.begin()) + 1) % SlotCount;
   logEvent(LogEvent::OriginArchiveRead,
            {{"rows", std::to_string(Rows->size())},
             {"unreadable", std::to_string(Unreadable)},
             {"origins", std::to_string(ReadCount)}});
-  m_Era = m_Tables.era();
+  checkEra();
+  if (m_ReadBeganAt < m_ReadSince)
+    scheduleRead(m_ReadBeganAt + MinReadPause - m_Clock.now());
   if (m_Events.m_OnReadEnd)
     m_Events.m_OnReadEnd();
-  if (!m_Queue.empty())
+  if (IsFirst && !m_Queue.empty())
     scheduleWrite(Duration::zero());
 }
 
@@ -195,7 +226,7 @@
   const auto Slot = slotOf(Row.m_Key);
   if (!Slot)
     return false;
-  if (Row.m_Key == slotKey(*Slot))
+  if (Row.m_Key == slotKey(*Slot) && !m_HasRead)
     m_Versions[*Slot] = Row.m_Version;
   const auto Records = readOriginRow(Row.m_Key, Row.m_Value);
   if (!Records)
@@ -259,7 +290,7 @@
 /// One call at a time: a slow store gets fewer and fuller rows. Before the
 /// archive was read, rows of an earlier process must not be overwritten.
 void OriginArchive::write() {
-  if (m_IsWriting || !m_IsWriter || isReadPending() || !fillRow())
+  if (m_IsWriting || !m_IsWriter || !m_HasRead || !fillRow())
     return;
   std::vector<StreamRecord> Records;
   const TimePoint Now = m_Clock.now();
--- a/src/resume/origin_archive.h
+++ b/src/resume/origin_archive.h
@@ -1,5 +1,5 @@
 /// Saves the origins of streams in the store, from which they are read after
-/// the loss of all instances.
+/// the loss of those that kept them.
 ///
 /// Only services with several software versions need it: where there is one, it
 /// began every stream. Few instances write, each to rows of its own, so that no
@@ -83,9 +83,25 @@
   /// versions may find streams that only the archive knows.
   void setMixedServices(const std::set<std::string> &Services);
 
+  /// Reads the archive by a call that begins at \p Since or later, if that was
+  /// not done. Nothing is saved while no service has several versions.
+  void readSince(TimePoint Since);
+
+  /// Returns whether readSince() would read.
+  [[nodiscard]] bool needsRead(TimePoint Since) const;
+
   /// Returns whether the archive may hold origins that are not read yet.
   [[nodiscard]] bool isReadPending() const;
 
+  /// Returns whether it was read once, or that is not needed.
+  [[nodiscard]] bool hasRead() const { return m_HasRead; }
+
+  /// Returns whether the last attempt to read it has failed.
+  [[nodiscard]] bool isReadFailing() const {
+    return m_ReadState == ReadState::Needed && m_ReadTimer.isRunning() &&
+           !m_IsAvailable;
+  }
+
 private:
   using OriginPtr = std::shared_ptr<const StreamOrigin>;
 
@@ -110,6 +126,7 @@
   void queueSince(TimePoint Begin, const std::set<std::string> &Services);
   void enqueue(const OpenStream &Stream);
   void read();
+  void scheduleRead(Duration Delay);
   void handleRead(const platform::ReadResult &Result);
   bool readRow(const platform::Row &Row, std::size_t &ReadCount);
   void scheduleWrite(Duration Delay);
@@ -143,15 +160,19 @@
       m_Versions{}; ///< Of the own rows, as far as known.
   std::optional<platform::TableEra> m_Era;      ///< Of the last answer.
   ReadState m_ReadState = ReadState::Undecided; ///< See ReadState.
-  Duration m_ReadPause = MinReadPause;          ///< Before the next attempt.
-  bool m_IsAvailable = true;                    ///< The last call was answered.
-  Timer m_WriteTimer;                           ///< Until the next write().
-  Timer m_ReadTimer;                            ///< Until the next read().
-  Counter &m_Writes;                            ///< Calls that write.
-  Counter &m_Failures;                          ///< Calls without an outcome.
-  Counter &m_Saved;                             ///< Origins written.
-  Counter &m_Dropped;                           ///< Of a queue that is full.
-  Gauge &m_Pending;                             ///< Origins to be written.
+  bool m_HasRead = false;                       ///< See hasRead().
+  TimePoint m_ReadBeganAt = TimePoint::min(); ///< Of the last call that reads.
+  TimePoint m_ReadSince = TimePoint::min();   ///< The latest readSince().
+  Duration m_ReadPause = MinReadPause;        ///< Before the next attempt.
+  bool m_IsAvailable = true;                  ///< The last call was answered.
+  Timer m_WriteTimer;                         ///< Until the next write().
+  Timer m_ReadTimer;                          ///< Until the next read().
+  Counter &m_Reads;                           ///< Calls that read.
+  Counter &m_Writes;                          ///< Calls that write.
+  Counter &m_Failures;                        ///< Calls without an outcome.
+  Counter &m_Saved;                           ///< Origins written.
+  Counter &m_Dropped;                         ///< Of a queue that is full.
+  Gauge &m_Pending;                           ///< Origins to be written.
 };
 
 } // namespace crowstep::resume
--- a/src/resume/origin_exchange.cpp
+++ b/src/resume/origin_exchange.cpp
@@ -58,6 +58,7 @@
 /// What it was asked stays unanswered.
 void OriginExchange::removePeer(link::LinkId Link) {
   m_Peers.erase(Link);
+  m_LastLossAt = m_Clock.now();
   updateArchiveRoles();
   m_RecordCopies.removeLink(Link, m_Clock.now());
   scheduleMissingCopies();
@@ -304,7 +305,10 @@
   Made.m_Unanswered = {At.begin(), At.end()};
   Made.m_Result.m_AskedCount = At.size();
   Made.m_Key = Key;
-  Made.m_EndsAt = m_Clock.now() + Timeout;
+  Made.m_HubCount = countHubs(Made.m_Unanswered);
+  Made.m_MayReadArchive = InOtherZones && mayReadArchive();
+  Made.m_BeganAt = m_Clock.now();
+  Made.m_Timeout = Timeout;
   Made.m_Timer = std::make_unique<Timer>(m_Timers);
   Made.m_Timer->start(At.empty() ? Duration::zero() : Timeout,
                       [this, Id] { finishSearch(Id); });
@@ -315,6 +319,41 @@
   return Id;
 }
 
+/// With hubs these read for their zone.
+bool OriginExchange::mayReadArchive() const {
+  return m_Archive != nullptr &&
+         (m_Hubs.empty() || isHub() ||
+          std::ranges::none_of(m_Peers, [&](const auto &Entry) {
+            return std::ranges::find(m_Hubs, Entry.second.m_Info.m_Instance) !=
+                   m_Hubs.end();
+          }));
+}
+
+std::size_t OriginExchange::countHubs(const std::set<link::LinkId> &At) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(At, [&](link::LinkId Link) {
+        const auto Known = m_Peers.find(Link);
+        return Known != m_Peers.end() &&
+               std::ranges::find(m_Hubs, Known->second.m_Info.m_Instance) !=
+                   m_Hubs.end();
+      }));
+}
+
+/// A hub that was asked may be reading the archive.
+bool OriginExchange::waitsForHubs(const Search &Open) const {
+  return !isHub() && Open.m_HubCount > 0 &&
+         countHubs(Open.m_Unanswered) == Open.m_HubCount;
+}
+
+/// What an instance kept that doesn't answer counts as lost.
+void OriginExchange::recordSilence(const Search &Open) {
+  for (const link::LinkId Link : Open.m_Unanswered)
+    if (const auto Known = m_Peers.find(Link);
+        Known != m_Peers.end() &&
+        !std::exchange(Known->second.m_IsSilent, true))
+      m_LastLossAt = m_Clock.now();
+}
+
 /// Returns whether the search goes on until the archive is read or its time has
 /// passed. The stream may have been recorded here meanwhile.
 bool OriginExchange::waitForArchive(SearchId Id) {
@@ -325,10 +364,23 @@
   Search &Open = Found->second;
   if (const StreamOrigin *Known = findAny(Open.m_Key))
     Open.m_Result.m_Origin = *Known;
-  if (Open.m_Result.m_Origin || !isArchivePending())
+  if (Open.m_Result.m_Origin)
+    return false;
+  recordSilence(Open);
+  if (Open.m_MayReadArchive)
+    m_Archive->readSince(m_LastLossAt);
+  const bool WaitsForHubs = waitsForHubs(Open);
+  if (!isArchivePending() && !WaitsForHubs)
     return false;
-  const Duration TimeLeft = Open.m_EndsAt - m_Clock.now();
-  if (TimeLeft <= Duration::zero()) {
+  // A caller whose stream a silent instance may know comes back.
+  const bool IsReread = m_Archive->hasRead() || WaitsForHubs;
+  const Duration TimeLeft = Open.m_BeganAt +
+                            (IsReread ? ArchiveTimeout : Open.m_Timeout) -
+                            m_Clock.now();
+  const bool IsFutile =
+      IsReread && !WaitsForHubs &&
+      (m_Archive->isReadFailing() || !Open.m_Unanswered.empty());
+  if (IsFutile || TimeLeft <= Duration::zero()) {
     ++Open.m_Result.m_UnansweredCount; // The archive.
     return false;
   }
@@ -366,7 +418,11 @@
       Known == nullptr && Asked.in_other_zones() && isHub()
           ? otherZones()
           : std::vector<link::LinkId>();
-  const bool MayBeArchived = Known == nullptr && isArchivePending();
+  const bool ReadsForPeer = Asked.in_other_zones() && isHub();
+  const bool MayBeArchived =
+      Known == nullptr &&
+      (isArchivePending() || (ReadsForPeer && m_Archive != nullptr &&
+                              m_Archive->needsRead(m_LastLossAt)));
   if (Others.empty() && !MayBeArchived) {
     sendAnswer(From, Asked.id(), Known);
     return;
@@ -374,7 +430,7 @@
   // Silence, as a denial would make the stream count as lost for good.
   if (m_Searches.size() >= MaxSearches)
     return;
-  search(Key, Others, false, SearchTimeout,
+  search(Key, Others, ReadsForPeer, SearchTimeout,
          [this, From, Question = Asked.id()](const LookupResult &Result) {
            if (Result.m_Origin || Result.m_UnansweredCount == 0)
              sendAnswer(From, Question,
@@ -402,6 +458,7 @@
   const auto Sender = m_Peers.find(From);
   if (Sender == m_Peers.end())
     return;
+  Sender->second.m_IsSilent = false;
   if (const wire::StreamPeer *State = Frame.stream_peer()) {
     const bool IsNew = !std::exchange(Sender->second.m_TakesPart, true);
     Sender->second.m_IsStopping = State->stopping();
--- a/src/resume/origin_exchange.h
+++ b/src/resume/origin_exchange.h
@@ -7,8 +7,10 @@
 /// never changes, so any answer is right however old it is; without an answer
 /// the stream is not continued.
 ///
-/// After the loss of all instances the archive in the store is read once. A
-/// lookup that finds nothing waits for that, within its time limit.
+/// Where those that kept a stream are lost, the archive in the store may know
+/// it: an instance that starts reads it, and one that runs reads it again when
+/// a lookup finds nothing after a loss. The lookup waits for that, within its
+/// time limit.
 ///
 /// In a fleet with hubs the hubs of a zone keep all of its origins and pass
 /// them on to the hubs of another zone. They search in the other zones for
@@ -53,6 +55,9 @@
   static constexpr Duration LookupTimeout = std::chrono::milliseconds(250);
   static constexpr Duration SearchTimeout = std::chrono::milliseconds(150);
 
+  /// Limit of a lookup that waits for the archive.
+  static constexpr Duration ArchiveTimeout = std::chrono::seconds(1);
+
   /// Interval at which a hub passes origins on to another zone.
   static constexpr Duration ExportInterval = std::chrono::milliseconds(50);
 
@@ -113,6 +118,7 @@
     OriginPeer m_Info;
     bool m_TakesPart = false; ///< It has announced that it answers.
     bool m_IsStopping = false;
+    bool m_IsSilent = false; ///< It left a question unanswered.
   };
 
   /// Questions to other instances about one stream.
@@ -120,7 +126,10 @@
     std::set<link::LinkId> m_Unanswered; ///< Asked.
     LookupResult m_Result;               ///< So far.
     StreamKey m_Key;                     ///< Of the stream.
-    TimePoint m_EndsAt;                  ///< Its time limit.
+    std::size_t m_HubCount = 0;          ///< Own zone's hubs that were asked.
+    bool m_MayReadArchive = false;       ///< If nobody knows the stream.
+    TimePoint m_BeganAt;                 ///< When the others were asked.
+    Duration m_Timeout{};                ///< For their answers.
     bool m_WaitsForArchive = false;      ///< Nobody else knows the stream.
     LookupCallback m_OnDone;             ///< Never empty.
     std::unique_ptr<Timer> m_Timer;      ///< Ends it.
@@ -143,6 +152,10 @@
                   bool InOtherZones, Duration Timeout, LookupCallback OnDone);
   void finishSearch(SearchId Id);
   bool waitForArchive(SearchId Id);
+  [[nodiscard]] bool waitsForHubs(const Search &Open) const;
+  void recordSilence(const Search &Open);
+  [[nodiscard]] bool mayReadArchive() const;
+  [[nodiscard]] std::size_t countHubs(const std::set<link::LinkId> &At) const;
   void handleArchiveRead();
   void updateArchiveRoles();
   [[nodiscard]] std::size_t archiveWriters() const;
@@ -162,28 +175,29 @@
   void queueExport(const StreamRecord &Record);
   void sendExports();
 
-  InstanceId m_Self;                     ///< This instance.
-  AvailabilityZone m_Zone;               ///< Of this instance.
-  const Clock &m_Clock;                  ///< Outlives this object.
-  Scheduler &m_Timers;                   ///< Outlives this object.
-  link::Links *m_Links = nullptr;        ///< Null until a link is up.
-  StreamOrigins m_Origins;               ///< Own, and those kept for others.
-  std::map<link::LinkId, Peer> m_Peers;  ///< Linked.
-  std::vector<InstanceId> m_Hubs;        ///< See setHubs().
-  bool m_IsActiveHub = false;            ///< See setActiveHub().
-  OriginArchive *m_Archive = nullptr;    ///< Null: there is none.
-  bool m_IsStopping = false;             ///< After stop().
-  RecordCopies m_RecordCopies;           ///< Of streams that began here.
-  Timer m_CopyTimer;                     ///< Until sendMissingCopies().
-  std::map<SearchId, Search> m_Searches; ///< In progress.
-  SearchId m_LastSearch = 0;             ///< The first id is 1.
-  std::deque<Export> m_Exports;          ///< In the order of m_Since.
-  Timer m_ExportTimer;                   ///< Runs while there are exports.
-  Gauge &m_KeptGauge;                    ///< Of m_Origins.
-  Counter &m_Copies;                     ///< Records sent to others.
-  Counter &m_Found;                      ///< Lookups that found an origin.
-  Counter &m_Unknown;                    ///< Lookups that all denied.
-  Counter &m_Unanswered;                 ///< Unknown, but not all answered.
+  InstanceId m_Self;                    ///< This instance.
+  AvailabilityZone m_Zone;              ///< Of this instance.
+  const Clock &m_Clock;                 ///< Outlives this object.
+  Scheduler &m_Timers;                  ///< Outlives this object.
+  link::Links *m_Links = nullptr;       ///< Null until a link is up.
+  StreamOrigins m_Origins;              ///< Own, and those kept for others.
+  std::map<link::LinkId, Peer> m_Peers; ///< Linked.
+  std::vector<InstanceId> m_Hubs;       ///< See setHubs().
+  bool m_IsActiveHub = false;           ///< See setActiveHub().
+  OriginArchive *m_Archive = nullptr;   ///< Null: there is none.
+  TimePoint m_LastLossAt = TimePoint::min(); ///< Of a peer; min(): none yet.
+  bool m_IsStopping = false;                 ///< After stop().
+  RecordCopies m_RecordCopies;               ///< Of streams that began here.
+  Timer m_CopyTimer;                         ///< Until sendMissingCopies().
+  std::map<SearchId, Search> m_Searches;     ///< In progress.
+  SearchId m_LastSearch = 0;                 ///< The first id is 1.
+  std::deque<Export> m_Exports;              ///< In the order of m_Since.
+  Timer m_ExportTimer;                       ///< Runs while there are exports.
+  Gauge &m_KeptGauge;                        ///< Of m_Origins.
+  Counter &m_Copies;                         ///< Records sent to others.
+  Counter &m_Found;                          ///< Lookups that found an origin.
+  Counter &m_Unknown;                        ///< Lookups that all denied.
+  Counter &m_Unanswered;                     ///< Unknown, but not all answered.
 };
 
 } // namespace crowstep::resume
--- a/tests/process/lost_fleet_stream_test.cpp
+++ b/tests/process/lost_fleet_stream_test.cpp
@@ -29,8 +29,9 @@
 class LostFleet : public VersionFleet {
 public:
   explicit LostFleet(const std::vector<std::string> &Versions = {"v1", "v2",
-                                                                 "v1", "v2"})
-      : VersionFleet(4, Versions) {}
+                                                                 "v1", "v2"},
+                     std::size_t Gateways = 4)
+      : VersionFleet(Gateways, Versions) {}
 
   /// Begins streams that stay incomplete until the gateways are back.
   void beginOpenStreams() {
@@ -88,6 +89,19 @@
   Fleet.resumeAndCheck(StreamCount);
 }
 
+// Guards against origins that the only gateway that is left doesn't know, as it
+// kept no copy of them.
+BOOST_AUTO_TEST_CASE(StreamsContinueAtTheOnlyGatewayThatIsLeft) {
+  LostFleet Fleet({"v1", "v2", "v1", "v2"}, 7);
+  constexpr std::size_t Left = 1;
+  Fleet.begin(0, StreamCount);
+  runFor(SaveTime);
+  for (std::size_t I = 0; I < Fleet.size(); ++I)
+    if (I != Left)
+      Fleet.process(I).signal(SIGKILL);
+  Fleet.resumeAndCheck(StreamCount);
+}
+
 // Guards against origins that nobody keeps, as no gateway that stops gets
 // records of others.
 BOOST_AUTO_TEST_CASE(StreamsThatBeganWhileAllStoppedContinue) {
--- a/tests/unit/origin_archive_test.cpp
+++ b/tests/unit/origin_archive_test.cpp
@@ -6,6 +6,7 @@
 #include "resume/origin_codec.h"
 #include "resume/origin_exchange.h"
 #include "resume/origin_row.h"
+#include "unit/simulated_tables.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
@@ -25,76 +26,7 @@
   return streamKeyOf("w", std::to_string(Number));
 }
 
-/// The store's table of origins in virtual time.
-class Tables final : public platform::TableService {
-public:
-  explicit Tables(ManualScheduler &Timers) : m_Timers(Timers) {}
-
-  void write(const std::string &Table, std::vector<platform::RowWrite> Writes,
-             std::function<void(platform::WriteResult)> Done) override {
-    BOOST_TEST(Table == OriginArchive::TableName);
-    BOOST_TEST(Writes.size() == 1U);
-    BOOST_TEST(Writes[0].m_Value.size() <= 65536U);
-    ++m_Writes;
-    ++m_Open;
-    m_MostOpen = std::max(m_MostOpen, m_Open);
-    m_Timers.runAfter(m_AnswerTime, [this, Write = Writes[0],
-                                     Done = std::move(Done)] {
-      --m_Open;
-      if (m_IsAway) {
-        Done(platform::PlatformFailure::Uncertain);
-        return;
-      }
-      if (m_AnswersNothing) {
-        Done(std::vector<platform::RowOutcome>());
-        return;
-      }
-      platform::Row &Row = m_Rows[Write.m_Key];
-      const bool Fits = Row.m_Version == Write.m_Expected;
-      if (Fits)
-        Row = {Write.m_Key, platform::RowVersion(++m_Version), Write.m_Value};
-      m_StatedEra = m_Era;
-      Done(std::vector{platform::RowOutcome{Fits, Row}});
-    });
-  }
-  void read(const std::string &, const std::string &,
-            std::function<void(platform::ReadResult)>) override {}
-  void list(const std::string &, const std::string &,
-            std::function<void(platform::ReadResult)> Done) override {
-    ++m_Reads;
-    m_Timers.runAfter(m_AnswerTime, [this, Done = std::move(Done)] {
-      if (m_IsAway) {
-        Done(platform::PlatformFailure::Refused);
-        return;
-      }
-      std::vector<platform::Row> Result;
-      for (const auto &[Key, Row] : m_Rows)
-        Result.push_back(Row);
-      Done(std::move(Result));
-    });
-  }
-  [[nodiscard]] std::optional<platform::TableEra> era() const override {
-    return platform::TableEra(m_StatedEra);
-  }
-
-  void put(const std::string &Key, const std::string &Value) {
-    m_Rows[Key] = {Key, platform::RowVersion(++m_Version), Value};
-  }
-  [[nodiscard]] std::size_t calls() const { return m_Writes + m_Reads; }
-
-  ManualScheduler &m_Timers;
-  Duration m_AnswerTime = 5ms;
-  bool m_IsAway = false;
-  bool m_AnswersNothing = false; ///< Writes get an answer without a row.
-  std::map<std::string, platform::Row> m_Rows;
-  std::uint64_t m_Version = 0;
-  std::uint64_t m_Era = 1;
-  std::uint64_t m_StatedEra = 1; ///< Of the last answer.
-  std::size_t m_Writes = 0;
-  std::size_t m_Reads = 0;
-  std::size_t m_Open = 0;     ///< Writes that are not answered.
-  std::size_t m_MostOpen = 0; ///< At a time.
-};
+using Tables = test::SimulatedTables;
 
 /// Keeps the frames of each link.
 class RecordingLinks final : public link::Links {
@@ -137,10 +69,11 @@
     return Result;
   }
   void addPeer(std::uint64_t Number, const std::string &Zone) {
-    m_Exchange.addPeer(m_Links, {link::LinkId(Number),
-                                 instanceIdOf("peer-" + std::to_string(Number)),
-                                 {Zone},
-                                 Zone == "a"});
+    m_Exchange.addPeer(
+        m_Links, {link::LinkId(Number), idOf(Number), {Zone}, Zone == "a"});
+  }
+  static InstanceId idOf(std::uint64_t Number) {
+    return instanceIdOf("peer-" + std::to_string(Number));
   }
   void receive(std::uint64_t From, const wire::FrameT &Frame) {
     flatbuffers::FlatBufferBuilder Builder;
@@ -804,3 +737,175 @@
   Where.m_Timers.advance(100ms);
   BOOST_TEST(Later.m_Exchange.isUnproven(keyOf(0)));
 }
+
+namespace {
+
+/// An instance that has run on while another one saved streams from 0 to 9.
+struct LateReader {
+  LateReader() : m_Instance(m_World, "edge-1"), m_Other(m_World, "edge-2") {
+    m_Instance.m_Archive.setMixedServices(Mixed);
+    m_Other.m_Archive.setMixedServices(Mixed);
+    m_World.m_Timers.advance(100ms);
+    for (std::uint64_t Peer = 1; Peer <= 2; ++Peer) {
+      m_Instance.addPeer(Peer, "a");
+      announce(Peer);
+    }
+    m_Other.begin(0, 10);
+    m_World.m_Timers.advance(1s);
+    m_FirstReads = m_World.m_Tables.m_Reads;
+  }
+
+  void announce(std::uint64_t Peer) {
+    wire::FrameT Frame;
+    Frame.stream_peer = packPeerState(false);
+    m_Instance.receive(Peer, Frame);
+  }
+  void deny(std::uint64_t Peer) {
+    wire::FrameT &Sent = m_Instance.m_Links.m_Frames[link::LinkId(Peer)];
+    wire::FrameT Frame;
+    for (const wire::StreamQuestion &Asked : Sent.stream_questions)
+      Frame.stream_answers.push_back(packAnswer(Asked.id(), nullptr));
+    Sent.stream_questions.clear();
+    m_Instance.receive(Peer, Frame);
+  }
+  /// Looks a stream up and lets the peers deny it.
+  LookupResult lookUp(std::size_t Stream, std::uint64_t Peers = 1) {
+    m_Instance.m_Found.reset();
+    m_Instance.startLookup(Stream);
+    for (std::uint64_t Peer = 1; Peer <= Peers; ++Peer)
+      deny(Peer);
+    m_World.m_Timers.advance(OriginExchange::ArchiveTimeout);
+    BOOST_REQUIRE(m_Instance.m_Found.has_value());
+    return *m_Instance.m_Found;
+  }
+  /// Returns the reads since the streams were saved.
+  [[nodiscard]] std::size_t reads() const {
+    return m_World.m_Tables.m_Reads - m_FirstReads;
+  }
+
+  World m_World;
+  Instance m_Instance;
+  Instance m_Other;
+  std::size_t m_FirstReads = 0;
+};
+
+} // namespace
+
+// Guards against a stream that is refused for good as those that kept it are
+// lost.
+BOOST_AUTO_TEST_CASE(ALossIsAReasonToReadAgain) {
+  LateReader Late;
+  Late.m_Instance.m_Exchange.removePeer(link::LinkId(2));
+  BOOST_TEST(Late.lookUp(3).m_Origin.has_value());
+  BOOST_TEST(Late.reads() == 1U);
+}
+
+// Guards against calls to the store for each question and without a loss.
+BOOST_AUTO_TEST_CASE(ALossCostsOneRead) {
+  LateReader Late;
+  BOOST_TEST(Late.lookUp(100, 2).m_UnansweredCount == 0U);
+  BOOST_TEST(Late.reads() == 0U);
+  Late.m_Instance.m_Exchange.removePeer(link::LinkId(2));
+  for (std::size_t Unknown = 100; Unknown < 120; ++Unknown) {
+    const LookupResult Found = Late.lookUp(Unknown);
+    BOOST_TEST(!Found.m_Origin.has_value());
+    BOOST_TEST(Found.m_UnansweredCount == 0U);
+  }
+  BOOST_TEST(Late.reads() == 1U);
+}
+
+// Guards against a call to the store for each of many losses.
+BOOST_AUTO_TEST_CASE(LossesInSeriesShareReads) {
+  LateReader Late;
+  std::vector<std::unique_ptr<OriginLookup>> Lookups;
+  std::size_t Ended = 0;
+  constexpr std::uint64_t Losses = 40;
+  for (std::uint64_t I = 0; I < Losses; ++I) {
+    Late.m_Instance.addPeer(10 + I, "a");
+    Late.m_Instance.m_Exchange.removePeer(link::LinkId(10 + I));
+    Lookups.push_back(Late.m_Instance.m_Exchange.ask(
+        keyOf(100 + I), [&](const LookupResult &) { ++Ended; }));
+    Late.deny(1);
+    Late.deny(2);
+    Late.m_World.m_Timers.advance(50ms);
+  }
+  Late.m_World.m_Timers.advance(OriginExchange::ArchiveTimeout);
+  BOOST_TEST(Ended == Losses);
+  BOOST_TEST(Late.reads() <= 2s / OriginArchive::MinReadPause + 1);
+}
+
+// Guards against a stream that counts as lost as a peer doesn't answer.
+BOOST_AUTO_TEST_CASE(SilenceIsAReasonToReadAgain) {
+  LateReader Late;
+  const LookupResult First = Late.lookUp(3, 1);
+  BOOST_TEST(!First.m_Origin.has_value());
+  BOOST_TEST(First.m_UnansweredCount > 0U);
+  BOOST_TEST((Late.m_Instance.m_Exchange.findLocal(keyOf(3)) != nullptr));
+}
+
+// Guards against callers that wait for a store that is away, or that are
+// refused for good meanwhile.
+BOOST_AUTO_TEST_CASE(ALossWithoutTheStoreLeavesItOpen) {
+  LateReader Late;
+  Late.m_World.m_Tables.m_IsAway = true;
+  Late.m_Instance.m_Exchange.removePeer(link::LinkId(2));
+  Late.m_Instance.startLookup(3);
+  Late.deny(1);
+  Late.m_World.m_Timers.advance(100ms);
+  BOOST_REQUIRE(Late.m_Instance.m_Found.has_value());
+  BOOST_TEST(Late.m_Instance.m_Found->m_UnansweredCount > 0U);
+  Late.m_World.m_Tables.m_IsAway = false;
+  Late.m_World.m_Timers.advance(OriginArchive::MaxReadPause);
+  BOOST_TEST(Late.lookUp(3).m_Origin.has_value());
+}
+
+// Guards against origins that aren't saved while the archive is read again.
+BOOST_AUTO_TEST_CASE(WritesGoOnWhileTheArchiveIsReadAgain) {
+  LateReader Late;
+  Late.m_World.m_Tables.m_AnswerTime = 200ms;
+  Late.m_Instance.m_Exchange.removePeer(link::LinkId(2));
+  Late.m_Instance.startLookup(3);
+  Late.deny(1);
+  Late.m_Instance.begin(200, 1);
+  const std::size_t Before = Late.m_World.m_Tables.m_Writes;
+  Late.m_World.m_Timers.advance(100ms);
+  BOOST_TEST(Late.m_World.m_Tables.m_Writes == Before + 1);
+}
+
+// Guards against reads by each instance of a zone with hubs, and against none
+// where the hubs are lost as well.
+BOOST_AUTO_TEST_CASE(HubsReadForTheirZone) {
+  for (const bool IsHubLost : {false, true}) {
+    LateReader Late;
+    Late.m_Instance.m_Exchange.setHubs({Instance::idOf(1)});
+    Late.m_Instance.m_Exchange.removePeer(link::LinkId(IsHubLost ? 1 : 2));
+    Late.m_Instance.startLookup(3);
+    Late.deny(IsHubLost ? 2 : 1);
+    Late.m_World.m_Timers.advance(OriginExchange::ArchiveTimeout);
+    BOOST_TEST(Late.reads() == (IsHubLost ? 1U : 0U));
+    BOOST_REQUIRE(Late.m_Instance.m_Found.has_value());
+    BOOST_TEST(Late.m_Instance.m_Found->m_Origin.has_value() == IsHubLost);
+  }
+  LateReader Both;
+  Both.m_World.m_Tables.m_AnswerTime = 100ms;
+  Both.m_Instance.m_Exchange.setHubs({Instance::idOf(1)});
+  Both.m_Instance.m_Exchange.removePeer(link::LinkId(1));
+  std::size_t Found = 0;
+  std::vector<std::unique_ptr<OriginLookup>> Lookups;
+  for (const std::size_t Stream : {3U, 4U}) {
+    Lookups.push_back(Both.m_Instance.m_Exchange.ask(
+        keyOf(Stream),
+        [&](const LookupResult &Result) { Found += Result.m_Origin ? 1 : 0; }));
+    Both.deny(2);
+    Both.m_World.m_Timers.advance(50ms);
+  }
+  Both.m_World.m_Timers.advance(OriginExchange::ArchiveTimeout);
+  BOOST_TEST(Found == 2U);
+  LateReader Hub;
+  Hub.m_Instance.m_Exchange.setHubs({instanceIdOf("edge-1")});
+  Hub.m_Instance.m_Exchange.removePeer(link::LinkId(2));
+  Hub.m_Instance.ask(1, 7, 3);
+  Hub.m_World.m_Timers.advance(100ms);
+  BOOST_TEST(Hub.m_Instance.answers(1) == 1U);
+  BOOST_TEST(Hub.reads() == 1U);
+}
--- a/tests/unit/path_fleet.h
+++ b/tests/unit/path_fleet.h
@@ -6,6 +6,7 @@
 #include "relay/call_relay.h"
 #include "unit/forwarded_request_env.h"
 #include "unit/simulated_links.h"
+#include "unit/simulated_tables.h"
 #include "unit/simulated_upstreams.h"
 
 #include <algorithm>
@@ -115,6 +116,16 @@
     m_Digests->setPeers(Peers);
   }
 
+  /// Saves origins of streams of the engines' service in \p Shared.
+  void archiveOrigins(SimulatedTables &Shared, ManualScheduler &Timers,
+                      const Clock &Time) {
+    m_Tables = Shared.client();
+    m_Archive = std::make_unique<resume::OriginArchive>(
+        m_Self.m_Name, *m_Tables, Time, Timers, m_Metrics);
+    m_Origins.setArchive(*m_Archive);
+    m_Archive->setMixedServices({"pool"});
+  }
+
   relay::RelayLinksFactory linksFactory(LinkNetwork &Net, bool Listens) {
     return [this, &Net, Listens](const std::string &,
                                  link::LinkListener &Listener) {
@@ -134,6 +145,8 @@
   WaitQueue m_WaitQueue;
   AnswerMemory m_AnswerMemory;
   SoftwareHistory m_SoftwareHistory;
+  std::unique_ptr<platform::TableService> m_Tables; ///< See archiveOrigins().
+  std::unique_ptr<resume::OriginArchive> m_Archive; ///< Null: none is used.
   resume::OriginExchange m_Origins;
   relay::CallRelay m_Relay;
   ForwardContext m_Context;
@@ -202,6 +215,8 @@
     Started.m_Relay.setPeers(listedPeers());
     if (m_HasDigests)
       Started.joinDigests(m_DigestLinks, m_Timers, m_Clock, listedPeers());
+    if (m_HasArchive)
+      Started.archiveOrigins(m_Tables, m_Timers, m_Clock);
   }
 
   /// Returns the list of instances as the directory has it.
@@ -222,6 +237,13 @@
       Instance->joinDigests(m_DigestLinks, m_Timers, m_Clock, m_Peers);
   }
 
+  /// Lets all instances, and those that start later, save origins of streams.
+  void archiveOrigins() {
+    m_HasArchive = true;
+    for (const auto &Instance : m_Instances)
+      Instance->archiveOrigins(m_Tables, m_Timers, m_Clock);
+  }
+
   /// Kills an instance, with all of its requests.
   void stopInstance(std::size_t Index) {
     for (const auto &Request : m_Requests)
@@ -432,7 +454,9 @@
   UpstreamWorld m_World{m_Timers};
   LinkNetwork m_Links{m_Timers};
   LinkNetwork m_DigestLinks{m_Timers};
+  SimulatedTables m_Tables{m_Timers};
   bool m_HasDigests = false; ///< See joinDigests().
+  bool m_HasArchive = false; ///< See archiveOrigins().
   std::size_t m_Zones;
   RouteTablePtr m_Table;
   PeerList m_Peers;                 ///< All instances.
