--- a/src/resume/origin_archive.h
+++ b/src/resume/origin_archive.h
@@ -161,7 +161,7 @@
   std::optional<platform::TableEra> m_Era;      ///< Of the last answer.
   ReadState m_ReadState = ReadState::Undecided; ///< See ReadState.
   bool m_HasRead = false;                       ///< See hasRead().
-  TimePoint m_ReadBeganAt = TimePoint::min(); ///< Of the last call that reads.
+  TimePoint m_ReadBeganAt = TimePoint::min(); ///< Last read; min(): it failed.
   TimePoint m_ReadSince = TimePoint::min();   ///< The latest readSince().
   Duration m_ReadPause = MinReadPause;        ///< Before the next attempt.
   bool m_IsAvailable = true;                  ///< The last call was answered.
--- a/src/resume/origin_exchange.cpp
+++ b/src/resume/origin_exchange.cpp
@@ -293,8 +293,8 @@
       *this, search(Key, Asked, true, LookupTimeout, Count));
 }
 
-/// Asks the instances at the other ends of \p At, and lets them search in other
-/// zones if they are hubs and \p InOtherZones is set.
+/// Asks the instances at the other ends of \p At. With \p InOtherZones hubs
+/// among them search in other zones, and this instance may read the archive.
 OriginExchange::SearchId
 OriginExchange::search(const StreamKey &Key,
                        const std::vector<link::LinkId> &At, bool InOtherZones,
--- a/tests/unit/digest_exchange_test.cpp
+++ b/tests/unit/digest_exchange_test.cpp
@@ -372,7 +372,7 @@
 BOOST_AUTO_TEST_CASE(UsageOfAStoppingInstanceIsReported) {
   for (const auto &[Zones, InZone] :
        {std::pair(2, 2), std::pair(3, 3), std::pair(4, 21), std::pair(6, 50)}) {
-    const auto Count = static_cast<std::size_t>(Zones * InZone);
+    const std::size_t Count = Fleet(Zones, InZone).m_Instances.size();
     for (const std::size_t Index : {std::size_t(0), Count / 2, Count - 1}) {
       Fleet F(Zones, InZone);
       F.run(1s);
