Fix: Take no reset for the end of an answer

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: the kernel reports an error of a connection to one call only. A call writes before it reads, so the write met the reset; the reads after it gave what had arrived and then 0, as after an end in order. Nothing kept what the write had been told.

Evidence: seen on loopback. A reset, or a close with unread bytes, gives the next send() ECONNRESET and the one after it EPIPE. If the peer has ended its side in order first, the first error is EPIPE. In all cases recv() then gives what is queued, and 0.

Why this works: UpstreamConnection remembers whether it failed before its peer had ended its side, whichever call met that, and then reports Failed in place of Closed, now and later. It is the one place where all readers of answers (calls, carried calls, process checks, the short calls to the store, the platform and dispatchers) learn of an end. An error between the first byte of an answer and its end can be met by read() and write() only: connectOutcome() runs before the request is sent, and a connection whose isIdle() fails is not used again.

An answer stays whole if it has its own end (a length or chunks), or if its connection ended in order, also where the rest of the upload is then refused: the upstream has sent all of it (RFC 9112, 6.3 and 9.6).

--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -105,17 +105,30 @@
                             MSG_NOSIGNAL | MSG_DONTWAIT);
   if (Size >= 0)
     return static_cast<std::size_t>(Size);
-  return wouldBlock(errno) ? std::optional<std::size_t>(0) : std::nullopt;
+  if (wouldBlock(errno))
+    return 0;
+  recordError(errno);
+  return std::nullopt;
+}
+
+/// The kernel reports an error of the connection to one call only; reads after
+/// it look like an end in order. After such an end, a reset is reported as
+/// EPIPE: the peer has sent all of its answer and refuses the rest of the
+/// request.
+void UpstreamConnection::recordError(int Error) {
+  m_HasFailed = m_HasFailed || Error != EPIPE;
 }
 
 ReadOutcome UpstreamConnection::read(std::string_view &Bytes) {
   static std::array<char, ReadSize> Buffer;
   const ssize_t Size =
       recv(descriptor(), Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+  if (Size < 0 && wouldBlock(errno))
+    return ReadOutcome::WouldBlock;
   if (Size < 0)
-    return wouldBlock(errno) ? ReadOutcome::WouldBlock : ReadOutcome::Failed;
-  if (Size == 0)
-    return ReadOutcome::Closed;
+    m_HasFailed = true;
+  if (Size <= 0)
+    return m_HasFailed ? ReadOutcome::Failed : ReadOutcome::Closed;
   Bytes = {Buffer.data(), static_cast<std::size_t>(Size)};
   return ReadOutcome::Bytes;
 }
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -20,8 +20,8 @@
 enum class ReadOutcome : std::uint8_t {
   Bytes,      ///< Bytes were read.
   WouldBlock, ///< No bytes yet.
-  Closed,     ///< The peer has closed the connection, without a reset.
-  Failed,     ///< The connection has failed.
+  Closed,     ///< The peer has ended its side in order, not by a reset.
+  Failed,     ///< The connection has failed; stays so for all later reads.
 };
 
 /// Result of a connection attempt.
@@ -48,7 +48,8 @@
   [[nodiscard]] ConnectOutcome connectOutcome();
 
   /// Writes what the socket accepts without blocking; returns the number of
-  /// bytes, or nullopt if the connection has failed.
+  /// bytes, or nullopt if the peer accepts no more. What it sent before can
+  /// still be read.
   std::optional<std::size_t> write(std::string_view Bytes);
 
   /// Reads available bytes into a buffer that all connections share; \p Bytes
@@ -76,9 +77,11 @@
 private:
   UpstreamConnection(SocketPtr Socket, SocketListener &Listener);
   [[nodiscard]] int descriptor() const;
+  void recordError(int Error);
 
   SocketPtr m_Socket;          ///< Never null.
   SocketWatch m_Watch;         ///< For m_Socket.
+  bool m_HasFailed = false;    ///< Failed before the peer's end; never reset.
   std::uint64_t m_Process = 0; ///< See process().
 };
 
--- /dev/null
+++ b/tests/process/raw_answer_test.cpp
@@ -0,0 +1,91 @@
+/// Answers of upstreams in trouble, at a real gateway.
+#define BOOST_TEST_MODULE raw_answer
+#include "process/raw_caller.h"
+#include "process/raw_upstream.h"
+#include "process/watched_gateway.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace crowstep;
+using namespace crowstep::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int RequestCount = 10;
+
+/// More than the sockets' buffers hold, and less than a request may have.
+constexpr std::size_t LongUpload = std::size_t(3) << 20U;
+constexpr std::size_t ShortUpload = 100;
+
+constexpr const char *Head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n"
+                             "X-Server-Signature: s\r\n";
+
+/// What callers got from a gateway whose only upstream sends such answers.
+struct Received {
+  int m_Whole = 0;       ///< Complete and not the gateway's own refusal.
+  int m_Failed = 0;      ///< Stated as failed, the outcome unknown.
+  int m_Other = 0;       ///< Anything else.
+  std::string m_Body;    ///< Of the last whole one.
+  int m_AnswerCount = 0; ///< Answers of the upstream.
+};
+
+Received receive(const std::string &Answer, RawEnd End, std::size_t UploadBytes,
+                 const std::string &Path) {
+  const RawUpstream Upstream(Answer, End);
+  WatchedGateway Gateway(Upstream.address(), RequestCount);
+  RawCaller Caller;
+  Received Result;
+  for (int I = 0; I < RequestCount; ++I) {
+    const auto Answered = Caller.start(
+        Gateway.m_Fleet.request(0, Path, std::string(UploadBytes, 'u')));
+    BOOST_TEST(runUntil([&] { return Answered->m_Ended; }, 10s));
+    if (Answered->m_Status == 502 && !Answered->m_ConnectionBroken) {
+      ++Result.m_Failed;
+    } else if (Answered->m_Status < 500 && !Answered->m_ConnectionBroken) {
+      ++Result.m_Whole;
+      Result.m_Body = Answered->m_Body;
+    } else {
+      ++Result.m_Other;
+    }
+  }
+  BOOST_TEST(Gateway.isRunning());
+  Result.m_AnswerCount = Upstream.answered();
+  return Result;
+}
+
+void checkFailed(const std::string &Answer, RawEnd End,
+                 std::size_t UploadBytes) {
+  const Received Result =
+      receive(Answer, End, UploadBytes, "/non_idempotent/x");
+  BOOST_TEST(Result.m_Failed == RequestCount, Answer);
+  BOOST_TEST(Result.m_Whole == 0);
+  BOOST_TEST(Result.m_AnswerCount == RequestCount);
+}
+
+void checkWhole(const std::string &Answer, RawEnd End,
+                std::size_t UploadBytes) {
+  const Received Result =
+      receive(Answer, End, UploadBytes, "/non_idempotent/x");
+  BOOST_TEST(Result.m_Whole == RequestCount, Answer);
+  BOOST_TEST(Result.m_Body == "okay");
+}
+
+} // namespace
+
+// Guards against a caller who gets a part of an answer as a whole one, as its
+// upstream reset the connection during the upload.
+BOOST_AUTO_TEST_CASE(APartOfAnAnswerIsNoAnswer) {
+  checkFailed(std::string(Head) + "\r\nokay", RawEnd::Reset, LongUpload);
+  checkFailed(std::string(Head) + "\r\n" + std::string(9000, 'a'),
+              RawEnd::Reset, LongUpload);
+}
+
+// Guards against sound answers that are lost with the broken ones.
+BOOST_AUTO_TEST_CASE(ASoundAnswerIsWhole) {
+  const std::string Sized = "Content-Length: 4\r\n\r\nokay";
+  checkWhole(Head + Sized, RawEnd::KeepOpen, ShortUpload);
+  checkWhole(Head + Sized, RawEnd::Reset, LongUpload);
+  checkWhole(std::string(Head) + "\r\nokay", RawEnd::InOrder, ShortUpload);
+  checkWhole(std::string(Head) + "\r\nokay", RawEnd::InOrder, LongUpload);
+}
--- a/tests/unit/cut_head_test.cpp
+++ b/tests/unit/cut_head_test.cpp
@@ -100,11 +100,10 @@
 };
 
 void closeConnection(Peer &Connection, bool Reset) {
-  const linger ResetOnClose = {1, 0};
   if (Reset)
-    setsockopt(Connection.fd(), SOL_SOCKET, SO_LINGER, &ResetOnClose,
-               sizeof(ResetOnClose));
-  Connection.close();
+    Connection.reset();
+  else
+    Connection.close();
 }
 
 /// Which connection a call is sent on.
--- a/tests/unit/loopback_peer.h
+++ b/tests/unit/loopback_peer.h
@@ -113,6 +113,13 @@
       ::close(m_Fd);
     m_Fd = -1;
   }
+  /// Closes with a reset.
+  void reset() {
+    const linger ResetOnClose = {1, 0};
+    setsockopt(m_Fd, SOL_SOCKET, SO_LINGER, &ResetOnClose,
+               sizeof(ResetOnClose));
+    close();
+  }
   [[nodiscard]] int fd() const { return m_Fd; }
   [[nodiscard]] bool hasReceived(const std::string &Text) {
     return received().find(Text) != std::string::npos;
--- a/tests/unit/upstream_call_test.cpp
+++ b/tests/unit/upstream_call_test.cpp
@@ -49,14 +49,6 @@
   }
 };
 
-/// Closes \p Of with a reset.
-void reset(Peer &Connection) {
-  const linger ResetOnClose = {1, 0};
-  setsockopt(Connection.fd(), SOL_SOCKET, SO_LINGER, &ResetOnClose,
-             sizeof(ResetOnClose));
-  Connection.close();
-}
-
 /// Listens, but answers no further connection, as its queue is full.
 struct FullListener {
   FullListener() {
@@ -100,7 +92,7 @@
         BOOST_TEST(
             pumpUntil([&] { return Fixture.m_Listener.m_Status == 200; }));
         if (Reset)
-          reset(*Upstream);
+          Upstream->reset();
         else
           Upstream->close();
         BOOST_TEST(Fixture.ended());
@@ -188,7 +180,7 @@
     Upstream->send("HTTP/1.1 200 OK\r\n\r\nwhole");
     BOOST_TEST(pumpUntil([&] { return Fixture.m_Listener.m_Body == "whole"; }));
     if (Reset)
-      reset(*Upstream);
+      Upstream->reset();
     else
       Upstream->close();
     BOOST_TEST(Fixture.ended());
