Fix: Take no answer whose status is none

What callers saw: an upstream in trouble sent an answer with the status 000 (also 001, 042, 20) before a second answer, as its body or after its head. The caller got the second one as the answer. Answers with 0200, 600 or 999 and those of HTTP/0.9 or HTTP/2.0 were handed on.

Cause: every status below 200 counted as that of an interim answer, whose head is skipped. http_parser takes any number of digits whose value is below 1000, and any digits of a version.

Why this works: a final or interim head is taken only with a version 1.x (RFC 9112, 2.3) and a status of three digits from 100 to 599 (RFC 9110, 15). Statuses of 600 and above are invalid there and count as a failure of the server, which is what the caller gets. Leading zeros can't be seen in the parsed number, so the parser pauses where a status line begins and the first digit is looked at; it may come in any later piece. Between 100 and 599 without a leading zero a status has three digits.

--- a/src/http/answer_parser.cpp
+++ b/src/http/answer_parser.cpp
@@ -1,12 +1,17 @@
 /// Parsing of answers with http_parser.
 #include "http/answer_parser.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace crowstep {
 
 namespace {
 
+/// Range of valid statuses (RFC 9110, 15).
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
+
 constexpr unsigned HttpSwitchingProtocols = 101;
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpNoContent = 204;
@@ -44,14 +49,38 @@
     m_CanReuse = m_CanReuse && Bytes.empty();
     return;
   }
-  const std::size_t Consumed =
-      http_parser_execute(&m_Parser, &callbacks(), Bytes.data(), Bytes.size());
+  do {
+    checkFirstStatusDigit(Bytes);
+    Bytes.remove_prefix(http_parser_execute(&m_Parser, &callbacks(),
+                                            Bytes.data(), Bytes.size()));
+  } while (resumeAtStatusLine() && !Bytes.empty());
   if (m_State == AnswerState::Complete)
-    m_CanReuse = m_CanReuse && Consumed == Bytes.size();
+    m_CanReuse = m_CanReuse && Bytes.empty();
   else if (HTTP_PARSER_ERRNO(&m_Parser) != HPE_OK)
     m_State = AnswerState::Invalid;
 }
 
+/// Resumes the parser if onMessageBegin() has paused it; returns whether it
+/// had.
+bool AnswerParser::resumeAtStatusLine() {
+  if (m_State != AnswerState::Reading ||
+      HTTP_PARSER_ERRNO(&m_Parser) != HPE_PAUSED)
+    return false;
+  http_parser_pause(&m_Parser, 0);
+  return true;
+}
+
+/// http_parser takes any number of digits whose value is below 1000.
+void AnswerParser::checkFirstStatusDigit(std::string_view Bytes) {
+  const std::size_t VersionSize = std::min(m_VersionBytesLeft, Bytes.size());
+  m_VersionBytesLeft -= VersionSize;
+  const std::size_t First = Bytes.find_first_not_of(' ', VersionSize);
+  if (!m_AwaitsStatus || First == std::string_view::npos)
+    return;
+  m_AwaitsStatus = false;
+  m_StatusHasLeadingZero = Bytes[First] == '0';
+}
+
 void AnswerParser::peerClosed() {
   m_CanReuse = false;
   if (m_State != AnswerState::Reading)
@@ -63,6 +92,11 @@
 
 std::string AnswerParser::takeBody() { return std::exchange(m_Body, {}); }
 
+bool AnswerParser::hasValidStatusLine() const {
+  return m_Parser.http_major == 1 && !m_StatusHasLeadingZero &&
+         status() >= MinStatus && status() <= MaxStatus;
+}
+
 bool AnswerParser::isInformational() const { return status() < HttpOk; }
 
 bool AnswerParser::hasNoBody() const {
@@ -71,7 +105,13 @@
 }
 
 int AnswerParser::onMessageBegin(http_parser *Parser) {
-  ownerOf(Parser).m_HeaderCollector.clear();
+  constexpr std::string_view VersionAfterFirstByte = "TTP/1.1";
+  AnswerParser &Self = ownerOf(Parser);
+  Self.m_HeaderCollector.clear();
+  Self.m_VersionBytesLeft = VersionAfterFirstByte.size();
+  Self.m_AwaitsStatus = true;
+  // Pause: feed() checks what follows.
+  http_parser_pause(Parser, 1);
   return 0;
 }
 
@@ -96,7 +136,7 @@
   constexpr int SkipBody = 1;
   AnswerParser &Self = ownerOf(Parser);
   // No request asks for an upgrade, so a 101 answer is invalid.
-  if (Self.status() == HttpSwitchingProtocols)
+  if (!Self.hasValidStatusLine() || Self.status() == HttpSwitchingProtocols)
     return Fail;
   if (Self.isInformational() && ++Self.m_InformationalCount > MaxInformational)
     return Fail;
--- a/src/http/answer_parser.h
+++ b/src/http/answer_parser.h
@@ -60,17 +60,23 @@
   static int onBody(http_parser *Parser, const char *At, size_t Size);
   static int onMessageComplete(http_parser *Parser);
   static const http_parser_settings &callbacks();
+  bool resumeAtStatusLine();
+  void checkFirstStatusDigit(std::string_view Bytes);
+  [[nodiscard]] bool hasValidStatusLine() const;
   [[nodiscard]] bool isInformational() const;
   [[nodiscard]] bool hasNoBody() const;
 
-  http_parser m_Parser{};            ///< Points back to this object.
-  bool m_IsHeadRequest;              ///< See the constructor.
-  HeaderCollector m_HeaderCollector; ///< Of the head being read.
-  HeaderList m_Headers;              ///< Of the final answer; see hasHead().
-  unsigned m_InformationalCount = 0; ///< 1xx answers so far.
-  bool m_HasHead = false;            ///< See hasHead().
-  bool m_CanReuse = false;           ///< See canReuseConnection().
-  std::string m_Body;                ///< Not yet taken.
+  http_parser m_Parser{};              ///< Points back to this object.
+  bool m_IsHeadRequest;                ///< See the constructor.
+  HeaderCollector m_HeaderCollector;   ///< Of the head being read.
+  HeaderList m_Headers;                ///< Of the final answer; see hasHead().
+  unsigned m_InformationalCount = 0;   ///< 1xx answers so far.
+  std::size_t m_VersionBytesLeft = 0;  ///< Of the status line being read.
+  bool m_AwaitsStatus = false;         ///< Its status has not begun.
+  bool m_StatusHasLeadingZero = false; ///< Its status begins with a 0.
+  bool m_HasHead = false;              ///< See hasHead().
+  bool m_CanReuse = false;             ///< See canReuseConnection().
+  std::string m_Body;                  ///< Not yet taken.
   AnswerState m_State = AnswerState::Reading; ///< Leaves Reading once.
 };
 
--- a/tests/process/raw_answer_test.cpp
+++ b/tests/process/raw_answer_test.cpp
@@ -18,8 +18,10 @@
 constexpr std::size_t LongUpload = std::size_t(3) << 20U;
 constexpr std::size_t ShortUpload = 100;
 
-constexpr const char *Head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n"
-                             "X-Server-Signature: s\r\n";
+/// What every answer of an upstream states.
+const std::string Stated = "X-Attempt-Id: {id}\r\nX-Server-Signature: s\r\n";
+const std::string Head = "HTTP/1.1 200 OK\r\n" + Stated;
+const std::string Sized = "Content-Length: 4\r\n\r\nokay";
 
 /// What callers got from a gateway whose only upstream sends such answers.
 struct Received {
@@ -71,21 +73,33 @@
   BOOST_TEST(Result.m_Body == "okay");
 }
 
+/// Checks that answers with this status line fail.
+void checkInvalidLine(const std::string &Line) {
+  checkFailed(Line + Stated + Sized, RawEnd::KeepOpen, ShortUpload);
+  checkFailed(Line + "\r\n" + Head + Sized, RawEnd::KeepOpen, ShortUpload);
+}
+
 } // namespace
 
 // Guards against a caller who gets a part of an answer as a whole one, as its
 // upstream reset the connection during the upload.
 BOOST_AUTO_TEST_CASE(APartOfAnAnswerIsNoAnswer) {
-  checkFailed(std::string(Head) + "\r\nokay", RawEnd::Reset, LongUpload);
-  checkFailed(std::string(Head) + "\r\n" + std::string(9000, 'a'),
-              RawEnd::Reset, LongUpload);
+  checkFailed(Head + "\r\nokay", RawEnd::Reset, LongUpload);
+  checkFailed(Head + "\r\n" + std::string(9000, 'a'), RawEnd::Reset,
+              LongUpload);
+}
+
+// Guards against a status that is none, and that a caller gets as an answer or
+// that is skipped as an interim one.
+BOOST_AUTO_TEST_CASE(AnInvalidStatusIsNoAnswer) {
+  for (const std::string Status : {"000", "042", "20", "0200", "600"})
+    checkInvalidLine("HTTP/1.1 " + Status + " Text\r\n");
 }
 
 // Guards against sound answers that are lost with the broken ones.
 BOOST_AUTO_TEST_CASE(ASoundAnswerIsWhole) {
-  const std::string Sized = "Content-Length: 4\r\n\r\nokay";
   checkWhole(Head + Sized, RawEnd::KeepOpen, ShortUpload);
   checkWhole(Head + Sized, RawEnd::Reset, LongUpload);
-  checkWhole(std::string(Head) + "\r\nokay", RawEnd::InOrder, ShortUpload);
-  checkWhole(std::string(Head) + "\r\nokay", RawEnd::InOrder, LongUpload);
+  checkWhole(Head + "\r\nokay", RawEnd::InOrder, ShortUpload);
+  checkWhole(Head + "\r\nokay", RawEnd::InOrder, LongUpload);
 }
