Fix: Take no answer with an invalid name of a header

What callers saw: an upstream in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer, with that line passed on; with "Content-Length : 2" it got 2 of 4 bytes, a body that was not the upstream's.

Cause: http_parser takes blanks as part of a name, and the names were then trimmed, so that "Content-Length " became the length of an answer that the parser had read until the close or by another length.

Why this works: a name of a head, an interim head or a trailer that has anything but the characters of a token (RFC 9110, 5.6.2) makes the answer invalid as soon as it is read, in whatever pieces it comes. RFC 9112, 5.1 lets a proxy remove blanks before the colon of an answer's header instead; but who reads the same line as another name, or as none, sees another end of the body. Requests have the same rule as before, with the same function.

Handled before, with tests now: tabs, control bytes, DEL, NUL, bytes above 0x7f and separators in a name, an empty name, a line without a colon; and any of these in the name of a request's header.

--- a/src/http/answer_parser.cpp
+++ b/src/http/answer_parser.cpp
@@ -117,7 +117,11 @@
 
 int AnswerParser::onHeaderField(http_parser *Parser, const char *At,
                                 size_t Size) {
+  constexpr int Fail = -1;
   AnswerParser &Self = ownerOf(Parser);
+  // http_parser accepts blanks.
+  if (!hasOnlyTokenCharacters({At, Size}))
+    return Fail;
   if (!Self.m_HasHead) // Trailers are not forwarded.
     Self.m_HeaderCollector.appendName({At, Size});
   return 0;
@@ -141,8 +145,6 @@
   if (Self.isInformational() && ++Self.m_InformationalCount > MaxInformational)
     return Fail;
   Self.m_Headers = Self.m_HeaderCollector.take();
-  for (HeaderField &Field : Self.m_Headers)
-    Field.m_Name.resize(Field.m_Name.find_last_not_of(" \t") + 1);
   Self.m_HasHead = !Self.isInformational();
   return Self.hasNoBody() ? SkipBody : 0;
 }
--- a/src/http/header_list.cpp
+++ b/src/http/header_list.cpp
@@ -65,6 +65,13 @@
                     [](char A, char B) { return toLower(A) == toLower(B); });
 }
 
+bool hasOnlyTokenCharacters(std::string_view Text) {
+  constexpr std::string_view TokenCharacters =
+      "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
+  return Text.find_first_not_of(TokenCharacters) == std::string_view::npos;
+}
+
 const std::string *findHeader(const HeaderList &Headers,
                               std::string_view Name) {
   for (const HeaderField &Field : Headers)
--- a/src/http/header_list.h
+++ b/src/http/header_list.h
@@ -23,6 +23,10 @@
 /// Compares header names, or values that are tokens.
 bool equalsIgnoreCase(std::string_view Left, std::string_view Right);
 
+/// Returns whether \p Text has only characters that the names of headers may
+/// have (RFC 9110, 5.6.2).
+bool hasOnlyTokenCharacters(std::string_view Text);
+
 /// Returns the first header called \p Name, or null.
 const std::string *findHeader(const HeaderList &Headers, std::string_view Name);
 
--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -14,10 +14,10 @@
   return *static_cast<RequestParser *>(Parser->data);
 }
 
-/// Returns whether the name contains a blank. http_parser accepts that, and the
-/// upstream may read the header differently.
-bool nameHasBlank(const HeaderField &Field) {
-  return Field.m_Name.find_first_of(" \t") != std::string::npos;
+/// http_parser accepts names with blanks, and the upstream may read such a
+/// header differently.
+bool hasValidName(const HeaderField &Field) {
+  return hasOnlyTokenCharacters(Field.m_Name);
 }
 
 /// Returns path and query of a target, which may be in absolute form.
@@ -123,7 +123,7 @@
 bool RequestParser::processHead() {
   m_Request.m_Headers = m_HeaderCollector.take();
   // http_parser accepts tabs and form feeds in a target.
-  if (std::ranges::any_of(m_Request.m_Headers, nameHasBlank) ||
+  if (!std::ranges::all_of(m_Request.m_Headers, hasValidName) ||
       !isSendableTarget(m_Request.m_Target))
     return false;
   m_Request.m_Method =
--- a/tests/process/raw_answer_test.cpp
+++ b/tests/process/raw_answer_test.cpp
@@ -79,6 +79,14 @@
   checkFailed(Line + "\r\n" + Head + Sized, RawEnd::KeepOpen, ShortUpload);
 }
 
+/// Checks that answers with this header fail.
+void checkInvalidName(const std::string &Line) {
+  checkFailed(Head + Line + Sized, RawEnd::KeepOpen, ShortUpload);
+  checkFailed(Head + Line + "\r\nokay", RawEnd::InOrder, ShortUpload);
+  checkFailed("HTTP/1.1 103 Early Hints\r\n" + Line + "\r\n" + Head + Sized,
+              RawEnd::KeepOpen, ShortUpload);
+}
+
 } // namespace
 
 // Guards against a caller who gets a part of an answer as a whole one, as its
@@ -96,6 +104,14 @@
     checkInvalidLine("HTTP/1.1 " + Status + " Text\r\n");
 }
 
+// Guards against a line whose name is none, and that a caller gets, or that
+// changes where the body ends.
+BOOST_AUTO_TEST_CASE(AnInvalidHeaderNameIsNoAnswer) {
+  for (const std::string Line :
+       {"X A: b", "X-A : b", "X-A\t: b", "X\x01-A: b", "Content-Length : 2"})
+    checkInvalidName(Line + "\r\n");
+}
+
 // Guards against sound answers that are lost with the broken ones.
 BOOST_AUTO_TEST_CASE(ASoundAnswerIsWhole) {
   checkWhole(Head + Sized, RawEnd::KeepOpen, ShortUpload);
--- a/tests/unit/answer_parser_test.cpp
+++ b/tests/unit/answer_parser_test.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+const std::string Ok = "HTTP/1.1 200 OK\r\n";
+const std::string Length = "Content-Length: 4\r\n";
+const std::string Chunks = "Transfer-Encoding: chunked\r\n";
 const std::string SoundAnswer =
     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nokay";
 const std::string EarlyHints = "HTTP/1.1 103 Early Hints\r\n\r\n";
@@ -59,6 +62,21 @@
   checkWhole(Line + "\r\n" + SoundAnswer);
 }
 
+/// Checks that answers with this header are invalid.
+void checkInvalidName(const std::string &Line) {
+  checkInvalid(Ok + Line + "\r\nokay");
+  checkInvalid(Ok + Line + Length + "\r\nokay");
+  checkInvalid(Ok + Line + Chunks + "\r\n0\r\n\r\n");
+  checkInvalid("HTTP/1.1 103 Early Hints\r\n" + Line + "\r\n" + SoundAnswer);
+  checkInvalid(Ok + Chunks + "\r\n4\r\nokay\r\n0\r\n" + Line + "\r\n");
+  // Behind another line, a leading blank continues its value.
+  if (Line.starts_with(' ') || Line.starts_with('\t'))
+    return;
+  checkInvalid(Ok + Length + Line + "\r\nokay");
+  checkInvalid(Ok + "X-B: c\r\n" + Line + "\r\nokay");
+  checkInvalid(Ok + Chunks + Line + "\r\n0\r\n\r\n");
+}
+
 } // namespace
 
 // Guards against a status that is none: its answer passed for one, or for an
@@ -90,3 +108,43 @@
         "http/1.1", "ICY"})
     checkInvalidLine(Version + " 200 OK\r\n");
 }
+
+// Guards against a line whose name is none: it was passed on, or changed where
+// the body ends.
+BOOST_AUTO_TEST_CASE(AnInvalidHeaderNameIsNoAnswer) {
+  std::vector<std::string> Lines = {"X A: b",
+                                    "X-A : b",
+                                    "X-A\t: b",
+                                    "X-A  \t : b",
+                                    " X-A: b",
+                                    "\tX-A: b",
+                                    " : b",
+                                    ": b",
+                                    "X-A",
+                                    "X A",
+                                    "Content-Length : 2",
+                                    "Content-Length\t: 2",
+                                    "Content Length: 2",
+                                    "Transfer-Encoding : chunked",
+                                    std::string("X\0A: b", 6)};
+  for (const char Byte : std::string("\x01\x08\x0b\x0c\x1b\x1f\x7f\x80\xa0\xe9"
+                                     "\"(),/;<=>?@[\\]{}"))
+    Lines.push_back(std::string("X") + Byte + "A: b");
+  for (const std::string &Text : Lines)
+    checkInvalidName(Text + "\r\n");
+}
+
+// Guards against sound answers that are lost with the broken ones.
+BOOST_AUTO_TEST_CASE(EveryValidHeaderNameIsRead) {
+  const std::string Name = "!#$%&'*+-.^_`|~059azAZ";
+  AnswerParser Parser(false);
+  Parser.feed("HTTP/1.1 200 OK\r\n" + Name + ": b\r\nX-Empty:\r\n" +
+              "X-Folded: c\r\n d\r\nContent-Length: 0\r\n\r\n");
+  BOOST_TEST((Parser.state() == AnswerState::Complete));
+  BOOST_TEST(Parser.headers().size() == 4U);
+  BOOST_TEST(Parser.headers().front().m_Name == Name);
+  BOOST_TEST(Parser.headers().front().m_Value == "b");
+  checkWhole("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "4\r\nokay\r\n0\r\n" +
+             Name + ": b\r\n\r\n");
+}
--- a/tests/unit/request_parser_test.cpp
+++ b/tests/unit/request_parser_test.cpp
@@ -82,3 +82,21 @@
   const Outcome Result = parse(randomRequest() + Noise, 7);
   RC_ASSERT(Result.m_State != RequestParseState::NotStarted);
 }
+
+// Guards against a header that the upstream may read differently.
+BOOST_AUTO_TEST_CASE(AnInvalidHeaderNameIsNoRequest) {
+  for (const std::string Name : {"X A", "X-A ", "X-A\t", " X-A", "",
+                                 "X\x01"
+                                 "A",
+                                 "X\x7f"
+                                 "A",
+                                 "X\xe9"
+                                 "A",
+                                 "X(A", "X\"A", "X/A", "Content-Length "})
+    for (const std::size_t Step : {1, 7, 1000})
+      BOOST_TEST_CONTEXT(Name << Step) {
+        const Outcome Result =
+            parse("POST / HTTP/1.1\r\n" + Name + ": 5\r\n\r\nhello", Step);
+        BOOST_TEST((Result.m_State == RequestParseState::Invalid));
+      }
+}
