Fix: Take no answer of an unknown transfer coding

What callers saw: an answer with "Transfer-Encoding: x", or with two codings, was handed on as whole, with its body still encoded, once its connection had ended, wherever that was. Found while looking for the cause of broken answers elsewhere.

Cause: http_parser looks for chunks as the last coding and reads a body of any other coding until its connection ends.

Why this works: a head with any coding but chunks alone makes the answer invalid unless it has no body anyway (a HEAD request, 204, 304). crowstep asks for no coding (it forwards no TE header) and undoes none but chunks, and the length of a body in another one is not known (RFC 9112, 6.3).

--- a/src/http/answer_parser.cpp
+++ b/src/http/answer_parser.cpp
@@ -97,6 +97,15 @@
          status() >= MinStatus && status() <= MaxStatus;
 }
 
+/// The end of a body is known of no other coding than chunks. http_parser looks
+/// for chunks, and reads any other body until the connection ends.
+bool AnswerParser::hasUnknownCoding() const {
+  constexpr std::string_view Name = "Transfer-Encoding";
+  const std::string *Coding = findHeader(m_Headers, Name);
+  return Coding != nullptr && (countHeaders(m_Headers, Name) > 1 ||
+                               !equalsIgnoreCase(*Coding, "chunked"));
+}
+
 bool AnswerParser::isInformational() const { return status() < HttpOk; }
 
 bool AnswerParser::hasNoBody() const {
@@ -146,7 +155,9 @@
     return Fail;
   Self.m_Headers = Self.m_HeaderCollector.take();
   Self.m_HasHead = !Self.isInformational();
-  return Self.hasNoBody() ? SkipBody : 0;
+  if (Self.hasNoBody())
+    return SkipBody;
+  return Self.hasUnknownCoding() ? Fail : 0;
 }
 
 int AnswerParser::onBody(http_parser *Parser, const char *At, size_t Size) {
--- a/src/http/answer_parser.h
+++ b/src/http/answer_parser.h
@@ -63,6 +63,7 @@
   bool resumeAtStatusLine();
   void checkFirstStatusDigit(std::string_view Bytes);
   [[nodiscard]] bool hasValidStatusLine() const;
+  [[nodiscard]] bool hasUnknownCoding() const;
   [[nodiscard]] bool isInformational() const;
   [[nodiscard]] bool hasNoBody() const;
 
--- a/tests/process/raw_answer_test.cpp
+++ b/tests/process/raw_answer_test.cpp
@@ -112,6 +112,12 @@
     checkInvalidName(Line + "\r\n");
 }
 
+// Guards against a body of an unknown coding that passes for a whole one.
+BOOST_AUTO_TEST_CASE(AnUnknownTransferCodingIsNoAnswer) {
+  checkFailed(Head + "Transfer-Encoding: x\r\n\r\nokay", RawEnd::InOrder,
+              ShortUpload);
+}
+
 // Guards against sound answers that are lost with the broken ones.
 BOOST_AUTO_TEST_CASE(ASoundAnswerIsWhole) {
   checkWhole(Head + Sized, RawEnd::KeepOpen, ShortUpload);
--- a/tests/unit/answer_parser_test.cpp
+++ b/tests/unit/answer_parser_test.cpp
@@ -13,6 +13,7 @@
 const std::string Ok = "HTTP/1.1 200 OK\r\n";
 const std::string Length = "Content-Length: 4\r\n";
 const std::string Chunks = "Transfer-Encoding: chunked\r\n";
+const std::string ChunkedBody = "4\r\nokay\r\n0\r\n\r\n";
 const std::string SoundAnswer =
     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nokay";
 const std::string EarlyHints = "HTTP/1.1 103 Early Hints\r\n\r\n";
@@ -77,6 +78,17 @@
   checkInvalid(Ok + Chunks + Line + "\r\n0\r\n\r\n");
 }
 
+/// Checks that answers with this end of a head are invalid.
+void checkInvalidCoding(const std::string &HeadEnd) {
+  checkInvalid(Ok + HeadEnd + ChunkedBody);
+  checkInvalid(Ok + HeadEnd + "okay");
+}
+
+/// Checks that an answer with this end of a head is whole.
+void checkWholeCoding(const std::string &HeadEnd) {
+  checkWhole(Ok + HeadEnd + ChunkedBody);
+}
+
 } // namespace
 
 // Guards against a status that is none: its answer passed for one, or for an
@@ -148,3 +160,18 @@
              "4\r\nokay\r\n0\r\n" +
              Name + ": b\r\n\r\n");
 }
+
+// Guards against a body of an unknown coding that passes for a whole one once
+// its connection ends.
+BOOST_AUTO_TEST_CASE(AnUnknownTransferCodingIsNoAnswer) {
+  for (const std::string Coding :
+       {"x", "gzip", "identity", "", "gzip, chunked", "chunked, gzip",
+        "chunked, chunked", "chunkedx", "chunked;a=b",
+        "gzip\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: gzip",
+        "chunked\r\nTransfer-Encoding: chunked"})
+    checkInvalidCoding("Transfer-Encoding: " + Coding + "\r\n\r\n");
+  for (const std::string Coding : {"chunked", "Chunked", " CHUNKED "})
+    checkWholeCoding("Transfer-Encoding: " + Coding + "\r\n\r\n");
+  checkWhole("HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: x\r\n\r\n");
+}
