Log and count why an answer was not taken

What operators saw: a call whose answer was cut off, not HTTP or invalid ended as "broken" like one whose upstream crashed before it answered. Nothing told why.

AnswerParser now states a fault for an invalid answer, and the call logs it with its upstream (AnswerBroken) and counts it (crowstep_broken_answers_total{reason}), in the one place through which the answers of calls, carried calls and process checks go. The call ends as before, with the same evidence against its upstream. A failed connection is reported to the parser like a closed one, so that it has one state for both. An answer of an unknown coding fails before its head is delivered.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -28,7 +28,8 @@
                [this](std::uint64_t Index) {
                  return m_DispatcherLinks.linkToClaimHome(Index);
                }),
-      m_UpstreamClient(m_Clock, m_Timers),
+      m_BrokenAnswers(m_Metrics),
+      m_UpstreamClient(m_Clock, m_Timers, {}, &m_BrokenAnswers),
       m_Service({m_Clock, m_Timers, configuredPlacement(), m_Claims,
                  m_UpstreamClient, m_HttpClient, m_Settings.m_Limits},
                 m_Directory,
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -33,6 +33,7 @@
   LocalPlacement m_LocalPlacement;   ///< For baselines and without dispatchers.
   DispatcherPlacement m_DispatcherPlacement; ///< Bids to the owners of pools.
   claim::ClaimClient m_Claims;         ///< Claims through the claim homes.
+  BrokenAnswerStats m_BrokenAnswers;   ///< Handles of m_Metrics.
   HttpUpstreamClient m_UpstreamClient; ///< Calls to upstreams.
   HttpClient m_HttpClient;             ///< Orders to cancel calls.
   RequestService m_Service;            ///< Serves callers.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -141,7 +141,9 @@
                        ? std::make_unique<waiting::WaitPolicy>(
                              m_Balancer.speeds(), m_Balancer.backlog())
                        : nullptr),
-      m_Upstream(m_Clock, m_Timers, m_Settings.m_SourceAddress),
+      m_BrokenAnswers(m_Metrics),
+      m_Upstream(m_Clock, m_Timers, m_Settings.m_SourceAddress,
+                 &m_BrokenAnswers),
       m_CrashWatch(m_Clock, m_Timers, m_Balancer, m_Upstream, m_Metrics),
       m_PlatformParts(MakeParts(m_Clock, m_Timers, m_Metrics)),
       m_Usage(makeUsageParts()), m_Duties(makeDutyHolder()),
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -115,6 +115,7 @@
   std::unique_ptr<waiting::WaitPolicy> m_WaitPolicy;
 
   AnswerMemory m_AnswerMemory;                ///< Of unfinished answers.
+  BrokenAnswerStats m_BrokenAnswers;          ///< Handles of m_Metrics.
   HttpUpstreamClient m_Upstream;              ///< Sends calls.
   CrashWatch m_CrashWatch;                    ///< Handles broken calls.
   PlatformParts m_PlatformParts;              ///< See PlatformParts.
--- a/src/http/answer_parser.cpp
+++ b/src/http/answer_parser.cpp
@@ -21,6 +21,19 @@
   return *static_cast<AnswerParser *>(Parser->data);
 }
 
+/// Returns the fault that http_parser has found.
+AnswerFault faultOf(http_errno Error) {
+  switch (Error) {
+  case HPE_INVALID_VERSION:
+  case HPE_INVALID_STATUS:
+    return AnswerFault::StatusLine;
+  case HPE_INVALID_HEADER_TOKEN:
+    return AnswerFault::Header;
+  default:
+    return AnswerFault::Malformed;
+  }
+}
+
 } // namespace
 
 AnswerParser::AnswerParser(bool IsHeadRequest)
@@ -49,6 +62,7 @@
     m_CanReuse = m_CanReuse && Bytes.empty();
     return;
   }
+  m_HasBegun = true;
   do {
     checkFirstStatusDigit(Bytes);
     Bytes.remove_prefix(http_parser_execute(&m_Parser, &callbacks(),
@@ -57,7 +71,14 @@
   if (m_State == AnswerState::Complete)
     m_CanReuse = m_CanReuse && Bytes.empty();
   else if (HTTP_PARSER_ERRNO(&m_Parser) != HPE_OK)
-    m_State = AnswerState::Invalid;
+    fail(m_Fault.value_or(faultOf(HTTP_PARSER_ERRNO(&m_Parser))));
+}
+
+/// Returns what ends the parsing if a callback returns it.
+int AnswerParser::fail(AnswerFault Fault) {
+  m_State = AnswerState::Invalid;
+  m_Fault = Fault;
+  return -1;
 }
 
 /// Resumes the parser if onMessageBegin() has paused it; returns whether it
@@ -87,7 +108,19 @@
     return;
   http_parser_execute(&m_Parser, &callbacks(), nullptr, 0);
   if (m_State != AnswerState::Complete)
-    m_State = AnswerState::Invalid;
+    cutOff();
+}
+
+void AnswerParser::connectionFailed() {
+  m_CanReuse = false;
+  if (m_State == AnswerState::Reading)
+    cutOff();
+}
+
+void AnswerParser::cutOff() {
+  m_State = AnswerState::Invalid;
+  if (m_HasBegun)
+    m_Fault = AnswerFault::CutOff;
 }
 
 std::string AnswerParser::takeBody() { return std::exchange(m_Body, {}); }
@@ -126,11 +159,10 @@
 
 int AnswerParser::onHeaderField(http_parser *Parser, const char *At,
                                 size_t Size) {
-  constexpr int Fail = -1;
   AnswerParser &Self = ownerOf(Parser);
   // http_parser accepts blanks.
   if (!hasOnlyTokenCharacters({At, Size}))
-    return Fail;
+    return Self.fail(AnswerFault::Header);
   if (!Self.m_HasHead) // Trailers are not forwarded.
     Self.m_HeaderCollector.appendName({At, Size});
   return 0;
@@ -145,19 +177,18 @@
 }
 
 int AnswerParser::onHeadersComplete(http_parser *Parser) {
-  constexpr int Fail = -1;
   constexpr int SkipBody = 1;
   AnswerParser &Self = ownerOf(Parser);
   // No request asks for an upgrade, so a 101 answer is invalid.
   if (!Self.hasValidStatusLine() || Self.status() == HttpSwitchingProtocols)
-    return Fail;
+    return Self.fail(AnswerFault::StatusLine);
   if (Self.isInformational() && ++Self.m_InformationalCount > MaxInformational)
-    return Fail;
+    return Self.fail(AnswerFault::Malformed);
   Self.m_Headers = Self.m_HeaderCollector.take();
+  if (!Self.hasNoBody() && Self.hasUnknownCoding())
+    return Self.fail(AnswerFault::TransferCoding);
   Self.m_HasHead = !Self.isInformational();
-  if (Self.hasNoBody())
-    return SkipBody;
-  return Self.hasUnknownCoding() ? Fail : 0;
+  return Self.hasNoBody() ? SkipBody : 0;
 }
 
 int AnswerParser::onBody(http_parser *Parser, const char *At, size_t Size) {
--- a/src/http/answer_parser.h
+++ b/src/http/answer_parser.h
@@ -5,10 +5,12 @@
 #ifndef CROWSTEP_HTTP_ANSWER_PARSER_H
 #define CROWSTEP_HTTP_ANSWER_PARSER_H
 
+#include "http/answer_fault.h"
 #include "http/header_collector.h"
 
 #include <cstdint>
 #include <http_parser.h>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -38,8 +40,15 @@
   /// Reports that the peer closed the connection in order, not by a reset.
   void peerClosed();
 
+  /// Reports that the connection failed, for example by a reset.
+  void connectionFailed();
+
   [[nodiscard]] AnswerState state() const { return m_State; }
 
+  /// Returns why the state is Invalid. Unset in other states, and if not a byte
+  /// of an answer was received.
+  [[nodiscard]] std::optional<AnswerFault> fault() const { return m_Fault; }
+
   /// Returns whether the final head, not a 1xx one, has been received.
   [[nodiscard]] bool hasHead() const { return m_HasHead; }
   [[nodiscard]] unsigned status() const { return m_Parser.status_code; }
@@ -60,6 +69,8 @@
   static int onBody(http_parser *Parser, const char *At, size_t Size);
   static int onMessageComplete(http_parser *Parser);
   static const http_parser_settings &callbacks();
+  int fail(AnswerFault Fault);
+  void cutOff();
   bool resumeAtStatusLine();
   void checkFirstStatusDigit(std::string_view Bytes);
   [[nodiscard]] bool hasValidStatusLine() const;
@@ -78,7 +89,9 @@
   bool m_HasHead = false;              ///< See hasHead().
   bool m_CanReuse = false;             ///< See canReuseConnection().
   std::string m_Body;                  ///< Not yet taken.
+  bool m_HasBegun = false;             ///< A byte was received.
   AnswerState m_State = AnswerState::Reading; ///< Leaves Reading once.
+  std::optional<AnswerFault> m_Fault;         ///< See fault().
 };
 
 } // namespace crowstep
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -1,6 +1,7 @@
 /// Upstream calls: each has a connection for one request and one answer.
 #include "http/upstream_call.h"
 
+#include "core/log.h"
 #include "http/answer_parser.h"
 #include "http/http_error.h"
 #include "http/request_target.h"
@@ -52,8 +53,8 @@
 class HttpUpstreamCall final : public UpstreamCall, public SocketListener {
 public:
   HttpUpstreamCall(const Clock &Time, Scheduler &Timers, const Address &Source,
-                   IdleConnections &Idle, const UpstreamRequest &Request,
-                   UpstreamListener &Listener);
+                   IdleConnections &Idle, BrokenAnswerStats *BrokenAnswers,
+                   const UpstreamRequest &Request, UpstreamListener &Listener);
   ~HttpUpstreamCall() override {
     if (m_Destroyed != nullptr)
       *m_Destroyed = true;
@@ -82,7 +83,8 @@
   void write();
   void freeWrittenRequest();
   void read();
-  void deliver(bool Failed);
+  void deliver();
+  void recordFault(AnswerFault Fault);
   void keepConnection();
   void updateWatch();
   void startConnectTimer();
@@ -94,6 +96,7 @@
 
   const Clock &m_Clock;                ///< Outlives the call.
   IdleConnections &m_IdleConnections;  ///< Outlives the call.
+  BrokenAnswerStats *m_BrokenAnswers;  ///< May be null; outlives the call.
   UpstreamListener &m_Listener;        ///< Outlives the call.
   Address m_Source;                    ///< See HttpUpstreamClient.
   Address m_Address;                   ///< Of the upstream.
@@ -129,10 +132,11 @@
 
 HttpUpstreamCall::HttpUpstreamCall(const Clock &Time, Scheduler &Timers,
                                    const Address &Source, IdleConnections &Idle,
+                                   BrokenAnswerStats *BrokenAnswers,
                                    const UpstreamRequest &Request,
                                    UpstreamListener &Listener)
-    : m_Clock(Time), m_IdleConnections(Idle), m_Listener(Listener),
-      m_Source(Source), m_Address(Request.m_Address),
+    : m_Clock(Time), m_IdleConnections(Idle), m_BrokenAnswers(BrokenAnswers),
+      m_Listener(Listener), m_Source(Source), m_Address(Request.m_Address),
       m_SendDeadline(Request.m_SendDeadline), m_SendCheck(Request.m_SendCheck),
       m_CloseAfter(Request.m_CloseAfter), m_IsHeld(Request.m_HoldSend),
       m_Output(requestText(Request)), m_Check(Request.m_ProcessCheck),
@@ -323,6 +327,8 @@
 void HttpUpstreamCall::endCheck() {
   constexpr unsigned HttpOk = 200;
   m_ConnectTimer.stop();
+  if (m_StatementParser->fault())
+    recordFault(*m_StatementParser->fault());
   const bool IsReadable = m_StatementParser->state() == AnswerState::Complete &&
                           m_StatementParser->status() == HttpOk &&
                           m_StatementParser->canReuseConnection();
@@ -383,11 +389,13 @@
     m_Parser.feed(Bytes);
   else if (Outcome == ReadOutcome::Closed)
     m_Parser.peerClosed();
-  deliver(Outcome == ReadOutcome::Failed);
+  else
+    m_Parser.connectionFailed();
+  deliver();
 }
 
 /// Delivers what the parser has. The listener may destroy the call.
-void HttpUpstreamCall::deliver(bool Failed) {
+void HttpUpstreamCall::deliver() {
   bool Destroyed = false;
   m_Destroyed = &Destroyed;
   if (m_Parser.hasHead() && !m_HeadDelivered) {
@@ -402,7 +410,9 @@
       return;
   }
   m_Destroyed = nullptr;
-  if (Failed || m_Parser.state() == AnswerState::Invalid) {
+  if (m_Parser.state() == AnswerState::Invalid) {
+    if (m_Parser.fault())
+      recordFault(*m_Parser.fault());
     fail();
   } else if (m_Parser.state() == AnswerState::Complete) {
     keepConnection();
@@ -410,6 +420,13 @@
   }
 }
 
+void HttpUpstreamCall::recordFault(AnswerFault Fault) {
+  if (m_BrokenAnswers != nullptr)
+    m_BrokenAnswers->count(Fault);
+  logEvent(LogEvent::AnswerBroken, {{"upstream", toString(m_Address)},
+                                    {"reason", std::string(nameOf(Fault))}});
+}
+
 /// An upstream that answers before it has read the whole body would take the
 /// next request for the rest of that body.
 void HttpUpstreamCall::keepConnection() {
@@ -523,8 +540,9 @@
 std::unique_ptr<UpstreamCall>
 HttpUpstreamClient::send(const UpstreamRequest &Request,
                          UpstreamListener &Listener) {
-  return std::make_unique<HttpUpstreamCall>(
-      m_Clock, m_Timers, m_Source, m_IdleConnections, Request, Listener);
+  return std::make_unique<HttpUpstreamCall>(m_Clock, m_Timers, m_Source,
+                                            m_IdleConnections, m_BrokenAnswers,
+                                            Request, Listener);
 }
 
 } // namespace crowstep
--- a/src/http/upstream_call.h
+++ b/src/http/upstream_call.h
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "core/scheduler.h"
+#include "http/answer_fault.h"
 #include "http/header_list.h"
 #include "http/upstream_connection.h"
 #include "instance_type.h"
@@ -139,11 +140,13 @@
 /// Calls and probes over HTTP/1.1; outlives them.
 class HttpUpstreamClient final : public UpstreamClient, public UpstreamProber {
 public:
-  /// Connections are made from \p Source; none: from any address.
+  /// Connections are made from \p Source; none: from any address. Broken
+  /// answers are counted in \p BrokenAnswers, which may be null.
   HttpUpstreamClient(const Clock &Time, Scheduler &Timers,
-                     const Address &Source = {})
+                     const Address &Source = {},
+                     BrokenAnswerStats *BrokenAnswers = nullptr)
       : m_Clock(Time), m_Timers(Timers), m_Source(Source),
-        m_IdleConnections(Time, Timers) {}
+        m_BrokenAnswers(BrokenAnswers), m_IdleConnections(Time, Timers) {}
   HttpUpstreamClient(const HttpUpstreamClient &) = delete;
   HttpUpstreamClient &operator=(const HttpUpstreamClient &) = delete;
 
@@ -160,10 +163,11 @@
                                        ProbeCallback OnDone) override;
 
 private:
-  const Clock &m_Clock;              ///< Outlives this object.
-  Scheduler &m_Timers;               ///< Outlives this object.
-  Address m_Source;                  ///< See the constructor.
-  IdleConnections m_IdleConnections; ///< Taken by repeatable calls.
+  const Clock &m_Clock;               ///< Outlives this object.
+  Scheduler &m_Timers;                ///< Outlives this object.
+  Address m_Source;                   ///< See the constructor.
+  BrokenAnswerStats *m_BrokenAnswers; ///< Null: not counted. Outlives this.
+  IdleConnections m_IdleConnections;  ///< Taken by repeatable calls.
 };
 
 } // namespace crowstep
--- a/tests/unit/answer_parser_test.cpp
+++ b/tests/unit/answer_parser_test.cpp
@@ -89,6 +89,15 @@
   checkWhole(Ok + HeadEnd + ChunkedBody);
 }
 
+/// Returns the fault of \p Text if the connection then fails.
+std::optional<AnswerFault> faultOf(const std::string &Text) {
+  AnswerParser Parser(false);
+  Parser.feed(Text);
+  Parser.connectionFailed();
+  BOOST_TEST((Parser.state() == AnswerState::Invalid));
+  return Parser.fault();
+}
+
 } // namespace
 
 // Guards against a status that is none: its answer passed for one, or for an
@@ -175,3 +184,36 @@
     checkWholeCoding("Transfer-Encoding: " + Coding + "\r\n\r\n");
   checkWhole("HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: x\r\n\r\n");
 }
+
+// Guards against a broken answer that is counted under a wrong reason.
+BOOST_AUTO_TEST_CASE(EveryBrokenAnswerHasItsFault) {
+  BOOST_TEST((faultOf("") == std::nullopt));
+  for (const std::string &Text :
+       {std::string("H"), Ok, Ok + "\r\nokay", Ok + Length + "\r\noka",
+        Ok + Chunks + "\r\n4\r\nokay\r\n0\r\n", EarlyHints})
+    BOOST_TEST((faultOf(Text) == AnswerFault::CutOff), Text);
+  for (const std::string &Text :
+       {std::string("x"), Ok + "Content-Length: 4\r\nContent-Length: 5\r\n\r\n",
+        Ok + Chunks + "\r\nx\r\n", Ok + "X: " + std::string(100000, 'a')})
+    BOOST_TEST((faultOf(Text) == AnswerFault::Malformed), Text);
+  for (const std::string Line :
+       {"HTTP/1.1 000", "HTTP/1.1 0200", "HTTP/1.1 600", "HTTP/1.1 2x0",
+        "HTTP/1.1 1000", "HTTP/1.1 101", "HTTP/2.0 200", "HTTP/x 200"})
+    BOOST_TEST((faultOf(Line + " Text\r\n\r\n") == AnswerFault::StatusLine),
+               Line);
+  for (const std::string Line :
+       {"X A: b", "X-A : b", "X\x01: b", ": b", "X: a\x01"})
+    BOOST_TEST((faultOf(Ok + Line + "\r\n\r\n") == AnswerFault::Header), Line);
+  BOOST_TEST((faultOf(Ok + "Transfer-Encoding: x\r\n\r\n") ==
+              AnswerFault::TransferCoding));
+}
+
+// Guards against the fault of a sound answer whose connection then fails.
+BOOST_AUTO_TEST_CASE(AWholeAnswerHasNoFault) {
+  AnswerParser Parser(false);
+  Parser.feed(SoundAnswer);
+  Parser.connectionFailed();
+  BOOST_TEST((Parser.state() == AnswerState::Complete));
+  BOOST_TEST((Parser.fault() == std::nullopt));
+  BOOST_TEST(!Parser.canReuseConnection());
+}
--- a/tests/unit/broken_answer_test.cpp
+++ b/tests/unit/broken_answer_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
+#include <vector>
 
 using namespace crowstep;
 using namespace crowstep::test;
@@ -256,3 +257,46 @@
     BOOST_TEST((std::get<HttpFailure>(*Result) == HttpFailure::NoAnswer));
   }
 }
+
+// Guards against broken answers that operators can't see, or that are counted
+// twice.
+BOOST_AUTO_TEST_CASE(EveryBrokenAnswerIsCountedOnce) {
+  Metrics Stats;
+  BrokenAnswerStats BrokenAnswers(Stats);
+  LoopClock Clock;
+  LoopScheduler Timers;
+  HttpUpstreamClient Client(Clock, Timers, {}, &BrokenAnswers);
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  const std::string Sized = "Content-Length: 4\r\n\r\nokay";
+  const std::vector<std::string> Answers = {
+      "",
+      Ok + Sized,
+      Ok + "\r\nokay",
+      "HTTP/1.1 000\r\n" + Sized,
+      Ok + "X A: b\r\n" + Sized,
+      Ok + "Transfer-Encoding: x\r\n\r\nokay",
+      "okay",
+  };
+  for (const std::string &Text : Answers) {
+    FakeUpstream Upstream;
+    Listener CallListener;
+    UpstreamRequest Request;
+    Request.m_Address = Upstream.m_Address;
+    Request.m_Path = "/x";
+    Request.m_SendDeadline = Clock.readNow() + 10s;
+    const auto Call = Client.send(Request, CallListener);
+    Peer *Connection = Upstream.waitForRequest();
+    Connection->send(Text);
+    pumpFor(5ms);
+    Connection->reset();
+    BOOST_REQUIRE(pumpUntil([&] { return CallListener.m_End.has_value(); }));
+    BOOST_TEST((CallListener.m_End == TransportEnd::Complete) ==
+               (Text == Ok + Sized));
+  }
+  for (const char *Reason :
+       {"cut_off", "malformed", "status_line", "header", "transfer_coding"})
+    BOOST_TEST(
+        Stats.counter("crowstep_broken_answers_total", {{"reason", Reason}})
+                .value() == 1U,
+        Reason);
+}
