Fix: Take no chunk that ends with other bytes than CRLF

What callers saw: an answer whose chunk stated a size that is too small by two bytes passed for a whole one without those bytes. Found while looking for the cause of broken answers elsewhere.

Cause: http_parser skips the two bytes behind a chunk, whatever they are.

Why this works: the parser states the size of a chunk before its data, so the end of the data is known, and what follows there must be CRLF (RFC 9112, 7.1), also if it comes in later pieces.

Left: http_parser takes any byte in place of the LF of a status line, of a chunk's size and of the empty line behind a head, and skips what stands behind a blank after a chunk's size. No byte of a body is lost by these.

--- a/src/http/answer_parser.cpp
+++ b/src/http/answer_parser.cpp
@@ -12,6 +12,9 @@
 constexpr unsigned MinStatus = 100;
 constexpr unsigned MaxStatus = 599;
 
+/// What follows the data of a chunk (RFC 9112, 7.1).
+constexpr std::string_view ChunkEnd = "\r\n";
+
 constexpr unsigned HttpSwitchingProtocols = 101;
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpNoContent = 204;
@@ -49,6 +52,7 @@
     Settings.on_header_field = onHeaderField;
     Settings.on_header_value = onHeaderValue;
     Settings.on_headers_complete = onHeadersComplete;
+    Settings.on_chunk_header = onChunkHeader;
     Settings.on_body = onBody;
     Settings.on_message_complete = onMessageComplete;
     return Settings;
@@ -63,8 +67,13 @@
     return;
   }
   m_HasBegun = true;
+  if (!skipChunkEnd(Bytes)) {
+    fail(AnswerFault::Malformed);
+    return;
+  }
   do {
     checkFirstStatusDigit(Bytes);
+    m_Input = Bytes;
     Bytes.remove_prefix(http_parser_execute(&m_Parser, &callbacks(),
                                             Bytes.data(), Bytes.size()));
   } while (resumeAtStatusLine() && !Bytes.empty());
@@ -102,6 +111,16 @@
   m_StatusHasLeadingZero = Bytes[First] == '0';
 }
 
+/// Returns whether \p Bytes begin with what is left of the end of a chunk.
+/// http_parser takes any two bytes for it.
+bool AnswerParser::skipChunkEnd(std::string_view Bytes) {
+  const std::string_view Left =
+      ChunkEnd.substr(ChunkEnd.size() - m_ChunkEndBytesLeft);
+  const std::size_t Size = std::min(Left.size(), Bytes.size());
+  m_ChunkEndBytesLeft -= Size;
+  return Left.substr(0, Size) == Bytes.substr(0, Size);
+}
+
 void AnswerParser::peerClosed() {
   m_CanReuse = false;
   if (m_State != AnswerState::Reading)
@@ -191,11 +210,26 @@
   return Self.hasNoBody() ? SkipBody : 0;
 }
 
-int AnswerParser::onBody(http_parser *Parser, const char *At, size_t Size) {
-  ownerOf(Parser).m_Body.append(At, Size);
+int AnswerParser::onChunkHeader(http_parser *Parser) {
+  ownerOf(Parser).m_ChunkBytesLeft = Parser->content_length;
   return 0;
 }
 
+int AnswerParser::onBody(http_parser *Parser, const char *At, size_t Size) {
+  AnswerParser &Self = ownerOf(Parser);
+  Self.m_Body.append(At, Size);
+  if (Self.m_ChunkBytesLeft == 0) // There are no chunks.
+    return 0;
+  Self.m_ChunkBytesLeft -= Size;
+  if (Self.m_ChunkBytesLeft > 0)
+    return 0;
+  Self.m_ChunkEndBytesLeft = ChunkEnd.size();
+  const auto End = static_cast<std::size_t>(At + Size - Self.m_Input.data());
+  return Self.skipChunkEnd(Self.m_Input.substr(End))
+             ? 0
+             : Self.fail(AnswerFault::Malformed);
+}
+
 int AnswerParser::onMessageComplete(http_parser *Parser) {
   AnswerParser &Self = ownerOf(Parser);
   if (Self.isInformational())
--- a/src/http/answer_parser.h
+++ b/src/http/answer_parser.h
@@ -66,10 +66,12 @@
   static int onHeaderField(http_parser *Parser, const char *At, size_t Size);
   static int onHeaderValue(http_parser *Parser, const char *At, size_t Size);
   static int onHeadersComplete(http_parser *Parser);
+  static int onChunkHeader(http_parser *Parser);
   static int onBody(http_parser *Parser, const char *At, size_t Size);
   static int onMessageComplete(http_parser *Parser);
   static const http_parser_settings &callbacks();
   int fail(AnswerFault Fault);
+  bool skipChunkEnd(std::string_view Bytes);
   void cutOff();
   bool resumeAtStatusLine();
   void checkFirstStatusDigit(std::string_view Bytes);
@@ -89,6 +91,9 @@
   bool m_HasHead = false;              ///< See hasHead().
   bool m_CanReuse = false;             ///< See canReuseConnection().
   std::string m_Body;                  ///< Not yet taken.
+  std::string_view m_Input;            ///< Being parsed.
+  std::uint64_t m_ChunkBytesLeft = 0;  ///< Of the chunk being read.
+  std::size_t m_ChunkEndBytesLeft = 0; ///< Of the CRLF behind a chunk.
   bool m_HasBegun = false;             ///< A byte was received.
   AnswerState m_State = AnswerState::Reading; ///< Leaves Reading once.
   std::optional<AnswerFault> m_Fault;         ///< See fault().
--- a/tests/process/raw_answer_test.cpp
+++ b/tests/process/raw_answer_test.cpp
@@ -118,6 +118,12 @@
               ShortUpload);
 }
 
+// Guards against a chunk whose size is wrong, so that bytes behind it are lost.
+BOOST_AUTO_TEST_CASE(AChunkWithAnotherEndIsNoAnswer) {
+  checkFailed(Head + "Transfer-Encoding: chunked\r\n\r\n4\r\nokayXY0\r\n\r\n",
+              RawEnd::KeepOpen, ShortUpload);
+}
+
 // Guards against sound answers that are lost with the broken ones.
 BOOST_AUTO_TEST_CASE(ASoundAnswerIsWhole) {
   checkWhole(Head + Sized, RawEnd::KeepOpen, ShortUpload);
--- a/tests/unit/answer_parser_test.cpp
+++ b/tests/unit/answer_parser_test.cpp
@@ -89,6 +89,12 @@
   checkWhole(Ok + HeadEnd + ChunkedBody);
 }
 
+/// Checks that answers with such bytes behind a chunk are invalid.
+void checkInvalidChunkEnd(const std::string &Head, const std::string &End) {
+  checkInvalid(Head + "4\r\nokay" + End + "0\r\n\r\n");
+  checkInvalid(Head + "4\r\nokay\r\n2\r\nok" + End + "0\r\n\r\n");
+}
+
 /// Returns the fault of \p Text if the connection then fails.
 std::optional<AnswerFault> faultOf(const std::string &Text) {
   AnswerParser Parser(false);
@@ -185,6 +191,16 @@
   checkWhole("HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: x\r\n\r\n");
 }
 
+// Guards against a chunk whose size is wrong, so that bytes behind it are lost.
+BOOST_AUTO_TEST_CASE(AChunkWithAnotherEndIsNoAnswer) {
+  const std::string Head = Ok + Chunks + "\r\n";
+  for (const std::string End :
+       {"XY", "X\n", "\rX", "\n\n", "\n\r", "\r\r", "X\r\n"})
+    checkInvalidChunkEnd(Head, End);
+  checkWhole(Head + "4\r\n\r\n0\r\r\n0\r\n\r\n");
+  checkWhole(Head + "4\r\nokay\r\n1\r\n\n\r\n0\r\n\r\n");
+}
+
 // Guards against a broken answer that is counted under a wrong reason.
 BOOST_AUTO_TEST_CASE(EveryBrokenAnswerHasItsFault) {
   BOOST_TEST((faultOf("") == std::nullopt));
