Fix: Take no answer whose header's value begins with a control byte

What callers saw: an answer with NUL or another control byte as the first byte of a header's value was handed on, with that byte. Found by a test for the names of headers.

Cause: http_parser checks the bytes of a value, but not the first one, and not the first one of a line that continues a value.

Why this works: every piece of a value of a head, an interim head or a trailer is checked when it is read; control bytes but tabs aren't allowed there (RFC 9110, 5.5), at whatever place.

--- a/src/http/answer_parser.cpp
+++ b/src/http/answer_parser.cpp
@@ -190,6 +190,9 @@
 int AnswerParser::onHeaderValue(http_parser *Parser, const char *At,
                                 size_t Size) {
   AnswerParser &Self = ownerOf(Parser);
+  // http_parser accepts any first byte of a line.
+  if (!hasOnlyValueCharacters({At, Size}))
+    return Self.fail(AnswerFault::Header);
   if (!Self.m_HasHead)
     Self.m_HeaderCollector.appendValue({At, Size});
   return 0;
--- a/src/http/header_list.cpp
+++ b/src/http/header_list.cpp
@@ -72,6 +72,13 @@
   return Text.find_first_not_of(TokenCharacters) == std::string_view::npos;
 }
 
+bool hasOnlyValueCharacters(std::string_view Text) {
+  constexpr char Delete = '\x7f';
+  return std::ranges::none_of(Text, [](char Ch) {
+    return (static_cast<unsigned char>(Ch) < ' ' && Ch != '\t') || Ch == Delete;
+  });
+}
+
 const std::string *findHeader(const HeaderList &Headers,
                               std::string_view Name) {
   for (const HeaderField &Field : Headers)
--- a/src/http/header_list.h
+++ b/src/http/header_list.h
@@ -27,6 +27,10 @@
 /// have (RFC 9110, 5.6.2).
 bool hasOnlyTokenCharacters(std::string_view Text);
 
+/// Returns whether \p Text has only characters that the values of headers may
+/// have (RFC 9110, 5.5).
+bool hasOnlyValueCharacters(std::string_view Text);
+
 /// Returns the first header called \p Name, or null.
 const std::string *findHeader(const HeaderList &Headers, std::string_view Name);
 
--- a/tests/process/raw_answer_test.cpp
+++ b/tests/process/raw_answer_test.cpp
@@ -80,7 +80,7 @@
 }
 
 /// Checks that answers with this header fail.
-void checkInvalidName(const std::string &Line) {
+void checkInvalidHeader(const std::string &Line) {
   checkFailed(Head + Line + Sized, RawEnd::KeepOpen, ShortUpload);
   checkFailed(Head + Line + "\r\nokay", RawEnd::InOrder, ShortUpload);
   checkFailed("HTTP/1.1 103 Early Hints\r\n" + Line + "\r\n" + Head + Sized,
@@ -109,7 +109,12 @@
 BOOST_AUTO_TEST_CASE(AnInvalidHeaderNameIsNoAnswer) {
   for (const std::string Line :
        {"X A: b", "X-A : b", "X-A\t: b", "X\x01-A: b", "Content-Length : 2"})
-    checkInvalidName(Line + "\r\n");
+    checkInvalidHeader(Line + "\r\n");
+}
+
+// Guards against a control byte that a caller gets at the start of a value.
+BOOST_AUTO_TEST_CASE(AnInvalidHeaderValueIsNoAnswer) {
+  checkInvalidHeader(std::string("X-A: \0b\r\n", 9));
 }
 
 // Guards against a body of an unknown coding that passes for a whole one.
--- a/tests/unit/answer_parser_test.cpp
+++ b/tests/unit/answer_parser_test.cpp
@@ -64,7 +64,7 @@
 }
 
 /// Checks that answers with this header are invalid.
-void checkInvalidName(const std::string &Line) {
+void checkInvalidHeader(const std::string &Line) {
   checkInvalid(Ok + Line + "\r\nokay");
   checkInvalid(Ok + Line + Length + "\r\nokay");
   checkInvalid(Ok + Line + Chunks + "\r\n0\r\n\r\n");
@@ -78,6 +78,11 @@
   checkInvalid(Ok + Chunks + Line + "\r\n0\r\n\r\n");
 }
 
+/// Checks that an answer with this header is whole.
+void checkValidHeader(const std::string &Line) {
+  checkWhole(Ok + Line + "Content-Length: 0\r\n\r\n");
+}
+
 /// Checks that answers with this end of a head are invalid.
 void checkInvalidCoding(const std::string &HeadEnd) {
   checkInvalid(Ok + HeadEnd + ChunkedBody);
@@ -158,7 +163,19 @@
                                      "\"(),/;<=>?@[\\]{}"))
     Lines.push_back(std::string("X") + Byte + "A: b");
   for (const std::string &Text : Lines)
-    checkInvalidName(Text + "\r\n");
+    checkInvalidHeader(Text + "\r\n");
+}
+
+// Guards against a control byte that is handed on at the start of a value.
+BOOST_AUTO_TEST_CASE(AnInvalidHeaderValueIsNoAnswer) {
+  for (const char Byte : std::string("\0\x01\x08\x0b\x0c\x1b\x1f\x7f", 8)) {
+    checkInvalidHeader(std::string("X-A: ") + Byte + "b\r\n");
+    checkInvalidHeader(std::string("X-A: b") + Byte + "c\r\n");
+    checkInvalidHeader(std::string("X-A: b") + Byte + "\r\n");
+    checkInvalidHeader(std::string("X-A: b\r\n ") + Byte + "c\r\n");
+  }
+  for (const std::string Value : {"b", "", "\tb\tc", "b\r\n c", "\x80\xe9\xff"})
+    checkValidHeader("X-A: " + Value + "\r\n");
 }
 
 // Guards against sound answers that are lost with the broken ones.
