Fix: Take no answer of another protocol than HTTP

What callers saw: an answer that begins with "HXXX/1.1 200" passed for one of HTTP. Found while looking for the cause of broken answers elsewhere.

Cause: http_parser takes any bytes between the first one of a status line and the version.

Evidence: without the change answer_parser_test/OnlyVersionsOneAreAnswers fails 60 of 198 checks.

Why this works: the parser pauses where a status line begins in any case; the bytes there are now compared with those of the protocol, in whatever pieces they come. This and the check of the status's first digit make a class of their own.

Measured: answer_parser_test and raw_answer_test pass; so do answer_end, cut_head, upstream_call and broken_answer.

--- a/src/http/answer_parser.cpp
+++ b/src/http/answer_parser.cpp
@@ -72,7 +72,7 @@
     return;
   }
   do {
-    checkFirstStatusDigit(Bytes);
+    m_StatusLine.feed(Bytes);
     m_Input = Bytes;
     Bytes.remove_prefix(http_parser_execute(&m_Parser, &callbacks(),
                                             Bytes.data(), Bytes.size()));
@@ -100,17 +100,6 @@
   return true;
 }
 
-/// http_parser takes any number of digits whose value is below 1000.
-void AnswerParser::checkFirstStatusDigit(std::string_view Bytes) {
-  const std::size_t VersionSize = std::min(m_VersionBytesLeft, Bytes.size());
-  m_VersionBytesLeft -= VersionSize;
-  const std::size_t First = Bytes.find_first_not_of(' ', VersionSize);
-  if (!m_AwaitsStatus || First == std::string_view::npos)
-    return;
-  m_AwaitsStatus = false;
-  m_StatusHasLeadingZero = Bytes[First] == '0';
-}
-
 /// Returns whether \p Bytes begin with what is left of the end of a chunk.
 /// http_parser takes any two bytes for it.
 bool AnswerParser::skipChunkEnd(std::string_view Bytes) {
@@ -145,7 +134,7 @@
 std::string AnswerParser::takeBody() { return std::exchange(m_Body, {}); }
 
 bool AnswerParser::hasValidStatusLine() const {
-  return m_Parser.http_major == 1 && !m_StatusHasLeadingZero &&
+  return m_StatusLine.isValid() && m_Parser.http_major == 1 &&
          status() >= MinStatus && status() <= MaxStatus;
 }
 
@@ -166,12 +155,10 @@
 }
 
 int AnswerParser::onMessageBegin(http_parser *Parser) {
-  constexpr std::string_view VersionAfterFirstByte = "TTP/1.1";
   AnswerParser &Self = ownerOf(Parser);
   Self.m_HeaderCollector.clear();
-  Self.m_VersionBytesLeft = VersionAfterFirstByte.size();
-  Self.m_AwaitsStatus = true;
-  // Pause: feed() checks what follows.
+  Self.m_StatusLine.begin();
+  // Pause: feed() has what follows checked.
   http_parser_pause(Parser, 1);
   return 0;
 }
--- a/src/http/answer_parser.h
+++ b/src/http/answer_parser.h
@@ -7,6 +7,7 @@
 
 #include "http/answer_fault.h"
 #include "http/header_collector.h"
+#include "http/status_line_check.h"
 
 #include <cstdint>
 #include <http_parser.h>
@@ -74,7 +75,6 @@
   bool skipChunkEnd(std::string_view Bytes);
   void cutOff();
   bool resumeAtStatusLine();
-  void checkFirstStatusDigit(std::string_view Bytes);
   [[nodiscard]] bool hasValidStatusLine() const;
   [[nodiscard]] bool hasUnknownCoding() const;
   [[nodiscard]] bool isInformational() const;
@@ -85,9 +85,7 @@
   HeaderCollector m_HeaderCollector;   ///< Of the head being read.
   HeaderList m_Headers;                ///< Of the final answer; see hasHead().
   unsigned m_InformationalCount = 0;   ///< 1xx answers so far.
-  std::size_t m_VersionBytesLeft = 0;  ///< Of the status line being read.
-  bool m_AwaitsStatus = false;         ///< Its status has not begun.
-  bool m_StatusHasLeadingZero = false; ///< Its status begins with a 0.
+  StatusLineCheck m_StatusLine;        ///< Of the head being read.
   bool m_HasHead = false;              ///< See hasHead().
   bool m_CanReuse = false;             ///< See canReuseConnection().
   std::string m_Body;                  ///< Not yet taken.
--- a/tests/unit/answer_parser_test.cpp
+++ b/tests/unit/answer_parser_test.cpp
@@ -137,7 +137,7 @@
     checkWholeLine("HTTP/" + Version + " 200 OK\r\n");
   for (const std::string Version :
        {"HTTP/0.9", "HTTP/2.0", "HTTP/3.1", "HTTP/11.1", "HTTP/1", "HTTP/",
-        "http/1.1", "ICY"})
+        "http/1.1", "ICY", "HXXX/1.1", "HTTPX1.1", "HTTP 1.1", "HtTP/1.1"})
     checkInvalidLine(Version + " 200 OK\r\n");
 }
 
