Fix: Let the load tool read answers as the product does

What its users saw: a plain answer that was cut between two chunks, one with "Content-Length : 2" of which 2 of 4 bytes had come, one with a blank in a header's name, one of an unknown coding and one with status 600 were reported as whole or as a refusal.

Cause: libsoup takes the close of a connection for the end of a body, drops lines of a head that it can't read and takes statuses up to 999.

Why this works: calls go through HttpUpstreamClient, the reader that all parts of the product share. The sessions of libsoup, and their limits and workarounds, go. A call without response headers now ends at its timeout and not in a later iteration. A path that can't be sent is refused at the start.

--- a/src/load/active_call.h
+++ b/src/load/active_call.h
@@ -8,28 +8,23 @@
 namespace crowstep::load {
 
 /// Sends one request and measures its answer while it is received.
-class ActiveCall {
+class ActiveCall final : private UpstreamListener {
 public:
   ActiveCall(CallerPool &Owner, std::uint64_t Id, const PlannedCall &Call,
              const Address &Target, Duration Late);
-  ~ActiveCall();
   ActiveCall(const ActiveCall &) = delete;
   ActiveCall &operator=(const ActiveCall &) = delete;
 
-  /// Ends the call as timed out; may destroy this object.
-  void timeOut();
+  /// Ends the call as timed out; destroys this object.
+  void timeOut() { finish(CallEnd::TimedOut); }
 
 private:
-  void prepare(const PlannedCall &Call, const Address &Target);
-  static void onHeaders(GObject *Session, GAsyncResult *Result, void *Self);
-  static int onReadable(GObject *Stream, void *Self);
-  void handleHeaders(GInputStream *Body);
-  void watchBody();
-  /// Reads the available bytes without blocking; returns false, and has
-  /// destroyed this object, once the call has ended.
-  bool readBody();
-  void handleBytes(std::string_view Bytes);
-  void handleBodyEnd();
+  void upstreamHeaders(unsigned Status, const HeaderList &Headers) override;
+  void upstreamBytes(std::string_view Bytes) override;
+  void upstreamEnded(TransportEnd End) override;
+
+  [[nodiscard]] UpstreamRequest requestOf(const PlannedCall &Call,
+                                          const Address &Target) const;
   [[nodiscard]] CallEnd classifyBodyEnd();
   void parseRefusal();
   void finish(CallEnd End);
@@ -42,12 +37,8 @@
   CallOutcome m_Outcome;     ///< Filled while the call runs.
   TimePoint m_SentAt;        ///< When the request was sent.
   TimePoint m_LastTokenAt;   ///< When the last token was received.
-  SoupMessage *m_Message = nullptr;      ///< Owned.
-  GCancellable *m_Cancellable = nullptr; ///< Owned.
-  GInputStream *m_Stream = nullptr;      ///< Owned; null until headers arrive.
-  GSource *m_Watch = nullptr; ///< Owned; signals that m_Stream is readable.
-  Timer m_TimeoutTimer;       ///< The caller's timeout.
-  bool m_TimedOut = false;    ///< Set by timeOut().
+  Timer m_TimeoutTimer;      ///< The caller's timeout.
+  std::unique_ptr<UpstreamCall> m_Call; ///< Never null.
 };
 
 } // namespace crowstep::load
--- a/src/load/caller.cpp
+++ b/src/load/caller.cpp
@@ -1,33 +1,12 @@
 /// Pool of open calls.
 #include "load/caller.h"
 
+#include "http/http_error.h"
+#include "http/request_target.h"
 #include "load/active_call.h"
 
-#include <algorithm>
-#include <iterator>
-
 namespace crowstep::load {
 
-namespace {
-
-/// With libsoup's defaults, 10 connections and 2 per host, calls would wait
-/// unseen in a queue inside the library.
-constexpr int MaxConnections = 20000;
-
-/// A session iterates over all its open calls on each event of one of them:
-/// with one session, 8,000 open calls to an overloaded service stalled the
-/// tool. The calls are therefore spread over sessions. The count is prime,
-/// so that each session's calls reach all targets.
-constexpr std::size_t SessionCount = 127;
-
-SoupSession *newSession() {
-  return soup_session_new_with_options("max-conns", MaxConnections,
-                                       "max-conns-per-host", MaxConnections,
-                                       "timeout", 0U, nullptr);
-}
-
-} // namespace
-
 const char *nameOf(CallEnd End) {
   switch (End) {
   case CallEnd::Whole:
@@ -52,15 +31,13 @@
                        const Clock &Time, Scheduler &Timers,
                        OutcomeCallback OnDone)
     : m_Plan(Plan), m_Targets(std::move(Targets)), m_Clock(Time),
-      m_Timers(Timers), m_OnOutcome(std::move(OnDone)) {
-  std::generate_n(std::back_inserter(m_Sessions), SessionCount, newSession);
+      m_Timers(Timers), m_OnOutcome(std::move(OnDone)), m_Client(Time, Timers) {
+  for (const Source &Checked : m_Plan.m_Sources)
+    if (!Checked.m_Path.starts_with('/') || !isSendableTarget(Checked.m_Path))
+      throw UpstreamUriError(Checked.m_Path);
 }
 
-CallerPool::~CallerPool() {
-  m_OpenCalls.clear();
-  for (SoupSession *Session : m_Sessions)
-    g_object_unref(Session);
-}
+CallerPool::~CallerPool() = default;
 
 void CallerPool::send(const PlannedCall &Call, Duration Late) {
   const std::uint64_t Id = ++m_LastId;
--- a/src/load/caller.h
+++ b/src/load/caller.h
@@ -3,11 +3,11 @@
 #define CROWSTEP_LOAD_CALLER_H
 
 #include "core/scheduler.h"
+#include "http/upstream_call.h"
 #include "load/arrivals.h"
 #include "load/call_outcome.h"
 
 #include <functional>
-#include <libsoup/soup.h>
 #include <map>
 #include <memory>
 
@@ -21,6 +21,7 @@
 public:
   using OutcomeCallback = std::function<void(CallOutcome)>;
 
+  /// \throws UpstreamUriError for a source whose path can't be sent.
   CallerPool(const Experiment &Plan, std::vector<Address> Targets,
              const Clock &Time, Scheduler &Timers, OutcomeCallback OnDone);
   ~CallerPool();
@@ -30,8 +31,7 @@
   /// Sends \p Call, \p Late after its due time.
   void send(const PlannedCall &Call, Duration Late);
 
-  /// Ends every open call as timed out. Calls without response headers end in
-  /// a later iteration of the loop.
+  /// Ends every open call as timed out.
   void timeOutOpenCalls();
 
   [[nodiscard]] std::size_t openCalls() const { return m_OpenCalls.size(); }
@@ -39,17 +39,14 @@
 private:
   friend class ActiveCall;
   void finishCall(std::uint64_t Id, CallOutcome Outcome);
-  [[nodiscard]] SoupSession *sessionOf(std::uint64_t Id) const {
-    return m_Sessions[Id % m_Sessions.size()];
-  }
-
-  const Experiment &m_Plan;              ///< Outlives the pool.
-  std::vector<Address> m_Targets;        ///< At least one.
-  const Clock &m_Clock;                  ///< Outlives the pool.
-  Scheduler &m_Timers;                   ///< Outlives the pool.
-  OutcomeCallback m_OnOutcome;           ///< Called once per call.
-  std::vector<SoupSession *> m_Sessions; ///< Owned; used round robin.
-  std::uint64_t m_LastId = 0;            ///< Also selects target and session.
+
+  const Experiment &m_Plan;       ///< Outlives the pool.
+  std::vector<Address> m_Targets; ///< At least one.
+  const Clock &m_Clock;           ///< Outlives the pool.
+  Scheduler &m_Timers;            ///< Outlives the pool.
+  OutcomeCallback m_OnOutcome;    ///< Called once per call.
+  HttpUpstreamClient m_Client;    ///< Sends the calls.
+  std::uint64_t m_LastId = 0;     ///< Also selects the target.
   std::map<std::uint64_t, std::unique_ptr<ActiveCall>> m_OpenCalls; ///< By id.
 };
 
--- a/src/load/runner.cpp
+++ b/src/load/runner.cpp
@@ -59,11 +59,7 @@
     return;
   }
   m_Callers.timeOutOpenCalls();
-  // Calls without response headers end in a later iteration of the loop.
-  if (m_Callers.openCalls() > 0)
-    m_Timers.runAfter(DrainPollInterval, [this] { drain(); });
-  else
-    runAudit();
+  runAudit();
 }
 
 void Runner::runAudit() {
