Fix: Let no truncated stream end in order for a caller without chunks

What callers saw: a caller of HTTP/1.0 gets a stream until its connection ends. If the gateway was killed within the stream, or had dropped the rest of a finished stream that was read too slowly, the connection ended in order, and the part passed for a whole answer. Found while looking for the cause of broken answers elsewhere.

Cause: only abortAnswer() asked for a reset. The other ends of a connection closed it, and the kernel closes those of a killed process, in order.

Why this works: a stream without chunks sets the connection to be reset on close from its head on, and sets it back once the last byte has been written. Whatever ends the connection between, also the kernel, resets it.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -531,6 +531,8 @@
   HeaderList Framing = {{"Cache-Control", "no-cache"}};
   if (m_IsChunked)
     Framing.push_back({"Transfer-Encoding", "chunked"});
+  else
+    setResetOnClose(true);
   appendHead(Streamed, Framing);
   write();
 }
@@ -570,16 +572,18 @@
   write();
 }
 
-/// The caller must see that the answer is truncated. Without chunked encoding
-/// only a reset shows that.
+/// A stream without chunks has no end but that of its connection, so only a
+/// reset shows that it is truncated. The kernel also resets if the process is
+/// killed.
+void CallerConnection::setResetOnClose(bool Reset) {
+  const linger Value = {.l_onoff = Reset ? 1 : 0, .l_linger = 0};
+  setsockopt(g_socket_get_fd(m_Socket.get()), SOL_SOCKET, SO_LINGER, &Value,
+             sizeof(Value));
+}
+
 void CallerConnection::abortAnswer() {
   if (Handle *OpenHandle = releaseHandle())
     OpenHandle->detach();
-  if (m_Phase == Phase::Streaming && !m_IsChunked) {
-    const linger Reset = {1, 0};
-    setsockopt(g_socket_get_fd(m_Socket.get()), SOL_SOCKET, SO_LINGER, &Reset,
-               sizeof(Reset));
-  }
   close();
 }
 
@@ -649,6 +653,7 @@
   m_Phase = Phase::Discarding;
   m_Input.clear();
   m_NextRequestPending = false;
+  setResetOnClose(false); // The answer is written in full.
   g_socket_shutdown(m_Socket.get(), 0, 1, nullptr);
   m_Timer.start(m_LingerTime, [this] { close(); });
 }
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -150,6 +150,7 @@
   void write();
   void handleFlushed();
   void finishAnswer();
+  void setResetOnClose(bool Reset);
   void startDiscarding();
   void detectClose();
   void updateWatch();
--- a/tests/process/raw_answer_test.cpp
+++ b/tests/process/raw_answer_test.cpp
@@ -136,3 +136,28 @@
   checkWhole(Head + "\r\nokay", RawEnd::InOrder, ShortUpload);
   checkWhole(Head + "\r\nokay", RawEnd::InOrder, LongUpload);
 }
+
+// Guards against a part of a stream that a caller without chunks takes for a
+// whole one, as its gateway was killed.
+BOOST_AUTO_TEST_CASE(AStreamOfAKilledGatewayHasNoEnd) {
+  const RawUpstream Upstream(
+      Head + "Content-Type: text/event-stream\r\n\r\ndata: 1\n\n",
+      RawEnd::KeepOpen);
+  WatchedGateway Gateway(Upstream.address(), RequestCount);
+  std::vector<std::unique_ptr<Peer>> Callers;
+  for (int I = 0; I < RequestCount; ++I) {
+    const Call Request = Gateway.m_Fleet.request(0, "/streaming/x", "b");
+    Callers.push_back(Peer::connect(Request.m_Address));
+    std::string Text = "POST " + Request.m_Path + " HTTP/1.0\r\n";
+    for (const auto &[Name, Value] : Request.m_Headers)
+      Text.append(Name).append(": ").append(Value).append("\r\n");
+    Callers.back()->send(Text + "Content-Length: 1\r\n\r\nb");
+    BOOST_TEST(runUntil(
+        [&] { return Callers.back()->hasReceived("data: 1\n\n"); }, 10s));
+  }
+  Gateway.m_Fleet.process(0).kill();
+  for (const auto &Caller : Callers) {
+    BOOST_TEST(runUntil([&] { return Caller->isClosed(); }, 10s));
+    BOOST_TEST(Caller->wasReset());
+  }
+}
--- a/tests/process/raw_upstream.h
+++ b/tests/process/raw_upstream.h
@@ -13,7 +13,7 @@
 enum class RawEnd : std::uint8_t {
   Reset,    ///< At once, and without reading more of the request.
   InOrder,  ///< By an end of the answer; the request is read on.
-  KeepOpen, ///< It doesn't.
+  KeepOpen, ///< It doesn't, nor does it read more.
 };
 
 /// It has a thread of its own, which reads no more than the head of a request
@@ -31,6 +31,8 @@
     shutdown(m_Listening, SHUT_RDWR);
     m_Thread.join();
     ::close(m_Listening);
+    for (const int Fd : m_KeptOpen)
+      ::close(Fd);
   }
   RawUpstream(const RawUpstream &) = delete;
   RawUpstream &operator=(const RawUpstream &) = delete;
@@ -51,7 +53,10 @@
       setsockopt(Fd, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
       if (const std::string Head = readHead(Fd); !Head.empty())
         answer(Fd, Head);
-      ::close(Fd);
+      if (m_End == RawEnd::KeepOpen)
+        m_KeptOpen.push_back(Fd);
+      else
+        ::close(Fd);
     }
   }
 
@@ -80,10 +85,10 @@
       const linger ResetOnClose = {1, 0};
       setsockopt(Fd, SOL_SOCKET, SO_LINGER, &ResetOnClose,
                  sizeof(ResetOnClose));
-      return;
     }
-    if (m_End == RawEnd::InOrder)
-      shutdown(Fd, SHUT_WR);
+    if (m_End != RawEnd::InOrder)
+      return;
+    shutdown(Fd, SHUT_WR);
     std::array<char, 65536> Rest{};
     while (recv(Fd, Rest.data(), Rest.size(), 0) > 0)
       ;
@@ -93,6 +98,7 @@
   RawEnd m_End;         ///< Of each connection.
   Address m_Address;
   int m_Listening = -1;
+  std::vector<int> m_KeptOpen; ///< Connections; the thread's until it ends.
   std::atomic<bool> m_IsStopping = false;
   std::atomic<int> m_Answered = 0; ///< See answered().
   std::thread m_Thread;            ///< Must come last.
--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -229,6 +229,27 @@
   }
 }
 
+/// Guards against a truncated stream that looks complete to a caller without
+/// chunks, as it was not read in time.
+BOOST_AUTO_TEST_CASE(AStreamThatIsNotReadInTimeHasNoEnd) {
+  for (const std::size_t Bytes : {std::size_t(7), std::size_t(32) << 20U}) {
+    ManualClock Clock;
+    ManualScheduler Timers(Clock);
+    FrontFixture Fixture(Timers);
+    const auto Caller =
+        Fixture.connectAndSend("GET /x HTTP/1.0\r\nHost: h\r\n\r\n");
+    BOOST_TEST(pumpUntil([&] { return Fixture.m_Callers.size() == 1; }));
+    Fixture.m_Callers[0]->beginStream(CallerAnswer());
+    Fixture.m_Callers[0]->append(std::string(Bytes, 'x'));
+    Fixture.m_Callers[0]->endStream();
+    Timers.advance(FlushTimeout);
+    BOOST_TEST(pumpUntil([&] { return Caller->isClosed(); }));
+    const bool IsWhole = Caller->received().ends_with(std::string(Bytes, 'x'));
+    BOOST_TEST(IsWhole == (Bytes == 7U));
+    BOOST_TEST(Caller->wasReset() == !IsWhole);
+  }
+}
+
 /// Guards against buffering the whole answer for a caller that reads slowly,
 /// and against a stream that is not resumed once the caller has read.
 BOOST_AUTO_TEST_CASE(ASlowReaderIsToldByTheBacklog) {
