--- a/tests/unit/admin_client_test.cpp
+++ b/tests/unit/admin_client_test.cpp
@@ -26,7 +26,20 @@
   const std::string Ok = "HTTP/1.1 200 OK\r\n";
   BOOST_TEST(answerTo(Ok + "Content-Length: 4\r\n\r\nrows").m_Body == "rows");
   BOOST_TEST(answerTo(Ok + "Content-Length: 0\r\n\r\n").m_Body.empty());
-  for (const char *Cut : {"Content-Length: 9\r\n\r\nrows",
-                          "Transfer-Encoding: chunked\r\n\r\n4\r\nrows\r\n"})
+  for (const char *Cut :
+       {"Content-Length: 9\r\n\r\nrows",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nrows\r\n", "\r\nrows",
+        "Content-Length : 2\r\n\r\nrows", "Content Length: 2\r\n\r\nrows",
+        "Transfer-Encoding: x\r\n\r\nrows"})
     BOOST_CHECK_THROW(answerTo(Ok + Cut), AdminUnreachable);
 }
+
+// Guards against an answer whose status is none.
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutStatusIsNone) {
+  for (const char *Line : {"HTTP/1.1 000 Text\r\n", "HTTP/1.1 042 Text\r\n",
+                           "HTTP/1.1 20 Text\r\n", "HTTP/1.1 0200 Text\r\n",
+                           "HTTP/1.1 1000 Text\r\n", "okay\r\n"})
+    BOOST_CHECK_THROW(
+        answerTo(Line + std::string("Content-Length: 4\r\n\r\nrows")),
+        AdminUnreachable);
+}
