Test: Broken statements of an upstream's process

A statement without a length, of HTTP/1.0, or cut off was handled before: it proves nothing, and the request is not sent.

--- a/tests/unit/process_check_test.cpp
+++ b/tests/unit/process_check_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
+#include <vector>
 
 using namespace crowstep;
 using namespace crowstep::test;
@@ -138,3 +139,33 @@
   BOOST_TEST(ended());
   BOOST_TEST((*m_Listener.m_End == TransportEnd::NotSent));
 }
+
+// Guards against a broken statement that passes for one of the expected
+// process.
+BOOST_FIXTURE_TEST_CASE(ABrokenStatementProvesNothing, CheckFixture) {
+  const std::string Sized = "Content-Length: 2\r\n\r\nme";
+  const std::vector<std::string> Statements = {
+      "HTTP/1.1 200 OK\r\n\r\nme",
+      "HTTP/1.0 200 OK\r\n" + Sized,
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nme",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nme\r\n",
+      "HTTP/1.1 200 OK\r\nX A: b\r\n" + Sized,
+      "HTTP/1.1 000 Text\r\n\r\nHTTP/1.1 200 OK\r\n" + Sized,
+      "HTTP/2.0 200 OK\r\n" + Sized};
+  for (const std::string &Text : Statements)
+    for (const bool Reset : {false, true})
+      BOOST_TEST_CONTEXT(Text << Reset) {
+        const std::size_t Index = m_Upstream.acceptPending();
+        send();
+        Peer &Upstream = connection(Index);
+        Upstream.send(Text);
+        if (Reset)
+          Upstream.reset();
+        else
+          Upstream.close();
+        BOOST_TEST(ended());
+        BOOST_TEST((m_Listener.m_End == TransportEnd::Unproven ||
+                    m_Listener.m_End == TransportEnd::NotSent));
+        BOOST_TEST(!Upstream.hasReceived("POST"));
+      }
+}
