Fold the check for a fault into the place that records it

The tests that call a real gateway all use one path. No behaviour changes: broken_answer, process_check, answer_parser, upstream_call and raw_answer pass.

--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -84,7 +84,7 @@
   void freeWrittenRequest();
   void read();
   void deliver();
-  void recordFault(AnswerFault Fault);
+  void recordFault(const AnswerParser &Parser);
   void keepConnection();
   void updateWatch();
   void startConnectTimer();
@@ -327,8 +327,7 @@
 void HttpUpstreamCall::endCheck() {
   constexpr unsigned HttpOk = 200;
   m_ConnectTimer.stop();
-  if (m_StatementParser->fault())
-    recordFault(*m_StatementParser->fault());
+  recordFault(*m_StatementParser);
   const bool IsReadable = m_StatementParser->state() == AnswerState::Complete &&
                           m_StatementParser->status() == HttpOk &&
                           m_StatementParser->canReuseConnection();
@@ -411,8 +410,7 @@
   }
   m_Destroyed = nullptr;
   if (m_Parser.state() == AnswerState::Invalid) {
-    if (m_Parser.fault())
-      recordFault(*m_Parser.fault());
+    recordFault(m_Parser);
     fail();
   } else if (m_Parser.state() == AnswerState::Complete) {
     keepConnection();
@@ -420,11 +418,14 @@
   }
 }
 
-void HttpUpstreamCall::recordFault(AnswerFault Fault) {
+void HttpUpstreamCall::recordFault(const AnswerParser &Parser) {
+  const std::optional<AnswerFault> Fault = Parser.fault();
+  if (!Fault)
+    return;
   if (m_BrokenAnswers != nullptr)
-    m_BrokenAnswers->count(Fault);
+    m_BrokenAnswers->count(*Fault);
   logEvent(LogEvent::AnswerBroken, {{"upstream", toString(m_Address)},
-                                    {"reason", std::string(nameOf(Fault))}});
+                                    {"reason", std::string(nameOf(*Fault))}});
 }
 
 /// An upstream that answers before it has read the whole body would take the
--- a/tests/process/raw_answer_test.cpp
+++ b/tests/process/raw_answer_test.cpp
@@ -32,15 +32,15 @@
   int m_AnswerCount = 0; ///< Answers of the upstream.
 };
 
-Received receive(const std::string &Answer, RawEnd End, std::size_t UploadBytes,
-                 const std::string &Path) {
+Received receive(const std::string &Answer, RawEnd End,
+                 std::size_t UploadBytes) {
   const RawUpstream Upstream(Answer, End);
   WatchedGateway Gateway(Upstream.address(), RequestCount);
   RawCaller Caller;
   Received Result;
   for (int I = 0; I < RequestCount; ++I) {
-    const auto Answered = Caller.start(
-        Gateway.m_Fleet.request(0, Path, std::string(UploadBytes, 'u')));
+    const auto Answered = Caller.start(Gateway.m_Fleet.request(
+        0, "/non_idempotent/x", std::string(UploadBytes, 'u')));
     BOOST_TEST(runUntil([&] { return Answered->m_Ended; }, 10s));
     if (Answered->m_Status == 502 && !Answered->m_ConnectionBroken) {
       ++Result.m_Failed;
@@ -58,8 +58,7 @@
 
 void checkFailed(const std::string &Answer, RawEnd End,
                  std::size_t UploadBytes) {
-  const Received Result =
-      receive(Answer, End, UploadBytes, "/non_idempotent/x");
+  const Received Result = receive(Answer, End, UploadBytes);
   BOOST_TEST(Result.m_Failed == RequestCount, Answer);
   BOOST_TEST(Result.m_Whole == 0);
   BOOST_TEST(Result.m_AnswerCount == RequestCount);
@@ -67,8 +66,7 @@
 
 void checkWhole(const std::string &Answer, RawEnd End,
                 std::size_t UploadBytes) {
-  const Received Result =
-      receive(Answer, End, UploadBytes, "/non_idempotent/x");
+  const Received Result = receive(Answer, End, UploadBytes);
   BOOST_TEST(Result.m_Whole == RequestCount, Answer);
   BOOST_TEST(Result.m_Body == "okay");
 }
