One check for a path that can be sent, one place for a connection's error

The load tool repeats what a call checks about its path: isSendablePath() serves both. A read records its error where a write does. No behaviour changes: recv() gives no EPIPE on an end in order, but 0.

--- a/src/http/request_target.cpp
+++ b/src/http/request_target.cpp
@@ -12,4 +12,8 @@
   });
 }
 
+bool isSendablePath(std::string_view Path) {
+  return Path.starts_with('/') && isSendableTarget(Path);
+}
+
 } // namespace crowstep
--- a/src/http/request_target.h
+++ b/src/http/request_target.h
@@ -10,6 +10,9 @@
 /// characters would end it early.
 [[nodiscard]] bool isSendableTarget(std::string_view Target);
 
+/// Returns whether \p Path may be a request's path and query.
+[[nodiscard]] bool isSendablePath(std::string_view Path);
+
 } // namespace crowstep
 
 #endif // CROWSTEP_HTTP_REQUEST_TARGET_H
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -31,7 +31,7 @@
 }
 
 std::string requestText(const UpstreamRequest &Request) {
-  if (!Request.m_Path.starts_with('/') || !isSendableTarget(Request.m_Path))
+  if (!isSendablePath(Request.m_Path))
     throw UpstreamUriError(Request.m_Path);
   std::string Result =
       Request.m_Method + " " + Request.m_Path + " HTTP/1.1\r\n";
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -126,7 +126,7 @@
   if (Size < 0 && wouldBlock(errno))
     return ReadOutcome::WouldBlock;
   if (Size < 0)
-    m_HasFailed = true;
+    recordError(errno);
   if (Size <= 0)
     return m_HasFailed ? ReadOutcome::Failed : ReadOutcome::Closed;
   Bytes = {Buffer.data(), static_cast<std::size_t>(Size)};
--- a/src/load/caller.cpp
+++ b/src/load/caller.cpp
@@ -33,7 +33,7 @@
     : m_Plan(Plan), m_Targets(std::move(Targets)), m_Clock(Time),
       m_Timers(Timers), m_OnOutcome(std::move(OnDone)), m_Client(Time, Timers) {
   for (const Source &Checked : m_Plan.m_Sources)
-    if (!Checked.m_Path.starts_with('/') || !isSendableTarget(Checked.m_Path))
+    if (!isSendablePath(Checked.m_Path))
       throw UpstreamUriError(Checked.m_Path);
 }
 
