Test: One listener that records a call

Six tests of calls had the same listener each; RecordingListener serves them all, and Peer::end() the choice between a close and a reset.

--- a/tests/process/raw_upstream.h
+++ b/tests/process/raw_upstream.h
@@ -81,11 +81,8 @@
     }
     (void)::send(Fd, Text.data(), Text.size(), MSG_NOSIGNAL);
     ++m_Answered;
-    if (m_End == RawEnd::Reset) {
-      const linger ResetOnClose = {1, 0};
-      setsockopt(Fd, SOL_SOCKET, SO_LINGER, &ResetOnClose,
-                 sizeof(ResetOnClose));
-    }
+    if (m_End == RawEnd::Reset)
+      resetOnClose(Fd);
     if (m_End != RawEnd::InOrder)
       return;
     shutdown(Fd, SHUT_WR);
--- a/tests/unit/answer_end_test.cpp
+++ b/tests/unit/answer_end_test.cpp
@@ -4,9 +4,9 @@
 #include "http/answer_parser.h"
 #include "http/upstream_call.h"
 #include "unit/broken_upstream.h"
+#include "unit/recording_listener.h"
 
 #include <boost/test/unit_test.hpp>
-#include <optional>
 #include <string>
 
 using namespace crowstep;
@@ -22,15 +22,6 @@
 const std::string ChunkedAndCloses = "HTTP/1.1 200 OK\r\nConnection: close\r\n"
                                      "Transfer-Encoding: chunked\r\n\r\n";
 
-struct Listener final : UpstreamListener {
-  void upstreamHeaders(unsigned, const HeaderList &) override {}
-  void upstreamBytes(std::string_view Bytes) override { m_Body += Bytes; }
-  void upstreamEnded(TransportEnd End) override { m_End = End; }
-
-  std::string m_Body;
-  std::optional<TransportEnd> m_End;
-};
-
 /// How the runs of one answer ended.
 struct EndCounts {
   int m_Whole = 0;
@@ -48,7 +39,7 @@
   HttpUpstreamClient Caller(Clock, Timers);
   EndCounts Result;
   for (int Run = 0; Run < RunCount; ++Run) {
-    Listener CallListener;
+    RecordingListener CallListener;
     UpstreamRequest Request;
     Request.m_Address = Upstream.m_Address;
     Request.m_Path = "/x";
@@ -190,7 +181,7 @@
   LoopClock Clock;
   LoopScheduler Timers;
   HttpUpstreamClient Caller(Clock, Timers);
-  Listener CallListener;
+  RecordingListener CallListener;
   UpstreamRequest Request;
   Request.m_Address = Upstream.m_Address;
   Request.m_Path = "/x";
--- a/tests/unit/broken_answer_test.cpp
+++ b/tests/unit/broken_answer_test.cpp
@@ -3,6 +3,7 @@
 #include "http/http_client.h"
 #include "http/upstream_call.h"
 #include "unit/loopback_peer.h"
+#include "unit/recording_listener.h"
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -17,18 +18,6 @@
 /// More than the sockets' buffers hold.
 constexpr std::size_t UploadBytes = std::size_t(16) << 20U;
 
-struct Listener final : UpstreamListener {
-  void upstreamHeaders(unsigned Status, const HeaderList &) override {
-    m_Status = Status;
-  }
-  void upstreamBytes(std::string_view Bytes) override { m_Body += Bytes; }
-  void upstreamEnded(TransportEnd End) override { m_End = End; }
-
-  unsigned m_Status = 0;
-  std::string m_Body;
-  std::optional<TransportEnd> m_End;
-};
-
 /// How an upstream's end of a connection ends.
 enum class PeerEnd : std::uint8_t {
   Reset,         ///< At once.
@@ -99,7 +88,7 @@
       Peer *First = m_Upstream.waitForRequest();
       First->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
       BOOST_REQUIRE(ended());
-      m_Listener = Listener();
+      m_Listener = RecordingListener();
     }
     start(std::string(UploadBytes, 'u'));
     BOOST_REQUIRE(pumpUntil([&] { return m_Upstream.acceptPending() == 1U; }));
@@ -125,7 +114,7 @@
   LoopScheduler m_Timers;
   HttpUpstreamClient m_Client{m_Clock, m_Timers};
   FakeUpstream m_Upstream;
-  Listener m_Listener;
+  RecordingListener m_Listener;
   std::unique_ptr<UpstreamCall> m_Call;
 
 private:
@@ -279,7 +268,7 @@
   };
   for (const std::string &Text : Answers) {
     FakeUpstream Upstream;
-    Listener CallListener;
+    RecordingListener CallListener;
     UpstreamRequest Request;
     Request.m_Address = Upstream.m_Address;
     Request.m_Path = "/x";
--- a/tests/unit/cut_head_test.cpp
+++ b/tests/unit/cut_head_test.cpp
@@ -4,9 +4,9 @@
 #include "http/upstream_call.h"
 #include "unit/entry_harness.h"
 #include "unit/forwarded_request_env.h"
+#include "unit/recording_listener.h"
 
 #include <boost/test/unit_test.hpp>
-#include <optional>
 
 using namespace crowstep;
 using namespace crowstep::test;
@@ -87,25 +87,6 @@
           Parser.canReuseConnection()};
 }
 
-struct Listener final : UpstreamListener {
-  void upstreamHeaders(unsigned, const HeaderList &) override {
-    m_HasHead = true;
-  }
-  void upstreamBytes(std::string_view Bytes) override { m_Body += Bytes; }
-  void upstreamEnded(TransportEnd End) override { m_End = End; }
-
-  bool m_HasHead = false;
-  std::string m_Body;
-  std::optional<TransportEnd> m_End;
-};
-
-void closeConnection(Peer &Connection, bool Reset) {
-  if (Reset)
-    Connection.reset();
-  else
-    Connection.close();
-}
-
 /// Which connection a call is sent on.
 enum class On : std::uint8_t { First, Kept, KeptWithRetry };
 
@@ -114,7 +95,7 @@
   LoopScheduler m_Timers;
   HttpUpstreamClient m_Client{m_Clock, m_Timers};
   FakeUpstream m_Upstream;
-  Listener m_Listener;
+  RecordingListener m_Listener;
   std::unique_ptr<UpstreamCall> m_Call;
 
   /// Sends a call and returns the upstream's end of its connection.
@@ -127,7 +108,7 @@
     Peer *Result = m_Upstream.waitForRequest();
     Result->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     pumpUntil([&] { return m_Listener.m_End.has_value(); });
-    m_Listener = Listener();
+    m_Listener = RecordingListener();
     start(Connection);
     pumpUntil([&] { return Result->received().rfind("POST") > 0; });
     return Result;
@@ -166,7 +147,7 @@
     Peer *Connection = m_Upstream.waitForRequest();
     BOOST_REQUIRE(Connection != nullptr);
     Connection->send(Text);
-    closeConnection(*Connection, Reset);
+    Connection->end(Reset);
     BOOST_TEST(pumpUntil([&] { return Played.m_Stopped; }));
   }
 
@@ -255,11 +236,11 @@
             Peer *Upstream = Fixture.send(Connection);
             BOOST_REQUIRE(Upstream != nullptr);
             Upstream->send(All.substr(0, Cut));
-            closeConnection(*Upstream, Reset);
+            Upstream->end(Reset);
             if (Cut == 0 && Connection == On::KeptWithRetry) {
               Peer *Again = Fixture.m_Upstream.waitForRequest();
               BOOST_REQUIRE(Again != nullptr);
-              closeConnection(*Again, Reset);
+              Again->end(Reset);
             }
             BOOST_REQUIRE(Fixture.ended());
             BOOST_TEST((Fixture.m_Listener.m_End == TransportEnd::Broken));
--- a/tests/unit/leaving_cut_test.cpp
+++ b/tests/unit/leaving_cut_test.cpp
@@ -3,25 +3,15 @@
 #define BOOST_TEST_MODULE leaving_cut
 #include "http/upstream_call.h"
 #include "unit/loopback_peer.h"
+#include "unit/recording_listener.h"
 
 #include <boost/test/unit_test.hpp>
-#include <optional>
 
 using namespace crowstep;
 using namespace crowstep::test;
 using namespace std::chrono_literals;
 
-namespace {
-
-struct Listener final : UpstreamListener {
-  void upstreamHeaders(unsigned, const HeaderList &) override {}
-  void upstreamBytes(std::string_view) override {}
-  void upstreamEnded(TransportEnd End) override { m_End = End; }
-
-  std::optional<TransportEnd> m_End;
-};
-
-} // namespace
+namespace {} // namespace
 
 // Guards against a truncated answer that is taken for a complete one. A
 // draining upstream sends "Connection: close" and breaks off between two
@@ -32,7 +22,7 @@
   LoopScheduler Timers;
   HttpUpstreamClient Caller(Clock, Timers);
   FakeUpstream Upstream;
-  Listener CallListener;
+  RecordingListener CallListener;
   UpstreamRequest Request;
   Request.m_Address = Upstream.m_Address;
   Request.m_Path = "/x";
--- a/tests/unit/loopback_peer.h
+++ b/tests/unit/loopback_peer.h
@@ -41,6 +41,12 @@
       g_usleep(200);
 }
 
+/// Lets the kernel reset the connection when it is closed.
+inline void resetOnClose(int Fd) {
+  const linger Reset = {1, 0};
+  setsockopt(Fd, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
+}
+
 /// One end of a TCP connection that is read without blocking.
 class Peer {
 public:
@@ -115,11 +121,16 @@
   }
   /// Closes with a reset.
   void reset() {
-    const linger ResetOnClose = {1, 0};
-    setsockopt(m_Fd, SOL_SOCKET, SO_LINGER, &ResetOnClose,
-               sizeof(ResetOnClose));
+    resetOnClose(m_Fd);
     close();
   }
+  /// Closes in order, or else with a reset.
+  void end(bool WithReset) {
+    if (WithReset)
+      reset();
+    else
+      close();
+  }
   [[nodiscard]] int fd() const { return m_Fd; }
   [[nodiscard]] bool hasReceived(const std::string &Text) {
     return received().find(Text) != std::string::npos;
--- a/tests/unit/process_check_test.cpp
+++ b/tests/unit/process_check_test.cpp
@@ -2,9 +2,9 @@
 #define BOOST_TEST_MODULE process_check
 #include "http/upstream_call.h"
 #include "unit/loopback_peer.h"
+#include "unit/recording_listener.h"
 
 #include <boost/test/unit_test.hpp>
-#include <optional>
 #include <vector>
 
 using namespace crowstep;
@@ -13,21 +13,12 @@
 
 namespace {
 
-struct Listener final : UpstreamListener {
-  void upstreamHeaders(unsigned, const HeaderList &) override {}
-  void upstreamBytes(std::string_view Bytes) override { m_Body += Bytes; }
-  void upstreamEnded(TransportEnd End) override { m_End = End; }
-
-  std::string m_Body;
-  std::optional<TransportEnd> m_End;
-};
-
 struct CheckFixture {
   LoopClock m_Clock;
   LoopScheduler m_Timers;
   HttpUpstreamClient m_Caller{m_Clock, m_Timers};
   FakeUpstream m_Upstream;
-  Listener m_Listener;
+  RecordingListener m_Listener;
   std::unique_ptr<UpstreamCall> m_Call;
 
   void send() {
@@ -159,10 +150,7 @@
         send();
         Peer &Upstream = connection(Index);
         Upstream.send(Text);
-        if (Reset)
-          Upstream.reset();
-        else
-          Upstream.close();
+        Upstream.end(Reset);
         BOOST_TEST(ended());
         BOOST_TEST((m_Listener.m_End == TransportEnd::Unproven ||
                     m_Listener.m_End == TransportEnd::NotSent));
--- a/tests/unit/upstream_call_test.cpp
+++ b/tests/unit/upstream_call_test.cpp
@@ -2,9 +2,9 @@
 #define BOOST_TEST_MODULE upstream_call
 #include "http/upstream_call.h"
 #include "unit/loopback_peer.h"
+#include "unit/recording_listener.h"
 
 #include <boost/test/unit_test.hpp>
-#include <optional>
 
 using namespace crowstep;
 using namespace crowstep::test;
@@ -12,26 +12,12 @@
 
 namespace {
 
-struct Listener final : UpstreamListener {
-  void upstreamConnected() override { m_Connected = true; }
-  void upstreamHeaders(unsigned Status, const HeaderList &) override {
-    m_Status = Status;
-  }
-  void upstreamBytes(std::string_view Bytes) override { m_Body += Bytes; }
-  void upstreamEnded(TransportEnd End) override { m_End = End; }
-
-  bool m_Connected = false;
-  unsigned m_Status = 0;
-  std::string m_Body;
-  std::optional<TransportEnd> m_End;
-};
-
 struct CallFixture {
   LoopClock m_Clock;
   LoopScheduler m_Timers;
   HttpUpstreamClient m_Caller{m_Clock, m_Timers};
   FakeUpstream m_Upstream;
-  Listener m_Listener;
+  RecordingListener m_Listener;
   std::unique_ptr<UpstreamCall> m_Call;
 
   void send(bool Repeatable = false, bool CloseAfter = false) {
@@ -91,10 +77,7 @@
         Upstream->send("HTTP/1.1 200 OK\r\n" + std::string(Text));
         BOOST_TEST(
             pumpUntil([&] { return Fixture.m_Listener.m_Status == 200; }));
-        if (Reset)
-          Upstream->reset();
-        else
-          Upstream->close();
+        Upstream->end(Reset);
         BOOST_TEST(Fixture.ended());
         BOOST_TEST((Fixture.m_Listener.m_End == TransportEnd::Broken));
       }
@@ -179,10 +162,7 @@
     Peer *Upstream = Fixture.m_Upstream.waitForRequest();
     Upstream->send("HTTP/1.1 200 OK\r\n\r\nwhole");
     BOOST_TEST(pumpUntil([&] { return Fixture.m_Listener.m_Body == "whole"; }));
-    if (Reset)
-      Upstream->reset();
-    else
-      Upstream->close();
+    Upstream->end(Reset);
     BOOST_TEST(Fixture.ended());
     BOOST_TEST((Fixture.m_Listener.m_End ==
                 (Reset ? TransportEnd::Broken : TransportEnd::Complete)));
@@ -197,7 +177,7 @@
   Peer *Upstream = Fixture.m_Upstream.waitForRequest();
   Upstream->send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
   BOOST_TEST(Fixture.ended());
-  Fixture.m_Listener = Listener();
+  Fixture.m_Listener = RecordingListener();
   Fixture.send(true);
   BOOST_TEST(pumpUntil([&] {
     return Upstream->received().find("POST", 10) != std::string::npos;
@@ -244,7 +224,7 @@
   Peer *Upstream = Fixture.m_Upstream.waitForRequest();
   Upstream->send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
   BOOST_TEST(Fixture.ended());
-  Fixture.m_Listener = Listener();
+  Fixture.m_Listener = RecordingListener();
   bool MaySend = true;
   UpstreamRequest Request;
   Request.m_Address = Fixture.m_Upstream.m_Address;
@@ -330,7 +310,7 @@
 BOOST_AUTO_TEST_CASE(AHeldCallSendsNothingBeforeItsRelease) {
   CallFixture Fixture;
   for (const bool IsReused : {false, true}) {
-    Fixture.m_Listener = Listener();
+    Fixture.m_Listener = RecordingListener();
     UpstreamRequest Request;
     Request.m_Address = Fixture.m_Upstream.m_Address;
     Request.m_Path = IsReused ? "/second" : "/first";
